Settle the kernel's types and Protocols

Cause: nothing exists yet, and all parts need one set of ids, result codes and boundaries (clock, platform, upstreams, links between hosts) before they can be written side by side.

--- /dev/null
+++ b/src/nutmegroad/__init__.py
@@ -0,0 +1,1 @@
+"""nutmegroad: a model-aware router for versions and cascades."""
--- /dev/null
+++ b/src/nutmegroad/core.py
@@ -0,0 +1,111 @@
+"""The kernel: it opens the parts of a host in order and closes them all.
+
+A part is an object that a plug-in provides under a type. Its module says::
+
+    @register('part', 'billing')
+    class BillingPart:
+        needs = (Mesh, Table)
+
+        async def open(self, kernel: Kernel) -> None:
+            biller = Biller(kernel.need(Table), kernel.clock)
+            await kernel.stack.enter_async_context(biller)
+            kernel.provide(Biller, biller)
+"""
+
+import random
+from contextlib import AsyncExitStack
+from typing import Any, Protocol, Self, TypeVar, cast
+
+from nutmegroad.clocks import Clock
+from nutmegroad.exceptions import RegistryError
+from nutmegroad.registry import registered
+from nutmegroad.settings import Settings
+from nutmegroad.types import Incarnation
+
+Provided = TypeVar('Provided')
+
+
+class Part(Protocol):
+    """A plug-in of kind ``part``.
+
+    Attributes:
+        provides: Types that ``open`` provides.
+        needs: Types that others must have provided before.
+    """
+
+    provides: tuple[type[Any], ...]
+    needs: tuple[type[Any], ...]
+
+    async def open(self, kernel: 'Kernel') -> None:
+        """Start, push what must be closed, and provide."""
+
+
+class Kernel:
+    """What the parts of one host share.
+
+    Args:
+        settings: Checked settings.
+        clock: Time.
+        randomness: The only source of random numbers.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        randomness: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.randomness = randomness
+        # Names this run of this host; a host that restarts has another.
+        nonce = f'{randomness.getrandbits(64):016x}'
+        self.incarnation = Incarnation(f'{settings.host}.{nonce}')
+        self.stack = AsyncExitStack()
+        self._provided: dict[type[Any], Any] = {}
+
+    async def __aenter__(self) -> Self:
+        """Open nothing yet; ``start`` does."""
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close all parts, the last opened first."""
+        await self.stack.aclose()
+
+    def provide(self, kind: type[Provided], thing: Provided) -> None:
+        """Offer a thing to the other parts under a type.
+
+        Raises:
+            RegistryError: If the type is provided already.
+        """
+        if kind in self._provided:
+            message = f'Two parts provide {kind.__name__}.'
+            raise RegistryError(message)
+        self._provided[kind] = thing
+
+    def need(self, kind: type[Provided]) -> Provided:
+        """Return the thing that was provided under a type.
+
+        Raises:
+            RegistryError: If nothing was.
+        """
+        if kind not in self._provided:
+            message = f'No part provides {kind.__name__}.'
+            raise RegistryError(message)
+        return cast(Provided, self._provided[kind])
+
+    async def start(self) -> None:
+        """Open every registered part, each after those that it needs."""
+        waiting = {name: make() for name, make in registered('part').items()}
+        while waiting:
+            ready = [
+                name
+                for name, part in waiting.items()
+                if all(kind in self._provided for kind in part.needs)
+            ]
+            if not ready:
+                names = ', '.join(sorted(waiting))
+                message = f'These parts need what nothing provides: {names}.'
+                raise RegistryError(message)
+            for name in ready:
+                await waiting.pop(name).open(self)
--- /dev/null
+++ b/src/nutmegroad/peers.py
@@ -0,0 +1,69 @@
+"""Messages between hosts, and the Protocol of the links that carry them."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
+
+from msgspec import Struct
+
+from nutmegroad.results import Refusal
+from nutmegroad.types import Address, DomainId, HostId, Incarnation, Presence
+
+
+class Message(Struct, frozen=True, tag_field='type'):
+    """Base of what hosts say to each other.
+
+    A subclass states ``tag='a-name'``; the links register it when a
+    handler for it is added. Its fields are plain data.
+    """
+
+
+Sent = TypeVar('Sent', bound=Message)
+
+#: Handles a message from a host; a message returned is the reply.
+Handler = Callable[[HostId, Sent], Awaitable[Message | None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Another host, as the links know it now.
+
+    Attributes:
+        host: Its id.
+        incarnation: Which run of it.
+        domain: Its failure domain.
+        address: Where it listens to peers.
+        presence: Live, leaving or gone.
+        heard: Clock seconds at which it was last heard.
+    """
+
+    host: HostId
+    incarnation: Incarnation
+    domain: DomainId
+    address: Address
+    presence: Presence
+    heard: float
+
+
+class Mesh(Protocol):
+    """Links to other hosts: all of this domain, a few of the others."""
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the hosts that are live or leaving, as known now."""
+
+    def handle(self, kind: type[Sent], handler: Handler[Sent]) -> None:
+        """Register what is done with messages of a kind."""
+
+    def tell(self, host: HostId, message: Message) -> bool:
+        """Queue a message to a host; false if there is no link to it."""
+
+    def tell_all(self, message: Message) -> int:
+        """Queue a message on every link, and return how many."""
+
+    async def ask(
+        self,
+        host: HostId,
+        message: Message,
+        timeout: float,
+    ) -> Message | Refusal:
+        """Send a message and wait for its reply."""
--- /dev/null
+++ b/src/nutmegroad/results.py
@@ -0,0 +1,105 @@
+"""Result codes, and the sentinel values that carry a reason.
+
+A function that can fail returns a :class:`Refusal` in place of its value.
+Exceptions stay at the edges, where libraries raise them.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum, unique
+
+from nutmegroad.types import Ran
+
+
+@unique
+class ResultCode(IntEnum):
+    """Numbered outcomes; ``docs/CODES.md`` has the table.
+
+    The first digit names the area: 1 the caller's request, 2 rights and
+    limits, 3 routing, 4 upstreams, 5 records, 6 configuration, 7 the
+    platform, 8 hosts, 9 operators.
+    """
+
+    OK = 0
+    BODY_MALFORMED = 1001
+    FIELD_INVALID = 1002
+    BODY_TOO_LARGE = 1003
+    ROUTE_UNKNOWN = 1004
+    BODY_TOO_SLOW = 1005
+    KEY_REUSED = 1006
+    UNAUTHENTICATED = 2001
+    VERSION_NOT_ALLOWED = 2002
+    TASK_UNKNOWN = 2003
+    SERVICE_UNKNOWN = 2004
+    OVERLOADED = 2101
+    SHARE_EXCEEDED = 2102
+    DEADLINE_UNREACHABLE = 2103
+    DEADLINE_PASSED = 2104
+    NO_UPSTREAM = 3001
+    VERSION_WITHDRAWN = 3002
+    NO_PLAN = 3003
+    ISOLATED = 3004
+    SESSION_ENDED = 3005
+    SESSION_INVALID = 3006
+    UPSTREAM_LEAVING = 3007
+    HOST_PAUSED = 3008
+    VERSION_QUARANTINED = 3009
+    RETRY_BUDGET_SPENT = 3010
+    UPSTREAM_UNREACHABLE = 4001
+    UPSTREAM_ERROR = 4002
+    UPSTREAM_TIMEOUT = 4003
+    ANSWER_CUT = 4004
+    ANSWER_CROSSED = 4005
+    UPSTREAM_BUSY = 4006
+    VERSION_NOT_LOADED = 4007
+    ORDER_FENCED = 4008
+    OUTCOME_UNKNOWN = 5001
+    STILL_RUNNING = 5002
+    INTENT_UNAVAILABLE = 5003
+    TICKET_INVALID = 5004
+    TICKET_SPENT = 5005
+    TICKET_HOST_GONE = 5006
+    CONFIGURATION_INVALID = 6001
+    CONFIGURATION_CONFLICT = 6002
+    CONFIGURATION_MISSING = 6003
+    PRESET_UNKNOWN = 6004
+    CONFIGURATION_UNCONFIRMED = 6005
+    TABLE_UNAVAILABLE = 7001
+    TABLE_CONFLICT = 7002
+    OBJECT_UNAVAILABLE = 7003
+    OBJECT_MISSING = 7004
+    HOST_LIST_UNAVAILABLE = 7005
+    RATINGS_UNAVAILABLE = 7006
+    WEIGHTS_UNAVAILABLE = 7007
+    PEER_UNREACHABLE = 8001
+    PEER_REFUSED = 8002
+    HOST_STOPPING = 8003
+    LEASE_HELD = 8004
+    LEASE_LOST = 8005
+    OPERATOR_UNAUTHENTICATED = 9001
+    OPERATOR_NOT_PERMITTED = 9002
+    OPERATOR_REQUEST_INVALID = 9003
+    NOT_FOUND = 9004
+    INTERNAL = 9999
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The value returned where there is nothing else to return.
+
+    It is false, so that ``if answer:`` reads as it should.
+
+    Attributes:
+        code: Which outcome this is.
+        reason: One sentence for a person.
+        ran: What is known about whether any upstream ran the request.
+        retry_after: Seconds until another try makes sense; 0 for never.
+    """
+
+    code: ResultCode
+    reason: str
+    ran: Ran = Ran.NOT_RUN
+    retry_after: float = 0
+
+    def __bool__(self) -> bool:
+        """Return false, always."""
+        return False
