--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+RUN = $(VENV)/bin/python
+# What of these exists; the parts of the tree come one after another.
+TYPED = $(wildcard src fakes experiments)
+LINTED = $(TYPED) $(wildcard tests)
+
+.PHONY: setup demo test lint format soak measure slopes
+
+setup:
+	$(PYTHON) -m venv $(VENV)
+	$(RUN) -m pip install --quiet -e '.[dev]'
+
+demo:
+	$(RUN) -m experiments.demo
+
+test:
+	$(RUN) -m tests.run
+
+lint:
+	$(RUN) -m ruff format --check $(LINTED)
+	$(RUN) -m ruff check $(LINTED)
+	$(RUN) -m flake8 $(LINTED)
+	$(RUN) -m mypy $(TYPED)
+
+format:
+	$(RUN) -m ruff format $(LINTED)
+	$(RUN) -m ruff check --fix $(LINTED)
+
+soak:
+	$(RUN) -m experiments.soak
+
+measure:
+	$(RUN) -m experiments.measure
+
+slopes:
+	$(RUN) -m experiments.slopes
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
