--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems; docs/design/stand-ins.md lists them."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of nutmegroad, one module for each module."""
