Add the platform stand-in and its HTTP adapters

Cause: the parts need a platform that can be down, slow, stale, late and that loses replies, and the adapters that reach it. Not run: the program form (python -m fakes.platform) and SIGTERM.

--- /dev/null
+++ b/fakes/hosts.py
@@ -0,0 +1,46 @@
+"""The host list's stand-in: it shows the truth late."""
+
+from aiohttp import web
+
+from fakes.bodies import json_reply, no_content, read_body
+from nutmegroad._platform_bodies import ListingBody
+from nutmegroad.clocks import Clock
+
+
+class FakeHostList:
+    """A list that lags behind what it was told.
+
+    Args:
+        lag: Seconds until the list shows what it was told.
+        clock: Tells when that is.
+    """
+
+    def __init__(self, lag: float, clock: Clock) -> None:
+        self._lag = lag
+        self._clock = clock
+        self._shown = ListingBody()
+        # What is not shown yet, with the moment from which it will be.
+        self._coming: list[tuple[float, ListingBody]] = []
+
+    def add_routes(self, app: web.Application) -> None:
+        """Answer the host list's calls in an application."""
+        app.router.add_get('/hosts', self._answer_get)
+        app.router.add_post('/hosts', self._answer_post)
+
+    def tell(self, truth: ListingBody) -> None:
+        """Set the truth, which the list shows after its lag."""
+        self._coming.append((self._clock.now() + self._lag, truth))
+
+    def shown(self) -> ListingBody:
+        """Return what the list says now."""
+        now = self._clock.now()
+        while self._coming and self._coming[0][0] <= now:
+            _, self._shown = self._coming.pop(0)
+        return self._shown
+
+    async def _answer_get(self, _request: web.Request) -> web.Response:
+        return json_reply(self.shown())
+
+    async def _answer_post(self, request: web.Request) -> web.Response:
+        self.tell(await read_body(request, ListingBody))
+        return no_content()
--- /dev/null
+++ b/src/nutmegroad/_platform_bodies.py
@@ -0,0 +1,143 @@
+"""JSON bodies of the platform's HTTP interface (see docs/design/stand-ins).
+
+``Row``, ``RowWrite``, ``Rating`` and ``RatedAnswer`` travel as they are.
+"""
+
+from typing import Self
+
+from msgspec import Struct
+
+from nutmegroad.platform import Listing, Rating, Row, RowWrite
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    HostId,
+    HostInfo,
+    Presence,
+    ServiceName,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    VersionId,
+)
+
+
+class RowsBody(Struct, frozen=True):
+    """Rows, in the order of their keys or of the writes."""
+
+    rows: tuple[Row, ...]
+
+
+class CommitBody(Struct, frozen=True):
+    """Writes that take effect together or not at all."""
+
+    writes: tuple[RowWrite, ...]
+
+
+class ConflictBody(Struct, frozen=True):
+    """The first row that was not as a commit expected it."""
+
+    row: Row
+
+
+class NamesBody(Struct, frozen=True):
+    """Names of objects, sorted."""
+
+    names: tuple[str, ...]
+
+
+class RatingsBody(Struct, frozen=True):
+    """Ratings, by position."""
+
+    ratings: tuple[Rating, ...]
+
+
+class LoadRateBody(Struct, frozen=True):
+    """How many weight loads a minute the store serves."""
+
+    loads_per_minute: float
+
+
+class FetchBody(Struct, frozen=True):
+    """A version whose weights an engine wants."""
+
+    version: VersionId
+
+
+class HostEntry(Struct, frozen=True):
+    """An entry host in the list; see ``HostInfo``."""
+
+    host: HostId
+    domain: DomainId
+    ip: str
+    port: int
+    presence: Presence = Presence.LIVE
+
+    @classmethod
+    def from_info(cls, info: HostInfo) -> Self:
+        """Return the entry for a host."""
+        where = info.address
+        return cls(info.host, info.domain, where.ip, where.port, info.presence)
+
+    def info(self) -> HostInfo:
+        """Return the host."""
+        address = Address(self.ip, self.port)
+        return HostInfo(self.host, self.domain, address, self.presence)
+
+
+class UpstreamEntry(Struct, frozen=True):
+    """An upstream in the list; see ``UpstreamInfo``."""
+
+    upstream: UpstreamId
+    domain: DomainId
+    kind: UpstreamKind
+    ip: str
+    port: int
+    presence: Presence = Presence.LIVE
+    service: ServiceName = ServiceName('')
+
+    @classmethod
+    def from_info(cls, info: UpstreamInfo) -> Self:
+        """Return the entry for an upstream."""
+        return cls(
+            upstream=info.upstream,
+            domain=info.domain,
+            kind=info.kind,
+            ip=info.address.ip,
+            port=info.address.port,
+            presence=info.presence,
+            service=info.service,
+        )
+
+    def info(self) -> UpstreamInfo:
+        """Return the upstream."""
+        return UpstreamInfo(
+            upstream=self.upstream,
+            domain=self.domain,
+            kind=self.kind,
+            address=Address(self.ip, self.port),
+            presence=self.presence,
+            service=self.service,
+        )
+
+
+class ListingBody(Struct, frozen=True):
+    """The host list."""
+
+    hosts: tuple[HostEntry, ...] = ()
+    upstreams: tuple[UpstreamEntry, ...] = ()
+
+    @classmethod
+    def from_listing(cls, listing: Listing) -> Self:
+        """Return the body for a listing."""
+        return cls(
+            tuple(map(HostEntry.from_info, listing.hosts)),
+            tuple(map(UpstreamEntry.from_info, listing.upstreams)),
+        )
+
+    def listing(self) -> Listing:
+        """Return the listing."""
+        return Listing(
+            tuple(entry.info() for entry in self.hosts),
+            tuple(entry.info() for entry in self.upstreams),
+        )
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,236 @@
+"""Tests of the platform's adapters against its stand-in."""
+
+import socket
+import unittest
+from contextlib import AsyncExitStack
+
+from aiohttp import ClientSession
+
+from fakes.faults import FaultKind, FaultOrder
+from fakes.platform import FakePlatform, PlatformOptions
+from nutmegroad._http_platform import (
+    HttpHostList,
+    HttpObjects,
+    HttpRatings,
+    HttpTable,
+    HttpWeights,
+)
+from nutmegroad._platform_bodies import ListingBody
+from nutmegroad.platform import (
+    ABSENT,
+    Conflict,
+    Listing,
+    RatedAnswer,
+    Row,
+    RowKey,
+    RowVersion,
+    RowWrite,
+)
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    HostId,
+    HostInfo,
+    Ran,
+    RequestId,
+    TaskName,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    VersionId,
+)
+
+KEY = RowKey('presets/one')
+OPTIONS = PlatformOptions(lag=5, rating_delay=3, writes_per_second=100)
+DOMAIN = DomainId('petaling')
+LISTING = Listing(
+    (HostInfo(HostId('h1'), DOMAIN, Address('127.0.0.1', 1)),),
+    (
+        UpstreamInfo(
+            UpstreamId('e1'),
+            DOMAIN,
+            UpstreamKind.ENGINE,
+            Address('127.0.0.1', 2),
+        ),
+    ),
+)
+
+
+class ManualClock:
+    """Time that goes on only when told to, or when somebody sleeps."""
+
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def now(self) -> float:
+        """Return the seconds so far."""
+        return self.seconds
+
+    def wall(self) -> float:
+        """Return the same."""
+        return self.seconds
+
+    async def sleep(self, seconds: float) -> None:
+        """Go on at once."""
+        self.seconds += seconds
+
+
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """A platform that is open, and a session."""
+
+    async def asyncSetUp(self) -> None:
+        """Open both."""
+        stack = AsyncExitStack()
+        self.addAsyncCleanup(stack.aclose)
+        self.clock = ManualClock()
+        self.platform = FakePlatform(OPTIONS, self.clock)
+        await stack.enter_async_context(self.platform)
+        self.session = await stack.enter_async_context(ClientSession())
+        self.table = HttpTable(self.session, self.platform.address)
+
+    def fault(self, kind: FaultKind, scope: str, count: int = 1) -> None:
+        """Switch a fault on for some calls."""
+        self.platform.faults.add(FaultOrder(kind, scope, count=count))
+
+    def write(
+        self,
+        text: str,
+        expected: int,
+        key: RowKey = KEY,
+    ) -> RowWrite:
+        """Return a write."""
+        return RowWrite(key, text, RowVersion(expected))
+
+
+class TableTest(PlatformCase):
+    """The table and its faults."""
+
+    async def test_write_takes_effect_on_expected_version(self) -> None:
+        absent = await self.table.read(KEY)
+        self.assertEqual(absent, Row(KEY, '', ABSENT))
+        rows = await self.table.commit((self.write('a', 0),))
+        self.assertEqual(rows, (Row(KEY, 'a', RowVersion(1)),))
+        self.assertEqual(await self.table.scan('presets/'), rows)
+        self.assertEqual(await self.table.scan('leases/'), ())
+
+    async def test_conflict_leaves_all_rows_alone(self) -> None:
+        await self.table.commit((self.write('a', 0),))
+        other = RowKey('presets/other')
+        writes = (self.write('b', 0, other), self.write('b', 0))
+        outcome = await self.table.commit(writes)
+        current = Row(KEY, 'a', RowVersion(1))
+        self.assertEqual(outcome, Conflict(current))
+        self.assertEqual(await self.table.scan(''), (current,))
+
+    async def test_lost_reply_hides_a_write_that_took_effect(self) -> None:
+        self.fault(FaultKind.LOSE_REPLY, 'table')
+        refusal = await self.table.commit((self.write('a', 0),))
+        self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.UNKNOWN)
+        row = await self.table.read(KEY)
+        self.assertEqual(row, Row(KEY, 'a', RowVersion(1)))
+
+    async def test_write_to_a_table_that_is_down_has_no_effect(self) -> None:
+        self.fault(FaultKind.DOWN, 'table')
+        refusal = await self.table.commit((self.write('a', 0),))
+        self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.UNKNOWN)
+        self.assertEqual(self.platform.table.row(KEY).version, ABSENT)
+
+    async def test_stale_read_shows_the_row_before_its_last_write(
+        self,
+    ) -> None:
+        await self.table.commit((self.write('a', 0),))
+        await self.table.commit((self.write('b', 1),))
+        self.fault(FaultKind.STALE, 'table')
+        stale = await self.table.read(KEY)
+        self.assertEqual(stale, Row(KEY, 'a', RowVersion(1)))
+        fresh = await self.table.read(KEY)
+        self.assertEqual(fresh, Row(KEY, 'b', RowVersion(2)))
+
+    async def test_writes_beyond_the_bound_are_refused(self) -> None:
+        for version in range(OPTIONS.writes_per_second):
+            rows = await self.table.commit((self.write('a', version),))
+            self.assertTrue(rows)
+        write = self.write('a', OPTIONS.writes_per_second)
+        refusal = await self.table.commit((write,))
+        self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.UNKNOWN)
+        self.clock.seconds += 1
+        self.assertTrue(await self.table.commit((write,)))
+
+    async def test_refused_connection_proves_that_nothing_ran(self) -> None:
+        with socket.socket() as closed:
+            # Bound without listening, the port refuses connections.
+            closed.bind(('127.0.0.1', 0))
+            table = HttpTable(self.session, Address(*closed.getsockname()))
+            refusal = await table.commit((self.write('a', 0),))
+        self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.NOT_RUN)
+
+    def assert_refused(
+        self,
+        outcome: object,
+        code: ResultCode,
+        ran: Ran,
+    ) -> None:
+        """Check that an outcome is a certain refusal."""
+        assert isinstance(outcome, Refusal)
+        self.assertEqual((outcome.code, outcome.ran), (code, ran))
+
+
+class ServicesTest(PlatformCase):
+    """The other services."""
+
+    async def test_object_never_changes(self) -> None:
+        objects = HttpObjects(self.session, self.platform.address)
+        for _ in range(2):
+            self.assertIsNone(await objects.put('d/é?1', b'one'))
+        conflict = await objects.put('d/é?1', b'two')
+        self.assertIsInstance(conflict, Refusal)
+        self.assertEqual(await objects.fetch('d/é?1'), b'one')
+        self.assertEqual(await objects.names('d/'), ('d/é?1',))
+        missing = await objects.fetch('d/2')
+        assert isinstance(missing, Refusal)
+        self.assertEqual(missing.code, ResultCode.OBJECT_MISSING)
+
+    async def test_host_list_lags(self) -> None:
+        hosts = HttpHostList(self.session, self.platform.address)
+        self.platform.hosts.tell(ListingBody.from_listing(LISTING))
+        self.clock.seconds += OPTIONS.lag - 1
+        self.assertEqual(await hosts.listing(), Listing((), ()))
+        self.clock.seconds += 1
+        self.assertEqual(await hosts.listing(), LISTING)
+
+    async def test_ratings_come_late_and_may_be_wrong(self) -> None:
+        ratings = HttpRatings(self.session, self.platform.address)
+        answer = RatedAnswer(
+            RequestId('r1'),
+            TaskName('tag'),
+            VersionId('m@1'),
+            'licence form q=0.83',
+        )
+        self.assertIsNone(await ratings.submit(answer))
+        self.fault(FaultKind.WRONG, 'ratings')
+        await ratings.submit(answer)
+        self.assertEqual(await ratings.feed(0), ())
+        self.clock.seconds += OPTIONS.rating_delay
+        feed = await ratings.feed(0)
+        assert not isinstance(feed, Refusal)
+        self.assertEqual([rating.position for rating in feed], [1, 2])
+        self.assertEqual(feed[0].score, 0.83)
+        self.assertNotEqual(feed[1].score, 0.83)
+        self.assertEqual(await ratings.feed(1), feed[1:])
+
+    async def test_weight_loads_wait_for_their_turn(self) -> None:
+        address = self.platform.address
+        weights = HttpWeights(self.session, address)
+        self.assertEqual(await weights.loads_per_minute(), 60)
+        before = self.clock.now()
+        for _ in range(3):
+            await self.session.post(
+                f'http://{address}/weights/fetch',
+                data=b'{"version": "m@1"}',
+            )
+        self.assertEqual(self.clock.now() - before, 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
