Split the platform stand-in's gate off and plain down the adapters

Done: counts, bounds and faults of a call moved to fakes/gates.py; adapters share a base; tests added for a reply that never comes and for which calls a fault hits (version, task, time, share). The bound in the test fell from 100 to 3 writes a second, with the same verdict on the next write. Calls in progress when SIGTERM comes, the 'slow' fault and the bound on reads have no test.

--- a/fakes/hosts.py
+++ b/fakes/hosts.py
@@ -1,5 +1,7 @@
 """The host list's stand-in: it shows the truth late."""
 
+from dataclasses import dataclass
+
 from aiohttp import web
 
 from fakes.bodies import json_reply, no_content, read_body
@@ -7,6 +9,14 @@
 from nutmegroad.clocks import Clock
 
 
+@dataclass(frozen=True, slots=True)
+class _Coming:
+    """A list and the clock's second from which it is shown."""
+
+    due: float
+    listing: ListingBody
+
+
 class FakeHostList:
     """A list that lags behind what it was told.
 
@@ -19,8 +29,7 @@
         self._lag = lag
         self._clock = clock
         self._shown = ListingBody()
-        # What is not shown yet, with the moment from which it will be.
-        self._coming: list[tuple[float, ListingBody]] = []
+        self._coming: list[_Coming] = []
 
     def add_routes(self, app: web.Application) -> None:
         """Answer the host list's calls in an application."""
@@ -29,13 +38,14 @@
 
     def tell(self, truth: ListingBody) -> None:
         """Set the truth, which the list shows after its lag."""
-        self._coming.append((self._clock.now() + self._lag, truth))
+        due = self._clock.now() + self._lag
+        self._coming.append(_Coming(due, truth))
 
     def shown(self) -> ListingBody:
         """Return what the list says now."""
         now = self._clock.now()
-        while self._coming and self._coming[0][0] <= now:
-            _, self._shown = self._coming.pop(0)
+        while self._coming and self._coming[0].due <= now:
+            self._shown = self._coming.pop(0).listing
         return self._shown
 
     async def _answer_get(self, _request: web.Request) -> web.Response:
--- a/fakes/objects.py
+++ b/fakes/objects.py
@@ -14,7 +14,7 @@
     """Objects by name."""
 
     def __init__(self) -> None:
-        self._contents: dict[str, bytes] = {}
+        self._blobs: dict[str, bytes] = {}
 
     def add_routes(self, app: web.Application) -> None:
         """Answer the object store's calls in an application."""
@@ -24,20 +24,18 @@
 
     async def _answer_put(self, request: web.Request) -> web.Response:
         name = request.match_info['name']
-        content = await request.read()
-        if self._contents.setdefault(name, content) != content:
+        blob = await request.read()
+        if self._blobs.setdefault(name, blob) != blob:
             raise web.HTTPConflict(text=f'{name!r} holds other content.')
         return no_content()
 
     async def _answer_get(self, request: web.Request) -> web.Response:
         name = request.match_info['name']
-        if name not in self._contents:
+        if name not in self._blobs:
             raise web.HTTPNotFound(text=f'There is no object {name!r}.')
-        return web.Response(body=self._contents[name])
+        return web.Response(body=self._blobs[name])
 
     async def _answer_names(self, request: web.Request) -> web.Response:
         prefix = query_text(request, 'prefix')
-        names = sorted(
-            name for name in self._contents if name.startswith(prefix)
-        )
+        names = sorted(name for name in self._blobs if name.startswith(prefix))
         return json_reply(NamesBody(tuple(names)))
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -6,23 +6,14 @@
 
 import random
 from argparse import Namespace
-from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Final, Self
 
 from aiohttp import web
-from aiohttp.typedefs import Handler
-
-from fakes.bodies import json_reply
-from fakes.faults import (
-    FaultKind,
-    Faults,
-    FaultTarget,
-    add_fault_routes,
-    drop_connection,
-)
+
+from fakes.faults import Faults, add_fault_routes
+from fakes.gates import CallBound, CallGate
 from fakes.hosts import FakeHostList
 from fakes.objects import FakeObjects
 from fakes.ratings import FakeRatings
@@ -32,12 +23,9 @@
 from nutmegroad.clocks import Clock, SystemClock
 from nutmegroad.types import Address
 
-#: Bytes that a body may have; objects are larger than aiohttp's own bound.
-MAX_BODY: Final = 64 * 1024 * 1024
-
-_ADMIN: Final = 'admin'
-#: The services whose reads and writes the platform bounds.
-_STORES: Final = frozenset(('table', 'objects'))
+#: Bytes that a body may have: 64 MiB, since objects may be larger than the
+#: 1 MiB that aiohttp allows by itself.
+MAX_BODY: Final = 67108864
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,94 +49,6 @@
     seed: int = 1
 
 
-class CallBound:
-    """Allows so many calls within each second of the clock.
-
-    Args:
-        per_second: How many; 0 for any number.
-        clock: Tells the seconds.
-    """
-
-    def __init__(self, per_second: int, clock: Clock) -> None:
-        self._per_second = per_second
-        self._clock = clock
-        self._second = 0
-        self._used = 0
-
-    def allows(self) -> bool:
-        """Count a call, and tell whether it is within the bound."""
-        second = int(self._clock.now())
-        if second != self._second:
-            self._second = second
-            self._used = 0
-        self._used += 1
-        return not self._per_second or self._used <= self._per_second
-
-
-class CallGate:
-    """What every call passes: counts, bounds and faults.
-
-    Args:
-        options: The bounds.
-        faults: What goes wrong.
-        clock: What slow calls wait on.
-    """
-
-    def __init__(
-        self,
-        options: PlatformOptions,
-        faults: Faults,
-        clock: Clock,
-    ) -> None:
-        self._faults = faults
-        self._clock = clock
-        self._counts: Counter[str] = Counter()
-        self._reads = CallBound(options.reads_per_second, clock)
-        self._writes = CallBound(options.writes_per_second, clock)
-
-    async def answer_counts(self, _request: web.Request) -> web.Response:
-        """Answer with the number of calls by route."""
-        return json_reply(dict(self._counts))
-
-    @web.middleware
-    async def handle(
-        self,
-        request: web.Request,
-        handler: Handler,
-    ) -> web.StreamResponse:
-        """Answer a call as the faults and bounds have it."""
-        scope = request.path.split('/')[1]
-        if scope == _ADMIN:
-            return await handler(request)
-        self._counts[_route(request)] += 1
-        target = FaultTarget(scope)
-        slow = self._faults.hit(FaultKind.SLOW, target)
-        if slow:
-            await self._clock.sleep(slow.delay)
-        if self._faults.hit(FaultKind.DOWN, target):
-            return drop_connection(request)
-        if scope in _STORES and not self._bound(request).allows():
-            raise web.HTTPServiceUnavailable(text='Too many calls a second.')
-        response = await handler(request)
-        if self._loses(request, response, target):
-            return drop_connection(request)
-        return response
-
-    def _bound(self, request: web.Request) -> CallBound:
-        return self._writes if _writes(request) else self._reads
-
-    def _loses(
-        self,
-        request: web.Request,
-        response: web.StreamResponse,
-        target: FaultTarget,
-    ) -> bool:
-        """Tell whether the reply to a write that took effect is lost."""
-        if not _writes(request) or response.status >= HTTPStatus.BAD_REQUEST:
-            return False
-        return self._faults.hit(FaultKind.LOSE_REPLY, target) is not None
-
-
 class FakePlatform:
     """The whole platform, on loopback while it is open.
 
@@ -179,9 +79,14 @@
         self.faults = Faults(clock, randomness)
         self.table = FakeTable(self.faults)
         self.hosts = FakeHostList(options.lag, clock)
-        gate = CallGate(options, self.faults, clock)
+        gate = CallGate(
+            self.faults,
+            clock,
+            CallBound(options.reads_per_second, clock),
+            CallBound(options.writes_per_second, clock),
+        )
         self.app = web.Application(
-            middlewares=[gate.handle],
+            middlewares=[gate.pass_call],
             client_max_size=MAX_BODY,
         )
         self.app.router.add_get('/admin/counts', gate.answer_counts)
@@ -235,17 +140,5 @@
     return parser.parse_args()
 
 
-def _writes(request: web.Request) -> bool:
-    """Tell whether a call may change something."""
-    return request.method not in {'GET', 'HEAD'}
-
-
-def _route(request: web.Request) -> str:
-    """Return the name under which a call is counted."""
-    resource = request.match_info.route.resource
-    path = 'unknown' if resource is None else resource.canonical
-    return f'{request.method} {path}'
-
-
 if __name__ == '__main__':
     main()
--- a/fakes/serving.py
+++ b/fakes/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 from argparse import ArgumentParser
 from contextlib import AsyncExitStack
 from typing import Final, Self
@@ -77,5 +78,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with Served(app, port) as served:
-        print(f'listening {served.address}', flush=True)
+        sys.stdout.write(f'listening {served.address}\n')
+        sys.stdout.flush()
         await stopping.wait()
--- a/fakes/tables.py
+++ b/fakes/tables.py
@@ -1,6 +1,7 @@
 """The table service's stand-in: rows with versions, in memory."""
 
 from http import HTTPStatus
+from operator import attrgetter
 from typing import Final
 
 from aiohttp import web
@@ -48,13 +49,13 @@
         writes: tuple[RowWrite, ...],
     ) -> tuple[Row, ...] | Conflict:
         """Do all the writes or none, and return the new rows."""
-        for write in writes:
-            row = self.row(write.key)
-            if row.version != write.expected:
+        for wanted in writes:
+            row = self.row(wanted.key)
+            if row.version != wanted.expected:
                 return Conflict(row)
-        return tuple(self._write(write) for write in writes)
+        return tuple(self._replace(write) for write in writes)
 
-    def _write(self, write: RowWrite) -> Row:
+    def _replace(self, write: RowWrite) -> Row:
         earlier = self.row(write.key)
         row = Row(write.key, write.text, RowVersion(earlier.version + 1))
         self._earlier[write.key] = earlier
@@ -74,12 +75,13 @@
 
     async def _answer_rows(self, request: web.Request) -> web.Response:
         prefix = query_text(request, 'prefix')
-        found = sorted(
-            (row.key, row)
+        found = [
+            row
             for row in self._shown().values()
             if row.version != ABSENT and row.key.startswith(prefix)
-        )
-        return json_reply(RowsBody(tuple(row for _, row in found)))
+        ]
+        found.sort(key=attrgetter('key'))
+        return json_reply(RowsBody(tuple(found)))
 
     async def _answer_commit(self, request: web.Request) -> web.Response:
         body = await read_body(request, CommitBody)
--- a/src/nutmegroad/_http_platform.py
+++ b/src/nutmegroad/_http_platform.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Final, TypeVar
+from typing import ClassVar, Final, TypeVar
 
 from aiohttp import (
     ClientConnectorError,
@@ -79,25 +79,25 @@
     """Calls one service, and turns trouble into refusals.
 
     Args:
-        code: The code of its refusals.
         session: What sends the requests; its owner closes it.
         address: Where the platform listens.
         timeout: Seconds that a call may take.
     """
 
+    #: The code of its refusals.
+    _code: ClassVar[ResultCode]
+
     def __init__(
         self,
-        code: ResultCode,
         session: ClientSession,
         address: Address,
-        timeout: float,
+        timeout: float = CALL_TIMEOUT,
     ) -> None:
-        self._code = code
         self._session = session
         self._address = address
         self._timeout = ClientTimeout(total=timeout)
 
-    async def send(self, call: _Call) -> _Reply | Refusal:
+    async def _send(self, call: _Call) -> _Reply | Refusal:
         """Make a call once."""
         try:
             return await self._exchange(call)
@@ -105,30 +105,31 @@
             # There was no connection, so nothing can have been sent.
             return self._refusal(f'cannot be reached: {error}', Ran.NOT_RUN)
         except TimeoutError:
-            problem = f'gave no answer in {self._timeout.total} seconds'
-            return self.failed(call, problem)
+            seconds = self._timeout.total
+            problem = f'gave no answer in {seconds} seconds'
+            return self._failed(call, problem)
         except (ClientError, OSError) as error:
-            return self.failed(call, f'broke off: {error!r}')
+            return self._failed(call, f'broke off: {error!r}')
 
-    async def ask(self, call: _Call, kind: type[_Body]) -> _Body | Refusal:
+    async def _ask(self, call: _Call, kind: type[_Body]) -> _Body | Refusal:
         """Make a call that has only one good reply, and decode it."""
-        reply = await self.send(call)
+        reply = await self._send(call)
         if isinstance(reply, Refusal):
             return reply
         if reply.status != HTTPStatus.OK:
-            return self.unexpected(call, reply)
-        return self.parse(call, reply, kind)
+            return self._unexpected(call, reply)
+        return self._parse(call, reply, kind)
 
-    async def tell(self, call: _Call, expected: HTTPStatus) -> Refusal | None:
+    async def _tell(self, call: _Call, expected: HTTPStatus) -> Refusal | None:
         """Make a call whose good reply has no body."""
-        reply = await self.send(call)
+        reply = await self._send(call)
         if isinstance(reply, Refusal):
             return reply
         if reply.status != expected:
-            return self.unexpected(call, reply)
+            return self._unexpected(call, reply)
         return None
 
-    def parse(
+    def _parse(
         self,
         call: _Call,
         reply: _Reply,
@@ -138,13 +139,13 @@
         try:
             return decode(reply.body, type=kind)
         except (DecodeError, UnicodeDecodeError) as error:
-            return self.failed(call, f'gave a malformed reply: {error}')
+            return self._failed(call, f'gave a malformed reply: {error}')
 
-    def unexpected(self, call: _Call, reply: _Reply) -> Refusal:
+    def _unexpected(self, call: _Call, reply: _Reply) -> Refusal:
         """Refuse a reply whose status the interface does not know."""
-        return self.failed(call, f'answered with status {reply.status}')
+        return self._failed(call, f'answered with status {reply.status}')
 
-    def failed(self, call: _Call, problem: str) -> Refusal:
+    def _failed(self, call: _Call, problem: str) -> Refusal:
         """Refuse after the request may have gone out."""
         ran = Ran.UNKNOWN if call.writes else Ran.NOT_RUN
         return self._refusal(f'{problem} ({call.method} {call.path})', ran)
@@ -173,27 +174,20 @@
 
 
 @register('table', _PLUG_IN)
-class HttpTable:
+class HttpTable(_Service):
     """The table service; see ``nutmegroad.platform.Table``."""
 
-    def __init__(
-        self,
-        session: ClientSession,
-        address: Address,
-        timeout: float = CALL_TIMEOUT,
-    ) -> None:
-        code = ResultCode.TABLE_UNAVAILABLE
-        self._service = _Service(code, session, address, timeout)
+    _code = ResultCode.TABLE_UNAVAILABLE
 
     async def read(self, key: RowKey) -> Row | Refusal:
         """Return a row; one that was never written has ``ABSENT``."""
         call = _Call('/table/row', query={'key': key})
-        return await self._service.ask(call, Row)
+        return await self._ask(call, Row)
 
     async def scan(self, prefix: str) -> tuple[Row, ...] | Refusal:
         """Return the rows whose keys begin with ``prefix``, in order."""
         call = _Call('/table/rows', query={'prefix': prefix})
-        body = await self._service.ask(call, RowsBody)
+        body = await self._ask(call, RowsBody)
         return body if isinstance(body, Refusal) else body.rows
 
     async def commit(
@@ -201,126 +195,97 @@
         writes: tuple[RowWrite, ...],
     ) -> tuple[Row, ...] | Conflict | Refusal:
         """Do all the writes or none, and return the new rows."""
-        service = self._service
         call = _Call('/table/commit', 'POST', body=encode(CommitBody(writes)))
-        reply = await service.send(call)
+        reply = await self._send(call)
         if isinstance(reply, Refusal):
             return reply
         if reply.status == HTTPStatus.CONFLICT:
-            conflict = service.parse(call, reply, ConflictBody)
+            conflict = self._parse(call, reply, ConflictBody)
             if isinstance(conflict, Refusal):
                 return conflict
             return Conflict(conflict.row)
         if reply.status != HTTPStatus.OK:
-            return service.unexpected(call, reply)
-        body = service.parse(call, reply, RowsBody)
+            return self._unexpected(call, reply)
+        body = self._parse(call, reply, RowsBody)
         return body if isinstance(body, Refusal) else body.rows
 
 
 @register('objects', _PLUG_IN)
-class HttpObjects:
+class HttpObjects(_Service):
     """The object store; see ``nutmegroad.platform.Objects``."""
 
-    def __init__(
-        self,
-        session: ClientSession,
-        address: Address,
-        timeout: float = CALL_TIMEOUT,
-    ) -> None:
-        code = ResultCode.OBJECT_UNAVAILABLE
-        self._service = _Service(code, session, address, timeout)
+    _code = ResultCode.OBJECT_UNAVAILABLE
 
     async def put(self, name: str, content: bytes) -> Refusal | None:
         """Store an object; storing the same again changes nothing."""
         call = _Call(f'/objects/{name}', 'PUT', body=content)
-        reply = await self._service.send(call)
+        reply = await self._send(call)
         if isinstance(reply, Refusal):
             return reply
         if reply.status == HTTPStatus.CONFLICT:
             reason = f'The object {name!r} is stored with other content.'
             return Refusal(ResultCode.OBJECT_UNAVAILABLE, reason)
         if reply.status != HTTPStatus.NO_CONTENT:
-            return self._service.unexpected(call, reply)
+            return self._unexpected(call, reply)
         return None
 
     async def fetch(self, name: str) -> bytes | Refusal:
         """Return an object's content."""
         call = _Call(f'/objects/{name}')
-        reply = await self._service.send(call)
+        reply = await self._send(call)
         if isinstance(reply, Refusal):
             return reply
         if reply.status == HTTPStatus.NOT_FOUND:
             reason = f'There is no object {name!r}.'
             return Refusal(ResultCode.OBJECT_MISSING, reason)
         if reply.status != HTTPStatus.OK:
-            return self._service.unexpected(call, reply)
+            return self._unexpected(call, reply)
         return reply.body
 
     async def names(self, prefix: str) -> tuple[str, ...] | Refusal:
         """Return the names that begin with ``prefix``, in order."""
         call = _Call('/objects', query={'prefix': prefix})
-        body = await self._service.ask(call, NamesBody)
+        body = await self._ask(call, NamesBody)
         return body if isinstance(body, Refusal) else body.names
 
 
 @register('host list', _PLUG_IN)
-class HttpHostList:
+class HttpHostList(_Service):
     """The host list; see ``nutmegroad.platform.HostList``."""
 
-    def __init__(
-        self,
-        session: ClientSession,
-        address: Address,
-        timeout: float = CALL_TIMEOUT,
-    ) -> None:
-        code = ResultCode.HOST_LIST_UNAVAILABLE
-        self._service = _Service(code, session, address, timeout)
+    _code = ResultCode.HOST_LIST_UNAVAILABLE
 
     async def listing(self) -> Listing | Refusal:
         """Return the list as the platform has it."""
-        body = await self._service.ask(_Call('/hosts'), ListingBody)
-        return body if isinstance(body, Refusal) else body.listing()
+        body = await self._ask(_Call('/hosts'), ListingBody)
+        return body if isinstance(body, Refusal) else body.to_listing()
 
 
 @register('ratings', _PLUG_IN)
-class HttpRatings:
+class HttpRatings(_Service):
     """The rating service; see ``nutmegroad.platform.Ratings``."""
 
-    def __init__(
-        self,
-        session: ClientSession,
-        address: Address,
-        timeout: float = CALL_TIMEOUT,
-    ) -> None:
-        code = ResultCode.RATINGS_UNAVAILABLE
-        self._service = _Service(code, session, address, timeout)
+    _code = ResultCode.RATINGS_UNAVAILABLE
 
     async def submit(self, answer: RatedAnswer) -> Refusal | None:
         """Hand an answer in for rating."""
         call = _Call('/ratings/answers', 'POST', body=encode(answer))
-        return await self._service.tell(call, HTTPStatus.ACCEPTED)
+        return await self._tell(call, HTTPStatus.ACCEPTED)
 
     async def feed(self, after: int) -> tuple[Rating, ...] | Refusal:
         """Return ratings whose position is greater than ``after``."""
         call = _Call('/ratings/feed', query={'after': str(after)})
-        body = await self._service.ask(call, RatingsBody)
+        body = await self._ask(call, RatingsBody)
         return body if isinstance(body, Refusal) else body.ratings
 
 
 @register('weights', _PLUG_IN)
-class HttpWeights:
+class HttpWeights(_Service):
     """The weight store; see ``nutmegroad.platform.Weights``."""
 
-    def __init__(
-        self,
-        session: ClientSession,
-        address: Address,
-        timeout: float = CALL_TIMEOUT,
-    ) -> None:
-        code = ResultCode.WEIGHTS_UNAVAILABLE
-        self._service = _Service(code, session, address, timeout)
+    _code = ResultCode.WEIGHTS_UNAVAILABLE
 
     async def loads_per_minute(self) -> float | Refusal:
         """Return how many weight loads a minute the store serves."""
-        body = await self._service.ask(_Call('/weights/rate'), LoadRateBody)
+        body = await self._ask(_Call('/weights/rate'), LoadRateBody)
         return body if isinstance(body, Refusal) else body.loads_per_minute
--- a/src/nutmegroad/_platform_bodies.py
+++ b/src/nutmegroad/_platform_bodies.py
@@ -74,12 +74,12 @@
     presence: Presence = Presence.LIVE
 
     @classmethod
-    def from_info(cls, info: HostInfo) -> Self:
+    def from_host(cls, host: HostInfo) -> Self:
         """Return the entry for a host."""
-        where = info.address
-        return cls(info.host, info.domain, where.ip, where.port, info.presence)
+        where = host.address
+        return cls(host.host, host.domain, where.ip, where.port, host.presence)
 
-    def info(self) -> HostInfo:
+    def to_host(self) -> HostInfo:
         """Return the host."""
         address = Address(self.ip, self.port)
         return HostInfo(self.host, self.domain, address, self.presence)
@@ -97,19 +97,19 @@
     service: ServiceName = ServiceName('')
 
     @classmethod
-    def from_info(cls, info: UpstreamInfo) -> Self:
+    def from_upstream(cls, upstream: UpstreamInfo) -> Self:
         """Return the entry for an upstream."""
         return cls(
-            upstream=info.upstream,
-            domain=info.domain,
-            kind=info.kind,
-            ip=info.address.ip,
-            port=info.address.port,
-            presence=info.presence,
-            service=info.service,
+            upstream=upstream.upstream,
+            domain=upstream.domain,
+            kind=upstream.kind,
+            ip=upstream.address.ip,
+            port=upstream.address.port,
+            presence=upstream.presence,
+            service=upstream.service,
         )
 
-    def info(self) -> UpstreamInfo:
+    def to_upstream(self) -> UpstreamInfo:
         """Return the upstream."""
         return UpstreamInfo(
             upstream=self.upstream,
@@ -131,13 +131,13 @@
     def from_listing(cls, listing: Listing) -> Self:
         """Return the body for a listing."""
         return cls(
-            tuple(map(HostEntry.from_info, listing.hosts)),
-            tuple(map(UpstreamEntry.from_info, listing.upstreams)),
+            tuple(map(HostEntry.from_host, listing.hosts)),
+            tuple(map(UpstreamEntry.from_upstream, listing.upstreams)),
         )
 
-    def listing(self) -> Listing:
+    def to_listing(self) -> Listing:
         """Return the listing."""
         return Listing(
-            tuple(entry.info() for entry in self.hosts),
-            tuple(entry.info() for entry in self.upstreams),
+            tuple(entry.to_host() for entry in self.hosts),
+            tuple(entry.to_upstream() for entry in self.upstreams),
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,12 +1,13 @@
 """Tests of the platform's adapters against its stand-in."""
 
+import random
 import socket
 import unittest
 from contextlib import AsyncExitStack
 
 from aiohttp import ClientSession
 
-from fakes.faults import FaultKind, FaultOrder
+from fakes.faults import FaultKind, FaultOrder, Faults, FaultTarget
 from fakes.platform import FakePlatform, PlatformOptions
 from nutmegroad._http_platform import (
     HttpHostList,
@@ -42,7 +43,7 @@
 )
 
 KEY = RowKey('presets/one')
-OPTIONS = PlatformOptions(lag=5, rating_delay=3, writes_per_second=100)
+OPTIONS = PlatformOptions(lag=5, rating_delay=3, writes_per_second=3)
 DOMAIN = DomainId('petaling')
 LISTING = Listing(
     (HostInfo(HostId('h1'), DOMAIN, Address('127.0.0.1', 1)),),
@@ -76,6 +77,43 @@
         self.seconds += seconds
 
 
+class FaultsTest(unittest.TestCase):
+    """Which calls a fault hits."""
+
+    def setUp(self) -> None:
+        """Switch nothing on."""
+        self.clock = ManualClock()
+        self.faults = Faults(self.clock, random.Random(1))
+
+    def test_fault_hits_only_its_target(self) -> None:
+        order = FaultOrder(FaultKind.SLOW, 'all', version='m@1', task='tag')
+        self.faults.add(order)
+        cases = {
+            FaultTarget('table', 'm@1', 'tag'): order,
+            FaultTarget('table', 'm@2', 'tag'): None,
+            FaultTarget('table', 'm@1', 'draft'): None,
+            FaultTarget('table'): None,
+        }
+        for target, expected in cases.items():
+            with self.subTest(target=target):
+                hit = self.faults.hit(FaultKind.SLOW, target)
+                self.assertEqual(hit, expected)
+
+    def test_fault_ends_with_its_time(self) -> None:
+        self.faults.add(FaultOrder(FaultKind.DOWN, seconds=2))
+        self.faults.add(FaultOrder(FaultKind.BAD, seconds=2))
+        self.assertIsNotNone(self.faults.hit(FaultKind.DOWN))
+        self.clock.seconds += 2
+        self.assertIsNone(self.faults.hit(FaultKind.DOWN))
+        # Here the time is how long the fall takes, not how long it lasts.
+        self.assertIsNotNone(self.faults.find(FaultKind.BAD))
+
+    def test_fault_hits_its_share(self) -> None:
+        self.faults.add(FaultOrder(FaultKind.DOWN, share=0.25))
+        hits = [self.faults.hit(FaultKind.DOWN) for _ in range(400)]
+        self.assertAlmostEqual(hits.count(None) / 400, 0.75, delta=0.1)
+
+
 class PlatformCase(unittest.IsolatedAsyncioTestCase):
     """A platform that is open, and a session."""
 
@@ -123,22 +161,20 @@
         self.assertEqual(outcome, Conflict(current))
         self.assertEqual(await self.table.scan(''), (current,))
 
-    async def test_lost_reply_hides_a_write_that_took_effect(self) -> None:
+    async def test_lost_reply_hides_a_done_write(self) -> None:
         self.fault(FaultKind.LOSE_REPLY, 'table')
         refusal = await self.table.commit((self.write('a', 0),))
         self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.UNKNOWN)
         row = await self.table.read(KEY)
         self.assertEqual(row, Row(KEY, 'a', RowVersion(1)))
 
-    async def test_write_to_a_table_that_is_down_has_no_effect(self) -> None:
+    async def test_table_that_is_down_writes_nothing(self) -> None:
         self.fault(FaultKind.DOWN, 'table')
         refusal = await self.table.commit((self.write('a', 0),))
         self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.UNKNOWN)
         self.assertEqual(self.platform.table.row(KEY).version, ABSENT)
 
-    async def test_stale_read_shows_the_row_before_its_last_write(
-        self,
-    ) -> None:
+    async def test_stale_read_shows_the_earlier_row(self) -> None:
         await self.table.commit((self.write('a', 0),))
         await self.table.commit((self.write('b', 1),))
         self.fault(FaultKind.STALE, 'table')
@@ -149,15 +185,15 @@
 
     async def test_writes_beyond_the_bound_are_refused(self) -> None:
         for version in range(OPTIONS.writes_per_second):
-            rows = await self.table.commit((self.write('a', version),))
-            self.assertTrue(rows)
+            write = self.write('a', version)
+            self.assertTrue(await self.table.commit((write,)))
         write = self.write('a', OPTIONS.writes_per_second)
         refusal = await self.table.commit((write,))
         self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.UNKNOWN)
         self.clock.seconds += 1
         self.assertTrue(await self.table.commit((write,)))
 
-    async def test_refused_connection_proves_that_nothing_ran(self) -> None:
+    async def test_refused_connection_proves_not_run(self) -> None:
         with socket.socket() as closed:
             # Bound without listening, the port refuses connections.
             closed.bind(('127.0.0.1', 0))
@@ -165,6 +201,15 @@
             refusal = await table.commit((self.write('a', 0),))
         self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.NOT_RUN)
 
+    async def test_no_reply_in_time_leaves_it_open(self) -> None:
+        with socket.socket() as silent:
+            silent.bind(('127.0.0.1', 0))
+            silent.listen()
+            address = Address(*silent.getsockname())
+            table = HttpTable(self.session, address, timeout=0.05)
+            refusal = await table.commit((self.write('a', 0),))
+        self.assert_refused(refusal, ResultCode.TABLE_UNAVAILABLE, Ran.UNKNOWN)
+
     def assert_refused(
         self,
         outcome: object,
@@ -180,14 +225,14 @@
     """The other services."""
 
     async def test_object_never_changes(self) -> None:
-        objects = HttpObjects(self.session, self.platform.address)
-        for _ in range(2):
-            self.assertIsNone(await objects.put('d/é?1', b'one'))
-        conflict = await objects.put('d/é?1', b'two')
+        store = HttpObjects(self.session, self.platform.address)
+        self.assertIsNone(await store.put('d/é?1', b'one'))
+        self.assertIsNone(await store.put('d/é?1', b'one'))
+        conflict = await store.put('d/é?1', b'two')
         self.assertIsInstance(conflict, Refusal)
-        self.assertEqual(await objects.fetch('d/é?1'), b'one')
-        self.assertEqual(await objects.names('d/'), ('d/é?1',))
-        missing = await objects.fetch('d/2')
+        self.assertEqual(await store.fetch('d/é?1'), b'one')
+        self.assertEqual(await store.names('d/'), ('d/é?1',))
+        missing = await store.fetch('d/2')
         assert isinstance(missing, Refusal)
         self.assertEqual(missing.code, ResultCode.OBJECT_MISSING)
 
@@ -220,17 +265,21 @@
         self.assertEqual(await ratings.feed(1), feed[1:])
 
     async def test_weight_loads_wait_for_their_turn(self) -> None:
-        address = self.platform.address
-        weights = HttpWeights(self.session, address)
+        weights = HttpWeights(self.session, self.platform.address)
         self.assertEqual(await weights.loads_per_minute(), 60)
         before = self.clock.now()
-        for _ in range(3):
-            await self.session.post(
-                f'http://{address}/weights/fetch',
-                data=b'{"version": "m@1"}',
-            )
+        await self.load_weights()
+        await self.load_weights()
+        await self.load_weights()
         self.assertEqual(self.clock.now() - before, 2)
 
+    async def load_weights(self) -> None:
+        """Fetch a version's weights, as an engine does."""
+        address = self.platform.address
+        url = f'http://{address}/weights/fetch'
+        async with self.session.post(url, data=b'{"version": "m@1"}') as reply:
+            self.assertEqual(reply.status, 200)
+
 
 if __name__ == '__main__':
     unittest.main()
