--- /dev/null
+++ b/src/nutmegroad/logs.py
@@ -0,0 +1,153 @@
+"""Logs: short lines through ``absl.logging``, a fixed prefix per part.
+
+A part says::
+
+    _LOG = part_logger('dispatch')
+    _LOG.info('answered by %s', version, request=request)
+"""
+
+import logging as standard_logging
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Final, TextIO
+
+import msgspec
+from absl import logging
+
+from nutmegroad.types import RequestId
+
+_TEXT: Final = '%(asctime)s %(levelname)s %(message)s'
+
+#: Name under which a log record carries its context.
+_CONTEXT: Final = 'nutmegroad_context'
+
+
+@dataclass(frozen=True, slots=True)
+class _Context:
+    """What a log line concerns."""
+
+    part: str = ''
+    request: str = ''
+
+
+class _Line(msgspec.Struct, omit_defaults=True):
+    """A log line as JSON; ``time`` is in seconds since 1970."""
+
+    time: float
+    level: str
+    message: str
+    part: str = ''
+    request: str = ''
+    exception: str = ''
+
+
+@unique
+class LogFormat(Enum):
+    """How a log line is written."""
+
+    TEXT = 'text'
+    JSON = 'json'
+
+
+@dataclass(frozen=True, slots=True)
+class PartLogger:
+    """Logs for one part of the program.
+
+    Attributes:
+        part: The part's name, the prefix of its lines.
+    """
+
+    part: str
+
+    def info(
+        self,
+        message: str,
+        *args: object,
+        request: RequestId | None = None,
+    ) -> None:
+        """Say what happened; give the request that it concerns."""
+        self._log(standard_logging.INFO, message, args, request)
+
+    def warning(
+        self,
+        message: str,
+        *args: object,
+        request: RequestId | None = None,
+    ) -> None:
+        """Say what went wrong and was dealt with."""
+        self._log(standard_logging.WARNING, message, args, request)
+
+    def error(
+        self,
+        message: str,
+        *args: object,
+        request: RequestId | None = None,
+    ) -> None:
+        """Say what went wrong and calls for a person."""
+        self._log(standard_logging.ERROR, message, args, request)
+
+    def _log(
+        self,
+        level: int,
+        message: str,
+        args: tuple[object, ...],
+        request: RequestId | None,
+    ) -> None:
+        """Write a line; the prefix is an argument, as it may hold a ``%``."""
+        prefix = self.part if request is None else f'{self.part} {request}'
+        context = _Context(self.part, request or '')
+        logging.get_absl_logger().log(
+            level,
+            f'%s: {message}',
+            prefix,
+            *args,
+            extra={_CONTEXT: context},
+        )
+
+
+class JsonFormatter(standard_logging.Formatter):
+    """Writes each log line as one JSON object."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return the line."""
+        context: _Context = getattr(record, _CONTEXT, _Context())
+        line = _Line(
+            time=record.created,
+            level=record.levelname.lower(),
+            message=record.getMessage(),
+            part=context.part,
+            request=context.request,
+            exception=self._exception(record),
+        )
+        return msgspec.json.encode(line).decode()
+
+    def _exception(self, record: standard_logging.LogRecord) -> str:
+        """Return the traceback that a line carries, if any."""
+        return self.formatException(record.exc_info) if record.exc_info else ''
+
+
+def part_logger(part: str) -> PartLogger:
+    """Return the logger of one part."""
+    return PartLogger(part)
+
+
+def set_up_logs(log_format: LogFormat, stream: TextIO) -> None:
+    """Send all logs of ``absl.logging`` to a stream.
+
+    Args:
+        log_format: Text or JSON lines.
+        stream: Where to, such as ``sys.stderr``.
+    """
+    formatter = standard_logging.Formatter(_TEXT)
+    if log_format is LogFormat.JSON:
+        formatter = JsonFormatter()
+    # absl's own handler writes only after absl has read its flags, which
+    # argparse reads here; so its logger hands on to a handler of ours.
+    handler = standard_logging.StreamHandler(stream)
+    handler.setFormatter(formatter)
+    standard_logging.basicConfig(
+        handlers=[handler],
+        level=standard_logging.INFO,
+        force=True,
+    )
+    logging.set_verbosity(logging.INFO)
