Write the thin path: admit, plan, choose, attempt, record

Cause: a request has to go from a caller's socket to an engine's and back before anything around it can be proved.

--- /dev/null
+++ b/src/nutmegroad/_upstreams_part.py
@@ -0,0 +1,38 @@
+"""The part that reaches upstreams over HTTP and watches them."""
+
+from nutmegroad._http_upstreams import open_clients
+from nutmegroad.core import Kernel
+from nutmegroad.directory import Directory
+from nutmegroad.platform import HostList
+from nutmegroad.registry import register
+from nutmegroad.spread import UpstreamPoller
+from nutmegroad.upstreams import EngineClient, ServiceClient
+
+#: Seconds between reads of the host list and of engines' reports.
+WATCH_PERIOD = 1.0
+
+
+@register('part', 'upstreams')
+class UpstreamsPart:
+    """Provides the clients of upstreams and the directory."""
+
+    needs = (HostList,)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Open the clients and begin to watch."""
+        engines, services = await kernel.stack.enter_async_context(
+            open_clients(),
+        )
+        kernel.provide(EngineClient, engines)
+        kernel.provide(ServiceClient, services)
+        directory = Directory(kernel.clock)
+        kernel.provide(Directory, directory)
+        poller = UpstreamPoller(
+            kernel.need(HostList),
+            engines,
+            directory,
+            kernel.clock,
+            WATCH_PERIOD,
+        )
+        await poller.poll()
+        kernel.spawn(poller.run(), 'upstreams')
--- a/src/nutmegroad/core.py
+++ b/src/nutmegroad/core.py
@@ -12,15 +12,21 @@
             kernel.provide(Biller, biller)
 """
 
+import asyncio
 import random
-from contextlib import AsyncExitStack
-from typing import Any, Protocol, Self, TypeVar, cast
+from collections.abc import Coroutine
+from contextlib import AsyncExitStack, suppress
+from typing import Any, Final, Protocol, Self, TypeVar, cast
+
+from absl import logging
 
 from nutmegroad.clocks import Clock
 from nutmegroad.exceptions import RegistryError
 from nutmegroad.registry import registered
 from nutmegroad.settings import Settings
-from nutmegroad.types import Incarnation
+from nutmegroad.types import Address, Incarnation
+
+_LOG_PREFIX: Final = 'kernel:'
 
 Provided = TypeVar('Provided')
 
@@ -29,11 +35,9 @@
     """A plug-in of kind ``part``.
 
     Attributes:
-        provides: Types that ``open`` provides.
         needs: Types that others must have provided before.
     """
 
-    provides: tuple[type[Any], ...]
     needs: tuple[type[Any], ...]
 
     async def open(self, kernel: 'Kernel') -> None:
@@ -62,6 +66,8 @@
         nonce = f'{randomness.getrandbits(64):016x}'
         self.incarnation = Incarnation(f'{settings.host}.{nonce}')
         self.stack = AsyncExitStack()
+        #: Where each listener ended up, by its name.
+        self.listening: dict[str, Address] = {}
         self._provided: dict[type[Any], Any] = {}
 
     async def __aenter__(self) -> Self:
@@ -94,6 +100,21 @@
             raise RegistryError(message)
         return cast(Provided, self._provided[kind])
 
+    def nonce(self) -> str:
+        """Return a word that never repeats."""
+        return f'{self.randomness.getrandbits(96):024x}'
+
+    def spawn(
+        self,
+        coroutine: Coroutine[Any, Any, None],
+        name: str,
+    ) -> asyncio.Task[None]:
+        """Run a task until the kernel closes; its failure is logged."""
+        task = asyncio.create_task(coroutine, name=name)
+        task.add_done_callback(_log_failure)
+        self.stack.push_async_callback(_end, task)
+        return task
+
     async def start(self) -> None:
         """Open every registered part, each after those that it needs."""
         waiting = {name: make() for name, make in registered('part').items()}
@@ -109,3 +130,22 @@
                 raise RegistryError(message)
             for name in ready:
                 await waiting.pop(name).open(self)
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    """Say so if a task ended by an exception, which none should."""
+    if task.cancelled() or task.exception() is None:
+        return
+    logging.error(
+        '%s task %s failed',
+        _LOG_PREFIX,
+        task.get_name(),
+        exc_info=task.exception(),
+    )
+
+
+async def _end(task: asyncio.Task[None]) -> None:
+    """Cancel a task and wait for its end."""
+    task.cancel()
+    with suppress(asyncio.CancelledError, Exception):
+        await task
--- /dev/null
+++ b/src/nutmegroad/daemon.py
@@ -0,0 +1,71 @@
+"""The daemon ``nutmegroadd``: one process is one entry host."""
+
+import os
+import random
+import sys
+from typing import Any, Final
+
+from absl import logging
+from aiomisc import Service, entrypoint
+
+from nutmegroad.clocks import SystemClock
+from nutmegroad.core import Kernel
+from nutmegroad.exceptions import SettingsError
+from nutmegroad.plugins import load_plugins
+from nutmegroad.settings import Settings, read_settings
+
+_LOG_PREFIX: Final = 'daemon:'
+
+#: Exit code for settings that are wrong.
+BAD_SETTINGS: Final = 2
+
+#: Seconds beyond the drain limit after which a stop is forced.
+STOP_MARGIN: Final = 5
+
+
+class HostService(Service):
+    """Runs one host inside aiomisc's entry point.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, settings: Settings, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self._kernel = Kernel(
+            settings,
+            SystemClock(),
+            random.Random(settings.seed),
+        )
+
+    async def start(self) -> None:
+        """Open all parts, and say where they listen."""
+        await self._kernel.start()
+        for name, address in self._kernel.listening.items():
+            sys.stdout.write(f'listening {name} {address}\n')
+        sys.stdout.write('ready\n')
+        sys.stdout.flush()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close all parts."""
+        logging.info('%s stopping', _LOG_PREFIX)
+        await self._kernel.stack.aclose()
+
+
+def main() -> int:
+    """Run the daemon until it is told to stop."""
+    try:
+        settings = read_settings(sys.argv[1:], os.environ)
+    except SettingsError as problem:
+        sys.stderr.write(f'{problem}\n')
+        return BAD_SETTINGS
+    load_plugins()
+    service = HostService(settings)
+    limit = settings.drain + STOP_MARGIN
+    with entrypoint(service, log_config=False, shutdown_timeout=limit) as loop:
+        loop.run_forever()
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/nutmegroad/policies.py
@@ -0,0 +1,137 @@
+"""Plain policies: a first version of each decision, and baselines."""
+
+import random
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, contextmanager
+from typing import Final
+
+from nutmegroad.configuration import Configuration
+from nutmegroad.decisions import AttemptEnd, Choice
+from nutmegroad.directory import Directory
+from nutmegroad.documents import VersionEntry
+from nutmegroad.requests import ModelRequest, Plan
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import TaskName, UpstreamId, VersionId
+
+#: Token counts that prices are stated for.
+PRICED_TOKENS: Final = 1000
+
+
+def cost_of(entry: VersionEntry, prompt: int, output: int) -> float:
+    """Return what so many tokens cost on a version."""
+    read = prompt * entry.price_in
+    written = output * entry.price_out
+    return (read + written) / PRICED_TOKENS
+
+
+class CheapestPlanner:
+    """Takes the cheapest version whose declared quality is enough.
+
+    Args:
+        configuration: What is in force.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+
+    def plan(self, request: ModelRequest) -> Plan | Refusal:
+        """Return a plan of one step."""
+        plans = [
+            self._single(request, entry)
+            for entry in map(self._configuration.entry, request.versions)
+            if entry is not None
+        ]
+        fit = [plan for plan in plans if plan.quality >= request.target]
+        if not fit:
+            return Refusal(
+                ResultCode.NO_PLAN,
+                f'No allowed version meets the target {request.target} of '
+                f'the task {request.task!r}.',
+            )
+        return min(fit, key=lambda plan: plan.cost)
+
+    def estimate(self, request: ModelRequest, end: AttemptEnd) -> float:
+        """Return what the version's owner declared."""
+        entry = self._configuration.entry(end.start.version)
+        return entry.quality.get(request.task, 0) if entry else 0
+
+    def _single(self, request: ModelRequest, entry: VersionEntry) -> Plan:
+        """Return the plan that asks one version."""
+        return Plan(
+            steps=(entry.version,),
+            accept=(),
+            cost=cost_of(entry, request.prompt_tokens, request.output_tokens),
+            quality=entry.quality.get(request.task, 0),
+            reason='cheapest declared quality that meets the target',
+        )
+
+
+class LeastInFlight:
+    """Takes the upstream at which this host has the least in flight.
+
+    Args:
+        directory: The upstreams.
+        randomness: Breaks ties.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        randomness: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._randomness = randomness
+
+    def choose(
+        self,
+        request: ModelRequest,
+        version: VersionId,
+        excluded: frozenset[UpstreamId],
+    ) -> Choice | Refusal:
+        """Return the upstream with the least in flight."""
+        states = [
+            state
+            for state in self._directory.engines(version)
+            if state.info.upstream not in excluded
+        ]
+        if not states:
+            return Refusal(
+                ResultCode.NO_UPSTREAM,
+                f'No live engine has {version} loaded.',
+                retry_after=1,
+            )
+        self._randomness.shuffle(states)
+        chosen = min(states, key=lambda state: state.in_flight)
+        return Choice(chosen, 0, 'least in flight')
+
+
+class OpenAdmitter:
+    """Lets everything in."""
+
+    async def admit(
+        self,
+        request: ModelRequest,
+    ) -> AbstractContextManager[None] | Refusal:
+        """Return a permit."""
+        return _permit()
+
+
+class CountedRetries:
+    """Allows every retry; the dispatcher's own bound still holds."""
+
+    def spend(self, request: ModelRequest) -> bool:
+        """Allow it."""
+        return True
+
+
+class NoQuarantine:
+    """Blocks nothing."""
+
+    def blocked(self, version: VersionId, task: TaskName) -> Refusal | None:
+        """Block nothing."""
+
+
+@contextmanager
+def _permit() -> Iterator[None]:
+    """Hold nothing."""
+    yield
--- /dev/null
+++ b/src/nutmegroad/replies.py
@@ -0,0 +1,313 @@
+"""HTTP replies to callers: refusals, whole answers, streams."""
+
+import math
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+from aiohttp.web import Request, Response, StreamResponse
+from msgspec import Struct
+
+from nutmegroad.dispatch import Answer
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import Ran, RequestId
+
+JSON_TYPE: Final = 'application/json'
+
+_MILLISECONDS: Final = 1000
+
+#: HTTP status by result code; any other is 503.
+_STATUS: Final = MappingProxyType(
+    {
+        ResultCode.BODY_MALFORMED: 400,
+        ResultCode.FIELD_INVALID: 400,
+        ResultCode.BODY_TOO_LARGE: 413,
+        ResultCode.ROUTE_UNKNOWN: 404,
+        ResultCode.BODY_TOO_SLOW: 408,
+        ResultCode.KEY_REUSED: 422,
+        ResultCode.UNAUTHENTICATED: 401,
+        ResultCode.VERSION_NOT_ALLOWED: 403,
+        ResultCode.TASK_UNKNOWN: 404,
+        ResultCode.SERVICE_UNKNOWN: 404,
+        ResultCode.OVERLOADED: 429,
+        ResultCode.SHARE_EXCEEDED: 429,
+        ResultCode.DEADLINE_UNREACHABLE: 429,
+        ResultCode.DEADLINE_PASSED: 504,
+        ResultCode.SESSION_ENDED: 409,
+        ResultCode.SESSION_INVALID: 400,
+        ResultCode.UPSTREAM_ERROR: 502,
+        ResultCode.UPSTREAM_TIMEOUT: 504,
+        ResultCode.ANSWER_CUT: 502,
+        ResultCode.ANSWER_CROSSED: 502,
+        ResultCode.OUTCOME_UNKNOWN: 409,
+        ResultCode.STILL_RUNNING: 409,
+        ResultCode.TICKET_INVALID: 400,
+        ResultCode.TICKET_SPENT: 409,
+        ResultCode.CONFIGURATION_INVALID: 422,
+        ResultCode.CONFIGURATION_CONFLICT: 409,
+        ResultCode.PRESET_UNKNOWN: 404,
+        ResultCode.OPERATOR_UNAUTHENTICATED: 401,
+        ResultCode.OPERATOR_NOT_PERMITTED: 403,
+        ResultCode.OPERATOR_REQUEST_INVALID: 400,
+        ResultCode.NOT_FOUND: 404,
+        ResultCode.INTERNAL: 500,
+    }
+)
+
+_UNAVAILABLE: Final = 503
+
+
+class RefusalBody(Struct, frozen=True):
+    """A refusal, as callers see it.
+
+    Attributes:
+        code: Result code.
+        name: Its name.
+        message: One sentence.
+        not_run: True only if no upstream ran any of it.
+        retry_after_ms: When another try makes sense; 0 for never.
+    """
+
+    code: int
+    name: str
+    message: str
+    not_run: bool
+    retry_after_ms: int
+
+
+class ErrorBody(Struct, frozen=True):
+    """The envelope that the model API's clients expect.
+
+    Attributes:
+        error: The refusal.
+    """
+
+    error: RefusalBody
+
+
+def error_body(refusal: Refusal) -> bytes:
+    """Return a refusal as JSON."""
+    inner = RefusalBody(
+        code=int(refusal.code),
+        name=refusal.code.name,
+        message=refusal.reason,
+        not_run=refusal.ran is Ran.NOT_RUN,
+        retry_after_ms=math.ceil(refusal.retry_after * _MILLISECONDS),
+    )
+    return msgspec.json.encode(ErrorBody(inner))
+
+
+def refuse(refusal: Refusal, request: RequestId) -> Response:
+    """Return the HTTP reply of a refusal."""
+    headers = {'Nutmegroad-Request': str(request)}
+    if refusal.retry_after > 0:
+        headers['Retry-After'] = str(math.ceil(refusal.retry_after))
+    return Response(
+        status=_STATUS.get(refusal.code, _UNAVAILABLE),
+        body=error_body(refusal),
+        content_type=JSON_TYPE,
+        headers=headers,
+    )
+
+
+class Delta(Struct, frozen=True, omit_defaults=True):
+    """What a chunk adds to the answer.
+
+    Attributes:
+        content: Text.
+    """
+
+    content: str = ''
+
+
+class ChunkChoice(Struct, frozen=True):
+    """The only choice of a chunk.
+
+    Attributes:
+        index: Always 0.
+        delta: What is added.
+        finish_reason: Why the answer ended; None before.
+    """
+
+    index: int
+    delta: Delta
+    finish_reason: str | None = None
+
+
+class Usage(Struct, frozen=True):
+    """Tokens of an answer.
+
+    Attributes:
+        prompt_tokens: Tokens read.
+        completion_tokens: Tokens written.
+        total_tokens: Both.
+        cost: What the request cost, the whole cascade summed.
+    """
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+    cost: float
+
+
+class Chunk(Struct, frozen=True):
+    """One server-sent event of an answer.
+
+    Attributes:
+        id: The request's id.
+        object: Always ``chat.completion.chunk``.
+        model: The version that answered; empty until it is known.
+        choices: One choice.
+        usage: Tokens, in the last chunk.
+    """
+
+    id: str
+    object: str
+    model: str
+    choices: tuple[ChunkChoice, ...]
+    usage: Usage | None = None
+
+
+class AnswerMessage(Struct, frozen=True):
+    """The answer, whole.
+
+    Attributes:
+        role: Always ``assistant``.
+        content: Its text.
+    """
+
+    role: str
+    content: str
+
+
+class AnswerChoice(Struct, frozen=True):
+    """The only choice of a whole answer.
+
+    Attributes:
+        index: Always 0.
+        message: The answer.
+        finish_reason: Why it ended.
+    """
+
+    index: int
+    message: AnswerMessage
+    finish_reason: str
+
+
+class AnswerBody(Struct, frozen=True):
+    """A whole answer, in the model API's shape.
+
+    Attributes:
+        id: The request's id.
+        object: Always ``chat.completion``.
+        model: The version that answered.
+        choices: One choice.
+        usage: Tokens and cost.
+    """
+
+    id: str
+    object: str
+    model: str
+    choices: tuple[AnswerChoice, ...]
+    usage: Usage
+
+
+def usage_of(answer: Answer) -> Usage:
+    """Return an answer's tokens and cost."""
+    return Usage(
+        answer.prompt_tokens,
+        answer.output_tokens,
+        answer.prompt_tokens + answer.output_tokens,
+        answer.cost,
+    )
+
+
+def answer_body(answer: Answer, request: RequestId) -> bytes:
+    """Return a whole answer as JSON."""
+    message = AnswerMessage('assistant', answer.text)
+    choice = AnswerChoice(0, message, answer.finish)
+    return msgspec.json.encode(
+        AnswerBody(
+            request,
+            'chat.completion',
+            answer.version,
+            (choice,),
+            usage_of(answer),
+        ),
+    )
+
+
+class EventStream:
+    """Streams an answer to a caller as server-sent events.
+
+    The HTTP reply begins with the first piece, so that a refusal before it
+    still has its own status. An answer that is cut ends with an ``error``
+    event and without ``[DONE]``.
+
+    Args:
+        http: The caller's HTTP request.
+        request: The request's id.
+        headers: Headers of the reply.
+    """
+
+    def __init__(
+        self,
+        http: Request,
+        request: RequestId,
+        headers: dict[str, str],
+    ) -> None:
+        self._http = http
+        self._request = request
+        self._headers = headers
+        self._response: StreamResponse | None = None
+
+    @property
+    def response(self) -> StreamResponse | None:
+        """Return the reply, or None if it has not begun."""
+        return self._response
+
+    async def piece(self, text: str) -> None:
+        """Send a piece."""
+        choice = ChunkChoice(0, Delta(text))
+        await self._send(msgspec.json.encode(self._chunk('', choice)))
+
+    async def finish(self, answer: Answer) -> StreamResponse:
+        """Send the end of a whole answer."""
+        choice = ChunkChoice(0, Delta(), answer.finish)
+        chunk = self._chunk(answer.version, choice, usage_of(answer))
+        await self._send(msgspec.json.encode(chunk))
+        response = await self._send(b'[DONE]')
+        await response.write_eof()
+        return response
+
+    async def fail(self, refusal: Refusal) -> StreamResponse:
+        """Send why the answer is not whole."""
+        response = await self._send(error_body(refusal), b'event: error\n')
+        await response.write_eof()
+        return response
+
+    def _chunk(
+        self,
+        version: str,
+        choice: ChunkChoice,
+        usage: Usage | None = None,
+    ) -> Chunk:
+        """Return one event's content."""
+        return Chunk(
+            self._request,
+            'chat.completion.chunk',
+            version,
+            (choice,),
+            usage,
+        )
+
+    async def _send(self, payload: bytes, event: bytes = b'') -> StreamResponse:
+        """Send one event, and begin the reply if need be."""
+        response = self._response
+        if response is None:
+            response = StreamResponse(headers=self._headers)
+            response.content_type = 'text/event-stream'
+            self._response = response
+            await response.prepare(self._http)
+        await response.write(b''.join((event, b'data: ', payload, b'\n\n')))
+        return response
--- /dev/null
+++ b/src/nutmegroad/services.py
@@ -0,0 +1,199 @@
+"""Calls to plain services, of which some may not be repeated."""
+
+import random
+from dataclasses import dataclass, replace
+from fnmatch import fnmatchcase
+from typing import Final
+
+from nutmegroad.clocks import Clock
+from nutmegroad.configuration import Configuration
+from nutmegroad.directory import Directory
+from nutmegroad.documents import ServiceEntry
+from nutmegroad.explanations import Explanation
+from nutmegroad.gates import Gatekeeper, Passage
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import (
+    AttemptId,
+    Ran,
+    RequestId,
+    ServiceName,
+    TaskName,
+    UpstreamId,
+    VersionId,
+    WorkspaceId,
+)
+from nutmegroad.upstreams import (
+    ServiceCall,
+    ServiceClient,
+    ServiceReply,
+    UpstreamState,
+)
+
+#: Attempts that one repeatable call may make in all.
+MOST_ATTEMPTS: Final = 3
+
+_NO_VERSION: Final = VersionId('')
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A caller's call to a plain service.
+
+    Attributes:
+        request: Its id.
+        workspace: Who asks.
+        service: The service.
+        method: HTTP method.
+        path: Path below the service.
+        body: Request body.
+        content_type: Media type of the body.
+        key: The caller's idempotency key; empty for none.
+        deadline: Clock seconds at which the caller gives up.
+    """
+
+    request: RequestId
+    workspace: WorkspaceId
+    service: ServiceName
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    key: str
+    deadline: float
+
+
+def is_repeatable(entry: ServiceEntry, method: str, path: str) -> bool:
+    """Tell whether a call may run twice; what no rule names may not."""
+    for rule in entry.calls:
+        if rule.method == method and fnmatchcase(path, rule.path):
+            return rule.repeatable
+    return False
+
+
+class ServiceCaller:
+    """Makes calls to plain services.
+
+    Args:
+        clients: How services are reached.
+        directory: The upstreams.
+        gatekeeper: Makes the last check of each attempt.
+        configuration: Knows which calls may be repeated.
+        clock: The host's clock.
+        randomness: Names attempts and breaks ties.
+    """
+
+    def __init__(
+        self,
+        clients: ServiceClient,
+        directory: Directory,
+        gatekeeper: Gatekeeper,
+        configuration: Configuration,
+        clock: Clock,
+        randomness: random.Random,
+    ) -> None:
+        self._clients = clients
+        self._directory = directory
+        self._gatekeeper = gatekeeper
+        self._configuration = configuration
+        self._clock = clock
+        self._randomness = randomness
+
+    def entry(self, service: ServiceName) -> ServiceEntry | Refusal:
+        """Return a service's entry in the configuration."""
+        accepted = self._configuration.accepted
+        entry = accepted.document.service(service) if accepted else None
+        if entry is None:
+            return Refusal(
+                ResultCode.SERVICE_UNKNOWN,
+                f'There is no service {service!r}.',
+            )
+        return entry
+
+    async def call(
+        self,
+        request: ServiceRequest,
+        entry: ServiceEntry,
+        explanation: Explanation,
+    ) -> ServiceReply | Refusal:
+        """Make a call, again only where that can do no harm."""
+        repeatable = is_repeatable(entry, request.method, request.path)
+        tried: frozenset[UpstreamId] = frozenset()
+        ran = Ran.NOT_RUN
+        refusal = _no_upstream(request.service)
+        for number in range(MOST_ATTEMPTS):
+            state = self._choose(request.service, tried)
+            if state is None:
+                break
+            tried |= {state.info.upstream}
+            reply = await self._attempt(request, entry, state, number)
+            if isinstance(reply, ServiceReply):
+                explanation.note('service', f'{state.info.upstream}: answered')
+                return reply
+            explanation.note(
+                'service',
+                f'{state.info.upstream}: {reply.code.name}',
+            )
+            refusal = reply
+            if reply.ran is Ran.NOT_RUN:
+                continue
+            ran = Ran.UNKNOWN
+            if not repeatable:
+                break
+        return replace(refusal, ran=ran)
+
+    def _choose(
+        self,
+        service: ServiceName,
+        tried: frozenset[UpstreamId],
+    ) -> UpstreamState | None:
+        """Return the upstream with the least in flight, if any is left."""
+        states = [
+            state
+            for state in self._directory.services(service)
+            if state.info.upstream not in tried
+        ]
+        if not states:
+            return None
+        self._randomness.shuffle(states)
+        return min(states, key=lambda state: state.in_flight)
+
+    async def _attempt(
+        self,
+        request: ServiceRequest,
+        entry: ServiceEntry,
+        state: UpstreamState,
+        number: int,
+    ) -> ServiceReply | Refusal:
+        """Make one attempt."""
+        passage = Passage(
+            request.workspace,
+            TaskName(''),
+            _NO_VERSION,
+            request.service,
+            None,
+            state,
+            request.deadline,
+        )
+        left = request.deadline - self._clock.now()
+        call = ServiceCall(
+            attempt=AttemptId(f'{request.request}.{number}'),
+            upstream=state.info,
+            method=request.method,
+            path=request.path,
+            body=request.body,
+            content_type=request.content_type,
+            gate=self._gatekeeper.gate(passage),
+            timeout=max(0, min(left, entry.timeout)),
+            key=request.key,
+        )
+        with self._directory.in_flight(state, _NO_VERSION):
+            return await self._clients.call(call)
+
+
+def _no_upstream(service: ServiceName) -> Refusal:
+    """Say that there is nowhere to send a call."""
+    return Refusal(
+        ResultCode.NO_UPSTREAM,
+        f'No upstream of the service {service!r} is left to try.',
+        retry_after=2,
+    )
