--- /dev/null
+++ b/experiments/deployment.py
@@ -0,0 +1,304 @@
+"""A whole deployment on loopback: platform, upstreams and entry hosts."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+from aiohttp import ClientSession
+
+from experiments.processes import LOOPBACK, Processes, Running
+from nutmegroad.documents import Document, parse_document
+from nutmegroad.types import Address
+
+EXAMPLES: Final = Path(__file__).parent.parent / 'examples'
+
+#: Domains of the two deployments of the brief.
+DOMAINS: Final = {
+    'lesen': ('shah-alam', 'petaling', 'cyberjaya'),
+    'cascade': ('kent-hall', 'tukwila-hall', 'everett-hall'),
+}
+
+CLUSTER_KEY: Final = 'a-cluster-key-for-demos-only'
+BOOTSTRAP_TOKEN: Final = 'a-bootstrap-token-for-demos-only'
+
+_NO_CONTENT: Final = 204
+
+
+@dataclass(frozen=True, slots=True)
+class Rig:
+    """How large a deployment is set up.
+
+    Attributes:
+        name: Name of the example.
+        engines: Versions that each engine of a domain has loaded.
+        hosts: Entry hosts in each domain.
+        services: Upstreams of the plain service in each domain.
+        engine_args: More flags for every engine stand-in.
+        platform_args: More flags for the platform stand-in.
+        host_args: More flags for every daemon.
+    """
+
+    name: str
+    engines: tuple[tuple[str, ...], ...]
+    hosts: int = 2
+    services: int = 1
+    engine_args: tuple[str, ...] = ()
+    platform_args: tuple[str, ...] = ()
+    host_args: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Deployment:
+    """What runs.
+
+    Attributes:
+        document: The configuration that was applied.
+        text: The same, as TOML.
+        platform: The platform stand-in.
+        hosts: Entry hosts.
+        engines: Engine stand-ins by id.
+        services: Plain services by id.
+    """
+
+    document: Document
+    text: str
+    platform: Running
+    hosts: list[Running] = field(default_factory=list)
+    engines: dict[str, Running] = field(default_factory=dict)
+    services: dict[str, Running] = field(default_factory=dict)
+
+    @property
+    def callers(self) -> tuple[Address, ...]:
+        """Return where the hosts listen to callers."""
+        return tuple(host.listening['callers'] for host in self.hosts)
+
+    @property
+    def operators(self) -> tuple[Address, ...]:
+        """Return where the hosts listen to operators."""
+        return tuple(host.listening['operators'] for host in self.hosts)
+
+
+def read_example(name: str) -> str:
+    """Return the configuration of an example, as TOML."""
+    return (EXAMPLES / name / 'config.toml').read_text()
+
+
+def workspace_key(name: str) -> str:
+    """Return a demo workspace's key; the document has its hash."""
+    return f'key-{name}'
+
+
+def operator_token(name: str) -> str:
+    """Return a demo operator's token; the document has its hash."""
+    return f'token-{name}'
+
+
+def hash_of(secret: str) -> str:
+    """Return what the document keeps of a secret."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+async def start(processes: Processes, rig: Rig) -> Deployment:
+    """Start a deployment and put its configuration into force."""
+    text = read_example(rig.name)
+    document = parse_document(text)
+    platform = await processes.start_fake(
+        'platform',
+        'fakes.platform',
+        *rig.platform_args,
+    )
+    running = Deployment(document, text, platform)
+    await _start_upstreams(processes, rig, running)
+    await publish(running, rig)
+    await _start_hosts(processes, rig, running)
+    await apply(running)
+    return running
+
+
+async def _start_upstreams(
+    processes: Processes,
+    rig: Rig,
+    running: Deployment,
+) -> None:
+    """Start engines and plain services of every domain."""
+    qualities = quality_flags(running.document)
+    for domain in DOMAINS[rig.name]:
+        for number, versions in enumerate(rig.engines):
+            name = f'{domain}-engine-{number}'
+            running.engines[name] = await processes.start_fake(
+                name,
+                'fakes.engine',
+                f'--id={name}',
+                f'--seed={len(running.engines)}',
+                *rig.engine_args,
+                *qualities,
+                f'--weights={running.platform.listening["main"]}',
+                '--versions',
+                *versions,
+            )
+        for number in range(rig.services):
+            name = f'{domain}-service-{number}'
+            running.services[name] = await processes.start_fake(
+                name,
+                'fakes.service',
+            )
+
+
+def quality_flags(document: Document) -> list[str]:
+    """Return flags that make engines as good as the document says."""
+    return [
+        f'--quality={entry.id}:{task}={quality}'
+        for entry in document.versions
+        for task, quality in entry.quality.items()
+    ]
+
+
+async def publish(
+    running: Deployment,
+    rig: Rig,
+    leaving: frozenset[str] = frozenset(),
+) -> None:
+    """Tell the platform's host list of the upstreams."""
+    service = running.document.services[0].name
+    upstreams = [
+        _listed(name, engine, 'engine', '', leaving)
+        for name, engine in running.engines.items()
+    ]
+    upstreams.extend(
+        _listed(name, plain, 'service', service, leaving)
+        for name, plain in running.services.items()
+    )
+    hosts = [
+        {
+            'host': host.name,
+            'domain': host.name.rpartition('-host-')[0],
+            'ip': LOOPBACK,
+            'port': host.listening['peers'].port,
+            'presence': 'live',
+        }
+        for host in running.hosts
+        if 'peers' in host.listening
+    ]
+    url = f'http://{running.platform.listening["main"]}/hosts'
+    async with ClientSession() as session:
+        body = {'hosts': hosts, 'upstreams': upstreams}
+        async with session.post(url, json=body) as response:
+            response.raise_for_status()
+
+
+def _listed(
+    name: str,
+    running: Running,
+    kind: str,
+    service: str,
+    leaving: frozenset[str],
+) -> dict[str, Any]:
+    """Return one upstream's entry of the host list."""
+    address = running.listening['main']
+    domain, _, _ = name.rpartition(f'-{kind}-')
+    return {
+        'upstream': name,
+        'domain': domain,
+        'kind': kind,
+        'ip': address.ip,
+        'port': address.port,
+        'presence': 'leaving' if name in leaving else 'live',
+        'service': service,
+    }
+
+
+async def _start_hosts(
+    processes: Processes,
+    rig: Rig,
+    running: Deployment,
+) -> None:
+    """Start the entry hosts of every domain."""
+    for domain in DOMAINS[rig.name]:
+        for number in range(rig.hosts):
+            running.hosts.append(
+                await start_host(
+                    processes,
+                    rig,
+                    running,
+                    f'{domain}-host-{number}',
+                ),
+            )
+    await publish(running, rig)
+
+
+async def start_host(
+    processes: Processes,
+    rig: Rig,
+    running: Deployment,
+    name: str,
+) -> Running:
+    """Start one entry host; the caller adds it to the deployment."""
+    domain = name.rpartition('-host-')[0]
+    nowhere = f'{LOOPBACK}:0'
+    seeds = [
+        str(host.listening['peers'])
+        for host in running.hosts
+        if 'peers' in host.listening
+    ]
+    args = [
+        f'--host={name}',
+        f'--domain={domain}',
+        f'--callers={nowhere}',
+        f'--operators={nowhere}',
+        f'--peers={nowhere}',
+        f'--platform={running.platform.listening["main"]}',
+        *rig.host_args,
+    ]
+    if seeds:
+        args.append(f'--seeds={",".join(seeds)}')
+    return await processes.start_host(
+        name,
+        tuple(args),
+        {
+            'NUTMEGROAD_CLUSTER_KEY': CLUSTER_KEY,
+            'NUTMEGROAD_BOOTSTRAP_TOKEN': BOOTSTRAP_TOKEN,
+        },
+    )
+
+
+async def operate(
+    address: Address,
+    path: str,
+    body: dict[str, Any] | None = None,
+    token: str = BOOTSTRAP_TOKEN,
+) -> Any:
+    """Make one call to a host's operators' interface."""
+    url = f'http://{address}/operators/{path}'
+    headers = {'Authorization': f'Bearer {token}'}
+    async with ClientSession(headers=headers) as session:
+        method = 'GET' if body is None else 'POST'
+        async with session.request(method, url, json=body) as response:
+            return msgspec.json.decode(await response.read())
+
+
+async def apply(running: Deployment) -> None:
+    """Put the configuration into force, and wait until all hosts have it."""
+    await operate(
+        running.operators[0],
+        'configuration',
+        {'text': running.text},
+    )
+    await wait_for_revision(running, 1)
+
+
+async def wait_for_revision(
+    running: Deployment,
+    revision: int,
+    token: str = '',
+) -> None:
+    """Wait until every host has a revision in force."""
+    chosen = token or operator_token(running.document.operators[0].name)
+    for address in running.operators:
+        while True:
+            status = await operate(address, 'status', token=chosen)
+            if status.get('revision', 0) >= revision:
+                break
+            await asyncio.sleep(0.1)
--- a/src/nutmegroad/_upstreams_part.py
+++ b/src/nutmegroad/_upstreams_part.py
@@ -1,6 +1,6 @@
 """The part that reaches upstreams over HTTP and watches them."""
 
-from nutmegroad._http_upstreams import open_clients
+from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
 from nutmegroad.core import Kernel
 from nutmegroad.directory import Directory
 from nutmegroad.platform import HostList
@@ -20,9 +20,8 @@
 
     async def open(self, kernel: Kernel) -> None:
         """Open the clients and begin to watch."""
-        engines, services = await kernel.stack.enter_async_context(
-            open_clients(),
-        )
+        engines = await kernel.stack.enter_async_context(HttpEngineClient())
+        services = await kernel.stack.enter_async_context(HttpServiceClient())
         kernel.provide(EngineClient, engines)
         kernel.provide(ServiceClient, services)
         directory = Directory(kernel.clock)
--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon.py
@@ -11,8 +11,9 @@
 from nutmegroad.clocks import SystemClock
 from nutmegroad.core import Kernel
 from nutmegroad.exceptions import SettingsError
+from nutmegroad.logs import LogFormat, set_up_logs
 from nutmegroad.plugins import load_plugins
-from nutmegroad.settings import Settings, read_settings
+from nutmegroad.settings import Settings, format_settings, read_settings
 
 _LOG_PREFIX: Final = 'daemon:'
 
@@ -55,10 +56,14 @@
 def main() -> int:
     """Run the daemon until it is told to stop."""
     try:
-        settings = read_settings(sys.argv[1:], os.environ)
+        settings, origins = read_settings(sys.argv[1:], os.environ)
     except SettingsError as problem:
         sys.stderr.write(f'{problem}\n')
         return BAD_SETTINGS
+    if settings.print_settings:
+        sys.stdout.write(f'{format_settings(origins)}\n')
+        return 0
+    set_up_logs(LogFormat(settings.log_format), sys.stderr)
     load_plugins()
     service = HostService(settings)
     limit = settings.drain + STOP_MARGIN
