--- a/fakes/answering.py
+++ b/fakes/answering.py
@@ -222,13 +222,13 @@
 
     async def _stop(self) -> End:
         """Stop in the middle: close the stream, or hold it open."""
-        while self._job.trouble.freezes and not is_gone(self._request):
-            if self._job.run.is_cancelled:
-                return End.CANCELLED
+        if not self._job.trouble.freezes:
+            if self._request.transport is not None:
+                self._request.transport.close()
+            return End.CUT
+        while not is_gone(self._request) and not self._job.run.is_cancelled:
             await self._clock.sleep(FROZEN_PAUSE)
-        if self._request.transport is not None:
-            self._request.transport.close()
-        return End.CUT
+        return End.CANCELLED
 
 
 def attempt_of(request: web.Request) -> str:
--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -18,6 +18,10 @@
 #: Shortest wait of the stepping task, seconds; it bounds the processor time.
 SHORTEST_WAIT: Final = 0.01
 
+#: Longest wait of the stepping task, seconds; callers who have gone are
+#: noticed within it.
+LONGEST_WAIT: Final = 0.05
+
 #: Words of a prompt that name its prefix.
 PREFIX_WORDS: Final = 64
 
@@ -167,7 +171,8 @@
         step = self.speed.step_base
         step += self.speed.step_per_request * len(self.running)
         start = self._clock.now()
-        await self._clock.sleep(max(step, SHORTEST_WAIT))
+        wait = min(max(step, SHORTEST_WAIT), LONGEST_WAIT)
+        await self._clock.sleep(wait)
         # Time that passed, not time asked for: a busy machine then writes
         # more words in a wake-up rather than fewer a second.
         passed = self._clock.now() - start
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -133,15 +133,17 @@
         """Tell the application which handler takes which call."""
         self.app.cleanup_ctx.append(self._live)
         add_fault_routes(self.app, self.faults)
-        self.app.add_routes([
-            web.post('/v1/chat/completions', self._complete),
-            web.post('/engine/cancel', self._cancel),
-            web.get('/engine/report', self._show_report),
-            web.get('/engine/cache', self._show_cache),
-            web.post('/engine/orders', self._order),
-            web.post('/admin/leave', self._leave),
-            web.get('/admin/runs', self._show_runs),
-        ])
+        self.app.add_routes(
+            [
+                web.post('/v1/chat/completions', self._complete),
+                web.post('/engine/cancel', self._cancel),
+                web.get('/engine/report', self._show_report),
+                web.get('/engine/cache', self._show_cache),
+                web.post('/engine/orders', self._order),
+                web.post('/admin/leave', self._leave),
+                web.get('/admin/runs', self._show_runs),
+            ]
+        )
 
     async def _live(self, app: web.Application) -> AsyncIterator[None]:
         """Run the batch while the application runs."""
@@ -190,7 +192,9 @@
                 ended = End.CANCELLED if job.run.is_cancelled else End.WHOLE
                 return _json(
                     whole_answer(
- job.attempt, prompt.version, job.plan, job.usage))
+                        job.attempt, prompt.version, job.plan, job.usage
+                    )
+                )
             delivery = Delivery(job, request, self._clock)
             ended = await delivery.send()
             return delivery.response
--- a/src/nutmegroad/_http_upstreams.py
+++ b/src/nutmegroad/_http_upstreams.py
@@ -75,10 +75,12 @@
 _JSON: Final = MappingProxyType({'Content-Type': 'application/json'})
 
 #: Errors of engines that prove that the request did not run.
-_PROVED: Final = MappingProxyType({
-    (404, 'version_not_loaded'): (ResultCode.VERSION_NOT_LOADED, 0.0),
-    (503, 'busy'): (ResultCode.UPSTREAM_BUSY, BUSY_WAIT),
-})
+_PROVED: Final = MappingProxyType(
+    {
+        (404, 'version_not_loaded'): (ResultCode.VERSION_NOT_LOADED, 0.0),
+        (503, 'busy'): (ResultCode.UPSTREAM_BUSY, BUSY_WAIT),
+    }
+)
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
--- a/src/nutmegroad/documents.py
+++ b/src/nutmegroad/documents.py
@@ -65,7 +65,9 @@
     OPERATE = 'operate'
 
 
-class DocumentPart(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+class DocumentPart(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
     """Base of all parts of the document: unknown fields are refused."""
 
 
--- /dev/null
+++ b/tests/test_http_upstreams.py
@@ -0,0 +1,333 @@
+"""The HTTP adapters say truthfully what ran."""
+
+import asyncio
+import unittest
+from contextlib import AsyncExitStack
+from typing import Any
+from unittest.mock import patch
+
+from aiohttp.http_writer import StreamWriter
+
+from fakes.engine import FakeEngine
+from fakes.faults import FaultKind, FaultOrder
+from fakes.service import FakeService
+from nutmegroad._event_streams import AnswerReader, EventSplitter
+from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import (
+    Address,
+    AttemptId,
+    DomainId,
+    FencingNumber,
+    Ran,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    VersionId,
+)
+from nutmegroad.upstreams import (
+    AnswerEvent,
+    Attempt,
+    Ending,
+    EngineOrder,
+    EngineReport,
+    OrderAction,
+    Piece,
+    ServiceCall,
+    ServiceReply,
+)
+from tests.quick import ENDLESS, quick_settings
+
+CLOSED = Refusal(ResultCode.HOST_PAUSED, 'The host was paused.')
+BODY = b'{"messages":[{"role":"user","content":"hi"}],"nutmegroad_tokens":8}'
+
+
+def open_gate() -> None:
+    """Let everything through."""
+
+
+def closed_gate() -> Refusal:
+    """Let nothing through."""
+    return CLOSED
+
+
+def upstream_at(address: Address) -> UpstreamInfo:
+    """Return an upstream that listens there."""
+    return UpstreamInfo(
+        UpstreamId('u'),
+        DomainId('d'),
+        UpstreamKind.ENGINE,
+        address,
+    )
+
+
+def attempt_at(address: Address, **changes: Any) -> Attempt:
+    """Return an attempt at having eight words written."""
+    usual: dict[str, Any] = {
+        'attempt': AttemptId('at'),
+        'upstream': upstream_at(address),
+        'version': VersionId('a@1'),
+        'body': BODY,
+        'gate': open_gate,
+        'timeout': 10,
+    }
+    return Attempt(**{**usual, **changes})
+
+
+def call_at(address: Address, **changes: Any) -> ServiceCall:
+    """Return a call to a service."""
+    usual: dict[str, Any] = {
+        'attempt': AttemptId('at'),
+        'upstream': upstream_at(address),
+        'method': 'POST',
+        'path': 'fees/receipt',
+        'body': b'{}',
+        'content_type': 'application/json',
+        'gate': open_gate,
+        'timeout': 10,
+        'key': 'k1',
+    }
+    return ServiceCall(**{**usual, **changes})
+
+
+class ByteCounter:
+    """A server that counts bytes and closes each connection unanswered."""
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.requests = 0
+
+    async def open(self, stack: AsyncExitStack) -> Address:
+        """Begin to listen."""
+        server = await asyncio.start_server(self._take, '127.0.0.1', 0)
+        stack.callback(server.close)
+        return Address(*server.sockets[0].getsockname())
+
+    async def _take(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        received = await reader.read(65536)
+        self.received += len(received)
+        self.requests += bool(received)
+        writer.close()
+
+
+class UpstreamCase(unittest.IsolatedAsyncioTestCase):
+    """Opens the clients."""
+
+    async def asyncSetUp(self) -> None:
+        """Open both clients."""
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        enter = self.stack.enter_async_context
+        self.engines = await enter(HttpEngineClient())
+        self.services = await enter(HttpServiceClient())
+
+    async def engine(self, **changes: Any) -> FakeEngine:
+        """Open an engine."""
+        engine = FakeEngine(quick_settings(**changes))
+        return await self.stack.enter_async_context(engine)
+
+    async def answer(self, attempt: Attempt) -> list[AnswerEvent]:
+        """Return all events of an answer."""
+        async with self.engines.answer(attempt) as events:
+            return [event async for event in events]
+
+    def assert_refused(
+        self,
+        refusal: object,
+        code: ResultCode,
+        ran: Ran,
+    ) -> None:
+        """Check a refusal's code and what is known."""
+        self.assertIsInstance(refusal, Refusal)
+        if isinstance(refusal, Refusal):
+            self.assertEqual((code, ran), (refusal.code, refusal.ran))
+
+
+class GateTest(UpstreamCase):
+    """The gate is asked with the first byte, and only then."""
+
+    async def test_a_closed_gate_sends_nothing(self) -> None:
+        counter = ByteCounter()
+        address = await counter.open(self.stack)
+        events = await self.answer(attempt_at(address, gate=closed_gate))
+        self.assertEqual([CLOSED], events)
+        for body in (b'', b'{}'):
+            call = call_at(address, gate=closed_gate, body=body)
+            self.assertEqual(CLOSED, await self.services.call(call))
+        order = EngineOrder(
+            OrderAction.LOAD,
+            VersionId('a@2'),
+            FencingNumber(1),
+            closed_gate,
+        )
+        reply = await self.engines.order(upstream_at(address), order)
+        self.assertEqual(CLOSED, reply)
+        self.assertEqual(0, counter.received)
+
+    async def test_the_gate_is_asked_in_the_step_of_the_first_byte(
+        self,
+    ) -> None:
+        counter = ByteCounter()
+        address = await counter.open(self.stack)
+        write = StreamWriter._writelines
+        steps: list[str] = []
+
+        def gate() -> None:
+            """Note the call, and which step of the loop comes next."""
+            steps.append('gate')
+            asyncio.get_running_loop().call_soon(steps.append, 'next step')
+
+        def note_write(writer: StreamWriter, chunks: Any) -> None:
+            """Note the first byte."""
+            steps.append('write')
+            write(writer, chunks)
+
+        with patch.object(StreamWriter, '_writelines', note_write):
+            call = call_at(address, gate=gate)
+            await self.services.call(call)
+        self.assertEqual(['gate', 'write', 'next step'], steps)
+
+    async def test_nothing_is_sent_twice(self) -> None:
+        counter = ByteCounter()
+        address = await counter.open(self.stack)
+        for method in ('GET', 'PUT', 'POST'):
+            with self.subTest(method):
+                counter.requests = 0
+                reply = await self.services.call(
+                    call_at(address, method=method),
+                )
+                code = ResultCode.UPSTREAM_ERROR
+                self.assert_refused(reply, code, Ran.UNKNOWN)
+                self.assertEqual(1, counter.requests)
+
+
+class AnswerTest(UpstreamCase):
+    """Answers, and each way in which they go wrong."""
+
+    async def test_a_whole_answer(self) -> None:
+        engine = await self.engine()
+        events = await self.answer(attempt_at(engine.address))
+        pieces = [event for event in events if isinstance(event, Piece)]
+        self.assertEqual(list(range(8)), [piece.index for piece in pieces])
+        self.assertEqual(Ending('stop', 1, 8), events[-1])
+        resumed = await self.answer(attempt_at(engine.address, skip=3))
+        self.assertEqual(events[3:], [*resumed[:-1], Ending('stop', 1, 8)])
+
+    async def test_faults_become_refusals(self) -> None:
+        cases = (
+            (FaultKind.DOWN, ResultCode.UPSTREAM_ERROR),
+            (FaultKind.ERROR, ResultCode.UPSTREAM_ERROR),
+            (FaultKind.CUT, ResultCode.ANSWER_CUT),
+            (FaultKind.CROSS, ResultCode.ANSWER_CROSSED),
+            (FaultKind.FREEZE, ResultCode.UPSTREAM_TIMEOUT),
+            (FaultKind.LATE, ResultCode.UPSTREAM_TIMEOUT),
+        )
+        engine = await self.engine()
+        for kind, code in cases:
+            with self.subTest(kind):
+                engine.faults.clear()
+                engine.faults.add(FaultOrder(kind, delay=600, scope='answers'))
+                attempt = attempt_at(engine.address, timeout=0.3)
+                events = await self.answer(attempt)
+                self.assert_refused(events[-1], code, Ran.UNKNOWN)
+
+    async def test_duplicates_are_dropped_and_counted(self) -> None:
+        engine = await self.engine()
+        engine.faults.add(FaultOrder(FaultKind.DUPLICATE))
+        events = await self.answer(attempt_at(engine.address))
+        self.assertEqual(9, len(events))
+        self.assertEqual(8, self.engines.duplicates)
+
+    async def test_what_is_proved_not_to_have_run(self) -> None:
+        engine = await self.engine(speed=ENDLESS)
+        unloaded = attempt_at(engine.address, version=VersionId('a@9'))
+        events = await self.answer(unloaded)
+        code = ResultCode.VERSION_NOT_LOADED
+        self.assert_refused(events[0], code, Ran.NOT_RUN)
+        async with AsyncExitStack() as stack:
+            for _ in range(5):
+                task = asyncio.create_task(
+                    self.answer(attempt_at(engine.address)),
+                )
+                stack.callback(task.cancel)
+            while len(engine.runs.records) < 5:
+                await asyncio.sleep(0)
+            events = await self.answer(attempt_at(engine.address))
+        code = ResultCode.UPSTREAM_BUSY
+        self.assert_refused(events[0], code, Ran.NOT_RUN)
+
+    async def test_an_upstream_that_is_not_there(self) -> None:
+        async with FakeEngine(quick_settings()) as engine:
+            address = engine.address
+        events = await self.answer(attempt_at(address))
+        code = ResultCode.UPSTREAM_UNREACHABLE
+        self.assert_refused(events[0], code, Ran.NOT_RUN)
+        reply = await self.services.call(call_at(address))
+        self.assert_refused(reply, code, Ran.NOT_RUN)
+
+    async def test_leaving_early_cancels(self) -> None:
+        engine = await self.engine()
+        engine.faults.add(FaultOrder(FaultKind.FREEZE))
+        async with self.engines.answer(attempt_at(engine.address)) as events:
+            async for _ in events:
+                break
+        while engine.runs.records[0].ended.value != 'cancelled':
+            await asyncio.sleep(0)
+
+
+class ReaderTest(unittest.TestCase):
+    """The stream's parser."""
+
+    def test_bytes_may_be_split_anywhere(self) -> None:
+        stream = ': hello\r\n\r\ndata: {"é":1}\r\n\r\ndata: x\n\n'.encode()
+        for size in range(1, len(stream)):
+            splitter = EventSplitter()
+            lines = [
+                line
+                for start in range(0, len(stream), size)
+                for line in splitter.feed(stream[start : start + size])
+            ]
+            self.assertEqual(['{"é":1}'.encode(), b'x'], lines)
+
+    def test_a_gap_is_a_cut(self) -> None:
+        reader = AnswerReader(AttemptId('at'))
+        event = reader.read(b'{"id":"at","index":1}')
+        self.assertEqual(Refusal, type(event))
+        self.assertTrue(reader.is_over)
+
+
+class OtherCallTest(UpstreamCase):
+    """Reports, orders and plain calls."""
+
+    async def test_reports_and_orders(self) -> None:
+        engine = await self.engine()
+        info = upstream_at(engine.address)
+        report = await self.engines.report(info)
+        self.assertIsInstance(report, EngineReport)
+        for number, code in ((7, None), (6, ResultCode.ORDER_FENCED)):
+            order = EngineOrder(
+                OrderAction.LOAD,
+                VersionId('a@2'),
+                FencingNumber(number),
+                open_gate,
+            )
+            refusal = await self.engines.order(info, order)
+            self.assertEqual(code, refusal and refusal.code)
+
+    async def test_a_service_call(self) -> None:
+        service = await self.stack.enter_async_context(FakeService())
+        reply = await self.services.call(call_at(service.address))
+        self.assertIsInstance(reply, ServiceReply)
+        service.faults.add(FaultOrder(FaultKind.LOSE_REPLY))
+        reply = await self.services.call(call_at(service.address))
+        code = ResultCode.UPSTREAM_ERROR
+        self.assert_refused(reply, code, Ran.UNKNOWN)
+        self.assertEqual(2, len(service.runs))
+
+
+if __name__ == '__main__':
+    unittest.main()
