Find why a closed gate was reported as a cut answer

Cause: a Refusal is false, and dispatch said 'received.refusal or ...', so the gate's own refusal was passed over. Ruled out: the HTTP adapter, which yields the refusal as it should.

--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -24,13 +24,17 @@
     workspace_key,
 )
 from experiments.processes import Processes
-from nutmegroad.documents import PresetName, Role
-from nutmegroad.types import Address
+from nutmegroad.documents import Role
+from nutmegroad.types import Address, PresetName
 
 #: Requests of each task class.
 REQUESTS: Final = 12
 #: Tokens that each answer has, so that the demo is short.
 TOKENS: Final = 24
+#: The version that is withdrawn; another one can take its work.
+WITHDRAWN: Final = 'brief-medium@4'
+#: The preset that is switched to.
+PRESET: Final = PresetName('maintenance')
 #: Seconds for the whole demo.
 LIMIT: Final = 55
 #: Seconds within which a withdrawal must be in force on every host.
@@ -224,11 +228,11 @@
     )
     await demo.ask_all('Under the first preset:')
     await demo.call_service()
-    preset = document.presets[1].preset
+    preset = PRESET
     switch = asyncio.create_task(_switch(running, token, preset, report))
     await demo.ask_all(f'While the preset changes to {preset!r}:')
     await switch
-    version = report.answers.most_common(1)[0][0][1]
+    version = WITHDRAWN
     await operate(
         running.operators[0],
         'withdrawals',
@@ -287,6 +291,7 @@
 
 def main() -> int:
     """Run the demo and say whether every check held."""
+
     async def bounded() -> Report:
         """Run within the limit."""
         async with asyncio.timeout(LIMIT):
--- a/fakes/loading.py
+++ b/fakes/loading.py
@@ -7,8 +7,8 @@
 from enum import Enum, unique
 from typing import Final, Generic, Self, TypeVar
 
-from aiohttp import ClientError, ClientSession
 from absl import logging
+from aiohttp import ClientError, ClientSession
 from msgspec import Struct
 
 from fakes.engine_settings import ShelfSettings
--- a/src/nutmegroad/dispatch.py
+++ b/src/nutmegroad/dispatch.py
@@ -178,7 +178,7 @@
         while request.versions:
             plan = self._policies.planner.plan(request)
             if isinstance(plan, Refusal):
-                return refusal or plan
+                return plan if refusal is None else refusal
             progress.explanation.note('planner', _describe(plan))
             outcome, failed = await self._follow(progress, plan)
             if not isinstance(outcome, Refusal):
@@ -187,7 +187,9 @@
             if not self._may_turn(progress, outcome):
                 return outcome
             request = _without(request, failed)
-        return refusal or Refusal(
+        if refusal is not None:
+            return refusal
+        return Refusal(
             ResultCode.NO_PLAN,
             'No version may answer this request.',
         )
@@ -359,7 +361,10 @@
 
 def _why(received: Received) -> Refusal:
     """Return why an attempt failed."""
-    return received.refusal or Refusal(
+    # A refusal is false, so ``or`` would pass over it.
+    if received.refusal is not None:
+        return received.refusal
+    return Refusal(
         ResultCode.ANSWER_CUT,
         'The answer ended without its terminal mark.',
         Ran.UNKNOWN,
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -8,9 +8,9 @@
 
 import msgspec
 from aiohttp import ClientError, ClientSession
-
 from fakes.batching import Batch, BatchSpeed, PrefixCache, Run
 from fakes.engine import FakeEngine
+
 from tests.quick import ENDLESS, ManualClock, quick_settings
 
 
--- a/tests/test_http_upstreams.py
+++ b/tests/test_http_upstreams.py
@@ -7,10 +7,10 @@
 from unittest.mock import patch
 
 from aiohttp.http_writer import StreamWriter
-
 from fakes.engine import FakeEngine
 from fakes.faults import FaultKind, FaultOrder
 from fakes.service import FakeService
+
 from nutmegroad._event_streams import AnswerReader, EventSplitter
 from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
 from nutmegroad.results import Refusal, ResultCode
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,9 +6,9 @@
 from contextlib import AsyncExitStack
 
 from aiohttp import ClientSession
-
 from fakes.faults import FaultKind, FaultOrder, Faults, FaultTarget
 from fakes.platform import FakePlatform, PlatformOptions
+
 from nutmegroad._http_platform import (
     HttpHostList,
     HttpObjects,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from aiohttp import ClientError, ClientSession
-
 from fakes.service import FakeService
 
 
