--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/_routing_part.py
@@ -7,14 +7,7 @@
 from nutmegroad.directory import Directory
 from nutmegroad.dispatch import Dispatcher, Policies
 from nutmegroad.gates import Gatekeeper
-from nutmegroad.policies import (
-    CheapestPlanner,
-    CountedRetries,
-    LeastInFlight,
-    NoQuarantine,
-    OpenAdmitter,
-)
-from nutmegroad.registry import register
+from nutmegroad.registry import lookup, register
 from nutmegroad.services import ServiceCaller
 from nutmegroad.upstreams import EngineClient, ServiceClient
 
@@ -29,12 +22,14 @@
         """Put the decisions together."""
         configuration = kernel.need(Configuration)
         directory = kernel.need(Directory)
-        quarantine = NoQuarantine()
+        settings = kernel.settings
+        # Observers come first: policies learn through them.
+        observers = Observers()
+        kernel.provide(Observers, observers)
+        quarantine = lookup('quarantine', settings.quarantine)(kernel)
         kernel.provide(Quarantine, quarantine)
         gatekeeper = Gatekeeper(configuration, kernel.clock, quarantine)
-        observers = Observers()
         kernel.provide(Gatekeeper, gatekeeper)
-        kernel.provide(Observers, observers)
         attempter = Attempter(
             kernel.need(EngineClient),
             directory,
@@ -43,10 +38,10 @@
             kernel.clock,
         )
         policies = Policies(
-            OpenAdmitter(),
-            CheapestPlanner(configuration),
-            LeastInFlight(directory, kernel.randomness),
-            CountedRetries(),
+            lookup('admitter', settings.admitter)(kernel),
+            lookup('planner', settings.planner)(kernel),
+            lookup('selector', settings.selector)(kernel),
+            lookup('retries', settings.retries)(kernel),
         )
         dispatcher = Dispatcher(
             policies,
--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/_setting_specs.py
@@ -162,6 +162,12 @@
     )
 
 
+def _policy_spec(name: str, default: str, meaning: str) -> Spec:
+    """Return the spec of a policy, which is a plug-in's name."""
+    words = 'the name of a registered policy, such as'
+    return Spec(name, read_name, f'{words} {default!r}', meaning, default)
+
+
 _NAME_WORDS: Final = (
     'a name of small letters, digits, dots, dashes and underscores, '
     'at most 63, such as "kent-hall-2"'
@@ -236,4 +242,13 @@
         'seed for randomness',
         '',
     ),
+    _policy_spec('planner', 'cheapest', 'policy that chooses versions'),
+    _policy_spec(
+        'selector',
+        'least-in-flight',
+        'policy that chooses upstreams',
+    ),
+    _policy_spec('admitter', 'open', 'policy that lets requests in'),
+    _policy_spec('retries', 'unbounded', 'policy that bounds retries'),
+    _policy_spec('quarantine', 'none', 'policy that blocks versions'),
 )
--- a/src/nutmegroad/attempts.py
+++ b/src/nutmegroad/attempts.py
@@ -7,7 +7,7 @@
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers
 from nutmegroad.directory import Directory
-from nutmegroad.policies import cost_of
+from nutmegroad.prices import cost_of
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.timeouts import Watchdog
 from nutmegroad.types import Ran
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -4,10 +4,12 @@
 from typing import Final
 
 PLUGINS: Final = (
+    'nutmegroad._metrics_part',
     'nutmegroad._platform_part',
     'nutmegroad._upstreams_part',
     'nutmegroad._configuration_part',
     'nutmegroad._records_part',
+    'nutmegroad.policies',
     'nutmegroad._routing_part',
     'nutmegroad._listeners_part',
 )
--- a/src/nutmegroad/policies.py
+++ b/src/nutmegroad/policies.py
@@ -3,26 +3,18 @@
 import random
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
-from typing import Final
 
 from nutmegroad.configuration import Configuration
+from nutmegroad.core import Kernel
 from nutmegroad.decisions import AttemptEnd, Choice
 from nutmegroad.directory import Directory
 from nutmegroad.documents import VersionEntry
+from nutmegroad.prices import cost_of
+from nutmegroad.registry import register
 from nutmegroad.requests import ModelRequest, Plan
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import TaskName, UpstreamId, VersionId
 
-#: Token counts that prices are stated for.
-PRICED_TOKENS: Final = 1000
-
-
-def cost_of(entry: VersionEntry, prompt: int, output: int) -> float:
-    """Return what so many tokens cost on a version."""
-    read = prompt * entry.price_in
-    written = output * entry.price_out
-    return (read + written) / PRICED_TOKENS
-
 
 class CheapestPlanner:
     """Takes the cheapest version whose declared quality is enough.
@@ -131,6 +123,36 @@
         """Block nothing."""
 
 
+@register('planner', 'cheapest')
+def cheapest_planner(kernel: Kernel) -> CheapestPlanner:
+    """Make the planner for a host."""
+    return CheapestPlanner(kernel.need(Configuration))
+
+
+@register('selector', 'least-in-flight')
+def least_in_flight(kernel: Kernel) -> LeastInFlight:
+    """Make the selector for a host."""
+    return LeastInFlight(kernel.need(Directory), kernel.randomness)
+
+
+@register('admitter', 'open')
+def open_admitter(kernel: Kernel) -> OpenAdmitter:
+    """Make the admitter for a host."""
+    return OpenAdmitter()
+
+
+@register('retries', 'unbounded')
+def unbounded_retries(kernel: Kernel) -> CountedRetries:
+    """Make the retry budget for a host."""
+    return CountedRetries()
+
+
+@register('quarantine', 'none')
+def no_quarantine(kernel: Kernel) -> NoQuarantine:
+    """Make the quarantine for a host."""
+    return NoQuarantine()
+
+
 @contextmanager
 def _permit() -> Iterator[None]:
     """Hold nothing."""
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/settings.py
@@ -66,6 +66,11 @@
         body_timeout: Seconds that a caller may take to send its body.
         log_format: ``text`` or ``json``.
         seed: Seed for randomness; None takes one from the system.
+        planner: Policy that chooses versions.
+        selector: Policy that chooses upstreams.
+        admitter: Policy that lets requests in.
+        retries: Policy that bounds retries.
+        quarantine: Policy that blocks versions on evidence.
         print_settings: Show the settings and stop.
     """
 
@@ -86,6 +91,11 @@
     body_timeout: float = 20.0
     log_format: str = 'text'
     seed: int | None = None
+    planner: str = 'cheapest'
+    selector: str = 'least-in-flight'
+    admitter: str = 'open'
+    retries: str = 'unbounded'
+    quarantine: str = 'none'
     print_settings: bool = False
 
 
