--- a/fakes/service.py
+++ b/fakes/service.py
@@ -17,6 +17,7 @@
     add_fault_routes,
     drop_connection,
 )
+from fakes.replies import json_reply
 from fakes.serving import Served, port_parser, run
 from nutmegroad.clocks import Clock, SystemClock
 from nutmegroad.types import Address
@@ -101,7 +102,7 @@
         late = self.faults.hit(FaultKind.LATE)
         if late is not None:
             await self._clock.sleep(late.delay)
-        return _json(reply)
+        return json_reply(reply)
 
     def _run(self, request: web.Request) -> CallReply:
         """Do the call's work, which is to be counted."""
@@ -117,7 +118,7 @@
 
     async def _show_runs(self, request: web.Request) -> web.Response:
         """Show the calls that ran."""
-        return _json({'runs': self.runs})
+        return json_reply({'runs': self.runs})
 
     async def _leave(self, request: web.Request) -> web.Response:
         """Note that the service is leaving; it goes on answering."""
@@ -137,13 +138,5 @@
     run(FakeService(seed=flags.seed).app, flags.port)
 
 
-def _json(reply: object) -> web.Response:
-    """Return a JSON reply."""
-    return web.Response(
-        body=msgspec.json.encode(reply),
-        content_type='application/json',
-    )
-
-
 if __name__ == '__main__':
     main()
--- a/src/nutmegroad/_gated_requests.py
+++ b/src/nutmegroad/_gated_requests.py
@@ -67,7 +67,7 @@
         # This runs in a task of the library's own, which started with a
         # copy of the caller's context.
         try:
-            current_sending.get().start()
+            _start(conn)
         except (GateClosed, ClientConnectionError) as error:
             if conn.protocol is not None:
                 conn.protocol.set_exception(error)
@@ -78,10 +78,24 @@
     async def send(self, conn: Connection) -> ClientResponse:
         """Send the request; one without a body goes out in this step."""
         if not self._is_written_later(conn):
-            current_sending.get().start()
+            _start(conn)
         return await super().send(conn)
 
     def _is_written_later(self, conn: Connection) -> bool:
         """Tell whether ``write_bytes`` will send the first byte."""
         is_paused = conn.protocol is not None and conn.protocol.writing_paused
         return bool(self.body) or self._continue is not None or is_paused
+
+
+def _start(conn: Connection) -> None:
+    """Start the current sending, if the connection still stands.
+
+    Raises:
+        GateClosed: If the gate says no.
+        ClientConnectionError: If the connection is closed, or the request
+            was sent before.
+    """
+    transport = conn.transport
+    if transport is None or transport.is_closing():
+        raise ClientConnectionError('The connection was closed before use.')
+    current_sending.get().start()
