Tidy the engine stand-in and prove the gate without a body too

Cause: linter findings; cache events showed an internal time; the in-step test of the gate covered requests with a body only. Each of three trials on a scratch copy turned a gate test red: an await before the first write, with and without a body, and the library sending GET and PUT a second time.

--- a/fakes/answering.py
+++ b/fakes/answering.py
@@ -1,6 +1,7 @@
 """One answer of the engine stand-in, from its draw to its last byte."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from aiohttp import web
 
@@ -20,7 +21,7 @@
 from nutmegroad.clocks import Clock
 
 #: Seconds between looks at whether a frozen stream's caller has gone.
-FROZEN_PAUSE = 0.05
+FROZEN_PAUSE: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,10 +193,7 @@
 
     async def send(self) -> End:
         """Send all of it, as far as its faults let it."""
-        job = self._job
         try:
-            await self._clock.sleep(job.trouble.late)
-            await self.response.prepare(self._request)
             return await self._send_words()
         except ConnectionError:
             return End.CANCELLED
@@ -203,6 +201,8 @@
     async def _send_words(self) -> End:
         """Send words as they are written."""
         job = self._job
+        await self._clock.sleep(job.trouble.late)
+        await self.response.prepare(self._request)
         sent = job.skip
         while sent < job.run.total:
             await job.run.progress.wait()
--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -25,6 +25,9 @@
 #: Words of a prompt that name its prefix.
 PREFIX_WORDS: Final = 64
 
+#: Hexadecimal digits of a prefix's name.
+NAME_LENGTH: Final = 16
+
 #: Share of the cache's events that are never published.
 EVENT_GAP: Final = 0.1
 
@@ -69,7 +72,7 @@
 
     total: int
     prefill: float
-    is_abandoned: Callable[[], bool] = lambda: False
+    is_abandoned: Callable[[], bool] = bool
     slowness: float = 1
     written: int = 0
     progress: asyncio.Event = field(default_factory=asyncio.Event)
@@ -191,20 +194,18 @@
         prefix: Name of the prefix.
         version: The version whose cache it is.
         kind: ``stored`` or ``evicted``.
-        published: Clock seconds from which on it is shown.
     """
 
     position: int
     prefix: str
     version: str
     kind: str
-    published: float
 
 
 def name_prefix(words: tuple[str, ...]) -> str:
     """Return the name of a prompt's prefix."""
     text = ' '.join(words[:PREFIX_WORDS])
-    return hashlib.sha256(text.encode()).hexdigest()[:16]
+    return hashlib.sha256(text.encode()).hexdigest()[:NAME_LENGTH]
 
 
 class PrefixCache:
@@ -229,7 +230,8 @@
         self._clock = clock
         self._randomness = randomness
         self._kept: OrderedDict[tuple[str, str], None] = OrderedDict()
-        self._events: list[CacheEvent] = []
+        # Each with the clock seconds from which on it is shown.
+        self._events: list[tuple[float, CacheEvent]] = []
         self._position = 0
 
     def read(self, version: str, words: tuple[str, ...]) -> int:
@@ -262,8 +264,8 @@
         now = self._clock.now()
         return [
             event
-            for event in self._events
-            if event.position > after and event.published <= now
+            for published, event in self._events
+            if event.position > after and published <= now
         ]
 
     def _publish(self, key: tuple[str, str], kind: str) -> None:
@@ -273,7 +275,6 @@
             return
         version, prefix = key
         published = self._clock.now() + self._lag
-        self._events.append(
-            CacheEvent(self._position, prefix, version, kind, published),
-        )
+        event = CacheEvent(self._position, prefix, version, kind)
+        self._events.append((published, event))
         self._events = self._events[-EVENTS_KEPT:]
--- a/fakes/chunks.py
+++ b/fakes/chunks.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-import msgspec
 from msgspec import Struct
+from msgspec.json import encode
 
 from fakes.answers import AnswerPlan, Prompt
 
@@ -73,7 +73,7 @@
 
 def event_of(chunk: Chunk) -> bytes:
     """Return a chunk as a server-sent event."""
-    return b'data: %b\n\n' % msgspec.json.encode(chunk)
+    return b'data: %b\n\n' % encode(chunk)
 
 
 def piece_chunk(attempt: str, index: int, word: str) -> Chunk:
--- a/fakes/engine_settings.py
+++ b/fakes/engine_settings.py
@@ -2,11 +2,15 @@
 
 from argparse import ArgumentParser, Namespace
 from dataclasses import dataclass, field
+from typing import Final
 
 from fakes.answers import QualityTable, parse_qualities
 from fakes.batching import BatchSpeed
 from fakes.serving import port_parser
 
+#: Prefixes that a cache holds where nothing else is said.
+CACHE_ENTRIES: Final = 64
+
 
 @dataclass(frozen=True, slots=True)
 class ShelfSettings:
@@ -43,7 +47,7 @@
     engine: str = 'engine'
     shelf: ShelfSettings = ShelfSettings()
     speed: BatchSpeed = BatchSpeed()
-    cache_entries: int = 64
+    cache_entries: int = CACHE_ENTRIES
     report_lag: float = 0.5
     seed: int = 0
     checks_fencing: bool = True
@@ -55,7 +59,7 @@
     parser = port_parser('A stand-in for a model engine.')
     _add_identity(parser)
     _add_speed(parser)
-    parser.add_argument('--cache-entries', type=int, default=64)
+    parser.add_argument('--cache-entries', type=int, default=CACHE_ENTRIES)
     parser.add_argument('--report-lag', type=float, default=0.5)
     parser.add_argument('--seed', type=int, default=0)
     parser.add_argument(
--- a/fakes/loading.py
+++ b/fakes/loading.py
@@ -7,8 +7,8 @@
 from enum import Enum, unique
 from typing import Final, Generic, Self, TypeVar
 
-from aiohttp import ClientError, ClientSession
 from absl import logging
+from aiohttp import ClientError, ClientSession
 from msgspec import Struct
 
 from fakes.engine_settings import ShelfSettings
@@ -155,7 +155,8 @@
 
     async def _fetch(self, version: str) -> bool:
         """Ask the weight store for a version's weights."""
-        url = f'http://{self._settings.weights}/weights/fetch'
+        store = self._settings.weights
+        url = f'http://{store}/weights/fetch'
         try:
             async with self._session.post(
                 url,
--- a/src/nutmegroad/_event_streams.py
+++ b/src/nutmegroad/_event_streams.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-import msgspec
-from msgspec import Struct
+from msgspec import DecodeError, Struct
+from msgspec.json import Decoder
 
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import AttemptId, Ran
@@ -13,7 +13,7 @@
 #: Bytes that one event may have; a longer one is no answer of an engine's.
 LONGEST_EVENT: Final = 1_048_576
 
-_DATA: Final = b'data:'
+_FIELD: Final = b'data:'
 _DONE: Final = b'[DONE]'
 
 
@@ -60,7 +60,7 @@
     usage: Usage | None = None
 
 
-_chunks: Final = msgspec.json.Decoder(Chunk)
+_chunks: Final = Decoder(Chunk)
 
 
 class EventSplitter:
@@ -75,14 +75,15 @@
         Raises:
             ValueError: If a line is longer than any event may be.
         """
-        *lines, self._rest = (self._rest + received).split(b'\n')
+        lines = (self._rest + received).split(b'\n')
+        self._rest = lines.pop()
         if len(self._rest) > LONGEST_EVENT:
             message = f'An event is longer than {LONGEST_EVENT} bytes.'
             raise ValueError(message)
         return [
-            line[len(_DATA) :].strip()
+            line[len(_FIELD) :].strip()
             for line in lines
-            if line.startswith(_DATA)
+            if line.startswith(_FIELD)
         ]
 
 
@@ -112,7 +113,7 @@
             return self.close()
         try:
             chunk = _chunks.decode(event)
-        except msgspec.DecodeError as error:
+        except DecodeError as error:
             reason = f'The engine sent an event that is no chunk: {error}.'
             return self._stop(ResultCode.UPSTREAM_ERROR, reason)
         return self._read_chunk(chunk)
--- a/src/nutmegroad/_http_answers.py
+++ b/src/nutmegroad/_http_answers.py
@@ -28,10 +28,13 @@
 #: Bytes of an error reply that are read.
 LONGEST_ERROR: Final = 65_536
 
+#: What a refusal says where another try makes no sense.
+NEVER: Final = 0
+
 #: Errors of engines that prove that the request did not run.
 _PROVED: Final = MappingProxyType(
     {
-        (404, 'version_not_loaded'): (ResultCode.VERSION_NOT_LOADED, 0.0),
+        (404, 'version_not_loaded'): (ResultCode.VERSION_NOT_LOADED, NEVER),
         (503, 'busy'): (ResultCode.UPSTREAM_BUSY, BUSY_WAIT),
     }
 )
--- a/tests/test_http_upstreams.py
+++ b/tests/test_http_upstreams.py
@@ -173,7 +173,8 @@
     ) -> None:
         counter = ByteCounter()
         address = await counter.open(self.stack)
-        write = StreamWriter._writelines
+        write = StreamWriter._write
+        write_all = StreamWriter._writelines
         steps: list[str] = []
 
         def gate() -> None:
@@ -181,15 +182,26 @@
             steps.append('gate')
             asyncio.get_running_loop().call_soon(steps.append, 'next step')
 
-        def note_write(writer: StreamWriter, chunks: Any) -> None:
-            """Note the first byte."""
+        def note_write(writer: StreamWriter, chunk: Any) -> None:
+            """Note the first byte of a request without a body."""
             steps.append('write')
-            write(writer, chunks)
+            write(writer, chunk)
 
-        with patch.object(StreamWriter, '_writelines', note_write):
-            call = call_at(address, gate=gate)
-            await self.services.call(call)
-        self.assertEqual(['gate', 'write', 'next step'], steps)
+        def note_all(writer: StreamWriter, chunks: Any) -> None:
+            """Note the first byte of a request with a body."""
+            steps.append('write')
+            write_all(writer, chunks)
+
+        with patch.multiple(
+            StreamWriter,
+            _write=note_write,
+            _writelines=note_all,
+        ):
+            for body in (b'', b'{}'):
+                steps.clear()
+                call = call_at(address, gate=gate, body=body)
+                await self.services.call(call)
+                self.assertEqual(['gate', 'write', 'next step'], steps)
 
     async def test_nothing_is_sent_twice(self) -> None:
         counter = ByteCounter()
