--- a/fakes/engine_settings.py
+++ b/fakes/engine_settings.py
@@ -45,8 +45,8 @@
     """
 
     engine: str = 'engine'
-    shelf: ShelfSettings = ShelfSettings()
-    speed: BatchSpeed = BatchSpeed()
+    shelf: ShelfSettings = field(default_factory=ShelfSettings)
+    speed: BatchSpeed = field(default_factory=BatchSpeed)
     cache_entries: int = CACHE_ENTRIES
     report_lag: float = 0.5
     seed: int = 0
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -126,18 +126,13 @@
                 break
             tried |= {state.info.upstream}
             reply = await self._attempt(request, entry, state, number)
+            explanation.note('service', _describe(state, reply))
             if isinstance(reply, ServiceReply):
-                explanation.note('service', f'{state.info.upstream}: answered')
                 return reply
-            explanation.note(
-                'service',
-                f'{state.info.upstream}: {reply.code.name}',
-            )
             refusal = reply
-            if reply.ran is Ran.NOT_RUN:
-                continue
-            ran = Ran.UNKNOWN
-            if not repeatable:
+            if reply.ran is not Ran.NOT_RUN:
+                ran = Ran.UNKNOWN
+            if ran is Ran.UNKNOWN and not repeatable:
                 break
         return replace(refusal, ran=ran)
 
@@ -190,6 +185,13 @@
             return await self._clients.call(call)
 
 
+def _describe(state: UpstreamState, reply: ServiceReply | Refusal) -> str:
+    """Say how an attempt ended."""
+    if isinstance(reply, Refusal):
+        return f'{state.info.upstream}: {reply.code.name}.'
+    return f'{state.info.upstream}: status {reply.status}.'
+
+
 def _no_upstream(service: ServiceName) -> Refusal:
     """Say that there is nowhere to send a call."""
     return Refusal(
