Add a manual clock and a mesh in memory for tests

Cause: parts that talk to other hosts are written side by side and need deterministic time and a network that can be cut, delayed, doubled and reordered, before the real links exist.

A message that is lost is lost without a sign by default, as on a network; cuts that both ends notice are asked for by name. Ruled out: handing objects over as they are, which hides messages that can't be encoded.

Run: tests.test_testing, 7 tests pass.

--- /dev/null
+++ b/tests/test_testing.py
@@ -0,0 +1,125 @@
+"""Tests of the clock and the mesh that other tests are written with."""
+
+import asyncio
+import random
+import unittest
+
+from nutmegroad.peers import Message
+from nutmegroad.results import Refusal
+from nutmegroad.testing import (
+    ManualClock,
+    MemoryMesh,
+    PausableClock,
+    Weather,
+)
+from nutmegroad.types import DomainId, HostId, Ran
+
+ONE = HostId('one')
+TWO = HostId('two')
+
+
+class Ping(Message, frozen=True, tag='test-ping'):
+    """Asks for a number back."""
+
+    number: int
+
+
+class Pong(Message, frozen=True, tag='test-pong'):
+    """The number."""
+
+    number: int
+
+
+class ClockTest(unittest.IsolatedAsyncioTestCase):
+    """A clock that is moved by hand."""
+
+    async def test_sleepers_wake_in_the_order_of_their_time(self) -> None:
+        clock = ManualClock()
+        woken: list[tuple[str, float]] = []
+
+        async def wake(name: str, seconds: float) -> None:
+            await clock.sleep(seconds)
+            woken.append((name, clock.now()))
+
+        work = [wake('late', 2), wake('early', 1), wake('never', 9)]
+        tasks = [asyncio.ensure_future(part) for part in work]
+        await clock.advance(3)
+        self.assertEqual(woken, [('early', 1), ('late', 2)])
+        self.assertEqual((clock.now(), clock.sleepers), (3, 1))
+        tasks[-1].cancel()
+
+    async def test_a_paused_host_wakes_only_when_it_resumes(self) -> None:
+        clock = ManualClock()
+        view = PausableClock(clock)
+        sleeping = asyncio.ensure_future(view.sleep(1))
+        view.pause()
+        await clock.advance(5)
+        self.assertFalse(sleeping.done())
+        view.resume()
+        await clock.settle()
+        self.assertTrue(sleeping.done())
+        self.assertEqual(view.now(), 5)
+
+
+class MemoryMeshTest(unittest.IsolatedAsyncioTestCase):
+    """Hosts that talk in memory."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.mesh = MemoryMesh(self.clock, random.Random(7))
+        await self.enterAsyncContext(self.mesh)
+        self.one = self.mesh.join(ONE, DomainId('east'))
+        self.two = self.mesh.join(TWO, DomainId('west'))
+        self.numbers: list[int] = []
+        self.two.handle(Ping, self.answer)
+
+    async def answer(self, host: HostId, ping: Ping) -> Pong:
+        self.numbers.append(ping.number)
+        return Pong(ping.number + 1)
+
+    async def ask(self) -> Message | Refusal:
+        asking = asyncio.ensure_future(self.one.ask(TWO, Ping(1), 2))
+        await self.clock.advance(3)
+        return await asking
+
+    async def test_a_question_gets_its_reply(self) -> None:
+        self.assertEqual(await self.ask(), Pong(2))
+
+    async def test_a_cut_loses_messages_without_a_sign(self) -> None:
+        self.mesh.cut_domain(DomainId('west'))
+        self.assertTrue(self.one.tell(TWO, Ping(1)))
+        reply = await self.ask()
+        assert isinstance(reply, Refusal)
+        self.assertEqual((reply.ran, self.numbers), (Ran.UNKNOWN, []))
+        self.mesh.heal_domain(DomainId('west'))
+        self.assertEqual(await self.ask(), Pong(2))
+
+    async def test_a_noticed_cut_refuses_at_once(self) -> None:
+        self.mesh.cut(ONE, TWO, noticed=True)
+        self.assertFalse(self.one.tell(TWO, Ping(1)))
+        reply = await self.one.ask(TWO, Ping(1), 2)
+        assert isinstance(reply, Refusal)
+        self.assertEqual(reply.ran, Ran.NOT_RUN)
+        self.assertEqual(self.one.members(), ())
+
+    async def test_order_is_kept_unless_reordering_is_asked_for(self) -> None:
+        self.mesh.weather = Weather(delay=(0.001, 1))
+        for reorder, kept in ((0.0, True), (1.0, False)):
+            with self.subTest(reorder=reorder):
+                self.numbers.clear()
+                self.mesh.weather.reorder = reorder
+                for number in range(20):
+                    self.one.tell(TWO, Ping(number))
+                await self.clock.advance(5)
+                self.assertEqual(sorted(self.numbers), list(range(20)))
+                self.assertEqual(self.numbers == list(range(20)), kept)
+
+    async def test_messages_are_dropped_and_doubled_by_share(self) -> None:
+        cases = (Weather(drop=1), 0), (Weather(duplicate=1), 2)
+        for weather, copies in cases:
+            with self.subTest(weather=weather):
+                self.numbers.clear()
+                self.mesh.weather = weather
+                self.one.tell(TWO, Ping(5))
+                await self.clock.advance(1)
+                self.assertEqual(self.numbers, [5] * copies)
