--- /dev/null
+++ b/src/nutmegroad/_connection.py
@@ -0,0 +1,145 @@
+"""One authenticated connection: a task that reads and one that writes."""
+
+import asyncio
+from asyncio import StreamReader, StreamWriter
+from collections.abc import Callable
+from enum import IntEnum, unique
+from typing import Final
+
+from msgspec import Struct
+
+from nutmegroad._handshake import Identity
+from nutmegroad._outbox import Outbox, Parcel
+from nutmegroad._wire import StreamFault, Unpacker, as_struct, pack
+from nutmegroad.accounting import Account
+from nutmegroad.clocks import Clock
+
+_CHUNK: Final = 65_536
+#: The cost of what comes in before it is known whose it is.
+LINKS_PART: Final = 'links'
+
+
+@unique
+class FrameKind(IntEnum):
+    """What a frame is."""
+
+    TELL = 0
+    ASK = 1
+    REPLY = 2
+    REFUSED = 3
+
+
+class Frame(Struct, frozen=True, array_like=True):
+    """What travels on an authenticated connection.
+
+    Attributes:
+        kind: What it is.
+        number: Number of the question that it asks or answers, or 0.
+        body: A message as plain data, or a sentence if refused.
+    """
+
+    kind: FrameKind
+    number: int
+    body: object
+
+
+def pack_frame(kind: FrameKind, number: int, body: object) -> bytes:
+    """Return a frame as it travels."""
+    return pack((kind.value, number, body))
+
+
+class Connection:
+    """An authenticated connection to one incarnation of a host.
+
+    Attributes:
+        identity: The other side.
+        initiator: Whether this side connected.
+        opened: Clock seconds of the end of the handshake.
+        heard: Clock seconds at which bytes last came.
+        stalled_since: Clock seconds since which a write waits, or None.
+        writing: The task that writes.
+
+    Args:
+        identity: The other side.
+        streams: The two directions.
+        clock: Time.
+        initiator: Whether this side connected.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        streams: tuple[StreamReader, StreamWriter],
+        clock: Clock,
+        *,
+        initiator: bool,
+    ) -> None:
+        self.identity = identity
+        self.initiator = initiator
+        self.opened = clock.now()
+        self.heard = self.opened
+        self.stalled_since: float | None = None
+        self.writing: asyncio.Task[None] | None = None
+        self._reader, self._writer = streams
+        self._clock = clock
+
+    async def read(
+        self,
+        unpacker: Unpacker,
+        early: bytes,
+        take: Callable[[Frame, int], None],
+    ) -> str:
+        """Hand each frame on until the connection ends.
+
+        Args:
+            unpacker: Cuts the stream.
+            early: Bytes that came with the end of the handshake.
+            take: Called with each frame and its size in bytes.
+
+        Returns:
+            The name of the event that ended it.
+        """
+        chunk = early
+        try:
+            while chunk or not self._reader.at_eof():
+                self.heard = self._clock.now()
+                for plain, size in unpacker.feed(chunk):
+                    take(_checked(plain), size)
+                chunk = await self._reader.read(_CHUNK)
+        except StreamFault:
+            return 'links_garbage'
+        except OSError:
+            return 'links_broken'
+        return 'links_closed'
+
+    async def write(self, outbox: Outbox, account: Account) -> None:
+        """Send what the outbox holds until the connection ends."""
+        while True:
+            parcels = await outbox.take_all()
+            for parcel in parcels:
+                account.sent(parcel.part, len(parcel.packed))
+            if not await self._send(parcels):
+                return
+
+    def abort(self) -> None:
+        """End it at once; nothing more is taken from the outbox."""
+        if self.writing is not None:
+            self.writing.cancel()
+        self._writer.transport.abort()
+
+    async def _send(self, parcels: tuple[Parcel, ...]) -> bool:
+        self._writer.writelines([parcel.packed for parcel in parcels])
+        self.stalled_since = self._clock.now()
+        try:
+            await self._writer.drain()
+        except OSError:
+            return False
+        self.stalled_since = None
+        return True
+
+
+def _checked(plain: object) -> Frame:
+    frame = as_struct(plain, Frame)
+    if frame is None:
+        raise StreamFault('This is no frame.')
+    return frame
--- /dev/null
+++ b/src/nutmegroad/_handshake.py
@@ -0,0 +1,263 @@
+"""How two hosts prove to each other that they share the cluster key.
+
+The host that connects sends a ``Hello``, the other answers with its own;
+then the first sends a ``Proof`` and the other answers with one. A proof is
+an HMAC over both hellos and the role of its maker, so it holds for this
+one connection and can't be sent back to its maker.
+"""
+
+import hashlib
+import hmac
+import random
+from asyncio import StreamReader, StreamWriter
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from msgspec import Struct
+
+from nutmegroad._wire import (
+    Kind,
+    StreamFault,
+    Unpacker,
+    as_plain,
+    as_struct,
+    pack,
+)
+from nutmegroad.types import Address, DomainId, HostId, Incarnation
+
+#: Changes with each change of the streams that old hosts can't read.
+PROTOCOL_VERSION: Final = 1
+#: A hello has some 200 bytes; nobody unknown may send more than this.
+_MOST_BYTES: Final = 2048
+_MOST_ITEMS: Final = 16
+_NONCE_BYTES: Final = 16
+
+
+class Identity(Struct, frozen=True, array_like=True):
+    """Who a host is, as it says itself.
+
+    Attributes:
+        host: Its id.
+        incarnation: This run of it.
+        generation: Orders the incarnations of a host: milliseconds since
+            1970 at its start, or more where a greater one was known.
+        domain: Its failure domain.
+        ip: Where it listens to peers.
+        port: Where it listens to peers.
+    """
+
+    host: HostId
+    incarnation: Incarnation
+    generation: int
+    domain: DomainId
+    ip: str
+    port: int
+
+    @property
+    def address(self) -> Address:
+        """Where it listens to peers."""
+        return Address(self.ip, self.port)
+
+    @property
+    def order(self) -> tuple[int, str]:
+        """Greater for a later incarnation of the same host."""
+        return self.generation, self.incarnation
+
+
+class Hello(Struct, frozen=True, array_like=True):
+    """The first thing that each side says.
+
+    Attributes:
+        version: Version of the protocol.
+        nonce: Random bytes, never used before.
+        identity: Who speaks.
+    """
+
+    version: int
+    nonce: bytes
+    identity: Identity
+
+
+class Proof(Struct, frozen=True, array_like=True):
+    """Shows that the sender has the cluster key.
+
+    Attributes:
+        mac: HMAC-SHA256 over role, both hellos and ``known``.
+        known: The generation of the other host that makes the one in its
+            hello an old one; 0 if there is none.
+    """
+
+    mac: bytes
+    known: int = 0
+
+
+class HandshakeFault(Exception):
+    """The other side is not one of our hosts, or may not have a link.
+
+    Args:
+        event: The name under which it is counted.
+        known: Generation of us that the other side knows; 0 for none.
+    """
+
+    def __init__(self, event: str, known: int = 0) -> None:
+        super().__init__(event)
+        self.event = event
+        self.known = known
+
+
+class Admission(Protocol):
+    """Says which incarnations of a host are too old."""
+
+    def newer_generation(self, identity: Identity) -> int:
+        """Return the generation of a later incarnation, 0 if none."""
+
+
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """What a host needs for handshakes.
+
+    Attributes:
+        key: The cluster key.
+        identity: Who we are.
+        nonces: Source of nonces; must be unpredictable outside tests.
+        admission: Says which incarnations are too old.
+    """
+
+    key: bytes
+    identity: Identity
+    nonces: random.Random
+    admission: Admission
+
+    def hello(self) -> Hello:
+        """Return a hello with a fresh nonce."""
+        nonce = self.nonces.randbytes(_NONCE_BYTES)
+        return Hello(PROTOCOL_VERSION, nonce, self.identity)
+
+    def mac(self, role: str, first: Hello, second: Hello, known: int) -> bytes:
+        """Return the HMAC that a role's proof holds."""
+        said = [role, as_plain(first), as_plain(second), known]
+        return hmac.digest(self.key, pack(said), hashlib.sha256)
+
+    def is_proof(
+        self,
+        proof: Proof,
+        role: str,
+        first: Hello,
+        second: Hello,
+    ) -> bool:
+        """Tell whether a proof was made with our key."""
+        expected = self.mac(role, first, second, proof.known)
+        return hmac.compare_digest(expected, proof.mac)
+
+
+class HandshakeStream:
+    """A connection whose other side is not known yet.
+
+    Attributes:
+        streams: Its two directions.
+
+    Args:
+        reader: What comes in.
+        writer: What goes out.
+    """
+
+    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.streams = (reader, writer)
+        self._unpacker = Unpacker(_MOST_BYTES, _MOST_ITEMS)
+
+    async def send(self, thing: Struct) -> None:
+        """Write a struct."""
+        writer = self.streams[1]
+        writer.write(pack(as_plain(thing)))
+        await writer.drain()
+
+    async def receive(self, kind: type[Kind]) -> Kind:
+        """Read a struct of a kind.
+
+        Raises:
+            HandshakeFault: If something else came, or the end.
+        """
+        try:
+            plain = await self._read()
+        except StreamFault as error:
+            raise HandshakeFault('links_handshake_garbage') from error
+        thing = as_struct(plain, kind)
+        if thing is None:
+            raise HandshakeFault('links_handshake_garbage')
+        return thing
+
+    def rest(self) -> bytes:
+        """Return what came after the handshake already."""
+        return self._unpacker.rest(_MOST_BYTES)
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self.streams[1].transport.abort()
+
+    async def _read(self) -> object:
+        for plain, _ in self._unpacker.feed(b''):
+            return plain
+        while chunk := await self.streams[0].read(_MOST_BYTES):
+            for plain, _ in self._unpacker.feed(chunk):
+                return plain
+        raise HandshakeFault('links_handshake_cut')
+
+
+async def greet(stream: HandshakeStream, ours: Credentials) -> Identity:
+    """Do the handshake as the side that connected.
+
+    Returns:
+        Who the other side is.
+
+    Raises:
+        HandshakeFault: If there can be no link.
+    """
+    first = ours.hello()
+    await stream.send(first)
+    second = await stream.receive(Hello)
+    _check_hello(ours, second)
+    known = ours.admission.newer_generation(second.identity)
+    await stream.send(Proof(ours.mac('client', first, second, known), known))
+    proof = await stream.receive(Proof)
+    if not ours.is_proof(proof, 'server', first, second):
+        raise HandshakeFault('links_wrong_key')
+    _check_generations(known, proof)
+    return second.identity
+
+
+async def answer(stream: HandshakeStream, ours: Credentials) -> Identity:
+    """Do the handshake as the side that was connected to.
+
+    Returns:
+        Who the other side is.
+
+    Raises:
+        HandshakeFault: If there can be no link.
+    """
+    first = await stream.receive(Hello)
+    _check_hello(ours, first)
+    second = ours.hello()
+    await stream.send(second)
+    proof = await stream.receive(Proof)
+    if not ours.is_proof(proof, 'client', first, second):
+        raise HandshakeFault('links_wrong_key')
+    known = ours.admission.newer_generation(first.identity)
+    await stream.send(Proof(ours.mac('server', first, second, known), known))
+    _check_generations(known, proof)
+    return first.identity
+
+
+def _check_hello(ours: Credentials, hello: Hello) -> None:
+    if hello.version != PROTOCOL_VERSION:
+        raise HandshakeFault('links_wrong_version')
+    if hello.identity.incarnation == ours.identity.incarnation:
+        raise HandshakeFault('links_to_self')
+    if len(hello.nonce) != _NONCE_BYTES:
+        raise HandshakeFault('links_handshake_garbage')
+
+
+def _check_generations(known: int, proof: Proof) -> None:
+    if known:
+        raise HandshakeFault('links_old_incarnation')
+    if proof.known:
+        raise HandshakeFault('links_we_are_old', proof.known)
--- a/src/nutmegroad/_memory_mesh.py
+++ b/src/nutmegroad/_memory_mesh.py
@@ -6,7 +6,7 @@
 
 from nutmegroad._peer_tasks import OwnedTasks
 from nutmegroad._questions import Questions
-from nutmegroad._wire import Kinds, to_plain
+from nutmegroad._wire import Kinds, as_plain
 from nutmegroad.clocks import Clock
 from nutmegroad.peers import Handler, Member, Message, Sent
 from nutmegroad.results import Refusal, ResultCode
@@ -148,7 +148,7 @@
         """Send a message; false if the host knows of no link."""
         if not self._is_linked(host):
             return False
-        self._network.post(self.host, host, _Frame(to_plain(message)))
+        self._network.post(self.host, host, _Frame(as_plain(message)))
         return True
 
     def tell_all(self, message: Message) -> int:
@@ -167,7 +167,7 @@
             reason = f'There is no link to host {host}.'
             return Refusal(ResultCode.PEER_UNREACHABLE, reason)
         number = self._questions.open(host)
-        frame = _Frame(to_plain(message), question=number)
+        frame = _Frame(as_plain(message), question=number)
         self._network.post(self.host, host, frame)
         return await self._questions.wait(number, timeout)
 
@@ -204,7 +204,7 @@
 def _plain(message: Message | None) -> dict[str, Any] | Refusal:
     if message is None:
         return _refuse('It has no reply.')
-    return to_plain(message)
+    return as_plain(message)
 
 
 def _refuse(reason: str) -> Refusal:
--- /dev/null
+++ b/src/nutmegroad/_peer_table.py
@@ -0,0 +1,127 @@
+"""The established links, one for each other host."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from nutmegroad._connection import Connection
+from nutmegroad._handshake import Identity
+from nutmegroad._link_context import LinkLimits
+from nutmegroad._outbox import Outbox
+from nutmegroad.clocks import Clock
+from nutmegroad.types import Address, HostId
+
+#: Two hosts that connect to each other do so within this many seconds. A
+#: connection that is older was lost by the other side if it makes another.
+_SIMULTANEOUS: Final = 5.0
+
+
+class Peer:
+    """One incarnation of a host to which there is a link.
+
+    Attributes:
+        connection: The connection that is used.
+        outbox: What waits to be sent.
+        handling: How many handlers run for it.
+
+    Args:
+        connection: Its first connection.
+        limits: Bounds on the queue.
+    """
+
+    def __init__(self, connection: Connection, limits: LinkLimits) -> None:
+        self.connection = connection
+        self.outbox = Outbox(limits.queue_messages, limits.queue_bytes)
+        self.handling = 0
+
+    @property
+    def identity(self) -> Identity:
+        """Who it is."""
+        return self.connection.identity
+
+    @property
+    def host(self) -> HostId:
+        """Its host id."""
+        return self.connection.identity.host
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether something has not yet gone to the system."""
+        return bool(self.outbox) or self.connection.stalled_since is not None
+
+
+class PeerTable:
+    """Keeps one link for each host.
+
+    Args:
+        host: Id of this host.
+        clock: Time.
+        limits: Bounds on queues.
+    """
+
+    def __init__(self, host: HostId, clock: Clock, limits: LinkLimits) -> None:
+        self._host = host
+        self._clock = clock
+        self._limits = limits
+        self._peers: dict[HostId, Peer] = {}
+        self._aliases: dict[Address, HostId] = {}
+
+    def __iter__(self) -> Iterator[Peer]:
+        """Iterate over the hosts to which there is a link."""
+        return iter(tuple(self._peers.values()))
+
+    def __len__(self) -> int:
+        """Return how many links there are."""
+        return len(self._peers)
+
+    def get(self, host: HostId) -> Peer | None:
+        """Return a host, if there is a link to it."""
+        return self._peers.get(host)
+
+    def is_linked(self, address: Address) -> bool:
+        """Tell whether there is a link to whoever listens there."""
+        if self._aliases.get(address) in self._peers:
+            return True
+        return any(peer.identity.address == address for peer in self)
+
+    def note_alias(self, address: Address, host: HostId) -> None:
+        """Remember which host answered at an address."""
+        self._aliases[address] = host
+
+    def forget_aliases(self, kept: frozenset[Address]) -> None:
+        """Forget who answered at other addresses than these."""
+        for address in self._aliases.keys() - kept:
+            self._aliases.pop(address)
+
+    def enter(self, connection: Connection) -> Peer | None:
+        """Take a connection as the link to its host, or refuse it."""
+        identity = connection.identity
+        peer = self._peers.get(identity.host)
+        if peer is None or identity.order > peer.identity.order:
+            if peer is not None:
+                peer.connection.abort()
+            peer = Peer(connection, self._limits)
+            self._peers[identity.host] = peer
+            return peer
+        is_same = identity.incarnation == peer.identity.incarnation
+        if not is_same or not self._is_better(connection, peer.connection):
+            return None
+        peer.connection.abort()
+        peer.connection = connection
+        return peer
+
+    def leave(self, connection: Connection) -> bool:
+        """Drop a connection; true if its host has no link now."""
+        peer = self._peers.get(connection.identity.host)
+        if peer is None or peer.connection is not connection:
+            return False
+        self._peers.pop(peer.host)
+        return True
+
+    def _is_better(self, new: Connection, old: Connection) -> bool:
+        if new.initiator == old.initiator:
+            return True
+        if self._clock.now() - old.opened > _SIMULTANEOUS:
+            return True
+        # Both connected at once. Both keep the connection that the host
+        # with the lesser id began.
+        return new.initiator == (self._host < new.identity.host)
--- a/src/nutmegroad/_peer_tasks.py
+++ b/src/nutmegroad/_peer_tasks.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 from absl import logging
 
 _LOG_PREFIX: Final = 'peer tasks:'
 
+Outcome = TypeVar('Outcome')
+
 
 class OwnedTasks:
     """Starts tasks, keeps them referenced, and cancels them at the end."""
@@ -20,14 +22,17 @@
         """Return how many tasks are running."""
         return len(self._tasks)
 
-    def start(self, work: Coroutine[Any, Any, Any]) -> None:
-        """Run work in a task of its own; after the end it is dropped."""
-        if self._closed:
-            work.close()
-            return
+    def start(
+        self,
+        work: Coroutine[Any, Any, Outcome],
+    ) -> asyncio.Task[Outcome]:
+        """Run work in a task of its own; after the end it is cancelled."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        if self._closed:
+            task.cancel()
+        return task
 
     async def aclose(self) -> None:
         """Cancel all tasks and wait until they have ended."""
--- a/src/nutmegroad/_questions.py
+++ b/src/nutmegroad/_questions.py
@@ -57,6 +57,10 @@
             if asked == host and not answer.done():
                 answer.set_result(refusal)
 
+    def close(self, number: int) -> None:
+        """Give a question up that was never sent."""
+        self._waiting.pop(number)
+
     async def wait(self, number: int, seconds: float) -> Message | Refusal:
         """Return the reply, or a refusal when the time is up."""
         host, answer = self._waiting[number]
--- a/src/nutmegroad/_wire.py
+++ b/src/nutmegroad/_wire.py
@@ -1,36 +1,113 @@
-"""Typed messages to plain data and back."""
+"""Typed messages to msgpack streams and back, with limits."""
 
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Final, TypeVar
 
+import msgpack
 import msgspec
 
 from nutmegroad.peers import Message
 
+#: What an unreadable stream raises from ``msgpack``.
+_UNREADABLE: Final = (
+    msgpack.exceptions.UnpackException,
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+)
+#: Items that an array or map may announce. The unpacker reserves room for
+#: as many at once, so that a few bytes could otherwise claim a gigabyte.
+_MOST_ITEMS: Final = 20_000
+#: Bytes are carried as they are, not as text.
+_AS_THEY_ARE: Final = (bytes,)
 
-def tag_of(kind: type[Message]) -> str:
-    """Return the name under which messages of a kind travel."""
-    return str(kind.__struct_config__.tag)
+
+Kind = TypeVar('Kind', bound=msgspec.Struct)
 
 
-def to_plain(message: Message) -> dict[str, Any]:
-    """Return a message as plain data, its tag among it."""
-    plain: dict[str, Any] = msgspec.to_builtins(message)
-    return plain
+class StreamFault(Exception):
+    """A stream holds what no peer of ours would send."""
 
 
-def from_plain(plain: object, kind: type[Message]) -> Message | None:
-    """Return a typed message, or None where the data is not one."""
+class Unpacker:
+    """Cuts a stream of bytes into unpacked objects.
+
+    Args:
+        most_bytes: Size that one object may have.
+        most_items: Items that an array or map may have.
+    """
+
+    def __init__(self, most_bytes: int, most_items: int = _MOST_ITEMS) -> None:
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=most_bytes,
+            max_array_len=most_items,
+            max_map_len=most_items,
+            strict_map_key=False,
+        )
+        self._most_bytes = most_bytes
+        self._fed = 0
+        self._done = 0
+
+    def feed(self, chunk: bytes) -> Iterator[tuple[object, int]]:
+        """Yield each object that is complete now, and its size in bytes.
+
+        Raises:
+            StreamFault: If the stream is too large or unreadable.
+        """
+        self._fed += len(chunk)
+        try:
+            self._unpacker.feed(chunk)
+        except _UNREADABLE as error:
+            raise StreamFault('The message is too large.') from error
+        return self._unpack()
+
+    def rest(self, most: int) -> bytes:
+        """Return up to ``most`` bytes that were fed but not unpacked."""
+        return bytes(self._unpacker.read_bytes(most))
+
+    def _unpack(self) -> Iterator[tuple[object, int]]:
+        while True:
+            try:
+                unpacked = self._unpacker.unpack()
+            except msgpack.OutOfData:
+                break
+            except _UNREADABLE as error:
+                raise StreamFault('The stream is unreadable.') from error
+            size = self._unpacker.tell() - self._done
+            self._done += size
+            yield unpacked, size
+        # The unpacker bounds its buffer only: an array that arrives item
+        # by item would grow without end.
+        if self._fed - self._done > self._most_bytes:
+            raise StreamFault('The message is too large.')
+
+
+def pack(plain: object) -> bytes:
+    """Return plain data as msgpack."""
+    packed: bytes = msgpack.packb(plain)
+    return packed
+
+
+def as_plain(thing: msgspec.Struct) -> Any:
+    """Return a struct as plain data, its tag among it if it has one."""
+    return msgspec.to_builtins(thing, builtin_types=_AS_THEY_ARE)
+
+
+def as_struct(
+    plain: object,
+    kind: type[Kind],
+) -> Kind | None:
+    """Return a typed struct, or None where the data is not one."""
     try:
-        return msgspec.convert(plain, kind)
-    except msgspec.ValidationError:
+        return msgspec.convert(plain, kind, builtin_types=_AS_THEY_ARE)
+    except (msgspec.ValidationError, RecursionError):
         return None
 
 
-def plain_tag(plain: object) -> str:
-    """Return the name that plain data carries, empty if it has none."""
-    tag = plain.get('type') if isinstance(plain, dict) else None
-    return tag if isinstance(tag, str) else ''
+def tag_of(kind: type[Message]) -> str:
+    """Return the name under which messages of a kind travel."""
+    return str(kind.__struct_config__.tag)
 
 
 class Kinds:
@@ -49,8 +126,8 @@
 
     def decode(self, plain: object) -> Message | None:
         """Return a typed message, or None where the data is not one."""
-        kind = self._find(plain_tag(plain))
-        return None if kind is None else from_plain(plain, kind)
+        kind = self._find(_plain_tag(plain))
+        return None if kind is None else as_struct(plain, kind)
 
     def _find(self, tag: str) -> type[Message] | None:
         if tag not in self._known:
@@ -59,6 +136,15 @@
         return self._known.get(tag)
 
 
+def _plain_tag(plain: object) -> str:
+    tag: object = None
+    if isinstance(plain, dict):
+        tag = plain.get('type')
+    elif isinstance(plain, list) and plain:
+        tag = plain[0]
+    return tag if isinstance(tag, str) else ''
+
+
 def _subclasses(kind: type[Message]) -> Iterator[type[Message]]:
     for subclass in kind.__subclasses__():
         yield subclass
--- a/src/nutmegroad/peers.py
+++ b/src/nutmegroad/peers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from typing import ClassVar, Protocol, TypeVar
 
 from msgspec import Struct
 
@@ -15,8 +15,16 @@
 
     A subclass states ``tag='a-name'``; the links register it when a
     handler for it is added. Its fields are plain data.
+
+    Attributes:
+        part: Whose control cost the kind is.
+        replaceable: Whether a later message makes an earlier one needless,
+            so that a full queue may drop it.
     """
 
+    part: ClassVar[str] = 'other'
+    replaceable: ClassVar[bool] = False
+
 
 Sent = TypeVar('Sent', bound=Message)
 
