Add membership, duties, accounting and the mesh part

A first whole: heartbeats with news, suspicion with agreement and vouching, domains that count as cut off by silence, rendezvous links and duties.

--- /dev/null
+++ b/src/nutmegroad/_aims.py
@@ -0,0 +1,100 @@
+"""To which hosts this one should have links."""
+
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+
+from nutmegroad._member_messages import Record
+from nutmegroad._member_table import MemberTable
+from nutmegroad._reach import Reach
+from nutmegroad._rendezvous import ranked
+from nutmegroad.types import Address, DomainId, HostId
+
+#: Links that a host makes to each other domain.
+CROSS_LINKS: Final = 2
+#: Seeds that are tried at a time while there is no link at all.
+_FIRST_SEEDS: Final = 8
+
+
+class Aims:
+    """Chooses whom to connect to.
+
+    All hosts of the own domain; of each other domain those that stand
+    first for this host; and, by turns, an address at which there may be
+    hosts that are not known or not in reach.
+
+    Args:
+        table: All records.
+        reach: When hosts and domains were last heard.
+        randomness: Chooses what to probe.
+        seeds: Addresses from the settings.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        reach: Reach,
+        randomness: random.Random,
+        seeds: Iterable[Address],
+    ) -> None:
+        self._table = table
+        self._reach = reach
+        self._randomness = randomness
+        self._seeds = frozenset(seeds)
+        self._listed: frozenset[Address] = frozenset()
+        self._probe: frozenset[Address] = frozenset()
+
+    def take_listing(self, addresses: Iterable[Address]) -> None:
+        """Take in where the host list says that hosts of ours listen."""
+        self._listed = frozenset(addresses)
+
+    def hosts(self) -> dict[HostId, Address]:
+        """Return the known hosts to which there should be links."""
+        near, far = self._by_domain()
+        chosen = list(near)
+        for records in far.values():
+            names = {record.host: record for record in records}
+            first = ranked(self._table.own.host, names)[:CROSS_LINKS]
+            chosen.extend(names[host] for host in first)
+        return {record.host: record.identity.address for record in chosen}
+
+    def addresses(self) -> frozenset[Address]:
+        """Return all addresses to which there should be links."""
+        return frozenset(self.hosts().values()) | self._probe
+
+    def choose_probe(self, *, has_links: bool) -> None:
+        """Choose anew at which other addresses to look for hosts.
+
+        Args:
+            has_links: Whether there is any link; without one all seeds
+                are tried, up to a bound.
+        """
+        known = {record.identity.address for record in self._table.others()}
+        own = self._table.identity.address
+        unknown = (self._seeds | self._listed | self._lost()) - known - {own}
+        size = 1 if has_links else _FIRST_SEEDS
+        choices = sorted(unknown, key=str)
+        size = min(size, len(choices))
+        self._probe = frozenset(self._randomness.sample(choices, size))
+
+    def _lost(self) -> frozenset[Address]:
+        """Return where gone hosts were of domains without a live one."""
+        _, far = self._by_domain()
+        return frozenset(
+            record.identity.address
+            for record in self._table.records()
+            if record.is_gone and record.identity.domain not in far
+        )
+
+    def _by_domain(
+        self,
+    ) -> tuple[list[Record], dict[DomainId, list[Record]]]:
+        near: list[Record] = []
+        far: defaultdict[DomainId, list[Record]] = defaultdict(list)
+        for record in self._table.others():
+            if record.identity.domain == self._table.domain:
+                near.append(record)
+            else:
+                far[record.identity.domain].append(record)
+        return near, far
--- /dev/null
+++ b/src/nutmegroad/_detector.py
@@ -0,0 +1,135 @@
+"""Which hosts of the own domain have failed, and who agrees."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from nutmegroad._arrivals import Arrivals
+from nutmegroad._member_messages import Heartbeat, Record
+from nutmegroad._member_table import MemberTable
+from nutmegroad._reach import Reach
+from nutmegroad.types import HostId
+
+#: How many others must also suspect a host, where there are as many.
+_AGREEING: Final = 2
+#: A host that others suspect too is gone after so many bounds.
+_AGREED_BOUNDS: Final = 2
+#: Without others a host is gone after so many bounds.
+_ALONE_BOUNDS: Final = 5
+_NEVER: Final = float('-inf')
+
+
+@dataclass(frozen=True, slots=True)
+class Verdicts:
+    """The outcome of one round.
+
+    Attributes:
+        suspects: Hosts that are silent for longer than their bound.
+        gone: Those among them that have failed.
+    """
+
+    suspects: tuple[HostId, ...] = ()
+    gone: tuple[HostId, ...] = ()
+
+
+class Detector:
+    """Suspects hosts of the domain, and gives them up by agreement.
+
+    Args:
+        table: All records.
+        reach: When hosts were last heard.
+        interval: Seconds between heartbeats.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        reach: Reach,
+        interval: float,
+    ) -> None:
+        self._table = table
+        self._reach = reach
+        self._interval = interval
+        self._arrivals: dict[HostId, Arrivals] = {}
+        self._suspected_by: dict[HostId, frozenset[HostId]] = {}
+        self._vouched: dict[HostId, float] = {}
+        self._vouching: set[HostId] = set()
+
+    def take(self, sender: HostId, heartbeat: Heartbeat, now: float) -> None:
+        """Take in a heartbeat of a host of the domain."""
+        if sender not in self._arrivals:
+            self._arrivals[sender] = Arrivals(self._interval)
+        self._arrivals[sender].note(now)
+        self._suspected_by[sender] = frozenset(heartbeat.suspects)
+        for host in heartbeat.vouched:
+            self._vouched[host] = now
+        heard = (host for host in heartbeat.suspects if self._hears(host))
+        self._vouching.update(heard)
+
+    def take_vouching(self) -> tuple[HostId, ...]:
+        """Return, once, the hosts that others suspect and we hear."""
+        vouching = tuple(sorted(self._vouching))
+        self._vouching.clear()
+        return vouching
+
+    def judge(self, now: float, *, in_contact: bool) -> Verdicts:
+        """Return who is suspected now and who is gone.
+
+        Args:
+            now: Clock seconds.
+            in_contact: Whether this host hears anybody. One that hears
+                nobody has no evidence against any other.
+        """
+        near = [record.host for record in self._near()]
+        suspects = [host for host in near if self._is_silent(host)]
+        voters = frozenset(near).difference(suspects)
+        gone = [
+            host
+            for host in suspects
+            if in_contact and self._is_gone(host, voters, now)
+        ]
+        return Verdicts(tuple(suspects), tuple(gone))
+
+    def forget(self, host: HostId) -> None:
+        """Forget a host that is gone."""
+        self._arrivals.pop(host, None)
+        self._suspected_by.pop(host, None)
+        self._vouched.pop(host, None)
+
+    def _is_gone(
+        self,
+        host: HostId,
+        voters: frozenset[HostId],
+        now: float,
+    ) -> bool:
+        silence = self._reach.silence(host)
+        bound = self._bound(host)
+        if now - self._vouched.get(host, _NEVER) <= bound:
+            return False
+        agreeing = sum(
+            1
+            for voter in voters
+            if host in self._suspected_by.get(voter, frozenset())
+        )
+        needed = min(_AGREEING, len(voters))
+        if needed and agreeing >= needed:
+            return silence > _AGREED_BOUNDS * bound
+        return silence > _ALONE_BOUNDS * bound
+
+    def _hears(self, host: HostId) -> bool:
+        return host in self._arrivals and not self._is_silent(host)
+
+    def _is_silent(self, host: HostId) -> bool:
+        return self._reach.silence(host) > self._bound(host)
+
+    def _bound(self, host: HostId) -> float:
+        arrivals = self._arrivals.get(host)
+        if arrivals is None:
+            arrivals = Arrivals(self._interval)
+        return arrivals.bound()
+
+    def _near(self) -> Iterator[Record]:
+        domain = self._table.domain
+        for record in self._table.others():
+            if record.identity.domain == domain:
+                yield record
--- /dev/null
+++ b/src/nutmegroad/_mesh_part.py
@@ -0,0 +1,79 @@
+"""The part that links this host to the others."""
+
+import random
+import time
+
+from nutmegroad._handshake import Identity
+from nutmegroad._link_context import LinkContext
+from nutmegroad.accounting import Account, Ledger
+from nutmegroad.core import Kernel
+from nutmegroad.duties import Duties
+from nutmegroad.exceptions import SettingsError
+from nutmegroad.links import Links
+from nutmegroad.members import MemberContext, Members, make_table
+from nutmegroad.peers import Mesh
+from nutmegroad.platform import HostList
+from nutmegroad.registry import register
+
+_MILLISECONDS = 1000
+
+
+@register('part', 'mesh')
+class MeshPart:
+    """Provides the mesh, the membership, duties and the account."""
+
+    needs = (HostList,)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Listen to other hosts and begin to send heartbeats.
+
+        At the end the membership says goodbye before the links close.
+        """
+        settings = kernel.settings
+        if not settings.cluster_key:
+            message = 'The cluster key is empty; hosts need it to link.'
+            raise SettingsError(message)
+        ledger = Ledger(time.thread_time)
+        table, reach = make_table(
+            identity_of(kernel),
+            kernel.clock,
+            settings.heartbeat,
+        )
+        context = LinkContext(
+            key=settings.cluster_key.encode(),
+            clock=kernel.clock,
+            randomness=kernel.randomness,
+            # A nonce that could be foreseen would let a proof be replayed.
+            nonces=random.SystemRandom(),
+            account=ledger,
+        )
+        links = await kernel.stack.enter_async_context(Links(context, table))
+        member_context = MemberContext(
+            clock=kernel.clock,
+            randomness=kernel.randomness,
+            account=ledger,
+            heartbeat=settings.heartbeat,
+            seeds=settings.seeds,
+            host_list=kernel.need(HostList),
+        )
+        members = Members(member_context, links, table, reach)
+        await kernel.stack.enter_async_context(members)
+        kernel.listening['peers'] = table.identity.address
+        kernel.provide(Mesh, links)
+        kernel.provide(Members, members)
+        kernel.provide(Duties, Duties(members))
+        kernel.provide(Account, ledger)
+        kernel.provide(Ledger, ledger)
+
+
+def identity_of(kernel: Kernel) -> Identity:
+    """Return who this host is, as it will tell others."""
+    settings = kernel.settings
+    return Identity(
+        host=settings.host,
+        incarnation=kernel.incarnation,
+        generation=int(kernel.clock.wall() * _MILLISECONDS),
+        domain=settings.domain,
+        ip=settings.peers.ip,
+        port=settings.peers.port,
+    )
--- a/src/nutmegroad/links.py
+++ b/src/nutmegroad/links.py
@@ -126,11 +126,21 @@
 
     def tell(self, host: HostId, message: Message) -> bool:
         """Queue a message to a host; false if there is no link or room."""
-        return self._post(host, FrameKind.TELL, 0, message)
+        return self.tell_each((host,), message) == 1
 
     def tell_all(self, message: Message) -> int:
         """Queue a message on every link, and return how many."""
-        return sum(self.tell(peer.host, message) for peer in self._table)
+        return self.tell_each([peer.host for peer in self._table], message)
+
+    def tell_each(self, hosts: Iterable[HostId], message: Message) -> int:
+        """Queue a message to several hosts; return to how many.
+
+        It is packed once only.
+        """
+        parcel = self._pack(FrameKind.TELL, 0, message)
+        if parcel is None:
+            return 0
+        return sum(self._put(host, parcel) for host in hosts)
 
     async def ask(
         self,
@@ -146,27 +156,29 @@
             timeout: Seconds to wait.
         """
         number = self._questions.open(host)
-        if not self._post(host, FrameKind.ASK, number, message):
+        parcel = self._pack(FrameKind.ASK, number, message)
+        if parcel is None or not self._put(host, parcel):
             self._questions.close(number)
             reason = f'There is no link to host {host}, or no room on it.'
             return Refusal(ResultCode.PEER_UNREACHABLE, reason)
         return await self._questions.wait(number, timeout)
 
-    def _post(
+    def _pack(
         self,
-        host: HostId,
         kind: FrameKind,
         number: int,
         message: Message,
-    ) -> bool:
-        peer = self._table.get(host)
-        if peer is None:
-            return False
+    ) -> Parcel | None:
         packed = pack_frame(kind, number, as_plain(message))
         if len(packed) > self._context.limits.message:
             self._context.account.count('links_message_too_large')
+            return None
+        return Parcel(packed, message.part, message.replaceable)
+
+    def _put(self, host: HostId, parcel: Parcel) -> bool:
+        peer = self._table.get(host)
+        if peer is None:
             return False
-        parcel = Parcel(packed, message.part, message.replaceable)
         if peer.outbox.put(parcel):
             return True
         self._context.account.count('links_queue_full')
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -12,8 +12,7 @@
 from nutmegroad.clocks import SystemClock
 from nutmegroad.links import Links
 from nutmegroad.peers import Member, Message
-from nutmegroad.results import Refusal
-from nutmegroad.types import Address, DomainId, HostId, Incarnation, Ran
+from nutmegroad.types import Address, DomainId, HostId, Incarnation
 
 KEY = b'a key for tests'
 
