--- a/src/nutmegroad/_configuration_part.py
+++ b/src/nutmegroad/_configuration_part.py
@@ -1,19 +1,23 @@
 """The part that keeps the configuration in force on this host."""
 
+from nutmegroad.announcements import Announcer
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
+from nutmegroad.confirmations import Confirmations
 from nutmegroad.core import Kernel
 from nutmegroad.heads import HeadStore
+from nutmegroad.peers import Mesh
 from nutmegroad.platform import Objects, Table
+from nutmegroad.progress import ProgressDesk
 from nutmegroad.registry import register
-from nutmegroad.spread import ConfigurationPoller
+from nutmegroad.spread import ConfigurationPoller, PollTiming
 
 
 @register('part', 'configuration')
 class ConfigurationPart:
     """Provides the configuration and the way to change it."""
 
-    needs = (Table, Objects)
+    needs = (Table, Objects, Mesh)
 
     async def open(self, kernel: Kernel) -> None:
         """Read the head once, then keep polling it."""
@@ -23,16 +27,43 @@
             kernel.need(Objects),
             kernel.nonce,
         )
+        confirmations = Confirmations(
+            kernel.need(Mesh),
+            configuration,
+            kernel.clock,
+            kernel.randomness,
+            kernel.settings.domain,
+        )
         poller = ConfigurationPoller(
             store,
             configuration,
+            confirmations,
+            PollTiming(
+                kernel.clock,
+                kernel.randomness,
+                kernel.settings.poll,
+            ),
+        )
+        announcer = Announcer(
+            kernel.need(Mesh),
+            configuration,
+            confirmations,
+            poller,
             kernel.clock,
             kernel.randomness,
             kernel.settings.poll,
         )
+        desk = ProgressDesk(
+            kernel.need(Mesh),
+            configuration,
+            kernel.settings.host,
+            kernel.settings.domain,
+        )
         await poller.poll()
         kernel.spawn(poller.run(), 'configuration')
+        kernel.spawn(announcer.run(), 'announcements')
         kernel.provide(Configuration, configuration)
         kernel.provide(HeadStore, store)
         kernel.provide(ConfigurationPoller, poller)
+        kernel.provide(ProgressDesk, desk)
         kernel.provide(Changes, Changes(store, poller, configuration))
--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -12,8 +12,9 @@
 from nutmegroad.explanations import Explanations
 from nutmegroad.intake import IntakeDesk
 from nutmegroad.intents import IntentLedger
+from nutmegroad.operator_access import Access
 from nutmegroad.operators import OperatorsInterface
-from nutmegroad.registry import register
+from nutmegroad.registry import register, registered
 from nutmegroad.services import ServiceCaller
 from nutmegroad.sessions import SessionSigner
 from nutmegroad.types import Address
@@ -50,13 +51,19 @@
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
+        access = Access(
+            kernel.need(Configuration),
+            kernel.settings.bootstrap_token,
+        )
+        kernel.provide(Access, access)
+        groups = registered('operator routes').values()
         interface = OperatorsInterface(
             kernel.settings.host,
             kernel.need(Configuration),
-            kernel.need(Changes),
             kernel.need(Directory),
             kernel.need(Explanations),
-            kernel.settings.bootstrap_token,
+            access,
+            [make(kernel, access) for make in groups],
         )
         app = interface.application()
         kernel.listening['operators'] = await listen(
--- a/src/nutmegroad/changes.py
+++ b/src/nutmegroad/changes.py
@@ -1,13 +1,41 @@
 """What operators may change: documents, presets, withdrawals."""
 
+from dataclasses import dataclass
+
 from msgspec.structs import replace
 
+from nutmegroad.checks import check_document
 from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Document, Withdrawal
+from nutmegroad.documents import Document, Withdrawal, WorkspaceEntry
 from nutmegroad.heads import Change, Head, HeadStore
+from nutmegroad.problems import Problem
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.spread import ConfigurationPoller
-from nutmegroad.types import OperatorId, PresetName, Revision, VersionId
+from nutmegroad.types import (
+    Epoch,
+    OperatorId,
+    PresetName,
+    Revision,
+    VersionId,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """What became of a withdrawal.
+
+    Attributes:
+        version: The version.
+        epoch: Its epochs up to this one are withdrawn.
+        revision: The revision that has it in the table; None if the table
+            is not known to have it yet.
+        reason: Why the table is not known to have it; empty if it has.
+    """
+
+    version: VersionId
+    epoch: Epoch
+    revision: Revision | None
+    reason: str
 
 
 class Changes:
@@ -71,6 +99,7 @@
         expected: Revision | None,
     ) -> Head | Refusal:
         """Put another preset into force."""
+        await self._poller.poll()
         accepted = self._configuration.accepted
         if accepted is None:
             return _missing()
@@ -97,29 +126,63 @@
     async def withdraw(
         self,
         version: VersionId,
+        epoch: Epoch | None,
         author: OperatorId,
-    ) -> Head | Refusal:
-        """Withdraw a version; this host stops using it before it answers."""
+    ) -> Withdrawn | Refusal:
+        """Withdraw a version, with the table or without.
+
+        This host stops using the version before it answers, and tells
+        others. If the table can't be written now, some host will do so
+        once it can.
+
+        Args:
+            version: The version.
+            epoch: Its epochs up to this one; None for the present one.
+            author: Who asks for it.
+        """
         entry = self._configuration.entry(version)
         if entry is None:
             return Refusal(
                 ResultCode.NOT_FOUND,
-                f'There is no version {version!r} in the configuration.',
+                f'There is no version {version!r} in the configuration '
+                f'{self._configuration.revision} of this host.',
             )
-        fact = Withdrawal(version=version, epoch=entry.epoch)
+        until = Epoch(entry.epoch) if epoch is None else epoch
+        fact = Withdrawal(version=version, epoch=until)
         self._configuration.withdraw((fact,))
+        head = await self._store.merge((fact,), author)
+        if isinstance(head, Refusal):
+            return Withdrawn(version, until, None, head.reason)
+        self._configuration.record(head.withdrawals)
+        await self._poller.poll()
+        return Withdrawn(version, until, Revision(head.revision), '')
+
+    async def set_workspace(
+        self,
+        entry: WorkspaceEntry,
+        author: OperatorId,
+        expected: Revision | None,
+    ) -> Head | Refusal | tuple[Problem, ...]:
+        """Put one workspace's entry in the place of the one before.
 
-        def change(head: Head) -> Head | Refusal:
-            """Add the fact."""
-            facts = tuple(sorted({*head.withdrawals, fact}))
-            return replace(
-                head,
-                withdrawals=facts,
-                author=author,
-                summary=f'the version {version} was withdrawn',
-            )
-
-        return await self._move(change, None)
+        Returns:
+            The new head, or why there is none; what is wrong with the
+            document that it would make, if anything is.
+        """
+        await self._poller.poll()
+        accepted = self._configuration.accepted
+        if accepted is None:
+            return _missing()
+        document = replace_workspace(accepted.document, entry)
+        problems = check_document(document)
+        if problems:
+            return problems
+        return await self.apply(
+            document,
+            accepted.preset,
+            author,
+            accepted.revision if expected is None else expected,
+        )
 
     async def _move(
         self,
@@ -133,6 +196,18 @@
         return head
 
 
+def replace_workspace(document: Document, entry: WorkspaceEntry) -> Document:
+    """Return a document with one workspace's entry changed or added."""
+    present = [known.name for known in document.workspaces]
+    if entry.name not in present:
+        return replace(document, workspaces=(*document.workspaces, entry))
+    changed = tuple(
+        entry if known.name == entry.name else known
+        for known in document.workspaces
+    )
+    return replace(document, workspaces=changed)
+
+
 def _preset_for(
     document: Document,
     preset: PresetName | None,
--- a/src/nutmegroad/configuration.py
+++ b/src/nutmegroad/configuration.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from nutmegroad.clocks import Clock
 from nutmegroad.documents import (
@@ -24,6 +25,14 @@
     Revision,
     VersionId,
 )
+from nutmegroad.withdrawals import Facts, WithdrawalSet, digest_facts
+
+#: Seconds beyond the lease after which a revision is in force everywhere:
+#: clocks of several hosts add up to one lease at rates that differ a little.
+CLOCK_MARGIN: Final = 0.5
+#: Revisions of which a host remembers when it learned them.
+_REMEMBERED: Final = 64
+_NEVER: Final = float('-inf')
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,8 +78,12 @@
         self._clock = clock
         self._lease = lease
         self._accepted: Accepted | None = None
-        self._confirmed = float('-inf')
-        self._withdrawn: dict[VersionId, Epoch] = {}
+        self._heard = NO_REVISION
+        self._confirmed = _NEVER
+        self._failed = _NEVER
+        self._taken: dict[Revision, float] = {}
+        self._withdrawn = WithdrawalSet()
+        self._recorded = WithdrawalSet()
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -85,6 +98,16 @@
             return NO_REVISION
         return self._accepted.revision
 
+    @property
+    def heard(self) -> Revision:
+        """Return the highest revision of which this host has heard."""
+        return max(self._heard, self.revision)
+
+    @property
+    def behind(self) -> bool:
+        """Tell whether there is a revision that this host does not have."""
+        return self._heard > self.revision
+
     @property
     def confirmation_age(self) -> float:
         """Return seconds since the last confirming read began."""
@@ -96,51 +119,103 @@
         return self.confirmation_age >= self._lease
 
     @property
-    def withdrawals(self) -> tuple[Withdrawal, ...]:
+    def must_confirm(self) -> bool:
+        """Tell whether isolation may be but the trace of a pause.
+
+        A host that is cut off has tried to confirm within the last lease,
+        in vain. One that was paused has not: it may learn of a change as
+        soon as it asks, so that it serves nothing before it has asked.
+        """
+        return self.isolated and self._clock.now() - self._failed >= self._lease
+
+    @property
+    def withdrawals(self) -> Facts:
         """Return all withdrawals known, in order."""
-        facts = [
-            Withdrawal(version=version, epoch=epoch)
-            for version, epoch in self._withdrawn.items()
-        ]
-        return tuple(sorted(facts))
+        return self._withdrawn.facts
+
+    @property
+    def withdrawals_digest(self) -> str:
+        """Return the name of the set of withdrawals known."""
+        return digest_facts(self._withdrawn.facts)
+
+    @property
+    def unrecorded(self) -> Facts:
+        """Return the withdrawals of which the table is not known to know."""
+        return tuple(
+            fact
+            for fact in self._withdrawn.facts
+            if not self._recorded.covers(fact)
+        )
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call a function after each change."""
         self._listeners.append(listener)
 
+    def hear(self, revision: Revision) -> None:
+        """Note that a revision exists, before its document is here."""
+        self._heard = max(self._heard, revision)
+
     def take(self, accepted: Accepted) -> bool:
         """Put a configuration into force if it is newer; tell whether."""
         if accepted.revision <= self.revision:
             return False
         self._accepted = accepted
+        self.hear(accepted.revision)
+        self._taken[accepted.revision] = self._clock.now()
+        if len(self._taken) > _REMEMBERED:
+            self._taken.pop(min(self._taken))
         self._changed()
         return True
 
-    def confirm(self, revision: Revision, asked: float) -> None:
-        """Note a confirmation of a revision.
+    def confirm(self, revision: Revision, asked: float) -> bool:
+        """Note a confirmation of a revision; tell whether it counts.
+
+        One of an older revision is stale. One of this host's own does not
+        count either once the host has heard of a higher one.
 
         Args:
             revision: What the confirming read gave.
             asked: Clock seconds before that read was sent.
         """
-        if revision == self.revision:
-            self._confirmed = max(self._confirmed, asked)
+        if revision != self.revision or self.behind:
+            return False
+        self._confirmed = max(self._confirmed, asked)
+        return True
+
+    def fail(self, asked: float) -> None:
+        """Note that a try to confirm, begun at ``asked``, was in vain."""
+        self._failed = max(self._failed, asked)
+
+    def in_force_in(self, revision: Revision) -> float | None:
+        """Return seconds until a revision is in force everywhere.
+
+        It is in force on all hosts but the isolated ones one lease and the
+        margin after it was made, and this host learned of it after that.
+
+        Returns:
+            0 if it is in force already; None if this host lacks it.
+        """
+        later = [at for made, at in self._taken.items() if made >= revision]
+        if not later:
+            return None
+        until = min(later) + self._lease + CLOCK_MARGIN
+        return max(0, until - self._clock.now())
 
-    def withdraw(self, facts: tuple[Withdrawal, ...]) -> bool:
+    def withdraw(self, facts: Facts) -> bool:
         """Add withdrawals; tell whether any was new."""
-        fresh = False
-        for fact in facts:
-            version = VersionId(fact.version)
-            if fact.epoch > self._withdrawn.get(version, Epoch(-1)):
-                self._withdrawn[version] = Epoch(fact.epoch)
-                fresh = True
+        fresh = self._withdrawn.add(facts)
         if fresh:
             self._changed()
         return fresh
 
+    def record(self, facts: Facts) -> None:
+        """Note that the table knows of withdrawals, and add them."""
+        self._recorded.add(facts)
+        self.withdraw(facts)
+
     def is_withdrawn(self, version: VersionId, epoch: Epoch) -> bool:
         """Tell whether a version's epoch has been withdrawn."""
-        return epoch <= self._withdrawn.get(version, Epoch(-1))
+        return self._withdrawn.covers(Withdrawal(version, epoch))
 
     def entry(self, version: VersionId) -> VersionEntry | None:
         """Return the document's entry for a version, or None."""
--- a/src/nutmegroad/gates.py
+++ b/src/nutmegroad/gates.py
@@ -109,6 +109,12 @@
 
     def _workspace(self, name: WorkspaceId) -> WorkspaceEntry | Refusal:
         """Return the workspace's entry as it is now."""
+        if self._configuration.accepted and self._configuration.must_confirm:
+            return Refusal(
+                ResultCode.HOST_PAUSED,
+                'This host was paused and has to confirm its configuration.',
+                retry_after=1,
+            )
         accepted = self._configuration.accepted
         if accepted is None:
             return Refusal(
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators.py
@@ -1,73 +1,28 @@
-"""The operators' HTTP interface."""
+"""The operators' HTTP interface.
 
-import hashlib
-from collections.abc import Awaitable, Callable
-from typing import Final, TypeVar
+How the host stands is told here; all else is in groups of routes, which
+are plug-ins of the kind ``operator routes`` (see ``operator_access``).
+"""
+
+from collections.abc import Iterable
+from typing import Final
 
-import msgspec
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.directory import Directory
-from nutmegroad.documents import Role, parse_document
 from nutmegroad.explanations import Explanations
-from nutmegroad.heads import Head
-from nutmegroad.replies import JSON_TYPE, refuse
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
-    HostId,
-    OperatorId,
-    PresetName,
-    RequestId,
-    Revision,
-    VersionId,
+from nutmegroad.operator_access import (
+    Access,
+    OperatorRoutes,
+    refuse_operator,
+    reply,
 )
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import HostId, RequestId
 
-Body = TypeVar('Body', bound=Struct)
-
-_NO_REQUEST: Final = RequestId('-')
 _UNAVAILABLE: Final = 503
-_BEARER: Final = 'Bearer '
-#: The name under which the bootstrap token acts.
-BOOTSTRAP: Final = OperatorId('bootstrap')
-
-
-class ApplyBody(Struct, frozen=True, forbid_unknown_fields=True):
-    """A document to be put into force.
-
-    Attributes:
-        text: The document, as TOML.
-        preset: The preset to be in force with it.
-        expected: The revision that the operator saw.
-    """
-
-    text: str
-    preset: str | None = None
-    expected: int | None = None
-
-
-class SwitchBody(Struct, frozen=True, forbid_unknown_fields=True):
-    """A preset to be put into force.
-
-    Attributes:
-        preset: Its name.
-        expected: The revision that the operator saw.
-    """
-
-    preset: str
-    expected: int | None = None
-
-
-class WithdrawBody(Struct, frozen=True, forbid_unknown_fields=True):
-    """A version to be withdrawn.
-
-    Attributes:
-        version: ``model@version``.
-    """
-
-    version: str
 
 
 class StatusBody(Struct, frozen=True):
@@ -78,9 +33,12 @@
         revision: The configuration in force here.
         preset: The preset in force here.
         author: Who made that revision.
+        heard: The highest revision of which it has heard.
+        behind: Whether it lacks that revision; it then confirms nothing.
         isolated: Whether its last confirmation has lapsed.
         confirmation_age: Seconds since the confirming read; None for never.
         withdrawals: Withdrawn versions.
+        unrecorded: Those that the table is not known to have.
         upstreams: How many upstreams it knows.
     """
 
@@ -88,9 +46,12 @@
     revision: int
     preset: str
     author: str
+    heard: int
+    behind: bool
     isolated: bool
     confirmation_age: float | None
     withdrawals: tuple[str, ...]
+    unrecorded: tuple[str, ...]
     upstreams: int
 
 
@@ -122,27 +83,27 @@
     Args:
         host: This host's id.
         configuration: What is in force.
-        changes: Makes changes.
         directory: The upstreams.
         explanations: What happened to requests.
-        bootstrap_token: Holds until a configuration has operators.
+        access: Knows operators.
+        groups: More routes.
     """
 
     def __init__(
         self,
         host: HostId,
         configuration: Configuration,
-        changes: Changes,
         directory: Directory,
         explanations: Explanations,
-        bootstrap_token: str,
+        access: Access,
+        groups: Iterable[OperatorRoutes],
     ) -> None:
         self._host = host
         self._configuration = configuration
-        self._changes = changes
         self._directory = directory
         self._explanations = explanations
-        self._bootstrap_token = bootstrap_token
+        self._access = access
+        self._groups = tuple(groups)
 
     def application(self) -> Application:
         """Return the aiohttp application."""
@@ -152,9 +113,8 @@
         app.router.add_get('/operators/status', self.status)
         app.router.add_get('/operators/upstreams', self.upstreams)
         app.router.add_get('/operators/requests/{request}', self.explain)
-        app.router.add_post('/operators/configuration', self.apply)
-        app.router.add_post('/operators/preset', self.switch)
-        app.router.add_post('/operators/withdrawals', self.withdraw)
+        for group in self._groups:
+            group.add_routes(app)
         return app
 
     async def health(self, http: Request) -> Response:
@@ -169,31 +129,36 @@
 
     async def status(self, http: Request) -> Response:
         """Say how this host stands."""
-        operator = self._authenticate(http, Role.READ)
+        operator = self._access.authenticate(http)
         if isinstance(operator, Refusal):
-            return refuse(operator, _NO_REQUEST)
+            return refuse_operator(operator)
         accepted = self._configuration.accepted
         age = self._configuration.confirmation_age
-        return _reply(
+        return reply(
             StatusBody(
                 host=self._host,
                 revision=self._configuration.revision,
                 preset=accepted.preset if accepted else '',
                 author=accepted.author if accepted else '',
+                heard=self._configuration.heard,
+                behind=self._configuration.behind,
                 isolated=self._configuration.isolated,
                 confirmation_age=None if age == float('inf') else age,
                 withdrawals=tuple(
                     fact.version for fact in self._configuration.withdrawals
                 ),
+                unrecorded=tuple(
+                    fact.version for fact in self._configuration.unrecorded
+                ),
                 upstreams=len(self._directory.states()),
             ),
         )
 
     async def upstreams(self, http: Request) -> Response:
         """List the upstreams."""
-        operator = self._authenticate(http, Role.READ)
+        operator = self._access.authenticate(http)
         if isinstance(operator, Refusal):
-            return refuse(operator, _NO_REQUEST)
+            return refuse_operator(operator)
         listed = [
             UpstreamBody(
                 upstream=state.info.upstream,
@@ -206,138 +171,20 @@
             )
             for state in self._directory.states()
         ]
-        return _reply(listed)
+        return reply(listed)
 
     async def explain(self, http: Request) -> Response:
         """Tell what happened to a request and why."""
-        operator = self._authenticate(http, Role.READ)
+        operator = self._access.authenticate(http)
         if isinstance(operator, Refusal):
-            return refuse(operator, _NO_REQUEST)
+            return refuse_operator(operator)
         request = RequestId(http.match_info['request'])
         explanation = self._explanations.find(request)
         if explanation is None:
-            return refuse(
+            return refuse_operator(
                 Refusal(
                     ResultCode.NOT_FOUND,
                     f'This host knows no request {request!r}.',
                 ),
-                request,
             )
-        return _reply(explanation.steps)
-
-    async def apply(self, http: Request) -> Response:
-        """Put a document into force."""
-
-        async def change(
-            body: ApplyBody,
-            operator: OperatorId,
-        ) -> Head | Refusal:
-            """Check the document and apply it."""
-            try:
-                document = parse_document(body.text)
-            except msgspec.DecodeError as problem:
-                return Refusal(
-                    ResultCode.CONFIGURATION_INVALID,
-                    f'The document is not valid: {problem}.',
-                )
-            preset = PresetName(body.preset) if body.preset else None
-            expected = _revision(body.expected)
-            return await self._changes.apply(
-                document,
-                preset,
-                operator,
-                expected,
-            )
-
-        return await self._change(http, ApplyBody, change)
-
-    async def switch(self, http: Request) -> Response:
-        """Put another preset into force."""
-
-        async def change(
-            body: SwitchBody,
-            operator: OperatorId,
-        ) -> Head | Refusal:
-            """Switch."""
-            return await self._changes.switch(
-                PresetName(body.preset),
-                operator,
-                _revision(body.expected),
-            )
-
-        return await self._change(http, SwitchBody, change)
-
-    async def withdraw(self, http: Request) -> Response:
-        """Withdraw a version."""
-
-        async def change(
-            body: WithdrawBody,
-            operator: OperatorId,
-        ) -> Head | Refusal:
-            """Withdraw."""
-            return await self._changes.withdraw(
-                VersionId(body.version),
-                operator,
-            )
-
-        return await self._change(http, WithdrawBody, change)
-
-    async def _change(
-        self,
-        http: Request,
-        kind: type[Body],
-        change: Callable[[Body, OperatorId], Awaitable[Head | Refusal]],
-    ) -> Response:
-        """Read a body, make a change, answer with the new head."""
-        operator = self._authenticate(http, Role.OPERATE)
-        if isinstance(operator, Refusal):
-            return refuse(operator, _NO_REQUEST)
-        try:
-            body = msgspec.json.decode(await http.read(), type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as problem:
-            return refuse(
-                Refusal(
-                    ResultCode.OPERATOR_REQUEST_INVALID,
-                    f'The body is not as expected: {problem}.',
-                ),
-                _NO_REQUEST,
-            )
-        head = await change(body, operator)
-        if isinstance(head, Refusal):
-            return refuse(head, _NO_REQUEST)
-        return _reply(head)
-
-    def _authenticate(self, http: Request, role: Role) -> OperatorId | Refusal:
-        """Return the operator whose token was brought."""
-        given = http.headers.get('Authorization', '').removeprefix(_BEARER)
-        accepted = self._configuration.accepted
-        known = accepted.document.operators if accepted else ()
-        if not known and given and given == self._bootstrap_token:
-            return BOOTSTRAP
-        token_hash = hashlib.sha256(given.encode()).hexdigest()
-        for entry in known:
-            if entry.token_hash == token_hash:
-                if role is Role.OPERATE and entry.role is Role.READ:
-                    return Refusal(
-                        ResultCode.OPERATOR_NOT_PERMITTED,
-                        f'The operator {entry.name!r} may only read.',
-                    )
-                return entry.operator
-        return Refusal(
-            ResultCode.OPERATOR_UNAUTHENTICATED,
-            'The Authorization header must bring an operator token as '
-            '"Bearer TOKEN"; this one is missing or unknown.',
-        )
-
-
-def _revision(number: int | None) -> Revision | None:
-    """Return a revision, if a number was given."""
-    return None if number is None else Revision(number)
-
-
-def _reply(content: object) -> Response:
-    """Return a JSON reply."""
-    return Response(
-        body=msgspec.json.encode(content),
-        content_type=JSON_TYPE,
-    )
+        return reply(explanation.steps)
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -6,8 +6,13 @@
 PLUGINS: Final = (
     'nutmegroad._metrics_part',
     'nutmegroad._platform_part',
+    'nutmegroad._mesh_part',
     'nutmegroad._upstreams_part',
     'nutmegroad._configuration_part',
+    'nutmegroad.operator_configuration',
+    'nutmegroad.operator_presets',
+    'nutmegroad.operator_withdrawals',
+    'nutmegroad.operator_workspaces',
     'nutmegroad._records_part',
     'nutmegroad.policies',
     'nutmegroad._routing_part',
--- a/src/nutmegroad/spread.py
+++ b/src/nutmegroad/spread.py
@@ -1,17 +1,27 @@
 """Keeps this host's configuration and upstreams in step with the platform."""
 
+import asyncio
 import random
-from typing import Final
+from dataclasses import dataclass, replace
+from typing import Final, Protocol
 
 from absl import logging
 
+from nutmegroad._configuration_messages import HeadNotice
 from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
+from nutmegroad.configuration import Accepted, Configuration
+from nutmegroad.confirmations import PeerHead
 from nutmegroad.directory import Directory
-from nutmegroad.heads import Head, HeadStore
+from nutmegroad.heads import Head, HeadStore, accept
 from nutmegroad.platform import HostList
-from nutmegroad.results import Refusal
-from nutmegroad.types import Revision, UpstreamKind
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import (
+    Digest,
+    HostId,
+    PresetName,
+    Revision,
+    UpstreamKind,
+)
 from nutmegroad.upstreams import EngineClient, UpstreamState
 
 _LOG_PREFIX: Final = 'spread:'
@@ -19,53 +29,149 @@
 #: Polls are spread over this share of their period, so that hosts which
 #: started together do not read together.
 JITTER: Final = 0.2
+#: Share of the period after which a poll that failed is made again.
+_HURRIED: Final = 0.25
+#: Who writes withdrawals to the table that were given to a host.
+_MERGER: Final = 'a host'
+
+
+class PeerSource(Protocol):
+    """What the poller needs of the other hosts."""
+
+    async def ask(self) -> tuple[PeerHead, ...]:
+        """Ask a few peers what is in force."""
+
+    async def document(
+        self,
+        digest: Digest,
+        first: HostId | None,
+    ) -> bytes | Refusal:
+        """Fetch a document from peers, and check it."""
+
+    async def pull_facts(self, host: HostId) -> None:
+        """Take over the withdrawals that a peer knows."""
+
+
+@dataclass(frozen=True, slots=True)
+class PollTiming:
+    """When the head is read.
+
+    Attributes:
+        clock: The host's clock.
+        randomness: Spreads the polls.
+        period: Seconds between polls.
+    """
+
+    clock: Clock
+    randomness: random.Random
+    period: float
+
+    def pause(self, *, hurried: bool) -> float:
+        """Return the seconds until the next poll."""
+        spread = self.randomness.uniform(-JITTER, JITTER)
+        share = _HURRIED if hurried else 1
+        return self.period * share * (1 + spread)
 
 
 class ConfigurationPoller:
-    """Reads the head again and again.
+    """Reads the head again and again; asks peers where it can't.
 
     Args:
         store: Reads the head and documents.
         configuration: What this host holds.
-        clock: The host's clock.
-        randomness: Spreads the polls.
-        period: Seconds between polls.
+        peers: The other hosts.
+        timing: When the head is read.
     """
 
     def __init__(
         self,
         store: HeadStore,
         configuration: Configuration,
-        clock: Clock,
-        randomness: random.Random,
-        period: float,
+        peers: PeerSource,
+        timing: PollTiming,
     ) -> None:
         self._store = store
         self._configuration = configuration
-        self._clock = clock
-        self._randomness = randomness
-        self._period = period
+        self._peers = peers
+        self._timing = timing
+        self._taking = asyncio.Lock()
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            await self.poll()
-            await self._clock.sleep(self._pause())
+            refusal = await self.poll()
+            pause = self._timing.pause(hurried=refusal is not None)
+            await self._timing.clock.sleep(pause)
 
     async def poll(self) -> Refusal | None:
-        """Read the head once, and take what it names."""
-        asked = self._clock.now()
+        """Confirm what is in force, by the table or else by peers.
+
+        Returns:
+            None if the configuration is confirmed, or why it is not.
+        """
+        asked = self._timing.clock.now()
         head = await self._store.read()
         if isinstance(head, Refusal):
-            logging.warning('%s head not read: %s', _LOG_PREFIX, head.reason)
-            return head
-        return await self.learn(head, asked)
-
-    async def learn(self, head: Head, asked: float) -> Refusal | None:
-        """Take a head that a read begun at ``asked`` gave."""
-        self._configuration.withdraw(head.withdrawals)
-        if head.revision > self._configuration.revision:
-            accepted = await self._store.fetch(head)
+            refusal = await self._ask_peers(head)
+        else:
+            refusal = await self._learn(head, asked)
+            await self._record()
+        if refusal is not None:
+            logging.warning('%s not confirmed: %s', _LOG_PREFIX, refusal.reason)
+            self._configuration.fail(asked)
+        return refusal
+
+    async def renew(self) -> None:
+        """Confirm anew if the lease has lapsed unnoticed, as by a pause."""
+        if self._configuration.must_confirm:
+            await self.poll()
+
+    async def adopt(self, notice: HeadNotice, host: HostId) -> Refusal | None:
+        """Take a revision that another host has; it confirms nothing."""
+        head = Head(
+            revision=notice.revision,
+            digest=notice.digest,
+            preset=notice.preset,
+            author=notice.author,
+        )
+        return await self._take(head, host)
+
+    async def _learn(self, head: Head, asked: float) -> Refusal | None:
+        """Take a head that a read of the table begun at ``asked`` gave."""
+        self._configuration.record(head.withdrawals)
+        refusal = await self._take(head, None)
+        if refusal is not None:
+            return refusal
+        if self._configuration.confirm(Revision(head.revision), asked):
+            return None
+        return Refusal(
+            ResultCode.TABLE_UNAVAILABLE,
+            f'The table gave the old revision {head.revision}.',
+        )
+
+    async def _ask_peers(self, refusal: Refusal) -> Refusal | None:
+        """Take and confirm what peers have."""
+        for peer in await self._peers.ask():
+            notice = peer.notice
+            self._configuration.withdraw(notice.facts)
+            if notice.facts_digest != self._configuration.withdrawals_digest:
+                await self._peers.pull_facts(peer.host)
+            await self.adopt(notice, peer.host)
+            if peer.confirmed is not None:
+                self._configuration.confirm(
+                    Revision(notice.revision),
+                    peer.confirmed,
+                )
+        return refusal if self._configuration.isolated else None
+
+    async def _take(self, head: Head, host: HostId | None) -> Refusal | None:
+        """Put a head into force if it is newer than what this host has."""
+        self._configuration.hear(Revision(head.revision))
+        async with self._taking:
+            if head.revision <= self._configuration.revision:
+                self._compare(head)
+                return None
+            accepted = await self._accepted(head, host)
             if isinstance(accepted, Refusal):
                 return accepted
             if self._configuration.take(accepted):
@@ -76,13 +182,52 @@
                     accepted.preset,
                     accepted.author,
                 )
-        self._configuration.confirm(Revision(head.revision), asked)
         return None
 
-    def _pause(self) -> float:
-        """Return the seconds until the next poll."""
-        spread = self._randomness.uniform(-JITTER, JITTER)
-        return self._period * (1 + spread)
+    def _compare(self, head: Head) -> None:
+        """Say so if a revision is two things, which the table excludes."""
+        present = self._configuration.accepted
+        if present is None or head.revision != present.revision:
+            return
+        if (head.digest, head.preset) != (present.digest, present.preset):
+            logging.error(
+                '%s revision %d is preset %s here and preset %s elsewhere',
+                _LOG_PREFIX,
+                head.revision,
+                present.preset,
+                head.preset,
+            )
+
+    async def _accepted(
+        self,
+        head: Head,
+        host: HostId | None,
+    ) -> Accepted | Refusal:
+        """Find the document of a head: here, in the store, at a peer."""
+        present = self._configuration.accepted
+        if present is not None and present.digest == head.digest:
+            return replace(
+                present,
+                revision=Revision(head.revision),
+                preset=PresetName(head.preset),
+                author=head.author,
+            )
+        digest = Digest(head.digest)
+        content = await self._store.fetch(digest)
+        if isinstance(content, Refusal):
+            content = await self._peers.document(digest, host)
+        if isinstance(content, Refusal):
+            return content
+        return accept(head, content)
+
+    async def _record(self) -> None:
+        """Write to the table what it lacks of the withdrawals."""
+        missing = self._configuration.unrecorded
+        if not missing:
+            return
+        head = await self._store.merge(missing, _MERGER)
+        if not isinstance(head, Refusal):
+            self._configuration.record(head.withdrawals)
 
 
 class UpstreamPoller:
