--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/_setting_specs.py
@@ -13,6 +13,7 @@
 Reader = Callable[[str], Any]
 
 _NAME: Final = re.compile('[a-z0-9][a-z0-9._-]{0,62}')
+_MODULE: Final = re.compile(r'[A-Za-z_]\w*(\.[A-Za-z_]\w*)*')
 _HIGHEST_PORT: Final = 65535
 #: Shorter keys can be guessed.
 _SHORTEST_SECRET: Final = 16
@@ -98,6 +99,14 @@
     return text
 
 
+def read_modules(text: str) -> tuple[str, ...]:
+    """Read names of Python modules, divided by commas; none is fine."""
+    names = tuple(part.strip() for part in text.split(',') if part.strip())
+    if not all(_MODULE.fullmatch(name) for name in names):
+        raise ValueError
+    return names
+
+
 def seconds(lowest: float, highest: float) -> Reader:
     """Return a reader of seconds between two bounds."""
 
@@ -251,4 +260,11 @@
     _policy_spec('admitter', 'open', 'policy that lets requests in'),
     _policy_spec('retries', 'unbounded', 'policy that bounds retries'),
     _policy_spec('quarantine', 'none', 'policy that blocks versions'),
+    Spec(
+        'plugins',
+        read_modules,
+        'names of Python modules, divided by commas',
+        'more plug-in modules to import',
+        '',
+    ),
 )
--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon.py
@@ -10,7 +10,7 @@
 
 from nutmegroad.clocks import SystemClock
 from nutmegroad.core import Kernel
-from nutmegroad.exceptions import SettingsError
+from nutmegroad.exceptions import RegistryError, SettingsError
 from nutmegroad.logs import LogFormat, set_up_logs
 from nutmegroad.plugins import load_plugins
 from nutmegroad.settings import Settings, format_settings, read_settings
@@ -64,7 +64,11 @@
         sys.stdout.write(f'{format_settings(origins)}\n')
         return 0
     set_up_logs(LogFormat(settings.log_format), sys.stderr)
-    load_plugins()
+    try:
+        load_plugins(settings.plugins)
+    except RegistryError as trouble:
+        sys.stderr.write(f'{trouble}\n')
+        return BAD_SETTINGS
     service = HostService(settings)
     limit = settings.drain + STOP_MARGIN
     with entrypoint(service, log_config=False, shutdown_timeout=limit) as loop:
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -3,6 +3,8 @@
 from importlib import import_module
 from typing import Final
 
+from nutmegroad.exceptions import RegistryError
+
 PLUGINS: Final = (
     'nutmegroad._metrics_part',
     'nutmegroad._platform_part',
@@ -15,7 +17,26 @@
 )
 
 
-def load_plugins() -> None:
-    """Import every plug-in."""
+def load_plugins(more: tuple[str, ...] = ()) -> None:
+    """Import every plug-in, and more that the settings name.
+
+    Raises:
+        RegistryError: If one of those can not be imported.
+    """
     for name in PLUGINS:
         import_module(name)
+    for extra in more:
+        _load_extra(extra)
+
+
+def _load_extra(name: str) -> None:
+    """Import a module that is not ours.
+
+    Raises:
+        RegistryError: If it can not be imported.
+    """
+    try:
+        import_module(name)
+    except ImportError as problem:
+        message = f'The plug-in {name!r} can not be imported: {problem}.'
+        raise RegistryError(message) from problem
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/settings.py
@@ -71,6 +71,7 @@
         admitter: Policy that lets requests in.
         retries: Policy that bounds retries.
         quarantine: Policy that blocks versions on evidence.
+        plugins: More plug-in modules to import, beside our own.
         print_settings: Show the settings and stop.
     """
 
@@ -96,6 +97,7 @@
     admitter: str = 'open'
     retries: str = 'unbounded'
     quarantine: str = 'none'
+    plugins: tuple[str, ...] = ()
     print_settings: bool = False
 
 
