--- a/src/nutmegroad/heads.py
+++ b/src/nutmegroad/heads.py
@@ -281,9 +281,7 @@
         if move is None:
             # The history is a stale one, or has long moved on.
             return _unknown() if unknown else _lost_race(history)
-        if move.nonce == wanted.nonce:
-            return wanted
-        return _conflict(move)
+        return wanted if _made(history, wanted) else _conflict(move)
 
 
 def accept(head: Head, content: bytes) -> Accepted | Refusal:
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,96 @@
+"""Mechanisms of the configuration taken out, to see that tests need them."""
+
+from collections.abc import Callable
+from typing import Any, Final
+from unittest.mock import _patch, patch
+
+from nutmegroad import heads
+from nutmegroad._configuration_messages import HeadQuestion, HeadReply
+from nutmegroad.configuration import Accepted, Configuration
+from nutmegroad.confirmations import REPLY_TIMEOUT, Confirmations, PeerHead
+from nutmegroad.spread import ConfigurationPoller
+from nutmegroad.types import HostId
+from nutmegroad.withdrawals import WithdrawalSet
+
+
+def take_any(self: Any, accepted: Accepted) -> bool:
+    """Take a configuration of whatever revision."""
+    self._accepted = accepted
+    self._changed()
+    return True
+
+
+async def take_any_head(self: Any, head: Any, host: Any) -> Any:
+    """Take what is told, older or newer."""
+    if not head.revision or head.revision == self._configuration.revision:
+        return None
+    accepted = await self._accepted(head, host)
+    if accepted:
+        self._configuration.take(accepted)
+        return None
+    return accepted
+
+
+def confirm_any(self: Any, revision: Any, asked: float) -> bool:
+    """Let any read confirm whatever is here."""
+    self._confirmed = max(self._confirmed, asked)
+    return True
+
+
+async def poll_from_reply(self: Any) -> Any:
+    """Count a confirmation from the reply of the read."""
+    asked = self._timing.clock.now()
+    head = await self._store.read()
+    if not isinstance(head, heads.Head):
+        refusal = await self._ask_peers(head)
+    else:
+        refusal = await self._learn(head, self._timing.clock.now())
+        await self._record()
+    if refusal is not None:
+        self._configuration.fail(asked)
+    return refusal
+
+
+def _peer_count(count: Callable[[float, float, float], float]) -> Any:
+    """Return a way to ask a peer that counts its confirmation otherwise."""
+
+    async def ask_one(self: Any, hosts: Any) -> PeerHead | None:
+        """Ask the first host."""
+        host: HostId = next(hosts, HostId(''))
+        asked = self._clock.now()
+        reply = await self._mesh.ask(host, HeadQuestion(), REPLY_TIMEOUT)
+        if not isinstance(reply, HeadReply):
+            return None
+        age = reply.age
+        if age is None:
+            return PeerHead(host, reply.notice, None)
+        confirmed = count(asked, self._clock.now(), age)
+        return PeerHead(host, reply.notice, confirmed)
+
+    return ask_one
+
+
+def forget_withdrawals(self: Any, facts: Any) -> bool:
+    """Let the newest message say what is withdrawn."""
+    known = {fact.version: fact.epoch for fact in facts}
+    changed = bool(known != self._epochs)
+    self._epochs = known
+    return changed
+
+
+def mutant(name: str) -> '_patch[Any]':
+    """Return the patch that takes a mechanism out."""
+    owner, attribute, new = _MUTANTS[name]
+    return patch.object(owner, attribute, new)
+
+
+_ASK: Final = (Confirmations, '_ask_one')
+_MUTANTS: Final[dict[str, tuple[Any, str, Any]]] = {
+    'not forward only': (ConfigurationPoller, '_take', take_any_head),
+    'any revision confirms': (Configuration, 'confirm', confirm_any),
+    'count from reply': (ConfigurationPoller, 'poll', poll_from_reply),
+    'forget the age': (*_ASK, _peer_count(lambda asked, now, age: asked)),
+    'subtract from reply': (*_ASK, _peer_count(lambda asked, now, age: now - age)),
+    'no nonce': (heads, '_made', lambda history, wanted: False),
+    'no union': (WithdrawalSet, 'add', forget_withdrawals),
+}
