--- a/experiments/configuration_hosts.py
+++ b/experiments/configuration_hosts.py
@@ -9,6 +9,7 @@
 from experiments.memory_platform import HostPlatform, MemoryPlatform
 from nutmegroad.announcements import Announcer
 from nutmegroad.changes import Changes
+from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
 from nutmegroad.confirmations import Confirmations
 from nutmegroad.documents import (
@@ -111,26 +112,23 @@
         names: Its id and domain.
         clock: The clock of all hosts.
         platform: The platform.
-        network: The network.
+        mesh: Its links to the others.
         randomness: Source of jitter and nonces.
     """
 
     def __init__(
         self,
         names: HostNames,
-        clock: ManualClock,
+        clock: Clock,
         platform: MemoryPlatform,
-        network: MemoryMesh,
+        mesh: Mesh,
         randomness: random.Random,
     ) -> None:
         self.names = names
         self.clock = PausableClock(clock)
         self.paused = False
         self._tasks: list[asyncio.Task[Any]] = []
-        self.mesh = PausableMesh(
-            network.join(names.host, names.domain),
-            self.clock,
-        )
+        self.mesh = PausableMesh(mesh, self.clock)
         services = HostPlatform(platform, names.domain, self.clock)
         self.configuration = Configuration(self.clock, LEASE)
         self.store = HeadStore(
@@ -240,7 +238,7 @@
             names,
             self.clock,
             self.platform,
-            self.network,
+            self.network.join(names.host, names.domain),
             self.randomness,
         )
         self.hosts[names.host] = host
--- a/experiments/configuration_random.py
+++ b/experiments/configuration_random.py
@@ -46,6 +46,10 @@
 STEP: Final = 0.25
 #: Seconds that a healed fleet has to agree.
 CALM: Final = 40.0
+#: Times in 100 looks that operators change, withdraw, and that faults act.
+_ACT: Final = 15
+_WITHDRAW: Final = 3
+_TROUBLE: Final = 12
 
 
 @dataclass(slots=True)
@@ -91,7 +95,7 @@
 
     def __init__(self, fleet: Fleet, report: Report) -> None:
         self._fleet = fleet
-        self._report = report
+        self.report = report
         self._known: dict[int, tuple[str, str]] = {}
         self._last: dict[HostId, tuple[TrialHost, Revision]] = {}
         self._facts: dict[HostId, tuple[TrialHost, WithdrawalSet]] = {}
@@ -109,10 +113,10 @@
         """Look at every host that runs."""
         heads = self.heads
         now = self._fleet.clock.now()
-        due = [head for at, head in heads if at + self._report.bound <= now]
+        due = [head for at, head in heads if at + self.report.bound <= now]
         for host in self._fleet.hosts.values():
             if not host.paused:
-                self._report.looks += 1
+                self.report.looks += 1
                 self._look_at(host, due[-1] if due else Head())
         for _, head in heads:
             self._compare(head.revision, head.digest, head.preset)
@@ -127,14 +131,14 @@
         self._compare(accepted.revision, accepted.digest, accepted.preset)
         if held.isolated:
             return
-        self._report.check(
+        self.report.check(
             held.revision >= due.revision,
             f'{name} uses revision {held.revision} where {due.revision} is due',
         )
         known = WithdrawalSet()
         known.add(held.withdrawals)
         for fact in due.withdrawals:
-            self._report.check(
+            self.report.check(
                 known.covers(fact),
                 f'{name} uses {fact.version}, whose withdrawal is due',
             )
@@ -144,17 +148,15 @@
         held = host.configuration
         name = host.names.host
         before, revision = self._last.get(name, (host, Revision(0)))
-        if before is host:
-            self._report.check(
-                held.revision >= revision,
-                f'{name} went back from {revision} to {held.revision}',
-            )
+        self.report.check(
+            before is not host or held.revision >= revision,
+            f'{name} went back from {revision} to {held.revision}',
+        )
         self._last[name] = (host, held.revision)
-        owner, facts = self._facts.get(name, (host, WithdrawalSet()))
-        if owner is not host:
-            facts = WithdrawalSet()
+        owner, known = self._facts.get(name, (host, WithdrawalSet()))
+        facts = known if owner is host else WithdrawalSet()
         for fact in facts.facts:
-            self._report.check(
+            self.report.check(
                 held.is_withdrawn(VersionId(fact.version), Epoch(fact.epoch)),
                 f'{name} forgot that {fact.version} is withdrawn',
             )
@@ -164,7 +166,7 @@
     def _compare(self, revision: int, digest: str, preset: str) -> None:
         """Check that a revision is one thing everywhere."""
         first = self._known.setdefault(revision, (digest, preset))
-        self._report.check(
+        self.report.check(
             first == (digest, preset),
             f'revision {revision} has two presets or documents',
         )
@@ -203,7 +205,7 @@
         """Check that what operators were told is true."""
         made = Counter(head.author for _, head in heads)
         for author, outcome in self._told:
-            if not isinstance(outcome, Refusal):
+            if isinstance(outcome, Head):
                 held = made[author] == 1
             elif outcome.ran is Ran.NOT_RUN:
                 held = made[author] == 0
@@ -225,7 +227,7 @@
         self._count += 1
         author = OperatorId(f'operator-{self._count}')
         preset = PresetName(self._randomness.choice(PRESETS))
-        if self._randomness.random() < 0.6:
+        if self._randomness.choice((True, True, False)):
             outcome = await host.changes.switch(preset, author, None)
         else:
             document = make_document(self._count)
@@ -266,18 +268,17 @@
 
     async def act(self) -> str:
         """Do one thing, drawn at random; return what it was."""
-        kinds: tuple[tuple[Callable[[], Any], int], ...] = (
-            (self.cut_domain, 2),
-            (self.cut_platform, 2),
-            (self.turn_down, 1),
-            (self.storm, 3),
-            (self.pause, 3),
-            (self.restart, 1),
-            (self.heal, 3),
-        )
-        actions = [kind for kind, _ in kinds]
-        weights = [weight for _, weight in kinds]
-        action = self._randomness.choices(actions, weights)[0]
+        kinds: dict[Callable[[], Any], int] = {
+            self.cut_domain: 2,
+            self.cut_platform: 2,
+            self.turn_down: 1,
+            self.storm: 3,
+            self.pause: 3,
+            self.restart: 1,
+            self.heal: 3,
+        }
+        weights = list(kinds.values())
+        action = self._randomness.choices(list(kinds), weights)[0]
         done = action()
         if done is not None:
             await done
@@ -354,27 +355,43 @@
         await _begin(fleet)
         while fleet.clock.now() < seconds:
             await _step(fleet, watch)
-            if fleet.randomness.random() < 0.15:
-                operators.act()
-            if fleet.randomness.random() < 0.03:
-                operators.withdraw()
-            if fleet.randomness.random() < 0.12:
-                report.done[await trouble.act()] += 1
-                # At once, before a resumed host has done anything.
-                watch.look()
+            await _disturb(fleet, operators, trouble, watch)
         trouble.heal()
         known = WithdrawalSet()
         for host in fleet.hosts.values():
             known.add(host.configuration.withdrawals)
-        for _ in range(int(CALM / STEP)):
-            await _step(fleet, watch)
-        await operators.settle()
-        operators.judge(watch.heads)
+        await _calm_down(fleet, operators, watch)
         _judge_calm(fleet, watch, known, report)
         report.seconds = fleet.clock.now()
     return report
 
 
+async def _disturb(
+    fleet: Fleet,
+    operators: Operators,
+    trouble: Trouble,
+    watch: Watch,
+) -> None:
+    """Let operators and faults act, now and then."""
+    draw = fleet.randomness.uniform
+    if draw(0, 100) < _ACT:
+        operators.act()
+    if draw(0, 100) < _WITHDRAW:
+        operators.withdraw()
+    if draw(0, 100) < _TROUBLE:
+        watch.report.done[await trouble.act()] += 1
+        # At once, before a resumed host has done anything.
+        watch.look()
+
+
+async def _calm_down(fleet: Fleet, operators: Operators, watch: Watch) -> None:
+    """Let a healed fleet agree, and hold what operators were told to it."""
+    for _ in range(int(CALM / STEP)):
+        await _step(fleet, watch)
+    await operators.settle()
+    operators.judge(watch.heads)
+
+
 async def _begin(fleet: Fleet) -> None:
     """Put a first document into force."""
     first = next(iter(fleet.hosts.values()))
--- a/experiments/memory_platform.py
+++ b/experiments/memory_platform.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final, TypeVar
+from typing import Any, Final, TypeVar
 
 from nutmegroad._peer_tasks import OwnedTasks
 from nutmegroad.clocks import Clock
@@ -127,7 +127,8 @@
         if domain not in self.weather.cut:
             self._tasks.start(self._carry(action, reply))
         timeout = asyncio.ensure_future(self._clock.sleep(CALL_TIMEOUT))
-        await asyncio.wait({reply, timeout}, return_when='FIRST_COMPLETED')
+        either: set[asyncio.Future[Any]] = {reply, timeout}
+        await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
         timeout.cancel()
         if reply.done():
             return reply.result()
--- a/models/configuration.py
+++ b/models/configuration.py
@@ -134,7 +134,8 @@
     host, read = state.one, state.one.read
     if read.asked == _NEVER:
         yield 'reads', host._replace(read=Exchange(state.now))
-    elif not read.revision:
+        return
+    if read.revision == 0:
         revision = _OLD if state.moved == _NEVER else _NEW
         answered = read._replace(revision=revision, sure=True)
         yield 'is read', host._replace(read=answered)
@@ -160,7 +161,8 @@
     question = host.question
     if question.asked == _NEVER:
         yield 'asks', host._replace(question=Exchange(state.now))
-    elif not question.revision:
+        return
+    if question.revision == 0:
         answered = question._replace(
             revision=peer.revision,
             age=state.now - peer.confirmed,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -32,11 +32,11 @@
     """Count a confirmation from the reply of the read."""
     asked = self._timing.clock.now()
     head = await self._store.read()
-    if not isinstance(head, heads.Head):
-        refusal = await self._ask_peers(head)
-    else:
+    if isinstance(head, heads.Head):
         refusal = await self._learn(head, self._timing.clock.now())
         await self._record()
+    else:
+        refusal = await self._ask_peers(head)
     if refusal is not None:
         self._configuration.fail(asked)
     return refusal
@@ -76,7 +76,7 @@
 
 
 _ASK: Final = (Confirmations, '_ask_one')
-_MUTANTS: Final[dict[str, tuple[Any, str, Any]]] = {
+_MUTANTS: Final = {
     'not forward only': (ConfigurationPoller, '_take', take_any_head),
     'any revision confirms': (Configuration, 'confirm', confirm_any),
     'count from reply': (ConfigurationPoller, 'poll', poll_from_reply),
--- a/tests/test_configuration_random.py
+++ b/tests/test_configuration_random.py
@@ -4,8 +4,8 @@
 import unittest
 
 from absl import logging
-
 from experiments.configuration_random import run
+
 from tests.mutants import mutant
 
 #: Seeds that run each time; an even one has reads of the table that lag.
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -7,13 +7,13 @@
 from typing import Any
 
 from absl import logging
-
 from experiments.configuration_hosts import (
     LEASE,
     Fleet,
     TrialHost,
     make_document,
 )
+
 from nutmegroad.changes import Withdrawn
 from nutmegroad.configuration import CLOCK_MARGIN
 from nutmegroad.documents import Withdrawal
@@ -22,7 +22,6 @@
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import Weather
 from nutmegroad.types import (
-    DomainId,
     Epoch,
     HostId,
     OperatorId,
@@ -48,13 +47,15 @@
         self.addCleanup(logging.set_verbosity, level)
         self.fleet = Fleet(1, random.Random(11))
         await self.enterAsyncContext(self.fleet)
-        self.east, self.west, self.north = self.fleet.hosts.values()
-        await self.do(
+        self.east = self.fleet.hosts[EAST]
+        self.west = self.fleet.hosts[WEST]
+        self.north = self.fleet.hosts[NORTH]
+        await self.wait_for(
             self.east.changes.apply(make_document(0), None, ANN, None)
         )
         await self.pass_time(3)
 
-    async def do(self, work: Any) -> Any:
+    async def wait_for(self, work: Any) -> Any:
         """Do something, and let time pass until it is done."""
         task = asyncio.ensure_future(work)
         for _ in range(100):
@@ -67,7 +68,7 @@
         await self.fleet.clock.advance(seconds)
 
     async def switch(self, host: TrialHost, preset: PresetName) -> Any:
-        return await self.do(host.changes.switch(preset, ANN, None))
+        return await self.wait_for(host.changes.switch(preset, ANN, None))
 
     def cut_off(self, host: TrialHost) -> None:
         """Cut a host off from the platform and from all others."""
@@ -114,7 +115,7 @@
         self.assertEqual(self.west.configuration.revision, 2)
 
     async def test_a_restarted_host_needs_only_peers(self) -> None:
-        await self.do(self.east.changes.withdraw(SMALL, None, ANN))
+        await self.wait_for(self.east.changes.withdraw(SMALL, None, ANN))
         self.fleet.platform.weather.down = True
         west = await self.fleet.restart(WEST)
         await self.pass_time(3)
@@ -146,7 +147,7 @@
         for broken in (False, True):
             patched = mutant('not forward only') if broken else nullcontext()
             with self.subTest(broken=broken), patched:
-                await self.do(self.west.announcer._hear(EAST, old))
+                await self.wait_for(self.west.announcer._hear(EAST, old))
                 reverted = self.west.configuration.revision == 1
                 self.assertEqual(reverted, broken)
 
@@ -154,7 +155,7 @@
         self.fleet.network.cut_domain(self.north.names.domain)
         self.fleet.platform.weather.cut.add(self.north.names.domain)
         await self.switch(self.east, PEAK)
-        hosts = await self.do(self.east.desk.ask(Change(Revision(2))))
+        hosts = await self.wait_for(self.east.desk.ask(Change(Revision(2))))
         missing = [host.host for host in hosts if not host.acknowledged]
         self.assertEqual((len(hosts), missing), (3, [NORTH]))
 
@@ -168,7 +169,7 @@
                 await self.pass_time(LEASE)
                 self.fleet.platform.weather.delay = (0.9, 0.9)
                 began = self.fleet.clock.now()
-                await self.do(self.east.poller.poll())
+                await self.wait_for(self.east.poller.poll())
                 age = self.east.configuration.confirmation_age
                 late = self.fleet.clock.now() - age > began + 0.5
                 self.assertEqual(late, bool(name))
@@ -200,7 +201,7 @@
     async def test_a_paused_host_confirms_before_it_serves(self) -> None:
         self.west.pause()
         await self.pass_time(2 * LEASE)
-        await self.do(self.east.changes.withdraw(SMALL, None, ANN))
+        await self.wait_for(self.east.changes.withdraw(SMALL, None, ANN))
         self.west.resume()
         self.assertTrue(self.west.configuration.must_confirm)
         self.assertFalse(
@@ -212,8 +213,6 @@
 
     async def test_a_stale_read_neither_reverts_nor_confirms(self) -> None:
         await self.switch(self.east, PEAK)
-        weather = self.fleet.platform.weather
-        weather.stale, weather.lag = 1, 0
         rows = self.fleet.platform.read_row
         old = self.fleet.platform.log[0].row
         self.fleet.platform.read_row = lambda key: old  # type: ignore[method-assign]
@@ -231,7 +230,7 @@
         self,
     ) -> None:
         self.fleet.platform.weather.down = True
-        told = await self.do(self.west.changes.withdraw(SMALL, None, ANN))
+        told = await self.wait_for(self.west.changes.withdraw(SMALL, None, ANN))
         self.assertIsInstance(told, Withdrawn)
         self.assertIsNone(told.revision)
         for host in self.fleet.hosts.values():
@@ -242,14 +241,14 @@
         await self.fleet.restart(WEST)
         self.fleet.platform.weather.down = False
         await self.pass_time(LEASE)
-        head = await self.do(self.north.store.read())
+        head = await self.wait_for(self.north.store.read())
         self.assertEqual(head.withdrawals[0].version, SMALL)
         self.assertEqual(self.revisions(), [2, 2, 2])
         self.assertEqual(self.north.configuration.unrecorded, ())
 
     async def test_a_cut_domain_learns_of_it_when_it_heals(self) -> None:
         self.cut_off(self.north)
-        await self.do(self.east.changes.withdraw(SMALL, None, ANN))
+        await self.wait_for(self.east.changes.withdraw(SMALL, None, ANN))
         held = self.north.configuration
         await self.pass_time(LEASE + CLOCK_MARGIN)
         self.assertTrue(held.isolated)
@@ -261,12 +260,12 @@
 
     async def test_an_old_message_undoes_nothing(self) -> None:
         old = self.west.confirmations.notice
-        await self.do(self.east.changes.withdraw(SMALL, None, ANN))
-        await self.do(self.west.announcer._hear(EAST, old))
+        await self.wait_for(self.east.changes.withdraw(SMALL, None, ANN))
+        await self.wait_for(self.west.announcer._hear(EAST, old))
         held = self.west.configuration
         self.assertTrue(held.is_withdrawn(SMALL, NO_EPOCH))
         document = make_document(7, Epoch(1))
-        await self.do(self.east.changes.apply(document, None, ANN, None))
+        await self.wait_for(self.east.changes.apply(document, None, ANN, None))
         await self.pass_time(1)
         entry = held.entry(SMALL)
         assert entry is not None
@@ -289,7 +288,7 @@
             self.east.changes.switch(PEAK, ANN, None),
             self.west.changes.switch(MAINTENANCE, OperatorId('bob'), None),
         )
-        outcomes = await self.do(work)
+        outcomes = await self.wait_for(work)
         won = [out for out in outcomes if isinstance(out, Head)]
         lost = [out for out in outcomes if isinstance(out, Refusal)]
         self.assertEqual((len(won), len(lost)), (1, 1))
@@ -301,23 +300,23 @@
             with self.subTest(name), mutant(name) if name else nullcontext():
                 weather = self.fleet.platform.weather
                 weather.lose_reply = 0
-                ground = await self.do(self.east.store._ground())
+                ground = await self.wait_for(self.east.store._ground())
                 wanted = Head(ground.head.revision + 1, nonce='n', author='ann')
                 weather.lose_reply = 1
                 work = self.east.store._write(ground.writes(wanted), wanted)
                 task = asyncio.ensure_future(work)
                 await self.pass_time(0.1)
                 weather.lose_reply = 0
-                await self.do(self.west.store.move(_touch))
+                await self.wait_for(self.west.store.move(_touch))
                 await self.pass_time(3)
                 self.assertEqual(isinstance(await task, Head), not name)
 
     async def test_a_move_that_is_no_longer_kept_is_unknown(self) -> None:
-        ground = await self.do(self.east.store._ground())
+        ground = await self.wait_for(self.east.store._ground())
         wanted = Head(ground.head.revision + 1, nonce='n', author='ann')
         for _ in range(KEPT_MOVES + 1):
-            await self.do(self.west.store.move(_touch))
-        outcome = await self.do(self.east.store._settle(wanted, True))
+            await self.wait_for(self.west.store.move(_touch))
+        outcome = await self.wait_for(self.east.store._settle(wanted, True))
         self.assertIs(outcome.code, ResultCode.OUTCOME_UNKNOWN)
 
 
--- a/tests/test_model_configuration.py
+++ b/tests/test_model_configuration.py
@@ -4,7 +4,6 @@
 import unittest
 
 from minicheck import check_safety
-
 from models.configuration import facts_model, head_model, lease_model
 
 MOST_STATES = 1_000_000
