--- a/experiments/deployment.py
+++ b/experiments/deployment.py
@@ -47,7 +47,7 @@
     services: int = 1
     engine_args: tuple[str, ...] = ()
     platform_args: tuple[str, ...] = ()
-    host_args: tuple[str, ...] = ()
+    host_args: tuple[str, ...] = ('--lame-duck=0.1',)
 
 
 @dataclass(slots=True)
--- a/src/nutmegroad/_http_answers.py
+++ b/src/nutmegroad/_http_answers.py
@@ -36,6 +36,7 @@
     {
         (404, 'version_not_loaded'): (ResultCode.VERSION_NOT_LOADED, NEVER),
         (503, 'busy'): (ResultCode.UPSTREAM_BUSY, BUSY_WAIT),
+        (503, 'leaving'): (ResultCode.UPSTREAM_LEAVING, BUSY_WAIT),
     }
 )
 
--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -1,9 +1,20 @@
 """The parts that listen to callers and to operators."""
 
-from aiohttp.web import Application, AppRunner, TCPSite
+from aiohttp.typedefs import Handler
+from aiohttp.web import (
+    Application,
+    AppRunner,
+    Request,
+    Response,
+    StreamResponse,
+    TCPSite,
+    middleware,
+)
 
+from nutmegroad._caller_guard import CallerGuard
+from nutmegroad._caller_parts import CallerParts
 from nutmegroad.billing import Biller
-from nutmegroad.callers import CallerParts, CallersInterface
+from nutmegroad.callers import CallersInterface
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
@@ -12,12 +23,21 @@
 from nutmegroad.explanations import Explanations
 from nutmegroad.intake import IntakeDesk
 from nutmegroad.intents import IntentLedger
+from nutmegroad.metrics import Metrics
 from nutmegroad.operators import OperatorsInterface
 from nutmegroad.registry import register
 from nutmegroad.services import ServiceCaller
+from nutmegroad.session_names import SessionNames
+from nutmegroad.session_pins import SessionPins
 from nutmegroad.sessions import SessionSigner
+from nutmegroad.stops import GracefulStop
 from nutmegroad.types import Address
 
+#: Seconds that a listener's last replies may take when it closes.
+LAST_REPLIES = 1.0
+
+_UNAVAILABLE = 503
+
 
 async def listen(
     kernel: Kernel,
@@ -32,7 +52,8 @@
     runner = AppRunner(
         app,
         access_log=None,
-        shutdown_timeout=kernel.settings.drain,
+        # The graceful stop has waited for what was open before this.
+        shutdown_timeout=LAST_REPLIES,
         handler_cancellation=True,
     )
     await runner.setup()
@@ -42,11 +63,31 @@
     return Address(ip, port)
 
 
+def add_host_routes(app: Application, kernel: Kernel) -> None:
+    """Show metrics, and that a host which stops is not ready."""
+    stop = kernel.need(GracefulStop)
+    metrics = kernel.need(Metrics)
+
+    @middleware
+    async def fall(request: Request, handler: Handler) -> StreamResponse:
+        """Have readiness fall as soon as the stop begins."""
+        if request.path == '/readyz' and not stop.is_ready:
+            return Response(status=_UNAVAILABLE, text='stopping\n')
+        return await handler(request)
+
+    async def show(http: Request) -> Response:
+        """Show the metrics."""
+        return Response(body=metrics.render(), content_type='text/plain')
+
+    app.middlewares.append(fall)
+    app.router.add_get('/metrics', show)
+
+
 @register('part', 'operators')
 class OperatorsPart:
     """Listens to operators."""
 
-    needs = (Changes, Directory, Explanations)
+    needs = (Changes, Directory, Explanations, GracefulStop, Metrics)
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
@@ -59,6 +100,7 @@
             kernel.settings.bootstrap_token,
         )
         app = interface.application()
+        add_host_routes(app, kernel)
         kernel.listening['operators'] = await listen(
             kernel,
             app,
@@ -70,22 +112,38 @@
 class CallersPart:
     """Listens to callers."""
 
-    needs = (Dispatcher, ServiceCaller, IntentLedger, Biller)
+    needs = (
+        Dispatcher,
+        ServiceCaller,
+        IntentLedger,
+        Biller,
+        SessionNames,
+        GracefulStop,
+        Metrics,
+    )
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
         configuration = kernel.need(Configuration)
         signer = SessionSigner(kernel.settings.cluster_key)
         kernel.provide(SessionSigner, signer)
+        dispatcher = kernel.need(Dispatcher)
+        pins = SessionPins(
+            kernel.need(SessionNames),
+            dispatcher,
+            configuration,
+            signer,
+        )
         parts = CallerParts(
             configuration=configuration,
             desk=IntakeDesk(configuration, signer, kernel.clock),
-            dispatcher=kernel.need(Dispatcher),
+            dispatcher=dispatcher,
             services=kernel.need(ServiceCaller),
             intents=kernel.need(IntentLedger),
-            signer=signer,
             biller=kernel.need(Biller),
             explanations=kernel.need(Explanations),
+            pins=pins,
+            metrics=kernel.need(Metrics),
             clock=kernel.clock,
             randomness=kernel.randomness,
         )
@@ -94,8 +152,11 @@
             kernel.incarnation,
             kernel.settings.body_timeout,
         )
+        app = interface.application(kernel.settings.max_body)
+        stop = kernel.need(GracefulStop)
+        CallerGuard(stop, kernel.need(Metrics)).protect(app)
         kernel.listening['callers'] = await listen(
             kernel,
-            interface.application(kernel.settings.max_body),
+            app,
             kernel.settings.callers,
         )
--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/_routing_part.py
@@ -5,10 +5,13 @@
 from nutmegroad.core import Kernel
 from nutmegroad.decisions import Observers, Quarantine
 from nutmegroad.directory import Directory
-from nutmegroad.dispatch import Dispatcher, Policies
+from nutmegroad.dispatch import Dispatcher
 from nutmegroad.gates import Gatekeeper
+from nutmegroad.invariants import Invariants
+from nutmegroad.metrics import Metrics
 from nutmegroad.registry import lookup, register
 from nutmegroad.services import ServiceCaller
+from nutmegroad.steps import Instruments, Policies
 from nutmegroad.upstreams import EngineClient, ServiceClient
 
 
@@ -16,7 +19,13 @@
 class RoutingPart:
     """Provides the dispatcher and the caller of plain services."""
 
-    needs = (Configuration, Directory, EngineClient, ServiceClient)
+    needs = (
+        Configuration,
+        Directory,
+        EngineClient,
+        ServiceClient,
+        Invariants,
+    )
 
     async def open(self, kernel: Kernel) -> None:
         """Put the decisions together."""
@@ -47,6 +56,7 @@
             policies,
             gatekeeper,
             attempter,
+            Instruments(kernel.need(Metrics), kernel.need(Invariants)),
             kernel.clock,
             kernel.randomness,
         )
--- /dev/null
+++ b/src/nutmegroad/_safety_part.py
@@ -0,0 +1,89 @@
+"""The parts that keep work away from where it must not go."""
+
+from typing import Final
+
+from nutmegroad.configuration import Configuration
+from nutmegroad.core import Kernel
+from nutmegroad.departures import Departures
+from nutmegroad.directory import Directory
+from nutmegroad.duties import Duties
+from nutmegroad.gates import Gatekeeper
+from nutmegroad.invariants import Invariants
+from nutmegroad.members import Members
+from nutmegroad.pauses import PauseDetector
+from nutmegroad.peers import Mesh
+from nutmegroad.platform import Table
+from nutmegroad.registry import register
+from nutmegroad.session_names import SessionNames
+from nutmegroad.spread import ConfigurationPoller
+from nutmegroad.stops import GracefulStop
+
+_PART: Final = 'part'
+
+
+@register(_PART, 'departures')
+class DeparturesPart:
+    """Spreads which upstreams are leaving."""
+
+    needs = (Mesh, Directory)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Begin to listen and to tell."""
+        departures = Departures(
+            kernel.need(Mesh),
+            kernel.need(Directory),
+            kernel.settings.domain,
+        )
+        kernel.provide(Departures, departures)
+
+
+@register(_PART, 'pauses')
+class PausesPart:
+    """Holds dispatch after a pause of the process."""
+
+    needs = (Gatekeeper, Configuration, ConfigurationPoller)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Begin to tick."""
+        detector = PauseDetector(
+            kernel.clock,
+            kernel.need(Configuration),
+            kernel.settings.lease,
+        )
+        poller = kernel.need(ConfigurationPoller)
+        kernel.need(Gatekeeper).require(detector.refusal)
+        kernel.spawn(detector.run(), 'pauses')
+        kernel.spawn(detector.confirm_after(poller.poll), 'confirmations')
+        kernel.provide(PauseDetector, detector)
+
+
+@register(_PART, 'stop')
+class StopPart:
+    """Provides the graceful stop."""
+
+    needs = (Gatekeeper, Members)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Tell the gate and the members of it."""
+        settings = kernel.settings
+        stop = GracefulStop(kernel.clock, settings.lame_duck, settings.drain)
+        stop.listen(kernel.need(Members).leave)
+        kernel.need(Gatekeeper).require(stop.gate_refusal)
+        kernel.provide(GracefulStop, stop)
+
+
+@register(_PART, 'session names')
+class SessionNamesPart:
+    """Provides the sessions that callers name."""
+
+    needs = (Table, Mesh, Duties, Invariants)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Begin to answer other hosts."""
+        names = SessionNames(
+            kernel.need(Table),
+            kernel.need(Mesh),
+            kernel.need(Duties),
+            kernel.need(Invariants),
+        )
+        kernel.provide(SessionNames, names)
--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/_setting_specs.py
@@ -228,6 +228,12 @@
     _seconds_spec('lease', 'a confirmation holds so long', '8', 600),
     _seconds_spec('poll', 'time between reads of the head', '2', 600),
     _seconds_spec('heartbeat', 'time between heartbeats', '1', 600),
+    _seconds_spec(
+        'lame_duck',
+        'time to go on serving after readiness has fallen',
+        '1',
+        600,
+    ),
     _seconds_spec('drain', 'time for a graceful stop', '30', 86400),
     Spec(
         'max_body',
--- a/src/nutmegroad/_upstreams_part.py
+++ b/src/nutmegroad/_upstreams_part.py
@@ -5,8 +5,8 @@
 from nutmegroad.directory import Directory
 from nutmegroad.platform import HostList
 from nutmegroad.registry import register
-from nutmegroad.spread import UpstreamPoller
 from nutmegroad.upstreams import EngineClient, ServiceClient
+from nutmegroad.watch import UpstreamWatcher
 
 #: Seconds between reads of the host list and of engines' reports.
 WATCH_PERIOD = 1.0
@@ -26,12 +26,13 @@
         kernel.provide(ServiceClient, services)
         directory = Directory(kernel.clock)
         kernel.provide(Directory, directory)
-        poller = UpstreamPoller(
+        watcher = UpstreamWatcher(
             kernel.need(HostList),
             engines,
             directory,
             kernel.clock,
+            kernel.randomness,
             WATCH_PERIOD,
         )
-        await poller.poll()
-        kernel.spawn(poller.run(), 'upstreams')
+        await watcher.look()
+        await kernel.stack.enter_async_context(watcher)
--- a/src/nutmegroad/attempts.py
+++ b/src/nutmegroad/attempts.py
@@ -6,11 +6,11 @@
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers
-from nutmegroad.directory import Directory
+from nutmegroad.directory import Directory, LeavingSource
 from nutmegroad.prices import cost_of
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.timeouts import Watchdog
-from nutmegroad.types import Ran
+from nutmegroad.types import Ran, VersionId
 from nutmegroad.upstreams import (
     Attempt,
     Ending,
@@ -23,29 +23,65 @@
 STALL: Final = 10.0
 
 
+#: Pieces that a resumed answer repeats, so that it can be seen whether it
+#: goes on as the caller was shown.
+OVERLAP: Final = 4
+
+
 class Sink(Protocol):
     """Takes the pieces of an answer on their way to the caller."""
 
+    def answering(self, version: VersionId) -> None:
+        """Learn which version writes what comes next."""
+
     async def piece(self, text: str) -> None:
         """Take a piece."""
 
 
 @dataclass(slots=True)
 class Received:
-    """What an attempt has brought so far.
+    """What an answer has brought so far, over all attempts at it.
 
     Attributes:
-        pieces: Texts, in order.
+        pieces: Texts by index; empty where a chunk had none.
+        read: Index behind the last piece that the present attempt brought.
         first: Clock seconds of the first piece, or None.
         ending: The mark that the answer is whole, or None.
         refusal: Why it is not whole, or None.
     """
 
     pieces: list[str] = field(default_factory=list)
+    read: int = 0
     first: float | None = None
     ending: Ending | None = None
     refusal: Refusal | None = None
 
+    @property
+    def resume_at(self) -> int:
+        """Return the index from which the answer may be asked for again."""
+        return max(0, len(self.pieces) - OVERLAP)
+
+
+@dataclass(slots=True)
+class Trial:
+    """One attempt, and what comes of it.
+
+    Attributes:
+        start: How it is announced.
+        attempt: What goes to the upstream.
+        state: The upstream.
+        received: What has come so far, also from attempts before.
+        prompt_tokens: Estimated tokens of the prompt.
+        end: How it ended, once it has.
+    """
+
+    start: AttemptStart
+    attempt: Attempt
+    state: UpstreamState
+    received: Received = field(default_factory=Received)
+    prompt_tokens: int = 0
+    end: AttemptEnd | None = None
+
 
 class Attempter:
     """Carries out attempts and tells the observers of them.
@@ -75,25 +111,21 @@
         self._clock = clock
         self._stall = stall
 
-    async def run(
-        self,
-        start: AttemptStart,
-        attempt: Attempt,
-        state: UpstreamState,
-        sink: Sink,
-    ) -> tuple[Received, AttemptEnd]:
+    async def run(self, trial: Trial, sink: Sink) -> AttemptEnd:
         """Carry out one attempt; pieces go to the sink as they come."""
-        received = Received()
+        trial.received.refusal = None
+        trial.received.read = trial.attempt.skip
         began = self._clock.now()
-        self._observers.started(start)
+        self._observers.started(trial.start)
         try:
-            with self._directory.in_flight(state, start.version):
-                await self._follow(attempt, received, sink)
+            with self._directory.in_flight(trial.state, trial.start.version):
+                await self._follow(trial.attempt, trial.received, sink)
         finally:
             # A caller that goes away cancels us here; it counts as cut.
-            end = self._end(start, received, began)
-            self._observers.ended(end)
-        return received, end
+            trial.end = self._end(trial, began)
+            self._observers.ended(trial.end)
+        self._note(trial)
+        return trial.end
 
     async def _follow(
         self,
@@ -124,14 +156,18 @@
         """Read the stream's events."""
         async with self._engines.answer(attempt) as events:
             async for event in events:
-                dog.touch()
                 if isinstance(event, Refusal):
                     received.refusal = event
                     return
                 if isinstance(event, Ending):
-                    received.ending = event
+                    _finish(received, event)
+                    return
+                # A caller that reads slowly says nothing of the upstream.
+                dog.hold()
+                received.refusal = await self._take(event, received, sink)
+                if received.refusal is not None:
                     return
-                await self._take(event, received, sink)
+                dog.touch()
         received.refusal = Refusal(
             ResultCode.ANSWER_CUT,
             'The answer ended without its terminal mark.',
@@ -143,37 +179,64 @@
         piece: Piece,
         received: Received,
         sink: Sink,
-    ) -> None:
-        """Keep a piece and hand it on."""
+    ) -> Refusal | None:
+        """Keep a piece and hand it on; check one that was there before."""
         if received.first is None:
             received.first = self._clock.now()
-        received.pieces.append(piece.text)
+        pieces = received.pieces
+        received.read = piece.index + 1
+        if piece.index < len(pieces):
+            if pieces[piece.index] == piece.text:
+                return None
+            return _other_answer()
+        # Chunks without text count too.
+        pieces.extend('' for _ in range(piece.index - len(pieces)))
+        pieces.append(piece.text)
         await sink.piece(piece.text)
+        return None
 
-    def _end(
-        self,
-        start: AttemptStart,
-        received: Received,
-        began: float,
-    ) -> AttemptEnd:
+    def _note(self, trial: Trial) -> None:
+        """Tell the directory what an attempt says of its upstream."""
+        upstream = trial.state.info.upstream
+        refusal = trial.received.refusal
+        if refusal is None:
+            self._directory.answered(upstream)
+        elif refusal.code is ResultCode.UPSTREAM_UNREACHABLE:
+            self._directory.refused(upstream)
+        elif refusal.code is ResultCode.UPSTREAM_LEAVING:
+            self._directory.mark_leaving(
+                upstream,
+                trial.state.info.address,
+                LeavingSource.REPORT,
+            )
+
+    def _end(self, trial: Trial, began: float) -> AttemptEnd:
         """Sum an attempt up."""
+        received = trial.received
         ending = received.ending
         code = ResultCode.ANSWER_CUT
         if ending is not None:
             code = ResultCode.OK
         elif received.refusal is not None:
             code = received.refusal.code
-        prompt = ending.prompt_tokens if ending else 0
-        output = ending.output_tokens if ending else len(received.pieces)
+        prompt = trial.prompt_tokens if received.pieces else 0
+        if ending is not None:
+            prompt = ending.prompt_tokens
+        written = ending.output_tokens if ending else len(received.pieces)
+        # What attempts before it have written was theirs.
+        output = max(0, written - trial.attempt.skip)
         first = received.first
+        if first is not None:
+            # An attempt that resumes an answer has no first token.
+            first = first - began if first >= began else None
         return AttemptEnd(
-            start=start,
+            start=trial.start,
             code=code,
-            first_token=None if first is None else first - began,
+            first_token=first,
             seconds=self._clock.now() - began,
             prompt_tokens=prompt,
             output_tokens=output,
-            cost=self._cost(start, prompt, output),
+            cost=self._cost(trial.start, prompt, output),
             text=''.join(received.pieces) if ending else '',
         )
 
@@ -183,3 +246,20 @@
         if entry is None:
             return 0
         return cost_of(entry, prompt, output)
+
+
+def _finish(received: Received, ending: Ending) -> None:
+    """Take the ending, unless it comes before what was there already."""
+    if received.read < len(received.pieces):
+        received.refusal = _other_answer()
+    else:
+        received.ending = ending
+
+
+def _other_answer() -> Refusal:
+    """Say that an engine has resumed something else."""
+    return Refusal(
+        ResultCode.ANSWER_CROSSED,
+        'The resumed answer does not go on as the one before.',
+        Ran.UNKNOWN,
+    )
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import hashlib
-import random
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -16,31 +14,26 @@
 )
 from msgspec.structs import replace
 
-from nutmegroad.billing import Biller, BillingRecord
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.dispatch import Answer, Dispatcher
+from nutmegroad._caller_guard import STREAM_KEY
+from nutmegroad._caller_parts import CallerParts
+from nutmegroad._request_counts import count_request
+from nutmegroad.billing import BillingRecord
 from nutmegroad.documents import ServiceEntry, WorkspaceEntry
-from nutmegroad.explanations import Explanations
 from nutmegroad.intake import (
     LONGEST_NAME,
     Intake,
-    IntakeDesk,
     authenticate,
     deadline_seconds,
 )
-from nutmegroad.intents import Claim, Intent, IntentLedger, IntentState
+from nutmegroad.intents import Claim, Intent, IntentState
+from nutmegroad.progress import Answer, KeptBack, Spent
 from nutmegroad.replies import JSON_TYPE, EventStream, answer_body, refuse
-from nutmegroad.requests import SessionClaim
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.services import (
-    ServiceCaller,
     ServiceRequest,
     is_repeatable,
 )
-from nutmegroad.sessions import SessionSigner
 from nutmegroad.types import (
-    Epoch,
     IdempotencyKey,
     Ran,
     RequestId,
@@ -53,35 +46,6 @@
 _NONCE_BITS: Final = 64
 
 
-@dataclass(frozen=True, slots=True)
-class CallerParts:
-    """What the callers' interface hands requests to.
-
-    Attributes:
-        configuration: What is in force.
-        desk: Understands model requests.
-        dispatcher: Answers model requests.
-        services: Makes calls to plain services.
-        intents: Keeps what may not be repeated from running twice.
-        signer: Signs session tokens.
-        biller: Takes billing records.
-        explanations: Keeps what happened.
-        clock: The host's clock.
-        randomness: Names requests.
-    """
-
-    configuration: Configuration
-    desk: IntakeDesk
-    dispatcher: Dispatcher
-    services: ServiceCaller
-    intents: IntentLedger
-    signer: SessionSigner
-    biller: Biller
-    explanations: Explanations
-    clock: Clock
-    randomness: random.Random
-
-
 class CallersInterface:
     """Serves callers.
 
@@ -227,46 +191,66 @@
     async def _answer(self, http: Request, intake: Intake) -> StreamResponse:
         """Answer a request that was understood."""
         model = intake.model
+        pinned = await self._parts.pins.pin(intake)
+        if isinstance(pinned, Refusal):
+            self._parts.metrics.refused(pinned.code)
+            return refuse(pinned, model.request)
+        intake = pinned
         claim = await self._claim_model(intake)
         if isinstance(claim, Refusal):
             return refuse(claim, model.request)
         if isinstance(claim, Intent):
             return _replay(claim, model.request)
-        explanation = self._parts.explanations.begin(model.request)
-        headers = {'Nutmegroad-Request': str(model.request)}
-        stream = EventStream(http, model.request, headers)
-        sink = stream if intake.stream else _Silent()
-        outcome = await self._parts.dispatcher.answer(
-            model,
-            sink,
-            explanation,
+        return await self._dispatch(http, intake, claim)
+
+    async def _dispatch(
+        self,
+        http: Request,
+        intake: Intake,
+        claim: Claim | None,
+    ) -> StreamResponse:
+        """Have a request answered, and send the answer."""
+        request = intake.model.request
+        stream = EventStream(
+            http,
+            request,
+            lambda version: self._parts.pins.token(intake, version),
+            self._parts.metrics,
         )
-        await self._settle(claim, _as_reply(outcome, model.request))
-        self._bill_model(intake, outcome)
+        http[STREAM_KEY] = stream
+        sink = stream if intake.stream else KeptBack()
+        spent = Spent()
+        outcome: Answer | Refusal = _caller_gone()
+        try:
+            outcome = await self._parts.dispatcher.answer(
+                intake.model,
+                sink,
+                self._parts.explanations.begin(request),
+                spent,
+            )
+        finally:
+            # A caller that goes away cancels this, and pays what was spent.
+            self._bill_model(intake, outcome, spent)
+            count_request(self._parts.metrics, intake, outcome, spent)
+        await self._settle(claim, _as_reply(outcome, request))
         if isinstance(outcome, Refusal):
             if stream.response is not None:
                 return await stream.fail(outcome)
-            return refuse(outcome, model.request)
+            return refuse(outcome, request)
         if intake.stream:
             return await stream.finish(outcome)
-        headers['Nutmegroad-Session'] = self._session_token(intake, outcome)
         return Response(
-            body=answer_body(outcome, model.request),
+            body=answer_body(outcome, request),
             content_type=JSON_TYPE,
-            headers=headers,
+            headers={
+                'Nutmegroad-Request': str(request),
+                'Nutmegroad-Session': self._parts.pins.token(
+                    intake,
+                    outcome.version,
+                ),
+            },
         )
 
-    def _session_token(self, intake: Intake, answer: Answer) -> str:
-        """Return the token that holds a session to its version."""
-        claim = intake.model.session
-        if claim is None:
-            entry = self._parts.configuration.entry(answer.version)
-            epoch = Epoch(entry.epoch if entry else 0)
-            name = intake.session or intake.model.request
-            claim = SessionClaim(name, answer.version, epoch)
-        model = intake.model
-        return self._parts.signer.sign(model.workspace, model.task, claim)
-
     async def _claim_model(
         self,
         intake: Intake,
@@ -324,7 +308,12 @@
         )
         await self._parts.intents.settle(claim, settled)
 
-    def _bill_model(self, intake: Intake, outcome: Answer | Refusal) -> None:
+    def _bill_model(
+        self,
+        intake: Intake,
+        outcome: Answer | Refusal,
+        spent: Spent,
+    ) -> None:
         """Record what a model request cost."""
         model = intake.model
         record = BillingRecord(
@@ -334,7 +323,14 @@
             at=self._parts.clock.wall(),
         )
         if isinstance(outcome, Refusal):
-            bill = replace(record, outcome=outcome.code.name)
+            bill = replace(
+                record,
+                outcome=outcome.code.name,
+                version=spent.version,
+                prompt_tokens=spent.prompt_tokens,
+                output_tokens=spent.output_tokens,
+                cost=spent.cost,
+            )
         else:
             bill = replace(
                 record,
@@ -363,11 +359,13 @@
         )
 
 
-class _Silent:
-    """A sink for answers that are not streamed."""
-
-    async def piece(self, text: str) -> None:
-        """Keep back; the whole answer follows."""
+def _caller_gone() -> Refusal:
+    """Say how a request ended whose caller went away."""
+    return Refusal(
+        ResultCode.ANSWER_CUT,
+        'The caller went away before the answer had ended.',
+        Ran.UNKNOWN,
+    )
 
 
 def _replay(intent: Intent, request: RequestId) -> Response:
--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon.py
@@ -1,7 +1,9 @@
 """The daemon ``nutmegroadd``: one process is one entry host."""
 
+import asyncio
 import os
 import random
+import signal
 import sys
 from typing import Any, Final
 
@@ -14,13 +16,14 @@
 from nutmegroad.logs import LogFormat, set_up_logs
 from nutmegroad.plugins import load_plugins
 from nutmegroad.settings import Settings, format_settings, read_settings
+from nutmegroad.stops import GracefulStop
 
 _LOG_PREFIX: Final = 'daemon:'
 
 #: Exit code for settings that are wrong.
 BAD_SETTINGS: Final = 2
 
-#: Seconds beyond the drain limit after which a stop is forced.
+#: Seconds that the parts may take to close after the graceful stop.
 STOP_MARGIN: Final = 5
 
 
@@ -48,9 +51,32 @@
         sys.stdout.flush()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Close all parts."""
+        """Let open requests end, and close all parts."""
         logging.info('%s stopping', _LOG_PREFIX)
-        await self._kernel.stack.aclose()
+        await self._kernel.need(GracefulStop).run()
+        async with asyncio.timeout(STOP_MARGIN):
+            await self._kernel.stack.aclose()
+        logging.info('%s stopped', _LOG_PREFIX)
+
+
+def stop_on_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """End the loop's run at the first signal, and take no notice of more.
+
+    aiomisc's own handlers put the default back as soon as a stop begins,
+    so that a second signal would cut what is still open.
+    """
+    received: list[int] = []
+
+    def handle(number: int) -> None:
+        """Stop once."""
+        if received:
+            logging.info('%s signal %d again', _LOG_PREFIX, number)
+            return
+        received.append(number)
+        loop.stop()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, handle, number)
 
 
 def main() -> int:
@@ -70,8 +96,8 @@
         sys.stderr.write(f'{trouble}\n')
         return BAD_SETTINGS
     service = HostService(settings)
-    limit = settings.drain + STOP_MARGIN
-    with entrypoint(service, log_config=False, shutdown_timeout=limit) as loop:
+    with entrypoint(service, log_config=False, catch_signals=()) as loop:
+        stop_on_signals(loop)
         loop.run_forever()
     return 0
 
--- a/src/nutmegroad/dispatch.py
+++ b/src/nutmegroad/dispatch.py
@@ -1,130 +1,31 @@
 """The way of a model request: admit, plan, choose, attempt, retry."""
 
 import random
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
-import msgspec
-
-from nutmegroad.attempts import Attempter, Received, Sink
+from nutmegroad.attempts import Attempter, Sink, Trial
 from nutmegroad.clocks import Clock
-from nutmegroad.decisions import (
-    Admitter,
-    AttemptEnd,
-    AttemptStart,
-    Choice,
-    Planner,
-    RetryBudget,
-    Selector,
-)
 from nutmegroad.explanations import Explanation
-from nutmegroad.gates import Gatekeeper, Passage
+from nutmegroad.gates import Gatekeeper
+from nutmegroad.progress import (
+    Answer,
+    CountedSink,
+    KeptBack,
+    Progress,
+    Spent,
+)
 from nutmegroad.requests import ModelRequest, Plan
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import AttemptId, Ran, ServiceName, UpstreamId, VersionId
-from nutmegroad.upstreams import Attempt, Ending
-
-#: Attempts that one request may make in all, whatever the budget says.
-MOST_ATTEMPTS: Final = 6
-
-_NONCE_BITS: Final = 48
-
-#: Failures of a version after which a request may turn to another one.
-_TURN_AWAY: Final = frozenset(
-    (
-        ResultCode.NO_UPSTREAM,
-        ResultCode.VERSION_WITHDRAWN,
-        ResultCode.VERSION_QUARANTINED,
-        ResultCode.ISOLATED,
-    )
+from nutmegroad.steps import (
+    TURN_AWAY,
+    Instruments,
+    Policies,
+    StepRunner,
 )
+from nutmegroad.types import Ran, VersionId
 
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A whole answer.
-
-    Attributes:
-        version: The version that wrote it.
-        text: All of it.
-        finish: Why the engine stopped.
-        prompt_tokens: Tokens read by that version.
-        output_tokens: Tokens written by that version.
-        cost: What the request cost, all attempts and steps summed.
-        attempts: How many attempts were made.
-    """
-
-    version: VersionId
-    text: str
-    finish: str
-    prompt_tokens: int
-    output_tokens: int
-    cost: float
-    attempts: int
-
-
-class _Buffer:
-    """A sink that keeps back the answer of a cascade's earlier step."""
-
-    async def piece(self, text: str) -> None:
-        """Show nothing yet."""
-
-
-class _Counted:
-    """A sink that counts what the caller has been shown.
-
-    Args:
-        inner: The caller's sink.
-    """
-
-    def __init__(self, inner: Sink) -> None:
-        self.shown = 0
-        self._inner = inner
-
-    async def piece(self, text: str) -> None:
-        """Show a piece."""
-        self.shown += 1
-        await self._inner.piece(text)
-
-
-@dataclass(slots=True)
-class Progress:
-    """What a request has come to so far.
-
-    Attributes:
-        request: The request.
-        explanation: Where each step is noted.
-        sink: The caller's side.
-        excluded: Upstreams that have failed it.
-        cost: Costs summed up.
-        attempts: Attempts made.
-        ran: The most that may have run.
-    """
-
-    request: ModelRequest
-    explanation: Explanation
-    sink: _Counted
-    excluded: frozenset[UpstreamId] = frozenset()
-    cost: float = 0
-    attempts: int = 0
-    ran: Ran = Ran.NOT_RUN
-
-
-@dataclass(frozen=True, slots=True)
-class Policies:
-    """The decisions that a dispatcher asks for.
-
-    Attributes:
-        admitter: Lets requests in.
-        planner: Chooses versions.
-        selector: Chooses upstreams.
-        retries: Bounds retries.
-    """
-
-    admitter: Admitter
-    planner: Planner
-    selector: Selector
-    retries: RetryBudget
+_SEED_BITS: Final = 31
 
 
 class Dispatcher:
@@ -134,8 +35,9 @@
         policies: The decisions.
         gatekeeper: Makes the last check of each attempt.
         attempter: Carries attempts out.
+        instruments: Metrics and invariants.
         clock: The host's clock.
-        randomness: Names attempts.
+        randomness: Names attempts and draws seeds.
     """
 
     def __init__(
@@ -143,34 +45,103 @@
         policies: Policies,
         gatekeeper: Gatekeeper,
         attempter: Attempter,
+        instruments: Instruments,
         clock: Clock,
         randomness: random.Random,
     ) -> None:
         self._policies = policies
         self._gatekeeper = gatekeeper
-        self._attempter = attempter
+        self._metrics = instruments.metrics
+        self._invariants = instruments.invariants
         self._clock = clock
         self._randomness = randomness
+        self._steps = StepRunner(
+            policies,
+            gatekeeper,
+            attempter,
+            instruments,
+            clock,
+            randomness,
+        )
 
     async def answer(
         self,
         request: ModelRequest,
         sink: Sink,
         explanation: Explanation,
+        spent: Spent | None = None,
     ) -> Answer | Refusal:
-        """Answer a request; pieces go to the sink as soon as they may."""
+        """Answer a request; pieces go to the sink as soon as they may.
+
+        Args:
+            request: The request.
+            sink: Takes the pieces.
+            explanation: Where each step is noted.
+            spent: Filled as costs arise, also if this is cancelled.
+        """
+        progress = Progress(
+            request,
+            explanation,
+            CountedSink(sink, request.task, self._clock, self._metrics),
+            Spent() if spent is None else spent,
+            self._randomness.getrandbits(_SEED_BITS),
+        )
+        ended = self._session_refusal(request)
+        if ended is not None:
+            return ended
         permit = await self._policies.admitter.admit(request)
         if isinstance(permit, Refusal):
             explanation.note('admission', permit.reason)
             return permit
-        progress = Progress(request, explanation, _Counted(sink))
         with permit:
             outcome = await self._follow_plans(progress)
         if isinstance(outcome, Refusal):
             # Only what no attempt contradicts may be said of the whole.
-            return replace(outcome, ran=progress.ran)
+            known = replace(outcome, ran=progress.spent.ran)
+            return _as_session_end(known, request)
+        progress.sink.finish()
         return outcome
 
+    def settle_on(self, request: ModelRequest) -> VersionId | Refusal:
+        """Choose the one version that a new session is to keep."""
+        able = tuple(
+            version
+            for version in request.versions
+            if self._is_able(request, version)
+        )
+        plan = self._policies.planner.plan(
+            replace(request, versions=able or request.versions),
+        )
+        return plan if isinstance(plan, Refusal) else plan.steps[-1]
+
+    def _is_able(self, request: ModelRequest, version: VersionId) -> bool:
+        """Tell whether a version could answer right now."""
+        refusal = self._gatekeeper.check_version(
+            request.workspace,
+            request.task,
+            version,
+            None,
+        )
+        if refusal is not None:
+            return False
+        choice = self._policies.selector.choose(request, version, frozenset())
+        return not isinstance(choice, Refusal)
+
+    def _session_refusal(self, request: ModelRequest) -> Refusal | None:
+        """Return why a session can not go on, or None."""
+        session = request.session
+        if session is None:
+            return None
+        refusal = self._gatekeeper.check_version(
+            request.workspace,
+            request.task,
+            session.version,
+            session.epoch,
+        )
+        if refusal is None:
+            return None
+        return _as_session_end(refusal, request)
+
     async def _follow_plans(self, progress: Progress) -> Answer | Refusal:
         """Follow plans until one answers, each without failed versions."""
         request = progress.request
@@ -179,7 +150,7 @@
             plan = self._policies.planner.plan(request)
             if isinstance(plan, Refusal):
                 return plan if refusal is None else refusal
-            progress.explanation.note('planner', _describe(plan))
+            progress.note('planner', _describe(plan))
             outcome, failed = await self._follow(progress, plan)
             if not isinstance(outcome, Refusal):
                 return outcome
@@ -198,9 +169,10 @@
         """Tell whether another version may be tried."""
         if progress.request.session is not None or progress.sink.shown:
             return False
-        if refusal.code not in _TURN_AWAY:
+        if refusal.code not in TURN_AWAY:
             return False
-        return progress.ran is Ran.NOT_RUN or progress.request.repeatable
+        ran = progress.spent.ran
+        return ran is Ran.NOT_RUN or progress.request.repeatable
 
     async def _follow(
         self,
@@ -211,197 +183,89 @@
         last = len(plan.steps) - 1
         for place, version in enumerate(plan.steps):
             final = place == last
-            sink = progress.sink if final else _Buffer()
-            outcome = await self._step(progress, version, sink)
-            if isinstance(outcome, Refusal):
-                return outcome, version
-            received, end = outcome
+            sink = progress.sink if final else KeptBack()
+            sink.answering(version)
+            trial = await self._steps.run(progress, version, sink)
+            if isinstance(trial, Refusal):
+                return trial, version
             if final:
-                return _answer(progress, received, end), version
-            estimate = self._policies.planner.estimate(progress.request, end)
-            progress.explanation.note(
-                'cascade',
-                f'{version} is estimated at {estimate:.3f}, '
-                f'{plan.accept[place]:.3f} is enough.',
-            )
-            if estimate >= plan.accept[place]:
-                await _show(progress.sink, received)
-                return _answer(progress, received, end), version
+                return self._answer(progress, trial), version
+            if self._is_enough(progress, trial, plan.accept[place]):
+                await _show(progress.sink, trial)
+                return self._answer(progress, trial), version
         raise AssertionError('a plan has at least one step')
 
-    async def _step(
-        self,
-        progress: Progress,
-        version: VersionId,
-        sink: Sink,
-    ) -> tuple[Received, AttemptEnd] | Refusal:
-        """Have one version answer, with retries."""
-        while True:
-            choice = self._policies.selector.choose(
-                progress.request,
-                version,
-                progress.excluded,
-            )
-            if isinstance(choice, Refusal):
-                progress.explanation.note('selector', choice.reason)
-                return choice
-            received, end = await self._attempt(
-                progress,
-                version,
-                choice,
-                sink,
-            )
-            if received.ending is not None:
-                return received, end
-            refusal = _why(received)
-            if not self._may_retry(progress, refusal, choice):
-                return refusal
-
-    async def _attempt(
+    def _is_enough(
         self,
         progress: Progress,
-        version: VersionId,
-        choice: Choice,
-        sink: Sink,
-    ) -> tuple[Received, AttemptEnd]:
-        """Make one attempt and add it to the progress."""
-        progress.attempts += 1
-        start = self._start(progress, version, choice)
-        progress.explanation.note(
-            'selector',
-            f'{choice.state.info.upstream} for {version}: {choice.reason}.',
+        trial: Trial,
+        wanted: float,
+    ) -> bool:
+        """Tell whether the answer of a cascade's step may be shown."""
+        if trial.end is None:
+            return False
+        estimate = self._policies.planner.estimate(progress.request, trial.end)
+        version = trial.start.version
+        progress.note(
+            'cascade',
+            f'{version} is estimated at {estimate:.3f}; {wanted:.3f} is enough',
         )
-        attempt = self._prepare(progress, start, choice)
-        received, end = await self._attempter.run(
-            start,
-            attempt,
-            choice.state,
-            sink,
+        return estimate >= wanted
+
+    def _answer(self, progress: Progress, trial: Trial) -> Answer:
+        """Sum a whole answer up."""
+        ending = trial.received.ending
+        version = trial.start.version
+        session = progress.request.session
+        self._invariants.check(
+            'whole-answer-has-ending',
+            ending is not None,
+            trial.start.attempt,
         )
-        progress.cost += end.cost
-        if received.ending is not None:
-            progress.ran = Ran.RAN
-        elif _why(received).ran is not Ran.NOT_RUN:
-            progress.ran = Ran.UNKNOWN
-        progress.explanation.note(
-            'attempt', f'{start.attempt}: {end.code.name}'
+        self._invariants.check(
+            'session-keeps-version',
+            session is None or session.version == version,
+            trial.start.attempt,
         )
-        return received, end
-
-    def _start(
-        self,
-        progress: Progress,
-        version: VersionId,
-        choice: Choice,
-    ) -> AttemptStart:
-        """Name an attempt."""
-        request = progress.request
-        nonce = f'{self._randomness.getrandbits(_NONCE_BITS):012x}'
-        return AttemptStart(
-            AttemptId(f'{request.request}.{progress.attempts}.{nonce}'),
-            request.request,
-            request.workspace,
-            request.task,
-            version,
-            choice.state.info.upstream,
+        spent = progress.spent
+        return Answer(
+            version=version,
+            text=''.join(trial.received.pieces),
+            finish=ending.reason if ending else '',
+            prompt_tokens=ending.prompt_tokens if ending else 0,
+            output_tokens=ending.output_tokens if ending else 0,
+            cost=spent.cost,
+            attempts=spent.attempts,
         )
 
-    def _prepare(
-        self,
-        progress: Progress,
-        start: AttemptStart,
-        choice: Choice,
-    ) -> Attempt:
-        """Put together what goes to the upstream."""
-        request = progress.request
-        body = {**request.body, 'model': start.version, 'stream': True}
-        session = request.session
-        passage = Passage(
-            request.workspace,
-            request.task,
-            start.version,
-            ServiceName(''),
-            session.epoch if session else None,
-            choice.state,
-            request.deadline,
-        )
-        return Attempt(
-            attempt=start.attempt,
-            upstream=choice.state.info,
-            version=start.version,
-            body=msgspec.json.encode(body),
-            gate=self._gatekeeper.gate(passage),
-            timeout=max(0, request.deadline - self._clock.now()),
-            priority=request.priority,
-        )
-
-    def _may_retry(
-        self,
-        progress: Progress,
-        refusal: Refusal,
-        choice: Choice,
-    ) -> bool:
-        """Tell whether another upstream may be tried, and count it."""
-        request = progress.request
-        progress.excluded |= {choice.state.info.upstream}
-        if refusal.code in _TURN_AWAY or progress.sink.shown:
-            return False
-        if refusal.ran is not Ran.NOT_RUN and not request.repeatable:
-            return False
-        if progress.attempts >= MOST_ATTEMPTS:
-            return False
-        if self._clock.now() >= request.deadline:
-            return False
-        if not self._policies.retries.spend(request):
-            progress.explanation.note('retries', 'The retry budget is spent.')
-            return False
-        progress.explanation.note('retries', f'Again: {refusal.code.name}.')
-        return True
-
-
-def _why(received: Received) -> Refusal:
-    """Return why an attempt failed."""
-    # A refusal is false, so ``or`` would pass over it.
-    if received.refusal is not None:
-        return received.refusal
-    return Refusal(
-        ResultCode.ANSWER_CUT,
-        'The answer ended without its terminal mark.',
-        Ran.UNKNOWN,
-    )
-
 
-async def _show(sink: Sink, received: Received) -> None:
+async def _show(sink: Sink, trial: Trial) -> None:
     """Show an answer that was kept back."""
-    for text in received.pieces:
+    sink.answering(trial.start.version)
+    for text in filter(None, trial.received.pieces):
         await sink.piece(text)
 
 
-def _answer(
-    progress: Progress,
-    received: Received,
-    end: AttemptEnd,
-) -> Answer:
-    """Sum a whole answer up."""
-    ending = received.ending
-    finish = ending.reason if isinstance(ending, Ending) else ''
-    return Answer(
-        version=end.start.version,
-        text=end.text,
-        finish=finish,
-        prompt_tokens=end.prompt_tokens,
-        output_tokens=end.output_tokens,
-        cost=progress.cost,
-        attempts=progress.attempts,
-    )
-
-
 def _without(request: ModelRequest, version: VersionId) -> ModelRequest:
     """Return the request as if a version were not allowed."""
     left = tuple(other for other in request.versions if other != version)
     return replace(request, versions=left)
 
 
+def _as_session_end(refusal: Refusal, request: ModelRequest) -> Refusal:
+    """Say of a withdrawn version that it ends the session."""
+    session = request.session
+    if session is None or refusal.code is not ResultCode.VERSION_WITHDRAWN:
+        return refusal
+    return replace(
+        refusal,
+        code=ResultCode.SESSION_ENDED,
+        reason=f'The session {session.name!r} has ended, since its version '
+        f'{session.version} has been withdrawn.',
+        retry_after=0,
+    )
+
+
 def _describe(plan: Plan) -> str:
     """Say what a plan is."""
     steps = ' then '.join(plan.steps)
--- a/src/nutmegroad/gates.py
+++ b/src/nutmegroad/gates.py
@@ -5,6 +5,7 @@
 to leave while the request waited.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from nutmegroad.clocks import Clock
@@ -46,6 +47,10 @@
     deadline: float
 
 
+#: Tells why this host may send nothing now, or None.
+Condition = Callable[[], Refusal | None]
+
+
 class Gatekeeper:
     """Makes the gates of this host's attempts.
 
@@ -64,6 +69,11 @@
         self._configuration = configuration
         self._clock = clock
         self._quarantine = quarantine
+        self._conditions: list[Condition] = []
+
+    def require(self, condition: Condition) -> None:
+        """Hold every first byte to one more condition of the host."""
+        self._conditions.append(condition)
 
     def gate(self, passage: Passage) -> Gate:
         """Return the check for one attempt."""
@@ -76,6 +86,9 @@
 
     def check(self, passage: Passage) -> Refusal | None:
         """Return why the first byte must not go out, or None."""
+        refusal = self.host_refusal()
+        if refusal is not None:
+            return refusal
         if self._clock.now() >= passage.deadline:
             return Refusal(
                 ResultCode.DEADLINE_PASSED,
@@ -94,6 +107,14 @@
             return self._check_service(passage, workspace)
         return self._check_version(passage, workspace)
 
+    def host_refusal(self) -> Refusal | None:
+        """Return why this host may send nothing now, or None."""
+        for condition in self._conditions:
+            refusal = condition()
+            if refusal is not None:
+                return refusal
+        return None
+
     def check_version(
         self,
         workspace: WorkspaceId,
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -8,11 +8,13 @@
 PLUGINS: Final = (
     'nutmegroad._metrics_part',
     'nutmegroad._platform_part',
+    'nutmegroad._mesh_part',
     'nutmegroad._upstreams_part',
     'nutmegroad._configuration_part',
     'nutmegroad._records_part',
     'nutmegroad.policies',
     'nutmegroad._routing_part',
+    'nutmegroad._safety_part',
     'nutmegroad._listeners_part',
 )
 
--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/replies.py
@@ -1,6 +1,8 @@
 """HTTP replies to callers: refusals, whole answers, streams."""
 
+import asyncio
 import math
+from collections.abc import Callable
 from types import MappingProxyType
 from typing import Final
 
@@ -8,13 +10,18 @@
 from aiohttp.web import Request, Response, StreamResponse
 from msgspec import Struct
 
-from nutmegroad.dispatch import Answer
+from nutmegroad.metrics import Metrics
+from nutmegroad.progress import Answer
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, RequestId
+from nutmegroad.types import Ran, RequestId, VersionId
 
 JSON_TYPE: Final = 'application/json'
 
 _MILLISECONDS: Final = 1000
+_CHUNK: Final = 'chat.completion.chunk'
+
+#: Seconds that a caller may take to read what is buffered for it.
+PATIENCE: Final = 30.0
 
 #: HTTP status by result code; any other is 503.
 _STATUS: Final = MappingProxyType(
@@ -150,7 +157,7 @@
     cost: float
 
 
-class Chunk(Struct, frozen=True):
+class Chunk(Struct, frozen=True, omit_defaults=True):
     """One server-sent event of an answer.
 
     Attributes:
@@ -159,6 +166,7 @@
         model: The version that answered; empty until it is known.
         choices: One choice.
         usage: Tokens, in the last chunk.
+        session: The session's token, in the last chunk.
     """
 
     id: str
@@ -166,6 +174,7 @@
     model: str
     choices: tuple[ChunkChoice, ...]
     usage: Usage | None = None
+    session: str | None = None
 
 
 class AnswerMessage(Struct, frozen=True):
@@ -244,21 +253,31 @@
     still has its own status. An answer that is cut ends with an ``error``
     event and without ``[DONE]``.
 
+    A caller that reads slowly holds the engine's stream up, as the
+    transport's buffer is bounded; one that reads nothing for long is cut.
+
     Args:
         http: The caller's HTTP request.
         request: The request's id.
-        headers: Headers of the reply.
+        token_of: Returns the session's token for a version.
+        metrics: Where callers that were cut are counted.
+        patience: Seconds that a caller may take to read what is buffered.
     """
 
     def __init__(
         self,
         http: Request,
         request: RequestId,
-        headers: dict[str, str],
+        token_of: Callable[[VersionId], str],
+        metrics: Metrics,
+        patience: float = PATIENCE,
     ) -> None:
         self._http = http
         self._request = request
-        self._headers = headers
+        self._token_of = token_of
+        self._metrics = metrics
+        self._patience = patience
+        self._version = VersionId('')
         self._response: StreamResponse | None = None
 
     @property
@@ -266,17 +285,27 @@
         """Return the reply, or None if it has not begun."""
         return self._response
 
+    def answering(self, version: VersionId) -> None:
+        """Learn which version writes what comes next."""
+        self._version = version
+
     async def piece(self, text: str) -> None:
         """Send a piece."""
         choice = ChunkChoice(0, Delta(text))
-        await self._send(msgspec.json.encode(self._chunk('', choice)))
+        await self._send(msgspec.json.encode(self._chunk(choice)))
 
     async def finish(self, answer: Answer) -> StreamResponse:
         """Send the end of a whole answer."""
-        choice = ChunkChoice(0, Delta(), answer.finish)
-        chunk = self._chunk(answer.version, choice, usage_of(answer))
-        await self._send(msgspec.json.encode(chunk))
-        response = await self._send(b'[DONE]')
+        chunk = Chunk(
+            self._request,
+            _CHUNK,
+            answer.version,
+            (ChunkChoice(0, Delta(), answer.finish),),
+            usage_of(answer),
+            self._token_of(answer.version),
+        )
+        last = b''.join((msgspec.json.encode(chunk), b'\n\ndata: [DONE]'))
+        response = await self._send(last)
         await response.write_eof()
         return response
 
@@ -286,28 +315,38 @@
         await response.write_eof()
         return response
 
-    def _chunk(
-        self,
-        version: str,
-        choice: ChunkChoice,
-        usage: Usage | None = None,
-    ) -> Chunk:
+    def _chunk(self, choice: ChunkChoice) -> Chunk:
         """Return one event's content."""
-        return Chunk(
-            self._request,
-            'chat.completion.chunk',
-            version,
-            (choice,),
-            usage,
-        )
+        return Chunk(self._request, _CHUNK, self._version, (choice,))
+
+    async def _begin(self) -> StreamResponse:
+        """Begin the reply, now that its version is known."""
+        headers = {'Nutmegroad-Request': str(self._request)}
+        if self._version:
+            headers['Nutmegroad-Session'] = self._token_of(self._version)
+        response = StreamResponse(headers=headers)
+        response.content_type = 'text/event-stream'
+        self._response = response
+        await response.prepare(self._http)
+        return response
 
     async def _send(self, payload: bytes, event: bytes = b'') -> StreamResponse:
-        """Send one event, and begin the reply if need be."""
+        """Send one event, and begin the reply if need be.
+
+        Raises:
+            ConnectionResetError: If the caller reads nothing for long.
+        """
         response = self._response
         if response is None:
-            response = StreamResponse(headers=self._headers)
-            response.content_type = 'text/event-stream'
-            self._response = response
-            await response.prepare(self._http)
-        await response.write(b''.join((event, b'data: ', payload, b'\n\n')))
+            response = await self._begin()
+        sent = b''.join((event, b'data: ', payload, b'\n\n'))
+        try:
+            async with asyncio.timeout(self._patience):
+                await response.write(sent)
+        except TimeoutError as error:
+            self._metrics.reply_dropped('slow_caller')
+            if self._http.transport is not None:
+                self._http.transport.abort()
+            message = 'The caller has read nothing for too long.'
+            raise ConnectionResetError(message) from error
         return response
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -12,6 +12,7 @@
 from nutmegroad.explanations import Explanation
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.steps import OWN_REFUSALS
 from nutmegroad.types import (
     AttemptId,
     Ran,
@@ -132,7 +133,8 @@
             refusal = reply
             if reply.ran is not Ran.NOT_RUN:
                 ran = Ran.UNKNOWN
-            if ran is Ran.UNKNOWN and not repeatable:
+            harmless = repeatable or ran is Ran.NOT_RUN
+            if not _may_go_on(reply, harmless):
                 break
         return replace(refusal, ran=ran)
 
@@ -182,7 +184,17 @@
             key=request.key,
         )
         with self._directory.in_flight(state, _NO_VERSION):
-            return await self._clients.call(call)
+            reply = await self._clients.call(call)
+        if isinstance(reply, ServiceReply):
+            self._directory.answered(state.info.upstream)
+        elif reply.code is ResultCode.UPSTREAM_UNREACHABLE:
+            self._directory.refused(state.info.upstream)
+        return reply
+
+
+def _may_go_on(reply: Refusal, harmless: bool) -> bool:
+    """Tell whether another upstream may be tried after a failure."""
+    return harmless and reply.code not in OWN_REFUSALS
 
 
 def _describe(state: UpstreamState, reply: ServiceReply | Refusal) -> str:
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/settings.py
@@ -61,7 +61,9 @@
         lease: Seconds for which a confirmed configuration holds.
         poll: Seconds between reads of the configuration's head.
         heartbeat: Seconds between heartbeats to peers.
-        drain: Seconds that a graceful stop may take.
+        lame_duck: Seconds for which a host that stops still takes new
+            work, as the balancer learns late that it is not ready.
+        drain: Seconds that a graceful stop may take in all.
         max_body: Bytes that a caller's body may have.
         body_timeout: Seconds that a caller may take to send its body.
         log_format: ``text`` or ``json``.
@@ -87,6 +89,7 @@
     lease: float = 8.0
     poll: float = 2.0
     heartbeat: float = 1.0
+    lame_duck: float = 1.0
     drain: float = 30.0
     max_body: int = 4_000_000
     body_timeout: float = 20.0
--- a/src/nutmegroad/spread.py
+++ b/src/nutmegroad/spread.py
@@ -1,4 +1,4 @@
-"""Keeps this host's configuration and upstreams in step with the platform."""
+"""Keeps this host's configuration in step with the platform."""
 
 import random
 from typing import Final
@@ -7,12 +7,9 @@
 
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
-from nutmegroad.directory import Directory
 from nutmegroad.heads import Head, HeadStore
-from nutmegroad.platform import HostList
 from nutmegroad.results import Refusal
-from nutmegroad.types import Revision, UpstreamKind
-from nutmegroad.upstreams import EngineClient, UpstreamState
+from nutmegroad.types import Revision
 
 _LOG_PREFIX: Final = 'spread:'
 
@@ -83,53 +80,3 @@
         """Return the seconds until the next poll."""
         spread = self._randomness.uniform(-JITTER, JITTER)
         return self._period * (1 + spread)
-
-
-class UpstreamPoller:
-    """Reads the host list and the engines' reports again and again.
-
-    Args:
-        host_list: The platform's list.
-        engines: How engines are asked.
-        directory: What this host knows of upstreams.
-        clock: The host's clock.
-        period: Seconds between polls.
-    """
-
-    def __init__(
-        self,
-        host_list: HostList,
-        engines: EngineClient,
-        directory: Directory,
-        clock: Clock,
-        period: float,
-    ) -> None:
-        self._host_list = host_list
-        self._engines = engines
-        self._directory = directory
-        self._clock = clock
-        self._period = period
-
-    async def run(self) -> None:
-        """Poll until cancelled."""
-        while True:
-            await self.poll()
-            await self._clock.sleep(self._period)
-
-    async def poll(self) -> None:
-        """Read the list once, and ask each engine."""
-        listing = await self._host_list.listing()
-        if not isinstance(listing, Refusal):
-            self._directory.update(listing.upstreams)
-        for state in self._directory.states():
-            if state.info.kind is UpstreamKind.ENGINE:
-                await self._ask(state)
-
-    async def _ask(self, state: UpstreamState) -> None:
-        """Ask one engine for its report."""
-        report = await self._engines.report(state.info)
-        if isinstance(report, Refusal):
-            state.failures += 1
-            return
-        state.failures = 0
-        self._directory.reported(state.info.upstream, report)
--- /dev/null
+++ b/src/nutmegroad/steps.py
@@ -0,0 +1,334 @@
+"""One step of a plan: a version answers, with retries and resumptions."""
+
+import random
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from nutmegroad.attempts import Attempter, Received, Sink, Trial
+from nutmegroad.clocks import Clock
+from nutmegroad.decisions import (
+    Admitter,
+    AttemptStart,
+    Choice,
+    Planner,
+    RetryBudget,
+    Selector,
+)
+from nutmegroad.gates import Gatekeeper, Passage
+from nutmegroad.invariants import Invariants
+from nutmegroad.metrics import Metrics
+from nutmegroad.progress import Progress, why
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import AttemptId, Ran, ServiceName, VersionId
+from nutmegroad.upstreams import Attempt
+
+#: Attempts that one request may make in all, whatever the budget says.
+MOST_ATTEMPTS: Final = 6
+
+_NONCE_BITS: Final = 48
+
+#: Failures of a version after which a request may turn to another one.
+TURN_AWAY: Final = frozenset(
+    (
+        ResultCode.NO_UPSTREAM,
+        ResultCode.VERSION_WITHDRAWN,
+        ResultCode.VERSION_QUARANTINED,
+        ResultCode.ISOLATED,
+    )
+)
+
+#: Refusals of this host itself: no other upstream would change them.
+OWN_REFUSALS: Final = frozenset(
+    (
+        ResultCode.DEADLINE_PASSED,
+        ResultCode.HOST_PAUSED,
+        ResultCode.HOST_STOPPING,
+        ResultCode.VERSION_NOT_ALLOWED,
+        ResultCode.UNAUTHENTICATED,
+    )
+)
+
+#: Ways in which an answer can break off and be taken up again where it was.
+_RESUMABLE: Final = frozenset(
+    (
+        ResultCode.ANSWER_CUT,
+        ResultCode.UPSTREAM_ERROR,
+        ResultCode.UPSTREAM_TIMEOUT,
+        ResultCode.UPSTREAM_UNREACHABLE,
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Policies:
+    """The decisions that a dispatcher asks for.
+
+    Attributes:
+        admitter: Lets requests in.
+        planner: Chooses versions.
+        selector: Chooses upstreams.
+        retries: Bounds retries.
+    """
+
+    admitter: Admitter
+    planner: Planner
+    selector: Selector
+    retries: RetryBudget
+
+
+@dataclass(frozen=True, slots=True)
+class Instruments:
+    """What a dispatcher measures and asserts with.
+
+    Attributes:
+        metrics: Counts and times.
+        invariants: What must always hold.
+    """
+
+    metrics: Metrics
+    invariants: Invariants
+
+
+@dataclass(frozen=True, slots=True)
+class _Course:
+    """The upstream of an attempt, and what it goes on from.
+
+    Attributes:
+        choice: The upstream.
+        attempt: The attempt's id; one that resumes keeps it at its engine.
+        received: What came before.
+    """
+
+    choice: Choice
+    attempt: AttemptId
+    received: Received
+
+
+class StepRunner:
+    """Has one version answer.
+
+    Args:
+        policies: The decisions.
+        gatekeeper: Makes the last check of each attempt.
+        attempter: Carries attempts out.
+        instruments: Metrics and invariants.
+        clock: The host's clock.
+        randomness: Names attempts.
+    """
+
+    def __init__(
+        self,
+        policies: Policies,
+        gatekeeper: Gatekeeper,
+        attempter: Attempter,
+        instruments: Instruments,
+        clock: Clock,
+        randomness: random.Random,
+    ) -> None:
+        self._policies = policies
+        self._gatekeeper = gatekeeper
+        self._attempter = attempter
+        self._metrics = instruments.metrics
+        self._clock = clock
+        self._randomness = randomness
+
+    async def run(
+        self,
+        progress: Progress,
+        version: VersionId,
+        sink: Sink,
+    ) -> Trial | Refusal:
+        """Have one version answer, with retries and resumptions."""
+        course = self._begin(progress, version, Received())
+        while not isinstance(course, Refusal):
+            trial = await self._attempt(progress, version, course, sink)
+            if trial.received.ending is not None:
+                return trial
+            refusal = why(trial.received)
+            if not self._may_retry(progress, refusal, course):
+                return refusal
+            following = self._next(progress, version, trial, course)
+            if isinstance(following, Refusal):
+                # Why the attempt broke says more than that none is left.
+                return refusal
+            course = following
+        return course
+
+    def _begin(
+        self,
+        progress: Progress,
+        version: VersionId,
+        received: Received,
+    ) -> _Course | Refusal:
+        """Choose an upstream and name the attempt."""
+        choice = self._policies.selector.choose(
+            progress.request,
+            version,
+            progress.excluded,
+        )
+        if isinstance(choice, Refusal):
+            progress.note('selector', choice.reason)
+            return choice
+        nonce = f'{self._randomness.getrandbits(_NONCE_BITS):012x}'
+        number = progress.spent.attempts + 1
+        name = AttemptId(f'{progress.request.request}.{number}.{nonce}')
+        return _Course(choice, name, received)
+
+    def _next(
+        self,
+        progress: Progress,
+        version: VersionId,
+        trial: Trial,
+        course: _Course,
+    ) -> _Course | Refusal:
+        """Choose how to go on after an attempt that broke."""
+        received = trial.received
+        upstream = course.choice.state.info.upstream
+        resumes = why(received).code in _RESUMABLE and bool(received.pieces)
+        if resumes and upstream not in progress.excluded:
+            # Once more at the engine that knows the answer.
+            progress.excluded |= {upstream}
+            return course
+        progress.excluded |= {upstream}
+        if not progress.sink.shown and not resumes:
+            received = Received()
+        return self._begin(progress, version, received)
+
+    async def _attempt(
+        self,
+        progress: Progress,
+        version: VersionId,
+        course: _Course,
+        sink: Sink,
+    ) -> Trial:
+        """Make one attempt and add it to the progress."""
+        spent = progress.spent
+        spent.attempts += 1
+        spent.version = version
+        trial = self._prepare(progress, version, course)
+        progress.note(
+            'selector',
+            f'{trial.start.upstream} for {version}: {course.choice.reason}.',
+        )
+        try:
+            await self._attempter.run(trial, sink)
+        finally:
+            self._sum_up(progress, trial)
+        return trial
+
+    def _sum_up(self, progress: Progress, trial: Trial) -> None:
+        """Add an attempt that has ended, or was cancelled."""
+        end = trial.end
+        if end is None:
+            return
+        spent = progress.spent
+        spent.cost += end.cost
+        spent.prompt_tokens = end.prompt_tokens
+        spent.output_tokens = end.output_tokens
+        if trial.received.ending is not None:
+            spent.ran = Ran.RAN
+        elif why(trial.received).ran is not Ran.NOT_RUN:
+            spent.ran = Ran.UNKNOWN
+        self._metrics.attempt_ended(end.start.version, end.code)
+        progress.note('attempt', f'{end.start.attempt}: {end.code.name}')
+
+    def _prepare(
+        self,
+        progress: Progress,
+        version: VersionId,
+        course: _Course,
+    ) -> Trial:
+        """Put together what goes to the upstream."""
+        request = progress.request
+        state = course.choice.state
+        body = {
+            'seed': progress.seed,
+            **request.body,
+            'model': version,
+            'stream': True,
+        }
+        attempt = Attempt(
+            attempt=course.attempt,
+            upstream=state.info,
+            version=version,
+            body=msgspec.json.encode(body),
+            gate=self._gatekeeper.gate(_passage(request, version, course)),
+            timeout=max(0, request.deadline - self._clock.now()),
+            priority=request.priority,
+            skip=course.received.resume_at,
+        )
+        start = AttemptStart(
+            course.attempt,
+            request.request,
+            request.workspace,
+            request.task,
+            version,
+            state.info.upstream,
+        )
+        return Trial(
+            start,
+            attempt,
+            state,
+            course.received,
+            request.prompt_tokens,
+        )
+
+    def _may_retry(
+        self,
+        progress: Progress,
+        refusal: Refusal,
+        course: _Course,
+    ) -> bool:
+        """Tell whether another attempt may be made, and count it."""
+        if refusal.code in TURN_AWAY or refusal.code in OWN_REFUSALS:
+            return False
+        if not self._is_harmless(progress, refusal, course):
+            return False
+        if progress.spent.attempts >= MOST_ATTEMPTS:
+            return False
+        if self._clock.now() >= progress.request.deadline:
+            return False
+        if not self._policies.retries.spend(progress.request):
+            progress.note('retries', 'The retry budget is spent.')
+            return False
+        self._metrics.retried(refusal.code)
+        progress.note('retries', f'Again: {refusal.code.name}.')
+        return True
+
+    def _is_harmless(
+        self,
+        progress: Progress,
+        refusal: Refusal,
+        course: _Course,
+    ) -> bool:
+        """Tell whether another attempt can neither double nor cross."""
+        if progress.request.repeatable:
+            return True
+        # Work that may not run twice goes on only at the engine that has
+        # it, or elsewhere if it is proved that nothing ran.
+        if progress.spent.ran is Ran.NOT_RUN:
+            return True
+        has_begun = bool(course.received.pieces)
+        known = course.choice.state.info.upstream not in progress.excluded
+        return has_begun and known and refusal.code in _RESUMABLE
+
+
+def _passage(
+    request: ModelRequest,
+    version: VersionId,
+    course: _Course,
+) -> Passage:
+    """Return what the gate of an attempt looks at."""
+    session = request.session
+    return Passage(
+        request.workspace,
+        request.task,
+        version,
+        ServiceName(''),
+        session.epoch if session else None,
+        course.choice.state,
+        request.deadline,
+    )
--- a/src/nutmegroad/timeouts.py
+++ b/src/nutmegroad/timeouts.py
@@ -1,6 +1,7 @@
 """Bounds on how long something may take, on the clock that is given."""
 
 import asyncio
+import math
 from types import TracebackType
 from typing import Self
 
@@ -57,6 +58,10 @@
         """Note that something was heard."""
         self._touched = self._clock.now()
 
+    def hold(self) -> None:
+        """Wait for somebody else; only the deadline counts until a touch."""
+        self._touched = math.inf
+
     async def _watch(self) -> None:
         """Sleep until the bound, and again if it has moved."""
         while True:
@@ -64,7 +69,7 @@
             left = bound - self._clock.now()
             if left <= 0:
                 break
-            await self._clock.sleep(left)
+            await self._clock.sleep(min(left, self._quiet))
         self._expired = True
         if self._guarded is not None:
             self._guarded.cancel()
--- a/src/nutmegroad/upstreams.py
+++ b/src/nutmegroad/upstreams.py
@@ -209,7 +209,10 @@
         reported: Clock seconds at which it was asked for.
         in_flight: Requests that this host has there now.
         failures: Failed attempts since the last good one.
-        leaving: Somebody has said that it is leaving.
+        leaving: It gets no new work: somebody has said that it is leaving,
+            or it refuses connections.
+        leaving_since: Clock seconds at which that was last said.
+        refusals: Connections that it refused since the last good one.
         first_seen: Clock seconds at which this host learned of it.
         in_flight_versions: This host's requests there by version.
     """
@@ -220,5 +223,7 @@
     in_flight: int = 0
     failures: int = 0
     leaving: bool = False
+    leaving_since: float = 0
+    refusals: int = 0
     first_seen: float = 0
     in_flight_versions: dict[VersionId, int] = field(default_factory=dict)
--- /dev/null
+++ b/tests/rigs.py
@@ -0,0 +1,257 @@
+"""What tests of the request path share: a host's objects, without sockets."""
+
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from experiments.deployment import read_example
+
+from nutmegroad.attempts import Attempter
+from nutmegroad.configuration import Accepted, Configuration
+from nutmegroad.decisions import Observers, Planner
+from nutmegroad.directory import Directory
+from nutmegroad.dispatch import Dispatcher
+from nutmegroad.documents import Concern, parse_document
+from nutmegroad.explanations import Explanation
+from nutmegroad.gates import Gatekeeper
+from nutmegroad.invariants import StrictInvariants
+from nutmegroad.metrics import Metrics
+from nutmegroad.policies import (
+    CheapestPlanner,
+    CountedRetries,
+    LeastInFlight,
+    NoQuarantine,
+    OpenAdmitter,
+)
+from nutmegroad.progress import Answer, Spent
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import Refusal
+from nutmegroad.steps import Instruments, Policies
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    FencingNumber,
+    IdempotencyKey,
+    RequestId,
+    Revision,
+    TaskName,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    VersionId,
+    WorkspaceId,
+)
+from nutmegroad.upstreams import (
+    AnswerEvent,
+    Attempt,
+    Ending,
+    EngineReport,
+    Piece,
+)
+
+SMALL = VersionId('brief-small@2')
+MEDIUM = VersionId('brief-medium@4')
+TASK = TaskName('checklist-tag')
+WORDS = tuple(f'w{number} ' for number in range(10))
+ENDING = Ending('stop', 5, len(WORDS))
+
+#: What an engine in a test does with an attempt.
+Script = Callable[[Attempt], list[Any]]
+
+
+def engine_info(name: str, port: int = 1) -> UpstreamInfo:
+    """Return a listed engine."""
+    return UpstreamInfo(
+        UpstreamId(name),
+        DomainId('shah-alam'),
+        UpstreamKind.ENGINE,
+        Address('127.0.0.1', port),
+    )
+
+
+def report_of(
+    *versions: VersionId,
+    leaving: bool = False,
+) -> EngineReport:
+    """Return an engine's report."""
+    return EngineReport(versions, 0, 0, 4, leaving, True, FencingNumber(0))
+
+
+def whole(attempt: Attempt) -> list[Any]:
+    """Answer from where the attempt wants to go on."""
+    pieces = [Piece(index, text) for index, text in enumerate(WORDS)]
+    return [*pieces[attempt.skip :], ENDING]
+
+
+class ScriptedEngines:
+    """Engines that do what each test says, and look at the gate first.
+
+    Attributes:
+        scripts: What happens to one attempt after another.
+        sent: Attempts whose first byte went out.
+        cancelled: Attempts that were left before their end.
+    """
+
+    def __init__(self) -> None:
+        self.scripts: list[Script] = []
+        self.sent: list[Attempt] = []
+        self.cancelled: list[Attempt] = []
+
+    @asynccontextmanager
+    async def answer(
+        self,
+        attempt: Attempt,
+    ) -> AsyncIterator[AsyncIterator[AnswerEvent]]:
+        """Open an answer."""
+        events = self._events(attempt)
+        try:
+            yield events
+        finally:
+            await events.aclose()  # type: ignore[attr-defined]
+
+    async def report(self, upstream: UpstreamInfo) -> EngineReport | Refusal:
+        """Say nothing new."""
+        raise NotImplementedError
+
+    async def order(self, upstream: UpstreamInfo, order: Any) -> None:
+        """Take no orders."""
+        raise NotImplementedError
+
+    async def _events(self, attempt: Attempt) -> AsyncIterator[AnswerEvent]:
+        refusal = attempt.gate()
+        if refusal is not None:
+            yield refusal
+            return
+        self.sent.append(attempt)
+        script = self.scripts.pop(0) if self.scripts else whole
+        ended = False
+        try:
+            for event in script(attempt):
+                if callable(event):
+                    await event()
+                else:
+                    ended = not isinstance(event, Piece)
+                    yield event
+        finally:
+            if not ended:
+                self.cancelled.append(attempt)
+
+
+class Caller:
+    """A sink that remembers what it was shown."""
+
+    def __init__(self) -> None:
+        self.pieces: list[str] = []
+        self.versions: list[VersionId] = []
+
+    @property
+    def text(self) -> str:
+        """Return all of it."""
+        return ''.join(self.pieces)
+
+    def answering(self, version: VersionId) -> None:
+        """Note the version."""
+        self.versions.append(version)
+
+    async def piece(self, text: str) -> None:
+        """Note a piece."""
+        self.pieces.append(text)
+
+
+@dataclass
+class HostRig:
+    """The request path of one host, on engines that a test scripts."""
+
+    clock: ManualClock
+    planner: Planner | None = None
+    engines: ScriptedEngines = field(default_factory=ScriptedEngines)
+    spent: Spent = field(default_factory=Spent)
+    caller: Caller = field(default_factory=Caller)
+
+    def __post_init__(self) -> None:
+        """Put the objects together."""
+        document = parse_document(read_example('lesen'))
+        self.configuration = Configuration(self.clock, 8)
+        self.configuration.take(
+            Accepted(
+                Revision(1),
+                'd',
+                document,
+                document.presets[0].name,
+                'tests',
+            ),
+        )
+        self.configuration.confirm(Revision(1), self.clock.now())
+        self.workspace = next(
+            entry for entry in document.workspaces if SMALL in entry.versions
+        )
+        self.directory = Directory(self.clock)
+        self.directory.update((engine_info('one'), engine_info('two', 2)))
+        for name in ('one', 'two'):
+            report = report_of(SMALL, MEDIUM)
+            self.directory.reported(UpstreamId(name), report)
+        self.gatekeeper = Gatekeeper(
+            self.configuration,
+            self.clock,
+            NoQuarantine(),
+        )
+        self.metrics = Metrics(float)
+        self.dispatcher = self._dispatcher()
+        self.explanation = Explanation(RequestId('r'), self.clock)
+
+    def request(self, **changes: Any) -> ModelRequest:
+        """Return a request of the first workspace."""
+        usual: dict[str, Any] = {
+            'request': RequestId('r'),
+            'workspace': WorkspaceId(self.workspace.name),
+            'concern': Concern.LATENCY,
+            'task': TASK,
+            'target': 0,
+            'versions': (SMALL,),
+            'repeatable': True,
+            'deadline': self.clock.now() + 60,
+            'priority': 1,
+            'prompt_tokens': 5,
+            'output_tokens': 10,
+            'prefix': 0,
+            'key': IdempotencyKey(''),
+            'session': None,
+            'body': {},
+        }
+        return ModelRequest(**{**usual, **changes})
+
+    async def ask(self, **changes: Any) -> Answer | Refusal:
+        """Have a request answered."""
+        return await self.dispatcher.answer(
+            self.request(**changes),
+            self.caller,
+            self.explanation,
+            self.spent,
+        )
+
+    def _dispatcher(self) -> Dispatcher:
+        randomness = random.Random(3)
+        attempter = Attempter(
+            self.engines,
+            self.directory,
+            Observers(),
+            self.configuration,
+            self.clock,
+        )
+        policies = Policies(
+            OpenAdmitter(),
+            self.planner or CheapestPlanner(self.configuration),
+            LeastInFlight(self.directory, randomness),
+            CountedRetries(),
+        )
+        return Dispatcher(
+            policies,
+            self.gatekeeper,
+            attempter,
+            Instruments(self.metrics, StrictInvariants()),
+            self.clock,
+            randomness,
+        )
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,217 @@
+"""Who is leaving, from whoever says it first, and how that is taken back."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Iterable
+from dataclasses import replace
+
+from nutmegroad.departures import Departures
+from nutmegroad.directory import REPORT_LAG, Directory, LeavingSource
+from nutmegroad.platform import Listing
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock, MemoryMesh
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    HostId,
+    Presence,
+    ServiceName,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    VersionId,
+)
+from nutmegroad.upstreams import EngineReport
+from nutmegroad.watch import UpstreamWatcher
+from tests.rigs import engine_info, report_of
+
+A1 = VersionId('a@1')
+ONE = UpstreamId('one')
+
+
+class DirectoryTest(unittest.IsolatedAsyncioTestCase):
+    """One host's directory."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.directory = Directory(self.clock)
+        self.directory.update((engine_info('one'), engine_info('two', 2)))
+        for name in ('one', 'two'):
+            self.directory.reported(UpstreamId(name), report_of(A1))
+
+    def open_engines(self) -> set[str]:
+        return {state.info.upstream for state in self.directory.engines(A1)}
+
+    async def test_each_way_of_leaving_takes_work_away_at_once(self) -> None:
+        def listed() -> None:
+            leaving = replace(engine_info('one'), presence=Presence.LEAVING)
+            self.directory.update((leaving, engine_info('two', 2)))
+
+        def refused() -> None:
+            self.directory.refused(ONE)
+            self.directory.refused(ONE)
+
+        ways = {
+            'list': listed,
+            'report': lambda: self.directory.reported(
+                ONE,
+                report_of(A1, leaving=True),
+            ),
+            'peer': lambda: self.directory.mark_leaving(
+                ONE,
+                engine_info('one').address,
+            ),
+            'refused': refused,
+            'gone': lambda: self.directory.update((engine_info('two', 2),)),
+        }
+        for name, leave in ways.items():
+            with self.subTest(name):
+                await self.asyncSetUp()
+                held = self.directory.state(ONE)
+                self.assertEqual(self.open_engines(), {'one', 'two'})
+                leave()
+                self.assertEqual(self.open_engines(), {'two'})
+                assert held is not None
+                self.assertTrue(held.leaving)
+
+    async def test_only_its_own_later_word_takes_leaving_back(self) -> None:
+        self.directory.mark_leaving(ONE)
+        self.directory.update((engine_info('one'), engine_info('two', 2)))
+        self.assertEqual(self.open_engines(), {'two'})
+        self.directory.reported(ONE, report_of(A1))
+        self.assertEqual(self.open_engines(), {'two'})
+        await self.clock.advance(REPORT_LAG)
+        self.directory.reported(ONE, report_of(A1), asked=1)
+        self.assertEqual(self.open_engines(), {'two'})
+        self.directory.reported(ONE, report_of(A1))
+        self.assertEqual(self.open_engines(), {'one', 'two'})
+
+    async def test_another_address_is_another_run(self) -> None:
+        before = self.directory.state(ONE)
+        self.directory.mark_leaving(ONE)
+        moved = engine_info('one', 9)
+        self.directory.update((moved, engine_info('two', 2)))
+        self.directory.reported(ONE, report_of(A1))
+        self.assertEqual(self.open_engines(), {'one', 'two'})
+        assert before is not None
+        self.assertTrue(before.leaving)
+        old = engine_info('one').address
+        self.directory.mark_leaving(ONE, old)
+        self.assertEqual(self.open_engines(), {'one', 'two'})
+
+    async def test_word_of_a_run_that_is_not_listed_yet_is_kept(self) -> None:
+        address = Address('127.0.0.1', 7)
+        self.assertTrue(self.directory.mark_leaving(UpstreamId('n'), address))
+        self.assertFalse(self.directory.mark_leaving(UpstreamId('n'), address))
+        self.directory.update((engine_info('n', 7),))
+        self.directory.reported(UpstreamId('n'), report_of(A1))
+        self.assertEqual(self.open_engines(), set())
+
+    async def test_a_service_that_refused_is_tried_again_later(self) -> None:
+        name = ServiceName('desk')
+        desk = replace(
+            engine_info('desk', 5),
+            kind=UpstreamKind.SERVICE,
+            service=name,
+        )
+        self.directory.update((desk,))
+        for _ in range(2):
+            self.directory.refused(desk.upstream)
+        self.directory.update((desk,))
+        self.assertEqual(self.directory.services(name), ())
+        await self.clock.advance(10)
+        self.directory.update((desk,))
+        self.assertEqual(len(self.directory.services(name)), 1)
+
+
+class DeparturesTest(unittest.IsolatedAsyncioTestCase):
+    """Hosts tell one another."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.mesh = MemoryMesh(self.clock, random.Random(1))
+        await self.enterAsyncContext(self.mesh)
+        self.directories = [
+            self.host(name, domain)
+            for name, domain in (('a', 'east'), ('b', 'east'), ('c', 'west'))
+        ]
+
+    def host(self, name: str, domain: str) -> Directory:
+        directory = Directory(self.clock)
+        directory.update((engine_info('one'),))
+        peer = self.mesh.join(HostId(name), DomainId(domain))
+        Departures(peer, directory, DomainId(domain))
+        return directory
+
+    def leaving(self) -> list[bool]:
+        states = [directory.state(ONE) for directory in self.directories]
+        return [state is not None and state.leaving for state in states]
+
+    async def test_an_upstreams_word_reaches_all_while_the_list_lags(
+        self,
+    ) -> None:
+        # A host of the other domain hears it only by way of another host.
+        self.mesh.cut(HostId('a'), HostId('c'))
+        self.directories[0].reported(ONE, report_of(A1, leaving=True))
+        await self.clock.advance(0.1)
+        self.assertEqual(self.leaving(), [True, True, True])
+
+    async def test_a_refused_connection_is_not_told(self) -> None:
+        self.directories[0].refused(ONE)
+        self.directories[0].refused(ONE)
+        await self.clock.advance(0.1)
+        self.assertEqual(self.leaving(), [True, False, False])
+
+
+class FrozenEngines:
+    """Engines of which one never answers."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.asked: list[str] = []
+
+    async def report(self, upstream: UpstreamInfo) -> EngineReport | Refusal:
+        """Answer, but for one engine."""
+        self.asked.append(upstream.upstream)
+        if upstream.upstream == 'one':
+            await self.clock.sleep(2)
+            return Refusal(ResultCode.UPSTREAM_TIMEOUT, 'frozen')
+        return report_of(A1, leaving=True)
+
+
+class FixedList:
+    """A host list that never changes."""
+
+    def __init__(self, upstreams: Iterable[UpstreamInfo]) -> None:
+        self.upstreams = tuple(upstreams)
+
+    async def listing(self) -> Listing:
+        """Return the list."""
+        return Listing((), self.upstreams)
+
+
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    """Engines are asked side by side."""
+
+    async def test_a_frozen_engine_holds_up_no_other(self) -> None:
+        clock = ManualClock()
+        directory = Directory(clock)
+        heard: list[tuple[str, LeavingSource]] = []
+        directory.listen(lambda info, how: heard.append((info.upstream, how)))
+        engines = FrozenEngines(clock)
+        infos = [engine_info('one')]
+        infos.extend(engine_info(f'e{number}', number) for number in range(99))
+        watcher = UpstreamWatcher(
+            FixedList(infos),
+            engines,  # type: ignore[arg-type]
+            directory,
+            clock,
+            random.Random(5),
+            1,
+        )
+        async with watcher:
+            await clock.advance(1.3)
+            self.assertEqual(len(heard), 99)
+            await asyncio.sleep(0)
+            self.assertIn('one', engines.asked)
--- /dev/null
+++ b/tests/test_gates.py
@@ -0,0 +1,132 @@
+"""The last check looks at what holds at the first byte of every attempt."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from nutmegroad.documents import Withdrawal
+from nutmegroad.pauses import PauseDetector
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import Presence, Ran, Revision, UpstreamId
+from nutmegroad.upstreams import Attempt, Piece
+from tests.rigs import HostRig, engine_info
+
+CUT = Refusal(ResultCode.ANSWER_CUT, 'cut', Ran.UNKNOWN)
+
+
+class GateTest(unittest.IsolatedAsyncioTestCase):
+    """Something changes between the plan and the first byte."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.rig = HostRig(self.clock)
+
+    async def refused_as(self, code: ResultCode) -> None:
+        outcome = await self.rig.ask()
+        self.assertIsInstance(outcome, Refusal)
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.code, code)
+        self.assertIs(outcome.ran, Ran.NOT_RUN)
+        self.assertEqual(self.rig.engines.sent, [])
+
+    async def test_a_withdrawn_version_gets_no_first_byte(self) -> None:
+        self.rig.configuration.withdraw(
+            (Withdrawal(version='brief-small@2', epoch=0),),
+        )
+        await self.refused_as(ResultCode.VERSION_WITHDRAWN)
+
+    async def test_a_retry_is_held_to_a_withdrawal_that_came_since(
+        self,
+    ) -> None:
+        async def withdraw() -> None:
+            fact = Withdrawal(version='brief-small@2', epoch=0)
+            self.rig.configuration.withdraw((fact,))
+
+        self.rig.engines.scripts = [lambda attempt: [withdraw, CUT]]
+        outcome = await self.rig.ask()
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.code, ResultCode.VERSION_WITHDRAWN)
+        self.assertIs(outcome.ran, Ran.UNKNOWN)
+        self.assertEqual(len(self.rig.engines.sent), 1)
+
+    async def test_a_resumption_is_held_to_a_withdrawal_too(self) -> None:
+        async def withdraw() -> None:
+            fact = Withdrawal(version='brief-small@2', epoch=0)
+            self.rig.configuration.withdraw((fact,))
+
+        def script(attempt: Attempt) -> list[object]:
+            return [Piece(0, 'w0 '), withdraw, CUT]
+
+        self.rig.engines.scripts = [script]
+        outcome = await self.rig.ask()
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(len(self.rig.engines.sent), 1)
+
+    async def test_no_first_byte_after_the_deadline(self) -> None:
+        outcome = await self.rig.ask(deadline=self.clock.now())
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.code, ResultCode.DEADLINE_PASSED)
+        self.assertEqual(self.rig.engines.sent, [])
+
+    async def test_a_condition_of_the_host_holds_back_everything(self) -> None:
+        stopping = Refusal(ResultCode.HOST_STOPPING, 'stopping')
+        self.rig.gatekeeper.require(lambda: stopping)
+        await self.refused_as(ResultCode.HOST_STOPPING)
+
+    async def test_an_upstream_that_leaves_is_passed_over(self) -> None:
+        info = engine_info('one')
+        leaving = replace(info, presence=Presence.LEAVING)
+        self.rig.directory.update((leaving, engine_info('two', 2)))
+        await self.rig.ask()
+        sent = [attempt.upstream.upstream for attempt in self.rig.engines.sent]
+        self.assertEqual(sent, [UpstreamId('two')])
+
+
+class PauseTest(unittest.IsolatedAsyncioTestCase):
+    """The process was stopped for a while."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.rig = HostRig(self.clock)
+        self.detector = PauseDetector(self.clock, self.rig.configuration, 8)
+        self.rig.gatekeeper.require(self.detector.refusal)
+
+    async def code(self) -> ResultCode:
+        outcome = await self.rig.ask()
+        return outcome.code if isinstance(outcome, Refusal) else ResultCode.OK
+
+    async def test_nothing_is_sent_until_a_later_read_confirms(self) -> None:
+        configuration = self.rig.configuration
+        await self.clock.jump(2)
+        # Nothing has ticked since, so the gate itself must notice.
+        self.assertEqual(await self.code(), ResultCode.HOST_PAUSED)
+        configuration.confirm(Revision(1), self.clock.now() - 1)
+        self.assertEqual(await self.code(), ResultCode.HOST_PAUSED)
+        configuration.confirm(Revision(1), self.clock.now())
+        self.assertEqual(await self.code(), ResultCode.OK)
+
+    async def test_without_a_platform_the_rules_of_isolation_hold(self) -> None:
+        await self.clock.jump(2)
+        self.assertEqual(await self.code(), ResultCode.HOST_PAUSED)
+        for _ in range(90):
+            await self.clock.advance(0.1)
+            self.detector.tick()
+        self.assertTrue(self.rig.configuration.isolated)
+        self.assertIsNone(self.detector.refusal())
+
+    async def test_a_pause_is_followed_by_a_question_at_once(self) -> None:
+        asked: list[float] = []
+
+        async def ask() -> None:
+            asked.append(self.clock.now())
+            self.rig.configuration.confirm(Revision(1), self.clock.now())
+
+        task = asyncio.create_task(self.detector.confirm_after(ask))
+        await self.clock.settle()
+        await self.clock.jump(2)
+        self.assertIsNotNone(self.detector.refusal())
+        await self.clock.settle()
+        self.assertEqual(asked, [2])
+        self.assertIsNone(self.detector.refusal())
+        task.cancel()
