Prove resumption, sessions and the phases of a stop on a moved clock

Found by the tests: a cascade ran a request that may not be repeated twice, so such a request now takes its plan's last step only; and a session's name with a slash could reach another workspace's row, so names are quoted in row keys.

--- a/src/nutmegroad/dispatch.py
+++ b/src/nutmegroad/dispatch.py
@@ -150,6 +150,8 @@
             plan = self._policies.planner.plan(request)
             if isinstance(plan, Refusal):
                 return plan if refusal is None else refusal
+            if not request.repeatable:
+                plan = _last_step(plan)
             progress.note('planner', _describe(plan))
             outcome, failed = await self._follow(progress, plan)
             if not isinstance(outcome, Refusal):
@@ -266,6 +268,11 @@
     )
 
 
+def _last_step(plan: Plan) -> Plan:
+    """Return a plan that runs once: a cascade may run twice."""
+    return replace(plan, steps=plan.steps[-1:], accept=())
+
+
 def _describe(plan: Plan) -> str:
     """Say what a plan is."""
     steps = ' then '.join(plan.steps)
--- a/src/nutmegroad/session_names.py
+++ b/src/nutmegroad/session_names.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections import OrderedDict
 from typing import ClassVar, Final
+from urllib.parse import quote
 
 import msgspec
 
@@ -187,7 +188,9 @@
 
 def _key(workspace: WorkspaceId, name: str) -> RowKey:
     """Return the row of a session."""
-    return RowKey(f'{_PREFIX}{workspace}/{name}')
+    # A slash in either must not make it another session's key.
+    parts = (quote(part, safe='') for part in (workspace, name))
+    return RowKey(_PREFIX + '/'.join(parts))
 
 
 def _unknown(name: str) -> Refusal:
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,196 @@
+"""An answer that breaks off goes on where it was, or ends in the open."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from nutmegroad.progress import Answer
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import Ran
+from nutmegroad.upstreams import Attempt, Ending, Piece
+from tests.rigs import ENDING, WORDS, HostRig, Script, whole
+
+CUT = Refusal(ResultCode.ANSWER_CUT, 'cut', Ran.UNKNOWN)
+CROSSED = Refusal(ResultCode.ANSWER_CROSSED, 'crossed', Ran.UNKNOWN)
+GONE = Refusal(ResultCode.UPSTREAM_UNREACHABLE, 'gone', Ran.NOT_RUN)
+TEXT = ''.join(WORDS)
+
+
+def broken(count: int, refusal: Refusal = CUT) -> Script:
+    """Return a script that breaks off after some pieces."""
+
+    def script(attempt: Attempt) -> list[object]:
+        """Break off."""
+        return [*whole(attempt)[:count], refusal]
+
+    return script
+
+
+def refused(refusal: Refusal) -> Script:
+    """Return a script that only refuses."""
+    return broken(0, refusal)
+
+
+def another(attempt: Attempt) -> list[object]:
+    """Answer in other words."""
+    pieces = [Piece(index, f'x{index} ') for index in range(len(WORDS))]
+    return [*pieces[attempt.skip :], ENDING]
+
+
+def shorter(attempt: Attempt) -> list[object]:
+    """End before what was shown already."""
+    return [Ending('stop', 5, 3)]
+
+
+class ResumeTest(unittest.IsolatedAsyncioTestCase):
+    """Streams that are cut after something was shown."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.rig = HostRig(self.clock)
+
+    async def ask(self, *scripts: Script, repeatable: bool = True) -> object:
+        self.rig.engines.scripts = list(scripts)
+        return await self.rig.ask(repeatable=repeatable)
+
+    def sent(self) -> list[tuple[str, int]]:
+        attempts = self.rig.engines.sent
+        return [(sent.upstream.upstream, sent.skip) for sent in attempts]
+
+    async def test_it_goes_on_at_the_same_engine_as_the_same_attempt(
+        self,
+    ) -> None:
+        answer = await self.ask(broken(6))
+        assert isinstance(answer, Answer)
+        self.assertEqual((answer.text, self.rig.caller.text), (TEXT, TEXT))
+        first, second = self.rig.engines.sent
+        self.assertEqual(first.upstream, second.upstream)
+        self.assertEqual(first.attempt, second.attempt)
+        self.assertEqual(second.skip, 2)
+
+    async def test_it_goes_on_elsewhere_under_the_same_seed(self) -> None:
+        answer = await self.ask(broken(6), refused(GONE))
+        assert isinstance(answer, Answer)
+        self.assertEqual(self.rig.caller.text, TEXT)
+        attempts = self.rig.engines.sent
+        self.assertNotEqual(attempts[0].upstream, attempts[2].upstream)
+        self.assertNotEqual(attempts[0].attempt, attempts[2].attempt)
+        self.assertEqual(attempts[0].body, attempts[2].body)
+        self.assertIn(b'"seed":', attempts[0].body)
+
+    async def test_what_may_not_run_twice_never_goes_on_elsewhere(
+        self,
+    ) -> None:
+        outcome = await self.ask(
+            broken(6),
+            refused(GONE),
+            repeatable=False,
+        )
+        assert isinstance(outcome, Refusal)
+        self.assertIs(outcome.ran, Ran.UNKNOWN)
+        upstreams = {upstream for upstream, _ in self.sent()}
+        self.assertEqual(len(upstreams), 1)
+
+    async def test_other_words_are_never_joined_to_those_shown(self) -> None:
+        for name, script in (('other', another), ('short', shorter)):
+            with self.subTest(name):
+                await self.asyncSetUp()
+                outcome = await self.ask(broken(6), script, script)
+                assert isinstance(outcome, Refusal)
+                self.assertEqual(outcome.code, ResultCode.ANSWER_CROSSED)
+                shown = ''.join(WORDS[:6])
+                self.assertEqual(self.rig.caller.text, shown)
+
+    async def test_a_crossed_answer_is_not_resumed_where_it_crossed(
+        self,
+    ) -> None:
+        answer = await self.ask(broken(6, CROSSED))
+        assert isinstance(answer, Answer)
+        self.assertEqual(self.rig.caller.text, TEXT)
+        upstreams = [upstream for upstream, _ in self.sent()]
+        self.assertEqual(len(set(upstreams)), 2)
+
+    async def test_each_token_is_paid_once(self) -> None:
+        answer = await self.ask(broken(6))
+        assert isinstance(answer, Answer)
+        entry = self.rig.configuration.entry(answer.version)
+        assert entry is not None
+        # Prompt twice; ten words, and two that were written to compare.
+        expected = (2 * 5 * entry.price_in + 14 * entry.price_out) / 1000
+        self.assertAlmostEqual(answer.cost, expected)
+        self.assertEqual(answer.output_tokens, 10)
+
+    async def test_a_refusal_after_a_cut_does_not_say_not_run(self) -> None:
+        gone = [refused(GONE) for _ in range(6)]
+        outcome = await self.ask(broken(2), *gone)
+        assert isinstance(outcome, Refusal)
+        self.assertIs(outcome.ran, Ran.UNKNOWN)
+        self.assertEqual(self.rig.spent.ran, Ran.UNKNOWN)
+
+    async def test_silence_ends_an_attempt_and_it_is_resumed(self) -> None:
+        def silent(attempt: Attempt) -> list[object]:
+            async def wait() -> None:
+                await self.clock.sleep(99)
+
+            return [Piece(0, WORDS[0]), wait]
+
+        task = asyncio.create_task(self.ask(silent))
+        await self.clock.advance(11)
+        answer = await task
+        assert isinstance(answer, Answer)
+        self.assertEqual(self.rig.caller.text, TEXT)
+        self.assertEqual(len(self.rig.engines.cancelled), 1)
+
+
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    """Callers that are slow, or go away."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.rig = HostRig(self.clock)
+
+    def show(self, work: Callable[[], Awaitable[None]]) -> None:
+        inner = self.rig.caller.piece
+
+        async def piece(text: str) -> None:
+            await inner(text)
+            await work()
+
+        self.rig.caller.piece = piece  # type: ignore[method-assign]
+
+    async def test_a_slow_caller_does_not_count_as_a_silent_upstream(
+        self,
+    ) -> None:
+        async def dawdle() -> None:
+            await self.clock.sleep(3 if len(self.rig.caller.pieces) > 1 else 15)
+
+        self.show(dawdle)
+        task = asyncio.create_task(self.rig.ask())
+        await self.clock.advance(50)
+        answer = await task
+        assert isinstance(answer, Answer)
+        self.assertEqual(len(self.rig.engines.sent), 1)
+
+    async def test_a_caller_that_goes_away_ends_the_work_and_pays_for_it(
+        self,
+    ) -> None:
+        never = asyncio.Event()
+
+        async def wait() -> None:
+            if len(self.rig.caller.pieces) == 3:
+                await never.wait()
+
+        self.show(wait)
+        task = asyncio.create_task(self.rig.ask())
+        await self.clock.settle()
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        self.assertEqual(len(self.rig.engines.cancelled), 1)
+        entry = self.rig.configuration.entry(self.rig.spent.version)
+        assert entry is not None
+        expected = (5 * entry.price_in + 3 * entry.price_out) / 1000
+        self.assertAlmostEqual(self.rig.spent.cost, expected)
+        self.assertIs(self.rig.spent.ran, Ran.UNKNOWN)
+        self.assertEqual(self.rig.directory.states()[0].in_flight, 0)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,204 @@
+"""Which version and which upstream a request comes to, and when it stops."""
+
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from nutmegroad.decisions import AttemptEnd
+from nutmegroad.documents import Withdrawal
+from nutmegroad.progress import Answer
+from nutmegroad.requests import ModelRequest, Plan, SessionClaim
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import Epoch, Ran, UpstreamId, VersionId
+from nutmegroad.upstreams import Attempt, Piece
+from tests.rigs import ENDING, MEDIUM, SMALL, HostRig, report_of
+
+CUT = Refusal(ResultCode.ANSWER_CUT, 'cut', Ran.UNKNOWN)
+WITHDRAWN = (Withdrawal(version=SMALL, epoch=0),)
+
+
+def refuse_all(attempt: Attempt) -> list[Any]:
+    """Refuse the connection."""
+    return [Refusal(ResultCode.UPSTREAM_UNREACHABLE, 'gone')]
+
+
+class Cascade:
+    """A planner of two steps, which finds the first answer good or bad."""
+
+    def __init__(self, estimate: float) -> None:
+        self.judged = estimate
+
+    def plan(self, request: ModelRequest) -> Plan:
+        """Return both steps, as far as they are allowed."""
+        steps = request.versions
+        return Plan(steps, (0.5,) * (len(steps) - 1), 1, 1, 'test')
+
+    def estimate(self, request: ModelRequest, end: AttemptEnd) -> float:
+        """Return what the test says."""
+        return self.judged
+
+
+class CascadeTest(unittest.IsolatedAsyncioTestCase):
+    """A cheap step whose answer is kept back until it is judged."""
+
+    def rig(self, estimate: float) -> HostRig:
+        return HostRig(ManualClock(), Cascade(estimate))
+
+    async def ask(self, rig: HostRig, **changes: Any) -> Answer | Refusal:
+        return await rig.ask(versions=(SMALL, MEDIUM), **changes)
+
+    async def test_a_good_first_answer_is_shown_as_its_own_version(
+        self,
+    ) -> None:
+        rig = self.rig(0.9)
+        answer = await self.ask(rig)
+        assert isinstance(answer, Answer)
+        self.assertEqual(answer.version, SMALL)
+        self.assertEqual(rig.caller.versions[-1], SMALL)
+        self.assertEqual(rig.caller.text, answer.text)
+
+    async def test_nothing_of_a_bad_first_answer_is_shown(self) -> None:
+        rig = self.rig(0.1)
+
+        def words(attempt: Attempt) -> list[Any]:
+            return [Piece(0, 'bad'), ENDING]
+
+        rig.engines.scripts = [words]
+        answer = await self.ask(rig)
+        assert isinstance(answer, Answer)
+        self.assertEqual(answer.version, MEDIUM)
+        self.assertNotIn('bad', rig.caller.text)
+        self.assertEqual(rig.spent.attempts, 2)
+
+    async def test_the_last_step_is_held_to_a_withdrawal_too(self) -> None:
+        rig = self.rig(0.1)
+
+        async def withdraw() -> None:
+            fact = Withdrawal(version=MEDIUM, epoch=0)
+            rig.configuration.withdraw((fact,))
+
+        def script(attempt: Attempt) -> list[Any]:
+            return [Piece(0, 'bad'), withdraw, ENDING]
+
+        rig.engines.scripts = [script]
+        answer = await self.ask(rig)
+        assert isinstance(answer, Answer)
+        self.assertEqual(answer.version, SMALL)
+        versions = {sent.version for sent in rig.engines.sent}
+        self.assertEqual(versions, {SMALL})
+
+    async def test_what_may_not_run_twice_takes_the_last_step_only(
+        self,
+    ) -> None:
+        rig = self.rig(0.1)
+        answer = await self.ask(rig, repeatable=False)
+        assert isinstance(answer, Answer)
+        self.assertEqual([sent.version for sent in rig.engines.sent], [MEDIUM])
+
+
+class SessionTest(unittest.IsolatedAsyncioTestCase):
+    """A session that holds a version."""
+
+    async def asyncSetUp(self) -> None:
+        self.rig = HostRig(ManualClock())
+        self.session = SessionClaim('s', SMALL, Epoch(0))
+
+    async def ask(self) -> Answer | Refusal:
+        return await self.rig.ask(session=self.session)
+
+    async def test_its_version_withdrawn_ends_it_not_run(self) -> None:
+        self.rig.configuration.withdraw(WITHDRAWN)
+        outcome = await self.ask()
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.code, ResultCode.SESSION_ENDED)
+        self.assertIs(outcome.ran, Ran.NOT_RUN)
+        self.assertEqual(self.rig.engines.sent, [])
+
+    async def test_withdrawn_and_unloaded_it_still_says_so(self) -> None:
+        for name in ('one', 'two'):
+            self.rig.directory.reported(UpstreamId(name), report_of(MEDIUM))
+        self.rig.configuration.withdraw(WITHDRAWN)
+        outcome = await self.ask()
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.code, ResultCode.SESSION_ENDED)
+
+    async def test_withdrawn_between_attempts_it_ends_as_what_is_known(
+        self,
+    ) -> None:
+        async def withdraw() -> None:
+            self.rig.configuration.withdraw(WITHDRAWN)
+
+        self.rig.engines.scripts = [lambda attempt: [withdraw, CUT]]
+        outcome = await self.ask()
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.code, ResultCode.SESSION_ENDED)
+        self.assertIs(outcome.ran, Ran.UNKNOWN)
+
+    async def test_it_never_turns_to_another_version(self) -> None:
+        for name in ('one', 'two'):
+            self.rig.directory.reported(UpstreamId(name), report_of(MEDIUM))
+        request = self.rig.request(
+            session=self.session,
+            versions=(SMALL, MEDIUM),
+        )
+        outcome = await self.rig.dispatcher.answer(
+            request,
+            self.rig.caller,
+            self.rig.explanation,
+        )
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.code, ResultCode.NO_UPSTREAM)
+
+    async def test_a_new_one_settles_on_a_version_that_can_answer(
+        self,
+    ) -> None:
+        request = self.rig.request(versions=(SMALL, MEDIUM))
+        self.assertEqual(self.rig.dispatcher.settle_on(request), SMALL)
+        self.rig.configuration.withdraw(WITHDRAWN)
+        self.assertEqual(self.rig.dispatcher.settle_on(request), MEDIUM)
+
+    async def test_another_epoch_is_another_version(self) -> None:
+        self.rig.configuration.withdraw(WITHDRAWN)
+        self.session = replace(self.session, epoch=Epoch(1))
+        answer = await self.ask()
+        self.assertIsInstance(answer, Answer)
+
+
+class RetryTest(unittest.IsolatedAsyncioTestCase):
+    """Attempts that fail before anything is shown."""
+
+    async def asyncSetUp(self) -> None:
+        self.rig = HostRig(ManualClock())
+
+    async def test_what_may_not_run_twice_is_sent_once(self) -> None:
+        self.rig.engines.scripts = [lambda attempt: [CUT]]
+        outcome = await self.rig.ask(repeatable=False)
+        assert isinstance(outcome, Refusal)
+        self.assertIs(outcome.ran, Ran.UNKNOWN)
+        self.assertEqual(len(self.rig.engines.sent), 1)
+
+    async def test_what_is_proved_not_run_is_tried_elsewhere(self) -> None:
+        busy = Refusal(ResultCode.UPSTREAM_BUSY, 'busy')
+        self.rig.engines.scripts = [lambda attempt: [busy]]
+        answer = await self.rig.ask(repeatable=False)
+        self.assertIsInstance(answer, Answer)
+        upstreams = {sent.upstream for sent in self.rig.engines.sent}
+        self.assertEqual(len(upstreams), 2)
+        shown = self.rig.metrics.render().decode()
+        self.assertIn('retries_total{code="UPSTREAM_BUSY"} 1.0', shown)
+
+    async def test_a_version_without_upstreams_gives_way(self) -> None:
+        for name in ('one', 'two'):
+            self.rig.directory.reported(UpstreamId(name), report_of(MEDIUM))
+        answer = await self.rig.ask(versions=(SMALL, MEDIUM))
+        assert isinstance(answer, Answer)
+        self.assertEqual(answer.version, VersionId(MEDIUM))
+
+    async def test_upstreams_that_refuse_connections_get_no_more(
+        self,
+    ) -> None:
+        for _ in range(2):
+            self.rig.engines.scripts = [refuse_all, refuse_all]
+            await self.rig.ask()
+        self.assertEqual(self.rig.directory.engines(SMALL), ())
--- /dev/null
+++ b/tests/test_graceful_stop.py
@@ -0,0 +1,76 @@
+"""A stop takes no new work, lets open work end, and ends the rest openly."""
+
+import asyncio
+import unittest
+
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.stops import GracefulStop, Phase
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import Ran
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """The phases of a stop."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.stop = GracefulStop(self.clock, lame_duck=1, limit=10)
+        self.ended: list[str] = []
+
+    def open_request(self, seconds: float) -> asyncio.Task[None]:
+        async def work() -> None:
+            with self.stop.request():
+                try:
+                    await self.clock.sleep(seconds)
+                    self.ended.append('whole')
+                except asyncio.CancelledError:
+                    self.ended.append('ended')
+
+        return asyncio.create_task(work())
+
+    async def test_readiness_falls_before_work_is_refused(self) -> None:
+        told: list[Phase] = []
+        self.stop.listen(lambda: told.append(self.stop.phase))
+        task = asyncio.create_task(self.stop.run())
+        await self.clock.settle()
+        self.assertFalse(self.stop.is_ready)
+        self.assertIsNone(self.stop.refusal())
+        self.assertEqual(told, [Phase.LEAVING])
+        await self.clock.advance(1)
+        refusal = self.stop.refusal()
+        assert refusal is not None
+        self.assertEqual(refusal.code, ResultCode.HOST_STOPPING)
+        self.assertIs(refusal.ran, Ran.NOT_RUN)
+        self.assertGreater(refusal.retry_after, 0)
+        self.assertEqual(await task, 0)
+
+    async def test_open_requests_end_whole_and_may_still_send(self) -> None:
+        request = self.open_request(7)
+        task = asyncio.create_task(self.stop.run())
+        await self.clock.advance(6)
+        self.assertFalse(task.done())
+        self.assertIsNone(self.stop.gate_refusal())
+        await self.clock.advance(2)
+        await request
+        self.assertEqual(await task, 0)
+        self.assertEqual(self.ended, ['whole'])
+
+    async def test_what_is_open_at_the_limit_is_ended(self) -> None:
+        request = self.open_request(99)
+        task = asyncio.create_task(self.stop.run())
+        await self.clock.advance(10.1)
+        await request
+        self.assertEqual(await task, 1)
+        self.assertEqual(self.ended, ['ended'])
+        self.assertIsInstance(self.stop.gate_refusal(), Refusal)
+
+    async def test_a_second_stop_changes_nothing(self) -> None:
+        request = self.open_request(7)
+        task = asyncio.create_task(self.stop.run())
+        await self.clock.advance(2)
+        self.assertEqual(await self.stop.run(), 0)
+        self.assertFalse(request.done())
+        await self.clock.advance(6)
+        await request
+        self.assertEqual(await task, 0)
+        self.assertEqual(self.ended, ['whole'])
