--- a/src/nutmegroad/_caller_guard.py
+++ b/src/nutmegroad/_caller_guard.py
@@ -4,7 +4,13 @@
 from typing import Final
 
 from aiohttp.typedefs import Handler, Middleware
-from aiohttp.web import Application, Request, StreamResponse, middleware
+from aiohttp.web import (
+    Application,
+    Request,
+    RequestKey,
+    StreamResponse,
+    middleware,
+)
 
 from nutmegroad.metrics import Metrics
 from nutmegroad.replies import EventStream, refuse
@@ -13,7 +19,7 @@
 from nutmegroad.types import RequestId
 
 #: Where a request keeps the stream of its answer.
-STREAM_KEY: Final = 'nutmegroad.stream'
+STREAM_KEY: Final = RequestKey('stream', EventStream)
 
 _NO_REQUEST: Final = RequestId('-')
 
@@ -69,8 +75,8 @@
     async def _end(self, http: Request, refusal: Refusal) -> StreamResponse:
         """Say why a request ends before its answer has."""
         self._metrics.refused(ResultCode.HOST_STOPPING)
-        stream = http.get(STREAM_KEY)
-        if isinstance(stream, EventStream) and stream.response is not None:
+        stream: EventStream | None = http.get(STREAM_KEY)
+        if stream is not None and stream.response is not None:
             return await stream.fail(refusal)
         return refuse(refusal, _NO_REQUEST)
 
@@ -81,6 +87,8 @@
     ) -> None:
         """Have clients open no more requests on a connection."""
         if not self._stop.is_ready:
+            # The library has written this header already.
+            response.headers['Connection'] = 'close'
             response.force_close()
 
     def _show_open(self) -> None:
--- a/src/nutmegroad/_http_upstreams.py
+++ b/src/nutmegroad/_http_upstreams.py
@@ -67,7 +67,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.duplicates = 0
-        self._cancels: set[asyncio.Task[None]] = set()
+        self._cancels: dict[AttemptId, asyncio.Task[None]] = {}
 
     async def __aenter__(self) -> Self:
         """Open the session; close it after the last cancellation."""
@@ -81,6 +81,10 @@
         attempt: Attempt,
     ) -> AsyncIterator[AsyncIterator[AnswerEvent]]:
         """Open an answer; leaving the context early cancels it."""
+        # A cancellation on its way would hit an attempt that is resumed.
+        pending = self._cancels.get(attempt.attempt)
+        if pending is not None:
+            await asyncio.wait((pending,))
         call = AnswerCall(self, attempt)
         try:
             async with aclosing(call.events()) as events:
@@ -153,8 +157,13 @@
         task = asyncio.create_task(
             self._cancel(attempt.upstream, attempt.attempt),
         )
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
+        self._cancels[attempt.attempt] = task
+        task.add_done_callback(lambda done: self._forget(attempt, done))
+
+    def _forget(self, attempt: Attempt, done: asyncio.Task[None]) -> None:
+        """Forget a cancellation that is over, unless another follows."""
+        if self._cancels.get(attempt.attempt) is done:
+            self._cancels.pop(attempt.attempt)
 
     async def _cancel(
         self,
@@ -178,7 +187,7 @@
 
     async def _finish_cancels(self) -> None:
         """Wait for cancellations under way."""
-        await asyncio.gather(*self._cancels, return_exceptions=True)
+        await asyncio.gather(*self._cancels.values(), return_exceptions=True)
 
 
 class HttpServiceClient(HttpClient):
--- /dev/null
+++ b/tests/hosts.py
@@ -0,0 +1,126 @@
+"""A whole host in this process, on stand-ins that tests switch faults of."""
+
+import random
+from contextlib import AsyncExitStack
+from typing import Any, Final
+
+import msgspec
+from aiohttp import ClientSession
+from experiments.deployment import operate, read_example, workspace_key
+from fakes.engine import FakeEngine
+from fakes.engine_settings import EngineSettings, ShelfSettings
+from fakes.faults import FaultKind, FaultOrder
+from fakes.platform import FakePlatform, PlatformOptions
+
+from nutmegroad._platform_bodies import ListingBody
+from nutmegroad.clocks import SystemClock
+from nutmegroad.core import Kernel
+from nutmegroad.plugins import load_plugins
+from nutmegroad.settings import Settings
+from nutmegroad.types import Address, DomainId, HostId
+from tests.quick import QUICK_SPEED, quick_settings
+
+VERSIONS: Final = ('brief-small@2', 'brief-medium@4')
+TOKEN: Final = 'a-bootstrap-token-for-tests'
+KEY: Final = workspace_key('head-office')
+NOWHERE: Final = Address('127.0.0.1', 0)
+
+
+def fast_engine(**changes: Any) -> EngineSettings:
+    """Return the settings of an engine that has two versions loaded."""
+    shelf = ShelfSettings(loaded=VERSIONS, loadable=(), load_seconds=0)
+    usual = {'shelf': shelf, 'speed': QUICK_SPEED}
+    return quick_settings(**{**usual, **changes})
+
+
+class WholeHost:
+    """A platform, two engines and one host, opened together.
+
+    Attributes:
+        platform: The platform.
+        engines: Both engines.
+        kernel: The host.
+        session: Calls it as a caller would.
+    """
+
+    def __init__(self, engine_settings: EngineSettings) -> None:
+        clock = SystemClock()
+        self.platform = FakePlatform(PlatformOptions(lag=0), clock)
+        self.engines = [FakeEngine(engine_settings) for _ in range(2)]
+        self.kernel: Kernel
+        self.session: ClientSession
+
+    async def open(self, stack: AsyncExitStack, **changes: Any) -> None:
+        """Open everything and put the configuration into force."""
+        load_plugins()
+        await stack.enter_async_context(self.platform)
+        for engine in self.engines:
+            await stack.enter_async_context(engine)
+        self.platform.hosts.tell(
+            msgspec.convert({'upstreams': self._listed()}, ListingBody),
+        )
+        self.kernel = Kernel(
+            self._settings(changes),
+            SystemClock(),
+            random.Random(1),
+        )
+        await stack.enter_async_context(self.kernel)
+        await self.kernel.start()
+        operators = self.kernel.listening['operators']
+        body = {'text': read_example('lesen')}
+        await operate(operators, 'configuration', body, TOKEN)
+        self.session = await stack.enter_async_context(ClientSession())
+
+    def fault(self, kind: FaultKind, **changes: Any) -> None:
+        """Switch a fault of both engines on."""
+        for engine in self.engines:
+            engine.faults.add(FaultOrder(kind, scope='answers', **changes))
+
+    def body(self, tokens: int = 8, **changes: Any) -> dict[str, Any]:
+        """Return the body of a model request."""
+        usual = {
+            'model': 'checklist-tag',
+            'messages': [{'role': 'user', 'content': 'a form'}],
+            'nutmegroad_tokens': tokens,
+        }
+        return {**usual, **changes}
+
+    def url(self, path: str = 'chat/completions') -> str:
+        """Return the address of a caller's call."""
+        return f'http://{self.kernel.listening["callers"]}/v1/{path}'
+
+    def headers(self, session: str = '') -> dict[str, str]:
+        """Return the headers of a workspace, in a session or in none."""
+        headers = {'Authorization': f'Bearer {KEY}'}
+        if session:
+            headers['Nutmegroad-Session'] = session
+        return headers
+
+    def _listed(self) -> list[dict[str, Any]]:
+        return [
+            {
+                'upstream': f'engine-{number}',
+                'domain': 'shah-alam',
+                'kind': 'engine',
+                'ip': engine.address.ip,
+                'port': engine.address.port,
+                'presence': 'live',
+                'service': '',
+            }
+            for number, engine in enumerate(self.engines)
+        ]
+
+    def _settings(self, changes: dict[str, Any]) -> Settings:
+        usual: dict[str, Any] = {
+            'host': HostId('h1'),
+            'domain': DomainId('shah-alam'),
+            'callers': NOWHERE,
+            'operators': NOWHERE,
+            'peers': NOWHERE,
+            'platform': self.platform.address,
+            'cluster_key': 'a-cluster-key-for-tests',
+            'bootstrap_token': TOKEN,
+            'lame_duck': 0.05,
+            'drain': 5,
+        }
+        return Settings(**{**usual, **changes})
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,257 @@
+"""What callers get over HTTP, when engines and callers go wrong."""
+
+import asyncio
+import unittest
+from contextlib import AsyncExitStack
+from typing import Any
+
+import msgspec
+from fakes.faults import FaultKind, FaultOrder
+from fakes.run_records import End
+
+from nutmegroad.billing import Biller
+from nutmegroad.configuration import Configuration
+from nutmegroad.documents import Withdrawal
+from nutmegroad.metrics import Metrics
+from nutmegroad.stops import GracefulStop, Phase
+from tests.hosts import WholeHost, fast_engine
+from tests.quick import ENDLESS
+
+DONE = b'[DONE]'
+
+
+def events_of(content: bytes) -> list[Any]:
+    """Return the JSON of a stream's events."""
+    lines = [line for line in content.split(b'\n') if line.startswith(b'data')]
+    texts = [line.removeprefix(b'data: ') for line in lines]
+    return [msgspec.json.decode(text) for text in texts if text != DONE]
+
+
+def text_of(events: list[Any]) -> str:
+    """Return the text that a stream's chunks give."""
+    chunks = [event for event in events if 'choices' in event]
+    deltas = [chunk['choices'][0]['delta'] for chunk in chunks]
+    return ''.join(delta.get('content', '') for delta in deltas)
+
+
+class CallerCase(unittest.IsolatedAsyncioTestCase):
+    """Opens a host on engines that answer quickly."""
+
+    async def asyncSetUp(self) -> None:
+        """Open it."""
+        await self.open()
+
+    async def open(self, **changes: Any) -> None:
+        """Open a host whose engines are as the test wants them."""
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.host = WholeHost(fast_engine(**changes))
+        await self.host.open(self.stack)
+
+    async def ask(self, *, stream: bool = False, session: str = '') -> Any:
+        """Make a model request; return the response, read."""
+        response = await self.host.session.post(
+            self.host.url(),
+            json=self.host.body(stream=stream),
+            headers=self.host.headers(session),
+        )
+        await response.read()
+        return response
+
+    def metric(self, line: str) -> bool:
+        """Tell whether the metrics show a line."""
+        metrics = self.host.kernel.need(Metrics)
+        return line in metrics.render().decode()
+
+
+class AnswerTest(CallerCase):
+    """Answers that engines break."""
+
+    async def assert_whole(self, *, stream: bool) -> None:
+        """Make a request and see that all of the answer comes."""
+        response = await self.ask(stream=stream)
+        content = await response.read()
+        self.assertEqual(response.status, 200, content)
+        if stream:
+            self.assertIn(DONE, content)
+            text = text_of(events_of(content))
+        else:
+            answer = msgspec.json.decode(content)
+            text = answer['choices'][0]['message']['content']
+        self.assertEqual(len(text.split()), 8)
+
+    async def test_a_stream_is_whole_and_names_version_and_session(
+        self,
+    ) -> None:
+        response = await self.ask(stream=True)
+        content = await response.read()
+        events = events_of(content)
+        self.assertTrue(content.endswith(b'data: [DONE]\n\n'))
+        self.assertEqual(len(text_of(events).split()), 8)
+        versions = {event['model'] for event in events}
+        self.assertEqual(len(versions), 1)
+        token = response.headers['Nutmegroad-Session']
+        self.assertEqual(events[-1]['session'], token)
+
+    async def test_faults_of_one_engine_are_not_seen_by_callers(
+        self,
+    ) -> None:
+        for kind in (
+            FaultKind.CUT,
+            FaultKind.DUPLICATE,
+            FaultKind.ERROR,
+            FaultKind.DOWN,
+        ):
+            engine = self.host.engines[0]
+            engine.faults.clear()
+            engine.faults.add(FaultOrder(kind, scope='answers'))
+            for number in range(6):
+                with self.subTest(kind=kind, number=number):
+                    await self.assert_whole(stream=bool(number % 2))
+
+    async def test_a_crossed_answer_is_taken_up_elsewhere(self) -> None:
+        order = FaultOrder(FaultKind.CROSS, scope='answers')
+        self.host.engines[0].faults.add(order)
+        for number in range(6):
+            with self.subTest(number=number):
+                await self.assert_whole(stream=bool(number % 2))
+
+    async def test_a_cut_stream_is_resumed_at_its_engine(self) -> None:
+        self.host.fault(FaultKind.CUT, count=1)
+        await self.assert_whole(stream=True)
+        ends = [
+            [run.ended for run in engine.runs.records]
+            for engine in self.host.engines
+        ]
+        self.assertIn([End.CUT, End.WHOLE], ends)
+
+    async def test_an_answer_that_stays_cut_never_looks_whole(self) -> None:
+        self.host.fault(FaultKind.CUT)
+        response = await self.ask(stream=True)
+        content = await response.read()
+        self.assertNotIn(DONE, content)
+        self.assertIn(b'event: error', content)
+        self.assertFalse(events_of(content)[-1]['error']['not_run'])
+        whole = await self.ask()
+        self.assertEqual(whole.status, 502)
+
+    async def test_refusals_and_requests_are_counted(self) -> None:
+        await self.ask()
+        labels = 'outcome="OK",task="checklist-tag",workspace="head-office"'
+        self.assertTrue(self.metric(f'requests_total{{{labels}}} 1.0'))
+        self.assertTrue(self.metric('first_token_seconds_count'))
+        for engine in self.host.engines:
+            engine.faults.clear()
+        self.host.fault(FaultKind.ERROR)
+        await self.ask()
+        self.assertTrue(self.metric('refusals_total{code="UPSTREAM_ERROR"}'))
+
+
+class GoneTest(CallerCase):
+    """Callers that leave before the end."""
+
+    async def asyncSetUp(self) -> None:
+        await self.open(speed=ENDLESS)
+
+    async def test_its_work_is_cancelled_at_the_engine_and_billed(
+        self,
+    ) -> None:
+        bills: list[Any] = []
+        biller: Any = self.host.kernel.need(Biller)
+        biller.record = bills.append
+        task = asyncio.create_task(self.ask(stream=True))
+        await self.until(lambda: self.ends() == [End.RUNNING])
+        task.cancel()
+        await self.until(lambda: self.ends() == [End.CANCELLED])
+        await self.until(lambda: self.metric('outcome="ANSWER_CUT"'))
+        self.assertEqual([bill.outcome for bill in bills], ['ANSWER_CUT'])
+
+    async def test_what_is_open_at_the_drain_limit_is_told_so(self) -> None:
+        stop = self.host.kernel.need(GracefulStop)
+        stop._limit = 0.2
+        task = asyncio.create_task(self.ask())
+        await self.until(lambda: self.ends() == [End.RUNNING])
+        self.assertEqual(await stop.run(), 1)
+        response = await task
+        body = await response.json()
+        self.assertEqual(response.status, 503)
+        self.assertEqual(body['error']['name'], 'HOST_STOPPING')
+        self.assertFalse(body['error']['not_run'])
+
+    def ends(self) -> list[End]:
+        runs = [
+            run for engine in self.host.engines for run in engine.runs.records
+        ]
+        return [run.ended for run in runs]
+
+    async def until(self, holds: Any) -> None:
+        async with asyncio.timeout(10):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+
+class SessionTest(CallerCase):
+    """Sessions over HTTP."""
+
+    async def test_a_named_session_keeps_its_version(self) -> None:
+        first = await self.ask(session='desk')
+        version = (await first.json())['model']
+        again = await self.host.session.post(
+            self.host.url(),
+            json=self.host.body(
+                model='brief-medium@4',
+                nutmegroad_task='checklist-tag',
+            ),
+            headers=self.host.headers('desk'),
+        )
+        self.assertEqual((await again.json())['model'], version)
+
+    async def test_without_the_table_only_a_new_name_is_refused(
+        self,
+    ) -> None:
+        known = await self.ask(session='desk')
+        token = known.headers['Nutmegroad-Session']
+        self.host.platform.faults.add(FaultOrder(FaultKind.DOWN, scope='table'))
+        for name in ('desk', token):
+            response = await self.ask(session=name)
+            self.assertEqual(response.status, 200)
+        refused = await self.ask(session='new')
+        body = await refused.json()
+        self.assertEqual(refused.status, 503)
+        self.assertTrue(body['error']['not_run'])
+        self.assertIn('Retry-After', refused.headers)
+
+    async def test_a_withdrawn_version_ends_it_not_run(self) -> None:
+        first = await self.ask(session='desk')
+        version = (await first.json())['model']
+        fact = Withdrawal(version=version, epoch=9)
+        self.host.kernel.need(Configuration).withdraw((fact,))
+        for name in ('desk', first.headers['Nutmegroad-Session']):
+            response = await self.ask(session=name)
+            body = await response.json()
+            self.assertEqual(body['error']['name'], 'SESSION_ENDED')
+            self.assertTrue(body['error']['not_run'])
+
+
+class StoppingTest(CallerCase):
+    """New work while the host stops."""
+
+    async def test_it_is_refused_as_not_run_and_the_connection_closed(
+        self,
+    ) -> None:
+        stop = self.host.kernel.need(GracefulStop)
+        with stop.request():
+            stopping = asyncio.create_task(stop.run())
+            while stop.phase is not Phase.REFUSING:
+                await asyncio.sleep(0.01)
+            response = await self.ask()
+        await stopping
+        body = await response.json()
+        self.assertEqual(response.status, 503)
+        self.assertEqual(body['error']['name'], 'HOST_STOPPING')
+        self.assertTrue(body['error']['not_run'])
+        self.assertEqual(response.headers['Connection'], 'close')
+        operators = self.host.kernel.listening['operators']
+        url = f'http://{operators}/readyz'
+        async with self.host.session.get(url) as ready:
+            self.assertEqual(ready.status, 503)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -151,6 +151,8 @@
     async def test_what_is_remembered_costs_no_read(self) -> None:
         await self.begin(0, 'v@1')
         reads = self.table.reads
+        for other in ('b', 'c'):
+            self.mesh.cut(HostId('a'), HostId(other))
         await self.find(0)
         self.assertEqual(self.table.reads, reads)
 
