Test links, membership, duties and accounting; mend what they showed

Cause: the failures that the mesh is meant for had no tests. They showed four faults, each red first and mended here: a message on the connection that loses a simultaneous connect was lost (5 s wait, seed 1 of 5), now that connection is finished and read to its end; a newcomer that learned records of a cut-off domain counted that domain as heard, and told others so; an isolated host judged others while its dead links were still open (contact is now a recent word, not a link); a link that moves to another connection forgot what news had been told.

--- a/src/nutmegroad/_beats.py
+++ b/src/nutmegroad/_beats.py
@@ -71,8 +71,9 @@
 
     def opened(self, identity: Identity) -> None:
         """Greet a host that has a link now with our view of both ends."""
+        # A link may move to another connection; what was told stays told.
         state = LinkState(identity.domain, self._table.entries.change)
-        self._links[identity.host] = state
+        self._links.setdefault(identity.host, state)
         news = [self._table.own]
         theirs = self._table.get(identity.host)
         if theirs is not None:
--- a/src/nutmegroad/_connection.py
+++ b/src/nutmegroad/_connection.py
@@ -122,6 +122,13 @@
             if not await self._send(parcels):
                 return
 
+    def finish(self) -> None:
+        """Write no more, but read on until the other side ends it."""
+        if self.writing is not None:
+            self.writing.cancel()
+        if not self._writer.is_closing():
+            self._writer.write_eof()
+
     def abort(self) -> None:
         """End it at once; nothing more is taken from the outbox."""
         if self.writing is not None:
--- a/src/nutmegroad/_coordinator.py
+++ b/src/nutmegroad/_coordinator.py
@@ -24,6 +24,8 @@
 #: A host that started so many seconds ago may still find that its wall
 #: clock lies behind that of an earlier incarnation, and becomes later.
 _GRACE: Final = 30.0
+#: Who has heard nobody for so many intervals is itself cut off.
+_CONTACT: Final = 5.0
 #: Ticks between looks for hosts that are not known.
 _PROBE_EVERY: Final = 15
 #: Ticks between looks at which links nobody needs.
@@ -82,7 +84,10 @@
         linked = self._links.linked()
         self._note_heard(linked)
         now = self._context.clock.now()
-        self.verdicts = self._detector.judge(now, in_contact=bool(linked))
+        self.verdicts = self._detector.judge(
+            now,
+            in_contact=self._is_in_contact(linked, now),
+        )
         for host in self.verdicts.gone:
             self._give_up(host)
         if self._ticks % _PROBE_EVERY == 0 or not linked:
@@ -125,6 +130,11 @@
         if known >= self._table.identity.generation:
             self._table.raise_generation(known)
 
+    def _is_in_contact(self, linked: dict[HostId, float], now: float) -> bool:
+        """Tell whether anybody was heard of late."""
+        bound = _CONTACT * self._context.heartbeat
+        return any(now - heard < bound for heard in linked.values())
+
     def _note_heard(self, linked: dict[HostId, float]) -> None:
         for host, heard in linked.items():
             record = self._table.get(host)
--- a/src/nutmegroad/_link_runner.py
+++ b/src/nutmegroad/_link_runner.py
@@ -47,12 +47,13 @@
         connection = opened.connection
         peer = self._table.enter(connection)
         if peer is None:
-            self._context.account.count('links_doubled')
+            self._context.account.count('links_old_incarnation')
             connection.abort()
             return
-        _LOG.info('host %s is linked', peer.host)
-        self._listener.link_opened(connection.identity)
-        connection.writing = tasks.start(self._write(connection, peer))
+        if peer.connection is connection:
+            self._begin(peer, tasks)
+        else:
+            self._context.account.count('links_doubled')
         try:
             await self._read(opened, peer)
         finally:
@@ -80,10 +81,14 @@
     def _is_busy(self) -> bool:
         return any(peer.is_busy for peer in self._table)
 
-    def _write(self, connection: Connection, peer: Peer) -> Metered[None]:
+    def _begin(self, peer: Peer, tasks: OwnedTasks) -> None:
+        """Write on the connection that a peer has now."""
         account = self._context.account
-        work = connection.write(peer.outbox, account)
-        return Metered(account, LINKS_PART, work)
+        work = peer.connection.write(peer.outbox, account)
+        writing = Metered(account, LINKS_PART, work)
+        peer.connection.writing = tasks.start(writing)
+        _LOG.info('host %s is linked', peer.host)
+        self._listener.link_opened(peer.identity)
 
     async def _read(self, opened: Opened, peer: Peer) -> None:
         unpacker = Unpacker(self._context.limits.message)
@@ -98,6 +103,8 @@
 
     def _close_stuck(self, now: float) -> None:
         limits = self._context.limits
+        for finished in self._table.finished(now - limits.stall):
+            finished.abort()
         for peer in self._table:
             connection = peer.connection
             stalled = connection.stalled_since
--- a/src/nutmegroad/_member_table.py
+++ b/src/nutmegroad/_member_table.py
@@ -146,7 +146,6 @@
         entry.is_relay = self._is_relay(record.host)
         if old is None or old.identity != record.identity:
             self._reach.heard_host(record.host, now)
-            self._reach.heard_domain(record.identity.domain, now)
         return entry
 
     def _is_relay(self, key: HostId) -> bool:
--- a/src/nutmegroad/_peer_table.py
+++ b/src/nutmegroad/_peer_table.py
@@ -64,6 +64,7 @@
         self._limits = limits
         self._peers: dict[HostId, Peer] = {}
         self._aliases: dict[Address, HostId] = {}
+        self._finished: dict[Connection, float] = {}
 
     def __iter__(self) -> Iterator[Peer]:
         """Iterate over the hosts to which there is a link."""
@@ -93,7 +94,15 @@
             self._aliases.pop(address)
 
     def enter(self, connection: Connection) -> Peer | None:
-        """Take a connection as the link to its host, or refuse it."""
+        """Take a connection in, as the link to its host or beside it.
+
+        Two hosts may connect to each other at once. The connection that
+        is not used is finished only, since the other side may have sent
+        something on it before it knew.
+
+        Returns:
+            The host; None for an old incarnation.
+        """
         identity = connection.identity
         peer = self._peers.get(identity.host)
         if peer is None or identity.order > peer.identity.order:
@@ -102,21 +111,36 @@
             peer = Peer(connection, self._limits)
             self._peers[identity.host] = peer
             return peer
-        is_same = identity.incarnation == peer.identity.incarnation
-        if not is_same or not self._is_better(connection, peer.connection):
+        if identity.incarnation != peer.identity.incarnation:
             return None
-        peer.connection.abort()
-        peer.connection = connection
+        if self._is_better(connection, peer.connection):
+            self._finish(peer.connection)
+            peer.connection = connection
+        else:
+            self._finish(connection)
         return peer
 
     def leave(self, connection: Connection) -> bool:
         """Drop a connection; true if its host has no link now."""
+        self._finished.pop(connection, None)
         peer = self._peers.get(connection.identity.host)
         if peer is None or peer.connection is not connection:
             return False
         self._peers.pop(peer.host)
         return True
 
+    def finished(self, before: float) -> tuple[Connection, ...]:
+        """Return connections that were finished before a moment."""
+        return tuple(
+            connection
+            for connection, when in self._finished.items()
+            if when < before
+        )
+
+    def _finish(self, connection: Connection) -> None:
+        connection.finish()
+        self._finished[connection] = self._clock.now()
+
     def _is_better(self, new: Connection, old: Connection) -> bool:
         if new.initiator == old.initiator:
             return True
--- a/src/nutmegroad/_reach.py
+++ b/src/nutmegroad/_reach.py
@@ -20,6 +20,7 @@
         self._domain_bound = domain_bound
         self._hosts: dict[HostId, float] = {}
         self._domains: dict[DomainId, float] = {}
+        self._told: dict[DomainId, float] = {}
         self._forgiven = clock.now()
 
     def heard_host(self, host: HostId, when: float) -> None:
@@ -27,8 +28,9 @@
         self._hosts[host] = max(when, self._hosts.get(host, when))
 
     def heard_domain(self, domain: DomainId, when: float) -> None:
-        """Note that a domain was heard, by us or by others."""
+        """Note when a domain was heard, by us or by others."""
         self._domains[domain] = max(when, self._domains.get(domain, when))
+        self._told[domain] = self._clock.now()
 
     def forgive(self) -> None:
         """Count all silence from now on, after a pause of our own."""
@@ -49,9 +51,12 @@
 
     def is_cut_off(self, domain: DomainId) -> bool:
         """Tell whether nobody of a domain is heard, even by others."""
-        heard = self._domains.get(domain, self._forgiven)
-        silence = self._clock.now() - max(heard, self._forgiven)
-        return silence > self._domain_bound
+        heard = self._forgiven
+        # What others tell after a pause of our own is worth more than
+        # that we heard nothing during the pause.
+        if self._told.get(domain, self._forgiven) > self._forgiven:
+            heard = self._domains[domain]
+        return self._clock.now() - heard > self._domain_bound
 
     def ages(self) -> Mapping[DomainId, float]:
         """Return for each domain the seconds since it was heard."""
--- /dev/null
+++ b/tests/test_accounting.py
@@ -0,0 +1,65 @@
+"""Tests of how the cost of control is written down."""
+
+import asyncio
+import unittest
+
+from nutmegroad.accounting import Ledger, Metered, PartCost
+
+
+class Processor:
+    """Processor time that a test moves."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def __call__(self) -> float:
+        return self.seconds
+
+    async def work(self) -> str:
+        """Spend 3 seconds in two steps; another task spends 50 between."""
+        self.seconds += 1
+        asyncio.get_running_loop().call_soon(self.spend, 50)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.seconds += 2
+        return 'done'
+
+    def spend(self, seconds: float) -> None:
+        self.seconds += seconds
+
+
+class LedgerTest(unittest.IsolatedAsyncioTestCase):
+    """Totals by part."""
+
+    def test_totals_are_kept_by_part(self) -> None:
+        ledger = Ledger(Processor())
+        ledger.sent('one', 10)
+        ledger.sent('one', 5)
+        ledger.received('two', 7)
+        ledger.count('refused')
+        self.assertEqual(
+            ledger.costs(),
+            {
+                'one': PartCost(sent_bytes=15, sent_messages=2),
+                'two': PartCost(received_bytes=7, received_messages=1),
+            },
+        )
+        self.assertEqual(ledger.events(), {'refused': 1})
+
+    async def test_a_task_is_charged_for_its_own_steps(self) -> None:
+        processor = Processor()
+        ledger = Ledger(processor)
+        metered = Metered(ledger, 'part', processor.work())
+        result = await asyncio.create_task(metered)
+        self.assertEqual(result, 'done')
+        self.assertEqual(processor.seconds, 53)
+        self.assertEqual(ledger.costs()['part'].processor_seconds, 3)
+
+    async def test_a_cancelled_task_ends(self) -> None:
+        ledger = Ledger(Processor())
+        metered = Metered(ledger, 'part', asyncio.sleep(1000))
+        task = asyncio.create_task(metered)
+        await asyncio.sleep(0)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,64 @@
+"""Tests of how duties are shared out."""
+
+import unittest
+
+from nutmegroad.duties import WATCH_HOLDERS, Duties, DutyName, watch_of
+from nutmegroad.types import HostId, UpstreamId
+
+DUTIES = [watch_of(UpstreamId(f'engine-{number}')) for number in range(890)]
+HOSTS = [HostId(f'host-{number}') for number in range(44)]
+
+
+class FixedHosts:
+    """Live hosts that a test sets."""
+
+    def __init__(self, host: HostId, live: list[HostId]) -> None:
+        self.host = host
+        self.live = live
+
+    def live_hosts(self) -> tuple[HostId, ...]:
+        return tuple(self.live)
+
+
+def holders_of(live: list[HostId]) -> dict[DutyName, tuple[HostId, ...]]:
+    """Return who watches what among some live hosts."""
+    duties = Duties(FixedHosts(live[0], live))
+    return {duty: duties.holders(duty, WATCH_HOLDERS) for duty in DUTIES}
+
+
+class DutiesTest(unittest.TestCase):
+    """Duties of the hosts of one domain."""
+
+    def test_all_hosts_agree_on_the_holders(self) -> None:
+        holders = Duties(FixedHosts(HOSTS[0], HOSTS)).holders(DUTIES[0], 2)
+        mirrored = list(reversed(HOSTS))
+        for host in HOSTS:
+            duties = Duties(FixedHosts(host, mirrored))
+            self.assertEqual(duties.holders(DUTIES[0], 2), holders)
+            self.assertEqual(duties.is_mine(DUTIES[0], 2), host in holders)
+        self.assertEqual(len(set(holders)), 2)
+
+    def test_a_host_that_goes_moves_only_its_own_duties(self) -> None:
+        before = holders_of(HOSTS)
+        after = holders_of(HOSTS[1:])
+        for duty, holders in before.items():
+            kept = [host for host in holders if host != HOSTS[0]]
+            self.assertEqual(after[duty][: len(kept)], tuple(kept))
+
+    def test_a_host_that_comes_takes_about_its_share(self) -> None:
+        before = holders_of(HOSTS[1:])
+        after = holders_of(HOSTS)
+        moved = sum(before[duty] != after[duty] for duty in DUTIES)
+        share = WATCH_HOLDERS / len(HOSTS)
+        self.assertLess(moved / len(DUTIES), 1.5 * share)
+        self.assertGreater(moved / len(DUTIES), 0.5 * share)
+
+    def test_duties_follow_the_live_hosts(self) -> None:
+        hosts = FixedHosts(HOSTS[0], HOSTS[:2])
+        duties = Duties(hosts)
+        self.assertEqual(len(duties.holders(DUTIES[0], 3)), 2)
+        hosts.live = [HOSTS[0]]
+        self.assertTrue(duties.watches(UpstreamId('any')))
+        hosts.live = []
+        self.assertEqual(duties.holders(DUTIES[0]), ())
+        self.assertFalse(duties.is_mine(DUTIES[0]))
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,22 +4,33 @@
 import random
 import time
 import unittest
+from asyncio import StreamReader, StreamWriter
 from collections.abc import Callable
+from types import TracebackType
+from typing import Any, ClassVar, Self
 
+from nutmegroad._dialing import Backoff
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkContext, LinkLimits
+from nutmegroad._outbox import Outbox, Parcel
+from nutmegroad._wire import StreamError, Unpacker, pack
 from nutmegroad.accounting import Ledger
-from nutmegroad.clocks import SystemClock
+from nutmegroad.clocks import Clock, SystemClock
 from nutmegroad.links import Links
 from nutmegroad.peers import Member, Message
-from nutmegroad.types import Address, DomainId, HostId, Incarnation
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import Address, DomainId, HostId, Incarnation, Ran
 
 KEY = b'a key for tests'
+QUICK = LinkLimits(first_wait=0.01, most_wait=0.05)
 
 
 class Ask(Message, frozen=True, tag='links-test-ask'):
     """Asks for a text back."""
 
+    part: ClassVar[str] = 'test'
+
     text: str
 
 
@@ -67,19 +78,21 @@
         self,
         name: str,
         key: bytes = KEY,
-        limits: LinkLimits | None = None,
+        limits: LinkLimits = QUICK,
         generation: int = 1,
+        clock: Clock | None = None,
     ) -> None:
+        self.outdated_by: list[int] = []
         self.roster = FixedRoster(name, generation)
         self.ledger = Ledger(time.thread_time)
         self.texts: list[str] = []
         context = LinkContext(
             key=key,
-            clock=SystemClock(),
+            clock=clock or SystemClock(),
             randomness=random.Random(name),
             nonces=random.Random(f'{name} {generation}'),
             account=self.ledger,
-            limits=limits or LinkLimits(first_wait=0.01, most_wait=0.05),
+            limits=limits,
         )
         self.links = Links(context, self.roster)
         self.links.handle(Ask, self.answer)
@@ -92,7 +105,22 @@
     def address(self) -> Address:
         return self.roster.address
 
+    @property
+    def port(self) -> int:
+        return self.address.port
+
+    def link_opened(self, identity: Identity) -> None:
+        """Ignore it."""
+
+    def link_closed(self, identity: Identity) -> None:
+        """Ignore it."""
+
+    def outdated(self, known: int) -> None:
+        self.outdated_by.append(known)
+
     async def answer(self, host: HostId, ask: Ask) -> Reply:
+        if ask.text == 'fail':
+            raise ValueError(ask.text)
         self.texts.append(ask.text)
         return Reply(f'{ask.text} to {host}')
 
@@ -100,32 +128,318 @@
         return self.ledger.events().get(event, 0)
 
 
+class Recorder:
+    """Stands between two hosts and remembers what the first says."""
+
+    def __init__(self, behind: Host) -> None:
+        self.heard = bytearray()
+        self._behind = behind
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(
+            self._relay,
+            '127.0.0.1',
+            0,
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address('127.0.0.1', port)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _relay(self, reader: StreamReader, writer: StreamWriter) -> None:
+        behind = self._behind
+        other = await asyncio.open_connection(behind.address.ip, behind.port)
+        replies = asyncio.ensure_future(_copy(other[0], writer, bytearray()))
+        await _copy(reader, other[1], self.heard)
+        await replies
+
+
+async def _copy(
+    reader: StreamReader,
+    writer: StreamWriter,
+    heard: bytearray,
+) -> None:
+    while chunk := await reader.read(4096):
+        heard.extend(chunk)
+        writer.write(chunk)
+    writer.close()
+
+
+async def echo_back(reader: StreamReader, writer: StreamWriter) -> None:
+    """Say again whatever is heard."""
+    await _copy(reader, writer, bytearray())
+
+
+async def never_answer(host: HostId, ask: Ask) -> None:
+    """Wait for ever."""
+    await asyncio.Event().wait()
+
+
 async def until(condition: Callable[[], object]) -> None:
     """Wait until something holds; the runner's limit ends a bad wait."""
-    while not condition():
+    while not condition():  # noqa: ASYNC110 - sockets give no event
         await asyncio.sleep(0.005)
 
 
 class LinksTest(unittest.IsolatedAsyncioTestCase):
     """Hosts on loopback."""
 
-    async def host(self, name: str, **given: object) -> Host:
-        host = Host(name, **given)  # type: ignore[arg-type]
+    async def host(self, name: str, **given: Any) -> Host:
+        host = Host(name, **given)
         await self.enterAsyncContext(host.links)
         return host
 
+    async def pair(self) -> tuple[Host, Host]:
+        """Return two linked hosts, the first of which connected."""
+        one, two = await self.host('one'), await self.host('two')
+        await self.link(one, two)
+        return one, two
+
+    async def link(self, one: Host, two: Host) -> None:
+        one.links.aim([two.address])
+        await until(lambda: two.host in one.links.linked())
+        await until(lambda: one.host in two.links.linked())
+
+    async def connect(self, host: Host) -> StreamWriter:
+        """Return a connection from somebody unknown."""
+        opened = await asyncio.open_connection(host.address.ip, host.port)
+        self.addCleanup(opened[1].close)
+        return opened[1]
+
+    async def assert_works(self, one: Host, two: Host) -> None:
+        reply = await one.links.ask(two.host, Ask('hello'), 5)
+        self.assertEqual(reply, Reply('hello to one'))
+
     async def test_hosts_exchange_messages_both_ways(self) -> None:
+        one, two = await self.pair()
+        await self.assert_works(one, two)
+        reply = await two.links.ask(one.host, Ask('hello'), 5)
+        self.assertEqual(reply, Reply('hello to two'))
+        self.assertEqual(two.links.tell_all(Ask('all')), 1)
+        await until(lambda: 'all' in one.texts)
+
+    async def test_a_wrong_key_is_refused_and_counted(self) -> None:
+        one = await self.host('one', key=b'another key')
+        two = await self.host('two')
+        one.links.aim([two.address])
+        await until(lambda: two.count('links_wrong_key'))
+        self.assertEqual(one.links.linked(), {})
+        self.assertEqual(two.links.linked(), {})
+
+    async def test_a_listener_without_the_key_is_refused(self) -> None:
+        # The listener echoes, so it gives our own proof back to us.
+        echo = await asyncio.start_server(echo_back, '127.0.0.1', 0)
+        await self.enterAsyncContext(echo)
+        port = echo.sockets[0].getsockname()[1]
+        one = await self.host('one')
+        one.links.aim([Address('127.0.0.1', port)])
+        await until(lambda: one.count('links_to_self'))
+        self.assertEqual(one.links.linked(), {})
+
+    async def test_a_proof_does_not_hold_twice(self) -> None:
+        # A recorder between two hosts hears a whole handshake, and then
+        # says again what the first of them said.
         one, two = await self.host('one'), await self.host('two')
+        recorder = Recorder(two)
+        await self.enterAsyncContext(recorder)
+        one.links.aim([recorder.address])
+        await until(lambda: one.links.linked())
+        one.links.aim([])
+        two.links.drop(one.host)
+        await until(lambda: not two.links.linked())
+        writer = await self.connect(two)
+        writer.write(bytes(recorder.heard))
+        await until(lambda: two.count('links_wrong_key'))
+        self.assertEqual(two.links.linked(), {})
+
+    async def test_garbage_harms_no_other_link(self) -> None:
+        one, two = await self.pair()
+        garbage = {
+            'text': (b'GET / HTTP/1.1\r\n\r\n', 'links_handshake_garbage'),
+            'random': (random.Random(5).randbytes(9000), 'links_handshake'),
+            'huge': (b'\xdd\xff\xff\xff\xff', 'links_handshake_garbage'),
+            'deep': (b'\x91' * 2000, 'links_handshake_garbage'),
+            'endless': (b'\xc6\x00\x00\x07\xff' + b'a' * 9000, 'links'),
+        }
+        for name, (sent, _) in garbage.items():
+            with self.subTest(name):
+                before = two.count('links_handshake_garbage')
+                with self.assertNoLogs(level='ERROR'):
+                    writer = await self.connect(two)
+                    writer.write(sent)
+                    await until(
+                        lambda before=before: (  # type: ignore[misc]
+                            two.count('links_handshake_garbage') > before
+                        ),
+                    )
+                    await self.assert_works(one, two)
+
+    async def test_garbage_after_a_handshake_ends_that_link(self) -> None:
+        one, two = await self.pair()
+        three = await self.host('three')
+        await self.link(three, two)
+        peer = next(iter(three.links._table))
+        peer.outbox.put(Parcel(b'\xc1\xc1', 'test'))
+        await until(lambda: two.count('links_garbage'))
+        await self.assert_works(one, two)
+
+    async def test_a_message_over_the_limit_is_not_sent(self) -> None:
+        one, two = await self.pair()
+        limit = LinkLimits().message
+        self.assertFalse(one.links.tell(two.host, Ask('a' * limit)))
+        self.assertEqual(one.count('links_message_too_large'), 1)
+        await self.assert_works(one, two)
+
+    async def test_a_slow_handshake_is_cut_off(self) -> None:
+        limits = LinkLimits(handshake=3, unauthenticated=2)
+        clock = ManualClock()
+        host = await self.host('one', limits=limits, clock=clock)
+        for _ in range(3):
+            await self.connect(host)
+        await until(lambda: host.count('links_too_many_unknown'))
+        await clock.advance(4)
+        await until(lambda: host.count('links_handshake_slow') == 2)
+        self.assertEqual(host.count('links_too_many_unknown'), 1)
+
+    async def test_hosts_that_connect_at_once_keep_one_link(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                one = await self.host(f'one{seed}')
+                two = await self.host(f'two{seed}')
+                one.links.aim([two.address])
+                two.links.aim([one.address])
+                await until(one.links.linked)
+                await until(two.links.linked)
+                reply = await one.links.ask(two.host, Ask('hello'), 5)
+                self.assertIsInstance(reply, Reply)
+                self.assertEqual(len(one.links.linked()), 1)
+                self.assertEqual(len(two.links.linked()), 1)
+
+    async def test_an_old_incarnation_gets_no_link(self) -> None:
+        one = await self.host('one', generation=7)
+        two = await self.host('two')
+        two.roster.known[one.host] = 8
+        one.links.listen(one)
         one.links.aim([two.address])
+        await until(lambda: one.outdated_by == [8])
+        self.assertEqual(two.count('links_old_incarnation'), 1)
+        self.assertEqual(two.links.linked(), {})
+
+    async def test_messages_of_an_old_incarnation_are_dropped(self) -> None:
+        one, two = await self.pair()
+        two.roster.known[one.host] = 8
+        self.assertTrue(one.links.tell(two.host, Ask('late')))
+        await until(lambda: two.count('links_old_message'))
+        self.assertEqual(two.texts, [])
+
+    async def test_a_new_incarnation_takes_the_link_over(self) -> None:
+        one, two = await self.pair()
+        later = await self.host('one', generation=2)
+        later.links.aim([two.address])
+        await until(later.links.linked)
+        two.links.tell(one.host, Ask('to the later'))
+        await until(lambda: later.texts)
+        self.assertEqual(one.texts, [])
+
+    async def test_a_lost_link_is_made_again(self) -> None:
+        one, two = await self.pair()
+        two.links.drop(one.host)
+        await until(lambda: not one.links.linked())
         await until(one.links.linked)
         await until(two.links.linked)
+        await self.assert_works(one, two)
+
+    async def test_a_question_to_a_lost_host_is_unknown(self) -> None:
+        one, two = await self.pair()
+        two.links.handle(Ask, never_answer)
+        asking = asyncio.ensure_future(one.links.ask(two.host, Ask('?'), 99))
+        await until(lambda: two.links.linked())
+        await asyncio.sleep(0.05)
+        two.links.drop(one.host)
+        reply = await asking
+        assert isinstance(reply, Refusal)
+        self.assertEqual(reply.ran, Ran.UNKNOWN)
+
+    async def test_a_failing_handler_refuses_and_goes_on(self) -> None:
+        one, two = await self.pair()
+        with self.assertLogs(level='ERROR'):
+            reply = await one.links.ask(two.host, Ask('fail'), 5)
+        assert isinstance(reply, Refusal)
+        self.assertEqual(reply.code, ResultCode.PEER_REFUSED)
+        await self.assert_works(one, two)
+
+    async def test_no_link_means_not_run(self) -> None:
+        one = await self.host('one')
+        reply = await one.links.ask(HostId('nobody'), Ask('?'), 5)
+        assert isinstance(reply, Refusal)
+        self.assertEqual(reply.ran, Ran.NOT_RUN)
+
+    async def test_cost_is_written_by_part(self) -> None:
+        one, two = await self.pair()
+        await self.assert_works(one, two)
+        sent, received = one.ledger.costs(), two.ledger.costs()
+        self.assertEqual(sent['test'].sent_messages, 1)
         self.assertEqual(
-            await one.links.ask(two.host, Ask('hello'), 5),
-            Reply('hello to one'),
-        )
-        self.assertEqual(
-            await two.links.ask(one.host, Ask('hello'), 5),
-            Reply('hello to two'),
+            sent['test'].sent_bytes,
+            received['test'].received_bytes,
         )
-        self.assertEqual(two.links.tell_all(Ask('all')), 1)
-        await until(lambda: 'all' in one.texts)
+
+
+class OutboxTest(unittest.TestCase):
+    """What a full queue does."""
+
+    def test_a_replaceable_message_makes_room(self) -> None:
+        outbox = Outbox(2, 100)
+        old, firm = Parcel(b'old', '', replaceable=True), Parcel(b'firm', '')
+        self.assertTrue(outbox.put(firm))
+        self.assertTrue(outbox.put(old))
+        self.assertTrue(outbox.put(firm))
+        self.assertFalse(outbox.put(old))
+        self.assertEqual(asyncio.run(outbox.take_all()), (firm, firm))
+
+    def test_bytes_are_bounded_too(self) -> None:
+        outbox = Outbox(100, 10)
+        self.assertTrue(outbox.put(Parcel(b'a' * 10, '')))
+        self.assertFalse(outbox.put(Parcel(b'a', '')))
+
+
+class UnpackerTest(unittest.TestCase):
+    """What a stream may hold."""
+
+    def test_an_object_may_arrive_in_pieces(self) -> None:
+        unpacker = Unpacker(100)
+        packed = pack(['a' * 20, 7])
+        found = [
+            thing
+            for place in range(len(packed))
+            for thing in unpacker.feed(packed[place : place + 1])
+        ]
+        self.assertEqual(found, [(['a' * 20, 7], len(packed))])
+
+    def test_an_array_in_pieces_is_bounded(self) -> None:
+        unpacker = Unpacker(1000)
+        list(unpacker.feed(b'\xdc\x10\x00'))
+        with self.assertRaises(StreamError):
+            for _ in range(300):
+                list(unpacker.feed(pack('a' * 10)))
+
+
+class BackoffTest(unittest.TestCase):
+    """Waits between tries."""
+
+    def test_waits_double_up_to_a_bound_with_jitter(self) -> None:
+        backoff = Backoff(1, 8, random.Random(3))
+        for failures, bound in enumerate((1, 2, 4, 8, 8, 8)):
+            waits = {backoff.delay(failures) for _ in range(50)}
+            self.assertLessEqual(max(waits), bound)
+            self.assertGreaterEqual(min(waits), bound / 2)
+            self.assertGreater(len(waits), 40)
--- a/tests/test_testing.py
+++ b/tests/test_testing.py
@@ -41,8 +41,10 @@
             await clock.sleep(seconds)
             woken.append((name, clock.now()))
 
-        work = [wake('late', 2), wake('early', 1), wake('never', 9)]
-        tasks = list(map(asyncio.ensure_future, work))
+        tasks = [
+            asyncio.ensure_future(wake(name, seconds))
+            for name, seconds in (('late', 2), ('early', 1), ('never', 9))
+        ]
         await clock.advance(3)
         self.assertEqual(woken, [('early', 1), ('late', 2)])
         self.assertEqual((clock.now(), clock.sleepers), (3, 1))
@@ -115,11 +117,13 @@
                 self.assertEqual(self.numbers == list(range(20)), kept)
 
     async def test_messages_are_dropped_and_doubled_by_share(self) -> None:
-        cases = (Weather(drop=1), []), (Weather(duplicate=1), [5, 5])
-        for weather, arrived in cases:
-            with self.subTest(weather=weather):
+        lost: list[int] = []
+        doubled = [5, 5]
+        cases = {'drop': lost, 'duplicate': doubled}
+        for name, arrived in cases.items():
+            with self.subTest(name):
                 self.numbers.clear()
-                self.mesh.weather = weather
+                self.mesh.weather = Weather(**{name: 1})
                 self.one.tell(TWO, Ping(5))
                 await self.clock.advance(1)
                 self.assertEqual(self.numbers, arrived)
