--- /dev/null
+++ b/src/nutmegroad/_cli_output.py
@@ -0,0 +1,80 @@
+"""What the command line prints: tables for people, JSON for programs."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import msgspec
+
+#: Prints a reply for people.
+Renderer = Callable[[Any], str]
+
+_INDENT: Final = 2
+_GAP: Final = '  '
+
+
+def as_json(reply: Any) -> str:
+    """Return a reply as indented JSON."""
+    encoded = msgspec.json.encode(reply)
+    return msgspec.json.format(encoded, indent=_INDENT).decode()
+
+
+def cell(content: Any) -> str:
+    """Return one value as text."""
+    if content is None:
+        return '-'
+    if isinstance(content, bool):
+        return 'yes' if content else 'no'
+    if isinstance(content, float):
+        return f'{content:.3f}'
+    if isinstance(content, list):
+        return ', '.join(cell(part) for part in content) or '-'
+    if isinstance(content, dict):
+        pairs = (f'{name}={cell(part)}' for name, part in content.items())
+        return ', '.join(pairs) or '-'
+    return str(content)
+
+
+def table(*columns: str) -> Renderer:
+    """Return a renderer of a list as a table of these columns."""
+
+    def render(reply: Any) -> str:
+        """Return the table."""
+        rows = [[cell(row.get(name)) for name in columns] for row in reply]
+        if not rows:
+            return 'There is none.'
+        heads = [name.upper().replace('_', ' ') for name in columns]
+        return _align([heads, *rows])
+
+    return render
+
+
+def fields(reply: Any) -> str:
+    """Return a reply's fields, one a line."""
+    rows = [
+        [name.replace('_', ' '), cell(part)] for name, part in reply.items()
+    ]
+    return _align(rows)
+
+
+def steps(reply: Any) -> str:
+    """Return the steps of a request, with seconds since its first."""
+    if not reply:
+        return 'There is none.'
+    start = reply[0]['at']
+    rows = [
+        [f'{step["at"] - start:8.3f}s', step['part'], step['text']]
+        for step in reply
+    ]
+    return _align(rows)
+
+
+def _align(rows: Sequence[Sequence[str]]) -> str:
+    """Return rows with their columns aligned."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    lines = (
+        _GAP.join(
+            part.ljust(width) for part, width in zip(row, widths, strict=True)
+        )
+        for row in rows
+    )
+    return '\n'.join(line.rstrip() for line in lines)
