--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -186,7 +186,7 @@
 
 async def until(condition: Callable[[], object]) -> None:
     """Wait until something holds; the runner's limit ends a bad wait."""
-    while not condition():  # noqa: ASYNC110 - sockets give no event
+    while not condition():
         await asyncio.sleep(0.005)
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -121,7 +121,7 @@
         self,
         host: HostId,
         message: Message,
-        timeout: float,  # noqa: ASYNC109 - the Mesh Protocol names it
+        timeout: float,
     ) -> Message | Refusal:
         return await self.peer.ask(host, message, timeout)
 
