--- /dev/null
+++ b/tests/test_ratings.py
@@ -0,0 +1,75 @@
+"""Ratings are counted once, whoever read them and however they came."""
+
+import random
+import unittest
+
+from nutmegroad.duties import DutyName
+from nutmegroad.platform import RatedAnswer, Rating
+from nutmegroad.ratings import RatingFeed, RatingTally
+from nutmegroad.results import Refusal
+from nutmegroad.testing import ManualClock, MemoryMesh, Weather
+from nutmegroad.types import DomainId, HostId, RequestId, TaskName, VersionId
+
+VERSION = VersionId('a@1')
+TASK = TaskName('tag')
+
+
+class ListedRatings:
+    """A rating service with a list of scores."""
+
+    def __init__(self, scores: list[float]) -> None:
+        self.scores = scores
+
+    async def submit(self, answer: RatedAnswer) -> Refusal | None:
+        """Take nothing."""
+
+    async def feed(self, after: int) -> tuple[Rating, ...] | Refusal:
+        """Return what comes after a position."""
+        return tuple(
+            Rating(place + 1, RequestId(str(place)), TASK, VERSION, score)
+            for place, score in enumerate(self.scores)
+            if place >= after
+        )
+
+
+class AlwaysMine:
+    """Duties that this host holds."""
+
+    def is_mine(self, duty: DutyName, count: int = 1) -> bool:
+        """Say yes."""
+        return True
+
+
+def feed_of(
+    service: ListedRatings,
+    mesh: MemoryMesh,
+    host: HostId,
+) -> RatingFeed:
+    """Return a host's feed."""
+    peer = mesh.join(host, DomainId('d'))
+    chance = random.Random(host)
+    return RatingFeed(service, peer, AlwaysMine(), mesh.clock, chance, 1)
+
+
+class RatingFeedTest(unittest.IsolatedAsyncioTestCase):
+    async def test_each_rating_counts_once_at_every_host(self) -> None:
+        clock = ManualClock()
+        weather = Weather(duplicate=0.5, reorder=0.5, reorder_delay=3)
+        service = ListedRatings([0.5, 1.0])
+        heard: dict[int, list[RatingTally]] = {0: [], 1: [], 2: []}
+        async with MemoryMesh(clock, random.Random(3), weather) as mesh:
+            feeds = [
+                feed_of(service, mesh, HostId(f'h{number}')) for number in heard
+            ]
+            for number, feed in enumerate(feeds):
+                feed.listen(heard[number].append)
+            for _ in range(8):
+                await feeds[0].poll()
+                await feeds[1].poll()
+                service.scores.append(0.25)
+                await clock.advance(0.5)
+            await clock.advance(5)
+        for tallies in heard.values():
+            self.assertEqual(sum(tally.count for tally in tallies), 9)
+            total = sum(tally.total for tally in tallies)
+            self.assertAlmostEqual(total, 1.5 + 7 * 0.25)
