Keep leases on rows of the table, with fencing numbers

Cause: orders and roll-outs need one holder, whose authority ends though it is paused or cut off, and no wall clocks may be compared. Ruled out: an expiry time in the row (compares wall clocks) and renewal counted from the reply (a slow table lengthens the term). Conclusion: a holder is over before a taker may begin, and with the table down nobody acts.

--- /dev/null
+++ b/tests/tables.py
@@ -0,0 +1,66 @@
+"""A table in memory that can be down and can lose replies."""
+
+from collections.abc import Awaitable, Callable
+
+from nutmegroad.platform import (
+    ABSENT,
+    Conflict,
+    Row,
+    RowKey,
+    RowVersion,
+    RowWrite,
+)
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import Ran
+
+
+class MemoryTable:
+    """The table service, as one dictionary."""
+
+    def __init__(self) -> None:
+        self.rows: dict[RowKey, Row] = {}
+        self.down = False
+        self.lost_replies = 0
+        self.writes = 0
+        #: Awaited when a write has taken effect, before the reply.
+        self.before_reply: Callable[[], Awaitable[None]] | None = None
+
+    async def read(self, key: RowKey) -> Row | Refusal:
+        """Return a row."""
+        if self.down:
+            return _refusal(Ran.NOT_RUN)
+        return self.rows.get(key) or Row(key, '', ABSENT)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...] | Refusal:
+        """Return the rows of a prefix."""
+        if self.down:
+            return _refusal(Ran.NOT_RUN)
+        rows = [row for key, row in self.rows.items() if key.startswith(prefix)]
+        return tuple(sorted(rows, key=lambda row: row.key))
+
+    async def commit(
+        self,
+        writes: tuple[RowWrite, ...],
+    ) -> tuple[Row, ...] | Conflict | Refusal:
+        """Write all or nothing, then perhaps lose the reply."""
+        if self.down:
+            return _refusal(Ran.UNKNOWN)
+        for write in writes:
+            row = self.rows.get(write.key) or Row(write.key, '', ABSENT)
+            if row.version != write.expected:
+                return Conflict(row)
+        for write in writes:
+            version = RowVersion(write.expected + 1)
+            self.rows[write.key] = Row(write.key, write.text, version)
+            self.writes += 1
+        if self.before_reply is not None:
+            await self.before_reply()
+        if self.lost_replies:
+            self.lost_replies -= 1
+            return _refusal(Ran.UNKNOWN)
+        return tuple(self.rows[write.key] for write in writes)
+
+
+def _refusal(ran: Ran) -> Refusal:
+    """Say that the table gave no answer."""
+    return Refusal(ResultCode.TABLE_UNAVAILABLE, 'The table is down.', ran)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,130 @@
+"""Leases: one holder at a time, whatever is lost, paused or down."""
+
+import itertools
+import unittest
+
+from nutmegroad.leases import Lease, LeaseKeeper
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import Incarnation
+from tests.tables import MemoryTable
+
+TERM = 8.0
+NAME = 'orders/d'
+
+
+class LeaseCase(unittest.IsolatedAsyncioTestCase):
+    """Two keepers on one table; their clocks may be apart."""
+
+    async def asyncSetUp(self) -> None:
+        """Make them."""
+        self.table = MemoryTable()
+        self.clocks = (ManualClock(), ManualClock(start=5000))
+        self.one = self.keeper('a', self.clocks[0])
+        self.two = self.keeper('b', self.clocks[1])
+
+    def keeper(self, name: str, clock: ManualClock) -> LeaseKeeper:
+        """Return a keeper."""
+        numbers = itertools.count()
+        return LeaseKeeper(
+            Incarnation(name),
+            self.table,
+            clock,
+            lambda: f'{name}{next(numbers)}',
+            TERM,
+        )
+
+    async def advance(self, seconds: float) -> None:
+        """Let time go on for both."""
+        for clock in self.clocks:
+            await clock.advance(seconds)
+
+    async def taken(self, keeper: LeaseKeeper) -> Lease:
+        """Return a lease that must be had."""
+        lease = await keeper.keep(NAME)
+        if isinstance(lease, Refusal):
+            self.fail(lease.reason)
+        return lease
+
+    async def refused(self, keeper: LeaseKeeper, code: ResultCode) -> None:
+        """Demand that there is no lease."""
+        lease = await keeper.keep(NAME)
+        self.assertIsInstance(lease, Refusal)
+        self.assertEqual(getattr(lease, 'code', None), code)
+
+
+class LeaseTest(LeaseCase):
+    async def test_a_renewed_lease_is_never_taken_over(self) -> None:
+        lease = await self.taken(self.one)
+        for _ in range(10):
+            await self.refused(self.two, ResultCode.LEASE_HELD)
+            await self.advance(TERM / 2)
+            self.assertEqual((await self.taken(self.one)).number, lease.number)
+        self.assertIsNone(self.one.check(lease))
+
+    async def test_a_taker_waits_a_whole_term_of_its_own(self) -> None:
+        old = await self.taken(self.one)
+        await self.advance(TERM * 0.9)
+        # The taker sees the row late, so it has to wait from then on.
+        await self.refused(self.two, ResultCode.LEASE_HELD)
+        await self.advance(TERM * 0.9)
+        await self.refused(self.two, ResultCode.LEASE_HELD)
+        await self.advance(TERM * 0.1)
+        new = await self.taken(self.two)
+        self.assertGreater(new.number, old.number)
+        self.assertIsNotNone(self.one.check(old))
+
+    async def test_the_holder_stops_a_margin_before_the_term(self) -> None:
+        lease = await self.taken(self.one)
+        await self.advance(TERM - self.one.margin - 0.01)
+        self.assertIsNone(self.one.check(lease))
+        await self.advance(0.02)
+        self.assertIsNotNone(self.one.check(lease))
+        self.assertIsNone(self.one.held(NAME))
+
+    async def test_a_margin_asked_for_comes_on_top(self) -> None:
+        lease = await self.taken(self.one)
+        await self.advance(TERM - 2 * self.one.margin)
+        self.assertIsNone(self.one.check(lease))
+        self.assertIsNotNone(self.one.check(lease, self.one.margin))
+
+    async def test_a_lost_reply_is_read_back_by_nonce(self) -> None:
+        self.table.lost_replies = 1
+        lease = await self.taken(self.one)
+        self.assertIsNone(self.one.check(lease))
+        self.table.lost_replies = 1
+        renewed = await self.taken(self.one)
+        self.assertEqual(renewed.number, lease.number)
+
+    async def test_the_term_counts_from_before_a_slow_write(self) -> None:
+        async def dawdle() -> None:
+            await self.advance(TERM / 2)
+
+        self.table.before_reply = dawdle
+        lease = await self.taken(self.one)
+        self.assertEqual(lease.expires, TERM - self.one.margin)
+
+    async def test_with_the_table_down_nobody_acts(self) -> None:
+        lease = await self.taken(self.one)
+        await self.refused(self.two, ResultCode.LEASE_HELD)
+        self.table.down = True
+        await self.advance(3 * TERM)
+        await self.refused(self.one, ResultCode.TABLE_UNAVAILABLE)
+        await self.refused(self.two, ResultCode.TABLE_UNAVAILABLE)
+        self.assertIsNotNone(self.one.check(lease))
+
+    async def test_a_paused_holder_finds_its_lease_gone(self) -> None:
+        old = await self.taken(self.one)
+        await self.refused(self.two, ResultCode.LEASE_HELD)
+        await self.advance(TERM)
+        new = await self.taken(self.two)
+        self.assertIsNotNone(self.one.check(old))
+        await self.refused(self.one, ResultCode.LEASE_HELD)
+        self.assertIsNone(self.two.check(new))
+
+    async def test_a_given_up_lease_is_free_at_once(self) -> None:
+        async with self.one:
+            old = await self.taken(self.one)
+        self.assertIsNotNone(self.one.check(old))
+        new = await self.taken(self.two)
+        self.assertEqual(new.number, old.number + 1)
