Count evidence on versions in cells that hosts merge

Cause: a host alone sees too little of a version's answers, and messages between hosts are lost, doubled and late. Ruled out: sending increments, which a doubled message counts twice; one counter for all hosts, which needs a writer. Seen red with the mechanism out: old states taken (the listener heard 3, then falls), ended runs not remembered (2 for 1), no repetition of unchanged cells (a host stayed behind after losses). The first form of the listener's test passed with old states taken, and was made stricter. Conclusion: state-based cells, at most 28 in a message.

--- /dev/null
+++ b/src/nutmegroad/evidence.py
@@ -0,0 +1,286 @@
+"""Evidence on versions: small counters that hosts add up and share.
+
+Each run of a host counts for itself, in one cell for each version and task
+class. A cell only grows, so of two states of a cell the one with more
+attempts holds: messages that are late, doubled or out of order do no harm,
+and a host may pass on what it heard from others.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from typing import ClassVar, Final
+
+from msgspec import Struct
+
+from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.peers import Message
+from nutmegroad.results import ResultCode
+from nutmegroad.types import Incarnation, TaskName, VersionId
+
+#: Endings that speak against the version. An upstream that can't be
+#: reached, is busy or leaves says nothing about the version on it.
+FAILURES: Final = frozenset(
+    (
+        ResultCode.UPSTREAM_ERROR,
+        ResultCode.UPSTREAM_TIMEOUT,
+        ResultCode.ANSWER_CROSSED,
+    ),
+)
+#: Cells that one message carries, so that its size is bounded.
+MESSAGE_CELLS: Final = 24
+#: Cells of this host that are sent again though they have not changed, so
+#: that what a lost message held arrives after all.
+REPEATED_CELLS: Final = 4
+
+#: A version and a task class.
+EvidenceKey = tuple[VersionId, TaskName]
+
+#: Shortest seconds of which a logarithm is taken.
+_SHORTEST: Final = 1e-4
+_DIGITS: Final = 4
+
+
+class Moments(Struct, frozen=True, array_like=True):
+    """How many values, their sum and the sum of their squares."""
+
+    count: int = 0
+    total: float = 0
+    squares: float = 0
+
+    @property
+    def mean(self) -> float:
+        """Return the mean; 0 of no value."""
+        return self.total / self.count if self.count else 0
+
+    @property
+    def deviation(self) -> float:
+        """Return the standard deviation; 0 of no value."""
+        if not self.count:
+            return 0
+        spread = self.squares / self.count - self.mean * self.mean
+        return math.sqrt(max(spread, 0))
+
+    def plus(self, other: 'Moments') -> 'Moments':
+        """Return both together."""
+        return Moments(
+            self.count + other.count,
+            round(self.total + other.total, _DIGITS),
+            round(self.squares + other.squares, _DIGITS),
+        )
+
+    def minus(self, other: 'Moments') -> 'Moments':
+        """Return what is here beyond an earlier state."""
+        return Moments(
+            self.count - other.count,
+            self.total - other.total,
+            self.squares - other.squares,
+        )
+
+
+def moments_of(number: float) -> Moments:
+    """Return the moments of one value."""
+    return Moments(1, number, number * number)
+
+
+_NOTHING: Final = Moments()
+
+
+class Tally(Struct, frozen=True, array_like=True):
+    """Attempts of a version for a task class.
+
+    Attributes:
+        answers: Whole answers.
+        errors: Attempts that the version's engine failed.
+        cuts: Answers without their end.
+        first: Logarithms of the seconds to the first token.
+        pace: Logarithms of the seconds for each token.
+        length: Logarithms of the tokens of a whole answer.
+    """
+
+    answers: int = 0
+    errors: int = 0
+    cuts: int = 0
+    first: Moments = _NOTHING
+    pace: Moments = _NOTHING
+    length: Moments = _NOTHING
+
+    @property
+    def attempts(self) -> int:
+        """Return how many attempts were counted."""
+        return self.answers + self.errors + self.cuts
+
+    @property
+    def failures(self) -> int:
+        """Return how many of them failed."""
+        return self.errors + self.cuts
+
+    def plus(self, other: 'Tally') -> 'Tally':
+        """Return both together."""
+        return Tally(
+            self.answers + other.answers,
+            self.errors + other.errors,
+            self.cuts + other.cuts,
+            self.first.plus(other.first),
+            self.pace.plus(other.pace),
+            self.length.plus(other.length),
+        )
+
+    def minus(self, other: 'Tally') -> 'Tally':
+        """Return what is here beyond an earlier state."""
+        return Tally(
+            self.answers - other.answers,
+            self.errors - other.errors,
+            self.cuts - other.cuts,
+            self.first.minus(other.first),
+            self.pace.minus(other.pace),
+            self.length.minus(other.length),
+        )
+
+
+class EvidenceCell(Struct, frozen=True, array_like=True):
+    """What one run of a host has counted.
+
+    Attributes:
+        incarnation: The run of the host.
+        version: The version.
+        task: The task class.
+        tally: The counts since that run began.
+    """
+
+    incarnation: Incarnation
+    version: VersionId
+    task: TaskName
+    tally: Tally = Tally()
+
+    @property
+    def key(self) -> EvidenceKey:
+        """Return what it is about."""
+        return self.version, self.task
+
+
+class EvidenceMessage(Message, frozen=True, tag='evidence'):
+    """Cells that have grown."""
+
+    part: ClassVar[str] = 'exposure'
+
+    cells: tuple[EvidenceCell, ...]
+
+
+#: Is told what is new about a version and a task class.
+EvidenceListener = Callable[[EvidenceKey, Tally], None]
+
+_CellId = tuple[Incarnation, VersionId, TaskName]
+
+
+class EvidenceStore:
+    """All cells that this host knows, its own among them.
+
+    It observes the attempts of this host.
+
+    Args:
+        incarnation: This run of this host.
+    """
+
+    def __init__(self, incarnation: Incarnation) -> None:
+        self._incarnation = incarnation
+        self._cells: dict[_CellId, EvidenceCell] = {}
+        self._sums: dict[EvidenceKey, Tally] = {}
+        self._gone: set[Incarnation] = set()
+        self._listeners: list[EvidenceListener] = []
+        # Cells to be sent, the one that has waited longest first.
+        self._unsent: dict[_CellId, None] = {}
+        self._repeated = 0
+
+    @property
+    def size(self) -> int:
+        """Return how many cells are kept."""
+        return len(self._cells)
+
+    def listen(self, listener: EvidenceListener) -> None:
+        """Tell a listener of all that is new from now on."""
+        self._listeners.append(listener)
+
+    def total(self, version: VersionId, task: TaskName) -> Tally:
+        """Return what all hosts have counted, as far as it is known."""
+        return self._sums.get((version, task), Tally())
+
+    def started(self, start: AttemptStart) -> None:
+        """Note nothing: only endings are evidence."""
+
+    def ended(self, end: AttemptEnd) -> None:
+        """Count an attempt of this host."""
+        counted = _count(end)
+        if counted is None:
+            return
+        name = (self._incarnation, end.start.version, end.start.task)
+        cell = self._cells.get(name, EvidenceCell(*name))
+        tally = cell.tally.plus(counted)
+        self._put(EvidenceCell(*name, tally), counted)
+
+    def learn(self, cells: Iterable[EvidenceCell]) -> None:
+        """Take cells that another host has sent."""
+        for cell in cells:
+            name = (cell.incarnation, *cell.key)
+            # Our own cells are known best here.
+            if cell.incarnation in {self._incarnation, *self._gone}:
+                continue
+            known = self._cells.get(name, EvidenceCell(*name)).tally
+            if cell.tally.attempts > known.attempts:
+                self._put(cell, cell.tally.minus(known))
+
+    def fold(self, live: frozenset[Incarnation]) -> None:
+        """Keep only the sums of runs that have ended.
+
+        Args:
+            live: Runs of hosts that are still known to the membership.
+        """
+        ended = {name[0] for name in self._cells} - live
+        ended.discard(self._incarnation)
+        self._gone.update(ended)
+        folded = [name for name in self._cells if name[0] in ended]
+        for name in folded:
+            self._cells.pop(name)
+            self._unsent.pop(name, None)
+
+    def outgoing(self) -> EvidenceMessage:
+        """Return the next message for others; it may be empty."""
+        names = list(self._unsent)[:MESSAGE_CELLS]
+        for sent in names:
+            self._unsent.pop(sent)
+        names.extend(self._repeats())
+        return EvidenceMessage(tuple(map(self._cells.__getitem__, names)))
+
+    def _repeats(self) -> list[_CellId]:
+        own = [name for name in self._cells if name[0] == self._incarnation]
+        if not own:
+            return []
+        start = self._repeated % len(own)
+        self._repeated = start + REPEATED_CELLS
+        return own[start : start + REPEATED_CELLS]
+
+    def _put(self, cell: EvidenceCell, fresh: Tally) -> None:
+        name = (cell.incarnation, *cell.key)
+        self._cells[name] = cell
+        self._sums[cell.key] = self.total(*cell.key).plus(fresh)
+        self._unsent.setdefault(name)
+        for listener in self._listeners:
+            listener(cell.key, fresh)
+
+
+def _count(end: AttemptEnd) -> Tally | None:
+    """Return the evidence in an attempt, or None if there is none."""
+    if end.code in FAILURES:
+        return Tally(errors=1)
+    if end.code is ResultCode.ANSWER_CUT:
+        return Tally(cuts=1)
+    if end.code is not ResultCode.OK:
+        return None
+    first = end.seconds if end.first_token is None else end.first_token
+    tokens = max(end.output_tokens, 1)
+    pace = (end.seconds - first) / tokens
+    return Tally(
+        answers=1,
+        first=moments_of(math.log(max(first, _SHORTEST))),
+        pace=moments_of(math.log(max(pace, _SHORTEST))),
+        length=moments_of(math.log(tokens)),
+    )
--- /dev/null
+++ b/tests/test_evidence.py
@@ -0,0 +1,109 @@
+"""Counters add up to the same everywhere, however the messages travel."""
+
+import random
+import unittest
+
+from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.evidence import (
+    MESSAGE_CELLS,
+    REPEATED_CELLS,
+    EvidenceMessage,
+    EvidenceStore,
+    Tally,
+)
+from nutmegroad.results import ResultCode
+from nutmegroad.types import (
+    AttemptId,
+    Incarnation,
+    RequestId,
+    TaskName,
+    UpstreamId,
+    VersionId,
+    WorkspaceId,
+)
+
+VERSION = VersionId('a@1')
+TASK = TaskName('tag')
+NAMES = tuple(map(Incarnation, ('h0.1', 'h1.1', 'h2.1')))
+
+
+def end_of(
+    code: ResultCode = ResultCode.OK,
+    task: str = TASK,
+    tokens: int = 100,
+) -> AttemptEnd:
+    """Return the end of an attempt."""
+    start = AttemptStart(
+        AttemptId('t'),
+        RequestId('r'),
+        WorkspaceId('w'),
+        TaskName(task),
+        VERSION,
+        UpstreamId('u'),
+    )
+    return AttemptEnd(start, code, 0.1, 2, 10, tokens, 0, 'text')
+
+
+class EvidenceTest(unittest.TestCase):
+    def test_lost_doubled_and_crossed_messages_do_no_harm(self) -> None:
+        chance = random.Random(5)
+        stores = [EvidenceStore(name) for name in NAMES]
+        under_way: list[EvidenceMessage] = []
+        for _ in range(300):
+            store = chance.choice(stores)
+            code = chance.choice((ResultCode.OK, ResultCode.UPSTREAM_ERROR))
+            store.ended(end_of(code))
+            under_way.append(store.outgoing())
+            for message in chance.sample(under_way, min(2, len(under_way))):
+                if chance.getrandbits(1):
+                    chance.choice(stores).learn(message.cells)
+        for sender in stores * 2:
+            message = sender.outgoing()
+            for store in stores:
+                store.learn(message.cells)
+        totals = {store.total(VERSION, TASK).attempts for store in stores}
+        self.assertEqual(totals, {300})
+
+    def test_only_what_speaks_of_the_version_counts(self) -> None:
+        store = EvidenceStore(NAMES[0])
+        for code in (
+            ResultCode.OK,
+            ResultCode.UPSTREAM_UNREACHABLE,
+            ResultCode.UPSTREAM_BUSY,
+            ResultCode.ANSWER_CUT,
+        ):
+            store.ended(end_of(code))
+        total = store.total(VERSION, TASK)
+        self.assertEqual((total.answers, total.errors, total.cuts), (1, 0, 1))
+
+    def test_a_message_is_bounded(self) -> None:
+        store = EvidenceStore(NAMES[0])
+        for number in range(200):
+            store.ended(end_of(task=f'task-{number}'))
+        most = MESSAGE_CELLS + REPEATED_CELLS
+        self.assertLessEqual(len(store.outgoing().cells), most)
+
+    def test_ended_runs_are_folded_and_not_counted_again(self) -> None:
+        gone = EvidenceStore(NAMES[0])
+        gone.ended(end_of())
+        message = gone.outgoing()
+        store = EvidenceStore(NAMES[1])
+        store.learn(message.cells)
+        store.fold(frozenset((NAMES[1],)))
+        store.learn(message.cells)
+        self.assertEqual(store.size, 0)
+        self.assertEqual(store.total(VERSION, TASK).attempts, 1)
+
+    def test_listeners_hear_each_attempt_once(self) -> None:
+        heard: list[Tally] = []
+        sender = EvidenceStore(NAMES[0])
+        store = EvidenceStore(NAMES[1])
+        store.listen(lambda _key, fresh: heard.append(fresh))
+        messages = []
+        for _ in range(3):
+            sender.ended(end_of())
+            messages.append(sender.outgoing())
+        for message in (*messages, *messages):
+            store.learn(message.cells)
+        # None is counted twice, and none is taken back by an old message.
+        self.assertEqual([tally.attempts for tally in heard], [1, 1, 1])
