Guard against bad versions by sequential tests

Cause: a version can turn bad in mid-service, and nobody may be there to see it. Each host tests the evidence of all hosts as it comes, stops sending first and tells the others next, without the platform. Weighed: SPRT and mixture SPRT on normal scores (a single score of 0 at deviation 0.05 makes an alarm, so they are out for ratings); alpha spending (needs a horizon); an empirical Bernstein bound on sums (40 and more ratings where bets on single scores take 13 to 20, worked out, not run). Taken: bets on each score in twenty buckets, as cumulative sums.

--- /dev/null
+++ b/src/nutmegroad/_exposure_part.py
@@ -0,0 +1,61 @@
+"""The part that guards against bad versions."""
+
+from typing import Final
+
+from nutmegroad._exposure_spread import ExposureSpread
+from nutmegroad.configuration import Configuration
+from nutmegroad.core import Kernel
+from nutmegroad.decisions import Observers, Quarantine
+from nutmegroad.evidence import EvidenceStore
+from nutmegroad.exposure import ExposureGuard
+from nutmegroad.peers import Mesh
+from nutmegroad.quarantines import Quarantines
+from nutmegroad.ratings import RatingFeed
+from nutmegroad.registry import register
+
+#: Seconds between messages with evidence.
+SPREAD_PERIOD: Final = 2.0
+
+
+@register('quarantine', 'evidence')
+def evidence_quarantine(kernel: Kernel) -> Quarantines:
+    """Make the quarantines of a host."""
+    return Quarantines(kernel.need(Configuration))
+
+
+@register('part', 'exposure')
+class ExposurePart:
+    """Provides the evidence, the guard and the quarantines.
+
+    Where the settings choose another quarantine, the guard still tests and
+    says what it finds, but nothing is blocked.
+    """
+
+    needs = (Quarantine, Observers, Mesh, RatingFeed)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Begin to count and to tell."""
+        configuration = kernel.need(Configuration)
+        quarantines = kernel.need(Quarantine)
+        if not isinstance(quarantines, Quarantines):
+            quarantines = Quarantines(configuration)
+        evidence = EvidenceStore(kernel.incarnation)
+        guard = ExposureGuard(
+            configuration,
+            evidence,
+            kernel.need(RatingFeed),
+            quarantines,
+        )
+        spread = ExposureSpread(
+            kernel.need(Mesh),
+            evidence,
+            quarantines,
+            kernel.clock,
+            kernel.randomness,
+            SPREAD_PERIOD,
+        )
+        kernel.need(Observers).add(evidence)
+        kernel.provide(EvidenceStore, evidence)
+        kernel.provide(ExposureGuard, guard)
+        kernel.provide(Quarantines, quarantines)
+        kernel.spawn(spread.run(), 'exposure')
--- a/src/nutmegroad/ratings.py
+++ b/src/nutmegroad/ratings.py
@@ -10,6 +10,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from operator import sub
 from typing import ClassVar, Final, Protocol
 
 from absl import logging
@@ -35,6 +36,9 @@
 #: Answers that wait to be handed in; later ones are not sampled.
 QUEUE_LIMIT: Final = 256
 
+#: Parts of the scale of scores: each is 0.05 wide.
+BUCKETS: Final = 20
+
 _SCORE_DIGITS: Final = 6
 
 #: A version and a task class.
@@ -50,6 +54,8 @@
         count: How many ratings.
         total: Sum of the scores.
         squares: Sum of the scores' squares.
+        buckets: How many scores fell into each of ``BUCKETS`` equal parts
+            of the scale, so that a test can look at single scores.
     """
 
     version: VersionId
@@ -57,6 +63,7 @@
     count: int = 0
     total: float = 0
     squares: float = 0
+    buckets: tuple[int, ...] = (0,) * BUCKETS
 
     @property
     def key(self) -> RatingKey:
@@ -71,6 +78,7 @@
             self.count + 1,
             round(self.total + score, _SCORE_DIGITS),
             round(self.squares + score * score, _SCORE_DIGITS),
+            _drop_in(self.buckets, score),
         )
 
     def since(self, earlier: 'RatingTally') -> 'RatingTally':
@@ -81,6 +89,7 @@
             self.count - earlier.count,
             self.total - earlier.total,
             self.squares - earlier.squares,
+            tuple(map(sub, self.buckets, earlier.buckets)),
         )
 
 
@@ -271,6 +280,19 @@
         return None
 
 
+def score_of(bucket: int) -> float:
+    """Return the score in the middle of a bucket."""
+    return (bucket + 0.5) / BUCKETS
+
+
+def _drop_in(buckets: tuple[int, ...], score: float) -> tuple[int, ...]:
+    """Return the buckets with one score more."""
+    chosen = min(max(int(score * BUCKETS), 0), BUCKETS - 1)
+    return tuple(
+        count + (number == chosen) for number, count in enumerate(buckets)
+    )
+
+
 def _fold(
     tallies: dict[RatingKey, RatingTally],
     ratings: list[Rating],
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -30,7 +30,7 @@
 def end_of(
     code: ResultCode = ResultCode.OK,
     task: str = TASK,
-    tokens: int = 100,
+    version: VersionId = VERSION,
 ) -> AttemptEnd:
     """Return the end of an attempt."""
     start = AttemptStart(
@@ -38,10 +38,10 @@
         RequestId('r'),
         WorkspaceId('w'),
         TaskName(task),
-        VERSION,
+        version,
         UpstreamId('u'),
     )
-    return AttemptEnd(start, code, 0.1, 2, 10, tokens, 0, 'text')
+    return AttemptEnd(start, code, 0.1, 2, 10, 100, 0, 'text')
 
 
 class EvidenceTest(unittest.TestCase):
