Move roll-outs by evidence under a lease

Cause: a roll-out has to begin small, grow on evidence, stop at once, and go on when the host that moves it is gone. Ruled out: the fencing number in the row alone (the table doesn't check it); each new holder first claims the row, so an earlier holder's write meets a row that has moved on. A roll-out is not made steady by itself: that is a change of the document, which operators make. Seen red with the mechanism out, each by itself: no claim (1 test), no compare-and-set (1), no hold on evidence against it (1), no read-back (1), the guard's finding left out (1), no quarantine before the table at an abort (2). Left: ratings of several task classes are pooled for the growth; the guard's tests by task class hold it.

--- /dev/null
+++ b/src/nutmegroad/_rollout_routes.py
@@ -0,0 +1,239 @@
+"""Operators' calls about roll-outs and quarantines."""
+
+from collections.abc import Awaitable, Callable
+from enum import Enum, unique
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+from aiohttp.web import Application, Request, Response
+from msgspec import Struct
+
+from nutmegroad.configuration import Configuration
+from nutmegroad.documents import Role, Stage
+from nutmegroad.quarantines import Grade, QuarantineFact, Quarantines
+from nutmegroad.replies import JSON_TYPE, refuse
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.rollout_shares import RolloutShares
+from nutmegroad.rollouts import (
+    FIRST_SHARE,
+    Phase,
+    Rollout,
+    RolloutState,
+    RolloutStore,
+    Step,
+)
+from nutmegroad.types import (
+    Epoch,
+    OperatorId,
+    RequestId,
+    TaskName,
+    VersionId,
+)
+
+#: The task class of a quarantine that an operator imposes: all of them.
+ALL_TASKS: Final = TaskName('all')
+
+_NO_REQUEST: Final = RequestId('')
+
+#: Returns the operator who asks, if they may do it.
+Authorize = Callable[[Request, Role], OperatorId | Refusal]
+
+
+@unique
+class Action(Enum):
+    """What an operator can do with a roll-out."""
+
+    START = 'start'
+    PAUSE = 'pause'
+    RESUME = 'resume'
+    ABORT = 'abort'
+    #: Lift the quarantines of a version.
+    LIFT = 'lift'
+
+
+#: Where an action leaves a roll-out.
+_PHASES: Final = MappingProxyType(
+    {
+        Action.PAUSE: Phase.PAUSED,
+        Action.RESUME: Phase.RUNNING,
+        Action.ABORT: Phase.ABORTED,
+    },
+)
+
+
+class RolloutBody(Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of ``POST /operators/rollouts``."""
+
+    version: str
+    action: Action
+
+
+class RolloutStatus(Struct, frozen=True):
+    """What this host knows of roll-outs.
+
+    Attributes:
+        rollouts: The roll-outs, with the reason of each step.
+        shares: The share that is in force here by version.
+        quarantines: The quarantines, those that stand first.
+    """
+
+    rollouts: tuple[RolloutState, ...]
+    shares: dict[str, float]
+    quarantines: tuple[QuarantineFact, ...]
+
+
+class RolloutDesk:
+    """Does what operators ask.
+
+    Args:
+        configuration: What is in force.
+        store: The rows of roll-outs.
+        shares: What is in force on this host.
+        quarantines: What the guard has stopped.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        store: RolloutStore,
+        shares: RolloutShares,
+        quarantines: Quarantines,
+    ) -> None:
+        self._configuration = configuration
+        self._store = store
+        self._shares = shares
+        self._quarantines = quarantines
+
+    def status(self) -> RolloutStatus:
+        """Return what this host knows."""
+        states = tuple(rollout.state for rollout in self._shares.known)
+        return RolloutStatus(
+            states,
+            {
+                state.version: self._shares.share(state.version)
+                for state in states
+            },
+            self._quarantines.facts,
+        )
+
+    async def act(
+        self,
+        version: VersionId,
+        action: Action,
+        author: OperatorId,
+    ) -> Refusal | None:
+        """Do what an operator asks; halting needs no platform."""
+        entry = self._configuration.entry(version)
+        if entry is None:
+            return _missing(f'There is no version {version!r}.')
+        if action is Action.LIFT:
+            self._quarantines.lift(version, author)
+            return None
+        if entry.stage is not Stage.ROLLOUT:
+            reason = f'The version {version} is not in roll-out but steady.'
+            return Refusal(ResultCode.OPERATOR_REQUEST_INVALID, reason)
+        if action is Action.START:
+            return await self._start(version, Epoch(entry.epoch), author)
+        if action is Action.ABORT:
+            # It stops here, and on all hosts, before the table is asked.
+            reason = f'aborted by {author}.'
+            self._quarantines.impose(version, ALL_TASKS, Grade.STRONG, reason)
+        return await self._change(version, _PHASES[action], author)
+
+    async def _start(
+        self,
+        version: VersionId,
+        epoch: Epoch,
+        author: OperatorId,
+    ) -> Refusal | None:
+        if self._quarantines.standing_all(version):
+            reason = f'The version {version} is in quarantine; lift it first.'
+            return Refusal(ResultCode.OPERATOR_REQUEST_INVALID, reason)
+        share = min(FIRST_SHARE, self._shares.bound(version))
+        step = Step(share, Phase.RUNNING, f'Started by {author}.')
+        wanted = RolloutState(version, epoch).after(step)
+        return self._take(await self._store.begin(wanted))
+
+    async def _change(
+        self,
+        version: VersionId,
+        phase: Phase,
+        author: OperatorId,
+    ) -> Refusal | None:
+        found = await self._store.find(version)
+        if isinstance(found, Refusal):
+            return found
+        if found is None:
+            return _missing(f'No roll-out of {version} was started.')
+        share = 0 if phase is Phase.ABORTED else found.state.share
+        step = Step(share, phase, f'{phase.value} by {author}.')
+        # The number stays: it says who may move the row by itself.
+        wanted = found.state.after(step)
+        return self._take(await self._store.move(found.row, wanted))
+
+    def _take(self, moved: Rollout | Refusal) -> Refusal | None:
+        if isinstance(moved, Refusal):
+            return moved
+        self._shares.learn(moved)
+        return None
+
+
+class RolloutRoutes:
+    """The operators' HTTP calls.
+
+    Args:
+        desk: Does what is asked.
+        authorize: Checks who asks.
+    """
+
+    def __init__(self, desk: RolloutDesk, authorize: Authorize) -> None:
+        self._desk = desk
+        self._authorize = authorize
+
+    def add_to(self, app: Application) -> None:
+        """Answer the calls in an application."""
+        app.router.add_get('/operators/rollouts', self.show)
+        app.router.add_post('/operators/rollouts', self.act)
+
+    async def show(self, http: Request) -> Response:
+        """Show roll-outs, the evidence and the reason of each step."""
+        return await self._answer(http, Role.READ, self._nothing)
+
+    async def act(self, http: Request) -> Response:
+        """Start, pause, resume or abort a roll-out, or lift quarantines."""
+
+        async def work(operator: OperatorId) -> Refusal | None:
+            """Read the body and act."""
+            try:
+                body = msgspec.json.decode(await http.read(), type=RolloutBody)
+            except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+                reason = f'The body is not as expected: {problem}.'
+                return Refusal(ResultCode.OPERATOR_REQUEST_INVALID, reason)
+            version = VersionId(body.version)
+            return await self._desk.act(version, body.action, operator)
+
+        return await self._answer(http, Role.OPERATE, work)
+
+    async def _nothing(self, operator: OperatorId) -> Refusal | None:
+        """Do nothing."""
+
+    async def _answer(
+        self,
+        http: Request,
+        role: Role,
+        work: Callable[[OperatorId], Awaitable[Refusal | None]],
+    ) -> Response:
+        operator = self._authorize(http, role)
+        if isinstance(operator, Refusal):
+            return refuse(operator, _NO_REQUEST)
+        refusal = await work(operator)
+        if refusal is not None:
+            return refuse(refusal, _NO_REQUEST)
+        content = msgspec.json.encode(self._desk.status())
+        return Response(body=content, content_type=JSON_TYPE)
+
+
+def _missing(reason: str) -> Refusal:
+    """Say that there is no such thing."""
+    return Refusal(ResultCode.NOT_FOUND, reason)
--- /dev/null
+++ b/src/nutmegroad/rollout_keeper.py
@@ -0,0 +1,238 @@
+"""Moves roll-outs, while this host holds their lease."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from msgspec.structs import replace
+
+from nutmegroad.clocks import Clock
+from nutmegroad.configuration import Configuration
+from nutmegroad.documents import VersionEntry
+from nutmegroad.evidence import EvidenceStore, Moments
+from nutmegroad.exposure import ExposureGuard
+from nutmegroad.leases import Lease, LeaseKeeper
+from nutmegroad.logs import part_logger
+from nutmegroad.quarantines import Quarantines
+from nutmegroad.results import Refusal
+from nutmegroad.rollout_shares import RolloutShares
+from nutmegroad.rollouts import (
+    Findings,
+    Phase,
+    Rollout,
+    RolloutState,
+    RolloutStore,
+    decide,
+)
+from nutmegroad.types import TaskName, VersionId
+
+_LOG: Final = part_logger('rollouts')
+
+#: The lease under which all roll-outs are moved.
+ROLLOUTS_LEASE: Final = 'rollouts'
+#: Reads are spread over this share of their period.
+JITTER: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class _Mark:
+    """What stood when this host first saw a step.
+
+    Attributes:
+        state: The state after the step.
+        since: Clock seconds.
+        answers: Answers of the version until then.
+        ratings: Its ratings until then.
+    """
+
+    state: RolloutState
+    since: float
+    answers: int
+    ratings: Moments
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutParts:
+    """What a keeper of roll-outs needs.
+
+    Attributes:
+        configuration: What is in force.
+        store: Reads and moves the rows.
+        shares: What is in force on this host.
+        leases: Takes the lease.
+        guard: Tests the evidence.
+        evidence: The evidence.
+        quarantines: What the guard has stopped.
+    """
+
+    configuration: Configuration
+    store: RolloutStore
+    shares: RolloutShares
+    leases: LeaseKeeper
+    guard: ExposureGuard
+    evidence: EvidenceStore
+    quarantines: Quarantines
+
+
+class RolloutKeeper:
+    """Reads the roll-outs, and moves them if it holds the lease.
+
+    Args:
+        parts: What it needs.
+        clock: The host's clock.
+        randomness: Spreads the reads.
+        period: Seconds between reads.
+    """
+
+    def __init__(
+        self,
+        parts: RolloutParts,
+        clock: Clock,
+        randomness: random.Random,
+        period: float,
+    ) -> None:
+        self._parts = parts
+        self._clock = clock
+        self._randomness = randomness
+        self._period = period
+        self._marks: dict[VersionId, _Mark] = {}
+
+    async def run(self, is_mine: Callable[[], bool]) -> None:
+        """Read and move until cancelled.
+
+        Args:
+            is_mine: Tells whether this host tries for the lease.
+        """
+        while True:
+            rollouts = await self.read()
+            if rollouts and is_mine():
+                await self.move(rollouts)
+            spread = self._randomness.uniform(-JITTER, JITTER)
+            await self._clock.sleep(self._period * (1 + spread))
+
+    async def read(self) -> tuple[Rollout, ...]:
+        """Read the roll-outs, and put their shares into force here."""
+        rollouts = await self._parts.store.all()
+        if isinstance(rollouts, Refusal):
+            return ()
+        for rollout in rollouts:
+            self._parts.shares.learn(rollout)
+        return rollouts
+
+    async def move(self, rollouts: tuple[Rollout, ...]) -> None:
+        """Move the roll-outs that run, under the lease."""
+        lease = await self._parts.leases.keep(ROLLOUTS_LEASE)
+        if isinstance(lease, Refusal):
+            self._marks.clear()
+            return
+        for rollout in rollouts:
+            if rollout.state.phase is Phase.RUNNING:
+                await self._move_one(rollout, lease)
+
+    async def _move_one(self, rollout: Rollout, lease: Lease) -> None:
+        state = rollout.state
+        entry = self._parts.configuration.entry(state.version)
+        if entry is None or entry.epoch != state.epoch:
+            return
+        if state.fencing != lease.number:
+            # Claim it first; decide when the claim stands.
+            await self._write(rollout, state, lease)
+            return
+        step = decide(state, self._findings(state, entry))
+        if step is not None:
+            _LOG.info(
+                '%s gets %.3f: %s',
+                state.version,
+                step.share,
+                step.reason,
+            )
+            await self._write(rollout, state.after(step), lease)
+
+    async def _write(
+        self,
+        rollout: Rollout,
+        wanted: RolloutState,
+        lease: Lease,
+    ) -> None:
+        if wanted.fencing > lease.number:
+            return
+        if self._parts.leases.check(lease) is not None:
+            return
+        fenced = replace(wanted, fencing=lease.number)
+        moved = await self._parts.store.move(rollout.row, fenced)
+        if not isinstance(moved, Refusal):
+            self._parts.shares.learn(moved)
+
+    def _findings(
+        self,
+        state: RolloutState,
+        entry: VersionEntry,
+    ) -> Findings:
+        """Sum up what is known of a version in this step."""
+        tasks = self._tasks(state.version)
+        before = entry.replaces
+        answers, ratings = self._counted(state.version, tasks)
+        mark = self._mark(state, answers, ratings)
+        reference = Moments()
+        if before is not None:
+            reference = self._counted(VersionId(before), tasks)[1]
+        standing = self._parts.quarantines.standing_all(state.version)
+        return Findings(
+            blocked=standing[0].reason if standing else '',
+            bound=self._parts.shares.bound(state.version),
+            seconds=self._clock.now() - mark.since,
+            answers=answers - mark.answers,
+            ratings=ratings.minus(mark.ratings),
+            before=reference,
+            strength=self._strength(state.version, tasks),
+        )
+
+    def _mark(
+        self,
+        state: RolloutState,
+        answers: int,
+        ratings: Moments,
+    ) -> _Mark:
+        known = self._marks.get(state.version)
+        if known is None or known.state.share != state.share:
+            known = _Mark(state, self._clock.now(), answers, ratings)
+            self._marks[state.version] = known
+        return known
+
+    def _tasks(self, version: VersionId) -> tuple[TaskName, ...]:
+        accepted = self._parts.configuration.accepted
+        if accepted is None:
+            return ()
+        return tuple(
+            TaskName(entry.task)
+            for entry in accepted.preset_entry.tasks
+            if version in entry.versions
+        )
+
+    def _counted(
+        self,
+        version: VersionId,
+        tasks: tuple[TaskName, ...],
+    ) -> tuple[int, Moments]:
+        """Return the answers and ratings of a version, over its tasks."""
+        answers = 0
+        ratings = Moments()
+        for task in tasks:
+            answers += self._parts.evidence.total(version, task).answers
+            ratings = ratings.plus(self._parts.guard.ratings(version, task))
+        return answers, ratings
+
+    def _strength(
+        self,
+        version: VersionId,
+        tasks: tuple[TaskName, ...],
+    ) -> float:
+        """Return the strongest evidence against a version."""
+        watches = (self._parts.guard.watch(version, task) for task in tasks)
+        strengths = [
+            max(watch.strengths().values())
+            for watch in watches
+            if watch is not None
+        ]
+        return max(strengths, default=0)
--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -121,8 +121,8 @@
 
     async def test_a_slow_fall_is_found(self) -> None:
         host = self.hosts(STEADY)[0]
-        for step in range(1000):
-            host.rate(OLD, self.scores(GOOD - step / 4000, 2))
+        for step in range(1200):
+            host.rate(OLD, self.scores(GOOD - step / 10000, 4))
         self.assertTrue(host.blocks(OLD))
 
     async def test_one_bad_task_class_does_not_stop_the_others(self) -> None:
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,309 @@
+"""Roll-outs grow on evidence, stop on it, and outlive their holders."""
+
+import dataclasses
+import itertools
+import random
+import unittest
+
+from nutmegroad._rollout_routes import Action, RolloutDesk
+from nutmegroad.documents import Concern, Stage
+from nutmegroad.evidence import EvidenceStore, Moments, Tally
+from nutmegroad.exposure import ExposureGuard
+from nutmegroad.leases import LeaseKeeper
+from nutmegroad.quarantines import Quarantines
+from nutmegroad.ratings import RatingTally
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.rollout_keeper import RolloutKeeper, RolloutParts
+from nutmegroad.rollout_shares import RolloutShares
+from nutmegroad.rollouts import (
+    FIRST_SHARE,
+    Findings,
+    Phase,
+    RolloutState,
+    RolloutStore,
+    Step,
+    decide,
+)
+from nutmegroad.testing import ManualClock, MemoryMesh
+from nutmegroad.types import (
+    DomainId,
+    Epoch,
+    HostId,
+    IdempotencyKey,
+    OperatorId,
+    RequestId,
+    VersionId,
+    WorkspaceId,
+)
+from tests.configurations import (
+    GOOD,
+    NEW,
+    OLD,
+    TAG,
+    configuration_of,
+    document_of,
+    version_of,
+)
+from tests.tables import MemoryTable
+from tests.test_exposure import QuietFeed
+
+OPERATOR = OperatorId('op')
+ROLLOUT = document_of(version_of(OLD), version_of(NEW, Stage.ROLLOUT))
+TERM = 8
+
+
+def request_of(name: str) -> ModelRequest:
+    """Return a request."""
+    return ModelRequest(
+        request=RequestId(name),
+        workspace=WorkspaceId('w'),
+        concern=Concern.EXPOSURE,
+        task=TAG,
+        target=0.8,
+        versions=(OLD, NEW),
+        repeatable=True,
+        deadline=60,
+        priority=5,
+        prompt_tokens=10,
+        output_tokens=10,
+        prefix=0,
+        key=IdempotencyKey(''),
+        session=None,
+        body={},
+    )
+
+
+class Host:
+    """What one host has for roll-outs."""
+
+    def __init__(self, mesh: MemoryMesh, table: MemoryTable, name: str) -> None:
+        peer = mesh.join(HostId(name), DomainId('d'))
+        numbers = itertools.count()
+
+        def nonce() -> str:
+            return f'{name}{next(numbers)}'
+
+        configuration = configuration_of(mesh.clock, ROLLOUT)
+        self.quarantines = Quarantines(configuration)
+        evidence = EvidenceStore(peer.incarnation)
+        guard = ExposureGuard(
+            configuration, evidence, QuietFeed(), self.quarantines
+        )
+        self._evidence = evidence
+        store = RolloutStore(table, nonce)
+        self.shares = RolloutShares(configuration, peer)
+        leases = LeaseKeeper(peer.incarnation, table, mesh.clock, nonce, TERM)
+        self.held = leases.held
+        self.rate = guard.rated
+        parts = RolloutParts(
+            configuration,
+            store,
+            self.shares,
+            leases,
+            guard,
+            evidence,
+            self.quarantines,
+        )
+        self.keeper = RolloutKeeper(parts, mesh.clock, random.Random(name), 2)
+        self.desk = RolloutDesk(
+            configuration, store, self.shares, self.quarantines
+        )
+
+    async def turn(self) -> None:
+        """Read, and move if the lease is to be had."""
+        await self.keeper.move(await self.keeper.read())
+
+    def see(self, version: VersionId, score: float, count: int = 60) -> None:
+        """Let rated answers come in."""
+        for _ in range(count):
+            self.rate(RatingTally(version, TAG).plus(score))
+        tally = self._evidence.total(version, TAG)
+        key = (version, TAG)
+        answers = Tally(answers=tally.answers + count)
+        self._evidence._sums[key] = answers
+
+
+class RolloutCase(unittest.IsolatedAsyncioTestCase):
+    """Two hosts on one table."""
+
+    async def asyncSetUp(self) -> None:
+        """Make them."""
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        self.mesh = MemoryMesh(self.clock, random.Random(1))
+        await self.mesh.__aenter__()
+        self.addAsyncCleanup(self.mesh.__aexit__, None, None, None)
+        self.one = Host(self.mesh, self.table, 'one')
+        self.two = Host(self.mesh, self.table, 'two')
+
+    async def act(self, host: Host, action: Action) -> Refusal | None:
+        """Do something as an operator."""
+        refusal = await host.desk.act(NEW, action, OPERATOR)
+        await self.clock.advance(1)
+        return refusal
+
+    async def turns(self, *hosts: Host, seconds: float) -> None:
+        """Let hosts read and move every two seconds."""
+        for _ in range(round(seconds / 2)):
+            for host in hosts:
+                await host.turn()
+            await self.clock.advance(2)
+
+    def state(self, host: Host) -> RolloutState:
+        """Return the roll-out as a host knows it."""
+        return host.shares.known[0].state
+
+
+class MovingTest(RolloutCase):
+    async def test_it_grows_on_good_evidence_up_to_its_bound(self) -> None:
+        await self.act(self.one, Action.START)
+        self.assertEqual(self.two.shares.share(NEW), FIRST_SHARE)
+        for _ in range(8):
+            await self.turns(self.one, seconds=8)
+            self.one.see(OLD, GOOD)
+            self.one.see(NEW, GOOD)
+            await self.turns(self.one, seconds=64)
+        self.assertEqual(self.state(self.one).share, 0.5)
+        self.assertEqual(self.two.shares.share(NEW), 0.5)
+        self.assertIn('ratings', self.state(self.two).steps[-1].reason)
+
+    async def test_without_evidence_it_stays_as_it_is(self) -> None:
+        await self.act(self.one, Action.START)
+        await self.turns(self.one, seconds=600)
+        self.assertEqual(self.state(self.one).share, FIRST_SHARE)
+
+    async def test_a_bad_version_is_halted_for_all(self) -> None:
+        await self.act(self.one, Action.START)
+        await self.turns(self.one, seconds=8)
+        self.one.see(OLD, GOOD)
+        self.one.see(NEW, GOOD - 0.5)
+        await self.turns(self.one, seconds=4)
+        self.assertIs(self.state(self.two).phase, Phase.HALTED)
+        self.assertEqual(self.two.shares.share(NEW), 0)
+
+    async def test_halted_half_way_another_host_picks_it_up(self) -> None:
+        await self.act(self.one, Action.START)
+        await self.turns(self.one, self.two, seconds=8)
+        first = self.state(self.two).fencing
+        # The first host is gone from here on.
+        await self.turns(self.two, seconds=2 * TERM)
+        self.two.see(OLD, GOOD)
+        self.two.see(NEW, GOOD)
+        await self.turns(self.two, seconds=70)
+        self.assertGreater(self.state(self.two).fencing, first)
+        self.assertGreater(self.state(self.two).share, FIRST_SHARE)
+
+    async def test_a_holder_that_slept_moves_nothing(self) -> None:
+        await self.act(self.one, Action.START)
+        await self.turns(self.one, self.two, seconds=8)
+        lease = self.one.held('rollouts')
+        rollouts = await self.one.keeper.read()
+        await self.turns(self.two, seconds=2 * TERM)
+        claimed = self.state(self.two)
+        # It wakes with what it read before, and thinks it holds the lease.
+        if lease is None:
+            self.fail('The first host held no lease.')
+        await self.one.keeper._write(
+            rollouts[0],
+            rollouts[0].state.after(Step(1, Phase.RUNNING, 'late')),
+            dataclasses.replace(lease, expires=float('inf')),
+        )
+        await self.two.keeper.read()
+        self.assertEqual(self.state(self.two), claimed)
+
+    async def test_the_claim_alone_stops_a_late_write(self) -> None:
+        await self.act(self.one, Action.START)
+        old = (await self.one.keeper.read())[0]
+        await self.turns(self.two, seconds=4)
+        late = old.state.after(Step(1, Phase.RUNNING, 'late'))
+        store = RolloutStore(self.table, lambda: 'late')
+        moved = await store.move(old.row, late)
+        self.assertEqual(
+            getattr(moved, 'code', None), ResultCode.TABLE_CONFLICT
+        )
+
+
+class OperatorTest(RolloutCase):
+    async def test_with_the_table_down_halting_still_works(self) -> None:
+        await self.act(self.one, Action.START)
+        self.table.down = True
+        refusal = await self.act(self.one, Action.ABORT)
+        self.assertIsNotNone(refusal)
+        self.assertIsNotNone(self.one.quarantines.blocked(NEW, TAG))
+
+    async def test_a_paused_one_keeps_its_share(self) -> None:
+        await self.act(self.one, Action.START)
+        await self.act(self.one, Action.PAUSE)
+        self.one.see(OLD, GOOD)
+        self.one.see(NEW, GOOD)
+        await self.turns(self.one, seconds=200)
+        self.assertEqual(self.state(self.two).share, FIRST_SHARE)
+        await self.act(self.two, Action.RESUME)
+        self.assertIs(self.state(self.one).phase, Phase.RUNNING)
+
+    async def test_a_lost_reply_is_read_back(self) -> None:
+        self.table.lost_replies = 1
+        self.assertIsNone(await self.act(self.one, Action.START))
+        self.assertEqual(self.one.shares.share(NEW), FIRST_SHARE)
+
+    async def test_a_quarantined_version_has_to_be_lifted_first(self) -> None:
+        await self.act(self.one, Action.START)
+        await self.act(self.one, Action.ABORT)
+        self.assertIsNotNone(await self.act(self.one, Action.START))
+        await self.act(self.one, Action.LIFT)
+        self.assertIsNone(await self.act(self.one, Action.START))
+
+
+class ShareTest(RolloutCase):
+    async def test_hosts_draw_alike_and_growth_takes_nothing_away(
+        self,
+    ) -> None:
+        await self.act(self.one, Action.START)
+        requests = [request_of(f'r{number}') for number in range(5000)]
+        small = self.allowed(self.one, requests)
+        self.assertEqual(small, self.allowed(self.two, requests))
+        self.assertAlmostEqual(len(small) / len(requests), 0.01, delta=0.006)
+        found = await self.one.keeper.read()
+        state = found[0].state.after(Step(0.3, Phase.RUNNING, 'test'))
+        store = RolloutStore(self.table, lambda: 'n')
+        await store.move(found[0].row, state)
+        await self.one.keeper.read()
+        self.assertLess(small, self.allowed(self.one, requests))
+
+    async def test_nothing_before_it_is_started(self) -> None:
+        self.assertEqual(self.one.shares.share(NEW), 0)
+        self.assertEqual(self.one.shares.share(OLD), 1)
+
+    def allowed(self, host: Host, requests: list[ModelRequest]) -> set[str]:
+        """Return the ids of requests that may go to the new version."""
+        return {
+            request.request
+            for request in requests
+            if host.shares.allows(NEW, request)
+        }
+
+
+class DecisionTest(unittest.TestCase):
+    def test_what_holds_a_step(self) -> None:
+        good = Moments(100, 90, 81.5)
+        worse = Moments(100, 84, 71)
+        ready = Findings('', 0.5, 61, 100, good, good, 0)
+        state = RolloutState(NEW, Epoch(0), FIRST_SHARE)
+        self.assertIsNotNone(decide(state, ready))
+        for change in (
+            {'seconds': 59},
+            {'answers': 3},
+            {'ratings': Moments(3, 2.7, 2.5)},
+            {'ratings': worse},
+            {'before': Moments()},
+            {'strength': 5},
+        ):
+            with self.subTest(change=change):
+                held = dataclasses.replace(ready, **change)
+                self.assertIsNone(decide(state, held))
+
+    def test_a_smaller_bound_is_kept_at_once(self) -> None:
+        findings = Findings('', 0.005, 0, 0, Moments(), Moments(), 0)
+        step = decide(RolloutState(NEW, Epoch(0), FIRST_SHARE), findings)
+        self.assertEqual(step and step.share, 0.005)
