Rename progress to request_progress

Cause: the progress of a request and the progress of a change of configuration are two things, and the second one is about to land under the same name.

--- a/src/nutmegroad/_request_counts.py
+++ b/src/nutmegroad/_request_counts.py
@@ -5,7 +5,7 @@
 from nutmegroad.intake import Intake
 from nutmegroad.logs import part_logger
 from nutmegroad.metrics import Metrics
-from nutmegroad.progress import Answer, Spent
+from nutmegroad.request_progress import Answer, Spent
 from nutmegroad.results import Refusal, ResultCode
 
 _LOG: Final = part_logger('callers')
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -26,8 +26,8 @@
     deadline_seconds,
 )
 from nutmegroad.intents import Claim, Intent, IntentState
-from nutmegroad.progress import Answer, KeptBack, Spent
 from nutmegroad.replies import JSON_TYPE, EventStream, answer_body, refuse
+from nutmegroad.request_progress import Answer, KeptBack, Spent
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.services import (
     ServiceRequest,
--- a/src/nutmegroad/dispatch.py
+++ b/src/nutmegroad/dispatch.py
@@ -8,7 +8,7 @@
 from nutmegroad.clocks import Clock
 from nutmegroad.explanations import Explanation
 from nutmegroad.gates import Gatekeeper
-from nutmegroad.progress import (
+from nutmegroad.request_progress import (
     Answer,
     CountedSink,
     KeptBack,
--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/replies.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 from nutmegroad.metrics import Metrics
-from nutmegroad.progress import Answer
+from nutmegroad.request_progress import Answer
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import Ran, RequestId, VersionId
 
--- a/src/nutmegroad/steps.py
+++ b/src/nutmegroad/steps.py
@@ -19,7 +19,7 @@
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
-from nutmegroad.progress import Progress, why
+from nutmegroad.request_progress import Progress, why
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import AttemptId, Ran, ServiceName, VersionId
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -25,7 +25,7 @@
     NoQuarantine,
     OpenAdmitter,
 )
-from nutmegroad.progress import Answer, Spent
+from nutmegroad.request_progress import Answer, Spent
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal
 from nutmegroad.steps import Instruments, Policies
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,7 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from nutmegroad.progress import Answer
+from nutmegroad.request_progress import Answer
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
 from nutmegroad.types import Ran
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 
 from nutmegroad.decisions import AttemptEnd
 from nutmegroad.documents import Withdrawal
-from nutmegroad.progress import Answer
+from nutmegroad.request_progress import Answer
 from nutmegroad.requests import ModelRequest, Plan, SessionClaim
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
