--- a/experiments/configuration_hosts.py
+++ b/experiments/configuration_hosts.py
@@ -16,6 +16,7 @@
     Document,
     PresetEntry,
     VersionEntry,
+    WorkspaceEntry,
 )
 from nutmegroad.heads import HeadStore
 from nutmegroad.peers import Handler, Member, Mesh, Message, Sent
@@ -23,11 +24,12 @@
 from nutmegroad.results import Refusal
 from nutmegroad.spread import ConfigurationPoller, PollTiming
 from nutmegroad.testing import ManualClock, MemoryMesh, PausableClock
-from nutmegroad.types import DomainId, Epoch, HostId
+from nutmegroad.types import DomainId, Epoch, HostId, WorkspaceId
 
 LEASE: Final = 8.0
 POLL: Final = 2.0
 PRESETS: Final = ('ordinary', 'peak', 'maintenance')
+WORKSPACE: Final = WorkspaceId('desk')
 VERSIONS: Final = ('small@1', 'small@2', 'large@1', 'large@2')
 
 
@@ -41,7 +43,13 @@
             for name in VERSIONS
         ),
         tasks=(),
-        workspaces=(),
+        workspaces=(
+            WorkspaceEntry(
+                name=WORKSPACE,
+                key_hash='0' * 64,
+                versions=VERSIONS,
+            ),
+        ),
         presets=tuple(PresetEntry(name=name, tasks=()) for name in PRESETS),
     )
 
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -18,6 +18,7 @@
     'nutmegroad._records_part',
     'nutmegroad.policies',
     'nutmegroad._routing_part',
+    'nutmegroad._safety_part',
     'nutmegroad._listeners_part',
 )
 
--- a/src/nutmegroad/spread.py
+++ b/src/nutmegroad/spread.py
@@ -1,4 +1,4 @@
-"""Keeps this host's configuration and upstreams in step with the platform."""
+"""Keeps this host's configuration in step with the platform."""
 
 import asyncio
 import random
@@ -11,18 +11,9 @@
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.confirmations import PeerHead
-from nutmegroad.directory import Directory
 from nutmegroad.heads import Head, HeadStore, accept
-from nutmegroad.platform import HostList
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
-    Digest,
-    HostId,
-    PresetName,
-    Revision,
-    UpstreamKind,
-)
-from nutmegroad.upstreams import EngineClient, UpstreamState
+from nutmegroad.types import Digest, HostId, PresetName, Revision
 
 _LOG_PREFIX: Final = 'spread:'
 
@@ -228,53 +219,3 @@
         head = await self._store.merge(missing, _MERGER)
         if not isinstance(head, Refusal):
             self._configuration.record(head.withdrawals)
-
-
-class UpstreamPoller:
-    """Reads the host list and the engines' reports again and again.
-
-    Args:
-        host_list: The platform's list.
-        engines: How engines are asked.
-        directory: What this host knows of upstreams.
-        clock: The host's clock.
-        period: Seconds between polls.
-    """
-
-    def __init__(
-        self,
-        host_list: HostList,
-        engines: EngineClient,
-        directory: Directory,
-        clock: Clock,
-        period: float,
-    ) -> None:
-        self._host_list = host_list
-        self._engines = engines
-        self._directory = directory
-        self._clock = clock
-        self._period = period
-
-    async def run(self) -> None:
-        """Poll until cancelled."""
-        while True:
-            await self.poll()
-            await self._clock.sleep(self._period)
-
-    async def poll(self) -> None:
-        """Read the list once, and ask each engine."""
-        listing = await self._host_list.listing()
-        if not isinstance(listing, Refusal):
-            self._directory.update(listing.upstreams)
-        for state in self._directory.states():
-            if state.info.kind is UpstreamKind.ENGINE:
-                await self._ask(state)
-
-    async def _ask(self, state: UpstreamState) -> None:
-        """Ask one engine for its report."""
-        report = await self._engines.report(state.info)
-        if isinstance(report, Refusal):
-            state.failures += 1
-            return
-        state.failures = 0
-        self._directory.reported(state.info.upstream, report)
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -103,12 +103,11 @@
         await self.all_show('preset', won[0]['preset'])
         await self.fault('lose_reply', scope='table', count=1)
         head = await self.call(2, 'preset', {'preset': 'ordinary'})
+        self.assertIn('revision', head)
         moves = (await self.call(0, 'configuration/history'))['moves']
-        by_it = [move for move in moves if 'ordinary' in move['summary']]
-        self.assertLessEqual(len(by_it), 2)
-        if 'revision' in head:
-            await self.all_show('revision', head['revision'])
-        newest = moves[-1]['revision']
+        self.assertEqual(moves[-1]['revision'], head['revision'])
+        self.assertEqual(len(moves), 3)
+        newest = head['revision']
         await self.all_show('revision', newest)
         # A table that shows rows as they were reverts no host.
         await self.fault('stale', scope='table')
@@ -120,6 +119,29 @@
         self.assertTrue(refused['problems'][0]['path'].startswith('$'))
         self.assertEqual((await self.call(0, 'status'))['revision'], newest)
 
+    async def test_a_workspace_and_a_document_are_changed_whole_or_not(
+        self,
+    ) -> None:
+        path = 'workspaces/training'
+        bad = {'fields': {'versions': ['none@1'], 'share': 2.0}}
+        refused = await self.call(1, path, bad)
+        self.assertIn('versions[0]', refused['problems'][0]['path'])
+        self.assertEqual((await self.call(1, path))['share'], 0.5)
+        head = await self.call(1, path, {'fields': {'share': 2.0}})
+        await self.all_show('revision', head['revision'])
+        self.assertEqual((await self.call(2, path))['share'], 2)
+        body = {'text': self.running.text}
+        found = await self.call(0, 'configuration/diff', body)
+        subjects = [one['subject'] for one in found]
+        self.assertEqual(subjects, ['workspace training'])
+        checked = await self.call(0, 'configuration/check', body)
+        self.assertEqual(checked, {'valid': True, 'problems': []})
+        presets = await self.call(2, 'presets')
+        in_force = [one['name'] for one in presets if one['in_force']]
+        self.assertEqual(in_force, ['ordinary'])
+        unknown = await self.call(2, 'presets/none')
+        self.assertEqual(unknown['error']['name'], 'PRESET_UNKNOWN')
+
     async def test_withdrawn_and_restarted_while_the_platform_is_down(
         self,
     ) -> None:
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -9,6 +9,7 @@
 from absl import logging
 from experiments.configuration_hosts import (
     LEASE,
+    WORKSPACE,
     Fleet,
     TrialHost,
     make_document,
@@ -17,6 +18,7 @@
 from nutmegroad.changes import Withdrawn
 from nutmegroad.configuration import CLOCK_MARGIN
 from nutmegroad.documents import Withdrawal
+from nutmegroad.gates import Gatekeeper
 from nutmegroad.heads import KEPT_MOVES, Head
 from nutmegroad.progress import Change
 from nutmegroad.results import Refusal, ResultCode
@@ -27,6 +29,7 @@
     OperatorId,
     PresetName,
     Revision,
+    TaskName,
     VersionId,
 )
 from tests.mutants import mutant
@@ -38,6 +41,13 @@
 NO_EPOCH = Epoch(0)
 
 
+class NoQuarantine:
+    """Blocks nothing."""
+
+    def blocked(self, version: VersionId, task: TaskName) -> Refusal | None:
+        return None
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Three hosts, each in a domain of its own, with revision 1 in force."""
 
@@ -203,13 +213,19 @@
         await self.pass_time(2 * LEASE)
         await self.wait_for(self.east.changes.withdraw(SMALL, None, ANN))
         self.west.resume()
-        self.assertTrue(self.west.configuration.must_confirm)
-        self.assertFalse(
-            self.west.configuration.is_withdrawn(SMALL, NO_EPOCH),
-        )
+        # It does not know of the withdrawal yet, and must not serve.
+        held = self.west.configuration
+        self.assertFalse(held.is_withdrawn(SMALL, NO_EPOCH))
+        self.assertIs(self.ask_gate(), ResultCode.HOST_PAUSED)
         await self.pass_time(1)
-        self.assertFalse(self.west.configuration.must_confirm)
-        self.assertTrue(self.west.configuration.is_withdrawn(SMALL, NO_EPOCH))
+        self.assertIs(self.ask_gate(), ResultCode.VERSION_WITHDRAWN)
+
+    def ask_gate(self) -> ResultCode | None:
+        """Return why the paused host may not serve the version."""
+        held = self.west.configuration
+        gate = Gatekeeper(held, self.west.clock, NoQuarantine())
+        refusal = gate.check_version(WORKSPACE, TaskName(''), SMALL, None)
+        return None if refusal is None else refusal.code
 
     async def test_a_stale_read_neither_reverts_nor_confirms(self) -> None:
         await self.switch(self.east, PEAK)
