--- a/experiments/configuration_spread.py
+++ b/experiments/configuration_spread.py
@@ -26,10 +26,11 @@
 from nutmegroad import announcements
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkContext
+from nutmegroad._member_context import MemberContext, make_table
 from nutmegroad.accounting import Ledger
 from nutmegroad.clocks import SystemClock
 from nutmegroad.links import Links
-from nutmegroad.members import MemberContext, Members, make_table
+from nutmegroad.members import Members
 from nutmegroad.types import (
     Address,
     DomainId,
@@ -143,6 +144,10 @@
         self._members.append(members)
 
 
+def _tell_nobody(announcer: announcements.Announcer, count: int) -> None:
+    """Take the push out."""
+
+
 async def _switch(hosts: LinkedHosts, number: int) -> float:
     """Switch the preset at a drawn host; return seconds until all have it."""
     host = hosts.randomness.choice(hosts.hosts)
@@ -177,12 +182,7 @@
         await hosts.wait(1, 0)
         took = [await _switch(hosts, number) for number in range(RUNS)]
         _show(size, 'push and poll', took)
-        with (
-            patch.object(announcements, 'FANOUT', 0),
-            patch.object(
-                announcements.Announcer, '_tell', lambda self, count: None
-            ),
-        ):
+        with patch.object(announcements.Announcer, '_tell', _tell_nobody):
             took = [await _switch(hosts, number) for number in range(POLL_RUNS)]
         _show(size, 'poll only', took)
         hosts.platform.weather.down = True
--- a/src/nutmegroad/_configuration_part.py
+++ b/src/nutmegroad/_configuration_part.py
@@ -1,23 +1,30 @@
 """The part that keeps the configuration in force on this host."""
 
+from typing import Final
+
 from nutmegroad.announcements import Announcer
 from nutmegroad.changes import Changes
+from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
 from nutmegroad.confirmations import Confirmations
 from nutmegroad.core import Kernel
 from nutmegroad.heads import HeadStore
+from nutmegroad.metrics import Metrics
 from nutmegroad.peers import Mesh
 from nutmegroad.platform import Objects, Table
 from nutmegroad.progress import ProgressDesk
 from nutmegroad.registry import register
 from nutmegroad.spread import ConfigurationPoller, PollTiming
 
+#: Seconds between looks for the metrics.
+_SHOWN_EVERY: Final = 1.0
+
 
 @register('part', 'configuration')
 class ConfigurationPart:
     """Provides the configuration and the way to change it."""
 
-    needs = (Table, Objects, Mesh)
+    needs = (Table, Objects, Mesh, Metrics)
 
     async def open(self, kernel: Kernel) -> None:
         """Read the head once, then keep polling it."""
@@ -62,8 +69,26 @@
         await poller.poll()
         kernel.spawn(poller.run(), 'configuration')
         kernel.spawn(announcer.run(), 'announcements')
+        kernel.spawn(
+            show_state(configuration, kernel.need(Metrics), kernel.clock),
+            'configuration metrics',
+        )
         kernel.provide(Configuration, configuration)
         kernel.provide(HeadStore, store)
         kernel.provide(ConfigurationPoller, poller)
         kernel.provide(ProgressDesk, desk)
         kernel.provide(Changes, Changes(store, poller, configuration))
+
+
+async def show_state(
+    configuration: Configuration,
+    metrics: Metrics,
+    clock: Clock,
+) -> None:
+    """Keep the metrics of the configuration fresh, until cancelled."""
+    while True:
+        metrics.state.revision(configuration.revision)
+        metrics.state.heard(configuration.heard)
+        metrics.state.isolated(configuration.isolated)
+        metrics.state.lease_age(configuration.confirmation_age)
+        await clock.sleep(_SHOWN_EVERY)
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -125,6 +125,11 @@
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self._revision = _gauge('revision', 'Revision in force', registry)
+        self._heard = _gauge(
+            'revision_heard',
+            'Highest revision of which the host has heard',
+            registry,
+        )
         self._isolated = _gauge('isolated', '1 while isolated', registry)
         self._lease_age = _gauge(
             'lease_age_seconds',
@@ -145,6 +150,10 @@
         """Set the revision in force."""
         self._revision.set(revision)
 
+    def heard(self, revision: Revision) -> None:
+        """Set the highest revision of which the host has heard."""
+        self._heard.set(revision)
+
     def isolated(self, isolated: bool) -> None:
         """Set whether nothing confirms the configuration."""
         self._isolated.set(isolated)
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -87,9 +87,11 @@
             'messages': [{'role': 'user', 'content': 'swap?'}],
         }
         url = f'http://{address}/v1/chat/completions'
-        async with ClientSession(headers=headers) as session:
-            async with session.post(url, json=body) as response:
-                return response.status, await response.json()
+        async with (
+            ClientSession(headers=headers) as session,
+            session.post(url, json=body) as response,
+        ):
+            return response.status, await response.json()
 
     async def test_two_operators_and_a_lost_reply(self) -> None:
         told = await asyncio.gather(
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -44,8 +44,8 @@
 class NoQuarantine:
     """Blocks nothing."""
 
-    def blocked(self, version: VersionId, task: TaskName) -> Refusal | None:
-        return None
+    def blocked(self, version: VersionId, task: TaskName) -> None:
+        """Find nothing against any version."""
 
 
 class FleetTest(unittest.IsolatedAsyncioTestCase):
