--- a/src/nutmegroad/_configuration_part.py
+++ b/src/nutmegroad/_configuration_part.py
@@ -34,32 +34,7 @@
             kernel.need(Objects),
             kernel.nonce,
         )
-        confirmations = Confirmations(
-            kernel.need(Mesh),
-            configuration,
-            kernel.clock,
-            kernel.randomness,
-            kernel.settings.domain,
-        )
-        poller = ConfigurationPoller(
-            store,
-            configuration,
-            confirmations,
-            PollTiming(
-                kernel.clock,
-                kernel.randomness,
-                kernel.settings.poll,
-            ),
-        )
-        announcer = Announcer(
-            kernel.need(Mesh),
-            configuration,
-            confirmations,
-            poller,
-            kernel.clock,
-            kernel.randomness,
-            kernel.settings.poll,
-        )
+        poller, announcer = _spread(kernel, configuration, store)
         desk = ProgressDesk(
             kernel.need(Mesh),
             configuration,
@@ -80,6 +55,33 @@
         kernel.provide(Changes, Changes(store, poller, configuration))
 
 
+def _spread(
+    kernel: Kernel,
+    configuration: Configuration,
+    store: HeadStore,
+) -> tuple[ConfigurationPoller, Announcer]:
+    """Return what learns of changes and what tells of them."""
+    confirmations = Confirmations(
+        kernel.need(Mesh),
+        configuration,
+        kernel.clock,
+        kernel.randomness,
+        kernel.settings.domain,
+    )
+    timing = PollTiming(kernel.clock, kernel.randomness, kernel.settings.poll)
+    poller = ConfigurationPoller(store, configuration, confirmations, timing)
+    announcer = Announcer(
+        kernel.need(Mesh),
+        configuration,
+        confirmations,
+        poller,
+        kernel.clock,
+        kernel.randomness,
+        kernel.settings.poll,
+    )
+    return poller, announcer
+
+
 async def show_state(
     configuration: Configuration,
     metrics: Metrics,
