--- a/src/nutmegroad/_configuration_part.py
+++ b/src/nutmegroad/_configuration_part.py
@@ -34,7 +34,7 @@
             kernel.need(Objects),
             kernel.nonce,
         )
-        poller, announcer = _spread(kernel, configuration, store)
+        poller = _spread(kernel, configuration, store)
         desk = ProgressDesk(
             kernel.need(Mesh),
             configuration,
@@ -43,7 +43,6 @@
         )
         await poller.poll()
         kernel.spawn(poller.run(), 'configuration')
-        kernel.spawn(announcer.run(), 'announcements')
         kernel.spawn(
             show_state(configuration, kernel.need(Metrics), kernel.clock),
             'configuration metrics',
@@ -59,8 +58,8 @@
     kernel: Kernel,
     configuration: Configuration,
     store: HeadStore,
-) -> tuple[ConfigurationPoller, Announcer]:
-    """Return what learns of changes and what tells of them."""
+) -> ConfigurationPoller:
+    """Begin to tell of changes; return what learns of them."""
     confirmations = Confirmations(
         kernel.need(Mesh),
         configuration,
@@ -79,7 +78,8 @@
         kernel.randomness,
         kernel.settings.poll,
     )
-    return poller, announcer
+    kernel.spawn(announcer.run(), 'announcements')
+    return poller
 
 
 async def show_state(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -128,6 +128,12 @@
         self.assertIs(outcome.ran, Ran.UNKNOWN)
         self.assertEqual(self.rig.spent.ran, Ran.UNKNOWN)
 
+    async def try_in_vain(self) -> None:
+        """Try to confirm, as a host that is cut off does all the time."""
+        while True:
+            self.rig.configuration.fail(self.clock.now())
+            await self.clock.sleep(2)
+
     async def test_silence_ends_an_attempt_and_it_is_resumed(self) -> None:
         def silent(attempt: Attempt) -> list[object]:
             async def wait() -> None:
@@ -135,9 +141,12 @@
 
             return [Piece(0, WORDS[0]), wait]
 
+        # Longer than the lease: the host is isolated, not paused.
+        trying = asyncio.create_task(self.try_in_vain())
         task = asyncio.create_task(self.ask(silent))
         await self.clock.advance(11)
         answer = await task
+        trying.cancel()
         assert isinstance(answer, Answer)
         self.assertEqual(self.rig.caller.text, TEXT)
         self.assertEqual(len(self.rig.engines.cancelled), 1)
