--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon.py
@@ -10,9 +10,10 @@
 
 from nutmegroad.clocks import SystemClock
 from nutmegroad.core import Kernel
-from nutmegroad.exceptions import SettingsError
+from nutmegroad.exceptions import RegistryError, SettingsError
+from nutmegroad.logs import LogFormat, set_up_logs
 from nutmegroad.plugins import load_plugins
-from nutmegroad.settings import Settings, read_settings
+from nutmegroad.settings import Settings, format_settings, read_settings
 
 _LOG_PREFIX: Final = 'daemon:'
 
@@ -55,11 +56,19 @@
 def main() -> int:
     """Run the daemon until it is told to stop."""
     try:
-        settings = read_settings(sys.argv[1:], os.environ)
+        settings, origins = read_settings(sys.argv[1:], os.environ)
     except SettingsError as problem:
         sys.stderr.write(f'{problem}\n')
         return BAD_SETTINGS
-    load_plugins()
+    if settings.print_settings:
+        sys.stdout.write(f'{format_settings(origins)}\n')
+        return 0
+    set_up_logs(LogFormat(settings.log_format), sys.stderr)
+    try:
+        load_plugins(settings.plugins)
+    except RegistryError as trouble:
+        sys.stderr.write(f'{trouble}\n')
+        return BAD_SETTINGS
     service = HostService(settings)
     limit = settings.drain + STOP_MARGIN
     with entrypoint(service, log_config=False, shutdown_timeout=limit) as loop:
