--- a/src/nutmegroad/_aims.py
+++ b/src/nutmegroad/_aims.py
@@ -44,6 +44,8 @@
         self._seeds = frozenset(seeds)
         self._listed: frozenset[Address] = frozenset()
         self._probe: frozenset[Address] = frozenset()
+        self._chosen: dict[HostId, Address] = {}
+        self._chosen_at = 0
 
     def take_listing(self, addresses: Iterable[Address]) -> None:
         """Take in where the host list says that hosts of ours listen."""
@@ -51,17 +53,18 @@
 
     def hosts(self) -> dict[HostId, Address]:
         """Return the known hosts to which there should be links."""
-        by_domain = self._by_domain()
-        chosen = by_domain.pop(self._table.identity.domain, [])
-        for records in by_domain.values():
-            names = {record.host: record for record in records}
-            first = ranked(self._table.own.host, names)[:CROSS_LINKS]
-            chosen.extend(names[host] for host in first)
-        return {record.host: record.identity.address for record in chosen}
+        if self._chosen_at != self._table.entries.change:
+            self._chosen_at = self._table.entries.change
+            self._chosen = self._choose()
+        return self._chosen
 
     def addresses(self) -> frozenset[Address]:
         """Return all addresses to which there should be links."""
-        return frozenset(self.hosts().values()) | self._probe
+        chosen = self.hosts().values()
+        if not self._probe:
+            return frozenset(chosen)
+        # Who was found at a probed address is a host like any other.
+        return (self._probe - self._known()).union(chosen)
 
     def choose_probe(self, *, has_links: bool) -> None:
         """Choose anew at which other addresses to look for hosts.
@@ -70,14 +73,27 @@
             has_links: Whether there is any link; without one all seeds
                 are tried, up to a bound.
         """
-        known = {record.identity.address for record in self._table.others()}
-        known.add(self._table.identity.address)
         places = self._seeds | self._listed | self._lost()
-        choices = sorted(places - known, key=str)
+        choices = sorted(places - self._known(), key=str)
         self._randomness.shuffle(choices)
         size = 1 if has_links else _FIRST_SEEDS
         self._probe = frozenset(choices[:size])
 
+    def _choose(self) -> dict[HostId, Address]:
+        by_domain = self._by_domain()
+        chosen = by_domain.pop(self._table.identity.domain, [])
+        for records in by_domain.values():
+            names = {record.host: record for record in records}
+            first = ranked(self._table.own.host, names)[:CROSS_LINKS]
+            chosen.extend(names[host] for host in first)
+        return {record.host: record.identity.address for record in chosen}
+
+    def _known(self) -> frozenset[Address]:
+        """Return where known hosts listen, this one among them."""
+        own = self._table.identity.address
+        others = [record.identity.address for record in self._table.others()]
+        return frozenset((own, *others))
+
     def _lost(self) -> frozenset[Address]:
         """Return where gone hosts were of domains without a live one."""
         inhabited = self._by_domain()
--- a/src/nutmegroad/_beats.py
+++ b/src/nutmegroad/_beats.py
@@ -165,11 +165,10 @@
         state.told = (
             entries[-1].change if entries else self._table.entries.change
         )
-        is_near = state.domain == self._table.identity.domain
         return tuple(
             entry.record
             for entry in entries
-            if host not in entry.known_by and _concerns(entry, is_near=is_near)
+            if host not in entry.known_by and _concerns(entry)
         )
 
     def _ages(self) -> dict[DomainId, int]:
@@ -191,15 +190,16 @@
     vouched: tuple[HostId, ...]
 
 
-def _concerns(entry: Entry, *, is_near: bool) -> bool:
-    """Tell whether a change has to be told to near or to far hosts."""
+def _concerns(entry: Entry) -> bool:
+    """Tell whether a change has to be told to others.
+
+    What a host of the domain told us or did is learned by most of the
+    domain at the same time, so only some pass it on. A change from another
+    domain may have come to us only.
+    """
     match entry.origin:
         case Origin.OWN | Origin.FAR:
             return True
-        case Origin.NEAR:
-            # Who told us has told all of the domain.
-            return not is_near and entry.is_relay
-        case Origin.VERDICT:
-            # Most hosts of the domain come to the same verdict themselves.
+        case Origin.NEAR | Origin.VERDICT:
             return entry.is_relay
     return False
--- a/src/nutmegroad/_coordinator.py
+++ b/src/nutmegroad/_coordinator.py
@@ -28,7 +28,7 @@
 _CONTACT: Final = 5.0
 #: Ticks between looks for hosts that are not known.
 _PROBE_EVERY: Final = 15
-#: Ticks between looks at which links nobody needs.
+#: Ticks between looks at which links nobody needs, and at old records.
 _DROP_EVERY: Final = 5
 
 
@@ -94,9 +94,9 @@
             self.aims.choose_probe(has_links=bool(linked))
         if self._ticks % _DROP_EVERY == 0:
             self._drop_unwanted()
+            self._table.purge()
         self._links.aim(self.aims.addresses())
         self.send()
-        self._table.purge()
 
     def send(self) -> None:
         """Send heartbeats now."""
--- a/src/nutmegroad/_detector.py
+++ b/src/nutmegroad/_detector.py
@@ -1,11 +1,10 @@
 """Which hosts of the own domain have failed, and who agrees."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from nutmegroad._arrivals import Arrivals
-from nutmegroad._member_messages import Heartbeat, Record
+from nutmegroad._member_messages import Heartbeat
 from nutmegroad._member_table import MemberTable
 from nutmegroad._reach import Reach
 from nutmegroad.types import HostId
@@ -54,6 +53,8 @@
         self._suspected_by: dict[HostId, frozenset[HostId]] = {}
         self._vouched: dict[HostId, float] = {}
         self._vouching: set[HostId] = set()
+        self._near_hosts: list[HostId] = []
+        self._near_at = 0
 
     def take(self, sender: HostId, heartbeat: Heartbeat, now: float) -> None:
         """Take in a heartbeat of a host of the domain."""
@@ -79,7 +80,7 @@
             in_contact: Whether this host hears anybody. One that hears
                 nobody has no evidence against any other.
         """
-        near = [record.host for record in self._near()]
+        near = self._near()
         suspects = [host for host in near if self._is_silent(host)]
         voters = frozenset(near).difference(suspects)
         gone = [
@@ -127,8 +128,14 @@
             arrivals = Arrivals(self._interval)
         return arrivals.bound()
 
-    def _near(self) -> Iterator[Record]:
-        domain = self._table.identity.domain
-        for record in self._table.others():
-            if record.identity.domain == domain:
-                yield record
+    def _near(self) -> list[HostId]:
+        """Return the other hosts of the domain that are not gone."""
+        if self._near_at != self._table.entries.change:
+            domain = self._table.identity.domain
+            self._near_at = self._table.entries.change
+            self._near_hosts = [
+                record.host
+                for record in self._table.others()
+                if record.identity.domain == domain
+            ]
+        return self._near_hosts
