Write down the membership: design note and operators' page

Cause: the mechanism, what was weighed and what it costs stood nowhere.

Two tests hold the operators' page to the settings and to every event.

--- a/experiments/mesh_slopes.py
+++ b/experiments/mesh_slopes.py
@@ -51,6 +51,8 @@
 LOOK: Final = 0.02
 #: Bytes of Ethernet, IP and TCP headers of a segment with time stamps.
 HEADERS: Final = 66
+#: The event that counts hosts which were given up.
+GONE: Final = 'members_gone'
 #: Hosts and domains of the letter, and seconds between and number of ticks
 #: for measuring what its records cost.
 HOSTS: Final = 400
@@ -103,6 +105,7 @@
         cost: Mean cost of a host.
         deviation: Its standard deviation between hosts.
         process: Processor seconds of the process, a host and second.
+        wrong: Live hosts that were given up, counted at each host.
         spread: Until half and until all knew that a host was leaving.
         detection: Until the first and until all gave up a host that had
             fallen silent with its links open.
@@ -114,6 +117,7 @@
     cost: Cost
     deviation: Cost
     process: float
+    wrong: int
     spread: tuple[float, float]
     detection: tuple[float, float]
 
@@ -226,6 +230,7 @@
         await asyncio.sleep(SETTLE)
         costs, process = await _measure_cost(mesh)
         spread = await _measure_leaving(mesh)
+        wrong = sum(host.ledger.events().get(GONE, 0) for host in mesh)
         detection = await _measure_silence(mesh)
     return Round(
         hosts=hosts,
@@ -234,6 +239,7 @@
         cost=_combine(costs, statistics.fmean),
         deviation=_combine(costs, statistics.pstdev),
         process=process / hosts,
+        wrong=wrong,
         spread=(statistics.median(spread), max(spread)),
         detection=(min(detection), max(detection)),
     )
@@ -348,7 +354,7 @@
         detection = '{:5.2f} {:5.2f}'.format(*each.detection)
         times = f'{each.joined:6.1f}   {spread}   {detection}'
         lines.append(f'{size} {_columns(each.cost)}   {times}')
-        process = f'process {each.process:.2%}'
+        process = f'process {each.process:.2%}, {each.wrong} wrong verdicts'
         lines.append(f'{"+-":>9} {_columns(each.deviation)}   {process}')
     size = f'{HOSTS:5} {DOMAINS:3}'
     lines.append(f'{size} {_columns(letter)}   extrapolated')
--- a/tests/test_mesh_part.py
+++ b/tests/test_mesh_part.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import random
+import re
 import unittest
+from pathlib import Path
+from typing import Final
 
 from nutmegroad._mesh_part import MeshPart
 from nutmegroad.accounting import Account
@@ -14,11 +17,15 @@
 from nutmegroad.peers import Mesh
 from nutmegroad.platform import HostList, Listing
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.settings import Settings
+from nutmegroad.settings import Settings, read_settings
 from nutmegroad.types import Address, DomainId, HostId, Presence
 
 NOWHERE = Address('127.0.0.1', 0)
 LOOKS = 4000
+ROOT: Final = Path(__file__).resolve().parent.parent
+PAGE: Final = ROOT / 'docs' / 'MEMBERSHIP.md'
+SOURCES: Final = ROOT / 'src' / 'nutmegroad'
+EVENT: Final = re.compile("'((?:links|members)_[a-z_]+)'")
 
 
 class NoHostList:
@@ -82,3 +89,25 @@
     async def test_an_empty_key_is_refused(self) -> None:
         with self.assertRaises(SettingsError):
             await self.open('one', key='')
+
+
+class MembershipPageTest(unittest.TestCase):
+    """The operators' page."""
+
+    def test_its_example_has_settings_that_hold(self) -> None:
+        example = PAGE.read_text().split('```')[1]
+        key = re.search('NUTMEGROAD_CLUSTER_KEY=(.*)', example)
+        assert key is not None
+        environ = {'NUTMEGROAD_CLUSTER_KEY': key[1]}
+        starts = re.findall('^nutmegroadd (.*)$', example, re.MULTILINE)
+        first, second = (
+            read_settings(start.split(), environ)[0] for start in starts
+        )
+        self.assertEqual(first.domain, second.domain)
+        self.assertEqual(second.seeds, (first.peers,))
+
+    def test_it_explains_every_event(self) -> None:
+        page = PAGE.read_text()
+        for module in SOURCES.glob('*.py'):
+            for event in EVENT.findall(module.read_text()):
+                self.assertIn(f'`{event}`', page)
