Split long test and measurement modules

The hosts to measure, the links in memory, the servers in the way, and tests of single parts have modules of their own; no test changed but for its place.

--- /dev/null
+++ b/tests/memory_links.py
@@ -0,0 +1,189 @@
+"""Hosts with a membership over links in memory, for tests."""
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from nutmegroad._handshake import Identity
+from nutmegroad._link_context import LinkListener
+from nutmegroad._member_context import MemberContext, make_table
+from nutmegroad._member_messages import Heartbeat
+from nutmegroad._member_table import MemberTable
+from nutmegroad.accounting import Ledger
+from nutmegroad.members import Members
+from nutmegroad.peers import Handler, Member, Message, Sent
+from nutmegroad.results import Refusal
+from nutmegroad.testing import ManualClock, MemoryMesh, PausableClock
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    HostId,
+    Incarnation,
+    Presence,
+)
+
+#: Seconds after which real links are closed when nothing comes.
+SILENCE = 20
+
+
+class Wires:
+    """Where in-memory links find each other."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.mesh = MemoryMesh(clock, random.Random(1))
+        self.ends: dict[Address, MemoryLinks] = {}
+        self.ports = 7000
+
+    def address(self) -> Address:
+        self.ports += 1
+        return Address('127.0.0.1', self.ports)
+
+
+class MemoryLinks:
+    """The links of one host: like the real ones, over a MemoryMesh."""
+
+    def __init__(self, wires: Wires, table: MemberTable) -> None:
+        self.wires = wires
+        self.table = table
+        self.is_paused = False
+        identity = table.identity
+        self.peer = wires.mesh.join(identity.host, identity.domain)
+        self.heard: dict[HostId, float] = {}
+        self.listener: LinkListener | None = None
+        wires.ends[identity.address] = self
+
+    def listen(self, listener: LinkListener) -> None:
+        self.listener = listener
+
+    def aim(self, addresses: Iterable[Address]) -> None:
+        now = self.wires.clock.now()
+        for host, heard in tuple(self.heard.items()):
+            if now - heard > SILENCE:
+                self.drop(host)
+        for address in sorted(addresses, key=str):
+            other = self.wires.ends.get(address)
+            if other is not None and other is not self:
+                self.connect(other)
+
+    def connect(self, other: 'MemoryLinks') -> None:
+        ours, theirs = self.table.identity, other.table.identity
+        is_cut = self.wires.mesh.is_cut(ours.host, theirs.host)
+        if theirs.host in self.heard or is_cut or other.is_paused:
+            return
+        known = other.table.newer_generation(ours)
+        if known:
+            assert self.listener is not None
+            self.listener.outdated(known)
+            return
+        for end, identity in ((self, theirs), (other, ours)):
+            end.heard[identity.host] = self.wires.clock.now()
+            assert end.listener is not None
+            end.listener.link_opened(identity)
+
+    def linked(self) -> dict[HostId, float]:
+        return dict(self.heard)
+
+    def drop(self, host: HostId) -> None:
+        if self.heard.pop(host, None) is None:
+            return
+        for other in tuple(self.wires.ends.values()):
+            if other.table.identity.host == host and self.listener:
+                self.listener.link_closed(other.table.identity)
+                other.drop(self.table.identity.host)
+
+    def handle(self, kind: type[Sent], handler: Handler[Sent]) -> None:
+        async def handle(host: HostId, message: Any) -> Message | None:
+            if host in self.heard:
+                self.heard[host] = self.wires.clock.now()
+            return await handler(host, message)
+
+        self.peer.handle(kind, handle)
+
+    def members(self) -> tuple[Member, ...]:
+        return self.table.members()
+
+    def tell(self, host: HostId, message: Message) -> bool:
+        return host in self.heard and self.peer.tell(host, message)
+
+    def tell_each(self, hosts: Iterable[HostId], message: Message) -> int:
+        return sum(self.tell(host, message) for host in hosts)
+
+    def tell_all(self, message: Message) -> int:
+        return self.tell_each(tuple(self.heard), message)
+
+    async def ask(
+        self,
+        host: HostId,
+        message: Message,
+        timeout: float,
+    ) -> Message | Refusal:
+        return await self.peer.ask(host, message, timeout)
+
+
+class Host:
+    """One host, and what a test looks at and does to it."""
+
+    def __init__(
+        self,
+        wires: Wires,
+        name: str,
+        domain: DomainId,
+        seeds: tuple[Address, ...],
+        generation: int = 1,
+    ) -> None:
+        address = wires.address()
+        self.clock = PausableClock(wires.clock)
+        identity = Identity(
+            host=HostId(name),
+            incarnation=Incarnation(f'{name}.{address.port}'),
+            generation=generation,
+            domain=domain,
+            ip=address.ip,
+            port=address.port,
+        )
+        self.ledger = Ledger(float)
+        made = make_table(identity, self.clock, 1)
+        self.table = made[0]
+        self.links = MemoryLinks(wires, self.table)
+        context = MemberContext(
+            clock=self.clock,
+            randomness=random.Random(name),
+            account=self.ledger,
+            seeds=seeds,
+        )
+        self.members = Members(context, self.links, *made)
+
+    @property
+    def name(self) -> HostId:
+        return self.table.identity.host
+
+    @property
+    def address(self) -> Address:
+        return self.table.identity.address
+
+    def known(self, presence: Presence | None = None) -> set[HostId]:
+        return {
+            member.host
+            for member in self.members.members()
+            if presence in {None, member.presence}
+        }
+
+    def presence_of(self, host: HostId) -> Presence | None:
+        record = self.table.get(host)
+        return None if record is None else record.presence
+
+    def pause(self) -> None:
+        self.links.is_paused = True
+        self.clock.pause()
+        self.links.peer.handle(Heartbeat, ignore)
+
+    def resume(self) -> None:
+        self.links.is_paused = False
+        self.clock.resume()
+        coordinator = self.members._coordinator
+        self.links.handle(Heartbeat, coordinator._take_heartbeat)
+
+
+async def ignore(host: HostId, message: Message) -> None:
+    """Do nothing."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,22 +1,16 @@
 """Tests of the links between hosts, over real sockets on loopback."""
 
 import asyncio
-import itertools
 import random
 import time
 import unittest
-from asyncio import StreamReader, StreamWriter
+from asyncio import StreamWriter
 from collections.abc import Callable
-from types import TracebackType
-from typing import Any, ClassVar, Self, cast
+from typing import Any, ClassVar
 
-from nutmegroad._connection import Connection
-from nutmegroad._dialing import Backoff
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkContext, LinkLimits
-from nutmegroad._outbox import Outbox, Parcel
-from nutmegroad._peer_table import PeerTable
-from nutmegroad._wire import StreamError, Unpacker, pack
+from nutmegroad._outbox import Parcel
 from nutmegroad.accounting import Ledger
 from nutmegroad.clocks import Clock, SystemClock
 from nutmegroad.links import Links
@@ -24,6 +18,7 @@
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
 from nutmegroad.types import Address, DomainId, HostId, Incarnation, Ran
+from tests.recorders import Recorder, echo_back
 
 KEY = b'a key for tests'
 #: Seconds between looks, and looks after which a test is broken.
@@ -134,59 +129,6 @@
         return self.ledger.events().get(event, 0)
 
 
-class Recorder:
-    """Stands between two hosts and remembers what the first says."""
-
-    def __init__(self, behind: Host) -> None:
-        self.heard = bytearray()
-        self._behind = behind
-        self._server: asyncio.Server | None = None
-
-    async def __aenter__(self) -> Self:
-        """Listen."""
-        self._server = await asyncio.start_server(
-            self._relay,
-            '127.0.0.1',
-            0,
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = Address('127.0.0.1', port)
-        return self
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-
-    async def _relay(self, reader: StreamReader, writer: StreamWriter) -> None:
-        behind = self._behind
-        other = await asyncio.open_connection(behind.address.ip, behind.port)
-        replies = asyncio.ensure_future(_copy(other[0], writer, bytearray()))
-        await _copy(reader, other[1], self.heard)
-        await replies
-
-
-async def _copy(
-    reader: StreamReader,
-    writer: StreamWriter,
-    heard: bytearray,
-) -> None:
-    while chunk := await reader.read(4096):
-        heard.extend(chunk)
-        writer.write(chunk)
-    writer.close()
-
-
-async def echo_back(reader: StreamReader, writer: StreamWriter) -> None:
-    """Say again whatever is heard."""
-    await _copy(reader, writer, bytearray())
-
-
 async def never_answer(host: HostId, ask: Ask) -> None:
     """Wait for ever."""
     await asyncio.Event().wait()
@@ -262,7 +204,7 @@
         # says again what the first of them said.
         one = await self.host('one')
         two = await self.host('two')
-        recorder = Recorder(two)
+        recorder = Recorder(two.address)
         await self.enterAsyncContext(recorder)
         one.links.aim([recorder.address])
         await until(lambda: one.links.linked())
@@ -406,99 +348,3 @@
             sent['test'].sent_bytes,
             received['test'].received_bytes,
         )
-
-
-class StubConnection(Connection):
-    """A connection that only notes what is done with it."""
-
-    def __init__(self, host: str, *, initiator: bool) -> None:
-        streams: Any = (None, None)
-        identity = FixedRoster(host).identity
-        super().__init__(identity, streams, ManualClock(), initiator=initiator)
-        self.done: list[str] = []
-
-    def finish(self) -> None:
-        self.done.append('finished')
-
-    def abort(self) -> None:
-        self.done.append('aborted')
-
-
-class PeerTableTest(unittest.TestCase):
-    """Which of two connections between two hosts is used."""
-
-    def test_both_ends_keep_the_same_one_and_read_the_other(self) -> None:
-        orders = itertools.product(((0, 1), (1, 0)), repeat=2)
-        for order_at_a, order_at_b in orders:
-            with self.subTest(at_a=order_at_a, at_b=order_at_b):
-                self.assertEqual(self.kept_at('a', 'b', order_at_a), 0)
-                self.assertEqual(self.kept_at('b', 'a', order_at_b), 0)
-
-    def kept_at(self, own: str, other: str, order: tuple[int, int]) -> int:
-        """Return the number of the kept connection; ``a`` began number 0."""
-        table = PeerTable(HostId(own), ManualClock(), QUICK)
-        connections = [
-            StubConnection(other, initiator=(own == 'a')),
-            StubConnection(other, initiator=(own == 'b')),
-        ]
-        for number in order:
-            table.enter(connections[number])
-        peer = table.get(HostId(other))
-        assert peer is not None
-        kept = connections.index(cast(StubConnection, peer.connection))
-        self.assertEqual(connections[kept].done, [])
-        self.assertEqual(connections[1 - kept].done, ['finished'])
-        return kept
-
-
-class OutboxTest(unittest.TestCase):
-    """What a full queue does."""
-
-    def test_a_replaceable_message_makes_room(self) -> None:
-        outbox = Outbox(2, 100)
-        old = Parcel(b'old', '', replaceable=True)
-        firm = Parcel(b'firm', '')
-        self.assertTrue(outbox.put(firm))
-        self.assertTrue(outbox.put(old))
-        self.assertTrue(outbox.put(firm))
-        self.assertFalse(outbox.put(old))
-        self.assertEqual(asyncio.run(outbox.take_all()), (firm, firm))
-
-    def test_bytes_are_bounded_too(self) -> None:
-        outbox = Outbox(100, 10)
-        self.assertTrue(outbox.put(Parcel(b'a' * 10, '')))
-        self.assertFalse(outbox.put(Parcel(b'a', '')))
-
-
-class UnpackerTest(unittest.TestCase):
-    """What a stream may hold."""
-
-    def test_an_object_may_arrive_in_pieces(self) -> None:
-        unpacker = Unpacker(100)
-        plain = ['a' * 20, 7]
-        packed = pack(plain)
-        found = [
-            thing
-            for place in range(len(packed))
-            for thing in unpacker.feed(packed[place : place + 1])
-        ]
-        self.assertEqual(found, [(plain, len(packed))])
-
-    def test_an_array_in_pieces_is_bounded(self) -> None:
-        unpacker = Unpacker(1000)
-        list(unpacker.feed(b'\xdc\x10\x00'))
-        with self.assertRaises(StreamError):
-            for _ in range(300):
-                list(unpacker.feed(pack('a' * 10)))
-
-
-class BackoffTest(unittest.TestCase):
-    """Waits between tries."""
-
-    def test_waits_double_up_to_a_bound_with_jitter(self) -> None:
-        backoff = Backoff(1, 8, random.Random(3))
-        for failures, bound in enumerate((1, 2, 4, 8, 8, 8)):
-            waits = {backoff.delay(failures) for _ in range(50)}
-            self.assertLessEqual(max(waits), bound)
-            self.assertGreaterEqual(min(waits), bound / 2)
-            self.assertGreater(len(waits), 40)
