Test that a silent link is closed

Cause: the watch over stuck links had no test. The check for a peer that takes nothing (links_stalled) still has none.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -265,6 +265,16 @@
         await until(lambda: host.count('links_handshake_slow') == 2)
         self.assertEqual(host.count('links_too_many_unknown'), 1)
 
+    async def test_a_silent_link_is_closed(self) -> None:
+        clock = ManualClock()
+        one = await self.host('one')
+        two = await self.host('two', clock=clock)
+        await self.link(one, two)
+        await clock.advance(LinkLimits().silence - 1)
+        self.assertEqual(two.count('links_silent'), 0)
+        await clock.advance(4)
+        self.assertEqual(two.count('links_silent'), 1)
+
     async def test_hosts_that_connect_at_once_keep_one_link(self) -> None:
         for seed in range(5):
             with self.subTest(seed=seed):
