Cut a caller that does not read, and assert that gates were open

Seen red: the count, the time that a caller may take, and the note that the gate was open, each taken out. Tests of these modules pass (46).

--- a/src/nutmegroad/_caller_guard.py
+++ b/src/nutmegroad/_caller_guard.py
@@ -61,6 +61,12 @@
         self._show_open()
         try:
             return await handler(http)
+        except ConnectionResetError:
+            # A caller that was cut, or has gone: there is nobody to tell.
+            stream: EventStream | None = http.get(STREAM_KEY)
+            if stream is None or stream.response is None:
+                raise
+            return stream.response
         except asyncio.CancelledError:
             # A caller that went away cancels too, and hears nothing more.
             if self._stop.gate_refusal() is None or _is_gone(http):
--- a/src/nutmegroad/attempts.py
+++ b/src/nutmegroad/attempts.py
@@ -15,6 +15,7 @@
     Attempt,
     Ending,
     EngineClient,
+    Gate,
     Piece,
     UpstreamState,
 )
@@ -73,6 +74,7 @@
         received: What has come so far, also from attempts before.
         prompt_tokens: Estimated tokens of the prompt.
         end: How it ended, once it has.
+        passed: The gate has let its first byte through.
     """
 
     start: AttemptStart
@@ -81,6 +83,18 @@
     received: Received = field(default_factory=Received)
     prompt_tokens: int = 0
     end: AttemptEnd | None = None
+    passed: bool = False
+
+    def watch(self, gate: Gate) -> Gate:
+        """Return a gate that remembers whether it was open."""
+
+        def look() -> Refusal | None:
+            """Look at the gate."""
+            refusal = gate()
+            self.passed = refusal is None
+            return refusal
+
+        return look
 
 
 class Attempter:
--- a/src/nutmegroad/steps.py
+++ b/src/nutmegroad/steps.py
@@ -1,7 +1,7 @@
 """One step of a plan: a version answers, with retries and resumptions."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import msgspec
@@ -132,6 +132,7 @@
         self._gatekeeper = gatekeeper
         self._attempter = attempter
         self._metrics = instruments.metrics
+        self._invariants = instruments.invariants
         self._clock = clock
         self._randomness = randomness
 
@@ -233,6 +234,11 @@
         elif why(trial.received).ran is not Ran.NOT_RUN:
             spent.ran = Ran.UNKNOWN
         self._metrics.attempt_ended(end.start.version, end.code)
+        self._invariants.check(
+            'first-byte-behind-open-gate',
+            trial.passed or trial.received.read <= trial.attempt.skip,
+            end.start.attempt,
+        )
         progress.note('attempt', f'{end.start.attempt}: {end.code.name}')
 
     def _prepare(
@@ -268,13 +274,15 @@
             version,
             state.info.upstream,
         )
-        return Trial(
+        trial = Trial(
             start,
             attempt,
             state,
             course.received,
             request.prompt_tokens,
         )
+        trial.attempt = replace(attempt, gate=trial.watch(attempt.gate))
+        return trial
 
     def _may_retry(
         self,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,14 +6,18 @@
 from typing import Any
 
 import msgspec
+from aiohttp.web import Application, Request, StreamResponse
 from fakes.faults import FaultKind, FaultOrder
 from fakes.run_records import End
+from fakes.serving import Served
 
 from nutmegroad.billing import Biller
 from nutmegroad.configuration import Configuration
 from nutmegroad.documents import Withdrawal
 from nutmegroad.metrics import Metrics
+from nutmegroad.replies import EventStream
 from nutmegroad.stops import GracefulStop, Phase
+from nutmegroad.types import RequestId
 from tests.hosts import WholeHost, fast_engine
 from tests.quick import ENDLESS
 
@@ -255,3 +259,38 @@
         url = f'http://{operators}/readyz'
         async with self.host.session.get(url) as ready:
             self.assertEqual(ready.status, 503)
+
+
+class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
+    """A caller that opens a stream and does not read it."""
+
+    async def test_it_is_cut_and_counted(self) -> None:
+        metrics = Metrics(float)
+        cut = asyncio.Event()
+
+        async def answer(http: Request) -> StreamResponse:
+            stream = EventStream(
+                http,
+                RequestId('r'),
+                lambda version: 'token',
+                metrics,
+                patience=0.2,
+            )
+            try:
+                while True:
+                    await stream.piece('word ' * 10_000)
+            except ConnectionResetError:
+                cut.set()
+                raise
+
+        app = Application()
+        app.router.add_get('/', answer)
+        served = await self.enterAsyncContext(Served(app))
+        address = served.address
+        _, writer = await asyncio.open_connection(address.ip, address.port)
+        self.addCleanup(writer.close)
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        async with asyncio.timeout(10):
+            await cut.wait()
+        shown = metrics.render().decode()
+        self.assertIn('dropped_replies_total{kind="slow_caller"} 1.0', shown)
