--- /dev/null
+++ b/src/nutmegroad/plans.py
@@ -0,0 +1,312 @@
+"""The adaptive planner: the cheapest version whose quality is enough.
+
+It follows the ratings (see ``estimates``), and spends a small share of the
+traffic on versions that would save cost if they turned out to be good. The
+work for a workspace, task class and target is kept until an estimate or
+the configuration changes.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from nutmegroad._plan_choice import (
+    Candidate,
+    Standing,
+    choose,
+    explain,
+    standing_of,
+)
+from nutmegroad.configuration import Configuration
+from nutmegroad.decisions import AttemptEnd
+from nutmegroad.documents import Concern, Stage, VersionEntry
+from nutmegroad.estimates import Estimates
+from nutmegroad.prices import cost_of
+from nutmegroad.requests import ModelRequest, Plan
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import Epoch, TaskName, VersionId
+
+#: Share of a task's requests that may try a cheaper, uncertain version.
+EXPLORED: Final = 0.02
+#: Requests that may wait to explore; bounds a burst after a quiet time.
+_MOST_CREDIT: Final = 1.0
+#: Workspaces, tasks and targets whose plans are kept.
+_MOST_KEPT: Final = 4096
+#: The least standard error with which a version is tried.
+_LEAST_DOUBT: Final = 0.002
+#: Seconds for which a refusal for lack of a plan stands.
+_COME_BACK: Final = 30.0
+
+
+class RolloutShare(Protocol):
+    """Says how much a version in roll-out may get."""
+
+    def share(self, version: VersionId, task: TaskName) -> float:
+        """Return the share of a task's requests, from 0 to 1."""
+
+
+class PresetShares:
+    """The shares that the preset in force bounds roll-outs by.
+
+    Args:
+        configuration: What is in force.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+
+    def share(self, version: VersionId, task: TaskName) -> float:
+        """Return the preset's share, the same for all tasks."""
+        accepted = self._configuration.accepted
+        rollouts = () if accepted is None else accepted.preset_entry.rollouts
+        for entry in rollouts:
+            if entry.version == version:
+                return entry.share
+        return 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Key:
+    """What requests have in common that are planned alike.
+
+    Which version is cheaper may turn on the lengths, so these are in it
+    too, as powers of two.
+    """
+
+    task: TaskName
+    target: float
+    concern: Concern
+    versions: tuple[VersionId, ...]
+    prompt_size: int
+    output_size: int
+
+
+@dataclass(slots=True)
+class _Prepared:
+    """The work that is kept for a key.
+
+    Attributes:
+        stamp: The estimates that it was done with.
+        candidates: Steady versions.
+        trials: Versions in roll-out with their shares.
+        chosen: What most requests get.
+        hopeful: Cheaper versions that may turn out to be good.
+        reason: Why, in words.
+    """
+
+    stamp: int
+    candidates: tuple[Candidate, ...]
+    trials: tuple[tuple[Candidate, float], ...]
+    chosen: Candidate | None
+    hopeful: tuple[Candidate, ...]
+    reason: str
+
+
+class AdaptivePlanner:
+    """Takes the cheapest version whose lower bound meets the target.
+
+    Args:
+        configuration: What is in force.
+        estimates: What is believed of versions.
+        shares: Bounds versions in roll-out.
+        randomness: Draws trials.
+        explored: Share of requests that may explore.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        estimates: Estimates,
+        shares: RolloutShare,
+        randomness: random.Random,
+        explored: float = EXPLORED,
+    ) -> None:
+        self._configuration = configuration
+        self._estimates = estimates
+        self._shares = shares
+        self._randomness = randomness
+        self._explored = explored
+        self._kept: dict[_Key, _Prepared] = {}
+        self._credit: dict[TaskName, float] = {}
+
+    def plan(self, request: ModelRequest) -> Plan | Refusal:
+        """Return a plan of one step."""
+        if request.session is not None:
+            return self._pinned(request, request.session.version)
+        prepared = self._prepare(request)
+        trial = self._trial(prepared)
+        if trial is not None:
+            return _plan(request, trial, f'trial in roll-out; {trial.entry.id}')
+        explored = self._explore(request, prepared)
+        if explored is not None:
+            words = f'explores {explored.entry.id}; {prepared.reason}'
+            return _plan(request, explored, words)
+        if prepared.chosen is None:
+            return _no_plan(request, prepared.reason)
+        return _plan(request, prepared.chosen, prepared.reason)
+
+    def estimate(self, request: ModelRequest, end: AttemptEnd) -> float:
+        """Return what is believed of the version that answered."""
+        version = end.start.version
+        return self._estimates.estimate(version, request.task).lower
+
+    def _prepare(self, request: ModelRequest) -> _Prepared:
+        """Return the work for a request, done anew if anything changed."""
+        key = _Key(
+            request.task,
+            request.target,
+            request.concern,
+            request.versions,
+            request.prompt_tokens.bit_length(),
+            request.output_tokens.bit_length(),
+        )
+        known = self._kept.get(key)
+        if known is not None and known.stamp == self._estimates.stamp:
+            return known
+        before = None if known is None else known.chosen
+        prepared = self._weigh(request, before)
+        if len(self._kept) >= _MOST_KEPT:
+            self._kept.clear()
+        self._kept[key] = prepared
+        return prepared
+
+    def _weigh(
+        self,
+        request: ModelRequest,
+        before: Candidate | None,
+    ) -> _Prepared:
+        """Weigh all versions that a request may use."""
+        used = None if before is None else before.entry.id
+        steady: list[Candidate] = []
+        trials: list[tuple[Candidate, float]] = []
+        for entry in self._entries(request):
+            candidate = self._candidate(request, entry, in_use=entry.id == used)
+            if entry.stage is Stage.STEADY:
+                steady.append(candidate)
+                continue
+            share = self._shares.share(entry.version, request.task)
+            if share and candidate.believed:
+                trials.append((candidate, share))
+        everyone = [*steady, *(candidate for candidate, _ in trials)]
+        # A caller that names only versions in roll-out means just these.
+        chosen = choose(steady or everyone, request.target)
+        return _Prepared(
+            stamp=self._estimates.stamp,
+            candidates=tuple(steady),
+            trials=tuple(trials),
+            chosen=chosen,
+            hopeful=_hopeful(request, steady, chosen),
+            reason=explain(request, everyone, chosen),
+        )
+
+    def _candidate(
+        self,
+        request: ModelRequest,
+        entry: VersionEntry,
+        *,
+        in_use: bool,
+    ) -> Candidate:
+        """Weigh one version."""
+        estimate = self._estimates.estimate(entry.version, request.task)
+        standing = standing_of(
+            estimate,
+            request.target,
+            request.concern,
+            in_use=in_use,
+        )
+        price = cost_of(entry, request.prompt_tokens, request.output_tokens)
+        return Candidate(entry, estimate, standing, price)
+
+    def _entries(self, request: ModelRequest) -> Iterator[VersionEntry]:
+        """Yield the versions that may answer and are not withdrawn."""
+        for entry in map(self._configuration.entry, request.versions):
+            if entry is None:
+                continue
+            epoch = Epoch(entry.epoch)
+            if not self._configuration.is_withdrawn(entry.version, epoch):
+                yield entry
+
+    def _trial(self, prepared: _Prepared) -> Candidate | None:
+        """Return a version in roll-out if this request is one of its share."""
+        for candidate, share in prepared.trials:
+            if self._randomness.random() < share:
+                return candidate
+        return None
+
+    def _explore(
+        self,
+        request: ModelRequest,
+        prepared: _Prepared,
+    ) -> Candidate | None:
+        """Return a cheaper version that is worth a try now, if any.
+
+        Each request adds a little credit and a draw costs one, so that no
+        run of luck makes the share larger. A version is tried if a draw
+        from what is believed of it meets the target.
+        """
+        if not prepared.hopeful:
+            return None
+        credit = self._credit.get(request.task, 0) + self._explored
+        self._credit[request.task] = min(credit, _MOST_CREDIT)
+        if credit < _MOST_CREDIT:
+            return None
+        self._credit[request.task] -= _MOST_CREDIT
+        for candidate in prepared.hopeful:
+            estimate = candidate.estimate
+            drawn = self._randomness.gauss(estimate.mean, estimate.error)
+            if drawn >= request.target:
+                return candidate
+        return None
+
+    def _pinned(
+        self,
+        request: ModelRequest,
+        version: VersionId,
+    ) -> Plan | Refusal:
+        """Return the plan that keeps a session on its version."""
+        entry = self._configuration.entry(version)
+        if entry is None:
+            return _no_plan(request, f'the session keeps {version}')
+        candidate = self._candidate(request, entry, in_use=True)
+        return _plan(request, candidate, 'the session keeps its version')
+
+
+def _hopeful(
+    request: ModelRequest,
+    candidates: list[Candidate],
+    chosen: Candidate | None,
+) -> tuple[Candidate, ...]:
+    """Return cheaper versions of which too little is known, cheapest first."""
+    if request.concern is Concern.EXPOSURE or chosen is None:
+        return ()
+    found = [
+        candidate
+        for candidate in candidates
+        if candidate.price < chosen.price
+        and candidate.standing is not Standing.PROVEN
+        and candidate.estimate.error > _LEAST_DOUBT
+    ]
+    return tuple(sorted(found, key=lambda candidate: candidate.price))
+
+
+def _plan(request: ModelRequest, candidate: Candidate, reason: str) -> Plan:
+    """Return the plan that asks one version."""
+    entry = candidate.entry
+    return Plan(
+        steps=(entry.version,),
+        accept=(),
+        cost=cost_of(entry, request.prompt_tokens, request.output_tokens),
+        quality=candidate.estimate.lower,
+        reason=reason,
+    )
+
+
+def _no_plan(request: ModelRequest, reason: str) -> Refusal:
+    """Say that no version is good enough."""
+    return Refusal(
+        ResultCode.NO_PLAN,
+        f'No version that may answer meets the target {request.target:g} of '
+        f'the task {request.task!r}: {reason}.',
+        retry_after=_COME_BACK,
+    )
