--- a/src/nutmegroad/_plan_choice.py
+++ b/src/nutmegroad/_plan_choice.py
@@ -39,12 +39,14 @@
         estimate: What is believed of it.
         standing: Whether it meets the target.
         price: Cost of a usual request of the task class.
+        in_use: Whether most requests got it until now.
     """
 
     entry: VersionEntry
     estimate: Estimate
     standing: Standing
     price: float
+    in_use: bool = False
 
     @property
     def believed(self) -> bool:
@@ -79,17 +81,15 @@
 def choose(candidates: Iterable[Candidate], target: float) -> Candidate | None:
     """Return the cheapest version that meets a target, or None.
 
-    A proven version goes first. Where none is proven, what their owners
-    declare decides among those that the evidence does not speak against.
+    A proven version goes first. Where none is proven, the middle of what is
+    believed decides, which is the owner's word before there are ratings;
+    last, the owner's word alone, where the evidence leaves it open.
     """
     cheapest = sorted(candidates, key=_price_of)
-    for candidate in cheapest:
-        if candidate.standing is Standing.PROVEN:
-            return candidate
-    for candidate in cheapest:
-        declared = candidate.estimate.declared >= target
-        if declared and candidate.standing is Standing.UNDECIDED:
-            return candidate
+    for fits in (_is_proven, _is_likely, _is_declared):
+        for candidate in cheapest:
+            if fits(candidate, target):
+                return candidate
     return None
 
 
@@ -116,6 +116,32 @@
     return '; '.join(words)
 
 
+def _is_proven(candidate: Candidate, target: float) -> bool:
+    """Tell whether the evidence says that a version is good enough."""
+    return candidate.standing is Standing.PROVEN
+
+
+def _is_likely(candidate: Candidate, target: float) -> bool:
+    """Tell whether a version is rather good enough than not.
+
+    Of one with few ratings its owner's word is taken: a few low scores at
+    the start would else turn all requests away from it.
+    """
+    estimate = candidate.estimate
+    likely = estimate.mean >= target
+    if candidate.in_use:
+        # It leaves on evidence against it, not for lack of more.
+        likely = 2 * estimate.mean - estimate.keep >= target
+    if estimate.ratings < SEASONED:
+        likely = estimate.declared >= target
+    return candidate.believed and likely
+
+
+def _is_declared(candidate: Candidate, target: float) -> bool:
+    """Tell whether a version's owner says that it is good enough."""
+    return candidate.believed and candidate.estimate.declared >= target
+
+
 def _price_of(candidate: Candidate) -> float:
     """Return a candidate's price."""
     return candidate.price
--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/_routing_part.py
@@ -6,6 +6,7 @@
 from nutmegroad.decisions import Observers, Quarantine
 from nutmegroad.directory import Directory
 from nutmegroad.dispatch import Dispatcher, Policies
+from nutmegroad.estimates import Estimates
 from nutmegroad.gates import Gatekeeper
 from nutmegroad.registry import lookup, register
 from nutmegroad.services import ServiceCaller
@@ -16,7 +17,8 @@
 class RoutingPart:
     """Provides the dispatcher and the caller of plain services."""
 
-    needs = (Configuration, Directory, EngineClient, ServiceClient)
+    # Planners may follow the estimates.
+    needs = (Configuration, Directory, EngineClient, ServiceClient, Estimates)
 
     async def open(self, kernel: Kernel) -> None:
         """Put the decisions together."""
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -14,6 +14,7 @@
     generate_latest,
 )
 
+from nutmegroad._quality_metrics import QualityMetrics
 from nutmegroad.results import ResultCode
 from nutmegroad.types import (
     Presence,
@@ -176,6 +177,7 @@
     Attributes:
         latency: How long callers wait.
         state: What the host is like now.
+        quality: What is believed of versions.
     """
 
     def __init__(self, thread_time: Callable[[], float]) -> None:
@@ -193,6 +195,7 @@
         }
         self.latency = LatencyMetrics(self._registry)
         self.state = StateMetrics(self._registry)
+        self.quality = QualityMetrics(self._registry)
 
     def refused(self, code: ResultCode) -> None:
         """Count a refusal that a caller got."""
--- a/src/nutmegroad/plans.py
+++ b/src/nutmegroad/plans.py
@@ -216,7 +216,7 @@
             in_use=in_use,
         )
         price = cost_of(entry, request.prompt_tokens, request.output_tokens)
-        return Candidate(entry, estimate, standing, price)
+        return Candidate(entry, estimate, standing, price, in_use)
 
     def _entries(self, request: ModelRequest) -> Iterator[VersionEntry]:
         """Yield the versions that may answer and are not withdrawn."""
@@ -241,7 +241,7 @@
     ) -> Candidate | None:
         """Return a cheaper version that is worth a try now, if any.
 
-        Each request adds a little credit and a draw costs one, so that no
+        Each request adds a little credit and a try costs one, so that no
         run of luck makes the share larger. A version is tried if a draw
         from what is believed of it meets the target.
         """
@@ -251,7 +251,19 @@
         self._credit[request.task] = min(credit, _MOST_CREDIT)
         if credit < _MOST_CREDIT:
             return None
-        self._credit[request.task] -= _MOST_CREDIT
+        tried = self._draw(request, prepared)
+        if tried is not None:
+            self._credit[request.task] -= _MOST_CREDIT
+        return tried
+
+    def _draw(
+        self,
+        request: ModelRequest,
+        prepared: _Prepared,
+    ) -> Candidate | None:
+        """Draw from what is believed of each version that may be tried."""
+        if prepared.chosen is None:
+            return prepared.hopeful[0]
         for candidate in prepared.hopeful:
             estimate = candidate.estimate
             drawn = self._randomness.gauss(estimate.mean, estimate.error)
@@ -277,19 +289,31 @@
     candidates: list[Candidate],
     chosen: Candidate | None,
 ) -> tuple[Candidate, ...]:
-    """Return cheaper versions of which too little is known, cheapest first."""
-    if request.concern is Concern.EXPOSURE or chosen is None:
+    """Return versions that are worth a try, the first one first.
+
+    These are the cheaper ones of which too little is known. Where no
+    version is good enough it is the best one: were it never tried, no
+    rating would ever tell that it is good again.
+    """
+    if request.concern is Concern.EXPOSURE or not candidates:
         return ()
+    if chosen is None:
+        return (max(candidates, key=_mean_of),)
     found = [
         candidate
         for candidate in candidates
         if candidate.price < chosen.price
-        and candidate.standing is not Standing.PROVEN
+        and candidate.standing is Standing.UNDECIDED
         and candidate.estimate.error > _LEAST_DOUBT
     ]
     return tuple(sorted(found, key=lambda candidate: candidate.price))
 
 
+def _mean_of(candidate: Candidate) -> float:
+    """Return the middle of what is believed of a candidate."""
+    return candidate.estimate.mean
+
+
 def _plan(request: ModelRequest, candidate: Candidate, reason: str) -> Plan:
     """Return the plan that asks one version."""
     entry = candidate.entry
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -10,6 +10,8 @@
     'nutmegroad._configuration_part',
     'nutmegroad._records_part',
     'nutmegroad.policies',
+    'nutmegroad.baselines',
+    'nutmegroad._quality_part',
     'nutmegroad._routing_part',
     'nutmegroad._listeners_part',
 )
--- a/src/nutmegroad/quality.py
+++ b/src/nutmegroad/quality.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Iterable
 from math import sqrt
+from statistics import median, pvariance
 from typing import Final
 
 from msgspec import Struct
@@ -18,24 +19,35 @@
 from nutmegroad.platform import Rating
 from nutmegroad.types import Epoch, TaskName, VersionId
 
-#: What remains of a rating's weight with each rating after it; 0.99 lets
-#: the last hundred or so count, worth 199 when even.
-DECAY: Final = 0.99
-#: Scores that are judged together before they count.
-BATCH: Final = 4
+#: What remains of a rating's weight with each rating after it; 0.98 lets
+#: the last fifty or so count, worth 99 even ones.
+DECAY: Final = 0.98
+#: Scores that are judged together before they count, by their median, so
+#: that one wrong score among them does not speak.
+BATCH: Final = 5
 #: The most by which one score may differ from the mean it is added to.
 INFLUENCE: Final = 0.3
 #: The weight from which on a mean is firm enough to be deviated from.
 FIRM: Final = 10.0
+#: The weight below which a freeze makes a cell forget what it learned.
+YOUNG: Final = 20.0
 #: A batch deviates by more than this, and by more than ``DEVIATIONS``.
 LEAST_SHIFT: Final = 0.08
-DEVIATIONS: Final = 4.0
+DEVIATIONS: Final = 6.0
 #: What a deviating batch leaves of the weight, so that a mean moves soon.
 SHIFT_KEEPS: Final = 0.25
 #: Feed positions for which a deviation speaks about the rating service.
-WINDOW: Final = 400
-#: The share of versions that must move at once, and the fewest versions.
+WINDOW: Final = 200
+#: Feed positions after which a new level that is steady is believed.
+FREEZE_LIMIT: Final = 400
+#: Scores scatter if their variance is so many times what it was, and more
+#: than the second number.
+SCATTER: Final = 4.0
+LEAST_SCATTER: Final = 0.02
+#: The share of versions that must move at once, the share of them at which
+#: the service counts as right again, and the fewest versions to judge by.
 SERVICE_SHARE: Final = 0.75
+CALM_SHARE: Final = 0.5
 FEWEST_VERSIONS: Final = 2
 #: Pairs that are kept; the longest unrated goes first.
 MOST_CELLS: Final = 512
@@ -132,12 +144,14 @@
     Attributes:
         version: The version.
         position: Where in the feed the batch was whole.
-        deviates: Whether it was far from what was known.
+        deviates: Whether it was unlike what was known.
+        scatters: Whether its scores lay further apart than before.
     """
 
     version: VersionId
     position: int
     deviates: bool
+    scatters: bool
 
 
 class QualityState(Struct, frozen=True):
@@ -145,13 +159,14 @@
 
     Attributes:
         position: How far in the feed it has read.
-        frozen: Whether the rating service is held for wrong.
+        frozen: Feed position since which the rating service is held for
+            wrong; 0 while it is not.
         cells: Cells; only the changed ones in a difference.
         verdicts: The last batch of each version.
     """
 
     position: int = 0
-    frozen: bool = False
+    frozen: int = 0
     cells: tuple[Cell, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
 
@@ -166,7 +181,7 @@
     def __init__(self, epoch_of: Callable[[VersionId], Epoch]) -> None:
         self._epoch_of = epoch_of
         self._position = 0
-        self._frozen = False
+        self._frozen = 0
         self._cells: dict[Pair, Cell] = {}
         self._verdicts: dict[VersionId, Verdict] = {}
 
@@ -178,7 +193,7 @@
     @property
     def frozen(self) -> bool:
         """Whether the rating service is held for wrong."""
-        return self._frozen
+        return bool(self._frozen)
 
     def cell(self, version: VersionId, task: TaskName) -> Cell | None:
         """Return a cell of the version's present epoch, or None."""
@@ -253,10 +268,12 @@
         past = cell.reference
         deviates = _deviates(cell, past)
         if past.weight >= FIRM:
+            scatters = _scatters(cell, past)
             self._verdicts[cell.version] = Verdict(
                 cell.version,
                 cell.position,
-                deviates,
+                deviates or scatters,
+                scatters,
             )
             self._watch_service()
         if self._frozen:
@@ -272,21 +289,59 @@
         return _emptied(cell, sums, held, held_at)
 
     def _watch_service(self) -> None:
-        """Freeze while most versions move at once; put back what they were."""
-        recent = [
+        """Freeze while most versions move at once."""
+        recent = self._recent()
+        moved = sum(entry.deviates for entry in recent)
+        share = moved / len(recent) if recent else 0
+        if self._frozen:
+            if share <= CALM_SHARE:
+                self._frozen = 0
+            elif self._position - self._frozen > FREEZE_LIMIT:
+                self._settle(recent)
+            return
+        if moved >= FEWEST_VERSIONS and share >= SERVICE_SHARE:
+            self._freeze()
+
+    def _recent(self) -> list[Verdict]:
+        """Return the verdicts since versions began to move."""
+        since = self._position - WINDOW
+        began = min(
+            (
+                entry.position
+                for entry in self._verdicts.values()
+                if entry.deviates and entry.position >= since
+            ),
+            default=since,
+        )
+        # What was normal before that says nothing of the service now.
+        return [
             entry
             for entry in self._verdicts.values()
-            if self._position - entry.position <= WINDOW
+            if entry.position >= began
         ]
-        moved = sum(entry.deviates for entry in recent)
-        wrong = len(recent) >= FEWEST_VERSIONS
-        wrong = wrong and moved >= SERVICE_SHARE * len(recent)
-        if wrong and not self._frozen:
-            for pair, cell in self._cells.items():
-                if cell.held is not None:
-                    self._cells[pair] = _emptied(cell, cell.held, None, 0)
-        if wrong or moved <= (1 - SERVICE_SHARE) * len(recent):
-            self._frozen = wrong
+
+    def _freeze(self) -> None:
+        """Put back what was known before versions began to move."""
+        self._frozen = self._position
+        for pair, cell in self._cells.items():
+            if cell.held is not None:
+                self._cells[pair] = _emptied(cell, cell.held, None, 0)
+            elif cell.sums.weight < YOUNG:
+                # All that a young cell knows may have come since.
+                self._cells[pair] = _emptied(cell, Sums(), None, 0)
+
+    def _settle(self, recent: list[Verdict]) -> None:
+        """Begin anew from the declared qualities if a new level is steady.
+
+        Scores that scatter are no level; they are never believed.
+        """
+        scattered = sum(entry.scatters for entry in recent)
+        if scattered > (1 - SERVICE_SHARE) * len(recent):
+            return
+        self._frozen = 0
+        self._verdicts.clear()
+        for pair, cell in self._cells.items():
+            self._cells[pair] = _emptied(cell, Sums(), None, 0)
 
 
 def _position_of(cell: Cell) -> int:
@@ -299,11 +354,16 @@
     if past.weight < FIRM:
         return False
     size = len(cell.batch)
-    shift = abs(sum(cell.batch) / size - past.mean)
+    shift = abs(median(cell.batch) - past.mean)
     expected = DEVIATIONS * sqrt(past.variance / size)
     return shift > max(LEAST_SHIFT, expected)
 
 
+def _scatters(cell: Cell, past: Sums) -> bool:
+    """Tell whether a cell's batch lies further apart than its past."""
+    return pvariance(cell.batch) > max(LEAST_SCATTER, SCATTER * past.variance)
+
+
 def _bounded(score: float, sums: Sums) -> float:
     """Return a score that moves a firm mean by so much at most."""
     if sums.weight < FIRM:
--- a/src/nutmegroad/rating_samples.py
+++ b/src/nutmegroad/rating_samples.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Final
 
 from nutmegroad.clocks import Clock
@@ -24,17 +25,19 @@
 
 _LOG: Final = part_logger('rating samples')
 #: Share of answers rated where the estimate is firm and clear.
-SETTLED_SHARE: Final = 0.03
+SETTLED_SHARE: Final = 0.1
 #: Share where the target lies within the estimate's bounds.
-UNCERTAIN_SHARE: Final = 0.2
-#: Share while there are few ratings.
-NEW_SHARE: Final = 0.5
-#: Ratings below which a pair counts as new.
+UNCERTAIN_SHARE: Final = 0.3
+#: Ratings below which a pair is new, and all its answers are rated.
 FEW_RATINGS: Final = 20.0
+#: A version with less than this share of its task's answers is rare.
+RARE: Final = 0.1
+#: What remains of the weight of an answer with each one after it.
+_USE_DECAY: Final = 0.99
 #: Answers that may wait to be handed in.
 QUEUE_LIMIT: Final = 64
 #: Answers that a host hands in each second, on average, and at once.
-RATE: Final = 0.5
+RATE: Final = 0.1
 BURST: Final = 20.0
 #: Answers that are remembered as handed in.
 _REMEMBERED: Final = 4096
@@ -42,13 +45,40 @@
 _Named = tuple[RequestId, VersionId]
 
 
-def share_to_rate(estimate: Estimate, target: float) -> float:
-    """Return the share of answers that are worth a rating."""
-    if estimate.ratings < FEW_RATINGS:
-        return NEW_SHARE
-    if estimate.lower < target <= estimate.upper:
-        return UNCERTAIN_SHARE
-    return SETTLED_SHARE
+class SampleShares:
+    """Says which share of a pair's answers is worth a rating.
+
+    A version that gets few of its task's requests, such as one that is
+    being explored, has each of its answers rated while it is uncertain.
+    """
+
+    def __init__(self) -> None:
+        self._used: dict[TaskName, dict[VersionId, float]] = {}
+
+    def note(self, version: VersionId, task: TaskName) -> float:
+        """Count an answer; return the version's share of its task."""
+        used = self._used.setdefault(task, {})
+        for other in used:
+            used[other] *= _USE_DECAY
+        used[version] = used.get(version, 0) + 1
+        return used[version] / sum(used.values())
+
+    def share(
+        self,
+        version: VersionId,
+        task: TaskName,
+        estimate: Estimate,
+        target: float,
+    ) -> float:
+        """Count an answer; return how likely it should be rated."""
+        used = self.note(version, task)
+        if estimate.ratings < FEW_RATINGS:
+            return 1
+        if used < RARE:
+            return 1
+        if estimate.lower < target <= estimate.upper:
+            return UNCERTAIN_SHARE
+        return SETTLED_SHARE
 
 
 class RatingSamples:
@@ -70,16 +100,15 @@
         clock: Clock,
         randomness: random.Random,
     ) -> None:
-        #: Answers that were worth a rating and not handed in.
-        self.dropped = 0
-        #: Answers that were handed in.
-        self.submitted = 0
+        #: Is told what became of each answer that was chosen.
+        self.count: Callable[[str], None] = _count_nowhere
         self._ratings = ratings
         self._estimates = estimates
         self._configuration = configuration
         self._clock = clock
         self._randomness = randomness
         self._queue: asyncio.Queue[RatedAnswer] = asyncio.Queue(QUEUE_LIMIT)
+        self._shares = SampleShares()
         self._known: OrderedDict[_Named, None] = OrderedDict()
         self._credit = BURST
         self._credited = clock.now()
@@ -93,17 +122,25 @@
             return
         start = end.start
         estimate = self._estimates.estimate(start.version, start.task)
-        share = share_to_rate(estimate, self._target(start.task))
+        share = self._shares.share(
+            start.version,
+            start.task,
+            estimate,
+            self._target(start.task),
+        )
         if self._randomness.random() >= share:
             return
-        if not self._is_first(start) or not self._has_credit():
-            self.dropped += 1
+        if not self._is_first(start):
+            self.count('repeated')
+            return
+        if not self._has_credit():
+            self.count('above_rate')
             return
         answer = RatedAnswer(start.request, start.task, start.version, end.text)
         try:
             self._queue.put_nowait(answer)
         except asyncio.QueueFull:
-            self.dropped += 1
+            self.count('queue_full')
 
     async def run(self) -> None:
         """Hand queued answers in until cancelled."""
@@ -112,10 +149,10 @@
             refusal = await self._ratings.submit(answer)
             if isinstance(refusal, Refusal):
                 # It may have arrived all the same, so it isn't sent again.
-                self.dropped += 1
+                self.count('failed')
                 _LOG.warning('answer not handed in: %s', refusal.reason)
             else:
-                self.submitted += 1
+                self.count('submitted')
 
     def _target(self, task: TaskName) -> float:
         """Return a task class's target."""
@@ -143,3 +180,7 @@
             return False
         self._credit -= 1
         return True
+
+
+def _count_nowhere(outcome: str) -> None:
+    """Count nothing."""
