--- a/src/nutmegroad/_plan_choice.py
+++ b/src/nutmegroad/_plan_choice.py
@@ -100,22 +100,30 @@
 ) -> str:
     """Say which versions were weighed, and why each was left out."""
     words = [f'target {request.target:g}']
+    dearer = []
     for candidate in sorted(candidates, key=_price_of):
-        estimate = candidate.estimate
-        note = candidate.standing.value
-        if candidate is chosen:
-            note = f'{note}, taken'
-        elif chosen is not None and candidate.price >= chosen.price:
-            note = f'{note}, no cheaper'
-        words.append(
-            f'{candidate.entry.id} {note} '
-            f'({estimate.lower:.3f} <= {estimate.mean:.3f} <= '
-            f'{estimate.upper:.3f}, {estimate.ratings:.0f} ratings, '
-            f'cost {candidate.price:.5f})',
-        )
+        if chosen is None or candidate.price <= chosen.price:
+            words.append(_describe(candidate, taken=candidate is chosen))
+        else:
+            dearer.append(candidate.entry.id)
+    if dearer:
+        names = ', '.join(dearer)
+        words.append(f'dearer, not needed: {names}')
     return '; '.join(words)
 
 
+def _describe(candidate: Candidate, *, taken: bool) -> str:
+    """Say how one version was weighed."""
+    estimate = candidate.estimate
+    verdict = 'taken' if taken else 'left out'
+    return (
+        f'{candidate.entry.id} {candidate.standing.value}, {verdict} '
+        f'({estimate.lower:.3f} <= {estimate.mean:.3f} <= '
+        f'{estimate.upper:.3f}, {estimate.ratings:.0f} ratings, '
+        f'cost {candidate.price:.5f})'
+    )
+
+
 def _is_proven(candidate: Candidate, target: float) -> bool:
     """Tell whether the evidence says that a version is good enough."""
     return candidate.standing is Standing.PROVEN
--- a/src/nutmegroad/_quality_part.py
+++ b/src/nutmegroad/_quality_part.py
@@ -5,17 +5,28 @@
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
 from nutmegroad.decisions import Observers
+from nutmegroad.duties import Duties, DutyName
 from nutmegroad.estimates import Estimates
 from nutmegroad.metrics import Metrics
+from nutmegroad.peers import Mesh
 from nutmegroad.plans import AdaptivePlanner, PresetShares
 from nutmegroad.platform import Objects, Ratings
-from nutmegroad.quality_sharing import FeedReader, QualityStore
+from nutmegroad.quality_sharing import (
+    STORE_PERIOD,
+    FeedReader,
+    QualitySharer,
+    QualityStore,
+)
 from nutmegroad.rating_samples import RatingSamples
 from nutmegroad.registry import register
 from nutmegroad.types import TaskName, VersionId
 
 #: Seconds between two updates of the metrics.
 _SHOW_PERIOD: Final = 15.0
+#: Seconds that a starting host gives itself to find peers.
+JOIN_PERIOD: Final = 2.0
+#: The duty of reading the feed and of storing what it says.
+FEED_DUTY: Final = DutyName('ratings-feed')
 
 
 @register('part', 'quality')
@@ -42,18 +53,64 @@
 
 @register('part', 'rating')
 class RatingPart:
-    """Has answers rated, and reads the ratings."""
+    """Has answers rated, reads the ratings and shares what they say."""
 
-    needs = (Observers, Ratings, Objects, Estimates, Configuration)
+    needs = (Observers, Ratings, Objects, Estimates, Mesh, Duties)
 
     async def open(self, kernel: Kernel) -> None:
-        """Take the stored state in, then begin to sample and to read."""
-        estimates = kernel.need(Estimates)
-        ratings = kernel.need(Ratings)
+        """Begin to sample, to share and to read."""
+        self._start_samples(kernel)
+        sharer = QualitySharer(
+            kernel.need(Mesh),
+            kernel.need(Estimates),
+            kernel.clock,
+            kernel.randomness,
+        )
+        kernel.spawn(sharer.run(), 'quality marks')
+        kernel.spawn(sharer.follow(), 'quality sharing')
+        self._start_reading(kernel, sharer)
+        self._start_storing(kernel)
+
+    def _start_reading(self, kernel: Kernel, sharer: QualitySharer) -> None:
+        """Read the feed where that is our duty."""
+        estimates, clock = kernel.need(Estimates), kernel.clock
+        duties = kernel.need(Duties)
         store = QualityStore(kernel.need(Objects), estimates)
-        samples = RatingSamples(
-            ratings,
+        reader = FeedReader(
+            kernel.need(Ratings),
             estimates,
+            clock,
+            lambda: duties.is_mine(FEED_DUTY),
+        )
+
+        async def read_on() -> None:
+            """Read on from where a peer's or the stored state ends."""
+            await clock.sleep(JOIN_PERIOD)
+            if not await sharer.fetch():
+                await store.load()
+            await reader.run()
+
+        kernel.spawn(read_on(), 'rating feed')
+
+    def _start_storing(self, kernel: Kernel) -> None:
+        """Store the state now and then, where that is our duty."""
+        duties = kernel.need(Duties)
+        store = QualityStore(kernel.need(Objects), kernel.need(Estimates))
+
+        async def store_often() -> None:
+            """Store the state until cancelled."""
+            while True:
+                await kernel.clock.sleep(STORE_PERIOD)
+                if duties.is_mine(FEED_DUTY):
+                    await store.save()
+
+        kernel.spawn(store_often(), 'quality store')
+
+    def _start_samples(self, kernel: Kernel) -> None:
+        """Watch attempts, and hand a share of the answers in."""
+        samples = RatingSamples(
+            kernel.need(Ratings),
+            kernel.need(Estimates),
             kernel.need(Configuration),
             kernel.clock,
             kernel.randomness,
@@ -61,14 +118,6 @@
         samples.count = kernel.need(Metrics).quality.sampled
         kernel.need(Observers).add(samples)
         kernel.spawn(samples.run(), 'rating samples')
-        reader = FeedReader(ratings, estimates, kernel.clock, _always)
-
-        async def start_reading() -> None:
-            """Read on from where the stored state ends."""
-            await store.load()
-            await reader.run()
-
-        kernel.spawn(start_reading(), 'rating feed')
 
 
 @register('planner', 'adaptive')
@@ -83,11 +132,6 @@
     )
 
 
-def _always() -> bool:
-    """Read the feed on every host, until hosts share the duty."""
-    return True
-
-
 def show(
     estimates: Estimates,
     configuration: Configuration,
--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/_setting_specs.py
@@ -251,7 +251,7 @@
         'seed for randomness',
         '',
     ),
-    _policy_spec('planner', 'cheapest', 'policy that chooses versions'),
+    _policy_spec('planner', 'adaptive', 'policy that chooses versions'),
     _policy_spec(
         'selector',
         'least-in-flight',
--- a/src/nutmegroad/plans.py
+++ b/src/nutmegroad/plans.py
@@ -18,7 +18,7 @@
     explain,
     standing_of,
 )
-from nutmegroad.configuration import Configuration
+from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.decisions import AttemptEnd
 from nutmegroad.documents import Concern, Stage, VersionEntry
 from nutmegroad.estimates import Estimates
@@ -128,6 +128,8 @@
         self._randomness = randomness
         self._explored = explored
         self._kept: dict[_Key, _Prepared] = {}
+        self._accepted: Accepted | None = None
+        self._entries_by_id: dict[VersionId, VersionEntry] = {}
         self._credit: dict[TaskName, float] = {}
 
     def plan(self, request: ModelRequest) -> Plan | Refusal:
@@ -220,7 +222,13 @@
 
     def _entries(self, request: ModelRequest) -> Iterator[VersionEntry]:
         """Yield the versions that may answer and are not withdrawn."""
-        for entry in map(self._configuration.entry, request.versions):
+        accepted = self._configuration.accepted
+        if accepted is not self._accepted:
+            self._accepted = accepted
+            known = () if accepted is None else accepted.document.versions
+            self._entries_by_id = {entry.version: entry for entry in known}
+        for version in request.versions:
+            entry = self._entries_by_id.get(version)
             if entry is None:
                 continue
             epoch = Epoch(entry.epoch)
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/settings.py
@@ -92,7 +92,7 @@
     body_timeout: float = 20.0
     log_format: str = 'text'
     seed: int | None = None
-    planner: str = 'cheapest'
+    planner: str = 'adaptive'
     selector: str = 'least-in-flight'
     admitter: str = 'open'
     retries: str = 'unbounded'
