--- /dev/null
+++ b/tests/test_plans.py
@@ -0,0 +1,263 @@
+"""Tests of estimates and of the adaptive planner."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from msgspec import structs
+
+from experiments.planner_worlds import (
+    DOSSIER,
+    LARGE,
+    MEDIUM,
+    SCENARIOS,
+    SMALL,
+    SUMMARY,
+    TAG,
+    VERSIONS,
+    accepted,
+    make_request,
+)
+from nutmegroad.baselines import cheapest_only, dearest, static_share
+from nutmegroad.configuration import Configuration
+from nutmegroad.documents import (
+    Concern,
+    RolloutShare,
+    Stage,
+    VersionEntry,
+    Withdrawal,
+)
+from nutmegroad.estimates import HALF_LIFE, Estimates
+from nutmegroad.plans import AdaptivePlanner, PresetShares
+from nutmegroad.platform import Rating
+from nutmegroad.requests import ModelRequest, Plan, SessionClaim
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import (
+    Epoch,
+    RequestId,
+    Revision,
+    TaskName,
+    VersionId,
+)
+
+
+class _PlannerTest(unittest.TestCase):
+    explored = 0.0
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.configuration = Configuration(self.clock, 8)
+        self.configuration.take(accepted(SCENARIOS[0]))
+        self.estimates = Estimates(self.configuration, self.clock)
+        self.randomness = random.Random(3)
+        self.planner = AdaptivePlanner(
+            self.configuration,
+            self.estimates,
+            PresetShares(self.configuration),
+            self.randomness,
+            self.explored,
+        )
+
+    def rate(
+        self,
+        version: VersionId,
+        task: TaskName,
+        mean: float,
+        count: int,
+    ) -> None:
+        position = self.estimates.book.position
+        ratings = [
+            Rating(
+                position + 1 + number,
+                RequestId(''),
+                task,
+                version,
+                min(1, self.randomness.gauss(mean, 0.03)),
+            )
+            for number in range(count)
+        ]
+        self.estimates.take(tuple(ratings))
+
+    def plan(self, task: TaskName, **changes: object) -> Plan:
+        plan = self.planner.plan(request_of(task, **changes))
+        assert isinstance(plan, Plan), plan
+        return plan
+
+    def versions(self, task: TaskName, count: int) -> list[VersionId]:
+        return [self.plan(task).steps[0] for _ in range(count)]
+
+    def configure(self, entry: VersionEntry, share: float) -> None:
+        """Put a version in roll-out beside the others."""
+        base = accepted(SCENARIOS[0])
+        preset = structs.replace(
+            base.preset_entry,
+            rollouts=(RolloutShare(version=entry.id, share=share),),
+        )
+        document = structs.replace(
+            base.document,
+            versions=(*base.document.versions, entry),
+            presets=(preset,),
+        )
+        self.configuration.take(
+            replace(base, document=document, revision=Revision(2)),
+        )
+
+
+def request_of(task: TaskName, **changes: object) -> ModelRequest:
+    """Return a request with some fields changed."""
+    return replace(make_request(1, task, 800), **changes)  # type: ignore[arg-type]
+
+
+class AdaptivePlannerTest(_PlannerTest):
+    def test_before_any_rating_the_declared_quality_decides(self) -> None:
+        for task, version in (
+            (TAG, SMALL),
+            (SUMMARY, MEDIUM),
+            (DOSSIER, LARGE),
+        ):
+            with self.subTest(task=task):
+                self.assertEqual(self.plan(task).steps, (version,))
+
+    def test_a_version_below_the_target_is_left(self) -> None:
+        self.rate(MEDIUM, SUMMARY, 0.9, 60)
+        self.assertEqual(self.plan(SUMMARY).steps, (MEDIUM,))
+        self.rate(MEDIUM, SUMMARY, 0.6, 20)
+        self.assertEqual(self.plan(SUMMARY).steps, (LARGE,))
+
+    def test_a_cheap_version_proven_good_is_taken(self) -> None:
+        self.rate(SMALL, SUMMARY, 0.93, 80)
+        plan = self.plan(SUMMARY)
+        self.assertEqual(plan.steps, (SMALL,))
+        self.assertGreaterEqual(plan.quality, 0.88)
+
+    def test_a_proven_version_goes_before_a_cheaper_promise(self) -> None:
+        self.rate(LARGE, SUMMARY, 0.96, 80)
+        self.assertEqual(self.plan(SUMMARY).steps, (LARGE,))
+
+    def test_nothing_good_enough_is_refused_with_its_reason(self) -> None:
+        for version in VERSIONS:
+            self.rate(version, DOSSIER, 0.7, 80)
+        refusal = self.planner.plan(request_of(DOSSIER))
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.code, ResultCode.NO_PLAN)
+        self.assertIn('brief-large@6 failed, left out', refusal.reason)
+        self.assertGreater(refusal.retry_after, 0)
+
+    def test_a_session_keeps_its_version(self) -> None:
+        self.rate(SMALL, DOSSIER, 0.5, 80)
+        claim = SessionClaim('s', SMALL, Epoch(0))
+        plan = self.plan(DOSSIER, session=claim, versions=(SMALL,))
+        self.assertEqual(plan.steps, (SMALL,))
+
+    def test_a_withdrawn_version_is_no_candidate(self) -> None:
+        self.configuration.withdraw((Withdrawal(version=SMALL, epoch=0),))
+        self.assertEqual(self.plan(TAG).steps, (MEDIUM,))
+
+    def test_exposure_needs_seasoned_evidence_to_change(self) -> None:
+        self.rate(LARGE, TAG, 0.97, 60)
+        self.rate(SMALL, TAG, 0.99, 16)
+        plan = self.plan(TAG, concern=Concern.EXPOSURE)
+        self.assertEqual(plan.steps, (LARGE,))
+        self.assertEqual(self.plan(TAG).steps, (SMALL,))
+
+    def test_it_does_not_flap_about_the_target(self) -> None:
+        self.rate(MEDIUM, SUMMARY, 0.9, 200)
+        self.rate(LARGE, SUMMARY, 0.96, 60)
+        self.plan(SUMMARY)
+        switches = 0
+        last = self.plan(SUMMARY).steps
+        for _ in range(200):
+            self.rate(MEDIUM, SUMMARY, 0.886, 5)
+            steps = self.plan(SUMMARY).steps
+            switches += steps != last
+            last = steps
+        self.assertLessEqual(switches, 12)
+
+    def test_the_reason_names_every_candidate(self) -> None:
+        reason = self.plan(SUMMARY).reason
+        self.assertIn('brief-small@2 undecided, left out', reason)
+        self.assertIn('brief-medium@4 undecided, taken', reason)
+        self.assertIn('dearer, not needed: brief-large@6', reason)
+
+    def test_a_trial_gets_its_share_and_no_more(self) -> None:
+        entry = VersionEntry(
+            id='brief-medium@5',
+            price_in=0.5,
+            price_out=1.5,
+            quality={SUMMARY: 0.9},
+            stage=Stage.ROLLOUT,
+        )
+        self.configure(entry, 0.1)
+        versions = (*VERSIONS, entry.version)
+        plans = [
+            self.plan(SUMMARY, versions=versions).steps[0] for _ in range(1000)
+        ]
+        self.assertAlmostEqual(plans.count(entry.version), 100, delta=30)
+        self.configure(entry, 0.1)
+        only = self.plan(SUMMARY, versions=(entry.version,))
+        self.assertEqual(only.steps, (entry.version,))
+
+
+class ExplorationTest(_PlannerTest):
+    explored = 0.02
+
+    def test_a_cheaper_unproven_version_gets_a_bounded_share(self) -> None:
+        self.rate(LARGE, SUMMARY, 0.96, 80)
+        tried = self.versions(SUMMARY, 2000).count(MEDIUM)
+        self.assertGreater(tried, 10)
+        self.assertLessEqual(tried, 41)
+
+    def test_a_version_known_to_be_bad_is_not_tried(self) -> None:
+        self.rate(SMALL, DOSSIER, 0.6, 80)
+        self.rate(MEDIUM, DOSSIER, 0.6, 80)
+        self.rate(LARGE, DOSSIER, 0.96, 80)
+        self.assertEqual(set(self.versions(DOSSIER, 500)), {LARGE})
+
+    def test_exposure_explores_nothing(self) -> None:
+        self.rate(LARGE, SUMMARY, 0.96, 80)
+        plans = {
+            self.plan(SUMMARY, concern=Concern.EXPOSURE).steps
+            for _ in range(500)
+        }
+        self.assertEqual(plans, {(LARGE,)})
+
+    def test_where_all_are_bad_the_best_is_still_probed(self) -> None:
+        for version in VERSIONS:
+            self.rate(version, DOSSIER, 0.7, 80)
+        plans = [self.planner.plan(request_of(DOSSIER)) for _ in range(500)]
+        probes = [plan for plan in plans if isinstance(plan, Plan)]
+        self.assertGreaterEqual(len(probes), 9)
+        self.assertLessEqual(len(probes), 10)
+
+
+class EstimatesTest(_PlannerTest):
+    def test_evidence_ages_only_while_others_are_rated(self) -> None:
+        self.rate(SMALL, TAG, 0.6, 80)
+        before = self.estimates.estimate(SMALL, TAG).ratings
+        self.clock._now += 10 * HALF_LIFE
+        self.assertEqual(self.estimates.estimate(SMALL, TAG).ratings, before)
+        self.rate(MEDIUM, TAG, 0.96, 5)
+        self.assertLess(self.estimates.estimate(SMALL, TAG).ratings, 1)
+
+    def test_the_stamp_grows_with_ratings_and_configuration(self) -> None:
+        before = self.estimates.stamp
+        self.rate(SMALL, TAG, 0.9, 1)
+        self.assertGreater(self.estimates.stamp, before)
+        before = self.estimates.stamp
+        self.configuration.withdraw((Withdrawal(version=SMALL, epoch=0),))
+        self.assertGreater(self.estimates.stamp, before)
+
+
+class BaselineTest(_PlannerTest):
+    def test_baselines_look_at_price_alone(self) -> None:
+        request = request_of(DOSSIER)
+        for planner, expected in (
+            (dearest(self.configuration), {LARGE}),
+            (cheapest_only(self.configuration), {SMALL}),
+            (static_share(self.configuration, random.Random(1)), set(VERSIONS)),
+        ):
+            plans = [planner.plan(request) for _ in range(50)]
+            taken = {plan.steps[0] for plan in plans if isinstance(plan, Plan)}
+            with self.subTest(expected=expected):
+                self.assertEqual(taken, expected)
--- /dev/null
+++ b/tests/test_quality_sharing.py
@@ -0,0 +1,174 @@
+"""Tests of reading, sharing and storing estimates."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Coroutine
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import Any
+
+from experiments.planner_worlds import SCENARIOS, SMALL, TAG, accepted
+from nutmegroad.configuration import Configuration
+from nutmegroad.estimates import Estimates
+from nutmegroad.platform import RatedAnswer, Rating
+from nutmegroad.quality_sharing import FeedReader, QualitySharer, QualityStore
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock, MemoryMesh
+from nutmegroad.types import DomainId, HostId, RequestId
+
+_PAGE = 10
+
+
+class ListedRatings:
+    """A rating service with a feed that may be down."""
+
+    def __init__(self, count: int) -> None:
+        self.down = False
+        self.feeds = 0
+        self._rated = [
+            Rating(number + 1, RequestId(''), TAG, SMALL, 0.9)
+            for number in range(count)
+        ]
+
+    async def submit(self, answer: RatedAnswer) -> Refusal | None:
+        return None
+
+    async def feed(self, after: int) -> tuple[Rating, ...] | Refusal:
+        self.feeds += 1
+        if self.down:
+            return Refusal(ResultCode.RATINGS_UNAVAILABLE, 'It is down.')
+        return tuple(self._rated[after : after + _PAGE])
+
+
+class MemoryObjects:
+    """An object store in memory."""
+
+    def __init__(self) -> None:
+        self.stored: dict[str, bytes] = {}
+
+    async def put(self, name: str, content: bytes) -> Refusal | None:
+        known = self.stored.setdefault(name, content)
+        if known != content:
+            return Refusal(ResultCode.OBJECT_UNAVAILABLE, 'It is taken.')
+        return None
+
+    async def fetch(self, name: str) -> bytes | Refusal:
+        return self.stored[name]
+
+    async def names(self, prefix: str) -> tuple[str, ...] | Refusal:
+        return tuple(sorted(self.stored))
+
+
+@dataclass(slots=True)
+class Host:
+    """One host's objects."""
+
+    estimates: Estimates
+    sharer: QualitySharer
+    reader: FeedReader
+
+    @property
+    def position(self) -> int:
+        return self.estimates.book.position
+
+
+class _HostsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.mesh = await self.stack.enter_async_context(
+            MemoryMesh(self.clock, random.Random(1)),
+        )
+        self.ratings = ListedRatings(95)
+
+    def estimates(self) -> Estimates:
+        configuration = Configuration(self.clock, 8)
+        configuration.take(accepted(SCENARIOS[0]))
+        return Estimates(configuration, self.clock)
+
+    def host(self, name: str, domain: str, *, reads: bool = False) -> Host:
+        peer = self.mesh.join(HostId(name), DomainId(domain))
+        estimates = self.estimates()
+        sharer = QualitySharer(peer, estimates, self.clock, random.Random(name))
+        reader = FeedReader(
+            self.ratings,
+            estimates,
+            self.clock,
+            lambda: reads,
+        )
+        for run in (sharer.run(), sharer.follow(), reader.run()):
+            self.spawn(run)
+        return Host(estimates, sharer, reader)
+
+    def spawn(self, run: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(run)
+        self.stack.callback(task.cancel)
+
+
+class SharingTest(_HostsTest):
+    async def test_one_host_reads_and_all_know(self) -> None:
+        hosts = [
+            self.host(f'h{number}', f'd{number % 3}', reads=number == 0)
+            for number in range(9)
+        ]
+        await self.clock.advance(30)
+        for host in hosts:
+            self.assertEqual(host.position, 95)
+            self.assertEqual(
+                host.estimates.estimate(SMALL, TAG),
+                hosts[0].estimates.estimate(SMALL, TAG),
+            )
+
+    async def test_a_domain_without_the_platform_hears_of_others(self) -> None:
+        self.host('near', 'one', reads=True)
+        far = self.host('far', 'two')
+        self.mesh.cut_domain(DomainId('two'))
+        await self.clock.advance(30)
+        self.assertEqual(far.position, 0)
+        self.mesh.heal_domain(DomainId('two'))
+        await self.clock.advance(30)
+        self.assertEqual(far.position, 95)
+
+    async def test_a_host_that_starts_fetches_from_a_peer(self) -> None:
+        self.host('old', 'one', reads=True)
+        await self.clock.advance(10)
+        fresh = self.host('new', 'one')
+        fetching = asyncio.create_task(fresh.sharer.fetch())
+        await self.clock.advance(1)
+        self.assertTrue(await fetching)
+        self.assertEqual(fresh.position, 95)
+
+    async def test_a_feed_that_is_down_loses_nothing(self) -> None:
+        self.ratings.down = True
+        host = self.host('one', 'one', reads=True)
+        await self.clock.advance(20)
+        self.assertEqual(host.position, 0)
+        self.ratings.down = False
+        await self.clock.advance(10)
+        self.assertEqual(host.position, 95)
+
+    async def test_only_the_holder_of_the_duty_reads(self) -> None:
+        self.host('idle', 'one')
+        await self.clock.advance(20)
+        self.assertEqual(self.ratings.feeds, 0)
+
+
+class StoreTest(_HostsTest):
+    async def test_all_hosts_may_restart(self) -> None:
+        objects = MemoryObjects()
+        host = self.host('one', 'one', reads=True)
+        await self.clock.advance(10)
+        await QualityStore(objects, host.estimates).save()
+        fresh = self.estimates()
+        self.assertTrue(await QualityStore(objects, fresh).load())
+        self.assertEqual(fresh.book.state(), host.estimates.book.state())
+
+    async def test_a_stored_state_that_is_torn_is_passed_over(self) -> None:
+        objects = MemoryObjects()
+        objects.stored['quality/1'] = b'\x91'
+        fresh = self.estimates()
+        with self.assertLogs('absl', 'ERROR'):
+            self.assertFalse(await QualityStore(objects, fresh).load())
+        self.assertEqual(fresh.book.position, 0)
--- /dev/null
+++ b/tests/test_rating_samples.py
@@ -0,0 +1,142 @@
+"""Tests of handing answers in for rating."""
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+
+from experiments.planner_worlds import SCENARIOS, SMALL, TAG, accepted
+from nutmegroad.configuration import Configuration
+from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.estimates import Estimate, Estimates
+from nutmegroad.platform import RatedAnswer, Rating
+from nutmegroad.rating_samples import (
+    BURST,
+    QUEUE_LIMIT,
+    RatingSamples,
+    SampleShares,
+)
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import (
+    AttemptId,
+    RequestId,
+    TaskName,
+    UpstreamId,
+    VersionId,
+    WorkspaceId,
+)
+
+
+class SlowRatings:
+    """A rating service that takes answers in when it is told to."""
+
+    def __init__(self, refusal: Refusal | None = None) -> None:
+        self.answers: list[RatedAnswer] = []
+        self.open = asyncio.Event()
+        self._refusal = refusal
+
+    async def submit(self, answer: RatedAnswer) -> Refusal | None:
+        await self.open.wait()
+        self.answers.append(answer)
+        return self._refusal
+
+    async def feed(self, after: int) -> tuple[Rating, ...] | Refusal:
+        return ()
+
+
+def end_of(
+    number: int,
+    code: ResultCode = ResultCode.OK,
+    attempt: int = 1,
+) -> AttemptEnd:
+    """Return the end of an attempt at a request."""
+    start = AttemptStart(
+        AttemptId(f'r{number}.{attempt}'),
+        RequestId(f'r{number}'),
+        WorkspaceId('w'),
+        TAG,
+        SMALL,
+        UpstreamId('u'),
+    )
+    return AttemptEnd(start, code, 0.1, 1, 10, 10, 0.1, 'some text')
+
+
+class RatingSamplesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.configuration = Configuration(self.clock, 8)
+        self.configuration.take(accepted(SCENARIOS[0]))
+        self.counts: Counter[str] = Counter()
+
+    def samples(self, ratings: SlowRatings) -> RatingSamples:
+        made = RatingSamples(
+            ratings,
+            Estimates(self.configuration, self.clock),
+            self.configuration,
+            self.clock,
+            random.Random(1),
+        )
+        made.count = lambda outcome: self.counts.update([outcome])
+        task = asyncio.create_task(made.run())
+        self.addCleanup(task.cancel)
+        return made
+
+    async def test_a_request_never_waits_for_the_service(self) -> None:
+        ratings = SlowRatings()
+        samples = self.samples(ratings)
+        for number in range(300):
+            await self.clock.advance(20)
+            samples.ended(end_of(number))
+        # One is under way, the queue is full, and the rest are counted.
+        self.assertEqual(self.counts['queue_full'], 300 - QUEUE_LIMIT - 1)
+        ratings.open.set()
+        await self.clock.settle()
+        self.assertEqual(len(ratings.answers), QUEUE_LIMIT + 1)
+
+    async def test_an_answer_is_handed_in_once_at_most(self) -> None:
+        refusal = Refusal(ResultCode.RATINGS_UNAVAILABLE, 'The reply is lost.')
+        ratings = SlowRatings(refusal)
+        ratings.open.set()
+        samples = self.samples(ratings)
+        samples.ended(end_of(1))
+        samples.ended(end_of(1, attempt=2))
+        await self.clock.advance(60)
+        self.assertEqual(len(ratings.answers), 1)
+        self.assertEqual(self.counts, {'repeated': 1, 'failed': 1})
+
+    async def test_only_whole_answers_are_handed_in(self) -> None:
+        ratings = SlowRatings()
+        ratings.open.set()
+        samples = self.samples(ratings)
+        samples.ended(end_of(1, ResultCode.ANSWER_CUT))
+        await self.clock.settle()
+        self.assertEqual(ratings.answers, [])
+
+    async def test_the_rate_is_bounded(self) -> None:
+        ratings = SlowRatings()
+        ratings.open.set()
+        samples = self.samples(ratings)
+        for number in range(200):
+            samples.ended(end_of(number))
+            await asyncio.sleep(0)
+        await self.clock.settle()
+        self.assertEqual(len(ratings.answers), BURST)
+        self.assertEqual(self.counts['above_rate'], 200 - BURST)
+
+
+class SampleSharesTest(unittest.TestCase):
+    def test_uncertain_and_rare_pairs_are_rated_more(self) -> None:
+        shares = SampleShares()
+        task = TaskName('t')
+        often, seldom = VersionId('m@1'), VersionId('m@2')
+        clear = Estimate(0.9, 0.95, 0.01, 0.93, 0.94, 0.97, 90)
+        unclear = Estimate(0.9, 0.9, 0.01, 0.88, 0.89, 0.92, 90)
+        new = Estimate(0.9, 0.9, 0.05, 0.8, 0.85, 1, 3)
+        for _ in range(200):
+            settled = shares.share(often, task, clear, 0.9)
+        uncertain = shares.share(often, task, unclear, 0.9)
+        self.assertLess(settled, uncertain)
+        self.assertLess(uncertain, 1)
+        self.assertEqual(shares.share(often, task, new, 0.9), 1)
+        self.assertEqual(shares.share(seldom, task, clear, 0.9), 1)
