Price cascades, and keep them off for want of a check with power

So the pricing is there (cost with escalations, waiting by the workspace's concern, never for what may run once nor where exposure weighs most) behind the Protocol AnswerCheck, and the check in use claims no power. Also: the rule for versions in roll-out draws by the request, so that hosts agree, and may be replaced by another part (Trials).

--- a/experiments/planner_speed.py
+++ b/experiments/planner_speed.py
@@ -19,7 +19,7 @@
 from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.documents import VersionEntry
 from nutmegroad.estimates import Estimates
-from nutmegroad.plans import AdaptivePlanner, PresetShares
+from nutmegroad.plans import AdaptivePlanner, PresetShares, Trials
 from nutmegroad.platform import Rating
 from nutmegroad.types import TaskName, VersionId
 
@@ -45,7 +45,7 @@
         self._planner = AdaptivePlanner(
             configuration,
             self._estimates,
-            PresetShares(configuration),
+            Trials(PresetShares(configuration)),
             random.Random(1),
         )
         versions = tuple(_entry(number).version for number in range(count))
--- a/experiments/planner_trials.py
+++ b/experiments/planner_trials.py
@@ -31,7 +31,7 @@
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import Planner
 from nutmegroad.estimates import Estimates
-from nutmegroad.plans import EXPLORED, AdaptivePlanner, PresetShares
+from nutmegroad.plans import EXPLORED, AdaptivePlanner, PresetShares, Trials
 from nutmegroad.platform import Rating
 from nutmegroad.policies import CheapestPlanner
 from nutmegroad.prices import cost_of
@@ -122,7 +122,7 @@
         return AdaptivePlanner(
             world.configuration,
             world.estimates,
-            PresetShares(world.configuration),
+            Trials(PresetShares(world.configuration)),
             randomness,
             explored,
         )
--- a/src/nutmegroad/_quality_part.py
+++ b/src/nutmegroad/_quality_part.py
@@ -9,7 +9,7 @@
 from nutmegroad.estimates import Estimates
 from nutmegroad.metrics import Metrics
 from nutmegroad.peers import Mesh
-from nutmegroad.plans import AdaptivePlanner, PresetShares
+from nutmegroad.plans import AdaptivePlanner, PresetShares, Trials
 from nutmegroad.platform import Objects, Ratings
 from nutmegroad.quality_sharing import (
     STORE_PERIOD,
@@ -31,7 +31,7 @@
 
 @register('part', 'quality')
 class QualityPart:
-    """Provides the estimates."""
+    """Provides the estimates and the rule for roll-outs."""
 
     needs = (Configuration, Metrics)
 
@@ -41,6 +41,7 @@
         metrics = kernel.need(Metrics)
         estimates = Estimates(configuration, kernel.clock)
         kernel.provide(Estimates, estimates)
+        kernel.provide(Trials, Trials(PresetShares(configuration)))
 
         async def show_often() -> None:
             """Keep the metrics in step until cancelled."""
@@ -123,11 +124,10 @@
 @register('planner', 'adaptive')
 def adaptive_planner(kernel: Kernel) -> AdaptivePlanner:
     """Make the planner for a host."""
-    configuration = kernel.need(Configuration)
     return AdaptivePlanner(
-        configuration,
+        kernel.need(Configuration),
         kernel.need(Estimates),
-        PresetShares(configuration),
+        kernel.need(Trials),
         kernel.randomness,
     )
 
--- a/src/nutmegroad/plans.py
+++ b/src/nutmegroad/plans.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
+import xxhash
+
 from nutmegroad._plan_choice import (
     Candidate,
     Standing,
@@ -18,6 +20,13 @@
     explain,
     standing_of,
 )
+from nutmegroad.cascades import (
+    PASSED,
+    AnswerCheck,
+    Cascade,
+    NoCheck,
+    best_cascade,
+)
 from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.decisions import AttemptEnd
 from nutmegroad.documents import Concern, Stage, VersionEntry
@@ -35,19 +44,21 @@
 _MOST_KEPT: Final = 4096
 #: The least standard error with which a version is tried.
 _LEAST_DOUBT: Final = 0.002
+_HASH_BITS: Final = 64
+_HASHES: Final = 2**_HASH_BITS
 #: Seconds for which a refusal for lack of a plan stands.
 _COME_BACK: Final = 30.0
 
 
-class RolloutShare(Protocol):
-    """Says how much a version in roll-out may get."""
+class TrialRule(Protocol):
+    """Says which requests a version in roll-out may get."""
 
-    def share(self, version: VersionId, task: TaskName) -> float:
-        """Return the share of a task's requests, from 0 to 1."""
+    def allows(self, version: VersionId, request: ModelRequest) -> bool:
+        """Tell whether a request may go to a version."""
 
 
 class PresetShares:
-    """The shares that the preset in force bounds roll-outs by.
+    """Gives a version in roll-out the whole share of the preset in force.
 
     Args:
         configuration: What is in force.
@@ -56,8 +67,18 @@
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
 
-    def share(self, version: VersionId, task: TaskName) -> float:
-        """Return the preset's share, the same for all tasks."""
+    def allows(self, version: VersionId, request: ModelRequest) -> bool:
+        """Tell whether a request is one of the version's share.
+
+        All hosts draw the same for the same request.
+        """
+        drawn = xxhash.xxh64_intdigest(
+            f'{version}/{request.request}'.encode(),
+        )
+        return drawn / _HASHES < self._share(version)
+
+    def _share(self, version: VersionId) -> float:
+        """Return the preset's share."""
         accepted = self._configuration.accepted
         rollouts = () if accepted is None else accepted.preset_entry.rollouts
         for entry in rollouts:
@@ -66,6 +87,17 @@
         return 0
 
 
+class Trials:
+    """The rule for versions in roll-out; another part may replace it.
+
+    Args:
+        rule: The rule to begin with.
+    """
+
+    def __init__(self, rule: TrialRule) -> None:
+        self.rule = rule
+
+
 @dataclass(frozen=True, slots=True)
 class _Key:
     """What requests have in common that are planned alike.
@@ -89,16 +121,18 @@
     Attributes:
         stamp: The estimates that it was done with.
         candidates: Steady versions.
-        trials: Versions in roll-out with their shares.
+        trials: Versions in roll-out that may turn out to be good.
         chosen: What most requests get.
+        cascade: A cheaper version before that one; None for none.
         hopeful: Cheaper versions that may turn out to be good.
         reason: Why, in words.
     """
 
     stamp: int
     candidates: tuple[Candidate, ...]
-    trials: tuple[tuple[Candidate, float], ...]
+    trials: tuple[Candidate, ...]
     chosen: Candidate | None
+    cascade: Cascade | None
     hopeful: tuple[Candidate, ...]
     reason: str
 
@@ -109,24 +143,27 @@
     Args:
         configuration: What is in force.
         estimates: What is believed of versions.
-        shares: Bounds versions in roll-out.
+        trials: Bounds versions in roll-out.
         randomness: Draws trials.
         explored: Share of requests that may explore.
+        check: Judges the cheap answers of cascades.
     """
 
     def __init__(
         self,
         configuration: Configuration,
         estimates: Estimates,
-        shares: RolloutShare,
+        trials: Trials,
         randomness: random.Random,
         explored: float = EXPLORED,
+        check: AnswerCheck | None = None,
     ) -> None:
         self._configuration = configuration
         self._estimates = estimates
-        self._shares = shares
+        self._trials = trials
         self._randomness = randomness
         self._explored = explored
+        self._check = NoCheck() if check is None else check
         self._kept: dict[_Key, _Prepared] = {}
         self._accepted: Accepted | None = None
         self._entries_by_id: dict[VersionId, VersionEntry] = {}
@@ -137,21 +174,22 @@
         if request.session is not None:
             return self._pinned(request, request.session.version)
         prepared = self._prepare(request)
-        trial = self._trial(prepared)
+        trial = self._trial(request, prepared)
         if trial is not None:
-            return _plan(request, trial, f'trial in roll-out; {trial.entry.id}')
+            return _plan(request, trial, f'trial; {prepared.reason}')
         explored = self._explore(request, prepared)
         if explored is not None:
             words = f'explores {explored.entry.id}; {prepared.reason}'
             return _plan(request, explored, words)
         if prepared.chosen is None:
             return _no_plan(request, prepared.reason)
+        if prepared.cascade is not None:
+            return _stepped(prepared.cascade, prepared.reason)
         return _plan(request, prepared.chosen, prepared.reason)
 
     def estimate(self, request: ModelRequest, end: AttemptEnd) -> float:
-        """Return what is believed of the version that answered."""
-        version = end.start.version
-        return self._estimates.estimate(version, request.task).lower
+        """Return how sure the check is of a cascade's cheap answer."""
+        return self._check.judge(request, end)
 
     def _prepare(self, request: ModelRequest) -> _Prepared:
         """Return the work for a request, done anew if anything changed."""
@@ -181,16 +219,14 @@
         """Weigh all versions that a request may use."""
         used = None if before is None else before.entry.id
         steady: list[Candidate] = []
-        trials: list[tuple[Candidate, float]] = []
+        trials: list[Candidate] = []
         for entry in self._entries(request):
             candidate = self._candidate(request, entry, in_use=entry.id == used)
             if entry.stage is Stage.STEADY:
                 steady.append(candidate)
-                continue
-            share = self._shares.share(entry.version, request.task)
-            if share and candidate.believed:
-                trials.append((candidate, share))
-        everyone = [*steady, *(candidate for candidate, _ in trials)]
+            elif candidate.believed:
+                trials.append(candidate)
+        everyone = [*steady, *trials]
         # A caller that names only versions in roll-out means just these.
         chosen = choose(steady or everyone, request.target)
         return _Prepared(
@@ -198,10 +234,26 @@
             candidates=tuple(steady),
             trials=tuple(trials),
             chosen=chosen,
+            cascade=self._cascade(request, steady, chosen),
             hopeful=_hopeful(request, steady, chosen),
             reason=explain(request, everyone, chosen),
         )
 
+    def _cascade(
+        self,
+        request: ModelRequest,
+        candidates: list[Candidate],
+        chosen: Candidate | None,
+    ) -> Cascade | None:
+        """Return a cascade that ends with the chosen version, if one pays."""
+        accepted = self._configuration.accepted
+        if chosen is None or accepted is None:
+            return None
+        task = accepted.document.task(request.task)
+        if task is None or not task.cascade:
+            return None
+        return best_cascade(request, tuple(candidates), chosen, self._check)
+
     def _candidate(
         self,
         request: ModelRequest,
@@ -235,10 +287,14 @@
             if not self._configuration.is_withdrawn(entry.version, epoch):
                 yield entry
 
-    def _trial(self, prepared: _Prepared) -> Candidate | None:
+    def _trial(
+        self,
+        request: ModelRequest,
+        prepared: _Prepared,
+    ) -> Candidate | None:
         """Return a version in roll-out if this request is one of its share."""
-        for candidate, share in prepared.trials:
-            if self._randomness.random() < share:
+        for candidate in prepared.trials:
+            if self._trials.rule.allows(candidate.entry.version, request):
                 return candidate
         return None
 
@@ -334,6 +390,17 @@
     )
 
 
+def _stepped(cascade: Cascade, reason: str) -> Plan:
+    """Return the plan that tries the cheap version first."""
+    return Plan(
+        steps=(cascade.cheap.entry.version, cascade.dear.entry.version),
+        accept=(PASSED,),
+        cost=cascade.cost,
+        quality=cascade.quality,
+        reason=f'cascade, passed {cascade.power.passed:.2f}; {reason}',
+    )
+
+
 def _no_plan(request: ModelRequest, reason: str) -> Refusal:
     """Say that no version is good enough."""
     return Refusal(
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -19,6 +19,7 @@
 from msgspec import structs
 
 from nutmegroad.baselines import cheapest_only, dearest, static_share
+from nutmegroad.cascades import CheckPower, NoCheck
 from nutmegroad.configuration import Configuration
 from nutmegroad.documents import (
     Concern,
@@ -28,7 +29,7 @@
     Withdrawal,
 )
 from nutmegroad.estimates import HALF_LIFE, Estimates
-from nutmegroad.plans import AdaptivePlanner, PresetShares
+from nutmegroad.plans import AdaptivePlanner, PresetShares, Trials
 from nutmegroad.platform import Rating
 from nutmegroad.requests import ModelRequest, Plan, SessionClaim
 from nutmegroad.results import Refusal, ResultCode
@@ -54,7 +55,7 @@
         self.planner = AdaptivePlanner(
             self.configuration,
             self.estimates,
-            PresetShares(self.configuration),
+            Trials(PresetShares(self.configuration)),
             self.randomness,
             self.explored,
         )
@@ -191,7 +192,12 @@
         self.configure(entry, 0.1)
         versions = (*VERSIONS, entry.version)
         plans = [
-            self.plan(SUMMARY, versions=versions).steps[0] for _ in range(1000)
+            self.plan(
+                SUMMARY,
+                versions=versions,
+                request=RequestId(f'r{number}'),
+            ).steps[0]
+            for number in range(1000)
         ]
         self.assertAlmostEqual(plans.count(entry.version), 100, delta=30)
         self.configure(entry, 0.1)
@@ -237,6 +243,58 @@
         self.assertLessEqual(len(probes), 10)
 
 
+_Case = tuple[str, CheckPower, dict[str, object]]
+
+
+class _PowerfulCheck(NoCheck):
+    """A check with a power as if it had been measured."""
+
+    def __init__(self, power: CheckPower) -> None:
+        self._power = power
+
+    def power(self, version: VersionId, task: TaskName) -> CheckPower | None:
+        return self._power if version == SMALL else None
+
+
+class CascadeTest(_PlannerTest):
+    def stepped(self, power: CheckPower, **changes: object) -> Plan:
+        planner = AdaptivePlanner(
+            self.configuration,
+            self.estimates,
+            Trials(PresetShares(self.configuration)),
+            self.randomness,
+            0,
+            _PowerfulCheck(power),
+        )
+        plan = planner.plan(request_of(SUMMARY, **changes))
+        assert isinstance(plan, Plan)
+        return plan
+
+    def test_it_is_priced_with_its_escalations(self) -> None:
+        single = self.plan(SUMMARY)
+        plan = self.stepped(CheckPower(0.6, 0.9, 500))
+        self.assertEqual(plan.steps, (SMALL, MEDIUM))
+        cheap = 0.08 + 0.12
+        self.assertAlmostEqual(plan.cost, cheap + 0.4 * single.cost)
+
+    def test_it_stays_off_where_it_does_not_pay(self) -> None:
+        strong = CheckPower(0.6, 0.9, 500)
+        slow = CheckPower(0.6, 0.9, 500, seconds=3)
+        cases: list[_Case] = [
+            ('escalates too often', CheckPower(0.1, 0.9, 500), {}),
+            ('passes bad answers', CheckPower(0.6, 0.8, 500), {}),
+            ('hardly measured', CheckPower(0.6, 0.9, 50), {}),
+            ('exposure', strong, {'concern': Concern.EXPOSURE}),
+            ('may run once', strong, {'repeatable': False}),
+            ('slow', slow, {'concern': Concern.LATENCY}),
+        ]
+        for name, power, changes in cases:
+            with self.subTest(name):
+                plan = self.stepped(power, **changes)
+                self.assertEqual(plan.steps, (MEDIUM,))
+        self.assertEqual(len(self.stepped(slow).steps), 2)
+
+
 class EstimatesTest(_PlannerTest):
     def test_evidence_ages_only_while_others_are_rated(self) -> None:
         self.rate(SMALL, TAG, 0.6, 80)
