--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/_routing_part.py
@@ -5,11 +5,14 @@
 from nutmegroad.core import Kernel
 from nutmegroad.decisions import Observers, Quarantine
 from nutmegroad.directory import Directory
-from nutmegroad.dispatch import Dispatcher, Policies
+from nutmegroad.dispatch import Dispatcher
 from nutmegroad.estimates import Estimates
 from nutmegroad.gates import Gatekeeper
+from nutmegroad.invariants import Invariants
+from nutmegroad.metrics import Metrics
 from nutmegroad.registry import lookup, register
 from nutmegroad.services import ServiceCaller
+from nutmegroad.steps import Instruments, Policies
 from nutmegroad.upstreams import EngineClient, ServiceClient
 
 
@@ -17,8 +20,15 @@
 class RoutingPart:
     """Provides the dispatcher and the caller of plain services."""
 
-    # Planners may follow the estimates.
-    needs = (Configuration, Directory, EngineClient, ServiceClient, Estimates)
+    needs = (
+        Configuration,
+        Directory,
+        EngineClient,
+        ServiceClient,
+        Invariants,
+        # Planners may follow the estimates.
+        Estimates,
+    )
 
     async def open(self, kernel: Kernel) -> None:
         """Put the decisions together."""
@@ -49,6 +59,7 @@
             policies,
             gatekeeper,
             attempter,
+            Instruments(kernel.need(Metrics), kernel.need(Invariants)),
             kernel.clock,
             kernel.randomness,
         )
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -16,6 +16,7 @@
     'nutmegroad.baselines',
     'nutmegroad._quality_part',
     'nutmegroad._routing_part',
+    'nutmegroad._safety_part',
     'nutmegroad._listeners_part',
 )
 
