--- a/src/nutmegroad/rating_samples.py
+++ b/src/nutmegroad/rating_samples.py
@@ -17,6 +17,7 @@
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.documents import Stage
 from nutmegroad.estimates import Estimate, Estimates
 from nutmegroad.logs import part_logger
 from nutmegroad.platform import RatedAnswer, Ratings
@@ -39,6 +40,10 @@
 #: Answers that a host hands in each second, on average, and at once.
 RATE: Final = 0.1
 BURST: Final = 20.0
+#: The same for versions in roll-out, all of whose answers are worth a rating
+#: to the guard against bad versions.
+TRIAL_RATE: Final = 1.0
+TRIAL_BURST: Final = 100.0
 #: Answers that are remembered as handed in.
 _REMEMBERED: Final = 4096
 
@@ -110,8 +115,8 @@
         self._queue: asyncio.Queue[RatedAnswer] = asyncio.Queue(QUEUE_LIMIT)
         self._shares = SampleShares()
         self._known: OrderedDict[_Named, None] = OrderedDict()
-        self._credit = BURST
-        self._credited = clock.now()
+        self._steady = _Credit(clock, RATE, BURST)
+        self._trials = _Credit(clock, TRIAL_RATE, TRIAL_BURST)
 
     def started(self, start: AttemptStart) -> None:
         """Take no notice of a start."""
@@ -121,19 +126,14 @@
         if end.code is not ResultCode.OK or not end.text:
             return
         start = end.start
-        estimate = self._estimates.estimate(start.version, start.task)
-        share = self._shares.share(
-            start.version,
-            start.task,
-            estimate,
-            self._target(start.task),
-        )
-        if self._randomness.random() >= share:
+        on_trial = self._is_on_trial(start.version)
+        if self._randomness.random() >= self._share(start, on_trial=on_trial):
             return
         if not self._is_first(start):
             self.count('repeated')
             return
-        if not self._has_credit():
+        credit = self._trials if on_trial else self._steady
+        if not credit.spend():
             self.count('above_rate')
             return
         answer = RatedAnswer(start.request, start.task, start.version, end.text)
@@ -154,6 +154,22 @@
             else:
                 self.count('submitted')
 
+    def _is_on_trial(self, version: VersionId) -> bool:
+        """Tell whether a version is in roll-out."""
+        entry = self._configuration.entry(version)
+        return entry is not None and entry.stage is Stage.ROLLOUT
+
+    def _share(self, start: AttemptStart, *, on_trial: bool) -> float:
+        """Return how likely an answer should be rated."""
+        estimate = self._estimates.estimate(start.version, start.task)
+        share = self._shares.share(
+            start.version,
+            start.task,
+            estimate,
+            self._target(start.task),
+        )
+        return 1 if on_trial else share
+
     def _target(self, task: TaskName) -> float:
         """Return a task class's target."""
         accepted = self._configuration.accepted
@@ -170,15 +186,32 @@
             self._known.popitem(last=False)
         return True
 
-    def _has_credit(self) -> bool:
-        """Take one answer out of the rate's bound, if there is one."""
+
+class _Credit:
+    """Bounds a rate.
+
+    Args:
+        clock: The host's clock.
+        rate: Credit earned in a second.
+        burst: The most that may be saved up.
+    """
+
+    def __init__(self, clock: Clock, rate: float, burst: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._burst = burst
+        self._left = burst
+        self._earned_at = clock.now()
+
+    def spend(self) -> bool:
+        """Take one off, if there is one."""
         now = self._clock.now()
-        earned = (now - self._credited) * RATE
-        self._credit = min(BURST, self._credit + earned)
-        self._credited = now
-        if self._credit < 1:
+        earned = (now - self._earned_at) * self._rate
+        self._left = min(self._burst, self._left + earned)
+        self._earned_at = now
+        if self._left < 1:
             return False
-        self._credit -= 1
+        self._left -= 1
         return True
 
 
--- a/tests/test_rating_samples.py
+++ b/tests/test_rating_samples.py
@@ -4,11 +4,14 @@
 import random
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from experiments.planner_worlds import SCENARIOS, SMALL, TAG, accepted
+from msgspec import structs
 
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.documents import Stage
 from nutmegroad.estimates import Estimate, Estimates
 from nutmegroad.platform import RatedAnswer, Rating
 from nutmegroad.rating_samples import (
@@ -22,6 +25,7 @@
 from nutmegroad.types import (
     AttemptId,
     RequestId,
+    Revision,
     TaskName,
     UpstreamId,
     VersionId,
@@ -125,6 +129,24 @@
         self.assertEqual(len(ratings.answers), BURST)
         self.assertEqual(self.counts['above_rate'], 200 - BURST)
 
+    async def test_all_answers_of_a_trial_are_rated(self) -> None:
+        base = accepted(SCENARIOS[0])
+        trial = structs.replace(
+            base.document.versions[0],
+            stage=Stage.ROLLOUT,
+        )
+        document = structs.replace(base.document, versions=(trial,))
+        self.configuration.take(
+            replace(base, document=document, revision=Revision(2)),
+        )
+        ratings = SlowRatings()
+        ratings.open.set()
+        samples = self.samples(ratings)
+        for number in range(60):
+            samples.ended(end_of(number))
+            await self.clock.settle()
+        self.assertEqual(len(ratings.answers), 60)
+
 
 class SampleSharesTest(unittest.TestCase):
     def test_uncertain_and_rare_pairs_are_rated_more(self) -> None:
