--- a/experiments/planner_speed.py
+++ b/experiments/planner_speed.py
@@ -19,8 +19,9 @@
 from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.documents import VersionEntry
 from nutmegroad.estimates import Estimates
-from nutmegroad.plans import AdaptivePlanner, PresetShares, Trials
+from nutmegroad.plans import AdaptivePlanner
 from nutmegroad.platform import Rating
+from nutmegroad.trials import PresetShares, Trials
 from nutmegroad.types import TaskName, VersionId
 
 COUNTS: Final = (2, 8, 22)
--- a/experiments/planner_trials.py
+++ b/experiments/planner_trials.py
@@ -31,13 +31,14 @@
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import Planner
 from nutmegroad.estimates import Estimates
-from nutmegroad.plans import EXPLORED, AdaptivePlanner, PresetShares, Trials
+from nutmegroad.plans import EXPLORED, AdaptivePlanner
 from nutmegroad.platform import Rating
 from nutmegroad.policies import CheapestPlanner
 from nutmegroad.prices import cost_of
 from nutmegroad.rating_samples import SampleShares
 from nutmegroad.requests import ModelRequest, Plan
 from nutmegroad.results import Refusal
+from nutmegroad.trials import PresetShares, Trials
 from nutmegroad.types import TaskName, VersionId
 
 #: Requests in one run; one comes each second.
--- a/src/nutmegroad/_quality_part.py
+++ b/src/nutmegroad/_quality_part.py
@@ -9,7 +9,7 @@
 from nutmegroad.estimates import Estimates
 from nutmegroad.metrics import Metrics
 from nutmegroad.peers import Mesh
-from nutmegroad.plans import AdaptivePlanner, PresetShares, Trials
+from nutmegroad.plans import AdaptivePlanner
 from nutmegroad.platform import Objects, Ratings
 from nutmegroad.quality_sharing import (
     STORE_PERIOD,
@@ -19,6 +19,7 @@
 )
 from nutmegroad.rating_samples import RatingSamples
 from nutmegroad.registry import register
+from nutmegroad.trials import PresetShares, Trials
 from nutmegroad.types import TaskName, VersionId
 
 #: Seconds between two updates of the metrics.
--- a/src/nutmegroad/_trials_part.py
+++ b/src/nutmegroad/_trials_part.py
@@ -1,9 +1,9 @@
 """The part that lets roll-outs bound the trials of the planner."""
 
 from nutmegroad.core import Kernel
-from nutmegroad.plans import Trials
 from nutmegroad.registry import register
 from nutmegroad.rollout_shares import RolloutShares
+from nutmegroad.trials import Trials
 
 
 @register('part', 'trials')
--- a/src/nutmegroad/plans.py
+++ b/src/nutmegroad/plans.py
@@ -9,9 +9,7 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Final, Protocol
-
-import xxhash
+from typing import Final
 
 from nutmegroad._plan_choice import (
     Candidate,
@@ -34,6 +32,7 @@
 from nutmegroad.prices import cost_of
 from nutmegroad.requests import ModelRequest, Plan
 from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.trials import Trials
 from nutmegroad.types import Epoch, TaskName, VersionId
 
 #: Share of a task's requests that may try a cheaper, uncertain version.
@@ -44,60 +43,10 @@
 _MOST_KEPT: Final = 4096
 #: The least standard error with which a version is tried.
 _LEAST_DOUBT: Final = 0.002
-_HASH_BITS: Final = 64
-_HASHES: Final = 2**_HASH_BITS
 #: Seconds for which a refusal for lack of a plan stands.
 _COME_BACK: Final = 30.0
 
 
-class TrialRule(Protocol):
-    """Says which requests a version in roll-out may get."""
-
-    def allows(self, version: VersionId, request: ModelRequest) -> bool:
-        """Tell whether a request may go to a version."""
-
-
-class PresetShares:
-    """Gives a version in roll-out the whole share of the preset in force.
-
-    Args:
-        configuration: What is in force.
-    """
-
-    def __init__(self, configuration: Configuration) -> None:
-        self._configuration = configuration
-
-    def allows(self, version: VersionId, request: ModelRequest) -> bool:
-        """Tell whether a request is one of the version's share.
-
-        All hosts draw the same for the same request.
-        """
-        drawn = xxhash.xxh64_intdigest(
-            f'{version}/{request.request}'.encode(),
-        )
-        return drawn / _HASHES < self._share(version)
-
-    def _share(self, version: VersionId) -> float:
-        """Return the preset's share."""
-        accepted = self._configuration.accepted
-        rollouts = () if accepted is None else accepted.preset_entry.rollouts
-        for entry in rollouts:
-            if entry.version == version:
-                return entry.share
-        return 0
-
-
-class Trials:
-    """The rule for versions in roll-out; another part may replace it.
-
-    Args:
-        rule: The rule to begin with.
-    """
-
-    def __init__(self, rule: TrialRule) -> None:
-        self.rule = rule
-
-
 @dataclass(frozen=True, slots=True)
 class _Key:
     """What requests have in common that are planned alike.
--- a/src/nutmegroad/quality_sharing.py
+++ b/src/nutmegroad/quality_sharing.py
@@ -28,6 +28,9 @@
 READ_PERIOD: Final = 5.0
 #: Seconds between two rounds of telling others how far one has read.
 MARK_PERIOD: Final = 5.0
+#: Seconds between two fetches of what has changed: 18 KB at 22 versions and
+#: 8 task classes if all have, so 1.8 KB a second at most.
+FETCH_PERIOD: Final = 10.0
 #: Hosts that are told in a round.
 FANOUT: Final = 3
 #: Seconds that a peer may take to answer.
@@ -162,6 +165,7 @@
             ahead = self._ahead
             if ahead is not None:
                 await self.ask(ahead)
+                await self._clock.sleep(FETCH_PERIOD)
 
     def mark(self) -> None:
         """Tell a few hosts how far this one has read."""
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -29,11 +29,12 @@
     Withdrawal,
 )
 from nutmegroad.estimates import HALF_LIFE, Estimates
-from nutmegroad.plans import AdaptivePlanner, PresetShares, Trials
+from nutmegroad.plans import AdaptivePlanner
 from nutmegroad.platform import Rating
 from nutmegroad.requests import ModelRequest, Plan, SessionClaim
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
+from nutmegroad.trials import PresetShares, Trials
 from nutmegroad.types import (
     Epoch,
     RequestId,
