--- a/src/nutmegroad/estimates.py
+++ b/src/nutmegroad/estimates.py
@@ -19,7 +19,7 @@
 #: Confidence with which a version must meet the target to be taken up.
 ENTER: Final = 0.95
 #: Confidence that keeps a version that is in use; less, against flapping.
-STAY: Final = 0.8
+STAY: Final = 0.7
 #: Seconds in which evidence that nothing renews loses half its weight.
 HALF_LIFE: Final = 3600.0
 #: Seconds to which ages are rounded, so that estimates can be kept.
--- a/src/nutmegroad/rating_samples.py
+++ b/src/nutmegroad/rating_samples.py
@@ -29,6 +29,9 @@
 SETTLED_SHARE: Final = 0.1
 #: Share where the target lies within the estimate's bounds.
 UNCERTAIN_SHARE: Final = 0.3
+#: A bound that is less than this above the target counts as uncertain: a
+#: version that slowly gets worse would else be noticed late.
+NEAR: Final = 0.02
 #: Ratings below which a pair is new, and all its answers are rated.
 FEW_RATINGS: Final = 20.0
 #: A version with less than this share of its task's answers is rare.
@@ -81,7 +84,7 @@
             return 1
         if used < RARE:
             return 1
-        if estimate.lower < target <= estimate.upper:
+        if estimate.lower - NEAR < target <= estimate.upper:
             return UNCERTAIN_SHARE
         return SETTLED_SHARE
 
