Tell a caller whose versions are all withdrawn just that

Cause: the adaptive planner leaves withdrawn versions out, so a request that named only such a version was refused with NO_PLAN, as if the target were the trouble. The new planner test is red without the change (NO_PLAN) and green with it; the process test passes.

--- a/src/nutmegroad/plans.py
+++ b/src/nutmegroad/plans.py
@@ -131,7 +131,7 @@
             words = f'explores {explored.entry.id}; {prepared.reason}'
             return _plan(request, explored, words)
         if prepared.chosen is None:
-            return _no_plan(request, prepared.reason)
+            return self._refuse(request, prepared)
         if prepared.cascade is not None:
             return _stepped(prepared.cascade, prepared.reason)
         return _plan(request, prepared.chosen, prepared.reason)
@@ -236,6 +236,25 @@
             if not self._configuration.is_withdrawn(entry.version, epoch):
                 yield entry
 
+    def _refuse(
+        self,
+        request: ModelRequest,
+        prepared: _Prepared,
+    ) -> Refusal:
+        """Say why there is no plan: nothing is left, or nothing is enough."""
+        if prepared.candidates or prepared.trials:
+            return _no_plan(request, prepared.reason)
+        for version in request.versions:
+            entry = self._entries_by_id.get(version)
+            epoch = Epoch(entry.epoch) if entry else Epoch(0)
+            if self._configuration.is_withdrawn(version, epoch):
+                return Refusal(
+                    ResultCode.VERSION_WITHDRAWN,
+                    f'The version {version} has been withdrawn, and no other '
+                    'one may answer.',
+                )
+        return _no_plan(request, prepared.reason)
+
     def _trial(
         self,
         request: ModelRequest,
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -152,6 +152,13 @@
         plan = self.plan(DOSSIER, session=claim, versions=(SMALL,))
         self.assertEqual(plan.steps, (SMALL,))
 
+    def test_a_request_left_with_withdrawn_versions_is_told_so(self) -> None:
+        facts = [Withdrawal(version=one, epoch=0) for one in VERSIONS]
+        self.configuration.withdraw(tuple(facts))
+        refusal = self.planner.plan(request_of(TAG))
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.code, ResultCode.VERSION_WITHDRAWN)
+
     def test_a_withdrawn_version_is_no_candidate(self) -> None:
         self.configuration.withdraw((Withdrawal(version=SMALL, epoch=0),))
         self.assertEqual(self.plan(TAG).steps, (MEDIUM,))
