--- a/models/__init__.py
+++ b/models/__init__.py
@@ -1,1 +1,1 @@
-"""Small models of the protocols, for an explicit-state checker."""
+"""Small specifications of the core protocols, for the model checker."""
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -17,6 +17,8 @@
     'nutmegroad.operator_workspaces',
     'nutmegroad._records_part',
     'nutmegroad.policies',
+    'nutmegroad.baselines',
+    'nutmegroad._quality_part',
     'nutmegroad._routing_part',
     'nutmegroad._safety_part',
     'nutmegroad._listeners_part',
