Have requests run once, by intent or ticket, and hand bills to a peer

Cause: the thin path wrote intents, but a host that was paused could send long after, a caller that left broke off a run that could not be repeated, a refused request lost the cost of its attempts, nothing worked without the table, and records stood in one host's memory alone.

Now `once.py` is the one place that says whether a request may run: by an intent row, by a ticket that its issuer alone spends, or by the fence alone. `fences.py` stands last in each attempt's gate, holds the lease on the monotonic clock and counts what went out; a refusal that says "not run" falsely is put right there and counted. `runs.py` carries a run with a key or a ticket to its end although its caller leaves. `heirs.py` hands records to a peer before the answer's end. The cost of attempts comes to the biller as an observer, so cancelled and refused requests carry it too.

Ruled out: renewing the lease in the row (a second write for each request; the deadline bounds it already), cutting keys at 200 characters (another caller's key could then be meant; such keys are refused now).

--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -7,15 +7,23 @@
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
+from nutmegroad.decisions import Observers
 from nutmegroad.directory import Directory
 from nutmegroad.dispatch import Dispatcher
 from nutmegroad.explanations import Explanations
+from nutmegroad.forwards import Forwarder
+from nutmegroad.heirs import Testator
 from nutmegroad.intake import IntakeDesk
-from nutmegroad.intents import IntentLedger
+from nutmegroad.metrics import Metrics
+from nutmegroad.model_routes import ModelParts, ModelRoutes
+from nutmegroad.once import Once
 from nutmegroad.operators import OperatorsInterface
 from nutmegroad.registry import register
+from nutmegroad.runs import Runner
+from nutmegroad.service_routes import ServiceRoutes
 from nutmegroad.services import ServiceCaller
 from nutmegroad.sessions import SessionSigner
+from nutmegroad.tickets import TicketOffice
 from nutmegroad.types import Address
 
 
@@ -70,32 +78,63 @@
 class CallersPart:
     """Listens to callers."""
 
-    needs = (Dispatcher, ServiceCaller, IntentLedger, Biller)
+    needs = (Dispatcher, ServiceCaller, Once, Testator)
 
     async def open(self, kernel: Kernel) -> None:
-        """Begin to listen."""
-        configuration = kernel.need(Configuration)
+        """Begin to listen; at the end wait for what still runs."""
         signer = SessionSigner(kernel.settings.cluster_key)
         kernel.provide(SessionSigner, signer)
-        parts = CallerParts(
-            configuration=configuration,
-            desk=IntakeDesk(configuration, signer, kernel.clock),
-            dispatcher=kernel.need(Dispatcher),
-            services=kernel.need(ServiceCaller),
-            intents=kernel.need(IntentLedger),
-            signer=signer,
-            biller=kernel.need(Biller),
-            explanations=kernel.need(Explanations),
-            clock=kernel.clock,
-            randomness=kernel.randomness,
+        kernel.need(Observers).add(kernel.need(Biller))
+        runner = await kernel.stack.enter_async_context(
+            Runner(
+                kernel.need(Once),
+                kernel.need(Biller),
+                kernel.need(Testator),
+            ),
         )
         interface = CallersInterface(
-            parts,
+            self._parts(kernel, runner, signer),
             kernel.incarnation,
             kernel.settings.body_timeout,
         )
+        kernel.need(Forwarder).listen(interface.answer_forwarded)
         kernel.listening['callers'] = await listen(
             kernel,
             interface.application(kernel.settings.max_body),
             kernel.settings.callers,
         )
+
+    def _parts(
+        self,
+        kernel: Kernel,
+        runner: Runner,
+        signer: SessionSigner,
+    ) -> CallerParts:
+        """Return what requests are handed to."""
+        configuration = kernel.need(Configuration)
+        explanations = kernel.need(Explanations)
+        models = ModelParts(
+            configuration=configuration,
+            desk=IntakeDesk(configuration, signer, kernel.clock),
+            dispatcher=kernel.need(Dispatcher),
+            runner=runner,
+            signer=signer,
+            explanations=explanations,
+            clock=kernel.clock,
+        )
+        services = ServiceRoutes(
+            kernel.need(ServiceCaller),
+            runner,
+            explanations,
+            kernel.clock,
+        )
+        return CallerParts(
+            configuration=configuration,
+            models=ModelRoutes(models),
+            services=services,
+            office=kernel.need(TicketOffice),
+            forwarder=kernel.need(Forwarder),
+            metrics=kernel.need(Metrics),
+            clock=kernel.clock,
+            randomness=kernel.randomness,
+        )
--- a/src/nutmegroad/billing.py
+++ b/src/nutmegroad/billing.py
@@ -1,22 +1,44 @@
 """Billing records: one for each request, the whole cascade summed.
 
-Records go out in batches that are named by the host's incarnation and a
-sequence number, so that writing a batch twice stores the same object. A
-reader keeps one record for each request id.
+Records go out in batches, named by the host's incarnation, a sequence
+number and a digest of what is in them, so that writing a batch twice
+stores the same object. A reader keeps one record for each request id;
+that rule is part of the format.
+
+Hosts keep nothing, so a record is handed to a peer (see ``heirs``) before
+the end of its answer. Whichever of the two is left stores the batch.
 """
 
+import hashlib
+from collections import OrderedDict, deque
 from typing import Final
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
 
+from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.invariants import ONE_RECORD, Invariants
+from nutmegroad.logs import part_logger
+from nutmegroad.metrics import Metrics
 from nutmegroad.platform import Objects
 from nutmegroad.results import Refusal
-from nutmegroad.types import Incarnation
+from nutmegroad.types import Incarnation, RequestId
 
 #: Objects of billing batches begin with this.
 BILLING_PREFIX: Final = 'billing/'
 
+#: Records that a host keeps while the object store is down; at nine
+#: requests a second they last for three hours.
+MOST_KEPT: Final = 100_000
+#: Requests of which it is remembered that they were recorded.
+MOST_REMEMBERED: Final = 20_000
+#: Records of one batch; a full batch is closed.
+BATCH_RECORDS: Final = 2_000
+
+_DIGEST_CHARACTERS: Final = 16
+_LOG: Final = part_logger('billing')
+
 
 class BillingRecord(Struct, frozen=True):
     """What one request is billed.
@@ -27,7 +49,7 @@
         task: The task class, or the plain service's name.
         at: Wall-clock seconds at its end.
         version: The version that answered; empty for a plain service.
-        outcome: Name of the result code.
+        outcome: Name of the result code; ``CANCELLED`` if the caller left.
         prompt_tokens: Tokens read by that version.
         output_tokens: Tokens written by that version.
         cost: All attempts and steps summed, whatever the outcome.
@@ -44,45 +66,171 @@
     cost: float = 0
 
 
+class Batch:
+    """Records that are stored together.
+
+    Args:
+        incarnation: Whose batch it is.
+        sequence: Its place among that incarnation's batches.
+
+    Attributes:
+        records: What is in it.
+        handed: How many of them a peer holds too.
+    """
+
+    def __init__(self, incarnation: str, sequence: int) -> None:
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.records: list[BillingRecord] = []
+        self.handed = 0
+
+    def content(self) -> tuple[str, bytes]:
+        """Return the object's name and content as the batch is now."""
+        content = msgspec.json.encode(self.records)
+        digest = hashlib.sha256(content).hexdigest()[:_DIGEST_CHARACTERS]
+        name = f'{self.incarnation}/{self.sequence:09d}-{digest}'
+        return f'{BILLING_PREFIX}{name}', content
+
+
 class Biller:
     """Gathers records and stores them in batches.
 
+    It also observes attempts, so that the cost of an attempt is billed
+    whatever became of the request: answered, refused or given up.
+
     Args:
         objects: The object store.
         incarnation: Names this host's batches.
+        metrics: Where losses are counted.
+        invariants: Told whether a request is recorded twice.
+        most_kept: Records that are kept while they can not be stored.
     """
 
-    def __init__(self, objects: Objects, incarnation: Incarnation) -> None:
+    def __init__(
+        self,
+        objects: Objects,
+        incarnation: Incarnation,
+        metrics: Metrics,
+        invariants: Invariants,
+        most_kept: int = MOST_KEPT,
+    ) -> None:
         self._objects = objects
         self._incarnation = incarnation
-        self._waiting: list[BillingRecord] = []
-        self._sealed: dict[str, bytes] = {}
+        self._metrics = metrics
+        self._invariants = invariants
+        self._most_kept = most_kept
+        self._costs: dict[RequestId, float] = {}
+        self._recorded: OrderedDict[str, None] = OrderedDict()
+        self._batches: deque[Batch] = deque()
         self._sequence = 0
+        self._open: Batch | None = None
+        self._pending = 0
 
     @property
     def pending(self) -> int:
-        """Return how many records and batches are not stored yet."""
-        return len(self._waiting) + len(self._sealed)
+        """Return how many records are not stored yet."""
+        return self._pending
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return whose batches these are."""
+        return self._incarnation
+
+    @property
+    def batches(self) -> tuple[Batch, ...]:
+        """Return the batches that are not stored yet, the oldest first."""
+        return tuple(self._batches)
+
+    def started(self, start: AttemptStart) -> None:
+        """Begin to sum a request's cost."""
+        self._costs.setdefault(start.request, 0)
+
+    def ended(self, end: AttemptEnd) -> None:
+        """Add an attempt to its request's cost."""
+        request = end.start.request
+        if request in self._costs:
+            self._costs[request] += end.cost
+        elif end.cost > 0:
+            # The request is recorded already: an attempt outlived it.
+            self._metrics.record_event('cost_after_record')
 
     def record(self, record: BillingRecord) -> None:
-        """Take a record."""
-        self._waiting.append(record)
+        """Take the one record of a request, and add its attempts' cost."""
+        cost = self._costs.pop(RequestId(record.request), 0)
+        once = self._invariants.check(
+            ONE_RECORD,
+            record.request not in self._recorded,
+            f'the request {record.request} is recorded twice',
+        )
+        if not once:
+            return
+        self._remember(record.request)
+        if self._pending >= self._most_kept:
+            self._overflow(record)
+            return
+        batch = self._open_batch()
+        batch.records.append(replace(record, cost=record.cost + cost))
+        self._pending += 1
 
     async def flush(self) -> Refusal | None:
         """Store all that waits; what fails is kept for the next time."""
-        self._seal()
-        for name, content in tuple(self._sealed.items()):
-            refusal = await self._objects.put(name, content)
+        # What is recorded from now on goes into a new batch.
+        self._open = None
+        for batch in self.batches:
+            refusal = await self._objects.put(*batch.content())
             if refusal is not None:
+                self._metrics.record_event('billing_not_stored')
                 return refusal
-            self._sealed.pop(name, None)
+            self._stored(batch)
         return None
 
-    def _seal(self) -> None:
-        """Make a batch of what waits; its content never changes again."""
-        if not self._waiting:
-            return
+    def _stored(self, batch: Batch) -> None:
+        """Forget a batch, which another flush may have done already."""
+        if batch in self._batches:
+            self._batches.remove(batch)
+            self._pending -= len(batch.records)
+
+    def _open_batch(self) -> Batch:
+        """Return the batch that takes records."""
+        batch = self._open
+        if batch is not None and len(batch.records) < BATCH_RECORDS:
+            return batch
         self._sequence += 1
-        name = f'{BILLING_PREFIX}{self._incarnation}/{self._sequence:09d}'
-        self._sealed[name] = msgspec.json.encode(self._waiting)
-        self._waiting = []
+        batch = Batch(self._incarnation, self._sequence)
+        self._batches.append(batch)
+        self._open = batch
+        return batch
+
+    def _remember(self, request: str) -> None:
+        """Keep in mind that a request was recorded."""
+        self._recorded[request] = None
+        if len(self._recorded) > MOST_REMEMBERED:
+            self._recorded.popitem(last=False)
+
+    def _overflow(self, record: BillingRecord) -> None:
+        """Write a record that can not be kept to the log, in full."""
+        self._metrics.record_event('billing_overflow')
+        text = msgspec.json.encode(record).decode()
+        _LOG.error('a record is kept in this log only: %s', text)
+
+
+async def read_bills(
+    objects: Objects,
+) -> dict[RequestId, BillingRecord] | Refusal:
+    """Return all that was billed, one record for each request id.
+
+    The same record may stand in several objects: a host and its peer may
+    both have stored a batch, at different lengths. The first that is read
+    counts; records of one request never differ.
+    """
+    names = await objects.names(BILLING_PREFIX)
+    if isinstance(names, Refusal):
+        return names
+    bills: dict[RequestId, BillingRecord] = {}
+    for name in names:
+        content = await objects.fetch(name)
+        if isinstance(content, Refusal):
+            return content
+        for record in msgspec.json.decode(content, type=list[BillingRecord]):
+            bills.setdefault(RequestId(record.request), record)
+    return bills
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -1,8 +1,8 @@
-"""The callers' HTTP interface: the model API and the plain services."""
+"""The callers' HTTP interface: model requests, plain services, tickets."""
 
 import asyncio
-import hashlib
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -14,43 +14,36 @@
     Response,
     StreamResponse,
 )
-from msgspec.structs import replace
 
-from nutmegroad.billing import Biller, BillingRecord
+from nutmegroad._arrived import Arrived, Leavable, Silent, passed_headers
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
-from nutmegroad.dispatch import Answer, Dispatcher
-from nutmegroad.documents import ServiceEntry, WorkspaceEntry
-from nutmegroad.explanations import Explanations
-from nutmegroad.intake import (
-    LONGEST_NAME,
-    Intake,
-    IntakeDesk,
-    authenticate,
-    deadline_seconds,
+from nutmegroad.documents import WorkspaceEntry
+from nutmegroad.forwards import ForwardedReply, ForwardedRequest, Forwarder
+from nutmegroad.intake import authenticate
+from nutmegroad.intents import FirstAnswer
+from nutmegroad.metrics import Metrics
+from nutmegroad.model_routes import ModelCall, ModelRoutes
+from nutmegroad.once import Elsewhere
+from nutmegroad.replies import (
+    JSON_TYPE,
+    EventStream,
+    forwarded_reply,
+    read_answer,
+    refuse,
+    replay,
 )
-from nutmegroad.intents import Claim, Intent, IntentLedger, IntentState
-from nutmegroad.replies import JSON_TYPE, EventStream, answer_body, refuse
-from nutmegroad.requests import SessionClaim
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.services import (
-    ServiceCaller,
-    ServiceRequest,
-    is_repeatable,
-)
-from nutmegroad.sessions import SessionSigner
-from nutmegroad.types import (
-    Epoch,
-    IdempotencyKey,
-    Ran,
-    RequestId,
-    ServiceName,
-    WorkspaceId,
-)
+from nutmegroad.runs import Ended, Outcome
+from nutmegroad.service_routes import ServiceCallIn, ServiceRoutes, check_key
+from nutmegroad.tickets import TicketOffice
+from nutmegroad.types import RequestId, ServiceName, WorkspaceId
 from nutmegroad.upstreams import ServiceReply
 
 _OK: Final = 200
 _NONCE_BITS: Final = 64
+_SERVICES: Final = '/v1/services/'
+_CHAT: Final = '/v1/chat/completions'
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,25 +52,21 @@
 
     Attributes:
         configuration: What is in force.
-        desk: Understands model requests.
-        dispatcher: Answers model requests.
+        models: Answers model requests.
         services: Makes calls to plain services.
-        intents: Keeps what may not be repeated from running twice.
-        signer: Signs session tokens.
-        biller: Takes billing records.
-        explanations: Keeps what happened.
+        office: Issues tickets.
+        forwarder: Hands requests on to the issuers of their tickets.
+        metrics: Counts refusals.
         clock: The host's clock.
         randomness: Names requests.
     """
 
     configuration: Configuration
-    desk: IntakeDesk
-    dispatcher: Dispatcher
-    services: ServiceCaller
-    intents: IntentLedger
-    signer: SessionSigner
-    biller: Biller
-    explanations: Explanations
+    models: ModelRoutes
+    services: ServiceRoutes
+    office: TicketOffice
+    forwarder: Forwarder
+    metrics: Metrics
     clock: Clock
     randomness: random.Random
 
@@ -104,109 +93,130 @@
     def application(self, max_body: int) -> Application:
         """Return the aiohttp application."""
         app = Application(client_max_size=max_body)
-        app.router.add_post('/v1/chat/completions', self.chat)
+        app.router.add_post(_CHAT, self.chat)
         app.router.add_get('/v1/models', self.models)
-        app.router.add_route(
-            '*',
-            '/v1/services/{service}/{path:.*}',
-            self.service,
-        )
+        app.router.add_post('/v1/tickets', self.ticket)
+        app.router.add_route('*', f'{_SERVICES}{{path:.*}}', self.service)
         return app
 
     async def chat(self, http: Request) -> StreamResponse:
         """Answer a model request."""
-        request = self._name()
-        workspace = self._authenticate(http)
-        if isinstance(workspace, Refusal):
-            return refuse(workspace, request)
-        content = await self._body(http)
-        if isinstance(content, Refusal):
-            return refuse(content, request)
-        intake = self._parts.desk.read(
-            http.headers,
-            content,
-            workspace,
-            request,
-        )
-        if isinstance(intake, Refusal):
-            return refuse(intake, request)
-        return await self._answer(http, intake)
+        arrived = await self._arrive(http)
+        if isinstance(arrived, Response):
+            return arrived
+        call = _model_call(self._parts.models, arrived)
+        if isinstance(call, Refusal):
+            return self._refuse(call, arrived.request)
+        headers = {'Nutmegroad-Request': str(arrived.request)}
+        stream = EventStream(http, arrived.request, headers)
+        if not call.intake.stream:
+            outcome = await self._parts.models.run(call, Silent())
+            return await self._model_reply(arrived, call, outcome)
+        with Leavable(stream) as sink:
+            outcome = await self._parts.models.run(call, sink)
+        return await self._stream_end(arrived, call, outcome, stream)
 
     async def models(self, http: Request) -> Response:
         """List the versions that the workspace may use."""
         request = self._name()
-        workspace = self._authenticate(http)
+        workspace = self._workspace(http.headers)
         if isinstance(workspace, Refusal):
-            return refuse(workspace, request)
+            return self._refuse(workspace, request)
         listed = [
             {'id': version, 'object': 'model'} for version in workspace.versions
         ]
         body = msgspec.json.encode({'object': 'list', 'data': listed})
         return Response(body=body, content_type=JSON_TYPE)
 
-    async def service(self, http: Request) -> StreamResponse:
-        """Make a call to a plain service."""
+    async def ticket(self, http: Request) -> Response:
+        """Issue a ticket for one request that may not be repeated."""
         request = self._name()
-        workspace = self._authenticate(http)
+        workspace = self._workspace(http.headers)
         if isinstance(workspace, Refusal):
-            return refuse(workspace, request)
-        service = ServiceName(http.match_info['service'])
-        entry = self._parts.services.entry(service)
-        if isinstance(entry, Refusal):
-            return refuse(entry, request)
-        content = await self._body(http)
-        if isinstance(content, Refusal):
-            return refuse(content, request)
-        deadline = deadline_seconds(http.headers, entry.timeout)
-        if isinstance(deadline, Refusal):
-            return refuse(deadline, request)
-        call = ServiceRequest(
-            request=request,
-            workspace=WorkspaceId(workspace.name),
-            service=service,
-            method=http.method,
-            path=http.match_info['path'],
-            body=content,
-            content_type=http.content_type,
-            key=http.headers.get('Idempotency-Key', '')[:LONGEST_NAME],
-            deadline=self._parts.clock.now() + deadline,
-        )
-        return await self._call(call, entry)
+            return self._refuse(workspace, request)
+        ticket = self._parts.office.issue(WorkspaceId(workspace.name))
+        if isinstance(ticket, Refusal):
+            return self._refuse(ticket, request)
+        body = msgspec.json.encode({'ticket': ticket})
+        return Response(body=body, content_type=JSON_TYPE)
 
-    async def _call(
+    async def service(self, http: Request) -> StreamResponse:
+        """Make a call to a plain service."""
+        arrived = await self._arrive(http)
+        if isinstance(arrived, Response):
+            return arrived
+        call = _service_call(arrived)
+        outcome = await self._parts.services.run(call)
+        if isinstance(outcome, Elsewhere):
+            seconds = self._parts.services.seconds(call)
+            if isinstance(seconds, Refusal):
+                return self._refuse(seconds, arrived.request)
+            return await self._forward(arrived, outcome, seconds)
+        return self._reply(arrived.request, outcome)
+
+    async def answer_forwarded(
         self,
-        call: ServiceRequest,
-        entry: ServiceEntry,
-    ) -> Response:
-        """Make a call that was understood."""
-        request = call.request
-        repeatable = is_repeatable(entry, call.method, call.path)
-        claim = await self._claim_call(call, repeatable)
-        if isinstance(claim, Refusal):
-            return refuse(claim, request)
-        if isinstance(claim, Intent):
-            return _replay(claim, request)
-        explanation = self._parts.explanations.begin(request)
-        reply = await self._parts.services.call(call, entry, explanation)
-        await self._settle(claim, reply)
-        self._bill_call(call, reply)
-        if isinstance(reply, Refusal):
-            return refuse(reply, request)
-        return Response(
-            status=reply.status,
-            body=reply.body,
-            content_type=reply.content_type,
-            headers={'Nutmegroad-Request': request},
+        message: ForwardedRequest,
+    ) -> ForwardedReply:
+        """Answer a request that another host handed on to this one."""
+        request = self._name()
+        workspace = self._workspace(message.headers)
+        if isinstance(workspace, Refusal):
+            return forwarded_reply(self._refuse(workspace, request))
+        arrived = Arrived(
+            request,
+            workspace,
+            message.method,
+            message.target,
+            message.headers,
+            message.content,
         )
+        if message.target != _CHAT:
+            outcome = await self._parts.services.run(_service_call(arrived))
+            return forwarded_reply(self._reply(request, outcome))
+        call = _model_call(self._parts.models, arrived)
+        if isinstance(call, Refusal):
+            return forwarded_reply(self._refuse(call, request))
+        outcome = await self._parts.models.run(call, Silent())
+        return forwarded_reply(self._reply(request, outcome, call))
 
     def _name(self) -> RequestId:
         """Return a new request id."""
         nonce = f'{self._parts.randomness.getrandbits(_NONCE_BITS):016x}'
         return RequestId(f'{self._prefix}-{nonce}')
 
-    def _authenticate(self, http: Request) -> WorkspaceEntry | Refusal:
+    def _workspace(
+        self,
+        headers: Mapping[str, str],
+    ) -> WorkspaceEntry | Refusal:
         """Return the caller's workspace."""
-        return authenticate(http.headers, self._parts.configuration.accepted)
+        return authenticate(headers, self._parts.configuration.accepted)
+
+    def _refuse(self, refusal: Refusal, request: RequestId) -> Response:
+        """Return the reply of a refusal, and count it."""
+        self._parts.metrics.refused(refusal.code)
+        return refuse(refusal, request)
+
+    async def _arrive(self, http: Request) -> Arrived | Response:
+        """Read a request whole, from a caller that is known."""
+        request = self._name()
+        workspace = self._workspace(http.headers)
+        if isinstance(workspace, Refusal):
+            return self._refuse(workspace, request)
+        wrong = check_key(http.headers)
+        if wrong is not None:
+            return self._refuse(wrong, request)
+        content = await self._body(http)
+        if isinstance(content, Refusal):
+            return self._refuse(content, request)
+        return Arrived(
+            request,
+            workspace,
+            http.method,
+            http.path,
+            http.headers,
+            content,
+        )
 
     async def _body(self, http: Request) -> bytes | Refusal:
         """Read a body within its limits of size and time."""
@@ -224,170 +234,117 @@
                 f'The body took more than {self._body_timeout} seconds.',
             )
 
-    async def _answer(self, http: Request, intake: Intake) -> StreamResponse:
-        """Answer a request that was understood."""
-        model = intake.model
-        claim = await self._claim_model(intake)
-        if isinstance(claim, Refusal):
-            return refuse(claim, model.request)
-        if isinstance(claim, Intent):
-            return _replay(claim, model.request)
-        explanation = self._parts.explanations.begin(model.request)
-        headers = {'Nutmegroad-Request': str(model.request)}
-        stream = EventStream(http, model.request, headers)
-        sink = stream if intake.stream else _Silent()
-        outcome = await self._parts.dispatcher.answer(
-            model,
-            sink,
-            explanation,
-        )
-        await self._settle(claim, _as_reply(outcome, model.request))
-        self._bill_model(intake, outcome)
+    async def _model_reply(
+        self,
+        arrived: Arrived,
+        call: ModelCall,
+        outcome: Outcome,
+    ) -> Response:
+        """Return the reply to a request that wants no stream."""
+        if isinstance(outcome, Elsewhere):
+            seconds = call.intake.model.deadline - self._parts.clock.now()
+            return await self._forward(arrived, outcome, seconds)
+        return self._reply(arrived.request, outcome, call)
+
+    async def _stream_end(
+        self,
+        arrived: Arrived,
+        call: ModelCall,
+        outcome: Outcome,
+        stream: EventStream,
+    ) -> StreamResponse:
+        """End a stream, or show an answer that did not come as one."""
+        ended = outcome.reply if isinstance(outcome, Ended) else None
+        if isinstance(ended, Refusal) and stream.response is not None:
+            self._parts.metrics.refused(ended.code)
+            return await stream.fail(ended)
+        if isinstance(ended, ServiceReply) and call.answer is not None:
+            return await stream.finish(call.answer)
+        reply = await self._model_reply(arrived, call, outcome)
+        if reply.status != _OK or not isinstance(reply.body, bytes):
+            return reply
+        answer = read_answer(reply.body)
+        await stream.piece(answer.text)
+        return await stream.finish(answer)
+
+    def _reply(
+        self,
+        request: RequestId,
+        outcome: Outcome,
+        call: ModelCall | None = None,
+    ) -> Response:
+        """Return the reply to a request that was not handed on."""
+        if isinstance(outcome, Elsewhere):
+            outcome = Refusal(
+                ResultCode.TICKET_INVALID,
+                'The ticket was handed on to a host that did not issue it.',
+            )
         if isinstance(outcome, Refusal):
-            if stream.response is not None:
-                return await stream.fail(outcome)
-            return refuse(outcome, model.request)
-        if intake.stream:
-            return await stream.finish(outcome)
-        headers['Nutmegroad-Session'] = self._session_token(intake, outcome)
+            return self._refuse(outcome, request)
+        if isinstance(outcome, FirstAnswer):
+            return replay(outcome, request)
+        if isinstance(outcome.reply, Refusal):
+            return self._refuse(outcome.reply, request)
+        headers = {'Nutmegroad-Request': str(request)}
+        if call is not None and call.answer is not None:
+            token = self._parts.models.session_token(call, call.answer)
+            headers['Nutmegroad-Session'] = token
         return Response(
-            body=answer_body(outcome, model.request),
-            content_type=JSON_TYPE,
+            status=outcome.reply.status,
+            body=outcome.reply.body,
+            content_type=outcome.reply.content_type,
             headers=headers,
         )
 
-    def _session_token(self, intake: Intake, answer: Answer) -> str:
-        """Return the token that holds a session to its version."""
-        claim = intake.model.session
-        if claim is None:
-            entry = self._parts.configuration.entry(answer.version)
-            epoch = Epoch(entry.epoch if entry else 0)
-            name = intake.session or intake.model.request
-            claim = SessionClaim(name, answer.version, epoch)
-        model = intake.model
-        return self._parts.signer.sign(model.workspace, model.task, claim)
-
-    async def _claim_model(
-        self,
-        intake: Intake,
-    ) -> Claim | Intent | Refusal | None:
-        """Claim the key of a request that has one."""
-        model = intake.model
-        if not model.key:
-            return None
-        return await self._parts.intents.claim(
-            model.workspace,
-            model.key,
-            model.request,
-            intake.fingerprint,
-        )
-
-    async def _claim_call(
+    async def _forward(
         self,
-        call: ServiceRequest,
-        repeatable: bool,
-    ) -> Claim | Intent | Refusal | None:
-        """Claim the key of a call that may not be repeated."""
-        if repeatable or not call.key:
-            return None
-        digest = hashlib.sha256(call.body)
-        digest.update(f'{call.method} {call.service}/{call.path}'.encode())
-        return await self._parts.intents.claim(
-            call.workspace,
-            IdempotencyKey(call.key),
-            call.request,
-            digest.hexdigest(),
+        arrived: Arrived,
+        elsewhere: Elsewhere,
+        seconds: float,
+    ) -> Response:
+        """Have the issuer of the request's ticket answer it."""
+        message = ForwardedRequest(
+            host=elsewhere.ticket.host,
+            seconds=seconds,
+            target=arrived.target,
+            method=arrived.method,
+            headers=passed_headers(arrived.headers, seconds),
+            content=arrived.content,
         )
-
-    async def _settle(
-        self,
-        claim: Claim | None,
-        reply: ServiceReply | Refusal,
-    ) -> None:
-        """Write how a claimed request ended."""
-        if claim is None:
-            return
+        reply = await self._parts.forwarder.forward(elsewhere.ticket, message)
         if isinstance(reply, Refusal):
-            if reply.ran is Ran.NOT_RUN:
-                settled = replace(
-                    claim.intent,
-                    state=IntentState.NOT_RUN,
-                )
-                await self._parts.intents.settle(claim, settled)
-            return
-        settled = replace(
-            claim.intent,
-            state=IntentState.DONE,
+            return self._refuse(reply, arrived.request)
+        return Response(
             status=reply.status,
+            body=reply.content,
             content_type=reply.content_type,
-            answer=reply.body.decode(errors='replace'),
+            headers=reply.headers,
         )
-        await self._parts.intents.settle(claim, settled)
 
-    def _bill_model(self, intake: Intake, outcome: Answer | Refusal) -> None:
-        """Record what a model request cost."""
-        model = intake.model
-        record = BillingRecord(
-            request=model.request,
-            workspace=model.workspace,
-            task=model.task,
-            at=self._parts.clock.wall(),
-        )
-        if isinstance(outcome, Refusal):
-            bill = replace(record, outcome=outcome.code.name)
-        else:
-            bill = replace(
-                record,
-                version=outcome.version,
-                prompt_tokens=outcome.prompt_tokens,
-                output_tokens=outcome.output_tokens,
-                cost=outcome.cost,
-            )
-        self._parts.biller.record(bill)
 
-    def _bill_call(
-        self,
-        call: ServiceRequest,
-        reply: ServiceReply | Refusal,
-    ) -> None:
-        """Record a plain service's call."""
-        code = reply.code if isinstance(reply, Refusal) else ResultCode.OK
-        self._parts.biller.record(
-            BillingRecord(
-                request=call.request,
-                workspace=call.workspace,
-                task=call.service,
-                outcome=code.name,
-                at=self._parts.clock.wall(),
-            ),
-        )
-
-
-class _Silent:
-    """A sink for answers that are not streamed."""
-
-    async def piece(self, text: str) -> None:
-        """Keep back; the whole answer follows."""
-
-
-def _replay(intent: Intent, request: RequestId) -> Response:
-    """Give the first answer again."""
-    return Response(
-        status=intent.status,
-        body=intent.answer.encode(),
-        content_type=intent.content_type,
-        headers={
-            'Nutmegroad-Request': request,
-            'Nutmegroad-First-Request': intent.request,
-        },
+def _service_call(arrived: Arrived) -> ServiceCallIn:
+    """Return the call that a request is."""
+    named = arrived.target.removeprefix(_SERVICES)
+    service, _, path = named.partition('/')
+    return ServiceCallIn(
+        arrived.request,
+        arrived.workspace,
+        ServiceName(service),
+        path,
+        arrived.method,
+        arrived.headers,
+        arrived.content,
     )
 
 
-def _as_reply(
-    outcome: Answer | Refusal,
-    request: RequestId,
-) -> ServiceReply | Refusal:
-    """Return what a repeated request is to be answered with."""
-    if isinstance(outcome, Refusal):
-        return outcome
-    return ServiceReply(_OK, answer_body(outcome, request), JSON_TYPE)
+def _model_call(
+    models: ModelRoutes,
+    arrived: Arrived,
+) -> ModelCall | Refusal:
+    """Return the model request that a request is."""
+    return models.read(
+        arrived.headers,
+        arrived.content,
+        arrived.workspace,
+        arrived.request,
+    )
--- a/src/nutmegroad/dispatch.py
+++ b/src/nutmegroad/dispatch.py
@@ -18,6 +18,7 @@
     Selector,
 )
 from nutmegroad.explanations import Explanation
+from nutmegroad.fences import Crossing
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.requests import ModelRequest, Plan
 from nutmegroad.results import Refusal, ResultCode
@@ -271,13 +272,17 @@
             'selector',
             f'{choice.state.info.upstream} for {version}: {choice.reason}.',
         )
-        attempt = self._prepare(progress, start, choice)
+        fence = progress.request.fence
+        crossing = None if fence is None else fence.attempt()
+        attempt = self._prepare(progress, start, choice, crossing)
         received, end = await self._attempter.run(
             start,
             attempt,
             choice.state,
             sink,
         )
+        if crossing is not None:
+            crossing.end(received.refusal)
         progress.cost += end.cost
         if received.ending is not None:
             progress.ran = Ran.RAN
@@ -311,6 +316,7 @@
         progress: Progress,
         start: AttemptStart,
         choice: Choice,
+        crossing: Crossing | None,
     ) -> Attempt:
         """Put together what goes to the upstream."""
         request = progress.request
@@ -324,6 +330,7 @@
             session.epoch if session else None,
             choice.state,
             request.deadline,
+            crossing,
         )
         return Attempt(
             attempt=start.attempt,
--- a/src/nutmegroad/gates.py
+++ b/src/nutmegroad/gates.py
@@ -11,6 +11,7 @@
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import Quarantine
 from nutmegroad.documents import Isolation, Stage, WorkspaceEntry
+from nutmegroad.fences import Crossing
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import (
     Epoch,
@@ -35,6 +36,8 @@
         epoch: The epoch that a session holds to; None for the present one.
         upstream: Where the first byte would go.
         deadline: Clock seconds at which the caller gives up.
+        crossing: The attempt's way through the fence of its request; it
+            is asked last, so what it lets pass goes out.
     """
 
     workspace: WorkspaceId
@@ -44,6 +47,7 @@
     epoch: Epoch | None
     upstream: UpstreamState
     deadline: float
+    crossing: Crossing | None = None
 
 
 class Gatekeeper:
@@ -70,7 +74,10 @@
 
         def check() -> Refusal | None:
             """Look at everything once more."""
-            return self.check(passage)
+            refusal = self.check(passage)
+            if refusal is None and passage.crossing is not None:
+                return passage.crossing.check()
+            return refusal
 
         return check
 
--- /dev/null
+++ b/src/nutmegroad/heirs.py
@@ -0,0 +1,296 @@
+"""Heirs: the peer that holds a host's billing records until they are stored.
+
+A host hands its records on before the end of their answers, as many at a
+time as have come together. Its heir stores what it holds if the host is
+gone, or if the host says so at its end.
+"""
+
+import asyncio
+from typing import Final
+
+from nutmegroad.billing import Batch, Biller, BillingRecord
+from nutmegroad.clocks import Clock
+from nutmegroad.logs import part_logger
+from nutmegroad.metrics import Metrics
+from nutmegroad.peers import Member, Mesh, Message
+from nutmegroad.platform import Objects
+from nutmegroad.types import DomainId, HostId, Incarnation, Presence
+
+#: Seconds that an answer may wait for its record to be handed on.
+HAND_WAIT: Final = 0.05
+#: Seconds for which a peer that did not take records is passed over.
+SHUN: Final = 5.0
+#: Seconds for which a host must be unknown before its records are stored.
+GONE_AFTER: Final = 10.0
+#: Records that a host holds for others.
+MOST_HELD: Final = 200_000
+
+_LOG: Final = part_logger('billing')
+
+
+class HandedRecords(Message, frozen=True, tag='billing-records'):
+    """Records of one batch, from a place in it on.
+
+    Attributes:
+        incarnation: Whose batch it is.
+        sequence: Its number.
+        place: How many records stand before these.
+        records: The records.
+        last: The sender is at its end; the receiver is to store the batch.
+    """
+
+    part = 'records'
+
+    incarnation: str
+    sequence: int
+    place: int
+    records: tuple[BillingRecord, ...]
+    last: bool = False
+
+
+class HeldRecords(Message, frozen=True, tag='billing-held'):
+    """How many records of the batch the receiver holds now."""
+
+    part = 'records'
+
+    held: int
+
+
+class StoredBatches(Message, frozen=True, tag='billing-stored'):
+    """The sender has stored its batches up to a number."""
+
+    part = 'records'
+
+    incarnation: str
+    sequence: int
+
+
+class Testator:
+    """Hands this host's records to its heir.
+
+    Args:
+        biller: Has the records.
+        mesh: Links to peers.
+        domain: The failure domain of this host.
+        clock: The host's clock.
+        metrics: Where failures are counted.
+    """
+
+    def __init__(
+        self,
+        biller: Biller,
+        mesh: Mesh,
+        domain: DomainId,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._biller = biller
+        self._mesh = mesh
+        self._domain = domain
+        self._clock = clock
+        self._metrics = metrics
+        self._heir: Member | None = None
+        self._shunned: dict[HostId, float] = {}
+        self._lock = asyncio.Lock()
+
+    @property
+    def pending(self) -> int:
+        """Return how many records are not stored yet."""
+        return self._biller.pending
+
+    async def hand(self, last: bool = False) -> bool:
+        """Hand on what is not handed on yet.
+
+        Args:
+            last: The heir is to store what it gets.
+
+        Returns:
+            Whether a peer holds all records that waited.
+        """
+        # Whoever waits for the lock finds its record handed on with others.
+        async with self._lock:
+            for batch in self._biller.batches:
+                if not await self._hand_batch(batch, last):
+                    return False
+        return True
+
+    async def flush(self) -> None:
+        """Store all batches, and tell the heir that it need not."""
+        open_batches = self._biller.batches
+        refusal = await self._biller.flush()
+        heir = self._heir
+        if refusal is None and heir is not None and open_batches:
+            sequence = open_batches[-1].sequence
+            incarnation = self._biller.incarnation
+            self._mesh.tell(heir.host, StoredBatches(incarnation, sequence))
+
+    async def end(self) -> None:
+        """Store all batches at a graceful stop, or leave them to a peer."""
+        await self.flush()
+        if not self._biller.pending:
+            return
+        for batch in self._biller.batches:
+            batch.handed = 0
+        handed = await self.hand(last=True)
+        event = 'billing_bequeathed' if handed else 'billing_lost_at_stop'
+        self._metrics.record_event(event)
+        _LOG.warning(
+            '%d records could not be stored at the end; a peer holds them: %s',
+            self._biller.pending,
+            handed,
+        )
+
+    async def _hand_batch(self, batch: Batch, last: bool) -> bool:
+        """Hand one batch on, from where the heir's part of it ends."""
+        heir = self._choose()
+        if heir is None:
+            return False
+        place = batch.handed
+        records = tuple(batch.records[place:])
+        if not records:
+            return True
+        message = HandedRecords(
+            batch.incarnation,
+            batch.sequence,
+            place,
+            records,
+            last,
+        )
+        reply = await self._mesh.ask(heir.host, message, HAND_WAIT)
+        if isinstance(reply, HeldRecords):
+            batch.handed = min(reply.held, place + len(records))
+            return batch.handed == place + len(records)
+        self._metrics.record_event('billing_not_handed')
+        self._shunned[heir.host] = self._clock.now() + SHUN
+        return False
+
+    def _choose(self) -> Member | None:
+        """Return the heir; a new one gets everything from the start."""
+        members = self._mesh.members()
+        now = self._clock.now()
+        fit = [
+            member
+            for member in members
+            if member.presence is Presence.LIVE
+            and self._shunned.get(member.host, 0) <= now
+        ]
+        for member in fit:
+            if self._heir is not None and (
+                member.incarnation == self._heir.incarnation
+            ):
+                return member
+        for batch in self._biller.batches:
+            batch.handed = 0
+        self._heir = min(fit, key=self._rank) if fit else None
+        return self._heir
+
+    def _rank(self, member: Member) -> tuple[bool, bool, str]:
+        """Order peers: of this domain first, then the next by name."""
+        own = self._biller.incarnation
+        return (
+            member.domain != self._domain,
+            # The next one round, so that hosts do not all choose the same.
+            member.incarnation <= own,
+            member.incarnation,
+        )
+
+
+class Executor:
+    """Holds the records of other hosts, and stores them for the gone.
+
+    Args:
+        objects: The object store.
+        mesh: Links to peers.
+        clock: The host's clock.
+        metrics: Where events are counted.
+        most_held: Records that may be held.
+    """
+
+    def __init__(
+        self,
+        objects: Objects,
+        mesh: Mesh,
+        clock: Clock,
+        metrics: Metrics,
+        most_held: int = MOST_HELD,
+    ) -> None:
+        self._objects = objects
+        self._mesh = mesh
+        self._clock = clock
+        self._metrics = metrics
+        self._most_held = most_held
+        self._held: dict[tuple[str, int], Batch] = {}
+        self._heard: dict[str, float] = {}
+        self._left: set[str] = set()
+
+    @property
+    def held(self) -> int:
+        """Return how many records are held for others."""
+        return sum(len(batch.records) for batch in self._held.values())
+
+    def listen(self) -> None:
+        """Begin to take records."""
+        self._mesh.handle(HandedRecords, self._take)
+        self._mesh.handle(HeldRecords, _ignore)
+        self._mesh.handle(StoredBatches, self._release)
+
+    async def store_for_gone(self) -> None:
+        """Store what is held for hosts that are gone or have ended."""
+        now = self._clock.now()
+        for member in self._mesh.members():
+            if member.incarnation in self._heard:
+                self._heard[member.incarnation] = now
+        for key, batch in tuple(self._held.items()):
+            owner = batch.incarnation
+            unheard = now - self._heard.get(owner, now)
+            if owner not in self._left and unheard < GONE_AFTER:
+                continue
+            refusal = await self._objects.put(*batch.content())
+            if refusal is not None:
+                return
+            self._metrics.record_event('billing_stored_for_gone')
+            self._held.pop(key, None)
+        self._forget_owners()
+
+    async def _take(
+        self,
+        host: HostId,
+        message: HandedRecords,
+    ) -> HeldRecords | None:
+        """Hold records; None refuses them."""
+        self._heard[message.incarnation] = self._clock.now()
+        key = (message.incarnation, message.sequence)
+        batch = self._held.get(key)
+        if batch is None:
+            batch = Batch(Incarnation(message.incarnation), message.sequence)
+        # Records before these may be missing, or some may come again.
+        known = len(batch.records)
+        fresh = message.records[max(0, known - message.place) :]
+        if message.place > known or self.held + len(fresh) > self._most_held:
+            return None
+        batch.records.extend(fresh)
+        self._held[key] = batch
+        if message.last:
+            self._left.add(message.incarnation)
+        return HeldRecords(len(batch.records))
+
+    async def _release(self, host: HostId, message: StoredBatches) -> None:
+        """Forget batches that their owner has stored."""
+        done = [
+            key
+            for key in self._held
+            if key[0] == message.incarnation and key[1] <= message.sequence
+        ]
+        for key in done:
+            self._held.pop(key)
+
+    def _forget_owners(self) -> None:
+        """Forget hosts for which nothing is held."""
+        owners = {incarnation for incarnation, _ in self._held}
+        for owner in self._heard.keys() - owners:
+            self._heard.pop(owner)
+        self._left &= owners
+
+
+async def _ignore(host: HostId, message: HeldRecords) -> None:
+    """Take a reply that came as a message of its own for nothing."""
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -57,6 +57,7 @@
     _CounterSpec('attempts', 'Attempts at upstreams', ('version', 'outcome')),
     _CounterSpec('cost', 'Cost of requests', ('workspace', 'task')),
     _CounterSpec('invariant_failures', 'Invariants broken', ('name',)),
+    _CounterSpec('record_events', 'What befell records', ('event',)),
     _CounterSpec('dropped_replies', 'Replies that came for nobody', ('kind',)),
     _CounterSpec('control_bytes', 'Bytes for control', ('part', 'direction')),
     _CounterSpec(
@@ -133,6 +134,13 @@
         )
         self._in_flight = _gauge('in_flight', 'Requests that run', registry)
         self._queued = _gauge('queued', 'Requests that wait', registry)
+        self._unstored = Gauge(
+            'unstored_records',
+            'Records that wait to be stored',
+            ('kind',),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self._members = Gauge(
             'members',
             'Hosts that this one knows',
@@ -161,6 +169,10 @@
         """Set how many requests wait."""
         self._queued.set(requests)
 
+    def unstored(self, kind: str, records: int) -> None:
+        """Set how many records of a kind wait to be stored."""
+        self._unstored.labels(kind).set(records)
+
     def members(self, presence: Presence, hosts: int) -> None:
         """Set how many hosts stand so."""
         self._members.labels(presence.value).set(hosts)
@@ -228,6 +240,10 @@
         """Count an invariant that did not hold."""
         self._add('invariant_failures', name)
 
+    def record_event(self, event: str) -> None:
+        """Count something that befell the records."""
+        self._add('record_events', event)
+
     def reply_dropped(self, kind: str) -> None:
         """Count a reply that came for nobody, such as a late one."""
         self._add('dropped_replies', kind)
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -7,6 +7,7 @@
     'nutmegroad._metrics_part',
     'nutmegroad._platform_part',
     'nutmegroad._upstreams_part',
+    'nutmegroad._mesh_part',
     'nutmegroad._configuration_part',
     'nutmegroad._records_part',
     'nutmegroad.policies',
--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/replies.py
@@ -9,8 +9,10 @@
 from msgspec import Struct
 
 from nutmegroad.dispatch import Answer
+from nutmegroad.forwards import ForwardedReply
+from nutmegroad.intents import FirstAnswer
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, RequestId
+from nutmegroad.types import Ran, RequestId, VersionId
 
 JSON_TYPE: Final = 'application/json'
 
@@ -237,6 +239,50 @@
     )
 
 
+def read_answer(body: bytes) -> Answer:
+    """Return the answer that such JSON holds."""
+    read = msgspec.json.decode(body, type=AnswerBody)
+    choice = read.choices[0]
+    return Answer(
+        version=VersionId(read.model),
+        text=choice.message.content,
+        finish=choice.finish_reason,
+        prompt_tokens=read.usage.prompt_tokens,
+        output_tokens=read.usage.completion_tokens,
+        cost=read.usage.cost,
+        attempts=0,
+    )
+
+
+def replay(first: FirstAnswer, request: RequestId) -> Response:
+    """Give the first answer to a request again."""
+    return Response(
+        status=first.reply.status,
+        body=first.reply.body,
+        content_type=first.reply.content_type,
+        headers={
+            'Nutmegroad-Request': request,
+            'Nutmegroad-First-Request': first.request,
+        },
+    )
+
+
+def forwarded_reply(response: Response) -> ForwardedReply:
+    """Return a reply in the form in which it goes to another host."""
+    body = response.body
+    headers = {
+        name: given
+        for name, given in response.headers.items()
+        if name.startswith('Nutmegroad-') or name == 'Retry-After'
+    }
+    return ForwardedReply(
+        response.status,
+        body if isinstance(body, bytes) else b'',
+        response.content_type,
+        headers,
+    )
+
+
 class EventStream:
     """Streams an answer to a caller as server-sent events.
 
--- a/src/nutmegroad/requests.py
+++ b/src/nutmegroad/requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from nutmegroad.documents import Concern
+from nutmegroad.fences import Fence
 from nutmegroad.types import (
     Epoch,
     IdempotencyKey,
@@ -50,6 +51,7 @@
         session: What the session is held to; None for no session or for
             its first request.
         body: The body for the upstream, as JSON, without ``model``.
+        fence: What each of its attempts must pass; None in tests only.
     """
 
     request: RequestId
@@ -67,6 +69,7 @@
     key: IdempotencyKey
     session: SessionClaim | None
     body: dict[str, object]
+    fence: Fence | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/nutmegroad/runs.py
@@ -0,0 +1,135 @@
+"""Runs of requests: claimed, carried out, settled and billed, each once.
+
+A request with a key or a ticket goes on to its end although its caller
+has left, so that a repeat gets its answer.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any, Final, Self
+
+from msgspec.structs import replace
+
+from nutmegroad.billing import Biller, BillingRecord
+from nutmegroad.fences import Fence
+from nutmegroad.heirs import Testator
+from nutmegroad.intents import FirstAnswer
+from nutmegroad.logs import part_logger
+from nutmegroad.once import Elsewhere, Once, Order, Run
+from nutmegroad.results import Refusal
+from nutmegroad.upstreams import ServiceReply
+
+_LOG: Final = part_logger('runs')
+
+#: Outcome of a request whose caller left before its end.
+CANCELLED: Final = 'CANCELLED'
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How a run ended here.
+
+    Attributes:
+        reply: The answer, or why there is none.
+        record: What is billed.
+    """
+
+    reply: ServiceReply | Refusal
+    record: BillingRecord
+
+
+#: Carries a request out; its attempts pass the fence.
+Work = Callable[[Fence], Awaitable[Ended]]
+
+#: What became of a request that came to the runner.
+Outcome = Ended | FirstAnswer | Elsewhere | Refusal
+
+
+class Runner:
+    """Has requests run at most once, and bills them.
+
+    Args:
+        once: Says what may run.
+        biller: Takes billing records.
+        testator: Hands them to a peer.
+    """
+
+    def __init__(self, once: Once, biller: Biller, testator: Testator) -> None:
+        self._once = once
+        self._biller = biller
+        self._testator = testator
+        self._tasks: set[asyncio.Task[Outcome]] = set()
+
+    async def __aenter__(self) -> Self:
+        """Begin with no run."""
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Wait for runs whose callers have left; deadlines bound them."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def run(
+        self,
+        order: Order,
+        work: Work,
+        record: BillingRecord,
+    ) -> Outcome:
+        """Have a request run, unless it ran or runs already.
+
+        Args:
+            order: The request.
+            work: Carries it out.
+            record: What is billed if the caller leaves before the end.
+        """
+        carrying = self._claim_and_carry(order, work, record)
+        if order.key or order.ticket:
+            return await self._shielded(carrying)
+        return await carrying
+
+    async def _shielded(
+        self,
+        carrying: Coroutine[Any, Any, Outcome],
+    ) -> Outcome:
+        """Carry out to the end, whether or not the caller waits."""
+        task = asyncio.create_task(carrying)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
+    async def _claim_and_carry(
+        self,
+        order: Order,
+        work: Work,
+        record: BillingRecord,
+    ) -> Outcome:
+        """Claim a request, and carry it out if it may run here."""
+        claim = await self._once.claim(order)
+        if not isinstance(claim, Run):
+            return claim
+        return await self._carry(claim, work, record)
+
+    async def _carry(
+        self,
+        run: Run,
+        work: Work,
+        record: BillingRecord,
+    ) -> Ended:
+        """Carry a run out; whatever happens, it is settled and billed."""
+        ended: Ended | None = None
+        try:
+            ended = await work(run.fence)
+        finally:
+            if ended is None:
+                self._once.give_up(run)
+                self._biller.record(replace(record, outcome=CANCELLED))
+        self._biller.record(ended.record)
+        reply = await self._once.settle(run, ended.reply)
+        await self._testator.hand()
+        return Ended(reply, ended.record)
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -10,6 +10,7 @@
 from nutmegroad.directory import Directory
 from nutmegroad.documents import ServiceEntry
 from nutmegroad.explanations import Explanation
+from nutmegroad.fences import Fence
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import (
@@ -49,6 +50,7 @@
         content_type: Media type of the body.
         key: The caller's idempotency key; empty for none.
         deadline: Clock seconds at which the caller gives up.
+        fence: What each attempt must pass.
     """
 
     request: RequestId
@@ -60,6 +62,7 @@
     content_type: str
     key: str
     deadline: float
+    fence: Fence
 
 
 def is_repeatable(entry: ServiceEntry, method: str, path: str) -> bool:
@@ -160,6 +163,7 @@
         number: int,
     ) -> ServiceReply | Refusal:
         """Make one attempt."""
+        crossing = request.fence.attempt()
         passage = Passage(
             request.workspace,
             TaskName(''),
@@ -168,6 +172,7 @@
             None,
             state,
             request.deadline,
+            crossing,
         )
         left = request.deadline - self._clock.now()
         call = ServiceCall(
@@ -182,7 +187,9 @@
             key=request.key,
         )
         with self._directory.in_flight(state, _NO_VERSION):
-            return await self._clients.call(call)
+            reply = await self._clients.call(call)
+        crossing.end(reply)
+        return reply
 
 
 def _describe(state: UpstreamState, reply: ServiceReply | Refusal) -> str:
