Test records under lost replies, outages, pauses and dead hosts

Found by these tests and mended: an integer cost became a float on its way to the heir, so that both storing one batch gave two objects. Costs and times are floats from the record on.

--- a/src/nutmegroad/billing.py
+++ b/src/nutmegroad/billing.py
@@ -169,7 +169,15 @@
             self._overflow(record)
             return
         batch = self._open_batch()
-        batch.records.append(replace(record, cost=record.cost + cost))
+        # On the wire an integer becomes a float, which is encoded otherwise:
+        # a peer's copy of the batch would then be another object.
+        batch.records.append(
+            replace(
+                record,
+                at=float(record.at),
+                cost=float(record.cost + cost),
+            ),
+        )
         self._pending += 1
 
     async def flush(self) -> Refusal | None:
--- /dev/null
+++ b/tests/records_rig.py
@@ -0,0 +1,130 @@
+"""Hosts' records over a platform's stand-in, for tests of records."""
+
+import itertools
+import random
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, replace
+from typing import Final, Self
+
+from aiohttp import ClientSession
+from fakes.faults import FaultKind, FaultOrder
+from fakes.platform import FakePlatform, PlatformOptions
+
+from nutmegroad._http_platform import HttpObjects, HttpTable
+from nutmegroad._memory_mesh import MemoryPeer
+from nutmegroad._records_part import gone_check
+from nutmegroad.billing import Biller
+from nutmegroad.heirs import Executor, Testator
+from nutmegroad.intents import IntentLedger, IntentOwner, IntentWish
+from nutmegroad.invariants import StrictInvariants
+from nutmegroad.metrics import Metrics
+from nutmegroad.once import Once, Order
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock, MemoryMesh
+from nutmegroad.tickets import TicketOffice, TicketSigner
+from nutmegroad.types import (
+    DomainId,
+    HostId,
+    IdempotencyKey,
+    Ran,
+    RequestId,
+    WorkspaceId,
+)
+from nutmegroad.upstreams import ServiceReply
+
+WORKSPACE: Final = WorkspaceId('head-office')
+NEAR: Final = DomainId('petaling')
+FAR: Final = DomainId('cyberjaya')
+CLUSTER_KEY: Final = 'a-cluster-key-for-tests'
+ANSWER: Final = ServiceReply(200, b'{"receipt": 1}', 'application/json')
+UNKNOWN: Final = Refusal(ResultCode.UPSTREAM_TIMEOUT, 'Late.', Ran.UNKNOWN)
+NOT_RUN: Final = Refusal(ResultCode.NO_UPSTREAM, 'None.', Ran.NOT_RUN)
+ORDER: Final = Order(
+    request=RequestId('r1'),
+    workspace=WORKSPACE,
+    fingerprint='f1',
+    repeatable=False,
+    deadline=20,
+    key=IdempotencyKey('k1'),
+)
+WISH: Final = IntentWish(
+    WORKSPACE,
+    IdempotencyKey('k1'),
+    RequestId('r1'),
+    'f1',
+    repeatable=False,
+    seconds=20,
+)
+
+
+def order(number: int = 1, **changes: object) -> Order:
+    """Return the order that is usual, under another request id."""
+    request = RequestId(f'r{number}')
+    return replace(ORDER, request=request, **changes)  # type: ignore[arg-type]
+
+
+@dataclass(slots=True)
+class Host:
+    """One host's records."""
+
+    peer: MemoryPeer
+    intents: IntentLedger
+    office: TicketOffice
+    once: Once
+    biller: Biller
+    testator: Testator
+    executor: Executor
+
+
+class RecordsRig:
+    """A platform, a mesh and hosts, each made when it is asked for."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.randomness = random.Random(7)
+        self.platform = FakePlatform(PlatformOptions(), self.clock)
+        self.mesh = MemoryMesh(self.clock, self.randomness)
+        self.invariants = StrictInvariants()
+        self.metrics = Metrics(lambda: 0)
+        self._nonces = itertools.count()
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Open the platform."""
+        await self._stack.enter_async_context(self.platform)
+        await self._stack.enter_async_context(self.mesh)
+        self.session = await self._stack.enter_async_context(ClientSession())
+        self.table = HttpTable(self.session, self.platform.address)
+        self.objects = HttpObjects(self.session, self.platform.address)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close everything."""
+        await self._stack.aclose()
+
+    def host(self, name: str, domain: DomainId = NEAR) -> Host:
+        """Start a host, or a new run of one."""
+        peer = self.mesh.join(HostId(name), domain)
+        incarnation = peer.incarnation
+        owner = IntentOwner(
+            incarnation,
+            lambda: f'n{next(self._nonces)}',
+            gone_check(peer, peer.host, incarnation),
+        )
+        intents = IntentLedger(self.table, self.objects, owner, self.clock)
+        signer = TicketSigner(CLUSTER_KEY)
+        office = TicketOffice(peer.host, incarnation, signer, self.clock)
+        once = Once(intents, office, self.clock, self.invariants, self.metrics)
+        biller = Biller(
+            self.objects, incarnation, self.metrics, self.invariants
+        )
+        testator = Testator(biller, peer, domain, self.clock, self.metrics)
+        executor = Executor(self.objects, peer, self.clock, self.metrics)
+        executor.listen()
+        return Host(peer, intents, office, once, biller, testator, executor)
+
+    def fault(self, kind: FaultKind, scope: str, **more: object) -> None:
+        """Switch a fault of the platform on."""
+        self.platform.faults.add(
+            FaultOrder(kind, scope, **more)  # type: ignore[arg-type]
+        )
--- /dev/null
+++ b/tests/test_billing.py
@@ -0,0 +1,185 @@
+"""Billing: one record a request, whoever of two hosts stores it."""
+
+import asyncio
+import unittest
+
+from fakes.faults import FaultKind
+from tests.records_rig import FAR, Host, RecordsRig
+
+from nutmegroad.billing import Biller, BillingRecord, read_bills
+from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.heirs import GONE_AFTER, HAND_WAIT, SHUN
+from nutmegroad.results import ResultCode
+from nutmegroad.types import (
+    AttemptId,
+    RequestId,
+    TaskName,
+    UpstreamId,
+    VersionId,
+    WorkspaceId,
+)
+
+
+def bill(request: str, cost: float = 0) -> BillingRecord:
+    """Return a record."""
+    return BillingRecord(request, 'head-office', 'dossier', 1, cost=cost)
+
+
+def attempt(biller: Biller, request: str, cost: float) -> None:
+    """Let an attempt of a request end."""
+    start = AttemptStart(
+        AttemptId(f'{request}.{cost}'),
+        RequestId(request),
+        WorkspaceId('head-office'),
+        TaskName('dossier'),
+        VersionId('brief-large@6'),
+        UpstreamId('engine'),
+    )
+    biller.started(start)
+    biller.ended(AttemptEnd(start, ResultCode.OK, None, 1, 5, 5, cost, ''))
+
+
+class BillingTest(unittest.IsolatedAsyncioTestCase):
+    """Two hosts of a domain and one of another."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the hosts."""
+        self.rig = await self.enterAsyncContext(RecordsRig())
+        self.far = self.rig.host('far', FAR)
+        self.one = self.rig.host('one')
+        self.two = self.rig.host('two')
+
+    async def hand(self, host: Host) -> bool:
+        """Hand records on, while time goes on."""
+        handing = asyncio.ensure_future(host.testator.hand())
+        await self.rig.clock.advance(HAND_WAIT)
+        return await handing
+
+    async def billed(self) -> dict[str, float]:
+        """Return what a reader finds."""
+        bills = await read_bills(self.rig.objects)
+        assert isinstance(bills, dict)
+        return {request: record.cost for request, record in bills.items()}
+
+    async def objects(self) -> int:
+        """Return how many objects there are."""
+        names = await self.rig.objects.names('billing/')
+        assert isinstance(names, tuple)
+        return len(names)
+
+    async def test_all_attempts_of_a_request_are_summed(self) -> None:
+        for cost in (1, 2, 4):
+            attempt(self.one.biller, 'r1', cost)
+        attempt(self.one.biller, 'r2', 8)
+        self.one.biller.record(bill('r1'))
+        attempt(self.one.biller, 'r2', 16)
+        self.one.biller.record(bill('r2'))
+        await self.one.testator.flush()
+        self.assertEqual({'r1': 7, 'r2': 24}, await self.billed())
+
+    async def test_a_request_is_recorded_once(self) -> None:
+        self.one.biller.record(bill('r1'))
+        with self.assertRaises(AssertionError):
+            self.one.biller.record(bill('r1'))
+        self.assertEqual(1, self.one.biller.pending)
+
+    async def test_a_lost_reply_stores_the_same_object(self) -> None:
+        # The library sends a lost PUT again by itself, once.
+        self.rig.fault(FaultKind.LOSE_REPLY, 'objects', count=2)
+        self.one.biller.record(bill('r1', 1))
+        self.assertIsNotNone(await self.one.biller.flush())
+        self.one.biller.record(bill('r2', 2))
+        self.assertIsNone(await self.one.biller.flush())
+        self.assertEqual({'r1': 1, 'r2': 2}, await self.billed())
+        self.assertEqual(2, await self.objects())
+        self.assertEqual(0, self.one.biller.pending)
+
+    async def test_the_heir_stores_what_a_dead_host_had(self) -> None:
+        self.one.biller.record(bill('r1', 1))
+        self.assertTrue(await self.hand(self.one))
+        self.one.biller.record(bill('r2', 2))
+        self.assertTrue(await self.hand(self.one))
+        self.assertEqual(
+            (2, 0), (self.two.executor.held, self.far.executor.held)
+        )
+        # A host that is merely not heard for a moment keeps its batch.
+        await self.two.executor.store_for_gone()
+        self.assertEqual({}, await self.billed())
+        self.rig.mesh.remove(self.one.peer.host)
+        await self.rig.clock.jump(GONE_AFTER)
+        await self.two.executor.store_for_gone()
+        self.assertEqual({'r1': 1, 'r2': 2}, await self.billed())
+        self.assertEqual(0, self.two.executor.held)
+
+    async def test_both_storing_a_batch_doubles_nothing(self) -> None:
+        self.one.biller.record(bill('r1', 1))
+        await self.hand(self.one)
+        # The owner was only cut off, and its heir stored a part.
+        self.rig.mesh.cut(self.one.peer.host, self.two.peer.host, noticed=True)
+        await self.rig.clock.jump(GONE_AFTER)
+        await self.two.executor.store_for_gone()
+        self.one.biller.record(bill('r2', 2))
+        await self.one.testator.flush()
+        self.assertEqual({'r1': 1, 'r2': 2}, await self.billed())
+
+    async def test_the_same_batch_is_the_same_object(self) -> None:
+        self.one.biller.record(bill('r1', 1))
+        await self.hand(self.one)
+        self.rig.mesh.cut(self.one.peer.host, self.two.peer.host, noticed=True)
+        await self.rig.clock.jump(GONE_AFTER)
+        await self.two.executor.store_for_gone()
+        await self.one.testator.flush()
+        self.assertEqual(1, await self.objects())
+
+    async def test_a_stored_batch_is_released(self) -> None:
+        self.one.biller.record(bill('r1', 1))
+        await self.hand(self.one)
+        await self.one.testator.flush()
+        await self.rig.clock.advance(HAND_WAIT)
+        self.assertEqual(0, self.two.executor.held)
+
+    async def test_a_new_heir_gets_everything(self) -> None:
+        self.one.biller.record(bill('r1', 1))
+        await self.hand(self.one)
+        self.rig.mesh.remove(self.two.peer.host)
+        self.one.biller.record(bill('r2', 2))
+        self.assertTrue(await self.hand(self.one))
+        self.assertEqual(2, self.far.executor.held)
+
+    async def test_a_silent_heir_is_waited_for_once(self) -> None:
+        self.rig.mesh.cut(self.one.peer.host, self.two.peer.host)
+        self.one.biller.record(bill('r1', 1))
+        self.assertFalse(await self.hand(self.one))
+        self.assertTrue(await self.hand(self.one))
+        self.assertEqual(1, self.far.executor.held)
+        self.rig.mesh.heal_all()
+        await self.rig.clock.jump(SHUN)
+
+    async def test_a_stop_leaves_to_a_peer_what_can_not_be_stored(self) -> None:
+        self.one.biller.record(bill('r1', 1))
+        self.rig.fault(FaultKind.DOWN, 'objects', count=2)
+        ending = asyncio.ensure_future(self.one.testator.end())
+        while not ending.done():
+            await asyncio.sleep(0)
+            await self.rig.clock.advance(HAND_WAIT / 5)
+        self.rig.mesh.remove(self.one.peer.host)
+        await self.two.executor.store_for_gone()
+        self.assertEqual({'r1': 1}, await self.billed())
+
+    async def test_a_long_outage_is_bounded_and_told(self) -> None:
+        biller = Biller(
+            self.rig.objects,
+            self.one.peer.incarnation,
+            self.rig.metrics,
+            self.rig.invariants,
+            most_kept=1,
+        )
+        biller.record(bill('r1'))
+        with self.assertLogs('absl', 'ERROR') as logs:
+            biller.record(bill('r2', 2))
+        self.assertIn('"request":"r2"', logs.output[0])
+        self.assertEqual(1, biller.pending)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_intents.py
@@ -0,0 +1,140 @@
+"""Intent rows under lost replies, stale reads, repeats and dead owners."""
+
+import unittest
+from dataclasses import replace
+
+from fakes.faults import FaultKind
+from tests.records_rig import (
+    ANSWER,
+    NOT_RUN,
+    UNKNOWN,
+    WISH,
+    RecordsRig,
+)
+
+from nutmegroad.intents import SMALL_ANSWER, Claim, FirstAnswer
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import Ran, RequestId
+
+AGAIN = replace(WISH, request=RequestId('r2'))
+
+
+class IntentTest(unittest.IsolatedAsyncioTestCase):
+    """Two hosts and one key."""
+
+    async def asyncSetUp(self) -> None:
+        """Start two hosts."""
+        self.rig = await self.enterAsyncContext(RecordsRig())
+        self.one = self.rig.host('one')
+        self.two = self.rig.host('two')
+
+    async def claim(self) -> Claim:
+        """Claim the key at the first host."""
+        claim = await self.one.intents.claim(WISH)
+        assert isinstance(claim, Claim)
+        return claim
+
+    async def refused(self) -> Refusal:
+        """Claim the key again at the second host, in vain."""
+        refusal = await self.two.intents.claim(AGAIN)
+        assert isinstance(refusal, Refusal)
+        return refusal
+
+    async def test_a_key_is_claimed_once(self) -> None:
+        await self.claim()
+        refusal = await self.refused()
+        self.assertIs(ResultCode.STILL_RUNNING, refusal.code)
+        self.assertIs(Ran.UNKNOWN, refusal.ran)
+        self.assertGreater(refusal.retry_after, 0)
+
+    async def test_a_lost_reply_is_settled_by_the_nonce(self) -> None:
+        self.rig.fault(FaultKind.LOSE_REPLY, 'table', count=1)
+        await self.claim()
+        self.assertIs(
+            ResultCode.STILL_RUNNING,
+            (await self.refused()).code,
+        )
+
+    async def test_a_repeat_gets_the_first_answer_anywhere(self) -> None:
+        large = replace(ANSWER, body=bytes(range(256)) * SMALL_ANSWER)
+        for answer, key in ((ANSWER, 'small'), (large, 'large')):
+            with self.subTest(key):
+                wish = replace(WISH, key=key)
+                claim = await self.one.intents.claim(wish)
+                assert isinstance(claim, Claim)
+                await self.one.intents.settle(claim, answer)
+                first = await self.two.intents.claim(replace(AGAIN, key=key))
+                self.assertEqual(FirstAnswer(WISH.request, answer), first)
+
+    async def test_a_lost_reply_to_the_answer_is_no_harm(self) -> None:
+        claim = await self.claim()
+        self.rig.fault(FaultKind.LOSE_REPLY, 'table', count=1)
+        await self.one.intents.settle(claim, ANSWER)
+        await self.one.intents.settle(claim, ANSWER)
+        first = await self.two.intents.claim(AGAIN)
+        self.assertEqual(FirstAnswer(WISH.request, ANSWER), first)
+
+    async def test_a_key_is_not_for_another_body(self) -> None:
+        await self.claim()
+        other = replace(AGAIN, fingerprint='f2')
+        refusal = await self.two.intents.claim(other)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(ResultCode.KEY_REUSED, refusal.code)
+
+    async def test_what_did_not_run_may_be_claimed_again(self) -> None:
+        claim = await self.claim()
+        await self.one.intents.settle(claim, NOT_RUN)
+        self.assertIsInstance(await self.two.intents.claim(AGAIN), Claim)
+        self.assertIs(
+            ResultCode.STILL_RUNNING,
+            (await self.refused()).code,
+        )
+
+    async def test_what_is_unknown_is_never_claimed_again(self) -> None:
+        claim = await self.claim()
+        await self.one.intents.settle(claim, UNKNOWN)
+        await self.rig.clock.jump(3600)
+        refusal = await self.refused()
+        self.assertIs(ResultCode.OUTCOME_UNKNOWN, refusal.code)
+        self.assertIs(Ran.UNKNOWN, refusal.ran)
+
+    async def test_a_dead_owner_leaves_the_outcome_unknown(self) -> None:
+        await self.claim()
+        # A host of which nothing is heard may only be cut off.
+        self.rig.mesh.remove(self.one.peer.host)
+        self.assertIs(
+            ResultCode.STILL_RUNNING,
+            (await self.refused()).code,
+        )
+        self.rig.host('one')
+        self.assertIs(
+            ResultCode.OUTCOME_UNKNOWN,
+            (await self.refused()).code,
+        )
+
+    async def test_the_repeatable_is_taken_over_from_the_dead(self) -> None:
+        wish = replace(WISH, repeatable=True)
+        self.assertIsInstance(await self.one.intents.claim(wish), Claim)
+        self.rig.host('one')
+        again = replace(AGAIN, repeatable=True)
+        self.assertIsInstance(await self.two.intents.claim(again), Claim)
+
+    async def test_a_write_that_may_stand_is_released(self) -> None:
+        # Its reply is lost, and the read that would find it is stale.
+        self.rig.fault(FaultKind.LOSE_REPLY, 'table', count=1)
+        self.rig.fault(FaultKind.STALE, 'table', count=1)
+        refusal = await self.one.intents.claim(WISH)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(ResultCode.INTENT_UNAVAILABLE, refusal.code)
+        self.assertIs(Ran.NOT_RUN, refusal.ran)
+        self.assertIs(
+            ResultCode.STILL_RUNNING,
+            (await self.refused()).code,
+        )
+        for claim in self.one.intents.take_abandoned():
+            await self.one.intents.settle(claim, NOT_RUN)
+        self.assertIsInstance(await self.two.intents.claim(AGAIN), Claim)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,289 @@
+"""One place that keeps requests from running twice, and its fence."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from fakes.faults import FaultKind
+from tests.records_rig import (
+    ANSWER,
+    NOT_RUN,
+    ORDER,
+    UNKNOWN,
+    WORKSPACE,
+    Host,
+    RecordsRig,
+    order,
+)
+
+from nutmegroad.billing import BillingRecord
+from nutmegroad.fences import Fence, FenceTerms
+from nutmegroad.forwards import (
+    ForwardedReply,
+    ForwardedRequest,
+    Forwarder,
+)
+from nutmegroad.intents import FirstAnswer
+from nutmegroad.invariants import CountedInvariants
+from nutmegroad.once import LEASE, TABLE_REST, Elsewhere, Order, Run
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.runs import CANCELLED, Ended, Runner
+from nutmegroad.tickets import Ticket
+from nutmegroad.types import HostId, Ran
+
+FORWARDED = ForwardedRequest(
+    host='one',
+    seconds=1,
+    target='/v1/services/portal/receipts',
+    method='POST',
+    headers={},
+    content=b'{}',
+)
+REPLY = ForwardedReply(200, b'{}', 'application/json', {})
+
+
+class OnceCase(unittest.IsolatedAsyncioTestCase):
+    """Two hosts."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the hosts."""
+        self.rig = await self.enterAsyncContext(RecordsRig())
+        self.one = self.rig.host('one')
+        self.two = self.rig.host('two')
+
+    async def run_of(self, host: Host, wanted: Order = ORDER) -> Run:
+        """Claim a request that may run."""
+        run = await host.once.claim(wanted)
+        assert isinstance(run, Run), run
+        return run
+
+    async def refused(self, host: Host, wanted: Order) -> Refusal:
+        """Claim a request that may not."""
+        refusal = await host.once.claim(wanted)
+        assert isinstance(refusal, Refusal), refusal
+        return refusal
+
+
+class FenceTest(OnceCase):
+    """What the fence lets pass."""
+
+    async def test_a_host_that_slept_past_its_lease_sends_nothing(self) -> None:
+        ticket = str(self.one.office.issue(WORKSPACE))
+        for wanted in (ORDER, order(2, ticket=ticket)):
+            run = await self.run_of(self.one, wanted)
+            await self.rig.clock.jump(LEASE)
+            refusal = run.fence.attempt().check()
+            assert refusal is not None
+            self.assertIs(ResultCode.HOST_PAUSED, refusal.code)
+            self.assertIs(Ran.NOT_RUN, refusal.ran)
+
+    async def test_a_lease_counts_from_before_the_write(self) -> None:
+        self.rig.fault(FaultKind.SLOW, 'table', delay=LEASE)
+        claiming = asyncio.ensure_future(self.one.once.claim(ORDER))
+        while not self.rig.clock.sleepers:
+            await asyncio.sleep(0.001)
+        await self.rig.clock.advance(LEASE)
+        run = await claiming
+        assert isinstance(run, Run)
+        self.assertIsNotNone(run.fence.attempt().check())
+
+    async def test_an_attempt_proved_not_run_makes_room(self) -> None:
+        run = await self.run_of(self.one)
+        crossing = run.fence.attempt()
+        self.assertIsNone(crossing.check())
+        crossing.end(NOT_RUN)
+        crossing = run.fence.attempt()
+        self.assertIsNone(crossing.check())
+        crossing.end(UNKNOWN)
+        with self.assertRaises(AssertionError):
+            run.fence.attempt().check()
+
+    async def test_the_daemon_prevents_and_counts_what_tests_raise(
+        self,
+    ) -> None:
+        counted = CountedInvariants(self.rig.metrics)
+        terms = FenceTerms(ORDER.request, repeatable=False)
+        fence = Fence(terms, self.rig.clock, counted)
+        self.assertIsNone(fence.attempt().check())
+        with self.assertLogs('absl', 'ERROR'):
+            second = fence.attempt().check()
+            reviewed = fence.review(NOT_RUN)
+        assert second is not None
+        self.assertIs(ResultCode.OUTCOME_UNKNOWN, second.code)
+        self.assertIs(Ran.UNKNOWN, reviewed.ran)
+        rendered = self.rig.metrics.render().decode()
+        for name in ('one_dispatch', 'true_not_run'):
+            line = f'invariant_failures_total{{name="{name}"}} 1.0'
+            self.assertIn(line, rendered)
+
+
+class KeyTest(OnceCase):
+    """Requests with a key, while the platform comes and goes."""
+
+    async def test_the_same_key_at_two_hosts_at_once_runs_once(self) -> None:
+        claims = await asyncio.gather(
+            self.one.once.claim(order(1)),
+            self.two.once.claim(order(2)),
+            self.one.once.claim(order(3)),
+        )
+        runs = [claim for claim in claims if isinstance(claim, Run)]
+        self.assertEqual(1, len(runs))
+
+    async def test_the_platform_down_refuses_at_once(self) -> None:
+        self.rig.fault(FaultKind.DOWN, 'table')
+        for number in (1, 2):
+            refusal = await self.refused(self.one, order(number, key='k2'))
+            self.assertIs(ResultCode.INTENT_UNAVAILABLE, refusal.code)
+            self.assertIs(Ran.NOT_RUN, refusal.ran)
+            self.assertGreater(refusal.retry_after, 0)
+        repeatable = order(3, key='k3', repeatable=True)
+        await self.run_of(self.one, repeatable)
+        self.rig.platform.faults.clear()
+        await self.rig.clock.jump(TABLE_REST)
+        await self.run_of(self.one, order(4, key='k2'))
+
+    async def test_an_answer_survives_an_outage_in_memory(self) -> None:
+        run = await self.run_of(self.one)
+        self.rig.fault(FaultKind.DOWN, 'table')
+        await self.one.once.settle(run, ANSWER)
+        first = await self.one.once.claim(order(2))
+        self.assertEqual(FirstAnswer(ORDER.request, ANSWER), first)
+        self.rig.platform.faults.clear()
+        # Elsewhere it is not known yet, and it is not said otherwise.
+        refusal = await self.refused(self.two, order(3))
+        self.assertIs(ResultCode.STILL_RUNNING, refusal.code)
+        await self.one.once.settle_rest()
+        self.assertEqual(0, self.one.once.unsettled)
+        first = await self.two.once.claim(order(4))
+        self.assertEqual(FirstAnswer(ORDER.request, ANSWER), first)
+
+    async def test_a_run_that_is_given_up_is_never_run_again(self) -> None:
+        ticket = str(self.one.office.issue(WORKSPACE))
+        for wanted in (order(1), order(2, ticket=ticket)):
+            self.one.once.give_up(await self.run_of(self.one, wanted))
+            refusal = await self.refused(self.one, replace(wanted))
+            self.assertIs(Ran.UNKNOWN, refusal.ran)
+
+
+class RunnerTest(OnceCase):
+    """Runs that are carried to their end."""
+
+    async def asyncSetUp(self) -> None:
+        """Make a runner whose work waits to be let go."""
+        await super().asyncSetUp()
+        self.runner = Runner(self.one.once, self.one.biller, self.one.testator)
+        self.record = BillingRecord('r1', WORKSPACE, 'portal', 1)
+        self.gate = asyncio.Event()
+
+    async def work(self, fence: Fence) -> Ended:
+        """Answer once the gate is open."""
+        crossing = fence.attempt()
+        self.assertIsNone(crossing.check())
+        await self.gate.wait()
+        return Ended(ANSWER, self.record)
+
+    async def begin(self, wanted: Order) -> asyncio.Task[object]:
+        """Start a run, and let its caller leave."""
+        coming = self.runner.run(wanted, self.work, self.record)
+        task: asyncio.Task[object] = asyncio.ensure_future(coming)
+        while not self.one.once.unsettled and not task.done():
+            await asyncio.sleep(0.001)
+            if self.rig.platform.table.row('intent/head-office/k1').version:
+                break
+        await self.rig.clock.settle()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return task
+
+    async def test_a_run_with_a_key_outlives_its_caller(self) -> None:
+        await self.begin(ORDER)
+        self.gate.set()
+        ending = asyncio.ensure_future(self.runner.__aexit__(None, None, None))
+        while not ending.done():
+            await asyncio.sleep(0.001)
+            await self.rig.clock.advance(0.01)
+        first = await self.two.once.claim(order(2))
+        self.assertEqual(FirstAnswer(ORDER.request, ANSWER), first)
+        self.assertEqual(1, self.one.biller.pending)
+
+    async def test_a_caller_that_leaves_is_billed_too(self) -> None:
+        wanted = replace(ORDER, key='', repeatable=True)
+        coming = self.runner.run(wanted, self.work, self.record)
+        task = asyncio.ensure_future(coming)
+        await self.rig.clock.settle()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        records = self.one.biller.batches[0].records
+        self.assertEqual([CANCELLED], [entry.outcome for entry in records])
+
+
+class ForwardTest(OnceCase):
+    """Tickets that come to another host than their issuer."""
+
+    async def asyncSetUp(self) -> None:
+        """Issue a ticket at the first host."""
+        await super().asyncSetUp()
+        self.text = str(self.one.office.issue(WORKSPACE))
+        self.forwarder = Forwarder(self.two.peer, HostId('two'))
+        self.forwarder.listen(self.answer)
+        Forwarder(self.one.peer, HostId('one')).listen(self.answer)
+        self.answered = 0
+
+    async def answer(self, message: ForwardedRequest) -> ForwardedReply:
+        """Answer at the issuer."""
+        self.answered += 1
+        return REPLY
+
+    async def elsewhere(self) -> Ticket:
+        """Claim the ticket at the second host."""
+        claim = await self.two.once.claim(order(1, ticket=self.text))
+        assert isinstance(claim, Elsewhere)
+        return claim.ticket
+
+    async def forward(self) -> ForwardedReply | Refusal:
+        """Hand the request on, while time goes on."""
+        ticket = await self.elsewhere()
+        handing = asyncio.ensure_future(
+            self.forwarder.forward(ticket, FORWARDED)
+        )
+        await self.rig.clock.advance(2)
+        return await handing
+
+    async def test_the_issuer_answers_even_while_the_table_is_down(
+        self,
+    ) -> None:
+        self.rig.fault(FaultKind.DOWN, 'table')
+        self.assertEqual(REPLY, await self.forward())
+        self.assertEqual(1, self.answered)
+
+    async def test_a_relay_reaches_an_issuer_without_a_link(self) -> None:
+        three = self.rig.host('three')
+        Forwarder(three.peer, HostId('three')).listen(self.answer)
+        ticket = await self.elsewhere()
+        members = self.two.peer.members()
+        self.rig.mesh.cut(HostId('two'), HostId('one'), noticed=True)
+        self.two.peer.members = lambda: members  # type: ignore[method-assign]
+        handing = asyncio.ensure_future(
+            self.forwarder.forward(ticket, FORWARDED)
+        )
+        await self.rig.clock.advance(2)
+        self.assertEqual(REPLY, await handing)
+        self.assertEqual(1, self.answered)
+
+    async def test_an_issuer_that_is_gone_may_have_run_it(self) -> None:
+        self.rig.mesh.cut(HostId('two'), HostId('one'))
+        refusal = await self.forward()
+        assert isinstance(refusal, Refusal)
+        self.assertIs(ResultCode.TICKET_HOST_GONE, refusal.code)
+        self.assertIs(Ran.UNKNOWN, refusal.ran)
+        self.assertGreater(refusal.retry_after, 0)
+        self.rig.mesh.heal_all()
+        self.rig.host('one')
+        refusal = await self.forward()
+        assert isinstance(refusal, Refusal)
+        self.assertIs(ResultCode.OUTCOME_UNKNOWN, refusal.code)
+        self.assertEqual(0, refusal.retry_after)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,117 @@
+"""Tickets: spent once, by the run of the host that issued them."""
+
+import unittest
+
+from tests.records_rig import ANSWER, NOT_RUN, UNKNOWN, WORKSPACE, RecordsRig
+
+from nutmegroad import tickets
+from nutmegroad.intents import FirstAnswer
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.tickets import SpentTicket, Ticket, TicketOffice
+from nutmegroad.types import Ran, RequestId, WorkspaceId
+
+FIRST = RequestId('r1')
+SECOND = RequestId('r2')
+
+
+class TicketTest(unittest.IsolatedAsyncioTestCase):
+    """One office."""
+
+    async def asyncSetUp(self) -> None:
+        """Issue a ticket."""
+        self.rig = await self.enterAsyncContext(RecordsRig())
+        self.office = self.rig.host('one').office
+        self.text = self.office.issue(WORKSPACE)
+        self.ticket = self.read(self.office)
+
+    def read(self, office: TicketOffice) -> Ticket:
+        """Read the ticket, at any host."""
+        ticket = office.read(str(self.text), WORKSPACE)
+        assert isinstance(ticket, Ticket)
+        return ticket
+
+    def spend(self, request: RequestId = FIRST) -> SpentTicket:
+        """Spend the ticket."""
+        spent = self.office.spend(self.ticket, request, 'f1')
+        assert isinstance(spent, SpentTicket)
+        return spent
+
+    def refused(self, fingerprint: str = 'f1') -> Refusal:
+        """Spend the ticket again, in vain."""
+        refusal = self.office.spend(self.ticket, SECOND, fingerprint)
+        assert isinstance(refusal, Refusal)
+        return refusal
+
+    def test_a_ticket_is_spent_once(self) -> None:
+        spent = self.spend()
+        self.assertIs(ResultCode.STILL_RUNNING, self.refused().code)
+        self.assertIs(ResultCode.KEY_REUSED, self.refused('f2').code)
+        self.office.settle(spent, ANSWER)
+        first = self.office.spend(self.ticket, SECOND, 'f1')
+        self.assertEqual(FirstAnswer(FIRST, ANSWER), first)
+
+    def test_how_it_ended_decides_about_a_repeat(self) -> None:
+        self.office.settle(self.spend(), NOT_RUN)
+        self.office.settle(self.spend(SECOND), UNKNOWN)
+        self.assertEqual(UNKNOWN, self.refused())
+
+    def test_any_host_reads_a_ticket_and_no_other_workspace(self) -> None:
+        other = self.rig.host('two').office
+        self.assertEqual(self.ticket, self.read(other))
+        for text, workspace in (
+            (f'{self.text}x', WORKSPACE),
+            ('', WORKSPACE),
+            (str(self.text), WorkspaceId('training')),
+        ):
+            with self.subTest(text=text, workspace=workspace):
+                refusal = other.read(text, workspace)
+                assert isinstance(refusal, Refusal)
+                self.assertIs(ResultCode.TICKET_INVALID, refusal.code)
+
+    async def test_a_lapsed_ticket_is_not_run_while_that_is_known(self) -> None:
+        await self.rig.clock.jump(tickets.TICKET_LIFE)
+        refusal = self.refused()
+        self.assertIs(ResultCode.TICKET_INVALID, refusal.code)
+        self.assertIs(Ran.NOT_RUN, refusal.ran)
+
+    async def test_a_spent_ticket_is_never_run_again(self) -> None:
+        await self.rig.clock.jump(tickets.TICKET_LIFE - 1)
+        self.office.settle(self.spend(), ANSWER)
+        for _ in range(40):
+            await self.rig.clock.jump(100)
+            repeat = self.office.spend(self.ticket, SECOND, 'f1')
+            self.assertNotIsInstance(repeat, SpentTicket)
+            if isinstance(repeat, Refusal):
+                self.assertIsNot(Ran.NOT_RUN, repeat.ran)
+
+    def test_an_answer_that_is_dropped_leaves_the_ticket_spent(self) -> None:
+        spent = self.spend()
+        big = type(ANSWER)(200, bytes(tickets.MOST_ANSWER_BYTES + 1), 'x/y')
+        self.office.settle(spent, big)
+        refusal = self.refused()
+        self.assertIs(ResultCode.TICKET_SPENT, refusal.code)
+        self.assertIs(Ran.RAN, refusal.ran)
+
+    def test_memory_is_bounded_by_refusing_not_by_forgetting(self) -> None:
+        office = TicketOffice(
+            self.ticket.host,
+            self.office.incarnation,
+            tickets.TicketSigner('key'),
+            self.rig.clock,
+            most_spent=1,
+        )
+        self.office = office
+        self.spend()
+        other = Ticket(WORKSPACE, 'one', self.ticket.incarnation, 9, 600)
+        for refusal in (
+            office.issue(WORKSPACE),
+            office.spend(other, SECOND, 'f1'),
+        ):
+            assert isinstance(refusal, Refusal)
+            self.assertIs(ResultCode.OVERLOADED, refusal.code)
+            self.assertIs(Ran.NOT_RUN, refusal.ran)
+        self.assertIs(ResultCode.STILL_RUNNING, self.refused().code)
+
+
+if __name__ == '__main__':
+    unittest.main()
