--- /dev/null
+++ b/models/at_most_once.py
@@ -0,0 +1,489 @@
+"""At most once: intent rows and tickets under crashes, pauses, lost replies.
+
+Two models, each with switches that take one mechanism out. Hosts take
+their steps in any order, so a pause is a host that takes none while time
+goes on. Run it as ``python -m models.at_most_once``.
+"""
+
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import IntEnum, unique
+from typing import Any, Final, NamedTuple
+
+from minicheck import Protocol, check_safety
+
+#: States that one exploration may have.
+MOST_STATES: Final = 900_000
+#: States among which a mutant's counterexample must be.
+MUTANT_STATES: Final = 60_000
+#: Ticks of the lease, and of the whole model.
+LEASE: Final = 1
+LAST_TICK: Final = 3
+#: Runs of a host: a host restarts at most once.
+LAST_RUN: Final = 1
+#: Tries of the caller at the first host; there is one at the second.
+MOST_TRIES: Final = 2
+HOSTS: Final = (0, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Switches:
+    """Which mechanisms are in; each False is a mutant.
+
+    Attributes:
+        put_if_absent: A claim is written only where no claim stands.
+        nonce: A read-back looks for the writer's own nonce.
+        fence: The lease is checked in the step of the first byte.
+        no_takeover: An open intent of a dead owner is left alone.
+        no_resend: What may have run is not sent again.
+        truth: After the first byte nothing is said to be not run.
+        incarnation: Only the run that issued a ticket spends it.
+        spent_first: A ticket is marked as spent before the first byte.
+        gone_unknown: A ticket whose issuer is not reached is unknown.
+    """
+
+    put_if_absent: bool = True
+    nonce: bool = True
+    fence: bool = True
+    no_takeover: bool = True
+    no_resend: bool = True
+    truth: bool = True
+    incarnation: bool = True
+    spent_first: bool = True
+    gone_unknown: bool = True
+
+
+ALL_IN: Final = Switches()
+
+
+@unique
+class At(IntEnum):
+    """Where a host stands with its request."""
+
+    IDLE = 0
+    WRITING = 1
+    WRITTEN = 2
+    UNSURE = 3
+    CLAIMED = 4
+    NOT_SENT = 5
+    SENT = 6
+    ANSWERED = 7
+    REFUSED = 8
+    DEAD = 9
+
+
+@unique
+class RowState(IntEnum):
+    """Where the intent row stands."""
+
+    ABSENT = 0
+    OPEN = 1
+    DONE = 2
+    NOT_RUN = 3
+
+
+_QUIET: Final = frozenset((At.IDLE, At.REFUSED, At.DEAD))
+
+
+class IntentHost(NamedTuple):
+    """One host.
+
+    Attributes:
+        at: Where it stands.
+        began: Tick before its claim was written.
+        run: Which run of the host it is.
+        tries: Tries that the caller has left here.
+        late: A write that it gave up may still take effect.
+        flying: Its request is on the way to the upstream.
+        ran: Its present try has run.
+        lied: It said "not run" of a try that had run or ran later.
+        denied: It said "not run" of its present try.
+    """
+
+    at: At = At.IDLE
+    began: int = 0
+    run: int = 0
+    tries: int = MOST_TRIES
+    late: bool = False
+    flying: bool = False
+    ran: bool = False
+    lied: bool = False
+    denied: bool = False
+
+
+class IntentWorld(NamedTuple):
+    """Everything.
+
+    Attributes:
+        tick: Time.
+        row: State of the intent row.
+        owner: Host and run and try that wrote it.
+        since: Tick before the row was written.
+        runs: How often the request ran.
+        hosts: Both hosts.
+    """
+
+    tick: int = 0
+    row: RowState = RowState.ABSENT
+    owner: tuple[int, int, int] = (-1, 0, 0)
+    since: int = 0
+    runs: int = 0
+    hosts: tuple[IntentHost, ...] = (IntentHost(), IntentHost(tries=1))
+
+
+Step = tuple[str, Any]
+
+
+class IntentModel:
+    """Two hosts that get the same key.
+
+    Args:
+        switches: Which mechanisms are in.
+    """
+
+    def __init__(self, switches: Switches = ALL_IN) -> None:
+        self._in = switches
+
+    def protocol(self) -> Protocol:
+        """Return the model for the checker."""
+        return Protocol(
+            name='intents',
+            candidate=False,
+            fields=IntentWorld._fields,
+            initial=IntentWorld(),
+            transitions=lambda state: list(self.steps(IntentWorld(*state))),
+            invariants={
+                'at_most_once': lambda world: world['runs'] <= 1,
+                'true_not_run': lambda world: (
+                    not any(host.lied for host in world['hosts'])
+                ),
+            },
+        )
+
+    def steps(self, world: IntentWorld) -> Iterator[Step]:
+        """Yield what may happen next."""
+        if world.tick < LAST_TICK:
+            yield 'tick', world._replace(tick=world.tick + 1)
+        if self._may_run_by_hand(world):
+            hosts = tuple(host._replace(tries=0) for host in world.hosts)
+            yield (
+                'by hand',
+                world._replace(runs=world.runs + 1, hosts=hosts),
+            )
+        for name in HOSTS:
+            yield from self._upstream(world, name)
+            yield from self._crash(world, name)
+            step = _HOST_STEPS.get(world.hosts[name].at)
+            if step is not None:
+                yield from step(self, world, name)
+
+    def _may_run_by_hand(self, world: IntentWorld) -> bool:
+        """Tell whether an operator who looks sees that nothing will run.
+
+        The lease of an open intent is over, nothing is on its way, and the
+        service has run nothing. The caller has heard of all its tries but
+        the owner's, and will make no more.
+        """
+        others = [
+            host.at
+            for name, host in enumerate(world.hosts)
+            if name != world.owner[0]
+        ]
+        quiet = all(at in _QUIET for at in others)
+        lapsed = world.tick >= world.since + LEASE
+        nothing = not any(host.flying for host in world.hosts)
+        is_open = world.row is RowState.OPEN
+        return all((is_open, lapsed, nothing, quiet, not world.runs))
+
+    def _upstream(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        host = world.hosts[name]
+        if host.late and world.row is RowState.ABSENT:
+            late = _put(world, name, late=False)
+            yield f'{name} late write', _own(late, name, host)
+        if not host.flying:
+            return
+        yield f'{name} lost', _put(world, name, flying=False)
+        ran = _put(
+            world,
+            name,
+            flying=False,
+            ran=True,
+            lied=host.lied or host.denied,
+        )
+        yield f'{name} runs', ran._replace(runs=_more(world.runs))
+
+    def _crash(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        host = world.hosts[name]
+        if host.at is At.DEAD:
+            fresh = IntentHost(run=host.run, tries=host.tries)
+            yield f'{name} restarts', _put(world, name, **fresh._asdict())
+        elif host.run < LAST_RUN and host.at is not At.IDLE:
+            dead = _put(world, name, at=At.DEAD, run=host.run + 1)
+            # What is on its way stays so, though its host has forgotten it.
+            yield f'{name} crashes', dead
+
+    def _idle(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        host = world.hosts[name]
+        if host.tries and not host.flying:
+            yield (
+                f'{name} asked',
+                _put(
+                    world,
+                    name,
+                    at=At.WRITING,
+                    began=world.tick,
+                    tries=host.tries - 1,
+                    ran=False,
+                    denied=False,
+                ),
+            )
+
+    def _writing(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        host = world.hosts[name]
+        free = world.row in {RowState.ABSENT, RowState.NOT_RUN}
+        if free or not self._in.put_if_absent or self._takes_over(world):
+            written = _put(world, name, at=At.WRITTEN)
+            yield f'{name} write', _own(written, name, host)
+        else:
+            yield f'{name} conflict', _put(world, name, at=At.IDLE)
+        yield f'{name} write late', _put(world, name, at=At.UNSURE, late=True)
+
+    def _takes_over(self, world: IntentWorld) -> bool:
+        owner = world.owner[0]
+        is_dead = owner >= 0 and world.hosts[owner].run > world.owner[1]
+        return (
+            not self._in.no_takeover and is_dead and world.row is RowState.OPEN
+        )
+
+    def _written(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        yield f'{name} reply', _put(world, name, at=At.CLAIMED)
+        yield f'{name} reply lost', _put(world, name, at=At.UNSURE)
+
+    def _unsure(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        host = world.hosts[name]
+        if world.row is RowState.ABSENT:
+            yield f'{name} not written', _deny(world, name, at=At.REFUSED)
+        elif world.row is RowState.OPEN and (
+            world.owner == _mark(name, host) or not self._in.nonce
+        ):
+            yield f'{name} own', _put(world, name, at=At.CLAIMED, late=False)
+        else:
+            yield f'{name} another', _put(world, name, at=At.IDLE, late=False)
+
+    def _claimed(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        host = world.hosts[name]
+        if not self._in.fence or world.tick < host.began + LEASE:
+            yield f'{name} sends', _put(world, name, at=At.SENT, flying=True)
+        yield f'{name} no upstream', _deny(world, name, at=At.NOT_SENT)
+
+    def _not_sent(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        freed = world
+        if world.owner == _mark(name, world.hosts[name]):
+            freed = world._replace(row=RowState.NOT_RUN)
+        yield f'{name} frees', _put(freed, name, at=At.IDLE)
+
+    def _sent(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        host = world.hosts[name]
+        if host.ran:
+            yield f'{name} answer', _put(world, name, at=At.ANSWERED)
+        if not self._in.truth:
+            yield f'{name} denies', _deny(world, name, at=At.REFUSED)
+        if not self._in.no_resend and not host.flying:
+            yield f'{name} resends', _put(world, name, flying=True)
+        yield f'{name} unknown', _put(world, name, at=At.REFUSED)
+
+    def _answered(self, world: IntentWorld, name: int) -> Iterator[Step]:
+        done = world
+        if world.owner == _mark(name, world.hosts[name]):
+            done = world._replace(row=RowState.DONE)
+        yield f'{name} stores', _put(done, name, at=At.IDLE)
+
+
+HostStep = Callable[[IntentModel, IntentWorld, int], Iterator[Step]]
+Mutant = Callable[[], Protocol]
+
+_HOST_STEPS: Final[dict[At, HostStep]] = {
+    At.IDLE: IntentModel._idle,
+    At.WRITING: IntentModel._writing,
+    At.WRITTEN: IntentModel._written,
+    At.UNSURE: IntentModel._unsure,
+    At.CLAIMED: IntentModel._claimed,
+    At.NOT_SENT: IntentModel._not_sent,
+    At.SENT: IntentModel._sent,
+    At.ANSWERED: IntentModel._answered,
+    At.REFUSED: IntentModel._idle,
+}
+
+
+def _put(world: IntentWorld, name: int, **changes: Any) -> IntentWorld:
+    """Return the world with one host changed."""
+    hosts = list(world.hosts)
+    hosts[name] = hosts[name]._replace(**changes)
+    return world._replace(hosts=tuple(hosts))
+
+
+def _mark(name: int, host: IntentHost) -> tuple[int, int, int]:
+    """Return the nonce of a host's present try."""
+    return name, host.run, host.tries
+
+
+def _own(world: IntentWorld, name: int, host: IntentHost) -> IntentWorld:
+    """Return the world with the row written by a host."""
+    return world._replace(
+        row=RowState.OPEN,
+        owner=_mark(name, host),
+        since=host.began,
+    )
+
+
+def _deny(world: IntentWorld, name: int, at: At) -> IntentWorld:
+    """Let a host say that its present try did not run."""
+    host = world.hosts[name]
+    return _put(world, name, at=at, denied=True, lied=host.lied or host.ran)
+
+
+class TicketWorld(NamedTuple):
+    """The issuer of a ticket, another host, and the caller's tries.
+
+    Attributes:
+        run: Which run of the issuer lives.
+        up: Whether it runs now.
+        waiting: Tries that have reached the issuer and wait for their turn.
+        between: Tries that have passed the look at the spent tickets.
+        spent: The issuer remembers that the ticket is spent.
+        flying: Requests on the way to the upstream.
+        runs: How often the request ran.
+        tries: Tries that the caller has left.
+        denied: Some host said "not run" of the ticket's request.
+    """
+
+    run: int = 0
+    up: bool = True
+    waiting: int = 0
+    between: int = 0
+    spent: bool = False
+    flying: int = 0
+    runs: int = 0
+    tries: int = 4
+    denied: bool = False
+
+
+class TicketModel:
+    """One ticket, tried at its issuer and through another host.
+
+    Args:
+        switches: Which mechanisms are in.
+    """
+
+    def __init__(self, switches: Switches = ALL_IN) -> None:
+        self._in = switches
+
+    def protocol(self) -> Protocol:
+        """Return the model for the checker."""
+        return Protocol(
+            name='tickets',
+            candidate=False,
+            fields=TicketWorld._fields,
+            initial=TicketWorld(),
+            transitions=lambda state: list(self.steps(TicketWorld(*state))),
+            invariants={
+                'at_most_once': lambda world: world['runs'] <= 1,
+                'true_not_run': lambda world: (
+                    not (world['denied'] and world['runs'])
+                ),
+            },
+        )
+
+    def steps(self, world: TicketWorld) -> Iterator[Step]:
+        """Yield what may happen next."""
+        if world.tries:
+            yield from self._try(world)
+        if world.flying:
+            landed = world._replace(flying=world.flying - 1)
+            yield 'lost', landed
+            yield 'runs', landed._replace(runs=_more(world.runs))
+        if world.up:
+            yield from self._issuer(world)
+        elif world.run < LAST_RUN:
+            yield 'restarts', world._replace(up=True, run=world.run + 1)
+
+    def _try(self, world: TicketWorld) -> Iterator[Step]:
+        """Let the caller try; a message may arrive twice, or not at all."""
+        tried = world._replace(tries=world.tries - 1)
+        yield 'arrives', tried._replace(waiting=world.waiting + 1)
+        yield 'arrives twice', tried._replace(waiting=world.waiting + 2)
+        denied = not self._in.gone_unknown
+        yield 'not reached', tried._replace(denied=world.denied or denied)
+
+    def _issuer(self, world: TicketWorld) -> Iterator[Step]:
+        """Let the issuer work, or die and forget everything."""
+        yield (
+            'crashes',
+            world._replace(up=False, waiting=0, between=0, spent=False),
+        )
+        issued = world.run == 0 or not self._in.incarnation
+        if world.waiting:
+            taken = world._replace(waiting=world.waiting - 1)
+            if world.spent or not issued:
+                yield 'refused', taken
+            else:
+                yield (
+                    'spent',
+                    taken._replace(
+                        between=world.between + 1,
+                        spent=self._in.spent_first,
+                    ),
+                )
+        if world.between:
+            yield (
+                'sends',
+                world._replace(
+                    between=world.between - 1,
+                    spent=True,
+                    flying=world.flying + 1,
+                ),
+            )
+
+
+MUTANTS: Final[dict[str, Mutant]] = {
+    'put_if_absent': lambda: IntentModel(
+        Switches(put_if_absent=False),
+    ).protocol(),
+    'nonce': lambda: IntentModel(Switches(nonce=False)).protocol(),
+    'fence': lambda: IntentModel(Switches(fence=False)).protocol(),
+    'no_takeover': lambda: IntentModel(Switches(no_takeover=False)).protocol(),
+    'no_resend': lambda: IntentModel(Switches(no_resend=False)).protocol(),
+    'truth': lambda: IntentModel(Switches(truth=False)).protocol(),
+    'incarnation': lambda: TicketModel(Switches(incarnation=False)).protocol(),
+    'spent_first': lambda: TicketModel(Switches(spent_first=False)).protocol(),
+    'gone_unknown': lambda: TicketModel(
+        Switches(gone_unknown=False),
+    ).protocol(),
+}
+
+
+def explore(
+    protocol: Protocol,
+    most_states: int = MOST_STATES,
+) -> dict[str, Any]:
+    """Return what the checker found among so many states."""
+    found: dict[str, Any] = check_safety(protocol, most_states)
+    return found
+
+
+def _more(runs: int) -> int:
+    """Return one run more; beyond two they need no telling apart."""
+    return min(runs + 1, 2)
+
+
+def main() -> None:
+    """Print the size of each model and the mutants' counterexamples."""
+    for model in (IntentModel(), TicketModel()):
+        sys.stdout.write(f'{explore(model.protocol())}\n')
+    for name, mutant in MUTANTS.items():
+        sys.stdout.write(f'{name}: {explore(mutant(), MUTANT_STATES)}\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/records_rig.py
+++ b/tests/records_rig.py
@@ -81,21 +81,25 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock()
-        self.randomness = random.Random(7)
         self.platform = FakePlatform(PlatformOptions(), self.clock)
-        self.mesh = MemoryMesh(self.clock, self.randomness)
+        self.mesh = MemoryMesh(self.clock, random.Random(7))
         self.invariants = StrictInvariants()
-        self.metrics = Metrics(lambda: 0)
+        self.metrics = Metrics(float)
         self._nonces = itertools.count()
         self._stack = AsyncExitStack()
 
+    @property
+    def objects(self) -> HttpObjects:
+        """Return the object store."""
+        return self._objects
+
     async def __aenter__(self) -> Self:
         """Open the platform."""
         await self._stack.enter_async_context(self.platform)
         await self._stack.enter_async_context(self.mesh)
-        self.session = await self._stack.enter_async_context(ClientSession())
-        self.table = HttpTable(self.session, self.platform.address)
-        self.objects = HttpObjects(self.session, self.platform.address)
+        session = await self._stack.enter_async_context(ClientSession())
+        self._table = HttpTable(session, self.platform.address)
+        self._objects = HttpObjects(session, self.platform.address)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -111,7 +115,7 @@
             lambda: f'n{next(self._nonces)}',
             gone_check(peer, peer.host, incarnation),
         )
-        intents = IntentLedger(self.table, self.objects, owner, self.clock)
+        intents = IntentLedger(self._table, self._objects, owner, self.clock)
         signer = TicketSigner(CLUSTER_KEY)
         office = TicketOffice(peer.host, incarnation, signer, self.clock)
         once = Once(intents, office, self.clock, self.invariants, self.metrics)
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -4,7 +4,6 @@
 import unittest
 
 from fakes.faults import FaultKind
-from tests.records_rig import FAR, Host, RecordsRig
 
 from nutmegroad.billing import Biller, BillingRecord, read_bills
 from nutmegroad.decisions import AttemptEnd, AttemptStart
@@ -18,6 +17,7 @@
     VersionId,
     WorkspaceId,
 )
+from tests.records_rig import FAR, Host, RecordsRig
 
 
 def bill(request: str, cost: float = 0) -> BillingRecord:
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -4,6 +4,10 @@
 from dataclasses import replace
 
 from fakes.faults import FaultKind
+
+from nutmegroad.intents import SMALL_ANSWER, Claim, FirstAnswer
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import Ran, RequestId
 from tests.records_rig import (
     ANSWER,
     NOT_RUN,
@@ -12,10 +16,6 @@
     RecordsRig,
 )
 
-from nutmegroad.intents import SMALL_ANSWER, Claim, FirstAnswer
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, RequestId
-
 AGAIN = replace(WISH, request=RequestId('r2'))
 
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -5,16 +5,6 @@
 from dataclasses import replace
 
 from fakes.faults import FaultKind
-from tests.records_rig import (
-    ANSWER,
-    NOT_RUN,
-    ORDER,
-    UNKNOWN,
-    WORKSPACE,
-    Host,
-    RecordsRig,
-    order,
-)
 
 from nutmegroad.billing import BillingRecord
 from nutmegroad.fences import Fence, FenceTerms
@@ -30,6 +20,16 @@
 from nutmegroad.runs import CANCELLED, Ended, Runner
 from nutmegroad.tickets import Ticket
 from nutmegroad.types import HostId, Ran
+from tests.records_rig import (
+    ANSWER,
+    NOT_RUN,
+    ORDER,
+    UNKNOWN,
+    WORKSPACE,
+    Host,
+    RecordsRig,
+    order,
+)
 
 FORWARDED = ForwardedRequest(
     host='one',
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -2,13 +2,12 @@
 
 import unittest
 
-from tests.records_rig import ANSWER, NOT_RUN, UNKNOWN, WORKSPACE, RecordsRig
-
 from nutmegroad import tickets
 from nutmegroad.intents import FirstAnswer
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.tickets import SpentTicket, Ticket, TicketOffice
 from nutmegroad.types import Ran, RequestId, WorkspaceId
+from tests.records_rig import ANSWER, NOT_RUN, UNKNOWN, WORKSPACE, RecordsRig
 
 FIRST = RequestId('r1')
 SECOND = RequestId('r2')
