Kill, freeze and cut real hosts in the moments that matter

Three tests with real daemons and stand-ins: kill -9 between intent and dispatch, between dispatch and reply, and before the flush; SIGSTOP for longer than the lease; one key at three hosts at once; the platform down while tickets go on; a ticket's issuer killed.

An heir now stores a host's batches as soon as a later run of the host is known, not only after ten seconds of silence.

--- a/src/nutmegroad/heirs.py
+++ b/src/nutmegroad/heirs.py
@@ -236,14 +236,9 @@
 
     async def store_for_gone(self) -> None:
         """Store what is held for hosts that are gone or have ended."""
-        now = self._clock.now()
-        for member in self._mesh.members():
-            if member.incarnation in self._heard:
-                self._heard[member.incarnation] = now
+        self._listen_about()
         for key, batch in tuple(self._held.items()):
-            owner = batch.incarnation
-            unheard = now - self._heard.get(owner, now)
-            if owner not in self._left and unheard < GONE_AFTER:
+            if not self._is_gone(batch.incarnation):
                 continue
             refusal = await self._objects.put(*batch.content())
             if refusal is not None:
@@ -284,6 +279,26 @@
         for key in done:
             self._held.pop(key)
 
+    def _listen_about(self) -> None:
+        """Take in which owners are members, and which came back anew."""
+        now = self._clock.now()
+        running = {
+            member.host: member.incarnation for member in self._mesh.members()
+        }
+        for owner in self._heard:
+            present = running.get(HostId(owner.rpartition('.')[0]))
+            if present == owner:
+                self._heard[owner] = now
+            elif present is not None:
+                # A later run of the host: the owner is gone for good.
+                self._left.add(owner)
+
+    def _is_gone(self, owner: str) -> bool:
+        """Tell whether a host's batches fall to its heir."""
+        now = self._clock.now()
+        unheard = now - self._heard.get(owner, now)
+        return owner in self._left or unheard >= GONE_AFTER
+
     def _forget_owners(self) -> None:
         """Forget hosts for which nothing is held."""
         owners = {incarnation for incarnation, _ in self._held}
--- a/tests/test_model_at_most_once.py
+++ b/tests/test_model_at_most_once.py
@@ -3,6 +3,7 @@
 import sys
 import unittest
 
+from minicheck import Protocol
 from models.at_most_once import (
     MUTANT_STATES,
     MUTANTS,
@@ -11,6 +12,15 @@
     explore,
 )
 
+FEW_STATES = 4_000
+
+
+def is_caught(protocol: Protocol, states: int) -> bool:
+    """Tell whether so many states have a counterexample among them."""
+    verdicts = explore(protocol, states)['properties'].values()
+    traces = [entry.get('counterexample') for entry in verdicts]
+    return any(traces)
+
 
 class AtMostOnceModelTest(unittest.TestCase):
     """All states of both models, and the mutants."""
@@ -29,11 +39,12 @@
     def test_each_mutant_is_caught(self) -> None:
         for name, mutant in MUTANTS.items():
             with self.subTest(name):
-                found = explore(mutant(), MUTANT_STATES)
-                verdicts = found['properties'].values()
-                broken = [entry for entry in verdicts if not entry['holds']]
-                traces = [entry.get('counterexample') for entry in broken]
-                self.assertTrue(any(traces))
+                # Most are caught soon, and need no larger search.
+                caught = any(
+                    is_caught(mutant(), states)
+                    for states in (FEW_STATES, MUTANT_STATES)
+                )
+                self.assertTrue(caught)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/test_once_processes.py
@@ -0,0 +1,316 @@
+"""At most once and billed once, with real processes that die and freeze."""
+
+import asyncio
+import signal
+import time
+import unittest
+from collections import Counter
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+from aiohttp import ClientError, ClientSession
+from experiments.deployment import (
+    Deployment,
+    Rig,
+    publish,
+    start,
+    start_host,
+    workspace_key,
+)
+from experiments.processes import Processes, Running
+
+from nutmegroad._http_platform import HttpObjects
+from nutmegroad.billing import BILLING_PREFIX, BillingRecord, read_bills
+from nutmegroad.once import LEASE
+
+RIG: Final = Rig('lesen', engines=(), hosts=1)
+RECEIPTS: Final = '/v1/services/licence-portal/receipts'
+#: Seconds after which a test is given up; none of them waits so long.
+LIMIT: Final = 60
+SLOW: Final = 1.2
+AUTHORIZATION: Final = {'Authorization': f'Bearer {workspace_key("training")}'}
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller got; status 0 if the connection broke."""
+
+    status: int
+    request: str = ''
+    first: str = ''
+    body: bytes = b''
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """Return the refusal."""
+        decoded: dict[str, Any] = msgspec.json.decode(self.body)['error']
+        return decoded
+
+
+class OnceProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Three hosts, three upstreams of a plain service, one platform."""
+
+    async def asyncSetUp(self) -> None:
+        """Start all processes."""
+        self.processes = await self.enterAsyncContext(Processes())
+        self.session = await self.enterAsyncContext(ClientSession())
+        self.running = await start(self.processes, RIG)
+        await self.linked(self.running)
+        self.platform = self.running.platform.listening['main']
+        self.objects = HttpObjects(self.session, self.platform)
+        self.answered: list[str] = []
+
+    async def linked(self, running: Deployment) -> None:
+        """Wait until each host knows the others."""
+        for address in running.callers:
+            await self.until(self.has_ticket, str(address))
+        await asyncio.sleep(2)
+
+    async def has_ticket(self, address: str) -> bool:
+        """Tell whether a host issues tickets."""
+        return bool(await self.ticket(address))
+
+    async def until(self, check: Any, *args: Any) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(LIMIT):
+            while not await check(*args):
+                await asyncio.sleep(0.05)
+
+    async def call(self, host: int, **headers: str) -> Reply:
+        """Ask a host for a receipt."""
+        named = {key.replace('_', '-'): text for key, text in headers.items()}
+        url = f'http://{self.running.callers[host]}{RECEIPTS}'
+        try:
+            async with self.session.post(
+                url,
+                data=b'{"fee": 7}',
+                headers={**AUTHORIZATION, **named},
+            ) as response:
+                reply = Reply(
+                    response.status,
+                    response.headers.get('Nutmegroad-Request', ''),
+                    response.headers.get('Nutmegroad-First-Request', ''),
+                    await response.read(),
+                )
+        except ClientError:
+            return Reply(0)
+        if reply.status == 200 and not reply.first:
+            self.answered.append(reply.request)
+        return reply
+
+    async def keyed(self, host: int, key: str) -> Reply:
+        """Ask with a key."""
+        return await self.call(host, Idempotency_Key=key)
+
+    async def ticket(self, address: str) -> str:
+        """Take a ticket at a host."""
+        url = f'http://{address}/v1/tickets'
+        async with self.session.post(url, headers=AUTHORIZATION) as response:
+            if response.status != 200:
+                return ''
+            return str(msgspec.json.decode(await response.read())['ticket'])
+
+    async def fault(self, running: Running, **wanted: Any) -> None:
+        """Switch a fault of a stand-in on, or all off."""
+        url = f'http://{running.listening["main"]}/admin/faults'
+        method = 'POST' if wanted else 'DELETE'
+        async with self.session.request(
+            method,
+            url,
+            json=wanted or None,
+        ) as response:
+            self.assertEqual(204, response.status)
+
+    async def service_fault(self, **wanted: Any) -> None:
+        """Switch a fault of all plain services on, or all off."""
+        for service in self.running.services.values():
+            await self.fault(service, **wanted)
+
+    async def runs(self, key: str = '') -> int:
+        """Return how often a receipt was issued."""
+        total = 0
+        for service in self.running.services.values():
+            url = f'http://{service.listening["main"]}/admin/runs'
+            async with self.session.get(url) as response:
+                ran = (await response.json())['runs']
+            total += sum(1 for run in ran if run['key'] == key)
+        return total
+
+    async def commits(self) -> int:
+        """Return how many commits have reached the table."""
+        url = f'http://{self.platform}/admin/counts'
+        async with self.session.get(url) as response:
+            counts = await response.json()
+        return int(counts.get('POST /table/commit', 0))
+
+    async def more_commits(self, than: int) -> bool:
+        """Tell whether more commits have reached the table."""
+        return await self.commits() > than
+
+    async def has_row(self, key: str) -> bool:
+        """Tell whether an intent is written."""
+        url = f'http://{self.platform}/table/row'
+        query = {'key': f'intent/training/{key}'}
+        async with self.session.get(url, params=query) as response:
+            return bool((await response.json())['version'])
+
+    async def has_run(self, key: str) -> bool:
+        """Tell whether a receipt was issued."""
+        return bool(await self.runs(key))
+
+    async def kill(self, host: int) -> None:
+        """End a host at once."""
+        process = self.running.hosts[host].process
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+    async def restart(self, host: int) -> None:
+        """Start a host that was killed again, under its name."""
+        name = self.running.hosts[host].name
+        self.running.hosts[host] = await start_host(
+            self.processes,
+            RIG,
+            self.running,
+            name,
+        )
+        await publish(self.running, RIG)
+        await self.until(self.has_ticket, str(self.running.callers[host]))
+
+    async def gives_up(self, host: int, key: str) -> bool:
+        """Tell whether a host says that the outcome is unknown."""
+        reply = await self.keyed(host, key)
+        self.assertEqual(409, reply.status, reply.body)
+        self.assertFalse(reply.error['not_run'])
+        return bool(reply.error['name'] == 'OUTCOME_UNKNOWN')
+
+    async def is_billed(self, request: str) -> bool:
+        """Tell whether a request has a record."""
+        bills = await read_bills(self.objects)
+        return isinstance(bills, dict) and request in bills
+
+    async def check_bills(self) -> None:
+        """Hold the bills to the answers: one record for each."""
+        for request in self.answered:
+            await self.until(self.is_billed, request)
+        names = await self.objects.names(BILLING_PREFIX)
+        assert isinstance(names, tuple)
+        written: Counter[tuple[str, bytes]] = Counter()
+        for name in names:
+            content = await self.objects.fetch(name)
+            assert isinstance(content, bytes)
+            decoded = msgspec.json.decode(content, type=list[BillingRecord])
+            written.update((one.request, content) for one in decoded)
+        bills = await read_bills(self.objects)
+        assert isinstance(bills, dict)
+        self.assertLessEqual(set(self.answered), set(bills))
+        self.assertEqual(len(self.answered), len(set(self.answered)))
+
+    async def test_a_host_is_killed_at_each_moment(self) -> None:
+        # Between intent and dispatch: the reply to the intent is lost, and
+        # the read that would find it is under way.
+        platform = self.running.platform
+        await self.fault(platform, kind='lose_reply', scope='table', count=1)
+        await self.fault(platform, kind='slow', scope='table', delay=SLOW)
+        before = await self.commits()
+        asking = asyncio.ensure_future(self.keyed(0, 'before'))
+        # This look is behind the write, and the host's own behind this.
+        await self.until(self.more_commits, before)
+        await self.until(self.has_row, 'before')
+        await self.kill(0)
+        self.assertEqual(0, (await asking).status)
+        await self.fault(platform)
+        await self.restart(0)
+        await self.until(self.gives_up, 1, 'before')
+        self.assertEqual(0, await self.runs('before'))
+        # Between dispatch and reply.
+        await self.service_fault(kind='late', delay=30, count=1)
+        asking = asyncio.ensure_future(self.keyed(0, 'between'))
+        await self.until(self.has_run, 'between')
+        await self.kill(0)
+        self.assertEqual(0, (await asking).status)
+        await self.service_fault()
+        await self.restart(0)
+        await self.until(self.gives_up, 1, 'between')
+        self.assertEqual(1, await self.runs('between'))
+        # Before the flush, while nothing can be stored.
+        await self.fault(platform, kind='down', scope='objects')
+        reply = await self.keyed(0, 'flush')
+        self.assertEqual(200, reply.status)
+        await self.kill(0)
+        await self.fault(platform)
+        await self.restart(0)
+        await self.until(self.is_billed, reply.request)
+        again = await self.keyed(2, 'flush')
+        self.assertEqual(reply.request, again.first)
+        self.assertEqual(1, await self.runs('flush'))
+        await self.check_bills()
+
+    async def test_a_host_is_paused_for_longer_than_its_lease(self) -> None:
+        platform = self.running.platform
+        await self.fault(platform, kind='slow', scope='table', delay=SLOW)
+        before = await self.commits()
+        asking = asyncio.ensure_future(self.keyed(0, 'paused'))
+        await self.until(self.more_commits, before)
+        self.running.hosts[0].signal(signal.SIGSTOP)
+        stopped = time.monotonic()
+        await self.fault(platform)
+        await self.until(self.has_row, 'paused')
+        other = await self.keyed(1, 'paused')
+        self.assertEqual('STILL_RUNNING', other.error['name'])
+        self.assertFalse(other.error['not_run'])
+        await asyncio.sleep(stopped + LEASE + 0.5 - time.monotonic())
+        self.running.hosts[0].signal(signal.SIGCONT)
+        refused = await asking
+        self.assertEqual('HOST_PAUSED', refused.error['name'])
+        self.assertTrue(refused.error['not_run'])
+        self.assertEqual(0, await self.runs('paused'))
+        self.assertEqual(200, (await self.keyed(1, 'paused')).status)
+        self.assertEqual(1, await self.runs('paused'))
+
+    async def test_the_same_key_and_the_platform_down(self) -> None:
+        replies = await asyncio.gather(
+            *(self.keyed(number % 3, 'race') for number in range(9)),
+        )
+        self.assertEqual(1, await self.runs('race'))
+        firsts = [reply for reply in replies if reply.status == 200]
+        self.assertTrue(firsts)
+        self.assertEqual(1, len({reply.body for reply in firsts}))
+        for reply in replies:
+            if reply.status != 200:
+                self.assertFalse(reply.error['not_run'])
+        platform = self.running.platform
+        await self.fault(platform, kind='down')
+        refused = await self.keyed(0, 'down')
+        self.assertEqual('INTENT_UNAVAILABLE', refused.error['name'])
+        self.assertTrue(refused.error['not_run'])
+        self.assertGreater(refused.error['retry_after_ms'], 0)
+        self.assertEqual(0, await self.runs('down'))
+        # Work goes on by ticket, whichever host it comes to.
+        ticket = await self.ticket(str(self.running.callers[0]))
+        spent = [
+            await self.call(host, Nutmegroad_Ticket=ticket)
+            for host in (1, 2, 0)
+        ]
+        self.assertEqual([200] * 3, [reply.status for reply in spent])
+        self.assertEqual(1, await self.runs())
+        await self.fault(platform)
+        await self.until(self.runs_at_last, 'down')
+        self.assertEqual(1, await self.runs('down'))
+        # Its issuer gone, a ticket's request may have run.
+        await self.kill(0)
+        gone = await self.call(1, Nutmegroad_Ticket=ticket)
+        self.assertFalse(gone.error['not_run'])
+        self.assertEqual(1, await self.runs())
+        await self.check_bills()
+
+    async def runs_at_last(self, key: str) -> bool:
+        """Tell whether a request that was refused as not run runs now."""
+        with suppress(KeyError):
+            return (await self.keyed(0, key)).status == 200
+        return False
+
+
+if __name__ == '__main__':
+    unittest.main()
