--- a/experiments/records_cost.py
+++ b/experiments/records_cost.py
@@ -227,9 +227,9 @@
     metrics = Metrics(time.thread_time)
     invariants = CountedInvariants(metrics)
     meshes = await link_two(stack)
-    for mesh in meshes:
-        Executor(objects, mesh, clock, metrics).listen()
     biller = Biller(objects, OWN, metrics, invariants)
+    for mesh in meshes:
+        Executor(biller, mesh, clock, metrics).listen()
     testator = Testator(biller, meshes[0], DOMAIN, clock, metrics)
     return Bench(
         *make_once(table, objects, metrics, invariants), biller, testator
--- a/src/nutmegroad/_records_part.py
+++ b/src/nutmegroad/_records_part.py
@@ -55,7 +55,7 @@
         domain = kernel.settings.domain
         testator = Testator(biller, mesh, domain, kernel.clock, metrics)
         kernel.stack.push_async_callback(testator.end)
-        executor = Executor(objects, mesh, kernel.clock, metrics)
+        executor = Executor(biller, mesh, kernel.clock, metrics)
         executor.listen()
 
         kernel.spawn(_flush_often(kernel, testator, executor), 'billing')
@@ -130,8 +130,8 @@
     while True:
         spread = kernel.randomness.uniform(-FLUSH_JITTER, FLUSH_JITTER)
         await kernel.clock.sleep(FLUSH_PERIOD * (1 + spread))
+        executor.take_over()
         await testator.flush()
-        await executor.store_for_gone()
         state.unstored('billing', testator.pending)
         state.unstored('held', executor.held)
 
--- a/src/nutmegroad/billing.py
+++ b/src/nutmegroad/billing.py
@@ -180,6 +180,17 @@
         )
         self._pending += 1
 
+    def adopt(self, batch: Batch) -> None:
+        """Take over the batch of a host that is gone, under its own name."""
+        for known in self._batches:
+            same = known.incarnation == batch.incarnation
+            if same and known.sequence == batch.sequence:
+                # Two heirs that hand their batches to each other.
+                return
+        batch.handed = 0
+        self._batches.append(batch)
+        self._pending += len(batch.records)
+
     async def flush(self) -> Refusal | None:
         """Store all that waits; what fails is kept for the next time."""
         # What is recorded from now on goes into a new batch.
--- a/src/nutmegroad/heirs.py
+++ b/src/nutmegroad/heirs.py
@@ -1,8 +1,8 @@
 """Heirs: the peer that holds a host's billing records until they are stored.
 
 A host hands its records on before the end of their answers, as many at a
-time as have come together. Its heir stores what it holds if the host is
-gone, or if the host says so at its end.
+time as have come together. If the host is gone, or says so at its end, its
+heir takes the records over: it stores them as its own, and has an heir too.
 """
 
 import asyncio
@@ -13,7 +13,6 @@
 from nutmegroad.logs import part_logger
 from nutmegroad.metrics import Metrics
 from nutmegroad.peers import Member, Mesh, Message
-from nutmegroad.platform import Objects
 from nutmegroad.types import DomainId, HostId, Incarnation, Presence
 
 #: Seconds that the end of an answer may wait for one peer to take its
@@ -210,10 +209,10 @@
 
 
 class Executor:
-    """Holds the records of other hosts, and stores them for the gone.
+    """Holds the records of other hosts, and takes over those of the gone.
 
     Args:
-        objects: The object store.
+        biller: Stores what is taken over.
         mesh: Links to peers.
         clock: The host's clock.
         metrics: Where events are counted.
@@ -222,13 +221,13 @@
 
     def __init__(
         self,
-        objects: Objects,
+        biller: Biller,
         mesh: Mesh,
         clock: Clock,
         metrics: Metrics,
         most_held: int = MOST_HELD,
     ) -> None:
-        self._objects = objects
+        self._biller = biller
         self._mesh = mesh
         self._clock = clock
         self._metrics = metrics
@@ -248,17 +247,15 @@
         self._mesh.handle(HeldRecords, _ignore)
         self._mesh.handle(StoredBatches, self._release)
 
-    async def store_for_gone(self) -> None:
-        """Store what is held for hosts that are gone or have ended."""
+    def take_over(self) -> None:
+        """Take over what is held for hosts that are gone or have ended."""
         self._listen_about()
         for key, batch in tuple(self._held.items()):
             if not self._is_gone(batch.incarnation):
                 continue
-            refusal = await self._objects.put(*batch.content())
-            if refusal is not None:
-                return
-            self._metrics.record_event('billing_stored_for_gone')
-            self._held.pop(key, None)
+            self._metrics.record_event('billing_taken_over')
+            self._biller.adopt(batch)
+            self._held.pop(key)
         self._forget_owners()
 
     async def _take(
