--- a/src/nutmegroad/_system_codes.py
+++ b/src/nutmegroad/_system_codes.py
@@ -4,7 +4,6 @@
 
 from nutmegroad._code_meaning import (
     FIND_OUT,
-    IF_NOT_RUN,
     INSIDE,
     LATER,
     CodeMeaning,
@@ -45,9 +44,10 @@
     ),
     CodeMeaning(
         ResultCode.TICKET_HOST_GONE,
-        'The host that issued the ticket cannot be reached.',
-        IF_NOT_RUN,
-        NotRun.EITHER,
+        'The host that issued the ticket cannot be reached; the request may '
+        'have run there.',
+        FIND_OUT,
+        NotRun.NEVER,
     ),
     CodeMeaning(
         ResultCode.CONFIGURATION_INVALID,
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -333,6 +333,21 @@
     def test_the_platform_down_for_a_while(self) -> None:
         self.runner.run(self.outage())
 
+    def test_a_graceful_stop_while_nothing_can_be_stored(self) -> None:
+        self.runner.run(self.graceful())
+
+    async def graceful(self) -> None:
+        """Stop a host whose bills can not be stored."""
+        platform = self.running.platform
+        await self.fault(platform, kind='down', scope='objects')
+        reply = await self.keyed(2, 'stop')
+        self.assertEqual(200, reply.status)
+        code = await self.processes.stop(self.running.hosts[2])
+        self.assertEqual(0, code)
+        await self.fault(platform)
+        await self.until(self.is_billed, reply.request)
+        await self.restart(2)
+
     async def race(self) -> None:
         """Use one key at all hosts at once."""
         replies = await asyncio.gather(
