--- a/src/nutmegroad/_arrived.py
+++ b/src/nutmegroad/_arrived.py
@@ -8,7 +8,7 @@
 
 from nutmegroad.attempts import Sink
 from nutmegroad.documents import WorkspaceEntry
-from nutmegroad.types import RequestId
+from nutmegroad.types import RequestId, VersionId
 
 #: Headers that matter when a request is handed on to another host.
 _PASSED: Final = (
@@ -43,13 +43,6 @@
     content: bytes
 
 
-class Silent:
-    """A sink for answers that are not streamed."""
-
-    async def piece(self, text: str) -> None:
-        """Keep back; the whole answer follows."""
-
-
 class Leavable:
     """A sink whose caller may leave while the answer is still written.
 
@@ -78,6 +71,10 @@
         """Pass on no more."""
         self._open = False
 
+    def answering(self, version: VersionId) -> None:
+        """Learn which version writes what comes next."""
+        self._inner.answering(version)
+
     async def piece(self, text: str) -> None:
         """Pass a piece on, unless the caller has left."""
         if not self._open:
--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -1,9 +1,20 @@
 """The parts that listen to callers and to operators."""
 
-from aiohttp.web import Application, AppRunner, TCPSite
+from aiohttp.typedefs import Handler
+from aiohttp.web import (
+    Application,
+    AppRunner,
+    Request,
+    Response,
+    StreamResponse,
+    TCPSite,
+    middleware,
+)
 
+from nutmegroad._caller_guard import CallerGuard
+from nutmegroad._caller_parts import CallerParts
 from nutmegroad.billing import Biller
-from nutmegroad.callers import CallerParts, CallersInterface
+from nutmegroad.callers import CallersInterface
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
@@ -22,10 +33,18 @@
 from nutmegroad.runs import Runner
 from nutmegroad.service_routes import ServiceRoutes
 from nutmegroad.services import ServiceCaller
+from nutmegroad.session_names import SessionNames
+from nutmegroad.session_pins import SessionPins
 from nutmegroad.sessions import SessionSigner
+from nutmegroad.stops import GracefulStop
 from nutmegroad.tickets import TicketOffice
 from nutmegroad.types import Address
 
+#: Seconds that a listener's last replies may take when it closes.
+LAST_REPLIES = 1.0
+
+_UNAVAILABLE = 503
+
 
 async def listen(
     kernel: Kernel,
@@ -40,7 +59,8 @@
     runner = AppRunner(
         app,
         access_log=None,
-        shutdown_timeout=kernel.settings.drain,
+        # The graceful stop has waited for what was open before this.
+        shutdown_timeout=LAST_REPLIES,
         handler_cancellation=True,
     )
     await runner.setup()
@@ -50,11 +70,31 @@
     return Address(ip, port)
 
 
+def add_host_routes(app: Application, kernel: Kernel) -> None:
+    """Show metrics, and that a host which stops is not ready."""
+    stop = kernel.need(GracefulStop)
+    metrics = kernel.need(Metrics)
+
+    @middleware
+    async def fall(request: Request, handler: Handler) -> StreamResponse:
+        """Have readiness fall as soon as the stop begins."""
+        if request.path == '/readyz' and not stop.is_ready:
+            return Response(status=_UNAVAILABLE, text='stopping\n')
+        return await handler(request)
+
+    async def show(http: Request) -> Response:
+        """Show the metrics."""
+        return Response(body=metrics.render(), content_type='text/plain')
+
+    app.middlewares.append(fall)
+    app.router.add_get('/metrics', show)
+
+
 @register('part', 'operators')
 class OperatorsPart:
     """Listens to operators."""
 
-    needs = (Changes, Directory, Explanations)
+    needs = (Changes, Directory, Explanations, GracefulStop, Metrics)
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
@@ -67,6 +107,7 @@
             kernel.settings.bootstrap_token,
         )
         app = interface.application()
+        add_host_routes(app, kernel)
         kernel.listening['operators'] = await listen(
             kernel,
             app,
@@ -78,19 +119,24 @@
 class CallersPart:
     """Listens to callers."""
 
-    needs = (Dispatcher, ServiceCaller, Once, Testator)
+    needs = (
+        Dispatcher,
+        ServiceCaller,
+        Once,
+        Testator,
+        SessionNames,
+        GracefulStop,
+        Metrics,
+    )
 
     async def open(self, kernel: Kernel) -> None:
-        """Begin to listen; at the end wait for what still runs."""
+        """Begin to listen."""
         signer = SessionSigner(kernel.settings.cluster_key)
         kernel.provide(SessionSigner, signer)
-        kernel.need(Observers).add(kernel.need(Biller))
+        biller = kernel.need(Biller)
+        kernel.need(Observers).add(biller)
         runner = await kernel.stack.enter_async_context(
-            Runner(
-                kernel.need(Once),
-                kernel.need(Biller),
-                kernel.need(Testator),
-            ),
+            Runner(kernel.need(Once), biller, kernel.need(Testator)),
         )
         interface = CallersInterface(
             self._parts(kernel, runner, signer),
@@ -98,9 +144,12 @@
             kernel.settings.body_timeout,
         )
         kernel.need(Forwarder).listen(interface.answer_forwarded)
+        app = interface.application(kernel.settings.max_body)
+        stop = kernel.need(GracefulStop)
+        CallerGuard(stop, kernel.need(Metrics)).protect(app)
         kernel.listening['callers'] = await listen(
             kernel,
-            interface.application(kernel.settings.max_body),
+            app,
             kernel.settings.callers,
         )
 
@@ -113,13 +162,20 @@
         """Return what requests are handed to."""
         configuration = kernel.need(Configuration)
         explanations = kernel.need(Explanations)
+        metrics = kernel.need(Metrics)
+        dispatcher = kernel.need(Dispatcher)
         models = ModelParts(
-            configuration=configuration,
             desk=IntakeDesk(configuration, signer, kernel.clock),
-            dispatcher=kernel.need(Dispatcher),
+            dispatcher=dispatcher,
             runner=runner,
-            signer=signer,
+            pins=SessionPins(
+                kernel.need(SessionNames),
+                dispatcher,
+                configuration,
+                signer,
+            ),
             explanations=explanations,
+            metrics=metrics,
             clock=kernel.clock,
         )
         services = ServiceRoutes(
@@ -134,7 +190,7 @@
             services=services,
             office=kernel.need(TicketOffice),
             forwarder=kernel.need(Forwarder),
-            metrics=kernel.need(Metrics),
+            metrics=metrics,
             clock=kernel.clock,
             randomness=kernel.randomness,
         )
--- a/src/nutmegroad/_records_part.py
+++ b/src/nutmegroad/_records_part.py
@@ -9,7 +9,7 @@
 from nutmegroad.forwards import Forwarder
 from nutmegroad.heirs import Executor, Testator
 from nutmegroad.intents import IntentLedger, IntentOwner
-from nutmegroad.invariants import CountedInvariants, Invariants
+from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
 from nutmegroad.once import Once
 from nutmegroad.peers import Mesh
@@ -27,18 +27,6 @@
 SETTLE_PERIOD: Final = 1.0
 
 
-@register('part', 'invariants')
-class InvariantsPart:
-    """Provides the checks of what must always hold."""
-
-    needs = (Metrics,)
-
-    async def open(self, kernel: Kernel) -> None:
-        """Count and log what does not hold."""
-        invariants = CountedInvariants(kernel.need(Metrics))
-        kernel.provide(Invariants, invariants)
-
-
 @register('part', 'billing')
 class BillingPart:
     """Provides the biller and what hands its records on."""
--- a/src/nutmegroad/billing.py
+++ b/src/nutmegroad/billing.py
@@ -49,7 +49,7 @@
         task: The task class, or the plain service's name.
         at: Wall-clock seconds at its end.
         version: The version that answered; empty for a plain service.
-        outcome: Name of the result code; ``CANCELLED`` if the caller left.
+        outcome: Name of the result code; ``ANSWER_CUT`` if the caller left.
         prompt_tokens: Tokens read by that version.
         output_tokens: Tokens written by that version.
         cost: All attempts and steps summed, whatever the outcome.
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -1,9 +1,7 @@
 """The callers' HTTP interface: model requests, plain services, tickets."""
 
 import asyncio
-import random
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -15,14 +13,13 @@
     StreamResponse,
 )
 
-from nutmegroad._arrived import Arrived, Leavable, Silent, passed_headers
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
+from nutmegroad._arrived import Arrived, Leavable, passed_headers
+from nutmegroad._caller_guard import STREAM_KEY
+from nutmegroad._caller_parts import CallerParts
 from nutmegroad.documents import WorkspaceEntry
-from nutmegroad.forwards import ForwardedReply, ForwardedRequest, Forwarder
+from nutmegroad.forwards import ForwardedReply, ForwardedRequest
 from nutmegroad.intake import authenticate
 from nutmegroad.intents import FirstAnswer
-from nutmegroad.metrics import Metrics
 from nutmegroad.model_routes import ModelCall, ModelRoutes
 from nutmegroad.once import Elsewhere
 from nutmegroad.replies import (
@@ -33,10 +30,10 @@
     refuse,
     replay,
 )
+from nutmegroad.request_progress import KeptBack
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.runs import Ended, Outcome
-from nutmegroad.service_routes import ServiceCallIn, ServiceRoutes, check_key
-from nutmegroad.tickets import TicketOffice
+from nutmegroad.service_routes import ServiceCallIn, check_key
 from nutmegroad.types import RequestId, ServiceName, WorkspaceId
 from nutmegroad.upstreams import ServiceReply
 
@@ -46,31 +43,6 @@
 _CHAT: Final = '/v1/chat/completions'
 
 
-@dataclass(frozen=True, slots=True)
-class CallerParts:
-    """What the callers' interface hands requests to.
-
-    Attributes:
-        configuration: What is in force.
-        models: Answers model requests.
-        services: Makes calls to plain services.
-        office: Issues tickets.
-        forwarder: Hands requests on to the issuers of their tickets.
-        metrics: Counts refusals.
-        clock: The host's clock.
-        randomness: Names requests.
-    """
-
-    configuration: Configuration
-    models: ModelRoutes
-    services: ServiceRoutes
-    office: TicketOffice
-    forwarder: Forwarder
-    metrics: Metrics
-    clock: Clock
-    randomness: random.Random
-
-
 class CallersInterface:
     """Serves callers.
 
@@ -107,11 +79,10 @@
         call = _model_call(self._parts.models, arrived)
         if isinstance(call, Refusal):
             return self._refuse(call, arrived.request)
-        headers = {'Nutmegroad-Request': str(arrived.request)}
-        stream = EventStream(http, arrived.request, headers)
         if not call.intake.stream:
-            outcome = await self._parts.models.run(call, Silent())
+            outcome = await self._parts.models.run(call, KeptBack())
             return await self._model_reply(arrived, call, outcome)
+        stream = _make_stream(http, call, self._parts)
         with Leavable(stream) as sink:
             outcome = await self._parts.models.run(call, sink)
         return await self._stream_end(arrived, call, outcome, stream)
@@ -177,7 +148,7 @@
         call = _model_call(self._parts.models, arrived)
         if isinstance(call, Refusal):
             return forwarded_reply(self._refuse(call, request))
-        outcome = await self._parts.models.run(call, Silent())
+        outcome = await self._parts.models.run(call, KeptBack())
         return forwarded_reply(self._reply(request, outcome, call))
 
     def _name(self) -> RequestId:
@@ -256,7 +227,6 @@
         """End a stream, or show an answer that did not come as one."""
         ended = outcome.reply if isinstance(outcome, Ended) else None
         if isinstance(ended, Refusal) and stream.response is not None:
-            self._parts.metrics.refused(ended.code)
             return await stream.fail(ended)
         if isinstance(ended, ServiceReply) and call.answer is not None:
             return await stream.finish(call.answer)
@@ -264,6 +234,7 @@
         if reply.status != _OK or not isinstance(reply.body, bytes):
             return reply
         answer = read_answer(reply.body)
+        stream.answering(answer.version)
         await stream.piece(answer.text)
         return await stream.finish(answer)
 
@@ -284,10 +255,16 @@
         if isinstance(outcome, FirstAnswer):
             return replay(outcome, request)
         if isinstance(outcome.reply, Refusal):
-            return self._refuse(outcome.reply, request)
+            if call is None:
+                return self._refuse(outcome.reply, request)
+            # A model request is counted with its outcome.
+            return refuse(outcome.reply, request)
         headers = {'Nutmegroad-Request': str(request)}
         if call is not None and call.answer is not None:
-            token = self._parts.models.session_token(call, call.answer)
+            token = self._parts.models.session_token(
+                call,
+                call.answer.version,
+            )
             headers['Nutmegroad-Session'] = token
         return Response(
             status=outcome.reply.status,
@@ -348,3 +325,19 @@
         arrived.workspace,
         arrived.request,
     )
+
+
+def _make_stream(
+    http: Request,
+    call: ModelCall,
+    parts: CallerParts,
+) -> EventStream:
+    """Return the stream of an answer, known to the host's stop too."""
+    stream = EventStream(
+        http,
+        call.intake.model.request,
+        lambda version: parts.models.session_token(call, version),
+        parts.metrics,
+    )
+    http[STREAM_KEY] = stream
+    return stream
--- a/src/nutmegroad/fences.py
+++ b/src/nutmegroad/fences.py
@@ -108,6 +108,8 @@
 class Crossing:
     """The way of one attempt through its request's fence.
 
+    An attempt that is resumed at the upstream that has it crosses once.
+
     Args:
         fence: The fence.
     """
@@ -115,9 +117,12 @@
     def __init__(self, fence: Fence) -> None:
         self._fence = fence
         self._passed = False
+        self._ran = False
 
     def check(self) -> Refusal | None:
         """Let the attempt's first byte go out now, or say why not."""
+        if self._passed:
+            return None
         refusal = self._fence.check()
         self._passed = refusal is None
         return refusal
@@ -125,6 +130,11 @@
     def end(self, reply: object) -> None:
         """Take in how the attempt ended: whatever came, or a refusal."""
         not_run = isinstance(reply, Refusal) and reply.ran is Ran.NOT_RUN
-        if self._passed and not_run:
+        if not self._passed or self._ran:
+            return
+        if not_run:
             self._passed = False
             self._fence.withdraw()
+        else:
+            # What resumes it later and fails unsent does not undo that.
+            self._ran = True
--- a/src/nutmegroad/runs.py
+++ b/src/nutmegroad/runs.py
@@ -10,8 +10,6 @@
 from types import TracebackType
 from typing import Any, Final, Self
 
-from msgspec.structs import replace
-
 from nutmegroad.billing import Biller, BillingRecord
 from nutmegroad.fences import Fence
 from nutmegroad.heirs import Testator
@@ -23,8 +21,8 @@
 
 _LOG: Final = part_logger('runs')
 
-#: Outcome of a request whose caller left before its end.
-CANCELLED: Final = 'CANCELLED'
+#: Seconds that runs whose callers have left are given when the host stops.
+LAST_RUNS: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +41,9 @@
 #: Carries a request out; its attempts pass the fence.
 Work = Callable[[Fence], Awaitable[Ended]]
 
+#: Returns what is billed for a request that was broken off.
+BrokenOff = Callable[[], BillingRecord]
+
 #: What became of a request that came to the runner.
 Outcome = Ended | FirstAnswer | Elsewhere | Refusal
 
@@ -72,23 +73,28 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Wait for runs whose callers have left; deadlines bound them."""
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Wait a little for runs whose callers have left, and end them."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=LAST_RUNS)
+        left = tuple(self._tasks)
+        for task in left:
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
 
     async def run(
         self,
         order: Order,
         work: Work,
-        record: BillingRecord,
+        broken_off: BrokenOff,
     ) -> Outcome:
         """Have a request run, unless it ran or runs already.
 
         Args:
             order: The request.
             work: Carries it out.
-            record: What is billed if the caller leaves before the end.
+            broken_off: Returns what is billed if it is broken off.
         """
-        carrying = self._claim_and_carry(order, work, record)
+        carrying = self._claim_and_carry(order, work, broken_off)
         if order.key or order.ticket:
             return await self._shielded(carrying)
         return await carrying
@@ -107,19 +113,19 @@
         self,
         order: Order,
         work: Work,
-        record: BillingRecord,
+        broken_off: BrokenOff,
     ) -> Outcome:
         """Claim a request, and carry it out if it may run here."""
         claim = await self._once.claim(order)
         if not isinstance(claim, Run):
             return claim
-        return await self._carry(claim, work, record)
+        return await self._carry(claim, work, broken_off)
 
     async def _carry(
         self,
         run: Run,
         work: Work,
-        record: BillingRecord,
+        broken_off: BrokenOff,
     ) -> Ended:
         """Carry a run out; whatever happens, it is settled and billed."""
         ended: Ended | None = None
@@ -128,7 +134,7 @@
         finally:
             if ended is None:
                 self._once.give_up(run)
-                self._biller.record(replace(record, outcome=CANCELLED))
+                self._biller.record(broken_off())
         self._biller.record(ended.record)
         reply = await self._once.settle(run, ended.reply)
         await self._testator.hand()
--- a/src/nutmegroad/service_routes.py
+++ b/src/nutmegroad/service_routes.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from nutmegroad.billing import BillingRecord
 from nutmegroad.clocks import Clock
 from nutmegroad.documents import ServiceEntry, WorkspaceEntry
@@ -100,7 +102,11 @@
             return await self._call(request, entry, record)
 
         order = _order(call, entry, deadline)
-        return await self._runner.run(order, work, record)
+        return await self._runner.run(
+            order,
+            work,
+            lambda: replace(record, outcome=ResultCode.ANSWER_CUT.name),
+        )
 
     async def _call(
         self,
@@ -112,13 +118,7 @@
         explanation = self._explanations.begin(request.request)
         reply = await self._services.call(request, entry, explanation)
         code = reply.code if isinstance(reply, Refusal) else ResultCode.OK
-        ended = BillingRecord(
-            request=record.request,
-            workspace=record.workspace,
-            task=record.task,
-            outcome=code.name,
-            at=self._clock.wall(),
-        )
+        ended = replace(record, outcome=code.name, at=self._clock.wall())
         return Ended(reply, ended)
 
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -17,7 +17,7 @@
 from nutmegroad.invariants import CountedInvariants
 from nutmegroad.once import LEASE, TABLE_REST, Elsewhere, Order, Run
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.runs import CANCELLED, Ended, Runner
+from nutmegroad.runs import Ended, Runner
 from nutmegroad.tickets import Ticket
 from nutmegroad.types import HostId, Ran
 from tests.records_rig import (
@@ -98,6 +98,17 @@
         with self.assertRaises(AssertionError):
             run.fence.attempt().check()
 
+    async def test_an_attempt_that_is_resumed_crosses_once(self) -> None:
+        run = await self.run_of(self.one)
+        crossing = run.fence.attempt()
+        self.assertIsNone(crossing.check())
+        crossing.end(UNKNOWN)
+        await self.rig.clock.jump(LEASE)
+        self.assertIsNone(crossing.check())
+        # That it could not be resumed says nothing of what ran before.
+        crossing.end(NOT_RUN)
+        self.assertEqual(1, run.fence.passed)
+
     async def test_the_daemon_prevents_and_counts_what_tests_raise(
         self,
     ) -> None:
@@ -184,7 +195,7 @@
 
     async def begin(self, wanted: Order) -> asyncio.Task[object]:
         """Start a run, and let its caller leave."""
-        coming = self.runner.run(wanted, self.work, self.record)
+        coming = self.runner.run(wanted, self.work, lambda: self.record)
         task: asyncio.Task[object] = asyncio.ensure_future(coming)
         while not self.one.once.unsettled and not task.done():
             await asyncio.sleep(0.001)
@@ -208,13 +219,13 @@
 
     async def test_a_caller_that_leaves_is_billed_too(self) -> None:
         wanted = replace(ORDER, key='', repeatable=True)
-        coming = self.runner.run(wanted, self.work, self.record)
+        coming = self.runner.run(wanted, self.work, lambda: self.record)
         task = asyncio.ensure_future(coming)
         await self.rig.clock.settle()
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         records = self.one.biller.batches[0].records
-        self.assertEqual([CANCELLED], [entry.outcome for entry in records])
+        self.assertEqual([self.record], records)
 
 
 class ForwardTest(OnceCase):
--- a/tests/test_records_random.py
+++ b/tests/test_records_random.py
@@ -135,7 +135,7 @@
             return Ended(self.attempt(fence, work), record)
 
         record = BillingRecord(wanted.request, WORKSPACE, 'portal', 1)
-        coming = runner.run(wanted, attempt, record)
+        coming = runner.run(wanted, attempt, lambda: record)
         outcome = await timed(self._rig, coming)
         if isinstance(outcome, Ended):
             self.billed.add(wanted.request)
