--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -10,6 +10,7 @@
 from nutmegroad.directory import Directory
 from nutmegroad.documents import ServiceEntry
 from nutmegroad.explanations import Explanation
+from nutmegroad.fences import Fence
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.steps import OWN_REFUSALS
@@ -50,6 +51,7 @@
         content_type: Media type of the body.
         key: The caller's idempotency key; empty for none.
         deadline: Clock seconds at which the caller gives up.
+        fence: What each attempt must pass.
     """
 
     request: RequestId
@@ -61,6 +63,7 @@
     content_type: str
     key: str
     deadline: float
+    fence: Fence
 
 
 def is_repeatable(entry: ServiceEntry, method: str, path: str) -> bool:
@@ -162,6 +165,7 @@
         number: int,
     ) -> ServiceReply | Refusal:
         """Make one attempt."""
+        crossing = request.fence.attempt()
         passage = Passage(
             request.workspace,
             TaskName(''),
@@ -170,6 +174,7 @@
             None,
             state,
             request.deadline,
+            crossing,
         )
         left = request.deadline - self._clock.now()
         call = ServiceCall(
@@ -185,6 +190,7 @@
         )
         with self._directory.in_flight(state, _NO_VERSION):
             reply = await self._clients.call(call)
+        crossing.end(reply)
         if isinstance(reply, ServiceReply):
             self._directory.answered(state.info.upstream)
         elif reply.code is ResultCode.UPSTREAM_UNREACHABLE:
