--- a/experiments/deployment.py
+++ b/experiments/deployment.py
@@ -27,6 +27,10 @@
 _NO_CONTENT: Final = 204
 
 
+#: The versions that each engine of a domain has loaded.
+Engines = tuple[tuple[str, ...], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Rig:
     """How large a deployment is set up.
@@ -39,15 +43,23 @@
         engine_args: More flags for every engine stand-in.
         platform_args: More flags for the platform stand-in.
         host_args: More flags for every daemon.
+        uneven: The engines of domains that have others than the rest.
     """
 
     name: str
-    engines: tuple[tuple[str, ...], ...]
+    engines: Engines
     hosts: int = 2
     services: int = 1
     engine_args: tuple[str, ...] = ()
     platform_args: tuple[str, ...] = ()
     host_args: tuple[str, ...] = ()
+    uneven: dict[str, Engines] = field(
+        default_factory=dict,
+    )
+
+    def engines_of(self, domain: str) -> Engines:
+        """Return the versions of each engine of a domain."""
+        return self.uneven.get(domain, self.engines)
 
 
 @dataclass(slots=True)
@@ -123,28 +135,37 @@
     rig: Rig,
     running: Deployment,
 ) -> None:
-    """Start engines and plain services of every domain."""
+    """Start engines and plain services of every domain, all at once."""
+    engines = {
+        f'{domain}-engine-{number}': versions
+        for domain in DOMAINS[rig.name]
+        for number, versions in enumerate(rig.engines_of(domain))
+    }
+    services = [
+        f'{domain}-service-{number}'
+        for domain in DOMAINS[rig.name]
+        for number in range(rig.services)
+    ]
     qualities = quality_flags(running.document)
-    for domain in DOMAINS[rig.name]:
-        for number, versions in enumerate(rig.engines):
-            name = f'{domain}-engine-{number}'
-            running.engines[name] = await processes.start_fake(
-                name,
-                'fakes.engine',
-                f'--id={name}',
-                f'--seed={len(running.engines)}',
-                *rig.engine_args,
-                *qualities,
-                f'--weights={running.platform.listening["main"]}',
-                '--versions',
-                *versions,
-            )
-        for number in range(rig.services):
-            name = f'{domain}-service-{number}'
-            running.services[name] = await processes.start_fake(
-                name,
-                'fakes.service',
-            )
+    weights = f'--weights={running.platform.listening["main"]}'
+    starts = [
+        processes.start_fake(
+            name,
+            'fakes.engine',
+            f'--id={name}',
+            f'--seed={seed}',
+            *rig.engine_args,
+            *qualities,
+            weights,
+            '--versions',
+            *versions,
+        )
+        for seed, (name, versions) in enumerate(engines.items())
+    ]
+    starts += [processes.start_fake(name, 'fakes.service') for name in services]
+    started = {one.name: one for one in await asyncio.gather(*starts)}
+    running.engines.update({name: started[name] for name in engines})
+    running.services.update({name: started[name] for name in services})
 
 
 def quality_flags(document: Document) -> list[str]:
@@ -215,17 +236,16 @@
     rig: Rig,
     running: Deployment,
 ) -> None:
-    """Start the entry hosts of every domain."""
-    for domain in DOMAINS[rig.name]:
-        for number in range(rig.hosts):
-            running.hosts.append(
-                await start_host(
-                    processes,
-                    rig,
-                    running,
-                    f'{domain}-host-{number}',
-                ),
-            )
+    """Start the entry hosts; the first is the seed of all others."""
+    names = [
+        f'{domain}-host-{number}'
+        for domain in DOMAINS[rig.name]
+        for number in range(rig.hosts)
+    ]
+    first = await start_host(processes, rig, running, names[0])
+    running.hosts.append(first)
+    others = [start_host(processes, rig, running, name) for name in names[1:]]
+    running.hosts.extend(await asyncio.gather(*others))
     await publish(running, rig)
 
 
--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -9,10 +9,11 @@
 import signal
 import sys
 from asyncio.subprocess import DEVNULL, PIPE, Process
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass
+from pathlib import Path
 from types import TracebackType
-from typing import Final, Self
+from typing import BinaryIO, Final, Self
 
 from nutmegroad.types import Address
 
@@ -51,9 +52,15 @@
 
 
 class Processes:
-    """Owns the processes of one deployment."""
+    """Owns the processes of one deployment.
 
-    def __init__(self) -> None:
+    Args:
+        logs: Folder for what each process writes to standard error; None
+            for nowhere.
+    """
+
+    def __init__(self, logs: Path | None = None) -> None:
+        self._logs = logs
         self._stack = AsyncExitStack()
         self._ended: dict[str, int] = {}
 
@@ -77,7 +84,7 @@
 
     async def start_fake(self, name: str, module: str, *args: str) -> Running:
         """Start a stand-in; it says ``listening IP:PORT`` first."""
-        process = await self._spawn(module, args, {})
+        process = await self._spawn(name, module, args, {})
         line = await self._line(process, name)
         address = parse_address(line.removeprefix('listening'))
         return self._own(Running(name, process, {'main': address}))
@@ -89,7 +96,12 @@
         environ: dict[str, str],
     ) -> Running:
         """Start a daemon; it says ``ready`` after its listeners."""
-        process = await self._spawn('nutmegroad.daemon', args, environ)
+        process = await self._spawn(
+            name,
+            'nutmegroad.daemon',
+            args,
+            environ,
+        )
         listening: dict[str, Address] = {}
         while True:
             line = await self._line(process, name)
@@ -113,21 +125,28 @@
 
     async def _spawn(
         self,
+        name: str,
         module: str,
         args: tuple[str, ...],
         environ: dict[str, str],
     ) -> Process:
         """Start a Python module as a program."""
-        errors = None if os.environ.get('NUTMEGROAD_SHOW_LOGS') else DEVNULL
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            module,
-            *args,
-            stdout=PIPE,
-            stderr=errors,
-            env={**os.environ, **environ},
-        )
+        with ExitStack() as opened:
+            errors: BinaryIO | int | None = DEVNULL
+            if os.environ.get('NUTMEGROAD_SHOW_LOGS'):
+                errors = None
+            elif self._logs is not None:
+                log = self._logs / f'{name}.log'
+                errors = opened.enter_context(log.open('ab'))
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                *args,
+                stdout=PIPE,
+                stderr=errors,
+                env={**os.environ, **environ},
+            )
 
     async def _line(self, process: Process, name: str) -> str:
         """Return the next line that a process writes.
