--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -16,7 +16,8 @@
 
 from experiments.arms import ArmError, choose
 from experiments.measure import OUTPUT
-from experiments.runs import Order, run
+from experiments.orders import Order
+from experiments.runs import run
 from experiments.scenarios import RIGS, Scenario
 from experiments.tables import table
 from experiments.traffic import Curve
--- a/experiments/goals.py
+++ b/experiments/goals.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from experiments.reports import ratio
-from experiments.runs import Report
+from experiments.summaries import Report
 from experiments.tables import spread, table
 
 DEAREST: Final = 'round-robin-dearest'
--- a/experiments/measure.py
+++ b/experiments/measure.py
@@ -19,9 +19,11 @@
 
 from experiments.arms import ArmError, choose, not_run
 from experiments.goals import goal_table
+from experiments.orders import Order
 from experiments.plots import plot
-from experiments.runs import Order, Report, run
+from experiments.runs import run
 from experiments.scenarios import QUICK, scenarios
+from experiments.summaries import Report
 from experiments.tables import compare, describe, warnings
 
 OUTPUT: Final = Path(__file__).parent.parent / 'results'
--- a/experiments/plots.py
+++ b/experiments/plots.py
@@ -9,7 +9,7 @@
 from matplotlib.backends.backend_agg import FigureCanvasAgg
 from matplotlib.figure import Figure
 
-from experiments.runs import Report
+from experiments.summaries import Report
 from experiments.tables import COLUMNS, arms_of, spread
 
 #: Figures that are drawn, by the names of the table's columns.
--- a/experiments/tables.py
+++ b/experiments/tables.py
@@ -7,7 +7,7 @@
 import numpy as np
 
 from experiments.reports import Figures
-from experiments.runs import Report
+from experiments.summaries import Report
 
 #: Tells a figure of a run; None where it has none.
 Getter = Callable[[Report], float | None]
@@ -130,7 +130,8 @@
     if run.client.saturated:
         lag = _milliseconds(run.client.lag.p99) or 0
         found.append(
-            f'the load client was a bottleneck (lag p99 {lag:.0f} ms, '
+            f'the load client or the machine was too busy (lag p99 '
+            f'{lag:.0f} ms, '
             f'{run.client.cpu:.2f} of a core)',
         )
     for promise, count in run.breaches.items():
--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/_routing_part.py
@@ -43,6 +43,7 @@
             lookup('selector', settings.selector)(kernel),
             lookup('retries', settings.retries)(kernel),
         )
+        kernel.provide(Policies, policies)
         dispatcher = Dispatcher(
             policies,
             gatekeeper,
