--- a/experiments/decision_speed.py
+++ b/experiments/decision_speed.py
@@ -34,12 +34,12 @@
 from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.core import Kernel
 from nutmegroad.directory import Directory
-from nutmegroad.dispatch import Policies
 from nutmegroad.documents import Document
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal
 from nutmegroad.settings import read_settings
+from nutmegroad.steps import Policies
 from nutmegroad.types import (
     Digest,
     PresetName,
--- a/experiments/deployment.py
+++ b/experiments/deployment.py
@@ -52,7 +52,7 @@
     services: int = 1
     engine_args: tuple[str, ...] = ()
     platform_args: tuple[str, ...] = ()
-    host_args: tuple[str, ...] = ()
+    host_args: tuple[str, ...] = ('--lame-duck=0.1',)
     uneven: dict[str, Engines] = field(
         default_factory=dict,
     )
--- a/experiments/goals.py
+++ b/experiments/goals.py
@@ -123,7 +123,16 @@
 def _judge_latency(look: Figurer, arm: str) -> list[Verdict]:
     """Judge the first token at the capacity."""
     idle = look.quotient(FULL, _first, ('idle', arm))
-    least = look.quotient(FULL, _first, (FULL, LEAST))
+    # Held against itself, an arm would always reach it.
+    least = (
+        None
+        if arm == LEAST
+        else look.quotient(
+            FULL,
+            _first,
+            (FULL, LEAST),
+        )
+    )
     return [
         _most('first token p95 at 1.0 by idle', idle, 1.3),
         _most('first token p95 at 1.0 by least in flight', least, 1),
