--- a/experiments/load.py
+++ b/experiments/load.py
@@ -263,16 +263,12 @@
 
 
 def _model_body(ask: Ask) -> dict[str, Any]:
-    """Return a model request's body.
-
-    The first request of a session is not streamed, since the session's
-    token comes in the headers of whole answers only.
-    """
+    """Return a model request's body."""
     return {
         'model': ask.task,
         'messages': [{'role': 'user', 'content': prompt_of(ask)}],
         'nutmegroad_tokens': ask.tokens,
-        'stream': not ask.opens,
+        'stream': True,
     }
 
 
--- a/experiments/measure.py
+++ b/experiments/measure.py
@@ -93,10 +93,18 @@
             measurement.left.append(f'{order.name}: failed, {cause}')
             continue
         measurement.runs.append(report)
+        # Written after each run, so that a stop in between loses none.
+        save(measurement.runs, folder)
         _say(report)
     return measurement
 
 
+def save(runs: list[Report], folder: Path) -> None:
+    """Write all figures as JSON."""
+    content = msgspec.json.format(msgspec.json.encode(runs))
+    (folder / 'runs.json').write_bytes(content)
+
+
 def _say(report: Report) -> None:
     """Print a line for a run."""
     models = report.models
@@ -106,6 +114,8 @@
         f'goodput {report.goodput:.1f}/s'
     )
     sys.stdout.write(f'{line}\n')
+    if models.reasons:
+        sys.stdout.write(f'  without an answer: {models.reasons}\n')
     for warning in warnings(report):
         sys.stdout.write(f'  {warning}\n')
     sys.stdout.flush()
@@ -127,11 +137,8 @@
 
 
 def write(measurement: Measurement, summary: str, folder: Path) -> None:
-    """Write the results."""
+    """Write the page and the plot."""
     runs = measurement.runs
-    (folder / 'runs.json').write_bytes(
-        msgspec.json.format(msgspec.json.encode(runs)),
-    )
     full = '\n\n'.join(describe(one) for one in runs)
     (folder / 'page.md').write_text(f'{summary}\n\n{full}\n')
     if runs:
