Compress the configuration as the traffic is compressed

The tool sent answers and deadlines of a twentieth, while the configuration went on stating 1,800 tokens, so a host that judges by it was right to refuse. The deployments of the measurements now state the lengths that the traffic has.

--- a/experiments/deployment.py
+++ b/experiments/deployment.py
@@ -44,6 +44,7 @@
         platform_args: More flags for the platform stand-in.
         host_args: More flags for every daemon.
         uneven: The engines of domains that have others than the rest.
+        text: The configuration, as TOML; empty for the example's.
     """
 
     name: str
@@ -53,9 +54,8 @@
     engine_args: tuple[str, ...] = ()
     platform_args: tuple[str, ...] = ()
     host_args: tuple[str, ...] = ('--lame-duck=0.1',)
-    uneven: dict[str, Engines] = field(
-        default_factory=dict,
-    )
+    uneven: dict[str, Engines] = field(default_factory=dict)
+    text: str = ''
 
     def engines_of(self, domain: str) -> Engines:
         """Return the versions of each engine of a domain."""
@@ -117,7 +117,7 @@
 
 async def start(processes: Processes, rig: Rig) -> Deployment:
     """Start a deployment and put its configuration into force."""
-    text = read_example(rig.name)
+    text = rig.text or read_example(rig.name)
     document = parse_document(text)
     platform = await processes.start_fake(
         'platform',
--- a/experiments/runs.py
+++ b/experiments/runs.py
@@ -9,6 +9,7 @@
 
 from aiohttp import ClientSession
 
+from experiments.compression import compressed
 from experiments.deployment import (
     Deployment,
     Rig,
@@ -65,7 +66,11 @@
 def _rig(order: Order) -> Rig:
     """Return the deployment of a run, with its arm's policies."""
     rig = RIGS[order.scenario.deployment]
-    return replace(rig, host_args=(*rig.host_args, *order.arm.flags))
+    return replace(
+        rig,
+        host_args=(*rig.host_args, *order.arm.flags),
+        text=compressed(rig.name),
+    )
 
 
 def _unasked(processes: Processes, running: Deployment) -> dict[str, int]:
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -4,9 +4,11 @@
 import unittest
 
 from experiments.arms import ArmError, choose
+from experiments.compression import compressed
 from experiments.deployment import read_example
 from experiments.scenarios import SCENARIOS
 from experiments.traffic import (
+    MIXES,
     Curve,
     Demand,
     arrivals,
@@ -72,6 +74,20 @@
         self.assertLessEqual(set(moments.values()), {1, 2})
 
 
+class CompressionTest(unittest.TestCase):
+    def test_the_configuration_states_the_traffics_lengths(self) -> None:
+        for name, mix in MIXES.items():
+            tasks = parse_document(compressed(name)).tasks
+            stated = {
+                entry.name: (entry.output_tokens, entry.deadline)
+                for entry in tasks
+            }
+            drawn = {
+                task.task: (task.tokens, task.deadline) for task in mix.tasks
+            }
+            self.assertEqual(stated, drawn)
+
+
 class ArmsTest(unittest.TestCase):
     def test_an_unknown_policy_fails_early(self) -> None:
         with self.assertRaisesRegex(ArmError, 'not registered; there are'):
