Give all engine stand-ins one seed, so that answers can be resumed

Cause: with a domain's engines killed, 9 answers ended as ANSWER_CROSSED. The engines of a deployment had seeds of their own and so wrote unlike answers; the host saw that and was right. Ruled out: a fault of the host's resumption.

--- a/experiments/deployment.py
+++ b/experiments/deployment.py
@@ -21,6 +21,9 @@
     'cascade': ('kent-hall', 'tukwila-hall', 'everett-hall'),
 }
 
+#: Seed of the answers of all engine stand-ins.
+ENGINE_SEED: Final = 1
+
 CLUSTER_KEY: Final = 'a-cluster-key-for-demos-only'
 BOOTSTRAP_TOKEN: Final = 'a-bootstrap-token-for-demos-only'
 
@@ -155,14 +158,15 @@
             name,
             'fakes.engine',
             f'--id={name}',
-            f'--seed={seed}',
+            # One seed, so that an answer can be resumed on another engine.
+            f'--seed={ENGINE_SEED}',
             *rig.engine_args,
             *qualities,
             weights,
             '--versions',
             *versions,
         )
-        for seed, (name, versions) in enumerate(engines.items())
+        for name, versions in engines.items()
     ]
     starts += [processes.start_fake(name, 'fakes.service') for name in services]
     started = {one.name: one for one in await asyncio.gather(*starts)}
