--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,16 +4,13 @@
 import random
 import time
 import unittest
-from asyncio import StreamReader, StreamWriter
+from asyncio import StreamWriter
 from collections.abc import Callable
-from types import TracebackType
-from typing import Any, ClassVar, Self
+from typing import Any, ClassVar
 
-from nutmegroad._dialing import Backoff
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkContext, LinkLimits
-from nutmegroad._outbox import Outbox, Parcel
-from nutmegroad._wire import StreamError, Unpacker, pack
+from nutmegroad._outbox import Parcel
 from nutmegroad.accounting import Ledger
 from nutmegroad.clocks import Clock, SystemClock
 from nutmegroad.links import Links
@@ -21,8 +18,12 @@
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
 from nutmegroad.types import Address, DomainId, HostId, Incarnation, Ran
+from tests.recorders import Recorder, echo_back
 
 KEY = b'a key for tests'
+#: Seconds between looks, and looks after which a test is broken.
+STEP = 0.005
+LOOKS = 4000
 QUICK = LinkLimits(first_wait=0.01, most_wait=0.05)
 
 
@@ -128,66 +129,18 @@
         return self.ledger.events().get(event, 0)
 
 
-class Recorder:
-    """Stands between two hosts and remembers what the first says."""
-
-    def __init__(self, behind: Host) -> None:
-        self.heard = bytearray()
-        self._behind = behind
-        self._server: asyncio.Server | None = None
-
-    async def __aenter__(self) -> Self:
-        self._server = await asyncio.start_server(
-            self._relay,
-            '127.0.0.1',
-            0,
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = Address('127.0.0.1', port)
-        return self
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        if self._server is not None:
-            self._server.close()
-
-    async def _relay(self, reader: StreamReader, writer: StreamWriter) -> None:
-        behind = self._behind
-        other = await asyncio.open_connection(behind.address.ip, behind.port)
-        replies = asyncio.ensure_future(_copy(other[0], writer, bytearray()))
-        await _copy(reader, other[1], self.heard)
-        await replies
-
-
-async def _copy(
-    reader: StreamReader,
-    writer: StreamWriter,
-    heard: bytearray,
-) -> None:
-    while chunk := await reader.read(4096):
-        heard.extend(chunk)
-        writer.write(chunk)
-    writer.close()
-
-
-async def echo_back(reader: StreamReader, writer: StreamWriter) -> None:
-    """Say again whatever is heard."""
-    await _copy(reader, writer, bytearray())
-
-
 async def never_answer(host: HostId, ask: Ask) -> None:
     """Wait for ever."""
     await asyncio.Event().wait()
 
 
 async def until(condition: Callable[[], object]) -> None:
-    """Wait until something holds; the runner's limit ends a bad wait."""
-    while not condition():
-        await asyncio.sleep(0.005)
+    """Wait until something holds, but not for ever."""
+    for _ in range(LOOKS):
+        if condition():
+            return
+        await asyncio.sleep(STEP)
+    raise AssertionError('What the test waits for did not happen.')
 
 
 class LinksTest(unittest.IsolatedAsyncioTestCase):
@@ -200,7 +153,8 @@
 
     async def pair(self) -> tuple[Host, Host]:
         """Return two linked hosts, the first of which connected."""
-        one, two = await self.host('one'), await self.host('two')
+        one = await self.host('one')
+        two = await self.host('two')
         await self.link(one, two)
         return one, two
 
@@ -248,8 +202,9 @@
     async def test_a_proof_does_not_hold_twice(self) -> None:
         # A recorder between two hosts hears a whole handshake, and then
         # says again what the first of them said.
-        one, two = await self.host('one'), await self.host('two')
-        recorder = Recorder(two)
+        one = await self.host('one')
+        two = await self.host('two')
+        recorder = Recorder(two.address)
         await self.enterAsyncContext(recorder)
         one.links.aim([recorder.address])
         await until(lambda: one.links.linked())
@@ -264,24 +219,24 @@
     async def test_garbage_harms_no_other_link(self) -> None:
         one, two = await self.pair()
         garbage = {
-            'text': (b'GET / HTTP/1.1\r\n\r\n', 'links_handshake_garbage'),
-            'random': (random.Random(5).randbytes(9000), 'links_handshake'),
-            'huge': (b'\xdd\xff\xff\xff\xff', 'links_handshake_garbage'),
-            'deep': (b'\x91' * 2000, 'links_handshake_garbage'),
-            'endless': (b'\xc6\x00\x00\x07\xff' + b'a' * 9000, 'links'),
+            'text': b'GET / HTTP/1.1\r\n\r\n',
+            'random': random.Random(5).randbytes(9000),
+            'huge': b'\xdd\xff\xff\xff\xff',
+            'deep': b'\x91' * 2000,
+            'endless': b'\xc6\x00\x00\x07\xff'.ljust(9000, b'a'),
         }
-        for name, (sent, _) in garbage.items():
-            with self.subTest(name):
-                before = two.count('links_handshake_garbage')
-                with self.assertNoLogs(level='ERROR'):
-                    writer = await self.connect(two)
-                    writer.write(sent)
-                    await until(
-                        lambda before=before: (  # type: ignore[misc]
-                            two.count('links_handshake_garbage') > before
-                        ),
-                    )
-                    await self.assert_works(one, two)
+        for name, sent in garbage.items():
+            with self.subTest(name), self.assertNoLogs(level='ERROR'):
+                await self.send_garbage(two, sent)
+                await self.assert_works(one, two)
+
+    async def send_garbage(self, host: Host, sent: bytes) -> None:
+        """Send something to a host until it is counted."""
+        event = 'links_handshake_garbage'
+        before = host.count(event)
+        writer = await self.connect(host)
+        writer.write(sent)
+        await until(lambda: host.count(event) > before)
 
     async def test_garbage_after_a_handshake_ends_that_link(self) -> None:
         one, two = await self.pair()
@@ -294,8 +249,8 @@
 
     async def test_a_message_over_the_limit_is_not_sent(self) -> None:
         one, two = await self.pair()
-        limit = LinkLimits().message
-        self.assertFalse(one.links.tell(two.host, Ask('a' * limit)))
+        huge = Ask('a' * LinkLimits().message)
+        self.assertFalse(one.links.tell(two.host, huge))
         self.assertEqual(one.count('links_message_too_large'), 1)
         await self.assert_works(one, two)
 
@@ -310,6 +265,16 @@
         await until(lambda: host.count('links_handshake_slow') == 2)
         self.assertEqual(host.count('links_too_many_unknown'), 1)
 
+    async def test_a_silent_link_is_closed(self) -> None:
+        clock = ManualClock()
+        one = await self.host('one')
+        two = await self.host('two', clock=clock)
+        await self.link(one, two)
+        await clock.advance(LinkLimits().silence - 1)
+        self.assertEqual(two.count('links_silent'), 0)
+        await clock.advance(4)
+        self.assertEqual(two.count('links_silent'), 1)
+
     async def test_hosts_that_connect_at_once_keep_one_link(self) -> None:
         for seed in range(5):
             with self.subTest(seed=seed):
@@ -361,7 +326,8 @@
     async def test_a_question_to_a_lost_host_is_unknown(self) -> None:
         one, two = await self.pair()
         two.links.handle(Ask, never_answer)
-        asking = asyncio.ensure_future(one.links.ask(two.host, Ask('?'), 99))
+        question = one.links.ask(two.host, Ask('?'), 99)
+        asking = asyncio.ensure_future(question)
         await until(lambda: two.links.linked())
         await asyncio.sleep(0.05)
         two.links.drop(one.host)
@@ -392,54 +358,3 @@
             sent['test'].sent_bytes,
             received['test'].received_bytes,
         )
-
-
-class OutboxTest(unittest.TestCase):
-    """What a full queue does."""
-
-    def test_a_replaceable_message_makes_room(self) -> None:
-        outbox = Outbox(2, 100)
-        old, firm = Parcel(b'old', '', replaceable=True), Parcel(b'firm', '')
-        self.assertTrue(outbox.put(firm))
-        self.assertTrue(outbox.put(old))
-        self.assertTrue(outbox.put(firm))
-        self.assertFalse(outbox.put(old))
-        self.assertEqual(asyncio.run(outbox.take_all()), (firm, firm))
-
-    def test_bytes_are_bounded_too(self) -> None:
-        outbox = Outbox(100, 10)
-        self.assertTrue(outbox.put(Parcel(b'a' * 10, '')))
-        self.assertFalse(outbox.put(Parcel(b'a', '')))
-
-
-class UnpackerTest(unittest.TestCase):
-    """What a stream may hold."""
-
-    def test_an_object_may_arrive_in_pieces(self) -> None:
-        unpacker = Unpacker(100)
-        packed = pack(['a' * 20, 7])
-        found = [
-            thing
-            for place in range(len(packed))
-            for thing in unpacker.feed(packed[place : place + 1])
-        ]
-        self.assertEqual(found, [(['a' * 20, 7], len(packed))])
-
-    def test_an_array_in_pieces_is_bounded(self) -> None:
-        unpacker = Unpacker(1000)
-        list(unpacker.feed(b'\xdc\x10\x00'))
-        with self.assertRaises(StreamError):
-            for _ in range(300):
-                list(unpacker.feed(pack('a' * 10)))
-
-
-class BackoffTest(unittest.TestCase):
-    """Waits between tries."""
-
-    def test_waits_double_up_to_a_bound_with_jitter(self) -> None:
-        backoff = Backoff(1, 8, random.Random(3))
-        for failures, bound in enumerate((1, 2, 4, 8, 8, 8)):
-            waits = {backoff.delay(failures) for _ in range(50)}
-            self.assertLessEqual(max(waits), bound)
-            self.assertGreaterEqual(min(waits), bound / 2)
-            self.assertGreater(len(waits), 40)
