--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -21,7 +21,8 @@
     'nutmegroad._quality_part',
     'nutmegroad._routing_part',
     'nutmegroad._safety_part',
-    'nutmegroad._listeners_part',
+    'nutmegroad._operators_part',
+    'nutmegroad._callers_part',
 )
 
 
