Open the parts of ratings, exposure, roll-outs and orders on each host

The operators' listener answers the calls about roll-outs and loading ahead; the guard's quarantine is the default.

--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -2,6 +2,8 @@
 
 from aiohttp.web import Application, AppRunner, TCPSite
 
+from nutmegroad._order_routes import OrderRoutes
+from nutmegroad._rollout_routes import RolloutDesk, RolloutRoutes
 from nutmegroad.billing import Biller
 from nutmegroad.callers import CallerParts, CallersInterface
 from nutmegroad.changes import Changes
@@ -13,6 +15,7 @@
 from nutmegroad.intake import IntakeDesk
 from nutmegroad.intents import IntentLedger
 from nutmegroad.operators import OperatorsInterface
+from nutmegroad.order_keeper import OrderKeeper
 from nutmegroad.registry import register
 from nutmegroad.services import ServiceCaller
 from nutmegroad.sessions import SessionSigner
@@ -46,7 +49,7 @@
 class OperatorsPart:
     """Listens to operators."""
 
-    needs = (Changes, Directory, Explanations)
+    needs = (Changes, Directory, Explanations, RolloutDesk, OrderKeeper)
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
@@ -59,6 +62,10 @@
             kernel.settings.bootstrap_token,
         )
         app = interface.application()
+        routes = RolloutRoutes(kernel.need(RolloutDesk), interface.authorize)
+        routes.add_to(app)
+        orders = OrderRoutes(kernel.need(OrderKeeper), interface.authorize)
+        orders.add_to(app)
         kernel.listening['operators'] = await listen(
             kernel,
             app,
--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/_setting_specs.py
@@ -259,7 +259,7 @@
     ),
     _policy_spec('admitter', 'open', 'policy that lets requests in'),
     _policy_spec('retries', 'unbounded', 'policy that bounds retries'),
-    _policy_spec('quarantine', 'none', 'policy that blocks versions'),
+    _policy_spec('quarantine', 'evidence', 'policy that blocks versions'),
     Spec(
         'plugins',
         read_modules,
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators.py
@@ -307,6 +307,10 @@
             return refuse(head, _NO_REQUEST)
         return _reply(head)
 
+    def authorize(self, http: Request, role: Role) -> OperatorId | Refusal:
+        """Return the operator who asks, if they may; for other parts."""
+        return self._authenticate(http, role)
+
     def _authenticate(self, http: Request, role: Role) -> OperatorId | Refusal:
         """Return the operator whose token was brought."""
         given = http.headers.get('Authorization', '').removeprefix(_BEARER)
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -14,6 +14,10 @@
     'nutmegroad._records_part',
     'nutmegroad.policies',
     'nutmegroad._routing_part',
+    'nutmegroad._ratings_part',
+    'nutmegroad._exposure_part',
+    'nutmegroad._rollouts_part',
+    'nutmegroad._orders_part',
     'nutmegroad._listeners_part',
 )
 
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/settings.py
@@ -96,7 +96,7 @@
     selector: str = 'least-in-flight'
     admitter: str = 'open'
     retries: str = 'unbounded'
-    quarantine: str = 'none'
+    quarantine: str = 'evidence'
     plugins: tuple[str, ...] = ()
     print_settings: bool = False
 
