--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, for the model checker."""
