Hold steady versions to a longer past, and lengths to a third

Cause: a reference of 200 ratings is known to within 0.017 only, and that doubt is given to the version for good. Cause for lengths: half of a fall to one half was inside the tolerance. While the past still fills, ratings under suspicion are not added to it. Longer answers stop only a roll-out: what requests ask for makes every version's answers long.

--- a/src/nutmegroad/exposure.py
+++ b/src/nutmegroad/exposure.py
@@ -27,7 +27,9 @@
 STRONG_STRENGTH: Final = 2 * WEAK_STRENGTH
 
 #: Ratings of its own past that a steady version is compared with.
-REFERENCE_RATINGS: Final = 200
+REFERENCE_RATINGS: Final = 1000
+#: Strength from which ratings are not taken for a good past any more.
+SUSPICION: Final = 2.0
 #: Attempts of its own past that a steady version is compared with.
 REFERENCE_ATTEMPTS: Final = 500
 #: Ratings from which a version may serve as a reference for another.
@@ -41,8 +43,8 @@
 DECLARED_TOLERANCE: Final = 0.15
 #: A rate of failures up to this is not held against a version.
 USUAL_FAILURES: Final = 0.03
-#: Lengths may differ by half as much again, as a logarithm.
-LENGTH_TOLERANCE: Final = math.log(3 / 2)
+#: Lengths may differ by a third, as a logarithm.
+LENGTH_TOLERANCE: Final = math.log(4 / 3)
 #: Times to the first token may be longer by this factor, as a logarithm.
 LATENCY_TOLERANCE: Final = math.log(2)
 
@@ -162,7 +164,8 @@
         if least is not None:
             watch.rated = watch.rated.plus(sample)
             watch.ratings.add(tally, least)
-        if watch.past_ratings.count < REFERENCE_RATINGS:
+        is_open = watch.past_ratings.count < REFERENCE_RATINGS
+        if is_open and watch.ratings.strength < SUSPICION:
             watch.past_ratings = watch.past_ratings.plus(sample)
         self._judge(key, watch)
 
@@ -243,6 +246,9 @@
         """Put a version into quarantine if a test speaks against it."""
         strengths = watch.strengths()
         strengths.pop(Signal.LATENCY)
+        if watch.identity[1] is Stage.STEADY:
+            # Requests that ask for more make every version's answers long.
+            strengths.pop(Signal.LONGER)
         signal = max(strengths, key=strengths.__getitem__)
         if strengths[signal] < WEAK_STRENGTH:
             return
