--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -18,6 +18,7 @@
     'nutmegroad._exposure_part',
     'nutmegroad._rollouts_part',
     'nutmegroad._orders_part',
+    'nutmegroad._safety_part',
     'nutmegroad._listeners_part',
 )
 
