Order nothing without a configuration in force

Cause: to a host that had read a head of revision 0 no version was allowed, and no deadline was known, so it unloaded all versions at once from engines that were ready before the first document. Red without the look: all of 100 s' unloads went out; green with it.

--- a/src/nutmegroad/order_keeper.py
+++ b/src/nutmegroad/order_keeper.py
@@ -157,9 +157,16 @@
         return Refusal(ResultCode.TABLE_CONFLICT, reason)
 
     async def _desired(self) -> Desired | None:
-        """Return what this domain's engines ought to have, if known."""
+        """Return what this domain's engines ought to have, if known.
+
+        A host without a confirmed configuration knows nothing: to it, no
+        version would be allowed, and it would unload them all.
+        """
+        configuration = self._parts.configuration
+        if configuration.accepted is None or configuration.isolated:
+            return None
         prepared = await self._parts.table.read(PREPARED_KEY)
-        if isinstance(prepared, Refusal) or self._parts.configuration.isolated:
+        if isinstance(prepared, Refusal):
             return None
         shares = self._parts.shares
         sharing = frozenset(
@@ -168,7 +175,7 @@
             if shares.share(rollout.state.version) > 0
         )
         return desired_of(
-            self._parts.configuration,
+            configuration,
             self._domains(),
             self._domain,
             prepared.text,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -23,6 +23,7 @@
 from nutmegroad.rollout_shares import RolloutShares
 from nutmegroad.testing import ManualClock, MemoryMesh
 from nutmegroad.types import (
+    NO_REVISION,
     Address,
     DomainId,
     FencingNumber,
@@ -274,6 +275,13 @@
         await self.turns(self.one, seconds=4)
         self.assertEqual(self.copies(NEW), 0)
 
+    async def test_without_a_configuration_nothing_is_unloaded(self) -> None:
+        configuration = self.one.configuration
+        configuration._accepted = None
+        configuration.confirm(NO_REVISION, self.clock.now())
+        await self.turns(self.one, seconds=100)
+        self.assertEqual(self.engines.obeyed, [])
+
     async def test_an_allowed_version_is_never_unloaded(self) -> None:
         for host in (self.one, self.two):
             allowed = allowing(self.document, OLD, NEW)
