Demand twenty failures before a version is stopped for them

Cause: two requests that were retried on cutting engines gave seven failures, and the guard stopped the version: the callers' test saw 503 for 502. A broken engine is no evidence on the version. Ruled out: a lower factor alone, which needs 13 failures in a row.

--- a/src/nutmegroad/exposure.py
+++ b/src/nutmegroad/exposure.py
@@ -43,6 +43,9 @@
 DECLARED_TOLERANCE: Final = 0.15
 #: A rate of failures up to this is not held against a version.
 USUAL_FAILURES: Final = 0.03
+#: Failures in one run of them from which a version may be stopped. A few
+#: requests that are retried on a broken engine are no evidence on a version.
+LEAST_FAILURES: Final = 20
 #: Lengths may differ by a third, as a logarithm.
 LENGTH_TOLERANCE: Final = math.log(4 / 3)
 #: Times to the first token may be longer by this factor, as a logarithm.
@@ -79,6 +82,7 @@
         past: Attempts of its past, for a steady version.
         baseline: What the version before had when the watch began.
         rated: Ratings that were tested.
+        failed: Failures since the test of failures last began anew.
     """
 
     identity: tuple[int, Stage]
@@ -91,6 +95,7 @@
     past: Tally = field(default_factory=Tally)
     baseline: Tally = field(default_factory=Tally)
     rated: Moments = field(default_factory=Moments)
+    failed: int = 0
 
     def strengths(self) -> dict[Signal, float]:
         """Return how strongly each signal speaks against the version."""
@@ -177,6 +182,9 @@
         watch = self._watch(entry, key[1])
         reference = self._reference(entry, key[1], watch)
         most = max(USUAL_FAILURES, _rate(reference))
+        if watch.failures.strength <= 0:
+            watch.failed = 0
+        watch.failed += fresh.failures
         watch.failures.add(fresh.failures, fresh.answers, most)
         if reference.answers >= LEAST_ANSWERS:
             length = reference.length
@@ -246,6 +254,8 @@
         """Put a version into quarantine if a test speaks against it."""
         strengths = watch.strengths()
         strengths.pop(Signal.LATENCY)
+        if watch.failed < LEAST_FAILURES:
+            strengths.pop(Signal.FAILURES)
         if watch.identity[1] is Stage.STEADY:
             # Requests that ask for more make every version's answers long.
             strengths.pop(Signal.LONGER)
