--- a/src/nutmegroad/orders.py
+++ b/src/nutmegroad/orders.py
@@ -150,13 +150,15 @@
         )
 
     def _loads(self, version: VersionId, need: int) -> list[PlannedOrder]:
+        missing = need - self.copies(version)
+        if missing <= 0:
+            return []
         without = [
             (self._burden(state, report), state)
             for state, report in self._engines
             if not self._has(state, report, version)
         ]
         without.sort(key=lambda ranked: ranked[0])
-        missing = max(need - self.copies(version), 0)
         return [
             PlannedOrder(state, OrderAction.LOAD, version)
             for _burden, state in without[:missing]
@@ -170,8 +172,8 @@
     ) -> bool:
         if version in report.versions:
             return True
-        order = PlannedOrder(state, OrderAction.LOAD, version)
-        return self._pending.has(order)
+        engine = state.info.upstream
+        return (engine, OrderAction.LOAD, version) in self._pending.given
 
     def _burden(
         self,
