--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,11 +1,13 @@
 """Leases: one holder at a time, whatever is lost, paused or down."""
 
+import asyncio
 import itertools
+import random
 import unittest
 
 from nutmegroad.leases import Lease, LeaseKeeper
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
+from nutmegroad.testing import ManualClock, PausableClock
 from nutmegroad.types import Incarnation
 from tests.tables import MemoryTable
 
@@ -53,6 +55,67 @@
         self.assertEqual(getattr(lease, 'code', None), code)
 
 
+class RandomisedTest(unittest.IsolatedAsyncioTestCase):
+    """Slow, lost and late calls, and hosts that sleep, by seeds."""
+
+    async def test_numbers_in_use_never_go_back(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                used = await self.run_hosts(random.Random(seed))
+                self.assertEqual(used, sorted(used))
+                self.assertGreater(len(set(used)), 1)
+
+    async def run_hosts(self, chance: random.Random) -> list[int]:
+        """Let three hosts strive for a lease; return the numbers used."""
+        clock = ManualClock()
+        table = MemoryTable()
+        used: list[int] = []
+
+        async def dawdle() -> None:
+            table.lost_replies = int(chance.randrange(5) == 0)
+            await clock.sleep(chance.choice((0, 0.1, 1, TERM)))
+
+        table.before_reply = dawdle
+        views = [PausableClock(clock) for _ in range(3)]
+        tasks = [
+            asyncio.ensure_future(strive(table, view, str(number), used))
+            for number, view in enumerate(views)
+        ]
+        for _ in range(60):
+            view = chance.choice(views)
+            view.pause()
+            await clock.advance(chance.choice((0.5, 2, 2 * TERM)))
+            table.down = chance.randrange(10) == 0
+            view.resume()
+            await clock.advance(2)
+        for task in tasks:
+            task.cancel()
+        return used
+
+
+async def strive(
+    table: MemoryTable,
+    clock: PausableClock,
+    name: str,
+    used: list[int],
+) -> None:
+    """Keep a lease, and note its number right after each last look."""
+    numbers = itertools.count()
+    keeper = LeaseKeeper(
+        Incarnation(name),
+        table,
+        clock,
+        lambda: f'{name}/{next(numbers)}',
+        TERM,
+    )
+    while True:
+        lease = await keeper.keep(NAME)
+        for _ in range(4):
+            await clock.sleep(0.5)
+            if isinstance(lease, Lease) and keeper.check(lease) is None:
+                used.append(lease.number)
+
+
 class LeaseTest(LeaseCase):
     async def test_a_renewed_lease_is_never_taken_over(self) -> None:
         lease = await self.taken(self.one)
