--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -18,7 +18,9 @@
 from nutmegroad.metrics import Metrics
 from nutmegroad.operator_access import Access
 from nutmegroad.operators import OperatorsInterface
+from nutmegroad.order_keeper import OrderKeeper
 from nutmegroad.registry import register, registered
+from nutmegroad.rollout_desk import RolloutDesk
 from nutmegroad.stops import GracefulStop
 
 _UNAVAILABLE = 503
@@ -48,7 +50,15 @@
 class OperatorsPart:
     """Listens to operators."""
 
-    needs = (Changes, Directory, Explanations, GracefulStop, Metrics)
+    needs = (
+        Changes,
+        Directory,
+        Explanations,
+        GracefulStop,
+        Metrics,
+        OrderKeeper,
+        RolloutDesk,
+    )
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -20,7 +20,13 @@
     'nutmegroad.baselines',
     'nutmegroad._quality_part',
     'nutmegroad._routing_part',
+    'nutmegroad._ratings_part',
+    'nutmegroad._exposure_part',
+    'nutmegroad._rollouts_part',
+    'nutmegroad._trials_part',
+    'nutmegroad._orders_part',
     'nutmegroad._safety_part',
+    'nutmegroad.operator_rollouts',
     'nutmegroad._operators_part',
     'nutmegroad._callers_part',
 )
