--- /dev/null
+++ b/src/nutmegroad/_estimates.py
@@ -0,0 +1,171 @@
+"""How fast versions and engines are, learnt from this host's attempts."""
+
+import random
+from bisect import bisect_right
+from collections import deque
+from typing import Final
+
+from nutmegroad._ejection import Health
+from nutmegroad.upstreams import UpstreamState
+
+#: Seconds by which an engine's report is behind, as a rule.
+REPORT_LAG: Final = 0.5
+
+#: Own counts that are kept, to know what a late report had seen of us.
+_HISTORY: Final = 64
+
+#: Weight of the newest observation.
+_GAIN: Final = 0.05
+_SLOWNESS_GAIN: Final = 0.2
+
+#: Observations beyond this factor of the expected count as the factor.
+_OUTLIER: Final = 8.0
+
+#: Seconds after which half of a measured slowness is forgotten.
+_FORGETTING: Final = 30.0
+
+_FIRST_STEP: Final = 0.03
+_FIRST_PREFILL: Final = 0.0002
+_FIRST_SERVICE: Final = 5.0
+_LEAST_SPREAD: Final = 0.25
+
+
+class Line:
+    """A line through points, of which old ones fade away.
+
+    Args:
+        level: What is expected before the first point.
+    """
+
+    def __init__(self, level: float) -> None:
+        self._x = 0.0
+        self._y = level
+        self._xx = 0.0
+        self._xy = 0.0
+        self._count = 0
+
+    @property
+    def slope(self) -> float:
+        """Return the rise for each unit, never below 0."""
+        if self._xx < _LEAST_SPREAD:
+            return 0
+        return max(0, self._xy / self._xx)
+
+    def at(self, place: float) -> float:
+        """Return the expected value at a place."""
+        floor = self._y / _OUTLIER
+        return max(floor, self._y + self.slope * (place - self._x))
+
+    def add(self, place: float, found: float) -> None:
+        """Take a point; one far out is taken as less far."""
+        self._count += 1
+        gain = max(_GAIN, 1 / self._count)
+        if self._count > 1:
+            found = min(found, self.at(place) * _OUTLIER)
+        right = place - self._x
+        up = found - self._y
+        self._x += gain * right
+        self._y += gain * up
+        self._xx = (1 - gain) * (self._xx + gain * right * right)
+        self._xy = (1 - gain) * (self._xy + gain * right * up)
+
+
+class Median:
+    """A running median: each value moves it by a small factor only.
+
+    Args:
+        level: Where it starts.
+    """
+
+    def __init__(self, level: float) -> None:
+        self.level = level
+        self._fresh = True
+
+    def add(self, found: float) -> None:
+        """Take a value."""
+        if self._fresh:
+            self._fresh = False
+            self.level = found
+        elif found > self.level:
+            self.level *= 1 + _GAIN
+        else:
+            self.level /= 1 + _GAIN
+
+
+class VersionSpeed:
+    """How fast a version is on the engines that have it.
+
+    Attributes:
+        step: Seconds between two tokens, by requests at the engine.
+        prefill: Seconds for each prompt token that is not cached.
+        service: Seconds that a request takes in all.
+        saved: Prompt tokens that a prefix in the cache saves.
+    """
+
+    def __init__(self) -> None:
+        self.step = Line(_FIRST_STEP)
+        self.prefill = Median(_FIRST_PREFILL)
+        self.service = Line(_FIRST_SERVICE)
+        self.saved = 0.0
+
+    def found_cached(self, tokens: int) -> None:
+        """Note how much a prefix that was expected in the cache saved."""
+        self.saved += (tokens - self.saved) * _SLOWNESS_GAIN
+
+
+class EngineView:
+    """What this host has learnt of one engine.
+
+    Args:
+        state: The engine.
+        randomness: Jitter of ejections.
+    """
+
+    def __init__(
+        self,
+        state: UpstreamState,
+        randomness: random.Random,
+    ) -> None:
+        self.health = Health(state.first_seen, randomness)
+        self._others = 0.0
+        self._reported = float('-inf')
+        self._own = 0
+        self._times: deque[float] = deque(maxlen=_HISTORY)
+        self._counts: deque[int] = deque(maxlen=_HISTORY)
+        self._slowness = 1.0
+        self._measured = float('-inf')
+
+    def load(self, state: UpstreamState) -> float:
+        """Return the requests that are there now, ours and others'."""
+        if state.report is not None and state.reported != self._reported:
+            self._reported = state.reported
+            total = state.report.running + state.report.queued
+            seen = self._own_at(state.reported - REPORT_LAG)
+            self._others = max(0, total - seen)
+        return state.in_flight + self._others
+
+    def slowness(self, now: float) -> float:
+        """Return its times in relation to its peers'; 1 is as usual."""
+        age = max(0, now - self._measured)
+        kept: float = 0.5 ** (age / _FORGETTING)
+        return 1 + (self._slowness - 1) * kept
+
+    def changed(self, now: float, step: int) -> None:
+        """Note that one of our attempts began or ended."""
+        self._own += step
+        self._times.append(now)
+        self._counts.append(self._own)
+
+    def compare(self, ratio: float, now: float) -> None:
+        """Note a time in relation to what its peers would have taken."""
+        bounded = min(_OUTLIER, max(1 / _OUTLIER, ratio))
+        before = self.slowness(now)
+        self._slowness = before + (bounded - before) * _SLOWNESS_GAIN
+        self._measured = now
+
+    def _own_at(self, moment: float) -> int:
+        """Return how many of our attempts were there at a moment."""
+        place = bisect_right(self._times, moment)
+        if place:
+            return self._counts[place - 1]
+        return 0 if len(self._times) < _HISTORY else self._counts[0]
--- /dev/null
+++ b/src/nutmegroad/_service_times.py
@@ -0,0 +1,46 @@
+"""How long requests take, learnt by this host."""
+
+from typing import Final
+
+from nutmegroad._estimates import Line, Median
+from nutmegroad.decisions import AttemptEnd
+from nutmegroad.requests import ModelRequest
+from nutmegroad.types import TaskName
+
+#: Seconds for each output token before any was seen, on the low side: a
+#: request must not be refused on a guess.
+_FIRST_TOKEN_SECONDS: Final = 0.01
+
+
+class ServiceTimes:
+    """Estimates the seconds that a request will run."""
+
+    def __init__(self) -> None:
+        self._per_token = Median(_FIRST_TOKEN_SECONDS)
+        self._first: dict[TaskName, Line] = {}
+        self._output: dict[TaskName, Line] = {}
+
+    def add(self, end: AttemptEnd) -> None:
+        """Learn from a whole answer."""
+        if end.first_token is None or not end.output_tokens:
+            return
+        task = end.start.task
+        rest = end.seconds - end.first_token
+        if end.output_tokens > 1:
+            self._per_token.add(rest / (end.output_tokens - 1))
+        first = self._first.setdefault(task, Line(end.first_token))
+        first.add(0, end.first_token)
+        output = self._output.setdefault(task, Line(end.output_tokens))
+        output.add(0, end.output_tokens)
+
+    def expected(self, request: ModelRequest) -> float:
+        """Return the seconds that a request will run."""
+        first = self._first.get(request.task)
+        output = self._output.get(request.task)
+        tokens: float = request.output_tokens
+        if output is not None:
+            # What a caller may want at most says little; what the task's
+            # answers had says more.
+            tokens = min(tokens, output.at(0))
+        rest = tokens * self._per_token.level
+        return rest + (first.at(0) if first else 0)
--- /dev/null
+++ b/src/nutmegroad/_slots.py
@@ -0,0 +1,164 @@
+"""How many requests this host may run at once, in all and for a lane."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from nutmegroad._engine_pools import slots_of
+from nutmegroad._fair_queue import Lane
+from nutmegroad.clocks import Clock
+from nutmegroad.directory import Directory, is_engine
+from nutmegroad.fleet import FleetLoad
+from nutmegroad.results import ResultCode
+from nutmegroad.shares import ShareLedger, static_part
+from nutmegroad.types import DomainId, HostId
+from nutmegroad.upstreams import UpstreamState
+
+#: Seconds for which counted slots are taken to be the same.
+REFRESH: Final = 0.5
+
+#: Permits for each slot: a permit is held a little longer than a slot, and
+#: a host's part is small enough for chance to leave slots empty.
+OVERCOMMIT: Final = 1.1
+
+#: The limit falls by this factor when an engine turns out to be full.
+_DECREASE: Final = 0.95
+#: The least share of the slots, and how fast the limit comes back.
+_LEAST: Final = 0.4
+_INCREASE_PER_SECOND: Final = 0.05
+#: Seconds in which the limit falls at most once.
+_PAUSE: Final = 0.5
+
+
+class Pressure:
+    """Lowers the limit while engines prove to be full, slowly raises it.
+
+    Args:
+        clock: The host's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._factor = 1.0
+        self._changed = clock.now()
+
+    @property
+    def factor(self) -> float:
+        """Return the share of the slots to use now."""
+        grown = _INCREASE_PER_SECOND * (self._clock.now() - self._changed)
+        return min(1.0, self._factor + grown)
+
+    def ended(self, code: ResultCode) -> None:
+        """Note how an attempt ended."""
+        if code is not ResultCode.UPSTREAM_BUSY:
+            return
+        now = self._clock.now()
+        if now - self._changed >= _PAUSE:
+            self._factor = max(_LEAST, self.factor * _DECREASE)
+            self._changed = now
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this host is.
+
+    Attributes:
+        host: Its id.
+        domain: Its failure domain.
+    """
+
+    host: HostId
+    domain: DomainId
+
+
+class HostSlots:
+    """This host's part of its failure domain's slots.
+
+    Args:
+        identity: Who this host is.
+        directory: The upstreams.
+        fleet: What other hosts say.
+        ledger: What this host has lent and borrowed.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        directory: Directory,
+        fleet: FleetLoad,
+        ledger: ShareLedger,
+        clock: Clock,
+    ) -> None:
+        self.pressure = Pressure(clock)
+        self.identity = identity
+        self._directory = directory
+        self._fleet = fleet
+        self._ledger = ledger
+        self._clock = clock
+        self._counted: dict[Lane | None, tuple[float, int]] = {}
+
+    @property
+    def permits(self) -> int:
+        """Return the permits of all this domain's hosts."""
+        return int(self.domain_slots(None) * OVERCOMMIT)
+
+    @property
+    def holding(self) -> int:
+        """Return the permits of this host before pressure is seen to."""
+        others = self._fleet.hosts(self.identity.domain)
+        static = static_part(self.permits, self.identity.host, others)
+        return max(1, static + self._ledger.balance(self._clock.now()))
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once."""
+        local = self.holding * self.pressure.factor
+        return max(1, int(local + self._spilled()))
+
+    def lane_limit(self, lane: Lane) -> int:
+        """Return how many requests of a lane may run at once."""
+        every = self.domain_slots(None)
+        slots = self.domain_slots(lane)
+        if slots == every:
+            return self.limit
+        part = self.holding * slots / max(1, every)
+        local = part * self.pressure.factor
+        return max(1, int(local + self._spilled()))
+
+    def domain_slots(self, lane: Lane | None) -> int:
+        """Return the slots of this domain's engines that fit a lane."""
+        now = self._clock.now()
+        counted = self._counted.get(lane)
+        if counted is not None and now - counted[0] < REFRESH:
+            return counted[1]
+        slots = sum(
+            slots_of(state)
+            for state in self._engines(lane)
+            if state.info.domain == self.identity.domain
+        )
+        self._counted[lane] = (now, slots)
+        return slots
+
+    def _engines(self, lane: Lane | None) -> tuple[UpstreamState, ...]:
+        """Return the live engines that fit a lane; None for all."""
+        if lane is None:
+            return tuple(
+                state
+                for state in self._directory.states()
+                if is_engine(state) and state.report and not state.leaving
+            )
+        found = {
+            state.info.upstream: state
+            for version in lane
+            for state in self._directory.engines(version)
+        }
+        return tuple(found.values())
+
+    def _spilled(self) -> float:
+        """Return what other domains have to spare for this host."""
+        local = self.identity.domain
+        others = [one for one in self._fleet.domains() if one != local]
+        if not others:
+            return 0
+        # Each domain's room is shared by the hosts of all others.
+        return sum(self._fleet.spare(one) for one in others) / len(others)
--- a/src/nutmegroad/attempts.py
+++ b/src/nutmegroad/attempts.py
@@ -175,6 +175,7 @@
             output_tokens=output,
             cost=self._cost(start, prompt, output),
             text=''.join(received.pieces) if ending else '',
+            cached_tokens=ending.cached_tokens if ending else 0,
         )
 
     def _cost(self, start: AttemptStart, prompt: int, output: int) -> float:
--- /dev/null
+++ b/src/nutmegroad/baselines.py
@@ -0,0 +1,101 @@
+"""Plain selectors that the measured ones are compared with."""
+
+import random
+
+from nutmegroad.core import Kernel
+from nutmegroad.decisions import Choice
+from nutmegroad.directory import Directory
+from nutmegroad.registry import register
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import UpstreamId, VersionId
+from nutmegroad.upstreams import UpstreamState
+
+
+class RoundRobin:
+    """Takes the engines of a version in turn.
+
+    Args:
+        directory: The upstreams.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._turns: dict[VersionId, int] = {}
+
+    def choose(
+        self,
+        request: ModelRequest,
+        version: VersionId,
+        excluded: frozenset[UpstreamId],
+    ) -> Choice | Refusal:
+        """Return the next engine."""
+        states = _candidates(self._directory, version, excluded)
+        if not states:
+            return no_engine(version)
+        turn = self._turns.get(version, 0)
+        self._turns[version] = turn + 1
+        return Choice(states[turn % len(states)], 0, 'next in turn')
+
+
+class RandomChoice:
+    """Takes any engine of a version.
+
+    Args:
+        directory: The upstreams.
+        randomness: Draws it.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        randomness: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._randomness = randomness
+
+    def choose(
+        self,
+        request: ModelRequest,
+        version: VersionId,
+        excluded: frozenset[UpstreamId],
+    ) -> Choice | Refusal:
+        """Return any engine."""
+        states = _candidates(self._directory, version, excluded)
+        if not states:
+            return no_engine(version)
+        return Choice(self._randomness.choice(states), 0, 'drawn')
+
+
+def no_engine(version: VersionId) -> Refusal:
+    """Say that no engine can be had."""
+    return Refusal(
+        ResultCode.NO_UPSTREAM,
+        f'No live engine that may be tried has {version} loaded.',
+        retry_after=1,
+    )
+
+
+@register('selector', 'round-robin')
+def round_robin(kernel: Kernel) -> RoundRobin:
+    """Make the selector for a host."""
+    return RoundRobin(kernel.need(Directory))
+
+
+@register('selector', 'random')
+def random_choice(kernel: Kernel) -> RandomChoice:
+    """Make the selector for a host."""
+    return RandomChoice(kernel.need(Directory), kernel.randomness)
+
+
+def _candidates(
+    directory: Directory,
+    version: VersionId,
+    excluded: frozenset[UpstreamId],
+) -> list[UpstreamState]:
+    """Return the engines that may be tried."""
+    return [
+        state
+        for state in directory.engines(version)
+        if state.info.upstream not in excluded
+    ]
--- a/src/nutmegroad/decisions.py
+++ b/src/nutmegroad/decisions.py
@@ -55,6 +55,7 @@
         output_tokens: Tokens written.
         cost: What it cost.
         text: The whole answer, if there was one.
+        cached_tokens: Prompt tokens that the engine had in its cache.
     """
 
     start: AttemptStart
@@ -65,6 +66,7 @@
     output_tokens: int
     cost: float
     text: str
+    cached_tokens: int = 0
 
 
 class Observer(Protocol):
--- /dev/null
+++ b/src/nutmegroad/exchange.py
@@ -0,0 +1,149 @@
+"""Tells hosts of each other's load, and moves slots to where they lack."""
+
+import random
+from math import ceil
+from typing import Final
+
+from nutmegroad._slots import Identity
+from nutmegroad.admission import FairAdmitter
+from nutmegroad.clocks import Clock
+from nutmegroad.fleet import FleetLoad, LoadDigest
+from nutmegroad.peers import Member, Mesh, Message
+from nutmegroad.shares import ShareAsk, ShareLedger, ShareLoan
+from nutmegroad.types import DomainId, HostId, Presence
+
+#: Seconds between two rounds, and the share by which that varies.
+PERIOD: Final = 1.0
+_JITTER: Final = 0.2
+
+#: Hosts of its own domain that a host tells in each round.
+FANOUT: Final = 12
+
+#: Hosts that are asked for slots in a round.
+ASKED: Final = 2
+
+#: Seconds to wait for a reply.
+_TIMEOUT: Final = 0.5
+
+#: Slots that a lender keeps free for itself.
+_RESERVE: Final = 1
+
+
+class ShareExchange:
+    """One host's side of the exchange.
+
+    Args:
+        mesh: Links to other hosts.
+        admitter: Whose slots are moved.
+        fleet: Where digests are kept.
+        ledger: Where loans are kept.
+        clock: The host's clock.
+        randomness: Draws whom to tell and when.
+    """
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        admitter: FairAdmitter,
+        fleet: FleetLoad,
+        ledger: ShareLedger,
+        clock: Clock,
+        randomness: random.Random,
+    ) -> None:
+        self._mesh = mesh
+        self._admitter = admitter
+        self._fleet = fleet
+        self._ledger = ledger
+        self._clock = clock
+        self._randomness = randomness
+
+    @property
+    def _identity(self) -> Identity:
+        """Return who this host is."""
+        return self._admitter.slots.identity
+
+    def handle(self) -> None:
+        """Register what is done with messages."""
+        self._mesh.handle(LoadDigest, self._heard)
+        self._mesh.handle(ShareAsk, self._asked)
+
+    async def run(self) -> None:
+        """Take rounds until cancelled."""
+        while True:
+            spread = self._randomness.uniform(1 - _JITTER, 1 + _JITTER)
+            await self._clock.sleep(PERIOD * spread)
+            await self.round()
+
+    async def round(self) -> None:
+        """Tell others, and ask for slots where they lack."""
+        members = self._live()
+        self._fleet.count(members)
+        self._tell(members)
+        wanted = self._wanted()
+        if wanted > 0:
+            await self._borrow(wanted)
+        # Limits may have changed in any case: loans end by themselves.
+        self._admitter.wake()
+
+    def _live(self) -> list[Member]:
+        """Return the other hosts that are live."""
+        return [
+            member
+            for member in self._mesh.members()
+            if member.presence is Presence.LIVE
+            and member.host != self._identity.host
+        ]
+
+    def _tell(self, members: list[Member]) -> None:
+        """Tell some hosts of the own domain, and one of each other."""
+        digest = self._admitter.digest(self._identity)
+        domains: dict[DomainId, list[HostId]] = {}
+        for member in members:
+            domains.setdefault(member.domain, []).append(member.host)
+        for domain, hosts in domains.items():
+            fanout = FANOUT if domain == self._identity.domain else 1
+            some = self._randomness.sample(hosts, min(fanout, len(hosts)))
+            for host in some:
+                self._mesh.tell(host, digest)
+
+    def _wanted(self) -> int:
+        """Return how many more slots this host could use."""
+        slots = self._admitter.slots
+        needed = self._admitter.running + self._admitter.queued + _RESERVE
+        ending = self._ledger.expiring(self._clock.now(), 2 * PERIOD)
+        return needed - slots.holding + ending
+
+    async def _borrow(self, wanted: int) -> None:
+        """Ask those with most to spare."""
+        digests = self._fleet.fresh(self._identity.domain)
+        digests.sort(key=lambda digest: digest.spare, reverse=True)
+        lacking = self._admitter.entitlement - self._admitter.slots.holding
+        claim = max(0, ceil(lacking))
+        for digest in digests[:ASKED]:
+            if wanted <= 0 or not (digest.spare or claim):
+                return
+            ask = ShareAsk(wanted=wanted, claim=min(claim, wanted))
+            asked = self._clock.now()
+            host = HostId(digest.host)
+            reply = await self._mesh.ask(host, ask, _TIMEOUT)
+            if isinstance(reply, ShareLoan) and reply.slots > 0:
+                self._ledger.borrow(reply.slots, asked)
+                wanted -= reply.slots
+                claim -= reply.slots
+
+    async def _heard(self, host: HostId, digest: LoadDigest) -> None:
+        """Keep a digest."""
+        self._fleet.take(digest)
+
+    async def _asked(self, host: HostId, ask: ShareAsk) -> Message:
+        """Lend what is idle, or what others are entitled to."""
+        admitter = self._admitter
+        holding = admitter.slots.holding
+        busy = admitter.running + admitter.queued + _RESERVE
+        idle = (holding - busy) // 2
+        over = min(ask.claim, int(holding - admitter.entitlement))
+        slots = min(ask.wanted, max(idle, over), holding - 1)
+        if slots <= 0:
+            return ShareLoan(slots=0)
+        self._ledger.lend(slots, self._clock.now())
+        return ShareLoan(slots=slots)
--- /dev/null
+++ b/src/nutmegroad/fleet.py
@@ -0,0 +1,126 @@
+"""What other hosts say of their load, in small digests."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from msgspec import field
+
+from nutmegroad.clocks import Clock
+from nutmegroad.peers import Member, Message
+from nutmegroad.types import DomainId, HostId, WorkspaceId
+
+#: Seconds after which a digest says nothing any more.
+DIGEST_HOLDS: Final = 10.0
+
+#: Seconds for which hosts that are not heard still count in their domain.
+HOST_HOLDS: Final = 60.0
+
+#: Share of a domain's hosts that shed for the domain to count as shedding.
+_SHEDDING_SHARE: Final = 0.25
+
+
+class LoadDigest(Message, frozen=True, tag='load-digest'):
+    """A host's load.
+
+    Attributes:
+        host: Whose.
+        domain: Its failure domain.
+        limit: Requests that it may run at once.
+        running: Requests that it runs.
+        waiting: Requests that wait.
+        shedding: Whether it has refused any lately for lack of room.
+        demand: Slots that each workspace would use, its largest ones.
+    """
+
+    host: str
+    domain: str
+    limit: int
+    running: int
+    waiting: int
+    shedding: bool
+    demand: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def spare(self) -> int:
+        """Return the slots that it does not use."""
+        return max(0, self.limit - self.running - self.waiting)
+
+
+class FleetLoad:
+    """The newest digest of each host that was heard.
+
+    Args:
+        clock: The host's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._heard: dict[DomainId, dict[HostId, tuple[float, LoadDigest]]] = {}
+        self._seen: dict[DomainId, dict[HostId, float]] = {}
+
+    def count(self, members: Iterable[Member]) -> None:
+        """Note which hosts are live now."""
+        now = self._clock.now()
+        for member in members:
+            seen = self._seen.setdefault(member.domain, {})
+            seen[member.host] = now
+        self._forget()
+
+    def hosts(self, domain: DomainId) -> list[HostId]:
+        """Return a domain's other hosts.
+
+        One that is not seen any more counts for a while: it may be cut off
+        and go on using its part.
+        """
+        return list(self._seen.get(domain, ()))
+
+    def take(self, digest: LoadDigest) -> None:
+        """Keep a host's newest digest."""
+        domain = self._heard.setdefault(DomainId(digest.domain), {})
+        domain[HostId(digest.host)] = (self._clock.now(), digest)
+
+    def domains(self) -> tuple[DomainId, ...]:
+        """Return the domains of which anything was heard."""
+        return tuple(self._heard)
+
+    def fresh(self, domain: DomainId) -> list[LoadDigest]:
+        """Return the digests of a domain that still hold."""
+        oldest = self._clock.now() - DIGEST_HOLDS
+        heard = self._heard.get(domain, {})
+        return [digest for at, digest in heard.values() if at > oldest]
+
+    def is_shedding(self, domain: DomainId) -> bool:
+        """Tell whether a domain refuses work for lack of room."""
+        digests = self.fresh(domain)
+        shedding = sum(digest.shedding for digest in digests)
+        return shedding > _SHEDDING_SHARE * len(digests)
+
+    def spare(self, domain: DomainId) -> float:
+        """Return what a host of a domain has to spare on average."""
+        digests = self.fresh(domain)
+        if not digests or self.is_shedding(domain):
+            return 0
+        return sum(digest.spare for digest in digests) / len(digests)
+
+    def demand(self, domain: DomainId) -> dict[WorkspaceId, float]:
+        """Return the slots that workspaces would use at a domain's hosts."""
+        summed: dict[WorkspaceId, float] = {}
+        for digest in self.fresh(domain):
+            for name, slots in digest.demand.items():
+                workspace = WorkspaceId(name)
+                summed[workspace] = summed.get(workspace, 0) + slots
+        return summed
+
+    def _forget(self) -> None:
+        """Drop hosts that have not been seen for long."""
+        oldest = self._clock.now() - HOST_HOLDS
+        for domain, seen in self._seen.items():
+            self._seen[domain] = {
+                host: at for host, at in seen.items() if at > oldest
+            }
+        for domain, heard in self._heard.items():
+            self._heard[domain] = {
+                host: entry
+                for host, entry in heard.items()
+                if entry[0] > oldest
+            }
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -10,6 +10,11 @@
     'nutmegroad._configuration_part',
     'nutmegroad._records_part',
     'nutmegroad.policies',
+    'nutmegroad.baselines',
+    'nutmegroad.selection',
+    'nutmegroad.admission',
+    'nutmegroad.retries',
+    'nutmegroad._load_part',
     'nutmegroad._routing_part',
     'nutmegroad._listeners_part',
 )
--- /dev/null
+++ b/src/nutmegroad/selection.py
@@ -0,0 +1,359 @@
+"""Chooses the engine from which the first token is expected soonest."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from nutmegroad._engine_pools import EnginePools, draw, has_loaded, slots_of
+from nutmegroad._estimates import EngineView, VersionSpeed
+from nutmegroad._prefixes import PrefixMemory
+from nutmegroad.baselines import no_engine
+from nutmegroad.clocks import Clock
+from nutmegroad.core import Kernel
+from nutmegroad.decisions import AttemptEnd, AttemptStart, Choice, Observers
+from nutmegroad.directory import Directory
+from nutmegroad.fleet import FleetLoad
+from nutmegroad.registry import register
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import AttemptId, DomainId, UpstreamId, VersionId
+from nutmegroad.upstreams import UpstreamState
+
+#: Engines drawn for each choice, beside those that hold the prefix.
+DRAWN: Final = 3
+
+#: Seconds that another failure domain has to be better by.
+SPILL_MARGIN: Final = 0.05
+
+#: Engines that a reason names.
+_NAMED: Final = 4
+
+#: Breaks ties between engines that have a slot free, as a share of a step.
+_CROWDING: Final = 0.5
+
+
+@dataclass(slots=True)
+class _Pending:
+    """What was expected of an attempt that is under way."""
+
+    load: float
+    slots: int
+    cached: bool
+    prefix: int
+    uncached: int
+
+
+@dataclass(slots=True)
+class _Candidate:
+    """An engine that was looked at."""
+
+    state: UpstreamState
+    load: float
+    seconds: float
+    cached: bool
+
+
+@dataclass(slots=True)
+class _Search:
+    """One choice, as it is made."""
+
+    request: ModelRequest
+    version: VersionId
+    excluded: frozenset[UpstreamId]
+    now: float
+    speed: VersionSpeed
+    candidates: list[_Candidate] = field(default_factory=list)
+    left_out: list[str] = field(default_factory=list)
+    best: _Candidate | None = None
+
+
+class ExpectedSelector:
+    """Draws a few engines and takes the soonest first token among them.
+
+    Args:
+        directory: The upstreams.
+        fleet: What other hosts and domains say of their load.
+        clock: The host's clock.
+        randomness: Draws engines.
+        domain: The failure domain of this host.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        fleet: FleetLoad,
+        clock: Clock,
+        randomness: random.Random,
+        domain: DomainId,
+    ) -> None:
+        self._pools = EnginePools(directory, clock)
+        self._directory = directory
+        self._fleet = fleet
+        self._clock = clock
+        self._randomness = randomness
+        self._domain = domain
+        self._views: dict[UpstreamId, tuple[UpstreamState, EngineView]] = {}
+        self._speeds: dict[VersionId, VersionSpeed] = {}
+        self._prefixes = PrefixMemory()
+        self._expected: dict[tuple[str, UpstreamId], _Pending] = {}
+        self._pending: dict[AttemptId, _Pending] = {}
+
+    def choose(
+        self,
+        request: ModelRequest,
+        version: VersionId,
+        excluded: frozenset[UpstreamId],
+    ) -> Choice | Refusal:
+        """Return the engine from which the first token is soonest."""
+        search = _Search(
+            request,
+            version,
+            excluded,
+            self._clock.now(),
+            self._speed(version),
+        )
+        domains = self._pools.pool(version).domains
+        local = domains.get(self._domain, [])
+        self._look(search, self._holders(search))
+        self._look(search, draw(local, DRAWN, self._randomness))
+        if search.best is None:
+            # Rare: all that were drawn are left out.
+            self._look(search, local)
+        if self._is_full(search):
+            self._spill(search, domains)
+        if search.best is None:
+            self._last_resort(search, local)
+        if search.best is None:
+            return no_engine(version)
+        return self._chosen(search, search.best)
+
+    def started(self, start: AttemptStart) -> None:
+        """Count an attempt."""
+        view = self._view_by_name(start.upstream)
+        if view is not None:
+            view.changed(self._clock.now(), 1)
+            view.health.started(start.attempt)
+        key = (start.request, start.upstream)
+        pending = self._expected.pop(key, None)
+        if pending is None:
+            return
+        self._pending[start.attempt] = pending
+        self._prefixes.add(start.version, pending.prefix, start.upstream)
+
+    def ended(self, end: AttemptEnd) -> None:
+        """Learn from an attempt."""
+        start = end.start
+        pending = self._pending.pop(start.attempt, None)
+        view = self._view_by_name(start.upstream)
+        if view is None:
+            return
+        now = self._clock.now()
+        view.changed(now, -1)
+        view.health.ended(start.attempt, end.code, now)
+        if pending is not None and end.code is ResultCode.OK:
+            self._learn(end, pending, view)
+
+    def _learn(
+        self,
+        end: AttemptEnd,
+        pending: _Pending,
+        view: EngineView,
+    ) -> None:
+        """Take the times of a whole answer."""
+        speed = self._speed(end.start.version)
+        speed.service.add(pending.load, end.seconds)
+        if end.first_token is None or end.output_tokens <= 1:
+            return
+        step = (end.seconds - end.first_token) / (end.output_tokens - 1)
+        usual = speed.step.at(pending.load)
+        speed.step.add(pending.load, step)
+        view.compare(step / usual, self._clock.now())
+        if pending.load < pending.slots and pending.uncached:
+            prefill = max(0, end.first_token - step) / pending.uncached
+            speed.prefill.add(prefill)
+        if pending.cached:
+            speed.found_cached(end.cached_tokens)
+        if pending.cached and not end.cached_tokens:
+            # The engine had evicted it.
+            self._prefixes.discard(
+                end.start.version,
+                pending.prefix,
+                end.start.upstream,
+            )
+
+    def _holders(self, search: _Search) -> list[UpstreamState]:
+        """Return local engines that ought to have the prefix cached."""
+        names = self._prefixes.holders(search.version, search.request.prefix)
+        states = [self._directory.state(name) for name in names]
+        return [
+            state
+            for state in states
+            if state is not None and state.info.domain == self._domain
+        ]
+
+    def _look(
+        self,
+        search: _Search,
+        states: Iterable[UpstreamState],
+    ) -> None:
+        """Estimate engines and keep the best."""
+        for state in states:
+            reason = self._why_not(search, state)
+            if reason:
+                search.left_out.append(f'{state.info.upstream} {reason}')
+                continue
+            candidate = self._estimate(search, state)
+            search.candidates.append(candidate)
+            best = search.best
+            if best is None or candidate.seconds < best.seconds:
+                search.best = candidate
+
+    def _why_not(self, search: _Search, state: UpstreamState) -> str:
+        """Return why an engine may not be tried; empty if it may."""
+        if state.info.upstream in search.excluded:
+            return 'failed before'
+        if not has_loaded(state, search.version):
+            return 'leaves or lacks it'
+        if not self._view(state).health.available(search.now):
+            return 'ejected'
+        return ''
+
+    def _estimate(
+        self,
+        search: _Search,
+        state: UpstreamState,
+    ) -> _Candidate:
+        """Return an engine with the seconds to its first token."""
+        view = self._view(state)
+        speed = search.speed
+        load = view.load(state)
+        slots = slots_of(state) * view.health.ramp(search.now)
+        waiting = max(0, load - slots + 1)
+        wait = waiting * speed.service.at(load) / slots
+        request = search.request
+        upstream = state.info.upstream
+        cached = upstream in self._prefixes.holders(
+            search.version,
+            request.prefix,
+        )
+        saved = speed.saved if cached else 0
+        uncached = max(0, request.prompt_tokens - saved)
+        step = speed.step.at(load) * (1 + _CROWDING * load / slots)
+        seconds = wait + uncached * speed.prefill.level + step
+        seconds *= view.slowness(search.now)
+        return _Candidate(state, load, seconds, cached)
+
+    def _is_full(self, search: _Search) -> bool:
+        """Tell whether the local failure domain has no slot to offer."""
+        best = search.best
+        return best is None or best.load >= slots_of(best.state)
+
+    def _spill(
+        self,
+        search: _Search,
+        domains: dict[DomainId, list[UpstreamState]],
+    ) -> None:
+        """Look at other failure domains that have room."""
+        local = search.best
+        search.best = None
+        for domain, states in domains.items():
+            if domain == self._domain:
+                continue
+            if self._fleet.is_shedding(domain):
+                search.left_out.append(f'{domain} sheds')
+                continue
+            self._look(search, draw(states, DRAWN, self._randomness))
+        other = search.best
+        if other is None or local is None:
+            search.best = other if local is None else local
+            return
+        free = other.load < slots_of(other.state)
+        if not free or other.seconds + SPILL_MARGIN >= local.seconds:
+            search.best = local
+
+    def _last_resort(
+        self,
+        search: _Search,
+        local: list[UpstreamState],
+    ) -> None:
+        """Try what is ejected rather than nothing, the soonest back first."""
+        open_states = [
+            state
+            for state in local
+            if has_loaded(state, search.version)
+            and state.info.upstream not in search.excluded
+        ]
+        if open_states:
+            state = min(
+                open_states,
+                key=lambda one: self._view(one).health.returns,
+            )
+            search.best = self._estimate(search, state)
+
+    def _chosen(self, search: _Search, best: _Candidate) -> Choice:
+        """Return the choice, and remember what was expected of it."""
+        request = search.request
+        upstream = best.state.info.upstream
+        saved = search.speed.saved if best.cached else 0
+        self._expected[request.request, upstream] = _Pending(
+            best.load,
+            slots_of(best.state),
+            best.cached,
+            request.prefix,
+            max(0, int(request.prompt_tokens - saved)),
+        )
+        return Choice(best.state, best.seconds, _describe(search, best))
+
+    def _speed(self, version: VersionId) -> VersionSpeed:
+        """Return what is known of a version's speed."""
+        known = self._speeds.get(version)
+        if known is None:
+            known = VersionSpeed()
+            self._speeds[version] = known
+        return known
+
+    def _view(self, state: UpstreamState) -> EngineView:
+        """Return what is known of an engine; another run is another one."""
+        upstream = state.info.upstream
+        known = self._views.get(upstream)
+        if known is not None and known[0] is state:
+            return known[1]
+        self._prefixes.forget(upstream)
+        view = EngineView(state, self._randomness)
+        self._views[upstream] = (state, view)
+        return view
+
+    def _view_by_name(self, upstream: UpstreamId) -> EngineView | None:
+        """Return what is known of an engine that was chosen."""
+        known = self._views.get(upstream)
+        return None if known is None else known[1]
+
+
+@register('selector', 'expected')
+def expected_selector(kernel: Kernel) -> ExpectedSelector:
+    """Make the selector for a host."""
+    selector = ExpectedSelector(
+        kernel.need(Directory),
+        kernel.need(FleetLoad),
+        kernel.clock,
+        kernel.randomness,
+        kernel.settings.domain,
+    )
+    kernel.need(Observers).add(selector)
+    return selector
+
+
+def _describe(search: _Search, best: _Candidate) -> str:
+    """Say why this one, with the others and those that were left out."""
+    cached = ', prefix cached' if best.cached else ''
+    others = '; '.join(
+        f'{one.state.info.upstream} {one.seconds:.3f} s at {one.load:.0f}'
+        for one in search.candidates[:_NAMED]
+        if one is not best
+    )
+    left_out = ', '.join(search.left_out[:_NAMED])
+    reason = f'first token in {best.seconds:.3f} s at {best.load:.0f}{cached}'
+    if others:
+        reason = f'{reason}; others: {others}'
+    return f'{reason}; out: {left_out}' if left_out else reason
