--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/_estimates.py
@@ -24,6 +24,9 @@
 #: Seconds after which half of a measured slowness is forgotten.
 _FORGETTING: Final = 30.0
 
+#: Slowness from which on an engine counts as slow.
+_NOTABLE: Final = 1.4
+
 _FIRST_STEP: Final = 0.03
 _FIRST_PREFILL: Final = 0.0002
 _FIRST_SERVICE: Final = 5.0
@@ -141,14 +144,18 @@
             self._reported = state.reported
             total = state.report.running + state.report.queued
             seen = self._own_at(state.reported - REPORT_LAG)
-            self._others = max(0, total - seen)
+            fresh = max(0, total - seen)
+            self._others += (fresh - self._others) * 0.4
         return state.in_flight + self._others
 
     def slowness(self, now: float) -> float:
-        """Return its times in relation to its peers'; 1 is as usual."""
-        age = max(0, now - self._measured)
-        kept: float = 0.5 ** (age / _FORGETTING)
-        return 1 + (self._slowness - 1) * kept
+        """Return its times in relation to its peers'; 1 is as usual.
+
+        Small differences are those of the load; following them would fill
+        engines up one after another.
+        """
+        measured = self._smoothed(now)
+        return measured if measured > _NOTABLE else 1.0
 
     def changed(self, now: float, step: int) -> None:
         """Note that one of our attempts began or ended."""
@@ -159,10 +166,16 @@
     def compare(self, ratio: float, now: float) -> None:
         """Note a time in relation to what its peers would have taken."""
         bounded = min(_OUTLIER, max(1 / _OUTLIER, ratio))
-        before = self.slowness(now)
+        before = self._smoothed(now)
         self._slowness = before + (bounded - before) * _SLOWNESS_GAIN
         self._measured = now
 
+    def _smoothed(self, now: float) -> float:
+        """Return the measured slowness, forgotten with time."""
+        age = max(0, now - self._measured)
+        kept: float = 0.5 ** (age / _FORGETTING)
+        return 1 + (self._slowness - 1) * kept
+
     def _own_at(self, moment: float) -> int:
         """Return how many of our attempts were there at a moment."""
         place = bisect_right(self._times, moment)
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -1,5 +1,6 @@
 """Chooses the engine from which the first token is expected soonest."""
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -29,9 +30,6 @@
 #: Engines that a reason names.
 _NAMED: Final = 4
 
-#: Breaks ties between engines that have a slot free, as a share of a step.
-_CROWDING: Final = 0.5
-
 
 @dataclass(slots=True)
 class _Pending:
@@ -229,8 +227,7 @@
         speed = search.speed
         load = view.load(state)
         slots = slots_of(state) * view.health.ramp(search.now)
-        waiting = max(0, load - slots + 1)
-        wait = waiting * speed.service.at(load) / slots
+        wait = _queue_length(load, slots) * speed.service.at(load) / slots
         request = search.request
         upstream = state.info.upstream
         cached = upstream in self._prefixes.holders(
@@ -239,8 +236,8 @@
         )
         saved = speed.saved if cached else 0
         uncached = max(0, request.prompt_tokens - saved)
-        step = speed.step.at(load) * (1 + _CROWDING * load / slots)
-        seconds = wait + uncached * speed.prefill.level + step
+        reading = uncached * speed.prefill.level
+        seconds = wait + reading + speed.step.at(load)
         seconds *= view.slowness(search.now)
         return _Candidate(state, load, seconds, cached)
 
@@ -344,6 +341,17 @@
     return selector
 
 
+def _queue_length(load: float, slots: float) -> float:
+    """Return how many are likely to be ahead in an engine's queue.
+
+    The load is known late, so an engine that is nearly full may be full by
+    the time that the request is there: the excess over the slots, softened
+    by about the spread of the load.
+    """
+    spread = math.sqrt(slots) / 2
+    return spread * math.log1p(math.exp((load - slots + 1) / spread))
+
+
 def _describe(search: _Search, best: _Candidate) -> str:
     """Say why this one, with the others and those that were left out."""
     cached = ', prefix cached' if best.cached else ''
