--- a/experiments/selection_trials.py
+++ b/experiments/selection_trials.py
@@ -106,6 +106,7 @@
 
     Attributes:
         first: Seconds to the first token of each request that had one.
+        others: The same, without the first workspace's.
         good: Requests that were whole within their caller's patience.
         late: Requests that were whole too late, or broken.
         refused: Seconds that each refusal took.
@@ -117,6 +118,7 @@
     """
 
     first: list[float] = field(default_factory=list)
+    others: list[float] = field(default_factory=list)
     good: int = 0
     late: int = 0
     refused: list[float] = field(default_factory=list)
@@ -201,7 +203,9 @@
         prompt = int(MEAN_PROMPT * draws.lognormvariate(-0.125, 0.5)) + 1
         output = int(MEAN_OUTPUT * draws.lognormvariate(-0.18, 0.6)) + 2
         sessions = self._scenario.sessions
-        prefix = draws.randrange(sessions) if sessions else draws.getrandbits(60)
+        prefix = (
+            draws.randrange(sessions) if sessions else draws.getrandbits(60)
+        )
         return ModelRequest(
             request=RequestId(f'r{draws.getrandbits(60):x}'),
             workspace=draws.choices(self._names, self._weights)[0],
@@ -320,6 +324,8 @@
             if code is ResultCode.OK:
                 first = job.first_at - began
                 figures.first.append(job.first_at - arrived)
+                if request.workspace != self._names[0]:
+                    figures.others.append(job.first_at - arrived)
                 figures.cached += job.cached
                 figures.prompts += job.prompt
         host.observers.ended(
@@ -376,7 +382,9 @@
             engine.is_down = False
 
 
-def _add(totals: dict[WorkspaceId, float], key: WorkspaceId, more: float) -> None:
+def _add(
+    totals: dict[WorkspaceId, float], key: WorkspaceId, more: float
+) -> None:
     """Add to a total."""
     totals[key] = totals.get(key, 0) + more
 
@@ -410,7 +418,9 @@
     return worst
 
 
-def summarize(figures: Figures, size: Size, scenario: Scenario) -> dict[str, float]:
+def summarize(
+    figures: Figures, size: Size, scenario: Scenario
+) -> dict[str, float]:
     """Return a trial's figures by name."""
     measured = LENGTH - WARM_UP
     return {
@@ -423,13 +433,14 @@
         'refusal_p95': percentile(figures.refused, 0.95),
         'attempts': figures.attempts / measured,
         'fair': fair_share(figures, size, scenario),
+        'p95_others': percentile(figures.others, 0.95),
         'cached': figures.cached / max(1, figures.prompts),
     }
 
 
 COLUMNS: Final = (
     'p50', 'p95', 'p99', 'goodput', 'late', 'refused', 'refusal_p95',
-    'attempts', 'fair', 'cached',
+    'attempts', 'fair', 'cached', 'p95_others',
 )  # fmt: skip
 
 
@@ -482,6 +493,8 @@
     parser.add_argument('--setting', action='append')
     parser.add_argument('--seeds', type=int, default=3)
     parser.add_argument('--queue-limit', type=float, default=2)
+    parser.add_argument('--engines', type=int, default=3)
+    parser.add_argument('--hosts', type=int, default=3)
     parser.add_argument('--json')
     flags = parser.parse_args()
     began = time.monotonic()
@@ -494,7 +507,7 @@
         flags.scenario or list(SCENARIOS),
         settings,
         flags.seeds,
-        Size(queue_limit=flags.queue_limit),
+        Size(flags.engines, flags.hosts, flags.queue_limit),
         lambda line: print(line, flush=True),
     )
     sys.stdout.write(f'{time.monotonic() - began:.0f} s\n')
--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -374,4 +374,3 @@
         PresetName('peak'),
         'trial',
     )
-
--- a/src/nutmegroad/_ejection.py
+++ b/src/nutmegroad/_ejection.py
@@ -24,6 +24,9 @@
 
 LONGEST_EJECTION: Final = 60.0
 
+#: Seconds by which an engine's report may be behind.
+REPORT_LAG: Final = 0.5
+
 #: Seconds in which a new or recovered upstream comes to its full share.
 SLOW_START: Final = 10.0
 
@@ -49,17 +52,26 @@
         self._ejections = 0
         self._until = float('-inf')
         self._trial: AttemptId | None = None
+        self._ejected = float('-inf')
+        self._unreachable = False
 
     @property
     def returns(self) -> float:
         """Return the clock seconds at which it may be tried again."""
         return self._until
 
-    def available(self, now: float) -> bool:
-        """Tell whether it may get work; on probation one at a time."""
+    def available(self, now: float, reported: float) -> bool:
+        """Tell whether it may get work; on probation one at a time.
+
+        Args:
+            now: Clock seconds.
+            reported: Clock seconds of its last report. One that could not
+                be reached may be tried once it has reported again.
+        """
         if not self._ejections:
             return True
-        return now >= self._until and self._trial is None
+        back = self._unreachable and reported > self._ejected + REPORT_LAG
+        return self._trial is None and (back or now >= self._until)
 
     def ramp(self, now: float) -> float:
         """Return the share of its slots to use, from 0.2 to 1."""
@@ -88,7 +100,7 @@
             return
         self._score += FAILURE_WEIGHTS.get(code, 0)
         if self._score >= EJECTED_AT:
-            self._eject(now)
+            self._eject(code, now)
 
     def _judge(self, code: ResultCode, now: float) -> None:
         """End a trial; what has passed it starts slowly."""
@@ -97,12 +109,14 @@
             self._ejections = 0
             self._since = now
         elif code in FAILURE_WEIGHTS:
-            self._eject(now)
+            self._eject(code, now)
 
-    def _eject(self, now: float) -> None:
+    def _eject(self, code: ResultCode, now: float) -> None:
         """Give it no work for a while."""
         doublings = min(self._ejections, _MOST_DOUBLINGS)
         seconds = min(LONGEST_EJECTION, FIRST_EJECTION * 2**doublings)
         self._until = now + seconds * self._randomness.uniform(*_JITTER)
+        self._ejected = now
+        self._unreachable = code is ResultCode.UPSTREAM_UNREACHABLE
         self._ejections += 1
         self._score = 0
--- a/src/nutmegroad/_engine_pools.py
+++ b/src/nutmegroad/_engine_pools.py
@@ -1,9 +1,12 @@
 """The engines of a version by failure domain, kept for quick draws."""
 
 import random
+from bisect import bisect_right
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from operator import is_
 from typing import Final
+from zlib import crc32
 
 from nutmegroad.clocks import Clock
 from nutmegroad.directory import Directory
@@ -17,6 +20,36 @@
 #: Draws for each engine that is wanted; some may not be tried.
 _TRIES: Final = 3
 
+#: Places of each engine on the ring.
+_POINTS: Final = 16
+
+
+class Ring:
+    """Gives each prefix a home among some engines, by consistent hashing.
+
+    Hosts that know the same engines agree without a message, and an engine
+    that comes or goes moves only its own part of the prefixes.
+
+    Args:
+        states: The engines.
+    """
+
+    def __init__(self, states: list[UpstreamState]) -> None:
+        points = sorted(
+            (crc32(f'{state.info.upstream}#{number}'.encode()), place)
+            for place, state in enumerate(states)
+            for number in range(_POINTS)
+        )
+        self._states = states
+        self._places = [place for _, place in points]
+        self._hashes = [point for point, _ in points]
+
+    def home(self, prefix: int) -> UpstreamState:
+        """Return a prefix's home."""
+        point = crc32(str(prefix).encode())
+        found = bisect_right(self._hashes, point) % len(self._hashes)
+        return self._states[self._places[found]]
+
 
 @dataclass(slots=True)
 class Pool:
@@ -26,11 +59,13 @@
         built: Clock seconds at which they were listed.
         source: The directory's own list.
         domains: Engines by failure domain.
+        rings: The same, for finding a prefix's home.
     """
 
     built: float
     source: tuple[UpstreamState, ...]
     domains: dict[DomainId, list[UpstreamState]] = field(default_factory=dict)
+    rings: dict[DomainId, 'Ring'] = field(default_factory=dict)
 
 
 class EnginePools:
@@ -53,8 +88,13 @@
         if known and known.source and now - known.built < REFRESH:
             return known
         fresh = Pool(now, self._directory.engines(version))
+        if known and _same(known.source, fresh.source):
+            known.built = now
+            return known
         for state in fresh.source:
             fresh.domains.setdefault(state.info.domain, []).append(state)
+        for domain, states in fresh.domains.items():
+            fresh.rings[domain] = Ring(states)
         self._pools[version] = fresh
         return fresh
 
@@ -90,3 +130,11 @@
 def names_of(states: list[UpstreamState]) -> tuple[UpstreamId, ...]:
     """Return the engines' ids."""
     return tuple(state.info.upstream for state in states)
+
+
+def _same(
+    one: tuple[UpstreamState, ...],
+    other: tuple[UpstreamState, ...],
+) -> bool:
+    """Tell whether two lists hold the very same engines."""
+    return len(one) == len(other) and all(map(is_, one, other))
--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/_estimates.py
@@ -5,12 +5,9 @@
 from collections import deque
 from typing import Final
 
-from nutmegroad._ejection import Health
+from nutmegroad._ejection import REPORT_LAG, Health
 from nutmegroad.upstreams import UpstreamState
 
-#: Seconds by which an engine's report is behind, as a rule.
-REPORT_LAG: Final = 0.5
-
 #: Own counts that are kept, to know what a late report had seen of us.
 _HISTORY: Final = 64
 
@@ -21,6 +18,13 @@
 #: Observations beyond this factor of the expected count as the factor.
 _OUTLIER: Final = 8.0
 
+#: Weight of the newest report.
+_REPORT_GAIN: Final = 0.2
+
+#: Hosts that are taken to do as this one does. All read the same reports, so
+#: what draws this host to an engine draws others there too.
+_ALIKE: Final = 6
+
 #: Seconds after which half of a measured slowness is forgotten.
 _FORGETTING: Final = 30.0
 
@@ -131,6 +135,7 @@
     ) -> None:
         self.health = Health(state.first_seen, randomness)
         self._others = 0.0
+        self._usual = 0.0
         self._reported = float('-inf')
         self._own = 0
         self._times: deque[float] = deque(maxlen=_HISTORY)
@@ -145,8 +150,12 @@
             total = state.report.running + state.report.queued
             seen = self._own_at(state.reported - REPORT_LAG)
             fresh = max(0, total - seen)
-            self._others += (fresh - self._others) * 0.4
-        return state.in_flight + self._others
+            gain = _REPORT_GAIN
+            self._others += (fresh - self._others) * gain
+            self._usual += (state.in_flight - self._usual) * gain
+        own = state.in_flight
+        expected = own + self._others + _ALIKE * (own - self._usual)
+        return max(own, expected)
 
     def slowness(self, now: float) -> float:
         """Return its times in relation to its peers'; 1 is as usual.
--- a/src/nutmegroad/_rendezvous.py
+++ b/src/nutmegroad/_rendezvous.py
@@ -18,4 +18,4 @@
 
 
 def _weight(prefix: str, host: HostId) -> int:
-    return xxhash.xxh64_intdigest(f"{prefix}{host}".encode())
+    return xxhash.xxh64_intdigest(f'{prefix}{host}'.encode())
--- a/src/nutmegroad/_slots.py
+++ b/src/nutmegroad/_slots.py
@@ -18,7 +18,7 @@
 
 #: Permits for each slot: a permit is held a little longer than a slot, and
 #: a host's part is small enough for chance to leave slots empty.
-OVERCOMMIT: Final = 1.1
+OVERCOMMIT: Final = 1.2
 
 #: The limit falls by this factor when an engine turns out to be full.
 _DECREASE: Final = 0.95
--- a/src/nutmegroad/exchange.py
+++ b/src/nutmegroad/exchange.py
@@ -12,8 +12,11 @@
 from nutmegroad.shares import ShareAsk, ShareLedger, ShareLoan
 from nutmegroad.types import DomainId, HostId, Presence
 
-#: Seconds between two rounds, and the share by which that varies.
+#: Seconds between two digests, and the share by which that varies.
 PERIOD: Final = 1.0
+
+#: Seconds between two looks at whether slots lack.
+LOOK: Final = 0.25
 _JITTER: Final = 0.2
 
 #: Hosts of its own domain that a host tells in each round.
@@ -56,6 +59,7 @@
         self._ledger = ledger
         self._clock = clock
         self._randomness = randomness
+        self._told = float('-inf')
 
     @property
     def _identity(self) -> Identity:
@@ -71,14 +75,15 @@
         """Take rounds until cancelled."""
         while True:
             spread = self._randomness.uniform(1 - _JITTER, 1 + _JITTER)
-            await self._clock.sleep(PERIOD * spread)
+            await self._clock.sleep(LOOK * spread)
             await self.round()
 
     async def round(self) -> None:
-        """Tell others, and ask for slots where they lack."""
-        members = self._live()
-        self._fleet.count(members)
-        self._tell(members)
+        """Tell others once in a while, and ask for slots where they lack."""
+        now = self._clock.now()
+        if now - self._told >= PERIOD:
+            self._told = now
+            self._tell(self._live())
         wanted = self._wanted()
         if wanted > 0:
             await self._borrow(wanted)
@@ -96,6 +101,7 @@
 
     def _tell(self, members: list[Member]) -> None:
         """Tell some hosts of the own domain, and one of each other."""
+        self._fleet.count(members)
         digest = self._admitter.digest(self._identity)
         domains: dict[DomainId, list[HostId]] = {}
         for member in members:
@@ -140,7 +146,7 @@
         admitter = self._admitter
         holding = admitter.slots.holding
         busy = admitter.running + admitter.queued + _RESERVE
-        idle = (holding - busy) // 2
+        idle = holding - busy
         over = min(ask.claim, int(holding - admitter.entitlement))
         slots = min(ask.wanted, max(idle, over), holding - 1)
         if slots <= 0:
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -6,7 +6,14 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from nutmegroad._engine_pools import EnginePools, draw, has_loaded, slots_of
+from nutmegroad._engine_pools import (
+    EnginePools,
+    Pool,
+    draw,
+    has_loaded,
+    names_of,
+    slots_of,
+)
 from nutmegroad._estimates import EngineView, VersionSpeed
 from nutmegroad._prefixes import PrefixMemory
 from nutmegroad.baselines import no_engine
@@ -63,6 +70,7 @@
     speed: VersionSpeed
     candidates: list[_Candidate] = field(default_factory=list)
     left_out: list[str] = field(default_factory=list)
+    cached: tuple[UpstreamId, ...] = ()
     best: _Candidate | None = None
 
 
@@ -111,9 +119,10 @@
             self._clock.now(),
             self._speed(version),
         )
-        domains = self._pools.pool(version).domains
+        pool = self._pools.pool(version)
+        domains = pool.domains
         local = domains.get(self._domain, [])
-        self._look(search, self._holders(search))
+        self._look(search, self._holders(search, pool))
         self._look(search, draw(local, DRAWN, self._randomness))
         if search.best is None:
             # Rare: all that were drawn are left out.
@@ -180,15 +189,24 @@
                 end.start.upstream,
             )
 
-    def _holders(self, search: _Search) -> list[UpstreamState]:
-        """Return local engines that ought to have the prefix cached."""
-        names = self._prefixes.holders(search.version, search.request.prefix)
-        states = [self._directory.state(name) for name in names]
-        return [
-            state
-            for state in states
-            if state is not None and state.info.domain == self._domain
-        ]
+    def _holders(self, search: _Search, pool: Pool) -> list[UpstreamState]:
+        """Return local engines that ought to have the prefix cached.
+
+        The first is its home, which is the same for all hosts of the
+        domain; the others are where this host has sent it.
+        """
+        ring = pool.rings.get(self._domain)
+        home = ring.home(search.request.prefix) if ring else None
+        states = [] if home is None else [home]
+        prefix = search.request.prefix
+        for name in self._prefixes.holders(search.version, prefix):
+            state = self._directory.state(name)
+            if state is None or state.info.domain != self._domain:
+                continue
+            if state is not home:
+                states.append(state)
+        search.cached = names_of(states)
+        return states
 
     def _look(
         self,
@@ -213,7 +231,8 @@
             return 'failed before'
         if not has_loaded(state, search.version):
             return 'leaves or lacks it'
-        if not self._view(state).health.available(search.now):
+        health = self._view(state).health
+        if not health.available(search.now, state.reported):
             return 'ejected'
         return ''
 
@@ -228,14 +247,9 @@
         load = view.load(state)
         slots = slots_of(state) * view.health.ramp(search.now)
         wait = _queue_length(load, slots) * speed.service.at(load) / slots
-        request = search.request
-        upstream = state.info.upstream
-        cached = upstream in self._prefixes.holders(
-            search.version,
-            request.prefix,
-        )
+        cached = state.info.upstream in search.cached
         saved = speed.saved if cached else 0
-        uncached = max(0, request.prompt_tokens - saved)
+        uncached = max(0, search.request.prompt_tokens - saved)
         reading = uncached * speed.prefill.level
         seconds = wait + reading + speed.step.at(load)
         seconds *= view.slowness(search.now)
@@ -265,8 +279,7 @@
         if other is None or local is None:
             search.best = other if local is None else local
             return
-        free = other.load < slots_of(other.state)
-        if not free or other.seconds + SPILL_MARGIN >= local.seconds:
+        if other.seconds + SPILL_MARGIN >= local.seconds:
             search.best = local
 
     def _last_resort(
