--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/_estimates.py
@@ -34,6 +34,7 @@
 _FIRST_STEP: Final = 0.03
 _FIRST_PREFILL: Final = 0.0002
 _FIRST_SERVICE: Final = 5.0
+_FIRST_SAVED: Final = 64.0
 _LEAST_SPREAD: Final = 0.25
 
 
@@ -113,7 +114,7 @@
         self.step = Line(_FIRST_STEP)
         self.prefill = Median(_FIRST_PREFILL)
         self.service = Line(_FIRST_SERVICE)
-        self.saved = 0.0
+        self.saved = _FIRST_SAVED
 
     def found_cached(self, tokens: int) -> None:
         """Note how much a prefix that was expected in the cache saved."""
--- a/src/nutmegroad/_fair_queue.py
+++ b/src/nutmegroad/_fair_queue.py
@@ -34,6 +34,7 @@
         outcome: None for a slot, or why it gets none.
         order: Its place among all arrivals.
         gone: It waits no more.
+        began: Clock seconds at which it got its slot.
     """
 
     request: ModelRequest
@@ -42,6 +43,7 @@
     outcome: asyncio.Future[Refusal | None]
     order: int = 0
     gone: bool = False
+    began: float = 0
 
 
 @dataclass(eq=False, slots=True)
@@ -135,6 +137,11 @@
                 if tag > self._virtual
             }
 
+    def correct(self, workspace: WorkspaceId, more: float) -> None:
+        """Count slot-seconds that were taken beyond those expected."""
+        tag = self._finish.get(workspace, self._virtual)
+        self._finish[workspace] = tag + more / self._weight(workspace)
+
     def wait(self, workspace: WorkspaceId, slots: float) -> float:
         """Return the seconds that a new request would wait at most.
 
--- a/src/nutmegroad/_prefixes.py
+++ b/src/nutmegroad/_prefixes.py
@@ -9,7 +9,7 @@
 KEPT: Final = 256
 
 #: Engines remembered for each prefix.
-HOLDERS: Final = 2
+HOLDERS: Final = 1
 
 _Key = tuple[VersionId, int]
 
--- a/src/nutmegroad/_slots.py
+++ b/src/nutmegroad/_slots.py
@@ -95,6 +95,8 @@
         self._fleet = fleet
         self._ledger = ledger
         self._clock = clock
+        self._looked = float('-inf')
+        self._seen = 0
         self._counted: dict[Lane | None, tuple[float, int]] = {}
 
     @property
@@ -109,21 +111,24 @@
         static = static_part(self.permits, self.identity.host, others)
         return max(1, static + self._ledger.balance(self._clock.now()))
 
-    @property
-    def limit(self) -> int:
-        """Return how many requests may run at once."""
+    def limit(self, running: int) -> int:
+        """Return how many requests may run at once.
+
+        Args:
+            running: How many run now.
+        """
         local = self.holding * self.pressure.factor
-        return max(1, int(local + self._spilled()))
+        held = int(local + self._spilled())
+        return max(1, held, self._visible(running))
 
-    def lane_limit(self, lane: Lane) -> int:
+    def lane_limit(self, lane: Lane, running: int) -> int:
         """Return how many requests of a lane may run at once."""
+        limit = self.limit(running)
         every = self.domain_slots(None)
         slots = self.domain_slots(lane)
         if slots == every:
-            return self.limit
-        part = self.holding * slots / max(1, every)
-        local = part * self.pressure.factor
-        return max(1, int(local + self._spilled()))
+            return limit
+        return max(1, limit * slots // max(1, every))
 
     def domain_slots(self, lane: Lane | None) -> int:
         """Return the slots of this domain's engines that fit a lane."""
@@ -139,6 +144,29 @@
         self._counted[lane] = (now, slots)
         return slots
 
+    def _visible(self, running: int) -> int:
+        """Return the limit by the room that engines report.
+
+        Whatever the parts, slots that stay empty help nobody. Each host of
+        the domain takes its part of the empty ones, on top of what it had
+        running when it saw them.
+        """
+        now = self._clock.now()
+        if now - self._looked < REFRESH:
+            return self._seen
+        self._looked = now
+        domain = self.identity.domain
+        reports = [
+            state.report
+            for state in self._engines(None)
+            if state.report and state.info.domain == domain
+        ]
+        busy = sum(report.running + report.queued for report in reports)
+        empty = max(0, self.domain_slots(None) - busy)
+        hosts = len(self._fleet.hosts(domain)) + 1
+        self._seen = running + int(empty * self.pressure.factor / hosts)
+        return self._seen
+
     def _engines(self, lane: Lane | None) -> tuple[UpstreamState, ...]:
         """Return the live engines that fit a lane; None for all."""
         if lane is None:
--- a/src/nutmegroad/admission.py
+++ b/src/nutmegroad/admission.py
@@ -79,6 +79,11 @@
         """Return how many requests wait."""
         return len(self._queue)
 
+    @property
+    def limit(self) -> int:
+        """Return how many permits may be out."""
+        return self.slots.limit(self._running)
+
     @property
     def entitlement(self) -> float:
         """Return this host's slots if all were divided by share."""
@@ -113,7 +118,7 @@
 
     def wake(self) -> None:
         """Give out what room there is; called when limits may have grown."""
-        while self._running < self.slots.limit:
+        while self._running < self.limit:
             waiting = self._queue.pop(self._lane_has_room)
             if waiting is None:
                 return
@@ -147,17 +152,17 @@
 
     def _has_room(self, lane: Lane) -> bool:
         """Tell whether a request could run now."""
-        room = self._running < self.slots.limit
+        room = self._running < self.limit
         return room and self._lane_has_room(lane)
 
     def _lane_has_room(self, lane: Lane) -> bool:
         """Tell whether a lane has a slot left."""
-        return self._lanes.get(lane, 0) < self.slots.lane_limit(lane)
+        return self._lanes.get(lane, 0) < self.slots.lane_limit(lane, self._running)
 
     def _refusal(self, waiting: Waiting) -> Refusal | None:
         """Return why a request may not even wait, or None."""
         request = waiting.request
-        wait = self._queue.wait(request.workspace, self.slots.limit)
+        wait = self._queue.wait(request.workspace, self.limit)
         left = request.deadline - self._clock.now()
         if wait + waiting.cost > left:
             return self._refuse(
@@ -183,7 +188,7 @@
         per_slot = _QUEUE_LIMIT
         if accepted is not None:
             per_slot = accepted.preset_entry.queue_limit
-        return max(1, per_slot * self.slots.limit)
+        return max(1, per_slot * self.limit)
 
     def _victim(self, waiting: Waiting) -> Waiting:
         """Return whom to push out: the greediest, cheapest to repeat."""
@@ -205,12 +210,12 @@
                 victim,
                 ResultCode.SHARE_EXCEEDED,
                 f'The workspace {workspace!r} has used its share of '
-                f'{self.slots.limit} slots, and others wait.',
+                f'{self.limit} slots, and others wait.',
             )
         return self._refuse(
             victim,
             ResultCode.OVERLOADED,
-            f'{len(self._queue)} requests wait for {self.slots.limit} slots.',
+            f'{len(self._queue)} requests wait for {self.limit} slots.',
         )
 
     def _refuse(
@@ -223,7 +228,7 @@
         self._shed = self._clock.now()
         workspace = waiting.request.workspace
         self._demand.refused(workspace, waiting.cost)
-        backlog = self._queue.wait(workspace, self.slots.limit)
+        backlog = self._queue.wait(workspace, self.limit)
         spread = self._randomness.uniform(*_SPREAD)
         after = min(_LATEST, max(_SOONEST, backlog) * spread)
         return Refusal(code, reason, retry_after=after)
@@ -260,6 +265,7 @@
 
     def _take(self, waiting: Waiting) -> None:
         """Count a permit."""
+        waiting.began = self._clock.now()
         self._running += 1
         self._lanes[waiting.lane] = self._lanes.get(waiting.lane, 0) + 1
         self._demand.began(waiting.request.workspace)
@@ -270,7 +276,10 @@
         self._lanes[waiting.lane] -= 1
         if not self._lanes[waiting.lane]:
             self._lanes.pop(waiting.lane)
-        self._demand.ended(waiting.request.workspace)
+        workspace = waiting.request.workspace
+        self._demand.ended(workspace)
+        held = self._clock.now() - waiting.began
+        self._queue.correct(workspace, held - waiting.cost)
         self.wake()
 
     def _permit(self, waiting: Waiting) -> AbstractContextManager[None]:
