--- a/experiments/selection_trials.py
+++ b/experiments/selection_trials.py
@@ -74,6 +74,7 @@
         flood: Factor on the first workspace's requests.
         sessions: Prefixes that requests share; 0 for none.
         comes_back: Times that a refused caller comes back.
+        prompts: Factor on the length of prompts.
     """
 
     load: float
@@ -83,6 +84,7 @@
     flood: float = 1
     sessions: int = 0
     comes_back: int = 0
+    prompts: float = 1
 
 
 SCENARIOS: Final = {
@@ -96,7 +98,7 @@
     'domain-gone': Scenario(0.9, gone=True),
     'flood': Scenario(1.2, flood=10),
     'outage-end': Scenario(0.7, outage=True, comes_back=4),
-    'prefixes': Scenario(0.8, sessions=150),
+    'prefixes': Scenario(0.8, sessions=150, prompts=4),
 }
 
 
@@ -136,10 +138,10 @@
     return prompt / speed.prefill_rate + output * step
 
 
-def capacity(size: Size) -> float:
+def capacity(size: Size, prompts: float) -> float:
     """Return the requests a second that all engines can do."""
     slots = len(DOMAINS) * size.engines * size.speed.slots
-    return slots / slot_seconds(MEAN_PROMPT, MEAN_OUTPUT, size)
+    return slots / slot_seconds(MEAN_PROMPT * prompts, MEAN_OUTPUT, size)
 
 
 class Trial:
@@ -182,7 +184,8 @@
         fleet = Fleet(self._setting, self._size, self._clock, self._seed)
         async with fleet:
             faults = asyncio.create_task(self._faults(fleet))
-            rate = capacity(self._size) * self._scenario.load
+            rate = capacity(self._size, self._scenario.prompts)
+            rate *= self._scenario.load
             while self._clock.now() < LENGTH:
                 await self._clock.sleep(self._randomness.expovariate(rate))
                 self._arrive(fleet)
@@ -200,7 +203,8 @@
     def _draw(self) -> ModelRequest:
         """Draw a request; lengths have long tails."""
         draws = self._randomness
-        prompt = int(MEAN_PROMPT * draws.lognormvariate(-0.125, 0.5)) + 1
+        mean = MEAN_PROMPT * self._scenario.prompts
+        prompt = int(mean * draws.lognormvariate(-0.125, 0.5)) + 1
         output = int(MEAN_OUTPUT * draws.lognormvariate(-0.18, 0.6)) + 2
         sessions = self._scenario.sessions
         prefix = (
@@ -492,7 +496,7 @@
     parser.add_argument('--scenario', action='append', choices=SCENARIOS)
     parser.add_argument('--setting', action='append')
     parser.add_argument('--seeds', type=int, default=3)
-    parser.add_argument('--queue-limit', type=float, default=2)
+    parser.add_argument('--queue-limit', type=float, default=0.5)
     parser.add_argument('--engines', type=int, default=3)
     parser.add_argument('--hosts', type=int, default=3)
     parser.add_argument('--json')
--- a/src/nutmegroad/_ejection.py
+++ b/src/nutmegroad/_ejection.py
@@ -49,6 +49,7 @@
         self._randomness = randomness
         self._since = since
         self._score = 0.0
+        self._is_out = False
         self._ejections = 0
         self._until = float('-inf')
         self._trial: AttemptId | None = None
@@ -60,18 +61,23 @@
         """Return the clock seconds at which it may be tried again."""
         return self._until
 
-    def available(self, now: float, reported: float) -> bool:
+    def admits(self, now: float, reported: float) -> bool:
         """Tell whether it may get work; on probation one at a time.
 
+        What could not be reached, and has reported since, is back at once
+        with a slow start: to wait for the end of one trial would cost
+        seconds in which the others carry its load.
+
         Args:
             now: Clock seconds.
-            reported: Clock seconds of its last report. One that could not
-                be reached may be tried once it has reported again.
+            reported: Clock seconds of its last report.
         """
-        if not self._ejections:
+        if not self._is_out:
+            return True
+        if self._unreachable and reported > self._ejected + REPORT_LAG:
+            self._readmit(now)
             return True
-        back = self._unreachable and reported > self._ejected + REPORT_LAG
-        return self._trial is None and (back or now >= self._until)
+        return self._trial is None and now >= self._until
 
     def ramp(self, now: float) -> float:
         """Return the share of its slots to use, from 0.2 to 1."""
@@ -80,7 +86,7 @@
 
     def started(self, attempt: AttemptId) -> None:
         """Note an attempt; on probation it is the one trial."""
-        if self._ejections and self._trial is None:
+        if self._is_out and self._trial is None:
             self._trial = attempt
 
     def ended(
@@ -90,13 +96,14 @@
         now: float,
     ) -> None:
         """Note how an attempt ended."""
-        if self._ejections:
+        if self._is_out:
             # What was under way before the ejection proves nothing of now.
             if attempt == self._trial:
                 self._judge(code, now)
             return
         if code is ResultCode.OK:
             self._score = 0
+            self._ejections = 0
             return
         self._score += FAILURE_WEIGHTS.get(code, 0)
         if self._score >= EJECTED_AT:
@@ -107,15 +114,22 @@
         self._trial = None
         if code is ResultCode.OK:
             self._ejections = 0
-            self._since = now
+            self._readmit(now)
         elif code in FAILURE_WEIGHTS:
             self._eject(code, now)
 
+    def _readmit(self, now: float) -> None:
+        """Give it work again, slowly."""
+        self._is_out = False
+        self._trial = None
+        self._since = now
+
     def _eject(self, code: ResultCode, now: float) -> None:
         """Give it no work for a while."""
         doublings = min(self._ejections, _MOST_DOUBLINGS)
         seconds = min(LONGEST_EJECTION, FIRST_EJECTION * 2**doublings)
         self._until = now + seconds * self._randomness.uniform(*_JITTER)
+        self._is_out = True
         self._ejected = now
         self._unreachable = code is ResultCode.UPSTREAM_UNREACHABLE
         self._ejections += 1
--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/_estimates.py
@@ -23,7 +23,7 @@
 
 #: Hosts that are taken to do as this one does. All read the same reports, so
 #: what draws this host to an engine draws others there too.
-_ALIKE: Final = 6
+_ALIKE: Final = 3
 
 #: Seconds after which half of a measured slowness is forgotten.
 _FORGETTING: Final = 30.0
@@ -117,7 +117,11 @@
         self.saved = _FIRST_SAVED
 
     def found_cached(self, tokens: int) -> None:
-        """Note how much a prefix that was expected in the cache saved."""
+        """Note how much a prefix saved that was in the cache.
+
+        Misses do not count here: an engine that gets a prefix more often
+        will have it more often, and a busy one is left all the same.
+        """
         self.saved += (tokens - self.saved) * _SLOWNESS_GAIN
 
 
--- a/src/nutmegroad/_fair_queue.py
+++ b/src/nutmegroad/_fair_queue.py
@@ -158,17 +158,20 @@
         return min(by_share, self.work / slots)
 
     def largest(self) -> WorkspaceId | None:
-        """Return the workspace with most work for its weight."""
-        return max(
-            self._work,
-            key=lambda one: self._work[one] / self._weight(one),
-            default=None,
-        )
+        """Return the workspace that has and wants most for its weight."""
+        return max(self._work, key=self.excess, default=None)
 
-    def excess(self, workspace: WorkspaceId, more: float) -> float:
-        """Return a workspace's work for its weight, with some more."""
+    def excess(self, workspace: WorkspaceId, more: float = 0) -> float:
+        """Return how far a workspace is ahead, with all that it wants."""
+        ahead = self._finish.get(workspace, 0) - self._virtual
         work = self._work.get(workspace, 0) + more
-        return work / self._weight(workspace)
+        return max(0, ahead) + work / self._weight(workspace)
+
+    def is_behind(self, workspace: WorkspaceId) -> bool:
+        """Tell whether a workspace has had less than its share lately."""
+        if workspace in self._work:
+            return False
+        return self._finish.get(workspace, 0) <= self._virtual
 
     def of_workspace(self, workspace: WorkspaceId) -> Iterable[Waiting]:
         """Return what a workspace has waiting."""
--- a/src/nutmegroad/admission.py
+++ b/src/nutmegroad/admission.py
@@ -29,6 +29,10 @@
 #: Requests that may wait for each slot while no preset says so.
 _QUEUE_LIMIT: Final = 2.0
 
+#: How far beyond the bound a workspace may wait that has had less than its
+#: share lately; a flood of others is no reason to refuse it.
+_BEHIND: Final = 4
+
 #: Callers are told to come back after so many times the backlog, so that
 #: they do not come back together.
 _SPREAD: Final = (1.0, 2.0)
@@ -171,7 +175,10 @@
                 f'It would wait {wait:.1f} s and take {waiting.cost:.1f} s, '
                 f'but its deadline is in {left:.1f} s.',
             )
-        if len(self._queue) < self._bound():
+        bound = self._bound()
+        if self._queue.is_behind(request.workspace):
+            bound *= _BEHIND
+        if len(self._queue) < bound:
             return None
         victim = self._victim(waiting)
         refusal = self._crowded(victim)
@@ -195,7 +202,7 @@
         own = waiting.request.workspace
         largest = self._queue.largest()
         excess = self._queue.excess(own, waiting.cost)
-        if largest is None or excess >= self._queue.excess(largest, 0):
+        if largest is None or excess >= self._queue.excess(largest):
             largest = own
         crowd = list(self._queue.of_workspace(largest))
         if largest == own:
--- a/src/nutmegroad/documents.py
+++ b/src/nutmegroad/documents.py
@@ -197,7 +197,7 @@
     tasks: tuple[PresetTask, ...]
     rollouts: tuple[RolloutShare, ...] = ()
     preload: dict[str, Annotated[int, Meta(ge=0)]] = {}
-    queue_limit: Positive = 2.0
+    queue_limit: Positive = 0.5
 
     @property
     def preset(self) -> PresetName:
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -179,7 +179,7 @@
         if pending.load < pending.slots and pending.uncached:
             prefill = max(0, end.first_token - step) / pending.uncached
             speed.prefill.add(prefill)
-        if pending.cached:
+        if end.cached_tokens:
             speed.found_cached(end.cached_tokens)
         if pending.cached and not end.cached_tokens:
             # The engine had evicted it.
@@ -232,7 +232,7 @@
         if not has_loaded(state, search.version):
             return 'leaves or lacks it'
         health = self._view(state).health
-        if not health.available(search.now, state.reported):
+        if not health.admits(search.now, state.reported):
             return 'ejected'
         return ''
 
