--- a/src/nutmegroad/_ejection.py
+++ b/src/nutmegroad/_ejection.py
@@ -56,11 +56,6 @@
         self._ejected = float('-inf')
         self._unreachable = False
 
-    @property
-    def returns(self) -> float:
-        """Return the clock seconds at which it may be tried again."""
-        return self._until
-
     def admits(self, now: float, reported: float) -> bool:
         """Tell whether it may get work; on probation one at a time.
 
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -219,11 +219,14 @@
             if reason:
                 search.left_out.append(f'{state.info.upstream} {reason}')
                 continue
-            candidate = self._estimate(search, state)
-            search.candidates.append(candidate)
-            best = search.best
-            if best is None or candidate.seconds < best.seconds:
-                search.best = candidate
+            self._consider(search, self._estimate(search, state))
+
+    def _consider(self, search: _Search, candidate: _Candidate) -> None:
+        """Keep a candidate if it is the best so far."""
+        search.candidates.append(candidate)
+        best = search.best
+        if best is None or candidate.seconds < best.seconds:
+            search.best = candidate
 
     def _why_not(self, search: _Search, state: UpstreamState) -> str:
         """Return why an engine may not be tried; empty if it may."""
@@ -287,19 +290,16 @@
         search: _Search,
         local: list[UpstreamState],
     ) -> None:
-        """Try what is ejected rather than nothing, the soonest back first."""
-        open_states = [
-            state
-            for state in local
-            if has_loaded(state, search.version)
-            and state.info.upstream not in search.excluded
-        ]
-        if open_states:
-            state = min(
-                open_states,
-                key=lambda one: self._view(one).health.returns,
-            )
-            search.best = self._estimate(search, state)
+        """Try what is ejected rather than nothing.
+
+        All are out together where all were down: then none is more suspect
+        than the others, and the first one back must not get everything.
+        """
+        for state in draw(local, DRAWN, self._randomness):
+            if state.info.upstream in search.excluded:
+                continue
+            if has_loaded(state, search.version):
+                self._consider(search, self._estimate(search, state))
 
     def _chosen(self, search: _Search, best: _Candidate) -> Choice:
         """Return the choice, and remember what was expected of it."""
