--- a/experiments/engine_model.py
+++ b/experiments/engine_model.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
 
-from experiments.virtual_time import VirtualClock
 from fakes.batching import BatchSpeed
+
+from experiments.virtual_time import VirtualClock
 from nutmegroad.types import FencingNumber, VersionId
 from nutmegroad.upstreams import EngineReport
 
@@ -69,12 +70,12 @@
         self.versions = versions
         self.slowness = 1.0
         self.is_down = False
-        self.work = 0.0
+        self.work: float = 0
         self._clock = clock
         self._running: list[Job] = []
         self._queue: list[tuple[int, int, Job]] = []
         self._order = 0
-        self._moved = 0.0
+        self._moved: float = 0
         self._timer: asyncio.TimerHandle | None = None
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._times: list[float] = [-1.0]
@@ -126,7 +127,7 @@
                 job.done.set_result(False)
         self._settle()
 
-    def set_slowness(self, factor: float) -> None:
+    def slow_down(self, factor: float) -> None:
         """Make all its times longer from now on."""
         self._advance()
         self.slowness = factor
--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -1,15 +1,17 @@
 """Hosts and engines of a trial: real decisions over modelled engines."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+from fakes.batching import BatchSpeed
+
 from experiments.engine_model import EngineModel
 from experiments.virtual_time import VirtualClock
-from fakes.batching import BatchSpeed
 from nutmegroad._demand import Demand
 from nutmegroad._slots import HostSlots, Identity
 from nutmegroad.admission import FairAdmitter
@@ -227,10 +229,9 @@
         pause = REPORT_PERIOD / len(self.hosts)
         for host in self.hosts:
             self._report(host)
-        while True:
-            for host in self.hosts:
-                await self._clock.sleep(pause)
-                self._report(host)
+        for later in itertools.cycle(self.hosts):
+            await self._clock.sleep(pause)
+            self._report(later)
 
     def _report(self, host: Host) -> None:
         """Hand the engines' reports to a host."""
@@ -333,7 +334,7 @@
         """Make the retry budget."""
         if self._setting.retries == 'unbounded':
             return CountedRetries()
-        budget = SharedRetries(self._clock, Metrics(lambda: 0))
+        budget = SharedRetries(self._clock, Metrics(self._clock.now))
         self._observers.add(budget)
         return budget
 
--- a/experiments/virtual_time.py
+++ b/experiments/virtual_time.py
@@ -13,7 +13,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.now = 0.0
+        self.now: float = 0
 
     def select(
         self,
--- a/src/nutmegroad/_demand.py
+++ b/src/nutmegroad/_demand.py
@@ -62,18 +62,14 @@
 
     def observe(self, queued: dict[WorkspaceId, int]) -> None:
         """Look at what is asked for; called about once a second."""
-        names = (
-            self._running.keys()
-            | queued.keys()
-            | self._smooth.keys()
-            | self._refused.keys()
-        )
-        fresh: dict[WorkspaceId, float] = {}
-        for name in names:
-            held = self._running.get(name, 0) + queued.get(name, 0)
-            found = held + self._refused.get(name, 0)
-            before = self._smooth.get(name, found)
-            fresh[name] = before + (found - before) * _GAIN
+        found = dict(self._refused)
+        for counts in (self._running, queued):
+            for workspace, count in counts.items():
+                found[workspace] = found.get(workspace, 0) + count
+        fresh = {
+            name: self._smoothed(name, found.get(name, 0))
+            for name in found.keys() | self._smooth.keys()
+        }
         self._smooth = {
             name: slots for name, slots in fresh.items() if slots > _LEAST
         }
@@ -91,13 +87,13 @@
         """Return this host's part if permits were divided by share."""
         domain = self._identity.domain
         total = self._fleet.demand(domain)
-        for name, slots in self._smooth.items():
-            total[name] = total.get(name, 0) + slots
+        for workspace, slots in self._smooth.items():
+            total[workspace] = total.get(workspace, 0) + slots
         weights = {name: self.share(name) for name in total}
         granted = water_fill(permits, total, weights)
         mine = sum(
-            granted[name] * slots / total[name]
-            for name, slots in self._smooth.items()
+            granted[name] * own / total[name]
+            for name, own in self._smooth.items()
         )
         hosts = len(self._fleet.hosts(domain)) + 1
         return mine + (permits - sum(granted.values())) / hosts
@@ -116,6 +112,11 @@
         """
         return self.share(workspace) * self._parts.get(workspace, 1.0)
 
+    def _smoothed(self, workspace: WorkspaceId, found: float) -> float:
+        """Return a workspace's demand with the newest observation."""
+        before = self._smooth.get(workspace, found)
+        return before + (found - before) * _GAIN
+
     def _read_shares(self) -> None:
         """Read the shares of the configuration in force."""
         accepted = self._configuration.accepted
--- a/src/nutmegroad/_ejection.py
+++ b/src/nutmegroad/_ejection.py
@@ -1,20 +1,24 @@
 """Whether an upstream may be tried: ejection, probation, slow start."""
 
 import random
+from types import MappingProxyType
 from typing import Final
 
 from nutmegroad.results import ResultCode
-from nutmegroad.types import AttemptId
+from nutmegroad.types import AttemptId, UpstreamId
+from nutmegroad.upstreams import UpstreamState
 
 #: How much a result counts against an upstream. A cut answer counts little:
 #: a caller who goes away looks the same.
-FAILURE_WEIGHTS: Final = {
-    ResultCode.UPSTREAM_UNREACHABLE: 1.5,
-    ResultCode.UPSTREAM_TIMEOUT: 1.5,
-    ResultCode.UPSTREAM_ERROR: 1.0,
-    ResultCode.ANSWER_CROSSED: 1.0,
-    ResultCode.ANSWER_CUT: 0.3,
-}
+FAILURE_WEIGHTS: Final = MappingProxyType(
+    {
+        ResultCode.UPSTREAM_UNREACHABLE: 1.5,
+        ResultCode.UPSTREAM_TIMEOUT: 1.5,
+        ResultCode.UPSTREAM_ERROR: 1.0,
+        ResultCode.ANSWER_CROSSED: 1.0,
+        ResultCode.ANSWER_CUT: 0.3,
+    }
+)
 
 #: Sum of weights without a success between at which it is ejected.
 EJECTED_AT: Final = 3.0
@@ -48,7 +52,7 @@
     def __init__(self, since: float, randomness: random.Random) -> None:
         self._randomness = randomness
         self._since = since
-        self._score = 0.0
+        self._score: float = 0
         self._is_out = False
         self._ejections = 0
         self._until = float('-inf')
@@ -129,3 +133,28 @@
         self._unreachable = code is ResultCode.UPSTREAM_UNREACHABLE
         self._ejections += 1
         self._score = 0
+
+
+class Healths:
+    """The health of each upstream of some kind.
+
+    Args:
+        randomness: Jitter of ejections.
+    """
+
+    def __init__(self, randomness: random.Random) -> None:
+        self._randomness = randomness
+        self._known: dict[UpstreamId, tuple[UpstreamState, Health]] = {}
+
+    def health(self, state: UpstreamState) -> Health:
+        """Return an upstream's health; another run of it starts anew."""
+        known = self._known.get(state.info.upstream)
+        if known is not None and known[0] is state:
+            return known[1]
+        health = Health(state.first_seen, self._randomness)
+        self._known[state.info.upstream] = (state, health)
+        return health
+
+    def admits(self, state: UpstreamState, now: float) -> bool:
+        """Tell whether an upstream may get work."""
+        return self.health(state).admits(now, state.reported)
--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/_estimates.py
@@ -46,10 +46,10 @@
     """
 
     def __init__(self, level: float) -> None:
-        self._x = 0.0
+        self._x: float = 0
         self._y = level
-        self._xx = 0.0
-        self._xy = 0.0
+        self._xx: float = 0
+        self._xy: float = 0
         self._count = 0
 
     @property
@@ -139,8 +139,8 @@
         randomness: random.Random,
     ) -> None:
         self.health = Health(state.first_seen, randomness)
-        self._others = 0.0
-        self._usual = 0.0
+        self._others: float = 0
+        self._usual: float = 0
         self._reported = float('-inf')
         self._own = 0
         self._times: deque[float] = deque(maxlen=_HISTORY)
--- a/src/nutmegroad/_fair_queue.py
+++ b/src/nutmegroad/_fair_queue.py
@@ -59,21 +59,61 @@
         return self.heap[0][-1] if self.heap else None
 
 
+class FinishTags:
+    """Virtual times at which what workspaces were given ends.
+
+    Args:
+        weight: Returns a workspace's weight.
+    """
+
+    def __init__(self, weight: Callable[[WorkspaceId], float]) -> None:
+        self._weight = weight
+        self._finish: dict[WorkspaceId, float] = {}
+        self._virtual: float = 0
+
+    def start(self, workspace: WorkspaceId) -> float:
+        """Return when a workspace's next turn begins."""
+        return max(self._virtual, self._finish.get(workspace, 0))
+
+    def ahead(self, workspace: WorkspaceId) -> float:
+        """Return how much more than its share a workspace has had."""
+        return self.start(workspace) - self._virtual
+
+    def charge(self, workspace: WorkspaceId, cost: float) -> None:
+        """Count slot-seconds that a workspace is given."""
+        start = self.start(workspace)
+        self._finish[workspace] = start + cost / self._weight(workspace)
+        self._virtual = start
+        if len(self._finish) > _MOST_TAGS:
+            self._finish = {
+                one: tag
+                for one, tag in self._finish.items()
+                if tag > self._virtual
+            }
+
+    def correct(self, workspace: WorkspaceId, more: float) -> None:
+        """Count slot-seconds that were taken beyond those expected."""
+        tag = self._finish.get(workspace, self._virtual)
+        self._finish[workspace] = tag + more / self._weight(workspace)
+
+
 class FairQueue:
     """Orders waiting requests by workspace, priority and deadline.
 
     Args:
         weight: Returns a workspace's weight.
+
+    Attributes:
+        tags: What workspaces have been given.
     """
 
     def __init__(self, weight: Callable[[WorkspaceId], float]) -> None:
+        self.tags = FinishTags(weight)
         self._weight = weight
         self._flows: dict[tuple[WorkspaceId, Lane], _Flow] = {}
         self._work: dict[WorkspaceId, float] = {}
         self._counts: dict[WorkspaceId, int] = {}
         self._lanes: dict[Lane, int] = {}
-        self._finish: dict[WorkspaceId, float] = {}
-        self._virtual = 0.0
         self._arrivals = 0
         self._size = 0
 
@@ -122,26 +162,9 @@
         chosen = self._flows[key].head()
         if chosen is not None:
             self.remove(chosen)
-            self.charge(key[0], chosen.cost)
+            self.tags.charge(key[0], chosen.cost)
         return chosen
 
-    def charge(self, workspace: WorkspaceId, cost: float) -> None:
-        """Count slot-seconds that a workspace is given."""
-        start = max(self._virtual, self._finish.get(workspace, 0))
-        self._finish[workspace] = start + cost / self._weight(workspace)
-        self._virtual = start
-        if len(self._finish) > _MOST_TAGS:
-            self._finish = {
-                one: tag
-                for one, tag in self._finish.items()
-                if tag > self._virtual
-            }
-
-    def correct(self, workspace: WorkspaceId, more: float) -> None:
-        """Count slot-seconds that were taken beyond those expected."""
-        tag = self._finish.get(workspace, self._virtual)
-        self._finish[workspace] = tag + more / self._weight(workspace)
-
     def wait(self, workspace: WorkspaceId, slots: float) -> float:
         """Return the seconds that a new request would wait at most.
 
@@ -163,15 +186,13 @@
 
     def excess(self, workspace: WorkspaceId, more: float = 0) -> float:
         """Return how far a workspace is ahead, with all that it wants."""
-        ahead = self._finish.get(workspace, 0) - self._virtual
         work = self._work.get(workspace, 0) + more
-        return max(0, ahead) + work / self._weight(workspace)
+        return self.tags.ahead(workspace) + work / self._weight(workspace)
 
     def is_behind(self, workspace: WorkspaceId) -> bool:
         """Tell whether a workspace has had less than its share lately."""
-        if workspace in self._work:
-            return False
-        return self._finish.get(workspace, 0) <= self._virtual
+        waits = workspace in self._work
+        return not waits and self.tags.ahead(workspace) <= 0
 
     def of_workspace(self, workspace: WorkspaceId) -> Iterable[Waiting]:
         """Return what a workspace has waiting."""
@@ -184,8 +205,7 @@
     def _rank(self, key: tuple[WorkspaceId, Lane]) -> tuple[float, int]:
         """Return when a flow's turn begins, and its head's arrival."""
         head = self._flows[key].head()
-        start = max(self._virtual, self._finish.get(key[0], 0))
-        return start, head.order if head else 0
+        return self.tags.start(key[0]), head.order if head else 0
 
     def _count(self, waiting: Waiting, step: int) -> None:
         """Count a request in or out."""
--- /dev/null
+++ b/src/nutmegroad/_permits.py
@@ -0,0 +1,86 @@
+"""The permits that a host has given out, and who gets the next one."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from nutmegroad._demand import Demand
+from nutmegroad._fair_queue import FairQueue, Lane, Waiting
+from nutmegroad._slots import HostSlots
+from nutmegroad.clocks import Clock
+
+
+class Permits:
+    """Counts permits and hands free ones to those that wait.
+
+    Args:
+        slots: How many requests may run at once.
+        queue: Those that wait.
+        demand: Told of what begins and ends.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        slots: HostSlots,
+        queue: FairQueue,
+        demand: Demand,
+        clock: Clock,
+    ) -> None:
+        self.running = 0
+        self._slots = slots
+        self._queue = queue
+        self._demand = demand
+        self._clock = clock
+        self._lanes: dict[Lane, int] = {}
+
+    @property
+    def limit(self) -> int:
+        """Return how many permits may be out."""
+        return self._slots.limit(self.running)
+
+    def has_room(self, lane: Lane) -> bool:
+        """Tell whether a request could run now."""
+        return self.running < self.limit and self._lane_has_room(lane)
+
+    def take(self, waiting: Waiting) -> None:
+        """Count a permit."""
+        waiting.began = self._clock.now()
+        self.running += 1
+        self._lanes[waiting.lane] = self._lanes.get(waiting.lane, 0) + 1
+        self._demand.began(waiting.request.workspace)
+
+    def release(self, waiting: Waiting) -> None:
+        """Take a permit back, and wake whoever is next."""
+        self.running -= 1
+        self._lanes[waiting.lane] -= 1
+        if not self._lanes[waiting.lane]:
+            self._lanes.pop(waiting.lane)
+        workspace = waiting.request.workspace
+        self._demand.ended(workspace)
+        held = self._clock.now() - waiting.began
+        self._queue.tags.correct(workspace, held - waiting.cost)
+        self.wake()
+
+    def wake(self) -> None:
+        """Give out what room there is; called when limits may have grown."""
+        while self.running < self.limit:
+            waiting = self._queue.pop(self._lane_has_room)
+            if waiting is None:
+                return
+            # One whose caller has just gone away gets no permit.
+            if not waiting.outcome.done():
+                self.take(waiting)
+                waiting.outcome.set_result(None)
+
+    @contextmanager
+    def held(self, waiting: Waiting) -> Iterator[None]:
+        """Hold a permit that was taken."""
+        try:
+            yield
+        finally:
+            self.release(waiting)
+
+    def _lane_has_room(self, lane: Lane) -> bool:
+        """Tell whether a lane has a slot left."""
+        limit = self._slots.lane_limit(lane, self.running)
+        return self._lanes.get(lane, 0) < limit
--- a/src/nutmegroad/_service_times.py
+++ b/src/nutmegroad/_service_times.py
@@ -43,4 +43,6 @@
             # answers had says more.
             tokens = min(tokens, output.at(0))
         rest = tokens * self._per_token.level
-        return rest + (first.at(0) if first else 0)
+        if first is None:
+            return rest
+        return rest + first.at(0)
--- a/src/nutmegroad/exchange.py
+++ b/src/nutmegroad/exchange.py
@@ -88,7 +88,7 @@
         if wanted > 0:
             await self._borrow(wanted)
         # Limits may have changed in any case: loans end by themselves.
-        self._admitter.wake()
+        self._admitter.permits.wake()
 
     def _live(self) -> list[Member]:
         """Return the other hosts that are live."""
@@ -102,20 +102,22 @@
     def _tell(self, members: list[Member]) -> None:
         """Tell some hosts of the own domain, and one of each other."""
         self._fleet.count(members)
-        digest = self._admitter.digest(self._identity)
+        digest = self._admitter.digest()
         domains: dict[DomainId, list[HostId]] = {}
         for member in members:
             domains.setdefault(member.domain, []).append(member.host)
         for domain, hosts in domains.items():
             fanout = FANOUT if domain == self._identity.domain else 1
-            some = self._randomness.sample(hosts, min(fanout, len(hosts)))
-            for host in some:
+            drawn = self._randomness.sample(hosts, min(fanout, len(hosts)))
+            for host in drawn:
                 self._mesh.tell(host, digest)
 
     def _wanted(self) -> int:
         """Return how many more slots this host could use."""
         slots = self._admitter.slots
-        needed = self._admitter.running + self._admitter.queued + _RESERVE
+        needed = (
+            self._admitter.permits.running + self._admitter.queued + _RESERVE
+        )
         ending = self._ledger.expiring(self._clock.now(), 2 * PERIOD)
         return needed - slots.holding + ending
 
@@ -145,7 +147,7 @@
         """Lend what is idle, or what others are entitled to."""
         admitter = self._admitter
         holding = admitter.slots.holding
-        busy = admitter.running + admitter.queued + _RESERVE
+        busy = admitter.permits.running + admitter.queued + _RESERVE
         idle = holding - busy
         over = min(ask.claim, int(holding - admitter.entitlement))
         slots = min(ask.wanted, max(idle, over), holding - 1)
--- a/src/nutmegroad/fleet.py
+++ b/src/nutmegroad/fleet.py
@@ -46,6 +46,10 @@
         return max(0, self.limit - self.running - self.waiting)
 
 
+#: Digests by host, with the clock seconds at which each came.
+_Digests = dict[HostId, tuple[float, LoadDigest]]
+
+
 class FleetLoad:
     """The newest digest of each host that was heard.
 
--- a/src/nutmegroad/retries.py
+++ b/src/nutmegroad/retries.py
@@ -1,6 +1,7 @@
 """The budget for retries: a share of the traffic, not a count a request."""
 
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final
 
 from nutmegroad.clocks import Clock
@@ -24,11 +25,13 @@
 
 #: What a retry costs. A busy engine has done no work, so turning to another
 #: one costs the fleet little.
-COSTS: Final = {
-    ResultCode.UPSTREAM_BUSY: 0.25,
-    ResultCode.VERSION_NOT_LOADED: 0.25,
-    ResultCode.UPSTREAM_LEAVING: 0.25,
-}
+COSTS: Final = MappingProxyType(
+    {
+        ResultCode.UPSTREAM_BUSY: 0.25,
+        ResultCode.VERSION_NOT_LOADED: 0.25,
+        ResultCode.UPSTREAM_LEAVING: 0.25,
+    }
+)
 
 
 @dataclass(slots=True)
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -127,7 +127,7 @@
         if search.best is None:
             # Rare: all that were drawn are left out.
             self._look(search, local)
-        if self._is_full(search):
+        if _is_full(search):
             self._spill(search, domains)
         if search.best is None:
             self._last_resort(search, local)
@@ -258,11 +258,6 @@
         seconds *= view.slowness(search.now)
         return _Candidate(state, load, seconds, cached)
 
-    def _is_full(self, search: _Search) -> bool:
-        """Tell whether the local failure domain has no slot to offer."""
-        best = search.best
-        return best is None or best.load >= slots_of(best.state)
-
     def _spill(
         self,
         search: _Search,
@@ -354,6 +349,12 @@
     return selector
 
 
+def _is_full(search: _Search) -> bool:
+    """Tell whether the engines looked at have no slot to offer."""
+    best = search.best
+    return best is None or best.load >= slots_of(best.state)
+
+
 def _queue_length(load: float, slots: float) -> float:
     """Return how many are likely to be ahead in an engine's queue.
 
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -5,6 +5,7 @@
 from fnmatch import fnmatchcase
 from typing import Final
 
+from nutmegroad._ejection import Healths
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
 from nutmegroad.directory import Directory
@@ -97,6 +98,7 @@
         self._configuration = configuration
         self._clock = clock
         self._randomness = randomness
+        self._healths = Healths(randomness)
 
     def entry(self, service: ServiceName) -> ServiceEntry | Refusal:
         """Return a service's entry in the configuration."""
@@ -141,12 +143,17 @@
         service: ServiceName,
         tried: frozenset[UpstreamId],
     ) -> UpstreamState | None:
-        """Return the upstream with the least in flight, if any is left."""
-        states = [
+        """Return the upstream with the least in flight, if any is left.
+
+        One that keeps failing is left out for a while, unless all are.
+        """
+        left = [
             state
             for state in self._directory.services(service)
             if state.info.upstream not in tried
         ]
+        now = self._clock.now()
+        states = [one for one in left if self._healths.admits(one, now)] or left
         if not states:
             return None
         self._randomness.shuffle(states)
@@ -181,8 +188,21 @@
             timeout=max(0, min(left, entry.timeout)),
             key=request.key,
         )
-        with self._directory.in_flight(state, _NO_VERSION):
-            return await self._clients.call(call)
+        health = self._healths.health(state)
+        health.started(call.attempt)
+        code = ResultCode.ANSWER_CUT
+        try:
+            with self._directory.in_flight(state, _NO_VERSION):
+                reply = await self._clients.call(call)
+            code = _code_of(reply)
+        finally:
+            health.ended(call.attempt, code, self._clock.now())
+        return reply
+
+
+def _code_of(reply: ServiceReply | Refusal) -> ResultCode:
+    """Return how an attempt ended."""
+    return reply.code if isinstance(reply, Refusal) else ResultCode.OK
 
 
 def _describe(state: UpstreamState, reply: ServiceReply | Refusal) -> str:
