--- /dev/null
+++ b/tests/loads.py
@@ -0,0 +1,200 @@
+"""What tests of selection and admission share."""
+
+import random
+from dataclasses import replace
+from typing import Final
+
+from nutmegroad._demand import Demand
+from nutmegroad._slots import HostSlots, Identity
+from nutmegroad.admission import FairAdmitter
+from nutmegroad.clocks import Clock
+from nutmegroad.configuration import Accepted, Configuration
+from nutmegroad.decisions import AttemptEnd, AttemptStart
+from nutmegroad.directory import Directory
+from nutmegroad.documents import (
+    Concern,
+    Document,
+    PresetEntry,
+    PresetTask,
+    WorkspaceEntry,
+)
+from nutmegroad.fleet import FleetLoad
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import ResultCode
+from nutmegroad.shares import ShareLedger
+from nutmegroad.types import (
+    Address,
+    AttemptId,
+    Digest,
+    DomainId,
+    FencingNumber,
+    HostId,
+    IdempotencyKey,
+    PresetName,
+    RequestId,
+    Revision,
+    TaskName,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    VersionId,
+    WorkspaceId,
+)
+from nutmegroad.upstreams import EngineReport
+
+VERSION: Final = VersionId('drafting@1')
+HOME: Final = DomainId('petaling')
+AWAY: Final = DomainId('cyberjaya')
+SLOTS: Final = 8
+
+REQUEST: Final = ModelRequest(
+    request=RequestId('r'),
+    workspace=WorkspaceId('large'),
+    concern=Concern.LATENCY,
+    task=TaskName('dossier'),
+    target=0.5,
+    versions=(VERSION,),
+    repeatable=True,
+    deadline=60,
+    priority=5,
+    prompt_tokens=500,
+    output_tokens=100,
+    prefix=7,
+    key=IdempotencyKey(''),
+    session=None,
+    body={},
+)
+
+
+def ask(number: int = 0, **changes: object) -> ModelRequest:
+    """Return a request with a number of its own."""
+    named = replace(REQUEST, request=RequestId(f'r{number}'))
+    return replace(named, **changes)  # type: ignore[arg-type]
+
+
+def engine(name: str, domain: DomainId = HOME) -> UpstreamInfo:
+    """Return the host list's entry of an engine."""
+    address = Address('127.0.0.1', 1)
+    kind = UpstreamKind.ENGINE
+    return UpstreamInfo(UpstreamId(name), domain, kind, address)
+
+
+def report(running: int = 0, slots: int = SLOTS) -> EngineReport:
+    """Return an engine's report."""
+    return EngineReport(
+        (VERSION,),
+        running,
+        0,
+        slots,
+        leaving=False,
+        checks_fencing=True,
+        fencing=FencingNumber(0),
+    )
+
+
+def fill(
+    directory: Directory, *infos: UpstreamInfo, slots: int = SLOTS
+) -> None:
+    """Have a directory know engines that have nothing to do."""
+    directory.update(infos)
+    for info in infos:
+        directory.reported(info.upstream, report(slots=slots))
+
+
+def start_of(request: ModelRequest, upstream: str) -> AttemptStart:
+    """Return the beginning of an attempt."""
+    return AttemptStart(
+        AttemptId(f'{request.request}.{upstream}'),
+        request.request,
+        request.workspace,
+        request.task,
+        VERSION,
+        UpstreamId(upstream),
+    )
+
+
+def end_of(
+    start: AttemptStart,
+    code: ResultCode = ResultCode.OK,
+    seconds: float = 3,
+    cached: int = 0,
+) -> AttemptEnd:
+    """Return the end of an attempt."""
+    return AttemptEnd(start, code, 0.1, seconds, 500, 100, 0, '', cached)
+
+
+def configure(
+    clock: Clock,
+    queue_limit: float,
+    **shares: float,
+) -> Configuration:
+    """Return a configuration with workspaces and their shares."""
+    workspaces = tuple(
+        WorkspaceEntry(
+            name=name,
+            key_hash='0' * 64,
+            versions=(VERSION,),
+            share=share,
+        )
+        for name, share in shares.items()
+    )
+    task = PresetTask(task='dossier', versions=(VERSION,))
+    preset = PresetEntry(name='peak', tasks=(task,), queue_limit=queue_limit)
+    document = Document(
+        format=1,
+        name='test',
+        versions=(),
+        tasks=(),
+        workspaces=workspaces,
+        presets=(preset,),
+    )
+    configuration = Configuration(clock, 8)
+    name = PresetName('peak')
+    accepted = Accepted(Revision(1), Digest(''), document, name, 'test')
+    configuration.take(accepted)
+    return configuration
+
+
+class AdmittingHost:
+    """An admitter with all that it needs, before one engine.
+
+    Args:
+        clock: Time.
+        slots: Slots of the engine.
+        queue_limit: Requests that may wait for each slot.
+        name: Id of the host.
+        shares: Share of each workspace.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        slots: int = SLOTS,
+        queue_limit: float = 2,
+        name: str = 'a',
+        **shares: float,
+    ) -> None:
+        self.identity = Identity(HostId(name), HOME)
+        self.fleet = FleetLoad(clock)
+        self.ledger = ShareLedger()
+        self.directory = Directory(clock)
+        fill(self.directory, engine('e1'), slots=slots)
+        # Nobody sees room at the engine: only the parts count.
+        busy = report(running=slots, slots=slots)
+        self.directory.reported(UpstreamId('e1'), busy)
+        configuration = configure(clock, queue_limit, **shares)
+        self.slots = HostSlots(
+            self.identity,
+            self.directory,
+            self.fleet,
+            self.ledger,
+            clock,
+        )
+        self.demand = Demand(configuration, self.fleet, self.identity)
+        self.admitter = FairAdmitter(
+            self.slots,
+            configuration,
+            self.demand,
+            clock,
+            random.Random(1),
+        )
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,262 @@
+"""Tests of admission by deadline, share and priority."""
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from contextlib import AbstractContextManager
+from typing import Final
+
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import Ran, WorkspaceId
+from tests.loads import AdmittingHost, ask, end_of, start_of
+
+_LARGE: Final = WorkspaceId('large')
+_SMALL: Final = WorkspaceId('small')
+_SLOTS: Final = 5
+#: Permits of five slots, with the overcommitment of a fifth.
+_LIMIT: Final = 6
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self._make(2)
+
+    def _make(self, queue_limit: float) -> None:
+        self.host = AdmittingHost(
+            self.clock,
+            _SLOTS,
+            queue_limit,
+            large=1,
+            small=1,
+        )
+        self.admitter = self.host.admitter
+        self.order: list[str] = []
+
+    async def test_permits_stop_at_the_limit(self) -> None:
+        await self._fill()
+        waiting = await self._enter(ask(99))
+        self.assertEqual(self.admitter.permits.running, _LIMIT)
+        self.assertFalse(waiting.done())
+
+    async def test_a_free_slot_wakes_the_next_at_once(self) -> None:
+        permits = await self._fill()
+        waiting = await self._enter(ask(99))
+        _leave(permits[0])
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertTrue(waiting.done())
+        self.assertEqual(self.admitter.permits.running, _LIMIT)
+
+    async def test_what_cannot_finish_is_refused_at_once(self) -> None:
+        self._teach(seconds=10)
+        refusal = await self.admitter.admit(ask(deadline=9))
+        self._assert_refused(refusal, ResultCode.DEADLINE_UNREACHABLE)
+
+    async def test_the_wait_ahead_counts_against_the_deadline(self) -> None:
+        self._teach(seconds=10)
+        await self._fill()
+        for number in range(6):
+            await self._enter(ask(number))
+        refusal = await self.admitter.admit(ask(9, deadline=15))
+        self._assert_refused(refusal, ResultCode.DEADLINE_UNREACHABLE)
+
+    async def test_who_waits_is_answered_when_time_is_up(self) -> None:
+        self._teach(seconds=10)
+        await self._fill()
+        waiting = await self._enter(ask(9, deadline=13))
+        await self.clock.advance(2.9)
+        self.assertFalse(waiting.done())
+        await self.clock.advance(0.2)
+        refusal = waiting.result()
+        self._assert_refused(refusal, ResultCode.DEADLINE_UNREACHABLE)
+        self.assertEqual(self.admitter.queued, 0)
+
+    async def test_a_caller_that_goes_away_leaves_the_queue(self) -> None:
+        await self._fill()
+        waiting = await self._enter(ask(9))
+        waiting.cancel()
+        await self.clock.settle()
+        self.assertEqual(self.admitter.queued, 0)
+
+    async def test_a_permit_of_one_who_went_away_is_not_lost(self) -> None:
+        permits = await self._fill()
+        first = await self._enter(ask(8))
+        second = await self._enter(ask(9))
+        _leave(permits[0])
+        # It has the permit already but has not run since.
+        first.cancel()
+        await self.clock.settle()
+        self.assertTrue(second.done())
+        self.assertEqual(self.admitter.permits.running, _LIMIT)
+
+    async def test_smaller_priorities_go_first(self) -> None:
+        permits = await self._fill()
+        late = await self._enter(ask(8, priority=9))
+        soon = await self._enter(ask(9, priority=1))
+        _leave(permits[0])
+        await self.clock.settle()
+        self.assertTrue(soon.done())
+        self.assertFalse(late.done())
+
+    async def test_a_flood_does_not_hold_up_the_rest(self) -> None:
+        permits = await self._fill()
+        for number in range(8):
+            await self._enter(ask(number))
+        small = await self._enter(ask(9, workspace=_SMALL))
+        _leave(permits[0])
+        await self.clock.settle()
+        self.assertTrue(small.done())
+
+    async def test_the_flood_itself_is_pushed_out(self) -> None:
+        await self._fill()
+        crowd = [await self._enter(ask(number)) for number in range(12)]
+        small = await self._enter(ask(99, workspace=_SMALL))
+        more = await self._enter(ask(98, workspace=_SMALL))
+        self.assertFalse(small.done())
+        self.assertFalse(more.done())
+        out = [one.result() for one in crowd if one.done()]
+        self.assertEqual(len(out), 1)
+        self._assert_refused(out[0], ResultCode.SHARE_EXCEEDED)
+
+    async def test_the_cheap_to_repeat_goes_first(self) -> None:
+        await self._fill()
+        kept = [
+            await self._enter(ask(number, repeatable=number != 4))
+            for number in range(12)
+        ]
+        pushy = await self._enter(ask(99, repeatable=False))
+        self.assertFalse(pushy.done())
+        gone = [number for number, one in enumerate(kept) if one.done()]
+        self.assertEqual(gone, [11])
+
+    async def test_refused_callers_do_not_come_back_together(self) -> None:
+        self._make(0.1)
+        await self._fill()
+        await self._enter(ask(0))
+        times = {
+            (await self.admitter.admit(ask(number))).retry_after  # type: ignore
+            for number in range(1, 20)
+        }
+        self.assertEqual(len(times), 19)
+        self.assertGreater(min(times), 0)
+
+    async def test_slots_are_divided_by_share(self) -> None:
+        self.host = AdmittingHost(self.clock, 5, 4, large=3, small=1)
+        self.admitter = self.host.admitter
+        served = await self._serve_backlog(40)
+        share = served[_LARGE] / (served[_LARGE] + served[_SMALL])
+        self.assertAlmostEqual(share, 0.75, delta=0.05)
+
+    async def test_a_busy_engine_lowers_the_limit_which_grows_back(
+        self,
+    ) -> None:
+        await self.clock.advance(10)
+        full = self.admitter.permits.limit
+        for _ in range(8):
+            start = start_of(ask(), 'e1')
+            self.admitter.ended(end_of(start, ResultCode.UPSTREAM_BUSY))
+            await self.clock.advance(0.5)
+        self.assertLess(self.admitter.permits.limit, full)
+        await self.clock.advance(20)
+        self.assertEqual(self.admitter.permits.limit, full)
+
+    async def test_random_comings_and_goings(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                self._make(1)
+                await self._run_randomly(random.Random(seed))
+
+    async def _run_randomly(self, draws: random.Random) -> None:
+        tasks: list[asyncio.Task[None]] = []
+        for number in range(300):
+            request = ask(
+                number,
+                workspace=draws.choice((_LARGE, _LARGE, _SMALL)),
+                priority=draws.randrange(3),
+                deadline=self.clock.now() + draws.uniform(0.5, 9),
+                repeatable=draws.random() < 0.5,
+            )
+            held = draws.uniform(0.1, 3)
+            tasks.append(asyncio.create_task(self._visit(request, held)))
+            if draws.random() < 0.2:
+                draws.choice(tasks).cancel()
+            await self.clock.advance(draws.uniform(0, 0.3))
+            running = self.admitter.permits.running
+            self.assertLessEqual(running, _LIMIT)
+            # No wake-up was lost: nobody waits while there is room.
+            self.assertTrue(running == _LIMIT or not self.admitter.queued)
+        await self.clock.advance(30)
+        self.assertEqual(self.admitter.permits.running, 0)
+        self.assertEqual(self.admitter.queued, 0)
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual([one for one in ended if _is_failure(one)], [])
+
+    async def _visit(self, request: ModelRequest, held: float) -> None:
+        permit = await self.admitter.admit(request)
+        self.assertLessEqual(self.clock.now(), request.deadline)
+        if isinstance(permit, Refusal):
+            return
+        with permit:
+            await self.clock.sleep(held)
+
+    async def _serve_backlog(self, rounds: int) -> Counter[WorkspaceId]:
+        served: Counter[WorkspaceId] = Counter()
+        permits = await self._fill()
+        queue: list[tuple[WorkspaceId, asyncio.Task[object]]] = []
+        for number in range(rounds):
+            for name in (_LARGE, _SMALL):
+                while sum(one[0] == name for one in queue) < 6:
+                    task = await self._enter(ask(number, workspace=name))
+                    queue.append((name, task))
+            await self.clock.advance(1)
+            _leave(permits.pop(0))
+            await self.clock.settle()
+            for entry in [one for one in queue if one[1].done()]:
+                queue.remove(entry)
+                served[entry[0]] += 1
+                permits.append(entry[1].result())
+        return served
+
+    async def _fill(self) -> list[object]:
+        permits = [await self._enter(ask(n)) for n in range(_LIMIT)]
+        return [one.result() for one in permits]
+
+    async def _enter(self, request: ModelRequest) -> asyncio.Task[object]:
+        async def enter() -> object:
+            permit = await self.admitter.admit(request)
+            if isinstance(permit, AbstractContextManager):
+                permit.__enter__()
+            return permit
+
+        task = asyncio.create_task(enter())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return task
+
+    def _teach(self, seconds: float) -> None:
+        start = start_of(ask(), 'e1')
+        self.admitter.ended(end_of(start, seconds=seconds))
+
+    def _assert_refused(self, found: object, code: ResultCode) -> None:
+        self.assertIsInstance(found, Refusal)
+        assert isinstance(found, Refusal)
+        self.assertIs(found.code, code)
+        self.assertIs(found.ran, Ran.NOT_RUN)
+        self.assertGreater(found.retry_after, 0)
+
+
+def _leave(permit: object) -> None:
+    """Give a permit back."""
+    assert isinstance(permit, AbstractContextManager)
+    permit.__exit__(None, None, None)
+
+
+def _is_failure(found: object) -> bool:
+    """Tell whether a task failed otherwise than by being cancelled."""
+    cancelled = isinstance(found, asyncio.CancelledError)
+    return isinstance(found, BaseException) and not cancelled
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,88 @@
+"""Tests of the retry budget."""
+
+import unittest
+from dataclasses import replace
+from typing import Final
+
+from nutmegroad.metrics import Metrics
+from nutmegroad.results import ResultCode
+from nutmegroad.retries import FLOOR, MOST_SAVED, SHARE, SharedRetries
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import WorkspaceId
+from tests.loads import ask, end_of, start_of
+
+_OTHER: Final = WorkspaceId('small')
+
+
+class SharedRetriesTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.metrics = Metrics(lambda: 0)
+        self.budget = SharedRetries(self.clock, self.metrics)
+
+    def test_retries_of_an_outage_are_a_share_of_the_traffic(self) -> None:
+        requests = 1000
+        retried = sum(self._fail(number) for number in range(requests))
+        self.assertEqual(retried, int(MOST_SAVED + SHARE * requests))
+
+    def test_a_quiet_host_may_retry_now_and_then(self) -> None:
+        self._drain()
+        self.assertFalse(self._fail(0))
+
+    async def test_the_floor_comes_back_with_time(self) -> None:
+        self._drain()
+        await self.clock.advance(1 / FLOOR)
+        self.assertTrue(self._fail(0))
+
+    def test_what_is_saved_up_is_bounded(self) -> None:
+        for number in range(1000):
+            self.budget.started(start_of(ask(number), 'e'))
+        retried = 0
+        while self.budget.spend(ask()):
+            retried += 1
+        self.assertEqual(retried, int(MOST_SAVED))
+
+    def test_a_failing_workspace_leaves_others_their_retries(self) -> None:
+        self._drain()
+        for number in range(100):
+            self._traffic(number, workspace=_OTHER)
+        # The large workspace may not use what the small one saved up.
+        self.assertFalse(self.budget.spend(ask()))
+        self.assertTrue(self.budget.spend(ask(workspace=_OTHER)))
+
+    def test_a_busy_engine_costs_less_than_an_error(self) -> None:
+        counts = []
+        for code in (ResultCode.UPSTREAM_BUSY, ResultCode.UPSTREAM_ERROR):
+            self.budget = SharedRetries(self.clock, self.metrics)
+            tries = (self._fail(n, code, traffic=False) for n in range(99))
+            counts.append(sum(tries))
+        self.assertEqual(counts, [4 * MOST_SAVED, MOST_SAVED])
+
+    def test_retries_are_counted_by_reason(self) -> None:
+        self._fail(0, ResultCode.UPSTREAM_TIMEOUT)
+        line = b'nutmegroad_retries_total{code="UPSTREAM_TIMEOUT"} 1.0'
+        self.assertIn(line, self.metrics.render())
+
+    def _fail(
+        self,
+        number: int,
+        code: ResultCode = ResultCode.UPSTREAM_ERROR,
+        *,
+        traffic: bool = True,
+    ) -> bool:
+        start = start_of(ask(number), 'e')
+        if traffic:
+            self.budget.started(start)
+        self.budget.ended(end_of(start, code))
+        if not self.budget.spend(ask(number)):
+            return False
+        # The retry itself saves nothing up.
+        self.budget.started(replace(start, upstream='other'))
+        return True
+
+    def _traffic(self, number: int, workspace: WorkspaceId) -> None:
+        self.budget.started(start_of(ask(number, workspace=workspace), 'e'))
+
+    def _drain(self) -> None:
+        while self.budget.spend(ask()):
+            continue
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,171 @@
+"""Tests of shares that move between hosts."""
+
+import random
+import unittest
+from typing import Final
+
+from nutmegroad.exchange import ShareExchange
+from nutmegroad.fleet import DIGEST_HOLDS, FleetLoad, LoadDigest
+from nutmegroad.shares import LOAN_HOLDS, ShareLedger, static_part, water_fill
+from nutmegroad.testing import ManualClock, MemoryMesh, Weather
+from nutmegroad.types import DomainId, HostId, WorkspaceId
+from tests.loads import AWAY, HOME, AdmittingHost, ask
+
+_HOSTS: Final = ('a', 'b', 'c')
+_SLOTS: Final = 30
+
+
+class StaticPartTest(unittest.TestCase):
+    def test_parts_sum_to_the_whole(self) -> None:
+        names = [HostId(f'h{number}') for number in range(7)]
+        for total in (0, 1, 6, 7, 100):
+            with self.subTest(total=total):
+                parts = [static_part(total, name, names) for name in names]
+                self.assertEqual(sum(parts), total)
+                self.assertLessEqual(max(parts) - min(parts), 1)
+
+
+class WaterFillTest(unittest.TestCase):
+    def test_what_one_does_not_need_goes_to_the_others(self) -> None:
+        large, small = WorkspaceId('large'), WorkspaceId('small')
+        granted = water_fill(10, {large: 90, small: 2}, {large: 1, small: 1})
+        self.assertEqual(granted, {large: 8, small: 2})
+
+    def test_weights_divide_what_is_short(self) -> None:
+        large, small = WorkspaceId('large'), WorkspaceId('small')
+        granted = water_fill(9, {large: 90, small: 90}, {large: 2, small: 1})
+        self.assertEqual(granted, {large: 6, small: 3})
+
+
+class ShareLedgerTest(unittest.TestCase):
+    def test_the_borrower_gives_back_before_the_lender_takes(self) -> None:
+        lender, borrower = ShareLedger(), ShareLedger()
+        # The reply may be under way for long; the loan counts from the ask.
+        asked, lent = 10.0, 10.3
+        lender.lend(4, lent)
+        borrower.borrow(4, asked)
+        for tenth in range(103, 160):
+            now = tenth / 10
+            total = lender.balance(now) + borrower.balance(now)
+            self.assertLessEqual(total, 0)
+
+    def test_a_loan_ends_by_itself(self) -> None:
+        ledger = ShareLedger()
+        ledger.borrow(4, 0)
+        self.assertEqual(ledger.balance(LOAN_HOLDS / 2), 4)
+        self.assertEqual(ledger.balance(LOAN_HOLDS), 0)
+
+
+class FleetLoadTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.fleet = FleetLoad(self.clock)
+
+    def test_a_domain_sheds_if_enough_of_its_hosts_do(self) -> None:
+        self.fleet.take(_digest('x', shedding=True))
+        self.assertTrue(self.fleet.is_shedding(AWAY))
+        for name in 'yzuv':
+            self.fleet.take(_digest(name, shedding=False))
+        self.assertFalse(self.fleet.is_shedding(AWAY))
+
+    def test_a_domain_that_sheds_has_nothing_to_spare(self) -> None:
+        self.fleet.take(_digest('x', shedding=True))
+        self.assertEqual(self.fleet.spare(AWAY), 0)
+
+    async def test_old_digests_say_nothing(self) -> None:
+        self.fleet.take(_digest('x', shedding=False))
+        self.assertEqual(self.fleet.spare(AWAY), 6)
+        await self.clock.advance(DIGEST_HOLDS)
+        self.assertEqual(self.fleet.spare(AWAY), 0)
+
+
+class ShareExchangeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        mesh = MemoryMesh(self.clock, random.Random(5))
+        self.mesh = await self.enterAsyncContext(mesh)
+        self.hosts = {}
+        for name in _HOSTS:
+            host = AdmittingHost(self.clock, _SLOTS, name=name, large=1)
+            peer = self.mesh.join(HostId(name), HOME)
+            exchange = ShareExchange(
+                peer,
+                host.admitter,
+                host.fleet,
+                host.ledger,
+                self.clock,
+                random.Random(name),
+            )
+            exchange.handle()
+            self.hosts[name] = host
+            self.mesh_task(exchange)
+
+    def mesh_task(self, exchange: ShareExchange) -> None:
+        import asyncio
+
+        task = asyncio.create_task(exchange.run())
+        self.addCleanup(task.cancel)
+
+    async def test_slots_move_to_where_they_lack(self) -> None:
+        await self.clock.advance(2)
+        await self._load('a', 20)
+        await self.clock.advance(2)
+        self.assertGreater(self._holding('a'), 18)
+        self.assertEqual(self.hosts['a'].admitter.permits.running, 20)
+        self.assertLessEqual(self._total(), self._whole())
+
+    async def test_a_host_cut_off_falls_back_to_its_static_part(self) -> None:
+        await self.clock.advance(2)
+        static = self._holding('a')
+        await self._load('a', 20)
+        await self.clock.advance(2)
+        self.mesh.cut(HostId('a'), HostId('b'))
+        self.mesh.cut(HostId('a'), HostId('c'))
+        await self.clock.advance(LOAN_HOLDS + 1)
+        self.assertEqual(self._holding('a'), static)
+
+    async def test_no_weather_makes_slots_out_of_nothing(self) -> None:
+        self.mesh.weather = Weather((0.01, 1.5), 0.2, 0.2, 0.3)
+        draws = random.Random(3)
+        for _ in range(60):
+            await self._load(draws.choice(_HOSTS), draws.randrange(4))
+            await self.clock.advance(draws.uniform(0.1, 0.9))
+            if self._settled():
+                self.assertLessEqual(self._total(), self._whole())
+
+    async def _load(self, name: str, requests: int) -> None:
+        import asyncio
+
+        for number in range(requests):
+            request = ask(number, deadline=self.clock.now() + 500)
+            admitter = self.hosts[name].admitter
+            task = asyncio.create_task(_hold(admitter, request, self.clock))
+            self.addCleanup(task.cancel)
+        await self.clock.settle()
+
+    def _holding(self, name: str) -> int:
+        return self.hosts[name].slots.holding
+
+    def _settled(self) -> bool:
+        known = [len(host.fleet.hosts(HOME)) for host in self.hosts.values()]
+        return min(known) == len(_HOSTS) - 1
+
+    def _total(self) -> int:
+        return sum(self._holding(name) for name in _HOSTS)
+
+    def _whole(self) -> int:
+        return self.hosts['a'].slots.permits
+
+
+async def _hold(admitter, request, clock) -> None:  # type: ignore
+    """Hold a permit for long."""
+    permit = await admitter.admit(request)
+    if permit:
+        with permit:
+            await clock.sleep(30)
+
+
+def _digest(host: str, *, shedding: bool) -> LoadDigest:
+    """Return a digest of a host of another domain."""
+    domain: DomainId = AWAY
+    return LoadDigest(host, domain, 10, 4, 0, shedding)
