Refuse the newcomer rather than who waits, bound what choices are kept

Both were found by their tests: a newcomer counted as the oldest in the queue, so one that waited was pushed out for it; and choices that no attempt followed were kept for good (10,000 of 10,000).

--- a/src/nutmegroad/_fair_queue.py
+++ b/src/nutmegroad/_fair_queue.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import sys
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -32,7 +33,7 @@
         lane: Which slots it needs.
         cost: Slot-seconds that it is expected to take.
         outcome: None for a slot, or why it gets none.
-        order: Its place among all arrivals.
+        order: Its place among all arrivals; the last until it waits.
         gone: It waits no more.
         began: Clock seconds at which it got its slot.
     """
@@ -41,7 +42,7 @@
     lane: Lane
     cost: float
     outcome: asyncio.Future[Refusal | None]
-    order: int = 0
+    order: int = sys.maxsize
     gone: bool = False
     began: float = 0
 
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -34,6 +34,9 @@
 #: Seconds that another failure domain has to be better by.
 SPILL_MARGIN: Final = 0.05
 
+#: Choices that are remembered until their attempt begins.
+_MOST_EXPECTED: Final = 1000
+
 #: Engines that a reason names.
 _NAMED: Final = 4
 
@@ -301,6 +304,9 @@
         request = search.request
         upstream = best.state.info.upstream
         saved = search.speed.saved if best.cached else 0
+        if len(self._expected) >= _MOST_EXPECTED:
+            # Only choices that no attempt followed are left here.
+            self._expected.clear()
         self._expected[request.request, upstream] = _Pending(
             best.load,
             slots_of(best.state),
