--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -270,7 +270,7 @@
         self._directory = Directory(clock)
         self._observers = Observers()
         self._configuration = Configuration(clock, 8)
-        self._configuration.take(_accepted(size))
+        self._configuration.take(accepted_for(size.shares, size.queue_limit))
 
     def make(self) -> Host:
         """Return the host."""
@@ -341,10 +341,18 @@
 
 def workspace_names(size: Size) -> list[WorkspaceId]:
     """Return the workspaces of a trial."""
-    return [WorkspaceId(f'outlet-{n}') for n in range(len(size.shares))]
+    return names_for(size.shares)
 
 
-def _accepted(size: Size) -> Accepted:
+def names_for(shares: tuple[float, ...]) -> list[WorkspaceId]:
+    """Return a name for each share."""
+    return [WorkspaceId(f'outlet-{n}') for n, _ in enumerate(shares)]
+
+
+def accepted_for(
+    shares: tuple[float, ...],
+    queue_limit: float,
+) -> Accepted:
     """Return a configuration with the trial's workspaces."""
     workspaces = tuple(
         WorkspaceEntry(
@@ -353,12 +361,12 @@
             versions=(VERSION,),
             share=share,
         )
-        for name, share in zip(workspace_names(size), size.shares, strict=True)
+        for name, share in zip(names_for(shares), shares, strict=True)
     )
     preset = PresetEntry(
         name='peak',
         tasks=(PresetTask(task=TASK, versions=(VERSION,)),),
-        queue_limit=size.queue_limit,
+        queue_limit=queue_limit,
     )
     document = Document(
         format=1,
--- a/src/nutmegroad/_engine_pools.py
+++ b/src/nutmegroad/_engine_pools.py
@@ -59,13 +59,13 @@
         built: Clock seconds at which they were listed.
         source: The directory's own list.
         domains: Engines by failure domain.
-        rings: The same, for finding a prefix's home.
+        ring: Gives prefixes a home in the host's own domain.
     """
 
     built: float
     source: tuple[UpstreamState, ...]
     domains: dict[DomainId, list[UpstreamState]] = field(default_factory=dict)
-    rings: dict[DomainId, 'Ring'] = field(default_factory=dict)
+    ring: 'Ring | None' = None
 
 
 class EnginePools:
@@ -74,11 +74,18 @@
     Args:
         directory: The upstreams.
         clock: The host's clock.
+        domain: The failure domain of this host.
     """
 
-    def __init__(self, directory: Directory, clock: Clock) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        clock: Clock,
+        domain: DomainId,
+    ) -> None:
         self._directory = directory
         self._clock = clock
+        self._domain = domain
         self._pools: dict[VersionId, Pool] = {}
 
     def pool(self, version: VersionId) -> Pool:
@@ -93,8 +100,9 @@
             return known
         for state in fresh.source:
             fresh.domains.setdefault(state.info.domain, []).append(state)
-        for domain, states in fresh.domains.items():
-            fresh.rings[domain] = Ring(states)
+        local = fresh.domains.get(self._domain)
+        if local:
+            fresh.ring = Ring(local)
         self._pools[version] = fresh
         return fresh
 
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -96,7 +96,7 @@
         randomness: random.Random,
         domain: DomainId,
     ) -> None:
-        self._pools = EnginePools(directory, clock)
+        self._pools = EnginePools(directory, clock, domain)
         self._directory = directory
         self._fleet = fleet
         self._clock = clock
@@ -198,10 +198,9 @@
         The first is its home, which is the same for all hosts of the
         domain; the others are where this host has sent it.
         """
-        ring = pool.rings.get(self._domain)
-        home = ring.home(search.request.prefix) if ring else None
-        states = [] if home is None else [home]
         prefix = search.request.prefix
+        home = pool.ring.home(prefix) if pool.ring else None
+        states = [] if home is None else [home]
         for name in self._prefixes.holders(search.version, prefix):
             state = self._directory.state(name)
             if state is None or state.info.domain != self._domain:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -85,8 +85,9 @@
         for _ in range(2):
             self._fail('e1', ResultCode.UPSTREAM_UNREACHABLE)
         self.assertNotIn('e1', self._chosen(20))
+        # No ejection is that short; only the report can bring it back.
         await self.clock.advance(0.6)
-        await self._report('e1', 0)
+        self.directory.reported(UpstreamId('e1'), report())
         self._load_others()
         self.assertEqual(self._send(), 'e1')
 
@@ -125,6 +126,20 @@
         homes = {self._choose(prefix=7).state.info.upstream for _ in range(9)}
         self.assertEqual(len(homes), 1)
 
+    def test_a_cached_prefix_is_expected_sooner(self) -> None:
+        self._learn_prefix()
+        cached = self._choose(prefix=7)
+        self.assertIn('prefix cached', cached.reason)
+        home = cached.state.info.upstream
+        away = self.selector.choose(
+            ask(5, prefix=7),
+            VERSION,
+            frozenset((home,)),
+        )
+        assert isinstance(away, Choice)
+        self.assertNotIn('prefix cached', away.reason)
+        self.assertLess(cached.expected, away.expected)
+
     async def test_a_busy_holder_is_given_up(self) -> None:
         self._learn_prefix()
         home = self._choose(prefix=7).state.info.upstream
