--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -89,6 +89,7 @@
         queue_limit: Requests that may wait for each slot at a host.
         shares: Share of each workspace.
         speed: How fast engines are.
+        length: Seconds in which requests come.
     """
 
     engines: int = 3
@@ -96,6 +97,7 @@
     queue_limit: float = 2.0
     shares: tuple[float, ...] = (1.0,) * 10
     speed: BatchSpeed = field(default_factory=BatchSpeed)
+    length: float = 60
 
 
 @dataclass(slots=True)
--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/_setting_specs.py
@@ -254,11 +254,11 @@
     _policy_spec('planner', 'cheapest', 'policy that chooses versions'),
     _policy_spec(
         'selector',
-        'least-in-flight',
+        'expected',
         'policy that chooses upstreams',
     ),
-    _policy_spec('admitter', 'open', 'policy that lets requests in'),
-    _policy_spec('retries', 'unbounded', 'policy that bounds retries'),
+    _policy_spec('admitter', 'fair', 'policy that lets requests in'),
+    _policy_spec('retries', 'share', 'policy that bounds retries'),
     _policy_spec('quarantine', 'none', 'policy that blocks versions'),
     Spec(
         'plugins',
--- a/src/nutmegroad/fleet.py
+++ b/src/nutmegroad/fleet.py
@@ -59,7 +59,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._heard: dict[DomainId, dict[HostId, tuple[float, LoadDigest]]] = {}
+        self._heard: dict[DomainId, _Digests] = {}
         self._seen: dict[DomainId, dict[HostId, float]] = {}
 
     def count(self, members: Iterable[Member]) -> None:
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/settings.py
@@ -93,9 +93,9 @@
     log_format: str = 'text'
     seed: int | None = None
     planner: str = 'cheapest'
-    selector: str = 'least-in-flight'
-    admitter: str = 'open'
-    retries: str = 'unbounded'
+    selector: str = 'expected'
+    admitter: str = 'fair'
+    retries: str = 'share'
     quarantine: str = 'none'
     plugins: tuple[str, ...] = ()
     print_settings: bool = False
--- /dev/null
+++ b/tests/shared_documents.py
@@ -0,0 +1,47 @@
+"""A configuration with workspaces and their shares, for tests."""
+
+from typing import Final
+
+from nutmegroad.clocks import Clock
+from nutmegroad.configuration import Accepted, Configuration
+from nutmegroad.documents import (
+    Document,
+    PresetEntry,
+    PresetTask,
+    WorkspaceEntry,
+)
+from nutmegroad.types import Digest, PresetName, Revision, VersionId
+
+VERSION: Final = VersionId('drafting@1')
+
+
+def configure(
+    clock: Clock,
+    queue_limit: float,
+    **shares: float,
+) -> Configuration:
+    """Return a configuration with workspaces and their shares."""
+    workspaces = tuple(
+        WorkspaceEntry(
+            name=name,
+            key_hash='0' * 64,
+            versions=(VERSION,),
+            share=share,
+        )
+        for name, share in shares.items()
+    )
+    task = PresetTask(task='dossier', versions=(VERSION,))
+    preset = PresetEntry(name='peak', tasks=(task,), queue_limit=queue_limit)
+    document = Document(
+        format=1,
+        name='test',
+        versions=(),
+        tasks=(),
+        workspaces=workspaces,
+        presets=(preset,),
+    )
+    configuration = Configuration(clock, 8)
+    name = PresetName('peak')
+    accepted = Accepted(Revision(1), Digest(''), document, name, 'test')
+    configuration.take(accepted)
+    return configuration
