--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -27,7 +27,6 @@
 )
 from nutmegroad.exchange import ShareExchange
 from nutmegroad.fleet import FleetLoad
-from nutmegroad.metrics import Metrics
 from nutmegroad.policies import CountedRetries, LeastInFlight, OpenAdmitter
 from nutmegroad.retries import SharedRetries
 from nutmegroad.selection import ExpectedSelector
@@ -336,7 +335,7 @@
         """Make the retry budget."""
         if self._setting.retries == 'unbounded':
             return CountedRetries()
-        budget = SharedRetries(self._clock, Metrics(self._clock.now))
+        budget = SharedRetries(self._clock)
         self._observers.add(budget)
         return budget
 
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -19,6 +19,7 @@
     'nutmegroad.retries',
     'nutmegroad._load_part',
     'nutmegroad._routing_part',
+    'nutmegroad._safety_part',
     'nutmegroad._listeners_part',
 )
 
--- a/src/nutmegroad/retries.py
+++ b/src/nutmegroad/retries.py
@@ -7,7 +7,6 @@
 from nutmegroad.clocks import Clock
 from nutmegroad.core import Kernel
 from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers
-from nutmegroad.metrics import Metrics
 from nutmegroad.registry import register
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import ResultCode
@@ -61,12 +60,10 @@
 
     Args:
         clock: The host's clock.
-        metrics: Counts retries by their reason.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._metrics = metrics
         self._host = _Bucket(MOST_SAVED, clock.now())
         self._workspaces: dict[WorkspaceId, _Bucket] = {}
         # The budget is asked in the same step that an attempt ends in.
@@ -86,7 +83,6 @@
         bucket.saved -= cost
         self._host.saved -= cost
         self._retried = request.request
-        self._metrics.retried(code)
         return True
 
     def started(self, start: AttemptStart) -> None:
@@ -120,6 +116,6 @@
 @register('retries', 'share')
 def shared_retries(kernel: Kernel) -> SharedRetries:
     """Make the retry budget for a host."""
-    budget = SharedRetries(kernel.clock, kernel.need(Metrics))
+    budget = SharedRetries(kernel.clock)
     kernel.need(Observers).add(budget)
     return budget
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -13,6 +13,7 @@
 from nutmegroad.explanations import Explanation
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.steps import OWN_REFUSALS
 from nutmegroad.types import (
     AttemptId,
     Ran,
@@ -134,7 +135,8 @@
             refusal = reply
             if reply.ran is not Ran.NOT_RUN:
                 ran = Ran.UNKNOWN
-            if ran is Ran.UNKNOWN and not repeatable:
+            harmless = repeatable or ran is Ran.NOT_RUN
+            if not _may_go_on(reply, harmless):
                 break
         return replace(refusal, ran=ran)
 
@@ -197,6 +199,10 @@
             code = _code_of(reply)
         finally:
             health.ended(call.attempt, code, self._clock.now())
+        if isinstance(reply, ServiceReply):
+            self._directory.answered(state.info.upstream)
+        elif reply.code is ResultCode.UPSTREAM_UNREACHABLE:
+            self._directory.refused(state.info.upstream)
         return reply
 
 
@@ -205,6 +211,11 @@
     return reply.code if isinstance(reply, Refusal) else ResultCode.OK
 
 
+def _may_go_on(reply: Refusal, harmless: bool) -> bool:
+    """Tell whether another upstream may be tried after a failure."""
+    return harmless and reply.code not in OWN_REFUSALS
+
+
 def _describe(state: UpstreamState, reply: ServiceReply | Refusal) -> str:
     """Say how an attempt ended."""
     if isinstance(reply, Refusal):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -8,11 +8,19 @@
 from nutmegroad.admission import FairAdmitter
 from nutmegroad.exchange import ShareExchange
 from nutmegroad.fleet import DIGEST_HOLDS, FleetLoad, LoadDigest
+from nutmegroad.peers import Member
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal
 from nutmegroad.shares import LOAN_HOLDS, ShareLedger, static_part, water_fill
 from nutmegroad.testing import ManualClock, MemoryMesh, Weather
-from nutmegroad.types import DomainId, HostId, WorkspaceId
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    HostId,
+    Incarnation,
+    Presence,
+    WorkspaceId,
+)
 from tests.loads import AWAY, HOME, AdmittingHost, ask
 
 _HOSTS: Final = ('a', 'b', 'c')
@@ -82,6 +90,12 @@
         await self.clock.advance(DIGEST_HOLDS)
         self.assertEqual(self.fleet.spare(AWAY), 0)
 
+    def test_hosts_that_are_heard_stand_for_all(self) -> None:
+        members = [_member(name) for name in 'wxyz']
+        self.fleet.count(members)
+        self.fleet.take(LoadDigest('w', AWAY, 9, 9, 0, False, {'large': 3}))
+        self.assertEqual(self.fleet.demand(AWAY), {'large': 12})
+
 
 class ShareExchangeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -170,6 +184,13 @@
         await clock.sleep(30)
 
 
+def _member(name: str) -> Member:
+    """Return a host of another domain."""
+    address = Address('127.0.0.1', 1)
+    run = Incarnation(f'{name}.1')
+    return Member(HostId(name), run, AWAY, address, Presence.LIVE, 0)
+
+
 def _digest(host: str, *, shedding: bool) -> LoadDigest:
     """Return a digest of a host of another domain."""
     domain: DomainId = AWAY
