Test ejection as plain services use it

Each seen red: without forgiveness after a success, with cut answers counted in full, without a new start for another run, without the ejection.

--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,45 @@
+"""Tests of ejection as plain services use it."""
+
+import random
+import unittest
+
+from nutmegroad._ejection import Healths
+from nutmegroad.results import ResultCode
+from nutmegroad.types import AttemptId
+from nutmegroad.upstreams import UpstreamState
+from tests.loads import engine
+
+_ATTEMPT = AttemptId('a')
+
+
+class HealthsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.healths = Healths(random.Random(1))
+        self.state = UpstreamState(engine('s1'))
+
+    def test_what_keeps_failing_is_left_out(self) -> None:
+        self._fail(ResultCode.UPSTREAM_ERROR, 2)
+        self.assertTrue(self.healths.admits(self.state, 0))
+        self._fail(ResultCode.UPSTREAM_ERROR, 1)
+        self.assertFalse(self.healths.admits(self.state, 0))
+
+    def test_a_success_between_forgives(self) -> None:
+        self._fail(ResultCode.UPSTREAM_ERROR, 2)
+        self._fail(ResultCode.OK, 1)
+        self._fail(ResultCode.UPSTREAM_ERROR, 2)
+        self.assertTrue(self.healths.admits(self.state, 0))
+
+    def test_callers_who_go_away_eject_nothing(self) -> None:
+        self._fail(ResultCode.ANSWER_CUT, 9)
+        self.assertTrue(self.healths.admits(self.state, 0))
+
+    def test_another_run_starts_anew(self) -> None:
+        self._fail(ResultCode.UPSTREAM_ERROR, 3)
+        again = UpstreamState(engine('s1'))
+        self.assertTrue(self.healths.admits(again, 0))
+
+    def _fail(self, code: ResultCode, times: int) -> None:
+        health = self.healths.health(self.state)
+        for _ in range(times):
+            health.started(_ATTEMPT)
+            health.ended(_ATTEMPT, code, 0)
