--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -15,7 +15,6 @@
 from nutmegroad._demand import Demand
 from nutmegroad._slots import HostSlots, Identity
 from nutmegroad.admission import FairAdmitter
-from nutmegroad.baselines import RandomChoice, RoundRobin
 from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.decisions import Admitter, Observers, RetryBudget, Selector
 from nutmegroad.directory import Directory
@@ -27,6 +26,7 @@
 )
 from nutmegroad.exchange import ShareExchange
 from nutmegroad.fleet import FleetLoad
+from nutmegroad.plain_selectors import RandomChoice, RoundRobin
 from nutmegroad.policies import CountedRetries, LeastInFlight, OpenAdmitter
 from nutmegroad.retries import SharedRetries
 from nutmegroad.selection import ExpectedSelector
--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/_routing_part.py
@@ -6,6 +6,7 @@
 from nutmegroad.decisions import Observers, Quarantine
 from nutmegroad.directory import Directory
 from nutmegroad.dispatch import Dispatcher
+from nutmegroad.estimates import Estimates
 from nutmegroad.gates import Gatekeeper
 from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
@@ -25,6 +26,8 @@
         EngineClient,
         ServiceClient,
         Invariants,
+        # Planners may follow the estimates.
+        Estimates,
     )
 
     async def open(self, kernel: Kernel) -> None:
--- a/src/nutmegroad/baselines.py
+++ b/src/nutmegroad/baselines.py
@@ -1,101 +1,111 @@
-"""Plain selectors that the measured ones are compared with."""
+"""Planners to compare with: they look at no rating."""
 
 import random
+from collections.abc import Callable
 
+from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
-from nutmegroad.decisions import Choice
-from nutmegroad.directory import Directory
+from nutmegroad.decisions import AttemptEnd
+from nutmegroad.documents import VersionEntry
+from nutmegroad.prices import cost_of
 from nutmegroad.registry import register
-from nutmegroad.requests import ModelRequest
+from nutmegroad.requests import ModelRequest, Plan
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import UpstreamId, VersionId
-from nutmegroad.upstreams import UpstreamState
 
+#: Picks one of some versions, which are in the order of their cost.
+Pick = Callable[[list[VersionEntry]], VersionEntry]
 
-class RoundRobin:
-    """Takes the engines of a version in turn.
 
-    Args:
-        directory: The upstreams.
-    """
-
-    def __init__(self, directory: Directory) -> None:
-        self._directory = directory
-        self._turns: dict[VersionId, int] = {}
-
-    def choose(
-        self,
-        request: ModelRequest,
-        version: VersionId,
-        excluded: frozenset[UpstreamId],
-    ) -> Choice | Refusal:
-        """Return the next engine."""
-        states = _candidates(self._directory, version, excluded)
-        if not states:
-            return no_engine(version)
-        turn = self._turns.get(version, 0)
-        self._turns[version] = turn + 1
-        return Choice(states[turn % len(states)], 0, 'next in turn')
-
-
-class RandomChoice:
-    """Takes any engine of a version.
+class FixedPlanner:
+    """Picks a version by its price alone.
 
     Args:
-        directory: The upstreams.
-        randomness: Draws it.
+        configuration: What is in force.
+        pick: Picks one of the versions, cheapest first.
+        reason: Why, in words.
     """
 
     def __init__(
         self,
-        directory: Directory,
-        randomness: random.Random,
+        configuration: Configuration,
+        pick: Pick,
+        reason: str,
     ) -> None:
-        self._directory = directory
-        self._randomness = randomness
+        self._configuration = configuration
+        self._pick = pick
+        self._reason = reason
+
+    def plan(self, request: ModelRequest) -> Plan | Refusal:
+        """Return a plan of one step."""
+        costs: dict[str, float] = {}
+        entries: list[VersionEntry] = []
+        for entry in map(self._configuration.entry, request.versions):
+            if entry is None:
+                continue
+            prompt, output = request.prompt_tokens, request.output_tokens
+            costs[entry.id] = cost_of(entry, prompt, output)
+            entries.append(entry)
+        if not entries:
+            return Refusal(ResultCode.NO_PLAN, 'No version may answer.')
+        entries.sort(key=lambda priced: costs[priced.id])
+        chosen = self._pick(entries)
+        return Plan(
+            steps=(chosen.version,),
+            accept=(),
+            cost=costs[chosen.id],
+            quality=chosen.quality.get(request.task, 0),
+            reason=self._reason,
+        )
+
+    def estimate(self, request: ModelRequest, end: AttemptEnd) -> float:
+        """Return what the version's owner declared."""
+        entry = self._configuration.entry(end.start.version)
+        return entry.quality.get(request.task, 0) if entry else 0
+
+
+def dearest(configuration: Configuration) -> FixedPlanner:
+    """Return the planner that always takes the dearest version."""
+    return FixedPlanner(
+        configuration,
+        lambda entries: entries[-1],
+        'the dearest version',
+    )
 
-    def choose(
-        self,
-        request: ModelRequest,
-        version: VersionId,
-        excluded: frozenset[UpstreamId],
-    ) -> Choice | Refusal:
-        """Return any engine."""
-        states = _candidates(self._directory, version, excluded)
-        if not states:
-            return no_engine(version)
-        return Choice(self._randomness.choice(states), 0, 'drawn')
-
-
-def no_engine(version: VersionId) -> Refusal:
-    """Say that no engine can be had."""
-    return Refusal(
-        ResultCode.NO_UPSTREAM,
-        f'No live engine that may be tried has {version} loaded.',
-        retry_after=1,
+
+def cheapest_only(configuration: Configuration) -> FixedPlanner:
+    """Return the planner that always takes the cheapest version."""
+    return FixedPlanner(
+        configuration,
+        lambda entries: entries[0],
+        'the cheapest version, whatever the target',
+    )
+
+
+def static_share(
+    configuration: Configuration,
+    randomness: random.Random,
+) -> FixedPlanner:
+    """Return the planner that gives each version the same share."""
+    return FixedPlanner(
+        configuration,
+        randomness.choice,
+        'equal shares between all versions',
     )
 
 
-@register('selector', 'round-robin')
-def round_robin(kernel: Kernel) -> RoundRobin:
-    """Make the selector for a host."""
-    return RoundRobin(kernel.need(Directory))
+@register('planner', 'dearest')
+def dearest_planner(kernel: Kernel) -> FixedPlanner:
+    """Make the planner for a host."""
+    return dearest(kernel.need(Configuration))
 
 
-@register('selector', 'random')
-def random_choice(kernel: Kernel) -> RandomChoice:
-    """Make the selector for a host."""
-    return RandomChoice(kernel.need(Directory), kernel.randomness)
+@register('planner', 'cheapest-only')
+def cheapest_only_planner(kernel: Kernel) -> FixedPlanner:
+    """Make the planner for a host."""
+    return cheapest_only(kernel.need(Configuration))
 
 
-def _candidates(
-    directory: Directory,
-    version: VersionId,
-    excluded: frozenset[UpstreamId],
-) -> list[UpstreamState]:
-    """Return the engines that may be tried."""
-    return [
-        state
-        for state in directory.engines(version)
-        if state.info.upstream not in excluded
-    ]
+@register('planner', 'static-share')
+def static_share_planner(kernel: Kernel) -> FixedPlanner:
+    """Make the planner for a host."""
+    return static_share(kernel.need(Configuration), kernel.randomness)
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/selection.py
@@ -16,12 +16,12 @@
 )
 from nutmegroad._estimates import EngineView, VersionSpeed
 from nutmegroad._prefixes import PrefixMemory
-from nutmegroad.baselines import no_engine
 from nutmegroad.clocks import Clock
 from nutmegroad.core import Kernel
 from nutmegroad.decisions import AttemptEnd, AttemptStart, Choice, Observers
 from nutmegroad.directory import Directory
 from nutmegroad.fleet import FleetLoad
+from nutmegroad.plain_selectors import no_engine
 from nutmegroad.registry import register
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal, ResultCode
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -6,10 +6,10 @@
 from typing import Final
 
 from nutmegroad._ejection import FIRST_EJECTION, SLOW_START
-from nutmegroad.baselines import RandomChoice, RoundRobin
 from nutmegroad.decisions import Choice
 from nutmegroad.directory import Directory
 from nutmegroad.fleet import FleetLoad, LoadDigest
+from nutmegroad.plain_selectors import RandomChoice, RoundRobin
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.selection import ExpectedSelector
 from nutmegroad.testing import ManualClock
