Keep a host unready until it knows an upstream

Ruled out: the division of slots between hosts, which is right once reports are there. /readyz now says 'no upstreams yet', and the demo waits for it as the balancer does. The new test is red without the change.

--- a/experiments/deployment.py
+++ b/experiments/deployment.py
@@ -313,6 +313,22 @@
         {'text': running.text},
     )
     await wait_for_revision(running, 1)
+    await wait_until_ready(running)
+
+
+async def wait_until_ready(running: Deployment) -> None:
+    """Wait, as the platform's balancer does, until every host is ready."""
+    async with ClientSession() as session:
+        for address in running.operators:
+            url = f'http://{address}/readyz'
+            while not await _is_ready(session, url):
+                await asyncio.sleep(0.1)
+
+
+async def _is_ready(session: ClientSession, url: str) -> bool:
+    """Ask a host whether callers may be sent to it."""
+    async with session.get(url) as response:
+        return response.ok
 
 
 async def wait_for_revision(
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators.py
@@ -125,6 +125,10 @@
         """Say whether callers may be sent here."""
         if self._configuration.accepted is None:
             return Response(status=_UNAVAILABLE, text='no configuration\n')
+        # The host list lags: a host may open before the list names anything,
+        # and would refuse for want of capacity that is there.
+        if not self._directory.states():
+            return Response(status=_UNAVAILABLE, text='no upstreams yet\n')
         return Response(text='ready\n')
 
     async def status(self, http: Request) -> Response:
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,29 @@
+"""Readiness: a host is sent no callers before it could serve them."""
+
+import unittest
+from contextlib import AsyncExitStack
+
+from nutmegroad.directory import Directory
+from tests.hosts import WholeHost, fast_engine
+
+
+class ReadinessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        stack = AsyncExitStack()
+        self.addAsyncCleanup(stack.aclose)
+        self.host = WholeHost(fast_engine())
+        await self.host.open(stack)
+
+    async def readiness(self) -> tuple[int, str]:
+        operators = self.host.kernel.listening['operators']
+        url = f'http://{operators}/readyz'
+        async with self.host.session.get(url) as response:
+            return response.status, await response.text()
+
+    async def test_a_host_that_knows_no_upstream_is_not_ready(self) -> None:
+        self.assertEqual(await self.readiness(), (200, 'ready\n'))
+        self.host.kernel.need(Directory).update(())
+        self.assertEqual(
+            await self.readiness(),
+            (503, 'no upstreams yet\n'),
+        )
