--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -24,8 +24,9 @@
 from nutmegroad.intake import IntakeDesk
 from nutmegroad.intents import IntentLedger
 from nutmegroad.metrics import Metrics
+from nutmegroad.operator_access import Access
 from nutmegroad.operators import OperatorsInterface
-from nutmegroad.registry import register
+from nutmegroad.registry import register, registered
 from nutmegroad.services import ServiceCaller
 from nutmegroad.session_names import SessionNames
 from nutmegroad.session_pins import SessionPins
@@ -91,13 +92,19 @@
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
+        access = Access(
+            kernel.need(Configuration),
+            kernel.settings.bootstrap_token,
+        )
+        kernel.provide(Access, access)
+        groups = registered('operator routes').values()
         interface = OperatorsInterface(
             kernel.settings.host,
             kernel.need(Configuration),
-            kernel.need(Changes),
             kernel.need(Directory),
             kernel.need(Explanations),
-            kernel.settings.bootstrap_token,
+            access,
+            [make(kernel, access) for make in groups],
         )
         app = interface.application()
         add_host_routes(app, kernel)
