--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -13,6 +13,8 @@
 
 from nutmegroad._caller_guard import CallerGuard
 from nutmegroad._caller_parts import CallerParts
+from nutmegroad._order_routes import OrderRoutes
+from nutmegroad._rollout_routes import RolloutDesk, RolloutRoutes
 from nutmegroad.billing import Biller
 from nutmegroad.callers import CallersInterface
 from nutmegroad.changes import Changes
@@ -26,6 +28,7 @@
 from nutmegroad.metrics import Metrics
 from nutmegroad.operator_access import Access
 from nutmegroad.operators import OperatorsInterface
+from nutmegroad.order_keeper import OrderKeeper
 from nutmegroad.registry import register, registered
 from nutmegroad.services import ServiceCaller
 from nutmegroad.session_names import SessionNames
@@ -88,7 +91,15 @@
 class OperatorsPart:
     """Listens to operators."""
 
-    needs = (Changes, Directory, Explanations, GracefulStop, Metrics)
+    needs = (
+        Changes,
+        Directory,
+        Explanations,
+        GracefulStop,
+        Metrics,
+        OrderKeeper,
+        RolloutDesk,
+    )
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
@@ -107,6 +118,10 @@
             [make(kernel, access) for make in groups],
         )
         app = interface.application()
+        routes = RolloutRoutes(kernel.need(RolloutDesk), access.authenticate)
+        routes.add_to(app)
+        orders = OrderRoutes(kernel.need(OrderKeeper), access.authenticate)
+        orders.add_to(app)
         add_host_routes(app, kernel)
         kernel.listening['operators'] = await listen(
             kernel,
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -20,6 +20,10 @@
     'nutmegroad.baselines',
     'nutmegroad._quality_part',
     'nutmegroad._routing_part',
+    'nutmegroad._ratings_part',
+    'nutmegroad._exposure_part',
+    'nutmegroad._rollouts_part',
+    'nutmegroad._orders_part',
     'nutmegroad._safety_part',
     'nutmegroad._listeners_part',
 )
