--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -25,10 +25,12 @@
 from nutmegroad.explanations import Explanations
 from nutmegroad.intake import IntakeDesk
 from nutmegroad.intents import IntentLedger
+from nutmegroad.members import Members
 from nutmegroad.metrics import Metrics
 from nutmegroad.operator_access import Access
 from nutmegroad.operators import OperatorsInterface
 from nutmegroad.order_keeper import OrderKeeper
+from nutmegroad.peers import Mesh
 from nutmegroad.registry import register, registered
 from nutmegroad.services import ServiceCaller
 from nutmegroad.session_names import SessionNames
@@ -96,6 +98,8 @@
         Directory,
         Explanations,
         GracefulStop,
+        Members,
+        Mesh,
         Metrics,
         OrderKeeper,
         RolloutDesk,
@@ -113,7 +117,7 @@
             kernel.settings.host,
             kernel.need(Configuration),
             kernel.need(Directory),
-            kernel.need(Explanations),
+            kernel.need(GracefulStop),
             access,
             [make(kernel, access) for make in groups],
         )
--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon.py
@@ -5,20 +5,20 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 from typing import Any, Final
 
-from absl import logging
 from aiomisc import Service, entrypoint
 
 from nutmegroad.clocks import SystemClock
 from nutmegroad.core import Kernel
 from nutmegroad.exceptions import RegistryError, SettingsError
-from nutmegroad.logs import LogFormat, set_up_logs
+from nutmegroad.logs import LogFormat, part_logger, set_up_logs
 from nutmegroad.plugins import load_plugins
 from nutmegroad.settings import Settings, format_settings, read_settings
 from nutmegroad.stops import GracefulStop
 
-_LOG_PREFIX: Final = 'daemon:'
+_LOG: Final = part_logger('daemon')
 
 #: Exit code for settings that are wrong.
 BAD_SETTINGS: Final = 2
@@ -32,10 +32,17 @@
 
     Args:
         settings: Checked settings.
+        on_ask: Called when an operator asks that the host stop.
     """
 
-    def __init__(self, settings: Settings, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        on_ask: Callable[[], object],
+        **kwargs: Any,
+    ) -> None:
         super().__init__(**kwargs)
+        self._on_ask = on_ask
         self._kernel = Kernel(
             settings,
             SystemClock(),
@@ -45,6 +52,7 @@
     async def start(self) -> None:
         """Open all parts, and say where they listen."""
         await self._kernel.start()
+        self._kernel.need(GracefulStop).when_asked(self._on_ask)
         for name, address in self._kernel.listening.items():
             sys.stdout.write(f'listening {name} {address}\n')
         sys.stdout.write('ready\n')
@@ -52,31 +60,37 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Let open requests end, and close all parts."""
-        logging.info('%s stopping', _LOG_PREFIX)
+        _LOG.info('stopping')
         await self._kernel.need(GracefulStop).run()
         async with asyncio.timeout(STOP_MARGIN):
             await self._kernel.stack.aclose()
-        logging.info('%s stopped', _LOG_PREFIX)
+        _LOG.info('stopped')
 
 
-def stop_on_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """End the loop's run at the first signal, and take no notice of more.
+class StopOnce:
+    """Ends the loop's run at the first signal or order, and at no other.
 
     aiomisc's own handlers put the default back as soon as a stop begins,
     so that a second signal would cut what is still open.
     """
-    received: list[int] = []
 
-    def handle(number: int) -> None:
-        """Stop once."""
-        if received:
-            logging.info('%s signal %d again', _LOG_PREFIX, number)
+    def __init__(self) -> None:
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._stopping = False
+
+    def __call__(self) -> None:
+        """End the loop's run, if it has not been done."""
+        if self._stopping or self._loop is None:
+            _LOG.info('told to stop again')
             return
-        received.append(number)
-        loop.stop()
+        self._stopping = True
+        self._loop.stop()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, handle, number)
+    def watch(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Stop the loop at signals."""
+        self._loop = loop
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self)
 
 
 def main() -> int:
@@ -95,9 +109,10 @@
     except RegistryError as trouble:
         sys.stderr.write(f'{trouble}\n')
         return BAD_SETTINGS
-    service = HostService(settings)
+    stop = StopOnce()
+    service = HostService(settings, stop)
     with entrypoint(service, log_config=False, catch_signals=()) as loop:
-        stop_on_signals(loop)
+        stop.watch(loop)
         loop.run_forever()
     return 0
 
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators.py
@@ -12,7 +12,6 @@
 
 from nutmegroad.configuration import Configuration
 from nutmegroad.directory import Directory
-from nutmegroad.explanations import Explanations
 from nutmegroad.operator_access import (
     Access,
     OperatorRoutes,
@@ -20,11 +19,26 @@
     reply,
 )
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import HostId, RequestId
+from nutmegroad.stops import GracefulStop
+from nutmegroad.types import HostId
 
 _UNAVAILABLE: Final = 503
 
 
+class ConditionBody(Struct, frozen=True):
+    """Something that keeps a host from serving as it should.
+
+    Attributes:
+        code: Result code of what callers or operators meet.
+        name: The code's name.
+        message: One sentence.
+    """
+
+    code: int
+    name: str
+    message: str
+
+
 class StatusBody(Struct, frozen=True):
     """What a host says of itself.
 
@@ -40,6 +54,8 @@
         withdrawals: Withdrawn versions.
         unrecorded: Those that the table is not known to have.
         upstreams: How many upstreams it knows.
+        open_requests: How many requests of callers are open.
+        conditions: What keeps it from serving as it should.
     """
 
     host: str
@@ -53,6 +69,8 @@
     withdrawals: tuple[str, ...]
     unrecorded: tuple[str, ...]
     upstreams: int
+    open_requests: int
+    conditions: tuple[ConditionBody, ...]
 
 
 class UpstreamBody(Struct, frozen=True):
@@ -84,7 +102,7 @@
         host: This host's id.
         configuration: What is in force.
         directory: The upstreams.
-        explanations: What happened to requests.
+        stop: The host's stop.
         access: Knows operators.
         groups: More routes.
     """
@@ -94,14 +112,14 @@
         host: HostId,
         configuration: Configuration,
         directory: Directory,
-        explanations: Explanations,
+        stop: GracefulStop,
         access: Access,
         groups: Iterable[OperatorRoutes],
     ) -> None:
         self._host = host
         self._configuration = configuration
         self._directory = directory
-        self._explanations = explanations
+        self._stop = stop
         self._access = access
         self._groups = tuple(groups)
 
@@ -112,7 +130,6 @@
         app.router.add_get('/readyz', self.ready)
         app.router.add_get('/operators/status', self.status)
         app.router.add_get('/operators/upstreams', self.upstreams)
-        app.router.add_get('/operators/requests/{request}', self.explain)
         for group in self._groups:
             group.add_routes(app)
         return app
@@ -151,6 +168,8 @@
                     fact.version for fact in self._configuration.unrecorded
                 ),
                 upstreams=len(self._directory.states()),
+                open_requests=self._stop.open_requests,
+                conditions=self._conditions(),
             ),
         )
 
@@ -173,18 +192,33 @@
         ]
         return reply(listed)
 
-    async def explain(self, http: Request) -> Response:
-        """Tell what happened to a request and why."""
-        operator = self._access.authenticate(http)
-        if isinstance(operator, Refusal):
-            return refuse_operator(operator)
-        request = RequestId(http.match_info['request'])
-        explanation = self._explanations.find(request)
-        if explanation is None:
-            return refuse_operator(
-                Refusal(
-                    ResultCode.NOT_FOUND,
-                    f'This host knows no request {request!r}.',
-                ),
+    def _conditions(self) -> tuple[ConditionBody, ...]:
+        """Return what keeps this host from serving as it should."""
+        held = self._configuration
+        found = []
+        if not self._stop.is_ready:
+            sentence = 'The host is stopping.'
+            found.append(_condition(ResultCode.HOST_STOPPING, sentence))
+        if held.accepted is None:
+            sentence = 'The host has no configuration.'
+            found.append(_condition(ResultCode.CONFIGURATION_MISSING, sentence))
+        elif held.isolated:
+            sentence = (
+                f'Nothing has confirmed revision {held.revision} for '
+                f'{held.confirmation_age:.0f} s; the host serves only what '
+                'may be served in isolation.'
             )
-        return reply(explanation.steps)
+            found.append(_condition(ResultCode.ISOLATED, sentence))
+        if held.behind:
+            sentence = f'The host lacks revision {held.heard}.'
+            code = ResultCode.CONFIGURATION_UNCONFIRMED
+            found.append(_condition(code, sentence))
+        if held.unrecorded:
+            sentence = 'The table is not known to have all withdrawals.'
+            found.append(_condition(ResultCode.TABLE_UNAVAILABLE, sentence))
+        return tuple(found)
+
+
+def _condition(code: ResultCode, sentence: str) -> ConditionBody:
+    """Return a condition."""
+    return ConditionBody(int(code), code.name, sentence)
--- a/src/nutmegroad/stops.py
+++ b/src/nutmegroad/stops.py
@@ -52,6 +52,7 @@
         self._phase = Phase.SERVING
         self._open: dict[asyncio.Task[object], int] = {}
         self._listeners: list[Callable[[], object]] = []
+        self._asked: list[Callable[[], object]] = []
 
     @property
     def phase(self) -> Phase:
@@ -72,6 +73,15 @@
         """Call a function as soon as the stop begins."""
         self._listeners.append(listener)
 
+    def when_asked(self, listener: Callable[[], object]) -> None:
+        """Call a function when somebody asks that the host stop."""
+        self._asked.append(listener)
+
+    def ask(self) -> None:
+        """Ask whoever runs this host to stop it, and return at once."""
+        for listener in self._asked:
+            listener()
+
     def refusal(self) -> Refusal | None:
         """Return why new work is not taken, or None."""
         if self._phase < Phase.REFUSING:
