--- a/src/nutmegroad/_cli_client.py
+++ b/src/nutmegroad/_cli_client.py
@@ -1,6 +1,7 @@
 """The command line's side of the operators' HTTP interface."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum, unique
 from typing import Any, Final
@@ -17,6 +18,9 @@
 from nutmegroad.results import ResultCode
 from nutmegroad.types import Address
 
+#: Where the operator's token comes from; flags can be read by others.
+TOKEN_VARIABLE: Final = 'NUTMEGROAD_TOKEN'
+
 _FIRST_ERROR: Final = 400
 _LONGEST_SHOWN: Final = 200
 
@@ -108,6 +112,7 @@
         addresses: Operators' listeners of some hosts.
         token: The operator's token.
         timeout: Seconds that a call may take.
+        say: Shows a person how far a command has come.
     """
 
     def __init__(
@@ -115,10 +120,16 @@
         addresses: tuple[Address, ...],
         token: str,
         timeout: float,
+        say: Callable[[str], object],
     ) -> None:
         self._addresses = addresses
         self._token = token
         self._timeout = timeout
+        self._say = say
+
+    def say(self, text: str) -> None:
+        """Show how far the command has come."""
+        self._say(f'{text}\n')
 
     async def get(self, path: str, **query: str | int) -> Any | Failure:
         """Read something."""
@@ -155,6 +166,17 @@
             'listener of a running host with --operators.',
         )
 
+    def _explain_token(self, url: str, failure: Failure) -> Failure:
+        """Add where the token came from to a failure for its sake."""
+        if failure.exit_code is not ExitCode.NOT_PERMITTED:
+            return failure
+        state = 'set' if self._token else 'not set'
+        return Failure(
+            failure.exit_code,
+            f'{failure.sentence}\nThe token is taken from {TOKEN_VARIABLE}, '
+            f'which is {state}; {url} was asked.',
+        )
+
     async def _ask(
         self,
         method: str,
@@ -171,7 +193,7 @@
         ):
             content = await response.read()
             if response.status >= _FIRST_ERROR:
-                return read_failure(content)
+                return self._explain_token(url, read_failure(content))
             return msgspec.json.decode(content)
 
 
--- a/src/nutmegroad/_cli_output.py
+++ b/src/nutmegroad/_cli_output.py
@@ -11,6 +11,9 @@
 _INDENT: Final = 2
 _GAP: Final = '  '
 
+#: Place of a quarantine's level, odd while it stands, in its array.
+_LEVEL: Final = 3
+
 
 def as_json(reply: Any) -> str:
     """Return a reply as indented JSON."""
@@ -68,6 +71,47 @@
     return _align(rows)
 
 
+def status(reply: Any) -> str:
+    """Return how a host stands, and what keeps it from serving."""
+    plain = {name: part for name, part in reply.items() if name != 'conditions'}
+    lines = [fields(plain)]
+    lines.extend(
+        f'{found["name"]} ({found["code"]}): {found["message"]}'
+        for found in reply['conditions']
+    )
+    return '\n'.join(lines)
+
+
+def configuration(reply: Any) -> str:
+    """Return a revision's fields, and its document as JSON."""
+    plain = {name: part for name, part in reply.items() if name != 'document'}
+    return f'{fields(plain)}\n{as_json(reply["document"])}'
+
+
+def history(reply: Any) -> str:
+    """Return the newest changes."""
+    return table('revision', 'author', 'summary')(reply['moves'])
+
+
+def rollouts(reply: Any) -> str:
+    """Return the roll-outs, their last reasons, and quarantines."""
+    rows = [
+        {
+            **entry,
+            'in_force': reply['shares'].get(entry['version']),
+            'reason': entry['steps'][-1]['reason'] if entry['steps'] else None,
+        }
+        for entry in reply['rollouts']
+    ]
+    shown = table('version', 'phase', 'share', 'in_force', 'reason')(rows)
+    standing = [fact for fact in reply['quarantines'] if fact[_LEVEL] % 2 == 1]
+    lines = [
+        f'quarantine of {fact[0]} (epoch {fact[1]}) for {fact[2]}: {fact[5]}'
+        for fact in standing
+    ]
+    return '\n'.join((shown, *lines))
+
+
 def _align(rows: Sequence[Sequence[str]]) -> str:
     """Return rows with their columns aligned."""
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
--- a/src/nutmegroad/_cli_table.py
+++ b/src/nutmegroad/_cli_table.py
@@ -9,6 +9,7 @@
     check,
     diff,
     drain,
+    prepare,
     reading,
     rollout,
     set_workspace,
@@ -16,7 +17,17 @@
     switch,
     withdraw,
 )
-from nutmegroad._cli_output import Renderer, fields, steps, table
+from nutmegroad._cli_numbers import positive
+from nutmegroad._cli_output import (
+    Renderer,
+    configuration,
+    fields,
+    history,
+    rollouts,
+    status,
+    steps,
+    table,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +69,7 @@
 _WAIT: Final = Argument(
     '--wait',
     'seconds to wait until every host has acknowledged the change',
-    (('type', float), ('metavar', 'SECONDS')),
+    (('type', positive), ('metavar', 'SECONDS')),
 )
 _EXPECTED: Final = Argument(
     '--expected',
@@ -82,12 +93,13 @@
         ('config', 'show'),
         'show the configuration in force',
         reading('configuration'),
+        configuration,
     ),
     Command(
         ('config', 'history'),
         'show the newest changes',
         reading('configuration/history'),
-        table('revision', 'author', 'summary'),
+        history,
     ),
     Command(
         ('config', 'diff'),
@@ -127,16 +139,23 @@
         show_progress,
         (_PRESET, _EXPECTED, _WAIT),
     ),
+    Command(
+        ('preset', 'prepare'),
+        "have a preset's versions loaded before it is put into force",
+        prepare,
+        arguments=(_PRESET,),
+    ),
     Command(
         ('version', 'rollout'),
-        'start, pause, resume or abort a roll-out',
+        'start, pause, resume or abort a roll-out, or lift a quarantine',
         rollout,
-        arguments=(
+        rollouts,
+        (
             _VERSION,
             Argument(
                 'action',
                 'what to do',
-                (('choices', ('start', 'pause', 'resume', 'abort')),),
+                (('choices', ('start', 'pause', 'resume', 'abort', 'lift')),),
             ),
         ),
     ),
@@ -144,7 +163,7 @@
         ('version', 'status'),
         'show the roll-outs and their evidence',
         reading('rollouts'),
-        table('version', 'stage', 'share', 'reason'),
+        rollouts,
     ),
     Command(
         ('version', 'withdraw'),
@@ -153,6 +172,12 @@
         show_progress,
         (_VERSION, _WAIT),
     ),
+    Command(
+        ('version', 'withdrawals'),
+        'list the withdrawn versions, and whether the table has each',
+        reading('withdrawals'),
+        table('version', 'epoch', 'in_table', 'state'),
+    ),
     Command(
         ('workspace', 'list'),
         'list the workspaces',
@@ -172,7 +197,7 @@
         show_progress,
         (
             _WORKSPACE,
-            Argument('--share', 'its weight', (('type', float),)),
+            Argument('--share', 'its weight', (('type', positive),)),
             Argument(
                 '--concern',
                 'the measure that it weighs most',
@@ -184,7 +209,16 @@
                 (('choices', ('serve', 'refuse')),),
             ),
             Argument('--versions', 'versions that it may use, with commas'),
-            Argument('--key-file', "a file that holds its callers' new key"),
+            Argument(
+                '--key-file',
+                "a file that holds its callers' new key; the key before "
+                'holds on beside it',
+            ),
+            Argument(
+                '--drop-old-key',
+                'have only the newest key hold',
+                (('action', 'store_true'),),
+            ),
             _EXPECTED,
             _WAIT,
         ),
@@ -197,7 +231,7 @@
     ),
     Command(
         ('host', 'drain'),
-        'have a host stop taking new work and leave',
+        'have a host stop gracefully: no request is cut',
         drain,
         arguments=(Argument('host', "the host's id"),),
     ),
@@ -216,5 +250,10 @@
         steps,
         (Argument('request', "the request's id"),),
     ),
-    Command(('status',), 'show how a host stands', reading('status')),
+    Command(
+        ('status',),
+        'show how a host stands, and what keeps it from serving',
+        reading('status'),
+        status,
+    ),
 )
--- a/src/nutmegroad/_gate.py
+++ b/src/nutmegroad/_gate.py
@@ -132,6 +132,7 @@
     def _credentials(self) -> Credentials:
         return Credentials(
             key=self._context.key,
+            old_key=self._context.old_key,
             identity=self._roster.identity,
             nonces=self._context.nonces,
             admission=self._roster,
--- a/src/nutmegroad/_handshake.py
+++ b/src/nutmegroad/_handshake.py
@@ -117,16 +117,18 @@
     """What a host needs for handshakes.
 
     Attributes:
-        key: The cluster key.
+        key: The cluster key, by which we prove ourselves.
         identity: Who we are.
         nonces: Source of nonces; must be unpredictable outside tests.
         admission: Says which incarnations are too old.
+        old_key: Another key that holds while the cluster key is changed.
     """
 
     key: bytes
     identity: Identity
     nonces: random.Random
     admission: Admission
+    old_key: bytes = b''
 
     def hello(self) -> Hello:
         """Return a hello with a fresh nonce."""
@@ -139,22 +141,26 @@
         first: Hello,
         second: Hello,
         known: int,
+        key: bytes = b'',
     ) -> Proof:
-        """Return the proof of a role."""
+        """Return the proof of a role, by our own key or a given one."""
         said = [role, as_plain(first), as_plain(second), known]
-        mac = hmac.digest(self.key, pack(said), hashlib.sha256)
+        mac = hmac.digest(key or self.key, pack(said), hashlib.sha256)
         return Proof(mac, known)
 
-    def is_proof(
+    def key_of(
         self,
         proof: Proof,
         role: str,
         first: Hello,
         second: Hello,
-    ) -> bool:
-        """Tell whether a proof was made with our key."""
-        expected = self.prove(role, first, second, proof.known)
-        return hmac.compare_digest(expected.mac, proof.mac)
+    ) -> bytes:
+        """Return which of our keys a proof was made with; empty for none."""
+        for key in filter(None, (self.key, self.old_key)):
+            expected = self.prove(role, first, second, proof.known, key)
+            if hmac.compare_digest(expected.mac, proof.mac):
+                return key
+        return b''
 
 
 class HandshakeStream:
@@ -228,7 +234,7 @@
     known = ours.admission.newer_generation(second.identity)
     await stream.send(ours.prove('client', first, second, known))
     proof = await stream.receive(Proof)
-    if not ours.is_proof(proof, 'server', first, second):
+    if not ours.key_of(proof, 'server', first, second):
         raise HandshakeError('links_wrong_key')
     _check_generations(known, proof)
     return second.identity
@@ -248,10 +254,12 @@
     second = ours.hello()
     await stream.send(second)
     proof = await stream.receive(Proof)
-    if not ours.is_proof(proof, 'client', first, second):
+    key = ours.key_of(proof, 'client', first, second)
+    if not key:
         raise HandshakeError('links_wrong_key')
     known = ours.admission.newer_generation(first.identity)
-    await stream.send(ours.prove('server', first, second, known))
+    # The other side may know no other key than the one that it proved.
+    await stream.send(ours.prove('server', first, second, known, key))
     _check_generations(known, proof)
     return first.identity
 
--- a/src/nutmegroad/_link_context.py
+++ b/src/nutmegroad/_link_context.py
@@ -55,6 +55,7 @@
         nonces: Source of nonces; must be unpredictable outside tests.
         account: Where cost and events are written.
         limits: Bounds.
+        old_key: Another key that holds while the cluster key is changed.
     """
 
     key: bytes
@@ -63,6 +64,7 @@
     nonces: random.Random
     account: Account
     limits: LinkLimits = LinkLimits()
+    old_key: bytes = b''
 
 
 class Roster(Protocol):
--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -151,7 +151,10 @@
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
         configuration = kernel.need(Configuration)
-        signer = SessionSigner(kernel.settings.cluster_key)
+        signer = SessionSigner(
+            kernel.settings.cluster_key,
+            kernel.settings.cluster_key_old,
+        )
         kernel.provide(SessionSigner, signer)
         dispatcher = kernel.need(Dispatcher)
         pins = SessionPins(
--- a/src/nutmegroad/_mesh_part.py
+++ b/src/nutmegroad/_mesh_part.py
@@ -42,6 +42,7 @@
         )
         context = LinkContext(
             key=settings.cluster_key.encode(),
+            old_key=settings.cluster_key_old.encode(),
             clock=kernel.clock,
             randomness=kernel.randomness,
             # A nonce that could be foreseen would let a proof be replayed.
--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/_setting_specs.py
@@ -210,6 +210,14 @@
         'secret that hosts share',
         secret=True,
     ),
+    Spec(
+        'cluster_key_old',
+        lambda text: read_secret(text) if text else text,
+        f'{_SECRET_WORDS}, or nothing',
+        'another key that holds while the cluster key is changed',
+        '',
+        secret=True,
+    ),
     Spec(
         'seeds',
         read_targets,
--- a/src/nutmegroad/checks.py
+++ b/src/nutmegroad/checks.py
@@ -70,16 +70,33 @@
         '$.services[{0}].name': (entry.name for entry in document.services),
         '$.presets[{0}].name': (entry.name for entry in document.presets),
         '$.workspaces[{0}].name': (entry.name for entry in workspaces),
-        '$.workspaces[{0}].key_hash': (entry.key_hash for entry in workspaces),
         '$.operators[{0}].name': (entry.name for entry in operators),
         '$.operators[{0}].token_hash': (ent.token_hash for ent in operators),
     }
     for path, names in named.items():
         yield from repeated(path, names)
+    yield from _check_keys(document)
     if not document.presets:
         yield Problem('$.presets', 'there is no preset', 'one or more')
 
 
+def _check_keys(document: Document) -> Iterator[Problem]:
+    """Find keys that stand for two workspaces, or twice for one."""
+    seen: set[str] = set()
+    for place, entry in enumerate(document.workspaces):
+        for field in ('key_hash', 'old_key_hash'):
+            key_hash = getattr(entry, field)
+            if key_hash in seen:
+                path = f'$.workspaces[{place}].{field}'
+                yield Problem(
+                    path,
+                    f'{key_hash!r} stands there twice',
+                    'each only once',
+                )
+            if key_hash is not None:
+                seen.add(key_hash)
+
+
 def _check_versions(document: Document) -> Iterator[Problem]:
     """Check versions against tasks and against each other."""
     tasks = {task.name for task in document.tasks}
--- a/src/nutmegroad/cli.py
+++ b/src/nutmegroad/cli.py
@@ -11,7 +11,13 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
-from nutmegroad._cli_client import ExitCode, Failure, OperatorClient
+from nutmegroad._cli_client import (
+    TOKEN_VARIABLE,
+    ExitCode,
+    Failure,
+    OperatorClient,
+)
+from nutmegroad._cli_numbers import positive
 from nutmegroad._cli_output import as_json
 from nutmegroad._cli_table import COMMANDS, Command
 from nutmegroad._setting_specs import read_targets
@@ -19,7 +25,6 @@
 
 #: Where operators' listeners are, with commas between.
 OPERATORS_VARIABLE: Final = 'NUTMEGROAD_OPERATORS'
-TOKEN_VARIABLE: Final = 'NUTMEGROAD_TOKEN'
 #: Seconds that one call to a host may take, unless told otherwise.
 CALL_TIMEOUT: Final = 10.0
 
@@ -54,7 +59,7 @@
     )
     parser.add_argument(
         '--timeout',
-        type=float,
+        type=positive,
         default=CALL_TIMEOUT,
         metavar='SECONDS',
         help=f'for one call to a host; {CALL_TIMEOUT} if not given',
@@ -132,7 +137,13 @@
             return found
         addresses = found
     token = environ.get(TOKEN_VARIABLE, '')
-    client = OperatorClient(addresses, token, given.timeout)
+    client = OperatorClient(
+        addresses,
+        token,
+        given.timeout,
+        # Progress goes beside the reply, which programs read.
+        sys.stderr.write,
+    )
     return await command.run(client, given)
 
 
--- a/src/nutmegroad/differences.py
+++ b/src/nutmegroad/differences.py
@@ -17,7 +17,7 @@
 )
 
 #: Fields whose values are not shown, as they stem from secrets.
-_HIDDEN: Final = frozenset(('key_hash', 'token_hash'))
+_HIDDEN: Final = frozenset(('key_hash', 'old_key_hash', 'token_hash'))
 _SECTIONS: Final = (
     'version',
     'task',
--- a/src/nutmegroad/documents.py
+++ b/src/nutmegroad/documents.py
@@ -22,6 +22,7 @@
     WorkspaceId,
 )
 
+SecretHash = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
 Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9._-]{0,62}$')]
 VersionText = Annotated[
     str,
@@ -131,6 +132,8 @@
     Attributes:
         name: Its name.
         key_hash: SHA-256 of its callers' key, hexadecimal.
+        old_key_hash: The same of a key that still holds while callers
+            change over to the new one; None if there is none.
         versions: Versions that it may use.
         services: Plain services that it may call.
         share: Its weight when capacity is short.
@@ -141,8 +144,9 @@
     """
 
     name: Name
-    key_hash: Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
+    key_hash: SecretHash
     versions: tuple[VersionText, ...]
+    old_key_hash: SecretHash | None = None
     services: tuple[Name, ...] = ()
     share: Positive = 1.0
     concern: Concern = Concern.COST
@@ -150,6 +154,13 @@
     isolation_limit: Positive = 900.0
     targets: dict[str, Share] = {}
 
+    @property
+    def key_hashes(self) -> tuple[str, ...]:
+        """Return the hashes of all keys that hold, the newest first."""
+        if self.old_key_hash is None:
+            return (self.key_hash,)
+        return (self.key_hash, self.old_key_hash)
+
     @property
     def workspace(self) -> WorkspaceId:
         """Return the name as its own type."""
@@ -248,7 +259,7 @@
     """
 
     name: Name
-    token_hash: Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
+    token_hash: SecretHash
     role: Role = Role.READ
 
     @property
--- a/src/nutmegroad/intake.py
+++ b/src/nutmegroad/intake.py
@@ -14,6 +14,7 @@
 from nutmegroad.documents import TaskEntry, WorkspaceEntry
 from nutmegroad.requests import ModelRequest, SessionClaim
 from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.secrets import hash_of, is_same
 from nutmegroad.sessions import TOKEN_PREFIX, SessionSigner
 from nutmegroad.types import (
     IdempotencyKey,
@@ -112,9 +113,9 @@
             retry_after=1,
         )
     given = headers.get('Authorization', '').removeprefix(_BEARER)
-    key_hash = hashlib.sha256(given.encode()).hexdigest()
+    key_hash = hash_of(given)
     for entry in accepted.document.workspaces:
-        if entry.key_hash == key_hash:
+        if any(is_same(key_hash, known) for known in entry.key_hashes):
             return entry
     return Refusal(
         ResultCode.UNAUTHENTICATED,
--- a/src/nutmegroad/operator_access.py
+++ b/src/nutmegroad/operator_access.py
@@ -11,7 +11,6 @@
             app.router.add_get('/operators/billing', self.show)
 """
 
-import hashlib
 from dataclasses import dataclass
 from typing import Final, Generic, Protocol, TypeVar
 
@@ -24,6 +23,7 @@
 from nutmegroad.problems import Problem
 from nutmegroad.replies import JSON_TYPE, error_body, refuse
 from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.secrets import hash_of, is_same
 from nutmegroad.types import OperatorId, RequestId, Revision
 
 Body = TypeVar('Body', bound=Struct)
@@ -108,11 +108,11 @@
         given = http.headers.get('Authorization', '').removeprefix(_BEARER)
         accepted = self._configuration.accepted
         known = accepted.document.operators if accepted else ()
-        if not known and given and given == self._bootstrap_token:
+        if not known and given and is_same(given, self._bootstrap_token):
             return BOOTSTRAP
-        token_hash = hashlib.sha256(given.encode()).hexdigest()
+        token_hash = hash_of(given)
         for entry in known:
-            if entry.token_hash == token_hash:
+            if is_same(entry.token_hash, token_hash):
                 if role is Role.OPERATE and entry.role is Role.READ:
                     return Refusal(
                         ResultCode.OPERATOR_NOT_PERMITTED,
--- a/src/nutmegroad/sessions.py
+++ b/src/nutmegroad/sessions.py
@@ -52,10 +52,14 @@
 
     Args:
         key: Secret that the deployment's hosts share.
+        old_key: Another one that holds while the key is changed; empty for
+            none.
     """
 
-    def __init__(self, key: str) -> None:
-        self._serializer = URLSafeSerializer(key, salt=_SALT)
+    def __init__(self, key: str, old_key: str = '') -> None:
+        # It reads what any of these signed, and signs with the last.
+        keys = [old_key, key] if old_key else [key]
+        self._serializer = URLSafeSerializer(keys, salt=_SALT)
 
     def sign(
         self,
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/settings.py
@@ -56,6 +56,8 @@
         platform: Where the platform's service is.
         seeds: Peer addresses of some other hosts, to start from.
         cluster_key: Secret that hosts share; from the environment only.
+        cluster_key_old: Another one that holds while the key is changed;
+            from the environment only.
         bootstrap_token: Operator token that holds until a configuration
             with operators is in force; from the environment only.
         lease: Seconds for which a confirmed configuration holds.
@@ -84,6 +86,7 @@
     peers: Address
     platform: Address
     cluster_key: str = field(repr=False)
+    cluster_key_old: str = field(default='', repr=False)
     seeds: tuple[Address, ...] = ()
     bootstrap_token: str = field(default='', repr=False)
     lease: float = 8.0
