--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -1,137 +1,24 @@
-"""The parts that listen to callers and to operators."""
-
-from aiohttp.typedefs import Handler
-from aiohttp.web import (
-    Application,
-    AppRunner,
-    Request,
-    Response,
-    StreamResponse,
-    TCPSite,
-    middleware,
-)
+"""The part that listens to callers."""
 
 from nutmegroad._caller_guard import CallerGuard
 from nutmegroad._caller_parts import CallerParts
-from nutmegroad._order_routes import OrderRoutes
-from nutmegroad._rollout_routes import RolloutDesk, RolloutRoutes
+from nutmegroad._http_edge import protect
+from nutmegroad._http_listener import listen
 from nutmegroad.billing import Biller
 from nutmegroad.callers import CallersInterface
-from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
-from nutmegroad.directory import Directory
 from nutmegroad.dispatch import Dispatcher
 from nutmegroad.explanations import Explanations
 from nutmegroad.intake import IntakeDesk
 from nutmegroad.intents import IntentLedger
-from nutmegroad.members import Members
 from nutmegroad.metrics import Metrics
-from nutmegroad.operator_access import Access
-from nutmegroad.operators import OperatorsInterface
-from nutmegroad.order_keeper import OrderKeeper
-from nutmegroad.peers import Mesh
-from nutmegroad.registry import register, registered
+from nutmegroad.registry import register
 from nutmegroad.services import ServiceCaller
 from nutmegroad.session_names import SessionNames
 from nutmegroad.session_pins import SessionPins
 from nutmegroad.sessions import SessionSigner
 from nutmegroad.stops import GracefulStop
-from nutmegroad.types import Address
-
-#: Seconds that a listener's last replies may take when it closes.
-LAST_REPLIES = 1.0
-
-_UNAVAILABLE = 503
-
-
-async def listen(
-    kernel: Kernel,
-    app: Application,
-    address: Address,
-) -> Address:
-    """Serve an application until the kernel closes.
-
-    Returns:
-        Where it listens; the port is known even if 0 was asked for.
-    """
-    runner = AppRunner(
-        app,
-        access_log=None,
-        # The graceful stop has waited for what was open before this.
-        shutdown_timeout=LAST_REPLIES,
-        handler_cancellation=True,
-    )
-    await runner.setup()
-    kernel.stack.push_async_callback(runner.cleanup)
-    await TCPSite(runner, address.ip, address.port).start()
-    ip, port = runner.addresses[0][:2]
-    return Address(ip, port)
-
-
-def add_host_routes(app: Application, kernel: Kernel) -> None:
-    """Show metrics, and that a host which stops is not ready."""
-    stop = kernel.need(GracefulStop)
-    metrics = kernel.need(Metrics)
-
-    @middleware
-    async def fall(request: Request, handler: Handler) -> StreamResponse:
-        """Have readiness fall as soon as the stop begins."""
-        if request.path == '/readyz' and not stop.is_ready:
-            return Response(status=_UNAVAILABLE, text='stopping\n')
-        return await handler(request)
-
-    async def show(http: Request) -> Response:
-        """Show the metrics."""
-        return Response(body=metrics.render(), content_type='text/plain')
-
-    app.middlewares.append(fall)
-    app.router.add_get('/metrics', show)
-
-
-@register('part', 'operators')
-class OperatorsPart:
-    """Listens to operators."""
-
-    needs = (
-        Changes,
-        Directory,
-        Explanations,
-        GracefulStop,
-        Members,
-        Mesh,
-        Metrics,
-        OrderKeeper,
-        RolloutDesk,
-    )
-
-    async def open(self, kernel: Kernel) -> None:
-        """Begin to listen."""
-        access = Access(
-            kernel.need(Configuration),
-            kernel.settings.bootstrap_token,
-        )
-        kernel.provide(Access, access)
-        groups = registered('operator routes').values()
-        interface = OperatorsInterface(
-            kernel.settings.host,
-            kernel.need(Configuration),
-            kernel.need(Directory),
-            kernel.need(GracefulStop),
-            access,
-            [make(kernel, access) for make in groups],
-        )
-        app = interface.application()
-        routes = RolloutRoutes(kernel.need(RolloutDesk), access.authenticate)
-        routes.add_to(app)
-        orders = OrderRoutes(kernel.need(OrderKeeper), access.authenticate)
-        orders.add_to(app)
-        add_host_routes(app, kernel)
-        kernel.listening['operators'] = await listen(
-            kernel,
-            app,
-            kernel.settings.operators,
-        )
 
 
 @register('part', 'callers')
@@ -183,7 +70,9 @@
         )
         app = interface.application(kernel.settings.max_body)
         stop = kernel.need(GracefulStop)
-        CallerGuard(stop, kernel.need(Metrics)).protect(app)
+        metrics = kernel.need(Metrics)
+        CallerGuard(stop, metrics).protect(app)
+        protect(kernel, app, 'callers', metrics.refused)
         kernel.listening['callers'] = await listen(
             kernel,
             app,
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -26,6 +26,7 @@
     deadline_seconds,
 )
 from nutmegroad.intents import Claim, Intent, IntentState
+from nutmegroad.logs import present_request
 from nutmegroad.replies import JSON_TYPE, EventStream, answer_body, refuse
 from nutmegroad.request_progress import Answer, KeptBack, Spent
 from nutmegroad.results import Refusal, ResultCode
@@ -164,7 +165,10 @@
         )
 
     def _name(self) -> RequestId:
-        """Return a new request id."""
+        """Return the request's id, or a new one."""
+        present = present_request()
+        if present is not None:
+            return present
         nonce = f'{self._parts.randomness.getrandbits(_NONCE_BITS):016x}'
         return RequestId(f'{self._prefix}-{nonce}')
 
--- a/src/nutmegroad/logs.py
+++ b/src/nutmegroad/logs.py
@@ -7,6 +7,9 @@
 """
 
 import logging as standard_logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
 from dataclasses import dataclass
 from enum import Enum, unique
 from typing import Final, TextIO
@@ -16,6 +19,9 @@
 
 from nutmegroad.types import RequestId
 
+#: The request that the running task is about, if it is about one.
+_REQUEST: ContextVar[RequestId | None] = ContextVar('request', default=None)
+
 _TEXT: Final = '%(asctime)s %(levelname)s %(message)s'
 
 #: Name under which a log record carries its context.
@@ -86,14 +92,27 @@
         """Say what went wrong and calls for a person."""
         self._log(standard_logging.ERROR, message, args, request)
 
+    def exception(
+        self,
+        message: str,
+        *args: object,
+        request: RequestId | None = None,
+    ) -> None:
+        """Say what failed that never should, with the traceback."""
+        self._log(standard_logging.ERROR, message, args, request, trace=True)
+
     def _log(
         self,
         level: int,
         message: str,
         args: tuple[object, ...],
         request: RequestId | None,
+        *,
+        trace: bool = False,
     ) -> None:
         """Write a line; the prefix is an argument, as it may hold a ``%``."""
+        if request is None:
+            request = _REQUEST.get()
         prefix = self.part if request is None else f'{self.part} {request}'
         context = _Context(self.part, request or '')
         logging.get_absl_logger().log(
@@ -101,6 +120,7 @@
             f'%s: {message}',
             prefix,
             *args,
+            exc_info=trace,
             extra={_CONTEXT: context},
         )
 
@@ -126,6 +146,21 @@
         return self.formatException(record.exc_info) if record.exc_info else ''
 
 
+@contextmanager
+def about_request(request: RequestId) -> Iterator[None]:
+    """Let each line that is logged in the block carry a request's id."""
+    token = _REQUEST.set(request)
+    try:
+        yield
+    finally:
+        _REQUEST.reset(token)
+
+
+def present_request() -> RequestId | None:
+    """Return the request that the running task is about, if any."""
+    return _REQUEST.get()
+
+
 def part_logger(part: str) -> PartLogger:
     """Return the logger of one part."""
     return PartLogger(part)
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -49,6 +49,7 @@
 
 _COUNTERS: Final = (
     _CounterSpec('refusals', 'Refusals that callers got', ('code',)),
+    _CounterSpec('operator_refusals', 'Refusals to operators', ('code',)),
     _CounterSpec('retries', 'Retries by their reason', ('code',)),
     _CounterSpec(
         'requests',
@@ -210,6 +211,10 @@
         """Count a refusal that a caller got."""
         self._add('refusals', code.name)
 
+    def operator_refused(self, code: ResultCode) -> None:
+        """Count a refusal that an operator got."""
+        self._add('operator_refusals', code.name)
+
     def retried(self, code: ResultCode) -> None:
         """Count a retry by what ended the attempt before it."""
         self._add('retries', code.name)
--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -27,6 +27,7 @@
     'nutmegroad._rollouts_part',
     'nutmegroad._orders_part',
     'nutmegroad._safety_part',
+    'nutmegroad._operators_part',
     'nutmegroad._listeners_part',
 )
 
--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/replies.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 import msgspec
-from aiohttp.web import Request, Response, StreamResponse
+from aiohttp.web import Request, Response, ResponseKey, StreamResponse
 from msgspec import Struct
 
 from nutmegroad.metrics import Metrics
@@ -63,6 +63,9 @@
 
 _UNAVAILABLE: Final = 503
 
+#: Where a reply keeps the code of the refusal that it is.
+_CODE: Final = ResponseKey('code', ResultCode)
+
 
 class RefusalBody(Struct, frozen=True):
     """A refusal, as callers see it.
@@ -109,12 +112,19 @@
     headers = {'Nutmegroad-Request': str(request)}
     if refusal.retry_after > 0:
         headers['Retry-After'] = str(math.ceil(refusal.retry_after))
-    return Response(
+    reply = Response(
         status=_STATUS.get(refusal.code, _UNAVAILABLE),
         body=error_body(refusal),
         content_type=JSON_TYPE,
         headers=headers,
     )
+    reply[_CODE] = refusal.code
+    return reply
+
+
+def code_of(reply: StreamResponse) -> ResultCode | None:
+    """Return the code of a refusal's reply, or None if it is no refusal."""
+    return reply.get(_CODE)
 
 
 class Delta(Struct, frozen=True, omit_defaults=True):
