--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -11,8 +11,10 @@
 
 from nutmegroad._http_edge import BodyReader, protect
 from nutmegroad._http_listener import listen
+from nutmegroad._ledger_export import LedgerExport
 from nutmegroad._order_routes import OrderRoutes
 from nutmegroad._rollout_routes import RolloutDesk, RolloutRoutes
+from nutmegroad.accounting import Ledger
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
@@ -34,6 +36,7 @@
     """Show metrics, and that a host which stops is not ready."""
     stop = kernel.need(GracefulStop)
     metrics = kernel.need(Metrics)
+    export = LedgerExport(kernel.need(Ledger), metrics)
 
     @middleware
     async def fall(request: Request, handler: Handler) -> StreamResponse:
@@ -44,6 +47,7 @@
 
     async def show(http: Request) -> Response:
         """Show the metrics."""
+        export.update()
         return Response(body=metrics.render(), content_type='text/plain')
 
     app.middlewares.append(fall)
@@ -59,6 +63,7 @@
         Directory,
         Explanations,
         GracefulStop,
+        Ledger,
         Members,
         Mesh,
         Metrics,
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -18,7 +18,7 @@
 from nutmegroad._caller_parts import CallerParts
 from nutmegroad._request_counts import count_request
 from nutmegroad.billing import BillingRecord
-from nutmegroad.documents import ServiceEntry, WorkspaceEntry
+from nutmegroad.documents import ServiceEntry
 from nutmegroad.intake import (
     LONGEST_NAME,
     Intake,
@@ -81,12 +81,14 @@
     async def chat(self, http: Request) -> StreamResponse:
         """Answer a model request."""
         request = self._name()
-        workspace = self._authenticate(http)
+        workspace = authenticate(
+            http.headers, self._parts.configuration.accepted
+        )
         if isinstance(workspace, Refusal):
-            return refuse(workspace, request)
+            return self._refuse(workspace, request)
         content = await self._body(http)
         if isinstance(content, Refusal):
-            return refuse(content, request)
+            return self._refuse(content, request)
         intake = self._parts.desk.read(
             http.headers,
             content,
@@ -94,15 +96,17 @@
             request,
         )
         if isinstance(intake, Refusal):
-            return refuse(intake, request)
+            return self._refuse(intake, request)
         return await self._answer(http, intake)
 
     async def models(self, http: Request) -> Response:
         """List the versions that the workspace may use."""
         request = self._name()
-        workspace = self._authenticate(http)
+        workspace = authenticate(
+            http.headers, self._parts.configuration.accepted
+        )
         if isinstance(workspace, Refusal):
-            return refuse(workspace, request)
+            return self._refuse(workspace, request)
         listed = [
             {'id': version, 'object': 'model'} for version in workspace.versions
         ]
@@ -112,19 +116,21 @@
     async def service(self, http: Request) -> StreamResponse:
         """Make a call to a plain service."""
         request = self._name()
-        workspace = self._authenticate(http)
+        workspace = authenticate(
+            http.headers, self._parts.configuration.accepted
+        )
         if isinstance(workspace, Refusal):
-            return refuse(workspace, request)
+            return self._refuse(workspace, request)
         service = ServiceName(http.match_info['service'])
         entry = self._parts.services.entry(service)
         if isinstance(entry, Refusal):
-            return refuse(entry, request)
+            return self._refuse(entry, request)
         content = await self._body(http)
         if isinstance(content, Refusal):
-            return refuse(content, request)
+            return self._refuse(content, request)
         deadline = deadline_seconds(http.headers, entry.timeout)
         if isinstance(deadline, Refusal):
-            return refuse(deadline, request)
+            return self._refuse(deadline, request)
         call = ServiceRequest(
             request=request,
             workspace=WorkspaceId(workspace.name),
@@ -172,9 +178,10 @@
         nonce = f'{self._parts.randomness.getrandbits(_NONCE_BITS):016x}'
         return RequestId(f'{self._prefix}-{nonce}')
 
-    def _authenticate(self, http: Request) -> WorkspaceEntry | Refusal:
-        """Return the caller's workspace."""
-        return authenticate(http.headers, self._parts.configuration.accepted)
+    def _refuse(self, refusal: Refusal, request: RequestId) -> Response:
+        """Return the reply of a refusal, and count it."""
+        self._parts.metrics.refused(refusal.code)
+        return refuse(refusal, request)
 
     async def _body(self, http: Request) -> bytes | Refusal:
         """Read a body within its limits of size and time."""
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -60,6 +60,7 @@
     _CounterSpec('cost', 'Cost of requests', ('workspace', 'task')),
     _CounterSpec('invariant_failures', 'Invariants broken', ('name',)),
     _CounterSpec('dropped_replies', 'Replies that came for nobody', ('kind',)),
+    _CounterSpec('host_events', 'What befell links to hosts', ('event',)),
     _CounterSpec('control_bytes', 'Bytes for control', ('part', 'direction')),
     _CounterSpec(
         'control_messages',
@@ -254,10 +255,24 @@
         part: str,
         direction: Direction,
         size: int,
+        messages: int = 1,
     ) -> None:
-        """Count a control message of so many bytes."""
+        """Count control messages of so many bytes in all."""
         self._add('control_bytes', part, direction.value, amount=size)
-        self._add('control_messages', part, direction.value)
+        self._add(
+            'control_messages',
+            part,
+            direction.value,
+            amount=messages,
+        )
+
+    def control_spent(self, part: str, seconds: float) -> None:
+        """Add processor time that a part has spent."""
+        self._add('control_cpu_seconds', part, amount=seconds)
+
+    def host_event(self, event: str, count: int) -> None:
+        """Count something that befell links to hosts, or the membership."""
+        self._add('host_events', event, amount=count)
 
     @contextmanager
     def control_time(self, part: str) -> Generator[None, None, None]:
--- a/src/nutmegroad/operator_hosts.py
+++ b/src/nutmegroad/operator_hosts.py
@@ -15,7 +15,7 @@
 from nutmegroad.documents import Role
 from nutmegroad.logs import part_logger
 from nutmegroad.members import Members
-from nutmegroad.operator_access import Access, answer, refuse_operator, reply
+from nutmegroad.operator_access import Access, refuse_operator, reply
 from nutmegroad.peers import Member, Mesh, Message
 from nutmegroad.registry import register
 from nutmegroad.results import Refusal, ResultCode
@@ -44,6 +44,18 @@
     heard: float
 
 
+class DrainedBody(Struct, frozen=True):
+    """A host that stops.
+
+    Attributes:
+        host: Its id.
+        open_requests: How many requests it lets end.
+    """
+
+    host: str
+    open_requests: int
+
+
 class DrainDesk:
     """Has hosts stop gracefully, this one or others.
 
@@ -131,7 +143,10 @@
                     f'{", ".join(names)}.',
                 ),
             )
-        return answer(await self._desk.drain(host, operator))
+        told = await self._desk.drain(host, operator)
+        if isinstance(told, Refusal):
+            return refuse_operator(told)
+        return reply(DrainedBody(told.host, told.open_requests))
 
     def _hosts(self) -> list[HostBody]:
         """Return all hosts that are known, this one among them."""
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,238 @@
+"""The command line against real hosts, in this process and in others."""
+
+import asyncio
+import io
+import json
+import re
+import unittest
+from contextlib import AsyncExitStack, redirect_stderr, redirect_stdout
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from aiohttp import ClientSession
+from experiments.deployment import (
+    Rig,
+    operator_token,
+    start,
+    workspace_key,
+)
+from experiments.processes import Processes
+
+from nutmegroad._cli_client import ExitCode
+from nutmegroad._cli_table import COMMANDS
+from nutmegroad.cli import main
+from nutmegroad.stops import GracefulStop
+from nutmegroad.types import Address
+from tests.hosts import WholeHost, fast_engine
+
+DOCS = Path(__file__).resolve().parent.parent / 'docs'
+OPERATOR = operator_token('farah')
+
+
+@dataclass(frozen=True)
+class Ended:
+    """How a command ended."""
+
+    code: int
+    out: str
+    err: str
+
+    @property
+    def reply(self) -> Any:
+        return json.loads(self.out)
+
+
+def run(words: str, operators: str = '', token: str = OPERATOR) -> Ended:
+    """Run a command; ``redirect_*`` hold for the whole process."""
+    out, err = io.StringIO(), io.StringIO()
+    environ = {'NUTMEGROAD_OPERATORS': operators, 'NUTMEGROAD_TOKEN': token}
+    with redirect_stdout(out), redirect_stderr(err):
+        try:
+            code = main(words.split(), environ)
+        except SystemExit as ended:
+            code = int(ended.code or 0)
+    return Ended(code, out.getvalue(), err.getvalue())
+
+
+class CliTest(unittest.TestCase):
+    """Commands that need no host."""
+
+    def test_the_page_lists_every_command_and_exit_code(self) -> None:
+        page = (DOCS / 'COMMANDS.md').read_text()
+        for command in COMMANDS:
+            self.assertIn(f'`{" ".join(command.words)}', page)
+        listed = re.findall(r'^\| (\d) \| `(\w+)` \|', page, re.MULTILINE)
+        self.assertEqual(
+            listed,
+            [(str(code.value), code.name) for code in ExitCode],
+        )
+
+    def test_help_names_variables_and_exit_codes(self) -> None:
+        shown = run('--help')
+        self.assertEqual(shown.code, ExitCode.OK)
+        for word in ('NUTMEGROAD_TOKEN', 'preset', '7 not_in_time'):
+            self.assertIn(word, shown.out)
+
+    def test_bad_usage_names_the_value_and_the_choices(self) -> None:
+        cases = (
+            ('status', '--operators', '10.0.0.7:8081'),
+            ('--operators=home:1 status', "'home:1'", 'IPv4'),
+            ('version rollout m@1 begin', "'begin'", 'abort'),
+            ('preset switch peak --wait=soon', "'soon'", '2.5'),
+            ('config check /no/such/file', '/no/such/file', 'read'),
+        )
+        for words, bad, choices in cases:
+            with self.subTest(words=words):
+                ended = run(words)
+                self.assertEqual(ended.code, ExitCode.USAGE)
+                self.assertIn(bad, ended.err)
+                self.assertIn(choices, ended.err)
+
+    def test_an_unreachable_host_is_named(self) -> None:
+        ended = run('status', '127.0.0.1:1')
+        self.assertEqual(ended.code, ExitCode.UNREACHABLE)
+        self.assertIn('127.0.0.1:1', ended.err)
+
+    def test_a_document_is_checked_without_a_host(self) -> None:
+        folder = self.enterContext(TemporaryDirectory())
+        bad = Path(folder) / 'bad.toml'
+        bad.write_text('format = 1\nname = "x"\n')
+        ended = run(f'config check {bad}')
+        self.assertEqual(ended.code, ExitCode.INVALID)
+        self.assertIn('versions', ended.err)
+        self.assertEqual(
+            run('config check examples/lesen/config.toml').code,
+            ExitCode.OK,
+        )
+
+
+class HostsTest(unittest.IsolatedAsyncioTestCase):
+    """Commands against one host in this process."""
+
+    async def asyncSetUp(self) -> None:
+        self.host = WholeHost(fast_engine())
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        await self.host.open(stack)
+        self.operators = str(self.host.kernel.listening['operators'])
+
+    async def run_cli(self, words: str, token: str = OPERATOR) -> Ended:
+        """Run a command while the host's loop goes on."""
+        return await asyncio.to_thread(run, words, self.operators, token)
+
+    async def test_reading_commands_have_text_and_json(self) -> None:
+        for command in COMMANDS:
+            if command.arguments or command.offline:
+                continue
+            words = ' '.join(command.words)
+            with self.subTest(words=words):
+                shown = await self.run_cli(words)
+                self.assertEqual(shown.code, ExitCode.OK, shown.err)
+                ended = await self.run_cli(f'--format=json {words}')
+                self.assertIsNotNone(ended.reply)
+
+    async def test_changes_are_waited_for(self) -> None:
+        switched = await self.run_cli('preset switch peak --wait=20')
+        self.assertEqual(switched.code, ExitCode.OK, switched.err)
+        self.assertIn('shah-alam: 1 of 1 hosts', switched.out)
+        again = await self.run_cli('preset switch peak --expected=1')
+        self.assertEqual(again.code, ExitCode.CONFLICT, again.err)
+        gone = await self.run_cli('version withdraw brief-small@2 --wait=20')
+        self.assertEqual(gone.code, ExitCode.OK, gone.err)
+
+    async def test_a_bad_preset_host_or_token_is_named(self) -> None:
+        unknown = await self.run_cli('preset switch holiday')
+        self.assertEqual(unknown.code, ExitCode.REFUSED)
+        self.assertIn("'holiday'", unknown.err)
+        self.assertIn('ordinary', unknown.err)
+        host = await self.run_cli('host drain h9')
+        self.assertIn("'h9'; the choices are h1", host.err)
+        refused = await self.run_cli('status', 'a-wrong-token')
+        self.assertEqual(refused.code, ExitCode.NOT_PERMITTED)
+        self.assertIn('NUTMEGROAD_TOKEN, which is set', refused.err)
+
+    async def test_a_key_is_rolled_over(self) -> None:
+        folder = self.enterContext(TemporaryDirectory())
+        new = Path(folder) / 'key'
+        new.write_text('a-new-key')
+        change = 'workspace set head-office'
+        ended = await self.run_cli(f'{change} --key-file={new}')
+        self.assertEqual(ended.code, ExitCode.OK, ended.err)
+        old = self.host.headers()['Authorization']
+        self.assertEqual(await self.models(old), 200)
+        self.assertEqual(await self.models('Bearer a-new-key'), 200)
+        await self.run_cli(f'{change} --drop-old-key')
+        self.assertEqual(await self.models(old), 401)
+        self.assertEqual(await self.models('Bearer a-new-key'), 200)
+
+    async def models(self, authorization: str) -> int:
+        """Return the status of a call with a key."""
+        headers = {'Authorization': authorization}
+        url = self.host.url('models')
+        async with self.host.session.get(url, headers=headers) as response:
+            return response.status
+
+    async def test_a_drain_stops_the_host(self) -> None:
+        stop = self.host.kernel.need(GracefulStop)
+        asked: list[bool] = []
+        stop.when_asked(lambda: asked.append(True))
+        ended = await self.run_cli('--format=json host drain h1')
+        self.assertEqual(ended.reply, {'host': 'h1', 'open_requests': 0})
+        self.assertEqual(asked, [True])
+
+    async def test_a_request_is_explained(self) -> None:
+        url, headers = self.host.url(), self.host.headers()
+        body = self.host.body()
+        async with self.host.session.post(
+            url,
+            json=body,
+            headers=headers,
+        ) as response:
+            request = response.headers['Nutmegroad-Request']
+        ended = await self.run_cli(f'explain {request}')
+        self.assertIn('brief-small@2', ended.out)
+        unknown = await self.run_cli(f'explain {request[:-1]}x')
+        self.assertIn("The host 'h1' knows no request", unknown.err)
+
+
+async def ask(callers: Address) -> str:
+    """Have a request answered, and return its id."""
+    headers = {'Authorization': f'Bearer {workspace_key("training")}'}
+    messages = [{'role': 'user', 'content': 'swap?'}]
+    body = {'model': 'galley-small@5', 'messages': messages}
+    url = f'http://{callers}/v1/chat/completions'
+    async with (
+        ClientSession(headers=headers) as session,
+        session.post(url, json=body) as response,
+    ):
+        return response.headers['Nutmegroad-Request']
+
+
+class ProcessesTest(unittest.IsolatedAsyncioTestCase):
+    """Commands against hosts in three domains, as processes."""
+
+    async def test_any_host_explains_and_drains_any_other(self) -> None:
+        processes = await self.enterAsyncContext(Processes())
+        rig = Rig('cascade', engines=(('galley-small@5',),), hosts=1)
+        running = await start(processes, rig)
+        first, other = running.operators[0], running.operators[1]
+        token = operator_token(running.document.operators[0].name)
+
+        def call(words: str) -> Ended:
+            return run(words, str(first), token)
+
+        listed: list[Any] = []
+        while len(listed) < len(running.hosts):
+            ended = await asyncio.to_thread(call, '--format=json host list')
+            listed = ended.reply
+        name = running.hosts[1].name
+        request = await ask(running.callers[1])
+        ended = await asyncio.to_thread(call, f'explain {request}')
+        self.assertIn('galley-small@5', ended.out, ended.err)
+        drained = await asyncio.to_thread(call, f'host drain {name}')
+        self.assertEqual(drained.code, ExitCode.OK, drained.err)
+        async with asyncio.timeout(30):
+            self.assertEqual(await running.hosts[1].process.wait(), 0)
+        ended = await asyncio.to_thread(run, 'status', str(other), token)
+        self.assertEqual(ended.code, ExitCode.UNREACHABLE)
