--- a/src/nutmegroad/_http_listener.py
+++ b/src/nutmegroad/_http_listener.py
@@ -14,6 +14,7 @@
     BaseRequest,
     HTTPException,
     RequestHandler,
+    RequestPayloadError,
     Server,
     StreamResponse,
 )
@@ -106,7 +107,12 @@
 
     def log_exception(self, *args: Any, **kw: Any) -> None:
         """Log what the library did not expect, in our own form."""
-        _LOG.error('a connection failed: %r', kw.get('exc_info'))
+        problem = kw.get('exc_info')
+        if isinstance(problem, RequestPayloadError):
+            # The rest of a body that was refused already.
+            _LOG.info('a body was not read to its end: %s', problem.args)
+            return
+        _LOG.error('a connection failed: %r', problem)
 
     async def finish_response(
         self,
--- /dev/null
+++ b/tests/test_http_edge.py
@@ -0,0 +1,146 @@
+"""What is no proper request gets a code as JSON, and never a traceback."""
+
+import asyncio
+import json
+import unittest
+from contextlib import AsyncExitStack
+from typing import Any
+from unittest.mock import patch
+
+from experiments.deployment import operator_token
+
+from nutmegroad import _http_listener
+from nutmegroad.intake import IntakeDesk
+from nutmegroad.metrics import Metrics
+from nutmegroad.types import Address
+from tests.hosts import KEY, TOKEN, WholeHost, fast_engine
+
+CHAT = '/v1/chat/completions'
+GOOD = {'model': 'checklist-tag', 'messages': [{'role': 'u', 'content': 'x'}]}
+DEEP = b'{"model": ' + b'[' * 100_000
+HUGE = (
+    json.dumps(GOOD)[:-1].encode() + b', "max_tokens": 1' + b'0' * 5000 + b'}'
+)
+
+
+async def exchange(address: Address, sent: bytes) -> tuple[int, bytes, bytes]:
+    """Send bytes, and return the reply's status, head and body."""
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    try:
+        writer.write(sent)
+        async with asyncio.timeout(20):
+            head = await reader.readuntil(b'\r\n\r\n')
+            length = head.lower().partition(b'content-length: ')[2]
+            size = int(length.partition(b'\r')[0])
+            return int(head.split()[1]), head, await reader.readexactly(size)
+    finally:
+        writer.close()
+
+
+def post(path: str, body: bytes, secret: str = KEY, more: str = '') -> bytes:
+    """Return a POST request."""
+    lines = (
+        f'POST {path} HTTP/1.1',
+        'Host: h',
+        f'Authorization: Bearer {secret}',
+        f'Content-Length: {len(body)}',
+        *filter(None, (more,)),
+    )
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+class HttpEdgeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.host = WholeHost(fast_engine())
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        await self.host.open(stack, max_body=200_000, body_timeout=0.3)
+        self.listening = self.host.kernel.listening
+
+    async def check(self, listener: str, sent: bytes, name: str) -> Any:
+        """Demand a refusal by name, with an id; return the reply's head."""
+        address = self.listening[listener]
+        status, head, body = await exchange(address, sent)
+        error = json.loads(body)['error']
+        self.assertEqual(error['name'], name, (status, body))
+        self.assertIn(b'Nutmegroad-Request:', head)
+        self.assertNotIn(b'Traceback', body)
+        return head
+
+    async def test_each_bad_request_of_a_caller_has_its_code(self) -> None:
+        unknown = json.dumps({**GOOD, 'voice': 'alto'}).encode()
+        chunked = b'POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n'
+        chunked += f'Authorization: Bearer {KEY}\r\n'.encode()
+        chunked += b'Transfer-Encoding: chunked\r\n\r\nnot-a-size\r\n\r\n'
+        slow = post(CHAT, b'x' * 10)[:-5]
+        zipped = post(CHAT, b'no gzip', KEY, 'Content-Encoding: gzip')
+        cases = (
+            (post(CHAT, b'{"model"'), 'BODY_MALFORMED'),
+            (post(CHAT, b'\xff\xfe{}'), 'BODY_MALFORMED'),
+            (post(CHAT, DEEP), 'FIELD_INVALID'),
+            (post(CHAT, HUGE), 'FIELD_INVALID'),
+            (post(CHAT, unknown), 'FIELD_INVALID'),
+            (post(CHAT, b'[]'), 'FIELD_INVALID'),
+            (post(CHAT, b'x' * 200_001), 'BODY_TOO_LARGE'),
+            (slow, 'BODY_TOO_SLOW'),
+            (zipped, 'BODY_MALFORMED'),
+            (chunked, 'BODY_MALFORMED'),
+            (post(CHAT, b'{}', 'wrong'), 'UNAUTHENTICATED'),
+            (post('/v1/nothing', b''), 'ROUTE_UNKNOWN'),
+            (b'PUT /v1/models HTTP/1.1\r\nHost: h\r\n\r\n', 'ROUTE_UNKNOWN'),
+            (b'\x16\x03\x01\x02\x00 hello\r\n\r\n', 'BODY_MALFORMED'),
+            (post(f'/{"x" * 9000}', b''), 'FIELD_INVALID'),
+            (post(CHAT, b'', 'y' * 9000), 'FIELD_INVALID'),
+            (post(CHAT, b'{}', KEY, 'Expect: a-pony'), 'FIELD_INVALID'),
+        )
+        for sent, name in cases:
+            with self.subTest(name=name, sent=sent[-60:]):
+                await self.check('callers', sent, name)
+        shown = self.host.kernel.need(Metrics).render().decode()
+        for name in ('UNAUTHENTICATED', 'ROUTE_UNKNOWN', 'BODY_TOO_SLOW'):
+            self.assertIn(f'refusals_total{{code="{name}"}}', shown)
+
+    async def test_each_bad_request_of_an_operator_has_its_code(self) -> None:
+        token = operator_token('farah')
+        reader = operator_token('night-desk')
+        preset = '/operators/preset'
+        cases = (
+            (post(preset, b'{"preset"', token), 'OPERATOR_REQUEST_INVALID'),
+            (post(preset, b'{"x": 1}', token), 'OPERATOR_REQUEST_INVALID'),
+            (post(preset, DEEP, token), 'OPERATOR_REQUEST_INVALID'),
+            (post(preset, b'{}', 'wrong'), 'OPERATOR_UNAUTHENTICATED'),
+            (post(preset, b'{}', TOKEN), 'OPERATOR_UNAUTHENTICATED'),
+            (post(preset, b'{}', reader), 'OPERATOR_NOT_PERMITTED'),
+            (post(preset, b'x' * 10, token)[:-5], 'BODY_TOO_SLOW'),
+            (post(preset, b'x' * 1_100_000, token), 'BODY_TOO_LARGE'),
+            (post('/operators/x', b'', token), 'ROUTE_UNKNOWN'),
+            (post('/operators/status', b'', token), 'ROUTE_UNKNOWN'),
+        )
+        for sent, name in cases:
+            with self.subTest(name=name, sent=sent[-60:]):
+                await self.check('operators', sent, name)
+        shown = self.host.kernel.need(Metrics).render().decode()
+        name = 'nutmegroad_operator_refusals_total'
+        self.assertIn(f'{name}{{code="OPERATOR_UNAUTHENTICATED"}} 2.0', shown)
+
+    async def test_a_fault_of_ours_is_a_code_and_a_line_with_the_id(
+        self,
+    ) -> None:
+        def fail(*args: object) -> None:
+            raise ZeroDivisionError
+
+        with (
+            patch.object(IntakeDesk, 'read', fail),
+            self.assertLogs('absl', 'ERROR') as logged,
+        ):
+            head = await self.check('callers', post(CHAT, b'{}'), 'INTERNAL')
+        request = head.partition(b'Nutmegroad-Request: ')[2].split(b'\r')[0]
+        self.assertIn(f'callers {request.decode()}: ', logged.output[0])
+
+    async def test_a_slow_head_is_cut(self) -> None:
+        with patch.object(_http_listener, 'HEADER_SECONDS', 0.05):
+            address = self.listening['callers']
+            opened = await asyncio.open_connection(address.ip, address.port)
+            opened[1].write(b'POST /v1/chat')
+            async with asyncio.timeout(20):
+                self.assertEqual(await opened[0].read(), b'')
+            opened[1].close()
