--- a/src/nutmegroad/_http_listener.py
+++ b/src/nutmegroad/_http_listener.py
@@ -98,7 +98,7 @@
         if request.writer.output_size > 0 or isinstance(exc, ConnectionError):
             raise ConnectionError from exc
         refusal = _unreadable(exc)
-        if status == _SERVER_ERROR:
+        if status == _SERVER_ERROR and not isinstance(exc, UnicodeError):
             _LOG.error('a request failed: %r', exc)
             refusal = internal()
         reply = refuse(refusal, _NO_REQUEST)
@@ -192,6 +192,12 @@
             ResultCode.FIELD_INVALID,
             f'A line of the headers has more than {LONGEST_LINE} bytes.',
         )
+    if isinstance(exc, UnicodeError):
+        # The library fails at showing a header that it can not read.
+        return Refusal(
+            ResultCode.FIELD_INVALID,
+            'A header holds bytes that are no text.',
+        )
     return Refusal(
         ResultCode.BODY_MALFORMED,
         'What came is no HTTP/1.1 request that can be read.',
--- a/src/nutmegroad/rollout_shares.py
+++ b/src/nutmegroad/rollout_shares.py
@@ -2,16 +2,20 @@
 
 from typing import ClassVar, Final
 
+import msgspec
 import xxhash
 
 from nutmegroad.configuration import Configuration
 from nutmegroad.documents import Stage
+from nutmegroad.logs import part_logger
 from nutmegroad.peers import Mesh, Message
 from nutmegroad.platform import Row, RowKey, RowVersion
 from nutmegroad.requests import ModelRequest
 from nutmegroad.rollouts import Rollout, decode_rollout
 from nutmegroad.types import HostId, VersionId
 
+_LOG: Final = part_logger('rollouts')
+
 #: Bits of the hash by which requests are drawn.
 HASH_BITS: Final = 64
 _HASHES: Final = 2**HASH_BITS
@@ -106,4 +110,9 @@
 
     async def _take(self, sender: HostId, message: RolloutMessage) -> None:
         row = Row(message.key, message.text, message.version)
-        self.learn(decode_rollout(row))
+        try:
+            rollout = decode_rollout(row)
+        except msgspec.DecodeError:
+            _LOG.warning('host %s told of a roll-out that is none', sender)
+            return
+        self.learn(rollout)
--- a/src/nutmegroad/session_names.py
+++ b/src/nutmegroad/session_names.py
@@ -157,7 +157,7 @@
             for host in self._holders(key)
         ]
         for reply in await asyncio.gather(*asks):
-            if isinstance(reply, SessionMemory) and reply.text:
+            if isinstance(reply, SessionMemory) and _is_session(reply.text):
                 return reply.text
         return ''
 
@@ -182,10 +182,19 @@
         memory: SessionMemory,
     ) -> None:
         """Remember a session that another host has begun."""
-        if memory.text:
+        if _is_session(memory.text):
             self._take(memory.key, memory.text)
 
 
+def _is_session(text: str) -> bool:
+    """Tell whether another host's text is a session's row."""
+    try:
+        msgspec.json.decode(text, type=SessionToken)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 def _key(workspace: WorkspaceId, name: str) -> RowKey:
     """Return the row of a session."""
     # A slash in either must not make it another session's key.
