Log by parts everywhere, and heed a signal from the first moment on

Seven modules called absl with prefixes of their own, so that their lines had no part and no request in JSON. All log by part_logger now; a test holds that only logs.py imports absl. A line of a request's task carries its id by a context variable, also in modules that are not handed one.

The end-to-end test of JSON lines showed a fault: the daemon said `ready` before it watched for signals, so a SIGTERM right after it killed the host without a graceful stop (3 log lines, none of the stop's, in the run that failed).

--- a/src/nutmegroad/_gate.py
+++ b/src/nutmegroad/_gate.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from absl import logging
-
 from nutmegroad._connection import Connection
 from nutmegroad._dialing import within
 from nutmegroad._handshake import (
@@ -19,9 +17,10 @@
     greet,
 )
 from nutmegroad._link_context import LinkContext, Roster
+from nutmegroad.logs import part_logger
 from nutmegroad.types import Address
 
-_LOG_PREFIX: Final = 'links:'
+_LOG: Final = part_logger('links')
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +124,7 @@
 
     def _refuse(self, fault: HandshakeError) -> None:
         self._context.account.count(fault.event)
-        logging.info('%s a handshake ended: %s.', _LOG_PREFIX, fault.event)
+        _LOG.info('a handshake ended: %s.', fault.event)
         if fault.known:
             self._outdated(fault.known)
 
--- a/src/nutmegroad/_http_upstreams.py
+++ b/src/nutmegroad/_http_upstreams.py
@@ -11,7 +11,6 @@
 from typing import Final, Self
 
 import msgspec
-from absl import logging
 
 from nutmegroad._gated_requests import Sending
 from nutmegroad._http_answers import AnswerCall
@@ -22,6 +21,7 @@
     refusal_of,
     url_of,
 )
+from nutmegroad.logs import part_logger
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import (
     AttemptId,
@@ -42,7 +42,7 @@
 #: Seconds for a report, an order or a cancellation.
 CONTROL_TIMEOUT: Final = 2.0
 
-_LOG_PREFIX: Final = 'upstreams:'
+_LOG: Final = part_logger('upstreams')
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -183,7 +183,7 @@
             ) as response:
                 response.release()
         except FAILURES as error:
-            logging.info('%s %s not cancelled: %s', _LOG_PREFIX, attempt, error)
+            _LOG.info('%s not cancelled: %s', attempt, error)
 
     async def _finish_cancels(self) -> None:
         """Wait for cancellations under way."""
--- a/src/nutmegroad/_inbox.py
+++ b/src/nutmegroad/_inbox.py
@@ -2,8 +2,6 @@
 
 from typing import Any, Final
 
-from absl import logging
-
 from nutmegroad._connection import LINKS_PART, Frame, FrameKind, pack_frame
 from nutmegroad._link_context import LinkContext, Roster
 from nutmegroad._outbox import Parcel
@@ -12,11 +10,12 @@
 from nutmegroad._questions import Questions
 from nutmegroad._wire import Kinds, as_plain
 from nutmegroad.accounting import Metered
+from nutmegroad.logs import part_logger
 from nutmegroad.peers import Handler, Message, Sent
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import Ran
 
-_LOG_PREFIX: Final = 'links:'
+_LOG: Final = part_logger('links')
 
 
 class Inbox:
@@ -98,7 +97,7 @@
         try:
             reply = await handler(peer.host, message)
         except Exception:
-            logging.exception('%s a handler failed.', _LOG_PREFIX)
+            _LOG.exception('a handler failed.')
             self._refuse(peer, frame, 'links_handler_failed')
             return
         finally:
--- a/src/nutmegroad/_peer_tasks.py
+++ b/src/nutmegroad/_peer_tasks.py
@@ -4,9 +4,9 @@
 from collections.abc import Coroutine
 from typing import Any, Final, TypeVar
 
-from absl import logging
+from nutmegroad.logs import part_logger
 
-_LOG_PREFIX: Final = 'peer tasks:'
+_LOG: Final = part_logger('peer tasks')
 
 Outcome = TypeVar('Outcome')
 
@@ -46,4 +46,4 @@
     def _finish(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logging.error('%s a task failed: %r', _LOG_PREFIX, task.exception())
+            _LOG.error('a task failed: %r', task.exception())
--- a/src/nutmegroad/core.py
+++ b/src/nutmegroad/core.py
@@ -18,15 +18,14 @@
 from contextlib import AsyncExitStack, suppress
 from typing import Any, Final, Protocol, Self, TypeVar, cast
 
-from absl import logging
-
 from nutmegroad.clocks import Clock
 from nutmegroad.exceptions import RegistryError
+from nutmegroad.logs import part_logger
 from nutmegroad.registry import registered
 from nutmegroad.settings import Settings
 from nutmegroad.types import Address, Incarnation
 
-_LOG_PREFIX: Final = 'kernel:'
+_LOG: Final = part_logger('kernel')
 
 Provided = TypeVar('Provided')
 
@@ -136,11 +135,10 @@
     """Say so if a task ended by an exception, which none should."""
     if task.cancelled() or task.exception() is None:
         return
-    logging.error(
-        '%s task %s failed',
-        _LOG_PREFIX,
+    _LOG.exception(
+        'task %s failed',
         task.get_name(),
-        exc_info=task.exception(),
+        cause=task.exception(),
     )
 
 
--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon.py
@@ -5,7 +5,6 @@
 import random
 import signal
 import sys
-from collections.abc import Callable
 from typing import Any, Final
 
 from aiomisc import Service, entrypoint
@@ -27,22 +26,54 @@
 STOP_MARGIN: Final = 5
 
 
+class StopOnce:
+    """Ends the loop's run at the first signal or order, and at no other.
+
+    aiomisc's own handlers put the default back as soon as a stop begins,
+    so that a second signal would cut what is still open.
+    """
+
+    def __init__(self) -> None:
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._asked = False
+
+    def __call__(self) -> None:
+        """End the loop's run, if it has not been done."""
+        if self._asked:
+            _LOG.info('told to stop again')
+            return
+        self._asked = True
+        if self._loop is not None:
+            self._loop.stop()
+
+    def watch(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Heed signals; one that comes at the start counts as well."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self)
+
+    def run(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Run a loop until it is told to stop."""
+        if not self._asked:
+            self._loop = loop
+            loop.run_forever()
+
+
 class HostService(Service):
     """Runs one host inside aiomisc's entry point.
 
     Args:
         settings: Checked settings.
-        on_ask: Called when an operator asks that the host stop.
+        stop: Ends the daemon's run.
     """
 
     def __init__(
         self,
         settings: Settings,
-        on_ask: Callable[[], object],
+        stop: StopOnce,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
-        self._on_ask = on_ask
+        self._stop = stop
         self._kernel = Kernel(
             settings,
             SystemClock(),
@@ -51,8 +82,9 @@
 
     async def start(self) -> None:
         """Open all parts, and say where they listen."""
+        self._stop.watch(asyncio.get_running_loop())
         await self._kernel.start()
-        self._kernel.need(GracefulStop).when_asked(self._on_ask)
+        self._kernel.need(GracefulStop).when_asked(self._stop)
         for name, address in self._kernel.listening.items():
             sys.stdout.write(f'listening {name} {address}\n')
         sys.stdout.write('ready\n')
@@ -67,32 +99,6 @@
         _LOG.info('stopped')
 
 
-class StopOnce:
-    """Ends the loop's run at the first signal or order, and at no other.
-
-    aiomisc's own handlers put the default back as soon as a stop begins,
-    so that a second signal would cut what is still open.
-    """
-
-    def __init__(self) -> None:
-        self._loop: asyncio.AbstractEventLoop | None = None
-        self._stopping = False
-
-    def __call__(self) -> None:
-        """End the loop's run, if it has not been done."""
-        if self._stopping or self._loop is None:
-            _LOG.info('told to stop again')
-            return
-        self._stopping = True
-        self._loop.stop()
-
-    def watch(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Stop the loop at signals."""
-        self._loop = loop
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self)
-
-
 def main() -> int:
     """Run the daemon until it is told to stop."""
     try:
@@ -112,8 +118,7 @@
     stop = StopOnce()
     service = HostService(settings, stop)
     with entrypoint(service, log_config=False, catch_signals=()) as loop:
-        stop.watch(loop)
-        loop.run_forever()
+        stop.run(loop)
     return 0
 
 
--- a/src/nutmegroad/logs.py
+++ b/src/nutmegroad/logs.py
@@ -7,6 +7,7 @@
 """
 
 import logging as standard_logging
+import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -97,9 +98,18 @@
         message: str,
         *args: object,
         request: RequestId | None = None,
+        cause: BaseException | None = None,
     ) -> None:
-        """Say what failed that never should, with the traceback."""
-        self._log(standard_logging.ERROR, message, args, request, trace=True)
+        """Say what failed that never should, with the traceback.
+
+        Args:
+            message: What failed.
+            args: What goes into the message.
+            request: The request that it concerns.
+            cause: The exception; None for the one that is handled now.
+        """
+        trace = sys.exception() if cause is None else cause
+        self._log(standard_logging.ERROR, message, args, request, trace)
 
     def _log(
         self,
@@ -107,8 +117,7 @@
         message: str,
         args: tuple[object, ...],
         request: RequestId | None,
-        *,
-        trace: bool = False,
+        trace: BaseException | None = None,
     ) -> None:
         """Write a line; the prefix is an argument, as it may hold a ``%``."""
         if request is None:
--- a/src/nutmegroad/ratings.py
+++ b/src/nutmegroad/ratings.py
@@ -13,18 +13,18 @@
 from operator import sub
 from typing import ClassVar, Final, Protocol
 
-from absl import logging
 from msgspec import Struct
 
 from nutmegroad.clocks import Clock
 from nutmegroad.decisions import AttemptEnd, AttemptStart
 from nutmegroad.duties import DutyName
+from nutmegroad.logs import part_logger
 from nutmegroad.peers import Mesh, Message
 from nutmegroad.platform import RatedAnswer, Rating, Ratings
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import HostId, TaskName, VersionId
 
-_LOG_PREFIX: Final = 'ratings:'
+_LOG: Final = part_logger('ratings')
 
 #: Who reads the feed.
 FEED_DUTY: Final = DutyName('ratings')
@@ -177,7 +177,7 @@
         """Read what is new in the feed, and pass it on."""
         page = await self._ratings.feed(self._position)
         if isinstance(page, Refusal):
-            logging.info('%s feed not read: %s', _LOG_PREFIX, page.reason)
+            _LOG.info('feed not read: %s', page.reason)
             return page
         # A state may have come from another host while the read was away.
         fresh = [rating for rating in page if rating.position > self._position]
--- a/src/nutmegroad/spread.py
+++ b/src/nutmegroad/spread.py
@@ -5,17 +5,16 @@
 from dataclasses import dataclass, replace
 from typing import Final, Protocol
 
-from absl import logging
-
 from nutmegroad._configuration_messages import HeadNotice
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.confirmations import PeerHead
 from nutmegroad.heads import Head, HeadStore, accept
+from nutmegroad.logs import part_logger
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import Digest, HostId, PresetName, Revision
 
-_LOG_PREFIX: Final = 'spread:'
+_LOG: Final = part_logger('spread')
 
 #: Polls are spread over this share of their period, so that hosts which
 #: started together do not read together.
@@ -108,7 +107,7 @@
             refusal = await self._learn(head, asked)
             await self._record()
         if refusal is not None:
-            logging.warning('%s not confirmed: %s', _LOG_PREFIX, refusal.reason)
+            _LOG.warning('not confirmed: %s', refusal.reason)
             self._configuration.fail(asked)
         return refusal
 
@@ -166,9 +165,8 @@
             if isinstance(accepted, Refusal):
                 return accepted
             if self._configuration.take(accepted):
-                logging.info(
-                    '%s revision %d, preset %s, by %s',
-                    _LOG_PREFIX,
+                _LOG.info(
+                    'revision %d, preset %s, by %s',
                     accepted.revision,
                     accepted.preset,
                     accepted.author,
@@ -181,9 +179,8 @@
         if present is None or head.revision != present.revision:
             return
         if (head.digest, head.preset) != (present.digest, present.preset):
-            logging.error(
-                '%s revision %d is preset %s here and preset %s elsewhere',
-                _LOG_PREFIX,
+            _LOG.error(
+                'revision %d is preset %s here and preset %s elsewhere',
                 head.revision,
                 present.preset,
                 head.preset,
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,11 +2,22 @@
 
 import io
 import json
+import os
+import subprocess
+import sys
 import unittest
+from pathlib import Path
 
-from nutmegroad.logs import LogFormat, part_logger, set_up_logs
+from nutmegroad.logs import (
+    LogFormat,
+    about_request,
+    part_logger,
+    set_up_logs,
+)
 from nutmegroad.types import RequestId
 
+SOURCES = Path(__file__).resolve().parent.parent / 'src' / 'nutmegroad'
+
 
 def _logged(log_format: LogFormat) -> str:
     stream = io.StringIO()
@@ -30,3 +41,55 @@
         self.assertEqual(first['message'], 'dispatch r%s1: took 2 steps')
         self.assertNotIn('request', second)
         self.assertEqual(second['level'], 'error')
+
+    def test_a_task_about_a_request_names_it_in_each_line(self) -> None:
+        stream = io.StringIO()
+        set_up_logs(LogFormat.TEXT, stream)
+        log = part_logger('dispatch')
+        with about_request(RequestId('r1')):
+            log.info('inside')
+            log.exception('failed', cause=ZeroDivisionError('z'))
+        log.info('outside')
+        shown = stream.getvalue()
+        self.assertIn('dispatch r1: inside', shown)
+        self.assertIn('dispatch r1: failed', shown)
+        self.assertIn('ZeroDivisionError: z', shown)
+        self.assertIn('dispatch: outside', shown)
+
+    def test_every_module_logs_by_its_part(self) -> None:
+        for path in sorted(SOURCES.glob('*.py')):
+            with self.subTest(module=path.name):
+                uses = 'from absl' in path.read_text()
+                self.assertEqual(uses, path.name == 'logs.py')
+
+
+class DaemonLogTest(unittest.TestCase):
+    def test_a_daemon_writes_json_lines_alone(self) -> None:
+        flags = (
+            '--host=h1',
+            '--domain=d',
+            '--callers=127.0.0.1:0',
+            '--operators=127.0.0.1:0',
+            '--peers=127.0.0.1:0',
+            '--platform=127.0.0.1:9',
+            '--lame-duck=0.05',
+            '--log-format=json',
+        )
+        daemon = subprocess.Popen(
+            (sys.executable, '-m', 'nutmegroad.daemon', *flags),
+            env={**os.environ, 'NUTMEGROAD_CLUSTER_KEY': 'a-key-for-tests-1'},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(daemon.kill)
+        assert daemon.stdout is not None
+        while daemon.stdout.readline().strip() != 'ready':
+            self.assertIsNone(daemon.poll())
+        daemon.terminate()
+        _, logged = daemon.communicate(timeout=30)
+        lines = [json.loads(line) for line in logged.splitlines()]
+        told = {(line['part'], line['message']) for line in lines}
+        self.assertIn(('daemon', 'daemon: stopping'), told)
+        self.assertIn(('daemon', 'daemon: stopped'), told)
+        self.assertEqual(daemon.returncode, 0)
