--- a/src/nutmegroad/plugins.py
+++ b/src/nutmegroad/plugins.py
@@ -28,7 +28,7 @@
     'nutmegroad._orders_part',
     'nutmegroad._safety_part',
     'nutmegroad._operators_part',
-    'nutmegroad._listeners_part',
+    'nutmegroad._callers_part',
 )
 
 
