--- a/src/nutmegroad/cli.py
+++ b/src/nutmegroad/cli.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
+from nutmegroad import __version__
 from nutmegroad._cli_client import (
     TOKEN_VARIABLE,
     ExitCode,
@@ -45,6 +46,11 @@
             + '.'
         ),
     )
+    parser.add_argument(
+        '--version',
+        action='version',
+        version=f'nutmegroad {__version__}',
+    )
     parser.add_argument(
         '--operators',
         default='',
--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/replies.py
@@ -3,13 +3,13 @@
 import asyncio
 import math
 from collections.abc import Callable
-from types import MappingProxyType
 from typing import Final
 
 import msgspec
 from aiohttp.web import Request, Response, ResponseKey, StreamResponse
 from msgspec import Struct
 
+from nutmegroad._http_statuses import status_of
 from nutmegroad.forwards import ForwardedReply
 from nutmegroad.intents import FirstAnswer
 from nutmegroad.metrics import Metrics
@@ -25,46 +25,6 @@
 #: Seconds that a caller may take to read what is buffered for it.
 PATIENCE: Final = 30.0
 
-#: HTTP status by result code; any other is 503.
-_STATUS: Final = MappingProxyType(
-    {
-        ResultCode.BODY_MALFORMED: 400,
-        ResultCode.FIELD_INVALID: 400,
-        ResultCode.BODY_TOO_LARGE: 413,
-        ResultCode.ROUTE_UNKNOWN: 404,
-        ResultCode.BODY_TOO_SLOW: 408,
-        ResultCode.KEY_REUSED: 422,
-        ResultCode.UNAUTHENTICATED: 401,
-        ResultCode.VERSION_NOT_ALLOWED: 403,
-        ResultCode.TASK_UNKNOWN: 404,
-        ResultCode.SERVICE_UNKNOWN: 404,
-        ResultCode.OVERLOADED: 429,
-        ResultCode.SHARE_EXCEEDED: 429,
-        ResultCode.DEADLINE_UNREACHABLE: 429,
-        ResultCode.DEADLINE_PASSED: 504,
-        ResultCode.SESSION_ENDED: 409,
-        ResultCode.SESSION_INVALID: 400,
-        ResultCode.UPSTREAM_ERROR: 502,
-        ResultCode.UPSTREAM_TIMEOUT: 504,
-        ResultCode.ANSWER_CUT: 502,
-        ResultCode.ANSWER_CROSSED: 502,
-        ResultCode.OUTCOME_UNKNOWN: 409,
-        ResultCode.STILL_RUNNING: 409,
-        ResultCode.TICKET_INVALID: 400,
-        ResultCode.TICKET_SPENT: 409,
-        ResultCode.CONFIGURATION_INVALID: 422,
-        ResultCode.CONFIGURATION_CONFLICT: 409,
-        ResultCode.PRESET_UNKNOWN: 404,
-        ResultCode.OPERATOR_UNAUTHENTICATED: 401,
-        ResultCode.OPERATOR_NOT_PERMITTED: 403,
-        ResultCode.OPERATOR_REQUEST_INVALID: 400,
-        ResultCode.NOT_FOUND: 404,
-        ResultCode.INTERNAL: 500,
-    }
-)
-
-_UNAVAILABLE: Final = 503
-
 #: Where a reply keeps the code of the refusal that it is.
 _CODE: Final = ResponseKey('code', ResultCode)
 
@@ -115,7 +75,7 @@
     if refusal.retry_after > 0:
         headers['Retry-After'] = str(math.ceil(refusal.retry_after))
     reply = Response(
-        status=_STATUS.get(refusal.code, _UNAVAILABLE),
+        status=status_of(refusal.code),
         body=error_body(refusal),
         content_type=JSON_TYPE,
         headers=headers,
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -24,6 +24,7 @@
 from nutmegroad.results import Refusal
 from nutmegroad.secrets import hash_of, is_same
 from nutmegroad.sessions import SessionSigner, SessionToken
+from nutmegroad.tickets import Ticket, TicketSigner
 from nutmegroad.types import (
     DomainId,
     Epoch,
@@ -125,6 +126,14 @@
         text = writer.sign(WORKSPACE, TaskName('t'), CLAIM)
         self.assertIsInstance(reader.read(text, WORKSPACE), SessionToken)
 
+    def test_tickets_are_read_one_step_apart(self) -> None:
+        ticket = Ticket(WORKSPACE, 'h', 'h.1', 1, 60)
+        for before, after in pairwise(STEPS):
+            with self.subTest(before=before, after=after):
+                text = TicketSigner(*after).sign(ticket)
+                read = TicketSigner(*before).read(text, WORKSPACE)
+                self.assertEqual(read, ticket)
+
 
 class WorkspaceKeyTest(unittest.TestCase):
     def test_a_key_stands_for_one_workspace_only(self) -> None:
