--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TYPED = $(wildcard src fakes experiments models)
 LINTED = $(TYPED) $(wildcard tests)
 
-.PHONY: setup demo test lint format soak measure slopes
+.PHONY: setup demo serve test lint format soak measure slopes
 
 setup:
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo:
 	$(RUN) -m experiments.demo
 
+serve:
+	$(RUN) -m experiments.serve
+
 test:
 	$(RUN) -m tests.run
 
--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -28,6 +28,7 @@
 from nutmegroad.peers import Mesh
 from nutmegroad.registry import register, registered
 from nutmegroad.stops import GracefulStop
+from nutmegroad.types import Presence
 
 _UNAVAILABLE = 503
 
@@ -48,12 +49,21 @@
     async def show(http: Request) -> Response:
         """Show the metrics."""
         export.update()
+        _show_members(kernel)
         return Response(body=metrics.render(), content_type='text/plain')
 
     app.middlewares.append(fall)
     app.router.add_get('/metrics', show)
 
 
+def _show_members(kernel: Kernel) -> None:
+    """Count the other hosts by how they stand."""
+    presences = [one.presence for one in kernel.need(Members).members()]
+    for presence in Presence:
+        count = presences.count(presence)
+        kernel.need(Metrics).state.members(presence, count)
+
+
 @register('part', 'operators')
 class OperatorsPart:
     """Listens to operators."""
--- /dev/null
+++ b/src/nutmegroad/settings_page.py
@@ -0,0 +1,55 @@
+"""The page ``docs/SETTINGS.md``, from the table of settings.
+
+It is written by ``python -m nutmegroad.settings_page > docs/SETTINGS.md``.
+"""
+
+import sys
+from typing import Final
+
+from nutmegroad._setting_specs import SPECS, Spec
+
+_HEAD: Final = """\
+# Settings
+
+Generated from `src/nutmegroad/_setting_specs.py` by
+`python -m nutmegroad.settings_page > docs/SETTINGS.md`; a test holds the page
+to it.
+
+```sh
+# runs beside `make serve`
+export NUTMEGROAD_CLUSTER_KEY='a secret of at least 16 characters'
+nutmegroadd --host kent-hall-1 --domain kent-hall \\
+  --callers 0.0.0.0:8080 --operators 0.0.0.0:8081 \\
+  --peers 127.0.0.1:8082 --platform 127.0.0.1:8090 --print-settings
+```
+
+Each setting of `nutmegroadd` is a flag or an environment variable; the flag
+wins. Secrets come by the environment only, since others on the machine can read
+a program's flags, and are never printed. All settings are checked at start: if
+any is wrong, each is named with its value and what is expected, nothing is
+started, and the exit code is 2. `--print-settings` shows what is in force and
+whence, and stops.
+
+| flag | variable | what it is for | expected | default |
+| --- | --- | --- | --- | --- |
+"""
+
+
+def render_page() -> str:
+    """Return the page."""
+    rows = '\n'.join(_row(spec) for spec in SPECS)
+    return f'{_HEAD}{rows}\n'
+
+
+def _row(spec: Spec) -> str:
+    """Return a setting's row."""
+    flag = '(environment only)' if spec.secret else f'`{spec.flag}`'
+    default = f'`{spec.default}`' if spec.default else 'none'
+    if spec.default is None:
+        default = 'must be set'
+    cells = (flag, f'`{spec.variable}`', spec.meaning, spec.expected, default)
+    return f'| {" | ".join(cells)} |'
+
+
+if __name__ == '__main__':
+    sys.stdout.write(render_page())
