--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -12,8 +12,6 @@
 from nutmegroad._http_edge import BodyReader, protect
 from nutmegroad._http_listener import listen
 from nutmegroad._ledger_export import LedgerExport
-from nutmegroad._order_routes import OrderRoutes
-from nutmegroad._rollout_routes import RolloutDesk, RolloutRoutes
 from nutmegroad.accounting import Ledger
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
@@ -27,6 +25,7 @@
 from nutmegroad.order_keeper import OrderKeeper
 from nutmegroad.peers import Mesh
 from nutmegroad.registry import register, registered
+from nutmegroad.rollout_desk import RolloutDesk
 from nutmegroad.stops import GracefulStop
 from nutmegroad.types import Presence
 
@@ -98,10 +97,6 @@
             [make(kernel, access) for make in groups],
         )
         app = interface.application()
-        routes = RolloutRoutes(kernel.need(RolloutDesk), access.authenticate)
-        routes.add_to(app)
-        orders = OrderRoutes(kernel.need(OrderKeeper), access.authenticate)
-        orders.add_to(app)
         add_host_routes(app, kernel)
         count = kernel.need(Metrics).operator_refused
         BodyReader(kernel.settings.body_timeout, count).protect(app)
--- a/src/nutmegroad/_rollouts_part.py
+++ b/src/nutmegroad/_rollouts_part.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from nutmegroad._rollout_routes import RolloutDesk
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
 from nutmegroad.duties import Duties, DutyName
@@ -13,6 +12,7 @@
 from nutmegroad.platform import Table
 from nutmegroad.quarantines import Quarantines
 from nutmegroad.registry import register
+from nutmegroad.rollout_desk import RolloutDesk
 from nutmegroad.rollout_keeper import RolloutKeeper, RolloutParts
 from nutmegroad.rollout_shares import RolloutShares
 from nutmegroad.rollouts import RolloutStore
