--- a/src/nutmegroad/_callers_part.py
+++ b/src/nutmegroad/_callers_part.py
@@ -2,7 +2,8 @@
 
 from nutmegroad._caller_guard import CallerGuard
 from nutmegroad._caller_parts import CallerParts
-from nutmegroad._listening import listen
+from nutmegroad._http_edge import protect
+from nutmegroad._http_listener import listen
 from nutmegroad.billing import Biller
 from nutmegroad.callers import CallersInterface
 from nutmegroad.configuration import Configuration
@@ -43,7 +44,10 @@
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
-        signer = SessionSigner(kernel.settings.cluster_key)
+        signer = SessionSigner(
+            kernel.settings.cluster_key,
+            kernel.settings.cluster_key_old,
+        )
         kernel.provide(SessionSigner, signer)
         biller = kernel.need(Biller)
         kernel.need(Observers).add(biller)
@@ -58,7 +62,9 @@
         kernel.need(Forwarder).listen(interface.answer_forwarded)
         app = interface.application(kernel.settings.max_body)
         stop = kernel.need(GracefulStop)
-        CallerGuard(stop, kernel.need(Metrics)).protect(app)
+        metrics = kernel.need(Metrics)
+        CallerGuard(stop, metrics).protect(app)
+        protect(kernel, app, 'callers', metrics.refused)
         kernel.listening['callers'] = await listen(
             kernel,
             app,
--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -9,19 +9,25 @@
     middleware,
 )
 
-from nutmegroad._listening import listen
+from nutmegroad._http_edge import BodyReader, protect
+from nutmegroad._http_listener import listen
+from nutmegroad._ledger_export import LedgerExport
+from nutmegroad.accounting import Ledger
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
 from nutmegroad.directory import Directory
 from nutmegroad.explanations import Explanations
+from nutmegroad.members import Members
 from nutmegroad.metrics import Metrics
 from nutmegroad.operator_access import Access
 from nutmegroad.operators import OperatorsInterface
 from nutmegroad.order_keeper import OrderKeeper
+from nutmegroad.peers import Mesh
 from nutmegroad.registry import register, registered
 from nutmegroad.rollout_desk import RolloutDesk
 from nutmegroad.stops import GracefulStop
+from nutmegroad.types import Presence
 
 _UNAVAILABLE = 503
 
@@ -30,6 +36,7 @@
     """Show metrics, and that a host which stops is not ready."""
     stop = kernel.need(GracefulStop)
     metrics = kernel.need(Metrics)
+    export = LedgerExport(kernel.need(Ledger), metrics)
 
     @middleware
     async def fall(request: Request, handler: Handler) -> StreamResponse:
@@ -40,12 +47,22 @@
 
     async def show(http: Request) -> Response:
         """Show the metrics."""
+        export.update()
+        _show_members(kernel)
         return Response(body=metrics.render(), content_type='text/plain')
 
     app.middlewares.append(fall)
     app.router.add_get('/metrics', show)
 
 
+def _show_members(kernel: Kernel) -> None:
+    """Count the other hosts by how they stand."""
+    presences = [one.presence for one in kernel.need(Members).members()]
+    for presence in Presence:
+        count = presences.count(presence)
+        kernel.need(Metrics).state.members(presence, count)
+
+
 @register('part', 'operators')
 class OperatorsPart:
     """Listens to operators."""
@@ -55,6 +72,9 @@
         Directory,
         Explanations,
         GracefulStop,
+        Ledger,
+        Members,
+        Mesh,
         Metrics,
         OrderKeeper,
         RolloutDesk,
@@ -72,12 +92,15 @@
             kernel.settings.host,
             kernel.need(Configuration),
             kernel.need(Directory),
-            kernel.need(Explanations),
+            kernel.need(GracefulStop),
             access,
             [make(kernel, access) for make in groups],
         )
         app = interface.application()
         add_host_routes(app, kernel)
+        count = kernel.need(Metrics).operator_refused
+        BodyReader(kernel.settings.body_timeout, count).protect(app)
+        protect(kernel, app, 'operators', count)
         kernel.listening['operators'] = await listen(
             kernel,
             app,
--- a/src/nutmegroad/_records_part.py
+++ b/src/nutmegroad/_records_part.py
@@ -70,7 +70,10 @@
             IntentOwner(incarnation, kernel.nonce, is_gone),
             kernel.clock,
         )
-        signer = TicketSigner(kernel.settings.cluster_key)
+        signer = TicketSigner(
+            kernel.settings.cluster_key,
+            kernel.settings.cluster_key_old,
+        )
         office = TicketOffice(host, incarnation, signer, kernel.clock)
         invariants = kernel.need(Invariants)
         once = Once(intents, office, kernel.clock, invariants, metrics)
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -20,6 +20,7 @@
 from nutmegroad.forwards import ForwardedReply, ForwardedRequest
 from nutmegroad.intake import authenticate
 from nutmegroad.intents import FirstAnswer
+from nutmegroad.logs import present_request
 from nutmegroad.model_routes import ModelCall, ModelRoutes
 from nutmegroad.once import Elsewhere
 from nutmegroad.replies import (
@@ -152,7 +153,10 @@
         return forwarded_reply(self._reply(request, outcome, call))
 
     def _name(self) -> RequestId:
-        """Return a new request id."""
+        """Return the request's id, or a new one."""
+        present = present_request()
+        if present is not None:
+            return present
         nonce = f'{self._parts.randomness.getrandbits(_NONCE_BITS):016x}'
         return RequestId(f'{self._prefix}-{nonce}')
 
--- a/src/nutmegroad/cli.py
+++ b/src/nutmegroad/cli.py
@@ -11,7 +11,14 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
-from nutmegroad._cli_client import ExitCode, Failure, OperatorClient
+from nutmegroad import __version__
+from nutmegroad._cli_client import (
+    TOKEN_VARIABLE,
+    ExitCode,
+    Failure,
+    OperatorClient,
+)
+from nutmegroad._cli_numbers import positive
 from nutmegroad._cli_output import as_json
 from nutmegroad._cli_table import COMMANDS, Command
 from nutmegroad._setting_specs import read_targets
@@ -19,7 +26,6 @@
 
 #: Where operators' listeners are, with commas between.
 OPERATORS_VARIABLE: Final = 'NUTMEGROAD_OPERATORS'
-TOKEN_VARIABLE: Final = 'NUTMEGROAD_TOKEN'
 #: Seconds that one call to a host may take, unless told otherwise.
 CALL_TIMEOUT: Final = 10.0
 
@@ -40,6 +46,11 @@
             + '.'
         ),
     )
+    parser.add_argument(
+        '--version',
+        action='version',
+        version=f'nutmegroad {__version__}',
+    )
     parser.add_argument(
         '--operators',
         default='',
@@ -54,7 +65,7 @@
     )
     parser.add_argument(
         '--timeout',
-        type=float,
+        type=positive,
         default=CALL_TIMEOUT,
         metavar='SECONDS',
         help=f'for one call to a host; {CALL_TIMEOUT} if not given',
@@ -132,7 +143,13 @@
             return found
         addresses = found
     token = environ.get(TOKEN_VARIABLE, '')
-    client = OperatorClient(addresses, token, given.timeout)
+    client = OperatorClient(
+        addresses,
+        token,
+        given.timeout,
+        # Progress goes beside the reply, which programs read.
+        sys.stderr.write,
+    )
     return await command.run(client, given)
 
 
--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon.py
@@ -7,18 +7,17 @@
 import sys
 from typing import Any, Final
 
-from absl import logging
 from aiomisc import Service, entrypoint
 
 from nutmegroad.clocks import SystemClock
 from nutmegroad.core import Kernel
 from nutmegroad.exceptions import RegistryError, SettingsError
-from nutmegroad.logs import LogFormat, set_up_logs
+from nutmegroad.logs import LogFormat, part_logger, set_up_logs
 from nutmegroad.plugins import load_plugins
 from nutmegroad.settings import Settings, format_settings, read_settings
 from nutmegroad.stops import GracefulStop
 
-_LOG_PREFIX: Final = 'daemon:'
+_LOG: Final = part_logger('daemon')
 
 #: Exit code for settings that are wrong.
 BAD_SETTINGS: Final = 2
@@ -27,15 +26,54 @@
 STOP_MARGIN: Final = 5
 
 
+class StopOnce:
+    """Ends the loop's run at the first signal or order, and at no other.
+
+    aiomisc's own handlers put the default back as soon as a stop begins,
+    so that a second signal would cut what is still open.
+    """
+
+    def __init__(self) -> None:
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._asked = False
+
+    def __call__(self) -> None:
+        """End the loop's run, if it has not been done."""
+        if self._asked:
+            _LOG.info('told to stop again')
+            return
+        self._asked = True
+        if self._loop is not None:
+            self._loop.stop()
+
+    def watch(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Heed signals; one that comes at the start counts as well."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self)
+
+    def run(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Run a loop until it is told to stop."""
+        if not self._asked:
+            self._loop = loop
+            loop.run_forever()
+
+
 class HostService(Service):
     """Runs one host inside aiomisc's entry point.
 
     Args:
         settings: Checked settings.
+        stop: Ends the daemon's run.
     """
 
-    def __init__(self, settings: Settings, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        stop: StopOnce,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(**kwargs)
+        self._stop = stop
         self._kernel = Kernel(
             settings,
             SystemClock(),
@@ -44,7 +82,9 @@
 
     async def start(self) -> None:
         """Open all parts, and say where they listen."""
+        self._stop.watch(asyncio.get_running_loop())
         await self._kernel.start()
+        self._kernel.need(GracefulStop).when_asked(self._stop)
         for name, address in self._kernel.listening.items():
             sys.stdout.write(f'listening {name} {address}\n')
         sys.stdout.write('ready\n')
@@ -52,31 +92,11 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Let open requests end, and close all parts."""
-        logging.info('%s stopping', _LOG_PREFIX)
+        _LOG.info('stopping')
         await self._kernel.need(GracefulStop).run()
         async with asyncio.timeout(STOP_MARGIN):
             await self._kernel.stack.aclose()
-        logging.info('%s stopped', _LOG_PREFIX)
-
-
-def stop_on_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """End the loop's run at the first signal, and take no notice of more.
-
-    aiomisc's own handlers put the default back as soon as a stop begins,
-    so that a second signal would cut what is still open.
-    """
-    received: list[int] = []
-
-    def handle(number: int) -> None:
-        """Stop once."""
-        if received:
-            logging.info('%s signal %d again', _LOG_PREFIX, number)
-            return
-        received.append(number)
-        loop.stop()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, handle, number)
+        _LOG.info('stopped')
 
 
 def main() -> int:
@@ -95,10 +115,10 @@
     except RegistryError as trouble:
         sys.stderr.write(f'{trouble}\n')
         return BAD_SETTINGS
-    service = HostService(settings)
+    stop = StopOnce()
+    service = HostService(settings, stop)
     with entrypoint(service, log_config=False, catch_signals=()) as loop:
-        stop_on_signals(loop)
-        loop.run_forever()
+        stop.run(loop)
     return 0
 
 
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -49,6 +49,7 @@
 
 _COUNTERS: Final = (
     _CounterSpec('refusals', 'Refusals that callers got', ('code',)),
+    _CounterSpec('operator_refusals', 'Refusals to operators', ('code',)),
     _CounterSpec('retries', 'Retries by their reason', ('code',)),
     _CounterSpec(
         'requests',
@@ -60,6 +61,7 @@
     _CounterSpec('invariant_failures', 'Invariants broken', ('name',)),
     _CounterSpec('record_events', 'What befell records', ('event',)),
     _CounterSpec('dropped_replies', 'Replies that came for nobody', ('kind',)),
+    _CounterSpec('host_events', 'What befell links to hosts', ('event',)),
     _CounterSpec('control_bytes', 'Bytes for control', ('part', 'direction')),
     _CounterSpec(
         'control_messages',
@@ -222,6 +224,10 @@
         """Count a refusal that a caller got."""
         self._add('refusals', code.name)
 
+    def operator_refused(self, code: ResultCode) -> None:
+        """Count a refusal that an operator got."""
+        self._add('operator_refusals', code.name)
+
     def retried(self, code: ResultCode) -> None:
         """Count a retry by what ended the attempt before it."""
         self._add('retries', code.name)
@@ -265,10 +271,24 @@
         part: str,
         direction: Direction,
         size: int,
+        messages: int = 1,
     ) -> None:
-        """Count a control message of so many bytes."""
+        """Count control messages of so many bytes in all."""
         self._add('control_bytes', part, direction.value, amount=size)
-        self._add('control_messages', part, direction.value)
+        self._add(
+            'control_messages',
+            part,
+            direction.value,
+            amount=messages,
+        )
+
+    def control_spent(self, part: str, seconds: float) -> None:
+        """Add processor time that a part has spent."""
+        self._add('control_cpu_seconds', part, amount=seconds)
+
+    def host_event(self, event: str, count: int) -> None:
+        """Count something that befell links to hosts, or the membership."""
+        self._add('host_events', event, amount=count)
 
     @contextmanager
     def control_time(self, part: str) -> Generator[None, None, None]:
