End a spare link only when the kept one is used

Two hosts that connect to each other at once keep one connection and end the other. The side that was connected to has a link before the side that connects, which still waits for the proof. If the first of them ended the spare connection at once, the other one saw the end of the only link that it knew: the link was lost, and questions on it were settled as "the link was lost", though the kept connection was about to be there.

Cause: a real fault of the order in which a spare connection is ended, not of the tie-break (both sides agree on which one is kept) and not of the test. Ruled out: an error in the test (its verdict is right); a wait after each end for another connection (a guess at the slowness of the other host, and it delays each true loss).

Now nothing more is written on the spare connection, but it is ended only when a frame has come on the kept one, which shows that the other side has it. If the kept one ends before that, the spare one ends with it, so that both sides begin anew.

The check of PeerTableTest that the spare one is finished at once was what was wrong; it now demands that it rests, and is finished at the first frame on the kept one and not before.

--- a/src/nutmegroad/_connection.py
+++ b/src/nutmegroad/_connection.py
@@ -122,17 +122,20 @@
             if not await self._send(parcels):
                 return
 
-    def finish(self) -> None:
-        """Write no more, but read on until the other side ends it."""
+    def rest(self) -> None:
+        """Write no more, but read on."""
         if self.writing is not None:
             self.writing.cancel()
+
+    def finish(self) -> None:
+        """Write no more, but read on until the other side ends it."""
+        self.rest()
         if not self._writer.is_closing():
             self._writer.write_eof()
 
     def abort(self) -> None:
         """End it at once; nothing more is taken from the outbox."""
-        if self.writing is not None:
-            self.writing.cancel()
+        self.rest()
         self._writer.transport.abort()
 
     async def _send(self, parcels: tuple[Parcel, ...]) -> bool:
--- a/src/nutmegroad/_link_runner.py
+++ b/src/nutmegroad/_link_runner.py
@@ -3,7 +3,7 @@
 from functools import partial
 from typing import Final
 
-from nutmegroad._connection import LINKS_PART, Connection
+from nutmegroad._connection import LINKS_PART, Connection, Frame
 from nutmegroad._gate import Opened
 from nutmegroad._inbox import Inbox
 from nutmegroad._link_context import LinkContext, LinkListener
@@ -92,10 +92,20 @@
 
     async def _read(self, opened: Opened, peer: Peer) -> None:
         unpacker = Unpacker(self._context.limits.message)
-        take = partial(self._inbox.take, peer)
+        take = partial(self._take, opened.connection, peer)
         ended = await opened.connection.read(unpacker, opened.early, take)
         self._context.account.count(ended)
 
+    def _take(
+        self,
+        connection: Connection,
+        peer: Peer,
+        frame: Frame,
+        size: int,
+    ) -> None:
+        self._table.used(peer, connection)
+        self._inbox.take(peer, frame, size)
+
     def _leave(self, connection: Connection) -> None:
         if self._table.leave(connection):
             _LOG.info('host %s is lost', connection.identity.host)
@@ -103,8 +113,8 @@
 
     def _close_stuck(self, now: float) -> None:
         limits = self._context.limits
-        for finished in self._table.finished(now - limits.stall):
-            finished.abort()
+        for spare in self._table.spares(now - limits.stall):
+            spare.abort()
         for peer in self._table:
             connection = peer.connection
             stalled = connection.stalled_since
--- a/src/nutmegroad/_peer_table.py
+++ b/src/nutmegroad/_peer_table.py
@@ -22,6 +22,8 @@
         connection: The connection that is used.
         outbox: What waits to be sent.
         handling: How many handlers run for it.
+        spares: Connections beside it that are to end.
+        heard_on: The connection on which its last frame came, if any.
 
     Args:
         connection: Its first connection.
@@ -32,6 +34,8 @@
         self.connection = connection
         self.outbox = Outbox(limits.queue_messages, limits.queue_bytes)
         self.handling = 0
+        self.spares: list[Connection] = []
+        self.heard_on: Connection | None = None
 
     @property
     def identity(self) -> Identity:
@@ -48,6 +52,11 @@
         """Whether something has not yet gone to the system."""
         return bool(self.outbox) or self.connection.stalled_since is not None
 
+    def abort(self) -> None:
+        """End all its connections at once."""
+        for connection in (self.connection, *self.spares):
+            connection.abort()
+
 
 class PeerTable:
     """Keeps one link for each host.
@@ -64,7 +73,7 @@
         self._limits = limits
         self._peers: dict[HostId, Peer] = {}
         self._aliases: dict[Address, HostId] = {}
-        self._finished: dict[Connection, float] = {}
+        self._spares: dict[Connection, float] = {}
 
     def __iter__(self) -> Iterator[Peer]:
         """Iterate over the hosts to which there is a link."""
@@ -96,9 +105,11 @@
     def enter(self, connection: Connection) -> Peer | None:
         """Take a connection in, as the link to its host or beside it.
 
-        Two hosts may connect to each other at once. The connection that
-        is not used is finished only, since the other side may have sent
-        something on it before it knew.
+        Two hosts may connect to each other at once. Nothing more is
+        written on the connection that is not used, but it is kept until
+        the other side has sent something on the used one: before that the
+        other side may know of no other, and would take its end for the
+        loss of the link.
 
         Returns:
             The host; None for an old incarnation.
@@ -107,39 +118,53 @@
         peer = self._peers.get(identity.host)
         if peer is None or identity.order > peer.identity.order:
             if peer is not None:
-                peer.connection.abort()
+                peer.abort()
             peer = Peer(connection, self._limits)
             self._peers[identity.host] = peer
             return peer
         if identity.incarnation != peer.identity.incarnation:
             return None
+        spare = connection
         if self._is_better(connection, peer.connection):
-            self._finish(peer.connection)
+            spare = peer.connection
             peer.connection = connection
-        else:
-            self._finish(connection)
+        spare.rest()
+        peer.spares.append(spare)
+        self._spares[spare] = self._clock.now()
+        self._finish_spares(peer)
         return peer
 
+    def used(self, peer: Peer, connection: Connection) -> None:
+        """Learn that a host has sent something on a connection to it."""
+        peer.heard_on = connection
+        self._finish_spares(peer)
+
     def leave(self, connection: Connection) -> bool:
         """Drop a connection; true if its host has no link now."""
-        self._finished.pop(connection, None)
+        self._spares.pop(connection, None)
         peer = self._peers.get(connection.identity.host)
         if peer is None or peer.connection is not connection:
             return False
         self._peers.pop(peer.host)
+        # The other side may still use one of them as the link.
+        peer.abort()
         return True
 
-    def finished(self, before: float) -> tuple[Connection, ...]:
-        """Return connections that were finished before a moment."""
+    def spares(self, before: float) -> tuple[Connection, ...]:
+        """Return connections that are not used since before a moment."""
         return tuple(
             connection
-            for connection, when in self._finished.items()
+            for connection, when in self._spares.items()
             if when < before
         )
 
-    def _finish(self, connection: Connection) -> None:
-        connection.finish()
-        self._finished[connection] = self._clock.now()
+    def _finish_spares(self, peer: Peer) -> None:
+        """End what is not used, once the other side uses the same."""
+        if peer.heard_on is not peer.connection:
+            return
+        for spare in peer.spares:
+            spare.finish()
+        peer.spares.clear()
 
     def _is_better(self, new: Connection, old: Connection) -> bool:
         if new.initiator == old.initiator:
--- a/tests/recorders.py
+++ b/tests/recorders.py
@@ -40,10 +40,26 @@
     async def _relay(self, reader: StreamReader, writer: StreamWriter) -> None:
         behind = self._behind
         other = await asyncio.open_connection(behind.ip, behind.port)
-        replies = asyncio.ensure_future(_copy(other[0], writer, bytearray()))
+        replies = asyncio.ensure_future(self._reply(other[0], writer))
         await _copy(reader, other[1], self.heard)
         await replies
 
+    async def _reply(self, reader: StreamReader, writer: StreamWriter) -> None:
+        await _copy(reader, writer, bytearray())
+
+
+class Holder(Recorder):
+    """Passes on the first reply, and the others when it is told to."""
+
+    def __init__(self, behind: Address) -> None:
+        super().__init__(behind)
+        self.released = asyncio.Event()
+
+    async def _reply(self, reader: StreamReader, writer: StreamWriter) -> None:
+        writer.write(await reader.read(4096))
+        await self.released.wait()
+        await super()._reply(reader, writer)
+
 
 async def _copy(
     reader: StreamReader,
--- a/tests/test_link_parts.py
+++ b/tests/test_link_parts.py
@@ -32,6 +32,9 @@
         super().__init__(identity, streams, ManualClock(), initiator=initiator)
         self.done: list[str] = []
 
+    def rest(self) -> None:
+        self.done.append('rests')
+
     def finish(self) -> None:
         self.done.append('finished')
 
@@ -62,9 +65,26 @@
         assert peer is not None
         kept = connections.index(cast(StubConnection, peer.connection))
         self.assertEqual(connections[kept].done, [])
-        self.assertEqual(connections[1 - kept].done, ['finished'])
+        spare = connections[1 - kept]
+        self.assertEqual(spare.done, ['rests'])
+        table.used(peer, spare)
+        self.assertEqual(spare.done, ['rests'])
+        table.used(peer, peer.connection)
+        self.assertEqual(spare.done, ['rests', 'finished'])
+        self.assertEqual(connections[kept].done, [])
         return kept
 
+    def test_the_spare_one_ends_with_a_kept_one_that_was_never_used(
+        self,
+    ) -> None:
+        table = PeerTable(HostId('b'), ManualClock(), LinkLimits())
+        spare = StubConnection('a', initiator=True)
+        kept = StubConnection('a', initiator=False)
+        table.enter(spare)
+        table.enter(kept)
+        self.assertTrue(table.leave(kept))
+        self.assertEqual(spare.done, ['rests', 'aborted'])
+
 
 class OutboxTest(unittest.TestCase):
     """What a full queue does."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -18,7 +18,7 @@
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
 from nutmegroad.types import Address, DomainId, HostId, Incarnation, Ran
-from tests.recorders import Recorder, echo_back
+from tests.recorders import Holder, Recorder, echo_back
 
 KEY = b'a key for tests'
 #: Seconds between looks, and looks after which a test is broken.
@@ -289,6 +289,34 @@
                 self.assertEqual(len(one.links.linked()), 1)
                 self.assertEqual(len(two.links.linked()), 1)
 
+    async def test_the_spare_one_ends_only_when_the_kept_one_is_used(
+        self,
+    ) -> None:
+        # Each connects to the other, and neither has the other's proof
+        # yet. "two" gets it first and knows that it keeps the connection
+        # of "one", which still has no other than the one to be ended.
+        one, two = await self.host('one'), await self.host('two')
+        from_one, from_two = Holder(two.address), Holder(one.address)
+        await self.enterAsyncContext(from_one)
+        await self.enterAsyncContext(from_two)
+        one.links.aim([from_one.address])
+        two.links.aim([from_two.address])
+        await until(lambda: one.links.linked() and two.links.linked())
+        question = one.links.ask(two.host, Ask('hello'), 5)
+        asking = asyncio.ensure_future(question)
+        from_two.released.set()
+        await until(lambda: two.texts)
+        self.assertEqual(two.count('links_doubled'), 1)
+        # Time enough for the end of the spare one to be seen.
+        await asyncio.sleep(0.1)
+        self.assertEqual(list(one.links.linked()), [two.host])
+        from_one.released.set()
+        self.assertEqual(await asking, Reply('hello to one'))
+        self.assertEqual(one.count('links_closed'), 0)
+        await self.assert_works(one, two)
+        await until(lambda: one.count('links_closed') == 1)
+        self.assertEqual(list(one.links.linked()), [two.host])
+
     async def test_an_old_incarnation_gets_no_link(self) -> None:
         one = await self.host('one', generation=7)
         two = await self.host('two')
