Hold no version guilty of a caller whose time is up

A caller that went away counted as a cut answer in the same way.

Now an attempt that ends at the deadline, or because its caller leaves, is no evidence if a piece came within the last second, or if none came and the engine's report says that it was full. Silence is held against the version as before, and so are stalls, errors and cuts by the engine.

Ruled out: to count no time-out at all, since a version that hangs for short task classes shows nothing else; a higher limit for failures, since the share of such ends grows with the load without bound.

--- a/src/nutmegroad/attempts.py
+++ b/src/nutmegroad/attempts.py
@@ -1,5 +1,6 @@
 """One attempt at an answer: send it, follow the stream, say how it ended."""
 
+import math
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
@@ -23,6 +24,9 @@
 #: Seconds without a piece after which a stream counts as frozen.
 STALL: Final = 10.0
 
+#: Seconds without a piece from which on silence is held against an upstream
+#: whose caller's time is up, or whose caller leaves.
+SILENCE: Final = 1.0
 
 #: Pieces that a resumed answer repeats, so that it can be seen whether it
 #: goes on as the caller was shown.
@@ -47,6 +51,8 @@
         pieces: Texts by index; empty where a chunk had none.
         read: Index behind the last piece that the present attempt brought.
         first: Clock seconds of the first piece, or None.
+        heard: Clock seconds of the last piece of the present attempt;
+            infinite while the caller takes it.
         ending: The mark that the answer is whole, or None.
         refusal: Why it is not whole, or None.
     """
@@ -54,6 +60,7 @@
     pieces: list[str] = field(default_factory=list)
     read: int = 0
     first: float | None = None
+    heard: float = -math.inf
     ending: Ending | None = None
     refusal: Refusal | None = None
 
@@ -129,6 +136,7 @@
         """Carry out one attempt; pieces go to the sink as they come."""
         trial.received.refusal = None
         trial.received.read = trial.attempt.skip
+        trial.received.heard = -math.inf
         began = self._clock.now()
         self._observers.started(trial.start)
         try:
@@ -178,7 +186,9 @@
                     return
                 # A caller that reads slowly says nothing of the upstream.
                 dog.hold()
+                received.heard = math.inf
                 received.refusal = await self._take(event, received, sink)
+                received.heard = self._clock.now()
                 if received.refusal is not None:
                     return
                 dog.touch()
@@ -253,8 +263,29 @@
             cost=self._cost(trial.start, prompt, output),
             text=''.join(received.pieces) if ending else '',
             cached_tokens=ending.cached_tokens if ending else 0,
+            out_of_time=self._is_out_of_time(trial, began),
         )
 
+    def _is_out_of_time(self, trial: Trial, began: float) -> bool:
+        """Tell whether only the caller's time ended an attempt.
+
+        Who waits at a full engine hears nothing for a good reason.
+        """
+        received = trial.received
+        now = self._clock.now()
+        if received.ending is not None:
+            return False
+        if received.refusal is not None:
+            is_late = now >= began + trial.attempt.timeout
+            code = received.refusal.code
+            if code is not ResultCode.UPSTREAM_TIMEOUT or not is_late:
+                return False
+        if now - received.heard < SILENCE:
+            return True
+        report = trial.state.report
+        has_begun = received.read > trial.attempt.skip
+        return report is not None and report.is_full and not has_begun
+
     def _cost(self, start: AttemptStart, prompt: int, output: int) -> float:
         """Return what an attempt cost at today's prices."""
         entry = self._configuration.entry(start.version)
--- a/src/nutmegroad/decisions.py
+++ b/src/nutmegroad/decisions.py
@@ -56,6 +56,8 @@
         cost: What it cost.
         text: The whole answer, if there was one.
         cached_tokens: Prompt tokens that the engine had in its cache.
+        out_of_time: Its caller's time was up, or its caller left, while the
+            upstream was at work: this says nothing of version and upstream.
     """
 
     start: AttemptStart
@@ -67,6 +69,7 @@
     cost: float
     text: str
     cached_tokens: int = 0
+    out_of_time: bool = False
 
 
 class Observer(Protocol):
--- a/src/nutmegroad/evidence.py
+++ b/src/nutmegroad/evidence.py
@@ -269,6 +269,8 @@
 
 def _count(end: AttemptEnd) -> Tally | None:
     """Return the evidence in an attempt, or None if there is none."""
+    if end.out_of_time:
+        return None
     if end.code in FAILURES:
         return Tally(errors=1)
     if end.code is ResultCode.ANSWER_CUT:
--- a/src/nutmegroad/upstreams.py
+++ b/src/nutmegroad/upstreams.py
@@ -104,6 +104,11 @@
     checks_fencing: bool
     fencing: FencingNumber = FencingNumber(0)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a request that comes has to wait."""
+        return self.running + self.queued >= self.slots
+
 
 @unique
 class OrderAction(Enum):
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -170,6 +170,7 @@
     engines: ScriptedEngines = field(default_factory=ScriptedEngines)
     spent: Spent = field(default_factory=Spent)
     caller: Caller = field(default_factory=Caller)
+    observers: Observers = field(default_factory=Observers)
 
     def __post_init__(self) -> None:
         """Put the objects together."""
@@ -237,7 +238,7 @@
         attempter = Attempter(
             self.engines,
             self.directory,
-            Observers(),
+            self.observers,
             self.configuration,
             self.clock,
         )
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -1,7 +1,10 @@
 """Counters add up to the same everywhere, however the messages travel."""
 
+import asyncio
 import random
 import unittest
+from dataclasses import replace
+from itertools import repeat
 
 from nutmegroad.decisions import AttemptEnd, AttemptStart
 from nutmegroad.evidence import (
@@ -12,6 +15,7 @@
     Tally,
 )
 from nutmegroad.results import ResultCode
+from nutmegroad.testing import ManualClock
 from nutmegroad.types import (
     AttemptId,
     Incarnation,
@@ -21,6 +25,9 @@
     VersionId,
     WorkspaceId,
 )
+from nutmegroad.upstreams import Attempt, Piece
+from tests.rigs import SMALL, WORDS, HostRig, Script
+from tests.rigs import TASK as ASKED
 
 VERSION = VersionId('a@1')
 TASK = TaskName('tag')
@@ -107,3 +114,58 @@
             store.learn(message.cells)
         # None is counted twice, and none is taken back by an old message.
         self.assertEqual([tally.attempts for tally in heard], [1, 1, 1])
+
+
+class TimeIsUpTest(unittest.IsolatedAsyncioTestCase):
+    """Callers whose time is up, which is no fault of the version."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.rig = HostRig(self.clock)
+        self.store = EvidenceStore(NAMES[0])
+        self.rig.observers.add(self.store)
+
+    def slowly(self, *pauses: float) -> Script:
+        """Return a script that writes a word after each pause."""
+
+        def script(attempt: Attempt) -> list[object]:
+            events: list[object] = []
+            for index, pause in enumerate(pauses):
+                events.append(lambda pause=pause: self.clock.sleep(pause))
+                events.append(Piece(index, WORDS[index]))
+            return events
+
+        return script
+
+    async def failures(self, *pauses: float) -> int:
+        """Return what is counted of an attempt that has three seconds."""
+        self.rig.engines.scripts = [self.slowly(*pauses)]
+        deadline = self.clock.now() + 3
+        task = asyncio.create_task(self.rig.ask(deadline=deadline))
+        await self.clock.advance(4)
+        await task
+        return self.store.total(SMALL, ASKED).failures
+
+    async def test_one_that_was_writing_is_not_held_guilty(self) -> None:
+        self.assertEqual(await self.failures(*repeat(0.5, 8)), 0)
+
+    async def test_one_that_fell_silent_is(self) -> None:
+        self.assertEqual(await self.failures(0.5, 9), 1)
+
+    async def test_one_that_never_began_is(self) -> None:
+        self.assertEqual(await self.failures(9), 1)
+
+    async def test_one_that_waits_at_full_engines_is_not(self) -> None:
+        for state in self.rig.directory.states():
+            assert state.report is not None
+            full = replace(state.report, running=4)
+            self.rig.directory.reported(state.info.upstream, full)
+        self.assertEqual(await self.failures(9), 0)
+
+    async def test_one_whose_caller_went_away_is_not(self) -> None:
+        self.rig.engines.scripts = [self.slowly(*repeat(0.5, 8))]
+        task = asyncio.create_task(self.rig.ask())
+        await self.clock.advance(2)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(self.store.total(SMALL, ASKED).attempts, 0)
