--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/_estimates.py
@@ -78,15 +78,18 @@
         self._xy = (1 - gain) * (self._xy + gain * right * up)
 
 
-class Median:
-    """A running median: each value moves it by a small factor only.
+class Quantile:
+    """A running quantile: each value moves it by a small factor only.
 
     Args:
         level: Where it starts.
+        share: Share of the values that lie below it.
     """
 
-    def __init__(self, level: float) -> None:
+    def __init__(self, level: float, share: float) -> None:
         self.level = level
+        self._up = 1 + 2 * _GAIN * share
+        self._down = 1 + 2 * _GAIN * (1 - share)
         self._fresh = True
 
     def add(self, found: float) -> None:
@@ -95,9 +98,20 @@
             self._fresh = False
             self.level = found
         elif found > self.level:
-            self.level *= 1 + _GAIN
+            self.level *= self._up
         else:
-            self.level /= 1 + _GAIN
+            self.level /= self._down
+
+
+class Median(Quantile):
+    """A running median.
+
+    Args:
+        level: Where it starts.
+    """
+
+    def __init__(self, level: float) -> None:
+        super().__init__(level, 0.5)
 
 
 class VersionSpeed:
