Call the holder of handed records a receiver

`heirs`, `Testator` and `Executor` were a metaphor of our own, which a reader had to have explained. The module is `record_copies` now, with `RecordSender` and `RecordKeeper`; the event `billing_bequeathed` is `billing_handed_at_stop`. "Standby" was ruled out: the receiver is an ordinary host that does its own work.

Behaviour and the tags of messages are unchanged; the tests of billing, the records and their random runs pass.

--- a/experiments/records_cost.py
+++ b/experiments/records_cost.py
@@ -27,13 +27,13 @@
 from nutmegroad.accounting import Ledger
 from nutmegroad.billing import Biller, BillingRecord
 from nutmegroad.clocks import SystemClock
-from nutmegroad.heirs import Executor, Testator
 from nutmegroad.intents import IntentLedger, IntentOwner
 from nutmegroad.invariants import CountedInvariants
 from nutmegroad.links import Links
 from nutmegroad.metrics import Metrics
 from nutmegroad.once import Once, Order, Run
 from nutmegroad.peers import Member
+from nutmegroad.record_copies import RecordKeeper, RecordSender
 from nutmegroad.tickets import TicketOffice, TicketSigner
 from nutmegroad.types import (
     Address,
@@ -78,7 +78,7 @@
     once: Once
     office: TicketOffice
     biller: Biller
-    testator: Testator
+    sender: RecordSender
     numbers: int = 0
 
     def order(self) -> Order:
@@ -121,7 +121,7 @@
     async def hand(self) -> None:
         """Record and hand on."""
         await self.record()
-        await self.testator.hand()
+        await self.sender.hand()
 
     async def hand_eight(self) -> None:
         """Record and hand on eight at a time."""
@@ -229,10 +229,10 @@
     meshes = await link_two(stack)
     biller = Biller(objects, OWN, metrics, invariants)
     for mesh in meshes:
-        Executor(biller, mesh, clock, metrics).listen()
-    testator = Testator(biller, meshes[0], DOMAIN, clock, metrics)
+        RecordKeeper(biller, mesh, clock, metrics).listen()
+    sender = RecordSender(biller, meshes[0], DOMAIN, clock, metrics)
     return Bench(
-        *make_once(table, objects, metrics, invariants), biller, testator
+        *make_once(table, objects, metrics, invariants), biller, sender
     )
 
 
@@ -275,7 +275,7 @@
             for name, way in ways.items():
                 costs[name].append(await measure(way, REQUESTS))
                 # What was recorded is stored between the rounds.
-                await bench.testator.flush()
+                await bench.sender.flush()
     record = msgspec.msgpack.encode(_record(1))
     sys.stdout.write(f'{ROUNDS} rounds of {REQUESTS} requests\n')
     for name, rounds in costs.items():
--- a/src/nutmegroad/_callers_part.py
+++ b/src/nutmegroad/_callers_part.py
@@ -11,11 +11,11 @@
 from nutmegroad.dispatch import Dispatcher
 from nutmegroad.explanations import Explanations
 from nutmegroad.forwards import Forwarder
-from nutmegroad.heirs import Testator
 from nutmegroad.intake import IntakeDesk
 from nutmegroad.metrics import Metrics
 from nutmegroad.model_routes import ModelParts, ModelRoutes
 from nutmegroad.once import Once
+from nutmegroad.record_copies import RecordSender
 from nutmegroad.registry import register
 from nutmegroad.runs import Runner
 from nutmegroad.service_routes import ServiceRoutes
@@ -35,7 +35,7 @@
         Dispatcher,
         ServiceCaller,
         Once,
-        Testator,
+        RecordSender,
         SessionNames,
         GracefulStop,
         Metrics,
@@ -48,7 +48,7 @@
         biller = kernel.need(Biller)
         kernel.need(Observers).add(biller)
         runner = await kernel.stack.enter_async_context(
-            Runner(kernel.need(Once), biller, kernel.need(Testator)),
+            Runner(kernel.need(Once), biller, kernel.need(RecordSender)),
         )
         interface = CallersInterface(
             self._parts(kernel, runner, signer),
--- a/src/nutmegroad/_records_part.py
+++ b/src/nutmegroad/_records_part.py
@@ -7,13 +7,13 @@
 from nutmegroad.core import Kernel
 from nutmegroad.explanations import Explanations
 from nutmegroad.forwards import Forwarder
-from nutmegroad.heirs import Executor, Testator
 from nutmegroad.intents import IntentLedger, IntentOwner
 from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
 from nutmegroad.once import Once
 from nutmegroad.peers import Mesh
 from nutmegroad.platform import Objects, Table
+from nutmegroad.record_copies import RecordKeeper, RecordSender
 from nutmegroad.registry import register
 from nutmegroad.tickets import TicketOffice, TicketSigner
 from nutmegroad.types import HostId, Incarnation
@@ -41,14 +41,14 @@
         invariants = kernel.need(Invariants)
         biller = Biller(objects, kernel.incarnation, metrics, invariants)
         domain = kernel.settings.domain
-        testator = Testator(biller, mesh, domain, kernel.clock, metrics)
-        kernel.stack.push_async_callback(testator.end)
-        executor = Executor(biller, mesh, kernel.clock, metrics)
-        executor.listen()
+        sender = RecordSender(biller, mesh, domain, kernel.clock, metrics)
+        kernel.stack.push_async_callback(sender.end)
+        keeper = RecordKeeper(biller, mesh, kernel.clock, metrics)
+        keeper.listen()
 
-        kernel.spawn(_flush_often(kernel, testator, executor), 'billing')
+        kernel.spawn(_flush_often(kernel, sender, keeper), 'billing')
         kernel.provide(Biller, biller)
-        kernel.provide(Testator, testator)
+        kernel.provide(RecordSender, sender)
 
 
 @register('part', 'records')
@@ -110,18 +110,18 @@
 
 async def _flush_often(
     kernel: Kernel,
-    testator: Testator,
-    executor: Executor,
+    sender: RecordSender,
+    keeper: RecordKeeper,
 ) -> None:
     """Store batches until cancelled."""
     state = kernel.need(Metrics).state
     while True:
         spread = kernel.randomness.uniform(-FLUSH_JITTER, FLUSH_JITTER)
         await kernel.clock.sleep(FLUSH_PERIOD * (1 + spread))
-        executor.take_over()
-        await testator.flush()
-        state.unstored('billing', testator.pending)
-        state.unstored('held', executor.held)
+        keeper.take_over()
+        await sender.flush()
+        state.unstored('billing', sender.pending)
+        state.unstored('held', keeper.held)
 
 
 async def _settle_often(kernel: Kernel, once: Once) -> None:
--- a/src/nutmegroad/billing.py
+++ b/src/nutmegroad/billing.py
@@ -5,8 +5,8 @@
 stores the same object. A reader keeps one record for each request id;
 that rule is part of the format.
 
-Hosts keep nothing, so a record is handed to a peer (see ``heirs``) before
-the end of its answer. Whichever of the two is left stores the batch.
+Hosts keep nothing, so a record is handed to a peer (``record_copies``)
+before the end of its answer. Whichever of the two is left stores the batch.
 """
 
 import hashlib
@@ -185,7 +185,7 @@
         for known in self._batches:
             same = known.incarnation == batch.incarnation
             if same and known.sequence == batch.sequence:
-                # Two heirs that hand their batches to each other.
+                # Two receivers that hand their batches to each other.
                 return
         batch.handed = 0
         self._batches.append(batch)
--- a/src/nutmegroad/heirs.py
+++ b/src/nutmegroad/record_copies.py
@@ -1,8 +1,9 @@
-"""Heirs: the peer that holds a host's billing records until they are stored.
+"""Copies of billing records that a peer holds until they are stored.
 
 A host hands its records on before the end of their answers, as many at a
-time as have come together. If the host is gone, or says so at its end, its
-heir takes the records over: it stores them as its own, and has an heir too.
+time as have come together. If the host is gone, or says so at its end, the
+receiver takes the records over: it stores them as its own, and hands them
+to a receiver too.
 """
 
 import asyncio
@@ -67,8 +68,8 @@
     sequence: int
 
 
-class Testator:
-    """Hands this host's records to its heir.
+class RecordSender:
+    """Hands this host's records to the peer that receives them.
 
     Args:
         biller: Has the records.
@@ -91,7 +92,7 @@
         self._domain = domain
         self._clock = clock
         self._metrics = metrics
-        self._heir: Member | None = None
+        self._receiver: Member | None = None
         self._shunned: dict[HostId, float] = {}
         self._lock = asyncio.Lock()
 
@@ -104,7 +105,7 @@
         """Hand on what is not handed on yet.
 
         Args:
-            last: The heir is to store what it gets.
+            last: The receiver is to store what it gets.
 
         Returns:
             Whether a peer holds all records that waited.
@@ -117,18 +118,18 @@
         return False
 
     async def flush(self) -> None:
-        """Store all batches, and tell the heir that it need not."""
+        """Store all batches, and tell the receiver that it need not."""
         open_batches = self._biller.batches
         refusal = await self._biller.flush()
         if refusal is not None:
             # What can not be stored is the more worth a second holder.
             await self.hand()
             return
-        heir = self._heir
-        if heir is not None and open_batches:
+        receiver = self._receiver
+        if receiver is not None and open_batches:
             sequence = open_batches[-1].sequence
             incarnation = self._biller.incarnation
-            self._mesh.tell(heir.host, StoredBatches(incarnation, sequence))
+            self._mesh.tell(receiver.host, StoredBatches(incarnation, sequence))
 
     async def end(self) -> None:
         """Store all batches at a graceful stop, or leave them to a peer."""
@@ -138,7 +139,7 @@
         for batch in self._biller.batches:
             batch.handed = 0
         handed = await self.hand(last=True)
-        event = 'billing_bequeathed' if handed else 'billing_lost_at_stop'
+        event = 'billing_handed_at_stop' if handed else 'billing_lost_at_stop'
         self._metrics.record_event(event)
         _LOG.warning(
             '%d records could not be stored at the end; a peer holds them: %s',
@@ -154,9 +155,9 @@
         return True
 
     async def _hand_batch(self, batch: Batch, last: bool) -> bool:
-        """Hand one batch on, from where the heir's part of it ends."""
-        heir = self._choose()
-        if heir is None:
+        """Hand one batch on, from where the receiver's part of it ends."""
+        receiver = self._choose()
+        if receiver is None:
             return False
         place = batch.handed
         records = tuple(batch.records[place:])
@@ -169,16 +170,16 @@
             records,
             last,
         )
-        reply = await self._mesh.ask(heir.host, message, HAND_WAIT)
+        reply = await self._mesh.ask(receiver.host, message, HAND_WAIT)
         if isinstance(reply, HeldRecords):
             batch.handed = min(reply.held, place + len(records))
             return batch.handed == place + len(records)
         self._metrics.record_event('billing_not_handed')
-        self._shunned[heir.host] = self._clock.now() + SHUN
+        self._shunned[receiver.host] = self._clock.now() + SHUN
         return False
 
     def _choose(self) -> Member | None:
-        """Return the heir; a new one gets everything from the start."""
+        """Return the receiver; a new one gets everything from the start."""
         members = self._mesh.members()
         now = self._clock.now()
         fit = [
@@ -188,14 +189,14 @@
             and self._shunned.get(member.host, 0) <= now
         ]
         for member in fit:
-            if self._heir is not None and (
-                member.incarnation == self._heir.incarnation
+            if self._receiver is not None and (
+                member.incarnation == self._receiver.incarnation
             ):
                 return member
         for batch in self._biller.batches:
             batch.handed = 0
-        self._heir = min(fit, key=self._rank) if fit else None
-        return self._heir
+        self._receiver = min(fit, key=self._rank) if fit else None
+        return self._receiver
 
     def _rank(self, member: Member) -> tuple[bool, bool, str]:
         """Order peers: of this domain first, then the next by name."""
@@ -208,7 +209,7 @@
         )
 
 
-class Executor:
+class RecordKeeper:
     """Holds the records of other hosts, and takes over those of the gone.
 
     Args:
@@ -305,7 +306,7 @@
                 self._left.add(owner)
 
     def _is_gone(self, owner: str) -> bool:
-        """Tell whether a host's batches fall to its heir."""
+        """Tell whether a host's batches are to be taken over."""
         now = self._clock.now()
         unheard = now - self._heard.get(owner, now)
         return owner in self._left or unheard >= GONE_AFTER
--- a/src/nutmegroad/runs.py
+++ b/src/nutmegroad/runs.py
@@ -12,10 +12,10 @@
 
 from nutmegroad.billing import Biller, BillingRecord
 from nutmegroad.fences import Fence
-from nutmegroad.heirs import Testator
 from nutmegroad.intents import FirstAnswer
 from nutmegroad.logs import part_logger
 from nutmegroad.once import Elsewhere, Once, Order, Run
+from nutmegroad.record_copies import RecordSender
 from nutmegroad.results import Refusal
 from nutmegroad.upstreams import ServiceReply
 
@@ -54,13 +54,15 @@
     Args:
         once: Says what may run.
         biller: Takes billing records.
-        testator: Hands them to a peer.
+        sender: Hands them to a peer.
     """
 
-    def __init__(self, once: Once, biller: Biller, testator: Testator) -> None:
+    def __init__(
+        self, once: Once, biller: Biller, sender: RecordSender
+    ) -> None:
         self._once = once
         self._biller = biller
-        self._testator = testator
+        self._sender = sender
         self._tasks: set[asyncio.Task[Outcome]] = set()
 
     async def __aenter__(self) -> Self:
@@ -137,5 +139,5 @@
                 self._biller.record(broken_off())
         self._biller.record(ended.record)
         reply = await self._once.settle(run, ended.reply)
-        await self._testator.hand()
+        await self._sender.hand()
         return Ended(reply, ended.record)
--- a/tests/records_rig.py
+++ b/tests/records_rig.py
@@ -14,11 +14,11 @@
 from nutmegroad._memory_mesh import MemoryPeer
 from nutmegroad._records_part import gone_check
 from nutmegroad.billing import Biller
-from nutmegroad.heirs import Executor, Testator
 from nutmegroad.intents import IntentLedger, IntentOwner, IntentWish
 from nutmegroad.invariants import StrictInvariants
 from nutmegroad.metrics import Metrics
 from nutmegroad.once import Once, Order
+from nutmegroad.record_copies import RecordKeeper, RecordSender
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock, MemoryMesh
 from nutmegroad.tickets import TicketOffice, TicketSigner
@@ -72,8 +72,8 @@
     office: TicketOffice
     once: Once
     biller: Biller
-    testator: Testator
-    executor: Executor
+    sender: RecordSender
+    keeper: RecordKeeper
 
 
 class RecordsRig:
@@ -122,10 +122,10 @@
         biller = Biller(
             self.objects, incarnation, self.metrics, self.invariants
         )
-        testator = Testator(biller, peer, domain, self.clock, self.metrics)
-        executor = Executor(biller, peer, self.clock, self.metrics)
-        executor.listen()
-        return Host(peer, intents, office, once, biller, testator, executor)
+        sender = RecordSender(biller, peer, domain, self.clock, self.metrics)
+        keeper = RecordKeeper(biller, peer, self.clock, self.metrics)
+        keeper.listen()
+        return Host(peer, intents, office, once, biller, sender, keeper)
 
     def fault(self, kind: FaultKind, scope: str, **more: object) -> None:
         """Switch a fault of the platform on."""
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -7,7 +7,7 @@
 
 from nutmegroad.billing import Biller, BillingRecord, read_bills
 from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.heirs import GONE_AFTER, HAND_WAIT
+from nutmegroad.record_copies import GONE_AFTER, HAND_WAIT
 from nutmegroad.results import ResultCode
 from nutmegroad.types import (
     AttemptId,
@@ -51,7 +51,7 @@
 
     async def hand(self, host: Host) -> bool:
         """Hand records on, while time goes on."""
-        handing = asyncio.ensure_future(host.testator.hand())
+        handing = asyncio.ensure_future(host.sender.hand())
         await self.rig.clock.advance(2 * HAND_WAIT)
         return await handing
 
@@ -74,7 +74,7 @@
         self.one.biller.record(bill('r1'))
         attempt(self.one.biller, 'r2', 16)
         self.one.biller.record(bill('r2'))
-        await self.one.testator.flush()
+        await self.one.sender.flush()
         self.assertEqual({'r1': 7, 'r2': 24}, await self.billed())
 
     async def test_a_request_is_recorded_once(self) -> None:
@@ -94,48 +94,46 @@
         self.assertEqual(2, await self.objects())
         self.assertEqual(0, self.one.biller.pending)
 
-    async def test_the_heir_stores_what_a_dead_host_had(self) -> None:
+    async def test_the_receiver_stores_what_a_dead_host_had(self) -> None:
         self.one.biller.record(bill('r1', 1))
         self.assertTrue(await self.hand(self.one))
         self.one.biller.record(bill('r2', 2))
         self.assertTrue(await self.hand(self.one))
-        self.assertEqual(
-            (2, 0), (self.two.executor.held, self.far.executor.held)
-        )
+        self.assertEqual((2, 0), (self.two.keeper.held, self.far.keeper.held))
         # A host that is merely not heard for a moment keeps its batch.
-        self.two.executor.take_over()
-        await self.two.testator.flush()
+        self.two.keeper.take_over()
+        await self.two.sender.flush()
         self.assertEqual({}, await self.billed())
         self.rig.mesh.remove(self.one.peer.host)
         await self.rig.clock.jump(GONE_AFTER)
-        self.two.executor.take_over()
-        await self.two.testator.flush()
+        self.two.keeper.take_over()
+        await self.two.sender.flush()
         self.assertEqual({'r1': 1, 'r2': 2}, await self.billed())
-        self.assertEqual(0, self.two.executor.held)
+        self.assertEqual(0, self.two.keeper.held)
 
-    async def test_an_heir_has_an_heir_while_nothing_can_be_stored(
+    async def test_a_receiver_has_a_receiver_while_nothing_can_be_stored(
         self,
     ) -> None:
         self.one.biller.record(bill('r1', 1))
         await self.hand(self.one)
         self.rig.mesh.remove(self.one.peer.host)
         await self.rig.clock.jump(GONE_AFTER)
-        self.two.executor.take_over()
+        self.two.keeper.take_over()
         await self.hand(self.two)
         self.rig.mesh.remove(self.two.peer.host)
         await self.rig.clock.jump(GONE_AFTER)
-        self.far.executor.take_over()
-        await self.far.testator.flush()
+        self.far.keeper.take_over()
+        await self.far.sender.flush()
         self.assertEqual({'r1': 1}, await self.billed())
 
-    async def test_heirs_of_each_other_hold_a_batch_once(self) -> None:
+    async def test_receivers_of_each_other_hold_a_batch_once(self) -> None:
         self.one.biller.record(bill('r1', 1))
         await self.hand(self.one)
         self.rig.mesh.remove(self.one.peer.host)
         for _ in range(3):
             await self.rig.clock.jump(GONE_AFTER)
             for host in (self.two, self.far):
-                host.executor.take_over()
+                host.keeper.take_over()
                 await self.hand(host)
         self.assertEqual(1, self.two.biller.pending)
         self.assertEqual(1, self.far.biller.pending)
@@ -143,13 +141,13 @@
     async def test_both_storing_a_batch_doubles_nothing(self) -> None:
         self.one.biller.record(bill('r1', 1))
         await self.hand(self.one)
-        # The owner was only cut off, and its heir stored a part.
+        # The owner was only cut off, and its receiver stored a part.
         self.rig.mesh.cut(self.one.peer.host, self.two.peer.host, noticed=True)
         await self.rig.clock.jump(GONE_AFTER)
-        self.two.executor.take_over()
-        await self.two.testator.flush()
+        self.two.keeper.take_over()
+        await self.two.sender.flush()
         self.one.biller.record(bill('r2', 2))
-        await self.one.testator.flush()
+        await self.one.sender.flush()
         self.assertEqual({'r1': 1, 'r2': 2}, await self.billed())
 
     async def test_the_same_batch_is_the_same_object(self) -> None:
@@ -157,27 +155,27 @@
         await self.hand(self.one)
         self.rig.mesh.cut(self.one.peer.host, self.two.peer.host, noticed=True)
         await self.rig.clock.jump(GONE_AFTER)
-        self.two.executor.take_over()
-        await self.two.testator.flush()
-        await self.one.testator.flush()
+        self.two.keeper.take_over()
+        await self.two.sender.flush()
+        await self.one.sender.flush()
         self.assertEqual(1, await self.objects())
 
     async def test_a_stored_batch_is_released(self) -> None:
         self.one.biller.record(bill('r1', 1))
         await self.hand(self.one)
-        await self.one.testator.flush()
+        await self.one.sender.flush()
         await self.rig.clock.advance(HAND_WAIT)
-        self.assertEqual(0, self.two.executor.held)
+        self.assertEqual(0, self.two.keeper.held)
 
-    async def test_a_new_heir_gets_everything(self) -> None:
+    async def test_a_new_receiver_gets_everything(self) -> None:
         self.one.biller.record(bill('r1', 1))
         await self.hand(self.one)
         self.rig.mesh.remove(self.two.peer.host)
         self.one.biller.record(bill('r2', 2))
         self.assertTrue(await self.hand(self.one))
-        self.assertEqual(2, self.far.executor.held)
+        self.assertEqual(2, self.far.keeper.held)
 
-    async def test_a_silent_heir_is_waited_for_once(self) -> None:
+    async def test_a_silent_receiver_is_waited_for_once(self) -> None:
         self.rig.mesh.cut(self.one.peer.host, self.two.peer.host)
         self.one.biller.record(bill('r1', 1))
         # Another takes the record, and all that come while it is shunned.
@@ -185,19 +183,19 @@
         self.rig.mesh.heal_all()
         self.one.biller.record(bill('r2', 2))
         self.assertTrue(await self.hand(self.one))
-        self.assertEqual(2, self.far.executor.held)
-        self.assertEqual(0, self.two.executor.held)
+        self.assertEqual(2, self.far.keeper.held)
+        self.assertEqual(0, self.two.keeper.held)
 
     async def test_a_stop_leaves_to_a_peer_what_can_not_be_stored(self) -> None:
         self.one.biller.record(bill('r1', 1))
         self.rig.fault(FaultKind.DOWN, 'objects', count=2)
-        ending = asyncio.ensure_future(self.one.testator.end())
+        ending = asyncio.ensure_future(self.one.sender.end())
         while not ending.done():
             await asyncio.sleep(0)
             await self.rig.clock.advance(HAND_WAIT / 5)
         self.rig.mesh.remove(self.one.peer.host)
-        self.two.executor.take_over()
-        await self.two.testator.flush()
+        self.two.keeper.take_over()
+        await self.two.sender.flush()
         self.assertEqual({'r1': 1}, await self.billed())
 
     async def test_a_long_outage_is_bounded_and_told(self) -> None:
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -182,7 +182,7 @@
     async def asyncSetUp(self) -> None:
         """Make a runner whose work waits to be let go."""
         await super().asyncSetUp()
-        self.runner = Runner(self.one.once, self.one.biller, self.one.testator)
+        self.runner = Runner(self.one.once, self.one.biller, self.one.sender)
         self.record = BillingRecord('r1', WORKSPACE, 'portal', 1)
         self.gate = asyncio.Event()
 
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -238,7 +238,7 @@
             assert isinstance(content, bytes)
             decoded = msgspec.json.decode(content, type=list[BillingRecord])
             written.update({one.request for one in decoded})
-            # No batch holds a request twice; a host and its heir may both
+            # No batch holds a request twice; a host and its receiver may both
             # have stored it.
             self.assertEqual(
                 len(decoded),
--- a/tests/test_records_random.py
+++ b/tests/test_records_random.py
@@ -14,8 +14,8 @@
 
 from nutmegroad.billing import BillingRecord, read_bills
 from nutmegroad.fences import Fence
-from nutmegroad.heirs import GONE_AFTER
 from nutmegroad.once import LEASE, Order
+from nutmegroad.record_copies import GONE_AFTER
 from nutmegroad.results import Refusal
 from nutmegroad.runs import Ended, Runner
 from nutmegroad.upstreams import ServiceReply
@@ -69,8 +69,8 @@
     async def die(self) -> None:
         """Let a host die, with all it knew, and come back.
 
-        A host and its heir that die within one period lose what they held;
-        that is the price of one heir, so there is a period between deaths.
+        A host and its receiver that die within one period lose what they held;
+        that is the price of one receiver, so there is a period between deaths.
         """
         await self.do_duties()
         name = self.randomness.choice(NAMES)
@@ -86,8 +86,8 @@
         """Let each host store or hand on what it has."""
         for host in self.hosts.values():
             await timed(self._rig, host.once.settle_rest())
-            host.executor.take_over()
-            await timed(self._rig, host.testator.flush())
+            host.keeper.take_over()
+            await timed(self._rig, host.sender.flush())
 
     async def call(self) -> None:
         """Make a call with a key or a ticket, often one used before."""
@@ -128,7 +128,7 @@
 
     async def make(self, host: Host, wanted: Order, work: str) -> None:
         """Make a call at a host, and note what its caller is told."""
-        runner = Runner(host.once, host.biller, host.testator)
+        runner = Runner(host.once, host.biller, host.sender)
 
         async def attempt(fence: Fence) -> Ended:
             """Be the upstream."""
