--- a/experiments/configuration_random.py
+++ b/experiments/configuration_random.py
@@ -23,11 +23,11 @@
     TrialHost,
     make_document,
 )
-from experiments.memory_platform import TableWeather
+from experiments.memory_platform import TableFaults
 from nutmegroad.changes import Withdrawn
 from nutmegroad.heads import HEAD_KEY, Head
 from nutmegroad.results import Refusal
-from nutmegroad.testing import Weather
+from nutmegroad.testing import NetworkFaults
 from nutmegroad.types import (
     Epoch,
     HostId,
@@ -290,21 +290,21 @@
 
     def cut_platform(self) -> None:
         """Cut a domain off from the platform."""
-        self._fleet.platform.weather.cut.add(self._draw_domain())
+        self._fleet.platform.faults.cut.add(self._draw_domain())
 
     def turn_down(self) -> None:
         """Let the platform be down for all."""
-        self._fleet.platform.weather.down = True
+        self._fleet.platform.faults.down = True
 
     def storm(self) -> None:
         """Drop, delay, duplicate and reorder."""
-        weather = self._fleet.platform.weather
-        weather.delay = (0.001, self._randomness.choice((0.05, 0.9, 2.5)))
-        weather.drop = self._randomness.choice((0, 0.2))
-        weather.lose_reply = self._randomness.choice((0, 0.3))
-        weather.stale = self._randomness.choice((0, 0.3)) if self._lag else 0
-        weather.lag = self._lag
-        self._fleet.network.weather = Weather(
+        faults = self._fleet.platform.faults
+        faults.delay = (0.001, self._randomness.choice((0.05, 0.9, 2.5)))
+        faults.drop = self._randomness.choice((0, 0.2))
+        faults.lose_reply = self._randomness.choice((0, 0.3))
+        faults.stale = self._randomness.choice((0, 0.3)) if self._lag else 0
+        faults.lag = self._lag
+        self._fleet.network.faults = NetworkFaults(
             delay=(0.001, self._randomness.choice((0.05, 0.33))),
             drop=self._randomness.choice((0, 0.2)),
             duplicate=0.2,
@@ -332,8 +332,8 @@
         for host in self._fleet.hosts.values():
             host.resume()
         self._fleet.network.heal_all()
-        self._fleet.network.weather = Weather()
-        self._fleet.platform.weather = TableWeather()
+        self._fleet.network.faults = NetworkFaults()
+        self._fleet.platform.faults = TableFaults()
 
     def _draw_domain(self) -> Any:
         return self._randomness.choice(self._fleet.domains)
--- a/experiments/configuration_spread.py
+++ b/experiments/configuration_spread.py
@@ -185,7 +185,7 @@
         with patch.object(announcements.Announcer, '_tell', _tell_nobody):
             took = [await _switch(hosts, number) for number in range(POLL_RUNS)]
         _show(size, 'poll only', took)
-        hosts.platform.weather.down = True
+        hosts.platform.faults.down = True
         took = [await _withdraw(hosts, number) for number in range(RUNS)]
         _show(size, 'withdrawal, platform down', took)
         costs = [
--- a/experiments/memory_platform.py
+++ b/experiments/memory_platform.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class TableWeather:
+class TableFaults:
     """How calls of the platform go.
 
     Attributes:
@@ -74,13 +74,13 @@
         randomness: Draws what becomes of each call.
 
     Attributes:
-        weather: How calls go; may be changed at any time.
+        faults: How calls go; may be changed at any time.
         objects: Stored objects.
         log: All rows that were ever written, in order.
     """
 
     def __init__(self, clock: Clock, randomness: random.Random) -> None:
-        self.weather = TableWeather()
+        self.faults = TableFaults()
         self.objects: dict[str, bytes] = {}
         self.log: deque[Written] = deque()
         self._clock = clock
@@ -95,9 +95,9 @@
     def read_row(self, key: RowKey) -> Row:
         """Return a row, or one of a little before."""
         present = self._rows.get(key) or Row(key, '', ABSENT)
-        if not self._draws(self.weather.stale):
+        if not self._draws(self.faults.stale):
             return present
-        oldest = self._clock.now() - self.weather.lag
+        oldest = self._clock.now() - self.faults.lag
         return self._row_at(
             key, self._randomness.uniform(oldest, self._clock.now())
         )
@@ -118,13 +118,13 @@
         domain: DomainId,
         action: Callable[[], Outcome],
     ) -> Outcome | Refusal:
-        """Carry a call there and back, as the weather is."""
-        if self.weather.down:
+        """Carry a call there and back, with its faults."""
+        if self.faults.down:
             return _refuse('The platform is down.', Ran.NOT_RUN)
         reply: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        if domain not in self.weather.cut:
+        if domain not in self.faults.cut:
             self._tasks.start(self._carry(action, reply))
         timeout = asyncio.ensure_future(self._clock.sleep(CALL_TIMEOUT))
         either: set[asyncio.Future[Any]] = {reply, timeout}
@@ -139,14 +139,14 @@
         action: Callable[[], Outcome],
         reply: asyncio.Future[Outcome],
     ) -> None:
-        weather = self.weather
-        await self._clock.sleep(self._randomness.uniform(*weather.delay))
-        if self._draws(weather.drop):
+        faults = self.faults
+        await self._clock.sleep(self._randomness.uniform(*faults.delay))
+        if self._draws(faults.drop):
             return
         outcome = action()
-        if self._draws(weather.lose_reply):
+        if self._draws(faults.lose_reply):
             return
-        await self._clock.sleep(self._randomness.uniform(*weather.delay))
+        await self._clock.sleep(self._randomness.uniform(*faults.delay))
         if not reply.done():
             reply.set_result(outcome)
 
--- a/src/nutmegroad/testing.py
+++ b/src/nutmegroad/testing.py
@@ -138,7 +138,7 @@
 
 
 @dataclass(slots=True)
-class Weather:
+class NetworkFaults:
     """How the network of a :class:`MemoryMesh` treats messages.
 
     Attributes:
@@ -243,17 +243,17 @@
     Args:
         clock: Time; usually a :class:`ManualClock`.
         randomness: From which drops, delays and duplicates are drawn.
-        weather: How messages are treated; may be changed at any time.
+        faults: How messages are treated; may be changed at any time.
     """
 
     def __init__(
         self,
         clock: Clock,
         randomness: random.Random,
-        weather: Weather | None = None,
+        faults: NetworkFaults | None = None,
     ) -> None:
         super().__init__()
-        self.weather = weather or Weather()
+        self.faults = faults or NetworkFaults()
         self.clock = clock
         self._randomness = randomness
         self._tasks = OwnedTasks()
@@ -293,9 +293,9 @@
 
     def post(self, one: HostId, other: HostId, frame: object) -> None:
         """Let a frame travel; the peers call it."""
-        copies = 2 if self._draws(self.weather.duplicate) else 1
+        copies = 2 if self._draws(self.faults.duplicate) else 1
         for _ in range(copies):
-            if not self._draws(self.weather.drop):
+            if not self._draws(self.faults.drop):
                 self._tasks.start(self._carry(one, other, frame))
 
     async def _carry(self, one: HostId, other: HostId, frame: object) -> None:
@@ -305,9 +305,9 @@
             receiver.receive(one, frame)
 
     def _delay(self, one: HostId, other: HostId) -> float:
-        delay = self._randomness.uniform(*self.weather.delay)
-        if self._draws(self.weather.reorder):
-            late = self._randomness.uniform(0, self.weather.reorder_delay)
+        delay = self._randomness.uniform(*self.faults.delay)
+        if self._draws(self.faults.reorder):
+            late = self._randomness.uniform(0, self.faults.reorder_delay)
             return delay + late
         # Otherwise a link keeps the order of what is sent on it.
         now = self.clock.now()
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -22,7 +22,7 @@
 from nutmegroad.heads import KEPT_MOVES, Head
 from nutmegroad.progress import Change
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import Weather
+from nutmegroad.testing import NetworkFaults
 from nutmegroad.types import (
     Epoch,
     HostId,
@@ -83,11 +83,11 @@
     def cut_off(self, host: TrialHost) -> None:
         """Cut a host off from the platform and from all others."""
         self.fleet.network.cut_domain(host.names.domain)
-        self.fleet.platform.weather.cut.add(host.names.domain)
+        self.fleet.platform.faults.cut.add(host.names.domain)
 
     def heal(self) -> None:
         self.fleet.network.heal_all()
-        self.fleet.platform.weather.cut.clear()
+        self.fleet.platform.faults.cut.clear()
 
     def revisions(self) -> list[int]:
         return [one.configuration.revision for one in self.fleet.hosts.values()]
@@ -103,7 +103,7 @@
     async def test_a_host_cut_from_the_platform_lives_by_its_peers(
         self,
     ) -> None:
-        self.fleet.platform.weather.cut.add(self.west.names.domain)
+        self.fleet.platform.faults.cut.add(self.west.names.domain)
         await self.switch(self.east, PEAK)
         await self.pass_time(4 * LEASE)
         self.assertEqual(self.west.configuration.revision, 2)
@@ -126,7 +126,7 @@
 
     async def test_a_restarted_host_needs_only_peers(self) -> None:
         await self.wait_for(self.east.changes.withdraw(SMALL, None, ANN))
-        self.fleet.platform.weather.down = True
+        self.fleet.platform.faults.down = True
         west = await self.fleet.restart(WEST)
         await self.pass_time(3)
         self.assertEqual(west.configuration.revision, 2)
@@ -163,7 +163,7 @@
 
     async def test_progress_names_the_missing_by_domain(self) -> None:
         self.fleet.network.cut_domain(self.north.names.domain)
-        self.fleet.platform.weather.cut.add(self.north.names.domain)
+        self.fleet.platform.faults.cut.add(self.north.names.domain)
         await self.switch(self.east, PEAK)
         hosts = await self.wait_for(self.east.desk.ask(Change(Revision(2))))
         missing = [host.host for host in hosts if not host.acknowledged]
@@ -177,13 +177,13 @@
         for name in ('', 'count from reply'):
             with self.subTest(name), mutant(name) if name else nullcontext():
                 await self.pass_time(LEASE)
-                self.fleet.platform.weather.delay = (0.9, 0.9)
+                self.fleet.platform.faults.delay = (0.9, 0.9)
                 began = self.fleet.clock.now()
                 await self.wait_for(self.east.poller.poll())
                 age = self.east.configuration.confirmation_age
                 late = self.fleet.clock.now() - age > began + 0.5
                 self.assertEqual(late, bool(name))
-                self.fleet.platform.weather.delay = (0, 0)
+                self.fleet.platform.faults.delay = (0, 0)
 
     async def test_counts_from_the_peers_own_read(self) -> None:
         names = ('', 'forget the age', 'subtract from reply')
@@ -194,15 +194,15 @@
     async def is_sure_too_long(self) -> bool:
         """Tell whether a host goes on beyond its peer's read and a lease."""
         fleet = self.fleet
-        fleet.platform.weather.down = False
-        fleet.network.weather = Weather()
+        fleet.platform.faults.down = False
+        fleet.network.faults = NetworkFaults()
         await self.pass_time(2)
-        fleet.platform.weather.down = True
+        fleet.platform.faults.down = True
         read = [
             fleet.clock.now() - host.configuration.confirmation_age
             for host in fleet.hosts.values()
         ]
-        fleet.network.weather = Weather(delay=(0.3, 0.3))
+        fleet.network.faults = NetworkFaults(delay=(0.3, 0.3))
         await self.pass_time(max(read) + LEASE + 0.01 - fleet.clock.now())
         return any(
             not host.configuration.isolated for host in fleet.hosts.values()
@@ -245,7 +245,7 @@
     async def test_without_the_table_it_spreads_and_is_written_later(
         self,
     ) -> None:
-        self.fleet.platform.weather.down = True
+        self.fleet.platform.faults.down = True
         told = await self.wait_for(self.west.changes.withdraw(SMALL, None, ANN))
         self.assertIsInstance(told, Withdrawn)
         self.assertIsNone(told.revision)
@@ -255,7 +255,7 @@
             self.assertEqual(len(held.unrecorded), 1)
         # The host that was told it is gone before the table is back.
         await self.fleet.restart(WEST)
-        self.fleet.platform.weather.down = False
+        self.fleet.platform.faults.down = False
         await self.pass_time(LEASE)
         head = await self.wait_for(self.north.store.read())
         self.assertEqual(head.withdrawals[0].version, SMALL)
@@ -288,7 +288,7 @@
         self.assertFalse(held.is_withdrawn(SMALL, Epoch(entry.epoch)))
 
     async def test_many_withdrawals_are_told_page_by_page(self) -> None:
-        self.fleet.platform.weather.down = True
+        self.fleet.platform.faults.down = True
         names = [f'model-{number:03}@1' for number in range(100)]
         facts = tuple(Withdrawal(name, 0) for name in names)
         self.east.configuration.withdraw(facts)
@@ -314,15 +314,15 @@
     async def test_a_lost_reply_is_settled_though_others_moved_on(self) -> None:
         for name in ('', 'no nonce'):
             with self.subTest(name), mutant(name) if name else nullcontext():
-                weather = self.fleet.platform.weather
-                weather.lose_reply = 0
+                faults = self.fleet.platform.faults
+                faults.lose_reply = 0
                 ground = await self.wait_for(self.east.store._ground())
                 wanted = Head(ground.head.revision + 1, nonce='n', author='ann')
-                weather.lose_reply = 1
+                faults.lose_reply = 1
                 work = self.east.store._write(ground.writes(wanted), wanted)
                 task = asyncio.ensure_future(work)
                 await self.pass_time(0.1)
-                weather.lose_reply = 0
+                faults.lose_reply = 0
                 await self.wait_for(self.west.store.move(_touch))
                 await self.pass_time(3)
                 self.assertEqual(isinstance(await task, Head), not name)
--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -11,7 +11,7 @@
 from nutmegroad.quarantines import Grade, QuarantineFact, Quarantines
 from nutmegroad.ratings import RatingListener, RatingTally
 from nutmegroad.results import ResultCode
-from nutmegroad.testing import ManualClock, MemoryMesh, Weather
+from nutmegroad.testing import ManualClock, MemoryMesh, NetworkFaults
 from nutmegroad.types import DomainId, Epoch, HostId, TaskName, VersionId
 from tests.configurations import (
     DRAFT,
@@ -203,7 +203,7 @@
 
     async def test_messages_in_any_order_end_alike(self) -> None:
         hosts = self.hosts(STEADY)
-        self.mesh.weather = Weather(
+        self.mesh.faults = NetworkFaults(
             duplicate=0.3, drop=0.2, reorder=0.5, reorder_delay=5
         )
         for round_number in range(6):
--- a/tests/test_ratings.py
+++ b/tests/test_ratings.py
@@ -7,7 +7,7 @@
 from nutmegroad.platform import RatedAnswer, Rating
 from nutmegroad.ratings import RatingFeed, RatingTally
 from nutmegroad.results import Refusal
-from nutmegroad.testing import ManualClock, MemoryMesh, Weather
+from nutmegroad.testing import ManualClock, MemoryMesh, NetworkFaults
 from nutmegroad.types import DomainId, HostId, RequestId, TaskName, VersionId
 
 VERSION = VersionId('a@1')
@@ -54,10 +54,10 @@
 class RatingFeedTest(unittest.IsolatedAsyncioTestCase):
     async def test_each_rating_counts_once_at_every_host(self) -> None:
         clock = ManualClock()
-        weather = Weather(duplicate=0.5, reorder=0.5, reorder_delay=3)
+        faults = NetworkFaults(duplicate=0.5, reorder=0.5, reorder_delay=3)
         service = ListedRatings([0.5, 1.0])
         heard: dict[int, list[RatingTally]] = {0: [], 1: [], 2: []}
-        async with MemoryMesh(clock, random.Random(3), weather) as mesh:
+        async with MemoryMesh(clock, random.Random(3), faults) as mesh:
             feeds = [
                 feed_of(service, mesh, HostId(f'h{number}')) for number in heard
             ]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -12,7 +12,7 @@
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal
 from nutmegroad.shares import LOAN_HOLDS, ShareLedger, static_part, water_fill
-from nutmegroad.testing import ManualClock, MemoryMesh, Weather
+from nutmegroad.testing import ManualClock, MemoryMesh, NetworkFaults
 from nutmegroad.types import (
     Address,
     DomainId,
@@ -140,8 +140,8 @@
         await self.clock.advance(LOAN_HOLDS + 1)
         self.assertEqual(self._holding('a'), static)
 
-    async def test_no_weather_makes_slots_out_of_nothing(self) -> None:
-        self.mesh.weather = Weather((0.01, 1.5), 0.2, 0.2, 0.3)
+    async def test_no_network_faults_make_slots_out_of_nothing(self) -> None:
+        self.mesh.faults = NetworkFaults((0.01, 1.5), 0.2, 0.2, 0.3)
         draws = random.Random(3)
         for _ in range(60):
             await self._load(draws.choice(_HOSTS), draws.randrange(4))
--- a/tests/test_testing.py
+++ b/tests/test_testing.py
@@ -9,8 +9,8 @@
 from nutmegroad.testing import (
     ManualClock,
     MemoryMesh,
+    NetworkFaults,
     PausableClock,
-    Weather,
 )
 from nutmegroad.types import DomainId, HostId, Ran
 
@@ -105,11 +105,11 @@
         self.assertEqual(self.one.members(), ())
 
     async def test_order_is_kept_unless_reordering_is_asked_for(self) -> None:
-        self.mesh.weather = Weather(delay=(0.001, 1))
+        self.mesh.faults = NetworkFaults(delay=(0.001, 1))
         for reorder, kept in ((0, True), (1, False)):
             with self.subTest(reorder=reorder):
                 self.numbers.clear()
-                self.mesh.weather.reorder = reorder
+                self.mesh.faults.reorder = reorder
                 for number in range(20):
                     self.one.tell(TWO, Ping(number))
                 await self.clock.advance(5)
@@ -121,8 +121,8 @@
         for name, arrived in cases.items():
             with self.subTest(name):
                 self.numbers.clear()
-                self.mesh.weather = Weather()
-                setattr(self.mesh.weather, name, 1)
+                self.mesh.faults = NetworkFaults()
+                setattr(self.mesh.faults, name, 1)
                 self.one.tell(TWO, Ping(5))
                 await self.clock.advance(1)
                 self.assertEqual(self.numbers, arrived)
