Name readers, services and issuers for what they do

Four classes were called desks and an office: `IntakeDesk` is `IntakeReader`, `ProgressDesk` is `ChangeProgress`, `RolloutDesk` is `RolloutService` (in `rollout_service.py`), `TicketOffice` is `TicketIssuer`.

--- a/experiments/configuration_hosts.py
+++ b/experiments/configuration_hosts.py
@@ -20,7 +20,7 @@
 )
 from nutmegroad.heads import HeadStore
 from nutmegroad.peers import Handler, Member, Mesh, Message, Sent
-from nutmegroad.progress import ProgressDesk
+from nutmegroad.progress import ChangeProgress
 from nutmegroad.results import Refusal
 from nutmegroad.spread import ConfigurationPoller, PollTiming
 from nutmegroad.testing import ManualClock, MemoryMesh, PausableClock
@@ -167,7 +167,7 @@
             randomness,
             POLL,
         )
-        self.desk = ProgressDesk(
+        self.progress = ChangeProgress(
             self.mesh,
             self.configuration,
             names.host,
--- a/experiments/records_cost.py
+++ b/experiments/records_cost.py
@@ -34,7 +34,7 @@
 from nutmegroad.once import Once, Order, Run
 from nutmegroad.peers import Member
 from nutmegroad.record_copies import RecordKeeper, RecordSender
-from nutmegroad.tickets import TicketOffice, TicketSigner
+from nutmegroad.tickets import TicketIssuer, TicketSigner
 from nutmegroad.types import (
     Address,
     DomainId,
@@ -76,7 +76,7 @@
     """What is measured."""
 
     once: Once
-    office: TicketOffice
+    issuer: TicketIssuer
     biller: Biller
     sender: RecordSender
     numbers: int = 0
@@ -110,7 +110,7 @@
 
     async def ticket(self) -> None:
         """Issue and spend a ticket."""
-        ticket = str(self.office.issue(WORKSPACE))
+        ticket = str(self.issuer.issue(WORKSPACE))
         await self.settle(replace(self.order(), ticket=ticket))
 
     async def record(self) -> None:
@@ -241,13 +241,13 @@
     objects: HttpObjects,
     metrics: Metrics,
     invariants: CountedInvariants,
-) -> tuple[Once, TicketOffice]:
-    """Return what lets requests run, and the office of its tickets."""
+) -> tuple[Once, TicketIssuer]:
+    """Return what lets requests run, and what issues its tickets."""
     clock = SystemClock()
-    office = TicketOffice(HostId('one'), OWN, TicketSigner(KEY), clock)
+    issuer = TicketIssuer(HostId('one'), OWN, TicketSigner(KEY), clock)
     owner = IntentOwner(OWN, _nonce, _is_gone)
     ledger = IntentLedger(table, objects, owner, clock)
-    return Once(ledger, office, clock, invariants, metrics), office
+    return Once(ledger, issuer, clock, invariants, metrics), issuer
 
 
 def _nonce() -> str:
--- a/src/nutmegroad/_caller_parts.py
+++ b/src/nutmegroad/_caller_parts.py
@@ -9,7 +9,7 @@
 from nutmegroad.metrics import Metrics
 from nutmegroad.model_routes import ModelRoutes
 from nutmegroad.service_routes import ServiceRoutes
-from nutmegroad.tickets import TicketOffice
+from nutmegroad.tickets import TicketIssuer
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +20,7 @@
         configuration: What is in force.
         models: Answers model requests.
         services: Makes calls to plain services.
-        office: Issues tickets.
+        issuer: Issues tickets.
         forwarder: Hands requests on to the issuers of their tickets.
         metrics: Counts refusals.
         clock: The host's clock.
@@ -30,7 +30,7 @@
     configuration: Configuration
     models: ModelRoutes
     services: ServiceRoutes
-    office: TicketOffice
+    issuer: TicketIssuer
     forwarder: Forwarder
     metrics: Metrics
     clock: Clock
--- a/src/nutmegroad/_callers_part.py
+++ b/src/nutmegroad/_callers_part.py
@@ -11,7 +11,7 @@
 from nutmegroad.dispatch import Dispatcher
 from nutmegroad.explanations import Explanations
 from nutmegroad.forwards import Forwarder
-from nutmegroad.intake import IntakeDesk
+from nutmegroad.intake import IntakeReader
 from nutmegroad.metrics import Metrics
 from nutmegroad.model_routes import ModelParts, ModelRoutes
 from nutmegroad.once import Once
@@ -24,7 +24,7 @@
 from nutmegroad.session_pins import SessionPins
 from nutmegroad.sessions import SessionSigner
 from nutmegroad.stops import GracefulStop
-from nutmegroad.tickets import TicketOffice
+from nutmegroad.tickets import TicketIssuer
 
 
 @register('part', 'callers')
@@ -77,7 +77,7 @@
         metrics = kernel.need(Metrics)
         dispatcher = kernel.need(Dispatcher)
         models = ModelParts(
-            desk=IntakeDesk(configuration, signer, kernel.clock),
+            reader=IntakeReader(configuration, signer, kernel.clock),
             dispatcher=dispatcher,
             runner=runner,
             pins=SessionPins(
@@ -100,7 +100,7 @@
             configuration=configuration,
             models=ModelRoutes(models),
             services=services,
-            office=kernel.need(TicketOffice),
+            issuer=kernel.need(TicketIssuer),
             forwarder=kernel.need(Forwarder),
             metrics=metrics,
             clock=kernel.clock,
--- a/src/nutmegroad/_configuration_part.py
+++ b/src/nutmegroad/_configuration_part.py
@@ -12,7 +12,7 @@
 from nutmegroad.metrics import Metrics
 from nutmegroad.peers import Mesh
 from nutmegroad.platform import Objects, Table
-from nutmegroad.progress import ProgressDesk
+from nutmegroad.progress import ChangeProgress
 from nutmegroad.registry import register
 from nutmegroad.spread import ConfigurationPoller, PollTiming
 
@@ -35,7 +35,7 @@
             kernel.nonce,
         )
         poller = _spread(kernel, configuration, store)
-        desk = ProgressDesk(
+        progress = ChangeProgress(
             kernel.need(Mesh),
             configuration,
             kernel.settings.host,
@@ -50,7 +50,7 @@
         kernel.provide(Configuration, configuration)
         kernel.provide(HeadStore, store)
         kernel.provide(ConfigurationPoller, poller)
-        kernel.provide(ProgressDesk, desk)
+        kernel.provide(ChangeProgress, progress)
         kernel.provide(Changes, Changes(store, poller, configuration))
 
 
--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -20,7 +20,7 @@
 from nutmegroad.operators import OperatorsInterface
 from nutmegroad.order_keeper import OrderKeeper
 from nutmegroad.registry import register, registered
-from nutmegroad.rollout_desk import RolloutDesk
+from nutmegroad.rollout_service import RolloutService
 from nutmegroad.stops import GracefulStop
 
 _UNAVAILABLE = 503
@@ -57,7 +57,7 @@
         GracefulStop,
         Metrics,
         OrderKeeper,
-        RolloutDesk,
+        RolloutService,
     )
 
     async def open(self, kernel: Kernel) -> None:
--- a/src/nutmegroad/_records_part.py
+++ b/src/nutmegroad/_records_part.py
@@ -15,7 +15,7 @@
 from nutmegroad.platform import Objects, Table
 from nutmegroad.record_copies import RecordKeeper, RecordSender
 from nutmegroad.registry import register
-from nutmegroad.tickets import TicketOffice, TicketSigner
+from nutmegroad.tickets import TicketIssuer, TicketSigner
 from nutmegroad.types import HostId, Incarnation
 
 #: Seconds between flushes of billing records, jittered; 400 hosts then
@@ -71,14 +71,14 @@
             kernel.clock,
         )
         signer = TicketSigner(kernel.settings.cluster_key)
-        office = TicketOffice(host, incarnation, signer, kernel.clock)
+        issuer = TicketIssuer(host, incarnation, signer, kernel.clock)
         invariants = kernel.need(Invariants)
-        once = Once(intents, office, kernel.clock, invariants, metrics)
+        once = Once(intents, issuer, kernel.clock, invariants, metrics)
         kernel.stack.push_async_callback(once.settle_rest)
 
         kernel.spawn(_settle_often(kernel, once), 'records')
         kernel.provide(IntentLedger, intents)
-        kernel.provide(TicketOffice, office)
+        kernel.provide(TicketIssuer, issuer)
         kernel.provide(Once, once)
         kernel.provide(Forwarder, Forwarder(mesh, host))
         kernel.provide(Explanations, Explanations(kernel.clock))
--- a/src/nutmegroad/_rollouts_part.py
+++ b/src/nutmegroad/_rollouts_part.py
@@ -12,8 +12,8 @@
 from nutmegroad.platform import Table
 from nutmegroad.quarantines import Quarantines
 from nutmegroad.registry import register
-from nutmegroad.rollout_desk import RolloutDesk
 from nutmegroad.rollout_keeper import RolloutKeeper, RolloutParts
+from nutmegroad.rollout_service import RolloutService
 from nutmegroad.rollout_shares import RolloutShares
 from nutmegroad.rollouts import RolloutStore
 
@@ -66,8 +66,8 @@
         duties = kernel.need(Duties)
         kernel.provide(LeaseKeeper, leases)
         kernel.provide(RolloutShares, shares)
-        desk = RolloutDesk(configuration, store, shares, quarantines)
-        kernel.provide(RolloutDesk, desk)
+        service = RolloutService(configuration, store, shares, quarantines)
+        kernel.provide(RolloutService, service)
 
         def is_mine() -> bool:
             """Tell whether this host tries for the lease."""
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -105,7 +105,7 @@
         workspace = self._workspace(http.headers)
         if isinstance(workspace, Refusal):
             return self._refuse(workspace, request)
-        ticket = self._parts.office.issue(WorkspaceId(workspace.name))
+        ticket = self._parts.issuer.issue(WorkspaceId(workspace.name))
         if isinstance(ticket, Refusal):
             return self._refuse(ticket, request)
         body = msgspec.json.encode({'ticket': ticket})
--- a/src/nutmegroad/intake.py
+++ b/src/nutmegroad/intake.py
@@ -142,7 +142,7 @@
     )
 
 
-class IntakeDesk:
+class IntakeReader:
     """Understands callers' model requests.
 
     Args:
--- a/src/nutmegroad/model_routes.py
+++ b/src/nutmegroad/model_routes.py
@@ -12,7 +12,7 @@
 from nutmegroad.documents import WorkspaceEntry
 from nutmegroad.explanations import Explanations
 from nutmegroad.fences import Fence
-from nutmegroad.intake import Intake, IntakeDesk
+from nutmegroad.intake import Intake, IntakeReader
 from nutmegroad.metrics import Metrics
 from nutmegroad.once import Order
 from nutmegroad.replies import JSON_TYPE, answer_body
@@ -31,7 +31,7 @@
     """What model requests are handed to.
 
     Attributes:
-        desk: Understands them.
+        reader: Understands them.
         dispatcher: Answers them.
         runner: Has each run at most once.
         pins: Holds sessions to their versions.
@@ -40,7 +40,7 @@
         clock: The host's clock.
     """
 
-    desk: IntakeDesk
+    reader: IntakeReader
     dispatcher: Dispatcher
     runner: Runner
     pins: SessionPins
@@ -84,7 +84,7 @@
         request: RequestId,
     ) -> ModelCall | Refusal:
         """Return the request that a caller sent."""
-        intake = self._parts.desk.read(headers, content, workspace, request)
+        intake = self._parts.reader.read(headers, content, workspace, request)
         if isinstance(intake, Refusal):
             return intake
         return ModelCall(intake, headers.get('Nutmegroad-Ticket', ''))
--- a/src/nutmegroad/once.py
+++ b/src/nutmegroad/once.py
@@ -30,7 +30,7 @@
 from nutmegroad.metrics import Metrics
 from nutmegroad.platform import RowKey
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.tickets import SpentTicket, Ticket, TicketOffice
+from nutmegroad.tickets import SpentTicket, Ticket, TicketIssuer
 from nutmegroad.types import IdempotencyKey, Ran, RequestId, WorkspaceId
 from nutmegroad.upstreams import ServiceReply
 
@@ -122,7 +122,7 @@
 
     Args:
         intents: Intents in the table.
-        office: Tickets of this incarnation.
+        issuer: Tickets of this incarnation.
         clock: The host's clock.
         invariants: Told what the fences see.
         metrics: Where events are counted.
@@ -131,13 +131,13 @@
     def __init__(
         self,
         intents: IntentLedger,
-        office: TicketOffice,
+        issuer: TicketIssuer,
         clock: Clock,
         invariants: Invariants,
         metrics: Metrics,
     ) -> None:
         self._intents = intents
-        self._office = office
+        self._issuer = issuer
         self._clock = clock
         self._invariants = invariants
         self._metrics = metrics
@@ -167,7 +167,7 @@
         if isinstance(reply, Refusal):
             reply = run.fence.review(reply)
         if run.spent is not None:
-            self._office.settle(run.spent, reply)
+            self._issuer.settle(run.spent, reply)
         if run.claim is not None:
             await self._settle_claim(run.claim, reply)
         return reply
@@ -180,7 +180,7 @@
             Ran.UNKNOWN,
         )
         if run.spent is not None:
-            self._office.settle(run.spent, refusal)
+            self._issuer.settle(run.spent, refusal)
         if run.claim is not None:
             self._known.pop(run.claim.row, None)
 
@@ -200,13 +200,13 @@
 
     def _claim_ticket(self, order: Order) -> Claimed:
         """Claim a ticket's request."""
-        ticket = self._office.read(order.ticket, order.workspace)
+        ticket = self._issuer.read(order.ticket, order.workspace)
         if isinstance(ticket, Refusal):
             return ticket
-        if ticket.incarnation != self._office.incarnation:
+        if ticket.incarnation != self._issuer.incarnation:
             return Elsewhere(ticket)
         began = self._clock.now()
-        spent = self._office.spend(ticket, order.request, order.fingerprint)
+        spent = self._issuer.spend(ticket, order.request, order.fingerprint)
         if not isinstance(spent, SpentTicket):
             return spent
         return Run(order, self._fence(order, began), spent=spent)
--- a/src/nutmegroad/operator_configuration.py
+++ b/src/nutmegroad/operator_configuration.py
@@ -31,7 +31,7 @@
     reply,
     revision_of,
 )
-from nutmegroad.progress import Change, HostProgress, ProgressDesk
+from nutmegroad.progress import Change, ChangeProgress, HostProgress
 from nutmegroad.registry import register
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import NO_REVISION, Epoch, PresetName, Revision, VersionId
@@ -145,7 +145,7 @@
         self._configuration = kernel.need(Configuration)
         self._changes = kernel.need(Changes)
         self._store = kernel.need(HeadStore)
-        self._desk = kernel.need(ProgressDesk)
+        self._progress = kernel.need(ChangeProgress)
 
     def add_routes(self, app: Application) -> None:
         """Add the routes to the application."""
@@ -229,7 +229,7 @@
             return refuse_operator(epoch)
         version = VersionId(http.query.get('version', ''))
         change = Change(Revision(number), version, Epoch(epoch))
-        hosts = await self._desk.ask(change)
+        hosts = await self._progress.ask(change)
         in_force_in = self._configuration.in_force_in(change.revision)
         return reply(
             ProgressBody(
--- a/src/nutmegroad/operator_rollouts.py
+++ b/src/nutmegroad/operator_rollouts.py
@@ -13,7 +13,7 @@
 from nutmegroad.order_keeper import OrderKeeper
 from nutmegroad.registry import register
 from nutmegroad.results import Refusal
-from nutmegroad.rollout_desk import Action, RolloutDesk
+from nutmegroad.rollout_service import Action, RolloutService
 from nutmegroad.types import VersionId
 
 
@@ -50,7 +50,7 @@
 
     def __init__(self, kernel: Kernel, access: Access) -> None:
         self._access = access
-        self._desk = kernel.need(RolloutDesk)
+        self._service = kernel.need(RolloutService)
         self._keeper = kernel.need(OrderKeeper)
 
     def add_routes(self, app: Application) -> None:
@@ -64,21 +64,21 @@
         operator = self._access.authenticate(http)
         if isinstance(operator, Refusal):
             return refuse_operator(operator)
-        return reply(self._desk.status())
+        return reply(self._service.status())
 
     async def act(self, http: Request) -> Response:
         """Start, pause, resume or abort a roll-out, or lift quarantines."""
         ordered = await self._access.read(http, RolloutBody)
         if isinstance(ordered, Refusal):
             return refuse_operator(ordered)
-        refusal = await self._desk.act(
+        refusal = await self._service.act(
             VersionId(ordered.body.version),
             ordered.body.action,
             ordered.operator,
         )
         if refusal is not None:
             return refuse_operator(refusal)
-        return reply(self._desk.status())
+        return reply(self._service.status())
 
     async def prepare(self, http: Request) -> Response:
         """Have a preset's versions loaded before it is in force."""
--- a/src/nutmegroad/progress.py
+++ b/src/nutmegroad/progress.py
@@ -92,7 +92,7 @@
     hosts: tuple[HostProgress, ...]
 
 
-class ProgressDesk:
+class ChangeProgress:
     """Finds out how far a change has come.
 
     Args:
--- a/src/nutmegroad/rollout_desk.py
+++ b/src/nutmegroad/rollout_service.py
@@ -66,7 +66,7 @@
     quarantines: tuple[QuarantineFact, ...]
 
 
-class RolloutDesk:
+class RolloutService:
     """Does what operators ask.
 
     Args:
--- a/src/nutmegroad/tickets.py
+++ b/src/nutmegroad/tickets.py
@@ -103,7 +103,7 @@
     refusal: Refusal | None = None
 
 
-class TicketOffice:
+class TicketIssuer:
     """Issues tickets of this incarnation, and lets each be spent once.
 
     Args:
--- a/tests/records_rig.py
+++ b/tests/records_rig.py
@@ -21,7 +21,7 @@
 from nutmegroad.record_copies import RecordKeeper, RecordSender
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.tickets import TicketOffice, TicketSigner
+from nutmegroad.tickets import TicketIssuer, TicketSigner
 from nutmegroad.types import (
     DomainId,
     HostId,
@@ -69,7 +69,7 @@
 
     peer: MemoryPeer
     intents: IntentLedger
-    office: TicketOffice
+    issuer: TicketIssuer
     once: Once
     biller: Biller
     sender: RecordSender
@@ -117,15 +117,15 @@
         )
         intents = IntentLedger(self._table, self._objects, owner, self.clock)
         signer = TicketSigner(CLUSTER_KEY)
-        office = TicketOffice(peer.host, incarnation, signer, self.clock)
-        once = Once(intents, office, self.clock, self.invariants, self.metrics)
+        issuer = TicketIssuer(peer.host, incarnation, signer, self.clock)
+        once = Once(intents, issuer, self.clock, self.invariants, self.metrics)
         biller = Biller(
             self.objects, incarnation, self.metrics, self.invariants
         )
         sender = RecordSender(biller, peer, domain, self.clock, self.metrics)
         keeper = RecordKeeper(biller, peer, self.clock, self.metrics)
         keeper.listen()
-        return Host(peer, intents, office, once, biller, sender, keeper)
+        return Host(peer, intents, issuer, once, biller, sender, keeper)
 
     def fault(self, kind: FaultKind, scope: str, **more: object) -> None:
         """Switch a fault of the platform on."""
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -165,7 +165,7 @@
         self.fleet.network.cut_domain(self.north.names.domain)
         self.fleet.platform.faults.cut.add(self.north.names.domain)
         await self.switch(self.east, PEAK)
-        hosts = await self.wait_for(self.east.desk.ask(Change(Revision(2))))
+        hosts = await self.wait_for(self.east.progress.ask(Change(Revision(2))))
         missing = [host.host for host in hosts if not host.acknowledged]
         self.assertEqual((len(hosts), missing), (3, [NORTH]))
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -68,7 +68,7 @@
     """What the fence lets pass."""
 
     async def test_a_host_that_slept_past_its_lease_sends_nothing(self) -> None:
-        ticket = str(self.one.office.issue(WORKSPACE))
+        ticket = str(self.one.issuer.issue(WORKSPACE))
         for wanted in (ORDER, order(2, ticket=ticket)):
             run = await self.run_of(self.one, wanted)
             await self.rig.clock.jump(LEASE)
@@ -169,7 +169,7 @@
         self.assertEqual(FirstAnswer(ORDER.request, ANSWER), first)
 
     async def test_a_run_that_is_given_up_is_never_run_again(self) -> None:
-        ticket = str(self.one.office.issue(WORKSPACE))
+        ticket = str(self.one.issuer.issue(WORKSPACE))
         for wanted in (order(1), order(2, ticket=ticket)):
             self.one.once.give_up(await self.run_of(self.one, wanted))
             refusal = await self.refused(self.one, replace(wanted))
@@ -234,7 +234,7 @@
     async def asyncSetUp(self) -> None:
         """Issue a ticket at the first host."""
         await super().asyncSetUp()
-        self.text = str(self.one.office.issue(WORKSPACE))
+        self.text = str(self.one.issuer.issue(WORKSPACE))
         self.forwarder = Forwarder(self.two.peer, HostId('two'))
         self.forwarder.listen(self.answer)
         Forwarder(self.one.peer, HostId('one')).listen(self.answer)
--- a/tests/test_records_random.py
+++ b/tests/test_records_random.py
@@ -120,7 +120,7 @@
             key = self.randomness.choice(KEYS)
             return order(self.numbers, key=key, deadline=deadline), key
         if not self.tickets or self.one_in(3):
-            ticket = str(self.host().office.issue(WORKSPACE))
+            ticket = str(self.host().issuer.issue(WORKSPACE))
             self.tickets.append((ticket, f't{self.numbers}'))
         ticket, work = self.randomness.choice(self.tickets)
         wanted = order(self.numbers, key='', ticket=ticket, deadline=deadline)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -13,8 +13,8 @@
 from nutmegroad.ratings import RatingTally
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.rollout_desk import Action, RolloutDesk
 from nutmegroad.rollout_keeper import RolloutKeeper, RolloutParts
+from nutmegroad.rollout_service import Action, RolloutService
 from nutmegroad.rollout_shares import RolloutShares
 from nutmegroad.rollouts import (
     FIRST_SHARE,
@@ -106,7 +106,7 @@
             self.quarantines,
         )
         self.keeper = RolloutKeeper(parts, mesh.clock, random.Random(name), 2)
-        self.desk = RolloutDesk(
+        self.service = RolloutService(
             configuration, store, self.shares, self.quarantines
         )
 
@@ -139,7 +139,7 @@
 
     async def act(self, host: Host, action: Action) -> Refusal | None:
         """Do something as an operator."""
-        refusal = await host.desk.act(NEW, action, OPERATOR)
+        refusal = await host.service.act(NEW, action, OPERATOR)
         await self.clock.advance(1)
         return refusal
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -5,7 +5,7 @@
 from nutmegroad import tickets
 from nutmegroad.intents import FirstAnswer
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.tickets import SpentTicket, Ticket, TicketOffice
+from nutmegroad.tickets import SpentTicket, Ticket, TicketIssuer
 from nutmegroad.types import Ran, RequestId, WorkspaceId
 from tests.records_rig import ANSWER, NOT_RUN, UNKNOWN, WORKSPACE, RecordsRig
 
@@ -14,30 +14,30 @@
 
 
 class TicketTest(unittest.IsolatedAsyncioTestCase):
-    """One office."""
+    """What one host issues and spends."""
 
     async def asyncSetUp(self) -> None:
         """Issue a ticket."""
         self.rig = await self.enterAsyncContext(RecordsRig())
-        self.office = self.rig.host('one').office
-        self.text = self.office.issue(WORKSPACE)
-        self.ticket = self.read(self.office)
+        self.issuer = self.rig.host('one').issuer
+        self.text = self.issuer.issue(WORKSPACE)
+        self.ticket = self.read(self.issuer)
 
-    def read(self, office: TicketOffice) -> Ticket:
+    def read(self, issuer: TicketIssuer) -> Ticket:
         """Read the ticket, at any host."""
-        ticket = office.read(str(self.text), WORKSPACE)
+        ticket = issuer.read(str(self.text), WORKSPACE)
         assert isinstance(ticket, Ticket)
         return ticket
 
     def spend(self, request: RequestId = FIRST) -> SpentTicket:
         """Spend the ticket."""
-        spent = self.office.spend(self.ticket, request, 'f1')
+        spent = self.issuer.spend(self.ticket, request, 'f1')
         assert isinstance(spent, SpentTicket)
         return spent
 
     def refused(self, fingerprint: str = 'f1') -> Refusal:
         """Spend the ticket again, in vain."""
-        refusal = self.office.spend(self.ticket, SECOND, fingerprint)
+        refusal = self.issuer.spend(self.ticket, SECOND, fingerprint)
         assert isinstance(refusal, Refusal)
         return refusal
 
@@ -45,17 +45,17 @@
         spent = self.spend()
         self.assertIs(ResultCode.STILL_RUNNING, self.refused().code)
         self.assertIs(ResultCode.KEY_REUSED, self.refused('f2').code)
-        self.office.settle(spent, ANSWER)
-        first = self.office.spend(self.ticket, SECOND, 'f1')
+        self.issuer.settle(spent, ANSWER)
+        first = self.issuer.spend(self.ticket, SECOND, 'f1')
         self.assertEqual(FirstAnswer(FIRST, ANSWER), first)
 
     def test_how_it_ended_decides_about_a_repeat(self) -> None:
-        self.office.settle(self.spend(), NOT_RUN)
-        self.office.settle(self.spend(SECOND), UNKNOWN)
+        self.issuer.settle(self.spend(), NOT_RUN)
+        self.issuer.settle(self.spend(SECOND), UNKNOWN)
         self.assertEqual(UNKNOWN, self.refused())
 
     def test_any_host_reads_a_ticket_and_no_other_workspace(self) -> None:
-        other = self.rig.host('two').office
+        other = self.rig.host('two').issuer
         self.assertEqual(self.ticket, self.read(other))
         for text, workspace in (
             (f'{self.text}x', WORKSPACE),
@@ -75,10 +75,10 @@
 
     async def test_a_spent_ticket_is_never_run_again(self) -> None:
         await self.rig.clock.jump(tickets.TICKET_LIFE - 1)
-        self.office.settle(self.spend(), ANSWER)
+        self.issuer.settle(self.spend(), ANSWER)
         for _ in range(40):
             await self.rig.clock.jump(100)
-            repeat = self.office.spend(self.ticket, SECOND, 'f1')
+            repeat = self.issuer.spend(self.ticket, SECOND, 'f1')
             self.assertNotIsInstance(repeat, SpentTicket)
             if isinstance(repeat, Refusal):
                 self.assertIsNot(Ran.NOT_RUN, repeat.ran)
@@ -86,25 +86,25 @@
     def test_an_answer_that_is_dropped_leaves_the_ticket_spent(self) -> None:
         spent = self.spend()
         big = type(ANSWER)(200, bytes(tickets.MOST_ANSWER_BYTES + 1), 'x/y')
-        self.office.settle(spent, big)
+        self.issuer.settle(spent, big)
         refusal = self.refused()
         self.assertIs(ResultCode.TICKET_SPENT, refusal.code)
         self.assertIs(Ran.RAN, refusal.ran)
 
     def test_memory_is_bounded_by_refusing_not_by_forgetting(self) -> None:
-        office = TicketOffice(
+        issuer = TicketIssuer(
             self.ticket.host,
-            self.office.incarnation,
+            self.issuer.incarnation,
             tickets.TicketSigner('key'),
             self.rig.clock,
             most_spent=1,
         )
-        self.office = office
+        self.issuer = issuer
         self.spend()
         other = Ticket(WORKSPACE, 'one', self.ticket.incarnation, 9, 600)
         for refusal in (
-            office.issue(WORKSPACE),
-            office.spend(other, SECOND, 'f1'),
+            issuer.issue(WORKSPACE),
+            issuer.spend(other, SECOND, 'f1'),
         ):
             assert isinstance(refusal, Refusal)
             self.assertIs(ResultCode.OVERLOADED, refusal.code)
