Name the membership by the terms of the field

`_beats`, `_aims` and `_reach` are `_heartbeats`, `_link_targets` and `_reachability`; `aim` of the links is `keep_links`. What learns the gaps between heartbeats stands in `_detector.py`, its only user.

--- a/experiments/configuration_spread.py
+++ b/experiments/configuration_spread.py
@@ -112,7 +112,7 @@
             port=0,
         )
         ledger = Ledger(time.thread_time)
-        table, reach = make_table(identity, self.clock, 1)
+        table, reachability = make_table(identity, self.clock, 1)
         context = LinkContext(
             key=b'a key for measurements',
             clock=self.clock,
@@ -127,7 +127,7 @@
             account=ledger,
             seeds=self._seeds,
         )
-        members = Members(about, links, table, reach)
+        members = Members(about, links, table, reachability)
         await self._stack.enter_async_context(members)
         if len(self._seeds) < DOMAINS:
             self._seeds = (*self._seeds, table.identity.address)
--- a/experiments/mesh_hosts.py
+++ b/experiments/mesh_hosts.py
@@ -165,7 +165,7 @@
     def listen(self, listener: LinkListener) -> None:
         """Tell nobody."""
 
-    def aim(self, addresses: Iterable[Address]) -> None:
+    def keep_links(self, addresses: Iterable[Address]) -> None:
         """Connect to nobody."""
 
     def linked(self) -> dict[HostId, float]:
--- a/experiments/records_cost.py
+++ b/experiments/records_cost.py
@@ -205,7 +205,7 @@
     """Link two hosts over loopback."""
     one, _ = await link(stack, 'one')
     two, near = await link(stack, 'two')
-    one.aim((near,))
+    one.keep_links((near,))
     while not one.linked():
         await asyncio.sleep(0.01)
     return OnePeer(one, HostId('two')), OnePeer(two, HostId('one'))
--- a/src/nutmegroad/_coordinator.py
+++ b/src/nutmegroad/_coordinator.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from nutmegroad._aims import Aims
-from nutmegroad._beats import Beats, age_seconds
 from nutmegroad._detector import Detector, Verdicts
 from nutmegroad._entries import Origin
 from nutmegroad._handshake import Identity
+from nutmegroad._heartbeats import HeartbeatSender, age_seconds
+from nutmegroad._link_targets import LinkTargets
 from nutmegroad._member_context import LinkLayer, MemberContext
 from nutmegroad._member_messages import (
     Heartbeat,
@@ -15,7 +15,7 @@
     TableRequest,
 )
 from nutmegroad._member_table import MemberTable
-from nutmegroad._reach import Reach
+from nutmegroad._reachability import Reachability
 from nutmegroad._synchronizer import Synchronizer
 from nutmegroad.logs import part_logger
 from nutmegroad.types import DomainId, HostId, Presence
@@ -36,14 +36,14 @@
     """Ties links, records, heartbeats and the detector together.
 
     Attributes:
-        aims: To which hosts there should be links.
+        targets: To which hosts there should be links.
         verdicts: The outcome of the latest tick.
 
     Args:
         context: Time, randomness, account and where to start from.
         links: The links.
         table: Records and who we are.
-        reach: When hosts and domains were last heard.
+        reachability: When hosts and domains were last heard.
     """
 
     def __init__(
@@ -51,16 +51,20 @@
         context: MemberContext,
         links: LinkLayer,
         table: MemberTable,
-        reach: Reach,
+        reachability: Reachability,
     ) -> None:
-        self.aims = Aims(table, reach, context.randomness, context.seeds)
+        self.targets = LinkTargets(
+            table, reachability, context.randomness, context.seeds
+        )
         self.verdicts = Verdicts()
         self._context = context
         self._links = links
         self._table = table
-        self._reach = reach
-        self._detector = Detector(table, reach, context.heartbeat)
-        self._beats = Beats(table, reach, self._detector, links)
+        self._reachability = reachability
+        self._detector = Detector(table, reachability, context.heartbeat)
+        self._heartbeats = HeartbeatSender(
+            table, reachability, self._detector, links
+        )
         self._synchronizer = Synchronizer(
             table,
             links,
@@ -75,8 +79,8 @@
         self._links.listen(self)
         self._links.handle(Heartbeat, self._take_heartbeat)
         self._links.handle(TableRequest, self._answer_request)
-        self.aims.choose_probe(has_links=False)
-        self._links.aim(self.aims.addresses())
+        self.targets.choose_probe(has_links=False)
+        self._links.keep_links(self.targets.addresses())
 
     def tick(self) -> None:
         """Judge who has failed, look after links, send heartbeats."""
@@ -91,30 +95,30 @@
         for host in self.verdicts.gone:
             self._give_up(host)
         if self._ticks % _PROBE_EVERY == 0 or not linked:
-            self.aims.choose_probe(has_links=bool(linked))
+            self.targets.choose_probe(has_links=bool(linked))
         if self._ticks % _DROP_EVERY == 0:
             self._drop_unwanted()
             self._table.purge()
-        self._links.aim(self.aims.addresses())
+        self._links.keep_links(self.targets.addresses())
         self.send()
 
     def send(self) -> None:
         """Send heartbeats now."""
-        wanted = self.aims.hosts().keys()
-        self._beats.send_all(self.verdicts.suspects, wanted)
+        wanted = self.targets.hosts().keys()
+        self._heartbeats.send_all(self.verdicts.suspects, wanted)
 
     def link_opened(self, identity: Identity) -> None:
         """Greet a host to which there is a link now."""
         now = self._context.clock.now()
-        self._reach.heard_host(identity.host, now)
-        self._reach.heard_domain(identity.domain, now)
+        self._reachability.heard_host(identity.host, now)
+        self._reachability.heard_domain(identity.domain, now)
         record = Record(identity, 0, Presence.LIVE)
         self._table.merge(record, self._origin(identity.domain), identity.host)
-        self._beats.opened(identity)
+        self._heartbeats.opened(identity)
 
     def link_closed(self, identity: Identity) -> None:
         """Take in that a link is lost."""
-        self._beats.closed(identity.host)
+        self._heartbeats.closed(identity.host)
         self._synchronizer.forget(identity.host)
         record = self._table.get(identity.host)
         if record is not None and record.presence is Presence.LEAVING:
@@ -139,8 +143,8 @@
         for host, heard in linked.items():
             record = self._table.get(host)
             if record is not None:
-                self._reach.heard_host(host, heard)
-                self._reach.heard_domain(record.identity.domain, heard)
+                self._reachability.heard_host(host, heard)
+                self._reachability.heard_domain(record.identity.domain, heard)
 
     def _give_up(self, host: HostId) -> None:
         _LOG.info('host %s is gone', host)
@@ -150,7 +154,7 @@
         self._links.drop(host)
 
     def _drop_unwanted(self) -> None:
-        for host in self._beats.unwanted(self.aims.hosts().keys()):
+        for host in self._heartbeats.unwanted(self.targets.hosts().keys()):
             self._links.drop(host)
 
     async def _take_heartbeat(self, host: HostId, beat: Heartbeat) -> None:
@@ -162,8 +166,8 @@
             self._table.merge(record, self._origin(domain), host)
         now = self._context.clock.now()
         for name, tenths in beat.ages.items():
-            self._reach.heard_domain(name, now - age_seconds(tenths))
-        self._beats.taken(host, they_want=beat.wanted)
+            self._reachability.heard_domain(name, now - age_seconds(tenths))
+        self._heartbeats.taken(host, they_want=beat.wanted)
         if domain == self._table.identity.domain:
             self._detector.take(host, beat, now)
         if self._synchronizer.is_due(host, beat.digest):
--- a/src/nutmegroad/_detector.py
+++ b/src/nutmegroad/_detector.py
@@ -3,12 +3,20 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad._arrivals import Arrivals
 from nutmegroad._member_messages import Heartbeat
 from nutmegroad._member_table import MemberTable
-from nutmegroad._reach import Reach
+from nutmegroad._reachability import Reachability
 from nutmegroad.types import HostId
 
+#: A bound is never less or more than so many heartbeat intervals.
+_LEAST: Final = 3.0
+_MOST: Final = 8.0
+#: Weights of the smoothed mean and deviation, as in the retransmission
+#: timer of TCP (RFC 6298), which has the same task.
+_MEAN_WEIGHT: Final = 0.125
+_DEVIATION_WEIGHT: Final = 0.25
+_DEVIATIONS: Final = 4
+
 #: How many others must also suspect a host, where there are as many.
 _AGREEING: Final = 2
 #: A host that others suspect too is gone after so many bounds.
@@ -18,6 +26,37 @@
 _NEVER: Final = float('-inf')
 
 
+class HeartbeatIntervals:
+    """Learns the gaps between a host's heartbeats.
+
+    Args:
+        interval: Seconds between heartbeats as they are meant.
+    """
+
+    def __init__(self, interval: float) -> None:
+        self._interval = interval
+        self._last: float | None = None
+        self._mean = interval
+        self._deviation = interval / 2
+
+    def note(self, now: float) -> None:
+        """Take in a heartbeat."""
+        if self._last is not None:
+            self._learn(now - self._last)
+        self._last = now
+
+    def bound(self) -> float:
+        """Return the seconds of silence that are still ordinary."""
+        expected = self._mean + _DEVIATIONS * self._deviation
+        least = _LEAST * self._interval
+        return min(max(expected, least), _MOST * self._interval)
+
+    def _learn(self, gap: float) -> None:
+        error = gap - self._mean
+        self._mean += _MEAN_WEIGHT * error
+        self._deviation += _DEVIATION_WEIGHT * (abs(error) - self._deviation)
+
+
 @dataclass(frozen=True, slots=True)
 class Verdicts:
     """The outcome of one round.
@@ -36,20 +75,20 @@
 
     Args:
         table: All records.
-        reach: When hosts were last heard.
+        reachability: When hosts were last heard.
         interval: Seconds between heartbeats.
     """
 
     def __init__(
         self,
         table: MemberTable,
-        reach: Reach,
+        reachability: Reachability,
         interval: float,
     ) -> None:
         self._table = table
-        self._reach = reach
+        self._reachability = reachability
         self._interval = interval
-        self._arrivals: dict[HostId, Arrivals] = {}
+        self._intervals: dict[HostId, HeartbeatIntervals] = {}
         self._suspected_by: dict[HostId, frozenset[HostId]] = {}
         self._vouched: dict[HostId, float] = {}
         self._vouching: set[HostId] = set()
@@ -58,9 +97,9 @@
 
     def take(self, sender: HostId, heartbeat: Heartbeat, now: float) -> None:
         """Take in a heartbeat of a host of the domain."""
-        if sender not in self._arrivals:
-            self._arrivals[sender] = Arrivals(self._interval)
-        self._arrivals[sender].note(now)
+        if sender not in self._intervals:
+            self._intervals[sender] = HeartbeatIntervals(self._interval)
+        self._intervals[sender].note(now)
         self._suspected_by[sender] = frozenset(heartbeat.suspects)
         for host in heartbeat.vouched:
             self._vouched[host] = now
@@ -92,7 +131,7 @@
 
     def forget(self, host: HostId) -> None:
         """Forget a host that is gone."""
-        self._arrivals.pop(host, None)
+        self._intervals.pop(host, None)
         self._suspected_by.pop(host, None)
         self._vouched.pop(host, None)
 
@@ -102,7 +141,7 @@
         voters: frozenset[HostId],
         now: float,
     ) -> bool:
-        silence = self._reach.silence(host)
+        silence = self._reachability.silence(host)
         bound = self._bound(host)
         if now - self._vouched.get(host, _NEVER) <= bound:
             return False
@@ -117,16 +156,16 @@
         return silence > _ALONE_BOUNDS * bound
 
     def _hears(self, host: HostId) -> bool:
-        return host in self._arrivals and not self._is_silent(host)
+        return host in self._intervals and not self._is_silent(host)
 
     def _is_silent(self, host: HostId) -> bool:
-        return self._reach.silence(host) > self._bound(host)
+        return self._reachability.silence(host) > self._bound(host)
 
     def _bound(self, host: HostId) -> float:
-        arrivals = self._arrivals.get(host)
-        if arrivals is None:
-            arrivals = Arrivals(self._interval)
-        return arrivals.bound()
+        intervals = self._intervals.get(host)
+        if intervals is None:
+            intervals = HeartbeatIntervals(self._interval)
+        return intervals.bound()
 
     def _near(self) -> list[HostId]:
         """Return the other hosts of the domain that are not gone."""
--- a/src/nutmegroad/_dialer.py
+++ b/src/nutmegroad/_dialer.py
@@ -1,4 +1,4 @@
-"""Keeps links to the addresses that are aimed at, one task for each."""
+"""Keeps links to the wanted addresses, one task for each."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
@@ -42,7 +42,7 @@
         self._tasks: dict[Address, asyncio.Task[None]] = {}
         self._lost: dict[Address, asyncio.Event] = {}
 
-    def aim(self, addresses: Iterable[Address]) -> frozenset[Address]:
+    def keep_links(self, addresses: Iterable[Address]) -> frozenset[Address]:
         """Keep links to these addresses, and no longer to others.
 
         Links that exist are left; only no new ones are made.
@@ -64,7 +64,7 @@
     async def aclose(self) -> None:
         """End all tasks."""
         tasks = tuple(self._tasks.values())
-        self.aim(())
+        self.keep_links(())
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _keep(self, address: Address) -> None:
--- a/src/nutmegroad/_beats.py
+++ b/src/nutmegroad/_heartbeats.py
@@ -9,7 +9,7 @@
 from nutmegroad._handshake import Identity
 from nutmegroad._member_messages import Heartbeat, Record
 from nutmegroad._member_table import MemberTable
-from nutmegroad._reach import Reach
+from nutmegroad._reachability import Reachability
 from nutmegroad.peers import Message
 from nutmegroad.types import DomainId, HostId
 
@@ -45,12 +45,12 @@
     they_want: bool = True
 
 
-class Beats:
+class HeartbeatSender:
     """Sends heartbeats.
 
     Args:
         table: All records.
-        reach: When domains were last heard.
+        reachability: When domains were last heard.
         detector: Whom others suspect and we hear.
         sender: The links.
     """
@@ -58,12 +58,12 @@
     def __init__(
         self,
         table: MemberTable,
-        reach: Reach,
+        reachability: Reachability,
         detector: Detector,
         sender: Sender,
     ) -> None:
         self._table = table
-        self._reach = reach
+        self._reachability = reachability
         self._detector = detector
         self._sender = sender
         self._links: dict[HostId, LinkState] = {}
@@ -172,7 +172,7 @@
         )
 
     def _ages(self) -> dict[DomainId, int]:
-        ages = self._reach.ages().items()
+        ages = self._reachability.ages().items()
         tenths = {domain: int(_TENTHS * age) for domain, age in ages}
         return {**tenths, self._table.identity.domain: 0}
 
--- a/src/nutmegroad/_aims.py
+++ b/src/nutmegroad/_link_targets.py
@@ -7,7 +7,7 @@
 
 from nutmegroad._member_messages import Record
 from nutmegroad._member_table import MemberTable
-from nutmegroad._reach import Reach
+from nutmegroad._reachability import Reachability
 from nutmegroad._rendezvous import ranked
 from nutmegroad.types import Address, DomainId, HostId
 
@@ -17,7 +17,7 @@
 _FIRST_SEEDS: Final = 8
 
 
-class Aims:
+class LinkTargets:
     """Chooses whom to connect to.
 
     All hosts of the own domain; of each other domain those that stand
@@ -26,7 +26,7 @@
 
     Args:
         table: All records.
-        reach: When hosts and domains were last heard.
+        reachability: When hosts and domains were last heard.
         randomness: Chooses what to probe.
         seeds: Addresses from the settings.
     """
@@ -34,12 +34,12 @@
     def __init__(
         self,
         table: MemberTable,
-        reach: Reach,
+        reachability: Reachability,
         randomness: random.Random,
         seeds: Iterable[Address],
     ) -> None:
         self._table = table
-        self._reach = reach
+        self._reachability = reachability
         self._randomness = randomness
         self._seeds = frozenset(seeds)
         self._listed: frozenset[Address] = frozenset()
--- a/src/nutmegroad/_member_context.py
+++ b/src/nutmegroad/_member_context.py
@@ -8,7 +8,7 @@
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkListener
 from nutmegroad._member_table import MemberTable
-from nutmegroad._reach import Reach
+from nutmegroad._reachability import Reachability
 from nutmegroad.accounting import Account
 from nutmegroad.clocks import Clock
 from nutmegroad.peers import Mesh, Message
@@ -25,7 +25,7 @@
     def listen(self, listener: LinkListener) -> None:
         """Tell a listener what becomes of links."""
 
-    def aim(self, addresses: Iterable[Address]) -> None:
+    def keep_links(self, addresses: Iterable[Address]) -> None:
         """Keep links to whoever listens at these addresses."""
 
     def linked(self) -> dict[HostId, float]:
@@ -63,7 +63,7 @@
     identity: Identity,
     clock: Clock,
     heartbeat: float,
-) -> tuple[MemberTable, Reach]:
+) -> tuple[MemberTable, Reachability]:
     """Return what links and membership share."""
-    reach = Reach(clock, _DOMAIN_BOUND * heartbeat)
-    return MemberTable(identity, clock, reach), reach
+    reachability = Reachability(clock, _DOMAIN_BOUND * heartbeat)
+    return MemberTable(identity, clock, reachability), reachability
--- a/src/nutmegroad/_member_table.py
+++ b/src/nutmegroad/_member_table.py
@@ -8,7 +8,7 @@
 from nutmegroad._entries import Entries, Entry, Origin
 from nutmegroad._handshake import Identity
 from nutmegroad._member_messages import Record
-from nutmegroad._reach import Reach
+from nutmegroad._reachability import Reachability
 from nutmegroad._rendezvous import ranked
 from nutmegroad.clocks import Clock
 from nutmegroad.peers import Member
@@ -31,12 +31,14 @@
     Args:
         identity: Who we are.
         clock: Time.
-        reach: When hosts and domains were last heard.
+        reachability: When hosts and domains were last heard.
     """
 
-    def __init__(self, identity: Identity, clock: Clock, reach: Reach) -> None:
+    def __init__(
+        self, identity: Identity, clock: Clock, reachability: Reachability
+    ) -> None:
         self._clock = clock
-        self._reach = reach
+        self._reachability = reachability
         self.entries = Entries()
         self.own = Record(identity, 0, Presence.LIVE)
         self._put(self.own, Origin.OWN)
@@ -97,10 +99,10 @@
                 domain=record.identity.domain,
                 address=record.identity.address,
                 presence=record.presence,
-                heard=self._reach.last_heard(record.host),
+                heard=self._reachability.last_heard(record.host),
             )
             for record in self.others()
-            if not self._reach.is_cut_off(record.identity.domain)
+            if not self._reachability.is_cut_off(record.identity.domain)
         )
 
     def merge(self, record: Record, origin: Origin, informer: HostId) -> bool:
@@ -127,7 +129,7 @@
         """Forget incarnations that have been gone for long."""
         limit = self._clock.now() - GONE_MEMORY
         for host in self.entries.purge(limit):
-            self._reach.forget_host(host)
+            self._reachability.forget_host(host)
 
     def _refute(self, record: Record) -> None:
         is_ours = record.identity.incarnation == self.identity.incarnation
@@ -145,7 +147,7 @@
         entry = self.entries.put(record, origin, now)
         entry.is_relay = self._is_relay(record.host)
         if old is None or old.identity != record.identity:
-            self._reach.heard_host(record.host, now)
+            self._reachability.heard_host(record.host, now)
         return entry
 
     def _is_relay(self, key: HostId) -> bool:
--- a/src/nutmegroad/_mesh_part.py
+++ b/src/nutmegroad/_mesh_part.py
@@ -35,7 +35,7 @@
             message = 'The cluster key is empty; hosts need it to link.'
             raise SettingsError(message)
         ledger = Ledger(time.thread_time)
-        table, reach = make_table(
+        table, reachability = make_table(
             identity_of(kernel),
             kernel.clock,
             settings.heartbeat,
@@ -57,7 +57,7 @@
             seeds=settings.seeds,
             host_list=kernel.need(HostList),
         )
-        members = Members(member_context, links, table, reach)
+        members = Members(member_context, links, table, reachability)
         await kernel.stack.enter_async_context(members)
         kernel.listening['peers'] = table.identity.address
         kernel.provide(Mesh, links)
--- a/src/nutmegroad/_reach.py
+++ b/src/nutmegroad/_reachability.py
@@ -6,7 +6,7 @@
 from nutmegroad.types import DomainId, HostId
 
 
-class Reach:
+class Reachability:
     """Keeps for how long hosts and domains have been silent.
 
     Args:
--- a/src/nutmegroad/links.py
+++ b/src/nutmegroad/links.py
@@ -1,7 +1,7 @@
 """Links to other hosts: authenticated TCP streams of msgpack messages.
 
 There is one link for each pair of hosts. Which hosts to connect to is said
-by the membership (``aim``); what a message means is up to its handler.
+by the membership (``keep_links``); what a message means is up to its handler.
 """
 
 import asyncio
@@ -36,7 +36,7 @@
 
         async with Links(context, roster) as links:
             links.handle(Hello, answer_hello)
-            links.aim([Address('127.0.0.1', 7003)])
+            links.keep_links([Address('127.0.0.1', 7003)])
 
     Args:
         context: Key, time, randomness, account and limits.
@@ -93,9 +93,9 @@
         """Tell a listener what becomes of links from now on."""
         self._announcer.listener = listener
 
-    def aim(self, addresses: Iterable[Address]) -> None:
+    def keep_links(self, addresses: Iterable[Address]) -> None:
         """Keep links to whoever listens at these addresses."""
-        wanted = self._dialer.aim(addresses)
+        wanted = self._dialer.keep_links(addresses)
         self._table.forget_aliases(wanted)
 
     def linked(self) -> dict[HostId, float]:
--- a/src/nutmegroad/members.py
+++ b/src/nutmegroad/members.py
@@ -15,7 +15,7 @@
 from nutmegroad._member_messages import MEMBERS_PART
 from nutmegroad._member_table import MemberTable
 from nutmegroad._peer_tasks import OwnedTasks
-from nutmegroad._reach import Reach
+from nutmegroad._reachability import Reachability
 from nutmegroad.accounting import Metered
 from nutmegroad.peers import Member
 from nutmegroad.platform import HostList
@@ -40,7 +40,7 @@
         context: Time, randomness, account and where to start from.
         links: The links; opened before and closed after this.
         table: Records and who we are; the links' roster.
-        reach: When hosts and domains were last heard.
+        reachability: When hosts and domains were last heard.
     """
 
     def __init__(
@@ -48,12 +48,12 @@
         context: MemberContext,
         links: LinkLayer,
         table: MemberTable,
-        reach: Reach,
+        reachability: Reachability,
     ) -> None:
         self._context = context
         self._table = table
-        self._reach = reach
-        self._coordinator = Coordinator(context, links, table, reach)
+        self._reachability = reachability
+        self._coordinator = Coordinator(context, links, table, reachability)
         self._tasks = OwnedTasks()
 
     @property
@@ -126,7 +126,7 @@
             await clock.sleep(interval * (1 + spread))
             if clock.now() - began > _PAUSE * interval:
                 self._context.account.count('members_own_pause')
-                self._reach.forgive()
+                self._reachability.forgive()
             self._coordinator.tick()
 
     async def _read_list(self, host_list: HostList) -> None:
@@ -134,7 +134,7 @@
             listing = await host_list.listing()
             if not isinstance(listing, Refusal):
                 hosts = listing.hosts
-                self._coordinator.aims.take_listing(
+                self._coordinator.targets.take_listing(
                     host.address for host in hosts
                 )
             spread = self._context.randomness.uniform(1, 2)
--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -56,7 +56,7 @@
     def listen(self, listener: LinkListener) -> None:
         self.listener = listener
 
-    def aim(self, addresses: Iterable[Address]) -> None:
+    def keep_links(self, addresses: Iterable[Address]) -> None:
         now = self.wires.clock.now()
         for host, heard in tuple(self.heard.items()):
             if now - heard > SILENCE:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -159,7 +159,7 @@
         return one, two
 
     async def link(self, one: Host, two: Host) -> None:
-        one.links.aim([two.address])
+        one.links.keep_links([two.address])
         await until(lambda: two.host in one.links.linked())
         await until(lambda: one.host in two.links.linked())
 
@@ -184,7 +184,7 @@
     async def test_a_wrong_key_is_refused_and_counted(self) -> None:
         one = await self.host('one', key=b'another key')
         two = await self.host('two')
-        one.links.aim([two.address])
+        one.links.keep_links([two.address])
         await until(lambda: two.count('links_wrong_key'))
         self.assertEqual(one.links.linked(), {})
         self.assertEqual(two.links.linked(), {})
@@ -195,7 +195,7 @@
         await self.enterAsyncContext(echo)
         port = echo.sockets[0].getsockname()[1]
         one = await self.host('one')
-        one.links.aim([Address('127.0.0.1', port)])
+        one.links.keep_links([Address('127.0.0.1', port)])
         await until(lambda: one.count('links_to_self'))
         self.assertEqual(one.links.linked(), {})
 
@@ -206,9 +206,9 @@
         two = await self.host('two')
         recorder = Recorder(two.address)
         await self.enterAsyncContext(recorder)
-        one.links.aim([recorder.address])
+        one.links.keep_links([recorder.address])
         await until(lambda: one.links.linked())
-        one.links.aim([])
+        one.links.keep_links([])
         two.links.drop(one.host)
         await until(lambda: not two.links.linked())
         writer = await self.connect(two)
@@ -280,8 +280,8 @@
             with self.subTest(seed=seed):
                 one = await self.host(f'one{seed}')
                 two = await self.host(f'two{seed}')
-                one.links.aim([two.address])
-                two.links.aim([one.address])
+                one.links.keep_links([two.address])
+                two.links.keep_links([one.address])
                 await until(one.links.linked)
                 await until(two.links.linked)
                 reply = await one.links.ask(two.host, Ask('hello'), 5)
@@ -294,7 +294,7 @@
         two = await self.host('two')
         two.roster.known[one.host] = 8
         one.links.listen(one)
-        one.links.aim([two.address])
+        one.links.keep_links([two.address])
         await until(lambda: one.outdated_by == [8])
         self.assertEqual(two.count('links_old_incarnation'), 1)
         self.assertEqual(two.links.linked(), {})
@@ -309,7 +309,7 @@
     async def test_a_new_incarnation_takes_the_link_over(self) -> None:
         one, two = await self.pair()
         later = await self.host('one', generation=2)
-        later.links.aim([two.address])
+        later.links.keep_links([two.address])
         await until(later.links.linked)
         two.links.tell(one.host, Ask('to the later'))
         await until(lambda: later.texts)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -261,9 +261,9 @@
 
     def setUp(self) -> None:
         self.clock = ManualClock()
-        table, reach = make_table(identity_of('me'), self.clock, 1)
-        self.reach = reach
-        self.detector = Detector(table, reach, 1)
+        table, reachability = make_table(identity_of('me'), self.clock, 1)
+        self.reachability = reachability
+        self.detector = Detector(table, reachability, 1)
         for name in ('one', 'two', 'silent'):
             record = Record(identity_of(name), 0, Presence.LIVE)
             table.merge(record, Origin.NEAR, record.host)
@@ -274,7 +274,7 @@
             await self.clock.advance(1)
             now = self.clock.now()
             for host in (HostId('one'), HostId('two')):
-                self.reach.heard_host(host, now)
+                self.reachability.heard_host(host, now)
                 self.detector.take(host, beat, now)
         return self.detector.judge(self.clock.now(), in_contact=True)
 
