--- a/experiments/records_cost.py
+++ b/experiments/records_cost.py
@@ -27,14 +27,14 @@
 from nutmegroad.accounting import Ledger
 from nutmegroad.billing import Biller, BillingRecord
 from nutmegroad.clocks import SystemClock
-from nutmegroad.heirs import Executor, Testator
 from nutmegroad.intents import IntentLedger, IntentOwner
 from nutmegroad.invariants import CountedInvariants
 from nutmegroad.links import Links
 from nutmegroad.metrics import Metrics
 from nutmegroad.once import Once, Order, Run
 from nutmegroad.peers import Member
-from nutmegroad.tickets import TicketOffice, TicketSigner
+from nutmegroad.record_copies import RecordKeeper, RecordSender
+from nutmegroad.tickets import TicketIssuer, TicketSigner
 from nutmegroad.types import (
     Address,
     DomainId,
@@ -76,9 +76,9 @@
     """What is measured."""
 
     once: Once
-    office: TicketOffice
+    issuer: TicketIssuer
     biller: Biller
-    testator: Testator
+    sender: RecordSender
     numbers: int = 0
 
     def order(self) -> Order:
@@ -110,7 +110,7 @@
 
     async def ticket(self) -> None:
         """Issue and spend a ticket."""
-        ticket = str(self.office.issue(WORKSPACE))
+        ticket = str(self.issuer.issue(WORKSPACE))
         await self.settle(replace(self.order(), ticket=ticket))
 
     async def record(self) -> None:
@@ -121,7 +121,7 @@
     async def hand(self) -> None:
         """Record and hand on."""
         await self.record()
-        await self.testator.hand()
+        await self.sender.hand()
 
     async def hand_eight(self) -> None:
         """Record and hand on eight at a time."""
@@ -205,7 +205,7 @@
     """Link two hosts over loopback."""
     one, _ = await link(stack, 'one')
     two, near = await link(stack, 'two')
-    one.aim((near,))
+    one.keep_links((near,))
     while not one.linked():
         await asyncio.sleep(0.01)
     return OnePeer(one, HostId('two')), OnePeer(two, HostId('one'))
@@ -229,10 +229,10 @@
     meshes = await link_two(stack)
     biller = Biller(objects, OWN, metrics, invariants)
     for mesh in meshes:
-        Executor(biller, mesh, clock, metrics).listen()
-    testator = Testator(biller, meshes[0], DOMAIN, clock, metrics)
+        RecordKeeper(biller, mesh, clock, metrics).listen()
+    sender = RecordSender(biller, meshes[0], DOMAIN, clock, metrics)
     return Bench(
-        *make_once(table, objects, metrics, invariants), biller, testator
+        *make_once(table, objects, metrics, invariants), biller, sender
     )
 
 
@@ -241,13 +241,13 @@
     objects: HttpObjects,
     metrics: Metrics,
     invariants: CountedInvariants,
-) -> tuple[Once, TicketOffice]:
-    """Return what lets requests run, and the office of its tickets."""
+) -> tuple[Once, TicketIssuer]:
+    """Return what lets requests run, and what issues its tickets."""
     clock = SystemClock()
-    office = TicketOffice(HostId('one'), OWN, TicketSigner(KEY), clock)
+    issuer = TicketIssuer(HostId('one'), OWN, TicketSigner(KEY), clock)
     owner = IntentOwner(OWN, _nonce, _is_gone)
     ledger = IntentLedger(table, objects, owner, clock)
-    return Once(ledger, office, clock, invariants, metrics), office
+    return Once(ledger, issuer, clock, invariants, metrics), issuer
 
 
 def _nonce() -> str:
@@ -275,7 +275,7 @@
             for name, way in ways.items():
                 costs[name].append(await measure(way, REQUESTS))
                 # What was recorded is stored between the rounds.
-                await bench.testator.flush()
+                await bench.sender.flush()
     record = msgspec.msgpack.encode(_record(1))
     sys.stdout.write(f'{ROUNDS} rounds of {REQUESTS} requests\n')
     for name, rounds in costs.items():
--- a/src/nutmegroad/_callers_part.py
+++ b/src/nutmegroad/_callers_part.py
@@ -12,11 +12,11 @@
 from nutmegroad.dispatch import Dispatcher
 from nutmegroad.explanations import Explanations
 from nutmegroad.forwards import Forwarder
-from nutmegroad.heirs import Testator
-from nutmegroad.intake import IntakeDesk
+from nutmegroad.intake import IntakeReader
 from nutmegroad.metrics import Metrics
 from nutmegroad.model_routes import ModelParts, ModelRoutes
 from nutmegroad.once import Once
+from nutmegroad.record_copies import RecordSender
 from nutmegroad.registry import register
 from nutmegroad.runs import Runner
 from nutmegroad.service_routes import ServiceRoutes
@@ -25,7 +25,7 @@
 from nutmegroad.session_pins import SessionPins
 from nutmegroad.sessions import SessionSigner
 from nutmegroad.stops import GracefulStop
-from nutmegroad.tickets import TicketOffice
+from nutmegroad.tickets import TicketIssuer
 
 
 @register('part', 'callers')
@@ -36,7 +36,7 @@
         Dispatcher,
         ServiceCaller,
         Once,
-        Testator,
+        RecordSender,
         SessionNames,
         GracefulStop,
         Metrics,
@@ -52,7 +52,7 @@
         biller = kernel.need(Biller)
         kernel.need(Observers).add(biller)
         runner = await kernel.stack.enter_async_context(
-            Runner(kernel.need(Once), biller, kernel.need(Testator)),
+            Runner(kernel.need(Once), biller, kernel.need(RecordSender)),
         )
         interface = CallersInterface(
             self._parts(kernel, runner, signer),
@@ -83,7 +83,7 @@
         metrics = kernel.need(Metrics)
         dispatcher = kernel.need(Dispatcher)
         models = ModelParts(
-            desk=IntakeDesk(configuration, signer, kernel.clock),
+            reader=IntakeReader(configuration, signer, kernel.clock),
             dispatcher=dispatcher,
             runner=runner,
             pins=SessionPins(
@@ -106,7 +106,7 @@
             configuration=configuration,
             models=ModelRoutes(models),
             services=services,
-            office=kernel.need(TicketOffice),
+            issuer=kernel.need(TicketIssuer),
             forwarder=kernel.need(Forwarder),
             metrics=metrics,
             clock=kernel.clock,
--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -25,7 +25,7 @@
 from nutmegroad.order_keeper import OrderKeeper
 from nutmegroad.peers import Mesh
 from nutmegroad.registry import register, registered
-from nutmegroad.rollout_desk import RolloutDesk
+from nutmegroad.rollout_service import RolloutService
 from nutmegroad.stops import GracefulStop
 from nutmegroad.types import Presence
 
@@ -77,7 +77,7 @@
         Mesh,
         Metrics,
         OrderKeeper,
-        RolloutDesk,
+        RolloutService,
     )
 
     async def open(self, kernel: Kernel) -> None:
--- a/src/nutmegroad/_records_part.py
+++ b/src/nutmegroad/_records_part.py
@@ -7,15 +7,15 @@
 from nutmegroad.core import Kernel
 from nutmegroad.explanations import Explanations
 from nutmegroad.forwards import Forwarder
-from nutmegroad.heirs import Executor, Testator
 from nutmegroad.intents import IntentLedger, IntentOwner
 from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
 from nutmegroad.once import Once
 from nutmegroad.peers import Mesh
 from nutmegroad.platform import Objects, Table
+from nutmegroad.record_copies import RecordKeeper, RecordSender
 from nutmegroad.registry import register
-from nutmegroad.tickets import TicketOffice, TicketSigner
+from nutmegroad.tickets import TicketIssuer, TicketSigner
 from nutmegroad.types import HostId, Incarnation
 
 #: Seconds between flushes of billing records, jittered; 400 hosts then
@@ -41,14 +41,14 @@
         invariants = kernel.need(Invariants)
         biller = Biller(objects, kernel.incarnation, metrics, invariants)
         domain = kernel.settings.domain
-        testator = Testator(biller, mesh, domain, kernel.clock, metrics)
-        kernel.stack.push_async_callback(testator.end)
-        executor = Executor(biller, mesh, kernel.clock, metrics)
-        executor.listen()
+        sender = RecordSender(biller, mesh, domain, kernel.clock, metrics)
+        kernel.stack.push_async_callback(sender.end)
+        keeper = RecordKeeper(biller, mesh, kernel.clock, metrics)
+        keeper.listen()
 
-        kernel.spawn(_flush_often(kernel, testator, executor), 'billing')
+        kernel.spawn(_flush_often(kernel, sender, keeper), 'billing')
         kernel.provide(Biller, biller)
-        kernel.provide(Testator, testator)
+        kernel.provide(RecordSender, sender)
 
 
 @register('part', 'records')
@@ -74,14 +74,14 @@
             kernel.settings.cluster_key,
             kernel.settings.cluster_key_old,
         )
-        office = TicketOffice(host, incarnation, signer, kernel.clock)
+        issuer = TicketIssuer(host, incarnation, signer, kernel.clock)
         invariants = kernel.need(Invariants)
-        once = Once(intents, office, kernel.clock, invariants, metrics)
+        once = Once(intents, issuer, kernel.clock, invariants, metrics)
         kernel.stack.push_async_callback(once.settle_rest)
 
         kernel.spawn(_settle_often(kernel, once), 'records')
         kernel.provide(IntentLedger, intents)
-        kernel.provide(TicketOffice, office)
+        kernel.provide(TicketIssuer, issuer)
         kernel.provide(Once, once)
         kernel.provide(Forwarder, Forwarder(mesh, host))
         kernel.provide(Explanations, Explanations(kernel.clock))
@@ -113,18 +113,18 @@
 
 async def _flush_often(
     kernel: Kernel,
-    testator: Testator,
-    executor: Executor,
+    sender: RecordSender,
+    keeper: RecordKeeper,
 ) -> None:
     """Store batches until cancelled."""
     state = kernel.need(Metrics).state
     while True:
         spread = kernel.randomness.uniform(-FLUSH_JITTER, FLUSH_JITTER)
         await kernel.clock.sleep(FLUSH_PERIOD * (1 + spread))
-        executor.take_over()
-        await testator.flush()
-        state.unstored('billing', testator.pending)
-        state.unstored('held', executor.held)
+        keeper.take_over()
+        await sender.flush()
+        state.unstored('billing', sender.pending)
+        state.unstored('held', keeper.held)
 
 
 async def _settle_often(kernel: Kernel, once: Once) -> None:
--- a/src/nutmegroad/intake.py
+++ b/src/nutmegroad/intake.py
@@ -143,7 +143,7 @@
     )
 
 
-class IntakeDesk:
+class IntakeReader:
     """Understands callers' model requests.
 
     Args:
