--- a/tests/test_http_edge.py
+++ b/tests/test_http_edge.py
@@ -10,7 +10,7 @@
 from experiments.deployment import operator_token
 
 from nutmegroad import _http_listener
-from nutmegroad.intake import IntakeDesk
+from nutmegroad.intake import IntakeReader
 from nutmegroad.metrics import Metrics
 from nutmegroad.types import Address
 from tests.hosts import KEY, TOKEN, WholeHost, fast_engine
@@ -129,7 +129,7 @@
             raise ZeroDivisionError
 
         with (
-            patch.object(IntakeDesk, 'read', fail),
+            patch.object(IntakeReader, 'read', fail),
             self.assertLogs('absl', 'ERROR') as logged,
         ):
             head = await self.check('callers', post(CHAT, b'{}'), 'INTERNAL')
