--- a/src/nutmegroad/_http_edge.py
+++ b/src/nutmegroad/_http_edge.py
@@ -19,7 +19,12 @@
 )
 
 from nutmegroad._caller_guard import STREAM_KEY
-from nutmegroad._http_listener import Connection, internal, refusal_of
+from nutmegroad._http_listener import (
+    NO_REQUEST,
+    Connection,
+    internal,
+    refusal_of,
+)
 from nutmegroad.core import Kernel
 from nutmegroad.logs import about_request, part_logger
 from nutmegroad.replies import EventStream, code_of, refuse
@@ -65,7 +70,7 @@
             with about_request(name):
                 reply = await self._answer(request, handler, name)
             if not reply.prepared:
-                reply.headers[_HEADER] = name
+                _show_name(reply, name)
             return reply
 
         return edge
@@ -151,7 +156,7 @@
                     await request.read()
             except TimeoutError:
                 self._count(ResultCode.BODY_TOO_SLOW)
-                return refuse(_slow(self._seconds), RequestId('-'))
+                return refuse(_slow(self._seconds), NO_REQUEST)
             reply = await handler(request)
             code = code_of(reply)
             if code is not None:
@@ -161,6 +166,16 @@
         return read
 
 
+def _show_name(reply: StreamResponse, name: RequestId) -> None:
+    """Have a reply carry a request's id, if it carries none.
+
+    What another host answered carries the id under which it did so, which
+    is the one that was billed and can be explained.
+    """
+    if reply.headers.get(_HEADER, NO_REQUEST) == NO_REQUEST:
+        reply.headers[_HEADER] = name
+
+
 def _broken(problem: Exception) -> Refusal:
     """Say that a body ended wrongly."""
     return Refusal(
--- a/src/nutmegroad/_http_listener.py
+++ b/src/nutmegroad/_http_listener.py
@@ -37,7 +37,8 @@
 MOST_HEADERS: Final = 64
 
 _LOG: Final = part_logger('http')
-_NO_REQUEST: Final = RequestId('-')
+#: In place of a request's id where nothing has named it yet.
+NO_REQUEST: Final = RequestId('-')
 _SERVER_ERROR: Final = 500
 _NOT_FOUND: Final = 404
 _NOT_ALLOWED: Final = 405
@@ -101,7 +102,7 @@
         if status == _SERVER_ERROR and not isinstance(exc, UnicodeError):
             _LOG.error('a request failed: %r', exc)
             refusal = internal()
-        reply = refuse(refusal, _NO_REQUEST)
+        reply = refuse(refusal, NO_REQUEST)
         reply.force_close()
         return reply
 
@@ -122,7 +123,7 @@
     ) -> tuple[StreamResponse, bool]:
         """Send a reply; the library's own errors become refusals."""
         if isinstance(resp, HTTPException):
-            resp = refuse(refusal_of(resp), _NO_REQUEST)
+            resp = refuse(refusal_of(resp), NO_REQUEST)
         return await super().finish_response(request, resp, start_time)
 
 
