Run test modules in processes of their own, four at once

The suite ran in one process, one test after another, mostly waiting for other processes and clocks. Each module now runs in a process of its own, four at once, those that take longest first. The verdict, the handling of KNOWN-RED.txt and the closing line are as before. A module that ends without an outcome, or does not end within 400 s, counts as a failed test with its name, so that none is lost; both are tested, as is that no module is left out.

Ruled out: a pool of worker processes (one that dies takes the modules of the others with it); sharing started deployments between test classes (the modules side by side gave more, and each test keeps its own state).

--- a/tests/run.py
+++ b/tests/run.py
@@ -4,14 +4,14 @@
 lists may fail; they are printed, as is one of them that passes.
 """
 
+import asyncio
 import sys
-import unittest
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Final
 
-ROOT: Final = Path(__file__).resolve().parent.parent
+from tests.workers import ROOT, Outcome, merge, run_modules
+
 KNOWN_RED: Final = ROOT / 'KNOWN-RED.txt'
 #: The house rule: more than this many and they must be mended first.
 MOST_KNOWN: Final = 3
@@ -37,45 +37,6 @@
     issue: str
 
 
-@dataclass(frozen=True, slots=True)
-class Outcome:
-    """What a run gave, by ids of tests.
-
-    Attributes:
-        passed: Tests that passed.
-        failed: Tests that failed, each once.
-        skipped: Tests that were skipped.
-    """
-
-    passed: frozenset[str]
-    failed: frozenset[str]
-    skipped: frozenset[str]
-
-
-class _RememberingResult(unittest.TextTestResult):
-    """A result that also remembers which tests passed."""
-
-    def __init__(self, *args: object, **options: object) -> None:
-        super().__init__(*args, **options)  # type: ignore[arg-type]
-        self.passed: set[str] = set()
-
-    def addSuccess(self, test: unittest.TestCase) -> None:  # noqa: N802
-        """Remember a test that passed."""
-        super().addSuccess(test)
-        self.passed.add(test.id())
-
-    def outcome(self) -> Outcome:
-        """Return the ids; a test that failed in parts counts once."""
-        tests = [test for test, _ in (*self.failures, *self.errors)]
-        tests.extend(test for test, _ in self.expectedFailures)
-        tests.extend(self.unexpectedSuccesses)
-        return Outcome(
-            passed=frozenset(self.passed),
-            failed=frozenset(_id_of(test) for test in tests),
-            skipped=frozenset(_id_of(test) for test, _ in self.skipped),
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """Whether a run is good, and why not.
@@ -125,14 +86,8 @@
 def main() -> int:
     """Run the tests; return 0 only if none failed but what may."""
     known = read_known_red(KNOWN_RED.read_text() if KNOWN_RED.exists() else '')
-    suite = unittest.defaultTestLoader.discover('tests', top_level_dir='.')
-    runner = unittest.TextTestRunner(
-        resultclass=_RememberingResult, stream=sys.stdout
-    )
-    ended = runner.run(suite)
-    if not isinstance(ended, _RememberingResult):
-        return 1
-    verdict = judge(ended.outcome(), known)
+    reports = asyncio.run(run_modules(ROOT / 'tests'))
+    verdict = judge(merge(report.outcome for report in reports), known)
     sys.stdout.write('\n'.join((*verdict.lines, '')))
     return 0 if verdict.good else 1
 
@@ -151,11 +106,5 @@
     return [f'{what}: {test}' for test in sorted(tests)]
 
 
-def _id_of(test: unittest.TestCase) -> str:
-    """Return a test's id; a part of a test goes under its whole."""
-    whole: unittest.TestCase = getattr(test, 'test_case', test)
-    return whole.id()
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -1,8 +1,12 @@
 """Tests of the runner's verdict."""
 
+import asyncio
+import tempfile
 import unittest
+from pathlib import Path
 
-from tests.run import KnownRed, KnownRedError, Outcome, judge, read_known_red
+from tests.run import KnownRed, KnownRedError, judge, read_known_red
+from tests.workers import SLOW, Outcome, find_modules, merge, run_module
 
 _RED = KnownRed('t.a', 'a fault', '7')
 
@@ -48,3 +52,64 @@
     def test_refuses_a_malformed_line(self) -> None:
         with self.assertRaises(KnownRedError):
             read_known_red('t.a | a fault')
+
+
+_GOOD = """
+import unittest
+class T(unittest.TestCase):
+    def test_a(self): pass
+    def test_b(self): self.fail()
+    @unittest.skip('why')
+    def test_c(self): pass
+"""
+_ENDS = 'import os; os._exit(0)'
+_HANGS = """
+import time, unittest
+class T(unittest.TestCase):
+    def test_a(self): time.sleep(999)
+"""
+
+
+class ModuleTest(unittest.TestCase):
+    """Modules run in processes of their own, and none is lost."""
+
+    def setUp(self) -> None:
+        scratch = self.enterContext(tempfile.TemporaryDirectory())
+        self.directory = Path(scratch) / 'scratch'
+        self.directory.mkdir()
+        (self.directory / '__init__.py').touch()
+
+    def run_text(self, text: str, hangs: float = 60) -> Outcome:
+        (self.directory / 'test_it.py').write_text(text)
+        running = run_module(self.directory, 'test_it', hangs)
+        return asyncio.run(running).outcome
+
+    def test_outcomes_come_back_by_id(self) -> None:
+        outcome = self.run_text(_GOOD)
+        self.assertEqual(outcome.passed, {'scratch.test_it.T.test_a'})
+        self.assertEqual(outcome.failed, {'scratch.test_it.T.test_b'})
+        self.assertEqual(outcome.skipped, {'scratch.test_it.T.test_c'})
+
+    def test_a_module_that_ends_without_an_outcome_has_failed(self) -> None:
+        outcome = self.run_text(_ENDS)
+        self.assertEqual(outcome.failed, {'test_it (ended without an outcome)'})
+        self.assertFalse(judge(outcome, ()).good)
+
+    def test_a_module_that_can_not_be_read_has_failed(self) -> None:
+        self.assertEqual(len(self.run_text('import nothing_such').failed), 1)
+
+    def test_a_module_that_hangs_has_failed(self) -> None:
+        outcome = self.run_text(_HANGS, hangs=2)
+        self.assertEqual(outcome.failed, {'test_it (did not end)'})
+
+    def test_no_module_is_left_out(self) -> None:
+        tests = Path(__file__).parent
+        found = find_modules(tests)
+        names = {path.stem for path in tests.glob('test_*.py')}
+        self.assertEqual(set(found), names)
+        self.assertEqual(len(found), len(names))
+        self.assertLessEqual(set(SLOW), names)
+
+    def test_outcomes_are_merged(self) -> None:
+        merged = merge((_outcome('a', 'b'), _outcome('c', 'd')))
+        self.assertEqual(merged, _outcome('a c', 'b d'))
