Count calls to plain services and bound their retries

Calls to plain services were retried up to three times each without a budget, and neither their retries nor their outcomes were counted: in an outage of a service the hosts tripled its load unseen.

Ruled out: one budget for both, as a failing service would then use up the retries of model requests, and the other way about; the common Observers, as those learn about versions.

retries_total counts their retries by reason, requests_total their ends with the service as task, service_attempts_total each attempt.

--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/_routing_part.py
@@ -11,6 +11,7 @@
 from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
 from nutmegroad.registry import lookup, register
+from nutmegroad.service_traffic import ServiceTraffic
 from nutmegroad.services import ServiceCaller
 from nutmegroad.steps import Instruments, Policies
 from nutmegroad.upstreams import EngineClient, ServiceClient
@@ -70,6 +71,11 @@
             directory,
             gatekeeper,
             configuration,
+            ServiceTraffic(
+                lookup('service-retries', settings.retries)(kernel),
+                kernel.need(Metrics),
+                kernel.clock,
+            ),
             kernel.clock,
             kernel.randomness,
         )
--- a/src/nutmegroad/decisions.py
+++ b/src/nutmegroad/decisions.py
@@ -147,10 +147,22 @@
         """Return a permit to hold while the request runs, or a refusal."""
 
 
+class Spender(Protocol):
+    """Whose retries they are: a model request, or a call to a service."""
+
+    @property
+    def request(self) -> RequestId:
+        """Its id."""
+
+    @property
+    def workspace(self) -> WorkspaceId:
+        """Who asks."""
+
+
 class RetryBudget(Protocol):
     """Bounds retries to a share of the traffic."""
 
-    def spend(self, request: ModelRequest) -> bool:
+    def spend(self, request: Spender) -> bool:
         """Take one retry out of the budget, if there is one."""
 
 
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -56,6 +56,11 @@
         ('workspace', 'task', 'outcome'),
     ),
     _CounterSpec('attempts', 'Attempts at upstreams', ('version', 'outcome')),
+    _CounterSpec(
+        'service_attempts',
+        'Attempts at upstreams of plain services',
+        ('service', 'outcome'),
+    ),
     _CounterSpec('cost', 'Cost of requests', ('workspace', 'task')),
     _CounterSpec('invariant_failures', 'Invariants broken', ('name',)),
     _CounterSpec('record_events', 'What befell records', ('event',)),
@@ -239,6 +244,14 @@
         """Count an attempt at an upstream."""
         self._add('attempts', version, outcome.name)
 
+    def service_attempt_ended(
+        self,
+        service: TaskName,
+        outcome: ResultCode,
+    ) -> None:
+        """Count an attempt at an upstream of a plain service."""
+        self._add('service_attempts', service, outcome.name)
+
     def charged(
         self,
         workspace: WorkspaceId,
--- a/src/nutmegroad/policies.py
+++ b/src/nutmegroad/policies.py
@@ -6,7 +6,7 @@
 
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd, Choice
+from nutmegroad.decisions import AttemptEnd, AttemptStart, Choice, Spender
 from nutmegroad.directory import Directory
 from nutmegroad.documents import VersionEntry
 from nutmegroad.prices import cost_of
@@ -111,10 +111,16 @@
 class CountedRetries:
     """Allows every retry; the dispatcher's own bound still holds."""
 
-    def spend(self, request: ModelRequest) -> bool:
+    def spend(self, request: Spender) -> bool:
         """Allow it."""
         return True
 
+    def started(self, start: AttemptStart) -> None:
+        """Learn nothing from a beginning."""
+
+    def ended(self, end: AttemptEnd) -> None:
+        """Learn nothing from an end."""
+
 
 class NoQuarantine:
     """Blocks nothing."""
@@ -141,6 +147,7 @@
     return OpenAdmitter()
 
 
+@register('service-retries', 'unbounded')
 @register('retries', 'unbounded')
 def unbounded_retries(kernel: Kernel) -> CountedRetries:
     """Make the retry budget for a host."""
--- a/src/nutmegroad/retries.py
+++ b/src/nutmegroad/retries.py
@@ -6,9 +6,8 @@
 
 from nutmegroad.clocks import Clock
 from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers
+from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers, Spender
 from nutmegroad.registry import register
-from nutmegroad.requests import ModelRequest
 from nutmegroad.results import ResultCode
 from nutmegroad.types import RequestId, WorkspaceId
 
@@ -70,7 +69,7 @@
         self._last: tuple[RequestId, ResultCode] | None = None
         self._retried: RequestId | None = None
 
-    def spend(self, request: ModelRequest) -> bool:
+    def spend(self, request: Spender) -> bool:
         """Take one retry out of the budget, if there is one."""
         now = self._clock.now()
         code = self._code_of(request.request)
@@ -119,3 +118,12 @@
     budget = SharedRetries(kernel.clock)
     kernel.need(Observers).add(budget)
     return budget
+
+
+@register('service-retries', 'share')
+def service_retries(kernel: Kernel) -> SharedRetries:
+    """Make the retry budget of calls to plain services.
+
+    It is told of these alone, by their caller.
+    """
+    return SharedRetries(kernel.clock)
--- /dev/null
+++ b/src/nutmegroad/service_traffic.py
@@ -0,0 +1,108 @@
+"""Counts calls to plain services, and bounds their retries."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from nutmegroad.clocks import Clock
+from nutmegroad.decisions import (
+    AttemptEnd,
+    AttemptStart,
+    Observer,
+    RetryBudget,
+    Spender,
+)
+from nutmegroad.metrics import Metrics
+from nutmegroad.results import ResultCode
+from nutmegroad.types import (
+    AttemptId,
+    ServiceName,
+    TaskName,
+    UpstreamId,
+    VersionId,
+)
+
+_NO_VERSION = VersionId('')
+
+
+class ServiceRetries(RetryBudget, Observer, Protocol):
+    """A retry budget that learns of each attempt, as it is told of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Begun:
+    """An attempt that runs.
+
+    Attributes:
+        start: What the budget was told of it.
+        at: Clock seconds of its beginning.
+    """
+
+    start: AttemptStart
+    at: float
+
+
+class ServiceTraffic:
+    """What is counted and allowed of all calls to plain services.
+
+    The budget is not that of model requests: neither kind of traffic can
+    use up the other's retries.
+
+    Args:
+        retries: Bounds retries.
+        metrics: Where outcomes are counted.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        retries: ServiceRetries,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._retries = retries
+        self._metrics = metrics
+        self._clock = clock
+        self._begun: dict[AttemptId, _Begun] = {}
+
+    def started(
+        self,
+        call: Spender,
+        service: ServiceName,
+        attempt: AttemptId,
+        upstream: UpstreamId,
+    ) -> None:
+        """Note that an attempt begins."""
+        start = AttemptStart(
+            attempt,
+            call.request,
+            call.workspace,
+            TaskName(service),
+            _NO_VERSION,
+            upstream,
+        )
+        self._begun[attempt] = _Begun(start, self._clock.now())
+        self._retries.started(start)
+
+    def ended(self, attempt: AttemptId, code: ResultCode) -> None:
+        """Note how an attempt ended, and count it."""
+        begun = self._begun.pop(attempt)
+        seconds = self._clock.now() - begun.at
+        end = AttemptEnd(begun.start, code, None, seconds, 0, 0, 0, '')
+        self._retries.ended(end)
+        self._metrics.service_attempt_ended(begun.start.task, code)
+
+    def may_retry(self, call: Spender, code: ResultCode) -> bool:
+        """Take a retry out of the budget, if there is one, and count it."""
+        if not self._retries.spend(call):
+            return False
+        self._metrics.retried(code)
+        return True
+
+    def finished(
+        self,
+        call: Spender,
+        service: ServiceName,
+        code: ResultCode,
+    ) -> None:
+        """Count a call that has its reply or its refusal."""
+        self._metrics.request_ended(call.workspace, TaskName(service), code)
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -14,6 +14,7 @@
 from nutmegroad.fences import Fence
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.service_traffic import ServiceTraffic
 from nutmegroad.steps import OWN_REFUSALS
 from nutmegroad.types import (
     AttemptId,
@@ -83,6 +84,7 @@
         directory: The upstreams.
         gatekeeper: Makes the last check of each attempt.
         configuration: Knows which calls may be repeated.
+        traffic: Counts calls and bounds their retries.
         clock: The host's clock.
         randomness: Names attempts and breaks ties.
     """
@@ -93,6 +95,7 @@
         directory: Directory,
         gatekeeper: Gatekeeper,
         configuration: Configuration,
+        traffic: ServiceTraffic,
         clock: Clock,
         randomness: random.Random,
     ) -> None:
@@ -100,6 +103,7 @@
         self._directory = directory
         self._gatekeeper = gatekeeper
         self._configuration = configuration
+        self._traffic = traffic
         self._clock = clock
         self._randomness = randomness
         self._healths = Healths(randomness)
@@ -122,12 +126,27 @@
         explanation: Explanation,
     ) -> ServiceReply | Refusal:
         """Make a call, again only where that can do no harm."""
+        code = ResultCode.ANSWER_CUT
+        try:
+            outcome = await self._attempts(request, entry, explanation)
+            code = _code_of(outcome)
+        finally:
+            self._traffic.finished(request, request.service, code)
+        return outcome
+
+    async def _attempts(
+        self,
+        request: ServiceRequest,
+        entry: ServiceEntry,
+        explanation: Explanation,
+    ) -> ServiceReply | Refusal:
+        """Make attempts until one is answered or none may follow."""
         repeatable = is_repeatable(entry, request.method, request.path)
         tried: frozenset[UpstreamId] = frozenset()
         ran = Ran.NOT_RUN
         refusal = _no_upstream(request.service)
         for number in range(MOST_ATTEMPTS):
-            state = self._choose(request.service, tried)
+            state = self._next(request, tried, refusal.code, explanation)
             if state is None:
                 break
             tried |= {state.info.upstream}
@@ -143,6 +162,22 @@
                 break
         return replace(refusal, ran=ran)
 
+    def _next(
+        self,
+        request: ServiceRequest,
+        tried: frozenset[UpstreamId],
+        code: ResultCode,
+        explanation: Explanation,
+    ) -> UpstreamState | None:
+        """Return where the next attempt goes; a retry must be allowed."""
+        state = self._choose(request.service, tried)
+        if state is None or not tried:
+            return state
+        if self._traffic.may_retry(request, code):
+            return state
+        explanation.note('retries', 'The retry budget is spent.')
+        return None
+
     def _choose(
         self,
         service: ServiceName,
@@ -197,6 +232,12 @@
         )
         health = self._healths.health(state)
         health.started(call.attempt)
+        self._traffic.started(
+            request,
+            request.service,
+            call.attempt,
+            state.info.upstream,
+        )
         code = ResultCode.ANSWER_CUT
         try:
             with self._directory.in_flight(state, _NO_VERSION):
@@ -204,6 +245,7 @@
             code = _code_of(reply)
         finally:
             health.ended(call.attempt, code, self._clock.now())
+            self._traffic.ended(call.attempt, code)
         crossing.end(reply)
         if isinstance(reply, ServiceReply):
             self._directory.answered(state.info.upstream)
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,138 @@
+"""Calls to plain services: their retries are bounded and counted."""
+
+import random
+import unittest
+
+from nutmegroad.directory import Directory
+from nutmegroad.documents import CallRule, ServiceEntry
+from nutmegroad.explanations import Explanation
+from nutmegroad.fences import Fence, FenceTerms
+from nutmegroad.gates import Gatekeeper
+from nutmegroad.invariants import StrictInvariants
+from nutmegroad.metrics import Metrics
+from nutmegroad.policies import NoQuarantine
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.retries import MOST_SAVED, SHARE, SharedRetries
+from nutmegroad.service_traffic import ServiceTraffic
+from nutmegroad.services import ServiceCaller, ServiceRequest
+from nutmegroad.testing import ManualClock
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    Ran,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    WorkspaceId,
+)
+from nutmegroad.upstreams import ServiceCall, ServiceReply
+from tests.shared_documents import configure
+
+_PORTAL = ServiceName('portal')
+_RULE = CallRule(method='GET', path='*', repeatable=True)
+_ENTRY = ServiceEntry(name=_PORTAL, calls=(_RULE,))
+_FAILED = Refusal(ResultCode.UPSTREAM_ERROR, 'It failed.', Ran.UNKNOWN)
+
+
+class ScriptedServices:
+    """A client whose replies a test sets; the last one stays."""
+
+    def __init__(self) -> None:
+        self.replies: list[ServiceReply | Refusal] = [_FAILED]
+        self.calls: list[ServiceCall] = []
+
+    async def call(self, call: ServiceCall) -> ServiceReply | Refusal:
+        """Note a call and reply to it."""
+        self.calls.append(call)
+        last = len(self.replies) == 1
+        return self.replies[0] if last else self.replies.pop(0)
+
+
+class ServiceCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.metrics = Metrics(float)
+        self.clients = ScriptedServices()
+        configuration = configure(self.clock, 1)
+        directory = Directory(self.clock)
+        directory.update(tuple(self.upstream(name) for name in 'abc'))
+        retries = SharedRetries(self.clock)
+        self.caller = ServiceCaller(
+            self.clients,
+            directory,
+            Gatekeeper(configuration, self.clock, NoQuarantine()),
+            configuration,
+            ServiceTraffic(retries, self.metrics, self.clock),
+            self.clock,
+            random.Random(1),
+        )
+
+    def upstream(self, name: str) -> UpstreamInfo:
+        return UpstreamInfo(
+            UpstreamId(name),
+            DomainId('petaling'),
+            UpstreamKind.SERVICE,
+            Address('127.0.0.1', 1),
+            service=_PORTAL,
+        )
+
+    async def call(
+        self,
+        number: int = 0,
+        method: str = 'GET',
+    ) -> ServiceReply | Refusal:
+        name = RequestId(f'r{number}')
+        terms = FenceTerms(name, repeatable=method == 'GET')
+        request = ServiceRequest(
+            request=name,
+            workspace=WorkspaceId('large'),
+            service=_PORTAL,
+            method=method,
+            path='fees',
+            body=b'',
+            content_type='text/plain',
+            key='',
+            deadline=self.clock.now() + 9,
+            fence=Fence(terms, self.clock, StrictInvariants()),
+        )
+        explanation = Explanation(name, self.clock)
+        return await self.caller.call(request, _ENTRY, explanation)
+
+    def shown(self, name: str, **labels: str) -> float:
+        """Return a counter's value as it is shown, 0 if it is not."""
+        start = f'nutmegroad_{name}_total{{'
+        parts = [f'{label}="{text}"' for label, text in labels.items()]
+        lines = self.metrics.render().decode().splitlines()
+        fitting = [
+            float(line.rpartition(' ')[2])
+            for line in lines
+            if line.startswith(start) and all(part in line for part in parts)
+        ]
+        return sum(fitting)
+
+    async def test_a_retry_is_counted_with_what_it_led_to(self) -> None:
+        reply = ServiceReply(200, b'', 'text/plain')
+        self.clients.replies = [_FAILED, reply]
+        self.assertEqual(await self.call(), reply)
+        failed = {'outcome': 'UPSTREAM_ERROR'}
+        self.assertEqual(self.shown('retries', code='UPSTREAM_ERROR'), 1)
+        self.assertEqual(self.shown('service_attempts', **failed), 1)
+        self.assertEqual(self.shown('service_attempts', outcome='OK'), 1)
+        self.assertEqual(self.shown('requests', task='portal'), 1)
+        self.assertEqual(self.shown('requests', outcome='OK'), 1)
+
+    async def test_what_may_not_be_repeated_counts_no_retry(self) -> None:
+        self.assertIsInstance(await self.call(method='POST'), Refusal)
+        self.assertEqual(self.shown('retries'), 0)
+        self.assertEqual(self.shown('requests', outcome='UPSTREAM_ERROR'), 1)
+
+    async def test_retries_in_an_outage_are_a_share_of_the_calls(self) -> None:
+        calls = 300
+        for number in range(calls):
+            self.assertIsInstance(await self.call(number), Refusal)
+        retried = len(self.clients.calls) - calls
+        self.assertLessEqual(retried, MOST_SAVED + SHARE * calls)
+        self.assertGreaterEqual(retried, MOST_SAVED)
+        self.assertEqual(self.shown('retries'), retried)
