Keep work and slots from what the list says is leaving

The look-up of engines and the gate held an engine back that the host list says is leaving. The count of slots that admission divides and the operators list asked only for what the engine said: 3 s after the entry its own report took that back, so hosts admitted work for slots that were closed to them, and operators saw it as live.

It is now one property, UpstreamState.is_open. Red before: the test of slots in test_admission.

Tests that were missing: the list alone takes work away (on processes, in the deployment of the test of the own word, and in the directory); a reply "503 leaving" proves that nothing ran and takes work away at once, also for what may not be repeated; a kept connection loses no request in a stop (both tests fail without the words of farewell). What stays open: a request that meets the close of an idle connection on its way is seen by its caller as a reset; HTTP/1.1 has no word for it.

--- a/src/nutmegroad/_engine_pools.py
+++ b/src/nutmegroad/_engine_pools.py
@@ -10,7 +10,7 @@
 
 from nutmegroad.clocks import Clock
 from nutmegroad.directory import Directory
-from nutmegroad.types import DomainId, Presence, UpstreamId, VersionId
+from nutmegroad.types import DomainId, UpstreamId, VersionId
 from nutmegroad.upstreams import UpstreamState
 
 #: Seconds for which a version's engines are taken to be the same. What has
@@ -125,7 +125,7 @@
 
 def has_loaded(state: UpstreamState, version: VersionId) -> bool:
     """Tell whether an engine may get new work for a version, as known now."""
-    if state.leaving or state.info.presence is not Presence.LIVE:
+    if not state.is_open:
         return False
     return state.report is not None and version in state.report.versions
 
--- a/src/nutmegroad/_slots.py
+++ b/src/nutmegroad/_slots.py
@@ -173,7 +173,7 @@
             return tuple(
                 state
                 for state in self._directory.states()
-                if is_engine(state) and state.report and not state.leaving
+                if is_engine(state) and state.report and state.is_open
             )
         found = {
             state.info.upstream: state
--- a/src/nutmegroad/directory.py
+++ b/src/nutmegroad/directory.py
@@ -260,7 +260,8 @@
         versions = defaultdict(list)
         services: defaultdict[ServiceName, list[UpstreamState]]
         services = defaultdict(list)
-        for state in filter(_is_open, self._states.values()):
+        open_states = [one for one in self._states.values() if one.is_open]
+        for state in open_states:
             if state.info.service:
                 services[state.info.service].append(state)
             for version in state.report.versions if state.report else ():
@@ -270,12 +271,6 @@
         self._stale = False
 
 
-def _is_open(state: UpstreamState) -> bool:
-    """Tell whether an upstream may get new work."""
-    live = state.info.presence is Presence.LIVE
-    return live and not state.leaving
-
-
 def is_engine(state: UpstreamState) -> bool:
     """Tell whether an upstream is a model engine."""
     return state.info.kind is UpstreamKind.ENGINE
--- a/src/nutmegroad/gates.py
+++ b/src/nutmegroad/gates.py
@@ -16,7 +16,6 @@
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import (
     Epoch,
-    Presence,
     ServiceName,
     TaskName,
     VersionId,
@@ -102,7 +101,7 @@
                 'The deadline passed before the request was sent.',
             )
         upstream = passage.upstream
-        if upstream.leaving or upstream.info.presence is not Presence.LIVE:
+        if not upstream.is_open:
             return Refusal(
                 ResultCode.UPSTREAM_LEAVING,
                 f'The upstream {upstream.info.upstream} is leaving.',
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators.py
@@ -169,7 +169,7 @@
                 domain=state.info.domain,
                 kind=state.info.kind.value,
                 address=str(state.info.address),
-                presence='leaving' if state.leaving else 'live',
+                presence='live' if state.is_open else 'leaving',
                 versions=state.report.versions if state.report else (),
                 in_flight=state.in_flight,
             )
--- a/src/nutmegroad/orders.py
+++ b/src/nutmegroad/orders.py
@@ -16,7 +16,6 @@
 from nutmegroad.types import (
     DomainId,
     Epoch,
-    Presence,
     UpstreamId,
     VersionId,
 )
@@ -191,8 +190,7 @@
 
 def _takes_orders(state: UpstreamState) -> bool:
     """Tell whether an upstream is an engine that stays."""
-    stays = state.info.presence is Presence.LIVE and not state.leaving
-    return stays and is_engine(state)
+    return state.is_open and is_engine(state)
 
 
 def desired_of(
--- a/src/nutmegroad/upstreams.py
+++ b/src/nutmegroad/upstreams.py
@@ -15,6 +15,7 @@
 from nutmegroad.types import (
     AttemptId,
     FencingNumber,
+    Presence,
     UpstreamInfo,
     VersionId,
 )
@@ -227,3 +228,8 @@
     refusals: int = 0
     first_seen: float = 0
     in_flight_versions: dict[VersionId, int] = field(default_factory=dict)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it may get new work, by the list and by all else."""
+        return self.info.presence is Presence.LIVE and not self.leaving
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,14 +5,15 @@
 import unittest
 from collections import Counter
 from contextlib import AbstractContextManager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
+from nutmegroad.directory import REPORT_LAG
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
-from nutmegroad.types import Ran, VersionId, WorkspaceId
-from tests.loads import AdmittingHost, ask, end_of, start_of
+from nutmegroad.types import Presence, Ran, VersionId, WorkspaceId
+from tests.loads import AdmittingHost, ask, end_of, engine, report, start_of
 
 _LARGE: Final = WorkspaceId('large')
 _SMALL: Final = WorkspaceId('small')
@@ -43,6 +44,17 @@
         self.admitter = self.host.admitter
         self.order: list[str] = []
 
+    async def test_an_engine_that_the_list_says_leaves_has_no_slots(
+        self,
+    ) -> None:
+        host = self.host
+        self.assertEqual(host.slots.domain_slots(None), _SLOTS)
+        leaving = replace(engine('e1'), presence=Presence.LEAVING)
+        host.directory.update((leaving,))
+        await self.clock.advance(REPORT_LAG + 1)
+        host.directory.reported(leaving.upstream, report())
+        self.assertEqual(host.slots.domain_slots(None), 0)
+
     async def test_permits_stop_at_the_limit(self) -> None:
         await self._fill()
         waiting = await self._enter(ask(99))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+from nutmegroad.directory import LeavingSource
 from nutmegroad.request_progress import Answer
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.testing import ManualClock
@@ -14,6 +15,7 @@
 CUT = Refusal(ResultCode.ANSWER_CUT, 'cut', Ran.UNKNOWN)
 CROSSED = Refusal(ResultCode.ANSWER_CROSSED, 'crossed', Ran.UNKNOWN)
 GONE = Refusal(ResultCode.UPSTREAM_UNREACHABLE, 'gone', Ran.NOT_RUN)
+LEAVES = Refusal(ResultCode.UPSTREAM_LEAVING, 'leaving', Ran.NOT_RUN)
 TEXT = ''.join(WORDS)
 
 
@@ -69,6 +71,20 @@
         self.assertEqual(first.attempt, second.attempt)
         self.assertEqual(second.skip, 2)
 
+    async def test_an_engine_that_replies_that_it_leaves_gets_no_more(
+        self,
+    ) -> None:
+        told: list[LeavingSource] = []
+        self.rig.directory.listen(lambda _, source: told.append(source))
+        answer = await self.ask(refused(LEAVES), repeatable=False)
+        assert isinstance(answer, Answer)
+        self.assertEqual(told, [LeavingSource.REPORT])
+        for _ in range(5):
+            await self.rig.ask()
+        upstreams = [upstream for upstream, _ in self.sent()]
+        self.assertEqual(len(set(upstreams[1:])), 1)
+        self.assertNotIn(upstreams[0], upstreams[1:])
+
     async def test_it_goes_on_elsewhere_under_the_same_seed(self) -> None:
         answer = await self.ask(broken(6), refused(GONE))
         assert isinstance(answer, Answer)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -260,6 +260,55 @@
         async with self.host.session.get(url) as ready:
             self.assertEqual(ready.status, 503)
 
+    async def test_a_kept_connection_loses_no_request(self) -> None:
+        # One request after another on a connection that was open before
+        # the stop: each one is answered or refused as not run, and the
+        # host says so before it closes the connection.
+        address = self.host.kernel.listening['callers']
+        opened = await asyncio.open_connection(address.ip, address.port)
+        self.addCleanup(opened[1].close)
+        self.assertEqual(await self.ask_on(opened), (200, False))
+        stop = self.host.kernel.need(GracefulStop)
+        with stop.request():
+            stopping = asyncio.create_task(stop.run())
+            while stop.phase is not Phase.REFUSING:
+                await asyncio.sleep(0.01)
+            self.assertEqual(await self.ask_on(opened), (503, True))
+            self.assertEqual(await opened[0].read(), b'')
+        await stopping
+        runs = [len(engine.runs.records) for engine in self.host.engines]
+        self.assertEqual(sum(runs), 1)
+
+    async def test_a_request_in_the_lame_duck_is_answered_and_the_last(
+        self,
+    ) -> None:
+        address = self.host.kernel.listening['callers']
+        opened = await asyncio.open_connection(address.ip, address.port)
+        self.addCleanup(opened[1].close)
+        self.assertEqual(await self.ask_on(opened), (200, False))
+        stop = self.host.kernel.need(GracefulStop)
+        stop._phase = Phase.LEAVING
+        self.assertEqual(await self.ask_on(opened), (200, True))
+        self.assertEqual(await opened[0].read(), b'')
+
+    async def ask_on(
+        self,
+        opened: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    ) -> tuple[int, bool]:
+        """Return a reply's status and whether it ends the connection."""
+        reader, writer = opened
+        content = msgspec.json.encode(self.host.body())
+        headers = {**self.host.headers(), 'Content-Length': len(content)}
+        lines = [f'{name}: {text}' for name, text in headers.items()]
+        path = 'POST /v1/chat/completions HTTP/1.1'
+        head = '\r\n'.join((path, 'Host: h', *lines, '', ''))
+        writer.write(head.encode() + content)
+        replied = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        length = replied.partition('content-length: ')[2].partition('\r')[0]
+        await reader.readexactly(int(length))
+        status = int(replied.split()[1])
+        return status, 'connection: close' in replied
+
 
 class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
     """A caller that opens a stream and does not read it."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -75,6 +75,16 @@
                 assert held is not None
                 self.assertTrue(held.leaving)
 
+    async def test_its_own_reports_do_not_overrule_the_list(self) -> None:
+        leaving = replace(engine_info('one'), presence=Presence.LEAVING)
+        self.directory.update((leaving, engine_info('two', 2)))
+        await self.clock.advance(REPORT_LAG + 1)
+        self.directory.reported(ONE, report_of(A1))
+        self.assertEqual(self.open_engines(), {'two'})
+        state = self.directory.state(ONE)
+        assert state is not None
+        self.assertFalse(state.is_open)
+
     async def test_only_its_own_later_word_takes_leaving_back(self) -> None:
         self.directory.mark_leaving(ONE)
         self.directory.update((engine_info('one'), engine_info('two', 2)))
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -59,18 +59,26 @@
         request = self.open_request(99)
         task = asyncio.create_task(self.stop.run())
         await self.clock.advance(10.1)
+        # Without this a stop that ends nothing would hang the test.
+        self.assertEqual(self.ended, ['ended'])
         await request
+        self.assertTrue(task.done())
         self.assertEqual(await task, 1)
-        self.assertEqual(self.ended, ['ended'])
         self.assertIsInstance(self.stop.gate_refusal(), Refusal)
 
     async def test_a_second_stop_changes_nothing(self) -> None:
         request = self.open_request(7)
         task = asyncio.create_task(self.stop.run())
         await self.clock.advance(2)
-        self.assertEqual(await self.stop.run(), 0)
+        second = asyncio.create_task(self.stop.run())
+        await self.clock.settle()
+        # Without this a second stop that begins anew would hang the test.
+        self.assertTrue(second.done())
+        self.assertEqual(await second, 0)
         self.assertFalse(request.done())
         await self.clock.advance(6)
+        self.assertTrue(request.done())
         await request
+        self.assertTrue(task.done())
         self.assertEqual(await task, 0)
         self.assertEqual(self.ended, ['whole'])
--- a/tests/test_http_upstreams.py
+++ b/tests/test_http_upstreams.py
@@ -3,13 +3,17 @@
 import asyncio
 import unittest
 from contextlib import AsyncExitStack
+from http import HTTPStatus
 from typing import Any
 from unittest.mock import patch
 
 from aiohttp.http_writer import StreamWriter
+from aiohttp.web import Application, Request, Response
 from fakes.engine import FakeEngine
 from fakes.faults import FaultKind, FaultOrder
+from fakes.replies import error_reply
 from fakes.service import FakeService
+from fakes.serving import Served
 
 from nutmegroad._event_streams import AnswerReader, EventSplitter
 from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
@@ -277,6 +281,18 @@
         code = ResultCode.UPSTREAM_BUSY
         self.assert_refused(events[0], code, Ran.NOT_RUN)
 
+    async def test_a_reply_that_it_leaves_proves_that_nothing_ran(self) -> None:
+        async def refuse(http: Request) -> Response:
+            await http.read()
+            return error_reply(HTTPStatus.SERVICE_UNAVAILABLE, 'leaving')
+
+        app = Application()
+        app.router.add_post('/{path:.*}', refuse)
+        served = await self.stack.enter_async_context(Served(app))
+        events = await self.answer(attempt_at(served.address))
+        code = ResultCode.UPSTREAM_LEAVING
+        self.assert_refused(events[0], code, Ran.NOT_RUN)
+
     async def test_an_upstream_that_is_not_there(self) -> None:
         async with FakeEngine(quick_settings()) as engine:
             address = engine.address
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -11,6 +11,7 @@
     Rig,
     operate,
     operator_token,
+    publish,
     start,
     workspace_key,
 )
@@ -96,14 +97,21 @@
             asks = (self.ask(first + host) for host in range(hosts))
             await asyncio.gather(*asks)
 
-    async def test_its_own_word_takes_work_away_and_gives_it_back(
+    async def list_it(self, *, leaving: bool) -> None:
+        named = frozenset((self.engine,) if leaving else ())
+        await publish(self.running, RIG, named)
+
+    async def test_each_word_alone_takes_work_away_and_gives_it_back(
         self,
     ) -> None:
-        first = await self.count_new_runs()
-        self.assertGreater(first, 0)
-        await self.say(leaving=True)
-        await self.until_all_say('leaving')
-        self.assertEqual(await self.count_new_runs(), 0)
-        await self.say(leaving=False)
-        await self.until_all_say('live')
         self.assertGreater(await self.count_new_runs(), 0)
+        # The engine says that it leaves and the list does not, and then
+        # the other way about.
+        for say in (self.say, self.list_it):
+            with self.subTest(say.__name__):
+                await say(leaving=True)
+                await self.until_all_say('leaving')
+                self.assertEqual(await self.count_new_runs(), 0)
+                await say(leaving=False)
+                await self.until_all_say('live')
+                self.assertGreater(await self.count_new_runs(), 0)
