--- a/fakes/engine_control.py
+++ b/fakes/engine_control.py
@@ -49,9 +49,15 @@
 
 
 class LeaveOrder(msgspec.Struct, frozen=True):
-    """The body of ``POST /admin/leave``."""
+    """The body of ``POST /admin/leave``.
+
+    Attributes:
+        leaving: Whether it leaves.
+        reports: In how many reports it says so; None for all.
+    """
 
     leaving: bool = True
+    reports: int | None = None
 
 
 class EngineControl:
@@ -83,7 +89,7 @@
         self._faults = faults
         self._clock = clock
         self._orders: list[OrderRecord] = []
-        self._leaving = False
+        self._leave = LeaveOrder(leaving=False)
         self._fencing = 0
         self._reports = Lagged(self._report(), settings.report_lag, clock)
 
@@ -102,7 +108,7 @@
             return drop_connection(request)
         report = self._reports.read()
         # That it leaves, an engine says at once.
-        return json_reply(replace(report, leaving=self._leaving))
+        return json_reply(replace(report, leaving=self._says_leaving()))
 
     async def show_cache(self, request: web.Request) -> web.Response:
         """Show changes of the prefix cache."""
@@ -131,8 +137,8 @@
 
     async def leave(self, request: web.Request) -> web.Response:
         """Begin to leave, or stay after all."""
-        order = msgspec.json.decode(await request.read(), type=LeaveOrder)
-        self._leaving = order.leaving
+        content = await request.read()
+        self._leave = msgspec.json.decode(content, type=LeaveOrder)
         return web.Response(status=HTTPStatus.NO_CONTENT)
 
     async def show_runs(self, request: web.Request) -> web.Response:
@@ -143,6 +149,14 @@
         """Note how things are, for later reports."""
         self._reports.note(self._report())
 
+    def _says_leaving(self) -> bool:
+        """Tell what the next report says, and count it."""
+        left = self._leave.reports
+        if left is None or not self._leave.leaving:
+            return self._leave.leaving
+        self._leave = LeaveOrder(reports=max(0, left - 1))
+        return left > 0
+
     def _report(self) -> EngineReply:
         """Return how things are now."""
         return EngineReply(
@@ -150,7 +164,7 @@
             running=len(self._batch.running),
             queued=self._batch.queued,
             slots=self._settings.speed.slots,
-            leaving=self._leaving,
+            leaving=self._leave.leaving,
             checks_fencing=self._settings.checks_fencing,
             fencing=self._fencing,
         )
--- a/src/nutmegroad/directory.py
+++ b/src/nutmegroad/directory.py
@@ -149,7 +149,9 @@
         if before is None or before.versions != report.versions:
             self._stale = True
         if report.leaving:
-            self._begin_leaving(state, LeavingSource.REPORT)
+            # Others may have taken back already what is still held here.
+            anew = before is not None and not before.leaving
+            self._begin_leaving(state, LeavingSource.REPORT, anew=anew)
         elif state.leaving and asked >= state.leaving_since + REPORT_LAG:
             # Only its own word takes back what anybody has said.
             state.leaving = False
@@ -241,16 +243,22 @@
         self,
         state: UpstreamState,
         source: LeavingSource,
+        *,
+        anew: bool = False,
     ) -> bool:
-        """Give an upstream no new work; tell whether that is new."""
+        """Give an upstream no new work; tell whether that is new.
+
+        Listeners are told of what is new, and of a word that was given anew.
+        """
         state.leaving_since = self._clock.now()
-        if state.leaving:
-            return False
-        state.leaving = True
-        self._stale = True
-        for listener in self._listeners:
-            listener(state.info, source)
-        return True
+        fresh = not state.leaving
+        if fresh:
+            state.leaving = True
+            self._stale = True
+        if fresh or anew:
+            for listener in self._listeners:
+                listener(state.info, source)
+        return fresh
 
     def _refresh(self) -> None:
         """Make the index anew if something has changed."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -154,6 +154,20 @@
         Departures(peer, directory, DomainId(domain))
         return directory
 
+    async def test_a_new_word_is_told_by_who_still_holds_the_last_one(
+        self,
+    ) -> None:
+        first, *others = self.directories
+        first.reported(ONE, report_of(A1, leaving=True))
+        await self.clock.advance(REPORT_LAG + 1)
+        for directory in others:
+            directory.reported(ONE, report_of(A1))
+        first.reported(ONE, report_of(A1), self.clock.now() - REPORT_LAG - 1)
+        self.assertEqual(self.leaving(), [True, False, False])
+        first.reported(ONE, report_of(A1, leaving=True))
+        await self.clock.advance(0.1)
+        self.assertEqual(self.leaving(), [True, True, True])
+
     def leaving(self) -> list[bool]:
         states = [directory.state(ONE) for directory in self.directories]
         return [state is not None and state.leaving for state in states]
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -206,6 +206,10 @@
         await self.open(report_lag=1000)
         await self.post('/admin/leave', {'leaving': True})
         self.assertTrue((await self.fetch('/engine/report'))['leaving'])
+        await self.post('/admin/leave', {'leaving': True, 'reports': 1})
+        for told in (True, False, False):
+            report = await self.fetch('/engine/report')
+            self.assertEqual(report['leaving'], told)
 
 
 class BatchTest(unittest.IsolatedAsyncioTestCase):
