Judge exposure only where the bad version could have had work

Nothing had been shown. Where no request of its task classes can be named the verdict is now "not run"; a new test failed before.

A scenario with a steady version that is bad at once stands beside it, so that the guard is seen at work. Ruled out: to give the roll-out a larger share, which would be another configuration than the one that is shipped.

--- a/experiments/goals.py
+++ b/experiments/goals.py
@@ -206,4 +206,7 @@
     seen = run.exposure
     if seen is None or seen.watched <= LAST_WORK:
         return None
+    if not seen.asked:
+        # Nothing that the version could have answered tells nothing.
+        return None
     return seen.last if seen.exposed else 0
--- a/experiments/scenarios.py
+++ b/experiments/scenarios.py
@@ -153,6 +153,18 @@
         note='Seconds stand for the hour of the goal: the share is an upper '
         'bound that no run of seconds can bring to 1%.',
     ),
+    Scenario(
+        'steady-bad-at-once',
+        'lesen',
+        Curve.FLAT,
+        0.6,
+        'ordinary',
+        (Incident(0.25, turn_bad(_BAD_STEADY, 0.3)),),
+        bad=Bad(_BAD_STEADY, 0.25),
+        seconds=22,
+        note='A steady version, since one in roll-out may get no request '
+        'within a run; of its share of an hour the same holds.',
+    ),
     Scenario(
         'bad-slowly',
         'lesen',
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -1,8 +1,11 @@
 """Tests of the figures, on records made by hand."""
 
 import unittest
+from types import SimpleNamespace
+from typing import cast
 
 from experiments.deployment import read_example
+from experiments.goals import judge
 from experiments.load import Outcome, Record
 from experiments.observations import EngineRun, Observed, ServiceRun
 from experiments.promises import check
@@ -12,6 +15,7 @@
     figures,
     percentiles,
 )
+from experiments.summaries import Report
 from experiments.traffic import Ask
 
 from nutmegroad.documents import parse_document
@@ -69,6 +73,16 @@
         self.assertEqual((found.exposed, found.asked), (2, 3))
         self.assertEqual((found.last, found.below), (2, 2))
 
+    def test_a_bad_version_without_work_reaches_no_goal(self) -> None:
+        unused = exposure([_answer(5, 0.95)], 'bad@2', 2, 20)
+        run = SimpleNamespace(scenario='bad-at-once', arm='a', exposure=unused)
+        words = [
+            verdict.word
+            for verdict in judge([cast(Report, run)], 'a')
+            if 'its turn' in verdict.goal or 'exposed' in verdict.goal
+        ]
+        self.assertEqual(words, ['not run', 'not run'])
+
     def test_what_a_small_workspace_leaves_is_shared_by_weight(self) -> None:
         demands: dict[str, float] = {'small': 1, 'large': 90, 'flood': 900}
         weights: dict[str, float] = {'small': 1, 'large': 1, 'flood': 2}
