--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/_estimates.py
@@ -78,18 +78,15 @@
         self._xy = (1 - gain) * (self._xy + gain * right * up)
 
 
-class Quantile:
-    """A running quantile: each value moves it by a small factor only.
+class Median:
+    """A running median: each value moves it by a small factor only.
 
     Args:
         level: Where it starts.
-        share: Share of the values that lie below it.
     """
 
-    def __init__(self, level: float, share: float) -> None:
+    def __init__(self, level: float) -> None:
         self.level = level
-        self._up = 1 + 2 * _GAIN * share
-        self._down = 1 + 2 * _GAIN * (1 - share)
         self._fresh = True
 
     def add(self, found: float) -> None:
@@ -98,20 +95,9 @@
             self._fresh = False
             self.level = found
         elif found > self.level:
-            self.level *= self._up
+            self.level *= 1 + _GAIN
         else:
-            self.level /= self._down
-
-
-class Median(Quantile):
-    """A running median.
-
-    Args:
-        level: Where it starts.
-    """
-
-    def __init__(self, level: float) -> None:
-        super().__init__(level, 0.5)
+            self.level /= 1 + _GAIN
 
 
 class VersionSpeed:
--- a/src/nutmegroad/_fair_queue.py
+++ b/src/nutmegroad/_fair_queue.py
@@ -32,7 +32,6 @@
         request: The request.
         lane: Which slots it needs.
         cost: Slot-seconds that it is expected to take.
-        last: Clock seconds by which it has to begin.
         outcome: None for a slot, or why it gets none.
         order: Its place among all arrivals; the last until it waits.
         gone: It waits no more.
@@ -42,7 +41,6 @@
     request: ModelRequest
     lane: Lane
     cost: float
-    last: float
     outcome: asyncio.Future[Refusal | None]
     order: int = sys.maxsize
     gone: bool = False
--- a/src/nutmegroad/_service_times.py
+++ b/src/nutmegroad/_service_times.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from nutmegroad._estimates import Line, Median, Quantile
+from nutmegroad._estimates import Line, Median
 from nutmegroad.decisions import AttemptEnd
 from nutmegroad.requests import ModelRequest
 from nutmegroad.types import TaskName
@@ -11,9 +11,6 @@
 #: request must not be refused on a guess.
 _FIRST_TOKEN_SECONDS: Final = 0.01
 
-#: Share of a task's answers that a long one is not shorter than.
-_LONG: Final = 0.8
-
 
 class ServiceTimes:
     """Estimates the seconds that a request will run."""
@@ -22,7 +19,6 @@
         self._per_token = Median(_FIRST_TOKEN_SECONDS)
         self._first: dict[TaskName, Line] = {}
         self._output: dict[TaskName, Line] = {}
-        self._long: dict[TaskName, Quantile] = {}
 
     def add(self, end: AttemptEnd) -> None:
         """Learn from a whole answer."""
@@ -36,28 +32,17 @@
         first.add(0, end.first_token)
         output = self._output.setdefault(task, Line(end.output_tokens))
         output.add(0, end.output_tokens)
-        long = self._long.setdefault(task, Quantile(0, _LONG))
-        long.add(end.output_tokens)
 
     def expected(self, request: ModelRequest) -> float:
         """Return the seconds that a request will run."""
+        first = self._first.get(request.task)
         output = self._output.get(request.task)
-        # What a caller may want at most says little; what the task's
-        # answers had says more.
-        usual = None if output is None else output.at(0)
-        return self._seconds(request, usual)
-
-    def long(self, request: ModelRequest) -> float:
-        """Return the seconds that a request will run if it runs long."""
-        output = self._long.get(request.task)
-        level = None if output is None else output.level
-        return max(self.expected(request), self._seconds(request, level))
-
-    def _seconds(self, request: ModelRequest, known: float | None) -> float:
-        """Return the seconds for the first token and for all others."""
         tokens: float = request.output_tokens
-        if known is not None:
-            tokens = min(tokens, known)
-        first = self._first.get(request.task)
+        if output is not None:
+            # What a caller may want at most says little; what the task's
+            # answers had says more.
+            tokens = min(tokens, output.at(0))
         rest = tokens * self._per_token.level
-        return rest if first is None else rest + first.at(0)
+        if first is None:
+            return rest
+        return rest + first.at(0)
--- a/src/nutmegroad/admission.py
+++ b/src/nutmegroad/admission.py
@@ -118,8 +118,6 @@
             request,
             frozenset(request.versions),
             self._times.expected(request),
-            # One that began later would likely be cut, its slot wasted.
-            request.deadline - self._times.long(request),
             asyncio.get_running_loop().create_future(),
         )
 
@@ -133,7 +131,8 @@
 
     def _left(self, waiting: Waiting) -> float:
         """Return the seconds within which a request has to begin."""
-        return waiting.last - self._clock.now()
+        ends = waiting.request.deadline - self._clock.now()
+        return ends - waiting.cost
 
     def _refusal(self, waiting: Waiting) -> Refusal | None:
         """Return why a request may not even wait, or None."""
