--- /dev/null
+++ b/experiments/slope_engines.py
@@ -0,0 +1,76 @@
+"""Many engines' reports from one process, for measuring what asking costs.
+
+Run as ``python -m experiments.slope_engines COUNT VERSIONS``. Every engine
+listens on a port of its own; ``GET /ports`` at the first one lists them.
+"""
+
+import asyncio
+import random
+import sys
+from typing import Final
+
+import uvloop
+from aiohttp import web
+from fakes.bodies import json_reply
+
+#: Requests that an engine's batch can hold: 8 for each of its accelerators.
+SLOTS: Final = 64
+
+
+class Engines:
+    """Answers for all engines; loads walk at random.
+
+    Args:
+        count: How many engines.
+        versions: How many versions are spread over them.
+    """
+
+    def __init__(self, count: int, versions: int) -> None:
+        self._count = count
+        self._versions = versions
+        self._ports: dict[int, int] = {}
+        self._loads = [SLOTS // 2 for _ in range(count)]
+        self._randomness = random.Random(1)
+
+    async def serve(self) -> int:
+        """Begin to listen; return the port of the list of ports."""
+        app = web.Application()
+        app.router.add_get('/engine/report', self._report)
+        app.router.add_get('/ports', self._list)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        for number in range(self._count):
+            site = web.TCPSite(runner, '127.0.0.1', 0)
+            await site.start()
+            port = runner.addresses[number][1]
+            self._ports[port] = number
+        return next(iter(self._ports))
+
+    async def _list(self, _request: web.Request) -> web.Response:
+        return json_reply(tuple(self._ports))
+
+    async def _report(self, request: web.Request) -> web.Response:
+        number = self._ports[int(request.host.rpartition(':')[2])]
+        step = self._randomness.choice((-2, -1, 0, 1, 2))
+        load = min(SLOTS, max(0, self._loads[number] + step))
+        self._loads[number] = load
+        report = {
+            'versions': [f'model-{number % self._versions}@1'],
+            'running': load,
+            'queued': 0,
+            'slots': SLOTS,
+            'leaving': False,
+            'checks_fencing': True,
+        }
+        return json_reply(report)
+
+
+async def _run(count: int, versions: int) -> None:
+    port = await Engines(count, versions).serve()
+    sys.stdout.write(f'listening 127.0.0.1:{port}\n')
+    sys.stdout.flush()
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    uvloop.run(_run(int(sys.argv[1]), int(sys.argv[2])))
--- a/src/nutmegroad/_connection.py
+++ b/src/nutmegroad/_connection.py
@@ -119,6 +119,7 @@
             parcels = await outbox.take_all()
             for parcel in parcels:
                 account.sent(parcel.part, len(parcel.packed))
+            account.count('links_segments')
             if not await self._send(parcels):
                 return
 
--- a/src/nutmegroad/_http_upstreams.py
+++ b/src/nutmegroad/_http_upstreams.py
@@ -23,7 +23,7 @@
     refusal_of,
     url_of,
 )
-from nutmegroad._watch_rows import WATCH_PART
+from nutmegroad._watch_rows import REPORTS_PART
 from nutmegroad.accounting import Account
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import (
@@ -115,7 +115,7 @@
                 response.raise_for_status()
                 body = await response.read()
                 size = len(body)
-                account_for(self._account, WATCH_PART, response, 0, size)
+                account_for(self._account, REPORTS_PART, response, 0, size)
             reply = msgspec.json.decode(body, type=ReportReply)
         except FAILURES as error:
             return refusal_of(error, sending)
--- a/src/nutmegroad/_watch_rows.py
+++ b/src/nutmegroad/_watch_rows.py
@@ -17,6 +17,8 @@
 from nutmegroad.upstreams import EngineReport, UpstreamState
 
 WATCH_PART: Final = 'watch'
+#: The cost of asking engines over HTTP; processor time counts as the watch's.
+REPORTS_PART: Final = 'reports'
 
 _LEAVING: Final = 1
 _CHECKS_FENCING: Final = 2
--- a/tests/test_watch_sharing.py
+++ b/tests/test_watch_sharing.py
@@ -246,15 +246,16 @@
         self.assertEqual(west.load(), 5)
         self.assertLess(near, 40)
 
-    async def test_a_report_of_others_gives_no_work_back(self) -> None:
+    async def test_only_its_own_word_gives_work_back(self) -> None:
         west = self.hosts[-1]
         west.directory.mark_leaving(ONE)
         await self.clock.advance(PROMISE + 1)
-        before = self.world.asked[ONE]
         state = west.directory.state(ONE)
         assert state is not None
-        await self.fetch_far()
+        assert state.report is not None
+        west.sharer.take_report(state, state.report, self.clock.now())
         self.assertTrue(state.leaving)
+        before = self.world.asked[ONE]
         await self.clock.advance(4)
         # It has asked the engine itself, which takes the leaving back.
         self.assertGreater(self.world.asked[ONE], before)
