--- /dev/null
+++ b/src/nutmegroad/_callers_part.py
@@ -0,0 +1,108 @@
+"""The part that listens to callers."""
+
+from nutmegroad._caller_guard import CallerGuard
+from nutmegroad._caller_parts import CallerParts
+from nutmegroad._listening import listen
+from nutmegroad.billing import Biller
+from nutmegroad.callers import CallersInterface
+from nutmegroad.configuration import Configuration
+from nutmegroad.core import Kernel
+from nutmegroad.decisions import Observers
+from nutmegroad.dispatch import Dispatcher
+from nutmegroad.explanations import Explanations
+from nutmegroad.forwards import Forwarder
+from nutmegroad.heirs import Testator
+from nutmegroad.intake import IntakeDesk
+from nutmegroad.metrics import Metrics
+from nutmegroad.model_routes import ModelParts, ModelRoutes
+from nutmegroad.once import Once
+from nutmegroad.registry import register
+from nutmegroad.runs import Runner
+from nutmegroad.service_routes import ServiceRoutes
+from nutmegroad.services import ServiceCaller
+from nutmegroad.session_names import SessionNames
+from nutmegroad.session_pins import SessionPins
+from nutmegroad.sessions import SessionSigner
+from nutmegroad.stops import GracefulStop
+from nutmegroad.tickets import TicketOffice
+
+
+@register('part', 'callers')
+class CallersPart:
+    """Listens to callers."""
+
+    needs = (
+        Dispatcher,
+        ServiceCaller,
+        Once,
+        Testator,
+        SessionNames,
+        GracefulStop,
+        Metrics,
+    )
+
+    async def open(self, kernel: Kernel) -> None:
+        """Begin to listen."""
+        signer = SessionSigner(kernel.settings.cluster_key)
+        kernel.provide(SessionSigner, signer)
+        biller = kernel.need(Biller)
+        kernel.need(Observers).add(biller)
+        runner = await kernel.stack.enter_async_context(
+            Runner(kernel.need(Once), biller, kernel.need(Testator)),
+        )
+        interface = CallersInterface(
+            self._parts(kernel, runner, signer),
+            kernel.incarnation,
+            kernel.settings.body_timeout,
+        )
+        kernel.need(Forwarder).listen(interface.answer_forwarded)
+        app = interface.application(kernel.settings.max_body)
+        stop = kernel.need(GracefulStop)
+        CallerGuard(stop, kernel.need(Metrics)).protect(app)
+        kernel.listening['callers'] = await listen(
+            kernel,
+            app,
+            kernel.settings.callers,
+        )
+
+    def _parts(
+        self,
+        kernel: Kernel,
+        runner: Runner,
+        signer: SessionSigner,
+    ) -> CallerParts:
+        """Return what requests are handed to."""
+        configuration = kernel.need(Configuration)
+        explanations = kernel.need(Explanations)
+        metrics = kernel.need(Metrics)
+        dispatcher = kernel.need(Dispatcher)
+        models = ModelParts(
+            desk=IntakeDesk(configuration, signer, kernel.clock),
+            dispatcher=dispatcher,
+            runner=runner,
+            pins=SessionPins(
+                kernel.need(SessionNames),
+                dispatcher,
+                configuration,
+                signer,
+            ),
+            explanations=explanations,
+            metrics=metrics,
+            clock=kernel.clock,
+        )
+        services = ServiceRoutes(
+            kernel.need(ServiceCaller),
+            runner,
+            explanations,
+            kernel.clock,
+        )
+        return CallerParts(
+            configuration=configuration,
+            models=ModelRoutes(models),
+            services=services,
+            office=kernel.need(TicketOffice),
+            forwarder=kernel.need(Forwarder),
+            metrics=metrics,
+            clock=kernel.clock,
+            randomness=kernel.randomness,
+        )
--- /dev/null
+++ b/src/nutmegroad/admission.py
@@ -0,0 +1,217 @@
+"""Lets requests in by deadline and by fair shares, or refuses at once.
+
+A request gets a permit as soon as this host's part of the engines' slots
+has room. Until then it waits in a bounded queue. Whoever is refused, or is
+pushed out of the queue, is answered in the same step.
+"""
+
+import asyncio
+import random
+from contextlib import AbstractContextManager
+
+from nutmegroad._crowding import Crowding
+from nutmegroad._demand import Demand
+from nutmegroad._fair_queue import FairQueue, Waiting
+from nutmegroad._permits import Permits
+from nutmegroad._service_times import ServiceTimes
+from nutmegroad._slots import HostSlots, Identity
+from nutmegroad.clocks import Clock
+from nutmegroad.configuration import Configuration
+from nutmegroad.core import Kernel
+from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers
+from nutmegroad.directory import Directory
+from nutmegroad.fleet import FleetLoad, LoadDigest
+from nutmegroad.registry import register
+from nutmegroad.requests import ModelRequest
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.shares import ShareLedger
+
+
+class FairAdmitter:
+    """Admits by deadline, share and priority.
+
+    Args:
+        slots: How many requests may run at once.
+        configuration: Knows shares and the queue's bound.
+        demand: Knows what workspaces ask for, here and elsewhere.
+        clock: The host's clock.
+        randomness: Spreads when callers come back.
+
+    Attributes:
+        slots: How many requests may run at once.
+        permits: Those that are out.
+    """
+
+    def __init__(
+        self,
+        slots: HostSlots,
+        configuration: Configuration,
+        demand: Demand,
+        clock: Clock,
+        randomness: random.Random,
+    ) -> None:
+        self.slots = slots
+        self._queue = FairQueue(demand.weight)
+        self.permits = Permits(slots, self._queue, demand, clock)
+        self._crowding = Crowding(
+            self._queue,
+            configuration,
+            demand,
+            clock,
+            randomness,
+        )
+        self._demand = demand
+        self._clock = clock
+        self._times = ServiceTimes()
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    @property
+    def entitlement(self) -> float:
+        """Return this host's slots if all were divided by share."""
+        return self._demand.entitlement(self.slots.permits)
+
+    async def admit(
+        self,
+        request: ModelRequest,
+    ) -> AbstractContextManager[None] | Refusal:
+        """Return a permit to hold while the request runs, or a refusal."""
+        waiting = self._waiting(request)
+        if self._may_run(waiting):
+            self._queue.tags.charge(request.workspace, waiting.cost)
+            self.permits.take(waiting)
+            return self.permits.held(waiting)
+        refusal = self._refusal(waiting)
+        if refusal is None:
+            self._queue.push(waiting)
+            refusal = await self._wait(waiting)
+        return self.permits.held(waiting) if refusal is None else refusal
+
+    def started(self, start: AttemptStart) -> None:
+        """Learn nothing from a beginning."""
+
+    def ended(self, end: AttemptEnd) -> None:
+        """Learn how long requests take, and whether engines are full."""
+        self.slots.pressure.ended(end.code)
+        if end.code is ResultCode.OK:
+            self._times.add(end)
+
+    def digest(self) -> LoadDigest:
+        """Return what other hosts are to know."""
+        self._demand.observe(self._queue.counts)
+        return LoadDigest(
+            host=self.slots.identity.host,
+            domain=self.slots.identity.domain,
+            limit=self.slots.holding,
+            running=self.permits.running,
+            waiting=len(self._queue),
+            shedding=self._crowding.shedding,
+            demand=self._demand.largest(),
+        )
+
+    def _waiting(self, request: ModelRequest) -> Waiting:
+        """Return the request as the queue holds it."""
+        return Waiting(
+            request,
+            frozenset(request.versions),
+            self._times.expected(request),
+            asyncio.get_running_loop().create_future(),
+        )
+
+    def _may_run(self, waiting: Waiting) -> bool:
+        """Tell whether a request may run before anything that waits."""
+        if self._left(waiting) <= 0:
+            return False
+        if self._queue.lane_waiting(waiting.lane):
+            return False
+        return self.permits.has_room(waiting.lane)
+
+    def _left(self, waiting: Waiting) -> float:
+        """Return the seconds within which a request has to begin."""
+        ends = waiting.request.deadline - self._clock.now()
+        return ends - waiting.cost
+
+    def _refusal(self, waiting: Waiting) -> Refusal | None:
+        """Return why a request may not even wait, or None."""
+        limit = self.permits.limit
+        wait = self._queue.wait(waiting.request.workspace, limit)
+        left = self._left(waiting)
+        if left <= 0 or wait > left:
+            return self._crowding.refuse(
+                waiting,
+                limit,
+                ResultCode.DEADLINE_UNREACHABLE,
+                f'It would wait {wait:.1f} s and has to begin within '
+                f'{max(0, left):.1f} s to end by its deadline.',
+            )
+        victim = self._crowding.victim(waiting, limit)
+        if victim is None:
+            return None
+        refusal = self._crowding.refuse_crowded(victim, limit)
+        if victim is waiting:
+            return refusal
+        self._queue.remove(victim)
+        if not victim.outcome.done():
+            victim.outcome.set_result(refusal)
+        return None
+
+    async def _wait(self, waiting: Waiting) -> Refusal | None:
+        """Wait for a slot, at most until the deadline is out of reach."""
+        timer = asyncio.create_task(self._expire(waiting))
+        try:
+            return await waiting.outcome
+        except asyncio.CancelledError:
+            self._abandon(waiting)
+            raise
+        finally:
+            timer.cancel()
+
+    def _abandon(self, waiting: Waiting) -> None:
+        """Clean up after a caller that went away."""
+        outcome = waiting.outcome
+        self._queue.remove(waiting)
+        granted = outcome.done() and not outcome.cancelled()
+        if granted and outcome.result() is None:
+            self.permits.release(waiting)
+
+    async def _expire(self, waiting: Waiting) -> None:
+        """Answer a request once it could not end in time any more."""
+        await self._clock.sleep(max(0, self._left(waiting)))
+        if waiting.outcome.done():
+            return
+        self._queue.remove(waiting)
+        refusal = self._crowding.refuse(
+            waiting,
+            self.permits.limit,
+            ResultCode.DEADLINE_UNREACHABLE,
+            'No slot came free in time for the deadline.',
+        )
+        waiting.outcome.set_result(refusal)
+
+
+@register('admitter', 'fair')
+def fair_admitter(kernel: Kernel) -> FairAdmitter:
+    """Make the admitter for a host."""
+    configuration = kernel.need(Configuration)
+    fleet = kernel.need(FleetLoad)
+    identity = Identity(kernel.settings.host, kernel.settings.domain)
+    slots = HostSlots(
+        identity,
+        kernel.need(Directory),
+        fleet,
+        kernel.need(ShareLedger),
+        kernel.clock,
+    )
+    admitter = FairAdmitter(
+        slots,
+        configuration,
+        Demand(configuration, fleet, identity),
+        kernel.clock,
+        kernel.randomness,
+    )
+    kernel.need(Observers).add(admitter)
+    kernel.provide(FairAdmitter, admitter)
+    return admitter
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -59,6 +59,7 @@
     _CounterSpec('attempts', 'Attempts at upstreams', ('version', 'outcome')),
     _CounterSpec('cost', 'Cost of requests', ('workspace', 'task')),
     _CounterSpec('invariant_failures', 'Invariants broken', ('name',)),
+    _CounterSpec('record_events', 'What befell records', ('event',)),
     _CounterSpec('dropped_replies', 'Replies that came for nobody', ('kind',)),
     _CounterSpec('control_bytes', 'Bytes for control', ('part', 'direction')),
     _CounterSpec(
@@ -128,6 +129,11 @@
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self._revision = _gauge('revision', 'Revision in force', registry)
+        self._heard = _gauge(
+            'revision_heard',
+            'Highest revision of which the host has heard',
+            registry,
+        )
         self._isolated = _gauge('isolated', '1 while isolated', registry)
         self._lease_age = _gauge(
             'lease_age_seconds',
@@ -141,6 +147,13 @@
             registry,
         )
         self._queued = _gauge('queued', 'Requests that wait', registry)
+        self._unstored = Gauge(
+            'unstored_records',
+            'Records that wait to be stored',
+            ('kind',),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self._members = Gauge(
             'members',
             'Hosts that this one knows',
@@ -153,6 +166,10 @@
         """Set the revision in force."""
         self._revision.set(revision)
 
+    def heard(self, revision: Revision) -> None:
+        """Set the highest revision of which the host has heard."""
+        self._heard.set(revision)
+
     def isolated(self, isolated: bool) -> None:
         """Set whether nothing confirms the configuration."""
         self._isolated.set(isolated)
@@ -173,6 +190,10 @@
         """Set the bytes of memory that the process holds."""
         self._resident.set(size)
 
+    def unstored(self, kind: str, records: int) -> None:
+        """Set how many records of a kind wait to be stored."""
+        self._unstored.labels(kind).set(records)
+
     def members(self, presence: Presence, hosts: int) -> None:
         """Set how many hosts stand so."""
         self._members.labels(presence.value).set(hosts)
@@ -242,6 +263,10 @@
         """Count an invariant that did not hold."""
         self._add('invariant_failures', name)
 
+    def record_event(self, event: str) -> None:
+        """Count something that befell the records."""
+        self._add('record_events', event)
+
     def reply_dropped(self, kind: str) -> None:
         """Count a reply that came for nobody, such as a late one."""
         self._add('dropped_replies', kind)
--- a/src/nutmegroad/_rollout_routes.py
+++ b/src/nutmegroad/rollout_desk.py
@@ -1,18 +1,14 @@
-"""Operators' calls about roll-outs and quarantines."""
+"""Does what operators ask of roll-outs and quarantines."""
 
-from collections.abc import Awaitable, Callable
 from enum import Enum, unique
 from types import MappingProxyType
 from typing import Final
 
-import msgspec
-from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
 from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Role, Stage
+from nutmegroad.documents import Stage
 from nutmegroad.quarantines import Grade, QuarantineFact, Quarantines
-from nutmegroad.replies import JSON_TYPE, refuse
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.rollout_shares import RolloutShares
 from nutmegroad.rollouts import (
@@ -26,7 +22,6 @@
 from nutmegroad.types import (
     Epoch,
     OperatorId,
-    RequestId,
     TaskName,
     VersionId,
 )
@@ -34,11 +29,6 @@
 #: The task class of a quarantine that an operator imposes: all of them.
 ALL_TASKS: Final = TaskName('all')
 
-_NO_REQUEST: Final = RequestId('')
-
-#: Returns the operator who asks, if they may do it.
-Authorize = Callable[[Request, Role], OperatorId | Refusal]
-
 
 @unique
 class Action(Enum):
@@ -62,13 +52,6 @@
 )
 
 
-class RolloutBody(Struct, frozen=True, forbid_unknown_fields=True):
-    """The body of ``POST /operators/rollouts``."""
-
-    version: str
-    action: Action
-
-
 class RolloutStatus(Struct, frozen=True):
     """What this host knows of roll-outs.
 
@@ -179,61 +162,6 @@
         return None
 
 
-class RolloutRoutes:
-    """The operators' HTTP calls.
-
-    Args:
-        desk: Does what is asked.
-        authorize: Checks who asks.
-    """
-
-    def __init__(self, desk: RolloutDesk, authorize: Authorize) -> None:
-        self._desk = desk
-        self._authorize = authorize
-
-    def add_to(self, app: Application) -> None:
-        """Answer the calls in an application."""
-        app.router.add_get('/operators/rollouts', self.show)
-        app.router.add_post('/operators/rollouts', self.act)
-
-    async def show(self, http: Request) -> Response:
-        """Show roll-outs, the evidence and the reason of each step."""
-        return await self._answer(http, Role.READ, self._nothing)
-
-    async def act(self, http: Request) -> Response:
-        """Start, pause, resume or abort a roll-out, or lift quarantines."""
-
-        async def work(operator: OperatorId) -> Refusal | None:
-            """Read the body and act."""
-            try:
-                body = msgspec.json.decode(await http.read(), type=RolloutBody)
-            except (msgspec.DecodeError, UnicodeDecodeError) as problem:
-                reason = f'The body is not as expected: {problem}.'
-                return Refusal(ResultCode.OPERATOR_REQUEST_INVALID, reason)
-            version = VersionId(body.version)
-            return await self._desk.act(version, body.action, operator)
-
-        return await self._answer(http, Role.OPERATE, work)
-
-    async def _nothing(self, operator: OperatorId) -> Refusal | None:
-        """Do nothing."""
-
-    async def _answer(
-        self,
-        http: Request,
-        role: Role,
-        work: Callable[[OperatorId], Awaitable[Refusal | None]],
-    ) -> Response:
-        operator = self._authorize(http, role)
-        if isinstance(operator, Refusal):
-            return refuse(operator, _NO_REQUEST)
-        refusal = await work(operator)
-        if refusal is not None:
-            return refuse(refusal, _NO_REQUEST)
-        content = msgspec.json.encode(self._desk.status())
-        return Response(body=content, content_type=JSON_TYPE)
-
-
 def _missing(reason: str) -> Refusal:
     """Say that there is no such thing."""
     return Refusal(ResultCode.NOT_FOUND, reason)
--- a/src/nutmegroad/steps.py
+++ b/src/nutmegroad/steps.py
@@ -16,6 +16,7 @@
     RetryBudget,
     Selector,
 )
+from nutmegroad.fences import Crossing
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
@@ -100,11 +101,13 @@
         choice: The upstream.
         attempt: The attempt's id; one that resumes keeps it at its engine.
         received: What came before.
+        crossing: The attempt's way through its request's fence.
     """
 
     choice: Choice
     attempt: AttemptId
     received: Received
+    crossing: Crossing | None
 
 
 class StepRunner:
@@ -176,7 +179,9 @@
         nonce = f'{self._randomness.getrandbits(_NONCE_BITS):012x}'
         number = progress.spent.attempts + 1
         name = AttemptId(f'{progress.request.request}.{number}.{nonce}')
-        return _Course(choice, name, received)
+        fence = progress.request.fence
+        crossing = None if fence is None else fence.attempt()
+        return _Course(choice, name, received, crossing)
 
     def _next(
         self,
@@ -218,6 +223,8 @@
             await self._attempter.run(trial, sink)
         finally:
             self._sum_up(progress, trial)
+            if course.crossing is not None:
+                course.crossing.end(trial.received.refusal)
         return trial
 
     def _sum_up(self, progress: Progress, trial: Trial) -> None:
@@ -339,4 +346,5 @@
         session.epoch if session else None,
         course.choice.state,
         request.deadline,
+        course.crossing,
     )
