--- a/src/nutmegroad/fleet.py
+++ b/src/nutmegroad/fleet.py
@@ -1,7 +1,7 @@
 """What other hosts say of their load, in small digests."""
 
 from collections.abc import Iterable
-from typing import Final
+from typing import ClassVar, Final
 
 from msgspec import field
 
@@ -32,6 +32,9 @@
         demand: Slots that each workspace would use, its largest ones.
     """
 
+    part: ClassVar[str] = 'admission'
+    lazy: ClassVar[bool] = True
+
     host: str
     domain: str
     limit: int
--- a/src/nutmegroad/forwards.py
+++ b/src/nutmegroad/forwards.py
@@ -1,7 +1,7 @@
 """Requests with a ticket, handed on to the one host that may run them."""
 
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import ClassVar, Final
 
 from msgspec.structs import replace
 
@@ -29,6 +29,8 @@
         relayed: It was handed on already, and is not handed on again.
     """
 
+    part: ClassVar[str] = 'tickets'
+
     part = 'records'
 
     host: str
@@ -50,6 +52,8 @@
         headers: Further headers.
     """
 
+    part: ClassVar[str] = 'tickets'
+
     part = 'records'
 
     status: int
--- a/src/nutmegroad/heirs.py
+++ b/src/nutmegroad/heirs.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from typing import Final
+from typing import ClassVar, Final
 
 from nutmegroad.billing import Batch, Biller, BillingRecord
 from nutmegroad.clocks import Clock
@@ -29,6 +29,9 @@
 
 _LOG: Final = part_logger('billing')
 
+#: Whose cost the messages are.
+RECORDS_PART: Final = 'records'
+
 
 class HandedRecords(Message, frozen=True, tag='billing-records'):
     """Records of one batch, from a place in it on.
@@ -41,6 +44,8 @@
         last: The sender is at its end; the receiver is to store the batch.
     """
 
+    part: ClassVar[str] = RECORDS_PART
+
     part = 'records'
 
     incarnation: str
@@ -53,6 +58,8 @@
 class HeldRecords(Message, frozen=True, tag='billing-held'):
     """How many records of the batch the receiver holds now."""
 
+    part: ClassVar[str] = RECORDS_PART
+
     part = 'records'
 
     held: int
@@ -61,6 +68,8 @@
 class StoredBatches(Message, frozen=True, tag='billing-stored'):
     """The sender has stored its batches up to a number."""
 
+    part: ClassVar[str] = RECORDS_PART
+
     part = 'records'
 
     incarnation: str
--- a/src/nutmegroad/shares.py
+++ b/src/nutmegroad/shares.py
@@ -8,7 +8,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Final
+from typing import ClassVar, Final
 
 from nutmegroad.peers import Message
 from nutmegroad.types import HostId, WorkspaceId
@@ -28,6 +28,8 @@
         claim: How many of these its workspaces are entitled to.
     """
 
+    part: ClassVar[str] = 'admission'
+
     wanted: int
     claim: int
 
@@ -39,6 +41,8 @@
         slots: How many; 0 for none.
     """
 
+    part: ClassVar[str] = 'admission'
+
     slots: int
 
 
