--- a/src/nutmegroad/heirs.py
+++ b/src/nutmegroad/heirs.py
@@ -30,7 +30,7 @@
 _LOG: Final = part_logger('billing')
 
 #: Whose cost the messages are.
-RECORDS_PART: Final = 'records'
+RECORDS_PART: Final = 'billing'
 
 
 class HandedRecords(Message, frozen=True, tag='billing-records'):
--- a/src/nutmegroad/watch_sharing.py
+++ b/src/nutmegroad/watch_sharing.py
@@ -93,6 +93,7 @@
         self._period = period
         self._listed = ListMemory(clock)
         self._index = RunIndex()
+        self._upstreams = 0
         self._places: dict[UpstreamId, int] = {}
         self._told: dict[int, _Told] = {}
         self._waiting: dict[UpstreamId, UpstreamState] = {}
@@ -109,11 +110,13 @@
     @property
     def far_period(self) -> float:
         """Return the seconds between fetches from another domain."""
-        return max(FAR_LEAST, FAR_EACH * len(self._directory.states()))
+        return max(FAR_LEAST, FAR_EACH * self._upstreams)
 
     def refresh(self) -> None:
         """Work out anew, once a period, which engines this host asks."""
         states = self._directory.states()
+        # Kept, since it is asked for once for each engine.
+        self._upstreams = len(states)
         self._index.refresh(states)
         near = [
             state.info.upstream
