--- a/src/nutmegroad/_watch_rows.py
+++ b/src/nutmegroad/_watch_rows.py
@@ -147,9 +147,12 @@
         """Take in which upstreams there are now."""
         known = tuple(states)
         infos = tuple(state.info for state in known)
-        if infos == self._infos:
-            return
+        same = infos == self._infos
+        # The list's next reading brings equal entries that are other
+        # objects; kept, they are compared by identity from then on.
         self._infos = infos
+        if same:
+            return
         self._states = {}
         doubled: set[int] = set()
         for state in known:
