--- /dev/null
+++ b/tests/test_cost_metrics.py
@@ -0,0 +1,75 @@
+"""What control costs, from where it is spent to the metrics."""
+
+import asyncio
+import unittest
+
+from nutmegroad._cost_metrics import CostPublisher, resident_bytes
+from nutmegroad._outbox import Outbox, Parcel
+from nutmegroad._remembered_list import RECENT, RememberedList, recent_list
+from nutmegroad.accounting import Ledger
+from nutmegroad.metrics import Metrics
+from nutmegroad.platform import Listing
+from nutmegroad.testing import ManualClock
+
+
+class CostPublisherTest(unittest.TestCase):
+    def test_what_was_spent_is_added_once(self) -> None:
+        ledger, metrics = Ledger(float), Metrics(float)
+        publisher = CostPublisher(ledger, metrics)
+        ledger.sent('watch', 10)
+        publisher.publish()
+        ledger.sent('watch', 5)
+        ledger.received('watch', 7)
+        ledger.worked('watch', 0.5)
+        ledger.count('platform_table_reads')
+        publisher.publish()
+        publisher.publish()
+        lines = metrics.render().decode().splitlines()
+        control = 'nutmegroad_control'
+        for line in (
+            f'{control}_bytes_total{{direction="sent",part="watch"}} 15.0',
+            f'{control}_messages_total{{direction="sent",part="watch"}} 2.0',
+            f'{control}_bytes_total{{direction="received",part="watch"}} 7.0',
+            f'{control}_cpu_seconds_total{{part="watch"}} 0.5',
+            f'{control}_events_total{{event="platform_table_reads"}} 1.0',
+        ):
+            self.assertIn(line, lines)
+        self.assertGreater(resident_bytes(), 0)
+
+
+class LazyTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_lazy_message_waits_for_another(self) -> None:
+        outbox = Outbox(4, 100)
+        taking = asyncio.create_task(outbox.take_all())
+        lazy = Parcel(b'rows', 'watch', lazy=True)
+        beat = Parcel(b'beat', 'members')
+        outbox.put(lazy)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertFalse(taking.done())
+        outbox.put(beat)
+        self.assertEqual(await taking, (lazy, beat))
+
+
+class CountedList:
+    """A host list that counts its readings."""
+
+    reads = 0
+
+    async def listing(self) -> Listing:
+        """Return an empty list."""
+        self.reads += 1
+        return Listing((), ())
+
+
+class RememberedListTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_recent_reading_is_used_again(self) -> None:
+        clock, counted = ManualClock(), CountedList()
+        remembered = RememberedList(counted, clock)
+        recent = recent_list(remembered)
+        await remembered.listing()
+        await recent.listing()
+        self.assertEqual(counted.reads, 1)
+        await clock.advance(RECENT)
+        await recent.listing()
+        self.assertEqual(counted.reads, 2)
