--- a/tests/test_cost_metrics.py
+++ b/tests/test_cost_metrics.py
@@ -54,7 +54,8 @@
 class CountedList:
     """A host list that counts its readings."""
 
-    reads = 0
+    def __init__(self) -> None:
+        self.reads = 0
 
     async def listing(self) -> Listing:
         """Return an empty list."""
