--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,7 +5,7 @@
 import unittest
 from collections import Counter
 from contextlib import AbstractContextManager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from nutmegroad.directory import REPORT_LAG
