--- a/src/nutmegroad/_caller_parts.py
+++ b/src/nutmegroad/_caller_parts.py
@@ -1,18 +1,15 @@
-"""What the callers' interface is put together from."""
+"""What the callers' interface hands requests to."""
 
 import random
 from dataclasses import dataclass
 
-from nutmegroad.billing import Biller
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
-from nutmegroad.dispatch import Dispatcher
-from nutmegroad.explanations import Explanations
-from nutmegroad.intake import IntakeDesk
-from nutmegroad.intents import IntentLedger
+from nutmegroad.forwards import Forwarder
 from nutmegroad.metrics import Metrics
-from nutmegroad.services import ServiceCaller
-from nutmegroad.session_pins import SessionPins
+from nutmegroad.model_routes import ModelRoutes
+from nutmegroad.service_routes import ServiceRoutes
+from nutmegroad.tickets import TicketOffice
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,26 +18,20 @@
 
     Attributes:
         configuration: What is in force.
-        desk: Understands model requests.
-        dispatcher: Answers model requests.
+        models: Answers model requests.
         services: Makes calls to plain services.
-        intents: Keeps what may not be repeated from running twice.
-        biller: Takes billing records.
-        explanations: Keeps what happened.
-        pins: Holds sessions to their versions.
-        metrics: Counts what happens.
+        office: Issues tickets.
+        forwarder: Hands requests on to the issuers of their tickets.
+        metrics: Counts refusals.
         clock: The host's clock.
         randomness: Names requests.
     """
 
     configuration: Configuration
-    desk: IntakeDesk
-    dispatcher: Dispatcher
-    services: ServiceCaller
-    intents: IntentLedger
-    biller: Biller
-    explanations: Explanations
-    pins: SessionPins
+    models: ModelRoutes
+    services: ServiceRoutes
+    office: TicketOffice
+    forwarder: Forwarder
     metrics: Metrics
     clock: Clock
     randomness: random.Random
--- /dev/null
+++ b/src/nutmegroad/model_routes.py
@@ -0,0 +1,171 @@
+"""Model requests, from the caller's HTTP request to the run."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from nutmegroad._request_counts import count_request
+from nutmegroad.attempts import Sink
+from nutmegroad.billing import BillingRecord
+from nutmegroad.clocks import Clock
+from nutmegroad.dispatch import Dispatcher
+from nutmegroad.documents import WorkspaceEntry
+from nutmegroad.explanations import Explanations
+from nutmegroad.fences import Fence
+from nutmegroad.intake import Intake, IntakeDesk
+from nutmegroad.metrics import Metrics
+from nutmegroad.once import Order
+from nutmegroad.replies import JSON_TYPE, answer_body
+from nutmegroad.request_progress import Answer, Spent
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.runs import Ended, Outcome, Runner
+from nutmegroad.session_pins import SessionPins
+from nutmegroad.types import Ran, RequestId, VersionId
+from nutmegroad.upstreams import ServiceReply
+
+_OK: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class ModelParts:
+    """What model requests are handed to.
+
+    Attributes:
+        desk: Understands them.
+        dispatcher: Answers them.
+        runner: Has each run at most once.
+        pins: Holds sessions to their versions.
+        explanations: Keeps what happened.
+        metrics: Counts what happens.
+        clock: The host's clock.
+    """
+
+    desk: IntakeDesk
+    dispatcher: Dispatcher
+    runner: Runner
+    pins: SessionPins
+    explanations: Explanations
+    metrics: Metrics
+    clock: Clock
+
+
+@dataclass(slots=True)
+class ModelCall:
+    """A model request on its way, and its whole answer at the end.
+
+    Attributes:
+        intake: The request.
+        ticket: The caller's ticket; empty for none.
+        spent: What it has cost so far.
+        answer: The answer, once it is whole and was written here.
+    """
+
+    intake: Intake
+    ticket: str
+    spent: Spent = field(default_factory=Spent)
+    answer: Answer | None = None
+
+
+class ModelRoutes:
+    """Answers callers' model requests.
+
+    Args:
+        parts: What they are handed to.
+    """
+
+    def __init__(self, parts: ModelParts) -> None:
+        self._parts = parts
+
+    def read(
+        self,
+        headers: Mapping[str, str],
+        content: bytes,
+        workspace: WorkspaceEntry,
+        request: RequestId,
+    ) -> ModelCall | Refusal:
+        """Return the request that a caller sent."""
+        intake = self._parts.desk.read(headers, content, workspace, request)
+        if isinstance(intake, Refusal):
+            return intake
+        return ModelCall(intake, headers.get('Nutmegroad-Ticket', ''))
+
+    async def run(self, call: ModelCall, sink: Sink) -> Outcome:
+        """Answer a request; pieces go to the sink."""
+        pinned = await self._parts.pins.pin(call.intake)
+        if isinstance(pinned, Refusal):
+            return pinned
+        call.intake = pinned
+        model = pinned.model
+
+        async def work(fence: Fence) -> Ended:
+            """Have the dispatcher answer."""
+            return await self._answer(call, sink, fence)
+
+        order = Order(
+            request=model.request,
+            workspace=model.workspace,
+            fingerprint=pinned.fingerprint,
+            repeatable=model.repeatable,
+            deadline=model.deadline,
+            key=model.key,
+            ticket=call.ticket,
+        )
+        return await self._parts.runner.run(
+            order,
+            work,
+            lambda: self._record(call, ResultCode.ANSWER_CUT),
+        )
+
+    def session_token(self, call: ModelCall, version: VersionId) -> str:
+        """Return the token that holds a session to its version."""
+        return self._parts.pins.token(call.intake, version)
+
+    async def _answer(
+        self,
+        call: ModelCall,
+        sink: Sink,
+        fence: Fence,
+    ) -> Ended:
+        """Have the dispatcher answer, and sum up what is billed."""
+        model = replace(call.intake.model, fence=fence)
+        outcome: Answer | Refusal = _caller_gone()
+        try:
+            outcome = await self._parts.dispatcher.answer(
+                model,
+                sink,
+                self._parts.explanations.begin(model.request),
+                call.spent,
+            )
+        finally:
+            metrics = self._parts.metrics
+            count_request(metrics, call.intake, outcome, call.spent)
+        if isinstance(outcome, Refusal):
+            return Ended(outcome, self._record(call, outcome.code))
+        call.answer = outcome
+        body = answer_body(outcome, model.request)
+        reply = ServiceReply(_OK, body, JSON_TYPE)
+        return Ended(reply, self._record(call, ResultCode.OK))
+
+    def _record(self, call: ModelCall, code: ResultCode) -> BillingRecord:
+        """Return what is billed; the biller adds all attempts' cost."""
+        model = call.intake.model
+        spent = call.spent
+        return BillingRecord(
+            request=model.request,
+            workspace=model.workspace,
+            task=model.task,
+            at=self._parts.clock.wall(),
+            version=spent.version,
+            outcome=code.name,
+            prompt_tokens=spent.prompt_tokens,
+            output_tokens=spent.output_tokens,
+        )
+
+
+def _caller_gone() -> Refusal:
+    """Say how a request ended whose caller went away."""
+    return Refusal(
+        ResultCode.ANSWER_CUT,
+        'The caller went away before the answer had ended.',
+        Ran.UNKNOWN,
+    )
