Open whole hosts in one process on a virtual time (in work)

Kernel.start takes parts in the place of registered ones, the listener of applications and the clients of upstreams are parts of their own, and the mesh in memory takes the kernel's incarnation: with these seams every part of a host runs without a socket.

--- /dev/null
+++ b/experiments/soak_calls.py
@@ -0,0 +1,171 @@
+"""Callers of a randomised run: requests handed to a host's application.
+
+They enter at the host's aiohttp application, with its middleware, and need
+no socket.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+from unittest.mock import Mock
+
+import msgspec
+from aiohttp import StreamReader
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.test_utils import make_mocked_request
+from aiohttp.web import Application, Response
+from multidict import CIMultiDict
+
+_LIMIT: Final = 2**20
+_DATA: Final = b'data: '
+_DONE: Final = b'[DONE]'
+_OK: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """What a caller sends.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query.
+        headers: HTTP headers.
+        body: The body.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes = b''
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status.
+        headers: HTTP headers.
+        body: All bytes of the body.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether it came as server-sent events."""
+        return self.body.startswith((b'data:', b'event:'))
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether it claims to be a whole answer."""
+        if self.is_stream:
+            return self.body.rstrip().endswith(_DONE)
+        return self.status == _OK
+
+    def json(self) -> Any:
+        """Return the body of a reply that is no stream."""
+        return msgspec.json.decode(self.body)
+
+    def refusal(self) -> dict[str, Any] | None:
+        """Return the refusal in it, if it holds one."""
+        if self.is_stream:
+            last = _events(self.body)[-1] if _events(self.body) else {}
+            return last.get('error')
+        if self.status == _OK:
+            return None
+        try:
+            error = self.json().get('error')
+        except (msgspec.DecodeError, AttributeError):
+            return None
+        return error if isinstance(error, dict) else None
+
+    def answer(self) -> tuple[str, str]:
+        """Return the version and the text of a model's answer."""
+        if not self.is_stream:
+            read = self.json()
+            return read['model'], read['choices'][0]['message']['content']
+        chunks = [event for event in _events(self.body) if 'choices' in event]
+        text = ''.join(
+            chunk['choices'][0]['delta'].get('content', '') for chunk in chunks
+        )
+        return (chunks[-1]['model'] if chunks else ''), text
+
+
+@dataclass(eq=False, slots=True)
+class RecordingWriter(AbstractStreamWriter):
+    """Keeps what a host writes to a caller.
+
+    Attributes:
+        chunks: What was written.
+    """
+
+    chunks: list[bytes] = field(default_factory=list)
+
+    async def write(self, chunk: Any) -> None:
+        """Keep a chunk."""
+        self.chunks.append(bytes(chunk))
+
+    async def write_eof(self, chunk: bytes = b'') -> None:
+        """Keep the last chunk."""
+        self.chunks.append(chunk)
+
+    async def drain(self) -> None:
+        """Wait for nothing."""
+
+    def enable_compression(
+        self,
+        encoding: str = 'deflate',
+        strategy: int | None = None,
+    ) -> None:
+        """Compress nothing."""
+
+    def enable_chunking(self) -> None:
+        """Frame nothing."""
+
+    async def write_headers(
+        self,
+        status_line: str,
+        headers: CIMultiDict[str],
+    ) -> None:
+        """Leave the headers to the reply."""
+
+
+async def send(app: Application, request: CallerRequest) -> Reply:
+    """Hand a request to an application and return its reply."""
+    transport = Mock(spec=asyncio.Transport)
+    transport.is_closing.return_value = False
+    transport.get_extra_info.return_value = None
+    protocol = Mock(_reading_paused=False)
+    payload = StreamReader(protocol, _LIMIT)
+    payload.feed_data(request.body)
+    payload.feed_eof()
+    writer = RecordingWriter()
+    mocked = make_mocked_request(
+        request.method,
+        request.path,
+        headers=request.headers,
+        app=app,
+        writer=writer,
+        payload=payload,
+        transport=transport,
+        client_max_size=_LIMIT,
+    )
+    response = await app._handle(mocked)  # noqa: SLF001
+    body = b''.join(writer.chunks)
+    if isinstance(response, Response) and isinstance(response.body, bytes):
+        body = response.body
+    return Reply(response.status, dict(response.headers), body)
+
+
+def _events(body: bytes) -> list[dict[str, Any]]:
+    """Return the events of a stream, without its terminal mark."""
+    lines = [
+        line.removeprefix(_DATA)
+        for line in body.split(b'\n')
+        if line.startswith(_DATA)
+    ]
+    return [msgspec.json.decode(line) for line in lines if line != _DONE]
--- /dev/null
+++ b/experiments/soak_hosts.py
@@ -0,0 +1,307 @@
+"""Whole hosts of a randomised run: the kernel with every part.
+
+The parts that would open sockets stand on memory instead; everything else
+is what the daemon runs. Each host has a clock of its own, under which it
+can be paused, and with which it stops for good when it is killed.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final, cast
+
+from aiohttp.web import Application
+
+from experiments.configuration_hosts import PausableMesh
+from experiments.deployment import BOOTSTRAP_TOKEN, CLUSTER_KEY
+from experiments.soak_platform import SoakHostPlatform, SoakPlatform
+from experiments.soak_upstreams import HostEngines, HostServices, World
+from nutmegroad._listeners_part import Listener
+from nutmegroad.configuration import Configuration
+from nutmegroad.core import Kernel, Part
+from nutmegroad.duties import Duties
+from nutmegroad.invariants import Invariants
+from nutmegroad.members import Members
+from nutmegroad.metrics import Metrics
+from nutmegroad.peers import Mesh, Message
+from nutmegroad.platform import HostList, Objects, Ratings, Table, Weights
+from nutmegroad.settings import Settings
+from nutmegroad.testing import MemoryMesh, PausableClock
+from nutmegroad.types import Address, DomainId, HostId, Presence
+from nutmegroad.upstreams import EngineClient, ServiceClient
+
+#: Seconds that a graceful stop may take; no request is given longer.
+DRAIN: Final = 45.0
+LAME_DUCK: Final = 1.0
+
+_NOWHERE: Final = Address('127.0.0.1', 0)
+
+#: Told of each check of the program's own that failed.
+Alarm = Callable[[str, str], None]
+
+
+@dataclass(slots=True)
+class Surroundings:
+    """What all hosts share.
+
+    Attributes:
+        network: Links between hosts.
+        platform: The platform.
+        world: The upstreams.
+        alarm: Told of checks that failed.
+        settings: Settings that differ from the usual.
+    """
+
+    network: MemoryMesh
+    platform: SoakPlatform
+    world: World
+    alarm: Alarm
+    settings: dict[str, Any] = field(default_factory=dict)
+
+
+class AlarmingInvariants:
+    """Reports a check that failed and lets the host go on, as a daemon does.
+
+    Args:
+        alarm: Told of it.
+    """
+
+    def __init__(self, alarm: Alarm) -> None:
+        self._alarm = alarm
+
+    def check(self, name: str, held: bool, detail: str) -> bool:
+        """Report a check that failed."""
+        if not held:
+            self._alarm(name, detail)
+        return held
+
+
+class HostMesh(PausableMesh):
+    """A host's links, which fall silent when it is killed.
+
+    Attributes:
+        is_alive: Whether the host was not killed.
+    """
+
+    is_alive = True
+
+    def tell(self, host: HostId, message: Message) -> bool:
+        """Queue a message."""
+        return self.is_alive and super().tell(host, message)
+
+    def tell_all(self, message: Message) -> int:
+        """Queue a message to all."""
+        return super().tell_all(message) if self.is_alive else 0
+
+
+class MemoryMembers:
+    """The membership, as the network in memory has it.
+
+    Args:
+        host: This host.
+        domain: Its failure domain.
+        network: The network.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        domain: DomainId,
+        network: MemoryMesh,
+    ) -> None:
+        self.host = host
+        self._domain = domain
+        self._network = network
+
+    def live_hosts(self) -> tuple[HostId, ...]:
+        """Return the live hosts of this domain."""
+        linked = [
+            peer.host
+            for peer in self._network.peers
+            if peer.domain == self._domain
+            and peer.presence is Presence.LIVE
+            and self._network.is_linked(self.host, peer.host)
+        ]
+        return tuple(sorted({self.host, *linked}))
+
+    def leave(self) -> None:
+        """Tell all that this host takes no new work."""
+        if self._network.peer(self.host) is not None:
+            self._network.leave(self.host)
+
+
+class MemoryListener:
+    """Keeps the applications that a host would serve.
+
+    Attributes:
+        apps: Applications, in the order in which they came.
+    """
+
+    def __init__(self) -> None:
+        self.apps: list[Application] = []
+
+    async def listen(
+        self,
+        kernel: Kernel,
+        app: Application,
+        address: Address,
+    ) -> Address:
+        """Make an application ready."""
+        app.freeze()
+        await app.startup()
+        self.apps.append(app)
+        return address
+
+
+@dataclass(slots=True)
+class _Provider:
+    """A part that provides things that are there already.
+
+    Attributes:
+        provides: Things by type.
+        needs: Nothing.
+    """
+
+    provides: dict[type[Any], Any]
+    needs: tuple[type[Any], ...] = ()
+
+    async def open(self, kernel: Kernel) -> None:
+        """Provide them."""
+        for kind, thing in self.provides.items():
+            kernel.provide(kind, thing)
+
+
+class SoakHost:
+    """One run of a host.
+
+    Args:
+        host: Its id.
+        domain: Its failure domain.
+        around: What all hosts share.
+        randomness: Its source of random numbers.
+
+    Attributes:
+        clock: Its clock.
+        is_alive: It was neither killed nor has it stopped.
+        paused: It stands still.
+        began: Seconds at which this run began.
+        stopping: Its graceful stop has begun.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        domain: DomainId,
+        around: Surroundings,
+        randomness: random.Random,
+    ) -> None:
+        self.host = host
+        self.domain = domain
+        self.clock = PausableClock(around.world.clock)
+        self.is_alive = True
+        self.is_open = False
+        self.paused = False
+        self.stopping = False
+        self.began = self.clock.now()
+        self._around = around
+        settings = Settings(
+            host=host,
+            domain=domain,
+            callers=_NOWHERE,
+            operators=_NOWHERE,
+            peers=_NOWHERE,
+            platform=_NOWHERE,
+            cluster_key=CLUSTER_KEY,
+            bootstrap_token=BOOTSTRAP_TOKEN,
+            lame_duck=LAME_DUCK,
+            drain=DRAIN,
+            **around.settings,
+        )
+        self.kernel = Kernel(settings, self.clock, randomness)
+        self._listener = MemoryListener()
+        peer = around.network.join(host, domain, self.kernel.incarnation)
+        self._mesh = HostMesh(peer, self.clock)
+
+    @property
+    def app(self) -> Application:
+        """Return the application for callers."""
+        return next(
+            app
+            for app in self._listener.apps
+            if any('chat' in str(route) for route in app.router.resources())
+        )
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return what is in force on this host."""
+        return self.kernel.need(Configuration)
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether it is open, alive and not paused."""
+        return self.is_open and self.is_alive and not self.paused
+
+    async def open(self) -> None:
+        """Open all parts."""
+        replacing = {
+            name: _returning(part) for name, part in self._parts().items()
+        }
+        await self.kernel.start(replacing)
+        self.is_open = True
+
+    def pause(self) -> None:
+        """Stand still, as by SIGSTOP."""
+        self.paused = True
+        self.clock.pause()
+
+    def resume(self) -> None:
+        """Go on, as by SIGCONT."""
+        self.paused = False
+        self.clock.resume()
+
+    def kill(self) -> None:
+        """End at once, as by kill -9: nothing of it ever runs again."""
+        self.is_alive = False
+        self._mesh.is_alive = False
+        self.clock.pause()
+        self._around.network.remove(self.host)
+
+    async def close(self) -> None:
+        """Close all parts after a graceful stop, and leave the network."""
+        await self.kernel.stack.aclose()
+        self.is_alive = False
+        self._mesh.is_alive = False
+        self._around.network.remove(self.host)
+
+    def _parts(self) -> dict[str, Part]:
+        """Return the parts that stand on memory, by whose place they take."""
+        around = self._around
+        platform = SoakHostPlatform(around.platform, self.domain, self.clock)
+        members = MemoryMembers(self.host, self.domain, around.network)
+        names = (around.world, self.host, self.domain, self.clock)
+        provided: dict[str, dict[type[Any], Any]] = {
+            'metrics': {
+                Metrics: Metrics(float),
+                Invariants: AlarmingInvariants(around.alarm),
+            },
+            'platform': dict.fromkeys(
+                (Table, Objects, HostList, Ratings, Weights),
+                platform,
+            ),
+            'mesh': {
+                Mesh: self._mesh,
+                Members: cast(Members, members),
+                Duties: Duties(members),
+            },
+            'upstreams': {
+                EngineClient: HostEngines(*names),
+                ServiceClient: HostServices(*names),
+            },
+            'listener': {Listener: self._listener},
+        }
+        return {name: _Provider(things) for name, things in provided.items()}
+
+
+def _returning(part: Part) -> Callable[[], Part]:
+    """Return a factory of a part that is there already."""
+    return lambda: part
--- /dev/null
+++ b/experiments/soak_upstreams.py
@@ -0,0 +1,473 @@
+"""Engines and plain services of a randomised run, without sockets.
+
+Each host has clients of its own that call the gate in the step in which
+the first byte goes out, and read answers through the program's own reader.
+"""
+
+import random
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from typing import Any, Final, Protocol
+
+import msgspec
+
+from nutmegroad._event_streams import AnswerReader
+from nutmegroad.clocks import Clock
+from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.types import (
+    Address,
+    DomainId,
+    FencingNumber,
+    HostId,
+    Presence,
+    Ran,
+    UpstreamId,
+    UpstreamInfo,
+    VersionId,
+)
+from nutmegroad.upstreams import (
+    AnswerEvent,
+    Attempt,
+    EngineOrder,
+    EngineReport,
+    ServiceCall,
+    ServiceReply,
+)
+
+#: Requests that an engine's batch holds.
+SLOTS: Final = 16
+#: Seconds after which a connection that gets no reply is given up.
+CONNECT_TIMEOUT: Final = 2.0
+#: Seconds between looks of what waits for a frozen upstream.
+LOOK: Final = 0.5
+#: Seconds that stand for never.
+LONG: Final = 10_000.0
+
+_STREAM_FAULTS: Final = ('cut', 'crossed', 'twice', 'late', 'silent', 'gap')
+_MARK: Final = 'mark:'
+
+
+@dataclass(slots=True)
+class Upstream:
+    """An upstream as it truly is.
+
+    Attributes:
+        info: How the host list has it at most.
+        versions: What an engine has loaded.
+        leaving: It says that it is leaving.
+        is_down: Nothing listens.
+        is_frozen: It takes connections and does nothing.
+        running: Requests that it is at work on.
+    """
+
+    info: UpstreamInfo
+    versions: tuple[VersionId, ...] = ()
+    leaving: bool = False
+    is_down: bool = False
+    is_frozen: bool = False
+    running: int = 0
+
+
+@dataclass(slots=True)
+class Faults:
+    """How often upstreams go wrong, as shares of requests.
+
+    Attributes:
+        stream: Answers that are cut, crossed, late and so on.
+        error: Requests that end with an error after the first byte.
+        lost: Replies of services that are lost after the call ran.
+    """
+
+    stream: float = 0.03
+    error: float = 0.02
+    lost: float = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class FirstByte:
+    """The first byte of an attempt at an upstream.
+
+    Attributes:
+        at: Seconds.
+        host: The host that sent it.
+        attempt: The attempt.
+        upstream: Where it went.
+        version: The version; empty for a service.
+        mark: The mark of the caller's request.
+    """
+
+    at: float
+    host: HostId
+    attempt: str
+    upstream: UpstreamId
+    version: VersionId
+    mark: str
+
+
+class Watcher(Protocol):
+    """Sees what truly happens."""
+
+    def first_byte(self, sent: FirstByte) -> None:
+        """See the first byte of an attempt."""
+
+    def unstarted(self, sent: FirstByte) -> None:
+        """See that an upstream refused an attempt before it started."""
+
+    def told_leaving(self, host: HostId, upstream: UpstreamId) -> None:
+        """See that a host was told that an upstream is leaving."""
+
+
+@dataclass(slots=True)
+class World:
+    """All upstreams, and who can reach them.
+
+    Attributes:
+        clock: The time of all.
+        randomness: Draws faults and delays.
+        watcher: Sees first bytes.
+        upstreams: By id.
+        cut: Domains that are cut off from the others.
+        faults: How often upstreams go wrong.
+        runs: How often the work of each mark was started.
+    """
+
+    clock: Clock
+    randomness: random.Random
+    watcher: Watcher
+    upstreams: dict[UpstreamId, Upstream] = field(default_factory=dict)
+    cut: set[DomainId] = field(default_factory=set)
+    faults: Faults = field(default_factory=Faults)
+    receipts: int = 0
+
+    def reach(self, domain: DomainId, info: UpstreamInfo) -> Upstream | None:
+        """Return an upstream if a host of a domain can reach it."""
+        upstream = self.upstreams[info.upstream]
+        is_here = upstream.info.address == info.address
+        if upstream.is_down or not is_here or self.is_cut(domain, info):
+            return None
+        return upstream
+
+    def is_cut(self, domain: DomainId, info: UpstreamInfo) -> bool:
+        """Tell whether there is no way from a domain to an upstream."""
+        apart = {domain, info.domain}
+        return len(apart) > 1 and bool(apart & self.cut)
+
+    def one_in(self, share: float) -> bool:
+        """Draw whether something of a share happens."""
+        return self.randomness.random() < share
+
+
+def restarted(upstream: Upstream) -> None:
+    """Bring an upstream back, at another address."""
+    address = upstream.info.address
+    upstream.info = replace(
+        upstream.info,
+        address=Address(address.ip, address.port + 1),
+        presence=Presence.LIVE,
+    )
+    upstream.leaving = False
+    upstream.is_down = False
+
+
+def mark_of(text: str) -> str:
+    """Return the mark that a request carries in its text."""
+    _, _, rest = text.partition(_MARK)
+    return rest.split(maxsplit=1)[0] if rest else ''
+
+
+def marked(mark: str) -> str:
+    """Return a text that carries a mark."""
+    return f'{_MARK}{mark} please'
+
+
+def word_of(mark: str, version: str, place: int) -> str:
+    """Return one piece of the answer that an engine writes."""
+    return f'{mark}/{version}/{place} '
+
+
+def text_of(mark: str, version: str, words: int) -> str:
+    """Return the whole answer that an engine writes."""
+    return ''.join(word_of(mark, version, place) for place in range(words))
+
+
+class HostEngines:
+    """A host's client of engines.
+
+    Args:
+        world: The upstreams.
+        host: The host.
+        domain: Its failure domain.
+        clock: Its clock.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        host: HostId,
+        domain: DomainId,
+        clock: Clock,
+    ) -> None:
+        self._world = world
+        self._host = host
+        self._domain = domain
+        self._clock = clock
+
+    @asynccontextmanager
+    async def answer(
+        self,
+        attempt: Attempt,
+    ) -> AsyncIterator[AsyncIterator[AnswerEvent]]:
+        """Open an answer."""
+        events = self._events(attempt)
+        try:
+            yield events
+        finally:
+            await events.aclose()
+
+    async def report(self, upstream: UpstreamInfo) -> EngineReport | Refusal:
+        """Ask an engine for its load."""
+        engine = await self._connect(upstream)
+        if isinstance(engine, Refusal):
+            return engine
+        if engine.is_frozen:
+            await self._clock.sleep(CONNECT_TIMEOUT)
+            return _silent()
+        if engine.leaving:
+            self._world.watcher.told_leaving(self._host, upstream.upstream)
+        return EngineReport(
+            versions=engine.versions,
+            running=engine.running,
+            queued=0,
+            slots=SLOTS,
+            leaving=engine.leaving,
+            checks_fencing=True,
+            fencing=FencingNumber(0),
+        )
+
+    async def order(
+        self,
+        upstream: UpstreamInfo,
+        order: EngineOrder,
+    ) -> Refusal | None:
+        """Tell an engine to load a version; it has all that it may have."""
+        engine = await self._connect(upstream)
+        if isinstance(engine, Refusal):
+            return engine
+        return order.gate()
+
+    async def _connect(self, info: UpstreamInfo) -> Upstream | Refusal:
+        """Open a connection, or fail to."""
+        draw = self._world.randomness.uniform
+        await self._clock.sleep(draw(0.001, 0.01))
+        engine = self._world.reach(self._domain, info)
+        if engine is not None:
+            return engine
+        if self._world.is_cut(self._domain, info):
+            await self._clock.sleep(CONNECT_TIMEOUT)
+        reason = f'No connection to {info.upstream}.'
+        return Refusal(ResultCode.UPSTREAM_UNREACHABLE, reason)
+
+    async def _events(
+        self,
+        attempt: Attempt,
+    ) -> AsyncGenerator[AnswerEvent, None]:
+        """Send an attempt and yield what comes."""
+        engine = await self._connect(attempt.upstream)
+        if isinstance(engine, Refusal):
+            yield engine
+            return
+        refusal = attempt.gate()
+        if refusal is not None:
+            yield refusal
+            return
+        body = msgspec.json.decode(attempt.body)
+        mark = mark_of(body['messages'][-1]['content'])
+        sent = FirstByte(
+            self._world.clock.now(),
+            self._host,
+            attempt.attempt,
+            attempt.upstream.upstream,
+            attempt.version,
+            mark,
+        )
+        self._world.watcher.first_byte(sent)
+        refused = _refusal_of(engine, attempt)
+        if refused is not None:
+            self._world.watcher.unstarted(sent)
+            await self._clock.sleep(0.001)
+            yield refused
+            return
+        engine.running += 1
+        try:
+            async for event in self._stream(engine, attempt, mark, body):
+                yield event
+        finally:
+            engine.running -= 1
+
+    async def _stream(
+        self,
+        engine: Upstream,
+        attempt: Attempt,
+        mark: str,
+        body: dict[str, Any],
+    ) -> AsyncGenerator[AnswerEvent, None]:
+        """Yield what the program's reader makes of an engine's chunks."""
+        world = self._world
+        if world.one_in(world.faults.error):
+            await self._clock.sleep(0.01)
+            yield Refusal(ResultCode.UPSTREAM_ERROR, 'Status 500.', Ran.UNKNOWN)
+            return
+        reader = AnswerReader(attempt.attempt, attempt.skip)
+        for seconds, chunk in _chunks(world, attempt, mark, body):
+            await self._clock.sleep(seconds)
+            while engine.is_frozen:
+                await self._clock.sleep(LOOK)
+            if world.reach(self._domain, attempt.upstream) is None:
+                break
+            event = reader.read(msgspec.json.encode(chunk))
+            if event is not None:
+                yield event
+            if reader.is_over:
+                return
+        yield reader.close()
+
+
+class HostServices:
+    """A host's client of plain services.
+
+    Args:
+        world: The upstreams.
+        host: The host.
+        domain: Its failure domain.
+        clock: Its clock.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        host: HostId,
+        domain: DomainId,
+        clock: Clock,
+    ) -> None:
+        self._world = world
+        self._host = host
+        self._domain = domain
+        self._clock = clock
+
+    async def call(self, call: ServiceCall) -> ServiceReply | Refusal:
+        """Make a call, once."""
+        world = self._world
+        draw = world.randomness.uniform
+        await self._clock.sleep(draw(0.001, 0.01))
+        service = world.reach(self._domain, call.upstream)
+        if service is None:
+            if world.is_cut(self._domain, call.upstream):
+                await self._clock.sleep(min(call.timeout, CONNECT_TIMEOUT))
+            return Refusal(ResultCode.UPSTREAM_UNREACHABLE, 'No connection.')
+        refusal = call.gate()
+        if refusal is not None:
+            return refusal
+        mark = mark_of(f'{call.path} {call.body.decode()}')
+        sent = FirstByte(
+            world.clock.now(),
+            self._host,
+            call.attempt,
+            call.upstream.upstream,
+            VersionId(''),
+            mark,
+        )
+        world.watcher.first_byte(sent)
+        world.receipts += 1
+        receipt = f'{mark}/receipt/{world.receipts}'
+        lost = service.is_frozen or world.one_in(world.faults.lost)
+        seconds = call.timeout if lost else draw(0.01, 0.3)
+        await self._clock.sleep(min(seconds, call.timeout))
+        if lost:
+            return _silent()
+        if world.reach(self._domain, call.upstream) is None:
+            return Refusal(ResultCode.UPSTREAM_ERROR, 'Cut.', Ran.UNKNOWN)
+        return ServiceReply(200, receipt.encode(), 'text/plain')
+
+
+def _refusal_of(engine: Upstream, attempt: Attempt) -> Refusal | None:
+    """Return why an engine does not start an attempt, if it does not."""
+    if engine.is_frozen:
+        return None
+    if engine.leaving:
+        return Refusal(ResultCode.UPSTREAM_LEAVING, 'Leaving.', Ran.NOT_RUN)
+    if attempt.version not in engine.versions:
+        return Refusal(ResultCode.VERSION_NOT_LOADED, 'Not there.', Ran.NOT_RUN)
+    if engine.running >= SLOTS:
+        return Refusal(ResultCode.UPSTREAM_BUSY, 'Busy.', Ran.NOT_RUN, 0.2)
+    return None
+
+
+def _silent() -> Refusal:
+    """Say that nothing came back."""
+    reason = 'The upstream fell silent.'
+    return Refusal(ResultCode.UPSTREAM_TIMEOUT, reason, Ran.UNKNOWN)
+
+
+def _chunks(
+    world: World,
+    attempt: Attempt,
+    mark: str,
+    body: dict[str, Any],
+) -> list[tuple[float, dict[str, Any]]]:
+    """Return the chunks that an engine sends, each after some seconds."""
+    words = body['max_tokens']
+    name = attempt.attempt
+    plan = [
+        (
+            world.randomness.uniform(0.01, 0.2),
+            _chunk(name, place, word_of(mark, attempt.version, place)),
+        )
+        for place in range(attempt.skip, words)
+    ]
+    plan.append((0.01, _last(name, words)))
+    if world.one_in(world.faults.stream):
+        fault = world.randomness.choice(_STREAM_FAULTS)
+        _spoil(plan, fault, world.randomness.randrange(len(plan)))
+    return plan
+
+
+def _spoil(
+    plan: list[tuple[float, dict[str, Any]]],
+    fault: str,
+    place: int,
+) -> None:
+    """Let an answer go wrong at a place."""
+    seconds, chunk = plan[place]
+    if fault == 'cut':
+        del plan[place:]
+    elif fault == 'gap':
+        del plan[place]
+    elif fault == 'twice':
+        plan.insert(place, (seconds, chunk))
+    elif fault == 'late':
+        plan[place] = (3.0, chunk)
+    elif fault == 'silent':
+        plan[place] = (LONG, chunk)
+    else:
+        crossed = _chunk('another', chunk['index'], 'of another answer ')
+        plan[place] = (seconds, crossed)
+
+
+def _chunk(attempt: str, place: int, text: str) -> dict[str, Any]:
+    """Return one piece as it is sent."""
+    return {
+        'id': attempt,
+        'index': place,
+        'choices': [{'delta': {'content': text}}],
+    }
+
+
+def _last(attempt: str, words: int) -> dict[str, Any]:
+    """Return the chunk with the end."""
+    return {
+        'id': attempt,
+        'index': words,
+        'choices': [{'delta': {}, 'finish_reason': 'stop'}],
+        'usage': {'prompt_tokens': 5, 'completion_tokens': words},
+    }
--- a/src/nutmegroad/_listeners_part.py
+++ b/src/nutmegroad/_listeners_part.py
@@ -1,5 +1,7 @@
 """The parts that listen to callers and to operators."""
 
+from typing import Protocol
+
 from aiohttp.typedefs import Handler
 from aiohttp.web import (
     Application,
@@ -47,16 +49,41 @@
 _UNAVAILABLE = 503
 
 
-async def listen(
+class Listener(Protocol):
+    """Serves applications, as a rule on sockets."""
+
+    async def listen(
+        self,
+        kernel: Kernel,
+        app: Application,
+        address: Address,
+    ) -> Address:
+        """Serve an application until the kernel closes.
+
+        Returns:
+            Where it listens; the port is known even if 0 was asked for.
+        """
+
+
+class SocketListener:
+    """Serves applications on TCP sockets."""
+
+    async def listen(
+        self,
+        kernel: Kernel,
+        app: Application,
+        address: Address,
+    ) -> Address:
+        """Serve an application until the kernel closes."""
+        return await _serve(kernel, app, address)
+
+
+async def _serve(
     kernel: Kernel,
     app: Application,
     address: Address,
 ) -> Address:
-    """Serve an application until the kernel closes.
-
-    Returns:
-        Where it listens; the port is known even if 0 was asked for.
-    """
+    """Serve an application on a TCP socket until the kernel closes."""
     runner = AppRunner(
         app,
         access_log=None,
@@ -91,11 +118,29 @@
     app.router.add_get('/metrics', show)
 
 
+@register('part', 'listener')
+class ListenerPart:
+    """Provides what serves the applications of the other parts."""
+
+    needs = ()
+
+    async def open(self, kernel: Kernel) -> None:
+        """Serve on sockets."""
+        kernel.provide(Listener, SocketListener())
+
+
 @register('part', 'operators')
 class OperatorsPart:
     """Listens to operators."""
 
-    needs = (Changes, Directory, Explanations, GracefulStop, Metrics)
+    needs = (
+        Changes,
+        Directory,
+        Explanations,
+        GracefulStop,
+        Listener,
+        Metrics,
+    )
 
     async def open(self, kernel: Kernel) -> None:
         """Begin to listen."""
@@ -115,7 +160,7 @@
         )
         app = interface.application()
         add_host_routes(app, kernel)
-        kernel.listening['operators'] = await listen(
+        kernel.listening['operators'] = await kernel.need(Listener).listen(
             kernel,
             app,
             kernel.settings.operators,
@@ -133,6 +178,7 @@
         Testator,
         SessionNames,
         GracefulStop,
+        Listener,
         Metrics,
     )
 
@@ -154,7 +200,7 @@
         app = interface.application(kernel.settings.max_body)
         stop = kernel.need(GracefulStop)
         CallerGuard(stop, kernel.need(Metrics)).protect(app)
-        kernel.listening['callers'] = await listen(
+        kernel.listening['callers'] = await kernel.need(Listener).listen(
             kernel,
             app,
             kernel.settings.callers,
--- a/src/nutmegroad/_upstreams_part.py
+++ b/src/nutmegroad/_upstreams_part.py
@@ -1,4 +1,4 @@
-"""The part that reaches upstreams over HTTP and watches them."""
+"""The parts that reach upstreams over HTTP and watch them."""
 
 from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
 from nutmegroad.core import Kernel
@@ -14,21 +14,31 @@
 
 @register('part', 'upstreams')
 class UpstreamsPart:
-    """Provides the clients of upstreams and the directory."""
+    """Provides the clients of upstreams."""
 
-    needs = (HostList,)
+    needs = ()
 
     async def open(self, kernel: Kernel) -> None:
-        """Open the clients and begin to watch."""
+        """Open the clients."""
         engines = await kernel.stack.enter_async_context(HttpEngineClient())
         services = await kernel.stack.enter_async_context(HttpServiceClient())
         kernel.provide(EngineClient, engines)
         kernel.provide(ServiceClient, services)
+
+
+@register('part', 'directory')
+class DirectoryPart:
+    """Provides the directory of upstreams."""
+
+    needs = (HostList, EngineClient)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Begin to watch."""
         directory = Directory(kernel.clock)
         kernel.provide(Directory, directory)
         watcher = UpstreamWatcher(
             kernel.need(HostList),
-            engines,
+            kernel.need(EngineClient),
             directory,
             kernel.clock,
             kernel.randomness,
--- a/src/nutmegroad/core.py
+++ b/src/nutmegroad/core.py
@@ -14,8 +14,9 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import AsyncExitStack, suppress
+from types import MappingProxyType
 from typing import Any, Final, Protocol, Self, TypeVar, cast
 
 from absl import logging
@@ -44,6 +45,9 @@
         """Start, push what must be closed, and provide."""
 
 
+_NOTHING: Final[Mapping[str, Callable[[], Part]]] = MappingProxyType({})
+
+
 class Kernel:
     """What the parts of one host share.
 
@@ -115,9 +119,18 @@
         self.stack.push_async_callback(_end, task)
         return task
 
-    async def start(self) -> None:
-        """Open every registered part, each after those that it needs."""
-        waiting = {name: make() for name, make in registered('part').items()}
+    async def start(
+        self,
+        replacing: Mapping[str, Callable[[], Part]] = _NOTHING,
+    ) -> None:
+        """Open every registered part, each after those that it needs.
+
+        Args:
+            replacing: Parts by the name of the one whose place they take,
+                so that a whole host can stand on other adapters.
+        """
+        factories = {**registered('part'), **replacing}
+        waiting = {name: make() for name, make in factories.items()}
         while waiting:
             ready = [
                 name
--- a/src/nutmegroad/testing.py
+++ b/src/nutmegroad/testing.py
@@ -9,14 +9,14 @@
 import itertools
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import TracebackType
 from typing import Final, Self
 
 from nutmegroad._memory_mesh import MemoryPeer, PeerNames
 from nutmegroad._peer_tasks import OwnedTasks
 from nutmegroad.clocks import Clock
-from nutmegroad.types import DomainId, HostId, Presence
+from nutmegroad.types import DomainId, HostId, Incarnation, Presence
 
 #: Turns of the event loop without a new sleeper after which every task
 #: is taken to be waiting for the clock.
@@ -272,9 +272,22 @@
         """End what is under way."""
         await self._tasks.aclose()
 
-    def join(self, host: HostId, domain: DomainId) -> MemoryPeer:
-        """Add a host, or a new incarnation of one, and return its mesh."""
+    def join(
+        self,
+        host: HostId,
+        domain: DomainId,
+        incarnation: Incarnation | None = None,
+    ) -> MemoryPeer:
+        """Add a host, or a new incarnation of one, and return its mesh.
+
+        Args:
+            host: The host.
+            domain: Its failure domain.
+            incarnation: What this run of it is called; None makes one up.
+        """
         names = PeerNames.fresh(host, domain, self._randomness)
+        if incarnation is not None:
+            names = replace(names, incarnation=incarnation)
         peer = MemoryPeer(names, self, self._tasks)
         self._peers[host] = peer
         return peer
