--- /dev/null
+++ b/experiments/soak_events.py
@@ -0,0 +1,370 @@
+"""What happens to a deployment in a randomised run."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from typing import Any, Final
+
+from msgspec.structs import replace as changed
+
+from experiments.soak_hosts import SoakHost, Surroundings
+from experiments.soak_judge import Judge
+from experiments.soak_upstreams import Upstream, restarted
+from nutmegroad.changes import Changes
+from nutmegroad.clocks import Clock
+from nutmegroad.documents import Document, VersionEntry
+from nutmegroad.platform import Listing
+from nutmegroad.stops import GracefulStop
+from nutmegroad.types import (
+    DomainId,
+    HostId,
+    OperatorId,
+    Presence,
+    UpstreamKind,
+    VersionId,
+)
+
+#: Seconds between events, on average.
+GAP: Final = 8.0
+#: Seconds after which hosts take a silent one for gone.
+SILENCE: Final = 3.0
+#: Seconds for which an event lasts, at least and at most.
+SHORT: Final = (1.0, 6.0)
+LONG: Final = (10.0, 30.0)
+
+_OPERATORS: Final = (OperatorId('one'), OperatorId('other'))
+
+
+@dataclass(slots=True)
+class Events:
+    """Draws and carries out events.
+
+    Attributes:
+        document: The document at the start.
+        around: What all hosts share.
+        judge: Told of each event.
+        clock: The time of all.
+        randomness: Draws them.
+        hosts: The present run of each host.
+        pending: Events that are not over.
+    """
+
+    document: Document
+    around: Surroundings
+    judge: Judge
+    clock: Clock
+    randomness: random.Random
+    hosts: dict[HostId, SoakHost]
+    pending: set[asyncio.Task[None]] = field(default_factory=set)
+    _busy: set[str] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Let events happen until cancelled."""
+        events = self._events()
+        while True:
+            await self.clock.sleep(self.randomness.expovariate(1 / GAP))
+            drawn = self.randomness.choices(
+                tuple(events),
+                tuple(events.values()),
+            )[0]
+            self.start(drawn())
+
+    def start(self, event: Awaitable[None]) -> None:
+        """Run an event in a task of its own."""
+        task = asyncio.ensure_future(event)
+        self.pending.add(task)
+        task.add_done_callback(self._ended)
+
+    async def begin_host(self, host: HostId, domain: DomainId) -> SoakHost:
+        """Start a host, or a new run of one."""
+        run = SoakHost(
+            host,
+            domain,
+            self.around,
+            random.Random(self.randomness.getrandbits(64)),
+        )
+        self.hosts[host] = run
+        await run.open()
+        return run
+
+    async def look_at_list(self) -> None:
+        """Keep the platform's host list in step, with a lag."""
+        while True:
+            self.around.platform.listing = Listing(
+                (),
+                tuple(
+                    upstream.info
+                    for upstream in self.around.world.upstreams.values()
+                ),
+            )
+            await self.clock.sleep(self.randomness.uniform(0.5, 6))
+
+    def _events(self) -> dict[Callable[[], Awaitable[None]], int]:
+        """Return the events and how often each is drawn."""
+        return {
+            self._kill: 3,
+            self._pause: 4,
+            self._cut: 3,
+            self._platform_down: 2,
+            self._platform_bad: 3,
+            self._stop: 3,
+            self._operate: 8,
+            self._withdraw: 3,
+            self._upstream_leaves: 4,
+            self._upstream_crashes: 3,
+            self._upstream_freezes: 2,
+            self._version_bad: 1,
+        }
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.pending.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.judge.fault(f'an event failed: {task.exception()!r}')
+
+    async def _last(self, spans: tuple[float, float]) -> None:
+        await self.clock.sleep(self.randomness.uniform(*spans))
+
+    def _take(self, names: list[str]) -> str | None:
+        """Return one that nothing happens to now, and keep it."""
+        free = [name for name in names if name not in self._busy]
+        if not free:
+            return None
+        name = self.randomness.choice(sorted(free))
+        self._busy.add(name)
+        return name
+
+    def _take_host(self) -> SoakHost | None:
+        name = self._take(list(self.hosts))
+        return None if name is None else self.hosts[HostId(name)]
+
+    async def _kill(self) -> None:
+        """Kill a host, and start another in its place."""
+        host = self._take_host()
+        if host is None:
+            return
+        event = self.judge.disturb(f'killed {host.kernel.incarnation}')
+        host.kill()
+        if self.randomness.random() < 0.5:
+            await self.clock.sleep(SILENCE)
+        self.around.network.remove(host.host)
+        await self._last(SHORT)
+        await self.begin_host(host.host, host.domain)
+        event.until = self.clock.now()
+        self._busy.discard(host.host)
+
+    async def _pause(self) -> None:
+        """Let a host stand still, shorter or longer than its lease."""
+        host = self._take_host()
+        if host is None:
+            return
+        event = self.judge.disturb(f'paused {host.host}')
+        host.pause()
+        await self._last(self.randomness.choice((SHORT, LONG)))
+        host.resume()
+        event.until = self.clock.now()
+        self._busy.discard(host.host)
+
+    async def _stop(self) -> None:
+        """Stop a host gracefully, and start another in its place."""
+        host = self._take_host()
+        if host is None:
+            return
+        event = self.judge.disturb(f'stopped {host.kernel.incarnation}')
+        host.stopping = True
+        left = await host.kernel.need(GracefulStop).run()
+        if left:
+            self.judge.fault(f'the stop of {host.host} cut {left} requests')
+        await host.close()
+        await self._last(SHORT)
+        await self.begin_host(host.host, host.domain)
+        event.until = self.clock.now()
+        self._busy.discard(host.host)
+
+    async def _cut(self) -> None:
+        """Cut a domain off from the others and from the platform."""
+        if self._take(['cut']) is None:
+            return
+        domains = sorted({host.domain for host in self.hosts.values()})
+        domain = self.randomness.choice(domains)
+        with_platform = self.randomness.random() < 0.6
+        event = self.judge.disturb(f'cut {domain}')
+        self.around.world.cut.add(domain)
+        if with_platform:
+            self.around.platform.weather.cut.add(domain)
+        self.around.network.cut_domain(domain)
+        await self.clock.sleep(SILENCE)
+        self.around.network.cut_domain(domain, noticed=True)
+        await self._last(self.randomness.choice((SHORT, LONG)))
+        self.around.network.heal_domain(domain)
+        self.around.world.cut.discard(domain)
+        self.around.platform.weather.cut.discard(domain)
+        event.until = self.clock.now()
+        self._busy.discard('cut')
+
+    async def _platform_down(self) -> None:
+        """Let the platform be down."""
+        if self._take(['platform']) is None:
+            return
+        event = self.judge.disturb('down platform')
+        self.around.platform.weather.down = True
+        await self._last(self.randomness.choice((SHORT, LONG)))
+        self.around.platform.weather.down = False
+        event.until = self.clock.now()
+        self._busy.discard('platform')
+
+    async def _platform_bad(self) -> None:
+        """Let the platform be slow, lose calls and replies, and lag."""
+        if self._take(['platform']) is None:
+            return
+        event = self.judge.disturb('bad platform')
+        weather = self.around.platform.weather
+        weather.delay = self.randomness.choice(((0.001, 0.02), (0.1, 1.2)))
+        weather.drop = self.randomness.choice((0, 0.2))
+        weather.lose_reply = self.randomness.choice((0, 0.4))
+        weather.lag = self.judge.history.lag
+        weather.stale = 0.3 if weather.lag else 0
+        await self._last(LONG)
+        weather.delay = (0.001, 0.02)
+        weather.drop = 0
+        weather.lose_reply = 0
+        weather.stale = 0
+        event.until = self.clock.now()
+        self._busy.discard('platform')
+
+    async def _operate(self) -> None:
+        """Have two operators change something at once."""
+        hosts = [host for host in self.hosts.values() if host.is_running]
+        if len(hosts) < 2:
+            return
+        chosen = self.randomness.sample(hosts, 2)
+        works = [
+            self._change(host, operator)
+            for host, operator in zip(chosen, _OPERATORS, strict=True)
+        ]
+        await asyncio.gather(*works)
+
+    async def _change(self, host: SoakHost, operator: OperatorId) -> None:
+        """Switch the preset, or change or put back a workspace."""
+        changes = host.kernel.need(Changes)
+        preset = self.randomness.choice(self.document.presets).name
+        if self.randomness.random() < 0.5:
+            outcome: Any = await changes.switch(preset, operator, None)
+        else:
+            entry = self.randomness.choice(self.document.workspaces)
+            if self.randomness.random() < 0.5:
+                out = self.randomness.choice(entry.versions)
+                left = tuple(one for one in entry.versions if one != out)
+                entry = changed(entry, versions=left)
+            outcome = await changes.set_workspace(entry, operator, None)
+        what = type(outcome).__name__
+        self.judge.counts[f'changes {what}'] += 1
+        self.judge.note(f'{operator} at {host.host}: {what}')
+
+    async def _withdraw(self) -> None:
+        """Withdraw a version, and allow it anew after a while."""
+        hosts = [host for host in self.hosts.values() if host.is_running]
+        if not hosts or self._take(['withdrawal']) is None:
+            return
+        host = self.randomness.choice(hosts)
+        version = VersionId(self.randomness.choice(self.document.versions).id)
+        self.judge.note(f'{version} withdrawn at {host.host}')
+        self.judge.counts['withdrawals'] += 1
+        changes = host.kernel.need(Changes)
+        await changes.withdraw(version, None, _OPERATORS[0])
+        await self._last(LONG)
+        while not await self._allow_again():
+            await self._last(SHORT)
+        self._busy.discard('withdrawal')
+
+    async def _allow_again(self) -> bool:
+        """Allow all versions anew; false if that did not succeed."""
+        hosts = [host for host in self.hosts.values() if host.is_running]
+        if not hosts:
+            return False
+        host = self.randomness.choice(hosts)
+        accepted = host.configuration.accepted
+        if accepted is None:
+            return False
+        document = accepted.document
+        versions = tuple(
+            self._renewed(entry) for entry in document.versions
+        )
+        if versions == document.versions:
+            return True
+        head = await host.kernel.need(Changes).apply(
+            changed(document, versions=versions),
+            None,
+            _OPERATORS[1],
+            accepted.revision,
+        )
+        return bool(head)
+
+    def _renewed(self, entry: VersionEntry) -> VersionEntry:
+        """Return a version's entry under an epoch that is not withdrawn."""
+        if self.judge.history.is_withdrawn(entry.version):
+            return changed(entry, epoch=entry.epoch + 1)
+        return entry
+
+    def _take_upstream(self, kind: UpstreamKind | None) -> Upstream | None:
+        names = [
+            str(name)
+            for name, upstream in self.around.world.upstreams.items()
+            if kind is None or upstream.info.kind is kind
+        ]
+        name = self._take(names)
+        if name is None:
+            return None
+        return self.around.world.upstreams[VersionId(name)]  # type: ignore
+
+    async def _upstream_leaves(self) -> None:
+        """Let an upstream leave, go, and come back elsewhere."""
+        upstream = self._take_upstream(None)
+        if upstream is None:
+            return
+        self.judge.note(f'{upstream.info.upstream} leaves')
+        self.judge.counts['upstreams leaving'] += 1
+        upstream.leaving = True
+        upstream.info = replace(upstream.info, presence=Presence.LEAVING)
+        await self._last(LONG)
+        upstream.is_down = True
+        await self._last(SHORT)
+        self._bring_back(upstream)
+
+    async def _upstream_crashes(self) -> None:
+        """Let an upstream crash and come back elsewhere."""
+        upstream = self._take_upstream(None)
+        if upstream is None:
+            return
+        self.judge.note(f'{upstream.info.upstream} crashes')
+        self.judge.counts['upstreams crashed'] += 1
+        upstream.is_down = True
+        await self._last(SHORT)
+        self._bring_back(upstream)
+
+    async def _upstream_freezes(self) -> None:
+        """Let an upstream stand still."""
+        upstream = self._take_upstream(None)
+        if upstream is None:
+            return
+        self.judge.note(f'{upstream.info.upstream} freezes')
+        self.judge.counts['upstreams frozen'] += 1
+        upstream.is_frozen = True
+        await self._last(SHORT)
+        upstream.is_frozen = False
+        self._busy.discard(str(upstream.info.upstream))
+
+    def _bring_back(self, upstream: Upstream) -> None:
+        """Let an upstream be there again."""
+        restarted(upstream)
+        self.judge.returned(upstream.info.upstream)
+        self.judge.note(f'{upstream.info.upstream} is back')
+        self._busy.discard(str(upstream.info.upstream))
+
+    async def _version_bad(self) -> None:
+        """Let a version turn bad: its answers are rated low."""
+        version = self.randomness.choice(self.document.versions).id
+        self.judge.note(f'{version} turns bad')
+        self.around.platform.bad.add(version)
+        await self._last(LONG)
+        self.around.platform.bad.discard(version)
--- a/experiments/soak_hosts.py
+++ b/experiments/soak_hosts.py
@@ -5,6 +5,7 @@
 can be paused, and with which it stops for good when it is killed.
 """
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -186,6 +187,7 @@
         paused: It stands still.
         began: Seconds at which this run began.
         stopping: Its graceful stop has begun.
+        ended: Done once it is killed or closed.
     """
 
     def __init__(
@@ -203,6 +205,7 @@
         self.paused = False
         self.stopping = False
         self.began = self.clock.now()
+        self.ended = asyncio.get_running_loop().create_future()
         self._around = around
         settings = Settings(
             host=host,
@@ -260,11 +263,14 @@
         self.clock.resume()
 
     def kill(self) -> None:
-        """End at once, as by kill -9: nothing of it ever runs again."""
+        """End at once, as by kill -9: nothing of it ever runs again.
+
+        The others learn of it later, when the network removes it.
+        """
         self.is_alive = False
         self._mesh.is_alive = False
         self.clock.pause()
-        self._around.network.remove(self.host)
+        self._end()
 
     async def close(self) -> None:
         """Close all parts after a graceful stop, and leave the network."""
@@ -272,6 +278,12 @@
         self.is_alive = False
         self._mesh.is_alive = False
         self._around.network.remove(self.host)
+        self._end()
+
+    def _end(self) -> None:
+        """Break the connections of callers."""
+        if not self.ended.done():
+            self.ended.set_result(None)
 
     def _parts(self) -> dict[str, Part]:
         """Return the parts that stand on memory, by whose place they take."""
--- /dev/null
+++ b/experiments/soak_judge.py
@@ -0,0 +1,393 @@
+"""The outside judge of a randomised run.
+
+It sees every first byte at every upstream, every row that is written and
+every reply to a caller, and asserts what must always hold. What it finds
+goes into ``faults``; nothing that it does changes the run.
+"""
+
+import hashlib
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+from experiments.soak_calls import Reply
+from experiments.soak_history import History
+from experiments.soak_hosts import SoakHost
+from experiments.soak_upstreams import FirstByte, text_of
+from nutmegroad.clocks import Clock
+from nutmegroad.types import HostId, UpstreamId, WorkspaceId
+
+#: Seconds within which a leaving upstream gets no new work any more.
+LEAVE_BOUND: Final = 3.0
+#: Seconds beyond its deadline after which a request must have ended.
+HANG_BOUND: Final = 10.0
+#: Seconds after which a fleet that nothing disturbs agrees again.
+CALM: Final = 20.0
+#: Seconds for which a held bill may wait for its host to be given up.
+BILL_WINDOW: Final = 45.0
+
+
+@dataclass(slots=True)
+class Call:
+    """A caller's request, as the judge knows it.
+
+    Attributes:
+        mark: What it carries; repeats of a request carry the same.
+        workspace: Who asks.
+        task: Its task class; empty for a service's call.
+        service: The service; empty for a model request.
+        repeatable: Whether its work may run twice.
+        words: Words of the answer that it asks for.
+        session: What names its session; empty for none.
+        deadline: Seconds that it gives.
+        began: Seconds at which it was sent.
+    """
+
+    mark: str
+    workspace: WorkspaceId
+    task: str
+    service: str
+    repeatable: bool
+    words: int
+    session: str
+    deadline: float
+    began: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A request that was answered whole.
+
+    Attributes:
+        request: Its id.
+        host: The host that was asked.
+        at: Seconds.
+    """
+
+    request: str
+    host: HostId
+    at: float
+
+
+@dataclass(slots=True)
+class Disturbance:
+    """Something that went wrong with hosts or their links.
+
+    Attributes:
+        at: Seconds.
+        what: What it was.
+        until: Seconds at which it was over.
+    """
+
+    at: float
+    what: str
+    until: float = float('inf')
+
+
+@dataclass(slots=True)
+class Judge:
+    """Holds a run to what must always hold.
+
+    Attributes:
+        clock: The time of all.
+        history: What was in force when.
+        faults: What did not hold, each as a sentence.
+        counts: What happened, by kind.
+        hosts: The present run of each host.
+        calls: Requests by mark.
+        answered: Requests that were answered whole.
+        disturbances: What went wrong, in order.
+    """
+
+    clock: Clock
+    history: History
+    faults: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    hosts: dict[HostId, SoakHost] = field(default_factory=dict)
+    calls: dict[str, Call] = field(default_factory=dict)
+    answered: list[Answered] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    _digest: 'hashlib._Hash' = field(default_factory=hashlib.sha256)
+    _started: Counter[str] = field(default_factory=Counter)
+    _work: Counter[str] = field(default_factory=Counter)
+    _sessions: dict[str, set[str]] = field(
+        default_factory=lambda: defaultdict(set),
+    )
+    _told: dict[UpstreamId, float] = field(default_factory=dict)
+    _host_told: dict[tuple[str, UpstreamId], float] = field(
+        default_factory=dict,
+    )
+    _revisions: dict[str, int] = field(default_factory=dict)
+    _presets: dict[int, str] = field(default_factory=dict)
+
+    @property
+    def digest(self) -> str:
+        """Return a hash of all that was noted."""
+        return self._digest.hexdigest()
+
+    def note(self, what: str) -> None:
+        """Put a line into the log of events."""
+        self._digest.update(f'{self.clock.now():.6f} {what}\n'.encode())
+
+    def fault(self, what: str) -> None:
+        """Take in that something did not hold."""
+        self.note(f'FAULT {what}')
+        self.faults.append(f'{self.clock.now():.3f} s: {what}')
+
+    def alarm(self, name: str, detail: str) -> None:
+        """Take in a check of the program's own that failed."""
+        self.fault(f'the program says that {name} does not hold: {detail}')
+
+    def disturb(self, what: str) -> Disturbance:
+        """Take in that hosts or links are disturbed from now on."""
+        self.note(what)
+        self.counts[what.split()[0]] += 1
+        disturbance = Disturbance(self.clock.now(), what)
+        self.disturbances.append(disturbance)
+        return disturbance
+
+    def is_calm(self, since: float, until: float | None = None) -> bool:
+        """Tell whether nothing was disturbed from a moment on."""
+        end = self.clock.now() if until is None else until
+        return not any(
+            disturbance.until >= since and disturbance.at <= end
+            for disturbance in self.disturbances
+        )
+
+    def first_byte(self, sent: FirstByte) -> None:
+        """Judge the first byte of an attempt."""
+        self.note(f'{sent.host} sends {sent.attempt} to {sent.upstream}')
+        self.counts['first bytes'] += 1
+        request = _request_of(sent.attempt)
+        self._started[request] += 1
+        call = self.calls[sent.mark]
+        host = self.hosts[sent.host]
+        if not host.is_running:
+            self.fault(f'{sent.host} sends while it stands still')
+        self._look_at_host(host)
+        self._judge_work(call, sent)
+        self._judge_leaving(host, sent)
+        if call.service:
+            self._judge_service(host, call)
+        else:
+            self._judge_version(host, call, sent)
+
+    def unstarted(self, sent: FirstByte) -> None:
+        """Take in that an upstream refused an attempt at once."""
+        self._started[_request_of(sent.attempt)] -= 1
+        self._work[sent.mark] -= 1
+
+    def told_leaving(self, host: HostId, upstream: UpstreamId) -> None:
+        """Take in that a host learned that an upstream is leaving."""
+        now = self.clock.now()
+        self._told.setdefault(upstream, now)
+        run = self.hosts[host].kernel.incarnation
+        self._host_told.setdefault((run, upstream), now)
+
+    def returned(self, upstream: UpstreamId) -> None:
+        """Take in that an upstream is there again, as a new run."""
+        self._told.pop(upstream, None)
+        for key in tuple(self._host_told):
+            if key[1] == upstream:
+                self._host_told.pop(key)
+
+    def look(self) -> None:
+        """Look at all hosts."""
+        for host in self.hosts.values():
+            if host.is_running:
+                self._look_at_host(host)
+                self._look_for_isolation(host)
+
+    def replied(self, call: Call, host: SoakHost, reply: Reply) -> None:
+        """Judge what a caller got."""
+        self.note(f'{call.mark} gets {reply.status} {len(reply.body)}')
+        self.counts['replies'] += 1
+        refusal = reply.refusal()
+        if refusal is not None:
+            self._judge_refusal(call, reply, refusal)
+        if call.service:
+            self._judge_receipt(call, host, reply)
+        elif reply.is_whole or reply.is_stream:
+            self._judge_answer(call, host, reply)
+        elif refusal is None:
+            self.fault(f'{call.mark} got {reply.status} without a refusal')
+
+    def broken(self, call: Call, why: str) -> None:
+        """Take in that a caller's connection broke."""
+        self.note(f'{call.mark} {why}')
+        self.counts[why] += 1
+
+    def hung(self, call: Call, host: SoakHost) -> None:
+        """Take in that a request did not end."""
+        if self.is_calm(call.began) and not host.paused:
+            self.fault(f'{call.mark} did not end within its deadline')
+        self.counts['hung on disturbed hosts'] += 1
+
+    def judge_bills(self, billed: dict[str, int]) -> None:
+        """Judge what a reader of the billing objects sees at the end."""
+        for answered in self.answered:
+            if answered.request in billed:
+                continue
+            if self._is_explained(answered):
+                self.counts['bills lost with host and heir'] += 1
+            else:
+                self.fault(f'{answered.request} was answered, not billed')
+        self.counts['billed'] = len(billed)
+
+    def _judge_work(self, call: Call, sent: FirstByte) -> None:
+        """Judge whether the work of a request may start (again)."""
+        self._work[call.mark] += 1
+        if self._work[call.mark] > 1 and not call.repeatable:
+            self.fault(f'{call.mark} may not be repeated and ran twice')
+        late = sent.at - call.began - call.deadline
+        # A repeat of the request gives its own deadline.
+        if late > HANG_BOUND and self._work[call.mark] == 1:
+            self.fault(f'{call.mark} was sent {late:.1f} s after its deadline')
+
+    def _judge_leaving(self, host: SoakHost, sent: FirstByte) -> None:
+        """Judge whether the upstream may have new work."""
+        own = self._host_told.get((host.kernel.incarnation, sent.upstream))
+        if own is not None and sent.at > own + LEAVE_BOUND:
+            self.fault(f'{sent.host} knew that {sent.upstream} is leaving')
+        told = self._told.get(sent.upstream, sent.at)
+        since = max(told, host.began + 1)
+        if sent.at > since + LEAVE_BOUND and self.is_calm(told - 1):
+            self.fault(f'{sent.upstream} is leaving and got new work')
+
+    def _judge_service(self, host: SoakHost, call: Call) -> None:
+        """Judge a call of a plain service."""
+        if host.configuration.isolated:
+            problem = self.history.isolated_service(host, call.workspace)
+        else:
+            problem = self.history.forbids_service(
+                call.workspace,
+                call.service,
+            )
+        if problem:
+            self.fault(f'{call.mark} at {host.host}: {problem}')
+
+    def _judge_version(
+        self,
+        host: SoakHost,
+        call: Call,
+        sent: FirstByte,
+    ) -> None:
+        """Judge the version of an attempt."""
+        version = sent.version
+        if host.configuration.isolated:
+            problem = self.history.isolated_version(
+                host,
+                call.workspace,
+                version,
+            )
+        else:
+            problem = self.history.forbids_version(call.workspace, version)
+        if problem:
+            self.fault(f'{call.mark} at {host.host}: {problem}')
+        known = self._sessions.get(call.session, set())
+        if call.session and known and version not in known:
+            self.fault(f'{call.mark} of session {call.session} went elsewhere')
+
+    def _judge_refusal(
+        self,
+        call: Call,
+        reply: Reply,
+        refusal: dict[str, object],
+    ) -> None:
+        """Judge what a refusal says."""
+        self.counts[f'refused {refusal["name"]}'] += 1
+        request = reply.headers.get('Nutmegroad-Request', '')
+        if refusal['not_run'] and self._started[request] > 0:
+            self.fault(f'{call.mark} ran, and was refused as not run')
+
+    def _judge_receipt(self, call: Call, host: SoakHost, reply: Reply) -> None:
+        """Judge a service's answer."""
+        if reply.status != 200:
+            return
+        if not reply.body.decode().startswith(f'{call.mark}/receipt/'):
+            self.fault(f'{call.mark} got the answer of another call')
+        self._note_answered(host, reply)
+
+    def _judge_answer(self, call: Call, host: SoakHost, reply: Reply) -> None:
+        """Judge a model's answer."""
+        version, text = reply.answer()
+        expected = text_of(call.mark, version, call.words)
+        if not reply.is_whole:
+            if not expected.startswith(text):
+                self.fault(f'{call.mark} was shown what is not its own')
+            if reply.refusal() is None:
+                self.fault(f'{call.mark} was cut without an error')
+            return
+        if text != expected:
+            self.fault(f'{call.mark} got an answer that is not whole: {text!r}')
+        if call.session:
+            self._sessions[call.session].add(version)
+            if len(self._sessions[call.session]) > 1:
+                self.fault(f'the session {call.session} changed its version')
+        self._note_answered(host, reply)
+
+    def _note_answered(self, host: SoakHost, reply: Reply) -> None:
+        """Take in that a request was answered whole, and not by a repeat."""
+        self.counts['answered'] += 1
+        if 'Nutmegroad-First-Request' in reply.headers:
+            self.counts['answered by repeats'] += 1
+            return
+        request = reply.headers['Nutmegroad-Request']
+        self.answered.append(
+            Answered(request, host.host, self.clock.now()),
+        )
+
+    def _look_at_host(self, host: SoakHost) -> None:
+        """Look at what a host has in force."""
+        accepted = host.configuration.accepted
+        if accepted is None:
+            return
+        run = host.kernel.incarnation
+        revision = accepted.revision
+        if revision < self._revisions.get(run, 0):
+            self.fault(f'{run} went back to revision {revision}')
+        self._revisions[run] = revision
+        preset = self._presets.setdefault(revision, accepted.preset)
+        if preset != accepted.preset or self.history.differs(accepted):
+            self.fault(f'revision {revision} is not the same on {host.host}')
+
+    def _look_for_isolation(self, host: SoakHost) -> None:
+        """Judge whether a host says rightly that it is isolated."""
+        now = self.clock.now()
+        is_old = now > host.began + CALM
+        if host.configuration.isolated and is_old and self.is_calm(now - CALM):
+            self.fault(f'{host.host} is isolated though nothing is wrong')
+
+    def _is_explained(self, answered: Answered) -> bool:
+        """Tell whether a host and its heir were lost one after the other."""
+        window = (answered.at - BILL_WINDOW, answered.at + BILL_WINDOW)
+        events = [
+            event
+            for event in self.disturbances
+            if event.until >= window[0] and event.at <= window[1]
+        ]
+        run = _run_of(answered.request)
+        killed = any(event.what == f'killed {run}' for event in events)
+        return killed and len(events) > 1
+
+
+def read_bills(objects: dict[str, bytes], prefix: str) -> dict[str, int]:
+    """Return how often each request stands in the billing objects."""
+    seen: Counter[str] = Counter()
+    for name in sorted(objects):
+        if name.startswith(prefix):
+            records = msgspec.json.decode(objects[name])
+            seen.update({record['request'] for record in records})
+    return dict(seen)
+
+
+def _request_of(attempt: str) -> str:
+    """Return the request to which an attempt belongs."""
+    return attempt.partition('.')[0] + '.' + attempt.split('.')[1]
+
+
+def _run_of(request: str) -> str:
+    """Return the run of the host that named a request."""
+    return request.rpartition('-')[0]
--- /dev/null
+++ b/experiments/soak_mutants.py
@@ -0,0 +1,97 @@
+"""Mechanisms taken out one by one, to see that the run's judge needs them."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, Final
+from unittest.mock import _patch, patch
+
+from nutmegroad._event_streams import AnswerReader
+from nutmegroad.configuration import Configuration
+from nutmegroad.directory import Directory
+from nutmegroad.fences import Fence
+from nutmegroad.heirs import Testator
+from nutmegroad.intake import IntakeDesk
+from nutmegroad.once import Once, Run
+from nutmegroad.results import Refusal
+from nutmegroad.session_pins import SessionPins
+from nutmegroad.stops import GracefulStop
+from nutmegroad.tickets import SpentTicket, TicketOffice
+from nutmegroad.types import Ran
+
+
+async def _no_claim(self: Any, order: Any) -> Run:
+    """Let each request with a key run."""
+    return Run(order, self._fence(order, None))
+
+
+def _no_ticket(self: Any, ticket: Any, request: Any, fingerprint: Any) -> Any:
+    """Let a ticket be spent again and again."""
+    return SpentTicket(ticket.number, request, fingerprint, ticket.until)
+
+
+def _not_forward(self: Any, accepted: Any) -> bool:
+    """Take whatever comes, also an older revision."""
+    if accepted.revision == self.revision:
+        return False
+    self._accepted = accepted
+    self._heard = accepted.revision
+    self._changed()
+    return True
+
+
+async def _no_pin(self: Any, intake: Any) -> Any:
+    """Hold no named session to a version."""
+    return intake
+
+
+def _no_token(self: Any, headers: Any, workspace: Any) -> Any:
+    """Take no notice of a session's token."""
+    return '', None
+
+
+def _any_attempt(self: Any, chunk: Any) -> Any:
+    """Take a piece of any attempt."""
+    if chunk.index < self.expected:
+        return None
+    self.expected += 1
+    return self._accept(chunk)
+
+
+async def _no_drain(self: Any, until: float) -> None:
+    """Wait for no request."""
+
+
+async def _no_hand(self: Any, last: bool = False) -> bool:
+    """Hand nothing to a peer."""
+    return False
+
+
+def _says_not_run(self: Any, refusal: Refusal) -> Refusal:
+    """Say of all refusals that nothing ran."""
+    return replace(refusal, ran=Ran.NOT_RUN)
+
+
+MUTANTS: Final[dict[str, tuple[Any, str, Any]]] = {
+    'withdrawn': (
+        Configuration,
+        'is_withdrawn',
+        lambda self, version, epoch: False,
+    ),
+    'lease': (Configuration, 'isolated', property(lambda self: False)),
+    'claim': (Once, '_claim_key', _no_claim),
+    'ticket': (TicketOffice, 'spend', _no_ticket),
+    'forward only': (Configuration, 'take', _not_forward),
+    'pin': (SessionPins, 'pin', _no_pin),
+    'token': (IntakeDesk, '_session', _no_token),
+    'attempt id': (AnswerReader, '_read_chunk', _any_attempt),
+    'drain': (GracefulStop, '_wait', _no_drain),
+    'hand-over': (Testator, 'hand', _no_hand),
+    'leaving': (Directory, 'mark_leaving', lambda self, *told: False),
+    'not run': (Fence, 'review', _says_not_run),
+}
+
+
+def mutant(name: str) -> '_patch[Callable[..., Any]]':
+    """Return the patch that takes a mechanism out."""
+    owner, attribute, new = MUTANTS[name]
+    return patch.object(owner, attribute, new)
