--- a/experiments/soak_traffic.py
+++ b/experiments/soak_traffic.py
@@ -158,10 +158,9 @@
         call = self._call(workspace, task=task.name)
         call.repeatable = task.repeatable
         headers = self._headers(call, call.workspace)
-        if session is not None:
+        if session is not None and session.header:
             call.session = session.name
-            if session.header:
-                headers['Nutmegroad-Session'] = session.header
+            headers['Nutmegroad-Session'] = session.header
         body = {
             'model': task.name,
             'messages': [{'role': 'user', 'content': marked(call.mark)}],
@@ -174,7 +173,7 @@
             headers,
             msgspec.json.encode(body),
         )
-        if session is not None and self._one_in(0.2):
+        if call.session and self._one_in(0.2):
             # Its requests come to two hosts at once.
             twin = replace(call, mark=f'{call.mark}t')
             self.judge.calls[twin.mark] = twin
@@ -200,6 +199,7 @@
         token = reply.headers.get('Nutmegroad-Session', '')
         if token and not session.header:
             session.header = token
+            self.judge.session_began(session.name, reply.answer()[0])
 
     async def _guarded(self, sent: Sent) -> Reply | None:
         """Send a request, mostly with a key or a ticket if it needs one."""
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -234,6 +234,7 @@
         if reply.status != _OK or not isinstance(reply.body, bytes):
             return reply
         answer = read_answer(reply.body)
+        stream.adopt(reply.headers)
         stream.answering(answer.version)
         await stream.piece(answer.text)
         return await stream.finish(answer)
--- a/src/nutmegroad/directory.py
+++ b/src/nutmegroad/directory.py
@@ -99,7 +99,7 @@
     def update(self, upstreams: tuple[UpstreamInfo, ...]) -> None:
         """Take the host list's entries; those left out are forgotten."""
         listed = {info.upstream for info in upstreams}
-        for gone in set(self._states) - listed:
+        for gone in sorted(set(self._states) - listed):
             state = self._states.pop(gone)
             # Requests that still hold this state must see it as leaving.
             state.leaving = True
--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/replies.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -20,6 +20,9 @@
 JSON_TYPE: Final = 'application/json'
 
 _MILLISECONDS: Final = 1000
+#: Headers of ours begin with this.
+_OURS: Final = 'Nutmegroad-'
+_REQUEST_HEADER: Final = 'Nutmegroad-Request'
 _CHUNK: Final = 'chat.completion.chunk'
 
 #: Seconds that a caller may take to read what is buffered for it.
@@ -324,6 +327,7 @@
         self._metrics = metrics
         self._patience = patience
         self._version = VersionId('')
+        self._adopted: dict[str, str] = {}
         self._response: StreamResponse | None = None
 
     @property
@@ -335,6 +339,22 @@
         """Learn which version writes what comes next."""
         self._version = version
 
+    def adopt(self, headers: Mapping[str, str]) -> None:
+        """Show an answer that another run of the request gave.
+
+        Args:
+            headers: The headers of its reply; they name the request under
+                which it ran and is billed, and the first one.
+        """
+        self._adopted = {
+            name: given
+            for name, given in headers.items()
+            if name.startswith(_OURS)
+        }
+        named = self._adopted.get(_REQUEST_HEADER)
+        if named is not None:
+            self._request = RequestId(named)
+
     async def piece(self, text: str) -> None:
         """Send a piece."""
         choice = ChunkChoice(0, Delta(text))
@@ -367,9 +387,10 @@
 
     async def _begin(self) -> StreamResponse:
         """Begin the reply, now that its version is known."""
-        headers = {'Nutmegroad-Request': str(self._request)}
+        headers = {_REQUEST_HEADER: str(self._request)}
         if self._version:
             headers['Nutmegroad-Session'] = self._token_of(self._version)
+        headers |= self._adopted
         response = StreamResponse(headers=headers)
         response.content_type = 'text/event-stream'
         self._response = response
--- a/src/nutmegroad/watch.py
+++ b/src/nutmegroad/watch.py
@@ -104,7 +104,8 @@
         wanted = {state.info.upstream for state in states}
         for gone in self._tasks.keys() - wanted:
             self._tasks.pop(gone).cancel()
-        for fresh in wanted - self._tasks.keys():
+        # In order, so that what is drawn for each does not hang on hashes.
+        for fresh in sorted(wanted - self._tasks.keys()):
             self._tasks[fresh] = asyncio.create_task(self._follow(fresh))
 
     async def _follow(self, upstream: UpstreamId) -> None:
