--- a/experiments/soak_hosts.py
+++ b/experiments/soak_hosts.py
@@ -17,7 +17,7 @@
 from experiments.deployment import BOOTSTRAP_TOKEN, CLUSTER_KEY
 from experiments.soak_platform import SoakHostPlatform, SoakPlatform
 from experiments.soak_upstreams import HostEngines, HostServices, World
-from nutmegroad._listeners_part import Listener
+from nutmegroad._listening import Listener
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel, Part
 from nutmegroad.duties import Duties
