Release only a claim of our own: another's run was called not run

Cause: a claim whose write may have taken effect was kept for a later release under the version that its write would have made. If the write never arrived, another host's open intent had just that version, and the release turned it into 'not run': a later repeat of the key ran the request a second time. Ruled out: the fence and the read-back by nonce, which held; lagging reads alone, since the compare-and-set stops them. Mended: the release reads the row and settles only an open intent with its own nonce; where nothing stands, it writes 'not run' so that the write, should it come late, is in conflict. Before: test_a_release_leaves_the_claim_of_another_alone fails with the old way to settle; after: the 12 tests of intents pass, and the 27 of intents, once and random records.

--- a/src/nutmegroad/intents.py
+++ b/src/nutmegroad/intents.py
@@ -235,6 +235,25 @@
         row = await self._put(claim.row, intent, claim.version)
         return row if isinstance(row, Refusal) else None
 
+    async def release(self, claim: Claim) -> Refusal | None:
+        """Settle a claim that was not used and may stand in the table.
+
+        Nobody knows whether its write took effect. The row may be another
+        host's by now, with the version that ours would have: that one runs
+        or has run, so only a row with our own nonce is settled.
+        """
+        row = await self._table.read(claim.row)
+        if isinstance(row, Refusal):
+            return row
+        if row.version >= claim.version and not _is_open(row, claim):
+            return None
+        # Where nothing stands yet, a write that comes late is in conflict.
+        intent = replace(claim.intent, state=IntentState.NOT_RUN)
+        present = await self._put(claim.row, intent, row.version)
+        if isinstance(present, Refusal):
+            return present
+        return intent_unavailable() if _is_open(present, claim) else None
+
     async def _answered(
         self,
         claim: Claim,
@@ -325,6 +344,15 @@
         return intent_unavailable()
 
 
+def _is_open(row: Row, claim: Claim) -> bool:
+    """Tell whether a row holds a claim's own intent, not settled yet."""
+    if row.version == ABSENT:
+        return False
+    intent = msgspec.json.decode(row.text, type=Intent)
+    is_own = intent.nonce == claim.intent.nonce
+    return is_own and intent.state is IntentState.OPEN
+
+
 def key_reused() -> Refusal:
     """Say that a key or a ticket came with another request before."""
     return Refusal(
--- a/src/nutmegroad/once.py
+++ b/src/nutmegroad/once.py
@@ -189,7 +189,7 @@
         self._abandoned.extend(self._intents.take_abandoned())
         while self._abandoned:
             claim = self._abandoned[0]
-            refusal = await self._intents.settle(claim, intent_unavailable())
+            refusal = await self._intents.release(claim)
             if refusal is not None:
                 return
             self._abandoned.pop(0)
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -132,9 +132,35 @@
             (await self.refused()).code,
         )
         for claim in self.one.intents.take_abandoned():
-            await self.one.intents.settle(claim, NOT_RUN)
+            await self.one.intents.release(claim)
         self.assertIsInstance(await self.two.intents.claim(AGAIN), Claim)
 
+    async def test_a_release_leaves_the_claim_of_another_alone(self) -> None:
+        # The write never arrives, so the row that stands there later, of
+        # the same version, is another host's.
+        self.rig.fault(FaultKind.LOSE_REPLY, 'table', count=1)
+        self.rig.fault(FaultKind.STALE, 'table', count=1)
+        await self.one.intents.claim(WISH)
+        (claim,) = self.one.intents.take_abandoned()
+        other = replace(WISH, key='k2')
+        self.assertIsInstance(await self.two.intents.claim(other), Claim)
+        lost = replace(claim, row=other.row)
+        self.assertIsNone(await self.one.intents.release(lost))
+        refusal = await self.one.intents.claim(replace(AGAIN, key='k2'))
+        assert isinstance(refusal, Refusal)
+        self.assertIs(ResultCode.STILL_RUNNING, refusal.code)
+
+    async def test_a_write_that_comes_late_finds_it_released(self) -> None:
+        wish = replace(WISH, key='k3')
+        self.rig.fault(FaultKind.LOSE_REPLY, 'table', count=1)
+        self.rig.fault(FaultKind.STALE, 'table', count=1)
+        await self.one.intents.claim(WISH)
+        (claim,) = self.one.intents.take_abandoned()
+        late = replace(claim, row=wish.row)
+        # Nothing is there yet: from now on the write would be in conflict.
+        self.assertIsNone(await self.one.intents.release(late))
+        self.assertIsInstance(await self.two.intents.claim(wish), Claim)
+
 
 if __name__ == '__main__':
     unittest.main()
