--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -7,7 +7,6 @@
 
 import argparse
 import asyncio
-import hashlib
 import random
 import sys
 import time
@@ -21,10 +20,11 @@
 from experiments.deployment import DOMAINS, read_example
 from experiments.soak_events import Events
 from experiments.soak_history import History
-from experiments.soak_hosts import SoakHost, Surroundings
-from experiments.soak_judge import Judge, read_bills
+from experiments.soak_hosts import Surroundings
+from experiments.soak_judge import Judge
 from experiments.soak_mutants import MUTANTS, mutant
 from experiments.soak_platform import SoakPlatform
+from experiments.soak_records import read_bills
 from experiments.soak_traffic import Traffic
 from experiments.soak_upstreams import Upstream, World
 from experiments.virtual_time import LoopClock, run_virtually
@@ -46,14 +46,18 @@
     VersionId,
 )
 
-#: Hosts, engines and services in each of the three domains.
+#: Hosts in each of the three domains.
 HOSTS: Final = 2
-ENGINES: Final = 2
-SERVICES: Final = 1
+#: Upstreams in each of them.
+KINDS: Final = (
+    UpstreamKind.ENGINE,
+    UpstreamKind.ENGINE,
+    UpstreamKind.SERVICE,
+)
 #: Seconds that the fleet has to come to rest, and to store its bills.
 QUIET: Final = 60.0
 #: Seconds for which reads of the table lag at most, in every second run.
-LAG: Final = 1.0
+LAG: Final = 3.0
 
 _HOUR: Final = 3600.0
 _MOST_SHOWN: Final = 5
@@ -173,8 +177,7 @@
         service = ServiceName(self._document.services[0].name)
         number = 0
         for domain in DOMAINS[self._name]:
-            kinds = [UpstreamKind.ENGINE] * ENGINES
-            for kind in (*kinds, *[UpstreamKind.SERVICE] * SERVICES):
+            for kind in KINDS:
                 number += 1
                 name = UpstreamId(f'{domain}-{kind.value}-{number}')
                 is_engine = kind is UpstreamKind.ENGINE
@@ -264,14 +267,19 @@
 def show(result: Result) -> None:
     """Print what a run found."""
     counts = result.counts
-    print(
+    _say(
         f'seed {result.seed}: {result.seconds:.0f} s, '
         f'{counts["requests"]} requests, {counts["first bytes"]} first bytes, '
         f'{counts["revisions"]} revisions, digest {result.digest[:16]}, '
         f'{len(result.faults)} faults',
     )
     for fault in result.faults[:_MOST_SHOWN]:
-        print(f'  {fault}')
+        _say(f'  {fault}')
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
 
 
 def _arguments() -> argparse.Namespace:
@@ -302,8 +310,8 @@
             total.update(result.counts)
             failed += bool(result.faults)
     for name, count in sorted(total.items()):
-        print(f'  {name}: {count}')
-    print(f'{failed} seeds failed, {time.monotonic() - began:.0f} s real')
+        _say(f'  {name}: {count}')
+    _say(f'{failed} seeds failed, {time.monotonic() - began:.0f} s real')
     return 1 if failed else 0
 
 
--- a/experiments/soak_calls.py
+++ b/experiments/soak_calls.py
@@ -18,7 +18,7 @@
 from multidict import CIMultiDict
 
 _LIMIT: Final = 2**20
-_DATA: Final = b'data: '
+_DATA_FIELD: Final = b'data: '
 _DONE: Final = b'[DONE]'
 _OK: Final = 200
 
@@ -154,7 +154,7 @@
         transport=transport,
         client_max_size=_LIMIT,
     )
-    response = await app._handle(mocked)  # noqa: SLF001
+    response = await app._handle(mocked)
     body = b''.join(writer.chunks)
     if isinstance(response, Response) and isinstance(response.body, bytes):
         body = response.body
@@ -164,8 +164,8 @@
 def _events(body: bytes) -> list[dict[str, Any]]:
     """Return the events of a stream, without its terminal mark."""
     lines = [
-        line.removeprefix(_DATA)
+        line.removeprefix(_DATA_FIELD)
         for line in body.split(b'\n')
-        if line.startswith(_DATA)
+        if line.startswith(_DATA_FIELD)
     ]
     return [msgspec.json.decode(line) for line in lines if line != _DONE]
--- a/experiments/soak_events.py
+++ b/experiments/soak_events.py
@@ -8,6 +8,7 @@
 
 from msgspec.structs import replace as changed
 
+from experiments.memory_platform import TableWeather
 from experiments.soak_hosts import SoakHost, Surroundings
 from experiments.soak_judge import Judge
 from experiments.soak_upstreams import Upstream, restarted
@@ -21,18 +22,23 @@
     HostId,
     OperatorId,
     Presence,
+    PresetName,
+    UpstreamId,
     UpstreamKind,
     VersionId,
 )
 
 #: Seconds between events, on average.
-GAP: Final = 8.0
+GAP: Final = 6.0
 #: Seconds after which hosts take a silent one for gone.
 SILENCE: Final = 3.0
 #: Seconds for which an event lasts, at least and at most.
 SHORT: Final = (1.0, 6.0)
 LONG: Final = (10.0, 30.0)
 
+#: Something that happens, from its beginning to its end.
+Event = Callable[[], Awaitable[None]]
+
 _OPERATORS: Final = (OperatorId('one'), OperatorId('other'))
 
 
@@ -100,7 +106,7 @@
             )
             await self.clock.sleep(self.randomness.uniform(0.5, 6))
 
-    def _events(self) -> dict[Callable[[], Awaitable[None]], int]:
+    def _events(self) -> dict[Event, int]:
         """Return the events and how often each is drawn."""
         return {
             self._kill: 3,
@@ -109,7 +115,7 @@
             self._platform_down: 2,
             self._platform_bad: 3,
             self._stop: 3,
-            self._operate: 8,
+            self._operate: 12,
             self._withdraw: 3,
             self._upstream_leaves: 4,
             self._upstream_crashes: 3,
@@ -122,6 +128,9 @@
         if not task.cancelled() and task.exception() is not None:
             self.judge.fault(f'an event failed: {task.exception()!r}')
 
+    def _one_in_two(self) -> bool:
+        return bool(self.randomness.getrandbits(1))
+
     async def _last(self, spans: tuple[float, float]) -> None:
         await self.clock.sleep(self.randomness.uniform(*spans))
 
@@ -145,7 +154,7 @@
             return
         event = self.judge.disturb(f'killed {host.kernel.incarnation}')
         host.kill()
-        if self.randomness.random() < 0.5:
+        if self._one_in_two():
             await self.clock.sleep(SILENCE)
         self.around.network.remove(host.host)
         await self._last(SHORT)
@@ -187,29 +196,41 @@
             return
         domains = sorted({host.domain for host in self.hosts.values()})
         domain = self.randomness.choice(domains)
-        with_platform = self.randomness.random() < 0.6
+        with_platform = self._one_in_two()
         event = self.judge.disturb(f'cut {domain}')
-        self.around.world.cut.add(domain)
-        if with_platform:
-            self.around.platform.weather.cut.add(domain)
-        self.around.network.cut_domain(domain)
+        self._part(domain, with_platform)
         await self.clock.sleep(SILENCE)
         self.around.network.cut_domain(domain, noticed=True)
         await self._last(self.randomness.choice((SHORT, LONG)))
+        self._heal(domain)
+        event.until = self.clock.now()
+        self._busy.discard('cut')
+
+    def _part(self, domain: DomainId, with_platform: bool) -> None:
+        """Part a domain from the others, maybe from the platform too."""
+        self.around.world.cut.add(domain)
+        self.around.network.cut_domain(domain)
+        if with_platform:
+            self.around.platform.weather.cut.add(domain)
+            self.judge.unreachable[domain] = self.clock.now()
+
+    def _heal(self, domain: DomainId) -> None:
+        """Let a domain reach everything again."""
         self.around.network.heal_domain(domain)
         self.around.world.cut.discard(domain)
         self.around.platform.weather.cut.discard(domain)
-        event.until = self.clock.now()
-        self._busy.discard('cut')
+        self.judge.unreachable.pop(domain, None)
 
     async def _platform_down(self) -> None:
         """Let the platform be down."""
         if self._take(['platform']) is None:
             return
         event = self.judge.disturb('down platform')
+        self.judge.unreachable['platform'] = self.clock.now()
         self.around.platform.weather.down = True
         await self._last(self.randomness.choice((SHORT, LONG)))
         self.around.platform.weather.down = False
+        self.judge.unreachable.pop('platform')
         event.until = self.clock.now()
         self._busy.discard('platform')
 
@@ -218,19 +239,26 @@
         if self._take(['platform']) is None:
             return
         event = self.judge.disturb('bad platform')
-        weather = self.around.platform.weather
+        self._spoil(self.around.platform.weather)
+        await self._last(LONG)
+        self._clear(self.around.platform.weather)
+        event.until = self.clock.now()
+        self._busy.discard('platform')
+
+    def _spoil(self, weather: TableWeather) -> None:
+        """Let the platform be slow, or lose things, or lag."""
         weather.delay = self.randomness.choice(((0.001, 0.02), (0.1, 1.2)))
         weather.drop = self.randomness.choice((0, 0.2))
         weather.lose_reply = self.randomness.choice((0, 0.4))
         weather.lag = self.judge.history.lag
-        weather.stale = 0.3 if weather.lag else 0
-        await self._last(LONG)
+        weather.stale = 0.5 if weather.lag else 0
+
+    def _clear(self, weather: TableWeather) -> None:
+        """Let the platform be well."""
         weather.delay = (0.001, 0.02)
         weather.drop = 0
         weather.lose_reply = 0
         weather.stale = 0
-        event.until = self.clock.now()
-        self._busy.discard('platform')
 
     async def _operate(self) -> None:
         """Have two operators change something at once."""
@@ -247,12 +275,14 @@
     async def _change(self, host: SoakHost, operator: OperatorId) -> None:
         """Switch the preset, or change or put back a workspace."""
         changes = host.kernel.need(Changes)
-        preset = self.randomness.choice(self.document.presets).name
-        if self.randomness.random() < 0.5:
+        preset = PresetName(
+            self.randomness.choice(self.document.presets).name,
+        )
+        if self._one_in_two():
             outcome: Any = await changes.switch(preset, operator, None)
         else:
             entry = self.randomness.choice(self.document.workspaces)
-            if self.randomness.random() < 0.5:
+            if self._one_in_two():
                 out = self.randomness.choice(entry.versions)
                 left = tuple(one for one in entry.versions if one != out)
                 entry = changed(entry, versions=left)
@@ -287,9 +317,7 @@
         if accepted is None:
             return False
         document = accepted.document
-        versions = tuple(
-            self._renewed(entry) for entry in document.versions
-        )
+        versions = tuple(self._renewed(entry) for entry in document.versions)
         if versions == document.versions:
             return True
         head = await host.kernel.need(Changes).apply(
@@ -315,7 +343,7 @@
         name = self._take(names)
         if name is None:
             return None
-        return self.around.world.upstreams[VersionId(name)]  # type: ignore
+        return self.around.world.upstreams[UpstreamId(name)]
 
     async def _upstream_leaves(self) -> None:
         """Let an upstream leave, go, and come back elsewhere."""
--- a/experiments/soak_history.py
+++ b/experiments/soak_history.py
@@ -71,7 +71,7 @@
 
     def __init__(self, clock: Clock, objects: dict[str, bytes]) -> None:
         self.moves: list[Move] = []
-        self.lag = 0.0
+        self.lag: float = 0
         self._clock = clock
         self._objects = objects
         self._withdrawn: dict[tuple[str, int], float] = {}
--- a/experiments/soak_hosts.py
+++ b/experiments/soak_hosts.py
@@ -19,7 +19,7 @@
 from experiments.soak_upstreams import HostEngines, HostServices, World
 from nutmegroad._listening import Listener
 from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel, Part
+from nutmegroad.core import Kernel, MakePart, Part
 from nutmegroad.duties import Duties
 from nutmegroad.invariants import Invariants
 from nutmegroad.members import Members
@@ -37,6 +37,9 @@
 
 _NOWHERE: Final = Address('127.0.0.1', 0)
 
+#: Things that a part provides, by type.
+_Things = dict[type[Any], Any]
+
 #: Told of each check of the program's own that failed.
 Alarm = Callable[[str, str], None]
 
@@ -163,7 +166,7 @@
         needs: Nothing.
     """
 
-    provides: dict[type[Any], Any]
+    provides: _Things
     needs: tuple[type[Any], ...] = ()
 
     async def open(self, kernel: Kernel) -> None:
@@ -291,7 +294,7 @@
         platform = SoakHostPlatform(around.platform, self.domain, self.clock)
         members = MemoryMembers(self.host, self.domain, around.network)
         names = (around.world, self.host, self.domain, self.clock)
-        provided: dict[str, dict[type[Any], Any]] = {
+        provided: dict[str, _Things] = {
             'metrics': {
                 Metrics: Metrics(float),
                 Invariants: AlarmingInvariants(around.alarm),
@@ -314,6 +317,6 @@
         return {name: _Provider(things) for name, things in provided.items()}
 
 
-def _returning(part: Part) -> Callable[[], Part]:
+def _returning(part: Part) -> MakePart:
     """Return a factory of a part that is there already."""
     return lambda: part
--- a/experiments/soak_judge.py
+++ b/experiments/soak_judge.py
@@ -10,14 +10,20 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-import msgspec
-
+from experiments.soak_answers import text_of
 from experiments.soak_calls import Reply
 from experiments.soak_history import History
 from experiments.soak_hosts import SoakHost
-from experiments.soak_upstreams import FirstByte, text_of
+from experiments.soak_records import (
+    Answered,
+    Call,
+    Disturbance,
+    request_of,
+    run_of,
+)
+from experiments.soak_upstreams import FirstByte
 from nutmegroad.clocks import Clock
-from nutmegroad.types import HostId, UpstreamId, WorkspaceId
+from nutmegroad.types import HostId, UpstreamId
 
 #: Seconds within which a leaving upstream gets no new work any more.
 LEAVE_BOUND: Final = 3.0
@@ -29,63 +35,6 @@
 BILL_WINDOW: Final = 45.0
 
 
-@dataclass(slots=True)
-class Call:
-    """A caller's request, as the judge knows it.
-
-    Attributes:
-        mark: What it carries; repeats of a request carry the same.
-        workspace: Who asks.
-        task: Its task class; empty for a service's call.
-        service: The service; empty for a model request.
-        repeatable: Whether its work may run twice.
-        words: Words of the answer that it asks for.
-        session: What names its session; empty for none.
-        deadline: Seconds that it gives.
-        began: Seconds at which it was sent.
-    """
-
-    mark: str
-    workspace: WorkspaceId
-    task: str
-    service: str
-    repeatable: bool
-    words: int
-    session: str
-    deadline: float
-    began: float
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """A request that was answered whole.
-
-    Attributes:
-        request: Its id.
-        host: The host that was asked.
-        at: Seconds.
-    """
-
-    request: str
-    host: HostId
-    at: float
-
-
-@dataclass(slots=True)
-class Disturbance:
-    """Something that went wrong with hosts or their links.
-
-    Attributes:
-        at: Seconds.
-        what: What it was.
-        until: Seconds at which it was over.
-    """
-
-    at: float
-    what: str
-    until: float = float('inf')
-
-
 @dataclass(slots=True)
 class Judge:
     """Holds a run to what must always hold.
@@ -99,6 +48,8 @@
         calls: Requests by mark.
         answered: Requests that were answered whole.
         disturbances: What went wrong, in order.
+        unreachable: Domains whose hosts reach nothing that could confirm
+            them, or the platform that is down; and since when.
     """
 
     clock: Clock
@@ -109,6 +60,7 @@
     calls: dict[str, Call] = field(default_factory=dict)
     answered: list[Answered] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    unreachable: dict[str, float] = field(default_factory=dict)
     _digest: 'hashlib._Hash' = field(default_factory=hashlib.sha256)
     _started: dict[str, set[str]] = field(
         default_factory=lambda: defaultdict(set),
@@ -164,29 +116,18 @@
         """Judge the first byte of an attempt."""
         self.note(f'{sent.host} sends {sent.attempt} to {sent.upstream}')
         self.counts['first bytes'] += 1
-        request = _request_of(sent.attempt)
-        # The upstream that has an attempt is asked to go on with it.
-        is_resumed = sent.attempt in self._attempts
-        if is_resumed:
-            self._resumed.add(sent.attempt)
-        self._attempts.add(sent.attempt)
-        self._started[request].add(sent.attempt)
-        call = self.calls[sent.mark]
         host = self.hosts[sent.host]
         if not host.is_running:
             self.fault(f'{sent.host} sends while it stands still')
         self._look_at_host(host)
-        if not is_resumed:
-            self._judge_work(call, sent)
         self._judge_leaving(host, sent)
-        if call.service:
-            self._judge_service(host, call)
-        else:
-            self._judge_version(host, call, sent)
+        self._judge_right(host, self.calls[sent.mark], sent)
+        if self._is_new(sent):
+            self._judge_work(self.calls[sent.mark], sent)
 
     def unstarted(self, sent: FirstByte) -> None:
         """Take in that an upstream refused an attempt at once."""
-        started = self._started[_request_of(sent.attempt)]
+        started = self._started[request_of(sent.attempt)]
         if sent.attempt not in self._resumed:
             started.discard(sent.attempt)
             self._work[sent.mark] -= 1
@@ -252,6 +193,30 @@
                 self.fault(f'{answered.request} was answered, not billed')
         self.counts['billed'] = len(billed)
 
+    def _is_new(self, sent: FirstByte) -> bool:
+        """Tell whether an attempt starts, and is not resumed.
+
+        The upstream that has an attempt may be asked to go on with it.
+        """
+        is_new = sent.attempt not in self._attempts
+        if not is_new:
+            self._resumed.add(sent.attempt)
+        self._attempts.add(sent.attempt)
+        self._started[request_of(sent.attempt)].add(sent.attempt)
+        return is_new
+
+    def _judge_right(
+        self,
+        host: SoakHost,
+        call: Call,
+        sent: FirstByte,
+    ) -> None:
+        """Judge whether the workspace may have what it gets."""
+        if call.service:
+            self._judge_service(host, call)
+        else:
+            self._judge_version(host, call, sent)
+
     def _judge_work(self, call: Call, sent: FirstByte) -> None:
         """Judge whether the work of a request may start (again)."""
         self._work[call.mark] += 1
@@ -376,6 +341,11 @@
         is_old = now > host.began + CALM
         if host.configuration.isolated and is_old and self.is_calm(now - CALM):
             self.fault(f'{host.host} is isolated though nothing is wrong')
+        for where in (host.domain, 'platform'):
+            since = self.unreachable.get(where, now)
+            lapsed = now - since > self.history.bound
+            if lapsed and not host.configuration.isolated:
+                self.fault(f'{host.host} can not be confirmed, and serves on')
 
     def _is_explained(self, answered: Answered) -> bool:
         """Tell whether a host and its heir were lost one after the other."""
@@ -385,26 +355,6 @@
             for event in self.disturbances
             if event.until >= window[0] and event.at <= window[1]
         ]
-        run = _run_of(answered.request)
+        run = run_of(answered.request)
         killed = any(event.what == f'killed {run}' for event in events)
         return killed and len(events) > 1
-
-
-def read_bills(objects: dict[str, bytes], prefix: str) -> dict[str, int]:
-    """Return how often each request stands in the billing objects."""
-    seen: Counter[str] = Counter()
-    for name in sorted(objects):
-        if name.startswith(prefix):
-            records = msgspec.json.decode(objects[name])
-            seen.update({record['request'] for record in records})
-    return dict(seen)
-
-
-def _request_of(attempt: str) -> str:
-    """Return the request to which an attempt belongs."""
-    return attempt.partition('.')[0] + '.' + attempt.split('.')[1]
-
-
-def _run_of(request: str) -> str:
-    """Return the run of the host that named a request."""
-    return request.rpartition('-')[0]
--- a/experiments/soak_mutants.py
+++ b/experiments/soak_mutants.py
@@ -6,7 +6,7 @@
 from unittest.mock import _patch, patch
 
 from nutmegroad._event_streams import AnswerReader
-from nutmegroad.configuration import Configuration
+from nutmegroad.configuration import Accepted, Configuration
 from nutmegroad.directory import Directory
 from nutmegroad.fences import Fence
 from nutmegroad.heirs import Testator
@@ -14,10 +14,14 @@
 from nutmegroad.once import Once, Run
 from nutmegroad.results import Refusal
 from nutmegroad.session_pins import SessionPins
+from nutmegroad.spread import ConfigurationPoller
 from nutmegroad.stops import GracefulStop
 from nutmegroad.tickets import SpentTicket, TicketOffice
 from nutmegroad.types import Ran
 
+#: An owner, its attribute, and what takes the attribute's place.
+_Patch = tuple[Any, str, Any]
+
 
 async def _no_claim(self: Any, order: Any) -> Run:
     """Let each request with a key run."""
@@ -29,14 +33,13 @@
     return SpentTicket(ticket.number, request, fingerprint, ticket.until)
 
 
-def _not_forward(self: Any, accepted: Any) -> bool:
+async def _not_forward(self: Any, head: Any, host: Any) -> Any:
     """Take whatever comes, also an older revision."""
-    if accepted.revision == self.revision:
-        return False
-    self._accepted = accepted
-    self._heard = accepted.revision
-    self._changed()
-    return True
+    accepted = await self._accepted(head, host)
+    if isinstance(accepted, Accepted):
+        self._configuration._accepted = accepted
+        return None
+    return accepted
 
 
 async def _no_pin(self: Any, intake: Any) -> Any:
@@ -71,22 +74,22 @@
     return replace(refusal, ran=Ran.NOT_RUN)
 
 
-MUTANTS: Final[dict[str, tuple[Any, str, Any]]] = {
+MUTANTS: Final[dict[str, _Patch]] = {
     'withdrawn': (
         Configuration,
         'is_withdrawn',
-        lambda self, version, epoch: False,
+        lambda configuration, version, epoch: False,
     ),
-    'lease': (Configuration, 'isolated', property(lambda self: False)),
+    'lease': (Configuration, 'isolated', property(lambda configuration: False)),
     'claim': (Once, '_claim_key', _no_claim),
     'ticket': (TicketOffice, 'spend', _no_ticket),
-    'forward only': (Configuration, 'take', _not_forward),
+    'forward only': (ConfigurationPoller, '_take', _not_forward),
     'pin': (SessionPins, 'pin', _no_pin),
     'token': (IntakeDesk, '_session', _no_token),
     'attempt id': (AnswerReader, '_read_chunk', _any_attempt),
     'drain': (GracefulStop, '_wait', _no_drain),
     'hand-over': (Testator, 'hand', _no_hand),
-    'leaving': (Directory, 'mark_leaving', lambda self, *told: False),
+    'leaving': (Directory, 'mark_leaving', lambda directory, *told: False),
     'not run': (Fence, 'review', _says_not_run),
 }
 
--- a/experiments/soak_platform.py
+++ b/experiments/soak_platform.py
@@ -19,7 +19,6 @@
 )
 from nutmegroad.results import Refusal, ResultCode
 
-
 #: Versions of a row that reads which lag can still see.
 _KEPT: Final = 30
 #: Ratings that are kept for their readers.
@@ -132,5 +131,3 @@
 
 def _ignore(row: Row) -> None:
     """Watch nothing."""
-
-
--- a/experiments/soak_traffic.py
+++ b/experiments/soak_traffic.py
@@ -9,10 +9,11 @@
 import msgspec
 
 from experiments.deployment import workspace_key
+from experiments.soak_answers import marked
 from experiments.soak_calls import CallerRequest, Reply, send
 from experiments.soak_hosts import SoakHost
-from experiments.soak_judge import HANG_BOUND, Call, Judge
-from experiments.soak_upstreams import marked
+from experiments.soak_judge import HANG_BOUND, Judge
+from experiments.soak_records import Call
 from nutmegroad.clocks import Clock
 from nutmegroad.documents import Document, WorkspaceEntry
 from nutmegroad.services import is_repeatable
@@ -23,6 +24,12 @@
 #: Requests and sessions that are remembered for more.
 _REMEMBERED: Final = 30
 
+#: How a request is kept from running twice, and how often in ten: one
+#: that may be repeated, and one that may not.
+_GUARDS: Final = ('key', 'ticket', 'none')
+_OFTEN: Final = (1, 0, 9)
+_RISKY: Final = (4, 4, 2)
+
 _PATHS: Final = {
     'licence-portal': (('GET', 'status/'), ('POST', 'receipts')),
     'pack-desk': (('GET', 'swaps/'), ('POST', 'manifests')),
@@ -204,11 +211,11 @@
     async def _guarded(self, sent: Sent) -> Reply | None:
         """Send a request, mostly with a key or a ticket if it needs one."""
         headers = dict(sent.request.headers)
-        draw = self.randomness.random()
-        risky = not sent.call.repeatable
-        if draw < (0.45 if risky else 0.1):
+        weights = _OFTEN if sent.call.repeatable else _RISKY
+        guard = self.randomness.choices(_GUARDS, weights)[0]
+        if guard == 'key':
             headers['Idempotency-Key'] = f'key-{sent.call.mark}'
-        elif risky and draw < 0.85:
+        elif guard == 'ticket':
             ticket = await self._ticket(headers)
             if not ticket:
                 return None
@@ -289,11 +296,10 @@
 
     def _session(self) -> Session | None:
         """Return a session, an old one or a new one, or none."""
-        draw = self.randomness.random()
-        if self._sessions and draw < 0.3:
-            return self.randomness.choice(self._sessions)
-        if draw > 0.4:
+        if self._one_in(0.6):
             return None
+        if self._sessions and self._one_in(0.75):
+            return self.randomness.choice(self._sessions)
         self._count += 1
         session = Session(
             f's{self._count}',
@@ -309,9 +315,7 @@
         return self.randomness.choice(self.document.workspaces)
 
     def _entry(self, name: WorkspaceId) -> WorkspaceEntry:
-        return next(
-            one for one in self.document.workspaces if one.name == name
-        )
+        return next(one for one in self.document.workspaces if one.name == name)
 
     def _call(
         self,
--- a/experiments/soak_upstreams.py
+++ b/experiments/soak_upstreams.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from experiments.soak_answers import mark_of, plan_answer, spoil
 from nutmegroad._event_streams import AnswerReader
 from nutmegroad.clocks import Clock
 from nutmegroad.results import Refusal, ResultCode
@@ -41,11 +42,6 @@
 CONNECT_TIMEOUT: Final = 2.0
 #: Seconds between looks of what waits for a frozen upstream.
 LOOK: Final = 0.5
-#: Seconds that stand for never.
-LONG: Final = 10_000.0
-
-_STREAM_FAULTS: Final = ('cut', 'crossed', 'twice', 'late', 'silent', 'gap')
-_MARK: Final = 'mark:'
 
 
 @dataclass(slots=True)
@@ -170,27 +166,6 @@
     upstream.is_down = False
 
 
-def mark_of(text: str) -> str:
-    """Return the mark that a request carries in its text."""
-    _, _, rest = text.partition(_MARK)
-    return rest.split(maxsplit=1)[0] if rest else ''
-
-
-def marked(mark: str) -> str:
-    """Return a text that carries a mark."""
-    return f'{_MARK}{mark} please'
-
-
-def word_of(mark: str, version: str, place: int) -> str:
-    """Return one piece of the answer that an engine writes."""
-    return f'{mark}/{version}/{place} '
-
-
-def text_of(mark: str, version: str, words: int) -> str:
-    """Return the whole answer that an engine writes."""
-    return ''.join(word_of(mark, version, place) for place in range(words))
-
-
 class HostEngines:
     """A host's client of engines.
 
@@ -319,13 +294,21 @@
             yield Refusal(ResultCode.UPSTREAM_ERROR, 'Status 500.', Ran.UNKNOWN)
             return
         reader = AnswerReader(attempt.attempt, attempt.skip)
-        for seconds, chunk in _chunks(world, attempt, mark, body):
-            await self._clock.sleep(seconds)
+        plan = plan_answer(
+            world.randomness,
+            attempt,
+            mark,
+            body['max_tokens'],
+        )
+        if world.one_in(world.faults.stream):
+            spoil(plan, world.randomness)
+        for step in plan:
+            await self._clock.sleep(step.seconds)
             while engine.is_frozen:
                 await self._clock.sleep(LOOK)
             if world.reach(self._domain, attempt.upstream) is None:
                 break
-            event = reader.read(msgspec.json.encode(chunk))
+            event = reader.read(msgspec.json.encode(step.chunk))
             if event is not None:
                 yield event
             if reader.is_over:
@@ -407,67 +390,3 @@
     """Say that nothing came back."""
     reason = 'The upstream fell silent.'
     return Refusal(ResultCode.UPSTREAM_TIMEOUT, reason, Ran.UNKNOWN)
-
-
-def _chunks(
-    world: World,
-    attempt: Attempt,
-    mark: str,
-    body: dict[str, Any],
-) -> list[tuple[float, dict[str, Any]]]:
-    """Return the chunks that an engine sends, each after some seconds."""
-    words = body['max_tokens']
-    name = attempt.attempt
-    plan = [
-        (
-            world.randomness.uniform(0.01, 0.2),
-            _chunk(name, place, word_of(mark, attempt.version, place)),
-        )
-        for place in range(attempt.skip, words)
-    ]
-    plan.append((0.01, _last(name, words)))
-    if world.one_in(world.faults.stream):
-        fault = world.randomness.choice(_STREAM_FAULTS)
-        _spoil(plan, fault, world.randomness.randrange(len(plan)))
-    return plan
-
-
-def _spoil(
-    plan: list[tuple[float, dict[str, Any]]],
-    fault: str,
-    place: int,
-) -> None:
-    """Let an answer go wrong at a place."""
-    seconds, chunk = plan[place]
-    if fault == 'cut':
-        del plan[place:]
-    elif fault == 'gap':
-        del plan[place]
-    elif fault == 'twice':
-        plan.insert(place, (seconds, chunk))
-    elif fault == 'late':
-        plan[place] = (3.0, chunk)
-    elif fault == 'silent':
-        plan[place] = (LONG, chunk)
-    else:
-        crossed = _chunk('another', chunk['index'], 'of another answer ')
-        plan[place] = (seconds, crossed)
-
-
-def _chunk(attempt: str, place: int, text: str) -> dict[str, Any]:
-    """Return one piece as it is sent."""
-    return {
-        'id': attempt,
-        'index': place,
-        'choices': [{'delta': {'content': text}}],
-    }
-
-
-def _last(attempt: str, words: int) -> dict[str, Any]:
-    """Return the chunk with the end."""
-    return {
-        'id': attempt,
-        'index': words,
-        'choices': [{'delta': {}, 'finish_reason': 'stop'}],
-        'usage': {'prompt_tokens': 5, 'completion_tokens': words},
-    }
--- a/experiments/virtual_time.py
+++ b/experiments/virtual_time.py
@@ -25,7 +25,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.now = 0.0
+        self.now: float = 0
 
     def select(
         self,
--- a/src/nutmegroad/core.py
+++ b/src/nutmegroad/core.py
@@ -45,7 +45,10 @@
         """Start, push what must be closed, and provide."""
 
 
-_NOTHING: Final[Mapping[str, Callable[[], Part]]] = MappingProxyType({})
+#: Makes a part.
+MakePart = Callable[[], Part]
+
+_NOTHING: Final[Mapping[str, MakePart]] = MappingProxyType({})
 
 
 class Kernel:
@@ -121,7 +124,7 @@
 
     async def start(
         self,
-        replacing: Mapping[str, Callable[[], Part]] = _NOTHING,
+        replacing: Mapping[str, MakePart] = _NOTHING,
     ) -> None:
         """Open every registered part, each after those that it needs.
 
