--- a/experiments/soak_events.py
+++ b/experiments/soak_events.py
@@ -91,6 +91,11 @@
             random.Random(self.randomness.getrandbits(64)),
         )
         self.hosts[host] = run
+        # Cuts made or healed while it was away are not known for it.
+        for other in self.hosts:
+            self.around.network.heal(host, other)
+        for cut in sorted(self.around.world.cut):
+            self.around.network.cut_domain(cut, noticed=True)
         await run.open()
         return run
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -68,6 +68,28 @@
         return line in metrics.render().decode()
 
 
+class RepeatTest(CallerCase):
+    """A request that comes again with its key."""
+
+    async def test_a_stream_names_the_request_that_ran(self) -> None:
+        headers = {**self.host.headers(), 'Idempotency-Key': 'k1'}
+        named = []
+        for _ in range(2):
+            response = await self.host.session.post(
+                self.host.url(),
+                json=self.host.body(stream=True),
+                headers=headers,
+            )
+            content = await response.read()
+            self.assertIn(DONE, content)
+            named.append(response.headers)
+        first, again = named
+        self.assertEqual(
+            first['Nutmegroad-Request'],
+            again.get('Nutmegroad-First-Request'),
+        )
+
+
 class AnswerTest(CallerCase):
     """Answers that engines break."""
 
