--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -27,9 +27,14 @@
 from experiments.soak_records import read_bills
 from experiments.soak_traffic import Traffic
 from experiments.soak_upstreams import Upstream, World
-from experiments.virtual_time import LoopClock, run_virtually
+from experiments.virtual_time import (
+    VirtualClock,
+    VirtualLoop,
+    run_virtually,
+)
 from nutmegroad.billing import BILLING_PREFIX
 from nutmegroad.changes import Changes
+from nutmegroad.clocks import Clock
 from nutmegroad.documents import Document, parse_document
 from nutmegroad.platform import Listing
 from nutmegroad.plugins import load_plugins
@@ -88,15 +93,16 @@
     Args:
         seed: Its seed.
         seconds: Seconds of virtual time in which things go wrong.
+        clock: The virtual time.
     """
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, clock: Clock) -> None:
         self._seed = seed
         self._seconds = seconds
         self._randomness = random.Random(seed)
         self._name = ('lesen', 'cascade')[seed % 2]
         self._document: Document = parse_document(read_example(self._name))
-        self._clock = LoopClock()
+        self._clock = clock
         self._stack = AsyncExitStack()
 
     async def run(self, limit: float = float('inf')) -> Result:
@@ -257,11 +263,9 @@
     """Run one seed on a loop of its own."""
     load_plugins()
 
-    async def work() -> Result:
-        """Run it."""
-        return await Soak(seed, seconds).run(limit)
-
-    return run_virtually(work())
+    loop = VirtualLoop()
+    soak = Soak(seed, seconds, VirtualClock(loop))
+    return run_virtually(loop, soak.run(limit))
 
 
 def show(result: Result) -> None:
--- a/experiments/virtual_time.py
+++ b/experiments/virtual_time.py
@@ -1,9 +1,4 @@
-"""An event loop whose time passes only while every task waits.
-
-When no task can run, the loop steps to the moment of the next timer. Hours
-pass in seconds, timeouts of libraries included, and nothing depends on how
-busy the machine is.
-"""
+"""An event loop on which waiting takes no time: it jumps to the next timer."""
 
 import asyncio
 import selectors
@@ -12,16 +7,11 @@
 
 Outcome = TypeVar('Outcome')
 
-#: An arbitrary day, the same for every run.
-WALL_START: Final = 1_700_000_000.0
-
+_WALL: Final = 1_700_000_000.0
 
-class SteppingSelector(selectors.DefaultSelector):
-    """Waits for nothing: it moves the time on instead.
 
-    Attributes:
-        now: Seconds that have passed.
-    """
+class _JumpingSelector(selectors.SelectSelector):
+    """Waits for nothing; the time asked for is taken as past."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -31,49 +21,65 @@
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Let the time until the next timer pass at once.
+        """Let the time pass at once.
 
         Raises:
-            RuntimeError: If there is none, so that all wait for ever.
+            RuntimeError: If nothing is left that could ever happen.
         """
-        ready = super().select(0)
-        if ready:
-            return ready
         if timeout is None:
-            raise RuntimeError('Every task waits, and no timer is set.')
+            message = 'Every task waits for something that never comes.'
+            raise RuntimeError(message)
         self.now += max(0, timeout)
-        return ready
+        return []
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop on a time of its own."""
+    """An event loop with a time of its own."""
 
     def __init__(self) -> None:
-        self._stepping = SteppingSelector()
-        super().__init__(self._stepping)
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
 
     def time(self) -> float:
-        """Return the seconds that have passed on this loop."""
-        return self._stepping.now
+        """Return the virtual seconds."""
+        return self._jumping.now
+
 
+class VirtualClock:
+    """The clock of a virtual loop.
 
-class LoopClock:
-    """The running loop's time, as parts of the program are given it."""
+    Args:
+        loop: The loop.
+    """
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self._loop = loop
 
     def now(self) -> float:
-        """Return the loop's seconds."""
-        return asyncio.get_running_loop().time()
+        """Return the virtual seconds."""
+        return self._loop.time()
 
     def wall(self) -> float:
-        """Return the same moment as seconds since 1970."""
-        return WALL_START + self.now()
+        """Return virtual seconds since 1970."""
+        return _WALL + self._loop.time()
 
     async def sleep(self, seconds: float) -> None:
-        """Wait on the loop."""
-        await asyncio.sleep(max(0, seconds))
+        """Wait for virtual seconds."""
+        await asyncio.sleep(seconds)
+
+
+def run_virtual(loop: VirtualLoop, main: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine to its end on a virtual loop."""
+    try:
+        loop.run_until_complete(main)
+    finally:
+        loop.close()
 
 
-def run_virtually(work: Coroutine[Any, Any, Outcome]) -> Outcome:
-    """Run a coroutine to its end on a loop of its own."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+def run_virtually(
+    loop: VirtualLoop,
+    work: Coroutine[Any, Any, Outcome],
+) -> Outcome:
+    """Run a coroutine to its end, and cancel what it left behind."""
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
         return runner.run(work)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -5,7 +5,6 @@
 import random
 import unittest
 
-from nutmegroad._rollout_routes import Action, RolloutDesk
 from nutmegroad.documents import Concern, Stage
 from nutmegroad.evidence import EvidenceStore, Moments, Tally
 from nutmegroad.exposure import ExposureGuard
@@ -14,6 +13,7 @@
 from nutmegroad.ratings import RatingTally
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.rollout_desk import Action, RolloutDesk
 from nutmegroad.rollout_keeper import RolloutKeeper, RolloutParts
 from nutmegroad.rollout_shares import RolloutShares
 from nutmegroad.rollouts import (
