Leave bills that can not be stored to two peers at a stop

Cause: a host that stopped while nothing could be stored left its bills to one peer. That one was killed 0.6 s later, before its own flush, due every 5 s, had given them an heir: eight answered requests were not billed, after a planned stop and one death. Ruled out: the hand-over itself; both batches were taken by the peer. Mended in heirs.py: at its end a host leaves its bills to two peers. Both store the same object, and a reader keeps one record a request, so nothing doubles. Not mended: a host that is killed has one heir, as before. Before: with one heir test_a_stop_leaves_two_peers_what_can_not_be_stored fails (nothing billed); after: the 14 tests of billing pass.

--- a/src/nutmegroad/heirs.py
+++ b/src/nutmegroad/heirs.py
@@ -20,6 +20,9 @@
 HAND_WAIT: Final = 0.5
 #: Peers that are tried in turn.
 MOST_TRIED: Final = 2
+#: Peers that hold what a host can not store at its end. From then on
+#: nobody else has it, and one of them may die before it has an heir.
+HEIRS_AT_END: Final = 2
 #: Seconds for which a peer that did not take records is passed over.
 SHUN: Final = 5.0
 #: Seconds for which a host must be unknown before its records are stored.
@@ -131,21 +134,30 @@
             self._mesh.tell(heir.host, StoredBatches(incarnation, sequence))
 
     async def end(self) -> None:
-        """Store all batches at a graceful stop, or leave them to a peer."""
+        """Store all batches at a graceful stop, or leave them to peers."""
         await self.flush()
         if not self._biller.pending:
             return
-        for batch in self._biller.batches:
-            batch.handed = 0
-        handed = await self.hand(last=True)
-        event = 'billing_bequeathed' if handed else 'billing_lost_at_stop'
+        holders = 0
+        for _ in range(HEIRS_AT_END):
+            holders += await self._bequeath()
+        event = 'billing_bequeathed' if holders else 'billing_lost_at_stop'
         self._metrics.record_event(event)
         _LOG.warning(
-            '%d records could not be stored at the end; a peer holds them: %s',
+            '%d records could not be stored at the end; %d peers hold them',
             self._biller.pending,
-            handed,
+            holders,
         )
 
+    async def _bequeath(self) -> bool:
+        """Leave all batches to one peer, and pass it over from then on."""
+        for batch in self._biller.batches:
+            batch.handed = 0
+        handed = await self.hand(last=True)
+        if handed and self._heir is not None:
+            self._shunned[self._heir.host] = self._clock.now() + SHUN
+        return handed
+
     async def _hand_all(self, last: bool) -> bool:
         """Hand all batches to one peer."""
         for batch in self._biller.batches:
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -188,6 +188,20 @@
         self.assertEqual(2, self.far.executor.held)
         self.assertEqual(0, self.two.executor.held)
 
+    async def test_a_stop_leaves_two_peers_what_can_not_be_stored(self) -> None:
+        self.one.biller.record(bill('r1', 1))
+        self.rig.fault(FaultKind.DOWN, 'objects', count=2)
+        ending = asyncio.ensure_future(self.one.testator.end())
+        while not ending.done():
+            await asyncio.sleep(0)
+            await self.rig.clock.advance(HAND_WAIT / 5)
+        # Right after the stop, the nearer of the two dies.
+        self.rig.mesh.remove(self.one.peer.host)
+        self.rig.mesh.remove(self.two.peer.host)
+        self.far.executor.take_over()
+        await self.far.testator.flush()
+        self.assertEqual({'r1': 1}, await self.billed())
+
     async def test_a_stop_leaves_to_a_peer_what_can_not_be_stored(self) -> None:
         self.one.biller.record(bill('r1', 1))
         self.rig.fault(FaultKind.DOWN, 'objects', count=2)
