--- a/experiments/soak_history.py
+++ b/experiments/soak_history.py
@@ -113,8 +113,15 @@
         self,
         name: WorkspaceId,
         version: VersionId,
+        held: int | None,
     ) -> str:
-        """Say why a confirmed host may not use a version; empty if it may."""
+        """Say why a confirmed host may not use a version; empty if it may.
+
+        Args:
+            name: The workspace.
+            version: The version.
+            held: The epoch to which a session's token holds, if one does.
+        """
         allowing = [
             move
             for move in self.recent()
@@ -124,7 +131,8 @@
             return f'{name} may not use {version} any more'
         late = self._clock.now() - self.bound
         for move in allowing:
-            if not self._is_withdrawn(version, move.epoch(version), late):
+            epoch = move.epoch(version) if held is None else held
+            if not self._is_withdrawn(version, epoch, late):
                 return ''
         return f'{version} was withdrawn more than {self.bound} s ago'
 
@@ -165,6 +173,10 @@
             return f'{name} is not served that long in isolation'
         return ''
 
+    def newest_epoch(self, version: str) -> int:
+        """Return a version's newest epoch."""
+        return self.moves[-1].epoch(VersionId(version))
+
     def is_withdrawn(self, version: VersionId) -> bool:
         """Tell whether the newest epoch of a version is withdrawn."""
         now = self._clock.now()
--- a/experiments/soak_judge.py
+++ b/experiments/soak_judge.py
@@ -71,6 +71,7 @@
     _sessions: dict[str, set[str]] = field(
         default_factory=lambda: defaultdict(set),
     )
+    _epochs: dict[str, int] = field(default_factory=dict)
     _told: dict[UpstreamId, float] = field(default_factory=dict)
     _host_told: dict[tuple[str, UpstreamId], float] = field(
         default_factory=dict,
@@ -142,6 +143,7 @@
     def session_began(self, session: str, version: str) -> None:
         """Take in the version to which a session's token holds it."""
         self._sessions[session].add(version)
+        self._epochs[session] = self.history.newest_epoch(version)
 
     def returned(self, upstream: UpstreamId) -> None:
         """Take in that an upstream is there again, as a new run."""
@@ -265,7 +267,11 @@
                 version,
             )
         else:
-            problem = self.history.forbids_version(call.workspace, version)
+            problem = self.history.forbids_version(
+                call.workspace,
+                version,
+                self._epochs.get(call.session),
+            )
         if problem:
             self.fault(f'{call.mark} at {host.host}: {problem}')
         known = self._sessions.get(call.session, set())
--- a/experiments/soak_mutants.py
+++ b/experiments/soak_mutants.py
@@ -89,7 +89,7 @@
     'attempt id': (AnswerReader, '_read_chunk', _any_attempt),
     'drain': (GracefulStop, '_wait', _no_drain),
     'hand-over': (Testator, 'hand', _no_hand),
-    'leaving': (Directory, 'mark_leaving', lambda directory, *told: False),
+    'leaving': (Directory, '_begin_leaving', lambda directory, *told: False),
     'not run': (Fence, 'review', _says_not_run),
 }
 
--- a/src/nutmegroad/heirs.py
+++ b/src/nutmegroad/heirs.py
@@ -138,9 +138,8 @@
         await self.flush()
         if not self._biller.pending:
             return
-        holders = 0
-        for _ in range(HEIRS_AT_END):
-            holders += await self._bequeath()
+        taken = [await self._bequeath() for _ in range(HEIRS_AT_END)]
+        holders = sum(taken)
         event = 'billing_bequeathed' if holders else 'billing_lost_at_stop'
         self._metrics.record_event(event)
         _LOG.warning(
