Explain a lost bill by lost hosts alone

Cause: any event within 45 s explained a bill that was lost with a killed host, and there is one every 6 s, so that the mutant without the hand-over to an heir was no longer seen. Now only deaths, stops, pauses and cuts of other hosts near the answer and the death do, and a stop needs two.

--- a/experiments/soak_judge.py
+++ b/experiments/soak_judge.py
@@ -31,8 +31,13 @@
 HANG_BOUND: Final = 10.0
 #: Seconds after which a fleet that nothing disturbs agrees again.
 CALM: Final = 20.0
-#: Seconds for which a held bill may wait for its host to be given up.
-BILL_WINDOW: Final = 45.0
+#: Seconds before an answer in which its heir may have been lost.
+HAND_WINDOW: Final = 6.0
+#: Seconds after a host's death within which its heir has an heir.
+HEIR_WINDOW: Final = 20.0
+
+#: What can keep a bill from an heir, or an heir from storing it.
+_OF_HOSTS: Final = ('killed', 'paused', 'cut', 'stopped')
 
 
 @dataclass(slots=True)
@@ -354,16 +359,24 @@
                 self.fault(f'{host.host} can not be confirmed, and serves on')
 
     def _is_explained(self, answered: Answered) -> bool:
-        """Tell whether a host and its heir were lost one after the other."""
-        window = (answered.at - BILL_WINDOW, answered.at + BILL_WINDOW)
-        events = [
+        """Tell whether a host was lost, and maybe whoever had its bills.
+
+        A platform that is down explains nothing: the heir waits for it.
+        """
+        run = run_of(answered.request)
+        ends = [
             event
             for event in self.disturbances
-            if event.until >= window[0] and event.at <= window[1]
+            if event.what in {f'killed {run}', f'stopped {run}'}
         ]
-        run = run_of(answered.request)
-        killed = any(event.what == f'killed {run}' for event in events)
-        stopped = any(event.what == f'stopped {run}' for event in events)
+        if not ends:
+            return False
+        others = sum(
+            event is not ends[0]
+            and event.what.startswith(_OF_HOSTS)
+            and event.until >= answered.at - HAND_WINDOW
+            and event.at <= ends[0].at + HEIR_WINDOW
+            for event in self.disturbances
+        )
         # A host that stops leaves its bills to two.
-        kills = sum(event.what.startswith('killed') for event in events)
-        return (killed and len(events) > 1) or (stopped and kills > 1)
+        return others > ends[0].what.startswith('stopped')
