--- /dev/null
+++ b/experiments/soak_mutants.py
@@ -0,0 +1,100 @@
+"""Mechanisms taken out one by one, to see that the run's judge needs them."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, Final
+from unittest.mock import _patch, patch
+
+from nutmegroad._event_streams import AnswerReader
+from nutmegroad.configuration import Accepted, Configuration
+from nutmegroad.directory import Directory
+from nutmegroad.fences import Fence
+from nutmegroad.intake import IntakeReader
+from nutmegroad.once import Once, Run
+from nutmegroad.record_copies import RecordSender
+from nutmegroad.results import Refusal
+from nutmegroad.session_pins import SessionPins
+from nutmegroad.spread import ConfigurationPoller
+from nutmegroad.stops import GracefulStop
+from nutmegroad.tickets import SpentTicket, TicketIssuer
+from nutmegroad.types import Ran
+
+#: An owner, its attribute, and what takes the attribute's place.
+_Patch = tuple[Any, str, Any]
+
+
+async def _no_claim(self: Any, order: Any) -> Run:
+    """Let each request with a key run."""
+    return Run(order, self._fence(order, None))
+
+
+def _no_ticket(self: Any, ticket: Any, request: Any, fingerprint: Any) -> Any:
+    """Let a ticket be spent again and again."""
+    return SpentTicket(ticket.number, request, fingerprint, ticket.until)
+
+
+async def _not_forward(self: Any, head: Any, host: Any) -> Any:
+    """Take whatever comes, also an older revision."""
+    accepted = await self._accepted(head, host)
+    if isinstance(accepted, Accepted):
+        self._configuration._accepted = accepted
+        return None
+    return accepted
+
+
+async def _no_pin(self: Any, intake: Any) -> Any:
+    """Hold no named session to a version."""
+    return intake
+
+
+def _no_token(self: Any, headers: Any, workspace: Any) -> Any:
+    """Take no notice of a session's token."""
+    return '', None
+
+
+def _any_attempt(self: Any, chunk: Any) -> Any:
+    """Take a piece of any attempt."""
+    if chunk.index < self.expected:
+        return None
+    self.expected += 1
+    return self._accept(chunk)
+
+
+async def _no_drain(self: Any, until: float) -> None:
+    """Wait for no request."""
+
+
+async def _no_hand(self: Any, last: bool = False) -> bool:
+    """Hand nothing to a peer."""
+    return False
+
+
+def _says_not_run(self: Any, refusal: Refusal) -> Refusal:
+    """Say of all refusals that nothing ran."""
+    return replace(refusal, ran=Ran.NOT_RUN)
+
+
+MUTANTS: Final[dict[str, _Patch]] = {
+    'withdrawn': (
+        Configuration,
+        'is_withdrawn',
+        lambda configuration, version, epoch: False,
+    ),
+    'lease': (Configuration, 'isolated', property(lambda configuration: False)),
+    'claim': (Once, '_claim_key', _no_claim),
+    'ticket': (TicketIssuer, 'spend', _no_ticket),
+    'forward only': (ConfigurationPoller, '_take', _not_forward),
+    'pin': (SessionPins, 'pin', _no_pin),
+    'token': (IntakeReader, '_session', _no_token),
+    'attempt id': (AnswerReader, '_read_chunk', _any_attempt),
+    'drain': (GracefulStop, '_wait', _no_drain),
+    'hand-over': (RecordSender, 'hand', _no_hand),
+    'leaving': (Directory, '_begin_leaving', lambda directory, *told: False),
+    'not run': (Fence, 'review', _says_not_run),
+}
+
+
+def mutant(name: str) -> '_patch[Callable[..., Any]]':
+    """Return the patch that takes a mechanism out."""
+    owner, attribute, new = MUTANTS[name]
+    return patch.object(owner, attribute, new)
--- a/experiments/virtual_time.py
+++ b/experiments/virtual_time.py
@@ -3,7 +3,9 @@
 import asyncio
 import selectors
 from collections.abc import Coroutine
-from typing import Any, Final
+from typing import Any, Final, TypeVar
+
+Outcome = TypeVar('Outcome')
 
 _WALL: Final = 1_700_000_000.0
 
@@ -72,3 +74,12 @@
         loop.run_until_complete(main)
     finally:
         loop.close()
+
+
+def run_virtually(
+    loop: VirtualLoop,
+    work: Coroutine[Any, Any, Outcome],
+) -> Outcome:
+    """Run a coroutine to its end, and cancel what it left behind."""
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        return runner.run(work)
--- a/src/nutmegroad/_callers_part.py
+++ b/src/nutmegroad/_callers_part.py
@@ -3,7 +3,7 @@
 from nutmegroad._caller_guard import CallerGuard
 from nutmegroad._caller_parts import CallerParts
 from nutmegroad._http_edge import protect
-from nutmegroad._http_listener import listen
+from nutmegroad._http_listener import Listener
 from nutmegroad.billing import Biller
 from nutmegroad.callers import CallersInterface
 from nutmegroad.configuration import Configuration
@@ -39,6 +39,7 @@
         RecordSender,
         SessionNames,
         GracefulStop,
+        Listener,
         Metrics,
     )
 
@@ -65,7 +66,7 @@
         metrics = kernel.need(Metrics)
         CallerGuard(stop, metrics).protect(app)
         protect(kernel, app, 'callers', metrics.refused)
-        kernel.listening['callers'] = await listen(
+        kernel.listening['callers'] = await kernel.need(Listener).listen(
             kernel,
             app,
             kernel.settings.callers,
--- a/src/nutmegroad/_cost_metrics.py
+++ b/src/nutmegroad/_cost_metrics.py
@@ -32,7 +32,7 @@
             self._costs[part] = total.minus(PartCost())
         for event, count in self._ledger.events().items():
             gained = count - self._events.get(event, 0)
-            self._metrics.control_event(event, gained)
+            self._metrics.host_event(event, gained)
             self._events[event] = count
         self._metrics.state.resident(resident_bytes())
 
--- a/src/nutmegroad/_http_listener.py
+++ b/src/nutmegroad/_http_listener.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web import (
@@ -21,6 +21,7 @@
 
 from nutmegroad.core import Kernel
 from nutmegroad.logs import part_logger
+from nutmegroad.registry import register
 from nutmegroad.replies import refuse
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import Address, Ran, RequestId
@@ -127,6 +128,46 @@
         return await super().finish_response(request, resp, start_time)
 
 
+class Listener(Protocol):
+    """Serves applications."""
+
+    async def listen(
+        self,
+        kernel: Kernel,
+        app: Application,
+        address: Address,
+    ) -> Address:
+        """Serve an application until the kernel closes.
+
+        Returns:
+            Where it listens; the port is known even if 0 was asked for.
+        """
+
+
+class SocketListener:
+    """Serves applications on TCP sockets."""
+
+    async def listen(
+        self,
+        kernel: Kernel,
+        app: Application,
+        address: Address,
+    ) -> Address:
+        """Serve an application until the kernel closes."""
+        return await listen(kernel, app, address)
+
+
+@register('part', 'listener')
+class ListenerPart:
+    """Provides what serves the applications of the other parts."""
+
+    needs = ()
+
+    async def open(self, kernel: Kernel) -> None:
+        """Serve on sockets."""
+        kernel.provide(Listener, SocketListener())
+
+
 async def listen(
     kernel: Kernel,
     app: Application,
--- a/src/nutmegroad/_metrics_part.py
+++ b/src/nutmegroad/_metrics_part.py
@@ -29,6 +29,7 @@
         kernel.provide(Metrics, metrics)
         kernel.provide(Invariants, CountedInvariants(metrics))
         publisher = CostPublisher(ledger, metrics)
+        kernel.provide(CostPublisher, publisher)
         kernel.spawn(_publish(kernel, publisher), 'metrics')
 
 
--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/_operators_part.py
@@ -9,10 +9,9 @@
     middleware,
 )
 
+from nutmegroad._cost_metrics import CostPublisher
 from nutmegroad._http_edge import BodyReader, protect
-from nutmegroad._http_listener import listen
-from nutmegroad._ledger_export import LedgerExport
-from nutmegroad.accounting import Ledger
+from nutmegroad._http_listener import Listener
 from nutmegroad.changes import Changes
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
@@ -36,7 +35,7 @@
     """Show metrics, and that a host which stops is not ready."""
     stop = kernel.need(GracefulStop)
     metrics = kernel.need(Metrics)
-    export = LedgerExport(kernel.need(Ledger), metrics)
+    publisher = kernel.need(CostPublisher)
 
     @middleware
     async def fall(request: Request, handler: Handler) -> StreamResponse:
@@ -47,7 +46,7 @@
 
     async def show(http: Request) -> Response:
         """Show the metrics."""
-        export.update()
+        publisher.publish()
         _show_members(kernel)
         return Response(body=metrics.render(), content_type='text/plain')
 
@@ -72,7 +71,8 @@
         Directory,
         Explanations,
         GracefulStop,
-        Ledger,
+        CostPublisher,
+        Listener,
         Members,
         Mesh,
         Metrics,
@@ -90,6 +90,7 @@
         groups = registered('operator routes').values()
         interface = OperatorsInterface(
             kernel.settings.host,
+            kernel.settings.domain,
             kernel.need(Configuration),
             kernel.need(Directory),
             kernel.need(GracefulStop),
@@ -101,7 +102,7 @@
         count = kernel.need(Metrics).operator_refused
         BodyReader(kernel.settings.body_timeout, count).protect(app)
         protect(kernel, app, 'operators', count)
-        kernel.listening['operators'] = await listen(
+        kernel.listening['operators'] = await kernel.need(Listener).listen(
             kernel,
             app,
             kernel.settings.operators,
--- a/src/nutmegroad/_upstreams_part.py
+++ b/src/nutmegroad/_upstreams_part.py
@@ -1,4 +1,4 @@
-"""The part that reaches upstreams over HTTP and watches them."""
+"""The parts that reach upstreams over HTTP and watch them."""
 
 from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
 from nutmegroad.accounting import Account
@@ -20,18 +20,27 @@
 
 @register('part', 'upstreams')
 class UpstreamsPart:
-    """Provides the clients of upstreams and the directory."""
+    """Provides the clients of upstreams."""
 
-    needs = (HostList, Mesh, Duties, Account)
+    needs = (Account,)
 
     async def open(self, kernel: Kernel) -> None:
-        """Open the clients and begin to watch."""
-        account = kernel.need(Account)
-        engines = HttpEngineClient(account)
+        """Open the clients."""
+        engines = HttpEngineClient(kernel.need(Account))
         await kernel.stack.enter_async_context(engines)
         services = await kernel.stack.enter_async_context(HttpServiceClient())
         kernel.provide(EngineClient, engines)
         kernel.provide(ServiceClient, services)
+
+
+@register('part', 'directory')
+class DirectoryPart:
+    """Provides the directory of upstreams."""
+
+    needs = (HostList, EngineClient, Mesh, Duties, Account)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Begin to watch."""
         directory = Directory(kernel.clock)
         kernel.provide(Directory, directory)
         sharer = WatchSharer(
@@ -41,11 +50,11 @@
             kernel.clock,
             kernel.settings.domain,
             WATCH_PERIOD,
-            account,
+            kernel.need(Account),
         )
         watcher = UpstreamWatcher(
             kernel.need(HostList),
-            engines,
+            kernel.need(EngineClient),
             directory,
             kernel.clock,
             kernel.randomness,
--- a/src/nutmegroad/directory.py
+++ b/src/nutmegroad/directory.py
@@ -14,6 +14,7 @@
 from nutmegroad.clocks import Clock
 from nutmegroad.types import (
     Address,
+    DomainId,
     Presence,
     ServiceName,
     UpstreamId,
@@ -34,6 +35,9 @@
 #: again, as it has no report that could speak for it.
 SERVICE_HOLD: Final = 10.0
 
+#: Seconds after which an engine that has said nothing is not waited for.
+SURVEY_LIMIT: Final = 5.0
+
 #: Upstreams heard of as leaving before the host list named them.
 MOST_HEARSAY: Final = 1000
 
@@ -110,7 +114,7 @@
                 out is to be forgotten.
         """
         listed = {info.upstream for info in upstreams}
-        for gone in set(self._states) - listed if whole else ():
+        for gone in sorted(set(self._states) - listed) if whole else ():
             state = self._states.pop(gone)
             # Requests that still hold this state must see it as leaving.
             state.leaving = True
@@ -290,6 +294,21 @@
                 listener(state.info, source)
         return fresh
 
+    def is_surveyed(self, domain: DomainId) -> bool:
+        """Tell whether the engines of a domain are known well enough.
+
+        An engine that has said nothing yet counts as having no slots, so a
+        host that serves before it has heard of them refuses in vain.
+        """
+        oldest = self._clock.now() - SURVEY_LIMIT
+        return bool(self._states) and all(
+            state.report is not None
+            or state.failures > 0
+            or state.first_seen <= oldest
+            for state in self._states.values()
+            if is_engine(state) and state.info.domain == domain
+        )
+
     def _refresh(self) -> None:
         """Make the index anew if something has changed."""
         if not self._stale:
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -75,7 +75,6 @@
         ('part', 'direction'),
     ),
     _CounterSpec('control_cpu_seconds', 'Seconds for control', ('part',)),
-    _CounterSpec('control_events', 'What befell control', ('event',)),
 )
 
 
@@ -327,10 +326,6 @@
         seconds = cost.processor_seconds
         self._add('control_cpu_seconds', part, amount=seconds)
 
-    def control_event(self, event: str, count: int) -> None:
-        """Add to how often something befell control."""
-        self._add('control_events', event, amount=count)
-
     @contextmanager
     def control_time(self, part: str) -> Generator[None, None, None]:
         """Add the processor time of the block, which must not await.
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators.py
@@ -20,7 +20,7 @@
 )
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.stops import GracefulStop
-from nutmegroad.types import HostId
+from nutmegroad.types import DomainId, HostId
 
 _UNAVAILABLE: Final = 503
 
@@ -100,6 +100,7 @@
 
     Args:
         host: This host's id.
+        domain: The failure domain that it stands in.
         configuration: What is in force.
         directory: The upstreams.
         stop: The host's stop.
@@ -110,6 +111,7 @@
     def __init__(
         self,
         host: HostId,
+        domain: DomainId,
         configuration: Configuration,
         directory: Directory,
         stop: GracefulStop,
@@ -117,6 +119,7 @@
         groups: Iterable[OperatorRoutes],
     ) -> None:
         self._host = host
+        self._domain = domain
         self._configuration = configuration
         self._directory = directory
         self._stop = stop
@@ -144,7 +147,7 @@
             return Response(status=_UNAVAILABLE, text='no configuration\n')
         # The host list lags: a host may open before the list names anything,
         # and would refuse for want of capacity that is there.
-        if not self._directory.states():
+        if not self._directory.is_surveyed(self._domain):
             return Response(status=_UNAVAILABLE, text='no upstreams yet\n')
         return Response(text='ready\n')
 
--- a/src/nutmegroad/watch.py
+++ b/src/nutmegroad/watch.py
@@ -220,7 +220,8 @@
         }
         for gone in self._tasks.keys() - wanted:
             self._tasks.pop(gone).cancel()
-        for fresh in wanted - self._tasks.keys():
+        # In order, so that what is drawn for each does not hang on hashes.
+        for fresh in sorted(wanted - self._tasks.keys()):
             self._tasks[fresh] = self._start(self._follow(fresh))
 
     async def _follow(self, upstream: UpstreamId) -> None:
--- a/tests/test_cost_metrics.py
+++ b/tests/test_cost_metrics.py
@@ -31,7 +31,7 @@
             f'{control}_messages_total{{direction="sent",part="watch"}} 2.0',
             f'{control}_bytes_total{{direction="received",part="watch"}} 7.0',
             f'{control}_cpu_seconds_total{{part="watch"}} 0.5',
-            f'{control}_events_total{{event="platform_table_reads"}} 1.0',
+            'nutmegroad_host_events_total{event="platform_table_reads"} 1.0',
         ):
             self.assertIn(line, lines)
         self.assertGreater(resident_bytes(), 0)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,8 +2,10 @@
 
 import unittest
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 from nutmegroad.directory import Directory
+from nutmegroad.types import UpstreamId
 from tests.hosts import WholeHost, fast_engine
 
 
@@ -27,3 +29,13 @@
             await self.readiness(),
             (503, 'no upstreams yet\n'),
         )
+
+    async def test_nor_is_one_that_has_heard_nothing_of_an_engine(self) -> None:
+        directory = self.host.kernel.need(Directory)
+        known = directory.states()[0].info
+        fresh = replace(known, upstream=UpstreamId('fresh'))
+        directory.update((fresh,), whole=False)
+        self.assertEqual(
+            await self.readiness(),
+            (503, 'no upstreams yet\n'),
+        )
