Name the parts of a link plainly

Inbox, outbox, parcel, gate and questions are a receiver of messages, a send queue, queued frames, a handshaker and pending replies now; the announcer holds the events of links. `Gate`, `Dispatcher` and `Runner` stood for two things each in the package. Behaviour is unchanged.

--- a/experiments/memory_platform.py
+++ b/experiments/memory_platform.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeVar
 
-from nutmegroad._peer_tasks import OwnedTasks
+from nutmegroad._owned_tasks import OwnedTasks
 from nutmegroad.clocks import Clock
 from nutmegroad.platform import (
     ABSENT,
--- a/src/nutmegroad/_announcer.py
+++ b/src/nutmegroad/_announcer.py
@@ -3,23 +3,23 @@
 from nutmegroad._dialer import Dialer
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkListener
-from nutmegroad._questions import Questions
+from nutmegroad._questions import PendingReplies
 
 
-class Announcer:
-    """A ``LinkListener`` that hands on to questions, dialer and another.
+class LinkEvents:
+    """A ``LinkListener`` that hands on to pending replies, dialer and another.
 
     Attributes:
         listener: Who else is told, if anybody.
 
     Args:
-        questions: Those to a lost host are settled.
+        pending: Those to a lost host are settled.
         dialer: Connects to a lost host again.
     """
 
-    def __init__(self, questions: Questions, dialer: Dialer) -> None:
+    def __init__(self, pending: PendingReplies, dialer: Dialer) -> None:
         self.listener: LinkListener | None = None
-        self._questions = questions
+        self._pending = pending
         self._dialer = dialer
 
     def link_opened(self, identity: Identity) -> None:
@@ -30,7 +30,7 @@
     def link_closed(self, identity: Identity) -> None:
         """Take in that a link is lost, and hand it on."""
         reason = f'The link to host {identity.host} was lost.'
-        self._questions.fail(identity.host, reason)
+        self._pending.fail(identity.host, reason)
         self._dialer.link_lost()
         if self.listener is not None:
             self.listener.link_closed(identity)
--- a/src/nutmegroad/_connection.py
+++ b/src/nutmegroad/_connection.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from nutmegroad._handshake import Identity
-from nutmegroad._outbox import Outbox, Parcel
+from nutmegroad._outbox import QueuedFrame, SendQueue
 from nutmegroad._wire import StreamError, Unpacker, as_struct, pack
 from nutmegroad.accounting import Account
 from nutmegroad.clocks import Clock
@@ -113,13 +113,13 @@
             return 'links_broken'
         return 'links_closed'
 
-    async def write(self, outbox: Outbox, account: Account) -> None:
-        """Send what the outbox holds until the connection ends."""
+    async def write(self, queue: SendQueue, account: Account) -> None:
+        """Send what the queue holds until the connection ends."""
         while True:
-            parcels = await outbox.take_all()
-            for parcel in parcels:
-                account.sent(parcel.part, len(parcel.packed))
-            if not await self._send(parcels):
+            frames = await queue.take_all()
+            for frame in frames:
+                account.sent(frame.part, len(frame.packed))
+            if not await self._send(frames):
                 return
 
     def finish(self) -> None:
@@ -130,13 +130,13 @@
             self._writer.write_eof()
 
     def abort(self) -> None:
-        """End it at once; nothing more is taken from the outbox."""
+        """End it at once; nothing more is taken from the queue."""
         if self.writing is not None:
             self.writing.cancel()
         self._writer.transport.abort()
 
-    async def _send(self, parcels: tuple[Parcel, ...]) -> bool:
-        self._writer.writelines([parcel.packed for parcel in parcels])
+    async def _send(self, frames: tuple[QueuedFrame, ...]) -> bool:
+        self._writer.writelines([frame.packed for frame in frames])
         self.stalled_since = self._clock.now()
         try:
             await self._writer.drain()
--- a/src/nutmegroad/_dispatcher.py
+++ b/src/nutmegroad/_dispatcher.py
@@ -4,14 +4,14 @@
 
 from nutmegroad._connection import FrameKind, pack_frame
 from nutmegroad._link_context import LinkContext
-from nutmegroad._outbox import Parcel
+from nutmegroad._outbox import QueuedFrame
 from nutmegroad._peer_table import PeerTable
 from nutmegroad._wire import as_plain
 from nutmegroad.peers import Message
 from nutmegroad.types import HostId
 
 
-class Dispatcher:
+class MessageSender:
     """Queues messages for peers, within the limits.
 
     Args:
@@ -42,14 +42,14 @@
         if len(packed) > self._context.limits.message:
             self._context.account.count('links_message_too_large')
             return 0
-        parcel = Parcel(packed, message.part, message.replaceable)
-        return sum(self._put(host, parcel) for host in hosts)
+        frame = QueuedFrame(packed, message.part, message.replaceable)
+        return sum(self._put(host, frame) for host in hosts)
 
-    def _put(self, host: HostId, parcel: Parcel) -> bool:
+    def _put(self, host: HostId, frame: QueuedFrame) -> bool:
         peer = self._table.get(host)
         if peer is None:
             return False
-        if peer.outbox.put(parcel):
+        if peer.queue.put(frame):
             return True
         self._context.account.count('links_queue_full')
         return False
--- a/src/nutmegroad/_gate.py
+++ b/src/nutmegroad/_gate.py
@@ -37,7 +37,7 @@
     early: bytes
 
 
-class Gate:
+class Handshaker:
     """Does the handshakes, within their limits.
 
     Args:
--- a/src/nutmegroad/_inbox.py
+++ b/src/nutmegroad/_inbox.py
@@ -6,10 +6,10 @@
 
 from nutmegroad._connection import LINKS_PART, Frame, FrameKind, pack_frame
 from nutmegroad._link_context import LinkContext, Roster
-from nutmegroad._outbox import Parcel
+from nutmegroad._outbox import QueuedFrame
+from nutmegroad._owned_tasks import OwnedTasks
 from nutmegroad._peer_table import Peer
-from nutmegroad._peer_tasks import OwnedTasks
-from nutmegroad._questions import Questions
+from nutmegroad._questions import PendingReplies
 from nutmegroad._wire import Kinds, as_plain
 from nutmegroad.accounting import Metered
 from nutmegroad.peers import Handler, Message, Sent
@@ -19,13 +19,13 @@
 _LOG_PREFIX: Final = 'links:'
 
 
-class Inbox:
+class MessageReceiver:
     """Gives each message to its handler, and each reply to its asker.
 
     Args:
         context: Time, limits and account.
         roster: Says which incarnations are too old.
-        questions: What waits for replies.
+        pending: What waits for replies.
         tasks: Where handlers run.
     """
 
@@ -33,12 +33,12 @@
         self,
         context: LinkContext,
         roster: Roster,
-        questions: Questions,
+        pending: PendingReplies,
         tasks: OwnedTasks,
     ) -> None:
         self._context = context
         self._roster = roster
-        self._questions = questions
+        self._pending = pending
         self._tasks = tasks
         self._kinds = Kinds()
         self._handlers: dict[type[Message], Handler[Any]] = {}
@@ -72,7 +72,7 @@
         if reply is None:
             reason = f'Host {peer.host} refused: {frame.body}'
             reply = Refusal(ResultCode.PEER_REFUSED, reason, Ran.UNKNOWN)
-        if not self._questions.answer(peer.host, frame.number, reply):
+        if not self._pending.answer(peer.host, frame.number, reply):
             self._context.account.count('links_late_reply')
 
     def _start(self, peer: Peer, frame: Frame, message: Message | None) -> None:
@@ -109,14 +109,14 @@
             self._refuse(peer, frame, 'links_no_reply')
             return
         packed = pack_frame(FrameKind.REPLY, frame.number, as_plain(reply))
-        self._put(peer, Parcel(packed, reply.part))
+        self._put(peer, QueuedFrame(packed, reply.part))
 
     def _refuse(self, peer: Peer, frame: Frame, event: str) -> None:
         self._context.account.count(event)
         if frame.kind is FrameKind.ASK:
             packed = pack_frame(FrameKind.REFUSED, frame.number, event)
-            self._put(peer, Parcel(packed, LINKS_PART))
+            self._put(peer, QueuedFrame(packed, LINKS_PART))
 
-    def _put(self, peer: Peer, parcel: Parcel) -> None:
-        if not peer.outbox.put(parcel):
+    def _put(self, peer: Peer, queued: QueuedFrame) -> None:
+        if not peer.queue.put(queued):
             self._context.account.count('links_queue_full')
--- a/src/nutmegroad/_link_runner.py
+++ b/src/nutmegroad/_link_runner.py
@@ -5,10 +5,10 @@
 
 from nutmegroad._connection import LINKS_PART, Connection
 from nutmegroad._gate import Opened
-from nutmegroad._inbox import Inbox
+from nutmegroad._inbox import MessageReceiver
 from nutmegroad._link_context import LinkContext, LinkListener
+from nutmegroad._owned_tasks import OwnedTasks
 from nutmegroad._peer_table import Peer, PeerTable
-from nutmegroad._peer_tasks import OwnedTasks
 from nutmegroad._wire import Unpacker
 from nutmegroad.accounting import Metered
 from nutmegroad.logs import part_logger
@@ -20,13 +20,13 @@
 _FLUSH_STEP: Final = 0.01
 
 
-class Runner:
+class LinkRunner:
     """Reads and writes on connections, and closes those that are stuck.
 
     Args:
         context: Time, account and limits.
         table: The established links.
-        inbox: Takes what comes in.
+        receiver: Takes what comes in.
         listener: Is told of links that open and close.
     """
 
@@ -34,12 +34,12 @@
         self,
         context: LinkContext,
         table: PeerTable,
-        inbox: Inbox,
+        receiver: MessageReceiver,
         listener: LinkListener,
     ) -> None:
         self._context = context
         self._table = table
-        self._inbox = inbox
+        self._receiver = receiver
         self._listener = listener
 
     async def run(self, opened: Opened, tasks: OwnedTasks) -> None:
@@ -84,7 +84,7 @@
     def _begin(self, peer: Peer, tasks: OwnedTasks) -> None:
         """Write on the connection that a peer has now."""
         account = self._context.account
-        work = peer.connection.write(peer.outbox, account)
+        work = peer.connection.write(peer.queue, account)
         writing = Metered(account, LINKS_PART, work)
         peer.connection.writing = tasks.start(writing)
         _LOG.info('host %s is linked', peer.host)
@@ -92,7 +92,7 @@
 
     async def _read(self, opened: Opened, peer: Peer) -> None:
         unpacker = Unpacker(self._context.limits.message)
-        take = partial(self._inbox.take, peer)
+        take = partial(self._receiver.take, peer)
         ended = await opened.connection.read(unpacker, opened.early, take)
         self._context.account.count(ended)
 
--- a/src/nutmegroad/_memory_mesh.py
+++ b/src/nutmegroad/_memory_mesh.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any, Final, Protocol, Self
 
-from nutmegroad._peer_tasks import OwnedTasks
-from nutmegroad._questions import Questions
+from nutmegroad._owned_tasks import OwnedTasks
+from nutmegroad._questions import PendingReplies
 from nutmegroad._wire import Kinds, as_plain
 from nutmegroad.clocks import Clock
 from nutmegroad.peers import Handler, Member, Message, Sent
@@ -104,7 +104,7 @@
         self._tasks = tasks
         self._kinds = Kinds()
         self._handlers: dict[type[Message], Handler[Any]] = {}
-        self._questions = Questions(network.clock)
+        self._pending = PendingReplies(network.clock)
 
     @property
     def host(self) -> HostId:
@@ -167,10 +167,10 @@
         if not self._is_linked(host):
             reason = f'There is no link to host {host}.'
             return Refusal(ResultCode.PEER_UNREACHABLE, reason)
-        number = self._questions.open(host)
+        number = self._pending.open(host)
         frame = _Frame(as_plain(message), question=number)
         self._network.post(self.host, host, frame)
-        return await self._questions.wait(number, timeout)
+        return await self._pending.wait(number, timeout)
 
     def receive(self, sender: HostId, frame: object) -> None:
         """Take in what arrived; the network calls it."""
@@ -184,7 +184,7 @@
         else:
             unreadable = _refuse('The reply is unreadable.')
             reply = self._kinds.decode(frame.body) or unreadable
-        self._questions.answer(sender, frame.answers, reply)
+        self._pending.answer(sender, frame.answers, reply)
 
     async def _work(self, sender: HostId, frame: _Frame) -> None:
         message = self._kinds.decode(frame.body)
--- a/src/nutmegroad/_outbox.py
+++ b/src/nutmegroad/_outbox.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Parcel:
+class QueuedFrame:
     """A packed message that waits to go out.
 
     Attributes:
@@ -20,7 +20,7 @@
     replaceable: bool = False
 
 
-class Outbox:
+class SendQueue:
     """A queue with a bound on messages and on bytes.
 
     When it is full, the oldest replaceable message makes room; where there
@@ -34,7 +34,7 @@
     def __init__(self, most_messages: int, most_bytes: int) -> None:
         self._most_messages = most_messages
         self._most_bytes = most_bytes
-        self._waiting: deque[Parcel] = deque()
+        self._waiting: deque[QueuedFrame] = deque()
         self._bytes = 0
         self._filled = asyncio.Event()
 
@@ -42,17 +42,17 @@
         """Return how many messages wait."""
         return len(self._waiting)
 
-    def put(self, parcel: Parcel) -> bool:
+    def put(self, frame: QueuedFrame) -> bool:
         """Queue a message; false if there is no room."""
-        while not self._has_room(parcel):
+        while not self._has_room(frame):
             if not self._drop_replaceable():
                 return False
-        self._waiting.append(parcel)
-        self._bytes += len(parcel.packed)
+        self._waiting.append(frame)
+        self._bytes += len(frame.packed)
         self._filled.set()
         return True
 
-    async def take_all(self) -> tuple[Parcel, ...]:
+    async def take_all(self) -> tuple[QueuedFrame, ...]:
         """Wait until there is something, and take all of it."""
         await self._filled.wait()
         taken = tuple(self._waiting)
@@ -61,16 +61,16 @@
         self._filled.clear()
         return taken
 
-    def _has_room(self, parcel: Parcel) -> bool:
-        size = self._bytes + len(parcel.packed)
+    def _has_room(self, frame: QueuedFrame) -> bool:
+        size = self._bytes + len(frame.packed)
         return len(self._waiting) < self._most_messages and (
             size <= self._most_bytes
         )
 
     def _drop_replaceable(self) -> bool:
-        for parcel in self._waiting:
-            if parcel.replaceable:
-                self._waiting.remove(parcel)
-                self._bytes -= len(parcel.packed)
+        for frame in self._waiting:
+            if frame.replaceable:
+                self._waiting.remove(frame)
+                self._bytes -= len(frame.packed)
                 return True
         return False
--- a/src/nutmegroad/_peer_tasks.py
+++ b/src/nutmegroad/_owned_tasks.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-_LOG_PREFIX: Final = 'peer tasks:'
+_LOG_PREFIX: Final = 'tasks:'
 
 Outcome = TypeVar('Outcome')
 
--- a/src/nutmegroad/_peer_table.py
+++ b/src/nutmegroad/_peer_table.py
@@ -6,7 +6,7 @@
 from nutmegroad._connection import Connection
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkLimits
-from nutmegroad._outbox import Outbox
+from nutmegroad._outbox import SendQueue
 from nutmegroad.clocks import Clock
 from nutmegroad.types import Address, HostId
 
@@ -20,7 +20,7 @@
 
     Attributes:
         connection: The connection that is used.
-        outbox: What waits to be sent.
+        queue: What waits to be sent.
         handling: How many handlers run for it.
 
     Args:
@@ -30,7 +30,7 @@
 
     def __init__(self, connection: Connection, limits: LinkLimits) -> None:
         self.connection = connection
-        self.outbox = Outbox(limits.queue_messages, limits.queue_bytes)
+        self.queue = SendQueue(limits.queue_messages, limits.queue_bytes)
         self.handling = 0
 
     @property
@@ -46,7 +46,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether something has not yet gone to the system."""
-        return bool(self.outbox) or self.connection.stalled_since is not None
+        return bool(self.queue) or self.connection.stalled_since is not None
 
 
 class PeerTable:
--- a/src/nutmegroad/_questions.py
+++ b/src/nutmegroad/_questions.py
@@ -1,4 +1,4 @@
-"""Questions that wait for a reply, by number."""
+"""PendingReplies that wait for a reply, by number."""
 
 import asyncio
 import itertools
@@ -11,7 +11,7 @@
 _Answer = asyncio.Future[Message | Refusal]
 
 
-class Questions:
+class PendingReplies:
     """The questions of one host that have no reply yet.
 
     Args:
--- a/src/nutmegroad/links.py
+++ b/src/nutmegroad/links.py
@@ -10,17 +10,17 @@
 from types import TracebackType
 from typing import Final, Self
 
-from nutmegroad._announcer import Announcer
+from nutmegroad._announcer import LinkEvents
 from nutmegroad._connection import LINKS_PART
 from nutmegroad._dialer import Dialer
-from nutmegroad._dispatcher import Dispatcher
-from nutmegroad._gate import Gate
-from nutmegroad._inbox import Inbox
+from nutmegroad._dispatcher import MessageSender
+from nutmegroad._gate import Handshaker
+from nutmegroad._inbox import MessageReceiver
 from nutmegroad._link_context import LinkContext, LinkListener, Roster
-from nutmegroad._link_runner import Runner
+from nutmegroad._link_runner import LinkRunner
+from nutmegroad._owned_tasks import OwnedTasks
 from nutmegroad._peer_table import PeerTable
-from nutmegroad._peer_tasks import OwnedTasks
-from nutmegroad._questions import Questions
+from nutmegroad._questions import PendingReplies
 from nutmegroad.accounting import Metered
 from nutmegroad.peers import Handler, Member, Message, Sent
 from nutmegroad.results import Refusal, ResultCode
@@ -47,17 +47,19 @@
         self._context = context
         self._roster = roster
         self._tasks = OwnedTasks()
-        self._questions = Questions(context.clock)
-        self._inbox = Inbox(context, roster, self._questions, self._tasks)
+        self._pending = PendingReplies(context.clock)
+        self._receiver = MessageReceiver(
+            context, roster, self._pending, self._tasks
+        )
         host = roster.identity.host
         self._table = PeerTable(host, context.clock, context.limits)
         self._dialer = Dialer(context, self._dial, self._table.is_linked)
-        self._announcer = Announcer(self._questions, self._dialer)
-        self._dispatcher = Dispatcher(context, self._table)
-        self._runner = Runner(
-            context, self._table, self._inbox, self._announcer
+        self._events = LinkEvents(self._pending, self._dialer)
+        self._sender = MessageSender(context, self._table)
+        self._runner = LinkRunner(
+            context, self._table, self._receiver, self._events
         )
-        self._gate = Gate(context, roster, self._announcer.outdated)
+        self._handshaker = Handshaker(context, roster, self._events.outdated)
         self._server: asyncio.Server | None = None
 
     async def __aenter__(self) -> Self:
@@ -91,7 +93,7 @@
 
     def listen(self, listener: LinkListener) -> None:
         """Tell a listener what becomes of links from now on."""
-        self._announcer.listener = listener
+        self._events.listener = listener
 
     def keep_links(self, addresses: Iterable[Address]) -> None:
         """Keep links to whoever listens at these addresses."""
@@ -114,7 +116,7 @@
 
     def handle(self, kind: type[Sent], handler: Handler[Sent]) -> None:
         """Register what is done with messages of a kind."""
-        self._inbox.handle(kind, handler)
+        self._receiver.handle(kind, handler)
 
     def tell(self, host: HostId, message: Message) -> bool:
         """Queue a message to a host; false if there is no link or room."""
@@ -129,7 +131,7 @@
 
         It is packed once only.
         """
-        return self._dispatcher.tell(hosts, message)
+        return self._sender.tell(hosts, message)
 
     async def ask(
         self,
@@ -144,12 +146,12 @@
             message: The question.
             timeout: Seconds to wait.
         """
-        number = self._questions.open(host)
-        if not self._dispatcher.ask(host, number, message):
-            self._questions.close(number)
+        number = self._pending.open(host)
+        if not self._sender.ask(host, number, message):
+            self._pending.close(number)
             reason = f'There is no link to host {host}, or no room on it.'
             return Refusal(ResultCode.PEER_UNREACHABLE, reason)
-        return await self._questions.wait(number, timeout)
+        return await self._pending.wait(number, timeout)
 
     def _accept(self, reader: StreamReader, writer: StreamWriter) -> None:
         work = self._welcome(reader, writer)
@@ -160,12 +162,12 @@
         reader: StreamReader,
         writer: StreamWriter,
     ) -> None:
-        opened = await self._gate.accept(reader, writer)
+        opened = await self._handshaker.accept(reader, writer)
         if opened is not None:
             await self._runner.run(opened, self._tasks)
 
     async def _dial(self, address: Address) -> bool:
-        opened = await self._gate.connect(address)
+        opened = await self._handshaker.connect(address)
         if opened is None:
             return False
         host = opened.connection.identity.host
--- a/src/nutmegroad/testing.py
+++ b/src/nutmegroad/testing.py
@@ -14,7 +14,7 @@
 from typing import Final, Self
 
 from nutmegroad._memory_mesh import MemoryPeer, PeerNames
-from nutmegroad._peer_tasks import OwnedTasks
+from nutmegroad._owned_tasks import OwnedTasks
 from nutmegroad.clocks import Clock
 from nutmegroad.types import DomainId, HostId, Presence
 
--- a/src/nutmegroad/watch.py
+++ b/src/nutmegroad/watch.py
@@ -19,7 +19,7 @@
 
 _LOG: Final = part_logger('watch')
 
-#: Questions are spread over this share of their period.
+#: PendingReplies are spread over this share of their period.
 JITTER: Final = 0.2
 
 #: Engines that are asked at the same moment, at most.
--- a/tests/test_link_parts.py
+++ b/tests/test_link_parts.py
@@ -10,7 +10,7 @@
 from nutmegroad._dialing import Backoff
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkLimits
-from nutmegroad._outbox import Outbox, Parcel
+from nutmegroad._outbox import QueuedFrame, SendQueue
 from nutmegroad._peer_table import PeerTable
 from nutmegroad._wire import StreamError, Unpacker, pack
 from nutmegroad.testing import ManualClock
@@ -70,19 +70,19 @@
     """What a full queue does."""
 
     def test_a_replaceable_message_makes_room(self) -> None:
-        outbox = Outbox(2, 100)
-        old = Parcel(b'old', '', replaceable=True)
-        firm = Parcel(b'firm', '')
-        self.assertTrue(outbox.put(firm))
-        self.assertTrue(outbox.put(old))
-        self.assertTrue(outbox.put(firm))
-        self.assertFalse(outbox.put(old))
-        self.assertEqual(asyncio.run(outbox.take_all()), (firm, firm))
+        queue = SendQueue(2, 100)
+        old = QueuedFrame(b'old', '', replaceable=True)
+        firm = QueuedFrame(b'firm', '')
+        self.assertTrue(queue.put(firm))
+        self.assertTrue(queue.put(old))
+        self.assertTrue(queue.put(firm))
+        self.assertFalse(queue.put(old))
+        self.assertEqual(asyncio.run(queue.take_all()), (firm, firm))
 
     def test_bytes_are_bounded_too(self) -> None:
-        outbox = Outbox(100, 10)
-        self.assertTrue(outbox.put(Parcel(b'a' * 10, '')))
-        self.assertFalse(outbox.put(Parcel(b'a', '')))
+        queue = SendQueue(100, 10)
+        self.assertTrue(queue.put(QueuedFrame(b'a' * 10, '')))
+        self.assertFalse(queue.put(QueuedFrame(b'a', '')))
 
 
 class UnpackerTest(unittest.TestCase):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,7 +10,7 @@
 
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkContext, LinkLimits
-from nutmegroad._outbox import Parcel
+from nutmegroad._outbox import QueuedFrame
 from nutmegroad.accounting import Ledger
 from nutmegroad.clocks import Clock, SystemClock
 from nutmegroad.links import Links
@@ -243,7 +243,7 @@
         three = await self.host('three')
         await self.link(three, two)
         peer = next(iter(three.links._table))
-        peer.outbox.put(Parcel(b'\xc1\xc1', 'test'))
+        peer.queue.put(QueuedFrame(b'\xc1\xc1', 'test'))
         await until(lambda: two.count('links_garbage'))
         await self.assert_works(one, two)
 
