Join the link modules that are one job

Nine modules of 50 to 140 lines are five: `_dialer`, `_connection` with its queue, `_peer_table` with sending, `_message_receiver` with pending replies, and `_link_lifecycle`. The handshake stays apart, as it is long enough alone. Behaviour is unchanged; the tests of links, members and the mesh pass.

--- a/src/nutmegroad/_announcer.py
+++ b/src/nutmegroad/_announcer.py
@@ -3,7 +3,7 @@
 from nutmegroad._dialer import Dialer
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkListener
-from nutmegroad._questions import PendingReplies
+from nutmegroad._message_receiver import PendingReplies
 
 
 class LinkEvents:
--- a/src/nutmegroad/_memory_mesh.py
+++ b/src/nutmegroad/_memory_mesh.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any, Final, Protocol, Self
 
+from nutmegroad._message_receiver import PendingReplies
 from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad._questions import PendingReplies
 from nutmegroad._wire import Kinds, as_plain
 from nutmegroad.clocks import Clock
 from nutmegroad.peers import Handler, Member, Message, Sent
--- a/src/nutmegroad/links.py
+++ b/src/nutmegroad/links.py
@@ -13,14 +13,11 @@
 from nutmegroad._announcer import LinkEvents
 from nutmegroad._connection import LINKS_PART
 from nutmegroad._dialer import Dialer
-from nutmegroad._dispatcher import MessageSender
-from nutmegroad._gate import Handshaker
-from nutmegroad._inbox import MessageReceiver
 from nutmegroad._link_context import LinkContext, LinkListener, Roster
-from nutmegroad._link_runner import LinkRunner
+from nutmegroad._link_lifecycle import Handshaker, LinkRunner
+from nutmegroad._message_receiver import MessageReceiver, PendingReplies
 from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad._peer_table import PeerTable
-from nutmegroad._questions import PendingReplies
+from nutmegroad._peer_table import MessageSender, PeerTable
 from nutmegroad.accounting import Metered
 from nutmegroad.peers import Handler, Member, Message, Sent
 from nutmegroad.results import Refusal, ResultCode
--- a/tests/test_link_parts.py
+++ b/tests/test_link_parts.py
@@ -6,11 +6,10 @@
 import unittest
 from typing import Any, cast
 
-from nutmegroad._connection import Connection
-from nutmegroad._dialing import Backoff
+from nutmegroad._connection import Connection, QueuedFrame, SendQueue
+from nutmegroad._dialer import Backoff
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkLimits
-from nutmegroad._outbox import QueuedFrame, SendQueue
 from nutmegroad._peer_table import PeerTable
 from nutmegroad._wire import StreamError, Unpacker, pack
 from nutmegroad.testing import ManualClock
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import Any, ClassVar
 
+from nutmegroad._connection import QueuedFrame
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkContext, LinkLimits
-from nutmegroad._outbox import QueuedFrame
 from nutmegroad.accounting import Ledger
 from nutmegroad.clocks import Clock, SystemClock
 from nutmegroad.links import Links
