--- a/src/nutmegroad/plans.py
+++ b/src/nutmegroad/plans.py
@@ -38,7 +38,7 @@
 #: Share of a task's requests that may try a cheaper, uncertain version.
 EXPLORED: Final = 0.02
 #: Requests that may wait to explore; bounds a burst after a quiet time.
-_MOST_CREDIT: Final = 1.0
+_MOST_BUDGET: Final = 1.0
 #: Workspaces, tasks and targets whose plans are kept.
 _MOST_KEPT: Final = 4096
 #: The least standard error with which a version is tried.
@@ -116,7 +116,7 @@
         self._kept: dict[_Key, _Prepared] = {}
         self._accepted: Accepted | None = None
         self._entries_by_id: dict[VersionId, VersionEntry] = {}
-        self._credit: dict[TaskName, float] = {}
+        self._budget: dict[TaskName, float] = {}
 
     def plan(self, request: ModelRequest) -> Plan | Refusal:
         """Return a plan of one step."""
@@ -273,19 +273,19 @@
     ) -> Candidate | None:
         """Return a cheaper version that is worth a try now, if any.
 
-        Each request adds a little credit and a try costs one, so that no
+        Each request adds a little to a budget and a try costs one, so that no
         run of luck makes the share larger. A version is tried if a draw
         from what is believed of it meets the target.
         """
         if not prepared.hopeful:
             return None
-        credit = self._credit.get(request.task, 0) + self._explored
-        self._credit[request.task] = min(credit, _MOST_CREDIT)
-        if credit < _MOST_CREDIT:
+        budget = self._budget.get(request.task, 0) + self._explored
+        self._budget[request.task] = min(budget, _MOST_BUDGET)
+        if budget < _MOST_BUDGET:
             return None
         tried = self._draw(request, prepared)
         if tried is not None:
-            self._credit[request.task] -= _MOST_CREDIT
+            self._budget[request.task] -= _MOST_BUDGET
         return tried
 
     def _draw(
--- a/src/nutmegroad/rating_samples.py
+++ b/src/nutmegroad/rating_samples.py
@@ -118,8 +118,8 @@
         self._queue: asyncio.Queue[RatedAnswer] = asyncio.Queue(QUEUE_LIMIT)
         self._shares = SampleShares()
         self._known: OrderedDict[_Named, None] = OrderedDict()
-        self._steady = _Credit(clock, RATE, BURST)
-        self._trials = _Credit(clock, TRIAL_RATE, TRIAL_BURST)
+        self._steady = _TokenBucket(clock, RATE, BURST)
+        self._trials = _TokenBucket(clock, TRIAL_RATE, TRIAL_BURST)
 
     def started(self, start: AttemptStart) -> None:
         """Take no notice of a start."""
@@ -135,8 +135,8 @@
         if not self._is_first(start):
             self.count('repeated')
             return
-        credit = self._trials if on_trial else self._steady
-        if not credit.spend():
+        bucket = self._trials if on_trial else self._steady
+        if not bucket.take():
             self.count('above_rate')
             return
         answer = RatedAnswer(start.request, start.task, start.version, end.text)
@@ -190,12 +190,12 @@
         return True
 
 
-class _Credit:
+class _TokenBucket:
     """Bounds a rate.
 
     Args:
         clock: The host's clock.
-        rate: Credit earned in a second.
+        rate: Tokens that come in a second.
         burst: The most that may be saved up.
     """
 
@@ -204,14 +204,14 @@
         self._rate = rate
         self._burst = burst
         self._left = burst
-        self._earned_at = clock.now()
+        self._filled_at = clock.now()
 
-    def spend(self) -> bool:
+    def take(self) -> bool:
         """Take one off, if there is one."""
         now = self._clock.now()
-        earned = (now - self._earned_at) * self._rate
+        earned = (now - self._filled_at) * self._rate
         self._left = min(self._burst, self._left + earned)
-        self._earned_at = now
+        self._filled_at = now
         if self._left < 1:
             return False
         self._left -= 1
