--- a/src/nutmegroad/_crowding.py
+++ b/src/nutmegroad/_shedding.py
@@ -30,7 +30,7 @@
 _SHEDDING: Final = 3.0
 
 
-class Crowding:
+class LoadShedder:
     """Bounds a queue.
 
     Args:
@@ -61,7 +61,7 @@
         """Tell whether anything was refused lately."""
         return self._clock.now() - self._shed < _SHEDDING
 
-    def victim(self, waiting: Waiting, limit: int) -> Waiting | None:
+    def to_refuse(self, waiting: Waiting, limit: int) -> Waiting | None:
         """Return whom to refuse so that a request may wait.
 
         Args:
--- a/src/nutmegroad/admission.py
+++ b/src/nutmegroad/admission.py
@@ -9,11 +9,11 @@
 import random
 from contextlib import AbstractContextManager
 
-from nutmegroad._crowding import Crowding
 from nutmegroad._demand import Demand
 from nutmegroad._fair_queue import FairQueue, Waiting
 from nutmegroad._permits import Permits
 from nutmegroad._service_times import ServiceTimes
+from nutmegroad._shedding import LoadShedder
 from nutmegroad._slots import HostSlots, Identity
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
@@ -53,7 +53,7 @@
         self.slots = slots
         self._queue = FairQueue(demand.weight)
         self.permits = Permits(slots, self._queue, demand, clock)
-        self._crowding = Crowding(
+        self._shedder = LoadShedder(
             self._queue,
             configuration,
             demand,
@@ -108,7 +108,7 @@
             limit=self.slots.holding,
             running=self.permits.running,
             waiting=len(self._queue),
-            shedding=self._crowding.shedding,
+            shedding=self._shedder.shedding,
             demand=self._demand.largest(),
         )
 
@@ -140,22 +140,22 @@
         wait = self._queue.wait(waiting.request.workspace, limit)
         left = self._left(waiting)
         if left <= 0 or wait > left:
-            return self._crowding.refuse(
+            return self._shedder.refuse(
                 waiting,
                 limit,
                 ResultCode.DEADLINE_UNREACHABLE,
                 f'It would wait {wait:.1f} s and has to begin within '
                 f'{max(0, left):.1f} s to end by its deadline.',
             )
-        victim = self._crowding.victim(waiting, limit)
-        if victim is None:
+        refused = self._shedder.to_refuse(waiting, limit)
+        if refused is None:
             return None
-        refusal = self._crowding.refuse_crowded(victim, limit)
-        if victim is waiting:
+        refusal = self._shedder.refuse_crowded(refused, limit)
+        if refused is waiting:
             return refusal
-        self._queue.remove(victim)
-        if not victim.outcome.done():
-            victim.outcome.set_result(refusal)
+        self._queue.remove(refused)
+        if not refused.outcome.done():
+            refused.outcome.set_result(refusal)
         return None
 
     async def _wait(self, waiting: Waiting) -> Refusal | None:
@@ -183,7 +183,7 @@
         if waiting.outcome.done():
             return
         self._queue.remove(waiting)
-        refusal = self._crowding.refuse(
+        refusal = self._shedder.refuse(
             waiting,
             self.permits.limit,
             ResultCode.DEADLINE_UNREACHABLE,
