--- a/experiments/mesh_slopes.py
+++ b/experiments/mesh_slopes.py
@@ -20,9 +20,9 @@
 import uvloop
 
 from experiments.mesh_hosts import Cost, MeshHost, NoLinks, identity_of
-from nutmegroad._entries import Origin
 from nutmegroad._member_context import MemberContext, make_table
 from nutmegroad._member_messages import Record
+from nutmegroad._member_table import Origin
 from nutmegroad.accounting import Ledger
 from nutmegroad.clocks import SystemClock
 from nutmegroad.members import Members
--- a/src/nutmegroad/_detector.py
+++ b/src/nutmegroad/_detector.py
@@ -4,8 +4,7 @@
 from typing import Final
 
 from nutmegroad._member_messages import Heartbeat
-from nutmegroad._member_table import MemberTable
-from nutmegroad._reachability import Reachability
+from nutmegroad._member_table import MemberTable, Reachability
 from nutmegroad.types import HostId
 
 #: A bound is never less or more than so many heartbeat intervals.
--- a/src/nutmegroad/_heartbeats.py
+++ b/src/nutmegroad/_heartbeats.py
@@ -5,11 +5,9 @@
 from typing import Final, Protocol
 
 from nutmegroad._detector import Detector
-from nutmegroad._entries import Entry, Origin
 from nutmegroad._handshake import Identity
 from nutmegroad._member_messages import Heartbeat, Record
-from nutmegroad._member_table import MemberTable
-from nutmegroad._reachability import Reachability
+from nutmegroad._member_table import Entry, MemberTable, Origin, Reachability
 from nutmegroad.peers import Message
 from nutmegroad.types import DomainId, HostId
 
--- a/src/nutmegroad/_link_targets.py
+++ b/src/nutmegroad/_link_targets.py
@@ -6,8 +6,7 @@
 from typing import Final
 
 from nutmegroad._member_messages import Record
-from nutmegroad._member_table import MemberTable
-from nutmegroad._reachability import Reachability
+from nutmegroad._member_table import MemberTable, Reachability
 from nutmegroad._rendezvous import ranked
 from nutmegroad.types import Address, DomainId, HostId
 
--- a/src/nutmegroad/_member_context.py
+++ b/src/nutmegroad/_member_context.py
@@ -7,8 +7,7 @@
 
 from nutmegroad._handshake import Identity
 from nutmegroad._link_context import LinkListener
-from nutmegroad._member_table import MemberTable
-from nutmegroad._reachability import Reachability
+from nutmegroad._member_table import MemberTable, Reachability
 from nutmegroad.accounting import Account
 from nutmegroad.clocks import Clock
 from nutmegroad.peers import Mesh, Message
--- a/src/nutmegroad/_member_table.py
+++ b/src/nutmegroad/_member_table.py
@@ -1,18 +1,22 @@
-"""What is known of all hosts, and who we are."""
+"""What is known of all hosts: their records, and when they were heard."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from itertools import takewhile
 from typing import Final
 
 import msgspec
 
-from nutmegroad._entries import Entries, Entry, Origin
 from nutmegroad._handshake import Identity
 from nutmegroad._member_messages import Record
-from nutmegroad._reachability import Reachability
 from nutmegroad._rendezvous import ranked
 from nutmegroad.clocks import Clock
 from nutmegroad.peers import Member
-from nutmegroad.types import Address, HostId, Presence
+from nutmegroad.types import Address, DomainId, HostId, Presence
+
+#: Gone incarnations that are remembered at most.
+_MOST_GONE: Final = 1000
 
 #: Seconds for which a gone incarnation is remembered, so that old news
 #: can't bring it back.
@@ -21,6 +25,167 @@
 _RELAYS: Final = 3
 
 
+class Reachability:
+    """Keeps for how long hosts and domains have been silent.
+
+    Args:
+        clock: Time.
+        domain_bound: Seconds of silence after which a domain counts as
+            cut off.
+    """
+
+    def __init__(self, clock: Clock, domain_bound: float) -> None:
+        self._clock = clock
+        self._domain_bound = domain_bound
+        self._hosts: dict[HostId, float] = {}
+        self._domains: dict[DomainId, float] = {}
+        self._told: dict[DomainId, float] = {}
+        self._forgiven = clock.now()
+
+    def heard_host(self, host: HostId, when: float) -> None:
+        """Note that a host was heard, or heard of for the first time."""
+        self._hosts[host] = max(when, self._hosts.get(host, when))
+
+    def heard_domain(self, domain: DomainId, when: float) -> None:
+        """Note when a domain was heard, by us or by others."""
+        self._domains[domain] = max(when, self._domains.get(domain, when))
+        self._told[domain] = self._clock.now()
+
+    def forgive(self) -> None:
+        """Count all silence from now on, after a pause of our own."""
+        self._forgiven = self._clock.now()
+
+    def forget_host(self, host: HostId) -> None:
+        """Forget a host."""
+        self._hosts.pop(host, None)
+
+    def last_heard(self, host: HostId) -> float:
+        """Return the clock seconds at which a host was last heard."""
+        return self._hosts.get(host, self._forgiven)
+
+    def silence(self, host: HostId) -> float:
+        """Return for how many seconds a host has been silent."""
+        heard = self._hosts.get(host, self._forgiven)
+        return self._clock.now() - max(heard, self._forgiven)
+
+    def is_cut_off(self, domain: DomainId) -> bool:
+        """Tell whether nobody of a domain is heard, even by others."""
+        heard = self._forgiven
+        # What others tell after a pause of our own is worth more than
+        # that we heard nothing during the pause.
+        if self._told.get(domain, self._forgiven) > self._forgiven:
+            heard = self._domains[domain]
+        return self._clock.now() - heard > self._domain_bound
+
+    def ages(self) -> Mapping[DomainId, float]:
+        """Return for each domain the seconds since it was heard."""
+        now = self._clock.now()
+        return {domain: now - when for domain, when in self._domains.items()}
+
+
+@unique
+class Origin(Enum):
+    """How a change was learned, which says who else must be told."""
+
+    OWN = 'own'
+    NEAR = 'near'
+    FAR = 'far'
+    VERDICT = 'verdict'
+    SYNC = 'sync'
+
+
+@dataclass(slots=True)
+class Entry:
+    """A record and how it came here.
+
+    Attributes:
+        record: The record.
+        change: Number of the change that brought it.
+        origin: How it was learned.
+        since: Clock seconds at which it was learned.
+        is_relay: Whether this host passes it on for its domain.
+        known_by: Hosts that told us the same.
+    """
+
+    record: Record
+    change: int
+    origin: Origin
+    since: float
+    is_relay: bool = False
+    known_by: set[HostId] = field(default_factory=set)
+
+
+class Entries:
+    """All records, the latest change last."""
+
+    def __init__(self) -> None:
+        self._entries: dict[HostId, Entry] = {}
+        self._change = 0
+        self._digest = 0
+
+    def __iter__(self) -> Iterator[Entry]:
+        """Iterate over the entries, the earliest change first."""
+        return iter(tuple(self._entries.values()))
+
+    @property
+    def change(self) -> int:
+        """How many changes there were."""
+        return self._change
+
+    @property
+    def digest(self) -> int:
+        """A hash over all the records that are not gone."""
+        return self._digest
+
+    def get(self, host: HostId) -> Entry | None:
+        """Return the entry of a host."""
+        return self._entries.get(host)
+
+    def put(self, record: Record, origin: Origin, now: float) -> Entry:
+        """Replace the record of a host."""
+        old = self._entries.pop(record.host, None)
+        if old is not None:
+            self._mix(old.record)
+        self._mix(record)
+        self._change += 1
+        entry = Entry(record, self._change, origin, since=now)
+        self._entries[record.host] = entry
+        return entry
+
+    def records(self) -> tuple[Record, ...]:
+        """Return all records, gone ones among them."""
+        return tuple(entry.record for entry in self)
+
+    def since(self, change: int) -> list[Entry]:
+        """Return the entries that changed later, the earliest first."""
+        latest = reversed(self._entries.values())
+        news = list(takewhile(lambda entry: entry.change > change, latest))
+        news.reverse()
+        return news
+
+    def purge(self, limit: float) -> list[HostId]:
+        """Forget what has been gone since before a moment.
+
+        Returns:
+            The hosts that were forgotten.
+        """
+        gone = [entry for entry in self if entry.record.is_gone]
+        surplus = len(gone) - _MOST_GONE
+        forgotten = [
+            entry.record.host
+            for place, entry in enumerate(gone)
+            if entry.since < limit or place < surplus
+        ]
+        for host in forgotten:
+            self._entries.pop(host)
+        return forgotten
+
+    def _mix(self, record: Record) -> None:
+        """Put a record into the hash, or take it out again."""
+        if not record.is_gone:
+            self._digest ^= record.digest()
+
+
 class MemberTable:
     """The records of all hosts, this one's among them.
 
--- a/src/nutmegroad/members.py
+++ b/src/nutmegroad/members.py
@@ -13,9 +13,8 @@
 from nutmegroad._coordinator import Coordinator
 from nutmegroad._member_context import LinkLayer, MemberContext
 from nutmegroad._member_messages import MEMBERS_PART
-from nutmegroad._member_table import MemberTable
+from nutmegroad._member_table import MemberTable, Reachability
 from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad._reachability import Reachability
 from nutmegroad.accounting import Metered
 from nutmegroad.peers import Member
 from nutmegroad.platform import HostList
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,11 +7,10 @@
 from contextlib import AsyncExitStack
 
 from nutmegroad._detector import Detector, Verdicts
-from nutmegroad._entries import Origin
 from nutmegroad._handshake import Identity
 from nutmegroad._member_context import make_table
 from nutmegroad._member_messages import Heartbeat, Record
-from nutmegroad._member_table import GONE_MEMORY
+from nutmegroad._member_table import GONE_MEMORY, Origin
 from nutmegroad.testing import ManualClock
 from nutmegroad.types import (
     DomainId,
@@ -106,12 +105,12 @@
 
     async def test_a_crashed_host_is_given_up_by_agreement(self) -> None:
         hosts = await self.start_all({EAST: 4, WEST: 2})
-        victim = hosts.pop(1)
-        self.crash(victim)
+        crashed = hosts.pop(1)
+        self.crash(crashed)
         await self.clock.advance(5)
-        known = [victim.name in host.known() for host in hosts]
+        known = [crashed.name in host.known() for host in hosts]
         self.assertNotIn(False, known, 'given up too early')
-        self.assertIn(victim.name, hosts[0].members.suspects)
+        self.assertIn(crashed.name, hosts[0].members.suspects)
         await self.clock.advance(7)
         self.assert_all_known(hosts)
 
