Remove a sampler of answers that nothing used

`AnswerSampler` in `ratings.py` has had no user since `rating_samples.py` hands answers in, and no test of its own. The protocols and the feed stay.

--- a/src/nutmegroad/ratings.py
+++ b/src/nutmegroad/ratings.py
@@ -1,4 +1,4 @@
-"""Ratings of answers: handed in for a sample, read back by a few hosts.
+"""Ratings of answers, read back by a few hosts and told to the others.
 
 The feed is one log in one order. What a host knows of it is a position and
 the tallies of all ratings up to there, so the same position always means
@@ -8,7 +8,6 @@
 """
 
 import random
-from collections import deque
 from collections.abc import Callable
 from operator import sub
 from typing import ClassVar, Final, Protocol
@@ -17,11 +16,10 @@
 from msgspec import Struct
 
 from nutmegroad.clocks import Clock
-from nutmegroad.decisions import AttemptEnd, AttemptStart
 from nutmegroad.duties import DutyName
 from nutmegroad.peers import Mesh, Message
-from nutmegroad.platform import RatedAnswer, Rating, Ratings
-from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.platform import Rating, Ratings
+from nutmegroad.results import Refusal
 from nutmegroad.types import HostId, TaskName, VersionId
 
 _LOG_PREFIX: Final = 'ratings:'
@@ -33,8 +31,6 @@
 #: Hosts to which each host passes a state on: few enough for its budget of
 #: bytes, and enough that a state reaches a domain of 44 in four steps.
 FANOUT: Final = 3
-#: Answers that wait to be handed in; later ones are not sampled.
-QUEUE_LIMIT: Final = 256
 
 #: Parts of the scale of scores: each is 0.05 wide.
 BUCKETS: Final = 20
@@ -219,67 +215,6 @@
             self._mesh.tell(host, state)
 
 
-class AnswerSampler:
-    """Hands a sample of whole answers in for rating.
-
-    Args:
-        ratings: The rating service.
-        clock: The host's clock.
-        randomness: Draws the sample.
-        share: Share of the answers, from 0 to 1.
-        period: Seconds between deliveries.
-    """
-
-    def __init__(
-        self,
-        ratings: Ratings,
-        clock: Clock,
-        randomness: random.Random,
-        share: float,
-        period: float,
-    ) -> None:
-        self._ratings = ratings
-        self._clock = clock
-        self._randomness = randomness
-        self._share = share
-        self._period = period
-        self._queue: deque[RatedAnswer] = deque()
-
-    @property
-    def waiting(self) -> int:
-        """Return how many answers wait to be handed in."""
-        return len(self._queue)
-
-    def started(self, start: AttemptStart) -> None:
-        """Note nothing: only answers are rated."""
-
-    def ended(self, end: AttemptEnd) -> None:
-        """Keep a whole answer, if it is drawn and there is room."""
-        if end.code is not ResultCode.OK or self.waiting >= QUEUE_LIMIT:
-            return
-        if self._randomness.random() >= self._share:
-            return
-        start = end.start
-        self._queue.append(
-            RatedAnswer(start.request, start.task, start.version, end.text),
-        )
-
-    async def run(self) -> None:
-        """Deliver until cancelled."""
-        while True:
-            await self.deliver()
-            await self._clock.sleep(self._period)
-
-    async def deliver(self) -> Refusal | None:
-        """Hand in what waits, and keep the rest where the service fails."""
-        while self._queue:
-            refusal = await self._ratings.submit(self._queue[0])
-            if refusal is not None:
-                return refusal
-            self._queue.popleft()
-        return None
-
-
 def score_of(bucket: int) -> float:
     """Return the score in the middle of a bucket."""
     return (bucket + 0.5) / BUCKETS
