Name what passes a fence, and what a caller sent

`Crossing` is `AttemptFence`; `Arrived` and `Leavable` are `CallerRequest` and `DetachableSink` in `_caller_requests.py`. `Fence` stays: it is the fencing of the field, a lapsed lease stopped at the point of effect. Behaviour is unchanged; the tests of once, gates, attempts and callers pass.

--- a/src/nutmegroad/_caller_requests.py
+++ b/src/nutmegroad/_caller_requests.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Arrived:
+class CallerRequest:
     """A request that was read whole.
 
     Attributes:
@@ -43,7 +43,7 @@
     content: bytes
 
 
-class Leavable:
+class DetachableSink:
     """A sink whose caller may leave while the answer is still written.
 
     Within its context the caller is there; afterwards pieces are dropped,
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -13,9 +13,13 @@
     StreamResponse,
 )
 
-from nutmegroad._arrived import Arrived, Leavable, passed_headers
 from nutmegroad._caller_guard import STREAM_KEY
 from nutmegroad._caller_parts import CallerParts
+from nutmegroad._caller_requests import (
+    CallerRequest,
+    DetachableSink,
+    passed_headers,
+)
 from nutmegroad.documents import WorkspaceEntry
 from nutmegroad.forwards import ForwardedReply, ForwardedRequest
 from nutmegroad.intake import authenticate
@@ -83,7 +87,7 @@
             outcome = await self._parts.models.run(call, KeptBack())
             return await self._model_reply(arrived, call, outcome)
         stream = _make_stream(http, call, self._parts)
-        with Leavable(stream) as sink:
+        with DetachableSink(stream) as sink:
             outcome = await self._parts.models.run(call, sink)
         return await self._stream_end(arrived, call, outcome, stream)
 
@@ -134,7 +138,7 @@
         workspace = self._workspace(message.headers)
         if isinstance(workspace, Refusal):
             return forwarded_reply(self._refuse(workspace, request))
-        arrived = Arrived(
+        arrived = CallerRequest(
             request,
             workspace,
             message.method,
@@ -168,7 +172,7 @@
         self._parts.metrics.refused(refusal.code)
         return refuse(refusal, request)
 
-    async def _arrive(self, http: Request) -> Arrived | Response:
+    async def _arrive(self, http: Request) -> CallerRequest | Response:
         """Read a request whole, from a caller that is known."""
         request = self._name()
         workspace = self._workspace(http.headers)
@@ -180,7 +184,7 @@
         content = await self._body(http)
         if isinstance(content, Refusal):
             return self._refuse(content, request)
-        return Arrived(
+        return CallerRequest(
             request,
             workspace,
             http.method,
@@ -207,7 +211,7 @@
 
     async def _model_reply(
         self,
-        arrived: Arrived,
+        arrived: CallerRequest,
         call: ModelCall,
         outcome: Outcome,
     ) -> Response:
@@ -219,7 +223,7 @@
 
     async def _stream_end(
         self,
-        arrived: Arrived,
+        arrived: CallerRequest,
         call: ModelCall,
         outcome: Outcome,
         stream: EventStream,
@@ -275,7 +279,7 @@
 
     async def _forward(
         self,
-        arrived: Arrived,
+        arrived: CallerRequest,
         elsewhere: Elsewhere,
         seconds: float,
     ) -> Response:
@@ -299,7 +303,7 @@
         )
 
 
-def _service_call(arrived: Arrived) -> ServiceCallIn:
+def _service_call(arrived: CallerRequest) -> ServiceCallIn:
     """Return the call that a request is."""
     named = arrived.target.removeprefix(_SERVICES)
     service, _, path = named.partition('/')
@@ -316,7 +320,7 @@
 
 def _model_call(
     models: ModelRoutes,
-    arrived: Arrived,
+    arrived: CallerRequest,
 ) -> ModelCall | Refusal:
     """Return the model request that a request is."""
     return models.read(
--- a/src/nutmegroad/fences.py
+++ b/src/nutmegroad/fences.py
@@ -78,9 +78,9 @@
         self._passed += 1
         return None
 
-    def attempt(self) -> 'Crossing':
+    def attempt(self) -> 'AttemptFence':
         """Return the way of one attempt through the fence."""
-        return Crossing(self)
+        return AttemptFence(self)
 
     def withdraw(self) -> None:
         """Take in that an attempt that went out was proved not run."""
@@ -105,10 +105,10 @@
         )
 
 
-class Crossing:
+class AttemptFence:
     """The way of one attempt through its request's fence.
 
-    An attempt that is resumed at the upstream that has it crosses once.
+    An attempt that is resumed at the upstream that has it passes once.
 
     Args:
         fence: The fence.
--- a/src/nutmegroad/gates.py
+++ b/src/nutmegroad/gates.py
@@ -12,7 +12,7 @@
 from nutmegroad.configuration import Configuration
 from nutmegroad.decisions import Quarantine
 from nutmegroad.documents import Isolation, Stage, WorkspaceEntry
-from nutmegroad.fences import Crossing
+from nutmegroad.fences import AttemptFence
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import (
     Epoch,
@@ -37,7 +37,7 @@
         epoch: The epoch that a session holds to; None for the present one.
         upstream: Where the first byte would go.
         deadline: Clock seconds at which the caller gives up.
-        crossing: The attempt's way through the fence of its request; it
+        attempt_fence: The attempt's way through the fence of its request; it
             is asked last, so what it lets pass goes out.
     """
 
@@ -48,7 +48,7 @@
     epoch: Epoch | None
     upstream: UpstreamState
     deadline: float
-    crossing: Crossing | None = None
+    attempt_fence: AttemptFence | None = None
 
 
 #: Tells why this host may send nothing now, or None.
@@ -85,8 +85,8 @@
         def check() -> Refusal | None:
             """Look at everything once more."""
             refusal = self.check(passage)
-            if refusal is None and passage.crossing is not None:
-                return passage.crossing.check()
+            if refusal is None and passage.attempt_fence is not None:
+                return passage.attempt_fence.check()
             return refusal
 
         return check
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -172,7 +172,7 @@
         number: int,
     ) -> ServiceReply | Refusal:
         """Make one attempt."""
-        crossing = request.fence.attempt()
+        attempt_fence = request.fence.attempt()
         passage = Passage(
             request.workspace,
             TaskName(''),
@@ -181,7 +181,7 @@
             None,
             state,
             request.deadline,
-            crossing,
+            attempt_fence,
         )
         left = request.deadline - self._clock.now()
         call = ServiceCall(
@@ -204,7 +204,7 @@
             code = _code_of(reply)
         finally:
             health.ended(call.attempt, code, self._clock.now())
-        crossing.end(reply)
+        attempt_fence.end(reply)
         if isinstance(reply, ServiceReply):
             self._directory.answered(state.info.upstream)
         elif reply.code is ResultCode.UPSTREAM_UNREACHABLE:
--- a/src/nutmegroad/steps.py
+++ b/src/nutmegroad/steps.py
@@ -16,7 +16,7 @@
     RetryBudget,
     Selector,
 )
-from nutmegroad.fences import Crossing
+from nutmegroad.fences import AttemptFence
 from nutmegroad.gates import Gatekeeper, Passage
 from nutmegroad.invariants import Invariants
 from nutmegroad.metrics import Metrics
@@ -101,13 +101,13 @@
         choice: The upstream.
         attempt: The attempt's id; one that resumes keeps it at its engine.
         received: What came before.
-        crossing: The attempt's way through its request's fence.
+        attempt_fence: The attempt's way through its request's fence.
     """
 
     choice: Choice
     attempt: AttemptId
     received: Received
-    crossing: Crossing | None
+    attempt_fence: AttemptFence | None
 
 
 class StepRunner:
@@ -180,8 +180,8 @@
         number = progress.spent.attempts + 1
         name = AttemptId(f'{progress.request.request}.{number}.{nonce}')
         fence = progress.request.fence
-        crossing = None if fence is None else fence.attempt()
-        return _Course(choice, name, received, crossing)
+        attempt_fence = None if fence is None else fence.attempt()
+        return _Course(choice, name, received, attempt_fence)
 
     def _next(
         self,
@@ -223,8 +223,8 @@
             await self._attempter.run(trial, sink)
         finally:
             self._sum_up(progress, trial)
-            if course.crossing is not None:
-                course.crossing.end(trial.received.refusal)
+            if course.attempt_fence is not None:
+                course.attempt_fence.end(trial.received.refusal)
         return trial
 
     def _sum_up(self, progress: Progress, trial: Trial) -> None:
@@ -346,5 +346,5 @@
         session.epoch if session else None,
         course.choice.state,
         request.deadline,
-        course.crossing,
+        course.attempt_fence,
     )
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -89,24 +89,24 @@
 
     async def test_an_attempt_proved_not_run_makes_room(self) -> None:
         run = await self.run_of(self.one)
-        crossing = run.fence.attempt()
-        self.assertIsNone(crossing.check())
-        crossing.end(NOT_RUN)
-        crossing = run.fence.attempt()
-        self.assertIsNone(crossing.check())
-        crossing.end(UNKNOWN)
+        attempt_fence = run.fence.attempt()
+        self.assertIsNone(attempt_fence.check())
+        attempt_fence.end(NOT_RUN)
+        attempt_fence = run.fence.attempt()
+        self.assertIsNone(attempt_fence.check())
+        attempt_fence.end(UNKNOWN)
         with self.assertRaises(AssertionError):
             run.fence.attempt().check()
 
     async def test_an_attempt_that_is_resumed_crosses_once(self) -> None:
         run = await self.run_of(self.one)
-        crossing = run.fence.attempt()
-        self.assertIsNone(crossing.check())
-        crossing.end(UNKNOWN)
+        attempt_fence = run.fence.attempt()
+        self.assertIsNone(attempt_fence.check())
+        attempt_fence.end(UNKNOWN)
         await self.rig.clock.jump(LEASE)
-        self.assertIsNone(crossing.check())
+        self.assertIsNone(attempt_fence.check())
         # That it could not be resumed says nothing of what ran before.
-        crossing.end(NOT_RUN)
+        attempt_fence.end(NOT_RUN)
         self.assertEqual(1, run.fence.passed)
 
     async def test_the_daemon_prevents_and_counts_what_tests_raise(
@@ -188,8 +188,8 @@
 
     async def work(self, fence: Fence) -> Ended:
         """Answer once the gate is open."""
-        crossing = fence.attempt()
-        self.assertIsNone(crossing.check())
+        attempt_fence = fence.attempt()
+        self.assertIsNone(attempt_fence.check())
         await self.gate.wait()
         return Ended(ANSWER, self.record)
 
--- a/tests/test_records_random.py
+++ b/tests/test_records_random.py
@@ -142,12 +142,12 @@
 
     def attempt(self, fence: Fence, work: str) -> ServiceReply | Refusal:
         """Send one attempt; it may be lost before or after it ran."""
-        crossing = fence.attempt()
-        refusal = crossing.check()
+        attempt_fence = fence.attempt()
+        refusal = attempt_fence.check()
         if refusal is not None:
             return refusal
         if self.one_in(5):
-            crossing.end(NOT_RUN)
+            attempt_fence.end(NOT_RUN)
             return NOT_RUN
         if self.one_in(5):
             return UNKNOWN
