Keep the plain selectors together

`LeastInFlight` stood in `policies.py` with its own copy of the search for engines and of its refusal; it uses those of `plain_selectors.py` now. Its refusal says "that may be tried", as the others do; the choice is the same.

--- a/experiments/selection_speed.py
+++ b/experiments/selection_speed.py
@@ -24,7 +24,7 @@
 from nutmegroad.directory import Directory
 from nutmegroad.documents import Concern
 from nutmegroad.fleet import FleetLoad
-from nutmegroad.policies import LeastInFlight
+from nutmegroad.plain_selectors import LeastInFlight
 from nutmegroad.requests import ModelRequest
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.selection import ExpectedSelector
--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -26,8 +26,8 @@
 )
 from nutmegroad.exchange import ShareExchange
 from nutmegroad.fleet import FleetLoad
-from nutmegroad.plain_selectors import RandomChoice, RoundRobin
-from nutmegroad.policies import CountedRetries, LeastInFlight, OpenAdmitter
+from nutmegroad.plain_selectors import LeastInFlight, RandomChoice, RoundRobin
+from nutmegroad.policies import CountedRetries, OpenAdmitter
 from nutmegroad.retries import SharedRetries
 from nutmegroad.selection import ExpectedSelector
 from nutmegroad.shares import ShareLedger
--- a/src/nutmegroad/plain_selectors.py
+++ b/src/nutmegroad/plain_selectors.py
@@ -1,4 +1,4 @@
-"""Plain selectors that the measured ones are compared with."""
+"""Plain selectors: a first version of the decision, and baselines."""
 
 import random
 
@@ -67,6 +67,37 @@
         return Choice(self._randomness.choice(states), 0, 'drawn')
 
 
+class LeastInFlight:
+    """Takes the upstream at which this host has the least in flight.
+
+    Args:
+        directory: The upstreams.
+        randomness: Breaks ties.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        randomness: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._randomness = randomness
+
+    def choose(
+        self,
+        request: ModelRequest,
+        version: VersionId,
+        excluded: frozenset[UpstreamId],
+    ) -> Choice | Refusal:
+        """Return the upstream with the least in flight."""
+        states = _candidates(self._directory, version, excluded)
+        if not states:
+            return no_engine(version)
+        self._randomness.shuffle(states)
+        chosen = min(states, key=lambda state: state.in_flight)
+        return Choice(chosen, 0, 'least in flight')
+
+
 def no_engine(version: VersionId) -> Refusal:
     """Say that no engine can be had."""
     return Refusal(
@@ -88,6 +119,12 @@
     return RandomChoice(kernel.need(Directory), kernel.randomness)
 
 
+@register('selector', 'least-in-flight')
+def least_in_flight(kernel: Kernel) -> LeastInFlight:
+    """Make the selector for a host."""
+    return LeastInFlight(kernel.need(Directory), kernel.randomness)
+
+
 def _candidates(
     directory: Directory,
     version: VersionId,
--- a/src/nutmegroad/policies.py
+++ b/src/nutmegroad/policies.py
@@ -1,19 +1,17 @@
 """Plain policies: a first version of each decision, and baselines."""
 
-import random
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
 
 from nutmegroad.configuration import Configuration
 from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd, Choice
-from nutmegroad.directory import Directory
+from nutmegroad.decisions import AttemptEnd
 from nutmegroad.documents import VersionEntry
 from nutmegroad.prices import cost_of
 from nutmegroad.registry import register
 from nutmegroad.requests import ModelRequest, Plan
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import TaskName, UpstreamId, VersionId
+from nutmegroad.types import TaskName, VersionId
 
 
 class CheapestPlanner:
@@ -58,45 +56,6 @@
         )
 
 
-class LeastInFlight:
-    """Takes the upstream at which this host has the least in flight.
-
-    Args:
-        directory: The upstreams.
-        randomness: Breaks ties.
-    """
-
-    def __init__(
-        self,
-        directory: Directory,
-        randomness: random.Random,
-    ) -> None:
-        self._directory = directory
-        self._randomness = randomness
-
-    def choose(
-        self,
-        request: ModelRequest,
-        version: VersionId,
-        excluded: frozenset[UpstreamId],
-    ) -> Choice | Refusal:
-        """Return the upstream with the least in flight."""
-        states = [
-            state
-            for state in self._directory.engines(version)
-            if state.info.upstream not in excluded
-        ]
-        if not states:
-            return Refusal(
-                ResultCode.NO_UPSTREAM,
-                f'No live engine has {version} loaded.',
-                retry_after=1,
-            )
-        self._randomness.shuffle(states)
-        chosen = min(states, key=lambda state: state.in_flight)
-        return Choice(chosen, 0, 'least in flight')
-
-
 class OpenAdmitter:
     """Lets everything in."""
 
@@ -129,12 +88,6 @@
     return CheapestPlanner(kernel.need(Configuration))
 
 
-@register('selector', 'least-in-flight')
-def least_in_flight(kernel: Kernel) -> LeastInFlight:
-    """Make the selector for a host."""
-    return LeastInFlight(kernel.need(Directory), kernel.randomness)
-
-
 @register('admitter', 'open')
 def open_admitter(kernel: Kernel) -> OpenAdmitter:
     """Make the admitter for a host."""
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -18,10 +18,10 @@
 from nutmegroad.gates import Gatekeeper
 from nutmegroad.invariants import StrictInvariants
 from nutmegroad.metrics import Metrics
+from nutmegroad.plain_selectors import LeastInFlight
 from nutmegroad.policies import (
     CheapestPlanner,
     CountedRetries,
-    LeastInFlight,
     NoQuarantine,
     OpenAdmitter,
 )
