Split the long models and trials by subject

The models of intent rows and of tickets, of the head and of withdrawals have modules of their own; so have the scenarios and the judges of the exposure trials, and the watch over the random runs of the configuration.

--- a/tests/test_model_at_most_once.py
+++ b/tests/test_model_at_most_once.py
@@ -7,10 +7,10 @@
 from models.at_most_once import (
     MUTANT_STATES,
     MUTANTS,
-    IntentModel,
-    TicketModel,
     explore,
 )
+from models.intents import IntentModel
+from models.tickets import TicketModel
 
 FEW_STATES = 4_000
 
--- a/tests/test_model_configuration.py
+++ b/tests/test_model_configuration.py
@@ -4,7 +4,9 @@
 import unittest
 
 from minicheck import check_safety
-from models.configuration import facts_model, head_model, lease_model
+from models.configuration import lease_model
+from models.heads import head_model
+from models.withdrawals import withdrawal_model
 
 MOST_STATES = 1_000_000
 #: A witness is sound even if the search ends here.
@@ -12,7 +14,7 @@
 MODELS = {
     'lease': lease_model,
     'head': head_model,
-    'withdrawals': facts_model,
+    'withdrawals': withdrawal_model,
 }
 MUTANTS = {
     'count before sending': 'lease',
