Call withdrawals and quarantine records by those names

"Facts" stood for both. Between hosts the tags of two messages about withdrawals and the names of the fields that carry them change with it; what operators and callers see does not. A fleet that mixes builds from before and after would not understand these messages; there has been no release yet. The tests of confirmations, exposure, gates, plans and roll-outs pass.

--- a/experiments/configuration_random.py
+++ b/experiments/configuration_random.py
@@ -296,10 +296,10 @@
     report.revisions = head.revision
     table = WithdrawalSet()
     table.add(head.withdrawals)
-    for fact in known.facts:
+    for withdrawal in known.withdrawals:
         report.check(
-            table.covers(fact),
-            f'the table never got the withdrawal of {fact.version}',
+            table.covers(withdrawal),
+            f'the table never got the withdrawal of {withdrawal.version}',
         )
     for host in fleet.hosts.values():
         held = host.configuration
--- a/experiments/configuration_watch.py
+++ b/experiments/configuration_watch.py
@@ -71,7 +71,7 @@
         self.report = report
         self._known: dict[int, tuple[str, str]] = {}
         self._last: dict[HostId, tuple[TrialHost, Revision]] = {}
-        self._facts: dict[HostId, tuple[TrialHost, WithdrawalSet]] = {}
+        self._withdrawals: dict[HostId, tuple[TrialHost, WithdrawalSet]] = {}
 
     @property
     def heads(self) -> list[tuple[float, Head]]:
@@ -110,10 +110,10 @@
         )
         known = WithdrawalSet()
         known.add(held.withdrawals)
-        for fact in due.withdrawals:
+        for withdrawal in due.withdrawals:
             self.report.check(
-                known.covers(fact),
-                f'{name} uses {fact.version}, whose withdrawal is due',
+                known.covers(withdrawal),
+                f'{name} uses {withdrawal.version}, whose withdrawal is due',
             )
 
     def _look_back(self, host: TrialHost) -> None:
@@ -126,15 +126,17 @@
             f'{name} went back from {revision} to {held.revision}',
         )
         self._last[name] = (host, held.revision)
-        owner, known = self._facts.get(name, (host, WithdrawalSet()))
-        facts = known if owner is host else WithdrawalSet()
-        for fact in facts.facts:
+        owner, known = self._withdrawals.get(name, (host, WithdrawalSet()))
+        withdrawals = known if owner is host else WithdrawalSet()
+        for withdrawal in withdrawals.withdrawals:
             self.report.check(
-                held.is_withdrawn(VersionId(fact.version), Epoch(fact.epoch)),
-                f'{name} forgot that {fact.version} is withdrawn',
+                held.is_withdrawn(
+                    VersionId(withdrawal.version), Epoch(withdrawal.epoch)
+                ),
+                f'{name} forgot that {withdrawal.version} is withdrawn',
             )
-        facts.add(held.withdrawals)
-        self._facts[name] = (host, facts)
+        withdrawals.add(held.withdrawals)
+        self._withdrawals[name] = (host, withdrawals)
 
     def _compare(self, revision: int, digest: str, preset: str) -> None:
         """Check that a revision is one thing everywhere."""
--- a/src/nutmegroad/_configuration_messages.py
+++ b/src/nutmegroad/_configuration_messages.py
@@ -27,7 +27,7 @@
         digest: Name of its document.
         preset: The preset in force.
         author: Who made the revision.
-        facts: Withdrawals, if they are few.
+        withdrawals: Withdrawals, if they are few.
         facts_digest: Name of the whole set of withdrawals.
     """
 
@@ -37,7 +37,7 @@
     digest: str
     preset: str
     author: str
-    facts: tuple[Withdrawal, ...] = ()
+    withdrawals: tuple[Withdrawal, ...] = ()
     facts_digest: str = ''
 
 
@@ -82,7 +82,9 @@
     content: bytes = b''
 
 
-class FactsQuestion(ConfigurationMessage, frozen=True, tag='facts-question'):
+class WithdrawalsQuestion(
+    ConfigurationMessage, frozen=True, tag='withdrawals-question'
+):
     """Asks for the withdrawals that a host knows.
 
     Attributes:
@@ -92,13 +94,15 @@
     after: str = ''
 
 
-class FactsReply(ConfigurationMessage, frozen=True, tag='facts-reply'):
+class WithdrawalsReply(
+    ConfigurationMessage, frozen=True, tag='withdrawals-reply'
+):
     """One page of withdrawals.
 
     Attributes:
-        facts: The withdrawals, in order.
+        withdrawals: The withdrawals, in order.
         more: Whether there are others after them.
     """
 
-    facts: tuple[Withdrawal, ...] = ()
+    withdrawals: tuple[Withdrawal, ...] = ()
     more: bool = False
--- a/src/nutmegroad/_exposure_spread.py
+++ b/src/nutmegroad/_exposure_spread.py
@@ -99,6 +99,6 @@
         message: QuarantineMessage,
     ) -> None:
         # What is new is announced to all by the listener.
-        self._quarantines.learn(message.facts)
-        if self._quarantines.lacks(message.facts):
+        self._quarantines.learn(message.records)
+        if self._quarantines.lacks(message.records):
             self._mesh.tell(sender, self._quarantines.message())
--- a/src/nutmegroad/announcements.py
+++ b/src/nutmegroad/announcements.py
@@ -79,7 +79,7 @@
     async def _hear(self, host: HostId, notice: HeadNotice) -> None:
         """Take what another host has, or tell it what it lacks."""
         configuration = self._configuration
-        configuration.withdraw(notice.facts)
+        configuration.withdraw(notice.withdrawals)
         if notice.facts_digest != configuration.withdrawals_digest:
             await self._confirmations.pull_facts(host)
         await self._poller.adopt(notice, host)
--- a/src/nutmegroad/changes.py
+++ b/src/nutmegroad/changes.py
@@ -148,9 +148,9 @@
                 f'{self._configuration.revision} of this host.',
             )
         until = Epoch(entry.epoch) if epoch is None else epoch
-        fact = Withdrawal(version=version, epoch=until)
-        self._configuration.withdraw((fact,))
-        head = await self._store.merge((fact,), author)
+        withdrawal = Withdrawal(version=version, epoch=until)
+        self._configuration.withdraw((withdrawal,))
+        head = await self._store.merge((withdrawal,), author)
         if isinstance(head, Refusal):
             return Withdrawn(version, until, None, head.reason)
         self._configuration.record(head.withdrawals)
--- a/src/nutmegroad/configuration.py
+++ b/src/nutmegroad/configuration.py
@@ -25,7 +25,11 @@
     Revision,
     VersionId,
 )
-from nutmegroad.withdrawals import Facts, WithdrawalSet, digest_facts
+from nutmegroad.withdrawals import (
+    Withdrawals,
+    WithdrawalSet,
+    digest_withdrawals,
+)
 
 #: Seconds beyond the lease after which a revision is in force everywhere:
 #: clocks of several hosts add up to one lease at rates that differ a little.
@@ -129,22 +133,22 @@
         return self.isolated and self._clock.now() - self._failed >= self._lease
 
     @property
-    def withdrawals(self) -> Facts:
+    def withdrawals(self) -> Withdrawals:
         """Return all withdrawals known, in order."""
-        return self._withdrawn.facts
+        return self._withdrawn.withdrawals
 
     @property
     def withdrawals_digest(self) -> str:
         """Return the name of the set of withdrawals known."""
-        return digest_facts(self._withdrawn.facts)
+        return digest_withdrawals(self._withdrawn.withdrawals)
 
     @property
-    def unrecorded(self) -> Facts:
+    def unrecorded(self) -> Withdrawals:
         """Return the withdrawals of which the table is not known to know."""
         return tuple(
-            fact
-            for fact in self._withdrawn.facts
-            if not self._recorded.covers(fact)
+            withdrawal
+            for withdrawal in self._withdrawn.withdrawals
+            if not self._recorded.covers(withdrawal)
         )
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -201,17 +205,17 @@
         until = min(later) + self._lease + CLOCK_MARGIN
         return max(0, until - self._clock.now())
 
-    def withdraw(self, facts: Facts) -> bool:
+    def withdraw(self, withdrawals: Withdrawals) -> bool:
         """Add withdrawals; tell whether any was new."""
-        fresh = self._withdrawn.add(facts)
+        fresh = self._withdrawn.add(withdrawals)
         if fresh:
             self._changed()
         return fresh
 
-    def record(self, facts: Facts) -> None:
+    def record(self, withdrawals: Withdrawals) -> None:
         """Note that the table knows of withdrawals, and add them."""
-        self._recorded.add(facts)
-        self.withdraw(facts)
+        self._recorded.add(withdrawals)
+        self.withdraw(withdrawals)
 
     def is_withdrawn(self, version: VersionId, epoch: Epoch) -> bool:
         """Tell whether a version's epoch has been withdrawn."""
--- a/src/nutmegroad/confirmations.py
+++ b/src/nutmegroad/confirmations.py
@@ -16,11 +16,11 @@
     PAGE,
     DocumentQuestion,
     DocumentReply,
-    FactsQuestion,
-    FactsReply,
     HeadNotice,
     HeadQuestion,
     HeadReply,
+    WithdrawalsQuestion,
+    WithdrawalsReply,
 )
 from nutmegroad.clocks import Clock
 from nutmegroad.configuration import Configuration
@@ -81,19 +81,19 @@
         self._domain = domain
         mesh.handle(HeadQuestion, self._answer_head)
         mesh.handle(DocumentQuestion, self._answer_document)
-        mesh.handle(FactsQuestion, self._answer_facts)
+        mesh.handle(WithdrawalsQuestion, self._answer_facts)
 
     @property
     def notice(self) -> HeadNotice:
         """Return what this host has in force, to tell others."""
         accepted = self._configuration.accepted
-        facts = self._configuration.withdrawals
+        withdrawals = self._configuration.withdrawals
         return HeadNotice(
             revision=self._configuration.revision,
             digest='' if accepted is None else accepted.digest,
             preset='' if accepted is None else accepted.preset,
             author='' if accepted is None else accepted.author,
-            facts=facts if len(facts) <= PAGE else (),
+            withdrawals=withdrawals if len(withdrawals) <= PAGE else (),
             facts_digest=self._configuration.withdrawals_digest,
         )
 
@@ -142,15 +142,15 @@
         for _ in range(_MOST_PAGES):
             reply = await self._mesh.ask(
                 host,
-                FactsQuestion(after),
+                WithdrawalsQuestion(after),
                 REPLY_TIMEOUT,
             )
-            if not isinstance(reply, FactsReply):
+            if not isinstance(reply, WithdrawalsReply):
                 return
-            self._configuration.withdraw(reply.facts)
-            if not reply.more or not reply.facts:
+            self._configuration.withdraw(reply.withdrawals)
+            if not reply.more or not reply.withdrawals:
                 return
-            after = reply.facts[-1].version
+            after = reply.withdrawals[-1].version
 
     async def _ask_one(self, hosts: Iterator[HostId]) -> PeerHead | None:
         """Ask the first of the hosts that has a link; None if it is mute."""
@@ -197,15 +197,17 @@
     async def _answer_facts(
         self,
         host: HostId,
-        question: FactsQuestion,
+        question: WithdrawalsQuestion,
     ) -> Message | None:
         """Give a page of withdrawals."""
-        facts = [
-            fact
-            for fact in self._configuration.withdrawals
-            if fact.version > question.after
+        withdrawals = [
+            withdrawal
+            for withdrawal in self._configuration.withdrawals
+            if withdrawal.version > question.after
         ]
-        return FactsReply(tuple(facts[:PAGE]), more=len(facts) > PAGE)
+        return WithdrawalsReply(
+            tuple(withdrawals[:PAGE]), more=len(withdrawals) > PAGE
+        )
 
 
 def _content_of(reply: Message | Refusal) -> bytes | None:
--- a/src/nutmegroad/exposure.py
+++ b/src/nutmegroad/exposure.py
@@ -198,11 +198,11 @@
 
     def _notice(self) -> None:
         """Begin anew with versions whose quarantine was lifted."""
-        for fact in self._quarantines.facts:
-            known = self._lifted.get(fact.version, 0)
-            if not fact.stands and fact.level > known:
-                self._lifted[fact.version] = fact.level
-                self.forget(fact.version)
+        for record in self._quarantines.records:
+            known = self._lifted.get(record.version, 0)
+            if not record.stands and record.level > known:
+                self._lifted[record.version] = record.level
+                self.forget(record.version)
 
     def _time(self, watch: Watch, fresh: Tally, reference: Tally) -> None:
         """Compare latency with that of the same hours, under one load."""
--- a/src/nutmegroad/heads.py
+++ b/src/nutmegroad/heads.py
@@ -35,7 +35,7 @@
 )
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import Digest, PresetName, Ran, Revision
-from nutmegroad.withdrawals import Facts, union
+from nutmegroad.withdrawals import Withdrawals, union
 
 HEAD_KEY: Final = RowKey('configuration/head')
 HISTORY_KEY: Final = RowKey('configuration/history')
@@ -213,16 +213,22 @@
         )
         return await self._write(ground.writes(wanted), wanted)
 
-    async def merge(self, facts: Facts, author: str) -> Head | Refusal:
+    async def merge(
+        self, withdrawals: Withdrawals, author: str
+    ) -> Head | Refusal:
         """Write withdrawals to the table; those that it has change nothing."""
 
         def change(head: Head) -> Head | Refusal:
             """Join the sets."""
-            joined = union(head.withdrawals, facts)
+            joined = union(head.withdrawals, withdrawals)
             if joined == union(head.withdrawals):
                 return head
-            fresh = [fact for fact in joined if fact not in head.withdrawals]
-            names = ', '.join(fact.version for fact in fresh)
+            fresh = [
+                withdrawal
+                for withdrawal in joined
+                if withdrawal not in head.withdrawals
+            ]
+            names = ', '.join(withdrawal.version for withdrawal in fresh)
             return replace(
                 head,
                 withdrawals=joined,
--- a/src/nutmegroad/operator_withdrawals.py
+++ b/src/nutmegroad/operator_withdrawals.py
@@ -83,12 +83,12 @@
         missing = self._configuration.unrecorded
         listed = [
             WithdrawalBody(
-                fact.version,
-                fact.epoch,
-                fact not in missing,
-                _SPREADING if fact in missing else _IN_TABLE,
+                withdrawal.version,
+                withdrawal.epoch,
+                withdrawal not in missing,
+                _SPREADING if withdrawal in missing else _IN_TABLE,
             )
-            for fact in self._configuration.withdrawals
+            for withdrawal in self._configuration.withdrawals
         ]
         return reply(listed)
 
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators.py
@@ -149,10 +149,12 @@
                 isolated=self._configuration.isolated,
                 confirmation_age=None if age == float('inf') else age,
                 withdrawals=tuple(
-                    fact.version for fact in self._configuration.withdrawals
+                    withdrawal.version
+                    for withdrawal in self._configuration.withdrawals
                 ),
                 unrecorded=tuple(
-                    fact.version for fact in self._configuration.unrecorded
+                    withdrawal.version
+                    for withdrawal in self._configuration.unrecorded
                 ),
                 upstreams=len(self._directory.states()),
             ),
--- a/src/nutmegroad/quarantines.py
+++ b/src/nutmegroad/quarantines.py
@@ -22,8 +22,8 @@
 
 _LOG: Final = part_logger('exposure')
 
-#: Facts that one message carries, so that its size is bounded.
-MESSAGE_FACTS: Final = 64
+#: Records that one message carries, so that its size is bounded.
+MESSAGE_RECORDS: Final = 64
 #: A version that is bad at so many task classes gets no work of any.
 TASKS_FOR_ALL: Final = 2
 
@@ -40,7 +40,7 @@
     STRONG = 2
 
 
-class QuarantineFact(Struct, frozen=True, array_like=True):
+class QuarantineRecord(Struct, frozen=True, array_like=True):
     """Where a quarantine stands.
 
     Attributes:
@@ -75,7 +75,7 @@
 
     part: ClassVar[str] = 'exposure'
 
-    facts: tuple[QuarantineFact, ...]
+    records: tuple[QuarantineRecord, ...]
 
 
 _FactId = tuple[VersionId, Epoch, TaskName]
@@ -90,14 +90,14 @@
 
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
-        self._facts: dict[_FactId, QuarantineFact] = {}
+        self._records: dict[_FactId, QuarantineRecord] = {}
         self._listeners: list[Callable[[], None]] = []
 
     @property
-    def facts(self) -> tuple[QuarantineFact, ...]:
-        """Return all facts, the ones that stand first."""
-        facts = self._facts.values()
-        return tuple(sorted(facts, key=lambda fact: not fact.stands))
+    def records(self) -> tuple[QuarantineRecord, ...]:
+        """Return all records, the ones that stand first."""
+        records = self._records.values()
+        return tuple(sorted(records, key=lambda record: not record.stands))
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call a function after each change."""
@@ -105,16 +105,16 @@
 
     def blocked(self, version: VersionId, task: TaskName) -> Refusal | None:
         """Return why a version gets no work of a task, or None."""
-        if not self._facts:
+        if not self._records:
             return None
-        fact = self.standing(version, task)
-        if fact is None:
+        record = self.standing(version, task)
+        if record is None:
             return None
-        if fact.grade < Grade.STRONG and not self._has_other(version, task):
+        if record.grade < Grade.STRONG and not self._has_other(version, task):
             return None
         return Refusal(
             ResultCode.VERSION_QUARANTINED,
-            f'The version {version} is in quarantine: {fact.reason}',
+            f'The version {version} is in quarantine: {record.reason}',
             retry_after=_RETRY_AFTER,
         )
 
@@ -122,29 +122,29 @@
         self,
         version: VersionId,
         task: TaskName,
-    ) -> QuarantineFact | None:
+    ) -> QuarantineRecord | None:
         """Return the quarantine that stands for a task, or None."""
-        facts = self.standing_all(version)
-        for fact in facts:
-            if fact.task == task:
-                return fact
+        records = self.standing_all(version)
+        for record in records:
+            if record.task == task:
+                return record
         entry = self._configuration.entry(version)
         in_rollout = entry is not None and entry.stage is Stage.ROLLOUT
-        if facts and (in_rollout or len(facts) >= TASKS_FOR_ALL):
-            return facts[0]
+        if records and (in_rollout or len(records) >= TASKS_FOR_ALL):
+            return records[0]
         return None
 
-    def standing_all(self, version: VersionId) -> tuple[QuarantineFact, ...]:
+    def standing_all(self, version: VersionId) -> tuple[QuarantineRecord, ...]:
         """Return the quarantines of a version that stand, of any task."""
         entry = self._configuration.entry(version)
         if entry is None:
             return ()
         return tuple(
-            fact
-            for fact in self._facts.values()
-            if fact.stands
-            and fact.version == version
-            and fact.epoch == entry.epoch
+            record
+            for record in self._records.values()
+            if record.stands
+            and record.version == version
+            and record.epoch == entry.epoch
         )
 
     def impose(
@@ -159,55 +159,58 @@
         if entry is None:
             return
         name = (version, Epoch(entry.epoch), task)
-        known = self._facts.get(name, QuarantineFact(*name))
+        known = self._records.get(name, QuarantineRecord(*name))
         if known.stands and known.grade >= grade:
             return
         level = known.level if known.stands else known.level + 1
-        fact = QuarantineFact(*name, level, int(grade), reason)
+        record = QuarantineRecord(*name, level, int(grade), reason)
         _LOG.warning('%s for %s: %s', version, task, reason)
-        self.learn((fact,))
+        self.learn((record,))
 
     def lift(self, version: VersionId, author: str) -> int:
         """Lift all quarantines of a version; return how many stood."""
         lifted = tuple(
-            QuarantineFact(
-                fact.version,
-                fact.epoch,
-                fact.task,
-                fact.level + 1,
+            QuarantineRecord(
+                record.version,
+                record.epoch,
+                record.task,
+                record.level + 1,
                 0,
                 f'lifted by {author}',
             )
-            for fact in self.standing_all(version)
+            for record in self.standing_all(version)
         )
         self.learn(lifted)
         return len(lifted)
 
-    def learn(self, facts: Iterable[QuarantineFact]) -> bool:
-        """Take facts; tell whether any was new."""
+    def learn(self, records: Iterable[QuarantineRecord]) -> bool:
+        """Take records; tell whether any was new."""
         fresh = False
-        for fact in facts:
-            name = (fact.version, fact.epoch, fact.task)
-            known = self._facts.get(name)
-            if known is None or fact.rank > known.rank:
-                self._facts[name] = fact
+        for record in records:
+            name = (record.version, record.epoch, record.task)
+            known = self._records.get(name)
+            if known is None or record.rank > known.rank:
+                self._records[name] = record
                 fresh = True
         if fresh:
             for listener in self._listeners:
                 listener()
         return fresh
 
-    def lacks(self, facts: Iterable[QuarantineFact]) -> bool:
-        """Tell whether somebody who knows these facts knows less."""
-        theirs = {(fact.version, fact.epoch, fact.task): fact for fact in facts}
+    def lacks(self, records: Iterable[QuarantineRecord]) -> bool:
+        """Tell whether somebody who knows these records knows less."""
+        theirs = {
+            (record.version, record.epoch, record.task): record
+            for record in records
+        }
         return any(
-            name not in theirs or theirs[name].rank < fact.rank
-            for name, fact in self._facts.items()
+            name not in theirs or theirs[name].rank < record.rank
+            for name, record in self._records.items()
         )
 
     def message(self) -> QuarantineMessage:
         """Return what is to be told to other hosts."""
-        return QuarantineMessage(self.facts[:MESSAGE_FACTS])
+        return QuarantineMessage(self.records[:MESSAGE_RECORDS])
 
     def _has_other(self, version: VersionId, task: TaskName) -> bool:
         """Tell whether another version may do a task's work."""
--- a/src/nutmegroad/rollout_service.py
+++ b/src/nutmegroad/rollout_service.py
@@ -8,7 +8,7 @@
 
 from nutmegroad.configuration import Configuration
 from nutmegroad.documents import Stage
-from nutmegroad.quarantines import Grade, QuarantineFact, Quarantines
+from nutmegroad.quarantines import Grade, QuarantineRecord, Quarantines
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.rollout_shares import RolloutShares
 from nutmegroad.rollouts import (
@@ -63,7 +63,7 @@
 
     rollouts: tuple[RolloutState, ...]
     shares: dict[str, float]
-    quarantines: tuple[QuarantineFact, ...]
+    quarantines: tuple[QuarantineRecord, ...]
 
 
 class RolloutService:
@@ -97,7 +97,7 @@
                 state.version: self._shares.share(state.version)
                 for state in states
             },
-            self._quarantines.facts,
+            self._quarantines.records,
         )
 
     async def act(
--- a/src/nutmegroad/spread.py
+++ b/src/nutmegroad/spread.py
@@ -144,7 +144,7 @@
         """Take and confirm what peers have."""
         for peer in await self._peers.ask():
             notice = peer.notice
-            self._configuration.withdraw(notice.facts)
+            self._configuration.withdraw(notice.withdrawals)
             if notice.facts_digest != self._configuration.withdrawals_digest:
                 await self._peers.pull_facts(peer.host)
             await self.adopt(notice, peer.host)
--- a/src/nutmegroad/withdrawals.py
+++ b/src/nutmegroad/withdrawals.py
@@ -1,7 +1,7 @@
 """Sets of withdrawals: they only grow, and are joined by union.
 
 Of a version only the greatest withdrawn epoch counts, so that a set has at
-most one fact for each version that was ever withdrawn.
+most one withdrawal for each version that was ever withdrawn.
 """
 
 import hashlib
@@ -13,7 +13,7 @@
 from nutmegroad.documents import Withdrawal
 from nutmegroad.types import Epoch, VersionId
 
-Facts = tuple[Withdrawal, ...]
+Withdrawals = tuple[Withdrawal, ...]
 
 #: Hexadecimal digits of a set's name: 64 bits tell a few sets apart.
 _DIGITS: Final = 16
@@ -28,38 +28,44 @@
         self._epochs: dict[VersionId, Epoch] = {}
 
     @property
-    def facts(self) -> Facts:
+    def withdrawals(self) -> Withdrawals:
         """Return all of them, in order."""
         return tuple(
             Withdrawal(version=version, epoch=epoch)
             for version, epoch in sorted(self._epochs.items())
         )
 
-    def add(self, facts: Iterable[Withdrawal]) -> bool:
-        """Add facts; tell whether any was new."""
-        fresh = [fact for fact in facts if not self.covers(fact)]
-        for fact in fresh:
-            version = VersionId(fact.version)
-            self._epochs[version] = max(self._epoch(version), Epoch(fact.epoch))
+    def add(self, withdrawals: Iterable[Withdrawal]) -> bool:
+        """Add withdrawals; tell whether any was new."""
+        fresh = [
+            withdrawal
+            for withdrawal in withdrawals
+            if not self.covers(withdrawal)
+        ]
+        for withdrawal in fresh:
+            version = VersionId(withdrawal.version)
+            self._epochs[version] = max(
+                self._epoch(version), Epoch(withdrawal.epoch)
+            )
         return bool(fresh)
 
-    def covers(self, fact: Withdrawal) -> bool:
-        """Tell whether a fact follows from those that are known."""
-        return fact.epoch <= self._epoch(VersionId(fact.version))
+    def covers(self, withdrawal: Withdrawal) -> bool:
+        """Tell whether a withdrawal follows from those that are known."""
+        return withdrawal.epoch <= self._epoch(VersionId(withdrawal.version))
 
     def _epoch(self, version: VersionId) -> Epoch:
         return self._epochs.get(version, NO_EPOCH)
 
 
-def union(*sets: Iterable[Withdrawal]) -> Facts:
+def union(*sets: Iterable[Withdrawal]) -> Withdrawals:
     """Return what follows from all the sets together."""
     joined = WithdrawalSet()
-    for facts in sets:
-        joined.add(facts)
-    return joined.facts
+    for withdrawals in sets:
+        joined.add(withdrawals)
+    return joined.withdrawals
 
 
-def digest_facts(facts: Facts) -> str:
+def digest_withdrawals(withdrawals: Withdrawals) -> str:
     """Return a short name of a set, so that two can be compared."""
-    content = msgspec.msgpack.encode(union(facts))
+    content = msgspec.msgpack.encode(union(withdrawals))
     return hashlib.sha256(content).hexdigest()[:_DIGITS]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -61,9 +61,9 @@
     return ask_one
 
 
-def forget_withdrawals(self: Any, facts: Any) -> bool:
+def forget_withdrawals(self: Any, withdrawals: Any) -> bool:
     """Let the newest message say what is withdrawn."""
-    known = {fact.version: fact.epoch for fact in facts}
+    known = {withdrawal.version: withdrawal.epoch for withdrawal in withdrawals}
     changed = bool(known != self._epochs)
     self._epochs = known
     return changed
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -228,8 +228,8 @@
     async def test_a_withdrawn_version_ends_it_not_run(self) -> None:
         first = await self.ask(session='desk')
         version = (await first.json())['model']
-        fact = Withdrawal(version=version, epoch=9)
-        self.host.kernel.need(Configuration).withdraw((fact,))
+        withdrawal = Withdrawal(version=version, epoch=9)
+        self.host.kernel.need(Configuration).withdraw((withdrawal,))
         for name in ('desk', first.headers['Nutmegroad-Session']):
             response = await self.ask(session=name)
             body = await response.json()
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -290,10 +290,10 @@
     async def test_many_withdrawals_are_told_page_by_page(self) -> None:
         self.fleet.platform.faults.down = True
         names = [f'model-{number:03}@1' for number in range(100)]
-        facts = tuple(Withdrawal(name, 0) for name in names)
-        self.east.configuration.withdraw(facts)
+        withdrawals = tuple(Withdrawal(name, 0) for name in names)
+        self.east.configuration.withdraw(withdrawals)
         await self.pass_time(1)
-        self.assertEqual(self.north.configuration.withdrawals, facts)
+        self.assertEqual(self.north.configuration.withdrawals, withdrawals)
 
 
 class HeadTest(FleetTest):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -75,8 +75,8 @@
         rig = self.rig(0.1)
 
         async def withdraw() -> None:
-            fact = Withdrawal(version=MEDIUM, epoch=0)
-            rig.configuration.withdraw((fact,))
+            withdrawal = Withdrawal(version=MEDIUM, epoch=0)
+            rig.configuration.withdraw((withdrawal,))
 
         def script(attempt: Attempt) -> list[Any]:
             return [Piece(0, 'bad'), withdraw, ENDING]
--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -8,7 +8,7 @@
 from nutmegroad.documents import Document, Stage
 from nutmegroad.evidence import EvidenceStore, Tally, moments_of
 from nutmegroad.exposure import ExposureGuard
-from nutmegroad.quarantines import Grade, QuarantineFact, Quarantines
+from nutmegroad.quarantines import Grade, QuarantineRecord, Quarantines
 from nutmegroad.ratings import RatingListener, RatingTally
 from nutmegroad.results import ResultCode
 from nutmegroad.testing import ManualClock, MemoryMesh, NetworkFaults
@@ -213,13 +213,13 @@
                 one.quarantines.lift(OLD, 'op')
             await self.tick(hosts, 1)
         await self.tick(hosts, 60)
-        facts = {host.quarantines.facts for host in hosts}
-        self.assertEqual(len(facts), 1)
+        records = {host.quarantines.records for host in hosts}
+        self.assertEqual(len(records), 1)
 
     async def test_an_old_message_undoes_no_lift(self) -> None:
         host = self.hosts(STEADY)[0]
         host.quarantines.impose(OLD, TAG, Grade.WEAK, 'bad.')
-        old = host.quarantines.facts
+        old = host.quarantines.records
         host.quarantines.lift(OLD, 'op')
         host.quarantines.learn(old)
         self.assertFalse(host.blocks(OLD))
@@ -241,8 +241,8 @@
 
     async def test_the_refusal_says_why(self) -> None:
         host = self.hosts(STEADY)[0]
-        fact = QuarantineFact(OLD, Epoch(0), TAG, 1, 2, 'ratings fell.')
-        host.quarantines.learn((fact,))
+        record = QuarantineRecord(OLD, Epoch(0), TAG, 1, 2, 'ratings fell.')
+        host.quarantines.learn((record,))
         refusal = host.quarantines.blocked(OLD, TAG)
         self.assertIsNotNone(refusal)
         code = ResultCode.VERSION_QUARANTINED
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -40,8 +40,8 @@
         self,
     ) -> None:
         async def withdraw() -> None:
-            fact = Withdrawal(version='brief-small@2', epoch=0)
-            self.rig.configuration.withdraw((fact,))
+            withdrawal = Withdrawal(version='brief-small@2', epoch=0)
+            self.rig.configuration.withdraw((withdrawal,))
 
         self.rig.engines.scripts = [lambda attempt: [withdraw, CUT]]
         outcome = await self.rig.ask()
@@ -52,8 +52,8 @@
 
     async def test_a_resumption_is_held_to_a_withdrawal_too(self) -> None:
         async def withdraw() -> None:
-            fact = Withdrawal(version='brief-small@2', epoch=0)
-            self.rig.configuration.withdraw((fact,))
+            withdrawal = Withdrawal(version='brief-small@2', epoch=0)
+            self.rig.configuration.withdraw((withdrawal,))
 
         def script(attempt: Attempt) -> list[object]:
             return [Piece(0, 'w0 '), withdraw, CUT]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -353,8 +353,8 @@
         lease = self.one.leases._held['orders/d']
         order = next(iter(self.missing()))
         before = len(self.engines.obeyed)
-        fact = Withdrawal(version=NEW, epoch=0)
-        self.one.configuration.withdraw((fact,))
+        withdrawal = Withdrawal(version=NEW, epoch=0)
+        self.one.configuration.withdraw((withdrawal,))
         await self.one.keeper._give(order, lease)
         self.assertEqual(len(self.engines.obeyed), before)
 
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -153,8 +153,8 @@
         self.assertEqual(plan.steps, (SMALL,))
 
     def test_a_request_left_with_withdrawn_versions_is_told_so(self) -> None:
-        facts = [Withdrawal(version=one, epoch=0) for one in VERSIONS]
-        self.configuration.withdraw(tuple(facts))
+        withdrawals = [Withdrawal(version=one, epoch=0) for one in VERSIONS]
+        self.configuration.withdraw(tuple(withdrawals))
         refusal = self.planner.plan(request_of(TAG))
         assert isinstance(refusal, Refusal)
         self.assertIs(refusal.code, ResultCode.VERSION_WITHDRAWN)
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -130,8 +130,8 @@
         found = [await self.status(host) for host in self.running.hosts]
         return all(
             any(
-                fact[0] == VERSION and fact[3] % 2
-                for fact in one['quarantines']
+                record[0] == VERSION and record[3] % 2
+                for record in one['quarantines']
             )
             for one in found
         )
