--- a/src/nutmegroad/quarantines.py
+++ b/src/nutmegroad/quarantines.py
@@ -78,7 +78,7 @@
     records: tuple[QuarantineRecord, ...]
 
 
-_FactId = tuple[VersionId, Epoch, TaskName]
+_RecordId = tuple[VersionId, Epoch, TaskName]
 
 
 class Quarantines:
@@ -90,7 +90,7 @@
 
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
-        self._records: dict[_FactId, QuarantineRecord] = {}
+        self._records: dict[_RecordId, QuarantineRecord] = {}
         self._listeners: list[Callable[[], None]] = []
 
     @property
