--- a/src/nutmegroad/_inbox.py
+++ b/src/nutmegroad/_message_receiver.py
@@ -1,30 +1,113 @@
-"""What is done with the frames that come in."""
+"""Takes frames in: gives messages to handlers and replies to askers."""
 
+import asyncio
+import itertools
 from typing import Any, Final
 
-from nutmegroad._connection import LINKS_PART, Frame, FrameKind, pack_frame
+from nutmegroad._connection import (
+    LINKS_PART,
+    Frame,
+    FrameKind,
+    QueuedFrame,
+    pack_frame,
+)
 from nutmegroad._link_context import LinkContext, Roster
-from nutmegroad._outbox import Parcel
+from nutmegroad._owned_tasks import OwnedTasks
 from nutmegroad._peer_table import Peer
-from nutmegroad._peer_tasks import OwnedTasks
-from nutmegroad._questions import Questions
 from nutmegroad._wire import Kinds, as_plain
 from nutmegroad.accounting import Metered
+from nutmegroad.clocks import Clock
 from nutmegroad.logs import part_logger
 from nutmegroad.peers import Handler, Message, Sent
 from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran
+from nutmegroad.types import HostId, Ran
+
+_Answer = asyncio.Future[Message | Refusal]
 
 _LOG: Final = part_logger('links')
 
 
-class Inbox:
+class PendingReplies:
+    """The questions of one host that have no reply yet.
+
+    Args:
+        clock: For the timeouts.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, tuple[HostId, _Answer]] = {}
+
+    def __len__(self) -> int:
+        """Return how many questions wait."""
+        return len(self._waiting)
+
+    def open(self, host: HostId) -> int:
+        """Begin a question to a host and return its number."""
+        number = next(self._numbers)
+        answer: _Answer = asyncio.get_running_loop().create_future()
+        self._waiting[number] = (host, answer)
+        return number
+
+    def answer(
+        self,
+        host: HostId,
+        number: int,
+        reply: Message | Refusal,
+    ) -> bool:
+        """Settle a question; false if this host was not asked it.
+
+        A reply that comes late, twice or from another host is no reply.
+        """
+        asked, answer = self._waiting.get(number, (None, None))
+        if answer is None or asked != host or answer.done():
+            return False
+        answer.set_result(reply)
+        return True
+
+    def fail(self, host: HostId, reason: str) -> None:
+        """Settle all questions to a host whose link was lost."""
+        refusal = Refusal(ResultCode.PEER_UNREACHABLE, reason, Ran.UNKNOWN)
+        for asked, answer in self._waiting.values():
+            if asked == host and not answer.done():
+                answer.set_result(refusal)
+
+    def close(self, number: int) -> None:
+        """Give a question up that was never sent."""
+        self._waiting.pop(number)
+
+    async def wait(self, number: int, seconds: float) -> Message | Refusal:
+        """Return the reply, or a refusal when the time is up."""
+        host, answer = self._waiting[number]
+        timeout = asyncio.ensure_future(self._expire(host, answer, seconds))
+        try:
+            return await answer
+        finally:
+            timeout.cancel()
+            self._waiting.pop(number)
+
+    async def _expire(
+        self,
+        host: HostId,
+        answer: _Answer,
+        seconds: float,
+    ) -> None:
+        await self._clock.sleep(seconds)
+        if answer.done():
+            return
+        reason = f'Host {host} did not reply within {seconds:g} s.'
+        refusal = Refusal(ResultCode.PEER_UNREACHABLE, reason, Ran.UNKNOWN)
+        answer.set_result(refusal)
+
+
+class MessageReceiver:
     """Gives each message to its handler, and each reply to its asker.
 
     Args:
         context: Time, limits and account.
         roster: Says which incarnations are too old.
-        questions: What waits for replies.
+        pending: What waits for replies.
         tasks: Where handlers run.
     """
 
@@ -32,12 +115,12 @@
         self,
         context: LinkContext,
         roster: Roster,
-        questions: Questions,
+        pending: PendingReplies,
         tasks: OwnedTasks,
     ) -> None:
         self._context = context
         self._roster = roster
-        self._questions = questions
+        self._pending = pending
         self._tasks = tasks
         self._kinds = Kinds()
         self._handlers: dict[type[Message], Handler[Any]] = {}
@@ -71,7 +154,7 @@
         if reply is None:
             reason = f'Host {peer.host} refused: {frame.body}'
             reply = Refusal(ResultCode.PEER_REFUSED, reason, Ran.UNKNOWN)
-        if not self._questions.answer(peer.host, frame.number, reply):
+        if not self._pending.answer(peer.host, frame.number, reply):
             self._context.account.count('links_late_reply')
 
     def _start(self, peer: Peer, frame: Frame, message: Message | None) -> None:
@@ -108,14 +191,14 @@
             self._refuse(peer, frame, 'links_no_reply')
             return
         packed = pack_frame(FrameKind.REPLY, frame.number, as_plain(reply))
-        self._put(peer, Parcel(packed, reply.part))
+        self._put(peer, QueuedFrame(packed, reply.part))
 
     def _refuse(self, peer: Peer, frame: Frame, event: str) -> None:
         self._context.account.count(event)
         if frame.kind is FrameKind.ASK:
             packed = pack_frame(FrameKind.REFUSED, frame.number, event)
-            self._put(peer, Parcel(packed, LINKS_PART))
+            self._put(peer, QueuedFrame(packed, LINKS_PART))
 
-    def _put(self, peer: Peer, parcel: Parcel) -> None:
-        if not peer.outbox.put(parcel):
+    def _put(self, peer: Peer, queued: QueuedFrame) -> None:
+        if not peer.queue.put(queued):
             self._context.account.count('links_queue_full')
--- a/src/nutmegroad/_peer_tasks.py
+++ b/src/nutmegroad/_owned_tasks.py
@@ -6,7 +6,7 @@
 
 from nutmegroad.logs import part_logger
 
-_LOG: Final = part_logger('peer tasks')
+_LOG: Final = part_logger('tasks')
 
 Outcome = TypeVar('Outcome')
 
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/services.py
@@ -207,7 +207,7 @@
         number: int,
     ) -> ServiceReply | Refusal:
         """Make one attempt."""
-        crossing = request.fence.attempt()
+        attempt_fence = request.fence.attempt()
         passage = Passage(
             request.workspace,
             TaskName(''),
@@ -216,7 +216,7 @@
             None,
             state,
             request.deadline,
-            crossing,
+            attempt_fence,
         )
         left = request.deadline - self._clock.now()
         call = ServiceCall(
@@ -246,7 +246,7 @@
         finally:
             health.ended(call.attempt, code, self._clock.now())
             self._traffic.ended(call.attempt, code)
-        crossing.end(reply)
+        attempt_fence.end(reply)
         if isinstance(reply, ServiceReply):
             self._directory.answered(state.info.upstream)
         elif reply.code is ResultCode.UPSTREAM_UNREACHABLE:
--- a/tests/test_cost_metrics.py
+++ b/tests/test_cost_metrics.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
+from nutmegroad._connection import QueuedFrame, SendQueue
 from nutmegroad._cost_metrics import CostPublisher, resident_bytes
-from nutmegroad._outbox import Outbox, Parcel
 from nutmegroad._remembered_list import RECENT, RememberedList, recent_list
 from nutmegroad.accounting import Ledger
 from nutmegroad.metrics import Metrics
@@ -39,15 +39,15 @@
 
 class LazyTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_lazy_message_waits_for_another(self) -> None:
-        outbox = Outbox(4, 100)
-        taking = asyncio.create_task(outbox.take_all())
-        lazy = Parcel(b'rows', 'watch', lazy=True)
-        beat = Parcel(b'beat', 'members')
-        outbox.put(lazy)
+        queue = SendQueue(4, 100)
+        taking = asyncio.create_task(queue.take_all())
+        lazy = QueuedFrame(b'rows', 'watch', lazy=True)
+        beat = QueuedFrame(b'beat', 'members')
+        queue.put(lazy)
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         self.assertFalse(taking.done())
-        outbox.put(beat)
+        queue.put(beat)
         self.assertEqual(await taking, (lazy, beat))
 
 
