--- a/tests/test_quality_sharing.py
+++ b/tests/test_quality_sharing.py
@@ -74,6 +74,7 @@
 class _HostsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.clock = ManualClock()
+        self.hosts: dict[str, Host] = {}
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.mesh = await self.stack.enter_async_context(
@@ -98,7 +99,8 @@
         )
         for run in (sharer.run(), sharer.follow(), reader.run()):
             self.spawn(run)
-        return Host(estimates, sharer, reader)
+        self.hosts[name] = Host(estimates, sharer, reader)
+        return self.hosts[name]
 
     def spawn(self, run: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(run)
@@ -147,6 +149,21 @@
         await self.clock.advance(2)
         self.assertEqual(fresh.position, 95)
 
+    async def test_fetches_are_spaced_whoever_tells_of_more(self) -> None:
+        reader = self.host('old', 'one')
+        self.host('new', 'one')
+        fetched = 0
+        seen = 0
+        for position in range(1, 31):
+            rating = Rating(position, RequestId(''), TAG, SMALL, 0.9)
+            reader.estimates.take((rating,))
+            reader.sharer.mark()
+            await self.clock.advance(1)
+            fetched += self.hosts['new'].position > seen
+            seen = self.hosts['new'].position
+        self.assertLessEqual(fetched, 3)
+        self.assertGreater(seen, 20)
+
     async def test_a_feed_that_is_down_loses_nothing(self) -> None:
         self.ratings.down = True
         host = self.host('one', 'one', reads=True)
