Encode a stream's events once but for their text

Cause: each piece built and encoded a whole chunk and opened a time-out for a write that seldom waits. A write that does not fit the transport's buffer is still bounded (test of the slow caller).

--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/replies.py
@@ -20,6 +20,13 @@
 _MILLISECONDS: Final = 1000
 _CHUNK: Final = 'chat.completion.chunk'
 
+#: Bytes below which a transport takes a write without having us wait; half
+#: of what asyncio's transports buffer.
+_ROOM: Final = 32_768
+
+#: Stands for a piece's text where its event is made ready.
+_MARK: Final = 'text-of-the-piece'
+
 #: Seconds that a caller may take to read what is buffered for it.
 PATIENCE: Final = 30.0
 
@@ -277,7 +284,9 @@
         self._token_of = token_of
         self._metrics = metrics
         self._patience = patience
-        self._version = VersionId('')
+        self._before = b''
+        self._after = b''
+        self.answering(VersionId(''))
         self._response: StreamResponse | None = None
 
     @property
@@ -288,11 +297,18 @@
     def answering(self, version: VersionId) -> None:
         """Learn which version writes what comes next."""
         self._version = version
+        # All pieces of an answer are alike but for their text.
+        choice = ChunkChoice(0, Delta(_MARK))
+        chunk = Chunk(self._request, _CHUNK, version, (choice,))
+        quoted = msgspec.json.encode(_MARK)
+        halves = msgspec.json.encode(chunk).split(quoted)
+        self._before = halves[0]
+        self._after = halves[1]
 
     async def piece(self, text: str) -> None:
         """Send a piece."""
-        choice = ChunkChoice(0, Delta(text))
-        await self._send(msgspec.json.encode(self._chunk(choice)))
+        quoted = msgspec.json.encode(text)
+        await self._send(b''.join((self._before, quoted, self._after)))
 
     async def finish(self, answer: Answer) -> StreamResponse:
         """Send the end of a whole answer."""
@@ -315,10 +331,6 @@
         await response.write_eof()
         return response
 
-    def _chunk(self, choice: ChunkChoice) -> Chunk:
-        """Return one event's content."""
-        return Chunk(self._request, _CHUNK, self._version, (choice,))
-
     async def _begin(self) -> StreamResponse:
         """Begin the reply, now that its version is known."""
         headers = {'Nutmegroad-Request': str(self._request)}
@@ -340,6 +352,26 @@
         if response is None:
             response = await self._begin()
         sent = b''.join((event, b'data: ', payload, b'\n\n'))
+        if self._has_room(len(sent)):
+            # Nothing is waited for, so nothing has to be bounded.
+            await response.write(sent)
+        else:
+            await self._send_slowly(response, sent)
+        return response
+
+    def _has_room(self, size: int) -> bool:
+        """Tell whether the transport takes so many bytes at once."""
+        transport = self._http.transport
+        if transport is None:
+            return False
+        return transport.get_write_buffer_size() + size < _ROOM
+
+    async def _send_slowly(self, response: StreamResponse, sent: bytes) -> None:
+        """Send to a caller that reads slowly.
+
+        Raises:
+            ConnectionResetError: If it reads nothing for long.
+        """
         try:
             async with asyncio.timeout(self._patience):
                 await response.write(sent)
@@ -349,4 +381,3 @@
                 self._http.transport.abort()
             message = 'The caller has read nothing for too long.'
             raise ConnectionResetError(message) from error
-        return response
