Count slots from the first report on

Cause: the slots of a failure domain are counted twice a second and kept; a host that had just opened kept 'none' for up to half a second after its engines had reported, said it was ready, and refused with 'OVERLOADED: 2 requests wait for 1 slots'. Ruled out: the engines' orders and the division between hosts. That there is nothing is not kept any more; the new test is red without that.

--- a/experiments/soak_calls.py
+++ b/experiments/soak_calls.py
@@ -139,6 +139,7 @@
     transport = Mock(spec=asyncio.Transport)
     transport.is_closing.return_value = False
     transport.get_extra_info.return_value = None
+    transport.get_write_buffer_size.return_value = 0
     protocol = Mock(_reading_paused=False)
     payload = StreamReader(protocol, _LIMIT)
     payload.feed_data(request.body)
--- a/src/nutmegroad/_slots.py
+++ b/src/nutmegroad/_slots.py
@@ -134,7 +134,9 @@
         """Return the slots of this domain's engines that fit a lane."""
         now = self._clock.now()
         counted = self._counted.get(lane)
-        if counted is not None and now - counted[0] < REFRESH:
+        # That there is nothing is not kept: a host that has just opened
+        # would refuse what it could serve from the next report on.
+        if counted and counted[1] and now - counted[0] < REFRESH:
             return counted[1]
         slots = sum(
             slots_of(state)
@@ -152,7 +154,7 @@
         running when it saw them.
         """
         now = self._clock.now()
-        if now - self._looked < REFRESH:
+        if self._seen and now - self._looked < REFRESH:
             return self._seen
         self._looked = now
         domain = self.identity.domain
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -55,6 +55,16 @@
         host.directory.reported(leaving.upstream, report())
         self.assertEqual(host.slots.domain_slots(None), 0)
 
+    async def test_slots_count_from_the_first_report_on(self) -> None:
+        slots, directory = self.host.slots, self.host.directory
+        known = engine('e1')
+        directory.update(())
+        await self.clock.advance(1)
+        self.assertEqual((slots.permits, slots.limit(0)), (0, 1))
+        directory.update((known,))
+        directory.reported(known.upstream, report(slots=_SLOTS))
+        self.assertEqual((slots.permits, slots.limit(0)), (_LIMIT, _LIMIT))
+
     async def test_permits_stop_at_the_limit(self) -> None:
         await self._fill()
         waiting = await self._enter(ask(99))
