Give streams of answers a module, and drop a dead method

Metrics.control_spent lost its only caller when the second exporter of the control ledger went. Ruled out for now: one base for the plain selectors, one constructor for the operators' routes, which would touch more than a mechanical move.

--- a/src/nutmegroad/_caller_guard.py
+++ b/src/nutmegroad/_caller_guard.py
@@ -12,8 +12,9 @@
     middleware,
 )
 
+from nutmegroad.answer_streams import EventStream
 from nutmegroad.metrics import Metrics
-from nutmegroad.replies import EventStream, refuse
+from nutmegroad.replies import refuse
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.stops import GracefulStop, ended_by_stop
 from nutmegroad.types import RequestId
--- a/src/nutmegroad/_http_edge.py
+++ b/src/nutmegroad/_http_edge.py
@@ -25,9 +25,10 @@
     internal,
     refusal_of,
 )
+from nutmegroad.answer_streams import EventStream
 from nutmegroad.core import Kernel
 from nutmegroad.logs import about_request, part_logger
-from nutmegroad.replies import EventStream, code_of, refuse
+from nutmegroad.replies import code_of, refuse
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import RequestId
 
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers.py
@@ -20,6 +20,7 @@
     DetachableSink,
     passed_headers,
 )
+from nutmegroad.answer_streams import EventStream
 from nutmegroad.documents import WorkspaceEntry
 from nutmegroad.forwards import ForwardedReply, ForwardedRequest
 from nutmegroad.intake import authenticate
@@ -29,7 +30,6 @@
 from nutmegroad.once import Elsewhere
 from nutmegroad.replies import (
     JSON_TYPE,
-    EventStream,
     forwarded_reply,
     read_answer,
     refuse,
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/metrics.py
@@ -305,10 +305,6 @@
             amount=messages,
         )
 
-    def control_spent(self, part: str, seconds: float) -> None:
-        """Add processor time that a part has spent."""
-        self._add('control_cpu_seconds', part, amount=seconds)
-
     def host_event(self, event: str, count: int) -> None:
         """Count something that befell links to hosts, or the membership."""
         self._add('host_events', event, amount=count)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,11 +11,11 @@
 from fakes.run_records import End
 from fakes.serving import Served
 
+from nutmegroad.answer_streams import EventStream
 from nutmegroad.billing import Biller
 from nutmegroad.configuration import Configuration
 from nutmegroad.documents import Withdrawal
 from nutmegroad.metrics import Metrics
-from nutmegroad.replies import EventStream
 from nutmegroad.stops import GracefulStop, Phase
 from nutmegroad.types import RequestId
 from tests.hosts import WholeHost, fast_engine
