Never reuse a connection whose request was given up

Cause: a request that ended at its route's timeout left its connection in the pool although the answer was still owed; the next request waited behind it for up to 1.9 s. Found in the log of one host (abandoned, then the same host's next request to the same worker stuck). Ruled out: a worker's queue (6 slots, 1.1 in use on average), slow workers (other hosts were answered in 50 ms).

--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -51,6 +51,7 @@
     BROKEN = 'broken'
     SILENT = 'silent'
     UNPROVED = 'unproved'
+    ABANDONED = 'abandoned'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -121,7 +121,8 @@
             return False
         if self.transport.is_closing():
             return False
-        return self._body is None or self._body.is_eof()
+        # One whose request was given up still owes an answer.
+        return self._answer is None or self.finished
 
     @property
     def finished(self) -> bool:
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -54,6 +54,13 @@
 #: Pace, against the usual, from which an answer speaks against its version.
 FAR_TOO_SLOW: Final = 4.0
 
+#: What became of an attempt whose request ended before it was answered.
+_ABANDONED: Final = AttemptFailure(
+    AttemptEnd.ABANDONED,
+    Ran.UNKNOWN,
+    'the request ended first',
+)
+
 
 class VersionGate(Protocol):
     """Decides which versions of a service's software may run a request."""
@@ -250,7 +257,12 @@
         # request behind of which nobody can say whether it ran.
         known = self._ran
         self._ran = Ran.UNKNOWN
-        outcome = await self._parts.attempts.begin(self.request, plan)
+        outcome: Answering | AttemptFailure = _ABANDONED
+        try:
+            outcome = await self._parts.attempts.begin(self.request, plan)
+        finally:
+            if outcome is _ABANDONED:
+                self._note(choice, model, outcome)
         if isinstance(outcome, Answering):
             self._runs += 1
             version = upstream.entry.version
@@ -274,7 +286,7 @@
         detail = ''
         if isinstance(outcome, AttemptFailure):
             ended, detail = outcome.end.value, outcome.reason
-            if outcome.ran is not Ran.NOT_RUN:
+            if outcome.ran is not Ran.NOT_RUN and outcome is not _ABANDONED:
                 self._parts.versions.observe(
                     self.service,
                     entry.version,
