--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Collection, Coroutine
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 from typing import Any, Final
 
 from aiohttp import web
@@ -47,6 +48,10 @@
 #: needs two looks, a second apart, to learn that it is not ready.
 LAME_DUCK: Final = 2.6
 
+#: Seconds for requests that have been read to reach their handlers: some
+#: rounds of a loaded event loop.
+SETTLE: Final = 0.05
+
 #: Seconds between looks whether all requests have ended.
 LAST_LOOK: Final = 0.05
 
@@ -66,6 +71,41 @@
 FEED_WAIT: Final = 20.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Listening:
+    """A listener and what serves its connections.
+
+    Attributes:
+        listener: Takes connections.
+        server: Serves them.
+    """
+
+    listener: asyncio.Server
+    server: web.Server
+
+    async def close(self, busy: Collection[object], clock: Clock) -> None:
+        """Take no connection any more, and close those that are idle.
+
+        What has been read is answered: reading stops first, and what was
+        read by then has a moment to become busy.
+
+        Args:
+            busy: Connections on which a request is being answered; changes.
+            clock: The host's clock.
+        """
+        self.listener.close()
+        quiet = [each for each in self.server.connections if each not in busy]
+        for connection in quiet:
+            if connection.transport is not None:
+                connection.transport.pause_reading()
+        await clock.sleep(SETTLE)
+        for connection in quiet:
+            if connection not in busy:
+                connection.force_close()
+            elif connection.transport is not None:
+                connection.transport.resume_reading()
+
+
 class RelayHost:
     """One host of the fleet.
 
@@ -118,13 +158,15 @@
         """Let open requests end, then close everything."""
         self._stopping = True
         began = self._clock.now()
-        _LOG.decision('stopping', open=self._serving.open)
+        _LOG.decision('stopping', open=len(self._serving.busy))
         await self._clock.sleep(LAME_DUCK)
-        self._callers.close()
+        # Callers keep connections open; on an idle one a request could still
+        # come too late to be answered within the grace.
+        await self._callers.close(self._serving.busy, self._clock)
         latest = began + self._settings.grace - CLOSING
-        while self._serving.open and self._clock.now() < latest:
+        while self._serving.busy and self._clock.now() < latest:
             await self._clock.sleep(LAST_LOOK)
-        _LOG.decision('stopped', open=self._serving.open)
+        _LOG.decision('stopped', open=len(self._serving.busy))
         await self._stack.aclose()
 
     def _build(self) -> None:
@@ -203,7 +245,7 @@
         self,
         address: Address,
         answer: Answer,
-    ) -> asyncio.Server:
+    ) -> '_Listening':
         """Listen at an address until the host closes."""
         server = make_server(answer, ListenerLimits())
         loop = asyncio.get_running_loop()
@@ -215,7 +257,7 @@
         )
         self._stack.push_async_callback(server.shutdown, 0.1)
         self._stack.callback(listening.close)
-        return listening
+        return _Listening(listening, server)
 
     async def _answer_ready(self, http: web.BaseRequest) -> web.Response:
         """Tell the balancer whether this host is ready."""
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -58,17 +58,17 @@
         self._names = names
         self._randomness = randomness
         self._stopping = stopping
-        #: Requests that are being answered.
-        self.open = 0
+        #: Connections on which a request is being answered.
+        self.busy: set[object] = set()
 
     async def answer(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer a caller."""
         reply = HttpReply(http, self._stopping)
-        self.open += 1
+        self.busy.add(http.protocol)
         try:
             await self._serve(http, reply)
         finally:
-            self.open -= 1
+            self.busy.discard(http.protocol)
         return reply.response or web.Response(status=_INTERNAL)
 
     async def _serve(self, http: web.BaseRequest, reply: HttpReply) -> None:
