--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -24,6 +24,7 @@
 from nutmegroad.relay.headers import HeaderNames
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.requests import MILLISECONDS, CallerRequest
+from nutmegroad.relay.selection import Choice, Selector
 from nutmegroad.relay.upstreams import Upstream
 from nutmegroad.types import ModelName, Ran
 
@@ -83,7 +84,7 @@
     """What one attempt adds to a request.
 
     Attributes:
-        upstream: Where it goes.
+        choice: Where it goes, and what is expected of it.
         model: The model to name; None to leave the caller's.
         last_event: Id of the last event that the caller has, or empty.
         silence: Seconds of silence after which another upstream may be
@@ -92,19 +93,24 @@
             is waited for as long as there is time.
     """
 
-    upstream: Upstream
+    choice: Choice
     model: ModelName | None
     last_event: str
     silence: float
     leave: Callable[[], bool]
 
+    @property
+    def upstream(self) -> Upstream:
+        """Return where it goes."""
+        return self.choice.upstream
+
 
 @dataclass(slots=True)
 class Answering:
     """An upstream that has begun to answer.
 
     Attributes:
-        upstream: Which one.
+        choice: Which one, and what was expected of it.
         model: The model that it was asked for; None if the caller's.
         head: The beginning of its answer.
         connection: What the rest comes on.
@@ -113,7 +119,7 @@
         stack: Ends the attempt; the connection goes back or is closed.
     """
 
-    upstream: Upstream
+    choice: Choice
     model: ModelName | None
     head: ResponseHead
     connection: UpstreamConnection
@@ -121,6 +127,11 @@
     waited: float
     stack: AsyncExitStack = field(repr=False)
 
+    @property
+    def upstream(self) -> Upstream:
+        """Return the upstream that answers."""
+        return self.choice.upstream
+
     async def close(self) -> None:
         """End the attempt; an answer that is not whole is broken off."""
         await self.stack.aclose()
@@ -132,6 +143,7 @@
     Args:
         pool: Connections to upstreams.
         names: What headers are called.
+        selector: Told what goes where.
         clock: The host's clock.
     """
 
@@ -139,8 +151,10 @@
         self,
         pool: ConnectionPool,
         names: HeaderNames,
+        selector: Selector,
         clock: Clock,
     ) -> None:
+        self._selector = selector
         self._pool = pool
         self._names = names
         self._clock = clock
@@ -154,19 +168,20 @@
         upstream = plan.upstream
         started = self._clock.now()
         async with AsyncExitStack() as stack:
-            _enter(upstream, stack)
+            read = self._enter(request, plan, stack)
             upstream.health.begin()
             outcome = await self._exchange(request, plan, stack)
             if isinstance(outcome, AttemptFailure):
                 self._learn(upstream, outcome)
                 return outcome
+            read()
             head, connection = outcome
             failure = self._judge(head)
             if failure is not None:
                 self._learn(upstream, failure)
                 return failure
             return Answering(
-                upstream,
+                plan.choice,
                 plan.model,
                 head,
                 connection,
@@ -175,6 +190,30 @@
                 stack.pop_all(),
             )
 
+    def _enter(
+        self,
+        request: CallerRequest,
+        plan: AttemptPlan,
+        stack: AsyncExitStack,
+    ) -> Callable[[], None]:
+        """Count a request at its upstream until the attempt ends.
+
+        Returns:
+            What is called when its prompt has been read.
+        """
+        upstream = plan.upstream
+        name = upstream.entry.upstream
+        ledger = self._selector.ledger
+        load = plan.choice.load
+        read = ledger.begin(name, load)
+        if request.generation is not None:
+            parts = request.generation.parts
+            self._selector.prefixes.sent(name, plan.model, parts)
+        stack.callback(ledger.end, name, load)
+        stack.callback(read)
+        stack.callback(upstream.health.abandon)
+        return read
+
     async def _exchange(
         self,
         request: CallerRequest,
@@ -321,18 +360,6 @@
             upstream.health.failed(now)
 
 
-def _enter(upstream: Upstream, stack: AsyncExitStack) -> None:
-    """Count a request at an upstream until the attempt ends."""
-    upstream.running += 1
-
-    def leave() -> None:
-        """Count it off."""
-        upstream.running -= 1
-        upstream.health.abandon()
-
-    stack.callback(leave)
-
-
 def _seconds(text: str) -> float:
     """Return the seconds of a Retry-After header; 0 for a date or none."""
     try:
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -6,7 +6,7 @@
 from nutmegroad.relay.rollout_steps import StatusWriter
 from nutmegroad.relay.stored import Store
 from nutmegroad.relay.tables import RowReader
-from nutmegroad.types import Address, HostId
+from nutmegroad.types import Address, DomainId, HostId
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +28,9 @@
 
     Attributes:
         host: Its name.
+        domain: The failure domain that it stands in.
         callers: Where it listens to callers.
+        neighbours: Where it listens to hosts of its failure domain.
         ready: Where the balancer asks whether it is ready.
         ready_path: The path of that question.
         key_trust: Seconds for which keys hold unconfirmed; None for ever.
@@ -41,7 +43,9 @@
     """
 
     host: HostId
+    domain: DomainId
     callers: Address
+    neighbours: Address
     ready: Address
     ready_path: str
     key_trust: float | None
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -153,6 +153,8 @@
     def abort(self) -> None:
         """Close at once; the upstream sees that nobody waits any more."""
         self._keep = False
+        if self._answer is not None:
+            self._answer.cancel()
         if self.transport is not None:
             self.transport.abort()
 
--- a/src/nutmegroad/relay/escalation.py
+++ b/src/nutmegroad/relay/escalation.py
@@ -18,9 +18,10 @@
 #: between; see docs/MEASUREMENTS.md.
 CONFIDENT: Final = 60
 
-#: Part of the time to the target that may be used up when a larger model is
-#: asked: the rest is for its own first event.
-LATEST_PART: Final = 0.5
+#: The same where a larger model's answer is expected after the target: it is
+#: then worth about a third, so it has to be likelier that the small one's is
+#: worth next to nothing.
+CONFIDENT_LATE: Final = 25
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,12 +33,14 @@
         confidence: Its own opinion, from 0 to 100; None if it has none.
         waited: Seconds since the request arrived.
         attempts_left: Upstreams that it may still be sent to.
+        expected: Seconds that the larger model would need to begin.
     """
 
     model: ModelName
     confidence: float | None
     waited: float
     attempts_left: int
+    expected: float
 
 
 def first_model(request: CallerRequest) -> ModelName | None:
@@ -57,13 +60,11 @@
     """Return the model to ask in place of one that is unsure, or None."""
     if opinion.model not in route.models[:-1]:
         return None
-    if opinion.confidence is None or opinion.confidence >= CONFIDENT:
+    if opinion.confidence is None or opinion.attempts_left < 1:
         return None
-    if opinion.attempts_left < 1:
-        return None
-    if opinion.waited > route.target_latency * LATEST_PART:
-        return None
-    return route.models[-1]
+    late = opinion.waited + opinion.expected > route.target_latency
+    bound = CONFIDENT_LATE if late else CONFIDENT
+    return route.models[-1] if opinion.confidence < bound else None
 
 
 def read_confidence(text: str | None) -> float | None:
--- /dev/null
+++ b/src/nutmegroad/relay/estimates.py
@@ -0,0 +1,108 @@
+"""How long an upstream's answer will take to begin.
+
+An engine reads the prompts that wait one after another, so an answer begins
+when those before it and its own have been read. How fast a model is read is
+learnt from answers: each tells how far its own estimate was off.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from nutmegroad.types import ModelName, ServiceName
+
+#: Seconds for a token before the first answer: 20,000 tokens a second, a
+#: slow engine of today. Only the first few requests go by it.
+FIRST_PACE: Final = 0.00005
+
+#: Seconds that an answer takes besides its prompt.
+FIRST_BASE: Final = 0.05
+
+#: Weight of the newest answer: about the last twenty decide, so that one
+#: that waited behind requests of which this host did not know weighs little.
+#: The first few answers weigh as in a plain mean.
+RECENT: Final = 0.05
+
+#: Times by which one answer may change an estimate at most.
+MOST_CHANGE: Final = 10.0
+
+#: Prompt tokens from which an answer tells more of the pace than of the
+#: time besides.
+LONG_PROMPT: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class PaceKey:
+    """What is read at one pace.
+
+    Attributes:
+        service: The service.
+        model: The model; None for calls that are no generations.
+    """
+
+    service: ServiceName
+    model: ModelName | None
+
+
+@dataclass(slots=True)
+class _Pace:
+    """What is known of one model.
+
+    Attributes:
+        token: Seconds to read a token of a prompt.
+        base: Seconds that an answer takes besides.
+        long: Answers to long prompts so far.
+        short: Other answers so far.
+    """
+
+    token: float = FIRST_PACE
+    base: float = FIRST_BASE
+    long: int = 0
+    short: int = 0
+
+
+class Paces:
+    """Learns how fast answers begin, by service and model."""
+
+    def __init__(self) -> None:
+        self._paces: dict[PaceKey, _Pace] = {}
+
+    def work(self, key: PaceKey, tokens: int) -> float:
+        """Return the seconds that an upstream takes to read a prompt."""
+        return self._of(key).token * tokens
+
+    def base(self, key: PaceKey) -> float:
+        """Return the seconds that an answer takes besides its prompt."""
+        return self._of(key).base
+
+    def observe(
+        self,
+        key: PaceKey,
+        tokens: int,
+        waited: float,
+        expected: float,
+    ) -> float:
+        """Learn from an answer.
+
+        Args:
+            key: What it was read as.
+            tokens: Tokens of its prompt that had to be read.
+            waited: Seconds until it began.
+            expected: The estimate of that.
+
+        Returns:
+            How many times the estimate it took.
+        """
+        ratio = waited / max(expected, FIRST_PACE)
+        bounded = min(MOST_CHANGE, max(1 / MOST_CHANGE, ratio))
+        pace = self._of(key)
+        if tokens >= LONG_PROMPT:
+            pace.long += 1
+            pace.token *= bounded ** max(RECENT, 1 / (pace.long + 1))
+        else:
+            pace.short += 1
+            pace.base *= bounded ** max(RECENT, 1 / (pace.short + 1))
+        return ratio
+
+    def _of(self, key: PaceKey) -> _Pace:
+        """Return what is known of a model."""
+        return self._paces.setdefault(key, _Pace())
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -17,9 +17,9 @@
     Attempts,
 )
 from nutmegroad.relay.budgets import Purpose, RepeatBudget
-from nutmegroad.relay.paces import PaceKey, UsualPaces
+from nutmegroad.relay.estimates import PaceKey
 from nutmegroad.relay.requests import CallerRequest
-from nutmegroad.relay.selection import Choice, Selector
+from nutmegroad.relay.selection import Asked, Choice, Selector
 from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
 from nutmegroad.results import Refusal, ResultCode
 from nutmegroad.types import ModelName, Ran, ServiceName, UpstreamId
@@ -100,7 +100,6 @@
         directory: All upstreams.
         budget: Bounds repeats.
         versions: Says which versions may run a request.
-        paces: How long answers usually take to begin.
         clock: The host's clock.
     """
 
@@ -109,7 +108,6 @@
     directory: Directory
     budget: RepeatBudget
     versions: VersionGate
-    paces: UsualPaces
     clock: Clock
 
 
@@ -167,7 +165,7 @@
         while True:
             if self.left <= 0:
                 return self.refuse_late()
-            choice = self._choose()
+            choice = self.choose(model)
             if choice is None:
                 return self._refuse(
                     ResultCode.NO_UPSTREAM,
@@ -180,14 +178,28 @@
             if not self._may_follow(outcome):
                 return self._final(outcome)
 
+    def choose(self, model: ModelName | None) -> Choice | None:
+        """Return where the next attempt would go, or None if nowhere."""
+        table = self.request.table
+        facts = table.service_of(self.service).engine
+        return self._parts.selector.choose(
+            Asked(self.request, self.service, model, facts),
+            self._parts.versions.permitted(self.request, self.service),
+            self._tried,
+        )
+
     def observe(self, answering: Answering, *, sound: bool) -> None:
         """Take in how an answer went."""
         upstream = answering.upstream
         now = self._parts.clock.now()
         pace = 1.0
         if sound:
-            key = PaceKey(self.request.route.name, answering.model)
-            pace = self._parts.paces.observe(key, answering.waited)
+            pace = self._parts.selector.paces.observe(
+                PaceKey(self.service, answering.model),
+                answering.choice.missing,
+                answering.waited,
+                answering.choice.expected,
+            )
             upstream.health.answered(now, pace)
         else:
             upstream.health.failed(now)
@@ -206,16 +218,19 @@
             return False
         return self._parts.budget.spend(self.service, purpose)
 
-    def silence(self, model: ModelName | None) -> float:
-        """Return the seconds that an attempt may stay silent."""
+    def silence(self, expected: float) -> float:
+        """Return the seconds that an attempt may stay silent.
+
+        Args:
+            expected: Seconds until its answer should begin.
+        """
         route = self.request.route
         if not route.repeatable or self.attempts_left <= 1:
             return max(0, self.left)
         least = LEAST_SILENCE
         if self.request.generation is not None:
             least = LEAST_ENGINE_SILENCE
-        usual = self._parts.paces.usual(PaceKey(route.name, model))
-        patience = max(least, (usual or 0) * SILENT_TIMES)
+        patience = max(least, expected * SILENT_TIMES)
         return min(max(0, self.left), max(patience, self.left * SILENT_PART))
 
     def refuse_late(self) -> Refusal:
@@ -226,15 +241,6 @@
             0,
         )
 
-    def _choose(self) -> Choice | None:
-        """Return where the next attempt goes."""
-        upstreams = self._parts.versions.permitted(self.request, self.service)
-        return self._parts.selector.choose(
-            self.request,
-            upstreams,
-            self._tried,
-        )
-
     async def _attempt(
         self,
         choice: Choice,
@@ -245,12 +251,11 @@
         upstream = choice.upstream
         self._offers += 1
         self._tried.add(upstream.entry.upstream)
-        silence = self.silence(model)
         plan = AttemptPlan(
-            upstream,
+            choice,
             model,
             last_event,
-            silence,
+            self.silence(choice.expected),
             self._may_leave,
         )
         # Until it is known better: a task that is cancelled here leaves a
@@ -299,9 +304,11 @@
             upstream=entry.upstream,
             version=entry.version,
             model=model,
-            why=choice.why,
             candidates=choice.candidates,
-            own_running=choice.upstream.running,
+            expected=round(choice.expected, 3),
+            ahead=round(choice.ahead, 3),
+            missing=choice.missing,
+            running=choice.running,
             failures=round(choice.upstream.health.failures, 2),
             waited=round(self.waited, 3),
             outcome=ended,
--- /dev/null
+++ b/src/nutmegroad/relay/fleet_table.py
@@ -0,0 +1,72 @@
+"""The relay's own table in the platform's store."""
+
+from typing import Final
+
+import msgspec
+
+from nutmegroad.logs import part_logger
+from nutmegroad.relay.evidence import Evidence
+from nutmegroad.relay.neighbours import HOST_KEY, HostRow, Neighbours
+from nutmegroad.relay.rollout_steps import EVIDENCE_KEY, STEP_KEY
+from nutmegroad.relay.rollouts import RolloutRow
+from nutmegroad.relay.stored import RowsRead, StoredRow
+from nutmegroad.relay.versions import RolloutState
+from nutmegroad.types import HostId, ServiceName
+
+_LOG: Final = part_logger('fleet')
+
+
+class FleetSink:
+    """Takes the relay's own table in.
+
+    Args:
+        state: All roll-outs.
+        neighbours: The hosts that are told of this one's load.
+    """
+
+    def __init__(self, state: RolloutState, neighbours: Neighbours) -> None:
+        self._state = state
+        self._neighbours = neighbours
+
+    def replace(self, read: RowsRead) -> None:
+        """Take the whole table in."""
+        self.apply(read)
+
+    def apply(self, read: RowsRead) -> None:
+        """Take changes in."""
+        for row in read.rows:
+            if row.removed:
+                continue
+            self._take(row)
+
+    def confirm(self, moment: float, read: RowsRead) -> None:
+        """Do nothing: what is not known here is only slower."""
+
+    def lost(self) -> None:
+        """Do nothing: each host goes on with what it knows."""
+
+    def _take(self, row: StoredRow) -> None:
+        """Take one row in; one that can't be read is logged."""
+        kind, _, rest = row.key.partition('/')
+        try:
+            self._decode(f'{kind}/', rest, row)
+        except msgspec.DecodeError as problem:
+            _LOG.decision('row kept out', key=row.key, reason=str(problem))
+
+    def _decode(self, kind: str, name: str, row: StoredRow) -> None:
+        """Take one row in."""
+        if kind == STEP_KEY:
+            step = msgspec.json.decode(row.content, type=RolloutRow)
+            self._state.progress(ServiceName(name), step, row.version)
+        elif kind == EVIDENCE_KEY:
+            service, _, host = name.rpartition('/')
+            self._state.told(
+                ServiceName(service),
+                HostId(host),
+                msgspec.json.decode(row.content, type=Evidence),
+            )
+        elif kind == HOST_KEY:
+            self._neighbours.found(
+                HostId(name),
+                msgspec.json.decode(row.content, type=HostRow),
+            )
--- a/src/nutmegroad/relay/followers.py
+++ b/src/nutmegroad/relay/followers.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from dataclasses import dataclass
 from typing import Final, Protocol
 
 from nutmegroad.clocks import Clock
@@ -44,6 +45,20 @@
         """Note that the store does not answer."""
 
 
+@dataclass(frozen=True, slots=True)
+class FeedPace:
+    """How often a table's changes are asked for.
+
+    Attributes:
+        wait: Seconds that the store is asked to wait for a change.
+        rest: Seconds between an answer and the next question, so that
+            changes which come one after another share an answer.
+    """
+
+    wait: float
+    rest: float
+
+
 class TableFollower:
     """Keeps a sink in step with one table.
 
@@ -51,7 +66,7 @@
         store: The platform's store.
         table: Name of the table.
         sink: What takes it in.
-        wait: Seconds that the store is asked to wait for a change.
+        pace: How often the store is asked.
         clock: The host's clock.
         randomness: Spreads retries of many hosts.
     """
@@ -61,14 +76,15 @@
         store: Store,
         table: str,
         sink: TableSink,
-        wait: float,
+        pace: FeedPace,
         clock: Clock,
         randomness: random.Random,
     ) -> None:
         self._store = store
         self._table = table
         self._sink = sink
-        self._wait = wait
+        self._wait = pace.wait
+        self._rest = pace.rest
         self._clock = clock
         self._randomness = randomness
         self._after: int | None = None
@@ -78,7 +94,9 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if not await self.step():
+            if await self.step():
+                await self._clock.sleep(self._rest)
+            else:
                 pause = self._retry * self._randomness.uniform(*SPREAD)
                 self._retry = min(LONGEST_RETRY, self._retry * 2)
                 await self._clock.sleep(pause)
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -16,14 +16,15 @@
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.budgets import RepeatBudget
 from nutmegroad.relay.execution import RelayParts
-from nutmegroad.relay.followers import TableFollower
+from nutmegroad.relay.fleet_table import FleetSink
+from nutmegroad.relay.followers import FeedPace, TableFollower
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import Answer, ListenerLimits, make_server
-from nutmegroad.relay.paces import UsualPaces
+from nutmegroad.relay.loads import LoadLedger
+from nutmegroad.relay.neighbours import Neighbours
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.rollout_steps import (
     FLEET_TABLE,
-    FleetSink,
     RolloutSteps,
 )
 from nutmegroad.relay.selection import Selector
@@ -64,12 +65,23 @@
 
 
 #: Part of the keys' trust for which the store is asked to wait.
-FEED_PART: Final = 0.5
+FEED_PART: Final = 0.6
 
 #: Seconds for which the store is asked to wait for changes of what is not
 #: bound by the keys' trust; a dead connection shows by the kernel's probes.
 FEED_WAIT: Final = 20.0
 
+#: Seconds between an answer and the next question. A configuration has to be
+#: in force within two seconds, and may come ten times a second.
+OPERATOR_REST: Final = 0.1
+
+#: The same for upstreams, which give two seconds' notice before they leave.
+UPSTREAM_REST: Final = 0.25
+
+#: The same for what hosts tell each other: a bad version is to be halted
+#: within seconds, and every host's news wakes every other host.
+FLEET_REST: Final = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class _Listening:
@@ -142,6 +154,7 @@
             self._spawn(follower.run())
         self._spawn(self._steps.run())
         self._spawn(self._sweep())
+        await self._meet()
         await self._listen(self._settings.ready, self._answer_ready)
         self._callers = await self._listen(
             self._settings.callers,
@@ -183,13 +196,22 @@
             self._store_clock.now,
         )
         sessions = SessionVersions(clock, settings.session_span)
+        ledger = LoadLedger(clock)
+        self._neighbours = Neighbours(
+            settings.host,
+            settings.domain,
+            settings.neighbours,
+            ledger,
+            self._platform.store,
+            clock,
+        )
+        selector = Selector(clock, self._randomness, settings.domain, ledger)
         self._parts = RelayParts(
-            Attempts(self._pool, names, clock),
-            Selector(clock, self._randomness),
+            Attempts(self._pool, names, selector, clock),
+            selector,
             self._directory,
             RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
             RolloutGate(self._directory, self._rollouts, sessions),
-            UsualPaces(),
             clock,
         )
         self._serving = Serving(
@@ -223,23 +245,39 @@
         )
         trust = self._settings.key_trust
         wait = FEED_WAIT if trust is None else trust * FEED_PART
-        fleet = FleetSink(self._rollouts)
+        fleet = FleetSink(self._rollouts, self._neighbours)
         followed = (
-            (tables.operator, operator, wait),
-            (tables.upstreams, self._upstream_sink, FEED_WAIT),
-            (FLEET_TABLE, fleet, FEED_WAIT),
+            (tables.operator, operator, FeedPace(wait, OPERATOR_REST)),
+            (
+                tables.upstreams,
+                self._upstream_sink,
+                FeedPace(FEED_WAIT, UPSTREAM_REST),
+            ),
+            (FLEET_TABLE, fleet, FeedPace(FEED_WAIT, FLEET_REST)),
         )
         return tuple(
             TableFollower(
                 self._platform.store,
                 table,
                 sink,
-                seconds,
+                pace,
                 self._clock,
                 self._randomness,
             )
-            for table, sink, seconds in followed
+            for table, sink, pace in followed
+        )
+
+    async def _meet(self) -> None:
+        """Hear neighbours, and make this host known to them."""
+        loop = asyncio.get_running_loop()
+        address = self._settings.neighbours
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self._neighbours,
+            local_addr=(address.ip, address.port),
         )
+        self._stack.callback(transport.close)
+        self._spawn(self._neighbours.announce())
+        self._spawn(self._neighbours.run())
 
     async def _listen(
         self,
--- /dev/null
+++ b/src/nutmegroad/relay/loads.py
@@ -0,0 +1,120 @@
+"""What upstreams are busy with, as far as the hosts tell each other.
+
+Each host knows what it has sent itself, and hears from the others what they
+have: several times a second within a failure domain, less often beyond.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from msgspec import Struct
+
+from nutmegroad.clocks import Clock
+from nutmegroad.types import HostId, UpstreamId
+
+#: Seconds after which what another host told is not believed any more: even
+#: one in another failure domain has missed a turn, so it is likely gone.
+STALE: Final = 2.5
+
+
+class Load(Struct, frozen=True, array_like=True):
+    """What one upstream is busy with.
+
+    Attributes:
+        running: Requests at it.
+        reading: Seconds of work in prompts that it has yet to read.
+        tokens: Tokens that its requests hold in memory.
+    """
+
+    running: int = 0
+    reading: float = 0
+    tokens: int = 0
+
+    def plus(self, other: 'Load') -> 'Load':
+        """Return the sum of two loads."""
+        return Load(
+            self.running + other.running,
+            self.reading + other.reading,
+            self.tokens + other.tokens,
+        )
+
+
+NO_LOAD: Final = Load()
+
+Loads = dict[UpstreamId, Load]
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What a neighbour has told.
+
+    Attributes:
+        loads: The loads.
+        moment: Clock seconds.
+    """
+
+    loads: Loads
+    moment: float
+
+
+class LoadLedger:
+    """Counts own requests, and remembers what neighbours told.
+
+    Args:
+        clock: The host's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._own: Loads = {}
+        self._told: dict[HostId, _Told] = {}
+
+    @property
+    def own(self) -> Loads:
+        """Return what this host has sent."""
+        return self._own
+
+    def load(self, upstream: UpstreamId) -> Load:
+        """Return what an upstream is busy with, as far as is known."""
+        known = self._own.get(upstream, NO_LOAD)
+        for told in self._fresh():
+            known = known.plus(told.get(upstream, NO_LOAD))
+        return known
+
+    def begin(self, upstream: UpstreamId, load: Load) -> Callable[[], None]:
+        """Count a request, and return what counts its prompt as read."""
+        self._add(upstream, load)
+        left = [load.reading]
+
+        def read() -> None:
+            """Count the prompt off, once."""
+            if left:
+                self._add(upstream, Load(0, -left.pop(), 0))
+
+        return read
+
+    def end(self, upstream: UpstreamId, load: Load) -> None:
+        """Count a request off whose prompt has been counted off."""
+        self._add(upstream, Load(-load.running, 0, -load.tokens))
+
+    def told(self, host: HostId, loads: Loads) -> None:
+        """Take in what a neighbour has sent."""
+        self._told[host] = _Told(loads, self._clock.now())
+
+    def _fresh(self) -> Iterable[Loads]:
+        """Return what neighbours told a short while ago."""
+        oldest = self._clock.now() - STALE
+        for host, told in tuple(self._told.items()):
+            if told.moment < oldest:
+                self._told.pop(host)
+            else:
+                yield told.loads
+
+    def _add(self, upstream: UpstreamId, change: Load) -> None:
+        """Change what this host has at an upstream."""
+        present = self._own.get(upstream, NO_LOAD).plus(change)
+        if present.running:
+            self._own[upstream] = present
+        else:
+            self._own.pop(upstream, None)
--- /dev/null
+++ b/src/nutmegroad/relay/neighbours.py
@@ -0,0 +1,173 @@
+"""What hosts tell each other of their work, by datagrams.
+
+The hosts of a failure domain tell each other at every turn. Bytes between
+domains are dear, so a host tells those of others in turn, a few a second
+however many there are. What is told is true for a moment only, so a lost
+datagram is not sent again. Hosts find each other in the platform's store.
+"""
+
+import asyncio
+from typing import Final, cast
+
+import msgspec
+from msgspec import Struct
+
+from nutmegroad.clocks import Clock
+from nutmegroad.logs import part_logger
+from nutmegroad.relay.loads import LoadLedger, Loads
+from nutmegroad.relay.rollout_steps import FLEET_TABLE
+from nutmegroad.relay.stored import RowPut, Store
+from nutmegroad.results import Refusal
+from nutmegroad.types import Address, DomainId, HostId
+
+_LOG: Final = part_logger('neighbours')
+
+HOST_KEY: Final = 'host/'
+
+#: Seconds between two tellings. A prompt takes about as long to read, and
+#: requests that are sent within one turn don't see each other.
+TURN: Final = 0.15
+
+#: Seconds between tries to make this host known.
+AGAIN: Final = 1.0
+
+#: Hosts of other failure domains that are told at each turn: with today's
+#: six or so, each hears from each about once a second.
+FAR_PER_TURN: Final = 1
+
+#: Seconds without a word after which a neighbour is told less often, and
+#: every how many turns it still is.
+QUIET: Final = 5.0
+QUIET_TURNS: Final = 20
+
+
+class HostRow(Struct, frozen=True):
+    """A host as it makes itself known.
+
+    Attributes:
+        ip: Where it listens to its neighbours.
+        port: The same.
+        domain: Its failure domain.
+    """
+
+    ip: str
+    port: int
+    domain: str
+
+
+class Telling(Struct, frozen=True, array_like=True):
+    """A datagram.
+
+    Attributes:
+        host: Who tells.
+        loads: What it has sent, by upstream.
+    """
+
+    host: str
+    loads: Loads
+
+
+class Neighbours(asyncio.DatagramProtocol):
+    """Tells neighbours what this host does, and hears them.
+
+    Args:
+        host: This host.
+        domain: Its failure domain.
+        address: Where it listens to neighbours.
+        ledger: What upstreams are busy with.
+        store: The platform's store.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        domain: DomainId,
+        address: Address,
+        ledger: LoadLedger,
+        store: Store,
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._domain = domain
+        self._address = address
+        self._ledger = ledger
+        self._store = store
+        self._clock = clock
+        self._near: dict[HostId, Address] = {}
+        self._far: dict[HostId, Address] = {}
+        self._heard: dict[HostId, float] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._decoder = msgspec.msgpack.Decoder(Telling)
+        self._silent = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket to send on."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in what a neighbour tells."""
+        try:
+            telling = self._decoder.decode(data)
+        except msgspec.DecodeError:
+            _LOG.decision('datagram not understood', sender=addr[0])
+            return
+        host = HostId(telling.host)
+        self._heard[host] = self._clock.now()
+        self._ledger.told(host, telling.loads)
+
+    def found(self, host: HostId, row: HostRow) -> None:
+        """Take in where a host listens."""
+        if host == self._host:
+            return
+        hosts = self._near if row.domain == self._domain else self._far
+        hosts[host] = Address(row.ip, row.port)
+        self._heard[host] = self._clock.now()
+        _LOG.decision(
+            'host found',
+            host=host,
+            address=row.ip,
+            domain=row.domain,
+        )
+
+    async def announce(self) -> None:
+        """Make this host known, until that has worked."""
+        row = HostRow(self._address.ip, self._address.port, self._domain)
+        content = msgspec.json.encode(row)
+        put = RowPut(FLEET_TABLE, f'{HOST_KEY}{self._host}', content)
+        while isinstance(await self._store.commit((), (put,)), Refusal):
+            await self._clock.sleep(AGAIN)
+
+    async def run(self) -> None:
+        """Tell the neighbours at every turn, until cancelled."""
+        turn = 0
+        while True:
+            await self._clock.sleep(TURN)
+            turn += 1
+            self._tell(turn)
+
+    def _tell(self, turn: int) -> None:
+        """Tell what this host has sent, unless it is nothing as before."""
+        own = self._ledger.own
+        if self._transport is None or (self._silent and not own):
+            return
+        self._silent = not own
+        text = msgspec.msgpack.encode(Telling(self._host, own))
+        for host in (*self._near, *self._next_far(turn)):
+            if self._is_due(host, turn):
+                address = self._near.get(host) or self._far[host]
+                self._transport.sendto(text, (address.ip, address.port))
+
+    def _next_far(self, turn: int) -> list[HostId]:
+        """Return the hosts of other failure domains whose turn it is."""
+        hosts = list(self._far)
+        if not hosts:
+            return []
+        begin = turn * FAR_PER_TURN
+        count = min(FAR_PER_TURN, len(hosts))
+        return [hosts[(begin + each) % len(hosts)] for each in range(count)]
+
+    def _is_due(self, host: HostId, turn: int) -> bool:
+        """Tell whether a neighbour is to be told at a turn."""
+        quiet = self._clock.now() - self._heard[host] > QUIET
+        return not quiet or turn % QUIET_TURNS == 0
--- a/src/nutmegroad/relay/rollout_steps.py
+++ b/src/nutmegroad/relay/rollout_steps.py
@@ -21,20 +21,19 @@
     Committed,
     RowExpected,
     RowPut,
-    RowsRead,
     Store,
 )
 from nutmegroad.relay.versions import RolloutState
 from nutmegroad.results import Refusal
-from nutmegroad.types import HostId, ServiceName
+from nutmegroad.types import ServiceName
 
 _LOG: Final = part_logger('rollouts')
 
 #: The relay's own table in the platform's store.
 FLEET_TABLE: Final = 'nutmegroad'
 
-_STEP_KEY: Final = 'rollout/'
-_EVIDENCE_KEY: Final = 'evidence/'
+STEP_KEY: Final = 'rollout/'
+EVIDENCE_KEY: Final = 'evidence/'
 
 #: Seconds between looks at what is to be done.
 LOOK: Final = 0.25
@@ -45,7 +44,7 @@
 
 #: Parts of the duration at which a host tells what it has seen, if that is
 #: more than it told before.
-TELL_AT: Final = (0.3, 0.48, 0.6, 0.75, 0.84)
+TELL_AT: Final = (0.47, 0.75)
 
 
 class StatusWriter(Protocol):
@@ -146,7 +145,7 @@
         present = self._state.rollout(service)
         if present is None or present.stage is not before:
             return
-        key = f'{_STEP_KEY}{service}'
+        key = f'{STEP_KEY}{service}'
         puts = [RowPut(FLEET_TABLE, key, msgspec.json.encode(step))]
         stage = Stage(step.stage)
         if stage is not Stage.OPEN:
@@ -179,7 +178,7 @@
         part = rollout.elapsed(self._state.store_time())
         if not _is_news(told, own, part):
             return
-        key = f'{_EVIDENCE_KEY}{service}/{self._state.host}'
+        key = f'{EVIDENCE_KEY}{service}/{self._state.host}'
         put = RowPut(FLEET_TABLE, key, msgspec.json.encode(own))
         outcome = await self._store.commit((), (put,))
         if isinstance(outcome, Committed):
@@ -187,44 +186,6 @@
             told.part = part
 
 
-class FleetSink:
-    """Takes the relay's own table in.
-
-    Args:
-        state: All roll-outs.
-    """
-
-    def __init__(self, state: RolloutState) -> None:
-        self._state = state
-
-    def replace(self, read: RowsRead) -> None:
-        """Take the whole table in."""
-        self.apply(read)
-
-    def apply(self, read: RowsRead) -> None:
-        """Take changes in."""
-        for row in read.rows:
-            if row.removed:
-                continue
-            kind, _, rest = row.key.partition('/')
-            if f'{kind}/' == _STEP_KEY:
-                step = msgspec.json.decode(row.content, type=RolloutRow)
-                self._state.progress(ServiceName(rest), step, row.version)
-            elif f'{kind}/' == _EVIDENCE_KEY:
-                service, _, host = rest.rpartition('/')
-                self._state.told(
-                    ServiceName(service),
-                    HostId(host),
-                    msgspec.json.decode(row.content, type=Evidence),
-                )
-
-    def confirm(self, moment: float, read: RowsRead) -> None:
-        """Do nothing: what is not known here is only slower."""
-
-    def lost(self) -> None:
-        """Do nothing: each host goes on with what it knows."""
-
-
 def _is_news(told: _Told, own: Evidence, part: float) -> bool:
     """Tell whether other hosts should hear of what this one has seen.
 
--- a/src/nutmegroad/relay/selection.py
+++ b/src/nutmegroad/relay/selection.py
@@ -1,9 +1,10 @@
-"""Which upstream a request goes to.
+"""Which upstream a request goes to: the one that is expected to begin first.
 
-Requests about one subject share parts of their prompts, and an upstream that
-has read a part answers sooner. All hosts rank the upstreams of a subject
-alike, by rendezvous hashing, so they meet without a word; a host leaves the
-first for the next when it is busier than the others, or fails.
+What is expected follows from the prompts that wait there, the parts of its
+own prompt that are kept there, how crowded the upstream is, and how own
+exchanges with it went. Requests about one subject share parts of prompts;
+all hosts of a failure domain rank upstreams for a subject alike, by
+rendezvous hashing, so they tend to meet without a word.
 """
 
 import random
@@ -14,23 +15,46 @@
 from xxhash import xxh3_64_intdigest
 
 from nutmegroad.clocks import Clock
-from nutmegroad.relay.requests import CallerRequest
+from nutmegroad.relay.deployment import EngineFacts
+from nutmegroad.relay.estimates import PaceKey, Paces
+from nutmegroad.relay.loads import Load, LoadLedger
+from nutmegroad.relay.prefixes import KeptPrefixes
+from nutmegroad.relay.requests import CallerRequest, Generation
 from nutmegroad.relay.upstreams import Upstream
-from nutmegroad.types import UpstreamId
+from nutmegroad.types import DomainId, ModelName, ServiceName, UpstreamId
 
-#: How many more own requests than the mean an upstream may have and still
-#: be taken for its kept prompts: a quarter over the mean (bounded loads in
-#: consistent hashing), and two since few requests spread unevenly.
-OVER_MEAN: Final = 1.25
-OVER_FEW: Final = 2
+#: Part of the time to a request's target that an upstream in another failure
+#: domain counts as slower: bytes between domains are dear, a far answer that
+#: is no later is no better, and a late one loses most of its worth.
+FAR_PART: Final = 0.12
 
-#: Own requests that a failing upstream counts as: one that fails all it
-#: gets is taken when the others have so many more.
-FAILURE_WEIGHT: Final = 8.0
+#: Part of that time that an upstream counts as slower which fails all that
+#: it gets, beyond what the others fail.
+FAILING_PART: Final = 2.0
 
-#: Pace, against the usual, from which an upstream counts as slow.
+#: The same for one that has all its slots taken.
+FULL_PART: Final = 0.5
+
+#: The same for each tenth of its memory that is asked for beyond what it
+#: has; requests are put back then and read again.
+MEMORY_PART: Final = 0.5
+
+#: Part of an engine's memory from which it counts as full: what neighbours
+#: sent a moment ago is not known yet.
+MEMORY_FULL: Final = 0.9
+
+#: Part of the shared tokens that the first upstream of a subject is taken to
+#: keep when this host has not sent them there itself.
+LIKELY_KEPT: Final = 0.5
+
+#: Times its estimate an upstream has to take to count as slow.
 SLOW: Final = 2.0
 
+#: Seconds within which estimates count as equal.
+TIE: Final = 0.002
+
+_TENTH: Final = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class Choice:
@@ -38,14 +62,51 @@
 
     Attributes:
         upstream: The one chosen.
-        why: The rule that decided.
+        expected: Seconds until its answer should begin.
+        reading: Seconds of those in which it reads the request's prompt.
+        tokens: Tokens that the request adds to its memory.
+        missing: Tokens of the prompt that it has to read.
+        running: Requests there, as far as is known.
+        ahead: Seconds of prompts that wait there.
         candidates: How many there were.
     """
 
     upstream: Upstream
-    why: str
+    expected: float
+    reading: float
+    tokens: int
+    missing: int
+    running: int
+    ahead: float
     candidates: int
 
+    @property
+    def load(self) -> Load:
+        """Return what the request adds to the upstream."""
+        return Load(1, self.reading, self.tokens)
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What is to be sent somewhere.
+
+    Attributes:
+        request: The request.
+        service: The service that answers.
+        model: The model to be named; None if the caller's word stands.
+        facts: What is known of the service's engines; None if plain.
+    """
+
+    request: CallerRequest
+    service: ServiceName
+    model: ModelName | None
+    facts: EngineFacts | None
+
+    @property
+    def key(self) -> PaceKey:
+        """Return what it is read as."""
+        return PaceKey(self.service, self.model)
+
 
 class Selector:
     """Chooses upstreams.
@@ -53,95 +114,148 @@
     Args:
         clock: The host's clock.
         randomness: Breaks ties.
+        domain: The host's failure domain.
+        ledger: What upstreams are busy with.
     """
 
-    def __init__(self, clock: Clock, randomness: random.Random) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        randomness: random.Random,
+        domain: DomainId,
+        ledger: LoadLedger,
+    ) -> None:
+        self.paces = Paces()
+        self.prefixes = KeptPrefixes()
+        self.ledger = ledger
         self._clock = clock
+        self._domain = domain
         self._randomness = randomness
 
     def choose(
         self,
-        request: CallerRequest,
+        asked: Asked,
         upstreams: Collection[Upstream],
         tried: Collection[UpstreamId],
     ) -> Choice | None:
         """Return where a request goes next, or None if nowhere.
 
         Args:
-            request: The request.
+            asked: What is to be sent.
             upstreams: Those that may run it.
             tried: Those that have failed with it; taken again only if
                 there are no others.
         """
         now = self._clock.now()
-        candidates = [
-            upstream for upstream in upstreams if upstream.health.available(now)
-        ]
-        fresh = [
-            upstream
-            for upstream in candidates
-            if upstream.entry.upstream not in tried
-        ]
-        candidates = fresh or candidates or list(upstreams)
+        able = [each for each in upstreams if each.health.available(now)]
+        fresh = [each for each in able if each.entry.upstream not in tried]
+        candidates = fresh or able or list(upstreams)
         if not candidates:
             return None
-        kept = self._keeper(request, candidates)
-        if kept is not None:
-            return Choice(kept, 'kept prompt', len(candidates))
-        burdens = self._burdens(candidates)
-        least = min(
+        first = self._first(asked.request.generation, candidates)
+        usual = min(each.health.failure_share(now) for each in candidates)
+        best: tuple[float, Choice] | None = None
+        for upstream in candidates:
+            choice = self._estimate(asked, upstream, first, len(candidates))
+            cost = self._cost(asked, choice, usual)
+            if best is None or cost < best[0]:
+                best = (cost, choice)
+        return None if best is None else best[1]
+
+    def _estimate(
+        self,
+        asked: Asked,
+        upstream: Upstream,
+        first: Upstream | None,
+        candidates: int,
+    ) -> Choice:
+        """Return what is expected of one upstream."""
+        load = self.ledger.load(upstream.entry.upstream)
+        missing = self._missing(asked, upstream, likely=upstream is first)
+        reading = self.paces.work(asked.key, missing)
+        base = self.paces.base(asked.key)
+        queue = max(0, load.running + 1 - upstream.entry.slots)
+        waiting = base * queue / max(1, upstream.entry.slots)
+        generation = asked.request.generation
+        tokens = 0
+        if generation is not None:
+            tokens = generation.prompt_tokens + generation.expected_tokens
+        return Choice(
+            upstream,
+            load.reading + reading + base + waiting,
+            reading,
+            tokens,
+            missing,
+            load.running,
+            load.reading,
             candidates,
-            key=lambda upstream: burdens[upstream.entry.upstream],
         )
-        return Choice(least, 'least busy', len(candidates))
 
-    def _keeper(
+    def _cost(self, asked: Asked, choice: Choice, usual: float) -> float:
+        """Return an estimate in seconds, made longer by trouble."""
+        upstream = choice.upstream
+        health = upstream.health
+        target = asked.request.route.target_latency
+        slowness = health.pace if health.pace > SLOW else 1
+        cost = choice.expected * slowness + self._randomness.random() * TIE
+        if upstream.entry.domain != self._domain:
+            cost += target * FAR_PART
+        failing = health.failure_share(self._clock.now()) - usual
+        cost += target * FAILING_PART * failing
+        crowd = choice.running / max(1, upstream.entry.slots)
+        cost += target * FULL_PART * crowd * crowd
+        return cost + target * MEMORY_PART * self._excess(asked, choice)
+
+    def _excess(self, asked: Asked, choice: Choice) -> float:
+        """Return the tenths of memory that are asked for in excess."""
+        facts = asked.facts
+        if facts is None or not facts.memory:
+            return 0
+        held = self.ledger.load(choice.upstream.entry.upstream).tokens
+        share = (held + choice.tokens) / facts.memory
+        return max(0, share - MEMORY_FULL) / _TENTH
+
+    def _missing(
+        self,
+        asked: Asked,
+        upstream: Upstream,
+        *,
+        likely: bool,
+    ) -> int:
+        """Return the tokens of a prompt that an upstream has to read."""
+        generation = asked.request.generation
+        if generation is None:
+            return 0
+        shared = generation.shared
+        total = sum(part.tokens for part in shared)
+        missing = self.prefixes.missing(
+            upstream.entry.upstream,
+            asked.model,
+            shared,
+        )
+        if likely:
+            missing = min(missing, int(total * (1 - LIKELY_KEPT)))
+        return missing + max(0, generation.prompt_tokens - total)
+
+    def _first(
         self,
-        request: CallerRequest,
+        generation: Generation | None,
         candidates: list[Upstream],
     ) -> Upstream | None:
-        """Return the upstream that likely keeps a request's prompt."""
-        generation = request.generation
+        """Return the first upstream for a request's subject, or None."""
         if generation is None or generation.subject is None:
             return None
         subject = generation.subject
-        burdens = self._burdens(candidates)
-        mean = sum(burdens.values()) / len(burdens)
-        bound = mean * OVER_MEAN + OVER_FEW
-        ranked = sorted(
-            candidates,
+        near = [
+            each for each in candidates if each.entry.domain == self._domain
+        ]
+        return min(
+            near or candidates,
             key=lambda upstream: _rank(subject, upstream),
         )
-        for upstream in ranked:
-            if burdens[upstream.entry.upstream] <= bound:
-                return upstream
-        return None
-
-    def _burdens(
-        self,
-        candidates: list[Upstream],
-    ) -> dict[UpstreamId, float]:
-        """Return own requests at upstreams, made heavier by trouble.
-
-        Failures count as far as an upstream has more of them than the
-        others: requests that fail wherever they go tell nothing of it.
-        """
-        now = self._clock.now()
-        shares = {
-            each.entry.upstream: each.health.failure_share(now)
-            for each in candidates
-        }
-        usual = min(shares.values())
-        burdens = {}
-        for each in candidates:
-            burden = each.running + self._randomness.random()
-            if each.health.pace > SLOW:
-                burden *= each.health.pace
-            failing = shares[each.entry.upstream] - usual
-            burdens[each.entry.upstream] = burden + FAILURE_WEIGHT * failing
-        return burdens
 
 
 def _rank(subject: str, upstream: Upstream) -> int:
     """Return an upstream's place for a subject; the least is the first."""
-    return xxh3_64_intdigest(f'{subject}/{upstream.entry.upstream}'.encode())
+    name = f'{subject}/{upstream.entry.upstream}'
+    return xxh3_64_intdigest(name.encode())
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -69,6 +69,9 @@
             await self._serve(http, reply)
         finally:
             self.busy.discard(http.protocol)
+            # Its head may have gone out before the host began to stop.
+            if self._stopping() and reply.response is not None:
+                reply.response.force_close()
         return reply.response or web.Response(status=_INTERNAL)
 
     async def _serve(self, http: web.BaseRequest, reply: HttpReply) -> None:
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -133,7 +133,7 @@
     async def _copy(self, answering: Answering) -> RunEnd:
         """Copy whole events to the caller until the stream ends."""
         splitter = WholeEvents()
-        patience = self._execution.silence(answering.model)
+        patience = self._execution.silence(answering.choice.expected)
         pause = self._execution.request.route.longest_pause * STALLED_TIMES
         while True:
             chunk = await self._next(answering, patience)
@@ -194,14 +194,19 @@
         if self._reply.begun or answering.model is None:
             return False
         execution = self._execution
-        text = answering.head.headers.get(self._confidence)
+        route = execution.request.route
+        confidence = read_confidence(
+            answering.head.headers.get(self._confidence),
+        )
+        largest = execution.choose(route.models[-1]) if route.models else None
         opinion = Opinion(
             answering.model,
-            read_confidence(text),
+            confidence,
             execution.waited,
             execution.attempts_left,
+            0 if largest is None else largest.expected,
         )
-        larger = larger_model(execution.request.route, opinion)
+        larger = larger_model(route, opinion)
         if larger is None or not execution.may_repeat(Purpose.ESCALATION):
             return False
         self._progress.model = larger
--- a/src/nutmegroad/relay/upstreams.py
+++ b/src/nutmegroad/relay/upstreams.py
@@ -58,8 +58,6 @@
     Attributes:
         entry: What the list says.
         health: What own exchanges say.
-        running: Own requests at it.
-        tokens: Prompt tokens of own requests that it has not begun with.
         known_since: Clock seconds since which it is known.
         missing_since: Clock seconds since which the list has it not any
             more, while that is not believed yet; None if it has it.
@@ -68,15 +66,8 @@
     entry: UpstreamEntry
     known_since: float
     health: Health = field(default_factory=Health)
-    running: int = 0
-    tokens: int = 0
     missing_since: float | None = None
 
-    @property
-    def load(self) -> float:
-        """Return own requests against its slots."""
-        return self.running / max(1, self.entry.slots)
-
 
 class Directory:
     """All upstreams that requests may be sent to.
