--- a/src/nutmegroad/relay/followers.py
+++ b/src/nutmegroad/relay/followers.py
@@ -1,8 +1,7 @@
 """Following a table of the platform's store.
 
 A follower reads a table whole, then waits for changes, for ever. It tells
-its sink from what moment on it knows the table: the moment before a read
-was sent, or, where the store waited in vain, the end of that wait.
+its sink up to what moment it knows the table: when the answer was made.
 """
 
 import random
@@ -11,6 +10,7 @@
 
 from nutmegroad.clocks import Clock
 from nutmegroad.logs import part_logger
+from nutmegroad.relay.store_clock import StoreClock
 from nutmegroad.relay.stored import HistoryLost, RowsRead, Store
 from nutmegroad.results import Refusal
 
@@ -25,9 +25,6 @@
 #: Between which parts of a pause retries are spread.
 SPREAD: Final = (0.5, 1.5)
 
-#: Part of a wait that counts as waited: clocks run at unlike rates.
-SURE_PART: Final = 0.98
-
 
 class TableSink(Protocol):
     """Takes in what a follower reads."""
@@ -68,6 +65,7 @@
         sink: What takes it in.
         pace: How often the store is asked.
         clock: The host's clock.
+        store_clock: The store's clock.
         randomness: Spreads retries of many hosts.
     """
 
@@ -78,6 +76,7 @@
         sink: TableSink,
         pace: FeedPace,
         clock: Clock,
+        store_clock: StoreClock,
         randomness: random.Random,
     ) -> None:
         self._store = store
@@ -86,6 +85,7 @@
         self._wait = pace.wait
         self._rest = pace.rest
         self._clock = clock
+        self._store_clock = store_clock
         self._randomness = randomness
         self._after: int | None = None
         self._retry = FIRST_RETRY
@@ -120,20 +120,12 @@
             return self._failed(found)
         if found.rows:
             self._sink.apply(found)
-            self._took(found, asked)
-        else:
-            self._took(found, self._known_until(asked))
+        self._took(found, asked)
         return True
 
-    def _known_until(self, asked: float) -> float:
-        """Return until when a wait that was in vain tells of no change."""
-        waited = self._wait * SURE_PART
-        if self._clock.now() - asked < waited:
-            return asked
-        return asked + waited
-
-    def _took(self, read: RowsRead, moment: float) -> None:
+    def _took(self, read: RowsRead, asked: float) -> None:
         """Note that the store has answered."""
+        moment = self._store_clock.moment(asked, read.store_time)
         self._after = max(read.version, self._after or 0)
         self._retry = FIRST_RETRY
         if self._failing:
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -30,10 +30,10 @@
 from nutmegroad.relay.selection import Selector
 from nutmegroad.relay.serving import Serving
 from nutmegroad.relay.session_versions import SessionVersions
+from nutmegroad.relay.store_clock import StoreClock
 from nutmegroad.relay.tables import (
     RETURN_TIME,
     OperatorSink,
-    StoreClock,
     UpstreamSink,
 )
 from nutmegroad.relay.upstreams import Directory
@@ -241,7 +241,6 @@
             self._platform.reader,
             self._belief,
             self._rollouts,
-            self._store_clock,
         )
         trust = self._settings.key_trust
         wait = FEED_WAIT if trust is None else trust * FEED_PART
@@ -262,6 +261,7 @@
                 sink,
                 pace,
                 self._clock,
+                self._store_clock,
                 self._randomness,
             )
             for table, sink, pace in followed
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -47,26 +47,6 @@
         """Return whose entry a row is; the entry may be gone."""
 
 
-class StoreClock:
-    """The store's steady clock, as its answers tell it.
-
-    Args:
-        clock: The host's clock.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._ahead: float = 0
-
-    def now(self) -> float:
-        """Return the store's seconds."""
-        return self._clock.now() + self._ahead
-
-    def told(self, store_time: float) -> None:
-        """Take an answer's time in; it was read a moment ago."""
-        self._ahead = store_time - self._clock.now()
-
-
 class OperatorSink:
     """Takes in what the operator writes.
 
@@ -74,7 +54,6 @@
         reader: Decodes rows.
         belief: The configuration in force.
         rollouts: The roll-outs.
-        store_clock: The store's clock.
     """
 
     def __init__(
@@ -82,12 +61,10 @@
         reader: RowReader,
         belief: ConfigurationBelief,
         rollouts: RolloutState,
-        store_clock: StoreClock,
     ) -> None:
         self._reader = reader
         self._belief = belief
         self._rollouts = rollouts
-        self._store_clock = store_clock
 
     def replace(self, read: RowsRead) -> None:
         """Take the whole table in."""
@@ -95,14 +72,12 @@
 
     def apply(self, read: RowsRead) -> None:
         """Take changes in."""
-        self._store_clock.told(read.store_time)
         for row in read.rows:
             if not row.removed:
                 self._take(row)
 
     def confirm(self, moment: float, read: RowsRead) -> None:
         """Note that nothing newer existed at a moment."""
-        self._store_clock.told(read.store_time)
         if self._belief.table is not None:
             self._belief.confirm(moment)
 
