Test the relay, and drop workers that leave just after an outage in time

Only what is missing from the first answer may be lost by the outage; later removals have 0.6 of the notice.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -176,7 +176,7 @@
             task.add_done_callback(self._tasks.discard)
         try:
             await self._serve(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.CancelledError):
             self.dropped += 1
         finally:
             writer.close()
--- a/fakes/row_store.py
+++ b/fakes/row_store.py
@@ -204,8 +204,9 @@
         for row in body['expectedRevision']:
             name = (row['table'], row['part'], row['key'])
             kept = self._rows.get(name)
-            if (0 if kept is None else kept.ver) != row['ver']:
-                rows = [] if kept is None else [kept]
+            rows = [] if kept is None else [kept]
+            present = sum(each.ver for each in rows)
+            if present != row['ver']:
                 return self._answer(rows, status=_MOVED)
         self._ver += 1
         for row in body['puts']:
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -38,6 +38,8 @@
         repeat_window: Seconds over which repeats are counted.
         exposure: Share of a service's requests that a bad version may get.
         session_span: Seconds within which requests belong together.
+        leaving_notice: Seconds for which an upstream serves on after it has
+            said that it leaves.
         grace: Seconds from the signal to stop until the kill.
         seed: Seed for randomness; None takes one from the system.
     """
@@ -53,6 +55,7 @@
     repeat_window: float
     exposure: float
     session_span: float
+    leaving_notice: float
     grace: float
     seed: int | None = None
 
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -15,6 +15,7 @@
 from nutmegroad.relay.belief import ConfigurationBelief
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.budgets import RepeatBudget
+from nutmegroad.relay.deployment import NO_VERSION
 from nutmegroad.relay.execution import RelayParts
 from nutmegroad.relay.fleet_table import FleetSink
 from nutmegroad.relay.followers import FeedPace, TableFollower
@@ -32,7 +33,6 @@
 from nutmegroad.relay.session_versions import SessionVersions
 from nutmegroad.relay.store_clock import StoreClock
 from nutmegroad.relay.tables import (
-    RETURN_TIME,
     OperatorSink,
     UpstreamSink,
 )
@@ -141,6 +141,17 @@
         self._stopping = False
         self._build()
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force."""
+        table = self._belief.table
+        return NO_VERSION if table is None else table.version
+
+    @property
+    def trusted(self) -> bool:
+        """Tell whether requests with a key may be let in."""
+        return self._belief.trusted
+
     @property
     def ready(self) -> bool:
         """Tell whether this host wants new connections."""
@@ -180,6 +191,10 @@
         while self._serving.busy and self._clock.now() < latest:
             await self._clock.sleep(LAST_LOOK)
         _LOG.decision('stopped', open=len(self._serving.busy))
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once."""
         await self._stack.aclose()
 
     def _build(self) -> None:
@@ -225,6 +240,7 @@
             self._platform.reader,
             self._directory,
             clock,
+            settings.leaving_notice,
         )
         self._steps = RolloutSteps(
             self._rollouts,
@@ -312,7 +328,7 @@
         while True:
             await self._clock.sleep(SWEEP)
             self._pool.sweep()
-            self._directory.remove_missing(RETURN_TIME)
+            self._directory.remove_missing()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task until the host closes."""
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -19,6 +19,11 @@
 #: coming back: the platform says about two, and half a second for the way.
 RETURN_TIME: Final = 2.5
 
+#: Part of the notice that leaving upstreams give for which an entry is kept
+#: that is removed soon after the store came back: it may as well be one that
+#: leaves. The rest is for requests that are on their way.
+NOTICE_PART: Final = 0.6
+
 
 @dataclass(frozen=True, slots=True)
 class Unreadable:
@@ -110,6 +115,7 @@
         reader: Decodes rows.
         directory: All upstreams.
         clock: The host's clock.
+        notice: Seconds for which an upstream serves on when it leaves.
     """
 
     def __init__(
@@ -117,29 +123,42 @@
         reader: RowReader,
         directory: Directory,
         clock: Clock,
+        notice: float,
     ) -> None:
         self._reader = reader
         self._directory = directory
         self._clock = clock
+        self._patience = min(RETURN_TIME, notice * NOTICE_PART)
         self._away = False
         self._returned = float('-inf')
         self.listed = False
 
     def replace(self, read: RowsRead) -> None:
         """Take the whole list in."""
-        self._back()
+        first = self._back()
         listed = [self._reader.upstream_key(row) for row in read.rows]
         for upstream in self._directory.others(listed):
-            self._gone(upstream)
-        self.apply(read)
+            self._gone(upstream, first=first)
+        self._take(read, first=first)
         self.listed = True
 
     def apply(self, read: RowsRead) -> None:
         """Take changes in."""
+        self._take(read, first=self._back())
+
+    def confirm(self, moment: float, read: RowsRead) -> None:
+        """Note that the store answers."""
         self._back()
+
+    def lost(self) -> None:
+        """Note that the store is away."""
+        self._away = True
+
+    def _take(self, read: RowsRead, *, first: bool) -> None:
+        """Take rows in."""
         for row in read.rows:
             if row.removed:
-                self._gone(self._reader.upstream_key(row))
+                self._gone(self._reader.upstream_key(row), first=first)
                 continue
             entry = self._reader.upstream_row(row)
             if isinstance(entry, Unreadable):
@@ -151,23 +170,19 @@
                 continue
             self._directory.put(entry)
 
-    def confirm(self, moment: float, read: RowsRead) -> None:
-        """Forget what has been missing for too long."""
-        self._back()
-
-    def lost(self) -> None:
-        """Note that the store is away."""
-        self._away = True
-
-    def _back(self) -> None:
-        """Note that the store answers."""
-        if self._away:
+    def _back(self) -> bool:
+        """Note that the store answers; tell if it is the first answer."""
+        first = self._away
+        if first:
             self._away = False
             self._returned = self._clock.now()
+        return first
 
-    def _gone(self, upstream: UpstreamId) -> None:
+    def _gone(self, upstream: UpstreamId, *, first: bool) -> None:
         """Forget an upstream, or wait for it after an outage."""
-        if self._clock.now() - self._returned < RETURN_TIME:
-            self._directory.missing(upstream)
+        if first:
+            self._directory.missing(upstream, RETURN_TIME)
+        elif self._clock.now() - self._returned < RETURN_TIME:
+            self._directory.missing(upstream, self._patience)
         else:
             self._directory.remove(upstream, 'not listed any more')
--- a/src/nutmegroad/relay/upstreams.py
+++ b/src/nutmegroad/relay/upstreams.py
@@ -59,14 +59,14 @@
         entry: What the list says.
         health: What own exchanges say.
         known_since: Clock seconds since which it is known.
-        missing_since: Clock seconds since which the list has it not any
-            more, while that is not believed yet; None if it has it.
+        missing_until: Clock seconds until which it may be missing from the
+            list; None if the list has it.
     """
 
     entry: UpstreamEntry
     known_since: float
     health: Health = field(default_factory=Health)
-    missing_since: float | None = None
+    missing_until: float | None = None
 
 
 class Directory:
@@ -104,7 +104,7 @@
             if entry.leaving and not known.entry.leaving:
                 self._say('leaving', entry)
             known.entry = entry
-            known.missing_since = None
+            known.missing_until = None
         self._index()
 
     def remove(self, upstream: UpstreamId, reason: str) -> None:
@@ -114,19 +114,24 @@
             self._say(f'dropped: {reason}', known.entry)
             self._index()
 
-    def missing(self, upstream: UpstreamId) -> None:
-        """Note that an entry is missing which may be about to return."""
+    def missing(self, upstream: UpstreamId, patience: float) -> None:
+        """Note that an entry is missing which may be about to return.
+
+        Args:
+            upstream: Whose entry.
+            patience: Seconds that it has for that.
+        """
         known = self._known.get(upstream)
-        if known is not None and known.missing_since is None:
-            known.missing_since = self._clock.now()
+        if known is not None and known.missing_until is None:
+            known.missing_until = self._clock.now() + patience
 
-    def remove_missing(self, patience: float) -> None:
-        """Forget entries that have been missing for so many seconds."""
+    def remove_missing(self) -> None:
+        """Forget entries that have been missing for too long."""
         now = self._clock.now()
         for upstream, known in tuple(self._known.items()):
-            since = known.missing_since
-            if since is not None and now - since >= patience:
-                self.remove(upstream, f'missing for {patience:.1f} s')
+            until = known.missing_until
+            if until is not None and now >= until:
+                self.remove(upstream, 'missing since the store came back')
 
     def others(self, listed: Iterable[UpstreamId]) -> tuple[UpstreamId, ...]:
         """Return the known upstreams that are not among those listed."""
--- /dev/null
+++ b/tests/relay_rig.py
@@ -0,0 +1,202 @@
+"""A relay host on loopback, between stand-ins of the platform."""
+
+import json
+import socket
+from contextlib import AsyncExitStack
+from typing import Any
+
+from aiohttp import ClientSession
+from aiohttp.web import AppRunner, TCPSite
+from fakes.opaque_worker import OpaqueWorker
+from fakes.row_store import RowStore
+
+from nutmegroad.clocks import BootClock
+from nutmegroad.relay.boundary import HostSettings, Platform
+from nutmegroad.relay.host import RelayHost
+from nutmegroad.types import Address, DomainId, HostId
+from nutmegroad_platform.names import HEADERS, TABLES
+from nutmegroad_platform.rows import Rows
+from nutmegroad_platform.store import PlatformStore
+
+HOST = 'router.example'
+KEY = 'the-key'
+REQUEST_ID = 'Nutmegroad-Request-Id'
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+    return port
+
+
+def route(name: str, kind: str, **more: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeoutMs': 5000,
+        'targetLatencyMs': 1000,
+        'priority': 0,
+        'service': 'desk',
+        'maxAttempts': 3,
+        **more,
+    }
+
+
+def configuration(version: int = 1, **more: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        'version': version,
+        'routes': [
+            route('look', 'idempotent'),
+            route('pay', 'non_idempotent'),
+            route('draft', 'streaming', streamResume=True, gapAimMs=1000),
+            route('once', 'streaming', streamResume=False, gapAimMs=1000),
+            route(
+                'sized',
+                'streaming',
+                streamResume=True,
+                sizes=['small', 'large'],
+            ),
+            route('open', 'idempotent', allowAnonymous=True),
+        ],
+        'services': [{'name': 'desk', 'maxConnections': 100}],
+        'limits': {'maxBodyBytes': 1000},
+        'tenants': [{'name': 'clerks', 'apiKeys': [KEY], 'priority': 1}],
+        'fieldOfTheFuture': 7,
+        **more,
+    }
+
+
+class Rig:
+    """One relay host with a store and workers.
+
+    Args:
+        workers: How many workers register.
+        key_trust: Seconds for which keys hold unconfirmed.
+    """
+
+    def __init__(self, workers: int = 1, key_trust: float | None = 5) -> None:
+        self.store = RowStore()
+        self.workers = [OpaqueWorker() for _ in range(workers)]
+        self._key_trust = key_trust
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> 'Rig':
+        """Start everything but the host."""
+        runner = AppRunner(
+            self.store.app(),
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        port = free_port()
+        await TCPSite(runner, '127.0.0.1', port).start()
+        for number, worker in enumerate(self.workers):
+            await worker.start()
+            self._stack.push_async_callback(worker.stop)
+            self.register(number)
+        self.client = await self._stack.enter_async_context(
+            ClientSession(auto_decompress=False),
+        )
+        platform_store = await self._stack.enter_async_context(
+            PlatformStore(Address('127.0.0.1', port)),
+        )
+        rows = Rows()
+        self.settings = HostSettings(
+            host=HostId('host-1'),
+            domain=DomainId('north'),
+            callers=Address('127.0.0.1', free_port()),
+            neighbours=Address('127.0.0.1', free_port()),
+            ready=Address('127.0.0.1', free_port()),
+            ready_path='/v1/ready',
+            key_trust=self._key_trust,
+            repeat_ratio=0.9,
+            repeat_window=10,
+            exposure=0.15,
+            session_span=5,
+            leaving_notice=2,
+            grace=8,
+            seed=1,
+        )
+        self.host = RelayHost(
+            self.settings,
+            Platform(platform_store, HEADERS, rows, rows, TABLES),
+            BootClock(),
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close everything."""
+        await self.host.close()
+        await self._stack.aclose()
+
+    def register(self, number: int, **more: Any) -> None:
+        """Put a worker's entry into the list."""
+        entry = {
+            'service': 'desk',
+            'address': f'127.0.0.1:{self.workers[number].port}',
+            'zone': 'north',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            **more,
+        }
+        self.store.put('servers', f'w-{number}', json.dumps(entry).encode())
+
+    def configure(self, version: int = 1, **more: Any) -> None:
+        """Write a configuration."""
+        document = configuration(version, **more)
+        self.store.put('op', 'config', json.dumps(document).encode())
+
+    async def start(self) -> None:
+        """Start the host with a configuration in force, and its workers."""
+        self.configure()
+        await self.host.start()
+        await self.until(lambda: self.host.ready)
+
+    async def until(self, condition: Any) -> None:
+        """Wait for a condition, however long that takes."""
+        while not condition():
+            await BootClock().sleep(0.01)
+
+    async def ask(
+        self,
+        path: str,
+        request: str = 'r1',
+        *,
+        key: str = KEY,
+        method: str = 'POST',
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a caller's request, and return the whole answer."""
+        sent = {
+            'Host': HOST,
+            REQUEST_ID: request,
+            'Authorization': f'Bearer {key}',
+            'Nutmegroad-Deadline-Ms': '4000',
+            **(headers or {}),
+        }
+        address = self.settings.callers
+        async with self.client.request(
+            method,
+            f'http://{address}{path}',
+            data=body,
+            headers=sent,
+        ) as response:
+            answer = await response.read()
+            return response.status, dict(response.headers), answer
+
+    def seen(self, request: str) -> int:
+        """Return how many workers received a request."""
+        return sum(
+            each.request == request
+            for worker in self.workers
+            for each in worker.seen
+        )
--- /dev/null
+++ b/tests/test_relay_host.py
@@ -0,0 +1,358 @@
+"""A relay host serves the platform's callers, between stand-ins."""
+
+import asyncio
+import unittest
+
+from aiohttp import ClientError, ClientPayloadError
+from fakes.opaque_worker import (
+    EVENTS,
+    OpaqueWorker,
+    Script,
+    Seen,
+    head,
+    plain,
+    rejecting,
+    signed,
+    stream,
+)
+from fakes.row_store import StoreFault
+
+from tests.relay_rig import HOST, KEY, Rig, configuration, route
+
+
+def silent(seen: Seen) -> Script:
+    """Never answer."""
+    return Script((b'',), gap=3600)
+
+
+def cut_body(seen: Seen) -> Script:
+    """Answer with less than was promised."""
+    headers = signed(seen, **{'Content-Length': '10'})
+    return Script((head('200 OK', headers) + b'half',), close=True)
+
+
+def stray(seen: Seen) -> Script:
+    """Answer somebody else first, then the request."""
+    length = {'Content-Length': '4'}
+    other = {**signed(seen, **length), 'Nutmegroad-Request-Id': 'other'}
+    ours = head('200 OK', signed(seen, **length))
+    return Script((head('200 OK', other) + b'evil' + ours + b'fine',))
+
+
+def extra(seen: Seen) -> Script:
+    """Send a second answer after the one that was asked for."""
+    whole = head('200 OK', signed(seen, **{'Content-Length': '4'}))
+    return Script((whole + b'fine' + whole + b'more',))
+
+
+class RelayCase(unittest.IsolatedAsyncioTestCase):
+    """A host with two workers."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the stand-ins and the host."""
+        self.rig = await self.enterAsyncContext(Rig(workers=2))
+        await self.rig.start()
+
+    def all_workers(self, script: object) -> None:
+        """Let all workers answer alike."""
+        for worker in self.rig.workers:
+            worker.usual = script  # type: ignore[assignment]
+
+
+class ForwardingTest(RelayCase):
+    """What goes to a worker, and what comes back."""
+
+    async def test_request_passes_byte_for_byte(self) -> None:
+        """The raw target and the body arrive as they were sent."""
+        status, _, body = await self.rig.ask('/pay/a%2Fb//c?x=%20', body=b'x y')
+        self.assertEqual((status, body), (200, b'fine'))
+        seen = next(w.seen[0] for w in self.rig.workers if w.seen)
+        self.assertEqual(seen.target, '/pay/a%2Fb//c?x=%20')
+        self.assertEqual(seen.body, b'x y')
+
+    async def test_headers_are_the_systems_to_set(self) -> None:
+        """A caller can't set what only the system may; the key stays here."""
+        await self.rig.ask(
+            '/pay/1',
+            headers={
+                'Nutmegroad-Hold': 'stolen',
+                'Kv-From': '1.2.3.4:5/x',
+                'Nutmegroad-Tenant': 'somebody',
+                'Connection': 'keep-alive, X-Mine',
+                'X-Mine': 'hop',
+                'X-Kept': 'yes',
+            },
+        )
+        seen = next(w.seen[0] for w in self.rig.workers if w.seen).headers
+        self.assertEqual(seen['nutmegroad-tenant'], 'clerks')
+        self.assertEqual(seen['x-kept'], 'yes')
+        self.assertIn('nutmegroad-expect-instance', seen)
+        self.assertLessEqual(int(seen['nutmegroad-deadline-ms']), 4000)
+        for name in ('authorization', 'nutmegroad-hold', 'kv-from', 'x-mine'):
+            self.assertNotIn(name, seen)
+
+    async def test_stray_answer_goes_to_nobody(self) -> None:
+        """An answer with another request's id is not handed on."""
+        self.all_workers(stray)
+        _, headers, body = await self.rig.ask('/look/1', 'mine')
+        self.assertEqual(body, b'fine')
+        self.assertEqual(headers['Nutmegroad-Request-Id'], 'mine')
+
+    async def test_extra_answer_ends_the_connection(self) -> None:
+        """What follows an answer is not taken for the next request's."""
+        self.all_workers(extra)
+        for number in range(4):
+            _, headers, body = await self.rig.ask('/pay/1', f'r{number}')
+            self.assertEqual(body, b'fine')
+            self.assertEqual(headers['Nutmegroad-Request-Id'], f'r{number}')
+
+
+class FailureTest(RelayCase):
+    """What runs again, and what does not."""
+
+    async def test_cut_answer_of_a_repeatable_call_is_asked_again(self) -> None:
+        """The caller gets a whole answer from another worker."""
+        self.rig.workers[0].usual = cut_body
+        for number in range(6):
+            status, _, body = await self.rig.ask('/look/1', f'r{number}')
+            self.assertEqual((status, body), (200, b'fine'))
+
+    async def test_call_that_runs_once_is_never_sent_again(self) -> None:
+        """Its outcome is unknown, so nothing is promised about it."""
+        self.all_workers(cut_body)
+        status, headers, _ = await self.rig.ask('/pay/1', 'p1')
+        self.assertEqual(status, 502)
+        self.assertNotIn('Retry-After', headers)
+        self.assertEqual(self.rig.seen('p1'), 1)
+
+    async def test_rejected_call_goes_elsewhere(self) -> None:
+        """A worker's proof that it did not run lets even these go on."""
+        self.rig.workers[0].usual = rejecting()
+        for number in range(6):
+            status, _, _ = await self.rig.ask('/pay/1', f'p{number}')
+            self.assertEqual(status, 200)
+
+    async def test_all_full_is_a_refusal_with_a_time_to_come_back(self) -> None:
+        """503 says that nothing ran, and when to try again."""
+        self.all_workers(rejecting())
+        status, headers, _ = await self.rig.ask('/pay/1')
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers['Retry-After']), 0)
+
+    async def test_no_answer_by_the_routes_time_is_final(self) -> None:
+        """The caller hears at the route's time, and nothing is promised."""
+        self.rig.configure(
+            2, routes=[route('pay', 'non_idempotent', timeoutMs=200)]
+        )
+        self.all_workers(silent)
+        await self.rig.until(lambda: self.rig.host.configuration_version == 2)
+        status, _, _ = await self.rig.ask('/pay/1')
+        self.assertEqual(status, 504)
+
+    async def test_given_up_connection_is_not_used_again(self) -> None:
+        """Pattern: the next request waits behind one that nobody wants."""
+        self.rig.configure(
+            2, routes=[route('pay', 'non_idempotent', timeoutMs=200)]
+        )
+        await self.rig.until(lambda: self.rig.host.configuration_version == 2)
+        for worker in self.rig.workers:
+            worker.once.append(silent)
+        statuses = [
+            (await self.rig.ask('/pay/1', f'p{number}'))[0]
+            for number in range(8)
+        ]
+        self.assertEqual(statuses.count(504), 2)
+        self.assertEqual(statuses.count(200), 6)
+
+    async def test_caller_that_leaves_ends_its_run(self) -> None:
+        """The worker sees its connection close."""
+        self.all_workers(stream(EVENTS * 100, gap=0.01))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await self.rig.ask('/draft/1')
+        await self.rig.until(
+            lambda: sum(worker.dropped for worker in self.rig.workers),
+        )
+
+
+class StreamTest(RelayCase):
+    """Series of events."""
+
+    async def test_stream_is_handed_on_whole(self) -> None:
+        """All events come, in order."""
+        self.all_workers(stream())
+        _, _, body = await self.rig.ask('/draft/1')
+        self.assertEqual(body, b''.join(EVENTS))
+
+    async def test_broken_stream_goes_on_elsewhere(self) -> None:
+        """The rest is asked for after the last whole event."""
+        broken = stream((EVENTS[0], EVENTS[1][:9]), cut=True)
+        self.rig.workers[0].usual = broken
+        self.rig.workers[1].usual = stream()
+        for number in range(4):
+            _, _, body = await self.rig.ask('/draft/1', f's{number}')
+            self.assertEqual(body, b''.join(EVENTS))
+        resumed = [
+            seen.headers['last-event-id']
+            for seen in self.rig.workers[1].seen
+            if 'last-event-id' in seen.headers
+        ]
+        self.assertEqual(set(resumed), {'1'})
+
+    async def test_stream_that_may_not_go_on_does_not_look_whole(self) -> None:
+        """The caller's own library notices the cut."""
+        self.all_workers(stream(EVENTS[:1], cut=True))
+        with self.assertRaises((ClientPayloadError, ClientError)):
+            await self.rig.ask('/once/1', 'o1')
+        self.assertEqual(self.rig.seen('o1'), 1)
+
+
+class CascadeTest(RelayCase):
+    """A larger model is asked where the small one is unsure."""
+
+    async def test_unsure_answer_is_asked_of_the_largest_model(self) -> None:
+        """No byte of the dropped answer reaches the caller."""
+
+        def by_model(seen: Seen) -> Script:
+            """Answer as the named model would."""
+            large = seen.headers['nutmegroad-model'] == 'large'
+            text = b'id: 1\ndata: large\n\n' if large else b'id: 1\ndata: s\n\n'
+            return stream((text,), confidence=95 if large else 5)(seen)
+
+        self.all_workers(by_model)
+        _, headers, body = await self.rig.ask(
+            '/sized/1',
+            headers={'Nutmegroad-Model': '*', 'Nutmegroad-Token-Usage': '9,9'},
+        )
+        self.assertEqual(body, b'id: 1\ndata: large\n\n')
+        self.assertEqual(headers['Nutmegroad-Confidence'], '95')
+
+    async def test_sure_answer_of_the_small_model_stands(self) -> None:
+        """It is sent once only."""
+        self.all_workers(stream(confidence=90))
+        await self.rig.ask(
+            '/sized/1',
+            'k1',
+            headers={'Nutmegroad-Model': '*', 'Nutmegroad-Token-Usage': '9,9'},
+        )
+        self.assertEqual(self.rig.seen('k1'), 1)
+
+
+class RefusalTest(RelayCase):
+    """What is not let in."""
+
+    async def test_bad_requests_have_their_status(self) -> None:
+        """Unknown routes and keys, and bodies that are too large."""
+        cases = (
+            ('/nowhere/1', KEY, b'', 404),
+            ('/pay/1', 'stolen', b'', 401),
+            ('/pay/1', KEY, b'x' * 1001, 413),
+            ('/open/1', '', b'', 200),
+        )
+        for path, key, body, expected in cases:
+            with self.subTest(path=path, key=key):
+                status, _, _ = await self.rig.ask(path, key=key, body=body)
+                self.assertEqual(status, expected)
+
+    async def test_key_that_was_taken_away_is_refused(self) -> None:
+        """A newer configuration holds as soon as it is known."""
+        self.rig.configure(2, tenants=[{'name': 'clerks', 'apiKeys': []}])
+        await self.rig.until(lambda: self.rig.host.configuration_version == 2)
+        status, _, _ = await self.rig.ask('/pay/1')
+        self.assertEqual(status, 401)
+
+    async def test_older_configuration_is_not_taken(self) -> None:
+        """A host never goes back."""
+        self.rig.configure(3)
+        await self.rig.until(lambda: self.rig.host.configuration_version == 3)
+        self.rig.configure(2, tenants=[])
+        self.rig.configure(4)
+        await self.rig.until(lambda: self.rig.host.configuration_version == 4)
+        status, _, _ = await self.rig.ask('/pay/1')
+        self.assertEqual(status, 200)
+
+    async def test_bad_configuration_is_kept_out(self) -> None:
+        """The last good one stays in force."""
+        self.rig.store.put('op', 'config', b'{"version": "x"}')
+        self.rig.configure(5)
+        await self.rig.until(lambda: self.rig.host.configuration_version == 5)
+        status, _, _ = await self.rig.ask('/pay/1')
+        self.assertEqual(status, 200)
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """A host that knows nothing yet."""
+
+    async def test_host_without_configuration_promises_nothing_ran(
+        self,
+    ) -> None:
+        """503, never 401 or 404; and it is not ready."""
+        rig = await self.enterAsyncContext(Rig())
+        rig.store.fault = StoreFault.BUSY
+        await rig.host.start()
+        status, headers, _ = await rig.ask('/pay/1')
+        self.assertEqual(status, 503)
+        self.assertIn('Retry-After', headers)
+        self.assertFalse(rig.host.ready)
+
+    async def test_keys_lapse_without_the_store(self) -> None:
+        """Requests without a key are served all the same."""
+        rig = await self.enterAsyncContext(Rig(key_trust=0.4))
+        await rig.start()
+        rig.store.fault = StoreFault.BUSY
+        await rig.until(lambda: not rig.host.ready)
+        await rig.until(lambda: not rig.host.trusted)
+        status, headers, _ = await rig.ask('/pay/1')
+        self.assertEqual(status, 503)
+        self.assertEqual(headers['Connection'], 'close')
+        status, _, _ = await rig.ask('/open/1', key='')
+        self.assertEqual(status, 200)
+
+
+class StopTest(RelayCase):
+    """A graceful stop."""
+
+    async def test_open_stream_ends_whole_and_its_connection_closes(
+        self,
+    ) -> None:
+        """What has begun is finished; the host is not ready any more."""
+        events = tuple(
+            f'id: {number}\ndata: x\n\n'.encode() for number in range(1, 30)
+        )
+        self.all_workers(stream(events, gap=0.01))
+        answer = asyncio.create_task(self.rig.ask('/draft/1', 'd1'))
+        await self.rig.until(lambda: self.rig.seen('d1'))
+        stop = asyncio.create_task(self.rig.host.stop())
+        _, _, body = await answer
+        self.assertEqual(body, b''.join(events))
+        self.assertFalse(self.rig.host.ready)
+        await stop
+
+    async def test_kept_connections_are_closed(self) -> None:
+        """Pattern: a kept connection brings a request too late to answer."""
+        self.all_workers(stream(gap=0.05))
+        address = self.rig.settings.callers
+        idle, _ = await asyncio.open_connection(address.ip, address.port)
+        busy, writer = await asyncio.open_connection(address.ip, address.port)
+        writer.write(
+            f'POST /draft/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'Authorization: Bearer {KEY}\r\n'
+            'Nutmegroad-Request-Id: k1\r\nContent-Length: 0\r\n\r\n'.encode(),
+        )
+        answer = await busy.readuntil(b'\r\n\r\n')
+        self.assertIn(b'200 OK', answer)
+        await self.rig.host.stop()
+        self.assertIn(EVENTS[-1], await busy.read())
+        self.assertEqual(await idle.read(), b'')
+        writer.close()
+
+
+class ConfigurationShapeTest(unittest.TestCase):
+    """The rig writes what the platform would."""
+
+    def test_host_is_the_routes(self) -> None:
+        """All routes belong to the host that callers name."""
+        hosts = {each['host'] for each in configuration()['routes']}
+        self.assertEqual(hosts, {HOST})
+        self.assertIsInstance(OpaqueWorker(), OpaqueWorker)
+        self.assertTrue(callable(plain()))
