--- a/src/nutmegroad/logs.py
+++ b/src/nutmegroad/logs.py
@@ -8,6 +8,7 @@
 
 import logging as standard_logging
 import sys
+import time
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -182,7 +183,13 @@
         """Return the line."""
         context: _Context = getattr(record, _CONTEXT, _Context())
         if context.event:
-            return _decision_line(record.created, context)
+            return decision_line(
+                context.part,
+                context.event,
+                context.fields,
+                record.created,
+                context.request,
+            )
         line = _Line(
             time=record.created,
             level=record.levelname.lower(),
@@ -198,14 +205,47 @@
         return self.formatException(record.exc_info) if record.exc_info else ''
 
 
-def _decision_line(created: float, context: _Context) -> str:
-    """Return a decision as one JSON object, its fields beside the rest."""
+@dataclass(frozen=True, slots=True)
+class LogKind:
+    """Lines that count together.
+
+    Attributes:
+        part: The part that logs.
+        event: What was decided; empty for a sentence.
+    """
+
+    part: str
+    event: str
+
+
+def kind_of(record: standard_logging.LogRecord) -> LogKind:
+    """Return which kind of line a record is."""
+    context: _Context = getattr(record, _CONTEXT, _Context())
+    return LogKind(context.part, context.event)
+
+
+def decision_line(
+    part: str,
+    event: str,
+    fields: Mapping[str, object],
+    created: float | None = None,
+    request: str = '',
+) -> str:
+    """Return a decision as one JSON object, its fields beside the rest.
+
+    Args:
+        part: The part that decided.
+        event: What was decided.
+        fields: Inputs and outcome.
+        created: Seconds since 1970; None for now.
+        request: The request that it concerns, or empty.
+    """
     line = {
-        'time': created,
-        'part': context.part,
-        'event': context.event,
-        'request': context.request,
-        **context.fields,
+        'time': time.time() if created is None else created,
+        'part': part,
+        'event': event,
+        'request': request,
+        **fields,
     }
     return msgspec.json.encode(line, enc_hook=str).decode()
 
@@ -242,7 +282,14 @@
         formatter = JsonFormatter()
     # absl's own handler writes only after absl has read its flags, which
     # argparse reads here; so its logger hands on to a handler of ours.
-    handler = standard_logging.StreamHandler(stream)
+    use_handler(standard_logging.StreamHandler(stream), formatter)
+
+
+def use_handler(
+    handler: standard_logging.Handler,
+    formatter: standard_logging.Formatter,
+) -> None:
+    """Send all logs of ``absl.logging`` to a handler."""
     handler.setFormatter(formatter)
     standard_logging.basicConfig(
         handlers=[handler],
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.headers import HeaderNames
 from nutmegroad.relay.rollout_steps import StatusWriter
 from nutmegroad.relay.stored import Store
@@ -41,6 +42,7 @@
         leaving_notice: Seconds for which an upstream serves on after it has
             said that it leaves.
         grace: Seconds from the signal to stop until the kill.
+        metrics: Where metrics are shown; None for nowhere.
         seed: Seed for randomness; None takes one from the system.
     """
 
@@ -57,6 +59,7 @@
     session_span: float
     leaving_notice: float
     grace: float
+    metrics: Address | None = None
     seed: int | None = None
 
 
@@ -70,6 +73,7 @@
         reader: Decodes rows.
         status: Says how the operator is told of roll-outs.
         tables: Names of tables.
+        counters: What is counted.
     """
 
     store: Store
@@ -77,3 +81,4 @@
     reader: RowReader
     status: StatusWriter
     tables: HostTables
+    counters: RelayCounters
--- /dev/null
+++ b/src/nutmegroad/relay/counters.py
@@ -0,0 +1,123 @@
+"""Counters, histograms and gauges of a relay host."""
+
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from nutmegroad.results import ResultCode
+
+_PREFIX: Final = 'nutmegroad_relay'
+
+#: Seconds; fine about the targets of plain calls and of first events.
+_WAITS: Final = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.42, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0,
+)  # fmt: skip
+#: Seconds; fine about an answer of the store, and about its longest waits.
+_STORE_WAITS: Final = (0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 3.0, 20.0)
+
+
+class RelayCounters:
+    """What a host counts; a registry of its own."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._refusals = self._counter('refusals', 'Own refusals', 'code')
+        self._attempts = self._counter('attempts', 'Attempts', 'outcome')
+        self._repeats = self._counter('repeats', 'Requests sent again', 'why')
+        self._answers = self._counter('answers', 'Answers by status', 'status')
+        self._store = self._counter(
+            'store_calls',
+            'Calls to the platform store',
+            'call',
+            'outcome',
+        )
+        self._whole = self._histogram(
+            'whole_seconds',
+            'Seconds from a request to the end of its answer',
+            'kind',
+            _WAITS,
+        )
+        self._first = self._histogram(
+            'first_seconds',
+            'Seconds from a request to the head of its answer',
+            'kind',
+            _WAITS,
+        )
+        self._store_seconds = self._histogram(
+            'store_seconds',
+            'Seconds of calls to the platform store',
+            'call',
+            _STORE_WAITS,
+        )
+
+    def refused(self, code: ResultCode) -> None:
+        """Count a refusal of ours."""
+        self._refusals.labels(code.name).inc()
+
+    def attempted(self, outcome: str) -> None:
+        """Count an attempt by how it began or failed."""
+        self._attempts.labels(outcome).inc()
+
+    def repeated(self, why: str) -> None:
+        """Count a request that is sent once more."""
+        self._repeats.labels(why).inc()
+
+    def answered(self, status: int, kind: str, seconds: float) -> None:
+        """Count an answer, and how long it took in all."""
+        self._answers.labels(str(status)).inc()
+        self._whole.labels(kind).observe(seconds)
+
+    def begun(self, kind: str, seconds: float) -> None:
+        """Count how long an upstream's answer took to begin."""
+        self._first.labels(kind).observe(seconds)
+
+    def store_called(self, call: str, outcome: str, seconds: float) -> None:
+        """Count a call to the platform's store."""
+        self._store.labels(call, outcome).inc()
+        self._store_seconds.labels(call).observe(seconds)
+
+    def gauge(
+        self,
+        name: str,
+        meaning: str,
+        read: Callable[[], float],
+    ) -> None:
+        """Show a value that is read when the metrics are asked for."""
+        made = Gauge(f'{_PREFIX}_{name}', meaning, registry=self._registry)
+        made.set_function(read)
+
+    def render(self) -> bytes:
+        """Return everything in the text form of Prometheus."""
+        return generate_latest(self._registry)
+
+    def _counter(self, name: str, meaning: str, *labels: str) -> Counter:
+        """Make a counter."""
+        return Counter(
+            f'{_PREFIX}_{name}',
+            meaning,
+            labels,
+            registry=self._registry,
+        )
+
+    def _histogram(
+        self,
+        name: str,
+        meaning: str,
+        label: str,
+        buckets: tuple[float, ...],
+    ) -> Histogram:
+        """Make a histogram with one label."""
+        return Histogram(
+            f'{_PREFIX}_{name}',
+            meaning,
+            (label,),
+            registry=self._registry,
+            buckets=buckets,
+        )
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final, Protocol
 
 from nutmegroad.clocks import Clock
@@ -17,6 +18,7 @@
     Attempts,
 )
 from nutmegroad.relay.budgets import Purpose, RepeatBudget
+from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.estimates import PaceKey
 from nutmegroad.relay.requests import CallerRequest
 from nutmegroad.relay.selection import Asked, Choice, Selector
@@ -62,6 +64,17 @@
 )
 
 
+#: The code of a request whose last attempt failed so.
+_CODES: Final = MappingProxyType(
+    {
+        AttemptEnd.UNREACHABLE: ResultCode.UPSTREAM_UNREACHABLE,
+        AttemptEnd.REJECTED: ResultCode.OVERLOADED,
+        AttemptEnd.MISDIRECTED: ResultCode.NO_UPSTREAM,
+        AttemptEnd.SILENT: ResultCode.UPSTREAM_TIMEOUT,
+    },
+)
+
+
 class VersionGate(Protocol):
     """Decides which versions of a service's software may run a request."""
 
@@ -101,6 +114,7 @@
         budget: Bounds repeats.
         versions: Says which versions may run a request.
         clock: The host's clock.
+        counters: What is counted.
     """
 
     attempts: Attempts
@@ -109,6 +123,7 @@
     budget: RepeatBudget
     versions: VersionGate
     clock: Clock
+    counters: RelayCounters
 
 
 class Execution:
@@ -176,7 +191,7 @@
             if isinstance(outcome, Answering):
                 return outcome
             if not self._may_follow(outcome):
-                return self._final(outcome)
+                return _final(outcome, self._offers, self._ran)
 
     def choose(self, model: ModelName | None) -> Choice | None:
         """Return where the next attempt would go, or None if nowhere."""
@@ -216,7 +231,10 @@
             return False
         if self._offers >= MOST_OFFERS or self.left <= 0:
             return False
-        return self._parts.budget.spend(self.service, purpose)
+        if not self._parts.budget.spend(self.service, purpose):
+            return False
+        self._parts.counters.repeated(purpose.value)
+        return True
 
     def silence(self, expected: float) -> float:
         """Return the seconds that an attempt may stay silent.
@@ -233,6 +251,23 @@
         patience = max(least, expected * SILENT_TIMES)
         return min(max(0, self.left), max(patience, self.left * SILENT_PART))
 
+    def refused(self, refusal: Refusal, **fields: object) -> None:
+        """Write down the refusal that ends the request, and count it."""
+        request = self.request
+        self._parts.counters.refused(refusal.code)
+        _LOG.decision(
+            'refused',
+            request=request.request,
+            route=request.route.name,
+            code=refusal.code.name,
+            ran=refusal.ran.value,
+            reason=refusal.reason,
+            retry_after=refusal.retry_after,
+            configuration=request.table.version,
+            waited=round(self.waited, 3),
+            **fields,
+        )
+
     def refuse_late(self) -> Refusal:
         """Return the refusal of a request whose time is over."""
         return self._refuse(
@@ -270,6 +305,10 @@
                 self._note(choice, model, outcome)
         if isinstance(outcome, Answering):
             self._runs += 1
+            self._parts.counters.begun(
+                self.request.route.kind.value,
+                self.waited,
+            )
             version = upstream.entry.version
             self._parts.versions.ran(self.request, self.service, version)
         elif outcome.ran is Ran.NOT_RUN:
@@ -290,13 +329,15 @@
         ended = 'answering'
         detail = ''
         if isinstance(outcome, AttemptFailure):
-            ended, detail = outcome.end.value, outcome.reason
+            ended = outcome.end.value
+            detail = outcome.reason
             if outcome.ran is not Ran.NOT_RUN and outcome is not _ABANDONED:
                 self._parts.versions.observe(
                     self.service,
                     entry.version,
                     sound=False,
                 )
+        self._parts.counters.attempted(ended)
         _LOG.decision(
             'attempt',
             request=self.request.request,
@@ -333,20 +374,6 @@
             return self._parts.budget.spend(self.service, Purpose.FAILURE)
         return self.may_repeat()
 
-    def _final(self, failure: AttemptFailure) -> Refusal:
-        """Return the refusal that ends a request after a failure."""
-        codes = {
-            AttemptEnd.UNREACHABLE: ResultCode.UPSTREAM_UNREACHABLE,
-            AttemptEnd.REJECTED: ResultCode.OVERLOADED,
-            AttemptEnd.MISDIRECTED: ResultCode.NO_UPSTREAM,
-            AttemptEnd.SILENT: ResultCode.UPSTREAM_TIMEOUT,
-        }
-        return self._refuse(
-            codes.get(failure.end, ResultCode.UPSTREAM_ERROR),
-            f'After {self._offers} attempts: {failure.reason}.',
-            failure.retry_after or COME_BACK,
-        )
-
     def _refuse(
         self,
         code: ResultCode,
@@ -355,3 +382,13 @@
     ) -> Refusal:
         """Return a refusal that says whether the request ran."""
         return Refusal(code, reason, self._ran, retry_after)
+
+
+def _final(failure: AttemptFailure, offers: int, ran: Ran) -> Refusal:
+    """Return the refusal that ends a request after a failure."""
+    return Refusal(
+        _CODES.get(failure.end, ResultCode.UPSTREAM_ERROR),
+        f'After {offers} attempts: {failure.reason}.',
+        ran,
+        failure.retry_after or COME_BACK,
+    )
--- a/src/nutmegroad/relay/followers.py
+++ b/src/nutmegroad/relay/followers.py
@@ -145,3 +145,43 @@
             )
         self._sink.lost()
         return False
+
+
+class FollowedStore:
+    """Makes followers of one store.
+
+    Args:
+        store: The platform's store.
+        clock: The host's clock.
+        store_clock: The store's clock.
+        randomness: Spreads retries of many hosts.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        store_clock: StoreClock,
+        randomness: random.Random,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._store_clock = store_clock
+        self._randomness = randomness
+
+    def follow(
+        self,
+        table: str,
+        sink: TableSink,
+        pace: FeedPace,
+    ) -> TableFollower:
+        """Return a follower of a table."""
+        return TableFollower(
+            self._store,
+            table,
+            sink,
+            pace,
+            self._clock,
+            self._store_clock,
+            self._randomness,
+        )
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Collection, Coroutine
+from collections.abc import Coroutine
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from typing import Any, Final
 
-from aiohttp import web
-
 from nutmegroad.clocks import Clock
 from nutmegroad.logs import part_logger
 from nutmegroad.relay.attempts import Attempts
@@ -18,11 +15,12 @@
 from nutmegroad.relay.deployment import NO_VERSION
 from nutmegroad.relay.execution import RelayParts
 from nutmegroad.relay.fleet_table import FleetSink
-from nutmegroad.relay.followers import FeedPace, TableFollower
+from nutmegroad.relay.followers import FollowedStore, TableFollower
 from nutmegroad.relay.intake import Intake
-from nutmegroad.relay.listener import Answer, ListenerLimits, make_server
+from nutmegroad.relay.listener import Listeners
 from nutmegroad.relay.loads import LoadLedger
 from nutmegroad.relay.neighbours import Neighbours
+from nutmegroad.relay.paces import FLEET_PACE, UPSTREAM_PACE, operator_pace
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.rollout_steps import (
     FLEET_TABLE,
@@ -31,6 +29,7 @@
 from nutmegroad.relay.selection import Selector
 from nutmegroad.relay.serving import Serving
 from nutmegroad.relay.session_versions import SessionVersions
+from nutmegroad.relay.status_pages import Beliefs, StatusPages, show_beliefs
 from nutmegroad.relay.store_clock import StoreClock
 from nutmegroad.relay.tables import (
     OperatorSink,
@@ -38,7 +37,6 @@
 )
 from nutmegroad.relay.upstreams import Directory
 from nutmegroad.relay.versions import RolloutGate, RolloutState
-from nutmegroad.types import Address
 
 _LOG: Final = part_logger('host')
 
@@ -49,74 +47,12 @@
 #: needs two looks, a second apart, to learn that it is not ready.
 LAME_DUCK: Final = 2.6
 
-#: Seconds for requests that have been read to reach their handlers: some
-#: rounds of a loaded event loop.
-SETTLE: Final = 0.05
-
 #: Seconds between looks whether all requests have ended.
 LAST_LOOK: Final = 0.05
 
 #: Seconds of the stop's grace that are kept for closing.
 CLOSING: Final = 0.7
 
-_OK: Final = 200
-_UNKNOWN: Final = 404
-_NOT_READY: Final = 503
-
-
-#: Part of the keys' trust for which the store is asked to wait.
-FEED_PART: Final = 0.6
-
-#: Seconds for which the store is asked to wait for changes of what is not
-#: bound by the keys' trust; a dead connection shows by the kernel's probes.
-FEED_WAIT: Final = 20.0
-
-#: Seconds between an answer and the next question. A configuration has to be
-#: in force within two seconds, and may come ten times a second.
-OPERATOR_REST: Final = 0.1
-
-#: The same for upstreams, which give two seconds' notice before they leave.
-UPSTREAM_REST: Final = 0.25
-
-#: The same for what hosts tell each other: a bad version is to be halted
-#: within seconds, and every host's news wakes every other host.
-FLEET_REST: Final = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class _Listening:
-    """A listener and what serves its connections.
-
-    Attributes:
-        listener: Takes connections.
-        server: Serves them.
-    """
-
-    listener: asyncio.Server
-    server: web.Server
-
-    async def close(self, busy: Collection[object], clock: Clock) -> None:
-        """Take no connection any more, and close those that are idle.
-
-        What has been read is answered: reading stops first, and what was
-        read by then has a moment to become busy.
-
-        Args:
-            busy: Connections on which a request is being answered; changes.
-            clock: The host's clock.
-        """
-        self.listener.close()
-        quiet = [each for each in self.server.connections if each not in busy]
-        for connection in quiet:
-            if connection.transport is not None:
-                connection.transport.pause_reading()
-        await clock.sleep(SETTLE)
-        for connection in quiet:
-            if connection not in busy:
-                connection.force_close()
-            elif connection.transport is not None:
-                connection.transport.resume_reading()
-
 
 class RelayHost:
     """One host of the fleet.
@@ -138,9 +74,22 @@
         self._clock = clock
         self._randomness = random.Random(settings.seed)
         self._stack = AsyncExitStack()
+        self._listeners = Listeners(self._stack)
         self._stopping = False
         self._build()
 
+    @property
+    def beliefs(self) -> Beliefs:
+        """Return what this host believes now."""
+        return Beliefs(
+            configuration=self.configuration_version,
+            age=self._belief.age,
+            upstreams=len(self._directory),
+            rollouts=len(self._rollouts.active),
+            open_requests=len(self._serving.busy),
+            ready=self.ready,
+        )
+
     @property
     def configuration_version(self) -> int:
         """Return the version of the configuration in force."""
@@ -166,8 +115,18 @@
         self._spawn(self._steps.run())
         self._spawn(self._sweep())
         await self._meet()
-        await self._listen(self._settings.ready, self._answer_ready)
-        self._callers = await self._listen(
+        pages = StatusPages(
+            self._settings.ready_path,
+            lambda: self.ready,
+            self._platform.counters,
+        )
+        listeners = self._listeners
+        await listeners.open(self._settings.ready, pages.answer_ready)
+        await listeners.open_if_free(
+            self._settings.metrics,
+            pages.answer_metrics,
+        )
+        self._callers = await listeners.open(
             self._settings.callers,
             self._serving.answer,
         )
@@ -228,7 +187,9 @@
             RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
             RolloutGate(self._directory, self._rollouts, sessions),
             clock,
+            self._platform.counters,
         )
+        show_beliefs(self._platform.counters, self)
         self._serving = Serving(
             self._parts,
             Intake(names, self._belief, clock),
@@ -252,35 +213,31 @@
 
     def _followers(self) -> tuple[TableFollower, ...]:
         """Return what keeps this host in step with the platform."""
-        tables = self._platform.tables
+        platform = self._platform
+        source = FollowedStore(
+            platform.store,
+            self._clock,
+            self._store_clock,
+            self._randomness,
+        )
         operator = OperatorSink(
-            self._platform.reader,
+            platform.reader,
             self._belief,
             self._rollouts,
         )
-        trust = self._settings.key_trust
-        wait = FEED_WAIT if trust is None else trust * FEED_PART
         fleet = FleetSink(self._rollouts, self._neighbours)
-        followed = (
-            (tables.operator, operator, FeedPace(wait, OPERATOR_REST)),
-            (
-                tables.upstreams,
+        return (
+            source.follow(
+                platform.tables.operator,
+                operator,
+                operator_pace(self._settings.key_trust),
+            ),
+            source.follow(
+                platform.tables.upstreams,
                 self._upstream_sink,
-                FeedPace(FEED_WAIT, UPSTREAM_REST),
+                UPSTREAM_PACE,
             ),
-            (FLEET_TABLE, fleet, FeedPace(FEED_WAIT, FLEET_REST)),
-        )
-        return tuple(
-            TableFollower(
-                self._platform.store,
-                table,
-                sink,
-                pace,
-                self._clock,
-                self._store_clock,
-                self._randomness,
-            )
-            for table, sink, pace in followed
+            source.follow(FLEET_TABLE, fleet, FLEET_PACE),
         )
 
     async def _meet(self) -> None:
@@ -295,30 +252,6 @@
         self._spawn(self._neighbours.announce())
         self._spawn(self._neighbours.run())
 
-    async def _listen(
-        self,
-        address: Address,
-        answer: Answer,
-    ) -> '_Listening':
-        """Listen at an address until the host closes."""
-        server = make_server(answer, ListenerLimits())
-        loop = asyncio.get_running_loop()
-        listening = await loop.create_server(
-            server,
-            address.ip,
-            address.port,
-            backlog=1024,
-        )
-        self._stack.push_async_callback(server.shutdown, 0.1)
-        self._stack.callback(listening.close)
-        return _Listening(listening, server)
-
-    async def _answer_ready(self, http: web.BaseRequest) -> web.Response:
-        """Tell the balancer whether this host is ready."""
-        if http.path != self._settings.ready_path:
-            return web.Response(status=_UNKNOWN)
-        return web.Response(status=_OK if self.ready else _NOT_READY)
-
     def _is_stopping(self) -> bool:
         """Tell whether connections are to be closed."""
         return self._stopping
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -1,19 +1,36 @@
 """The callers' HTTP: requests in, answers out."""
 
-from collections.abc import Awaitable, Callable
+import asyncio
+from collections.abc import Awaitable, Callable, Collection
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from typing import Final
 
 from aiohttp import web
 from multidict import CIMultiDict
 
+from nutmegroad.clocks import Clock
+from nutmegroad.logs import part_logger
 from nutmegroad.relay.headers import RawHeaders
 from nutmegroad.relay.refusals import CallerRefusal
+from nutmegroad.types import Address
 
 #: Seconds that an idle connection is kept at least; callers may use one
 #: that has been idle for most of the operator's limit, which can change.
 KEPT_IDLE: Final = 120
 
+#: Seconds for requests that have been read to reach their handlers: some
+#: rounds of a loaded event loop.
+SETTLE: Final = 0.05
+
+#: Connections that may wait to be taken while the event loop is busy.
+BACKLOG: Final = 1024
+
+#: Seconds that handlers may take to end when everything closes.
+SHUTDOWN: Final = 0.1
+
+_LOG: Final = part_logger('listener')
+
 _RETRY_AFTER: Final = 'Retry-After'
 
 
@@ -128,6 +145,41 @@
     header_bytes: int = 32_768
 
 
+@dataclass(frozen=True, slots=True)
+class Listening:
+    """A listener and what serves its connections.
+
+    Attributes:
+        listener: Takes connections.
+        server: Serves them.
+    """
+
+    listener: asyncio.Server
+    server: web.Server
+
+    async def close(self, busy: Collection[object], clock: Clock) -> None:
+        """Take no connection any more, and close those that are idle.
+
+        What has been read is answered: reading stops first, and what was
+        read by then has a moment to become busy.
+
+        Args:
+            busy: Connections on which a request is being answered; changes.
+            clock: The host's clock.
+        """
+        self.listener.close()
+        quiet = [each for each in self.server.connections if each not in busy]
+        for connection in quiet:
+            if connection.transport is not None:
+                connection.transport.pause_reading()
+        await clock.sleep(SETTLE)
+        for connection in quiet:
+            if connection not in busy:
+                connection.force_close()
+            elif connection.transport is not None:
+                connection.transport.resume_reading()
+
+
 def make_server(answer: Answer, limits: ListenerLimits) -> web.Server:
     """Return a server whose handlers end when their caller leaves."""
     return web.Server(
@@ -153,3 +205,45 @@
     for name, text in headers:
         decoded.add(name.decode('latin-1'), text.decode('latin-1'))
     return decoded
+
+
+class Listeners:
+    """Opens listeners, and closes them with their owner.
+
+    Args:
+        stack: The owner's exit stack.
+    """
+
+    def __init__(self, stack: AsyncExitStack) -> None:
+        self._stack = stack
+
+    async def open(self, address: Address, answer: Answer) -> Listening:
+        """Listen at an address."""
+        server = make_server(answer, ListenerLimits())
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(
+            server,
+            address.ip,
+            address.port,
+            backlog=BACKLOG,
+        )
+        self._stack.push_async_callback(server.shutdown, SHUTDOWN)
+        self._stack.callback(listening.close)
+        return Listening(listening, server)
+
+    async def open_if_free(
+        self,
+        address: Address | None,
+        answer: Answer,
+    ) -> None:
+        """Listen at an address that the host can do without."""
+        if address is None:
+            return
+        try:
+            await self.open(address, answer)
+        except OSError as problem:
+            _LOG.decision(
+                'not listening',
+                address=str(address),
+                reason=str(problem),
+            )
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -89,16 +89,7 @@
     """Send the upstream's answer if there is one, else the refusal."""
     request = execution.request
     if answer is None:
-        _LOG.decision(
-            'refused',
-            request=request.request,
-            route=request.route.name,
-            code=refusal.code.name,
-            ran=refusal.ran.value,
-            reason=refusal.reason,
-            retry_after=refusal.retry_after,
-            waited=round(execution.waited, 3),
-        )
+        execution.refused(refusal)
         await reply.refuse(spell(refusal))
         return
     _LOG.decision(
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -91,6 +91,12 @@
                 await self._run(execution, reply)
         except TimeoutError:
             await self._end_late(execution, reply)
+        finally:
+            self._parts.counters.answered(
+                reply.status,
+                request.route.kind.value,
+                execution.waited,
+            )
 
     async def _run(self, execution: Execution, reply: HttpReply) -> None:
         """Answer a request as its route asks."""
@@ -103,14 +109,7 @@
     async def _end_late(self, execution: Execution, reply: HttpReply) -> None:
         """End a request whose time is over."""
         refusal = execution.refuse_late()
-        _LOG.decision(
-            'refused',
-            request=execution.request.request,
-            route=execution.request.route.name,
-            code=refusal.code.name,
-            ran=refusal.ran.value,
-            begun=reply.begun,
-        )
+        execution.refused(refusal, begun=reply.begun)
         if reply.begun:
             reply.cut()
         else:
@@ -123,6 +122,7 @@
         refusal: Refusal,
     ) -> None:
         """Refuse a request that was not taken in."""
+        self._parts.counters.refused(refusal.code)
         _LOG.decision(
             'refused',
             request=RequestId(http.headers.get(self._names.request_id, '')),
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -214,17 +214,7 @@
 
     async def _give_up(self, refusal: Refusal) -> None:
         """End a stream that can't go on."""
-        request = self._execution.request
-        _LOG.decision(
-            'refused',
-            request=request.request,
-            route=request.route.name,
-            code=refusal.code.name,
-            ran=refusal.ran.value,
-            reason=refusal.reason,
-            events=self._progress.events,
-            waited=round(self._execution.waited, 3),
-        )
+        self._execution.refused(refusal, events=self._progress.events)
         failure = self._progress.failure
         if self._reply.begun:
             self._reply.cut()
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -12,6 +12,7 @@
 
 from nutmegroad.clocks import BootClock
 from nutmegroad.relay.boundary import HostSettings, Platform
+from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.host import RelayHost
 from nutmegroad.types import Address, DomainId, HostId
 from nutmegroad_platform.names import HEADERS, TABLES
@@ -104,8 +105,9 @@
         self.client = await self._stack.enter_async_context(
             ClientSession(auto_decompress=False),
         )
+        counters = RelayCounters()
         platform_store = await self._stack.enter_async_context(
-            PlatformStore(Address('127.0.0.1', port)),
+            PlatformStore(Address('127.0.0.1', port), counters),
         )
         rows = Rows()
         self.settings = HostSettings(
@@ -126,7 +128,7 @@
         )
         self.host = RelayHost(
             self.settings,
-            Platform(platform_store, HEADERS, rows, rows, TABLES),
+            Platform(platform_store, HEADERS, rows, rows, TABLES, counters),
             BootClock(),
         )
         return self
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -10,6 +10,7 @@
 
 from nutmegroad.exceptions import SettingsError
 from nutmegroad.relay.belief import ConfigurationBelief
+from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.deployment import (
     ConfigurationVersion,
     RequestKind,
@@ -359,7 +360,7 @@
         port = free_port()
         await TCPSite(runner, '127.0.0.1', port).start()
         self.store = await stack.enter_async_context(
-            PlatformStore(Address('127.0.0.1', port)),
+            PlatformStore(Address('127.0.0.1', port), RelayCounters()),
         )
 
     async def test_snapshot_reads_all_pages(self) -> None:
