--- a/experiments/arms.py
+++ b/experiments/arms.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.plugins import load_plugins
-from nutmegroad.registry import registered
+from nutmegroad.daemon.plugins import load_plugins
+from nutmegroad.kernel.registry import registered
 
 #: Settings that name a policy; each is also the policy's kind.
 KINDS: Final = ('planner', 'selector', 'admitter', 'retries', 'quarantine')
--- a/experiments/bound_coverage.py
+++ b/experiments/bound_coverage.py
@@ -14,7 +14,7 @@
 from statistics import NormalDist, fmean, pvariance
 from typing import Final
 
-from nutmegroad._bounds import Evidence, posterior
+from nutmegroad.quality._bounds import Evidence, posterior
 
 RUNS: Final = 1000
 COUNTS: Final = (5, 20, 100)
--- a/experiments/configuration_hosts.py
+++ b/experiments/configuration_hosts.py
@@ -7,24 +7,24 @@
 from typing import Any, Final
 
 from experiments.memory_platform import HostPlatform, MemoryPlatform
-from nutmegroad.announcements import Announcer
-from nutmegroad.changes import Changes
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.confirmations import Confirmations
-from nutmegroad.documents import (
+from nutmegroad.configuration.announcements import Announcer
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.configuration.confirmations import Confirmations
+from nutmegroad.configuration.heads import HeadStore
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.progress import ChangeProgress
+from nutmegroad.configuration.spread import ConfigurationPoller, PollTiming
+from nutmegroad.contracts.documents import (
     Document,
     PresetEntry,
     VersionEntry,
     WorkspaceEntry,
 )
-from nutmegroad.heads import HeadStore
-from nutmegroad.peers import Handler, Member, Mesh, Message, Sent
-from nutmegroad.progress import ChangeProgress
-from nutmegroad.results import Refusal
-from nutmegroad.spread import ConfigurationPoller, PollTiming
-from nutmegroad.testing import ManualClock, MemoryMesh, PausableClock
-from nutmegroad.types import DomainId, Epoch, HostId, WorkspaceId
+from nutmegroad.contracts.peers import Handler, Member, Mesh, Message, Sent
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import DomainId, Epoch, HostId, WorkspaceId
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh, PausableClock
 
 LEASE: Final = 8.0
 POLL: Final = 2.0
--- a/experiments/configuration_random.py
+++ b/experiments/configuration_random.py
@@ -22,18 +22,18 @@
 )
 from experiments.configuration_watch import LAG, Report, Watch
 from experiments.memory_platform import TableFaults
-from nutmegroad.changes import Withdrawn
-from nutmegroad.heads import Head
-from nutmegroad.results import Refusal
-from nutmegroad.testing import NetworkFaults
-from nutmegroad.types import (
+from nutmegroad.configuration.changes import Withdrawn
+from nutmegroad.configuration.heads import Head
+from nutmegroad.configuration.withdrawals import WithdrawalSet
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     Epoch,
     OperatorId,
     PresetName,
     Ran,
     VersionId,
 )
-from nutmegroad.withdrawals import WithdrawalSet
+from nutmegroad.testing.virtual import NetworkFaults
 
 #: Seconds between looks at what must hold.
 STEP: Final = 0.25
--- a/experiments/configuration_spread.py
+++ b/experiments/configuration_spread.py
@@ -23,15 +23,10 @@
 )
 from experiments.memory_platform import MemoryPlatform
 from experiments.processes import LOOPBACK
-from nutmegroad import announcements
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkContext
-from nutmegroad._member_context import MemberContext, make_table
-from nutmegroad.accounting import Ledger
-from nutmegroad.clocks import SystemClock
-from nutmegroad.links import Links
-from nutmegroad.members import Members
-from nutmegroad.types import (
+from nutmegroad.configuration import announcements
+from nutmegroad.foundations.accounting import Ledger
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     Epoch,
@@ -41,6 +36,11 @@
     PresetName,
     VersionId,
 )
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkContext
+from nutmegroad.membership._member_context import MemberContext, make_table
+from nutmegroad.membership.links import Links
+from nutmegroad.membership.members import Members
 
 SIZES: Final = (8, 24, 48)
 RUNS: Final = 5
--- a/experiments/configuration_watch.py
+++ b/experiments/configuration_watch.py
@@ -11,14 +11,14 @@
     Fleet,
     TrialHost,
 )
-from nutmegroad.heads import HEAD_KEY, Head
-from nutmegroad.types import (
+from nutmegroad.configuration.heads import HEAD_KEY, Head
+from nutmegroad.configuration.withdrawals import WithdrawalSet
+from nutmegroad.foundations.types import (
     Epoch,
     HostId,
     Revision,
     VersionId,
 )
-from nutmegroad.withdrawals import WithdrawalSet
 
 #: Seconds by which reads of the table may lag in runs with an even seed. The
 #: platform promises 0; the bound until all is in force grows by as much.
--- a/experiments/decision_speed.py
+++ b/experiments/decision_speed.py
@@ -30,23 +30,23 @@
 from experiments.processes import LOOPBACK
 from experiments.reports import Percentiles, percentiles
 from experiments.tables import table
-from nutmegroad.clocks import SystemClock
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.directory import Directory
-from nutmegroad.documents import Document
-from nutmegroad.gates import Gatekeeper, Passage
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal
-from nutmegroad.settings import read_settings
-from nutmegroad.steps import Policies
-from nutmegroad.types import (
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import Document
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     Digest,
     PresetName,
     Revision,
     ServiceName,
     UpstreamId,
 )
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.settings import read_settings
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.gates import Gatekeeper, Passage
+from nutmegroad.routing.steps import Policies
 
 #: Sizes of the brief, between, and of the developers' page.
 SIZES: Final = (12, 100, 890)
--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -24,8 +24,8 @@
     workspace_key,
 )
 from experiments.processes import Processes
-from nutmegroad.documents import Role
-from nutmegroad.types import Address, PresetName
+from nutmegroad.contracts.documents import Role
+from nutmegroad.foundations.types import Address, PresetName
 
 #: Requests of each task class.
 REQUESTS: Final = 12
--- a/experiments/deployment.py
+++ b/experiments/deployment.py
@@ -10,8 +10,8 @@
 from aiohttp import ClientSession
 
 from experiments.processes import LOOPBACK, Processes, Running
-from nutmegroad.documents import Document, parse_document
-from nutmegroad.types import Address
+from nutmegroad.contracts.documents import Document, parse_document
+from nutmegroad.foundations.types import Address
 
 EXAMPLES: Final = Path(__file__).parent.parent / 'examples'
 
--- a/experiments/engine_model.py
+++ b/experiments/engine_model.py
@@ -13,8 +13,8 @@
 from fakes.batching import BatchSpeed
 
 from experiments.virtual_time import VirtualClock
-from nutmegroad.types import FencingNumber, VersionId
-from nutmegroad.upstreams import EngineReport
+from nutmegroad.contracts.upstreams import EngineReport
+from nutmegroad.foundations.types import FencingNumber, VersionId
 
 #: Prefixes that an engine keeps.
 CACHE_ENTRIES = 40
--- a/experiments/exposure_judges.py
+++ b/experiments/exposure_judges.py
@@ -12,8 +12,8 @@
     TASK,
     Scenario,
 )
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.documents import (
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import (
     Document,
     PresetEntry,
     PresetTask,
@@ -21,22 +21,22 @@
     TaskEntry,
     VersionEntry,
 )
-from nutmegroad.evidence import (
-    EvidenceCell,
-    EvidenceStore,
-    Tally,
-)
-from nutmegroad.exposure import ExposureGuard
-from nutmegroad.quarantines import Quarantines
-from nutmegroad.ratings import RatingListener, RatingTally
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import (
+from nutmegroad.foundations.types import (
     Digest,
     Incarnation,
     PresetName,
     Revision,
     VersionId,
 )
+from nutmegroad.quality.ratings import RatingListener, RatingTally
+from nutmegroad.rollouts.evidence import (
+    EvidenceCell,
+    EvidenceStore,
+    Tally,
+)
+from nutmegroad.rollouts.exposure import ExposureGuard
+from nutmegroad.rollouts.quarantines import Quarantines
+from nutmegroad.testing.virtual import ManualClock
 
 PEER: Final = Incarnation('peer.1')
 
--- a/experiments/exposure_scenarios.py
+++ b/experiments/exposure_scenarios.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from nutmegroad.evidence import (
-    Moments,
-    Tally,
-)
-from nutmegroad.types import (
+from nutmegroad.foundations.types import (
     TaskName,
     VersionId,
 )
+from nutmegroad.rollouts.evidence import (
+    Moments,
+    Tally,
+)
 
 OLD: Final = VersionId('m@1')
 NEW: Final = VersionId('m@2')
--- a/experiments/fixtures.py
+++ b/experiments/fixtures.py
@@ -6,15 +6,16 @@
 
 from experiments.deployment import DOMAINS, read_example
 from experiments.processes import LOOPBACK
-from nutmegroad.documents import (
+from nutmegroad.contracts.documents import (
     Document,
     TaskEntry,
     VersionEntry,
     WorkspaceEntry,
     parse_document,
 )
-from nutmegroad.requests import ModelRequest
-from nutmegroad.types import (
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.contracts.upstreams import EngineReport
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     FencingNumber,
@@ -27,7 +28,6 @@
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import EngineReport
 
 #: Versions in use.
 VERSIONS: Final = 22
--- a/experiments/load.py
+++ b/experiments/load.py
@@ -24,7 +24,7 @@
 
 from experiments.deployment import workspace_key
 from experiments.traffic import Ask, prompt_of
-from nutmegroad.types import Address
+from nutmegroad.foundations.types import Address
 
 #: Seconds beyond its deadline after which a reply counts as hung.
 PATIENCE: Final = 3.0
--- a/experiments/memory_platform.py
+++ b/experiments/memory_platform.py
@@ -11,9 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeVar
 
-from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad.clocks import Clock
-from nutmegroad.platform import (
+from nutmegroad.contracts.platform import (
     ABSENT,
     Conflict,
     Row,
@@ -21,8 +19,10 @@
     RowVersion,
     RowWrite,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import DomainId, Ran
+from nutmegroad.foundations._owned_tasks import OwnedTasks
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import DomainId, Ran
 
 #: Seconds after which a caller gives a call up, as the HTTP adapter does.
 CALL_TIMEOUT: Final = 2.0
--- a/experiments/mesh_hosts.py
+++ b/experiments/mesh_hosts.py
@@ -8,23 +8,23 @@
 from types import TracebackType
 from typing import Final, Self
 
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkContext, LinkListener
-from nutmegroad._member_context import MemberContext, make_table
-from nutmegroad.accounting import Ledger, PartCost
-from nutmegroad.clocks import SystemClock
-from nutmegroad.links import Links
-from nutmegroad.members import Members
-from nutmegroad.peers import Handler, Member, Message, Sent
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import PausableClock
-from nutmegroad.types import (
+from nutmegroad.contracts.peers import Handler, Member, Message, Sent
+from nutmegroad.foundations.accounting import Ledger, PartCost
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
     Incarnation,
     Presence,
 )
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkContext, LinkListener
+from nutmegroad.membership._member_context import MemberContext, make_table
+from nutmegroad.membership.links import Links
+from nutmegroad.membership.members import Members
+from nutmegroad.testing.virtual import PausableClock
 
 #: Bytes of Ethernet, IP and TCP headers of a segment with time stamps.
 HEADERS: Final = 66
--- a/experiments/mesh_slopes.py
+++ b/experiments/mesh_slopes.py
@@ -20,17 +20,17 @@
 import uvloop
 
 from experiments.mesh_hosts import Cost, MeshHost, NoLinks, identity_of
-from nutmegroad._member_context import MemberContext, make_table
-from nutmegroad._member_messages import Record
-from nutmegroad._member_table import Origin
-from nutmegroad.accounting import Ledger
-from nutmegroad.clocks import SystemClock
-from nutmegroad.members import Members
-from nutmegroad.types import (
+from nutmegroad.foundations.accounting import Ledger
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.types import (
     DomainId,
     HostId,
     Presence,
 )
+from nutmegroad.membership._member_context import MemberContext, make_table
+from nutmegroad.membership._member_messages import Record
+from nutmegroad.membership._member_table import Origin
+from nutmegroad.membership.members import Members
 
 #: Hosts and domains of each round.
 ROUNDS: Final = ((10, 1), (20, 1), (44, 1), (90, 9))
--- a/experiments/orders.py
+++ b/experiments/orders.py
@@ -5,7 +5,7 @@
 from experiments.arms import Arm
 from experiments.scenarios import CAPACITY, Scenario
 from experiments.traffic import Ask, Curve, Demand, draw
-from nutmegroad.documents import Document
+from nutmegroad.contracts.documents import Document
 
 
 @dataclass(frozen=True, slots=True)
--- a/experiments/planner_speed.py
+++ b/experiments/planner_speed.py
@@ -16,13 +16,13 @@
 
 from experiments.planner_worlds import SCENARIOS, SteppedClock, accepted
 from experiments.planner_worlds import make_request as make
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.documents import VersionEntry
-from nutmegroad.estimates import Estimates
-from nutmegroad.plans import AdaptivePlanner
-from nutmegroad.platform import Rating
-from nutmegroad.trials import PresetShares, Trials
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import VersionEntry
+from nutmegroad.contracts.platform import Rating
+from nutmegroad.foundations.types import TaskName, VersionId
+from nutmegroad.quality.estimates import Estimates
+from nutmegroad.quality.plans import AdaptivePlanner
+from nutmegroad.quality.trials import PresetShares, Trials
 
 COUNTS: Final = (2, 8, 22)
 RUNS: Final = 5000
--- a/experiments/planner_trials.py
+++ b/experiments/planner_trials.py
@@ -27,19 +27,19 @@
     accepted,
     make_request,
 )
-from nutmegroad.baselines import cheapest_only, dearest, static_share
-from nutmegroad.configuration import Configuration
-from nutmegroad.decisions import Planner
-from nutmegroad.estimates import Estimates
-from nutmegroad.plans import EXPLORED, AdaptivePlanner
-from nutmegroad.platform import Rating
-from nutmegroad.policies import CheapestPlanner
-from nutmegroad.prices import cost_of
-from nutmegroad.rating_samples import SampleShares
-from nutmegroad.requests import ModelRequest, Plan
-from nutmegroad.results import Refusal
-from nutmegroad.trials import PresetShares, Trials
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import Planner
+from nutmegroad.contracts.platform import Rating
+from nutmegroad.contracts.requests import ModelRequest, Plan
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import TaskName, VersionId
+from nutmegroad.quality.estimates import Estimates
+from nutmegroad.quality.plans import EXPLORED, AdaptivePlanner
+from nutmegroad.quality.prices import cost_of
+from nutmegroad.quality.rating_samples import SampleShares
+from nutmegroad.quality.trials import PresetShares, Trials
+from nutmegroad.routing.baselines import cheapest_only, dearest, static_share
+from nutmegroad.routing.policies import CheapestPlanner
 
 #: Requests in one run; one comes each second.
 REQUESTS: Final = 6000
--- a/experiments/planner_worlds.py
+++ b/experiments/planner_worlds.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.configuration import Accepted
-from nutmegroad.documents import (
+from nutmegroad.configuration.in_force import Accepted
+from nutmegroad.contracts.documents import (
     Concern,
     Document,
     PresetEntry,
@@ -12,8 +12,8 @@
     TaskEntry,
     VersionEntry,
 )
-from nutmegroad.requests import ModelRequest
-from nutmegroad.types import (
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.types import (
     Digest,
     IdempotencyKey,
     PresetName,
--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -15,7 +15,7 @@
 from types import TracebackType
 from typing import BinaryIO, Final, Self
 
-from nutmegroad.types import Address
+from nutmegroad.foundations.types import Address
 
 #: Seconds that a process may take to say where it listens.
 START_LIMIT: Final = 20
--- a/experiments/promises.py
+++ b/experiments/promises.py
@@ -5,7 +5,7 @@
 
 from experiments.load import Outcome, Record
 from experiments.observations import Observed
-from nutmegroad.documents import Document
+from nutmegroad.contracts.documents import Document
 
 #: Examples that a broken promise is reported with.
 _EXAMPLES = 3
--- a/experiments/records_cost.py
+++ b/experiments/records_cost.py
@@ -20,22 +20,14 @@
 from aiohttp import ClientSession
 
 from experiments.processes import Processes
-from nutmegroad._handshake import Identity
-from nutmegroad._http_platform import HttpObjects, HttpTable
-from nutmegroad._link_context import LinkContext
-from nutmegroad._member_context import make_table
-from nutmegroad.accounting import Ledger
-from nutmegroad.billing import Biller, BillingRecord
-from nutmegroad.clocks import SystemClock
-from nutmegroad.intents import IntentLedger, IntentOwner
-from nutmegroad.invariants import CountedInvariants
-from nutmegroad.links import Links
-from nutmegroad.metrics import Metrics
-from nutmegroad.once import Once, Order, Run
-from nutmegroad.peers import Member
-from nutmegroad.record_copies import RecordKeeper, RecordSender
-from nutmegroad.tickets import TicketIssuer, TicketSigner
-from nutmegroad.types import (
+from nutmegroad.adapters._http_platform import HttpObjects, HttpTable
+from nutmegroad.contracts.peers import Member
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.accounting import Ledger
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.invariants import CountedInvariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
@@ -45,7 +37,15 @@
     RequestId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkContext
+from nutmegroad.membership._member_context import make_table
+from nutmegroad.membership.links import Links
+from nutmegroad.records.billing import Biller, BillingRecord
+from nutmegroad.records.intents import IntentLedger, IntentOwner
+from nutmegroad.records.once import Once, Order, Run
+from nutmegroad.records.record_copies import RecordKeeper, RecordSender
+from nutmegroad.records.tickets import TicketIssuer, TicketSigner
 
 ROUNDS: Final = 7
 REQUESTS: Final = 300
--- a/experiments/runs.py
+++ b/experiments/runs.py
@@ -24,7 +24,7 @@
 from experiments.processes import Processes
 from experiments.scenarios import RIGS
 from experiments.summaries import Report, Seen, report
-from nutmegroad.documents import Role
+from nutmegroad.contracts.documents import Role
 
 #: Seconds for hosts to hear of upstreams and of the preset.
 SETTLE: Final = 1.5
--- a/experiments/selection_speed.py
+++ b/experiments/selection_speed.py
@@ -15,21 +15,14 @@
 
 from experiments.trial_figures import percentile
 from experiments.trial_fleet import accepted_for
-from nutmegroad._demand import Demand
-from nutmegroad._slots import HostSlots, Identity
-from nutmegroad.admission import FairAdmitter
-from nutmegroad.clocks import SystemClock
-from nutmegroad.configuration import Configuration
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Selector
-from nutmegroad.directory import Directory
-from nutmegroad.documents import Concern
-from nutmegroad.fleet import FleetLoad
-from nutmegroad.plain_selectors import LeastInFlight
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.selection import ExpectedSelector
-from nutmegroad.shares import ShareLedger
-from nutmegroad.types import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart, Selector
+from nutmegroad.contracts.documents import Concern
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.contracts.upstreams import EngineReport
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     AttemptId,
     DomainId,
@@ -44,7 +37,14 @@
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import EngineReport
+from nutmegroad.routing._demand import Demand
+from nutmegroad.routing._slots import HostSlots, Identity
+from nutmegroad.routing.admission import FairAdmitter
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.fleet import FleetLoad
+from nutmegroad.routing.plain_selectors import LeastInFlight
+from nutmegroad.routing.selection import ExpectedSelector
+from nutmegroad.routing.shares import ShareLedger
 
 SIZES: Final = (12, 100, 890)
 VERSIONS: Final = tuple(VersionId(f'model-{n}@1') for n in range(22))
--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -30,17 +30,17 @@
     read_example,
 )
 from experiments.processes import Processes, Running
-from nutmegroad._cost_metrics import resident_bytes
-from nutmegroad.accounting import Ledger, PartCost
-from nutmegroad.clocks import SystemClock
-from nutmegroad.core import Kernel
-from nutmegroad.directory import Directory
-from nutmegroad.links import Links
-from nutmegroad.members import Members
-from nutmegroad.peers import Mesh
-from nutmegroad.plugins import load_plugins
-from nutmegroad.settings import Settings
-from nutmegroad.types import Address, DomainId, HostId
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.daemon.plugins import load_plugins
+from nutmegroad.foundations._cost_metrics import resident_bytes
+from nutmegroad.foundations.accounting import Ledger, PartCost
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.types import Address, DomainId, HostId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.settings import Settings
+from nutmegroad.membership.links import Links
+from nutmegroad.membership.members import Members
+from nutmegroad.routing.directory import Directory
 
 #: Seconds before, and of, a measurement; the second pair is the quick one.
 PACE: Final = (9.0, 8.0)
--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -32,14 +32,12 @@
     VirtualLoop,
     run_virtually,
 )
-from nutmegroad.billing import BILLING_PREFIX
-from nutmegroad.changes import Changes
-from nutmegroad.clocks import Clock
-from nutmegroad.documents import Document, parse_document
-from nutmegroad.platform import Listing
-from nutmegroad.plugins import load_plugins
-from nutmegroad.testing import MemoryMesh, NetworkFaults
-from nutmegroad.types import (
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.contracts.documents import Document, parse_document
+from nutmegroad.contracts.platform import Listing
+from nutmegroad.daemon.plugins import load_plugins
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
@@ -50,6 +48,8 @@
     UpstreamKind,
     VersionId,
 )
+from nutmegroad.records.billing import BILLING_PREFIX
+from nutmegroad.testing.virtual import MemoryMesh, NetworkFaults
 
 #: Hosts in each of the three domains.
 HOSTS: Final = 2
--- a/experiments/soak_answers.py
+++ b/experiments/soak_answers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from nutmegroad.upstreams import Attempt
+from nutmegroad.contracts.upstreams import Attempt
 
 #: Seconds that stand for never.
 NEVER: Final = 10_000.0
--- a/experiments/soak_events.py
+++ b/experiments/soak_events.py
@@ -11,17 +11,17 @@
 from experiments.soak_judge import Judge
 from experiments.soak_operators import LONG, SHORT, Operators
 from experiments.soak_upstreams import Upstream, restarted
-from nutmegroad.clocks import Clock
-from nutmegroad.documents import Document
-from nutmegroad.platform import Listing
-from nutmegroad.stops import GracefulStop
-from nutmegroad.types import (
+from nutmegroad.contracts.documents import Document
+from nutmegroad.contracts.platform import Listing
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
     DomainId,
     HostId,
     Presence,
     UpstreamId,
     UpstreamKind,
 )
+from nutmegroad.kernel.stops import GracefulStop
 
 #: Seconds between events, on average.
 GAP: Final = 6.0
--- a/experiments/soak_history.py
+++ b/experiments/soak_history.py
@@ -6,18 +6,18 @@
 import msgspec
 
 from experiments.soak_hosts import SoakHost
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Accepted
-from nutmegroad.documents import (
+from nutmegroad.configuration.heads import HEAD_KEY, Head
+from nutmegroad.configuration.in_force import Accepted
+from nutmegroad.contracts.documents import (
     Document,
     Isolation,
     Stage,
     WorkspaceEntry,
     decode_document,
 )
-from nutmegroad.heads import HEAD_KEY, Head
-from nutmegroad.platform import Row
-from nutmegroad.types import VersionId, WorkspaceId
+from nutmegroad.contracts.platform import Row
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import VersionId, WorkspaceId
 
 #: Seconds for which a confirmed configuration holds.
 LEASE: Final = 8.0
--- a/experiments/soak_hosts.py
+++ b/experiments/soak_hosts.py
@@ -17,21 +17,27 @@
 from experiments.deployment import BOOTSTRAP_TOKEN, CLUSTER_KEY
 from experiments.soak_platform import SoakHostPlatform, SoakPlatform
 from experiments.soak_upstreams import HostEngines, HostServices, World
-from nutmegroad._cost_metrics import CostPublisher
-from nutmegroad._http_listener import Listener
-from nutmegroad.accounting import Account, Ledger
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel, MakePart, Part
-from nutmegroad.duties import Duties
-from nutmegroad.invariants import Invariants
-from nutmegroad.members import Members
-from nutmegroad.metrics import Metrics
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.platform import HostList, Objects, Ratings, Table, Weights
-from nutmegroad.settings import Settings
-from nutmegroad.testing import MemoryMesh, PausableClock
-from nutmegroad.types import Address, DomainId, HostId, Presence
-from nutmegroad.upstreams import EngineClient, ServiceClient
+from nutmegroad.callers._http_listener import Listener
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.contracts.platform import (
+    HostList,
+    Objects,
+    Ratings,
+    Table,
+    Weights,
+)
+from nutmegroad.contracts.upstreams import EngineClient, ServiceClient
+from nutmegroad.foundations._cost_metrics import CostPublisher
+from nutmegroad.foundations.accounting import Account, Ledger
+from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import Address, DomainId, HostId, Presence
+from nutmegroad.kernel.core import Kernel, MakePart, Part
+from nutmegroad.kernel.settings import Settings
+from nutmegroad.membership.duties import Duties
+from nutmegroad.membership.members import Members
+from nutmegroad.testing.virtual import MemoryMesh, PausableClock
 
 #: Seconds that a graceful stop may take; no request is given longer.
 DRAIN: Final = 45.0
--- a/experiments/soak_judge.py
+++ b/experiments/soak_judge.py
@@ -22,8 +22,8 @@
     run_of,
 )
 from experiments.soak_upstreams import FirstByte
-from nutmegroad.clocks import Clock
-from nutmegroad.types import HostId, UpstreamId
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import HostId, UpstreamId
 
 #: Seconds within which a leaving upstream gets no new work any more.
 LEAVE_BOUND: Final = 3.0
--- a/experiments/soak_mutants.py
+++ b/experiments/soak_mutants.py
@@ -5,19 +5,19 @@
 from typing import Any, Final
 from unittest.mock import _patch, patch
 
-from nutmegroad._event_streams import AnswerReader
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.directory import Directory
-from nutmegroad.fences import Fence
-from nutmegroad.intake import IntakeReader
-from nutmegroad.once import Once, Run
-from nutmegroad.record_copies import RecordSender
-from nutmegroad.results import Refusal
-from nutmegroad.session_pins import SessionPins
-from nutmegroad.spread import ConfigurationPoller
-from nutmegroad.stops import GracefulStop
-from nutmegroad.tickets import SpentTicket, TicketIssuer
-from nutmegroad.types import Ran
+from nutmegroad.adapters._event_streams import AnswerReader
+from nutmegroad.callers.intake import IntakeReader
+from nutmegroad.callers.session_pins import SessionPins
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.configuration.spread import ConfigurationPoller
+from nutmegroad.contracts.fences import Fence
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import Ran
+from nutmegroad.kernel.stops import GracefulStop
+from nutmegroad.records.once import Once, Run
+from nutmegroad.records.record_copies import RecordSender
+from nutmegroad.records.tickets import SpentTicket, TicketIssuer
+from nutmegroad.routing.directory import Directory
 
 #: An owner, its attribute, and what takes the attribute's place.
 _Patch = tuple[Any, str, Any]
--- a/experiments/soak_operators.py
+++ b/experiments/soak_operators.py
@@ -9,10 +9,15 @@
 
 from experiments.soak_hosts import SoakHost
 from experiments.soak_judge import Judge
-from nutmegroad.changes import Changes
-from nutmegroad.clocks import Clock
-from nutmegroad.documents import Document, VersionEntry
-from nutmegroad.types import HostId, OperatorId, PresetName, VersionId
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.contracts.documents import Document, VersionEntry
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
+    HostId,
+    OperatorId,
+    PresetName,
+    VersionId,
+)
 
 #: Seconds for which an event lasts, at least and at most.
 SHORT: Final = (1.0, 6.0)
--- a/experiments/soak_platform.py
+++ b/experiments/soak_platform.py
@@ -6,8 +6,7 @@
 from typing import Final
 
 from experiments.memory_platform import HostPlatform, MemoryPlatform, Written
-from nutmegroad.clocks import Clock
-from nutmegroad.platform import (
+from nutmegroad.contracts.platform import (
     ABSENT,
     Listing,
     RatedAnswer,
@@ -17,7 +16,8 @@
     RowVersion,
     RowWrite,
 )
-from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
 
 #: Versions of a row that reads which lag can still see.
 _KEPT: Final = 30
--- a/experiments/soak_records.py
+++ b/experiments/soak_records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from nutmegroad.types import HostId, WorkspaceId
+from nutmegroad.foundations.types import HostId, WorkspaceId
 
 
 @dataclass(slots=True)
--- a/experiments/soak_traffic.py
+++ b/experiments/soak_traffic.py
@@ -14,10 +14,10 @@
 from experiments.soak_hosts import SoakHost
 from experiments.soak_judge import HANG_BOUND, Judge
 from experiments.soak_records import Call
-from nutmegroad.clocks import Clock
-from nutmegroad.documents import Document, WorkspaceEntry
-from nutmegroad.services import is_repeatable
-from nutmegroad.types import HostId, WorkspaceId
+from nutmegroad.contracts.documents import Document, WorkspaceEntry
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import HostId, WorkspaceId
+from nutmegroad.routing.services import is_repeatable
 
 #: Seconds between requests, on average.
 GAP: Final = 0.35
--- a/experiments/soak_upstreams.py
+++ b/experiments/soak_upstreams.py
@@ -13,10 +13,18 @@
 import msgspec
 
 from experiments.soak_answers import mark_of, plan_answer, spoil
-from nutmegroad._event_streams import AnswerReader
-from nutmegroad.clocks import Clock
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
+from nutmegroad.adapters._event_streams import AnswerReader
+from nutmegroad.contracts.upstreams import (
+    AnswerEvent,
+    Attempt,
+    EngineOrder,
+    EngineReport,
+    ServiceCall,
+    ServiceReply,
+)
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     FencingNumber,
@@ -27,14 +35,6 @@
     UpstreamInfo,
     VersionId,
 )
-from nutmegroad.upstreams import (
-    AnswerEvent,
-    Attempt,
-    EngineOrder,
-    EngineReport,
-    ServiceCall,
-    ServiceReply,
-)
 
 #: Requests that an engine's batch holds.
 SLOTS: Final = 16
--- a/experiments/summaries.py
+++ b/experiments/summaries.py
@@ -18,7 +18,7 @@
     figures,
     percentiles,
 )
-from nutmegroad.documents import Document
+from nutmegroad.contracts.documents import Document
 
 #: Client lag and share of a core beyond which it distorts the figures.
 MOST_LAG: Final = 0.05
--- a/experiments/traffic.py
+++ b/experiments/traffic.py
@@ -14,7 +14,7 @@
 
 import numpy as np
 
-from nutmegroad.documents import Document, WorkspaceEntry
+from nutmegroad.contracts.documents import Document, WorkspaceEntry
 
 #: Words that prompts of one workspace and task class begin with.
 PREFIX_WORDS: Final = 64
--- a/experiments/trial_figures.py
+++ b/experiments/trial_figures.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 from experiments.trial_fleet import DOMAINS, Size, workspace_names
-from nutmegroad.shares import water_fill
-from nutmegroad.types import WorkspaceId
+from nutmegroad.foundations.types import WorkspaceId
+from nutmegroad.routing.shares import water_fill
 
 #: Seconds at a trial's beginning that are not measured.
 WARM_UP: Final = 15.0
--- a/experiments/trial_fleet.py
+++ b/experiments/trial_fleet.py
@@ -12,27 +12,20 @@
 
 from experiments.engine_model import EngineModel
 from experiments.virtual_time import VirtualClock
-from nutmegroad._demand import Demand
-from nutmegroad._slots import HostSlots, Identity
-from nutmegroad.admission import FairAdmitter
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.decisions import Admitter, Observers, RetryBudget, Selector
-from nutmegroad.directory import Directory
-from nutmegroad.documents import (
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.decisions import (
+    Admitter,
+    Observers,
+    RetryBudget,
+    Selector,
+)
+from nutmegroad.contracts.documents import (
     Document,
     PresetEntry,
     PresetTask,
     WorkspaceEntry,
 )
-from nutmegroad.exchange import ShareExchange
-from nutmegroad.fleet import FleetLoad
-from nutmegroad.plain_selectors import LeastInFlight, RandomChoice, RoundRobin
-from nutmegroad.policies import CountedRetries, OpenAdmitter
-from nutmegroad.retries import SharedRetries
-from nutmegroad.selection import ExpectedSelector
-from nutmegroad.shares import ShareLedger
-from nutmegroad.testing import MemoryMesh
-from nutmegroad.types import (
+from nutmegroad.foundations.types import (
     Address,
     Digest,
     DomainId,
@@ -45,6 +38,22 @@
     VersionId,
     WorkspaceId,
 )
+from nutmegroad.routing._demand import Demand
+from nutmegroad.routing._slots import HostSlots, Identity
+from nutmegroad.routing.admission import FairAdmitter
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.exchange import ShareExchange
+from nutmegroad.routing.fleet import FleetLoad
+from nutmegroad.routing.plain_selectors import (
+    LeastInFlight,
+    RandomChoice,
+    RoundRobin,
+)
+from nutmegroad.routing.policies import CountedRetries, OpenAdmitter
+from nutmegroad.routing.retries import SharedRetries
+from nutmegroad.routing.selection import ExpectedSelector
+from nutmegroad.routing.shares import ShareLedger
+from nutmegroad.testing.virtual import MemoryMesh
 
 VERSION: Final = VersionId('drafting@1')
 TASK: Final = 'dossier'
--- a/experiments/trial_runs.py
+++ b/experiments/trial_runs.py
@@ -27,11 +27,11 @@
     workspace_names,
 )
 from experiments.virtual_time import VirtualClock, VirtualLoop, run_virtual
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Choice
-from nutmegroad.documents import Concern
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart, Choice
+from nutmegroad.contracts.documents import Concern
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     AttemptId,
     IdempotencyKey,
     RequestId,
--- a/fakes/answering.py
+++ b/fakes/answering.py
@@ -18,7 +18,7 @@
 from fakes.engine_settings import EngineSettings
 from fakes.faults import FaultKind, Faults, FaultTarget
 from fakes.run_records import End
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 #: Seconds between looks at whether a frozen stream's caller has gone.
 FROZEN_PAUSE: Final = 0.05
--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Final
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 #: Shortest wait of the stepping task, seconds; it bounds the processor time.
 SHORTEST_WAIT: Final = 0.01
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -31,8 +31,8 @@
 from fakes.replies import error_reply, json_reply
 from fakes.run_records import End, RunList
 from fakes.serving import Served, run
-from nutmegroad.clocks import Clock, SystemClock
-from nutmegroad.types import Address
+from nutmegroad.foundations.clocks import Clock, SystemClock
+from nutmegroad.foundations.types import Address
 
 #: Scope of faults that strike answers only.
 ANSWERS_SCOPE: Final = 'answers'
--- a/fakes/engine_control.py
+++ b/fakes/engine_control.py
@@ -24,7 +24,7 @@
 )
 from fakes.replies import error_reply, json_reply
 from fakes.run_records import RunList
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 #: What faults of the engine's other calls strike.
 CONTROL: Final = FaultTarget('control')
--- a/fakes/faults.py
+++ b/fakes/faults.py
@@ -10,7 +10,7 @@
 from msgspec import DecodeError, Meta, Struct
 from msgspec.json import decode
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 #: The scope that every call falls under.
 ALL_SCOPES: Final = 'all'
--- a/fakes/gates.py
+++ b/fakes/gates.py
@@ -9,7 +9,7 @@
 
 from fakes.bodies import json_reply
 from fakes.faults import FaultKind, Faults, FaultTarget, drop_connection
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 _ADMIN: Final = 'admin'
 #: The services whose reads and writes the platform bounds.
--- a/fakes/hosts.py
+++ b/fakes/hosts.py
@@ -5,8 +5,8 @@
 from aiohttp import web
 
 from fakes.bodies import json_reply, no_content, read_body
-from nutmegroad._platform_bodies import ListingBody
-from nutmegroad.clocks import Clock
+from nutmegroad.adapters._platform_bodies import ListingBody
+from nutmegroad.foundations.clocks import Clock
 
 
 @dataclass(frozen=True, slots=True)
--- a/fakes/loading.py
+++ b/fakes/loading.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from fakes.engine_settings import ShelfSettings
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 Seen = TypeVar('Seen')
 
--- a/fakes/objects.py
+++ b/fakes/objects.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from fakes.bodies import json_reply, no_content, query_text
-from nutmegroad._platform_bodies import NamesBody
+from nutmegroad.adapters._platform_bodies import NamesBody
 
 _OBJECT_PATH: Final = '/objects/{name:.+}'
 
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -20,8 +20,8 @@
 from fakes.serving import Served, port_parser, run
 from fakes.tables import FakeTable
 from fakes.weights import FakeWeights
-from nutmegroad.clocks import Clock, SystemClock
-from nutmegroad.types import Address
+from nutmegroad.foundations.clocks import Clock, SystemClock
+from nutmegroad.foundations.types import Address
 
 #: Bytes that a body may have: 64 MiB, since objects may be larger than the
 #: 1 MiB that aiohttp allows by itself.
--- a/fakes/ratings.py
+++ b/fakes/ratings.py
@@ -10,9 +10,9 @@
 
 from fakes.bodies import json_reply, query_text, read_body
 from fakes.faults import FaultKind, Faults, FaultTarget
-from nutmegroad._platform_bodies import RatingsBody
-from nutmegroad.clocks import Clock
-from nutmegroad.platform import RatedAnswer, Rating
+from nutmegroad.adapters._platform_bodies import RatingsBody
+from nutmegroad.contracts.platform import RatedAnswer, Rating
+from nutmegroad.foundations.clocks import Clock
 
 #: The most ratings that one read of the feed returns.
 FEED_LIMIT: Final = 1000
--- a/fakes/run_records.py
+++ b/fakes/run_records.py
@@ -6,7 +6,7 @@
 
 from fakes.answers import Prompt
 from fakes.batching import Run
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 
 @unique
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -19,8 +19,8 @@
 )
 from fakes.replies import json_reply
 from fakes.serving import Served, port_parser, run
-from nutmegroad.clocks import Clock, SystemClock
-from nutmegroad.types import Address
+from nutmegroad.foundations.clocks import Clock, SystemClock
+from nutmegroad.foundations.types import Address
 
 
 class CallRecord(msgspec.Struct, frozen=True):
--- a/fakes/serving.py
+++ b/fakes/serving.py
@@ -10,7 +10,7 @@
 import uvloop
 from aiohttp import web
 
-from nutmegroad.types import Address
+from nutmegroad.foundations.types import Address
 
 LOOPBACK: Final = '127.0.0.1'
 #: Seconds that calls in progress get when a stand-in stops: little, since
--- a/fakes/tables.py
+++ b/fakes/tables.py
@@ -8,8 +8,12 @@
 
 from fakes.bodies import json_reply, query_text, read_body
 from fakes.faults import FaultKind, Faults, FaultTarget
-from nutmegroad._platform_bodies import CommitBody, ConflictBody, RowsBody
-from nutmegroad.platform import (
+from nutmegroad.adapters._platform_bodies import (
+    CommitBody,
+    ConflictBody,
+    RowsBody,
+)
+from nutmegroad.contracts.platform import (
     ABSENT,
     Conflict,
     Row,
--- a/fakes/weights.py
+++ b/fakes/weights.py
@@ -5,8 +5,8 @@
 from aiohttp import web
 
 from fakes.bodies import json_reply, read_body
-from nutmegroad._platform_bodies import FetchBody, LoadRateBody
-from nutmegroad.clocks import Clock
+from nutmegroad.adapters._platform_bodies import FetchBody, LoadRateBody
+from nutmegroad.foundations.clocks import Clock
 
 _MINUTE: Final = 60
 
--- /dev/null
+++ b/src/nutmegroad/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The platform and the upstreams over HTTP, as the stand-ins speak it."""
--- a/src/nutmegroad/_event_streams.py
+++ b/src/nutmegroad/adapters/_event_streams.py
@@ -6,9 +6,9 @@
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder
 
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import AttemptId, Ran
-from nutmegroad.upstreams import AnswerEvent, Ending, Piece
+from nutmegroad.contracts.upstreams import AnswerEvent, Ending, Piece
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import AttemptId, Ran
 
 #: Bytes that one event may have; a longer one is no answer of an engine's.
 LONGEST_EVENT: Final = 1_048_576
--- a/src/nutmegroad/_gated_requests.py
+++ b/src/nutmegroad/adapters/_gated_requests.py
@@ -14,9 +14,9 @@
 from aiohttp.client_exceptions import ClientConnectionError
 from aiohttp.connector import Connection
 
-from nutmegroad.exceptions import GateClosed
-from nutmegroad.results import Refusal
-from nutmegroad.upstreams import Gate
+from nutmegroad.contracts.upstreams import Gate
+from nutmegroad.foundations.exceptions import GateClosed
+from nutmegroad.foundations.results import Refusal
 
 
 @dataclass(eq=False, slots=True)
--- a/src/nutmegroad/_http_answers.py
+++ b/src/nutmegroad/adapters/_http_answers.py
@@ -9,18 +9,18 @@
 import msgspec
 from aiohttp import ClientResponse
 
-from nutmegroad._event_streams import AnswerReader, EventSplitter
-from nutmegroad._gated_requests import Sending
-from nutmegroad._http_sessions import (
+from nutmegroad.adapters._event_streams import AnswerReader, EventSplitter
+from nutmegroad.adapters._gated_requests import Sending
+from nutmegroad.adapters._http_sessions import (
     FAILURES,
     JSON_HEADERS,
     HttpClient,
     refusal_of,
     url_of,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran
-from nutmegroad.upstreams import AnswerEvent, Attempt, Ending
+from nutmegroad.contracts.upstreams import AnswerEvent, Attempt, Ending
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran
 
 #: Seconds after which a busy engine may be asked again.
 BUSY_WAIT: Final = 0.2
--- a/src/nutmegroad/_http_costs.py
+++ b/src/nutmegroad/adapters/_http_costs.py
@@ -4,7 +4,7 @@
 
 from aiohttp import ClientResponse
 
-from nutmegroad.accounting import Account
+from nutmegroad.foundations.accounting import Account
 
 #: A header's colon, blank and line end.
 _HEADER: Final = 4
--- a/src/nutmegroad/_http_platform.py
+++ b/src/nutmegroad/adapters/_http_platform.py
@@ -19,8 +19,8 @@
 from msgspec.json import decode, encode
 from yarl import URL
 
-from nutmegroad._http_costs import account_for
-from nutmegroad._platform_bodies import (
+from nutmegroad.adapters._http_costs import account_for
+from nutmegroad.adapters._platform_bodies import (
     CommitBody,
     ConflictBody,
     ListingBody,
@@ -29,8 +29,7 @@
     RatingsBody,
     RowsBody,
 )
-from nutmegroad.accounting import Account
-from nutmegroad.platform import (
+from nutmegroad.contracts.platform import (
     Conflict,
     Listing,
     RatedAnswer,
@@ -39,9 +38,10 @@
     RowKey,
     RowWrite,
 )
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Address, Ran
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Address, Ran
+from nutmegroad.kernel.registry import register
 
 #: Seconds that a call may take; the platform answers in milliseconds, and
 #: a caller that waits longer does better to go on without it.
@@ -193,7 +193,7 @@
 
 @register('table', _PLUG_IN)
 class HttpTable(_Service):
-    """The table service; see ``nutmegroad.platform.Table``."""
+    """The table service; see ``nutmegroad.contracts.platform.Table``."""
 
     _code = ResultCode.TABLE_UNAVAILABLE
     _part = 'table'
@@ -231,7 +231,7 @@
 
 @register('objects', _PLUG_IN)
 class HttpObjects(_Service):
-    """The object store; see ``nutmegroad.platform.Objects``."""
+    """The object store; see ``nutmegroad.contracts.platform.Objects``."""
 
     _code = ResultCode.OBJECT_UNAVAILABLE
     _part = 'objects'
@@ -271,7 +271,7 @@
 
 @register('host list', _PLUG_IN)
 class HttpHostList(_Service):
-    """The host list; see ``nutmegroad.platform.HostList``."""
+    """The host list; see ``nutmegroad.contracts.platform.HostList``."""
 
     _code = ResultCode.HOST_LIST_UNAVAILABLE
     _part = 'host list'
@@ -284,7 +284,7 @@
 
 @register('ratings', _PLUG_IN)
 class HttpRatings(_Service):
-    """The rating service; see ``nutmegroad.platform.Ratings``."""
+    """The rating service; see ``nutmegroad.contracts.platform.Ratings``."""
 
     _code = ResultCode.RATINGS_UNAVAILABLE
     _part = 'ratings'
@@ -303,7 +303,7 @@
 
 @register('weights', _PLUG_IN)
 class HttpWeights(_Service):
-    """The weight store; see ``nutmegroad.platform.Weights``."""
+    """The weight store; see ``nutmegroad.contracts.platform.Weights``."""
 
     _code = ResultCode.WEIGHTS_UNAVAILABLE
     _part = 'weights'
--- a/src/nutmegroad/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -15,14 +15,14 @@
 )
 from yarl import URL
 
-from nutmegroad._gated_requests import (
+from nutmegroad.adapters._gated_requests import (
     GatedRequest,
     Sending,
     current_sending,
 )
-from nutmegroad.exceptions import GateClosed
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, UpstreamInfo
+from nutmegroad.foundations.exceptions import GateClosed
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, UpstreamInfo
 
 #: Seconds for a TCP connection; upstreams are milliseconds away.
 CONNECT_TIMEOUT: Final = 2.0
--- a/src/nutmegroad/_http_upstreams.py
+++ b/src/nutmegroad/adapters/_http_upstreams.py
@@ -12,28 +12,18 @@
 
 import msgspec
 
-from nutmegroad._gated_requests import Sending
-from nutmegroad._http_answers import AnswerCall
-from nutmegroad._http_costs import account_for
-from nutmegroad._http_sessions import (
+from nutmegroad.adapters._gated_requests import Sending
+from nutmegroad.adapters._http_answers import AnswerCall
+from nutmegroad.adapters._http_costs import account_for
+from nutmegroad.adapters._http_sessions import (
     FAILURES,
     JSON_HEADERS,
     HttpClient,
     refusal_of,
     url_of,
 )
-from nutmegroad._watch_rows import REPORTS_PART
-from nutmegroad.accounting import Account
-from nutmegroad.logs import part_logger
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
-    AttemptId,
-    FencingNumber,
-    Ran,
-    UpstreamInfo,
-    VersionId,
-)
-from nutmegroad.upstreams import (
+from nutmegroad.contracts._watch_rows import REPORTS_PART
+from nutmegroad.contracts.upstreams import (
     AnswerEvent,
     Attempt,
     EngineOrder,
@@ -41,6 +31,16 @@
     ServiceCall,
     ServiceReply,
 )
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    AttemptId,
+    FencingNumber,
+    Ran,
+    UpstreamInfo,
+    VersionId,
+)
 
 #: Seconds for a report, an order or a cancellation.
 CONTROL_TIMEOUT: Final = 2.0
--- a/src/nutmegroad/_platform_bodies.py
+++ b/src/nutmegroad/adapters/_platform_bodies.py
@@ -7,8 +7,8 @@
 
 from msgspec import Struct
 
-from nutmegroad.platform import Listing, Rating, Row, RowWrite
-from nutmegroad.types import (
+from nutmegroad.contracts.platform import Listing, Rating, Row, RowWrite
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
--- a/src/nutmegroad/_remembered_list.py
+++ b/src/nutmegroad/adapters/_remembered_list.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.platform import HostList, Listing
-from nutmegroad.results import Refusal
+from nutmegroad.contracts.platform import HostList, Listing
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal
 
 #: Seconds for which the membership, which only looks for addresses, takes a
 #: reading that the watch has made; reading anew would cost it 8 KB a second
--- a/src/nutmegroad/_platform_part.py
+++ b/src/nutmegroad/adapters/part.py
@@ -2,7 +2,7 @@
 
 from aiohttp import ClientSession, TCPConnector
 
-from nutmegroad._http_platform import (
+from nutmegroad.adapters._http_platform import (
     CALL_TIMEOUT,
     HttpHostList,
     HttpObjects,
@@ -10,11 +10,17 @@
     HttpTable,
     HttpWeights,
 )
-from nutmegroad._remembered_list import RememberedList
-from nutmegroad.accounting import Account
-from nutmegroad.core import Kernel
-from nutmegroad.platform import HostList, Objects, Ratings, Table, Weights
-from nutmegroad.registry import register
+from nutmegroad.adapters._remembered_list import RememberedList
+from nutmegroad.contracts.platform import (
+    HostList,
+    Objects,
+    Ratings,
+    Table,
+    Weights,
+)
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
 
 
 @register('part', 'platform')
--- /dev/null
+++ b/src/nutmegroad/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' interface: requests in, answers and refusals out."""
--- a/src/nutmegroad/_caller_guard.py
+++ b/src/nutmegroad/callers/_caller_guard.py
@@ -12,12 +12,12 @@
     middleware,
 )
 
-from nutmegroad.answer_streams import EventStream
-from nutmegroad.metrics import Metrics
-from nutmegroad.replies import refuse
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.stops import GracefulStop, ended_by_stop
-from nutmegroad.types import RequestId
+from nutmegroad.callers.answer_streams import EventStream
+from nutmegroad.callers.replies import refuse
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import RequestId
+from nutmegroad.kernel.stops import GracefulStop, ended_by_stop
 
 #: Where a request keeps the stream of its answer.
 STREAM_KEY: Final = RequestKey('stream', EventStream)
--- a/src/nutmegroad/_caller_parts.py
+++ b/src/nutmegroad/callers/_caller_parts.py
@@ -3,13 +3,13 @@
 import random
 from dataclasses import dataclass
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.forwards import Forwarder
-from nutmegroad.metrics import Metrics
-from nutmegroad.model_routes import ModelRoutes
-from nutmegroad.service_routes import ServiceRoutes
-from nutmegroad.tickets import TicketIssuer
+from nutmegroad.callers.model_routes import ModelRoutes
+from nutmegroad.callers.service_routes import ServiceRoutes
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.records.forwards import Forwarder
+from nutmegroad.records.tickets import TicketIssuer
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/_caller_requests.py
+++ b/src/nutmegroad/callers/_caller_requests.py
@@ -6,9 +6,9 @@
 from types import TracebackType
 from typing import Final, Self
 
-from nutmegroad.attempts import Sink
-from nutmegroad.documents import WorkspaceEntry
-from nutmegroad.types import RequestId, VersionId
+from nutmegroad.contracts.documents import WorkspaceEntry
+from nutmegroad.foundations.types import RequestId, VersionId
+from nutmegroad.routing.attempts import Sink
 
 #: Headers that matter when a request is handed on to another host.
 _PASSED: Final = (
--- a/src/nutmegroad/_http_edge.py
+++ b/src/nutmegroad/callers/_http_edge.py
@@ -18,19 +18,19 @@
     middleware,
 )
 
-from nutmegroad._caller_guard import STREAM_KEY
-from nutmegroad._http_listener import (
+from nutmegroad.callers._caller_guard import STREAM_KEY
+from nutmegroad.callers._http_listener import (
     NO_REQUEST,
     Connection,
     internal,
     refusal_of,
 )
-from nutmegroad.answer_streams import EventStream
-from nutmegroad.core import Kernel
-from nutmegroad.logs import about_request, part_logger
-from nutmegroad.replies import code_of, refuse
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import RequestId
+from nutmegroad.callers.answer_streams import EventStream
+from nutmegroad.callers.replies import code_of, refuse
+from nutmegroad.foundations.logs import about_request, part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import RequestId
+from nutmegroad.kernel.core import Kernel
 
 _HEADER: Final = 'Nutmegroad-Request'
 _NONCE_BITS: Final = 64
--- a/src/nutmegroad/_http_listener.py
+++ b/src/nutmegroad/callers/_http_listener.py
@@ -19,12 +19,12 @@
     StreamResponse,
 )
 
-from nutmegroad.core import Kernel
-from nutmegroad.logs import part_logger
-from nutmegroad.registry import register
-from nutmegroad.replies import refuse
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Address, Ran, RequestId
+from nutmegroad.callers.replies import refuse
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Address, Ran, RequestId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
 
 #: Seconds that a listener's last replies may take when it closes.
 LAST_REPLIES: Final = 1.0
--- a/src/nutmegroad/_http_statuses.py
+++ b/src/nutmegroad/callers/_http_statuses.py
@@ -3,7 +3,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from nutmegroad.results import ResultCode
+from nutmegroad.foundations.results import ResultCode
 
 _UNAVAILABLE: Final = 503
 
--- a/src/nutmegroad/_request_counts.py
+++ b/src/nutmegroad/callers/_request_counts.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from nutmegroad.intake import Intake
-from nutmegroad.logs import part_logger
-from nutmegroad.metrics import Metrics
-from nutmegroad.request_progress import Answer, Spent
-from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.callers.intake import Intake
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.routing.request_progress import Answer, Spent
 
 _LOG: Final = part_logger('callers')
 
--- a/src/nutmegroad/answer_streams.py
+++ b/src/nutmegroad/callers/answer_streams.py
@@ -7,8 +7,7 @@
 import msgspec
 from aiohttp.web import Request, StreamResponse
 
-from nutmegroad.metrics import Metrics
-from nutmegroad.replies import (
+from nutmegroad.callers.replies import (
     CHUNK,
     REQUEST_HEADER,
     Chunk,
@@ -17,9 +16,10 @@
     error_body,
     usage_of,
 )
-from nutmegroad.request_progress import Answer
-from nutmegroad.results import Refusal
-from nutmegroad.types import RequestId, VersionId
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import RequestId, VersionId
+from nutmegroad.routing.request_progress import Answer
 
 #: Headers of ours begin with this.
 _OURS: Final = 'Nutmegroad-'
--- a/src/nutmegroad/intake.py
+++ b/src/nutmegroad/callers/intake.py
@@ -9,14 +9,14 @@
 import xxhash
 from msgspec import Meta, Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.documents import TaskEntry, WorkspaceEntry
-from nutmegroad.requests import ModelRequest, SessionClaim
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.secrets import hash_of, is_same
-from nutmegroad.sessions import TOKEN_PREFIX, SessionSigner
-from nutmegroad.types import (
+from nutmegroad.callers.sessions import TOKEN_PREFIX, SessionSigner
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import TaskEntry, WorkspaceEntry
+from nutmegroad.contracts.requests import ModelRequest, SessionClaim
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.secrets import hash_of, is_same
+from nutmegroad.foundations.types import (
     IdempotencyKey,
     RequestId,
     TaskName,
--- a/src/nutmegroad/callers.py
+++ b/src/nutmegroad/callers/interface.py
@@ -13,34 +13,34 @@
     StreamResponse,
 )
 
-from nutmegroad._caller_guard import STREAM_KEY
-from nutmegroad._caller_parts import CallerParts
-from nutmegroad._caller_requests import (
+from nutmegroad.callers._caller_guard import STREAM_KEY
+from nutmegroad.callers._caller_parts import CallerParts
+from nutmegroad.callers._caller_requests import (
     CallerRequest,
     DetachableSink,
     passed_headers,
 )
-from nutmegroad.answer_streams import EventStream
-from nutmegroad.documents import WorkspaceEntry
-from nutmegroad.forwards import ForwardedReply, ForwardedRequest
-from nutmegroad.intake import authenticate
-from nutmegroad.intents import FirstAnswer
-from nutmegroad.logs import present_request
-from nutmegroad.model_routes import ModelCall, ModelRoutes
-from nutmegroad.once import Elsewhere
-from nutmegroad.replies import (
+from nutmegroad.callers.answer_streams import EventStream
+from nutmegroad.callers.intake import authenticate
+from nutmegroad.callers.model_routes import ModelCall, ModelRoutes
+from nutmegroad.callers.replies import (
     JSON_TYPE,
     forwarded_reply,
     read_answer,
     refuse,
     replay,
 )
-from nutmegroad.request_progress import KeptBack
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.runs import Ended, Outcome
-from nutmegroad.service_routes import ServiceCallIn, check_key
-from nutmegroad.types import RequestId, ServiceName, WorkspaceId
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.callers.service_routes import ServiceCallIn, check_key
+from nutmegroad.contracts.documents import WorkspaceEntry
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.logs import present_request
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import RequestId, ServiceName, WorkspaceId
+from nutmegroad.records.forwards import ForwardedReply, ForwardedRequest
+from nutmegroad.records.intents import FirstAnswer
+from nutmegroad.records.once import Elsewhere
+from nutmegroad.records.runs import Ended, Outcome
+from nutmegroad.routing.request_progress import KeptBack
 
 _OK: Final = 200
 _NONCE_BITS: Final = 64
--- a/src/nutmegroad/model_routes.py
+++ b/src/nutmegroad/callers/model_routes.py
@@ -4,24 +4,24 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from nutmegroad._request_counts import count_request
-from nutmegroad.attempts import Sink
-from nutmegroad.billing import BillingRecord
-from nutmegroad.clocks import Clock
-from nutmegroad.dispatch import Dispatcher
-from nutmegroad.documents import WorkspaceEntry
-from nutmegroad.explanations import Explanations
-from nutmegroad.fences import Fence
-from nutmegroad.intake import Intake, IntakeReader
-from nutmegroad.metrics import Metrics
-from nutmegroad.once import Order
-from nutmegroad.replies import JSON_TYPE, answer_body
-from nutmegroad.request_progress import Answer, Spent
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.runs import Ended, Outcome, Runner
-from nutmegroad.session_pins import SessionPins
-from nutmegroad.types import Ran, RequestId, VersionId
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.callers._request_counts import count_request
+from nutmegroad.callers.intake import Intake, IntakeReader
+from nutmegroad.callers.replies import JSON_TYPE, answer_body
+from nutmegroad.callers.session_pins import SessionPins
+from nutmegroad.contracts.documents import WorkspaceEntry
+from nutmegroad.contracts.fences import Fence
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, RequestId, VersionId
+from nutmegroad.records.billing import BillingRecord
+from nutmegroad.records.explanations import Explanations
+from nutmegroad.records.once import Order
+from nutmegroad.records.runs import Ended, Outcome, Runner
+from nutmegroad.routing.attempts import Sink
+from nutmegroad.routing.dispatch import Dispatcher
+from nutmegroad.routing.request_progress import Answer, Spent
 
 _OK: Final = 200
 
--- a/src/nutmegroad/_callers_part.py
+++ b/src/nutmegroad/callers/part.py
@@ -1,31 +1,31 @@
 """The part that listens to callers."""
 
-from nutmegroad._caller_guard import CallerGuard
-from nutmegroad._caller_parts import CallerParts
-from nutmegroad._http_edge import protect
-from nutmegroad._http_listener import Listener
-from nutmegroad.billing import Biller
-from nutmegroad.callers import CallersInterface
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import Observers
-from nutmegroad.dispatch import Dispatcher
-from nutmegroad.explanations import Explanations
-from nutmegroad.forwards import Forwarder
-from nutmegroad.intake import IntakeReader
-from nutmegroad.metrics import Metrics
-from nutmegroad.model_routes import ModelParts, ModelRoutes
-from nutmegroad.once import Once
-from nutmegroad.record_copies import RecordSender
-from nutmegroad.registry import register
-from nutmegroad.runs import Runner
-from nutmegroad.service_routes import ServiceRoutes
-from nutmegroad.services import ServiceCaller
-from nutmegroad.session_names import SessionNames
-from nutmegroad.session_pins import SessionPins
-from nutmegroad.sessions import SessionSigner
-from nutmegroad.stops import GracefulStop
-from nutmegroad.tickets import TicketIssuer
+from nutmegroad.callers._caller_guard import CallerGuard
+from nutmegroad.callers._caller_parts import CallerParts
+from nutmegroad.callers._http_edge import protect
+from nutmegroad.callers._http_listener import Listener
+from nutmegroad.callers.intake import IntakeReader
+from nutmegroad.callers.interface import CallersInterface
+from nutmegroad.callers.model_routes import ModelParts, ModelRoutes
+from nutmegroad.callers.service_routes import ServiceRoutes
+from nutmegroad.callers.session_names import SessionNames
+from nutmegroad.callers.session_pins import SessionPins
+from nutmegroad.callers.sessions import SessionSigner
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import Observers
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.kernel.stops import GracefulStop
+from nutmegroad.records.billing import Biller
+from nutmegroad.records.explanations import Explanations
+from nutmegroad.records.forwards import Forwarder
+from nutmegroad.records.once import Once
+from nutmegroad.records.record_copies import RecordSender
+from nutmegroad.records.runs import Runner
+from nutmegroad.records.tickets import TicketIssuer
+from nutmegroad.routing.dispatch import Dispatcher
+from nutmegroad.routing.services import ServiceCaller
 
 
 @register('part', 'callers')
--- a/src/nutmegroad/replies.py
+++ b/src/nutmegroad/callers/replies.py
@@ -7,12 +7,12 @@
 from aiohttp.web import Response, ResponseKey, StreamResponse
 from msgspec import Struct
 
-from nutmegroad._http_statuses import status_of
-from nutmegroad.forwards import ForwardedReply
-from nutmegroad.intents import FirstAnswer
-from nutmegroad.request_progress import Answer
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, RequestId, VersionId
+from nutmegroad.callers._http_statuses import status_of
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, RequestId, VersionId
+from nutmegroad.records.forwards import ForwardedReply
+from nutmegroad.records.intents import FirstAnswer
+from nutmegroad.routing.request_progress import Answer
 
 JSON_TYPE: Final = 'application/json'
 
--- a/src/nutmegroad/service_routes.py
+++ b/src/nutmegroad/callers/service_routes.py
@@ -6,26 +6,26 @@
 
 from msgspec.structs import replace
 
-from nutmegroad.billing import BillingRecord
-from nutmegroad.clocks import Clock
-from nutmegroad.documents import ServiceEntry, WorkspaceEntry
-from nutmegroad.explanations import Explanations
-from nutmegroad.fences import Fence
-from nutmegroad.intake import LONGEST_NAME, deadline_seconds
-from nutmegroad.once import Order
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.runs import Ended, Outcome, Runner
-from nutmegroad.services import (
-    ServiceCaller,
-    ServiceRequest,
-    is_repeatable,
-)
-from nutmegroad.types import (
+from nutmegroad.callers.intake import LONGEST_NAME, deadline_seconds
+from nutmegroad.contracts.documents import ServiceEntry, WorkspaceEntry
+from nutmegroad.contracts.fences import Fence
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     IdempotencyKey,
     RequestId,
     ServiceName,
     WorkspaceId,
 )
+from nutmegroad.records.billing import BillingRecord
+from nutmegroad.records.explanations import Explanations
+from nutmegroad.records.once import Order
+from nutmegroad.records.runs import Ended, Outcome, Runner
+from nutmegroad.routing.services import (
+    ServiceCaller,
+    ServiceRequest,
+    is_repeatable,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/session_names.py
+++ b/src/nutmegroad/callers/session_names.py
@@ -15,10 +15,9 @@
 
 import msgspec
 
-from nutmegroad.duties import Duties, DutyName
-from nutmegroad.invariants import Invariants
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.platform import (
+from nutmegroad.callers.sessions import SessionToken
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.contracts.platform import (
     ABSENT,
     Conflict,
     Row,
@@ -26,9 +25,10 @@
     RowWrite,
     Table,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.sessions import SessionToken
-from nutmegroad.types import HostId, WorkspaceId
+from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import HostId, WorkspaceId
+from nutmegroad.membership.duties import Duties, DutyName
 
 _PREFIX: Final = 'session/'
 
--- a/src/nutmegroad/session_pins.py
+++ b/src/nutmegroad/callers/session_pins.py
@@ -2,14 +2,14 @@
 
 from dataclasses import replace
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.dispatch import Dispatcher
-from nutmegroad.intake import Intake
-from nutmegroad.requests import ModelRequest, SessionClaim
-from nutmegroad.results import Refusal
-from nutmegroad.session_names import SessionNames
-from nutmegroad.sessions import SessionSigner, SessionToken
-from nutmegroad.types import Epoch, VersionId
+from nutmegroad.callers.intake import Intake
+from nutmegroad.callers.session_names import SessionNames
+from nutmegroad.callers.sessions import SessionSigner, SessionToken
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.requests import ModelRequest, SessionClaim
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import Epoch, VersionId
+from nutmegroad.routing.dispatch import Dispatcher
 
 
 class SessionPins:
--- a/src/nutmegroad/sessions.py
+++ b/src/nutmegroad/callers/sessions.py
@@ -10,9 +10,9 @@
 from itsdangerous import BadData, URLSafeSerializer
 from msgspec import Struct
 
-from nutmegroad.requests import SessionClaim
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Epoch, TaskName, VersionId, WorkspaceId
+from nutmegroad.contracts.requests import SessionClaim
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Epoch, TaskName, VersionId, WorkspaceId
 
 #: Tokens begin with this; other values are names of the caller's own.
 TOKEN_PREFIX: Final = 'nrs1.'
--- /dev/null
+++ b/src/nutmegroad/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command ``nutmegroad``, a client of the operators' interface."""
--- a/src/nutmegroad/_cli_client.py
+++ b/src/nutmegroad/cli/_cli_client.py
@@ -15,8 +15,8 @@
 )
 from msgspec import Struct
 
-from nutmegroad.results import ResultCode
-from nutmegroad.types import Address
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import Address
 
 #: Where the operator's token comes from; flags can be read by others.
 TOKEN_VARIABLE: Final = 'NUTMEGROAD_TOKEN'
--- a/src/nutmegroad/_cli_commands.py
+++ b/src/nutmegroad/cli/_cli_commands.py
@@ -8,10 +8,10 @@
 from typing import Any, Final
 from urllib.parse import quote
 
-from nutmegroad._cli_client import ExitCode, Failure, OperatorClient
-from nutmegroad._cli_output import cell, fields
-from nutmegroad.checks import read_document
-from nutmegroad.documents import Document
+from nutmegroad.cli._cli_client import ExitCode, Failure, OperatorClient
+from nutmegroad.cli._cli_output import cell, fields
+from nutmegroad.configuration.checks import read_document
+from nutmegroad.contracts.documents import Document
 
 #: Seconds between looks while a change comes into force.
 LOOK_PERIOD: Final = 0.25
--- a/src/nutmegroad/_cli_table.py
+++ b/src/nutmegroad/cli/_cli_table.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from nutmegroad._cli_commands import (
+from nutmegroad.cli._cli_commands import (
     Run,
     apply,
     check,
@@ -17,8 +17,8 @@
     switch,
     withdraw,
 )
-from nutmegroad._cli_numbers import positive
-from nutmegroad._cli_output import (
+from nutmegroad.cli._cli_numbers import positive
+from nutmegroad.cli._cli_output import (
     Renderer,
     configuration,
     fields,
--- a/src/nutmegroad/cli.py
+++ b/src/nutmegroad/cli/program.py
@@ -12,17 +12,17 @@
 from typing import Any, Final
 
 from nutmegroad import __version__
-from nutmegroad._cli_client import (
+from nutmegroad.cli._cli_client import (
     TOKEN_VARIABLE,
     ExitCode,
     Failure,
     OperatorClient,
 )
-from nutmegroad._cli_numbers import positive
-from nutmegroad._cli_output import as_json
-from nutmegroad._cli_table import COMMANDS, Command
-from nutmegroad._setting_specs import read_targets
-from nutmegroad.types import Address
+from nutmegroad.cli._cli_numbers import positive
+from nutmegroad.cli._cli_output import as_json
+from nutmegroad.cli._cli_table import COMMANDS, Command
+from nutmegroad.foundations.types import Address
+from nutmegroad.kernel._setting_specs import read_targets
 
 #: Where operators' listeners are, with commas between.
 OPERATORS_VARIABLE: Final = 'NUTMEGROAD_OPERATORS'
--- /dev/null
+++ b/src/nutmegroad/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force: checked, spread, confirmed, leased."""
--- a/src/nutmegroad/_configuration_messages.py
+++ b/src/nutmegroad/configuration/_configuration_messages.py
@@ -2,8 +2,8 @@
 
 from typing import ClassVar, Final
 
-from nutmegroad.documents import Withdrawal
-from nutmegroad.peers import Message
+from nutmegroad.contracts.documents import Withdrawal
+from nutmegroad.contracts.peers import Message
 
 #: The part that these messages are charged to.
 CONFIGURATION_PART: Final = 'configuration'
--- a/src/nutmegroad/_decoding.py
+++ b/src/nutmegroad/configuration/_decoding.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from nutmegroad.documents import Document
-from nutmegroad.problems import Problem, choices_of
+from nutmegroad.contracts.documents import Document
+from nutmegroad.contracts.problems import Problem, choices_of
 
 _MESSAGE: Final = re.compile(
     r'(?P<fault>.*?)(?: - at (?:`|key in `)(?P<path>[^`]*)`)?',
--- a/src/nutmegroad/_plan_checks.py
+++ b/src/nutmegroad/configuration/_plan_checks.py
@@ -6,9 +6,9 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
-from nutmegroad.documents import Document, WorkspaceEntry
-from nutmegroad.problems import Problem, choices_of
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.contracts.documents import Document, WorkspaceEntry
+from nutmegroad.contracts.problems import Problem, choices_of
+from nutmegroad.foundations.types import TaskName, VersionId
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/announcements.py
+++ b/src/nutmegroad/configuration/announcements.py
@@ -8,13 +8,13 @@
 import random
 from typing import Final
 
-from nutmegroad._configuration_messages import HeadNotice
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.confirmations import Confirmations
-from nutmegroad.peers import Mesh
-from nutmegroad.spread import JITTER, ConfigurationPoller
-from nutmegroad.types import HostId
+from nutmegroad.configuration._configuration_messages import HeadNotice
+from nutmegroad.configuration.confirmations import Confirmations
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.spread import JITTER, ConfigurationPoller
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import HostId
 
 #: Hosts that are told of a change at once. With 6, three or four rounds
 #: reach 400 hosts; what these miss, the comparisons find.
--- a/src/nutmegroad/changes.py
+++ b/src/nutmegroad/configuration/changes.py
@@ -4,14 +4,14 @@
 
 from msgspec.structs import replace
 
-from nutmegroad.checks import check_document
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Document, Withdrawal, WorkspaceEntry
-from nutmegroad.heads import Change, Head, HeadStore
-from nutmegroad.problems import Problem
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.spread import ConfigurationPoller
-from nutmegroad.types import (
+from nutmegroad.configuration.checks import check_document
+from nutmegroad.configuration.heads import Change, Head, HeadStore
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.spread import ConfigurationPoller
+from nutmegroad.contracts.documents import Document, Withdrawal, WorkspaceEntry
+from nutmegroad.contracts.problems import Problem
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Epoch,
     OperatorId,
     PresetName,
--- a/src/nutmegroad/checks.py
+++ b/src/nutmegroad/configuration/checks.py
@@ -11,17 +11,17 @@
 
 import msgspec
 
-from nutmegroad._decoding import problem_of
-from nutmegroad._plan_checks import check_plans
-from nutmegroad.documents import (
+from nutmegroad.configuration._decoding import problem_of
+from nutmegroad.configuration._plan_checks import check_plans
+from nutmegroad.contracts.documents import (
     CallRule,
     Document,
     PresetEntry,
     Stage,
     parse_document,
 )
-from nutmegroad.problems import Problem, references, repeated, unknown
-from nutmegroad.types import VersionId
+from nutmegroad.contracts.problems import Problem, references, repeated, unknown
+from nutmegroad.foundations.types import VersionId
 
 __all__ = ('Problem', 'check_document', 'read_document')
 
--- a/src/nutmegroad/confirmations.py
+++ b/src/nutmegroad/configuration/confirmations.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad._configuration_messages import (
+from nutmegroad.configuration._configuration_messages import (
     PAGE,
     DocumentQuestion,
     DocumentReply,
@@ -22,12 +22,12 @@
     WithdrawalsQuestion,
     WithdrawalsReply,
 )
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import digest_of, encode_document
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Digest, DomainId, HostId, Ran
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import digest_of, encode_document
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Digest, DomainId, HostId, Ran
 
 #: Seconds that a peer may take to reply.
 REPLY_TIMEOUT: Final = 0.7
--- a/src/nutmegroad/differences.py
+++ b/src/nutmegroad/configuration/differences.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from nutmegroad.documents import (
+from nutmegroad.contracts.documents import (
     CallRule,
     Document,
     DocumentPart,
--- a/src/nutmegroad/heads.py
+++ b/src/nutmegroad/configuration/heads.py
@@ -17,15 +17,16 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from nutmegroad.configuration import Accepted
-from nutmegroad.documents import (
+from nutmegroad.configuration.in_force import Accepted
+from nutmegroad.configuration.withdrawals import Withdrawals, union
+from nutmegroad.contracts.documents import (
     Document,
     Withdrawal,
     decode_document,
     digest_of,
     encode_document,
 )
-from nutmegroad.platform import (
+from nutmegroad.contracts.platform import (
     Conflict,
     Objects,
     Row,
@@ -33,9 +34,8 @@
     RowWrite,
     Table,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Digest, PresetName, Ran, Revision
-from nutmegroad.withdrawals import Withdrawals, union
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Digest, PresetName, Ran, Revision
 
 HEAD_KEY: Final = RowKey('configuration/head')
 HISTORY_KEY: Final = RowKey('configuration/history')
--- a/src/nutmegroad/configuration.py
+++ b/src/nutmegroad/configuration/in_force.py
@@ -10,14 +10,19 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.documents import (
+from nutmegroad.configuration.withdrawals import (
+    Withdrawals,
+    WithdrawalSet,
+    digest_withdrawals,
+)
+from nutmegroad.contracts.documents import (
     Document,
     PresetEntry,
     VersionEntry,
     Withdrawal,
 )
-from nutmegroad.types import (
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
     NO_REVISION,
     Digest,
     Epoch,
@@ -25,11 +30,6 @@
     Revision,
     VersionId,
 )
-from nutmegroad.withdrawals import (
-    Withdrawals,
-    WithdrawalSet,
-    digest_withdrawals,
-)
 
 #: Seconds beyond the lease after which a revision is in force everywhere:
 #: clocks of several hosts add up to one lease at rates that differ a little.
--- a/src/nutmegroad/leases.py
+++ b/src/nutmegroad/configuration/leases.py
@@ -16,11 +16,11 @@
 import msgspec
 from msgspec import Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.platform import Conflict, Row, RowKey, RowWrite, Table
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import FencingNumber, Incarnation, Ran
+from nutmegroad.contracts.platform import Conflict, Row, RowKey, RowWrite, Table
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import FencingNumber, Incarnation, Ran
 
 _LOG: Final = part_logger('leases')
 
--- a/src/nutmegroad/_configuration_part.py
+++ b/src/nutmegroad/configuration/part.py
@@ -2,19 +2,19 @@
 
 from typing import Final
 
-from nutmegroad.announcements import Announcer
-from nutmegroad.changes import Changes
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.confirmations import Confirmations
-from nutmegroad.core import Kernel
-from nutmegroad.heads import HeadStore
-from nutmegroad.metrics import Metrics
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import Objects, Table
-from nutmegroad.progress import ChangeProgress
-from nutmegroad.registry import register
-from nutmegroad.spread import ConfigurationPoller, PollTiming
+from nutmegroad.configuration.announcements import Announcer
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.configuration.confirmations import Confirmations
+from nutmegroad.configuration.heads import HeadStore
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.progress import ChangeProgress
+from nutmegroad.configuration.spread import ConfigurationPoller, PollTiming
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import Objects, Table
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
 
 #: Seconds between looks for the metrics.
 _SHOWN_EVERY: Final = 1.0
--- a/src/nutmegroad/progress.py
+++ b/src/nutmegroad/configuration/progress.py
@@ -10,11 +10,12 @@
 
 from msgspec import Struct
 
-from nutmegroad._configuration_messages import CONFIGURATION_PART
-from nutmegroad.configuration import Configuration
-from nutmegroad.peers import Member, Mesh, Message
-from nutmegroad.results import Refusal
-from nutmegroad.types import (
+from nutmegroad.configuration._configuration_messages import CONFIGURATION_PART
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.withdrawals import NO_EPOCH
+from nutmegroad.contracts.peers import Member, Mesh, Message
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     DomainId,
     Epoch,
     HostId,
@@ -23,7 +24,6 @@
     Revision,
     VersionId,
 )
-from nutmegroad.withdrawals import NO_EPOCH
 
 #: Seconds that a host, and a host that asks others, may take to reply.
 _HOST_TIMEOUT: Final = 0.7
--- a/src/nutmegroad/spread.py
+++ b/src/nutmegroad/configuration/spread.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, replace
 from typing import Final, Protocol
 
-from nutmegroad._configuration_messages import HeadNotice
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.confirmations import PeerHead
-from nutmegroad.heads import Head, HeadStore, accept
-from nutmegroad.logs import part_logger
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Digest, HostId, PresetName, Revision
+from nutmegroad.configuration._configuration_messages import HeadNotice
+from nutmegroad.configuration.confirmations import PeerHead
+from nutmegroad.configuration.heads import Head, HeadStore, accept
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Digest, HostId, PresetName, Revision
 
 _LOG: Final = part_logger('spread')
 
--- a/src/nutmegroad/withdrawals.py
+++ b/src/nutmegroad/configuration/withdrawals.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from nutmegroad.documents import Withdrawal
-from nutmegroad.types import Epoch, VersionId
+from nutmegroad.contracts.documents import Withdrawal
+from nutmegroad.foundations.types import Epoch, VersionId
 
 Withdrawals = tuple[Withdrawal, ...]
 
--- /dev/null
+++ b/src/nutmegroad/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""What rooms ask of each other and of the platform: types and Protocols."""
--- a/src/nutmegroad/_watch_rows.py
+++ b/src/nutmegroad/contracts/_watch_rows.py
@@ -12,9 +12,9 @@
 import xxhash
 from msgspec import Struct
 
-from nutmegroad.peers import Message
-from nutmegroad.types import FencingNumber, UpstreamInfo, VersionId
-from nutmegroad.upstreams import EngineReport, UpstreamState
+from nutmegroad.contracts.peers import Message
+from nutmegroad.contracts.upstreams import EngineReport, UpstreamState
+from nutmegroad.foundations.types import FencingNumber, UpstreamInfo, VersionId
 
 WATCH_PART: Final = 'watch'
 #: The cost of asking engines over HTTP; processor time counts as the watch's.
--- a/src/nutmegroad/decisions.py
+++ b/src/nutmegroad/contracts/decisions.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from nutmegroad.requests import ModelRequest, Plan
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
+from nutmegroad.contracts.requests import ModelRequest, Plan
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     AttemptId,
     RequestId,
     TaskName,
@@ -18,7 +19,6 @@
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import UpstreamState
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/documents.py
+++ b/src/nutmegroad/contracts/documents.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from nutmegroad.types import (
+from nutmegroad.foundations.types import (
     Digest,
     Epoch,
     OperatorId,
--- a/src/nutmegroad/fences.py
+++ b/src/nutmegroad/contracts/fences.py
@@ -6,10 +6,14 @@
 
 from dataclasses import dataclass
 
-from nutmegroad.clocks import Clock
-from nutmegroad.invariants import ONE_DISPATCH, TRUE_NOT_RUN, Invariants
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, RequestId
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.invariants import (
+    ONE_DISPATCH,
+    TRUE_NOT_RUN,
+    Invariants,
+)
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, RequestId
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/peers.py
+++ b/src/nutmegroad/contracts/peers.py
@@ -6,8 +6,14 @@
 
 from msgspec import Struct
 
-from nutmegroad.results import Refusal
-from nutmegroad.types import Address, DomainId, HostId, Incarnation, Presence
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
+    Address,
+    DomainId,
+    HostId,
+    Incarnation,
+    Presence,
+)
 
 
 class Message(Struct, frozen=True, tag_field='type'):
--- a/src/nutmegroad/platform.py
+++ b/src/nutmegroad/contracts/platform.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import NewType, Protocol
 
-from nutmegroad.results import Refusal
-from nutmegroad.types import (
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     HostInfo,
     RequestId,
     TaskName,
--- a/src/nutmegroad/requests.py
+++ b/src/nutmegroad/contracts/requests.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from nutmegroad.documents import Concern
-from nutmegroad.fences import Fence
-from nutmegroad.types import (
+from nutmegroad.contracts.documents import Concern
+from nutmegroad.contracts.fences import Fence
+from nutmegroad.foundations.types import (
     Epoch,
     IdempotencyKey,
     RequestId,
--- a/src/nutmegroad/upstreams.py
+++ b/src/nutmegroad/contracts/upstreams.py
@@ -11,8 +11,8 @@
 from enum import Enum, unique
 from typing import Protocol
 
-from nutmegroad.results import Refusal
-from nutmegroad.types import (
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     AttemptId,
     FencingNumber,
     Presence,
--- /dev/null
+++ b/src/nutmegroad/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``nutmegroadd``: all rooms put together as one process."""
--- a/src/nutmegroad/_safety_part.py
+++ b/src/nutmegroad/daemon/part.py
@@ -2,21 +2,21 @@
 
 from typing import Final
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.departures import Departures
-from nutmegroad.directory import Directory
-from nutmegroad.duties import Duties
-from nutmegroad.gates import Gatekeeper
-from nutmegroad.invariants import Invariants
-from nutmegroad.members import Members
-from nutmegroad.pauses import PauseDetector
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import Table
-from nutmegroad.registry import register
-from nutmegroad.session_names import SessionNames
-from nutmegroad.spread import ConfigurationPoller
-from nutmegroad.stops import GracefulStop
+from nutmegroad.callers.session_names import SessionNames
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.spread import ConfigurationPoller
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import Table
+from nutmegroad.daemon.pauses import PauseDetector
+from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.kernel.stops import GracefulStop
+from nutmegroad.membership.duties import Duties
+from nutmegroad.membership.members import Members
+from nutmegroad.routing.departures import Departures
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.gates import Gatekeeper
 
 _PART: Final = 'part'
 
--- a/src/nutmegroad/pauses.py
+++ b/src/nutmegroad/daemon/pauses.py
@@ -11,10 +11,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.logs import part_logger
-from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
 
 _LOG: Final = part_logger('pauses')
 
--- a/src/nutmegroad/daemon.py
+++ b/src/nutmegroad/daemon/program.py
@@ -9,13 +9,13 @@
 
 from aiomisc import Service, entrypoint
 
-from nutmegroad.clocks import SystemClock
-from nutmegroad.core import Kernel
-from nutmegroad.exceptions import RegistryError, SettingsError
-from nutmegroad.logs import LogFormat, part_logger, set_up_logs
-from nutmegroad.plugins import load_plugins
-from nutmegroad.settings import Settings, format_settings, read_settings
-from nutmegroad.stops import GracefulStop
+from nutmegroad.daemon.plugins import load_plugins
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.exceptions import RegistryError, SettingsError
+from nutmegroad.foundations.logs import LogFormat, part_logger, set_up_logs
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.settings import Settings, format_settings, read_settings
+from nutmegroad.kernel.stops import GracefulStop
 
 _LOG: Final = part_logger('daemon')
 
--- /dev/null
+++ b/src/nutmegroad/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What hosts share: tables they follow, loads and evidence they tell."""
--- a/src/nutmegroad/relay/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.relay.store_clock import StoreClock
-from nutmegroad.relay.stored import HistoryLost, RowsRead, Store
-from nutmegroad.results import Refusal
+from nutmegroad.fleet.store_clock import StoreClock
+from nutmegroad.fleet.stored import HistoryLost, RowsRead, Store
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
 
 _LOG: Final = part_logger('followers')
 
--- a/src/nutmegroad/relay/loads.py
+++ b/src/nutmegroad/fleet/loads.py
@@ -10,8 +10,8 @@
 
 from msgspec import Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.types import HostId, UpstreamId
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import HostId, UpstreamId
 
 #: Seconds after which what another host told is not believed any more: even
 #: one in another failure domain has missed a turn, so it is likely gone.
--- a/src/nutmegroad/relay/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -12,13 +12,12 @@
 import msgspec
 from msgspec import Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.relay.loads import LoadLedger, Loads
-from nutmegroad.relay.rollout_steps import FLEET_TABLE
-from nutmegroad.relay.stored import RowPut, Store
-from nutmegroad.results import Refusal
-from nutmegroad.types import Address, DomainId, HostId
+from nutmegroad.fleet.loads import LoadLedger, Loads
+from nutmegroad.fleet.stored import FLEET_TABLE, RowPut, Store
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import Address, DomainId, HostId
 
 _LOG: Final = part_logger('neighbours')
 
--- a/src/nutmegroad/relay/paces.py
+++ b/src/nutmegroad/fleet/paces.py
@@ -5,7 +5,7 @@
 
 from typing import Final
 
-from nutmegroad.relay.followers import FeedPace
+from nutmegroad.fleet.followers import FeedPace
 
 #: Part of the keys' trust for which the store is asked to wait: an answer is
 #: a moment old when it comes, and a lost one is noticed after a second.
--- a/src/nutmegroad/relay/store_clock.py
+++ b/src/nutmegroad/fleet/store_clock.py
@@ -8,7 +8,7 @@
 
 from typing import Final
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 #: Seconds that two steady clocks may drift apart in a second.
 DRIFT: Final = 0.0002
--- a/src/nutmegroad/relay/stored.py
+++ b/src/nutmegroad/fleet/stored.py
@@ -1,9 +1,12 @@
 """The platform's store of rows, as far as the relay needs it."""
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
-from nutmegroad.results import Refusal
+from nutmegroad.foundations.results import Refusal
+
+#: The table in which the hosts keep what they share.
+FLEET_TABLE: Final = 'nutmegroad'
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/nutmegroad/foundations/__init__.py
@@ -0,0 +1,1 @@
+"""Words, codes, clocks, logs and counters that every room shares."""
--- a/src/nutmegroad/_code_meaning.py
+++ b/src/nutmegroad/foundations/_code_meaning.py
@@ -4,7 +4,7 @@
 from enum import Enum, unique
 from typing import Final
 
-from nutmegroad.results import ResultCode
+from nutmegroad.foundations.results import ResultCode
 
 # What callers do, where several codes ask for the same.
 MEND: Final = 'Mend the request; the same one is refused again.'
--- a/src/nutmegroad/_cost_metrics.py
+++ b/src/nutmegroad/foundations/_cost_metrics.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 from typing import Final
 
-from nutmegroad.accounting import Ledger, PartCost
-from nutmegroad.metrics import Metrics
+from nutmegroad.foundations.accounting import Ledger, PartCost
+from nutmegroad.foundations.metrics import Metrics
 
 _STATM: Final = Path('/proc/self/statm')
 
--- a/src/nutmegroad/_owned_tasks.py
+++ b/src/nutmegroad/foundations/_owned_tasks.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any, Final, TypeVar
 
-from nutmegroad.logs import part_logger
+from nutmegroad.foundations.logs import part_logger
 
 _LOG: Final = part_logger('tasks')
 
--- a/src/nutmegroad/_quality_metrics.py
+++ b/src/nutmegroad/foundations/_quality_metrics.py
@@ -4,7 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.foundations.types import TaskName, VersionId
 
 _NAMESPACE: Final = 'nutmegroad'
 
--- a/src/nutmegroad/_request_codes.py
+++ b/src/nutmegroad/foundations/_request_codes.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from nutmegroad._code_meaning import (
+from nutmegroad.foundations._code_meaning import (
     ASK,
     IF_NOT_RUN,
     INSIDE,
@@ -11,7 +11,7 @@
     CodeMeaning,
     NotRun,
 )
-from nutmegroad.results import ResultCode
+from nutmegroad.foundations.results import ResultCode
 
 REQUEST_CODES: Final = (
     CodeMeaning(
--- a/src/nutmegroad/_system_codes.py
+++ b/src/nutmegroad/foundations/_system_codes.py
@@ -2,14 +2,14 @@
 
 from typing import Final
 
-from nutmegroad._code_meaning import (
+from nutmegroad.foundations._code_meaning import (
     FIND_OUT,
     INSIDE,
     LATER,
     CodeMeaning,
     NotRun,
 )
-from nutmegroad.results import ResultCode
+from nutmegroad.foundations.results import ResultCode
 
 SYSTEM_CODES: Final = (
     CodeMeaning(
--- a/src/nutmegroad/codes.py
+++ b/src/nutmegroad/foundations/codes.py
@@ -1,20 +1,22 @@
 """What each result code means; ``docs/CODES.md`` is generated from here.
 
-The page is written by ``python -m nutmegroad.codes > docs/CODES.md``.
+The page is written by
+``python -m nutmegroad.foundations.codes > docs/CODES.md``.
 """
 
 import sys
 from typing import Final
 
-from nutmegroad._code_meaning import CodeMeaning
-from nutmegroad._request_codes import REQUEST_CODES
-from nutmegroad._system_codes import SYSTEM_CODES
+from nutmegroad.foundations._code_meaning import CodeMeaning
+from nutmegroad.foundations._request_codes import REQUEST_CODES
+from nutmegroad.foundations._system_codes import SYSTEM_CODES
 
 _HEAD: Final = """\
 # Result codes
 
-Generated from `src/nutmegroad/codes.py` by
-`python -m nutmegroad.codes > docs/CODES.md`; a test holds the page to it.
+Generated from `src/nutmegroad/foundations/codes.py` by
+`python -m nutmegroad.foundations.codes > docs/CODES.md`; a test holds the page
+to it.
 
 A refusal carries its code and name, a sentence, `not_run` and
 `retry_after_ms`. `not_run` is true only where no byte of the request went to
--- a/src/nutmegroad/exceptions.py
+++ b/src/nutmegroad/foundations/exceptions.py
@@ -1,6 +1,6 @@
 """Exceptions, which are for the edges of libraries and for start-up."""
 
-from nutmegroad.results import Refusal
+from nutmegroad.foundations.results import Refusal
 
 
 class NutmegroadError(Exception):
--- a/src/nutmegroad/invariants.py
+++ b/src/nutmegroad/foundations/invariants.py
@@ -7,8 +7,8 @@
 from collections import Counter
 from typing import Final, NoReturn, Protocol
 
-from nutmegroad.logs import part_logger
-from nutmegroad.metrics import Metrics
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.metrics import Metrics
 
 _LOG: Final = part_logger('invariants')
 
--- a/src/nutmegroad/log_bounds.py
+++ b/src/nutmegroad/foundations/log_bounds.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Final, TextIO
 
-from nutmegroad.logs import LogKind, decision_line, kind_of
+from nutmegroad.foundations.logs import LogKind, decision_line, kind_of
 
 #: Lines of one kind that may be written in a second: a host answers some
 #: hundred requests a second at its peak, with a few lines each.
--- a/src/nutmegroad/logs.py
+++ b/src/nutmegroad/foundations/logs.py
@@ -19,7 +19,7 @@
 import msgspec
 from absl import logging
 
-from nutmegroad.types import RequestId
+from nutmegroad.foundations.types import RequestId
 
 #: The request that the running task is about, if it is about one.
 _REQUEST: ContextVar[RequestId | None] = ContextVar('request', default=None)
--- a/src/nutmegroad/metrics.py
+++ b/src/nutmegroad/foundations/metrics.py
@@ -14,10 +14,10 @@
     generate_latest,
 )
 
-from nutmegroad._quality_metrics import QualityMetrics
-from nutmegroad.accounting import PartCost
-from nutmegroad.results import ResultCode
-from nutmegroad.types import (
+from nutmegroad.foundations._quality_metrics import QualityMetrics
+from nutmegroad.foundations.accounting import PartCost
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import (
     Presence,
     Revision,
     TaskName,
--- a/src/nutmegroad/results.py
+++ b/src/nutmegroad/foundations/results.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import IntEnum, unique
 
-from nutmegroad.types import Ran
+from nutmegroad.foundations.types import Ran
 
 
 @unique
--- a/src/nutmegroad/timeouts.py
+++ b/src/nutmegroad/foundations/timeouts.py
@@ -5,7 +5,7 @@
 from types import TracebackType
 from typing import Self
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
 
 
 class Watchdog:
--- a/src/nutmegroad/_setting_specs.py
+++ b/src/nutmegroad/kernel/_setting_specs.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from nutmegroad.types import Address
+from nutmegroad.foundations.types import Address
 
 #: Reads a setting's text; raises ValueError where the text is wrong.
 Reader = Callable[[str], Any]
--- a/src/nutmegroad/core.py
+++ b/src/nutmegroad/kernel/core.py
@@ -19,13 +19,13 @@
 from types import MappingProxyType
 from typing import Any, Final, Protocol, Self, TypeVar, cast
 
-from nutmegroad.accounting import Account, Metered
-from nutmegroad.clocks import Clock
-from nutmegroad.exceptions import RegistryError
-from nutmegroad.logs import part_logger
-from nutmegroad.registry import registered
-from nutmegroad.settings import Settings
-from nutmegroad.types import Address, Incarnation
+from nutmegroad.foundations.accounting import Account, Metered
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.exceptions import RegistryError
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import Address, Incarnation
+from nutmegroad.kernel.registry import registered
+from nutmegroad.kernel.settings import Settings
 
 _LOG: Final = part_logger('kernel')
 
--- a/src/nutmegroad/_metrics_part.py
+++ b/src/nutmegroad/kernel/part.py
@@ -3,12 +3,12 @@
 import time
 from typing import Final
 
-from nutmegroad._cost_metrics import CostPublisher
-from nutmegroad.accounting import Account, Ledger
-from nutmegroad.core import Kernel
-from nutmegroad.invariants import CountedInvariants, Invariants
-from nutmegroad.metrics import Metrics
-from nutmegroad.registry import register
+from nutmegroad.foundations._cost_metrics import CostPublisher
+from nutmegroad.foundations.accounting import Account, Ledger
+from nutmegroad.foundations.invariants import CountedInvariants, Invariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
 
 #: Seconds between two updates of what control costs.
 PUBLISH_PERIOD: Final = 5.0
--- a/src/nutmegroad/registry.py
+++ b/src/nutmegroad/kernel/registry.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from nutmegroad.exceptions import RegistryError
+from nutmegroad.foundations.exceptions import RegistryError
 
 Factory = TypeVar('Factory', bound=Callable[..., Any])
 
--- a/src/nutmegroad/settings.py
+++ b/src/nutmegroad/kernel/settings.py
@@ -11,9 +11,9 @@
 from enum import Enum, unique
 from typing import Any, Final
 
-from nutmegroad._setting_specs import SPECS, Spec
-from nutmegroad.exceptions import SettingsError
-from nutmegroad.types import Address, DomainId, HostId
+from nutmegroad.foundations.exceptions import SettingsError
+from nutmegroad.foundations.types import Address, DomainId, HostId
+from nutmegroad.kernel._setting_specs import SPECS, Spec
 
 _PRINT: Final = 'print_settings'
 
--- a/src/nutmegroad/settings_page.py
+++ b/src/nutmegroad/kernel/settings_page.py
@@ -1,19 +1,20 @@
 """The page ``docs/SETTINGS.md``, from the table of settings.
 
-It is written by ``python -m nutmegroad.settings_page > docs/SETTINGS.md``.
+It is written by
+``python -m nutmegroad.kernel.settings_page > docs/SETTINGS.md``.
 """
 
 import sys
 from typing import Final
 
-from nutmegroad._setting_specs import SPECS, Spec
+from nutmegroad.kernel._setting_specs import SPECS, Spec
 
 _HEAD: Final = """\
 # Settings
 
-Generated from `src/nutmegroad/_setting_specs.py` by
-`python -m nutmegroad.settings_page > docs/SETTINGS.md`; a test holds the page
-to it.
+Generated from `src/nutmegroad/kernel/_setting_specs.py` by
+`python -m nutmegroad.kernel.settings_page > docs/SETTINGS.md`; a test holds
+the page to it.
 
 ```sh
 # runs beside `make serve`
--- a/src/nutmegroad/stops.py
+++ b/src/nutmegroad/kernel/stops.py
@@ -12,10 +12,10 @@
 from enum import IntEnum, unique
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran
 
 _LOG: Final = part_logger('stop')
 
--- /dev/null
+++ b/src/nutmegroad/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts that know each other: links, heartbeats, members, duties."""
--- a/src/nutmegroad/_connection.py
+++ b/src/nutmegroad/membership/_connection.py
@@ -10,10 +10,10 @@
 
 from msgspec import Struct
 
-from nutmegroad._handshake import Identity
-from nutmegroad._wire import StreamError, Unpacker, as_struct, pack
-from nutmegroad.accounting import Account
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._wire import StreamError, Unpacker, as_struct, pack
 
 _CHUNK: Final = 65_536
 #: The cost of what comes in before it is known whose it is.
--- a/src/nutmegroad/_coordinator.py
+++ b/src/nutmegroad/membership/_coordinator.py
@@ -4,22 +4,26 @@
 from collections import Counter
 from typing import Final
 
-from nutmegroad._detector import Detector, Verdicts
-from nutmegroad._handshake import Identity
-from nutmegroad._heartbeats import HeartbeatSender, age_seconds
-from nutmegroad._link_targets import LinkTargets
-from nutmegroad._member_context import LinkLayer, MemberContext
-from nutmegroad._member_messages import (
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import DomainId, HostId, Presence
+from nutmegroad.membership._detector import Detector, Verdicts
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._heartbeats import HeartbeatSender, age_seconds
+from nutmegroad.membership._link_targets import LinkTargets
+from nutmegroad.membership._member_context import LinkLayer, MemberContext
+from nutmegroad.membership._member_messages import (
     Heartbeat,
     Record,
     TableReply,
     TableRequest,
 )
-from nutmegroad._member_table import MemberTable, Origin, Reachability
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.peers import Mesh
-from nutmegroad.types import DomainId, HostId, Presence
+from nutmegroad.membership._member_table import (
+    MemberTable,
+    Origin,
+    Reachability,
+)
 
 #: A digest that differs for so many heartbeats in a row is no passing lag.
 _PATIENCE: Final = 3
--- a/src/nutmegroad/_detector.py
+++ b/src/nutmegroad/membership/_detector.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad._member_messages import Heartbeat
-from nutmegroad._member_table import MemberTable, Reachability
-from nutmegroad.types import HostId
+from nutmegroad.foundations.types import HostId
+from nutmegroad.membership._member_messages import Heartbeat
+from nutmegroad.membership._member_table import MemberTable, Reachability
 
 #: A bound is never less or more than so many heartbeat intervals.
 _LEAST: Final = 3.0
--- a/src/nutmegroad/_dialer.py
+++ b/src/nutmegroad/membership/_dialer.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
 
-from nutmegroad._link_context import LinkContext
-from nutmegroad.clocks import Clock
-from nutmegroad.types import Address
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Address
+from nutmegroad.membership._link_context import LinkContext
 
 Outcome = TypeVar('Outcome')
 
--- a/src/nutmegroad/_handshake.py
+++ b/src/nutmegroad/membership/_handshake.py
@@ -15,7 +15,8 @@
 
 from msgspec import Struct
 
-from nutmegroad._wire import (
+from nutmegroad.foundations.types import Address, DomainId, HostId, Incarnation
+from nutmegroad.membership._wire import (
     Kind,
     StreamError,
     Unpacker,
@@ -23,7 +24,6 @@
     as_struct,
     pack,
 )
-from nutmegroad.types import Address, DomainId, HostId, Incarnation
 
 #: Changes with each change of the streams that old hosts can't read.
 PROTOCOL_VERSION: Final = 1
--- a/src/nutmegroad/_heartbeats.py
+++ b/src/nutmegroad/membership/_heartbeats.py
@@ -4,12 +4,17 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
-from nutmegroad._detector import Detector
-from nutmegroad._handshake import Identity
-from nutmegroad._member_messages import Heartbeat, Record
-from nutmegroad._member_table import Entry, MemberTable, Origin, Reachability
-from nutmegroad.peers import Message
-from nutmegroad.types import DomainId, HostId
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.types import DomainId, HostId
+from nutmegroad.membership._detector import Detector
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._member_messages import Heartbeat, Record
+from nutmegroad.membership._member_table import (
+    Entry,
+    MemberTable,
+    Origin,
+    Reachability,
+)
 
 #: Records that one heartbeat carries at most; the rest waits for the next.
 _MOST_NEWS: Final = 64
--- a/src/nutmegroad/_link_context.py
+++ b/src/nutmegroad/membership/_link_context.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from nutmegroad._handshake import Identity
-from nutmegroad.accounting import Account
-from nutmegroad.clocks import Clock
-from nutmegroad.peers import Member
-from nutmegroad.types import Address
+from nutmegroad.contracts.peers import Member
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Address
+from nutmegroad.membership._handshake import Identity
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/_link_lifecycle.py
+++ b/src/nutmegroad/membership/_link_lifecycle.py
@@ -7,9 +7,13 @@
 from functools import partial
 from typing import Any, Final
 
-from nutmegroad._connection import LINKS_PART, Connection, Frame
-from nutmegroad._dialer import within
-from nutmegroad._handshake import (
+from nutmegroad.foundations._owned_tasks import OwnedTasks
+from nutmegroad.foundations.accounting import Metered
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import Address
+from nutmegroad.membership._connection import LINKS_PART, Connection, Frame
+from nutmegroad.membership._dialer import within
+from nutmegroad.membership._handshake import (
     Credentials,
     HandshakeError,
     HandshakeStream,
@@ -17,14 +21,14 @@
     answer,
     greet,
 )
-from nutmegroad._link_context import LinkContext, LinkListener, Roster
-from nutmegroad._message_receiver import MessageReceiver
-from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad._peer_table import Peer, PeerTable
-from nutmegroad._wire import Unpacker
-from nutmegroad.accounting import Metered
-from nutmegroad.logs import part_logger
-from nutmegroad.types import Address
+from nutmegroad.membership._link_context import (
+    LinkContext,
+    LinkListener,
+    Roster,
+)
+from nutmegroad.membership._message_receiver import MessageReceiver
+from nutmegroad.membership._peer_table import Peer, PeerTable
+from nutmegroad.membership._wire import Unpacker
 
 _LOG: Final = part_logger('links')
 #: Seconds between looks for links that are stuck.
--- a/src/nutmegroad/_link_targets.py
+++ b/src/nutmegroad/membership/_link_targets.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 from typing import Final
 
-from nutmegroad._member_messages import Record
-from nutmegroad._member_table import MemberTable, Reachability
-from nutmegroad._rendezvous import ranked
-from nutmegroad.types import Address, DomainId, HostId
+from nutmegroad.foundations.types import Address, DomainId, HostId
+from nutmegroad.membership._member_messages import Record
+from nutmegroad.membership._member_table import MemberTable, Reachability
+from nutmegroad.membership._rendezvous import ranked
 
 #: Links that a host makes to each other domain.
 CROSS_LINKS: Final = 2
--- a/src/nutmegroad/_member_context.py
+++ b/src/nutmegroad/membership/_member_context.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkListener
-from nutmegroad._member_table import MemberTable, Reachability
-from nutmegroad.accounting import Account
-from nutmegroad.clocks import Clock
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.platform import HostList
-from nutmegroad.types import Address, HostId
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.contracts.platform import HostList
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkListener
+from nutmegroad.membership._member_table import MemberTable, Reachability
 
 #: A domain unheard for so many intervals counts as cut off.
 _DOMAIN_BOUND: Final = 15.0
--- a/src/nutmegroad/_member_messages.py
+++ b/src/nutmegroad/membership/_member_messages.py
@@ -5,9 +5,9 @@
 import xxhash
 from msgspec import Struct
 
-from nutmegroad._handshake import Identity
-from nutmegroad.peers import Message
-from nutmegroad.types import DomainId, HostId, Presence
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.types import DomainId, HostId, Presence
+from nutmegroad.membership._handshake import Identity
 
 MEMBERS_PART: Final = 'members'
 
--- a/src/nutmegroad/_member_table.py
+++ b/src/nutmegroad/membership/_member_table.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
-from nutmegroad._handshake import Identity
-from nutmegroad._member_messages import Record
-from nutmegroad._rendezvous import ranked
-from nutmegroad.clocks import Clock
-from nutmegroad.peers import Member
-from nutmegroad.types import Address, DomainId, HostId, Presence
+from nutmegroad.contracts.peers import Member
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Address, DomainId, HostId, Presence
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._member_messages import Record
+from nutmegroad.membership._rendezvous import ranked
 
 #: Gone incarnations that are remembered at most.
 _MOST_GONE: Final = 1000
--- a/src/nutmegroad/_message_receiver.py
+++ b/src/nutmegroad/membership/_message_receiver.py
@@ -4,23 +4,23 @@
 import itertools
 from typing import Any, Final
 
-from nutmegroad._connection import (
+from nutmegroad.contracts.peers import Handler, Message, Sent
+from nutmegroad.foundations._owned_tasks import OwnedTasks
+from nutmegroad.foundations.accounting import Metered
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import HostId, Ran
+from nutmegroad.membership._connection import (
     LINKS_PART,
     Frame,
     FrameKind,
     QueuedFrame,
     pack_frame,
 )
-from nutmegroad._link_context import LinkContext, Roster
-from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad._peer_table import Peer
-from nutmegroad._wire import Kinds, as_plain
-from nutmegroad.accounting import Metered
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.peers import Handler, Message, Sent
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import HostId, Ran
+from nutmegroad.membership._link_context import LinkContext, Roster
+from nutmegroad.membership._peer_table import Peer
+from nutmegroad.membership._wire import Kinds, as_plain
 
 _Answer = asyncio.Future[Message | Refusal]
 
--- a/src/nutmegroad/_peer_table.py
+++ b/src/nutmegroad/membership/_peer_table.py
@@ -3,19 +3,19 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from nutmegroad._connection import (
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.membership._connection import (
     Connection,
     FrameKind,
     QueuedFrame,
     SendQueue,
     pack_frame,
 )
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkContext, LinkLimits
-from nutmegroad._wire import as_plain
-from nutmegroad.clocks import Clock
-from nutmegroad.peers import Message
-from nutmegroad.types import Address, HostId
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkContext, LinkLimits
+from nutmegroad.membership._wire import as_plain
 
 #: Two hosts that connect to each other do so within this many seconds. A
 #: connection that is older was lost by the other side if it makes another.
--- a/src/nutmegroad/_rendezvous.py
+++ b/src/nutmegroad/membership/_rendezvous.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from nutmegroad.types import HostId
+from nutmegroad.foundations.types import HostId
 
 
 def ranked(key: str, hosts: Iterable[HostId]) -> list[HostId]:
--- a/src/nutmegroad/_wire.py
+++ b/src/nutmegroad/membership/_wire.py
@@ -6,7 +6,7 @@
 import msgpack
 import msgspec
 
-from nutmegroad.peers import Message
+from nutmegroad.contracts.peers import Message
 
 #: What an unreadable stream raises from ``msgpack``.
 _UNREADABLE: Final = (
--- a/src/nutmegroad/duties.py
+++ b/src/nutmegroad/membership/duties.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from typing import Final, NewType, Protocol
 
-from nutmegroad._rendezvous import ranked
-from nutmegroad.types import HostId, UpstreamId
+from nutmegroad.foundations.types import HostId, UpstreamId
+from nutmegroad.membership._rendezvous import ranked
 
 DutyName = NewType('DutyName', str)
 
--- a/src/nutmegroad/links.py
+++ b/src/nutmegroad/membership/links.py
@@ -10,18 +10,25 @@
 from types import TracebackType
 from typing import Final, Self
 
-from nutmegroad._connection import LINKS_PART
-from nutmegroad._dialer import Dialer
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkContext, LinkListener, Roster
-from nutmegroad._link_lifecycle import Handshaker, LinkRunner
-from nutmegroad._message_receiver import MessageReceiver, PendingReplies
-from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad._peer_table import MessageSender, PeerTable
-from nutmegroad.accounting import Metered
-from nutmegroad.peers import Handler, Member, Message, Sent
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Address, HostId
+from nutmegroad.contracts.peers import Handler, Member, Message, Sent
+from nutmegroad.foundations._owned_tasks import OwnedTasks
+from nutmegroad.foundations.accounting import Metered
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.membership._connection import LINKS_PART
+from nutmegroad.membership._dialer import Dialer
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import (
+    LinkContext,
+    LinkListener,
+    Roster,
+)
+from nutmegroad.membership._link_lifecycle import Handshaker, LinkRunner
+from nutmegroad.membership._message_receiver import (
+    MessageReceiver,
+    PendingReplies,
+)
+from nutmegroad.membership._peer_table import MessageSender, PeerTable
 
 _BACKLOG: Final = 256
 
--- a/src/nutmegroad/members.py
+++ b/src/nutmegroad/membership/members.py
@@ -10,16 +10,16 @@
 from types import TracebackType
 from typing import Any, Final, Self
 
-from nutmegroad._coordinator import Coordinator
-from nutmegroad._member_context import LinkLayer, MemberContext
-from nutmegroad._member_messages import MEMBERS_PART
-from nutmegroad._member_table import MemberTable, Reachability
-from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad.accounting import Metered
-from nutmegroad.peers import Member
-from nutmegroad.platform import HostList
-from nutmegroad.results import Refusal
-from nutmegroad.types import DomainId, HostId, Presence
+from nutmegroad.contracts.peers import Member
+from nutmegroad.contracts.platform import HostList
+from nutmegroad.foundations._owned_tasks import OwnedTasks
+from nutmegroad.foundations.accounting import Metered
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import DomainId, HostId, Presence
+from nutmegroad.membership._coordinator import Coordinator
+from nutmegroad.membership._member_context import LinkLayer, MemberContext
+from nutmegroad.membership._member_messages import MEMBERS_PART
+from nutmegroad.membership._member_table import MemberTable, Reachability
 
 #: A tick that is later than so many intervals was a pause of our own.
 _PAUSE: Final = 2.0
--- a/src/nutmegroad/_mesh_part.py
+++ b/src/nutmegroad/membership/part.py
@@ -2,19 +2,19 @@
 
 import random
 
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkContext
-from nutmegroad._member_context import MemberContext, make_table
-from nutmegroad._remembered_list import recent_list
-from nutmegroad.accounting import Account
-from nutmegroad.core import Kernel
-from nutmegroad.duties import Duties
-from nutmegroad.exceptions import SettingsError
-from nutmegroad.links import Links
-from nutmegroad.members import Members
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import HostList
-from nutmegroad.registry import register
+from nutmegroad.adapters._remembered_list import recent_list
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import HostList
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.exceptions import SettingsError
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkContext
+from nutmegroad.membership._member_context import MemberContext, make_table
+from nutmegroad.membership.duties import Duties
+from nutmegroad.membership.links import Links
+from nutmegroad.membership.members import Members
 
 _MILLISECONDS = 1000
 
--- /dev/null
+++ b/src/nutmegroad/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface."""
--- a/src/nutmegroad/_host_calls.py
+++ b/src/nutmegroad/operators/_host_calls.py
@@ -8,10 +8,10 @@
 
 from msgspec.structs import replace
 
-from nutmegroad.explanations import Step
-from nutmegroad.peers import Member, Mesh, Message
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import HostId, OperatorId, Presence, RequestId
+from nutmegroad.contracts.peers import Member, Mesh, Message
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import HostId, OperatorId, Presence, RequestId
+from nutmegroad.records.explanations import Step
 
 #: Control cost of operators' calls goes under this name.
 OPERATORS_PART: Final = 'operators'
--- a/src/nutmegroad/operators.py
+++ b/src/nutmegroad/operators/interface.py
@@ -10,17 +10,17 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.directory import Directory
-from nutmegroad.operator_access import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import DomainId, HostId
+from nutmegroad.kernel.stops import GracefulStop
+from nutmegroad.operators.operator_access import (
     Access,
     OperatorRoutes,
     refuse_operator,
     reply,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.stops import GracefulStop
-from nutmegroad.types import DomainId, HostId
+from nutmegroad.routing.directory import Directory
 
 _UNAVAILABLE: Final = 503
 
--- a/src/nutmegroad/operator_access.py
+++ b/src/nutmegroad/operators/operator_access.py
@@ -18,13 +18,13 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Role
-from nutmegroad.problems import Problem
-from nutmegroad.replies import JSON_TYPE, error_body, refuse
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.secrets import hash_of, is_same
-from nutmegroad.types import OperatorId, RequestId, Revision
+from nutmegroad.callers.replies import JSON_TYPE, error_body, refuse
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import Role
+from nutmegroad.contracts.problems import Problem
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.secrets import hash_of, is_same
+from nutmegroad.foundations.types import OperatorId, RequestId, Revision
 
 Body = TypeVar('Body', bound=Struct)
 
--- a/src/nutmegroad/operator_configuration.py
+++ b/src/nutmegroad/operators/operator_configuration.py
@@ -13,14 +13,28 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.changes import Changes
-from nutmegroad.checks import read_document
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.differences import compare
-from nutmegroad.documents import Document, Role
-from nutmegroad.heads import HeadStore
-from nutmegroad.operator_access import (
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.configuration.checks import read_document
+from nutmegroad.configuration.differences import compare
+from nutmegroad.configuration.heads import HeadStore
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.progress import (
+    Change,
+    ChangeProgress,
+    HostProgress,
+)
+from nutmegroad.contracts.documents import Document, Role
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    NO_REVISION,
+    Epoch,
+    PresetName,
+    Revision,
+    VersionId,
+)
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.operators.operator_access import (
     Access,
     ProblemBody,
     answer,
@@ -31,10 +45,6 @@
     reply,
     revision_of,
 )
-from nutmegroad.progress import Change, ChangeProgress, HostProgress
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import NO_REVISION, Epoch, PresetName, Revision, VersionId
 
 _ROOT: Final = '/operators/configuration'
 
--- a/src/nutmegroad/operator_hosts.py
+++ b/src/nutmegroad/operators/operator_hosts.py
@@ -9,18 +9,18 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad._host_calls import DrainOrder, DrainReply, HostCalls
-from nutmegroad.clocks import Clock
-from nutmegroad.core import Kernel
-from nutmegroad.documents import Role
-from nutmegroad.logs import part_logger
-from nutmegroad.members import Members
-from nutmegroad.operator_access import Access, refuse_operator, reply
-from nutmegroad.peers import Member, Mesh, Message
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.stops import GracefulStop
-from nutmegroad.types import HostId, OperatorId
+from nutmegroad.contracts.documents import Role
+from nutmegroad.contracts.peers import Member, Mesh, Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import HostId, OperatorId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.kernel.stops import GracefulStop
+from nutmegroad.membership.members import Members
+from nutmegroad.operators._host_calls import DrainOrder, DrainReply, HostCalls
+from nutmegroad.operators.operator_access import Access, refuse_operator, reply
 
 _LOG: Final = part_logger('operators')
 _PATH: Final = '/operators/hosts'
--- a/src/nutmegroad/operator_presets.py
+++ b/src/nutmegroad/operators/operator_presets.py
@@ -8,21 +8,21 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.changes import Changes
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.documents import PresetEntry
-from nutmegroad.operator_access import (
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import PresetEntry
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import PresetName
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.operators.operator_access import (
     Access,
     answer,
     refuse_operator,
     reply,
     revision_of,
 )
-from nutmegroad.operator_configuration import missing
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import PresetName
+from nutmegroad.operators.operator_configuration import missing
 
 
 class SwitchBody(Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/nutmegroad/operator_requests.py
+++ b/src/nutmegroad/operators/operator_requests.py
@@ -10,14 +10,18 @@
 
 from aiohttp.web import Application, Request, Response
 
-from nutmegroad._host_calls import ExplainQuestion, ExplainReply, HostCalls
-from nutmegroad.core import Kernel
-from nutmegroad.explanations import Explanations, Step
-from nutmegroad.operator_access import Access, answer, refuse_operator
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import HostId, RequestId
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import HostId, RequestId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.operators._host_calls import (
+    ExplainQuestion,
+    ExplainReply,
+    HostCalls,
+)
+from nutmegroad.operators.operator_access import Access, answer, refuse_operator
+from nutmegroad.records.explanations import Explanations, Step
 
 _PATH: Final = '/operators/requests/{request}'
 
--- a/src/nutmegroad/operator_rollouts.py
+++ b/src/nutmegroad/operators/operator_rollouts.py
@@ -8,13 +8,13 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.core import Kernel
-from nutmegroad.operator_access import Access, refuse_operator, reply
-from nutmegroad.order_keeper import OrderKeeper
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal
-from nutmegroad.rollout_service import Action, RolloutService
-from nutmegroad.types import VersionId
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import VersionId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.operators.operator_access import Access, refuse_operator, reply
+from nutmegroad.rollouts.order_keeper import OrderKeeper
+from nutmegroad.rollouts.rollout_service import Action, RolloutService
 
 
 class RolloutBody(Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/nutmegroad/operator_withdrawals.py
+++ b/src/nutmegroad/operators/operator_withdrawals.py
@@ -9,13 +9,13 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.changes import Changes, Withdrawn
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.operator_access import Access, refuse_operator, reply
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal
-from nutmegroad.types import Epoch, VersionId
+from nutmegroad.configuration.changes import Changes, Withdrawn
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import Epoch, VersionId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.operators.operator_access import Access, refuse_operator, reply
 
 _PATH: Final = '/operators/withdrawals'
 _OK: Final = 200
--- a/src/nutmegroad/operator_workspaces.py
+++ b/src/nutmegroad/operators/operator_workspaces.py
@@ -11,11 +11,13 @@
 from aiohttp.web import Application, Request, Response
 from msgspec import Struct
 
-from nutmegroad.changes import Changes
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.documents import WorkspaceEntry
-from nutmegroad.operator_access import (
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import WorkspaceEntry
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.operators.operator_access import (
     Access,
     answer,
     refuse_document,
@@ -23,9 +25,7 @@
     reply,
     revision_of,
 )
-from nutmegroad.operator_configuration import missing
-from nutmegroad.registry import register
-from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.operators.operator_configuration import missing
 
 _PATH: Final = '/operators/workspaces'
 
--- a/src/nutmegroad/_operators_part.py
+++ b/src/nutmegroad/operators/part.py
@@ -9,24 +9,24 @@
     middleware,
 )
 
-from nutmegroad._cost_metrics import CostPublisher
-from nutmegroad._http_edge import BodyReader, protect
-from nutmegroad._http_listener import Listener
-from nutmegroad.changes import Changes
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.directory import Directory
-from nutmegroad.explanations import Explanations
-from nutmegroad.members import Members
-from nutmegroad.metrics import Metrics
-from nutmegroad.operator_access import Access
-from nutmegroad.operators import OperatorsInterface
-from nutmegroad.order_keeper import OrderKeeper
-from nutmegroad.peers import Mesh
-from nutmegroad.registry import register, registered
-from nutmegroad.rollout_service import RolloutService
-from nutmegroad.stops import GracefulStop
-from nutmegroad.types import Presence
+from nutmegroad.callers._http_edge import BodyReader, protect
+from nutmegroad.callers._http_listener import Listener
+from nutmegroad.configuration.changes import Changes
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.foundations._cost_metrics import CostPublisher
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import Presence
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register, registered
+from nutmegroad.kernel.stops import GracefulStop
+from nutmegroad.membership.members import Members
+from nutmegroad.operators.interface import OperatorsInterface
+from nutmegroad.operators.operator_access import Access
+from nutmegroad.records.explanations import Explanations
+from nutmegroad.rollouts.order_keeper import OrderKeeper
+from nutmegroad.rollouts.rollout_service import RolloutService
+from nutmegroad.routing.directory import Directory
 
 _UNAVAILABLE = 503
 
--- a/src/nutmegroad/_plan_choice.py
+++ b/src/nutmegroad/quality/_plan_choice.py
@@ -9,9 +9,9 @@
 from enum import Enum, unique
 from typing import Final
 
-from nutmegroad.documents import Concern, VersionEntry
-from nutmegroad.estimates import Estimate
-from nutmegroad.requests import ModelRequest
+from nutmegroad.contracts.documents import Concern, VersionEntry
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.quality.estimates import Estimate
 
 #: Half a step of the scores' scale: a version is not held for worse than
 #: the target on a difference that the scale does not show.
--- a/src/nutmegroad/cascades.py
+++ b/src/nutmegroad/quality/cascades.py
@@ -11,11 +11,11 @@
 from types import MappingProxyType
 from typing import Final, Protocol
 
-from nutmegroad._plan_choice import Candidate
-from nutmegroad.decisions import AttemptEnd
-from nutmegroad.documents import Concern
-from nutmegroad.requests import ModelRequest
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.contracts.decisions import AttemptEnd
+from nutmegroad.contracts.documents import Concern
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.types import TaskName, VersionId
+from nutmegroad.quality._plan_choice import Candidate
 
 #: Rated answers below which a check's power counts as unmeasured.
 FEWEST_RATED: Final = 100
--- a/src/nutmegroad/estimates.py
+++ b/src/nutmegroad/quality/estimates.py
@@ -9,12 +9,17 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad._bounds import Evidence, posterior
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.platform import Rating
-from nutmegroad.quality import Cell, Pair, QualityBook, QualityState
-from nutmegroad.types import Epoch, TaskName, VersionId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.platform import Rating
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Epoch, TaskName, VersionId
+from nutmegroad.quality._bounds import Evidence, posterior
+from nutmegroad.quality.quality_book import (
+    Cell,
+    Pair,
+    QualityBook,
+    QualityState,
+)
 
 #: Confidence with which a version must meet the target to be taken up.
 ENTER: Final = 0.95
--- a/src/nutmegroad/_quality_part.py
+++ b/src/nutmegroad/quality/part.py
@@ -2,25 +2,25 @@
 
 from typing import Final
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import Observers
-from nutmegroad.duties import Duties, DutyName
-from nutmegroad.estimates import Estimates
-from nutmegroad.metrics import Metrics
-from nutmegroad.peers import Mesh
-from nutmegroad.plans import AdaptivePlanner
-from nutmegroad.platform import Objects, Ratings
-from nutmegroad.quality_sharing import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import Observers
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import Objects, Ratings
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import TaskName, VersionId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.membership.duties import Duties, DutyName
+from nutmegroad.quality.estimates import Estimates
+from nutmegroad.quality.plans import AdaptivePlanner
+from nutmegroad.quality.quality_sharing import (
     STORE_PERIOD,
     FeedReader,
     QualitySharer,
     QualityStore,
 )
-from nutmegroad.rating_samples import RatingSamples
-from nutmegroad.registry import register
-from nutmegroad.trials import PresetShares, Trials
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.quality.rating_samples import RatingSamples
+from nutmegroad.quality.trials import PresetShares, Trials
 
 #: Seconds between two updates of the metrics.
 _SHOW_PERIOD: Final = 15.0
--- a/src/nutmegroad/plans.py
+++ b/src/nutmegroad/quality/plans.py
@@ -11,29 +11,29 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad._plan_choice import (
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.decisions import AttemptEnd
+from nutmegroad.contracts.documents import Concern, Stage, VersionEntry
+from nutmegroad.contracts.requests import ModelRequest, Plan
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Epoch, TaskName, VersionId
+from nutmegroad.quality._plan_choice import (
     Candidate,
     Standing,
     choose,
     explain,
     standing_of,
 )
-from nutmegroad.cascades import (
+from nutmegroad.quality.cascades import (
     PASSED,
     AnswerCheck,
     Cascade,
     NoCheck,
     best_cascade,
 )
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.decisions import AttemptEnd
-from nutmegroad.documents import Concern, Stage, VersionEntry
-from nutmegroad.estimates import Estimates
-from nutmegroad.prices import cost_of
-from nutmegroad.requests import ModelRequest, Plan
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.trials import Trials
-from nutmegroad.types import Epoch, TaskName, VersionId
+from nutmegroad.quality.estimates import Estimates
+from nutmegroad.quality.prices import cost_of
+from nutmegroad.quality.trials import Trials
 
 #: Share of a task's requests that may try a cheaper, uncertain version.
 EXPLORED: Final = 0.02
--- a/src/nutmegroad/prices.py
+++ b/src/nutmegroad/quality/prices.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from nutmegroad.documents import VersionEntry
+from nutmegroad.contracts.documents import VersionEntry
 
 #: Token counts that prices are stated for.
 PRICED_TOKENS: Final = 1000
--- a/src/nutmegroad/quality.py
+++ b/src/nutmegroad/quality/quality_book.py
@@ -15,9 +15,9 @@
 
 from msgspec import Struct
 
-from nutmegroad._bounds import Evidence
-from nutmegroad.platform import Rating
-from nutmegroad.types import Epoch, TaskName, VersionId
+from nutmegroad.contracts.platform import Rating
+from nutmegroad.foundations.types import Epoch, TaskName, VersionId
+from nutmegroad.quality._bounds import Evidence
 
 #: What remains of a rating's weight with each rating after it; 0.98 lets
 #: the last fifty or so count, worth 99 even ones.
--- a/src/nutmegroad/quality_sharing.py
+++ b/src/nutmegroad/quality/quality_sharing.py
@@ -14,14 +14,14 @@
 
 import msgspec
 
-from nutmegroad.clocks import Clock
-from nutmegroad.estimates import Estimates
-from nutmegroad.logs import part_logger
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.platform import Objects, Rating, Ratings
-from nutmegroad.quality import QualityState
-from nutmegroad.results import Refusal
-from nutmegroad.types import HostId
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.contracts.platform import Objects, Rating, Ratings
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import HostId
+from nutmegroad.quality.estimates import Estimates
+from nutmegroad.quality.quality_book import QualityState
 
 _LOG: Final = part_logger('quality')
 #: Whose cost the messages are.
--- a/src/nutmegroad/rating_samples.py
+++ b/src/nutmegroad/quality/rating_samples.py
@@ -14,15 +14,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.documents import Stage
-from nutmegroad.estimates import Estimate, Estimates
-from nutmegroad.logs import part_logger
-from nutmegroad.platform import RatedAnswer, Ratings
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import RequestId, TaskName, VersionId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
+from nutmegroad.contracts.documents import Stage
+from nutmegroad.contracts.platform import RatedAnswer, Ratings
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import RequestId, TaskName, VersionId
+from nutmegroad.quality.estimates import Estimate, Estimates
 
 _LOG: Final = part_logger('rating samples')
 #: Share of answers rated where the estimate is firm and clear.
--- a/src/nutmegroad/ratings.py
+++ b/src/nutmegroad/quality/ratings.py
@@ -14,13 +14,13 @@
 
 from msgspec import Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.duties import DutyName
-from nutmegroad.logs import part_logger
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.platform import Rating, Ratings
-from nutmegroad.results import Refusal
-from nutmegroad.types import HostId, TaskName, VersionId
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.contracts.platform import Rating, Ratings
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import HostId, TaskName, VersionId
+from nutmegroad.membership.duties import DutyName
 
 _LOG: Final = part_logger('ratings')
 
--- a/src/nutmegroad/_ratings_part.py
+++ b/src/nutmegroad/quality/ratings_part.py
@@ -2,12 +2,12 @@
 
 from typing import Final
 
-from nutmegroad.core import Kernel
-from nutmegroad.duties import Duties
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import Ratings
-from nutmegroad.ratings import RatingFeed
-from nutmegroad.registry import register
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import Ratings
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.membership.duties import Duties
+from nutmegroad.quality.ratings import RatingFeed
 
 #: Seconds between reads of the feed.
 RATING_PERIOD: Final = 1.0
--- a/src/nutmegroad/trials.py
+++ b/src/nutmegroad/quality/trials.py
@@ -4,9 +4,9 @@
 
 import xxhash
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.requests import ModelRequest
-from nutmegroad.types import VersionId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.types import VersionId
 
 _HASH_BITS: Final = 64
 _HASHES: Final = 2**_HASH_BITS
--- /dev/null
+++ b/src/nutmegroad/records/__init__.py
@@ -0,0 +1,1 @@
+"""What runs at most once, what is billed, what explains itself."""
--- a/src/nutmegroad/billing.py
+++ b/src/nutmegroad/records/billing.py
@@ -17,13 +17,13 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.invariants import ONE_RECORD, Invariants
-from nutmegroad.logs import part_logger
-from nutmegroad.metrics import Metrics
-from nutmegroad.platform import Objects
-from nutmegroad.results import Refusal
-from nutmegroad.types import Incarnation, RequestId
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
+from nutmegroad.contracts.platform import Objects
+from nutmegroad.foundations.invariants import ONE_RECORD, Invariants
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import Incarnation, RequestId
 
 #: Objects of billing batches begin with this.
 BILLING_PREFIX: Final = 'billing/'
--- a/src/nutmegroad/explanations.py
+++ b/src/nutmegroad/records/explanations.py
@@ -5,8 +5,8 @@
 
 from msgspec import Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.types import RequestId
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import RequestId
 
 #: Requests whose explanations a host keeps, the newest.
 KEPT: Final = 20_000
--- a/src/nutmegroad/forwards.py
+++ b/src/nutmegroad/records/forwards.py
@@ -5,10 +5,10 @@
 
 from msgspec.structs import replace
 
-from nutmegroad.peers import Member, Mesh, Message
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.tickets import Ticket
-from nutmegroad.types import HostId, Ran
+from nutmegroad.contracts.peers import Member, Mesh, Message
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import HostId, Ran
+from nutmegroad.records.tickets import Ticket
 
 #: Hosts of the issuer's domain that are asked to hand a request on.
 MOST_RELAYS: Final = 2
--- a/src/nutmegroad/intents.py
+++ b/src/nutmegroad/records/intents.py
@@ -17,8 +17,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from nutmegroad.clocks import Clock
-from nutmegroad.platform import (
+from nutmegroad.contracts.platform import (
     ABSENT,
     Conflict,
     Objects,
@@ -28,15 +27,16 @@
     RowWrite,
     Table,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     IdempotencyKey,
     Incarnation,
     Ran,
     RequestId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import ServiceReply
 
 _PREFIX: Final = 'intent/'
 _ANSWERS: Final = 'answers/'
--- a/src/nutmegroad/once.py
+++ b/src/nutmegroad/records/once.py
@@ -14,9 +14,21 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.fences import Fence, FenceTerms
-from nutmegroad.intents import (
+from nutmegroad.contracts.fences import Fence, FenceTerms
+from nutmegroad.contracts.platform import RowKey
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    IdempotencyKey,
+    Ran,
+    RequestId,
+    WorkspaceId,
+)
+from nutmegroad.records.intents import (
     Claim,
     FirstAnswer,
     IntentLedger,
@@ -25,14 +37,7 @@
     key_reused,
     still_running,
 )
-from nutmegroad.invariants import Invariants
-from nutmegroad.logs import part_logger
-from nutmegroad.metrics import Metrics
-from nutmegroad.platform import RowKey
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.tickets import SpentTicket, Ticket, TicketIssuer
-from nutmegroad.types import IdempotencyKey, Ran, RequestId, WorkspaceId
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.records.tickets import SpentTicket, Ticket, TicketIssuer
 
 #: Seconds from before a claim until its first byte must have gone out.
 LEASE: Final = 5.0
--- a/src/nutmegroad/_records_part.py
+++ b/src/nutmegroad/records/part.py
@@ -3,20 +3,20 @@
 from collections.abc import Callable
 from typing import Final
 
-from nutmegroad.billing import Biller
-from nutmegroad.core import Kernel
-from nutmegroad.explanations import Explanations
-from nutmegroad.forwards import Forwarder
-from nutmegroad.intents import IntentLedger, IntentOwner
-from nutmegroad.invariants import Invariants
-from nutmegroad.metrics import Metrics
-from nutmegroad.once import Once
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import Objects, Table
-from nutmegroad.record_copies import RecordKeeper, RecordSender
-from nutmegroad.registry import register
-from nutmegroad.tickets import TicketIssuer, TicketSigner
-from nutmegroad.types import HostId, Incarnation
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import Objects, Table
+from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import HostId, Incarnation
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.records.billing import Biller
+from nutmegroad.records.explanations import Explanations
+from nutmegroad.records.forwards import Forwarder
+from nutmegroad.records.intents import IntentLedger, IntentOwner
+from nutmegroad.records.once import Once
+from nutmegroad.records.record_copies import RecordKeeper, RecordSender
+from nutmegroad.records.tickets import TicketIssuer, TicketSigner
 
 #: Seconds between flushes of billing records, jittered; 400 hosts then
 #: store some 80 objects a second.
--- a/src/nutmegroad/record_copies.py
+++ b/src/nutmegroad/records/record_copies.py
@@ -9,12 +9,12 @@
 import asyncio
 from typing import ClassVar, Final
 
-from nutmegroad.billing import Batch, Biller, BillingRecord
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.metrics import Metrics
-from nutmegroad.peers import Member, Mesh, Message
-from nutmegroad.types import DomainId, HostId, Incarnation, Presence
+from nutmegroad.contracts.peers import Member, Mesh, Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import DomainId, HostId, Incarnation, Presence
+from nutmegroad.records.billing import Batch, Biller, BillingRecord
 
 #: Seconds that the end of an answer may wait for one peer to take its
 #: record; it takes less than a millisecond unless the peer stands still.
--- a/src/nutmegroad/runs.py
+++ b/src/nutmegroad/records/runs.py
@@ -10,14 +10,14 @@
 from types import TracebackType
 from typing import Any, Final, Self
 
-from nutmegroad.billing import Biller, BillingRecord
-from nutmegroad.fences import Fence
-from nutmegroad.intents import FirstAnswer
-from nutmegroad.logs import part_logger
-from nutmegroad.once import Elsewhere, Once, Order, Run
-from nutmegroad.record_copies import RecordSender
-from nutmegroad.results import Refusal
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.contracts.fences import Fence
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.records.billing import Biller, BillingRecord
+from nutmegroad.records.intents import FirstAnswer
+from nutmegroad.records.once import Elsewhere, Once, Order, Run
+from nutmegroad.records.record_copies import RecordSender
 
 _LOG: Final = part_logger('runs')
 
--- a/src/nutmegroad/tickets.py
+++ b/src/nutmegroad/records/tickets.py
@@ -14,11 +14,17 @@
 from itsdangerous import BadData, URLSafeSerializer
 from msgspec import Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.intents import FirstAnswer, key_reused, still_running
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import HostId, Incarnation, Ran, RequestId, WorkspaceId
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    HostId,
+    Incarnation,
+    Ran,
+    RequestId,
+    WorkspaceId,
+)
+from nutmegroad.records.intents import FirstAnswer, key_reused, still_running
 
 #: Seconds for which a ticket may begin its request.
 TICKET_LIFE: Final = 600.0
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -13,7 +13,8 @@
 
 from aiohttp.http_parser import RawResponseMessage
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import ModelName, Ran
 from nutmegroad.relay.connections import (
     BelongsHere,
     ConnectionFailedError,
@@ -26,7 +27,6 @@
 from nutmegroad.relay.requests import MILLISECONDS, CallerRequest
 from nutmegroad.relay.selection import Choice, Selector
 from nutmegroad.relay.upstreams import Upstream
-from nutmegroad.types import ModelName, Ran
 
 #: Seconds for a new connection: fifty times the slowest way within a region
 #: of today, and a lost first packet is better tried elsewhere.
--- a/src/nutmegroad/relay/belief.py
+++ b/src/nutmegroad/relay/belief.py
@@ -7,8 +7,8 @@
 
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.relay.deployment import NO_VERSION, RoutingTable
 
 _LOG: Final = part_logger('configuration')
--- a/src/nutmegroad/relay/budgets.py
+++ b/src/nutmegroad/relay/budgets.py
@@ -11,8 +11,8 @@
 from enum import Enum, unique
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.types import ServiceName
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import ServiceName
 
 #: Part of the operator's ratio that hosts use at most; the rest is for
 #: requests that windows split unlike ours.
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -18,8 +18,8 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from multidict import CIMultiDictProxy
 
+from nutmegroad.foundations.types import Address
 from nutmegroad.relay.headers import RawHeaders
-from nutmegroad.types import Address
 
 #: Bytes of an answer that wait for a slow caller before reading stops.
 BUFFERED: Final = 65_536
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -11,7 +11,7 @@
     generate_latest,
 )
 
-from nutmegroad.results import ResultCode
+from nutmegroad.foundations.results import ResultCode
 
 _PREFIX: Final = 'nutmegroad_relay'
 
--- a/src/nutmegroad/relay/deployment.py
+++ b/src/nutmegroad/relay/deployment.py
@@ -12,7 +12,7 @@
 from functools import cached_property
 from typing import Final, NewType
 
-from nutmegroad.types import ModelName, ServiceName, WorkspaceId
+from nutmegroad.foundations.types import ModelName, ServiceName, WorkspaceId
 
 RouteName = NewType('RouteName', str)
 #: Counts the operator's configurations; it grows in uneven steps.
--- a/src/nutmegroad/relay/escalation.py
+++ b/src/nutmegroad/relay/escalation.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from typing import Final
 
+from nutmegroad.foundations.types import ModelName
 from nutmegroad.relay.deployment import EngineFacts, Route
 from nutmegroad.relay.requests import ANY_MODEL, CallerRequest
-from nutmegroad.types import ModelName
 
 #: Opinion of a model, from 0 to 100, below which its answer is dropped.
 #: Trials on two deployments put the best between 40 and 80, with little
--- a/src/nutmegroad/relay/estimates.py
+++ b/src/nutmegroad/relay/estimates.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.types import ModelName, ServiceName
+from nutmegroad.foundations.types import ModelName, ServiceName
 
 #: Seconds for a token before the first answer: 20,000 tokens a second, a
 #: slow engine of today. Only the first few requests go by it.
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -8,8 +8,10 @@
 from types import MappingProxyType
 from typing import Final, Protocol
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import ModelName, Ran, ServiceName, UpstreamId
 from nutmegroad.relay.attempts import (
     Answering,
     AttemptEnd,
@@ -23,8 +25,6 @@
 from nutmegroad.relay.requests import CallerRequest
 from nutmegroad.relay.selection import Asked, Choice, Selector
 from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import ModelName, Ran, ServiceName, UpstreamId
 
 _LOG: Final = part_logger('relay')
 
--- a/src/nutmegroad/relay/fleet_table.py
+++ b/src/nutmegroad/relay/fleet_table.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
-from nutmegroad.logs import part_logger
-from nutmegroad.relay.evidence import Evidence
-from nutmegroad.relay.neighbours import HOST_KEY, HostRow, Neighbours
+from nutmegroad.fleet.evidence import Evidence
+from nutmegroad.fleet.neighbours import HOST_KEY, HostRow, Neighbours
+from nutmegroad.fleet.stored import RowsRead, StoredRow
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import HostId, ServiceName
 from nutmegroad.relay.rollout_steps import EVIDENCE_KEY, STEP_KEY
 from nutmegroad.relay.rollouts import RolloutRow
-from nutmegroad.relay.stored import RowsRead, StoredRow
 from nutmegroad.relay.versions import RolloutState
-from nutmegroad.types import HostId, ServiceName
 
 _LOG: Final = part_logger('fleet')
 
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -6,8 +6,14 @@
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
+from nutmegroad.fleet.followers import FollowedStore, TableFollower
+from nutmegroad.fleet.loads import LoadLedger
+from nutmegroad.fleet.neighbours import Neighbours
+from nutmegroad.fleet.paces import FLEET_PACE, UPSTREAM_PACE, operator_pace
+from nutmegroad.fleet.store_clock import StoreClock
+from nutmegroad.fleet.stored import FLEET_TABLE
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.relay.attempts import Attempts
 from nutmegroad.relay.belief import ConfigurationBelief
 from nutmegroad.relay.boundary import HostSettings, Platform
@@ -15,28 +21,19 @@
 from nutmegroad.relay.deployment import NO_VERSION
 from nutmegroad.relay.execution import RelayParts
 from nutmegroad.relay.fleet_table import FleetSink
-from nutmegroad.relay.followers import FollowedStore, TableFollower
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import Listeners
-from nutmegroad.relay.loads import LoadLedger
-from nutmegroad.relay.neighbours import Neighbours
-from nutmegroad.relay.paces import FLEET_PACE, UPSTREAM_PACE, operator_pace
 from nutmegroad.relay.pools import ConnectionPool
-from nutmegroad.relay.rollout_steps import (
-    FLEET_TABLE,
-    RolloutSteps,
-)
+from nutmegroad.relay.rollout_steps import RolloutSteps
 from nutmegroad.relay.selection import Selector
 from nutmegroad.relay.serving import Serving
-from nutmegroad.relay.session_versions import SessionVersions
 from nutmegroad.relay.status_pages import Beliefs, StatusPages, show_beliefs
-from nutmegroad.relay.store_clock import StoreClock
 from nutmegroad.relay.tables import (
     OperatorSink,
     UpstreamSink,
 )
 from nutmegroad.relay.upstreams import Directory
-from nutmegroad.relay.versions import RolloutGate, RolloutState
+from nutmegroad.relay.versions import RolloutState, make_gate
 
 _LOG: Final = part_logger('host')
 
@@ -169,7 +166,6 @@
             settings.exposure,
             self._store_clock.now,
         )
-        sessions = SessionVersions(clock, settings.session_span)
         ledger = LoadLedger(clock)
         self._neighbours = Neighbours(
             settings.host,
@@ -185,7 +181,12 @@
             selector,
             self._directory,
             RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
-            RolloutGate(self._directory, self._rollouts, sessions),
+            make_gate(
+                self._directory,
+                self._rollouts,
+                clock,
+                settings.session_span,
+            ),
             clock,
             self._platform.counters,
         )
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -5,7 +5,9 @@
 
 from aiohttp import web
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import RequestId
 from nutmegroad.relay.belief import ConfigurationBelief
 from nutmegroad.relay.deployment import Route, RoutingTable, Workspace
 from nutmegroad.relay.headers import HeaderNames, forwarded
@@ -16,8 +18,6 @@
     read_generation,
     read_wait,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import RequestId
 
 _BEARER: Final = 'bearer '
 
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -9,11 +9,11 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import Address
 from nutmegroad.relay.headers import RawHeaders
 from nutmegroad.relay.refusals import CallerRefusal
-from nutmegroad.types import Address
 
 #: Seconds that an idle connection is kept at least; callers may use one
 #: that has been idle for most of the operator's limit, which can change.
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -3,15 +3,15 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.logs import part_logger
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran
 from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
 from nutmegroad.relay.connections import ConnectionFailedError, ResponseHead
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.headers import end_to_end
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran
 
 _LOG: Final = part_logger('relay')
 
--- a/src/nutmegroad/relay/pools.py
+++ b/src/nutmegroad/relay/pools.py
@@ -3,9 +3,9 @@
 from collections import defaultdict
 from typing import Final
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Address, UpstreamId
 from nutmegroad.relay.connections import UpstreamConnection, connect
-from nutmegroad.types import Address, UpstreamId
 
 #: Seconds that an upstream is taken to keep an idle connection if it does
 #: not say: the shortest that servers are commonly set to is five, less one
--- a/src/nutmegroad/relay/prefixes.py
+++ b/src/nutmegroad/relay/prefixes.py
@@ -8,8 +8,8 @@
 from collections import OrderedDict
 from typing import Final
 
+from nutmegroad.foundations.types import ModelName, UpstreamId
 from nutmegroad.relay.requests import PartId, PromptPart
-from nutmegroad.types import ModelName, UpstreamId
 
 #: Parts remembered for one upstream; more than its memory holds of them.
 MOST_PARTS: Final = 400
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -4,8 +4,8 @@
 from types import MappingProxyType
 from typing import Final
 
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran
 
 #: The HTTP status of each refusal, for requests that did not run. A caller
 #: takes 429 and 503 as a promise that the request never will.
--- a/src/nutmegroad/relay/requests.py
+++ b/src/nutmegroad/relay/requests.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Final, NewType
 
+from nutmegroad.foundations.types import ModelName, RequestId
 from nutmegroad.relay.deployment import Route, RoutingTable, Workspace
 from nutmegroad.relay.headers import HeaderNames, RawHeaders
-from nutmegroad.types import ModelName, RequestId
 
 #: Id of a part of a prompt, as it was written.
 PartId = NewType('PartId', str)
--- a/src/nutmegroad/relay/rollout_steps.py
+++ b/src/nutmegroad/relay/rollout_steps.py
@@ -6,9 +6,18 @@
 
 import msgspec
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.relay.evidence import Evidence
+from nutmegroad.fleet.evidence import Evidence
+from nutmegroad.fleet.stored import (
+    FLEET_TABLE,
+    Committed,
+    RowExpected,
+    RowPut,
+    Store,
+)
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import ServiceName
 from nutmegroad.relay.rollouts import (
     CLOSE_AT,
     OPEN_AT,
@@ -17,21 +26,10 @@
     RolloutRow,
     Stage,
 )
-from nutmegroad.relay.stored import (
-    Committed,
-    RowExpected,
-    RowPut,
-    Store,
-)
 from nutmegroad.relay.versions import RolloutState
-from nutmegroad.results import Refusal
-from nutmegroad.types import ServiceName
 
 _LOG: Final = part_logger('rollouts')
 
-#: The relay's own table in the platform's store.
-FLEET_TABLE: Final = 'nutmegroad'
-
 STEP_KEY: Final = 'rollout/'
 EVIDENCE_KEY: Final = 'evidence/'
 
--- a/src/nutmegroad/relay/rollouts.py
+++ b/src/nutmegroad/relay/rollouts.py
@@ -12,8 +12,8 @@
 
 from msgspec import Struct
 
+from nutmegroad.foundations.types import ServiceName
 from nutmegroad.relay.upstreams import SoftwareVersion
-from nutmegroad.types import ServiceName
 
 #: Part of the operator's bound on exposure that the trial uses; the rest is
 #: for requests that hosts count unlike.
--- a/src/nutmegroad/relay/selection.py
+++ b/src/nutmegroad/relay/selection.py
@@ -14,14 +14,19 @@
 
 from xxhash import xxh3_64_intdigest
 
-from nutmegroad.clocks import Clock
+from nutmegroad.fleet.loads import Load, LoadLedger
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
+    DomainId,
+    ModelName,
+    ServiceName,
+    UpstreamId,
+)
 from nutmegroad.relay.deployment import EngineFacts
 from nutmegroad.relay.estimates import PaceKey, Paces
-from nutmegroad.relay.loads import Load, LoadLedger
 from nutmegroad.relay.prefixes import KeptPrefixes
 from nutmegroad.relay.requests import CallerRequest, Generation
 from nutmegroad.relay.upstreams import Upstream
-from nutmegroad.types import DomainId, ModelName, ServiceName, UpstreamId
 
 #: Part of the time to a request's target that an upstream in another failure
 #: domain counts as slower: bytes between domains are dear, a far answer that
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -7,8 +7,10 @@
 
 from aiohttp import web
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import RequestId, ServiceName
 from nutmegroad.relay.execution import Execution, RelayParts
 from nutmegroad.relay.headers import HeaderNames
 from nutmegroad.relay.intake import Intake
@@ -17,8 +19,6 @@
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.requests import CallerRequest
 from nutmegroad.relay.streams import StreamAnswer
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import RequestId, ServiceName
 
 _LOG: Final = part_logger('relay')
 
--- a/src/nutmegroad/relay/session_versions.py
+++ b/src/nutmegroad/relay/session_versions.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import ServiceName
 from nutmegroad.relay.requests import SessionName
 from nutmegroad.relay.upstreams import SoftwareVersion
-from nutmegroad.types import ServiceName
 
 #: Sessions that are remembered at most; at some 200 bytes each, 4 MB.
 MOST: Final = 20_000
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -10,7 +10,9 @@
 from enum import Enum, unique
 from typing import Final
 
-from nutmegroad.logs import part_logger
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import ModelName, Ran
 from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError
@@ -26,8 +28,6 @@
 from nutmegroad.relay.plain import WholeAnswer, deliver, read_whole
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import ModelName, Ran
 
 _LOG: Final = part_logger('relay')
 
--- a/src/nutmegroad/relay/upstreams.py
+++ b/src/nutmegroad/relay/upstreams.py
@@ -9,16 +9,16 @@
 from dataclasses import dataclass, field
 from typing import Final, NewType
 
-from nutmegroad.clocks import Clock
-from nutmegroad.logs import part_logger
-from nutmegroad.relay.health import Health
-from nutmegroad.types import (
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     ModelName,
     ServiceName,
     UpstreamId,
 )
+from nutmegroad.relay.health import Health
 
 #: The version of an upstream's software, as the list writes it.
 SoftwareVersion = NewType('SoftwareVersion', str)
--- a/src/nutmegroad/relay/versions.py
+++ b/src/nutmegroad/relay/versions.py
@@ -10,13 +10,14 @@
 
 from xxhash import xxh3_64_intdigest
 
-from nutmegroad.logs import part_logger
-from nutmegroad.relay.evidence import Evidence, total
+from nutmegroad.fleet.evidence import Evidence, total
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import HostId, ServiceName
 from nutmegroad.relay.requests import CallerRequest
 from nutmegroad.relay.rollouts import Rollout, RolloutOrder, RolloutRow, Stage
 from nutmegroad.relay.session_versions import SessionVersions
 from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
-from nutmegroad.types import HostId, ServiceName
 
 _LOG: Final = part_logger('rollouts')
 
@@ -267,6 +268,23 @@
         return _place(session) < share
 
 
+def make_gate(
+    directory: Directory,
+    state: RolloutState,
+    clock: Clock,
+    span: float,
+) -> RolloutGate:
+    """Return a gate that remembers sessions.
+
+    Args:
+        directory: All upstreams.
+        state: All roll-outs.
+        clock: The host's clock.
+        span: Seconds after which requests don't belong together any more.
+    """
+    return RolloutGate(directory, state, SessionVersions(clock, span))
+
+
 def _place(name: str) -> float:
     """Return a name's place between 0 and 1, the same on every host."""
     return xxh3_64_intdigest(name.encode()) / _HASHES
--- a/src/nutmegroad/_exposure_spread.py
+++ b/src/nutmegroad/rollouts/_exposure_spread.py
@@ -3,11 +3,11 @@
 import random
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.evidence import EvidenceMessage, EvidenceStore
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.quarantines import QuarantineMessage, Quarantines
-from nutmegroad.types import HostId, Incarnation
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import HostId, Incarnation
+from nutmegroad.rollouts.evidence import EvidenceMessage, EvidenceStore
+from nutmegroad.rollouts.quarantines import QuarantineMessage, Quarantines
 
 #: Hosts to which each host passes evidence on in every period.
 FANOUT: Final = 3
--- a/src/nutmegroad/evidence.py
+++ b/src/nutmegroad/rollouts/evidence.py
@@ -12,10 +12,10 @@
 
 from msgspec import Struct
 
-from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.peers import Message
-from nutmegroad.results import ResultCode
-from nutmegroad.types import Incarnation, TaskName, VersionId
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import Incarnation, TaskName, VersionId
 
 #: Endings that speak against the version. An upstream that can't be
 #: reached, is busy or leaves says nothing about the version on it.
--- a/src/nutmegroad/exposure.py
+++ b/src/nutmegroad/rollouts/exposure.py
@@ -11,13 +11,18 @@
 from enum import Enum, unique
 from typing import Final, Protocol
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Stage, VersionEntry
-from nutmegroad.evidence import EvidenceKey, EvidenceStore, Moments, Tally
-from nutmegroad.quarantines import Grade, Quarantines
-from nutmegroad.ratings import RatingListener, RatingTally
-from nutmegroad.sequential import MeanTest, RateTest, ScoreTest
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import Stage, VersionEntry
+from nutmegroad.foundations.types import TaskName, VersionId
+from nutmegroad.quality.ratings import RatingListener, RatingTally
+from nutmegroad.rollouts.evidence import (
+    EvidenceKey,
+    EvidenceStore,
+    Moments,
+    Tally,
+)
+from nutmegroad.rollouts.quarantines import Grade, Quarantines
+from nutmegroad.rollouts.sequential import MeanTest, RateTest, ScoreTest
 
 #: Ratings or attempts until a false alarm, in the mean and at the least.
 FALSE_ALARM_DISTANCE: Final = 1e6
--- a/src/nutmegroad/_exposure_part.py
+++ b/src/nutmegroad/rollouts/exposure_part.py
@@ -2,16 +2,16 @@
 
 from typing import Final
 
-from nutmegroad._exposure_spread import ExposureSpread
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import Observers, Quarantine
-from nutmegroad.evidence import EvidenceStore
-from nutmegroad.exposure import ExposureGuard
-from nutmegroad.peers import Mesh
-from nutmegroad.quarantines import Quarantines
-from nutmegroad.ratings import RatingFeed
-from nutmegroad.registry import register
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import Observers, Quarantine
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.quality.ratings import RatingFeed
+from nutmegroad.rollouts._exposure_spread import ExposureSpread
+from nutmegroad.rollouts.evidence import EvidenceStore
+from nutmegroad.rollouts.exposure import ExposureGuard
+from nutmegroad.rollouts.quarantines import Quarantines
 
 #: Seconds between messages with evidence.
 SPREAD_PERIOD: Final = 2.0
--- a/src/nutmegroad/order_keeper.py
+++ b/src/nutmegroad/rollouts/order_keeper.py
@@ -10,29 +10,29 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.directory import Directory, is_engine
-from nutmegroad.leases import Lease, LeaseKeeper
-from nutmegroad.logs import part_logger
-from nutmegroad.orders import (
-    Desired,
-    Inventory,
-    Pending,
-    PlannedOrder,
-    desired_of,
-)
-from nutmegroad.platform import RowKey, RowWrite, Table, Weights
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.types import DomainId, Epoch, OperatorId, VersionId
-from nutmegroad.upstreams import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.leases import Lease, LeaseKeeper
+from nutmegroad.contracts.platform import RowKey, RowWrite, Table, Weights
+from nutmegroad.contracts.upstreams import (
     EngineClient,
     EngineOrder,
     Gate,
     OrderAction,
     UpstreamState,
 )
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import DomainId, Epoch, OperatorId, VersionId
+from nutmegroad.rollouts.orders import (
+    Desired,
+    Inventory,
+    Pending,
+    PlannedOrder,
+    desired_of,
+)
+from nutmegroad.rollouts.rollout_shares import RolloutShares
+from nutmegroad.routing.directory import Directory, is_engine
 
 _LOG: Final = part_logger('orders')
 
--- a/src/nutmegroad/orders.py
+++ b/src/nutmegroad/rollouts/orders.py
@@ -10,16 +10,20 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.directory import is_engine
-from nutmegroad.documents import PresetEntry, Stage
-from nutmegroad.types import (
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import PresetEntry, Stage
+from nutmegroad.contracts.upstreams import (
+    EngineReport,
+    OrderAction,
+    UpstreamState,
+)
+from nutmegroad.foundations.types import (
     DomainId,
     Epoch,
     UpstreamId,
     VersionId,
 )
-from nutmegroad.upstreams import EngineReport, OrderAction, UpstreamState
+from nutmegroad.routing.directory import is_engine
 
 #: Seconds after which an order that shows no effect is given again.
 PATIENCE: Final = 90.0
--- a/src/nutmegroad/_orders_part.py
+++ b/src/nutmegroad/rollouts/orders_part.py
@@ -2,16 +2,16 @@
 
 from typing import Final
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.directory import Directory
-from nutmegroad.duties import Duties, DutyName
-from nutmegroad.leases import LeaseKeeper
-from nutmegroad.order_keeper import OrderKeeper, OrderParts
-from nutmegroad.platform import Table, Weights
-from nutmegroad.registry import register
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.upstreams import EngineClient
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.leases import LeaseKeeper
+from nutmegroad.contracts.platform import Table, Weights
+from nutmegroad.contracts.upstreams import EngineClient
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.membership.duties import Duties, DutyName
+from nutmegroad.rollouts.order_keeper import OrderKeeper, OrderParts
+from nutmegroad.rollouts.rollout_shares import RolloutShares
+from nutmegroad.routing.directory import Directory
 
 #: Seconds between looks; a holder renews its lease as often.
 ORDER_PERIOD: Final = 2.0
--- a/src/nutmegroad/_rollouts_part.py
+++ b/src/nutmegroad/rollouts/part.py
@@ -2,20 +2,20 @@
 
 from typing import Final
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.duties import Duties, DutyName
-from nutmegroad.evidence import EvidenceStore
-from nutmegroad.exposure import ExposureGuard
-from nutmegroad.leases import LeaseKeeper
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import Table
-from nutmegroad.quarantines import Quarantines
-from nutmegroad.registry import register
-from nutmegroad.rollout_keeper import RolloutKeeper, RolloutParts
-from nutmegroad.rollout_service import RolloutService
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.rollouts import RolloutStore
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.leases import LeaseKeeper
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import Table
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.membership.duties import Duties, DutyName
+from nutmegroad.rollouts.evidence import EvidenceStore
+from nutmegroad.rollouts.exposure import ExposureGuard
+from nutmegroad.rollouts.quarantines import Quarantines
+from nutmegroad.rollouts.rollout_keeper import RolloutKeeper, RolloutParts
+from nutmegroad.rollouts.rollout_service import RolloutService
+from nutmegroad.rollouts.rollout_shares import RolloutShares
+from nutmegroad.rollouts.rollout_store import RolloutStore
 
 #: Seconds that a lease lasts.
 LEASE_TERM: Final = 8.0
--- a/src/nutmegroad/quarantines.py
+++ b/src/nutmegroad/rollouts/quarantines.py
@@ -13,12 +13,12 @@
 
 from msgspec import Struct
 
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.documents import Stage
-from nutmegroad.logs import part_logger
-from nutmegroad.peers import Message
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Epoch, TaskName, VersionId
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import Stage
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Epoch, TaskName, VersionId
 
 _LOG: Final = part_logger('exposure')
 
--- a/src/nutmegroad/rollout_keeper.py
+++ b/src/nutmegroad/rollouts/rollout_keeper.py
@@ -7,17 +7,18 @@
 
 from msgspec.structs import replace
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import VersionEntry
-from nutmegroad.evidence import EvidenceStore, Moments
-from nutmegroad.exposure import ExposureGuard
-from nutmegroad.leases import Lease, LeaseKeeper
-from nutmegroad.logs import part_logger
-from nutmegroad.quarantines import Quarantines
-from nutmegroad.results import Refusal
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.rollouts import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.configuration.leases import Lease, LeaseKeeper
+from nutmegroad.contracts.documents import VersionEntry
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import TaskName, VersionId
+from nutmegroad.rollouts.evidence import EvidenceStore, Moments
+from nutmegroad.rollouts.exposure import ExposureGuard
+from nutmegroad.rollouts.quarantines import Quarantines
+from nutmegroad.rollouts.rollout_shares import RolloutShares
+from nutmegroad.rollouts.rollout_store import (
     Findings,
     Phase,
     Rollout,
@@ -25,7 +26,6 @@
     RolloutStore,
     decide,
 )
-from nutmegroad.types import TaskName, VersionId
 
 _LOG: Final = part_logger('rollouts')
 
--- a/src/nutmegroad/rollout_service.py
+++ b/src/nutmegroad/rollouts/rollout_service.py
@@ -6,12 +6,18 @@
 
 from msgspec import Struct
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Stage
-from nutmegroad.quarantines import Grade, QuarantineRecord, Quarantines
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.rollouts import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import Stage
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    Epoch,
+    OperatorId,
+    TaskName,
+    VersionId,
+)
+from nutmegroad.rollouts.quarantines import Grade, QuarantineRecord, Quarantines
+from nutmegroad.rollouts.rollout_shares import RolloutShares
+from nutmegroad.rollouts.rollout_store import (
     FIRST_SHARE,
     Phase,
     Rollout,
@@ -19,12 +25,6 @@
     RolloutStore,
     Step,
 )
-from nutmegroad.types import (
-    Epoch,
-    OperatorId,
-    TaskName,
-    VersionId,
-)
 
 #: The task class of a quarantine that an operator imposes: all of them.
 ALL_TASKS: Final = TaskName('all')
--- a/src/nutmegroad/rollout_shares.py
+++ b/src/nutmegroad/rollouts/rollout_shares.py
@@ -5,14 +5,14 @@
 import msgspec
 import xxhash
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Stage
-from nutmegroad.logs import part_logger
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.platform import Row, RowKey, RowVersion
-from nutmegroad.requests import ModelRequest
-from nutmegroad.rollouts import Rollout, decode_rollout
-from nutmegroad.types import HostId, VersionId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import Stage
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.contracts.platform import Row, RowKey, RowVersion
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import HostId, VersionId
+from nutmegroad.rollouts.rollout_store import Rollout, decode_rollout
 
 _LOG: Final = part_logger('rollouts')
 
--- a/src/nutmegroad/rollouts.py
+++ b/src/nutmegroad/rollouts/rollout_store.py
@@ -16,10 +16,10 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from nutmegroad.evidence import Moments
-from nutmegroad.platform import Conflict, Row, RowKey, RowWrite, Table
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Epoch, FencingNumber, VersionId
+from nutmegroad.contracts.platform import Conflict, Row, RowKey, RowWrite, Table
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Epoch, FencingNumber, VersionId
+from nutmegroad.rollouts.evidence import Moments
 
 #: Share that a roll-out begins with.
 FIRST_SHARE: Final = 0.01
--- a/src/nutmegroad/sequential.py
+++ b/src/nutmegroad/rollouts/sequential.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from nutmegroad.evidence import Moments
-from nutmegroad.ratings import RatingTally, score_of
+from nutmegroad.quality.ratings import RatingTally, score_of
+from nutmegroad.rollouts.evidence import Moments
 
 #: Shares of the greatest bet: large ones find a great fall within a few
 #: ratings, small ones a slight fall within a few hundred.
--- a/src/nutmegroad/_trials_part.py
+++ b/src/nutmegroad/rollouts/trials_part.py
@@ -1,9 +1,9 @@
 """The part that lets roll-outs bound the trials of the planner."""
 
-from nutmegroad.core import Kernel
-from nutmegroad.registry import register
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.trials import Trials
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.quality.trials import Trials
+from nutmegroad.rollouts.rollout_shares import RolloutShares
 
 
 @register('part', 'trials')
--- a/src/nutmegroad/_demand.py
+++ b/src/nutmegroad/routing/_demand.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from nutmegroad._slots import Identity
-from nutmegroad.configuration import Configuration
-from nutmegroad.fleet import FleetLoad
-from nutmegroad.shares import water_fill
-from nutmegroad.types import Revision, WorkspaceId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.foundations.types import Revision, WorkspaceId
+from nutmegroad.routing._slots import Identity
+from nutmegroad.routing.fleet import FleetLoad
+from nutmegroad.routing.shares import water_fill
 
 #: Workspaces that a digest names, the largest.
 NAMED: Final = 8
