--- a/src/nutmegroad/_ejection.py
+++ b/src/nutmegroad/routing/_ejection.py
@@ -4,9 +4,9 @@
 from types import MappingProxyType
 from typing import Final
 
-from nutmegroad.results import ResultCode
-from nutmegroad.types import AttemptId, UpstreamId
-from nutmegroad.upstreams import UpstreamState
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import AttemptId, UpstreamId
 
 #: How much a result counts against an upstream. A cut answer counts little:
 #: a caller who goes away looks the same.
--- a/src/nutmegroad/_engine_pools.py
+++ b/src/nutmegroad/routing/_engine_pools.py
@@ -8,10 +8,10 @@
 from typing import Final
 from zlib import crc32
 
-from nutmegroad.clocks import Clock
-from nutmegroad.directory import Directory
-from nutmegroad.types import DomainId, UpstreamId, VersionId
-from nutmegroad.upstreams import UpstreamState
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import DomainId, UpstreamId, VersionId
+from nutmegroad.routing.directory import Directory
 
 #: Seconds for which a version's engines are taken to be the same. What has
 #: left in the meantime is seen at the engine itself.
--- a/src/nutmegroad/_estimates.py
+++ b/src/nutmegroad/routing/_estimates.py
@@ -5,8 +5,8 @@
 from collections import deque
 from typing import Final
 
-from nutmegroad._ejection import REPORT_LAG, Health
-from nutmegroad.upstreams import UpstreamState
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.routing._ejection import REPORT_LAG, Health
 
 #: Own counts that are kept, to know what a late report had seen of us.
 _HISTORY: Final = 64
--- a/src/nutmegroad/_fair_queue.py
+++ b/src/nutmegroad/routing/_fair_queue.py
@@ -13,9 +13,9 @@
 from heapq import heappop, heappush
 from typing import Final
 
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal
-from nutmegroad.types import VersionId, WorkspaceId
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import VersionId, WorkspaceId
 
 #: The versions that may answer; requests with the same need the same slots.
 Lane = frozenset[VersionId]
--- a/src/nutmegroad/_listed.py
+++ b/src/nutmegroad/routing/_listed.py
@@ -5,9 +5,9 @@
 
 from msgspec import Struct
 
-from nutmegroad.clocks import Clock
-from nutmegroad.peers import Message
-from nutmegroad.types import (
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     Presence,
--- a/src/nutmegroad/_permits.py
+++ b/src/nutmegroad/routing/_permits.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from nutmegroad._demand import Demand
-from nutmegroad._fair_queue import FairQueue, Lane, Waiting
-from nutmegroad._slots import HostSlots
-from nutmegroad.clocks import Clock
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.routing._demand import Demand
+from nutmegroad.routing._fair_queue import FairQueue, Lane, Waiting
+from nutmegroad.routing._slots import HostSlots
 
 
 class Permits:
--- a/src/nutmegroad/_prefixes.py
+++ b/src/nutmegroad/routing/_prefixes.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from typing import Final
 
-from nutmegroad.types import UpstreamId, VersionId
+from nutmegroad.foundations.types import UpstreamId, VersionId
 
 #: Prefixes remembered of each engine.
 KEPT: Final = 256
--- a/src/nutmegroad/_service_times.py
+++ b/src/nutmegroad/routing/_service_times.py
@@ -2,10 +2,10 @@
 
 from typing import Final
 
-from nutmegroad._estimates import Line, Median
-from nutmegroad.decisions import AttemptEnd
-from nutmegroad.requests import ModelRequest
-from nutmegroad.types import TaskName
+from nutmegroad.contracts.decisions import AttemptEnd
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.types import TaskName
+from nutmegroad.routing._estimates import Line, Median
 
 #: Seconds for each output token before any was seen, on the low side: a
 #: request must not be refused on a guess.
--- a/src/nutmegroad/_shedding.py
+++ b/src/nutmegroad/routing/_shedding.py
@@ -3,11 +3,11 @@
 import random
 from typing import Final
 
-from nutmegroad._demand import Demand
-from nutmegroad._fair_queue import FairQueue, Waiting
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.routing._demand import Demand
+from nutmegroad.routing._fair_queue import FairQueue, Waiting
 
 #: Requests that may wait for each slot while no preset says so.
 _QUEUE_LIMIT: Final = 0.5
--- a/src/nutmegroad/_slots.py
+++ b/src/nutmegroad/routing/_slots.py
@@ -3,15 +3,15 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad._engine_pools import slots_of
-from nutmegroad._fair_queue import Lane
-from nutmegroad.clocks import Clock
-from nutmegroad.directory import Directory, is_engine
-from nutmegroad.fleet import FleetLoad
-from nutmegroad.results import ResultCode
-from nutmegroad.shares import ShareLedger, static_part
-from nutmegroad.types import DomainId, HostId
-from nutmegroad.upstreams import UpstreamState
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import DomainId, HostId
+from nutmegroad.routing._engine_pools import slots_of
+from nutmegroad.routing._fair_queue import Lane
+from nutmegroad.routing.directory import Directory, is_engine
+from nutmegroad.routing.fleet import FleetLoad
+from nutmegroad.routing.shares import ShareLedger, static_part
 
 #: Seconds for which counted slots are taken to be the same.
 REFRESH: Final = 0.5
--- a/src/nutmegroad/admission.py
+++ b/src/nutmegroad/routing/admission.py
@@ -9,22 +9,22 @@
 import random
 from contextlib import AbstractContextManager
 
-from nutmegroad._demand import Demand
-from nutmegroad._fair_queue import FairQueue, Waiting
-from nutmegroad._permits import Permits
-from nutmegroad._service_times import ServiceTimes
-from nutmegroad._shedding import LoadShedder
-from nutmegroad._slots import HostSlots, Identity
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers
-from nutmegroad.directory import Directory
-from nutmegroad.fleet import FleetLoad, LoadDigest
-from nutmegroad.registry import register
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.shares import ShareLedger
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart, Observers
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.routing._demand import Demand
+from nutmegroad.routing._fair_queue import FairQueue, Waiting
+from nutmegroad.routing._permits import Permits
+from nutmegroad.routing._service_times import ServiceTimes
+from nutmegroad.routing._shedding import LoadShedder
+from nutmegroad.routing._slots import HostSlots, Identity
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.fleet import FleetLoad, LoadDigest
+from nutmegroad.routing.shares import ShareLedger
 
 
 class FairAdmitter:
--- a/src/nutmegroad/attempts.py
+++ b/src/nutmegroad/routing/attempts.py
@@ -4,15 +4,9 @@
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers
-from nutmegroad.directory import Directory, LeavingSource
-from nutmegroad.prices import cost_of
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.timeouts import Watchdog
-from nutmegroad.types import Ran, VersionId
-from nutmegroad.upstreams import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart, Observers
+from nutmegroad.contracts.upstreams import (
     Attempt,
     Ending,
     EngineClient,
@@ -20,6 +14,12 @@
     Piece,
     UpstreamState,
 )
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.timeouts import Watchdog
+from nutmegroad.foundations.types import Ran, VersionId
+from nutmegroad.quality.prices import cost_of
+from nutmegroad.routing.directory import Directory, LeavingSource
 
 #: Seconds without a piece after which a stream counts as frozen.
 STALL: Final = 10.0
--- a/src/nutmegroad/baselines.py
+++ b/src/nutmegroad/routing/baselines.py
@@ -3,14 +3,14 @@
 import random
 from collections.abc import Callable
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd
-from nutmegroad.documents import VersionEntry
-from nutmegroad.prices import cost_of
-from nutmegroad.registry import register
-from nutmegroad.requests import ModelRequest, Plan
-from nutmegroad.results import Refusal, ResultCode
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import AttemptEnd
+from nutmegroad.contracts.documents import VersionEntry
+from nutmegroad.contracts.requests import ModelRequest, Plan
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.quality.prices import cost_of
 
 #: Picks one of some versions, which are in the order of their cost.
 Pick = Callable[[list[VersionEntry]], VersionEntry]
--- a/src/nutmegroad/departures.py
+++ b/src/nutmegroad/routing/departures.py
@@ -7,15 +7,15 @@
 
 from typing import ClassVar
 
-from nutmegroad.directory import Directory, LeavingSource
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.types import (
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
     UpstreamId,
     UpstreamInfo,
 )
+from nutmegroad.routing.directory import Directory, LeavingSource
 
 
 class UpstreamLeaving(Message, frozen=True, tag='upstream-leaving'):
--- a/src/nutmegroad/directory.py
+++ b/src/nutmegroad/routing/directory.py
@@ -11,8 +11,9 @@
 from enum import Enum, unique
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.types import (
+from nutmegroad.contracts.upstreams import EngineReport, UpstreamState
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     Presence,
@@ -22,7 +23,6 @@
     UpstreamKind,
     VersionId,
 )
-from nutmegroad.upstreams import EngineReport, UpstreamState
 
 #: Connections refused in a row after which an upstream counts as leaving.
 REFUSALS: Final = 2
--- a/src/nutmegroad/dispatch.py
+++ b/src/nutmegroad/routing/dispatch.py
@@ -4,26 +4,26 @@
 from dataclasses import replace
 from typing import Final
 
-from nutmegroad.attempts import Attempter, Sink, Trial
-from nutmegroad.clocks import Clock
-from nutmegroad.explanations import Explanation
-from nutmegroad.gates import Gatekeeper
-from nutmegroad.request_progress import (
+from nutmegroad.contracts.requests import ModelRequest, Plan
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, VersionId
+from nutmegroad.records.explanations import Explanation
+from nutmegroad.routing.attempts import Attempter, Sink, Trial
+from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.routing.request_progress import (
     Answer,
     CountedSink,
     KeptBack,
     Progress,
     Spent,
 )
-from nutmegroad.requests import ModelRequest, Plan
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.steps import (
+from nutmegroad.routing.steps import (
     TURN_AWAY,
     Instruments,
     Policies,
     StepRunner,
 )
-from nutmegroad.types import Ran, VersionId
 
 _SEED_BITS: Final = 31
 
--- a/src/nutmegroad/exchange.py
+++ b/src/nutmegroad/routing/exchange.py
@@ -4,13 +4,13 @@
 from math import ceil
 from typing import Final
 
-from nutmegroad._slots import Identity
-from nutmegroad.admission import FairAdmitter
-from nutmegroad.clocks import Clock
-from nutmegroad.fleet import FleetLoad, LoadDigest
-from nutmegroad.peers import Member, Mesh, Message
-from nutmegroad.shares import ShareAsk, ShareLedger, ShareLoan
-from nutmegroad.types import DomainId, HostId, Presence
+from nutmegroad.contracts.peers import Member, Mesh, Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import DomainId, HostId, Presence
+from nutmegroad.routing._slots import Identity
+from nutmegroad.routing.admission import FairAdmitter
+from nutmegroad.routing.fleet import FleetLoad, LoadDigest
+from nutmegroad.routing.shares import ShareAsk, ShareLedger, ShareLoan
 
 #: Seconds between two digests, and the share by which that varies.
 PERIOD: Final = 2.0
--- a/src/nutmegroad/far_loads.py
+++ b/src/nutmegroad/routing/far_loads.py
@@ -10,7 +10,7 @@
 from collections import defaultdict
 from typing import Final
 
-from nutmegroad._watch_rows import (
+from nutmegroad.contracts._watch_rows import (
     LoadAsk,
     LoadReply,
     RowWriter,
@@ -18,11 +18,11 @@
     age_of,
     report_of_row,
 )
-from nutmegroad.clocks import Clock
-from nutmegroad.directory import Directory
-from nutmegroad.peers import Mesh
-from nutmegroad.types import DomainId, HostId, Presence
-from nutmegroad.watch_sharing import WatchSharer
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import DomainId, HostId, Presence
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.watch_sharing import WatchSharer
 
 #: Seconds that a host of another domain may take to answer.
 ASK_TIMEOUT: Final = 2.0
--- a/src/nutmegroad/fleet.py
+++ b/src/nutmegroad/routing/fleet.py
@@ -5,9 +5,9 @@
 
 from msgspec import field
 
-from nutmegroad.clocks import Clock
-from nutmegroad.peers import Member, Message
-from nutmegroad.types import DomainId, HostId, WorkspaceId
+from nutmegroad.contracts.peers import Member, Message
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import DomainId, HostId, WorkspaceId
 
 #: Seconds after which a digest says nothing any more.
 DIGEST_HOLDS: Final = 10.0
--- a/src/nutmegroad/gates.py
+++ b/src/nutmegroad/routing/gates.py
@@ -8,20 +8,20 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.decisions import Quarantine
-from nutmegroad.documents import Isolation, Stage, WorkspaceEntry
-from nutmegroad.fences import AttemptFence
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import Quarantine
+from nutmegroad.contracts.documents import Isolation, Stage, WorkspaceEntry
+from nutmegroad.contracts.fences import AttemptFence
+from nutmegroad.contracts.upstreams import Gate, UpstreamState
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Epoch,
     ServiceName,
     TaskName,
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import Gate, UpstreamState
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/_load_part.py
+++ b/src/nutmegroad/routing/load_part.py
@@ -1,13 +1,13 @@
 """The parts that share load between hosts."""
 
-from nutmegroad.admission import FairAdmitter
-from nutmegroad.core import Kernel
-from nutmegroad.dispatch import Dispatcher
-from nutmegroad.exchange import ShareExchange
-from nutmegroad.fleet import FleetLoad
-from nutmegroad.peers import Mesh
-from nutmegroad.registry import register
-from nutmegroad.shares import ShareLedger
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.routing.admission import FairAdmitter
+from nutmegroad.routing.dispatch import Dispatcher
+from nutmegroad.routing.exchange import ShareExchange
+from nutmegroad.routing.fleet import FleetLoad
+from nutmegroad.routing.shares import ShareLedger
 
 
 @register('part', 'fleet-load')
--- a/src/nutmegroad/_routing_part.py
+++ b/src/nutmegroad/routing/part.py
@@ -1,20 +1,20 @@
 """The part that decides where requests go."""
 
-from nutmegroad.attempts import Attempter
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import Observers, Quarantine
-from nutmegroad.directory import Directory
-from nutmegroad.dispatch import Dispatcher
-from nutmegroad.estimates import Estimates
-from nutmegroad.gates import Gatekeeper
-from nutmegroad.invariants import Invariants
-from nutmegroad.metrics import Metrics
-from nutmegroad.registry import lookup, register
-from nutmegroad.service_traffic import ServiceTraffic
-from nutmegroad.services import ServiceCaller
-from nutmegroad.steps import Instruments, Policies
-from nutmegroad.upstreams import EngineClient, ServiceClient
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import Observers, Quarantine
+from nutmegroad.contracts.upstreams import EngineClient, ServiceClient
+from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import lookup, register
+from nutmegroad.quality.estimates import Estimates
+from nutmegroad.routing.attempts import Attempter
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.dispatch import Dispatcher
+from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.routing.service_traffic import ServiceTraffic
+from nutmegroad.routing.services import ServiceCaller
+from nutmegroad.routing.steps import Instruments, Policies
 
 
 @register('part', 'routing')
--- a/src/nutmegroad/plain_selectors.py
+++ b/src/nutmegroad/routing/plain_selectors.py
@@ -2,14 +2,14 @@
 
 import random
 
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import Choice
-from nutmegroad.directory import Directory
-from nutmegroad.registry import register
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import UpstreamId, VersionId
-from nutmegroad.upstreams import UpstreamState
+from nutmegroad.contracts.decisions import Choice
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import UpstreamId, VersionId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.routing.directory import Directory
 
 
 class RoundRobin:
--- a/src/nutmegroad/policies.py
+++ b/src/nutmegroad/routing/policies.py
@@ -3,15 +3,15 @@
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Spender
-from nutmegroad.documents import VersionEntry
-from nutmegroad.prices import cost_of
-from nutmegroad.registry import register
-from nutmegroad.requests import ModelRequest, Plan
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import TaskName, VersionId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart, Spender
+from nutmegroad.contracts.documents import VersionEntry
+from nutmegroad.contracts.requests import ModelRequest, Plan
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import TaskName, VersionId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.quality.prices import cost_of
 
 
 class CheapestPlanner:
--- a/src/nutmegroad/request_progress.py
+++ b/src/nutmegroad/routing/request_progress.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from nutmegroad.attempts import Received, Sink
-from nutmegroad.clocks import Clock
-from nutmegroad.explanations import Explanation
-from nutmegroad.metrics import Metrics
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, TaskName, UpstreamId, VersionId
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, TaskName, UpstreamId, VersionId
+from nutmegroad.records.explanations import Explanation
+from nutmegroad.routing.attempts import Received, Sink
 
 _NO_VERSION: Final = VersionId('')
 
--- a/src/nutmegroad/retries.py
+++ b/src/nutmegroad/routing/retries.py
@@ -4,12 +4,17 @@
 from types import MappingProxyType
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Observers, Spender
-from nutmegroad.registry import register
-from nutmegroad.results import ResultCode
-from nutmegroad.types import RequestId, WorkspaceId
+from nutmegroad.contracts.decisions import (
+    AttemptEnd,
+    AttemptStart,
+    Observers,
+    Spender,
+)
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import RequestId, WorkspaceId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
 
 #: Retries for each first attempt.
 SHARE: Final = 0.1
--- a/src/nutmegroad/selection.py
+++ b/src/nutmegroad/routing/selection.py
@@ -6,7 +6,25 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from nutmegroad._engine_pools import (
+from nutmegroad.contracts.decisions import (
+    AttemptEnd,
+    AttemptStart,
+    Choice,
+    Observers,
+)
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    AttemptId,
+    DomainId,
+    UpstreamId,
+    VersionId,
+)
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.routing._engine_pools import (
     EnginePools,
     Pool,
     draw,
@@ -14,19 +32,11 @@
     names_of,
     slots_of,
 )
-from nutmegroad._estimates import EngineView, VersionSpeed
-from nutmegroad._prefixes import PrefixMemory
-from nutmegroad.clocks import Clock
-from nutmegroad.core import Kernel
-from nutmegroad.decisions import AttemptEnd, AttemptStart, Choice, Observers
-from nutmegroad.directory import Directory
-from nutmegroad.fleet import FleetLoad
-from nutmegroad.plain_selectors import no_engine
-from nutmegroad.registry import register
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import AttemptId, DomainId, UpstreamId, VersionId
-from nutmegroad.upstreams import UpstreamState
+from nutmegroad.routing._estimates import EngineView, VersionSpeed
+from nutmegroad.routing._prefixes import PrefixMemory
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.fleet import FleetLoad
+from nutmegroad.routing.plain_selectors import no_engine
 
 #: Engines drawn for each choice, beside those that hold the prefix.
 DRAWN: Final = 3
--- a/src/nutmegroad/service_traffic.py
+++ b/src/nutmegroad/routing/service_traffic.py
@@ -3,17 +3,17 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from nutmegroad.clocks import Clock
-from nutmegroad.decisions import (
+from nutmegroad.contracts.decisions import (
     AttemptEnd,
     AttemptStart,
     Observer,
     RetryBudget,
     Spender,
 )
-from nutmegroad.metrics import Metrics
-from nutmegroad.results import ResultCode
-from nutmegroad.types import (
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import (
     AttemptId,
     ServiceName,
     TaskName,
--- a/src/nutmegroad/services.py
+++ b/src/nutmegroad/routing/services.py
@@ -5,18 +5,18 @@
 from fnmatch import fnmatchcase
 from typing import Final
 
-from nutmegroad._ejection import Healths
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Configuration
-from nutmegroad.directory import Directory
-from nutmegroad.documents import ServiceEntry
-from nutmegroad.explanations import Explanation
-from nutmegroad.fences import Fence
-from nutmegroad.gates import Gatekeeper, Passage
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.service_traffic import ServiceTraffic
-from nutmegroad.steps import OWN_REFUSALS
-from nutmegroad.types import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import ServiceEntry
+from nutmegroad.contracts.fences import Fence
+from nutmegroad.contracts.upstreams import (
+    ServiceCall,
+    ServiceClient,
+    ServiceReply,
+    UpstreamState,
+)
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     AttemptId,
     Ran,
     RequestId,
@@ -26,12 +26,12 @@
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import (
-    ServiceCall,
-    ServiceClient,
-    ServiceReply,
-    UpstreamState,
-)
+from nutmegroad.records.explanations import Explanation
+from nutmegroad.routing._ejection import Healths
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.gates import Gatekeeper, Passage
+from nutmegroad.routing.service_traffic import ServiceTraffic
+from nutmegroad.routing.steps import OWN_REFUSALS
 
 #: Attempts that one repeatable call may make in all.
 MOST_ATTEMPTS: Final = 3
--- a/src/nutmegroad/shares.py
+++ b/src/nutmegroad/routing/shares.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from typing import ClassVar, Final
 
-from nutmegroad.peers import Message
-from nutmegroad.types import HostId, WorkspaceId
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.types import HostId, WorkspaceId
 
 #: Seconds for which a loan holds.
 LOAN_HOLDS: Final = 4.0
--- a/src/nutmegroad/steps.py
+++ b/src/nutmegroad/routing/steps.py
@@ -6,9 +6,7 @@
 
 import msgspec
 
-from nutmegroad.attempts import Attempter, Received, Sink, Trial
-from nutmegroad.clocks import Clock
-from nutmegroad.decisions import (
+from nutmegroad.contracts.decisions import (
     Admitter,
     AttemptStart,
     Choice,
@@ -16,15 +14,17 @@
     RetryBudget,
     Selector,
 )
-from nutmegroad.fences import AttemptFence
-from nutmegroad.gates import Gatekeeper, Passage
-from nutmegroad.invariants import Invariants
-from nutmegroad.metrics import Metrics
-from nutmegroad.request_progress import Progress, why
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import AttemptId, Ran, ServiceName, VersionId
-from nutmegroad.upstreams import Attempt
+from nutmegroad.contracts.fences import AttemptFence
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.contracts.upstreams import Attempt
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import AttemptId, Ran, ServiceName, VersionId
+from nutmegroad.routing.attempts import Attempter, Received, Sink, Trial
+from nutmegroad.routing.gates import Gatekeeper, Passage
+from nutmegroad.routing.request_progress import Progress, why
 
 #: Attempts that one request may make in all, whatever the budget says.
 MOST_ATTEMPTS: Final = 6
--- a/src/nutmegroad/_upstreams_part.py
+++ b/src/nutmegroad/routing/upstreams_part.py
@@ -1,17 +1,20 @@
 """The parts that reach upstreams over HTTP and watch them."""
 
-from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
-from nutmegroad.accounting import Account
-from nutmegroad.core import Kernel
-from nutmegroad.directory import Directory
-from nutmegroad.duties import Duties
-from nutmegroad.far_loads import FarLoads
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import HostList
-from nutmegroad.registry import register
-from nutmegroad.upstreams import EngineClient, ServiceClient
-from nutmegroad.watch import UpstreamWatcher
-from nutmegroad.watch_sharing import WatchSharer
+from nutmegroad.adapters._http_upstreams import (
+    HttpEngineClient,
+    HttpServiceClient,
+)
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import HostList
+from nutmegroad.contracts.upstreams import EngineClient, ServiceClient
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import register
+from nutmegroad.membership.duties import Duties
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.far_loads import FarLoads
+from nutmegroad.routing.watch import UpstreamWatcher
+from nutmegroad.routing.watch_sharing import WatchSharer
 
 #: Seconds between questions to an engine, and between reads of the host
 #: list by the hosts of a domain together.
--- a/src/nutmegroad/watch.py
+++ b/src/nutmegroad/routing/watch.py
@@ -11,15 +11,19 @@
 from types import TracebackType
 from typing import Any, Final, Protocol, Self
 
-from nutmegroad._watch_rows import WATCH_PART
-from nutmegroad.accounting import Account, Metered
-from nutmegroad.clocks import Clock
-from nutmegroad.directory import Directory, is_engine
-from nutmegroad.logs import part_logger
-from nutmegroad.platform import HostList
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import UpstreamId, UpstreamInfo
-from nutmegroad.upstreams import EngineClient, EngineReport, UpstreamState
+from nutmegroad.contracts._watch_rows import WATCH_PART
+from nutmegroad.contracts.platform import HostList
+from nutmegroad.contracts.upstreams import (
+    EngineClient,
+    EngineReport,
+    UpstreamState,
+)
+from nutmegroad.foundations.accounting import Account, Metered
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import UpstreamId, UpstreamInfo
+from nutmegroad.routing.directory import Directory, is_engine
 
 _LOG: Final = part_logger('watch')
 
--- a/src/nutmegroad/watch_sharing.py
+++ b/src/nutmegroad/routing/watch_sharing.py
@@ -10,8 +10,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad._listed import ListedUpstreams, ListMemory
-from nutmegroad._watch_rows import (
+from nutmegroad.contracts._watch_rows import (
     RowWriter,
     RunIndex,
     WatchReports,
@@ -19,14 +18,20 @@
     report_of_row,
     run_of,
 )
-from nutmegroad.accounting import Account
-from nutmegroad.clocks import Clock
-from nutmegroad.directory import Directory, is_engine
-from nutmegroad.duties import Duties
-from nutmegroad.peers import Mesh, Message
-from nutmegroad.results import Refusal
-from nutmegroad.types import DomainId, HostId, UpstreamId, UpstreamInfo
-from nutmegroad.upstreams import EngineReport, UpstreamState
+from nutmegroad.contracts.peers import Mesh, Message
+from nutmegroad.contracts.upstreams import EngineReport, UpstreamState
+from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
+    DomainId,
+    HostId,
+    UpstreamId,
+    UpstreamInfo,
+)
+from nutmegroad.membership.duties import Duties
+from nutmegroad.routing._listed import ListedUpstreams, ListMemory
+from nutmegroad.routing.directory import Directory, is_engine
 
 #: An engine whose load has not changed is told of after so many periods.
 REFRESH: Final = 4
--- /dev/null
+++ b/src/nutmegroad/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for tests that users may want too."""
--- a/src/nutmegroad/_memory_mesh.py
+++ b/src/nutmegroad/testing/_memory_mesh.py
@@ -4,13 +4,11 @@
 from dataclasses import dataclass
 from typing import Any, Final, Protocol, Self
 
-from nutmegroad._message_receiver import PendingReplies
-from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad._wire import Kinds, as_plain
-from nutmegroad.clocks import Clock
-from nutmegroad.peers import Handler, Member, Message, Sent
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
+from nutmegroad.contracts.peers import Handler, Member, Message, Sent
+from nutmegroad.foundations._owned_tasks import OwnedTasks
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
@@ -18,6 +16,8 @@
     Presence,
     Ran,
 )
+from nutmegroad.membership._message_receiver import PendingReplies
+from nutmegroad.membership._wire import Kinds, as_plain
 
 _NONCE_BITS: Final = 64
 _NOWHERE: Final = Address('127.0.0.1', 0)
--- a/src/nutmegroad/testing.py
+++ b/src/nutmegroad/testing/virtual.py
@@ -13,10 +13,10 @@
 from types import TracebackType
 from typing import Final, Self
 
-from nutmegroad._memory_mesh import MemoryPeer, PeerNames
-from nutmegroad._owned_tasks import OwnedTasks
-from nutmegroad.clocks import Clock
-from nutmegroad.types import DomainId, HostId, Incarnation, Presence
+from nutmegroad.foundations._owned_tasks import OwnedTasks
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import DomainId, HostId, Incarnation, Presence
+from nutmegroad.testing._memory_mesh import MemoryPeer, PeerNames
 
 #: Turns of the event loop without a new sleeper after which every task
 #: is taken to be waiting for the clock.
--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Mapping
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.documents import (
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import (
     Document,
     PresetEntry,
     PresetTask,
@@ -13,7 +12,8 @@
     TaskEntry,
     VersionEntry,
 )
-from nutmegroad.types import (
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import (
     Digest,
     PresetName,
     Revision,
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -12,12 +12,12 @@
 from fakes.faults import FaultKind, FaultOrder
 from fakes.platform import FakePlatform, PlatformOptions
 
-from nutmegroad._platform_bodies import ListingBody
-from nutmegroad.clocks import SystemClock
-from nutmegroad.core import Kernel
-from nutmegroad.plugins import load_plugins
-from nutmegroad.settings import Settings
-from nutmegroad.types import Address, DomainId, HostId
+from nutmegroad.adapters._platform_bodies import ListingBody
+from nutmegroad.daemon.plugins import load_plugins
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.types import Address, DomainId, HostId
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.settings import Settings
 from tests.quick import QUICK_SPEED, quick_settings
 
 VERSIONS: Final = ('brief-small@2', 'brief-medium@4')
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -4,18 +4,13 @@
 from dataclasses import replace
 from typing import Final
 
-from nutmegroad._demand import Demand
-from nutmegroad._slots import HostSlots, Identity
-from nutmegroad.admission import FairAdmitter
-from nutmegroad.clocks import Clock
-from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.directory import Directory
-from nutmegroad.documents import Concern
-from nutmegroad.fleet import FleetLoad
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import ResultCode
-from nutmegroad.shares import ShareLedger
-from nutmegroad.types import (
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
+from nutmegroad.contracts.documents import Concern
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.contracts.upstreams import EngineReport
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import (
     Address,
     AttemptId,
     DomainId,
@@ -29,7 +24,12 @@
     UpstreamKind,
     WorkspaceId,
 )
-from nutmegroad.upstreams import EngineReport
+from nutmegroad.routing._demand import Demand
+from nutmegroad.routing._slots import HostSlots, Identity
+from nutmegroad.routing.admission import FairAdmitter
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.fleet import FleetLoad
+from nutmegroad.routing.shares import ShareLedger
 from tests.shared_documents import VERSION, configure
 
 HOME: Final = DomainId('petaling')
--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -4,23 +4,23 @@
 from collections.abc import Iterable
 from typing import Any
 
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkListener
-from nutmegroad._member_context import MemberContext, make_table
-from nutmegroad._member_messages import Heartbeat
-from nutmegroad._member_table import MemberTable
-from nutmegroad.accounting import Ledger
-from nutmegroad.members import Members
-from nutmegroad.peers import Handler, Member, Message, Sent
-from nutmegroad.results import Refusal
-from nutmegroad.testing import ManualClock, MemoryMesh, PausableClock
-from nutmegroad.types import (
+from nutmegroad.contracts.peers import Handler, Member, Message, Sent
+from nutmegroad.foundations.accounting import Ledger
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
     Incarnation,
     Presence,
 )
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkListener
+from nutmegroad.membership._member_context import MemberContext, make_table
+from nutmegroad.membership._member_messages import Heartbeat
+from nutmegroad.membership._member_table import MemberTable
+from nutmegroad.membership.members import Members
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh, PausableClock
 
 #: Seconds after which real links are closed when nothing comes.
 SILENCE = 20
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -4,13 +4,20 @@
 from typing import Any, Final
 from unittest.mock import _patch, patch
 
-from nutmegroad import heads
-from nutmegroad._configuration_messages import HeadQuestion, HeadReply
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.confirmations import REPLY_TIMEOUT, Confirmations, PeerHead
-from nutmegroad.spread import ConfigurationPoller
-from nutmegroad.types import HostId
-from nutmegroad.withdrawals import WithdrawalSet
+from nutmegroad.configuration import heads
+from nutmegroad.configuration._configuration_messages import (
+    HeadQuestion,
+    HeadReply,
+)
+from nutmegroad.configuration.confirmations import (
+    REPLY_TIMEOUT,
+    Confirmations,
+    PeerHead,
+)
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.configuration.spread import ConfigurationPoller
+from nutmegroad.configuration.withdrawals import WithdrawalSet
+from nutmegroad.foundations.types import HostId
 
 
 async def take_any_head(self: Any, head: Any, host: Any) -> Any:
--- a/tests/recorders.py
+++ b/tests/recorders.py
@@ -5,7 +5,7 @@
 from types import TracebackType
 from typing import Self
 
-from nutmegroad.types import Address
+from nutmegroad.foundations.types import Address
 
 
 class Recorder:
--- a/tests/records_rig.py
+++ b/tests/records_rig.py
@@ -10,19 +10,12 @@
 from fakes.faults import FaultKind, FaultOrder
 from fakes.platform import FakePlatform, PlatformOptions
 
-from nutmegroad._http_platform import HttpObjects, HttpTable
-from nutmegroad._memory_mesh import MemoryPeer
-from nutmegroad._records_part import gone_check
-from nutmegroad.billing import Biller
-from nutmegroad.intents import IntentLedger, IntentOwner, IntentWish
-from nutmegroad.invariants import StrictInvariants
-from nutmegroad.metrics import Metrics
-from nutmegroad.once import Once, Order
-from nutmegroad.record_copies import RecordKeeper, RecordSender
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.tickets import TicketIssuer, TicketSigner
-from nutmegroad.types import (
+from nutmegroad.adapters._http_platform import HttpObjects, HttpTable
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.invariants import StrictInvariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     DomainId,
     HostId,
     IdempotencyKey,
@@ -30,7 +23,14 @@
     RequestId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.records.billing import Biller
+from nutmegroad.records.intents import IntentLedger, IntentOwner, IntentWish
+from nutmegroad.records.once import Once, Order
+from nutmegroad.records.part import gone_check
+from nutmegroad.records.record_copies import RecordKeeper, RecordSender
+from nutmegroad.records.tickets import TicketIssuer, TicketSigner
+from nutmegroad.testing._memory_mesh import MemoryPeer
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 
 WORKSPACE: Final = WorkspaceId('head-office')
 NEAR: Final = DomainId('petaling')
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -10,11 +10,11 @@
 from fakes.opaque_worker import OpaqueWorker
 from fakes.row_store import RowStore
 
-from nutmegroad.clocks import BootClock
+from nutmegroad.foundations.clocks import BootClock
+from nutmegroad.foundations.types import Address, DomainId, HostId
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.host import RelayHost
-from nutmegroad.types import Address, DomainId, HostId
 from nutmegroad_platform.names import HEADERS, TABLES
 from nutmegroad_platform.rows import Rows
 from nutmegroad_platform.store import PlatformStore
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -8,29 +8,21 @@
 
 from experiments.deployment import read_example
 
-from nutmegroad.attempts import Attempter
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.decisions import Observers, Planner
-from nutmegroad.directory import Directory
-from nutmegroad.dispatch import Dispatcher
-from nutmegroad.documents import Concern, parse_document
-from nutmegroad.explanations import Explanation
-from nutmegroad.gates import Gatekeeper
-from nutmegroad.invariants import StrictInvariants
-from nutmegroad.metrics import Metrics
-from nutmegroad.plain_selectors import LeastInFlight
-from nutmegroad.policies import (
-    CheapestPlanner,
-    CountedRetries,
-    NoQuarantine,
-    OpenAdmitter,
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.decisions import Observers, Planner
+from nutmegroad.contracts.documents import Concern, parse_document
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.contracts.upstreams import (
+    AnswerEvent,
+    Attempt,
+    Ending,
+    EngineReport,
+    Piece,
 )
-from nutmegroad.request_progress import Answer, Spent
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal
-from nutmegroad.steps import Instruments, Policies
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import (
+from nutmegroad.foundations.invariants import StrictInvariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     FencingNumber,
@@ -44,13 +36,21 @@
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import (
-    AnswerEvent,
-    Attempt,
-    Ending,
-    EngineReport,
-    Piece,
+from nutmegroad.records.explanations import Explanation
+from nutmegroad.routing.attempts import Attempter
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.dispatch import Dispatcher
+from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.routing.plain_selectors import LeastInFlight
+from nutmegroad.routing.policies import (
+    CheapestPlanner,
+    CountedRetries,
+    NoQuarantine,
+    OpenAdmitter,
 )
+from nutmegroad.routing.request_progress import Answer, Spent
+from nutmegroad.routing.steps import Instruments, Policies
+from nutmegroad.testing.virtual import ManualClock
 
 SMALL = VersionId('brief-small@2')
 MEDIUM = VersionId('brief-medium@4')
--- a/tests/shared_documents.py
+++ b/tests/shared_documents.py
@@ -2,15 +2,15 @@
 
 from typing import Final
 
-from nutmegroad.clocks import Clock
-from nutmegroad.configuration import Accepted, Configuration
-from nutmegroad.documents import (
+from nutmegroad.configuration.in_force import Accepted, Configuration
+from nutmegroad.contracts.documents import (
     Document,
     PresetEntry,
     PresetTask,
     WorkspaceEntry,
 )
-from nutmegroad.types import Digest, PresetName, Revision, VersionId
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import Digest, PresetName, Revision, VersionId
 
 VERSION: Final = VersionId('drafting@1')
 
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from nutmegroad.platform import (
+from nutmegroad.contracts.platform import (
     ABSENT,
     Conflict,
     Row,
@@ -10,8 +10,8 @@
     RowVersion,
     RowWrite,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran
 
 
 class MemoryTable:
--- a/tests/test_accounting.py
+++ b/tests/test_accounting.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from nutmegroad.accounting import Ledger, Metered, PartCost
+from nutmegroad.foundations.accounting import Ledger, Metered, PartCost
 
 
 class Processor:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from nutmegroad.directory import REPORT_LAG
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import Presence, Ran, VersionId, WorkspaceId
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Presence, Ran, VersionId, WorkspaceId
+from nutmegroad.routing.directory import REPORT_LAG
+from nutmegroad.testing.virtual import ManualClock
 from tests.loads import AdmittingHost, ask, end_of, engine, report, start_of
 
 _LARGE: Final = WorkspaceId('large')
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,12 +4,12 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from nutmegroad.directory import LeavingSource
-from nutmegroad.request_progress import Answer
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import Ran
-from nutmegroad.upstreams import Attempt, Ending, Piece
+from nutmegroad.contracts.upstreams import Attempt, Ending, Piece
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran
+from nutmegroad.routing.directory import LeavingSource
+from nutmegroad.routing.request_progress import Answer
+from nutmegroad.testing.virtual import ManualClock
 from tests.rigs import ENDING, WORDS, HostRig, Script, whole
 
 CUT = Refusal(ResultCode.ANSWER_CUT, 'cut', Ran.UNKNOWN)
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -5,11 +5,9 @@
 
 from fakes.faults import FaultKind
 
-from nutmegroad.billing import Biller, BillingRecord, read_bills
-from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.record_copies import GONE_AFTER, HAND_WAIT
-from nutmegroad.results import ResultCode
-from nutmegroad.types import (
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import (
     AttemptId,
     RequestId,
     TaskName,
@@ -17,6 +15,8 @@
     VersionId,
     WorkspaceId,
 )
+from nutmegroad.records.billing import Biller, BillingRecord, read_bills
+from nutmegroad.records.record_copies import GONE_AFTER, HAND_WAIT
 from tests.records_rig import FAR, Host, RecordsRig
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,13 +11,13 @@
 from fakes.run_records import End
 from fakes.serving import Served
 
-from nutmegroad.answer_streams import EventStream
-from nutmegroad.billing import Biller
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import Withdrawal
-from nutmegroad.metrics import Metrics
-from nutmegroad.stops import GracefulStop, Phase
-from nutmegroad.types import RequestId
+from nutmegroad.callers.answer_streams import EventStream
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import Withdrawal
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import RequestId
+from nutmegroad.kernel.stops import GracefulStop, Phase
+from nutmegroad.records.billing import Biller
 from tests.hosts import WholeHost, fast_engine
 from tests.quick import ENDLESS
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from nutmegroad.checks import check_document, read_document
-from nutmegroad.differences import compare
-from nutmegroad.documents import Document, parse_document
+from nutmegroad.configuration.checks import check_document, read_document
+from nutmegroad.configuration.differences import compare
+from nutmegroad.contracts.documents import Document, parse_document
 
 _TEXT = """
 format = 1
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -20,11 +20,11 @@
 )
 from experiments.processes import Processes
 
-from nutmegroad._cli_client import ExitCode
-from nutmegroad._cli_table import COMMANDS
-from nutmegroad.cli import main
-from nutmegroad.stops import GracefulStop
-from nutmegroad.types import Address
+from nutmegroad.cli._cli_client import ExitCode
+from nutmegroad.cli._cli_table import COMMANDS
+from nutmegroad.cli.program import main
+from nutmegroad.foundations.types import Address
+from nutmegroad.kernel.stops import GracefulStop
 from tests.hosts import WholeHost, fast_engine
 
 DOCS = Path(__file__).resolve().parent.parent / 'docs'
--- a/tests/test_codes.py
+++ b/tests/test_codes.py
@@ -3,8 +3,8 @@
 import unittest
 from pathlib import Path
 
-from nutmegroad.codes import MEANINGS, render_page
-from nutmegroad.results import ResultCode
+from nutmegroad.foundations.codes import MEANINGS, render_page
+from nutmegroad.foundations.results import ResultCode
 
 _PAGE = Path(__file__).resolve().parent.parent / 'docs' / 'CODES.md'
 
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -19,7 +19,7 @@
 )
 from experiments.processes import Processes
 
-from nutmegroad.types import Address
+from nutmegroad.foundations.types import Address
 
 LEASE: Final = 3
 VERSION: Final = 'galley-small@5'
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -15,15 +15,13 @@
     make_document,
 )
 
-from nutmegroad.changes import Withdrawn
-from nutmegroad.configuration import CLOCK_MARGIN
-from nutmegroad.documents import Withdrawal
-from nutmegroad.gates import Gatekeeper
-from nutmegroad.heads import KEPT_MOVES, Head
-from nutmegroad.progress import Change
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import NetworkFaults
-from nutmegroad.types import (
+from nutmegroad.configuration.changes import Withdrawn
+from nutmegroad.configuration.heads import KEPT_MOVES, Head
+from nutmegroad.configuration.in_force import CLOCK_MARGIN
+from nutmegroad.configuration.progress import Change
+from nutmegroad.contracts.documents import Withdrawal
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Epoch,
     HostId,
     OperatorId,
@@ -32,6 +30,8 @@
     TaskName,
     VersionId,
 )
+from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.testing.virtual import NetworkFaults
 from tests.mutants import mutant
 
 ANN = OperatorId('ann')
--- a/tests/test_cost_metrics.py
+++ b/tests/test_cost_metrics.py
@@ -3,13 +3,17 @@
 import asyncio
 import unittest
 
-from nutmegroad._connection import QueuedFrame, SendQueue
-from nutmegroad._cost_metrics import CostPublisher, resident_bytes
-from nutmegroad._remembered_list import RECENT, RememberedList, recent_list
-from nutmegroad.accounting import Ledger
-from nutmegroad.metrics import Metrics
-from nutmegroad.platform import Listing
-from nutmegroad.testing import ManualClock
+from nutmegroad.adapters._remembered_list import (
+    RECENT,
+    RememberedList,
+    recent_list,
+)
+from nutmegroad.contracts.platform import Listing
+from nutmegroad.foundations._cost_metrics import CostPublisher, resident_bytes
+from nutmegroad.foundations.accounting import Ledger
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.membership._connection import QueuedFrame, SendQueue
+from nutmegroad.testing.virtual import ManualClock
 
 
 class CostPublisherTest(unittest.TestCase):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,12 +6,10 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from nutmegroad.departures import Departures
-from nutmegroad.directory import REPORT_LAG, Directory, LeavingSource
-from nutmegroad.platform import Listing
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.types import (
+from nutmegroad.contracts.platform import Listing
+from nutmegroad.contracts.upstreams import EngineReport
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
@@ -22,8 +20,10 @@
     UpstreamKind,
     VersionId,
 )
-from nutmegroad.upstreams import EngineReport
-from nutmegroad.watch import UpstreamWatcher
+from nutmegroad.routing.departures import Departures
+from nutmegroad.routing.directory import REPORT_LAG, Directory, LeavingSource
+from nutmegroad.routing.watch import UpstreamWatcher
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 from tests.rigs import engine_info, report_of
 
 A1 = VersionId('a@1')
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,14 +4,14 @@
 from dataclasses import replace
 from typing import Any
 
-from nutmegroad.decisions import AttemptEnd
-from nutmegroad.documents import Withdrawal
-from nutmegroad.request_progress import Answer
-from nutmegroad.requests import ModelRequest, Plan, SessionClaim
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import Epoch, Ran, UpstreamId, VersionId
-from nutmegroad.upstreams import Attempt, Piece
+from nutmegroad.contracts.decisions import AttemptEnd
+from nutmegroad.contracts.documents import Withdrawal
+from nutmegroad.contracts.requests import ModelRequest, Plan, SessionClaim
+from nutmegroad.contracts.upstreams import Attempt, Piece
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Epoch, Ran, UpstreamId, VersionId
+from nutmegroad.routing.request_progress import Answer
+from nutmegroad.testing.virtual import ManualClock
 from tests.rigs import ENDING, MEDIUM, SMALL, HostRig, report_of
 
 CUT = Refusal(ResultCode.ANSWER_CUT, 'cut', Ran.UNKNOWN)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -19,8 +19,8 @@
 from experiments.serve import RIG, variables
 
 import nutmegroad
-from nutmegroad.metrics import Metrics
-from nutmegroad.settings_page import render_page
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.kernel.settings_page import render_page
 
 ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / 'docs'
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -2,8 +2,13 @@
 
 import unittest
 
-from nutmegroad.duties import WATCH_HOLDERS, Duties, DutyName, watch_of
-from nutmegroad.types import HostId, UpstreamId
+from nutmegroad.foundations.types import HostId, UpstreamId
+from nutmegroad.membership.duties import (
+    WATCH_HOLDERS,
+    Duties,
+    DutyName,
+    watch_of,
+)
 
 DUTIES = tuple(
     watch_of(UpstreamId(f'engine-{number}')) for number in range(890)
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
-from nutmegroad._ejection import Healths
-from nutmegroad.results import ResultCode
-from nutmegroad.types import AttemptId
-from nutmegroad.upstreams import UpstreamState
+from nutmegroad.contracts.upstreams import UpstreamState
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import AttemptId
+from nutmegroad.routing._ejection import Healths
 from tests.loads import engine
 
 _ATTEMPT = AttemptId('a')
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -6,17 +6,10 @@
 from dataclasses import replace
 from itertools import repeat
 
-from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.evidence import (
-    MESSAGE_CELLS,
-    REPEATED_CELLS,
-    EvidenceMessage,
-    EvidenceStore,
-    Tally,
-)
-from nutmegroad.results import ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import (
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
+from nutmegroad.contracts.upstreams import Attempt, Piece
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import (
     AttemptId,
     Incarnation,
     RequestId,
@@ -25,7 +18,14 @@
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.upstreams import Attempt, Piece
+from nutmegroad.rollouts.evidence import (
+    MESSAGE_CELLS,
+    REPEATED_CELLS,
+    EvidenceMessage,
+    EvidenceStore,
+    Tally,
+)
+from nutmegroad.testing.virtual import ManualClock
 from tests.rigs import SMALL, WORDS, HostRig, Script
 from tests.rigs import TASK as ASKED
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -4,8 +4,8 @@
 import unittest
 from pathlib import Path
 
-from nutmegroad.checks import read_document
-from nutmegroad.documents import Concern, Document, Stage
+from nutmegroad.configuration.checks import read_document
+from nutmegroad.contracts.documents import Concern, Document, Stage
 
 _EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 _CONCERNS = {'lesen': Concern.LATENCY, 'cascade': Concern.EXPOSURE}
--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -4,15 +4,21 @@
 import unittest
 from collections.abc import Iterable
 
-from nutmegroad._exposure_spread import ExposureSpread
-from nutmegroad.documents import Document, Stage
-from nutmegroad.evidence import EvidenceStore, Tally, moments_of
-from nutmegroad.exposure import ExposureGuard
-from nutmegroad.quarantines import Grade, QuarantineRecord, Quarantines
-from nutmegroad.ratings import RatingListener, RatingTally
-from nutmegroad.results import ResultCode
-from nutmegroad.testing import ManualClock, MemoryMesh, NetworkFaults
-from nutmegroad.types import DomainId, Epoch, HostId, TaskName, VersionId
+from nutmegroad.contracts.documents import Document, Stage
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import (
+    DomainId,
+    Epoch,
+    HostId,
+    TaskName,
+    VersionId,
+)
+from nutmegroad.quality.ratings import RatingListener, RatingTally
+from nutmegroad.rollouts._exposure_spread import ExposureSpread
+from nutmegroad.rollouts.evidence import EvidenceStore, Tally, moments_of
+from nutmegroad.rollouts.exposure import ExposureGuard
+from nutmegroad.rollouts.quarantines import Grade, QuarantineRecord, Quarantines
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh, NetworkFaults
 from tests.configurations import (
     DRAFT,
     GOOD,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -16,17 +16,23 @@
 from hypothesis import strategies as st
 from msgspec import inspect
 
-from nutmegroad._connection import FrameKind, pack_frame
-from nutmegroad._handshake import (
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.types import (
+    Address,
+    DomainId,
+    HostId,
+    Incarnation,
+    RequestId,
+)
+from nutmegroad.membership._connection import FrameKind, pack_frame
+from nutmegroad.membership._handshake import (
     Credentials,
     HandshakeStream,
     Identity,
     greet,
 )
-from nutmegroad._wire import as_plain
-from nutmegroad.operator_requests import ExplainQuestion
-from nutmegroad.peers import Message
-from nutmegroad.types import Address, DomainId, HostId, Incarnation, RequestId
+from nutmegroad.membership._wire import as_plain
+from nutmegroad.operators.operator_requests import ExplainQuestion
 from tests.hosts import KEY, WholeHost, fast_engine
 
 LIMIT: Final = 20
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -4,12 +4,12 @@
 import unittest
 from dataclasses import replace
 
-from nutmegroad.documents import Withdrawal
-from nutmegroad.pauses import PauseDetector
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import Presence, Ran, Revision, UpstreamId
-from nutmegroad.upstreams import Attempt, Piece
+from nutmegroad.contracts.documents import Withdrawal
+from nutmegroad.contracts.upstreams import Attempt, Piece
+from nutmegroad.daemon.pauses import PauseDetector
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Presence, Ran, Revision, UpstreamId
+from nutmegroad.testing.virtual import ManualClock
 from tests.rigs import HostRig, engine_info
 
 CUT = Refusal(ResultCode.ANSWER_CUT, 'cut', Ran.UNKNOWN)
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -3,10 +3,10 @@
 import asyncio
 import unittest
 
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.stops import GracefulStop, Phase
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import Ran
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran
+from nutmegroad.kernel.stops import GracefulStop, Phase
+from nutmegroad.testing.virtual import ManualClock
 
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_http_edge.py
+++ b/tests/test_http_edge.py
@@ -9,10 +9,10 @@
 
 from experiments.deployment import operator_token
 
-from nutmegroad import _http_listener
-from nutmegroad.intake import IntakeReader
-from nutmegroad.metrics import Metrics
-from nutmegroad.types import Address
+from nutmegroad.callers import _http_listener
+from nutmegroad.callers.intake import IntakeReader
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.types import Address
 from tests.hosts import KEY, TOKEN, WholeHost, fast_engine
 
 CHAT = '/v1/chat/completions'
--- a/tests/test_http_upstreams.py
+++ b/tests/test_http_upstreams.py
@@ -15,21 +15,12 @@
 from fakes.service import FakeService
 from fakes.serving import Served
 
-from nutmegroad._event_streams import AnswerReader, EventSplitter
-from nutmegroad._http_upstreams import HttpEngineClient, HttpServiceClient
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
-    Address,
-    AttemptId,
-    DomainId,
-    FencingNumber,
-    Ran,
-    UpstreamId,
-    UpstreamInfo,
-    UpstreamKind,
-    VersionId,
+from nutmegroad.adapters._event_streams import AnswerReader, EventSplitter
+from nutmegroad.adapters._http_upstreams import (
+    HttpEngineClient,
+    HttpServiceClient,
 )
-from nutmegroad.upstreams import (
+from nutmegroad.contracts.upstreams import (
     AnswerEvent,
     Attempt,
     Ending,
@@ -40,6 +31,18 @@
     ServiceCall,
     ServiceReply,
 )
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    Address,
+    AttemptId,
+    DomainId,
+    FencingNumber,
+    Ran,
+    UpstreamId,
+    UpstreamInfo,
+    UpstreamKind,
+    VersionId,
+)
 from tests.quick import ENDLESS, quick_settings
 
 CLOSED = Refusal(ResultCode.HOST_PAUSED, 'The host was paused.')
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -5,9 +5,9 @@
 
 from fakes.faults import FaultKind
 
-from nutmegroad.intents import SMALL_ANSWER, Claim, FirstAnswer
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import Ran, RequestId
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, RequestId
+from nutmegroad.records.intents import SMALL_ANSWER, Claim, FirstAnswer
 from tests.records_rig import (
     ANSWER,
     NOT_RUN,
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -10,22 +10,13 @@
 import msgspec
 from aiohttp import ClientSession
 
-from nutmegroad._handshake import (
-    Credentials,
-    HandshakeError,
-    HandshakeStream,
-    Identity,
-    answer,
-    greet,
-)
-from nutmegroad.checks import check_document
-from nutmegroad.documents import WorkspaceEntry
-from nutmegroad.requests import SessionClaim
-from nutmegroad.results import Refusal
-from nutmegroad.secrets import hash_of, is_same
-from nutmegroad.sessions import SessionSigner, SessionToken
-from nutmegroad.tickets import Ticket, TicketSigner
-from nutmegroad.types import (
+from nutmegroad.callers.sessions import SessionSigner, SessionToken
+from nutmegroad.configuration.checks import check_document
+from nutmegroad.contracts.documents import WorkspaceEntry
+from nutmegroad.contracts.requests import SessionClaim
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.secrets import hash_of, is_same
+from nutmegroad.foundations.types import (
     DomainId,
     Epoch,
     HostId,
@@ -34,6 +25,15 @@
     VersionId,
     WorkspaceId,
 )
+from nutmegroad.membership._handshake import (
+    Credentials,
+    HandshakeError,
+    HandshakeStream,
+    Identity,
+    answer,
+    greet,
+)
+from nutmegroad.records.tickets import Ticket, TicketSigner
 from tests.configurations import document_of, version_of
 from tests.hosts import WholeHost, fast_engine
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,10 +5,10 @@
 import random
 import unittest
 
-from nutmegroad.leases import Lease, LeaseKeeper
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock, PausableClock
-from nutmegroad.types import Incarnation
+from nutmegroad.configuration.leases import Lease, LeaseKeeper
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Incarnation
+from nutmegroad.testing.virtual import ManualClock, PausableClock
 from tests.tables import MemoryTable
 
 TERM = 8.0
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -17,7 +17,7 @@
 )
 from experiments.processes import Processes
 
-from nutmegroad.types import Address
+from nutmegroad.foundations.types import Address
 
 RIG = Rig(
     'lesen',
--- a/tests/test_link_parts.py
+++ b/tests/test_link_parts.py
@@ -6,14 +6,14 @@
 import unittest
 from typing import Any, cast
 
-from nutmegroad._connection import Connection, QueuedFrame, SendQueue
-from nutmegroad._dialer import Backoff
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkLimits
-from nutmegroad._peer_table import PeerTable
-from nutmegroad._wire import StreamError, Unpacker, pack
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import DomainId, HostId, Incarnation
+from nutmegroad.foundations.types import DomainId, HostId, Incarnation
+from nutmegroad.membership._connection import Connection, QueuedFrame, SendQueue
+from nutmegroad.membership._dialer import Backoff
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkLimits
+from nutmegroad.membership._peer_table import PeerTable
+from nutmegroad.membership._wire import StreamError, Unpacker, pack
+from nutmegroad.testing.virtual import ManualClock
 
 
 def identity_of(host: str) -> Identity:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,16 +8,22 @@
 from collections.abc import Callable
 from typing import Any, ClassVar
 
-from nutmegroad._connection import QueuedFrame
-from nutmegroad._handshake import Identity
-from nutmegroad._link_context import LinkContext, LinkLimits
-from nutmegroad.accounting import Ledger
-from nutmegroad.clocks import Clock, SystemClock
-from nutmegroad.links import Links
-from nutmegroad.peers import Member, Message
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import Address, DomainId, HostId, Incarnation, Ran
+from nutmegroad.contracts.peers import Member, Message
+from nutmegroad.foundations.accounting import Ledger
+from nutmegroad.foundations.clocks import Clock, SystemClock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    Address,
+    DomainId,
+    HostId,
+    Incarnation,
+    Ran,
+)
+from nutmegroad.membership._connection import QueuedFrame
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._link_context import LinkContext, LinkLimits
+from nutmegroad.membership.links import Links
+from nutmegroad.testing.virtual import ManualClock
 from tests.recorders import Holder, Recorder, echo_back
 
 KEY = b'a key for tests'
--- a/tests/test_log_bounds.py
+++ b/tests/test_log_bounds.py
@@ -5,14 +5,14 @@
 import os
 import unittest
 
-from nutmegroad.log_bounds import (
+from nutmegroad.foundations.log_bounds import (
     FAILURES,
     MOST_WAITING,
     USUAL,
     LineBudget,
     UnblockingHandler,
 )
-from nutmegroad.logs import JsonFormatter, part_logger
+from nutmegroad.foundations.logs import JsonFormatter, part_logger
 
 
 class LogBoundsTest(unittest.TestCase):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -8,13 +8,13 @@
 import unittest
 from pathlib import Path
 
-from nutmegroad.logs import (
+from nutmegroad.foundations.logs import (
     LogFormat,
     about_request,
     part_logger,
     set_up_logs,
 )
-from nutmegroad.types import RequestId
+from nutmegroad.foundations.types import RequestId
 
 SOURCES = Path(__file__).resolve().parent.parent / 'src' / 'nutmegroad'
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,18 +6,18 @@
 from collections.abc import Iterable
 from contextlib import AsyncExitStack
 
-from nutmegroad._detector import Detector, Verdicts
-from nutmegroad._handshake import Identity
-from nutmegroad._member_context import make_table
-from nutmegroad._member_messages import Heartbeat, Record
-from nutmegroad._member_table import GONE_MEMORY, Origin
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import (
+from nutmegroad.foundations.types import (
     DomainId,
     HostId,
     Incarnation,
     Presence,
 )
+from nutmegroad.membership._detector import Detector, Verdicts
+from nutmegroad.membership._handshake import Identity
+from nutmegroad.membership._member_context import make_table
+from nutmegroad.membership._member_messages import Heartbeat, Record
+from nutmegroad.membership._member_table import GONE_MEMORY, Origin
+from nutmegroad.testing.virtual import ManualClock
 from tests.memory_links import Host, Wires
 
 EAST = DomainId('east')
--- a/tests/test_mesh_part.py
+++ b/tests/test_mesh_part.py
@@ -8,18 +8,18 @@
 from pathlib import Path
 from typing import Final
 
-from nutmegroad._mesh_part import MeshPart
-from nutmegroad.accounting import Account, Ledger
-from nutmegroad.clocks import SystemClock
-from nutmegroad.core import Kernel
-from nutmegroad.duties import Duties, DutyName
-from nutmegroad.exceptions import SettingsError
-from nutmegroad.members import Members
-from nutmegroad.peers import Mesh
-from nutmegroad.platform import HostList, Listing
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.settings import Settings, read_settings
-from nutmegroad.types import Address, DomainId, HostId, Presence
+from nutmegroad.contracts.peers import Mesh
+from nutmegroad.contracts.platform import HostList, Listing
+from nutmegroad.foundations.accounting import Account, Ledger
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.exceptions import SettingsError
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Address, DomainId, HostId, Presence
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.settings import Settings, read_settings
+from nutmegroad.membership.duties import Duties, DutyName
+from nutmegroad.membership.members import Members
+from nutmegroad.membership.part import MeshPart
 
 NOWHERE = Address('127.0.0.1', 0)
 LOOKS = 4000
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from nutmegroad.metrics import Direction, Metrics
-from nutmegroad.results import ResultCode
-from nutmegroad.types import (
+from nutmegroad.foundations.metrics import Direction, Metrics
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import (
     Presence,
     Revision,
     TaskName,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -6,20 +6,20 @@
 
 from fakes.faults import FaultKind
 
-from nutmegroad.billing import BillingRecord
-from nutmegroad.fences import Fence, FenceTerms
-from nutmegroad.forwards import (
+from nutmegroad.contracts.fences import Fence, FenceTerms
+from nutmegroad.foundations.invariants import CountedInvariants
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import HostId, Ran
+from nutmegroad.records.billing import BillingRecord
+from nutmegroad.records.forwards import (
     ForwardedReply,
     ForwardedRequest,
     Forwarder,
 )
-from nutmegroad.intents import FirstAnswer
-from nutmegroad.invariants import CountedInvariants
-from nutmegroad.once import LEASE, TABLE_REST, Elsewhere, Order, Run
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.runs import Ended, Runner
-from nutmegroad.tickets import Ticket
-from nutmegroad.types import HostId, Ran
+from nutmegroad.records.intents import FirstAnswer
+from nutmegroad.records.once import LEASE, TABLE_REST, Elsewhere, Order, Run
+from nutmegroad.records.runs import Ended, Runner
+from nutmegroad.records.tickets import Ticket
 from tests.records_rig import (
     ANSWER,
     NOT_RUN,
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -21,10 +21,10 @@
 )
 from experiments.processes import Processes, Running
 
-from nutmegroad._http_platform import HttpObjects
-from nutmegroad.billing import BILLING_PREFIX, BillingRecord, read_bills
-from nutmegroad.once import LEASE
-from nutmegroad.types import Address
+from nutmegroad.adapters._http_platform import HttpObjects
+from nutmegroad.foundations.types import Address
+from nutmegroad.records.billing import BILLING_PREFIX, BillingRecord, read_bills
+from nutmegroad.records.once import LEASE
 
 RIG: Final = Rig('lesen', engines=(), hosts=1)
 LOOK_UP: Final = '/v1/services/licence-portal/status/1'
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,8 +4,8 @@
 from contextlib import AsyncExitStack
 from dataclasses import replace
 
-from nutmegroad.directory import Directory
-from nutmegroad.types import UpstreamId
+from nutmegroad.foundations.types import UpstreamId
+from nutmegroad.routing.directory import Directory
 from tests.hosts import WholeHost, fast_engine
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -8,21 +8,15 @@
 
 from msgspec.structs import replace as changed
 
-from nutmegroad.directory import Directory
-from nutmegroad.documents import Document, Withdrawal, WorkspaceEntry
-from nutmegroad.leases import LeaseKeeper
-from nutmegroad.order_keeper import OrderKeeper, OrderParts
-from nutmegroad.orders import (
-    Desired,
-    Inventory,
-    Pending,
-    PlannedOrder,
-    desired_of,
+from nutmegroad.configuration.leases import LeaseKeeper
+from nutmegroad.contracts.documents import Document, Withdrawal, WorkspaceEntry
+from nutmegroad.contracts.upstreams import (
+    EngineOrder,
+    EngineReport,
+    OrderAction,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.types import (
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     NO_REVISION,
     Address,
     DomainId,
@@ -34,7 +28,17 @@
     UpstreamKind,
     VersionId,
 )
-from nutmegroad.upstreams import EngineOrder, EngineReport, OrderAction
+from nutmegroad.rollouts.order_keeper import OrderKeeper, OrderParts
+from nutmegroad.rollouts.orders import (
+    Desired,
+    Inventory,
+    Pending,
+    PlannedOrder,
+    desired_of,
+)
+from nutmegroad.rollouts.rollout_shares import RolloutShares
+from nutmegroad.routing.directory import Directory
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 from tests.configurations import (
     NEW,
     OLD,
--- a/tests/test_paused_host.py
+++ b/tests/test_paused_host.py
@@ -17,7 +17,7 @@
 )
 from experiments.processes import Processes
 
-from nutmegroad.documents import Role
+from nutmegroad.contracts.documents import Role
 
 VERSION = 'brief-small@2'
 #: Reads of the head are seldom enough that, as a rule, only the question
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -18,30 +18,30 @@
 )
 from msgspec import structs
 
-from nutmegroad.baselines import cheapest_only, dearest, static_share
-from nutmegroad.cascades import CheckPower, NoCheck
-from nutmegroad.configuration import Configuration
-from nutmegroad.documents import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.documents import (
     Concern,
     RolloutShare,
     Stage,
     VersionEntry,
     Withdrawal,
 )
-from nutmegroad.estimates import HALF_LIFE, Estimates
-from nutmegroad.plans import AdaptivePlanner
-from nutmegroad.platform import Rating
-from nutmegroad.requests import ModelRequest, Plan, SessionClaim
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.trials import PresetShares, Trials
-from nutmegroad.types import (
+from nutmegroad.contracts.platform import Rating
+from nutmegroad.contracts.requests import ModelRequest, Plan, SessionClaim
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Epoch,
     RequestId,
     Revision,
     TaskName,
     VersionId,
 )
+from nutmegroad.quality.cascades import CheckPower, NoCheck
+from nutmegroad.quality.estimates import HALF_LIFE, Estimates
+from nutmegroad.quality.plans import AdaptivePlanner
+from nutmegroad.quality.trials import PresetShares, Trials
+from nutmegroad.routing.baselines import cheapest_only, dearest, static_share
+from nutmegroad.testing.virtual import ManualClock
 
 
 class _PlannerTest(unittest.TestCase):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,15 +9,15 @@
 from fakes.faults import FaultKind, FaultOrder, Faults, FaultTarget
 from fakes.platform import FakePlatform, PlatformOptions
 
-from nutmegroad._http_platform import (
+from nutmegroad.adapters._http_platform import (
     HttpHostList,
     HttpObjects,
     HttpRatings,
     HttpTable,
     HttpWeights,
 )
-from nutmegroad._platform_bodies import ListingBody
-from nutmegroad.platform import (
+from nutmegroad.adapters._platform_bodies import ListingBody
+from nutmegroad.contracts.platform import (
     ABSENT,
     Conflict,
     Listing,
@@ -27,8 +27,8 @@
     RowVersion,
     RowWrite,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.types import (
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -8,15 +8,12 @@
 from typing import Any
 from unittest.mock import patch
 
-from nutmegroad.clocks import SystemClock
-from nutmegroad.core import Kernel
-from nutmegroad.directory import Directory
-from nutmegroad.exceptions import RegistryError
-from nutmegroad.plugins import load_plugins
-from nutmegroad.registry import lookup, register
-from nutmegroad.results import Refusal
-from nutmegroad.settings import read_settings
-from nutmegroad.types import (
+from nutmegroad.contracts.upstreams import EngineReport
+from nutmegroad.daemon.plugins import load_plugins
+from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.exceptions import RegistryError
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     UpstreamId,
@@ -24,7 +21,10 @@
     UpstreamKind,
     VersionId,
 )
-from nutmegroad.upstreams import EngineReport
+from nutmegroad.kernel.core import Kernel
+from nutmegroad.kernel.registry import lookup, register
+from nutmegroad.kernel.settings import read_settings
+from nutmegroad.routing.directory import Directory
 
 PAGE = Path(__file__).parent.parent / 'docs' / 'PLUGINS.md'
 VERSION = VersionId('draft@1')
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
-from nutmegroad.platform import Rating
-from nutmegroad.quality import (
+from nutmegroad.contracts.platform import Rating
+from nutmegroad.foundations.types import Epoch, RequestId, TaskName, VersionId
+from nutmegroad.quality.quality_book import (
     FREEZE_LIMIT,
     MOST_CELLS,
     QualityBook,
     QualityState,
 )
-from nutmegroad.types import Epoch, RequestId, TaskName, VersionId
 
 _TASK = TaskName('tag')
 _ONE, _TWO, _THREE = (VersionId(f'm@{number}') for number in range(3))
--- a/tests/test_quality_sharing.py
+++ b/tests/test_quality_sharing.py
@@ -10,13 +10,17 @@
 
 from experiments.planner_worlds import SCENARIOS, SMALL, TAG, accepted
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.estimates import Estimates
-from nutmegroad.platform import RatedAnswer, Rating
-from nutmegroad.quality_sharing import FeedReader, QualitySharer, QualityStore
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.types import DomainId, HostId, RequestId
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.platform import RatedAnswer, Rating
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import DomainId, HostId, RequestId
+from nutmegroad.quality.estimates import Estimates
+from nutmegroad.quality.quality_sharing import (
+    FeedReader,
+    QualitySharer,
+    QualityStore,
+)
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 
 _PAGE = 10
 
--- a/tests/test_rating_samples.py
+++ b/tests/test_rating_samples.py
@@ -9,20 +9,12 @@
 from experiments.planner_worlds import SCENARIOS, SMALL, TAG, accepted
 from msgspec import structs
 
-from nutmegroad.configuration import Configuration
-from nutmegroad.decisions import AttemptEnd, AttemptStart
-from nutmegroad.documents import Stage
-from nutmegroad.estimates import Estimate, Estimates
-from nutmegroad.platform import RatedAnswer, Rating
-from nutmegroad.rating_samples import (
-    BURST,
-    QUEUE_LIMIT,
-    RatingSamples,
-    SampleShares,
-)
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import (
+from nutmegroad.configuration.in_force import Configuration
+from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
+from nutmegroad.contracts.documents import Stage
+from nutmegroad.contracts.platform import RatedAnswer, Rating
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     AttemptId,
     RequestId,
     Revision,
@@ -31,6 +23,14 @@
     VersionId,
     WorkspaceId,
 )
+from nutmegroad.quality.estimates import Estimate, Estimates
+from nutmegroad.quality.rating_samples import (
+    BURST,
+    QUEUE_LIMIT,
+    RatingSamples,
+    SampleShares,
+)
+from nutmegroad.testing.virtual import ManualClock
 
 
 class SlowRatings:
--- a/tests/test_ratings.py
+++ b/tests/test_ratings.py
@@ -3,12 +3,18 @@
 import random
 import unittest
 
-from nutmegroad.duties import DutyName
-from nutmegroad.platform import RatedAnswer, Rating
-from nutmegroad.ratings import RatingFeed, RatingTally
-from nutmegroad.results import Refusal
-from nutmegroad.testing import ManualClock, MemoryMesh, NetworkFaults
-from nutmegroad.types import DomainId, HostId, RequestId, TaskName, VersionId
+from nutmegroad.contracts.platform import RatedAnswer, Rating
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
+    DomainId,
+    HostId,
+    RequestId,
+    TaskName,
+    VersionId,
+)
+from nutmegroad.membership.duties import DutyName
+from nutmegroad.quality.ratings import RatingFeed, RatingTally
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh, NetworkFaults
 
 VERSION = VersionId('a@1')
 TASK = TaskName('tag')
--- a/tests/test_records_random.py
+++ b/tests/test_records_random.py
@@ -12,13 +12,13 @@
 
 from fakes.faults import FaultKind
 
-from nutmegroad.billing import BillingRecord, read_bills
-from nutmegroad.fences import Fence
-from nutmegroad.once import LEASE, Order
-from nutmegroad.record_copies import GONE_AFTER
-from nutmegroad.results import Refusal
-from nutmegroad.runs import Ended, Runner
-from nutmegroad.upstreams import ServiceReply
+from nutmegroad.contracts.fences import Fence
+from nutmegroad.contracts.upstreams import ServiceReply
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.records.billing import BillingRecord, read_bills
+from nutmegroad.records.once import LEASE, Order
+from nutmegroad.records.record_copies import GONE_AFTER
+from nutmegroad.records.runs import Ended, Runner
 from tests.records_rig import (
     NOT_RUN,
     UNKNOWN,
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -4,6 +4,19 @@
 import unittest
 from typing import Any
 
+from nutmegroad.fleet.evidence import Evidence, tail, total
+from nutmegroad.fleet.loads import Load, LoadLedger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
+    Address,
+    DomainId,
+    HostId,
+    ModelName,
+    Ran,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+)
 from nutmegroad.relay.budgets import Purpose, RepeatBudget
 from nutmegroad.relay.deployment import (
     ConfigurationVersion,
@@ -16,9 +29,7 @@
 from nutmegroad.relay.escalation import Opinion, first_model, larger_model
 from nutmegroad.relay.estimates import PaceKey, Paces
 from nutmegroad.relay.events import WholeEvents
-from nutmegroad.relay.evidence import Evidence, tail, total
 from nutmegroad.relay.health import Health
-from nutmegroad.relay.loads import Load, LoadLedger
 from nutmegroad.relay.prefixes import KeptPrefixes
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.requests import (
@@ -40,18 +51,7 @@
     UpstreamEntry,
 )
 from nutmegroad.relay.versions import RolloutGate, RolloutState
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import (
-    Address,
-    DomainId,
-    HostId,
-    ModelName,
-    Ran,
-    RequestId,
-    ServiceName,
-    UpstreamId,
-)
+from nutmegroad.testing.virtual import ManualClock
 
 NORTH = DomainId('north')
 ENGINES = ServiceName('engines')
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -8,18 +8,9 @@
 from aiohttp.web import AppRunner, TCPSite
 from fakes.row_store import RowStore, StoreFault
 
-from nutmegroad.exceptions import SettingsError
-from nutmegroad.relay.belief import ConfigurationBelief
-from nutmegroad.relay.counters import RelayCounters
-from nutmegroad.relay.deployment import (
-    ConfigurationVersion,
-    RequestKind,
-    RoutingTable,
-)
-from nutmegroad.relay.followers import FeedPace, TableFollower
-from nutmegroad.relay.rollouts import RolloutOrder, Stage
-from nutmegroad.relay.store_clock import StoreClock
-from nutmegroad.relay.stored import (
+from nutmegroad.fleet.followers import FeedPace, TableFollower
+from nutmegroad.fleet.store_clock import StoreClock
+from nutmegroad.fleet.stored import (
     Committed,
     HistoryLost,
     RowExpected,
@@ -28,11 +19,20 @@
     RowsRead,
     StoredRow,
 )
+from nutmegroad.foundations.exceptions import SettingsError
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Address, Ran, ServiceName
+from nutmegroad.relay.belief import ConfigurationBelief
+from nutmegroad.relay.counters import RelayCounters
+from nutmegroad.relay.deployment import (
+    ConfigurationVersion,
+    RequestKind,
+    RoutingTable,
+)
+from nutmegroad.relay.rollouts import RolloutOrder, Stage
 from nutmegroad.relay.tables import Unreadable, UpstreamSink
 from nutmegroad.relay.upstreams import Directory, UpstreamEntry
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import Address, Ran, ServiceName
+from nutmegroad.testing.virtual import ManualClock
 from nutmegroad_platform.rows import Rows
 from nutmegroad_platform.settings import read_settings
 from nutmegroad_platform.store import PlatformStore
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -18,7 +18,7 @@
 from experiments.summaries import Report
 from experiments.traffic import Ask
 
-from nutmegroad.documents import parse_document
+from nutmegroad.contracts.documents import parse_document
 
 _DOCUMENT = parse_document(read_example('cascade'))
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -4,10 +4,10 @@
 from dataclasses import replace
 from typing import Final
 
-from nutmegroad.results import ResultCode
-from nutmegroad.retries import FLOOR, MOST_SAVED, SHARE, SharedRetries
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import UpstreamId, WorkspaceId
+from nutmegroad.foundations.results import ResultCode
+from nutmegroad.foundations.types import UpstreamId, WorkspaceId
+from nutmegroad.routing.retries import FLOOR, MOST_SAVED, SHARE, SharedRetries
+from nutmegroad.testing.virtual import ManualClock
 from tests.loads import ask, end_of, start_of
 
 _OTHER: Final = WorkspaceId('small')
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -17,7 +17,7 @@
 )
 from experiments.processes import Processes, Running
 
-from nutmegroad.documents import Role
+from nutmegroad.contracts.documents import Role
 
 VERSION: Final = 'galley-large@4'
 LOADED: Final = ('galley-small@5', 'galley-large@3')
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -5,28 +5,11 @@
 import random
 import unittest
 
-from nutmegroad.documents import Concern, Stage
-from nutmegroad.evidence import EvidenceStore, Moments, Tally
-from nutmegroad.exposure import ExposureGuard
-from nutmegroad.leases import LeaseKeeper
-from nutmegroad.quarantines import Quarantines
-from nutmegroad.ratings import RatingTally
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.rollout_keeper import RolloutKeeper, RolloutParts
-from nutmegroad.rollout_service import Action, RolloutService
-from nutmegroad.rollout_shares import RolloutShares
-from nutmegroad.rollouts import (
-    FIRST_SHARE,
-    Findings,
-    Phase,
-    RolloutState,
-    RolloutStore,
-    Step,
-    decide,
-)
-from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.types import (
+from nutmegroad.configuration.leases import LeaseKeeper
+from nutmegroad.contracts.documents import Concern, Stage
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     DomainId,
     Epoch,
     HostId,
@@ -36,6 +19,23 @@
     VersionId,
     WorkspaceId,
 )
+from nutmegroad.quality.ratings import RatingTally
+from nutmegroad.rollouts.evidence import EvidenceStore, Moments, Tally
+from nutmegroad.rollouts.exposure import ExposureGuard
+from nutmegroad.rollouts.quarantines import Quarantines
+from nutmegroad.rollouts.rollout_keeper import RolloutKeeper, RolloutParts
+from nutmegroad.rollouts.rollout_service import Action, RolloutService
+from nutmegroad.rollouts.rollout_shares import RolloutShares
+from nutmegroad.rollouts.rollout_store import (
+    FIRST_SHARE,
+    Findings,
+    Phase,
+    RolloutState,
+    RolloutStore,
+    Step,
+    decide,
+)
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 from tests.configurations import (
     GOOD,
     NEW,
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -5,15 +5,15 @@
 from collections import Counter
 from typing import Final
 
-from nutmegroad._ejection import FIRST_EJECTION, SLOW_START
-from nutmegroad.decisions import Choice
-from nutmegroad.directory import Directory
-from nutmegroad.fleet import FleetLoad, LoadDigest
-from nutmegroad.plain_selectors import RandomChoice, RoundRobin
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.selection import ExpectedSelector
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import UpstreamId
+from nutmegroad.contracts.decisions import Choice
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import UpstreamId
+from nutmegroad.routing._ejection import FIRST_EJECTION, SLOW_START
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.fleet import FleetLoad, LoadDigest
+from nutmegroad.routing.plain_selectors import RandomChoice, RoundRobin
+from nutmegroad.routing.selection import ExpectedSelector
+from nutmegroad.testing.virtual import ManualClock
 from tests.loads import (
     AWAY,
     HOME,
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -3,20 +3,13 @@
 import random
 import unittest
 
-from nutmegroad.directory import Directory
-from nutmegroad.documents import CallRule, ServiceEntry
-from nutmegroad.explanations import Explanation
-from nutmegroad.fences import Fence, FenceTerms
-from nutmegroad.gates import Gatekeeper
-from nutmegroad.invariants import StrictInvariants
-from nutmegroad.metrics import Metrics
-from nutmegroad.policies import NoQuarantine
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.retries import MOST_SAVED, SHARE, SharedRetries
-from nutmegroad.service_traffic import ServiceTraffic
-from nutmegroad.services import ServiceCaller, ServiceRequest
-from nutmegroad.testing import ManualClock
-from nutmegroad.types import (
+from nutmegroad.contracts.documents import CallRule, ServiceEntry
+from nutmegroad.contracts.fences import Fence, FenceTerms
+from nutmegroad.contracts.upstreams import ServiceCall, ServiceReply
+from nutmegroad.foundations.invariants import StrictInvariants
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     Ran,
@@ -27,7 +20,14 @@
     UpstreamKind,
     WorkspaceId,
 )
-from nutmegroad.upstreams import ServiceCall, ServiceReply
+from nutmegroad.records.explanations import Explanation
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.routing.policies import NoQuarantine
+from nutmegroad.routing.retries import MOST_SAVED, SHARE, SharedRetries
+from nutmegroad.routing.service_traffic import ServiceTraffic
+from nutmegroad.routing.services import ServiceCaller, ServiceRequest
+from nutmegroad.testing.virtual import ManualClock
 from tests.shared_documents import configure
 
 _PORTAL = ServiceName('portal')
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from nutmegroad.duties import Duties
-from nutmegroad.invariants import StrictInvariants
-from nutmegroad.platform import (
+from nutmegroad.callers.session_names import SessionNames
+from nutmegroad.callers.sessions import SessionSigner, SessionToken
+from nutmegroad.contracts.platform import (
     ABSENT,
     Conflict,
     Row,
@@ -16,11 +16,11 @@
     RowVersion,
     RowWrite,
 )
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.session_names import SessionNames
-from nutmegroad.sessions import SessionSigner, SessionToken
-from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.types import DomainId, HostId, Ran, WorkspaceId
+from nutmegroad.foundations.invariants import StrictInvariants
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import DomainId, HostId, Ran, WorkspaceId
+from nutmegroad.membership.duties import Duties
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 
 DOMAIN = DomainId('shah-alam')
 SHOP = WorkspaceId('shop')
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,14 +2,14 @@
 
 import unittest
 
-from nutmegroad.exceptions import SettingsError
-from nutmegroad.settings import (
+from nutmegroad.foundations.exceptions import SettingsError
+from nutmegroad.foundations.types import Address
+from nutmegroad.kernel.settings import (
     Settings,
     SettingSource,
     format_settings,
     read_settings,
 )
-from nutmegroad.types import Address
 
 _KEY = 'a-key-that-nobody-guesses'
 _ENVIRON = {'NUTMEGROAD_CLUSTER_KEY': _KEY, 'NUTMEGROAD_LEASE': '9'}
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,15 +5,10 @@
 import unittest
 from typing import Final
 
-from nutmegroad.admission import FairAdmitter
-from nutmegroad.exchange import ShareExchange
-from nutmegroad.fleet import DIGEST_HOLDS, FleetLoad, LoadDigest
-from nutmegroad.peers import Member
-from nutmegroad.requests import ModelRequest
-from nutmegroad.results import Refusal
-from nutmegroad.shares import LOAN_HOLDS, ShareLedger, static_part, water_fill
-from nutmegroad.testing import ManualClock, MemoryMesh, NetworkFaults
-from nutmegroad.types import (
+from nutmegroad.contracts.peers import Member
+from nutmegroad.contracts.requests import ModelRequest
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
@@ -21,6 +16,16 @@
     Presence,
     WorkspaceId,
 )
+from nutmegroad.routing.admission import FairAdmitter
+from nutmegroad.routing.exchange import ShareExchange
+from nutmegroad.routing.fleet import DIGEST_HOLDS, FleetLoad, LoadDigest
+from nutmegroad.routing.shares import (
+    LOAN_HOLDS,
+    ShareLedger,
+    static_part,
+    water_fill,
+)
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh, NetworkFaults
 from tests.loads import AWAY, HOME, AdmittingHost, ask
 
 _HOSTS: Final = ('a', 'b', 'c')
--- a/tests/test_testing.py
+++ b/tests/test_testing.py
@@ -4,15 +4,15 @@
 import random
 import unittest
 
-from nutmegroad.peers import Message
-from nutmegroad.results import Refusal
-from nutmegroad.testing import (
+from nutmegroad.contracts.peers import Message
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import DomainId, HostId, Ran
+from nutmegroad.testing.virtual import (
     ManualClock,
     MemoryMesh,
     NetworkFaults,
     PausableClock,
 )
-from nutmegroad.types import DomainId, HostId, Ran
 
 ONE = HostId('one')
 TWO = HostId('two')
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from nutmegroad import tickets
-from nutmegroad.intents import FirstAnswer
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.tickets import SpentTicket, Ticket, TicketIssuer
-from nutmegroad.types import Ran, RequestId, WorkspaceId
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Ran, RequestId, WorkspaceId
+from nutmegroad.records import tickets
+from nutmegroad.records.intents import FirstAnswer
+from nutmegroad.records.tickets import SpentTicket, Ticket, TicketIssuer
 from tests.records_rig import ANSWER, NOT_RUN, UNKNOWN, WORKSPACE, RecordsRig
 
 FIRST = RequestId('r1')
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -17,7 +17,7 @@
     share_of_peak,
 )
 
-from nutmegroad.documents import parse_document
+from nutmegroad.contracts.documents import parse_document
 
 _DOCUMENT = parse_document(read_example('lesen'))
 _DEMAND = Demand('lesen', Curve.SITTING_NIGHT, 50, 20, 'peak')
--- a/tests/test_watch_sharing.py
+++ b/tests/test_watch_sharing.py
@@ -6,14 +6,10 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 
-from nutmegroad.departures import Departures
-from nutmegroad.directory import Directory
-from nutmegroad.duties import Duties, watch_of
-from nutmegroad.far_loads import FarLoads
-from nutmegroad.platform import Listing
-from nutmegroad.results import Refusal, ResultCode
-from nutmegroad.testing import ManualClock, MemoryMesh
-from nutmegroad.types import (
+from nutmegroad.contracts.platform import Listing
+from nutmegroad.contracts.upstreams import EngineReport
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import (
     Address,
     DomainId,
     HostId,
@@ -23,9 +19,13 @@
     UpstreamKind,
     VersionId,
 )
-from nutmegroad.upstreams import EngineReport
-from nutmegroad.watch import UpstreamWatcher
-from nutmegroad.watch_sharing import SILENCE, WatchSharer
+from nutmegroad.membership.duties import Duties, watch_of
+from nutmegroad.routing.departures import Departures
+from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.far_loads import FarLoads
+from nutmegroad.routing.watch import UpstreamWatcher
+from nutmegroad.routing.watch_sharing import SILENCE, WatchSharer
+from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 
 A1 = VersionId('a@1')
 B1 = VersionId('b@1')
