--- a/src/nutmegroad/cli/_cli_commands.py
+++ b/src/nutmegroad/cli/_cli_commands.py
@@ -10,6 +10,7 @@
 
 from nutmegroad.cli._cli_client import ExitCode, Failure, OperatorClient
 from nutmegroad.cli._cli_output import cell, fields
+from nutmegroad.cli.log_stories import read_logs, story
 from nutmegroad.configuration.checks import read_document
 from nutmegroad.contracts.documents import Document
 
@@ -44,6 +45,23 @@
     return Failure(ExitCode.INVALID, '\n'.join(lines))
 
 
+async def explain(client: OperatorClient, given: Namespace) -> Any | Failure:
+    """Tell what happened to a request, by its host or by logs."""
+    if not given.logs:
+        return await reading('requests/{request}', 'request')(client, given)
+    try:
+        lines = read_logs(Path(name) for name in given.logs)
+    except (OSError, UnicodeDecodeError) as problem:
+        return Failure(ExitCode.USAGE, f'A log can not be read: {problem}.')
+    told = story(lines, given.request)
+    if told:
+        return {'story': told}
+    return Failure(
+        ExitCode.REFUSED,
+        f'No line of {", ".join(given.logs)} is about {given.request!r}.',
+    )
+
+
 async def diff(client: OperatorClient, given: Namespace) -> Any | Failure:
     """Say what a document would change."""
     text = read_file(given.file)
--- a/src/nutmegroad/cli/_cli_output.py
+++ b/src/nutmegroad/cli/_cli_output.py
@@ -37,6 +37,13 @@
     return str(content)
 
 
+def explanation(reply: Any) -> str:
+    """Print what happened to a request."""
+    if 'story' in reply:
+        return '\n'.join(reply['story'])
+    return steps(reply)
+
+
 def table(*columns: str) -> Renderer:
     """Return a renderer of a list as a table of these columns."""
 
--- a/src/nutmegroad/cli/_cli_table.py
+++ b/src/nutmegroad/cli/_cli_table.py
@@ -9,6 +9,7 @@
     check,
     diff,
     drain,
+    explain,
     prepare,
     reading,
     rollout,
@@ -21,11 +22,11 @@
 from nutmegroad.cli._cli_output import (
     Renderer,
     configuration,
+    explanation,
     fields,
     history,
     rollouts,
     status,
-    steps,
     table,
 )
 
@@ -246,9 +247,16 @@
     Command(
         ('explain',),
         'tell what happened to a request and why',
-        reading('requests/{request}', 'request'),
-        steps,
-        (Argument('request', "the request's id"),),
+        explain,
+        explanation,
+        (
+            Argument('request', "the request's id"),
+            Argument(
+                '--logs',
+                'log files of the hosts, read in place of asking one',
+                (('nargs', '+'), ('metavar', 'FILE')),
+            ),
+        ),
     ),
     Command(
         ('status',),
--- a/src/nutmegroad/cli/program.py
+++ b/src/nutmegroad/cli/program.py
@@ -137,7 +137,8 @@
 ) -> Any | Failure:
     """Carry a command out against the hosts that are named."""
     addresses: tuple[Address, ...] = ()
-    if not command.offline:
+    # What logs tell needs no host.
+    if not command.offline and not getattr(given, 'logs', None):
         found = _addresses(given, environ)
         if isinstance(found, Failure):
             return found
