--- a/src/nutmegroad/fleet/paces.py
+++ b/src/nutmegroad/fleet/paces.py
@@ -16,11 +16,13 @@
 LONG_WAIT: Final = 20.0
 
 #: Seconds between an answer and the next question. A configuration has to be
-#: in force within two seconds, and may come ten times a second.
-OPERATOR_REST: Final = 0.1
+#: in force within two seconds, and may come ten times a second: a storm of
+#: them then costs two or three answers a second.
+OPERATOR_REST: Final = 0.4
 
-#: Upstreams give two seconds' notice before they leave.
-UPSTREAM_REST: Final = 0.25
+#: Upstreams give two seconds' notice before they leave; many leave or come
+#: one after another when a service is replaced.
+UPSTREAM_REST: Final = 0.5
 UPSTREAM_PACE: Final = FeedPace(LONG_WAIT, UPSTREAM_REST)
 
 #: A bad version is to be halted within seconds, and every host's news wakes
