--- a/Makefile
+++ b/Makefile
@@ -5,22 +5,28 @@
 TYPED = $(wildcard src fakes experiments models platform)
 LINTED = $(TYPED) $(wildcard tests)
 
+# Made anew when what is installed changes.
+READY = $(VENV)/ready
+
 .PHONY: setup demo serve test lint format soak measure slopes
 
-setup:
+setup: $(READY)
+
+$(READY): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(RUN) -m pip install --quiet -e '.[dev]'
+	touch $(READY)
 
-demo:
+demo: $(READY)
 	$(RUN) -m experiments.demo
 
-serve:
+serve: $(READY)
 	$(RUN) -m experiments.serve
 
-test:
+test: $(READY)
 	$(RUN) -m tests.run
 
-lint:
+lint: $(READY)
 	$(RUN) -m ruff format --check $(LINTED)
 	$(RUN) -m ruff check $(LINTED)
 	$(RUN) -m flake8 $(LINTED)
