--- a/src/nutmegroad/callers/_http_statuses.py
+++ b/src/nutmegroad/callers/_http_statuses.py
@@ -16,6 +16,7 @@
         ResultCode.ROUTE_UNKNOWN: 404,
         ResultCode.BODY_TOO_SLOW: 408,
         ResultCode.KEY_REUSED: 422,
+        ResultCode.HEADERS_TOO_LARGE: 431,
         ResultCode.UNAUTHENTICATED: 401,
         ResultCode.VERSION_NOT_ALLOWED: 403,
         ResultCode.TASK_UNKNOWN: 404,
--- a/src/nutmegroad/foundations/_request_codes.py
+++ b/src/nutmegroad/foundations/_request_codes.py
@@ -56,6 +56,12 @@
         'Use a new key for a new request.',
         NotRun.ALWAYS,
     ),
+    CodeMeaning(
+        ResultCode.HEADERS_TOO_LARGE,
+        'The headers are larger than the limit.',
+        'Send fewer or shorter headers.',
+        NotRun.ALWAYS,
+    ),
     CodeMeaning(
         ResultCode.UNAUTHENTICATED,
         'The key is missing or belongs to no workspace.',
--- a/src/nutmegroad/relay/belief.py
+++ b/src/nutmegroad/relay/belief.py
@@ -70,6 +70,10 @@
             return False
         return self._trust is None or self.age <= self._trust * READY_PART
 
+    def trust_for(self, trust: float | None) -> None:
+        """Change for how long keys hold after they were confirmed."""
+        self._trust = trust
+
     def take(self, table: RoutingTable) -> None:
         """Take a configuration, unless it is not newer."""
         known = NO_VERSION if self._table is None else self._table.version
--- a/src/nutmegroad/relay/budgets.py
+++ b/src/nutmegroad/relay/budgets.py
@@ -69,6 +69,11 @@
         self._window = window
         self._services: dict[ServiceName, _Window] = {}
 
+    def allow(self, ratio: float, window: float) -> None:
+        """Change the operator's bound."""
+        self._ratio = ratio
+        self._window = window
+
     def requested(self, service: ServiceName) -> None:
         """Count a caller's request for a service."""
         self._of(service).first.append(self._clock.now())
--- a/src/nutmegroad/relay/escalation.py
+++ b/src/nutmegroad/relay/escalation.py
@@ -23,6 +23,10 @@
 #: worth next to nothing.
 CONFIDENT_LATE: Final = 25
 
+#: Times the estimate of a whole answer that has to be left for it: callers'
+#: guesses of lengths are right at the median only.
+ROOM: Final = 1.5
+
 
 @dataclass(frozen=True, slots=True)
 class Opinion:
@@ -34,6 +38,8 @@
         waited: Seconds since the request arrived.
         attempts_left: Upstreams that it may still be sent to.
         expected: Seconds that the larger model would need to begin.
+        whole: Seconds that it would need for the whole answer.
+        left: Seconds until the final answer is due.
     """
 
     model: ModelName
@@ -41,6 +47,8 @@
     waited: float
     attempts_left: int
     expected: float
+    whole: float
+    left: float
 
 
 def first_model(request: CallerRequest) -> ModelName | None:
@@ -62,6 +70,9 @@
         return None
     if opinion.confidence is None or opinion.attempts_left < 1:
         return None
+    if opinion.whole * ROOM > opinion.left:
+        # A poor answer that is whole is worth more than one that is cut.
+        return None
     late = opinion.waited + opinion.expected > route.target_latency
     bound = CONFIDENT_LATE if late else CONFIDENT
     return route.models[-1] if opinion.confidence < bound else None
--- a/src/nutmegroad/relay/estimates.py
+++ b/src/nutmegroad/relay/estimates.py
@@ -50,12 +50,14 @@
     Attributes:
         token: Seconds to read a token of a prompt.
         base: Seconds that an answer takes besides.
+        generated: Seconds to generate a token; None before the first answer.
         long: Answers to long prompts so far.
         short: Other answers so far.
     """
 
     token: float = FIRST_PACE
     base: float = FIRST_BASE
+    generated: float | None = None
     long: int = 0
     short: int = 0
 
@@ -74,6 +76,24 @@
         """Return the seconds that an answer takes besides its prompt."""
         return self._of(key).base
 
+    def generation(self, key: PaceKey, tokens: int) -> float:
+        """Return the seconds to generate tokens, 0 if that is not known."""
+        return (self._of(key).generated or 0) * tokens
+
+    def observe_generation(
+        self,
+        key: PaceKey,
+        tokens: int,
+        seconds: float,
+    ) -> None:
+        """Learn from a whole stream how fast a model generates."""
+        if tokens <= 0 or seconds <= 0:
+            return
+        pace = self._of(key)
+        found = seconds / tokens
+        known = found if pace.generated is None else pace.generated
+        pace.generated = known + RECENT * (found - known)
+
     def observe(
         self,
         key: PaceKey,
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -4,11 +4,9 @@
 is known about whether the request ran, and whether it may be sent again.
 """
 
-from dataclasses import dataclass
 from types import MappingProxyType
-from typing import Final, Protocol
+from typing import Final
 
-from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import ModelName, Ran, ServiceName, UpstreamId
@@ -17,14 +15,12 @@
     AttemptEnd,
     AttemptFailure,
     AttemptPlan,
-    Attempts,
 )
-from nutmegroad.relay.budgets import Purpose, RepeatBudget
-from nutmegroad.relay.counters import RelayCounters
-from nutmegroad.relay.estimates import PaceKey
+from nutmegroad.relay.budgets import Purpose
+from nutmegroad.relay.outlook import Outlook
+from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.requests import CallerRequest
-from nutmegroad.relay.selection import Asked, Choice, Selector
-from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
+from nutmegroad.relay.selection import Choice
 
 _LOG: Final = part_logger('relay')
 
@@ -53,8 +49,6 @@
 #: The same for an engine: a long prompt alone may take as long.
 LEAST_ENGINE_SILENCE: Final = 1.5
 
-#: Pace, against the usual, from which an answer speaks against its version.
-FAR_TOO_SLOW: Final = 4.0
 
 #: What became of an attempt whose request ended before it was answered.
 _ABANDONED: Final = AttemptFailure(
@@ -75,57 +69,6 @@
 )
 
 
-class VersionGate(Protocol):
-    """Decides which versions of a service's software may run a request."""
-
-    def permitted(
-        self,
-        request: CallerRequest,
-        service: ServiceName,
-    ) -> tuple[Upstream, ...]:
-        """Return the upstreams that may run a request now."""
-
-    def ran(
-        self,
-        request: CallerRequest,
-        service: ServiceName,
-        version: SoftwareVersion,
-    ) -> None:
-        """Remember on which version a request ran."""
-
-    def observe(
-        self,
-        service: ServiceName,
-        version: SoftwareVersion,
-        *,
-        sound: bool,
-    ) -> None:
-        """Take in how a version answered a request."""
-
-
-@dataclass(frozen=True, slots=True)
-class RelayParts:
-    """What executions share.
-
-    Attributes:
-        attempts: Makes attempts.
-        selector: Chooses upstreams.
-        directory: All upstreams.
-        budget: Bounds repeats.
-        versions: Says which versions may run a request.
-        clock: The host's clock.
-        counters: What is counted.
-    """
-
-    attempts: Attempts
-    selector: Selector
-    directory: Directory
-    budget: RepeatBudget
-    versions: VersionGate
-    clock: Clock
-    counters: RelayCounters
-
-
 class Execution:
     """The attempts of one request.
 
@@ -143,8 +86,9 @@
     ) -> None:
         self.request = request
         self.service = service
+        self.outlook = Outlook(parts, request, service)
         self._parts = parts
-        self._tried: set[UpstreamId] = set()
+        self.tried: set[UpstreamId] = set()
         self._offers = 0
         self._runs = 0
         self._ran = Ran.NOT_RUN
@@ -180,7 +124,7 @@
         while True:
             if self.left <= 0:
                 return self.refuse_late()
-            choice = self.choose(model)
+            choice = self.outlook.choose(model, self.tried)
             if choice is None:
                 return self._refuse(
                     ResultCode.NO_UPSTREAM,
@@ -193,37 +137,6 @@
             if not self._may_follow(outcome):
                 return _final(outcome, self._offers, self._ran)
 
-    def choose(self, model: ModelName | None) -> Choice | None:
-        """Return where the next attempt would go, or None if nowhere."""
-        table = self.request.table
-        facts = table.service_of(self.service).engine
-        return self._parts.selector.choose(
-            Asked(self.request, self.service, model, facts),
-            self._parts.versions.permitted(self.request, self.service),
-            self._tried,
-        )
-
-    def observe(self, answering: Answering, *, sound: bool) -> None:
-        """Take in how an answer went."""
-        upstream = answering.upstream
-        now = self._parts.clock.now()
-        pace = 1.0
-        if sound:
-            pace = self._parts.selector.paces.observe(
-                PaceKey(self.service, answering.model),
-                answering.choice.missing,
-                answering.waited,
-                answering.choice.expected,
-            )
-            upstream.health.answered(now, pace)
-        else:
-            upstream.health.failed(now)
-        self._parts.versions.observe(
-            self.service,
-            upstream.entry.version,
-            sound=sound and pace < FAR_TOO_SLOW,
-        )
-
     def may_repeat(self, purpose: Purpose = Purpose.FAILURE) -> bool:
         """Tell whether a request that ran may run once more."""
         route = self.request.route
@@ -285,7 +198,7 @@
         """Make one attempt and write down how it began."""
         upstream = choice.upstream
         self._offers += 1
-        self._tried.add(upstream.entry.upstream)
+        self.tried.add(upstream.entry.upstream)
         plan = AttemptPlan(
             choice,
             model,
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -19,10 +19,10 @@
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.budgets import RepeatBudget
 from nutmegroad.relay.deployment import NO_VERSION
-from nutmegroad.relay.execution import RelayParts
 from nutmegroad.relay.fleet_table import FleetSink
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import Listeners
+from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.rollout_steps import RolloutSteps
 from nutmegroad.relay.selection import Selector
@@ -149,6 +149,21 @@
         _LOG.decision('stopped', open=len(self._serving.busy))
         await self.close()
 
+    def reload(self, settings: HostSettings) -> None:
+        """Take changed settings; addresses hold until the next start."""
+        self._settings = settings
+        self._belief.trust_for(settings.key_trust)
+        self._parts.budget.allow(settings.repeat_ratio, settings.repeat_window)
+        self._rollouts.trial = settings.exposure
+        _LOG.decision(
+            'settings reloaded',
+            host=settings.host,
+            key_trust=settings.key_trust,
+            repeat_ratio=settings.repeat_ratio,
+            exposure=settings.exposure,
+            grace=settings.grace,
+        )
+
     async def close(self) -> None:
         """Close everything at once."""
         await self._stack.aclose()
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -69,6 +69,9 @@
     async def read(self, http: web.BaseRequest) -> CallerRequest | Refusal:
         """Return a request that was read whole, or why it is refused."""
         arrived = self._clock.now()
+        refusal = self._measure(http)
+        if refusal is not None:
+            return refusal
         matched = self._match(http)
         if isinstance(matched, Refusal):
             return matched
@@ -80,6 +83,17 @@
             return refusal
         return self._compose(http, matched, body, arrived)
 
+    def _measure(self, http: web.BaseRequest) -> Refusal | None:
+        """Return why a request's headers are too large, or None."""
+        table = self._belief.table
+        size = sum(len(name) + len(text) for name, text in raw_headers(http))
+        if table is None or size <= table.limits.header_bytes:
+            return None
+        return Refusal(
+            ResultCode.HEADERS_TOO_LARGE,
+            f'The headers have more than {table.limits.header_bytes} bytes.',
+        )
+
     def _match(self, http: web.BaseRequest) -> _Matched | Refusal:
         """Find a request's route, and check its key."""
         table = self._belief.table
--- /dev/null
+++ b/src/nutmegroad/relay/parts.py
@@ -0,0 +1,64 @@
+"""What the executions of one host share."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.types import ServiceName
+from nutmegroad.relay.attempts import Attempts
+from nutmegroad.relay.budgets import RepeatBudget
+from nutmegroad.relay.counters import RelayCounters
+from nutmegroad.relay.requests import CallerRequest
+from nutmegroad.relay.selection import Selector
+from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
+
+
+class VersionGate(Protocol):
+    """Decides which versions of a service's software may run a request."""
+
+    def permitted(
+        self,
+        request: CallerRequest,
+        service: ServiceName,
+    ) -> tuple[Upstream, ...]:
+        """Return the upstreams that may run a request now."""
+
+    def ran(
+        self,
+        request: CallerRequest,
+        service: ServiceName,
+        version: SoftwareVersion,
+    ) -> None:
+        """Remember on which version a request ran."""
+
+    def observe(
+        self,
+        service: ServiceName,
+        version: SoftwareVersion,
+        *,
+        sound: bool,
+    ) -> None:
+        """Take in how a version answered a request."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayParts:
+    """What executions share.
+
+    Attributes:
+        attempts: Makes attempts.
+        selector: Chooses upstreams.
+        directory: All upstreams.
+        budget: Bounds repeats.
+        versions: Says which versions may run a request.
+        clock: The host's clock.
+        counters: What is counted.
+    """
+
+    attempts: Attempts
+    selector: Selector
+    directory: Directory
+    budget: RepeatBudget
+    versions: VersionGate
+    clock: Clock
+    counters: RelayCounters
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -44,7 +44,7 @@
             return
         answer = await _read(outcome)
         sound = answer is not None and not answer.failed
-        execution.observe(outcome, sound=sound)
+        execution.outlook.observe(outcome, sound=sound)
         if answer is not None:
             failure = answer
         if not sound and execution.may_repeat():
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -115,7 +115,9 @@
             await answering.close()
         if end is not RunEnd.UNSURE:
             sound = end is RunEnd.WHOLE
-            self._execution.observe(answering, sound=sound)
+            self._execution.outlook.observe(answering, sound=sound)
+        if end is RunEnd.WHOLE:
+            self._execution.outlook.generated(answering, self._progress.events)
         return end
 
     async def _hand_on(self, answering: Answering) -> RunEnd:
@@ -198,13 +200,18 @@
         confidence = read_confidence(
             answering.head.headers.get(self._confidence),
         )
-        largest = execution.choose(route.models[-1]) if route.models else None
+        begins, whole = execution.outlook.expectation(
+            route.models[-1:],
+            execution.tried,
+        )
         opinion = Opinion(
             answering.model,
             confidence,
             execution.waited,
             execution.attempts_left,
-            0 if largest is None else largest.expected,
+            begins,
+            whole,
+            execution.left,
         )
         larger = larger_model(route, opinion)
         if larger is None or not execution.may_repeat(Purpose.ESCALATION):
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -373,13 +373,15 @@
     def test_table_of_opinions(self) -> None:
         """Sure, unsure, late, out of attempts, and the largest itself."""
         cases = (
-            (Opinion(SMALL, 90, 0.1, 2, 0.2), None),
-            (Opinion(SMALL, 30, 0.1, 2, 0.2), LARGE),
-            (Opinion(SMALL, 30, 0.1, 2, 5.0), None),
-            (Opinion(SMALL, 10, 0.1, 2, 5.0), LARGE),
-            (Opinion(SMALL, 10, 0.1, 0, 0.2), None),
-            (Opinion(SMALL, None, 0.1, 2, 0.2), None),
-            (Opinion(LARGE, 10, 0.1, 2, 0.2), None),
+            (Opinion(SMALL, 90, 0.1, 2, 0.2, 1, 9), None),
+            (Opinion(SMALL, 30, 0.1, 2, 0.2, 1, 9), LARGE),
+            (Opinion(SMALL, 30, 0.1, 2, 5.0, 6, 9), None),
+            (Opinion(SMALL, 10, 0.1, 2, 5.0, 6, 9), LARGE),
+            (Opinion(SMALL, 10, 0.1, 0, 0.2, 1, 9), None),
+            (Opinion(SMALL, None, 0.1, 2, 0.2, 1, 9), None),
+            (Opinion(LARGE, 10, 0.1, 2, 0.2, 1, 9), None),
+            # Pattern: a route's timeout is cut to a few seconds.
+            (Opinion(SMALL, 10, 0.1, 2, 0.2, 3, 4), None),
         )
         for opinion, expected in cases:
             with self.subTest(opinion=opinion):
@@ -508,6 +510,18 @@
         self.assertAlmostEqual(paces.work(KEY, 10_000), 5.0, delta=1.0)
 
 
+class GenerationTest(unittest.TestCase):
+    """How long whole answers take."""
+
+    def test_pace_of_generation_is_learnt_from_whole_streams(self) -> None:
+        """Nothing is claimed before the first; nonsense changes nothing."""
+        paces = Paces()
+        self.assertEqual(paces.generation(KEY, 100), 0)
+        paces.observe_generation(KEY, 0, 5)
+        paces.observe_generation(KEY, 200, 2)
+        self.assertAlmostEqual(paces.generation(KEY, 100), 1)
+
+
 class PrefixTest(unittest.TestCase):
     """Which parts are believed to be kept."""
 
--- a/tests/test_relay_host.py
+++ b/tests/test_relay_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from aiohttp import ClientError, ClientPayloadError
 from fakes.opaque_worker import (
@@ -254,6 +255,26 @@
                 status, _, _ = await self.rig.ask(path, key=key, body=body)
                 self.assertEqual(status, expected)
 
+    async def test_headers_are_bounded(self) -> None:
+        """431, and nothing reaches a worker."""
+        limits = {'maxHeaderBytes': 400}
+        self.rig.configure(2, limits=limits)
+        await self.rig.until(lambda: self.rig.host.configuration_version == 2)
+        status, _, _ = await self.rig.ask(
+            '/pay/1',
+            'big',
+            headers={'X-Large': 'x' * 400},
+        )
+        self.assertEqual(status, 431)
+        self.assertEqual(self.rig.seen('big'), 0)
+
+    async def test_settings_can_change(self) -> None:
+        """Keys that held for long hold for no time at all."""
+        settings = replace(self.rig.settings, key_trust=0)
+        self.rig.host.reload(settings)
+        status, _, _ = await self.rig.ask('/pay/1')
+        self.assertEqual(status, 503)
+
     async def test_key_that_was_taken_away_is_refused(self) -> None:
         """A newer configuration holds as soon as it is known."""
         self.rig.configure(2, tenants=[{'name': 'clerks', 'apiKeys': []}])
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -2,8 +2,10 @@
 
 import json
 import random
+import tempfile
 import unittest
 from contextlib import AsyncExitStack
+from pathlib import Path
 
 from aiohttp.web import AppRunner, TCPSite
 from fakes.row_store import RowStore, StoreFault
@@ -33,6 +35,7 @@
 from nutmegroad.relay.tables import Unreadable, UpstreamSink
 from nutmegroad.relay.upstreams import Directory, UpstreamEntry
 from nutmegroad.testing.virtual import ManualClock
+from nutmegroad_platform.program import SettingsFile
 from nutmegroad_platform.rows import Rows
 from nutmegroad_platform.settings import read_settings
 from nutmegroad_platform.store import PlatformStore
@@ -347,6 +350,26 @@
             self.assertIn(expected, str(found.exception))
 
 
+class SettingsFileTest(unittest.TestCase):
+    """The file is read again when it changes."""
+
+    def test_change_is_noticed_once_and_nonsense_is_kept_out(self) -> None:
+        """Pattern: settings change, with a signal or without."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'settings'
+            path.write_text(SETTINGS)
+            settings_file = SettingsFile(path)
+            self.assertEqual(settings_file.read().host.key_trust, 5)
+            self.assertIsNone(settings_file.changed())
+            path.write_text('nonsense')
+            self.assertIsNone(settings_file.changed())
+            path.write_text(SETTINGS.replace('5000', '3000'))
+            changed = settings_file.changed()
+            assert changed is not None
+            self.assertEqual(changed.host.key_trust, 3)
+            self.assertIsNone(settings_file.changed())
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
     """The one client for the platform's store."""
 
