--- a/src/nutmegroad/relay/estimates.py
+++ b/src/nutmegroad/relay/estimates.py
@@ -43,23 +43,54 @@
     model: ModelName | None
 
 
+@dataclass(slots=True)
+class _Mean:
+    """A moving mean that follows ratios.
+
+    Attributes:
+        level: Its present value.
+        count: Answers that it rests on.
+    """
+
+    level: float
+    count: int = 0
+
+    def correct(self, ratio: float) -> None:
+        """Follow an answer that took so many times what was expected."""
+        self.count += 1
+        self.level *= ratio ** max(RECENT, 1 / (self.count + 1))
+
+
 @dataclass(slots=True)
 class _Pace:
     """What is known of one model.
 
     Attributes:
-        token: Seconds to read a token of a prompt.
-        base: Seconds that an answer takes besides.
+        base: Seconds that an answer takes besides its prompt.
+        tokens: Seconds to read a token, by the size class of the prompt: a
+            token of a long prompt takes longer, since it heeds all before.
         generated: Seconds to generate a token; None before the first answer.
-        long: Answers to long prompts so far.
-        short: Other answers so far.
     """
 
-    token: float = FIRST_PACE
-    base: float = FIRST_BASE
+    base: _Mean
+    tokens: dict[int, _Mean]
     generated: float | None = None
-    long: int = 0
-    short: int = 0
+
+    def token(self, size: int) -> _Mean:
+        """Return a size class; a new one begins like the nearest known."""
+        found = self.tokens.get(size)
+        if found is None:
+            nearest = min(
+                self.tokens,
+                key=lambda known: abs(known - size),
+                default=None,
+            )
+            level = FIRST_PACE
+            if nearest is not None:
+                level = self.tokens[nearest].level
+            found = _Mean(level)
+            self.tokens[size] = found
+        return found
 
 
 class Paces:
@@ -70,11 +101,11 @@
 
     def work(self, key: PaceKey, tokens: int) -> float:
         """Return the seconds that an upstream takes to read a prompt."""
-        return self._of(key).token * tokens
+        return self._of(key).token(_size_class(tokens)).level * tokens
 
     def base(self, key: PaceKey) -> float:
         """Return the seconds that an answer takes besides its prompt."""
-        return self._of(key).base
+        return self._of(key).base.level
 
     def generation(self, key: PaceKey, tokens: int) -> float:
         """Return the seconds to generate tokens, 0 if that is not known."""
@@ -116,13 +147,16 @@
         bounded = min(MOST_CHANGE, max(1 / MOST_CHANGE, ratio))
         pace = self._of(key)
         if tokens >= LONG_PROMPT:
-            pace.long += 1
-            pace.token *= bounded ** max(RECENT, 1 / (pace.long + 1))
+            pace.token(_size_class(tokens)).correct(bounded)
         else:
-            pace.short += 1
-            pace.base *= bounded ** max(RECENT, 1 / (pace.short + 1))
+            pace.base.correct(bounded)
         return ratio
 
     def _of(self, key: PaceKey) -> _Pace:
         """Return what is known of a model."""
-        return self._paces.setdefault(key, _Pace())
+        return self._paces.setdefault(key, _Pace(_Mean(FIRST_BASE), {}))
+
+
+def _size_class(tokens: int) -> int:
+    """Return the class of a prompt; each is four times the one before."""
+    return (tokens // LONG_PROMPT).bit_length() // 2
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -509,6 +509,27 @@
             paces.observe(KEY, 10_000, 5.0, expected)
         self.assertAlmostEqual(paces.work(KEY, 10_000), 5.0, delta=1.0)
 
+    def test_tokens_of_long_prompts_take_longer(self) -> None:
+        """Pattern: sixty thousand tokens hold an engine for seconds.
+
+        Seen on lsf trouble-1: 0.9 s expected, 3.2 s taken, and others sent
+        to wait behind it.
+        """
+        paces = Paces()
+        for _ in range(20):
+            for tokens, seconds in ((1000, 0.01), (60_000, 3.0)):
+                expected = paces.work(KEY, tokens)
+                paces.observe(KEY, tokens, seconds, expected)
+        self.assertAlmostEqual(paces.work(KEY, 60_000), 3.0, delta=0.3)
+        self.assertAlmostEqual(paces.work(KEY, 1000), 0.01, delta=0.002)
+
+    def test_new_size_begins_like_the_nearest(self) -> None:
+        """The first very long prompt is expected to take at least as long."""
+        paces = Paces()
+        for _ in range(20):
+            paces.observe(KEY, 1000, 0.1, paces.work(KEY, 1000))
+        self.assertAlmostEqual(paces.work(KEY, 60_000), 6.0, delta=0.6)
+
 
 class GenerationTest(unittest.TestCase):
     """How long whole answers take."""
