Tell sessions on the old version from host to host

Ruled out: a share that shrinks, clocks.

Hosts tell each other 32-bit marks of sessions that the trial's share might take, with ages, beside their loads; what was heard is told on. The trial begins two seconds after its row. A test of two hosts fails without it.

--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -7,12 +7,14 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 from typing import Final, cast
 
 import msgspec
 from msgspec import Struct
 
 from nutmegroad.fleet.loads import LoadLedger, Loads
+from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.fleet.stored import FLEET_TABLE, RowPut, Store
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
@@ -30,6 +32,10 @@
 #: Seconds between tries to make this host known.
 AGAIN: Final = 1.0
 
+#: Seconds that a session counts as alive beyond its span where other hosts
+#: have seen it: their word is a moment old.
+MARK_SLACK: Final = 1.0
+
 #: Hosts of other failure domains that are told at each turn: with today's
 #: six or so, each hears from each about once a second.
 FAR_PER_TURN: Final = 1
@@ -60,10 +66,36 @@
     Attributes:
         host: Who tells.
         loads: What it has sent, by upstream.
+        sessions: Marks of sessions on an old version, with their ages.
     """
 
     host: str
     loads: Loads
+    sessions: dict[int, int] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What hosts tell each other.
+
+    Attributes:
+        ledger: What upstreams are busy with.
+        marks: Sessions that a roll-out must leave where they are.
+    """
+
+    ledger: LoadLedger
+    marks: SessionMarks
+
+
+def nothing_told(clock: Clock, session_span: float) -> Told:
+    """Return what a host knows at first.
+
+    Args:
+        clock: The host's clock.
+        session_span: Seconds within which requests belong together.
+    """
+    marks = SessionMarks(clock, session_span + MARK_SLACK)
+    return Told(LoadLedger(clock), marks)
 
 
 class Neighbours(asyncio.DatagramProtocol):
@@ -73,7 +105,7 @@
         host: This host.
         domain: Its failure domain.
         address: Where it listens to neighbours.
-        ledger: What upstreams are busy with.
+        told: What is told and heard.
         store: The platform's store.
         clock: The host's clock.
     """
@@ -83,14 +115,15 @@
         host: HostId,
         domain: DomainId,
         address: Address,
-        ledger: LoadLedger,
+        told: Told,
         store: Store,
         clock: Clock,
     ) -> None:
         self._host = host
         self._domain = domain
         self._address = address
-        self._ledger = ledger
+        self._ledger = told.ledger
+        self._marks = told.marks
         self._store = store
         self._clock = clock
         self._near: dict[HostId, Address] = {}
@@ -114,6 +147,7 @@
         host = HostId(telling.host)
         self._heard[host] = self._clock.now()
         self._ledger.told(host, telling.loads)
+        self._marks.told(telling.sessions)
 
     def found(self, host: HostId, row: HostRow) -> None:
         """Take in where a host listens."""
@@ -148,10 +182,12 @@
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
         own = self._ledger.own
-        if self._transport is None or (self._silent and not own):
+        sessions = self._marks.ages()
+        empty = not own and not sessions
+        if self._transport is None or (self._silent and empty):
             return
-        self._silent = not own
-        text = msgspec.msgpack.encode(Telling(self._host, own))
+        self._silent = empty
+        text = msgspec.msgpack.encode(Telling(self._host, own, sessions))
         for host in (*self._near, *self._next_far(turn)):
             if self._is_due(host, turn):
                 address = self._near.get(host) or self._far[host]
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -258,6 +258,7 @@
             upstream=entry.upstream,
             version=entry.version,
             model=model,
+            session=self.request.session,
             candidates=choice.candidates,
             expected=round(choice.expected, 3),
             ahead=round(choice.ahead, 3),
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -7,8 +7,7 @@
 from typing import Any, Final
 
 from nutmegroad.fleet.followers import FollowedStore, TableFollower
-from nutmegroad.fleet.loads import LoadLedger
-from nutmegroad.fleet.neighbours import Neighbours
+from nutmegroad.fleet.neighbours import Neighbours, nothing_told
 from nutmegroad.fleet.paces import FLEET_PACE, UPSTREAM_PACE, operator_pace
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.stored import FLEET_TABLE
@@ -181,16 +180,18 @@
             settings.exposure,
             self._store_clock.now,
         )
-        ledger = LoadLedger(clock)
+        told = nothing_told(clock, settings.session_span)
         self._neighbours = Neighbours(
             settings.host,
             settings.domain,
             settings.neighbours,
-            ledger,
+            told,
             self._platform.store,
             clock,
         )
-        selector = Selector(clock, self._randomness, settings.domain, ledger)
+        selector = Selector(
+            clock, self._randomness, settings.domain, told.ledger
+        )
         self._parts = RelayParts(
             Attempts(self._pool, names, selector, clock),
             selector,
@@ -201,6 +202,7 @@
                 self._rollouts,
                 clock,
                 settings.session_span,
+                told.marks,
             ),
             clock,
             self._platform.counters,
--- a/src/nutmegroad/relay/rollouts.py
+++ b/src/nutmegroad/relay/rollouts.py
@@ -19,6 +19,10 @@
 #: for requests that hosts count unlike.
 TRIAL_PART: Final = 0.8
 
+#: Seconds between the beginning of a roll-out and its trial: by then all hosts
+#: know of it, and have told each other which sessions are on the old version.
+LEAD: Final = 2.0
+
 #: Part of the duration after which the new version may get more than the
 #: trial's share. Sessions are not moved in the first half.
 OPEN_AT: Final = 0.52
@@ -118,8 +122,8 @@
         stage = self.stage
         if stage is Stage.SUCCEEDED:
             return 1
-        if stage is Stage.TRIAL:
-            return trial
+        if stage is Stage.TRIAL and self.row is not None:
+            return trial if store_time >= self.row.started + LEAD else 0
         if stage is not Stage.OPEN or self.row is None:
             return 0
         ramp = self.order.duration * RAMP
--- a/src/nutmegroad/relay/versions.py
+++ b/src/nutmegroad/relay/versions.py
@@ -11,6 +11,7 @@
 from xxhash import xxh3_64_intdigest
 
 from nutmegroad.fleet.evidence import Evidence, total
+from nutmegroad.fleet.session_marks import SessionMarks, mark
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import HostId, ServiceName
@@ -177,6 +178,7 @@
         directory: All upstreams.
         state: All roll-outs.
         sessions: On which version sessions are.
+        marks: Sessions that other hosts have seen on the old version.
     """
 
     def __init__(
@@ -184,10 +186,12 @@
         directory: Directory,
         state: RolloutState,
         sessions: SessionVersions,
+        marks: SessionMarks,
     ) -> None:
         self._directory = directory
         self._state = state
         self._sessions = sessions
+        self._marks = marks
         self._steady: dict[ServiceName, frozenset[SoftwareVersion]] = {}
 
     def permitted(
@@ -220,8 +224,16 @@
         version: SoftwareVersion,
     ) -> None:
         """Remember on which version a request ran."""
-        if request.session is not None:
-            self._sessions.ran(service, request.session, version)
+        session = request.session
+        if session is None:
+            return
+        self._sessions.ran(service, session, version)
+        rollout = self._state.rollout(service)
+        if rollout is None or version == rollout.order.to:
+            return
+        # Only sessions that the trial might take are worth telling.
+        if self._stays(rollout) and _place(session) < self._state.trial:
+            self._marks.saw(mark(service, session))
 
     def observe(
         self,
@@ -263,16 +275,27 @@
         present = self._sessions.version(rollout.order.service, session)
         if present == to:
             return True
-        if present is not None and rollout.elapsed(now) < SESSIONS_STAY:
-            return False
+        if self._stays(rollout):
+            told = self._marks.alive(mark(rollout.order.service, session))
+            if told or present is not None:
+                return False
         return _place(session) < share
 
+    def _stays(self, rollout: Rollout) -> bool:
+        """Tell whether sessions may not be moved to the new version."""
+        if rollout.stage is None:
+            return True
+        if rollout.stage.ended:
+            return False
+        return rollout.elapsed(self._state.store_time()) < SESSIONS_STAY
+
 
 def make_gate(
     directory: Directory,
     state: RolloutState,
     clock: Clock,
     span: float,
+    marks: SessionMarks,
 ) -> RolloutGate:
     """Return a gate that remembers sessions.
 
@@ -281,8 +304,10 @@
         state: All roll-outs.
         clock: The host's clock.
         span: Seconds after which requests don't belong together any more.
+        marks: Sessions that other hosts have seen on the old version.
     """
-    return RolloutGate(directory, state, SessionVersions(clock, span))
+    sessions = SessionVersions(clock, span)
+    return RolloutGate(directory, state, sessions, marks)
 
 
 def _place(name: str) -> float:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -1,11 +1,13 @@
 """What the relay decides, without network: each on its own."""
 
+import itertools
 import random
 import unittest
 from typing import Any
 
 from nutmegroad.fleet.evidence import Evidence, tail, total
 from nutmegroad.fleet.loads import Load, LoadLedger
+from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Address,
@@ -267,6 +269,9 @@
 class RolloutTest(unittest.TestCase):
     """Who gets a new version."""
 
+    #: Versions of the roll-out's row.
+    numbers = itertools.count(11)
+
     def setUp(self) -> None:
         """Make a service with an old and a new upstream."""
         self.clock = ManualClock(start=100)
@@ -274,7 +279,13 @@
         self.directory.put(an_entry('old'))
         self.state = RolloutState(HostId('me'), 0.1, self.clock.now)
         self.sessions = SessionVersions(self.clock, 5)
-        self.gate = RolloutGate(self.directory, self.state, self.sessions)
+        self.marks = SessionMarks(self.clock, 6)
+        self.gate = RolloutGate(
+            self.directory,
+            self.state,
+            self.sessions,
+            self.marks,
+        )
         self.versions('warm-up')
         self.directory.put(an_entry('new', 'v2'))
 
@@ -291,9 +302,8 @@
 
     def enter(self, stage: Stage, opened: float = 0) -> None:
         """Enter a stage."""
-        row = RolloutRow(7, stage.value, 100, opened)
-        self.row = getattr(self, 'row', 10) + 1
-        self.state.progress(ENGINES, row, self.row)
+        row = RolloutRow(7, stage.value, 98, opened)
+        self.state.progress(ENGINES, row, next(self.numbers))
 
     def share(self) -> float:
         """Return the share of requests that the new version gets."""
@@ -325,6 +335,41 @@
         self.sessions.ran(ENGINES, SessionName(name), SoftwareVersion('v1'))
         self.assertEqual(self.versions('r', name), ['v1'])
 
+    def test_session_that_another_host_has_seen_is_not_moved(self) -> None:
+        """Pattern: a session comes to one host, then to another.
+
+        Seen as lsf quiet-1 --seed 566875859236 (PINNED 4): most sessions
+        come to several hosts.
+        """
+        self.order()
+        other = SessionMarks(self.clock, 6)
+        gate = RolloutGate(
+            self.directory,
+            self.state,
+            SessionVersions(self.clock, 5),
+            other,
+        )
+        names = [f's{n}' for n in range(200)]
+        for name in names:
+            request = a_request('r', session=name)
+            gate.ran(request, ENGINES, SoftwareVersion('v1'))
+        self.marks.told(other.ages())
+        self.enter(Stage.TRIAL)
+        moved = [n for n in names if self.versions('r', n) == ['v2']]
+        self.assertEqual(moved, [])
+        self.assertTrue(
+            any(self.versions('r', f't{n}') == ['v2'] for n in range(99)),
+        )
+
+    def test_trial_begins_when_all_hosts_know_of_it(self) -> None:
+        """Pattern: one host hears of the trial a second before another."""
+        self.order()
+        row = RolloutRow(7, Stage.TRIAL.value, 100)
+        self.state.progress(ENGINES, row, 11)
+        self.assertEqual(self.share(), 0)
+        self.clock._now += 2
+        self.assertGreater(self.share(), 0)
+
     def test_session_on_the_new_version_stays_there(self) -> None:
         """Pattern: a retry on the old version would be a step back."""
         self.order()
