--- /dev/null
+++ b/tests/relay_samples.py
@@ -0,0 +1,105 @@
+"""Routes, requests and upstreams as tests of the relay want them."""
+
+import json
+from typing import Any
+
+from nutmegroad.fleet.stored import StoredRow
+from nutmegroad.foundations.types import (
+    Address,
+    DomainId,
+    ModelName,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+)
+from nutmegroad.relay.deployment import (
+    ConfigurationVersion,
+    RequestKind,
+    Route,
+    RouteName,
+    RoutingTable,
+    WeightedService,
+)
+from nutmegroad.relay.estimates import PaceKey
+from nutmegroad.relay.requests import (
+    CallerRequest,
+    Generation,
+    PromptPart,
+    SessionName,
+)
+from nutmegroad.relay.upstreams import (
+    SoftwareVersion,
+    UpstreamEntry,
+)
+
+NORTH = DomainId('north')
+ENGINES = ServiceName('engines')
+SMALL, LARGE = ModelName('small'), ModelName('large')
+KEY = PaceKey(ENGINES, SMALL)
+
+
+def a_route(**more: Any) -> Route:
+    """Return a route for streams."""
+    whole: dict[str, Any] = {
+        'name': RouteName('draft'),
+        'host': 'h',
+        'prefix': '/draft/',
+        'kind': RequestKind.STREAMING,
+        'timeout': 10,
+        'target_latency': 2,
+        'priority': 0,
+        'services': (WeightedService(ENGINES, 1),),
+        'max_attempts': 3,
+        'models': (SMALL, LARGE),
+        'resumable': True,
+    }
+    return Route(**{**whole, **more})
+
+
+def a_request(
+    name: str = 'r',
+    parts: tuple[PromptPart, ...] = (),
+    session: str | None = None,
+    route: Route | None = None,
+) -> CallerRequest:
+    """Return a request for a generation."""
+    tokens = sum(part.tokens for part in parts)
+    return CallerRequest(
+        request=RequestId(name),
+        method='POST',
+        target=b'/draft/1',
+        headers=(),
+        body=b'',
+        framed=True,
+        route=route or a_route(),
+        table=RoutingTable(ConfigurationVersion(1), (), {}),
+        workspace=None,
+        arrived=0,
+        deadline=10,
+        leaves=10,
+        generation=Generation(ModelName('*'), tokens, 10, 10, parts),
+        session=SessionName(session) if session else None,
+    )
+
+
+def an_entry(
+    name: str,
+    version: str = 'v1',
+    domain: DomainId = NORTH,
+    port: int = 1,
+) -> UpstreamEntry:
+    """Return an upstream's entry."""
+    return UpstreamEntry(
+        UpstreamId(name),
+        ENGINES,
+        Address(name, port),
+        domain,
+        SoftwareVersion(version),
+        slots=8,
+    )
+
+
+def entry_row(name: str, version: int = 1, **more: object) -> StoredRow:
+    """Return a worker's row."""
+    entry = {'service': 's', 'address': f'{name}:1', 'zone': 'north', **more}
+    return StoredRow(name, json.dumps(entry).encode(), version)
--- /dev/null
+++ b/tests/test_relay_rollouts.py
@@ -0,0 +1,196 @@
+"""Who gets a new version, and when it counts as bad."""
+
+import itertools
+import unittest
+
+from nutmegroad.fleet.evidence import Evidence, tail, total
+from nutmegroad.fleet.session_marks import SessionMarks
+from nutmegroad.foundations.types import (
+    HostId,
+)
+from nutmegroad.relay.requests import (
+    SessionName,
+)
+from nutmegroad.relay.rollouts import Rollout, RolloutOrder, RolloutRow, Stage
+from nutmegroad.relay.session_versions import SessionVersions
+from nutmegroad.relay.upstreams import (
+    Directory,
+    SoftwareVersion,
+)
+from nutmegroad.relay.versions import RolloutGate, RolloutState
+from nutmegroad.testing.virtual import ManualClock
+from tests.relay_samples import ENGINES, a_request, an_entry
+
+
+class EvidenceTest(unittest.TestCase):
+    """When a version counts as bad."""
+
+    def test_bad_version_is_found_within_few_answers(self) -> None:
+        """Pattern: a third of the answers fail; the bound is 30 requests."""
+        evidence = Evidence(1, old=200, old_poor=2)
+        answers = 0
+        while not evidence.is_bad():
+            answers += 1
+            evidence = evidence.adding(of_new=True, poor=answers % 3 == 0)
+        self.assertLessEqual(answers, 30)
+
+    def test_faults_that_befall_all_versions_speak_against_none(self) -> None:
+        """Pattern: a lost zone fails a fifth of everything."""
+        evidence = Evidence(1, new=50, new_poor=10, old=500, old_poor=100)
+        self.assertFalse(evidence.is_bad())
+        self.assertTrue(evidence.is_good())
+
+    def test_sum_leaves_older_roll_outs_out(self) -> None:
+        """Rows of an earlier order are not counted."""
+        rows = (Evidence(1, 5, 5, 0, 0), Evidence(2, 3, 1, 4, 0))
+        self.assertEqual(total(2, rows), Evidence(2, 3, 1, 4, 0))
+
+    def test_tail_is_a_binomial_tail(self) -> None:
+        """Checked by hand: two heads or more of three."""
+        self.assertAlmostEqual(tail(3, 2, 0.5), 0.5)
+
+
+class RolloutTest(unittest.TestCase):
+    """Who gets a new version."""
+
+    #: Versions of the roll-out's row.
+    numbers = itertools.count(11)
+
+    def setUp(self) -> None:
+        """Make a service with an old and a new upstream."""
+        self.clock = ManualClock(start=100)
+        self.directory = Directory(self.clock)
+        self.directory.put(an_entry('old'))
+        self.state = RolloutState(HostId('me'), 0.1, self.clock.now)
+        self.sessions = SessionVersions(self.clock, 5)
+        self.marks = SessionMarks(self.clock, 6)
+        self.gate = RolloutGate(
+            self.directory,
+            self.state,
+            self.sessions,
+            self.marks,
+        )
+        self.versions('warm-up')
+        self.directory.put(an_entry('new', 'v2'))
+
+    def versions(self, name: str, session: str | None = None) -> list[str]:
+        """Return the versions that a request may run on."""
+        request = a_request(name, session=session)
+        found = self.gate.permitted(request, ENGINES)
+        return [each.entry.version for each in found]
+
+    def order(self) -> None:
+        """Order a roll-out and begin it."""
+        order = RolloutOrder(ENGINES, SoftwareVersion('v2'), 20, 7)
+        self.state.order(order)
+
+    def enter(self, stage: Stage, opened: float = 0) -> None:
+        """Enter a stage."""
+        row = RolloutRow(7, stage.value, 98, opened)
+        self.state.progress(ENGINES, row, next(self.numbers))
+
+    def share(self) -> float:
+        """Return the share of requests that the new version gets."""
+        new = sum(self.versions(f'q{n}') == ['v2'] for n in range(1000))
+        return new / 1000
+
+    def test_version_that_nobody_ordered_gets_nothing(self) -> None:
+        """Pattern: a new worker registers before its order is heard of."""
+        self.assertEqual(self.versions('r'), ['v1'])
+
+    def test_share_follows_the_stage(self) -> None:
+        """Nothing before the trial, then a tenth, then all, or none."""
+        self.order()
+        self.assertEqual(self.share(), 0)
+        self.enter(Stage.TRIAL)
+        self.assertAlmostEqual(self.share(), 0.1, delta=0.04)
+        self.enter(Stage.OPEN, opened=90)
+        self.assertEqual(self.share(), 1)
+        self.enter(Stage.ROLLED_BACK)
+        self.assertEqual(self.share(), 0)
+
+    def test_living_session_is_not_moved_in_the_first_half(self) -> None:
+        """Pattern: a session of before the order goes on through it."""
+        self.order()
+        self.enter(Stage.TRIAL)
+        name = next(
+            f's{n}' for n in range(99) if self.versions('r', f's{n}') == ['v2']
+        )
+        self.sessions.ran(ENGINES, SessionName(name), SoftwareVersion('v1'))
+        self.assertEqual(self.versions('r', name), ['v1'])
+
+    def test_session_that_another_host_has_seen_is_not_moved(self) -> None:
+        """Pattern: a session comes to one host, then to another.
+
+        Seen as lsf quiet-1 --seed 566875859236 (PINNED 4): most sessions
+        come to several hosts.
+        """
+        self.order()
+        other = SessionMarks(self.clock, 6)
+        gate = RolloutGate(
+            self.directory,
+            self.state,
+            SessionVersions(self.clock, 5),
+            other,
+        )
+        names = [f's{n}' for n in range(200)]
+        for name in names:
+            request = a_request('r', session=name)
+            gate.ran(request, ENGINES, SoftwareVersion('v1'))
+        self.marks.told(other.ages())
+        self.enter(Stage.TRIAL)
+        moved = [n for n in names if self.versions('r', n) == ['v2']]
+        self.assertEqual(moved, [])
+        self.assertTrue(
+            any(self.versions('r', f't{n}') == ['v2'] for n in range(99)),
+        )
+
+    def test_trial_begins_when_all_hosts_know_of_it(self) -> None:
+        """Pattern: one host hears of the trial a second before another."""
+        self.order()
+        row = RolloutRow(7, Stage.TRIAL.value, 100)
+        self.state.progress(ENGINES, row, 11)
+        self.assertEqual(self.share(), 0)
+        self.clock._now += 2
+        self.assertGreater(self.share(), 0)
+
+    def test_session_on_the_new_version_stays_there(self) -> None:
+        """Pattern: a retry on the old version would be a step back."""
+        self.order()
+        self.enter(Stage.TRIAL)
+        self.sessions.ran(ENGINES, SessionName('x'), SoftwareVersion('v2'))
+        self.assertEqual(self.versions('r', 'x'), ['v2'])
+
+    def test_host_halts_before_any_verdict(self) -> None:
+        """Pattern: the store is down while a bad version fails."""
+        self.order()
+        self.enter(Stage.TRIAL)
+        for _ in range(6):
+            self.state.observe(ENGINES, SoftwareVersion('v2'), poor=True)
+        self.assertEqual(self.share(), 0)
+
+    def test_halts_on_what_others_have_seen(self) -> None:
+        """Pattern: each host sees two failures, all together enough."""
+        self.order()
+        self.enter(Stage.TRIAL)
+        for host in ('a', 'b', 'c'):
+            self.state.told(ENGINES, HostId(host), Evidence(7, 2, 2, 9, 0))
+        self.assertEqual(self.share(), 0)
+
+    def test_progress_never_goes_back(self) -> None:
+        """An older row, read late, changes nothing."""
+        self.order()
+        self.enter(Stage.OPEN, opened=90)
+        late = RolloutRow(7, Stage.TRIAL.value, 100)
+        self.state.progress(ENGINES, late, 1)
+        self.assertEqual(self.share(), 1)
+
+    def test_ramp_grows_to_the_whole(self) -> None:
+        """The share grows from the trial's over its part of the time."""
+        order = RolloutOrder(ENGINES, SoftwareVersion('v2'), 100, 7)
+        row = RolloutRow(7, Stage.OPEN.value, 0, 50)
+        rollout = Rollout(order, row, 1)
+        shares = [rollout.share(50 + at, 0.1) for at in (0, 7, 14, 20)]
+        self.assertEqual(
+            [round(share, 2) for share in shares], [0.1, 0.55, 1, 1]
+        )
