Choose engines plainly in one place

Three plain selectors each filtered the candidates and refused alike; one base does, and each picks. No behaviour changed (test_selection green).

--- a/src/nutmegroad/routing/plain_selectors.py
+++ b/src/nutmegroad/routing/plain_selectors.py
@@ -1,6 +1,7 @@
 """Plain selectors: a first version of the decision, and baselines."""
 
 import random
+from abc import ABC, abstractmethod
 
 from nutmegroad.contracts.decisions import Choice
 from nutmegroad.contracts.requests import ModelRequest
@@ -12,8 +13,8 @@
 from nutmegroad.routing.directory import Directory
 
 
-class RoundRobin:
-    """Takes the engines of a version in turn.
+class _PlainSelector(ABC):
+    """Takes one of the engines that have a version loaded.
 
     Args:
         directory: The upstreams.
@@ -21,7 +22,6 @@
 
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
-        self._turns: dict[VersionId, int] = {}
 
     def choose(
         self,
@@ -29,16 +29,38 @@
         version: VersionId,
         excluded: frozenset[UpstreamId],
     ) -> Choice | Refusal:
+        """Return an engine, or why there is none."""
+        states = [
+            state
+            for state in self._directory.engines(version)
+            if state.info.upstream not in excluded
+        ]
+        return self._pick(states, version) if states else no_engine(version)
+
+    @abstractmethod
+    def _pick(self, states: list[UpstreamState], version: VersionId) -> Choice:
+        """Return one of the engines; there is at least one."""
+
+
+class RoundRobin(_PlainSelector):
+    """Takes the engines of a version in turn.
+
+    Args:
+        directory: The upstreams.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        super().__init__(directory)
+        self._turns: dict[VersionId, int] = {}
+
+    def _pick(self, states: list[UpstreamState], version: VersionId) -> Choice:
         """Return the next engine."""
-        states = _candidates(self._directory, version, excluded)
-        if not states:
-            return no_engine(version)
         turn = self._turns.get(version, 0)
         self._turns[version] = turn + 1
         return Choice(states[turn % len(states)], 0, 'next in turn')
 
 
-class RandomChoice:
+class RandomChoice(_PlainSelector):
     """Takes any engine of a version.
 
     Args:
@@ -51,48 +73,22 @@
         directory: Directory,
         randomness: random.Random,
     ) -> None:
-        self._directory = directory
+        super().__init__(directory)
         self._randomness = randomness
 
-    def choose(
-        self,
-        request: ModelRequest,
-        version: VersionId,
-        excluded: frozenset[UpstreamId],
-    ) -> Choice | Refusal:
+    def _pick(self, states: list[UpstreamState], version: VersionId) -> Choice:
         """Return any engine."""
-        states = _candidates(self._directory, version, excluded)
-        if not states:
-            return no_engine(version)
         return Choice(self._randomness.choice(states), 0, 'drawn')
 
 
-class LeastInFlight:
+class LeastInFlight(RandomChoice):
     """Takes the upstream at which this host has the least in flight.
 
-    Args:
-        directory: The upstreams.
-        randomness: Breaks ties.
+    Ties are broken at random.
     """
 
-    def __init__(
-        self,
-        directory: Directory,
-        randomness: random.Random,
-    ) -> None:
-        self._directory = directory
-        self._randomness = randomness
-
-    def choose(
-        self,
-        request: ModelRequest,
-        version: VersionId,
-        excluded: frozenset[UpstreamId],
-    ) -> Choice | Refusal:
+    def _pick(self, states: list[UpstreamState], version: VersionId) -> Choice:
         """Return the upstream with the least in flight."""
-        states = _candidates(self._directory, version, excluded)
-        if not states:
-            return no_engine(version)
         self._randomness.shuffle(states)
         chosen = min(states, key=lambda state: state.in_flight)
         return Choice(chosen, 0, 'least in flight')
@@ -123,16 +119,3 @@
 def least_in_flight(kernel: Kernel) -> LeastInFlight:
     """Make the selector for a host."""
     return LeastInFlight(kernel.need(Directory), kernel.randomness)
-
-
-def _candidates(
-    directory: Directory,
-    version: VersionId,
-    excluded: frozenset[UpstreamId],
-) -> list[UpstreamState]:
-    """Return the engines that may be tried."""
-    return [
-        state
-        for state in directory.engines(version)
-        if state.info.upstream not in excluded
-    ]
