Take the rests between answers from the operator's bounds

Rests were seconds that fit today's bounds; now they are a quarter of the time in which a configuration has to be in force, a leaving worker serves on, a bad version is halted.

--- a/src/nutmegroad/fleet/paces.py
+++ b/src/nutmegroad/fleet/paces.py
@@ -1,6 +1,8 @@
 """How often each table of the platform's store is asked for.
 
-Each answer costs, so a host waits at the store as long as it may.
+Each answer costs, and each change wakes every host. So a host waits at the
+store as long as it may, and rests between answers for a part of the time in
+which a change has to be in force: what comes meanwhile shares an answer.
 """
 
 from typing import Final
@@ -15,26 +17,26 @@
 #: bound by the keys' trust; a dead connection shows by the kernel's probes.
 LONG_WAIT: Final = 20.0
 
-#: Seconds between an answer and the next question. A configuration has to be
-#: in force within two seconds, and may come ten times a second: a storm of
-#: them then costs two or three answers a second.
-OPERATOR_REST: Final = 0.4
+#: Part of a bound for which a host rests. A slow store takes a tenth of the
+#: shortest bound of today, a lost connection half of it; the rest is left.
+REST_PART: Final = 0.25
 
-#: Upstreams give two seconds' notice before they leave; many leave or come
-#: one after another when a service is replaced.
-UPSTREAM_REST: Final = 0.5
-UPSTREAM_PACE: Final = FeedPace(LONG_WAIT, UPSTREAM_REST)
 
-#: A bad version is to be halted within seconds, and every host's news wakes
-#: every other host.
-FLEET_PACE: Final = FeedPace(LONG_WAIT, 1.0)
-
-
-def operator_pace(trust: float | None) -> FeedPace:
+def operator_pace(trust: float | None, bound: float) -> FeedPace:
     """Return how often the operator's table is asked for.
 
     Args:
         trust: Seconds for which keys hold unconfirmed; None for ever.
+        bound: Seconds in which a configuration has to be in force.
     """
     wait = LONG_WAIT if trust is None else trust * TRUST_PART
-    return FeedPace(wait, OPERATOR_REST)
+    return FeedPace(wait, bound * REST_PART)
+
+
+def bounded_pace(bound: float) -> FeedPace:
+    """Return how often a table is asked for that has no trust to keep.
+
+    Args:
+        bound: Seconds in which a change has to be in force.
+    """
+    return FeedPace(LONG_WAIT, bound * REST_PART)
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -39,6 +39,8 @@
         repeat_window: Seconds over which repeats are counted.
         exposure: Share of a service's requests that a bad version may get.
         session_span: Seconds within which requests belong together.
+        apply_bound: Seconds in which a configuration has to be in force.
+        halt_bound: Seconds in which a bad version has to be halted.
         leaving_notice: Seconds for which an upstream serves on after it has
             said that it leaves.
         grace: Seconds from the signal to stop until the kill.
@@ -57,6 +59,8 @@
     repeat_window: float
     exposure: float
     session_span: float
+    apply_bound: float
+    halt_bound: float
     leaving_notice: float
     grace: float
     metrics: Address | None = None
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -8,7 +8,7 @@
 
 from nutmegroad.fleet.followers import FollowedStore, TableFollower
 from nutmegroad.fleet.neighbours import Neighbours, nothing_told
-from nutmegroad.fleet.paces import FLEET_PACE, UPSTREAM_PACE, operator_pace
+from nutmegroad.fleet.paces import bounded_pace, operator_pace
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.stored import FLEET_TABLE
 from nutmegroad.foundations.clocks import Clock
@@ -231,7 +231,7 @@
 
     def _followers(self) -> tuple[TableFollower, ...]:
         """Return what keeps this host in step with the platform."""
-        platform = self._platform
+        platform, settings = self._platform, self._settings
         source = FollowedStore(
             platform.store,
             self._clock,
@@ -248,14 +248,18 @@
             source.follow(
                 platform.tables.operator,
                 operator,
-                operator_pace(self._settings.key_trust),
+                operator_pace(settings.key_trust, settings.apply_bound),
             ),
             source.follow(
                 platform.tables.upstreams,
                 self._upstream_sink,
-                UPSTREAM_PACE,
+                bounded_pace(settings.leaving_notice),
+            ),
+            source.follow(
+                FLEET_TABLE,
+                fleet,
+                bounded_pace(settings.halt_bound),
             ),
-            source.follow(FLEET_TABLE, fleet, FLEET_PACE),
         )
 
     async def _meet(self) -> None:
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -122,6 +122,8 @@
             repeat_window=10,
             exposure=0.15,
             session_span=5,
+            apply_bound=0.2,
+            halt_bound=0.2,
             leaving_notice=2,
             grace=8,
             seed=1,
