Keep the trial's share within the operator's bound

Cause: read before the landing: the constant that takes a fifth off the bound on exposure was written and not used, so a trial took all of it and left nothing for counting unlike. A test of the share fails without it.

--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -92,7 +92,6 @@
         self._offers = 0
         self._runs = 0
         self._ran = Ran.NOT_RUN
-        self._failure: AttemptFailure | None = None
         parts.budget.requested(service)
 
     @property
@@ -276,7 +275,6 @@
 
     def _may_follow(self, failure: AttemptFailure) -> bool:
         """Tell whether another attempt may follow a failed one."""
-        self._failure = failure
         if self._offers >= MOST_OFFERS or self.left <= 0:
             return False
         if failure.end is AttemptEnd.UNREACHABLE:
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -24,13 +24,11 @@
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.rollout_steps import RolloutSteps
+from nutmegroad.relay.rollouts import TRIAL_PART
 from nutmegroad.relay.selection import Selector
 from nutmegroad.relay.serving import Serving
 from nutmegroad.relay.status_pages import Beliefs, StatusPages, show_beliefs
-from nutmegroad.relay.tables import (
-    OperatorSink,
-    UpstreamSink,
-)
+from nutmegroad.relay.tables import OperatorSink, UpstreamSink
 from nutmegroad.relay.upstreams import Directory
 from nutmegroad.relay.versions import RolloutState, make_gate
 
@@ -97,6 +95,11 @@
         """Tell whether requests with a key may be let in."""
         return self._belief.trusted
 
+    @property
+    def trial_share(self) -> float:
+        """Return the share of requests that a new version gets on trial."""
+        return self._rollouts.trial
+
     @property
     def ready(self) -> bool:
         """Tell whether this host wants new connections."""
@@ -153,7 +156,7 @@
         self._settings = settings
         self._belief.trust_for(settings.key_trust)
         self._parts.budget.allow(settings.repeat_ratio, settings.repeat_window)
-        self._rollouts.trial = settings.exposure
+        self._rollouts.trial = settings.exposure * TRIAL_PART
         _LOG.decision(
             'settings reloaded',
             host=settings.host,
@@ -177,7 +180,7 @@
         self._pool = ConnectionPool(clock)
         self._rollouts = RolloutState(
             settings.host,
-            settings.exposure,
+            settings.exposure * TRIAL_PART,
             self._store_clock.now,
         )
         told = nothing_told(clock, settings.session_span)
--- a/tests/test_relay_host.py
+++ b/tests/test_relay_host.py
@@ -268,6 +268,13 @@
         self.assertEqual(status, 431)
         self.assertEqual(self.rig.seen('big'), 0)
 
+    async def test_trial_keeps_within_the_operators_bound(self) -> None:
+        """A new version gets 0.8 of what a bad one may get."""
+        self.assertAlmostEqual(self.rig.host.trial_share, 0.12)
+        settings = replace(self.rig.settings, exposure=0.05)
+        self.rig.host.reload(settings)
+        self.assertAlmostEqual(self.rig.host.trial_share, 0.04)
+
     async def test_settings_can_change(self) -> None:
         """Keys that held for long hold for no time at all."""
         settings = replace(self.rig.settings, key_trust=0)
