Ask no larger model where it would take others' places

What waits at the larger model's upstream and how full it is now lower the opinion below which it is asked, to nothing. An engine is looked for only if the small model doubts its answer, not for each answer.

--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -5,6 +5,7 @@
 
 from nutmegroad.foundations.types import ModelName, ServiceName, UpstreamId
 from nutmegroad.relay.attempts import Answering
+from nutmegroad.relay.escalation import Expectation
 from nutmegroad.relay.estimates import PaceKey
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.requests import CallerRequest
@@ -23,6 +24,12 @@
         service: Where it goes.
     """
 
+    @property
+    def known(self) -> int:
+        """Return how many upstreams may run the request."""
+        permitted = self._parts.versions.permitted
+        return len(permitted(self._request, self._service))
+
     def __init__(
         self,
         parts: RelayParts,
@@ -49,27 +56,29 @@
 
     def expectation(
         self,
-        models: tuple[ModelName, ...],
+        model: ModelName,
         tried: Collection[UpstreamId],
-    ) -> tuple[float, float]:
-        """Return when a model's answer would begin, and when it would end.
+    ) -> Expectation | None:
+        """Return what would become of a model's answer; None if unknown.
 
         Args:
-            models: The model, or nothing where there is none.
+            model: The model.
             tried: Upstreams that have failed with the request.
-
-        Returns:
-            Seconds from now; 0 where nothing is known.
         """
         generation = self._request.generation
-        choice = self.choose(models[0], tried) if models else None
+        choice = self.choose(model, tried)
         if choice is None or generation is None:
-            return 0, 0
+            return None
         writing = self._parts.selector.paces.generation(
-            PaceKey(self._service, models[0]),
+            PaceKey(self._service, model),
             generation.expected_tokens,
         )
-        return choice.expected, choice.expected + writing
+        return Expectation(
+            choice.expected,
+            choice.expected + writing,
+            choice.ahead,
+            choice.running / max(1, choice.upstream.entry.slots),
+        )
 
     def generated(self, answering: Answering, events: int) -> None:
         """Learn from a whole stream how fast its model generates."""
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -20,7 +20,7 @@
     Opinion,
     first_model,
     larger_model,
-    read_confidence,
+    read_doubt,
 )
 from nutmegroad.relay.events import Event, WholeEvents
 from nutmegroad.relay.execution import Execution
@@ -31,6 +31,7 @@
 
 _LOG: Final = part_logger('relay')
 
+
 #: Times a route's longest pause after which a silent stream counts as
 #: broken: by then it is late, and a resumption may still please its caller.
 STALLED_TIMES: Final = 2.0
@@ -135,8 +136,8 @@
     async def _copy(self, answering: Answering) -> RunEnd:
         """Copy whole events to the caller until the stream ends."""
         splitter = WholeEvents()
-        patience = self._execution.silence(answering.choice.expected)
         pause = self._execution.request.route.longest_pause * STALLED_TIMES
+        patience = self._execution.patience(answering.choice.expected)
         while True:
             chunk = await self._next(answering, patience)
             if chunk is None:
@@ -193,31 +194,37 @@
 
     def _escalates(self, answering: Answering) -> bool:
         """Drop an answer whose model is unsure, if a larger may be asked."""
-        if self._reply.begun or answering.model is None:
+        execution = self._execution
+        opinion = self._opinion(answering)
+        if self._reply.begun or opinion is None:
+            return False
+        larger = larger_model(execution.request.route, opinion)
+        if larger is None or not execution.may_repeat(Purpose.ESCALATION):
             return False
+        self._progress.model = larger
+        return True
+
+    def _opinion(self, answering: Answering) -> Opinion | None:
+        """Return what speaks for a larger model; None if nothing does."""
         execution = self._execution
         route = execution.request.route
-        confidence = read_confidence(
-            answering.head.headers.get(self._confidence),
-        )
-        begins, whole = execution.outlook.expectation(
-            route.models[-1:],
+        text = answering.head.headers.get(self._confidence)
+        doubt = read_doubt(route, answering.model, text)
+        if doubt is None:
+            return None
+        expected = execution.outlook.expectation(
+            route.models[-1],
             execution.tried,
         )
-        opinion = Opinion(
-            answering.model,
-            confidence,
+        if expected is None:
+            return None
+        return Opinion(
+            doubt,
             execution.waited,
             execution.attempts_left,
-            begins,
-            whole,
+            expected,
             execution.left,
         )
-        larger = larger_model(route, opinion)
-        if larger is None or not execution.may_repeat(Purpose.ESCALATION):
-            return False
-        self._progress.model = larger
-        return True
 
     async def _give_up(self, refusal: Refusal) -> None:
         """End a stream that can't go on."""
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -14,7 +14,13 @@
     RouteName,
     RoutingTable,
 )
-from nutmegroad.relay.escalation import Opinion, first_model, larger_model
+from nutmegroad.relay.escalation import (
+    Expectation,
+    Opinion,
+    first_model,
+    larger_model,
+    read_doubt,
+)
 from nutmegroad.relay.events import WholeEvents
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.requests import (
@@ -131,22 +137,55 @@
     """When a larger model is asked."""
 
     def test_table_of_opinions(self) -> None:
-        """Sure, unsure, late, out of attempts, and the largest itself."""
+        """Unsure, late, out of attempts, and too long for what is left."""
+        soon, late = Expectation(0.2, 1), Expectation(5.0, 6)
         cases = (
-            (Opinion(SMALL, 90, 0.1, 2, 0.2, 1, 9), None),
-            (Opinion(SMALL, 30, 0.1, 2, 0.2, 1, 9), LARGE),
-            (Opinion(SMALL, 30, 0.1, 2, 5.0, 6, 9), None),
-            (Opinion(SMALL, 10, 0.1, 2, 5.0, 6, 9), LARGE),
-            (Opinion(SMALL, 10, 0.1, 0, 0.2, 1, 9), None),
-            (Opinion(SMALL, None, 0.1, 2, 0.2, 1, 9), None),
-            (Opinion(LARGE, 10, 0.1, 2, 0.2, 1, 9), None),
+            (Opinion(30, 0.1, 2, soon, 9), LARGE),
+            (Opinion(30, 0.1, 2, late, 9), None),
+            (Opinion(10, 0.1, 2, late, 9), LARGE),
+            (Opinion(10, 0.1, 0, soon, 9), None),
             # Pattern: a route's timeout is cut to a few seconds.
-            (Opinion(SMALL, 10, 0.1, 2, 0.2, 3, 4), None),
+            (Opinion(10, 0.1, 2, Expectation(0.2, 3), 4), None),
         )
         for opinion, expected in cases:
             with self.subTest(opinion=opinion):
                 self.assertEqual(larger_model(a_route(), opinion), expected)
 
+    def test_only_a_model_that_has_a_larger_one_can_doubt(self) -> None:
+        """Sure, unsure, without an opinion, and the largest itself."""
+        cases = (
+            (SMALL, '90', None),
+            (SMALL, '30', 30),
+            (SMALL, None, None),
+            (SMALL, 'perhaps', None),
+            (LARGE, '10', None),
+            (None, '10', None),
+        )
+        for model, text, expected in cases:
+            with self.subTest(model=model, text=text):
+                found = read_doubt(a_route(), model, text)
+                self.assertEqual(found, expected)
+
+    def test_a_larger_model_takes_nobodys_place(self) -> None:
+        """Pattern: a failure domain is cut off with few engines left.
+
+        There 114 requests stood at an engine of 48 slots, and each doubt was
+        answered by a model that reads ten times as long; most were late.
+        """
+        cases = (
+            (0, 0.4, LARGE),
+            (0.4, 0.4, LARGE),
+            (1.9, 0.4, None),
+            (0, 0.9, LARGE),
+            (0, 1.2, None),
+            (0, 2.4, None),
+        )
+        for ahead, crowd, expected in cases:
+            found = Expectation(0.2 + ahead, 1 + ahead, ahead, crowd)
+            with self.subTest(ahead=ahead, crowd=crowd):
+                model = larger_model(a_route(), Opinion(20, 0.1, 2, found, 9))
+                self.assertEqual(model, expected)
+
     def test_request_that_runs_once_begins_with_the_largest(self) -> None:
         """It can't be asked again, so the safest model answers it."""
         cases = ((True, 3, SMALL), (False, 3, LARGE), (True, 1, LARGE))
