Refuse at once what can reach no upstream; note silence while it lasts

An upstream that could not be reached twice in a row is tried by one request each half second; the rest is told at once, not run, with when to come back. One failure is no reason: a packet may be lost. A silence is noted when it is longer than usual, not when the request ends.

--- a/src/nutmegroad/fleet/loads.py
+++ b/src/nutmegroad/fleet/loads.py
@@ -4,7 +4,7 @@
 have: several times a second within a failure domain, less often beyond.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -31,6 +31,14 @@
     reading: float = 0
     tokens: int = 0
 
+    def times(self, factor: int) -> 'Load':
+        """Return so many times the load."""
+        return Load(
+            self.running * factor,
+            self.reading * factor,
+            self.tokens * factor,
+        )
+
     def plus(self, other: 'Load') -> 'Load':
         """Return the sum of two loads."""
         return Load(
@@ -69,6 +77,9 @@
         self._clock = clock
         self._own: Loads = {}
         self._told: dict[HostId, _Told] = {}
+        # The sum of what neighbours told: there may be many of them, and each
+        # choice of an upstream asks for it.
+        self._others: Loads = {}
 
     @property
     def own(self) -> Loads:
@@ -77,10 +88,9 @@
 
     def load(self, upstream: UpstreamId) -> Load:
         """Return what an upstream is busy with, as far as is known."""
-        known = self._own.get(upstream, NO_LOAD)
-        for told in self._fresh():
-            known = known.plus(told.get(upstream, NO_LOAD))
-        return known
+        self._forget_stale()
+        own = self._own.get(upstream, NO_LOAD)
+        return own.plus(self._others.get(upstream, NO_LOAD))
 
     def begin(self, upstream: UpstreamId, load: Load) -> Callable[[], None]:
         """Count a request, and return what counts its prompt as read."""
@@ -100,16 +110,33 @@
 
     def told(self, host: HostId, loads: Loads) -> None:
         """Take in what a neighbour has sent."""
-        self._told[host] = _Told(loads, self._clock.now())
-
-    def _fresh(self) -> Iterable[Loads]:
-        """Return what neighbours told a short while ago."""
+        now = self._clock.now()
+        before = self._told.pop(host, None)
+        # The newest is last, so what is stale is found at the beginning.
+        self._told[host] = _Told(loads, now)
+        if before is not None:
+            self._change(before.loads, -1)
+        self._change(loads, 1)
+
+    def _forget_stale(self) -> None:
+        """Forget what neighbours told too long ago."""
         oldest = self._clock.now() - STALE
-        for host, told in tuple(self._told.items()):
-            if told.moment < oldest:
-                self._told.pop(host)
+        while self._told:
+            host, told = next(iter(self._told.items()))
+            if told.moment >= oldest:
+                break
+            self._told.pop(host)
+            self._change(told.loads, -1)
+
+    def _change(self, loads: Loads, sign: int) -> None:
+        """Add what a neighbour has to the sum, or take it off."""
+        for upstream, load in loads.items():
+            present = self._others.get(upstream, NO_LOAD)
+            changed = present.plus(load.times(sign))
+            if changed.running > 0:
+                self._others[upstream] = changed
             else:
-                yield told.loads
+                self._others.pop(upstream, None)
 
     def _add(self, upstream: UpstreamId, change: Load) -> None:
         """Change what this host has at an upstream."""
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -36,7 +36,6 @@
 MISDIRECTED: Final = 421
 FAILURES: Final = 400
 SERVER_FAILURES: Final = 500
-SUCCESS: Final = 200
 
 #: Ranks that an upstream takes, 0 first.
 LOWEST_RANK: Final = 9
@@ -87,16 +86,16 @@
         choice: Where it goes, and what is expected of it.
         model: The model to name; None to leave the caller's.
         last_event: Id of the last event that the caller has, or empty.
-        silence: Seconds of silence after which another upstream may be
-            asked.
-        leave: Tells, once, whether that may be done; if not, the attempt
-            is waited for as long as there is time.
+        patience: Seconds of silence after which other requests had better
+            go elsewhere, and this one too if it may.
+        leave: Tells, once, whether it may; if not, the attempt is waited
+            for as long as there is time.
     """
 
     choice: Choice
     model: ModelName | None
     last_event: str
-    silence: float
+    patience: float
     leave: Callable[[], bool]
 
     @property
@@ -239,7 +238,7 @@
             )
             if not await self._answers(answer, plan):
                 connection.abort()
-                reason = f'no answer within {plan.silence:.2f} s'
+                reason = f'no answer within {plan.patience:.2f} s'
                 return AttemptFailure(AttemptEnd.SILENT, Ran.UNKNOWN, reason)
             return await answer, connection
         except ConnectionFailedError as problem:
@@ -252,8 +251,11 @@
         plan: AttemptPlan,
     ) -> bool:
         """Wait for an answer; tell whether to go on waiting for it."""
-        done, _ = await asyncio.wait((answer,), timeout=plan.silence)
-        return bool(done) or not plan.leave()
+        done, _ = await asyncio.wait((answer,), timeout=plan.patience)
+        if done:
+            return True
+        plan.upstream.health.silent(self._clock.now())
+        return not plan.leave()
 
     async def _connection(
         self,
@@ -354,7 +356,8 @@
         now = self._clock.now()
         if failure.end in (AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED):
             upstream.health.unreachable(now)
-        elif failure.end is AttemptEnd.REJECTED:
+        elif failure.end in (AttemptEnd.REJECTED, AttemptEnd.SILENT):
+            # A silence was noted while it lasted.
             upstream.health.abandon()
         else:
             upstream.health.failed(now)
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -17,6 +17,7 @@
     AttemptPlan,
 )
 from nutmegroad.relay.budgets import Purpose
+from nutmegroad.relay.health import FIRST_PAUSE
 from nutmegroad.relay.outlook import Outlook
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.requests import CallerRequest
@@ -36,8 +37,9 @@
 #: The same where no upstream is known at all: one registers within seconds.
 NONE_KNOWN: Final = 1.0
 
-#: Part of what is left of a request's time that one attempt may stay silent
-#: while another may follow.
+#: Part of what is left of a request's time that an engine may stay silent: it
+#: may have long prompts to read that nobody told us of, and one that is left
+#: costs an attempt which a larger model may need.
 SILENT_PART: Final = 0.4
 
 #: Times the usual wait that an attempt may stay silent.
@@ -125,11 +127,7 @@
                 return self.refuse_late()
             choice = self.outlook.choose(model, self.tried)
             if choice is None:
-                return self._refuse(
-                    ResultCode.NO_UPSTREAM,
-                    f'No upstream of {self.service!r} is known.',
-                    NONE_KNOWN,
-                )
+                return self._refuse_nowhere()
             outcome = await self._attempt(choice, model, last_event)
             if isinstance(outcome, Answering):
                 return outcome
@@ -148,20 +146,16 @@
         self._parts.counters.repeated(purpose.value)
         return True
 
-    def silence(self, expected: float) -> float:
-        """Return the seconds that an attempt may stay silent.
+    def patience(self, expected: float) -> float:
+        """Return the seconds from which silence speaks against an upstream.
 
         Args:
-            expected: Seconds until its answer should begin.
+            expected: Seconds until an answer should begin.
         """
-        route = self.request.route
-        if not route.repeatable or self.attempts_left <= 1:
-            return max(0, self.left)
-        least = LEAST_SILENCE
-        if self.request.generation is not None:
-            least = LEAST_ENGINE_SILENCE
-        patience = max(least, expected * SILENT_TIMES)
-        return min(max(0, self.left), max(patience, self.left * SILENT_PART))
+        usual = expected * SILENT_TIMES
+        if self.request.generation is None:
+            return max(LEAST_SILENCE, usual)
+        return max(LEAST_ENGINE_SILENCE, usual, self.left * SILENT_PART)
 
     def refused(self, refusal: Refusal, **fields: object) -> None:
         """Write down the refusal that ends the request, and count it."""
@@ -188,6 +182,21 @@
             0,
         )
 
+    def _refuse_nowhere(self) -> Refusal:
+        """Return the refusal of a request that can be sent nowhere."""
+        known = self.outlook.known
+        if known:
+            return self._refuse(
+                ResultCode.UPSTREAM_UNREACHABLE,
+                f'None of {known} upstreams of {self.service!r} is reached.',
+                FIRST_PAUSE,
+            )
+        return self._refuse(
+            ResultCode.NO_UPSTREAM,
+            f'No upstream of {self.service!r} is known.',
+            NONE_KNOWN,
+        )
+
     async def _attempt(
         self,
         choice: Choice,
@@ -202,7 +211,7 @@
             choice,
             model,
             last_event,
-            self.silence(choice.expected),
+            self.patience(choice.expected),
             self._may_leave,
         )
         # Until it is known better: a task that is cancelled here leaves a
--- a/src/nutmegroad/relay/headers.py
+++ b/src/nutmegroad/relay/headers.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Final
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
@@ -29,7 +30,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class HeaderNames:
     """What the headers of a deployment are called.
 
@@ -69,6 +70,7 @@
     confidence: str
     system_only: tuple[str, ...]
 
+    @cached_property
     def set_by_us(self) -> frozenset[bytes]:
         """Return the names, in lower case, that we set or drop."""
         ours = (
@@ -81,6 +83,7 @@
         )
         return frozenset(name.lower().encode() for name in ours)
 
+    @cached_property
     def kept_always(self) -> frozenset[bytes]:
         """Return names that a caller's Connection header can't remove."""
         kept = (
@@ -106,8 +109,8 @@
 
 def forwarded(headers: RawHeaders, names: HeaderNames) -> RawHeaders:
     """Return what of a caller's headers goes to an upstream."""
-    dropped = names.set_by_us()
-    nominated = _nominated(headers) - names.kept_always()
+    dropped = names.set_by_us
+    nominated = _nominated(headers) - names.kept_always
     return tuple(
         (name, text)
         for name, text in headers
--- a/src/nutmegroad/relay/health.py
+++ b/src/nutmegroad/relay/health.py
@@ -20,9 +20,6 @@
 #: decide, since a host sees one upstream a few times a second at most.
 RECENT: Final = 0.3
 
-#: Share of failures from which an upstream counts as failing.
-FAILING: Final = 0.5
-
 #: Seconds in which half of what was seen of failures is forgotten.
 FORGET: Final = 4.0
 
@@ -56,6 +53,16 @@
             return False
         return not (self.pause and self.trial)
 
+    def hopeless(self, now: float) -> bool:
+        """Tell whether a request sent to it now would only wait in vain.
+
+        It could not be reached twice in a row, and somebody tries just now,
+        or did a moment ago. One failure is no reason: a packet may be lost.
+        """
+        if self.pause <= FIRST_PAUSE:
+            return False
+        return self.trial or now - self.changed < FIRST_PAUSE
+
     def begin(self) -> None:
         """Note that a request goes out to it."""
         if self.pause:
@@ -77,6 +84,13 @@
         self.trial = False
         self._fold(1, now)
 
+    def silent(self, now: float) -> None:
+        """Note that it has not answered for longer than is usual.
+
+        The answer may still come; until it does, others go elsewhere.
+        """
+        self._fold(1, now)
+
     def answered(self, now: float, pace: float | None = None) -> None:
         """Note a sound answer, and its pace if that could be told."""
         self.pause = 0
--- a/src/nutmegroad/relay/selection.py
+++ b/src/nutmegroad/relay/selection.py
@@ -70,6 +70,7 @@
         expected: Seconds until its answer should begin.
         reading: Seconds of those in which it reads the request's prompt.
         tokens: Tokens that the request adds to its memory.
+        held: Tokens that others hold there.
         missing: Tokens of the prompt that it has to read.
         running: Requests there, as far as is known.
         ahead: Seconds of prompts that wait there.
@@ -80,6 +81,7 @@
     expected: float
     reading: float
     tokens: int
+    held: int
     missing: int
     running: int
     ahead: float
@@ -145,6 +147,9 @@
     ) -> Choice | None:
         """Return where a request goes next, or None if nowhere.
 
+        Where no upstream can be reached, one request in a while tries; the
+        rest had better be refused at once.
+
         Args:
             asked: What is to be sent.
             upstreams: Those that may run it.
@@ -152,9 +157,7 @@
                 there are no others.
         """
         now = self._clock.now()
-        able = [each for each in upstreams if each.health.available(now)]
-        fresh = [each for each in able if each.entry.upstream not in tried]
-        candidates = fresh or able or list(upstreams)
+        candidates = _candidates(upstreams, tried, now)
         if not candidates:
             return None
         first = self._first(asked.request.generation, candidates)
@@ -190,6 +193,7 @@
             load.reading + reading + base + waiting,
             reading,
             tokens,
+            load.tokens,
             missing,
             load.running,
             load.reading,
@@ -209,16 +213,7 @@
         cost += target * FAILING_PART * failing
         crowd = choice.running / max(1, upstream.entry.slots)
         cost += target * FULL_PART * crowd * crowd
-        return cost + target * MEMORY_PART * self._excess(asked, choice)
-
-    def _excess(self, asked: Asked, choice: Choice) -> float:
-        """Return the tenths of memory that are asked for in excess."""
-        facts = asked.facts
-        if facts is None or not facts.memory:
-            return 0
-        held = self.ledger.load(choice.upstream.entry.upstream).tokens
-        share = (held + choice.tokens) / facts.memory
-        return max(0, share - MEMORY_FULL) / _TENTH
+        return cost + target * MEMORY_PART * _excess(asked.facts, choice)
 
     def _missing(
         self,
@@ -260,6 +255,26 @@
         )
 
 
+def _candidates(
+    upstreams: Collection[Upstream],
+    tried: Collection[UpstreamId],
+    now: float,
+) -> list[Upstream]:
+    """Return the upstreams to choose from: the best that there are."""
+    able = [each for each in upstreams if each.health.available(now)]
+    fresh = [each for each in able if each.entry.upstream not in tried]
+    hoped = [each for each in upstreams if not each.health.hopeless(now)]
+    return fresh or able or hoped
+
+
+def _excess(facts: EngineFacts | None, choice: Choice) -> float:
+    """Return the tenths of memory that are asked for in excess."""
+    if facts is None or not facts.memory:
+        return 0
+    share = (choice.held + choice.tokens) / facts.memory
+    return max(0, share - MEMORY_FULL) / _TENTH
+
+
 def _rank(subject: str, upstream: Upstream) -> int:
     """Return an upstream's place for a subject; the least is the first."""
     name = f'{subject}/{upstream.entry.upstream}'
--- a/src/nutmegroad/relay/upstreams.py
+++ b/src/nutmegroad/relay/upstreams.py
@@ -79,7 +79,10 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._known: dict[UpstreamId, Upstream] = {}
-        self._services: dict[ServiceName, tuple[Upstream, ...]] = {}
+        self._at: dict[Address, UpstreamId] = {}
+        # Grouped anew when it is asked for after a change: the first list
+        # brings all entries at once.
+        self._services: dict[ServiceName, tuple[Upstream, ...]] | None = None
 
     def __len__(self) -> int:
         """Return how many upstreams are known."""
@@ -87,7 +90,11 @@
 
     def of_service(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that do not leave."""
-        return self._services.get(service, ())
+        services = self._services
+        if services is None:
+            services = self._group()
+            self._services = services
+        return services.get(service, ())
 
     def find(self, upstream: UpstreamId) -> Upstream | None:
         """Return one upstream, or None if it is not known."""
@@ -105,14 +112,17 @@
                 self._say('leaving', entry)
             known.entry = entry
             known.missing_until = None
-        self._index()
+        self._at[entry.address] = entry.upstream
+        self._services = None
 
     def remove(self, upstream: UpstreamId, reason: str) -> None:
         """Forget an upstream that the list does not have any more."""
         known = self._known.pop(upstream, None)
         if known is not None:
             self._say(f'dropped: {reason}', known.entry)
-            self._index()
+            if self._at.get(known.entry.address) == upstream:
+                self._at.pop(known.entry.address)
+            self._services = None
 
     def missing(self, upstream: UpstreamId, patience: float) -> None:
         """Note that an entry is missing which may be about to return.
@@ -140,19 +150,17 @@
 
     def _replace_at(self, entry: UpstreamEntry) -> None:
         """Forget whoever stood at the address of a new upstream before."""
-        for upstream, known in tuple(self._known.items()):
-            if known.entry.address == entry.address:
-                self.remove(upstream, f'replaced by {entry.upstream}')
+        before = self._at.get(entry.address)
+        if before is not None:
+            self.remove(before, f'replaced by {entry.upstream}')
 
-    def _index(self) -> None:
-        """Group the upstreams that take new work by service."""
+    def _group(self) -> dict[ServiceName, tuple[Upstream, ...]]:
+        """Return the upstreams that take new work, by service."""
         grouped: dict[ServiceName, list[Upstream]] = {}
         for known in self._known.values():
             if not known.entry.leaving:
                 grouped.setdefault(known.entry.service, []).append(known)
-        self._services = {
-            service: tuple(members) for service, members in grouped.items()
-        }
+        return {service: tuple(members) for service, members in grouped.items()}
 
     def _say(self, what: str, entry: UpstreamEntry) -> None:
         """Log a change of what the host believes."""
--- a/tests/test_relay_selection.py
+++ b/tests/test_relay_selection.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from nutmegroad.fleet.loads import Load, LoadLedger
+from nutmegroad.fleet.loads import NO_LOAD, STALE, Load, LoadLedger
 from nutmegroad.fleet.neighbours import in_turn
 from nutmegroad.foundations.types import (
     DomainId,
@@ -50,6 +50,27 @@
         health.answered(2, 1)
         self.assertTrue(health.available(2))
 
+    def test_one_lost_packet_gives_nobody_up(self) -> None:
+        """Pattern: a link loses packets, and the service has one upstream."""
+        health = Health()
+        health.unreachable(0)
+        self.assertFalse(health.hopeless(0.1))
+
+    def test_upstream_behind_a_cut_is_tried_by_one_request(self) -> None:
+        """Pattern: a failure domain is cut off from its only upstream.
+
+        All requests there tried it, 0.3 s each, until their callers left.
+        """
+        health = Health()
+        health.unreachable(0)
+        health.unreachable(1)
+        self.assertTrue(health.hopeless(1.2))
+        self.assertFalse(health.hopeless(1.6))
+        health.begin()
+        self.assertTrue(health.hopeless(1.6))
+        health.answered(1.7)
+        self.assertFalse(health.hopeless(1.7))
+
     def test_failures_are_forgotten(self) -> None:
         """Pattern: a grey worker recovers while it gets no requests."""
         health = Health()
@@ -121,6 +142,25 @@
         self.assertNotEqual(self.chosen(tried=(first,)), first)
         self.assertIn(self.chosen(tried=('a', 'b', 'far')), ('a', 'b', 'far'))
 
+    def test_nowhere_is_better_than_in_vain(self) -> None:
+        """All upstreams are behind a cut: the caller is told at once."""
+        for upstream in self.upstreams:
+            upstream.health.unreachable(0)
+            upstream.health.unreachable(0)
+        parts = (PromptPart(PartId('s'), 900),)
+        asked = Asked(a_request(parts=parts), ENGINES, SMALL, None)
+        self.assertIsNone(self.selector.choose(asked, self.upstreams, ()))
+
+    def test_silent_upstream_is_avoided_before_it_fails(self) -> None:
+        """Pattern: connections go silent when a failure domain is cut off."""
+        first = self.chosen()
+        silent = next(
+            each for each in self.upstreams if each.entry.upstream == first
+        )
+        silent.health.silent(0)
+        silent.health.silent(0)
+        self.assertNotEqual(self.chosen(), first)
+
     def test_failing_upstream_is_avoided(self) -> None:
         """Pattern: a grey worker, its health check good."""
         first = self.chosen()
@@ -160,6 +200,24 @@
         self.assertEqual(ledger.own, {})
 
 
+class ToldTest(unittest.TestCase):
+    """The sum of what neighbours told."""
+
+    def test_sum_follows_each_telling(self) -> None:
+        """A host that tells anew replaces what it told before."""
+        clock = ManualClock()
+        ledger = LoadLedger(clock)
+        name = UpstreamId('a')
+        ledger.told(HostId('n'), {name: Load(3, 1.0, 100)})
+        ledger.told(HostId('m'), {name: Load(1, 0.5, 10)})
+        ledger.told(HostId('n'), {name: Load(2, 0.5, 50)})
+        self.assertEqual(ledger.load(name), Load(3, 1.0, 60))
+        ledger.told(HostId('m'), {})
+        self.assertEqual(ledger.load(name).running, 2)
+        clock._now += STALE + 1
+        self.assertEqual(ledger.load(name), NO_LOAD)
+
+
 class TurnTest(unittest.TestCase):
     """Which hosts are told at a turn."""
 
