--- a/src/nutmegroad/fleet/session_marks.py
+++ b/src/nutmegroad/fleet/session_marks.py
@@ -43,9 +43,14 @@
         self._span = span
         self._seen: dict[SessionMark, float] = {}
 
-    def saw(self, mark: SessionMark) -> None:
-        """Note that a session ran on the old version just now."""
-        self._seen[mark] = self._clock.now()
+    def saw(self, mark: SessionMark, moment: float | None = None) -> None:
+        """Note that a session ran on the old version.
+
+        Args:
+            mark: The session's mark.
+            moment: Clock seconds at which it did; None for just now.
+        """
+        self._seen[mark] = self._clock.now() if moment is None else moment
 
     def alive(self, mark: SessionMark) -> bool:
         """Tell whether a session ran on the old version a moment ago."""
--- a/src/nutmegroad/relay/session_versions.py
+++ b/src/nutmegroad/relay/session_versions.py
@@ -1,6 +1,7 @@
 """Which side of a roll-out each session is on, as far as a host has seen."""
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
@@ -14,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Seen:
+class Seen:
     """Where a session ran last.
 
     Attributes:
@@ -37,7 +38,7 @@
     def __init__(self, clock: Clock, span: float) -> None:
         self._clock = clock
         self._span = span
-        self._seen: OrderedDict[tuple[ServiceName, SessionName], _Seen] = (
+        self._seen: OrderedDict[tuple[ServiceName, SessionName], Seen] = (
             OrderedDict()
         )
 
@@ -52,6 +53,18 @@
             return None
         return seen.version
 
+    def living(
+        self,
+        service: ServiceName,
+    ) -> Iterator[tuple[SessionName, Seen]]:
+        """Yield the living sessions of a service, the last used first."""
+        oldest = self._clock.now() - self._span
+        for (used, session), seen in reversed(self._seen.items()):
+            if seen.moment < oldest:
+                return
+            if used == service:
+                yield session, seen
+
     def ran(
         self,
         service: ServiceName,
@@ -60,7 +73,7 @@
     ) -> None:
         """Remember that a session ran on a version just now."""
         key = (service, session)
-        self._seen[key] = _Seen(version, self._clock.now())
+        self._seen[key] = Seen(version, self._clock.now())
         self._seen.move_to_end(key)
         while len(self._seen) > MOST:
             self._seen.popitem(last=False)
--- a/src/nutmegroad/relay/versions.py
+++ b/src/nutmegroad/relay/versions.py
@@ -15,7 +15,7 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import HostId, ServiceName
-from nutmegroad.relay.requests import CallerRequest
+from nutmegroad.relay.requests import CallerRequest, SessionName
 from nutmegroad.relay.rollouts import Rollout, RolloutOrder, RolloutRow, Stage
 from nutmegroad.relay.session_versions import SessionVersions
 from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
@@ -53,6 +53,7 @@
         self._own: dict[ServiceName, Evidence] = {}
         self._others: dict[ServiceName, dict[HostId, Evidence]] = {}
         self._halted: set[int] = set()
+        self._told_of_orders: list[Callable[[RolloutOrder], None]] = []
 
     @property
     def active(self) -> tuple[Rollout, ...]:
@@ -81,6 +82,12 @@
         )
         row, version = self._rows.get(order.service, (None, 0))
         self._rollouts[order.service] = Rollout(order, row, version)
+        for tell in self._told_of_orders:
+            tell(order)
+
+    def tell_of_orders(self, tell: Callable[[RolloutOrder], None]) -> None:
+        """Let somebody hear of each order that is taken in."""
+        self._told_of_orders.append(tell)
 
     def progress(
         self,
@@ -193,6 +200,7 @@
         self._sessions = sessions
         self._marks = marks
         self._steady: dict[ServiceName, frozenset[SoftwareVersion]] = {}
+        state.tell_of_orders(self._mark_living)
 
     def permitted(
         self,
@@ -231,8 +239,7 @@
         rollout = self._state.rollout(service)
         if rollout is None or version == rollout.order.to:
             return
-        # Only sessions that the trial might take are worth telling.
-        if self._stays(rollout) and _place(session) < self._state.trial:
+        if self._stays(rollout) and self._may_be_moved(session):
             self._marks.saw(mark(service, session))
 
     def observe(
@@ -281,6 +288,16 @@
                 return False
         return _place(session) < share
 
+    def _mark_living(self, order: RolloutOrder) -> None:
+        """Mark the sessions that were alive before an order was heard of."""
+        for session, seen in self._sessions.living(order.service):
+            if seen.version != order.to and self._may_be_moved(session):
+                self._marks.saw(mark(order.service, session), seen.moment)
+
+    def _may_be_moved(self, session: SessionName) -> bool:
+        """Tell whether a trial might take a session; others need no mark."""
+        return _place(session) < self._state.trial
+
     def _stays(self, rollout: Rollout) -> bool:
         """Tell whether sessions may not be moved to the new version."""
         if rollout.stage is None:
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -145,6 +145,36 @@
             any(self.versions('r', f't{n}') == ['v2'] for n in range(99)),
         )
 
+    def test_session_of_before_the_order_is_not_moved_elsewhere(self) -> None:
+        """Pattern: a session is alive when a roll-out is ordered.
+
+        Seen as lsf-grown quiet-1 --seed 664896862532 (PINNED 4): all four had
+        run at another host in the second before the order, which told nobody.
+        """
+        names = [f's{n}' for n in range(200)]
+        state = RolloutState(HostId('other'), 0.1, self.clock.now)
+        marks = SessionMarks(self.clock, 6)
+        gate = RolloutGate(
+            self.directory,
+            state,
+            SessionVersions(self.clock, 5),
+            marks,
+        )
+        for name in names:
+            request = a_request('r', session=name)
+            gate.ran(request, ENGINES, SoftwareVersion('v1'))
+        self.clock._now += 1
+        state.order(RolloutOrder(ENGINES, SoftwareVersion('v2'), 20, 7))
+        self.marks.told(marks.ages())
+        self.order()
+        self.enter(Stage.TRIAL)
+        moved = [n for n in names if self.versions('r', n) == ['v2']]
+        self.assertEqual(moved, [])
+        # They live no longer for having been told.
+        self.clock._now += 5.5
+        moved = [n for n in names if self.versions('r', n) == ['v2']]
+        self.assertNotEqual(moved, [])
+
     def test_trial_begins_when_all_hosts_know_of_it(self) -> None:
         """Pattern: one host hears of the trial a second before another."""
         self.order()
