Let two hosts of a failure domain read the store for all

Cause: each host followed three tables by itself. The first two hosts of an order that all see alike read; the others follow one of them over a stream in the domain and ask the store only for what that can't tell.

Ruled out: longer rests (they are bounded by what has to be in force), a lease.

Twelve tests; those with followers count the calls.

--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -9,7 +9,7 @@
 from typing import Final, Protocol
 
 from nutmegroad.fleet.store_clock import StoreClock
-from nutmegroad.fleet.stored import HistoryLost, RowsRead, Store
+from nutmegroad.fleet.stored import HistoryLost, RowsRead
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
@@ -42,6 +42,24 @@
         """Note that the store does not answer."""
 
 
+class TableSource(Protocol):
+    """Where tables are read."""
+
+    async def snapshot(self, table: str) -> RowsRead | Refusal:
+        """Return all rows of a table as of one moment."""
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+    ) -> RowsRead | HistoryLost | Refusal:
+        """Return what has changed, or wait so many seconds for a change."""
+
+    async def rest(self, table: str, seconds: float) -> None:
+        """Wait after a failure before the next question."""
+
+
 @dataclass(frozen=True, slots=True)
 class FeedPace:
     """How often a table's changes are asked for.
@@ -60,7 +78,7 @@
     """Keeps a sink in step with one table.
 
     Args:
-        store: The platform's store.
+        store: Where tables are read.
         table: Name of the table.
         sink: What takes it in.
         pace: How often the store is asked.
@@ -71,7 +89,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: TableSource,
         table: str,
         sink: TableSink,
         pace: FeedPace,
@@ -90,16 +108,18 @@
         self._after: int | None = None
         self._retry = FIRST_RETRY
         self._failing = False
+        self._relayed = False
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if await self.step():
-                await self._clock.sleep(self._rest)
-            else:
+            if not await self.step():
                 pause = self._retry * self._randomness.uniform(*SPREAD)
                 self._retry = min(LONGEST_RETRY, self._retry * 2)
-                await self._clock.sleep(pause)
+                await self._store.rest(self._table, pause)
+            elif not self._relayed:
+                # What another host has read, it has rested for already.
+                await self._clock.sleep(self._rest)
 
     async def step(self) -> bool:
         """Make one call, and tell whether it gave an answer."""
@@ -128,7 +148,11 @@
 
     def _took(self, read: RowsRead, asked: float) -> None:
         """Note that the store has answered."""
-        moment = self._store_clock.moment(asked, read.store_time)
+        self._relayed = read.relayed
+        if read.relayed:
+            moment = self._store_clock.relayed(read.store_time)
+        else:
+            moment = self._store_clock.moment(asked, read.store_time)
         self._after = max(read.version, self._after or 0)
         self._retry = FIRST_RETRY
         if self._failing:
@@ -154,7 +178,7 @@
     """Makes followers of one store.
 
     Args:
-        store: The platform's store.
+        store: Where tables are read.
         clock: The host's clock.
         store_clock: The store's clock.
         randomness: Spreads retries of many hosts.
@@ -162,7 +186,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: TableSource,
         clock: Clock,
         store_clock: StoreClock,
         randomness: random.Random,
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final, cast
 
@@ -19,7 +20,7 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
-from nutmegroad.foundations.types import Address, DomainId, HostId
+from nutmegroad.foundations.types import HostId
 
 _LOG: Final = part_logger('neighbours')
 
@@ -58,11 +59,13 @@
         ip: Where it listens to its neighbours.
         port: The same.
         domain: Its failure domain.
+        link: Its link's Mbit/s; 0 if that is not known.
     """
 
     ip: str
     port: int
     domain: str
+    link: float = 0
 
 
 class Telling(Struct, frozen=True, array_like=True):
@@ -108,31 +111,33 @@
 
     Args:
         host: This host.
-        domain: Its failure domain.
-        address: Where it listens to neighbours.
+        own: As what it makes itself known.
         told: What is told and heard.
         store: The platform's store.
         clock: The host's clock.
     """
 
+    @property
+    def near(self) -> Mapping[HostId, HostRow]:
+        """Return the other hosts of the failure domain."""
+        return self._near
+
     def __init__(
         self,
         host: HostId,
-        domain: DomainId,
-        address: Address,
+        own: HostRow,
         told: Told,
         store: Store,
         clock: Clock,
     ) -> None:
         self._host = host
-        self._domain = domain
-        self._address = address
+        self._own = own
         self._ledger = told.ledger
         self._marks = told.marks
         self._store = store
         self._clock = clock
-        self._near: dict[HostId, Address] = {}
-        self._far: dict[HostId, Address] = {}
+        self._near: dict[HostId, HostRow] = {}
+        self._far: dict[HostId, HostRow] = {}
         self._heard: dict[HostId, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(Telling)
@@ -158,8 +163,9 @@
         """Take in where a host listens."""
         if host == self._host:
             return
-        hosts = self._near if row.domain == self._domain else self._far
-        hosts[host] = Address(row.ip, row.port)
+        is_near = row.domain == self._own.domain
+        hosts = self._near if is_near else self._far
+        hosts[host] = row
         self._heard[host] = self._clock.now()
         _LOG.decision(
             'host found',
@@ -170,8 +176,7 @@
 
     async def announce(self) -> None:
         """Make this host known, until that has worked."""
-        row = HostRow(self._address.ip, self._address.port, self._domain)
-        content = msgspec.json.encode(row)
+        content = msgspec.json.encode(self._own)
         put = RowPut(FLEET_TABLE, f'{HOST_KEY}{self._host}', content)
         while isinstance(await self._store.commit((), (put,)), Refusal):
             await self._clock.sleep(AGAIN)
@@ -199,8 +204,8 @@
         ):
             for host in in_turn(tuple(hosts), turn, count):
                 if self._is_due(host, turn):
-                    address = hosts[host]
-                    self._transport.sendto(text, (address.ip, address.port))
+                    row = hosts[host]
+                    self._transport.sendto(text, (row.ip, row.port))
 
     def _is_due(self, host: HostId, turn: int) -> bool:
         """Tell whether a neighbour is to be told at a turn."""
--- /dev/null
+++ b/src/nutmegroad/fleet/news_server.py
@@ -0,0 +1,115 @@
+"""Tells other hosts of the failure domain what this one has read."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import Final
+
+from nutmegroad.fleet.news import Alive, News, StoreLost, encode
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import Address
+
+_LOG: Final = part_logger('news')
+
+#: Seconds between two signs of life: a follower may wait for three of them
+#: and still ask the store within the shortest bound of today (2 s).
+ALIVE: Final = 0.4
+
+#: Bytes that may wait for a follower who does not read; then it is left.
+MOST_WAITING: Final = 1_048_576
+
+
+class NewsServer:
+    """Tells whoever connects.
+
+    Args:
+        clock: The host's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._latest: dict[str, News] = {}
+        self._followers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def followed(self) -> bool:
+        """Tell whether anybody listens."""
+        return bool(self._followers)
+
+    async def open(self, address: Address, stack: AsyncExitStack) -> None:
+        """Listen at an address until a stack closes."""
+        try:
+            server = await asyncio.start_server(
+                self._take,
+                address.ip,
+                address.port,
+            )
+        except OSError as problem:
+            # The others read the store themselves then.
+            _LOG.decision('not telling', reason=str(problem))
+            return
+        stack.callback(self._close)
+        stack.callback(server.close)
+
+    async def run(self) -> None:
+        """Give signs of life until cancelled."""
+        sign = encode(Alive())
+        while True:
+            await self._clock.sleep(ALIVE)
+            self._send(sign)
+
+    def tell(self, news: News) -> None:
+        """Tell of a table."""
+        # Whoever comes later has to read what changed before from the store.
+        self._latest[news.table] = News(
+            news.table,
+            news.version,
+            news.version,
+            news.store_time,
+        )
+        if not self._followers:
+            return
+        text = encode(news)
+        if text is None:
+            text = encode(self._latest[news.table])
+        self._send(text)
+
+    def tell_lost(self, table: str) -> None:
+        """Tell that the store does not answer."""
+        self._latest.pop(table, None)
+        self._send(encode(StoreLost(table)))
+
+    async def _take(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Tell one follower until it leaves."""
+        for news in self._latest.values():
+            text = encode(news)
+            if text is not None:
+                writer.write(text)
+        self._followers.add(writer)
+        try:
+            await reader.read()
+        except (ConnectionError, TimeoutError) as problem:
+            _LOG.decision('follower lost', reason=str(problem))
+        finally:
+            self._followers.discard(writer)
+            writer.transport.abort()
+
+    def _send(self, text: bytes | None) -> None:
+        """Send a frame to all followers."""
+        for writer in tuple(self._followers):
+            if text is None or writer.transport.is_closing():
+                continue
+            if writer.transport.get_write_buffer_size() > MOST_WAITING:
+                _LOG.decision('follower left', reason='it does not read')
+                writer.transport.abort()
+                continue
+            writer.write(text)
+
+    def _close(self) -> None:
+        """Leave all followers."""
+        for writer in tuple(self._followers):
+            writer.transport.abort()
--- /dev/null
+++ b/src/nutmegroad/fleet/shared_store.py
@@ -0,0 +1,119 @@
+"""The platform's store, read by few hosts of a failure domain for all.
+
+Each answer of the store costs, and each change would wake every host. So a
+host that follows another waits for its news, and asks the store only for what
+these can't tell. What is written always goes to the store itself.
+"""
+
+from typing import Final
+
+from nutmegroad.fleet.news import News
+from nutmegroad.fleet.news_link import NewsLink
+from nutmegroad.fleet.news_server import NewsServer
+from nutmegroad.fleet.store_clock import StoreClock
+from nutmegroad.fleet.stored import (
+    Committed,
+    HistoryLost,
+    RowExpected,
+    RowPut,
+    RowsMoved,
+    RowsRead,
+    Store,
+)
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal
+
+#: Part of the usual wait for which a host that reads for others asks the
+#: store to wait: its answer has to reach them before their own wait is over.
+READER_PART: Final = 0.7
+
+#: Seconds after which a host asks the store itself to set its clock by it:
+#: two steady clocks have drifted by hundredths of a second by then.
+RESYNC: Final = 60.0
+
+#: Seconds between own tries while the store is away and another host tells as
+#: soon as it is back: the store may turn just that host away.
+LINKED_RETRY: Final = 2.0
+
+
+class SharedStore:
+    """A store that is read through another host where there is one.
+
+    Args:
+        store: The platform's store.
+        link: Follows another host.
+        server: Tells those who follow this one.
+        store_clock: The store's clock.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        link: NewsLink,
+        server: NewsServer,
+        store_clock: StoreClock,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._link = link
+        self._server = server
+        self._store_clock = store_clock
+        self._clock = clock
+
+    async def snapshot(self, table: str) -> RowsRead | Refusal:
+        """Return all rows of a table as of one moment, from the store."""
+        found = await self._store.snapshot(table)
+        if isinstance(found, Refusal):
+            self._server.tell_lost(table)
+        else:
+            # Who follows has to read it whole as well.
+            self._tell(table, found.version, found)
+        return found
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+    ) -> RowsRead | HistoryLost | Refusal:
+        """Return what has changed, or wait so many seconds for a change."""
+        if self._link.serves(table) and self._store_clock.age < RESYNC:
+            told = await self._link.changes(table, after, wait)
+            if told is not None:
+                self._tell(table, after, told)
+                return told
+            # Something was missed: it is there to be read.
+            wait = 0
+        elif self._server.followed:
+            wait *= READER_PART
+        found = await self._store.changes(table, after, wait)
+        if isinstance(found, Refusal):
+            self._server.tell_lost(table)
+        elif isinstance(found, RowsRead):
+            self._tell(table, after, found)
+        return found
+
+    async def rest(self, table: str, seconds: float) -> None:
+        """Wait before the store is asked again after a failure.
+
+        News from another host, that the store is back, end it sooner.
+        """
+        if self._link.source is None:
+            await self._clock.sleep(seconds)
+        else:
+            await self._link.wait(table, max(seconds, LINKED_RETRY))
+
+    async def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        puts: tuple[RowPut, ...],
+    ) -> Committed | RowsMoved | Refusal:
+        """Write all rows if all expectations hold, else none."""
+        return await self._store.commit(expected, puts)
+
+    def _tell(self, table: str, base: int, read: RowsRead) -> None:
+        """Tell those who follow this host what it has learnt."""
+        self._server.tell(
+            News(table, base, read.version, read.store_time, read.rows),
+        )
--- a/src/nutmegroad/fleet/store_clock.py
+++ b/src/nutmegroad/fleet/store_clock.py
@@ -25,7 +25,12 @@
         self._clock = clock
         # Ours less the store's, at least; and when that was found.
         self._behind: float | None = None
-        self._found = clock.now()
+        self._found = float('-inf')
+
+    @property
+    def age(self) -> float:
+        """Return the seconds since an answer last set it."""
+        return self._clock.now() - self._found
 
     def now(self) -> float:
         """Return the store's seconds, or ours before its first answer."""
@@ -41,11 +46,30 @@
         """
         now = self._clock.now()
         least = asked - store_time
-        known = self._behind
-        if known is not None:
-            known -= DRIFT * (now - self._found)
+        known = self._known()
         if known is None or least >= known:
             known = least
             self._behind = least
             self._found = now
         return min(now, max(asked, store_time + known))
+
+    def relayed(self, store_time: float) -> float:
+        """Return our time of a moment that another host tells of.
+
+        Args:
+            store_time: The store's seconds at that moment.
+
+        Returns:
+            The earliest that it can have been; endlessly long ago if the
+            store has not answered this host yet.
+        """
+        known = self._known()
+        if known is None:
+            return float('-inf')
+        return min(self._clock.now(), store_time + known)
+
+    def _known(self) -> float | None:
+        """Return how far ours is ahead at least, None if not known."""
+        if self._behind is None:
+            return None
+        return self._behind - DRIFT * (self._clock.now() - self._found)
--- a/src/nutmegroad/fleet/stored.py
+++ b/src/nutmegroad/fleet/stored.py
@@ -34,11 +34,13 @@
         rows: The rows.
         version: The store's version at that moment.
         store_time: Seconds on the store's steady clock.
+        relayed: Whether another host has read them.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     store_time: float
+    relayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -45,6 +45,7 @@
             said that it leaves.
         grace: Seconds from the signal to stop until the kill.
         metrics: Where metrics are shown; None for nowhere.
+        link: The machine's link in Mbit/s; 0 if that is not known.
         seed: Seed for randomness; None takes one from the system.
     """
 
@@ -64,6 +65,7 @@
     leaving_notice: float
     grace: float
     metrics: Address | None = None
+    link: float = 0
     seed: int | None = None
 
 
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -6,10 +6,10 @@
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
-from nutmegroad.fleet.followers import FollowedStore, TableFollower
-from nutmegroad.fleet.neighbours import Neighbours, nothing_told
+from nutmegroad.fleet.followers import TableFollower
+from nutmegroad.fleet.hosts import FleetHosts
+from nutmegroad.fleet.neighbours import HostRow
 from nutmegroad.fleet.paces import bounded_pace, operator_pace
-from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.stored import FLEET_TABLE
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
@@ -118,11 +118,9 @@
 
     async def start(self) -> None:
         """Follow the platform's tables and listen."""
-        for follower in self._followers():
-            self._spawn(follower.run())
-        self._spawn(self._steps.run())
-        self._spawn(self._sweep())
-        await self._meet()
+        await self._fleet.open(self._stack)
+        for work in self._work():
+            self._spawn(work)
         pages = StatusPages(
             self._settings.ready_path,
             lambda: self.ready,
@@ -184,24 +182,28 @@
         """Make the parts."""
         settings, clock = self._settings, self._clock
         names = self._platform.names
-        self._store_clock = StoreClock(clock)
         self._directory = Directory(clock)
         self._belief = ConfigurationBelief(clock, settings.key_trust)
         self._pool = ConnectionPool(clock)
-        self._rollouts = RolloutState(
+        self._fleet = FleetHosts(
             settings.host,
-            settings.exposure * TRIAL_PART,
-            self._store_clock.now,
-        )
-        told = nothing_told(clock, settings.session_span)
-        self._neighbours = Neighbours(
-            settings.host,
-            settings.domain,
-            settings.neighbours,
-            told,
+            HostRow(
+                settings.neighbours.ip,
+                settings.neighbours.port,
+                settings.domain,
+                settings.link,
+            ),
             self._platform.store,
+            settings.session_span,
             clock,
+            self._randomness,
         )
+        self._rollouts = RolloutState(
+            settings.host,
+            settings.exposure * TRIAL_PART,
+            self._fleet.store_clock.now,
+        )
+        told = self._fleet.told
         selector = Selector(
             clock, self._randomness, settings.domain, told.ledger
         )
@@ -242,21 +244,25 @@
             self._randomness,
         )
 
+    def _work(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """Return what runs as long as the host does."""
+        return (
+            *(follower.run() for follower in self._followers()),
+            *self._fleet.work(),
+            self._steps.run(),
+            self._sweep(),
+        )
+
     def _followers(self) -> tuple[TableFollower, ...]:
         """Return what keeps this host in step with the platform."""
         platform, settings = self._platform, self._settings
-        source = FollowedStore(
-            platform.store,
-            self._clock,
-            self._store_clock,
-            self._randomness,
-        )
+        source = self._fleet.tables
         operator = OperatorSink(
             platform.reader,
             self._belief,
             self._rollouts,
         )
-        fleet = FleetSink(self._rollouts, self._neighbours)
+        fleet = FleetSink(self._rollouts, self._fleet.neighbours)
         return (
             source.follow(
                 platform.tables.operator,
@@ -275,18 +281,6 @@
             ),
         )
 
-    async def _meet(self) -> None:
-        """Hear neighbours, and make this host known to them."""
-        loop = asyncio.get_running_loop()
-        address = self._settings.neighbours
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self._neighbours,
-            local_addr=(address.ip, address.port),
-        )
-        self._stack.callback(transport.close)
-        self._spawn(self._neighbours.announce())
-        self._spawn(self._neighbours.run())
-
     async def _learn(self) -> None:
         """Wait until callers can be served, but not for long."""
         latest = self._clock.now() + FIRST_PATIENCE
--- /dev/null
+++ b/tests/test_fleet_news.py
@@ -0,0 +1,353 @@
+"""Hosts that read the store for others, and those that follow them."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+from nutmegroad.fleet.neighbours import HostRow
+from nutmegroad.fleet.news import (
+    Alive,
+    FrameError,
+    News,
+    StoreLost,
+    encode,
+    receive,
+)
+from nutmegroad.fleet.news_link import NewsLink
+from nutmegroad.fleet.news_server import NewsServer
+from nutmegroad.fleet.shared_store import SharedStore
+from nutmegroad.fleet.store_clock import StoreClock
+from nutmegroad.fleet.stored import (
+    Committed,
+    HistoryLost,
+    RowExpected,
+    RowPut,
+    RowsMoved,
+    RowsRead,
+    StoredRow,
+)
+from nutmegroad.foundations.clocks import BootClock
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.testing.virtual import ManualClock
+from tests.relay_rig import free_port
+
+TABLE = 'op'
+AWAY = Refusal(ResultCode.TABLE_UNAVAILABLE, 'away')
+
+
+class CountingStore:
+    """A store with one table, whose calls are counted.
+
+    Attributes:
+        version: Its version; a row has the version that it was written at.
+        away: Whether it answers nothing.
+        calls: Calls that were made.
+    """
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.away = False
+        self.calls = 0
+
+    def read(self, after: int) -> RowsRead | Refusal:
+        """Return what has changed since a version."""
+        self.calls += 1
+        if self.away:
+            return AWAY
+        rows = tuple(
+            StoredRow(f'k{number}', b'x', number)
+            for number in range(after + 1, self.version + 1)
+        )
+        return RowsRead(rows, self.version, 100 + self.version)
+
+    async def snapshot(self, table: str) -> RowsRead | Refusal:
+        """Return all rows."""
+        return self.read(0)
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+    ) -> RowsRead | HistoryLost | Refusal:
+        """Return what has changed, at once."""
+        return self.read(after)
+
+    async def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        puts: tuple[RowPut, ...],
+    ) -> Committed | RowsMoved | Refusal:
+        """Count a write."""
+        self.calls += 1
+        return Committed(self.version, 0)
+
+
+class FramesTest(unittest.IsolatedAsyncioTestCase):
+    """What goes over a link."""
+
+    async def receive(self, *texts: bytes) -> object:
+        """Return the first frame of some bytes."""
+        reader = asyncio.StreamReader()
+        for text in texts:
+            reader.feed_data(text)
+        reader.feed_eof()
+        return await receive(reader)
+
+    async def test_frames_pass_whole(self) -> None:
+        """Small, without rows, and large enough to be compressed."""
+        rows = tuple(StoredRow(f'k{n}', b'x' * 90, n) for n in range(99))
+        frames = (
+            Alive(),
+            StoreLost(TABLE),
+            News(TABLE, 1, 2, 3.5, (StoredRow('k', b'\0', 2, removed=True),)),
+            News(TABLE, 0, 99, 3.5, rows),
+        )
+        for frame in frames:
+            with self.subTest(frame=type(frame), rows=len(str(frame))):
+                text = encode(frame)
+                assert text is not None
+                half = len(text) // 2
+                found = await self.receive(text[:half], text[half:])
+                self.assertEqual(found, frame)
+
+    async def test_what_is_no_frame_is_refused(self) -> None:
+        """Too long, empty, not ours, and cut."""
+        cases = (
+            (b'\xff\xff\xff\xff', FrameError),
+            (b'\0\0\0\0', FrameError),
+            (b'\0\0\0\2px', FrameError),
+            (b'\0\0\0\2zx', FrameError),
+            (b'\0\0\0\5px', EOFError),
+        )
+        for text, expected in cases:
+            with self.subTest(text=text), self.assertRaises(expected):
+                await self.receive(text)
+
+    async def test_what_is_too_large_is_left_to_the_store(self) -> None:
+        """Pattern: a configuration grows, and the reader's link is slow."""
+        noise = random.Random(1)
+        rows = tuple(
+            StoredRow(str(number), noise.randbytes(100), number)
+            for number in range(1000)
+        )
+        self.assertIsNotNone(encode(News(TABLE, 0, 9, 1, rows[:10])))
+        self.assertIsNone(encode(News(TABLE, 0, 9, 1, rows)))
+
+
+class NewsTest(unittest.TestCase):
+    """News of a table, put together."""
+
+    def test_gap_has_to_be_read(self) -> None:
+        """A host that has missed a version is told nothing of it."""
+        news = News(TABLE, 5, 7, 1, (StoredRow('k', b'', 7),))
+        self.assertIsNone(news.after(4))
+        found = news.after(5)
+        assert found is not None
+        self.assertTrue(found.relayed)
+        self.assertEqual(len(found.rows), 1)
+        again = news.after(7)
+        assert again is not None
+        self.assertEqual(again.rows, ())
+
+    def test_news_that_were_not_taken_are_joined(self) -> None:
+        """Unless something between them was missed."""
+        first = News(TABLE, 5, 7, 1, (StoredRow('a', b'', 7),))
+        joined = first.joined(News(TABLE, 7, 9, 2, (StoredRow('b', b'', 9),)))
+        self.assertEqual(
+            (joined.base, joined.version, joined.store_time, len(joined.rows)),
+            (5, 9, 2, 2),
+        )
+        later = News(TABLE, 8, 9, 2)
+        self.assertEqual(first.joined(later), later)
+
+
+class RelayedClockTest(unittest.TestCase):
+    """How old what another host has read is."""
+
+    def test_moment_is_the_stores_own(self) -> None:
+        """Pattern: a host is paused, and then tells what it read before.
+
+        The moment comes from the store's clock, so it is no newer for that.
+        """
+        clock = ManualClock(start=50)
+        store_clock = StoreClock(clock)
+        self.assertEqual(store_clock.relayed(7), float('-inf'))
+        store_clock.moment(50, 7)
+        clock._now += 10
+        moment = store_clock.relayed(9)
+        self.assertLessEqual(moment, 52)
+        self.assertGreater(moment, 51.9)
+        # A clock of ours that runs fast must not make it newer than now.
+        self.assertLessEqual(store_clock.relayed(99), clock.now())
+
+
+class Host:
+    """A host's part in reading the store.
+
+    Args:
+        name: Its name.
+        store: The platform's store.
+        hosts: All hosts of the failure domain.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: CountingStore,
+        hosts: 'dict[HostId, Host]',
+    ) -> None:
+        self.row = HostRow('127.0.0.1', free_port(), 'north')
+        clock = BootClock()
+        self.server = NewsServer(clock)
+        host = HostId(name)
+        hosts[host] = self
+
+        def near() -> dict[HostId, HostRow]:
+            """Return the other hosts."""
+            return {
+                other: found.row
+                for other, found in hosts.items()
+                if other != host
+            }
+
+        self.link = NewsLink(host, self.row, near, clock)
+        store_clock = StoreClock(clock)
+        store_clock.moment(clock.now(), 100)
+        self.store = SharedStore(
+            store,
+            self.link,
+            self.server,
+            store_clock,
+            clock,
+        )
+
+
+class SharedReadingTest(unittest.IsolatedAsyncioTestCase):
+    """Five hosts with one store."""
+
+    async def asyncSetUp(self) -> None:
+        """Start all hosts, and wait until those that may follow do."""
+        self.stack = await self.enterAsyncContext(AsyncExitStack())
+        self.platform = CountingStore()
+        self.hosts: dict[HostId, Host] = {}
+        for name in 'abcde':
+            Host(name, self.platform, self.hosts)
+        for host in self.hosts.values():
+            address = Address(host.row.ip, host.row.port)
+            await host.server.open(address, self.stack)
+        for host in self.hosts.values():
+            for work in (host.server.run(), host.link.run()):
+                task = asyncio.create_task(work)
+                self.stack.callback(task.cancel)
+        await self.until(lambda: len(self.followers()) == 3)
+        self.reader = next(
+            each for each in self.hosts.values() if each.link.source is None
+        )
+
+    def followers(self) -> list[Host]:
+        """Return the hosts that follow another."""
+        return [host for host in self.hosts.values() if host.link.source]
+
+    def followers_of(self, reader: Host) -> list[Host]:
+        """Return the hosts that follow one."""
+        return [
+            host
+            for host in self.hosts.values()
+            if host.link.source and self.hosts[host.link.source] is reader
+        ]
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Wait for a condition, however long that takes."""
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    async def served(self) -> Host:
+        """Return a host that follows one which has read the table."""
+        readers = [
+            host for host in self.hosts.values() if self.followers_of(host)
+        ]
+        await readers[0].store.snapshot(TABLE)
+        follower = self.followers_of(readers[0])[0]
+        self.reader = readers[0]
+        await self.until(lambda: follower.link.serves(TABLE))
+        # What the reader knew already is heard first.
+        await follower.store.changes(TABLE, self.platform.version, 60)
+        return follower
+
+    async def test_followers_ask_nothing_of_the_store(self) -> None:
+        """Pattern: sixty hosts each read each change: a tenth of the worth."""
+        follower = await self.served()
+        before = self.platform.calls
+        asked = asyncio.create_task(follower.store.changes(TABLE, 1, 60))
+        await asyncio.sleep(0)
+        self.platform.version = 3
+        await self.reader.store.changes(TABLE, 1, 0)
+        found = await asked
+        assert isinstance(found, RowsRead)
+        self.assertEqual([row.version for row in found.rows], [2, 3])
+        self.assertTrue(found.relayed)
+        self.assertEqual(self.platform.calls, before + 1)
+
+    async def test_what_was_missed_is_read(self) -> None:
+        """A host that knows less than its reader did asks the store."""
+        self.platform.version = 5
+        follower = await self.served()
+        found = await follower.store.changes(TABLE, 2, 60)
+        assert isinstance(found, RowsRead)
+        self.assertEqual([row.version for row in found.rows], [3, 4, 5])
+        self.assertFalse(found.relayed)
+
+    async def test_reader_that_dies_is_replaced(self) -> None:
+        """Pattern: the host that reads for others is killed."""
+        follower = await self.served()
+        asked = asyncio.create_task(follower.store.changes(TABLE, 1, 60))
+        await asyncio.sleep(0)
+        self.reader.server._close()
+        found = await asked
+        assert isinstance(found, RowsRead)
+        self.assertFalse(found.relayed)
+
+    async def test_reader_without_the_store_says_so(self) -> None:
+        """Pattern: the store turns away the host that reads for others."""
+        follower = await self.served()
+        asked = asyncio.create_task(follower.store.changes(TABLE, 1, 60))
+        await asyncio.sleep(0)
+        self.platform.away = True
+        await self.reader.store.changes(TABLE, 1, 0)
+        self.assertEqual(await asked, AWAY)
+        self.assertFalse(follower.link.serves(TABLE))
+
+    async def test_return_of_the_store_is_told(self) -> None:
+        """Pattern: the store is back; who waits to try again is woken."""
+        follower = await self.served()
+        self.platform.away = True
+        await self.reader.store.changes(TABLE, 1, 0)
+        await self.until(lambda: not follower.link.serves(TABLE))
+        resting = asyncio.create_task(follower.store.rest(TABLE, 60))
+        await asyncio.sleep(0)
+        self.platform.away = False
+        await self.reader.store.changes(TABLE, 1, 0)
+        await resting
+        self.assertTrue(follower.link.serves(TABLE))
+
+    async def test_fast_links_read_for_the_others(self) -> None:
+        """Pattern: links of 5 and of 100 Mbit/s in one failure domain."""
+        near = {
+            HostId('slow'): HostRow('127.0.0.1', 1, 'north', 5),
+            HostId('fast'): HostRow('127.0.0.1', 2, 'north', 100),
+            HostId('also'): HostRow('127.0.0.1', 3, 'north', 100),
+        }
+        own = HostRow('127.0.0.1', 4, 'north', 20)
+        link = NewsLink(HostId('me'), own, lambda: near, ManualClock())
+        self.assertIn(link._choose(), ('fast', 'also'))
+        best = HostRow('127.0.0.1', 4, 'north', 1000)
+        link = NewsLink(HostId('me'), best, lambda: near, ManualClock())
+        self.assertIsNone(link._choose())
+
+
+if __name__ == '__main__':
+    unittest.main()
