Tell what was seen of roll-outs with loads; show settings and their origin

Cause, found by reading: a host wrote down its counts at its first poor answer, so what others knew of a version was mostly poor. At 64 hosts a trial gives each an answer or two in its first seconds; three hosts with one poor answer each would halt a good version (the test: 3 of 3 poor told, 3 of 60 in truth). Counts go with the loads now, good or poor; a row is written from two poor answers on, for those that hear no datagram. The counts have a book of their own (fleet/evidence_book), which versions.py had inside.

--- a/src/nutmegroad/fleet/evidence.py
+++ b/src/nutmegroad/fleet/evidence.py
@@ -57,6 +57,12 @@
             self.old_poor + (not of_new and poor),
         )
 
+    def is_before(self, other: 'Evidence') -> bool:
+        """Tell whether another is a later count of the same host."""
+        if self.order != other.order:
+            return self.order < other.order
+        return self.new + self.old < other.new + other.old
+
     def is_bad(self) -> bool:
         """Tell whether the new version is bad."""
         if self.new_poor < FEWEST_POOR:
--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -9,7 +9,7 @@
 from typing import Final, Protocol
 
 from nutmegroad.fleet.store_clock import StoreClock
-from nutmegroad.fleet.stored import HistoryLost, RowsRead
+from nutmegroad.fleet.stored import HistoryLost, RowsRead, TableReads
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
@@ -42,19 +42,8 @@
         """Note that the store does not answer."""
 
 
-class TableSource(Protocol):
-    """Where tables are read."""
-
-    async def snapshot(self, table: str) -> RowsRead | Refusal:
-        """Return all rows of a table as of one moment."""
-
-    async def changes(
-        self,
-        table: str,
-        after: int,
-        wait: float,
-    ) -> RowsRead | HistoryLost | Refusal:
-        """Return what has changed, or wait so many seconds for a change."""
+class TableSource(TableReads, Protocol):
+    """Where tables are followed."""
 
     async def rest(self, table: str, seconds: float) -> None:
         """Wait after a failure before the next question."""
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Struct
 
+from nutmegroad.fleet.evidence_book import EvidenceBook, EvidenceByService
 from nutmegroad.fleet.loads import LoadLedger, Loads
 from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.fleet.stored import FLEET_TABLE, RowPut, Store
@@ -75,11 +76,13 @@
         host: Who tells.
         loads: What it has sent, by upstream.
         sessions: Marks of sessions on an old version, with their ages.
+        evidence: What it has seen of roll-outs under way.
     """
 
     host: str
     loads: Loads
     sessions: dict[int, int] = {}
+    evidence: EvidenceByService = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,10 +92,12 @@
     Attributes:
         ledger: What upstreams are busy with.
         marks: Sessions that a roll-out must leave where they are.
+        book: What was seen of roll-outs.
     """
 
     ledger: LoadLedger
     marks: SessionMarks
+    book: EvidenceBook
 
 
 def nothing_told(clock: Clock, session_span: float) -> Told:
@@ -103,7 +108,7 @@
         session_span: Seconds within which requests belong together.
     """
     marks = SessionMarks(clock, session_span + MARK_SLACK)
-    return Told(LoadLedger(clock), marks)
+    return Told(LoadLedger(clock), marks, EvidenceBook())
 
 
 class Neighbours(asyncio.DatagramProtocol):
@@ -134,6 +139,7 @@
         self._own = own
         self._ledger = told.ledger
         self._marks = told.marks
+        self._book = told.book
         self._store = store
         self._clock = clock
         self._near: dict[HostId, HostRow] = {}
@@ -158,6 +164,8 @@
         self._heard[host] = self._clock.now()
         self._ledger.told(host, telling.loads)
         self._marks.told(telling.sessions)
+        for service, evidence in telling.evidence.items():
+            self._book.told(service, host, evidence)
 
     def found(self, host: HostId, row: HostRow) -> None:
         """Take in where a host listens."""
@@ -174,6 +182,17 @@
             domain=row.domain,
         )
 
+    def telling(self) -> bytes:
+        """Return what this host tells now."""
+        return msgspec.msgpack.encode(
+            Telling(
+                self._host,
+                self._ledger.own,
+                self._marks.ages(),
+                self._book.own_counts,
+            ),
+        )
+
     async def announce(self) -> None:
         """Make this host known, until that has worked."""
         content = msgspec.json.encode(self._own)
@@ -191,13 +210,11 @@
 
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
-        own = self._ledger.own
-        sessions = self._marks.ages()
-        empty = not own and not sessions
+        empty = not self._ledger.own and not self._marks.ages()
         if self._transport is None or (self._silent and empty):
             return
         self._silent = empty
-        text = msgspec.msgpack.encode(Telling(self._host, own, sessions))
+        text = self.telling()
         for hosts, count in (
             (self._near, NEAR_PER_TURN),
             (self._far, FAR_PER_TURN),
--- a/src/nutmegroad/fleet/stored.py
+++ b/src/nutmegroad/fleet/stored.py
@@ -96,12 +96,8 @@
     """A transaction did nothing, since a row had another version."""
 
 
-class Store(Protocol):
-    """The calls that the relay makes.
-
-    A refusal whose ``ran`` is ``UNKNOWN`` may hide a write that took effect,
-    now or seconds later.
-    """
+class TableReads(Protocol):
+    """How tables are read."""
 
     async def snapshot(self, table: str) -> RowsRead | Refusal:
         """Return all rows of a table as of one moment."""
@@ -114,6 +110,14 @@
     ) -> RowsRead | HistoryLost | Refusal:
         """Return what has changed, or wait so many seconds for a change."""
 
+
+class Store(TableReads, Protocol):
+    """The calls that the relay makes.
+
+    A refusal whose ``ran`` is ``UNKNOWN`` may hide a write that took effect,
+    now or seconds later.
+    """
+
     async def commit(
         self,
         expected: tuple[RowExpected, ...],
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -202,6 +202,7 @@
             settings.host,
             settings.exposure * TRIAL_PART,
             self._fleet.store_clock.now,
+            self._fleet.told.book,
         )
         told = self._fleet.told
         selector = Selector(
--- a/src/nutmegroad/relay/rollout_steps.py
+++ b/src/nutmegroad/relay/rollout_steps.py
@@ -1,7 +1,6 @@
 """The steps of a roll-out that hosts write into the platform's store."""
 
 import random
-from dataclasses import dataclass
 from typing import Final, Protocol
 
 import msgspec
@@ -40,9 +39,9 @@
 #: mostly the first one's write is the only one.
 SPREAD: Final = 0.8
 
-#: Parts of the duration at which a host tells what it has seen, if that is
-#: more than it told before.
-TELL_AT: Final = (0.47, 0.75)
+#: Poor answers from which a host writes down what it has seen: hosts tell each
+#: other as well, so a row only serves those that can't hear it.
+FEWEST_WRITTEN: Final = 2
 
 
 class StatusWriter(Protocol):
@@ -52,19 +51,6 @@
         """Return the row that tells the operator."""
 
 
-@dataclass(slots=True)
-class _Told:
-    """What a host has told of a roll-out.
-
-    Attributes:
-        evidence: The counts.
-        part: Part of the duration that was over.
-    """
-
-    evidence: Evidence
-    part: float = 0
-
-
 class RolloutSteps:
     """Makes the steps that are due, and tells what this host has seen.
 
@@ -89,7 +75,7 @@
         self._status = status
         self._clock = clock
         self._randomness = randomness
-        self._told: dict[ServiceName, _Told] = {}
+        self._written: dict[ServiceName, Evidence] = {}
 
     async def run(self) -> None:
         """Make steps as they fall due until cancelled."""
@@ -164,33 +150,23 @@
         )
 
     async def _tell(self, rollout: Rollout) -> None:
-        """Tell the other hosts what this one has seen, if it is news."""
+        """Write down what this host has seen, if it is news."""
         if rollout.stage is None:
             return
         own = self._state.own(rollout)
         service = rollout.order.service
-        told = self._told.get(service)
-        if told is None or told.evidence.order != own.order:
-            told = _Told(Evidence(own.order))
-            self._told[service] = told
-        part = rollout.elapsed(self._state.store_time())
-        if not _is_news(told, own, part):
+        if not _is_news(self._written.get(service), own):
             return
         key = f'{EVIDENCE_KEY}{service}/{self._state.host}'
         put = RowPut(FLEET_TABLE, key, msgspec.json.encode(own))
         outcome = await self._store.commit((), (put,))
         if isinstance(outcome, Committed):
-            told.evidence = own
-            told.part = part
-
+            self._written[service] = own
 
-def _is_news(told: _Told, own: Evidence, part: float) -> bool:
-    """Tell whether other hosts should hear of what this one has seen.
 
-    Poor answers are told as they double, the rest at set times.
-    """
-    if own == told.evidence:
-        return False
-    if own.new_poor >= max(1, 2 * told.evidence.new_poor):
-        return True
-    return any(told.part < moment <= part for moment in TELL_AT)
+def _is_news(written: Evidence | None, own: Evidence) -> bool:
+    """Tell whether poor answers are twice as many as were written down."""
+    known = 0
+    if written is not None and written.order == own.order:
+        known = written.new_poor
+    return own.new_poor >= max(FEWEST_WRITTEN, 2 * known)
--- a/src/nutmegroad/relay/versions.py
+++ b/src/nutmegroad/relay/versions.py
@@ -10,7 +10,8 @@
 
 from xxhash import xxh3_64_intdigest
 
-from nutmegroad.fleet.evidence import Evidence, total
+from nutmegroad.fleet.evidence import Evidence
+from nutmegroad.fleet.evidence_book import EvidenceBook
 from nutmegroad.fleet.session_marks import SessionMarks, mark
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
@@ -37,6 +38,7 @@
         host: This host.
         trial: Share of the traffic that a new version gets on trial.
         store_time: Returns the present seconds of the store's clock.
+        book: What all hosts have seen.
     """
 
     def __init__(
@@ -44,14 +46,14 @@
         host: HostId,
         trial: float,
         store_time: Callable[[], float],
+        book: EvidenceBook,
     ) -> None:
         self.host = host
         self.trial = trial
         self.store_time = store_time
+        self._book = book
         self._rollouts: dict[ServiceName, Rollout] = {}
         self._rows: dict[ServiceName, tuple[RolloutRow, int]] = {}
-        self._own: dict[ServiceName, Evidence] = {}
-        self._others: dict[ServiceName, dict[HostId, Evidence]] = {}
         self._halted: set[int] = set()
         self._told_of_orders: list[Callable[[RolloutOrder], None]] = []
 
@@ -108,7 +110,10 @@
             why=row.why,
             row_version=version,
         )
-        self._rollouts[service] = Rollout(known.order, row, version)
+        changed = Rollout(known.order, row, version)
+        self._rollouts[service] = changed
+        if changed.stage is not None and changed.stage.ended:
+            self._book.end(service)
 
     def told(
         self,
@@ -118,7 +123,7 @@
     ) -> None:
         """Take in what another host has seen."""
         if host != self.host:
-            self._others.setdefault(service, {})[host] = evidence
+            self._book.told(service, host, evidence)
 
     def observe(
         self,
@@ -132,23 +137,18 @@
         if rollout is None or rollout.stage is None or rollout.stage.ended:
             return
         of_new = version == rollout.order.to
-        present = self.own(rollout)
-        self._own[service] = present.adding(of_new=of_new, poor=poor)
+        number = rollout.order.number
+        self._book.count(service, number, of_new=of_new, poor=poor)
         if of_new and poor:
             self._reconsider(rollout)
 
     def own(self, rollout: Rollout) -> Evidence:
         """Return what this host has seen of a roll-out."""
-        number = rollout.order.number
-        own = self._own.get(rollout.order.service)
-        if own is None or own.order != number:
-            return Evidence(number)
-        return own
+        return self._book.own(rollout.order.service, rollout.order.number)
 
     def evidence(self, rollout: Rollout) -> Evidence:
         """Return what all hosts have seen, as far as this one knows."""
-        others = self._others.get(rollout.order.service, {}).values()
-        return total(rollout.order.number, (self.own(rollout), *others))
+        return self._book.total(rollout.order.service, rollout.order.number)
 
     def halted(self, rollout: Rollout) -> bool:
         """Tell whether this host sends the new version nothing any more."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,10 +1,13 @@
 """The adapter: the platform's names, formats and calls."""
 
+import io
 import json
+import os
 import tempfile
 import unittest
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, redirect_stdout
 from pathlib import Path
+from unittest.mock import patch
 
 from aiohttp.web import AppRunner, TCPSite
 from fakes.row_store import RowStore, StoreFault
@@ -29,7 +32,9 @@
 from nutmegroad.relay.rollouts import RolloutOrder, Stage
 from nutmegroad.relay.tables import Unreadable
 from nutmegroad.relay.upstreams import UpstreamEntry
-from nutmegroad_platform.program import SettingsFile
+from nutmegroad_platform.early_sockets import EarlySockets
+from nutmegroad_platform.fields import SETTINGS_VARIABLE
+from nutmegroad_platform.program import SettingsFile, main
 from nutmegroad_platform.rows import Rows
 from nutmegroad_platform.settings import read_settings
 from nutmegroad_platform.store import PlatformStore
@@ -110,6 +115,23 @@
         self.assertEqual(settings.host.neighbours, Address('10.0.0.1', 70))
         self.assertEqual(settings.host.key_trust, 5)
 
+    def test_settings_are_shown_with_their_origin(self) -> None:
+        """What the file has, what is a default, and nothing of the future."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'settings.conf'
+            path.write_text(SETTINGS, encoding='utf-8')
+            shown = io.StringIO()
+            with (
+                patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}),
+                redirect_stdout(shown),
+            ):
+                code = main(EarlySockets(), ['--print-settings'])
+        lines = shown.getvalue().splitlines()
+        self.assertEqual(code, 0)
+        self.assertIn('nodeName=front-1  # file', lines)
+        self.assertIn('bounds.graceS=8  # default', lines)
+        self.assertNotIn('future', shown.getvalue())
+
     def test_bad_file_is_refused_with_the_bad_value(self) -> None:
         """The message names the field and what it holds."""
         cases = (
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -4,7 +4,19 @@
 import unittest
 
 from nutmegroad.fleet.evidence import Evidence, tail, total
+from nutmegroad.fleet.evidence_book import EvidenceBook
+from nutmegroad.fleet.loads import LoadLedger
+from nutmegroad.fleet.neighbours import HostRow, Neighbours, Told
 from nutmegroad.fleet.session_marks import SessionMarks
+from nutmegroad.fleet.stored import (
+    Committed,
+    HistoryLost,
+    RowExpected,
+    RowPut,
+    RowsMoved,
+    RowsRead,
+)
+from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     HostId,
 )
@@ -50,6 +62,83 @@
         self.assertAlmostEqual(tail(3, 2, 0.5), 0.5)
 
 
+class BookTest(unittest.TestCase):
+    """What all hosts have seen."""
+
+    def test_good_answers_of_other_hosts_count_as_poor_ones_do(self) -> None:
+        """Pattern: sixty hosts, each with an answer or two of a good version.
+
+        Told only with poor answers, three hosts with one poor answer of one
+        each halted it, though sixty others had had good ones.
+        """
+        clock = ManualClock()
+        books = [EvidenceBook() for _ in range(60)]
+        for number, book in enumerate(books):
+            poor = number < 3
+            book.count(ENGINES, 7, of_new=True, poor=poor)
+        told_by_rows = EvidenceBook()
+        for number, book in enumerate(books[:3]):
+            told_by_rows.told(
+                ENGINES, HostId(f'h{number}'), book.own(ENGINES, 7)
+            )
+        self.assertTrue(told_by_rows.total(ENGINES, 7).is_bad())
+        mine = EvidenceBook()
+        own = HostRow('127.0.0.1', 1, 'north')
+        hearing = neighbours('me', own, mine, clock)
+        for number, book in enumerate(books):
+            sender = neighbours(f'h{number}', own, book, clock)
+            hearing.datagram_received(sender.telling(), ('127.0.0.1', 1))
+        self.assertEqual(mine.total(ENGINES, 7), Evidence(7, 60, 3))
+        self.assertFalse(mine.total(ENGINES, 7).is_bad())
+
+    def test_counts_of_a_host_never_go_back(self) -> None:
+        """Pattern: datagrams cross, and a row is older than both."""
+        book = EvidenceBook()
+        host = HostId('h')
+        for new in (3, 9, 5):
+            book.told(ENGINES, host, Evidence(7, new=new))
+        self.assertEqual(book.total(ENGINES, 7).new, 9)
+        book.told(ENGINES, host, Evidence(8, new=1))
+        book.told(ENGINES, host, Evidence(7, new=20))
+        self.assertEqual(book.total(ENGINES, 8).new, 1)
+
+
+def neighbours(
+    name: str,
+    own: HostRow,
+    book: EvidenceBook,
+    clock: ManualClock,
+) -> Neighbours:
+    """Return a host that tells and hears what a book has."""
+    told = Told(LoadLedger(clock), SessionMarks(clock, 5), book)
+    return Neighbours(HostId(name), own, told, NoStore(), clock)
+
+
+class NoStore:
+    """A store that is never there."""
+
+    async def snapshot(self, table: str) -> RowsRead | Refusal:
+        """Refuse."""
+        return Refusal(ResultCode.TABLE_UNAVAILABLE, '.')
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+    ) -> RowsRead | HistoryLost | Refusal:
+        """Refuse."""
+        return Refusal(ResultCode.TABLE_UNAVAILABLE, '.')
+
+    async def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        puts: tuple[RowPut, ...],
+    ) -> Committed | RowsMoved | Refusal:
+        """Refuse."""
+        return Refusal(ResultCode.TABLE_UNAVAILABLE, '.')
+
+
 class RolloutTest(unittest.TestCase):
     """Who gets a new version."""
 
@@ -61,7 +150,12 @@
         self.clock = ManualClock(start=100)
         self.directory = Directory(self.clock)
         self.directory.put(an_entry('old'))
-        self.state = RolloutState(HostId('me'), 0.1, self.clock.now)
+        self.state = RolloutState(
+            HostId('me'),
+            0.1,
+            self.clock.now,
+            EvidenceBook(),
+        )
         self.sessions = SessionVersions(self.clock, 5)
         self.marks = SessionMarks(self.clock, 6)
         self.gate = RolloutGate(
@@ -152,7 +246,12 @@
         run at another host in the second before the order, which told nobody.
         """
         names = [f's{n}' for n in range(200)]
-        state = RolloutState(HostId('other'), 0.1, self.clock.now)
+        state = RolloutState(
+            HostId('other'),
+            0.1,
+            self.clock.now,
+            EvidenceBook(),
+        )
         marks = SessionMarks(self.clock, 6)
         gate = RolloutGate(
             self.directory,
