--- a/src/nutmegroad/foundations/log_bounds.py
+++ b/src/nutmegroad/foundations/log_bounds.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final, TextIO
+from typing import Final
 
 from nutmegroad.foundations.logs import LogKind, decision_line, kind_of
 
@@ -146,15 +146,7 @@
             self._waiting = b''
 
 
-def bounded_handler(
-    stream: TextIO,
-    now: Callable[[], float],
-) -> UnblockingHandler:
-    """Return a handler for a stream, such as ``sys.stdout``."""
-    stream.flush()
-    return UnblockingHandler(stream.fileno(), LineBudget(now))
-
-
 def standard_output(now: Callable[[], float]) -> UnblockingHandler:
     """Return a handler for the standard output."""
-    return bounded_handler(sys.stdout, now)
+    sys.stdout.flush()
+    return UnblockingHandler(sys.stdout.fileno(), LineBudget(now))
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -2,7 +2,7 @@
 
 It carries one exchange at a time and knows what a pool must know of it:
 whether the request's bytes may have left, and whether it may be used again.
-An answer that echoes another request's id belongs to nobody; it is counted,
+An answer that echoes another request's id belongs to nobody; it is logged,
 dropped, and the connection is not used again.
 """
 
@@ -18,9 +18,12 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from multidict import CIMultiDictProxy
 
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import Address
 from nutmegroad.relay.headers import RawHeaders
 
+_LOG: Final = part_logger('connections')
+
 #: Bytes of an answer that wait for a slow caller before reading stops.
 BUFFERED: Final = 65_536
 
@@ -111,8 +114,6 @@
         self.idle_since: float = 0
         #: Seconds for which the upstream keeps it idle; 0 if not said.
         self.keeps_idle: float = 0
-        #: Answers that belonged to no request of ours.
-        self.strays = 0
 
     @property
     def reusable(self) -> bool:
@@ -132,7 +133,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse what came; what nobody asked for spoils the connection."""
         if self._parser is None or (data and self.finished):
-            self.strays += 1
+            _LOG.decision('stray bytes dropped', size=len(data))
             self.abort()
             return
         try:
@@ -202,7 +203,7 @@
             return
         answer = self._answer
         if answer is None or answer.done() or not self._is_ours(message):
-            self.strays += 1
+            _LOG.decision('stray answer dropped', status=message.code)
             self._keep = False
             return
         self._body = payload
--- a/src/nutmegroad/relay/deployment.py
+++ b/src/nutmegroad/relay/deployment.py
@@ -61,8 +61,6 @@
             caller names one.
         anonymous: Whether a request needs no key.
         resumable: Whether a stream may go on at another upstream.
-        session_affinity: Whether its requests carry prompts whose parts
-            upstreams keep.
         longest_pause: Seconds between two events of a stream.
     """
 
@@ -78,7 +76,6 @@
     models: tuple[ModelName, ...] = ()
     anonymous: bool = False
     resumable: bool = False
-    session_affinity: bool = False
     longest_pause: float = 0
 
     @property
@@ -94,41 +91,17 @@
         return self.kind is RequestKind.IDEMPOTENT
 
 
-@dataclass(frozen=True, slots=True)
-class ModelPrice:
-    """What the use of a model costs.
-
-    Attributes:
-        name: The model.
-        cost: Price of 1,000 generated tokens; a token read is a quarter.
-    """
-
-    name: ModelName
-    cost: float
-
-
 @dataclass(frozen=True, slots=True)
 class EngineFacts:
     """What is known of the engines of a service.
 
     Attributes:
-        slots: Requests that one engine runs at once.
         memory: Tokens that its cache holds.
         event_tokens: Tokens in an event of a stream.
-        models: Its models with their prices, in the operator's order.
     """
 
-    slots: int
     memory: int
     event_tokens: int
-    models: tuple[ModelPrice, ...] = ()
-
-    def cost(self, model: ModelName) -> float:
-        """Return a model's price, 0 if it has none."""
-        for entry in self.models:
-            if entry.name == model:
-                return entry.cost
-        return 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,12 +110,10 @@
 
     Attributes:
         name: The operator's name for it.
-        connections: Connections that one upstream takes from all hosts.
         engine: What its engines are like; None for a plain service.
     """
 
     name: ServiceName
-    connections: int
     engine: EngineFacts | None = None
 
 
@@ -153,12 +124,10 @@
     Attributes:
         header_bytes: Size of all headers.
         body_bytes: Size of a body.
-        idle: Seconds that a connection may be idle.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
-    idle: float = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,7 +178,7 @@
     def service_of(self, name: ServiceName) -> Service:
         """Return a service; one that is not configured has no facts."""
         found = self.services.get(name)
-        return Service(name, 0) if found is None else found
+        return Service(name) if found is None else found
 
     @cached_property
     def _by_host(self) -> Mapping[str, tuple[Route, ...]]:
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -174,6 +174,14 @@
             **fields,
         )
 
+    def refuse_cut(self) -> Refusal:
+        """Return the refusal of a request whose answer broke off."""
+        return Refusal(
+            ResultCode.ANSWER_CUT,
+            'The answer broke off, and the request may not run again.',
+            Ran.RAN,
+        )
+
     def refuse_late(self) -> Refusal:
         """Return the refusal of a request whose time is over."""
         return self._refuse(
--- a/src/nutmegroad/relay/headers.py
+++ b/src/nutmegroad/relay/headers.py
@@ -38,7 +38,6 @@
         request_id: Names one request of a caller.
         deadline: Milliseconds that the caller will wait.
         expected_upstream: Id of the only upstream that may run it.
-        upstream_id: Id of the upstream that answers.
         workspace: Name of the caller's workspace, for the upstream.
         signature: An upstream's proof that an answer is its own.
         not_run: Proof of an upstream that it did not run a request.
@@ -56,7 +55,6 @@
     request_id: str
     deadline: str
     expected_upstream: str
-    upstream_id: str
     workspace: str
     signature: str
     not_run: str
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -24,6 +24,10 @@
 #: rounds of a loaded event loop.
 SETTLE: Final = 0.05
 
+#: Bytes that a line, or one header, may have before it is known whose it is;
+#: twice what operators allow for all of a request's headers.
+HEADER_BYTES: Final = 32_768
+
 #: Connections that may wait to be taken while the event loop is busy.
 BACKLOG: Final = 1024
 
@@ -139,17 +143,6 @@
 Answer = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-@dataclass(frozen=True, slots=True)
-class ListenerLimits:
-    """Bounds on what is read of a request.
-
-    Attributes:
-        header_bytes: Size of all headers, and of each.
-    """
-
-    header_bytes: int = 32_768
-
-
 @dataclass(frozen=True, slots=True)
 class Listening:
     """A listener and what serves its connections.
@@ -185,7 +178,7 @@
                 connection.transport.resume_reading()
 
 
-def make_server(answer: Answer, limits: ListenerLimits) -> web.Server:
+def make_server(answer: Answer) -> web.Server:
     """Return a server whose handlers end when their caller leaves."""
     return web.Server(
         answer,
@@ -193,8 +186,8 @@
         access_log=None,
         keepalive_timeout=KEPT_IDLE,
         auto_decompress=False,
-        max_line_size=limits.header_bytes,
-        max_field_size=limits.header_bytes,
+        max_line_size=HEADER_BYTES,
+        max_field_size=HEADER_BYTES,
         lingering_time=1.0,
     )
 
@@ -230,7 +223,7 @@
 
     async def open(self, address: Address, answer: Answer) -> Listening:
         """Listen at an address."""
-        server = make_server(answer, ListenerLimits())
+        server = make_server(answer)
         loop = asyncio.get_running_loop()
         bound = self._bound.get(str(address))
         if bound is None:
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -4,8 +4,7 @@
 from typing import Final
 
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.results import Refusal, ResultCode
-from nutmegroad.foundations.types import Ran
+from nutmegroad.foundations.results import Refusal
 from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
 from nutmegroad.relay.connections import ConnectionFailedError, ResponseHead
 from nutmegroad.relay.execution import Execution
@@ -49,7 +48,7 @@
             failure = answer
         if not sound and execution.may_repeat():
             continue
-        await _end(execution, reply, failure, _cut())
+        await _end(execution, reply, failure, execution.refuse_cut())
         return
 
 
@@ -100,12 +99,3 @@
         waited=round(execution.waited, 3),
     )
     await deliver(reply, answer)
-
-
-def _cut() -> Refusal:
-    """Return the refusal of a call whose answer was cut."""
-    return Refusal(
-        ResultCode.ANSWER_CUT,
-        'The answer of the upstream was cut.',
-        Ran.RAN,
-    )
--- a/src/nutmegroad/relay/pools.py
+++ b/src/nutmegroad/relay/pools.py
@@ -33,8 +33,6 @@
         self._idle: dict[UpstreamId, list[UpstreamConnection]] = defaultdict(
             list,
         )
-        #: Connections opened since the start.
-        self.opened = 0
 
     def take(
         self,
@@ -67,7 +65,6 @@
         Raises:
             ConnectionFailedError: If it can't be had in time.
         """
-        self.opened += 1
         return await connect(address, timeout)
 
     def give_back(
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -11,8 +11,8 @@
 from typing import Final
 
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.results import Refusal, ResultCode
-from nutmegroad.foundations.types import ModelName, Ran
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import ModelName
 from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError
@@ -106,7 +106,7 @@
             if end in (RunEnd.UNSURE, RunEnd.STALLED):
                 continue
             if not self._execution.may_repeat():
-                await self._give_up(_cut())
+                await self._give_up(self._execution.refuse_cut())
                 return
 
     async def _follow(self, answering: Answering) -> RunEnd:
@@ -271,12 +271,3 @@
             events=self._progress.events,
             waited=round(self._execution.waited, 3),
         )
-
-
-def _cut() -> Refusal:
-    """Return the refusal of a stream that broke."""
-    return Refusal(
-        ResultCode.ANSWER_CUT,
-        'The stream broke and may not be resumed.',
-        Ran.RAN,
-    )
--- a/src/nutmegroad/relay/upstreams.py
+++ b/src/nutmegroad/relay/upstreams.py
@@ -5,7 +5,7 @@
 host has sent where, and how that went, it knows itself.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final, NewType
 
@@ -14,7 +14,6 @@
 from nutmegroad.foundations.types import (
     Address,
     DomainId,
-    ModelName,
     ServiceName,
     UpstreamId,
 )
@@ -38,7 +37,6 @@
         version: Version of its software.
         slots: Requests that it runs at once.
         leaving: Whether it takes no new work soon.
-        models: Version of the weights of each model that it has loaded.
     """
 
     upstream: UpstreamId
@@ -48,7 +46,6 @@
     version: SoftwareVersion
     slots: int
     leaving: bool = False
-    models: Mapping[ModelName, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -58,13 +55,11 @@
     Attributes:
         entry: What the list says.
         health: What own exchanges say.
-        known_since: Clock seconds since which it is known.
         missing_until: Clock seconds until which it may be missing from the
             list; None if the list has it.
     """
 
     entry: UpstreamEntry
-    known_since: float
     health: Health = field(default_factory=Health)
     missing_until: float | None = None
 
@@ -105,7 +100,7 @@
         known = self._known.get(entry.upstream)
         if known is None:
             self._replace_at(entry)
-            self._known[entry.upstream] = Upstream(entry, self._clock.now())
+            self._known[entry.upstream] = Upstream(entry)
             self._say('taken in', entry)
         else:
             if entry.leaving and not known.entry.leaving:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,7 +1,6 @@
 """Whatever comes in, a listener goes on serving, and nothing is unhandled."""
 
 import asyncio
-import json
 import logging
 import random
 import unittest
@@ -14,9 +13,7 @@
 from experiments.deployment import operator_token
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from msgspec import inspect
 
-from nutmegroad.contracts.peers import Message
 from nutmegroad.foundations.types import (
     Address,
     DomainId,
@@ -33,6 +30,15 @@
 )
 from nutmegroad.membership._wire import as_plain
 from nutmegroad.operators.operator_requests import ExplainQuestion
+from tests.fuzz_inputs import (
+    CALLER_PATHS,
+    CHAT,
+    OPERATOR_PATHS,
+    ORDER,
+    WIRE,
+    frames,
+    requests,
+)
 from tests.hosts import KEY, WholeHost, fast_engine
 
 LIMIT: Final = 20
@@ -45,187 +51,6 @@
 )
 CLUSTER_KEY: Final = b'a-cluster-key-for-tests'
 
-NUMBERS: Final = st.integers() | st.floats() | st.integers().map(lambda n: n**9)
-JSON: Final = st.recursive(
-    st.none() | st.booleans() | NUMBERS | st.text(max_size=20),
-    lambda inner: (
-        st.lists(inner, max_size=4)
-        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
-    ),
-    max_leaves=12,
-)
-CHAT: Final = ('model', 'messages', 'stream', 'max_tokens', 'stop', 'user')
-ORDER: Final = ('preset', 'expected', 'text', 'version', 'action', 'fields')
-LATIN: Final = st.text(
-    st.characters(max_codepoint=255, exclude_characters='\r\n\0'),
-    max_size=60,
-)
-HEADERS: Final = st.dictionaries(
-    st.sampled_from(
-        (
-            'Idempotency-Key',
-            'Nutmegroad-Session',
-            'Nutmegroad-Deadline-Ms',
-            'Nutmegroad-Priority',
-            'Nutmegroad-Ticket',
-            'Content-Type',
-            'Content-Encoding',
-            'Transfer-Encoding',
-            'Expect',
-            'Upgrade',
-            'Connection',
-        ),
-    ),
-    LATIN,
-    max_size=3,
-)
-CALLER_PATHS: Final = (
-    '/v1/chat/completions',
-    '/v1/models',
-    '/v1/tickets',
-    '/v1/services/licence-portal/status/1',
-)
-OPERATOR_PATHS: Final = (
-    '/operators/configuration',
-    '/operators/configuration/diff',
-    '/operators/configuration/progress?revision=x',
-    '/operators/preset',
-    '/operators/withdrawals',
-    '/operators/rollouts',
-    '/operators/prepared',
-    '/operators/workspaces/head-office',
-    '/operators/hosts/h9/drain',
-    '/operators/requests/h9.1-1',
-    '/metrics',
-)
-
-
-def bodies(names: tuple[str, ...]) -> st.SearchStrategy[bytes]:
-    """Return bodies that are nearly what a route wants, or nothing like."""
-    keys = st.sampled_from(names) | st.text()
-    near = st.dictionaries(keys, JSON, max_size=4)
-    return (near | JSON).map(lambda body: json.dumps(body).encode()) | (
-        st.binary(max_size=200)
-    )
-
-
-@st.composite
-def requests(
-    draw: Any,
-    paths: tuple[str, ...],
-    names: tuple[str, ...],
-    secret: str,
-) -> bytes:
-    """Return bytes that are more or less an HTTP request."""
-    if draw(st.integers(0, 4)) == 0:
-        return bytes(draw(st.binary(max_size=300)))
-    body = draw(bodies(names))
-    method = draw(st.sampled_from(('POST', 'GET', 'PUT', 'DELETE', 'x')))
-    path = draw(st.sampled_from(paths) | LATIN)
-    lines = [f'{method} {path} HTTP/1.1', 'Host: h', 'Connection: close']
-    lines.append(f'Authorization: Bearer {draw(st.just(secret) | LATIN)}')
-    lines.extend(f'{name}: {text}' for name, text in draw(HEADERS).items())
-    length = draw(st.just(len(body)) | st.integers(-1, 10**9))
-    lines.append(f'Content-Length: {length}')
-    sent = '\r\n'.join((*lines, '', '')).encode('latin-1') + body
-    cut = draw(st.just(len(sent)) | st.integers(0, len(sent)))
-    return bytes(sent[:cut])
-
-
-def _kinds(kind: type[Message]) -> list[type[Message]]:
-    found = [kind]
-    for inner in kind.__subclasses__():
-        found.extend(_kinds(inner))
-    return found
-
-
-@st.composite
-def frames(draw: Any) -> bytes:
-    """Return bytes that are more or less a frame of a linked host."""
-    choice = draw(st.integers(0, 4))
-    if choice == 0:
-        return bytes(draw(st.binary(max_size=200)))
-    if choice == 1:
-        # An array, map, text or binary that announces far too much.
-        kind = draw(st.sampled_from((b'\xdd', b'\xdf', b'\xdb', b'\xc6')))
-        return bytes(kind + b'\xff\xff\xff\xff' + draw(st.binary(max_size=9)))
-    kinds = _kinds(Message)
-    kind = draw(st.sampled_from(sorted(kinds, key=lambda one: one.__name__)))
-    body = draw(content_of(inspect.type_info(kind)) | WIRE)
-    frame = draw(st.sampled_from(list(FrameKind)))
-    sent = pack_frame(frame, draw(st.integers(0, 2**40)), body)
-    cut = draw(st.just(len(sent)) | st.integers(0, len(sent)))
-    return bytes(sent[:cut])
-
-
-WIRE: Final = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers(-(2**63), 2**63)
-    | st.floats()
-    | st.text(max_size=10)
-    | st.binary(max_size=10),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
-    ),
-    max_leaves=8,
-)
-
-
-def content_of(kind: inspect.Type) -> st.SearchStrategy[Any]:
-    """Return plain data of a type, now and then with something wrong."""
-    plain = _plain(kind)
-    return st.integers(0, 30).flatmap(lambda one: plain if one else WIRE)
-
-
-def _plain(kind: inspect.Type) -> st.SearchStrategy[Any]:
-    """Return plain data that a type takes."""
-    match kind:
-        case inspect.StructType(fields=fields):
-            return _struct(kind, [content_of(one.type) for one in fields])
-        case inspect.VarTupleType() | inspect.ListType():
-            return st.lists(content_of(kind.item_type), max_size=3)
-        case inspect.TupleType():
-            return st.tuples(*map(content_of, kind.item_types))
-        case inspect.DictType():
-            keys = content_of(kind.key_type).filter(lambda key: key.__hash__)
-            return st.dictionaries(
-                keys, content_of(kind.value_type), max_size=3
-            )
-        case inspect.UnionType():
-            return st.one_of(*map(_plain, kind.types))
-        case inspect.EnumType():
-            return st.sampled_from([one.value for one in kind.cls])
-    return SCALARS.get(type(kind), WIRE)
-
-
-def _struct(
-    kind: inspect.StructType,
-    fields: list[st.SearchStrategy[Any]],
-) -> st.SearchStrategy[Any]:
-    """Return a struct as it travels: as an array, or as a map."""
-    if kind.array_like:
-        return st.tuples(*fields)
-    names = [one.encode_name for one in kind.fields]
-    plain = st.fixed_dictionaries(dict(zip(names, fields, strict=True)))
-    if kind.tag is None:
-        return plain
-    return plain.map(lambda body: {kind.tag_field: kind.tag, **body})
-
-
-TEXTS: Final = st.text(max_size=5) | st.sampled_from(
-    ('h1', 'h9', 'shah-alam', 'petaling', 'brief-small@2', 'checklist-tag'),
-)
-SCALARS: Final = {
-    inspect.IntType: st.integers(-1, 9) | st.integers(-(2**63), 2**64 - 1),
-    inspect.FloatType: st.floats(0, 9) | st.floats(),
-    inspect.BoolType: st.booleans(),
-    inspect.StrType: TEXTS,
-    inspect.BytesType: st.binary(max_size=20),
-    inspect.NoneType: st.none(),
-}
-
 
 class Unhandled(logging.Handler):
     """Collects errors that are logged, and what the loop did not handle."""
--- a/tests/test_relay_selection.py
+++ b/tests/test_relay_selection.py
@@ -94,9 +94,9 @@
             self.ledger,
         )
         self.upstreams = [
-            Upstream(an_entry('a'), 0),
-            Upstream(an_entry('b'), 0),
-            Upstream(an_entry('far', domain=DomainId('south')), 0),
+            Upstream(an_entry('a')),
+            Upstream(an_entry('b')),
+            Upstream(an_entry('far', domain=DomainId('south'))),
         ]
 
     def chosen(self, tried: tuple[str, ...] = ()) -> str:
