Set the store's clock by answers that were not held back

Cause, found by reading: a host that follows another sets its clock by a call of its own each minute. It asks without waiting now. The test fails without it (60, not 0).

--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -210,7 +210,7 @@
 
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
-        empty = not self._ledger.own and not self._marks.ages()
+        empty = not self._ledger.own and not self._marks.any_alive
         if self._transport is None or (self._silent and empty):
             return
         self._silent = empty
--- a/src/nutmegroad/fleet/session_marks.py
+++ b/src/nutmegroad/fleet/session_marks.py
@@ -38,6 +38,11 @@
         span: Seconds after which requests don't belong together any more.
     """
 
+    @property
+    def any_alive(self) -> bool:
+        """Tell whether any session is known that was alive at the last turn."""
+        return bool(self._seen)
+
     def __init__(self, clock: Clock, span: float) -> None:
         self._clock = clock
         self._span = span
--- a/src/nutmegroad/fleet/shared_store.py
+++ b/src/nutmegroad/fleet/shared_store.py
@@ -78,12 +78,13 @@
         wait: float,
     ) -> RowsRead | HistoryLost | Refusal:
         """Return what has changed, or wait so many seconds for a change."""
-        if self._link.serves(table) and self._store_clock.age < RESYNC:
-            told = await self._link.changes(table, after, wait)
+        if self._link.serves(table):
+            told = await self._changes_told(table, after, wait)
             if told is not None:
                 self._tell(table, after, told)
                 return told
-            # Something was missed: it is there to be read.
+            # What was missed is there to be read; and only an answer that
+            # was not held back shows what time it is at the store.
             wait = 0
         elif self._server.followed:
             wait *= READER_PART
@@ -112,6 +113,17 @@
         """Write all rows if all expectations hold, else none."""
         return await self._store.commit(expected, puts)
 
+    async def _changes_told(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+    ) -> RowsRead | None:
+        """Return what another host tells, or None to ask the store."""
+        if self._store_clock.age > RESYNC:
+            return None
+        return await self._link.changes(table, after, wait)
+
     def _tell(self, table: str, base: int, read: RowsRead) -> None:
         """Tell those who follow this host what it has learnt."""
         self._server.tell(
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -45,12 +45,14 @@
         version: Its version; a row has the version that it was written at.
         away: Whether it answers nothing.
         calls: Calls that were made.
+        waits: Seconds that it was asked to wait, by call for changes.
     """
 
     def __init__(self) -> None:
         self.version = 1
         self.away = False
         self.calls = 0
+        self.waits: list[float] = []
 
     def read(self, after: int) -> RowsRead | Refusal:
         """Return what has changed since a version."""
@@ -74,6 +76,7 @@
         wait: float,
     ) -> RowsRead | HistoryLost | Refusal:
         """Return what has changed, at once."""
+        self.waits.append(wait)
         return self.read(after)
 
     async def commit(
@@ -217,6 +220,7 @@
         self.link = NewsLink(host, self.row, near, clock)
         store_clock = StoreClock(clock)
         store_clock.moment(clock.now(), 100)
+        self.store_clock = store_clock
         self.store = SharedStore(
             store,
             self.link,
@@ -334,6 +338,19 @@
         await resting
         self.assertTrue(follower.link.serves(TABLE))
 
+    async def test_clock_is_set_by_an_answer_that_was_not_held_back(
+        self,
+    ) -> None:
+        """Pattern: a calm table; each answer is held back for seconds.
+
+        Found by reading: a host whose clock was a minute old asked the store
+        to wait, learnt nothing from the answer, and followed nobody any more.
+        """
+        follower = await self.served()
+        follower.store_clock._found -= 100
+        await follower.store.changes(TABLE, 1, 60)
+        self.assertEqual(self.platform.waits[-1], 0)
+
     async def test_fast_links_read_for_the_others(self) -> None:
         """Pattern: links of 5 and of 100 Mbit/s in one failure domain."""
         near = {
