Let tests of stores share one that is away

Three stand-ins of a store wrote the same refusals; one does, and the others change what they are about.

--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -3,7 +3,16 @@
 import json
 from typing import Any
 
-from nutmegroad.fleet.stored import StoredRow
+from nutmegroad.fleet.stored import (
+    Committed,
+    HistoryLost,
+    RowExpected,
+    RowPut,
+    RowsMoved,
+    RowsRead,
+    StoredRow,
+)
+from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Address,
     DomainId,
@@ -36,6 +45,7 @@
 ENGINES = ServiceName('engines')
 SMALL, LARGE = ModelName('small'), ModelName('large')
 KEY = PaceKey(ENGINES, SMALL)
+AWAY = Refusal(ResultCode.TABLE_UNAVAILABLE, 'away')
 
 
 def a_route(**more: Any) -> Route:
@@ -103,3 +113,28 @@
     """Return a worker's row."""
     entry = {'service': 's', 'address': f'{name}:1', 'zone': 'north', **more}
     return StoredRow(name, json.dumps(entry).encode(), version)
+
+
+class AwayStore:
+    """A store that is never there."""
+
+    async def snapshot(self, table: str) -> RowsRead | Refusal:
+        """Refuse."""
+        return AWAY
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+    ) -> RowsRead | HistoryLost | Refusal:
+        """Refuse."""
+        return AWAY
+
+    async def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        puts: tuple[RowPut, ...],
+    ) -> Committed | RowsMoved | Refusal:
+        """Refuse."""
+        return AWAY
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -20,25 +20,21 @@
 from nutmegroad.fleet.shared_store import SharedStore
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.stored import (
-    Committed,
     HistoryLost,
-    RowExpected,
-    RowPut,
-    RowsMoved,
     RowsRead,
     StoredRow,
 )
 from nutmegroad.foundations.clocks import BootClock
-from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import Address, HostId
 from nutmegroad.testing.virtual import ManualClock
 from tests.relay_rig import free_port
+from tests.relay_samples import AWAY, AwayStore
 
 TABLE = 'op'
-AWAY = Refusal(ResultCode.TABLE_UNAVAILABLE, 'away')
 
 
-class CountingStore:
+class CountingStore(AwayStore):
     """A store with one table, whose calls are counted.
 
     Attributes:
@@ -79,15 +75,6 @@
         self.waits.append(wait)
         return self.read(after)
 
-    async def commit(
-        self,
-        expected: tuple[RowExpected, ...],
-        puts: tuple[RowPut, ...],
-    ) -> Committed | RowsMoved | Refusal:
-        """Count a write."""
-        self.calls += 1
-        return Committed(self.version, 0)
-
 
 class FramesTest(unittest.IsolatedAsyncioTestCase):
     """What goes over a link."""
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -8,15 +8,6 @@
 from nutmegroad.fleet.loads import LoadLedger
 from nutmegroad.fleet.neighbours import HostRow, Neighbours, Told
 from nutmegroad.fleet.session_marks import SessionMarks
-from nutmegroad.fleet.stored import (
-    Committed,
-    HistoryLost,
-    RowExpected,
-    RowPut,
-    RowsMoved,
-    RowsRead,
-)
-from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     HostId,
 )
@@ -31,7 +22,7 @@
 )
 from nutmegroad.relay.versions import RolloutGate, RolloutState
 from nutmegroad.testing.virtual import ManualClock
-from tests.relay_samples import ENGINES, a_request, an_entry
+from tests.relay_samples import ENGINES, AwayStore, a_request, an_entry
 
 
 class EvidenceTest(unittest.TestCase):
@@ -111,32 +102,7 @@
 ) -> Neighbours:
     """Return a host that tells and hears what a book has."""
     told = Told(LoadLedger(clock), SessionMarks(clock, 5), book)
-    return Neighbours(HostId(name), own, told, NoStore(), clock)
-
-
-class NoStore:
-    """A store that is never there."""
-
-    async def snapshot(self, table: str) -> RowsRead | Refusal:
-        """Refuse."""
-        return Refusal(ResultCode.TABLE_UNAVAILABLE, '.')
-
-    async def changes(
-        self,
-        table: str,
-        after: int,
-        wait: float,
-    ) -> RowsRead | HistoryLost | Refusal:
-        """Refuse."""
-        return Refusal(ResultCode.TABLE_UNAVAILABLE, '.')
-
-    async def commit(
-        self,
-        expected: tuple[RowExpected, ...],
-        puts: tuple[RowPut, ...],
-    ) -> Committed | RowsMoved | Refusal:
-        """Refuse."""
-        return Refusal(ResultCode.TABLE_UNAVAILABLE, '.')
+    return Neighbours(HostId(name), own, told, AwayStore(), clock)
 
 
 class RolloutTest(unittest.TestCase):
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -6,11 +6,7 @@
 from nutmegroad.fleet.followers import FeedPace, TableFollower
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.stored import (
-    Committed,
     HistoryLost,
-    RowExpected,
-    RowPut,
-    RowsMoved,
     RowsRead,
     StoredRow,
 )
@@ -25,10 +21,10 @@
 from nutmegroad.relay.upstreams import Directory
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad_platform.rows import Rows
-from tests.relay_samples import entry_row
+from tests.relay_samples import AwayStore, entry_row
 
 
-class ScriptedStore:
+class ScriptedStore(AwayStore):
     """Gives prepared answers to a follower's questions."""
 
     def __init__(self, *answers: object) -> None:
@@ -52,14 +48,6 @@
         self.waits.append(wait)
         return self.answers.pop(0)  # type: ignore[return-value]
 
-    async def commit(
-        self,
-        expected: tuple[RowExpected, ...],
-        puts: tuple[RowPut, ...],
-    ) -> Committed | RowsMoved | Refusal:
-        """Refuse."""
-        return Refusal(ResultCode.TABLE_UNAVAILABLE, '.')
-
 
 class Recorder:
     """A sink that remembers what it was told."""
