Split the relay's rooms: routes, upstreams, canary, escalation

Cause: `relay` had 36 modules in which the request's way, what a host believes of upstreams, the choice of models and roll-outs were mixed, so that a newcomer could not find from the listing where each is decided, and the next subsystem (what an engine holds) would have made it worse.

What moved: shared vocabulary to `routes`, beliefs and selection to `upstreams`, roll-outs to `canary` (`versions` is now `state` and `gate`), the choice of models to `escalation` (`confidence`, `headroom`, `decisions`). Words of the author became the field's: opinion and doubt are confidence, `Kept` is `NotEscalated`, `room` is headroom, `KeptPrefixes` is `PrefixCache`; the log line `doubt kept` is `not escalated`.

Mechanical: no behaviour changed, no assertion changed. Ruled out: a room for each of the 36 modules' nouns, since most change together.

--- /dev/null
+++ b/src/nutmegroad/canary/__init__.py
@@ -0,0 +1,1 @@
+"""Canary releases: which version of a service gets which requests."""
--- a/src/nutmegroad/relay/versions.py
+++ b/src/nutmegroad/canary/gate.py
@@ -5,23 +5,23 @@
 host has yet to hear.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Final
 
 from xxhash import xxh3_64_intdigest
 
-from nutmegroad.fleet.evidence import Evidence
-from nutmegroad.fleet.evidence_book import EvidenceBook
+from nutmegroad.canary.rollouts import Rollout, RolloutOrder, Stage
+from nutmegroad.canary.sessions import SessionVersions
+from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.session_marks import SessionMarks, mark
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.types import HostId, ServiceName
-from nutmegroad.relay.requests import CallerRequest, SessionName
-from nutmegroad.relay.rollouts import Rollout, RolloutOrder, RolloutRow, Stage
-from nutmegroad.relay.session_versions import SessionVersions
-from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
-
-_LOG: Final = part_logger('rollouts')
+from nutmegroad.foundations.types import ServiceName
+from nutmegroad.routes.requests import CallerRequest, SessionName
+from nutmegroad.upstreams.directory import (
+    Directory,
+    SoftwareVersion,
+    Upstream,
+)
 
 #: Bits of the hash function's values, and how many values there are.
 _HASH_BITS: Final = 64
@@ -31,153 +31,6 @@
 SESSIONS_STAY: Final = 0.5
 
 
-class RolloutState:
-    """All roll-outs that a host knows, and the evidence on them.
-
-    Args:
-        host: This host.
-        trial: Share of the traffic that a new version gets on trial.
-        store_time: Returns the present seconds of the store's clock.
-        book: What all hosts have seen.
-    """
-
-    def __init__(
-        self,
-        host: HostId,
-        trial: float,
-        store_time: Callable[[], float],
-        book: EvidenceBook,
-    ) -> None:
-        self.host = host
-        self.trial = trial
-        self.store_time = store_time
-        self._book = book
-        self._rollouts: dict[ServiceName, Rollout] = {}
-        self._rows: dict[ServiceName, tuple[RolloutRow, int]] = {}
-        self._halted: set[int] = set()
-        self._told_of_orders: list[Callable[[RolloutOrder], None]] = []
-
-    @property
-    def active(self) -> tuple[Rollout, ...]:
-        """Return the roll-outs that have not ended."""
-        return tuple(
-            rollout
-            for rollout in self._rollouts.values()
-            if rollout.stage is None or not rollout.stage.ended
-        )
-
-    def rollout(self, service: ServiceName) -> Rollout | None:
-        """Return a service's last roll-out, or None."""
-        return self._rollouts.get(service)
-
-    def order(self, order: RolloutOrder) -> None:
-        """Take an order in, unless a later one is known."""
-        known = self._rollouts.get(order.service)
-        if known is not None and known.order.number >= order.number:
-            return
-        _LOG.decision(
-            'roll-out ordered',
-            service=order.service,
-            version=order.to,
-            duration=order.duration,
-            number=order.number,
-        )
-        row, version = self._rows.get(order.service, (None, 0))
-        self._rollouts[order.service] = Rollout(order, row, version)
-        for tell in self._told_of_orders:
-            tell(order)
-
-    def tell_of_orders(self, tell: Callable[[RolloutOrder], None]) -> None:
-        """Let somebody hear of each order that is taken in."""
-        self._told_of_orders.append(tell)
-
-    def progress(
-        self,
-        service: ServiceName,
-        row: RolloutRow,
-        version: int,
-    ) -> None:
-        """Take in how far the hosts have come."""
-        self._rows[service] = (row, version)
-        known = self._rollouts.get(service)
-        if known is None or known.version >= version:
-            return
-        _LOG.decision(
-            'roll-out stage',
-            service=service,
-            order=row.order,
-            stage=row.stage,
-            why=row.why,
-            row_version=version,
-        )
-        changed = Rollout(known.order, row, version)
-        self._rollouts[service] = changed
-        if changed.stage is not None and changed.stage.ended:
-            self._book.end(service)
-
-    def told(
-        self,
-        service: ServiceName,
-        host: HostId,
-        evidence: Evidence,
-    ) -> None:
-        """Take in what another host has seen."""
-        if host != self.host:
-            self._book.told(service, host, evidence)
-
-    def observe(
-        self,
-        service: ServiceName,
-        version: SoftwareVersion,
-        *,
-        poor: bool,
-    ) -> None:
-        """Count an answer, if a roll-out of its service is under way."""
-        rollout = self._rollouts.get(service)
-        if rollout is None or rollout.stage is None or rollout.stage.ended:
-            return
-        of_new = version == rollout.order.to
-        number = rollout.order.number
-        self._book.count(service, number, of_new=of_new, poor=poor)
-        if of_new and poor:
-            self._reconsider(rollout)
-
-    def own(self, rollout: Rollout) -> Evidence:
-        """Return what this host has seen of a roll-out."""
-        return self._book.own(rollout.order.service, rollout.order.number)
-
-    def evidence(self, rollout: Rollout) -> Evidence:
-        """Return what all hosts have seen, as far as this one knows."""
-        return self._book.total(rollout.order.service, rollout.order.number)
-
-    def halted(self, rollout: Rollout) -> bool:
-        """Tell whether this host sends the new version nothing any more."""
-        if rollout.stage is Stage.ROLLED_BACK:
-            return True
-        if rollout.stage is Stage.SUCCEEDED:
-            return False
-        if rollout.order.number in self._halted:
-            return True
-        return self._reconsider(rollout)
-
-    def _reconsider(self, rollout: Rollout) -> bool:
-        """Halt a roll-out if its evidence speaks against it."""
-        evidence = self.evidence(rollout)
-        if not evidence.is_bad():
-            return False
-        self._halted.add(rollout.order.number)
-        _LOG.decision(
-            'roll-out halted here',
-            service=rollout.order.service,
-            version=rollout.order.to,
-            new=evidence.new,
-            new_poor=evidence.new_poor,
-            old=evidence.old,
-            old_poor=evidence.old_poor,
-        )
-        return True
-
-
 class RolloutGate:
     """Says which upstreams may run a request.
 
--- a/src/nutmegroad/relay/rollouts.py
+++ b/src/nutmegroad/canary/rollouts.py
@@ -13,7 +13,7 @@
 from msgspec import Struct
 
 from nutmegroad.foundations.types import ServiceName
-from nutmegroad.relay.upstreams import SoftwareVersion
+from nutmegroad.upstreams.directory import SoftwareVersion
 
 #: Part of the operator's bound on exposure that the trial uses; the rest is
 #: for requests that hosts count unlike.
--- a/src/nutmegroad/relay/session_versions.py
+++ b/src/nutmegroad/canary/sessions.py
@@ -7,8 +7,8 @@
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import ServiceName
-from nutmegroad.relay.requests import SessionName
-from nutmegroad.relay.upstreams import SoftwareVersion
+from nutmegroad.routes.requests import SessionName
+from nutmegroad.upstreams.directory import SoftwareVersion
 
 #: Sessions that are remembered at most; at some 200 bytes each, 4 MB.
 MOST: Final = 20_000
--- /dev/null
+++ b/src/nutmegroad/canary/state.py
@@ -0,0 +1,179 @@
+"""All roll-outs that a host knows, and what was seen of them.
+
+The stages are rows of the platform's store; what hosts have seen they tell
+each other. A host halts a version on its own sum, store or not.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from nutmegroad.canary.rollouts import (
+    TRIAL_PART,
+    Rollout,
+    RolloutOrder,
+    RolloutRow,
+    Stage,
+)
+from nutmegroad.fleet.evidence import Evidence
+from nutmegroad.fleet.evidence_book import EvidenceBook
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import HostId, ServiceName
+from nutmegroad.upstreams.directory import SoftwareVersion
+
+_LOG: Final = part_logger('rollouts')
+
+
+class RolloutState:
+    """All roll-outs that a host knows, and the evidence on them.
+
+    Args:
+        host: This host.
+        trial: Share of the traffic that a new version gets on trial.
+        store_time: Returns the present seconds of the store's clock.
+        book: What all hosts have seen.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        trial: float,
+        store_time: Callable[[], float],
+        book: EvidenceBook,
+    ) -> None:
+        self.host = host
+        self.trial = trial
+        self.store_time = store_time
+        self._book = book
+        self._rollouts: dict[ServiceName, Rollout] = {}
+        self._rows: dict[ServiceName, tuple[RolloutRow, int]] = {}
+        self._halted: set[int] = set()
+        self._told_of_orders: list[Callable[[RolloutOrder], None]] = []
+
+    @property
+    def active(self) -> tuple[Rollout, ...]:
+        """Return the roll-outs that have not ended."""
+        return tuple(
+            rollout
+            for rollout in self._rollouts.values()
+            if rollout.stage is None or not rollout.stage.ended
+        )
+
+    def rollout(self, service: ServiceName) -> Rollout | None:
+        """Return a service's last roll-out, or None."""
+        return self._rollouts.get(service)
+
+    def order(self, order: RolloutOrder) -> None:
+        """Take an order in, unless a later one is known."""
+        known = self._rollouts.get(order.service)
+        if known is not None and known.order.number >= order.number:
+            return
+        _LOG.decision(
+            'roll-out ordered',
+            service=order.service,
+            version=order.to,
+            duration=order.duration,
+            number=order.number,
+        )
+        row, version = self._rows.get(order.service, (None, 0))
+        self._rollouts[order.service] = Rollout(order, row, version)
+        for tell in self._told_of_orders:
+            tell(order)
+
+    def tell_of_orders(self, tell: Callable[[RolloutOrder], None]) -> None:
+        """Let somebody hear of each order that is taken in."""
+        self._told_of_orders.append(tell)
+
+    def progress(
+        self,
+        service: ServiceName,
+        row: RolloutRow,
+        version: int,
+    ) -> None:
+        """Take in how far the hosts have come."""
+        self._rows[service] = (row, version)
+        known = self._rollouts.get(service)
+        if known is None or known.version >= version:
+            return
+        _LOG.decision(
+            'roll-out stage',
+            service=service,
+            order=row.order,
+            stage=row.stage,
+            why=row.why,
+            row_version=version,
+        )
+        changed = Rollout(known.order, row, version)
+        self._rollouts[service] = changed
+        if changed.stage is not None and changed.stage.ended:
+            self._book.end(service)
+
+    def told(
+        self,
+        service: ServiceName,
+        host: HostId,
+        evidence: Evidence,
+    ) -> None:
+        """Take in what another host has seen."""
+        if host != self.host:
+            self._book.told(service, host, evidence)
+
+    def observe(
+        self,
+        service: ServiceName,
+        version: SoftwareVersion,
+        *,
+        poor: bool,
+    ) -> None:
+        """Count an answer, if a roll-out of its service is under way."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.stage is None or rollout.stage.ended:
+            return
+        of_new = version == rollout.order.to
+        number = rollout.order.number
+        self._book.count(service, number, of_new=of_new, poor=poor)
+        if of_new and poor:
+            self._reconsider(rollout)
+
+    def own(self, rollout: Rollout) -> Evidence:
+        """Return what this host has seen of a roll-out."""
+        return self._book.own(rollout.order.service, rollout.order.number)
+
+    def evidence(self, rollout: Rollout) -> Evidence:
+        """Return what all hosts have seen, as far as this one knows."""
+        return self._book.total(rollout.order.service, rollout.order.number)
+
+    def halted(self, rollout: Rollout) -> bool:
+        """Tell whether this host sends the new version nothing any more."""
+        if rollout.stage is Stage.ROLLED_BACK:
+            return True
+        if rollout.stage is Stage.SUCCEEDED:
+            return False
+        if rollout.order.number in self._halted:
+            return True
+        return self._reconsider(rollout)
+
+    def _reconsider(self, rollout: Rollout) -> bool:
+        """Halt a roll-out if its evidence speaks against it."""
+        evidence = self.evidence(rollout)
+        if not evidence.is_bad():
+            return False
+        self._halted.add(rollout.order.number)
+        _LOG.decision(
+            'roll-out halted here',
+            service=rollout.order.service,
+            version=rollout.order.to,
+            new=evidence.new,
+            new_poor=evidence.new_poor,
+            old=evidence.old,
+            old_poor=evidence.old_poor,
+        )
+        return True
+
+
+def trial_share(exposure: float) -> float:
+    """Return the share of requests that a new version gets on trial.
+
+    Args:
+        exposure: The share that the operator allows a bad version.
+    """
+    return exposure * TRIAL_PART
--- a/src/nutmegroad/relay/rollout_steps.py
+++ b/src/nutmegroad/canary/steps.py
@@ -5,6 +5,15 @@
 
 import msgspec
 
+from nutmegroad.canary.rollouts import (
+    CLOSE_AT,
+    OPEN_AT,
+    Rollout,
+    RolloutOrder,
+    RolloutRow,
+    Stage,
+)
+from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.evidence import Evidence
 from nutmegroad.fleet.stored import (
     FLEET_TABLE,
@@ -17,15 +26,6 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import ServiceName
-from nutmegroad.relay.rollouts import (
-    CLOSE_AT,
-    OPEN_AT,
-    Rollout,
-    RolloutOrder,
-    RolloutRow,
-    Stage,
-)
-from nutmegroad.relay.versions import RolloutState
 
 _LOG: Final = part_logger('rollouts')
 
--- /dev/null
+++ b/src/nutmegroad/escalation/__init__.py
@@ -0,0 +1,1 @@
+"""Which model answers, and when a larger one is asked instead."""
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -22,11 +22,11 @@
     ResponseHead,
     UpstreamConnection,
 )
-from nutmegroad.relay.headers import HeaderNames
 from nutmegroad.relay.pools import ConnectionPool
-from nutmegroad.relay.requests import MILLISECONDS, CallerRequest
-from nutmegroad.relay.selection import Choice, Selector
-from nutmegroad.relay.upstreams import Upstream
+from nutmegroad.routes.headers import HeaderNames
+from nutmegroad.routes.requests import MILLISECONDS, CallerRequest
+from nutmegroad.upstreams.directory import Upstream
+from nutmegroad.upstreams.selection import Choice, Selector
 
 #: Seconds for a new connection: fifty times the slowest way within a region
 #: of today, and a lost first packet is better tried elsewhere.
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
+from nutmegroad.canary.steps import StatusWriter
 from nutmegroad.fleet.stored import Store
 from nutmegroad.foundations.types import Address, DomainId, HostId
 from nutmegroad.relay.counters import RelayCounters
-from nutmegroad.relay.headers import HeaderNames
-from nutmegroad.relay.rollout_steps import StatusWriter
 from nutmegroad.relay.tables import RowReader
+from nutmegroad.routes.headers import HeaderNames
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -20,7 +20,7 @@
 
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import Address
-from nutmegroad.relay.headers import RawHeaders
+from nutmegroad.routes.headers import RawHeaders
 
 _LOG: Final = part_logger('connections')
 
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -17,11 +17,11 @@
     AttemptPlan,
 )
 from nutmegroad.relay.budgets import Purpose
-from nutmegroad.relay.health import FIRST_PAUSE
 from nutmegroad.relay.outlook import Outlook
 from nutmegroad.relay.parts import RelayParts
-from nutmegroad.relay.requests import CallerRequest
-from nutmegroad.relay.selection import Choice
+from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.upstreams.health import FIRST_PAUSE
+from nutmegroad.upstreams.selection import Choice
 
 _LOG: Final = part_logger('relay')
 
--- a/src/nutmegroad/relay/fleet_table.py
+++ b/src/nutmegroad/relay/fleet_table.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
+from nutmegroad.canary.rollouts import RolloutRow
+from nutmegroad.canary.state import RolloutState
+from nutmegroad.canary.steps import EVIDENCE_KEY, STEP_KEY
 from nutmegroad.fleet.evidence import Evidence
 from nutmegroad.fleet.neighbours import HOST_KEY, HostRow, Neighbours
 from nutmegroad.fleet.stored import RowsRead, StoredRow
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import HostId, ServiceName
-from nutmegroad.relay.rollout_steps import EVIDENCE_KEY, STEP_KEY
-from nutmegroad.relay.rollouts import RolloutRow
-from nutmegroad.relay.versions import RolloutState
 
 _LOG: Final = part_logger('fleet')
 
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -6,6 +6,9 @@
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
+from nutmegroad.canary.gate import make_gate
+from nutmegroad.canary.state import RolloutState, trial_share
+from nutmegroad.canary.steps import RolloutSteps
 from nutmegroad.fleet.followers import TableFollower
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.fleet.neighbours import HostRow
@@ -14,23 +17,20 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.relay.attempts import Attempts
-from nutmegroad.relay.belief import ConfigurationBelief
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.budgets import RepeatBudget
-from nutmegroad.relay.deployment import NO_VERSION
 from nutmegroad.relay.fleet_table import FleetSink
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import BoundSockets, Listeners
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.pools import ConnectionPool
-from nutmegroad.relay.rollout_steps import RolloutSteps
-from nutmegroad.relay.rollouts import TRIAL_PART
-from nutmegroad.relay.selection import Selector
 from nutmegroad.relay.serving import Serving
 from nutmegroad.relay.status_pages import Beliefs, StatusPages, show_beliefs
 from nutmegroad.relay.tables import OperatorSink, UpstreamSink
-from nutmegroad.relay.upstreams import Directory
-from nutmegroad.relay.versions import RolloutState, make_gate
+from nutmegroad.routes.belief import ConfigurationBelief
+from nutmegroad.routes.deployment import NO_VERSION
+from nutmegroad.upstreams.directory import Directory
+from nutmegroad.upstreams.selection import Selector
 
 _LOG: Final = part_logger('host')
 
@@ -164,7 +164,7 @@
         self._settings = settings
         self._belief.trust_for(settings.key_trust)
         self._parts.budget.allow(settings.repeat_ratio, settings.repeat_window)
-        self._rollouts.trial = settings.exposure * TRIAL_PART
+        self._rollouts.trial = trial_share(settings.exposure)
         _LOG.decision(
             'settings reloaded',
             host=settings.host,
@@ -200,7 +200,7 @@
         )
         self._rollouts = RolloutState(
             settings.host,
-            settings.exposure * TRIAL_PART,
+            trial_share(settings.exposure),
             self._fleet.store_clock.now,
             self._fleet.told.book,
         )
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -8,11 +8,11 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId
-from nutmegroad.relay.belief import ConfigurationBelief
-from nutmegroad.relay.deployment import Route, RoutingTable, Workspace
-from nutmegroad.relay.headers import HeaderNames, forwarded
 from nutmegroad.relay.listener import raw_headers
-from nutmegroad.relay.requests import (
+from nutmegroad.routes.belief import ConfigurationBelief
+from nutmegroad.routes.deployment import Route, RoutingTable, Workspace
+from nutmegroad.routes.headers import HeaderNames, forwarded
+from nutmegroad.routes.requests import (
     CallerRequest,
     SessionName,
     read_generation,
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -13,8 +13,8 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import Address
-from nutmegroad.relay.headers import RawHeaders
 from nutmegroad.relay.refusals import CallerRefusal
+from nutmegroad.routes.headers import RawHeaders
 
 #: Seconds that an idle connection is kept at least; callers may use one
 #: that has been idle for most of the operator's limit, which can change.
--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -3,13 +3,13 @@
 from collections.abc import Collection
 from typing import Final
 
+from nutmegroad.escalation.headroom import Expectation
 from nutmegroad.foundations.types import ModelName, ServiceName, UpstreamId
 from nutmegroad.relay.attempts import Answering
-from nutmegroad.relay.escalation import Expectation
-from nutmegroad.relay.estimates import PaceKey
 from nutmegroad.relay.parts import RelayParts
-from nutmegroad.relay.requests import CallerRequest
-from nutmegroad.relay.selection import Asked, Choice
+from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.upstreams.estimates import PaceKey
+from nutmegroad.upstreams.selection import Asked, Choice
 
 #: Pace, against the usual, from which an answer speaks against its version.
 FAR_TOO_SLOW: Final = 4.0
--- a/src/nutmegroad/relay/parts.py
+++ b/src/nutmegroad/relay/parts.py
@@ -8,9 +8,9 @@
 from nutmegroad.relay.attempts import Attempts
 from nutmegroad.relay.budgets import RepeatBudget
 from nutmegroad.relay.counters import RelayCounters
-from nutmegroad.relay.requests import CallerRequest
-from nutmegroad.relay.selection import Selector
-from nutmegroad.relay.upstreams import Directory, SoftwareVersion, Upstream
+from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.upstreams.directory import Directory, SoftwareVersion, Upstream
+from nutmegroad.upstreams.selection import Selector
 
 
 class VersionGate(Protocol):
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -8,9 +8,9 @@
 from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
 from nutmegroad.relay.connections import ConnectionFailedError, ResponseHead
 from nutmegroad.relay.execution import Execution
-from nutmegroad.relay.headers import end_to_end
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
+from nutmegroad.routes.headers import end_to_end
 
 _LOG: Final = part_logger('relay')
 
--- a/src/nutmegroad/relay/replies.py
+++ b/src/nutmegroad/relay/replies.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
-from nutmegroad.relay.headers import RawHeaders
 from nutmegroad.relay.refusals import CallerRefusal
+from nutmegroad.routes.headers import RawHeaders
 
 
 class Reply(Protocol):
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -12,14 +12,14 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId, ServiceName
 from nutmegroad.relay.execution import Execution
-from nutmegroad.relay.headers import HeaderNames
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import HttpReply
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.plain import answer_plain
 from nutmegroad.relay.refusals import spell
-from nutmegroad.relay.requests import CallerRequest
 from nutmegroad.relay.streams import StreamAnswer
+from nutmegroad.routes.headers import HeaderNames
+from nutmegroad.routes.requests import CallerRequest
 
 _LOG: Final = part_logger('relay')
 
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -10,25 +10,25 @@
 from enum import Enum, unique
 from typing import Final
 
+from nutmegroad.escalation.confidence import read_unsure
+from nutmegroad.escalation.decisions import (
+    EscalationCase,
+    NotEscalated,
+    first_model,
+    larger_model,
+)
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import ModelName
 from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError
-from nutmegroad.relay.escalation import (
-    Kept,
-    Opinion,
-    first_model,
-    larger_model,
-    read_doubt,
-)
 from nutmegroad.relay.events import Event, WholeEvents
 from nutmegroad.relay.execution import Execution
-from nutmegroad.relay.headers import end_to_end
 from nutmegroad.relay.plain import WholeAnswer, deliver, read_whole
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
+from nutmegroad.routes.headers import end_to_end
 
 _LOG: Final = part_logger('relay')
 
@@ -72,7 +72,7 @@
     Args:
         execution: The request's attempts.
         reply: Its caller.
-        confidence: Name of the header with a model's opinion.
+        confidence: Name of the header with a model's confidence.
     """
 
     def __init__(
@@ -196,42 +196,42 @@
     def _escalates(self, answering: Answering) -> bool:
         """Drop an answer whose model is unsure, if a larger may be asked."""
         execution = self._execution
-        opinion = self._opinion(answering)
-        if self._reply.begun or opinion is None:
+        case = self._escalation_case(answering)
+        if self._reply.begun or case is None:
             return False
-        larger = larger_model(execution.request.route, opinion)
-        if not isinstance(larger, Kept) and not execution.may_repeat(
+        larger = larger_model(execution.request.route, case)
+        if not isinstance(larger, NotEscalated) and not execution.may_repeat(
             Purpose.ESCALATION,
         ):
-            larger = Kept.BUDGET
-        if isinstance(larger, Kept):
-            self._note_kept(opinion, larger)
+            larger = NotEscalated.BUDGET
+        if isinstance(larger, NotEscalated):
+            self._note_kept(case, larger)
             return False
         self._progress.model = larger
         return True
 
-    def _note_kept(self, opinion: Opinion, why: Kept) -> None:
-        """Log that an answer is kept though its model doubts it."""
+    def _note_kept(self, case: EscalationCase, why: NotEscalated) -> None:
+        """Log that the answer of an unsure model is kept."""
         _LOG.decision(
-            'doubt kept',
+            'not escalated',
             request=self._execution.request.request,
-            confidence=opinion.confidence,
+            confidence=case.confidence,
             why=why.value,
-            begins=round(opinion.expected.begins, 3),
-            whole=round(opinion.expected.whole, 3),
-            ahead=round(opinion.expected.ahead, 3),
-            crowd=round(opinion.expected.crowd, 2),
-            attempts_left=opinion.attempts_left,
-            left=round(opinion.left, 3),
+            begins=round(case.expected.begins, 3),
+            whole=round(case.expected.whole, 3),
+            ahead=round(case.expected.ahead, 3),
+            crowd=round(case.expected.crowd, 2),
+            attempts_left=case.attempts_left,
+            left=round(case.left, 3),
         )
 
-    def _opinion(self, answering: Answering) -> Opinion | None:
+    def _escalation_case(self, answering: Answering) -> EscalationCase | None:
         """Return what speaks for a larger model; None if nothing does."""
         execution = self._execution
         route = execution.request.route
         text = answering.head.headers.get(self._confidence)
-        doubt = read_doubt(route, answering.model, text)
-        if doubt is None:
+        confidence = read_unsure(route, answering.model, text)
+        if confidence is None:
             return None
         expected = execution.outlook.expectation(
             route.models[-1],
@@ -239,8 +239,8 @@
         )
         if expected is None:
             return None
-        return Opinion(
-            doubt,
+        return EscalationCase(
+            confidence,
             execution.waited,
             execution.attempts_left,
             expected,
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -3,15 +3,15 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
+from nutmegroad.canary.rollouts import RolloutOrder
+from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.stored import RowsRead, StoredRow
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import UpstreamId
-from nutmegroad.relay.belief import ConfigurationBelief
-from nutmegroad.relay.deployment import RoutingTable
-from nutmegroad.relay.rollouts import RolloutOrder
-from nutmegroad.relay.upstreams import Directory, UpstreamEntry
-from nutmegroad.relay.versions import RolloutState
+from nutmegroad.routes.belief import ConfigurationBelief
+from nutmegroad.routes.deployment import RoutingTable
+from nutmegroad.upstreams.directory import Directory, UpstreamEntry
 
 _LOG: Final = part_logger('tables')
 
--- a/src/nutmegroad/relay/belief.py
+++ b/src/nutmegroad/routes/belief.py
@@ -9,7 +9,7 @@
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.relay.deployment import NO_VERSION, RoutingTable
+from nutmegroad.routes.deployment import NO_VERSION, RoutingTable
 
 _LOG: Final = part_logger('configuration')
 
--- a/src/nutmegroad/relay/requests.py
+++ b/src/nutmegroad/routes/requests.py
@@ -5,8 +5,8 @@
 from typing import Final, NewType
 
 from nutmegroad.foundations.types import ModelName, RequestId
-from nutmegroad.relay.deployment import Route, RoutingTable, Workspace
-from nutmegroad.relay.headers import HeaderNames, RawHeaders
+from nutmegroad.routes.deployment import Route, RoutingTable, Workspace
+from nutmegroad.routes.headers import HeaderNames, RawHeaders
 
 #: Id of a part of a prompt, as it was written.
 PartId = NewType('PartId', str)
--- a/src/nutmegroad/relay/upstreams.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -17,7 +17,7 @@
     ServiceName,
     UpstreamId,
 )
-from nutmegroad.relay.health import Health
+from nutmegroad.upstreams.health import Health
 
 #: The version of an upstream's software, as the list writes it.
 SoftwareVersion = NewType('SoftwareVersion', str)
--- a/src/nutmegroad/relay/prefixes.py
+++ b/src/nutmegroad/upstreams/prefixes.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from nutmegroad.foundations.types import ModelName, UpstreamId
-from nutmegroad.relay.requests import PartId, PromptPart
+from nutmegroad.routes.requests import PartId, PromptPart
 
 #: Parts remembered for one upstream; more than its memory holds of them.
 MOST_PARTS: Final = 400
@@ -17,7 +17,7 @@
 _Kept = OrderedDict[tuple[ModelName | None, PartId], None]
 
 
-class KeptPrefixes:
+class PrefixCache:
     """Remembers which parts were sent where, the oldest forgotten first."""
 
     def __init__(self) -> None:
--- a/src/nutmegroad/relay/selection.py
+++ b/src/nutmegroad/upstreams/selection.py
@@ -22,11 +22,11 @@
     ServiceName,
     UpstreamId,
 )
-from nutmegroad.relay.deployment import EngineFacts
-from nutmegroad.relay.estimates import PaceKey, Paces
-from nutmegroad.relay.prefixes import KeptPrefixes
-from nutmegroad.relay.requests import CallerRequest, Generation
-from nutmegroad.relay.upstreams import Upstream
+from nutmegroad.routes.deployment import EngineFacts
+from nutmegroad.routes.requests import CallerRequest, Generation
+from nutmegroad.upstreams.directory import Upstream
+from nutmegroad.upstreams.estimates import PaceKey, Paces
+from nutmegroad.upstreams.prefixes import PrefixCache
 
 #: Part of the time to a request's target that an upstream in another failure
 #: domain counts as slower: bytes between domains are dear, a far answer that
@@ -133,7 +133,7 @@
         ledger: LoadLedger,
     ) -> None:
         self.paces = Paces()
-        self.prefixes = KeptPrefixes()
+        self.prefixes = PrefixCache()
         self.ledger = ledger
         self._clock = clock
         self._domain = domain
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -21,7 +21,7 @@
     ServiceName,
     UpstreamId,
 )
-from nutmegroad.relay.deployment import (
+from nutmegroad.routes.deployment import (
     ConfigurationVersion,
     RequestKind,
     Route,
@@ -29,17 +29,17 @@
     RoutingTable,
     WeightedService,
 )
-from nutmegroad.relay.estimates import PaceKey
-from nutmegroad.relay.requests import (
+from nutmegroad.routes.requests import (
     CallerRequest,
     Generation,
     PromptPart,
     SessionName,
 )
-from nutmegroad.relay.upstreams import (
+from nutmegroad.upstreams.directory import (
     SoftwareVersion,
     UpstreamEntry,
 )
+from nutmegroad.upstreams.estimates import PaceKey
 
 NORTH = DomainId('north')
 ENGINES = ServiceName('engines')
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from aiohttp.web import AppRunner, TCPSite
 from fakes.row_store import RowStore, StoreFault
 
+from nutmegroad.canary.rollouts import RolloutOrder, Stage
 from nutmegroad.fleet.stored import (
     Committed,
     HistoryLost,
@@ -25,13 +26,12 @@
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import Address, Ran
 from nutmegroad.relay.counters import RelayCounters
-from nutmegroad.relay.deployment import (
+from nutmegroad.relay.tables import Unreadable
+from nutmegroad.routes.deployment import (
     RequestKind,
     RoutingTable,
 )
-from nutmegroad.relay.rollouts import RolloutOrder, Stage
-from nutmegroad.relay.tables import Unreadable
-from nutmegroad.relay.upstreams import UpstreamEntry
+from nutmegroad.upstreams.directory import UpstreamEntry
 from nutmegroad_platform.early_sockets import EarlySockets
 from nutmegroad_platform.fields import SETTINGS_VARIABLE
 from nutmegroad_platform.program import SettingsFile, main
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -2,6 +2,14 @@
 
 import unittest
 
+from nutmegroad.escalation.confidence import read_unsure
+from nutmegroad.escalation.decisions import (
+    EscalationCase,
+    NotEscalated,
+    first_model,
+    larger_model,
+)
+from nutmegroad.escalation.headroom import Expectation
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Address,
@@ -9,30 +17,22 @@
     ServiceName,
 )
 from nutmegroad.relay.budgets import Purpose, RepeatBudget
-from nutmegroad.relay.deployment import (
+from nutmegroad.relay.events import WholeEvents
+from nutmegroad.relay.refusals import spell
+from nutmegroad.routes.deployment import (
     ConfigurationVersion,
     RouteName,
     RoutingTable,
 )
-from nutmegroad.relay.escalation import (
-    Expectation,
-    Kept,
-    Opinion,
-    first_model,
-    larger_model,
-    read_doubt,
-)
-from nutmegroad.relay.events import WholeEvents
-from nutmegroad.relay.refusals import spell
-from nutmegroad.relay.requests import (
+from nutmegroad.routes.requests import (
     read_generation,
     read_wait,
 )
-from nutmegroad.relay.upstreams import (
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.directory import (
     Directory,
     UpstreamEntry,
 )
-from nutmegroad.testing.virtual import ManualClock
 from tests.relay_samples import (
     ENGINES,
     LARGE,
@@ -168,19 +168,22 @@
         """Unsure, late, out of attempts, and too long for what is left."""
         soon, late = Expectation(0.2, 1), Expectation(5.0, 6)
         cases = (
-            (Opinion(30, 0.1, 2, soon, 9), LARGE),
-            (Opinion(30, 0.1, 2, late, 9), Kept.LATE),
-            (Opinion(10, 0.1, 2, late, 9), LARGE),
-            (Opinion(10, 0.1, 0, soon, 9), Kept.ATTEMPTS),
+            (EscalationCase(30, 0.1, 2, soon, 9), LARGE),
+            (EscalationCase(30, 0.1, 2, late, 9), NotEscalated.LATE),
+            (EscalationCase(10, 0.1, 2, late, 9), LARGE),
+            (EscalationCase(10, 0.1, 0, soon, 9), NotEscalated.ATTEMPTS),
             # Pattern: a route's timeout is cut to a few seconds.
-            (Opinion(10, 0.1, 2, Expectation(0.2, 3), 4), Kept.TIME),
+            (
+                EscalationCase(10, 0.1, 2, Expectation(0.2, 3), 4),
+                NotEscalated.TIME,
+            ),
         )
-        for opinion, expected in cases:
-            with self.subTest(opinion=opinion):
-                self.assertEqual(larger_model(a_route(), opinion), expected)
+        for case, expected in cases:
+            with self.subTest(case=case):
+                self.assertEqual(larger_model(a_route(), case), expected)
 
     def test_only_a_model_that_has_a_larger_one_can_doubt(self) -> None:
-        """Sure, unsure, without an opinion, and the largest itself."""
+        """Sure, unsure, without a confidence, and the largest itself."""
         cases = (
             (SMALL, '90', None),
             (SMALL, '30', 30),
@@ -191,7 +194,7 @@
         )
         for model, text, expected in cases:
             with self.subTest(model=model, text=text):
-                found = read_doubt(a_route(), model, text)
+                found = read_unsure(a_route(), model, text)
                 self.assertEqual(found, expected)
 
     def test_a_larger_model_takes_nobodys_place(self) -> None:
@@ -203,15 +206,17 @@
         cases = (
             (0, 0.4, LARGE),
             (0.4, 0.4, LARGE),
-            (1.9, 0.4, Kept.ROOM),
+            (1.9, 0.4, NotEscalated.ROOM),
             (0, 0.9, LARGE),
-            (0, 1.2, Kept.ROOM),
-            (0, 2.4, Kept.ROOM),
+            (0, 1.2, NotEscalated.ROOM),
+            (0, 2.4, NotEscalated.ROOM),
         )
         for ahead, crowd, expected in cases:
             found = Expectation(0.2 + ahead, 1 + ahead, ahead, crowd)
             with self.subTest(ahead=ahead, crowd=crowd):
-                model = larger_model(a_route(), Opinion(20, 0.1, 2, found, 9))
+                model = larger_model(
+                    a_route(), EscalationCase(20, 0.1, 2, found, 9)
+                )
                 self.assertEqual(model, expected)
 
     def test_request_that_runs_once_begins_with_the_largest(self) -> None:
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -3,6 +3,10 @@
 import itertools
 import unittest
 
+from nutmegroad.canary.gate import RolloutGate
+from nutmegroad.canary.rollouts import Rollout, RolloutOrder, RolloutRow, Stage
+from nutmegroad.canary.sessions import SessionVersions
+from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.evidence import Evidence, tail, total
 from nutmegroad.fleet.evidence_book import EvidenceBook
 from nutmegroad.fleet.loads import LoadLedger
@@ -11,17 +15,14 @@
 from nutmegroad.foundations.types import (
     HostId,
 )
-from nutmegroad.relay.requests import (
+from nutmegroad.routes.requests import (
     SessionName,
 )
-from nutmegroad.relay.rollouts import Rollout, RolloutOrder, RolloutRow, Stage
-from nutmegroad.relay.session_versions import SessionVersions
-from nutmegroad.relay.upstreams import (
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.directory import (
     Directory,
     SoftwareVersion,
 )
-from nutmegroad.relay.versions import RolloutGate, RolloutState
-from nutmegroad.testing.virtual import ManualClock
 from tests.relay_samples import ENGINES, AwayStore, a_request, an_entry
 
 
--- a/tests/test_relay_selection.py
+++ b/tests/test_relay_selection.py
@@ -10,18 +10,18 @@
     HostId,
     UpstreamId,
 )
-from nutmegroad.relay.estimates import Paces
-from nutmegroad.relay.health import Health
-from nutmegroad.relay.prefixes import KeptPrefixes
-from nutmegroad.relay.requests import (
+from nutmegroad.routes.requests import (
     PartId,
     PromptPart,
 )
-from nutmegroad.relay.selection import Asked, Selector
-from nutmegroad.relay.upstreams import (
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.directory import (
     Upstream,
 )
-from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.estimates import Paces
+from nutmegroad.upstreams.health import Health
+from nutmegroad.upstreams.prefixes import PrefixCache
+from nutmegroad.upstreams.selection import Asked, Selector
 from tests.relay_samples import (
     ENGINES,
     KEY,
@@ -283,7 +283,7 @@
 
     def test_part_counts_only_with_all_before_it(self) -> None:
         """And only for the same model."""
-        kept = KeptPrefixes()
+        kept = PrefixCache()
         name = UpstreamId('u')
         parts = tuple(PromptPart(PartId(part), 10) for part in 'abc')
         kept.sent(name, SMALL, parts[:2])
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -12,14 +12,14 @@
 )
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran, ServiceName
-from nutmegroad.relay.belief import ConfigurationBelief
-from nutmegroad.relay.deployment import (
+from nutmegroad.relay.tables import UpstreamSink
+from nutmegroad.routes.belief import ConfigurationBelief
+from nutmegroad.routes.deployment import (
     ConfigurationVersion,
     RoutingTable,
 )
-from nutmegroad.relay.tables import UpstreamSink
-from nutmegroad.relay.upstreams import Directory
 from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.directory import Directory
 from nutmegroad_platform.rows import Rows
 from tests.relay_samples import AwayStore, entry_row
 
