Know a worker that starts again under its id, and entries of other writers

Cause: nothing read `born`. A worker that started again under its id was taken for the one before: its kept prompts, loads, health and open streams were believed on. An entry of another writer could throw out a sound worker: one at its address, of a service that nobody named, replaced it; one with an id of several words would have gone out in a header; one that could not be read was logged at every turn of the feed. Prefixes and idle connections of upstreams that had gone were never dropped (a leak, found by reading).

What changed: an upstream's incarnation (id and start) is the key of loads, prefixes and connections, so what neighbours tell of the one before counts for nobody. At a restart what may be made again is broken off and goes on elsewhere; what may run once is left to its connection, since the list may be late and the new start may have it. Nothing that broke so is evidence on a version. An earlier start is a late write the first time, a clock set back the second. Entries are strict: all fields, named states and services; what is not names nobody, its cause is logged once.

Ruled out: dropping the roll-out's counts of the old start; a version whose workers crash would look good. Ruled out: breaking off by the connection's age; clocks of hosts and workers are not comparable.

Before the change they could not be written (no incarnation); without `restarted()` the open stream waits for its deadline.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -46,12 +46,14 @@
     Attributes:
         pieces: Bytes that it writes, one after the other.
         gap: Seconds before each piece.
+        hold: What it waits for before the last; None for nothing.
         close: Whether it then closes the connection.
         reset: Whether it then resets the connection.
     """
 
     pieces: tuple[bytes, ...]
     gap: float = 0
+    hold: asyncio.Event | None = None
     close: bool = False
     reset: bool = False
 
@@ -194,19 +196,28 @@
             self.seen.append(seen)
             make = self.once.popleft() if self.once else self.usual
             script = make(seen)
-            for piece in script.pieces:
-                await asyncio.sleep(script.gap)
-                if writer.transport.is_closing():
-                    self.dropped += 1
-                    return
-                writer.write(piece)
-                await writer.drain()
+            if not await _play(script, writer):
+                self.dropped += 1
+                return
             if script.reset:
                 writer.transport.abort()
             if script.close or script.reset:
                 return
 
 
+async def _play(script: Script, writer: asyncio.StreamWriter) -> bool:
+    """Write a script's pieces; tell whether somebody took all of them."""
+    for number, piece in enumerate(script.pieces, 1):
+        await asyncio.sleep(script.gap)
+        if script.hold is not None and number == len(script.pieces):
+            await script.hold.wait()
+        if writer.transport.is_closing():
+            return False
+        writer.write(piece)
+        await writer.drain()
+    return True
+
+
 async def _read(reader: asyncio.StreamReader) -> Seen | None:
     """Return the next request, or None at the end."""
     try:
--- a/src/nutmegroad/fleet/loads.py
+++ b/src/nutmegroad/fleet/loads.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.types import HostId, UpstreamId
+from nutmegroad.foundations.types import HostId, UpstreamIncarnation
 
 #: Seconds after which what another host told is not believed any more: even
 #: one in another failure domain has missed a turn, so it is likely gone.
@@ -50,7 +50,7 @@
 
 NO_LOAD: Final = Load()
 
-Loads = dict[UpstreamId, Load]
+Loads = dict[UpstreamIncarnation, Load]
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,13 +86,15 @@
         """Return what this host has sent."""
         return self._own
 
-    def load(self, upstream: UpstreamId) -> Load:
+    def load(self, upstream: UpstreamIncarnation) -> Load:
         """Return what an upstream is busy with, as far as is known."""
         self._forget_stale()
         own = self._own.get(upstream, NO_LOAD)
         return own.plus(self._others.get(upstream, NO_LOAD))
 
-    def begin(self, upstream: UpstreamId, load: Load) -> Callable[[], None]:
+    def begin(
+        self, upstream: UpstreamIncarnation, load: Load
+    ) -> Callable[[], None]:
         """Count a request, and return what counts its prompt as read."""
         self._add(upstream, load)
         left = [load.reading]
@@ -104,7 +106,7 @@
 
         return read
 
-    def end(self, upstream: UpstreamId, load: Load) -> None:
+    def end(self, upstream: UpstreamIncarnation, load: Load) -> None:
         """Count a request off whose prompt has been counted off."""
         self._add(upstream, Load(-load.running, 0, -load.tokens))
 
@@ -138,7 +140,7 @@
             else:
                 self._others.pop(upstream, None)
 
-    def _add(self, upstream: UpstreamId, change: Load) -> None:
+    def _add(self, upstream: UpstreamIncarnation, change: Load) -> None:
         """Change what this host has at an upstream."""
         present = self._own.get(upstream, NO_LOAD).plus(change)
         if present.running:
--- a/src/nutmegroad/foundations/types.py
+++ b/src/nutmegroad/foundations/types.py
@@ -8,6 +8,8 @@
 DomainId = NewType('DomainId', str)
 Incarnation = NewType('Incarnation', str)
 UpstreamId = NewType('UpstreamId', str)
+#: One start of an upstream: its id, and when it began if the list tells.
+UpstreamIncarnation = NewType('UpstreamIncarnation', str)
 WorkspaceId = NewType('WorkspaceId', str)
 OperatorId = NewType('OperatorId', str)
 #: A model and its version, written ``model@version``.
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -14,7 +14,8 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.types import ModelName, Ran
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import ModelName, Ran, UpstreamIncarnation
 from nutmegroad.relay.connections import (
     BelongsHere,
     ConnectionFailedError,
@@ -25,9 +26,11 @@
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.routes.headers import HeaderNames
 from nutmegroad.routes.requests import MILLISECONDS, CallerRequest
-from nutmegroad.upstreams.directory import Upstream
+from nutmegroad.upstreams.directory import End, Upstream
 from nutmegroad.upstreams.selection import Choice, Selector
 
+_LOG: Final = part_logger('relay')
+
 #: Seconds for a new connection: fifty times the slowest way within a region
 #: of today, and a lost first packet is better tried elsewhere.
 CONNECT_TIMEOUT: Final = 0.3
@@ -158,6 +161,17 @@
         self._names = names
         self._clock = clock
 
+    def ended(self, upstream: UpstreamIncarnation, end: End) -> None:
+        """Forget what an incarnation held; break off what it can't finish."""
+        self._selector.prefixes.forget(upstream)
+        self._pool.forget(upstream)
+        if end is End.RESTARTED:
+            _LOG.decision(
+                'broken off at a restart',
+                upstream=upstream,
+                exchanges=self._pool.restarted(upstream),
+            )
+
     async def begin(
         self,
         request: CallerRequest,
@@ -201,7 +215,7 @@
             What is called when its prompt has been read.
         """
         upstream = plan.upstream
-        name = upstream.entry.upstream
+        name = upstream.entry.incarnation
         ledger = self._selector.ledger
         load = plan.choice.load
         read = ledger.begin(name, load)
@@ -264,7 +278,7 @@
         stack: AsyncExitStack,
     ) -> UpstreamConnection:
         """Return a connection that goes back when the attempt ends."""
-        upstream = plan.upstream.entry.upstream
+        upstream = plan.upstream.entry.incarnation
         connection = self._pool.take(
             upstream,
             careful=not request.route.repeatable,
@@ -275,6 +289,8 @@
                 plan.upstream.entry.address,
                 min(CONNECT_TIMEOUT, max(0, left)),
             )
+        if request.route.repeatable:
+            self._pool.lend(upstream, connection)
         stack.callback(self._pool.give_back, upstream, connection)
         return connection
 
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -139,7 +139,7 @@
         try:
             messages, _, _ = self._parser.feed_data(data)
         except HttpProcessingError as problem:
-            self._fail(f'not an answer: {problem.message}')
+            self.fail(f'not an answer: {problem.message}')
             return
         for message, payload in messages:
             self._take(message, payload)
@@ -149,7 +149,7 @@
         super().connection_lost(exc)
         if self._parser is not None and exc is None:
             self._end_of_input()
-        self._fail('connection reset' if exc else 'connection closed')
+        self.fail('connection reset' if exc else 'connection closed')
 
     def abort(self) -> None:
         """Close at once; the upstream sees that nobody waits any more."""
@@ -229,10 +229,10 @@
         try:
             parser.feed_eof()
         except HttpProcessingError as problem:
-            self._fail(f'answer cut: {problem.message}')
+            self.fail(f'answer cut: {problem.message}')
 
-    def _fail(self, reason: str) -> None:
-        """End the exchange under way without a whole answer."""
+    def fail(self, reason: str) -> None:
+        """End the exchange under way without a whole answer, and close."""
         self._keep = False
         error = ConnectionFailedError(reason, sent=True)
         if self._answer is not None and not self._answer.done():
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -9,7 +9,12 @@
 
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
-from nutmegroad.foundations.types import ModelName, Ran, ServiceName, UpstreamId
+from nutmegroad.foundations.types import (
+    ModelName,
+    Ran,
+    ServiceName,
+    UpstreamIncarnation,
+)
 from nutmegroad.relay.attempts import (
     Answering,
     AttemptEnd,
@@ -90,7 +95,7 @@
         self.service = service
         self.outlook = Outlook(parts, request, service)
         self._parts = parts
-        self.tried: set[UpstreamId] = set()
+        self.tried: set[UpstreamIncarnation] = set()
         self._offers = 0
         self._runs = 0
         self._ran = Ran.NOT_RUN
@@ -214,7 +219,7 @@
         """Make one attempt and write down how it began."""
         upstream = choice.upstream
         self._offers += 1
-        self.tried.add(upstream.entry.upstream)
+        self.tried.add(upstream.entry.incarnation)
         plan = AttemptPlan(
             choice,
             model,
@@ -260,7 +265,7 @@
         if isinstance(outcome, AttemptFailure):
             ended = outcome.end.value
             detail = outcome.reason
-            if outcome.ran is not Ran.NOT_RUN and outcome is not _ABANDONED:
+            if _speaks_against_version(choice, outcome):
                 self._parts.versions.observe(
                     self.service,
                     entry.version,
@@ -313,6 +318,13 @@
         return Refusal(code, reason, self._ran, retry_after)
 
 
+def _speaks_against_version(choice: Choice, failure: AttemptFailure) -> bool:
+    """Tell whether a failed attempt is evidence on its upstream's version."""
+    if failure is _ABANDONED or failure.ran is Ran.NOT_RUN:
+        return False
+    return not choice.upstream.restarted
+
+
 def _final(failure: AttemptFailure, offers: int, ran: Ran) -> Refusal:
     """Return the refusal that ends a request after a failure."""
     return Refusal(
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -208,8 +208,10 @@
         selector = Selector(
             clock, self._randomness, settings.domain, told.ledger
         )
+        attempts = Attempts(self._pool, names, selector, clock)
+        self._directory.ended.tell_of_ends(attempts.ended)
         self._parts = RelayParts(
-            Attempts(self._pool, names, selector, clock),
+            attempts,
             selector,
             self._directory,
             RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
@@ -262,6 +264,7 @@
             platform.reader,
             self._belief,
             self._rollouts,
+            self._upstream_sink.know_services,
         )
         fleet = FleetSink(self._rollouts, self._fleet.neighbours)
         return (
--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -4,7 +4,11 @@
 from typing import Final
 
 from nutmegroad.escalation.headroom import Expectation
-from nutmegroad.foundations.types import ModelName, ServiceName, UpstreamId
+from nutmegroad.foundations.types import (
+    ModelName,
+    ServiceName,
+    UpstreamIncarnation,
+)
 from nutmegroad.relay.attempts import Answering
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.routes.requests import CallerRequest
@@ -43,7 +47,7 @@
     def choose(
         self,
         model: ModelName | None,
-        tried: Collection[UpstreamId],
+        tried: Collection[UpstreamIncarnation],
     ) -> Choice | None:
         """Return where an attempt would go, or None if nowhere."""
         table = self._request.table
@@ -57,7 +61,7 @@
     def expectation(
         self,
         model: ModelName,
-        tried: Collection[UpstreamId],
+        tried: Collection[UpstreamIncarnation],
     ) -> Expectation | None:
         """Return what would become of a model's answer; None if unknown.
 
@@ -93,8 +97,14 @@
         )
 
     def observe(self, answering: Answering, *, sound: bool) -> None:
-        """Take in how an answer went."""
+        """Take in how an answer went.
+
+        One of an incarnation that is no more tells nothing: what broke, its
+        restart broke, and what came late came from a process that is gone.
+        """
         upstream = answering.upstream
+        if upstream.restarted:
+            return
         now = self._parts.clock.now()
         pace = 1.0
         if sound:
--- a/src/nutmegroad/relay/pools.py
+++ b/src/nutmegroad/relay/pools.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.types import Address, UpstreamId
+from nutmegroad.foundations.types import Address, UpstreamIncarnation
 from nutmegroad.relay.connections import UpstreamConnection, connect
 
 #: Seconds that an upstream is taken to keep an idle connection if it does
@@ -30,13 +30,19 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._idle: dict[UpstreamId, list[UpstreamConnection]] = defaultdict(
-            list,
+        self._idle: dict[UpstreamIncarnation, list[UpstreamConnection]] = (
+            defaultdict(
+                list,
+            )
         )
+        self._broken_off_at_restart: dict[
+            UpstreamIncarnation,
+            set[UpstreamConnection],
+        ] = defaultdict(set)
 
     def take(
         self,
-        upstream: UpstreamId,
+        upstream: UpstreamIncarnation,
         *,
         careful: bool,
     ) -> UpstreamConnection | None:
@@ -67,22 +73,50 @@
         """
         return await connect(address, timeout)
 
+    def lend(
+        self,
+        upstream: UpstreamIncarnation,
+        connection: UpstreamConnection,
+    ) -> None:
+        """Note an exchange that may be made again elsewhere.
+
+        It is broken off if its upstream starts again; one that may run only
+        once is left to its connection, which closes with its process.
+        """
+        self._broken_off_at_restart[upstream].add(connection)
+
+    def restarted(self, upstream: UpstreamIncarnation) -> int:
+        """Break off what an incarnation that is no more has under way.
+
+        Returns:
+            How many exchanges were broken off.
+        """
+        lent = self._broken_off_at_restart.pop(upstream, set())
+        for connection in lent:
+            connection.fail('the upstream has started again')
+        return len(lent)
+
     def give_back(
         self,
-        upstream: UpstreamId,
+        upstream: UpstreamIncarnation,
         connection: UpstreamConnection,
     ) -> None:
         """Keep a connection, or close it if it can't be used again."""
+        lent = self._broken_off_at_restart.get(upstream)
+        if lent is not None:
+            lent.discard(connection)
         if connection.reusable:
             connection.idle_since = self._clock.now()
             self._idle[upstream].append(connection)
         else:
             connection.abort()
 
-    def forget(self, upstream: UpstreamId) -> None:
+    def forget(self, upstream: UpstreamIncarnation) -> None:
         """Close the idle connections to an upstream that is gone."""
         for connection in self._idle.pop(upstream, ()):
             connection.abort()
+        if not self._broken_off_at_restart.get(upstream):
+            self._broken_off_at_restart.pop(upstream, None)
 
     def sweep(self) -> None:
         """Close what has been idle for too long to be used again."""
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -1,5 +1,6 @@
 """The platform's tables, and what they change in what a host believes."""
 
+from collections.abc import Callable, Collection, Container
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -8,7 +9,7 @@
 from nutmegroad.fleet.stored import RowsRead, StoredRow
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.types import UpstreamId
+from nutmegroad.foundations.types import ServiceName, UpstreamId
 from nutmegroad.routes.belief import ConfigurationBelief
 from nutmegroad.routes.deployment import RoutingTable
 from nutmegroad.upstreams.directory import Directory, UpstreamEntry
@@ -25,6 +26,11 @@
 NOTICE_PART: Final = 0.6
 
 
+#: Entries that are kept out for one cause and logged, each once: enough to see
+#: who writes them.
+MOST_ALIKE: Final = 5
+
+
 @dataclass(frozen=True, slots=True)
 class Unreadable:
     """A row that can't be understood.
@@ -59,6 +65,7 @@
         reader: Decodes rows.
         belief: The configuration in force.
         rollouts: The roll-outs.
+        tell_services: Told which services the configuration in force names.
     """
 
     def __init__(
@@ -66,10 +73,12 @@
         reader: RowReader,
         belief: ConfigurationBelief,
         rollouts: RolloutState,
+        tell_services: Callable[[Collection[ServiceName]], None],
     ) -> None:
         self._reader = reader
         self._belief = belief
         self._rollouts = rollouts
+        self._tell_services = tell_services
 
     def replace(self, read: RowsRead) -> None:
         """Take the whole table in."""
@@ -94,6 +103,8 @@
         content = self._reader.operator_row(row)
         if isinstance(content, RoutingTable):
             self._belief.take(content)
+            if self._belief.table is content:
+                self._tell_services(content.services)
         elif isinstance(content, RolloutOrder):
             self._rollouts.order(content)
         elif isinstance(content, Unreadable):
@@ -105,11 +116,42 @@
             )
 
 
+class Complaints:
+    """Says once for each cause why an entry is kept out.
+
+    Another writer may write at every turn of the feed, or ever new entries.
+    """
+
+    def __init__(self) -> None:
+        self._said: dict[UpstreamId, str] = {}
+
+    def say(self, upstream: UpstreamId, reason: str) -> None:
+        """Log a cause, unless it was said, here or of enough others."""
+        if self._said.get(upstream) == reason:
+            return
+        alike = sum(said == reason for said in self._said.values())
+        if alike >= MOST_ALIKE:
+            return
+        self._said[upstream] = reason
+        _LOG.decision(
+            'upstream kept out',
+            key=upstream,
+            reason=reason,
+            more_are_not_logged=alike + 1 == MOST_ALIKE,
+        )
+
+    def settle(self, upstream: UpstreamId) -> None:
+        """Note that nothing is wrong with an entry any more."""
+        self._said.pop(upstream, None)
+
+
 class UpstreamSink:
     """Takes in the list of upstreams.
 
     An entry that is removed is gone. One that is missing right after the
-    store was away may be about to come back.
+    store was away may be about to come back. One that no upstream of the
+    configuration has written names nobody, whatever else it says: its address
+    may be that of an upstream which is well.
 
     Args:
         reader: Decodes rows.
@@ -131,14 +173,27 @@
         self._patience = min(RETURN_TIME, notice * NOTICE_PART)
         self._away = False
         self._returned = float('-inf')
+        # None before the first configuration.
+        self._services: Container[ServiceName] | None = None
+        # Entries of services that the configuration does not name, as yet.
+        self._unnamed: dict[UpstreamId, UpstreamEntry] = {}
+        self._complaints = Complaints()
         self.listed = False
 
+    def know_services(self, services: Collection[ServiceName]) -> None:
+        """Take in which services the configuration in force names."""
+        self._services = frozenset(services)
+        for entry in tuple(self._unnamed.values()):
+            self._put(entry)
+
     def replace(self, read: RowsRead) -> None:
         """Take the whole list in."""
         first = self._back()
         listed = [self._reader.upstream_key(row) for row in read.rows]
         for upstream in self._directory.others(listed):
             self._gone(upstream, first=first)
+        for unnamed in self._unnamed.keys() - set(listed):
+            self._unnamed.pop(unnamed)
         self._take(read, first=first)
         self.listed = True
 
@@ -157,18 +212,36 @@
     def _take(self, read: RowsRead, *, first: bool) -> None:
         """Take rows in."""
         for row in read.rows:
+            upstream = self._reader.upstream_key(row)
             if row.removed:
-                self._gone(self._reader.upstream_key(row), first=first)
+                self._unnamed.pop(upstream, None)
+                self._complaints.settle(upstream)
+                self._gone(upstream, first=first)
                 continue
             entry = self._reader.upstream_row(row)
             if isinstance(entry, Unreadable):
-                _LOG.decision(
-                    'upstream kept out',
-                    key=row.key,
-                    reason=entry.reason,
-                )
-                continue
+                self._keep_out(upstream, entry.reason)
+            else:
+                self._put(entry)
+
+    def _put(self, entry: UpstreamEntry) -> None:
+        """Take an entry in, if it is of a service that is named."""
+        upstream = entry.upstream
+        if self._services is None:
+            self._unnamed[upstream] = entry
+        elif entry.service in self._services:
+            self._unnamed.pop(upstream, None)
+            self._complaints.settle(upstream)
             self._directory.put(entry)
+        else:
+            self._keep_out(upstream, 'its service is not named')
+            self._unnamed[upstream] = entry
+
+    def _keep_out(self, upstream: UpstreamId, reason: str) -> None:
+        """Hold an entry for nobody's, and say so once."""
+        self._unnamed.pop(upstream, None)
+        self._directory.remove(upstream, reason)
+        self._complaints.say(upstream, reason)
 
     def _back(self) -> bool:
         """Note that the store answers; tell if it is the first answer."""
--- a/src/nutmegroad/upstreams/directory.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -5,8 +5,9 @@
 host has sent where, and how that went, it knows itself.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from enum import Enum, unique
 from typing import Final, NewType
 
 from nutmegroad.foundations.clocks import Clock
@@ -16,6 +17,7 @@
     DomainId,
     ServiceName,
     UpstreamId,
+    UpstreamIncarnation,
 )
 from nutmegroad.upstreams.health import Health
 
@@ -24,19 +26,25 @@
 
 _LOG: Final = part_logger('upstreams')
 
+#: Upstreams that have gone and are remembered, to know them if they start
+#: again: more than the largest deployment in view has (890).
+MOST_GONE: Final = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamEntry:
     """An upstream as the platform's list has it.
 
     Attributes:
-        upstream: Its id; each start of one has a new id.
+        upstream: Its id.
         service: The service that it answers for.
         address: Where it listens.
         domain: The failure domain that it stands in.
         version: Version of its software.
         slots: Requests that it runs at once.
         leaving: Whether it takes no new work soon.
+        born: Milliseconds since 1970, by its own clock, at which it started;
+            0 if the list does not tell.
     """
 
     upstream: UpstreamId
@@ -46,22 +54,86 @@
     version: SoftwareVersion
     slots: int
     leaving: bool = False
+    born: int = 0
+
+    @property
+    def incarnation(self) -> UpstreamIncarnation:
+        """Return the name of this start of it, which no other start has."""
+        if not self.born:
+            return UpstreamIncarnation(self.upstream)
+        return UpstreamIncarnation(f'{self.upstream}@{self.born}')
+
+
+@unique
+class End(Enum):
+    """How an incarnation of an upstream ended, as far as the list tells."""
+
+    #: It is not listed any more; what it has begun it may still finish.
+    GONE = 'gone'
+    #: Another start has its id, so nothing of it is left.
+    RESTARTED = 'restarted'
+
+
+#: Told of each incarnation that has ended.
+TellOfEnd = Callable[[UpstreamIncarnation, End], None]
 
 
 @dataclass(slots=True)
 class Upstream:
-    """An upstream, with what this host knows of it.
+    """One incarnation of an upstream, with what this host knows of it.
 
     Attributes:
         entry: What the list says.
         health: What own exchanges say.
         missing_until: Clock seconds until which it may be missing from the
             list; None if the list has it.
+        restarted: Whether another start has its id: what it still answers
+            tells nothing of the one that is there now.
+        earlier_start: A start before this one that the list has told once
+            since, in milliseconds since 1970; 0 for none.
     """
 
     entry: UpstreamEntry
     health: Health = field(default_factory=Health)
     missing_until: float | None = None
+    restarted: bool = False
+    earlier_start: int = 0
+
+
+class EndedIncarnations:
+    """Tells of incarnations that end, and knows those that are gone."""
+
+    def __init__(self) -> None:
+        self._told: list[TellOfEnd] = []
+        # The oldest first; one of these may come back as another start.
+        self._gone: dict[UpstreamId, Upstream] = {}
+
+    def tell_of_ends(self, tell: TellOfEnd) -> None:
+        """Let somebody hear of each incarnation that ends."""
+        self._told.append(tell)
+
+    def gone(self, known: Upstream) -> None:
+        """Note that an upstream is not listed any more."""
+        self._gone[known.entry.upstream] = known
+        while len(self._gone) > MOST_GONE:
+            self._gone.pop(next(iter(self._gone)))
+        self._tell(known, End.GONE)
+
+    def restarted(self, known: Upstream) -> None:
+        """Note that another start has an upstream's id."""
+        known.restarted = True
+        self._tell(known, End.RESTARTED)
+
+    def listed(self, entry: UpstreamEntry) -> None:
+        """Note an upstream that is new to the list, or back."""
+        before = self._gone.pop(entry.upstream, None)
+        if before is not None and before.entry.born != entry.born:
+            self.restarted(before)
+
+    def _tell(self, known: Upstream, end: End) -> None:
+        """Tell whoever wants to know."""
+        for tell in self._told:
+            tell(known.entry.incarnation, end)
 
 
 class Directory:
@@ -72,6 +144,7 @@
     """
 
     def __init__(self, clock: Clock) -> None:
+        self.ended = EndedIncarnations()
         self._clock = clock
         self._known: dict[UpstreamId, Upstream] = {}
         self._at: dict[Address, UpstreamId] = {}
@@ -99,14 +172,16 @@
         """Take an entry in, or its change."""
         known = self._known.get(entry.upstream)
         if known is None:
-            self._replace_at(entry)
-            self._known[entry.upstream] = Upstream(entry)
-            self._say('taken in', entry)
+            self._take_in(entry)
+        elif entry.born and entry.born != known.entry.born:
+            if not _is_later_start(known, entry):
+                self._say('kept out: an earlier start', entry)
+                return
+            self._leave_address(known)
+            self._restart(known, entry)
         else:
-            if entry.leaving and not known.entry.leaving:
-                self._say('leaving', entry)
-            known.entry = entry
-            known.missing_until = None
+            self._leave_address(known)
+            self._change(known, entry)
         self._at[entry.address] = entry.upstream
         self._services = None
 
@@ -115,9 +190,9 @@
         known = self._known.pop(upstream, None)
         if known is not None:
             self._say(f'dropped: {reason}', known.entry)
-            if self._at.get(known.entry.address) == upstream:
-                self._at.pop(known.entry.address)
+            self._leave_address(known)
             self._services = None
+            self.ended.gone(known)
 
     def missing(self, upstream: UpstreamId, patience: float) -> None:
         """Note that an entry is missing which may be about to return.
@@ -143,6 +218,32 @@
         present = frozenset(listed)
         return tuple(each for each in self._known if each not in present)
 
+    def _take_in(self, entry: UpstreamEntry) -> None:
+        """Take in an upstream that the list did not have."""
+        self._replace_at(entry)
+        self._known[entry.upstream] = Upstream(entry)
+        self._say('taken in', entry)
+        self.ended.listed(entry)
+
+    def _leave_address(self, known: Upstream) -> None:
+        """Forget where an upstream stood."""
+        if self._at.get(known.entry.address) == known.entry.upstream:
+            self._at.pop(known.entry.address)
+
+    def _change(self, known: Upstream, entry: UpstreamEntry) -> None:
+        """Take in what the same start of an upstream tells anew."""
+        if entry.leaving and not known.entry.leaving:
+            self._say('leaving', entry)
+        known.entry = replace(entry, born=known.entry.born)
+        known.missing_until = None
+        known.earlier_start = 0
+
+    def _restart(self, known: Upstream, entry: UpstreamEntry) -> None:
+        """Put a new start in the place of the one before."""
+        self._known[entry.upstream] = Upstream(entry)
+        self._say('started again', entry)
+        self.ended.restarted(known)
+
     def _replace_at(self, entry: UpstreamEntry) -> None:
         """Forget whoever stood at the address of a new upstream before."""
         before = self._at.get(entry.address)
@@ -166,4 +267,20 @@
             address=str(entry.address),
             version=entry.version,
             leaving=entry.leaving,
+            born=entry.born,
         )
+
+
+def _is_later_start(known: Upstream, entry: UpstreamEntry) -> bool:
+    """Tell whether an entry is of a start after the one that is known.
+
+    An earlier time is a write of the start before that took effect late;
+    told twice, it is a clock that was set back: what is dead tells
+    nothing twice.
+    """
+    if entry.born > known.entry.born:
+        return True
+    if entry.born == known.earlier_start:
+        return True
+    known.earlier_start = entry.born
+    return False
--- a/src/nutmegroad/upstreams/prefixes.py
+++ b/src/nutmegroad/upstreams/prefixes.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from typing import Final
 
-from nutmegroad.foundations.types import ModelName, UpstreamId
+from nutmegroad.foundations.types import ModelName, UpstreamIncarnation
 from nutmegroad.routes.requests import PartId, PromptPart
 
 #: Parts remembered for one upstream; more than its memory holds of them.
@@ -21,11 +21,11 @@
     """Remembers which parts were sent where, the oldest forgotten first."""
 
     def __init__(self) -> None:
-        self._upstreams: dict[UpstreamId, _Kept] = {}
+        self._upstreams: dict[UpstreamIncarnation, _Kept] = {}
 
     def missing(
         self,
-        upstream: UpstreamId,
+        upstream: UpstreamIncarnation,
         model: ModelName | None,
         parts: tuple[PromptPart, ...],
     ) -> int:
@@ -42,7 +42,7 @@
 
     def sent(
         self,
-        upstream: UpstreamId,
+        upstream: UpstreamIncarnation,
         model: ModelName | None,
         parts: tuple[PromptPart, ...],
     ) -> None:
@@ -55,6 +55,6 @@
         while len(kept) > MOST_PARTS:
             kept.popitem(last=False)
 
-    def forget(self, upstream: UpstreamId) -> None:
+    def forget(self, upstream: UpstreamIncarnation) -> None:
         """Forget an upstream that is gone."""
         self._upstreams.pop(upstream, None)
--- a/src/nutmegroad/upstreams/selection.py
+++ b/src/nutmegroad/upstreams/selection.py
@@ -20,7 +20,7 @@
     DomainId,
     ModelName,
     ServiceName,
-    UpstreamId,
+    UpstreamIncarnation,
 )
 from nutmegroad.routes.deployment import EngineFacts
 from nutmegroad.routes.requests import CallerRequest, Generation
@@ -143,7 +143,7 @@
         self,
         asked: Asked,
         upstreams: Collection[Upstream],
-        tried: Collection[UpstreamId],
+        tried: Collection[UpstreamIncarnation],
     ) -> Choice | None:
         """Return where a request goes next, or None if nowhere.
 
@@ -178,7 +178,7 @@
         candidates: int,
     ) -> Choice:
         """Return what is expected of one upstream."""
-        load = self.ledger.load(upstream.entry.upstream)
+        load = self.ledger.load(upstream.entry.incarnation)
         missing = self._missing(asked, upstream, likely=upstream is first)
         reading = self.paces.work(asked.key, missing)
         base = self.paces.base(asked.key)
@@ -229,7 +229,7 @@
         shared = generation.shared
         total = sum(part.tokens for part in shared)
         missing = self.prefixes.missing(
-            upstream.entry.upstream,
+            upstream.entry.incarnation,
             asked.model,
             shared,
         )
@@ -257,12 +257,12 @@
 
 def _candidates(
     upstreams: Collection[Upstream],
-    tried: Collection[UpstreamId],
+    tried: Collection[UpstreamIncarnation],
     now: float,
 ) -> list[Upstream]:
     """Return the upstreams to choose from: the best that there are."""
     able = [each for each in upstreams if each.health.available(now)]
-    fresh = [each for each in able if each.entry.upstream not in tried]
+    fresh = [each for each in able if each.entry.incarnation not in tried]
     hoped = [each for each in upstreams if not each.health.hopeless(now)]
     return fresh or able or hoped
 
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -111,7 +111,15 @@
 
 def entry_row(name: str, version: int = 1, **more: object) -> StoredRow:
     """Return a worker's row."""
-    entry = {'service': 's', 'address': f'{name}:1', 'zone': 'north', **more}
+    entry = {
+        'service': 's',
+        'address': f'127.0.0.{ord(name[0])}:1',
+        'zone': 'north',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        **more,
+    }
     return StoredRow(name, json.dumps(entry).encode(), version)
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -98,7 +98,7 @@
 
     def test_entry_is_decoded(self) -> None:
         """An address that is none is unreadable."""
-        entry = Rows().upstream_row(entry_row('10.0.0.1'))
+        entry = Rows().upstream_row(entry_row('w', address='10.0.0.1:1'))
         assert isinstance(entry, UpstreamEntry)
         self.assertEqual(entry.address, Address('10.0.0.1', 1))
         bad = Rows().upstream_row(entry_row('x', address='nowhere'))
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -206,6 +206,7 @@
         self.clock = ManualClock(start=50)
         self.directory = Directory(self.clock)
         self.sink = UpstreamSink(Rows(), self.directory, self.clock, 2)
+        self.sink.know_services([ServiceName('s')])
         self.sink.replace(
             RowsRead((entry_row('a'), entry_row('b')), 1, 0),
         )
--- /dev/null
+++ b/tests/test_upstream_restarts.py
@@ -0,0 +1,251 @@
+"""Upstreams that start again under their id, and entries of other writers.
+
+Pattern of the first: a supervisor restarts a crashed worker, which lists
+itself under the id that it had; it holds nothing of what its predecessor
+held. Pattern of the second: something else writes into the list of upstreams,
+by mistake or by a newer format.
+"""
+
+import asyncio
+import unittest
+from dataclasses import replace
+from unittest.mock import patch
+
+from fakes.opaque_worker import EVENTS, plain, stream
+
+from nutmegroad.fleet.loads import NO_LOAD, Load, LoadLedger
+from nutmegroad.fleet.stored import RowsRead, StoredRow
+from nutmegroad.foundations.types import HostId, ServiceName, UpstreamId
+from nutmegroad.relay.tables import MOST_ALIKE, Unreadable, UpstreamSink
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.directory import Directory, End, UpstreamEntry
+from nutmegroad_platform.rows import Rows
+from tests.relay_rig import Rig, route
+from tests.relay_samples import entry_row
+
+#: Time enough that no deadline comes into play.
+LONG = {'Nutmegroad-Deadline-Ms': '60000'}
+
+#: Starts of a worker, in milliseconds since 1970.
+FIRST, SECOND = 1_790_000_000_000, 1_790_000_009_000
+
+
+def entry(born: int, **more: object) -> UpstreamEntry:
+    """Return the entry of a start of one worker."""
+    found = Rows().upstream_row(entry_row('a', born=born, **more))
+    assert isinstance(found, UpstreamEntry)
+    return found
+
+
+class DirectoryTest(unittest.TestCase):
+    """What of an incarnation outlives it."""
+
+    def setUp(self) -> None:
+        """Take a worker in, and note which incarnations end."""
+        self.directory = Directory(ManualClock())
+        self.ended: list[tuple[str, End]] = []
+        self.directory.ended.tell_of_ends(
+            lambda name, end: self.ended.append((name, end)),
+        )
+        self.directory.put(entry(FIRST))
+
+    def test_nothing_is_believed_of_a_new_start(self) -> None:
+        """Its health is unknown, and who asks is told of the end."""
+        before = self.directory.find(UpstreamId('a'))
+        assert before is not None
+        before.health.failed(0)
+        self.directory.put(entry(SECOND))
+        now = self.directory.find(UpstreamId('a'))
+        assert now is not None
+        self.assertEqual(now.health.failures, 0)
+        self.assertTrue(before.restarted)
+        self.assertFalse(now.restarted)
+        self.assertEqual(
+            self.ended,
+            [(before.entry.incarnation, End.RESTARTED)],
+        )
+
+    def test_same_start_is_believed_on(self) -> None:
+        """A change of state, or an entry that does not tell the start."""
+        before = self.directory.find(UpstreamId('a'))
+        for again in (entry(FIRST, state='draining'), entry(0)):
+            self.directory.put(again)
+        self.assertIs(self.directory.find(UpstreamId('a')), before)
+        self.assertEqual(self.ended, [])
+
+    def test_late_write_of_the_start_before_changes_nothing(self) -> None:
+        """Pattern: the store performs a lost call seconds later."""
+        self.directory.put(entry(SECOND))
+        present = self.directory.find(UpstreamId('a'))
+        self.directory.put(entry(FIRST))
+        self.assertIs(self.directory.find(UpstreamId('a')), present)
+        self.directory.put(entry(SECOND))
+        self.directory.put(entry(FIRST))
+        self.assertIs(self.directory.find(UpstreamId('a')), present)
+
+    def test_clock_that_was_set_back_is_a_new_start(self) -> None:
+        """Only what lives tells an earlier time twice in a row."""
+        self.directory.put(entry(SECOND))
+        present = self.directory.find(UpstreamId('a'))
+        self.directory.put(entry(FIRST))
+        self.directory.put(entry(FIRST))
+        self.assertIsNot(self.directory.find(UpstreamId('a')), present)
+
+    def test_start_after_it_was_gone_is_told_too(self) -> None:
+        """Pattern: the list forgets a dark worker before it is back."""
+        self.directory.remove(UpstreamId('a'), 'silent')
+        self.directory.put(entry(SECOND))
+        self.assertEqual([end for _, end in self.ended], list(End))
+
+    def test_loads_at_the_start_before_do_not_count(self) -> None:
+        """Neighbours tell of it for as long as they have not heard."""
+        ledger = LoadLedger(ManualClock())
+        before, now = entry(FIRST).incarnation, entry(SECOND).incarnation
+        ledger.told(HostId('n'), {before: Load(9, 3.0, 9000)})
+        self.assertEqual(ledger.load(now), NO_LOAD)
+        self.assertEqual(ledger.load(before).running, 9)
+
+
+class OpenExchangesTest(unittest.IsolatedAsyncioTestCase):
+    """Exchanges that were under way when a worker started again."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a host with one worker."""
+        self.rig = await self.enterAsyncContext(Rig(workers=2))
+        self.rig.store.remove('servers', 'w-1')
+        self.rig.register(0, born=FIRST)
+        # So patient that only the restart can break anything off.
+        patient = {'timeoutMs': 60_000, 'targetLatencyMs': 30_000}
+        stream_route = route(
+            'draft',
+            'streaming',
+            streamResume=True,
+            gapAimMs=30_000,
+            **patient,
+        )
+        routes = [stream_route, route('pay', 'non_idempotent', **patient)]
+        await self.rig.start()
+        self.rig.configure(2, routes=routes)
+        await self.rig.until(lambda: self.rig.host.configuration_version == 2)
+
+    async def restart(self) -> None:
+        """Let the worker start again once it has a request."""
+        await self.rig.until(lambda: self.rig.workers[0].seen)
+        self.rig.register(0, born=SECOND)
+        self.rig.register(1, born=FIRST)
+
+    async def test_open_stream_goes_on_elsewhere(self) -> None:
+        """It is whole, and nothing of that speaks against anybody."""
+        first, second = self.rig.workers
+        begun = stream(EVENTS[:1])
+        never = asyncio.Event()
+        first.once.append(lambda seen: replace(begun(seen), hold=never))
+        first.usual = stream(EVENTS)
+        second.usual = stream(EVENTS)
+        gate = self.rig.host._parts.versions
+        with patch.object(gate, 'observe', wraps=gate.observe) as observed:
+            asked = asyncio.ensure_future(
+                self.rig.ask('/draft/1', headers=LONG)
+            )
+            await self.restart()
+            status, _, body = await asked
+        self.assertEqual((status, body), (200, b''.join(EVENTS)))
+        sound = [call.kwargs['sound'] for call in observed.call_args_list]
+        self.assertNotIn(False, sound)
+
+    async def test_call_that_runs_once_is_left_to_its_connection(self) -> None:
+        """Pattern: the list is late, and the new start has the call."""
+        release = asyncio.Event()
+        answer = plain(b'paid')
+        worker = self.rig.workers[0]
+        worker.usual = lambda seen: replace(answer(seen), hold=release)
+        asked = asyncio.ensure_future(self.rig.ask('/pay/1', headers=LONG))
+        await self.rig.until(lambda: worker.seen)
+        self.rig.register(0, born=SECOND)
+        await self.rig.until(self._is_second)
+        release.set()
+        status, _, body = await asked
+        self.assertEqual((status, body), (200, b'paid'))
+        self.assertEqual(self.rig.seen('r1'), 1)
+
+    def _is_second(self) -> bool:
+        """Tell whether the host knows of the second start."""
+        found = self.rig.host._directory.find(UpstreamId('w-0'))
+        return found is not None and found.entry.born == SECOND
+
+
+class ForeignEntriesTest(unittest.TestCase):
+    """Entries that no upstream has written name nobody; all others hold."""
+
+    def setUp(self) -> None:
+        """Make a sink that has seen two workers."""
+        self.directory = Directory(ManualClock())
+        self.sink = UpstreamSink(Rows(), self.directory, ManualClock(), 2)
+        self.sink.know_services([ServiceName('s')])
+        self.apply(entry_row('a'), entry_row('b'))
+
+    def apply(self, *rows: StoredRow) -> None:
+        """Let the list tell of rows."""
+        self.sink.apply(RowsRead(rows, 1, 0))
+
+    def known(self) -> list[str]:
+        """Return the workers that take work."""
+        members = self.directory.of_service(ServiceName('s'))
+        return [each.entry.upstream for each in members]
+
+    def test_whatever_is_wrong_names_nobody(self) -> None:
+        """Fields missing, of other types, unnamed states, other bytes."""
+        without = b'{"service":"s","address":"127.0.0.9:1","zone":"north"}'
+        wrong = (
+            StoredRow('x', without, 2),
+            StoredRow('x', b'\xff\x00 no JSON', 2),
+            StoredRow('x', b'', 2),
+            StoredRow('x', b'[]', 2),
+            entry_row('x', service=7),
+            entry_row('x', state='sleeping'),
+            entry_row('x', slots='many'),
+            entry_row('x', slots=0),
+            entry_row('x', address='nowhere'),
+            entry_row('x', address='127.0.0.1:0'),
+            entry_row('x', address='127.0.0.1:99999'),
+            entry_row('x', born='yesterday'),
+            entry_row('x', zone=None),
+            entry_row('x y'),
+            entry_row('x\r\nInjected: 1'),
+        )
+        for row in wrong:
+            with self.subTest(content=row.content[:60], key=row.key):
+                self.assertIsInstance(Rows().upstream_row(row), Unreadable)
+                self.apply(row)
+                self.assertEqual(self.known(), ['a', 'b'])
+
+    def test_address_of_a_worker_is_not_taken_from_it(self) -> None:
+        """Pattern: an entry of a service that nobody named, at its address."""
+        self.apply(entry_row('x', address='127.0.0.97:1', service='other'))
+        self.assertEqual(self.known(), ['a', 'b'])
+
+    def test_service_that_is_named_later_is_served(self) -> None:
+        """Pattern: workers list themselves before the configuration."""
+        self.apply(entry_row('x', service='other'))
+        other = ServiceName('other')
+        self.assertEqual(self.directory.of_service(other), ())
+        self.sink.know_services([ServiceName('s'), other])
+        self.assertEqual(len(self.directory.of_service(other)), 1)
+
+    def test_entry_that_was_overwritten_names_nobody(self) -> None:
+        """And names its worker again at its next sign of life."""
+        self.apply(StoredRow('a', b'?', 2))
+        self.assertEqual(self.known(), ['b'])
+        self.apply(entry_row('a', 3))
+        self.assertEqual(sorted(self.known()), ['a', 'b'])
+
+    def test_cause_is_logged_once(self) -> None:
+        """Not at each turn of the feed, and not for ever new entries."""
+        with self.assertLogs('absl') as logged:
+            for turn in range(20):
+                self.apply(StoredRow('x', b'?', turn))
+        self.assertEqual(len(logged.output), 1)
+        with self.assertLogs('absl') as logged:
+            for number in range(20):
+                self.apply(entry_row(f'y{number}', state='sleeping'))
+        self.assertEqual(len(logged.output), MOST_ALIKE)
