Soak the program that users run, from outside its processes

Cause: the soak that we had runs our own daemon's objects in one process on virtual time; the relay, which is what users run, had none.

Twenty-three kinds of fault are drawn from a seed and printed: hosts killed, paused, stopped, reloaded; workers killed and started again under their id, paused, failing, leaving, silent, slow, cut one way, reset; the store busy, throttled, silent, losing replies, forgetting, refusing one host, slow; keys, configurations, foreign entries. Eleven judges look at what callers and workers have seen; each has a history that it finds broken (tests/test_fleet_soak_judge.py), and a mutant worker is found by a real run.

Not judged: sessions, exposure, regress of configuration.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Made anew when what is installed changes.
 READY = $(VENV)/ready
 
-.PHONY: setup demo serve test lint format soak measure slopes
+.PHONY: setup demo serve test lint format soak soak-virtual measure slopes
 
 setup: $(READY)
 
@@ -36,8 +36,12 @@
 	$(RUN) -m ruff format $(LINTED)
 	$(RUN) -m ruff check --fix $(LINTED)
 
-# Many seeds, for ten minutes of real time at most.
-soak:
+# The program that users run, as processes; some ten minutes of real time.
+soak: $(READY)
+	$(RUN) -m experiments.fleet_soak --seeds 12
+
+# Our own daemon on virtual time, for ten minutes of real time at most.
+soak-virtual: $(READY)
 	$(RUN) -m experiments.soak --seeds 1000 --hours 0.25 --limit 600
 
 measure:
--- /dev/null
+++ b/experiments/fleet_soak.py
@@ -0,0 +1,340 @@
+"""A randomized soak of the program that users run, from outside.
+
+``python -m experiments.fleet_soak --seed 1`` starts a store, workers and
+hosts as processes on loopback, sends requests, lets faults befall them by a
+plan that the seed gives, and judges by what callers and workers have seen.
+``--seeds 50`` runs that many, one after the other. The exit status is 1 if a
+rule was broken.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from experiments.fleet_soak_callers import Caller
+from experiments.fleet_soak_fleet import Fleet
+from experiments.fleet_soak_history import Bounds, History, Verdict
+from experiments.fleet_soak_judge import judge
+from experiments.fleet_soak_links import Link, LinkState
+from experiments.fleet_soak_plan import Event, Fault, draw
+
+#: Seconds from the last fault until everything is expected to serve again:
+#: the operator's bound on keys, a start, and the store's return.
+SETTLE: Final = 8.0
+#: Seconds of requests after that, at least.
+CALM: Final = 4.0
+
+#: Planned work that is done then, with nothing else in the way.
+CALM_WORK: Final = (
+    Event(0, Fault.HOST_STOPPED, 0, 0),
+    Event(0, Fault.WORKER_LEAVES, 1, 0),
+    Event(0, Fault.CONFIGURED, 0, 0),
+)
+
+#: Callers for each host.
+CALLERS: Final = 3
+
+#: What the store does, by fault.
+_STORE_FAULTS: Final = {
+    Fault.STORE_BUSY: 'busy',
+    Fault.STORE_THROTTLED: 'throttled',
+    Fault.STORE_SILENT: 'silent',
+    Fault.STORE_LOSES: 'loses_replies',
+}
+
+_WORKER_LINKS: Final = {
+    Fault.WORKER_SILENT: LinkState.SILENT,
+    Fault.WORKER_SLOW: LinkState.SLOW,
+    Fault.WORKER_ONE_WAY: LinkState.ONE_WAY,
+}
+
+#: An entry of another writer, at the address of nobody.
+_FOREIGN: Final = b'{"service": "desk", "address": 7, "slots": "many"}'
+
+
+class Faults:
+    """Lets the faults of a plan happen.
+
+    Args:
+        fleet: To whom.
+        history: Told of what was in trouble, and when.
+    """
+
+    def __init__(self, fleet: Fleet, history: History) -> None:
+        self._fleet = fleet
+        self._history = history
+        self.fired: Counter[Fault] = Counter()
+
+    async def happen(self, event: Event) -> None:
+        """Let one happen, and end it."""
+        self.fired[event.fault] += 1
+        began = time.monotonic()
+        if not event.planned:
+            # Open-ended until it is over.
+            self._history.troubled.append((began, float('inf')))
+        await self._of(event.fault)(event)
+        if not event.planned:
+            self._history.troubled.remove((began, float('inf')))
+            self._history.troubled.append((began, time.monotonic()))
+
+    def _of(self, fault: Fault) -> Callable[[Event], Awaitable[None]]:
+        """Return what makes a fault."""
+        if fault in _STORE_FAULTS:
+            return self._store
+        if fault in _WORKER_LINKS:
+            return self._worker_link
+        return {
+            Fault.HOST_KILLED: self._host_killed,
+            Fault.HOST_PAUSED: self._host_paused,
+            Fault.HOST_STOPPED: self._host_stopped,
+            Fault.HOST_RELOADED: self._host_reloaded,
+            Fault.WORKER_KILLED: self._worker_killed,
+            Fault.WORKER_PAUSED: self._worker_paused,
+            Fault.WORKER_FAILS: self._worker_fails,
+            Fault.WORKER_LEAVES: self._worker_leaves,
+            Fault.WORKER_RESET: self._worker_reset,
+            Fault.CALLERS_RESET: self._callers_reset,
+            Fault.STORE_FORGETS: self._store_forgets,
+            Fault.STORE_REFUSES: self._store_refuses,
+            Fault.STORE_SLOW: self._store_slow,
+            Fault.KEY_REVOKED: self._key_revoked,
+            Fault.CONFIGURED: self._configured,
+            Fault.FOREIGN_ENTRY: self._foreign_entry,
+        }[fault]
+
+    async def _store(self, event: Event) -> None:
+        """Let the store fail all calls in one way."""
+        await self._fleet.tell_store(f'fault/{_STORE_FAULTS[event.fault]}')
+        await asyncio.sleep(event.lasts)
+        await self._fleet.tell_store('fault/none')
+
+    async def _store_forgets(self, event: Event) -> None:
+        """Drop the store's history."""
+        await self._fleet.tell_store('forget')
+
+    async def _store_refuses(self, event: Event) -> None:
+        """Cut one host off from the store."""
+        link = self._fleet.store_links[event.target % len(self._fleet.hosts)]
+        link.reset()
+        await _held(link, LinkState.REFUSED, event.lasts)
+
+    async def _store_slow(self, event: Event) -> None:
+        """Let one host's store be slow."""
+        link = self._fleet.store_links[event.target % len(self._fleet.hosts)]
+        await _held(link, LinkState.SLOW, event.lasts)
+
+    async def _worker_link(self, event: Event) -> None:
+        """Hold up what is sent to one worker."""
+        links = self._fleet.worker_links
+        link = links[event.target % len(links)]
+        await _held(link, _WORKER_LINKS[event.fault], event.lasts)
+
+    async def _worker_reset(self, event: Event) -> None:
+        """Reset all connections to one worker."""
+        links = self._fleet.worker_links
+        links[event.target % len(links)].reset()
+
+    async def _callers_reset(self, event: Event) -> None:
+        """Reset the connections of one host's callers."""
+        links = self._fleet.host_links
+        links[event.target % len(links)].reset()
+
+    async def _host_killed(self, event: Event) -> None:
+        """Kill a host, and start it again."""
+        host = self._fleet.hosts[event.target % len(self._fleet.hosts)]
+        await host.kill()
+        await asyncio.sleep(event.lasts / 4)
+        await host.start()
+        await asyncio.sleep(1)
+
+    async def _host_paused(self, event: Event) -> None:
+        """Let a host stand still."""
+        host = self._fleet.hosts[event.target % len(self._fleet.hosts)]
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(event.lasts)
+        host.signal(signal.SIGCONT)
+
+    async def _host_stopped(self, event: Event) -> None:
+        """Stop a host as planned, and start it again."""
+        number = event.target % len(self._fleet.hosts)
+        host = self._fleet.hosts[number]
+        began = time.monotonic()
+        host.signal(signal.SIGTERM)
+        await host.ended()
+        self._history.stopping.append(
+            (f'host-{number}', began, time.monotonic()),
+        )
+        await host.start()
+
+    async def _host_reloaded(self, event: Event) -> None:
+        """Let a host read its settings again."""
+        host = self._fleet.hosts[event.target % len(self._fleet.hosts)]
+        host.signal(signal.SIGHUP)
+
+    async def _worker_killed(self, event: Event) -> None:
+        """Kill a worker; it starts again under its id."""
+        workers = self._fleet.workers
+        worker = workers[event.target % len(workers)]
+        await worker.kill()
+        await asyncio.sleep(event.lasts / 4)
+        await worker.start()
+
+    async def _worker_paused(self, event: Event) -> None:
+        """Let a worker stand still."""
+        workers = self._fleet.workers
+        worker = workers[event.target % len(workers)]
+        worker.signal(signal.SIGSTOP)
+        await asyncio.sleep(event.lasts)
+        worker.signal(signal.SIGCONT)
+
+    async def _worker_fails(self, event: Event) -> None:
+        """Let a worker fail part of its requests."""
+        workers = self._fleet.workers
+        worker = workers[event.target % len(workers)]
+        worker.signal(signal.SIGUSR1)
+        await asyncio.sleep(event.lasts)
+        worker.signal(signal.SIGUSR1)
+
+    async def _worker_leaves(self, event: Event) -> None:
+        """Let a worker leave, and another take its place."""
+        number = event.target % len(self._fleet.workers)
+        await self._fleet.replace_worker(number)
+
+    async def _key_revoked(self, event: Event) -> None:
+        """Take a key away."""
+        await self._fleet.revoke()
+
+    async def _configured(self, event: Event) -> None:
+        """Add a route."""
+        await self._fleet.configure(add_route=True)
+
+    async def _foreign_entry(self, event: Event) -> None:
+        """Let another writer write into the list of workers."""
+        name = f'foreign-{event.target}'
+        await self._fleet.put('servers', name, _FOREIGN)
+
+
+async def _held(link: Link, state: LinkState, seconds: float) -> None:
+    """Keep a link in a state for a while."""
+    link.state = state
+    await asyncio.sleep(seconds)
+    link.state = LinkState.WELL
+
+
+async def play(options: argparse.Namespace, seed: int) -> bool:
+    """Play one seed, write what was seen, and tell whether all rules held."""
+    history = History()
+    plan = list(draw(seed, options.seconds, options.hosts + options.workers))
+    for event in plan:
+        sys.stdout.write(f'{event}\n')
+    net = 1 + seed % 250
+    counts = (options.hosts, options.workers)
+    async with Fleet(*counts, net, history, options.mutant) as fleet:
+        faults = Faults(fleet, history)
+        await _play(fleet, faults, plan, history)
+    verdicts = list(judge(history, Bounds()))
+    _report(seed, history, faults, verdicts)
+    return not any(verdict.broken for verdict in verdicts)
+
+
+async def _play(
+    fleet: Fleet,
+    faults: Faults,
+    plan: list[Event],
+    history: History,
+) -> None:
+    """Let callers ask while the faults of a plan happen."""
+    over: list[bool] = []
+
+    def present_key() -> str:
+        """Return the key that holds now."""
+        return fleet.keys[0]
+
+    def is_over() -> bool:
+        """Tell whether callers stop asking."""
+        return bool(over)
+
+    callers = [
+        asyncio.create_task(
+            Caller(
+                f'c{host}-{number}',
+                f'host-{host}',
+                address,
+                history,
+                present_key,
+            ).run(is_over),
+        )
+        for host, address in enumerate(fleet.callers_at)
+        for number in range(CALLERS)
+    ]
+    began = time.monotonic()
+    happening = []
+    for event in plan:
+        await asyncio.sleep(max(0, began + event.at - time.monotonic()))
+        happening.append(asyncio.create_task(faults.happen(event)))
+    await asyncio.gather(*happening)
+    await asyncio.sleep(SETTLE if plan else 0)
+    history.calm_from = time.monotonic()
+    work = (faults.happen(event) for event in CALM_WORK)
+    await asyncio.gather(asyncio.sleep(CALM), *work)
+    over.append(True)
+    await asyncio.gather(*callers)
+
+
+def _report(
+    seed: int,
+    history: History,
+    faults: Faults,
+    verdicts: list[Verdict],
+) -> None:
+    """Write what was asked, what happened, and what was judged."""
+    served = sum(each.served for each in history.requests)
+    out = sys.stdout
+    out.write(f'seed {seed}: {len(history.asked)} requests, {served} served\n')
+    fired = ', '.join(f'{fault.value} {faults.fired[fault]}' for fault in Fault)
+    out.write(f'faults: {fired}\n')
+    for fault in Fault:
+        if not faults.fired[fault]:
+            out.write(f'never fired: {fault.value}\n')
+    for verdict in verdicts:
+        out.write(f'{verdict.judge}: {verdict.moments} judged, ')
+        out.write(f'{len(verdict.broken)} broken\n')
+        for sentence in verdict.broken[:5]:
+            out.write(f'  {sentence}\n')
+
+
+def main(words: list[str] | None = None) -> int:
+    """Play the seeds of a command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1, help='the first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--hosts', type=int, default=3)
+    parser.add_argument('--workers', type=int, default=4)
+    parser.add_argument(
+        '--seconds',
+        type=float,
+        default=25.0,
+        help='for how long faults begin',
+    )
+    parser.add_argument(
+        '--mutant',
+        default='',
+        help='a deliberate fault of the workers, which has to be found',
+    )
+    options = parser.parse_args(words)
+    failed = [
+        seed
+        for seed in range(options.seed, options.seed + options.seeds)
+        if not asyncio.run(play(options, seed))
+    ]
+    sys.stdout.write(f'{options.seeds} seeds played, failed: {failed}\n')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/experiments/fleet_soak_fleet.py
@@ -0,0 +1,346 @@
+"""The fleet of a soak: the real program on loopback, links around it.
+
+Every host has an address of its own, and so has each link, so that one host
+can be cut off from the store, and one worker from all hosts.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+import signal
+import site
+import socket
+import tempfile
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any, Final
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from experiments.fleet_soak_callers import ROUTER
+from experiments.fleet_soak_history import (
+    Asked,
+    Bounds,
+    History,
+    Kind,
+    Ran,
+)
+from experiments.fleet_soak_links import Link
+from experiments.fleet_soak_processes import SoakProcess
+
+DOMAINS: Final = ('north', 'south')
+
+BOUNDS: Final = Bounds()
+
+#: What the operator's kinds are called.
+_KINDS: Final = {
+    Kind.LOOK: 'idempotent',
+    Kind.PAY: 'non_idempotent',
+    Kind.DRAFT: 'streaming',
+}
+
+#: Seconds that the fleet may take to begin to serve.
+START_LIMIT: Final = 60
+
+_TERM: Final = signal.SIGTERM
+
+#: A host's settings file, with the bounds that the judges know.
+_SETTINGS: Final = """\
+nodeName={name}
+zone={domain}
+ip={ip}
+listen.front={callers}
+listen.ready={ready}
+internalPorts={inside}
+platform.address={store}
+bounds.failClosed=true
+bounds.revokeMs=5000
+bounds.drainMs=2000
+bounds.graceS=8
+bounds.sessionS=5
+bounds.configApplyMs=2000
+bounds.retryBudgetRatio=0.9
+bounds.budgetWindowS=10
+bounds.exposeShare=0.15
+bounds.rollbackMs=5000
+"""
+
+
+def free_address(ip: str) -> tuple[str, int]:
+    """Return an address that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+    return ip, port
+
+
+def written(address: tuple[str, int]) -> str:
+    """Return an address as IP:PORT."""
+    ip, port = address
+    return f'{ip}:{port}'
+
+
+class Fleet:
+    """Store, workers and hosts as processes, and the links between them.
+
+    Args:
+        hosts: How many hosts.
+        workers: How many workers.
+        net: Second number of all addresses, so that soaks don't meet.
+        history: What is seen.
+        mutant: A deliberate fault of the workers; empty for none.
+    """
+
+    def __init__(
+        self,
+        hosts: int,
+        workers: int,
+        net: int,
+        history: History,
+        mutant: str = '',
+    ) -> None:
+        self.history = history
+        self._mutant = mutant
+        self.hosts: list[SoakProcess] = []
+        self.workers: list[SoakProcess] = []
+        self.host_links: list[Link] = []
+        self.store_links: list[Link] = []
+        self.worker_links: list[Link] = []
+        self.keys = ['key-0']
+        self.callers_at: list[str] = []
+        self._net = net
+        self._counts = (hosts, workers)
+        self._stack = AsyncExitStack()
+        self._incarnations = itertools.count()
+        self._versions = itertools.count(1)
+        self._extra_routes = 0
+
+    async def __aenter__(self) -> 'Fleet':
+        """Start everything, and wait until it serves."""
+        try:
+            await self._open()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def _open(self) -> None:
+        """Start everything, and wait until it serves."""
+        folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        self._folder = Path(folder)
+        self._session = await self._stack.enter_async_context(
+            ClientSession(timeout=ClientTimeout(total=2)),
+        )
+        self._store_at = free_address(f'127.{self._net}.0.1')
+        words = ('-m', 'experiments.fleet_soak_store', '--listen')
+        await self._own(
+            SoakProcess((*words, written(self._store_at)), {}, _unheard)
+        )
+        while not await self.configure():
+            await asyncio.sleep(0.1)
+        hosts, workers = self._counts
+        for number in range(workers):
+            await self._add_worker(number)
+        for number in range(hosts):
+            await self._add_host(number)
+        async with asyncio.timeout(START_LIMIT):
+            for address in self.callers_at:
+                await self._until_served(address)
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """End every process that was started, and close all links."""
+        await self._stack.aclose()
+
+    async def configure(self, *, add_route: bool = False) -> bool:
+        """Write a configuration; tell whether it was acknowledged."""
+        self._extra_routes += add_route
+        for key in self.keys:
+            self.history.keys.setdefault(key, 'clerks')
+        names = [kind.value for kind in Kind]
+        names.extend(f'extra{each}' for each in range(self._extra_routes))
+        document = {
+            'version': next(self._versions),
+            'routes': [_route(name) for name in names],
+            'services': [{'name': 'desk', 'maxConnections': 100}],
+            'limits': {},
+            'tenants': [{'name': 'clerks', 'apiKeys': self.keys}],
+        }
+        return await self.put('op', 'config', json.dumps(document).encode())
+
+    async def revoke(self) -> None:
+        """Take the oldest key away, once another holds everywhere."""
+        number = len(self.history.keys)
+        self.keys.append(f'key-{number}')
+        await self.configure()
+        await asyncio.sleep(BOUNDS.revoke)
+        gone = self.keys.pop(0)
+        if await self.configure():
+            self.history.revoked[gone] = time.monotonic()
+        else:
+            self.keys.insert(0, gone)
+
+    async def put(self, table: str, key: str, content: bytes) -> bool:
+        """Write a row; tell whether that was acknowledged."""
+        put = {
+            'table': table,
+            'part': '',
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+        }
+        body = {'expectedRevision': [], 'puts': [put], 'remove': []}
+        return await self.tell_store('v1/rows-tx', body)
+
+    async def tell_store(self, call: str, body: object = None) -> bool:
+        """Make a call to the store; tell whether it was acknowledged."""
+        url = f'http://{written(self._store_at)}/{call}'
+        try:
+            async with self._session.post(url, json=body) as answer:
+                return answer.ok
+        except (ClientError, TimeoutError, OSError):
+            return False
+
+    async def replace_worker(self, number: int) -> None:
+        """Let a worker leave, and another take its place."""
+        leaving = self.workers[number]
+        await self._add_worker(number)
+        leaving.signal(_TERM)
+        await leaving.ended()
+
+    def worker_said(self, worker: str, line: dict[str, Any]) -> None:
+        """Take in what a worker has written."""
+        if line['event'] == 'ran':
+            self.history.ran.append(
+                Ran(
+                    line['request'],
+                    worker,
+                    line['moment'],
+                    line['workspace'],
+                    line['authorization'],
+                ),
+            )
+        elif line['event'] == 'left':
+            self.history.left[worker] = line['moment']
+
+    async def _add_worker(self, number: int) -> None:
+        """Start a worker behind a link, in the place of a number."""
+        name = f'w-{next(self._incarnations)}'
+        at = free_address(f'127.{self._net}.1.{number + 1}')
+        listed = free_address(f'127.{self._net}.2.{number + 1}')
+        link = Link(*listed, at)
+        await link.open()
+        self._stack.callback(link.close)
+        words = (
+            *('-m', 'experiments.fleet_soak_worker', '--id', name),
+            *('--listen', written(at), '--listed', written(listed)),
+            *('--store', written(self._store_at)),
+            *('--zone', DOMAINS[number % len(DOMAINS)]),
+            *('--seed', str(number), '--mutant', self._mutant),
+        )
+        process = SoakProcess(
+            words,
+            {},
+            lambda line: self.worker_said(name, line),
+        )
+        await self._own(process)
+        if number < len(self.workers):
+            self.workers[number] = process
+            self.worker_links[number] = link
+        else:
+            self.workers.append(process)
+            self.worker_links.append(link)
+
+    async def _add_host(self, number: int) -> None:
+        """Start a host between links of its own."""
+        ip = f'127.{self._net}.3.{number + 1}'
+        callers, ready, inside = (free_address(ip) for _ in range(3))
+        to_host = Link(
+            *free_address(f'127.{self._net}.4.{number + 1}'), callers
+        )
+        store_at = free_address(f'127.{self._net}.5.{number + 1}')
+        to_store = Link(*store_at, self._store_at)
+        for link in (to_host, to_store):
+            await link.open()
+            self._stack.callback(link.close)
+        self.host_links.append(to_host)
+        self.store_links.append(to_store)
+        path = self._folder / f'host-{number}.conf'
+        path.write_text(
+            _SETTINGS.format(
+                name=f'host-{number}',
+                domain=DOMAINS[number % len(DOMAINS)],
+                ip=ip,
+                callers=written(callers),
+                ready=written(ready),
+                inside=f'{inside[1]},{inside[1]}',
+                store=written(store_at),
+            ),
+        )
+        self.callers_at.append(to_host.address)
+        process = SoakProcess(
+            ('-S', 'platform/start.py'),
+            {'NUTMEGROAD_BOOT': str(path), 'PYTHONPATH': _site_packages()},
+            _unheard,
+        )
+        self.hosts.append(process)
+        await self._own(process)
+
+    async def _own(self, process: SoakProcess) -> None:
+        """Start a process that ends with the fleet."""
+        await process.start()
+        self._stack.push_async_callback(process.kill)
+
+    async def _until_served(self, address: str) -> None:
+        """Wait until a host serves."""
+        first = f'first at {address}'
+        self.history.asked[first] = Asked(
+            first,
+            Kind.LOOK,
+            address,
+            self.keys[0],
+            time.monotonic(),
+            left_early=True,
+        )
+        headers = {
+            'Host': ROUTER,
+            'Nutmegroad-Request-Id': first,
+            'Authorization': f'Bearer {self.keys[0]}',
+        }
+        url = f'http://{address}/look/1'
+        while not await self._is_served(url, headers):
+            await asyncio.sleep(0.1)
+
+    async def _is_served(self, url: str, headers: dict[str, str]) -> bool:
+        """Tell whether a request is answered."""
+        try:
+            async with self._session.post(url, headers=headers) as answer:
+                return answer.ok
+        except (ClientError, TimeoutError, OSError):
+            return False
+
+
+def _route(name: str) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    known = {kind.value: written for kind, written in _KINDS.items()}
+    return {
+        'name': name,
+        'host': ROUTER,
+        'prefix': f'/{name}/',
+        'kind': known.get(name, 'idempotent'),
+        'timeoutMs': int(BOUNDS.timeout * 1000),
+        'targetLatencyMs': 500,
+        'service': 'desk',
+        'maxAttempts': 3,
+        'streamResume': True,
+        'gapAimMs': 500,
+    }
+
+
+def _site_packages() -> str:
+    """Return where libraries are, for a program that looks nowhere itself."""
+    return ':'.join(site.getsitepackages())
+
+
+def _unheard(line: dict[str, Any]) -> None:
+    """Hear nothing of what a process writes."""
--- /dev/null
+++ b/experiments/fleet_soak_history.py
@@ -0,0 +1,161 @@
+"""What a soak of a fleet has seen, as its judges read it."""
+
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from typing import Final
+
+OK: Final = 200
+
+#: Events of each stream.
+EVENTS: Final = 6
+
+
+@unique
+class Kind(Enum):
+    """What may be repeated of a request."""
+
+    LOOK = 'look'
+    PAY = 'pay'
+    DRAFT = 'draft'
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request as its caller saw it; times are monotonic seconds.
+
+    Attributes:
+        request: Its id.
+        kind: Its kind.
+        host: Which host was asked.
+        key: The key that it bore.
+        sent: When it was sent.
+        ended: When it ended, however; 0 while it has not.
+        status: HTTP status; 0 if there was none.
+        body: What came of the answer.
+        whole: Whether the answer came to its end.
+        signed: Whether it bore a worker's signature.
+        left_early: Whether its caller leaves before the answer.
+    """
+
+    request: str
+    kind: Kind
+    host: str
+    key: str
+    sent: float
+    ended: float = 0
+    status: int = 0
+    body: bytes = b''
+    whole: bool = False
+    signed: bool = False
+    left_early: bool = False
+
+    @property
+    def served(self) -> bool:
+        """Tell whether a success came to its end."""
+        return self.status == OK and self.whole
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """A request as a worker saw it.
+
+    Attributes:
+        request: Its id.
+        worker: The worker's id.
+        moment: When it began.
+        workspace: The workspace that it was told.
+        authorization: The key that was passed on; there must be none.
+    """
+
+    request: str
+    worker: str
+    moment: float
+    workspace: str = ''
+    authorization: str = ''
+
+
+@dataclass(slots=True)
+class History:
+    """All that was seen, and what the operator and the plan did.
+
+    Attributes:
+        asked: Requests by id.
+        ran: Runs, in any order.
+        keys: Workspace by key, of all keys that ever held.
+        revoked: When a key's end was acknowledged, by key.
+        left: When it was acknowledged that a worker leaves, by worker.
+        troubled: Spans in which hosts, links or the store were in trouble.
+        stopping: Spans of planned stops, by host.
+        calm_from: When the last fault had ended for long enough.
+    """
+
+    asked: dict[str, Asked] = field(default_factory=dict)
+    ran: list[Ran] = field(default_factory=list)
+    keys: dict[str, str] = field(default_factory=dict)
+    revoked: dict[str, float] = field(default_factory=dict)
+    left: dict[str, float] = field(default_factory=dict)
+    troubled: list[tuple[float, float]] = field(default_factory=list)
+    stopping: list[tuple[str, float, float]] = field(default_factory=list)
+    calm_from: float = float('inf')
+
+    @property
+    def requests(self) -> tuple[Asked, ...]:
+        """Return all requests."""
+        return tuple(self.asked.values())
+
+    def of_kind(self, kind: Kind) -> tuple[Asked, ...]:
+        """Return the requests of a kind."""
+        return tuple(each for each in self.requests if each.kind is kind)
+
+    def runs_of(self, request: str) -> int:
+        """Return how often a request ran."""
+        return sum(run.request == request for run in self.ran)
+
+    def is_calm(self, begin: float, end: float, before: float = 0) -> bool:
+        """Tell whether nothing was in trouble in a span, nor before it."""
+        return all(
+            until < begin - before or since > end
+            for since, until in self.troubled
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The deployment's bounds, in seconds; ratios without a unit."""
+
+    revoke: float = 5
+    drain: float = 2
+    contact: float = 3
+    timeout: float = 4
+    repeat_ratio: float = 0.9
+    repeat_slack: float = 58
+    window: float = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What one judge found.
+
+    Attributes:
+        judge: Its name.
+        moments: How often its rule could have been broken.
+        broken: A sentence for each time that it was.
+    """
+
+    judge: str
+    moments: int
+    broken: tuple[str, ...] = ()
+
+
+def expected_body(request: str, kind: Kind) -> bytes:
+    """Return the whole answer that any worker gives to a request."""
+    if kind is not Kind.DRAFT:
+        return f'answer to {request}'.encode()
+    return b''.join(
+        event_of(request, number) for number in range(1, EVENTS + 1)
+    )
+
+
+def event_of(request: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: {request} piece {number}\n\n'.encode()
--- /dev/null
+++ b/experiments/fleet_soak_store.py
@@ -0,0 +1,51 @@
+"""The soak's store of rows, as a program whose faults are switched by HTTP.
+
+    python -m experiments.fleet_soak_store --listen IP:PORT
+
+``POST /fault/NAME`` puts a fault into force, ``POST /forget`` drops the
+history of changes.
+"""
+
+import argparse
+import asyncio
+import sys
+
+from aiohttp import web
+from fakes.row_store import RowStore, StoreFault
+
+
+async def serve(listen: str) -> None:
+    """Serve until the process is ended."""
+    store = RowStore()
+
+    async def put_fault(request: web.Request) -> web.Response:
+        """Switch a fault on."""
+        store.fault = StoreFault(request.match_info['name'].replace('_', ' '))
+        return web.Response()
+
+    async def forget(request: web.Request) -> web.Response:
+        """Drop the history."""
+        store.forget()
+        return web.Response()
+
+    app = store.app()
+    app.router.add_post('/fault/{name}', put_fault)
+    app.router.add_post('/forget', forget)
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    host, _, port = listen.rpartition(':')
+    await web.TCPSite(runner, host, int(port)).start()
+    sys.stdout.write('{"event": "listening"}\n')
+    sys.stdout.flush()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--listen', required=True)
+    asyncio.run(serve(parser.parse_args().listen))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/test_fleet_soak.py
@@ -0,0 +1,49 @@
+"""The fleet's soak: a short run holds, and a deliberate fault is found."""
+
+import io
+import unittest
+from contextlib import redirect_stdout
+
+from experiments.fleet_soak import main
+from experiments.fleet_soak_plan import Fault, draw
+from experiments.fleet_soak_worker import FOREIGN_BODIES
+
+SMALL = ('--hosts', '2', '--workers', '3')
+
+
+class PlanTest(unittest.TestCase):
+    """What befalls a fleet follows from the seed."""
+
+    def test_same_seed_gives_the_same_plan(self) -> None:
+        """So a run can be replayed."""
+        self.assertEqual(list(draw(1, 60, 5)), list(draw(1, 60, 5)))
+        self.assertNotEqual(list(draw(1, 60, 5)), list(draw(2, 60, 5)))
+
+    def test_every_fault_comes_before_any_comes_twice(self) -> None:
+        """A long enough run leaves none out."""
+        plan = [event.fault for event in draw(3, 200, 5)]
+        kinds = len(Fault)
+        self.assertEqual(len(set(plan[:kinds])), kinds)
+
+
+class FleetSoakTest(unittest.TestCase):
+    """The real program as processes, judged from outside."""
+
+    def play(self, *words: str) -> tuple[int, str]:
+        """Play a soak and return its status and what it wrote."""
+        out = io.StringIO()
+        with redirect_stdout(out):
+            status = main([*SMALL, *words])
+        return status, out.getvalue()
+
+    def test_short_run_breaks_no_rule(self) -> None:
+        """A few faults, then planned work in calm."""
+        status, text = self.play('--seed', '4', '--seconds', '4')
+        self.assertEqual(status, 0, text)
+
+    def test_foreign_answers_are_found(self) -> None:
+        """Workers that answer with the bodies of other requests."""
+        words = ('--seconds', '0', '--mutant', FOREIGN_BODIES)
+        status, text = self.play(*words)
+        self.assertEqual(status, 1, text)
+        self.assertNotIn('whole answers: 0 judged', text)
--- /dev/null
+++ b/tests/test_fleet_soak_judge.py
@@ -0,0 +1,147 @@
+"""Each judge of the fleet's soak can fail: a history that breaks its rule."""
+
+import unittest
+from dataclasses import replace
+
+from experiments import fleet_soak_judge as judges
+from experiments.fleet_soak_history import (
+    Asked,
+    Bounds,
+    History,
+    Kind,
+    Ran,
+    event_of,
+    expected_body,
+)
+
+BOUNDS = Bounds()
+GOOD = Asked(
+    'r',
+    Kind.PAY,
+    'h',
+    'k',
+    sent=10,
+    ended=11,
+    status=200,
+    body=expected_body('r', Kind.PAY),
+    whole=True,
+    signed=True,
+)
+RUN = Ran('r', 'w', 10.1, workspace='clerks')
+
+
+def history(*asked: Asked, ran: tuple[Ran, ...] = (RUN,)) -> History:
+    """Return a history in which a key holds."""
+    return History(
+        asked={each.request: each for each in asked},
+        ran=list(ran),
+        keys={'k': 'clerks'},
+        calm_from=0,
+    )
+
+
+class JudgeTest(unittest.TestCase):
+    """What breaks a rule is found, and what keeps all is not."""
+
+    def broken(self, judge: judges.Judge, seen: History) -> int:
+        """Return how often a judge found its rule broken."""
+        verdict = judge(seen, BOUNDS)
+        self.assertGreater(verdict.moments, 0)
+        return len(verdict.broken)
+
+    def test_good_history_breaks_nothing(self) -> None:
+        """One request, one run, one answer."""
+        for judge in judges.JUDGES:
+            with self.subTest(judge=judge.__name__):
+                self.assertEqual(judge(history(GOOD), BOUNDS).broken, ())
+
+    def test_foreign_and_unsigned_answers(self) -> None:
+        """The answer to another request, or nobody's."""
+        for bad in (
+            replace(GOOD, body=expected_body('other', Kind.PAY)),
+            replace(GOOD, signed=False),
+        ):
+            self.assertEqual(
+                self.broken(judges.answers_are_whole, history(bad)), 1
+            )
+
+    def test_streams_with_a_gap_or_a_doubled_piece(self) -> None:
+        """Pieces of two runs that were joined badly."""
+        for numbers in ((1, 3), (1, 2, 2), (2,)):
+            body = b''.join(event_of('r', number) for number in numbers)
+            bad = replace(GOOD, kind=Kind.DRAFT, body=body, whole=False)
+            self.assertEqual(
+                self.broken(judges.streams_are_in_order, history(bad)), 1
+            )
+
+    def test_second_run(self) -> None:
+        """A booking that was made twice."""
+        seen = history(GOOD, ran=(RUN, replace(RUN, worker='v')))
+        found = self.broken(judges.runs_once, seen)
+        self.assertEqual(found, 1)
+
+    def test_refusal_that_lies(self) -> None:
+        """Not run, and it ran."""
+        seen = history(replace(GOOD, status=503))
+        found = self.broken(judges.promises_are_true, seen)
+        self.assertEqual(found, 1)
+
+    def test_runs_that_nobody_asked_for(self) -> None:
+        """An unknown id, a foreign workspace, a key that was passed on."""
+        for bad in (
+            replace(RUN, request='x'),
+            replace(RUN, workspace='others'),
+            replace(RUN, authorization='Bearer k'),
+        ):
+            seen = history(GOOD, ran=(bad,))
+            found = self.broken(judges.runs_were_asked_for, seen)
+            self.assertEqual(found, 1)
+
+    def test_dead_key(self) -> None:
+        """Sent six seconds after its key was taken away."""
+        seen = history(GOOD)
+        seen.revoked['k'] = 4
+        found = self.broken(judges.keys_end, seen)
+        self.assertEqual(found, 1)
+        seen.revoked['k'] = 6
+        found = self.broken(judges.keys_end, seen)
+        self.assertEqual(found, 0)
+
+    def test_worker_that_has_left(self) -> None:
+        """Three seconds after it said so; excused only by trouble."""
+        seen = history(GOOD)
+        seen.left['w'] = 7
+        self.assertEqual(
+            self.broken(judges.leaving_workers_get_nothing, seen), 1
+        )
+        seen.troubled.append((6, 8))
+        found = judges.leaving_workers_get_nothing(seen, BOUNDS)
+        self.assertEqual(found.moments, 0)
+
+    def test_answer_after_the_timeout(self) -> None:
+        """Never ended, or much too late."""
+        for ended in (0.0, 16.0):
+            seen = history(replace(GOOD, ended=ended))
+            found = self.broken(judges.answers_come_in_time, seen)
+            self.assertEqual(found, 1)
+
+    def test_cut_at_a_planned_stop(self) -> None:
+        """Passed on, and closed without an answer."""
+        seen = history(replace(GOOD, status=0, whole=False))
+        seen.stopping.append(('h', 9.5, 18))
+        found = self.broken(judges.planned_stops_cut_nothing, seen)
+        self.assertEqual(found, 1)
+
+    def test_storm_of_repeats(self) -> None:
+        """Each of them beyond the operator's ratio."""
+        runs = tuple(replace(RUN, moment=10 + i / 100) for i in range(100))
+        seen = history(GOOD, ran=runs)
+        self.assertGreater(
+            self.broken(judges.repeats_keep_to_the_budget, seen), 0
+        )
+
+    def test_fleet_that_does_not_come_back(self) -> None:
+        """Nothing is served after the last fault."""
+        seen = history(replace(GOOD, status=503, whole=True))
+        found = self.broken(judges.service_returns, seen)
+        self.assertEqual(found, 1)
