Tell sends at once, hold what engines keep for all hosts, rank short first

Behind a prompt of 11,000 tokens that the large model reads in two seconds short ones stood for 1.7 s. 0.54 of 3.25 million prompt tokens were parts read again.

Ruled out: paces learnt late as the main cause (the long waits have small estimates since nothing was known, not since the pace was wrong).

--- a/src/nutmegroad/fleet/loads.py
+++ b/src/nutmegroad/fleet/loads.py
@@ -52,6 +52,9 @@
 
 Loads = dict[UpstreamIncarnation, Load]
 
+#: Told of a request that goes to an upstream, and what it adds there.
+TellOfRequest = Callable[[UpstreamIncarnation, Load], None]
+
 
 @dataclass(frozen=True, slots=True)
 class _Told:
@@ -80,12 +83,17 @@
         # The sum of what neighbours told: there may be many of them, and each
         # choice of an upstream asks for it.
         self._others: Loads = {}
+        self._told_of_requests: list[TellOfRequest] = []
 
     @property
     def own(self) -> Loads:
         """Return what this host has sent."""
         return self._own
 
+    def tell_of_requests(self, tell: TellOfRequest) -> None:
+        """Let somebody hear of each request that this host sends."""
+        self._told_of_requests.append(tell)
+
     def load(self, upstream: UpstreamIncarnation) -> Load:
         """Return what an upstream is busy with, as far as is known."""
         self._forget_stale()
@@ -97,6 +105,8 @@
     ) -> Callable[[], None]:
         """Count a request, and return what counts its prompt as read."""
         self._add(upstream, load)
+        for tell in self._told_of_requests:
+            tell(upstream, load)
         left = [load.reading]
 
         def read() -> None:
@@ -120,6 +130,12 @@
             self._change(before.loads, -1)
         self._change(loads, 1)
 
+    def told_part(self, host: HostId, loads: Loads) -> None:
+        """Take in what a neighbour has at some upstreams."""
+        known = self._told.get(host)
+        whole = loads if known is None else {**known.loads, **loads}
+        self.told(host, whole)
+
     def _forget_stale(self) -> None:
         """Forget what neighbours told too long ago."""
         oldest = self._clock.now() - STALE
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -15,13 +15,14 @@
 from msgspec import Struct
 
 from nutmegroad.fleet.evidence_book import EvidenceBook, EvidenceByService
-from nutmegroad.fleet.loads import LoadLedger, Loads
+from nutmegroad.fleet.loads import Load, LoadLedger, Loads
+from nutmegroad.fleet.prefix_marks import HeldPrefixes, ToldPrefixes
 from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.fleet.stored import FLEET_TABLE, RowPut, Store
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
-from nutmegroad.foundations.types import HostId
+from nutmegroad.foundations.types import HostId, UpstreamIncarnation
 
 _LOG: Final = part_logger('neighbours')
 
@@ -47,6 +48,22 @@
 #: hears from each about once a second.
 FAR_PER_TURN: Final = 1
 
+#: Seconds of reading from which a request is heavy: whatever is sent to the
+#: same engine before its host has heard of it waits behind it.
+HEAVY: Final = 0.1
+
+#: Hosts that are told at once of each request, of the own failure domain, whose
+#: hosts use the same upstreams first: all of today's. Requests come in clumps,
+#: and of those that met an unread prompt of which their host did not know, two
+#: in three met one that a near host had sent within the last 50 ms. Telling at
+#: once is worth 0.02 of the worth of a day, measured by nine paired days.
+NEAR_AT_ONCE: Final = 8
+
+#: Hosts that are told at once of a heavy request, near and far. Bytes between
+#: failure domains are dear: told of all, a second deployment lost 0.015.
+NEAR_OF_HEAVY: Final = 30
+FAR_OF_HEAVY: Final = 8
+
 #: Seconds without a word after which a neighbour is told less often, and
 #: every how many turns it still is.
 QUIET: Final = 5.0
@@ -77,12 +94,16 @@
         loads: What it has sent, by upstream.
         sessions: Marks of sessions on an old version, with their ages.
         evidence: What it has seen of roll-outs under way.
+        prefixes: Parts of prompts that it has sent a moment ago.
+        partial: Whether the loads are some of those that it has.
     """
 
     host: str
     loads: Loads
     sessions: dict[int, int] = {}
     evidence: EvidenceByService = {}
+    prefixes: ToldPrefixes = {}
+    partial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,11 +114,13 @@
         ledger: What upstreams are busy with.
         marks: Sessions that a roll-out must leave where they are.
         book: What was seen of roll-outs.
+        prefixes: What upstreams hold of prompts.
     """
 
     ledger: LoadLedger
     marks: SessionMarks
     book: EvidenceBook
+    prefixes: HeldPrefixes
 
 
 def nothing_told(clock: Clock, session_span: float) -> Told:
@@ -108,7 +131,12 @@
         session_span: Seconds within which requests belong together.
     """
     marks = SessionMarks(clock, session_span + MARK_SLACK)
-    return Told(LoadLedger(clock), marks, EvidenceBook())
+    return Told(
+        LoadLedger(clock),
+        marks,
+        EvidenceBook(),
+        HeldPrefixes(clock),
+    )
 
 
 class Neighbours(asyncio.DatagramProtocol):
@@ -140,6 +168,7 @@
         self._ledger = told.ledger
         self._marks = told.marks
         self._book = told.book
+        self._prefixes = told.prefixes
         self._store = store
         self._clock = clock
         self._near: dict[HostId, HostRow] = {}
@@ -148,6 +177,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(Telling)
         self._silent = True
+        self._at_once = 0
+        self._ledger.tell_of_requests(self._tell_at_once)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket to send on."""
@@ -162,8 +193,12 @@
             return
         host = HostId(telling.host)
         self._heard[host] = self._clock.now()
+        if telling.partial:
+            self._ledger.told_part(host, telling.loads)
+            return
         self._ledger.told(host, telling.loads)
         self._marks.told(telling.sessions)
+        self._prefixes.told(telling.prefixes)
         for service, evidence in telling.evidence.items():
             self._book.told(service, host, evidence)
 
@@ -190,6 +225,7 @@
                 self._ledger.own,
                 self._marks.ages(),
                 self._book.own_counts,
+                self._prefixes.recent(self._round()),
             ),
         )
 
@@ -224,6 +260,32 @@
                     row = hosts[host]
                     self._transport.sendto(text, (row.ip, row.port))
 
+    def _tell_at_once(self, upstream: UpstreamIncarnation, load: Load) -> None:
+        """Tell what this host has at one upstream, before the next turn."""
+        if self._transport is None:
+            return
+        self._at_once += 1
+        heavy = load.reading >= HEAVY
+        loads = {upstream: self._ledger.own[upstream]}
+        text = msgspec.msgpack.encode(Telling(self._host, loads, partial=True))
+        for hosts, count in (
+            (self._near, NEAR_OF_HEAVY if heavy else NEAR_AT_ONCE),
+            (self._far, FAR_OF_HEAVY if heavy else 0),
+        ):
+            for host in in_turn(tuple(hosts), self._at_once, count):
+                if self._is_due(host, self._at_once):
+                    row = hosts[host]
+                    self._transport.sendto(text, (row.ip, row.port))
+
+    def _round(self) -> float:
+        """Return the seconds in which each other host is told twice."""
+        turns = max(
+            len(self._near) / NEAR_PER_TURN,
+            len(self._far) / FAR_PER_TURN,
+            1,
+        )
+        return 2 * turns * TURN
+
     def _is_due(self, host: HostId, turn: int) -> bool:
         """Tell whether a neighbour is to be told at a turn."""
         quiet = self._clock.now() - self._heard[host] > QUIET
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -25,8 +25,14 @@
 )
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.routes.headers import HeaderNames
-from nutmegroad.routes.requests import MILLISECONDS, CallerRequest
+from nutmegroad.routes.requests import (
+    MILLISECONDS,
+    CallerRequest,
+    Generation,
+)
 from nutmegroad.upstreams.directory import End, Upstream
+from nutmegroad.upstreams.prefixes import marked
+from nutmegroad.upstreams.ranks import engine_rank
 from nutmegroad.upstreams.selection import Choice, Selector
 
 _LOG: Final = part_logger('relay')
@@ -40,8 +46,9 @@
 FAILURES: Final = 400
 SERVER_FAILURES: Final = 500
 
-#: Ranks that an upstream takes, 0 first.
-LOWEST_RANK: Final = 9
+#: Part of an engine's memory in which it keeps parts that were read; the rest
+#: is for the requests that it runs.
+KEPT_PART: Final = 0.7
 
 
 @unique
@@ -220,13 +227,25 @@
         load = plan.choice.load
         read = ledger.begin(name, load)
         if request.generation is not None:
-            parts = request.generation.parts
-            self._selector.prefixes.sent(name, plan.model, parts)
+            self._remember(request, plan, request.generation)
         stack.callback(ledger.end, name, load)
         stack.callback(read)
         stack.callback(upstream.health.abandon)
         return read
 
+    def _remember(
+        self,
+        request: CallerRequest,
+        plan: AttemptPlan,
+        generation: Generation,
+    ) -> None:
+        """Note which parts of a prompt an upstream is about to hold."""
+        entry = plan.upstream.entry
+        facts = request.table.service_of(entry.service).engine
+        memory = 0 if facts is None else int(facts.memory * KEPT_PART)
+        parts = marked(plan.model, generation.parts)
+        self._selector.prefixes.sent(entry.incarnation, parts, memory)
+
     async def _exchange(
         self,
         request: CallerRequest,
@@ -309,7 +328,15 @@
         if request.workspace is not None:
             ours[names.workspace] = request.workspace.name
         if request.generation is not None:
-            ours[names.priority] = str(min(LOWEST_RANK, request.priority))
+            rank = engine_rank(
+                plan.choice.reading.seconds,
+                request.route.target_latency,
+                request.priority,
+            )
+            ours[names.priority] = str(rank)
+        source = plan.choice.reading.source
+        if source is not None:
+            ours[names.fetch_from] = str(source.entry.address)
         replaced: set[bytes] = set()
         if plan.model is not None:
             ours[names.model] = plan.model
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -206,7 +206,11 @@
         )
         told = self._fleet.told
         selector = Selector(
-            clock, self._randomness, settings.domain, told.ledger
+            clock,
+            self._randomness,
+            settings.domain,
+            told.ledger,
+            told.prefixes,
         )
         attempts = Attempts(self._pool, names, selector, clock)
         self._directory.ended.tell_of_ends(attempts.ended)
--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -110,7 +110,7 @@
         if sound:
             pace = self._parts.selector.paces.observe(
                 PaceKey(self._service, answering.model),
-                answering.choice.missing,
+                answering.choice.reading.tokens,
                 answering.waited,
                 answering.choice.expected,
             )
--- a/src/nutmegroad/routes/deployment.py
+++ b/src/nutmegroad/routes/deployment.py
@@ -98,10 +98,13 @@
     Attributes:
         memory: Tokens that its cache holds.
         event_tokens: Tokens in an event of a stream.
+        fetch_time: Seconds to fetch a token that another engine keeps; None
+            if that is not known.
     """
 
     memory: int
     event_tokens: int
+    fetch_time: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/routes/headers.py
+++ b/src/nutmegroad/routes/headers.py
@@ -49,6 +49,7 @@
         last_event: Id of the last event that the caller has.
         priority: Rank at the upstream, 0 first.
         confidence: The model's own opinion of its answer, 0 to 100.
+        fetch_from: Address of an upstream that holds parts of the prompt.
         system_only: Headers that no caller may set.
     """
 
@@ -66,6 +67,7 @@
     last_event: str
     priority: str
     confidence: str
+    fetch_from: str
     system_only: tuple[str, ...]
 
     @cached_property
--- a/src/nutmegroad/upstreams/selection.py
+++ b/src/nutmegroad/upstreams/selection.py
@@ -12,9 +12,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from xxhash import xxh3_64_intdigest
-
 from nutmegroad.fleet.loads import Load, LoadLedger
+from nutmegroad.fleet.prefix_marks import HeldPrefixes
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import (
     DomainId,
@@ -23,10 +22,10 @@
     UpstreamIncarnation,
 )
 from nutmegroad.routes.deployment import EngineFacts
-from nutmegroad.routes.requests import CallerRequest, Generation
+from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.estimates import PaceKey, Paces
-from nutmegroad.upstreams.prefixes import PrefixCache
+from nutmegroad.upstreams.prefixes import NOTHING, PromptReadings, Reading
 
 #: Part of the time to a request's target that an upstream in another failure
 #: domain counts as slower: bytes between domains are dear, a far answer that
@@ -48,10 +47,6 @@
 #: sent a moment ago is not known yet.
 MEMORY_FULL: Final = 0.9
 
-#: Part of the shared tokens that the first upstream of a subject is taken to
-#: keep when this host has not sent them there itself.
-LIKELY_KEPT: Final = 0.5
-
 #: Times its estimate an upstream has to take to count as slow.
 SLOW: Final = 2.0
 
@@ -68,10 +63,9 @@
     Attributes:
         upstream: The one chosen.
         expected: Seconds until its answer should begin.
-        reading: Seconds of those in which it reads the request's prompt.
+        reading: What it does about the request's prompt.
         tokens: Tokens that the request adds to its memory.
         held: Tokens that others hold there.
-        missing: Tokens of the prompt that it has to read.
         running: Requests there, as far as is known.
         ahead: Seconds of prompts that wait there.
         candidates: How many there were.
@@ -79,10 +73,9 @@
 
     upstream: Upstream
     expected: float
-    reading: float
+    reading: Reading
     tokens: int
     held: int
-    missing: int
     running: int
     ahead: float
     candidates: int
@@ -90,7 +83,7 @@
     @property
     def load(self) -> Load:
         """Return what the request adds to the upstream."""
-        return Load(1, self.reading, self.tokens)
+        return Load(1, self.reading.seconds, self.tokens)
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +116,7 @@
         randomness: Breaks ties.
         domain: The host's failure domain.
         ledger: What upstreams are busy with.
+        prefixes: What they hold of prompts.
     """
 
     def __init__(
@@ -131,9 +125,10 @@
         randomness: random.Random,
         domain: DomainId,
         ledger: LoadLedger,
+        prefixes: HeldPrefixes,
     ) -> None:
         self.paces = Paces()
-        self.prefixes = PrefixCache()
+        self.prefixes = prefixes
         self.ledger = ledger
         self._clock = clock
         self._domain = domain
@@ -160,11 +155,12 @@
         candidates = _candidates(upstreams, tried, now)
         if not candidates:
             return None
-        first = self._first(asked.request.generation, candidates)
+        readings = self._readings(asked, candidates)
         usual = min(each.health.failure_share(now) for each in candidates)
         best: tuple[float, Choice] | None = None
         for upstream in candidates:
-            choice = self._estimate(asked, upstream, first, len(candidates))
+            reading = NOTHING if readings is None else readings.at(upstream)
+            choice = self._estimate(asked, upstream, reading, len(candidates))
             cost = self._cost(asked, choice, usual)
             if best is None or cost < best[0]:
                 best = (cost, choice)
@@ -174,13 +170,11 @@
         self,
         asked: Asked,
         upstream: Upstream,
-        first: Upstream | None,
+        reading: Reading,
         candidates: int,
     ) -> Choice:
         """Return what is expected of one upstream."""
         load = self.ledger.load(upstream.entry.incarnation)
-        missing = self._missing(asked, upstream, likely=upstream is first)
-        reading = self.paces.work(asked.key, missing)
         base = self.paces.base(asked.key)
         queue = max(0, load.running + 1 - upstream.entry.slots)
         waiting = base * queue / max(1, upstream.entry.slots)
@@ -190,11 +184,10 @@
             tokens = generation.prompt_tokens + generation.expected_tokens
         return Choice(
             upstream,
-            load.reading + reading + base + waiting,
+            load.reading + reading.seconds + base + waiting,
             reading,
             tokens,
             load.tokens,
-            missing,
             load.running,
             load.reading,
             candidates,
@@ -215,44 +208,24 @@
         cost += target * FULL_PART * crowd * crowd
         return cost + target * MEMORY_PART * _excess(asked.facts, choice)
 
-    def _missing(
+    def _readings(
         self,
         asked: Asked,
-        upstream: Upstream,
-        *,
-        likely: bool,
-    ) -> int:
-        """Return the tokens of a prompt that an upstream has to read."""
+        candidates: list[Upstream],
+    ) -> PromptReadings | None:
+        """Return what upstreams would do about a prompt; None without one."""
         generation = asked.request.generation
         if generation is None:
-            return 0
-        shared = generation.shared
-        total = sum(part.tokens for part in shared)
-        missing = self.prefixes.missing(
-            upstream.entry.incarnation,
-            asked.model,
-            shared,
-        )
-        if likely:
-            missing = min(missing, int(total * (1 - LIKELY_KEPT)))
-        return missing + max(0, generation.prompt_tokens - total)
-
-    def _first(
-        self,
-        generation: Generation | None,
-        candidates: list[Upstream],
-    ) -> Upstream | None:
-        """Return the first upstream for a request's subject, or None."""
-        if generation is None or generation.subject is None:
             return None
-        subject = generation.subject
-        near = [
-            each for each in candidates if each.entry.domain == self._domain
-        ]
-        return min(
-            near or candidates,
-            key=lambda upstream: _rank(subject, upstream),
+        readings = PromptReadings(
+            generation,
+            asked.key,
+            asked.facts,
+            self.paces,
+            self.prefixes,
         )
+        readings.look(candidates, self._domain, self._clock.now())
+        return readings
 
 
 def _candidates(
@@ -273,9 +246,3 @@
         return 0
     share = (choice.held + choice.tokens) / facts.memory
     return max(0, share - MEMORY_FULL) / _TENTH
-
-
-def _rank(subject: str, upstream: Upstream) -> int:
-    """Return an upstream's place for a subject; the least is the first."""
-    name = f'{subject}/{upstream.entry.upstream}'
-    return xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/tests/test_load_patterns.py
@@ -0,0 +1,143 @@
+"""Patterns of load: long prompts among short ones, sent by many hosts.
+
+An engine reads one prompt after another. A long one of a slow model stands
+for two seconds before whatever comes behind it, and a host that has not heard
+of it sends the next requests there.
+"""
+
+import unittest
+from unittest.mock import Mock
+
+from nutmegroad.fleet.loads import Load
+from nutmegroad.fleet.neighbours import (
+    FAR_OF_HEAVY,
+    HEAVY,
+    NEAR_AT_ONCE,
+    NEAR_OF_HEAVY,
+    HostRow,
+    Neighbours,
+    nothing_told,
+)
+from nutmegroad.foundations.types import HostId, UpstreamIncarnation
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.ranks import RANKS, engine_rank
+from tests.relay_samples import AwayStore
+
+LONG = Load(1, HEAVY, 9000)
+SHORT = Load(1, HEAVY / 2, 300)
+
+
+class Host:
+    """A host whose datagrams are kept.
+
+    Attributes:
+        told: What hosts tell each other.
+        neighbours: What sends and hears.
+        transport: What it sends on.
+    """
+
+    def __init__(self, name: str, clock: ManualClock) -> None:
+        self.told = nothing_told(clock, 5)
+        self.transport = Mock()
+        own = HostRow('127.0.0.1', 1, 'north')
+        self.neighbours = Neighbours(
+            HostId(name),
+            own,
+            self.told,
+            AwayStore(),
+            clock,
+        )
+        self.neighbours.connection_made(self.transport)
+
+    @property
+    def datagrams(self) -> list[bytes]:
+        """Return what was sent."""
+        return [call.args[0] for call in self.transport.sendto.call_args_list]
+
+    def find(self, count: int, domain: str) -> None:
+        """Let it hear of other hosts."""
+        for number in range(count):
+            row = HostRow('127.0.0.1', number, domain)
+            self.neighbours.found(HostId(f'{domain}-{number}'), row)
+
+
+class ToldAtOnceTest(unittest.TestCase):
+    """Hosts hear of a long prompt before they send the next request."""
+
+    def setUp(self) -> None:
+        """Make two hosts, and an engine."""
+        self.clock = ManualClock()
+        self.mine = Host('mine', self.clock)
+        self.theirs = Host('theirs', self.clock)
+        self.engine = UpstreamIncarnation('engine')
+        self.other = UpstreamIncarnation('other')
+
+    def test_long_prompt_is_told_at_once_near_and_far(self) -> None:
+        """Pattern: two seconds of reading; the next turn is a second off."""
+        self.mine.find(2, 'north')
+        self.mine.find(3, 'south')
+        self.mine.told.ledger.begin(self.engine, LONG)
+        self.assertEqual(len(self.mine.datagrams), 5)
+        self.theirs.neighbours.datagram_received(
+            self.mine.datagrams[0],
+            ('127.0.0.1', 1),
+        )
+        self.assertEqual(self.theirs.told.ledger.load(self.engine), LONG)
+
+    def test_short_prompt_is_told_at_once_near_by(self) -> None:
+        """Pattern: requests come in clumps, at hosts of one domain."""
+        self.mine.find(2, 'north')
+        self.mine.find(3, 'south')
+        self.mine.told.ledger.begin(self.engine, SHORT)
+        self.assertEqual(len(self.mine.datagrams), 2)
+
+    def test_rest_of_what_was_told_stands(self) -> None:
+        """One upstream is told of; the others are as they were."""
+        self.theirs.told.ledger.told(HostId('mine'), {self.other: SHORT})
+        self.mine.find(1, 'north')
+        self.mine.told.ledger.begin(self.engine, LONG)
+        self.theirs.neighbours.datagram_received(
+            self.mine.datagrams[0],
+            ('127.0.0.1', 1),
+        )
+        ledger = self.theirs.told.ledger
+        self.assertEqual(ledger.load(self.other), SHORT)
+        self.assertEqual(ledger.load(self.engine), LONG)
+        ledger.told(HostId('mine'), {})
+        self.assertEqual(ledger.load(self.engine).running, 0)
+
+    def test_telling_is_bounded_in_a_large_fleet(self) -> None:
+        """And reaches all of it in turn."""
+        self.mine.find(100, 'north')
+        self.mine.find(100, 'south')
+        for _ in range(20):
+            self.mine.told.ledger.begin(self.engine, LONG)
+        sent = self.mine.transport.sendto.call_args_list
+        self.assertEqual(len(sent), 20 * (NEAR_OF_HEAVY + FAR_OF_HEAVY))
+        ports = {call.args[1][1] for call in sent}
+        self.assertEqual(len(ports), 100)
+        self.mine.transport.reset_mock()
+        self.mine.told.ledger.begin(self.engine, SHORT)
+        self.assertEqual(len(self.mine.datagrams), NEAR_AT_ONCE)
+
+
+class RankTest(unittest.TestCase):
+    """Which of the prompts that wait an engine reads first."""
+
+    def test_short_prompts_go_before_long_ones(self) -> None:
+        """Whatever the operator's rank: the long one loses little."""
+        short = engine_rank(0.05, 2, priority=2)
+        middle = engine_rank(0.3, 2, priority=0)
+        long = engine_rank(1.0, 2, priority=0)
+        self.assertLess(short, middle)
+        self.assertLess(middle, long)
+
+    def test_operators_rank_decides_among_those_alike(self) -> None:
+        """Urgent ones first; ranks beyond the third are alike."""
+        ranks = [engine_rank(0.3, 2, priority) for priority in range(5)]
+        self.assertEqual(ranks, [3, 4, 5, 5, 5])
+
+    def test_ranks_fit_what_engines_take(self) -> None:
+        """They go from 0 to 9, and 9 is left free."""
+        self.assertEqual(engine_rank(99, 1, 99), 3 * RANKS - 1)
+        self.assertEqual(engine_rank(0, 1, 0), 0)
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -11,6 +11,7 @@
 from nutmegroad.fleet.evidence_book import EvidenceBook
 from nutmegroad.fleet.loads import LoadLedger
 from nutmegroad.fleet.neighbours import HostRow, Neighbours, Told
+from nutmegroad.fleet.prefix_marks import HeldPrefixes
 from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.foundations.types import (
     HostId,
@@ -102,7 +103,12 @@
     clock: ManualClock,
 ) -> Neighbours:
     """Return a host that tells and hears what a book has."""
-    told = Told(LoadLedger(clock), SessionMarks(clock, 5), book)
+    told = Told(
+        LoadLedger(clock),
+        SessionMarks(clock, 5),
+        book,
+        HeldPrefixes(clock),
+    )
     return Neighbours(HostId(name), own, told, AwayStore(), clock)
 
 
--- a/tests/test_relay_selection.py
+++ b/tests/test_relay_selection.py
@@ -5,6 +5,7 @@
 
 from nutmegroad.fleet.loads import NO_LOAD, STALE, Load, LoadLedger
 from nutmegroad.fleet.neighbours import in_turn
+from nutmegroad.fleet.prefix_marks import HeldPrefixes
 from nutmegroad.foundations.types import (
     DomainId,
     HostId,
@@ -20,12 +21,10 @@
 )
 from nutmegroad.upstreams.estimates import Paces
 from nutmegroad.upstreams.health import Health
-from nutmegroad.upstreams.prefixes import PrefixCache
 from nutmegroad.upstreams.selection import Asked, Selector
 from tests.relay_samples import (
     ENGINES,
     KEY,
-    LARGE,
     NORTH,
     SMALL,
     a_request,
@@ -92,6 +91,7 @@
             random.Random(1),
             NORTH,
             self.ledger,
+            HeldPrefixes(self.clock),
         )
         self.upstreams = [
             Upstream(an_entry('a')),
@@ -178,6 +178,7 @@
             random.Random(9),
             NORTH,
             LoadLedger(self.clock),
+            HeldPrefixes(self.clock),
         )
         mine, self.selector = self.chosen(), other
         self.assertEqual(self.chosen(), mine)
@@ -276,21 +277,3 @@
         paces.observe_generation(KEY, 0, 5)
         paces.observe_generation(KEY, 200, 2)
         self.assertAlmostEqual(paces.generation(KEY, 100), 1)
-
-
-class PrefixTest(unittest.TestCase):
-    """Which parts are believed to be kept."""
-
-    def test_part_counts_only_with_all_before_it(self) -> None:
-        """And only for the same model."""
-        kept = PrefixCache()
-        name = UpstreamId('u')
-        parts = tuple(PromptPart(PartId(part), 10) for part in 'abc')
-        kept.sent(name, SMALL, parts[:2])
-        self.assertEqual(kept.missing(name, SMALL, parts), 10)
-        self.assertEqual(kept.missing(name, SMALL, parts[1:]), 10)
-        self.assertEqual(kept.missing(name, LARGE, parts), 30)
-        self.assertEqual(
-            kept.missing(name, SMALL, (parts[2], parts[0])),
-            20,
-        )
