--- a/src/nutmegroad/fleet/prefix_marks.py
+++ b/src/nutmegroad/fleet/prefix_marks.py
@@ -23,6 +23,10 @@
 #: Parts remembered for one upstream at most, where its memory is not known.
 MOST_HELD: Final = 400
 
+#: Upstreams remembered at most: more than the largest deployment in view has
+#: (890); others may go on telling of one that is gone.
+MOST_UPSTREAMS: Final = 1000
+
 #: Parts by upstream, as they are told: a mark and its tokens, in turn.
 ToldPrefixes = dict[UpstreamIncarnation, list[int]]
 
@@ -88,7 +92,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._upstreams: dict[UpstreamIncarnation, _Held] = {}
+        # The one that was used last at the end.
+        self._upstreams: OrderedDict[UpstreamIncarnation, _Held] = OrderedDict()
         self._sent: list[_Sent] = []
 
     def holds(self, upstream: UpstreamIncarnation, mark: PrefixMark) -> bool:
@@ -142,6 +147,9 @@
     def _use(self, upstream: UpstreamIncarnation, part: MarkedPart) -> None:
         """Remember that an upstream has used a part just now."""
         held = self._upstreams.setdefault(upstream, _Held())
+        self._upstreams.move_to_end(upstream)
+        if len(self._upstreams) > MOST_UPSTREAMS:
+            self._upstreams.popitem(last=False)
         held.use(part)
         if len(held.parts) > MOST_HELD:
             held.push_out()
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -10,6 +10,7 @@
 from nutmegroad.fleet.prefix_marks import (
     MOST_HELD,
     MOST_TOLD,
+    MOST_UPSTREAMS,
     HeldPrefixes,
     MarkedPart,
     PrefixMark,
@@ -176,6 +177,15 @@
         found = self.held(self.mine, MOST_HELD + 5)
         self.assertEqual(len(found), MOST_HELD)
 
+    def test_upstreams_that_nobody_forgets_are_bounded(self) -> None:
+        """Pattern: workers are replaced for weeks, and others still tell."""
+        for number in range(MOST_UPSTREAMS + 1):
+            self.theirs.told({UpstreamIncarnation(f'u{number}'): [1, 10]})
+        oldest = UpstreamIncarnation('u0')
+        newest = UpstreamIncarnation(f'u{MOST_UPSTREAMS}')
+        self.assertFalse(self.theirs.holds(oldest, PrefixMark(1)))
+        self.assertTrue(self.theirs.holds(newest, PrefixMark(1)))
+
     def test_upstream_that_is_gone_holds_nothing(self) -> None:
         """Its next start has read nothing."""
         self.sent(0)
