End the soak's processes when the soak is ended

The signal now cancels the seed, whose exit stack ends every process, and ends the run with status 1. A test starts a soak, ends it and looks for its children; it fails without the handler.

--- a/experiments/fleet_soak.py
+++ b/experiments/fleet_soak.py
@@ -242,6 +242,21 @@
     return not any(verdict.broken for verdict in verdicts)
 
 
+async def play_to_the_end(options: argparse.Namespace, seed: int) -> bool:
+    """Play one seed; SIGTERM ends its processes and the whole run.
+
+    Raises:
+        SystemExit: If it was ended so.
+    """
+    task = asyncio.ensure_future(play(options, seed))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError as signalled:
+        sys.stdout.write(f'seed {seed}: ended by a signal\n')
+        raise SystemExit(1) from signalled
+
+
 async def _play(
     fleet: Fleet,
     faults: Faults,
@@ -330,7 +345,7 @@
     failed = [
         seed
         for seed in range(options.seed, options.seed + options.seeds)
-        if not asyncio.run(play(options, seed))
+        if not asyncio.run(play_to_the_end(options, seed))
     ]
     sys.stdout.write(f'{options.seeds} seeds played, failed: {failed}\n')
     return 1 if failed else 0
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -1,16 +1,35 @@
 """The fleet's soak: a short run holds, and a deliberate fault is found."""
 
 import io
+import signal
+import sys
+import time
 import unittest
 from contextlib import redirect_stdout
+from pathlib import Path
+from subprocess import PIPE, Popen
 
 from experiments.fleet_soak import main
 from experiments.fleet_soak_plan import Fault, draw
+from experiments.fleet_soak_processes import ROOT
 from experiments.fleet_soak_worker import FOREIGN_BODIES
 
+#: A store, three workers and two hosts.
+PROCESSES = 6
 SMALL = ('--hosts', '2', '--workers', '3')
 
 
+def _children(parent: int) -> list[int]:
+    """Return the processes that another one has started."""
+    listed = Path(f'/proc/{parent}/task/{parent}/children')
+    return [int(word) for word in listed.read_text().split()]
+
+
+def _runs(process: int) -> bool:
+    """Tell whether a process is there."""
+    return Path(f'/proc/{process}').exists()
+
+
 class PlanTest(unittest.TestCase):
     """What befalls a fleet follows from the seed."""
 
@@ -41,6 +60,20 @@
         status, text = self.play('--seed', '4', '--seconds', '4')
         self.assertEqual(status, 0, text)
 
+    def test_soak_that_is_ended_leaves_no_process_behind(self) -> None:
+        """Whoever ends it by a signal ends all that it has started."""
+        words = ('-m', 'experiments.fleet_soak', *SMALL, '--seconds', '30')
+        with Popen([sys.executable, *words], stdout=PIPE, cwd=ROOT) as soak:
+            children = _children(soak.pid)
+            while len(children) < PROCESSES:
+                time.sleep(0.1)
+                children = _children(soak.pid)
+            soak.send_signal(signal.SIGTERM)
+            text, _ = soak.communicate()
+        self.assertEqual(soak.returncode, 1)
+        self.assertIn(b'ended by a signal', text)
+        self.assertEqual([each for each in children if _runs(each)], [])
+
     def test_foreign_answers_are_found(self) -> None:
         """Workers that answer with the bodies of other requests."""
         words = ('--seconds', '0', '--mutant', FOREIGN_BODIES)
