--- a/experiments/fleet_soak.py
+++ b/experiments/fleet_soak.py
@@ -252,9 +252,9 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         return await task
-    except asyncio.CancelledError as signalled:
+    except asyncio.CancelledError:
         sys.stdout.write(f'seed {seed}: ended by a signal\n')
-        raise SystemExit(1) from signalled
+        sys.exit(1)
 
 
 async def _play(
