Let a version succeed only where its answers show that it is sound

A bad version was declared good: 12 of 28 poor on the new one against 19 of 88 on the old one. Cause, by reading and by tests: what was not shown to be bad in time was taken for good (`_next_stage` turned the open stage into success by the clock alone); `is_good` opened a trial on 20 answers of which 8 were poor, since twice a disturbed base was allowed; all kinds of request were counted together; attempts that a cut or a lost host broke counted as the version's; a host that started again was not believed until it had seen more than before, and what it had seen was gone then.

Now: sequential tests by kind of request (canary/verdicts), success only if the answers show that no more than a fifth of the sound ones is spoiled, else rolled back while there is time; what broke off counts only once its upstream has answered again (canary/suspicions); counts belong to one start of a host, and ended starts are told on by those who had heard of them; a trial gets a little more, within the operator's bounds over the whole duration, and a service of few requests half of the number that operators allow besides. One copy of the likelihood arithmetic serves this and rollouts/sequential.

Ruled out: a larger number of answers before opening (it misses every good version of a small service, and 28 disturbed answers are still 28); judging again after success (the old workers are stopped at once).

A check was replaced: the trial's share is no longer 0.8 of the bound at each moment; ExposureTest holds the sum over the duration to 0.86 of it.

--- a/src/nutmegroad/canary/gate.py
+++ b/src/nutmegroad/canary/gate.py
@@ -6,13 +6,21 @@
 """
 
 from collections.abc import Iterable
+from enum import Enum, unique
 from typing import Final
 
 from xxhash import xxh3_64_intdigest
 
-from nutmegroad.canary.rollouts import Rollout, RolloutOrder, Stage
+from nutmegroad.canary.rollouts import (
+    MOST_BEYOND,
+    Rollout,
+    RolloutOrder,
+    Stage,
+)
 from nutmegroad.canary.sessions import SessionVersions
 from nutmegroad.canary.state import RolloutState
+from nutmegroad.canary.suspicions import Suspicions
+from nutmegroad.fleet.evidence import KindNumber
 from nutmegroad.fleet.session_marks import SessionMarks, mark
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import ServiceName
@@ -30,6 +38,19 @@
 #: Part of a roll-out in which no session may be moved to the new version.
 SESSIONS_STAY: Final = 0.5
 
+#: Numbers for kinds of request. A service has a few; where a configuration has
+#: more routes, some share a number, and are judged together.
+KINDS: Final = 8
+
+
+@unique
+class Observed(Enum):
+    """How an attempt went, as far as it speaks of a version."""
+
+    SOUND = 'sound'
+    POOR = 'poor'
+    BROKEN = 'broken'
+
 
 class RolloutGate:
     """Says which upstreams may run a request.
@@ -39,6 +60,7 @@
         state: All roll-outs.
         sessions: On which version sessions are.
         marks: Sessions that other hosts have seen on the old version.
+        suspicions: Attempts that broke off for a cause not known yet.
     """
 
     def __init__(
@@ -47,11 +69,13 @@
         state: RolloutState,
         sessions: SessionVersions,
         marks: SessionMarks,
+        suspicions: Suspicions,
     ) -> None:
         self._directory = directory
         self._state = state
         self._sessions = sessions
         self._marks = marks
+        self._suspicions = suspicions
         self._steady: dict[ServiceName, frozenset[SoftwareVersion]] = {}
         state.tell_of_orders(self._mark_living)
 
@@ -97,13 +121,29 @@
 
     def observe(
         self,
-        service: ServiceName,
-        version: SoftwareVersion,
-        *,
-        sound: bool,
+        request: CallerRequest,
+        upstream: Upstream,
+        observed: Observed,
     ) -> None:
-        """Take in how a version answered a request."""
-        self._state.observe(service, version, poor=not sound)
+        """Take in how an upstream's version answered a request."""
+        entry = upstream.entry
+        kind = kind_number(request.route.name)
+        if observed is Observed.BROKEN:
+            self._suspicions.broke(entry.incarnation, kind)
+            return
+        for broken in self._suspicions.answered(entry.incarnation):
+            self._state.observe(
+                entry.service,
+                entry.version,
+                broken,
+                poor=True,
+            )
+        self._state.observe(
+            entry.service,
+            entry.version,
+            kind,
+            poor=observed is Observed.POOR,
+        )
 
     def _of_steady(
         self,
@@ -149,7 +189,7 @@
 
     def _may_be_moved(self, session: SessionName) -> bool:
         """Tell whether a trial might take a session; others need no mark."""
-        return _place(session) < self._state.trial
+        return _place(session) < self._state.trial + MOST_BEYOND
 
     def _stays(self, rollout: Rollout) -> bool:
         """Tell whether sessions may not be moved to the new version."""
@@ -176,8 +216,18 @@
         span: Seconds after which requests don't belong together any more.
         marks: Sessions that other hosts have seen on the old version.
     """
-    sessions = SessionVersions(clock, span)
-    return RolloutGate(directory, state, sessions, marks)
+    return RolloutGate(
+        directory,
+        state,
+        SessionVersions(clock, span),
+        marks,
+        Suspicions(clock),
+    )
+
+
+def kind_number(name: str) -> KindNumber:
+    """Return the number of a kind of request, the same on every host."""
+    return KindNumber(xxh3_64_intdigest(name.encode()) % KINDS)
 
 
 def _place(name: str) -> float:
--- a/src/nutmegroad/canary/rollouts.py
+++ b/src/nutmegroad/canary/rollouts.py
@@ -15,9 +15,25 @@
 from nutmegroad.foundations.types import ServiceName
 from nutmegroad.upstreams.directory import SoftwareVersion
 
-#: Part of the operator's bound on exposure that the trial uses; the rest is
-#: for requests that hosts count unlike.
-TRIAL_PART: Final = 0.8
+#: Share of the trial against the operator's bound on exposure. The bound is on
+#: the requests of the whole duration, of which the trial is two thirds at most:
+#: so a bad version gets three quarters of it, and the rest is for requests that
+#: hosts count unlike.
+TRIAL_PART: Final = 1.1
+
+#: Part of the requests that operators allow besides that share which a trial
+#: uses; they let a service of few requests show something in time. The rest is
+#: for hosts that misjudge how many requests there are.
+BESIDES_PART: Final = 0.5
+
+#: Greatest share that this may add, and the least that is worth a write.
+MOST_BEYOND: Final = 0.15
+LEAST_BEYOND: Final = 0.01
+
+#: Seconds after the beginning of a roll-out from which it is known how many
+#: requests there are: the answers of two seconds, and one in which they are
+#: told.
+MEASURED: Final = 3.0
 
 #: Seconds between the beginning of a roll-out and its trial: by then all hosts
 #: know of it, and have told each other which sessions are on the old version.
@@ -27,12 +43,22 @@
 #: trial's share. Sessions are not moved in the first half.
 OPEN_AT: Final = 0.52
 
-#: Part of the duration in which the share then grows to the whole.
+#: Part of the duration after which that can't be begun any more in time.
+LAST_OPEN: Final = 0.78
+
+#: Part of the duration in which the share then grows to the whole; less where
+#: the rest of the time is shorter.
 RAMP: Final = 0.14
 
-#: Part of the duration after which the old version is given up. What is
+#: Part of the duration after which the old version is given up, if the new one
+#: is shown to be good, and after which the new one is, if it is not. What is
 #: left covers a write that has to be made again.
 CLOSE_AT: Final = 0.88
+GIVE_UP_AT: Final = 0.92
+
+#: Part of the duration for which the whole traffic is on the new version at
+#: least before the old one is given up.
+SETTLED: Final = 0.01
 
 
 @unique
@@ -76,6 +102,7 @@
         started: Seconds on the store's clock at which it began.
         opened: Seconds on the store's clock at which the trial ended.
         why: What decided the last step.
+        beyond: What its trial gets beyond the share of all trials.
     """
 
     order: int
@@ -83,6 +110,7 @@
     started: float
     opened: float = 0
     why: str = ''
+    beyond: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,13 +147,29 @@
             store_time: Seconds on the store's clock.
             trial: Share of the trial.
         """
-        stage = self.stage
+        stage, row = self.stage, self.row
         if stage is Stage.SUCCEEDED:
             return 1
-        if stage is Stage.TRIAL and self.row is not None:
-            return trial if store_time >= self.row.started + LEAD else 0
-        if stage is not Stage.OPEN or self.row is None:
+        if row is None or stage not in {Stage.TRIAL, Stage.OPEN}:
             return 0
-        ramp = self.order.duration * RAMP
-        grown = (store_time - self.row.opened) / ramp
+        trial += row.beyond
+        if stage is Stage.TRIAL:
+            return trial if store_time >= row.started + LEAD else 0
+        duration = self.order.duration
+        opened = (row.opened - row.started) / duration
+        ramp = min(RAMP, max(SETTLED, CLOSE_AT - SETTLED - opened))
+        grown = (store_time - row.opened) / (duration * ramp)
         return min(1.0, trial + (1 - trial) * max(0, grown))
+
+
+def beyond_share(besides: float, rate: float, seconds: float) -> float:
+    """Return what a trial may get beyond its share.
+
+    Args:
+        besides: Requests that operators allow besides the share.
+        rate: Requests a second to the service.
+        seconds: Seconds that are left of the trial.
+    """
+    requests = max(rate * seconds, 1)
+    share = min(MOST_BEYOND, besides * BESIDES_PART / requests)
+    return share if share >= LEAST_BEYOND else 0
--- a/src/nutmegroad/canary/state.py
+++ b/src/nutmegroad/canary/state.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 from nutmegroad.canary.rollouts import (
@@ -14,7 +15,8 @@
     RolloutRow,
     Stage,
 )
-from nutmegroad.fleet.evidence import Evidence
+from nutmegroad.canary.verdicts import Judgement, Verdict
+from nutmegroad.fleet.evidence import Evidence, KindNumber
 from nutmegroad.fleet.evidence_book import EvidenceBook
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import HostId, ServiceName
@@ -23,6 +25,21 @@
 _LOG: Final = part_logger('rollouts')
 
 
+@dataclass(slots=True)
+class _Weighed:
+    """What an order's answers have shown up to now.
+
+    Attributes:
+        order: Number of the order.
+        judgement: What weighs them.
+        changes: What the book had counted when they were weighed last.
+    """
+
+    order: int
+    judgement: Judgement
+    changes: int = -1
+
+
 class RolloutState:
     """All roll-outs that a host knows, and the evidence on them.
 
@@ -31,6 +48,8 @@
         trial: Share of the traffic that a new version gets on trial.
         store_time: Returns the present seconds of the store's clock.
         book: What all hosts have seen.
+        hosts: Returns how many hosts the fleet has, this one included.
+        besides: Requests that operators allow a bad version besides its share.
     """
 
     def __init__(
@@ -39,11 +58,16 @@
         trial: float,
         store_time: Callable[[], float],
         book: EvidenceBook,
+        hosts: Callable[[], int],
+        besides: float = 0,
     ) -> None:
         self.host = host
         self.trial = trial
         self.store_time = store_time
+        self.besides = besides
+        self._hosts = hosts
         self._book = book
+        self._weighed: dict[ServiceName, _Weighed] = {}
         self._rollouts: dict[ServiceName, Rollout] = {}
         self._rows: dict[ServiceName, tuple[RolloutRow, int]] = {}
         self._halted: set[int] = set()
@@ -121,6 +145,7 @@
         self,
         service: ServiceName,
         version: SoftwareVersion,
+        kind: KindNumber,
         *,
         poor: bool,
     ) -> None:
@@ -130,17 +155,19 @@
             return
         of_new = version == rollout.order.to
         number = rollout.order.number
-        self._book.count(service, number, of_new=of_new, poor=poor)
-        if of_new and poor:
-            self._reconsider(rollout)
+        self._book.count(service, number, kind, of_new=of_new, poor=poor)
 
     def own(self, rollout: Rollout) -> Evidence:
         """Return what this host has seen of a roll-out."""
         return self._book.own(rollout.order.service, rollout.order.number)
 
-    def evidence(self, rollout: Rollout) -> Evidence:
-        """Return what all hosts have seen, as far as this one knows."""
-        return self._book.total(rollout.order.service, rollout.order.number)
+    def verdict(self, rollout: Rollout) -> Verdict:
+        """Return what all answers show, as far as this host knows of them."""
+        return self._weigh(rollout).verdict(self._views(rollout))
+
+    def reason(self, rollout: Rollout) -> str:
+        """Return one line on what the verdict rests on."""
+        return self._weigh(rollout).reason()
 
     def halted(self, rollout: Rollout) -> bool:
         """Tell whether this host sends the new version nothing any more."""
@@ -152,23 +179,46 @@
             return True
         return self._reconsider(rollout)
 
+    def answers(self, rollout: Rollout) -> int:
+        """Return how many answers all hosts have had, about."""
+        whole = self._weigh(rollout).whole
+        return whole.count * self._views(rollout)
+
     def _reconsider(self, rollout: Rollout) -> bool:
-        """Halt a roll-out if its evidence speaks against it."""
-        evidence = self.evidence(rollout)
-        if not evidence.is_bad():
+        """Halt a roll-out if its answers show that the version is bad."""
+        if self.verdict(rollout) is not Verdict.BAD:
             return False
         self._halted.add(rollout.order.number)
         _LOG.decision(
             'roll-out halted here',
             service=rollout.order.service,
             version=rollout.order.to,
-            new=evidence.new,
-            new_poor=evidence.new_poor,
-            old=evidence.old,
-            old_poor=evidence.old_poor,
+            why=self.reason(rollout),
         )
         return True
 
+    def _weigh(self, rollout: Rollout) -> Judgement:
+        """Weigh what has come in since the last time."""
+        service, number = rollout.order.service, rollout.order.number
+        weighed = self._weighed.get(service)
+        if weighed is None or weighed.order != number:
+            weighed = _Weighed(number, Judgement())
+            self._weighed[service] = weighed
+        if weighed.changes != self._book.changes:
+            weighed.changes = self._book.changes
+            weighed.judgement.take(self._book.sums(service, number))
+        return weighed.judgement
+
+    def _views(self, rollout: Rollout) -> int:
+        """Return how many groups of hosts judge by answers of their own.
+
+        A host of a large fleet hears of a part of it in time, and any host
+        may make a step.
+        """
+        order = rollout.order
+        heard = self._book.tellers(order.service, order.number)
+        return max(1, round(self._hosts() / max(1, heard)))
+
 
 def trial_share(exposure: float) -> float:
     """Return the share of requests that a new version gets on trial.
--- a/src/nutmegroad/canary/steps.py
+++ b/src/nutmegroad/canary/steps.py
@@ -4,16 +4,22 @@
 from typing import Final, Protocol
 
 import msgspec
+from msgspec import structs
 
 from nutmegroad.canary.rollouts import (
     CLOSE_AT,
+    GIVE_UP_AT,
+    LAST_OPEN,
+    MEASURED,
     OPEN_AT,
     Rollout,
     RolloutOrder,
     RolloutRow,
     Stage,
+    beyond_share,
 )
 from nutmegroad.canary.state import RolloutState
+from nutmegroad.canary.verdicts import Verdict
 from nutmegroad.fleet.evidence import Evidence
 from nutmegroad.fleet.stored import (
     FLEET_TABLE,
@@ -96,45 +102,48 @@
         row = rollout.row
         if row is None:
             return None
-        evidence = self._state.evidence(rollout)
-        counts = (
-            f'{evidence.new_poor} of {evidence.new} poor, '
-            f'before {evidence.old_poor} of {evidence.old}'
-        )
-        stage = self._next_stage(rollout, evidence, rollout.elapsed(now))
+        elapsed = rollout.elapsed(now)
+        verdict = self._state.verdict(rollout)
+        if self._state.halted(rollout):
+            verdict = Verdict.BAD
+        stage = next_stage(rollout.stage, verdict, elapsed)
         if stage is None:
-            return None
+            return self._widened(rollout, row, now)
         opened = now if stage is Stage.OPEN else row.opened
-        return RolloutRow(number, stage.value, row.started, opened, counts)
+        why = f'{verdict.value}: {self._state.reason(rollout)}'
+        return structs.replace(row, stage=stage.value, opened=opened, why=why)
 
-    def _next_stage(
+    def _widened(
         self,
         rollout: Rollout,
-        evidence: Evidence,
-        elapsed: float,
-    ) -> Stage | None:
-        """Return the stage that a roll-out should enter now, or None."""
-        if self._state.halted(rollout):
-            return Stage.ROLLED_BACK
-        if rollout.stage is Stage.TRIAL:
-            opens = elapsed >= OPEN_AT and evidence.is_good()
-            return Stage.OPEN if opens else None
-        return Stage.SUCCEEDED if elapsed >= CLOSE_AT else None
+        row: RolloutRow,
+        now: float,
+    ) -> RolloutRow | None:
+        """Return a trial's row with a share fit for few requests, or None."""
+        passed = now - row.started
+        if rollout.stage is not Stage.TRIAL or row.beyond or passed < MEASURED:
+            return None
+        left = rollout.order.duration * LAST_OPEN - passed
+        rate = self._state.answers(rollout) / passed
+        beyond = beyond_share(self._state.besides, rate, left)
+        if not beyond or left <= 0:
+            return None
+        why = f'few requests: {rate:.1f} a second'
+        return structs.replace(row, why=why, beyond=beyond)
 
     async def _make(self, rollout: Rollout, step: RolloutRow) -> None:
         """Write a step down, unless another host is first."""
-        before = rollout.stage
         service = rollout.order.service
         await self._clock.sleep(self._randomness.uniform(0, SPREAD))
         present = self._state.rollout(service)
-        if present is None or present.stage is not before:
+        if present != rollout:
             return
         key = f'{STEP_KEY}{service}'
         puts = [RowPut(FLEET_TABLE, key, msgspec.json.encode(step))]
         stage = Stage(step.stage)
-        if stage is not Stage.OPEN:
+        if stage is not rollout.stage and stage is not Stage.OPEN:
             puts.append(self._status.status(rollout.order, stage))
-        expected = RowExpected(FLEET_TABLE, key, present.version)
+        expected = RowExpected(FLEET_TABLE, key, rollout.version)
         outcome = await self._store.commit((expected,), tuple(puts))
         if isinstance(outcome, Committed):
             self._state.progress(service, step, outcome.version)
@@ -164,9 +173,33 @@
             self._written[service] = own
 
 
+def next_stage(
+    stage: Stage,
+    verdict: Verdict,
+    elapsed: float,
+) -> Stage | None:
+    """Return the stage that a roll-out should enter now, or None.
+
+    Args:
+        stage: Where it is.
+        verdict: What its answers show.
+        elapsed: Part of its duration that is over.
+    """
+    if verdict is Verdict.BAD:
+        return Stage.ROLLED_BACK
+    good = verdict is Verdict.GOOD
+    if stage is Stage.TRIAL:
+        if good and OPEN_AT <= elapsed < LAST_OPEN:
+            return Stage.OPEN
+        return Stage.ROLLED_BACK if elapsed >= LAST_OPEN else None
+    if good and elapsed >= CLOSE_AT:
+        return Stage.SUCCEEDED
+    return Stage.ROLLED_BACK if elapsed >= GIVE_UP_AT else None
+
+
 def _is_news(written: Evidence | None, own: Evidence) -> bool:
     """Tell whether poor answers are twice as many as were written down."""
     known = 0
     if written is not None and written.order == own.order:
-        known = written.new_poor
-    return own.new_poor >= max(FEWEST_WRITTEN, 2 * known)
+        known = written.whole.new_poor
+    return own.whole.new_poor >= max(FEWEST_WRITTEN, 2 * known)
--- a/src/nutmegroad/fleet/evidence_book.py
+++ b/src/nutmegroad/fleet/evidence_book.py
@@ -2,46 +2,126 @@
 
 Hosts tell each other their counts with their loads, also when there is nothing
 poor to tell: counts that came only with poor answers would make any version
-look poor.
+look poor. The counts of a host that has lost its memory are told on by those
+who had heard of them.
 """
 
-from nutmegroad.fleet.evidence import Evidence, total
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from itertools import islice
+from typing import Final
+
+from msgspec import Struct
+
+from nutmegroad.fleet.evidence import (
+    Answers,
+    Evidence,
+    KindNumber,
+    RunNumber,
+    add_kinds,
+)
 from nutmegroad.foundations.types import HostId, ServiceName
 
 #: Counts by service.
 EvidenceByService = dict[ServiceName, Evidence]
 
+#: Counts of ended runs that one datagram tells on: some 100 bytes. Only while
+#: a roll-out is under way in which hosts were lost.
+TOLD_ON: Final = 3
+
+#: Runs of hosts that are remembered for one service at most: those of a day of
+#: the letter's fleet, 400 hosts and 140 that start again.
+MOST_RUNS: Final = 540
+
+
+class EndedRun(Struct, frozen=True, array_like=True):
+    """What a host had seen before it started again.
+
+    Attributes:
+        service: The service that is rolled out.
+        host: The host.
+        evidence: What it had seen.
+    """
+
+    service: ServiceName
+    host: HostId
+    evidence: Evidence
+
+
+@dataclass(slots=True)
+class _Counts:
+    """What is known of one order.
+
+    Attributes:
+        order: Its number.
+        runs: Counts by host and run; a host's last one is its newest.
+        sums: The sum of them by kind of request.
+        ended: Hosts and runs that others have come after.
+    """
+
+    order: int
+    runs: dict[tuple[HostId, RunNumber], Evidence] = field(default_factory=dict)
+    sums: dict[KindNumber, Answers] = field(default_factory=dict)
+    ended: dict[tuple[HostId, RunNumber], None] = field(default_factory=dict)
+
+    def take(self, host: HostId, evidence: Evidence) -> bool:
+        """Take in a run's counts; tell whether they were news."""
+        name = (host, evidence.run)
+        known = self.runs.get(name)
+        if known is not None:
+            if known.whole.count >= evidence.whole.count:
+                return False
+            add_kinds(self.sums, known.kinds, -1)
+        elif len(self.runs) >= MOST_RUNS:
+            return False
+        self.runs[name] = evidence
+        add_kinds(self.sums, evidence.kinds)
+        return True
+
 
 class EvidenceBook:
-    """Counts of this host, and of the others, by service."""
+    """Counts of this host, and of the others, by service.
 
-    def __init__(self) -> None:
-        self._own: EvidenceByService = {}
-        self._others: dict[ServiceName, dict[HostId, Evidence]] = {}
+    Args:
+        host: This host.
+        run: Which start of it this is.
+    """
 
     @property
     def own_counts(self) -> EvidenceByService:
-        """Return what this host has seen."""
+        """Return what this start of the host has seen."""
         return self._own
 
+    def __init__(self, host: HostId, run: RunNumber) -> None:
+        self._host = host
+        self._run = run
+        self._own: EvidenceByService = {}
+        self._counts: dict[ServiceName, _Counts] = {}
+        #: Grows whenever there is news.
+        self.changes = 0
+        self._turn = 0
+
     def own(self, service: ServiceName, order: int) -> Evidence:
-        """Return what this host has seen of an order."""
+        """Return what this start of the host has seen of an order."""
         known = self._own.get(service)
         if known is None or known.order != order:
-            return Evidence(order)
+            return Evidence(order, self._run)
         return known
 
     def count(
         self,
         service: ServiceName,
         order: int,
+        kind: KindNumber,
         *,
         of_new: bool,
         poor: bool,
     ) -> None:
         """Count an answer that this host has seen."""
         known = self.own(service, order)
-        self._own[service] = known.adding(of_new=of_new, poor=poor)
+        grown = known.adding(kind, of_new=of_new, poor=poor)
+        self._own[service] = grown
+        self._take(service, self._host, grown)
 
     def told(
         self,
@@ -49,17 +129,74 @@
         host: HostId,
         evidence: Evidence,
     ) -> None:
-        """Take in what another host has seen, unless more is known of it."""
-        hosts = self._others.setdefault(service, {})
-        known = hosts.get(host)
-        if known is None or known.is_before(evidence):
-            hosts[host] = evidence
+        """Take in what another host has seen, unless more is known of it.
 
-    def total(self, service: ServiceName, order: int) -> Evidence:
-        """Return what all hosts have seen of an order."""
-        others = self._others.get(service, {}).values()
-        return total(order, (self.own(service, order), *others))
+        A host that tells of a run which is not known yet has started again.
+        """
+        if host == self._host and evidence.run == self._run:
+            return
+        known = self._counts.get(service)
+        if known is not None and known.order == evidence.order:
+            for name in known.runs:
+                if name[0] == host and name[1] != evidence.run:
+                    known.ended.setdefault(name)
+        self._take(service, host, evidence)
+
+    def told_on(self, ended: EndedRun) -> None:
+        """Take in what a host had seen before it started again."""
+        evidence = ended.evidence
+        self._take(ended.service, ended.host, evidence)
+        counts = self._counts[ended.service]
+        name = (ended.host, evidence.run)
+        if counts.order == evidence.order and name in counts.runs:
+            counts.ended.setdefault(name)
+
+    def ended_runs(self) -> tuple[EndedRun, ...]:
+        """Return some of the ended runs that are to be told on, in turn."""
+        known = [
+            EndedRun(service, name[0], counts.runs[name])
+            for service, counts in self._counts.items()
+            if service in self._own
+            for name in counts.ended
+        ]
+        if not known:
+            return ()
+        begin = self._turn % len(known)
+        self._turn += TOLD_ON
+        return tuple(islice(known[begin:] + known[:begin], TOLD_ON))
+
+    def sums(
+        self,
+        service: ServiceName,
+        order: int,
+    ) -> Mapping[KindNumber, Answers]:
+        """Return what all hosts have seen of an order, by kind of request."""
+        known = self._counts.get(service)
+        if known is None or known.order != order:
+            return {}
+        return known.sums
+
+    def tellers(self, service: ServiceName, order: int) -> int:
+        """Return how many hosts are known to have seen anything of an order."""
+        known = self._counts.get(service)
+        if known is None or known.order != order:
+            return 0
+        return len({host for host, _ in known.runs})
 
     def end(self, service: ServiceName) -> None:
         """Tell no more of a roll-out that has ended."""
         self._own.pop(service, None)
+
+    def _take(
+        self,
+        service: ServiceName,
+        host: HostId,
+        evidence: Evidence,
+    ) -> None:
+        """Take in counts of the latest order that is known."""
+        known = self._counts.get(service)
+        if known is None or known.order < evidence.order:
+            known = _Counts(evidence.order)
+            self._counts[service] = known
+        if known.order == evidence.order and known.take(host, evidence):
+            self.changes += 1
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -4,8 +4,9 @@
 import random
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
-from typing import Any
+from typing import Any, Final
 
+from nutmegroad.fleet.evidence import RunNumber
 from nutmegroad.fleet.followers import FollowedStore
 from nutmegroad.fleet.neighbours import HostRow, Neighbours, nothing_told
 from nutmegroad.fleet.news_link import NewsLink
@@ -16,6 +17,10 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import Address, HostId
 
+#: Bits of the number of a host's start: two of one host's starts during one
+#: roll-out are never taken for one another.
+_RUN_BITS: Final = 32
+
 
 class FleetHosts:
     """Loads and sessions told to all hosts, and tables read with the near ones.
@@ -40,7 +45,8 @@
     ) -> None:
         self._own = own
         self.store_clock = StoreClock(clock)
-        self.told = nothing_told(clock, session_span)
+        run = RunNumber(randomness.getrandbits(_RUN_BITS))
+        self.told = nothing_told(host, run, clock, session_span)
         self.neighbours = Neighbours(host, own, self.told, store, clock)
         self._link = NewsLink(host, own, lambda: self.neighbours.near, clock)
         self._server = NewsServer(clock)
@@ -58,6 +64,10 @@
             randomness,
         )
 
+    def count(self) -> int:
+        """Return how many hosts are known, this one included."""
+        return self.neighbours.count + 1
+
     async def open(self, stack: AsyncExitStack) -> None:
         """Hear the others until a stack closes."""
         loop = asyncio.get_running_loop()
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -14,7 +14,12 @@
 import msgspec
 from msgspec import Struct
 
-from nutmegroad.fleet.evidence_book import EvidenceBook, EvidenceByService
+from nutmegroad.fleet.evidence import RunNumber
+from nutmegroad.fleet.evidence_book import (
+    EndedRun,
+    EvidenceBook,
+    EvidenceByService,
+)
 from nutmegroad.fleet.loads import Load, LoadLedger, Loads
 from nutmegroad.fleet.prefix_marks import HeldPrefixes, ToldPrefixes
 from nutmegroad.fleet.session_marks import SessionMarks
@@ -97,6 +102,7 @@
         evidence: What it has seen of roll-outs under way.
         prefixes: Parts of prompts that it has sent a moment ago.
         partial: Whether the loads are some of those that it has.
+        ended_runs: What hosts had seen of roll-outs that have started again.
     """
 
     host: str
@@ -105,6 +111,7 @@
     evidence: EvidenceByService = {}
     prefixes: ToldPrefixes = {}
     partial: bool = False
+    ended_runs: tuple[EndedRun, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,10 +131,17 @@
     prefixes: HeldPrefixes
 
 
-def nothing_told(clock: Clock, session_span: float) -> Told:
+def nothing_told(
+    host: HostId,
+    run: RunNumber,
+    clock: Clock,
+    session_span: float,
+) -> Told:
     """Return what a host knows at first.
 
     Args:
+        host: The host.
+        run: Which start of it this is.
         clock: The host's clock.
         session_span: Seconds within which requests belong together.
     """
@@ -135,7 +149,7 @@
     return Told(
         LoadLedger(clock),
         marks,
-        EvidenceBook(),
+        EvidenceBook(host, run),
         HeldPrefixes(clock),
     )
 
@@ -151,6 +165,11 @@
         clock: The host's clock.
     """
 
+    @property
+    def count(self) -> int:
+        """Return how many other hosts are known, near and far."""
+        return len(self._near) + len(self._far)
+
     @property
     def near(self) -> Mapping[HostId, HostRow]:
         """Return the other hosts of the failure domain."""
@@ -202,6 +221,8 @@
         self._prefixes.told(telling.prefixes)
         for service, evidence in telling.evidence.items():
             self._book.told(service, host, evidence)
+        for ended in telling.ended_runs:
+            self._book.told_on(ended)
 
     def found(self, host: HostId, row: HostRow) -> None:
         """Take in where a host listens."""
@@ -227,6 +248,7 @@
                 self._marks.ages(),
                 self._book.own_counts,
                 self._prefixes.recent(self._round()),
+                ended_runs=self._book.ended_runs(),
             ),
         )
 
@@ -247,7 +269,9 @@
 
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
-        empty = not self._ledger.own and not self._marks.any_alive
+        empty = not (
+            self._ledger.own or self._marks.any_alive or self._book.own_counts
+        )
         if self._transport is None or (self._silent and empty):
             return
         self._silent = empty
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -38,6 +38,7 @@
         repeat_ratio: Repeats for each request that the operator allows.
         repeat_window: Seconds over which repeats are counted.
         exposure: Share of a service's requests that a bad version may get.
+        exposure_besides: Requests that it may get besides, in all.
         session_span: Seconds within which requests belong together.
         apply_bound: Seconds in which a configuration has to be in force.
         halt_bound: Seconds in which a bad version has to be halted.
@@ -59,6 +60,7 @@
     repeat_ratio: float
     repeat_window: float
     exposure: float
+    exposure_besides: float
     session_span: float
     apply_bound: float
     halt_bound: float
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from nutmegroad.canary.gate import Observed
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
@@ -65,6 +66,11 @@
 )
 
 
+#: What a failed attempt says of its upstream's version; others broke off, which
+#: may have another cause.
+_OBSERVED: Final = MappingProxyType({AttemptEnd.UNPROVED: Observed.POOR})
+
+
 #: The code of a request whose last attempt failed so.
 _CODES: Final = MappingProxyType(
     {
@@ -265,11 +271,11 @@
         if isinstance(outcome, AttemptFailure):
             ended = outcome.end.value
             detail = outcome.reason
-            if _speaks_against_version(choice, outcome):
+            if _speaks_of_version(choice, outcome):
                 self._parts.versions.observe(
-                    self.service,
-                    entry.version,
-                    sound=False,
+                    self.request,
+                    choice.upstream,
+                    _OBSERVED.get(outcome.end, Observed.BROKEN),
                 )
         self._parts.counters.attempted(ended)
         _LOG.decision(
@@ -319,8 +325,8 @@
         return Refusal(code, reason, self._ran, retry_after)
 
 
-def _speaks_against_version(choice: Choice, failure: AttemptFailure) -> bool:
-    """Tell whether a failed attempt is evidence on its upstream's version."""
+def _speaks_of_version(choice: Choice, failure: AttemptFailure) -> bool:
+    """Tell whether a failed attempt may be evidence on a version."""
     if failure is _ABANDONED or failure.ran is Ran.NOT_RUN:
         return False
     return not choice.upstream.restarted
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -165,6 +165,7 @@
         self._belief.trust_for(settings.key_trust)
         self._parts.budget.allow(settings.repeat_ratio, settings.repeat_window)
         self._rollouts.trial = trial_share(settings.exposure)
+        self._rollouts.besides = settings.exposure_besides
         _LOG.decision(
             'settings reloaded',
             host=settings.host,
@@ -203,6 +204,8 @@
             trial_share(settings.exposure),
             self._fleet.store_clock.now,
             self._fleet.told.book,
+            self._fleet.count,
+            settings.exposure_besides,
         )
         told = self._fleet.told
         selector = Selector(
--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from typing import Final
 
+from nutmegroad.canary.gate import Observed
 from nutmegroad.escalation.headroom import Expectation
 from nutmegroad.foundations.types import (
     ModelName,
@@ -96,7 +97,7 @@
             now - answering.started - answering.waited,
         )
 
-    def observe(self, answering: Answering, *, sound: bool) -> None:
+    def observe(self, answering: Answering, observed: Observed) -> None:
         """Take in how an answer went.
 
         One of an incarnation that is no more tells nothing: what broke, its
@@ -106,8 +107,7 @@
         if upstream.restarted:
             return
         now = self._parts.clock.now()
-        pace = 1.0
-        if sound:
+        if observed is Observed.SOUND:
             pace = self._parts.selector.paces.observe(
                 PaceKey(self._service, answering.model),
                 answering.choice.reading.tokens,
@@ -115,10 +115,8 @@
                 answering.choice.expected,
             )
             upstream.health.answered(now, pace)
+            if pace >= FAR_TOO_SLOW:
+                observed = Observed.POOR
         else:
             upstream.health.failed(now)
-        self._parts.versions.observe(
-            self._service,
-            upstream.entry.version,
-            sound=sound and pace < FAR_TOO_SLOW,
-        )
+        self._parts.versions.observe(self._request, upstream, observed)
--- a/src/nutmegroad/relay/parts.py
+++ b/src/nutmegroad/relay/parts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from nutmegroad.canary.gate import Observed
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import ServiceName
 from nutmegroad.relay.attempts import Attempts
@@ -33,12 +34,11 @@
 
     def observe(
         self,
-        service: ServiceName,
-        version: SoftwareVersion,
-        *,
-        sound: bool,
+        request: CallerRequest,
+        upstream: Upstream,
+        observed: Observed,
     ) -> None:
-        """Take in how a version answered a request."""
+        """Take in how an upstream's version answered a request."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from nutmegroad.canary.gate import Observed
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
@@ -43,7 +44,7 @@
             return
         answer = await _read(outcome)
         sound = answer is not None and not answer.failed
-        execution.outlook.observe(outcome, sound=sound)
+        execution.outlook.observe(outcome, _observed(answer))
         if answer is not None:
             failure = answer
         if not sound and execution.may_repeat():
@@ -79,6 +80,13 @@
         await answering.close()
 
 
+def _observed(answer: WholeAnswer | None) -> Observed:
+    """Return how an attempt went, by its answer."""
+    if answer is None:
+        return Observed.BROKEN
+    return Observed.POOR if answer.failed else Observed.SOUND
+
+
 async def _end(
     execution: Execution,
     reply: Reply,
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -8,8 +8,10 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import Enum, unique
+from types import MappingProxyType
 from typing import Final
 
+from nutmegroad.canary.gate import Observed
 from nutmegroad.escalation.confidence import read_unsure
 from nutmegroad.escalation.decisions import (
     EscalationCase,
@@ -49,6 +51,18 @@
     UNSURE = 'unsure'
 
 
+#: What an end says of the upstream's version. An unsure model is no fault of
+#: it, and what broke off may have broken for another cause.
+_OBSERVED: Final = MappingProxyType(
+    {
+        RunEnd.WHOLE: Observed.SOUND,
+        RunEnd.FAILED: Observed.POOR,
+        RunEnd.CUT: Observed.BROKEN,
+        RunEnd.STALLED: Observed.BROKEN,
+    },
+)
+
+
 @dataclass(slots=True)
 class _Progress:
     """How far a stream has come.
@@ -115,9 +129,9 @@
             end = await self._hand_on(answering)
         finally:
             await answering.close()
-        if end is not RunEnd.UNSURE:
-            sound = end is RunEnd.WHOLE
-            self._execution.outlook.observe(answering, sound=sound)
+        observed = _OBSERVED.get(end)
+        if observed is not None:
+            self._execution.outlook.observe(answering, observed)
         if end is RunEnd.WHOLE:
             self._execution.outlook.generated(answering, self._progress.events)
         return end
--- a/src/nutmegroad/rollouts/sequential.py
+++ b/src/nutmegroad/rollouts/sequential.py
@@ -9,9 +9,9 @@
 """
 
 import math
-from collections.abc import Iterable
 from typing import Final
 
+from nutmegroad.foundations.likelihoods import Wealth, log_ratio
 from nutmegroad.quality.ratings import RatingTally, score_of
 from nutmegroad.rollouts.evidence import Moments
 
@@ -30,31 +30,6 @@
 _LEAST_DEVIATION: Final = 0.5
 
 
-class Wealth:
-    """Logarithms of the wealth of several bets, mixed.
-
-    Args:
-        count: How many bets there are.
-    """
-
-    def __init__(self, count: int) -> None:
-        self._logs = [float(0) for _ in range(count)]
-
-    @property
-    def strength(self) -> float:
-        """Return the logarithm of their mean wealth."""
-        top = max(self._logs)
-        total = sum(math.exp(log - top) for log in self._logs)
-        return top + math.log(total / len(self._logs))
-
-    def add(self, gains: Iterable[float]) -> None:
-        """Add what each bet gained, in logarithms."""
-        self._logs = [
-            max(log + gain, 0)
-            for log, gain in zip(self._logs, gains, strict=True)
-        ]
-
-
 class ScoreTest:
     """Tests whether scores between 0 and 1 have fallen below a mean."""
 
@@ -105,11 +80,7 @@
             most: Greatest rate of failures of a good version.
         """
         risen = [min(most * factor, _HIGHEST_RATE) for factor in RATE_FACTORS]
-        self._wealth.add(
-            failed * math.log(rate / most)
-            + good * math.log((1 - rate) / (1 - most))
-            for rate in risen
-        )
+        self._wealth.add(log_ratio(failed, good, rate, most) for rate in risen)
 
 
 class MeanTest:
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -121,6 +121,7 @@
             repeat_ratio=0.9,
             repeat_window=10,
             exposure=0.15,
+            exposure_besides=30,
             session_span=5,
             apply_bound=0.2,
             halt_bound=0.2,
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,281 @@
+"""What the answers of a new version show, and what follows from it."""
+
+import itertools
+import random
+import unittest
+
+from nutmegroad.canary.rollouts import (
+    GIVE_UP_AT,
+    LAST_OPEN,
+    LEAD,
+    MEASURED,
+    OPEN_AT,
+    Rollout,
+    RolloutOrder,
+    RolloutRow,
+    Stage,
+    beyond_share,
+)
+from nutmegroad.canary.state import trial_share
+from nutmegroad.canary.steps import next_stage
+from nutmegroad.canary.suspicions import MOST, SPAN, Suspicions
+from nutmegroad.canary.verdicts import Judgement, Verdict
+from nutmegroad.fleet.evidence import Answers, KindNumber
+from nutmegroad.foundations.likelihoods import Assurance, Wealth, log_ratio
+from nutmegroad.foundations.types import UpstreamIncarnation
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.directory import SoftwareVersion
+from tests.relay_samples import ENGINES
+
+KIND, OTHER = KindNumber(1), KindNumber(2)
+
+#: A chance, and the logarithm of a hundred.
+RATE = 0.22
+LEVEL = 4.6
+
+
+def judged(*states: Answers, kind: KindNumber = KIND) -> Judgement:
+    """Return what has taken in sums of one kind, one after another."""
+    judgement = Judgement()
+    for seen in states:
+        judgement.take({kind: seen})
+    return judgement
+
+
+class VerdictTest(unittest.TestCase):
+    """Bad, good, or not shown."""
+
+    def test_bad_version_is_found_within_few_answers(self) -> None:
+        """Pattern: a third of the answers fail; the bound is 30 requests."""
+        judgement = judged(Answers(old=200, old_poor=2))
+        answers = 0
+        poor = 0
+        while judgement.verdict() is not Verdict.BAD:
+            answers += 1
+            poor += answers % 3 == 0
+            judgement.take({KIND: Answers(answers, poor, 200, 2)})
+        self.assertLessEqual(answers, 30)
+
+    def test_faults_that_befall_all_versions_speak_against_none(self) -> None:
+        """Pattern: a lost failure domain fails a fifth of everything."""
+        judgement = judged(
+            Answers(old=100, old_poor=20),
+            Answers(50, 10, 500, 100),
+        )
+        self.assertIsNot(judgement.verdict(), Verdict.BAD)
+        judgement.take({KIND: Answers(150, 30, 900, 180)})
+        self.assertIs(judgement.verdict(), Verdict.GOOD)
+
+    def test_poor_answers_of_a_disturbed_day_don_t_make_a_version_good(
+        self,
+    ) -> None:
+        """Pattern: 12 of 28 poor on the new version, 19 of 88 on the old.
+
+        It was open to all at 8 of 20 against 19 of 95, and succeeded: what is
+        not shown to be bad in time was taken for good.
+        """
+        judgement = judged(Answers(20, 8, 95, 19), Answers(28, 12, 95, 19))
+        self.assertIsNot(judgement.verdict(), Verdict.GOOD)
+
+    def test_few_answers_show_nothing(self) -> None:
+        """Pattern: twenty good answers, as a bad version may have by luck."""
+        judgement = judged(Answers(20, 0, 200, 2))
+        self.assertIs(judgement.verdict(), Verdict.NOT_SHOWN)
+
+    def test_good_answers_show_a_good_version(self) -> None:
+        """Sixty answers, one of them poor."""
+        judgement = judged(Answers(old=100, old_poor=1), Answers(60, 1, 300, 4))
+        self.assertIs(judgement.verdict(), Verdict.GOOD)
+
+    def test_version_that_is_bad_for_one_kind_is_not_good(self) -> None:
+        """Pattern: a kind with a fifth of the requests fails by half."""
+        judgement = Judgement()
+        for step in range(1, 30):
+            judgement.take(
+                {
+                    KIND: Answers(8 * step, 0, 80 * step, step),
+                    OTHER: Answers(2 * step, step, 20 * step, 0),
+                },
+            )
+            with self.subTest(step=step):
+                self.assertIsNot(judgement.verdict(), Verdict.GOOD)
+        self.assertIs(judgement.verdict(), Verdict.BAD)
+
+    def test_version_that_turns_bad_late_is_not_lived_on(self) -> None:
+        """Pattern: three hundred good answers, then every second one fails."""
+        judgement = judged(Answers(300, 3, 2000, 20))
+        self.assertIs(judgement.verdict(), Verdict.GOOD)
+        judgement.take({KIND: Answers(306, 6, 2010, 20)})
+        self.assertIsNot(judgement.verdict(), Verdict.GOOD)
+        judgement.take({KIND: Answers(316, 11, 2020, 20)})
+        self.assertIs(judgement.verdict(), Verdict.BAD)
+
+    def test_hosts_that_judge_by_parts_ask_for_more(self) -> None:
+        """Pattern: five failure domains hear of their own answers in time."""
+        judgement = judged(Answers(old=100, old_poor=1), Answers(26, 0, 300, 3))
+        self.assertIs(judgement.verdict(views=1), Verdict.GOOD)
+        self.assertIs(judgement.verdict(views=9), Verdict.NOT_SHOWN)
+
+    def test_any_counts_can_be_weighed(self) -> None:
+        """Pattern: every answer of the old version is poor, or none is."""
+        randomness = random.Random(5)
+        for _ in range(200):
+            old, new = randomness.randrange(50), randomness.randrange(50)
+            seen = Answers(
+                new,
+                randomness.randint(0, new),
+                old,
+                randomness.choice((0, old)),
+            )
+            self.assertIsInstance(judged(seen).verdict(), Verdict)
+
+    def test_reason_names_what_it_rests_on(self) -> None:
+        """An operator reads it in the log and in the store."""
+        reason = judged(Answers(20, 8, 95, 19)).reason()
+        self.assertIn('8 of 20 poor, before 19 of 95', reason)
+
+
+class NextStageTest(unittest.TestCase):
+    """Which stage follows a verdict."""
+
+    def test_stages(self) -> None:
+        """What is not shown in time is rolled back while there is time."""
+        trial, opened = Stage.TRIAL, Stage.OPEN
+        cases = (
+            (trial, Verdict.BAD, 0.1, Stage.ROLLED_BACK),
+            (trial, Verdict.GOOD, OPEN_AT - 0.01, None),
+            (trial, Verdict.GOOD, OPEN_AT, opened),
+            (trial, Verdict.NOT_SHOWN, OPEN_AT, None),
+            (trial, Verdict.NOT_SHOWN, LAST_OPEN, Stage.ROLLED_BACK),
+            (trial, Verdict.GOOD, LAST_OPEN, Stage.ROLLED_BACK),
+            (opened, Verdict.GOOD, 0.87, None),
+            (opened, Verdict.GOOD, 0.88, Stage.SUCCEEDED),
+            (opened, Verdict.NOT_SHOWN, 0.9, None),
+            (opened, Verdict.NOT_SHOWN, GIVE_UP_AT, Stage.ROLLED_BACK),
+            (opened, Verdict.BAD, 0.7, Stage.ROLLED_BACK),
+        )
+        for stage, verdict, elapsed, expected in cases:
+            with self.subTest(stage=stage, verdict=verdict, elapsed=elapsed):
+                self.assertIs(next_stage(stage, verdict, elapsed), expected)
+
+    def test_late_opening_reaches_all_before_the_end(self) -> None:
+        """Pattern: a version that is shown to be good at the last moment."""
+        order = RolloutOrder(ENGINES, SoftwareVersion('v2'), 100, 7)
+        row = RolloutRow(7, Stage.OPEN.value, 0, 100 * LAST_OPEN)
+        self.assertEqual(Rollout(order, row, 1).share(87.9, 0.1), 1)
+
+
+class BeyondTest(unittest.TestCase):
+    """What a trial gets beyond its share."""
+
+    def test_few_requests_get_a_larger_share(self) -> None:
+        """Half of what operators allow besides, over what is left."""
+        cases = ((30, 9, 10, 0.15), (30, 25, 15, 0.04), (30, 270, 10, 0))
+        for besides, rate, seconds, share in cases:
+            with self.subTest(rate=rate):
+                found = beyond_share(besides, rate, seconds)
+                self.assertAlmostEqual(found, share)
+
+    def test_share_of_a_row_is_added(self) -> None:
+        """All hosts read it from the row, so they agree on it."""
+        order = RolloutOrder(ENGINES, SoftwareVersion('v2'), 100, 7)
+        row = RolloutRow(7, Stage.TRIAL.value, 0, beyond=0.1)
+        self.assertAlmostEqual(Rollout(order, row, 1).share(20, 0.15), 0.25)
+
+
+class ExposureTest(unittest.TestCase):
+    """What a bad version gets that nobody halts before its trial ends."""
+
+    def test_trial_keeps_within_the_operators_bounds(self) -> None:
+        """0.86 of the share over the duration, 0.6 of what is besides.
+
+        The last step is made up to a second late, so that hosts spread it.
+        """
+        exposure, besides, late = 0.15, 30, 1.05
+        for seconds in (10, 16, 24, 60, 600):
+            for rate in (1, 9, 27, 94, 270, 3500):
+                order = RolloutOrder(ENGINES, SoftwareVersion('v2'), seconds, 7)
+                left = seconds * LAST_OPEN - MEASURED
+                beyond = beyond_share(besides, rate, left)
+                row = RolloutRow(7, Stage.TRIAL.value, 0, beyond=beyond)
+                share = Rollout(order, row).share(9, trial_share(exposure))
+                # What a trial gets before its share is widened is less.
+                got = share * rate * (seconds * LAST_OPEN + late - LEAD)
+                allowed = 0.86 * exposure * rate * seconds
+                with self.subTest(seconds=seconds, rate=rate):
+                    self.assertLessEqual(got, allowed + 0.6 * besides)
+
+
+class SuspicionsTest(unittest.TestCase):
+    """What broke off, and why."""
+
+    upstream = UpstreamIncarnation('u')
+
+    def setUp(self) -> None:
+        """Make a host that has seen nothing break."""
+        self.clock = ManualClock()
+        self.suspicions = Suspicions(self.clock)
+
+    def test_upstream_that_answers_again_was_there(self) -> None:
+        """Pattern: a version hangs on a part of its requests."""
+        self.suspicions.broke(self.upstream, KIND)
+        self.suspicions.broke(self.upstream, OTHER)
+        self.assertEqual(
+            self.suspicions.answered(self.upstream),
+            (KIND, OTHER),
+        )
+        self.assertEqual(self.suspicions.answered(self.upstream), ())
+
+    def test_upstream_that_was_cut_off_says_nothing(self) -> None:
+        """Pattern: a failure domain is cut off for five seconds."""
+        self.suspicions.broke(self.upstream, KIND)
+        self.clock._now += SPAN + 0.1
+        self.assertEqual(self.suspicions.answered(self.upstream), ())
+
+    def test_memory_is_bounded(self) -> None:
+        """Pattern: thousands of attempts break at upstreams that are gone."""
+        for number in range(2000):
+            upstream = UpstreamIncarnation(f'u{number}')
+            self.suspicions.broke(upstream, KIND)
+            self.suspicions.broke(self.upstream, KIND)
+            self.clock._now += 0.1
+        self.assertLess(len(self.suspicions._broken), 40)
+        self.assertLessEqual(
+            len(self.suspicions.answered(self.upstream)),
+            MOST,
+        )
+
+
+class LikelihoodTest(unittest.TestCase):
+    """The arithmetic below."""
+
+    def test_ratio_is_a_ratio_of_probabilities(self) -> None:
+        """Checked by hand: two hits and a miss at a half against a third."""
+        ratio = log_ratio(2, 1, 1 / 2, 1 / 3)
+        self.assertAlmostEqual(ratio, 0.52324814376)
+
+    def test_bet_does_not_grow_while_it_is_wrong(self) -> None:
+        """Of 2,000 streams at the chance bet against, few reach 100 to 1."""
+        randomness = random.Random(7)
+        reached = 0
+        for _ in range(2000):
+            bet = Assurance(-9, 9)
+            for _ in range(100):
+                hit = randomness.random() < RATE
+                bet.add(log_ratio(hit, not hit, 0.02, RATE))
+                if bet.strength >= LEVEL:
+                    reached += 1
+                    break
+        self.assertLessEqual(reached, 20)
+
+    def test_wealth_forgets_what_spoke_for_a_version(self) -> None:
+        """A cumulative sum: a thousand good answers hide nothing."""
+        wealth = Wealth(1)
+        wealth.add([log_ratio(0, 1000, 0.5, 0.1)])
+        for _ in itertools.repeat(None, 5):
+            wealth.add([log_ratio(1, 0, 0.5, 0.1)])
+        self.assertGreater(wealth.strength, 8)
+
+
+if __name__ == '__main__':
+    unittest.main()
