Take the silence of a whole failure domain for a cut

Cause: where a domain is cut off, each host found that out for each upstream by itself.

Whatever comes from a domain, a datagram of its hosts or bytes of its upstreams, is a sign of it; hosts of one domain tell each other how long ago that was, so hundreds of hosts hear as well together as nine do. After 0.8 s and eight usual intervals without a sign, its upstreams cost as much as ones that fail all, and what waits for one goes on elsewhere if it may run again. Nothing is excluded: a domain whose hosts were killed still serves.

Ruled out: heartbeats of their own (bytes between domains are dear); hearing by each host alone (195 hosts hear a far domain twice a second each, so eight usual intervals are four seconds).

--- a/experiments/relay_model.py
+++ b/experiments/relay_model.py
@@ -204,6 +204,7 @@
             domain,
             self.told.ledger,
             self.told.prefixes,
+            self.told.silence,
         )
 
 
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -15,6 +15,7 @@
 from msgspec import Struct
 
 from nutmegroad.fleet.announcements import HostRow
+from nutmegroad.fleet.domain_silence import DomainSilence, ToldAges
 from nutmegroad.fleet.evidence import RunNumber
 from nutmegroad.fleet.evidence_book import (
     EndedRun,
@@ -26,7 +27,7 @@
 from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.types import HostId, UpstreamIncarnation
+from nutmegroad.foundations.types import DomainId, HostId, UpstreamIncarnation
 
 _LOG: Final = part_logger('neighbours')
 
@@ -81,6 +82,7 @@
         prefixes: Parts of prompts that it has sent a moment ago.
         partial: Whether the loads are some of those that it has.
         ended_runs: What hosts had seen of roll-outs that have started again.
+        heard: How long ago it has heard other failure domains.
     """
 
     host: str
@@ -90,6 +92,7 @@
     prefixes: ToldPrefixes = {}
     partial: bool = False
     ended_runs: tuple[EndedRun, ...] = ()
+    heard: ToldAges = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,12 +104,14 @@
         marks: Sessions that a roll-out must leave where they are.
         book: What was seen of roll-outs.
         prefixes: What upstreams hold of prompts.
+        silence: When other failure domains were heard.
     """
 
     ledger: LoadLedger
     marks: SessionMarks
     book: EvidenceBook
     prefixes: HeldPrefixes
+    silence: DomainSilence
 
 
 def nothing_told(
@@ -129,6 +134,7 @@
         marks,
         EvidenceBook(host, run),
         HeldPrefixes(clock),
+        DomainSilence(clock),
     )
 
 
@@ -170,6 +176,7 @@
         self._marks = told.marks
         self._book = told.book
         self._prefixes = told.prefixes
+        self._silence = told.silence
         self._clock = clock
         self._near: dict[HostId, HostRow] = {}
         self._far: dict[HostId, HostRow] = {}
@@ -193,16 +200,16 @@
             return
         host = HostId(telling.host)
         self._heard[host] = self._clock.now()
+        far = self._far.get(host)
+        if far is not None:
+            self._silence.heard(DomainId(far.domain))
         if telling.partial:
             self._ledger.told_part(host, telling.loads)
             return
-        self._ledger.told(host, telling.loads)
-        self._marks.told(telling.sessions)
-        self._prefixes.told(telling.prefixes)
-        for service, evidence in telling.evidence.items():
-            self._book.told(service, host, evidence)
-        for ended in telling.ended_runs:
-            self._book.told_on(ended)
+        if far is None:
+            # Only those on this side of a cut hear what this host would hear.
+            self._silence.told(telling.heard)
+        self._take(host, telling)
 
     def found(self, host: HostId, row: HostRow) -> None:
         """Take in where a host listens."""
@@ -229,6 +236,7 @@
                 self._book.own_counts,
                 self._prefixes.recent(self._round()),
                 ended_runs=self._book.ended_runs(),
+                heard=self._silence.ages(),
             ),
         )
 
@@ -240,6 +248,16 @@
             turn += 1
             self._tell(turn)
 
+    def _take(self, host: HostId, telling: Telling) -> None:
+        """Take in all that a host tells."""
+        self._ledger.told(host, telling.loads)
+        self._marks.told(telling.sessions)
+        self._prefixes.told(telling.prefixes)
+        for service, evidence in telling.evidence.items():
+            self._book.told(service, host, evidence)
+        for ended in telling.ended_runs:
+            self._book.told_on(ended)
+
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
         empty = not (
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -41,6 +41,10 @@
 #: of today, and a lost first packet is better tried elsewhere.
 CONNECT_TIMEOUT: Final = 0.3
 
+#: Seconds between looks whether the failure domain of an upstream that has not
+#: answered yet has fallen silent: a third of the least time in which it can.
+SILENCE_LOOK: Final = 0.25
+
 #: HTTP statuses that decide how an attempt ended.
 MISDIRECTED: Final = 421
 FAILURES: Final = 400
@@ -196,6 +200,7 @@
                 return outcome
             read()
             head, connection = outcome
+            self._selector.silence.heard(upstream.entry.domain)
             failure = self._judge(head)
             if failure is not None:
                 self._learn(upstream, failure)
@@ -284,9 +289,15 @@
         plan: AttemptPlan,
     ) -> bool:
         """Wait for an answer; tell whether to go on waiting for it."""
-        done, _ = await asyncio.wait((answer,), timeout=plan.patience)
-        if done:
-            return True
+        latest = self._clock.now() + plan.patience
+        while True:
+            left = max(0, latest - self._clock.now())
+            part = min(left, SILENCE_LOOK)
+            done, _ = await asyncio.wait((answer,), timeout=part)
+            if done:
+                return True
+            if left <= SILENCE_LOOK or self._selector.is_cut_off(plan.upstream):
+                break
         plan.upstream.health.silent(self._clock.now())
         return not plan.leave()
 
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -215,6 +215,7 @@
             settings.domain,
             told.ledger,
             told.prefixes,
+            told.silence,
         )
         attempts = Attempts(self._pool, names, selector, clock)
         self._directory.ended.tell_of_ends(attempts.ended)
--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -13,6 +13,7 @@
 from nutmegroad.relay.attempts import Answering
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.estimates import PaceKey
 from nutmegroad.upstreams.selection import Asked, Choice
 
@@ -29,6 +30,11 @@
         service: Where it goes.
     """
 
+    @property
+    def now(self) -> float:
+        """Return the host's clock seconds."""
+        return self._parts.clock.now()
+
     @property
     def known(self) -> int:
         """Return how many upstreams may run the request."""
@@ -45,6 +51,14 @@
         self._request = request
         self._service = service
 
+    def cut_off(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream's failure domain is likely cut off."""
+        return self._parts.selector.is_cut_off(upstream)
+
+    def heard(self, upstream: Upstream) -> None:
+        """Note that something came from an upstream."""
+        self._parts.selector.silence.heard(upstream.entry.domain)
+
     def choose(
         self,
         model: ModelName | None,
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -22,7 +22,11 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import ModelName
-from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
+from nutmegroad.relay.attempts import (
+    SERVER_FAILURES,
+    SILENCE_LOOK,
+    Answering,
+)
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError
 from nutmegroad.relay.events import Event, WholeEvents
@@ -178,13 +182,18 @@
 
         It is left only if it may go on at another upstream.
         """
-        body = answering.head.body
-        try:
-            async with asyncio.timeout(patience):
-                return await body.readany()
-        except TimeoutError:
-            if not self._execution.may_repeat():
-                return await body.readany()
+        outlook = self._execution.outlook
+        latest = outlook.now + patience
+        while True:
+            left = max(0, latest - outlook.now)
+            chunk = await _read_within(answering, min(left, SILENCE_LOOK))
+            if chunk is not None:
+                outlook.heard(answering.upstream)
+                return chunk
+            if left <= SILENCE_LOOK or outlook.cut_off(answering.upstream):
+                break
+        if not self._execution.may_repeat():
+            return await answering.head.body.readany()
         answering.connection.abort()
         return None
 
@@ -285,3 +294,12 @@
             events=self._progress.events,
             waited=round(self._execution.waited, 3),
         )
+
+
+async def _read_within(answering: Answering, seconds: float) -> bytes | None:
+    """Return the next bytes, or None if none come in time."""
+    try:
+        async with asyncio.timeout(seconds):
+            return await answering.head.body.readany()
+    except TimeoutError:
+        return None
--- a/src/nutmegroad/upstreams/selection.py
+++ b/src/nutmegroad/upstreams/selection.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from nutmegroad.fleet.domain_silence import DomainSilence
 from nutmegroad.fleet.loads import Load, LoadLedger
 from nutmegroad.fleet.prefix_marks import HeldPrefixes
 from nutmegroad.foundations.clocks import Clock
@@ -36,6 +37,10 @@
 #: it gets, beyond what the others fail.
 FAILING_PART: Final = 2.0
 
+#: The same for one in a failure domain that is likely cut off: as one that
+#: fails all. If all others are full it is tried, since it may be there.
+CUT_PART: Final = 2.0
+
 #: The same for one that has all its slots taken.
 FULL_PART: Final = 0.5
 
@@ -117,6 +122,7 @@
         domain: The host's failure domain.
         ledger: What upstreams are busy with.
         prefixes: What they hold of prompts.
+        silence: When other failure domains were heard.
     """
 
     def __init__(
@@ -126,7 +132,9 @@
         domain: DomainId,
         ledger: LoadLedger,
         prefixes: HeldPrefixes,
+        silence: DomainSilence,
     ) -> None:
+        self.silence = silence
         self.paces = Paces()
         self.prefixes = prefixes
         self.ledger = ledger
@@ -166,6 +174,11 @@
                 best = (cost, choice)
         return None if best is None else best[1]
 
+    def is_cut_off(self, upstream: Upstream) -> bool:
+        """Tell whether another failure domain is likely cut off, with this."""
+        domain = upstream.entry.domain
+        return domain != self._domain and self.silence.suspected(domain)
+
     def _estimate(
         self,
         asked: Asked,
@@ -202,6 +215,8 @@
         cost = choice.expected * slowness + self._randomness.random() * TIE
         if upstream.entry.domain != self._domain:
             cost += target * FAR_PART
+        if self.is_cut_off(upstream):
+            cost += target * CUT_PART
         failing = health.failure_share(self._clock.now()) - usual
         cost += target * FAILING_PART * failing
         crowd = choice.running / max(1, upstream.entry.slots)
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -10,6 +10,7 @@
 from nutmegroad.canary.suspicions import Suspicions
 from nutmegroad.canary.verdicts import Judgement, Verdict
 from nutmegroad.fleet.announcements import HostRow
+from nutmegroad.fleet.domain_silence import DomainSilence
 from nutmegroad.fleet.evidence import (
     Answers,
     Evidence,
@@ -177,6 +178,7 @@
         SessionMarks(clock, 5),
         book,
         HeldPrefixes(clock),
+        DomainSilence(clock),
     )
     return Neighbours(HostId(name), own, told, clock)
 
--- a/tests/test_relay_selection.py
+++ b/tests/test_relay_selection.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from nutmegroad.fleet.domain_silence import DomainSilence
 from nutmegroad.fleet.loads import NO_LOAD, STALE, Load, LoadLedger
 from nutmegroad.fleet.neighbours import in_turn
 from nutmegroad.fleet.prefix_marks import HeldPrefixes
@@ -92,6 +93,7 @@
             NORTH,
             self.ledger,
             HeldPrefixes(self.clock),
+            DomainSilence(self.clock),
         )
         self.upstreams = [
             Upstream(an_entry('a')),
@@ -114,6 +116,31 @@
         self.ledger.begin(UpstreamId(first), Load(1, 5.0, 50_000))
         self.assertNotEqual(self.chosen(), first)
 
+    def test_domain_that_fell_silent_gets_what_no_other_can_take(self) -> None:
+        """Pattern: a failure domain is cut off while its engines stand idle.
+
+        Each host lost a request to each upstream there before it knew.
+        """
+        for name in ('a', 'b'):
+            self.ledger.begin(UpstreamId(name), Load(1, 2.0, 9000))
+        self.assertEqual(self.chosen(), 'far')
+        for _ in range(40):
+            self.clock._now += 0.1
+            self.selector.silence.heard(DomainId('south'))
+        self.assertEqual(self.chosen(), 'far')
+        self.clock._now += 1.2
+        self.assertNotEqual(self.chosen(), 'far')
+        self.assertEqual(self.chosen(('a', 'b')), 'far')
+
+    def test_own_domain_is_never_cut_off(self) -> None:
+        """Pattern: a quiet night; nobody in the own domain says anything."""
+        near = self.upstreams[0]
+        for _ in range(40):
+            self.clock._now += 0.1
+            self.selector.silence.heard(near.entry.domain)
+        self.clock._now += 60
+        self.assertFalse(self.selector.is_cut_off(near))
+
     def test_what_neighbours_have_sent_counts(self) -> None:
         """Pattern: hosts that see only their own load all choose one."""
         first = self.chosen()
@@ -179,6 +206,7 @@
             NORTH,
             LoadLedger(self.clock),
             HeldPrefixes(self.clock),
+            DomainSilence(self.clock),
         )
         mine, self.selector = self.chosen(), other
         self.assertEqual(self.chosen(), mine)
