--- a/src/nutmegroad/canary/state.py
+++ b/src/nutmegroad/canary/state.py
@@ -137,9 +137,8 @@
         host: HostId,
         evidence: Evidence,
     ) -> None:
-        """Take in what another host has seen."""
-        if host != self.host:
-            self._book.told(service, host, evidence)
+        """Take in what a host has seen, this one at an earlier start too."""
+        self._book.told(service, host, evidence)
 
     def observe(
         self,
--- a/src/nutmegroad/fleet/domain_silence.py
+++ b/src/nutmegroad/fleet/domain_silence.py
@@ -14,8 +14,11 @@
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import DomainId
 
+_LOG: Final = part_logger('domains')
+
 #: Seconds of silence before a domain is suspected: what one lost round of
 #: telling and a slow link delay.
 LEAST: Final = 0.8
@@ -30,6 +33,10 @@
 #: Longest interval that is averaged, in seconds: a silence is no interval.
 LONGEST: Final = 1.0
 
+#: Failure domains that are remembered at most: seven times those of the letter;
+#: names come from other hosts.
+MOST: Final = 64
+
 #: Ages are told in milliseconds, and none above these.
 _MILLISECONDS: Final = 1000
 _OLDEST: Final = 5.0
@@ -49,6 +56,7 @@
         self._clock = clock
         self._heard: dict[DomainId, float] = {}
         self._intervals: dict[DomainId, float] = {}
+        self._suspected: set[DomainId] = set()
 
     def heard(self, domain: DomainId) -> None:
         """Note a sign from a domain just now."""
@@ -58,7 +66,7 @@
         """Take in when another host has heard domains."""
         now = self._clock.now()
         for domain, age in ages.items():
-            self._sign(domain, now - age / _MILLISECONDS)
+            self._sign(domain, now - max(0, age) / _MILLISECONDS)
 
     def ages(self) -> ToldAges:
         """Return what is told to other hosts."""
@@ -75,16 +83,35 @@
         if heard is None:
             return False
         usual = self._intervals.get(domain, LONGEST)
-        return self._clock.now() - heard > max(LEAST, TIMES * usual)
+        silent = self._clock.now() - heard
+        if silent <= max(LEAST, TIMES * usual):
+            return False
+        if domain not in self._suspected:
+            self._suspected.add(domain)
+            _LOG.decision(
+                'domain fell silent',
+                domain=domain,
+                seconds=round(silent, 3),
+                usual=round(usual, 3),
+            )
+        return True
 
     def _sign(self, domain: DomainId, moment: float) -> None:
         """Take in a sign of a moment, unless a later one is known."""
         known = self._heard.get(domain)
         if known is None:
-            self._heard[domain] = moment
+            if len(self._heard) < MOST:
+                self._heard[domain] = moment
             return
         if moment <= known:
             return
+        if domain in self._suspected:
+            self._suspected.discard(domain)
+            _LOG.decision(
+                'domain heard again',
+                domain=domain,
+                seconds=round(moment - known, 3),
+            )
         usual = self._intervals.get(domain, LONGEST)
         interval = min(LONGEST, moment - known)
         self._intervals[domain] = usual + RECENT * (interval - usual)
--- a/src/nutmegroad/fleet/evidence_book.py
+++ b/src/nutmegroad/fleet/evidence_book.py
@@ -64,6 +64,14 @@
     sums: dict[KindNumber, Answers] = field(default_factory=dict)
     ended: dict[tuple[HostId, RunNumber], None] = field(default_factory=dict)
 
+    def end_others(self, host: HostId, run: RunNumber) -> None:
+        """Note that a run has come which ends a host's others."""
+        if (host, run) in self.runs:
+            return
+        for name in self.runs:
+            if name[0] == host:
+                self.ended.setdefault(name)
+
     def take(self, host: HostId, evidence: Evidence) -> bool:
         """Take in a run's counts; tell whether they were news."""
         name = (host, evidence.run)
@@ -133,18 +141,20 @@
 
         A host that tells of a run which is not known yet has started again.
         """
-        if host == self._host and evidence.run == self._run:
+        if host == self._host:
+            # A row of an earlier start of this host.
+            self.told_on(EndedRun(service, host, evidence))
             return
         known = self._counts.get(service)
         if known is not None and known.order == evidence.order:
-            for name in known.runs:
-                if name[0] == host and name[1] != evidence.run:
-                    known.ended.setdefault(name)
+            known.end_others(host, evidence.run)
         self._take(service, host, evidence)
 
     def told_on(self, ended: EndedRun) -> None:
         """Take in what a host had seen before it started again."""
         evidence = ended.evidence
+        if ended.host == self._host and evidence.run == self._run:
+            return
         self._take(ended.service, ended.host, evidence)
         counts = self._counts[ended.service]
         name = (ended.host, evidence.run)
--- a/tests/test_domain_silence.py
+++ b/tests/test_domain_silence.py
@@ -2,9 +2,11 @@
 
 import random
 import unittest
+from unittest.mock import patch
 
+from nutmegroad.fleet import domain_silence
 from nutmegroad.fleet.announcements import HostRow
-from nutmegroad.fleet.domain_silence import LEAST, DomainSilence
+from nutmegroad.fleet.domain_silence import LEAST, MOST, DomainSilence
 from nutmegroad.fleet.evidence import RunNumber
 from nutmegroad.fleet.neighbours import Neighbours, nothing_told
 from nutmegroad.foundations.types import DomainId, HostId
@@ -81,6 +83,27 @@
         self.silence.told({SOUTH: 1900})
         self.assertTrue(self.silence.suspected(SOUTH))
 
+    def test_words_of_a_broken_host_are_bounded(self) -> None:
+        """Ages from the future, and names that nobody has."""
+        self.hear(5, OFTEN)
+        self.silence.told({SOUTH: -90_000})
+        self.clock._now += 2
+        self.assertTrue(self.silence.suspected(SOUTH))
+        self.silence.told({DomainId(f'd{number}'): 0 for number in range(999)})
+        self.assertLessEqual(len(self.silence.ages()), MOST)
+
+    def test_changes_of_belief_are_logged_once(self) -> None:
+        """An operator sees in the log when a cut began and ended."""
+        self.hear(5, OFTEN)
+        self.clock._now += 2
+        with patch.object(domain_silence, '_LOG') as log:
+            self.silence.suspected(SOUTH)
+            self.silence.suspected(SOUTH)
+            self.silence.heard(SOUTH)
+            self.silence.heard(SOUTH)
+        events = [call.args[0] for call in log.decision.call_args_list]
+        self.assertEqual(events, ['domain fell silent', 'domain heard again'])
+
 
 class HearingTest(unittest.TestCase):
     """What counts as a sign of a domain."""
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -145,6 +145,19 @@
             with self.subTest(host=name):
                 self.assertEqual(whole(books[name], 7), Answers(24, 8, 4, 0))
 
+    def test_host_reads_what_it_had_seen_at_an_earlier_start(self) -> None:
+        """Pattern: its row is in the store, and it has started again."""
+        book = a_book(run=2)
+        book.count(ENGINES, 7, KIND, of_new=True, poor=False)
+        mine = HostId('me')
+        book.told(ENGINES, mine, counts(7, run=1, new=4, new_poor=2))
+        book.told(ENGINES, mine, counts(7, run=2, new=9, new_poor=9))
+        self.assertEqual(whole(book, 7), Answers(5, 2, 0, 0))
+        self.assertEqual(
+            [each.evidence.run for each in book.ended_runs()],
+            [1],
+        )
+
     def test_runs_of_hosts_are_bounded(self) -> None:
         """Pattern: a host that starts again and again through a roll-out."""
         book = a_book()
