Split the relay's attempts, and tests and trials that had grown long

Moved as they were; no behaviour changes. Tests stand in modules named after what they test: news, table_copies, announcements, evidence_book, shared_store (was fleet_news).

--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -16,13 +16,13 @@
     ServiceName,
     UpstreamIncarnation,
 )
-from nutmegroad.relay.attempts import (
+from nutmegroad.relay.budgets import Purpose
+from nutmegroad.relay.outcomes import (
     Answering,
     AttemptEnd,
     AttemptFailure,
     AttemptPlan,
 )
-from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.outlook import Outlook
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.routes.requests import CallerRequest
--- /dev/null
+++ b/src/nutmegroad/relay/heads.py
@@ -0,0 +1,117 @@
+"""Heads of messages: what goes to an upstream, and what its answer proves."""
+
+from typing import Final
+
+from aiohttp.http_parser import RawResponseMessage
+
+from nutmegroad.foundations.types import Ran
+from nutmegroad.relay.connections import BelongsHere, RequestHead, ResponseHead
+from nutmegroad.relay.outcomes import AttemptEnd, AttemptFailure, AttemptPlan
+from nutmegroad.routes.headers import HeaderNames
+from nutmegroad.routes.requests import MILLISECONDS, CallerRequest
+from nutmegroad.upstreams.ranks import engine_rank
+
+#: HTTP statuses that decide how an attempt ended.
+MISDIRECTED: Final = 421
+FAILURES: Final = 400
+SERVER_FAILURES: Final = 500
+
+
+class Heads:
+    """Writes heads for upstreams, and judges those that come back.
+
+    Args:
+        names: What headers are called.
+    """
+
+    def __init__(self, names: HeaderNames) -> None:
+        self._names = names
+
+    def write(
+        self,
+        request: CallerRequest,
+        plan: AttemptPlan,
+        left: float,
+    ) -> RequestHead:
+        """Return the head that goes to the upstream."""
+        names = self._names
+        ours = {
+            names.deadline: str(max(1, int(left * MILLISECONDS))),
+            names.expected_upstream: plan.upstream.entry.upstream,
+        }
+        if request.workspace is not None:
+            ours[names.workspace] = request.workspace.name
+        if request.generation is not None:
+            rank = engine_rank(
+                plan.choice.reading.seconds,
+                request.route.target_latency,
+                request.priority,
+            )
+            ours[names.priority] = str(rank)
+        source = plan.choice.reading.source
+        if source is not None:
+            ours[names.fetch_from] = str(source.entry.address)
+        replaced: set[bytes] = set()
+        if plan.model is not None:
+            ours[names.model] = plan.model
+            replaced.add(names.model.lower().encode())
+        if plan.last_event:
+            ours[names.last_event] = plan.last_event
+            replaced.add(names.last_event.lower().encode())
+        if request.framed:
+            ours['Content-Length'] = str(len(request.body))
+        kept = tuple(
+            header
+            for header in request.headers
+            if header[0].lower() not in replaced
+        )
+        added = tuple(
+            (name.encode(), text.encode()) for name, text in ours.items()
+        )
+        return RequestHead(request.method, request.target, kept + added)
+
+    def belonging(self, request: CallerRequest) -> BelongsHere:
+        """Return what tells answers to a request from strays."""
+        name = self._names.request_id
+
+        def belongs(message: RawResponseMessage) -> bool:
+            """Compare the id that the answer echoes."""
+            echoed = message.headers.get(name)
+            if echoed is None:
+                return message.code >= FAILURES
+            return echoed == request.request
+
+        return belongs
+
+    def judge(self, head: ResponseHead) -> AttemptFailure | None:
+        """Return why a head is no answer, or None."""
+        if head.status == MISDIRECTED:
+            return AttemptFailure(
+                AttemptEnd.MISDIRECTED,
+                Ran.NOT_RUN,
+                'another upstream has the address, or other weights',
+            )
+        if self._names.not_run in head.headers:
+            return AttemptFailure(
+                AttemptEnd.REJECTED,
+                Ran.NOT_RUN,
+                f'rejected with {head.status}',
+                _seconds(head.headers.get('Retry-After', '')),
+            )
+        proved = self._names.signature in head.headers
+        plain = 'Content-Encoding' not in head.headers
+        if head.status < FAILURES and not (proved and plain):
+            return AttemptFailure(
+                AttemptEnd.UNPROVED,
+                Ran.UNKNOWN,
+                f'status {head.status} without proof that it is its own',
+            )
+        return None
+
+
+def _seconds(text: str) -> float:
+    """Return the seconds of a Retry-After header; 0 for a date or none."""
+    try:
+        return max(0, float(text))
+    except ValueError:
+        return 0
--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -10,7 +10,7 @@
     ServiceName,
     UpstreamIncarnation,
 )
-from nutmegroad.relay.attempts import Answering
+from nutmegroad.relay.outcomes import Answering
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Upstream
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -6,9 +6,10 @@
 from nutmegroad.canary.gate import Observed
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
-from nutmegroad.relay.attempts import SERVER_FAILURES, Answering
 from nutmegroad.relay.connections import ConnectionFailedError, ResponseHead
 from nutmegroad.relay.execution import Execution
+from nutmegroad.relay.heads import SERVER_FAILURES
+from nutmegroad.relay.outcomes import Answering
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
 from nutmegroad.routes.headers import end_to_end
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -22,15 +22,13 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import ModelName
-from nutmegroad.relay.attempts import (
-    SERVER_FAILURES,
-    SILENCE_LOOK,
-    Answering,
-)
+from nutmegroad.relay.attempts import SILENCE_LOOK
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError
 from nutmegroad.relay.events import Event, WholeEvents
 from nutmegroad.relay.execution import Execution
+from nutmegroad.relay.heads import SERVER_FAILURES
+from nutmegroad.relay.outcomes import Answering
 from nutmegroad.relay.plain import WholeAnswer, deliver, read_whole
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -3,6 +3,13 @@
 import json
 from typing import Any
 
+from nutmegroad.fleet.evidence import (
+    Answers,
+    Evidence,
+    KindNumber,
+    RunNumber,
+)
+from nutmegroad.fleet.evidence_book import EvidenceBook
 from nutmegroad.fleet.stored import (
     Committed,
     HistoryLost,
@@ -16,6 +23,7 @@
 from nutmegroad.foundations.types import (
     Address,
     DomainId,
+    HostId,
     ModelName,
     RequestId,
     ServiceName,
@@ -43,6 +51,9 @@
 
 NORTH = DomainId('north')
 ENGINES = ServiceName('engines')
+
+#: A kind of request.
+KIND = KindNumber(0)
 SMALL, LARGE = ModelName('small'), ModelName('large')
 KEY = PaceKey(ENGINES, SMALL)
 AWAY = Refusal(ResultCode.TABLE_UNAVAILABLE, 'away')
@@ -146,3 +157,13 @@
     ) -> Committed | RowsMoved | Refusal:
         """Refuse."""
         return AWAY
+
+
+def a_book(host: str = 'me', run: int = 1) -> EvidenceBook:
+    """Return the book of one start of a host."""
+    return EvidenceBook(HostId(host), RunNumber(run))
+
+
+def counts(order: int, run: int = 1, **answers: int) -> Evidence:
+    """Return what one start of a host has seen of one kind of request."""
+    return Evidence(order, RunNumber(run), {KIND: Answers(**answers)})
--- a/tests/test_fleet_news.py
+++ b/tests/test_shared_store.py
@@ -7,29 +7,17 @@
 from contextlib import AsyncExitStack
 from unittest.mock import AsyncMock, Mock
 
-from nutmegroad.fleet.announcements import GATHERING, Announcement, HostRow
+from nutmegroad.fleet.announcements import HostRow
 from nutmegroad.fleet.followers import FeedPace, TableFollower
-from nutmegroad.fleet.news import (
-    Alive,
-    FrameError,
-    Known,
-    News,
-    StoreLost,
-    Whole,
-    encode,
-    receive,
-)
 from nutmegroad.fleet.news_link import NewsLink
 from nutmegroad.fleet.news_server import NewsServer
 from nutmegroad.fleet.shared_store import SharedStore
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.stored import (
-    Committed,
     HistoryLost,
     RowsRead,
     StoredRow,
 )
-from nutmegroad.fleet.table_copies import TableCopies
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import Address, HostId
@@ -39,9 +27,6 @@
 
 TABLE = 'op'
 
-#: Where a host of the tests listens.
-ROW = HostRow('127.0.0.1', 7, 'north')
-
 
 class CountingStore(AwayStore):
     """A store with one table, whose calls are counted.
@@ -85,169 +70,6 @@
         return self.read(after)
 
 
-class FramesTest(unittest.IsolatedAsyncioTestCase):
-    """What goes over a link."""
-
-    async def receive(self, *texts: bytes) -> object:
-        """Return the first frame of some bytes."""
-        reader = asyncio.StreamReader()
-        for text in texts:
-            reader.feed_data(text)
-        reader.feed_eof()
-        return await receive(reader)
-
-    async def test_frames_pass_whole(self) -> None:
-        """Small, without rows, and large enough to be compressed."""
-        rows = tuple(StoredRow(f'k{n}', b'x' * 90, n) for n in range(99))
-        frames = (
-            Alive(),
-            StoreLost(TABLE),
-            News(TABLE, 1, 2, 3.5, (StoredRow('k', b'\0', 2, removed=True),)),
-            News(TABLE, 0, 99, 3.5, rows),
-            Whole(TABLE, 99, 3.5, rows),
-            Known({TABLE: 7}),
-        )
-        for frame in frames:
-            with self.subTest(frame=type(frame), rows=len(str(frame))):
-                text = encode(frame)
-                assert text is not None
-                half = len(text) // 2
-                found = await self.receive(text[:half], text[half:])
-                self.assertEqual(found, frame)
-
-    async def test_what_is_no_frame_is_refused(self) -> None:
-        """Too long, empty, not ours, and cut."""
-        cases = (
-            (b'\xff\xff\xff\xff', FrameError),
-            (b'\0\0\0\0', FrameError),
-            (b'\0\0\0\2px', FrameError),
-            (b'\0\0\0\2zx', FrameError),
-            (b'\0\0\0\5px', EOFError),
-        )
-        for text, expected in cases:
-            with self.subTest(text=text), self.assertRaises(expected):
-                await self.receive(text)
-
-    async def test_what_is_too_large_is_left_to_the_store(self) -> None:
-        """Pattern: a configuration grows, and the reader's link is slow."""
-        noise = random.Random(1)
-        rows = tuple(
-            StoredRow(str(number), noise.randbytes(100), number)
-            for number in range(1000)
-        )
-        self.assertIsNotNone(encode(News(TABLE, 0, 9, 1, rows[:10])))
-        self.assertIsNone(encode(News(TABLE, 0, 9, 1, rows)))
-
-
-class NewsTest(unittest.TestCase):
-    """News of a table, put together."""
-
-    def test_gap_has_to_be_read(self) -> None:
-        """A host that has missed a version is told nothing of it."""
-        news = News(TABLE, 5, 7, 1, (StoredRow('k', b'', 7),))
-        self.assertIsNone(news.after(4))
-        found = news.after(5)
-        assert found is not None
-        self.assertTrue(found.relayed)
-        self.assertEqual(len(found.rows), 1)
-        again = news.after(7)
-        assert again is not None
-        self.assertEqual(again.rows, ())
-
-    def test_news_that_were_not_taken_are_joined(self) -> None:
-        """Unless something between them was missed."""
-        first = News(TABLE, 5, 7, 1, (StoredRow('a', b'', 7),))
-        joined = first.joined(News(TABLE, 7, 9, 2, (StoredRow('b', b'', 9),)))
-        self.assertEqual(
-            (joined.base, joined.version, joined.store_time, len(joined.rows)),
-            (5, 9, 2, 2),
-        )
-        later = News(TABLE, 8, 9, 2)
-        self.assertEqual(first.joined(later), later)
-
-
-class CopiesTest(unittest.TestCase):
-    """Tables as they are told whole."""
-
-    def setUp(self) -> None:
-        """Keep a copy of a table with two rows."""
-        self.copies = TableCopies()
-        rows = (StoredRow('a', b'1', 3), StoredRow('b', b'1', 4))
-        self.copies.replace(TABLE, RowsRead(rows, 4, 10))
-
-    def told(self, version: int) -> News | Whole:
-        """Return what one is told who knows a version."""
-        return self.copies.beyond({TABLE: version})[0]
-
-    def test_who_knows_the_version_is_told_no_rows(self) -> None:
-        """A link that broke for a moment costs no table."""
-        self.assertEqual(self.told(4), News(TABLE, 4, 4, 10))
-
-    def test_who_knows_another_is_told_all(self) -> None:
-        """Rows that were removed are not among them."""
-        removed = StoredRow('a', b'', 6, removed=True)
-        changed = StoredRow('b', b'2', 7)
-        self.copies.apply(News(TABLE, 4, 7, 12, (removed, changed)))
-        self.assertEqual(self.told(4), Whole(TABLE, 7, 12, (changed,)))
-
-    def test_older_rows_change_nothing(self) -> None:
-        """News of two readers cross."""
-        older = StoredRow('b', b'0', 2)
-        self.copies.apply(News(TABLE, 1, 3, 9, (older,)))
-        whole = self.told(0)
-        assert isinstance(whole, Whole)
-        self.assertEqual(whole.version, 4)
-        self.assertEqual(whole.rows[1].content, b'1')
-
-    def test_copy_that_has_missed_something_is_forgotten(self) -> None:
-        """Nobody is told a table with a hole in it."""
-        self.copies.apply(News(TABLE, 8, 9, 12))
-        self.assertEqual(self.copies.beyond({}), [])
-
-
-class AnnounceTest(unittest.IsolatedAsyncioTestCase):
-    """How a host makes itself known."""
-
-    def announcement(self, store: Mock) -> Announcement:
-        """Return a host that has not made itself known yet."""
-        self.clock = ManualClock()
-        return Announcement(HostId('me'), ROW, store, self.clock)
-
-    async def test_host_that_starts_again_writes_nothing(self) -> None:
-        """Pattern: power returns everywhere; its row is still there."""
-        store = Mock(commit=AsyncMock())
-        announcement = self.announcement(store)
-        announcement.found(HostId('me'), ROW)
-        announcement.listed()
-        await announcement.make(first=False)
-        await announcement.gathered()
-        store.commit.assert_not_called()
-
-    async def test_row_of_another_address_is_written_anew(self) -> None:
-        """Pattern: a host is replaced under its name."""
-        store = Mock(commit=AsyncMock(return_value=Committed(3, 1)))
-        announcement = self.announcement(store)
-        announcement.found(HostId('me'), HostRow('127.0.0.9', 7, 'north'))
-        announcement.listed()
-        await announcement.make(first=False)
-        store.commit.assert_called_once()
-
-    async def test_first_hosts_make_themselves_known_before_they_look(
-        self,
-    ) -> None:
-        """Pattern: all hosts start at once, and find nobody to follow."""
-        store = Mock(commit=AsyncMock(return_value=Committed(3, 1)))
-        announcement = self.announcement(store)
-        announcing = asyncio.create_task(announcement.make(first=True))
-        looking = asyncio.create_task(announcement.gathered())
-        await self.clock.settle()
-        store.commit.assert_called_once()
-        self.assertFalse(looking.done())
-        await self.clock.advance(GATHERING)
-        self.assertTrue(looking.done())
-        await announcing
-
-
 class RelayedClockTest(unittest.TestCase):
     """How old what another host has read is."""
 
