Write once what the change had written twice, and keep verdicts off the hot path

Found by reading the whole change: a frame's marker was built in three places and the fall-back from a frame that is too large in three (News.marker, encode_or_mark); attempts and streams had the same loop that waits until a domain falls silent (relay/patience); the evidence book compared orders in four places (_of); verdict_trials summed by hand. Every request under a roll-out weighed the verdict anew, now only where counts or hosts are new; a table's rows were copied for each follower that knew them already.

No behaviour is meant to change. The tests are as they were.

Left: FleetHosts.turn does what membership/_rendezvous does, in a room that may not import it; one of them in foundations would serve both, but the order of hosts would change.

--- a/experiments/verdict_trials.py
+++ b/experiments/verdict_trials.py
@@ -38,7 +38,7 @@
 )
 from nutmegroad.canary.steps import next_stage
 from nutmegroad.canary.verdicts import Judgement
-from nutmegroad.fleet.evidence import Answers, KindNumber, add_kinds
+from nutmegroad.fleet.evidence import Answers, KindNumber, add_kinds, summed
 
 #: Seconds between looks at what has come in; hosts look four times a second.
 LOOK: Final = 0.25
@@ -102,9 +102,7 @@
         elapsed: float,
     ) -> Stage | None:
         """Return the stage that follows now, or None."""
-        whole = Answers()
-        for part in sums.values():
-            whole = whole.plus(part)
+        whole = summed(sums.values())
         grown = 2 * whole.old_poor / max(1, whole.old) + 0.03
         expected = min(0.5, max(0.08, grown))
         if whole.new_poor >= 3 and _tail(whole, expected) < self.unlikely:
@@ -161,9 +159,7 @@
         return self._ended(stage, now)
 
     def _ended(self, stage: Stage, now: float) -> Ended:
-        whole = Answers()
-        for part in self._seen.values():
-            whole = whole.plus(part)
+        whole = summed(self._seen.values())
         case = self._case
         allowed = EXPOSED * case.rate * case.seconds + BESIDES
         return Ended(stage, now, whole.new_poor, whole.new - allowed)
@@ -218,7 +214,6 @@
     Attributes:
         case: The case.
         rule: The rule's name.
-        count: How many.
         succeeded: Share that succeeded.
         poor: Mean poor answers of the new version.
         seconds: Mean seconds until the end.
@@ -227,7 +222,6 @@
 
     case: Case
     rule: str
-    count: int
     succeeded: float
     poor: float
     seconds: float
@@ -255,7 +249,6 @@
     return Row(
         case,
         name,
-        rollouts,
         fmean(succeeded),
         fmean(each.poor for each in ended),
         fmean(each.seconds for each in ended),
--- a/src/nutmegroad/canary/state.py
+++ b/src/nutmegroad/canary/state.py
@@ -32,12 +32,15 @@
     Attributes:
         order: Number of the order.
         judgement: What weighs them.
-        changes: What the book had counted when they were weighed last.
+        seen: What the book had counted when they were weighed last, and how
+            many hosts there were.
+        verdict: What they showed then.
     """
 
     order: int
     judgement: Judgement
-    changes: int = -1
+    seen: tuple[int, int] | None = None
+    verdict: Verdict = Verdict.NOT_SHOWN
 
 
 class RolloutState:
@@ -162,11 +165,11 @@
 
     def verdict(self, rollout: Rollout) -> Verdict:
         """Return what all answers show, as far as this host knows of them."""
-        return self._weigh(rollout).verdict(self._views(rollout))
+        return self._weigh(rollout).verdict
 
     def reason(self, rollout: Rollout) -> str:
         """Return one line on what the verdict rests on."""
-        return self._weigh(rollout).reason()
+        return self._weigh(rollout).judgement.reason()
 
     def halted(self, rollout: Rollout) -> bool:
         """Tell whether this host sends the new version nothing any more."""
@@ -180,7 +183,7 @@
 
     def answers(self, rollout: Rollout) -> int:
         """Return how many answers all hosts have had, about."""
-        whole = self._weigh(rollout).whole
+        whole = self._weigh(rollout).judgement.whole
         return whole.count * self._views(rollout)
 
     def _reconsider(self, rollout: Rollout) -> bool:
@@ -196,17 +199,22 @@
         )
         return True
 
-    def _weigh(self, rollout: Rollout) -> Judgement:
-        """Weigh what has come in since the last time."""
+    def _weigh(self, rollout: Rollout) -> _Weighed:
+        """Weigh what has come in since the last time.
+
+        Each request asks for it, so nothing is done where nothing is new.
+        """
         service, number = rollout.order.service, rollout.order.number
         weighed = self._weighed.get(service)
         if weighed is None or weighed.order != number:
             weighed = _Weighed(number, Judgement())
             self._weighed[service] = weighed
-        if weighed.changes != self._book.changes:
-            weighed.changes = self._book.changes
+        seen = (self._book.changes, self._hosts())
+        if weighed.seen != seen:
+            weighed.seen = seen
             weighed.judgement.take(self._book.sums(service, number))
-        return weighed.judgement
+            weighed.verdict = weighed.judgement.verdict(self._views(rollout))
+        return weighed
 
     def _views(self, rollout: Rollout) -> int:
         """Return how many groups of hosts judge by answers of their own.
--- a/src/nutmegroad/fleet/evidence.py
+++ b/src/nutmegroad/fleet/evidence.py
@@ -68,6 +68,11 @@
         """Return the answers of all kinds."""
         return summed(self.kinds.values())
 
+    @property
+    def count(self) -> int:
+        """Return how many answers there were of all kinds."""
+        return sum(answers.count for answers in self.kinds.values())
+
     def adding(
         self,
         kind: KindNumber,
--- a/src/nutmegroad/fleet/evidence_book.py
+++ b/src/nutmegroad/fleet/evidence_book.py
@@ -77,7 +77,7 @@
         name = (host, evidence.run)
         known = self.runs.get(name)
         if known is not None:
-            if known.whole.count >= evidence.whole.count:
+            if known.count >= evidence.count:
                 return False
             add_kinds(self.sums, known.kinds, -1)
         elif len(self.runs) >= MOST_RUNS:
@@ -145,8 +145,8 @@
             # A row of an earlier start of this host.
             self.told_on(EndedRun(service, host, evidence))
             return
-        known = self._counts.get(service)
-        if known is not None and known.order == evidence.order:
+        known = self._of(service, evidence.order)
+        if known is not None:
             known.end_others(host, evidence.run)
         self._take(service, host, evidence)
 
@@ -156,10 +156,10 @@
         if ended.host == self._host and evidence.run == self._run:
             return
         self._take(ended.service, ended.host, evidence)
-        counts = self._counts[ended.service]
+        known = self._of(ended.service, evidence.order)
         name = (ended.host, evidence.run)
-        if counts.order == evidence.order and name in counts.runs:
-            counts.ended.setdefault(name)
+        if known is not None and name in known.runs:
+            known.ended.setdefault(name)
 
     def ended_runs(self) -> tuple[EndedRun, ...]:
         """Return some of the ended runs that are to be told on, in turn."""
@@ -181,15 +181,13 @@
         order: int,
     ) -> Mapping[KindNumber, Answers]:
         """Return what all hosts have seen of an order, by kind of request."""
-        known = self._counts.get(service)
-        if known is None or known.order != order:
-            return {}
-        return known.sums
+        known = self._of(service, order)
+        return {} if known is None else known.sums
 
     def tellers(self, service: ServiceName, order: int) -> int:
         """Return how many hosts are known to have seen anything of an order."""
-        known = self._counts.get(service)
-        if known is None or known.order != order:
+        known = self._of(service, order)
+        if known is None:
             return 0
         return len({host for host, _ in known.runs})
 
@@ -197,6 +195,13 @@
         """Tell no more of a roll-out that has ended."""
         self._own.pop(service, None)
 
+    def _of(self, service: ServiceName, order: int) -> _Counts | None:
+        """Return what is known of an order, if it is the latest known."""
+        known = self._counts.get(service)
+        if known is None or known.order != order:
+            return None
+        return known
+
     def _take(
         self,
         service: ServiceName,
--- a/src/nutmegroad/fleet/news.py
+++ b/src/nutmegroad/fleet/news.py
@@ -59,6 +59,10 @@
         rows = tuple(row for row in self.rows if row.version > version)
         return RowsRead(rows, self.version, self.store_time, relayed=True)
 
+    def marker(self) -> 'News':
+        """Return news without rows that follow on this."""
+        return News(self.table, self.version, self.version, self.store_time)
+
     def joined(self, later: 'News') -> 'News':
         """Return this and later news of the same table as one."""
         if later.base > self.version:
@@ -152,6 +156,14 @@
     return (len(text) + 1).to_bytes(_LENGTH) + kind + text
 
 
+def encode_or_mark(told: News | Whole) -> bytes | None:
+    """Return a frame; of one that is too large, that there is something new.
+
+    Whoever follows has to read it from the store then.
+    """
+    return encode(told) or encode(told.marker())
+
+
 async def receive(reader: StreamReader) -> Frame:
     """Return the next frame.
 
--- a/src/nutmegroad/fleet/news_link.py
+++ b/src/nutmegroad/fleet/news_link.py
@@ -114,12 +114,7 @@
         """Return what was heard, once."""
         found = self.news
         if found is not None:
-            self.news = News(
-                found.table,
-                found.version,
-                found.version,
-                found.store_time,
-            )
+            self.news = found.marker()
         return found
 
 
--- a/src/nutmegroad/fleet/news_server.py
+++ b/src/nutmegroad/fleet/news_server.py
@@ -11,6 +11,7 @@
     News,
     StoreLost,
     encode,
+    encode_or_mark,
     receive,
 )
 from nutmegroad.fleet.stored import RowsRead
@@ -74,25 +75,14 @@
     def tell(self, news: News) -> None:
         """Tell what has changed in a table."""
         self._copies.apply(news)
-        if not self._followers:
-            return
-        text = encode(news)
-        if text is None:
-            # Too large: whoever follows has to read it from the store.
-            marker = News(
-                news.table,
-                news.version,
-                news.version,
-                news.store_time,
-            )
-            text = encode(marker)
-        self._send(text)
+        if self._followers:
+            self._send(encode_or_mark(news))
 
     def tell_whole(self, table: str, read: RowsRead) -> None:
         """Tell a table that was read whole."""
-        whole = self._copies.replace(table, read)
+        copy = self._copies.replace(table, read)
         if self._followers:
-            self._send(encode(whole) or encode(whole.marker()))
+            self._send(encode_or_mark(copy.whole()))
 
     def tell_lost(self, table: str) -> None:
         """Tell that the store does not answer."""
@@ -120,9 +110,7 @@
     def _greet(self, writer: asyncio.StreamWriter, known: Known) -> None:
         """Tell a new follower what it does not know, and all from now on."""
         for told in self._copies.beyond(known.versions):
-            text = encode(told)
-            if text is None and not isinstance(told, News):
-                text = encode(told.marker())
+            text = encode_or_mark(told)
             if text is not None:
                 writer.write(text)
         self._followers.add(writer)
--- a/src/nutmegroad/fleet/table_copies.py
+++ b/src/nutmegroad/fleet/table_copies.py
@@ -37,6 +37,12 @@
             tuple(self._rows.values()),
         )
 
+    def beyond(self, version: int | None) -> News | Whole:
+        """Return what one has to be told who knows a version, or none."""
+        if version != self.version:
+            return self.whole()
+        return News(self._table, version, version, self._store_time)
+
     def _put(self, row: StoredRow) -> None:
         """Take one row in, unless a later state of it is here."""
         known = self._rows.get(row.key)
@@ -54,11 +60,11 @@
     def __init__(self) -> None:
         self._copies: dict[str, TableCopy] = {}
 
-    def replace(self, table: str, read: RowsRead) -> Whole:
-        """Take a whole table in, and return it as it is told."""
+    def replace(self, table: str, read: RowsRead) -> TableCopy:
+        """Take a whole table in, and return its copy."""
         copy = TableCopy(table, read)
         self._copies[table] = copy
-        return copy.whole()
+        return copy
 
     def apply(self, news: News) -> None:
         """Take changes in; a copy that has missed some is forgotten."""
@@ -72,9 +78,7 @@
 
     def beyond(self, versions: dict[str, int]) -> list[News | Whole]:
         """Return what one has to be told who knows some versions."""
-        told: list[News | Whole] = []
-        for table, copy in self._copies.items():
-            whole = copy.whole()
-            is_known = versions.get(table) == copy.version
-            told.append(whole.marker() if is_known else whole)
-        return told
+        return [
+            copy.beyond(versions.get(table))
+            for table, copy in self._copies.items()
+        ]
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -24,6 +24,7 @@
     AttemptFailure,
     AttemptPlan,
 )
+from nutmegroad.relay.patience import wait_patiently
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.routes.headers import HeaderNames
 from nutmegroad.routes.requests import CallerRequest, Generation
@@ -37,10 +38,6 @@
 #: of today, and a lost first packet is better tried elsewhere.
 CONNECT_TIMEOUT: Final = 0.3
 
-#: Seconds between looks whether the failure domain of an upstream that has not
-#: answered yet has fallen silent: a third of the least time in which it can.
-SILENCE_LOOK: Final = 0.25
-
 #: Part of an engine's memory in which it keeps parts that were read; the rest
 #: is for the requests that it runs.
 KEPT_PART: Final = 0.7
@@ -185,15 +182,20 @@
         plan: AttemptPlan,
     ) -> bool:
         """Wait for an answer; tell whether to go on waiting for it."""
-        latest = self._clock.now() + plan.patience
-        while True:
-            left = max(0, latest - self._clock.now())
-            part = min(left, SILENCE_LOOK)
-            done, _ = await asyncio.wait((answer,), timeout=part)
-            if done:
-                return True
-            if left <= SILENCE_LOOK or self._selector.is_cut_off(plan.upstream):
-                break
+
+        async def done_within(seconds: float) -> bool | None:
+            """Wait for the answer; return None if it does not come."""
+            done, _ = await asyncio.wait((answer,), timeout=seconds)
+            return True if done else None
+
+        came = await wait_patiently(
+            done_within,
+            plan.patience,
+            lambda: self._selector.is_cut_off(plan.upstream),
+            self._clock,
+        )
+        if came:
+            return True
         plan.upstream.health.silent(self._clock.now())
         return not plan.leave()
 
--- a/src/nutmegroad/relay/outlook.py
+++ b/src/nutmegroad/relay/outlook.py
@@ -5,6 +5,7 @@
 
 from nutmegroad.canary.gate import Observed
 from nutmegroad.escalation.headroom import Expectation
+from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import (
     ModelName,
     ServiceName,
@@ -31,9 +32,9 @@
     """
 
     @property
-    def now(self) -> float:
-        """Return the host's clock seconds."""
-        return self._parts.clock.now()
+    def clock(self) -> Clock:
+        """Return the host's clock."""
+        return self._parts.clock
 
     @property
     def known(self) -> int:
@@ -51,7 +52,7 @@
         self._request = request
         self._service = service
 
-    def cut_off(self, upstream: Upstream) -> bool:
+    def is_cut_off(self, upstream: Upstream) -> bool:
         """Tell whether an upstream's failure domain is likely cut off."""
         return self._parts.selector.is_cut_off(upstream)
 
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -8,6 +8,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import Enum, unique
+from functools import partial
 from types import MappingProxyType
 from typing import Final
 
@@ -22,13 +23,13 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import ModelName
-from nutmegroad.relay.attempts import SILENCE_LOOK
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError
 from nutmegroad.relay.events import Event, WholeEvents
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import SERVER_FAILURES
 from nutmegroad.relay.outcomes import Answering
+from nutmegroad.relay.patience import wait_patiently
 from nutmegroad.relay.plain import WholeAnswer, deliver, read_whole
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
@@ -181,15 +182,15 @@
         It is left only if it may go on at another upstream.
         """
         outlook = self._execution.outlook
-        latest = outlook.now + patience
-        while True:
-            left = max(0, latest - outlook.now)
-            chunk = await _read_within(answering, min(left, SILENCE_LOOK))
-            if chunk is not None:
-                outlook.heard(answering.upstream)
-                return chunk
-            if left <= SILENCE_LOOK or outlook.cut_off(answering.upstream):
-                break
+        chunk = await wait_patiently(
+            partial(_read_within, answering),
+            patience,
+            lambda: outlook.is_cut_off(answering.upstream),
+            outlook.clock,
+        )
+        if chunk is not None:
+            outlook.heard(answering.upstream)
+            return chunk
         if not self._execution.may_repeat():
             return await answering.head.body.readany()
         answering.connection.abort()
