--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -144,6 +144,16 @@
             moment = self._store_clock.relayed(read.store_time)
         else:
             moment = self._store_clock.moment(asked, read.store_time)
+        if read.rows:
+            _LOG.decision(
+                'changes taken',
+                table=self._table,
+                version=read.version,
+                after=self._after,
+                rows=len(read.rows),
+                told=read.relayed,
+                age=round(self._clock.now() - moment, 3),
+            )
         self._after = max(read.version, self._after or 0)
         self._retry = FIRST_RETRY
         if self._failing:
--- a/src/nutmegroad/fleet/news_link.py
+++ b/src/nutmegroad/fleet/news_link.py
@@ -303,6 +303,12 @@
         if isinstance(frame, Whole):
             table.put_whole(frame)
         elif isinstance(frame, StoreLost):
+            if table.news is not None:
+                _LOG.decision(
+                    'store lost by another',
+                    host=self.source,
+                    table=frame.table,
+                )
             table.put(None)
         else:
             table.put(frame)
