Rely on another host's word only while it is young

Cause: a host that follows another took the life of the link for the age of what it had been told. The one that reads for others may lose just the store without a sign; it noticed after up to 3.1 s, its followers asked by themselves after 3.0 s (configuration) or 20 s (upstreams), and 2 s are allowed.

Now a follower waits for news of a table only until the last ones are as old, by the store's own clock, as three quarters of the bound in which a change of that table has to be in force; then it asks the store. The same for all three tables.

--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -9,7 +9,7 @@
 from typing import Final, Protocol
 
 from nutmegroad.fleet.store_clock import StoreClock
-from nutmegroad.fleet.stored import HistoryLost, RowsRead, TableReads
+from nutmegroad.fleet.stored import HistoryLost, RowsRead
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
@@ -42,8 +42,28 @@
         """Note that the store does not answer."""
 
 
-class TableSource(TableReads, Protocol):
-    """Where tables are followed."""
+class TableSource(Protocol):
+    """Where tables are followed: the store, or another host that reads it."""
+
+    async def snapshot(self, table: str) -> RowsRead | Refusal:
+        """Return all rows of a table as of one moment."""
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+        told_until: float,
+    ) -> RowsRead | HistoryLost | Refusal:
+        """Return what has changed, or wait for a change.
+
+        Args:
+            table: The table.
+            after: The version that is known.
+            wait: Seconds that the store is asked to wait.
+            told_until: Clock seconds until which news of another host are
+                waited for; then the store is asked.
+        """
 
     async def rest(self, table: str, seconds: float) -> None:
         """Wait after a failure before the next question."""
@@ -57,10 +77,13 @@
         wait: Seconds that the store is asked to wait for a change.
         rest: Seconds between an answer and the next question, so that
             changes which come one after another share an answer.
+        reliance: Seconds for which what another host told is relied on, counted
+            from the store's answer that it had.
     """
 
     wait: float
     rest: float
+    reliance: float
 
 
 class TableFollower:
@@ -91,10 +114,13 @@
         self._sink = sink
         self._wait = pace.wait
         self._rest = pace.rest
+        self._reliance = pace.reliance
         self._clock = clock
         self._store_clock = store_clock
         self._randomness = randomness
         self._after: int | None = None
+        # Clock seconds up to which the table is known.
+        self._known = float('-inf')
         self._retry = FIRST_RETRY
         self._failing = False
         self._relayed = False
@@ -123,7 +149,12 @@
         # A call to a silent store hangs for as long as it was to wait, also
         # when the store has come back meanwhile.
         wait = 0 if self._failing else self._wait
-        found = await self._store.changes(self._table, self._after, wait)
+        found = await self._store.changes(
+            self._table,
+            self._after,
+            wait,
+            self._known + self._reliance,
+        )
         if isinstance(found, HistoryLost):
             _LOG.decision('history lost', table=self._table, after=self._after)
             self._after = None
@@ -154,6 +185,7 @@
                 told=read.relayed,
                 age=round(self._clock.now() - moment, 3),
             )
+        self._known = max(self._known, moment)
         self._after = max(read.version, self._after or 0)
         self._retry = FIRST_RETRY
         if self._failing:
--- a/src/nutmegroad/fleet/news_server.py
+++ b/src/nutmegroad/fleet/news_server.py
@@ -45,11 +45,6 @@
         self._copies = TableCopies()
         self._followers: set[asyncio.StreamWriter] = set()
 
-    @property
-    def followed(self) -> bool:
-        """Tell whether anybody listens."""
-        return bool(self._followers)
-
     async def open(self, address: Address, stack: AsyncExitStack) -> None:
         """Listen at an address until a stack closes."""
         try:
--- a/src/nutmegroad/fleet/shared_store.py
+++ b/src/nutmegroad/fleet/shared_store.py
@@ -23,11 +23,10 @@
     Store,
 )
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 
-#: Part of the usual wait for which a host that reads for others asks the
-#: store to wait: its answer has to reach them before their own wait is over.
-READER_PART: Final = 0.7
+_LOG: Final = part_logger('news')
 
 #: Seconds for which a host that starts waits to be told a table whole, and one
 #: that has lost whom it followed waits for another: a connection within the
@@ -40,8 +39,9 @@
 RESYNC: Final = 60.0
 
 #: Seconds between own tries while the store is away and another host tells as
-#: soon as it is back: the store may turn just that host away.
-LINKED_RETRY: Final = 2.0
+#: soon as it is back: the store may turn just that host away. With a call that
+#: hangs for a second, a change is known within the bound after an outage.
+LINKED_RETRY: Final = 1.5
 
 
 class SharedStore:
@@ -86,10 +86,12 @@
             if told is not None:
                 self._server.tell_whole(table, told)
                 return told
+        asked = self._clock.now()
         found = await self._store.snapshot(table)
         if isinstance(found, Refusal):
             self._server.tell_lost(table)
         else:
+            self._store_clock.answered(asked, found.store_time)
             self._server.tell_whole(table, found)
         return found
 
@@ -98,23 +100,38 @@
         table: str,
         after: int,
         wait: float,
+        told_until: float,
     ) -> RowsRead | HistoryLost | Refusal:
-        """Return what has changed, or wait so many seconds for a change."""
-        await self._link.settle(RELINK_WAIT)
+        """Return what has changed, or wait for a change.
+
+        Another host's signs of life say nothing of its way to the store, which
+        it may have lost without knowing. So its news are waited for only as
+        long as the last ones are young enough, by the store's own time; a
+        change is then known in time whatever becomes of that host.
+
+        Args:
+            table: The table.
+            after: The version that is known.
+            wait: Seconds that the store is asked to wait.
+            told_until: Clock seconds until which news are waited for.
+        """
+        left = max(0, told_until - self._clock.now())
+        await self._link.settle(min(left, RELINK_WAIT))
         if self._link.serves(table):
-            told = await self._changes_told(table, after, wait)
+            told = await self._changes_told(table, after, told_until)
             if told is not None:
                 self._pass_on(table, after, told)
                 return told
             # What was missed is there to be read; and only an answer that
             # was not held back shows what time it is at the store.
             wait = 0
-        elif self._server.followed:
-            wait *= READER_PART
+        asked = self._clock.now()
         found = await self._store.changes(table, after, wait)
         if isinstance(found, Refusal):
             self._server.tell_lost(table)
         elif isinstance(found, RowsRead):
+            # The follower that asks has waited for news before.
+            self._store_clock.answered(asked, found.store_time)
             self._tell(table, after, found)
         return found
 
@@ -123,7 +140,8 @@
 
         News from another host, that the store is back, end it sooner.
         """
-        if self._link.source is None:
+        if self._link.source is None or self._link.serves(table):
+            # Nobody tells, or one who does not know of the failure.
             await self._clock.sleep(seconds)
         else:
             await self._link.wait(table, max(seconds, LINKED_RETRY))
@@ -151,12 +169,21 @@
         self,
         table: str,
         after: int,
-        wait: float,
+        until: float,
     ) -> RowsRead | None:
         """Return what another host tells, or None to ask the store."""
         if self._store_clock.age > RESYNC:
             return None
-        return await self._link.changes(table, after, wait)
+        left = max(0, until - self._clock.now())
+        told = await self._link.changes(table, after, left)
+        if told is None and self._clock.now() >= until:
+            _LOG.decision(
+                'news too old',
+                host=self._link.source,
+                table=table,
+                after=after,
+            )
+        return told
 
     def _pass_on(self, table: str, base: int, read: RowsRead) -> None:
         """Tell on what another host has told."""
--- a/src/nutmegroad/fleet/store_clock.py
+++ b/src/nutmegroad/fleet/store_clock.py
@@ -44,14 +44,22 @@
             asked: Clock seconds before the question was sent.
             store_time: The store's seconds in the answer.
         """
-        now = self._clock.now()
+        self.answered(asked, store_time)
+        return max(asked, self.relayed(store_time))
+
+    def answered(self, asked: float, store_time: float) -> None:
+        """Learn from an answer how far our clock is ahead.
+
+        Args:
+            asked: Clock seconds right before the question was sent; what has
+                passed since makes the answer's moment look older than it is.
+            store_time: The store's seconds in the answer.
+        """
         least = asked - store_time
         known = self._known()
         if known is None or least >= known:
-            known = least
             self._behind = least
-            self._found = now
-        return min(now, max(asked, store_time + known))
+            self._found = self._clock.now()
 
     def relayed(self, store_time: float) -> float:
         """Return our time of a moment that another host tells of.
