Soak: a store that is silent to one host, routes in force on the others

The soak now holds up one host's calls on the store behind a link that stays open, adds a route meanwhile, and asks every host for each new route; two judges look at what they answer, and trouble of one host excuses just that host.

--- a/experiments/fleet_soak.py
+++ b/experiments/fleet_soak.py
@@ -14,14 +14,21 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Final
 
 from experiments.fleet_soak_callers import Caller
 from experiments.fleet_soak_fleet import Fleet
-from experiments.fleet_soak_history import Bounds, History, Verdict
+from experiments.fleet_soak_history import (
+    Bounds,
+    History,
+    Trouble,
+    Verdict,
+)
 from experiments.fleet_soak_judge import judge
 from experiments.fleet_soak_links import Link, LinkState
-from experiments.fleet_soak_plan import Event, Fault, draw
+from experiments.fleet_soak_plan import OF_ONE_HOST, Event, Fault, draw
+from experiments.fleet_soak_processes import ROOT
 
 #: Seconds from the last fault until everything is expected to serve again:
 #: the operator's bound on keys, a start, and the store's return.
@@ -36,6 +43,13 @@
     Event(0, Fault.CONFIGURED, 0, 0),
 )
 
+#: Seconds for which the store is silent to a host at least: until a change
+#: that comes meanwhile has to be in force on the others, and a while more.
+HELD: Final = 4.0
+
+#: Seconds after which a change follows on a silence.
+SOON: Final = 0.1
+
 #: Callers for each host.
 CALLERS: Final = 3
 
@@ -74,13 +88,23 @@
         """Let one happen, and end it."""
         self.fired[event.fault] += 1
         began = time.monotonic()
+        host = self._befallen(event)
+        # Open-ended until it is over.
+        open_ended = Trouble(began, float('inf'), host)
         if not event.planned:
-            # Open-ended until it is over.
-            self._history.troubled.append((began, float('inf')))
+            self._history.troubled.append(open_ended)
         await self._of(event.fault)(event)
         if not event.planned:
-            self._history.troubled.remove((began, float('inf')))
-            self._history.troubled.append((began, time.monotonic()))
+            self._history.troubled.remove(open_ended)
+            self._history.troubled.append(
+                Trouble(began, time.monotonic(), host),
+            )
+
+    def _befallen(self, event: Event) -> str:
+        """Return the one host that a fault befalls; empty if it is not one."""
+        if event.fault not in OF_ONE_HOST:
+            return ''
+        return f'host-{self._number(event)}'
 
     def _of(self, fault: Fault) -> Callable[[Event], Awaitable[None]]:
         """Return what makes a fault."""
@@ -102,6 +126,7 @@
             Fault.STORE_FORGETS: self._store_forgets,
             Fault.STORE_REFUSES: self._store_refuses,
             Fault.STORE_SLOW: self._store_slow,
+            Fault.STORE_HOLDS: self._store_holds,
             Fault.KEY_REVOKED: self._key_revoked,
             Fault.CONFIGURED: self._configured,
             Fault.FOREIGN_ENTRY: self._foreign_entry,
@@ -119,15 +144,37 @@
 
     async def _store_refuses(self, event: Event) -> None:
         """Cut one host off from the store."""
-        link = self._fleet.store_links[event.target % len(self._fleet.hosts)]
+        link = self._store_link(event)
         link.reset()
         await _held(link, LinkState.REFUSED, event.lasts)
 
     async def _store_slow(self, event: Event) -> None:
         """Let one host's store be slow."""
-        link = self._fleet.store_links[event.target % len(self._fleet.hosts)]
+        link = self._store_link(event)
         await _held(link, LinkState.SLOW, event.lasts)
 
+    def _store_link(self, event: Event) -> Link:
+        """Return the link of one host to the store."""
+        return self._fleet.store_links[self._number(event)]
+
+    def _number(self, event: Event) -> int:
+        """Return which host a fault is for."""
+        return event.target % len(self._fleet.hosts)
+
+    async def _store_holds(self, event: Event) -> None:
+        """Let the store fall silent to one host, and add a route meanwhile.
+
+        The host's connections stay open, as behind a proxy whose far side is
+        cut off.
+        """
+        link = self._store_link(event)
+        began = asyncio.create_task(
+            _held(link, LinkState.SILENT, event.lasts + HELD),
+        )
+        await asyncio.sleep(SOON)
+        await self._fleet.configure(add_route=True)
+        await began
+
     async def _worker_link(self, event: Event) -> None:
         """Hold up what is sent to one worker."""
         links = self._fleet.worker_links
@@ -146,7 +193,7 @@
 
     async def _host_killed(self, event: Event) -> None:
         """Kill a host, and start it again."""
-        host = self._fleet.hosts[event.target % len(self._fleet.hosts)]
+        host = self._fleet.hosts[self._number(event)]
         await host.kill()
         await asyncio.sleep(event.lasts / 4)
         await host.start()
@@ -154,14 +201,14 @@
 
     async def _host_paused(self, event: Event) -> None:
         """Let a host stand still."""
-        host = self._fleet.hosts[event.target % len(self._fleet.hosts)]
+        host = self._fleet.hosts[self._number(event)]
         host.signal(signal.SIGSTOP)
         await asyncio.sleep(event.lasts)
         host.signal(signal.SIGCONT)
 
     async def _host_stopped(self, event: Event) -> None:
         """Stop a host as planned, and start it again."""
-        number = event.target % len(self._fleet.hosts)
+        number = self._number(event)
         host = self._fleet.hosts[number]
         began = time.monotonic()
         host.signal(signal.SIGTERM)
@@ -173,7 +220,7 @@
 
     async def _host_reloaded(self, event: Event) -> None:
         """Let a host read its settings again."""
-        host = self._fleet.hosts[event.target % len(self._fleet.hosts)]
+        host = self._fleet.hosts[self._number(event)]
         host.signal(signal.SIGHUP)
 
     async def _worker_killed(self, event: Event) -> None:
@@ -229,12 +276,14 @@
 async def play(options: argparse.Namespace, seed: int) -> bool:
     """Play one seed, write what was seen, and tell whether all rules held."""
     history = History()
-    plan = list(draw(seed, options.seconds, options.hosts + options.workers))
+    targets = options.hosts + options.workers
+    plan = list(draw(seed, options.seconds, targets, options.faults or Fault))
     for event in plan:
         sys.stdout.write(f'{event}\n')
     net = 1 + seed % 250
     counts = (options.hosts, options.workers)
-    async with Fleet(*counts, net, history, options.mutant) as fleet:
+    program = options.program.resolve()
+    async with Fleet(*counts, net, history, options.mutant, program) as fleet:
         faults = Faults(fleet, history)
         await _play(fleet, faults, plan, history)
     verdicts = list(judge(history, Bounds()))
@@ -297,6 +346,7 @@
     history.calm_from = time.monotonic()
     work = (faults.happen(event) for event in CALM_WORK)
     await asyncio.gather(asyncio.sleep(CALM), *work)
+    await fleet.probes.ended()
     over.append(True)
     await asyncio.gather(*callers)
 
@@ -341,6 +391,19 @@
         default='',
         help='a deliberate fault of the workers, which has to be found',
     )
+    parser.add_argument(
+        '--faults',
+        type=Fault,
+        nargs='+',
+        metavar='KIND',
+        help='only these kinds, by the names that a run prints',
+    )
+    parser.add_argument(
+        '--program',
+        type=Path,
+        default=ROOT,
+        help='the checkout whose program is played; this one if left out',
+    )
     options = parser.parse_args(words)
     failed = [
         seed
--- a/experiments/fleet_soak_fleet.py
+++ b/experiments/fleet_soak_fleet.py
@@ -12,6 +12,7 @@
 import socket
 import tempfile
 import time
+from collections.abc import Iterable
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any, Final
@@ -28,7 +29,8 @@
     put_of,
 )
 from experiments.fleet_soak_links import Link
-from experiments.fleet_soak_processes import SoakProcess
+from experiments.fleet_soak_probes import Prober
+from experiments.fleet_soak_processes import ROOT, SoakProcess
 
 DOMAINS: Final = ('north', 'south')
 
@@ -94,6 +96,7 @@
         net: Second number of all addresses, so that soaks don't meet.
         history: What is seen.
         mutant: A deliberate fault of the workers; empty for none.
+        program: The folder of the program that is played.
     """
 
     def __init__(
@@ -103,7 +106,9 @@
         net: int,
         history: History,
         mutant: str = '',
+        program: Path = ROOT,
     ) -> None:
+        self._program = program
         self.history = history
         self._mutant = mutant
         self.hosts: list[SoakProcess] = []
@@ -136,6 +141,7 @@
         self._session = await self._stack.enter_async_context(
             ClientSession(timeout=ClientTimeout(total=2)),
         )
+        self.probes = self._prober()
         self._store_at = free_address(f'127.{self._net}.0.1')
         words = ('-m', 'experiments.fleet_soak_store', '--listen')
         await self._own(
@@ -169,7 +175,11 @@
             'limits': {},
             'tenants': [{'name': 'clerks', 'apiKeys': self.keys}],
         }
-        return await self.put('op', 'config', json.dumps(document).encode())
+        content = json.dumps(document).encode()
+        done = await self.put('op', 'config', content)
+        if done:
+            self._note_added(names[len(Kind) :])
+        return done
 
     async def revoke(self) -> None:
         """Take the oldest key away, once another holds everywhere."""
@@ -181,6 +191,24 @@
         await self._configure_surely()
         self.history.revoked[gone] = time.monotonic()
 
+    def _prober(self) -> Prober:
+        """Return what asks for new routes; it ends with the fleet."""
+        made = Prober(
+            self._session,
+            self.history,
+            lambda: tuple(self.callers_at),
+            lambda: self.keys[0],
+        )
+        self._stack.callback(made.cancel)
+        return made
+
+    def _note_added(self, routes: Iterable[str]) -> None:
+        """Note that routes are confirmed, and ask every host for new ones."""
+        for route in routes:
+            if route not in self.history.added:
+                self.history.added[route] = time.monotonic()
+                self.probes.begin(route)
+
     async def _configure_surely(self) -> None:
         """Write a configuration until that is acknowledged.
 
@@ -281,7 +309,7 @@
         )
         self.callers_at.append(to_host.address)
         process = SoakProcess(
-            ('-S', 'platform/start.py'),
+            ('-S', str(self._program / 'platform' / 'start.py')),
             {'NUTMEGROAD_BOOT': str(path), 'PYTHONPATH': _site_packages()},
             _unheard,
         )
--- a/experiments/fleet_soak_history.py
+++ b/experiments/fleet_soak_history.py
@@ -36,6 +36,7 @@
         whole: Whether the answer came to its end.
         signed: Whether it bore a worker's signature.
         left_early: Whether its caller leaves before the answer.
+        route: The route that an operator had just added; empty for others.
     """
 
     request: str
@@ -49,6 +50,7 @@
     whole: bool = False
     signed: bool = False
     left_early: bool = False
+    route: str = ''
 
     @property
     def served(self) -> bool:
@@ -75,6 +77,21 @@
     authorization: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """A span in which something was in trouble.
+
+    Attributes:
+        since: When it began.
+        until: When it ended.
+        host: Whose trouble it was alone; empty if it may have been anybody's.
+    """
+
+    since: float
+    until: float
+    host: str = ''
+
+
 @dataclass(slots=True)
 class History:
     """All that was seen, and what the operator and the plan did.
@@ -85,6 +102,7 @@
         keys: Workspace by key, of all keys that ever held.
         revoked: When a key's end was acknowledged, by key.
         left: When it was acknowledged that a worker leaves, by worker.
+        added: When a route was acknowledged, by route.
         troubled: Spans in which hosts, links or the store were in trouble.
         stopping: Spans of planned stops, by host.
         calm_from: When the last fault had ended for long enough.
@@ -95,7 +113,8 @@
     keys: dict[str, str] = field(default_factory=dict)
     revoked: dict[str, float] = field(default_factory=dict)
     left: dict[str, float] = field(default_factory=dict)
-    troubled: list[tuple[float, float]] = field(default_factory=list)
+    added: dict[str, float] = field(default_factory=dict)
+    troubled: list[Trouble] = field(default_factory=list)
     stopping: list[tuple[str, float, float]] = field(default_factory=list)
     calm_from: float = float('inf')
 
@@ -115,9 +134,26 @@
     def is_calm(self, begin: float, end: float, before: float = 0) -> bool:
         """Tell whether nothing was in trouble in a span, nor before it."""
         return all(
-            until < begin - before or since > end
-            for since, until in self.troubled
+            each.until < begin - before or each.since > end
+            for each in self.troubled
+        )
+
+    def is_well(self, host: str, begin: float, end: float) -> bool:
+        """Tell whether a host was in no trouble in a span.
+
+        Other hosts may have been: it has to do its work all the same.
+        """
+        troubled = any(
+            each.host in {'', host}
+            and each.until >= begin
+            and each.since <= end
+            for each in self.troubled
+        )
+        stopped = any(
+            stopping == host and until >= begin and since <= end
+            for stopping, since, until in self.stopping
         )
+        return not troubled and not stopped
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +164,7 @@
     drain: float = 2
     contact: float = 3
     timeout: float = 4
+    apply: float = 2
     repeat_ratio: float = 0.9
     repeat_slack: float = 58
     window: float = 10
--- a/experiments/fleet_soak_judge.py
+++ b/experiments/fleet_soak_judge.py
@@ -21,6 +21,13 @@
 #: Statuses that promise that a request has not run and never will.
 PROMISES: Final = frozenset((408, 421, 429, 503))
 
+#: What a host answers that does not know a route or a key.
+UNKNOWN: Final = frozenset((401, 403, 404))
+
+#: Seconds between the first effect of a configuration on a host and a request
+#: that is judged by it.
+SEEN: Final = 0.25
+
 #: Seconds that a bound is exceeded by before it counts: two processes on a
 #: busy machine read the same clock up to a scheduler's turn apart.
 SLACK: Final = 0.5
@@ -206,6 +213,51 @@
     return _verdict('recovery', judged, broken)
 
 
+def configurations_come_into_force(
+    history: History,
+    bounds: Bounds,
+) -> Verdict:
+    """A confirmed route is served after the bound by each host that is well."""
+    judged = [
+        each
+        for each in history.requests
+        if each.sent - history.added.get(each.route, float('inf'))
+        > bounds.apply
+        and history.is_well(each.host, each.sent - bounds.contact, each.ended)
+    ]
+    broken = [
+        f'{each.request}: {each.status} by {each.host} for {each.route}, '
+        f'{each.sent - history.added[each.route]:.2f} s after'
+        for each in judged
+        if each.status in UNKNOWN
+    ]
+    return _verdict('configurations in force', judged, broken)
+
+
+def configurations_stay(history: History, bounds: Bounds) -> Verdict:
+    """A host that has served a new route does not forget it again."""
+    first: dict[tuple[str, str], float] = {}
+    judged = []
+    for each in sorted(history.requests, key=lambda asked: asked.sent):
+        known = first.get((each.host, each.route), float('inf'))
+        if not each.route:
+            continue
+        if each.served:
+            first.setdefault((each.host, each.route), each.ended)
+        if each.sent > known + SEEN and history.is_well(
+            each.host,
+            known,
+            each.ended,
+        ):
+            judged.append(each)
+    broken = [
+        f'{each.request}: {each.status} by {each.host} for {each.route}'
+        for each in judged
+        if each.status in UNKNOWN
+    ]
+    return _verdict('configurations stay', judged, broken)
+
+
 JUDGES: Final[tuple[Judge, ...]] = (
     answers_are_whole,
     streams_are_in_order,
@@ -217,6 +269,8 @@
     answers_come_in_time,
     planned_stops_cut_nothing,
     repeats_keep_to_the_budget,
+    configurations_come_into_force,
+    configurations_stay,
     service_returns,
 )
 
--- a/experiments/fleet_soak_plan.py
+++ b/experiments/fleet_soak_plan.py
@@ -1,7 +1,7 @@
 """Which faults befall a soak, and when: drawn from a seed and printed."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
 from typing import Final
@@ -31,6 +31,7 @@
     STORE_FORGETS = 'store forgets'
     STORE_REFUSES = 'store refuses a host'
     STORE_SLOW = 'store slow'
+    STORE_HOLDS = 'store silent to a host'
     KEY_REVOKED = 'key revoked'
     CONFIGURED = 'configured'
     FOREIGN_ENTRY = 'foreign entry'
@@ -48,6 +49,18 @@
     ),
 )
 
+#: What befalls one host alone; the others have to keep all rules meanwhile.
+OF_ONE_HOST: Final = frozenset(
+    (
+        Fault.HOST_KILLED,
+        Fault.HOST_PAUSED,
+        Fault.CALLERS_RESET,
+        Fault.STORE_REFUSES,
+        Fault.STORE_SLOW,
+        Fault.STORE_HOLDS,
+    ),
+)
+
 #: Least and most seconds between two faults, and for which one lasts.
 GAPS: Final = (0.3, 2.0)
 LASTS: Final = (1.0, 4.0)
@@ -82,20 +95,26 @@
         )
 
 
-def draw(seed: int, seconds: float, targets: int) -> Iterator[Event]:
+def draw(
+    seed: int,
+    seconds: float,
+    targets: int,
+    kinds: Iterable[Fault] = Fault,
+) -> Iterator[Event]:
     """Yield the faults of a seed, in order; kinds come in turn, shuffled.
 
     Args:
         seed: The seed.
         seconds: For how long faults begin.
         targets: How many hosts and workers there are at most.
+        kinds: The kinds that come.
     """
     randomness = random.Random(seed)
     at = randomness.uniform(*GAPS)
     waiting: list[Fault] = []
     while at < seconds:
         if not waiting:
-            waiting = list(Fault)
+            waiting = list(kinds)
             randomness.shuffle(waiting)
         yield Event(
             at,
--- a/experiments/fleet_soak_worker.py
+++ b/experiments/fleet_soak_worker.py
@@ -115,7 +115,7 @@
             != self._options.id
         ):
             return web.Response(status=421, headers=usual)
-        kind = Kind(request.path.split('/')[1])
+        kind = _kind_of(request.path.split('/')[1])
         say(
             'ran',
             request=name,
@@ -151,6 +151,12 @@
         return answer
 
 
+def _kind_of(route: str) -> Kind:
+    """Return the kind of a route; routes that are added are for look-ups."""
+    known = {kind.value: kind for kind in Kind}
+    return known.get(route, Kind.LOOK)
+
+
 def say(event: str, **fields: Any) -> None:
     """Write what happened."""
     line = json.dumps({'event': event, **fields})
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -1,8 +1,10 @@
 """The fleet's soak: a short run holds, and a deliberate fault is found."""
 
 import io
+import shutil
 import signal
 import sys
+import tempfile
 import time
 import unittest
 from contextlib import redirect_stdout
@@ -74,6 +76,36 @@
         self.assertIn(b'ended by a signal', text)
         self.assertEqual([each for each in children if _runs(each)], [])
 
+    def test_host_that_relies_on_another_for_ever_is_found(self) -> None:
+        """A program whose hosts wait for news however old the last ones are.
+
+        The store falls silent to the host that reads it for its domain.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            patched = Path(folder)
+            for part in ('src', 'platform'):
+                shutil.copytree(ROOT / part, patched / part)
+            paces = patched / 'src/nutmegroad/fleet/paces.py'
+            text = paces.read_text()
+            for name, usual, part in (
+                ('WAIT_PART', '0.35', '2'),
+                ('RELIANCE_PART', '0.75', '20'),
+            ):
+                self.assertIn(f'{name}: Final = {usual}', text)
+                text = text.replace(
+                    f'{name}: Final = {usual}',
+                    f'{name}: Final = {part}',
+                )
+            paces.write_text(text)
+            words = ('--seed', '22', '--seconds', '5.5', '--hosts', '4')
+            status, text = self.play(
+                *words,
+                *('--faults', Fault.STORE_HOLDS.value),
+                *('--program', folder),
+            )
+        self.assertEqual(status, 1, text)
+        self.assertRegex(text, r'configurations in force: \d+ judged, [1-9]')
+
     def test_foreign_answers_are_found(self) -> None:
         """Workers that answer with the bodies of other requests."""
         words = ('--seconds', '0', '--mutant', FOREIGN_BODIES)
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -10,6 +10,7 @@
     History,
     Kind,
     Ran,
+    Trouble,
     event_of,
     expected_body,
 )
@@ -114,10 +115,33 @@
         self.assertEqual(
             self.broken(judges.leaving_workers_get_nothing, seen), 1
         )
-        seen.troubled.append((6, 8))
+        seen.troubled.append(Trouble(6, 8))
         excused = judges.leaving_workers_get_nothing(seen, BOUNDS)
         self.assertEqual((excused.moments, excused.broken), (0, ()))
 
+    def test_route_that_is_unknown_after_the_bound(self) -> None:
+        """Three seconds after it was confirmed; trouble of others is none."""
+        bad = replace(GOOD, status=404, route='new')
+        seen = history(bad)
+        seen.added['new'] = 7
+        judge = judges.configurations_come_into_force
+        self.assertEqual(self.broken(judge, seen), 1)
+        seen.troubled.append(Trouble(6, 8, 'another'))
+        self.assertEqual(self.broken(judge, seen), 1)
+        seen.troubled.append(Trouble(6, 8, GOOD.host))
+        excused = judge(seen, BOUNDS)
+        self.assertEqual((excused.moments, excused.broken), (0, ()))
+
+    def test_route_that_is_forgotten_again(self) -> None:
+        """Served, and unknown a second later by the same host."""
+        first = replace(GOOD, route='new')
+        later = replace(first, request='s', sent=12, ended=13, status=404)
+        judge = judges.configurations_stay
+        self.assertEqual(self.broken(judge, history(first, later)), 1)
+        elsewhere = replace(later, host='another')
+        found = judge(history(first, elsewhere), BOUNDS)
+        self.assertEqual((found.moments, found.broken), (0, ()))
+
     def test_answer_after_the_timeout(self) -> None:
         """Never ended, or much too late."""
         for ended in (0.0, 16.0):
