--- a/tests/test_evidence_book.py
+++ b/tests/test_evidence_book.py
@@ -1,6 +1,8 @@
 """What all hosts have seen of a roll-out."""
 
 import unittest
+from typing import Final
+from unittest.mock import Mock
 
 from nutmegroad.canary.verdicts import Judgement, Verdict
 from nutmegroad.fleet.announcements import HostRow
@@ -11,13 +13,16 @@
 )
 from nutmegroad.fleet.evidence_book import EvidenceBook
 from nutmegroad.fleet.loads import LoadLedger
-from nutmegroad.fleet.neighbours import Neighbours, Told
+from nutmegroad.fleet.neighbours import TURN, Neighbours, Told
 from nutmegroad.fleet.prefix_marks import HeldPrefixes
 from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.foundations.types import HostId
 from nutmegroad.testing.virtual import ManualClock
 from tests.relay_samples import ENGINES, KIND, a_book, counts
 
+#: Turns of telling within which a bad version has to be halted: five seconds.
+HALT_TURNS: Final = int(5 / TURN)
+
 
 def is_bad(book: EvidenceBook, order: int) -> bool:
     """Tell whether what a book has shows that a version is bad."""
@@ -115,6 +120,27 @@
             with self.subTest(host=name):
                 self.assertEqual(whole(books[name], 7), Answers(24, 8, 4, 0))
 
+    def test_what_a_domain_has_seen_is_known_again_at_any_size(self) -> None:
+        """Pattern: half of the hosts lose power, at three sizes of a fleet.
+
+        Hosts tell in turns, as many as they do in the time in which a bad
+        version has to be halted; who comes back knows by then at least as much
+        as its failure domain had seen.
+        """
+        for hosts, domains in ((9, 3), (88, 4), (195, 5)):
+            fleet = TurnFleet(hosts, domains)
+            fleet.play(HALT_TURNS)
+            back = fleet.names[: hosts // 2]
+            for name in back:
+                fleet.start(name, run=2)
+                fleet.books[name].count(
+                    ENGINES, 7, KIND, of_new=False, poor=False
+                )
+            fleet.play(HALT_TURNS)
+            least = min(whole(fleet.books[name], 7).new for name in back)
+            with self.subTest(hosts=hosts):
+                self.assertGreaterEqual(least, 3 * (hosts // domains))
+
     def test_host_reads_what_it_had_seen_at_an_earlier_start(self) -> None:
         """Pattern: its row is in the store, and it has started again."""
         book = a_book(run=2)
@@ -141,6 +167,54 @@
     return summed(book.sums(ENGINES, order).values())
 
 
+class TurnFleet:
+    """Hosts that tell each other in turns, each with three answers seen.
+
+    Args:
+        hosts: How many.
+        domains: In how many failure domains.
+    """
+
+    def __init__(self, hosts: int, domains: int) -> None:
+        self.names = [f'h{number}' for number in range(hosts)]
+        self.books: dict[str, EvidenceBook] = {}
+        self._clock = ManualClock()
+        self._rows = {
+            name: HostRow(f'10.0.0.{number}', 1, f'd{number % domains}')
+            for number, name in enumerate(self.names)
+        }
+        self._at = {row.ip: name for name, row in self._rows.items()}
+        self._fleet: dict[str, Neighbours] = {}
+        self._turn = 0
+        for name in self.names:
+            self.start(name, run=1)
+            for poor in (False, False, True):
+                self.books[name].count(ENGINES, 7, KIND, of_new=True, poor=poor)
+
+    def start(self, name: str, run: int) -> None:
+        """Start a host, which knows of nothing but the others."""
+        self.books[name] = a_book(name, run=run)
+        started = neighbours(
+            name, self._rows[name], self.books[name], self._clock
+        )
+        for other, row in self._rows.items():
+            started.found(HostId(other), row)
+        started.connection_made(Mock(sendto=self._carry))
+        self._fleet[name] = started
+
+    def play(self, turns: int) -> None:
+        """Let all hosts tell for so many turns."""
+        for _ in range(turns):
+            self._clock._now += TURN
+            self._turn += 1
+            for name in self.names:
+                self._fleet[name]._tell(self._turn)
+
+    def _carry(self, text: bytes, address: tuple[str, int]) -> None:
+        """Carry a datagram."""
+        self._fleet[self._at[address[0]]].datagram_received(text, address)
+
+
 def tell_all(fleet: dict[str, Neighbours]) -> None:
     """Let each host tell all others once."""
     for sender in fleet.values():
