--- /dev/null
+++ b/experiments/fleet_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised run of the program that users run, from outside."""
--- a/experiments/fleet_soak_callers.py
+++ b/experiments/fleet_soak/callers.py
@@ -8,7 +8,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
-from experiments.fleet_soak_history import Asked, History, Kind
+from experiments.fleet_soak.history import Asked, History, Kind
 
 #: The host name of all routes.
 ROUTER: Final = 'router.example'
--- a/experiments/fleet_soak_fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -19,8 +19,8 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from experiments.fleet_soak_callers import ROUTER
-from experiments.fleet_soak_history import (
+from experiments.fleet_soak.callers import ROUTER
+from experiments.fleet_soak.history import (
     Asked,
     Bounds,
     History,
@@ -28,9 +28,9 @@
     Ran,
     put_of,
 )
-from experiments.fleet_soak_links import Link
-from experiments.fleet_soak_probes import Prober
-from experiments.fleet_soak_processes import ROOT, SoakProcess
+from experiments.fleet_soak.links import Link
+from experiments.fleet_soak.probes import Prober
+from experiments.fleet_soak.processes import ROOT, SoakProcess
 
 DOMAINS: Final = ('north', 'south')
 
@@ -143,7 +143,7 @@
         )
         self.probes = self._prober()
         self._store_at = free_address(f'127.{self._net}.0.1')
-        words = ('-m', 'experiments.fleet_soak_store', '--listen')
+        words = ('-m', 'experiments.fleet_soak.store', '--listen')
         await self._own(
             SoakProcess((*words, written(self._store_at)), {}, _unheard)
         )
@@ -262,7 +262,7 @@
         await link.open()
         self._stack.callback(link.close)
         words = (
-            *('-m', 'experiments.fleet_soak_worker', '--id', name),
+            *('-m', 'experiments.fleet_soak.worker', '--id', name),
             *('--listen', written(at), '--listed', written(listed)),
             *('--store', written(self._store_at)),
             *('--zone', DOMAINS[number % len(DOMAINS)]),
--- a/experiments/fleet_soak_judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Final
 
-from experiments.fleet_soak_history import (
+from experiments.fleet_soak.history import (
     OK,
     Asked,
     Bounds,
--- a/experiments/fleet_soak_probes.py
+++ b/experiments/fleet_soak/probes.py
@@ -8,8 +8,8 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from experiments.fleet_soak_callers import ROUTER
-from experiments.fleet_soak_history import Asked, History, Kind
+from experiments.fleet_soak.callers import ROUTER
+from experiments.fleet_soak.history import Asked, History, Kind
 
 #: Seconds for which a new route is asked for, and between two questions to a
 #: host: the bound, and as much again for those that are late.
--- a/experiments/fleet_soak_processes.py
+++ b/experiments/fleet_soak/processes.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-ROOT: Final = Path(__file__).resolve().parent.parent
+ROOT: Final = Path(__file__).resolve().parents[2]
 
 #: Seconds that a process may take to end after it was told to.
 END_LIMIT: Final = 20
--- a/experiments/fleet_soak.py
+++ b/experiments/fleet_soak/program.py
@@ -17,18 +17,18 @@
 from pathlib import Path
 from typing import Final
 
-from experiments.fleet_soak_callers import Caller
-from experiments.fleet_soak_fleet import Fleet
-from experiments.fleet_soak_history import (
+from experiments.fleet_soak.callers import Caller
+from experiments.fleet_soak.fleet import Fleet
+from experiments.fleet_soak.history import (
     Bounds,
     History,
     Trouble,
     Verdict,
 )
-from experiments.fleet_soak_judge import judge
-from experiments.fleet_soak_links import Link, LinkState
-from experiments.fleet_soak_plan import OF_ONE_HOST, Event, Fault, draw
-from experiments.fleet_soak_processes import ROOT
+from experiments.fleet_soak.judge import judge
+from experiments.fleet_soak.links import Link, LinkState
+from experiments.fleet_soak.plan import OF_ONE_HOST, Event, Fault, draw
+from experiments.fleet_soak.processes import ROOT
 
 #: Seconds from the last fault until everything is expected to serve again:
 #: the operator's bound on keys, a start, and the store's return.
@@ -412,7 +412,3 @@
     ]
     sys.stdout.write(f'{options.seeds} seeds played, failed: {failed}\n')
     return 1 if failed else 0
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/experiments/fleet_soak_store.py
+++ b/experiments/fleet_soak/store.py
@@ -1,6 +1,6 @@
 """The soak's store of rows, as a program whose faults are switched by HTTP.
 
-    python -m experiments.fleet_soak_store --listen IP:PORT
+    python -m experiments.fleet_soak.store --listen IP:PORT
 
 ``POST /fault/NAME`` puts a fault into force, ``POST /forget`` drops the
 history of changes.
--- a/experiments/fleet_soak_worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -1,6 +1,6 @@
 """A worker of the soak, as a program: lists itself, runs what it is sent.
 
-    python -m experiments.fleet_soak_worker --id w1 --listed IP:PORT ...
+    python -m experiments.fleet_soak.worker --id w1 --listed IP:PORT ...
 
 What it ran goes to standard output, a JSON line each. SIGTERM lets it say
 that it leaves, serve on for its notice and a little longer, and end; SIGUSR1
@@ -18,7 +18,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
-from experiments.fleet_soak_history import (
+from experiments.fleet_soak.history import (
     EVENTS,
     Kind,
     event_of,
--- a/experiments/soak_events.py
+++ b/experiments/soak/events.py
@@ -7,10 +7,10 @@
 from typing import Final
 
 from experiments.memory_platform import TableFaults
-from experiments.soak_hosts import SoakHost, Surroundings
-from experiments.soak_judge import Judge
-from experiments.soak_operators import LONG, SHORT, Operators
-from experiments.soak_upstreams import Upstream, restarted
+from experiments.soak.hosts import SoakHost, Surroundings
+from experiments.soak.judge import Judge
+from experiments.soak.operators import LONG, SHORT, Operators
+from experiments.soak.upstreams import Upstream, restarted
 from nutmegroad.contracts.documents import Document
 from nutmegroad.contracts.platform import Listing
 from nutmegroad.foundations.clocks import Clock
--- a/experiments/soak_history.py
+++ b/experiments/soak/history.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from experiments.soak_hosts import SoakHost
+from experiments.soak.hosts import SoakHost
 from nutmegroad.configuration.heads import HEAD_KEY, Head
 from nutmegroad.configuration.in_force import Accepted
 from nutmegroad.contracts.documents import (
--- a/experiments/soak_hosts.py
+++ b/experiments/soak/hosts.py
@@ -15,8 +15,8 @@
 
 from experiments.configuration_hosts import PausableMesh
 from experiments.deployment import BOOTSTRAP_TOKEN, CLUSTER_KEY
-from experiments.soak_platform import SoakHostPlatform, SoakPlatform
-from experiments.soak_upstreams import HostEngines, HostServices, World
+from experiments.soak.platform import SoakHostPlatform, SoakPlatform
+from experiments.soak.upstreams import HostEngines, HostServices, World
 from nutmegroad.callers._http_listener import Listener
 from nutmegroad.configuration.in_force import Configuration
 from nutmegroad.contracts.peers import Mesh, Message
--- a/experiments/soak_judge.py
+++ b/experiments/soak/judge.py
@@ -10,18 +10,18 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from experiments.soak_answers import text_of
-from experiments.soak_calls import Reply
-from experiments.soak_history import History
-from experiments.soak_hosts import SoakHost
-from experiments.soak_records import (
+from experiments.soak.answers import text_of
+from experiments.soak.calls import Reply
+from experiments.soak.history import History
+from experiments.soak.hosts import SoakHost
+from experiments.soak.records import (
     Answered,
     Call,
     Disturbance,
     request_of,
     run_of,
 )
-from experiments.soak_upstreams import FirstByte
+from experiments.soak.upstreams import FirstByte
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import HostId, UpstreamId
 
--- a/experiments/soak_operators.py
+++ b/experiments/soak/operators.py
@@ -7,8 +7,8 @@
 
 from msgspec.structs import replace as changed
 
-from experiments.soak_hosts import SoakHost
-from experiments.soak_judge import Judge
+from experiments.soak.hosts import SoakHost
+from experiments.soak.judge import Judge
 from nutmegroad.configuration.changes import Changes
 from nutmegroad.contracts.documents import Document, VersionEntry
 from nutmegroad.foundations.clocks import Clock
--- a/experiments/soak.py
+++ b/experiments/soak/program.py
@@ -18,15 +18,15 @@
 from absl import logging
 
 from experiments.deployment import DOMAINS, read_example
-from experiments.soak_events import Events
-from experiments.soak_history import History
-from experiments.soak_hosts import Surroundings
-from experiments.soak_judge import Judge
-from experiments.soak_mutants import MUTANTS, mutant
-from experiments.soak_platform import SoakPlatform
-from experiments.soak_records import read_bills
-from experiments.soak_traffic import Traffic
-from experiments.soak_upstreams import Upstream, World
+from experiments.soak.events import Events
+from experiments.soak.history import History
+from experiments.soak.hosts import Surroundings
+from experiments.soak.judge import Judge
+from experiments.soak.mutants import MUTANTS, mutant
+from experiments.soak.platform import SoakPlatform
+from experiments.soak.records import read_bills
+from experiments.soak.traffic import Traffic
+from experiments.soak.upstreams import Upstream, World
 from experiments.virtual_time import (
     VirtualClock,
     VirtualLoop,
@@ -323,7 +323,3 @@
         _say(f'  {name}: {count}')
     _say(f'{failed} seeds failed, {time.monotonic() - began:.0f} s real')
     return 1 if failed else 0
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/experiments/soak_traffic.py
+++ b/experiments/soak/traffic.py
@@ -9,11 +9,11 @@
 import msgspec
 
 from experiments.deployment import workspace_key
-from experiments.soak_answers import marked
-from experiments.soak_calls import CallerRequest, Reply, send
-from experiments.soak_hosts import SoakHost
-from experiments.soak_judge import HANG_BOUND, Judge
-from experiments.soak_records import Call
+from experiments.soak.answers import marked
+from experiments.soak.calls import CallerRequest, Reply, send
+from experiments.soak.hosts import SoakHost
+from experiments.soak.judge import HANG_BOUND, Judge
+from experiments.soak.records import Call
 from nutmegroad.contracts.documents import Document, WorkspaceEntry
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import HostId, WorkspaceId
--- a/experiments/soak_upstreams.py
+++ b/experiments/soak/upstreams.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from experiments.soak_answers import mark_of, plan_answer, spoil
+from experiments.soak.answers import mark_of, plan_answer, spoil
 from nutmegroad.adapters._event_streams import AnswerReader
 from nutmegroad.contracts.upstreams import (
     AnswerEvent,
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -11,10 +11,10 @@
 from pathlib import Path
 from subprocess import PIPE, Popen
 
-from experiments.fleet_soak import main
-from experiments.fleet_soak_plan import Fault, draw
-from experiments.fleet_soak_processes import ROOT
-from experiments.fleet_soak_worker import FOREIGN_BODIES
+from experiments.fleet_soak.plan import Fault, draw
+from experiments.fleet_soak.processes import ROOT
+from experiments.fleet_soak.program import main
+from experiments.fleet_soak.worker import FOREIGN_BODIES
 
 #: A store, three workers and two hosts.
 PROCESSES = 6
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -3,8 +3,8 @@
 import unittest
 from dataclasses import replace
 
-from experiments import fleet_soak_judge as judges
-from experiments.fleet_soak_history import (
+from experiments.fleet_soak import judge as judges
+from experiments.fleet_soak.history import (
     Asked,
     Bounds,
     History,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,8 +6,8 @@
 import unittest
 
 from absl import logging
-from experiments.soak import run_seed
-from experiments.soak_mutants import mutant
+from experiments.soak.mutants import mutant
+from experiments.soak.program import run_seed
 
 #: Seeds of both deployments, without and with reads that lag.
 SEEDS = (1, 2)
