Date an answer of the store once, where the call is made

The mend had added a second place that sets a host's clock by an answer: the shared store by the call itself, the follower once more by an earlier moment, which could no longer change anything. Now only the shared store does, and a follower turns the store's time into ours by one function, whoever told it; the earliest moment it allowed (that of its own question) is implied, since a call dates its answer no earlier than the call.

Besides: how long news are waited for is handed on as a moment, not turned into seconds and back twice; the protocol of reading alone had one user left and is part of the store's; an argument's description stood twice.

Behaviour is the same.

--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -138,13 +138,12 @@
 
     async def step(self) -> bool:
         """Make one call, and tell whether it gave an answer."""
-        asked = self._clock.now()
         if self._after is None:
             read = await self._store.snapshot(self._table)
             if isinstance(read, Refusal):
                 return self._failed(read)
             self._sink.replace(read)
-            self._took(read, asked)
+            self._took(read)
             return True
         # A call to a silent store hangs for as long as it was to wait, also
         # when the store has come back meanwhile.
@@ -165,16 +164,13 @@
             self._sink.replace(found)
         elif found.rows:
             self._sink.apply(found)
-        self._took(found, asked)
+        self._took(found)
         return True
 
-    def _took(self, read: RowsRead, asked: float) -> None:
+    def _took(self, read: RowsRead) -> None:
         """Note that the store has answered."""
         self._relayed = read.relayed
-        if read.relayed:
-            moment = self._store_clock.relayed(read.store_time)
-        else:
-            moment = self._store_clock.moment(asked, read.store_time)
+        moment = self._store_clock.moment(read.store_time)
         if read.rows:
             _LOG.decision(
                 'changes taken',
--- a/src/nutmegroad/fleet/news_link.py
+++ b/src/nutmegroad/fleet/news_link.py
@@ -201,18 +201,23 @@
         self,
         table: str,
         after: int,
-        seconds: float,
+        until: float,
     ) -> RowsRead | None:
         """Return what has changed since a version, or wait for it.
 
+        Args:
+            table: The table.
+            after: The version that is known.
+            until: Clock seconds until which news are waited for; what was heard
+                before is taken also later.
+
         Returns:
             None if the store has to be asked: nothing came in time, the link
             was lost, or this host has missed something.
         """
         self._known[table] = after
-        latest = self._clock.now() + seconds
         while self.serves(table) and not self._has_missed(table, after):
-            left = max(0, latest - self._clock.now())
+            left = max(0, until - self._clock.now())
             if not await self.wait(table, left):
                 return None
             found = self._tables[table].after(after)
--- a/src/nutmegroad/fleet/shared_store.py
+++ b/src/nutmegroad/fleet/shared_store.py
@@ -102,18 +102,12 @@
         wait: float,
         told_until: float,
     ) -> RowsRead | HistoryLost | Refusal:
-        """Return what has changed, or wait for a change.
+        """Return what has changed, or wait for a change, as a follower asks.
 
         Another host's signs of life say nothing of its way to the store, which
         it may have lost without knowing. So its news are waited for only as
         long as the last ones are young enough, by the store's own time; a
         change is then known in time whatever becomes of that host.
-
-        Args:
-            table: The table.
-            after: The version that is known.
-            wait: Seconds that the store is asked to wait.
-            told_until: Clock seconds until which news are waited for.
         """
         left = max(0, told_until - self._clock.now())
         await self._link.settle(min(left, RELINK_WAIT))
@@ -130,7 +124,6 @@
         if isinstance(found, Refusal):
             self._server.tell_lost(table)
         elif isinstance(found, RowsRead):
-            # The follower that asks has waited for news before.
             self._store_clock.answered(asked, found.store_time)
             self._tell(table, after, found)
         return found
@@ -174,8 +167,7 @@
         """Return what another host tells, or None to ask the store."""
         if self._store_clock.age > RESYNC:
             return None
-        left = max(0, until - self._clock.now())
-        told = await self._link.changes(table, after, left)
+        told = await self._link.changes(table, after, until)
         if told is None and self._clock.now() >= until:
             _LOG.decision(
                 'news too old',
--- a/src/nutmegroad/fleet/store_clock.py
+++ b/src/nutmegroad/fleet/store_clock.py
@@ -37,16 +37,6 @@
         now = self._clock.now()
         return now if self._behind is None else now - self._behind
 
-    def moment(self, asked: float, store_time: float) -> float:
-        """Return our time at which an answer was made, at the earliest.
-
-        Args:
-            asked: Clock seconds before the question was sent.
-            store_time: The store's seconds in the answer.
-        """
-        self.answered(asked, store_time)
-        return max(asked, self.relayed(store_time))
-
     def answered(self, asked: float, store_time: float) -> None:
         """Learn from an answer how far our clock is ahead.
 
@@ -61,8 +51,8 @@
             self._behind = least
             self._found = self._clock.now()
 
-    def relayed(self, store_time: float) -> float:
-        """Return our time of a moment that another host tells of.
+    def moment(self, store_time: float) -> float:
+        """Return our time of a moment of the store's, whoever tells of it.
 
         Args:
             store_time: The store's seconds at that moment.
--- a/src/nutmegroad/fleet/stored.py
+++ b/src/nutmegroad/fleet/stored.py
@@ -98,8 +98,12 @@
     """A transaction did nothing, since a row had another version."""
 
 
-class TableReads(Protocol):
-    """How tables are read."""
+class Store(Protocol):
+    """The calls that the relay makes.
+
+    A refusal whose ``ran`` is ``UNKNOWN`` may hide a write that took effect,
+    now or seconds later.
+    """
 
     async def snapshot(self, table: str) -> RowsRead | Refusal:
         """Return all rows of a table as of one moment."""
@@ -112,14 +116,6 @@
     ) -> RowsRead | HistoryLost | Refusal:
         """Return what has changed, or wait so many seconds for a change."""
 
-
-class Store(TableReads, Protocol):
-    """The calls that the relay makes.
-
-    A refusal whose ``ran`` is ``UNKNOWN`` may hide a write that took effect,
-    now or seconds later.
-    """
-
     async def commit(
         self,
         expected: tuple[RowExpected, ...],
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -88,13 +88,15 @@
         )
         clock = ManualClock()
         sink = Recorder()
+        store_clock = StoreClock(clock)
+        store_clock.answered(0, 100)
         follower = TableFollower(
             store,
             't',
             sink,
             FeedPace(3, 0, 3),
             clock,
-            StoreClock(clock),
+            store_clock,
             random.Random(1),
         )
         for _ in range(5):
@@ -144,6 +146,12 @@
         self.assertEqual(store.waits, [3, 0, 0, 3])
 
 
+def dated(store_clock: StoreClock, asked: float, store_time: float) -> float:
+    """Return when an answer was made that has just come."""
+    store_clock.answered(asked, store_time)
+    return store_clock.moment(store_time)
+
+
 class StoreClockTest(unittest.TestCase):
     """When an answer of the store was made."""
 
@@ -151,19 +159,19 @@
         """Pattern: a change ends a long wait; keys must not seem old."""
         clock = ManualClock(start=10)
         store_clock = StoreClock(clock)
-        self.assertEqual(store_clock.moment(10, 500), 10)
+        self.assertEqual(dated(store_clock, 10, 500), 10)
         clock._now = 13
-        self.assertAlmostEqual(store_clock.moment(10, 502.9), 12.9, delta=0.01)
+        self.assertAlmostEqual(dated(store_clock, 10, 502.9), 12.9, delta=0.01)
 
     def test_moment_is_never_later_than_the_truth(self) -> None:
         """Pattern: answers come seconds late, the first one too."""
         clock = ManualClock(start=14)
         store_clock = StoreClock(clock)
         # Asked at 10, made at 11 (store 501), received at 14.
-        self.assertLessEqual(store_clock.moment(10, 501), 11)
+        self.assertLessEqual(dated(store_clock, 10, 501), 11)
         clock._now = 20
         # Asked at 15, made at 15.5, received at 20.
-        self.assertLessEqual(store_clock.moment(15, 505.5), 15.5)
+        self.assertLessEqual(dated(store_clock, 15, 505.5), 15.5)
 
 
 class BeliefTest(unittest.TestCase):
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -82,14 +82,14 @@
         """
         clock = ManualClock(start=50)
         store_clock = StoreClock(clock)
-        self.assertEqual(store_clock.relayed(7), float('-inf'))
-        store_clock.moment(50, 7)
+        self.assertEqual(store_clock.moment(7), float('-inf'))
+        store_clock.answered(50, 7)
         clock._now += 10
-        moment = store_clock.relayed(9)
+        moment = store_clock.moment(9)
         self.assertLessEqual(moment, 52)
         self.assertGreater(moment, 51.9)
         # A clock of ours that runs fast must not make it newer than now.
-        self.assertLessEqual(store_clock.relayed(99), clock.now())
+        self.assertLessEqual(store_clock.moment(99), clock.now())
 
 
 class Host:
@@ -123,7 +123,7 @@
 
         self.link = NewsLink(host, self.row, near, clock)
         store_clock = StoreClock(clock)
-        store_clock.moment(clock.now(), 100)
+        store_clock.answered(clock.now(), 100)
         self.store_clock = store_clock
         self.store = SharedStore(
             store,
@@ -364,7 +364,7 @@
         until = follower.store._clock.now() + 0.1
         found = await follower.store.changes(TABLE, 1, 60, until)
         assert isinstance(found, RowsRead)
-        moment = follower.store_clock.relayed(found.store_time)
+        moment = follower.store_clock.moment(found.store_time)
         self.assertGreater(moment, until - 0.01)
 
     async def test_fast_links_read_for_the_others(self) -> None:
