Write once what the soak, a model and two tests had written again

The headers of a caller stood three times, the new probes being the third; the name of a worker's signature twice. The new model repeated how the model of orders is handed to the checker: both call models/exploring. Two tests had the same stand-in for hosts that wait for nobody.

--- a/experiments/fleet_soak/callers.py
+++ b/experiments/fleet_soak/callers.py
@@ -13,6 +13,9 @@
 #: The host name of all routes.
 ROUTER: Final = 'router.example'
 
+#: The header by which a worker proves that an answer is its own.
+SIGNATURE: Final = 'Nutmegroad-Response-Signature'
+
 #: Seconds that a caller waits for its answer, and between two requests.
 PATIENCE: Final = 4.0
 PAUSES: Final = (0.02, 0.25)
@@ -26,6 +29,15 @@
 SLOW_PIECES: Final = 5
 
 
+def headers_of(request: str, key: str) -> dict[str, str]:
+    """Return the headers that each request of a caller has."""
+    return {
+        'Host': ROUTER,
+        'Nutmegroad-Request-Id': request,
+        'Authorization': f'Bearer {key}',
+    }
+
+
 class Caller:
     """Sends one request after another to one host.
 
@@ -88,10 +100,8 @@
     async def _exchange(self, session: ClientSession, asked: Asked) -> float:
         """Send a request and take its answer in, as far as it comes."""
         headers = {
-            'Host': ROUTER,
-            'Nutmegroad-Request-Id': asked.request,
+            **headers_of(asked.request, asked.key),
             'Nutmegroad-Deadline-Ms': str(int(PATIENCE * 1000)),
-            'Authorization': f'Bearer {asked.key}',
         }
         async with session.post(
             f'http://{self._address}/{asked.kind.value}/1',
@@ -99,8 +109,7 @@
             data=self._body(),
         ) as answer:
             asked.status = answer.status
-            name = 'Nutmegroad-Response-Signature'
-            asked.signed = name in answer.headers
+            asked.signed = SIGNATURE in answer.headers
             async for piece in answer.content.iter_any():
                 asked.body += piece
             asked.whole = True
--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -19,7 +19,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from experiments.fleet_soak.callers import ROUTER
+from experiments.fleet_soak.callers import ROUTER, headers_of
 from experiments.fleet_soak.history import (
     Asked,
     Bounds,
@@ -332,11 +332,7 @@
             time.monotonic(),
             left_early=True,
         )
-        headers = {
-            'Host': ROUTER,
-            'Nutmegroad-Request-Id': first,
-            'Authorization': f'Bearer {self.keys[0]}',
-        }
+        headers = headers_of(first, self.keys[0])
         url = f'http://{address}/look/1'
         while not await self._is_served(url, headers):
             await asyncio.sleep(0.1)
--- a/experiments/fleet_soak/probes.py
+++ b/experiments/fleet_soak/probes.py
@@ -8,7 +8,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from experiments.fleet_soak.callers import ROUTER
+from experiments.fleet_soak.callers import SIGNATURE, headers_of
 from experiments.fleet_soak.history import Asked, History, Kind
 
 #: Seconds for which a new route is asked for, and between two questions to a
@@ -81,18 +81,13 @@
             route=route,
         )
         self._history.asked[asked.request] = asked
-        headers = {
-            'Host': ROUTER,
-            'Nutmegroad-Request-Id': asked.request,
-            'Authorization': f'Bearer {asked.key}',
-        }
         try:
             async with self._session.post(
                 f'http://{address}/{route}/1',
-                headers=headers,
+                headers=headers_of(asked.request, asked.key),
                 timeout=ClientTimeout(total=PATIENCE),
             ) as answer:
-                asked.signed = 'Nutmegroad-Response-Signature' in answer.headers
+                asked.signed = SIGNATURE in answer.headers
                 asked.body = await answer.read()
                 asked.status = answer.status
                 asked.whole = True
--- a/models/orders.py
+++ b/models/orders.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, Final, NamedTuple
 
-from minicheck import Protocol, check_safety
+from models.exploring import explore
 
 #: Ticks of a lease, of its safety margin and of an order's way.
 TERM: Final = 4
@@ -253,15 +253,10 @@
         'obeys_no_old_order': obeys_no_old_order,
         'is_put_right': is_put_right,
     }
-    protocol = Protocol(
-        name=name,
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(model.start()),
-        transitions=lambda fields: [
-            (step, tuple(after)) for step, after in model.steps(fields)
-        ],
-        invariants={demand: demands[demand]},
+    return explore(
+        name,
+        model.start(),
+        model.steps,
+        {demand: demands[demand]},
+        MAX_STATES,
     )
-    report: dict[str, Any] = check_safety(protocol, max_states=MAX_STATES)
-    return report
--- a/models/reading.py
+++ b/models/reading.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, Final, NamedTuple
 
-from minicheck import Protocol, check_safety
+from models.exploring import explore
 
 #: Ticks for which news are relied on, and that a call on the store takes.
 RELIANCE: Final = 3
@@ -165,15 +165,10 @@
 def check(name: str, mechanisms: Mechanisms) -> dict[str, Any]:
     """Explore all states, and return the checker's report."""
     model = ReadingModel(mechanisms)
-    protocol = Protocol(
-        name=name,
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(State()),
-        transitions=lambda fields: [
-            (step, tuple(after)) for step, after in model.steps(fields)
-        ],
-        invariants={'is_in_force': is_in_force},
+    return explore(
+        name,
+        State(),
+        model.steps,
+        {'is_in_force': is_in_force},
+        MAX_STATES,
     )
-    report: dict[str, Any] = check_safety(protocol, max_states=MAX_STATES)
-    return report
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -159,6 +159,10 @@
         return AWAY
 
 
+async def nothing_to_wait_for() -> None:
+    """Wait for nobody: not all hosts start for the first time."""
+
+
 def a_book(host: str = 'me', run: int = 1) -> EvidenceBook:
     """Return the book of one start of a host."""
     return EvidenceBook(HostId(host), RunNumber(run))
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -23,7 +23,7 @@
 from nutmegroad.foundations.types import Address, HostId
 from nutmegroad.testing.virtual import ManualClock
 from tests.relay_rig import free_port
-from tests.relay_samples import AWAY, AwayStore
+from tests.relay_samples import AWAY, AwayStore, nothing_to_wait_for
 
 TABLE = 'op'
 #: What a host was told is never too old.
@@ -135,10 +135,6 @@
         )
 
 
-async def nothing_to_wait_for() -> None:
-    """Wait for nobody: not all hosts start for the first time."""
-
-
 class SharedReadingTest(unittest.IsolatedAsyncioTestCase):
     """Five hosts with one store."""
 
--- a/tests/test_silent_reader.py
+++ b/tests/test_silent_reader.py
@@ -31,7 +31,7 @@
 from nutmegroad.fleet.stored import RowsRead, StoredRow
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import HostId
-from tests.relay_samples import AWAY, AwayStore
+from tests.relay_samples import AWAY, AwayStore, nothing_to_wait_for
 
 TABLE: Final = 'op'
 #: Seconds within which a change has to be in force: the shortest of today.
@@ -206,10 +206,6 @@
 Play = Callable[['Pair'], Awaitable[float]]
 
 
-async def nothing_to_wait_for() -> None:
-    """Wait for nobody: not all hosts start for the first time."""
-
-
 class Pair:
     """A host that reads the store, and one that follows it.
 
