Show under which requests upstreams end, and a red test of one that ends them

Sight: logs could not tell whether two requests had the same content, nor whether an upstream had ended or just its connection. Attempts now bear a mark of the caller, path and body, and an exchange that breaks is looked into by one new connection: refused means that the process is gone. A line and a counter say so.

The tests bring the incident about on loopback: a request that ends each worker which begins to run it comes again at both hosts.

--- a/experiments/relay_load.py
+++ b/experiments/relay_load.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from experiments.relay_model import LARGE, SERVICE, SMALL
+from nutmegroad.fleet.content_marks import ContentMark
 from nutmegroad.foundations.types import RequestId
 from nutmegroad.routes.deployment import (
     ConfigurationVersion,
@@ -140,6 +141,7 @@
         arrived=now,
         deadline=now + PATIENCE,
         leaves=now + PATIENCE,
+        content=ContentMark(number),
         generation=Generation(
             ANY_MODEL,
             tokens,
--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -49,6 +49,7 @@
         hold: What it waits for before the last; None for nothing.
         close: Whether it then closes the connection.
         reset: Whether it then resets the connection.
+        crash: Whether the worker then ends, with all that runs there.
     """
 
     pieces: tuple[bytes, ...]
@@ -56,6 +57,7 @@
     hold: asyncio.Event | None = None
     close: bool = False
     reset: bool = False
+    crash: bool = False
 
 
 #: Makes the script for a request.
@@ -134,6 +136,22 @@
     return make
 
 
+def crashing(body: bytes, otherwise: MakeScript) -> MakeScript:
+    """Return scripts by which requests with some body end the worker.
+
+    They end it as such requests do: after the head of an answer.
+    """
+
+    def make(seen: Seen) -> Script:
+        """Answer a request, or end."""
+        if seen.body != body:
+            return otherwise(seen)
+        headers = signed(seen, **{'Transfer-Encoding': 'chunked'})
+        return Script((head('200 OK', headers),), crash=True)
+
+    return make
+
+
 @dataclass(slots=True)
 class OpaqueWorker:
     """A worker on a loopback port.
@@ -144,6 +162,7 @@
         seen: Requests received whole.
         port: Where it listens.
         dropped: Requests whose connection closed before the script's end.
+        crashes: How often it has ended by a request.
     """
 
     usual: MakeScript = field(default_factory=plain)
@@ -151,12 +170,18 @@
     seen: list[Seen] = field(default_factory=list)
     port: int = 0
     dropped: int = 0
+    crashes: int = 0
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._take, '127.0.0.1', 0)
+        """Listen on a free port, or on its own once more."""
+        self._server = await asyncio.start_server(
+            self._take,
+            '127.0.0.1',
+            self.port,
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -166,6 +191,14 @@
         for task in tuple(self._tasks):
             task.cancel()
 
+    async def crash(self) -> None:
+        """End as a process does: nothing listens, all connections break."""
+        self.crashes += 1
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
     async def _take(
         self,
         reader: asyncio.StreamReader,
@@ -176,11 +209,13 @@
         if task is not None:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        self._writers.add(writer)
         try:
             await self._serve(reader, writer)
         except (ConnectionError, asyncio.CancelledError):
             self.dropped += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve(
@@ -199,9 +234,11 @@
             if not await _play(script, writer):
                 self.dropped += 1
                 return
+            if script.crash:
+                await self.crash()
             if script.reset:
                 writer.transport.abort()
-            if script.close or script.reset:
+            if script.close or script.reset or script.crash:
                 return
 
 
--- /dev/null
+++ b/src/nutmegroad/relay/assembly.py
@@ -0,0 +1,79 @@
+"""What the executions of a host share, put together."""
+
+import random
+from dataclasses import dataclass
+
+from nutmegroad.canary.gate import make_gate
+from nutmegroad.canary.state import RolloutState
+from nutmegroad.fleet.neighbours import Told
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.relay.attempts import Attempts
+from nutmegroad.relay.boundary import HostSettings, Platform
+from nutmegroad.relay.budgets import RepeatBudget
+from nutmegroad.relay.crashes import CrashWatch
+from nutmegroad.relay.parts import RelayParts
+from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.upstreams.directory import Directory
+from nutmegroad.upstreams.selection import Selector
+
+
+@dataclass(frozen=True, slots=True)
+class Beneath:
+    """What of a host lies beneath its executions.
+
+    Attributes:
+        directory: All upstreams.
+        rollouts: All roll-outs.
+        told: What hosts tell each other.
+        pool: Connections to upstreams.
+    """
+
+    directory: Directory
+    rollouts: RolloutState
+    told: Told
+    pool: ConnectionPool
+
+
+def assemble(
+    settings: HostSettings,
+    platform: Platform,
+    beneath: Beneath,
+    clock: Clock,
+    randomness: random.Random,
+) -> RelayParts:
+    """Return what executions share.
+
+    Args:
+        settings: What the host is told at start.
+        platform: What the adapter brings.
+        beneath: What the parts work on.
+        clock: The host's clock.
+        randomness: Breaks ties between upstreams.
+    """
+    told = beneath.told
+    selector = Selector(
+        clock,
+        randomness,
+        settings.domain,
+        told.ledger,
+        told.prefixes,
+        told.silence,
+    )
+    attempts = Attempts(beneath.pool, platform.names, selector, clock)
+    beneath.directory.ended.tell_of_ends(attempts.ended)
+    return RelayParts(
+        attempts,
+        selector,
+        beneath.directory,
+        RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
+        make_gate(
+            beneath.directory,
+            beneath.rollouts,
+            clock,
+            settings.session_span,
+            told.marks,
+        ),
+        clock,
+        platform.counters,
+        CrashWatch(beneath.pool, clock, platform.counters),
+    )
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -45,11 +45,19 @@
 
     Attributes:
         sent: Whether bytes of the request may have reached the upstream.
+        refused: Whether its machine said that nobody listens there.
     """
 
-    def __init__(self, reason: str, *, sent: bool) -> None:
+    def __init__(
+        self,
+        reason: str,
+        *,
+        sent: bool,
+        refused: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.refused = refused
 
 
 @dataclass(frozen=True, slots=True)
@@ -298,7 +306,11 @@
         raise ConnectionFailedError(reason, sent=False) from silence
     except OSError as problem:
         made.close()
-        raise ConnectionFailedError(str(problem), sent=False) from problem
+        raise ConnectionFailedError(
+            str(problem),
+            sent=False,
+            refused=isinstance(problem, ConnectionRefusedError),
+        ) from problem
     except asyncio.CancelledError:
         made.close()
         raise
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -31,6 +31,11 @@
         self._refusals = self._counter('refusals', 'Own refusals', 'code')
         self._attempts = self._counter('attempts', 'Attempts', 'outcome')
         self._repeats = self._counter('repeats', 'Requests sent again', 'why')
+        self._breaks = self._counter(
+            'breaks',
+            'Exchanges that broke, by what became of the upstream',
+            'upstream',
+        )
         self._answers = self._counter('answers', 'Answers by status', 'status')
         self._store = self._counter(
             'store_calls',
@@ -69,6 +74,10 @@
         """Count a request that is sent once more."""
         self._repeats.labels(why).inc()
 
+    def broke(self, life: str) -> None:
+        """Count an exchange that broke, and what its upstream was then."""
+        self._breaks.labels(life).inc()
+
     def answered(self, status: int, kind: str, seconds: float) -> None:
         """Count an answer, and how long it took in all."""
         self._answers.labels(str(status)).inc()
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from nutmegroad.canary.gate import Observed
+from nutmegroad.fleet.content_marks import spell_mark
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
@@ -25,7 +26,9 @@
 )
 from nutmegroad.relay.outlook import Outlook
 from nutmegroad.relay.parts import RelayParts
+from nutmegroad.relay.patience import patience_for
 from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.health import FIRST_PAUSE
 from nutmegroad.upstreams.selection import Choice
 
@@ -43,21 +46,6 @@
 #: The same where no upstream is known at all: one registers within seconds.
 NONE_KNOWN: Final = 1.0
 
-#: Part of what is left of a request's time that an engine may stay silent: it
-#: may have long prompts to read that nobody told us of, and one that is left
-#: costs an attempt which a larger model may need.
-SILENT_PART: Final = 0.4
-
-#: Times the usual wait that an attempt may stay silent.
-SILENT_TIMES: Final = 4.0
-
-#: Least seconds of silence before another attempt.
-LEAST_SILENCE: Final = 0.3
-
-#: The same for an engine: a long prompt alone may take as long.
-LEAST_ENGINE_SILENCE: Final = 1.5
-
-
 #: What became of an attempt whose request ended before it was answered.
 _ABANDONED: Final = AttemptFailure(
     AttemptEnd.ABANDONED,
@@ -157,16 +145,14 @@
         self._parts.counters.repeated(purpose.value)
         return True
 
-    def patience(self, expected: float) -> float:
-        """Return the seconds from which silence speaks against an upstream.
+    def broke(self, upstream: Upstream, began: float) -> None:
+        """Take in that an exchange broke while the request may have run.
 
         Args:
-            expected: Seconds until an answer should begin.
+            upstream: Where it was.
+            began: Clock seconds at which it was sent there.
         """
-        usual = expected * SILENT_TIMES
-        if self.request.generation is None:
-            return max(LEAST_SILENCE, usual)
-        return max(LEAST_ENGINE_SILENCE, usual, self.left * SILENT_PART)
+        self._parts.crashes.broke(self.request, upstream.entry, began)
 
     def refused(self, refusal: Refusal, **fields: object) -> None:
         """Write down the refusal that ends the request, and count it."""
@@ -230,13 +216,14 @@
             choice,
             model,
             last_event,
-            self.patience(choice.expected),
+            patience_for(self.request, choice.expected, self.left),
             self._may_leave,
         )
         # Until it is known better: a task that is cancelled here leaves a
         # request behind of which nobody can say whether it ran.
         known = self._ran
         self._ran = Ran.UNKNOWN
+        began = self._parts.clock.now()
         outcome: Answering | AttemptFailure = _ABANDONED
         try:
             outcome = await self._parts.attempts.begin(self.request, plan)
@@ -255,6 +242,8 @@
             self._ran = known
         else:
             self._runs += 1
+            if outcome.end is AttemptEnd.BROKEN:
+                self.broke(upstream, began)
         self._note(choice, model, outcome)
         return outcome
 
@@ -285,6 +274,7 @@
             upstream=entry.upstream,
             version=entry.version,
             model=model,
+            content=spell_mark(self.request.content),
             session=self.request.session,
             candidates=choice.candidates,
             expected=round(choice.expected, 3),
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -6,7 +6,6 @@
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
-from nutmegroad.canary.gate import make_gate
 from nutmegroad.canary.state import RolloutState, trial_share
 from nutmegroad.canary.steps import RolloutSteps
 from nutmegroad.fleet.announcements import HostRow
@@ -16,13 +15,11 @@
 from nutmegroad.fleet.stored import FLEET_TABLE
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.relay.attempts import Attempts
+from nutmegroad.relay.assembly import Beneath, assemble
 from nutmegroad.relay.boundary import HostSettings, Platform
-from nutmegroad.relay.budgets import RepeatBudget
 from nutmegroad.relay.fleet_table import FleetSink
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import BoundSockets, Listeners
-from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.serving import Serving
 from nutmegroad.relay.status_pages import Beliefs, StatusPages, show_beliefs
@@ -30,7 +27,6 @@
 from nutmegroad.routes.belief import ConfigurationBelief
 from nutmegroad.routes.deployment import NO_VERSION
 from nutmegroad.upstreams.directory import Directory
-from nutmegroad.upstreams.selection import Selector
 
 _LOG: Final = part_logger('host')
 
@@ -208,31 +204,17 @@
             self._fleet.count,
             settings.exposure_besides,
         )
-        told = self._fleet.told
-        selector = Selector(
-            clock,
-            self._randomness,
-            settings.domain,
-            told.ledger,
-            told.prefixes,
-            told.silence,
-        )
-        attempts = Attempts(self._pool, names, selector, clock)
-        self._directory.ended.tell_of_ends(attempts.ended)
-        self._parts = RelayParts(
-            attempts,
-            selector,
-            self._directory,
-            RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
-            make_gate(
+        self._parts = assemble(
+            settings,
+            self._platform,
+            Beneath(
                 self._directory,
                 self._rollouts,
-                clock,
-                settings.session_span,
-                told.marks,
+                self._fleet.told,
+                self._pool,
             ),
             clock,
-            self._platform.counters,
+            self._randomness,
         )
         show_beliefs(self._platform.counters, self)
         self._serving = Serving(
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from nutmegroad.fleet.content_marks import ContentMark, mark_content
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId
@@ -179,12 +180,25 @@
             arrived=arrived,
             deadline=arrived + min(wait, route.timeout),
             leaves=arrived + wait,
+            content=_mark(http, matched, body),
             generation=read_generation(headers, names),
             session=SessionName(session) if session else None,
             last_event=headers.get(names.last_event, ''),
         )
 
 
+def _mark(
+    http: web.BaseRequest,
+    matched: _Matched,
+    body: bytes,
+) -> ContentMark:
+    """Return what stands for a request's content."""
+    workspace = matched.workspace
+    name = '' if workspace is None else workspace.name
+    caller = f'{http.method} {matched.route.host} {name}'
+    return mark_content(caller, raw_target(http), body)
+
+
 def raw_target(http: web.BaseRequest) -> bytes:
     """Return path and query as they were sent."""
     return http.raw_path.encode('utf-8', 'surrogateescape')
--- a/src/nutmegroad/relay/parts.py
+++ b/src/nutmegroad/relay/parts.py
@@ -9,6 +9,7 @@
 from nutmegroad.relay.attempts import Attempts
 from nutmegroad.relay.budgets import RepeatBudget
 from nutmegroad.relay.counters import RelayCounters
+from nutmegroad.relay.crashes import CrashWatch
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Directory, SoftwareVersion, Upstream
 from nutmegroad.upstreams.selection import Selector
@@ -53,6 +54,7 @@
         versions: Says which versions may run a request.
         clock: The host's clock.
         counters: What is counted.
+        crashes: Notes under which requests upstreams end.
     """
 
     attempts: Attempts
@@ -62,3 +64,4 @@
     versions: VersionGate
     clock: Clock
     counters: RelayCounters
+    crashes: CrashWatch
--- a/src/nutmegroad/relay/patience.py
+++ b/src/nutmegroad/relay/patience.py
@@ -4,6 +4,7 @@
 from typing import Final, TypeVar
 
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.routes.requests import CallerRequest
 
 _Found = TypeVar('_Found')
 
@@ -11,6 +12,38 @@
 #: answered yet has fallen silent: a third of the least time in which it can.
 SILENCE_LOOK: Final = 0.25
 
+#: Part of what is left of a request's time that an engine may stay silent: it
+#: may have long prompts to read that nobody told us of, and one that is left
+#: costs an attempt which a larger model may need.
+SILENT_PART: Final = 0.4
+
+#: Times the usual wait that an attempt may stay silent.
+SILENT_TIMES: Final = 4.0
+
+#: Least seconds of silence before another attempt.
+LEAST_SILENCE: Final = 0.3
+
+#: The same for an engine: a long prompt alone may take as long.
+LEAST_ENGINE_SILENCE: Final = 1.5
+
+
+def patience_for(
+    request: CallerRequest,
+    expected: float,
+    left: float,
+) -> float:
+    """Return the seconds from which silence speaks against an upstream.
+
+    Args:
+        request: What was sent there.
+        expected: Seconds until an answer should begin.
+        left: Seconds until the final answer is due.
+    """
+    usual = expected * SILENT_TIMES
+    if request.generation is None:
+        return max(LEAST_SILENCE, usual)
+    return max(LEAST_ENGINE_SILENCE, usual, left * SILENT_PART)
+
 
 async def wait_patiently(
     wait: Callable[[float], Awaitable[_Found | None]],
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -46,7 +46,9 @@
         answer = await _read(outcome)
         sound = answer is not None and not answer.failed
         execution.outlook.observe(outcome, _observed(answer))
-        if answer is not None:
+        if answer is None:
+            execution.broke(outcome.upstream, outcome.started)
+        else:
             failure = answer
         if not sound and execution.may_repeat():
             continue
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -29,7 +29,7 @@
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import SERVER_FAILURES
 from nutmegroad.relay.outcomes import Answering
-from nutmegroad.relay.patience import wait_patiently
+from nutmegroad.relay.patience import patience_for, wait_patiently
 from nutmegroad.relay.plain import WholeAnswer, deliver, read_whole
 from nutmegroad.relay.refusals import spell
 from nutmegroad.relay.replies import Reply
@@ -132,6 +132,8 @@
             end = await self._hand_on(answering)
         finally:
             await answering.close()
+        if end is RunEnd.CUT:
+            self._execution.broke(answering.upstream, answering.started)
         observed = _OBSERVED.get(end)
         if observed is not None:
             self._execution.outlook.observe(answering, observed)
@@ -155,7 +157,11 @@
         """Copy whole events to the caller until the stream ends."""
         splitter = WholeEvents()
         pause = self._execution.request.route.longest_pause * STALLED_TIMES
-        patience = self._execution.patience(answering.choice.expected)
+        patience = patience_for(
+            self._execution.request,
+            answering.choice.expected,
+            self._execution.left,
+        )
         while True:
             chunk = await self._next(answering, patience)
             if chunk is None:
--- a/src/nutmegroad/routes/requests.py
+++ b/src/nutmegroad/routes/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Final, NewType
 
+from nutmegroad.fleet.content_marks import ContentMark
 from nutmegroad.foundations.types import ModelName, RequestId
 from nutmegroad.routes.deployment import Route, RoutingTable, Workspace
 from nutmegroad.routes.headers import HeaderNames, RawHeaders
@@ -81,6 +82,7 @@
         arrived: Clock seconds at which its headers were read.
         deadline: Clock seconds at which the final answer is due.
         leaves: Clock seconds at which its caller gives up.
+        content: Stands for its caller, path and body, whatever its id.
         generation: What it says of a generation; None for plain calls.
         session: Its session; None without one.
         last_event: Id of the last event that its caller has, or empty.
@@ -98,6 +100,7 @@
     arrived: float
     deadline: float
     leaves: float
+    content: ContentMark
     generation: Generation | None = None
     session: SessionName | None = None
     last_event: str = ''
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -74,19 +74,38 @@
 
 
 class Rig:
-    """One relay host with a store and workers.
+    """Relay hosts of one failure domain with a store and workers.
 
     Args:
         workers: How many workers register.
         key_trust: Seconds for which keys hold unconfirmed.
+        hosts: How many hosts there are; most tests look at the first.
     """
 
-    def __init__(self, workers: int = 1, key_trust: float | None = 5) -> None:
+    def __init__(
+        self,
+        workers: int = 1,
+        key_trust: float | None = 5,
+        hosts: int = 1,
+    ) -> None:
         self.store = RowStore()
         self.workers = [OpaqueWorker() for _ in range(workers)]
+        self._names = [f'w-{number}' for number in range(workers)]
+        self.hosts: list[RelayHost] = []
+        self._count = hosts
         self._key_trust = key_trust
         self._stack = AsyncExitStack()
 
+    @property
+    def host(self) -> RelayHost:
+        """Return the first host."""
+        return self.hosts[0]
+
+    @property
+    def settings(self) -> HostSettings:
+        """Return what the first host is told at start."""
+        return self._settings[0]
+
     async def __aenter__(self) -> 'Rig':
         """Start everything but the host."""
         runner = AppRunner(
@@ -105,40 +124,16 @@
         self.client = await self._stack.enter_async_context(
             ClientSession(auto_decompress=False),
         )
-        counters = RelayCounters()
-        platform_store = await self._stack.enter_async_context(
-            PlatformStore(Address('127.0.0.1', port), counters),
-        )
-        rows = Rows()
-        self.settings = HostSettings(
-            host=HostId('host-1'),
-            domain=DomainId('north'),
-            callers=Address('127.0.0.1', free_port()),
-            neighbours=Address('127.0.0.1', free_port()),
-            ready=Address('127.0.0.1', free_port()),
-            ready_path='/v1/ready',
-            key_trust=self._key_trust,
-            repeat_ratio=0.9,
-            repeat_window=10,
-            exposure=0.15,
-            exposure_besides=30,
-            session_span=5,
-            apply_bound=0.2,
-            halt_bound=0.2,
-            leaving_notice=2,
-            grace=8,
-            seed=1,
-        )
-        self.host = RelayHost(
-            self.settings,
-            Platform(platform_store, HEADERS, rows, rows, TABLES, counters),
-            BootClock(),
-        )
+        self._store_port = port
+        self._settings = [self._tell(number) for number in range(self._count)]
+        for settings in self._settings:
+            self.hosts.append(await self._make(settings))
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close everything."""
-        await self.host.close()
+        for host in self.hosts:
+            await host.close()
         await self._stack.aclose()
 
     def register(self, number: int, **more: Any) -> None:
@@ -152,7 +147,8 @@
             'state': 'ready',
             **more,
         }
-        self.store.put('servers', f'w-{number}', json.dumps(entry).encode())
+        name = self._names[number]
+        self.store.put('servers', name, json.dumps(entry).encode())
 
     def configure(self, version: int = 1, **more: Any) -> None:
         """Write a configuration."""
@@ -160,10 +156,62 @@
         self.store.put('op', 'config', json.dumps(document).encode())
 
     async def start(self) -> None:
-        """Start the host with a configuration in force, and its workers."""
+        """Start the hosts with a configuration in force."""
         self.configure()
-        await self.host.start()
-        await self.until(lambda: self.host.ready)
+        for host in self.hosts:
+            await host.start()
+        await self.until(lambda: all(host.ready for host in self.hosts))
+
+    async def add_host(self) -> int:
+        """Start one more host, and return its number."""
+        number = len(self.hosts)
+        self._settings.append(self._tell(number))
+        self.hosts.append(await self._make(self._settings[number]))
+        await self.hosts[number].start()
+        await self.until(lambda: self.hosts[number].ready)
+        return number
+
+    async def rise(self, number: int) -> None:
+        """Start a worker that has ended, under another id."""
+        self.store.remove('servers', self._names[number])
+        self._names[number] = f'{self._names[number]}-again'
+        await self.workers[number].start()
+        self.register(number)
+
+    async def _make(self, settings: HostSettings) -> RelayHost:
+        """Make a host that has not started."""
+        counters = RelayCounters()
+        store = await self._stack.enter_async_context(
+            PlatformStore(Address('127.0.0.1', self._store_port), counters),
+        )
+        rows = Rows()
+        return RelayHost(
+            settings,
+            Platform(store, HEADERS, rows, rows, TABLES, counters),
+            BootClock(),
+        )
+
+    def _tell(self, number: int) -> HostSettings:
+        """Return what a host is told at start."""
+        return HostSettings(
+            host=HostId(f'host-{number + 1}'),
+            domain=DomainId('north'),
+            callers=Address('127.0.0.1', free_port()),
+            neighbours=Address('127.0.0.1', free_port()),
+            ready=Address('127.0.0.1', free_port()),
+            ready_path='/v1/ready',
+            key_trust=self._key_trust,
+            repeat_ratio=0.9,
+            repeat_window=10,
+            exposure=0.15,
+            exposure_besides=30,
+            session_span=5,
+            apply_bound=0.2,
+            halt_bound=0.2,
+            leaving_notice=2,
+            grace=8,
+            seed=number + 1,
+        )
 
     async def until(self, condition: Any) -> None:
         """Wait for a condition, however long that takes."""
@@ -179,8 +227,9 @@
         method: str = 'POST',
         body: bytes = b'',
         headers: dict[str, str] | None = None,
+        host: int = 0,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Send a caller's request, and return the whole answer."""
+        """Send a caller's request to a host, and return the whole answer."""
         sent = {
             'Host': HOST,
             REQUEST_ID: request,
@@ -188,7 +237,7 @@
             'Nutmegroad-Deadline-Ms': '4000',
             **(headers or {}),
         }
-        address = self.settings.callers
+        address = self._settings[host].callers
         async with self.client.request(
             method,
             f'http://{address}{path}',
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from nutmegroad.fleet.content_marks import ContentMark
 from nutmegroad.fleet.evidence import (
     Answers,
     Evidence,
@@ -98,6 +99,7 @@
         arrived=0,
         deadline=10,
         leaves=10,
+        content=ContentMark(1),
         generation=Generation(ModelName('*'), tokens, 10, 10, parts),
         session=SessionName(session) if session else None,
     )
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,114 @@
+"""A request that ends each upstream which begins to run it, again and again.
+
+Seen: one short question ended fifteen engines in seventy seconds, also long
+after it had ended its third; what ran beside it was cut again and again. How it
+came about: it came anew, with the same caller, path and body, at host after
+host, and each gave it all its attempts. Cause: what a request had done was
+remembered by its own execution only, which ends with its answer; no host knew
+anything of what a request contains. What proved it: the same host sent the same
+content to three upstreams once more, five and ten seconds later, all of which
+ended within a tenth of a second of beginning, without an event.
+"""
+
+import asyncio
+import unittest
+from typing import Final
+
+from fakes.opaque_worker import crashing, plain, stream
+
+from tests.relay_rig import Rig
+
+#: The body that ends workers.
+HARMFUL: Final = b'harmful'
+#: Times that it comes anew after it has ended its third worker: at each host
+#: twice.
+TIMES: Final = 4
+#: Upstreams that may end under one request before it is refused.
+ENDS: Final = 3
+#: Times that it may still reach an upstream after that.
+MORE: Final = 3
+
+PROMISE: Final = 503
+
+
+class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Two hosts and their workers."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the hosts."""
+        self.rig = await self.enterAsyncContext(Rig(workers=9, hosts=2))
+        for worker in self.rig.workers:
+            worker.usual = crashing(HARMFUL, stream())
+        await self.rig.start()
+
+    @property
+    def ended(self) -> int:
+        """Return how many workers have ended by the request."""
+        return sum(worker.crashes for worker in self.rig.workers)
+
+    async def come(
+        self,
+        number: int,
+        host: int = 0,
+        path: str = '/draft/1',
+        body: bytes = HARMFUL,
+    ) -> int:
+        """Send a request under an id of its own; return the status."""
+        status, _, _ = await self.rig.ask(
+            path,
+            f'r{number}',
+            body=body,
+            host=host,
+        )
+        return status
+
+    async def revive(self) -> None:
+        """Start all workers again that have ended."""
+        for number, worker in enumerate(self.rig.workers):
+            if worker.crashes:
+                worker.crashes = 0
+                await self.rig.rise(number)
+
+    async def test_it_is_refused_after_its_third_upstream(self) -> None:
+        """By the same host, with a promise that it did not run."""
+        await self.come(1)
+        self.assertEqual(self.ended, ENDS)
+        status, headers, text = await self.rig.ask(
+            '/draft/1',
+            'r2',
+            body=HARMFUL,
+        )
+        self.assertEqual(self.ended, ENDS)
+        self.assertEqual(status, PROMISE)
+        self.assertGreater(float(headers['Retry-After']), 1)
+        self.assertIn(b'REQUEST_HARMFUL', text)
+
+    async def test_every_host_refuses_it(self) -> None:
+        """Also one that has never seen it, within a moment."""
+        await self.come(1)
+        await asyncio.sleep(1)
+        for number in range(TIMES):
+            await self.come(2 + number, host=number % 2)
+        self.assertLessEqual(self.ended, ENDS + MORE)
+        self.assertEqual(self.rig.seen('r4') + self.rig.seen('r5'), 0)
+
+    async def test_other_requests_are_served(self) -> None:
+        """The same path with another body, and the body on another path."""
+        await self.come(1)
+        for number, (path, body) in enumerate(
+            (('/draft/1', b'harmless'), ('/draft/1', b'')),
+        ):
+            self.assertEqual(await self.come(10 + number, 0, path, body), 200)
+        for worker in self.rig.workers:
+            worker.usual = stream()
+        self.assertEqual(await self.come(20, path='/draft/2'), 200)
+
+    async def test_it_is_served_where_it_did_nothing(self) -> None:
+        """An upstream that ends by itself three times is not its work."""
+        for worker in self.rig.workers:
+            worker.usual = plain()
+        for _ in range(ENDS + 1):
+            self.assertEqual(await self.come(1, path='/look/1'), 200)
+            await self.rig.workers[0].crash()
+            await self.revive()
+        self.assertEqual(await self.come(2, path='/look/1'), 200)
