Keep a request from upstreams under which three of them have ended

What callers saw: one short question ended engine after engine, at host after host, and a tenth and more of the other requests of that service failed for seconds at a time. Cause: what a request does to upstreams was known to its own execution only; a repeat under another id, and each other host, began anew.

Hosts now remember requests by their content (caller, path and body): each end of an upstream that a refused connection proves, told to the others by datagrams for some seconds and written to the platform's store from the second end on. Three ends one after the other keep a request from upstreams. Whoever ran beside it looks the same, so one host, by a conditional write, tries such a request once more, alone; an answer clears it, another end keeps it out for ten minutes and twice as long each time after that.

Ruled out: fewer attempts for each request (hosts would still begin anew, and others lose their repeats); ends counted without a proof (a link that resets, or an upstream that spoils answers, would make its callers harmful).

--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -9,6 +9,7 @@
 from xxhash import xxh3_64_intdigest
 
 from nutmegroad.fleet.announcements import Announcement, HostRow
+from nutmegroad.fleet.crash_rows import CrashRows
 from nutmegroad.fleet.evidence import RunNumber
 from nutmegroad.fleet.followers import FollowedStore
 from nutmegroad.fleet.neighbours import Neighbours, nothing_told
@@ -56,6 +57,14 @@
         run = RunNumber(randomness.getrandbits(_RUN_BITS))
         self.told = nothing_told(host, run, clock, session_span)
         self.neighbours = Neighbours(host, own, self.told, clock)
+        #: What is written of requests that end upstreams.
+        self.crash_rows = CrashRows(
+            self.told.crashes,
+            store,
+            self.store_clock,
+            clock,
+            self.turn,
+        )
         self._announcement = Announcement(host, own, store, clock)
         self._link = NewsLink(host, own, lambda: self.neighbours.near, clock)
         self._server = NewsServer(clock)
@@ -112,6 +121,7 @@
         return (
             self._announcement.make(first=self._first),
             self.neighbours.run(),
+            self.crash_rows.run(),
             self._server.run(),
             self._link.run(),
         )
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -15,6 +15,7 @@
 from msgspec import Struct
 
 from nutmegroad.fleet.announcements import HostRow
+from nutmegroad.fleet.crash_book import CrashBook, ToldCrashes
 from nutmegroad.fleet.domain_silence import DomainSilence, ToldAges
 from nutmegroad.fleet.evidence import RunNumber
 from nutmegroad.fleet.evidence_book import (
@@ -83,6 +84,7 @@
         partial: Whether the loads are some of those that it has.
         ended_runs: What hosts had seen of roll-outs that have started again.
         heard: How long ago it has heard other failure domains.
+        crashes: Under which requests upstreams have ended a moment ago.
     """
 
     host: str
@@ -93,6 +95,7 @@
     partial: bool = False
     ended_runs: tuple[EndedRun, ...] = ()
     heard: ToldAges = {}
+    crashes: ToldCrashes = ToldCrashes()
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,7 @@
         book: What was seen of roll-outs.
         prefixes: What upstreams hold of prompts.
         silence: When other failure domains were heard.
+        crashes: Under which requests upstreams have ended.
     """
 
     ledger: LoadLedger
@@ -112,6 +116,7 @@
     book: EvidenceBook
     prefixes: HeldPrefixes
     silence: DomainSilence
+    crashes: CrashBook
 
 
 def nothing_told(
@@ -135,6 +140,7 @@
         EvidenceBook(host, run),
         HeldPrefixes(clock),
         DomainSilence(clock),
+        CrashBook(clock),
     )
 
 
@@ -177,6 +183,7 @@
         self._book = told.book
         self._prefixes = told.prefixes
         self._silence = told.silence
+        self._crashes = told.crashes
         self._clock = clock
         self._near: dict[HostId, HostRow] = {}
         self._far: dict[HostId, HostRow] = {}
@@ -237,6 +244,7 @@
                 self._prefixes.recent(self._round()),
                 ended_runs=self._book.ended_runs(),
                 heard=self._silence.ages(),
+                crashes=self._crashes.telling(),
             ),
         )
 
@@ -253,6 +261,7 @@
         self._ledger.told(host, telling.loads)
         self._marks.told(telling.sessions)
         self._prefixes.told(telling.prefixes)
+        self._crashes.told(telling.crashes)
         for service, evidence in telling.evidence.items():
             self._book.told(service, host, evidence)
         for ended in telling.ended_runs:
@@ -261,7 +270,10 @@
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
         empty = not (
-            self._ledger.own or self._marks.any_alive or self._book.own_counts
+            self._ledger.own
+            or self._marks.any_alive
+            or self._book.own_counts
+            or self._crashes.has_news
         )
         if self._transport is None or (self._silent and empty):
             return
--- a/src/nutmegroad/foundations/_request_codes.py
+++ b/src/nutmegroad/foundations/_request_codes.py
@@ -220,4 +220,10 @@
         INSIDE,
         NotRun.NONE,
     ),
+    CodeMeaning(
+        ResultCode.REQUEST_HARMFUL,
+        'Several upstreams have ended while they ran the same request.',
+        'Change the request, or ask the operators; a repeat is refused too.',
+        NotRun.EITHER,
+    ),
 )
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -5,6 +5,7 @@
 
 from nutmegroad.canary.gate import make_gate
 from nutmegroad.canary.state import RolloutState
+from nutmegroad.fleet.crash_rows import CrashRows
 from nutmegroad.fleet.neighbours import Told
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.relay.attempts import Attempts
@@ -26,12 +27,14 @@
         rollouts: All roll-outs.
         told: What hosts tell each other.
         pool: Connections to upstreams.
+        crash_rows: What is written of requests that end upstreams.
     """
 
     directory: Directory
     rollouts: RolloutState
     told: Told
     pool: ConnectionPool
+    crash_rows: CrashRows
 
 
 def assemble(
@@ -75,5 +78,11 @@
         ),
         clock,
         platform.counters,
-        CrashWatch(beneath.pool, clock, platform.counters),
+        CrashWatch(
+            beneath.pool,
+            told.crashes,
+            beneath.crash_rows,
+            clock,
+            platform.counters,
+        ),
     )
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -4,6 +4,7 @@
 is known about whether the request ran, and whether it may be sent again.
 """
 
+from dataclasses import replace
 from types import MappingProxyType
 from typing import Final
 
@@ -27,9 +28,9 @@
 from nutmegroad.relay.outlook import Outlook
 from nutmegroad.relay.parts import RelayParts
 from nutmegroad.relay.patience import patience_for
+from nutmegroad.relay.refusals import kept_out, nowhere
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Upstream
-from nutmegroad.upstreams.health import FIRST_PAUSE
 from nutmegroad.upstreams.selection import Choice
 
 _LOG: Final = part_logger('relay')
@@ -43,8 +44,6 @@
 #: turns over.
 COME_BACK: Final = 0.25
 
-#: The same where no upstream is known at all: one registers within seconds.
-NONE_KNOWN: Final = 1.0
 
 #: What became of an attempt whose request ended before it was answered.
 _ABANDONED: Final = AttemptFailure(
@@ -124,9 +123,13 @@
         while True:
             if self.left <= 0:
                 return self.refuse_late()
+            harmful = await self._parts.crashes.keeps_out(self.request)
+            if harmful is not None:
+                return self._refuse(kept_out(harmful, self.service))
             choice = self.outlook.choose(model, self.tried)
             if choice is None:
-                return self._refuse_nowhere()
+                known = self.outlook.known
+                return self._refuse(nowhere(known, self.service))
             outcome = await self._attempt(choice, model, last_event)
             if isinstance(outcome, Answering):
                 return outcome
@@ -145,14 +148,18 @@
         self._parts.counters.repeated(purpose.value)
         return True
 
-    def broke(self, upstream: Upstream, began: float) -> None:
+    async def broke(self, upstream: Upstream, began: float) -> None:
         """Take in that an exchange broke while the request may have run.
 
         Args:
             upstream: Where it was.
             began: Clock seconds at which it was sent there.
         """
-        self._parts.crashes.broke(self.request, upstream.entry, began)
+        await self._parts.crashes.broke(self.request, upstream.entry, began)
+
+    def answered(self) -> None:
+        """Take in that an upstream has answered whole, if with a failure."""
+        self._parts.crashes.answered(self.request)
 
     def refused(self, refusal: Refusal, **fields: object) -> None:
         """Write down the refusal that ends the request, and count it."""
@@ -181,25 +188,10 @@
 
     def refuse_late(self) -> Refusal:
         """Return the refusal of a request whose time is over."""
-        return self._refuse(
+        return Refusal(
             ResultCode.DEADLINE_PASSED,
             'The time of the request is over.',
-            0,
-        )
-
-    def _refuse_nowhere(self) -> Refusal:
-        """Return the refusal of a request that can be sent nowhere."""
-        known = self.outlook.known
-        if known:
-            return self._refuse(
-                ResultCode.UPSTREAM_UNREACHABLE,
-                f'None of {known} upstreams of {self.service!r} is reached.',
-                FIRST_PAUSE,
-            )
-        return self._refuse(
-            ResultCode.NO_UPSTREAM,
-            f'No upstream of {self.service!r} is known.',
-            NONE_KNOWN,
+            self._ran,
         )
 
     async def _attempt(
@@ -243,7 +235,7 @@
         else:
             self._runs += 1
             if outcome.end is AttemptEnd.BROKEN:
-                self.broke(upstream, began)
+                await self.broke(upstream, began)
         self._note(choice, model, outcome)
         return outcome
 
@@ -305,14 +297,9 @@
             return self._parts.budget.spend(self.service, Purpose.FAILURE)
         return self.may_repeat()
 
-    def _refuse(
-        self,
-        code: ResultCode,
-        reason: str,
-        retry_after: float,
-    ) -> Refusal:
+    def _refuse(self, why: Refusal) -> Refusal:
         """Return a refusal that says whether the request ran."""
-        return Refusal(code, reason, self._ran, retry_after)
+        return replace(why, ran=self._ran)
 
 
 def _speaks_of_version(choice: Choice, failure: AttemptFailure) -> bool:
--- a/src/nutmegroad/relay/fleet_table.py
+++ b/src/nutmegroad/relay/fleet_table.py
@@ -8,6 +8,7 @@
 from nutmegroad.canary.state import RolloutState
 from nutmegroad.canary.steps import EVIDENCE_KEY, STEP_KEY
 from nutmegroad.fleet.announcements import HOST_KEY, HostRow
+from nutmegroad.fleet.crash_rows import CRASHES_KEY
 from nutmegroad.fleet.evidence import Evidence
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.fleet.stored import RowsRead, StoredRow
@@ -39,7 +40,7 @@
         for row in read.rows:
             if row.removed:
                 continue
-            self._take(row)
+            self._take(row, read.store_time)
 
     def confirm(self, moment: float, read: RowsRead) -> None:
         """Do nothing: what is not known here is only slower."""
@@ -47,15 +48,21 @@
     def lost(self) -> None:
         """Do nothing: each host goes on with what it knows."""
 
-    def _take(self, row: StoredRow) -> None:
+    def _take(self, row: StoredRow, store_time: float) -> None:
         """Take one row in; one that can't be read is logged."""
         kind, _, rest = row.key.partition('/')
         try:
-            self._decode(f'{kind}/', rest, row)
+            self._decode(f'{kind}/', rest, row, store_time)
         except msgspec.DecodeError as problem:
             _LOG.decision('row kept out', key=row.key, reason=str(problem))
 
-    def _decode(self, kind: str, name: str, row: StoredRow) -> None:
+    def _decode(
+        self,
+        kind: str,
+        name: str,
+        row: StoredRow,
+        store_time: float,
+    ) -> None:
         """Take one row in."""
         if kind == STEP_KEY:
             step = msgspec.json.decode(row.content, type=RolloutRow)
@@ -67,6 +74,8 @@
                 HostId(host),
                 msgspec.json.decode(row.content, type=Evidence),
             )
+        elif kind == CRASHES_KEY:
+            self._hosts.crash_rows.take(name, row, store_time)
         elif kind == HOST_KEY:
             self._hosts.found(
                 HostId(name),
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -212,10 +212,12 @@
                 self._rollouts,
                 self._fleet.told,
                 self._pool,
+                self._fleet.crash_rows,
             ),
             clock,
             self._randomness,
         )
+        self._parts.crashes.close_with(self._stack)
         show_beliefs(self._platform.counters, self)
         self._serving = Serving(
             self._parts,
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -47,8 +47,9 @@
         sound = answer is not None and not answer.failed
         execution.outlook.observe(outcome, _observed(answer))
         if answer is None:
-            execution.broke(outcome.upstream, outcome.started)
+            await execution.broke(outcome.upstream, outcome.started)
         else:
+            execution.answered()
             failure = answer
         if not sound and execution.may_repeat():
             continue
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -66,6 +66,10 @@
 )
 
 
+#: Ends at which an upstream has answered whole, if with a failure of its own.
+_ANSWERED: Final = frozenset((RunEnd.WHOLE, RunEnd.FAILED))
+
+
 @dataclass(slots=True)
 class _Progress:
     """How far a stream has come.
@@ -133,7 +137,9 @@
         finally:
             await answering.close()
         if end is RunEnd.CUT:
-            self._execution.broke(answering.upstream, answering.started)
+            await self._execution.broke(answering.upstream, answering.started)
+        elif end in _ANSWERED:
+            self._execution.answered()
         observed = _OBSERVED.get(end)
         if observed is not None:
             self._execution.outlook.observe(answering, observed)
@@ -145,7 +151,8 @@
         """Hand an answer on as it comes."""
         if answering.head.status >= SERVER_FAILURES:
             self._progress.failure = await read_whole(answering)
-            return RunEnd.FAILED
+            whole = self._progress.failure is not None
+            return RunEnd.FAILED if whole else RunEnd.CUT
         if self._escalates(answering):
             return RunEnd.UNSURE
         try:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,7 +14,7 @@
 import unittest
 from typing import Final
 
-from fakes.opaque_worker import crashing, plain, stream
+from fakes.opaque_worker import EVENTS, crashing, plain, stream
 
 from tests.relay_rig import Rig
 
@@ -25,6 +25,8 @@
 TIMES: Final = 4
 #: Upstreams that may end under one request before it is refused.
 ENDS: Final = 3
+#: Times that it is tried once more, in case that it only ran beside another.
+TRIALS: Final = 1
 #: Times that it may still reach an upstream after that.
 MORE: Final = 3
 
@@ -92,6 +94,28 @@
         self.assertLessEqual(self.ended, ENDS + MORE)
         self.assertEqual(self.rig.seen('r4') + self.rig.seen('r5'), 0)
 
+    async def test_ends_under_it_add_up_over_hosts(self) -> None:
+        """One that may run once ends one worker each time it comes."""
+        for number in range(ENDS):
+            await self.come(number, host=number % 2, path='/once/1')
+            await asyncio.sleep(0.5)
+        self.assertEqual(self.ended, ENDS)
+        for number in range(TIMES):
+            status = await self.come(10 + number, number % 2, '/once/1')
+            self.assertEqual(status, PROMISE)
+        self.assertEqual(self.ended, ENDS)
+
+    async def test_a_host_that_starts_later_refuses_it(self) -> None:
+        """What the others know outlives them in the platform's store."""
+        await self.come(1)
+        await asyncio.sleep(1.5)
+        for host in self.rig.hosts:
+            await host.close()
+        number = await self.rig.add_host()
+        for again in range(TIMES):
+            await self.come(2 + again, host=number)
+        self.assertEqual(self.ended, ENDS + TRIALS)
+
     async def test_other_requests_are_served(self) -> None:
         """The same path with another body, and the body on another path."""
         await self.come(1)
@@ -112,3 +136,56 @@
             await self.rig.workers[0].crash()
             await self.revive()
         self.assertEqual(await self.come(2, path='/look/1'), 200)
+
+
+class BystanderTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that run at the same upstreams as the one that ends them."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a host whose workers come one after the other."""
+        self.rig = await self.enterAsyncContext(Rig(workers=4))
+        for worker in self.rig.workers:
+            worker.usual = crashing(HARMFUL, stream(gap=0.5))
+        await self.rig.start()
+        for number in range(len(self.rig.workers)):
+            self.rig.store.remove('servers', f'w-{number}')
+        await self.know_upstreams(0)
+
+    async def know_upstreams(self, count: int) -> None:
+        """Wait until the host knows so many upstreams."""
+        await self.rig.until(lambda: self.rig.host.beliefs.upstreams == count)
+
+    async def end_beside(self, number: int, path: str) -> None:
+        """Run a slow request beside the harmful one at one worker."""
+        self.rig.register(number)
+        await self.know_upstreams(1)
+        worker = self.rig.workers[number]
+        beside = asyncio.create_task(
+            self.rig.ask(path, f'beside-{number}', body=b'harmless'),
+        )
+        await self.rig.until(lambda: len(worker.seen) == 1)
+        harmful = self.rig.ask('/once/1', f'harm-{number}', body=HARMFUL)
+        await asyncio.gather(beside, harmful)
+        self.rig.store.remove('servers', f'w-{number}')
+        await self.know_upstreams(0)
+
+    async def beside_again(self) -> tuple[int, dict[str, str], bytes]:
+        """Send the harmless request once more."""
+        return await self.rig.ask('/once/2', 'again', body=b'harmless')
+
+    async def test_who_ran_beside_it_three_times_is_served(self) -> None:
+        """Both share all their ends; only one of them is harmful."""
+        for number in range(ENDS):
+            await self.end_beside(number, '/once/2')
+        self.rig.register(ENDS)
+        await self.know_upstreams(1)
+        status, headers, _ = await self.beside_again()
+        if status == PROMISE:
+            await asyncio.sleep(float(headers['Retry-After']))
+        status, _, answer = await self.beside_again()
+        self.assertEqual(status, 200)
+        self.assertEqual(answer, b''.join(EVENTS))
+        for number in range(TIMES):
+            await self.rig.ask('/once/1', f'harm-{number}', body=HARMFUL)
+        harmed = [worker.crashes for worker in self.rig.workers]
+        self.assertLessEqual(sum(harmed), ENDS + TRIALS)
--- a/tests/test_evidence_book.py
+++ b/tests/test_evidence_book.py
@@ -6,6 +6,7 @@
 
 from nutmegroad.canary.verdicts import Judgement, Verdict
 from nutmegroad.fleet.announcements import HostRow
+from nutmegroad.fleet.crash_book import CrashBook
 from nutmegroad.fleet.domain_silence import DomainSilence
 from nutmegroad.fleet.evidence import (
     Answers,
@@ -236,6 +237,7 @@
         book,
         HeldPrefixes(clock),
         DomainSilence(clock),
+        CrashBook(clock),
     )
     return Neighbours(HostId(name), own, told, clock)
 
