Look twice whether an upstream has ended, and write down a harmful request at once

A lost packet left an end unproved, so a request could end one upstream more; and for a quarter of a second and more only the host that had seen the third end knew of it, which may be lost itself. The store gets it now with the end's proof.

--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -162,8 +162,16 @@
                 continue
             place = self._turn(CRASHES_KEY)
             await self._clock.sleep(SPREAD * math.log2(1 + place))
-            if self._is_due():
-                await self._write()
+            await self.write()
+
+    async def write(self) -> None:
+        """Write what is missing at once, if anything is.
+
+        For the host that has seen a request become harmful: nobody else may
+        know of it yet, and it may be lost itself.
+        """
+        if self._is_due():
+            await self._write()
 
     async def claim(self, content: ContentMark) -> bool:
         """Tell whether this host may try a harmful request now.
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -139,3 +139,5 @@
             life=life.value,
             ends=0 if harmful is None else harmful.ends,
         )
+        if harmful is not None and life is Life.ENDED:
+            await self._rows.write()
--- a/src/nutmegroad/relay/ends.py
+++ b/src/nutmegroad/relay/ends.py
@@ -1,7 +1,7 @@
 """Whether an upstream's process has ended, when exchanges with it break.
 
 A connection that breaks may have broken on its way. A process that is gone
-refuses new connections at once, so one try tells which it was.
+refuses new connections at once, so a try tells which it was.
 """
 
 import asyncio
@@ -13,9 +13,12 @@
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.upstreams.directory import UpstreamEntry
 
-#: Seconds for that one try: as for any new connection.
+#: Seconds for a try: as for any new connection.
 TRY_TIMEOUT: Final = 0.3
 
+#: Tries until one is answered: the packets of one may be lost.
+TRIES: Final = 2
+
 
 @unique
 class Life(Enum):
@@ -41,16 +44,24 @@
     async def look(self, entry: UpstreamEntry) -> Life:
         """Return what became of an upstream whose exchange has broken.
 
-        All exchanges that break together share one try.
+        All exchanges that break together share the tries.
         """
         name = entry.incarnation
         running = self._tries.get(name)
         if running is None:
-            running = asyncio.create_task(self._try(entry))
+            running = asyncio.create_task(self._find_out(entry))
             self._tries[name] = running
             running.add_done_callback(lambda _: self._tries.pop(name, None))
         return await asyncio.shield(running)
 
+    async def _find_out(self, entry: UpstreamEntry) -> Life:
+        """Try until one try is answered."""
+        for _ in range(TRIES):
+            life = await self._try(entry)
+            if life is not Life.UNKNOWN:
+                return life
+        return Life.UNKNOWN
+
     async def _try(self, entry: UpstreamEntry) -> Life:
         """Try to connect, once."""
         try:
