Compare versions of the store only within one era

The store may come back from a copy some seconds old, and gives its versions out again then. A reader that stood at one of them went on past what it had missed, with no sign at all; a condition could hold by chance; upstreams that had left got work again, and new ones were dropped.

Era and version are one number now, made in one place between the adapter and everybody else, so whoever compares versions compares eras first, also what hosts tell each other. A risen era ends each feed: one reader of a domain reads whole and the others are told. Answers of the era before are dropped; eras that are missing or lower change nothing. The configuration in force stays, and for 2.5 s, or as long as the store shows an older one, no key is confirmed. Entries of upstreams that were known to leave or to have left are kept out until they are written or the store has kept them for 6 s. Hosts write their lost rows again.

Ruled out: each reader comparing eras itself (seven places compare versions). Left: roll-outs, whose orders are known by the store's version; the soak and the models.

--- a/fakes/row_store.py
+++ b/fakes/row_store.py
@@ -53,6 +53,19 @@
         return found
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What a store held at one moment.
+
+    Attributes:
+        rows: All rows by table, part and key.
+        ver: The newest version.
+    """
+
+    rows: dict[tuple[str, str, str], _Row]
+    ver: int
+
+
 @dataclass(slots=True)
 class RowStore:
     """Tables of rows behind HTTP.
@@ -60,10 +73,13 @@
     Attributes:
         fault: What is wrong with it now.
         calls: How often each call was made.
+        era: How often it has come back from a copy, and one more; None for a
+            store that names no era.
     """
 
     fault: StoreFault = StoreFault.NONE
     calls: dict[str, int] = field(default_factory=dict)
+    era: int | None = None
     _rows: dict[tuple[str, str, str], _Row] = field(default_factory=dict)
     _history: list[_Row] = field(default_factory=list)
     _forgotten: int = 0
@@ -106,6 +122,22 @@
         self._history.clear()
         self._forgotten = self._ver
 
+    def copy(self) -> 'StoreCopy':
+        """Return what the store holds now."""
+        return StoreCopy(dict(self._rows), self._ver)
+
+    def come_back(self, copy: 'StoreCopy') -> None:
+        """Come back from a copy, in the next era.
+
+        Its versions are given out again. Feeds from versions that it does not
+        have get 410, until they are given out once more.
+        """
+        self._rows = dict(copy.rows)
+        self._history = [row for row in self._history if row.ver <= copy.ver]
+        self._ver = copy.ver
+        self.era = (self.era or 0) + 1
+        self._wake()
+
     def _keep(self, row: _Row) -> None:
         """Put a row in place and note the change."""
         name = (row.table, row.part, row.key)
@@ -145,7 +177,8 @@
             'rows': [row.shown() for row in rows],
             'hasMore': more,
         }
-        return web.json_response(content, status=status)
+        headers = {} if self.era is None else {'Store-Era': str(self.era)}
+        return web.json_response(content, status=status, headers=headers)
 
     async def _get(self, request: web.Request) -> web.Response:
         """Return a range of a table."""
@@ -171,11 +204,13 @@
         if trouble is not None:
             return trouble
         after = int(request.query['afterRevision'])
-        if after < self._forgotten:
-            return web.Response(status=_GONE)
+        if after < self._forgotten or after > self._ver:
+            return self._answer([], status=_GONE)
         table = request.query['table']
         until = time.monotonic() + int(request.query['waitMs']) / 1000
         while True:
+            if after > self._ver:
+                return self._answer([], status=_GONE)
             rows = [
                 row
                 for row in self._history
--- a/src/nutmegroad/fleet/announcements.py
+++ b/src/nutmegroad/fleet/announcements.py
@@ -62,6 +62,7 @@
         # together with this one may be found there.
         self._listed = asyncio.Event()
         self._gathered = asyncio.Event()
+        self._went_back = asyncio.Event()
         self._is_known = False
 
     def found(self, host: HostId, row: HostRow) -> None:
@@ -77,20 +78,33 @@
         """Wait until hosts that start together have made themselves known."""
         await self._gathered.wait()
 
+    def went_back(self) -> None:
+        """Note that the store came back from a copy, which is read next."""
+        self._is_known = False
+        self._listed.clear()
+        self._went_back.set()
+
     async def make(self, *, first: bool) -> None:
-        """Make this host known, until that has worked.
+        """Make this host known, and again when the store has lost its row.
 
         Args:
             first: Whether all hosts start for the first time. Else a row of an
                 earlier start is mostly there.
         """
+        done = False
         if first:
             done = await self._put()
             await self._clock.sleep(GATHERING)
-            self._gathered.set()
-            if done:
-                return
         self._gathered.set()
+        if not done:
+            await self._make_listed()
+        while True:
+            await self._went_back.wait()
+            self._went_back.clear()
+            await self._make_listed()
+
+    async def _make_listed(self) -> None:
+        """Write this host's row, unless the store has it."""
         await self._listed.wait()
         while not (self._is_known or await self._put()):
             await self._clock.sleep(AGAIN)
--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -154,6 +154,12 @@
             self._trials = msgspec.json.decode(row.content, type=_TrialsRow)
             self._trials_version = row.version
 
+    def went_back(self) -> None:
+        """Forget the rows; those that the store still has are read next."""
+        self._row = _CrashRow()
+        self._version = 0
+        self._trials_version = 0
+
     async def run(self) -> None:
         """Write what is missing in the row, until cancelled."""
         while True:
--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
+from nutmegroad.fleet.eras import era_of
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.stored import HistoryLost, RowsRead
 from nutmegroad.foundations.clocks import Clock
@@ -41,6 +42,12 @@
     def lost(self) -> None:
         """Note that the store does not answer."""
 
+    def went_back(self) -> None:
+        """Note that the store came back from a copy that is some seconds old.
+
+        The table is taken in whole right after that.
+        """
+
 
 class TableSource(Protocol):
     """Where tables are followed: the store, or another host that reads it."""
@@ -119,6 +126,8 @@
         self._store_clock = store_clock
         self._randomness = randomness
         self._after: int | None = None
+        self._took_before = False
+        self._era = 0
         # Clock seconds up to which the table is known.
         self._known = float('-inf')
         self._retry = FIRST_RETRY
@@ -142,8 +151,7 @@
             read = await self._store.snapshot(self._table)
             if isinstance(read, Refusal):
                 return self._failed(read)
-            self._sink.replace(read)
-            self._took(read)
+            self._replace(read)
             return True
         # A call to a silent store hangs for as long as it was to wait, also
         # when the store has come back meanwhile.
@@ -161,12 +169,24 @@
         if isinstance(found, Refusal):
             return self._failed(found)
         if found.whole:
-            self._sink.replace(found)
-        elif found.rows:
+            self._replace(found)
+            return True
+        if found.rows:
             self._sink.apply(found)
         self._took(found)
         return True
 
+    def _replace(self, read: RowsRead) -> None:
+        """Take the whole table in."""
+        if self._took_before and era_of(read.version) > self._era:
+            self._sink.went_back()
+            # What was known is known of the era before.
+            self._known = float('-inf')
+        self._took_before = True
+        self._era = era_of(read.version)
+        self._sink.replace(read)
+        self._took(read)
+
     def _took(self, read: RowsRead) -> None:
         """Note that the store has answered."""
         self._relayed = read.relayed
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -10,6 +10,7 @@
 
 from nutmegroad.fleet.announcements import Announcement, HostRow
 from nutmegroad.fleet.crash_rows import CrashRows
+from nutmegroad.fleet.eras import EraStore
 from nutmegroad.fleet.evidence import RunNumber
 from nutmegroad.fleet.followers import FollowedStore
 from nutmegroad.fleet.neighbours import Neighbours, nothing_told
@@ -54,29 +55,33 @@
         self._own = own
         self._first = first
         self.store_clock = StoreClock(clock)
+        #: The platform's store, with positions for versions.
+        self.store = EraStore(store)
+        self.store.tell_of_rises(self.store_clock.forget)
         run = RunNumber(randomness.getrandbits(_RUN_BITS))
         self.told = nothing_told(host, run, clock, session_span)
         self.neighbours = Neighbours(host, own, self.told, clock)
         #: What is written of requests that end upstreams.
         self.crash_rows = CrashRows(
             self.told.crashes,
-            store,
+            self.store,
             self.store_clock,
             clock,
             self.turn,
         )
-        self._announcement = Announcement(host, own, store, clock)
+        self._announcement = Announcement(host, own, self.store, clock)
         self._link = NewsLink(host, own, lambda: self.neighbours.near, clock)
         self._server = NewsServer(clock)
         #: Where tables are followed.
         self.tables = FollowedStore(
             SharedStore(
-                store,
+                self.store,
                 self._link,
                 self._server,
                 self.store_clock,
                 clock,
                 self._announcement.gathered,
+                self.store.heard,
             ),
             clock,
             self.store_clock,
@@ -102,6 +107,11 @@
         self._announcement.found(host, row)
         self.neighbours.found(host, row)
 
+    def went_back(self) -> None:
+        """Note that the store may have lost this host's row, and others."""
+        self._announcement.went_back()
+        self.crash_rows.went_back()
+
     def listed(self) -> None:
         """Note that the fleet's own table was read whole."""
         self._announcement.listed()
--- a/src/nutmegroad/fleet/shared_store.py
+++ b/src/nutmegroad/fleet/shared_store.py
@@ -55,6 +55,7 @@
         clock: The host's clock.
         gathered: Waits, where all hosts start for the first time, until those
             that start together have made themselves known.
+        heard: Told of each position in the store that another host tells.
     """
 
     def __init__(
@@ -65,7 +66,9 @@
         store_clock: StoreClock,
         clock: Clock,
         gathered: Callable[[], Awaitable[None]],
+        heard: Callable[[int], None],
     ) -> None:
+        self._heard = heard
         self._gathered = gathered
         self._waited: set[str] = set()
         self._store = store
@@ -84,6 +87,7 @@
         if table != FLEET_TABLE or self._store_clock.age < RESYNC:
             told = await self._whole_told(table)
             if told is not None:
+                self._heard(told.version)
                 self._server.tell_whole(table, told)
                 return told
         asked = self._clock.now()
@@ -114,6 +118,7 @@
         if self._link.serves(table):
             told = await self._changes_told(table, after, told_until)
             if told is not None:
+                self._heard(told.version)
                 self._pass_on(table, after, told)
                 return told
             # What was missed is there to be read; and only an answer that
--- a/src/nutmegroad/fleet/store_clock.py
+++ b/src/nutmegroad/fleet/store_clock.py
@@ -37,6 +37,11 @@
         now = self._clock.now()
         return now if self._behind is None else now - self._behind
 
+    def forget(self) -> None:
+        """Begin anew: the store's clock may have been set."""
+        self._behind = None
+        self._found = float('-inf')
+
     def answered(self, asked: float, store_time: float) -> None:
         """Learn from an answer how far our clock is ahead.
 
--- a/src/nutmegroad/fleet/stored.py
+++ b/src/nutmegroad/fleet/stored.py
@@ -16,7 +16,7 @@
     Attributes:
         key: Its name within the table.
         content: Its value; empty for a row that was removed.
-        version: Grows with every transaction of the store.
+        version: Grows with every transaction, also over eras of the store.
         removed: Whether the row is gone.
     """
 
@@ -36,6 +36,7 @@
         store_time: Seconds on the store's steady clock.
         relayed: Whether another host has read them.
         whole: Whether they are all rows, though only changes were asked for.
+        era: The store's era; None if it names none.
     """
 
     rows: tuple[StoredRow, ...]
@@ -43,11 +44,18 @@
     store_time: float
     relayed: bool = False
     whole: bool = False
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class HistoryLost:
-    """The store does not know any more what has changed since."""
+    """The store does not know any more what has changed since.
+
+    Attributes:
+        era: The store's era; None if it names none.
+    """
+
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,10 +95,12 @@
     Attributes:
         version: The store's version since.
         store_time: Seconds on the store's steady clock.
+        era: The store's era; None if it names none.
     """
 
     version: int
     store_time: float
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/relay/fleet_table.py
+++ b/src/nutmegroad/relay/fleet_table.py
@@ -48,6 +48,10 @@
     def lost(self) -> None:
         """Do nothing: each host goes on with what it knows."""
 
+    def went_back(self) -> None:
+        """Note that rows of the last seconds are missing."""
+        self._hosts.went_back()
+
     def _take(self, row: StoredRow, store_time: float) -> None:
         """Take one row in; one that can't be read is logged."""
         kind, _, rest = row.key.partition('/')
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -234,7 +234,7 @@
         )
         self._steps = RolloutSteps(
             self._rollouts,
-            self._platform.store,
+            self._fleet.store,
             self._platform.status,
             clock,
             self._fleet.turn,
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -11,8 +11,8 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import ServiceName, UpstreamId
 from nutmegroad.routes.belief import ConfigurationBelief
-from nutmegroad.routes.deployment import RoutingTable
-from nutmegroad.upstreams.directory import Directory, UpstreamEntry
+from nutmegroad.routes.deployment import NO_VERSION, RoutingTable
+from nutmegroad.upstreams.directory import Directory, UpstreamEntry, has_left
 
 _LOG: Final = part_logger('tables')
 
@@ -20,6 +20,10 @@
 #: coming back: the platform says about two, and half a second for the way.
 RETURN_TIME: Final = 2.5
 
+#: Seconds for which an entry that an older list has again is kept out, unless
+#: it is written: the store drops those of dead upstreams after three to four.
+DOUBTED: Final = 6.0
+
 #: Part of the notice that leaving upstreams give for which an entry is kept
 #: that is removed soon after the store came back: it may as well be one that
 #: leaves. The rest is for requests that are on their way.
@@ -79,6 +83,8 @@
         self._belief = belief
         self._rollouts = rollouts
         self._tell_services = tell_services
+        # The configuration that the store has.
+        self._shown = NO_VERSION
 
     def replace(self, read: RowsRead) -> None:
         """Take the whole table in."""
@@ -92,16 +98,24 @@
 
     def confirm(self, moment: float, read: RowsRead) -> None:
         """Note that nothing newer existed at a moment."""
-        if self._belief.table is not None:
+        table = self._belief.table
+        # A store that shows an older one has lost what was written since.
+        if table is not None and self._shown >= table.version:
             self._belief.confirm(moment)
 
     def lost(self) -> None:
         """Do nothing: the belief grows old by itself."""
 
+    def went_back(self) -> None:
+        """Note that the operator's last writes may be missing."""
+        self._shown = NO_VERSION
+        self._belief.doubt()
+
     def _take(self, row: StoredRow) -> None:
         """Take one row in."""
         content = self._reader.operator_row(row)
         if isinstance(content, RoutingTable):
+            self._shown = content.version
             self._belief.take(content)
             if self._belief.table is content:
                 self._tell_services(content.services)
@@ -178,6 +192,10 @@
         # Entries of services that the configuration does not name, as yet.
         self._unnamed: dict[UpstreamId, UpstreamEntry] = {}
         self._complaints = Complaints()
+        # Entries that an older list has and this host knew to be over, with
+        # the version that they have there.
+        self._doubted: dict[UpstreamId, tuple[UpstreamEntry, int]] = {}
+        self._doubted_until = float('-inf')
         self.listed = False
 
     def know_services(self, services: Collection[ServiceName]) -> None:
@@ -204,16 +222,28 @@
     def confirm(self, moment: float, read: RowsRead) -> None:
         """Note that the store answers."""
         self._back()
+        if self._doubted and self._clock.now() >= self._doubted_until:
+            self._believe()
 
     def lost(self) -> None:
         """Note that the store is away."""
         self._away = True
 
+    def went_back(self) -> None:
+        """Note that the list is some seconds older than it was.
+
+        Entries of the last seconds are missing, and come back as after an
+        outage. Those of upstreams that had left are there again.
+        """
+        self._away = True
+        self._doubted_until = self._clock.now() + DOUBTED
+
     def _take(self, read: RowsRead, *, first: bool) -> None:
         """Take rows in."""
         for row in read.rows:
             upstream = self._reader.upstream_key(row)
             if row.removed:
+                self._doubted.pop(upstream, None)
                 self._unnamed.pop(upstream, None)
                 self._complaints.settle(upstream)
                 self._gone(upstream, first=first)
@@ -221,7 +251,7 @@
             entry = self._reader.upstream_row(row)
             if isinstance(entry, Unreadable):
                 self._keep_out(upstream, entry.reason)
-            else:
+            elif not self._is_over(entry, row.version):
                 self._put(entry)
 
     def _put(self, entry: UpstreamEntry) -> None:
@@ -237,6 +267,31 @@
             self._keep_out(upstream, 'its service is not named')
             self._unnamed[upstream] = entry
 
+    def _is_over(self, entry: UpstreamEntry, version: int) -> bool:
+        """Tell whether an entry is of a state that this host knew to be over.
+
+        An upstream that is there writes its entry again; what has left does
+        not, and the store drops it after a while.
+        """
+        if self._clock.now() >= self._doubted_until:
+            return False
+        upstream = entry.upstream
+        known = self._doubted.get(upstream)
+        if known is not None and version > known[1]:
+            self._doubted.pop(upstream)
+            return False
+        if known is not None or not has_left(self._directory, entry):
+            return known is not None
+        self._doubted[upstream] = entry, version
+        _LOG.decision('entry of an older list kept out', upstream=upstream)
+        return True
+
+    def _believe(self) -> None:
+        """Take in entries that the store has kept: their upstreams live."""
+        for entry, _ in self._doubted.values():
+            self._put(entry)
+        self._doubted.clear()
+
     def _keep_out(self, upstream: UpstreamId, reason: str) -> None:
         """Hold an entry for nobody's, and say so once."""
         self._unnamed.pop(upstream, None)
--- a/src/nutmegroad/routes/belief.py
+++ b/src/nutmegroad/routes/belief.py
@@ -22,6 +22,11 @@
 READY_PART: Final = 0.8
 
 
+#: Seconds after the store came back from a copy in which its answers confirm
+#: nothing: the operator writes again what the copy lacks, within about two.
+SETTLING: Final = 2.5
+
+
 class ConfigurationBelief:
     """The newest configuration that this host has heard of.
 
@@ -37,6 +42,8 @@
         self._table: RoutingTable | None = None
         self._confirmed = float('-inf')
         self._lapsed = False
+        # Clock seconds before which answers of the store confirm nothing.
+        self._settled = float('-inf')
 
     @property
     def table(self) -> RoutingTable | None:
@@ -90,4 +97,18 @@
 
     def confirm(self, moment: float) -> None:
         """Note that nothing newer existed at a moment."""
-        self._confirmed = max(self._confirmed, moment)
+        if moment >= self._settled:
+            self._confirmed = max(self._confirmed, moment)
+
+    def doubt(self) -> None:
+        """Note that the store may lack what the operator wrote last.
+
+        A key that was taken away seems to hold there, so until the operator
+        has had time to write again, nothing that is read confirms a key.
+        """
+        self._settled = self._clock.now() + SETTLING
+        _LOG.decision(
+            'not confirmed while the store settles',
+            version=NO_VERSION if self._table is None else self._table.version,
+            seconds=SETTLING,
+        )
--- a/src/nutmegroad/upstreams/directory.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -124,6 +124,11 @@
         known.restarted = True
         self._tell(known, End.RESTARTED)
 
+    def has_gone(self, entry: UpstreamEntry) -> bool:
+        """Tell whether an entry is of a start that is not listed any more."""
+        known = self._gone.get(entry.upstream)
+        return known is not None and known.entry.born == entry.born
+
     def listed(self, entry: UpstreamEntry) -> None:
         """Note an upstream that is new to the list, or back."""
         before = self._gone.pop(entry.upstream, None)
@@ -284,3 +289,11 @@
         return True
     known.earlier_start = entry.born
     return False
+
+
+def has_left(directory: Directory, entry: UpstreamEntry) -> bool:
+    """Tell whether an upstream has left, or leaves, unlike its entry."""
+    known = directory.find(entry.upstream)
+    if known is None:
+        return directory.ended.has_gone(entry)
+    return known.entry.leaving and not entry.leaving
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -173,3 +173,7 @@
 def counts(order: int, run: int = 1, **answers: int) -> Evidence:
     """Return what one start of a host has seen of one kind of request."""
     return Evidence(order, RunNumber(run), {KIND: Answers(**answers)})
+
+
+def nobody_hears(place: int) -> None:
+    """Take in a position of the store that another host tells."""
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -72,6 +72,10 @@
         """Remember a failure."""
         self.told.append('lost')
 
+    def went_back(self) -> None:
+        """Remember that the store came back from a copy."""
+        self.told.append('went back')
+
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     """A table is followed through whatever happens."""
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -23,7 +23,12 @@
 from nutmegroad.foundations.types import Address, HostId
 from nutmegroad.testing.virtual import ManualClock
 from tests.relay_rig import free_port
-from tests.relay_samples import AWAY, AwayStore, nothing_to_wait_for
+from tests.relay_samples import (
+    AWAY,
+    AwayStore,
+    nobody_hears,
+    nothing_to_wait_for,
+)
 
 TABLE = 'op'
 #: What a host was told is never too old.
@@ -132,6 +137,7 @@
             store_clock,
             clock,
             nothing_to_wait_for,
+            nobody_hears,
         )
 
 
--- a/tests/test_silent_reader.py
+++ b/tests/test_silent_reader.py
@@ -31,7 +31,12 @@
 from nutmegroad.fleet.stored import RowsRead, StoredRow
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import HostId
-from tests.relay_samples import AWAY, AwayStore, nothing_to_wait_for
+from tests.relay_samples import (
+    AWAY,
+    AwayStore,
+    nobody_hears,
+    nothing_to_wait_for,
+)
 
 TABLE: Final = 'op'
 #: Seconds within which a change has to be in force: the shortest of today.
@@ -177,6 +182,7 @@
             store_clock,
             clock,
             nothing_to_wait_for,
+            nobody_hears,
         )
         sink = Mock(apply=self._take, replace=self._take)
         self.follower = TableFollower(
--- /dev/null
+++ b/tests/test_store_return.py
@@ -0,0 +1,318 @@
+"""A store that comes back from a copy which is some seconds old.
+
+Its versions go back and are given out again, so a reader that stands at one of
+them would go on past what it has missed, with no sign but the era; what was
+added is missing, and what was taken away is there again.
+"""
+
+import json
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from nutmegroad.fleet.eras import EraStore, era_of, version_of
+from nutmegroad.fleet.stored import (
+    FLEET_TABLE,
+    Committed,
+    HistoryLost,
+    RowExpected,
+    RowPut,
+    RowsMoved,
+    RowsRead,
+    StoredRow,
+)
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import UpstreamId
+from nutmegroad.relay.tables import DOUBTED, RETURN_TIME, UpstreamSink
+from nutmegroad.routes.belief import MARGIN, SETTLING, ConfigurationBelief
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.directory import Directory
+from nutmegroad_platform.rows import Rows
+from tests.relay_rig import HOST, KEY, Rig, route
+from tests.relay_samples import entry_row
+
+TABLE: Final = 'op'
+#: Seconds for which keys hold unconfirmed.
+TRUST: Final = 5.0
+UNAUTHENTICATED: Final = 401
+
+
+@dataclass
+class NumberedStore:
+    """A store with versions and eras of its own.
+
+    Attributes:
+        era: What its answers name.
+        version: Its newest version.
+        asked: Versions after which changes were asked for.
+        expected: Conditions that came.
+        meanwhile: What happens while a call is under way.
+    """
+
+    era: int | None = 1
+    version: int = 10
+    asked: list[int] = field(default_factory=list)
+    expected: list[int] = field(default_factory=list)
+    meanwhile: Callable[[], None] = lambda: None
+
+    async def snapshot(self, table: str) -> RowsRead | Refusal:
+        """Return one row."""
+        return self._read()
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait: float,
+    ) -> RowsRead | HistoryLost | Refusal:
+        """Return one row."""
+        self.asked.append(after)
+        found = self._read()
+        self.meanwhile()
+        return found
+
+    async def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        puts: tuple[RowPut, ...],
+    ) -> Committed | RowsMoved | Refusal:
+        """Do it."""
+        self.expected.extend(row.version for row in expected)
+        self.version += 1
+        return Committed(self.version, 0, self.era)
+
+    def _read(self) -> RowsRead:
+        """Return one row at the newest version."""
+        row = StoredRow('config', b'', self.version)
+        return RowsRead((row,), self.version, 0, era=self.era)
+
+
+class EraStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Versions of a store that goes back."""
+
+    def setUp(self) -> None:
+        """Make a store."""
+        self.inner = NumberedStore()
+        self.store = EraStore(self.inner)
+        self.rises = 0
+        self.store.tell_of_rises(self._count)
+
+    def _count(self) -> None:
+        """Count a rise."""
+        self.rises += 1
+
+    async def read(self) -> RowsRead:
+        """Read the table whole."""
+        found = await self.store.snapshot(TABLE)
+        assert isinstance(found, RowsRead)
+        return found
+
+    async def test_a_later_era_is_later_whatever_its_versions(self) -> None:
+        """Positions grow, and name both."""
+        before = await self.read()
+        self.inner.era, self.inner.version = 2, 3
+        after = await self.read()
+        self.assertGreater(after.version, before.version)
+        self.assertGreater(after.rows[0].version, before.rows[0].version)
+        self.assertEqual(
+            (era_of(after.version), version_of(after.version)), (2, 3)
+        )
+        self.assertEqual(self.rises, 1)
+
+    async def test_a_feed_does_not_go_on_over_a_return(self) -> None:
+        """Though the store answers as if nothing had happened."""
+        before = await self.read()
+        self.inner.era, self.inner.version = 2, 12
+        found = await self.store.changes(TABLE, before.version, 1)
+        self.assertIsInstance(found, HistoryLost)
+        again = await self.store.changes(TABLE, before.version, 1)
+        self.assertIsInstance(again, HistoryLost)
+        self.assertEqual(self.inner.asked, [10])
+
+    async def test_a_condition_of_the_era_before_is_none(self) -> None:
+        """The version may have been given out again to another content."""
+        before = await self.read()
+        self.inner.era, self.inner.version = 2, 9
+        await self.read()
+        expected = RowExpected(FLEET_TABLE, 'a', before.version)
+        outcome = await self.store.commit((expected,), ())
+        self.assertIsInstance(outcome, RowsMoved)
+        self.assertEqual(self.inner.expected, [])
+        fresh = await self.store.commit((replace(expected, version=0),), ())
+        assert isinstance(fresh, Committed)
+        self.assertEqual(era_of(fresh.version), 2)
+
+    async def test_an_answer_from_before_does_not_lead_back(self) -> None:
+        """It was on its way as another one told of the return."""
+        before = await self.read()
+        self.inner.meanwhile = lambda: self.store.heard(2 << 43)
+        found = await self.store.changes(TABLE, before.version, 1)
+        self.assertIsInstance(found, Refusal)
+        self.assertEqual(self.store.era, 2)
+
+    async def test_eras_that_mean_nothing_change_nothing(self) -> None:
+        """None, or one that is lower than before."""
+        before = await self.read()
+        for era in (None, 0):
+            self.inner.era = era
+            with self.subTest(era=era):
+                found = await self.store.changes(TABLE, before.version, 1)
+                assert isinstance(found, RowsRead)
+                self.assertEqual(era_of(found.version), 1)
+        self.assertEqual(self.rises, 0)
+
+    async def test_a_store_without_eras_is_as_ever(self) -> None:
+        """Positions are its versions."""
+        self.inner.era = None
+        self.assertEqual((await self.read()).version, self.inner.version)
+
+
+class OlderListTest(unittest.IsolatedAsyncioTestCase):
+    """The list of upstreams as it was some seconds ago."""
+
+    def setUp(self) -> None:
+        """Know one that serves, one that leaves and one that has left."""
+        self.clock = ManualClock(100)
+        self.directory = Directory(self.clock)
+        self.sink = UpstreamSink(Rows(), self.directory, self.clock, notice=2)
+        self.sink.know_services(('s',))  # type: ignore[arg-type]
+        self.sink.replace(self.rows('abc'))
+        self.sink.apply(self.rows('b', 2, state='draining'))
+        gone = StoredRow('c', b'', 3, removed=True)
+        self.sink.apply(RowsRead((gone,), 3, 0))
+        self.sink.apply(self.rows('d', 4))
+
+    def rows(self, names: str, version: int = 1, **more: object) -> RowsRead:
+        """Return entries."""
+        found = tuple(entry_row(name, version, **more) for name in names)
+        return RowsRead(found, version, 0)
+
+    def go_back(self) -> None:
+        """Let the list be as it was first."""
+        self.sink.went_back()
+        self.sink.replace(self.rows('abc', 5))
+
+    @property
+    def taking(self) -> str:
+        """Return the names of the upstreams that get work."""
+        found = self.directory.of_service('s')  # type: ignore[arg-type]
+        return ''.join(sorted(each.entry.upstream for each in found))
+
+    async def test_what_has_left_gets_no_work_again(self) -> None:
+        """And what is missing stays until it should have written again."""
+        self.go_back()
+        self.assertEqual(self.taking, 'ad')
+        await self.clock.advance(RETURN_TIME)
+        self.directory.remove_missing()
+        self.assertEqual(self.taking, 'a')
+
+    def test_what_writes_again_is_believed(self) -> None:
+        """Whatever this host knew of it."""
+        self.go_back()
+        self.sink.apply(self.rows('c', 6))
+        self.sink.apply(self.rows('d', 7))
+        self.assertEqual(self.taking, 'acd')
+
+    async def test_what_the_store_keeps_is_believed_in_the_end(self) -> None:
+        """It drops those that do not write."""
+        self.go_back()
+        gone = StoredRow('c', b'', 6, removed=True)
+        self.sink.apply(RowsRead((gone,), 6, 0))
+        await self.clock.advance(DOUBTED)
+        self.sink.confirm(self.clock.now(), RowsRead((), 6, 0))
+        known = self.directory.find(UpstreamId('b'))
+        assert known is not None
+        self.assertFalse(known.entry.leaving)
+        self.assertIsNone(self.directory.find(UpstreamId('c')))
+
+
+class SettlingTest(unittest.IsolatedAsyncioTestCase):
+    """Keys while the store may lack the operator's last writes."""
+
+    async def test_an_older_copy_confirms_nothing_until_it_has_settled(
+        self,
+    ) -> None:
+        """Keys lapse by the last word from before, and no later."""
+        clock = ManualClock(100)
+        belief = ConfigurationBelief(clock, TRUST)
+        belief.confirm(100)
+        belief.doubt()
+        await clock.advance(SETTLING / 2)
+        belief.confirm(clock.now())
+        self.assertEqual(belief.age, SETTLING / 2)
+        await clock.advance(TRUST * (1 - MARGIN) - SETTLING / 2 + 0.01)
+        self.assertFalse(belief.trusted)
+        belief.confirm(clock.now())
+        self.assertTrue(belief.trusted)
+
+
+class ReturnTest(unittest.IsolatedAsyncioTestCase):
+    """Hosts on loopback whose store comes back from a copy."""
+
+    async def asyncSetUp(self) -> None:
+        """Start two hosts with a store that names its era."""
+        self.rig = await self.enterAsyncContext(Rig(workers=2, hosts=2))
+        self.rig.store.era = 1
+        await self.rig.start()
+
+    async def until_version(self, version: int) -> None:
+        """Wait until all hosts have a configuration in force."""
+        await self.rig.until(
+            lambda: all(
+                host.configuration_version == version for host in self.rig.hosts
+            ),
+        )
+
+    async def test_a_configuration_never_goes_back(self) -> None:
+        """And the next one is in force though its version is an old one."""
+        copy = self.rig.store.copy()
+        self.rig.configure(version=2, tenants=[])
+        await self.until_version(2)
+        self.rig.store.come_back(copy)
+        for host in (0, 1):
+            status, _, _ = await self.rig.ask('/look/1', host=host)
+            self.assertEqual(status, UNAUTHENTICATED)
+        added = route('new', 'idempotent', allowAnonymous=True)
+        self.rig.configure(version=3, routes=[added], tenants=[])
+        await self.until_version(3)
+        for host in (0, 1):
+            status, _, _ = await self.rig.ask('/new/1', f'r{host}', host=host)
+            self.assertEqual(status, 200)
+
+    async def test_a_change_at_a_version_given_out_again_is_seen(self) -> None:
+        """A feed that went on from there would never tell of it."""
+        copy = self.rig.store.copy()
+        for version in (2, 3, 4):
+            self.rig.configure(version=version)
+        await self.until_version(4)
+        position = self.rig.store.ver
+        self.rig.store.come_back(copy)
+        self.rig.configure(version=9)
+        while self.rig.store.ver <= position:
+            self.rig.store.put('other', 'row', b'')
+        await self.until_version(9)
+
+    async def test_a_host_whose_row_is_lost_makes_itself_known(self) -> None:
+        """Others that start later find it."""
+        copy = self.rig.store.copy()
+        number = await self.rig.add_host()
+        key = f'host/host-{number + 1}'
+        await self.rig.until(lambda: self.rig.store.content(FLEET_TABLE, key))
+        self.rig.store.come_back(copy)
+        self.assertIsNone(self.rig.store.content(FLEET_TABLE, key))
+        await self.rig.until(lambda: self.rig.store.content(FLEET_TABLE, key))
+        row = self.rig.store.content(FLEET_TABLE, key)
+        self.assertEqual(json.loads(row or b'')['domain'], 'north')
+
+    async def test_keys_and_routes_hold_through_two_returns(self) -> None:
+        """Nothing that was served before is refused for long."""
+        for _ in range(2):
+            self.rig.store.come_back(self.rig.store.copy())
+        for number in range(4):
+            status, _, _ = await self.rig.ask(
+                '/look/1',
+                f'r{number}',
+                host=number % 2,
+            )
+            self.assertEqual(status, 200, (HOST, KEY))
