Confirm no key by a copy that is older than what other hosts have in force

A host that starts right after the store came back from a copy knows only that copy, in which a key may hold that was taken away. Hosts tell each other which configuration they have; what the store shows is confirmed only if nobody nearby has a later one. The book and the rows of harmful requests have tests of their own, on a clock moved by hand; returns and harmful requests are shown as gauges.

--- a/src/nutmegroad/fleet/crash_book.py
+++ b/src/nutmegroad/fleet/crash_book.py
@@ -46,6 +46,9 @@
 #: deployment in view when a failure domain of it loses power.
 MOST_REQUESTS: Final = 4000
 
+#: Requests that are left when there are more.
+KEPT_REQUESTS: Final = 3500
+
 #: Ends told at most in one datagram, of the requests with most ends first:
 #: with some twenty bytes each, they fit into an Ethernet frame.
 MOST_TOLD: Final = 40
@@ -234,6 +237,14 @@
         over = record.latest + _pause(count) - self._clock.now()
         return Harmful(count, max(0, over))
 
+    def count_harmful(self) -> int:
+        """Return how many requests are kept from upstreams."""
+        return sum(
+            record.in_series >= HARMFUL
+            for record in self._records.values()
+            if len(record.ends) >= HARMFUL
+        )
+
     def ended(self, content: ContentMark, end: EndUnder) -> bool:
         """Take in an upstream's end under a request.
 
@@ -320,7 +331,8 @@
             self._records.items(),
             key=lambda entry: len(entry[1].ends) >= HARMFUL,
         )
-        for content, _ in by_weight[: len(self._records) - MOST_REQUESTS]:
+        # More than one, so that this is not done for each.
+        for content, _ in by_weight[: len(self._records) - KEPT_REQUESTS]:
             self._records.pop(content)
 
 
--- a/src/nutmegroad/fleet/eras.py
+++ b/src/nutmegroad/fleet/eras.py
@@ -64,6 +64,8 @@
         self._named = False
         #: The highest era that is known of.
         self.era = 0
+        #: How often it has risen since the first answer.
+        self.returns = 0
 
     def tell_of_rises(self, tell: TellOfRise) -> None:
         """Let somebody hear when an answer shows that the store came back."""
@@ -72,7 +74,7 @@
     def heard(self, place: int) -> None:
         """Take in a position that another host has told."""
         if self._named or era_of(place):
-            self._learn(era_of(place))
+            self._learn(era_of(place), told=True)
 
     async def snapshot(self, table: str) -> RowsRead | Refusal:
         """Return all rows of a table as of one moment."""
@@ -158,7 +160,7 @@
         if era is None:
             return True
         if era >= self.era:
-            if self._learn(era):
+            if self._learn(era, told=False):
                 self._tell()
             return True
         if known < self.era:
@@ -174,8 +176,13 @@
         for tell in self._told:
             tell()
 
-    def _learn(self, era: int) -> bool:
-        """Take in an era; tell whether the store has come back from a copy."""
+    def _learn(self, era: int, *, told: bool) -> bool:
+        """Take in an era; tell whether the store has come back from a copy.
+
+        Args:
+            era: The era.
+            told: Whether another host has told it.
+        """
         first = not self._named
         self._named = True
         if era <= self.era:
@@ -184,7 +191,13 @@
         self.era = era
         if first:
             return False
-        _LOG.decision('store came back from a copy', before=before, era=era)
+        self.returns += 1
+        _LOG.decision(
+            'store came back from a copy',
+            before=before,
+            era=era,
+            told=told,
+        )
         return True
 
 
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -23,6 +23,7 @@
     EvidenceBook,
     EvidenceByService,
 )
+from nutmegroad.fleet.heard_versions import NONE, HeardVersions
 from nutmegroad.fleet.loads import Load, LoadLedger, Loads
 from nutmegroad.fleet.prefix_marks import HeldPrefixes, ToldPrefixes
 from nutmegroad.fleet.session_marks import SessionMarks
@@ -85,6 +86,7 @@
         ended_runs: What hosts had seen of roll-outs that have started again.
         heard: How long ago it has heard other failure domains.
         crashes: Under which requests upstreams have ended a moment ago.
+        configuration: The version that it has in force.
     """
 
     host: str
@@ -96,6 +98,7 @@
     ended_runs: tuple[EndedRun, ...] = ()
     heard: ToldAges = {}
     crashes: ToldCrashes = ToldCrashes()
+    configuration: int = NONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +112,7 @@
         prefixes: What upstreams hold of prompts.
         silence: When other failure domains were heard.
         crashes: Under which requests upstreams have ended.
+        versions: Which configurations hosts have in force.
     """
 
     ledger: LoadLedger
@@ -117,6 +121,7 @@
     prefixes: HeldPrefixes
     silence: DomainSilence
     crashes: CrashBook
+    versions: HeardVersions
 
 
 def nothing_told(
@@ -141,6 +146,7 @@
         HeldPrefixes(clock),
         DomainSilence(clock),
         CrashBook(clock),
+        HeardVersions(clock),
     )
 
 
@@ -184,6 +190,7 @@
         self._prefixes = told.prefixes
         self._silence = told.silence
         self._crashes = told.crashes
+        self._versions = told.versions
         self._clock = clock
         self._near: dict[HostId, HostRow] = {}
         self._far: dict[HostId, HostRow] = {}
@@ -245,6 +252,7 @@
                 ended_runs=self._book.ended_runs(),
                 heard=self._silence.ages(),
                 crashes=self._crashes.telling(),
+                configuration=self._versions.own,
             ),
         )
 
@@ -262,6 +270,7 @@
         self._marks.told(telling.sessions)
         self._prefixes.told(telling.prefixes)
         self._crashes.told(telling.crashes)
+        self._versions.told(telling.configuration)
         for service, evidence in telling.evidence.items():
             self._book.told(service, host, evidence)
         for ended in telling.ended_runs:
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -87,6 +87,8 @@
             rollouts=len(self._rollouts.active),
             open_requests=len(self._serving.busy),
             ready=self.ready,
+            returns=self._fleet.store.returns,
+            harmful=self._fleet.told.crashes.count_harmful(),
         )
 
     @property
@@ -258,6 +260,7 @@
             self._belief,
             self._rollouts,
             self._upstream_sink.know_services,
+            self._fleet.told.versions,
         )
         fleet = FleetSink(self._rollouts, self._fleet)
         return (
--- a/src/nutmegroad/relay/status_pages.py
+++ b/src/nutmegroad/relay/status_pages.py
@@ -24,6 +24,8 @@
         rollouts: Roll-outs under way.
         open_requests: Requests being answered.
         ready: Whether new connections are wanted.
+        returns: How often the store has come back from a copy since the start.
+        harmful: Requests that are kept from upstreams.
     """
 
     configuration: int
@@ -32,6 +34,8 @@
     rollouts: int
     open_requests: int
     ready: bool
+    returns: int
+    harmful: int
 
 
 class Believer(Protocol):
@@ -104,3 +108,13 @@
         'Whether new connections are wanted',
         lambda: believer.beliefs.ready,
     )
+    counters.gauge(
+        'store_returns',
+        'Times that the store came back from a copy since this host started',
+        lambda: believer.beliefs.returns,
+    )
+    counters.gauge(
+        'harmful_requests',
+        'Requests that are kept from upstreams, as several ended under them',
+        lambda: believer.beliefs.harmful,
+    )
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -6,6 +6,7 @@
 
 from nutmegroad.canary.rollouts import RolloutOrder
 from nutmegroad.canary.state import RolloutState
+from nutmegroad.fleet.heard_versions import HeardVersions
 from nutmegroad.fleet.stored import RowsRead, StoredRow
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
@@ -70,6 +71,7 @@
         belief: The configuration in force.
         rollouts: The roll-outs.
         tell_services: Told which services the configuration in force names.
+        versions: Which configurations hosts have in force.
     """
 
     def __init__(
@@ -78,7 +80,9 @@
         belief: ConfigurationBelief,
         rollouts: RolloutState,
         tell_services: Callable[[Collection[ServiceName]], None],
+        versions: HeardVersions,
     ) -> None:
+        self._versions = versions
         self._reader = reader
         self._belief = belief
         self._rollouts = rollouts
@@ -98,10 +102,11 @@
 
     def confirm(self, moment: float, read: RowsRead) -> None:
         """Note that nothing newer existed at a moment."""
-        table = self._belief.table
-        # A store that shows an older one has lost what was written since.
-        if table is not None and self._shown >= table.version:
-            self._belief.confirm(moment)
+        # A store that shows an older one than some host has in force has lost
+        # what was written since.
+        if self._belief.table is None or self._shown < self._versions.newest:
+            return
+        self._belief.confirm(moment)
 
     def lost(self) -> None:
         """Do nothing: the belief grows old by itself."""
@@ -117,6 +122,7 @@
         if isinstance(content, RoutingTable):
             self._shown = content.version
             self._belief.take(content)
+            self._versions.own = max(self._versions.own, content.version)
             if self._belief.table is content:
                 self._tell_services(content.services)
         elif isinstance(content, RolloutOrder):
--- /dev/null
+++ b/tests/test_crash_book.py
@@ -0,0 +1,308 @@
+"""What hosts know of requests under which upstreams have ended."""
+
+import unittest
+from typing import Final
+
+import msgspec
+
+from nutmegroad.fleet.content_marks import ContentMark, mark_content
+from nutmegroad.fleet.crash_book import (
+    FIRST_PAUSE,
+    HARMFUL,
+    LONG_PAUSE,
+    MEMORY,
+    MOST_REQUESTS,
+    MOST_TOLD,
+    TOLD_SPAN,
+    CrashBook,
+    EndUnder,
+    ToldCrashes,
+    UpstreamMark,
+)
+from nutmegroad.fleet.crash_rows import (
+    BETWEEN_TRIALS,
+    CLEARING,
+    LOOK,
+    MOST_ENDS,
+    TRIAL_TIME,
+    CrashRows,
+)
+from nutmegroad.fleet.store_clock import StoreClock
+from nutmegroad.fleet.stored import (
+    Committed,
+    RowExpected,
+    RowPut,
+    RowsMoved,
+    StoredRow,
+)
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.testing.virtual import ManualClock
+from tests.relay_samples import AWAY, AwayStore
+
+#: Seconds that a run lasts before it ends its upstream.
+RUN: Final = 0.1
+BEGIN: Final = 1000.0
+#: Bytes of an Ethernet frame that a datagram of ours may fill.
+FRAME: Final = 1400
+
+BAD, OTHER = ContentMark(1), ContentMark(2)
+
+
+def end_at(upstream: int, ended: float, run: float = RUN) -> EndUnder:
+    """Return an upstream's end."""
+    return EndUnder(UpstreamMark(upstream), ended - run, ended)
+
+
+class ContentMarkTest(unittest.TestCase):
+    """What makes two requests the same."""
+
+    def test_caller_path_and_body_tell_requests_apart(self) -> None:
+        """And no part can pass for the end of another."""
+        marks = {
+            mark_content('a', b'/p', b'body'),
+            mark_content('b', b'/p', b'body'),
+            mark_content('a', b'/q', b'body'),
+            mark_content('a', b'/p', b'other'),
+            mark_content('a', b'/pbody', b''),
+            mark_content('a/p', b'', b'body'),
+        }
+        self.assertEqual(len(marks), 6)
+        self.assertIn(mark_content('a', b'/p', b'body'), marks)
+
+
+class CrashBookTest(unittest.IsolatedAsyncioTestCase):
+    """One host's book."""
+
+    def setUp(self) -> None:
+        """Open a book."""
+        self.clock = ManualClock(BEGIN)
+        self.book = CrashBook(self.clock)
+
+    async def crash(self, content: ContentMark, *upstreams: int) -> None:
+        """Let a request end upstreams, one after the other."""
+        for upstream in upstreams:
+            await self.clock.advance(2 * RUN)
+            self.book.ended(content, end_at(upstream, self.clock.now()))
+
+    async def test_three_ends_in_series_are_harmful(self) -> None:
+        """Two are not; the same one told twice counts once."""
+        await self.crash(BAD, 1, 2, 2)
+        self.assertIsNone(self.book.harmful(BAD))
+        await self.crash(BAD, 3)
+        found = self.book.harmful(BAD)
+        assert found is not None
+        self.assertEqual((found.ends, found.pause), (HARMFUL, FIRST_PAUSE))
+        self.assertIsNone(self.book.harmful(OTHER))
+        self.assertEqual(self.book.count_harmful(), 1)
+
+    async def test_ends_at_one_moment_count_once(self) -> None:
+        """A request that is asked for often runs at many upstreams at once."""
+        for upstream in range(9):
+            self.book.ended(BAD, end_at(upstream, BEGIN, run=1))
+        self.assertIsNone(self.book.harmful(BAD))
+
+    async def test_pauses_grow_with_each_further_end(self) -> None:
+        """The first is over in a moment, the second in minutes."""
+        await self.crash(BAD, 1, 2, 3)
+        await self.clock.advance(FIRST_PAUSE)
+        found = self.book.harmful(BAD)
+        assert found is not None
+        self.assertEqual(found.pause, 0)
+        for upstream, pause in ((4, LONG_PAUSE), (5, 2 * LONG_PAUSE)):
+            await self.crash(BAD, upstream)
+            found = self.book.harmful(BAD)
+            assert found is not None
+            self.assertAlmostEqual(found.pause, pause)
+
+    async def test_an_answer_clears_what_was_before_it(self) -> None:
+        """Also what is heard of later, but not what happens later."""
+        await self.crash(BAD, 1, 2)
+        self.book.answered(BAD, self.clock.now())
+        self.book.ended(BAD, end_at(3, BEGIN))
+        await self.crash(BAD, 4)
+        self.assertIsNone(self.book.harmful(BAD))
+        self.assertEqual(len(self.book.ends(1)[BAD]), 1)
+
+    async def test_old_ends_are_forgotten_unless_harmful(self) -> None:
+        """Chance ends any request's upstream once in a while."""
+        await self.crash(OTHER, 1, 2)
+        await self.crash(BAD, 1, 2, 3)
+        await self.clock.advance(MEMORY)
+        await self.crash(OTHER, 4)
+        self.assertIsNone(self.book.harmful(OTHER))
+        self.assertIsNotNone(self.book.harmful(BAD))
+
+    async def test_another_host_learns_it_by_what_is_told(self) -> None:
+        """Ages keep the order, however long the datagram took."""
+        await self.crash(BAD, 1, 2, 3)
+        other = CrashBook(self.clock)
+        text = msgspec.msgpack.encode(self.book.telling())
+        await self.clock.advance(RUN)
+        other.told(msgspec.msgpack.decode(text, type=ToldCrashes))
+        self.assertIsNotNone(other.harmful(BAD))
+        other.answered(BAD, self.clock.now())
+        self.book.told(other.telling())
+        self.assertIsNone(self.book.harmful(BAD))
+
+    async def test_nothing_is_told_for_long(self) -> None:
+        """What lasts is in the store."""
+        await self.crash(BAD, 1)
+        self.assertTrue(self.book.has_news)
+        await self.clock.advance(TOLD_SPAN + RUN)
+        self.assertFalse(self.book.has_news)
+        self.assertEqual(self.book.telling(), ToldCrashes())
+
+    async def test_a_storm_of_ends_fits_into_a_frame(self) -> None:
+        """The requests with most ends go first, and are never forgotten."""
+        await self.crash(BAD, 1, 2, 3)
+        for content in range(10, 10 + MOST_REQUESTS):
+            end = end_at(9, self.clock.now())
+            self.book.ended(ContentMark(content), end)
+        told = self.book.telling()
+        self.assertEqual(len(told.ends), MOST_TOLD)
+        self.assertEqual({end.content for end in told.ends[:HARMFUL]}, {BAD})
+        self.assertLess(len(msgspec.msgpack.encode(told)), FRAME)
+        self.assertIsNotNone(self.book.harmful(BAD))
+        self.assertLessEqual(len(self.book.ends(1)), MOST_REQUESTS)
+
+
+class OneTableStore(AwayStore):
+    """A store with conditional writes, for several hosts.
+
+    Attributes:
+        rows: Content and version by key.
+        writes: How many have taken effect.
+        away: Whether it does not answer.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, tuple[bytes, int]] = {}
+        self.writes = 0
+        self.away = False
+
+    async def commit(
+        self,
+        expected: tuple[RowExpected, ...],
+        puts: tuple[RowPut, ...],
+    ) -> Committed | RowsMoved | Refusal:
+        """Write all rows if all expectations hold, else none."""
+        if self.away:
+            return AWAY
+        for row in expected:
+            if self.rows.get(row.key, (b'', 0))[1] != row.version:
+                return RowsMoved()
+        self.writes += 1
+        for put in puts:
+            self.rows[put.key] = put.content, self.writes
+        return Committed(self.writes, 0)
+
+
+class CrashRowsTest(unittest.IsolatedAsyncioTestCase):
+    """Two hosts that can't hear each other."""
+
+    def setUp(self) -> None:
+        """Make the hosts."""
+        self.clock = ManualClock(BEGIN)
+        self.store = OneTableStore()
+        self.books = [CrashBook(self.clock) for _ in range(2)]
+        store_clock = StoreClock(self.clock)
+        # The store's seconds are others than ours.
+        store_clock.answered(BEGIN, 5)
+        self.rows = [
+            CrashRows(
+                book,
+                self.store,
+                store_clock,
+                self.clock,
+                lambda _duty: 0,
+            )
+            for book in self.books
+        ]
+
+    def crash(self, host: int, content: ContentMark, *upstreams: int) -> None:
+        """Let a request end upstreams at a host, in its last seconds."""
+        for number, upstream in enumerate(reversed(upstreams)):
+            ended = self.clock.now() - 2 * RUN * number
+            self.books[host].ended(content, end_at(upstream, ended))
+
+    def read(self, host: int) -> None:
+        """Let a host read the rows."""
+        for key, (content, version) in self.store.rows.items():
+            row = StoredRow(key, content, version)
+            name = key.partition('/')[2]
+            self.rows[host].take(name, row, self.clock.now() - BEGIN + 5)
+
+    async def test_ends_add_up_over_hosts_by_the_row(self) -> None:
+        """Two here and one there; whoever reads knows of all."""
+        self.crash(0, BAD, 1, 2)
+        await self.rows[0].write()
+        await self.clock.advance(1)
+        self.read(1)
+        self.crash(1, BAD, 3)
+        self.assertIsNotNone(self.books[1].harmful(BAD))
+        await self.rows[1].write()
+        self.read(0)
+        self.assertIsNotNone(self.books[0].harmful(BAD))
+        self.assertEqual(self.store.writes, 2)
+
+    async def test_a_single_end_is_not_written(self) -> None:
+        """Most requests that a crash meets are answered elsewhere."""
+        self.crash(0, BAD, 1)
+        await self.rows[0].write()
+        self.assertEqual(self.store.writes, 0)
+
+    async def test_an_answer_reaches_who_can_not_hear_it(self) -> None:
+        """And nobody writes the request again for ever."""
+        self.crash(0, BAD, 1, 2, 3)
+        await self.rows[0].write()
+        self.read(1)
+        await self.clock.advance(CLEARING)
+        self.books[1].answered(BAD, self.clock.now())
+        await self.rows[1].write()
+        self.read(0)
+        self.assertIsNone(self.books[0].harmful(BAD))
+        writes = self.store.writes
+        for _ in range(3):
+            await self.clock.advance(CLEARING)
+            for host in (0, 1):
+                await self.rows[host].write()
+                self.read(1 - host)
+        self.assertEqual(self.store.writes, writes)
+
+    async def test_one_host_tries_a_request(self) -> None:
+        """The other is refused, and both are without the store."""
+        self.assertTrue(await self.rows[0].claim(BAD))
+        self.assertFalse(await self.rows[1].claim(BAD))
+        self.read(1)
+        await self.clock.advance(BETWEEN_TRIALS)
+        self.assertFalse(await self.rows[1].claim(BAD))
+        self.assertTrue(await self.rows[1].claim(OTHER))
+        self.read(0)
+        await self.clock.advance(TRIAL_TIME)
+        self.store.away = True
+        self.assertFalse(await self.rows[0].claim(BAD))
+        self.store.away = False
+        self.assertTrue(await self.rows[0].claim(BAD))
+
+    async def test_a_full_row_takes_harmful_requests_only(self) -> None:
+        """And hosts do not write in turns what has no room."""
+        for content in range(10, 10 + MOST_ENDS):
+            self.crash(0, ContentMark(content), 1, 2)
+        await self.rows[0].write()
+        await self.rows[0].write()
+        self.assertEqual(self.store.writes, 1)
+        self.crash(0, BAD, 1, 2, 3)
+        await self.rows[0].write()
+        self.read(1)
+        self.assertIsNotNone(self.books[1].harmful(BAD))
+
+    async def test_a_row_that_the_store_has_lost_is_written_again(self) -> None:
+        """Pattern: it came back from a copy."""
+        self.crash(0, BAD, 1, 2, 3)
+        await self.rows[0].write()
+        self.store.rows.clear()
+        self.rows[0].went_back()
+        await self.clock.advance(LOOK)
+        await self.rows[0].write()
+        self.read(1)
+        self.assertIsNotNone(self.books[1].harmful(BAD))
--- a/tests/test_evidence_book.py
+++ b/tests/test_evidence_book.py
@@ -13,6 +13,7 @@
     summed,
 )
 from nutmegroad.fleet.evidence_book import EvidenceBook
+from nutmegroad.fleet.heard_versions import HeardVersions
 from nutmegroad.fleet.loads import LoadLedger
 from nutmegroad.fleet.neighbours import TURN, Neighbours, Told
 from nutmegroad.fleet.prefix_marks import HeldPrefixes
@@ -238,6 +239,7 @@
         HeldPrefixes(clock),
         DomainSilence(clock),
         CrashBook(clock),
+        HeardVersions(clock),
     )
     return Neighbours(HostId(name), own, told, clock)
 
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from nutmegroad.fleet.eras import EraStore, era_of, version_of
+from nutmegroad.fleet.heard_versions import SPAN, HeardVersions
 from nutmegroad.fleet.stored import (
     FLEET_TABLE,
     Committed,
@@ -36,6 +37,7 @@
 #: Seconds for which keys hold unconfirmed.
 TRUST: Final = 5.0
 UNAUTHENTICATED: Final = 401
+UNAVAILABLE: Final = 503
 
 
 @dataclass
@@ -247,6 +249,22 @@
         self.assertTrue(belief.trusted)
 
 
+class HeardVersionsTest(unittest.IsolatedAsyncioTestCase):
+    """A host that has just started and knows only the copy."""
+
+    async def test_a_copy_is_not_confirmed_while_others_have_more(self) -> None:
+        """Nor for ever, should nobody tell of it any more."""
+        clock = ManualClock(100)
+        heard = HeardVersions(clock)
+        heard.own = 9
+        heard.told(10)
+        self.assertEqual(heard.newest, 10)
+        heard.told(8)
+        self.assertEqual(heard.newest, 10)
+        await clock.advance(SPAN)
+        self.assertEqual(heard.newest, 9)
+
+
 class ReturnTest(unittest.IsolatedAsyncioTestCase):
     """Hosts on loopback whose store comes back from a copy."""
 
@@ -280,6 +298,17 @@
             status, _, _ = await self.rig.ask('/new/1', f'r{host}', host=host)
             self.assertEqual(status, 200)
 
+    async def test_a_host_that_starts_takes_no_key_by_the_copy(self) -> None:
+        """It hears of a newer configuration from those that hold it."""
+        copy = self.rig.store.copy()
+        self.rig.configure(version=2, tenants=[])
+        await self.until_version(2)
+        self.rig.store.come_back(copy)
+        number = await self.rig.add_host()
+        await self.rig.until(lambda: not self.rig.hosts[number].trusted)
+        status, _, _ = await self.rig.ask('/look/1', host=number)
+        self.assertEqual(status, UNAVAILABLE)
+
     async def test_a_change_at_a_version_given_out_again_is_seen(self) -> None:
         """A feed that went on from there would never tell of it."""
         copy = self.rig.store.copy()
