Take another start of an upstream for the proof that it had ended

A supervisor may start an upstream again within milliseconds, and a proxy accepts connections for one that is gone: no connection is refused then, and a request could go on ending upstreams. Breaks that nothing has explained yet are remembered for ten seconds; a start that the list shows for the same id makes them ends. The test has workers that are back at once under their ids: without this, all that it sends ends one.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 REQUEST_ID = 'Nutmegroad-Request-Id'
@@ -50,6 +50,7 @@
         close: Whether it then closes the connection.
         reset: Whether it then resets the connection.
         crash: Whether the worker then ends, with all that runs there.
+        again: Starts it once more right after that; None for nobody.
     """
 
     pieces: tuple[bytes, ...]
@@ -58,6 +59,7 @@
     close: bool = False
     reset: bool = False
     crash: bool = False
+    again: Callable[[], Awaitable[None]] | None = None
 
 
 #: Makes the script for a request.
@@ -136,7 +138,11 @@
     return make
 
 
-def crashing(body: bytes, otherwise: MakeScript) -> MakeScript:
+def crashing(
+    body: bytes,
+    otherwise: MakeScript,
+    again: Callable[[], Awaitable[None]] | None = None,
+) -> MakeScript:
     """Return scripts by which requests with some body end the worker.
 
     They end it as such requests do: after the head of an answer.
@@ -147,7 +153,7 @@
         if seen.body != body:
             return otherwise(seen)
         headers = signed(seen, **{'Transfer-Encoding': 'chunked'})
-        return Script((head('200 OK', headers),), crash=True)
+        return Script((head('200 OK', headers),), crash=True, again=again)
 
     return make
 
@@ -199,6 +205,12 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    async def _end(self, script: Script) -> None:
+        """End, and start again if the script says so."""
+        await self.crash()
+        if script.again is not None:
+            await script.again()
+
     async def _take(
         self,
         reader: asyncio.StreamReader,
@@ -235,7 +247,7 @@
                 self.dropped += 1
                 return
             if script.crash:
-                await self.crash()
+                await self._end(script)
             if script.reset:
                 writer.transport.abort()
             if script.close or script.reset or script.crash:
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -64,6 +64,14 @@
     )
     attempts = Attempts(beneath.pool, platform.names, selector, clock)
     beneath.directory.ended.tell_of_ends(attempts.ended)
+    crashes = CrashWatch(
+        beneath.pool,
+        told.crashes,
+        beneath.crash_rows,
+        clock,
+        platform.counters,
+    )
+    beneath.directory.ended.tell_of_starts(crashes.started_again)
     return RelayParts(
         attempts,
         selector,
@@ -78,11 +86,5 @@
         ),
         clock,
         platform.counters,
-        CrashWatch(
-            beneath.pool,
-            told.crashes,
-            beneath.crash_rows,
-            clock,
-            platform.counters,
-        ),
+        crashes,
     )
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -1,7 +1,9 @@
 """Requests that end the upstreams that run them, kept from doing it again."""
 
 import asyncio
+from collections import deque
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 from typing import Final
 
 from nutmegroad.fleet.content_marks import spell_mark
@@ -14,11 +16,12 @@
 from nutmegroad.fleet.crash_rows import CrashRows
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.types import UpstreamIncarnation
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.ends import EndWatch, Life
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.routes.requests import CallerRequest
-from nutmegroad.upstreams.directory import UpstreamEntry
+from nutmegroad.upstreams.directory import Upstream, UpstreamEntry
 
 _LOG: Final = part_logger('crashes')
 
@@ -27,6 +30,26 @@
 #: request goes on, and the end counts when it is known.
 LOOK_WAIT: Final = 0.05
 
+#: Seconds within which the list of upstreams shows that one had started again
+#: as its exchanges broke: its supervisor's pause, and a sign of life.
+RESTART_SPAN: Final = 10.0
+
+#: Breaks that are remembered for one upstream at most until then.
+MOST_UNPROVED: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class _Break:
+    """An exchange that broke, of which it is not known yet why.
+
+    Attributes:
+        request: What was under way.
+        under: The end of its upstream, if it was one.
+    """
+
+    request: CallerRequest
+    under: EndUnder
+
 
 class CrashWatch:
     """Notes which requests were under way as upstreams ended.
@@ -53,6 +76,7 @@
         self._clock = clock
         self._counters = counters
         self._looks: set[asyncio.Task[None]] = set()
+        self._unproved: dict[UpstreamIncarnation, deque[_Break]] = {}
 
     async def keeps_out(self, request: CallerRequest) -> Harmful | None:
         """Return why a request may not go to an upstream now, or None.
@@ -76,22 +100,35 @@
     async def broke(
         self,
         request: CallerRequest,
-        entry: UpstreamEntry,
+        upstream: Upstream,
         began: float,
     ) -> None:
         """Look into an exchange that has broken.
 
         Args:
             request: What was under way.
-            entry: The upstream.
+            upstream: Where it was.
             began: Clock seconds at which it was sent there.
         """
-        look = self._look(request, entry, began, self._clock.now())
+        mark = mark_upstream(upstream.entry.incarnation)
+        under = EndUnder(mark, began, self._clock.now())
+        look = self._look(upstream, _Break(request, under))
         task = asyncio.create_task(look)
         self._looks.add(task)
         task.add_done_callback(self._looks.discard)
         await asyncio.wait((task,), timeout=LOOK_WAIT)
 
+    def started_again(self, before: Upstream) -> None:
+        """Take in that an upstream has another start.
+
+        A supervisor may be quicker than the try to connect, and a machine
+        without power refuses nothing.
+        """
+        oldest = self._clock.now() - RESTART_SPAN
+        for broken in self._unproved.pop(before.entry.incarnation, ()):
+            if broken.under.ended >= oldest:
+                self._take(before.entry, broken)
+
     def answered(self, request: CallerRequest) -> None:
         """Take in that an upstream has answered a request whole."""
         if request.content not in self._book:
@@ -112,22 +149,24 @@
         for task in self._looks:
             task.cancel()
 
-    async def _look(
-        self,
-        request: CallerRequest,
-        entry: UpstreamEntry,
-        began: float,
-        broke: float,
-    ) -> None:
+    async def _look(self, upstream: Upstream, broken: _Break) -> None:
         """Find out whether the upstream has ended, and take that in."""
-        life = await self._ends.look(entry)
+        life = await self._ends.look(upstream.entry)
+        if upstream.restarted:
+            # Whoever has answered the try is another start of it.
+            life = Life.ENDED
         self._counters.broke(life.value)
-        if life is Life.ALIVE:
-            return
         if life is Life.ENDED:
-            upstream = mark_upstream(entry.incarnation)
-            end = EndUnder(upstream, began, broke)
-            self._book.ended(request.content, end)
+            self._take(upstream.entry, broken)
+            if self._book.harmful(broken.request.content) is not None:
+                await self._rows.write()
+        else:
+            self._remember(upstream.entry.incarnation, broken)
+
+    def _take(self, entry: UpstreamEntry, broken: _Break) -> None:
+        """Take in that an upstream has ended under a request."""
+        request = broken.request
+        self._book.ended(request.content, broken.under)
         harmful = self._book.harmful(request.content)
         _LOG.decision(
             'upstream ended under it',
@@ -135,9 +174,15 @@
             content=spell_mark(request.content),
             upstream=entry.upstream,
             version=entry.version,
-            ran=round(broke - began, 3),
-            life=life.value,
+            ran=round(broken.under.ended - broken.under.began, 3),
             ends=0 if harmful is None else harmful.ends,
         )
-        if harmful is not None and life is Life.ENDED:
-            await self._rows.write()
+
+    def _remember(self, name: UpstreamIncarnation, broken: _Break) -> None:
+        """Remember a break that another start may yet explain."""
+        oldest = self._clock.now() - RESTART_SPAN
+        for other, breaks in tuple(self._unproved.items()):
+            if breaks[-1].under.ended < oldest:
+                self._unproved.pop(other)
+        known = self._unproved.setdefault(name, deque(maxlen=MOST_UNPROVED))
+        known.append(broken)
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -155,7 +155,7 @@
             upstream: Where it was.
             began: Clock seconds at which it was sent there.
         """
-        await self._parts.crashes.broke(self.request, upstream.entry, began)
+        await self._parts.crashes.broke(self.request, upstream, began)
 
     def answered(self) -> None:
         """Take in that an upstream has answered whole, if with a failure."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,7 +11,9 @@
 """
 
 import asyncio
+import itertools
 import unittest
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from fakes.opaque_worker import EVENTS, crashing, plain, stream
@@ -138,6 +140,36 @@
         self.assertEqual(await self.come(2, path='/look/1'), 200)
 
 
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Workers that are started again at once, under their ids."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a host whose workers tell when they were born."""
+        self.rig = await self.enterAsyncContext(Rig(workers=6))
+        self.births = itertools.count(1)
+        for number, worker in enumerate(self.rig.workers):
+            worker.usual = crashing(HARMFUL, stream(), self.rebirth(number))
+            self.rig.register(number, born=next(self.births))
+        await self.rig.start()
+
+    def rebirth(self, number: int) -> Callable[[], Awaitable[None]]:
+        """Return what starts a worker again."""
+
+        async def again() -> None:
+            await self.rig.workers[number].start()
+            self.rig.register(number, born=next(self.births))
+
+        return again
+
+    async def test_another_start_proves_the_end(self) -> None:
+        """Nobody refuses a connection, and the list shows it later."""
+        for number in range(ENDS + MORE):
+            await self.rig.ask('/once/1', f'r{number}', body=HARMFUL)
+            await asyncio.sleep(0.3)
+        ended = sum(worker.crashes for worker in self.rig.workers)
+        self.assertLessEqual(ended, ENDS + TRIALS)
+
+
 class BystanderTest(unittest.IsolatedAsyncioTestCase):
     """Requests that run at the same upstreams as the one that ends them."""
 
