--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -11,6 +11,7 @@
 from experiments.fleet_soak.history import History, Trouble
 from experiments.fleet_soak.links import Link, LinkState
 from experiments.fleet_soak.plan import OF_ONE_HOST, Event, Fault
+from experiments.fleet_soak.worker import HARMFUL
 
 #: Seconds for which the store is silent to a host at least: until a change
 #: that comes meanwhile has to be in force on the others, and a while more.
@@ -19,6 +20,13 @@
 #: Seconds after which a change follows on a silence.
 SOON: Final = 0.1
 
+#: Seconds for which a harmful request comes again: the span after its third end
+#: in which hosts have to learn of it, and as much once more.
+COMES_AGAIN: Final = 7.0
+
+#: Seconds after which a worker is started again that has ended.
+BACK_AFTER: Final = 0.4
+
 #: What the store does, by fault.
 _STORE_FAULTS: Final = {
     Fault.STORE_BUSY: 'busy',
@@ -93,6 +101,8 @@
             Fault.STORE_REFUSES: self._store_refuses,
             Fault.STORE_SLOW: self._store_slow,
             Fault.STORE_HOLDS: self._store_holds,
+            Fault.STORE_RETURNS: self._store_returns,
+            Fault.HARMFUL_REQUEST: self._harmful_request,
             Fault.KEY_REVOKED: self._key_revoked,
             Fault.CONFIGURED: self._configured,
             Fault.FOREIGN_ENTRY: self._foreign_entry,
@@ -141,6 +151,28 @@
         await self._fleet.configure(add_route=True)
         await began
 
+    async def _store_returns(self, event: Event) -> None:
+        """Let the store come back from a copy, and the operator write again."""
+        await self._fleet.tell_store('copy')
+        await asyncio.sleep(event.lasts)
+        await self._fleet.tell_store('fault/silent')
+        await asyncio.sleep(SOON)
+        await self._fleet.tell_store('come_back')
+        await self._fleet.tell_store('fault/none')
+        await asyncio.sleep(event.lasts / 4)
+        await self._fleet.configure()
+
+    async def _harmful_request(self, event: Event) -> None:
+        """Let a request that ends workers come again and again."""
+        path = f'/draft/{HARMFUL}-{event.at:.2f}'
+        latest = time.monotonic() + COMES_AGAIN
+        number = event.target
+        while time.monotonic() < latest:
+            number += 1
+            await self._fleet.send_harmful(path, number)
+            await asyncio.sleep(BACK_AFTER)
+            await self._fleet.revive_workers()
+
     async def _worker_link(self, event: Event) -> None:
         """Hold up what is sent to one worker."""
         links = self._fleet.worker_links
--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -248,11 +248,40 @@
                     line['moment'],
                     line['workspace'],
                     line['authorization'],
+                    line['harmful'],
                 ),
             )
         elif line['event'] == 'left':
             self.history.left[worker] = line['moment']
 
+    async def send_harmful(self, path: str, number: int) -> None:
+        """Send a request that ends workers to one of the hosts."""
+        host = number % len(self.callers_at)
+        request = f'{path.strip("/")}-{number}'
+        key = self.keys[0]
+        self.history.asked[request] = Asked(
+            request,
+            Kind.DRAFT,
+            f'host-{host}',
+            key,
+            time.monotonic(),
+            left_early=True,
+        )
+        url = f'http://{self.callers_at[host]}{path}'
+        try:
+            async with self._session.post(
+                url,
+                headers=headers_of(request, key),
+            ) as answer:
+                await answer.read()
+        except (ClientError, TimeoutError, OSError):
+            return
+
+    async def revive_workers(self) -> None:
+        """Start workers again that have ended."""
+        for worker in self.workers:
+            await worker.start()
+
     async def _add_worker(self, number: int) -> None:
         """Start a worker behind a link, in the place of a number."""
         name = f'w-{next(self._incarnations)}'
--- a/experiments/fleet_soak/history.py
+++ b/experiments/fleet_soak/history.py
@@ -68,6 +68,7 @@
         moment: When it began.
         workspace: The workspace that it was told.
         authorization: The key that was passed on; there must be none.
+        harmful: The path, if it is one whose requests end workers.
     """
 
     request: str
@@ -75,6 +76,7 @@
     moment: float
     workspace: str = ''
     authorization: str = ''
+    harmful: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +166,8 @@
     drain: float = 2
     contact: float = 3
     timeout: float = 4
+    ends: int = 3
+    repeats_after: int = 3
     apply: float = 2
     repeat_ratio: float = 0.9
     repeat_slack: float = 58
--- a/experiments/fleet_soak/judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -258,6 +258,31 @@
     return _verdict('configurations stay', judged, broken)
 
 
+def harmful_requests_are_kept_out(
+    history: History,
+    bounds: Bounds,
+) -> Verdict:
+    """A request that has ended three workers reaches three more at most.
+
+    Hosts have a while to learn of the third.
+    """
+    by_path: dict[str, list[float]] = {}
+    for run in sorted(history.ran, key=lambda each: each.moment):
+        if run.harmful:
+            by_path.setdefault(run.harmful, []).append(run.moment)
+    judged = 0
+    broken = []
+    for path, moments in by_path.items():
+        if len(moments) < bounds.ends:
+            continue
+        known = moments[bounds.ends - 1] + bounds.contact
+        later = sum(moment > known for moment in moments)
+        judged += 1
+        if later > bounds.repeats_after:
+            broken.append(f'{path}: {later} more, {len(moments)} in all')
+    return Verdict('harmful requests', judged, tuple(broken))
+
+
 JUDGES: Final[tuple[Judge, ...]] = (
     answers_are_whole,
     streams_are_in_order,
@@ -271,6 +296,7 @@
     repeats_keep_to_the_budget,
     configurations_come_into_force,
     configurations_stay,
+    harmful_requests_are_kept_out,
     service_returns,
 )
 
--- a/experiments/fleet_soak/plan.py
+++ b/experiments/fleet_soak/plan.py
@@ -32,6 +32,8 @@
     STORE_REFUSES = 'store refuses a host'
     STORE_SLOW = 'store slow'
     STORE_HOLDS = 'store silent to a host'
+    STORE_RETURNS = 'store back from a copy'
+    HARMFUL_REQUEST = 'harmful request'
     KEY_REVOKED = 'key revoked'
     CONFIGURED = 'configured'
     FOREIGN_ENTRY = 'foreign entry'
--- a/experiments/fleet_soak/processes.py
+++ b/experiments/fleet_soak/processes.py
@@ -46,7 +46,9 @@
         return self._process is not None and self._process.returncode is None
 
     async def start(self) -> None:
-        """Start it, and follow what it writes."""
+        """Start it unless it runs, and follow what it writes."""
+        if self.running:
+            return
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             *self._words,
--- a/experiments/fleet_soak/store.py
+++ b/experiments/fleet_soak/store.py
@@ -3,7 +3,8 @@
     python -m experiments.fleet_soak.store --listen IP:PORT
 
 ``POST /fault/NAME`` puts a fault into force, ``POST /forget`` drops the
-history of changes.
+history of changes, ``POST /copy`` keeps a copy and ``POST /come_back`` lets the
+store come back from it.
 """
 
 import argparse
@@ -11,12 +12,13 @@
 import sys
 
 from aiohttp import web
-from fakes.row_store import RowStore, StoreFault
+from fakes.row_store import RowStore, StoreCopy, StoreFault
 
 
 async def serve(listen: str) -> None:
     """Serve until the process is ended."""
-    store = RowStore()
+    store = RowStore(era=1)
+    copies: list[StoreCopy] = []
 
     async def put_fault(request: web.Request) -> web.Response:
         """Switch a fault on."""
@@ -28,7 +30,19 @@
         store.forget()
         return web.Response()
 
+    async def copy(request: web.Request) -> web.Response:
+        """Keep a copy, to come back from."""
+        copies.append(store.copy())
+        return web.Response()
+
+    async def come_back(request: web.Request) -> web.Response:
+        """Come back from the oldest copy that was kept."""
+        store.come_back(copies.pop(0))
+        return web.Response()
+
     app = store.app()
+    app.router.add_post('/copy', copy)
+    app.router.add_post('/come_back', come_back)
     app.router.add_post('/fault/{name}', put_fault)
     app.router.add_post('/forget', forget)
     runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -10,6 +10,7 @@
 import argparse
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
@@ -34,6 +35,9 @@
 #: A deliberate fault: bodies of other requests, under the right id.
 FOREIGN_BODIES: Final = 'foreign-bodies'
 
+#: What stands in the path of requests that end the worker.
+HARMFUL: Final = 'harmful'
+
 #: Share of requests that fail while a worker is in trouble.
 FAILING: Final = 0.4
 
@@ -122,12 +126,17 @@
             moment=time.monotonic(),
             workspace=request.headers.get('Nutmegroad-Tenant', ''),
             authorization=request.headers.get('Authorization', ''),
+            harmful=request.path if HARMFUL in request.path else '',
         )
         usual['Nutmegroad-Response-Signature'] = f'{self._options.id}.{name}'
         failing = self._troubled and self._randomness.random() < FAILING
         await asyncio.sleep(WORK)
         if failing:
             return web.Response(status=500, headers=usual, body=b'failed')
+        if HARMFUL in request.path:
+            # As a process that crashes: after the head, with all that it runs.
+            await web.StreamResponse(headers=usual).prepare(request)
+            os._exit(1)
         if kind is Kind.DRAFT:
             return await self._stream(request, name, usual)
         if self._options.mutant == FOREIGN_BODIES:
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -169,3 +169,15 @@
         seen = history(replace(GOOD, status=503, whole=True))
         found = self.broken(judges.service_returns, seen)
         self.assertEqual(found, 1)
+
+    def test_harmful_requests_that_go_on(self) -> None:
+        """Four more after the third, later than hosts have to know of it."""
+        path = '/draft/harmful'
+        moments = (1.0, 2.0, 3.0, 5.0, 7.0, 8.0, 9.0)
+        runs = tuple(
+            replace(RUN, moment=moment, harmful=path) for moment in moments
+        )
+        judge = judges.harmful_requests_are_kept_out
+        self.assertEqual(self.broken(judge, history(GOOD, ran=runs)), 0)
+        more = (*runs, replace(RUN, moment=10, harmful=path))
+        self.assertEqual(self.broken(judge, history(GOOD, ran=more)), 1)
