--- a/models/returns.py
+++ b/models/returns.py
@@ -3,8 +3,8 @@
 The operator writes configurations, others write rows between them, and each
 write takes the next version. The store keeps a copy at any moment and comes
 back from it at any later one, in its next era; the operator writes again what
-it lost. A host asks for changes after a version or reads the table whole; answers
-are under way for any time.
+it lost. A host asks for changes after a version or reads the table whole;
+answers are under way for any time.
 """
 
 from collections.abc import Callable, Iterator
