Let a host's announcement end again, and ask a store that is away seldom

Seen: tests of announcements never ended since hosts write their lost rows again, which a run of the whole suite showed; the two are apart now. And hosts that had something to write of harmful requests asked a store that was away four times a second each; they wait two seconds now.

--- a/src/nutmegroad/fleet/announcements.py
+++ b/src/nutmegroad/fleet/announcements.py
@@ -84,8 +84,17 @@
         self._listed.clear()
         self._went_back.set()
 
+    async def run(self, *, first: bool) -> None:
+        """Make this host known, and keep it so, until cancelled.
+
+        Args:
+            first: Whether all hosts start for the first time.
+        """
+        await self.make(first=first)
+        await self.keep()
+
     async def make(self, *, first: bool) -> None:
-        """Make this host known, and again when the store has lost its row.
+        """Make this host known, until that has worked.
 
         Args:
             first: Whether all hosts start for the first time. Else a row of an
@@ -98,6 +107,9 @@
         self._gathered.set()
         if not done:
             await self._make_listed()
+
+    async def keep(self) -> None:
+        """Make this host known again whenever the store has lost its row."""
         while True:
             await self._went_back.wait()
             self._went_back.clear()
--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -57,6 +57,10 @@
 #: them may write.
 SPREAD: Final = 0.4
 
+#: Seconds after a write that the store has not done before the next: while it
+#: is away, datagrams have told all hosts that can be told.
+AGAIN: Final = 2.0
+
 #: Seconds between writes that only clear requests: nobody is refused for what
 #: they clear, since hosts tell each other of answers.
 CLEARING: Final = 5.0
@@ -133,6 +137,7 @@
         self._version = 0
         self._trials = _TrialsRow()
         self._trials_version = 0
+        self._refused = NEVER
         self._written = NEVER
 
     def take(self, name: str, row: StoredRow, store_time: float) -> None:
@@ -230,6 +235,8 @@
         """Tell whether the row lacks something that it should have."""
         if self._store_clock.age == float('inf'):
             return False
+        if self._clock.now() - self._refused < AGAIN:
+            return False
         if self._missing():
             return True
         waited = self._clock.now() - self._written
@@ -275,6 +282,7 @@
         why = 'another host was first'
         if isinstance(outcome, Refusal):
             why = outcome.reason
+            self._refused = self._clock.now()
         _LOG.decision('crashes not written', why=why)
 
     def _make(self) -> _CrashRow:
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -129,7 +129,7 @@
     def work(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return what runs as long as the host does."""
         return (
-            self._announcement.make(first=self._first),
+            self._announcement.run(first=self._first),
             self.neighbours.run(),
             self.crash_rows.run(),
             self._server.run(),
--- a/tests/test_crash_book.py
+++ b/tests/test_crash_book.py
@@ -20,6 +20,7 @@
     UpstreamMark,
 )
 from nutmegroad.fleet.crash_rows import (
+    AGAIN,
     BETWEEN_TRIALS,
     CLEARING,
     LOOK,
@@ -172,12 +173,14 @@
     Attributes:
         rows: Content and version by key.
         writes: How many have taken effect.
+        calls: How many there were.
         away: Whether it does not answer.
     """
 
     def __init__(self) -> None:
         self.rows: dict[str, tuple[bytes, int]] = {}
         self.writes = 0
+        self.calls = 0
         self.away = False
 
     async def commit(
@@ -186,6 +189,7 @@
         puts: tuple[RowPut, ...],
     ) -> Committed | RowsMoved | Refusal:
         """Write all rows if all expectations hold, else none."""
+        self.calls += 1
         if self.away:
             return AWAY
         for row in expected:
@@ -251,6 +255,19 @@
         await self.rows[0].write()
         self.assertEqual(self.store.writes, 0)
 
+    async def test_a_store_that_is_away_is_asked_seldom(self) -> None:
+        """Seen: each host tried four times a second while it was."""
+        self.store.away = True
+        self.crash(0, BAD, 1, 2, 3)
+        for _ in range(9):
+            await self.rows[0].write()
+            await self.clock.advance(LOOK)
+        self.assertEqual(self.store.calls, 2)
+        self.store.away = False
+        await self.clock.advance(AGAIN)
+        await self.rows[0].write()
+        self.assertEqual(self.store.writes, 1)
+
     async def test_an_answer_reaches_who_can_not_hear_it(self) -> None:
         """And nobody writes the request again for ever."""
         self.crash(0, BAD, 1, 2, 3)
