Soak: start a process once when two faults start it at one moment

Seen: six workers left behind after soaks had ended. Cause: two harmful requests, or one and a killed worker, each found a worker that did not run and started it; the first of the two processes was forgotten, kept its port and was never ended. The test starts one twice at once: two processes before, one now. Ruled out: the end of the soak itself, which ends all that it knows of.

--- a/experiments/fleet_soak/processes.py
+++ b/experiments/fleet_soak/processes.py
@@ -38,6 +38,8 @@
         self._environ = environ
         self._tell = tell
         self._process: Process | None = None
+        # Two faults may start it at one moment; one of the two would be lost.
+        self._starting = asyncio.Lock()
         self._reader: asyncio.Task[None] | None = None
 
     @property
@@ -47,8 +49,12 @@
 
     async def start(self) -> None:
         """Start it unless it runs, and follow what it writes."""
-        if self.running:
-            return
+        async with self._starting:
+            if not self.running:
+                await self._start()
+
+    async def _start(self) -> None:
+        """Start it, and follow what it writes."""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             *self._words,
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -1,6 +1,8 @@
 """The fleet's soak: a short run holds, and a deliberate fault is found."""
 
+import asyncio
 import io
+import os
 import shutil
 import signal
 import sys
@@ -12,7 +14,7 @@
 from subprocess import PIPE, Popen
 
 from experiments.fleet_soak.plan import Fault, draw
-from experiments.fleet_soak.processes import ROOT
+from experiments.fleet_soak.processes import ROOT, SoakProcess
 from experiments.fleet_soak.program import main
 from experiments.fleet_soak.worker import FOREIGN_BODIES
 
@@ -32,6 +34,20 @@
     return Path(f'/proc/{process}').exists()
 
 
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Programs of the soak."""
+
+    async def test_two_starts_at_one_moment_are_one(self) -> None:
+        """Seen: workers that a soak had left behind when it had ended."""
+        words = ('-c', 'import time; time.sleep(60)')
+        made = SoakProcess(words, {}, lambda _line: None)
+        before = set(_children(os.getpid()))
+        await asyncio.gather(made.start(), made.start())
+        started = set(_children(os.getpid())) - before
+        await made.kill()
+        self.assertEqual(len(started), 1)
+
+
 class PlanTest(unittest.TestCase):
     """What befalls a fleet follows from the seed."""
 
