Use what was there: the teller of ends, one look-up, one way to ask aside

No behaviour changes. A second list of listeners for restarts stood beside the one that tells of all ends; the crash watch hears that one now. The row's clearing copied the whole book to look up single requests.

--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -256,26 +256,10 @@
 
     async def send_harmful(self, path: str, number: int) -> None:
         """Send a request that ends workers to one of the hosts."""
-        host = number % len(self.callers_at)
+        address = self.callers_at[number % len(self.callers_at)]
         request = f'{path.strip("/")}-{number}'
-        key = self.keys[0]
-        self.history.asked[request] = Asked(
-            request,
-            Kind.DRAFT,
-            f'host-{host}',
-            key,
-            time.monotonic(),
-            left_early=True,
-        )
-        url = f'http://{self.callers_at[host]}{path}'
-        try:
-            async with self._session.post(
-                url,
-                headers=headers_of(request, key),
-            ) as answer:
-                await answer.read()
-        except (ClientError, TimeoutError, OSError):
-            return
+        headers = self._ask_aside(request, Kind.DRAFT, address)
+        await self._is_served(f'http://{address}{path}', headers)
 
     async def revive_workers(self) -> None:
         """Start workers again that have ended."""
@@ -353,18 +337,28 @@
     async def _until_served(self, address: str) -> None:
         """Wait until a host serves."""
         first = f'first at {address}'
-        self.history.asked[first] = Asked(
-            first,
-            Kind.LOOK,
+        headers = self._ask_aside(first, Kind.LOOK, address)
+        url = f'http://{address}/look/1'
+        while not await self._is_served(url, headers):
+            await asyncio.sleep(0.1)
+
+    def _ask_aside(
+        self,
+        request: str,
+        kind: Kind,
+        address: str,
+    ) -> dict[str, str]:
+        """Note a request that is no caller's, and return its headers."""
+        key = self.keys[0]
+        self.history.asked[request] = Asked(
+            request,
+            kind,
             address,
-            self.keys[0],
+            key,
             time.monotonic(),
             left_early=True,
         )
-        headers = headers_of(first, self.keys[0])
-        url = f'http://{address}/look/1'
-        while not await self._is_served(url, headers):
-            await asyncio.sleep(0.1)
+        return headers_of(request, key)
 
     async def _is_served(self, url: str, headers: dict[str, str]) -> bool:
         """Tell whether a request is answered."""
--- a/src/nutmegroad/fleet/crash_book.py
+++ b/src/nutmegroad/fleet/crash_book.py
@@ -162,15 +162,14 @@
                 last = end.ended
         return count
 
-    def take(self, end: EndUnder) -> bool:
-        """Take in an end; tell whether it was not known."""
+    def take(self, end: EndUnder) -> None:
+        """Take in an end, unless an answer came after it."""
         if end.ended <= self.answered:
-            return False
+            return
         if len(self.ends) < HARMFUL:
             self._forget_before(end.ended - MEMORY)
         known = self.ends.get(end.upstream)
         self.ends[end.upstream] = end if known is None else known.earlier(end)
-        return known is None
 
     def answer(self, moment: float) -> bool:
         """Take in a whole answer; tell whether it cleared anything."""
@@ -245,19 +244,14 @@
             if len(record.ends) >= HARMFUL
         )
 
-    def ended(self, content: ContentMark, end: EndUnder) -> bool:
-        """Take in an upstream's end under a request.
-
-        Returns:
-            Whether it was not known.
-        """
+    def ended(self, content: ContentMark, end: EndUnder) -> None:
+        """Take in an upstream's end under a request."""
         record = self._records.pop(content, None) or _Record()
         self._records[content] = record
-        is_new = record.take(end)
+        record.take(end)
         self._news_until = max(self._news_until, end.ended + TOLD_SPAN)
         if len(self._records) > MOST_REQUESTS:
             self._forget()
-        return is_new
 
     def answered(self, content: ContentMark, moment: float) -> bool:
         """Take in a whole answer to a request.
@@ -279,6 +273,11 @@
             if len(record.ends) >= least
         }
 
+    def ends_of(self, content: ContentMark) -> tuple[EndUnder, ...]:
+        """Return the ends of upstreams under a request."""
+        record = self._records.get(content)
+        return () if record is None else tuple(record.ends.values())
+
     def answer_of(self, content: ContentMark) -> float | None:
         """Return when a request had its last whole answer; None if unknown."""
         record = self._records.get(content)
@@ -288,6 +287,9 @@
 
     def telling(self) -> ToldCrashes:
         """Return what this host tells of the last seconds."""
+        if not self.has_news:
+            # Asked for at each turn, and nearly always so.
+            return ToldCrashes()
         now = self._clock.now()
         oldest = now - TOLD_SPAN
         ends: list[tuple[int, ToldEnd]] = []
--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -255,8 +255,8 @@
 
     def _cleared(self) -> set[ContentMark]:
         """Return the requests of the row that were answered since."""
-        present = self._book.ends(1)
-        return {row.content for row in self._row.ends} - present.keys()
+        listed = {row.content for row in self._row.ends}
+        return {each for each in listed if not self._book.ends_of(each)}
 
     async def _write(self) -> None:
         """Write the row, unless another host is first."""
@@ -287,11 +287,11 @@
 
     def _make(self) -> _CrashRow:
         """Return the row as it should be: what this host knows."""
-        known = self._book.ends(1)
         ends = self._book.ends(FEWEST_WRITTEN)
         for row in self._row.ends:
-            if row.content in known:
-                ends[row.content] = known[row.content]
+            known = self._book.ends_of(row.content)
+            if known:
+                ends[row.content] = known
         heaviest = sorted(ends.items(), key=_weight, reverse=True)
         rows = [
             self._row_of(content, end)
--- a/src/nutmegroad/fleet/eras.py
+++ b/src/nutmegroad/fleet/eras.py
@@ -27,7 +27,7 @@
 _LOG: Final = part_logger('eras')
 
 #: Bits of a version within a position: a million transactions a second for a
-#: hundred days, and an era for each of a million drills fits besides.
+#: hundred days, and an era for each of a million returns fits besides.
 VERSION_BITS: Final = 43
 
 #: Told that the store has come back from a copy.
--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -126,8 +126,8 @@
         self._store_clock = store_clock
         self._randomness = randomness
         self._after: int | None = None
-        self._took_before = False
-        self._era = 0
+        # The store's era as the table was last read whole.
+        self._era: int | None = None
         # Clock seconds up to which the table is known.
         self._known = float('-inf')
         self._retry = FIRST_RETRY
@@ -178,12 +178,12 @@
 
     def _replace(self, read: RowsRead) -> None:
         """Take the whole table in."""
-        if self._took_before and era_of(read.version) > self._era:
+        era = era_of(read.version)
+        if self._era is not None and era > self._era:
             self._sink.went_back()
             # What was known is known of the era before.
             self._known = float('-inf')
-        self._took_before = True
-        self._era = era_of(read.version)
+        self._era = era
         self._sink.replace(read)
         self._took(read)
 
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -71,7 +71,7 @@
         clock,
         platform.counters,
     )
-    beneath.directory.ended.tell_of_starts(crashes.started_again)
+    beneath.directory.ended.tell_of_ends(crashes.upstream_ended)
     return RelayParts(
         attempts,
         selector,
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -21,7 +21,7 @@
 from nutmegroad.relay.ends import EndWatch, Life
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.routes.requests import CallerRequest
-from nutmegroad.upstreams.directory import Upstream, UpstreamEntry
+from nutmegroad.upstreams.directory import End, Upstream, UpstreamEntry
 
 _LOG: Final = part_logger('crashes')
 
@@ -44,10 +44,12 @@
 
     Attributes:
         request: What was under way.
-        under: The end of its upstream, if it was one.
+        entry: The upstream.
+        under: Its end, if it was one.
     """
 
     request: CallerRequest
+    entry: UpstreamEntry
     under: EndUnder
 
 
@@ -112,22 +114,24 @@
         """
         mark = mark_upstream(upstream.entry.incarnation)
         under = EndUnder(mark, began, self._clock.now())
-        look = self._look(upstream, _Break(request, under))
+        look = self._look(upstream, _Break(request, upstream.entry, under))
         task = asyncio.create_task(look)
         self._looks.add(task)
         task.add_done_callback(self._looks.discard)
         await asyncio.wait((task,), timeout=LOOK_WAIT)
 
-    def started_again(self, before: Upstream) -> None:
+    def upstream_ended(self, upstream: UpstreamIncarnation, end: End) -> None:
         """Take in that an upstream has another start.
 
         A supervisor may be quicker than the try to connect, and a machine
         without power refuses nothing.
         """
+        if end is not End.RESTARTED:
+            return
         oldest = self._clock.now() - RESTART_SPAN
-        for broken in self._unproved.pop(before.entry.incarnation, ()):
+        for broken in self._unproved.pop(upstream, ()):
             if broken.under.ended >= oldest:
-                self._take(before.entry, broken)
+                self._take(broken)
 
     def answered(self, request: CallerRequest) -> None:
         """Take in that an upstream has answered a request whole."""
@@ -157,13 +161,13 @@
             life = Life.ENDED
         self._counters.broke(life.value)
         if life is Life.ENDED:
-            self._take(upstream.entry, broken)
+            self._take(broken)
             if self._book.harmful(broken.request.content) is not None:
                 await self._rows.write()
         else:
-            self._remember(upstream.entry.incarnation, broken)
+            self._remember(broken)
 
-    def _take(self, entry: UpstreamEntry, broken: _Break) -> None:
+    def _take(self, broken: _Break) -> None:
         """Take in that an upstream has ended under a request."""
         request = broken.request
         self._book.ended(request.content, broken.under)
@@ -172,17 +176,18 @@
             'upstream ended under it',
             request=request.request,
             content=spell_mark(request.content),
-            upstream=entry.upstream,
-            version=entry.version,
+            upstream=broken.entry.upstream,
+            version=broken.entry.version,
             ran=round(broken.under.ended - broken.under.began, 3),
             ends=0 if harmful is None else harmful.ends,
         )
 
-    def _remember(self, name: UpstreamIncarnation, broken: _Break) -> None:
+    def _remember(self, broken: _Break) -> None:
         """Remember a break that another start may yet explain."""
         oldest = self._clock.now() - RESTART_SPAN
         for other, breaks in tuple(self._unproved.items()):
             if breaks[-1].under.ended < oldest:
                 self._unproved.pop(other)
+        name = broken.entry.incarnation
         known = self._unproved.setdefault(name, deque(maxlen=MOST_UNPROVED))
         known.append(broken)
--- a/src/nutmegroad/upstreams/directory.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -105,7 +105,6 @@
 
     def __init__(self) -> None:
         self._told: list[TellOfEnd] = []
-        self._told_of_starts: list[Callable[[Upstream], None]] = []
         # The oldest first; one of these may come back as another start.
         self._gone: dict[UpstreamId, Upstream] = {}
 
@@ -113,10 +112,6 @@
         """Let somebody hear of each incarnation that ends."""
         self._told.append(tell)
 
-    def tell_of_starts(self, tell: Callable[[Upstream], None]) -> None:
-        """Let somebody hear of each incarnation that another start ends."""
-        self._told_of_starts.append(tell)
-
     def gone(self, known: Upstream) -> None:
         """Note that an upstream is not listed any more."""
         self._gone[known.entry.upstream] = known
@@ -127,8 +122,6 @@
     def restarted(self, known: Upstream) -> None:
         """Note that another start has an upstream's id."""
         known.restarted = True
-        for tell in self._told_of_starts:
-            tell(known)
         self._tell(known, End.RESTARTED)
 
     def has_gone(self, entry: UpstreamEntry) -> bool:
