Let a trial of a harmful request last until it reaches an upstream

Callers saw a request refused (503 REQUEST_HARMFUL) as often as it came to a host that had just started, though one host was to try it once more: whoever only ran beside a harmful request stayed refused for longer than needed.

Cause: the trial was claimed for an attempt. A host that does not know yet which upstreams are gone may choose one of those; nobody takes the request, the next attempt asks for a trial of its own, and of those there is one in a second.

Ruled out: a slow store or a lost answer to the claim, and a pause that is not over: with one living upstream of four it shows in each run, without load, and the claim is logged as granted.

The trial now belongs to the request's execution (CrashGuard) until an upstream may have begun it; then it is used up, and it is not left for another attempt while silent.

--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -80,24 +80,29 @@
         self._looks: set[asyncio.Task[None]] = set()
         self._unproved: dict[UpstreamIncarnation, deque[_Break]] = {}
 
-    async def keeps_out(self, request: CallerRequest) -> Harmful | None:
-        """Return why a request may not go to an upstream now, or None.
+    def guard(self, request: CallerRequest) -> 'CrashGuard':
+        """Return what keeps one request from upstreams that it may end."""
+        return CrashGuard(self, request)
+
+    def harmful(self, request: CallerRequest) -> Harmful | None:
+        """Return why a request is kept from upstreams, or None."""
+        return self._book.harmful(request.content)
+
+    async def claim(self, request: CallerRequest, harmful: Harmful) -> bool:
+        """Tell whether this host may try a request that is kept out.
 
         Before it is kept out for long, one host tries it, alone of all that
         are suspected: it may only have run beside another one each time.
         """
-        harmful = self._book.harmful(request.content)
-        if harmful is None:
-            return None
-        if not harmful.pause and await self._rows.claim(request.content):
-            _LOG.decision(
-                'tried once more',
-                request=request.request,
-                content=spell_mark(request.content),
-                ends=harmful.ends,
-            )
-            return None
-        return harmful
+        if harmful.pause or not await self._rows.claim(request.content):
+            return False
+        _LOG.decision(
+            'tried once more',
+            request=request.request,
+            content=spell_mark(request.content),
+            ends=harmful.ends,
+        )
+        return True
 
     async def broke(
         self,
@@ -191,3 +196,53 @@
         name = broken.entry.incarnation
         known = self._unproved.setdefault(name, deque(maxlen=MOST_UNPROVED))
         known.append(broken)
+
+
+class CrashGuard:
+    """Keeps one request from the upstreams that it may end.
+
+    Args:
+        watch: Notes which requests upstreams have ended under.
+        request: The request.
+    """
+
+    @property
+    def on_trial(self) -> bool:
+        """Tell whether the request is being tried, and at no upstream yet."""
+        return self._on_trial
+
+    def __init__(self, watch: CrashWatch, request: CallerRequest) -> None:
+        self._watch = watch
+        self._request = request
+        self._on_trial = False
+
+    async def keeps_out(self) -> Harmful | None:
+        """Return why the request may not go to an upstream now, or None.
+
+        A trial lasts until it has reached an upstream: attempts that nobody
+        takes show nothing of the request.
+        """
+        if self._on_trial:
+            return None
+        harmful = self._watch.harmful(self._request)
+        if harmful is None:
+            return None
+        self._on_trial = await self._watch.claim(self._request, harmful)
+        return None if self._on_trial else harmful
+
+    def reached(self) -> None:
+        """Take in that an upstream may run the request: a trial has one."""
+        self._on_trial = False
+
+    async def broke(self, upstream: Upstream, began: float) -> None:
+        """Take in that an exchange broke while the request may have run.
+
+        Args:
+            upstream: Where it was.
+            began: Clock seconds at which it was sent there.
+        """
+        await self._watch.broke(self._request, upstream, began)
+
+    def answered(self) -> None:
+        """Take in that an upstream has answered whole, if with a failure."""
+        self._watch.answered(self._request)
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -30,7 +30,6 @@
 from nutmegroad.relay.patience import patience_for
 from nutmegroad.relay.refusals import kept_out, nowhere
 from nutmegroad.routes.requests import CallerRequest
-from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.selection import Choice
 
 _LOG: Final = part_logger('relay')
@@ -87,6 +86,7 @@
         self.request = request
         self.service = service
         self.outlook = Outlook(parts, request, service)
+        self.guard = parts.crashes.guard(request)
         self._parts = parts
         self.tried: set[UpstreamIncarnation] = set()
         self._offers = 0
@@ -123,7 +123,7 @@
         while True:
             if self.left <= 0:
                 return self.refuse_late()
-            harmful = await self._parts.crashes.keeps_out(self.request)
+            harmful = await self.guard.keeps_out()
             if harmful is not None:
                 return self._refuse(kept_out(harmful, self.service))
             choice = self.outlook.choose(model, self.tried)
@@ -148,19 +148,6 @@
         self._parts.counters.repeated(purpose.value)
         return True
 
-    async def broke(self, upstream: Upstream, began: float) -> None:
-        """Take in that an exchange broke while the request may have run.
-
-        Args:
-            upstream: Where it was.
-            began: Clock seconds at which it was sent there.
-        """
-        await self._parts.crashes.broke(self.request, upstream, began)
-
-    def answered(self) -> None:
-        """Take in that an upstream has answered whole, if with a failure."""
-        self._parts.crashes.answered(self.request)
-
     def refused(self, refusal: Refusal, **fields: object) -> None:
         """Write down the refusal that ends the request, and count it."""
         request = self.request
@@ -223,7 +210,7 @@
             if outcome is _ABANDONED:
                 self._note(choice, model, outcome)
         if isinstance(outcome, Answering):
-            self._runs += 1
+            self._reached()
             self._parts.counters.begun(
                 self.request.route.kind.value,
                 self.waited,
@@ -233,12 +220,17 @@
         elif outcome.ran is Ran.NOT_RUN:
             self._ran = known
         else:
-            self._runs += 1
+            self._reached()
             if outcome.end is AttemptEnd.BROKEN:
-                await self.broke(upstream, began)
+                await self.guard.broke(upstream, began)
         self._note(choice, model, outcome)
         return outcome
 
+    def _reached(self) -> None:
+        """Take in that an upstream may have begun to run the request."""
+        self._runs += 1
+        self.guard.reached()
+
     def _note(
         self,
         choice: Choice,
@@ -282,6 +274,9 @@
 
     def _may_leave(self) -> bool:
         """Tell whether a silent attempt may be left for another one."""
+        if self.guard.on_trial:
+            # No other attempt may follow it.
+            return False
         return self.attempts_left > 1 and self.may_repeat()
 
     def _may_follow(self, failure: AttemptFailure) -> bool:
--- a/src/nutmegroad/relay/plain.py
+++ b/src/nutmegroad/relay/plain.py
@@ -47,9 +47,9 @@
         sound = answer is not None and not answer.failed
         execution.outlook.observe(outcome, _observed(answer))
         if answer is None:
-            await execution.broke(outcome.upstream, outcome.started)
+            await execution.guard.broke(outcome.upstream, outcome.started)
         else:
-            execution.answered()
+            execution.guard.answered()
             failure = answer
         if not sound and execution.may_repeat():
             continue
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -137,9 +137,11 @@
         finally:
             await answering.close()
         if end is RunEnd.CUT:
-            await self._execution.broke(answering.upstream, answering.started)
+            await self._execution.guard.broke(
+                answering.upstream, answering.started
+            )
         elif end in _ANSWERED:
-            self._execution.answered()
+            self._execution.guard.answered()
         observed = _OBSERVED.get(end)
         if observed is not None:
             self._execution.outlook.observe(answering, observed)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -18,6 +18,7 @@
 
 from fakes.opaque_worker import EVENTS, crashing, plain, stream
 
+from nutmegroad.fleet.crash_book import FIRST_PAUSE
 from tests.relay_rig import Rig
 
 #: The body that ends workers.
@@ -140,6 +141,51 @@
         self.assertEqual(await self.come(2, path='/look/1'), 200)
 
 
+class TrialTest(unittest.IsolatedAsyncioTestCase):
+    """A host that starts when most upstreams that it can choose are gone.
+
+    Seen: where a request had ended three upstreams that still stood in the
+    list, a host that was started then refused it four times in a row, and never
+    tried it. Cause: its one trial was used up by an attempt that reached no
+    upstream, since it chose one of the three; the next attempt, at one that
+    lives, asked for another trial. What proved it: it depends on the share of
+    ended upstreams in the list, not on how long anything takes.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Start a host, and end all its workers but one."""
+        self.rig = await self.enterAsyncContext(Rig(workers=ENDS + 1))
+        for worker in self.rig.workers:
+            worker.usual = crashing(HARMFUL, stream())
+        await self.rig.start()
+        await self.rig.ask('/draft/1', 'r1', body=HARMFUL)
+        self.assertEqual(self.ended, ENDS)
+        self.before = sum(len(worker.seen) for worker in self.rig.workers)
+
+    @property
+    def ended(self) -> int:
+        """Return how many workers have ended."""
+        return sum(worker.crashes for worker in self.rig.workers)
+
+    async def test_a_trial_lasts_until_it_reaches_an_upstream(self) -> None:
+        """Attempts that nobody takes don't use it up."""
+        await asyncio.sleep(FIRST_PAUSE)
+        number = await self.rig.add_host()
+        await self.rig.ask('/draft/1', 'r2', body=HARMFUL, host=number)
+        self.assertEqual(self.ended, ENDS + TRIALS)
+
+    async def test_a_trial_reaches_one_upstream(self) -> None:
+        """Whatever the request may do otherwise."""
+        for number, worker in enumerate(self.rig.workers):
+            if worker.crashes:
+                await self.rig.rise(number)
+        await asyncio.sleep(FIRST_PAUSE)
+        number = await self.rig.add_host()
+        await self.rig.ask('/draft/1', 'r2', body=HARMFUL, host=number)
+        after = sum(len(worker.seen) for worker in self.rig.workers)
+        self.assertEqual(after - self.before, TRIALS)
+
+
 class RestartTest(unittest.IsolatedAsyncioTestCase):
     """Workers that are started again at once, under their ids."""
 
