Tests: take only ports that are free for datagrams too

A test of relay hosts ended with 'address already in use' as a host bound its datagrams, 1 of 112 runs beside 13 others. Cause: the port was tried for connections only, and each host of another run holds a port for datagrams: with some 30 held of 28,000 that is one chance in a thousand a host. Ruled out: a port taken between the try and its use, for connections the error names a stream socket.

--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -2,7 +2,7 @@
 
 import json
 import socket
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import Any
 
 from aiohttp import ClientSession
@@ -25,11 +25,17 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port: int = probe.getsockname()[1]
-    return port
+    """Return a port that nobody listens on, also not for datagrams."""
+    while True:
+        with (
+            socket.socket() as probe,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            probe.bind(('127.0.0.1', 0))
+            port: int = probe.getsockname()[1]
+            with suppress(OSError):
+                datagrams.bind(('127.0.0.1', port))
+                return port
 
 
 def route(name: str, kind: str, **more: Any) -> dict[str, Any]:
