Take a connection that is closed at once for an upstream's end

Cause: an end was proved by a refused connection or by another start in the list. Behind a proxy nothing is refused, as it accepts for whoever is gone; while the platform's store is away the list shows nothing. Then ends were forgotten after ten seconds, unproved.

Now the connection that is had by the try is held for 0.2 s: a proxy that has nobody to pass it on to closes it within a round trip, a server that lives keeps it.

--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -118,6 +118,7 @@
         self._answer: asyncio.Future[ResponseHead] | None = None
         self._body: StreamReader | None = None
         self._keep = True
+        self._lost = asyncio.Event()
         #: Clock seconds since which it has been idle; the pool's to set.
         self.idle_since: float = 0
         #: Seconds for which the upstream keeps it idle; 0 if not said.
@@ -155,10 +156,20 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the exchange under way; an orderly end may complete it."""
         super().connection_lost(exc)
+        self._lost.set()
         if self._parser is not None and exc is None:
             self._end_of_input()
         self.fail('connection reset' if exc else 'connection closed')
 
+    async def closes_within(self, seconds: float) -> bool:
+        """Wait for the other side to close it; tell whether it did."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._lost.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def abort(self) -> None:
         """Close at once; the upstream sees that nobody waits any more."""
         self._keep = False
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass
 from typing import Final
 
@@ -119,11 +119,14 @@
         """
         mark = mark_upstream(upstream.entry.incarnation)
         under = EndUnder(mark, began, self._clock.now())
-        look = self._look(upstream, _Break(request, upstream.entry, under))
-        task = asyncio.create_task(look)
+        broken = _Break(request, upstream.entry, under)
+        looked = asyncio.Event()
+        task = asyncio.create_task(self._look(upstream, broken, looked))
         self._looks.add(task)
         task.add_done_callback(self._looks.discard)
-        await asyncio.wait((task,), timeout=LOOK_WAIT)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LOOK_WAIT):
+                await looked.wait()
 
     def upstream_ended(self, upstream: UpstreamIncarnation, end: End) -> None:
         """Take in that an upstream has another start.
@@ -158,19 +161,43 @@
         for task in self._looks:
             task.cancel()
 
-    async def _look(self, upstream: Upstream, broken: _Break) -> None:
-        """Find out whether the upstream has ended, and take that in."""
+    async def _look(
+        self,
+        upstream: Upstream,
+        broken: _Break,
+        looked: asyncio.Event,
+    ) -> None:
+        """Find out whether the upstream has ended, and take that in.
+
+        Args:
+            upstream: The upstream.
+            broken: The exchange that broke.
+            looked: Set once the request need not wait any longer.
+        """
         life = await self._ends.look(upstream.entry)
         if upstream.restarted:
             # Whoever has answered the try is another start of it.
             life = Life.ENDED
         self._counters.broke(life.value)
         if life is Life.ENDED:
-            self._take(broken)
-            if self._book.harmful(broken.request.content) is not None:
-                await self._rows.write()
-        else:
-            self._remember(broken)
+            await self._prove(broken)
+            looked.set()
+            return
+        self._remember(broken)
+        looked.set()
+        if await self._ends.passed_on_in_vain(upstream.entry):
+            self._counters.broke(Life.PASSED_ON_IN_VAIN.value)
+            known = self._unproved.get(upstream.entry.incarnation)
+            if known and broken in known:
+                # Not explained by another start meanwhile.
+                known.remove(broken)
+                await self._prove(broken)
+
+    async def _prove(self, broken: _Break) -> None:
+        """Take in an end, and make it known if the request is harmful."""
+        self._take(broken)
+        if self._book.harmful(broken.request.content) is not None:
+            await self._rows.write()
 
     def _take(self, broken: _Break) -> None:
         """Take in that an upstream has ended under a request."""
@@ -191,7 +218,7 @@
         """Remember a break that another start may yet explain."""
         oldest = self._clock.now() - RESTART_SPAN
         for other, breaks in tuple(self._unproved.items()):
-            if breaks[-1].under.ended < oldest:
+            if not breaks or breaks[-1].under.ended < oldest:
                 self._unproved.pop(other)
         name = broken.entry.incarnation
         known = self._unproved.setdefault(name, deque(maxlen=MOST_UNPROVED))
--- a/src/nutmegroad/relay/ends.py
+++ b/src/nutmegroad/relay/ends.py
@@ -1,7 +1,8 @@
 """Whether an upstream's process has ended, when exchanges with it break.
 
 A connection that breaks may have broken on its way. A process that is gone
-refuses new connections at once, so a try tells which it was.
+refuses new connections at once, so a try tells which it was. A proxy before it
+may accept them all the same; then it has nobody to pass them on to, and closes.
 """
 
 import asyncio
@@ -9,7 +10,10 @@
 from typing import Final
 
 from nutmegroad.foundations.types import UpstreamIncarnation
-from nutmegroad.relay.connections import ConnectionFailedError
+from nutmegroad.relay.connections import (
+    ConnectionFailedError,
+    UpstreamConnection,
+)
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.upstreams.directory import UpstreamEntry
 
@@ -19,6 +23,11 @@
 #: Tries until one is answered: the packets of one may be lost.
 TRIES: Final = 2
 
+#: Seconds in which a proxy closes a connection that it can't pass on: it is
+#: refused by return; the rest is for a busy machine. Servers that live keep a
+#: connection on which nothing was asked yet for seconds.
+CLOSED_AT_ONCE: Final = 0.2
+
 
 @unique
 class Life(Enum):
@@ -26,6 +35,8 @@
 
     ENDED = 'ended'
     ALIVE = 'alive'
+    #: Somebody answered for it, and had nobody to pass the connection on to.
+    PASSED_ON_IN_VAIN = 'passed on in vain'
     #: Nothing came back: a cut, or a machine without power.
     UNKNOWN = 'unknown'
 
@@ -40,6 +51,7 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
         self._tries: dict[UpstreamIncarnation, asyncio.Task[Life]] = {}
+        self._holds: dict[UpstreamIncarnation, asyncio.Task[bool]] = {}
 
     async def look(self, entry: UpstreamEntry) -> Life:
         """Return what became of an upstream whose exchange has broken.
@@ -54,6 +66,11 @@
             running.add_done_callback(lambda _: self._tries.pop(name, None))
         return await asyncio.shield(running)
 
+    async def passed_on_in_vain(self, entry: UpstreamEntry) -> bool:
+        """Tell whether the connection of the last try was closed at once."""
+        holding = self._holds.get(entry.incarnation)
+        return False if holding is None else await asyncio.shield(holding)
+
     async def _find_out(self, entry: UpstreamEntry) -> Life:
         """Try until one try is answered."""
         for _ in range(TRIES):
@@ -68,5 +85,20 @@
             connection = await self._pool.open(entry.address, TRY_TIMEOUT)
         except ConnectionFailedError as problem:
             return Life.ENDED if problem.refused else Life.UNKNOWN
-        self._pool.give_back(entry.incarnation, connection)
+        name = entry.incarnation
+        holding = asyncio.create_task(self._hold(name, connection))
+        self._holds[name] = holding
+        holding.add_done_callback(lambda _: self._holds.pop(name, None))
         return Life.ALIVE
+
+    async def _hold(
+        self,
+        upstream: UpstreamIncarnation,
+        connection: UpstreamConnection,
+    ) -> bool:
+        """Watch a new connection; keep it unless it is closed at once."""
+        try:
+            return await connection.closes_within(CLOSED_AT_ONCE)
+        finally:
+            # Closes it if it can't be used any more.
+            self._pool.give_back(upstream, connection)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -216,6 +216,44 @@
         self.assertLessEqual(ended, ENDS + TRIALS)
 
 
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    """Workers behind a proxy that accepts connections also while they are gone.
+
+    Seen: with the platform's store away, a request ended twenty workers behind
+    such proxies. Cause: nothing refused a connection, and the list could not
+    show another start. What proved it: the same holds here, where the list
+    shows nothing at all.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Start a host whose workers leave a proxy behind."""
+        self.rig = await self.enterAsyncContext(Rig(workers=9))
+        for number, worker in enumerate(self.rig.workers):
+            worker.usual = crashing(HARMFUL, stream(), self.left_behind(number))
+        await self.rig.start()
+
+    def left_behind(self, number: int) -> Callable[[], Awaitable[None]]:
+        """Return what accepts connections for a worker that is gone."""
+
+        async def accept() -> None:
+            proxy = await asyncio.start_server(
+                _close,
+                '127.0.0.1',
+                self.rig.workers[number].port,
+            )
+            self.addCleanup(proxy.close)
+
+        return accept
+
+    async def test_a_connection_closed_at_once_proves_the_end(self) -> None:
+        """Whoever accepts it can't reach the worker."""
+        for number in range(ENDS + TIMES):
+            await self.rig.ask('/once/1', f'r{number}', body=HARMFUL)
+            await asyncio.sleep(0.3)
+        ended = sum(worker.crashes for worker in self.rig.workers)
+        self.assertLessEqual(ended, ENDS + TRIALS)
+
+
 class BystanderTest(unittest.IsolatedAsyncioTestCase):
     """Requests that run at the same upstreams as the one that ends them."""
 
@@ -267,3 +305,8 @@
             await self.rig.ask('/once/1', f'harm-{number}', body=HARMFUL)
         harmed = [worker.crashes for worker in self.rig.workers]
         self.assertLessEqual(sum(harmed), ENDS + TRIALS)
+
+
+async def _close(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Close a connection at once."""
+    writer.close()
