Know an order of a roll-out again after the store came back

Found by reading: whenever the store came back from a copy, each order had another position, so hosts took it for a new one. A version that had been rolled back as bad got a second trial (callers get its bad answers again, the operator is told 'running'), and one that had succeeded went back to a part of the traffic while its old upstreams were gone.

Cause: an order was known by its row's position alone.

Ruled out: naming orders in rows of our own (lost with the copy like the order), and taking no order for some seconds after a return (the copy keeps most orders for good, and a new position stays new).

Not shown: the soak plays no roll-outs, no model of orders, no figures of calls at size yet.

--- a/fakes/row_store.py
+++ b/fakes/row_store.py
@@ -75,11 +75,13 @@
         calls: How often each call was made.
         era: How often it has come back from a copy, and one more; None for a
             store that names no era.
+        writes: Table, key and content of each row as it was written.
     """
 
     fault: StoreFault = StoreFault.NONE
     calls: dict[str, int] = field(default_factory=dict)
     era: int | None = None
+    writes: list[tuple[str, str, bytes]] = field(default_factory=list)
     _rows: dict[tuple[str, str, str], _Row] = field(default_factory=dict)
     _history: list[_Row] = field(default_factory=list)
     _forgotten: int = 0
@@ -146,6 +148,7 @@
         else:
             self._rows[name] = row
         self._history.append(row)
+        self.writes.append((row.table, row.key, row.value))
 
     def _wake(self) -> None:
         """Let feeds that wait look again."""
--- a/src/nutmegroad/canary/gate.py
+++ b/src/nutmegroad/canary/gate.py
@@ -77,7 +77,7 @@
         self._marks = marks
         self._suspicions = suspicions
         self._steady: dict[ServiceName, frozenset[SoftwareVersion]] = {}
-        state.tell_of_orders(self._mark_living)
+        state.orders.tell_of_orders(self._mark_living)
 
     def permitted(
         self,
@@ -86,7 +86,7 @@
     ) -> tuple[Upstream, ...]:
         """Return the upstreams that may run a request now."""
         upstreams = self._directory.of_service(service)
-        rollout = self._state.rollout(service)
+        rollout = self._state.orders.rollout(service)
         if rollout is None:
             return self._of_steady(service, upstreams)
         to = rollout.order.to
@@ -113,7 +113,7 @@
         if session is None:
             return
         self._sessions.ran(service, session, version)
-        rollout = self._state.rollout(service)
+        rollout = self._state.orders.rollout(service)
         if rollout is None or version == rollout.order.to:
             return
         if self._stays(rollout) and self._may_be_moved(session):
--- a/src/nutmegroad/canary/rollouts.py
+++ b/src/nutmegroad/canary/rollouts.py
@@ -84,7 +84,8 @@
         service: Whose software changes.
         to: The new version.
         duration: Seconds within which it should be done.
-        number: Version of the order's row; a later order has a higher one.
+        number: Position at which the order's row was first seen; a later order
+            has a higher one.
     """
 
     service: ServiceName
@@ -103,6 +104,9 @@
         opened: Seconds on the store's clock at which the trial ended.
         why: What decided the last step.
         beyond: What its trial gets beyond the share of all trials.
+        to: The version that is ordered.
+        duration: Seconds within which it should be done.
+        since: Seconds on the store's clock at which it came to this stage.
     """
 
     order: int
@@ -111,6 +115,9 @@
     opened: float = 0
     why: str = ''
     beyond: float = 0
+    to: str = ''
+    duration: float = 0
+    since: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/canary/state.py
+++ b/src/nutmegroad/canary/state.py
@@ -1,20 +1,14 @@
-"""All roll-outs that a host knows, and what was seen of them.
+"""What hosts have seen of roll-outs, and what follows from it.
 
-The stages are rows of the platform's store; what hosts have seen they tell
-each other. A host halts a version on its own sum, store or not.
+They tell each other. A host halts a version on its own sum, store or not.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.canary.rollouts import (
-    TRIAL_PART,
-    Rollout,
-    RolloutOrder,
-    RolloutRow,
-    Stage,
-)
+from nutmegroad.canary.order_book import OrderBook
+from nutmegroad.canary.rollouts import TRIAL_PART, Rollout, Stage
 from nutmegroad.canary.verdicts import Judgement, Verdict
 from nutmegroad.fleet.evidence import Evidence, KindNumber
 from nutmegroad.fleet.evidence_book import EvidenceBook
@@ -67,72 +61,12 @@
         self.host = host
         self.trial = trial
         self.store_time = store_time
+        self.orders = OrderBook(store_time, book.end)
         self.besides = besides
         self._hosts = hosts
         self._book = book
         self._weighed: dict[ServiceName, _Weighed] = {}
-        self._rollouts: dict[ServiceName, Rollout] = {}
-        self._rows: dict[ServiceName, tuple[RolloutRow, int]] = {}
         self._halted: set[int] = set()
-        self._told_of_orders: list[Callable[[RolloutOrder], None]] = []
-
-    @property
-    def active(self) -> tuple[Rollout, ...]:
-        """Return the roll-outs that have not ended."""
-        return tuple(
-            rollout
-            for rollout in self._rollouts.values()
-            if rollout.stage is None or not rollout.stage.ended
-        )
-
-    def rollout(self, service: ServiceName) -> Rollout | None:
-        """Return a service's last roll-out, or None."""
-        return self._rollouts.get(service)
-
-    def order(self, order: RolloutOrder) -> None:
-        """Take an order in, unless a later one is known."""
-        known = self._rollouts.get(order.service)
-        if known is not None and known.order.number >= order.number:
-            return
-        _LOG.decision(
-            'roll-out ordered',
-            service=order.service,
-            version=order.to,
-            duration=order.duration,
-            number=order.number,
-        )
-        row, version = self._rows.get(order.service, (None, 0))
-        self._rollouts[order.service] = Rollout(order, row, version)
-        for tell in self._told_of_orders:
-            tell(order)
-
-    def tell_of_orders(self, tell: Callable[[RolloutOrder], None]) -> None:
-        """Let somebody hear of each order that is taken in."""
-        self._told_of_orders.append(tell)
-
-    def progress(
-        self,
-        service: ServiceName,
-        row: RolloutRow,
-        version: int,
-    ) -> None:
-        """Take in how far the hosts have come."""
-        self._rows[service] = (row, version)
-        known = self._rollouts.get(service)
-        if known is None or known.version >= version:
-            return
-        _LOG.decision(
-            'roll-out stage',
-            service=service,
-            order=row.order,
-            stage=row.stage,
-            why=row.why,
-            row_version=version,
-        )
-        changed = Rollout(known.order, row, version)
-        self._rollouts[service] = changed
-        if changed.stage is not None and changed.stage.ended:
-            self._book.end(service)
 
     def told(
         self,
@@ -152,7 +86,7 @@
         poor: bool,
     ) -> None:
         """Count an answer, if a roll-out of its service is under way."""
-        rollout = self._rollouts.get(service)
+        rollout = self.orders.rollout(service)
         if rollout is None or rollout.stage is None or rollout.stage.ended:
             return
         of_new = version == rollout.order.to
--- a/src/nutmegroad/canary/steps.py
+++ b/src/nutmegroad/canary/steps.py
@@ -1,7 +1,7 @@
 """The steps of a roll-out that hosts write into the platform's store."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Final, Protocol
 
 import msgspec
@@ -39,6 +39,13 @@
 STEP_KEY: Final = 'rollout/'
 EVIDENCE_KEY: Final = 'evidence/'
 
+#: What hosts take turns in, to write again what the store has lost.
+RESTORE: Final = 'rollouts/restore'
+
+#: Roll-outs written again in one transaction: with the operator's rows, and a
+#: condition each, below the hundred entries that the platform takes.
+MOST_RESTORED: Final = 30
+
 #: Seconds between looks at what is to be done.
 LOOK: Final = 0.25
 
@@ -89,7 +96,9 @@
         """Make steps as they fall due until cancelled."""
         while True:
             await self._clock.sleep(LOOK)
-            for rollout in self._state.active:
+            self._state.orders.settle()
+            await self._restore()
+            for rollout in self._state.orders.active:
                 await self._tell(rollout)
                 step = self._due(rollout)
                 if step is not None:
@@ -97,10 +106,9 @@
 
     def _due(self, rollout: Rollout) -> RolloutRow | None:
         """Return the step that is due, or None."""
-        number = rollout.order.number
         now = self._state.store_time()
         if rollout.stage is None:
-            return RolloutRow(number, Stage.TRIAL.value, now)
+            return self._begun(rollout.order, now)
         row = rollout.row
         if row is None:
             return None
@@ -113,7 +121,26 @@
             return self._widened(rollout, row, now)
         opened = now if stage is Stage.OPEN else row.opened
         why = f'{verdict.value}: {self._state.reason(rollout)}'
-        return structs.replace(row, stage=stage.value, opened=opened, why=why)
+        return structs.replace(
+            row,
+            stage=stage.value,
+            opened=opened,
+            why=why,
+            since=now,
+        )
+
+    def _begun(self, order: RolloutOrder, now: float) -> RolloutRow | None:
+        """Return the row that begins an order, if this host may."""
+        if self._state.orders.leaves_beginning(order.service):
+            return None
+        return RolloutRow(
+            order.number,
+            Stage.TRIAL.value,
+            now,
+            to=order.to,
+            duration=order.duration,
+            since=now,
+        )
 
     def _widened(
         self,
@@ -138,7 +165,7 @@
         service = rollout.order.service
         place = self._turn(f'{service}/{step.order}/{step.stage}')
         await self._clock.sleep(SPREAD * math.log2(1 + place))
-        present = self._state.rollout(service)
+        present = self._state.orders.rollout(service)
         if present != rollout:
             return
         key = f'{STEP_KEY}{service}'
@@ -146,10 +173,9 @@
         stage = Stage(step.stage)
         if stage is not rollout.stage and stage is not Stage.OPEN:
             puts.append(self._status.status(rollout.order, stage))
-        expected = RowExpected(FLEET_TABLE, key, rollout.version)
-        outcome = await self._store.commit((expected,), tuple(puts))
+        outcome = await self._store.commit((_unchanged(rollout),), tuple(puts))
         if isinstance(outcome, Committed):
-            self._state.progress(service, step, outcome.version)
+            self._state.orders.progress(service, step, outcome.version)
             return
         why = 'another host was first'
         if isinstance(outcome, Refusal):
@@ -161,6 +187,45 @@
             why=why,
         )
 
+    async def _restore(self) -> None:
+        """Write again what the store has lost as it came back from a copy.
+
+        All in one transaction, by one host in turn.
+        """
+        lacking = self._state.orders.lacking
+        if not lacking:
+            return
+        place = self._turn(RESTORE)
+        await self._clock.sleep(SPREAD * math.log2(1 + place))
+        lacking = self._state.orders.lacking[:MOST_RESTORED]
+        if not lacking:
+            return
+        outcome = await self._store.commit(
+            tuple(_unchanged(rollout) for rollout in lacking),
+            tuple(row for each in lacking for row in self._rows_of(each)),
+        )
+        _LOG.decision(
+            'roll-outs written again',
+            services=[rollout.order.service for rollout in lacking],
+            done=isinstance(outcome, Committed),
+            why=outcome.reason if isinstance(outcome, Refusal) else '',
+        )
+        if not isinstance(outcome, Committed):
+            return
+        for rollout in lacking:
+            self._state.orders.restored(rollout, outcome.version)
+
+    def _rows_of(self, rollout: Rollout) -> Iterator[RowPut]:
+        """Return the rows of a roll-out that has come to a stage."""
+        if rollout.row is None or rollout.stage is None:
+            return
+        yield RowPut(
+            FLEET_TABLE,
+            f'{STEP_KEY}{rollout.order.service}',
+            msgspec.json.encode(rollout.row),
+        )
+        yield self._status.status(rollout.order, rollout.stage)
+
     async def _tell(self, rollout: Rollout) -> None:
         """Write down what this host has seen, if it is news."""
         if rollout.stage is None:
@@ -200,6 +265,12 @@
     return Stage.ROLLED_BACK if elapsed >= GIVE_UP_AT else None
 
 
+def _unchanged(rollout: Rollout) -> RowExpected:
+    """Return the condition that nobody has written a roll-out's row since."""
+    key = f'{STEP_KEY}{rollout.order.service}'
+    return RowExpected(FLEET_TABLE, key, rollout.version)
+
+
 def _is_news(written: Evidence | None, own: Evidence) -> bool:
     """Tell whether poor answers are twice as many as were written down."""
     known = 0
--- a/src/nutmegroad/relay/fleet_table.py
+++ b/src/nutmegroad/relay/fleet_table.py
@@ -34,6 +34,14 @@
         """Take the whole table in."""
         self.apply(read)
         self._hosts.listed()
+        self._state.orders.listed(
+            {
+                ServiceName(row.key.removeprefix(STEP_KEY))
+                for row in read.rows
+                if row.key.startswith(STEP_KEY) and not row.removed
+            },
+            read.version,
+        )
 
     def apply(self, read: RowsRead) -> None:
         """Take changes in."""
@@ -70,7 +78,7 @@
         """Take one row in."""
         if kind == STEP_KEY:
             step = msgspec.json.decode(row.content, type=RolloutRow)
-            self._state.progress(ServiceName(name), step, row.version)
+            self._state.orders.progress(ServiceName(name), step, row.version)
         elif kind == EVIDENCE_KEY:
             service, _, host = name.rpartition('/')
             self._state.told(
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -84,7 +84,7 @@
             configuration=self.configuration_version,
             age=self._belief.age,
             upstreams=len(self._directory),
-            rollouts=len(self._rollouts.active),
+            rollouts=len(self._rollouts.orders.active),
             open_requests=len(self._serving.busy),
             ready=self.ready,
             returns=self._fleet.store.returns,
@@ -258,7 +258,7 @@
         operator = OperatorSink(
             platform.reader,
             self._belief,
-            self._rollouts,
+            self._rollouts.orders,
             self._upstream_sink.know_services,
             self._fleet.told.versions,
         )
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
+from nutmegroad.canary.order_book import OrderBook
 from nutmegroad.canary.rollouts import RolloutOrder
-from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.heard_versions import HeardVersions
 from nutmegroad.fleet.stored import RowsRead, StoredRow
 from nutmegroad.foundations.clocks import Clock
@@ -69,7 +69,7 @@
     Args:
         reader: Decodes rows.
         belief: The configuration in force.
-        rollouts: The roll-outs.
+        orders: The orders of roll-outs.
         tell_services: Told which services the configuration in force names.
         versions: Which configurations hosts have in force.
     """
@@ -78,21 +78,24 @@
         self,
         reader: RowReader,
         belief: ConfigurationBelief,
-        rollouts: RolloutState,
+        orders: OrderBook,
         tell_services: Callable[[Collection[ServiceName]], None],
         versions: HeardVersions,
     ) -> None:
         self._versions = versions
         self._reader = reader
         self._belief = belief
-        self._rollouts = rollouts
+        self._orders = orders
         self._tell_services = tell_services
         # The configuration that the store has.
         self._shown = NO_VERSION
+        # Whether the table was read since the host has started.
+        self._has_read = False
 
     def replace(self, read: RowsRead) -> None:
         """Take the whole table in."""
         self.apply(read)
+        self._has_read = True
 
     def apply(self, read: RowsRead) -> None:
         """Take changes in."""
@@ -126,7 +129,7 @@
             if self._belief.table is content:
                 self._tell_services(content.services)
         elif isinstance(content, RolloutOrder):
-            self._rollouts.order(content)
+            self._orders.take(content, at_start=not self._has_read)
         elif isinstance(content, Unreadable):
             _LOG.decision(
                 'operator row kept out',
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -69,12 +69,12 @@
     def order(self) -> None:
         """Order a roll-out and begin it."""
         order = RolloutOrder(ENGINES, SoftwareVersion('v2'), 20, 7)
-        self.state.order(order)
+        self.state.orders.take(order)
 
     def enter(self, stage: Stage, opened: float = 0) -> None:
         """Enter a stage."""
         row = RolloutRow(7, stage.value, 98, opened)
-        self.state.progress(ENGINES, row, next(self.numbers))
+        self.state.orders.progress(ENGINES, row, next(self.numbers))
 
     def share(self) -> float:
         """Return the share of requests that the new version gets."""
@@ -159,7 +159,7 @@
             request = a_request('r', session=name)
             gate.ran(request, ENGINES, SoftwareVersion('v1'))
         self.clock._now += 1
-        state.order(RolloutOrder(ENGINES, SoftwareVersion('v2'), 20, 7))
+        state.orders.take(RolloutOrder(ENGINES, SoftwareVersion('v2'), 20, 7))
         self.marks.told(marks.ages())
         self.order()
         self.enter(Stage.TRIAL)
@@ -174,7 +174,7 @@
         """Pattern: one host hears of the trial a second before another."""
         self.order()
         row = RolloutRow(7, Stage.TRIAL.value, 100)
-        self.state.progress(ENGINES, row, 11)
+        self.state.orders.progress(ENGINES, row, 11)
         self.assertEqual(self.share(), 0)
         self.clock._now += 2
         self.assertGreater(self.share(), 0)
@@ -230,7 +230,7 @@
         self.order()
         self.enter(Stage.OPEN, opened=90)
         late = RolloutRow(7, Stage.TRIAL.value, 100)
-        self.state.progress(ENGINES, late, 1)
+        self.state.orders.progress(ENGINES, late, 1)
         self.assertEqual(self.share(), 1)
 
     def test_ramp_grows_to_the_whole(self) -> None:
