Tests: lose the reply to the intent, not to a lease

Cause: its fault loses the reply to the next write of any row. Hosts renew leases in the same table; where that came first, the intent's reply was not lost, the host went on while the test still waited for its own slow read, and had sent the request before it was killed. What proved it: a write beside the intent, made by the test on purpose, gives the same failure each time (0 != 1), and none with the fault kept to rows of intents. The test makes that write now. Ruled out: the program, whose run came before the kill.

Left: a lease renewed within the same few milliseconds could still let the first look come too early.

--- a/fakes/faults.py
+++ b/fakes/faults.py
@@ -47,7 +47,8 @@
         delay: Seconds that it adds, or the factor of an engine's ``slow``.
         count: How many calls it hits before it is over; None is no bound.
         version: The only version that it strikes; empty for all.
-        task: The only task class that it strikes; empty for all.
+        task: The only task class that it strikes; empty for all. Where replies
+            to written rows are lost: the first word of their keys.
         quality: What the quality falls to, for ``bad``.
     """
 
--- a/fakes/gates.py
+++ b/fakes/gates.py
@@ -7,11 +7,15 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
-from fakes.bodies import json_reply
+from fakes.bodies import json_reply, read_body
 from fakes.faults import FaultKind, Faults, FaultTarget, drop_connection
+from nutmegroad.adapters._platform_bodies import CommitBody
 from nutmegroad.foundations.clocks import Clock
 
 _ADMIN: Final = 'admin'
+
+#: Where rows are written.
+COMMIT_PATH: Final = '/table/commit'
 #: The services whose reads and writes the platform bounds.
 _STORES: Final = frozenset(('table', 'objects'))
 
@@ -87,22 +91,23 @@
         if scope in _STORES and not self._bound(request).allows():
             raise web.HTTPServiceUnavailable(text='Too many calls a second.')
         response = await handler(request)
-        if self._loses(request, response, target):
+        if await self._loses(request, response, scope):
             return drop_connection(request)
         return response
 
     def _bound(self, request: web.Request) -> CallBound:
         return self._writes if _writes(request) else self._reads
 
-    def _loses(
+    async def _loses(
         self,
         request: web.Request,
         response: web.StreamResponse,
-        target: FaultTarget,
+        scope: str,
     ) -> bool:
         """Tell whether the reply to a write that took effect is lost."""
         if not _writes(request) or response.status >= HTTPStatus.BAD_REQUEST:
             return False
+        target = await _written(request, scope)
         return self._faults.hit(FaultKind.LOSE_REPLY, target) is not None
 
 
@@ -111,6 +116,20 @@
     return request.method not in {'GET', 'HEAD'}
 
 
+async def _written(request: web.Request, scope: str) -> FaultTarget:
+    """Return what a call has written; rows are named by their first word."""
+    if not _is_commit(request):
+        return FaultTarget(scope)
+    body = await read_body(request, CommitBody)
+    kinds = {write.key.partition('/')[0] for write in body.writes}
+    return FaultTarget(scope, task=min(kinds, default=''))
+
+
+def _is_commit(request: web.Request) -> bool:
+    """Tell whether a call writes rows."""
+    return request.path == COMMIT_PATH
+
+
 def _route(request: web.Request) -> str:
     """Return the name under which a call is counted."""
     resource = request.match_info.route.resource
--- a/fakes/tables.py
+++ b/fakes/tables.py
@@ -8,6 +8,7 @@
 
 from fakes.bodies import json_reply, query_text, read_body
 from fakes.faults import FaultKind, Faults, FaultTarget
+from fakes.gates import COMMIT_PATH
 from nutmegroad.adapters._platform_bodies import (
     CommitBody,
     ConflictBody,
@@ -42,7 +43,7 @@
         """Answer the table's calls in an application."""
         app.router.add_get('/table/row', self._answer_row)
         app.router.add_get('/table/rows', self._answer_rows)
-        app.router.add_post('/table/commit', self._answer_commit)
+        app.router.add_post(COMMIT_PATH, self._answer_commit)
 
     def row(self, key: RowKey) -> Row:
         """Return a row as it stands."""
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -22,6 +22,8 @@
 from experiments.processes import Processes, Running
 
 from nutmegroad.adapters._http_platform import HttpObjects
+from nutmegroad.adapters._platform_bodies import CommitBody
+from nutmegroad.contracts.platform import ABSENT, RowKey, RowWrite
 from nutmegroad.foundations.types import Address
 from nutmegroad.records.billing import BILLING_PREFIX, BillingRecord, read_bills
 from nutmegroad.records.once import LEASE
@@ -258,9 +260,16 @@
     async def before(self) -> None:
         """Kill a host between intent and dispatch."""
         # The reply to the intent is lost, and the read that would find it
-        # is under way.
+        # is under way. Hosts renew leases meanwhile: replies to those aren't.
         platform = self.running.platform
-        await self.fault(platform, kind='lose_reply', scope='table', count=1)
+        await self.fault(
+            platform,
+            kind='lose_reply',
+            scope='table',
+            task='intent',
+            count=1,
+        )
+        await self.renew_a_lease()
         await self.fault(platform, kind='slow', scope='table', delay=SLOW)
         before = await self.commits()
         asking = asyncio.ensure_future(self.keyed(0, 'before'))
@@ -274,6 +283,16 @@
         await self.until(self.gives_up, 1, 'before')
         self.assertEqual(0, await self.runs('before'))
 
+    async def renew_a_lease(self) -> None:
+        """Write a row beside the intent, as a host does for its lease."""
+        row = RowWrite(RowKey('lease/elsewhere'), '', ABSENT)
+        url = f'http://{self.platform}/table/commit'
+        async with self.session.post(
+            url,
+            data=msgspec.json.encode(CommitBody((row,))),
+        ) as response:
+            self.assertEqual(200, response.status)
+
     async def between(self) -> None:
         """Kill a host between dispatch and reply."""
         await self.service_fault(kind='late', delay=30, count=1)
