Let hosts that start after a return adopt the others' number of an order

And the evidence of a host with another number displaced that of the others, so a good version would have ended as 'not shown'.

A number is adopted from the stage's row now unless this host has itself known it for an earlier order; whoever has adopted one follows rows of the written one and does not insist. Counts of the last two orders are kept. What is known of a service stands in one record now in place of six dictionaries.

--- a/src/nutmegroad/canary/order_book.py
+++ b/src/nutmegroad/canary/order_book.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Container
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from nutmegroad.canary.orders import (
@@ -21,8 +21,9 @@
 
 _LOG: Final = part_logger('rollouts')
 
-#: Seconds for which a host that has started leaves it to others to begin an
-#: order that stood in the store before: they may know it by another number.
+#: Seconds for which a host leaves it to others to begin an order that stood in
+#: the store as it started: they may know it by another number, and how far it
+#: has come.
 START_PATIENCE: Final = 3.0
 
 #: Seconds for which an order that may be out of a copy, from before the one
@@ -30,11 +31,67 @@
 DOUBTED: Final = 6.0
 
 
+@dataclass(slots=True)
+class _Known:
+    """What is known of a service's last order.
+
+    Attributes:
+        rollout: The order, and how far it has come.
+        written: Position at which the order was read last.
+        others_until: Clock seconds until which others are to begin it.
+        past: Numbers of the orders before it.
+        adopted: Whether its number is one that others know it by.
+        lacking: Whether the store lacks how far it has come.
+    """
+
+    rollout: Rollout
+    written: int
+    others_until: float
+    past: frozenset[int] = field(default_factory=frozenset)
+    adopted: bool = False
+    lacking: bool = False
+
+    def adopts(self, row: RolloutRow) -> bool:
+        """Tell whether a row knows this order by the number of an earlier era.
+
+        Hosts that start after the store came back know orders by where they
+        are then.
+        """
+        if row.order in self.past:
+            return False
+        return is_from_before(self.rollout.order, row)
+
+    def is_ahead(self, row: RolloutRow) -> bool:
+        """Tell whether more is known than a row says."""
+        known = self.rollout
+        if known.row is None or known.stage is None:
+            return False
+        if row.order == known.order.number:
+            return is_behind(row, known.row)
+        if row.order == self.written:
+            # Begun by a host that knows the order by where it is now. Whoever
+            # has an adopted number can't tell that from a later order.
+            return not self.adopted
+        return row.order < known.order.number
+
+    def join(self, row: RolloutRow, version: int) -> None:
+        """Take in how far the order has come."""
+        order = self.rollout.order
+        if self.adopts(row):
+            order = replace(order, number=row.order)
+            self.adopted = True
+        elif self.adopted and row.order == self.written:
+            order = replace(order, number=row.order)
+            self.adopted = False
+        self.rollout = Rollout(order, row, version)
+        self.lacking = False
+
+
 class OrderBook:
     """All roll-outs that a host knows.
 
     Args:
-        store_time: Returns the present seconds of the store's clock.
+        now: Returns the host's clock seconds.
         ended: Told of each service whose roll-out has ended.
     """
 
@@ -42,39 +99,40 @@
     def active(self) -> tuple[Rollout, ...]:
         """Return the roll-outs that have not ended."""
         return tuple(
-            rollout
-            for rollout in self._rollouts.values()
-            if rollout.stage is None or not rollout.stage.ended
+            known.rollout
+            for known in self._known.values()
+            if known.rollout.stage is None or not known.rollout.stage.ended
         )
 
     @property
     def lacking(self) -> tuple[Rollout, ...]:
         """Return the roll-outs whose rows the store has lost, or partly."""
-        return tuple(self._rollouts[service] for service in self._lacking)
+        return tuple(
+            known.rollout for known in self._known.values() if known.lacking
+        )
 
     def __init__(
         self,
-        store_time: Callable[[], float],
+        now: Callable[[], float],
         ended: Callable[[ServiceName], None],
     ) -> None:
-        self._store_time = store_time
+        self._now = now
         self._ended = ended
-        self._rollouts: dict[ServiceName, Rollout] = {}
+        self._known: dict[ServiceName, _Known] = {}
         self._rows: dict[ServiceName, tuple[RolloutRow, int]] = {}
-        self._told_of_orders: list[Callable[[RolloutOrder], None]] = []
-        # Positions at which the orders were read last.
-        self._written: dict[ServiceName, int] = {}
-        # Orders that stood in the store as this host started, and the store's
-        # seconds then.
-        self._found: dict[ServiceName, float] = {}
         # Perhaps out of a copy, from before the order that is known; and the
-        # store's seconds from which they are taken in nevertheless.
+        # clock seconds from which they are taken in nevertheless.
         self._doubtful: dict[ServiceName, tuple[RolloutOrder, float]] = {}
-        self._lacking: set[ServiceName] = set()
+        self._told_of_orders: list[Callable[[RolloutOrder], None]] = []
 
     def rollout(self, service: ServiceName) -> Rollout | None:
         """Return a service's last roll-out, or None."""
-        return self._rollouts.get(service)
+        known = self._known.get(service)
+        return None if known is None else known.rollout
+
+    def tell_of_orders(self, tell: Callable[[RolloutOrder], None]) -> None:
+        """Let somebody hear of each order that is taken in."""
+        self._told_of_orders.append(tell)
 
     def take(self, order: RolloutOrder, *, at_start: bool = False) -> None:
         """Take a row of the operator's in, unless a later order is known.
@@ -84,30 +142,27 @@
             at_start: Whether it stood in the store as this host started.
         """
         service = order.service
-        known = self._rollouts.get(service)
+        known = self._known.get(service)
         if known is None:
-            if at_start:
-                self._found[service] = self._store_time()
-            self._begin(order)
+            self._begin(order, START_PATIENCE if at_start else 0)
             return
-        sighting = sight(known.order, self._written[service], order)
+        number = known.rollout.order.number
+        sighting = sight(known.rollout.order, known.written, order)
         if sighting is Sighting.KNOWN:
             return
         self._doubtful.pop(service, None)
         if sighting is Sighting.NEW:
-            self._found.pop(service, None)
             self._begin(order)
             return
         if sighting is Sighting.AGAIN:
-            self._written[service] = order.number
+            known.written = order.number
         else:
-            patience = self._store_time() + DOUBTED
-            self._doubtful[service] = (order, patience)
+            self._doubtful[service] = (order, self._now() + DOUBTED)
         _LOG.decision(
             'order seen after the store came back',
             service=service,
             version=order.to,
-            number=known.order.number,
+            number=number,
             position=order.number,
             taken_for=sighting.value,
         )
@@ -115,21 +170,14 @@
     def settle(self) -> None:
         """Take in the doubtful orders that nobody has written over."""
         for service, (order, patience) in tuple(self._doubtful.items()):
-            if self._store_time() >= patience:
+            if self._now() >= patience:
                 self._doubtful.pop(service)
-                self._found.pop(service, None)
                 self._begin(order)
 
     def leaves_beginning(self, service: ServiceName) -> bool:
         """Tell whether others are to begin a service's order, for a while."""
-        found = self._found.get(service)
-        if found is None:
-            return False
-        return self._store_time() - found < START_PATIENCE
-
-    def tell_of_orders(self, tell: Callable[[RolloutOrder], None]) -> None:
-        """Let somebody hear of each order that is taken in."""
-        self._told_of_orders.append(tell)
+        known = self._known.get(service)
+        return known is not None and self._now() < known.others_until
 
     def progress(
         self,
@@ -139,11 +187,10 @@
     ) -> None:
         """Take in how far the hosts have come."""
         self._rows[service] = (row, version)
-        known = self._rollouts.get(service)
-        if known is None or known.version >= version:
+        known = self._known.get(service)
+        if known is None or known.rollout.version >= version:
             return
-        changed = self._joined(known.order, row, version)
-        if self._is_behind(known, changed):
+        if known.is_ahead(row) and not known.adopts(row):
             self._lacks(known, version, row.stage)
             return
         _LOG.decision(
@@ -154,9 +201,9 @@
             why=row.why,
             row_version=version,
         )
-        self._lacking.discard(service)
-        self._rollouts[service] = changed
-        if changed.stage is not None and changed.stage.ended:
+        known.join(row, version)
+        stage = known.rollout.stage
+        if stage is not None and stage.ended:
             self._ended(service)
 
     def listed(self, services: Container[ServiceName], version: int) -> None:
@@ -166,9 +213,9 @@
             services: Those of which it has a row.
             version: Version of the table as it was read.
         """
-        for service, known in tuple(self._rollouts.items()):
-            is_older = version <= known.version
-            if known.stage is None or is_older:
+        for service, known in self._known.items():
+            is_older = version <= known.rollout.version
+            if known.rollout.stage is None or is_older:
                 continue
             if service not in services:
                 self._rows.pop(service, None)
@@ -179,39 +226,33 @@
         if rollout.row is not None:
             self.progress(rollout.order.service, rollout.row, version)
 
-    def _begin(self, order: RolloutOrder) -> None:
-        """Take a new order in."""
+    def _begin(self, order: RolloutOrder, patience: float = 0) -> None:
+        """Take a new order in; others are to begin it for some seconds."""
+        service = order.service
         _LOG.decision(
             'roll-out ordered',
-            service=order.service,
+            service=service,
             version=order.to,
             duration=order.duration,
             number=order.number,
         )
-        row, version = self._rows.get(order.service, (None, 0))
-        self._written[order.service] = order.number
-        self._lacking.discard(order.service)
-        self._rollouts[order.service] = self._joined(order, row, version)
+        before = self._known.get(service)
+        past: frozenset[int] = frozenset()
+        if before is not None:
+            past = before.past | {before.rollout.order.number}
+        known = _Known(
+            Rollout(order),
+            order.number,
+            self._now() + patience,
+            past,
+        )
+        self._known[service] = known
+        if service in self._rows:
+            known.join(*self._rows[service])
         for tell in self._told_of_orders:
             tell(order)
 
-    def _joined(
-        self,
-        order: RolloutOrder,
-        row: RolloutRow | None,
-        version: int,
-    ) -> Rollout:
-        """Return an order and how far it has come.
-
-        Where the order stood in the store as this host started, the row may
-        know it by the number that it had before the store came back.
-        """
-        found = order.service in self._found
-        if found and row is not None and is_from_before(order, row):
-            order = replace(order, number=row.order)
-        return Rollout(order, row, version)
-
-    def _lacks(self, known: Rollout, version: int, stage: str) -> None:
+    def _lacks(self, known: _Known, version: int, stage: str) -> None:
         """Note that the store has less than what is known of a roll-out.
 
         Args:
@@ -219,26 +260,14 @@
             version: Version of the row that it has; 0 for none.
             stage: What that says.
         """
-        service = known.order.service
+        rollout = known.rollout
         _LOG.decision(
             'roll-out stage lost by the store',
-            service=service,
-            order=known.order.number,
-            stage=known.stage and known.stage.value,
+            service=rollout.order.service,
+            order=rollout.order.number,
+            stage=rollout.stage and rollout.stage.value,
             stored=stage,
             row_version=version,
         )
-        self._rollouts[service] = Rollout(known.order, known.row, version)
-        self._lacking.add(service)
-
-    def _is_behind(self, known: Rollout, changed: Rollout) -> bool:
-        """Tell whether a row is behind what is known of the same order."""
-        if known.row is None or known.stage is None or changed.row is None:
-            return False
-        if changed.stage is not None:
-            return is_behind(changed.row, known.row)
-        # One of an order before, or begun by a host that knows this one by
-        # where it is written now.
-        number = changed.row.order
-        written = self._written[known.order.service]
-        return number < known.order.number or number == written
+        known.rollout = replace(rollout, version=version)
+        known.lacking = True
--- a/src/nutmegroad/canary/state.py
+++ b/src/nutmegroad/canary/state.py
@@ -47,6 +47,7 @@
         book: What all hosts have seen.
         hosts: Returns how many hosts the fleet has, this one included.
         besides: Requests that operators allow a bad version besides its share.
+        orders: The orders, and how far they have come.
     """
 
     def __init__(
@@ -57,11 +58,13 @@
         book: EvidenceBook,
         hosts: Callable[[], int],
         besides: float = 0,
+        *,
+        orders: OrderBook,
     ) -> None:
         self.host = host
         self.trial = trial
         self.store_time = store_time
-        self.orders = OrderBook(store_time, book.end)
+        self.orders = orders
         self.besides = besides
         self._hosts = hosts
         self._book = book
--- a/src/nutmegroad/fleet/evidence_book.py
+++ b/src/nutmegroad/fleet/evidence_book.py
@@ -6,7 +6,7 @@
 who had heard of them.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import Final
@@ -29,6 +29,10 @@
 #: a roll-out is under way in which hosts were lost.
 TOLD_ON: Final = 3
 
+#: Orders of a service whose counts are kept: after the store has come back, a
+#: host that has just started may know the present one by another number.
+MOST_ORDERS: Final = 2
+
 #: Runs of hosts that are remembered for one service at most: those of a day of
 #: the letter's fleet, 400 hosts and 140 that start again.
 MOST_RUNS: Final = 540
@@ -104,7 +108,8 @@
         self._host = host
         self._run = run
         self._own: EvidenceByService = {}
-        self._counts: dict[ServiceName, _Counts] = {}
+        # Of the last orders; the latest one at the end.
+        self._counts: dict[ServiceName, list[_Counts]] = {}
         #: Grows whenever there is news.
         self.changes = 0
         self._turn = 0
@@ -165,8 +170,7 @@
         """Return some of the ended runs that are to be told on, in turn."""
         known = [
             EndedRun(service, name[0], counts.runs[name])
-            for service, counts in self._counts.items()
-            if service in self._own
+            for service, counts in self._under_way()
             for name in counts.ended
         ]
         if not known:
@@ -195,12 +199,18 @@
         """Tell no more of a roll-out that has ended."""
         self._own.pop(service, None)
 
+    def _under_way(self) -> Iterator[tuple[ServiceName, _Counts]]:
+        """Return what is known of services that this host counts for."""
+        for service in self._own:
+            for counts in self._counts.get(service, ()):
+                yield service, counts
+
     def _of(self, service: ServiceName, order: int) -> _Counts | None:
-        """Return what is known of an order, if it is the latest known."""
-        known = self._counts.get(service)
-        if known is None or known.order != order:
-            return None
-        return known
+        """Return what is known of an order, if it is one of the last."""
+        for known in self._counts.get(service, ()):
+            if known.order == order:
+                return known
+        return None
 
     def _take(
         self,
@@ -208,10 +218,18 @@
         host: HostId,
         evidence: Evidence,
     ) -> None:
-        """Take in counts of the latest order that is known."""
-        known = self._counts.get(service)
-        if known is None or known.order < evidence.order:
+        """Take in counts of one of the last orders."""
+        known = self._of(service, evidence.order)
+        if known is None:
             known = _Counts(evidence.order)
-            self._counts[service] = known
-        if known.order == evidence.order and known.take(host, evidence):
+            orders = self._counts.setdefault(service, [])
+            orders.append(known)
+            orders.sort(key=_number)
+            self._counts[service] = orders[-MOST_ORDERS:]
+        if known.take(host, evidence):
             self.changes += 1
+
+
+def _number(counts: _Counts) -> int:
+    """Return the number of the order that counts are of."""
+    return counts.order
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
+from nutmegroad.canary.order_book import OrderBook
 from nutmegroad.canary.state import RolloutState, trial_share
 from nutmegroad.canary.steps import RolloutSteps
 from nutmegroad.fleet.announcements import HostRow
@@ -205,6 +206,7 @@
             self._fleet.told.book,
             self._fleet.count,
             settings.exposure_besides,
+            orders=OrderBook(clock.now, self._fleet.told.book.end),
         )
         self._parts = assemble(
             settings,
--- a/tests/test_rollout_returns.py
+++ b/tests/test_rollout_returns.py
@@ -14,7 +14,7 @@
 
 from fakes.row_store import StoreCopy
 
-from nutmegroad.canary.order_book import START_PATIENCE
+from nutmegroad.canary.order_book import DOUBTED, START_PATIENCE, OrderBook
 from nutmegroad.canary.orders import Sighting, is_behind, sight
 from nutmegroad.canary.rollouts import RolloutOrder, RolloutRow, Stage
 from nutmegroad.fleet.eras import position
@@ -139,6 +139,83 @@
         await self.rig.until(lambda: trial in self.stages_since(moment))
 
 
+class AdoptionTest(unittest.TestCase):
+    """Numbers that hosts know one order by."""
+
+    def setUp(self) -> None:
+        """Make a host that knows an order from before a return."""
+        self.first = position(1, 50)
+        self.again = position(2, 40)
+        self.witness = self.a_book(self.first)
+        self.witness.progress(
+            DESK, self.row(self.first, Stage.OPEN), self.first
+        )
+        self.witness.take(self.order(self.again))
+
+    def a_book(self, number: int) -> OrderBook:
+        """Return what a host knows that has seen an order first there."""
+        book = OrderBook(float, lambda _: None)
+        book.take(self.order(number))
+        return book
+
+    def order(self, number: int) -> RolloutOrder:
+        """Return an order."""
+        return RolloutOrder(DESK, SoftwareVersion('v2'), 20, number)
+
+    def row(self, number: int, stage: Stage) -> RolloutRow:
+        """Return how far an order is."""
+        return RolloutRow(number, stage.value, 0, to='v2', duration=20)
+
+    def number(self, book: OrderBook) -> int:
+        """Return the number by which a host knows the order."""
+        rollout = book.rollout(DESK)
+        assert rollout is not None
+        return rollout.order.number
+
+    def test_who_starts_later_takes_the_number_of_the_others(self) -> None:
+        """Also if it has begun the order under another one meanwhile."""
+        begun = self.row(self.again, Stage.TRIAL)
+        known = self.row(self.first, Stage.OPEN)
+        newcomer = self.a_book(self.again)
+        newcomer.progress(DESK, begun, position(2, 41))
+        self.witness.progress(DESK, begun, position(2, 41))
+        self.assertEqual(self.witness.lacking[0].row, known)
+        for book in (newcomer, self.witness):
+            book.progress(DESK, known, position(2, 42))
+            self.assertEqual(self.number(book), self.first)
+            self.assertEqual(book.lacking, ())
+
+    def test_a_later_order_is_not_taken_for_the_one_before(self) -> None:
+        """Whoever knows both keeps them apart; others follow."""
+        later = position(2, 60)
+        self.witness.take(self.order(later))
+        newcomer = self.a_book(later)
+        newcomer.progress(
+            DESK,
+            self.row(self.first, Stage.ROLLED_BACK),
+            position(2, 41),
+        )
+        self.assertEqual(self.number(newcomer), self.first)
+        begun = self.row(later, Stage.TRIAL)
+        for book in (newcomer, self.witness):
+            book.progress(DESK, begun, position(2, 61))
+            self.assertEqual(self.number(book), later)
+            self.assertEqual(book.lacking, ())
+
+    def test_a_doubtful_order_is_taken_in_the_end(self) -> None:
+        """If nobody writes the one again that it came after."""
+        now = 0.0
+        book = OrderBook(lambda: now, lambda _: None)
+        book.take(self.order(self.first))
+        other = RolloutOrder(DESK, SoftwareVersion('v1'), 20, self.again)
+        book.take(other)
+        book.settle()
+        self.assertEqual(self.number(book), self.first)
+        now = DOUBTED
+        book.settle()
+        self.assertEqual(self.number(book), self.again)
+
+
 class SightTest(unittest.TestCase):
     """What a row of the operator's is to a host that knows an order."""
 
