--- a/src/nutmegroad/canary/order_book.py
+++ b/src/nutmegroad/canary/order_book.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
+from msgspec import structs
+
 from nutmegroad.canary.orders import (
     Sighting,
     is_behind,
@@ -51,7 +53,51 @@
     adopted: bool = False
     lacking: bool = False
 
-    def adopts(self, row: RolloutRow) -> bool:
+    def is_ahead(self, row: RolloutRow) -> bool:
+        """Tell whether more is known than a row says."""
+        known = self.rollout.row
+        number = self.rollout.order.number
+        if known is None or self.rollout.stage is None:
+            return False
+        if not self._is_same(row):
+            return row.order < number
+        if self.adopted and row.order != number:
+            # Begun by a host that knows the order by where it is now, or a
+            # later order: whoever has adopted its number can't tell.
+            return False
+        if is_behind(row, known) or is_behind(known, row):
+            return is_behind(row, known)
+        # Where both are as far, the lower number stays, with what is known
+        # under it.
+        return row.order > number
+
+    def join(self, row: RolloutRow, version: int) -> None:
+        """Take in how far the order has come."""
+        if self._is_same(row):
+            self._call(row.order)
+        self.rollout = Rollout(self.rollout.order, row, version)
+        self.lacking = False
+
+    def keep(self, row: RolloutRow | None, version: int) -> None:
+        """Keep what is known, in place of a row of the store's.
+
+        Args:
+            row: What the store has, if it has one.
+            version: The row's version; 0 for none.
+        """
+        known = self.rollout.row
+        if row is not None and self._adopts(row) and known is not None:
+            self._call(row.order)
+            known = structs.replace(known, order=row.order)
+        self.rollout = Rollout(self.rollout.order, known, version)
+        self.lacking = True
+
+    def _is_same(self, row: RolloutRow) -> bool:
+        """Tell whether a row is of this order, by whatever number."""
+        numbers = (self.rollout.order.number, self.written)
+        return row.order in numbers or self._adopts(row)
+
+    def _adopts(self, row: RolloutRow) -> bool:
         """Tell whether a row knows this order by the number of an earlier era.
 
         Hosts that start after the store came back know orders by where they
@@ -61,30 +107,13 @@
             return False
         return is_from_before(self.rollout.order, row)
 
-    def is_ahead(self, row: RolloutRow) -> bool:
-        """Tell whether more is known than a row says."""
-        known = self.rollout
-        if known.row is None or known.stage is None:
-            return False
-        if row.order == known.order.number:
-            return is_behind(row, known.row)
-        if row.order == self.written:
-            # Begun by a host that knows the order by where it is now. Whoever
-            # has an adopted number can't tell that from a later order.
-            return not self.adopted
-        return row.order < known.order.number
-
-    def join(self, row: RolloutRow, version: int) -> None:
-        """Take in how far the order has come."""
-        order = self.rollout.order
-        if self.adopts(row):
-            order = replace(order, number=row.order)
-            self.adopted = True
-        elif self.adopted and row.order == self.written:
-            order = replace(order, number=row.order)
-            self.adopted = False
-        self.rollout = Rollout(order, row, version)
-        self.lacking = False
+    def _call(self, number: int) -> None:
+        """Know the order by a number from now on."""
+        before = self.rollout.order
+        if number != before.number:
+            self.adopted = number < before.number
+            order = replace(before, number=number)
+            self.rollout = replace(self.rollout, order=order)
 
 
 class OrderBook:
@@ -190,8 +219,9 @@
         known = self._known.get(service)
         if known is None or known.rollout.version >= version:
             return
-        if known.is_ahead(row) and not known.adopts(row):
-            self._lacks(known, version, row.stage)
+        if known.is_ahead(row):
+            known.keep(row, version)
+            _tell_of_loss(known, row.stage)
             return
         _LOG.decision(
             'roll-out stage',
@@ -219,7 +249,8 @@
                 continue
             if service not in services:
                 self._rows.pop(service, None)
-                self._lacks(known, 0, '')
+                known.keep(None, 0)
+                _tell_of_loss(known, '')
 
     def restored(self, rollout: Rollout, version: int) -> None:
         """Take in that a roll-out's row was written again."""
@@ -252,22 +283,15 @@
         for tell in self._told_of_orders:
             tell(order)
 
-    def _lacks(self, known: _Known, version: int, stage: str) -> None:
-        """Note that the store has less than what is known of a roll-out.
 
-        Args:
-            known: What is known.
-            version: Version of the row that it has; 0 for none.
-            stage: What that says.
-        """
-        rollout = known.rollout
-        _LOG.decision(
-            'roll-out stage lost by the store',
-            service=rollout.order.service,
-            order=rollout.order.number,
-            stage=rollout.stage and rollout.stage.value,
-            stored=stage,
-            row_version=version,
-        )
-        known.rollout = replace(rollout, version=version)
-        known.lacking = True
+def _tell_of_loss(known: _Known, stored: str) -> None:
+    """Say what the store lacks of a roll-out, and which stage it has."""
+    rollout = known.rollout
+    _LOG.decision(
+        'roll-out stage lost by the store',
+        service=rollout.order.service,
+        order=rollout.order.number,
+        stage=rollout.stage and rollout.stage.value,
+        stored=stored,
+        row_version=rollout.version,
+    )
--- a/tests/test_rollout_returns.py
+++ b/tests/test_rollout_returns.py
@@ -185,6 +185,29 @@
             self.assertEqual(self.number(book), self.first)
             self.assertEqual(book.lacking, ())
 
+    def test_who_has_seen_no_stage_follows_who_has(self) -> None:
+        """Pattern: one host heard of the order before the return, others not.
+
+        Found by the model: that host began the order anew, where the others
+        had ended it, and they took its number and lost the end.
+        """
+        alone = self.a_book(self.first)
+        alone.take(self.order(self.again))
+        ended = self.row(self.again, Stage.ROLLED_BACK)
+        alone.progress(DESK, ended, position(2, 41))
+        self.assertEqual(self.number(alone), self.again)
+        self.assertEqual(alone.active, ())
+
+    def test_an_end_stays_whatever_the_number(self) -> None:
+        """It is written under the number that the others use."""
+        ended = self.row(self.again, Stage.ROLLED_BACK)
+        other = self.a_book(self.again)
+        other.progress(DESK, ended, position(2, 41))
+        begun = self.row(self.first, Stage.TRIAL)
+        other.progress(DESK, begun, position(2, 42))
+        self.assertEqual(self.number(other), self.first)
+        self.assertIs(other.lacking[0].stage, Stage.ROLLED_BACK)
+
     def test_a_later_order_is_not_taken_for_the_one_before(self) -> None:
         """Whoever knows both keeps them apart; others follow."""
         later = position(2, 60)
