Tests: hand out each port once

A rig of 88 hosts ended with 'address already in use': ports were chosen before anything was bound, 264 of 28,000, so two alike are likelier than not. Ruled out: another process, the port was the rig's own.

--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -23,6 +23,9 @@
 KEY = 'the-key'
 REQUEST_ID = 'Nutmegroad-Request-Id'
 
+#: Ports that stand-ins and hosts of this process were told to use.
+_HANDED_OUT: set[int] = set()
+
 
 def free_port() -> int:
     """Return a port that nobody listens on, also not for datagrams."""
@@ -33,8 +36,11 @@
         ):
             probe.bind(('127.0.0.1', 0))
             port: int = probe.getsockname()[1]
+            if port in _HANDED_OUT:
+                continue
             with suppress(OSError):
                 datagrams.bind(('127.0.0.1', port))
+                _HANDED_OUT.add(port)
                 return port
 
 
