Watch each new connection for its own look at an upstream

Found by reading: the watch on a connection was kept by upstream and dropped as it ended. So an exchange that asked after a connection had been closed within the same moment was told that it was not, and the end of one watch dropped that of the next: ends behind a proxy would have been missed, and a harmful request would have ended more upstreams.

Now a look returns its own watch (relay/ends.Found). Ruled out: keeping results by upstream for a while, since a later look means a later connection.

--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -174,7 +174,8 @@
             broken: The exchange that broke.
             looked: Set once the request need not wait any longer.
         """
-        life = await self._ends.look(upstream.entry)
+        found = await self._ends.look(upstream.entry)
+        life = found.life
         if upstream.restarted:
             # Whoever has answered the try is another start of it.
             life = Life.ENDED
@@ -185,7 +186,7 @@
             return
         self._remember(broken)
         looked.set()
-        if await self._ends.passed_on_in_vain(upstream.entry):
+        if await found.passed_on_in_vain():
             self._counters.broke(Life.PASSED_ON_IN_VAIN.value)
             known = self._unproved.get(upstream.entry.incarnation)
             if known and broken in known:
--- a/src/nutmegroad/relay/ends.py
+++ b/src/nutmegroad/relay/ends.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 from enum import Enum, unique
 from typing import Final
 
@@ -41,6 +42,26 @@
     UNKNOWN = 'unknown'
 
 
+@dataclass(frozen=True, slots=True)
+class Found:
+    """What a try to connect has shown.
+
+    Attributes:
+        life: What it says of the upstream's process.
+        holding: Tells whether its connection was closed at once; None if none
+            could be had.
+    """
+
+    life: Life
+    holding: asyncio.Task[bool] | None = None
+
+    async def passed_on_in_vain(self) -> bool:
+        """Tell whether whoever took the connection closed it at once."""
+        if self.holding is None:
+            return False
+        return await asyncio.shield(self.holding)
+
+
 class EndWatch:
     """Finds out whether upstreams have ended.
 
@@ -50,10 +71,11 @@
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self._tries: dict[UpstreamIncarnation, asyncio.Task[Life]] = {}
-        self._holds: dict[UpstreamIncarnation, asyncio.Task[bool]] = {}
+        self._tries: dict[UpstreamIncarnation, asyncio.Task[Found]] = {}
+        # Keeps them from being collected.
+        self._holdings: set[asyncio.Task[bool]] = set()
 
-    async def look(self, entry: UpstreamEntry) -> Life:
+    async def look(self, entry: UpstreamEntry) -> Found:
         """Return what became of an upstream whose exchange has broken.
 
         All exchanges that break together share the tries.
@@ -66,30 +88,26 @@
             running.add_done_callback(lambda _: self._tries.pop(name, None))
         return await asyncio.shield(running)
 
-    async def passed_on_in_vain(self, entry: UpstreamEntry) -> bool:
-        """Tell whether the connection of the last try was closed at once."""
-        holding = self._holds.get(entry.incarnation)
-        return False if holding is None else await asyncio.shield(holding)
-
-    async def _find_out(self, entry: UpstreamEntry) -> Life:
+    async def _find_out(self, entry: UpstreamEntry) -> Found:
         """Try until one try is answered."""
         for _ in range(TRIES):
-            life = await self._try(entry)
-            if life is not Life.UNKNOWN:
-                return life
-        return Life.UNKNOWN
+            found = await self._try(entry)
+            if found.life is not Life.UNKNOWN:
+                return found
+        return Found(Life.UNKNOWN)
 
-    async def _try(self, entry: UpstreamEntry) -> Life:
+    async def _try(self, entry: UpstreamEntry) -> Found:
         """Try to connect, once."""
         try:
             connection = await self._pool.open(entry.address, TRY_TIMEOUT)
         except ConnectionFailedError as problem:
-            return Life.ENDED if problem.refused else Life.UNKNOWN
-        name = entry.incarnation
-        holding = asyncio.create_task(self._hold(name, connection))
-        self._holds[name] = holding
-        holding.add_done_callback(lambda _: self._holds.pop(name, None))
-        return Life.ALIVE
+            return Found(Life.ENDED if problem.refused else Life.UNKNOWN)
+        holding = asyncio.create_task(
+            self._hold(entry.incarnation, connection),
+        )
+        self._holdings.add(holding)
+        holding.add_done_callback(self._holdings.discard)
+        return Found(Life.ALIVE, holding)
 
     async def _hold(
         self,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,12 +14,17 @@
 import itertools
 import unittest
 from collections.abc import Awaitable, Callable
-from typing import Final
+from dataclasses import dataclass, field
+from typing import Final, cast
 
 from fakes.opaque_worker import EVENTS, crashing, plain, stream
 
 from nutmegroad.fleet.crash_book import FIRST_PAUSE
+from nutmegroad.foundations.types import Address
+from nutmegroad.relay.ends import EndWatch, Life
+from nutmegroad.relay.pools import ConnectionPool
 from tests.relay_rig import Rig
+from tests.relay_samples import an_entry
 
 #: The body that ends workers.
 HARMFUL: Final = b'harmful'
@@ -254,6 +259,56 @@
         self.assertLessEqual(ended, ENDS + TRIALS)
 
 
+@dataclass
+class HeldConnection:
+    """A connection that is closed when a test says so."""
+
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def closes_within(self, seconds: float) -> bool:
+        """Wait for the test."""
+        await self.closed.wait()
+        return True
+
+
+@dataclass
+class HeldPool:
+    """Hands out connections in order."""
+
+    connections: list[HeldConnection]
+
+    async def open(self, address: Address, timeout: float) -> HeldConnection:
+        """Return the next."""
+        return self.connections.pop(0)
+
+    def give_back(self, upstream: str, connection: HeldConnection) -> None:
+        """Do nothing."""
+
+
+class EndWatchTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that show later what became of an upstream.
+
+    Found by reading: whoever asked only once a connection had been closed was
+    told that it was not, and the end of one watch ended that of the next.
+    """
+
+    async def test_each_look_has_its_own_connection(self) -> None:
+        """Whatever becomes of the one before, and however soon it is closed."""
+        first, second = HeldConnection(), HeldConnection()
+        watch = EndWatch(cast(ConnectionPool, HeldPool([first, second])))
+        entry = an_entry('worker')
+        looks = [await watch.look(entry)]
+        first.closed.set()
+        looks.append(await watch.look(entry))
+        self.assertTrue(await looks[0].passed_on_in_vain())
+        second.closed.set()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        for look in looks:
+            self.assertIs(look.life, Life.ALIVE)
+            self.assertTrue(await look.passed_on_in_vain())
+
+
 class BystanderTest(unittest.IsolatedAsyncioTestCase):
     """Requests that run at the same upstreams as the one that ends them."""
 
