Let idle hosts tell of a configuration that the store has lost

Callers could use a key that had been taken away, at a host that had started after the store came back from a copy, until the operator wrote again.

Cause: such a host takes nothing for confirmed while another one tells of a newer configuration; but hosts that have no loads, sessions or evidence to tell are silent, so it heard nothing.

The test starts the host after its neighbours have read the copy: red on the old code, green now.

--- a/src/nutmegroad/fleet/heard_versions.py
+++ b/src/nutmegroad/fleet/heard_versions.py
@@ -30,6 +30,16 @@
         self._until = float('-inf')
         #: The version that this host has in force.
         self.own = NONE
+        #: The version that the store shows.
+        self.shown = NONE
+
+    @property
+    def store_lacks(self) -> bool:
+        """Tell whether the store shows less than this host has in force.
+
+        Then it has to be told, also by hosts that have nothing else to tell.
+        """
+        return self.shown < self.own
 
     @property
     def newest(self) -> int:
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -283,6 +283,7 @@
             or self._marks.any_alive
             or self._book.own_counts
             or self._crashes.has_news
+            or self._versions.store_lacks
         )
         if self._transport is None or (self._silent and empty):
             return
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -87,8 +87,6 @@
         self._belief = belief
         self._orders = orders
         self._tell_services = tell_services
-        # The configuration that the store has.
-        self._shown = NO_VERSION
         # Whether the table was read since the host has started.
         self._has_read = False
 
@@ -107,7 +105,10 @@
         """Note that nothing newer existed at a moment."""
         # A store that shows an older one than some host has in force has lost
         # what was written since.
-        if self._belief.table is None or self._shown < self._versions.newest:
+        if (
+            self._belief.table is None
+            or self._versions.shown < self._versions.newest
+        ):
             return
         self._belief.confirm(moment)
 
@@ -116,14 +117,14 @@
 
     def went_back(self) -> None:
         """Note that the operator's last writes may be missing."""
-        self._shown = NO_VERSION
+        self._versions.shown = NO_VERSION
         self._belief.doubt()
 
     def _take(self, row: StoredRow) -> None:
         """Take one row in."""
         content = self._reader.operator_row(row)
         if isinstance(content, RoutingTable):
-            self._shown = content.version
+            self._versions.shown = content.version
             self._belief.take(content)
             self._versions.own = max(self._versions.own, content.version)
             if self._belief.table is content:
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -5,6 +5,7 @@
 added is missing, and what was taken away is there again.
 """
 
+import asyncio
 import json
 import unittest
 from collections.abc import Callable
@@ -304,8 +305,12 @@
         self.rig.configure(version=2, tenants=[])
         await self.until_version(2)
         self.rig.store.come_back(copy)
+        # So that whoever is asked for tables has the copy's.
+        await asyncio.sleep(1)
         number = await self.rig.add_host()
-        await self.rig.until(lambda: not self.rig.hosts[number].trusted)
+        # Longer than any key holds unconfirmed; idle hosts have to tell it.
+        await asyncio.sleep(TRUST + 1)
+        self.assertFalse(self.rig.hosts[number].trusted)
         status, _, _ = await self.rig.ask('/look/1', host=number)
         self.assertEqual(status, UNAVAILABLE)
 
