--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -278,12 +278,14 @@
 
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
-        empty = not (
-            self._ledger.own
-            or self._marks.any_alive
-            or self._book.own_counts
-            or self._crashes.has_news
-            or self._versions.store_lacks
+        empty = not any(
+            (
+                self._ledger.own,
+                self._marks.any_alive,
+                self._book.own_counts,
+                self._crashes.has_news,
+                self._versions.store_lacks,
+            ),
         )
         if self._transport is None or (self._silent and empty):
             return
