--- a/fakes/gates.py
+++ b/fakes/gates.py
@@ -118,18 +118,13 @@
 
 async def _written(request: web.Request, scope: str) -> FaultTarget:
     """Return what a call has written; rows are named by their first word."""
-    if not _is_commit(request):
+    if request.path != COMMIT_PATH:
         return FaultTarget(scope)
     body = await read_body(request, CommitBody)
     kinds = {write.key.partition('/')[0] for write in body.writes}
     return FaultTarget(scope, task=min(kinds, default=''))
 
 
-def _is_commit(request: web.Request) -> bool:
-    """Tell whether a call writes rows."""
-    return request.path == COMMIT_PATH
-
-
 def _route(request: web.Request) -> str:
     """Return the name under which a call is counted."""
     resource = request.match_info.route.resource
