Use the timeout of new connections for the try after a break

The try had a copy of it, said to be as long; it is the same constant now (relay/attempts.CONNECT_TIMEOUT, 0.3 s), so the two can't drift apart. No change of behaviour. Ruled out: moving it to relay/connections, which knows of no policy.

--- a/src/nutmegroad/relay/ends.py
+++ b/src/nutmegroad/relay/ends.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from nutmegroad.foundations.types import UpstreamIncarnation
+from nutmegroad.relay.attempts import CONNECT_TIMEOUT
 from nutmegroad.relay.connections import (
     ConnectionFailedError,
     UpstreamConnection,
@@ -18,9 +19,6 @@
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.upstreams.directory import UpstreamEntry
 
-#: Seconds for a try: as for any new connection.
-TRY_TIMEOUT: Final = 0.3
-
 #: Tries until one is answered: the packets of one may be lost.
 TRIES: Final = 2
 
@@ -99,7 +97,7 @@
     async def _try(self, entry: UpstreamEntry) -> Found:
         """Try to connect, once."""
         try:
-            connection = await self._pool.open(entry.address, TRY_TIMEOUT)
+            connection = await self._pool.open(entry.address, CONNECT_TIMEOUT)
         except ConnectionFailedError as problem:
             return Found(Life.ENDED if problem.refused else Life.UNKNOWN)
         holding = asyncio.create_task(
