Say once how a stage is written, how hosts wait and what is further

Found by reading the change whole: the row of a stage was put together in two places and its key in three; the wait behind the hosts before one's own stood three times (twice in canary/steps, once in fleet/crash_rows); which of two rows of an order is further was asked twice in a row, with the numbers compared beside it. Now _step_row, delay_of_turn (fleet/turns), and one order of rows that ends with the number, as the model has it. A default that nobody used is gone.

No change of behaviour. Ruled out: one spread for all turns, since the two say different things.

--- a/src/nutmegroad/canary/order_book.py
+++ b/src/nutmegroad/canary/order_book.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Container
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import Final
 
 from msgspec import structs
@@ -49,7 +49,7 @@
     rollout: Rollout
     written: int
     others_until: float
-    past: frozenset[int] = field(default_factory=frozenset)
+    past: frozenset[int]
     adopted: bool = False
     lacking: bool = False
 
@@ -65,11 +65,7 @@
             # Begun by a host that knows the order by where it is now, or a
             # later order: whoever has adopted its number can't tell.
             return False
-        if is_behind(row, known) or is_behind(known, row):
-            return is_behind(row, known)
-        # Where both are as far, the lower number stays, with what is known
-        # under it.
-        return row.order > number
+        return is_behind(row, known)
 
     def join(self, row: RolloutRow, version: int) -> None:
         """Take in how far the order has come."""
--- a/src/nutmegroad/canary/orders.py
+++ b/src/nutmegroad/canary/orders.py
@@ -65,14 +65,15 @@
     """Tell whether a row of an order is behind one that was known before.
 
     An end stays: of two that contradict each other the first one holds, since
-    the operator has acted on it.
+    the operator has acted on it. Where both are as far, the lower number stays,
+    with what is known under it.
     """
     return _progress(row) < _progress(known)
 
 
-def _progress(row: RolloutRow) -> tuple[int, float, bool]:
+def _progress(row: RolloutRow) -> tuple[int, float, bool, int]:
     """Return how far a row is, to be compared."""
     stage = Stage(row.stage)
     if stage.ended:
-        return 2, -row.since, False
-    return int(stage is Stage.OPEN), 0, row.beyond > 0
+        return 2, -row.since, False, -row.order
+    return int(stage is Stage.OPEN), 0, row.beyond > 0, -row.order
--- a/src/nutmegroad/canary/steps.py
+++ b/src/nutmegroad/canary/steps.py
@@ -1,6 +1,5 @@
 """The steps of a roll-out that hosts write into the platform's store."""
 
-import math
 from collections.abc import Callable, Iterator
 from typing import Final, Protocol
 
@@ -29,6 +28,7 @@
     RowPut,
     Store,
 )
+from nutmegroad.fleet.turns import delay_of_turn
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
@@ -163,13 +163,11 @@
     async def _make(self, rollout: Rollout, step: RolloutRow) -> None:
         """Write a step down, unless another host is first."""
         service = rollout.order.service
-        place = self._turn(f'{service}/{step.order}/{step.stage}')
-        await self._clock.sleep(SPREAD * math.log2(1 + place))
+        await self._wait_for_turn(f'{service}/{step.order}/{step.stage}')
         present = self._state.orders.rollout(service)
         if present != rollout:
             return
-        key = f'{STEP_KEY}{service}'
-        puts = [RowPut(FLEET_TABLE, key, msgspec.json.encode(step))]
+        puts = [_step_row(service, step)]
         stage = Stage(step.stage)
         if stage is not rollout.stage and stage is not Stage.OPEN:
             puts.append(self._status.status(rollout.order, stage))
@@ -195,8 +193,7 @@
         lacking = self._state.orders.lacking
         if not lacking:
             return
-        place = self._turn(RESTORE)
-        await self._clock.sleep(SPREAD * math.log2(1 + place))
+        await self._wait_for_turn(RESTORE)
         lacking = self._state.orders.lacking[:MOST_RESTORED]
         if not lacking:
             return
@@ -219,13 +216,14 @@
         """Return the rows of a roll-out that has come to a stage."""
         if rollout.row is None or rollout.stage is None:
             return
-        yield RowPut(
-            FLEET_TABLE,
-            f'{STEP_KEY}{rollout.order.service}',
-            msgspec.json.encode(rollout.row),
-        )
+        yield _step_row(rollout.order.service, rollout.row)
         yield self._status.status(rollout.order, rollout.stage)
 
+    async def _wait_for_turn(self, name: str) -> None:
+        """Wait behind the hosts that are to do something before this one."""
+        delay = delay_of_turn(self._turn(name), SPREAD)
+        await self._clock.sleep(delay)
+
     async def _tell(self, rollout: Rollout) -> None:
         """Write down what this host has seen, if it is news."""
         if rollout.stage is None:
@@ -265,9 +263,20 @@
     return Stage.ROLLED_BACK if elapsed >= GIVE_UP_AT else None
 
 
+def _step_key(service: ServiceName) -> str:
+    """Return the key of the row that says how far a roll-out is."""
+    return f'{STEP_KEY}{service}'
+
+
+def _step_row(service: ServiceName, step: RolloutRow) -> RowPut:
+    """Return that row."""
+    content = msgspec.json.encode(step)
+    return RowPut(FLEET_TABLE, _step_key(service), content)
+
+
 def _unchanged(rollout: Rollout) -> RowExpected:
-    """Return the condition that nobody has written a roll-out's row since."""
-    key = f'{STEP_KEY}{rollout.order.service}'
+    """Return the condition that nobody has written that row since."""
+    key = _step_key(rollout.order.service)
     return RowExpected(FLEET_TABLE, key, rollout.version)
 
 
--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -5,7 +5,6 @@
 lasts, so there is nothing to tidy up; another one holds who tries what.
 """
 
-import math
 from collections.abc import Callable
 from typing import Final
 
@@ -29,6 +28,7 @@
     Store,
     StoredRow,
 )
+from nutmegroad.fleet.turns import delay_of_turn
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
@@ -171,8 +171,8 @@
             await self._clock.sleep(LOOK)
             if not self._is_due():
                 continue
-            place = self._turn(CRASHES_KEY)
-            await self._clock.sleep(SPREAD * math.log2(1 + place))
+            delay = delay_of_turn(self._turn(CRASHES_KEY), SPREAD)
+            await self._clock.sleep(delay)
             await self.write()
 
     async def write(self) -> None:
