--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -118,6 +118,11 @@
         """Return what the first host is told at start."""
         return self._settings[0]
 
+    @property
+    def crashes(self) -> int:
+        """Return how often workers have ended by a request."""
+        return sum(worker.crashes for worker in self.workers)
+
     async def __aenter__(self) -> 'Rig':
         """Start everything but the host."""
         runner = AppRunner(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -51,11 +51,6 @@
             worker.usual = crashing(HARMFUL, stream())
         await self.rig.start()
 
-    @property
-    def ended(self) -> int:
-        """Return how many workers have ended by the request."""
-        return sum(worker.crashes for worker in self.rig.workers)
-
     async def come(
         self,
         number: int,
@@ -82,13 +77,13 @@
     async def test_it_is_refused_after_its_third_upstream(self) -> None:
         """By the same host, with a promise that it did not run."""
         await self.come(1)
-        self.assertEqual(self.ended, ENDS)
+        self.assertEqual(self.rig.crashes, ENDS)
         status, headers, text = await self.rig.ask(
             '/draft/1',
             'r2',
             body=HARMFUL,
         )
-        self.assertEqual(self.ended, ENDS)
+        self.assertEqual(self.rig.crashes, ENDS)
         self.assertEqual(status, PROMISE)
         self.assertGreater(float(headers['Retry-After']), 1)
         self.assertIn(b'REQUEST_HARMFUL', text)
@@ -99,7 +94,7 @@
         await asyncio.sleep(1)
         for number in range(TIMES):
             await self.come(2 + number, host=number % 2)
-        self.assertLessEqual(self.ended, ENDS + MORE)
+        self.assertLessEqual(self.rig.crashes, ENDS + MORE)
         self.assertEqual(self.rig.seen('r4') + self.rig.seen('r5'), 0)
 
     async def test_ends_under_it_add_up_over_hosts(self) -> None:
@@ -107,11 +102,11 @@
         for number in range(ENDS):
             await self.come(number, host=number % 2, path='/once/1')
             await asyncio.sleep(0.5)
-        self.assertEqual(self.ended, ENDS)
+        self.assertEqual(self.rig.crashes, ENDS)
         for number in range(TIMES):
             status = await self.come(10 + number, number % 2, '/once/1')
             self.assertEqual(status, PROMISE)
-        self.assertEqual(self.ended, ENDS)
+        self.assertEqual(self.rig.crashes, ENDS)
 
     async def test_a_host_that_starts_later_refuses_it(self) -> None:
         """What the others know outlives them in the platform's store."""
@@ -122,7 +117,7 @@
         number = await self.rig.add_host()
         for again in range(TIMES):
             await self.come(2 + again, host=number)
-        self.assertEqual(self.ended, ENDS + TRIALS)
+        self.assertEqual(self.rig.crashes, ENDS + TRIALS)
 
     async def test_other_requests_are_served(self) -> None:
         """The same path with another body, and the body on another path."""
@@ -164,20 +159,15 @@
             worker.usual = crashing(HARMFUL, stream())
         await self.rig.start()
         await self.rig.ask('/draft/1', 'r1', body=HARMFUL)
-        self.assertEqual(self.ended, ENDS)
+        self.assertEqual(self.rig.crashes, ENDS)
         self.before = sum(len(worker.seen) for worker in self.rig.workers)
 
-    @property
-    def ended(self) -> int:
-        """Return how many workers have ended."""
-        return sum(worker.crashes for worker in self.rig.workers)
-
     async def test_a_trial_lasts_until_it_reaches_an_upstream(self) -> None:
         """Attempts that nobody takes don't use it up."""
         await asyncio.sleep(FIRST_PAUSE)
         number = await self.rig.add_host()
         await self.rig.ask('/draft/1', 'r2', body=HARMFUL, host=number)
-        self.assertEqual(self.ended, ENDS + TRIALS)
+        self.assertEqual(self.rig.crashes, ENDS + TRIALS)
 
     async def test_a_trial_reaches_one_upstream(self) -> None:
         """Whatever the request may do otherwise."""
@@ -217,8 +207,7 @@
         for number in range(ENDS + MORE):
             await self.rig.ask('/once/1', f'r{number}', body=HARMFUL)
             await asyncio.sleep(0.3)
-        ended = sum(worker.crashes for worker in self.rig.workers)
-        self.assertLessEqual(ended, ENDS + TRIALS)
+        self.assertLessEqual(self.rig.crashes, ENDS + TRIALS)
 
 
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
@@ -255,8 +244,7 @@
         for number in range(ENDS + TIMES):
             await self.rig.ask('/once/1', f'r{number}', body=HARMFUL)
             await asyncio.sleep(0.3)
-        ended = sum(worker.crashes for worker in self.rig.workers)
-        self.assertLessEqual(ended, ENDS + TRIALS)
+        self.assertLessEqual(self.rig.crashes, ENDS + TRIALS)
 
 
 @dataclass
@@ -358,8 +346,7 @@
         self.assertEqual(answer, b''.join(EVENTS))
         for number in range(TIMES):
             await self.rig.ask('/once/1', f'harm-{number}', body=HARMFUL)
-        harmed = [worker.crashes for worker in self.rig.workers]
-        self.assertLessEqual(sum(harmed), ENDS + TRIALS)
+        self.assertLessEqual(self.rig.crashes, ENDS + TRIALS)
 
 
 async def _close(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
