Log what a host knew of a session that a trial might take

The logs named each session's runs, but not what a host knew as it chose a version.

No decision changes.

--- a/src/nutmegroad/canary/gate.py
+++ b/src/nutmegroad/canary/gate.py
@@ -23,6 +23,7 @@
 from nutmegroad.fleet.evidence import KindNumber
 from nutmegroad.fleet.session_marks import SessionMarks, mark
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import ServiceName
 from nutmegroad.routes.requests import CallerRequest, SessionName
 from nutmegroad.upstreams.directory import (
@@ -31,6 +32,8 @@
     Upstream,
 )
 
+_LOG: Final = part_logger('rollouts')
+
 #: Bits of the hash function's values, and how many values there are.
 _HASH_BITS: Final = 64
 _HASHES: Final = 1 << _HASH_BITS
@@ -112,11 +115,16 @@
         session = request.session
         if session is None:
             return
-        self._sessions.ran(service, session, version)
         rollout = self._state.orders.rollout(service)
-        if rollout is None or version == rollout.order.to:
-            return
-        if self._stays(rollout) and self._may_be_moved(session):
+        on_trial = (
+            rollout is not None
+            and self._stays(rollout)
+            and self._may_be_moved(session)
+        )
+        if on_trial:
+            self._note_known(request, service, version)
+        self._sessions.ran(service, session, version)
+        if on_trial and rollout and version != rollout.order.to:
             self._marks.saw(mark(service, session))
 
     def observe(
@@ -181,6 +189,27 @@
                 return False
         return _place(session) < share
 
+    def _note_known(
+        self,
+        request: CallerRequest,
+        service: ServiceName,
+        version: SoftwareVersion,
+    ) -> None:
+        """Log what was known of a session that a trial might take."""
+        session = request.session
+        if session is None:
+            return
+        marked = self._marks.age(mark(service, session))
+        _LOG.decision(
+            'session ran',
+            request=request.request,
+            session=session,
+            version=version,
+            before=self._sessions.version(service, session),
+            old_age=None if marked is None else round(marked, 3),
+            marks=len(self._marks),
+        )
+
     def _mark_living(self, order: RolloutOrder) -> None:
         """Mark the sessions that were alive before an order was heard of."""
         for session, seen in self._sessions.living(order.service):
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -201,6 +201,11 @@
         self._at_once = 0
         self._ledger.tell_of_requests(self._tell_at_once)
 
+    def count_heard(self) -> int:
+        """Return how many other hosts were heard a moment ago."""
+        oldest = self._clock.now() - QUIET
+        return sum(heard >= oldest for heard in self._heard.values())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket to send on."""
         self._transport = cast(asyncio.DatagramTransport, transport)
--- a/src/nutmegroad/fleet/session_marks.py
+++ b/src/nutmegroad/fleet/session_marks.py
@@ -57,6 +57,18 @@
         """
         self._seen[mark] = self._clock.now() if moment is None else moment
 
+    def __len__(self) -> int:
+        """Return how many marks are remembered."""
+        return len(self._seen)
+
+    def age(self, mark: SessionMark) -> float | None:
+        """Return the seconds since a session ran on the old version.
+
+        None if it is not known that it ever did.
+        """
+        seen = self._seen.get(mark)
+        return None if seen is None else self._clock.now() - seen
+
     def alive(self, mark: SessionMark) -> bool:
         """Tell whether a session ran on the old version a moment ago."""
         seen = self._seen.get(mark)
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -90,6 +90,9 @@
             ready=self.ready,
             returns=self._fleet.store.returns,
             harmful=self._fleet.told.crashes.count_harmful(),
+            hosts=self._fleet.neighbours.count,
+            hosts_heard=self._fleet.neighbours.count_heard(),
+            session_marks=len(self._fleet.told.marks),
         )
 
     @property
--- a/src/nutmegroad/relay/status_pages.py
+++ b/src/nutmegroad/relay/status_pages.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from operator import attrgetter
 from typing import Final, Protocol
 
 from aiohttp import web
@@ -26,6 +28,9 @@
         ready: Whether new connections are wanted.
         returns: How often the store has come back from a copy since the start.
         harmful: Requests that are kept from upstreams.
+        hosts: Other hosts known.
+        hosts_heard: Those of them that were heard a moment ago.
+        session_marks: Sessions known to have run on an old version.
     """
 
     configuration: int
@@ -36,6 +41,9 @@
     ready: bool
     returns: int
     harmful: int
+    hosts: int
+    hosts_heard: int
+    session_marks: int
 
 
 class Believer(Protocol):
@@ -46,6 +54,51 @@
         """Return what it believes now."""
 
 
+#: Returns one of a host's beliefs.
+_Reader = Callable[[Beliefs], float]
+
+_Gauge = tuple[str, str, _Reader]
+
+#: Name, meaning and reader of each gauge.
+_GAUGES: Final[tuple[_Gauge, ...]] = (
+    (
+        'configuration_version',
+        'Version of the configuration in force',
+        attrgetter('configuration'),
+    ),
+    (
+        'configuration_age_seconds',
+        'Seconds since it was last known to be the newest',
+        attrgetter('age'),
+    ),
+    ('upstreams', 'Upstreams known', attrgetter('upstreams')),
+    ('rollouts', 'Roll-outs under way', attrgetter('rollouts')),
+    ('open_requests', 'Requests being answered', attrgetter('open_requests')),
+    ('ready', 'Whether new connections are wanted', attrgetter('ready')),
+    (
+        'store_returns',
+        'Times that the store came back from a copy since this host started',
+        attrgetter('returns'),
+    ),
+    (
+        'harmful_requests',
+        'Requests that are kept from upstreams, as several ended under them',
+        attrgetter('harmful'),
+    ),
+    ('hosts', 'Other hosts known', attrgetter('hosts')),
+    (
+        'hosts_heard',
+        'Other hosts that were heard a moment ago',
+        attrgetter('hosts_heard'),
+    ),
+    (
+        'session_marks',
+        'Sessions known to have run on an old version',
+        attrgetter('session_marks'),
+    ),
+)
+
+
 class StatusPages:
     """Answers the balancer and the operators' metrics collector.
 
@@ -78,43 +131,10 @@
 
 def show_beliefs(counters: RelayCounters, believer: Believer) -> None:
     """Show what a host believes as gauges."""
-    counters.gauge(
-        'configuration_version',
-        'Version of the configuration in force',
-        lambda: believer.beliefs.configuration,
-    )
-    counters.gauge(
-        'configuration_age_seconds',
-        'Seconds since it was last known to be the newest',
-        lambda: believer.beliefs.age,
-    )
-    counters.gauge(
-        'upstreams',
-        'Upstreams known',
-        lambda: believer.beliefs.upstreams,
-    )
-    counters.gauge(
-        'rollouts',
-        'Roll-outs under way',
-        lambda: believer.beliefs.rollouts,
-    )
-    counters.gauge(
-        'open_requests',
-        'Requests being answered',
-        lambda: believer.beliefs.open_requests,
-    )
-    counters.gauge(
-        'ready',
-        'Whether new connections are wanted',
-        lambda: believer.beliefs.ready,
-    )
-    counters.gauge(
-        'store_returns',
-        'Times that the store came back from a copy since this host started',
-        lambda: believer.beliefs.returns,
-    )
-    counters.gauge(
-        'harmful_requests',
-        'Requests that are kept from upstreams, as several ended under them',
-        lambda: believer.beliefs.harmful,
-    )
+    for name, meaning, read in _GAUGES:
+        counters.gauge(name, meaning, partial(_read, believer, read))
+
+
+def _read(believer: Believer, read: _Reader) -> float:
+    """Return one of a host's beliefs as they are now."""
+    return read(believer.beliefs)
