--- /dev/null
+++ b/tests/test_moved_sessions.py
@@ -0,0 +1,190 @@
+"""No living session is moved to a new version, at nine and at 200 hosts.
+
+Callers of a large deployment saw four requests run on another version than the
+one before them in their session, on a calm day with a good roll-out. Sessions
+come to any host. The one that moved a session had not heard from the one that
+had served it seconds before in another failure domain: nearly all hosts of
+other domains counted as silent, and were told next to nothing. Where sessions
+were many, the older marks were told to nobody.
+"""
+
+import asyncio
+import itertools
+import unittest
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from experiments.virtual_time import VirtualClock, VirtualLoop, run_virtually
+
+from nutmegroad.canary.gate import RolloutGate
+from nutmegroad.canary.order_book import OrderBook
+from nutmegroad.canary.rollouts import LEAD, RolloutOrder, RolloutRow, Stage
+from nutmegroad.canary.sessions import SessionVersions
+from nutmegroad.canary.state import RolloutState
+from nutmegroad.canary.suspicions import Suspicions
+from nutmegroad.foundations.types import HostId
+from nutmegroad.upstreams.directory import Directory, SoftwareVersion
+from tests.gossip_rig import SPAN, GossipFleet, Member
+from tests.relay_samples import ENGINES, a_request, an_entry
+
+SIZES: Final = ((9, 3), (200, 5))
+
+NEW: Final = SoftwareVersion('v2')
+
+#: Seconds of the day: the order, the row that begins its trial, and how long a
+#: host may be behind with each.
+ORDERED: Final = 6.0
+BEGUN: Final = 6.3
+BEHIND: Final = 0.3
+
+#: Seconds that the roll-out may take; sessions stay for the first half.
+DURATION: Final = 16.0
+
+#: Requests a second to the whole fleet, and sessions that they belong to.
+RATE: Final = 270.0
+SESSIONS: Final = 1600
+
+#: Share of the sessions that the trial takes.
+TRIAL: Final = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Where a request of a session ran.
+
+    Attributes:
+        version: On which version.
+        host: By which host.
+        moment: When.
+    """
+
+    version: SoftwareVersion
+    host: HostId
+    moment: float
+
+
+class Day:
+    """Sessions that come to all hosts while a roll-out is ordered.
+
+    Args:
+        fleet: The hosts.
+    """
+
+    def __init__(self, fleet: GossipFleet) -> None:
+        self._fleet = fleet
+        self._gates = {each.name: self._gate(each) for each in fleet.members}
+        self._ran: dict[str, Run] = {}
+        self._numbers = itertools.count()
+        #: Pairs of runs of a session, on the old and on the new version.
+        self.moved: list[tuple[Run, Run]] = []
+
+    async def run(self) -> None:
+        """Let requests come until sessions may be moved."""
+        fleet = self._fleet
+        steps = asyncio.gather(*map(self._carry_out, fleet.members))
+        weights = [1 / (1 + rank) ** 0.3 for rank in range(SESSIONS)]
+        names = fleet.randomness.choices(
+            range(SESSIONS),
+            weights,
+            k=int(RATE * BEGUN + RATE * DURATION),
+        )
+        for number in names:
+            await fleet.clock.sleep(fleet.randomness.expovariate(RATE))
+            if fleet.clock.now() >= BEGUN + DURATION / 2:
+                break
+            self._ask(
+                f'session-{number}', fleet.randomness.choice(fleet.members)
+            )
+        await steps
+
+    def _gate(self, member: Member) -> RolloutGate:
+        """Return what decides at a host where sessions go."""
+        clock = self._fleet.clock
+        directory = Directory(clock)
+        directory.put(an_entry('old'))
+        book = member.told.book
+        state = RolloutState(
+            member.name,
+            TRIAL,
+            clock.now,
+            book,
+            lambda: 1,
+            orders=OrderBook(clock.now, book.end),
+        )
+        gate = RolloutGate(
+            directory,
+            state,
+            SessionVersions(clock, SPAN),
+            member.told.marks,
+            Suspicions(clock),
+        )
+        # The version that is there before the order.
+        gate.permitted(a_request('first'), ENGINES)
+        directory.put(an_entry('new', NEW))
+        return gate
+
+    async def _carry_out(self, member: Member) -> None:
+        """Let a host hear of the order, and of its trial."""
+        clock, randomness = self._fleet.clock, self._fleet.randomness
+        orders = self._gates[member.name]._state.orders
+        late = randomness.uniform(0, BEHIND)
+        await clock.sleep(ORDERED + late)
+        orders.take(RolloutOrder(ENGINES, NEW, DURATION, 7))
+        await clock.sleep(BEGUN + late - clock.now())
+        row = RolloutRow(7, Stage.TRIAL.value, BEGUN, to=NEW, duration=DURATION)
+        orders.progress(ENGINES, row, 11)
+
+    def _ask(self, session: str, member: Member) -> None:
+        """Let a request of a session come to a host."""
+        request = a_request(f'r{next(self._numbers)}', session=session)
+        gate = self._gates[member.name]
+        version = gate.permitted(request, ENGINES)[0].entry.version
+        gate.ran(request, ENGINES, version)
+        run = Run(version, member.name, self._fleet.clock.now())
+        before = self._ran.get(session)
+        self._ran[session] = run
+        if before is None or run.moment - before.moment >= SPAN:
+            return
+        if before.version != run.version:
+            self.moved.append((before, run))
+
+
+class MovedSessionsTest(unittest.TestCase):
+    """Sessions stay where they are."""
+
+    def test_living_sessions_stay_at_any_size(self) -> None:
+        """Guards: a host moves a session that another one has just served."""
+        for (hosts, domains), seed in itertools.product(SIZES, range(3)):
+            moved = play(hosts, domains, seed)
+            with self.subTest(hosts=hosts, seed=seed):
+                self.assertEqual(list(_tell(moved)), [])
+
+
+def _tell(moved: list[tuple[Run, Run]]) -> Iterator[str]:
+    """Return a line for each session that was moved."""
+    for before, run in moved:
+        yield (
+            f'{before.version} at {before.host}, '
+            f'{run.moment - before.moment:.3f} s later {run.version} at '
+            f'{run.host}, {run.moment - BEGUN - LEAD:.3f} s into the trial'
+        )
+
+
+def play(hosts: int, domains: int, seed: int) -> list[tuple[Run, Run]]:
+    """Play a day, and return which sessions were moved."""
+    loop = VirtualLoop()
+
+    async def run() -> list[tuple[Run, Run]]:
+        fleet = GossipFleet(hosts, domains, VirtualClock(loop), seed)
+        day = Day(fleet)
+        await day.run()
+        for member in fleet.members:
+            member.work.cancel()
+        return day.moved
+
+    return run_virtually(loop, run())
+
+
+if __name__ == '__main__':
+    unittest.main()
