Tell all hosts in time what one has seen, at any size

What callers saw: living sessions of a large fleet were moved to a new version.

Cause: a host of another failure domain was told only if something had come from it in the last five seconds, else at each twentieth turn. With 156 of them each is heard every 23 s at best, so all counted as silent; and as the turn also picked the host, three in four were never told. Besides, only the newest 250 marks were told, and whoever had nothing to tell counted as silent at any size.

Why the mend holds: facts are told as rumors, by each host that learns them, first those which it has seen itself; between domains the hosts of one take turns, so each other domain is told as often whatever their number. Whose turn it is and whom it tells count separately; nobody counts as silent; hosts begin at unlike places.

tests.test_evidence_book: what is told on of an earlier start is asked of the new call, as strictly. test_load_patterns: far hosts are told of heavy requests while they are few enough to get reports; a test for those beyond.

--- a/src/nutmegroad/fleet/evidence_book.py
+++ b/src/nutmegroad/fleet/evidence_book.py
@@ -1,18 +1,15 @@
 """What all hosts have seen of roll-outs, as far as this one knows.
 
-Hosts tell each other their counts with their loads, also when there is nothing
-poor to tell: counts that came only with poor answers would make any version
-look poor. The counts of a host that has lost its memory are told on by those
-who had heard of them.
+Hosts tell each other their counts, also when there is nothing poor to tell:
+counts that came only with poor answers would make any version look poor. What
+they have heard they tell on, so it reaches all hosts, and outlives those that
+have counted it.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
-from itertools import islice
 from typing import Final
 
-from msgspec import Struct
-
 from nutmegroad.fleet.evidence import (
     Answers,
     Evidence,
@@ -20,75 +17,56 @@
     RunNumber,
     add_kinds,
 )
+from nutmegroad.fleet.rumors import Source
+from nutmegroad.fleet.told_counts import CountsTeller, RunName, ToldCounts
 from nutmegroad.foundations.types import HostId, ServiceName
 
-#: Counts by service.
-EvidenceByService = dict[ServiceName, Evidence]
-
-#: Counts of ended runs that one datagram tells on: some 100 bytes. Only while
-#: a roll-out is under way in which hosts were lost.
-TOLD_ON: Final = 3
-
 #: Orders of a service whose counts are kept: after the store has come back, a
 #: host that has just started may know the present one by another number.
 MOST_ORDERS: Final = 2
 
+#: Services for which counts are kept at most: their names come from others.
+MOST_SERVICES: Final = 100
+
+#: Below any order's number.
+_NO_ORDER: Final = -1
+
 #: Runs of hosts that are remembered for one service at most: those of a day of
 #: the letter's fleet, 400 hosts and 140 that start again.
 MOST_RUNS: Final = 540
 
 
-class EndedRun(Struct, frozen=True, array_like=True):
-    """What a host had seen before it started again.
-
-    Attributes:
-        service: The service that is rolled out.
-        host: The host.
-        evidence: What it had seen.
-    """
-
-    service: ServiceName
-    host: HostId
-    evidence: Evidence
-
-
 @dataclass(slots=True)
 class _Counts:
     """What is known of one order.
 
     Attributes:
         order: Its number.
-        runs: Counts by host and run; a host's last one is its newest.
+        runs: Counts by host and run.
         sums: The sum of them by kind of request.
-        ended: Hosts and runs that others have come after.
     """
 
     order: int
     runs: dict[tuple[HostId, RunNumber], Evidence] = field(default_factory=dict)
     sums: dict[KindNumber, Answers] = field(default_factory=dict)
-    ended: dict[tuple[HostId, RunNumber], None] = field(default_factory=dict)
 
-    def end_others(self, host: HostId, run: RunNumber) -> None:
-        """Note that a run has come which ends a host's others."""
-        if (host, run) in self.runs:
-            return
-        for name in self.runs:
-            if name[0] == host:
-                self.ended.setdefault(name)
+    def take(self, host: HostId, evidence: Evidence) -> Evidence | None:
+        """Take in a run's counts, unless as much is known.
 
-    def take(self, host: HostId, evidence: Evidence) -> bool:
-        """Take in a run's counts; tell whether they were news."""
+        Returns:
+            What was known of that run before; None if nothing was taken in.
+        """
         name = (host, evidence.run)
         known = self.runs.get(name)
-        if known is not None:
-            if known.count >= evidence.count:
-                return False
-            add_kinds(self.sums, known.kinds, -1)
-        elif len(self.runs) >= MOST_RUNS:
-            return False
+        if known is None and len(self.runs) >= MOST_RUNS:
+            return None
+        before = known or Evidence(self.order, evidence.run)
+        if before.count >= evidence.count:
+            return None
+        add_kinds(self.sums, before.kinds, -1)
         self.runs[name] = evidence
         add_kinds(self.sums, evidence.kinds)
-        return True
+        return before
 
 
 class EvidenceBook:
@@ -100,19 +78,26 @@
     """
 
     @property
-    def own_counts(self) -> EvidenceByService:
-        """Return what this start of the host has seen."""
-        return self._own
+    def under_way(self) -> bool:
+        """Tell whether there are counts of a roll-out that has not ended."""
+        return bool(self._teller)
+
+    @property
+    def has_news(self) -> bool:
+        """Tell whether other failure domains may not know of some counts."""
+        return self._teller.has_far_news
 
     def __init__(self, host: HostId, run: RunNumber) -> None:
         self._host = host
         self._run = run
-        self._own: EvidenceByService = {}
+        self._own: dict[ServiceName, Evidence] = {}
         # Of the last orders; the latest one at the end.
         self._counts: dict[ServiceName, list[_Counts]] = {}
         #: Grows whenever there is news.
         self.changes = 0
-        self._turn = 0
+        self._teller = CountsTeller(self._look_up, run)
+        # The last order of each service that has ended.
+        self._ended: dict[ServiceName, int] = {}
 
     def own(self, service: ServiceName, order: int) -> Evidence:
         """Return what this start of the host has seen of an order."""
@@ -134,50 +119,34 @@
         known = self.own(service, order)
         grown = known.adding(kind, of_new=of_new, poor=poor)
         self._own[service] = grown
-        self._take(service, self._host, grown)
+        self._take(service, self._host, grown, Source.OWN)
 
     def told(
         self,
         service: ServiceName,
         host: HostId,
         evidence: Evidence,
+        source: Source = Source.AWAY,
     ) -> None:
-        """Take in what another host has seen, unless more is known of it.
-
-        A host that tells of a run which is not known yet has started again.
+        """Take in what a host has seen, unless more is known of it.
+
+        Args:
+            service: The service that is rolled out.
+            host: Which host; it may be this one at an earlier start.
+            evidence: What it has seen.
+            source: Who has seen it; whoever reads a row of the store need not
+                know.
         """
-        if host == self._host:
-            # A row of an earlier start of this host.
-            self.told_on(EndedRun(service, host, evidence))
-            return
-        known = self._of(service, evidence.order)
-        if known is not None:
-            known.end_others(host, evidence.run)
-        self._take(service, host, evidence)
-
-    def told_on(self, ended: EndedRun) -> None:
-        """Take in what a host had seen before it started again."""
-        evidence = ended.evidence
-        if ended.host == self._host and evidence.run == self._run:
-            return
-        self._take(ended.service, ended.host, evidence)
-        known = self._of(ended.service, evidence.order)
-        name = (ended.host, evidence.run)
-        if known is not None and name in known.runs:
-            known.ended.setdefault(name)
-
-    def ended_runs(self) -> tuple[EndedRun, ...]:
-        """Return some of the ended runs that are to be told on, in turn."""
-        known = [
-            EndedRun(service, name[0], counts.runs[name])
-            for service, counts in self._under_way()
-            for name in counts.ended
-        ]
-        if not known:
-            return ()
-        begin = self._turn % len(known)
-        self._turn += TOLD_ON
-        return tuple(islice(known[begin:] + known[:begin], TOLD_ON))
+        if (host, evidence.run) != (self._host, self._run):
+            self._take(service, host, evidence, source)
+
+    def tell_near(self) -> ToldCounts:
+        """Return counts for one datagram within the failure domain."""
+        return self._teller.tell_near(self._own_names())
+
+    def tell_far(self) -> ToldCounts:
+        """Return counts for one datagram to another failure domain."""
+        return self._teller.tell_far(self._own_names())
 
     def sums(
         self,
@@ -198,12 +167,24 @@
     def end(self, service: ServiceName) -> None:
         """Tell no more of a roll-out that has ended."""
         self._own.pop(service, None)
+        for counts in self._counts.get(service, ()):
+            self._ended[service] = counts.order
+            self._teller.drop(service, counts.order)
+
+    def _own_names(self) -> list[RunName]:
+        """Return the names of what this start of the host has seen."""
+        return [
+            RunName(service, evidence.order, self._host, self._run)
+            for service, evidence in self._own.items()
+        ]
 
-    def _under_way(self) -> Iterator[tuple[ServiceName, _Counts]]:
-        """Return what is known of services that this host counts for."""
-        for service in self._own:
-            for counts in self._counts.get(service, ()):
-                yield service, counts
+    def _look_up(self, name: RunName) -> Evidence:
+        """Return what is known of a start of a host."""
+        known = self._of(name.service, name.order)
+        is_own = (name.host, name.run) == (self._host, self._run)
+        if known is None or is_own:
+            return self.own(name.service, name.order)
+        return known.runs[name.host, name.run]
 
     def _of(self, service: ServiceName, order: int) -> _Counts | None:
         """Return what is known of an order, if it is one of the last."""
@@ -217,17 +198,38 @@
         service: ServiceName,
         host: HostId,
         evidence: Evidence,
+        source: Source,
     ) -> None:
         """Take in counts of one of the last orders."""
         known = self._of(service, evidence.order)
         if known is None:
-            known = _Counts(evidence.order)
-            orders = self._counts.setdefault(service, [])
-            orders.append(known)
-            orders.sort(key=_number)
-            self._counts[service] = orders[-MOST_ORDERS:]
-        if known.take(host, evidence):
-            self.changes += 1
+            known = self._add(service, evidence.order)
+        before = None if known is None else known.take(host, evidence)
+        if before is None:
+            return
+        self.changes += 1
+        if evidence.order <= self._ended.get(service, _NO_ORDER):
+            return
+        self._teller.add(
+            RunName(service, evidence.order, host, evidence.run),
+            source,
+            # The rest comes in turn, early enough for a verdict.
+            news=evidence.whole.new_poor > before.whole.new_poor,
+        )
+
+    def _add(self, service: ServiceName, order: int) -> _Counts | None:
+        """Begin to count for an order, if it is one of the last."""
+        orders = self._counts.get(service, [])
+        if not orders and len(self._counts) >= MOST_SERVICES:
+            return None
+        added = _Counts(order)
+        self._counts[service] = sorted((*orders, added), key=_number)[
+            -MOST_ORDERS:
+        ]
+        for dropped in (*orders, added):
+            if dropped not in self._counts[service]:
+                self._teller.drop(service, dropped.order)
+        return self._of(service, order)
 
 
 def _number(counts: _Counts) -> int:
--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -1,31 +1,36 @@
 """What hosts tell each other of their work, by datagrams.
 
-The hosts of a failure domain tell each other at every turn. Bytes between
-domains are dear, so a host tells those of others in turn, a few a second
-however many there are. What is told is true for a moment only, so a lost
-datagram is not sent again. Hosts find each other in the platform's store.
+The hosts of a failure domain report to each other at every turn. Those of other
+domains get the same only in a small fleet, where they hear it often enough to
+go by it; in a larger one they get digests, from a few hosts of a domain at a
+time.
+Hosts find each other in the platform's store.
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final, cast
 
 import msgspec
-from msgspec import Struct
 
 from nutmegroad.fleet.announcements import HostRow
-from nutmegroad.fleet.crash_book import CrashBook, ToldCrashes
-from nutmegroad.fleet.domain_silence import DomainSilence, ToldAges
+from nutmegroad.fleet.crash_book import CrashBook
+from nutmegroad.fleet.domain_silence import DomainSilence
 from nutmegroad.fleet.evidence import RunNumber
-from nutmegroad.fleet.evidence_book import (
-    EndedRun,
-    EvidenceBook,
-    EvidenceByService,
+from nutmegroad.fleet.evidence_book import EvidenceBook
+from nutmegroad.fleet.far_turns import FarTurns
+from nutmegroad.fleet.heard_versions import HeardVersions
+from nutmegroad.fleet.loads import STALE, Load, LoadLedger
+from nutmegroad.fleet.messages import (
+    DigestMessage,
+    Digests,
+    Message,
+    ReportMessage,
+    RequestMessage,
 )
-from nutmegroad.fleet.heard_versions import NONE, HeardVersions
-from nutmegroad.fleet.loads import Load, LoadLedger, Loads
-from nutmegroad.fleet.prefix_marks import HeldPrefixes, ToldPrefixes
+from nutmegroad.fleet.prefix_marks import HeldPrefixes
+from nutmegroad.fleet.rumors import take
 from nutmegroad.fleet.session_marks import SessionMarks
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
@@ -46,64 +51,34 @@
 #: hears from each about once a second.
 NEAR_PER_TURN: Final = 8
 
-#: The same for hosts of other failure domains: with today's six or so, each
-#: hears from each about once a second.
+#: Hosts of other failure domains that get reports at each turn.
 FAR_PER_TURN: Final = 1
 
+#: Most hosts of other failure domains that get reports at all: with more of
+#: them, a load is no longer believed when the next report comes.
+FAR_WITH_REPORTS: Final = int(STALE / TURN) * FAR_PER_TURN
+
 #: Seconds of reading from which a request is heavy: whatever is sent to the
 #: same engine before its host has heard of it waits behind it.
 HEAVY: Final = 0.1
 
 #: Hosts that are told at once of each request, of the own failure domain, whose
-#: hosts use the same upstreams first: all of today's. Requests come in clumps,
-#: and of those that met an unread prompt of which their host did not know, half
-#: met one that a near host had sent within the last 50 ms. Without telling at
-#: once a day is worth 0.008 less of its whole (standard error 0.005), measured
-#: by six paired days with all else in place.
+#: hosts use the same upstreams first: requests come in clumps, and those of one
+#: clump don't see each other until the next turn.
 NEAR_AT_ONCE: Final = 8
 
 #: Hosts that are told at once of a heavy request, near and far. Bytes between
-#: failure domains are dear: told of all, a second deployment lost 0.015.
+#: failure domains are dear.
 NEAR_OF_HEAVY: Final = 30
 FAR_OF_HEAVY: Final = 8
 
-#: Seconds without a word after which a neighbour is told less often, and
-#: every how many turns it still is.
-QUIET: Final = 5.0
-QUIET_TURNS: Final = 20
-
-
-class Telling(Struct, frozen=True, array_like=True):
-    """A datagram.
-
-    Attributes:
-        host: Who tells.
-        loads: What it has sent, by upstream.
-        sessions: Marks of sessions on an old version, with their ages.
-        evidence: What it has seen of roll-outs under way.
-        prefixes: Parts of prompts that it has sent a moment ago.
-        partial: Whether the loads are some of those that it has.
-        ended_runs: What hosts had seen of roll-outs that have started again.
-        heard: How long ago it has heard other failure domains.
-        crashes: Under which requests upstreams have ended a moment ago.
-        configuration: The version that it has in force.
-    """
-
-    host: str
-    loads: Loads
-    sessions: dict[int, int] = {}
-    evidence: EvidenceByService = {}
-    prefixes: ToldPrefixes = {}
-    partial: bool = False
-    ended_runs: tuple[EndedRun, ...] = ()
-    heard: ToldAges = {}
-    crashes: ToldCrashes = ToldCrashes()
-    configuration: int = NONE
+#: Seconds after which a host does not count as heard any more.
+HEARD_SPAN: Final = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """What hosts tell each other.
+    """What a host knows of the others' work.
 
     Attributes:
         ledger: What upstreams are busy with.
@@ -138,7 +113,7 @@
         clock: The host's clock.
         session_span: Seconds within which requests belong together.
     """
-    marks = SessionMarks(clock, session_span + MARK_SLACK)
+    marks = SessionMarks(clock, session_span + MARK_SLACK, run)
     return Told(
         LoadLedger(clock),
         marks,
@@ -175,6 +150,11 @@
         """Return the hosts of the other failure domains."""
         return self._far
 
+    @property
+    def _reports_far(self) -> bool:
+        """Tell whether hosts of other failure domains get reports."""
+        return len(self._far) <= FAR_WITH_REPORTS
+
     def __init__(
         self,
         host: HostId,
@@ -185,25 +165,32 @@
         self._host = host
         self._own = own
         self._ledger = told.ledger
-        self._marks = told.marks
-        self._book = told.book
         self._prefixes = told.prefixes
         self._silence = told.silence
-        self._crashes = told.crashes
-        self._versions = told.versions
+        self._digests = Digests(
+            told.marks,
+            told.book,
+            told.crashes,
+            told.versions,
+        )
         self._clock = clock
         self._near: dict[HostId, HostRow] = {}
         self._far: dict[HostId, HostRow] = {}
+        self._far_turns = FarTurns(host)
+        # This host's place among those of its failure domain.
+        self._place = 0
         self._heard: dict[HostId, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder = msgspec.msgpack.Decoder(Telling)
+        self._decoder: msgspec.msgpack.Decoder[Message] = (
+            msgspec.msgpack.Decoder(Message)
+        )
         self._silent = True
         self._at_once = 0
         self._ledger.tell_of_requests(self._tell_at_once)
 
     def count_heard(self) -> int:
         """Return how many other hosts were heard a moment ago."""
-        oldest = self._clock.now() - QUIET
+        oldest = self._clock.now() - HEARD_SPAN
         return sum(heard >= oldest for heard in self._heard.values())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -211,33 +198,34 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in what a neighbour tells."""
+        """Take in what another host tells."""
         try:
-            telling = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.DecodeError:
             _LOG.decision('datagram not understood', sender=addr[0])
             return
-        host = HostId(telling.host)
+        host = HostId(message.host)
         self._heard[host] = self._clock.now()
         far = self._far.get(host)
         if far is not None:
             self._silence.heard(DomainId(far.domain))
-        if telling.partial:
-            self._ledger.told_part(host, telling.loads)
+        if isinstance(message, RequestMessage):
+            self._ledger.told_part(host, message.loads)
             return
-        if far is None:
-            # Only those on this side of a cut hear what this host would hear.
-            self._silence.told(telling.heard)
-        self._take(host, telling)
+        self._digests.take(message.digest, near=far is None)
+        if isinstance(message, ReportMessage):
+            self._take(host, message)
 
     def found(self, host: HostId, row: HostRow) -> None:
         """Take in where a host listens."""
         if host == self._host:
             return
-        is_near = row.domain == self._own.domain
-        hosts = self._near if is_near else self._far
-        hosts[host] = row
-        self._heard[host] = self._clock.now()
+        if row.domain == self._own.domain:
+            self._near[host] = row
+            self._place = sum(other < self._host for other in self._near)
+        else:
+            self._far[host] = row
+            self._far_turns.found(host, row)
         _LOG.decision(
             'host found',
             host=host,
@@ -246,18 +234,14 @@
         )
 
     def telling(self) -> bytes:
-        """Return what this host tells now."""
+        """Return what this host reports now."""
         return msgspec.msgpack.encode(
-            Telling(
+            ReportMessage(
                 self._host,
+                self._digests.for_near(),
                 self._ledger.own,
-                self._marks.ages(),
-                self._book.own_counts,
                 self._prefixes.recent(self._round()),
-                ended_runs=self._book.ended_runs(),
-                heard=self._silence.ages(),
-                crashes=self._crashes.telling(),
-                configuration=self._versions.own,
+                self._silence.ages(),
             ),
         )
 
@@ -269,81 +253,79 @@
             turn += 1
             self._tell(turn)
 
-    def _take(self, host: HostId, telling: Telling) -> None:
-        """Take in all that a host tells."""
-        self._ledger.told(host, telling.loads)
-        self._marks.told(telling.sessions)
-        self._prefixes.told(telling.prefixes)
-        self._crashes.told(telling.crashes)
-        self._versions.told(telling.configuration)
-        for service, evidence in telling.evidence.items():
-            self._book.told(service, host, evidence)
-        for ended in telling.ended_runs:
-            self._book.told_on(ended)
+    def _take(self, host: HostId, report: ReportMessage) -> None:
+        """Take in what a host does."""
+        self._ledger.told(host, report.loads)
+        self._prefixes.told(report.prefixes)
+        if host not in self._far:
+            # Only those on this side of a cut hear what this host would hear.
+            self._silence.told(report.heard)
 
     def _tell(self, turn: int) -> None:
         """Tell what this host has sent, unless it is nothing as before."""
-        empty = not any(
-            (
-                self._ledger.own,
-                self._marks.any_alive,
-                self._book.own_counts,
-                self._crashes.has_news,
-                self._versions.store_lacks,
-            ),
-        )
+        empty = self._digests.is_empty and not self._ledger.own
         if self._transport is None or (self._silent and empty):
             return
         self._silent = empty
-        text = self.telling()
-        for hosts, count in (
-            (self._near, NEAR_PER_TURN),
-            (self._far, FAR_PER_TURN),
+        # Asked first: what is told counts as news for some datagrams only.
+        news = self._digests.has_news
+        report = self.telling()
+        self._send(
+            report, _turn_of(self._near, turn, NEAR_PER_TURN, self._place)
+        )
+        if self._reports_far:
+            self._send(
+                report, _turn_of(self._far, turn, FAR_PER_TURN, self._place)
+            )
+        elif self._far_turns.due(
+            turn,
+            self._place,
+            len(self._near) + 1,
+            news=news,
         ):
-            for host in in_turn(tuple(hosts), turn, count):
-                if self._is_due(host, turn):
-                    row = hosts[host]
-                    self._transport.sendto(text, (row.ip, row.port))
+            digest = DigestMessage(self._host, self._digests.for_far())
+            text = msgspec.msgpack.encode(digest)
+            self._send(text, self._far_turns.receivers())
 
     def _tell_at_once(self, upstream: UpstreamIncarnation, load: Load) -> None:
         """Tell what this host has at one upstream, before the next turn."""
-        if self._transport is None:
-            return
         self._at_once += 1
         heavy = load.reading >= HEAVY
         loads = {upstream: self._ledger.own[upstream]}
-        text = msgspec.msgpack.encode(Telling(self._host, loads, partial=True))
-        for hosts, count in (
-            (self._near, NEAR_OF_HEAVY if heavy else NEAR_AT_ONCE),
-            (self._far, FAR_OF_HEAVY if heavy else 0),
-        ):
-            for host in in_turn(tuple(hosts), self._at_once, count):
-                if self._is_due(host, self._at_once):
-                    row = hosts[host]
-                    self._transport.sendto(text, (row.ip, row.port))
+        text = msgspec.msgpack.encode(RequestMessage(self._host, loads))
+        near = NEAR_OF_HEAVY if heavy else NEAR_AT_ONCE
+        self._send(text, _turn_of(self._near, self._at_once, near, self._place))
+        if heavy and self._reports_far:
+            far = _turn_of(self._far, self._at_once, FAR_OF_HEAVY, self._place)
+            self._send(text, far)
+
+    def _send(self, text: bytes, receivers: Iterable[HostRow]) -> None:
+        """Send a datagram to some hosts."""
+        if self._transport is None:
+            return
+        for row in receivers:
+            self._transport.sendto(text, (row.ip, row.port))
 
     def _round(self) -> float:
-        """Return the seconds in which each other host is told twice."""
-        turns = max(
-            len(self._near) / NEAR_PER_TURN,
-            len(self._far) / FAR_PER_TURN,
-            1,
-        )
+        """Return the seconds in which each host that gets reports gets two."""
+        far = len(self._far) if self._reports_far else 0
+        turns = max(len(self._near) / NEAR_PER_TURN, far / FAR_PER_TURN, 1)
         return 2 * turns * TURN
 
-    def _is_due(self, host: HostId, turn: int) -> bool:
-        """Tell whether a neighbour is to be told at a turn."""
-        quiet = self._clock.now() - self._heard[host] > QUIET
-        return not quiet or turn % QUIET_TURNS == 0
-
 
-def in_turn(
-    hosts: tuple[HostId, ...],
+def _turn_of(
+    hosts: Mapping[HostId, HostRow],
     turn: int,
     count: int,
-) -> tuple[HostId, ...]:
-    """Return the hosts whose turn it is: so many, or all if they are few."""
-    if len(hosts) <= count:
-        return hosts
-    begin = turn * count
-    return tuple(hosts[(begin + each) % len(hosts)] for each in range(count))
+    place: int,
+) -> tuple[HostRow, ...]:
+    """Return the hosts whose turn it is: so many, or all if they are few.
+
+    Args:
+        hosts: All hosts.
+        turn: Number of the turn.
+        count: How many are told at a turn.
+        place: Where this host begins. Hosts that start together, and know the
+            same others, would all tell the same ones else.
+    """
+    return take(tuple(hosts.values()), turn * count + place, count)
--- a/src/nutmegroad/fleet/session_marks.py
+++ b/src/nutmegroad/fleet/session_marks.py
@@ -2,14 +2,17 @@
 
 A session comes to any host, and each must know if another has seen it on the
 old version a moment ago. Hosts tell each other small marks of such sessions,
-with their ages; what was heard is told on, so a mark reaches all hosts of a
-failure domain through any one of them.
+with their ages, and tell on what they have heard.
 """
 
+import math
+from collections.abc import Iterable
 from typing import Final, NewType
 
+from msgspec import Struct
 from xxhash import xxh32_intdigest
 
+from nutmegroad.fleet.rumors import Portion, Rumors, Source
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import ServiceName
 
@@ -17,13 +20,36 @@
 #: mark cost no more than one request that stays on the old version.
 SessionMark = NewType('SessionMark', int)
 
-#: Marks that are told at most, the newest: with some ten bytes each, two
-#: datagrams.
-MOST_TOLD: Final = 250
+#: Marks in one datagram: with some eight bytes each, an Ethernet frame.
+_NEAR_NEWS: Final = 100
+_NEAR_OTHERS: Final = 30
+
+#: The same between failure domains, where bytes are dear.
+_FAR_NEWS: Final = 50
+_FAR_OTHERS: Final = 20
+
+#: Seconds by which a session must have been seen later than was known to be
+#: told as news again: it lives on elsewhere for longer than that.
+NEWS_STEP: Final = 0.5
 
 #: Ages are told in hundredths of a second.
 _HUNDREDTHS: Final = 100
 
+#: Clock seconds of what has not happened.
+_NEVER: Final = float('-inf')
+
+
+class ToldMarks(Struct, frozen=True, array_like=True):
+    """Marks as hosts tell them, with ages in hundredths of a second.
+
+    Attributes:
+        home: Of sessions that the sender's failure domain has served.
+        others: Of sessions that others have served.
+    """
+
+    home: dict[int, int] = {}
+    others: dict[int, int] = {}
+
 
 def mark(service: ServiceName, session: str) -> SessionMark:
     """Return the mark of a session at a service."""
@@ -36,6 +62,7 @@
     Args:
         clock: The host's clock.
         span: Seconds after which requests don't belong together any more.
+        begin: Where the turns of marks begin.
     """
 
     @property
@@ -43,10 +70,24 @@
         """Tell whether any session is known that was alive at the last turn."""
         return bool(self._seen)
 
-    def __init__(self, clock: Clock, span: float) -> None:
+    @property
+    def has_news(self) -> bool:
+        """Tell whether other failure domains may not know of a session."""
+        return self._rumors.has_far_news
+
+    def __init__(self, clock: Clock, span: float, begin: int = 0) -> None:
         self._clock = clock
         self._span = span
         self._seen: dict[SessionMark, float] = {}
+        self._rumors: Rumors[SessionMark] = Rumors(
+            Portion(_NEAR_NEWS, _NEAR_OTHERS),
+            Portion(_FAR_NEWS, _FAR_OTHERS),
+            begin,
+        )
+
+    def __len__(self) -> int:
+        """Return how many marks are remembered."""
+        return len(self._seen)
 
     def saw(self, mark: SessionMark, moment: float | None = None) -> None:
         """Note that a session ran on the old version.
@@ -55,11 +96,8 @@
             mark: The session's mark.
             moment: Clock seconds at which it did; None for just now.
         """
-        self._seen[mark] = self._clock.now() if moment is None else moment
-
-    def __len__(self) -> int:
-        """Return how many marks are remembered."""
-        return len(self._seen)
+        seen = self._clock.now() if moment is None else moment
+        self._take(mark, seen, Source.OWN)
 
     def age(self, mark: SessionMark) -> float | None:
         """Return the seconds since a session ran on the old version.
@@ -71,33 +109,60 @@
 
     def alive(self, mark: SessionMark) -> bool:
         """Tell whether a session ran on the old version a moment ago."""
-        seen = self._seen.get(mark)
-        return seen is not None and self._clock.now() - seen <= self._span
+        age = self.age(mark)
+        return age is not None and age <= self._span
 
-    def told(self, ages: dict[int, int]) -> None:
-        """Take in what another host knows: ages by mark."""
-        now = self._clock.now()
-        for number, age in ages.items():
-            known = SessionMark(number)
-            moment = now - age / _HUNDREDTHS
-            if moment > self._seen.get(known, float('-inf')):
-                self._seen[known] = moment
-
-    def ages(self) -> dict[int, int]:
-        """Return the marks of living sessions with their ages."""
+    def told(self, told: ToldMarks, *, near: bool) -> None:
+        """Take in what another host knows.
+
+        Args:
+            told: What it tells.
+            near: Whether it is of the own failure domain.
+        """
         now = self._clock.now()
+        source = Source.HOME if near else Source.AWAY
+        for ages, seen_by in ((told.home, source), (told.others, Source.AWAY)):
+            for number, age in ages.items():
+                moment = now - max(0, age) / _HUNDREDTHS
+                if now - moment <= self._span:
+                    self._take(SessionMark(number), moment, seen_by)
+
+    def tell_near(self) -> ToldMarks:
+        """Return marks for one datagram within the failure domain."""
+        self._forget_dead()
+        return self._spell(self._rumors.choose_near(self._seen))
+
+    def tell_far(self) -> ToldMarks:
+        """Return marks for one datagram to another failure domain."""
+        self._forget_dead()
+        return self._spell(self._rumors.choose_far(self._seen))
+
+    def _forget_dead(self) -> None:
+        """Forget the marks of sessions that live no longer."""
+        oldest = self._clock.now() - self._span
         self._seen = {
             known: moment
             for known, moment in self._seen.items()
-            if now - moment <= self._span
+            if moment >= oldest
         }
-        newest = sorted(self._seen.items(), key=_moment, reverse=True)
-        return {
-            known: int((now - moment) * _HUNDREDTHS)
-            for known, moment in newest[:MOST_TOLD]
-        }
-
+        self._rumors.keep(self._seen.keys())
 
-def _moment(entry: tuple[SessionMark, float]) -> float:
-    """Return when a session was seen."""
-    return entry[1]
+    def _spell(self, marks: Iterable[SessionMark]) -> ToldMarks:
+        """Return marks with their ages."""
+        now = self._clock.now()
+        told = ToldMarks({}, {})
+        for known in marks:
+            ages = told.home if self._rumors.is_home(known) else told.others
+            # Rounded up: else a mark would grow younger with each host on its
+            # way.
+            ages[known] = math.ceil((now - self._seen[known]) * _HUNDREDTHS)
+        return told
+
+    def _take(self, mark: SessionMark, moment: float, source: Source) -> None:
+        """Remember the latest moment at which a session was seen."""
+        known = self._seen.get(mark, _NEVER)
+        if moment <= known:
+            return
+        self._seen[mark] = moment
+        if moment - known >= NEWS_STEP:
+            self._rumors.learnt(mark, source)
--- a/tests/test_evidence_book.py
+++ b/tests/test_evidence_book.py
@@ -163,8 +163,11 @@
         book.told(ENGINES, mine, counts(7, run=2, new=9, new_poor=9))
         self.assertEqual(whole(book, 7), Answers(5, 2, 0, 0))
         self.assertEqual(
-            [each.evidence.run for each in book.ended_runs()],
-            [1],
+            [
+                each.evidence.run
+                for each in (*book.tell_near().home, *book.tell_near().others)
+            ],
+            [2, 1],
         )
 
     def test_runs_of_hosts_are_bounded(self) -> None:
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -13,6 +13,7 @@
 from nutmegroad.fleet.loads import Load
 from nutmegroad.fleet.neighbours import (
     FAR_OF_HEAVY,
+    FAR_WITH_REPORTS,
     HEAVY,
     NEAR_AT_ONCE,
     NEAR_OF_HEAVY,
@@ -108,7 +109,7 @@
     def test_telling_is_bounded_in_a_large_fleet(self) -> None:
         """And reaches all of it in turn."""
         self.mine.find(100, 'north')
-        self.mine.find(100, 'south')
+        self.mine.find(FAR_WITH_REPORTS, 'south')
         for _ in range(20):
             self.mine.told.ledger.begin(self.engine, LONG)
         sent = self.mine.transport.sendto.call_args_list
@@ -119,6 +120,13 @@
         self.mine.told.ledger.begin(self.engine, SHORT)
         self.assertEqual(len(self.mine.datagrams), NEAR_AT_ONCE)
 
+    def test_too_many_far_hosts_are_told_of_no_request(self) -> None:
+        """What one of them hears then is not half of what goes there."""
+        self.mine.find(100, 'north')
+        self.mine.find(FAR_WITH_REPORTS + 1, 'south')
+        self.mine.told.ledger.begin(self.engine, LONG)
+        self.assertEqual(len(self.mine.datagrams), NEAR_OF_HEAVY)
+
 
 class RankTest(unittest.TestCase):
     """Which of the prompts that wait an engine reads first."""
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -128,7 +128,7 @@
         for name in names:
             request = a_request('r', session=name)
             gate.ran(request, ENGINES, SoftwareVersion('v1'))
-        self.marks.told(other.ages())
+        self.marks.told(other.tell_near(), near=True)
         self.enter(Stage.TRIAL)
         moved = [n for n in names if self.versions('r', n) == ['v2']]
         self.assertEqual(moved, [])
@@ -165,7 +165,7 @@
             gate.ran(request, ENGINES, SoftwareVersion('v1'))
         self.clock._now += 1
         state.orders.take(RolloutOrder(ENGINES, SoftwareVersion('v2'), 20, 7))
-        self.marks.told(marks.ages())
+        self.marks.told(marks.tell_near(), near=True)
         self.order()
         self.enter(Stage.TRIAL)
         moved = [n for n in names if self.versions('r', n) == ['v2']]
--- a/tests/test_relay_selection.py
+++ b/tests/test_relay_selection.py
@@ -5,8 +5,8 @@
 
 from nutmegroad.fleet.domain_silence import DomainSilence
 from nutmegroad.fleet.loads import NO_LOAD, STALE, Load, LoadLedger
-from nutmegroad.fleet.neighbours import in_turn
 from nutmegroad.fleet.prefix_marks import HeldPrefixes
+from nutmegroad.fleet.rumors import take
 from nutmegroad.foundations.types import (
     DomainId,
     HostId,
@@ -256,10 +256,10 @@
         Telling all at every turn would cost a host 150 KB a second there.
         """
         hosts = tuple(HostId(f'h{number}') for number in range(44))
-        told = [in_turn(hosts, turn, 8) for turn in range(11)]
+        told = [take(hosts, turn * 8, 8) for turn in range(11)]
         self.assertEqual({len(each) for each in told}, {8})
         self.assertEqual({host for each in told for host in each}, set(hosts))
-        self.assertEqual(in_turn(hosts[:3], 5, 8), hosts[:3])
+        self.assertEqual(take(hosts[:3], 5 * 8, 8), hosts[:3])
 
 
 class PaceTest(unittest.TestCase):
