Count a session's life from the sending of a request to its answer's end

tests.test_moved_sessions.SessionLifeTest, two tests, both red on the code as it was (nothing known of the session while its request is under way; its moment lies before the answer's end). Now a session is noted when its request is sent, and when an attempt by which it may have run is over, unless it has gone to another version meanwhile. The execution's step after an attempt has become a method of its own.

--- a/src/nutmegroad/canary/gate.py
+++ b/src/nutmegroad/canary/gate.py
@@ -105,27 +105,39 @@
             return new or old
         return old or new
 
-    def ran(
+    def sent(
         self,
         request: CallerRequest,
         service: ServiceName,
         version: SoftwareVersion,
     ) -> None:
-        """Remember on which version a request ran."""
+        """Remember to which version a request is sent.
+
+        The next one of its session may come before this one is answered.
+        """
         session = request.session
         if session is None:
             return
-        rollout = self._state.orders.rollout(service)
-        on_trial = (
-            rollout is not None
-            and self._stays(rollout)
-            and self._may_be_moved(session)
-        )
-        if on_trial:
+        if self._trial_of(service, session) is not None:
             self._note_known(request, service, version)
-        self._sessions.ran(service, session, version)
-        if on_trial and rollout and version != rollout.order.to:
-            self._marks.saw(mark(service, session))
+        self._remember(service, session, version)
+
+    def ended(
+        self,
+        request: CallerRequest,
+        service: ServiceName,
+        version: SoftwareVersion,
+    ) -> None:
+        """Remember that a request that may have run is over.
+
+        Its session lives on from now; where another request of it has gone to
+        another version meanwhile, that one holds.
+        """
+        session = request.session
+        if session is None:
+            return
+        if self._sessions.version(service, session) in {version, None}:
+            self._remember(service, session, version)
 
     def observe(
         self,
@@ -189,6 +201,29 @@
                 return False
         return _place(session) < share
 
+    def _remember(
+        self,
+        service: ServiceName,
+        session: SessionName,
+        version: SoftwareVersion,
+    ) -> None:
+        """Remember that a session is on a version now."""
+        self._sessions.ran(service, session, version)
+        trial = self._trial_of(service, session)
+        if trial is not None and version != trial.order.to:
+            self._marks.saw(mark(service, session))
+
+    def _trial_of(
+        self,
+        service: ServiceName,
+        session: SessionName,
+    ) -> Rollout | None:
+        """Return the roll-out that might take a session but must not."""
+        rollout = self._state.orders.rollout(service)
+        if rollout is None or not self._stays(rollout):
+            return None
+        return rollout if self._may_be_moved(session) else None
+
     def _note_known(
         self,
         request: CallerRequest,
@@ -201,7 +236,7 @@
             return
         marked = self._marks.age(mark(service, session))
         _LOG.decision(
-            'session ran',
+            'session sent',
             request=request.request,
             session=session,
             version=version,
--- a/src/nutmegroad/canary/sessions.py
+++ b/src/nutmegroad/canary/sessions.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Seen:
+class LastRun:
     """Where a session ran last.
 
     Attributes:
@@ -38,7 +38,7 @@
     def __init__(self, clock: Clock, span: float) -> None:
         self._clock = clock
         self._span = span
-        self._seen: OrderedDict[tuple[ServiceName, SessionName], Seen] = (
+        self._seen: OrderedDict[tuple[ServiceName, SessionName], LastRun] = (
             OrderedDict()
         )
 
@@ -48,15 +48,24 @@
         session: SessionName,
     ) -> SoftwareVersion | None:
         """Return the version that a living session is on, or None."""
+        last = self.last(service, session)
+        return None if last is None else last.version
+
+    def last(
+        self,
+        service: ServiceName,
+        session: SessionName,
+    ) -> LastRun | None:
+        """Return where a living session ran last, or None."""
         seen = self._seen.get((service, session))
         if seen is None or self._clock.now() - seen.moment > self._span:
             return None
-        return seen.version
+        return seen
 
     def living(
         self,
         service: ServiceName,
-    ) -> Iterator[tuple[SessionName, Seen]]:
+    ) -> Iterator[tuple[SessionName, LastRun]]:
         """Yield the living sessions of a service, the last used first."""
         oldest = self._clock.now() - self._span
         for (used, session), seen in reversed(self._seen.items()):
@@ -73,7 +82,7 @@
     ) -> None:
         """Remember that a session ran on a version just now."""
         key = (service, session)
-        self._seen[key] = Seen(version, self._clock.now())
+        self._seen[key] = LastRun(version, self._clock.now())
         self._seen.move_to_end(key)
         while len(self._seen) > MOST:
             self._seen.popitem(last=False)
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import replace
+from functools import partial
 from types import MappingProxyType
 from typing import Final
 
@@ -203,29 +204,56 @@
         known = self._ran
         self._ran = Ran.UNKNOWN
         began = self._parts.clock.now()
+        self._parts.versions.sent(
+            self.request,
+            self.service,
+            upstream.entry.version,
+        )
         outcome: Answering | AttemptFailure = _ABANDONED
         try:
             outcome = await self._parts.attempts.begin(self.request, plan)
         finally:
             if outcome is _ABANDONED:
                 self._note(choice, model, outcome)
-        if isinstance(outcome, Answering):
-            self._reached()
-            self._parts.counters.begun(
-                self.request.route.kind.value,
-                self.waited,
-            )
-            version = upstream.entry.version
-            self._parts.versions.ran(self.request, self.service, version)
-        elif outcome.ran is Ran.NOT_RUN:
+        if isinstance(outcome, AttemptFailure) and outcome.ran is Ran.NOT_RUN:
             self._ran = known
         else:
             self._reached()
-            if outcome.end is AttemptEnd.BROKEN:
-                await self.guard.broke(upstream, began)
+            await self._follow_up(outcome, choice, began)
         self._note(choice, model, outcome)
         return outcome
 
+    async def _follow_up(
+        self,
+        outcome: Answering | AttemptFailure,
+        choice: Choice,
+        began: float,
+    ) -> None:
+        """Take in an attempt by which the request may have run.
+
+        Args:
+            outcome: What came of it.
+            choice: Where it went.
+            began: Clock seconds at which it began.
+        """
+        upstream = choice.upstream
+        end_session = partial(
+            self._parts.versions.ended,
+            self.request,
+            self.service,
+            upstream.entry.version,
+        )
+        if isinstance(outcome, Answering):
+            outcome.stack.callback(end_session)
+            self._parts.counters.begun(
+                self.request.route.kind.value,
+                self.waited,
+            )
+            return
+        end_session()
+        if outcome.end is AttemptEnd.BROKEN:
+            await self.guard.broke(upstream, began)
+
     def _reached(self) -> None:
         """Take in that an upstream may have begun to run the request."""
         self._runs += 1
--- a/src/nutmegroad/relay/parts.py
+++ b/src/nutmegroad/relay/parts.py
@@ -25,13 +25,21 @@
     ) -> tuple[Upstream, ...]:
         """Return the upstreams that may run a request now."""
 
-    def ran(
+    def sent(
         self,
         request: CallerRequest,
         service: ServiceName,
         version: SoftwareVersion,
     ) -> None:
-        """Remember on which version a request ran."""
+        """Remember to which version a request is sent."""
+
+    def ended(
+        self,
+        request: CallerRequest,
+        service: ServiceName,
+        version: SoftwareVersion,
+    ) -> None:
+        """Remember that a request that may have run is over."""
 
     def observe(
         self,
--- a/tests/test_moved_sessions.py
+++ b/tests/test_moved_sessions.py
@@ -13,19 +13,23 @@
 import unittest
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, cast
 
 from experiments.virtual_time import VirtualClock, VirtualLoop, run_virtually
+from fakes.opaque_worker import Script, Seen, head, signed
 
 from nutmegroad.canary.gate import RolloutGate
 from nutmegroad.canary.order_book import OrderBook
 from nutmegroad.canary.rollouts import LEAD, RolloutOrder, RolloutRow, Stage
-from nutmegroad.canary.sessions import SessionVersions
+from nutmegroad.canary.sessions import LastRun, SessionVersions
 from nutmegroad.canary.state import RolloutState
 from nutmegroad.canary.suspicions import Suspicions
-from nutmegroad.foundations.types import HostId
+from nutmegroad.foundations.clocks import BootClock
+from nutmegroad.foundations.types import HostId, ServiceName
+from nutmegroad.routes.requests import SessionName
 from nutmegroad.upstreams.directory import Directory, SoftwareVersion
 from tests.gossip_rig import SPAN, GossipFleet, Member
+from tests.relay_rig import Rig
 from tests.relay_samples import ENGINES, a_request, an_entry
 
 SIZES: Final = ((9, 3), (200, 5))
@@ -48,6 +52,9 @@
 #: Share of the sessions that the trial takes.
 TRIAL: Final = 0.25
 
+#: Status, headers and body.
+Reply = tuple[int, dict[str, str], bytes]
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
@@ -140,7 +147,7 @@
         request = a_request(f'r{next(self._numbers)}', session=session)
         gate = self._gates[member.name]
         version = gate.permitted(request, ENGINES)[0].entry.version
-        gate.ran(request, ENGINES, version)
+        gate.sent(request, ENGINES, version)
         run = Run(version, member.name, self._fleet.clock.now())
         before = self._ran.get(session)
         self._ran[session] = run
@@ -161,6 +168,65 @@
                 self.assertEqual(list(_tell(moved)), [])
 
 
+class SessionLifeTest(unittest.IsolatedAsyncioTestCase):
+    """From when to when a request speaks for its session."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a host and a worker that answers when it is let."""
+        self.rig = await self.enterAsyncContext(Rig())
+        await self.rig.start()
+        self.clock = BootClock()
+        self.let_go = asyncio.Event()
+
+    def answer(self, *pieces: bytes) -> None:
+        """Let the worker wait before the last piece of its answer."""
+
+        def make(seen: Seen) -> Script:
+            """Answer a request."""
+            length = str(sum(map(len, pieces)))
+            begin = head('200 OK', signed(seen, **{'Content-Length': length}))
+            written = (begin + pieces[0], *pieces[1:])
+            return Script(written, hold=self.let_go)
+
+        self.rig.workers[0].usual = make
+
+    def ask(self) -> 'asyncio.Task[Reply]':
+        """Send a request of a session."""
+        headers = {'Session': 's'}
+        return asyncio.ensure_future(
+            self.rig.ask('/look/1', method='GET', headers=headers),
+        )
+
+    def seen(self) -> LastRun | None:
+        """Return where and when the host has seen the session last."""
+        gate = cast(RolloutGate, self.rig.host._parts.versions)
+        return gate._sessions.last(ServiceName('desk'), SessionName('s'))
+
+    async def test_it_begins_when_a_request_is_sent(self) -> None:
+        """Guards: the next request comes before the first is answered."""
+        self.answer(b'fine')
+        asked = self.ask()
+        await self.rig.until(lambda: self.rig.seen('r1'))
+        seen = self.seen()
+        self.let_go.set()
+        await asked
+        assert seen is not None
+        self.assertEqual(seen.version, 'v1')
+
+    async def test_it_lasts_from_the_end_of_an_answer(self) -> None:
+        """Guards: a span that began with a long answer is over too soon."""
+        self.answer(b'first', b'last')
+        asked = self.ask()
+        await self.rig.until(lambda: self.rig.seen('r1'))
+        await self.rig.until(lambda: self.rig.host.beliefs.open_requests)
+        late = self.clock.now()
+        self.let_go.set()
+        await asked
+        seen = self.seen()
+        assert seen is not None
+        self.assertGreaterEqual(seen.moment, late)
+
+
 def _tell(moved: list[tuple[Run, Run]]) -> Iterator[str]:
     """Return a line for each session that was moved."""
     for before, run in moved:
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -127,7 +127,7 @@
         names = [f's{n}' for n in range(200)]
         for name in names:
             request = a_request('r', session=name)
-            gate.ran(request, ENGINES, SoftwareVersion('v1'))
+            gate.sent(request, ENGINES, SoftwareVersion('v1'))
         self.marks.told(other.tell_near(), near=True)
         self.enter(Stage.TRIAL)
         moved = [n for n in names if self.versions('r', n) == ['v2']]
@@ -162,7 +162,7 @@
         )
         for name in names:
             request = a_request('r', session=name)
-            gate.ran(request, ENGINES, SoftwareVersion('v1'))
+            gate.sent(request, ENGINES, SoftwareVersion('v1'))
         self.clock._now += 1
         state.orders.take(RolloutOrder(ENGINES, SoftwareVersion('v2'), 20, 7))
         self.marks.told(marks.tell_near(), near=True)
