Soak: roll versions out, good and bad, and judge sessions and exposure

The soak ordered no roll-out, so it could not have seen the moved sessions, nor whether the store's return from a copy moves a stage. Requests belong to sixty sessions now, workers have versions, an operator orders good and bad ones and does what their end asks for.

--- a/experiments/fleet_soak/callers.py
+++ b/experiments/fleet_soak/callers.py
@@ -20,6 +20,9 @@
 PATIENCE: Final = 4.0
 PAUSES: Final = (0.02, 0.25)
 
+#: Sessions that requests belong to; each comes to all hosts.
+SESSIONS: Final = 60
+
 #: Part of the requests whose caller leaves before the answer, and how soon.
 LEAVING: Final = 0.03
 LEAVES_AFTER: Final = 0.05
@@ -84,6 +87,7 @@
         """Send one request; return the seconds to wait before the next."""
         kind = self._randomness.choice(tuple(Kind))
         asked = Asked(request, kind, self._host, self._key(), time.monotonic())
+        asked.session = f's{self._randomness.randrange(SESSIONS)}'
         self._history.asked[request] = asked
         patience = PATIENCE * 2
         if self._randomness.random() < LEAVING:
@@ -102,6 +106,7 @@
         headers = {
             **headers_of(asked.request, asked.key),
             'Nutmegroad-Deadline-Ms': str(int(PATIENCE * 1000)),
+            'Session': asked.session,
         }
         async with session.post(
             f'http://{self._address}/{asked.kind.value}/1',
--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -11,6 +11,7 @@
 from experiments.fleet_soak.history import History, Trouble
 from experiments.fleet_soak.links import Link, LinkState
 from experiments.fleet_soak.plan import OF_ONE_HOST, Event, Fault
+from experiments.fleet_soak.rollouts import Rollouts
 from experiments.fleet_soak.worker import HARMFUL
 
 #: Seconds for which the store is silent to a host at least: until a change
@@ -57,6 +58,7 @@
         self._fleet = fleet
         self._history = history
         self.fired: Counter[Fault] = Counter()
+        self._rollouts = Rollouts(fleet)
 
     async def happen(self, event: Event) -> None:
         """Let one happen, and end it."""
@@ -106,6 +108,8 @@
             Fault.KEY_REVOKED: self._key_revoked,
             Fault.CONFIGURED: self._configured,
             Fault.FOREIGN_ENTRY: self._foreign_entry,
+            Fault.ROLLED_OUT: self._rolled_out,
+            Fault.ROLLED_OUT_BAD: self._rolled_out_bad,
         }[fault]
 
     async def _store(self, event: Event) -> None:
@@ -171,17 +175,17 @@
             number += 1
             await self._fleet.send_harmful(path, number)
             await asyncio.sleep(BACK_AFTER)
-            await self._fleet.revive_workers()
+            await self._fleet.workers.revive()
 
     async def _worker_link(self, event: Event) -> None:
         """Hold up what is sent to one worker."""
-        links = self._fleet.worker_links
+        links = self._fleet.workers.links
         link = links[event.target % len(links)]
         await _held(link, _WORKER_LINKS[event.fault], event.lasts)
 
     async def _worker_reset(self, event: Event) -> None:
         """Reset all connections to one worker."""
-        links = self._fleet.worker_links
+        links = self._fleet.workers.links
         links[event.target % len(links)].reset()
 
     async def _callers_reset(self, event: Event) -> None:
@@ -223,7 +227,7 @@
 
     async def _worker_killed(self, event: Event) -> None:
         """Kill a worker; it starts again under its id."""
-        workers = self._fleet.workers
+        workers = self._fleet.workers.processes
         worker = workers[event.target % len(workers)]
         await worker.kill()
         await asyncio.sleep(event.lasts / 4)
@@ -231,7 +235,7 @@
 
     async def _worker_paused(self, event: Event) -> None:
         """Let a worker stand still."""
-        workers = self._fleet.workers
+        workers = self._fleet.workers.processes
         worker = workers[event.target % len(workers)]
         worker.signal(signal.SIGSTOP)
         await asyncio.sleep(event.lasts)
@@ -239,7 +243,7 @@
 
     async def _worker_fails(self, event: Event) -> None:
         """Let a worker fail part of its requests."""
-        workers = self._fleet.workers
+        workers = self._fleet.workers.processes
         worker = workers[event.target % len(workers)]
         worker.signal(signal.SIGUSR1)
         await asyncio.sleep(event.lasts)
@@ -248,7 +252,7 @@
     async def _worker_leaves(self, event: Event) -> None:
         """Let a worker leave, and another take its place."""
         number = event.target % len(self._fleet.workers)
-        await self._fleet.replace_worker(number)
+        await self._fleet.workers.replace(number)
 
     async def _key_revoked(self, event: Event) -> None:
         """Take a key away."""
@@ -263,6 +267,14 @@
         name = f'foreign-{event.target}'
         await self._fleet.put('servers', name, _FOREIGN)
 
+    async def _rolled_out(self, event: Event) -> None:
+        """Roll a good version out."""
+        await self._rollouts.order(bad=False)
+
+    async def _rolled_out_bad(self, event: Event) -> None:
+        """Roll a bad version out."""
+        await self._rollouts.order(bad=True)
+
 
 async def _held(link: Link, state: LinkState, seconds: float) -> None:
     """Keep a link in a state for a while."""
--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -7,9 +7,7 @@
 import asyncio
 import itertools
 import json
-import signal
 import site
-import socket
 import tempfile
 import time
 from collections.abc import Iterable
@@ -25,14 +23,17 @@
     Bounds,
     History,
     Kind,
-    Ran,
     put_of,
 )
 from experiments.fleet_soak.links import Link
 from experiments.fleet_soak.probes import Prober
 from experiments.fleet_soak.processes import ROOT, SoakProcess
-
-DOMAINS: Final = ('north', 'south')
+from experiments.fleet_soak.workers import (
+    DOMAINS,
+    Workers,
+    free_address,
+    written,
+)
 
 BOUNDS: Final = Bounds()
 
@@ -49,8 +50,6 @@
 #: Seconds that the fleet may take to begin to serve.
 START_LIMIT: Final = 60
 
-_TERM: Final = signal.SIGTERM
-
 #: A host's settings file, with the bounds that the judges know.
 _SETTINGS: Final = """\
 nodeName={name}
@@ -73,20 +72,6 @@
 """
 
 
-def free_address(ip: str) -> tuple[str, int]:
-    """Return an address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-    return ip, port
-
-
-def written(address: tuple[str, int]) -> str:
-    """Return an address as IP:PORT."""
-    ip, port = address
-    return f'{ip}:{port}'
-
-
 class Fleet:
     """Store, workers and hosts as processes, and the links between them.
 
@@ -112,16 +97,13 @@
         self.history = history
         self._mutant = mutant
         self.hosts: list[SoakProcess] = []
-        self.workers: list[SoakProcess] = []
         self.host_links: list[Link] = []
         self.store_links: list[Link] = []
-        self.worker_links: list[Link] = []
         self.keys = ['key-0']
         self.callers_at: list[str] = []
         self._net = net
         self._counts = (hosts, workers)
         self._stack = AsyncExitStack()
-        self._incarnations = itertools.count()
         self._versions = itertools.count(1)
         self._extra_routes = 0
 
@@ -149,8 +131,16 @@
         )
         await self._configure_surely()
         hosts, workers = self._counts
+        self.workers = Workers(
+            f'127.{self._net}',
+            written(self._store_at),
+            self.history,
+            self._mutant,
+            self._own,
+            self._stack,
+        )
         for number in range(workers):
-            await self._add_worker(number)
+            await self.workers.add(number)
         for number in range(hosts):
             await self._add_host(number)
         async with asyncio.timeout(START_LIMIT):
@@ -231,28 +221,17 @@
         except (ClientError, TimeoutError, OSError):
             return False
 
-    async def replace_worker(self, number: int) -> None:
-        """Let a worker leave, and another take its place."""
-        leaving = self.workers[number]
-        await self._add_worker(number)
-        leaving.signal(_TERM)
-        await leaving.ended()
-
-    def worker_said(self, worker: str, line: dict[str, Any]) -> None:
-        """Take in what a worker has written."""
-        if line['event'] == 'ran':
-            self.history.ran.append(
-                Ran(
-                    line['request'],
-                    worker,
-                    line['moment'],
-                    line['workspace'],
-                    line['authorization'],
-                    line['harmful'],
-                ),
-            )
-        elif line['event'] == 'left':
-            self.history.left[worker] = line['moment']
+    async def row(self, table: str, key: str) -> str:
+        """Return a row's value as the store gives it; empty if it has none."""
+        url = f'http://{written(self._store_at)}/v1/rows-get'
+        asked = {'table': table, 'part': '', 'from': key, 'limit': '1'}
+        try:
+            async with self._session.get(url, params=asked) as answer:
+                found = await answer.json() if answer.ok else {}
+        except (ClientError, TimeoutError, OSError):
+            return ''
+        by_key = {row['key']: row['value'] for row in found.get('rows', ())}
+        return str(by_key.get(key, ''))
 
     async def send_harmful(self, path: str, number: int) -> None:
         """Send a request that ends workers to one of the hosts."""
@@ -261,39 +240,6 @@
         headers = self._ask_aside(request, Kind.DRAFT, address)
         await self._is_served(f'http://{address}{path}', headers)
 
-    async def revive_workers(self) -> None:
-        """Start workers again that have ended."""
-        for worker in self.workers:
-            await worker.start()
-
-    async def _add_worker(self, number: int) -> None:
-        """Start a worker behind a link, in the place of a number."""
-        name = f'w-{next(self._incarnations)}'
-        at = free_address(f'127.{self._net}.1.{number + 1}')
-        listed = free_address(f'127.{self._net}.2.{number + 1}')
-        link = Link(*listed, at)
-        await link.open()
-        self._stack.callback(link.close)
-        words = (
-            *('-m', 'experiments.fleet_soak.worker', '--id', name),
-            *('--listen', written(at), '--listed', written(listed)),
-            *('--store', written(self._store_at)),
-            *('--zone', DOMAINS[number % len(DOMAINS)]),
-            *('--seed', str(number), '--mutant', self._mutant),
-        )
-        process = SoakProcess(
-            words,
-            {},
-            lambda line: self.worker_said(name, line),
-        )
-        await self._own(process)
-        if number < len(self.workers):
-            self.workers[number] = process
-            self.worker_links[number] = link
-        else:
-            self.workers.append(process)
-            self.worker_links.append(link)
-
     async def _add_host(self, number: int) -> None:
         """Start a host between links of its own."""
         ip = f'127.{self._net}.3.{number + 1}'
--- a/experiments/fleet_soak/history.py
+++ b/experiments/fleet_soak/history.py
@@ -7,6 +7,10 @@
 
 OK: Final = 200
 
+#: Seconds that a bound is exceeded by before it counts: two processes on a
+#: busy machine read the same clock up to a scheduler's turn apart.
+SLACK: Final = 0.5
+
 #: Events of each stream.
 EVENTS: Final = 6
 
@@ -20,6 +24,37 @@
     DRAFT = 'draft'
 
 
+@unique
+class RolloutEnd(Enum):
+    """What hosts have written of a roll-out, in the operator's words."""
+
+    #: No end; a roll-out that is under way.
+    NONE = 'running'
+    SUCCEEDED = 'succeeded'
+    ROLLED_BACK = 'rolled_back'
+
+
+@dataclass(slots=True)
+class OrderedRollout:
+    """A roll-out that an operator has ordered; times are monotonic seconds.
+
+    Attributes:
+        to: The new version.
+        bad: Whether it fails part of its requests.
+        ordered: When the order was acknowledged.
+        duration: Seconds that it may take.
+        ended: When its end was read; infinite while there is none.
+        end: What hosts have written.
+    """
+
+    to: str
+    bad: bool
+    ordered: float
+    duration: float
+    ended: float = float('inf')
+    end: RolloutEnd = RolloutEnd.NONE
+
+
 @dataclass(slots=True)
 class Asked:
     """A request as its caller saw it; times are monotonic seconds.
@@ -37,6 +72,7 @@
         signed: Whether it bore a worker's signature.
         left_early: Whether its caller leaves before the answer.
         route: The route that an operator had just added; empty for others.
+        session: What it belongs to; empty for nothing.
     """
 
     request: str
@@ -51,6 +87,7 @@
     signed: bool = False
     left_early: bool = False
     route: str = ''
+    session: str = ''
 
     @property
     def served(self) -> bool:
@@ -69,6 +106,7 @@
         workspace: The workspace that it was told.
         authorization: The key that was passed on; there must be none.
         harmful: The path, if it is one whose requests end workers.
+        failed: Whether it was failed on purpose.
     """
 
     request: str
@@ -77,6 +115,7 @@
     workspace: str = ''
     authorization: str = ''
     harmful: str = ''
+    failed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +144,8 @@
         revoked: When a key's end was acknowledged, by key.
         left: When it was acknowledged that a worker leaves, by worker.
         added: When a route was acknowledged, by route.
+        versions: The version of each worker.
+        rollouts: Roll-outs, in order.
         troubled: Spans in which hosts, links or the store were in trouble.
         stopping: Spans of planned stops, by host.
         calm_from: When the last fault had ended for long enough.
@@ -116,6 +157,8 @@
     revoked: dict[str, float] = field(default_factory=dict)
     left: dict[str, float] = field(default_factory=dict)
     added: dict[str, float] = field(default_factory=dict)
+    versions: dict[str, str] = field(default_factory=dict)
+    rollouts: list[OrderedRollout] = field(default_factory=list)
     troubled: list[Trouble] = field(default_factory=list)
     stopping: list[tuple[str, float, float]] = field(default_factory=list)
     calm_from: float = float('inf')
@@ -172,6 +215,12 @@
     repeat_ratio: float = 0.9
     repeat_slack: float = 58
     window: float = 10
+    session: float = 5
+    moved: int = 3
+    expose_share: float = 0.15
+    expose_slack: int = 30
+    halt: float = 5
+    bad_answers: int = 50
 
 
 @dataclass(frozen=True, slots=True)
--- a/experiments/fleet_soak/judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -10,6 +10,7 @@
 
 from experiments.fleet_soak.history import (
     OK,
+    SLACK,
     Asked,
     Bounds,
     History,
@@ -17,6 +18,10 @@
     Verdict,
     expected_body,
 )
+from experiments.fleet_soak.rollout_judge import (
+    bad_versions_get_little,
+    sessions_stay,
+)
 
 #: Statuses that promise that a request has not run and never will.
 PROMISES: Final = frozenset((408, 421, 429, 503))
@@ -28,10 +33,6 @@
 #: that is judged by it.
 SEEN: Final = 0.25
 
-#: Seconds that a bound is exceeded by before it counts: two processes on a
-#: busy machine read the same clock up to a scheduler's turn apart.
-SLACK: Final = 0.5
-
 Judge = Callable[[History, Bounds], Verdict]
 
 
@@ -297,6 +298,8 @@
     configurations_come_into_force,
     configurations_stay,
     harmful_requests_are_kept_out,
+    sessions_stay,
+    bad_versions_get_little,
     service_returns,
 )
 
--- a/experiments/fleet_soak/plan.py
+++ b/experiments/fleet_soak/plan.py
@@ -37,6 +37,8 @@
     KEY_REVOKED = 'key revoked'
     CONFIGURED = 'configured'
     FOREIGN_ENTRY = 'foreign entry'
+    ROLLED_OUT = 'rolled out'
+    ROLLED_OUT_BAD = 'rolled out a bad version'
 
 
 #: What operators do on an ordinary day; rules hold through it.
@@ -48,6 +50,8 @@
         Fault.KEY_REVOKED,
         Fault.CONFIGURED,
         Fault.FOREIGN_ENTRY,
+        Fault.ROLLED_OUT,
+        Fault.ROLLED_OUT_BAD,
     ),
 )
 
--- a/experiments/fleet_soak/program.py
+++ b/experiments/fleet_soak/program.py
@@ -133,6 +133,11 @@
     for fault in Fault:
         if not faults.fired[fault]:
             out.write(f'never fired: {fault.value}\n')
+    for rollout in history.rollouts:
+        sort = 'bad' if rollout.bad else 'good'
+        took = rollout.ended - rollout.ordered
+        out.write(f'{sort} version {rollout.to}: {rollout.end.value}, ')
+        out.write(f'{took:.1f} s\n')
     for verdict in verdicts:
         out.write(f'{verdict.judge}: {verdict.moments} judged, ')
         out.write(f'{len(verdict.broken)} broken\n')
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -95,7 +95,7 @@
             'service': 'desk',
             'address': self._options.listed,
             'zone': self._options.zone,
-            'version': 'v1',
+            'version': self._options.version,
             'slots': 16,
             'state': 'draining' if self._leaving else 'ready',
             'born': self._born,
@@ -120,6 +120,8 @@
         ):
             return web.Response(status=421, headers=usual)
         kind = _kind_of(request.path.split('/')[1])
+        share = FAILING if self._troubled else self._options.failing
+        failing = self._randomness.random() < share
         say(
             'ran',
             request=name,
@@ -127,9 +129,9 @@
             workspace=request.headers.get('Nutmegroad-Tenant', ''),
             authorization=request.headers.get('Authorization', ''),
             harmful=request.path if HARMFUL in request.path else '',
+            failed=failing,
         )
         usual['Nutmegroad-Response-Signature'] = f'{self._options.id}.{name}'
-        failing = self._troubled and self._randomness.random() < FAILING
         await asyncio.sleep(WORK)
         if failing:
             return web.Response(status=500, headers=usual, body=b'failed')
@@ -196,6 +198,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     for name in ('id', 'listen', 'listed', 'store', 'zone'):
         parser.add_argument(f'--{name}', required=True)
+    parser.add_argument('--version', default='v1')
+    parser.add_argument('--failing', type=float, default=0)
     parser.add_argument('--seed', type=int, default=0)
     parser.add_argument('--mutant', default='')
     asyncio.run(serve(parser.parse_args()))
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -92,36 +92,59 @@
         self.assertIn(b'ended by a signal', text)
         self.assertEqual([each for each in children if _runs(each)], [])
 
-    def test_host_that_relies_on_another_for_ever_is_found(self) -> None:
-        """A program whose hosts wait for news however old the last ones are.
-
-        The store falls silent to the host that reads it for its domain.
+    def play_patched(
+        self,
+        module: str,
+        changes: dict[str, str],
+        *words: str,
+    ) -> tuple[int, str]:
+        """Play a copy of the program in which one module reads otherwise.
+
+        Args:
+            module: Path of the module.
+            changes: What is put in place of what.
+            words: Words of the command line.
         """
         with tempfile.TemporaryDirectory() as folder:
             patched = Path(folder)
             for part in ('src', 'platform'):
                 shutil.copytree(ROOT / part, patched / part)
-            paces = patched / 'src/nutmegroad/fleet/paces.py'
-            text = paces.read_text()
-            for name, usual, part in (
-                ('WAIT_PART', '0.35', '2'),
-                ('RELIANCE_PART', '0.75', '20'),
-            ):
-                self.assertIn(f'{name}: Final = {usual}', text)
-                text = text.replace(
-                    f'{name}: Final = {usual}',
-                    f'{name}: Final = {part}',
-                )
-            paces.write_text(text)
-            words = ('--seed', '22', '--seconds', '5.5', '--hosts', '4')
-            status, text = self.play(
-                *words,
-                *('--faults', Fault.STORE_HOLDS.value),
-                *('--program', folder),
-            )
+            path = patched / module
+            text = path.read_text()
+            for usual, other in changes.items():
+                self.assertIn(usual, text)
+                text = text.replace(usual, other)
+            path.write_text(text)
+            return self.play(*words, '--program', folder)
+
+    def test_host_that_relies_on_another_for_ever_is_found(self) -> None:
+        """A program whose hosts wait for news however old the last ones are.
+
+        The store falls silent to the host that reads it for its domain.
+        """
+        status, text = self.play_patched(
+            'src/nutmegroad/fleet/paces.py',
+            {
+                'WAIT_PART: Final = 0.35': 'WAIT_PART: Final = 2',
+                'RELIANCE_PART: Final = 0.75': 'RELIANCE_PART: Final = 20',
+            },
+            *('--seed', '22', '--seconds', '5.5', '--hosts', '4'),
+            *('--faults', Fault.STORE_HOLDS.value),
+        )
         self.assertEqual(status, 1, text)
         self.assertRegex(text, r'configurations in force: \d+ judged, [1-9]')
 
+    def test_hosts_that_tell_of_no_session_are_found(self) -> None:
+        """A program whose hosts keep to themselves which sessions they had."""
+        status, text = self.play_patched(
+            'src/nutmegroad/fleet/messages.py',
+            {'self._marks.told(digest.sessions, near=near)': 'pass'},
+            *('--seed', '1', '--seconds', '2', '--hosts', '3'),
+            *('--faults', Fault.ROLLED_OUT.value),
+        )
+        self.assertEqual(status, 1, text)
+        self.assertRegex(text, r'sessions stay: \d+ judged, [1-9]')
+
     def test_foreign_answers_are_found(self) -> None:
         """Workers that answer with the bodies of other requests."""
         words = ('--seconds', '0', '--mutant', FOREIGN_BODIES)
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -9,6 +9,7 @@
     Bounds,
     History,
     Kind,
+    OrderedRollout,
     Ran,
     Trouble,
     event_of,
@@ -170,6 +171,65 @@
         found = self.broken(judges.service_returns, seen)
         self.assertEqual(found, 1)
 
+    def sessions(self, versions: str, *, bad: bool = False) -> History:
+        """Return a roll-out of v2 in which sessions run twice.
+
+        Args:
+            versions: The versions of both runs of each session.
+            bad: Whether the new version is bad.
+        """
+        seen = History(
+            keys={'k': 'clerks'},
+            versions={'w1': 'v1', 'w2': 'v2'},
+            rollouts=[OrderedRollout('v2', bad, ordered=10, duration=12)],
+        )
+        for number in range(BOUNDS.moved + 1):
+            for place, version in enumerate(versions):
+                name = f'{number}-{place}'
+                sent = 12 + place
+                seen.asked[name] = replace(
+                    GOOD,
+                    request=name,
+                    sent=sent,
+                    ended=sent + 0.5,
+                    session=f's{number}',
+                )
+                seen.ran.append(Ran(name, f'w{version}', sent + 0.1))
+        return seen
+
+    def test_sessions_that_are_moved(self) -> None:
+        """To the new version in the first half, or back from a good one."""
+        cases = (('11', False, 0), ('12', False, 4), ('12', True, 4))
+        for versions, bad, broken in (*cases, ('21', False, 4)):
+            seen = self.sessions(versions, bad=bad)
+            with self.subTest(versions=versions, bad=bad):
+                found = self.broken(judges.sessions_stay, seen)
+                self.assertEqual(found, broken)
+        self.assertEqual(
+            self.broken(judges.sessions_stay, self.sessions('21', bad=True)),
+            0,
+        )
+        late = self.sessions('12')
+        late.rollouts[0].ordered = 2
+        self.assertEqual(judges.sessions_stay(late, BOUNDS).broken, ())
+
+    def test_bad_version_that_goes_on(self) -> None:
+        """More than its share, or more after fifty bad answers."""
+        seen = self.sessions('2', bad=True)
+        seen.ran = [
+            Ran('0-0', 'w2', 12 + number / 100, failed=True)
+            for number in range(BOUNDS.expose_slack)
+        ]
+        judge = judges.bad_versions_get_little
+        self.assertEqual(self.broken(judge, seen), 0)
+        seen.ran *= 2
+        self.assertEqual(self.broken(judge, seen), 1)
+        others = [Ran('0-0', 'w1', 13) for _ in range(400)]
+        seen.ran = [*seen.ran, *others]
+        self.assertEqual(self.broken(judge, seen), 0)
+        seen.ran.append(Ran('0-0', 'w2', 19))
+        self.assertEqual(self.broken(judge, seen), 1)
+
     def test_harmful_requests_that_go_on(self) -> None:
         """Four more after the third, later than hosts have to know of it."""
         path = '/draft/harmful'
