Keep requests from engines that have ended under them, in our own daemon too

The same cause as in the incident with crashing requests, left open in the model API: attempts are counted by request id, so a request that ends engines has all its attempts each time that it comes, at each host.

routing/harmful remembers by content, with the relay's own book; an engine that accepts no connection for its report after a broken attempt has ended; hosts tell each other over the mesh; after three ends it is refused (REQUEST_HARMFUL, not run), and one host of each failure domain tries it once more.

Not covered: calls of plain services; nothing is written to the table.

--- a/src/nutmegroad/routing/part.py
+++ b/src/nutmegroad/routing/part.py
@@ -12,6 +12,7 @@
 from nutmegroad.routing.directory import Directory
 from nutmegroad.routing.dispatch import Dispatcher
 from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.routing.harmful import HarmfulRequests
 from nutmegroad.routing.service_traffic import ServiceTraffic
 from nutmegroad.routing.services import ServiceCaller
 from nutmegroad.routing.steps import Instruments, Policies
@@ -55,6 +56,7 @@
             lookup('planner', settings.planner)(kernel),
             lookup('selector', settings.selector)(kernel),
             lookup('retries', settings.retries)(kernel),
+            HarmfulRequests(kernel.need(EngineClient), kernel.clock),
         )
         kernel.provide(Policies, policies)
         dispatcher = Dispatcher(
--- a/src/nutmegroad/routing/steps.py
+++ b/src/nutmegroad/routing/steps.py
@@ -24,6 +24,7 @@
 from nutmegroad.foundations.types import AttemptId, Ran, ServiceName, VersionId
 from nutmegroad.routing.attempts import Attempter, Received, Sink, Trial
 from nutmegroad.routing.gates import Gatekeeper, Passage
+from nutmegroad.routing.harmful import HarmfulRequests
 from nutmegroad.routing.request_progress import Progress, why
 
 #: Attempts that one request may make in all, whatever the budget says.
@@ -72,12 +73,14 @@
         planner: Chooses versions.
         selector: Chooses upstreams.
         retries: Bounds retries.
+        harmful: Keeps requests from engines that end under them.
     """
 
     admitter: Admitter
     planner: Planner
     selector: Selector
     retries: RetryBudget
+    harmful: HarmfulRequests
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +152,7 @@
         course = self._begin(progress, version, Received())
         while not isinstance(course, Refusal):
             trial = await self._attempt(progress, version, course, sink)
+            await self._policies.harmful.ended(progress.request, trial)
             if trial.received.ending is not None:
                 return trial
             refusal = why(trial.received)
@@ -168,6 +172,10 @@
         received: Received,
     ) -> _Course | Refusal:
         """Choose an upstream and name the attempt."""
+        kept_out = self._policies.harmful.keeps_out(progress.request)
+        if kept_out is not None:
+            progress.note('harmful', kept_out.reason)
+            return kept_out
         choice = self._policies.selector.choose(
             progress.request,
             version,
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -41,6 +41,7 @@
 from nutmegroad.routing.directory import Directory
 from nutmegroad.routing.dispatch import Dispatcher
 from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.routing.harmful import HarmfulRequests
 from nutmegroad.routing.plain_selectors import LeastInFlight
 from nutmegroad.routing.policies import (
     CheapestPlanner,
@@ -113,8 +114,8 @@
             await events.aclose()  # type: ignore[attr-defined]
 
     async def report(self, upstream: UpstreamInfo) -> EngineReport | Refusal:
-        """Say nothing new."""
-        raise NotImplementedError
+        """Be there, and say nothing new."""
+        return report_of(SMALL, MEDIUM)
 
     async def order(self, upstream: UpstreamInfo, order: Any) -> None:
         """Take no orders."""
@@ -171,6 +172,7 @@
     spent: Spent = field(default_factory=Spent)
     caller: Caller = field(default_factory=Caller)
     observers: Observers = field(default_factory=Observers)
+    harmful: HarmfulRequests | None = None
 
     def __post_init__(self) -> None:
         """Put the objects together."""
@@ -235,6 +237,8 @@
 
     def _dispatcher(self) -> Dispatcher:
         randomness = random.Random(3)
+        if self.harmful is None:
+            self.harmful = HarmfulRequests(self.engines, self.clock)
         attempter = Attempter(
             self.engines,
             self.directory,
@@ -247,6 +251,7 @@
             self.planner or CheapestPlanner(self.configuration),
             LeastInFlight(self.directory, randomness),
             CountedRetries(),
+            self.harmful,
         )
         return Dispatcher(
             policies,
