--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -221,6 +221,13 @@
         except (ClientError, TimeoutError, OSError):
             return False
 
+    async def host_calls(self) -> int:
+        """Return how many calls hosts have made to the store, rows by row."""
+        url = f'http://{written(self._store_at)}/calls'
+        async with self._session.get(url) as answer:
+            counts = await answer.json()
+        return int(counts['reads'] + counts['writes'])
+
     async def row(self, table: str, key: str) -> str:
         """Return a row's value as the store gives it; empty if it has none."""
         url = f'http://{written(self._store_at)}/v1/rows-get'
--- a/experiments/fleet_soak/store.py
+++ b/experiments/fleet_soak/store.py
@@ -4,16 +4,20 @@
 
 ``POST /fault/NAME`` puts a fault into force, ``POST /forget`` drops the
 history of changes, ``POST /copy`` keeps a copy and ``POST /come_back`` lets the
-store come back from it.
+store come back from it. ``GET /calls`` returns how many calls hosts have made.
 """
 
 import argparse
 import asyncio
 import sys
+from typing import Final
 
 from aiohttp import web
 from fakes.row_store import RowStore, StoreCopy, StoreFault
 
+#: Tables that only operators and workers write.
+NOT_OF_HOSTS: Final = frozenset(('op', 'servers'))
+
 
 async def serve(listen: str) -> None:
     """Serve until the process is ended."""
@@ -40,7 +44,14 @@
         store.come_back(copies.pop(0))
         return web.Response()
 
+    async def calls(request: web.Request) -> web.Response:
+        """Return how many calls hosts have made."""
+        reads = sum(store.calls.get(call, 0) for call in ('get', 'feed'))
+        writes = sum(table not in NOT_OF_HOSTS for table, _, _ in store.writes)
+        return web.json_response({'reads': reads, 'writes': writes})
+
     app = store.app()
+    app.router.add_get('/calls', calls)
     app.router.add_post('/copy', copy)
     app.router.add_post('/come_back', come_back)
     app.router.add_post('/fault/{name}', put_fault)
