Give the experiments rooms, in an order that a test holds

A quarter of the tree was one flat folder of sixty modules, with prefixes in place of folders. Now: load, trials, costs, slopes, configuration beside soak and fleet_soak; what several use, and programs by themselves, stand beside the rooms. Files were moved and imports and commands rewritten; nothing else was changed.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 	$(RUN) -m experiments.soak --seeds 1000 --hours 0.25 --limit 600
 
 measure:
-	$(RUN) -m experiments.measure
+	$(RUN) -m experiments.load.measure
 
 slopes:
-	$(RUN) -m experiments.slopes
+	$(RUN) -m experiments.slopes.hosts
--- /dev/null
+++ b/experiments/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""How configurations and notices spread, on virtual time."""
--- a/experiments/configuration_hosts.py
+++ b/experiments/configuration/hosts.py
@@ -6,7 +6,10 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from experiments.memory_platform import HostPlatform, MemoryPlatform
+from experiments.configuration.memory_platform import (
+    HostPlatform,
+    MemoryPlatform,
+)
 from nutmegroad.configuration.announcements import Announcer
 from nutmegroad.configuration.changes import Changes
 from nutmegroad.configuration.confirmations import Confirmations
--- a/experiments/leaving_spread.py
+++ b/experiments/configuration/leaving_spread.py
@@ -1,10 +1,10 @@
 """Seconds until a leaving engine gets no more work from any host.
 
-``python -m experiments.leaving_spread`` starts six hosts and three engines.
-Under load from all hosts one engine says to the one host that asks it next
-that it is leaving, and to no other; the host list says nothing. Printed is the
-time from that order to the last answer that the engine began, over several
-runs. It ends after 40 s at most.
+``python -m experiments.configuration.leaving_spread`` starts six hosts and
+three engines. Under load from all hosts one engine says to the one host that
+asks it next that it is leaving, and to no other; the host list says nothing.
+Printed is the time from that order to the last answer that the engine began,
+over several runs. It ends after 40 s at most.
 """
 
 import asyncio
--- a/experiments/configuration_random.py
+++ b/experiments/configuration/random_runs.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from experiments.configuration_hosts import (
+from experiments.configuration.hosts import (
     LEASE,
     PRESETS,
     VERSIONS,
@@ -20,8 +20,8 @@
     TrialHost,
     make_document,
 )
-from experiments.configuration_watch import LAG, Report, Watch
-from experiments.memory_platform import TableFaults
+from experiments.configuration.memory_platform import TableFaults
+from experiments.configuration.watch import LAG, Report, Watch
 from nutmegroad.configuration.changes import Withdrawn
 from nutmegroad.configuration.heads import Head
 from nutmegroad.configuration.withdrawals import WithdrawalSet
--- a/experiments/configuration_spread.py
+++ b/experiments/configuration/spread.py
@@ -15,13 +15,13 @@
 
 from absl import logging
 
-from experiments.configuration_hosts import (
+from experiments.configuration.hosts import (
     PRESETS,
     HostNames,
     TrialHost,
     make_document,
 )
-from experiments.memory_platform import MemoryPlatform
+from experiments.configuration.memory_platform import MemoryPlatform
 from experiments.processes import LOOPBACK
 from nutmegroad.configuration import announcements
 from nutmegroad.foundations.accounting import Ledger
--- a/experiments/configuration_watch.py
+++ b/experiments/configuration/watch.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from experiments.configuration_hosts import (
+from experiments.configuration.hosts import (
     LEASE,
     Fleet,
     TrialHost,
--- /dev/null
+++ b/experiments/costs/__init__.py
@@ -0,0 +1,1 @@
+"""What one request or one decision costs."""
--- a/experiments/decision_speed.py
+++ b/experiments/costs/decision_speed.py
@@ -1,4 +1,4 @@
-"""Time of one decision: ``python -m experiments.decision_speed``.
+"""Time of one decision: ``python -m experiments.costs.decision_speed``.
 
 A whole host is put together in this process, with an empty platform beside
 it. It is then told of many upstreams and of 22 versions, and asked to plan,
@@ -19,17 +19,17 @@
 import uvloop
 from fakes.platform import FakePlatform, PlatformOptions
 
-from experiments.arms import Arm, ArmError, choose
 from experiments.deployment import CLUSTER_KEY
-from experiments.fixtures import (
+from experiments.load.arms import Arm, ArmError, choose
+from experiments.load.fixtures import (
     large_document,
     report_of,
     request_of,
     upstream_of,
 )
+from experiments.load.reports import Percentiles, percentiles
+from experiments.load.tables import table
 from experiments.processes import LOOPBACK
-from experiments.reports import Percentiles, percentiles
-from experiments.tables import table
 from nutmegroad.configuration.in_force import Accepted, Configuration
 from nutmegroad.contracts.documents import Document
 from nutmegroad.contracts.requests import ModelRequest
--- a/experiments/planner_speed.py
+++ b/experiments/costs/planner_speed.py
@@ -1,8 +1,8 @@
 """Microseconds that the adaptive planner takes for a plan.
 
-Run ``python -m experiments.planner_speed``. *Kept* is a plan while nothing
-changes; *anew* one after each change of an estimate, which is at most one
-in five seconds for each task class and length of request.
+Run ``python -m experiments.costs.planner_speed``. *Kept* is a plan while
+nothing changes; *anew* one after each change of an estimate, which is at most
+one in five seconds for each task class and length of request.
 """
 
 import random
@@ -14,8 +14,8 @@
 
 from msgspec import structs
 
-from experiments.planner_worlds import SCENARIOS, SteppedClock, accepted
-from experiments.planner_worlds import make_request as make
+from experiments.trials.planner_worlds import SCENARIOS, SteppedClock, accepted
+from experiments.trials.planner_worlds import make_request as make
 from nutmegroad.configuration.in_force import Accepted, Configuration
 from nutmegroad.contracts.documents import VersionEntry
 from nutmegroad.contracts.platform import Rating
--- a/experiments/records_cost.py
+++ b/experiments/costs/records_cost.py
@@ -1,6 +1,6 @@
 """What records cost a request: intent, ticket, hand-off, in time and work.
 
-``python -m experiments.records_cost`` has one host's records in this
+``python -m experiments.costs.records_cost`` has one host's records in this
 process, the platform's stand-in in another, and two hosts linked over
 loopback. It prints, for each way, the median and the spread over several
 rounds of the added milliseconds and of this process's processor time.
--- a/experiments/request_cost.py
+++ b/experiments/costs/request_cost.py
@@ -1,4 +1,6 @@
-"""What a request costs its entry host: ``python -m experiments.request_cost``.
+"""What a request costs its entry host.
+
+``python -m experiments.costs.request_cost``
 
 Starts one host before two engines that write as fast as they can, and
 measures on loopback, several times over:
--- a/experiments/selection_speed.py
+++ b/experiments/costs/selection_speed.py
@@ -1,6 +1,6 @@
 """Microseconds that a choice and an admission take.
 
-Run ``python -m experiments.selection_speed``. It makes one host's objects
+Run ``python -m experiments.costs.selection_speed``. It makes one host's objects
 before 12, 100 and 890 upstreams with 22 versions, nine domains, and measures
 the median and the 99th percentile of many calls.
 """
@@ -13,8 +13,8 @@
 from dataclasses import replace
 from typing import Any, Final
 
-from experiments.trial_figures import percentile
-from experiments.trial_fleet import accepted_for
+from experiments.trials.selection_figures import percentile
+from experiments.trials.selection_fleet import accepted_for
 from nutmegroad.configuration.in_force import Configuration
 from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart, Selector
 from nutmegroad.contracts.documents import Concern
--- a/experiments/capacity.py
+++ b/experiments/load/capacity.py
@@ -1,4 +1,4 @@
-"""Finds the capacity of a deployment: ``python -m experiments.capacity``.
+"""Finds the capacity of a deployment: ``python -m experiments.load.capacity``.
 
 It raises a flat arrival rate step by step and reports, for each rate, the
 share of requests that were answered in time. The capacity is the highest
@@ -14,13 +14,13 @@
 
 import uvloop
 
-from experiments.arms import ArmError, choose
-from experiments.measure import OUTPUT
-from experiments.orders import Order
-from experiments.runs import run
-from experiments.scenarios import RIGS, Scenario
-from experiments.tables import table
-from experiments.traffic import Curve
+from experiments.load.arms import ArmError, choose
+from experiments.load.measure import OUTPUT
+from experiments.load.orders import Order
+from experiments.load.runs import run
+from experiments.load.scenarios import RIGS, Scenario
+from experiments.load.tables import table
+from experiments.load.traffic import Curve
 
 #: Share of requests that must be answered in time for a rate to hold.
 HOLDS: Final = 0.98
--- a/experiments/compression.py
+++ b/experiments/load/compression.py
@@ -9,7 +9,7 @@
 import re
 
 from experiments.deployment import read_example
-from experiments.traffic import LONGEST, MIXES, TaskMix
+from experiments.load.traffic import LONGEST, MIXES, TaskMix
 
 
 def compressed(name: str) -> str:
--- a/experiments/goals.py
+++ b/experiments/load/goals.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from experiments.reports import ratio
-from experiments.summaries import Report
-from experiments.tables import spread, table
+from experiments.load.reports import ratio
+from experiments.load.summaries import Report
+from experiments.load.tables import spread, table
 
 DEAREST: Final = 'round-robin-dearest'
 LEAST: Final = 'least-in-flight'
--- a/experiments/incidents.py
+++ b/experiments/load/incidents.py
@@ -9,7 +9,7 @@
 from aiohttp import ClientSession
 
 from experiments.deployment import DOMAINS, Deployment
-from experiments.load import LoadClient
+from experiments.load.load import LoadClient
 from experiments.processes import Running
 
 #: Seconds after which the balancer takes a host out that does not answer.
--- a/experiments/load.py
+++ b/experiments/load/load.py
@@ -23,7 +23,7 @@
 )
 
 from experiments.deployment import workspace_key
-from experiments.traffic import Ask, prompt_of
+from experiments.load.traffic import Ask, prompt_of
 from nutmegroad.foundations.types import Address
 
 #: Seconds beyond its deadline after which a reply counts as hung.
--- a/experiments/measure.py
+++ b/experiments/load/measure.py
@@ -1,4 +1,4 @@
-"""The measurements: ``python -m experiments.measure`` or ``make measure``.
+"""The measurements: ``python -m experiments.load.measure`` or ``make measure``.
 
 Runs each scenario with each arm and seed on a deployment of its own, prints
 tables and writes JSON, a page and a plot under ``results/``. It stops when
@@ -17,16 +17,16 @@
 import msgspec
 import uvloop
 
-from experiments.arms import ArmError, choose, not_run
-from experiments.goals import goal_table
-from experiments.orders import Order
-from experiments.plots import plot
-from experiments.runs import run
-from experiments.scenarios import QUICK, scenarios
-from experiments.summaries import Report
-from experiments.tables import compare, describe, warnings
+from experiments.load.arms import ArmError, choose, not_run
+from experiments.load.goals import goal_table
+from experiments.load.orders import Order
+from experiments.load.plots import plot
+from experiments.load.runs import run
+from experiments.load.scenarios import QUICK, scenarios
+from experiments.load.summaries import Report
+from experiments.load.tables import compare, describe, warnings
 
-OUTPUT: Final = Path(__file__).parent.parent / 'results'
+OUTPUT: Final = Path(__file__).parents[2] / 'results'
 #: Seconds for the whole set and for the quick one.
 BUDGET: Final = 700.0
 QUICK_BUDGET: Final = 170.0
--- a/experiments/observations.py
+++ b/experiments/load/observations.py
@@ -16,7 +16,7 @@
 from aiohttp import ClientError, ClientSession
 
 from experiments.deployment import Deployment
-from experiments.load import LoadClient
+from experiments.load.load import LoadClient
 
 #: Lines of the hosts' metrics that count reasons.
 _COUNTER: Final = re.compile(
--- a/experiments/orders.py
+++ b/experiments/load/orders.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, replace
 
-from experiments.arms import Arm
-from experiments.scenarios import CAPACITY, Scenario
-from experiments.traffic import Ask, Curve, Demand, draw
+from experiments.load.arms import Arm
+from experiments.load.scenarios import CAPACITY, Scenario
+from experiments.load.traffic import Ask, Curve, Demand, draw
 from nutmegroad.contracts.documents import Document
 
 
--- a/experiments/plots.py
+++ b/experiments/load/plots.py
@@ -9,8 +9,8 @@
 from matplotlib.backends.backend_agg import FigureCanvasAgg
 from matplotlib.figure import Figure
 
-from experiments.summaries import Report
-from experiments.tables import COLUMNS, arms_of, spread
+from experiments.load.summaries import Report
+from experiments.load.tables import COLUMNS, arms_of, spread
 
 #: Figures that are drawn, by the names of the table's columns.
 DRAWN: Final = ('cost/met', 'met', 'first p95 ms', 'goodput/s')
--- a/experiments/promises.py
+++ b/experiments/load/promises.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from experiments.load import Outcome, Record
-from experiments.observations import Observed
+from experiments.load.load import Outcome, Record
+from experiments.load.observations import Observed
 from nutmegroad.contracts.documents import Document
 
 #: Examples that a broken promise is reported with.
--- a/experiments/reports.py
+++ b/experiments/load/reports.py
@@ -7,7 +7,7 @@
 
 import numpy as np
 
-from experiments.load import Outcome, Record
+from experiments.load.load import Outcome, Record
 
 #: Seconds within which a refusal ought to be answered.
 REFUSAL_GOAL: Final = 0.05
--- a/experiments/runs.py
+++ b/experiments/load/runs.py
@@ -9,7 +9,6 @@
 
 from aiohttp import ClientSession
 
-from experiments.compression import compressed
 from experiments.deployment import (
     Deployment,
     Rig,
@@ -17,13 +16,14 @@
     operator_token,
     start,
 )
-from experiments.incidents import Scene, play
-from experiments.load import LoadClient, Record, client_session
-from experiments.observations import Observer
-from experiments.orders import Order, asks_of
+from experiments.load.compression import compressed
+from experiments.load.incidents import Scene, play
+from experiments.load.load import LoadClient, Record, client_session
+from experiments.load.observations import Observer
+from experiments.load.orders import Order, asks_of
+from experiments.load.scenarios import RIGS
+from experiments.load.summaries import Report, Seen, report
 from experiments.processes import Processes
-from experiments.scenarios import RIGS
-from experiments.summaries import Report, Seen, report
 from nutmegroad.contracts.documents import Role
 
 #: Seconds for hosts to hear of upstreams and of the preset.
--- a/experiments/scenarios.py
+++ b/experiments/load/scenarios.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from experiments.deployment import Rig
-from experiments.incidents import (
+from experiments.load.incidents import (
     Incident,
     freeze_domain,
     kill_engines,
@@ -14,10 +14,10 @@
     thaw_domain,
     turn_bad,
 )
-from experiments.traffic import Curve
+from experiments.load.traffic import Curve
 
 #: Highest rate, in requests a second, at which goodput holds; measured by
-#: ``python -m experiments.capacity``; docs/MEASUREMENTS.md has the run.
+#: ``python -m experiments.load.capacity``; docs/MEASUREMENTS.md has the run.
 CAPACITY: Final = MappingProxyType({'lesen': 70.0, 'cascade': 70.0})
 
 _ENGINE_ARGS: Final = (
--- a/experiments/summaries.py
+++ b/experiments/load/summaries.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from experiments.load import Record
-from experiments.observations import Observed
-from experiments.orders import Order, rate_of
-from experiments.promises import check
-from experiments.reports import (
+from experiments.load.load import Record
+from experiments.load.observations import Observed
+from experiments.load.orders import Order, rate_of
+from experiments.load.promises import check
+from experiments.load.reports import (
     Exposure,
     Figures,
     Percentiles,
--- a/experiments/tables.py
+++ b/experiments/load/tables.py
@@ -6,8 +6,8 @@
 
 import numpy as np
 
-from experiments.reports import Figures
-from experiments.summaries import Report
+from experiments.load.reports import Figures
+from experiments.load.summaries import Report
 
 #: Tells a figure of a run; None where it has none.
 Getter = Callable[[Report], float | None]
--- /dev/null
+++ b/experiments/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""How the cost of control grows with the fleet."""
--- a/experiments/slope_engines.py
+++ b/experiments/slopes/engines.py
@@ -1,6 +1,6 @@
 """Many engines' reports from one process, for measuring what asking costs.
 
-Run as ``python -m experiments.slope_engines COUNT VERSIONS``. Every engine
+Run as ``python -m experiments.slopes.engines COUNT VERSIONS``. Every engine
 listens on a port of its own; ``GET /ports`` at the first one lists them.
 """
 
--- a/experiments/slopes.py
+++ b/experiments/slopes/hosts.py
@@ -1,4 +1,4 @@
-"""What control costs a host: ``python -m experiments.slopes [--quick]``.
+"""What control costs a host: ``python -m experiments.slopes.hosts [--quick]``.
 
 Whole hosts, as objects in this process, over real loopback before one
 platform stand-in and one process that answers for all engines. Each round
@@ -22,7 +22,6 @@
 from absl import logging
 from aiohttp import ClientSession
 
-from experiments import slope_fits
 from experiments.deployment import (
     BOOTSTRAP_TOKEN,
     operate,
@@ -30,6 +29,7 @@
     read_example,
 )
 from experiments.processes import Processes, Running
+from experiments.slopes import fits
 from nutmegroad.contracts.peers import Mesh
 from nutmegroad.daemon.plugins import load_plugins
 from nutmegroad.foundations._cost_metrics import resident_bytes
@@ -123,7 +123,7 @@
         platform = await processes.start_fake('platform', 'fakes.platform')
         engines = await processes.start_fake(
             'engines',
-            'experiments.slope_engines',
+            'experiments.slopes.engines',
             str(size.engines),
             str(size.versions),
         )
@@ -306,7 +306,7 @@
     pace: tuple[float, float],
 ) -> dict[str, Any]:
     outcome = asdict(uvloop.run(measure(size, pace)))
-    sys.stdout.write(slope_fits.describe(outcome))
+    sys.stdout.write(fits.describe(outcome))
     sys.stdout.flush()
     return outcome
 
@@ -322,8 +322,8 @@
     base = resident_bytes()
     sys.stdout.write(f'before the first host: {base / MEGABYTE:.1f} MB\n')
     rounds = [_measure_and_show(size, pace) for size in sizes]
-    letter = slope_fits.extrapolate(rounds)
-    sys.stdout.write(slope_fits.describe_letter(letter))
+    letter = fits.extrapolate(rounds)
+    sys.stdout.write(fits.describe_letter(letter))
     WRITTEN.parent.mkdir(exist_ok=True)
     written = {'base': base, 'rounds': rounds, 'letter': letter}
     WRITTEN.write_text(json.dumps(written, indent=1))
--- a/experiments/mesh_slopes.py
+++ b/experiments/slopes/mesh.py
@@ -1,6 +1,6 @@
 """What links and membership cost, and how fast they are.
 
-Run as ``python -m experiments.mesh_slopes``. Hosts' objects, with real
+Run as ``python -m experiments.slopes.mesh``. Hosts' objects, with real
 links over loopback, live in one process; each round has more of them. It
 prints a table and writes ``results/mesh_slopes.json``.
 """
@@ -19,7 +19,7 @@
 
 import uvloop
 
-from experiments.mesh_hosts import Cost, MeshHost, NoLinks, identity_of
+from experiments.slopes.mesh_hosts import Cost, MeshHost, NoLinks, identity_of
 from nutmegroad.foundations.accounting import Ledger
 from nutmegroad.foundations.clocks import SystemClock
 from nutmegroad.foundations.types import (
--- a/experiments/soak/events.py
+++ b/experiments/soak/events.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from experiments.memory_platform import TableFaults
+from experiments.configuration.memory_platform import TableFaults
 from experiments.soak.hosts import SoakHost, Surroundings
 from experiments.soak.judge import Judge
 from experiments.soak.operators import LONG, SHORT, Operators
--- a/experiments/soak/hosts.py
+++ b/experiments/soak/hosts.py
@@ -13,7 +13,7 @@
 
 from aiohttp.web import Application
 
-from experiments.configuration_hosts import PausableMesh
+from experiments.configuration.hosts import PausableMesh
 from experiments.deployment import BOOTSTRAP_TOKEN, CLUSTER_KEY
 from experiments.soak.platform import SoakHostPlatform, SoakPlatform
 from experiments.soak.upstreams import HostEngines, HostServices, World
--- a/experiments/soak/platform.py
+++ b/experiments/soak/platform.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from experiments.memory_platform import HostPlatform, MemoryPlatform, Written
+from experiments.configuration.memory_platform import (
+    HostPlatform,
+    MemoryPlatform,
+    Written,
+)
 from nutmegroad.contracts.platform import (
     ABSENT,
     Listing,
--- /dev/null
+++ b/experiments/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Trials of one decision alone, on drawn cases."""
--- a/experiments/bound_coverage.py
+++ b/experiments/trials/bound_coverage.py
@@ -1,6 +1,6 @@
 """How often lower bounds of a mean hold, and how wide they are.
 
-Run ``python -m experiments.bound_coverage``. Scores come from several
+Run ``python -m experiments.trials.bound_coverage``. Scores come from several
 distributions; after a number of ratings each method gives a lower bound
 with confidence 0.95. *Held* is the share of runs in which the true mean
 was above it (0.95 is right, more is caution), *width* the mean distance.
--- a/experiments/check_power.py
+++ b/experiments/trials/check_power.py
@@ -1,7 +1,7 @@
 """Whether signals at hand tell good answers from bad on the stand-ins.
 
-Run ``python -m experiments.check_power``. For each signal it prints which
-share of answers it flags, and the mean quality of the flagged and of the
+Run ``python -m experiments.trials.check_power``. For each signal it prints
+which share of answers it flags, and the mean quality of the flagged and of the
 others. A signal has power if the two differ by more than chance.
 """
 
--- a/experiments/exposure_judges.py
+++ b/experiments/trials/exposure_judges.py
@@ -4,7 +4,7 @@
 from collections import deque
 from typing import Final
 
-from experiments.exposure_scenarios import (
+from experiments.trials.exposure_scenarios import (
     GOOD,
     NEW,
     OLD,
--- a/experiments/exposure_trials.py
+++ b/experiments/trials/exposure_trials.py
@@ -1,6 +1,6 @@
 """Measures the exposure guard alone, on simulated evidence.
 
-Run it as ``python -m experiments.exposure_trials [--seeds N]``. One host
+Run it as ``python -m experiments.trials.exposure_trials [--seeds N]``. One host
 sees all evidence of a version and a task class, second by second: ratings
 come late, and some answers are rated 0 although the version is good. It
 prints how often good versions are stopped and how far bad ones get,
@@ -18,8 +18,8 @@
 
 from absl import logging
 
-from experiments.exposure_judges import GuardJudge, Judge, ThresholdJudge
-from experiments.exposure_scenarios import (
+from experiments.trials.exposure_judges import GuardJudge, Judge, ThresholdJudge
+from experiments.trials.exposure_scenarios import (
     HEALTHY,
     HOUR,
     NEW,
--- a/experiments/planner_trials.py
+++ b/experiments/trials/planner_trials.py
@@ -1,7 +1,7 @@
 """The planners alone, on simulated answers and ratings, over many seeds.
 
-Run ``python -m experiments.planner_trials``. For each scenario and planner
-it prints cost and quality over all seeds. An answer's quality is drawn
+Run ``python -m experiments.trials.planner_trials``. For each scenario and
+planner it prints cost and quality over all seeds. An answer's quality is drawn
 about its version's true mean; *share met* counts requests whose version's
 true mean reaches the target (what a plan can promise), *answers met* those
 whose own quality does. *Regret* is the cost above that of a planner that
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from experiments.planner_worlds import (
+from experiments.trials.planner_worlds import (
     MIXES,
     SCENARIOS,
     TASKS,
--- a/experiments/trial_figures.py
+++ b/experiments/trials/selection_figures.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from experiments.trial_fleet import DOMAINS, Size, workspace_names
+from experiments.trials.selection_fleet import DOMAINS, Size, workspace_names
 from nutmegroad.foundations.types import WorkspaceId
 from nutmegroad.routing.shares import water_fill
 
--- a/experiments/trial_fleet.py
+++ b/experiments/trials/selection_fleet.py
@@ -10,7 +10,7 @@
 
 from fakes.batching import BatchSpeed
 
-from experiments.engine_model import EngineModel
+from experiments.trials.engine_model import EngineModel
 from experiments.virtual_time import VirtualClock
 from nutmegroad.configuration.in_force import Accepted, Configuration
 from nutmegroad.contracts.decisions import (
--- a/experiments/trial_runs.py
+++ b/experiments/trials/selection_runs.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from experiments.engine_model import Job
-from experiments.trial_figures import (
+from experiments.trials.engine_model import Job
+from experiments.trials.selection_figures import (
     MEAN_OUTPUT,
     MEAN_PROMPT,
     PATIENCE,
@@ -16,7 +16,7 @@
     capacity,
     slot_seconds,
 )
-from experiments.trial_fleet import (
+from experiments.trials.selection_fleet import (
     DOMAINS,
     TASK,
     VERSION,
--- a/experiments/selection_trials.py
+++ b/experiments/trials/selection_trials.py
@@ -1,8 +1,8 @@
 """Selection and admission under load and faults, on a virtual clock.
 
-Run ``python -m experiments.selection_trials``; ``--scenario NAME`` takes just
-one scenario, ``--seeds N`` and ``--length SECONDS`` other sizes. It prints a
-table and, with ``--json FILE``, writes the figures. All is drawn from seeds.
+Run ``python -m experiments.trials.selection_trials``; ``--scenario NAME`` takes
+just one scenario, ``--seeds N`` and ``--length SECONDS`` other sizes. It prints
+a table and, with ``--json FILE``, writes the figures. All is drawn from seeds.
 """
 
 import argparse
@@ -16,14 +16,14 @@
 from statistics import fmean, pstdev
 from typing import Final
 
-from experiments.trial_figures import (
+from experiments.trials.selection_figures import (
     COLUMNS,
     SCENARIOS,
     Scenario,
     summarize,
 )
-from experiments.trial_fleet import Setting, Size
-from experiments.trial_runs import Trial
+from experiments.trials.selection_fleet import Setting, Size
+from experiments.trials.selection_runs import Trial
 
 SETTINGS: Final = (
     Setting('round-robin', 'open', 'unbounded'),
--- a/experiments/verdict_trials.py
+++ b/experiments/trials/verdict_trials.py
@@ -1,6 +1,6 @@
 """Tries the verdict on new versions alone, on thousands of roll-outs.
 
-    python -m experiments.verdict_trials --rollouts 2000 --plot verdicts.png
+    python -m experiments.trials.verdict_trials --rollouts 2000 --plot v.png
 
 Each roll-out is drawn from a seed: requests come at a rate, hosts count their
 answers and hear of each other's counts late, and some days a disturbance fails
@@ -25,7 +25,7 @@
 from matplotlib.backends.backend_agg import FigureCanvasAgg
 from matplotlib.figure import Figure
 
-from experiments.verdict_cases import Case, cases
+from experiments.trials.verdict_cases import Case, cases
 from nutmegroad.canary.rollouts import (
     LAST_OPEN,
     LEAD,
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -8,24 +8,25 @@
 
 _ROOT = Path(__file__).resolve().parent.parent
 _PAGE = _ROOT / 'docs' / 'ARCHITECTURE.md'
+_EXPERIMENTS = _ROOT / 'experiments'
 _PACKAGE = _ROOT / 'src' / 'nutmegroad'
 _PREFIX = 'nutmegroad.'
 #: The house rule: more modules than this, and a room has to be divided.
 _MOST_MODULES = 41
 
 
-def listed_rooms() -> list[str]:
-    """Return the rooms of the page, in its order."""
-    listing = _PAGE.read_text().partition('## Rooms')[2]
-    return re.findall('^- `([a-z]+)`:', listing, re.MULTILINE)
+def listed_rooms(page: Path = _PAGE) -> list[str]:
+    """Return the rooms of a page, in its order."""
+    listing = page.read_text().partition('## Rooms')[2]
+    return re.findall('^- `([a-z_]+)`:', listing, re.MULTILINE)
 
 
-def imported_rooms(path: Path) -> Iterator[str]:
+def imported_rooms(path: Path, prefix: str = _PREFIX) -> Iterator[str]:
     """Yield the rooms that a module imports from."""
     for node in ast.walk(ast.parse(path.read_text())):
         if isinstance(node, ast.ImportFrom):
             module = node.module or ''
-            if module.startswith(_PREFIX):
+            if module.startswith(prefix):
                 yield module.split('.')[1]
 
 
@@ -46,6 +47,18 @@
                 with self.subTest(module=str(path.relative_to(_PACKAGE))):
                     self.assertLessEqual(order[room], order[own], room)
 
+    def test_rooms_of_experiments_import_only_from_rooms_above(self) -> None:
+        """The same for the programs that ask something."""
+        rooms = listed_rooms(_EXPERIMENTS / 'README.md')
+        folders = {path.parent.name for path in _EXPERIMENTS.glob('*/*.py')}
+        self.assertEqual(sorted(rooms), sorted(folders))
+        order = {room: place for place, room in enumerate(rooms)}
+        for path in sorted(_EXPERIMENTS.glob('*/*.py')):
+            own = path.parent.name
+            for room in imported_rooms(path, 'experiments.'):
+                with self.subTest(module=str(path.relative_to(_ROOT))):
+                    self.assertLessEqual(order.get(room, -1), order[own], room)
+
     def test_rooms_stay_small(self) -> None:
         """A listing shows a room at a glance."""
         for room in listed_rooms():
--- a/tests/test_configuration_random.py
+++ b/tests/test_configuration_random.py
@@ -4,7 +4,7 @@
 import unittest
 
 from absl import logging
-from experiments.configuration_random import run
+from experiments.configuration.random_runs import run
 
 from tests.mutants import mutant
 
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from absl import logging
-from experiments.configuration_hosts import (
+from experiments.configuration.hosts import (
     LEASE,
     WORKSPACE,
     Fleet,
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import replace
 
-from experiments.planner_worlds import (
+from experiments.trials.planner_worlds import (
     DOSSIER,
     LARGE,
     MEDIUM,
--- a/tests/test_quality_sharing.py
+++ b/tests/test_quality_sharing.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from experiments.planner_worlds import SCENARIOS, SMALL, TAG, accepted
+from experiments.trials.planner_worlds import SCENARIOS, SMALL, TAG, accepted
 
 from nutmegroad.configuration.in_force import Configuration
 from nutmegroad.contracts.platform import RatedAnswer, Rating
--- a/tests/test_rating_samples.py
+++ b/tests/test_rating_samples.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from experiments.planner_worlds import SCENARIOS, SMALL, TAG, accepted
+from experiments.trials.planner_worlds import SCENARIOS, SMALL, TAG, accepted
 from msgspec import structs
 
 from nutmegroad.configuration.in_force import Configuration
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -5,18 +5,18 @@
 from typing import cast
 
 from experiments.deployment import read_example
-from experiments.goals import judge
-from experiments.load import Outcome, Record
-from experiments.observations import EngineRun, Observed, ServiceRun
-from experiments.promises import check
-from experiments.reports import (
+from experiments.load.goals import judge
+from experiments.load.load import Outcome, Record
+from experiments.load.observations import EngineRun, Observed, ServiceRun
+from experiments.load.promises import check
+from experiments.load.reports import (
     exposure,
     fair_shares,
     figures,
     percentiles,
 )
-from experiments.summaries import Report
-from experiments.traffic import Ask
+from experiments.load.summaries import Report
+from experiments.load.traffic import Ask
 
 from nutmegroad.contracts.documents import parse_document
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -3,11 +3,11 @@
 import random
 import unittest
 
-from experiments.arms import ArmError, choose
-from experiments.compression import compressed
 from experiments.deployment import read_example
-from experiments.scenarios import SCENARIOS
-from experiments.traffic import (
+from experiments.load.arms import ArmError, choose
+from experiments.load.compression import compressed
+from experiments.load.scenarios import SCENARIOS
+from experiments.load.traffic import (
     MIXES,
     Curve,
     Demand,
