--- /dev/null
+++ b/tests/test_fuzz_datagrams.py
@@ -0,0 +1,171 @@
+"""Whatever comes as a datagram, a host goes on: bytes of any kind.
+
+Another host may be broken, or of another release, or no host at all.
+"""
+
+import math
+import unittest
+from typing import Any
+from unittest.mock import Mock
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from nutmegroad.fleet.announcements import HostRow
+from nutmegroad.fleet.evidence import RunNumber
+from nutmegroad.fleet.loads import Load
+from nutmegroad.fleet.messages import Message
+from nutmegroad.fleet.neighbours import Neighbours, nothing_told
+from nutmegroad.fleet.session_marks import SessionMark
+from nutmegroad.foundations.types import (
+    DomainId,
+    HostId,
+    ServiceName,
+    UpstreamIncarnation,
+)
+from nutmegroad.testing.virtual import ManualClock
+from tests.relay_samples import KIND
+
+#: Values that any field may have, also where they make no sense.
+LEAVES = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=8)
+    | st.binary(max_size=8)
+)
+ANYTHING = st.recursive(
+    LEAVES,
+    lambda inner: (
+        st.lists(inner, max_size=5)
+        | st.dictionaries(
+            st.integers() | st.text(max_size=4), inner, max_size=3
+        )
+    ),
+    max_leaves=20,
+)
+
+SIGNED = st.integers(-(2**63), 2**63 - 1)
+NAMES = st.sampled_from(('near', 'far', 'nobody', 'me', ''))
+LOAD = st.tuples(SIGNED, st.floats(), SIGNED)
+LOADS = st.dictionaries(NAMES, LOAD, max_size=3)
+AGES = st.dictionaries(SIGNED, SIGNED, max_size=5)
+ANSWERS = st.tuples(SIGNED, SIGNED, SIGNED, SIGNED)
+COUNTS = st.lists(
+    st.tuples(
+        NAMES,
+        NAMES,
+        SIGNED,
+        SIGNED,
+        st.dictionaries(SIGNED, ANSWERS, max_size=3),
+    ),
+    max_size=3,
+)
+CRASHES = st.tuples(
+    st.lists(st.tuples(SIGNED, SIGNED, SIGNED, SIGNED), max_size=3),
+    st.lists(st.tuples(SIGNED, SIGNED), max_size=3),
+)
+DIGEST = st.tuples(
+    st.tuples(AGES, AGES),
+    st.tuples(COUNTS, COUNTS),
+    CRASHES,
+    SIGNED,
+)
+#: Messages of the right types, with any numbers.
+MESSAGES = (
+    st.tuples(st.just(1), NAMES, DIGEST)
+    | st.tuples(
+        st.just(2),
+        NAMES,
+        DIGEST,
+        LOADS,
+        st.dictionaries(NAMES, st.lists(SIGNED, max_size=4), max_size=2),
+        st.dictionaries(NAMES, SIGNED, max_size=2),
+    )
+    | st.tuples(st.just(3), NAMES, LOADS)
+)
+
+
+def a_host() -> tuple[Neighbours, ManualClock]:
+    """Return a host that knows one near and seventeen far ones."""
+    clock = ManualClock(start=100)
+    told = nothing_told(HostId('me'), RunNumber(1), clock, 5)
+    host = Neighbours(HostId('me'), row('north'), told, clock)
+    host.connection_made(Mock())
+    host.found(HostId('near'), row('north'))
+    for number in range(17):
+        name = f'far-{number}' if number else 'far'
+        host.found(HostId(name), row('south'))
+    told.marks.saw(SessionMark(1))
+    told.book.count(ServiceName('near'), 1, KIND, of_new=True, poor=True)
+    told.ledger.begin(UpstreamIncarnation('near'), Load(1, 0, 9))
+    return host, clock
+
+
+def row(domain: str) -> HostRow:
+    """Return where a host listens."""
+    return HostRow('127.0.0.1', 1, domain)
+
+
+def encode(content: Any) -> bytes:
+    """Return content as hosts send it; nothing that they can't spell."""
+    try:
+        return msgspec.msgpack.encode(content)
+    except (OverflowError, ValueError):
+        return b''
+
+
+class DatagramTest(unittest.TestCase):
+    """A host that hears anything at all."""
+
+    def hear(self, *texts: bytes) -> Neighbours:
+        """Let a host hear datagrams, and go on for some turns."""
+        host, clock = a_host()
+        for text in texts:
+            host.datagram_received(text, ('127.0.0.9', 9))
+            host.datagram_received(text, ('127.0.0.9', 9))
+        for turn in range(12):
+            clock._now += 1
+            host._tell(turn)
+            self.assertLess(len(host.telling()), 65_000)
+        host._silence.suspected(DomainId('south'))
+        return host
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.binary(max_size=200))
+    def test_bytes(self, text: bytes) -> None:
+        """Noise."""
+        self.hear(text)
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(ANYTHING)
+    def test_other_shapes(self, content: Any) -> None:
+        """Another program, or another release."""
+        self.hear(encode(content))
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.lists(MESSAGES, min_size=1, max_size=4), st.integers(0, 400))
+    def test_messages_with_any_numbers(
+        self,
+        messages: list[Any],
+        cut: int,
+    ) -> None:
+        """A broken host: whole datagrams, and one that is cut short."""
+        texts = [encode(message) for message in messages]
+        host = self.hear(*texts, texts[0][:cut])
+        load = host._ledger.load(UpstreamIncarnation('near'))
+        self.assertFalse(math.isnan(load.running))
+
+    def test_messages_are_understood(self) -> None:
+        """Else the tests above would try nothing."""
+        digest = [[{1: 2}, {}], [[], []], [[], []], 3]
+        for message in ([1, 'near', digest], [3, 'near', {'u': [1, 0.5, 2]}]):
+            text = msgspec.msgpack.encode(message)
+            decoded = msgspec.msgpack.decode(text, type=Message)
+            self.assertEqual(decoded.host, 'near')
+
+
+if __name__ == '__main__':
+    unittest.main()
