--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -33,6 +33,10 @@
 CONTENT: Final = ContentMark(5)
 POOR: Final = 50
 
+#: Seconds within which a fact comes through a third domain, by turns: before
+#: the session's life ends.
+CUT_SPAN: Final = 8.0
+
 Scene = Callable[[GossipFleet], Awaitable[int]]
 
 
@@ -110,6 +114,38 @@
                 with self.subTest(fact=name, size=size, busy=busy):
                     self.assertEqual(missing, [0, 0])
 
+    def test_facts_reach_those_that_live_past_those_that_do_not(self) -> None:
+        """Guards: whoever is told next is gone, or would have told the rest."""
+        for size in SIZES:
+            missing = [play(*size, seed, _half_are_gone) for seed in range(2)]
+            with self.subTest(size=size):
+                self.assertEqual(missing, [0, 0])
+
+    def test_facts_go_round_a_cut(self) -> None:
+        """Guards: two domains are cut from each other, and reach a third."""
+        for size in SIZES:
+            missing = [play(*size, seed, _two_are_cut) for seed in range(2)]
+            with self.subTest(size=size):
+                self.assertEqual(missing, [0, 0])
+
+
+async def _half_are_gone(fleet: GossipFleet) -> int:
+    """Count living hosts that don't know a session in time."""
+    for member in fleet.members[::2]:
+        fleet.stop(member)
+    _saw_session(fleet.randomness.choice(fleet.members))
+    await fleet.clock.sleep(FACTS['session'].seconds)
+    return sum(not _knows_session(member) for member in fleet.members)
+
+
+async def _two_are_cut(fleet: GossipFleet) -> int:
+    """Count hosts that don't know a session of the other side in time."""
+    cut = {'d0', 'd1'}
+    with fleet.losing(lambda sender, to: {sender.domain, to.domain} == cut):
+        _saw_session(fleet.member(0))
+        await fleet.clock.sleep(CUT_SPAN)
+    return sum(not _knows_session(member) for member in fleet.members)
+
 
 def _after(fact: Fact, *, busy: bool) -> Scene:
     """Return what counts the hosts that don't know a fact in time.
