Bound the marks of sessions that a host takes from others

Those of this host's own sessions are always taken.

Beside it the step of a turn in neighbours.py is split in two; no other behaviour.

--- a/src/nutmegroad/fleet/neighbours.py
+++ b/src/nutmegroad/fleet/neighbours.py
@@ -235,12 +235,13 @@
 
     def telling(self) -> bytes:
         """Return what this host reports now."""
+        far = len(self._far) if self._reports_far else 0
         return msgspec.msgpack.encode(
             ReportMessage(
                 self._host,
                 self._digests.for_near(),
                 self._ledger.own,
-                self._prefixes.recent(self._round()),
+                self._prefixes.recent(_round(len(self._near), far)),
                 self._silence.ages(),
             ),
         )
@@ -270,19 +271,18 @@
         # Asked first: what is told counts as news for some datagrams only.
         news = self._digests.has_news
         report = self.telling()
-        self._send(
-            report, _turn_of(self._near, turn, NEAR_PER_TURN, self._place)
-        )
+        near = _turn_of(self._near, turn, NEAR_PER_TURN, self._place)
+        self._send(report, near)
         if self._reports_far:
-            self._send(
-                report, _turn_of(self._far, turn, FAR_PER_TURN, self._place)
-            )
-        elif self._far_turns.due(
-            turn,
-            self._place,
-            len(self._near) + 1,
-            news=news,
-        ):
+            far = _turn_of(self._far, turn, FAR_PER_TURN, self._place)
+            self._send(report, far)
+        else:
+            self._tell_far(turn, news=news)
+
+    def _tell_far(self, turn: int, *, news: bool) -> None:
+        """Tell other failure domains what all have to know, in its turn."""
+        hosts = len(self._near) + 1
+        if self._far_turns.due(turn, self._place, hosts, news=news):
             digest = DigestMessage(self._host, self._digests.for_far())
             text = msgspec.msgpack.encode(digest)
             self._send(text, self._far_turns.receivers())
@@ -306,11 +306,16 @@
         for row in receivers:
             self._transport.sendto(text, (row.ip, row.port))
 
-    def _round(self) -> float:
-        """Return the seconds in which each host that gets reports gets two."""
-        far = len(self._far) if self._reports_far else 0
-        turns = max(len(self._near) / NEAR_PER_TURN, far / FAR_PER_TURN, 1)
-        return 2 * turns * TURN
+
+def _round(near: int, far: int) -> float:
+    """Return the seconds in which each host that gets reports gets two.
+
+    Args:
+        near: How many of them there are in the failure domain.
+        far: How many in others.
+    """
+    turns = max(near / NEAR_PER_TURN, far / FAR_PER_TURN, 1)
+    return 2 * turns * TURN
 
 
 def _turn_of(
--- a/src/nutmegroad/fleet/session_marks.py
+++ b/src/nutmegroad/fleet/session_marks.py
@@ -28,6 +28,10 @@
 _FAR_NEWS: Final = 50
 _FAR_OTHERS: Final = 20
 
+#: Marks that are remembered at most, beside those of this host's own sessions:
+#: twice those of the letter's fleet, 3,500 requests a second.
+MOST_MARKS: Final = 20_000
+
 #: Seconds by which a session must have been seen later than was known to be
 #: told as news again: it lives on elsewhere for longer than that.
 NEWS_STEP: Final = 0.5
@@ -161,7 +165,8 @@
     def _take(self, mark: SessionMark, moment: float, source: Source) -> None:
         """Remember the latest moment at which a session was seen."""
         known = self._seen.get(mark, _NEVER)
-        if moment <= known:
+        is_full = len(self._seen) >= MOST_MARKS and known == _NEVER
+        if moment <= known or (is_full and source is not Source.OWN):
             return
         self._seen[mark] = moment
         if moment - known >= NEWS_STEP:
--- a/tests/test_fuzz_datagrams.py
+++ b/tests/test_fuzz_datagrams.py
@@ -17,7 +17,7 @@
 from nutmegroad.fleet.loads import Load
 from nutmegroad.fleet.messages import Message
 from nutmegroad.fleet.neighbours import Neighbours, nothing_told
-from nutmegroad.fleet.session_marks import SessionMark
+from nutmegroad.fleet.session_marks import MOST_MARKS, SessionMark
 from nutmegroad.foundations.types import (
     DomainId,
     HostId,
@@ -27,6 +27,9 @@
 from nutmegroad.testing.virtual import ManualClock
 from tests.relay_samples import KIND
 
+#: Marks in one datagram of a broken host.
+BATCH = 5000
+
 #: Values that any field may have, also where they make no sense.
 LEAVES = (
     st.none()
@@ -158,6 +161,20 @@
         load = host._ledger.load(UpstreamIncarnation('near'))
         self.assertFalse(math.isnan(load.running))
 
+    def test_marks_that_are_made_up_are_bounded(self) -> None:
+        """Guards: a broken host fills the others' memory with marks."""
+        texts = []
+        for begin in range(0, MOST_MARKS * 2, BATCH):
+            ages = dict.fromkeys(range(begin, begin + BATCH), 1)
+            texts.append(encode([1, 'near', [[ages, {}], [[], []]]]))
+        host, _ = a_host()
+        for text in texts:
+            host.datagram_received(text, ('127.0.0.9', 9))
+        marks = host._digests._marks
+        self.assertLessEqual(len(marks), MOST_MARKS)
+        marks.saw(SessionMark(2**31))
+        self.assertTrue(marks.alive(SessionMark(2**31)))
+
     def test_messages_are_understood(self) -> None:
         """Else the tests above would try nothing."""
         digest = [[{1: 2}, {}], [[], []], [[], []], 3]
