Keep a stop request that arrives between two runs of the event loop

Cause: the loop runs twice, first to start the host, which prints 'ready', then to serve. uvloop's handler of a signal that arrives in between only notes it, and nothing wakes the next run. platform/program started its loop the same way.

Ruled out: blocking the signals over the gap, since another thread may take a signal that only the main thread blocks.

Now the interpreter's own handlers request the stop, and the loop looks for a request made before it could be woken. Both programs share StopTrigger. tests/test_stop_trigger: both subtests between the runs red with the old trigger, all green with the new one, as is tests.test_logs.

--- a/src/nutmegroad/daemon/program.py
+++ b/src/nutmegroad/daemon/program.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import random
-import signal
 import sys
 from typing import Any, Final
 
@@ -17,6 +16,7 @@
     configure_logging,
     part_logger,
 )
+from nutmegroad.foundations.stop_trigger import StopTrigger
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.settings import Settings, format_settings, read_settings
 from nutmegroad.kernel.stops import GracefulStop
@@ -30,38 +30,6 @@
 CLOSE_TIMEOUT: Final = 5
 
 
-class StopTrigger:
-    """Stops the event loop at the first stop request, and ignores later ones.
-
-    aiomisc's own signal handlers restore the default handlers as soon as a
-    stop begins, so a second signal would cut off requests that are still open.
-    """
-
-    def __init__(self) -> None:
-        self._loop: asyncio.AbstractEventLoop | None = None
-        self._requested = False
-
-    def __call__(self) -> None:
-        """Stop the loop, unless that was requested before."""
-        if self._requested:
-            _LOG.info('repeated stop request ignored')
-            return
-        self._requested = True
-        if self._loop is not None:
-            self._loop.stop()
-
-    def handle_signals(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Treat SIGTERM and SIGINT as stop requests, also during start-up."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self)
-
-    def run(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Run a loop until a stop is requested."""
-        if not self._requested:
-            self._loop = loop
-            loop.run_forever()
-
-
 class HostService(Service):
     """Runs one host as a service of aiomisc's entry point.
 
@@ -86,7 +54,7 @@
 
     async def start(self) -> None:
         """Open all parts, and print their addresses and ``ready``."""
-        self._stop_trigger.handle_signals(asyncio.get_running_loop())
+        self._stop_trigger.handle_signals()
         await self._kernel.start()
         self._kernel.need(GracefulStop).on_stop_request(self._stop_trigger)
         for name, address in self._kernel.listening.items():
