Keep requests away from evacuated domains, other regions and cold upstreams

Cause: nothing decoded op/evacuate, allowedRegions, coldRemainingMs, coldStartS and coldPerS.

Orders are rows of the operator's table, which every host already follows by a bound; Placement filters by them where the candidates of each attempt are made, after the steady versions are determined, so that no other version becomes the steady one while a domain is away. A removal that a restored store merely lacks takes effect only after the operator had time to write again.

Cold upstreams: warm ones first; if none is left, three hosts by rendezvous over the fleet table send a third of the rate each, so no host's view of who is reachable widens its share.

--- a/experiments/relay_model.py
+++ b/experiments/relay_model.py
@@ -26,6 +26,7 @@
 )
 from nutmegroad.routes.deployment import EngineFacts
 from nutmegroad.routes.requests import PromptPart
+from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import (
     SoftwareVersion,
     Upstream,
@@ -243,6 +244,7 @@
             self.shared_state.ledger,
             self.shared_state.prefixes,
             self.shared_state.domains,
+            ColdStarts(clock, lambda _: 0),
         )
 
 
--- a/src/nutmegroad/canary/gate.py
+++ b/src/nutmegroad/canary/gate.py
@@ -34,6 +34,7 @@
     SoftwareVersion,
     Upstream,
 )
+from nutmegroad.upstreams.placement import Placement
 
 _LOG: Final = part_logger('rollouts')
 
@@ -70,6 +71,7 @@
         fingerprints: Fingerprints of sessions that other hosts have seen on the
             old version.
         interruptions: Interrupted attempts whose cause is not known yet.
+        placement: Failure domains and regions in which requests may run.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         sessions: SessionVersions,
         fingerprints: OldVersionSessions,
         interruptions: InterruptedAttempts,
+        placement: Placement,
     ) -> None:
+        self._placement = placement
         self._directory = directory
         self._state = state
         self._sessions = sessions
@@ -94,10 +98,15 @@
         service: ServiceName,
     ) -> tuple[Upstream, ...]:
         """Return the upstreams that may run a request now."""
-        upstreams = self._directory.of_service(service)
+        listed = self._directory.of_service(service)
         rollout = self._state.registry.rollout(service)
         if rollout is None:
-            return self._steady_upstreams(service, upstreams)
+            # Upstreams that are out of use for now still define which versions
+            # are steady.
+            return self._placement.permitted(
+                request, self._steady_upstreams(service, listed)
+            )
+        upstreams = self._placement.permitted(request, listed)
         to = rollout.order.to
         new = tuple(each for each in upstreams if each.entry.version == to)
         old = tuple(each for each in upstreams if each.entry.version != to)
@@ -303,6 +312,7 @@
     clock: Clock,
     session_timeout: float,
     fingerprints: OldVersionSessions,
+    placement: Placement,
 ) -> RolloutGate:
     """Create a gate that remembers sessions.
 
@@ -314,6 +324,7 @@
             session.
         fingerprints: Fingerprints of sessions that other hosts have seen on the
             old version.
+        placement: Failure domains and regions in which requests may run.
     """
     return RolloutGate(
         directory,
@@ -321,6 +332,7 @@
         SessionVersions(clock, session_timeout),
         fingerprints,
         InterruptedAttempts(clock),
+        placement,
     )
 
 
--- a/src/nutmegroad/fleet/host_registration.py
+++ b/src/nutmegroad/fleet/host_registration.py
@@ -48,6 +48,11 @@
         clock: The host's clock.
     """
 
+    @property
+    def knows_hosts(self) -> bool:
+        """Whether the full list of hosts was read from the store."""
+        return self._hosts_loaded.is_set()
+
     def __init__(
         self,
         host: HostId,
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -140,6 +140,12 @@
         others = (*self.peers.local_hosts, *self.peers.remote_hosts)
         return sum(_duty_hash(duty, other) < mine for other in others)
 
+    def known_rank(self, duty: str) -> int | None:
+        """Return this host's rank for a duty; None before hosts are known."""
+        if not self._registration.knows_hosts:
+            return None
+        return self.duty_rank(duty)
+
     def tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run as long as the host does."""
         return (
--- a/src/nutmegroad/foundations/_request_codes.py
+++ b/src/nutmegroad/foundations/_request_codes.py
@@ -172,6 +172,25 @@
         RETRY_IF_NOT_RUN,
         NotRun.EITHER,
     ),
+    CodeMeaning(
+        ResultCode.DOMAIN_EVACUATED,
+        'All upstreams of the service are in evacuated failure domains.',
+        RETRY_IF_NOT_RUN,
+        NotRun.EITHER,
+    ),
+    CodeMeaning(
+        ResultCode.UPSTREAM_COLD,
+        'All upstreams of the service have just started, and this host may '
+        'send them no more requests yet.',
+        RETRY_IF_NOT_RUN,
+        NotRun.EITHER,
+    ),
+    CodeMeaning(
+        ResultCode.REGION_NOT_SERVED,
+        'No upstream is in a region that the route and the workspace allow.',
+        ASK_OPERATORS,
+        NotRun.EITHER,
+    ),
     CodeMeaning(
         ResultCode.UPSTREAM_UNREACHABLE,
         'The connection to the upstream failed.',
--- a/src/nutmegroad/foundations/types.py
+++ b/src/nutmegroad/foundations/types.py
@@ -6,6 +6,7 @@
 
 HostId = NewType('HostId', str)
 DomainId = NewType('DomainId', str)
+RegionId = NewType('RegionId', str)
 Incarnation = NewType('Incarnation', str)
 UpstreamId = NewType('UpstreamId', str)
 #: One run of an upstream: its id, with its start time if the host list has it.
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -14,7 +14,9 @@
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.crashes import CrashMonitor
 from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.upstreams.cold_starts import ColdStarts, HostRank
 from nutmegroad.upstreams.directory import Directory
+from nutmegroad.upstreams.placement import Placement
 from nutmegroad.upstreams.selection import Selector
 
 
@@ -28,6 +30,8 @@
         received_state: State received from other hosts.
         pool: Connections to upstreams.
         crash_rows: Stored rows of harmful requests.
+        placement: Failure domains and regions in which requests may run.
+        host_rank: This host's rank for a duty.
     """
 
     directory: Directory
@@ -35,6 +39,8 @@
     received_state: SharedState
     pool: ConnectionPool
     crash_rows: CrashRows
+    placement: Placement
+    host_rank: HostRank
 
 
 def assemble(
@@ -61,6 +67,7 @@
         received_state.ledger,
         received_state.prefixes,
         received_state.domains,
+        ColdStarts(clock, components.host_rank),
     )
     attempts = AttemptRunner(components.pool, platform.names, selector, clock)
     components.directory.ended.add_listener(attempts.upstream_ended)
@@ -83,8 +90,10 @@
             clock,
             settings.session_window,
             received_state.sessions,
+            components.placement,
         ),
         clock,
         platform.counters,
         crashes,
+        components.placement,
     )
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -138,6 +138,7 @@
         ledger = self._selector.ledger
         load = plan.choice.load
         mark_read = ledger.begin(name, load)
+        self._selector.cold_starts.record_sent(upstream)
         if request.generation is not None:
             self._record_prefixes(request, plan, request.generation)
         stack.callback(ledger.end, name, load)
@@ -172,6 +173,9 @@
         try:
             connection = await self._acquire_connection(request, plan, stack)
         except ConnectionFailedError as problem:
+            if problem.refused:
+                # No process listens there; the next one to do so is cold.
+                plan.upstream.absent_at = self._clock.now()
             return AttemptFailure(
                 AttemptEnd.UNREACHABLE,
                 Ran.NOT_RUN,
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -1,10 +1,11 @@
 """Inputs of a host: its settings and the platform adapter."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from nutmegroad.canary.steps import StatusWriter
 from nutmegroad.fleet.store_interface import Store
-from nutmegroad.foundations.types import Address, DomainId, HostId
+from nutmegroad.foundations.types import Address, DomainId, HostId, RegionId
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.tables import RowReader
 from nutmegroad.routes.headers import HeaderNames
@@ -46,12 +47,14 @@
         apply_bound: Seconds within which a configuration has to be in force.
         halt_bound: Seconds within which the rollout of a bad version has to be
             halted.
+        evacuation_bound: Seconds within which an evacuation has to be in force.
         drain_notice: Seconds for which a draining upstream continues to
             serve.
         grace: Seconds from the signal to stop until the process is killed.
         metrics: Address of the metrics page; None for no page.
         link_mbps: Bandwidth of the network link in Mbit/s; 0 if not known.
         first_start: Whether all hosts of the fleet start for the first time.
+        regions: The region of each failure domain.
         seed: Seed for randomness; None takes one from the system.
     """
 
@@ -69,11 +72,13 @@
     session_window: float
     apply_bound: float
     halt_bound: float
+    evacuation_bound: float
     drain_notice: float
     grace: float
     metrics: Address | None = None
     link_mbps: float = 0
     first_start: bool = False
+    regions: Mapping[DomainId, RegionId] = field(default_factory=dict)
     seed: int | None = None
 
 
--- a/src/nutmegroad/relay/context.py
+++ b/src/nutmegroad/relay/context.py
@@ -12,6 +12,7 @@
 from nutmegroad.relay.crashes import CrashMonitor
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Directory, SoftwareVersion, Upstream
+from nutmegroad.upstreams.placement import Placement
 from nutmegroad.upstreams.selection import Selector
 
 
@@ -63,6 +64,7 @@
         clock: The host's clock.
         counters: The host's metrics.
         crashes: Records the requests under which upstreams terminate.
+        placement: Failure domains and regions in which requests may run.
     """
 
     attempts: AttemptRunner
@@ -73,3 +75,4 @@
     clock: Clock
     counters: RelayCounters
     crashes: CrashMonitor
+    placement: Placement
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -131,8 +131,9 @@
                 return self._refuse(harmful_refusal(harmful, self.service))
             choice = self.estimates.choose(model, self.attempted)
             if choice is None:
-                count = self.estimates.upstream_count
-                return self._refuse(no_upstream_refusal(count, self.service))
+                return self._refuse(
+                    no_upstream_refusal(self.estimates.exclusions, self.service)
+                )
             outcome = await self._attempt(choice, model, last_event)
             if isinstance(outcome, UpstreamAnswer):
                 return outcome
@@ -301,6 +302,7 @@
             content=format_fingerprint(self.request.content),
             session=self.request.session,
             candidates=choice.candidates,
+            **self.estimates.exclusions.log_fields(),
             expected=round(choice.expected_seconds, 3),
             ahead=round(choice.queued_seconds, 3),
             missing=choice.prefill.tokens,
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -32,6 +32,7 @@
 from nutmegroad.routes.cached_configuration import CachedConfiguration
 from nutmegroad.routes.deployment import NO_VERSION
 from nutmegroad.upstreams.directory import Directory
+from nutmegroad.upstreams.placement import Evacuations, Placement
 
 _LOG: Final = part_logger('host')
 
@@ -192,6 +193,9 @@
         settings, clock = self._settings, self._clock
         names = self._platform.names
         self._directory = Directory(clock)
+        #: Failure domains that the operator has evacuated.
+        self.evacuations = Evacuations(clock)
+        self.evacuations.on_end(self._directory.mark_domain_absent)
         self._configuration = CachedConfiguration(clock, settings.key_validity)
         self._pool = ConnectionPool(clock)
         self._fleet = FleetHosts(
@@ -228,6 +232,8 @@
                 self._fleet.shared_state,
                 self._pool,
                 self._fleet.crash_rows,
+                Placement(self.evacuations, settings.regions),
+                self._fleet.known_rank,
             ),
             clock,
             self._randomness,
@@ -272,6 +278,7 @@
             platform.reader,
             self._configuration,
             self._rollouts.registry,
+            self.evacuations,
             self._upstream_sink.update_services,
             self._fleet.shared_state.versions,
         )
@@ -280,7 +287,10 @@
             source.follow(
                 platform.tables.operator,
                 operator,
-                operator_timing(settings.key_validity, settings.apply_bound),
+                operator_timing(
+                    settings.key_validity,
+                    min(settings.apply_bound, settings.evacuation_bound),
+                ),
             ),
             source.follow(
                 platform.tables.upstreams,
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -1,12 +1,13 @@
 """The relay's own refusals: HTTP status, text, and when to retry."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import Final
 
 from nutmegroad.fleet.crash_tracker import BlockedRequest
 from nutmegroad.foundations.results import Refusal, ResultCode
-from nutmegroad.foundations.types import Ran, ServiceName
+from nutmegroad.foundations.types import DomainId, Ran, ServiceName
 from nutmegroad.upstreams.health import INITIAL_EXCLUSION
 
 #: HTTP status of each refusal of a request that was not executed. A caller
@@ -76,18 +77,63 @@
     return CallerRefusal(status, refusal.retry_after, text, close)
 
 
-def no_upstream_refusal(known: int, service: ServiceName) -> Refusal:
+@dataclass(frozen=True, slots=True)
+class Exclusions:
+    """Why upstreams of a service are not used for a request.
+
+    Attributes:
+        listed: Number of upstreams that are not draining.
+        permitted: Number of those that may execute the request, by version,
+            failure domain and region.
+        other_regions: Number of those in regions that are not allowed.
+        evacuated: Seconds since each evacuation order was received.
+        cold: Seconds for which each cold upstream may still be cold.
+    """
+
+    listed: int
+    permitted: int
+    other_regions: int = 0
+    evacuated: Mapping[DomainId, float] = field(default_factory=dict)
+    cold: tuple[float, ...] = ()
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields of a log line; none if nothing is excluded."""
+        fields: dict[str, object] = {}
+        if self.evacuated:
+            fields['evacuated'] = {
+                domain: round(age, 3) for domain, age in self.evacuated.items()
+            }
+        if self.other_regions:
+            fields['other_regions'] = self.other_regions
+        if self.cold:
+            fields['cold'] = len(self.cold)
+        return fields
+
+
+def no_upstream_refusal(
+    exclusions: Exclusions, service: ServiceName
+) -> Refusal:
     """Return the refusal of a request for which no upstream is available.
 
     Args:
-        known: Number of upstreams that may execute the request.
+        exclusions: The upstreams of the service that are not used.
         service: The service.
     """
-    if known:
+    if exclusions.permitted:
+        return _unusable_refusal(exclusions, service)
+    if exclusions.listed and exclusions.other_regions == exclusions.listed:
+        return Refusal(
+            ResultCode.REGION_NOT_SERVED,
+            f'No upstream of {service!r} is in an allowed region.',
+            retry_after=NO_UPSTREAM_RETRY_AFTER,
+        )
+    if exclusions.listed and exclusions.evacuated:
+        domains = ', '.join(sorted(exclusions.evacuated))
         return Refusal(
-            ResultCode.UPSTREAM_UNREACHABLE,
-            f'None of {known} upstreams of {service!r} is reachable.',
-            retry_after=INITIAL_EXCLUSION,
+            ResultCode.DOMAIN_EVACUATED,
+            f'The upstreams of {service!r} are in evacuated domains: '
+            f'{domains}.',
+            retry_after=NO_UPSTREAM_RETRY_AFTER,
         )
     return Refusal(
         ResultCode.NO_UPSTREAM,
@@ -96,6 +142,22 @@
     )
 
 
+def _unusable_refusal(exclusions: Exclusions, service: ServiceName) -> Refusal:
+    """Return the refusal if upstreams are permitted, but none can be used."""
+    known = exclusions.permitted
+    if len(exclusions.cold) == known:
+        return Refusal(
+            ResultCode.UPSTREAM_COLD,
+            f'All {known} upstreams of {service!r} have just started.',
+            retry_after=min(exclusions.cold),
+        )
+    return Refusal(
+        ResultCode.UPSTREAM_UNREACHABLE,
+        f'None of {known} upstreams of {service!r} is reachable.',
+        retry_after=INITIAL_EXCLUSION,
+    )
+
+
 def harmful_refusal(harmful: BlockedRequest, service: ServiceName) -> Refusal:
     """Return the refusal of a request that crashes its upstreams."""
     return Refusal(
--- a/src/nutmegroad/relay/request_estimates.py
+++ b/src/nutmegroad/relay/request_estimates.py
@@ -13,6 +13,8 @@
 )
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.outcomes import UpstreamAnswer
+from nutmegroad.relay.refusals import Exclusions
+from nutmegroad.routes.deployment import ColdStart
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.latency_estimates import LatencyKey
@@ -38,10 +40,29 @@
         return self._context.clock
 
     @property
-    def upstream_count(self) -> int:
-        """Number of upstreams whose version may execute the request."""
-        permitted = self._context.version_gate.permitted
-        return len(permitted(self._request, self._service))
+    def exclusions(self) -> Exclusions:
+        """The upstreams of the service that are not in use, by reason."""
+        context, request = self._context, self._request
+        listed = context.directory.of_service(self._service)
+        permitted = context.version_gate.permitted(request, self._service)
+        cold_start = self._cold_start
+        cold = [
+            context.selector.cold_starts.seconds_cold(each, cold_start)
+            for each in permitted
+            if cold_start is not None
+        ]
+        return Exclusions(
+            len(listed),
+            len(permitted),
+            len(listed) - len(context.placement.in_region(request, listed)),
+            dict(context.placement.evacuations.ages()),
+            tuple(seconds for seconds in cold if seconds > 0),
+        )
+
+    @property
+    def _cold_start(self) -> ColdStart | None:
+        """Behaviour of the service's upstreams after they start."""
+        return self._request.table.service_of(self._service).cold_start
 
     def __init__(
         self,
@@ -75,7 +96,9 @@
         table = self._request.table
         engine = table.service_of(self._service).engine
         return self._context.selector.choose(
-            SelectionQuery(self._request, self._service, model, engine),
+            SelectionQuery(
+                self._request, self._service, model, engine, self._cold_start
+            ),
             self._context.version_gate.permitted(self._request, self._service),
             attempted,
         )
--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -10,10 +10,11 @@
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.types import ServiceName, UpstreamId
+from nutmegroad.foundations.types import DomainId, ServiceName, UpstreamId
 from nutmegroad.routes.cached_configuration import CachedConfiguration
 from nutmegroad.routes.deployment import NO_VERSION, RoutingTable
 from nutmegroad.upstreams.directory import Directory, UpstreamEntry, has_left
+from nutmegroad.upstreams.placement import EvacuationOrder, Evacuations
 
 _LOG: Final = part_logger('tables')
 
@@ -49,15 +50,27 @@
     reason: str
 
 
+#: What a row of the operator's table holds; None if that is unknown.
+OperatorContent = (
+    RoutingTable | RolloutOrder | EvacuationOrder | Unreadable | None
+)
+
+
 class RowReader(Protocol):
     """Decodes the platform's rows into the relay's types."""
 
     def operator_row(
         self,
         row: StoredRow,
-    ) -> RoutingTable | RolloutOrder | Unreadable | None:
+    ) -> OperatorContent:
         """Return the content of an operator's row, or None if it is unknown."""
 
+    def evacuated_domain(self, row: StoredRow) -> DomainId | None:
+        """Return the domain of an evacuation order, even of a removed one.
+
+        None if the row is no evacuation order.
+        """
+
     def upstream_row(self, row: StoredRow) -> UpstreamEntry | Unreadable:
         """Return an upstream's entry."""
 
@@ -72,6 +85,7 @@
         reader: Decodes rows.
         configuration: The cached configuration.
         orders: Registry that receives the operator's rollout orders.
+        evacuations: Receives the operator's evacuation orders.
         update_services: Receives the services of each configuration in force.
         versions: Versions of the configurations that hosts have in force.
     """
@@ -81,6 +95,7 @@
         reader: RowReader,
         configuration: CachedConfiguration,
         orders: RolloutRegistry,
+        evacuations: Evacuations,
         update_services: Callable[[Collection[ServiceName]], None],
         versions: ReceivedVersions,
     ) -> None:
@@ -88,6 +103,7 @@
         self._reader = reader
         self._configuration = configuration
         self._orders = orders
+        self._evacuations = evacuations
         self._update_services = update_services
         # Whether the table has been read since the host started.
         self._has_read = False
@@ -95,12 +111,16 @@
     def replace(self, read: RowsRead) -> None:
         """Apply a full snapshot."""
         self.apply(read)
+        domains = map(self._reader.evacuated_domain, read.rows)
+        self._evacuations.replace([each for each in domains if each])
         self._has_read = True
 
     def apply(self, read: RowsRead) -> None:
         """Apply a table update."""
         for row in read.rows:
-            if not row.removed:
+            if row.removed:
+                self._apply_removal(row)
+            else:
                 self._apply(row)
 
     def confirm(self, moment: float, read: RowsRead) -> None:
@@ -121,6 +141,13 @@
         """Record that the operator's latest writes may be missing."""
         self._versions.in_store = NO_VERSION
         self._configuration.ignore_confirmations()
+        self._evacuations.on_store_restored()
+
+    def _apply_removal(self, row: StoredRow) -> None:
+        """Apply the removal of a row."""
+        domain = self._reader.evacuated_domain(row)
+        if domain is not None:
+            self._evacuations.end(domain)
 
     def _apply(self, row: StoredRow) -> None:
         """Apply one row."""
@@ -133,6 +160,8 @@
                 self._update_services(content.services)
         elif isinstance(content, RolloutOrder):
             self._orders.apply_order(content, at_start=not self._has_read)
+        elif isinstance(content, EvacuationOrder):
+            self._evacuations.begin(content)
         elif isinstance(content, Unreadable):
             _LOG.decision(
                 'operator row rejected',
@@ -278,7 +307,7 @@
         elif entry.service in self._services:
             self._pending_entries.pop(upstream, None)
             self._rejections.clear(upstream)
-            self._directory.put(entry)
+            self._directory.put(entry, is_new=self.listed)
         else:
             self._reject(upstream, 'service is not in the configuration')
             self._pending_entries[upstream] = entry
--- a/src/nutmegroad/routes/deployment.py
+++ b/src/nutmegroad/routes/deployment.py
@@ -12,7 +12,12 @@
 from functools import cached_property
 from typing import Final, NewType
 
-from nutmegroad.foundations.types import ModelName, ServiceName, WorkspaceId
+from nutmegroad.foundations.types import (
+    ModelName,
+    RegionId,
+    ServiceName,
+    WorkspaceId,
+)
 
 RouteName = NewType('RouteName', str)
 #: Version of the operator's configuration. It increases, not always by one.
@@ -64,6 +69,7 @@
         resumable: Whether a stream may be resumed at another upstream.
         max_event_gap: Maximum seconds between two events of a stream; 0 if
             there is no limit.
+        regions: Regions in which its requests may be executed; empty for all.
     """
 
     name: RouteName
@@ -79,6 +85,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_event_gap: float = 0
+    regions: frozenset[RegionId] = frozenset()
 
     @property
     def streaming(self) -> bool:
@@ -109,6 +116,19 @@
     token_fetch_seconds: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """Behaviour of a service's upstreams after they start.
+
+    Attributes:
+        seconds: Seconds for which an upstream stays cold.
+        rate: Requests per second that a cold upstream tolerates.
+    """
+
+    seconds: float
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A group of upstreams that are interchangeable.
@@ -116,10 +136,13 @@
     Attributes:
         name: The operator's name for it.
         engine: Properties of its engines; None for a service of plain calls.
+        cold_start: Behaviour of its upstreams after they start; None if they
+            need no protection.
     """
 
     name: ServiceName
     engine: EngineFacts | None = None
+    cold_start: ColdStart | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,10 +165,12 @@
     Attributes:
         name: Its id.
         priority: Rank of its requests; None for the rank of the route.
+        regions: Regions in which its requests may be executed; empty for all.
     """
 
     name: WorkspaceId
     priority: int | None = None
+    regions: frozenset[RegionId] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/src/nutmegroad/routes/requests.py
+++ b/src/nutmegroad/routes/requests.py
@@ -5,7 +5,7 @@
 from typing import Final, NewType
 
 from nutmegroad.fleet.content_fingerprints import ContentFingerprint
-from nutmegroad.foundations.types import ModelName, RequestId
+from nutmegroad.foundations.types import ModelName, RegionId, RequestId
 from nutmegroad.routes.deployment import Route, RoutingTable, Workspace
 from nutmegroad.routes.headers import HeaderNames, RawHeaders
 
@@ -116,6 +116,19 @@
             return self.route.priority
         return self.workspace.priority
 
+    @property
+    def region_restrictions(self) -> tuple[frozenset[RegionId], ...]:
+        """The sets of regions that its execution is restricted to.
+
+        The region has to be in each of them.
+        """
+        workspace = self.workspace
+        restrictions = (
+            self.route.regions,
+            frozenset() if workspace is None else workspace.regions,
+        )
+        return tuple(regions for regions in restrictions if regions)
+
 
 def read_generation(
     headers: Mapping[str, str],
--- a/src/nutmegroad/upstreams/directory.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -47,6 +47,8 @@
         draining: Whether it is draining and will soon accept no new work.
         started_ms: Start time of its process in milliseconds since 1970, by its
             own clock; 0 if the list does not give it.
+        cold_seconds: Seconds for which it stays cold, counted from the time
+            at which it wrote the entry.
     """
 
     upstream: UpstreamId
@@ -57,6 +59,7 @@
     slots: int
     draining: bool = False
     started_ms: int = 0
+    cold_seconds: float = 0
 
     @property
     def incarnation(self) -> UpstreamIncarnation:
@@ -94,6 +97,9 @@
             one.
         earlier_start_ms: Start time of an earlier incarnation that the list has
             reported once since, in milliseconds since 1970; 0 for none.
+        absent_at: Clock seconds at which its process was last known not to
+            run; it may have started at any time since.
+        cold_until: Clock seconds until which it has reported to be cold.
     """
 
     entry: UpstreamEntry
@@ -101,6 +107,33 @@
     missing_until: float | None = None
     restarted: bool = False
     earlier_start_ms: int = 0
+    absent_at: float = float('-inf')
+    cold_until: float = float('-inf')
+
+    def warm_at(self, cold_seconds: float) -> float:
+        """Return the clock seconds from which the upstream is warm.
+
+        Its own report may be late or missing, so a possible start counts too.
+
+        Args:
+            cold_seconds: Seconds for which it is cold after a start.
+        """
+        return max(self.cold_until, self.absent_at + cold_seconds)
+
+    def report_cold(self, now: float, seconds: float) -> None:
+        """Record for how many seconds the upstream reports to be cold.
+
+        A report that it is warm changes nothing: it may be an old one.
+        """
+        if seconds <= 0:
+            return
+        if self.cold_until <= now:
+            _LOG.decision(
+                'upstream is cold',
+                upstream=self.entry.upstream,
+                seconds=seconds,
+            )
+        self.cold_until = max(self.cold_until, now + seconds)
 
 
 class EndedIncarnations:
@@ -176,14 +209,20 @@
         """Return an upstream by id, or None if it is unknown."""
         return self._known.get(upstream)
 
-    def put(self, entry: UpstreamEntry) -> None:
-        """Add an entry, or apply a change to a known one."""
+    def put(self, entry: UpstreamEntry, *, is_new: bool = True) -> None:
+        """Add an entry, or apply a change to a known one.
+
+        Args:
+            entry: The entry.
+            is_new: Whether an upstream that is unknown so far has just started;
+                not so in the first list that a host reads.
+        """
         known = self._known.get(entry.upstream)
         if known is None:
-            self._add(entry)
+            self._add(entry, is_new=is_new)
         elif entry.started_ms and entry.started_ms != known.entry.started_ms:
             if not _is_later_start(known, entry):
-                self._log_change('rejected: earlier incarnation', entry)
+                _log_change('rejected: earlier incarnation', entry)
                 return
             self._release_address(known)
             self._restart(known, entry)
@@ -202,7 +241,7 @@
         """
         known = self._known.pop(upstream, None)
         if known is not None:
-            self._log_change(f'removed: {reason}', known.entry)
+            _log_change(f'removed: {reason}', known.entry)
             self._release_address(known)
             self._services = None
             self.ended.record_removal(known)
@@ -227,16 +266,27 @@
             if until is not None and now >= until:
                 self.remove(upstream, 'missing since the store was restored')
 
+    def mark_domain_absent(self, domain: DomainId) -> None:
+        """Record that all upstreams of a domain may start just now."""
+        now = self._clock.now()
+        for known in self._known.values():
+            if known.entry.domain == domain:
+                known.absent_at = now
+
     def unlisted(self, listed: Iterable[UpstreamId]) -> tuple[UpstreamId, ...]:
         """Return the ids of known upstreams that are not in ``listed``."""
         present = frozenset(listed)
         return tuple(each for each in self._known if each not in present)
 
-    def _add(self, entry: UpstreamEntry) -> None:
+    def _add(self, entry: UpstreamEntry, *, is_new: bool) -> None:
         """Add an upstream that is new to the list."""
         self._replace_at(entry)
-        self._known[entry.upstream] = Upstream(entry)
-        self._log_change('added', entry)
+        added = Upstream(entry)
+        self._known[entry.upstream] = added
+        if is_new:
+            added.absent_at = self._clock.now()
+        added.report_cold(self._clock.now(), entry.cold_seconds)
+        _log_change('added', entry)
         self.ended.record_listed(entry)
 
     def _release_address(self, known: Upstream) -> None:
@@ -247,15 +297,18 @@
     def _change(self, known: Upstream, entry: UpstreamEntry) -> None:
         """Apply changed attributes of the same incarnation."""
         if entry.draining and not known.entry.draining:
-            self._log_change('draining', entry)
+            _log_change('draining', entry)
         known.entry = replace(entry, started_ms=known.entry.started_ms)
         known.missing_until = None
         known.earlier_start_ms = 0
+        known.report_cold(self._clock.now(), entry.cold_seconds)
 
     def _restart(self, known: Upstream, entry: UpstreamEntry) -> None:
         """Replace an upstream by its new incarnation."""
-        self._known[entry.upstream] = Upstream(entry)
-        self._log_change('restarted', entry)
+        restarted = Upstream(entry, absent_at=self._clock.now())
+        self._known[entry.upstream] = restarted
+        restarted.report_cold(self._clock.now(), entry.cold_seconds)
+        _log_change('restarted', entry)
         self.ended.record_restart(known)
 
     def _replace_at(self, entry: UpstreamEntry) -> None:
@@ -272,17 +325,18 @@
                 grouped.setdefault(known.entry.service, []).append(known)
         return {service: tuple(members) for service, members in grouped.items()}
 
-    def _log_change(self, event: str, entry: UpstreamEntry) -> None:
-        """Log a change to the directory."""
-        _LOG.decision(
-            event,
-            upstream=entry.upstream,
-            service=entry.service,
-            address=str(entry.address),
-            version=entry.version,
-            leaving=entry.draining,
-            born=entry.started_ms,
-        )
+
+def _log_change(event: str, entry: UpstreamEntry) -> None:
+    """Log a change to the directory."""
+    _LOG.decision(
+        event,
+        upstream=entry.upstream,
+        service=entry.service,
+        address=str(entry.address),
+        version=entry.version,
+        leaving=entry.draining,
+        born=entry.started_ms,
+    )
 
 
 def _is_later_start(known: Upstream, entry: UpstreamEntry) -> bool:
--- a/src/nutmegroad/upstreams/selection.py
+++ b/src/nutmegroad/upstreams/selection.py
@@ -23,8 +23,9 @@
     ServiceName,
     UpstreamIncarnation,
 )
-from nutmegroad.routes.deployment import EngineFacts
+from nutmegroad.routes.deployment import ColdStart, EngineFacts
 from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.latency_estimates import LatencyEstimates, LatencyKey
 from nutmegroad.upstreams.prefixes import (
@@ -112,12 +113,15 @@
         model: The model to request; None to pass on the model named by the
             caller.
         facts: Properties of the service's engines; None for a plain service.
+        cold_start: Behaviour of its upstreams after they start; None if they
+            need no protection.
     """
 
     request: CallerRequest
     service: ServiceName
     model: ModelName | None
     facts: EngineFacts | None
+    cold_start: ColdStart | None = None
 
     @property
     def key(self) -> LatencyKey:
@@ -136,6 +140,7 @@
         prefixes: Prompt prefixes cached by each upstream.
         silence: Tracks when the last message from each failure domain was
             received.
+        cold_starts: Limits the requests to cold upstreams.
     """
 
     def __init__(
@@ -146,8 +151,10 @@
         ledger: LoadLedger,
         prefixes: CachedPrefixes,
         silence: DomainMonitor,
+        cold_starts: ColdStarts,
     ) -> None:
         self.silence = silence
+        self.cold_starts = cold_starts
         self.latencies = LatencyEstimates()
         self.prefixes = prefixes
         self.ledger = ledger
@@ -173,7 +180,8 @@
                 selected again only if there are no others.
         """
         now = self._clock.now()
-        candidates = _candidates(upstreams, tried, now)
+        usable = self.cold_starts.usable(upstreams, query.cold_start)
+        candidates = _candidates(usable, tried, now)
         if not candidates:
             return None
         estimator = self._prefill_estimator(query, candidates)
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -227,6 +227,7 @@
             session_window=5,
             apply_bound=0.2,
             halt_bound=0.2,
+            evacuation_bound=0.2,
             drain_notice=2,
             grace=8,
             seed=number + 1,
--- a/tests/test_moved_sessions.py
+++ b/tests/test_moved_sessions.py
@@ -38,6 +38,7 @@
 from nutmegroad.foundations.types import HostId, ServiceName
 from nutmegroad.routes.requests import SessionName
 from nutmegroad.upstreams.directory import Directory, SoftwareVersion
+from nutmegroad.upstreams.placement import Evacuations, Placement
 from tests.gossip_rig import SPAN, GossipFleet, Member
 from tests.relay_rig import Rig
 from tests.relay_samples import ENGINES, a_request, an_entry
@@ -136,6 +137,7 @@
             SessionVersions(clock, SPAN),
             member.state.sessions,
             InterruptedAttempts(clock),
+            Placement(Evacuations(clock), {}),
         )
         # The steady version is the one present before the order.
         gate.permitted(a_request('first'), ENGINES)
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -21,6 +21,7 @@
     Directory,
     SoftwareVersion,
 )
+from nutmegroad.upstreams.placement import Evacuations, Placement
 from tests.relay_samples import (
     ENGINES,
     KIND,
@@ -59,6 +60,7 @@
             self.sessions,
             self.old_version_sessions,
             InterruptedAttempts(self.clock),
+            Placement(Evacuations(self.clock), {}),
         )
         self.versions('warm-up')
         self.directory.put(an_entry('new', 'v2'))
@@ -126,6 +128,7 @@
             SessionVersions(self.clock, 5),
             other,
             InterruptedAttempts(self.clock),
+            Placement(Evacuations(self.clock), {}),
         )
         names = [f's{n}' for n in range(200)]
         for name in names:
@@ -163,6 +166,7 @@
             SessionVersions(self.clock, 5),
             old_version_sessions,
             InterruptedAttempts(self.clock),
+            Placement(Evacuations(self.clock), {}),
         )
         for name in names:
             request = a_request('r', session=name)
--- a/tests/test_relay_selection.py
+++ b/tests/test_relay_selection.py
@@ -17,6 +17,7 @@
     PromptPart,
 )
 from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import (
     Upstream,
 )
@@ -95,6 +96,7 @@
             self.ledger,
             CachedPrefixes(self.clock),
             DomainMonitor(self.clock),
+            ColdStarts(self.clock, lambda _: 0),
         )
         self.upstreams = [
             Upstream(an_entry('a')),
@@ -211,6 +213,7 @@
             LoadLedger(self.clock),
             CachedPrefixes(self.clock),
             DomainMonitor(self.clock),
+            ColdStarts(self.clock, lambda _: 0),
         )
         mine, self.selector = self.chosen(), other
         self.assertEqual(self.chosen(), mine)
