Let the fleet soak evacuate failure domains, with a judge and a mutant

The soak knew nothing of evacuations. A planned operation orders one, waits for its bound and some seconds, and withdraws it; the judge counts executions in the domain after the bound, from hosts without a fault since the order. Settings of the soak's hosts have evacMs 2000.

--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -13,6 +13,7 @@
 from experiments.fleet_soak.plan import SINGLE_HOST_FAULTS, Event, Fault
 from experiments.fleet_soak.rollouts import Rollouts
 from experiments.fleet_soak.worker import HARMFUL
+from experiments.fleet_soak.workers import DOMAINS
 
 #: Seconds by which the store's silence to one host exceeds the drawn duration:
 #: until a change made meanwhile must be in force on the other hosts, and some
@@ -113,6 +114,7 @@
             Fault.KEY_REVOKED: self._key_revoked,
             Fault.CONFIGURED: self._configured,
             Fault.FOREIGN_ENTRY: self._foreign_entry,
+            Fault.DOMAIN_EVACUATED: self._domain_evacuated,
             Fault.ROLLED_OUT: self._rolled_out,
             Fault.ROLLED_OUT_BAD: self._rolled_out_bad,
         }[fault]
@@ -272,6 +274,11 @@
         name = f'foreign-{event.target}'
         await self._fleet.put('servers', name, _FOREIGN_ENTRY)
 
+    async def _domain_evacuated(self, event: Event) -> None:
+        """Evacuate a failure domain, and take it back."""
+        domain = DOMAINS[event.target % len(DOMAINS)]
+        await self._fleet.evacuate(domain, event.duration)
+
     async def _rolled_out(self, event: Event) -> None:
         """Roll out a good version."""
         await self._rollouts.order(bad=False)
--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -20,10 +20,12 @@
 from experiments.fleet_soak.callers import ROUTER_HOST_NAME, request_headers
 from experiments.fleet_soak.history import (
     Bounds,
+    Evacuation,
     History,
     Kind,
     RequestRecord,
     put_transaction,
+    remove_transaction,
 )
 from experiments.fleet_soak.links import Link
 from experiments.fleet_soak.probes import Prober
@@ -63,6 +65,7 @@
 bounds.failClosed=true
 bounds.revokeMs=5000
 bounds.drainMs=2000
+bounds.evacMs=2000
 bounds.graceS=8
 bounds.sessionS=5
 bounds.configApplyMs=2000
@@ -232,6 +235,26 @@
         body = put_transaction(table, key, content)
         return await self.post_to_store('v1/rows-tx', body)
 
+    async def remove(self, table: str, key: str) -> bool:
+        """Remove a row; return whether the store acknowledged it."""
+        body = remove_transaction(table, key)
+        return await self.post_to_store('v1/rows-tx', body)
+
+    async def evacuate(self, domain: str, seconds: float) -> None:
+        """Evacuate a failure domain for some seconds, then withdraw the order.
+
+        The seconds count from the time at which the order must be in force.
+        """
+        key = f'evacuate/{domain}'
+        while not await self.put('op', key, b'{}'):
+            await asyncio.sleep(RETRY_INTERVAL)
+        evacuation = Evacuation(domain, time.monotonic())
+        self.history.evacuations.append(evacuation)
+        await asyncio.sleep(BOUNDS.evacuate + seconds)
+        evacuation.ended_at = time.monotonic()
+        while not await self.remove('op', key):
+            await asyncio.sleep(RETRY_INTERVAL)
+
     async def post_to_store(self, call: str, body: object = None) -> bool:
         """Post to a path of the store; return whether it succeeded."""
         url = f'http://{format_address(self._store_address)}/{call}'
--- a/experiments/fleet_soak/history.py
+++ b/experiments/fleet_soak/history.py
@@ -59,6 +59,21 @@
     outcome: RolloutOutcome = RolloutOutcome.RUNNING
 
 
+@dataclass(slots=True)
+class Evacuation:
+    """An evacuation ordered by the operator; times are monotonic seconds.
+
+    Attributes:
+        domain: The failure domain.
+        ordered_at: When the store acknowledged the order.
+        ended_at: When the operator began to withdraw it; infinite before.
+    """
+
+    domain: str
+    ordered_at: float
+    ended_at: float = float('inf')
+
+
 @dataclass(slots=True)
 class RequestRecord:
     """A request as its caller observed it; times are monotonic seconds.
@@ -154,6 +169,8 @@
         route_added_at: By route, when the store acknowledged it.
         versions: Version by worker.
         rollouts: Rollouts, in order.
+        domains: Failure domain by worker.
+        evacuations: Evacuations, in order.
         fault_intervals: Spans in which hosts, links or the store were faulty.
         planned_stops: Host, begin and end of each planned stop.
         settled_at: When the fleet is expected to have recovered from the last
@@ -168,6 +185,8 @@
     route_added_at: dict[str, float] = field(default_factory=dict)
     versions: dict[str, str] = field(default_factory=dict)
     rollouts: list[OrderedRollout] = field(default_factory=list)
+    domains: dict[str, str] = field(default_factory=dict)
+    evacuations: list[Evacuation] = field(default_factory=list)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
     planned_stops: list[tuple[str, float, float]] = field(default_factory=list)
     settled_at: float = float('inf')
@@ -225,6 +244,7 @@
     Attributes:
         revoke: Seconds after which a revoked key is rejected.
         drain: Seconds after which a draining worker gets no new requests.
+        evacuate: Seconds after which an evacuated domain gets no new requests.
         propagation: Seconds for which a fault's effects may outlast it, and in
             which hosts learn that a request is harmful.
         timeout: Timeout of each route in seconds.
@@ -246,6 +266,7 @@
 
     revoke: float = 5
     drain: float = 2
+    evacuate: float = 2
     propagation: float = 3
     timeout: float = 4
     crash_limit: int = 3
@@ -287,6 +308,12 @@
     )
 
 
+def remove_transaction(table: str, key: str) -> dict[str, object]:
+    """Return the store transaction that removes one row."""
+    removal = {'table': table, 'part': '', 'key': key}
+    return {'expectedRevision': [], 'puts': [], 'remove': [removal]}
+
+
 def put_transaction(table: str, key: str, content: bytes) -> dict[str, object]:
     """Return the store transaction that writes one row."""
     put = {
--- a/experiments/fleet_soak/judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -9,6 +9,9 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Final
 
+from experiments.fleet_soak.evacuation_judge import (
+    evacuated_domains_get_no_requests,
+)
 from experiments.fleet_soak.history import (
     OK,
     TOLERANCE,
@@ -328,6 +331,7 @@
     executions_match_requests,
     revoked_keys_are_rejected,
     draining_workers_get_no_requests,
+    evacuated_domains_get_no_requests,
     answers_arrive_in_time,
     planned_stops_drop_no_requests,
     retries_stay_within_budget,
--- a/experiments/fleet_soak/plan.py
+++ b/experiments/fleet_soak/plan.py
@@ -37,6 +37,7 @@
     KEY_REVOKED = 'key revoked'
     CONFIGURED = 'configured'
     FOREIGN_ENTRY = 'foreign entry'
+    DOMAIN_EVACUATED = 'domain evacuated'
     ROLLED_OUT = 'rolled out'
     ROLLED_OUT_BAD = 'rolled out a bad version'
 
@@ -50,6 +51,7 @@
         Fault.KEY_REVOKED,
         Fault.CONFIGURED,
         Fault.FOREIGN_ENTRY,
+        Fault.DOMAIN_EVACUATED,
         Fault.ROLLED_OUT,
         Fault.ROLLED_OUT_BAD,
     ),
--- a/experiments/fleet_soak/workers.py
+++ b/experiments/fleet_soak/workers.py
@@ -165,6 +165,7 @@
             lambda line: self._handle_line(name, line),
         )
         self._history.versions[name] = version
+        self._history.domains[name] = DOMAINS[number % len(DOMAINS)]
         await self._start_owned(process)
         return process, link
 
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -154,6 +154,17 @@
         self.assertEqual(status, 1, text)
         self.assertRegex(text, r'sessions stay: \d+ judged, [1-9]')
 
+    def test_hosts_that_ignore_evacuations_are_found(self) -> None:
+        """Hosts send requests to domains that the operator has evacuated."""
+        status, text = self.run_patched(
+            'src/nutmegroad/upstreams/placement.py',
+            {'if not evacuated:': 'if evacuated is not None:'},
+            *('--seed', '1', '--seconds', '2'),
+            *('--faults', Fault.DOMAIN_EVACUATED.value),
+        )
+        self.assertEqual(status, 1, text)
+        self.assertRegex(text, r'evacuated domains: \d+ judged, [1-9]')
+
     def test_foreign_answers_are_found(self) -> None:
         """Workers answer with the bodies of other requests."""
         arguments = ('--seconds', '0', '--mutant', FOREIGN_BODIES)
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -6,6 +6,7 @@
 from experiments.fleet_soak import judge as judges
 from experiments.fleet_soak.history import (
     Bounds,
+    Evacuation,
     FaultInterval,
     History,
     Kind,
@@ -139,6 +140,28 @@
         excused = judges.draining_workers_get_no_requests(history, BOUNDS)
         self.assertEqual((excused.checked, excused.violations), (0, ()))
 
+    def test_evacuated_domain(self) -> None:
+        """Used three seconds after the order; only a fault excuses that."""
+        history = make_history(GOOD)
+        history.domains['w'] = 'north'
+        judge = judges.evacuated_domains_get_no_requests
+        cases = (
+            ('north', 7, float('inf'), 1),
+            ('south', 7, float('inf'), 0),
+        )
+        for domain, ordered_at, ended_at, expected in cases:
+            with self.subTest(domain=domain):
+                history.evacuations = [Evacuation(domain, ordered_at, ended_at)]
+                self.assertEqual(
+                    self.count_violations(judge, history), expected
+                )
+        for ordered_at, ended_at in ((9, float('inf')), (7, 10)):
+            history.evacuations = [Evacuation('north', ordered_at, ended_at)]
+            self.assertEqual(judge(history, BOUNDS).checked, 0)
+        history.evacuations = [Evacuation('north', 7)]
+        history.fault_intervals.append(FaultInterval(6, 8, GOOD.host))
+        self.assertEqual(judge(history, BOUNDS).checked, 0)
+
     def test_route_unknown_after_the_bound(self) -> None:
         """Unknown after three seconds; only a fault of that host excuses."""
         bad = replace(GOOD, status=404, route='new')
