Spread table updates down a tree of hosts

Ways: the star as it stands; several readers a domain, each with its own calls to the store, which are priced; a tree by the ranking that hosts compute anyway. The tree keeps one reader and bounds what a host sends by eight others. A domain of up to nine hosts is as before. Bounds hold as they did: updates are relied on by the store's own time, whatever path they took. tests/test_shared_store: a domain of 133 hosts, no host with more than eight followers, three hops; without the change the module lacks the bound and the first host has 132.

--- a/src/nutmegroad/fleet/update_link.py
+++ b/src/nutmegroad/fleet/update_link.py
@@ -1,11 +1,12 @@
 """Link on which a host follows the table updates of another host.
 
 One host of a failure domain reads the store for the others: the first in a
-ranking that all hosts compute alike. The others follow it: they connect to it
-and receive its updates. A host reads the store itself if no host ranks before
-it, and also while its link is unresponsive and no other host to follow is found
-in time. A host only ever follows one that ranks before it, so there are no
-cycles.
+ranking that all hosts compute alike. The others form a tree below it, in the
+order of the ranking: each connects to its parent and receives its updates. So
+no host sends to more than a few others, however many there are. A host reads
+the store itself if no host ranks before it, and also while its link is
+unresponsive and no other host to follow is found in time. A host only ever
+follows one that ranks before it, so there are no cycles.
 """
 
 import asyncio
@@ -46,6 +47,10 @@
 MIN_EXCLUSION: Final = 2.0
 MAX_EXCLUSION: Final = 30.0
 
+#: Number of hosts that follow the same host. Their traffic, a few updates a
+#: second, has to fit on the slowest link beside that of the callers.
+MAX_FOLLOWERS: Final = 8
+
 #: Seconds between checks for a host to follow.
 CHECK_INTERVAL: Final = 1.0
 
@@ -276,10 +281,11 @@
             for host, row in self._local_hosts().items()
             if self._may_follow(host, now)
         }
-        first = min(by_rank, default=None)
-        if first is None or first >= _rank(self._host, self._own):
+        own_rank = _rank(self._host, self._own)
+        before = sorted(rank for rank in by_rank if rank < own_rank)
+        if not before:
             return None
-        return by_rank[first]
+        return by_rank[before[(len(before) - 1) // MAX_FOLLOWERS]]
 
     def _may_follow(self, host: HostId, now: float) -> bool:
         """Return whether a host is not excluded from being followed."""
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from collections import Counter
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from unittest.mock import AsyncMock, Mock
@@ -16,7 +17,7 @@
     RowsRead,
     StoredRow,
 )
-from nutmegroad.fleet.update_link import UpdateLink
+from nutmegroad.fleet.update_link import MAX_FOLLOWERS, UpdateLink
 from nutmegroad.fleet.update_server import UpdateServer
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.foundations.results import Refusal
@@ -393,6 +394,33 @@
         )
         self.assertIsNone(link._select_source())
 
+    async def test_no_host_has_many_followers(self) -> None:
+        """Pattern: a failure domain of 133 hosts, restarted at once.
+
+        With one host that sends to all, its traffic grows with the fleet.
+        """
+        rows = {
+            HostId(f'host-{number}'): HostRow(
+                '127.0.0.1', number, 'north', 5 * (number % 3 + 1)
+            )
+            for number in range(133)
+        }
+        sources = {}
+        for host, row in rows.items():
+            others = {name: each for name, each in rows.items() if name != host}
+            link = UpdateLink(host, row, others.copy, ManualClock())
+            sources[host] = link._select_source()
+        (root,) = (host for host, source in sources.items() if source is None)
+        followers = Counter(sources.values())
+        self.assertLessEqual(max(followers.values()), MAX_FOLLOWERS)
+        self.assertEqual(rows[root].link, 15)
+        for host in rows:
+            hops = 0
+            while host != root:
+                host = sources[host]
+                hops += 1
+            self.assertLessEqual(hops, 3)
+
 
 if __name__ == '__main__':
     unittest.main()
