Attribute the cost of records' messages to their parts, and rename two methods

A test holds each message's part; red before. Announcer._announce and RecordSender.send_copies say what they do.

--- a/experiments/configuration/spread.py
+++ b/experiments/configuration/spread.py
@@ -215,7 +215,7 @@
         times = [await _switch(hosts, number) for number in range(RUNS)]
         _print_times(size, 'push and poll', times)
         with patch.object(
-            announcements.Announcer, '_tell', _announce_to_nobody
+            announcements.Announcer, '_announce', _announce_to_nobody
         ):
             times = [
                 await _switch(hosts, number) for number in range(POLL_RUNS)
--- a/experiments/costs/records_cost.py
+++ b/experiments/costs/records_cost.py
@@ -135,7 +135,7 @@
     async def record_and_send(self) -> None:
         """Record one request for billing, and send the record to a peer."""
         await self.record_only()
-        await self.sender.hand()
+        await self.sender.send_copies()
 
     async def record_and_send_eight(self) -> None:
         """Record and send eight requests concurrently."""
--- a/src/nutmegroad/configuration/announcements.py
+++ b/src/nutmegroad/configuration/announcements.py
@@ -60,13 +60,13 @@
         while True:
             jitter = self._randomness.uniform(-JITTER, JITTER)
             await self._clock.sleep(self._period * (1 + jitter))
-            self._tell(1)
+            self._announce(1)
 
     def announce(self) -> None:
         """Send the configuration in force to a few hosts immediately."""
-        self._tell(FANOUT)
+        self._announce(FANOUT)
 
-    def _tell(self, count: int) -> None:
+    def _announce(self, count: int) -> None:
         """Send a notice to ``count`` random hosts to which there is a link."""
         hosts = [member.host for member in self._mesh.members()]
         self._randomness.shuffle(hosts)
--- a/src/nutmegroad/records/forwards.py
+++ b/src/nutmegroad/records/forwards.py
@@ -35,8 +35,6 @@
 
     part: ClassVar[str] = 'tickets'
 
-    part = 'records'
-
     host: str
     seconds: float
     target: str
@@ -58,8 +56,6 @@
 
     part: ClassVar[str] = 'tickets'
 
-    part = 'records'
-
     status: int
     content: bytes
     content_type: str
--- a/src/nutmegroad/records/record_copies.py
+++ b/src/nutmegroad/records/record_copies.py
@@ -53,8 +53,6 @@
 
     part: ClassVar[str] = RECORDS_PART
 
-    part = 'records'
-
     incarnation: str
     sequence: int
     place: int
@@ -71,8 +69,6 @@
 
     part: ClassVar[str] = RECORDS_PART
 
-    part = 'records'
-
     held: int
 
 
@@ -86,8 +82,6 @@
 
     part: ClassVar[str] = RECORDS_PART
 
-    part = 'records'
-
     incarnation: str
     sequence: int
 
@@ -125,7 +119,7 @@
         """Number of records not stored yet."""
         return self._biller.pending
 
-    async def hand(self, last: bool = False) -> bool:
+    async def send_copies(self, last: bool = False) -> bool:
         """Copy all records that have not been copied yet to a peer.
 
         Args:
@@ -148,7 +142,7 @@
         refusal = await self._biller.flush()
         if refusal is not None:
             # Records that cannot be stored must at least have a second copy.
-            await self.hand()
+            await self.send_copies()
             return
         receiver = self._receiver
         if receiver is not None and open_batches:
@@ -176,7 +170,7 @@
         """Copy all batches to one peer, then exclude this peer."""
         for batch in self._biller.batches:
             batch.copied = 0
-        accepted = await self.hand(last=True)
+        accepted = await self.send_copies(last=True)
         if accepted and self._receiver is not None:
             self._excluded_until[self._receiver.host] = (
                 self._clock.now() + EXCLUSION_PERIOD
--- a/src/nutmegroad/records/runs.py
+++ b/src/nutmegroad/records/runs.py
@@ -151,5 +151,5 @@
                 self._biller.record(cancelled_record())
         self._biller.record(ended.record)
         reply = await self._once.settle(grant, ended.reply)
-        await self._sender.hand()
+        await self._sender.send_copies()
         return RequestResult(reply, ended.record)
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -59,7 +59,7 @@
 
     async def copy_records(self, host: Host) -> bool:
         """Copy records to a peer while the clock advances."""
-        copying = asyncio.ensure_future(host.sender.hand())
+        copying = asyncio.ensure_future(host.sender.send_copies())
         # Peers reply over real sockets, which the manual clock does not
         # drive. On a busy machine the timeout would expire before they reply.
         await asyncio.wait((copying,), timeout=REPLY_TIMEOUT)
--- a/tests/test_cost_metrics.py
+++ b/tests/test_cost_metrics.py
@@ -17,6 +17,12 @@
 from nutmegroad.foundations.accounting import Ledger
 from nutmegroad.foundations.metrics import Metrics
 from nutmegroad.membership._connection import QueuedFrame, SendQueue
+from nutmegroad.records.forwards import ForwardedReply, ForwardedRequest
+from nutmegroad.records.record_copies import (
+    BatchesStored,
+    CopiesAccepted,
+    RecordCopies,
+)
 from nutmegroad.testing.virtual import ManualClock
 
 
@@ -45,6 +51,20 @@
         self.assertGreater(resident_bytes(), 0)
 
 
+class MessagePartTest(unittest.TestCase):
+    """Parts that the cost of the records' messages is attributed to."""
+
+    def test_copies_and_forwards_are_told_apart(self) -> None:
+        parts = {
+            'billing': (RecordCopies, CopiesAccepted, BatchesStored),
+            'tickets': (ForwardedRequest, ForwardedReply),
+        }
+        for part, messages in parts.items():
+            for message in messages:
+                with self.subTest(message=message.__name__):
+                    self.assertEqual(message.part, part)
+
+
 class LazyFrameTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_lazy_frame_waits_for_another(self) -> None:
         queue = SendQueue(4, 100)
