--- a/src/nutmegroad/upstreams/cold_starts.py
+++ b/src/nutmegroad/upstreams/cold_starts.py
@@ -25,6 +25,9 @@
 #: Seconds over which the rate of a cold upstream is limited.
 RATE_WINDOW: Final = 1.0
 
+#: Seconds for which a rank is kept: computing one takes a hash for each host.
+RANK_VALIDITY: Final = 1.0
+
 #: Returns this host's rank among all hosts for a duty; None before the hosts
 #: are known.
 HostRank = Callable[[str], int | None]
@@ -42,15 +45,15 @@
         self._clock = clock
         self._rank = rank
         self._sent: dict[UpstreamIncarnation, deque[float]] = {}
+        # Whether this host is among the senders of an upstream, and the clock
+        # seconds until which that is valid.
+        self._senders: dict[UpstreamIncarnation, tuple[bool, float]] = {}
 
     def usable(
         self, upstreams: Collection[Upstream], cold_start: ColdStart | None
     ) -> Collection[Upstream]:
         """Return the upstreams to which this host may send a request now.
 
-        Warm upstreams come first: a cold one answers slowly, and is used only
-        if no other is left.
-
         Args:
             upstreams: Upstreams of one service.
             cold_start: Behaviour of a cold upstream of the service; None if it
@@ -58,13 +61,11 @@
         """
         if cold_start is None:
             return upstreams
-        warm = tuple(
-            each for each in upstreams if not self.is_cold(each, cold_start)
-        )
-        if warm:
-            return warm
         return tuple(
-            each for each in upstreams if self._is_admitted(each, cold_start)
+            each
+            for each in upstreams
+            if not self.is_cold(each, cold_start)
+            or self._is_admitted(each, cold_start)
         )
 
     def is_cold(self, upstream: Upstream, cold_start: ColdStart | None) -> bool:
@@ -95,9 +96,24 @@
         """Return whether this host may send one more request now."""
         senders = min(COLD_SENDERS, max(1, int(cold_start.rate)))
         name = upstream.entry.incarnation
-        rank = self._rank(f'cold/{name}')
-        if rank is None or rank >= senders:
+        if not self._is_sender(name, senders):
             return False
         share = max(1, int(cold_start.rate / senders))
         oldest = self._clock.now() - RATE_WINDOW
         return sum(sent > oldest for sent in self._sent.get(name, ())) < share
+
+    def _is_sender(self, name: UpstreamIncarnation, senders: int) -> bool:
+        """Return whether this host is among the senders of an upstream."""
+        now = self._clock.now()
+        known = self._senders.get(name)
+        if known is not None and now < known[1]:
+            return known[0]
+        rank = self._rank(f'cold/{name}')
+        is_sender = rank is not None and rank < senders
+        self._senders = {
+            other: kept
+            for other, kept in self._senders.items()
+            if now < kept[1]
+        }
+        self._senders[name] = (is_sender, now + RANK_VALIDITY)
+        return is_sender
