Don't take the first list's upstreams for cold if it precedes the configuration

Cause: entries of services that no configuration names yet are kept and applied later, by when the first list counts as read; so a host that read its upstreams before its configuration took all of them for just started, and refused callers for three seconds, or sent from a few hosts only.

Whether an entry was new is now kept with it.

--- a/src/nutmegroad/relay/tables.py
+++ b/src/nutmegroad/relay/tables.py
@@ -233,8 +233,9 @@
         self._available_since = float('-inf')
         # None before the first configuration.
         self._services: Container[ServiceName] | None = None
-        # Entries of services that the configuration does not name yet.
-        self._pending_entries: dict[UpstreamId, UpstreamEntry] = {}
+        # Entries of services that the configuration does not name yet, and
+        # whether each was new to the list.
+        self._pending_entries: dict[UpstreamId, tuple[UpstreamEntry, bool]] = {}
         self._rejections = RejectionLog()
         # Entries of a restored list that this host knew to be outdated, with
         # their versions in that list.
@@ -246,8 +247,8 @@
     def update_services(self, services: Collection[ServiceName]) -> None:
         """Set the services that the configuration in force names."""
         self._services = frozenset(services)
-        for entry in tuple(self._pending_entries.values()):
-            self._put(entry)
+        for entry, is_new in tuple(self._pending_entries.values()):
+            self._put(entry, is_new=is_new)
 
     def replace(self, read: RowsRead) -> None:
         """Apply a full snapshot."""
@@ -297,20 +298,26 @@
             if isinstance(entry, Unreadable):
                 self._reject(upstream, entry.reason)
             elif not self._is_outdated(entry, row.version):
-                self._put(entry)
+                self._put(entry, is_new=self.listed)
 
-    def _put(self, entry: UpstreamEntry) -> None:
-        """Apply an entry if the configuration names its service."""
+    def _put(self, entry: UpstreamEntry, *, is_new: bool) -> None:
+        """Apply an entry if the configuration names its service.
+
+        Args:
+            entry: The entry.
+            is_new: Whether it was not in the first list that this host read,
+                so that its upstream may have just started.
+        """
         upstream = entry.upstream
         if self._services is None:
-            self._pending_entries[upstream] = entry
+            self._pending_entries[upstream] = entry, is_new
         elif entry.service in self._services:
             self._pending_entries.pop(upstream, None)
             self._rejections.clear(upstream)
-            self._directory.put(entry, is_new=self.listed)
+            self._directory.put(entry, is_new=is_new)
         else:
             self._reject(upstream, 'service is not in the configuration')
-            self._pending_entries[upstream] = entry
+            self._pending_entries[upstream] = entry, is_new
 
     def _is_outdated(self, entry: UpstreamEntry, version: int) -> bool:
         """Return whether an entry of a restored list is likely outdated.
@@ -335,7 +342,7 @@
     def _accept_unconfirmed(self) -> None:
         """Apply ignored entries that the store has kept: they are valid."""
         for entry, _ in self._unconfirmed.values():
-            self._put(entry)
+            self._put(entry, is_new=self.listed)
         self._unconfirmed.clear()
 
     def _reject(self, upstream: UpstreamId, reason: str) -> None:
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -11,7 +11,9 @@
 
 from xxhash import xxh3_64_intdigest
 
-from nutmegroad.foundations.types import DomainId
+from nutmegroad.fleet.store_interface import RowsRead
+from nutmegroad.foundations.types import DomainId, ServiceName, UpstreamId
+from nutmegroad.relay.tables import UpstreamSink
 from nutmegroad.routes.deployment import ColdStart
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.cold_starts import ColdStarts
@@ -160,6 +162,24 @@
         self.directory.put(an_entry('a'), is_new=False)
         self.assertFalse(self.is_cold())
 
+    def test_first_list_that_precedes_the_configuration_is_warm(self) -> None:
+        """A host that starts may read the upstreams first.
+
+        Without this, all upstreams were cold for a host that had just started,
+        and it refused its callers for seconds after a loss of power.
+        """
+        sink = UpstreamSink(RowCodec(), self.directory, self.clock, 2)
+        sink.replace(RowsRead((entry_row('a'),), 1, 1))
+        sink.update_services([ServiceName('s')])
+        sink.apply(RowsRead((entry_row('b', 2),), 2, 2))
+        cold = {
+            name: self.cold_starts.is_cold(
+                self.directory.find(UpstreamId(name)), COLD_START
+            )
+            for name in ('a', 'b')
+        }
+        self.assertEqual(cold, {'a': False, 'b': True})
+
     def test_report_counts_for_any_upstream(self) -> None:
         """A host that has just started learns of a start only from it."""
         row = entry_row('a', coldRemainingMs=2000, service='engines')
