--- a/src/nutmegroad/foundations/stop_trigger.py
+++ b/src/nutmegroad/foundations/stop_trigger.py
@@ -19,7 +19,8 @@
     The loop runs more than once, first to start a host, then to serve. A loop
     handles signals only while it runs, and loses one that arrives in between.
     The handlers are therefore the interpreter's, which run at any time in the
-    main thread.
+    main thread. aiomisc's own handlers don't do: they restore the default ones
+    as soon as a stop begins, so a second signal would cut off open requests.
     """
 
     def __init__(self) -> None:
