--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from experiments.fleet_soak.fleet import Fleet
-from experiments.fleet_soak.history import FaultInterval, History
+from experiments.fleet_soak.fleet import BOUNDS, RETRY_INTERVAL, Fleet
+from experiments.fleet_soak.history import Evacuation, FaultInterval, History
 from experiments.fleet_soak.links import Link, LinkState
 from experiments.fleet_soak.plan import SINGLE_HOST_FAULTS, Event, Fault
 from experiments.fleet_soak.rollouts import Rollouts
@@ -275,9 +275,20 @@
         await self._fleet.put('servers', name, _FOREIGN_ENTRY)
 
     async def _domain_evacuated(self, event: Event) -> None:
-        """Evacuate a failure domain, and take it back."""
+        """Evacuate a failure domain, and take it back.
+
+        The duration counts from when the order must be in force.
+        """
         domain = DOMAINS[event.target % len(DOMAINS)]
-        await self._fleet.evacuate(domain, event.duration)
+        key = f'evacuate/{domain}'
+        while not await self._fleet.put('op', key, b'{}'):
+            await asyncio.sleep(RETRY_INTERVAL)
+        evacuation = Evacuation(domain, time.monotonic())
+        self._history.evacuations.append(evacuation)
+        await asyncio.sleep(BOUNDS.evacuate + event.duration)
+        evacuation.ended_at = time.monotonic()
+        while not await self._fleet.remove('op', key):
+            await asyncio.sleep(RETRY_INTERVAL)
 
     async def _rolled_out(self, event: Event) -> None:
         """Roll out a good version."""
--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -20,7 +20,6 @@
 from experiments.fleet_soak.callers import ROUTER_HOST_NAME, request_headers
 from experiments.fleet_soak.history import (
     Bounds,
-    Evacuation,
     History,
     Kind,
     RequestRecord,
@@ -240,21 +239,6 @@
         body = remove_transaction(table, key)
         return await self.post_to_store('v1/rows-tx', body)
 
-    async def evacuate(self, domain: str, seconds: float) -> None:
-        """Evacuate a failure domain for some seconds, then withdraw the order.
-
-        The seconds count from the time at which the order must be in force.
-        """
-        key = f'evacuate/{domain}'
-        while not await self.put('op', key, b'{}'):
-            await asyncio.sleep(RETRY_INTERVAL)
-        evacuation = Evacuation(domain, time.monotonic())
-        self.history.evacuations.append(evacuation)
-        await asyncio.sleep(BOUNDS.evacuate + seconds)
-        evacuation.ended_at = time.monotonic()
-        while not await self.remove('op', key):
-            await asyncio.sleep(RETRY_INTERVAL)
-
     async def post_to_store(self, call: str, body: object = None) -> bool:
         """Post to a path of the store; return whether it succeeded."""
         url = f'http://{format_address(self._store_address)}/{call}'
