--- a/src/nutmegroad/upstreams/placement.py
+++ b/src/nutmegroad/upstreams/placement.py
@@ -13,16 +13,12 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import DomainId, RegionId
+from nutmegroad.routes.cached_configuration import RESTORE_SETTLE_SECONDS
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Upstream
 
 _LOG: Final = part_logger('placement')
 
-#: Seconds after a restore of the store from a backup for which an evacuation
-#: that the backup lacks stays in force. The operator writes again what is
-#: missing within about two seconds.
-RESTORE_SETTLE_SECONDS: Final = 2.5
-
 
 @dataclass(frozen=True, slots=True)
 class EvacuationOrder:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -32,11 +32,11 @@
     WorkspaceId,
 )
 from nutmegroad.relay.refusals import Exclusions, no_upstream_refusal
+from nutmegroad.routes.cached_configuration import RESTORE_SETTLE_SECONDS
 from nutmegroad.routes.deployment import Workspace
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import Directory, Upstream
 from nutmegroad.upstreams.placement import (
-    RESTORE_SETTLE_SECONDS,
     EvacuationOrder,
     Evacuations,
     Placement,
