Log why admission refuses a request and why no engine is selected

Two listed failures of the daemon could not be traced, because a refusal did not say what it was based on: test_rolling_replacement (429, a host with one slot) and test_leaving_upstreams (503, no available engine).

Admission now logs each refusal with the inputs of its limit: the permits of the failure domain, the hosts that they are divided among, this host's part, loans both ways, the limit from reports. Selection logs, if it finds no engine, what is known of each engine, and the list that it searched with its age.

No behaviour changes.

--- a/src/nutmegroad/routing/_slots.py
+++ b/src/nutmegroad/routing/_slots.py
@@ -71,6 +71,31 @@
     domain: DomainId
 
 
+@dataclass(frozen=True, slots=True)
+class SlotInputs:
+    """The inputs of a host's limit, for its log lines.
+
+    Attributes:
+        permits: Permits of all hosts of the failure domain.
+        hosts: Number of hosts that they are divided among.
+        static: This host's static part of them.
+        lent: Permits lent to other hosts.
+        borrowed: Permits borrowed from other hosts.
+        from_reports: Limit that follows from the engines' free slots.
+        remote: Permits for slots of remote failure domains.
+        factor: Fraction of the permits in use while engines are full.
+    """
+
+    permits: int
+    hosts: int
+    static: int
+    lent: int
+    borrowed: int
+    from_reports: int
+    remote: float
+    factor: float
+
+
 class HostSlots:
     """This host's part of its failure domain's slots.
 
@@ -108,9 +133,8 @@
     @property
     def allotment(self) -> int:
         """Return this host's permits, not reduced while engines are full."""
-        others = self._fleet.hosts(self.identity.domain)
-        static = static_part(self.permits, self.identity.host, others)
-        return max(1, static + self._ledger.balance(self._clock.now()))
+        balance = self._ledger.balance(self._clock.now())
+        return max(1, self._static_part() + balance)
 
     def limit(self, running: int) -> int:
         """Return how many requests may run concurrently.
@@ -122,6 +146,24 @@
         held = int(local + self._remote_slots())
         return max(1, held, self._limit_from_reports(running))
 
+    def inputs(self, running: int) -> SlotInputs:
+        """Return the inputs of the limit.
+
+        Args:
+            running: Number of requests running now.
+        """
+        now = self._clock.now()
+        return SlotInputs(
+            permits=self.permits,
+            hosts=len(self._fleet.hosts(self.identity.domain)) + 1,
+            static=self._static_part(),
+            lent=self._ledger.lent_slots(now),
+            borrowed=self._ledger.borrowed_slots(now),
+            from_reports=self._limit_from_reports(running),
+            remote=round(self._remote_slots(), 2),
+            factor=round(self.adaptive_limit.factor, 2),
+        )
+
     def lane_limit(self, lane: Lane, running: int) -> int:
         """Return how many requests of a lane may run concurrently.
 
@@ -156,6 +198,11 @@
         self._counted[lane] = (now, slots)
         return slots
 
+    def _static_part(self) -> int:
+        """Return this host's permits without loans."""
+        others = self._fleet.hosts(self.identity.domain)
+        return static_part(self.permits, self.identity.host, others)
+
     def _limit_from_reports(self, running: int) -> int:
         """Return the limit that follows from the free slots of the engines.
 
--- a/src/nutmegroad/routing/admission.py
+++ b/src/nutmegroad/routing/admission.py
@@ -8,11 +8,14 @@
 import asyncio
 import random
 from contextlib import AbstractContextManager
+from dataclasses import asdict
+from typing import Final
 
 from nutmegroad.configuration.in_force import Configuration
 from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart, Observers
 from nutmegroad.contracts.requests import ModelRequest
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register
@@ -26,6 +29,8 @@
 from nutmegroad.routing.fleet_load import FleetLoad, LoadDigest
 from nutmegroad.routing.shares import ShareLedger
 
+_LOG: Final = part_logger('admission')
+
 
 class FairAdmitter:
     """Admits requests by deadline, quota share and priority.
@@ -88,7 +93,10 @@
         if refusal is None:
             self._queue.push(waiting)
             refusal = await self._wait(waiting)
-        return self.permits.held(waiting) if refusal is None else refusal
+        if refusal is None:
+            return self.permits.held(waiting)
+        self._log_refusal(request, refusal)
+        return refusal
 
     def started(self, start: AttemptStart) -> None:
         """Ignore the start of an attempt."""
@@ -172,6 +180,19 @@
         finally:
             timer.cancel()
 
+    def _log_refusal(self, request: ModelRequest, refusal: Refusal) -> None:
+        """Log a refusal with the inputs of the limit that caused it."""
+        running = self.permits.running
+        _LOG.decision(
+            'refused',
+            request=request.request,
+            code=refusal.code.name,
+            running=running,
+            queued=self.queued,
+            limit=self.permits.limit,
+            **asdict(self.slots.inputs(running)),
+        )
+
     def _abandon(self, waiting: QueuedRequest) -> None:
         """Clean up after a caller that has disconnected."""
         outcome = waiting.outcome
--- a/src/nutmegroad/routing/selection.py
+++ b/src/nutmegroad/routing/selection.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from nutmegroad.contracts.decisions import (
@@ -32,6 +32,12 @@
     sample,
     slots_of,
 )
+from nutmegroad.routing._engine_search import (
+    Candidate,
+    Search,
+    describe_choice,
+    log_no_engine,
+)
 from nutmegroad.routing._estimates import EngineView, VersionSpeed
 from nutmegroad.routing._prefixes import PrefixTracker
 from nutmegroad.routing.directory import Directory
@@ -48,9 +54,6 @@
 #: Maximum number of choices remembered until their attempt starts.
 _MAX_EXPECTED: Final = 1000
 
-#: Maximum number of engines named in a reason.
-_MAX_NAMED: Final = 4
-
 
 @dataclass(slots=True)
 class _Pending:
@@ -63,33 +66,6 @@
     uncached: int  # Estimated prompt tokens that are not cached.
 
 
-@dataclass(slots=True)
-class _Candidate:
-    """An engine that was evaluated."""
-
-    state: UpstreamState  # The engine.
-    load: float  # Estimated number of requests there.
-    seconds: float  # Expected seconds to the first token.
-    cached: bool  # Whether it probably has the prefix cached.
-
-
-@dataclass(slots=True)
-class _Search:
-    """State of one selection in progress."""
-
-    request: ModelRequest
-    version: VersionId  # The version that is to answer.
-    excluded: frozenset[UpstreamId]  # Engines that must not be selected.
-    now: float  # Clock seconds of the selection.
-    speed: VersionSpeed  # Speed estimates of the version.
-    # Engines evaluated so far.
-    candidates: list[_Candidate] = field(default_factory=list)
-    # Engines and domains that were ruled out, with the reason.
-    exclusions: list[str] = field(default_factory=list)
-    cached: tuple[UpstreamId, ...] = ()  # Engines likely to hold the prefix.
-    best: _Candidate | None = None  # The best candidate so far.
-
-
 class ExpectedSelector:
     """Samples a few engines and selects the earliest expected first token.
 
@@ -128,7 +104,7 @@
         excluded: frozenset[UpstreamId],
     ) -> Choice | Refusal:
         """Return the engine with the earliest expected first token."""
-        search = _Search(
+        search = Search(
             request,
             version,
             excluded,
@@ -147,6 +123,7 @@
         if search.best is None:
             self._last_resort(search, local)
         if search.best is None:
+            log_no_engine(search, pool, self._directory.states())
             return no_engine(version)
         return self._chosen(search, search.best)
 
@@ -204,7 +181,7 @@
                 end.start.upstream,
             )
 
-    def _holders(self, search: _Search, pool: Pool) -> list[UpstreamState]:
+    def _holders(self, search: Search, pool: Pool) -> list[UpstreamState]:
         """Return local engines that probably have the prefix cached.
 
         The first is assigned by the hash ring, alike for all hosts of the
@@ -224,7 +201,7 @@
 
     def _evaluate(
         self,
-        search: _Search,
+        search: Search,
         states: Iterable[UpstreamState],
     ) -> None:
         """Evaluate engines and keep the best."""
@@ -235,14 +212,14 @@
                 continue
             self._consider(search, self._estimate(search, state))
 
-    def _consider(self, search: _Search, candidate: _Candidate) -> None:
+    def _consider(self, search: Search, candidate: Candidate) -> None:
         """Keep a candidate if it is the best so far."""
         search.candidates.append(candidate)
         best = search.best
         if best is None or candidate.seconds < best.seconds:
             search.best = candidate
 
-    def _exclusion_reason(self, search: _Search, state: UpstreamState) -> str:
+    def _exclusion_reason(self, search: Search, state: UpstreamState) -> str:
         """Return why an engine may not be used; empty if it may."""
         if state.info.upstream in search.excluded:
             return 'failed before'
@@ -253,7 +230,7 @@
             return 'ejected'
         return ''
 
-    def _estimate(self, search: _Search, state: UpstreamState) -> _Candidate:
+    def _estimate(self, search: Search, state: UpstreamState) -> Candidate:
         """Return an engine with its expected seconds to the first token."""
         view = self._view(state)
         speed = search.speed
@@ -266,11 +243,11 @@
         prefill = uncached * speed.prefill.level
         seconds = wait + prefill + speed.token_interval.at(load)
         seconds *= view.slowness(search.now)
-        return _Candidate(state, load, seconds, cached)
+        return Candidate(state, load, seconds, cached)
 
     def _spill(
         self,
-        search: _Search,
+        search: Search,
         domains: dict[DomainId, list[UpstreamState]],
     ) -> None:
         """Consider remote failure domains that are not shedding load."""
@@ -294,7 +271,7 @@
 
     def _last_resort(
         self,
-        search: _Search,
+        search: Search,
         local: list[UpstreamState],
     ) -> None:
         """Use an ejected engine rather than none.
@@ -308,7 +285,7 @@
             if can_serve(state, search.version):
                 self._consider(search, self._estimate(search, state))
 
-    def _chosen(self, search: _Search, best: _Candidate) -> Choice:
+    def _chosen(self, search: Search, best: Candidate) -> Choice:
         """Return the choice, and remember the expectations about it."""
         request = search.request
         upstream = best.state.info.upstream
@@ -323,7 +300,7 @@
             request.prefix,
             max(0, int(request.prompt_tokens - saved)),
         )
-        return Choice(best.state, best.seconds, _describe(search, best))
+        return Choice(best.state, best.seconds, describe_choice(search, best))
 
     def _speed(self, version: VersionId) -> VersionSpeed:
         """Return the speed estimates of a version."""
@@ -364,7 +341,7 @@
     return selector
 
 
-def _is_full(search: _Search) -> bool:
+def _is_full(search: Search) -> bool:
     """Return whether none of the evaluated engines has a free slot."""
     best = search.best
     return best is None or best.load >= slots_of(best.state)
@@ -379,20 +356,3 @@
     """
     spread = math.sqrt(slots) / 2
     return spread * math.log1p(math.exp((load - slots + 1) / spread))
-
-
-def _describe(search: _Search, best: _Candidate) -> str:
-    """Return the reason for a choice, with alternatives and exclusions."""
-    cached = ', prefix cached' if best.cached else ''
-    others = '; '.join(
-        f'{one.state.info.upstream} {one.seconds:.3f} s at load {one.load:.0f}'
-        for one in search.candidates[:_MAX_NAMED]
-        if one is not best
-    )
-    exclusions = ', '.join(search.exclusions[:_MAX_NAMED])
-    reason = (
-        f'first token in {best.seconds:.3f} s at load {best.load:.0f}{cached}'
-    )
-    if others:
-        reason = f'{reason}; others: {others}'
-    return f'{reason}; excluded: {exclusions}' if exclusions else reason
--- a/src/nutmegroad/routing/shares.py
+++ b/src/nutmegroad/routing/shares.py
@@ -83,10 +83,17 @@
 
     def balance(self, now: float) -> int:
         """Return the slots borrowed less those lent."""
-        self._lent = [loan for loan in self._lent if loan.until > now]
+        return self.borrowed_slots(now) - self.lent_slots(now)
+
+    def borrowed_slots(self, now: float) -> int:
+        """Return the slots that are borrowed from other hosts."""
         self._borrowed = [loan for loan in self._borrowed if loan.until > now]
-        borrowed = sum(loan.slots for loan in self._borrowed)
-        return borrowed - sum(loan.slots for loan in self._lent)
+        return sum(loan.slots for loan in self._borrowed)
+
+    def lent_slots(self, now: float) -> int:
+        """Return the slots that are lent to other hosts."""
+        self._lent = [loan for loan in self._lent if loan.until > now]
+        return sum(loan.slots for loan in self._lent)
 
     def expiring_slots(self, now: float, within: float) -> int:
         """Return the borrowed slots whose loan expires soon.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -121,6 +121,17 @@
         self._assert_refused(refusal, ResultCode.DEADLINE_UNREACHABLE)
         self.assertEqual(self.admitter.queued, 0)
 
+    async def test_a_refusal_logs_the_inputs_of_its_limit(self) -> None:
+        """It guards against refusals that the logs can't explain."""
+        self.host.ledger.lend(2, self.clock.now())
+        self._teach(seconds=10)
+        with self.assertLogs('absl') as logged:
+            await self._enter(ask(deadline=9))
+        line = logged.output[-1]
+        for named in ('refused', 'limit=4', 'static=6', 'lent=2', 'hosts=1'):
+            with self.subTest(named=named):
+                self.assertIn(named, line)
+
     async def test_a_caller_that_goes_away_leaves_the_queue(self) -> None:
         await self._fill()
         waiting = await self._enter(ask(9))
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -98,6 +98,19 @@
                 self._fail(name)
         self.assertEqual(self._chosen(60), {'e1', 'e2', 'e3'})
 
+    async def test_a_refusal_logs_what_is_known_of_each_engine(self) -> None:
+        """It guards against refusals that the logs can't explain."""
+        self.directory.mark_draining(UpstreamId('e1'))
+        with self.assertLogs('absl') as logged:
+            choice = self.selector.choose(
+                ask(), VERSION, frozenset(map(UpstreamId, ('e2', 'e3')))
+            )
+        self.assertIsInstance(choice, Refusal)
+        line = logged.output[-1]
+        for named in ('no engine', 'e1 live draining=True', 'e2 failed before'):
+            with self.subTest(named=named):
+                self.assertIn(named, line)
+
     async def test_a_slow_engine_is_detected_against_its_peers(self) -> None:
         for _ in range(30):
             self._finish('e1', seconds=15)
