Divide the slots of hosts that have left among those that stay

The log line of the refusal has it: permits=9 hosts=4 static=2 in a domain of two hosts and their two successors. For a minute after a replacement half of the slots belonged to nobody, and could not be borrowed either.

Now a host that was last seen leaving loses its part as soon as it is no longer a member. One that vanished without notice keeps it, as before: a second test.

Ruled out: forgetting every host out of sight, which gives slots away twice in a cut.

--- a/src/nutmegroad/routing/fleet_load.py
+++ b/src/nutmegroad/routing/fleet_load.py
@@ -7,7 +7,12 @@
 
 from nutmegroad.contracts.peers import Member, Message
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.types import DomainId, HostId, WorkspaceId
+from nutmegroad.foundations.types import (
+    DomainId,
+    HostId,
+    Presence,
+    WorkspaceId,
+)
 
 #: Seconds after which a digest is ignored.
 DIGEST_LIFETIME: Final = 10.0
@@ -65,20 +70,30 @@
         self._clock = clock
         self._digests: dict[DomainId, _Digests] = {}
         self._last_seen: dict[DomainId, dict[HostId, float]] = {}
+        self._leaving: dict[HostId, DomainId] = {}
 
-    def record_live(self, members: Iterable[Member]) -> None:
-        """Record which hosts are live now."""
+    def record_members(self, members: Iterable[Member]) -> None:
+        """Record which hosts are live or leaving now."""
         now = self._clock.now()
+        present: set[HostId] = set()
         for member in members:
-            seen = self._last_seen.setdefault(member.domain, {})
-            seen[member.host] = now
+            present.add(member.host)
+            if member.presence is Presence.LIVE:
+                seen = self._last_seen.setdefault(member.domain, {})
+                seen[member.host] = now
+                self._leaving.pop(member.host, None)
+            else:
+                self._leaving[member.host] = member.domain
+        for host in self._leaving.keys() - present:
+            self._forget(host, self._leaving.pop(host))
         self._expire()
 
     def hosts(self, domain: DomainId) -> list[HostId]:
         """Return the other hosts of a domain.
 
         A host that is no longer seen counts for a while, because it may be cut
-        off from this one and still use its part of the slots.
+        off from this one and still use its part of the slots. One that had
+        announced that it is leaving has no use for its part any more.
         """
         return list(self._last_seen.get(domain, ()))
 
@@ -129,6 +144,11 @@
                 summed[workspace] = before + slots * scale
         return summed
 
+    def _forget(self, host: HostId, domain: DomainId) -> None:
+        """Remove a host."""
+        self._last_seen.get(domain, {}).pop(host, None)
+        self._digests.get(domain, {}).pop(host, None)
+
     def _expire(self) -> None:
         """Drop hosts that have not been seen for the retention period."""
         oldest = self._clock.now() - HOST_RETENTION
--- a/src/nutmegroad/routing/slot_exchange.py
+++ b/src/nutmegroad/routing/slot_exchange.py
@@ -85,6 +85,7 @@
     async def round(self) -> None:
         """Send a digest if one is due, and borrow slots if they are missing."""
         now = self._clock.now()
+        self._fleet.record_members(self._mesh.members())
         if now - self._last_digest_at >= DIGEST_INTERVAL:
             self._last_digest_at = now
             self._send_digests(self._live_members())
@@ -106,7 +107,6 @@
 
     def _send_digests(self, members: list[Member]) -> None:
         """Send a digest to some local hosts and to one per remote domain."""
-        self._fleet.record_live(members)
         digest = self._admitter.digest()
         domains: dict[DomainId, list[HostId]] = {}
         for member in members:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import unittest
-from typing import Final
+from typing import ClassVar, Final
 
 from nutmegroad.contracts.peers import Member
 from nutmegroad.contracts.requests import ModelRequest
@@ -24,7 +24,10 @@
     static_part,
     water_fill,
 )
-from nutmegroad.routing.slot_exchange import SlotExchange
+from nutmegroad.routing.slot_exchange import (
+    DIGEST_INTERVAL,
+    SlotExchange,
+)
 from nutmegroad.testing.virtual import ManualClock, MemoryMesh, NetworkFaults
 from tests.routing_samples import AWAY, HOME, AdmittingHost, ask
 
@@ -97,42 +100,68 @@
 
     def test_received_digests_are_extrapolated(self) -> None:
         members = [_member(name) for name in 'wxyz']
-        self.fleet.record_live(members)
+        self.fleet.record_members(members)
         self.fleet.store(LoadDigest('w', AWAY, 9, 9, 0, False, {'large': 3}))
         self.assertEqual(self.fleet.demand(AWAY), {'large': 12})
 
 
-class SlotExchangeTest(unittest.IsolatedAsyncioTestCase):
+class SlotExchangeCase(unittest.IsolatedAsyncioTestCase):
+    """Hosts of one failure domain that share the slots of its engine."""
+
+    slots: ClassVar[int] = _SLOTS
+
     async def asyncSetUp(self) -> None:
         self.clock = ManualClock()
         mesh = MemoryMesh(self.clock, random.Random(5))
         self.mesh = await self.enterAsyncContext(mesh)
-        self.hosts = {}
+        self.hosts: dict[str, AdmittingHost] = {}
         for name in _HOSTS:
-            host = AdmittingHost(self.clock, _SLOTS, name=name, large=1)
-            peer = self.mesh.join(HostId(name), HOME)
-            exchange = SlotExchange(
-                peer,
-                host.admitter,
-                host.fleet,
-                host.ledger,
-                self.clock,
-                random.Random(name),
-            )
-            exchange.register_handlers()
-            self.hosts[name] = host
-            self._start(exchange)
-
-    def _start(self, exchange: SlotExchange) -> None:
+            self._add_host(name)
+
+    def _add_host(self, name: str) -> None:
+        host = AdmittingHost(self.clock, self.slots, name=name, large=1)
+        peer = self.mesh.join(HostId(name), HOME)
+        exchange = SlotExchange(
+            peer,
+            host.admitter,
+            host.fleet,
+            host.ledger,
+            self.clock,
+            random.Random(name),
+        )
+        exchange.register_handlers()
+        self.hosts[name] = host
         task = asyncio.create_task(exchange.run())
         self.addCleanup(task.cancel)
 
+    async def _send_requests(
+        self, name: str, requests: int, seconds: float = 30
+    ) -> list[asyncio.Task[bool]]:
+        """Send requests at once; the results are whether they have run."""
+        tasks: list[asyncio.Task[bool]] = []
+        for number in range(requests):
+            request = ask(number, deadline=self.clock.now() + 500)
+            admitter = self.hosts[name].admitter
+            held = _hold(admitter, request, self.clock, seconds)
+            tasks.append(asyncio.create_task(held))
+            self.addCleanup(tasks[-1].cancel)
+        await self.clock.settle()
+        return tasks
+
+    def _allotment(self, name: str) -> int:
+        return self.hosts[name].slots.allotment
+
+    def _running(self, name: str) -> int:
+        return self.hosts[name].admitter.permits.running
+
+
+class SlotExchangeTest(SlotExchangeCase):
     async def test_slots_move_to_the_host_that_needs_them(self) -> None:
         await self.clock.advance(2)
         await self._send_requests('a', 20)
         await self.clock.advance(2)
         self.assertGreater(self._allotment('a'), 18)
-        self.assertEqual(self.hosts['a'].admitter.permits.running, 20)
+        self.assertEqual(self._running('a'), 20)
         self.assertLessEqual(self._total_allotment(), self._capacity())
 
     async def test_a_host_cut_off_falls_back_to_its_static_part(self) -> None:
@@ -154,17 +183,6 @@
             if self._all_digests_received():
                 self.assertLessEqual(self._total_allotment(), self._capacity())
 
-    async def _send_requests(self, name: str, requests: int) -> None:
-        for number in range(requests):
-            request = ask(number, deadline=self.clock.now() + 500)
-            admitter = self.hosts[name].admitter
-            task = asyncio.create_task(_hold(admitter, request, self.clock))
-            self.addCleanup(task.cancel)
-        await self.clock.settle()
-
-    def _allotment(self, name: str) -> int:
-        return self.hosts[name].slots.allotment
-
     def _all_digests_received(self) -> bool:
         known = [len(host.fleet.hosts(HOME)) for host in self.hosts.values()]
         return min(known) == len(_HOSTS) - 1
@@ -176,17 +194,54 @@
         return self.hosts['a'].slots.permits
 
 
+class ReplacedHostsTest(SlotExchangeCase):
+    """Hosts that have left the failure domain, such as in a replacement."""
+
+    slots = 20
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.clock.advance(3)
+        for name in _HOSTS:
+            self._add_host(f'{name}x')
+        await self.clock.advance(3)
+
+    async def _stop_hosts(self) -> None:
+        for name in _HOSTS:
+            self.mesh.leave(HostId(name))
+        await self.clock.advance(1)
+        for name in _HOSTS:
+            self.mesh.remove(HostId(name))
+
+    async def test_slots_of_hosts_that_have_left_are_divided(self) -> None:
+        """It guards against half of the slots unused after a replacement."""
+        await self._stop_hosts()
+        await self.clock.advance(DIGEST_INTERVAL)
+        parts = [self._allotment(f'{name}x') for name in _HOSTS]
+        self.assertEqual(sum(parts), self.hosts['ax'].slots.permits)
+
+    async def test_slots_of_hosts_out_of_sight_stay_theirs(self) -> None:
+        """A host that vanished without notice may be cut off and serving."""
+        for name in _HOSTS:
+            self.mesh.remove(HostId(name))
+        await self.clock.advance(DIGEST_INTERVAL)
+        parts = [self._allotment(f'{name}x') for name in _HOSTS]
+        self.assertLess(sum(parts), self.hosts['ax'].slots.permits)
+
+
 async def _hold(
     admitter: FairAdmitter,
     request: ModelRequest,
     clock: ManualClock,
-) -> None:
-    """Hold a permit for 30 seconds."""
+    seconds: float,
+) -> bool:
+    """Hold a permit for some seconds; return false if it was refused."""
     permit = await admitter.admit(request)
     if isinstance(permit, Refusal):
-        return
+        return False
     with permit:
-        await clock.sleep(30)
+        await clock.sleep(seconds)
+    return True
 
 
 def _member(name: str) -> Member:
