Ask only members of the fleet for slots

What callers saw: 429 OVERLOADED from a host that could not borrow though other hosts of its failure domain had idle slots.

A host that has ended was idle in its last digest, so it came first: both questions went to nobody, round after round, until the digests expired.

Now a host that is no longer a member is not asked. Red before: test_hosts_that_have_gone_are_not_asked_for_slots (4 of 6 requests run after a second, with ten idle slots at two living hosts).

--- a/src/nutmegroad/routing/slot_exchange.py
+++ b/src/nutmegroad/routing/slot_exchange.py
@@ -130,8 +130,7 @@
 
     async def _borrow(self, wanted: int) -> None:
         """Request slots from the hosts with the most spare ones."""
-        digests = self._fleet.valid_digests(self._identity.domain)
-        digests.sort(key=lambda digest: digest.spare, reverse=True)
+        digests = self._lenders()
         lacking = self._admitter.entitlement - self._admitter.slots.allotment
         claim = max(0, ceil(lacking))
         for digest in digests[:MAX_LENDERS_ASKED]:
@@ -146,6 +145,17 @@
                 wanted -= reply.slots
                 claim -= reply.slots
 
+    def _lenders(self) -> list[LoadDigest]:
+        """Return the digests of this domain's members, most spare first."""
+        present = {member.host for member in self._mesh.members()}
+        digests = [
+            digest
+            for digest in self._fleet.valid_digests(self._identity.domain)
+            if HostId(digest.host) in present
+        ]
+        digests.sort(key=lambda digest: digest.spare, reverse=True)
+        return digests
+
     async def _receive_digest(self, host: HostId, digest: LoadDigest) -> None:
         """Store a digest from another host."""
         self._fleet.store(digest)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -213,6 +213,18 @@
         for name in _HOSTS:
             self.mesh.remove(HostId(name))
 
+    async def test_hosts_that_have_gone_are_not_asked_for_slots(self) -> None:
+        """It guards against a host that asks only the dead for slots."""
+        await self._send_requests('bx', 1)
+        await self._send_requests('cx', 1)
+        await self.clock.advance(DIGEST_INTERVAL)
+        for name in _HOSTS:
+            self.mesh.remove(HostId(name))
+        # Their last digests show the most spare slots.
+        await self._send_requests('ax', 6)
+        await self.clock.advance(1)
+        self.assertEqual(self._running('ax'), 6)
+
     async def test_slots_of_hosts_that_have_left_are_divided(self) -> None:
         """It guards against half of the slots unused after a replacement."""
         await self._stop_hosts()
