Borrow slots as soon as a request is queued

What callers saw: 429 OVERLOADED, or a wait of up to a quarter of a second, at a host that has lent its slots, while engines had free ones.

Cause, third of four: missing slots were noticed by a check every 0.25 s. The host that refused in test_rolling_replacement held one slot (lent=3 borrowed=2), so callers that a balancer moves to it within that time fill its queue and are refused.

Now a queued request starts a round at once. The next one follows after 20 ms, or after the usual 0.25 s if nobody lent any, so that an overload costs no more messages than before. Red before: test_a_queued_request_borrows_at_once (1 of 2 run after 25 ms).

--- a/src/nutmegroad/routing/admission.py
+++ b/src/nutmegroad/routing/admission.py
@@ -45,6 +45,7 @@
     Attributes:
         slots: Limits of the number of requests that may run concurrently.
         permits: The issued permits.
+        request_queued: Set whenever a request is queued.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         randomness: random.Random,
     ) -> None:
         self.slots = slots
+        self.request_queued = asyncio.Event()
         self._queue = FairQueue(demand.weight)
         self.permits = Permits(slots, self._queue, demand, clock)
         self._shedder = LoadShedder(
@@ -92,6 +94,7 @@
         refusal = self._refusal(waiting)
         if refusal is None:
             self._queue.push(waiting)
+            self.request_queued.set()
             refusal = await self._wait(waiting)
         if refusal is None:
             return self.permits.held(waiting)
--- a/src/nutmegroad/routing/load_part.py
+++ b/src/nutmegroad/routing/load_part.py
@@ -75,3 +75,4 @@
         )
         exchange.register_handlers()
         kernel.spawn(exchange.run(), 'share-exchange')
+        kernel.spawn(exchange.borrow_on_demand(), 'share-exchange')
--- a/src/nutmegroad/routing/slot_exchange.py
+++ b/src/nutmegroad/routing/slot_exchange.py
@@ -1,5 +1,6 @@
 """Exchanges load digests between hosts and lends slots to hosts in need."""
 
+import asyncio
 import random
 from math import ceil
 from typing import Final
@@ -20,6 +21,11 @@
 CHECK_INTERVAL: Final = 0.25
 _JITTER: Final = 0.2
 
+#: Minimum seconds between two rounds of requests for slots that follow from
+#: queued requests. If no host lent any, the next one is a regular check away:
+#: under overload every request is queued.
+MIN_BORROW_INTERVAL: Final = 0.02
+
 #: Hosts of its own domain to which a host sends each digest.
 DIGEST_FANOUT: Final = 8
 
@@ -64,6 +70,8 @@
         self._clock = clock
         self._randomness = randomness
         self._last_digest_at = float('-inf')
+        # Two concurrent rounds would borrow the same missing slots twice.
+        self._borrowing = asyncio.Lock()
 
     @property
     def _identity(self) -> Identity:
@@ -75,6 +83,19 @@
         self._mesh.handle(LoadDigest, self._receive_digest)
         self._mesh.handle(ShareRequest, self._lend)
 
+    async def borrow_on_demand(self) -> None:
+        """Borrow missing slots whenever a request is queued, until cancelled.
+
+        A request must not wait for the next regular check while other hosts
+        have idle slots.
+        """
+        while True:
+            await self._admitter.request_queued.wait()
+            self._admitter.request_queued.clear()
+            borrowed = await self._borrow_missing()
+            pause = MIN_BORROW_INTERVAL if borrowed else CHECK_INTERVAL
+            await self._clock.sleep(pause)
+
     async def run(self) -> None:
         """Run a round at each check interval, until cancelled."""
         while True:
@@ -89,12 +110,21 @@
         if now - self._last_digest_at >= DIGEST_INTERVAL:
             self._last_digest_at = now
             self._send_digests(self._live_members())
-        wanted = self._missing_slots()
-        if wanted > 0:
-            await self._borrow(wanted)
+        await self._borrow_missing()
+
+    async def _borrow_missing(self) -> int:
+        """Borrow the slots that are missing, and grant what is free.
+
+        Returns:
+            The number of slots that were borrowed.
+        """
+        async with self._borrowing:
+            wanted = self._missing_slots()
+            borrowed = await self._borrow(wanted) if wanted > 0 else 0
         # Also needed if nothing was borrowed: loans expire on their own,
         # which changes the limits.
         self._admitter.permits.grant_waiting()
+        return borrowed
 
     def _live_members(self) -> list[Member]:
         """Return the other live hosts."""
@@ -128,22 +158,33 @@
         ending = self._ledger.expiring_slots(self._clock.now(), _RENEWAL_MARGIN)
         return needed - slots.allotment + ending
 
-    async def _borrow(self, wanted: int) -> None:
-        """Request slots from the hosts with the most spare ones."""
-        digests = self._lenders()
+    async def _borrow(self, wanted: int) -> int:
+        """Request slots from the hosts with the most spare ones.
+
+        Returns:
+            The number of slots that were borrowed.
+        """
         lacking = self._admitter.entitlement - self._admitter.slots.allotment
         claim = max(0, ceil(lacking))
-        for digest in digests[:MAX_LENDERS_ASKED]:
-            if wanted <= 0 or not (digest.spare or claim):
-                return
-            ask = ShareRequest(wanted=wanted, claim=min(claim, wanted))
-            requested_at = self._clock.now()
-            host = HostId(digest.host)
-            reply = await self._mesh.request(host, ask, _LOAN_TIMEOUT)
-            if isinstance(reply, ShareLoan) and reply.slots > 0:
-                self._ledger.borrow(reply.slots, requested_at)
-                wanted -= reply.slots
-                claim -= reply.slots
+        borrowed = 0
+        for digest in self._lenders()[:MAX_LENDERS_ASKED]:
+            missing = wanted - borrowed
+            if missing <= 0 or not (digest.spare or claim):
+                break
+            ask = ShareRequest(wanted=missing, claim=min(claim, missing))
+            slots = await self._request_loan(HostId(digest.host), ask)
+            borrowed += slots
+            claim -= slots
+        return borrowed
+
+    async def _request_loan(self, host: HostId, ask: ShareRequest) -> int:
+        """Request slots from a host; return how many it lent."""
+        requested_at = self._clock.now()
+        reply = await self._mesh.request(host, ask, _LOAN_TIMEOUT)
+        if not isinstance(reply, ShareLoan) or reply.slots <= 0:
+            return 0
+        self._ledger.borrow(reply.slots, requested_at)
+        return reply.slots
 
     def _lenders(self) -> list[LoadDigest]:
         """Return the digests of this domain's members, most spare first."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -25,6 +25,7 @@
     water_fill,
 )
 from nutmegroad.routing.slot_exchange import (
+    CHECK_INTERVAL,
     DIGEST_INTERVAL,
     SlotExchange,
 )
@@ -131,8 +132,9 @@
         )
         exchange.register_handlers()
         self.hosts[name] = host
-        task = asyncio.create_task(exchange.run())
-        self.addCleanup(task.cancel)
+        for work in (exchange.run(), exchange.borrow_on_demand()):
+            task = asyncio.create_task(work)
+            self.addCleanup(task.cancel)
 
     async def _send_requests(
         self, name: str, requests: int, seconds: float = 30
@@ -194,6 +196,27 @@
         return self.hosts['a'].slots.permits
 
 
+class MovedCallersTest(SlotExchangeCase):
+    """Callers that a load balancer moves to a host that has lent its slots."""
+
+    slots = 7
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.clock.advance(3)
+        await self._send_requests('b', 5, seconds=0.5)
+        await self.clock.advance(1)
+        self.assertEqual(self._allotment('a'), 1)
+        await self._send_requests('b', 0)
+        await self.clock.advance(2 * DIGEST_INTERVAL - 1.5)
+
+    async def test_a_queued_request_borrows_at_once(self) -> None:
+        """It guards against requests that wait for the next regular check."""
+        await self._send_requests('a', 2)
+        await self.clock.advance(CHECK_INTERVAL / 10)
+        self.assertEqual(self._running('a'), 2)
+
+
 class ReplacedHostsTest(SlotExchangeCase):
     """Hosts that have left the failure domain, such as in a replacement."""
 
