Let the queue be as long as the slots that a host can borrow allow

What callers saw: 429 OVERLOADED, '2 requests are queued for 1 slots.', while hosts are replaced and most slots are idle (tests.test_rolling_replacement).

A host that has lent its slots to others holds one and queues two; the next request was refused though the host borrows what is missing as soon as requests are queued.

Now the bound also counts the host's even part of the spare slots in its failure domain. All hosts' parts add up to what is spare, and to nothing under overload, so a queue there is as short as before. Ruled out: the static part as a lower bound, since a host whose workspaces are entitled to less would queue too much, and all spare slots of the domain for each host, which counts them many times.

--- a/src/nutmegroad/routing/_shedding.py
+++ b/src/nutmegroad/routing/_shedding.py
@@ -66,19 +66,19 @@
         return self._clock.now() - self._last_refusal < _SHEDDING_PERIOD
 
     def to_refuse(
-        self, waiting: QueuedRequest, limit: int
+        self, waiting: QueuedRequest, slots: float
     ) -> QueuedRequest | None:
         """Return the request to refuse so that another may be queued.
 
         Args:
             waiting: The arriving request.
-            limit: Number of requests that may run concurrently.
+            slots: Slots that queued requests can get.
 
         Returns:
             A queued request, the arriving request itself, or None if the queue
             is not full.
         """
-        bound = max(1, self._per_slot() * limit)
+        bound = max(1, self._per_slot() * slots)
         workspace = waiting.request.workspace
         if self._queue.is_behind(workspace):
             bound *= _BEHIND_FACTOR
--- a/src/nutmegroad/routing/_slots.py
+++ b/src/nutmegroad/routing/_slots.py
@@ -136,6 +136,15 @@
         balance = self._ledger.balance(self._clock.now())
         return max(1, self._static_part() + balance)
 
+    @property
+    def borrowable(self) -> float:
+        """Return this host's even part of the spare slots of its domain.
+
+        The spare slots are divided by the number of hosts, since any of them
+        may borrow. 0 if the domain is shedding load.
+        """
+        return self._fleet.mean_spare(self.identity.domain)
+
     def limit(self, running: int) -> int:
         """Return how many requests may run concurrently.
 
--- a/src/nutmegroad/routing/admission.py
+++ b/src/nutmegroad/routing/admission.py
@@ -161,7 +161,10 @@
                 f'The expected wait is {wait:.1f} s, but the request must '
                 f'start within {max(0, slack):.1f} s to meet its deadline.',
             )
-        refused = self._shedder.to_refuse(waiting, limit)
+        # A queued request borrows what is missing, so the queue may be as long
+        # as the slots that it can get, not only those held at this moment.
+        obtainable = limit + self.slots.borrowable
+        refused = self._shedder.to_refuse(waiting, obtainable)
         if refused is None:
             return None
         refusal = self._shedder.refuse_queue_full(refused, limit)
