Read what has arrived before a relay's timeout ends a request

Cause: an event loop runs expired timers before it reads connections. After a handler has blocked it, or the process did not run (a suspended or busy machine), an answer that lies in the socket counts as missing.

ReadTimeout looks whether its timer is late; if so it leaves 0.1 s for reading, twice at most, so a caller without an answer still gets its 504 within half a second. Ruled out: a longer timeout, which holds every caller; one more turn of the event loop, which does not do for an upstream that was starved as well.

--- a/src/nutmegroad/foundations/timeouts.py
+++ b/src/nutmegroad/foundations/timeouts.py
@@ -1,12 +1,91 @@
-"""Timeouts on an injected clock."""
+"""Timeouts that count only time in which this process could read input.
+
+Timers expire before connections are read. When an event loop was blocked or its
+process suspended, input that arrived in time would count as missing. A timer
+that expires late therefore first leaves some time for reading.
+"""
 
 import asyncio
 import math
+from contextlib import suppress
 from types import TracebackType
-from typing import Self
+from typing import Final, Self, TypeVar
 
 from nutmegroad.foundations.clocks import Clock
 
+_Result = TypeVar('_Result')
+
+#: Seconds by which a timer may expire late on a busy machine. A later one shows
+#: that the event loop was blocked.
+MAX_TIMER_DELAY: Final = 0.02
+
+#: Seconds in which input that has arrived meanwhile is read.
+READ_GRACE: Final = 0.1
+
+#: Maximum number of times that a timeout is extended. On a machine that may not
+#: run for a tenth of a second at a time, timers are late again and again.
+MAX_EXTENSIONS: Final = 2
+
+
+class ReadTimeout:
+    """A timeout for a block of code that awaits input.
+
+    Like ``asyncio.timeout``, but extended if the event loop was blocked when it
+    expired.
+
+    Args:
+        seconds: Seconds after which the block ends with ``TimeoutError``.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._due: float = 0
+        self._extensions = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timeout = asyncio.timeout(None)
+
+    async def __aenter__(self) -> Self:
+        """Start the timeout."""
+        loop = asyncio.get_running_loop()
+        await self._timeout.__aenter__()
+        self._due = loop.time() + self._seconds
+        self._timer = loop.call_at(self._due, self._expire, loop)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop the timeout.
+
+        Raises:
+            TimeoutError: If it has expired.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._timeout.__aexit__(exc_type, exc, traceback)
+
+    def _expire(self, loop: asyncio.AbstractEventLoop) -> None:
+        """End the block, or leave time for reading if this is called late."""
+        now = loop.time()
+        is_late = now - self._due > MAX_TIMER_DELAY
+        if is_late and self._extensions < MAX_EXTENSIONS:
+            self._extensions += 1
+            self._due = now + READ_GRACE
+            self._timer = loop.call_at(self._due, self._expire, loop)
+        else:
+            self._timeout.reschedule(now)
+
+
+async def wait_done(awaited: asyncio.Future[_Result], seconds: float) -> bool:
+    """Wait for a future until a ``ReadTimeout``; return whether it is done."""
+    with suppress(TimeoutError):
+        async with ReadTimeout(seconds):
+            await asyncio.wait((awaited,))
+    return awaited.done()
+
 
 class Watchdog:
     """An idle timeout and a deadline for a block of code.
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -11,6 +11,7 @@
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.timeouts import wait_done
 from nutmegroad.foundations.types import Ran, UpstreamIncarnation
 from nutmegroad.relay.connections import (
     ConnectionFailedError,
@@ -214,8 +215,7 @@
 
         async def done_within(seconds: float) -> bool | None:
             """Return True if the answer arrives in time, else None."""
-            done, _ = await asyncio.wait((answer,), timeout=seconds)
-            return True if done else None
+            return await wait_done(answer, seconds) or None
 
         arrived = await wait_while_reachable(
             done_within,
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -19,6 +19,7 @@
 from multidict import CIMultiDictProxy
 
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import Address
 from nutmegroad.routes.headers import RawHeaders
 
@@ -175,7 +176,7 @@
             Whether it was closed in time.
         """
         try:
-            async with asyncio.timeout(seconds):
+            async with ReadTimeout(seconds):
                 await self._lost.wait()
         except TimeoutError:
             return False
@@ -326,7 +327,7 @@
     sock.setblocking(False)
     prepare_socket(sock)
     try:
-        async with asyncio.timeout(timeout):
+        async with ReadTimeout(timeout):
             await loop.sock_connect(sock, (address.ip, address.port))
             _, connection = await loop.create_connection(
                 lambda: UpstreamConnection(loop),
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -1,6 +1,5 @@
 """Handles callers' requests, from reading one to the end of its answer."""
 
-import asyncio
 import random
 from collections.abc import Callable
 from typing import Final
@@ -10,6 +9,7 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import RequestId, ServiceName
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.execution import Execution
@@ -88,7 +88,7 @@
         )
         time_left = max(0, request.deadline - self._clock.now())
         try:
-            async with asyncio.timeout(time_left):
+            async with ReadTimeout(time_left):
                 await self._run(execution, reply)
         except TimeoutError:
             await self._end_late(execution, reply)
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -5,7 +5,6 @@
 later is resumed after the last event that the caller has received.
 """
 
-import asyncio
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from functools import partial
@@ -22,6 +21,7 @@
 )
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import ModelName
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError
@@ -339,7 +339,7 @@
 ) -> bytes | None:
     """Return the next bytes, or None if none arrive in time."""
     try:
-        async with asyncio.timeout(seconds):
+        async with ReadTimeout(seconds):
             return await answering.head.body.readany()
     except TimeoutError:
         return None
