Read what has arrived before a daemon's timeout ends an attempt

WatchdogTest, red before, pauses a clock for three seconds while input arrives; a block without input still ends.

--- a/src/nutmegroad/foundations/timeouts.py
+++ b/src/nutmegroad/foundations/timeouts.py
@@ -90,9 +90,8 @@
 class Watchdog:
     """An idle timeout and a deadline for a block of code.
 
-    Like ``asyncio.timeout``, but on an injected clock; ``touch`` restarts the
-    idle timeout. On expiry the block is cancelled and ends with
-    ``TimeoutError``.
+    Like ``ReadTimeout``, but on an injected clock; ``touch`` restarts the idle
+    timeout. On expiry the block is cancelled and ends with ``TimeoutError``.
 
     Args:
         clock: The clock.
@@ -146,6 +145,7 @@
 
     async def _watch(self) -> None:
         """Cancel the guarded task once a limit has been reached."""
+        extensions = 0
         while True:
             expires_at = min(
                 self._touched_at + self._idle_timeout, self._deadline
@@ -153,7 +153,16 @@
             seconds_left = expires_at - self._clock.now()
             if seconds_left <= 0:
                 break
-            await self._clock.sleep(min(seconds_left, self._idle_timeout))
+            is_late = await self._sleep(min(seconds_left, self._idle_timeout))
+            if is_late and extensions < MAX_EXTENSIONS:
+                extensions += 1
+                await self._clock.sleep(READ_GRACE)
         self._expired = True
         if self._guarded is not None:
             self._guarded.cancel()
+
+    async def _sleep(self, seconds: float) -> bool:
+        """Sleep; return whether the process was paused meanwhile."""
+        wakes_at = self._clock.now() + seconds
+        await self._clock.sleep(seconds)
+        return self._clock.now() - wakes_at > MAX_TIMER_DELAY
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -12,8 +12,58 @@
     MAX_EXTENSIONS,
     READ_GRACE,
     ReadTimeout,
+    Watchdog,
 )
 
+#: Seconds for which the process does not run.
+PAUSE = 3.0
+
+
+class PausedClock:
+    """A clock in a process that is suspended once, during the first sleep.
+
+    Attributes:
+        arrived: Set when the process reads the input that arrived meanwhile.
+    """
+
+    def __init__(self) -> None:
+        self.arrived = asyncio.Event()
+        self._now: float = 0
+        self._sleeps = 0
+
+    def now(self) -> float:
+        """Return the seconds since the start."""
+        return self._now
+
+    def wall(self) -> float:
+        """Return the seconds since the start."""
+        return self._now
+
+    async def sleep(self, seconds: float) -> None:
+        """Advance the clock; the process reads its input a little later."""
+        self._sleeps += 1
+        self._now += seconds
+        if self._sleeps == 1:
+            self._now += PAUSE
+        await asyncio.sleep(0)
+        if self._sleeps > 1:
+            self.arrived.set()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+
+class WatchdogTest(unittest.IsolatedAsyncioTestCase):
+    async def test_input_that_arrived_during_a_pause_counts(self) -> None:
+        """It guards against attempts cut by the pause of their own host."""
+        clock = PausedClock()
+        async with Watchdog(clock, 1, 100):
+            await clock.arrived.wait()
+
+    async def test_missing_input_ends_the_block_after_a_pause(self) -> None:
+        with self.assertRaises(TimeoutError):
+            async with Watchdog(PausedClock(), 1, 100):
+                await asyncio.Event().wait()
+
 
 class ReadTimeoutTest(unittest.IsolatedAsyncioTestCase):
     async def test_input_that_arrived_while_blocked_counts(self) -> None:
