Look for an engine in the current list before refusing a request

What callers saw: 503 NO_UPSTREAM, 'No available engine has brief-small@2 loaded.', while the engine of the host's failure domain was leaving and those of two others were idle (tests.test_leaving_upstreams, both subtests: the second begins at once after the first has failed, while the engine still leaves).

Cause: the list of a version's engines is cached for a second. A host whose first request came when it had a report of its own domain's engine alone kept that list when the engine left, though it had reports of the others by then.

Now a search that finds nothing is made again with the current list, if that is another one. Red before: test_an_engine_known_since_a_moment_ago_is_used.

--- a/src/nutmegroad/routing/_engine_pools.py
+++ b/src/nutmegroad/routing/_engine_pools.py
@@ -1,5 +1,6 @@
 """The engines of each version by failure domain, cached for fast sampling."""
 
+import math
 import random
 from bisect import bisect_right
 from collections.abc import Iterator
@@ -90,11 +91,21 @@
         self._pools: dict[VersionId, Pool] = {}
 
     def pool(self, version: VersionId) -> Pool:
-        """Return the engines of a version."""
-        now = self._clock.now()
+        """Return the engines of a version, as listed a short time ago."""
         known = self._pools.get(version)
-        if known and known.source and now - known.built < REFRESH_INTERVAL:
+        age = math.inf if known is None else self._clock.now() - known.built
+        if known and known.source and age < REFRESH_INTERVAL:
             return known
+        return self.refreshed(version)
+
+    def refreshed(self, version: VersionId) -> Pool:
+        """Return the engines of a version as they are listed now.
+
+        Returns:
+            The cached object if the engines are the same.
+        """
+        now = self._clock.now()
+        known = self._pools.get(version)
         fresh = Pool(now, self._directory.engines(version))
         if known and _is_same(known.source, fresh.source):
             known.built = now
--- a/src/nutmegroad/routing/_engine_search.py
+++ b/src/nutmegroad/routing/_engine_search.py
@@ -8,7 +8,6 @@
 from nutmegroad.contracts.upstreams import UpstreamState
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import UpstreamId, VersionId
-from nutmegroad.routing._engine_pools import Pool, ids_of
 from nutmegroad.routing._estimates import VersionSpeed
 from nutmegroad.routing.directory import is_engine
 
@@ -47,6 +46,12 @@
     cached: tuple[UpstreamId, ...] = ()  # Engines likely to hold the prefix.
     best: Candidate | None = None  # The best candidate so far.
 
+    def consider(self, candidate: Candidate) -> None:
+        """Keep a candidate if it is the best so far."""
+        self.candidates.append(candidate)
+        if self.best is None or candidate.seconds < self.best.seconds:
+            self.best = candidate
+
 
 def describe_choice(search: Search, best: Candidate) -> str:
     """Return the reason for a choice, with alternatives and exclusions."""
@@ -65,14 +70,11 @@
     return f'{reason}; excluded: {exclusions}' if exclusions else reason
 
 
-def log_no_engine(
-    search: Search, pool: Pool, states: Iterable[UpstreamState]
-) -> None:
+def log_no_engine(search: Search, states: Iterable[UpstreamState]) -> None:
     """Log why no engine could be selected.
 
     Args:
         search: The search.
-        pool: The cached list of engines that was searched.
         states: All upstreams known to this host.
     """
     engines = [
@@ -85,8 +87,6 @@
         version=search.version,
         failed=sorted(search.excluded),
         excluded=search.exclusions[:MAX_NAMED],
-        listed=ids_of(list(pool.source)),
-        listed_age=round(search.now - pool.built, 2),
         engines=engines[:MAX_LOGGED],
     )
 
--- a/src/nutmegroad/routing/selection.py
+++ b/src/nutmegroad/routing/selection.py
@@ -104,26 +104,14 @@
         excluded: frozenset[UpstreamId],
     ) -> Choice | Refusal:
         """Return the engine with the earliest expected first token."""
-        search = Search(
-            request,
-            version,
-            excluded,
-            self._clock.now(),
-            self._speed(version),
-        )
         pool = self._pools.pool(version)
-        domains = pool.domains
-        local = domains.get(self._domain, [])
-        self._evaluate(search, self._holders(search, pool))
-        self._evaluate(search, sample(local, SAMPLE_SIZE, self._randomness))
-        if search.best is None:  # Rare: all sampled engines are unusable.
-            self._evaluate(search, local)
-        if _is_full(search):
-            self._spill(search, domains)
+        search = self._search(request, version, excluded, pool)
         if search.best is None:
-            self._last_resort(search, local)
+            current = self._pools.refreshed(version)
+            if current is not pool:
+                search = self._search(request, version, excluded, current)
         if search.best is None:
-            log_no_engine(search, pool, self._directory.states())
+            log_no_engine(search, self._directory.states())
             return no_engine(version)
         return self._chosen(search, search.best)
 
@@ -181,6 +169,33 @@
                 end.start.upstream,
             )
 
+    def _search(
+        self,
+        request: ModelRequest,
+        version: VersionId,
+        excluded: frozenset[UpstreamId],
+        pool: Pool,
+    ) -> Search:
+        """Search some engines for the best one."""
+        search = Search(
+            request,
+            version,
+            excluded,
+            self._clock.now(),
+            self._speed(version),
+        )
+        domains = pool.domains
+        local = domains.get(self._domain, [])
+        self._evaluate(search, self._holders(search, pool))
+        self._evaluate(search, sample(local, SAMPLE_SIZE, self._randomness))
+        if search.best is None:  # Rare: all sampled engines are unusable.
+            self._evaluate(search, local)
+        if _is_full(search):
+            self._spill(search, domains)
+        if search.best is None:
+            self._last_resort(search, local)
+        return search
+
     def _holders(self, search: Search, pool: Pool) -> list[UpstreamState]:
         """Return local engines that probably have the prefix cached.
 
@@ -210,14 +225,7 @@
             if reason:
                 search.exclusions.append(f'{state.info.upstream} {reason}')
                 continue
-            self._consider(search, self._estimate(search, state))
-
-    def _consider(self, search: Search, candidate: Candidate) -> None:
-        """Keep a candidate if it is the best so far."""
-        search.candidates.append(candidate)
-        best = search.best
-        if best is None or candidate.seconds < best.seconds:
-            search.best = candidate
+            search.consider(self._estimate(search, state))
 
     def _exclusion_reason(self, search: Search, state: UpstreamState) -> str:
         """Return why an engine may not be used; empty if it may."""
@@ -283,7 +291,7 @@
             if state.info.upstream in search.excluded:
                 continue
             if can_serve(state, search.version):
-                self._consider(search, self._estimate(search, state))
+                search.consider(self._estimate(search, state))
 
     def _chosen(self, search: Search, best: Candidate) -> Choice:
         """Return the choice, and remember the expectations about it."""
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -111,6 +111,17 @@
             with self.subTest(named=named):
                 self.assertIn(named, line)
 
+    async def test_an_engine_known_since_a_moment_ago_is_used(self) -> None:
+        """It guards against 503 while an engine is there to answer."""
+        self._send()
+        everywhere = ('e1', 'e2', 'e3')
+        names = [engine(name) for name in everywhere]
+        self.directory.update((*names, engine('f1', AWAY)))
+        self.directory.reported(UpstreamId('f1'), report())
+        for name in everywhere:
+            self.directory.mark_draining(UpstreamId(name))
+        self.assertEqual(self._chosen(3), {'f1'})
+
     async def test_a_slow_engine_is_detected_against_its_peers(self) -> None:
         for _ in range(30):
             self._finish('e1', seconds=15)
