Poll an engine that has not reported yet without delay

What callers saw: 503 NO_UPSTREAM from a host that had a report of one engine and lost it, while the others it listed had not been polled yet.

Cause: the first poll of an engine was delayed at random by up to a second, as the following ones are, so that hosts do not poll in step. But an engine gets no requests from a host before its first report. It concerns hosts whose list shows its engines after their start, and every engine that joins.

Now the first poll comes within 0.1 s. Red before: test_new_engines_are_all_polled_at_once (2 of 9). A whole domain of 44 hosts sends an engine that joins 44 small requests in that time, once.

--- a/src/nutmegroad/routing/watch.py
+++ b/src/nutmegroad/routing/watch.py
@@ -30,6 +30,11 @@
 #: Fraction by which the interval of polls varies at random.
 JITTER: Final = 0.2
 
+#: Maximum seconds until the first poll of an engine that has not reported to
+#: this host: it gets no requests before. The delay keeps the hosts of a domain,
+#: which learn of it at the same moment, from polling it in the same instant.
+FIRST_POLL_SPREAD: Final = 0.1
+
 #: Maximum number of concurrent polls.
 MAX_CONCURRENT_POLLS: Final = 64
 
@@ -234,7 +239,10 @@
 
     async def _poll_regularly(self, upstream: UpstreamId) -> None:
         """Poll one engine regularly."""
-        await self._clock.sleep(self._randomness.random() * self._period)
+        state = self._directory.state(upstream)
+        is_known = state is not None and state.report is not None
+        spread = self._period if is_known else FIRST_POLL_SPREAD
+        await self._clock.sleep(self._randomness.random() * spread)
         while True:
             await self._poll(upstream)
             state = self._directory.state(upstream)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -22,7 +22,7 @@
 )
 from nutmegroad.routing.directory import REPORT_LAG, Directory, DrainingSource
 from nutmegroad.routing.draining_notices import DrainingNotices
-from nutmegroad.routing.watch import UpstreamWatcher
+from nutmegroad.routing.watch import FIRST_POLL_SPREAD, UpstreamWatcher
 from nutmegroad.testing.virtual import ManualClock, MemoryMesh
 from tests.request_path_rig import engine_info, engine_report
 
@@ -247,3 +247,26 @@
             self.assertEqual(len(notices), 99)
             await asyncio.sleep(0)
             self.assertIn('one', engines.polled)
+
+    async def test_new_engines_are_all_polled_at_once(self) -> None:
+        """It guards against a host that knows one engine of several."""
+        clock = ManualClock()
+        directory = Directory(clock)
+        engines = FrozenEngines(clock)
+        host_list = FixedList(())
+        watcher = UpstreamWatcher(
+            host_list,
+            engines,  # type: ignore[arg-type]
+            directory,
+            clock,
+            random.Random(5),
+            1,
+        )
+        async with watcher:
+            await clock.advance(2)
+            infos = [engine_info(f'e{number}', number) for number in range(9)]
+            host_list.upstreams = tuple(infos)
+            while not engines.polled:
+                await clock.advance(FIRST_POLL_SPREAD / 10)
+            await clock.advance(FIRST_POLL_SPREAD)
+            self.assertEqual(len(engines.polled), len(infos))
