Hold a new request while a paused host confirms its configuration

Cause: after a pause nothing may be dispatched until the configuration has been read anew, which takes milliseconds. A request that had arrived meanwhile, or came within them, was refused and told to come back in a second.

The check at the first byte is as it was, so nothing is sent on an old configuration: the test of a version withdrawn during the pause passes unchanged. Ruled out: waiting at the gate itself, which runs in the step that sends and must not await.

--- a/src/nutmegroad/callers/part.py
+++ b/src/nutmegroad/callers/part.py
@@ -3,6 +3,7 @@
 from nutmegroad.callers._caller_context import CallerContext
 from nutmegroad.callers._http_listener import Listener
 from nutmegroad.callers._http_middleware import install_request_middleware
+from nutmegroad.callers._pause_guard import PauseGuard
 from nutmegroad.callers._stop_guard import StopGuard
 from nutmegroad.callers.intake import IntakeReader
 from nutmegroad.callers.interface import CallersInterface
@@ -25,6 +26,7 @@
 from nutmegroad.records.runs import Runner
 from nutmegroad.records.tickets import TicketIssuer
 from nutmegroad.routing.dispatch import Dispatcher
+from nutmegroad.routing.gates import Gatekeeper
 from nutmegroad.routing.services import ServiceCaller
 
 
@@ -34,6 +36,7 @@
 
     needs = (
         Dispatcher,
+        Gatekeeper,
         ServiceCaller,
         AtMostOnce,
         RecordSender,
@@ -65,6 +68,7 @@
         stop = kernel.need(GracefulStop)
         metrics = kernel.need(Metrics)
         StopGuard(stop, metrics).install(app)
+        PauseGuard(kernel.need(Gatekeeper), kernel.clock).install(app)
         install_request_middleware(kernel, app, 'callers', metrics.refused)
         kernel.listening['callers'] = await kernel.need(Listener).listen(
             kernel,
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -4,6 +4,11 @@
 import unittest
 from dataclasses import replace
 
+from nutmegroad.callers._pause_guard import (
+    CHECK_INTERVAL,
+    CONFIRMATION_WAIT,
+    PauseGuard,
+)
 from nutmegroad.contracts.documents import Withdrawal
 from nutmegroad.contracts.upstreams import Attempt, Piece
 from nutmegroad.daemon.pauses import PauseDetector
@@ -107,6 +112,26 @@
         configuration.confirm(Revision(1), self.clock.now())
         self.assertEqual(await self.send(), ResultCode.OK)
 
+    async def test_a_new_request_is_held_until_a_read_confirms(self) -> None:
+        """It guards against a refusal some milliseconds too early."""
+        guard = PauseGuard(self.rig.gatekeeper, self.clock)
+        await self.clock.jump(2)
+        waiting = asyncio.create_task(guard.wait())
+        await self.clock.advance(CONFIRMATION_WAIT / 2)
+        self.assertFalse(waiting.done())
+        self.rig.configuration.confirm(Revision(1), self.clock.now())
+        await self.clock.advance(CHECK_INTERVAL)
+        self.assertTrue(waiting.done())
+        self.assertEqual(await self.send(), ResultCode.OK)
+
+    async def test_a_new_request_is_held_for_a_limited_time(self) -> None:
+        guard = PauseGuard(self.rig.gatekeeper, self.clock)
+        await self.clock.jump(2)
+        waiting = asyncio.create_task(guard.wait())
+        await self.clock.advance(CONFIRMATION_WAIT + CHECK_INTERVAL)
+        self.assertTrue(waiting.done())
+        self.assertEqual(await self.send(), ResultCode.HOST_PAUSED)
+
     async def test_isolation_ends_a_pause_without_a_platform(self) -> None:
         await self.clock.jump(2)
         self.assertEqual(await self.send(), ResultCode.HOST_PAUSED)
--- a/tests/test_paused_host.py
+++ b/tests/test_paused_host.py
@@ -90,3 +90,18 @@
                 await asyncio.sleep(0.1)
         _, later = await self.ask()
         self.assertEqual(later['error']['name'], 'VERSION_WITHDRAWN')
+
+    async def test_request_after_a_pause_waits_for_the_confirmation(
+        self,
+    ) -> None:
+        """It guards against 503 from a host that knows all it needs soon."""
+        async with asyncio.timeout(20):
+            while (await self.ask())[0] != 200:
+                await asyncio.sleep(0.1)
+        self.host.signal(signal.SIGSTOP)
+        asking = asyncio.create_task(self.ask())
+        # Longer than the minimum gap that counts as a pause.
+        await asyncio.sleep(1.5)
+        self.host.signal(signal.SIGCONT)
+        status, body = await asking
+        self.assertEqual(status, 200, body)
