Send a request that was read before a pause once the host may dispatch

What callers saw: 503 HOST_PAUSED for a request that its host had read before it was paused (one run of tests.test_rolling_replacement beside a load of 17 on five cores; the hosts' own lines have pauses of 2 to 4.4 s).

One that was queued, or whose attempt was being opened, met the closed gate and was refused.

Evidence: test_a_request_that_was_paused_is_sent_after_the_read, red before.

Now an attempt that a pause has kept from being sent is made again once the configuration is confirmed, at the same upstreams, after half a second at most. The gate and the fence of requests that may run once are as they were: a lapsed fence still refuses. The wait moves from the callers' middleware to the pause detector, which both ways use through the gatekeeper.

--- a/src/nutmegroad/callers/part.py
+++ b/src/nutmegroad/callers/part.py
@@ -68,7 +68,7 @@
         stop = kernel.need(GracefulStop)
         metrics = kernel.need(Metrics)
         StopGuard(stop, metrics).install(app)
-        PauseGuard(kernel.need(Gatekeeper), kernel.clock).install(app)
+        PauseGuard(kernel.need(Gatekeeper)).install(app)
         install_request_middleware(kernel, app, 'callers', metrics.refused)
         kernel.listening['callers'] = await kernel.need(Listener).listen(
             kernel,
--- a/src/nutmegroad/daemon/part.py
+++ b/src/nutmegroad/daemon/part.py
@@ -51,7 +51,9 @@
             kernel.settings.lease,
         )
         poller = kernel.need(ConfigurationPoller)
-        kernel.need(Gatekeeper).add_condition(detector.dispatch_refusal)
+        gatekeeper = kernel.need(Gatekeeper)
+        gatekeeper.add_condition(detector.dispatch_refusal)
+        gatekeeper.on_pause(detector.wait_until_confirmed)
         kernel.spawn(detector.run(), 'pauses')
         kernel.spawn(
             detector.confirm_after_pauses(poller.poll), 'confirmations'
--- a/src/nutmegroad/daemon/pauses.py
+++ b/src/nutmegroad/daemon/pauses.py
@@ -26,6 +26,14 @@
 #: ticks by less.
 MIN_PAUSE: Final = 1.0
 
+#: Maximum seconds for which a request is held after a pause. A host that can't
+#: confirm its configuration by then refuses, so that the caller can ask another
+#: one.
+CONFIRMATION_WAIT: Final = 0.5
+
+#: Seconds between checks whether a held request may be dispatched.
+CHECK_INTERVAL: Final = 0.01
+
 
 class PauseDetector:
     """Detects pauses of its own process.
@@ -77,6 +85,12 @@
                 await poll()
                 await self._clock.sleep(TICK_INTERVAL)
 
+    async def wait_until_confirmed(self) -> None:
+        """Wait until dispatch is allowed, at most ``CONFIRMATION_WAIT``."""
+        latest = self._clock.now() + CONFIRMATION_WAIT
+        while self._is_held() and self._clock.now() < latest:
+            await self._clock.sleep(CHECK_INTERVAL)
+
     def tick(self) -> None:
         """Record that the process runs, and detect a pause before now."""
         now = self._clock.now()
@@ -107,3 +121,7 @@
             'since.',
             retry_after=1,
         )
+
+    def _is_held(self) -> bool:
+        """Return whether nothing may be dispatched now."""
+        return self.dispatch_refusal() is not None
--- a/src/nutmegroad/routing/gates.py
+++ b/src/nutmegroad/routing/gates.py
@@ -5,7 +5,7 @@
 have started to drain.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from nutmegroad.configuration.in_force import Configuration
@@ -53,6 +53,9 @@
 #: Returns why this host may send nothing now, or None.
 HostCondition = Callable[[], Refusal | None]
 
+#: Waits until a paused host may send again, for a limited time.
+PauseWaiter = Callable[[], Awaitable[None]]
+
 
 class Gatekeeper:
     """Creates the gates for this host's attempts.
@@ -74,11 +77,28 @@
         self._clock = clock
         self._quarantine = quarantine
         self._conditions: list[HostCondition] = []
+        self._pause_waiters: list[PauseWaiter] = []
 
     def add_condition(self, condition: HostCondition) -> None:
         """Add a condition that must hold before this host sends anything."""
         self._conditions.append(condition)
 
+    def on_pause(self, waiter: PauseWaiter) -> None:
+        """Add a function that waits for the end of a pause."""
+        self._pause_waiters.append(waiter)
+
+    async def wait_while_paused(self) -> bool:
+        """Wait while this host may send nothing because of a pause.
+
+        Returns:
+            Whether it waited, and may send again.
+        """
+        if not self._is_paused():
+            return False
+        for waiter in self._pause_waiters:
+            await waiter()
+        return not self._is_paused()
+
     def gate(self, context: GateContext) -> Gate:
         """Return the gate for one attempt."""
 
@@ -122,6 +142,11 @@
                 return refusal
         return None
 
+    def _is_paused(self) -> bool:
+        """Return whether nothing may be sent because of a pause."""
+        refusal = self.host_refusal()
+        return refusal is not None and refusal.code is ResultCode.HOST_PAUSED
+
     def check_version(
         self,
         workspace: WorkspaceId,
--- a/src/nutmegroad/routing/steps.py
+++ b/src/nutmegroad/routing/steps.py
@@ -51,7 +51,7 @@
     )
 )
 
-#: Refusals by this host itself, which another upstream would not change.
+#: Refusals by this host, which another upstream would not change.
 HOST_REFUSALS: Final = frozenset(
     (
         ResultCode.DEADLINE_PASSED,
@@ -168,7 +168,7 @@
             if execution.received.ending is not None:
                 return execution
             refusal = failure_of(execution.received)
-            if not self._may_retry(progress, refusal, setup):
+            if not await self._may_follow(progress, refusal, setup):
                 return refusal
             next_setup = self._set_up_retry(progress, version, execution, setup)
             if isinstance(next_setup, Refusal):
@@ -213,6 +213,8 @@
     ) -> _AttemptSetup | Refusal:
         """Choose how to continue after a failed attempt."""
         received = execution.received
+        if failure_of(received).code is ResultCode.HOST_PAUSED:
+            return self._set_up_attempt(progress, version, received)
         upstream = setup.choice.state.info.upstream
         resumes = failure_of(received).code in _RESUMABLE and bool(
             received.pieces
@@ -319,6 +321,19 @@
         )
         return execution
 
+    async def _may_follow(
+        self,
+        progress: RequestProgress,
+        refusal: Refusal,
+        setup: _AttemptSetup,
+    ) -> bool:
+        """Return whether another attempt may follow a failed one."""
+        if refusal.code is ResultCode.HOST_PAUSED:
+            # Nothing was sent.
+            may_attempt = progress.usage.attempts < MAX_ATTEMPTS
+            return may_attempt and await self._gatekeeper.wait_while_paused()
+        return self._may_retry(progress, refusal, setup)
+
     def _may_retry(
         self,
         progress: RequestProgress,
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -4,14 +4,13 @@
 import unittest
 from dataclasses import replace
 
-from nutmegroad.callers._pause_guard import (
+from nutmegroad.contracts.documents import Withdrawal
+from nutmegroad.contracts.upstreams import Attempt, Piece
+from nutmegroad.daemon.pauses import (
     CHECK_INTERVAL,
     CONFIRMATION_WAIT,
-    PauseGuard,
+    PauseDetector,
 )
-from nutmegroad.contracts.documents import Withdrawal
-from nutmegroad.contracts.upstreams import Attempt, Piece
-from nutmegroad.daemon.pauses import PauseDetector
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Presence, Ran, Revision, UpstreamId
 from nutmegroad.testing.virtual import ManualClock
@@ -114,9 +113,10 @@
 
     async def test_a_new_request_is_held_until_a_read_confirms(self) -> None:
         """It guards against a refusal some milliseconds too early."""
-        guard = PauseGuard(self.rig.gatekeeper, self.clock)
+        gatekeeper = self.rig.gatekeeper
+        gatekeeper.on_pause(self.detector.wait_until_confirmed)
         await self.clock.jump(2)
-        waiting = asyncio.create_task(guard.wait())
+        waiting = asyncio.create_task(gatekeeper.wait_while_paused())
         await self.clock.advance(CONFIRMATION_WAIT / 2)
         self.assertFalse(waiting.done())
         self.rig.configuration.confirm(Revision(1), self.clock.now())
@@ -125,12 +125,28 @@
         self.assertEqual(await self.send(), ResultCode.OK)
 
     async def test_a_new_request_is_held_for_a_limited_time(self) -> None:
-        guard = PauseGuard(self.rig.gatekeeper, self.clock)
+        gatekeeper = self.rig.gatekeeper
+        gatekeeper.on_pause(self.detector.wait_until_confirmed)
         await self.clock.jump(2)
-        waiting = asyncio.create_task(guard.wait())
+        waiting = asyncio.create_task(gatekeeper.wait_while_paused())
         await self.clock.advance(CONFIRMATION_WAIT + CHECK_INTERVAL)
-        self.assertTrue(waiting.done())
-        self.assertEqual(await self.send(), ResultCode.HOST_PAUSED)
+        self.assertFalse(await waiting)
+        sending = asyncio.create_task(self.send())
+        await self.clock.advance(CONFIRMATION_WAIT + CHECK_INTERVAL)
+        self.assertEqual(await sending, ResultCode.HOST_PAUSED)
+
+    async def test_a_request_that_was_paused_is_sent_after_the_read(
+        self,
+    ) -> None:
+        """It guards against a refusal of requests read before the pause."""
+        self.rig.gatekeeper.on_pause(self.detector.wait_until_confirmed)
+        await self.clock.jump(2)
+        sending = asyncio.create_task(self.send())
+        await self.clock.advance(CONFIRMATION_WAIT / 2)
+        self.assertEqual(self.rig.engines.sent, [])
+        self.rig.configuration.confirm(Revision(1), self.clock.now())
+        await self.clock.advance(1)
+        self.assertEqual(await sending, ResultCode.OK)
 
     async def test_isolation_ends_a_pause_without_a_platform(self) -> None:
         await self.clock.jump(2)
