Take late requests for as long after a pause as without one

Cause: a host that stops accepts requests for a while, since the balancer learns of it by its probes. A host that was paused meanwhile answers none, but woke up with that time spent, and refused what came next.

Evidence: test_a_pause_does_not_shorten_the_lame_duck_phase, red before; the logs of the run have pauses of 1.4 to 4.4 s around 'stopping with 2 open requests', and the phase lasts 0.6 s there.

Now the time of a pause does not count, within the limit of the stop.

--- a/src/nutmegroad/kernel/stops.py
+++ b/src/nutmegroad/kernel/stops.py
@@ -16,6 +16,7 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.timeouts import MAX_TIMER_DELAY
 from nutmegroad.foundations.types import Ran
 
 _LOG: Final = part_logger('stop')
@@ -124,7 +125,7 @@
         _LOG.info('stopping with %d open requests', self.open_requests)
         for listener in self._listeners:
             listener()
-        await self._clock.sleep(min(self._lame_duck, self._limit))
+        await self._accept_late_requests(started + self._limit)
         self._phase = StopPhase.REFUSING
         await self._wait(started + self._limit)
         cancelled = self.open_requests
@@ -135,6 +136,19 @@
         _LOG.info('stopped, %d requests were cancelled', cancelled)
         return cancelled
 
+    async def _accept_late_requests(self, until: float) -> None:
+        """Let the lame duck phase pass, at most until a clock time.
+
+        A host that was paused meanwhile has answered no probe of the load
+        balancer, so the time of the pause does not count.
+        """
+        remaining = self._lame_duck
+        while remaining > MAX_TIMER_DELAY and self._clock.now() < until:
+            wakes_at = min(self._clock.now() + remaining, until)
+            await self._clock.sleep(wakes_at - self._clock.now())
+            late = self._clock.now() - wakes_at
+            remaining = min(late, self._lame_duck)
+
     async def _wait(self, until: float) -> None:
         """Wait until no request is open, at most until a clock time."""
         while self._open and self._clock.now() < until:
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -44,6 +44,18 @@
         self.assertGreater(refusal.retry_after, 0)
         self.assertEqual(await task, 0)
 
+    async def test_a_pause_does_not_shorten_the_lame_duck_phase(self) -> None:
+        """It guards against refusals before the load balancer has asked."""
+        task = asyncio.create_task(self.stop.run())
+        await self.clock.settle()
+        await self.clock.jump(3)
+        self.assertIsNone(self.stop.refusal())
+        await self.clock.advance(0.9)
+        self.assertIsNone(self.stop.refusal())
+        await self.clock.advance(0.2)
+        self.assertIsNotNone(self.stop.refusal())
+        self.assertEqual(await task, 0)
+
     async def test_open_requests_complete_and_may_still_send(self) -> None:
         request = self.open_request(7)
         task = asyncio.create_task(self.stop.run())
