Describe only the engines that a log line names

A host without an engine for a version described all engines it knows for each refused request, and logged sixteen of them. At 890 engines that is work that nobody reads, at the worst moment. Found by reading; the line is the same (test_a_refusal_logs_what_is_known_of_each_engine).

--- a/src/nutmegroad/routing/_engine_search.py
+++ b/src/nutmegroad/routing/_engine_search.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Final
 
 from nutmegroad.contracts.requests import ModelRequest
@@ -77,17 +78,14 @@
         search: The search.
         states: All upstreams known to this host.
     """
-    engines = [
-        _describe_engine(state, search.now)
-        for state in filter(is_engine, states)
-    ]
+    engines = islice(filter(is_engine, states), MAX_LOGGED)
     _LOG.decision(
         'no engine',
         request=search.request.request,
         version=search.version,
         failed=sorted(search.excluded),
         excluded=search.exclusions[:MAX_NAMED],
-        engines=engines[:MAX_LOGGED],
+        engines=[_describe_engine(state, search.now) for state in engines],
     )
 
 
