--- a/tests/test_blocked_host.py
+++ b/tests/test_blocked_host.py
@@ -24,6 +24,7 @@
 from nutmegroad.relay.connections import connect
 from nutmegroad.relay.timeouts import MIN_TIMEOUT
 from tests.relay_rig import Rig, route
+from tests.test_relay_host import never_answer
 
 #: Seconds for which the host is blocked: longer than the timeouts here.
 BLOCKED = 0.6
@@ -35,11 +36,6 @@
 BLOCKED_BEFORE_REPEAT = MIN_TIMEOUT - 0.04
 
 
-def never_answer(seen: ReceivedRequest) -> Script:
-    """Never answer."""
-    return Script((b'',), gap=3600)
-
-
 def block_later(seconds: float = BLOCKED_AFTER) -> None:
     """Block the event loop that the host and its workers share."""
     loop = asyncio.get_running_loop()
