Log how a stream's answer was framed and what was left after its last event

The line `stream` now has the framing (length, chunked, connection), the content type, the bytes after the last complete event, and what ended the connection. No decision depends on them.

--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, unique
 from typing import Final, TypeGuard, cast
 
 from aiohttp.base_protocol import BaseProtocol
@@ -64,6 +65,18 @@
         self.refused = refused
 
 
+@unique
+class Framing(Enum):
+    """What marks the end of a response body."""
+
+    #: The body has a length, which may be zero.
+    LENGTH = 'length'
+    #: The last chunk.
+    CHUNKED = 'chunked'
+    #: The end of the connection.
+    CONNECTION = 'connection'
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """The head of an upstream's response.
@@ -74,6 +87,7 @@
         headers: Headers for case-insensitive lookups.
         raw: All headers as received.
         body: Stream of the body.
+        framing: What marks the end of the body.
     """
 
     status: int
@@ -81,6 +95,7 @@
     headers: CIMultiDictProxy[str]
     raw: RawHeaders
     body: StreamReader
+    framing: Framing
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,6 +268,7 @@
                 message.headers,
                 message.raw_headers,
                 payload,
+                _framing(message, payload),
             ),
         )
 
@@ -288,6 +304,15 @@
     return not body.is_eof() and body.exception() is None
 
 
+def _framing(message: RawResponseMessage, payload: StreamReader) -> Framing:
+    """Return what marks the end of a response body."""
+    if message.chunked:
+        return Framing.CHUNKED
+    if payload is EMPTY_PAYLOAD or 'Content-Length' in message.headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def _idle_timeout(message: RawResponseMessage) -> float:
     """Return the timeout of a Keep-Alive header in seconds, or 0."""
     text = message.headers.get('Keep-Alive', '')
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -88,12 +88,17 @@
         last_event: Id of the last event that the caller has received, or empty.
         events: Number of events sent to the caller.
         failure: The last complete error response of an upstream.
+        incomplete: Bytes of the last upstream's answer after its last complete
+            event.
+        problem: Why the last upstream's answer was truncated, if it was.
     """
 
     model: ModelName | None
     last_event: str
     events: int = 0
     failure: CompleteAnswer | None = field(default=None, repr=False)
+    incomplete: int = 0
+    problem: str = ''
 
 
 class StreamAnswer:
@@ -163,6 +168,8 @@
 
     async def _forward(self, answering: UpstreamAnswer) -> StreamEnd:
         """Forward an answer as it arrives."""
+        self._progress.incomplete = 0
+        self._progress.problem = ''
         if answering.head.status >= FIRST_SERVER_ERROR:
             self._progress.failure = await read_complete(answering)
             complete = self._progress.failure is not None
@@ -171,7 +178,8 @@
             return StreamEnd.LOW_CONFIDENCE
         try:
             return await self._forward_events(answering)
-        except (ConnectionFailedError, ConnectionError):
+        except (ConnectionFailedError, ConnectionError) as problem:
+            self._progress.problem = str(problem)
             return StreamEnd.TRUNCATED
 
     async def _forward_events(self, answering: UpstreamAnswer) -> StreamEnd:
@@ -192,6 +200,7 @@
             if not chunk:
                 break
             events = splitter.feed(chunk)
+            self._progress.incomplete = len(splitter.remainder)
             if events:
                 await self._write(answering, events)
                 timeout = stall_timeout or timeout
@@ -328,8 +337,12 @@
             model=answering.model,
             confidence=answering.head.headers.get(self._confidence),
             status=answering.head.status,
+            framing=answering.head.framing.value,
+            content_type=answering.head.headers.get('Content-Type'),
             end=end.value,
+            problem=self._progress.problem,
             events=self._progress.events,
+            incomplete=self._progress.incomplete,
             waited=round(self._execution.waited, 3),
         )
 
