Reproduce a stream without a length that ends inside an event

The stand-in of a worker can send a body that has a length, chunks or neither, and its reset is a real one now: an abort of a connection with nothing unsent is an orderly end, so no test had met a reset.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -5,19 +5,35 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from enum import Enum, unique
+from typing import Final
 
 REQUEST_ID = 'Nutmegroad-Request-Id'
 SIGNATURE = 'Nutmegroad-Response-Signature'
 
+#: Socket option by which closing a connection resets it.
+_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+
 #: Default events of a stream.
 EVENTS = tuple(
     f'id: {number}\ndata: piece {number}\n\n'.encode() for number in range(1, 4)
 )
 
 
+@unique
+class BodyEnd(Enum):
+    """What marks the end of a body."""
+
+    LENGTH = 'length'
+    LAST_CHUNK = 'last chunk'
+    CONNECTION = 'connection'
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """A request that a worker received.
@@ -147,6 +163,41 @@
     return make
 
 
+def framed(
+    body: bytes,
+    end: BodyEnd,
+    *,
+    status: str = '200 OK',
+    content_type: str = 'text/event-stream',
+    reset: bool = False,
+) -> ScriptFactory:
+    """Return a factory of scripts that send one body.
+
+    Args:
+        body: The bytes of the body.
+        end: What marks its end.
+        status: Status and reason.
+        content_type: Value of the content type header.
+        reset: Whether the connection is reset after the body; if not, it is
+            closed in an orderly way where that marks the end.
+    """
+    headers = {'Content-Type': content_type}
+    encoded = body
+    if end is BodyEnd.LENGTH:
+        headers['Content-Length'] = str(len(body))
+    elif end is BodyEnd.LAST_CHUNK:
+        headers['Transfer-Encoding'] = 'chunked'
+        encoded = chunk(body) + b'0\r\n\r\n'
+
+    def make(request: ReceivedRequest) -> Script:
+        """Return the head and the body."""
+        pieces = (head(status, signed(request, **headers)), encoded)
+        closes = end is BodyEnd.CONNECTION and not reset
+        return Script(pieces, close=closes, reset=reset)
+
+    return make
+
+
 def crashing(
     body: bytes,
     default: ScriptFactory,
@@ -268,11 +319,18 @@
             if script.crash:
                 await self._crash_and_restart(script)
             if script.reset:
-                writer.transport.abort()
+                _reset(writer)
             if script.close or script.reset or script.crash:
                 return
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset; the peer reads no orderly end."""
+    connection: socket.socket = writer.get_extra_info('socket')
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 async def _write_script(script: Script, writer: asyncio.StreamWriter) -> bool:
     """Write a script's pieces; return whether the connection stayed open."""
     for number, piece in enumerate(script.pieces, 1):
--- /dev/null
+++ b/tests/test_unfinished_streams.py
@@ -0,0 +1,91 @@
+"""Tests of answers that are broken off without an error of the connection.
+
+An answer may have neither a length nor chunks and end with its connection.
+"""
+
+import unittest
+
+from aiohttp import ClientError
+from fakes.opaque_worker import EVENTS, BodyEnd, framed, stream
+
+from tests.test_relay_host import RelayCase
+
+#: A stream without the end of its second event.
+INSIDE_EVENT = EVENTS[0] + EVENTS[1][:9]
+
+
+class EndInsideEventTest(RelayCase):
+    """Streams that end inside an event."""
+
+    # A caller got a stream as complete whose engine had broken it off: the
+    # end of the connection ended the body without an error.
+    async def test_unframed_stream_that_ends_inside_an_event_is_resumed(
+        self,
+    ) -> None:
+        """The rest is requested elsewhere after the last complete event."""
+        broken = framed(INSIDE_EVENT, BodyEnd.CONNECTION)
+        self.rig.workers[0].default_script = broken
+        self.rig.workers[1].default_script = stream()
+        for number in range(4):
+            _, _, body = await self.rig.ask('/draft/1', f's{number}')
+            self.assertEqual(body, b''.join(EVENTS))
+        resumed = [
+            seen.headers['last-event-id']
+            for seen in self.rig.workers[1].requests
+            if 'last-event-id' in seen.headers
+        ]
+        self.assertEqual(set(resumed), {'1'})
+
+
+class ResetTest(RelayCase):
+    """Answers without a length whose connection is reset."""
+
+    async def test_reset_is_no_end_of_a_stream(self) -> None:
+        """A reset between two events does not complete the stream."""
+        broken = framed(EVENTS[0], BodyEnd.CONNECTION, reset=True)
+        self.all_workers(broken)
+        with self.assertRaises(ClientError):
+            await self.rig.ask('/once/1', 'o1')
+        self.assertEqual(self.rig.seen('o1'), 1)
+
+    async def test_reset_is_no_end_of_a_plain_answer(self) -> None:
+        """The call is repeated at another worker."""
+        broken = framed(b'half', BodyEnd.CONNECTION, reset=True)
+        self.rig.workers[0].default_script = broken
+        for number in range(4):
+            status, _, body = await self.rig.ask('/look/1', f'r{number}')
+            self.assertEqual((status, body), (200, b'fine'))
+
+
+class CompleteAnswerTest(RelayCase):
+    """Complete answers of every framing."""
+
+    async def test_complete_streams_are_forwarded_once(self) -> None:
+        """A stream that ends after an event is complete."""
+        whole = b''.join(EVENTS)
+        for end in BodyEnd:
+            with self.subTest(end=end):
+                self.all_workers(framed(whole, end))
+                _, _, body = await self.rig.ask('/draft/1', end.name)
+                self.assertEqual(body, whole)
+                self.assertEqual(self.rig.seen(end.name), 1)
+
+    async def test_error_without_events_is_forwarded_complete(self) -> None:
+        """An upstream's error on a streaming route is no event stream."""
+        for end in BodyEnd:
+            with self.subTest(end=end):
+                error = framed(
+                    b'{"error": "too long"}',
+                    end,
+                    status='400 Bad Request',
+                    content_type='application/json',
+                )
+                self.all_workers(error)
+                answer = await self.rig.ask('/draft/1', end.name)
+                self.assertEqual(answer[0], 400)
+                self.assertEqual(answer[2], b'{"error": "too long"}')
+                self.assertEqual(self.rig.seen(end.name), 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
