Treat a stream that ends inside an event as broken off

Callers got streams with status 200 that were framed as complete and lacked their last events. An upstream may send a body without a length or chunks; its orderly end is then the end of the connection, and an upstream that breaks off closes it in the same way. The relay called each body that ended without an error complete, forwarded the bytes of the incomplete event and sent the last chunk.

What tells the two apart is the event stream itself: an event ends with an empty line. A stream whose body ends inside an event is truncated now, whatever its framing. The incomplete event is not forwarded; the stream is resumed after the last complete one, or its connection is closed without the last chunk.

Only event streams are judged like this: an upstream's error, or a success with another content type, is forwarded once it has been read completely. Since the end of an event decides now, all line ends of the format are recognised (CR LF, LF, CR, also mixed); the splitter knew two pairs, and a stream with others would count as broken.

--- a/src/nutmegroad/relay/events.py
+++ b/src/nutmegroad/relay/events.py
@@ -1,10 +1,14 @@
 """Splits the bytes of an event stream into complete events."""
 
+import re
 from dataclasses import dataclass
 from typing import Final
 
-#: The empty line that ends an event, in either form of line ending.
-_SEPARATORS: Final = (b'\n\n', b'\r\n\r\n')
+#: The end of an event's last line and the empty line after it. A line ends
+#: with CR LF, LF or CR.
+_EVENT_END: Final = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
+_CR: Final = b'\r'
+_LINE_ENDS: Final = b'\r\n'
 _ID: Final = b'id:'
 
 
@@ -29,30 +33,38 @@
 
     @property
     def remainder(self) -> bytes:
-        """The bytes of the last, incomplete event."""
+        """The bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is incomplete.
+
+        Empty lines alone are no event.
+        """
+        return bool(self._remainder.strip(_LINE_ENDS))
+
     def feed(self, chunk: bytes) -> list[Event]:
         """Add bytes, and return the events that they complete."""
-        self._remainder += chunk
-        events = []
-        end = _end_of_event(self._remainder)
-        while end:
-            text = self._remainder[:end]
-            self._remainder = self._remainder[end:]
-            events.append(Event(text, _event_id(text)))
-            end = _end_of_event(self._remainder)
-        return events
+        return self._split(self._remainder + chunk, is_last=False)
 
+    def finish(self) -> list[Event]:
+        """Return the events that the end of the stream completes."""
+        return self._split(self._remainder, is_last=True)
 
-def _end_of_event(chunk: bytes) -> int:
-    """Return the end position of the first event; 0 if it is incomplete."""
-    ends = [
-        chunk.find(separator) + len(separator)
-        for separator in _SEPARATORS
-        if chunk.find(separator) >= 0
-    ]
-    return min(ends, default=0)
+    def _split(self, text: bytes, *, is_last: bool) -> list[Event]:
+        """Return the complete events of a text, and keep the rest of it."""
+        events = []
+        start = 0
+        for found in _EVENT_END.finditer(text):
+            end = found.end()
+            if end == len(text) and text.endswith(_CR) and not is_last:
+                # The other half of a CR LF may follow.
+                break
+            events.append(Event(text[start:end], _event_id(text[start:end])))
+            start = end
+        self._remainder = text[start:]
+        return events
 
 
 def _event_id(text: bytes) -> str:
--- a/src/nutmegroad/relay/heads.py
+++ b/src/nutmegroad/relay/heads.py
@@ -20,6 +20,8 @@
 FIRST_ERROR: Final = 400
 FIRST_SERVER_ERROR: Final = 500
 
+_EVENT_STREAM: Final = 'text/event-stream'
+
 
 class MessageHeads:
     """Builds request heads, and validates response heads.
@@ -125,6 +127,17 @@
         return None
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether the body of a response is a series of events.
+
+    If the content type is missing, the body of a success is one.
+    """
+    if head.status >= FIRST_ERROR:
+        return False
+    media_type, _, _ = head.headers.get('Content-Type', '').partition(';')
+    return media_type.strip().lower() in ('', _EVENT_STREAM)
+
+
 def _retry_after_seconds(text: str) -> float:
     """Return the seconds of a Retry-After header; 0 for a date or no text."""
     try:
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -27,7 +27,7 @@
 from nutmegroad.relay.connections import ConnectionFailedError
 from nutmegroad.relay.events import Event, EventStreamSplitter
 from nutmegroad.relay.execution import Execution
-from nutmegroad.relay.heads import FIRST_SERVER_ERROR
+from nutmegroad.relay.heads import FIRST_SERVER_ERROR, is_event_stream
 from nutmegroad.relay.outcomes import UpstreamAnswer
 from nutmegroad.relay.plain_calls import (
     CompleteAnswer,
@@ -53,7 +53,8 @@
     """How one upstream's part of a stream ended."""
 
     COMPLETE = 'whole'
-    #: The connection failed before the end.
+    #: The connection failed before the end, or the stream ended inside an
+    #: event.
     TRUNCATED = 'cut'
     #: The upstream sent a complete error response.
     FAILED = 'failed'
@@ -176,12 +177,22 @@
             return StreamEnd.FAILED if complete else StreamEnd.TRUNCATED
         if self._escalates(answering):
             return StreamEnd.LOW_CONFIDENCE
+        if not is_event_stream(answering.head):
+            return await self._forward_complete(answering)
         try:
             return await self._forward_events(answering)
         except (ConnectionFailedError, ConnectionError) as problem:
             self._progress.problem = str(problem)
             return StreamEnd.TRUNCATED
 
+    async def _forward_complete(self, answering: UpstreamAnswer) -> StreamEnd:
+        """Forward an answer that is no event stream once it is complete."""
+        answer = await read_complete(answering)
+        if answer is None:
+            return StreamEnd.TRUNCATED
+        await send_answer(self._reply, answer)
+        return StreamEnd.COMPLETE
+
     async def _forward_events(self, answering: UpstreamAnswer) -> StreamEnd:
         """Forward complete events to the caller until the stream ends."""
         splitter = EventStreamSplitter()
@@ -197,17 +208,19 @@
             chunk = await self._next_chunk(answering, timeout)
             if chunk is None:
                 return StreamEnd.STALLED
-            if not chunk:
-                break
-            events = splitter.feed(chunk)
+            events = splitter.feed(chunk) if chunk else splitter.finish()
             self._progress.incomplete = len(splitter.remainder)
             if events:
                 await self._write(answering, events)
                 timeout = stall_timeout or timeout
+            if not chunk:
+                break
+        if splitter.is_inside_event:
+            self._progress.problem = 'the stream ended inside an event'
+            return StreamEnd.TRUNCATED
+        await self._ensure_head_sent(answering)
         if splitter.remainder:
-            await self._ensure_head_sent(answering)
             await self._reply.write(splitter.remainder)
-        await self._ensure_head_sent(answering)
         return StreamEnd.COMPLETE
 
     async def _next_chunk(
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -4,16 +4,31 @@
 """
 
 import unittest
+from itertools import product
 
 from aiohttp import ClientError
 from fakes.opaque_worker import EVENTS, BodyEnd, framed, stream
 
+from nutmegroad.relay.events import Event, EventStreamSplitter
 from tests.test_relay_host import RelayCase
 
 #: A stream without the end of its second event.
 INSIDE_EVENT = EVENTS[0] + EVENTS[1][:9]
 
 
+LINE_ENDS = (b'\r\n', b'\n', b'\r')
+
+
+def split_bytewise(text: bytes) -> tuple[list[Event], EventStreamSplitter]:
+    """Split a stream that arrives byte by byte, up to its end."""
+    splitter = EventStreamSplitter()
+    events = []
+    for position in range(len(text)):
+        events.extend(splitter.feed(text[position : position + 1]))
+    events.extend(splitter.finish())
+    return events, splitter
+
+
 class EndInsideEventTest(RelayCase):
     """Streams that end inside an event."""
 
@@ -36,6 +51,30 @@
         ]
         self.assertEqual(set(resumed), {'1'})
 
+    async def test_framing_does_not_complete_an_event(self) -> None:
+        """A stream with a length or a last chunk may be broken off, too."""
+        self.rig.workers[1].default_script = stream()
+        for end in BodyEnd:
+            broken = framed(INSIDE_EVENT, end)
+            self.rig.workers[0].default_script = broken
+            for number in range(4):
+                with self.subTest(end=end, number=number):
+                    _, _, body = await self.rig.ask(
+                        '/draft/1', f'{end.name}-{number}'
+                    )
+                    self.assertEqual(body, b''.join(EVENTS))
+
+    async def test_stream_that_may_not_go_on_does_not_look_complete(
+        self,
+    ) -> None:
+        """The caller's HTTP library detects the truncation."""
+        for end in BodyEnd:
+            with self.subTest(end=end):
+                self.all_workers(framed(INSIDE_EVENT, end))
+                with self.assertRaises(ClientError):
+                    await self.rig.ask('/once/1', end.name)
+                self.assertEqual(self.rig.seen(end.name), 1)
+
 
 class ResetTest(RelayCase):
     """Answers without a length whose connection is reset."""
@@ -57,6 +96,43 @@
             self.assertEqual((status, body), (200, b'fine'))
 
 
+class LineEndTest(unittest.TestCase):
+    """Ends of events and of streams, by every line end."""
+
+    def test_events_end_with_an_empty_line(self) -> None:
+        """Lines may end with CR LF, LF or CR, also mixed."""
+        for first, second in product(LINE_ENDS, repeat=2):
+            if first + second == b'\r\n':
+                continue
+            with self.subTest(first=first, second=second):
+                empty_line = first + second
+                text = b'id: 1' + empty_line + b'id: 2' + empty_line
+                events, splitter = split_bytewise(text)
+                self.assertEqual(
+                    [event.event_id for event in events], ['1', '2']
+                )
+                self.assertFalse(splitter.is_inside_event)
+                forwarded = b''.join(event.raw for event in events)
+                self.assertEqual(forwarded + splitter.remainder, text)
+
+    def test_event_without_its_empty_line_is_incomplete(self) -> None:
+        """The end of the last line alone does not end the event."""
+        for line_end in (b'', *LINE_ENDS):
+            with self.subTest(line_end=line_end):
+                events, splitter = split_bytewise(
+                    EVENTS[0] + b'id: 2' + line_end
+                )
+                self.assertEqual(len(events), 1)
+                self.assertTrue(splitter.is_inside_event)
+
+    def test_empty_lines_are_no_event(self) -> None:
+        """Further empty lines after an event don't begin another one."""
+        for line_end in LINE_ENDS:
+            with self.subTest(line_end=line_end):
+                _, splitter = split_bytewise(EVENTS[0] + line_end)
+                self.assertFalse(splitter.is_inside_event)
+
+
 class CompleteAnswerTest(RelayCase):
     """Complete answers of every framing."""
 
