Repeat a request whose stream ends with its connection before an event

Callers would get an empty answer as complete from an upstream that sent the head of a stream without a length and closed the connection: nothing says that no event was to come, and an upstream that fails after its head ends it in the same way. Found by reading, next to the streams that end inside an event; no incident shows it.

Such a stream is truncated now and is requested elsewhere. An empty stream with a length or a last chunk says itself that it is complete and is still forwarded.

test_unframed_stream_without_an_event_is_repeated failed before with an empty body.

--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -24,7 +24,7 @@
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import ModelName
 from nutmegroad.relay.budgets import Purpose
-from nutmegroad.relay.connections import ConnectionFailedError
+from nutmegroad.relay.connections import ConnectionFailedError, Framing
 from nutmegroad.relay.events import Event, EventStreamSplitter
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR, is_event_stream
@@ -204,6 +204,7 @@
             answering.choice.expected_seconds,
             self._execution.time_left,
         )
+        events_before = self._progress.events
         while True:
             chunk = await self._next_chunk(answering, timeout)
             if chunk is None:
@@ -215,14 +216,36 @@
                 timeout = stall_timeout or timeout
             if not chunk:
                 break
-        if splitter.is_inside_event:
-            self._progress.problem = 'the stream ended inside an event'
+        if self._ended_early(answering, splitter, events_before):
             return StreamEnd.TRUNCATED
         await self._ensure_head_sent(answering)
         if splitter.remainder:
             await self._reply.write(splitter.remainder)
         return StreamEnd.COMPLETE
 
+    def _ended_early(
+        self,
+        answering: UpstreamAnswer,
+        splitter: EventStreamSplitter,
+        events_before: int,
+    ) -> bool:
+        """Return whether a body that ended without an error is incomplete.
+
+        Args:
+            answering: The answer.
+            splitter: Has the rest of the body.
+            events_before: Number of events sent before this answer.
+        """
+        if splitter.is_inside_event:
+            self._progress.problem = 'the stream ended inside an event'
+            return True
+        by_connection = answering.head.framing is Framing.CONNECTION
+        if by_connection and self._progress.events == events_before:
+            # An upstream that failed after its head would end it like this.
+            self._progress.problem = 'the connection ended before an event'
+            return True
+        return False
+
     async def _next_chunk(
         self,
         answering: UpstreamAnswer,
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -76,6 +76,29 @@
                 self.assertEqual(self.rig.seen(end.name), 1)
 
 
+class EndBeforeEventTest(RelayCase):
+    """Streams without a length that end after their head."""
+
+    # An upstream that fails after its head and closes its connection would
+    # give the caller an empty answer that looks complete.
+    async def test_unframed_stream_without_an_event_is_repeated(self) -> None:
+        """The request is repeated at another worker."""
+        self.rig.workers[0].default_script = framed(b'', BodyEnd.CONNECTION)
+        self.rig.workers[1].default_script = stream()
+        for number in range(4):
+            _, _, body = await self.rig.ask('/draft/1', f's{number}')
+            self.assertEqual(body, b''.join(EVENTS))
+
+    async def test_stream_that_says_it_is_empty_is_forwarded(self) -> None:
+        """A length or a last chunk says that no event is to come."""
+        for end in (BodyEnd.LENGTH, BodyEnd.LAST_CHUNK):
+            with self.subTest(end=end):
+                self.all_workers(framed(b'', end))
+                status, _, body = await self.rig.ask('/draft/1', end.name)
+                self.assertEqual((status, body), (200, b''))
+                self.assertEqual(self.rig.seen(end.name), 1)
+
+
 class ResetTest(RelayCase):
     """Answers without a length whose connection is reset."""
 
