Keep an upstream's error out of a stream that another one began

An answer that is no event stream can't continue one. It counts as a failed attempt: another one follows if it may, else the caller's connection ends without a last chunk.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -187,7 +187,9 @@
         headers['Content-Length'] = str(len(body))
     elif end is BodyEnd.LAST_CHUNK:
         headers['Transfer-Encoding'] = 'chunked'
-        encoded = (chunk(body) if body else b'') + b'0\r\n\r\n'
+        encoded = b'0\r\n\r\n'
+        if body:
+            encoded = chunk(body) + encoded
 
     def make(request: ReceivedRequest) -> Script:
         """Return the head and the body."""
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -190,6 +190,9 @@
         answer = await read_complete(answering)
         if answer is None:
             return StreamEnd.TRUNCATED
+        if self._reply.stream_started:
+            # It can't continue the stream of another upstream.
+            return StreamEnd.FAILED
         await send_answer(self._reply, answer)
         return StreamEnd.COMPLETE
 
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -7,7 +7,14 @@
 from itertools import product
 
 from aiohttp import ClientError
-from fakes.opaque_worker import EVENTS, BodyEnd, framed, stream
+from fakes.opaque_worker import (
+    EVENTS,
+    BodyEnd,
+    ReceivedRequest,
+    Script,
+    framed,
+    stream,
+)
 
 from nutmegroad.relay.events import Event, EventStreamSplitter
 from tests.test_relay_host import RelayCase
@@ -99,6 +106,32 @@
                 self.assertEqual(self.rig.seen(end.name), 1)
 
 
+class ResumedStreamTest(RelayCase):
+    """What may continue a stream that was broken off."""
+
+    # The text of an upstream's error was appended to the events that the
+    # caller had received from another upstream, and the stream looked complete.
+    async def test_error_is_not_appended_to_a_started_stream(self) -> None:
+        """All attempts are used, and the stream is truncated."""
+        error = framed(
+            b'{"error": "unknown event"}',
+            BodyEnd.LENGTH,
+            status='400 Bad Request',
+            content_type='application/json',
+        )
+
+        def resist(seen: ReceivedRequest) -> Script:
+            """Break off a new stream, and answer a resumption with an error."""
+            if 'last-event-id' in seen.headers:
+                return error(seen)
+            return framed(INSIDE_EVENT, BodyEnd.CONNECTION)(seen)
+
+        self.all_workers(resist)
+        with self.assertRaises(ClientError):
+            await self.rig.ask('/draft/1', 's1')
+        self.assertEqual(self.rig.seen('s1'), 3)
+
+
 class ResetTest(RelayCase):
     """Answers without a length whose connection is reset."""
 
