Complete an answer without a length only if the upstream closes its connection

The relay took each end of a connection without an exception for the end of such an answer, its own abort too. By reading nobody reads on after an abort today, so no caller is known to have got an answer like that; the next change to the pool or to a timeout could make one. The connection records that the upstream has closed its side.

test_abort_does_not_complete_a_body failed before: the body ended after "half".

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -170,6 +170,7 @@
     status: str = '200 OK',
     content_type: str = 'text/event-stream',
     reset: bool = False,
+    hold: bool = False,
 ) -> ScriptFactory:
     """Return a factory of scripts that send one body.
 
@@ -180,6 +181,7 @@
         content_type: Value of the content type header.
         reset: Whether the connection is reset after the body; if not, it is
             closed in an orderly way where that marks the end.
+        hold: Whether the connection stays open after the body instead.
     """
     headers = {'Content-Type': content_type}
     encoded = body
@@ -194,6 +196,8 @@
     def make(request: ReceivedRequest) -> Script:
         """Return the head and the body."""
         pieces = (head(status, signed(request, **headers)), encoded)
+        if hold:
+            return Script((*pieces, b''), hold=asyncio.Event())
         closes = end is BodyEnd.CONNECTION and not reset
         return Script(pieces, close=closes, reset=reset)
 
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -137,6 +137,7 @@
         self._answer: asyncio.Future[ResponseHead] | None = None
         self._body: StreamReader | None = None
         self._may_reuse = True
+        self._peer_closed = False
         self._lost = asyncio.Event()
         #: Clock seconds since which it has been idle; set by the pool.
         self.idle_since: float = 0
@@ -173,11 +174,18 @@
         for message, payload in messages:
             self._deliver(message, payload)
 
+    def eof_received(self) -> None:
+        """Record that the upstream has closed its side of the connection."""
+        self._peer_closed = True
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the pending exchange, unless an orderly close completes it."""
+        """Fail the pending exchange, unless an orderly close completes it.
+
+        A local abort has no exception, but it does not complete an answer.
+        """
         super().connection_lost(exc)
         self._lost.set()
-        if self._parser is not None and exc is None:
+        if self._parser is not None and exc is None and self._peer_closed:
             self._end_of_input()
         self.fail('connection reset' if exc else 'connection closed')
 
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -10,12 +10,19 @@
 from fakes.opaque_worker import (
     EVENTS,
     BodyEnd,
+    OpaqueWorker,
     ReceivedRequest,
     Script,
     framed,
     stream,
 )
 
+from nutmegroad.foundations.types import Address
+from nutmegroad.relay.connections import (
+    ConnectionFailedError,
+    RequestHead,
+    connect,
+)
 from nutmegroad.relay.events import Event, EventStreamSplitter
 from tests.test_relay_host import RelayCase
 
@@ -152,6 +159,27 @@
             self.assertEqual((status, body), (200, b'fine'))
 
 
+class LocalAbortTest(unittest.IsolatedAsyncioTestCase):
+    """Bodies without a length on connections that are aborted locally."""
+
+    # The end that the host's own abort gives a connection counted as that of
+    # the upstream's answer.
+    async def test_abort_does_not_complete_a_body(self) -> None:
+        """Only the upstream can end its body."""
+        worker = OpaqueWorker(
+            default_script=framed(b'half', BodyEnd.CONNECTION, hold=True)
+        )
+        await worker.start()
+        self.addAsyncCleanup(worker.stop)
+        connection = await connect(Address('127.0.0.1', worker.port), 1)
+        request = RequestHead('GET', b'/', ((b'Host', b'x'),))
+        response = await connection.exchange(request, b'', lambda _: True)
+        self.assertEqual(await response.body.readany(), b'half')
+        connection.abort()
+        with self.assertRaises(ConnectionFailedError):
+            await response.body.read()
+
+
 class LineEndTest(unittest.TestCase):
     """Ends of events and of streams, by every line end."""
 
