Refuse a body without a length whose connection was reset

Callers of the daemon could get the first part of a plain service's reply as a complete one, and the daemon the first part of an object: the HTTP client ends a body without a length at the end of the connection, also if it was reset. Found by looking for the cause of the unfinished streams elsewhere. JSON bodies and the streams of engines are not affected: a cut document does not decode, and a stream has an end of its own.

The clients' response class knows how the connection ended: a read raises if it failed and nothing else marks the end of the body. A reset after a body with a length changes nothing.

test_reset_is_no_end_of_a_service_reply and test_reset_is_no_end_of_an_object failed before, with the body b'{"fee": 1'. 32 tests of the module, the clients and the platform passed, also with warnings as errors.

--- /dev/null
+++ b/src/nutmegroad/adapters/_complete_responses.py
@@ -0,0 +1,63 @@
+"""Response class that tells a complete body from one that was cut by a reset.
+
+aiohttp ends a body without a length at the end of the connection, even if the
+connection was reset or failed.
+"""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any, Final, Self
+
+from aiohttp import ClientPayloadError, ClientResponse
+from aiohttp.connector import Connection
+
+#: Headers that mark the end of a body.
+_FRAMING_HEADERS: Final = ('Content-Length', 'Transfer-Encoding')
+
+_WITHOUT_BODY: Final = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
+
+class CompleteResponse(ClientResponse):
+    """A response whose ``read`` returns a complete body or raises."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        # Set when the connection is lost, with an exception if it failed.
+        self._connection_end: asyncio.Future[None] | None = None
+
+    async def start(self, connection: Connection) -> Self:
+        """Read the head of the response."""
+        protocol = connection.protocol
+        if protocol is not None and protocol.closed is not None:
+            self._connection_end = protocol.closed
+            self._connection_end.add_done_callback(_ignore_failure)
+        await super().start(connection)
+        return self
+
+    async def read(self) -> bytes:
+        """Read the body.
+
+        Raises:
+            ClientPayloadError: If the body ended because its connection failed.
+        """
+        body = await super().read()
+        end = self._connection_end
+        if end is None or not end.done() or not self._ends_with_connection():
+            return body
+        problem = end.exception()
+        if problem is not None:
+            message = f'The connection failed before the end: {problem}'
+            raise ClientPayloadError(message) from problem
+        return body
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether the end of the connection ends the body."""
+        if self.status in _WITHOUT_BODY:
+            return False
+        return not any(name in self.headers for name in _FRAMING_HEADERS)
+
+
+def _ignore_failure(end: asyncio.Future[None]) -> None:
+    """Retrieve the exception of a lost connection, which may be idle."""
+    if not end.cancelled():
+        end.exception()
--- a/src/nutmegroad/adapters/_http_platform.py
+++ b/src/nutmegroad/adapters/_http_platform.py
@@ -14,11 +14,13 @@
     ClientError,
     ClientSession,
     ClientTimeout,
+    TCPConnector,
 )
 from msgspec import DecodeError
 from msgspec.json import decode, encode
 from yarl import URL
 
+from nutmegroad.adapters._complete_responses import CompleteResponse
 from nutmegroad.adapters._http_traffic import record_exchange
 from nutmegroad.adapters._platform_bodies import (
     CommitBody,
@@ -77,6 +79,14 @@
     body: bytes
 
 
+def open_session() -> ClientSession:
+    """Return a client session for all services of the platform."""
+    return ClientSession(
+        connector=TCPConnector(limit=0),
+        response_class=CompleteResponse,
+    )
+
+
 class _Service:
     """Client of one service, which converts failures into refusals.
 
--- a/src/nutmegroad/adapters/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -15,6 +15,7 @@
 )
 from yarl import URL
 
+from nutmegroad.adapters._complete_responses import CompleteResponse
 from nutmegroad.adapters._gated_requests import (
     GatedRequest,
     SendState,
@@ -77,6 +78,7 @@
         self._session = await self.stack.enter_async_context(
             ClientSession(
                 request_class=GatedRequest,
+                response_class=CompleteResponse,
                 # The router limits the requests in flight; a second limit
                 # here would be a queue that nothing reports.
                 connector=TCPConnector(limit=0),
--- a/src/nutmegroad/adapters/part.py
+++ b/src/nutmegroad/adapters/part.py
@@ -1,7 +1,5 @@
 """Kernel part that provides the HTTP clients for the platform's services."""
 
-from aiohttp import ClientSession, TCPConnector
-
 from nutmegroad.adapters._cached_host_list import CachedHostList
 from nutmegroad.adapters._http_platform import (
     CALL_TIMEOUT,
@@ -10,6 +8,7 @@
     HttpRatings,
     HttpTable,
     HttpWeights,
+    open_session,
 )
 from nutmegroad.contracts.platform import (
     HostList,
@@ -32,7 +31,7 @@
     async def open(self, kernel: Kernel) -> None:
         """Open the client session, which all clients share."""
         session = await kernel.stack.enter_async_context(
-            ClientSession(connector=TCPConnector(limit=0)),
+            open_session(),
         )
         address = kernel.settings.platform
         account = kernel.need(Account)
