--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 from unittest.mock import patch
 
 from aiohttp.web import AppRunner, TCPSite
+from fakes.opaque_worker import BodyEnd, OpaqueWorker, framed
 from fakes.row_store import RowStore, StoreFault
 
 from nutmegroad.canary.rollouts import RolloutOrder, Stage
@@ -172,6 +173,25 @@
             self.assertIsNone(settings_file.read_if_changed())
 
 
+class CutStoreAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of the store that are broken off without an error."""
+
+    # A decoding error escaped from the client and ended the task that wrote.
+    async def test_cut_answer_to_a_write_leaves_its_outcome_unknown(
+        self,
+    ) -> None:
+        """The writer is told that the transaction may have been applied."""
+        cut = framed(b'{"ver": 7, "no', BodyEnd.CONNECTION)
+        store = OpaqueWorker(default_script=cut)
+        await store.start()
+        self.addAsyncCleanup(store.stop)
+        address = Address('127.0.0.1', store.port)
+        async with PlatformStore(address, RelayCounters()) as client:
+            outcome = await client.commit((), (RowPut('t', 'k', b'1'),))
+        assert isinstance(outcome, Refusal)
+        self.assertIs(outcome.ran, Ran.UNKNOWN)
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
     """Client of the platform's store."""
 
