Let the soak's workers answer without a length and break answers off

No seed could meet the fault of the unfinished streams: each answer of the soak's workers had a length or chunks, and a reset of its links was an orderly end for the peer. The new kind of fault, "worker breaks off", lets a worker send answers that end with their connection, break streams off inside an event, and reset part of its connections; links reset by SO_LINGER now.

A plan that draws from all kinds has one kind more, so a seed gives another plan than before. Plans of named kinds are as they were.

test_hosts_that_complete_broken_off_streams_are_found: a copy of the program that takes such streams for complete breaks "whole answers".

--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -102,6 +102,7 @@
             Fault.WORKER_KILLED: self._worker_killed,
             Fault.WORKER_PAUSED: self._worker_paused,
             Fault.WORKER_FAILS: self._worker_fails,
+            Fault.WORKER_BREAKS_OFF: self._worker_breaks_off,
             Fault.WORKER_LEAVES: self._worker_leaves,
             Fault.WORKER_RESET: self._worker_reset,
             Fault.CALLERS_RESET: self._callers_reset,
@@ -250,11 +251,21 @@
 
     async def _worker_fails(self, event: Event) -> None:
         """Let a worker fail a fraction of its requests."""
+        await self._toggle_worker(event, signal.SIGUSR1)
+
+    async def _worker_breaks_off(self, event: Event) -> None:
+        """Let a worker send answers without a length, and break some off."""
+        await self._toggle_worker(event, signal.SIGUSR2)
+
+    async def _toggle_worker(
+        self, event: Event, toggle: signal.Signals
+    ) -> None:
+        """Switch a mode of a worker on by a signal, and off again."""
         workers = self._fleet.workers.processes
         worker = workers[event.target % len(workers)]
-        worker.signal(signal.SIGUSR1)
+        worker.signal(toggle)
         await asyncio.sleep(event.duration)
-        worker.signal(signal.SIGUSR1)
+        worker.signal(toggle)
 
     async def _worker_leaves(self, event: Event) -> None:
         """Drain a worker, and replace it by another."""
--- a/experiments/fleet_soak/links.py
+++ b/experiments/fleet_soak/links.py
@@ -5,6 +5,8 @@
 from enum import Enum, unique
 from typing import Final
 
+from fakes.connections import reset_connection
+
 #: Maximum bytes forwarded at a time.
 CHUNK_BYTES: Final = 65_536
 
@@ -22,7 +24,7 @@
         SLOW: Delays each chunk.
         SILENT: Forwards nothing; connections stay open.
         ONE_WAY: Forwards nothing from the target to the client.
-        REFUSED: Aborts new connections.
+        REFUSED: Resets new connections.
     """
 
     HEALTHY = 'well'
@@ -61,15 +63,15 @@
         )
 
     def close(self) -> None:
-        """Stop listening, and abort all connections."""
+        """Stop listening, and reset all connections."""
         if self._server is not None:
             self._server.close()
         self.reset()
 
     def reset(self) -> None:
-        """Abort all connections."""
+        """Reset all connections."""
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            reset_connection(writer.transport)
 
     async def _accept(
         self,
@@ -81,7 +83,7 @@
         try:
             await self._forward(reader, writer)
         except (OSError, asyncio.CancelledError):
-            writer.transport.abort()
+            reset_connection(writer.transport)
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -93,7 +95,7 @@
     ) -> None:
         """Connect to the target, and copy both ways until both have ended."""
         if self.state is LinkState.REFUSED:
-            writer.transport.abort()
+            reset_connection(writer.transport)
             return
         while self.state is LinkState.SILENT:
             await asyncio.sleep(SLOW_DELAY)
--- a/experiments/fleet_soak/plan.py
+++ b/experiments/fleet_soak/plan.py
@@ -19,6 +19,7 @@
     WORKER_PAUSED = 'worker paused'
     WORKER_FAILS = 'worker fails'
     WORKER_LEAVES = 'worker leaves'
+    WORKER_BREAKS_OFF = 'worker breaks off'
     WORKER_SILENT = 'worker silent'
     WORKER_SLOW = 'worker slow'
     WORKER_ONE_WAY = 'worker one way'
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -5,7 +5,8 @@
 It writes a JSON line to standard output for each execution. On SIGTERM it
 announces that it drains, continues to serve for the drain period and a little
 longer, and exits. SIGUSR1 makes it fail a fraction of its requests until the
-next SIGUSR1.
+next SIGUSR1. SIGUSR2 makes it answer without a length or chunks, and break off
+a fraction of its answers, until the next SIGUSR2.
 """
 
 import argparse
@@ -16,9 +17,11 @@
 import signal
 import sys
 import time
+from enum import Enum, unique
 from typing import Any, Final
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
+from fakes.connections import reset_connection
 
 from experiments.fleet_soak.history import (
     STREAM_EVENTS,
@@ -65,6 +68,7 @@
         self._sequence = 0
         self._draining = False
         self._failing = False
+        self._unframed = False
         self._rng = random.Random(options.seed)
 
     def app(self) -> web.Application:
@@ -94,6 +98,10 @@
         """Start to fail a fraction of the requests, or stop it."""
         self._failing = not self._failing
 
+    def toggle_framing(self) -> None:
+        """Start to answer without a length or chunks, or stop it."""
+        self._unframed = not self._unframed
+
     async def _send_heartbeat(self, session: ClientSession) -> bool:
         """Write the worker's entry; return whether the store accepted it."""
         self._sequence += 1
@@ -151,6 +159,8 @@
             # sent, along with all other executions.
             await web.StreamResponse(headers=headers).prepare(request)
             os._exit(1)
+        if self._unframed:
+            return await self._answer_unframed(request, kind, headers)
         if kind is Kind.DRAFT:
             return await self._stream(request, request_id, headers)
         if self._options.mutant == FOREIGN_BODIES:
@@ -175,6 +185,66 @@
         await answer.write_eof()
         return answer
 
+    async def _answer_unframed(
+        self,
+        request: web.Request,
+        kind: Kind,
+        headers: dict[str, str],
+    ) -> web.StreamResponse:
+        """Answer without a length; the connection ends the answer.
+
+        Some streams are broken off inside an event, by an orderly close or by
+        a reset. Other answers are broken off by a reset only: nothing else
+        tells them from complete ones.
+        """
+        after = int(request.headers.get('Last-Event-Id') or 0)
+        request_id = headers['Nutmegroad-Request-Id']
+        body = expected_body(request_id, kind)
+        if kind is Kind.DRAFT:
+            body = b''.join(
+                stream_event(request_id, number)
+                for number in range(after + 1, STREAM_EVENTS + 1)
+            )
+        ending = self._rng.choice(tuple(Ending))
+        if ending is not Ending.COMPLETE:
+            body = body[: self._rng.randrange(1, len(body) - 1)]
+        if ending is Ending.BROKEN_OFF and kind is not Kind.DRAFT:
+            ending = Ending.RESET
+        _send_unframed(request, headers, body, ending)
+        # Not sent: the connection is closed.
+        return web.Response()
+
+
+@unique
+class Ending(Enum):
+    """How an answer without a length ends."""
+
+    COMPLETE = 'complete'
+    #: With an orderly close inside the body.
+    BROKEN_OFF = 'broken off'
+    #: With a reset inside the body.
+    RESET = 'reset'
+
+
+def _send_unframed(
+    request: web.Request,
+    headers: dict[str, str],
+    body: bytes,
+    ending: Ending,
+) -> None:
+    """Send an answer without a length or chunks, and end its connection."""
+    transport = request.transport
+    if transport is None:
+        return
+    lines = ['HTTP/1.1 200 OK']
+    lines.extend(f'{name}: {text}' for name, text in headers.items())
+    head = '\r\n'.join((*lines, '', '')).encode()
+    transport.write(head + body)
+    if ending is Ending.RESET:
+        reset_connection(transport)
+    else:
+        transport.close()
+
 
 def _kind_of_route(route: str) -> Kind:
     """Return the kind of a route; added routes are for look-ups."""
@@ -203,6 +273,7 @@
         lambda: tasks.append(asyncio.ensure_future(worker.drain())),
     )
     loop.add_signal_handler(signal.SIGUSR1, worker.toggle_failures)
+    loop.add_signal_handler(signal.SIGUSR2, worker.toggle_framing)
     write_event('listening')
     await asyncio.gather(tasks[0])
 
--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -5,20 +5,16 @@
 """
 
 import asyncio
-import socket
-import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum, unique
-from typing import Final
+
+from fakes.connections import reset_connection
 
 REQUEST_ID = 'Nutmegroad-Request-Id'
 SIGNATURE = 'Nutmegroad-Response-Signature'
 
-#: Socket option by which closing a connection resets it.
-_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
-
 #: Default events of a stream.
 EVENTS = tuple(
     f'id: {number}\ndata: piece {number}\n\n'.encode() for number in range(1, 4)
@@ -325,18 +321,11 @@
             if script.crash:
                 await self._crash_and_restart(script)
             if script.reset:
-                _reset(writer)
+                reset_connection(writer.transport)
             if script.close or script.reset or script.crash:
                 return
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset; the peer reads no orderly end."""
-    connection: socket.socket = writer.get_extra_info('socket')
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    writer.transport.abort()
-
-
 async def _write_script(script: Script, writer: asyncio.StreamWriter) -> bool:
     """Write a script's pieces; return whether the connection stayed open."""
     for number, piece in enumerate(script.pieces, 1):
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -165,6 +165,25 @@
         self.assertEqual(status, 1, text)
         self.assertRegex(text, r'evacuated domains: \d+ judged, [1-9]')
 
+    def test_broken_off_answers_are_not_complete(self) -> None:
+        """Workers answer without a length, and break some answers off."""
+        status, text = self.run_soak(
+            *('--seed', '1', '--seconds', '4'),
+            *('--faults', Fault.WORKER_BREAKS_OFF.value),
+        )
+        self.assertEqual(status, 0, text)
+
+    def test_hosts_that_complete_broken_off_streams_are_found(self) -> None:
+        """Hosts take a stream that ends inside an event for complete."""
+        status, text = self.run_patched(
+            'src/nutmegroad/relay/streams.py',
+            {'if splitter.is_inside_event:': 'if not splitter:'},
+            *('--seed', '1', '--seconds', '4'),
+            *('--faults', Fault.WORKER_BREAKS_OFF.value),
+        )
+        self.assertEqual(status, 1, text)
+        self.assertRegex(text, r'whole answers: \d+ judged, [1-9]')
+
     def test_foreign_answers_are_found(self) -> None:
         """Workers answer with the bodies of other requests."""
         arguments = ('--seconds', '0', '--mutant', FOREIGN_BODIES)
