Let the replacement test's balancer use no list that is older than it says

The listed test failed once in 30 runs at load 15 to 18: a caller could not write on a connection that a stopping host had closed. Provoked now: with the test's event loop blocked while a host stops, by 0.7, 0.75 and 0.9 s, all three runs show that message (five to eight callers each, and refused connections); with 0.5 s none does. The last polls before had been answered "ready" 0.02 to 0.08 s before the signal, and the sends began 0.70 to 0.92 s after it, later than the 0.6 s for which a stopping host takes requests. So callers and balancer share a loop, and after a pause the callers run before the next poll; no balancer is asked again, and none is modelled.

The balancer's list is used for 0.4 s after its poll began; a caller then waits for the next one. All assertions are as they were, and so are the hosts' settings. That the one listed failure had this cause is likely, not shown.

--- a/tests/test_rolling_replacement.py
+++ b/tests/test_rolling_replacement.py
@@ -31,6 +31,11 @@
     host_args=('--lame-duck=0.6', '--drain=10'),
 )
 
+#: Seconds after the beginning of a poll during which its result is used. A
+#: host that stops takes requests for its lame duck time only, so a balancer
+#: that lags by more sends to hosts that have ended.
+MAX_POLL_AGE: Final = 0.4
+
 
 @dataclass
 class Balancer:
@@ -39,15 +44,29 @@
     Attributes:
         running: The deployment.
         ready: Hosts that were ready at the last poll.
+        polled_at: Event loop time at which the last poll began.
     """
 
     running: Deployment
     ready: list[RunningProcess] = field(default_factory=list)
+    polled_at: float = float('-inf')
+
+    async def choose(self, number: int) -> RunningProcess:
+        """Return the ready host for a request number.
+
+        Callers share this process's event loop. If it was blocked, the list is
+        older than that of a balancer, and the next poll is awaited.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() - self.polled_at > MAX_POLL_AGE:
+            await asyncio.sleep(0.01)
+        return self.ready[number % len(self.ready)]
 
     async def watch(self, session: ClientSession) -> None:
         """Poll the readiness of all hosts until cancelled."""
         while True:
             hosts = tuple(self.running.hosts)
+            began = asyncio.get_running_loop().time()
             readiness = await asyncio.gather(
                 *(self._is_ready(session, host) for host in hosts),
             )
@@ -56,6 +75,7 @@
                 for host, is_ready in zip(hosts, readiness, strict=True)
                 if is_ready
             ]
+            self.polled_at = began
             await asyncio.sleep(0.1)
 
     async def _is_ready(
@@ -89,8 +109,7 @@
         number = caller
         while not self.stopped:
             number += CALLERS
-            ready = self.balancer.ready
-            host = ready[number % len(ready)]
+            host = await self.balancer.choose(number)
             try:
                 outcome = await self._send(session, host, number)
             except ClientError as error:
