Keep the exit code of a stopped host when a signal comes at its end

A host that had stopped gracefully ended with -15 in place of 0 when its supervisor repeated SIGTERM in the last moment: the interpreter restores the default handlers before it ends, so the signal ended the process. Nothing of a caller's was lost then, but the supervisor records a stop that was cut off.

test_repeated_signal_at_the_end_keeps_the_exit_code sends the signal while the interpreter ends, and failed with -15 before.

--- a/src/nutmegroad/daemon/program.py
+++ b/src/nutmegroad/daemon/program.py
@@ -91,6 +91,7 @@
     service = HostService(settings, stop_trigger)
     with entrypoint(service, log_config=False, catch_signals=()) as loop:
         stop_trigger.run(loop)
+    stop_trigger.ignore_signals()
     return 0
 
 
--- a/src/nutmegroad/foundations/stop_trigger.py
+++ b/src/nutmegroad/foundations/stop_trigger.py
@@ -41,6 +41,15 @@
         for number in STOP_SIGNALS:
             signal.signal(number, self._handle_signal)
 
+    def ignore_signals(self) -> None:
+        """Ignore stop requests from now on, after a graceful stop.
+
+        The interpreter replaces handlers by the default ones when it ends, and
+        a repeated signal would then change the exit code.
+        """
+        for number in STOP_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+
     def run(self, loop: asyncio.AbstractEventLoop) -> None:
         """Run a loop until a stop is requested."""
         self._loop = loop
--- a/tests/test_stop_trigger.py
+++ b/tests/test_stop_trigger.py
@@ -6,6 +6,8 @@
 
 import os
 import signal
+import subprocess
+import sys
 import unittest
 from collections.abc import Callable
 
@@ -73,3 +75,38 @@
         self.loop.call_later(0.02, self.loop.stop)
         self.loop.run_forever()
         self.assertEqual(finished, [1])
+
+
+#: A program that gets a stop request while its interpreter ends.
+ENDING_PROGRAM = """
+import os
+import signal
+
+from nutmegroad.foundations.stop_trigger import StopTrigger
+
+
+class LateSignal:
+    def __init__(self):
+        self.send = os.kill
+
+    def __del__(self, number=signal.SIGTERM, own=os.getpid()):
+        self.send(own, number)
+
+
+late_signal = LateSignal()
+trigger = StopTrigger()
+trigger.handle_signals()
+trigger.ignore_signals()
+"""
+
+
+class EndTest(unittest.TestCase):
+    """Stop requests after the stop."""
+
+    # A host that had stopped gracefully ended with the status of a signal, as
+    # if it had been cut off: the interpreter restores the default handlers.
+    def test_repeated_signal_at_the_end_keeps_the_exit_code(self) -> None:
+        ended = subprocess.run(
+            [sys.executable, '-c', ENDING_PROGRAM], check=False
+        )
+        self.assertEqual(ended.returncode, 0)
