Pass tables of thousands of upstreams on between hosts

A table goes from host to host in one frame of 64 KiB at most, compressed; above that a follower gets a marker and reads the table from the store. By counting with entries like the platform's: 1,000 rows make 27,579 bytes, 2,000 make 54,987, 3,000 make 82,738.

A frame may have 256 KiB now, some 9,500 upstreams. The old bound was made for hosts that send to sixty followers on links of 5 Mbit/s; since updates go down a tree, a host has eight followers, and those that have any are the ones with fast links. A follower states its own limit in its handshake, so one of an earlier version still gets a marker; it would drop its link at a larger frame.

--- a/src/nutmegroad/fleet/table_updates.py
+++ b/src/nutmegroad/fleet/table_updates.py
@@ -10,6 +10,7 @@
 
 import zlib
 from asyncio import StreamReader
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -23,10 +24,14 @@
 #: Bytes from which a frame is compressed; smaller ones gain little.
 _MIN_COMPRESSED_BYTES: Final = 2048
 
-#: Maximum bytes of a frame. At today's slowest link (5 Mbit/s), sending a frame
-#: of 5 KB to sixty hosts takes half a second, and the hosts that send are among
-#: the fastest. Each host reads larger changes from the store itself.
-MAX_FRAME_BYTES: Final = 65_536
+#: Maximum bytes of a frame. The hosts that send have fast links and a few
+#: followers each: at 100 Mbit/s, eight of them receive the largest frame within
+#: a fifth of a second. Each host reads larger changes from the store itself, in
+#: pages, and all hosts share the store's rate.
+MAX_FRAME_BYTES: Final = 262_144
+
+#: Maximum bytes of a frame for a follower that states no limit.
+BASE_FRAME_BYTES: Final = 65_536
 
 #: Maximum bytes of a decompressed frame; no frame that hosts create is larger.
 _MAX_UNPACKED_BYTES: Final = 8_388_608
@@ -123,9 +128,11 @@
 
     Attributes:
         versions: The version of each table.
+        max_frame_bytes: Maximum bytes of a frame that it accepts.
     """
 
     versions: dict[str, int] = {}
+    max_frame_bytes: int = BASE_FRAME_BYTES
 
 
 class StoreUnavailable(Struct, frozen=True, array_like=True, tag='l'):
@@ -171,13 +178,30 @@
     return (len(payload) + 1).to_bytes(_LENGTH_BYTES) + kind + payload
 
 
-def encode_or_marker(message: TableUpdate | TableSnapshot) -> bytes | None:
-    """Return an encoded frame, without its rows if it is too large.
+@dataclass(frozen=True, slots=True)
+class EncodedUpdate:
+    """An encoded update or snapshot, for followers with different limits.
 
-    A follower that receives a frame without rows reads the changes from the
-    store.
+    Attributes:
+        frame: The encoded frame; None if it exceeds ``MAX_FRAME_BYTES``.
+        marker: The same without its rows. A follower that receives it reads
+            the changes from the store.
     """
-    return encode(message) or encode(message.marker())
+
+    frame: bytes | None
+    marker: bytes | None
+
+    def for_limit(self, max_frame_bytes: int) -> bytes | None:
+        """Return the bytes to send to a follower with a limit."""
+        frame = self.frame
+        if frame is None or len(frame) > _LENGTH_BYTES + max_frame_bytes:
+            return self.marker
+        return frame
+
+
+def encode_update(message: TableUpdate | TableSnapshot) -> EncodedUpdate:
+    """Return an update or a snapshot as encoded frames."""
+    return EncodedUpdate(encode(message), encode(message.marker()))
 
 
 async def receive(reader: StreamReader) -> Frame:
--- a/src/nutmegroad/fleet/update_link.py
+++ b/src/nutmegroad/fleet/update_link.py
@@ -20,6 +20,7 @@
 from nutmegroad.fleet.store_interface import RowsRead
 from nutmegroad.fleet.table_updates import (
     LINK_ERRORS,
+    MAX_FRAME_BYTES,
     Frame,
     KeepAlive,
     KnownVersions,
@@ -308,7 +309,8 @@
         except (OSError, TimeoutError) as error:
             return f'connection attempt failed: {error!r}'
         try:
-            writer.write(encode(KnownVersions(self._known_versions)) or b'')
+            handshake = KnownVersions(self._known_versions, MAX_FRAME_BYTES)
+            writer.write(encode(handshake) or b'')
             return await self._read(source, reader)
         finally:
             self._record_loss()
--- a/src/nutmegroad/fleet/update_server.py
+++ b/src/nutmegroad/fleet/update_server.py
@@ -11,12 +11,13 @@
 from nutmegroad.fleet.table_cache import TableCache
 from nutmegroad.fleet.table_updates import (
     LINK_ERRORS,
+    EncodedUpdate,
     KeepAlive,
     KnownVersions,
     StoreUnavailable,
     TableUpdate,
     encode,
-    encode_or_marker,
+    encode_update,
     receive,
 )
 from nutmegroad.foundations.clocks import Clock
@@ -47,7 +48,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._cache = TableCache()
-        self._followers: set[asyncio.StreamWriter] = set()
+        # The maximum frame size of each follower, by its connection.
+        self._followers: dict[asyncio.StreamWriter, int] = {}
 
     async def open(self, address: Address, stack: AsyncExitStack) -> None:
         """Listen at an address until a stack closes.
@@ -80,13 +82,13 @@
         """Send the changes of a table."""
         self._cache.apply(update)
         if self._followers:
-            self._send(encode_or_marker(update))
+            self._send_encoded(encode_update(update))
 
     def send_snapshot(self, table: str, read: RowsRead) -> None:
         """Send the full snapshot of a table."""
         cached = self._cache.replace(table, read)
         if self._followers:
-            self._send(encode_or_marker(cached.snapshot()))
+            self._send_encoded(encode_update(cached.snapshot()))
 
     def send_unavailable(self, table: str) -> None:
         """Report that a call for a table was not answered by the store."""
@@ -108,7 +110,7 @@
         except LINK_ERRORS as error:
             _LOG.decision('follower lost', reason=repr(error))
         finally:
-            self._followers.discard(writer)
+            self._followers.pop(writer, None)
             writer.transport.abort()
 
     def _add_follower(
@@ -116,14 +118,19 @@
     ) -> None:
         """Send a new follower what it lacks, and all later updates."""
         for message in self._cache.updates_since(known.versions):
-            payload = encode_or_marker(message)
+            payload = encode_update(message).for_limit(known.max_frame_bytes)
             if payload is not None:
                 writer.write(payload)
-        self._followers.add(writer)
+        self._followers[writer] = known.max_frame_bytes
 
     def _send(self, payload: bytes | None) -> None:
         """Send a frame to all followers."""
-        for writer in tuple(self._followers):
+        self._send_encoded(EncodedUpdate(payload, payload))
+
+    def _send_encoded(self, encoded: EncodedUpdate) -> None:
+        """Send a frame to all followers, each within its limit."""
+        for writer, max_frame_bytes in tuple(self._followers.items()):
+            payload = encoded.for_limit(max_frame_bytes)
             if payload is None or writer.transport.is_closing():
                 continue
             if writer.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
