--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -12,19 +12,13 @@
 from typing import Final
 
 from nutmegroad.canary.gate import AttemptOutcome
-from nutmegroad.escalation.confidence import low_confidence
-from nutmegroad.escalation.decisions import (
-    EscalationCase,
-    NotEscalated,
-    first_model,
-    larger_model,
-)
+from nutmegroad.escalation.decisions import first_model
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import ModelName
-from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import ConnectionFailedError, Framing
+from nutmegroad.relay.escalations import choose_larger_model
 from nutmegroad.relay.events import Event, EventStreamSplitter
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR, is_event_stream
@@ -175,7 +169,9 @@
             self._progress.failure = await read_complete(answering)
             complete = self._progress.failure is not None
             return StreamEnd.FAILED if complete else StreamEnd.TRUNCATED
-        if self._escalates(answering):
+        larger = self._larger_model(answering)
+        if larger is not None:
+            self._progress.model = larger
             return StreamEnd.LOW_CONFIDENCE
         if not is_event_stream(answering.head):
             return await self._forward_complete(answering)
@@ -294,67 +290,11 @@
                 end_to_end(head.raw),
             )
 
-    def _escalates(self, answering: UpstreamAnswer) -> bool:
-        """Return whether to discard an answer and ask a larger model."""
-        execution = self._execution
-        case = self._escalation_case(answering)
-        if self._reply.stream_started or case is None:
-            return False
-        larger = larger_model(execution.request.route, case)
-        if not isinstance(larger, NotEscalated) and not execution.may_repeat(
-            Purpose.ESCALATION,
-        ):
-            larger = NotEscalated.BUDGET
-        if isinstance(larger, NotEscalated):
-            self._log_not_escalated(case, larger)
-            return False
-        self._progress.model = larger
-        return True
-
-    def _log_not_escalated(
-        self, case: EscalationCase, why: NotEscalated
-    ) -> None:
-        """Log why an answer of low confidence is kept."""
-        _LOG.decision(
-            'not escalated',
-            request=self._execution.request.request_id,
-            confidence=case.confidence,
-            why=why.value,
-            begins=round(case.estimate.start_seconds, 3),
-            whole=round(case.estimate.complete_seconds, 3),
-            ahead=round(case.estimate.queued_seconds, 3),
-            crowd=round(case.estimate.occupancy, 2),
-            attempts_left=case.attempts_left,
-            left=round(case.seconds_left, 3),
-        )
-
-    def _escalation_case(
-        self, answering: UpstreamAnswer
-    ) -> EscalationCase | None:
-        """Return the inputs of an escalation decision, or None.
-
-        There are none if the confidence is no reason to escalate, or if no
-        upstream is available for the larger model.
-        """
-        execution = self._execution
-        route = execution.request.route
-        text = answering.head.headers.get(self._confidence)
-        confidence = low_confidence(route, answering.model, text)
-        if confidence is None:
-            return None
-        expected = execution.estimates.estimate_answer(
-            route.models[-1],
-            execution.attempted,
-        )
-        if expected is None:
+    def _larger_model(self, answering: UpstreamAnswer) -> ModelName | None:
+        """Return the model to ask instead, or None to keep the answer."""
+        if self._reply.stream_started:
             return None
-        return EscalationCase(
-            confidence,
-            execution.waited,
-            execution.attempts_left,
-            expected,
-            execution.time_left,
-        )
+        return choose_larger_model(self._execution, answering, self._confidence)
 
     async def _give_up(self, refusal: Refusal) -> None:
         """End a stream that can't be resumed."""
--- a/tests/test_large_tables.py
+++ b/tests/test_large_tables.py
@@ -9,12 +9,15 @@
 import unittest
 from unittest.mock import patch
 
+import msgspec
+
 from nutmegroad.fleet import update_link
 from nutmegroad.fleet.host_registration import HostRow
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
 from nutmegroad.fleet.table_updates import (
     BASE_FRAME_BYTES,
     MAX_FRAME_BYTES,
+    KnownVersions,
     TableUpdate,
     encode_update,
 )
@@ -79,6 +82,12 @@
         self.assertEqual(encoded.for_limit(MAX_FRAME_BYTES), encoded.frame)
         self.assertEqual(encoded.for_limit(BASE_FRAME_BYTES), encoded.marker)
 
+    def test_handshake_without_a_limit_has_the_base_limit(self) -> None:
+        """Pattern: a follower of an earlier version, which states none."""
+        earlier = msgspec.msgpack.encode(('k', {TABLE: 3}))
+        known = msgspec.msgpack.decode(earlier, type=KnownVersions)
+        self.assertEqual(known, KnownVersions({TABLE: 3}, BASE_FRAME_BYTES))
+
 
 if __name__ == '__main__':
     unittest.main()
