--- a/src/nutmegroad/escalation/confidence.py
+++ b/src/nutmegroad/escalation/confidence.py
@@ -6,9 +6,7 @@
 from nutmegroad.routes.deployment import Route
 
 #: Confidence, from 0 to 100, below which an answer is discarded and a larger
-#: model is asked. In trials on two deployments, values from 45 to 60 made no
-#: difference without faults, lower values were better under load, and 68 was
-#: worse on both deployments; see docs/MEASUREMENTS.md.
+#: model is asked.
 ESCALATION_THRESHOLD: Final = 50
 
 
--- a/src/nutmegroad/upstreams/prefixes.py
+++ b/src/nutmegroad/upstreams/prefixes.py
@@ -30,11 +30,7 @@
 ASSUMED_CACHED_FRACTION: Final = 0.5
 
 #: Minimum engine time in seconds that a fetch must save. A fetch uses the links
-#: of two engines and costs as much as the bytes it moves, so it has to gain
-#: more than that. Fetching raises the total value of a day by 0.014 of it
-#: (standard error 0.005) if hosts advertise with a delay what they send. With
-#: immediate advertising there is no significant effect (-0.004, standard error
-#: 0.005).
+#: of two engines and costs as much as the bytes it moves.
 MIN_FETCH_SAVING: Final = 0.1
 
 #: Recent failure rate from which on nothing is fetched from an upstream.
