Derive the size of the frame that is too large from the limit

The test makes its table from the limit now, so it is as strict for any value, and also checks that a follower gets the marker, which it did not before.

--- a/tests/test_table_updates.py
+++ b/tests/test_table_updates.py
@@ -6,6 +6,7 @@
 
 from nutmegroad.fleet.store_interface import StoredRow
 from nutmegroad.fleet.table_updates import (
+    MAX_FRAME_BYTES,
     FrameError,
     KeepAlive,
     KnownVersions,
@@ -13,6 +14,7 @@
     TableSnapshot,
     TableUpdate,
     encode,
+    encode_update,
     receive,
 )
 
@@ -69,10 +71,13 @@
         noise = random.Random(1)
         rows = tuple(
             StoredRow(str(number), noise.randbytes(100), number)
-            for number in range(1000)
+            for number in range(MAX_FRAME_BYTES // 100)
         )
         self.assertIsNotNone(encode(TableUpdate(TABLE, 0, 9, 1, rows[:10])))
-        self.assertIsNone(encode(TableUpdate(TABLE, 0, 9, 1, rows)))
+        too_large = TableUpdate(TABLE, 0, 9, 1, rows)
+        self.assertIsNone(encode(too_large))
+        encoded = encode_update(too_large)
+        self.assertEqual(encoded.for_limit(MAX_FRAME_BYTES), encoded.marker)
 
 
 class TableUpdateTest(unittest.TestCase):
