--- a/tests/test_relay_host.py
+++ b/tests/test_relay_host.py
@@ -10,6 +10,7 @@
     OpaqueWorker,
     ReceivedRequest,
     Script,
+    ScriptFactory,
     head,
     plain,
     rejecting,
@@ -59,6 +60,24 @@
         for worker in self.rig.workers:
             worker.default_script = script  # type: ignore[assignment]
 
+    async def assert_resumed_elsewhere(self, broken: ScriptFactory) -> None:
+        """Check that streams that one worker breaks off arrive complete.
+
+        Args:
+            broken: Makes scripts that break off inside the second event.
+        """
+        self.rig.workers[0].default_script = broken
+        self.rig.workers[1].default_script = stream()
+        for number in range(4):
+            _, _, body = await self.rig.ask('/draft/1', f's{number}')
+            self.assertEqual(body, b''.join(EVENTS))
+        resumed = [
+            seen.headers['last-event-id']
+            for seen in self.rig.workers[1].requests
+            if 'last-event-id' in seen.headers
+        ]
+        self.assertEqual(set(resumed), {'1'})
+
 
 class ForwardingTest(RelayCase):
     """Forwarding of requests to a worker, and of answers to the caller."""
@@ -190,17 +209,7 @@
     async def test_broken_stream_goes_on_elsewhere(self) -> None:
         """The rest is requested after the last complete event."""
         broken = stream((EVENTS[0], EVENTS[1][:9]), cut=True)
-        self.rig.workers[0].default_script = broken
-        self.rig.workers[1].default_script = stream()
-        for number in range(4):
-            _, _, body = await self.rig.ask('/draft/1', f's{number}')
-            self.assertEqual(body, b''.join(EVENTS))
-        resumed = [
-            seen.headers['last-event-id']
-            for seen in self.rig.workers[1].requests
-            if 'last-event-id' in seen.headers
-        ]
-        self.assertEqual(set(resumed), {'1'})
+        await self.assert_resumed_elsewhere(broken)
 
     async def test_stream_that_may_not_go_on_does_not_look_whole(self) -> None:
         """The caller's HTTP library detects the truncation."""
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -53,17 +53,7 @@
     ) -> None:
         """The rest is requested elsewhere after the last complete event."""
         broken = framed(INSIDE_EVENT, BodyEnd.CONNECTION)
-        self.rig.workers[0].default_script = broken
-        self.rig.workers[1].default_script = stream()
-        for number in range(4):
-            _, _, body = await self.rig.ask('/draft/1', f's{number}')
-            self.assertEqual(body, b''.join(EVENTS))
-        resumed = [
-            seen.headers['last-event-id']
-            for seen in self.rig.workers[1].requests
-            if 'last-event-id' in seen.headers
-        ]
-        self.assertEqual(set(resumed), {'1'})
+        await self.assert_resumed_elsewhere(broken)
 
     async def test_framing_does_not_complete_an_event(self) -> None:
         """A stream with a length or a last chunk may be broken off, too."""
