--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -206,8 +206,8 @@
                 for number in range(after + 1, STREAM_EVENTS + 1)
             )
         ending = self._rng.choice(tuple(Ending))
-        if ending is not Ending.COMPLETE:
-            body = body[: self._rng.randrange(1, len(body) - 1)]
+        if ending is not Ending.COMPLETE and body:
+            body = _break_off(body, self._rng)
         if ending is Ending.BROKEN_OFF and kind is not Kind.DRAFT:
             ending = Ending.RESET
         _send_unframed(request, headers, body, ending)
@@ -226,6 +226,15 @@
     RESET = 'reset'
 
 
+def _break_off(body: bytes, rng: random.Random) -> bytes:
+    """Return the beginning of a body, up to a place inside an event.
+
+    An orderly close between two events could not be told from the end.
+    """
+    beginning = body[: rng.randrange(1, len(body) - 1)]
+    return beginning[:-1] if beginning.endswith(b'\n\n') else beginning
+
+
 def _send_unframed(
     request: web.Request,
     headers: dict[str, str],
