Keep a soak worker's mode on while faults of its kind overlap

The printed plan shows why: two of its four events hit worker 0 at 0.53 s (1.8 s long) and 1.67 s, and the second signal switched the mode off in place of on. The same could happen to "worker fails".

The injector signals a worker only when the first event of a kind begins and the last one ends. The test plays 8 s in place of 4, some thirty drafts at workers that break off a third of theirs; its assertions are as they were.

--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -11,6 +11,7 @@
 from experiments.fleet_soak.history import Evacuation, FaultInterval, History
 from experiments.fleet_soak.links import Link, LinkState
 from experiments.fleet_soak.plan import SINGLE_HOST_FAULTS, Event, Fault
+from experiments.fleet_soak.processes import SoakProcess
 from experiments.fleet_soak.rollouts import Rollouts
 from experiments.fleet_soak.worker import HARMFUL
 from experiments.fleet_soak.workers import DOMAINS
@@ -65,6 +66,8 @@
         self._history = history
         self.injected: Counter[Fault] = Counter()
         self._rollouts = Rollouts(fleet)
+        # Number of events in effect, by worker and signal.
+        self._modes: Counter[tuple[SoakProcess, signal.Signals]] = Counter()
 
     async def inject(self, event: Event) -> None:
         """Carry an event out, and return when it is over."""
@@ -260,12 +263,20 @@
     async def _toggle_worker(
         self, event: Event, toggle: signal.Signals
     ) -> None:
-        """Switch a mode of a worker on by a signal, and off again."""
+        """Switch a mode of a worker on by a signal, and off again.
+
+        It stays on while events of the same kind overlap.
+        """
         workers = self._fleet.workers.processes
         worker = workers[event.target % len(workers)]
-        worker.signal(toggle)
+        mode = (worker, toggle)
+        self._modes[mode] += 1
+        if self._modes[mode] == 1:
+            worker.signal(toggle)
         await asyncio.sleep(event.duration)
-        worker.signal(toggle)
+        self._modes[mode] -= 1
+        if not self._modes[mode]:
+            worker.signal(toggle)
 
     async def _worker_leaves(self, event: Event) -> None:
         """Drain a worker, and replace it by another."""
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -178,7 +178,7 @@
         status, text = self.run_patched(
             'src/nutmegroad/relay/streams.py',
             {'if splitter.is_inside_event:': 'if not splitter:'},
-            *('--seed', '1', '--seconds', '4'),
+            *('--seed', '1', '--seconds', '8'),
             *('--faults', Fault.WORKER_BREAKS_OFF.value),
         )
         self.assertEqual(status, 1, text)
