--- a/tests/test_relay_host.py
+++ b/tests/test_relay_host.py
@@ -10,7 +10,6 @@
     OpaqueWorker,
     ReceivedRequest,
     Script,
-    ScriptFactory,
     head,
     plain,
     rejecting,
@@ -19,6 +18,7 @@
 )
 from fakes.row_store import StoreFault
 
+from tests.relay_case import RelayCase
 from tests.relay_rig import HOST, KEY, Rig, configuration, route
 
 
@@ -47,38 +47,6 @@
     return Script((ok_head + b'fine' + ok_head + b'more',))
 
 
-class RelayCase(unittest.IsolatedAsyncioTestCase):
-    """A host with two workers."""
-
-    async def asyncSetUp(self) -> None:
-        """Start the store, the workers and the host."""
-        self.rig = await self.enterAsyncContext(Rig(workers=2))
-        await self.rig.start()
-
-    def all_workers(self, script: object) -> None:
-        """Make all workers answer by one script."""
-        for worker in self.rig.workers:
-            worker.default_script = script  # type: ignore[assignment]
-
-    async def assert_resumed_elsewhere(self, broken: ScriptFactory) -> None:
-        """Check that streams that one worker breaks off arrive complete.
-
-        Args:
-            broken: Makes scripts that break off inside the second event.
-        """
-        self.rig.workers[0].default_script = broken
-        self.rig.workers[1].default_script = stream()
-        for number in range(4):
-            _, _, body = await self.rig.ask('/draft/1', f's{number}')
-            self.assertEqual(body, b''.join(EVENTS))
-        resumed = [
-            seen.headers['last-event-id']
-            for seen in self.rig.workers[1].requests
-            if 'last-event-id' in seen.headers
-        ]
-        self.assertEqual(set(resumed), {'1'})
-
-
 class ForwardingTest(RelayCase):
     """Forwarding of requests to a worker, and of answers to the caller."""
 
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -24,7 +24,7 @@
     connect,
 )
 from nutmegroad.relay.events import Event, EventStreamSplitter
-from tests.test_relay_host import RelayCase
+from tests.relay_case import RelayCase
 
 #: A stream without the end of its second event.
 INSIDE_EVENT = EVENTS[0] + EVENTS[1][:9]
