Connect to upstreams from the host's own address

The hosts of a soak have an address each, but they connected from any, so no link could cut one host off. Connections to upstreams now come from the address of the settings, as the listeners' do; it also lets upstreams and networks tell hosts apart. A link can treat the clients at an address by a state of their own. No decision changes. tests.test_relay_host and tests.test_crashing_requests pass.

--- a/experiments/fleet_soak/links.py
+++ b/experiments/fleet_soak/links.py
@@ -51,10 +51,13 @@
 
     def __init__(self, ip: str, port: int, target: tuple[str, int]) -> None:
         self.state = LinkState.HEALTHY
+        #: State for the clients at some IP addresses, in place of the above.
+        self.client_states: dict[str, LinkState] = {}
         self._listen_address = (ip, port)
         self._target = target
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        # The IP address of the client, by the writer of each connection.
+        self._writers: dict[asyncio.StreamWriter, str] = {}
 
     async def open(self) -> None:
         """Start listening."""
@@ -68,10 +71,11 @@
             self._server.close()
         self.reset()
 
-    def reset(self) -> None:
-        """Reset all connections."""
-        for writer in tuple(self._writers):
-            reset_connection(writer.transport)
+    def reset(self, client: str = '') -> None:
+        """Reset all connections, or those of the client at an IP address."""
+        for writer, ip in tuple(self._writers.items()):
+            if client in {'', ip}:
+                reset_connection(writer.transport)
 
     async def _accept(
         self,
@@ -79,41 +83,44 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Handle one connection."""
-        self._writers.add(writer)
+        client: str = writer.get_extra_info('peername')[0]
+        self._writers[writer] = client
         try:
-            await self._forward(reader, writer)
+            await self._forward(client, reader, writer)
         except (OSError, asyncio.CancelledError):
             reset_connection(writer.transport)
         finally:
-            self._writers.discard(writer)
+            self._writers.pop(writer)
             writer.close()
 
     async def _forward(
         self,
+        client: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Connect to the target, and copy both ways until both have ended."""
-        if self.state is LinkState.REFUSED:
+        if self._state_for(client) is LinkState.REFUSED:
             reset_connection(writer.transport)
             return
-        while self.state is LinkState.SILENT:
+        while self._state_for(client) is LinkState.SILENT:
             await asyncio.sleep(SLOW_DELAY)
         target_reader, target_writer = await asyncio.open_connection(
             *self._target
         )
-        self._writers.add(target_writer)
+        self._writers[target_writer] = client
         try:
             await asyncio.gather(
-                self._copy(reader, target_writer, to_client=False),
-                self._copy(target_reader, writer, to_client=True),
+                self._copy(client, reader, target_writer, to_client=False),
+                self._copy(client, target_reader, writer, to_client=True),
             )
         finally:
-            self._writers.discard(target_writer)
+            self._writers.pop(target_writer)
             target_writer.close()
 
     async def _copy(
         self,
+        client: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         *,
@@ -122,9 +129,9 @@
         """Copy one direction, delayed or blocked according to the state."""
         while True:
             chunk = await reader.read(CHUNK_BYTES)
-            while self._is_blocked(to_client=to_client):
+            while self._is_blocked(client, to_client=to_client):
                 await asyncio.sleep(SLOW_DELAY)
-            if self.state is LinkState.SLOW:
+            if self._state_for(client) is LinkState.SLOW:
                 await asyncio.sleep(SLOW_DELAY)
             if not chunk:
                 break
@@ -133,8 +140,13 @@
         with contextlib.suppress(OSError):
             writer.write_eof()
 
-    def _is_blocked(self, *, to_client: bool) -> bool:
+    def _state_for(self, client: str) -> LinkState:
+        """Return the state for the client at an IP address."""
+        return self.client_states.get(client, self.state)
+
+    def _is_blocked(self, client: str, *, to_client: bool) -> bool:
         """Return whether a direction is blocked now."""
-        if self.state is LinkState.SILENT:
+        state = self._state_for(client)
+        if state is LinkState.SILENT:
             return True
-        return self.state is LinkState.ONE_WAY and to_client
+        return state is LinkState.ONE_WAY and to_client
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -345,12 +345,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, number)
 
 
-async def connect(address: Address, timeout: float) -> UpstreamConnection:
+async def connect(
+    address: Address, timeout: float, source_ip: str = ''
+) -> UpstreamConnection:
     """Open a connection to an upstream.
 
     Args:
         address: Address of the upstream.
         timeout: Maximum seconds to wait.
+        source_ip: IP address to connect from; empty to let the kernel choose.
 
     Raises:
         ConnectionFailedError: If it can't be opened in time; nothing was sent.
@@ -360,6 +363,7 @@
     sock.setblocking(False)
     prepare_socket(sock)
     try:
+        sock.bind((source_ip, 0))
         async with ReadTimeout(timeout):
             await loop.sock_connect(sock, (address.ip, address.port))
             _, connection = await loop.create_connection(
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -197,7 +197,7 @@
         self.evacuations = Evacuations(clock)
         self.evacuations.on_end(self._directory.mark_domain_absent)
         self._configuration = CachedConfiguration(clock, settings.key_validity)
-        self._pool = ConnectionPool(clock)
+        self._pool = ConnectionPool(clock, settings.peers.ip)
         self._fleet = FleetHosts(
             settings.host,
             HostRow(
--- a/src/nutmegroad/relay/pools.py
+++ b/src/nutmegroad/relay/pools.py
@@ -25,10 +25,13 @@
 
     Args:
         clock: The host's clock.
+        source_ip: IP address to connect from, by which upstreams and their
+            networks can tell hosts apart; empty to let the kernel choose.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, source_ip: str = '') -> None:
         self._clock = clock
+        self._source_ip = source_ip
         self._idle: dict[UpstreamIncarnation, list[UpstreamConnection]] = (
             defaultdict(
                 list,
@@ -81,7 +84,7 @@
         Raises:
             ConnectionFailedError: If it can't be opened in time.
         """
-        return await connect(address, timeout)
+        return await connect(address, timeout, self._source_ip)
 
     def register_repeatable(
         self,
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -92,6 +92,7 @@
         workers: Number of workers that register.
         key_validity: Seconds for which keys stay valid without a confirmation.
         hosts: Number of hosts; most tests use only the first.
+        domains: Failure domains; the hosts are spread over them in turn.
     """
 
     def __init__(
@@ -99,12 +100,14 @@
         workers: int = 1,
         key_validity: float | None = 5,
         hosts: int = 1,
+        domains: tuple[str, ...] = ('north',),
     ) -> None:
         self.store = RowStore()
         self.workers = [OpaqueWorker() for _ in range(workers)]
         self._names = [f'w-{number}' for number in range(workers)]
         self.hosts: list[RelayHost] = []
         self._count = hosts
+        self._domains = domains
         self._key_validity = key_validity
         self._stack = AsyncExitStack()
 
@@ -134,9 +137,8 @@
         self._stack.push_async_callback(runner.cleanup)
         port = free_port()
         await TCPSite(runner, '127.0.0.1', port).start()
-        for number, worker in enumerate(self.workers):
-            await worker.start()
-            self._stack.push_async_callback(worker.stop)
+        for number in range(len(self.workers)):
+            await self._start_worker(number)
             self.register(number)
         self.client = await self._stack.enter_async_context(
             ClientSession(auto_decompress=False),
@@ -155,11 +157,15 @@
             await host.close()
         await self._stack.aclose()
 
+    def address_of(self, number: int) -> str:
+        """Return the address under which a worker is listed."""
+        return f'127.0.0.1:{self.workers[number].port}'
+
     def register(self, number: int, **more: Any) -> None:
         """Write a worker's entry into the list of upstreams."""
         entry = {
             'service': 'desk',
-            'address': f'127.0.0.1:{self.workers[number].port}',
+            'address': self.address_of(number),
             'zone': 'north',
             'version': 'v1',
             'slots': 8,
@@ -197,6 +203,11 @@
         await self.workers[number].start()
         self.register(number)
 
+    async def _start_worker(self, number: int) -> None:
+        """Start a worker for as long as the rig is open."""
+        await self.workers[number].start()
+        self._stack.push_async_callback(self.workers[number].stop)
+
     async def _make_host(self, settings: HostSettings) -> RelayHost:
         """Return a host that has not been started."""
         counters = RelayCounters()
@@ -214,9 +225,9 @@
         """Return the settings of a host."""
         return HostSettings(
             host=HostId(f'host-{number + 1}'),
-            domain=DomainId('north'),
+            domain=DomainId(self._domains[number % len(self._domains)]),
             callers=Address('127.0.0.1', free_port()),
-            peers=Address('127.0.0.1', free_port()),
+            peers=Address(f'127.0.1.{number + 1}', free_port()),
             ready=Address('127.0.0.1', free_port()),
             ready_path='/v1/ready',
             key_validity=self._key_validity,
