--- /dev/null
+++ b/tests/test_cut_off_hosts.py
@@ -0,0 +1,95 @@
+"""Tests of hosts that are cut off from all upstreams.
+
+Callers, the store and the other hosts still reach such a host. It can serve its
+callers by way of the other hosts, and what it sees of its own connections says
+nothing about the upstreams.
+"""
+
+import asyncio
+import unittest
+
+from fakes.opaque_worker import EVENTS
+
+from nutmegroad.fleet.peer_gossip import ROUND_INTERVAL
+from nutmegroad.foundations.clocks import BootClock
+from tests.cut_rig import STREAMED, Cut, CutRig
+
+PATHS = ('/look/1', '/pay/1', '/draft/1', '/once/1')
+
+#: Look-ups with which a host may find out that it is cut off.
+WARM_UP = 6
+
+
+class CutOffCase(unittest.IsolatedAsyncioTestCase):
+    """Hosts that are cut off from three workers behind links."""
+
+    async def open(
+        self, hosts: int, domains: tuple[str, ...] = ('north',)
+    ) -> CutRig:
+        """Start a fleet."""
+        rig = await self.enterAsyncContext(CutRig(3, hosts, domains))
+        await rig.start()
+        return rig
+
+    async def warm_up(self, rig: CutRig, host: int) -> None:
+        """Send look-ups, whatever becomes of them."""
+        await asyncio.gather(
+            *(
+                rig.ask('/look/1', f'warm-up-{host}-{number}', host=host)
+                for number in range(WARM_UP)
+            )
+        )
+
+    async def assert_serves(self, rig: CutRig, host: int, label: str) -> None:
+        """Check that a host serves each kind of request at first attempt."""
+        for path in PATHS:
+            expected = b'fine'
+            if path.startswith(STREAMED):
+                expected = b''.join(EVENTS)
+            for number in range(3):
+                name = f'{label}-{host}-{path}-{number}'
+                status, _, body = await rig.ask(path, name, host=host)
+                self.assertEqual((status, body), (200, expected), name)
+                self.assertEqual(rig.seen(name), 1)
+
+
+class CutOffHostTest(CutOffCase):
+    """Requests at a host that is cut off from all workers."""
+
+    # Callers of hosts that had lost their links to all upstreams were refused,
+    # while the other hosts of the fleet reached these upstreams.
+    async def test_cut_off_host_serves_by_way_of_other_hosts(self) -> None:
+        """Whatever becomes of its connections to the workers."""
+        rig = await self.open(hosts=3)
+        for cut in Cut:
+            with self.subTest(cut=cut.value):
+                rig.cut(0, cut)
+                await self.warm_up(rig, 0)
+                await self.assert_serves(rig, 0, cut.value)
+                await self.assert_serves(rig, 1, cut.value)
+                rig.heal(0)
+                await self.warm_up(rig, 0)
+                await self.assert_serves(rig, 0, f'after {cut.value}')
+
+
+class CutOffReportsTest(CutOffCase):
+    """What a host that is cut off reports to the other hosts."""
+
+    # Callers of all hosts were refused: resets of a cut host's connections
+    # counted as upstreams that had crashed under their request.
+    async def test_resets_at_a_cut_off_host_are_no_crashes(self) -> None:
+        """The request is served elsewhere, and everywhere after the cut."""
+        rig = await self.open(hosts=3)
+        rig.cut(0, Cut.RESET)
+        await self.warm_up(rig, 0)
+        await BootClock().sleep(3 * ROUND_INTERVAL)
+        await self.assert_serves(rig, 1, 'during')
+        rig.heal(0)
+        await self.warm_up(rig, 0)
+        for host in range(3):
+            self.assertEqual(rig.hosts[host].status.harmful, 0)
+            await self.assert_serves(rig, host, 'after')
+
+
+if __name__ == '__main__':
+    unittest.main()
