--- a/src/nutmegroad/fleet/host_registration.py
+++ b/src/nutmegroad/fleet/host_registration.py
@@ -30,12 +30,15 @@
         port: Port at which it listens for its peers.
         domain: Its failure domain.
         link: Bandwidth of its link in Mbit/s; 0 if unknown.
+        key: Text that a peer has to send first on a link to this host; only
+            hosts and the operator can read it here.
     """
 
     ip: str
     port: int
     domain: str
     link: float = 0
+    key: str = ''
 
 
 class HostRegistration:
@@ -43,7 +46,8 @@
 
     Args:
         host: The host.
-        own: The row to write for this host.
+        own: The row to write for this host. If the store has it with another
+            key from an earlier start, that key stays in use.
         store: The platform's store.
         clock: The host's clock.
     """
@@ -70,11 +74,24 @@
         self._startup_done = asyncio.Event()
         self._restored = asyncio.Event()
         self._is_registered = False
+        # Set once peers can read this host's key.
+        self._key_known = asyncio.Event()
+        if not own.key:
+            self._key_known.set()
+
+    async def own_key(self) -> str:
+        """Return the key in this host's row, once peers can read it there."""
+        await self._key_known.wait()
+        return self._own.key
 
     def observe_row(self, host: HostId, row: HostRow) -> None:
         """Record whether a row of the store is this host's current one."""
-        if host == self._host:
-            self._is_registered = row == self._own
+        if host != self._host:
+            return
+        self._is_registered = _is_same_host(row, self._own)
+        if self._is_registered:
+            self._own = row
+            self._key_known.set()
 
     def on_hosts_loaded(self) -> None:
         """Record that the full list of hosts was read from the store."""
@@ -136,4 +153,14 @@
         content = msgspec.json.encode(self._own)
         put = RowPut(FLEET_TABLE, f'{HOST_KEY_PREFIX}{self._host}', content)
         outcome = await self._store.commit((), (put,))
-        return not isinstance(outcome, Refusal)
+        if isinstance(outcome, Refusal):
+            return False
+        self._key_known.set()
+        return True
+
+
+def _is_same_host(row: HostRow, own: HostRow) -> bool:
+    """Return whether a row of the store can stay as the row of a host."""
+    if own.key and not row.key:
+        return False
+    return msgspec.structs.replace(own, key=row.key) == row
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -14,6 +14,7 @@
 from nutmegroad.fleet.followers import FollowerFactory
 from nutmegroad.fleet.host_registration import HostRegistration, HostRow
 from nutmegroad.fleet.peer_gossip import PeerGossip, new_shared_state
+from nutmegroad.fleet.peer_listener import PeerListener, TunnelHandler
 from nutmegroad.fleet.shared_store import SharedStore
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import Store
@@ -79,6 +80,7 @@
             host, own, lambda: self.peers.local_hosts, clock
         )
         self._server = UpdateServer(clock)
+        self._listener = PeerListener(self._registration.own_key, self._server)
         #: Creates followers of the store's tables.
         self.tables = FollowerFactory(
             SharedStore(
@@ -99,6 +101,10 @@
         """Return how many hosts are known, including this one."""
         return self.peers.count + 1
 
+    def serve_tunnels(self, handler: TunnelHandler) -> None:
+        """Serve hosts that ask for a connection to an upstream."""
+        self._listener.tunnel_handler = handler
+
     async def open(self, stack: AsyncExitStack) -> None:
         """Listen for peers until a stack closes.
 
@@ -111,7 +117,7 @@
             local_addr=(self._own.ip, self._own.port),
         )
         stack.callback(transport.close)
-        await self._server.open(Address(self._own.ip, self._own.port), stack)
+        await self._listener.open(Address(self._own.ip, self._own.port), stack)
 
     def add_host(self, host: HostId, row: HostRow) -> None:
         """Add a host that was found in the store."""
--- a/src/nutmegroad/fleet/peer_gossip.py
+++ b/src/nutmegroad/fleet/peer_gossip.py
@@ -185,7 +185,8 @@
         self._remote_rounds = RemoteRounds(host)
         # This host's rank among those of its failure domain.
         self._rank = 0
-        self._last_received: dict[HostId, float] = {}
+        #: Clock seconds of each host's last message.
+        self.last_received: dict[HostId, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder: msgspec.msgpack.Decoder[Message] = (
             msgspec.msgpack.Decoder(Message)
@@ -198,8 +199,7 @@
         """Return how many other hosts have sent a message recently."""
         oldest = self._clock.now() - RESPONSIVE_PERIOD
         return sum(
-            received_at >= oldest
-            for received_at in self._last_received.values()
+            received_at >= oldest for received_at in self.last_received.values()
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -214,7 +214,7 @@
             _LOG.decision('malformed datagram ignored', sender=addr[0])
             return
         host = HostId(message.host)
-        self._last_received[host] = self._clock.now()
+        self.last_received[host] = self._clock.now()
         remote = self._remote.get(host)
         if remote is not None:
             self._domains.record_message(DomainId(remote.domain))
--- a/src/nutmegroad/fleet/table_updates.py
+++ b/src/nutmegroad/fleet/table_updates.py
@@ -3,12 +3,10 @@
 A host that has read a table sends its changes to the hosts that follow it, and
 the time on the store's clock up to which the changes are complete. A follower
 first sends the versions that it knows and receives full snapshots of the tables
-of which it knows another version. After that, frames flow in one direction
-only. Each frame is preceded by its length. Large frames are compressed, since a
-host with a slow link may have many followers.
+of which it knows another version. After that, messages flow in one direction
+only.
 """
 
-import zlib
 from asyncio import StreamReader
 from dataclasses import dataclass
 from typing import Final
@@ -16,26 +14,17 @@
 import msgspec
 from msgspec import Struct
 
+from nutmegroad.fleet.frames import (
+    LENGTH_BYTES,
+    FrameError,
+    encode_message,
+    read_frame,
+)
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
 
-#: Bytes of a frame's length prefix.
-_LENGTH_BYTES: Final = 4
-
-#: Bytes from which a frame is compressed; smaller ones gain little.
-_MIN_COMPRESSED_BYTES: Final = 2048
-
-#: Maximum bytes of a frame. The hosts that send have fast links and a few
-#: followers each: at 100 Mbit/s, eight of them receive the largest frame within
-#: a fifth of a second. Each host reads larger changes from the store itself, in
-#: pages, and all hosts share the store's rate.
-MAX_FRAME_BYTES: Final = 262_144
-
 #: Maximum bytes of a frame for a follower that states no limit.
 BASE_FRAME_BYTES: Final = 65_536
 
-#: Maximum bytes of a decompressed frame; no frame that hosts create is larger.
-_MAX_UNPACKED_BYTES: Final = 8_388_608
-
 
 class TableUpdate(Struct, frozen=True, array_like=True, tag='n'):
     """Changes of a table, and the time up to which they are complete.
@@ -129,10 +118,12 @@
     Attributes:
         versions: The version of each table.
         max_frame_bytes: Maximum bytes of a frame that it accepts.
+        key: The key in the receiver's row of the fleet table.
     """
 
     versions: dict[str, int] = {}
     max_frame_bytes: int = BASE_FRAME_BYTES
+    key: str = ''
 
 
 class StoreUnavailable(Struct, frozen=True, array_like=True, tag='l'):
@@ -149,33 +140,17 @@
     """Keep-alive; the sender has no changes to report."""
 
 
-Frame = (
+TableMessage = (
     TableUpdate | TableSnapshot | StoreUnavailable | KeepAlive | KnownVersions
 )
 
-_DECODER: Final = msgspec.msgpack.Decoder(Frame)
+_DECODER: Final = msgspec.msgpack.Decoder(TableMessage)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
 
-class FrameError(Exception):
-    """A peer sent bytes that are not a valid frame."""
-
-
-#: Errors that end a link: it was reset or closed, no frame arrived in time, or
-#: a frame was invalid.
-LINK_ERRORS: Final = (OSError, EOFError, TimeoutError, FrameError)
-
-
-def encode(frame: Frame) -> bytes | None:
-    """Return a frame with its length prefix, or None if it is too large."""
-    payload = _ENCODER.encode(frame)
-    kind = b'p'
-    if len(payload) >= _MIN_COMPRESSED_BYTES:
-        payload = zlib.compress(payload, level=1)
-        kind = b'z'
-    if len(payload) >= MAX_FRAME_BYTES:
-        return None
-    return (len(payload) + 1).to_bytes(_LENGTH_BYTES) + kind + payload
+def encode(message: TableMessage) -> bytes | None:
+    """Return a message as a frame, or None if it is too large."""
+    return encode_message(_ENCODER.encode(message))
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,7 +158,7 @@
     """An encoded update or snapshot, for followers with different limits.
 
     Attributes:
-        frame: The encoded frame; None if it exceeds ``MAX_FRAME_BYTES``.
+        frame: The encoded frame; None if it exceeds ``frames.MAX_FRAME_BYTES``.
         marker: The same without its rows. A follower that receives it reads
             the changes from the store.
     """
@@ -194,7 +169,7 @@
     def for_limit(self, max_frame_bytes: int) -> bytes | None:
         """Return the bytes to send to a follower with a limit."""
         frame = self.frame
-        if frame is None or len(frame) > _LENGTH_BYTES + max_frame_bytes:
+        if frame is None or len(frame) > LENGTH_BYTES + max_frame_bytes:
             return self.marker
         return frame
 
@@ -204,27 +179,16 @@
     return EncodedUpdate(encode(message), encode(message.marker()))
 
 
-async def receive(reader: StreamReader) -> Frame:
-    """Return the next frame.
+async def receive(reader: StreamReader) -> TableMessage:
+    """Return the next message.
 
     Raises:
-        FrameError: If the bytes are not a valid frame.
+        FrameError: If the bytes are not a valid message.
         EOFError: If the peer has closed the connection.
     """
-    size = int.from_bytes(await reader.readexactly(_LENGTH_BYTES))
-    if not 0 < size <= MAX_FRAME_BYTES:
-        raise FrameError(
-            f'frame of {size} bytes; expected 1 to {MAX_FRAME_BYTES}'
-        )
-    payload = await reader.readexactly(size)
+    message = (await read_frame(reader)).message()
     try:
-        return _DECODER.decode(_unpack(payload))
-    except (zlib.error, msgspec.DecodeError) as error:
-        raise FrameError(f'invalid frame of {size} bytes: {error}') from error
-
-
-def _unpack(payload: bytes) -> bytes:
-    """Return the content of a frame, decompressed if necessary."""
-    if payload[:1] == b'p':
-        return payload[1:]
-    return zlib.decompressobj().decompress(payload[1:], _MAX_UNPACKED_BYTES)
+        return _DECODER.decode(message)
+    except msgspec.DecodeError as error:
+        size = len(message)
+        raise FrameError(f'invalid message of {size} bytes: {error}') from error
--- /dev/null
+++ b/src/nutmegroad/fleet/tunnel_messages.py
@@ -0,0 +1,42 @@
+"""Messages by which a host asks another for a connection to an upstream."""
+
+from msgspec import Struct
+
+
+class TunnelRequest(Struct, frozen=True, array_like=True, tag='t'):
+    """Handshake of a host that asks for a connection to an upstream.
+
+    Attributes:
+        key: The key in the receiver's row of the fleet table.
+        host: The sender.
+        upstream: Id of the upstream.
+        address: Its address as IP:PORT, as the sender knows it.
+        timeout: Seconds within which the connection is of use.
+        request: Id of the caller's request; empty for a check.
+    """
+
+    key: str
+    host: str
+    upstream: str
+    address: str
+    timeout: float
+    request: str = ''
+
+
+class TunnelOpened(Struct, frozen=True, array_like=True, tag='o'):
+    """Reply: the connection is open, and bytes are copied from now on."""
+
+
+class TunnelRefused(Struct, frozen=True, array_like=True, tag='f'):
+    """Reply: there is no connection.
+
+    Attributes:
+        reason: Explanation for logs.
+        refused: Whether the upstream's machine refused the connection.
+    """
+
+    reason: str
+    refused: bool = False
+
+
+TunnelReply = TunnelOpened | TunnelRefused
--- a/src/nutmegroad/fleet/update_link.py
+++ b/src/nutmegroad/fleet/update_link.py
@@ -16,15 +16,14 @@
 
 from xxhash import xxh3_64_intdigest
 
+from nutmegroad.fleet.frames import LINK_ERRORS, MAX_FRAME_BYTES
 from nutmegroad.fleet.host_registration import HostRow
 from nutmegroad.fleet.store_interface import RowsRead
 from nutmegroad.fleet.table_updates import (
-    LINK_ERRORS,
-    MAX_FRAME_BYTES,
-    Frame,
     KeepAlive,
     KnownVersions,
     StoreUnavailable,
+    TableMessage,
     TableSnapshot,
     TableUpdate,
     encode,
@@ -309,7 +308,9 @@
         except (OSError, TimeoutError) as error:
             return f'connection attempt failed: {error!r}'
         try:
-            handshake = KnownVersions(self._known_versions, MAX_FRAME_BYTES)
+            handshake = KnownVersions(
+                self._known_versions, MAX_FRAME_BYTES, row.key
+            )
             writer.write(encode(handshake) or b'')
             return await self._read(source, reader)
         finally:
@@ -339,8 +340,8 @@
                 _LOG.decision('following table updates of host', host=source)
             self._handle(frame)
 
-    def _handle(self, frame: Frame) -> None:
-        """Handle a frame."""
+    def _handle(self, frame: TableMessage) -> None:
+        """Handle a message."""
         if isinstance(frame, (KeepAlive, KnownVersions)):
             return
         table = self._tables.setdefault(frame.table, _PendingUpdates())
--- a/src/nutmegroad/fleet/update_server.py
+++ b/src/nutmegroad/fleet/update_server.py
@@ -4,13 +4,11 @@
 """
 
 import asyncio
-from contextlib import AsyncExitStack
 from typing import Final
 
 from nutmegroad.fleet.store_interface import RowsRead
 from nutmegroad.fleet.table_cache import TableCache
 from nutmegroad.fleet.table_updates import (
-    LINK_ERRORS,
     EncodedUpdate,
     KeepAlive,
     KnownVersions,
@@ -18,11 +16,9 @@
     TableUpdate,
     encode,
     encode_update,
-    receive,
 )
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.types import Address
 
 _LOG: Final = part_logger('news')
 
@@ -30,9 +26,6 @@
 #: ask the store within today's shortest bound on changes (2 s).
 KEEP_ALIVE_INTERVAL: Final = 0.4
 
-#: Seconds within which a follower has to send its handshake.
-HANDSHAKE_TIMEOUT: Final = 1.0
-
 #: Maximum bytes buffered for a follower that does not read; beyond, it is
 #: disconnected.
 MAX_BUFFERED_BYTES: Final = 1_048_576
@@ -51,26 +44,6 @@
         # The maximum frame size of each follower, by its connection.
         self._followers: dict[asyncio.StreamWriter, int] = {}
 
-    async def open(self, address: Address, stack: AsyncExitStack) -> None:
-        """Listen at an address until a stack closes.
-
-        Args:
-            address: The address.
-            stack: Closes the server and the connections.
-        """
-        try:
-            server = await asyncio.start_server(
-                self._serve,
-                address.ip,
-                address.port,
-            )
-        except OSError as error:
-            # The other hosts read the store themselves in that case.
-            _LOG.decision('update server not started', reason=str(error))
-            return
-        stack.callback(self._close)
-        stack.callback(server.close)
-
     async def run(self) -> None:
         """Send keep-alives until cancelled."""
         keep_alive = encode(KeepAlive())
@@ -95,22 +68,22 @@
         self._cache.drop(table)
         self._send(encode(StoreUnavailable(table)))
 
-    async def _serve(
+    async def serve(
         self,
+        known: KnownVersions,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one follower until it disconnects."""
         try:
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT):
-                known = await receive(reader)
-            if isinstance(known, KnownVersions):
-                self._add_follower(writer, known)
-                await reader.read()
-        except LINK_ERRORS as error:
-            _LOG.decision('follower lost', reason=repr(error))
+            self._add_follower(writer, known)
+            await reader.read()
         finally:
             self._followers.pop(writer, None)
+
+    def close(self) -> None:
+        """Disconnect all followers."""
+        for writer in tuple(self._followers):
             writer.transport.abort()
 
     def _add_follower(
@@ -141,8 +114,3 @@
                 writer.transport.abort()
                 continue
             writer.write(payload)
-
-    def _close(self) -> None:
-        """Disconnect all followers."""
-        for writer in tuple(self._followers):
-            writer.transport.abort()
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -13,6 +13,7 @@
 from nutmegroad.relay.budgets import RepeatBudget
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.crashes import CrashMonitor
+from nutmegroad.relay.dialer import Dialer
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.upstreams.cold_starts import ColdStarts, HostRank
 from nutmegroad.upstreams.directory import Directory
@@ -28,7 +29,8 @@
         directory: All upstreams.
         rollouts: State of all rollouts.
         received_state: State received from other hosts.
-        pool: Connections to upstreams.
+        pool: Idle connections to upstreams.
+        dialer: Opens connections to upstreams.
         crash_rows: Stored rows of harmful requests.
         placement: Failure domains and regions in which requests may run.
         host_rank: This host's rank for a duty.
@@ -38,6 +40,7 @@
     rollouts: RolloutState
     received_state: SharedState
     pool: ConnectionPool
+    dialer: Dialer
     crash_rows: CrashRows
     placement: Placement
     host_rank: HostRank
@@ -69,7 +72,10 @@
         received_state.domains,
         ColdStarts(clock, components.host_rank),
     )
-    attempts = AttemptRunner(components.pool, platform.names, selector, clock)
+    dialer = components.dialer
+    attempts = AttemptRunner(
+        components.pool, dialer, platform.names, selector, clock
+    )
     components.directory.ended.add_listener(attempts.upstream_ended)
     crashes = CrashMonitor(
         components.pool,
@@ -79,19 +85,20 @@
         platform.counters,
     )
     components.directory.ended.add_listener(crashes.upstream_ended)
+    gate = make_gate(
+        components.directory,
+        components.rollouts,
+        clock,
+        settings.session_window,
+        received_state.sessions,
+        components.placement,
+    )
     return RelayContext(
         attempts,
         selector,
         components.directory,
         RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
-        make_gate(
-            components.directory,
-            components.rollouts,
-            clock,
-            settings.session_window,
-            received_state.sessions,
-            components.placement,
-        ),
+        gate,
         clock,
         platform.counters,
         crashes,
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -13,11 +13,8 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.timeouts import wait_done
 from nutmegroad.foundations.types import Ran, UpstreamIncarnation
-from nutmegroad.relay.connections import (
-    ConnectionFailedError,
-    ResponseHead,
-    UpstreamConnection,
-)
+from nutmegroad.relay.connections import ResponseHead, UpstreamConnection
+from nutmegroad.relay.dialer import Dialer, DialPurpose
 from nutmegroad.relay.heads import MessageHeads
 from nutmegroad.relay.outcomes import (
     AttemptEnd,
@@ -26,6 +23,7 @@
     UpstreamAnswer,
 )
 from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.relay.timeouts import wait_while_reachable
 from nutmegroad.routes.headers import HeaderNames
 from nutmegroad.routes.requests import CallerRequest, Generation
@@ -49,7 +47,8 @@
     """Sends requests to chosen upstreams, one attempt per call.
 
     Args:
-        pool: Connections to upstreams.
+        pool: Idle connections to upstreams.
+        dialer: Opens connections to upstreams.
         names: The deployment's header names.
         selector: Holds the load, cached prefixes and reachability of upstreams,
             which attempts update.
@@ -59,12 +58,14 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        dialer: Dialer,
         names: HeaderNames,
         selector: Selector,
         clock: Clock,
     ) -> None:
         self._selector = selector
         self._pool = pool
+        self._dialer = dialer
         self._heads = MessageHeads(names)
         self._clock = clock
 
@@ -176,7 +177,7 @@
         except ConnectionFailedError as problem:
             if problem.refused:
                 # No process listens there; the next one to do so is cold.
-                plan.upstream.absent_at = self._clock.now()
+                plan.upstream.refused_at = self._clock.now()
             return AttemptFailure(
                 AttemptEnd.UNREACHABLE,
                 Ran.NOT_RUN,
@@ -190,21 +191,32 @@
                 request.body,
                 self._heads.answer_matcher(request),
             )
-            if not await self._await_answer(answer, plan):
+            if not await self._await_answer(answer, plan, connection):
                 connection.abort()
                 reason = f'no answer within {plan.response_timeout:.2f} s'
                 return AttemptFailure(
-                    AttemptEnd.UNRESPONSIVE, Ran.UNKNOWN, reason
+                    AttemptEnd.UNRESPONSIVE,
+                    Ran.UNKNOWN,
+                    reason,
+                    via=connection.via,
                 )
-            return await answer, connection
+            head_received = await answer
         except ConnectionFailedError as problem:
+            if connection.proves_path:
+                self._dialer.paths.record_failure(plan.upstream)
             ran = Ran.UNKNOWN if problem.sent else Ran.NOT_RUN
-            return AttemptFailure(AttemptEnd.BROKEN, ran, str(problem))
+            return AttemptFailure(
+                AttemptEnd.BROKEN, ran, str(problem), via=connection.via
+            )
+        if connection.proves_path:
+            self._dialer.paths.record_answer(plan.upstream)
+        return head_received, connection
 
     async def _await_answer(
         self,
         answer: asyncio.Future[ResponseHead],
         plan: AttemptPlan,
+        connection: UpstreamConnection,
     ) -> bool:
         """Wait for an answer until the response timeout.
 
@@ -226,6 +238,8 @@
         if arrived:
             return True
         plan.upstream.health.record_overdue(self._clock.now())
+        if connection.proves_path:
+            self._dialer.paths.record_failure(plan.upstream)
         return not plan.may_abandon()
 
     async def _acquire_connection(
@@ -236,15 +250,18 @@
     ) -> UpstreamConnection:
         """Return a connection that is released when the attempt ends."""
         upstream = plan.upstream.entry.incarnation
-        connection = self._pool.acquire(
-            upstream,
-            single_execution=not request.route.repeatable,
-        )
+        single_execution = not request.route.repeatable
+        connection = None
+        if not self._dialer.avoids_direct(plan.upstream):
+            connection = self._pool.acquire(
+                upstream, single_execution=single_execution
+            )
         if connection is None:
             time_left = request.deadline - self._clock.now()
-            connection = await self._pool.open(
-                plan.upstream.entry.address,
+            connection = await self._dialer.open(
+                plan.upstream,
                 min(CONNECT_TIMEOUT, max(0, time_left)),
+                DialPurpose(request.request_id, single_execution),
             )
         if request.route.repeatable:
             self._pool.register_repeatable(upstream, connection)
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
@@ -21,7 +20,8 @@
 
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.timeouts import ReadTimeout
-from nutmegroad.foundations.types import Address
+from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.relay.sockets import ConnectionFailedError, connect_protocol
 from nutmegroad.routes.headers import RawHeaders
 
 _LOG: Final = part_logger('connections')
@@ -30,41 +30,10 @@
 #: pauses.
 BUFFER_BYTES: Final = 65_536
 
-#: Seconds without data after which the kernel sends a keep-alive probe, and
-#: between its probes. A connection may become unresponsive without a reset. The
-#: strictest time limit of a deployment leaves three seconds to detect that, and
-#: one of them is reserved for the reply.
-KEEPALIVE_INTERVAL: Final = 1
-KEEPALIVE_PROBES: Final = 2
-#: Milliseconds for which sent bytes may stay unacknowledged before the kernel
-#: closes the connection.
-USER_TIMEOUT_MS: Final = 1500
-
 #: Responses with a status below this one are interim responses.
 _FIRST_FINAL: Final = 200
 
 
-class ConnectionFailedError(Exception):
-    """An upstream connection failed, or received an invalid response.
-
-    Attributes:
-        sent: Whether bytes of the request may have reached the upstream.
-        refused: Whether the connection was refused because no process listens
-            at the address.
-    """
-
-    def __init__(
-        self,
-        reason: str,
-        *,
-        sent: bool,
-        refused: bool = False,
-    ) -> None:
-        super().__init__(reason)
-        self.sent = sent
-        self.refused = refused
-
-
 @unique
 class Framing(Enum):
     """What marks the end of a response body."""
@@ -129,14 +98,21 @@
 
     Args:
         loop: The running event loop.
+        via: The host that has opened it for this one; None if it is direct.
+            Such a connection is not reused.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, via: HostId | None = None
+    ) -> None:
         super().__init__(loop)
+        self.via = via
+        #: Whether it has not been idle in a pool yet.
+        self.is_new = True
         self._matches: AnswerMatcher | None = None
         self._answer: asyncio.Future[ResponseHead] | None = None
         self._body: StreamReader | None = None
-        self._may_reuse = True
+        self._may_reuse = via is None
         self._peer_closed = False
         self._lost = asyncio.Event()
         #: Clock seconds since which it has been idle; set by the pool.
@@ -155,6 +131,14 @@
         # After an abandoned request a response is still to come.
         return self._answer is None or self.finished
 
+    @property
+    def proves_path(self) -> bool:
+        """Whether it shows if this host reaches the upstream by itself.
+
+        One from the pool may have been open since before a partition.
+        """
+        return self.is_new and self.via is None
+
     @property
     def finished(self) -> bool:
         """Whether the response has been received completely."""
@@ -331,20 +315,6 @@
     return 0
 
 
-def prepare_socket(sock: socket.socket) -> None:
-    """Set socket options by which the kernel detects a lost peer."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    options = (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    )
-    for option, number in options:
-        sock.setsockopt(socket.IPPROTO_TCP, option, number)
-
-
 async def connect(
     address: Address, timeout: float, source_ip: str = ''
 ) -> UpstreamConnection:
@@ -358,30 +328,6 @@
     Raises:
         ConnectionFailedError: If it can't be opened in time; nothing was sent.
     """
-    loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    prepare_socket(sock)
-    try:
-        sock.bind((source_ip, 0))
-        async with ReadTimeout(timeout):
-            await loop.sock_connect(sock, (address.ip, address.port))
-            _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(loop),
-                sock=sock,
-            )
-    except TimeoutError as expired:
-        sock.close()
-        reason = f'no connection within {timeout:.2f} s'
-        raise ConnectionFailedError(reason, sent=False) from expired
-    except OSError as problem:
-        sock.close()
-        raise ConnectionFailedError(
-            str(problem),
-            sent=False,
-            refused=isinstance(problem, ConnectionRefusedError),
-        ) from problem
-    except asyncio.CancelledError:
-        sock.close()
-        raise
+    connection = UpstreamConnection(asyncio.get_running_loop())
+    await connect_protocol(address, lambda: connection, timeout, source_ip)
     return connection
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -38,6 +38,9 @@
             'Exchanges that broke, by what became of the upstream',
             'upstream',
         )
+        self._tunnels = self._counter(
+            'tunnel_requests', 'Tunnels that other hosts asked for', 'outcome'
+        )
         self._answers = self._counter('answers', 'Answers by status', 'status')
         self._store = self._counter(
             'store_calls',
@@ -80,6 +83,10 @@
         """Count a broken exchange by the state of its upstream's process."""
         self._breaks.labels(state).inc()
 
+    def tunnel_requested(self, outcome: str) -> None:
+        """Count a tunnel that another host asked for, by its outcome."""
+        self._tunnels.labels(outcome).inc()
+
     def answered(self, status: int, kind: str, seconds: float) -> None:
         """Count an answer, and observe its total duration.
 
--- /dev/null
+++ b/src/nutmegroad/relay/detours.py
@@ -0,0 +1,58 @@
+"""Connections by way of other hosts, for this host and for the others."""
+
+import random
+
+from nutmegroad.fleet.hosts import FleetHosts
+from nutmegroad.fleet.tunnel_hosts import TunnelHosts
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.relay.boundary import HostSettings
+from nutmegroad.relay.counters import RelayCounters
+from nutmegroad.relay.dialer import Dialer
+from nutmegroad.relay.direct_paths import DirectPaths
+from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.relay.tunnel_server import TunnelServer
+from nutmegroad.upstreams.directory import Directory
+from nutmegroad.upstreams.placement import Evacuations
+
+
+class Detours:
+    """Opens connections by way of other hosts, and opens them for others.
+
+    Attributes:
+        dialer: Opens this host's connections to upstreams.
+        server: Opens connections that other hosts ask for.
+
+    Args:
+        settings: The host's settings.
+        fleet: The other hosts.
+        pool: Opens direct connections.
+        directory: All upstreams.
+        evacuations: Evacuated failure domains.
+        counters: The host's metrics.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        fleet: FleetHosts,
+        pool: ConnectionPool,
+        directory: Directory,
+        evacuations: Evacuations,
+        counters: RelayCounters,
+        clock: Clock,
+    ) -> None:
+        paths = DirectPaths(clock)
+        hosts = TunnelHosts(
+            fleet.peers,
+            settings.domain,
+            settings.regions,
+            clock,
+            random.Random(settings.seed),
+        )
+        own_ip = settings.peers.ip
+        self.dialer = Dialer(settings.host, pool, paths, hosts, own_ip, clock)
+        self.server = TunnelServer(
+            directory, evacuations, paths, counters, own_ip
+        )
+        fleet.serve_tunnels(self.server.serve)
--- /dev/null
+++ b/src/nutmegroad/relay/dialer.py
@@ -0,0 +1,220 @@
+"""Opens connections to upstreams, by way of other hosts if necessary.
+
+A direct connection has a head start. If it fails or takes long, other hosts are
+asked for one, and the first connection is used. A host that is cut off asks
+them first, and sends an occasional request directly to notice that its paths
+are open again.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import partial
+from itertools import chain
+from typing import Final
+
+from nutmegroad.fleet.host_registration import HostRow
+from nutmegroad.fleet.tunnel_hosts import TunnelHosts
+from nutmegroad.fleet.tunnel_messages import TunnelRequest
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.races import StaggeredRace, Way
+from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.relay.connections import UpstreamConnection
+from nutmegroad.relay.direct_paths import DirectPaths
+from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.relay.sockets import ConnectionFailedError
+from nutmegroad.relay.tunnels import open_tunnel
+from nutmegroad.upstreams.directory import Upstream
+
+#: Seconds by which a direct connection is ahead of other hosts, and each of
+#: these ahead of the next one: ten times the latency of the slowest network
+#: path within a region at present.
+HEAD_START: Final = 0.1
+
+#: A way to open a connection, and its head start in seconds.
+DialWay = Way[UpstreamConnection]
+
+
+@dataclass(frozen=True, slots=True)
+class DialPurpose:
+    """What a connection is for.
+
+    Attributes:
+        request: Id of the caller's request; empty for a check.
+        single_execution: Whether the request may be executed only once.
+    """
+
+    request: str = ''
+    single_execution: bool = False
+
+
+class Dialer:
+    """Opens connections to upstreams.
+
+    Args:
+        host: This host.
+        pool: Opens direct connections.
+        paths: Whether this host reaches upstreams itself.
+        hosts: The hosts that may be asked for a connection.
+        source_ip: IP address to connect to other hosts from.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        pool: ConnectionPool,
+        paths: DirectPaths,
+        hosts: TunnelHosts,
+        source_ip: str,
+        clock: Clock,
+    ) -> None:
+        self.paths = paths
+        self._host = host
+        self._pool = pool
+        self._hosts = hosts
+        self._source_ip = source_ip
+        self._clock = clock
+
+    async def open(
+        self, upstream: Upstream, timeout: float, purpose: DialPurpose
+    ) -> UpstreamConnection:
+        """Open a connection to an upstream.
+
+        Args:
+            upstream: The upstream.
+            timeout: Maximum seconds to wait.
+            purpose: What the connection is for.
+
+        Raises:
+            ConnectionFailedError: If there is none in time; nothing was sent.
+        """
+        deadline = self._clock.now() + timeout
+        direct_first = self._tries_direct_first(upstream, purpose)
+        ways = self._ways(upstream, deadline, purpose)
+        if direct_first:
+            direct = partial(self._open_directly, upstream, deadline)
+            head_start = 0 if upstream.path_lost else HEAD_START
+            ways = chain(((direct, head_start),), ways)
+        race = StaggeredRace[UpstreamConnection](UpstreamConnection.abort)
+        connection = await race.run(ways)
+        if connection is None:
+            raise self._failure(upstream, race.errors)
+        if connection.via is not None:
+            if direct_first:
+                self.paths.record_failure(upstream)
+            self.paths.record_detour(upstream)
+        return connection
+
+    def avoids_direct(self, upstream: Upstream) -> bool:
+        """Return whether open direct connections may be dead."""
+        service = upstream.entry.service
+        return upstream.path_lost or self.paths.is_cut_off(service)
+
+    async def open_elsewhere(
+        self, upstream: Upstream, timeout: float
+    ) -> UpstreamConnection | None:
+        """Return a connection that another host opens, or None.
+
+        Raises:
+            LookupError: If there is no other host.
+        """
+        deadline = self._clock.now() + timeout
+        tunnels = tuple(self._tunnels(upstream, deadline, DialPurpose()))
+        if not tunnels:
+            raise LookupError('no other host is known')
+        race = StaggeredRace[UpstreamConnection](UpstreamConnection.abort)
+        return await race.run(tunnels)
+
+    def _ways(
+        self, upstream: Upstream, deadline: float, purpose: DialPurpose
+    ) -> Iterator[DialWay]:
+        """Yield the ways to connect by other hosts, and a direct one."""
+        yield from self._tunnels(upstream, deadline, purpose)
+        if self.paths.is_cut_off(upstream.entry.service):
+            # Other hosts may be unable to help, too.
+            yield partial(self._open_directly, upstream, deadline), 0
+
+    def _tries_direct_first(
+        self, upstream: Upstream, purpose: DialPurpose
+    ) -> bool:
+        """Return whether the direct connection is the first choice."""
+        service = upstream.entry.service
+        if not self.paths.is_cut_off(service):
+            return True
+        # A proxy may accept a connection in vain, which costs an execution.
+        return not purpose.single_execution and self.paths.claim_probe(service)
+
+    def _tunnels(
+        self, upstream: Upstream, deadline: float, purpose: DialPurpose
+    ) -> Iterator[DialWay]:
+        """Yield the ways to connect by other hosts."""
+        for host, row in self._hosts.candidates(upstream.entry.service):
+            dial = partial(
+                self._open_by, host, row, upstream, deadline, purpose
+            )
+            yield dial, HEAD_START
+
+    async def _open_directly(
+        self, upstream: Upstream, deadline: float
+    ) -> UpstreamConnection:
+        """Open a direct connection."""
+        timeout = max(0, deadline - self._clock.now())
+        try:
+            return await self._pool.open(upstream.entry.address, timeout)
+        except ConnectionFailedError:
+            self.paths.record_failure(upstream)
+            raise
+
+    async def _open_by(
+        self,
+        host: HostId,
+        row: HostRow,
+        upstream: Upstream,
+        deadline: float,
+        purpose: DialPurpose,
+    ) -> UpstreamConnection:
+        """Open a connection by way of another host."""
+        started = self._clock.now()
+        entry = upstream.entry
+        request = TunnelRequest(
+            row.key,
+            self._host,
+            entry.upstream,
+            str(entry.address),
+            max(0, deadline - started),
+            purpose.request,
+        )
+        address = Address(row.ip, row.port)
+        try:
+            connection = await open_tunnel(
+                host, address, request, self._source_ip
+            )
+        except ConnectionFailedError:
+            self._hosts.record_failure(host, entry.service)
+            raise
+        except asyncio.CancelledError:
+            if self._clock.now() - started >= HEAD_START:
+                # It has lost the race because it did not reply.
+                self._hosts.record_failure(host, entry.service)
+            raise
+        self._hosts.record_success(host, entry.service)
+        return connection
+
+    def _failure(
+        self, upstream: Upstream, errors: list[BaseException]
+    ) -> ConnectionFailedError:
+        """Return the error of a connection that could not be opened.
+
+        It counts as refused only if that shows that no process listens.
+        """
+        failures = [
+            each for each in errors if isinstance(each, ConnectionFailedError)
+        ]
+        refused = bool(failures) and all(each.refused for each in failures)
+        return ConnectionFailedError(
+            '; '.join(str(each) for each in errors),
+            sent=False,
+            refused=refused
+            and not self.paths.is_cut_off(upstream.entry.service),
+        )
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -310,6 +310,7 @@
             running=choice.running,
             failures=round(choice.upstream.health.failure_average, 2),
             waited=round(self.waited, 3),
+            via=outcome.via,
             outcome=ended,
             detail=detail,
         )
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from typing import Any, Final
@@ -18,6 +19,7 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.relay.assembly import HostComponents, assemble
 from nutmegroad.relay.boundary import HostSettings, Platform
+from nutmegroad.relay.detours import Detours
 from nutmegroad.relay.fleet_table import FleetSink
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import BoundSockets, Listeners
@@ -53,6 +55,9 @@
 #: Seconds between checks whether all requests have ended.
 STOP_POLL_INTERVAL: Final = 0.05
 
+#: Random bytes of the key by which peers prove that they are hosts.
+LINK_KEY_BYTES: Final = 16
+
 #: Seconds of the stop's grace period that are reserved for closing.
 CLOSE_RESERVE: Final = 0.7
 
@@ -98,6 +103,8 @@
             hosts=self._fleet.peers.count,
             hosts_heard=self._fleet.peers.count_responsive(),
             session_marks=len(self._fleet.shared_state.sessions),
+            cut_off=self._detours.dialer.paths.count_cut_off(),
+            tunnels=self._detours.server.open_count,
         )
 
     @property
@@ -154,6 +161,7 @@
     async def stop(self) -> None:
         """Let open requests end within the grace period, then close all."""
         self._stopping = True
+        self._detours.server.stopping = True
         began = self._clock.now()
         _LOG.decision('stopping', open=len(self._caller_handler.busy))
         await self._clock.sleep(LAME_DUCK)
@@ -161,7 +169,10 @@
         # idle one too late to be answered within the grace period.
         await self._callers.close(self._caller_handler.busy, self._clock)
         latest = began + self._settings.grace - CLOSE_RESERVE
-        while self._caller_handler.busy and self._clock.now() < latest:
+        tunnels = self._detours.server
+        while (
+            self._caller_handler.busy or tunnels.open_count
+        ) and self._clock.now() < latest:
             await self._clock.sleep(STOP_POLL_INTERVAL)
         _LOG.decision('stopped', open=len(self._caller_handler.busy))
         await self.close()
@@ -205,6 +216,7 @@
                 settings.peers.port,
                 settings.domain,
                 settings.link_mbps,
+                secrets.token_hex(LINK_KEY_BYTES),
             ),
             self._platform.store,
             settings.session_window,
@@ -212,6 +224,15 @@
             self._randomness,
             first=settings.first_start,
         )
+        self._detours = Detours(
+            settings,
+            self._fleet,
+            self._pool,
+            self._directory,
+            self.evacuations,
+            self._platform.counters,
+            clock,
+        )
         self._rollouts = RolloutState(
             settings.host,
             canary_share(settings.exposure),
@@ -231,6 +252,7 @@
                 self._rollouts,
                 self._fleet.shared_state,
                 self._pool,
+                self._detours.dialer,
                 self._fleet.crash_rows,
                 Placement(self.evacuations, settings.regions),
                 self._fleet.known_rank,
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
-from nutmegroad.foundations.types import ModelName, Ran
+from nutmegroad.foundations.types import HostId, ModelName, Ran
 from nutmegroad.relay.connections import ResponseHead, UpstreamConnection
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.selection import Choice
@@ -43,12 +43,14 @@
         reason: Explanation for logs and refusals.
         retry_after: Seconds after which the upstream accepts a retry; 0 if it
             did not say.
+        via: The host by way of which the request was sent; None if none.
     """
 
     end: AttemptEnd
     ran: Ran
     reason: str
     retry_after: float = 0
+    via: HostId | None = None
 
     def __bool__(self) -> bool:
         """Return False, always."""
@@ -103,6 +105,11 @@
     waited: float
     stack: AsyncExitStack = field(repr=False)
 
+    @property
+    def via(self) -> HostId | None:
+        """The host by way of which the request was sent; None if none."""
+        return self.connection.via
+
     @property
     def upstream(self) -> Upstream:
         """The upstream that answers."""
--- a/src/nutmegroad/relay/plain_calls.py
+++ b/src/nutmegroad/relay/plain_calls.py
@@ -6,12 +6,13 @@
 from nutmegroad.canary.gate import AttemptOutcome
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
-from nutmegroad.relay.connections import ConnectionFailedError, ResponseHead
+from nutmegroad.relay.connections import ResponseHead
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR
 from nutmegroad.relay.outcomes import UpstreamAnswer
 from nutmegroad.relay.refusals import caller_refusal
 from nutmegroad.relay.replies import Reply
+from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.routes.headers import end_to_end
 
 _LOG: Final = part_logger('relay')
--- a/src/nutmegroad/relay/pools.py
+++ b/src/nutmegroad/relay/pools.py
@@ -121,6 +121,7 @@
             exchanges.discard(connection)
         if connection.reusable:
             connection.idle_since = self._clock.now()
+            connection.is_new = False
             self._idle[upstream].append(connection)
         else:
             connection.abort()
--- a/src/nutmegroad/relay/process_checks.py
+++ b/src/nutmegroad/relay/process_checks.py
@@ -14,11 +14,9 @@
 
 from nutmegroad.foundations.types import UpstreamIncarnation
 from nutmegroad.relay.attempts import CONNECT_TIMEOUT
-from nutmegroad.relay.connections import (
-    ConnectionFailedError,
-    UpstreamConnection,
-)
+from nutmegroad.relay.connections import UpstreamConnection
 from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.upstreams.directory import UpstreamEntry
 
 #: Maximum number of connection attempts: packets of the first may be lost.
--- /dev/null
+++ b/src/nutmegroad/relay/sockets.py
@@ -0,0 +1,97 @@
+"""Sockets to upstreams and to other hosts, and how the loss of a peer shows."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Final
+
+from nutmegroad.foundations.timeouts import ReadTimeout
+from nutmegroad.foundations.types import Address
+
+#: Seconds without data after which the kernel sends a keep-alive probe, and
+#: between its probes. A connection may become unresponsive without a reset. The
+#: strictest time limit of a deployment leaves three seconds to detect that, and
+#: one of them is reserved for the reply.
+KEEPALIVE_INTERVAL: Final = 1
+KEEPALIVE_PROBES: Final = 2
+#: Milliseconds for which sent bytes may stay unacknowledged before the kernel
+#: closes the connection.
+USER_TIMEOUT_MS: Final = 1500
+
+
+class ConnectionFailedError(Exception):
+    """An upstream connection failed, or received an invalid response.
+
+    Attributes:
+        sent: Whether bytes of the request may have reached the upstream.
+        refused: Whether the connection was refused because no process listens
+            at the address.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        sent: bool,
+        refused: bool = False,
+    ) -> None:
+        super().__init__(reason)
+        self.sent = sent
+        self.refused = refused
+
+
+def prepare_socket(sock: socket.socket) -> None:
+    """Set socket options by which the kernel detects a lost peer."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    options = (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for option, number in options:
+        sock.setsockopt(socket.IPPROTO_TCP, option, number)
+
+
+async def connect_protocol(
+    address: Address,
+    protocol: Callable[[], asyncio.BaseProtocol],
+    timeout: float,
+    source_ip: str,
+) -> asyncio.Transport:
+    """Connect a protocol to an address.
+
+    Args:
+        address: The address.
+        protocol: Returns the protocol.
+        timeout: Maximum seconds to wait.
+        source_ip: IP address to connect from; empty to let the kernel choose.
+
+    Raises:
+        ConnectionFailedError: If it can't be connected in time.
+    """
+    loop = asyncio.get_running_loop()
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    prepare_socket(sock)
+    try:
+        sock.bind((source_ip, 0))
+        async with ReadTimeout(timeout):
+            await loop.sock_connect(sock, (address.ip, address.port))
+            transport, _ = await loop.create_connection(protocol, sock=sock)
+    except TimeoutError as expired:
+        sock.close()
+        reason = f'no connection within {timeout:.2f} s'
+        raise ConnectionFailedError(reason, sent=False) from expired
+    except OSError as problem:
+        sock.close()
+        raise ConnectionFailedError(
+            str(problem),
+            sent=False,
+            refused=isinstance(problem, ConnectionRefusedError),
+        ) from problem
+    except asyncio.CancelledError:
+        sock.close()
+        raise
+    return transport
--- a/src/nutmegroad/relay/status_pages.py
+++ b/src/nutmegroad/relay/status_pages.py
@@ -31,6 +31,8 @@
         hosts: Number of other hosts known.
         hosts_heard: Number of other hosts last seen a short time ago.
         session_marks: Number of sessions known to have run on an old version.
+        cut_off: Number of services that it reaches by other hosts only.
+        tunnels: Number of connections that are open for other hosts.
     """
 
     configuration: int
@@ -44,6 +46,8 @@
     hosts: int
     hosts_heard: int
     session_marks: int
+    cut_off: int
+    tunnels: int
 
 
 class StatusSource(Protocol):
@@ -96,6 +100,16 @@
         'Sessions known to have run on an old version',
         attrgetter('session_marks'),
     ),
+    (
+        'cut_off',
+        'Services that are reached by way of other hosts only',
+        attrgetter('cut_off'),
+    ),
+    (
+        'open_tunnels',
+        'Connections to upstreams that are open for other hosts',
+        attrgetter('tunnels'),
+    ),
 )
 
 
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -17,7 +17,7 @@
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import ModelName
-from nutmegroad.relay.connections import ConnectionFailedError, Framing
+from nutmegroad.relay.connections import Framing
 from nutmegroad.relay.escalations import choose_larger_model
 from nutmegroad.relay.events import Event, EventStreamSplitter
 from nutmegroad.relay.execution import Execution
@@ -30,6 +30,7 @@
 )
 from nutmegroad.relay.refusals import caller_refusal
 from nutmegroad.relay.replies import Reply
+from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.relay.timeouts import response_timeout, wait_while_reachable
 from nutmegroad.routes.headers import end_to_end
 
--- a/src/nutmegroad/upstreams/directory.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -97,9 +97,12 @@
             one.
         earlier_start_ms: Start time of an earlier incarnation that the list has
             reported once since, in milliseconds since 1970; 0 for none.
-        absent_at: Clock seconds at which its process was last known not to
-            run; it may have started at any time since.
+        absent_at: Clock seconds at which the list last showed that its process
+            did not run; it may have started at any time since.
+        refused_at: Clock seconds at which its machine last refused connections,
+            so that its process did not run.
         cold_until: Clock seconds until which it has reported to be cold.
+        path_lost: Whether other hosts reach it and this one does not.
     """
 
     entry: UpstreamEntry
@@ -108,7 +111,9 @@
     restarted: bool = False
     earlier_start_ms: int = 0
     absent_at: float = float('-inf')
+    refused_at: float = float('-inf')
     cold_until: float = float('-inf')
+    path_lost: bool = False
 
     def warm_at(self, cold_seconds: float) -> float:
         """Return the clock seconds from which the upstream is warm.
@@ -118,7 +123,8 @@
         Args:
             cold_seconds: Seconds for which it is cold after a start.
         """
-        return max(self.cold_until, self.absent_at + cold_seconds)
+        started_at = max(self.absent_at, self.refused_at)
+        return max(self.cold_until, started_at + cold_seconds)
 
     def report_cold(self, now: float, seconds: float) -> None:
         """Record for how many seconds the upstream reports to be cold.
--- a/tests/cut_rig.py
+++ b/tests/cut_rig.py
@@ -1,5 +1,7 @@
 """Relay hosts that can be cut off from all workers, each by itself."""
 
+import asyncio
+from dataclasses import replace
 from enum import Enum, unique
 
 from experiments.fleet_soak.links import Link, LinkState
@@ -94,3 +96,13 @@
         return (stream() if streamed else plain())(request)
 
     return make
+
+
+def holding(released: asyncio.Event) -> ScriptFactory:
+    """Return a factory of plain answers that wait for an event."""
+
+    def make(request: ReceivedRequest) -> Script:
+        """Return an answer that waits."""
+        return replace(plain()(request), hold=released)
+
+    return make
--- a/tests/shared_store_rig.py
+++ b/tests/shared_store_rig.py
@@ -7,6 +7,7 @@
 from contextlib import AsyncExitStack
 
 from nutmegroad.fleet.host_registration import HostRow
+from nutmegroad.fleet.peer_listener import PeerListener
 from nutmegroad.fleet.shared_store import SharedStore
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import (
@@ -31,6 +32,11 @@
 FOREVER = float('inf')  # Updates from another host never expire.
 
 
+async def _no_key() -> str:
+    """Return the key of hosts without a key."""
+    return ''
+
+
 class CountingStore(UnavailableStore):
     """A store with one table that counts its calls.
 
@@ -95,6 +101,7 @@
         self.row = HostRow('127.0.0.1', free_port(), 'north')
         clock = BootClock()
         self.server = UpdateServer(clock)
+        self.listener = PeerListener(_no_key, self.server)
         host = HostId(name)
         hosts[host] = self
 
@@ -133,7 +140,7 @@
             Host(name, self.platform, self.hosts)
         for host in self.hosts.values():
             address = Address(host.row.ip, host.row.port)
-            await host.server.open(address, self.stack)
+            await host.listener.open(address, self.stack)
         for host in self.hosts.values():
             self.run_host(host)
         await self.wait_until(lambda: len(self.followers()) == 4)
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -12,7 +12,8 @@
 
 from nutmegroad.fleet.peer_gossip import ROUND_INTERVAL
 from nutmegroad.foundations.clocks import BootClock
-from tests.cut_rig import STREAMED, Cut, CutRig
+from nutmegroad.relay.process_checks import PROXY_CLOSE_TIMEOUT
+from tests.cut_rig import STREAMED, Cut, CutRig, holding
 
 PATHS = ('/look/1', '/pay/1', '/draft/1', '/once/1')
 
@@ -90,6 +91,29 @@
             self.assertEqual(rig.hosts[host].status.harmful, 0)
             await self.assert_serves(rig, host, 'after')
 
+    # The same, for requests that were in progress at three upstreams when the
+    # cut began: each broken exchange counted as one crash.
+    async def test_requests_in_progress_at_a_cut_are_no_crashes(self) -> None:
+        """Hosts that are not cut off still serve such a request."""
+        rig = await self.open(hosts=3)
+        held = asyncio.Event()
+        for worker in rig.workers:
+            worker.default_script = holding(held)
+        pending = [
+            asyncio.ensure_future(rig.ask('/pay/1', f'held-{number}'))
+            for number in range(9)
+        ]
+        await rig.until(lambda: all(worker.requests for worker in rig.workers))
+        rig.cut(0, Cut.RESET)
+        await asyncio.gather(*pending)
+        held.set()
+        # Until a proxy without a process behind it would have shown.
+        await BootClock().sleep(2 * PROXY_CLOSE_TIMEOUT)
+        await BootClock().sleep(3 * ROUND_INTERVAL)
+        for host in (1, 0):
+            status, _, _ = await rig.ask('/pay/1', f'later-{host}', host=host)
+            self.assertEqual(status, 200)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_large_tables.py
+++ b/tests/test_large_tables.py
@@ -12,11 +12,11 @@
 import msgspec
 
 from nutmegroad.fleet import update_link
+from nutmegroad.fleet.frames import MAX_FRAME_BYTES
 from nutmegroad.fleet.host_registration import HostRow
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
 from nutmegroad.fleet.table_updates import (
     BASE_FRAME_BYTES,
-    MAX_FRAME_BYTES,
     KnownVersions,
     TableUpdate,
     encode_update,
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -81,7 +81,7 @@
             follower.store.changes(TABLE, 1, 60, FOREVER)
         )
         await asyncio.sleep(0)
-        self.reader.server._close()
+        self.reader.server.close()
         found = await asked
         assert isinstance(found, RowsRead)
         self.assertFalse(found.relayed)
@@ -99,7 +99,7 @@
         for name, host in tuple(self.hosts.items()):
             if host is first:
                 self.hosts.pop(name)
-        first.server._close()
+        first.server.close()
         rest = list(self.hosts.values())
         await self.wait_until(
             lambda: sum(host.link.source in self.hosts for host in rest) == 3,
--- a/tests/test_table_updates.py
+++ b/tests/test_table_updates.py
@@ -4,10 +4,9 @@
 import random
 import unittest
 
+from nutmegroad.fleet.frames import MAX_FRAME_BYTES, FrameError
 from nutmegroad.fleet.store_interface import StoredRow
 from nutmegroad.fleet.table_updates import (
-    MAX_FRAME_BYTES,
-    FrameError,
     KeepAlive,
     KnownVersions,
     StoreUnavailable,
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -18,12 +18,9 @@
 )
 
 from nutmegroad.foundations.types import Address
-from nutmegroad.relay.connections import (
-    ConnectionFailedError,
-    RequestHead,
-    connect,
-)
+from nutmegroad.relay.connections import RequestHead, connect
 from nutmegroad.relay.events import Event, EventStreamSplitter
+from nutmegroad.relay.sockets import ConnectionFailedError
 from tests.relay_case import RelayCase
 
 #: A stream without the end of its second event.
