Verify the end of an upstream by others before it counts as a crash

Cause: a broken exchange whose upstream then refuses or drops a connection counted as the end of its process, and three of them are told to all hosts. To a host that is cut off, every upstream looks like that.

An end now counts only if another host can't connect to the upstream either and this host still reaches another upstream. If another host connects, the path is lost, not the process. If neither is known, the exchange stays unconfirmed until the list shows a restart. A host that knows no other host decides as before.

--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -14,6 +14,7 @@
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.crashes import CrashMonitor
 from nutmegroad.relay.dialer import Dialer
+from nutmegroad.relay.end_checks import EndVerifier
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.upstreams.cold_starts import ColdStarts, HostRank
 from nutmegroad.upstreams.directory import Directory
@@ -79,6 +80,7 @@
     components.directory.ended.add_listener(attempts.upstream_ended)
     crashes = CrashMonitor(
         components.pool,
+        EndVerifier(dialer, components.pool, components.directory, randomness),
         received_state.crashes,
         components.crash_rows,
         clock,
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -22,6 +22,7 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import UpstreamIncarnation
 from nutmegroad.relay.counters import RelayCounters
+from nutmegroad.relay.end_checks import EndVerifier
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.process_checks import ProcessChecker, ProcessState
 from nutmegroad.routes.requests import CallerRequest
@@ -67,6 +68,7 @@
 
     Args:
         pool: Connections to upstreams.
+        verifier: Verifies that upstreams have terminated.
         tracker: Crashes that this host and others have recorded, by request.
         rows: Publishes harmful requests, and decides which host may make a
             probe execution.
@@ -77,12 +79,14 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        verifier: EndVerifier,
         tracker: CrashTracker,
         rows: CrashRows,
         clock: Clock,
         counters: RelayCounters,
     ) -> None:
         self._processes = ProcessChecker(pool)
+        self._verifier = verifier
         self._tracker = tracker
         self._rows = rows
         self._clock = clock
@@ -199,6 +203,8 @@
         if upstream.restarted:
             # The connection attempt reached a new incarnation.
             state = ProcessState.ENDED
+        elif state is ProcessState.ENDED:
+            state = await self._verifier.verify(upstream, behind_proxy=False)
         self._counters.exchange_broken(state.value)
         if state is ProcessState.ENDED:
             await self._confirm(broken)
@@ -206,13 +212,15 @@
             return
         self._record_unconfirmed(broken)
         checked.set()
-        if await found.was_closed_at_once():
-            self._counters.exchange_broken(ProcessState.CLOSED_BY_PROXY.value)
-            known = self._unconfirmed.get(upstream.entry.incarnation)
-            if known and broken in known:
-                # No restart has confirmed it in the meantime.
-                known.remove(broken)
-                await self._confirm(broken)
+        if not await found.was_closed_at_once():
+            return
+        self._counters.exchange_broken(ProcessState.CLOSED_BY_PROXY.value)
+        state = await self._verifier.verify(upstream, behind_proxy=True)
+        known = self._unconfirmed.get(upstream.entry.incarnation)
+        if state is ProcessState.ENDED and known and broken in known:
+            # No restart has confirmed it in the meantime.
+            known.remove(broken)
+            await self._confirm(broken)
 
     async def _confirm(self, broken: _BrokenExchange) -> None:
         """Record a confirmed crash; publish it if the request is harmful."""
