Do not count what a lost path has interrupted against a version

What callers would see: a host that is cut off and then reaches upstreams by way of others counts its broken exchanges as poor answers of their version, since the upstream answers again, and tells all hosts. A cut of a few hosts during a roll-out could halt a good version.

The interruptions at an upstream are forgotten when another host reaches it and this one does not, and do not count until the path is restored. Failures that the upstream answered with count as before, so a cut hides no bad version.

test_interruptions_of_a_lost_path_do_not_count fails without the two changes of canary/gate.

--- a/src/nutmegroad/canary/gate.py
+++ b/src/nutmegroad/canary/gate.py
@@ -165,12 +165,13 @@
         """Count the outcome of an attempt as evidence on its version.
 
         An interrupted attempt counts only once its upstream has answered
-        something else.
+        something else, and not if this host has lost its path to it.
         """
         entry = upstream.entry
         kind = kind_number(request.route.name)
         if outcome is AttemptOutcome.INTERRUPTED:
-            self._interruptions.record(entry.incarnation, kind)
+            if not upstream.path_lost:
+                self._interruptions.record(entry.incarnation, kind)
             return
         for interrupted_kind in self._interruptions.pop_interrupted(
             entry.incarnation
@@ -188,6 +189,10 @@
             poor=outcome is AttemptOutcome.POOR,
         )
 
+    def on_detour(self, upstream: Upstream) -> None:
+        """Forget the interruptions that the loss of a path explains."""
+        self._interruptions.forget(upstream.entry.incarnation)
+
     def _steady_upstreams(
         self,
         service: ServiceName,
--- a/src/nutmegroad/canary/interrupted_attempts.py
+++ b/src/nutmegroad/canary/interrupted_attempts.py
@@ -61,6 +61,10 @@
             kind for timestamp, kind in interrupted if timestamp >= oldest
         )
 
+    def forget(self, upstream: UpstreamIncarnation) -> None:
+        """Forget the interruptions at an upstream; they had another cause."""
+        self._interrupted.pop(upstream, None)
+
     def _remove_expired(self) -> None:
         """Remove upstreams that have not answered in time."""
         oldest = self._clock.now() - ANSWER_WINDOW
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -95,6 +95,7 @@
         received_state.sessions,
         components.placement,
     )
+    dialer.paths.on_detour(gate.on_detour)
     return RelayContext(
         attempts,
         selector,
