Divide the slots of brittle upstreams among hosts

What callers would see: in a burst each host sends a brittle upstream little more than there is room for, and it falls over, since it tolerates few rejections in a second (LIMIT). Nothing in the product knew of that.

Answers say how brittle a service is (`Server-Brittle`); a host then has at most its share of each upstream's slots, and a pause of a second after a rejection. A host that needs more asks another one to send a request within its share, by the tunnels that cut hosts use. With more hosts than slots, some hosts by rendezvous hashing have one slot each and send for the others. So the sum over all hosts never exceeds the slots, without a shared counter; what an upstream tolerates is left for hosts that have joined or have had no answer yet.

The burst's test fails for a fleet whose hosts do not share, which a second test asserts.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -104,8 +104,16 @@
     return make
 
 
-def rejecting(status: str = '503 Service Unavailable') -> ScriptFactory:
-    """Return a factory of scripts that declare the request not executed."""
+def rejecting(
+    status: str = '503 Service Unavailable', brittle: int | None = None
+) -> ScriptFactory:
+    """Return a factory of scripts that declare the request not executed.
+
+    Args:
+        status: Status and reason.
+        brittle: Rejections in a second that the worker tolerates; None if it
+            does not say.
+    """
 
     def make(request: ReceivedRequest) -> Script:
         """Return a rejection."""
@@ -114,6 +122,8 @@
             'Nutmegroad-Not-Executed': '1',
             'Content-Length': '0',
         }
+        if brittle is not None:
+            headers['Server-Brittle'] = str(brittle)
         return Script((head(status, headers),))
 
     return make
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -6,9 +6,8 @@
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
-from xxhash import xxh3_64_intdigest
-
 from nutmegroad.fleet.crash_rows import CrashRows
+from nutmegroad.fleet.duties import duty_hash
 from nutmegroad.fleet.eras import EraStore
 from nutmegroad.fleet.evidence import HostIncarnation
 from nutmegroad.fleet.followers import FollowerFactory
@@ -142,9 +141,9 @@
         Args:
             duty: Name of a task that one host has to perform.
         """
-        mine = _duty_hash(duty, self._host)
+        mine = duty_hash(duty, self._host)
         others = (*self.peers.local_hosts, *self.peers.remote_hosts)
-        return sum(_duty_hash(duty, other) < mine for other in others)
+        return sum(duty_hash(duty, other) < mine for other in others)
 
     def known_rank(self, duty: str) -> int | None:
         """Return this host's rank for a duty; None before hosts are known."""
@@ -161,8 +160,3 @@
             self._server.run(),
             self._link.run(),
         )
-
-
-def _duty_hash(duty: str, host: HostId) -> int:
-    """Return the rendezvous hash by which hosts are ranked for a duty."""
-    return xxh3_64_intdigest(f'{duty}/{host}'.encode())
--- a/src/nutmegroad/fleet/tunnel_hosts.py
+++ b/src/nutmegroad/fleet/tunnel_hosts.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from nutmegroad.fleet.duties import first_for_duty
 from nutmegroad.fleet.host_registration import HostRow
 from nutmegroad.fleet.peer_gossip import PeerGossip
 from nutmegroad.foundations.clocks import Clock
@@ -58,10 +59,19 @@
         self._failed_at: dict[tuple[HostId, ServiceName], float] = {}
 
     def candidates(
-        self, service: ServiceName
+        self, service: ServiceName, duty: str = '', count: int | None = None
     ) -> tuple[tuple[HostId, HostRow], ...]:
-        """Return the hosts to ask for a connection, in order."""
+        """Return the hosts to ask for a connection, in order.
+
+        Args:
+            service: The service of the upstream.
+            duty: A duty that the hosts must have.
+            count: Number of hosts that have it, by rank; None if all have.
+        """
         hosts = {**self._peers.local_hosts, **self._peers.remote_hosts}
+        if count is not None:
+            first = first_for_duty(duty, hosts, count)
+            hosts = {host: hosts[host] for host in first}
         in_region = [
             (host, row)
             for host, row in hosts.items()
--- a/src/nutmegroad/fleet/tunnel_messages.py
+++ b/src/nutmegroad/fleet/tunnel_messages.py
@@ -13,6 +13,8 @@
         address: Its address as IP:PORT, as the sender knows it.
         timeout: Seconds within which the connection is of use.
         request: Id of the caller's request; empty for a check.
+        borrows: Whether the request is to be sent within the receiver's share
+            of a brittle upstream.
     """
 
     key: str
@@ -21,6 +23,7 @@
     address: str
     timeout: float
     request: str = ''
+    borrows: bool = False
 
 
 class TunnelOpened(Struct, frozen=True, array_like=True, tag='o'):
@@ -33,10 +36,12 @@
     Attributes:
         reason: Explanation for logs.
         refused: Whether the upstream's machine refused the connection.
+        withheld: Whether the receiver has no share of the upstream left.
     """
 
     reason: str
     refused: bool = False
+    withheld: bool = False
 
 
 TunnelReply = TunnelOpened | TunnelRefused
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -1,6 +1,7 @@
 """Builds the objects that all executions of a host share."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from nutmegroad.canary.gate import make_gate
@@ -16,8 +17,9 @@
 from nutmegroad.relay.dialer import Dialer
 from nutmegroad.relay.end_checks import EndVerifier
 from nutmegroad.relay.pools import ConnectionPool
-from nutmegroad.upstreams.cold_starts import ColdStarts, HostRank
+from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import Directory
+from nutmegroad.upstreams.duty_ranks import HostRank
 from nutmegroad.upstreams.placement import Placement
 from nutmegroad.upstreams.selection import Selector
 
@@ -35,6 +37,7 @@
         crash_rows: Stored rows of harmful requests.
         placement: Failure domains and regions in which requests may run.
         host_rank: This host's rank for a duty.
+        host_count: Returns the number of known hosts, including this one.
     """
 
     directory: Directory
@@ -45,6 +48,7 @@
     crash_rows: CrashRows
     placement: Placement
     host_rank: HostRank
+    host_count: Callable[[], int]
 
 
 def assemble(
@@ -73,6 +77,7 @@
         received_state.domains,
         ColdStarts(clock, components.host_rank),
     )
+    selector.brittle.share_with(components.host_rank, components.host_count)
     dialer = components.dialer
     attempts = AttemptRunner(
         components.pool, dialer, platform.names, selector, clock
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -38,6 +38,15 @@
 #: another upstream is the better choice.
 CONNECT_TIMEOUT: Final = 0.3
 
+#: Seconds after which a caller should retry if no host has a share of brittle
+#: upstreams left: several calls to a plain service have ended by then.
+SHARE_RETRY_AFTER: Final = 0.5
+
+#: Ends that say nothing about the upstream's health.
+_NO_EVIDENCE: Final = frozenset(
+    (AttemptEnd.REJECTED, AttemptEnd.WITHHELD, AttemptEnd.UNRESPONSIVE)
+)
+
 #: Fraction of an engine's token cache that holds parts of prompts for reuse;
 #: the rest is for the requests that it executes.
 CACHE_FRACTION: Final = 0.7
@@ -110,6 +119,9 @@
             mark_read()
             head, connection = outcome
             self._selector.silence.record_message(upstream.entry.domain)
+            self._selector.brittle.observe(
+                upstream.entry.service, self._heads.brittle_limit(head)
+            )
             failure = self._heads.validate(head)
             if failure is not None:
                 self._record_failure(upstream, failure)
@@ -141,6 +153,8 @@
         load = plan.choice.load
         mark_read = ledger.begin(name, load)
         self._selector.cold_starts.record_sent(upstream)
+        if plan.choice.borrowed:
+            stack.callback(self._selector.brittle.borrow(upstream))
         if request.generation is not None:
             self._record_prefixes(request, plan, request.generation)
         stack.callback(ledger.end, name, load)
@@ -175,6 +189,13 @@
         try:
             connection = await self._acquire_connection(request, plan, stack)
         except ConnectionFailedError as problem:
+            if problem.withheld:
+                return AttemptFailure(
+                    AttemptEnd.WITHHELD,
+                    Ran.NOT_RUN,
+                    str(problem),
+                    SHARE_RETRY_AFTER,
+                )
             if problem.refused:
                 # No process listens there; the next one to do so is cold.
                 plan.upstream.refused_at = self._clock.now()
@@ -252,7 +273,8 @@
         upstream = plan.upstream.entry.incarnation
         single_execution = not request.route.repeatable
         connection = None
-        if not self._dialer.avoids_direct(plan.upstream):
+        borrowed = plan.choice.borrowed
+        if not (borrowed or self._dialer.avoids_direct(plan.upstream)):
             connection = self._pool.acquire(
                 upstream, single_execution=single_execution
             )
@@ -261,7 +283,14 @@
             connection = await self._dialer.open(
                 plan.upstream,
                 min(CONNECT_TIMEOUT, max(0, time_left)),
-                DialPurpose(request.request_id, single_execution),
+                DialPurpose(
+                    request.request_id,
+                    single_execution,
+                    borrowed,
+                    self._selector.brittle.lender_count(plan.upstream)
+                    if borrowed
+                    else None,
+                ),
             )
         if request.route.repeatable:
             self._pool.register_repeatable(upstream, connection)
@@ -273,9 +302,13 @@
     ) -> None:
         """Update an upstream's health after a failed attempt."""
         now = self._clock.now()
+        if failure.end is AttemptEnd.REJECTED:
+            self._selector.brittle.record_rejection(upstream)
+        elif failure.end is AttemptEnd.WITHHELD:
+            self._selector.brittle.record_no_share(upstream)
         if failure.end in (AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED):
             upstream.health.record_unreachable(now)
-        elif failure.end in (AttemptEnd.REJECTED, AttemptEnd.UNRESPONSIVE):
+        elif failure.end in _NO_EVIDENCE:
             # A missing answer was recorded as overdue when the timeout expired.
             upstream.health.record_no_result()
         else:
--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -42,10 +42,16 @@
     Attributes:
         request: Id of the caller's request; empty for a check.
         single_execution: Whether the request may be executed only once.
+        borrowed: Whether another host has to send the request within its share
+            of a brittle upstream.
+        lender_count: Number of hosts, by rank, that have a share; None if all
+            have.
     """
 
     request: str = ''
     single_execution: bool = False
+    borrowed: bool = False
+    lender_count: int | None = None
 
 
 class Dialer:
@@ -92,15 +98,17 @@
         deadline = self._clock.now() + timeout
         direct_first = self._tries_direct_first(upstream, purpose)
         ways = self._ways(upstream, deadline, purpose)
-        if direct_first:
+        if purpose.borrowed:
+            ways = self._tunnels(upstream, deadline, purpose)
+        elif direct_first:
             direct = partial(self._open_directly, upstream, deadline)
             head_start = 0 if upstream.path_lost else HEAD_START
             ways = chain(((direct, head_start),), ways)
         race = StaggeredRace[UpstreamConnection](UpstreamConnection.abort)
         connection = await race.run(ways)
         if connection is None:
-            raise self._failure(upstream, race.errors)
-        if connection.via is not None:
+            raise self._failure(upstream, race.errors, purpose)
+        if connection.via is not None and not purpose.borrowed:
             if direct_first:
                 self.paths.record_failure(upstream)
             self.paths.record_detour(upstream)
@@ -149,7 +157,10 @@
         self, upstream: Upstream, deadline: float, purpose: DialPurpose
     ) -> Iterator[DialWay]:
         """Yield the ways to connect by other hosts."""
-        for host, row in self._hosts.candidates(upstream.entry.service):
+        entry = upstream.entry
+        for host, row in self._hosts.candidates(
+            entry.service, f'brittle/{entry.incarnation}', purpose.lender_count
+        ):
             dial = partial(
                 self._open_by, host, row, upstream, deadline, purpose
             )
@@ -184,14 +195,16 @@
             str(entry.address),
             max(0, deadline - started),
             purpose.request,
+            purpose.borrowed,
         )
         address = Address(row.ip, row.port)
         try:
             connection = await open_tunnel(
                 host, address, request, self._source_ip
             )
-        except ConnectionFailedError:
-            self._hosts.record_failure(host, entry.service)
+        except ConnectionFailedError as problem:
+            if not problem.withheld:
+                self._hosts.record_failure(host, entry.service)
             raise
         except asyncio.CancelledError:
             if self._clock.now() - started >= HEAD_START:
@@ -202,7 +215,10 @@
         return connection
 
     def _failure(
-        self, upstream: Upstream, errors: list[BaseException]
+        self,
+        upstream: Upstream,
+        errors: list[BaseException],
+        purpose: DialPurpose,
     ) -> ConnectionFailedError:
         """Return the error of a connection that could not be opened.
 
@@ -215,6 +231,7 @@
         return ConnectionFailedError(
             '; '.join(str(each) for each in errors),
             sent=False,
+            withheld=purpose.borrowed,
             refused=refused
             and not self.paths.is_cut_off(upstream.entry.service),
         )
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -65,6 +65,7 @@
     {
         AttemptEnd.UNREACHABLE: ResultCode.UPSTREAM_UNREACHABLE,
         AttemptEnd.REJECTED: ResultCode.OVERLOADED,
+        AttemptEnd.WITHHELD: ResultCode.OVERLOADED,
         AttemptEnd.MISDIRECTED: ResultCode.NO_UPSTREAM,
         AttemptEnd.UNRESPONSIVE: ResultCode.UPSTREAM_TIMEOUT,
     },
@@ -326,7 +327,7 @@
         """Return whether another attempt may follow a failed one."""
         if self._attempt_count >= MAX_ATTEMPTS or self.time_left <= 0:
             return False
-        if failure.end is AttemptEnd.UNREACHABLE:
+        if failure.end in (AttemptEnd.UNREACHABLE, AttemptEnd.WITHHELD):
             return True
         if failure.end is AttemptEnd.UNRESPONSIVE:
             # The attempt was abandoned only because another one may follow.
--- a/src/nutmegroad/relay/heads.py
+++ b/src/nutmegroad/relay/heads.py
@@ -101,6 +101,15 @@
 
         return matches
 
+    def brittle_limit(self, head: ResponseHead) -> int | None:
+        """Return how many rejections in a second its upstream tolerates.
+
+        Returns:
+            None if the response does not say.
+        """
+        text = head.headers.get(self._names.brittle, '').strip()
+        return int(text) if text.isascii() and text.isdigit() else None
+
     def validate(self, head: ResponseHead) -> AttemptFailure | None:
         """Return why a response head ends the attempt as failed, or None."""
         if head.status == MISDIRECTED:
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -256,11 +256,13 @@
                 self._fleet.crash_rows,
                 Placement(self.evacuations, settings.regions),
                 self._fleet.known_rank,
+                self._fleet.count,
             ),
             clock,
             self._randomness,
         )
         self._context.crashes.close_with(self._stack)
+        self._detours.server.brittle = self._context.selector.brittle
         register_gauges(self._platform.counters, self)
         self._caller_handler = CallerHandler(
             self._context,
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -19,6 +19,8 @@
     UNREACHABLE = 'unreachable'
     #: The upstream proved that it did not execute the request.
     REJECTED = 'rejected'
+    #: The upstream is brittle, and no host has a share of it left.
+    WITHHELD = 'withheld'
     #: The address belongs to another upstream, or its weights differ.
     MISDIRECTED = 'misdirected'
     #: The connection failed before a response head arrived.
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -8,6 +8,7 @@
 from nutmegroad.fleet.crash_tracker import BlockedRequest
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import DomainId, Ran, ServiceName
+from nutmegroad.upstreams.brittle_limits import REJECTION_PAUSE
 from nutmegroad.upstreams.health import INITIAL_EXCLUSION
 
 #: HTTP status of each refusal of a request that was not executed. A caller
@@ -88,6 +89,7 @@
         other_regions: Number of those in regions that are not allowed.
         evacuated: Seconds since each evacuation order was received.
         cold: Seconds for which each cold upstream may still be cold.
+        withheld: Number of brittle upstreams that get no request now.
     """
 
     listed: int
@@ -95,6 +97,7 @@
     other_regions: int = 0
     evacuated: Mapping[DomainId, float] = field(default_factory=dict)
     cold: tuple[float, ...] = ()
+    withheld: int = 0
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields of a log line; none if nothing is excluded."""
@@ -107,6 +110,8 @@
             fields['other_regions'] = self.other_regions
         if self.cold:
             fields['cold'] = len(self.cold)
+        if self.withheld:
+            fields['withheld'] = self.withheld
         return fields
 
 
@@ -151,6 +156,13 @@
             f'All {known} upstreams of {service!r} have just started.',
             retry_after=min(exclusions.cold),
         )
+    if exclusions.withheld == known:
+        return Refusal(
+            ResultCode.OVERLOADED,
+            f'All {known} upstreams of {service!r} are brittle, and have no '
+            'room left.',
+            retry_after=REJECTION_PAUSE,
+        )
     return Refusal(
         ResultCode.UPSTREAM_UNREACHABLE,
         f'None of {known} upstreams of {service!r} is reachable.',
--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -26,6 +26,8 @@
         sent: Whether bytes of the request may have reached the upstream.
         refused: Whether the connection was refused because no process listens
             at the address.
+        withheld: Whether it was not attempted, because no host has a share of a
+            brittle upstream left.
     """
 
     def __init__(
@@ -34,10 +36,12 @@
         *,
         sent: bool,
         refused: bool = False,
+        withheld: bool = False,
     ) -> None:
         super().__init__(reason)
         self.sent = sent
         self.refused = refused
+        self.withheld = withheld
 
 
 def prepare_socket(sock: socket.socket) -> None:
--- a/src/nutmegroad/relay/tunnel_server.py
+++ b/src/nutmegroad/relay/tunnel_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import Final
 
@@ -26,6 +27,7 @@
     connect_protocol,
     prepare_socket,
 )
+from nutmegroad.upstreams.brittle_limits import BrittleLimits
 from nutmegroad.upstreams.directory import Directory, Upstream
 from nutmegroad.upstreams.placement import Evacuations
 
@@ -78,6 +80,8 @@
     ) -> None:
         self._directory = directory
         self._evacuations = evacuations
+        #: Lends this host's share of brittle upstreams; None to lend nothing.
+        self.brittle: BrittleLimits | None = None
         self._paths = paths
         self._counters = counters
         self._source_ip = source_ip
@@ -98,18 +102,32 @@
         if isinstance(upstream, TunnelRefused):
             await self._refuse(request, writer, upstream)
             return
-        connected = await self._connect(upstream, request.timeout)
-        if isinstance(connected, TunnelRefused):
-            await self._refuse(request, writer, connected)
-            return
-        self._log(request)
-        self.open_count += 1
-        try:
+        with ExitStack() as stack:
+            if request.borrows and not self._lend(upstream, stack):
+                refusal = TunnelRefused('no share left', withheld=True)
+                await self._refuse(request, writer, refusal)
+                return
+            connected = await self._connect(upstream, request.timeout)
+            if isinstance(connected, TunnelRefused):
+                await self._refuse(request, writer, connected)
+                return
+            self._log(request)
+            self.open_count += 1
+            stack.callback(self._end_tunnel, connected)
             _reply(writer, TunnelOpened())
             await self._carry(Link(reader, writer), upstream, connected)
-        finally:
-            self.open_count -= 1
-            connected.writer.transport.abort()
+
+    def _lend(self, upstream: Upstream, stack: ExitStack) -> bool:
+        """Use this host's share of a brittle upstream until a stack closes."""
+        loan = None if self.brittle is None else self.brittle.lend(upstream)
+        if loan is not None:
+            stack.callback(loan)
+        return loan is not None
+
+    def _end_tunnel(self, connected: Link) -> None:
+        """End a tunnel; the upstream sees an open request cancelled."""
+        self.open_count -= 1
+        connected.writer.transport.abort()
 
     def _find(self, request: TunnelRequest) -> Upstream | TunnelRefused:
         """Return the requested upstream, or why it can't be connected to."""
--- a/src/nutmegroad/relay/tunnels.py
+++ b/src/nutmegroad/relay/tunnels.py
@@ -141,5 +141,8 @@
         return connection
     transport.abort()
     raise ConnectionFailedError(
-        f'by way of {host}: {reply.reason}', sent=False, refused=reply.refused
+        f'by way of {host}: {reply.reason}',
+        sent=False,
+        refused=reply.refused,
+        withheld=reply.withheld,
     )
--- a/src/nutmegroad/routes/headers.py
+++ b/src/nutmegroad/routes/headers.py
@@ -42,6 +42,8 @@
         workspace: Name of the caller's workspace, sent to the upstream.
         signature: Proof by an upstream that a response is its own.
         not_executed: Proof by an upstream that it did not execute a request.
+        brittle: Number of requests that an upstream may reject in a second
+            without terminating.
         model: Name of the model that is to answer.
         usage: Number of prompt tokens and maximum number of answer tokens.
         prompt_parts: Ids and sizes of the parts of the prompt.
@@ -60,6 +62,7 @@
     workspace: str
     signature: str
     not_executed: str
+    brittle: str
     model: str
     usage: str
     prompt_parts: str
--- a/src/nutmegroad/upstreams/cold_starts.py
+++ b/src/nutmegroad/upstreams/cold_starts.py
@@ -9,13 +9,14 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import UpstreamIncarnation
 from nutmegroad.routes.deployment import ColdStart
 from nutmegroad.upstreams.directory import Upstream
+from nutmegroad.upstreams.duty_ranks import DutyRanks, HostRank
 
 #: Number of hosts that may send requests to a cold upstream. With one, nothing
 #: would be sent if that host has failed. While hosts join the fleet, as many
@@ -25,13 +26,6 @@
 #: Seconds over which the rate of a cold upstream is limited.
 RATE_WINDOW: Final = 1.0
 
-#: Seconds for which a rank is kept: computing one takes a hash for each host.
-RANK_VALIDITY: Final = 1.0
-
-#: Returns this host's rank among all hosts for a duty; None before the hosts
-#: are known.
-HostRank = Callable[[str], int | None]
-
 
 class ColdStarts:
     """Admits requests to cold upstreams.
@@ -43,11 +37,8 @@
 
     def __init__(self, clock: Clock, rank: HostRank) -> None:
         self._clock = clock
-        self._rank = rank
+        self._ranks = DutyRanks(clock, rank)
         self._sent: dict[UpstreamIncarnation, deque[float]] = {}
-        # Whether this host is among the senders of an upstream, and the clock
-        # seconds until which that is valid.
-        self._senders: dict[UpstreamIncarnation, tuple[bool, float]] = {}
 
     def usable(
         self, upstreams: Collection[Upstream], cold_start: ColdStart | None
@@ -96,24 +87,8 @@
         """Return whether this host may send one more request now."""
         senders = min(COLD_SENDERS, max(1, int(cold_start.rate)))
         name = upstream.entry.incarnation
-        if not self._is_sender(name, senders):
+        if not self._ranks.is_among_first(f'cold/{name}', senders):
             return False
         share = max(1, int(cold_start.rate / senders))
         oldest = self._clock.now() - RATE_WINDOW
         return sum(sent > oldest for sent in self._sent.get(name, ())) < share
-
-    def _is_sender(self, name: UpstreamIncarnation, senders: int) -> bool:
-        """Return whether this host is among the senders of an upstream."""
-        now = self._clock.now()
-        known = self._senders.get(name)
-        if known is not None and now < known[1]:
-            return known[0]
-        rank = self._rank(f'cold/{name}')
-        is_sender = rank is not None and rank < senders
-        self._senders = {
-            other: kept
-            for other, kept in self._senders.items()
-            if now < kept[1]
-        }
-        self._senders[name] = (is_sender, now + RANK_VALIDITY)
-        return is_sender
--- a/src/nutmegroad/upstreams/selection.py
+++ b/src/nutmegroad/upstreams/selection.py
@@ -25,6 +25,7 @@
 )
 from nutmegroad.routes.deployment import ColdStart, EngineFacts
 from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.upstreams.brittle_limits import BrittleLimits
 from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.latency_estimates import LatencyEstimates, LatencyKey
@@ -86,6 +87,8 @@
         running: Number of requests there, as far as is known.
         queued_seconds: Seconds of prompt processing queued there.
         candidates: Number of candidates.
+        borrowed: Whether another host has to send the request within its share
+            of a brittle upstream.
     """
 
     upstream: Upstream
@@ -96,6 +99,7 @@
     running: int
     queued_seconds: float
     candidates: int
+    borrowed: bool = False
 
     @property
     def load(self) -> Load:
@@ -155,6 +159,7 @@
     ) -> None:
         self.silence = silence
         self.cold_starts = cold_starts
+        self.brittle = BrittleLimits(clock, ledger)
         self.latencies = LatencyEstimates()
         self.prefixes = prefixes
         self.ledger = ledger
@@ -180,7 +185,9 @@
                 selected again only if there are no others.
         """
         now = self._clock.now()
-        usable = self.cold_starts.usable(upstreams, query.cold_start)
+        usable = self.brittle.usable(
+            self.cold_starts.usable(upstreams, query.cold_start)
+        )
         candidates = _candidates(usable, tried, now)
         if not candidates:
             return None
@@ -229,6 +236,7 @@
             load.running,
             load.prefill_seconds,
             candidates,
+            not self.brittle.has_share(upstream),
         )
 
     def _cost(
--- /dev/null
+++ b/tests/test_brittle_upstreams.py
@@ -0,0 +1,379 @@
+"""Tests of the limit on requests to brittle upstreams.
+
+They guard against a fleet that makes brittle upstreams terminate: in a burst,
+each host sends a few requests more than there is room for, and an upstream that
+has to reject more than it tolerates in a second falls over. Its share of the
+load then falls on the others.
+"""
+
+import asyncio
+import heapq
+import random
+import unittest
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from fakes.opaque_worker import (
+    ReceivedRequest,
+    Script,
+    ScriptFactory,
+    plain,
+    rejecting,
+)
+
+from nutmegroad.fleet.duties import first_for_duty
+from nutmegroad.fleet.loads import Load, LoadLedger
+from nutmegroad.fleet.tunnel_hosts import MAX_HOSTS_ASKED
+from nutmegroad.foundations.clocks import BootClock
+from nutmegroad.foundations.types import HostId
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.brittle_limits import (
+    NO_SHARE_PAUSE,
+    REJECTION_PAUSE,
+    STATEMENT_TTL,
+    BrittleLimits,
+)
+from nutmegroad.upstreams.directory import Upstream
+from tests.cut_rig import CutRig, holding
+from tests.relay_case import RelayCase
+from tests.relay_samples import ENGINES, an_entry
+from tests.test_cold_starts import rank_among
+
+#: Seconds for which an upstream that fell over is away.
+DOWN_SECONDS = 3.0
+
+
+@dataclass
+class Worker:
+    """A brittle upstream by the operators' description.
+
+    Attributes:
+        upstream: Its entry.
+        limit: Rejections in a second that it tolerates.
+        running: Requests that it executes.
+        rejections: Times of its rejections in the last second.
+        down_until: When it is back after it fell over.
+        falls: How often it fell over.
+    """
+
+    upstream: Upstream
+    limit: int
+    running: int = 0
+    rejections: deque[float] = field(default_factory=deque)
+    down_until: float = 0
+    falls: int = 0
+
+    def accepts(self, now: float) -> bool:
+        """Return whether a request is accepted; fall over if necessary."""
+        if now < self.down_until:
+            return False
+        if self.running < self.upstream.entry.slots:
+            self.running += 1
+            return True
+        self.rejections.append(now)
+        while self.rejections[0] <= now - 1:
+            self.rejections.popleft()
+        if len(self.rejections) > self.limit:
+            self.falls += 1
+            self.down_until = now + DOWN_SECONDS
+            self.rejections.clear()
+        return False
+
+
+@dataclass(frozen=True)
+class Pattern:
+    """A fleet, and a burst of requests.
+
+    Attributes:
+        hosts: Number of hosts.
+        workers: Number of brittle upstreams.
+        slots: Requests that each executes.
+        limit: Rejections in a second that each tolerates.
+        work: Seconds that a request takes.
+        rate: Requests in a second during the burst.
+    """
+
+    hosts: int
+    workers: int
+    slots: int
+    limit: int
+    work: float
+    rate: float
+
+
+#: Bursts that ask for one and a half times what the workers can do. Hosts know
+#: only their own requests: reports arrive after the burst has begun.
+PATTERNS = {
+    'few hosts, short calls': Pattern(9, 3, 6, 4, 0.06, 450),
+    'few hosts, generations': Pattern(9, 9, 48, 8, 0.8, 810),
+    'sixty hosts, short calls': Pattern(60, 3, 6, 4, 0.06, 450),
+    'sixty hosts, generations': Pattern(60, 8, 32, 8, 0.8, 480),
+    'more hosts than room': Pattern(195, 6, 12, 6, 0.4, 270),
+}
+
+
+#: When a request ends, its number, and what ends it.
+_End = tuple[float, int, Callable[[], None]]
+
+
+class Fleet:
+    """Hosts that send a burst to brittle upstreams, on virtual time.
+
+    Args:
+        pattern: The fleet and its load.
+        shared: Whether hosts share the limits; if not, each acts alone.
+    """
+
+    def __init__(self, pattern: Pattern, *, shared: bool) -> None:
+        self.clock = ManualClock(start=100)
+        self.pattern = pattern
+        self._randomness = random.Random(1)
+        self.workers = {
+            f'u{number}': Worker(
+                an_upstream(f'u{number}', pattern.slots), pattern.limit
+            )
+            for number in range(pattern.workers)
+        }
+        names = [f'host-{number}' for number in range(pattern.hosts)]
+        self.hosts = {}
+        for name in names:
+            limits = BrittleLimits(self.clock, LoadLedger(self.clock))
+            if shared:
+                limits.share_with(rank_among(name, names), lambda: len(names))
+            limits.observe(ENGINES, pattern.limit)
+            self.hosts[HostId(name)] = limits
+        self.served = 0
+        self.arrived = 0
+        self._ends: list[_End] = []
+
+    @property
+    def falls(self) -> int:
+        """How often upstreams fell over."""
+        return sum(worker.falls for worker in self.workers.values())
+
+    @property
+    def tolerated(self) -> float:
+        """How often the operator lets them fall over."""
+        return 2 + len(self.workers) / 10
+
+    def play(self, seconds: float) -> None:
+        """Send the burst; a fifth of it arrives at one host."""
+        end = self.clock.now() + seconds
+        names = list(self.hosts)
+        while self.clock.now() < end:
+            self.clock._now += self._randomness.expovariate(self.pattern.rate)
+            while self._ends and self._ends[0][0] <= self.clock.now():
+                heapq.heappop(self._ends)[-1]()
+            busiest = not self._randomness.randrange(5)
+            name = names[0] if busiest else self._randomness.choice(names)
+            self._send(self.hosts[name])
+
+    def _send(self, limits: BrittleLimits) -> None:
+        """Send one request to an upstream that the host may use."""
+        self.arrived += 1
+        limits.observe(ENGINES, self.pattern.limit)
+        upstreams = [worker.upstream for worker in self.workers.values()]
+        usable = list(limits.usable(upstreams))
+        if not usable:
+            return
+        chosen = self._randomness.choice(usable)
+        name = chosen.entry.incarnation
+        if limits.has_share(chosen):
+            load = Load(1)
+            limits._ledger.begin(name, load)
+            ended = partial(limits._ledger.end, name, load)
+        else:
+            loan = self._borrow(chosen, limits)
+            if loan is None:
+                limits.record_no_share(chosen)
+                return
+            ended = loan
+        if not self.workers[name].accepts(self.clock.now()):
+            limits.record_rejection(chosen)
+            ended()
+            return
+        self.served += 1
+
+        def done() -> None:
+            """End the request."""
+            self.workers[name].running -= 1
+            ended()
+
+        at = self.clock.now() + self.pattern.work
+        heapq.heappush(self._ends, (at, self.arrived, done))
+
+    def _borrow(
+        self, upstream: Upstream, limits: BrittleLimits
+    ) -> Callable[[], None] | None:
+        """Ask other hosts for a share."""
+        lenders = list(self.hosts)
+        count = limits.lender_count(upstream)
+        if count is not None:
+            duty = f'brittle/{upstream.entry.incarnation}'
+            lenders = first_for_duty(duty, lenders, count)
+        self._randomness.shuffle(lenders)
+        for lender in lenders[:MAX_HOSTS_ASKED]:
+            loan = self.hosts[lender].lend(upstream)
+            if loan is not None:
+                return loan
+        return None
+
+
+def an_upstream(name: str, slots: int) -> Upstream:
+    """Return an upstream with a number of slots."""
+    return Upstream(replace(an_entry(name), slots=slots))
+
+
+class BurstTest(unittest.TestCase):
+    """A burst that is larger than the room at brittle upstreams."""
+
+    # Brittle upstreams fell over one after the other in a burst, since each
+    # host alone sent little more than there was room for.
+    def test_upstreams_stay_up_in_a_burst(self) -> None:
+        """Whether there are few hosts or many."""
+        for name, pattern in PATTERNS.items():
+            with self.subTest(name):
+                fleet = Fleet(pattern, shared=True)
+                fleet.play(4)
+                self.assertLessEqual(fleet.falls, fleet.tolerated)
+
+    def test_limit_leaves_callers_better_off(self) -> None:
+        """More are served than if each host acts alone."""
+        for name, pattern in PATTERNS.items():
+            with self.subTest(name):
+                shared = Fleet(pattern, shared=True)
+                alone = Fleet(pattern, shared=False)
+                shared.play(4)
+                alone.play(4)
+                self.assertGreater(alone.falls, alone.tolerated)
+                self.assertGreaterEqual(shared.served, alone.served)
+
+
+class StatementTest(unittest.TestCase):
+    """What a host believes of a service."""
+
+    def setUp(self) -> None:
+        """Create a host and an upstream with eight slots."""
+        self.clock = ManualClock(start=100)
+        self.ledger = LoadLedger(self.clock)
+        self.limits = BrittleLimits(self.clock, self.ledger)
+        self.upstream = an_upstream('u', 8)
+
+    @property
+    def usable(self) -> bool:
+        """Whether the upstream may get a request."""
+        return bool(self.limits.usable((self.upstream,)))
+
+    def test_sound_upstreams_are_not_limited(self) -> None:
+        """However many requests they have, and after rejections."""
+        for _ in range(50):
+            self.ledger.begin(self.upstream.entry.incarnation, Load(1))
+        self.limits.record_rejection(self.upstream)
+        self.assertTrue(self.usable)
+
+    def test_rejection_pauses_a_host(self) -> None:
+        """A brittle upstream gets nothing for as long as it counts."""
+        self.limits.observe(ENGINES, 4)
+        self.limits.record_rejection(self.upstream)
+        self.assertFalse(self.usable)
+        self.clock._now += REJECTION_PAUSE
+        self.assertTrue(self.usable)
+
+    def test_answer_without_the_header_ends_it(self) -> None:
+        """Upstreams say so in all their answers, or in none."""
+        self.limits.observe(ENGINES, 0)
+        self.limits.record_rejection(self.upstream)
+        self.limits.observe(ENGINES, None)
+        self.assertTrue(self.usable)
+
+    def test_statement_is_forgotten(self) -> None:
+        """Pattern: the last answer came before the service was replaced."""
+        self.limits.observe(ENGINES, 1)
+        self.clock._now += STATEMENT_TTL + 0.1
+        self.assertFalse(self.limits.is_brittle(ENGINES))
+
+
+class BrittleAnswerTest(RelayCase):
+    """Answers that say how many rejections an upstream tolerates."""
+
+    async def test_host_sends_nothing_more_after_a_rejection(self) -> None:
+        """The callers are refused at once, and told when to come back."""
+        self.all_workers(rejecting(brittle=2))
+        status, headers, _ = await self.rig.ask('/look/1', 'first')
+        self.assertEqual(status, 503)
+        before = self.rig.seen('first')
+        self.assertEqual(before, 2)
+        status, headers, body = await self.rig.ask('/look/1', 'second')
+        self.assertEqual((status, self.rig.seen('second')), (503, 0), body)
+        self.assertGreater(float(headers['Retry-After']), 0)
+
+    async def test_sound_upstream_is_asked_again(self) -> None:
+        """A rejection alone says nothing about the next request."""
+        self.all_workers(rejecting())
+        await self.rig.ask('/look/1', 'first')
+        self.all_workers(plain())
+        status, _, _ = await self.rig.ask('/look/1', 'second')
+        self.assertEqual(status, 200)
+
+
+class SharedSlotsTest(unittest.IsolatedAsyncioTestCase):
+    """Three hosts, and a brittle worker with one slot."""
+
+    async def asyncSetUp(self) -> None:
+        """Let each host receive an answer that says so."""
+        self.rig = await self.enterAsyncContext(CutRig(1, 3))
+        self.worker = self.rig.workers[0]
+        self.rig.register(0, slots=1)
+        self.worker.default_script = brittle(plain())
+        await self.rig.start()
+        for host in range(3):
+            await self.rig.ask('/look/1', f'first-{host}', host=host)
+
+    async def ask_all(self, label: str) -> list[int]:
+        """Send a call to each host, and return the statuses."""
+        answers = await asyncio.gather(
+            *(
+                self.rig.ask('/pay/1', f'{label}-{host}', host=host)
+                for host in range(3)
+            )
+        )
+        return [status for status, _, _ in answers]
+
+    async def test_hosts_without_a_slot_send_by_way_of_another(self) -> None:
+        """Pattern: more hosts than slots, and calls one after the other."""
+        for host in range(3):
+            status, _, _ = await self.rig.ask('/pay/1', f'r{host}', host=host)
+            self.assertEqual(status, 200)
+
+    async def test_worker_gets_no_more_than_it_has_room_for(self) -> None:
+        """Pattern: calls at all hosts at once; the others come back later."""
+        released = asyncio.Event()
+        self.worker.default_script = brittle(holding(released))
+        before = len(self.worker.requests)
+        asking = asyncio.ensure_future(self.ask_all('held'))
+        await self.rig.until(lambda: len(self.worker.requests) > before)
+        await BootClock().sleep(NO_SHARE_PAUSE)
+        self.assertEqual(len(self.worker.requests), before + 1)
+        released.set()
+        statuses = await asking
+        self.assertEqual(sorted(statuses), [200, 503, 503])
+
+
+def brittle(make: ScriptFactory) -> ScriptFactory:
+    """Return a factory whose answers say that the worker is brittle."""
+
+    def make_brittle(request: ReceivedRequest) -> Script:
+        """Add the header to an answer."""
+        script = make(request)
+        first, *rest = script.pieces
+        header = b'Server-Brittle: 1\r\n\r\n'
+        first = first.replace(b'\r\n\r\n', b'\r\n' + header, 1)
+        return replace(script, pieces=(first, *rest))
+
+    return make_brittle
+
+
+if __name__ == '__main__':
+    unittest.main()
