Let a sound upstream be silent for a second

What callers would see: an exchange with an upstream that sends nothing for 1.2 s is reset, a single call ends as 502 and a stream is resumed elsewhere while the first upstream still works on it. TCP_USER_TIMEOUT (1.5 s) also decides when the keep-alive probes give up, whatever their number: at the first probe later than that, 2 s after the last byte, so a silence of a second could be enough.

Exchanges with upstreams have 2.5 s now: the kernel gives up after three seconds without a byte, in time for the bound on hosts that are cut off, and a silence of two seconds is survived whenever it begins. The store's connections keep theirs. The other timers were looked at: engines may send nothing for 1.5 s and streams for twice their longest gap; plain calls that may be repeated are asked elsewhere after 0.3 s, as before.

test_a_second_of_silence_does_not_end_an_exchange failed before (tolerated 1 s).

--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -15,8 +15,12 @@
 KEEPALIVE_INTERVAL: Final = 1
 KEEPALIVE_PROBES: Final = 2
 #: Milliseconds for which sent bytes may stay unacknowledged before the kernel
-#: closes the connection.
+#: closes the connection. It also ends the keep-alive probes, whatever their
+#: number.
 USER_TIMEOUT_MS: Final = 1500
+#: The same for exchanges with upstreams, which may be silent for a second or so
+#: and go on.
+EXCHANGE_USER_TIMEOUT_MS: Final = 2500
 
 
 class ConnectionFailedError(Exception):
@@ -44,15 +48,22 @@
         self.withheld = withheld
 
 
-def prepare_socket(sock: socket.socket) -> None:
-    """Set socket options by which the kernel detects a lost peer."""
+def prepare_socket(
+    sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
+    """Set socket options by which the kernel detects a lost peer.
+
+    Args:
+        sock: The socket.
+        user_timeout_ms: Milliseconds for which the peer may be silent.
+    """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     options = (
         (socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
     )
     for option, number in options:
         sock.setsockopt(socket.IPPROTO_TCP, option, number)
@@ -78,7 +89,7 @@
     loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
-    prepare_socket(sock)
+    prepare_socket(sock, EXCHANGE_USER_TIMEOUT_MS)
     try:
         sock.bind((source_ip, 0))
         async with ReadTimeout(timeout):
