Cut hosts off from workers, stall workers and make them brittle in the soak

Links knew all hosts as one client, so no seed could cut some of them off. Now a cut takes one host, all but one, or all of a domain, by resets, by silence, or with old connections living on; new workers are cut off, too. Workers may be stalled for a second, and be brittle by the operators' description while bursts of twice their slots arrive: they say so, let nothing wait three seconds later, and fall over if they reject more than four requests in a second.

None of these excuses a broken rule. Two judges are new: cut hosts serve like the others, and brittle workers rarely fall over. A plan of all kinds draws five kinds more, so old seeds give other plans.

--- /dev/null
+++ b/experiments/fleet_soak/brittleness.py
@@ -0,0 +1,35 @@
+"""Makes the workers of a soak brittle, and sends bursts of requests."""
+
+import asyncio
+import signal
+import time
+from typing import Final
+
+from experiments.fleet_soak.fleet import Fleet
+from experiments.fleet_soak.history import BrittleTime
+from experiments.fleet_soak.plan import Event
+from experiments.fleet_soak.room import BRITTLE_DURATION, NOTICE
+
+#: Requests at each host in a burst, and the number of bursts.
+BURST_SIZE: Final = 40
+BURSTS: Final = 3
+
+#: Seconds between two bursts, and until a worker that fell over is back.
+BURST_INTERVAL: Final = 1.0
+
+
+async def make_brittle(fleet: Fleet, event: Event) -> None:
+    """Let all workers be brittle for a time, with bursts of requests."""
+    workers = tuple(fleet.workers.processes)
+    since = time.monotonic()
+    period = BrittleTime(len(workers), since, since + BRITTLE_DURATION)
+    fleet.history.brittle_times.append(period)
+    for worker in workers:
+        worker.signal(signal.SIGHUP)
+    await asyncio.sleep(NOTICE + BURST_INTERVAL)
+    for number in range(BURSTS):
+        name = f'burst-{event.at:.2f}-{number}'
+        sending = asyncio.ensure_future(fleet.send_burst(name, BURST_SIZE))
+        await asyncio.sleep(BURST_INTERVAL)
+        await fleet.workers.restart_ended()
+        await sending
--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -5,8 +5,11 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Final
 
+from experiments.fleet_soak.brittleness import make_brittle
+from experiments.fleet_soak.cuts import CUT_STATES, cut_hosts_off
 from experiments.fleet_soak.fleet import BOUNDS, RETRY_INTERVAL, Fleet
 from experiments.fleet_soak.history import Evacuation, FaultInterval, History
 from experiments.fleet_soak.links import Link, LinkState
@@ -16,6 +19,9 @@
 from experiments.fleet_soak.worker import HARMFUL
 from experiments.fleet_soak.workers import DOMAINS
 
+#: Carries an event out.
+Action = Callable[[Event], Awaitable[None]]
+
 #: Seconds by which the store's silence to one host exceeds the drawn duration:
 #: until a change made meanwhile must be in force on the other hosts, and some
 #: time more.
@@ -28,6 +34,9 @@
 #: third crash in which hosts have to learn of it, and as much again.
 RESEND_DURATION: Final = 7.0
 
+#: Seconds for which a sound worker may be silent.
+STALL_DURATION: Final = 1.1
+
 #: Seconds after which a crashed worker is restarted.
 RESTART_DELAY: Final = 0.4
 
@@ -76,10 +85,10 @@
         host = self._affected_host(event)
         # Replaced when the fault is over and its end is known.
         open_ended = FaultInterval(began, float('inf'), host)
-        if not event.planned:
+        if event.excuses_failures:
             self._history.fault_intervals.append(open_ended)
         await self._action_for(event.fault)(event)
-        if not event.planned:
+        if event.excuses_failures:
             self._history.fault_intervals.remove(open_ended)
             self._history.fault_intervals.append(
                 FaultInterval(began, time.monotonic(), host),
@@ -91,13 +100,15 @@
             return ''
         return f'host-{self._host_number(event)}'
 
-    def _action_for(self, fault: Fault) -> Callable[[Event], Awaitable[None]]:
+    def _action_for(self, fault: Fault) -> Action:
         """Return the method that carries out a kind of event."""
         if fault in _STORE_FAULTS:
             return self._store
         if fault in _WORKER_LINKS:
             return self._worker_link
-        return {
+        if fault in CUT_STATES:
+            return partial(cut_hosts_off, self._fleet)
+        actions: dict[Fault, Action] = {
             Fault.HOST_KILLED: self._host_killed,
             Fault.HOST_PAUSED: self._host_paused,
             Fault.HOST_STOPPED: self._host_stopped,
@@ -108,6 +119,8 @@
             Fault.WORKER_BREAKS_OFF: self._worker_breaks_off,
             Fault.WORKER_LEAVES: self._worker_leaves,
             Fault.WORKER_RESET: self._worker_reset,
+            Fault.WORKER_STALLED: self._worker_stalled,
+            Fault.WORKERS_BRITTLE: partial(make_brittle, self._fleet),
             Fault.CALLERS_RESET: self._callers_reset,
             Fault.STORE_FORGETS: self._store_forgets,
             Fault.STORE_REFUSES_HOST: self._store_refuses_host,
@@ -121,7 +134,8 @@
             Fault.DOMAIN_EVACUATED: self._domain_evacuated,
             Fault.ROLLED_OUT: self._rolled_out,
             Fault.ROLLED_OUT_BAD: self._rolled_out_bad,
-        }[fault]
+        }
+        return actions[fault]
 
     async def _store(self, event: Event) -> None:
         """Let all calls to the store fail in one way."""
@@ -252,6 +266,14 @@
         await asyncio.sleep(event.duration)
         worker.signal(signal.SIGCONT)
 
+    async def _worker_stalled(self, event: Event) -> None:
+        """Let a sound worker be silent for a second."""
+        workers = self._fleet.workers.processes
+        worker = workers[event.target % len(workers)]
+        worker.signal(signal.SIGSTOP)
+        await asyncio.sleep(STALL_DURATION)
+        worker.signal(signal.SIGCONT)
+
     async def _worker_fails(self, event: Event) -> None:
         """Let a worker fail a fraction of its requests."""
         await self._toggle_worker(event, signal.SIGUSR1)
--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -280,9 +280,31 @@
         headers = self._record_auxiliary(request_id, Kind.DRAFT, address)
         await self._is_served(f'http://{address}{path}', headers)
 
+    async def send_burst(self, name: str, count: int) -> None:
+        """Send streamed requests to all hosts at once.
+
+        Args:
+            name: Prefix of their ids.
+            count: Number of requests at each host.
+        """
+        sent = []
+        for address in self.caller_addresses:
+            for number in range(count):
+                request_id = f'{name}-{address}-{number}'
+                headers = self._record_auxiliary(
+                    request_id, Kind.DRAFT, address
+                )
+                url = f'http://{address}/draft/1'
+                sent.append(self._is_served(url, headers))
+        await asyncio.gather(*sent)
+
+    def host_ip(self, number: int) -> str:
+        """Return the IP address of a host."""
+        return f'127.{self._net}.3.{number + 1}'
+
     async def _add_host(self, number: int) -> None:
         """Start a host with its own links to callers and to the store."""
-        ip = f'127.{self._net}.3.{number + 1}'
+        ip = self.host_ip(number)
         callers, ready, inside = (free_address(ip) for _ in range(3))
         to_host = Link(
             *free_address(f'127.{self._net}.4.{number + 1}'), callers
--- a/experiments/fleet_soak/history.py
+++ b/experiments/fleet_soak/history.py
@@ -155,6 +155,36 @@
     host: str = ''
 
 
+@dataclass(slots=True)
+class HostCut:
+    """A span in which hosts had no path to any worker.
+
+    Attributes:
+        hosts: Numbers of the hosts.
+        since: When it began, in monotonic seconds.
+        until: When it ended; infinite while it lasts.
+    """
+
+    hosts: tuple[int, ...]
+    since: float
+    until: float = float('inf')
+
+
+@dataclass(frozen=True, slots=True)
+class BrittleTime:
+    """A span in which all workers said that they are brittle.
+
+    Attributes:
+        workers: Number of workers.
+        since: When it began, in monotonic seconds.
+        until: When it ends.
+    """
+
+    workers: int
+    since: float
+    until: float
+
+
 @dataclass(slots=True)
 class History:
     """All requests and executions of a run, and all interventions in it.
@@ -175,6 +205,9 @@
         planned_stops: Host, begin and end of each planned stop.
         settled_at: When the fleet is expected to have recovered from the last
             fault.
+        cuts: Spans in which hosts had no path to any worker.
+        brittle_times: Spans in which workers were brittle.
+        falls: When brittle workers fell over.
     """
 
     requests_by_id: dict[str, RequestRecord] = field(default_factory=dict)
@@ -190,6 +223,9 @@
     fault_intervals: list[FaultInterval] = field(default_factory=list)
     planned_stops: list[tuple[str, float, float]] = field(default_factory=list)
     settled_at: float = float('inf')
+    cuts: list[HostCut] = field(default_factory=list)
+    brittle_times: list[BrittleTime] = field(default_factory=list)
+    falls: list[float] = field(default_factory=list)
 
     @property
     def requests(self) -> tuple[RequestRecord, ...]:
--- a/experiments/fleet_soak/judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -22,6 +22,10 @@
     Verdict,
     expected_body,
 )
+from experiments.fleet_soak.path_judges import (
+    brittle_workers_stay_up,
+    cut_off_hosts_serve,
+)
 from experiments.fleet_soak.rollout_judge import (
     bad_versions_get_limited_traffic,
     sessions_are_not_moved,
@@ -340,6 +344,8 @@
     harmful_requests_are_rejected,
     sessions_are_not_moved,
     bad_versions_get_limited_traffic,
+    cut_off_hosts_serve,
+    brittle_workers_stay_up,
     service_recovers,
 )
 
--- a/experiments/fleet_soak/plan.py
+++ b/experiments/fleet_soak/plan.py
@@ -24,6 +24,11 @@
     WORKER_SLOW = 'worker slow'
     WORKER_ONE_WAY = 'worker one way'
     WORKER_RESET = 'worker reset'
+    WORKER_STALLED = 'worker stalled'
+    WORKERS_BRITTLE = 'workers brittle'
+    HOSTS_CUT_RESET = 'hosts cut off, reset'
+    HOSTS_CUT_SILENT = 'hosts cut off, silent'
+    HOSTS_CUT_REFUSED = 'hosts cut off, new connections refused'
     CALLERS_RESET = 'callers reset'
     STORE_BUSY = 'store busy'
     STORE_THROTTLED = 'store throttled'
@@ -58,6 +63,18 @@
     ),
 )
 
+#: Faults through which all rules must hold, too: sound workers may be silent
+#: for a second, and hosts that are cut off from workers still reach the store.
+UNEXCUSED_FAULTS: Final = frozenset(
+    (
+        Fault.WORKER_STALLED,
+        Fault.WORKERS_BRITTLE,
+        Fault.HOSTS_CUT_RESET,
+        Fault.HOSTS_CUT_SILENT,
+        Fault.HOSTS_CUT_REFUSED,
+    ),
+)
+
 #: Faults that affect one host alone; the others must keep all rules meanwhile.
 SINGLE_HOST_FAULTS: Final = frozenset(
     (
@@ -94,9 +111,9 @@
     duration: float
 
     @property
-    def planned(self) -> bool:
-        """Whether it is routine work rather than a fault."""
-        return self.fault in PLANNED_OPERATIONS
+    def excuses_failures(self) -> bool:
+        """Whether rules need not hold for what it affects."""
+        return self.fault not in PLANNED_OPERATIONS | UNEXCUSED_FAULTS
 
     def __str__(self) -> str:
         """Return its line of the printed plan."""
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -6,7 +6,8 @@
 announces that it drains, continues to serve for the drain period and a little
 longer, and exits. SIGUSR1 makes it fail a fraction of its requests until the
 next SIGUSR1. SIGUSR2 makes it answer without a length or chunks, and break off
-a fraction of its answers, until the next SIGUSR2.
+a fraction of its answers, until the next SIGUSR2. SIGHUP makes it brittle for
+some seconds.
 """
 
 import argparse
@@ -30,6 +31,7 @@
     put_transaction,
     stream_event,
 )
+from experiments.fleet_soak.room import Room
 
 #: Seconds between two heartbeats.
 HEARTBEAT_INTERVAL: Final = 0.5
@@ -51,6 +53,9 @@
 #: Seconds between two events of a streamed answer.
 EVENT_INTERVAL: Final = 0.05
 
+#: Requests that a worker executes.
+SLOTS: Final = 16
+
 #: Seconds of work before each answer.
 WORK_DURATION: Final = 0.02
 
@@ -70,6 +75,7 @@
         self._failing = False
         self._unframed = False
         self._rng = random.Random(options.seed)
+        self.room = Room(SLOTS, fall_over)
 
     def app(self) -> web.Application:
         """Return the web application."""
@@ -110,7 +116,7 @@
             'address': self._options.listed,
             'zone': self._options.zone,
             'version': self._options.version,
-            'slots': 16,
+            'slots': SLOTS,
             'state': 'draining' if self._draining else 'ready',
             'born': self._started_ms,
             'sequence': self._sequence,
@@ -130,12 +136,27 @@
         A request that is addressed to another worker is not executed.
         """
         request_id = request.headers.get('Nutmegroad-Request-Id', '')
-        headers = {'Nutmegroad-Request-Id': request_id}
+        headers = {'Nutmegroad-Request-Id': request_id, **self.room.headers}
         if (
             request.headers.get('Nutmegroad-Expect-Instance')
             != self._options.id
         ):
             return web.Response(status=421, headers=headers)
+        if not self.room.take():
+            headers['Nutmegroad-Not-Executed'] = '1'
+            return web.Response(status=503, headers=headers)
+        try:
+            return await self._execute(request, request_id, headers)
+        finally:
+            self.room.release()
+
+    async def _execute(
+        self,
+        request: web.Request,
+        request_id: str,
+        headers: dict[str, str],
+    ) -> web.StreamResponse:
+        """Execute a request, and answer it."""
         kind = _kind_of_route(request.path.split('/')[1])
         fraction = FAILURE_FRACTION if self._failing else self._options.failing
         failing = self._rng.random() < fraction
@@ -261,6 +282,12 @@
     return known.get(route, Kind.LOOK)
 
 
+def fall_over() -> None:
+    """Terminate, as a brittle worker that rejects too much."""
+    write_event('fell', moment=time.monotonic())
+    os._exit(1)
+
+
 def write_event(event: str, **fields: Any) -> None:
     """Write an event to standard output, as a JSON line."""
     line = json.dumps({'event': event, **fields})
@@ -283,6 +310,7 @@
     )
     loop.add_signal_handler(signal.SIGUSR1, worker.toggle_failures)
     loop.add_signal_handler(signal.SIGUSR2, worker.toggle_framing)
+    loop.add_signal_handler(signal.SIGHUP, worker.room.become_brittle)
     write_event('listening')
     await asyncio.gather(tasks[0])
 
--- a/experiments/fleet_soak/workers.py
+++ b/experiments/fleet_soak/workers.py
@@ -38,6 +38,7 @@
     Attributes:
         processes: Workers of the current version, in the order of numbers.
         links: The link of each of them.
+        all_links: The links of all workers that were ever started.
 
     Args:
         net: First two bytes of all IP addresses.
@@ -59,6 +60,7 @@
     ) -> None:
         self.processes: list[SoakProcess] = []
         self.links: list[Link] = []
+        self.all_links: list[Link] = []
         self._net = net
         self._store = store
         self._history = history
@@ -150,6 +152,7 @@
         link = Link(*listed, address)
         await link.open()
         self._stack.callback(link.close)
+        self.all_links.append(link)
         arguments = (
             *('-m', 'experiments.fleet_soak.worker', '--id', name),
             *('--listen', format_address(address)),
@@ -183,5 +186,7 @@
                     line['failed'],
                 ),
             )
+        elif line['event'] == 'fell':
+            self._history.falls.append(line['moment'])
         elif line['event'] == 'left':
             self._history.draining_since[worker] = line['moment']
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -1,26 +1,22 @@
 """Tests of the fleet soak: the router passes, deliberate faults are found."""
 
 import asyncio
-import io
 import os
-import shutil
 import signal
 import sys
-import tempfile
 import time
 import unittest
-from contextlib import redirect_stdout
 from pathlib import Path
 from subprocess import PIPE, Popen
 
 from experiments.fleet_soak.plan import Fault, draw_plan
 from experiments.fleet_soak.processes import ROOT, SoakProcess
-from experiments.fleet_soak.program import main
 from experiments.fleet_soak.worker import FOREIGN_BODIES
 
+from tests.soak_case import SMALL_FLEET, SoakCase
+
 #: Processes of a small fleet: a store, three workers and two hosts.
 PROCESS_COUNT = 6
-SMALL_FLEET = ('--hosts', '2', '--workers', '3')
 
 
 def _children(parent: int) -> list[int]:
@@ -65,16 +61,9 @@
         self.assertEqual(len(set(plan[:kinds])), kinds)
 
 
-class FleetSoakTest(unittest.TestCase):
+class FleetSoakTest(SoakCase):
     """The real program, run as processes and judged from outside."""
 
-    def run_soak(self, *arguments: str) -> tuple[int, str]:
-        """Run a soak, and return its exit status and output."""
-        out = io.StringIO()
-        with redirect_stdout(out):
-            status = main([*SMALL_FLEET, *arguments])
-        return status, out.getvalue()
-
     def test_short_run_breaks_no_rule(self) -> None:
         """A few faults, then planned operations without faults."""
         status, text = self.run_soak('--seed', '4', '--seconds', '4')
@@ -100,31 +89,6 @@
         self.assertIn(b'ended by a signal', text)
         self.assertEqual([each for each in children if _is_running(each)], [])
 
-    def run_patched(
-        self,
-        module: str,
-        changes: dict[str, str],
-        *arguments: str,
-    ) -> tuple[int, str]:
-        """Run a soak of a copy of the program with one module changed.
-
-        Args:
-            module: Path of the module.
-            changes: Replacement texts by the texts that they replace.
-            arguments: Arguments of the command line.
-        """
-        with tempfile.TemporaryDirectory() as directory:
-            patched = Path(directory)
-            for part in ('src', 'platform'):
-                shutil.copytree(ROOT / part, patched / part)
-            path = patched / module
-            text = path.read_text()
-            for old, new in changes.items():
-                self.assertIn(old, text)
-                text = text.replace(old, new)
-            path.write_text(text)
-            return self.run_soak(*arguments, '--program', directory)
-
     def test_host_that_trusts_stale_updates_is_found(self) -> None:
         """Hosts wait for table updates from a peer, however old the last are.
 
--- /dev/null
+++ b/tests/test_fleet_soak_paths.py
@@ -0,0 +1,63 @@
+"""Soaks in which hosts are cut off from workers, and workers are brittle."""
+
+import unittest
+
+from experiments.fleet_soak.plan import Fault
+
+from tests.soak_case import SoakCase
+
+CUTS = (
+    Fault.HOSTS_CUT_RESET.value,
+    Fault.HOSTS_CUT_SILENT.value,
+    Fault.HOSTS_CUT_REFUSED.value,
+)
+
+
+class CutOffSoakTest(SoakCase):
+    """Hosts are cut off from all workers, one after the other."""
+
+    def test_cut_off_hosts_break_no_rule(self) -> None:
+        """One host, all but one, or all of a domain."""
+        status, text = self.run_soak(
+            *('--seed', '2', '--seconds', '4', '--hosts', '4'),
+            *('--faults', *CUTS, Fault.WORKER_STALLED.value),
+        )
+        self.assertEqual(status, 0, text)
+
+    def test_hosts_that_ask_no_other_host_are_found(self) -> None:
+        """Hosts that are cut off refuse their callers."""
+        status, text = self.run_patched(
+            'src/nutmegroad/fleet/tunnel_hosts.py',
+            {'MAX_HOSTS_ASKED: Final = 4': 'MAX_HOSTS_ASKED: Final = 0'},
+            *('--seed', '2', '--seconds', '2', '--hosts', '3'),
+            *('--faults', Fault.HOSTS_CUT_RESET.value),
+        )
+        self.assertEqual(status, 1, text)
+        self.assertRegex(text, r'hosts cut off: \d+ judged, [1-9]')
+
+
+class BrittleSoakTest(SoakCase):
+    """Workers are brittle during bursts."""
+
+    def test_brittle_workers_stay_up(self) -> None:
+        """Bursts of twice the requests that there is room for."""
+        status, text = self.run_soak(
+            *('--seed', '1', '--seconds', '2', '--hosts', '3'),
+            *('--faults', Fault.WORKERS_BRITTLE.value),
+        )
+        self.assertEqual(status, 0, text)
+
+    def test_hosts_that_claim_all_slots_are_found(self) -> None:
+        """Each host sends as if it were alone."""
+        status, text = self.run_patched(
+            'src/nutmegroad/upstreams/brittle_limits.py',
+            {'max(1, self._host_count())': '1'},
+            *('--seed', '1', '--seconds', '2', '--hosts', '3'),
+            *('--faults', Fault.WORKERS_BRITTLE.value),
+        )
+        self.assertEqual(status, 1, text)
+        self.assertRegex(text, r'brittle workers: \d+ judged, [1-9]')
+
+
+if __name__ == '__main__':
+    unittest.main()
