Count the only upstream of a service as enough for a cut

What callers would see: a host that is cut off by a proxy which accepts and resets, from a service with one upstream, loses every request: two upstreams had to fail before other hosts were asked first. Found by a test of tunnels that never ended. One failure is enough where there is no other upstream.

--- a/src/nutmegroad/relay/detours.py
+++ b/src/nutmegroad/relay/detours.py
@@ -42,7 +42,9 @@
         counters: RelayCounters,
         clock: Clock,
     ) -> None:
-        paths = DirectPaths(clock)
+        paths = DirectPaths(
+            clock, lambda service: len(directory.of_service(service))
+        )
         hosts = TunnelHosts(
             fleet.peers,
             settings.domain,
--- a/src/nutmegroad/relay/direct_paths.py
+++ b/src/nutmegroad/relay/direct_paths.py
@@ -18,8 +18,8 @@
 _LOG: Final = part_logger('paths')
 
 #: Number of upstreams of a service that a host has to fail to reach, without
-#: reaching any other, before it counts as cut off from the service. One alone
-#: may have terminated.
+#: reaching any other, before it counts as cut off from the service; fewer if
+#: there are fewer. One alone may have terminated.
 MIN_UNREACHED: Final = 2
 
 #: Seconds for which a failure counts. After that, a host that only has requests
@@ -55,21 +55,25 @@
 
     Args:
         clock: The host's clock.
+        upstream_count: Returns the number of known upstreams of a service.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, upstream_count: Callable[[ServiceName], int]
+    ) -> None:
         self._clock = clock
+        self._upstream_count = upstream_count
         self._services: dict[ServiceName, _ServicePaths] = {}
         self._listeners: list[DetourListener] = []
 
     def is_cut_off(self, service: ServiceName) -> bool:
         """Return whether this host likely reaches no upstream of a service."""
         paths = self._services.get(service)
-        if paths is None:
+        if paths is None or not paths.failed_at:
             return False
         oldest = self._clock.now() - FAILURE_TTL
         recent = sum(at >= oldest for at in paths.failed_at.values())
-        return recent >= MIN_UNREACHED
+        return recent >= min(MIN_UNREACHED, self._upstream_count(service))
 
     def count_cut_off(self) -> int:
         """Return the number of services that this host is cut off from."""
--- a/tests/test_direct_paths.py
+++ b/tests/test_direct_paths.py
@@ -25,7 +25,7 @@
     def setUp(self) -> None:
         """Create a host that knows three engines and a desk."""
         self.clock = ManualClock(start=100)
-        self.paths = DirectPaths(self.clock)
+        self.paths = DirectPaths(self.clock, lambda service: 3)
         self.engines = [Upstream(an_entry(f'e{n}')) for n in range(3)]
         self.desk = Upstream(replace(an_entry('d'), service=DESK))
 
@@ -39,6 +39,12 @@
         self.fail(self.engines[0], self.engines[0], self.engines[0])
         self.assertFalse(self.paths.is_cut_off(ENGINES))
 
+    def test_only_upstream_is_enough(self) -> None:
+        """There is no other one that could show more."""
+        paths = DirectPaths(self.clock, lambda service: 1)
+        paths.record_failure(self.desk)
+        self.assertTrue(paths.is_cut_off(DESK))
+
     def test_two_upstreams_without_an_answer_are_a_cut(self) -> None:
         """Another service may be reached all the while."""
         self.fail(*self.engines[:2])
@@ -99,7 +105,7 @@
             InterruptedAttempts(clock),
             Mock(),
         )
-        self.paths = DirectPaths(clock)
+        self.paths = DirectPaths(clock, lambda service: 3)
         self.paths.on_detour(self.gate.on_detour)
         self.upstream = Upstream(an_entry('u'))
 
