Try a direct connection once for each connection that is opened

A probe of a host that is cut off tried it first and, after the other hosts, once more. Found by reading; no failure was seen.

--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -7,10 +7,9 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
-from itertools import chain
 from typing import Final
 
 from nutmegroad.fleet.host_registration import HostRow
@@ -97,13 +96,10 @@
         """
         deadline = self._clock.now() + timeout
         direct_first = self._tries_direct_first(upstream, purpose)
-        ways = self._ways(upstream, deadline, purpose)
-        if purpose.borrowed:
-            ways = self._tunnels(upstream, deadline, purpose)
-        elif direct_first:
+        ways = self._tunnels(upstream, deadline, purpose)
+        if not purpose.borrowed:
             direct = partial(self._open_directly, upstream, deadline)
-            head_start = 0 if upstream.path_lost else HEAD_START
-            ways = chain(((direct, head_start),), ways)
+            ways = _with_direct(upstream, direct, ways, first=direct_first)
         race = StaggeredRace[UpstreamConnection](UpstreamConnection.abort)
         connection = await race.run(ways)
         if connection is None:
@@ -134,15 +130,6 @@
         race = StaggeredRace[UpstreamConnection](UpstreamConnection.abort)
         return await race.run(tunnels)
 
-    def _ways(
-        self, upstream: Upstream, deadline: float, purpose: DialPurpose
-    ) -> Iterator[DialWay]:
-        """Yield the ways to connect by other hosts, and a direct one."""
-        yield from self._tunnels(upstream, deadline, purpose)
-        if self.paths.is_cut_off(upstream.entry.service):
-            # Other hosts may be unable to help, too.
-            yield partial(self._open_directly, upstream, deadline), 0
-
     def _tries_direct_first(
         self, upstream: Upstream, purpose: DialPurpose
     ) -> bool:
@@ -235,3 +222,19 @@
             refused=refused
             and not self.paths.is_cut_off(upstream.entry.service),
         )
+
+
+def _with_direct(
+    upstream: Upstream,
+    direct: Callable[[], Awaitable[UpstreamConnection]],
+    tunnels: Iterator[DialWay],
+    *,
+    first: bool,
+) -> Iterator[DialWay]:
+    """Yield a direct way to connect before or after those by other hosts."""
+    if first:
+        yield direct, 0 if upstream.path_lost else HEAD_START
+    yield from tunnels
+    if not first:
+        # Other hosts may be unable to help, too.
+        yield direct, 0
