--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -7,7 +7,6 @@
 import asyncio
 import itertools
 import json
-import site
 import tempfile
 import time
 from collections.abc import Iterable
@@ -29,6 +28,7 @@
 from experiments.fleet_soak.links import Link
 from experiments.fleet_soak.probes import Prober
 from experiments.fleet_soak.processes import ROOT, SoakProcess
+from experiments.fleet_soak.settings import SETTINGS, site_packages
 from experiments.fleet_soak.workers import (
     DOMAINS,
     Workers,
@@ -52,28 +52,6 @@
 #: Seconds within which all hosts must serve requests.
 START_TIMEOUT: Final = 60
 
-#: A host's settings file; its bounds agree with those of the judges.
-_SETTINGS: Final = """\
-nodeName={name}
-zone={domain}
-ip={ip}
-listen.front={callers}
-listen.ready={ready}
-internalPorts={inside}
-platform.address={store}
-bounds.failClosed=true
-bounds.revokeMs=5000
-bounds.drainMs=2000
-bounds.evacMs=2000
-bounds.graceS=8
-bounds.sessionS=5
-bounds.configApplyMs=2000
-bounds.retryBudgetRatio=0.9
-bounds.budgetWindowS=10
-bounds.exposeShare=0.15
-bounds.rollbackMs=5000
-"""
-
 
 class Fleet:
     """Store, workers and hosts as processes, and the links between them.
@@ -318,7 +296,7 @@
         self.store_links.append(to_store)
         path = self._directory / f'host-{number}.conf'
         path.write_text(
-            _SETTINGS.format(
+            SETTINGS.format(
                 name=f'host-{number}',
                 domain=DOMAINS[number % len(DOMAINS)],
                 ip=ip,
@@ -331,7 +309,7 @@
         self.caller_addresses.append(to_host.address)
         process = SoakProcess(
             ('-S', str(self._program / 'platform' / 'start.py')),
-            {'NUTMEGROAD_BOOT': str(path), 'PYTHONPATH': _site_packages()},
+            {'NUTMEGROAD_BOOT': str(path), 'PYTHONPATH': site_packages()},
             _ignore_line,
         )
         self.hosts.append(process)
@@ -402,10 +380,5 @@
     }
 
 
-def _site_packages() -> str:
-    """Return library directories, which ``-S`` does not add by itself."""
-    return ':'.join(site.getsitepackages())
-
-
 def _ignore_line(line: dict[str, Any]) -> None:
     """Ignore a line of a process's output."""
