Ask hosts of other domains for a connection in each attempt

What callers would see in a large fleet: all hosts of a domain are cut off, and a host asks four others of its domain, each of which is cut off, too; requests fail until the failures of all forty are known, and again every two seconds, when these are forgotten.

--- a/src/nutmegroad/fleet/tunnel_hosts.py
+++ b/src/nutmegroad/fleet/tunnel_hosts.py
@@ -20,8 +20,10 @@
     ServiceName,
 )
 
-#: Maximum number of hosts that are asked for one connection.
-MAX_HOSTS_ASKED: Final = 4
+#: Maximum number of hosts that are asked for one connection, in this failure
+#: domain and in others. All hosts of one domain may be cut off.
+NEAR_HOSTS_ASKED: Final = 2
+FAR_HOSTS_ASKED: Final = 3
 
 #: Seconds for which a host that could not help is asked after all others: it is
 #: probably cut off itself.
@@ -79,7 +81,10 @@
         ]
         self._randomness.shuffle(in_region)
         in_region.sort(key=lambda each: self._rank(each[0], each[1], service))
-        return tuple(in_region[:MAX_HOSTS_ASKED])
+        near = [each for each in in_region if self._is_near(each[1])]
+        far = [each for each in in_region if not self._is_near(each[1])]
+        asked = near[:NEAR_HOSTS_ASKED] + far[:FAR_HOSTS_ASKED]
+        return tuple(each for each in in_region if each in asked)
 
     def record_failure(self, host: HostId, service: ServiceName) -> None:
         """Record that a host could not connect to an upstream of a service."""
@@ -99,9 +104,13 @@
         return (
             now - failed_at < FAILURE_MEMORY,
             now - self._peers.last_received.get(host, never) > SILENCE,
-            row.domain != self._domain,
+            not self._is_near(row),
         )
 
+    def _is_near(self, row: HostRow) -> bool:
+        """Return whether a host is in this host's failure domain."""
+        return row.domain == self._domain
+
     def _is_in_region(self, domain: DomainId) -> bool:
         """Return whether a domain is in this host's region.
 
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -25,7 +25,7 @@
 
 from nutmegroad.fleet.duties import first_for_duty
 from nutmegroad.fleet.loads import Load, LoadLedger
-from nutmegroad.fleet.tunnel_hosts import MAX_HOSTS_ASKED
+from nutmegroad.fleet.tunnel_hosts import FAR_HOSTS_ASKED, NEAR_HOSTS_ASKED
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.foundations.types import HostId
 from nutmegroad.testing.virtual import ManualClock
@@ -214,7 +214,7 @@
             duty = f'brittle/{upstream.entry.incarnation}'
             lenders = first_for_duty(duty, lenders, count)
         self._randomness.shuffle(lenders)
-        for lender in lenders[:MAX_HOSTS_ASKED]:
+        for lender in lenders[: NEAR_HOSTS_ASKED + FAR_HOSTS_ASKED]:
             loan = self.hosts[lender].lend(upstream)
             if loan is not None:
                 return loan
--- a/tests/test_fleet_soak_paths.py
+++ b/tests/test_fleet_soak_paths.py
@@ -28,7 +28,10 @@
         """Hosts that are cut off refuse their callers."""
         status, text = self.run_patched(
             'src/nutmegroad/fleet/tunnel_hosts.py',
-            {'MAX_HOSTS_ASKED: Final = 4': 'MAX_HOSTS_ASKED: Final = 0'},
+            {
+                'NEAR_HOSTS_ASKED: Final = 2': 'NEAR_HOSTS_ASKED: Final = 0',
+                'FAR_HOSTS_ASKED: Final = 3': 'FAR_HOSTS_ASKED: Final = 0',
+            },
             *('--seed', '2', '--seconds', '2', '--hosts', '3'),
             *('--faults', Fault.HOSTS_CUT_RESET.value),
         )
