Leave brittle upstreams alone after a request that they did not answer

A host that gives a request up frees its share of the slots at once, but the upstream holds the slot until it notices, and one that was silent for a second has a second's worth of them.

A host now sends nothing for a second to a brittle upstream that has not answered a request in time, or has broken it off, as after a rejection. test_host_sends_nothing_more_after_a_missing_answer failed before: 504 after three sends, where a refusal at once is due.

The judge of cut hosts compares with hosts that were not cut off meanwhile, so overlapping cuts are judged, too; it had left all of them out.

--- a/experiments/fleet_soak/path_judges.py
+++ b/experiments/fleet_soak/path_judges.py
@@ -19,15 +19,14 @@
 def cut_off_hosts_serve(history: History, bounds: Bounds) -> Verdict:
     """Hosts without a path to any worker serve like the other hosts.
 
-    Judged from some seconds after a cut began, if nothing else was wrong.
+    Judged from some seconds after a cut began, against hosts that were not cut
+    off meanwhile, if nothing else was wrong.
     """
     checked = 0
     violations = []
     for cut in history.cuts:
         if not history.is_fault_free(cut.since, cut.until, bounds.propagation):
             continue
-        if any(_overlap(cut, other) for other in history.cuts):
-            continue
         at_cut, at_others = _served(
             history, cut, cut.since + bounds.propagation
         )
@@ -58,13 +57,14 @@
     return Verdict('brittle workers', checked, tuple(violations))
 
 
-def _overlap(cut: HostCut, other: HostCut) -> bool:
-    """Return whether another cut overlaps with a cut."""
-    return (
-        other is not cut
-        and other.since <= cut.until
-        and cut.since <= other.until
-    )
+def _cut_meanwhile(history: History, cut: HostCut) -> set[str]:
+    """Return the names of the hosts that were cut off during a cut."""
+    return {
+        f'host-{number}'
+        for other in history.cuts
+        if other.since <= cut.until and cut.since <= other.until
+        for number in other.hosts
+    }
 
 
 def _served(
@@ -74,12 +74,16 @@
     at_cut: list[bool] = []
     at_others: list[bool] = []
     names = {f'host-{number}' for number in cut.hosts}
+    cut_meanwhile = _cut_meanwhile(history, cut)
     for each in history.requests:
         if each.abandoned or not begin <= each.sent_at < cut.until:
             continue
         if each.key in history.revoked_at:
             continue
-        (at_cut if each.host in names else at_others).append(each.served)
+        if each.host in names:
+            at_cut.append(each.served)
+        elif each.host not in cut_meanwhile:
+            at_others.append(each.served)
     return at_cut, at_others
 
 
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -302,10 +302,10 @@
     ) -> None:
         """Update an upstream's health after a failed attempt."""
         now = self._clock.now()
-        if failure.end is AttemptEnd.REJECTED:
-            self._selector.brittle.record_rejection(upstream)
-        elif failure.end is AttemptEnd.WITHHELD:
+        if failure.end is AttemptEnd.WITHHELD:
             self._selector.brittle.record_no_share(upstream)
+        elif failure.end is not AttemptEnd.UNREACHABLE:
+            self._selector.brittle.record_failure(upstream)
         if failure.end in (AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED):
             upstream.health.record_unreachable(now)
         elif failure.end in _NO_EVIDENCE:
--- a/src/nutmegroad/upstreams/brittle_limits.py
+++ b/src/nutmegroad/upstreams/brittle_limits.py
@@ -27,7 +27,8 @@
 _LOG: Final = part_logger('upstreams')
 
 #: Seconds after a rejection in which the upstream gets no request of this host:
-#: the time over which it counts rejections.
+#: the time over which it counts rejections. The same after a request that it
+#: did not answer in time: it may hold a slot for the request for a while.
 REJECTION_PAUSE: Final = 1.0
 
 #: Seconds for which no host is asked again for a share at an upstream after
@@ -150,8 +151,8 @@
             return None
         return _count(self._lent, upstream.entry.incarnation)
 
-    def record_rejection(self, upstream: Upstream) -> None:
-        """Record that an upstream has rejected a request of this host."""
+    def record_failure(self, upstream: Upstream) -> None:
+        """Record that an upstream has rejected or not answered a request."""
         if self.is_brittle(upstream.entry.service):
             self._pause(upstream, REJECTION_PAUSE)
 
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -28,6 +28,7 @@
 from nutmegroad.fleet.tunnel_hosts import FAR_HOSTS_ASKED, NEAR_HOSTS_ASKED
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.foundations.types import HostId
+from nutmegroad.relay.timeouts import MIN_TIMEOUT
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.brittle_limits import (
     NO_SHARE_PAUSE,
@@ -192,7 +193,7 @@
                 return
             ended = loan
         if not self.workers[name].accepts(self.clock.now()):
-            limits.record_rejection(chosen)
+            limits.record_failure(chosen)
             ended()
             return
         self.served += 1
@@ -278,13 +279,13 @@
         """However many requests they have, and after rejections."""
         for _ in range(50):
             self.ledger.begin(self.upstream.entry.incarnation, Load(1))
-        self.limits.record_rejection(self.upstream)
+        self.limits.record_failure(self.upstream)
         self.assertTrue(self.usable)
 
     def test_rejection_pauses_a_host(self) -> None:
         """A brittle upstream gets nothing for as long as it counts."""
         self.limits.observe(ENGINES, 4)
-        self.limits.record_rejection(self.upstream)
+        self.limits.record_failure(self.upstream)
         self.assertFalse(self.usable)
         self.clock._now += REJECTION_PAUSE
         self.assertTrue(self.usable)
@@ -292,7 +293,7 @@
     def test_answer_without_the_header_ends_it(self) -> None:
         """Upstreams say so in all their answers, or in none."""
         self.limits.observe(ENGINES, 0)
-        self.limits.record_rejection(self.upstream)
+        self.limits.record_failure(self.upstream)
         self.limits.observe(ENGINES, None)
         self.assertTrue(self.usable)
 
@@ -317,6 +318,21 @@
         self.assertEqual((status, self.rig.seen('second')), (503, 0), body)
         self.assertGreater(float(headers['Retry-After']), 0)
 
+    # A brittle upstream that had been silent for a second fell over when it
+    # went on: it still held slots for requests that hosts had given up.
+    async def test_host_sends_nothing_more_after_a_missing_answer(self) -> None:
+        """The upstream may still hold a slot for the request."""
+        silent = holding(asyncio.Event())
+        self.all_workers(brittle(plain()))
+        await self.rig.ask('/look/1', 'first')
+        self.all_workers(brittle(silent))
+        asking = asyncio.ensure_future(self.rig.ask('/look/1', 'second'))
+        await self.rig.until(lambda: self.rig.seen('second') == 2)
+        await BootClock().sleep(2 * MIN_TIMEOUT)
+        status, _, _ = await self.rig.ask('/look/1', 'third')
+        self.assertEqual((status, self.rig.seen('third')), (503, 0))
+        asking.cancel()
+
     async def test_sound_upstream_is_asked_again(self) -> None:
         """A rejection alone says nothing about the next request."""
         self.all_workers(rejecting())
