--- a/src/nutmegroad/fleet/tunnel_hosts.py
+++ b/src/nutmegroad/fleet/tunnel_hosts.py
@@ -44,6 +44,11 @@
         randomness: Chooses among equals.
     """
 
+    @property
+    def any_known(self) -> bool:
+        """Whether there is any other host."""
+        return self._peers.count > 0
+
     def __init__(
         self,
         peers: PeerGossip,
--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -96,6 +96,8 @@
             ConnectionFailedError: If there is none in time; nothing was sent.
         """
         deadline = self._clock.now() + timeout
+        if not (self._hosts.any_known or purpose.borrowed):
+            return await self._open_directly(upstream, deadline)
         direct_first = self._tries_direct_first(upstream, purpose)
         ways = self._tunnels(upstream, deadline, purpose)
         if not purpose.borrowed:
