Suspend a worker of the soak in one place

The fault of a sound worker that is silent for a second repeated the body of the one that pauses a worker, but for the seconds; both call one method now. Found by reading the change once more. The plan, the signals and their times are the same, and no test is changed.

--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -260,18 +260,18 @@
 
     async def _worker_paused(self, event: Event) -> None:
         """Suspend a worker."""
-        workers = self._fleet.workers.processes
-        worker = workers[event.target % len(workers)]
-        worker.signal(signal.SIGSTOP)
-        await asyncio.sleep(event.duration)
-        worker.signal(signal.SIGCONT)
+        await self._suspend_worker(event.target, event.duration)
 
     async def _worker_stalled(self, event: Event) -> None:
         """Let a sound worker be silent for a second."""
+        await self._suspend_worker(event.target, STALL_DURATION)
+
+    async def _suspend_worker(self, target: int, seconds: float) -> None:
+        """Suspend a worker for a time."""
         workers = self._fleet.workers.processes
-        worker = workers[event.target % len(workers)]
+        worker = workers[target % len(workers)]
         worker.signal(signal.SIGSTOP)
-        await asyncio.sleep(STALL_DURATION)
+        await asyncio.sleep(seconds)
         worker.signal(signal.SIGCONT)
 
     async def _worker_fails(self, event: Event) -> None:
