Log what a repeat was permitted or denied by

The hosts' lines said that a request was sent again, or that a larger model was not asked for want of budget, but not what the host had counted: neither a kill that empties a host's account nor callers that move could be told from attempts that no budget counts. The line 'repeat' has the requests and repeats counted, and for how long this host has counted; a counter has the denied ones. What is permitted does not change.

--- a/src/nutmegroad/relay/budgets.py
+++ b/src/nutmegroad/relay/budgets.py
@@ -47,6 +47,22 @@
     ESCALATION = 'escalation'
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetUsage:
+    """What a host knows of one service's budget.
+
+    Attributes:
+        requests: Requests that the ratio is applied to.
+        repeats: Repeats in the window.
+        since: Clock seconds of the oldest request that is counted; None if
+            there is none.
+    """
+
+    requests: float
+    repeats: int
+    since: float | None
+
+
 @dataclass(slots=True)
 class _Window:
     """Times of a service's recent requests and repeats at this host.
@@ -133,6 +149,16 @@
         window.repeat_times.append(now)
         return True
 
+    def usage(self, service: ServiceName) -> BudgetUsage:
+        """Return what is counted of a service's requests and repeats."""
+        window = self._window_of(service)
+        times = window.request_times
+        return BudgetUsage(
+            window.requests(self._clock.now(), self._window),
+            len(window.repeat_times),
+            times[0] if times else None,
+        )
+
     def _window_of(self, service: ServiceName) -> _Window:
         """Return a service's window after removing old entries."""
         window = self._services.setdefault(
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -33,6 +33,11 @@
         self._refusals = self._counter('refusals', 'Own refusals', 'code')
         self._attempts = self._counter('attempts', 'Attempts', 'outcome')
         self._repeats = self._counter('repeats', 'Requests sent again', 'why')
+        self._denied_repeats = self._counter(
+            'denied_repeats',
+            'Requests not sent again for want of budget',
+            'why',
+        )
         self._breaks = self._counter(
             'breaks',
             'Exchanges that broke, by what became of the upstream',
@@ -79,6 +84,10 @@
         """Count a repeated request by its purpose."""
         self._repeats.labels(purpose).inc()
 
+    def repeat_denied(self, purpose: str) -> None:
+        """Count a repeat that the budget did not allow, by its purpose."""
+        self._denied_repeats.labels(purpose).inc()
+
     def exchange_broken(self, state: str) -> None:
         """Count a broken exchange by the state of its upstream's process."""
         self._breaks.labels(state).inc()
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -153,10 +153,7 @@
             return False
         if self._attempt_count >= MAX_ATTEMPTS or self.time_left <= 0:
             return False
-        if not self._context.budget.spend(self.service, purpose):
-            return False
-        self._context.counters.repeated(purpose.value)
-        return True
+        return self._take_repeat(purpose)
 
     def log_refusal(self, refusal: Refusal, **fields: object) -> None:
         """Log and count the refusal that ends the request."""
@@ -333,9 +330,34 @@
             # The attempt was abandoned only because another one may follow.
             return True
         if failure.ran is Ran.NOT_RUN:
-            return self._context.budget.spend(self.service, Purpose.FAILURE)
+            return self._take_repeat(Purpose.FAILURE)
         return self.may_repeat()
 
+    def _take_repeat(self, purpose: Purpose) -> bool:
+        """Take one repeat from the budget, and log what it was decided on."""
+        budget = self._context.budget
+        usage = budget.usage(self.service)
+        permitted = budget.spend(self.service, purpose)
+        if permitted:
+            self._context.counters.repeated(purpose.value)
+        else:
+            self._context.counters.repeat_denied(purpose.value)
+        now = self._context.clock.now()
+        _LOG.decision(
+            'repeat',
+            request=self.request.request_id,
+            service=self.service,
+            purpose=purpose.value,
+            permitted=permitted,
+            requests=round(usage.requests, 1),
+            repeats=usage.repeats,
+            counted_for=None
+            if usage.since is None
+            else round(now - usage.since, 3),
+            waited=round(self.waited, 3),
+        )
+        return permitted
+
     def _refuse(self, why: Refusal) -> Refusal:
         """Return a refusal with what is known about the request's execution."""
         return replace(why, ran=self._executed)
