--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -153,7 +153,7 @@
             return False
         if self._attempt_count >= MAX_ATTEMPTS or self.time_left <= 0:
             return False
-        return self._take_repeat(purpose)
+        return _take_repeat(self._context, self.request, self.service, purpose)
 
     def log_refusal(self, refusal: Refusal, **fields: object) -> None:
         """Log and count the refusal that ends the request."""
@@ -330,39 +330,46 @@
             # The attempt was abandoned only because another one may follow.
             return True
         if failure.ran is Ran.NOT_RUN:
-            return self._take_repeat(Purpose.FAILURE)
+            return _take_repeat(
+                self._context, self.request, self.service, Purpose.FAILURE
+            )
         return self.may_repeat()
 
-    def _take_repeat(self, purpose: Purpose) -> bool:
-        """Take one repeat from the budget, and log what it was decided on."""
-        budget = self._context.budget
-        usage = budget.usage(self.service)
-        permitted = budget.spend(self.service, purpose)
-        if permitted:
-            self._context.counters.repeated(purpose.value)
-        else:
-            self._context.counters.repeat_denied(purpose.value)
-        now = self._context.clock.now()
-        _LOG.decision(
-            'repeat',
-            request=self.request.request_id,
-            service=self.service,
-            purpose=purpose.value,
-            permitted=permitted,
-            requests=round(usage.requests, 1),
-            repeats=usage.repeats,
-            counted_for=None
-            if usage.since is None
-            else round(now - usage.since, 3),
-            waited=round(self.waited, 3),
-        )
-        return permitted
-
     def _refuse(self, why: Refusal) -> Refusal:
         """Return a refusal with what is known about the request's execution."""
         return replace(why, ran=self._executed)
 
 
+def _take_repeat(
+    context: RelayContext,
+    request: CallerRequest,
+    service: ServiceName,
+    purpose: Purpose,
+) -> bool:
+    """Take one repeat from the budget, and log what it was decided on."""
+    usage = context.budget.usage(service)
+    permitted = context.budget.spend(service, purpose)
+    if permitted:
+        context.counters.repeated(purpose.value)
+    else:
+        context.counters.repeat_denied(purpose.value)
+    now = context.clock.now()
+    _LOG.decision(
+        'repeat',
+        request=request.request_id,
+        service=service,
+        purpose=purpose.value,
+        permitted=permitted,
+        requests=round(usage.requests, 1),
+        repeats=usage.repeats,
+        counted_for=None
+        if usage.since is None
+        else round(now - usage.since, 3),
+        waited=round(now - request.arrived, 3),
+    )
+    return permitted
+
+
 def _is_version_evidence(choice: Choice, failure: AttemptFailure) -> bool:
     """Return whether a failed attempt may be evidence on a version."""
     if failure is _ABANDONED or failure.ran is Ran.NOT_RUN:
