Hold the budget for repeats as a sum over hosts

Cause: each host compared its repeats with the largest of its own three windows. A maximum is not a sum: callers that move are counted by the host that they left, by its older windows, and by the one that they came to. And a killed host forgot its repeats while the requests after its start allowed new ones.

Now a host's repeats in each window that has not ended are at most half the ratio times its requests of that window and the one before, plus a share of the constant that a process gets over its first window. Both sides are sums, so the fleet is within the limit for any schedule.

--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -145,6 +145,10 @@
         others = (*self.peers.local_hosts, *self.peers.remote_hosts)
         return sum(duty_hash(duty, other) < mine for other in others)
 
+    def known_count(self) -> int | None:
+        """Return the number of hosts; None before they are known."""
+        return self.count() if self._registration.knows_hosts else None
+
     def known_rank(self, duty: str) -> int | None:
         """Return this host's rank for a duty; None before hosts are known."""
         if not self._registration.knows_hosts:
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -37,6 +37,7 @@
         placement: Failure domains and regions in which requests may run.
         host_rank: This host's rank for a duty.
         host_count: Returns the number of known hosts, including this one.
+        known_host_count: The same, but None before the hosts are known.
     """
 
     directory: Directory
@@ -48,6 +49,7 @@
     placement: Placement
     host_rank: HostRank
     host_count: Callable[[], int]
+    known_host_count: Callable[[], int | None]
 
 
 def assemble(
@@ -104,7 +106,7 @@
         attempts,
         selector,
         components.directory,
-        RepeatBudget(clock, settings.repeat_ratio, settings.repeat_window),
+        RepeatBudget(clock, settings.repeat_limit, components.known_host_count),
         gate,
         clock,
         platform.counters,
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -6,6 +6,7 @@
 from nutmegroad.canary.steps import StatusWriter
 from nutmegroad.fleet.store_interface import Store
 from nutmegroad.foundations.types import Address, DomainId, HostId, RegionId
+from nutmegroad.relay.budgets import RepeatLimit
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.tables import RowReader
 from nutmegroad.routes.headers import HeaderNames
@@ -37,9 +38,7 @@
         ready_path: Path of the readiness check.
         key_validity: Seconds for which callers' keys stay valid without a
             confirmation; None if they never expire.
-        repeat_ratio: Maximum number of repeats per request that the operator
-            allows.
-        repeat_window: Seconds over which repeats are counted.
+        repeat_limit: The operator's limit on the repeats of all hosts.
         exposure: Fraction of a service's requests that a bad version may
             receive.
         exposure_allowance: Number of requests that it may receive in addition.
@@ -65,8 +64,7 @@
     ready: Address
     ready_path: str
     key_validity: float | None
-    repeat_ratio: float
-    repeat_window: float
+    repeat_limit: RepeatLimit
     exposure: float
     exposure_allowance: float
     session_window: float
--- a/src/nutmegroad/relay/budgets.py
+++ b/src/nutmegroad/relay/budgets.py
@@ -1,42 +1,43 @@
 """The budget for repeats: arrivals of a request at upstreams after the first.
 
-The operator limits repeats per service, summed over all hosts and a sliding
-window: a ratio to the requests plus a constant. Each host applies the ratio to
-the requests that it receives itself, so the sum stays within the limit without
-communication between hosts. The constant part is left for requests that extend
-from one window into the next.
+The operator limits repeats per service, summed over all hosts: in each window
+they may be a ratio to the requests of that window, of the one before it or of
+the one half a window before it, whichever has most, plus a constant.
+
+Hosts stay within that limit without a shared counter. Each host counts its own
+requests and repeats only. For each window that has not ended, the repeats in it
+are at most half the ratio times the requests of this window and the one before
+it, plus the host's share of the constant. Both sides are sums over hosts, and
+each request is counted by one host. So the same holds for the whole fleet,
+whichever hosts callers move to, and half the ratio for each of two windows is
+no more than the ratio for the larger one. A host that is killed loses its
+requests together with its repeats and allows less afterwards, never more.
 """
 
-from collections import deque
-from dataclasses import dataclass
+from bisect import bisect_left
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import ServiceName
 
-#: Fraction of the operator's ratio that hosts use at most. The rest, with the
-#: constant part of the limit, is for requests that the operator's windows
-#: divide differently from the host's.
-USED_FRACTION: Final = 0.95
+#: Fraction of the operator's ratio that escalations may use: a tenth of the
+#: budget is reserved for requests that would fail otherwise.
+ESCALATION_FRACTION: Final = 0.9
 
-#: Fraction of the operator's ratio that escalations may use: a ninth of the
-#: budget is reserved for requests that would fail otherwise. In a large fleet
-#: each host receives few requests in a window (about 25), so the number of them
-#: that escalate may by chance be a fifth above the average.
-ESCALATION_FRACTION: Final = 0.85
+#: Fraction of the operator's constant that is divided among hosts. The rest is
+#: for repeats that arrive at the upstream in a later window than the one in
+#: which they were permitted, such as those of a host that was paused.
+SHARED_FRACTION: Final = 0.75
 
-#: Weight of requests in older windows. The operator compares repeats with the
-#: requests in the same window, the one before it or the one half a window
-#: before, whichever has most, since repeats may follow after the end of a peak.
-#: Each host takes the largest of its own windows, and the sum of these is
-#: larger than the largest sum over all hosts, so older requests count less
-#: here.
-OLDER_WEIGHT: Final = 0.8
+#: Shares of one host that may be used in a window: a host that is killed has
+#: used one, and its next processes together get another one.
+SHARES_PER_HOST: Final = 2
 
-#: Repeats that a host may make in a window regardless of its requests. With a
-#: hundred hosts the sum is about the constant part of the operators' limit.
-FREE_REPEATS: Final = 2
+#: Windows whose requests a repeat is permitted by.
+COUNTED_WINDOWS: Final = 2
 
 
 @unique
@@ -47,61 +48,94 @@
     ESCALATION = 'escalation'
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatLimit:
+    """The operator's limit on the repeats of all hosts together.
+
+    Attributes:
+        ratio: Maximum number of repeats per request.
+        window: Seconds over which the operator counts.
+        constant: Number of repeats in a window that are allowed regardless of
+            its requests.
+    """
+
+    ratio: float
+    window: float
+    constant: float
+
+
 @dataclass(frozen=True, slots=True)
 class BudgetUsage:
     """What a host knows of one service's budget.
 
     Attributes:
-        requests: Requests that the ratio is applied to.
+        requests: Requests by which repeats are permitted now.
         repeats: Repeats in the window.
-        since: Clock seconds of the oldest request that is counted; None if
-            there is none.
+        share: The host's share of the constant.
+        counted_for: Seconds for which this process has counted.
     """
 
-    requests: float
+    requests: int
     repeats: int
-    since: float | None
+    share: float
+    counted_for: float
 
 
 @dataclass(slots=True)
-class _Window:
-    """Times of a service's recent requests and repeats at this host.
+class _Record:
+    """Clock times of a service's recent requests and repeats, in order."""
 
-    Attributes:
-        request_times: Clock seconds of requests, for two windows.
-        repeat_times: Clock seconds of repeats, for one window.
+    requests: list[float] = field(default_factory=list)
+    repeats: list[float] = field(default_factory=list)
+
+    def remove_expired(self, now: float, window: float) -> None:
+        """Remove entries that no window counts any more."""
+        oldest = now - COUNTED_WINDOWS * window
+        self.requests = _since(oldest, self.requests)
+        self.repeats = _since(now - window, self.repeats)
+
+
+def permits_repeat(
+    requests: Sequence[float],
+    repeats: Sequence[float],
+    now: float,
+    limit: RepeatLimit,
+) -> bool:
+    """Return whether one more repeat stays within a host's part of a limit.
+
+    It is enough to check the windows that begin with a repeat: any other window
+    has no more repeats than the next one of these, and more requests.
+
+    Args:
+        requests: Clock times of the host's requests in the last two windows,
+            in order.
+        repeats: Clock times of its repeats in the last window, in order.
+        now: Clock seconds.
+        limit: The limit, with the host's share as the constant.
     """
+    half = limit.ratio / 2
+    window_starts = (*repeats, now)
+    for earlier, start in enumerate(window_starts):
+        counted = len(requests) - bisect_left(requests, start - limit.window)
+        if len(window_starts) - earlier > half * counted + limit.constant:
+            return False
+    return True
 
-    request_times: deque[float]
-    repeat_times: deque[float]
-
-    def remove_expired(self, now: float, span: float) -> None:
-        """Remove entries that are too old to count.
-
-        Args:
-            now: Clock seconds.
-            span: Length of the window in seconds.
-        """
-        for times, oldest in (
-            (self.request_times, now - 2 * span),
-            (self.repeat_times, now - span),
-        ):
-            while times and times[0] < oldest:
-                times.popleft()
-
-    def requests(self, now: float, span: float) -> float:
-        """Return the number of requests that the ratio is applied to."""
-        latest = self._between(now - span, now)
-        half = span / 2
-        older = max(
-            self._between(now - 2 * span, now - span),
-            self._between(now - span - half, now - half),
-        )
-        return max(latest, older * OLDER_WEIGHT)
 
-    def _between(self, begin: float, end: float) -> int:
-        """Return how many requests arrived between two clock times."""
-        return sum(begin <= time <= end for time in self.request_times)
+def host_share(limit: RepeatLimit, hosts: int, uptime: float) -> float:
+    """Return the repeats that one host may make regardless of its requests.
+
+    A process that has just started gets them little by little, so that the
+    processes of a host that is killed again and again get one share in a window
+    together.
+
+    Args:
+        limit: The operator's limit.
+        hosts: Number of hosts.
+        uptime: Seconds since the host's process started.
+    """
+    share = SHARED_FRACTION * limit.constant / hosts / SHARES_PER_HOST
+    return share * min(1, uptime / limit.window)
 
 
 class RepeatBudget:
@@ -109,61 +143,64 @@
 
     Args:
         clock: The host's clock.
-        ratio: Maximum number of repeats per request that the operator allows.
-        window: Seconds over which the operator counts.
+        limit: The operator's limit.
+        host_count: Returns the number of hosts, including this one; None before
+            they are known.
     """
 
-    def __init__(self, clock: Clock, ratio: float, window: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limit: RepeatLimit,
+        host_count: Callable[[], int | None],
+    ) -> None:
+        #: The operator's limit.
+        self.limit = limit
         self._clock = clock
-        self._ratio = ratio
-        self._window = window
-        self._services: dict[ServiceName, _Window] = {}
-
-    def set_limit(self, ratio: float, window: float) -> None:
-        """Change the operator's limit.
-
-        Args:
-            ratio: Maximum number of repeats per request.
-            window: Seconds over which the operator counts.
-        """
-        self._ratio = ratio
-        self._window = window
+        self._host_count = host_count
+        self._started = clock.now()
+        self._services: dict[ServiceName, _Record] = {}
 
     def count_request(self, service: ServiceName) -> None:
         """Count a caller's request for a service."""
-        self._window_of(service).request_times.append(self._clock.now())
+        self._record_of(service).requests.append(self._clock.now())
 
     def spend(self, service: ServiceName, purpose: Purpose) -> bool:
         """Take one repeat from the budget; return whether one was left."""
-        window = self._window_of(service)
-        fraction = USED_FRACTION
+        record = self._record_of(service)
+        ratio = self.limit.ratio
         if purpose is Purpose.ESCALATION:
-            fraction = ESCALATION_FRACTION
+            ratio *= ESCALATION_FRACTION
         now = self._clock.now()
-        requests = window.requests(now, self._window)
-        if (
-            len(window.repeat_times) + 1
-            > self._ratio * fraction * requests + FREE_REPEATS
-        ):
+        own_limit = RepeatLimit(ratio, self.limit.window, self._share())
+        if not permits_repeat(record.requests, record.repeats, now, own_limit):
             return False
-        window.repeat_times.append(now)
+        record.repeats.append(now)
         return True
 
     def usage(self, service: ServiceName) -> BudgetUsage:
         """Return what is counted of a service's requests and repeats."""
-        window = self._window_of(service)
-        times = window.request_times
+        record = self._record_of(service)
         return BudgetUsage(
-            window.requests(self._clock.now(), self._window),
-            len(window.repeat_times),
-            times[0] if times else None,
+            len(record.requests),
+            len(record.repeats),
+            self._share(),
+            self._clock.now() - self._started,
         )
 
-    def _window_of(self, service: ServiceName) -> _Window:
-        """Return a service's window after removing old entries."""
-        window = self._services.setdefault(
-            service,
-            _Window(deque(), deque()),
-        )
-        window.remove_expired(self._clock.now(), self._window)
-        return window
+    def _share(self) -> float:
+        """Return the repeats that are allowed regardless of requests."""
+        hosts = self._host_count()
+        uptime = self._clock.now() - self._started
+        return 0 if hosts is None else host_share(self.limit, hosts, uptime)
+
+    def _record_of(self, service: ServiceName) -> _Record:
+        """Return a service's record after removing old entries."""
+        record = self._services.setdefault(service, _Record())
+        record.remove_expired(self._clock.now(), self.limit.window)
+        return record
+
+
+def _since(oldest: float, times: list[float]) -> list[float]:
+    """Return the times, in order, that are not before the oldest one."""
+    return times[bisect_left(times, oldest) :]
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -353,19 +353,17 @@
         context.counters.repeated(purpose.value)
     else:
         context.counters.repeat_denied(purpose.value)
-    now = context.clock.now()
     _LOG.decision(
         'repeat',
         request=request.request_id,
         service=service,
         purpose=purpose.value,
         permitted=permitted,
-        requests=round(usage.requests, 1),
+        requests=usage.requests,
         repeats=usage.repeats,
-        counted_for=None
-        if usage.since is None
-        else round(now - usage.since, 3),
-        waited=round(now - request.arrived, 3),
+        share=round(usage.share, 2),
+        counted_for=round(usage.counted_for, 3),
+        waited=round(context.clock.now() - request.arrived, 3),
     )
     return permitted
 
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -181,16 +181,14 @@
         """Apply changed settings; addresses stay until the next start."""
         self._settings = settings
         self._configuration.update_key_validity(settings.key_validity)
-        self._context.budget.set_limit(
-            settings.repeat_ratio, settings.repeat_window
-        )
+        self._context.budget.limit = settings.repeat_limit
         self._rollouts.canary_share = canary_share(settings.exposure)
         self._rollouts.exposure_slack = settings.exposure_allowance
         _LOG.decision(
             'settings reloaded',
             host=settings.host,
             key_trust=settings.key_validity,
-            repeat_ratio=settings.repeat_ratio,
+            repeat_limit=str(settings.repeat_limit),
             exposure=settings.exposure,
             grace=settings.grace,
         )
@@ -257,6 +255,7 @@
                 Placement(self.evacuations, settings.regions),
                 self._fleet.known_rank,
                 self._fleet.count,
+                self._fleet.known_count,
             ),
             clock,
             self._randomness,
