--- a/src/nutmegroad/relay/budgets.py
+++ b/src/nutmegroad/relay/budgets.py
@@ -6,12 +6,13 @@
 
 Hosts stay within that limit without a shared counter. Each host counts its own
 requests and repeats only. For each window that has not ended, the repeats in it
-are at most half the ratio times the requests of this window and the one before
-it, plus the host's share of the constant. Both sides are sums over hosts, and
-each request is counted by one host. So the same holds for the whole fleet,
-whichever hosts callers move to, and half the ratio for each of two windows is
-no more than the ratio for the larger one. A host that is killed loses its
-requests together with its repeats and allows less afterwards, never more.
+are at most one part of the ratio times the requests of this window, the other
+part times those of the window before it, and the host's share of the constant.
+Both sides are sums over hosts, and each request is counted by one host. So the
+same holds for the whole fleet, whichever hosts callers move to, and the two
+parts together are no more than the ratio times the larger window. A host that
+is killed loses its requests together with its repeats and allows less
+afterwards, never more.
 """
 
 from bisect import bisect_left
@@ -39,6 +40,15 @@
 #: Windows whose requests a repeat is permitted by.
 COUNTED_WINDOWS: Final = 2
 
+#: Part of the ratio that applies to the requests of a window itself, and all
+#: that a host has whose callers have just come to it. The rest applies to the
+#: window before; it is what a host may repeat at once when upstreams fail. This
+#: part must be the larger one, or more windows would have to be checked.
+CURRENT_PART: Final = 2 / 3
+
+#: Tolerance for rounding errors of weighted sums.
+ROUNDING: Final = 1e-9
+
 
 @unique
 class Purpose(Enum):
@@ -104,7 +114,7 @@
     """Return whether one more repeat stays within a host's part of a limit.
 
     It is enough to check the windows that begin with a repeat: any other window
-    has no more repeats than the next one of these, and more requests.
+    has no more repeats than the next one of these, and allows no fewer.
 
     Args:
         requests: Clock times of the host's requests in the last two windows,
@@ -113,11 +123,14 @@
         now: Clock seconds.
         limit: The limit, with the host's share as the constant.
     """
-    half = limit.ratio / 2
     window_starts = (*repeats, now)
     for earlier, start in enumerate(window_starts):
-        counted = len(requests) - bisect_left(requests, start - limit.window)
-        if len(window_starts) - earlier > half * counted + limit.constant:
+        first = bisect_left(requests, start)
+        current = len(requests) - first
+        previous = first - bisect_left(requests, start - limit.window)
+        weighted = CURRENT_PART * current + (1 - CURRENT_PART) * previous
+        allowed = limit.ratio * weighted + limit.constant
+        if len(window_starts) - earlier > allowed + ROUNDING:
             return False
     return True
 
