Give each process its share of repeats at once

A process got its share of the constant over its first window, and the ratio alone permits no repeat of a first request.

A process has its share at once now, and the constant is divided by the hosts and by three.

--- a/models/repeats.py
+++ b/models/repeats.py
@@ -17,12 +17,12 @@
 
 from nutmegroad.relay.budgets import (
     CURRENT_PART,
+    PROCESSES_PER_WINDOW,
     ROUNDING,
     SHARED_FRACTION,
-    SHARES_PER_HOST,
     RepeatLimit,
-    host_share,
     permits_repeat,
+    process_share,
 )
 
 #: Number of hosts.
@@ -44,12 +44,10 @@
     """A host's process.
 
     Attributes:
-        started: Tick at which it started.
         requests: Ticks of its requests.
         repeats: Ticks of its repeats.
     """
 
-    started: int
     requests: Ticks
     repeats: Ticks
 
@@ -74,15 +72,15 @@
 RATIO_ONLY: Final = Bounds(
     RepeatLimit(ratio=3, window=WINDOW, constant=0), requests=3, kills=1
 )
-#: A host may make one repeat without requests in each window.
+#: Each process of a host may make one repeat without requests in a window.
 WITH_CONSTANT: Final = Bounds(
     RepeatLimit(
         ratio=3,
         window=WINDOW,
-        constant=SHARES_PER_HOST * HOSTS / SHARED_FRACTION,
+        constant=PROCESSES_PER_WINDOW * HOSTS / SHARED_FRACTION,
     ),
     requests=1,
-    kills=3,
+    kills=(PROCESSES_PER_WINDOW - 1) * HOSTS,
 )
 
 
@@ -131,19 +129,20 @@
     return _count(host.repeats, LATEST) + 1 <= allowed + ROUNDING
 
 
-def empty_record(host: Host) -> Host:
-    """Start as the program does: with nothing counted."""
-    return host._replace(started=0, requests=(), repeats=())
+def undivided_share(host: Host, limit: RepeatLimit) -> bool:
+    """Give each process what is for all processes of its host."""
+    constant = limit.constant * PROCESSES_PER_WINDOW
+    return program_rule(host, replace(limit, constant=constant))
 
 
-def whole_share(host: Host) -> Host:
-    """Start with the whole share of the constant."""
-    return Host(-WINDOW, (), ())
+def empty_record(host: Host) -> Host:
+    """Start as the program does: with nothing counted."""
+    return Host((), ())
 
 
 def kept_requests(host: Host) -> Host:
     """Start with the requests that were counted before, but no repeats."""
-    return host._replace(started=0, repeats=())
+    return host._replace(repeats=())
 
 
 class RepeatModel:
@@ -188,7 +187,7 @@
                     requests_left=state.requests_left - 1,
                 ),
             )
-        share = host_share(self._limit, HOSTS, -host.started)
+        share = process_share(self._limit, HOSTS)
         if self._rule(host, replace(self._limit, constant=share)):
             yield (
                 'repeats a request',
@@ -216,7 +215,7 @@
     restart: Restart = empty_record,
 ) -> dict[str, Any]:
     """Explore all reachable states and return the checker's report."""
-    idle = Host(-WINDOW, (), ())
+    idle = Host((), ())
     initial = State((idle,) * HOSTS, (), (), bounds.requests, bounds.kills)
     protocol = Protocol(
         name='repeats',
@@ -247,7 +246,6 @@
         hosts=tuple(
             sorted(
                 Host(
-                    max(host.started - 1, -WINDOW),
                     _older(host.requests, 2 * WINDOW),
                     _older(host.repeats, WINDOW),
                 )
--- a/src/nutmegroad/relay/budgets.py
+++ b/src/nutmegroad/relay/budgets.py
@@ -11,8 +11,8 @@
 Both sides are sums over hosts, and each request is counted by one host. So the
 same holds for the whole fleet, whichever hosts callers move to, and the two
 parts together are no more than the ratio times the larger window. A host that
-is killed loses its requests together with its repeats and allows less
-afterwards, never more.
+is killed loses its requests together with its repeats; all that its next
+process may repeat in addition is its share, which is small enough for that.
 """
 
 from bisect import bisect_left
@@ -33,9 +33,10 @@
 #: which they were permitted, such as those of a host that was paused.
 SHARED_FRACTION: Final = 0.75
 
-#: Shares of one host that may be used in a window: a host that is killed has
-#: used one, and its next processes together get another one.
-SHARES_PER_HOST: Final = 2
+#: Processes of each host, on average, that may use a share of the constant in
+#: one window: all hosts may be killed twice in it. A process needs its share at
+#: once, or the first request after a start could not be repeated.
+PROCESSES_PER_WINDOW: Final = 3
 
 #: Windows whose requests a repeat is permitted by.
 COUNTED_WINDOWS: Final = 2
@@ -81,7 +82,7 @@
     Attributes:
         requests: Requests by which repeats are permitted now.
         repeats: Repeats in the window.
-        share: The host's share of the constant.
+        share: The process's share of the constant.
         counted_for: Seconds for which this process has counted.
     """
 
@@ -121,7 +122,7 @@
             in order.
         repeats: Clock times of its repeats in the last window, in order.
         now: Clock seconds.
-        limit: The limit, with the host's share as the constant.
+        limit: The limit, with the process's share as the constant.
     """
     window_starts = (*repeats, now)
     for earlier, start in enumerate(window_starts):
@@ -135,20 +136,14 @@
     return True
 
 
-def host_share(limit: RepeatLimit, hosts: int, uptime: float) -> float:
-    """Return the repeats that one host may make regardless of its requests.
-
-    A process that has just started gets them little by little, so that the
-    processes of a host that is killed again and again get one share in a window
-    together.
+def process_share(limit: RepeatLimit, hosts: int) -> float:
+    """Return the repeats that a host's process may make without requests.
 
     Args:
         limit: The operator's limit.
         hosts: Number of hosts.
-        uptime: Seconds since the host's process started.
     """
-    share = SHARED_FRACTION * limit.constant / hosts / SHARES_PER_HOST
-    return share * min(1, uptime / limit.window)
+    return SHARED_FRACTION * limit.constant / hosts / PROCESSES_PER_WINDOW
 
 
 class RepeatBudget:
@@ -180,16 +175,25 @@
 
     def spend(self, service: ServiceName, purpose: Purpose) -> bool:
         """Take one repeat from the budget; return whether one was left."""
+        if not self.has_repeat(service, purpose):
+            return False
+        self._record_of(service).repeats.append(self._clock.now())
+        return True
+
+    def has_repeat(
+        self, service: ServiceName, purpose: Purpose = Purpose.FAILURE
+    ) -> bool:
+        """Return whether a repeat is left, without taking it."""
         record = self._record_of(service)
         ratio = self.limit.ratio
         if purpose is Purpose.ESCALATION:
             ratio *= ESCALATION_FRACTION
-        now = self._clock.now()
-        own_limit = RepeatLimit(ratio, self.limit.window, self._share())
-        if not permits_repeat(record.requests, record.repeats, now, own_limit):
-            return False
-        record.repeats.append(now)
-        return True
+        return permits_repeat(
+            record.requests,
+            record.repeats,
+            self._clock.now(),
+            RepeatLimit(ratio, self.limit.window, self._share()),
+        )
 
     def usage(self, service: ServiceName) -> BudgetUsage:
         """Return what is counted of a service's requests and repeats."""
@@ -204,8 +208,7 @@
     def _share(self) -> float:
         """Return the repeats that are allowed regardless of requests."""
         hosts = self._host_count()
-        uptime = self._clock.now() - self._started
-        return 0 if hosts is None else host_share(self.limit, hosts, uptime)
+        return 0 if hosts is None else process_share(self.limit, hosts)
 
     def _record_of(self, service: ServiceName) -> _Record:
         """Return a service's record after removing old entries."""
--- a/tests/test_model_repeats.py
+++ b/tests/test_model_repeats.py
@@ -9,7 +9,7 @@
     kept_requests,
     largest_window,
     latest_window,
-    whole_share,
+    undivided_share,
 )
 
 from tests.model_case import ModelCase
@@ -36,7 +36,7 @@
             'largest window': check(RATIO_ONLY, rule=largest_window),
             'latest window': check(RATIO_ONLY, rule=latest_window),
             'requests kept': check(RATIO_ONLY, restart=kept_requests),
-            'whole share': check(WITH_CONSTANT, restart=whole_share),
+            'undivided share': check(WITH_CONSTANT, rule=undivided_share),
         }
         for title, report in reports.items():
             with self.subTest(title):
