Probe a lost path only with requests that may be repeated

The trace: the host tries its own path with one request each half second; a proxy accepted the connection and reset it, and 'repeat' says permitted=False with 7 repeats for 7 requests, so the request was lost to the probe. Ruled out by it: the crash guard and the route.

A request probes a path, and takes a connection that has been idle for long, only if another attempt may follow: as before not if it may run once, and now neither if its attempts or the budget are used up. The new test leaves a host no repeat; it is red without the look at the budget (two of two) and green with it (three of three).

--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -271,13 +271,10 @@
     ) -> UpstreamConnection:
         """Return a connection that is released when the attempt ends."""
         upstream = plan.upstream.entry.incarnation
-        single_execution = not request.route.repeatable
         connection = None
         borrowed = plan.choice.borrowed
         if not (borrowed or self._dialer.avoids_direct(plan.upstream)):
-            connection = self._pool.acquire(
-                upstream, single_execution=single_execution
-            )
+            connection = self._pool.acquire(upstream, is_last=plan.is_last)
         if connection is None:
             time_left = request.deadline - self._clock.now()
             connection = await self._dialer.open(
@@ -285,7 +282,7 @@
                 min(CONNECT_TIMEOUT, max(0, time_left)),
                 DialPurpose(
                     request.request_id,
-                    single_execution,
+                    plan.is_last,
                     borrowed,
                     self._selector.brittle.lender_count(plan.upstream)
                     if borrowed
--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -41,7 +41,8 @@
 
     Attributes:
         request: Id of the caller's request; empty for a check.
-        single_execution: Whether the request may be executed only once.
+        is_last: Whether no other attempt of the request may follow if this one
+            is executed.
         borrowed: Whether another host has to send the request within its share
             of a brittle upstream.
         lender_count: Number of hosts, by rank, that have a share; None if all
@@ -49,7 +50,7 @@
     """
 
     request: str = ''
-    single_execution: bool = False
+    is_last: bool = False
     borrowed: bool = False
     lender_count: int | None = None
 
@@ -141,7 +142,7 @@
         if not self.paths.is_cut_off(service):
             return True
         # A proxy may accept a connection in vain, which costs an execution.
-        return not purpose.single_execution and self.paths.claim_probe(service)
+        return not purpose.is_last and self.paths.claim_probe(service)
 
     def _tunnels(
         self, upstream: Upstream, deadline: float, purpose: DialPurpose
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -172,14 +172,6 @@
             **fields,
         )
 
-    def truncated_refusal(self) -> Refusal:
-        """Return the refusal of a request whose answer was truncated."""
-        return Refusal(
-            ResultCode.ANSWER_CUT,
-            'The answer was truncated, and the request may not be repeated.',
-            Ran.RAN,
-        )
-
     def deadline_refusal(self) -> Refusal:
         """Return the refusal of a request whose deadline has passed."""
         return Refusal(
@@ -206,6 +198,7 @@
                 self.request, choice.expected_seconds, self.time_left
             ),
             self._may_abandon,
+            self._is_last_attempt(),
         )
         # If the task is cancelled during the attempt, it remains unknown
         # whether the request was executed.
@@ -320,6 +313,15 @@
             return False
         return self.attempts_left > 1 and self.may_repeat()
 
+    def _is_last_attempt(self) -> bool:
+        """Return whether no attempt may follow this one once it is executed."""
+        return (
+            not self.request.route.repeatable
+            or self.attempts_left <= 1
+            or self._attempt_count >= MAX_ATTEMPTS
+            or not self._context.budget.has_repeat(self.service)
+        )
+
     def _may_follow(self, failure: AttemptFailure) -> bool:
         """Return whether another attempt may follow a failed one."""
         if self._attempt_count >= MAX_ATTEMPTS or self.time_left <= 0:
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -71,6 +71,7 @@
             upstream counts as unresponsive and other requests should avoid it.
         may_abandon: Called once after that time; returns whether the
             attempt may be abandoned. If not, it goes on until the deadline.
+        is_last: Whether no other attempt may follow if this one is executed.
     """
 
     choice: Choice
@@ -78,6 +79,7 @@
     last_event: str
     response_timeout: float
     may_abandon: Callable[[], bool]
+    is_last: bool
 
     @property
     def upstream(self) -> Upstream:
--- a/src/nutmegroad/relay/plain_calls.py
+++ b/src/nutmegroad/relay/plain_calls.py
@@ -10,7 +10,7 @@
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR
 from nutmegroad.relay.outcomes import UpstreamAnswer
-from nutmegroad.relay.refusals import caller_refusal
+from nutmegroad.relay.refusals import caller_refusal, truncated_refusal
 from nutmegroad.relay.replies import Reply
 from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.routes.headers import end_to_end
@@ -56,7 +56,7 @@
             failure = answer
         if not succeeded and execution.may_repeat():
             continue
-        await _end(execution, reply, failure, execution.truncated_refusal())
+        await _end(execution, reply, failure, truncated_refusal())
         return
 
 
--- a/src/nutmegroad/relay/pools.py
+++ b/src/nutmegroad/relay/pools.py
@@ -15,9 +15,9 @@
 #: the rest is for timers that fire late on either side.
 REUSE_FRACTION: Final = 0.6
 
-#: Fraction for requests that may be executed only once: if the connection
-#: closes while they are sent, their outcome is unknown.
-SINGLE_EXECUTION_FRACTION: Final = 0.3
+#: Fraction for requests that can't be sent again: if the connection closes
+#: while they are sent, they are lost.
+LAST_ATTEMPT_FRACTION: Final = 0.3
 
 
 class ConnectionPool:
@@ -46,18 +46,17 @@
         self,
         upstream: UpstreamIncarnation,
         *,
-        single_execution: bool,
+        is_last: bool,
     ) -> UpstreamConnection | None:
         """Return an idle connection that is likely still open, or None.
 
         Args:
             upstream: The upstream.
-            single_execution: Whether the request may be executed only once.
+            is_last: Whether no other attempt of the request may follow if this
+                one is executed.
         """
         idle = self._idle.get(upstream, [])
-        fraction = (
-            SINGLE_EXECUTION_FRACTION if single_execution else REUSE_FRACTION
-        )
+        fraction = LAST_ATTEMPT_FRACTION if is_last else REUSE_FRACTION
         while idle:
             connection = idle[-1]
             if not connection.reusable:
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -170,6 +170,15 @@
     )
 
 
+def truncated_refusal() -> Refusal:
+    """Return the refusal of a request whose answer was truncated."""
+    return Refusal(
+        ResultCode.ANSWER_CUT,
+        'The answer was truncated, and the request may not be repeated.',
+        Ran.RAN,
+    )
+
+
 def harmful_refusal(harmful: BlockedRequest, service: ServiceName) -> Refusal:
     """Return the refusal of a request that crashes its upstreams."""
     return Refusal(
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -28,7 +28,7 @@
     read_complete,
     send_answer,
 )
-from nutmegroad.relay.refusals import caller_refusal
+from nutmegroad.relay.refusals import caller_refusal, truncated_refusal
 from nutmegroad.relay.replies import Reply
 from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.relay.timeouts import response_timeout, wait_while_reachable
@@ -138,7 +138,7 @@
                 # The repeat has been taken from the budget already.
                 continue
             if not self._execution.may_repeat():
-                await self._give_up(self._execution.truncated_refusal())
+                await self._give_up(truncated_refusal())
                 return
 
     async def _forward_attempt(self, answering: UpstreamAnswer) -> StreamEnd:
--- a/tests/cut_rig.py
+++ b/tests/cut_rig.py
@@ -13,6 +13,7 @@
     stream,
 )
 
+from nutmegroad.relay.budgets import RepeatLimit
 from tests.relay_rig import Rig, free_port
 
 #: Prefixes of the paths whose requests are answered by a stream.
@@ -77,6 +78,13 @@
         for link in self.links:
             link.client_states.pop(self._settings[host].peers.ip, None)
 
+    def deny_repeats(self, host: int) -> None:
+        """Leave a host no repeat in its budget."""
+        limit = RepeatLimit(ratio=0, window=1, constant=0)
+        self.hosts[host].reload(
+            replace(self._settings[host], repeat_limit=limit)
+        )
+
     async def _start_worker(self, number: int) -> None:
         """Start a worker, and a link to it."""
         await super()._start_worker(number)
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -13,6 +13,7 @@
 from nutmegroad.fleet.crash_tracker import CrashReport
 from nutmegroad.fleet.peer_gossip import ROUND_INTERVAL
 from nutmegroad.foundations.clocks import BootClock
+from nutmegroad.relay.direct_paths import PROBE_INTERVAL
 from nutmegroad.relay.process_checks import PROXY_CLOSE_TIMEOUT
 from tests.cut_rig import STREAMED, Cut, CutRig, holding
 
@@ -73,6 +74,18 @@
                 await self.warm_up(rig, 0)
                 await self.assert_serves(rig, 0, f'after {cut.value}')
 
+    # A caller of a cut-off host got 502: its request was the one with which the
+    # host tries its own path again, and no repeat was left in the budget.
+    async def test_request_without_a_repeat_left_probes_no_path(self) -> None:
+        """It goes by way of another host, whatever the probe would show."""
+        rig = await self.open(hosts=3)
+        rig.cut(0, Cut.RESET)
+        await self.warm_up(rig, 0)
+        rig.deny_repeats(0)
+        await BootClock().sleep(PROBE_INTERVAL)
+        status, _, body = await rig.ask('/look/1', 'without-repeat', host=0)
+        self.assertEqual((status, body), (200, b'fine'))
+
 
 class CutOffReportsTest(CutOffCase):
     """What a host that is cut off reports to the other hosts."""
