Send nothing to cold upstreams in the first second of a host

Found by looking for the cause of repeats beyond the budget elsewhere: a limit on the sum over hosts that a killed host forgets. A host that starts again does not know what it sent in the last second, so a cold upstream got two shares from it: 24 requests in a second where the fleet limits itself to 14, for a fleet whose hosts are all killed (the new test, red before). A host waits for as long as the rate is counted now.

--- a/src/nutmegroad/upstreams/cold_starts.py
+++ b/src/nutmegroad/upstreams/cold_starts.py
@@ -41,6 +41,7 @@
     def __init__(self, clock: Clock, rank: HostRank) -> None:
         self._clock = clock
         self._rank = rank
+        self._started = clock.now()
         self._sent: dict[UpstreamIncarnation, deque[float]] = {}
 
     def usable(
@@ -87,7 +88,13 @@
                 self._sent.pop(name)
 
     def _is_admitted(self, upstream: Upstream, cold_start: ColdStart) -> bool:
-        """Return whether this host may send one more request now."""
+        """Return whether this host may send one more request now.
+
+        What a process of this host sent before the present one started is not
+        known, so nothing is sent until the rate no longer counts it.
+        """
+        if self._clock.now() - self._started < RATE_WINDOW:
+            return False
         senders = min(COLD_SENDERS, max(1, int(cold_start.rate)))
         name = upstream.entry.incarnation
         rank = self._rank(f'cold/{name}')
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -101,6 +101,18 @@
         self.play(fleet, 2.9)
         self.assertLessEqual(self.busiest_second(), ALLOWED)
 
+    # Guards against hosts that are killed and start again within the second
+    # over which the rate of a cold upstream is counted.
+    def test_rate_is_kept_when_all_hosts_start_again(self) -> None:
+        for _ in range(2):
+            fleet = [
+                ColdStarts(self.clock, rank_among(host, self.hosts))
+                for host in self.hosts
+            ]
+            self.play(fleet, 1.4)
+        self.assertLessEqual(self.busiest_second(), COLD_START.rate)
+        self.assertTrue(self.arrivals)
+
     def test_host_that_knows_no_hosts_yet_sends_nothing(self) -> None:
         fleet = [ColdStarts(self.clock, lambda _: None) for _ in self.hosts]
         self.play(fleet, 1)
