Give a host no share of brittle upstreams before it knows the others

Found by looking for the cause of repeats beyond the budget elsewhere, by reading: a host that has just started counted one host, itself, until it had read the fleet table, and so took all slots of a brittle upstream for its share. Hosts that are killed together would each do so. It has no share until the table is read and asks others meanwhile; the new test is red before. The number of hosts is one function now for this limit and the budget for repeats.

--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -1,7 +1,6 @@
 """Builds the objects that all executions of a host share."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from nutmegroad.canary.gate import make_gate
@@ -17,6 +16,7 @@
 from nutmegroad.relay.dialer import Dialer
 from nutmegroad.relay.end_checks import EndVerifier
 from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.upstreams.brittle_limits import HostCount
 from nutmegroad.upstreams.cold_starts import ColdStarts, HostRank
 from nutmegroad.upstreams.directory import Directory
 from nutmegroad.upstreams.placement import Placement
@@ -36,8 +36,8 @@
         crash_rows: Stored rows of harmful requests.
         placement: Failure domains and regions in which requests may run.
         host_rank: This host's rank for a duty.
-        host_count: Returns the number of known hosts, including this one.
-        known_host_count: The same, but None before the hosts are known.
+        host_count: Returns the number of hosts, including this one; None before
+            they are known.
     """
 
     directory: Directory
@@ -48,8 +48,7 @@
     crash_rows: CrashRows
     placement: Placement
     host_rank: HostRank
-    host_count: Callable[[], int]
-    known_host_count: Callable[[], int | None]
+    host_count: HostCount
 
 
 def assemble(
@@ -106,7 +105,7 @@
         attempts,
         selector,
         components.directory,
-        RepeatBudget(clock, settings.repeat_limit, components.known_host_count),
+        RepeatBudget(clock, settings.repeat_limit, components.host_count),
         gate,
         clock,
         platform.counters,
--- a/src/nutmegroad/relay/budgets.py
+++ b/src/nutmegroad/relay/budgets.py
@@ -16,13 +16,14 @@
 """
 
 from bisect import bisect_left
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import ServiceName
+from nutmegroad.upstreams.brittle_limits import HostCount
 
 #: Fraction of the operator's ratio that escalations may use: a tenth of the
 #: budget is reserved for requests that would fail otherwise.
@@ -152,15 +153,14 @@
     Args:
         clock: The host's clock.
         limit: The operator's limit.
-        host_count: Returns the number of hosts, including this one; None before
-            they are known.
+        host_count: The number of hosts.
     """
 
     def __init__(
         self,
         clock: Clock,
         limit: RepeatLimit,
-        host_count: Callable[[], int | None],
+        host_count: HostCount,
     ) -> None:
         #: The operator's limit.
         self.limit = limit
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -254,7 +254,6 @@
                 self._fleet.crash_rows,
                 Placement(self.evacuations, settings.regions),
                 self._fleet.known_rank,
-                self._fleet.count,
                 self._fleet.known_count,
             ),
             clock,
--- a/src/nutmegroad/upstreams/brittle_limits.py
+++ b/src/nutmegroad/upstreams/brittle_limits.py
@@ -26,6 +26,9 @@
 
 _LOG: Final = part_logger('upstreams')
 
+#: Returns the number of hosts, including this one; None before they are known.
+HostCount = Callable[[], int | None]
+
 #: Seconds after a rejection in which the upstream gets no request of this host:
 #: the time over which it counts rejections. The same after a request that it
 #: did not answer in time: it may hold a slot for the request for a while.
@@ -65,7 +68,7 @@
         self._clock = clock
         self._ledger = ledger
         self._rank: HostRank = _first_rank
-        self._host_count: Callable[[], int] = _lone_host
+        self._host_count: HostCount = _lone_host
         self._statements: dict[ServiceName, _Statement] = {}
         # Clock seconds until which an upstream gets no request.
         self._paused_until: dict[UpstreamIncarnation, float] = {}
@@ -74,12 +77,12 @@
         self._borrowed: Counter[UpstreamIncarnation] = Counter()
         self._lent: Counter[UpstreamIncarnation] = Counter()
 
-    def share_with(self, rank: HostRank, host_count: Callable[[], int]) -> None:
+    def share_with(self, rank: HostRank, host_count: HostCount) -> None:
         """Share the slots of upstreams with other hosts.
 
         Args:
             rank: This host's rank among all hosts for a duty.
-            host_count: Returns the number of hosts, including this one.
+            host_count: The number of hosts.
         """
         self._rank = rank
         self._host_count = host_count
@@ -130,7 +133,8 @@
     def lender_count(self, upstream: Upstream) -> int | None:
         """Return how many hosts, by rank, have a share; None if all have."""
         slots = upstream.entry.slots
-        return slots if slots < self._host_count() else None
+        hosts = self._host_count()
+        return slots if hosts is not None and slots < hosts else None
 
     def borrow(self, upstream: Upstream) -> Callable[[], None]:
         """Count a request that another host sends within its share.
@@ -166,9 +170,10 @@
 
     def _share(self, upstream: Upstream) -> int:
         """Return how many requests this host may have at an upstream."""
-        share, remainder = divmod(
-            upstream.entry.slots, max(1, self._host_count())
-        )
+        hosts = self._host_count()
+        if hosts is None:
+            return 0
+        share, remainder = divmod(upstream.entry.slots, hosts)
         rank = self._rank(brittle_duty(upstream))
         has_one_more = rank is not None and rank < remainder
         return share + has_one_more
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -103,6 +103,19 @@
         self.assertFalse(self.limits.is_brittle(ENGINES))
 
 
+class UnknownFleetTest(unittest.TestCase):
+    """A host that does not know the other hosts yet."""
+
+    # Guards against hosts that have just started, each of which took itself for
+    # the only one and sent as many requests as the upstream has slots.
+    def test_it_has_no_share(self) -> None:
+        clock = ManualClock(start=100)
+        limits = BrittleLimits(clock, LoadLedger(clock))
+        limits.share_with(lambda _: None, lambda: None)
+        limits.observe(ENGINES, 4)
+        self.assertFalse(limits.has_share(an_upstream('u', 8)))
+
+
 class BrittleAnswerTest(RelayCase):
     """Answers that say how many rejections an upstream tolerates."""
 
