--- a/tests/test_fleet_soak_paths.py
+++ b/tests/test_fleet_soak_paths.py
@@ -54,7 +54,7 @@
         """Each host sends as if it were alone."""
         status, text = self.run_patched(
             'src/nutmegroad/upstreams/brittle_limits.py',
-            {'max(1, self._host_count())': '1'},
+            {'slots, hosts)': 'slots, 1)'},
             *('--seed', '1', '--seconds', '2', '--hosts', '3'),
             *('--faults', Fault.WORKERS_BRITTLE.value),
         )
