Compare retries in the soak with the larger of two windows

The soak's judge of the budget added up the requests of a window and of the one before it, where the operator compares with the larger one, so it allowed up to twice the ratio and could not see repeats beyond the budget: 131 retries for 60 requests in each window passed (the new test, red before). It also compares with the window half a window before, as the operator does. The hosts of the soak are given the constant that the judge allows.

--- a/experiments/fleet_soak/judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -220,10 +220,7 @@
     for begin in retries:
         end = begin + bounds.budget_window
         retry_count = sum(begin <= moment < end for moment in retries)
-        request_count = sum(
-            begin - bounds.budget_window <= each.sent_at < end
-            for each in history.requests
-        )
+        request_count = _compared_requests(history, begin, bounds)
         allowed = bounds.retry_ratio * request_count + bounds.retry_slack
         if retry_count > allowed:
             violations.append(
@@ -233,6 +230,19 @@
     return Verdict('budget', len(retries), tuple(violations))
 
 
+def _compared_requests(history: History, begin: float, bounds: Bounds) -> int:
+    """Return the requests that the retries of a window are compared with.
+
+    They are those of the window, of the one before it or of the one half a
+    window before it, whichever has most.
+    """
+    span = bounds.budget_window
+    return max(
+        sum(start <= each.sent_at < start + span for each in history.requests)
+        for start in (begin, begin - span / 2, begin - span)
+    )
+
+
 def service_recovers(history: History, bounds: Bounds) -> Verdict:
     """After the last fault, at least half of the requests are served again."""
     judged = [
--- a/experiments/fleet_soak/settings.py
+++ b/experiments/fleet_soak/settings.py
@@ -21,6 +21,7 @@
 bounds.configApplyMs=2000
 bounds.retryBudgetRatio=0.9
 bounds.budgetWindowS=10
+bounds.budgetSlack=58
 bounds.exposeShare=0.15
 bounds.rollbackMs=5000
 """
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -217,6 +217,24 @@
             self.count_violations(judges.retries_stay_within_budget, history), 0
         )
 
+    # Guards against a judge that adds up the requests of two windows, where the
+    # operator compares with the larger one.
+    def test_retries_beyond_the_larger_of_two_windows(self) -> None:
+        """A hundred and thirty retries, for sixty requests in each window."""
+        requests = (
+            replace(GOOD, request_id=f'r{sent_at}-{number}', sent_at=sent_at)
+            for sent_at in (6.5, 17)
+            for number in range(60)
+        )
+        runs = tuple(
+            replace(EXECUTION, started_at=15 + number / 100)
+            for number in range(131)
+        )
+        history = make_history(*requests, executions=runs)
+        self.assertGreater(
+            self.count_violations(judges.retries_stay_within_budget, history), 0
+        )
+
     def test_fleet_that_does_not_recover(self) -> None:
         """No request is served after the last fault."""
         history = make_history(replace(GOOD, status=503, complete=True))
