Show why a host of the at-most-once tests has ended

Three tests of this module failed once when the process of a host was gone, and nothing says why: its output was discarded. Each test checks now, before and after it, that no host has ended by itself, and shows the exit code and the last lines of its log.

--- a/tests/once_processes.py
+++ b/tests/once_processes.py
@@ -6,6 +6,8 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any, Final
 
 import msgspec
@@ -29,6 +31,8 @@
 RECEIPTS_PATH: Final = '/v1/services/licence-portal/receipts'
 #: Seconds after which a wait fails the test; a passing test waits less.
 WAIT_TIMEOUT: Final = 60
+#: Number of lines that are shown of the log of a process that has ended.
+LAST_LINES: Final = 30
 AUTHORIZATION: Final = {'Authorization': f'Bearer {workspace_key("training")}'}
 
 
@@ -64,6 +68,7 @@
 
     runner: asyncio.Runner
     stack: AsyncExitStack
+    logs: Path
     processes: Processes
     session: ClientSession
     running: Deployment
@@ -83,7 +88,9 @@
     @classmethod
     async def start_processes(cls) -> None:
         """Start all processes."""
-        cls.processes = await cls.stack.enter_async_context(Processes())
+        logs = cls.stack.enter_context(TemporaryDirectory())
+        cls.logs = Path(logs)
+        cls.processes = await cls.stack.enter_async_context(Processes(cls.logs))
         cls.session = await cls.stack.enter_async_context(ClientSession())
         cls.running = await start(cls.processes, RIG)
         cls.platform = cls.running.platform.listening['main']
@@ -92,8 +99,21 @@
 
     def setUp(self) -> None:
         """Wait until the hosts are connected to each other."""
+        self.assert_running()
+        self.addCleanup(self.assert_running)
         self.runner.run(self.wait_for_links(self.running))
 
+    def assert_running(self) -> None:
+        """Check that no process has ended by itself; show its last lines."""
+        for running in self.running.hosts:
+            code = running.process.returncode
+            if code is not None:
+                log = self.logs / f'{running.name}.log'
+                lines = log.read_text().splitlines()[-LAST_LINES:]
+                self.fail(
+                    '\n'.join((f'{running.name} ended with {code}:', *lines))
+                )
+
     async def wait_for_links(self, running: Deployment) -> None:
         """Wait until each host forwards requests to all others."""
         for issuer in running.caller_addresses:
