Name the figures of the random schedules

The most arrivals of a step and the length of a schedule were numbers in the code of test_repeat_budget. What is drawn from a seed differs by a rounding.

--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -22,6 +22,10 @@
 WINDOW: Final = 10.0
 #: Seconds between two steps of a schedule.
 STEP: Final = 0.1
+#: Most requests that arrive in one step.
+MAX_ARRIVALS: Final = 4
+#: Seconds of a random schedule.
+DURATION: Final = 40
 #: Most attempts of one request.
 MAX_ATTEMPTS: Final = 5
 #: Seconds for which a request lasts whose attempts fail.
@@ -179,7 +183,10 @@
         """Yield the steps of a schedule."""
         for step in range(round(seconds / STEP)):
             time = step * STEP
-            count = sum(randomness.random() < self.rate / 40 for _ in range(4))
+            count = sum(
+                randomness.random() < self.rate * STEP / MAX_ARRIVALS
+                for _ in range(MAX_ARRIVALS)
+            )
             hosts = self.callers_at(time)
             yield Moment(
                 tuple(randomness.choice(hosts) for _ in range(count)),
@@ -201,20 +208,20 @@
 def random_pattern(hosts: int, randomness: random.Random) -> Pattern:
     """Draw a pattern of moving callers, kills and failures."""
     everyone = tuple(range(hosts))
-    moves = sorted(randomness.uniform(0, 40) for _ in range(6))
+    moves = sorted(randomness.uniform(0, DURATION) for _ in range(6))
     crowds = [
         tuple(randomness.sample(everyone, randomness.randint(1, hosts)))
         for _ in range(7)
     ]
     kills = {
-        round(randomness.uniform(0, 40) / STEP): tuple(
+        round(randomness.uniform(0, DURATION) / STEP): tuple(
             randomness.sample(everyone, randomness.randint(1, hosts))
         )
         for _ in range(randomness.randint(0, 4))
     }
     failures = [
         (start, start + randomness.uniform(0.5, 8))
-        for start in sorted(randomness.sample(range(35), k=3))
+        for start in sorted(randomness.sample(range(DURATION - 5), k=3))
     ]
     return Pattern(
         rate=randomness.choice((8, 27, 40)),
@@ -259,7 +266,9 @@
                 randomness = random.Random(seed)
                 hosts = randomness.choice((2, 3, 9))
                 pattern = random_pattern(hosts, randomness)
-                excess = Fleet(hosts).play(pattern.schedule(40, randomness))
+                excess = Fleet(hosts).play(
+                    pattern.schedule(DURATION, randomness)
+                )
                 self.assertLessEqual(excess, 0)
 
     def _check(self, hosts: int, pattern: Pattern) -> None:
