Log the parts of the prompt under which an upstream ended

The line 'upstream ended under it' named a request by its whole content. It lists the parts now. The logic is unchanged.

--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -25,7 +25,7 @@
 from nutmegroad.relay.end_checks import EndVerifier
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.process_checks import ProcessChecker, ProcessState
-from nutmegroad.routes.requests import CallerRequest
+from nutmegroad.routes.requests import CallerRequest, PartId
 from nutmegroad.upstreams.directory import (
     IncarnationEnd,
     Upstream,
@@ -241,6 +241,7 @@
             'upstream ended under it',
             request=request.request_id,
             content=format_fingerprint(request.content),
+            parts=_part_ids(request),
             upstream=broken.entry.upstream,
             version=broken.entry.version,
             ran=round(broken.crash.crashed_at - broken.crash.sent_at, 3),
@@ -308,3 +309,10 @@
     def answered(self) -> None:
         """Record a complete answer of an upstream, even an error response."""
         self._monitor.answered(self._request)
+
+
+def _part_ids(request: CallerRequest) -> tuple[PartId, ...]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    if request.generation is None:
+        return ()
+    return tuple(part.part_id for part in request.generation.parts)
