Reproduce a prompt part that crashes each upstream

Three hosts and six workers on loopback; a worker ends as it begins to answer a prompt with a certain part and is restarted at once.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -14,6 +14,7 @@
 
 REQUEST_ID = 'Nutmegroad-Request-Id'
 SIGNATURE = 'Nutmegroad-Response-Signature'
+PROMPT_PARTS = 'Nutmegroad-Prompt-Prefix'
 
 #: Default events of a stream.
 EVENTS = tuple(
@@ -230,12 +231,44 @@
         """Return a crash, or the script for another request."""
         if request.body != body:
             return default(request)
-        headers = signed(request, **{'Transfer-Encoding': 'chunked'})
-        return Script((head('200 OK', headers),), crash=True, restart=restart)
+        return _crash(request, restart)
 
     return make
 
 
+def crashing_on_part(
+    part: str,
+    default: ScriptFactory,
+    restart: Callable[[], Awaitable[None]] | None = None,
+) -> ScriptFactory:
+    """Return a factory of scripts that crash the worker for one prompt part.
+
+    Args:
+        part: Id of the part; it crashes the worker wherever it stands in the
+            prompt, except at its end.
+        default: Factory for all other requests.
+        restart: Restarts the worker after a crash; None for no restart.
+    """
+
+    def make(request: ReceivedRequest) -> Script:
+        """Return a crash, or the script for another request."""
+        parts = request.headers.get(PROMPT_PARTS.lower(), '').split(',')
+        if part not in (each.partition(':')[0] for each in parts[:-1]):
+            return default(request)
+        return _crash(request, restart)
+
+    return make
+
+
+def _crash(
+    request: ReceivedRequest,
+    restart: Callable[[], Awaitable[None]] | None,
+) -> Script:
+    """Return a script that crashes the worker after the response head."""
+    headers = signed(request, **{'Transfer-Encoding': 'chunked'})
+    return Script((head('200 OK', headers),), crash=True, restart=restart)
+
+
 @dataclass(slots=True)
 class OpaqueWorker:
     """A worker on a loopback port.
@@ -259,6 +292,11 @@
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the worker accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self) -> None:
         """Listen on a free port, or on the previous one after a restart."""
         self._server = await asyncio.start_server(
