--- a/src/nutmegroad/fleet/content_fingerprints.py
+++ b/src/nutmegroad/fleet/content_fingerprints.py
@@ -38,6 +38,6 @@
     )
 
 
-def format_fingerprint(fingerprint: ContentFingerprint) -> str:
+def format_fingerprint(fingerprint: int) -> str:
     """Return a fingerprint as 16 hexadecimal digits, as logs show it."""
     return f'{fingerprint:016x}'
--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -2,30 +2,36 @@
 
 Hosts exchange crash reports by datagrams. The rows are for hosts that do not
 receive these, and for hosts that start when no host that knows them is left.
-One row holds all lasting reports, so nothing has to be cleaned up. A second row
-holds the requests that were claimed for a probe execution, and when. In a probe
-execution, one host executes a blocked request to find out whether it still
-crashes upstreams.
+One row holds all lasting reports, so nothing has to be cleaned up.
 """
 
 from collections.abc import Callable
+from itertools import islice
 from typing import Final
 
 import msgspec
 from msgspec import Struct
 
-from nutmegroad.fleet.content_fingerprints import (
-    ContentFingerprint,
-    format_fingerprint,
+from nutmegroad.fleet.content_fingerprints import format_fingerprint
+from nutmegroad.fleet.crash_probes import (
+    CRASHES_KEY_PREFIX,
+    PROBES_ROW,
+    ProbeClaims,
 )
-from nutmegroad.fleet.crash_tracker import (
+from nutmegroad.fleet.crash_records import (
     HARMFUL_CRASHES,
     NEVER,
-    CrashTracker,
+    CrashRecord,
     UpstreamCrash,
     UpstreamFingerprint,
 )
+from nutmegroad.fleet.crash_tracker import CrashTracker
 from nutmegroad.fleet.duty_delays import duty_delay
+from nutmegroad.fleet.request_attributes import (
+    AttributeFingerprint,
+    RequestAttributes,
+    Scope,
+)
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import (
     FLEET_TABLE,
@@ -41,17 +47,15 @@
 
 _LOG: Final = part_logger('crashes')
 
-CRASHES_KEY_PREFIX: Final = 'crashes/'
 _CRASHES_ROW: Final = 'ends'
-_PROBES_ROW: Final = 'trials'
 
-#: Minimum number of crashes under a request for it to be written to the store.
-#: Most requests that were running during a crash are answered by another
-#: upstream and never written.
+#: Minimum number of crashes under an attribute for it to be written to the
+#: store. Most requests that were running during a crash are answered by another
+#: upstream, so that their attributes are never written.
 MIN_CRASHES_WRITTEN: Final = 2
 
 #: Maximum number of crashes in the row, so that it stays below half of the
-#: platform's size limit. Once the row is full, only harmful requests are added.
+#: platform's size limit.
 MAX_CRASHES: Final = 400
 
 #: Maximum number of answers in the same row.
@@ -67,56 +71,35 @@
 #: unavailable, datagrams have informed all hosts that can be reached.
 RETRY_INTERVAL: Final = 2.0
 
-#: Seconds between writes that only clear requests. In the meantime no request
-#: is refused because of the old row, since hosts report answers to each other.
-CLEAR_INTERVAL: Final = 5.0
-
-#: Seconds between probe executions of any two requests. A request that crashes
-#: upstreams does so immediately, so only one probe is running at the time of a
-#: crash.
-PROBE_INTERVAL: Final = 1.0
-
-#: Seconds after which a request may be probed again if the last probe had no
-#: result.
-PROBE_TIMEOUT: Final = 10.0
+#: Seconds between writes that only clear attributes. Hosts report answers to
+#: each other, but a host that starts knows only the row.
+CLEAR_INTERVAL: Final = 1.0
 
 
 class _CrashEntry(Struct, frozen=True, array_like=True):
     """Crash of an upstream; times are seconds of the store's clock."""
 
-    content: ContentFingerprint
+    attribute: AttributeFingerprint
     upstream: UpstreamFingerprint
     began: float
     ended: float
+    scope: Scope = Scope.REQUEST
 
 
 class _AnswerEntry(Struct, frozen=True, array_like=True):
-    """Complete answer to a request; time in seconds of the store's clock."""
+    """Complete answer; time in seconds of the store's clock."""
 
-    content: ContentFingerprint
+    attribute: AttributeFingerprint
     moment: float
 
 
 class _CrashesRow(Struct, frozen=True):
-    """The row of crashes and of answers that cleared requests."""
+    """The row of crashes and of answers that cleared attributes."""
 
     ends: tuple[_CrashEntry, ...] = ()
     answers: tuple[_AnswerEntry, ...] = ()
 
 
-class _ProbeEntry(Struct, frozen=True, array_like=True):
-    """Probe execution; time in seconds of the store's clock."""
-
-    content: ContentFingerprint
-    began: float
-
-
-class _ProbesRow(Struct, frozen=True):
-    """The row of the last probe executions."""
-
-    trials: tuple[_ProbeEntry, ...] = ()
-
-
 class CrashRows:
     """Synchronizes the crash tracker with the platform's store.
 
@@ -143,8 +126,7 @@
         self._rank = rank
         self._row = _CrashesRow()
         self._version = 0
-        self._probes = _ProbesRow()
-        self._probes_version = 0
+        self._probes = ProbeClaims(tracker, store, store_clock)
         self._failed_at = NEVER
         self._written_at = NEVER
 
@@ -163,9 +145,8 @@
             self._row = msgspec.json.decode(row.content, type=_CrashesRow)
             self._version = row.version
             self._merge_row(store_time)
-        elif name == _PROBES_ROW:
-            self._probes = msgspec.json.decode(row.content, type=_ProbesRow)
-            self._probes_version = row.version
+        elif name == PROBES_ROW:
+            self._probes.apply_row(row)
 
     def on_store_restored(self) -> None:
         """Forget the rows, since the store was restored from a backup.
@@ -174,7 +155,7 @@
         """
         self._row = _CrashesRow()
         self._version = 0
-        self._probes_version = 0
+        self._probes.on_store_restored()
 
     async def run(self) -> None:
         """Write what the row lacks, until cancelled."""
@@ -195,36 +176,9 @@
         if self._is_due():
             await self._write()
 
-    async def claim_probe(self, content: ContentFingerprint) -> bool:
-        """Claim a probe execution of a harmful request.
-
-        At most one host can claim it; while the store is unavailable, none can.
-
-        Returns:
-            Whether this host may execute the request now.
-        """
-        now = self._store_clock.now()
-        recent = tuple(
-            probe
-            for probe in self._probes.trials
-            if now - probe.began < PROBE_TIMEOUT
-        )
-        if any(
-            probe.content == content or now - probe.began < PROBE_INTERVAL
-            for probe in recent
-        ):
-            return False
-        probes = _ProbesRow((*recent, _ProbeEntry(content, now)))
-        key = f'{CRASHES_KEY_PREFIX}{_PROBES_ROW}'
-        outcome = await self._store.commit(
-            (RowCondition(FLEET_TABLE, key, self._probes_version),),
-            (RowPut(FLEET_TABLE, key, msgspec.json.encode(probes)),),
-        )
-        if isinstance(outcome, Committed):
-            self._probes = probes
-            self._probes_version = outcome.version
-            return True
-        return False
+    async def claim_probe(self, causes: RequestAttributes) -> bool:
+        """Claim a probe execution of a request that is blocked for causes."""
+        return await self._probes.claim(causes)
 
     def _merge_row(self, store_time: float) -> None:
         """Merge the crashes and answers of the row."""
@@ -234,10 +188,12 @@
                 self._to_local_time(row.began, store_time),
                 self._to_local_time(row.ended, store_time),
             )
-            self._tracker.record_crash(row.content, crash)
+            self._tracker.add_crash(row.attribute, row.scope, crash)
         for answer in self._row.answers:
-            answered = self._to_local_time(answer.moment, store_time)
-            self._tracker.record_answer(answer.content, answered)
+            self._tracker.add_answer(
+                answer.attribute,
+                self._to_local_time(answer.moment, store_time),
+            )
 
     def _to_local_time(self, store_seconds: float, store_time: float) -> float:
         """Convert a time of the store to this host's clock."""
@@ -251,26 +207,24 @@
             return False
         if self._clock.now() - self._failed_at < RETRY_INTERVAL:
             return False
-        if self._missing():
+        if self._is_incomplete():
             return True
         waited = self._clock.now() - self._written_at
         return waited >= CLEAR_INTERVAL and bool(self._cleared())
 
-    def _missing(self) -> dict[ContentFingerprint, tuple[UpstreamCrash, ...]]:
-        """Return the requests with a crash that the row lacks."""
-        known = {(row.content, row.upstream) for row in self._row.ends}
-        is_full = len(known) >= MAX_CRASHES
-        minimum = HARMFUL_CRASHES if is_full else MIN_CRASHES_WRITTEN
-        return {
-            content: crashes
-            for content, crashes in self._tracker.crashes(minimum).items()
-            if any((content, crash.upstream) not in known for crash in crashes)
-        }
-
-    def _cleared(self) -> set[ContentFingerprint]:
-        """Return the requests in the row that have been answered since."""
-        listed = {row.content for row in self._row.ends}
-        return {each for each in listed if not self._tracker.crashes_of(each)}
+    def _is_incomplete(self) -> bool:
+        """Return whether the row lacks a crash for which it has room."""
+        known = {(row.attribute, row.upstream) for row in self._row.ends}
+        return any(
+            (entry.attribute, entry.upstream) not in known
+            for entry in self._crash_entries()
+        )
+
+    def _cleared(self) -> set[AttributeFingerprint]:
+        """Return the attributes in the row with an answer since."""
+        listed = {row.attribute for row in self._row.ends}
+        crashing = self._tracker.records(1)
+        return {each for each in listed if each not in crashing}
 
     async def _write(self) -> None:
         """Write the row, unless another host has written it first."""
@@ -289,8 +243,8 @@
                 ends=len(row.ends),
                 answers=len(row.answers),
                 harmful=[
-                    format_fingerprint(content)
-                    for content in self._tracker.crashes(HARMFUL_CRASHES)
+                    format_fingerprint(attribute)
+                    for attribute in self._tracker.records(HARMFUL_CRASHES)
                 ],
             )
             return
@@ -302,57 +256,58 @@
 
     def _build_row(self) -> _CrashesRow:
         """Return the row to write, with what this host knows."""
-        crashes = self._tracker.crashes(MIN_CRASHES_WRITTEN)
-        for row in self._row.ends:
-            known = self._tracker.crashes_of(row.content)
-            if known:
-                crashes[row.content] = known
-        most_severe = sorted(crashes.items(), key=_severity, reverse=True)
-        entries = [
-            self._crash_entry(content, crash)
-            for content, under_request in most_severe
-            for crash in under_request
-        ]
-        return _CrashesRow(tuple(entries[:MAX_CRASHES]), self._answers())
+        return _CrashesRow(self._crash_entries(), self._answers())
+
+    def _crash_entries(self) -> tuple[_CrashEntry, ...]:
+        """Return the crashes that belong into the row, most severe first."""
+        records = self._tracker.records(MIN_CRASHES_WRITTEN)
+        most_severe = sorted(records.items(), key=_severity, reverse=True)
+        entries = (
+            self._crash_entry(attribute, record, crash)
+            for attribute, record in most_severe
+            for crash in record.crashes.values()
+        )
+        return tuple(islice(entries, MAX_CRASHES))
 
     def _crash_entry(
-        self, content: ContentFingerprint, crash: UpstreamCrash
+        self,
+        attribute: AttributeFingerprint,
+        record: CrashRecord,
+        crash: UpstreamCrash,
     ) -> _CrashEntry:
         """Return a crash as it is stored."""
         return _CrashEntry(
-            content,
+            attribute,
             crash.upstream,
-            self._to_store_time(crash.sent_at),
-            self._to_store_time(crash.crashed_at),
+            self._store_clock.to_store_time(crash.sent_at),
+            self._store_clock.to_store_time(crash.crashed_at),
+            record.scope,
         )
 
     def _answers(self) -> tuple[_AnswerEntry, ...]:
         """Return the answers that cleared requests of the row."""
-        times = {row.content: row.moment for row in self._row.answers}
+        times = {row.attribute: row.moment for row in self._row.answers}
         for cleared in self._cleared():
-            answered = self._tracker.last_answer(cleared)
-            if answered is not None:
-                times[cleared] = self._to_store_time(answered)
+            record = self._tracker.find(cleared)
+            if record is not None and record.answered_at != NEVER:
+                times[cleared] = self._store_clock.to_store_time(
+                    record.answered_at
+                )
         newest = sorted(times.items(), key=_answer_time, reverse=True)
         return tuple(
-            _AnswerEntry(content, moment)
-            for content, moment in newest[:MAX_ANSWERS]
+            _AnswerEntry(attribute, moment)
+            for attribute, moment in newest[:MAX_ANSWERS]
         )
 
-    def _to_store_time(self, time: float) -> float:
-        """Convert a time of this host's clock to the store's seconds."""
-        host_lead = self._clock.now() - self._store_clock.now()
-        return round(time - host_lead, 3)
-
 
 def _severity(
-    entry: tuple[ContentFingerprint, tuple[UpstreamCrash, ...]],
-) -> tuple[int, float]:
-    """Return the sort key of a request: crashes, then time of the latest."""
-    crashes = entry[1]
-    return len(crashes), max((crash.crashed_at for crash in crashes), default=0)
+    entry: tuple[AttributeFingerprint, CrashRecord],
+) -> tuple[bool, int, float]:
+    """Return the sort key of an attribute: suspects, crashes, latest crash."""
+    record = entry[1]
+    return record.is_suspect, len(record.crashes), record.latest_time
 
 
-def _answer_time(entry: tuple[ContentFingerprint, float]) -> float:
-    """Return when a request was answered; a sort key."""
+def _answer_time(entry: tuple[AttributeFingerprint, float]) -> float:
+    """Return when an answer was complete; a sort key."""
     return entry[1]
--- a/src/nutmegroad/fleet/crash_tracker.py
+++ b/src/nutmegroad/fleet/crash_tracker.py
@@ -1,216 +1,47 @@
-"""Tracks the requests that were running when upstreams crashed.
+"""Tracks what the requests had in common under which upstreams crashed.
 
 A request may crash each upstream that executes it, and it is sent again under
-other ids to any host. Requests are therefore tracked by content, and hosts
-exchange their records. One crash can't distinguish the request from those that
-merely ran beside it, which are tracked too: a request counts as harmful, and is
-blocked, only after three crashes in series. One host at a time may then execute
-it once more as a probe; an answer clears it, and another crash blocks it for
-much longer.
+other ids to any host; so may any request that shares an attribute with it, such
+as a part of its prompt. Crashes are therefore recorded by attribute, and hosts
+exchange their records. Requests with an attribute to which crashes are due are
+blocked, apart from a probe execution by one host at a time: an answer clears
+the attribute, and another crash blocks it for much longer.
 """
 
-from dataclasses import dataclass, field
-from typing import Final, NewType, Self
-
-from msgspec import Struct
-from xxhash import xxh32_intdigest
-
-from nutmegroad.fleet.content_fingerprints import ContentFingerprint
+from typing import Final
+
+from nutmegroad.fleet.crash_causes import BlockedRequest, find_block
+from nutmegroad.fleet.crash_records import (
+    NEVER,
+    CrashRecord,
+    UpstreamCrash,
+)
+from nutmegroad.fleet.crash_reports import (
+    REPORTING_PERIOD,
+    CrashReport,
+    CrashReporter,
+    host_time,
+)
+from nutmegroad.fleet.request_attributes import (
+    AttributeFingerprint,
+    RequestAttributes,
+    Scope,
+)
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.types import UpstreamIncarnation
-
-#: 32-bit fingerprint of an incarnation of an upstream.
-UpstreamFingerprint = NewType('UpstreamFingerprint', int)
-
-#: Crashes in series from which a request counts as harmful. Any request may see
-#: fewer than that by chance where many requests run at each upstream.
-HARMFUL_CRASHES: Final = 3
-
-#: Seconds after its last crash before a harmful request may be probed. By then
-#: all hosts know of the crash, and the crashed upstreams are still down.
-PROBE_DELAY: Final = 1.0
-
-#: Seconds for which a request is blocked once a probe execution of it has
-#: crashed an upstream as well: the upstream has to be repaired by hand. Doubles
-#: with each further crash.
-BLOCK_PAUSE: Final = 600.0
-
-#: Maximum seconds for which a request is blocked: one day.
-MAX_BLOCK_PAUSE: Final = 86_400.0
-
-#: Seconds for which a request that is not harmful yet is tracked.
-RETENTION: Final = 600.0
-
-#: Seconds by which an execution may seem to have started before the crash that
-#: preceded it: hosts report both by datagrams, whose delay distorts the times.
-REPORT_SLACK: Final = 0.05
-
-#: Maximum number of tracked requests: as many as run on all upstreams of the
-#: largest planned deployment when one of its failure domains loses power.
-MAX_REQUESTS: Final = 4000
-
-#: Requests that remain after an eviction.
-REQUESTS_AFTER_EVICTION: Final = 3500
-
-#: Maximum number of crashes per datagram, requests with most crashes first. At
-#: about twenty bytes each, they fit into an Ethernet frame.
-MAX_REPORTED: Final = 40
-
-#: Seconds for which a crash or an answer is reported: twenty gossip rounds,
-#: within which all hosts receive it from one another.
-REPORTING_PERIOD: Final = 3.0
-
-_MILLISECONDS: Final = 1000
-
-#: Clock time of an event that has not happened.
-NEVER: Final = float('-inf')
-
-
-def fingerprint_upstream(upstream: UpstreamIncarnation) -> UpstreamFingerprint:
-    """Return the fingerprint of an upstream's incarnation."""
-    return UpstreamFingerprint(xxh32_intdigest(upstream.encode()))
-
-
-class ReportedCrash(Struct, frozen=True, array_like=True):
-    """A crash as hosts report it to each other.
-
-    Attributes:
-        content: Fingerprint of the request that was running.
-        upstream: Fingerprint of the upstream that crashed.
-        sent_age: Milliseconds since the request was sent to the upstream.
-        crash_age: Milliseconds since the crash.
-    """
-
-    content: ContentFingerprint
-    upstream: UpstreamFingerprint
-    sent_age: int
-    crash_age: int
-
-
-class ReportedAnswer(Struct, frozen=True, array_like=True):
-    """A complete answer to a request under which upstreams had crashed.
-
-    Attributes:
-        content: Fingerprint of the request.
-        age: Milliseconds since the answer.
-    """
-
-    content: ContentFingerprint
-    age: int
-
-
-class CrashReport(Struct, frozen=True, array_like=True):
-    """Crashes and answers of the last seconds that a host knows of.
-
-    Attributes:
-        crashes: Crashes of upstreams.
-        answers: Complete answers.
-    """
-
-    crashes: tuple[ReportedCrash, ...] = ()
-    answers: tuple[ReportedAnswer, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamCrash:
-    """Crash of an upstream while it was executing a request.
-
-    Attributes:
-        upstream: Fingerprint of the upstream.
-        sent_at: Clock time in seconds at which the request was sent there.
-        crashed_at: Clock time in seconds of the crash.
-    """
-
-    upstream: UpstreamFingerprint
-    sent_at: float
-    crashed_at: float
-
-    def earlier(self, other: Self) -> Self:
-        """Return the earlier-dated of two reports of the same crash."""
-        return other if other.crashed_at < self.crashed_at else self
-
-
-@dataclass(slots=True)
-class _Record:
-    """Crashes of upstreams under one request, and its last answer.
-
-    Attributes:
-        crashes: Crashes under it, by upstream.
-        answered_at: Clock time in seconds of its last complete answer.
-    """
-
-    crashes: dict[UpstreamFingerprint, UpstreamCrash] = field(
-        default_factory=dict
-    )
-    answered_at: float = NEVER
-
-    @property
-    def latest_time(self) -> float:
-        """Return the time of the last crash, else of the last answer."""
-        return max(
-            (crash.crashed_at for crash in self.crashes.values()),
-            default=self.answered_at,
-        )
-
-    @property
-    def series_length(self) -> int:
-        """Return how many crashes followed one another.
-
-        Upstreams that crash at the same time have a common cause and count
-        once: a request that is sent often runs at several of them at once.
-        """
-        count = 0
-        last = NEVER
-        for crash in sorted(self.crashes.values(), key=_crash_time):
-            if crash.sent_at >= last - REPORT_SLACK:
-                count += 1
-                last = crash.crashed_at
-        return count
 
-    def record_crash(self, crash: UpstreamCrash) -> None:
-        """Record a crash, unless a later answer is known."""
-        if crash.crashed_at <= self.answered_at:
-            return
-        if len(self.crashes) < HARMFUL_CRASHES:
-            self._forget_before(crash.crashed_at - RETENTION)
-        known = self.crashes.get(crash.upstream)
-        self.crashes[crash.upstream] = (
-            crash if known is None else known.earlier(crash)
-        )
+#: Maximum number of tracked attributes: those of as many requests as run on all
+#: upstreams of a large deployment when a failure domain loses power.
+MAX_ATTRIBUTES: Final = 4000
 
-    def record_answer(self, time: float) -> bool:
-        """Record a complete answer and return whether it cleared a crash."""
-        if time <= self.answered_at:
-            return False
-        self.answered_at = time
-        before = len(self.crashes)
-        self._forget_before(time)
-        return len(self.crashes) < before
+#: Attributes that remain after an eviction.
+ATTRIBUTES_AFTER_EVICTION: Final = 3500
 
-    def _forget_before(self, time: float) -> None:
-        """Forget the crashes up to a time."""
-        self.crashes = {
-            upstream: crash
-            for upstream, crash in self.crashes.items()
-            if crash.crashed_at > time
-        }
-
-
-@dataclass(frozen=True, slots=True)
-class BlockedRequest:
-    """A request that is blocked because it crashes upstreams.
-
-    Attributes:
-        crash_count: Number of crashes in series.
-        pause: Seconds until a probe execution is allowed; 0 if it is now.
-    """
-
-    crash_count: int
-    pause: float
+#: Maximum number of attributes whose last answer is remembered.
+MAX_ANSWERED: Final = 4000
 
 
 class CrashTracker:
-    """Tracks the requests under which upstreams have crashed.
+    """Tracks the attributes of requests under which upstreams have crashed.
 
     Args:
         clock: The host's clock.
@@ -224,110 +55,82 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         # Ordered by last update, oldest first.
-        self._records: dict[ContentFingerprint, _Record] = {}
+        self._records: dict[AttributeFingerprint, CrashRecord] = {}
+        # Those of the records that crashes may be due to.
+        self._suspects: dict[AttributeFingerprint, CrashRecord] = {}
+        # Clock time of the last answer under an attribute, oldest first.
+        self._answered: dict[AttributeFingerprint, float] = {}
         # Clock time until which there is something to report.
         self._report_until = NEVER
+        self._reporter = CrashReporter()
 
-    def __contains__(self, content: ContentFingerprint) -> bool:
-        """Return whether anything is recorded of a request."""
-        return content in self._records
-
-    def harmful(self, content: ContentFingerprint) -> BlockedRequest | None:
+    def harmful(self, attributes: RequestAttributes) -> BlockedRequest | None:
         """Return why a request is blocked, or None if it is not."""
-        record = self._records.get(content)
-        if record is None or len(record.crashes) < HARMFUL_CRASHES:
+        if not any(each.fingerprint in self._suspects for each in attributes):
             return None
-        count = record.series_length
-        if count < HARMFUL_CRASHES:
-            return None
-        remaining = record.latest_time + _pause(count) - self._clock.now()
-        return BlockedRequest(count, max(0, remaining))
+        return find_block(attributes, self._suspects, self._clock.now())
 
     def count_harmful(self) -> int:
-        """Return how many requests count as harmful."""
-        return sum(
-            record.series_length >= HARMFUL_CRASHES
-            for record in self._records.values()
-            if len(record.crashes) >= HARMFUL_CRASHES
-        )
+        """Return to how many attributes crashes may be due."""
+        return len(self._suspects)
 
     def record_crash(
-        self, content: ContentFingerprint, crash: UpstreamCrash
+        self, attributes: RequestAttributes, crash: UpstreamCrash
     ) -> None:
         """Record the crash of an upstream under a request."""
-        record = self._records.pop(content, None) or _Record()
-        self._records[content] = record
-        record.record_crash(crash)
-        self._report_until = max(
-            self._report_until, crash.crashed_at + REPORTING_PERIOD
-        )
-        if len(self._records) > MAX_REQUESTS:
-            self._evict()
+        for each in attributes:
+            self.add_crash(each.fingerprint, each.scope, crash)
 
-    def record_answer(self, content: ContentFingerprint, time: float) -> bool:
+    def record_answer(self, attributes: RequestAttributes, time: float) -> bool:
         """Record a complete answer to a request.
 
         Returns:
-            Whether it has cleared the request of a crash.
+            Whether it has cleared an attribute of a crash.
         """
-        record = self._records.get(content)
-        if record is None or not record.record_answer(time):
-            return False
-        self._report_until = max(self._report_until, time + REPORTING_PERIOD)
-        return True
-
-    def crashes(
-        self, minimum: int
-    ) -> dict[ContentFingerprint, tuple[UpstreamCrash, ...]]:
-        """Return the requests with a number of crashes, and their crashes.
+        self.record_progress(attributes, time)
+        cleared = [
+            self.add_answer(each.fingerprint, time)
+            for each in attributes
+            if each.fingerprint in self._records
+        ]
+        return any(cleared)
+
+    def record_progress(
+        self, attributes: RequestAttributes, time: float
+    ) -> None:
+        """Record that an upstream has been answering a request for a while."""
+        for each in attributes:
+            if each.scope is not Scope.REQUEST:
+                self._answered.pop(each.fingerprint, None)
+                self._answered[each.fingerprint] = time
+                self._add_progress(each.fingerprint, time)
+        while len(self._answered) > MAX_ANSWERED:
+            self._answered.pop(next(iter(self._answered)))
+
+    def records(self, minimum: int) -> dict[AttributeFingerprint, CrashRecord]:
+        """Return the attributes that may become or are suspect.
 
         Args:
-            minimum: Minimum number of crashes of a returned request.
+            minimum: Minimum number of crashes under a returned attribute.
         """
         return {
-            content: tuple(record.crashes.values())
-            for content, record in self._records.items()
+            attribute: record
+            for attribute, record in self._records.items()
             if len(record.crashes) >= minimum
+            and not (record.has_progressed and attribute not in self._suspects)
         }
 
-    def crashes_of(
-        self, content: ContentFingerprint
-    ) -> tuple[UpstreamCrash, ...]:
-        """Return the recorded crashes under a request."""
-        record = self._records.get(content)
-        return () if record is None else tuple(record.crashes.values())
-
-    def last_answer(self, content: ContentFingerprint) -> float | None:
-        """Return the clock time of the last complete answer, or None."""
-        record = self._records.get(content)
-        if record is None or record.answered_at == NEVER:
-            return None
-        return record.answered_at
+    def find(self, attribute: AttributeFingerprint) -> CrashRecord | None:
+        """Return the record of an attribute, or None."""
+        return self._records.get(attribute)
 
     def report(self) -> CrashReport:
         """Return the report of the last seconds for the other hosts."""
         if not self.has_updates:
             # Called in each gossip round, almost never with anything to report.
             return CrashReport()
-        now = self._clock.now()
-        oldest = now - REPORTING_PERIOD
-        crashes: list[tuple[int, ReportedCrash]] = []
-        answers = []
-        for content, record in self._records.items():
-            count = len(record.crashes)
-            crashes.extend(
-                (-count, _report_of(content, crash, now))
-                for crash in record.crashes.values()
-                if crash.crashed_at >= oldest
-            )
-            if record.answered_at >= oldest:
-                answers.append(
-                    ReportedAnswer(content, _age(now, record.answered_at))
-                )
-        crashes.sort(key=_report_order)
-        return CrashReport(
-            tuple(crash for _, crash in crashes[:MAX_REPORTED]),
-            tuple(answers[:MAX_REPORTED]),
+        return self._reporter.report(
+            self._records, self._suspects, self._clock.now()
         )
 
     def merge(self, report: CrashReport) -> None:
@@ -336,61 +139,68 @@
         for reported in report.crashes:
             crash = UpstreamCrash(
                 reported.upstream,
-                now - reported.sent_age / _MILLISECONDS,
-                now - reported.crash_age / _MILLISECONDS,
+                host_time(now, reported.sent_age),
+                host_time(now, reported.crash_age),
             )
-            self.record_crash(reported.content, crash)
+            self.add_crash(reported.attribute, reported.scope, crash)
         for answer in report.answers:
-            self.record_answer(answer.content, now - answer.age / _MILLISECONDS)
-
-    def _evict(self) -> None:
-        """Evict old requests, then the oldest others, harmful ones last."""
-        oldest = self._clock.now() - RETENTION
-        for content, record in tuple(self._records.items()):
-            harmful = len(record.crashes) >= HARMFUL_CRASHES
-            if not harmful and record.latest_time < oldest:
-                self._records.pop(content)
-        harmless_first = sorted(
-            self._records.items(),
-            key=lambda entry: len(entry[1].crashes) >= HARMFUL_CRASHES,
+            self.add_answer(answer.attribute, host_time(now, answer.age))
+        for each in report.progress:
+            self._add_progress(each.attribute, host_time(now, each.age))
+
+    def add_crash(
+        self,
+        attribute: AttributeFingerprint,
+        scope: Scope,
+        crash: UpstreamCrash,
+    ) -> None:
+        """Add a crash to the record of one attribute."""
+        record = self._records.pop(attribute, None) or CrashRecord(scope)
+        self._records[attribute] = record
+        record.record_crash(crash)
+        answered = self._answered.get(attribute, NEVER)
+        record.progressed_at = max(record.progressed_at, answered)
+        self._update_suspicion(attribute, record)
+        self._report_until = max(
+            self._report_until, crash.crashed_at + REPORTING_PERIOD
         )
-        # Evicts many at once, so that it does not run for each request.
-        for content, _ in harmless_first[
-            : len(self._records) - REQUESTS_AFTER_EVICTION
-        ]:
-            self._records.pop(content)
-
-
-def _pause(crash_count: int) -> float:
-    """Return for how many seconds crashes in series block a request."""
-    if crash_count <= HARMFUL_CRASHES:
-        return PROBE_DELAY
-    doubled = BLOCK_PAUSE * float(2 ** (crash_count - HARMFUL_CRASHES - 1))
-    return min(MAX_BLOCK_PAUSE, doubled)
-
-
-def _report_of(
-    content: ContentFingerprint, crash: UpstreamCrash, now: float
-) -> ReportedCrash:
-    """Return a crash as it is reported."""
-    return ReportedCrash(
-        content,
-        crash.upstream,
-        _age(now, crash.sent_at),
-        _age(now, crash.crashed_at),
-    )
-
-
-def _age(now: float, time: float) -> int:
-    """Return the whole milliseconds since a time, never less than 0."""
-    return max(0, int((now - time) * _MILLISECONDS))
-
+        if len(self._records) > MAX_ATTRIBUTES:
+            self._evict()
 
-def _crash_time(crash: UpstreamCrash) -> float:
-    """Return when an upstream crashed; a sort key."""
-    return crash.crashed_at
+    def add_answer(self, attribute: AttributeFingerprint, time: float) -> bool:
+        """Clear one attribute of the crashes before a complete answer."""
+        record = self._records.get(attribute)
+        if record is None or not record.record_answer(time):
+            return False
+        self._update_suspicion(attribute, record)
+        self._report_until = max(self._report_until, time + REPORTING_PERIOD)
+        return True
 
+    def _add_progress(
+        self, attribute: AttributeFingerprint, time: float
+    ) -> None:
+        """Add progress to the record of an attribute, if it has one."""
+        record = self._records.get(attribute)
+        if record is not None and time > record.progressed_at:
+            record.progressed_at = time
+            self._update_suspicion(attribute, record)
+
+    def _update_suspicion(
+        self, attribute: AttributeFingerprint, record: CrashRecord
+    ) -> None:
+        """Record whether crashes may be due to an attribute."""
+        if record.is_suspect:
+            self._suspects[attribute] = record
+        else:
+            self._suspects.pop(attribute, None)
 
-def _report_order(pair: tuple[int, ReportedCrash]) -> int:
-    """Return the sort key of a crash that is to be reported."""
-    return pair[0]
+    def _evict(self) -> None:
+        """Evict the attributes that were updated longest ago, suspects last."""
+        excess = len(self._records) - ATTRIBUTES_AFTER_EVICTION
+        # Evicts many at once, so that it does not run for each crash.
+        suspects_last = sorted(
+            self._records, key=lambda attribute: attribute in self._suspects
+        )
+        for attribute in suspects_last[:excess]:
+            self._records.pop(attribute)
+            self._suspects.pop(attribute, None)
--- a/src/nutmegroad/fleet/messages.py
+++ b/src/nutmegroad/fleet/messages.py
@@ -7,7 +7,8 @@
 from msgspec import Struct
 
 from nutmegroad.fleet.cached_prefixes import PrefixReport
-from nutmegroad.fleet.crash_tracker import CrashReport, CrashTracker
+from nutmegroad.fleet.crash_reports import CrashReport
+from nutmegroad.fleet.crash_tracker import CrashTracker
 from nutmegroad.fleet.domain_monitor import DomainAges
 from nutmegroad.fleet.evidence_gossip import CountsReport
 from nutmegroad.fleet.evidence_tracker import EvidenceTracker
--- a/src/nutmegroad/fleet/store_clock.py
+++ b/src/nutmegroad/fleet/store_clock.py
@@ -14,6 +14,9 @@
 #: Maximum drift between two steady clocks, in seconds per second.
 MAX_DRIFT: Final = 0.0002
 
+#: Decimal digits of a second in times that are stored.
+TIME_DIGITS: Final = 3
+
 
 class StoreClock:
     """Converts the store's times to the host's clock, never to a later time.
@@ -42,6 +45,11 @@
         now = self._clock.now()
         return now if self._lead is None else now - self._lead
 
+    def to_store_time(self, time: float) -> float:
+        """Convert a time of the host's clock to the store's seconds."""
+        lead = self._clock.now() - self.now()
+        return round(time - lead, TIME_DIGITS)
+
     def reset(self) -> None:
         """Discard the calibration; the store's clock may have been reset."""
         self._lead = None
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -1,7 +1,7 @@
 """Detection of harmful requests: requests that crash their upstreams.
 
-A request under which several upstream processes have terminated is refused,
-apart from one probe execution.
+A request is refused, apart from one probe execution, if several upstream
+processes have terminated under it or under others with the same attribute.
 """
 
 import asyncio
@@ -11,13 +11,10 @@
 from typing import Final
 
 from nutmegroad.fleet.content_fingerprints import format_fingerprint
+from nutmegroad.fleet.crash_causes import BlockedRequest
+from nutmegroad.fleet.crash_records import UpstreamCrash, fingerprint_upstream
 from nutmegroad.fleet.crash_rows import CrashRows
-from nutmegroad.fleet.crash_tracker import (
-    BlockedRequest,
-    CrashTracker,
-    UpstreamCrash,
-    fingerprint_upstream,
-)
+from nutmegroad.fleet.crash_tracker import CrashTracker
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import UpstreamIncarnation
@@ -43,6 +40,10 @@
 #: broken exchange: the pause of the supervisor, and one heartbeat.
 RESTART_WINDOW: Final = 10.0
 
+#: Seconds from the first event of a stream after which its upstream counts as
+#: answering it. What crashes an upstream does so sooner.
+PROGRESS_TIME: Final = 1.0
+
 #: Maximum number of unconfirmed broken exchanges that are recorded per upstream
 #: in that time.
 MAX_UNCONFIRMED: Final = 200
@@ -102,7 +103,7 @@
 
     def harmful(self, request: CallerRequest) -> BlockedRequest | None:
         """Return why a request is refused as harmful, or None."""
-        return self._tracker.harmful(request.content)
+        return self._tracker.harmful(request.attributes)
 
     async def claim_probe(
         self, request: CallerRequest, harmful: BlockedRequest
@@ -113,12 +114,13 @@
         while no other suspected request runs: the request may be harmless, and
         each time have run beside the one that caused the crash.
         """
-        if harmful.pause or not await self._rows.claim_probe(request.content):
+        if harmful.pause or not await self._rows.claim_probe(harmful.causes):
             return False
         _LOG.decision(
             'tried once more',
             request=request.request_id,
             content=format_fingerprint(request.content),
+            causes=[cause.label for cause in harmful.causes],
             ends=harmful.crash_count,
         )
         return True
@@ -166,16 +168,19 @@
                 self._record_crash(broken)
 
     def answered(self, request: CallerRequest) -> None:
-        """Clear a suspected request after a complete answer."""
-        if request.content not in self._tracker:
-            return
-        if self._tracker.record_answer(request.content, self._clock.now()):
+        """Clear the attributes of a request after a complete answer."""
+        now = self._clock.now()
+        if self._tracker.record_answer(request.attributes, now):
             _LOG.decision(
                 'harmful request cleared by a complete answer',
                 request=request.request_id,
                 content=format_fingerprint(request.content),
             )
 
+    def progressed(self, request: CallerRequest) -> None:
+        """Record that an upstream has been answering a request for a while."""
+        self._tracker.record_progress(request.attributes, self._clock.now())
+
     def close_with(self, stack: AsyncExitStack) -> None:
         """Cancel running checks when a stack closes."""
         stack.callback(self._cancel)
@@ -229,19 +234,21 @@
     async def _confirm(self, broken: _BrokenExchange) -> None:
         """Record a confirmed crash; publish it if the request is harmful."""
         self._record_crash(broken)
-        if self._tracker.harmful(broken.request.content) is not None:
+        if self._tracker.harmful(broken.request.attributes) is not None:
             await self._rows.write()
 
     def _record_crash(self, broken: _BrokenExchange) -> None:
         """Record that an upstream has terminated under a request."""
         request = broken.request
-        self._tracker.record_crash(request.content, broken.crash)
-        harmful = self._tracker.harmful(request.content)
+        self._tracker.record_crash(request.attributes, broken.crash)
+        harmful = self._tracker.harmful(request.attributes)
+        causes = () if harmful is None else harmful.causes
         _LOG.decision(
             'upstream ended under it',
             request=request.request_id,
             content=format_fingerprint(request.content),
             parts=_part_ids(request),
+            causes=[cause.label for cause in causes],
             upstream=broken.entry.upstream,
             version=broken.entry.version,
             ran=round(broken.crash.crashed_at - broken.crash.sent_at, 3),
@@ -278,6 +285,9 @@
         self._monitor = monitor
         self._request = request
         self._probing = False
+        # Clock seconds of the present execution's first event; None before it.
+        self._first_event: float | None = None
+        self._progressed = False
 
     async def blocked_by(self) -> BlockedRequest | None:
         """Return why the request may not be sent to an upstream now, or None.
@@ -296,6 +306,7 @@
     def execution_started(self) -> None:
         """Record that an upstream may execute the request; ends the probe."""
         self._probing = False
+        self._first_event = None
 
     async def exchange_broken(self, upstream: Upstream, began: float) -> None:
         """Handle a broken exchange of a request that may have been executed.
@@ -307,9 +318,21 @@
         await self._monitor.exchange_broken(self._request, upstream, began)
 
     def answered(self) -> None:
-        """Record a complete answer of an upstream, even an error response."""
+        """Record a complete answer of an upstream that is no server error."""
         self._monitor.answered(self._request)
 
+    def event_received(self, now: float) -> None:
+        """Record that an upstream goes on answering.
+
+        Args:
+            now: Clock time in seconds.
+        """
+        if self._first_event is None:
+            self._first_event = now
+        elif not self._progressed and now - self._first_event >= PROGRESS_TIME:
+            self._progressed = True
+            self._monitor.progressed(self._request)
+
 
 def _part_ids(request: CallerRequest) -> tuple[PartId, ...]:
     """Return the ids of the parts of a request's prompt, in order."""
--- a/src/nutmegroad/relay/fleet_table.py
+++ b/src/nutmegroad/relay/fleet_table.py
@@ -11,7 +11,7 @@
 from nutmegroad.canary.rollouts import RolloutRow
 from nutmegroad.canary.state import RolloutState
 from nutmegroad.canary.steps import EVIDENCE_KEY, STEP_KEY
-from nutmegroad.fleet.crash_rows import CRASHES_KEY_PREFIX
+from nutmegroad.fleet.crash_probes import CRASHES_KEY_PREFIX
 from nutmegroad.fleet.evidence import Evidence
 from nutmegroad.fleet.host_registration import HOST_KEY_PREFIX, HostRow
 from nutmegroad.fleet.hosts import FleetHosts
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -1,6 +1,6 @@
 """Parses and checks callers' HTTP requests."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from aiohttp import web
@@ -13,6 +13,7 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId
 from nutmegroad.relay.listener import raw_headers
+from nutmegroad.routes.attributes import request_attributes
 from nutmegroad.routes.cached_configuration import CachedConfiguration
 from nutmegroad.routes.deployment import Route, RoutingTable, Workspace
 from nutmegroad.routes.headers import HeaderNames, forwarded_headers
@@ -173,7 +174,7 @@
             headers.get(names.deadline, ''), route.timeout
         )
         session = headers.get(names.session)
-        return CallerRequest(
+        request = CallerRequest(
             request_id=RequestId(headers.get(names.request_id, '')),
             method=http.method,
             target=raw_target(http),
@@ -191,6 +192,7 @@
             session=SessionName(session) if session else None,
             last_event=headers.get(names.last_event, ''),
         )
+        return replace(request, attributes=request_attributes(request))
 
 
 def _fingerprint_content(
--- a/src/nutmegroad/relay/plain_calls.py
+++ b/src/nutmegroad/relay/plain_calls.py
@@ -52,7 +52,8 @@
                 outcome.upstream, outcome.started
             )
         else:
-            execution.crash_guard.answered()
+            if succeeded:
+                execution.crash_guard.answered()
             failure = answer
         if not succeeded and execution.may_repeat():
             continue
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from nutmegroad.fleet.crash_tracker import BlockedRequest
+from nutmegroad.fleet.crash_causes import BlockedRequest
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import DomainId, Ran, ServiceName
 from nutmegroad.upstreams.brittle_limits import REJECTION_PAUSE
@@ -181,9 +181,10 @@
 
 def harmful_refusal(harmful: BlockedRequest, service: ServiceName) -> Refusal:
     """Return the refusal of a request that crashes its upstreams."""
+    causes = ' and '.join(cause.label for cause in harmful.causes)
     return Refusal(
         ResultCode.REQUEST_HARMFUL,
         f'{harmful.crash_count} upstreams of {service!r} crashed '
-        'while running it.',
+        f'while running requests with {causes}.',
         retry_after=max(harmful.pause, MIN_PROBE_RETRY_AFTER),
     )
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -71,10 +71,6 @@
 )
 
 
-#: Ends at which an upstream has answered completely, even with an error.
-_ANSWERED_ENDS: Final = frozenset((StreamEnd.COMPLETE, StreamEnd.FAILED))
-
-
 @dataclass(slots=True)
 class _Progress:
     """Progress of a stream.
@@ -151,7 +147,7 @@
             await self._execution.crash_guard.exchange_broken(
                 answering.upstream, answering.started
             )
-        elif end in _ANSWERED_ENDS:
+        elif end is StreamEnd.COMPLETE:
             self._execution.crash_guard.answered()
         observed = _EVIDENCE.get(end)
         if observed is not None:
@@ -277,6 +273,8 @@
         await self._ensure_head_sent(answering)
         text = b''.join(event.raw for event in events)
         await self._reply.write(text)
+        execution = self._execution
+        execution.crash_guard.event_received(execution.estimates.clock.now())
         progress = self._progress
         progress.events += len(events)
         progress.last_event = events[-1].event_id or progress.last_event
--- a/src/nutmegroad/routes/requests.py
+++ b/src/nutmegroad/routes/requests.py
@@ -5,6 +5,7 @@
 from typing import Final, NewType
 
 from nutmegroad.fleet.content_fingerprints import ContentFingerprint
+from nutmegroad.fleet.request_attributes import RequestAttributes
 from nutmegroad.foundations.types import ModelName, RegionId, RequestId
 from nutmegroad.routes.deployment import Route, RoutingTable, Workspace
 from nutmegroad.routes.headers import HeaderNames, RawHeaders
@@ -90,6 +91,8 @@
         generation: Parameters of a generation; None for plain calls.
         session: Id of its session; None without one.
         last_event: Id of the last event that its caller has received, or empty.
+        attributes: What it may have in common with requests that crash their
+            upstreams.
     """
 
     request_id: RequestId
@@ -108,6 +111,7 @@
     generation: Generation | None = None
     session: SessionName | None = None
     last_event: str = ''
+    attributes: RequestAttributes = ()
 
     @property
     def priority(self) -> int:
--- a/src/nutmegroad/routing/harmful.py
+++ b/src/nutmegroad/routing/harmful.py
@@ -1,9 +1,10 @@
 """Keeps requests under which engines crashed from reaching further engines.
 
-Requests are remembered by their content, since callers send them again under
-other ids and to other hosts. A request that merely ran beside a harmful one
-looks the same at first. Therefore one host of each failure domain executes a
-suspected request once more, as a probe, before it is blocked for long.
+Crashes are remembered by the attributes of requests, since callers send them
+again under other ids and to other hosts, and send others that have the cause in
+common. A request that merely ran beside a harmful one looks the same at first.
+Therefore one host of each failure domain executes a suspected request once
+more, as a probe, before it is blocked for long.
 """
 
 import asyncio
@@ -11,27 +12,27 @@
 from contextlib import suppress
 from typing import ClassVar, Final
 
-import msgspec
-
 from nutmegroad.contracts.peers import Mesh, Message
 from nutmegroad.contracts.requests import ModelRequest
 from nutmegroad.contracts.upstreams import EngineClient
-from nutmegroad.fleet.content_fingerprints import (
-    ContentFingerprint,
-    fingerprint_content,
-    format_fingerprint,
-)
-from nutmegroad.fleet.crash_tracker import (
-    CrashReport,
-    CrashTracker,
+from nutmegroad.fleet.crash_probes import MAX_PROBES, PROBE_RETENTION
+from nutmegroad.fleet.crash_records import (
+    NEVER,
     UpstreamCrash,
     fingerprint_upstream,
 )
+from nutmegroad.fleet.crash_reports import CrashReport
+from nutmegroad.fleet.crash_tracker import CrashTracker
+from nutmegroad.fleet.request_attributes import (
+    AttributeFingerprint,
+    RequestAttributes,
+)
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import HostId, Ran, UpstreamIncarnation
 from nutmegroad.routing.attempts import AttemptExecution
+from nutmegroad.routing.attributes import model_request_attributes
 
 _LOG: Final = part_logger('harmful')
 
@@ -40,15 +41,15 @@
 #: request continues after this time.
 TERMINATION_CHECK_TIMEOUT: Final = 0.05
 
-#: Minimum seconds between two probe executions of a request by one host.
+#: Minimum seconds between two probe executions with an attribute by one host.
 MIN_PROBE_INTERVAL: Final = 10.0
 
 #: Minimum seconds after which a refused caller should retry; the result of a
 #: probe execution is expected by then.
 PROBE_RETRY_AFTER: Final = 1.5
 
-#: Maximum number of requests whose last probe execution is remembered.
-MAX_PROBED_REQUESTS: Final = 1000
+#: Maximum number of attributes whose probe executions are remembered.
+MAX_PROBED: Final = 1000
 
 #: Seconds between two broadcasts while there is something to send.
 BROADCAST_INTERVAL: Final = 0.25
@@ -60,7 +61,7 @@
 
 
 class CrashDigest(Message, frozen=True, tag='crash-digest'):
-    """Requests under which engines have terminated recently.
+    """Attributes of requests under which engines have terminated recently.
 
     Attributes:
         crashes: The terminations, and answers received since.
@@ -82,31 +83,32 @@
 
     def __init__(self, engines: EngineClient, clock: Clock) -> None:
         self.crashes = CrashTracker(clock)
-        #: Returns whether this host may probe a request that is blocked.
-        self.may_probe: Callable[[ContentFingerprint], bool] = _allow_always
+        #: Returns whether this host may probe requests with an attribute.
+        self.may_probe: Callable[[AttributeFingerprint], bool] = _allow_always
         self._engines = engines
         self._clock = clock
-        # Clock seconds of the last probe of each request, newest last.
-        self._probed: dict[ContentFingerprint, float] = {}
+        # Clock seconds of the probes with each attribute. The attribute that
+        # was probed last is the last one.
+        self._probed: dict[AttributeFingerprint, list[float]] = {}
 
     def refusal_for(self, request: ModelRequest) -> Refusal | None:
         """Return why a request may not go to an engine now, or None."""
-        content = content_fingerprint(request)
-        harmful = self.crashes.harmful(content)
+        harmful = self.crashes.harmful(model_request_attributes(request))
         if harmful is None:
             return None
-        if not harmful.pause and self._claim_probe(content):
+        causes = [cause.label for cause in harmful.causes]
+        if not harmful.pause and self._claim_probe(harmful.causes):
             _LOG.decision(
                 'tried once more',
                 request=request.request,
-                content=format_fingerprint(content),
+                causes=causes,
                 ends=harmful.crash_count,
             )
             return None
         return Refusal(
             ResultCode.REQUEST_HARMFUL,
             f'{harmful.crash_count} engines have terminated '
-            'while executing this request.',
+            f'while executing requests with {" and ".join(causes)}.',
             Ran.NOT_RUN,
             max(harmful.pause, PROBE_RETRY_AFTER),
         )
@@ -122,14 +124,10 @@
             await self._record_interruption(request, execution)
 
     def _record_answer(self, request: ModelRequest) -> None:
-        """Record a complete answer, which clears the request."""
-        content = content_fingerprint(request)
-        if self.crashes.record_answer(content, self._clock.now()):
-            _LOG.decision(
-                'cleared by an answer',
-                request=request.request,
-                content=format_fingerprint(content),
-            )
+        """Record a complete answer, which clears the request's attributes."""
+        attributes = model_request_attributes(request)
+        if self.crashes.record_answer(attributes, self._clock.now()):
+            _LOG.decision('cleared by an answer', request=request.request)
 
     async def _record_interruption(
         self, request: ModelRequest, execution: AttemptExecution
@@ -140,22 +138,25 @@
         seconds = 0 if end is None else end.seconds
         if not await self._is_terminated(execution):
             return
-        content = content_fingerprint(request)
+        attributes = model_request_attributes(request)
         # An engine restarts under the same id, so the attempt id is added to
         # identify this one termination.
         name = UpstreamIncarnation(
             f'{execution.start.upstream}/{execution.start.attempt}',
         )
         crash = UpstreamCrash(fingerprint_upstream(name), now - seconds, now)
-        self.crashes.record_crash(content, crash)
+        self.crashes.record_crash(attributes, crash)
+        harmful = self.crashes.harmful(attributes)
+        causes = () if harmful is None else harmful.causes
         _LOG.decision(
             'engine ended under it',
             request=request.request,
-            content=format_fingerprint(content),
+            attributes=[each.label for each in attributes],
+            causes=[cause.label for cause in causes],
             upstream=execution.start.upstream,
             version=execution.start.version,
             ran=round(seconds, 3),
-            ends=len(self.crashes.crashes_of(content)),
+            ends=0 if harmful is None else harmful.crash_count,
         )
 
     async def _is_terminated(self, execution: AttemptExecution) -> bool:
@@ -169,19 +170,36 @@
                 )
         return False
 
-    def _claim_probe(self, content: ContentFingerprint) -> bool:
+    def _claim_probe(self, causes: RequestAttributes) -> bool:
         """Return whether this host probes a request now, and record it."""
         now = self._clock.now()
-        if now - self._probed.get(content, float('-inf')) < MIN_PROBE_INTERVAL:
+        marks = [cause.fingerprint for cause in causes]
+        if not all(self._is_probe_due(mark, now) for mark in marks):
             return False
-        if not self.may_probe(content):
+        # One host of the failure domain has the duty, whatever their number.
+        if not self.may_probe(min(marks)):
             return False
-        self._probed.pop(content, None)
-        self._probed[content] = now
-        if len(self._probed) > MAX_PROBED_REQUESTS:
+        for mark in marks:
+            self._probed[mark] = [*self._probed.pop(mark, ()), now]
+        while len(self._probed) > MAX_PROBED:
             self._probed.pop(next(iter(self._probed)))
         return True
 
+    def _is_probe_due(
+        self, attribute: AttributeFingerprint, now: float
+    ) -> bool:
+        """Return whether an attribute may be probed, by earlier probes."""
+        record = self.crashes.find(attribute)
+        since = NEVER if record is None else record.answered_at
+        unanswered = [
+            probed_at
+            for probed_at in self._probed.get(attribute, ())
+            if probed_at > max(since, now - PROBE_RETENTION)
+        ]
+        if len(unanswered) >= MAX_PROBES:
+            return False
+        return not unanswered or now - unanswered[-1] >= MIN_PROBE_INTERVAL
+
 
 class CrashExchange:
     """Broadcasts under which requests engines have terminated.
@@ -214,15 +232,6 @@
         self._crashes.merge(digest.crashes)
 
 
-def content_fingerprint(request: ModelRequest) -> ContentFingerprint:
-    """Return the fingerprint of a request's content, without its id."""
-    return fingerprint_content(
-        request.workspace,
-        request.task.encode(),
-        msgspec.json.encode(request.body, order='sorted'),
-    )
-
-
-def _allow_always(content: ContentFingerprint) -> bool:
+def _allow_always(attribute: AttributeFingerprint) -> bool:
     """Allow every probe; used when there is no other host to decide."""
     return True
--- a/src/nutmegroad/routing/load_part.py
+++ b/src/nutmegroad/routing/load_part.py
@@ -1,10 +1,8 @@
 """Kernel parts that exchange load, slots and crash reports between hosts."""
 
 from nutmegroad.contracts.peers import Mesh
-from nutmegroad.fleet.content_fingerprints import (
-    ContentFingerprint,
-    format_fingerprint,
-)
+from nutmegroad.fleet.content_fingerprints import format_fingerprint
+from nutmegroad.fleet.request_attributes import AttributeFingerprint
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register
 from nutmegroad.membership.duties import Duties, DutyName
@@ -40,10 +38,10 @@
         harmful = kernel.need(Policies).harmful
         duties = kernel.need(Duties)
 
-        def may_probe(content: ContentFingerprint) -> bool:
+        def may_probe(attribute: AttributeFingerprint) -> bool:
             """Return whether this host is the one of its domain that probes."""
             return duties.is_mine(
-                DutyName(f'harmful/{format_fingerprint(content)}')
+                DutyName(f'harmful/{format_fingerprint(attribute)}')
             )
 
         harmful.may_probe = may_probe
--- a/tests/test_crash_tracker.py
+++ b/tests/test_crash_tracker.py
@@ -9,27 +9,30 @@
     ContentFingerprint,
     fingerprint_content,
 )
+from nutmegroad.fleet.crash_causes import BLOCK_PAUSE, PROBE_DELAY
+from nutmegroad.fleet.crash_probes import PROBE_INTERVAL, PROBE_TIMEOUT
+from nutmegroad.fleet.crash_records import (
+    HARMFUL_CRASHES,
+    RETENTION,
+    UpstreamCrash,
+    UpstreamFingerprint,
+)
+from nutmegroad.fleet.crash_reports import (
+    MAX_REPORTED,
+    REPORTING_PERIOD,
+    CrashReport,
+)
 from nutmegroad.fleet.crash_rows import (
     CHECK_INTERVAL,
     CLEAR_INTERVAL,
     MAX_CRASHES,
-    PROBE_INTERVAL,
-    PROBE_TIMEOUT,
     RETRY_INTERVAL,
     CrashRows,
 )
-from nutmegroad.fleet.crash_tracker import (
-    BLOCK_PAUSE,
-    HARMFUL_CRASHES,
-    MAX_REPORTED,
-    MAX_REQUESTS,
-    PROBE_DELAY,
-    REPORTING_PERIOD,
-    RETENTION,
-    CrashReport,
-    CrashTracker,
-    UpstreamCrash,
-    UpstreamFingerprint,
+from nutmegroad.fleet.crash_tracker import MAX_ATTRIBUTES, CrashTracker
+from nutmegroad.fleet.request_attributes import (
+    RequestAttributes,
+    content_attribute,
 )
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import (
@@ -57,6 +60,11 @@
     return UpstreamCrash(UpstreamFingerprint(upstream), ended - run, ended)
 
 
+def only(content: ContentFingerprint) -> RequestAttributes:
+    """Return the attributes of a request that shares nothing with others."""
+    return (content_attribute(content),)
+
+
 class ContentFingerprintTest(unittest.TestCase):
     """What makes two requests the same."""
 
@@ -87,49 +95,51 @@
         for upstream in upstreams:
             await self.clock.advance(2 * RUN)
             self.tracker.record_crash(
-                content, crash_at(upstream, self.clock.now())
+                only(content), crash_at(upstream, self.clock.now())
             )
 
     async def test_three_crashes_in_series_are_harmful(self) -> None:
         """Two crashes are not; a crash that is reported twice counts once."""
         await self.crash(BAD, 1, 2, 2)
-        self.assertIsNone(self.tracker.harmful(BAD))
+        self.assertIsNone(self.tracker.harmful(only(BAD)))
         await self.crash(BAD, 3)
-        found = self.tracker.harmful(BAD)
+        found = self.tracker.harmful(only(BAD))
         assert found is not None
         self.assertEqual(
             (found.crash_count, found.pause), (HARMFUL_CRASHES, PROBE_DELAY)
         )
-        self.assertIsNone(self.tracker.harmful(OTHER))
+        self.assertIsNone(self.tracker.harmful(only(OTHER)))
         self.assertEqual(self.tracker.count_harmful(), 1)
 
     async def test_simultaneous_crashes_count_once(self) -> None:
         """A request that is sent often runs at many upstreams at once."""
         for upstream in range(9):
-            self.tracker.record_crash(BAD, crash_at(upstream, BEGIN, run=1))
-        self.assertIsNone(self.tracker.harmful(BAD))
+            self.tracker.record_crash(
+                only(BAD), crash_at(upstream, BEGIN, run=1)
+            )
+        self.assertIsNone(self.tracker.harmful(only(BAD)))
 
     async def test_pauses_grow_with_each_further_crash(self) -> None:
         """The first pause lasts a second, the next ones last minutes."""
         await self.crash(BAD, 1, 2, 3)
         await self.clock.advance(PROBE_DELAY)
-        found = self.tracker.harmful(BAD)
+        found = self.tracker.harmful(only(BAD))
         assert found is not None
         self.assertEqual(found.pause, 0)
         for upstream, pause in ((4, BLOCK_PAUSE), (5, 2 * BLOCK_PAUSE)):
             await self.crash(BAD, upstream)
-            found = self.tracker.harmful(BAD)
+            found = self.tracker.harmful(only(BAD))
             assert found is not None
             self.assertAlmostEqual(found.pause, pause)
 
     async def test_an_answer_clears_what_was_before_it(self) -> None:
         """Also earlier crashes that are reported late, but not later ones."""
         await self.crash(BAD, 1, 2)
-        self.tracker.record_answer(BAD, self.clock.now())
-        self.tracker.record_crash(BAD, crash_at(3, BEGIN))
+        self.tracker.record_answer(only(BAD), self.clock.now())
+        self.tracker.record_crash(only(BAD), crash_at(3, BEGIN))
         await self.crash(BAD, 4)
-        self.assertIsNone(self.tracker.harmful(BAD))
-        self.assertEqual(len(self.tracker.crashes(1)[BAD]), 1)
+        self.assertIsNone(self.tracker.harmful(only(BAD)))
+        self.assertEqual(len(self.tracker.records(1)[BAD].crashes), 1)
 
     async def test_old_crashes_are_forgotten_unless_harmful(self) -> None:
         """Any request meets a crash by chance once in a while."""
@@ -137,8 +147,8 @@
         await self.crash(BAD, 1, 2, 3)
         await self.clock.advance(RETENTION)
         await self.crash(OTHER, 4)
-        self.assertIsNone(self.tracker.harmful(OTHER))
-        self.assertIsNotNone(self.tracker.harmful(BAD))
+        self.assertIsNone(self.tracker.harmful(only(OTHER)))
+        self.assertIsNotNone(self.tracker.harmful(only(BAD)))
 
     async def test_another_host_receives_the_report(self) -> None:
         """Ages keep the order of events, however long the datagram takes."""
@@ -147,10 +157,10 @@
         text = msgspec.msgpack.encode(self.tracker.report())
         await self.clock.advance(RUN)
         other.merge(msgspec.msgpack.decode(text, type=CrashReport))
-        self.assertIsNotNone(other.harmful(BAD))
-        other.record_answer(BAD, self.clock.now())
+        self.assertIsNotNone(other.harmful(only(BAD)))
+        other.record_answer(only(BAD), self.clock.now())
         self.tracker.merge(other.report())
-        self.assertIsNone(self.tracker.harmful(BAD))
+        self.assertIsNone(self.tracker.harmful(only(BAD)))
 
     async def test_reports_are_sent_for_seconds_only(self) -> None:
         """Lasting reports are in the store."""
@@ -163,17 +173,17 @@
     async def test_a_storm_of_crashes_fits_into_a_frame(self) -> None:
         """Requests with most crashes are sent first and are never evicted."""
         await self.crash(BAD, 1, 2, 3)
-        for content in range(10, 10 + MAX_REQUESTS):
+        for content in range(10, 10 + MAX_ATTRIBUTES):
             end = crash_at(9, self.clock.now())
-            self.tracker.record_crash(ContentFingerprint(content), end)
+            self.tracker.record_crash(only(ContentFingerprint(content)), end)
         told = self.tracker.report()
         self.assertEqual(len(told.crashes), MAX_REPORTED)
         self.assertEqual(
-            {end.content for end in told.crashes[:HARMFUL_CRASHES]}, {BAD}
+            {end.attribute for end in told.crashes[:HARMFUL_CRASHES]}, {BAD}
         )
         self.assertLess(len(msgspec.msgpack.encode(told)), FRAME)
-        self.assertIsNotNone(self.tracker.harmful(BAD))
-        self.assertLessEqual(len(self.tracker.crashes(1)), MAX_REQUESTS)
+        self.assertIsNotNone(self.tracker.harmful(only(BAD)))
+        self.assertLessEqual(len(self.tracker.records(1)), MAX_ATTRIBUTES)
 
 
 class OneTableStore(UnavailableStore):
@@ -238,7 +248,9 @@
         """Let a request crash upstreams at a host within the last seconds."""
         for number, upstream in enumerate(reversed(upstreams)):
             ended = self.clock.now() - 2 * RUN * number
-            self.trackers[host].record_crash(content, crash_at(upstream, ended))
+            self.trackers[host].record_crash(
+                only(content), crash_at(upstream, ended)
+            )
 
     def read(self, host: int) -> None:
         """Let a host read the rows."""
@@ -254,10 +266,10 @@
         await self.clock.advance(1)
         self.read(1)
         self.crash(1, BAD, 3)
-        self.assertIsNotNone(self.trackers[1].harmful(BAD))
+        self.assertIsNotNone(self.trackers[1].harmful(only(BAD)))
         await self.rows[1].write()
         self.read(0)
-        self.assertIsNotNone(self.trackers[0].harmful(BAD))
+        self.assertIsNotNone(self.trackers[0].harmful(only(BAD)))
         self.assertEqual(self.store.writes, 2)
 
     async def test_a_single_crash_is_not_written(self) -> None:
@@ -285,10 +297,10 @@
         await self.rows[0].write()
         self.read(1)
         await self.clock.advance(CLEAR_INTERVAL)
-        self.trackers[1].record_answer(BAD, self.clock.now())
+        self.trackers[1].record_answer(only(BAD), self.clock.now())
         await self.rows[1].write()
         self.read(0)
-        self.assertIsNone(self.trackers[0].harmful(BAD))
+        self.assertIsNone(self.trackers[0].harmful(only(BAD)))
         writes = self.store.writes
         for _ in range(3):
             await self.clock.advance(CLEAR_INTERVAL)
@@ -299,18 +311,18 @@
 
     async def test_one_host_probes_a_request(self) -> None:
         """The other host is refused; without the store both are."""
-        self.assertTrue(await self.rows[0].claim_probe(BAD))
-        self.assertFalse(await self.rows[1].claim_probe(BAD))
+        self.assertTrue(await self.rows[0].claim_probe(only(BAD)))
+        self.assertFalse(await self.rows[1].claim_probe(only(BAD)))
         self.read(1)
         await self.clock.advance(PROBE_INTERVAL)
-        self.assertFalse(await self.rows[1].claim_probe(BAD))
-        self.assertTrue(await self.rows[1].claim_probe(OTHER))
+        self.assertFalse(await self.rows[1].claim_probe(only(BAD)))
+        self.assertTrue(await self.rows[1].claim_probe(only(OTHER)))
         self.read(0)
         await self.clock.advance(PROBE_TIMEOUT)
         self.store.away = True
-        self.assertFalse(await self.rows[0].claim_probe(BAD))
+        self.assertFalse(await self.rows[0].claim_probe(only(BAD)))
         self.store.away = False
-        self.assertTrue(await self.rows[0].claim_probe(BAD))
+        self.assertTrue(await self.rows[0].claim_probe(only(BAD)))
 
     async def test_a_full_row_takes_harmful_requests_only(self) -> None:
         """Hosts do not alternate in writing requests that do not fit."""
@@ -322,7 +334,7 @@
         self.crash(0, BAD, 1, 2, 3)
         await self.rows[0].write()
         self.read(1)
-        self.assertIsNotNone(self.trackers[1].harmful(BAD))
+        self.assertIsNotNone(self.trackers[1].harmful(only(BAD)))
 
     async def test_a_row_that_the_store_has_lost_is_written_again(self) -> None:
         """Pattern: the store was restored from a backup."""
@@ -333,4 +345,4 @@
         await self.clock.advance(CHECK_INTERVAL)
         await self.rows[0].write()
         self.read(1)
-        self.assertIsNotNone(self.trackers[1].harmful(BAD))
+        self.assertIsNotNone(self.trackers[1].harmful(only(BAD)))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -19,7 +19,7 @@
 
 from fakes.opaque_worker import EVENTS, crashing, plain, stream
 
-from nutmegroad.fleet.crash_tracker import PROBE_DELAY
+from nutmegroad.fleet.crash_causes import PROBE_DELAY
 from nutmegroad.foundations.types import Address
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.process_checks import ProcessChecker, ProcessState
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -10,7 +10,7 @@
 
 from fakes.opaque_worker import EVENTS
 
-from nutmegroad.fleet.crash_tracker import CrashReport
+from nutmegroad.fleet.crash_reports import CrashReport
 from nutmegroad.fleet.peer_gossip import ROUND_INTERVAL
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.relay.direct_paths import PROBE_INTERVAL
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -21,11 +21,9 @@
 )
 
 from nutmegroad.fleet.content_fingerprints import ContentFingerprint
-from nutmegroad.fleet.crash_tracker import (
-    PROBE_DELAY,
-    UpstreamCrash,
-    UpstreamFingerprint,
-)
+from nutmegroad.fleet.crash_causes import PROBE_DELAY
+from nutmegroad.fleet.crash_records import UpstreamCrash, UpstreamFingerprint
+from nutmegroad.fleet.request_attributes import content_attribute
 from nutmegroad.fleet.evidence import NO_ANSWERS, KindNumber
 from nutmegroad.fleet.loads import Load
 from nutmegroad.fleet.old_version_sessions import SessionFingerprint
@@ -38,7 +36,7 @@
 UPSTREAM: Final = UpstreamIncarnation('engine')
 KIND: Final = KindNumber(0)
 MARK: Final = SessionFingerprint(7)
-CONTENT: Final = ContentFingerprint(5)
+CONTENT: Final = content_attribute(ContentFingerprint(5))
 POOR: Final = 50
 
 #: Seconds within which a fact passes through a third domain by rotation: before
@@ -89,12 +87,12 @@
     """Let an upstream crash under a request of a host."""
     now = member.clock.now()
     end = UpstreamCrash(UpstreamFingerprint(1), now, now)
-    member.state.crashes.record_crash(CONTENT, end)
+    member.state.crashes.record_crash((CONTENT,), end)
 
 
 def _knows_crash(member: Member) -> bool:
     """Return whether a host knows that an upstream crashed under it."""
-    return CONTENT in member.state.crashes
+    return member.state.crashes.find(CONTENT.fingerprint) is not None
 
 
 FACTS: Final = MappingProxyType(
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -10,7 +10,8 @@
 import unittest
 
 from nutmegroad.contracts.upstreams import EngineReport, UpstreamInfo
-from nutmegroad.fleet.crash_tracker import HARMFUL_CRASHES, PROBE_DELAY
+from nutmegroad.fleet.crash_causes import PROBE_DELAY
+from nutmegroad.fleet.crash_records import HARMFUL_CRASHES
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import DomainId, HostId, Ran, RequestId
 from nutmegroad.routing.harmful import (
