Send requests with a harmful part in the soak

The soak's harmful requests were the same each time. The fault 'harmful part' sends requests of which no two are alike, with one part that ends each worker; the judge counts them by the part, from the fifth worker on.

--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -128,6 +128,7 @@
             Fault.STORE_SILENT_TO_HOST: self._store_silent_to_host,
             Fault.STORE_RESTORED: self._store_restored,
             Fault.HARMFUL_REQUEST: self._harmful_request,
+            Fault.HARMFUL_PART: self._harmful_part,
             Fault.KEY_REVOKED: self._key_revoked,
             Fault.CONFIGURED: self._configured,
             Fault.FOREIGN_ENTRY: self._foreign_entry,
@@ -202,6 +203,18 @@
             await asyncio.sleep(RESTART_DELAY)
             await self._fleet.workers.restart_ended()
 
+    async def _harmful_part(self, event: Event) -> None:
+        """Send requests with a part that crashes workers, no two alike."""
+        part = f'{HARMFUL}-{event.at:.2f}'
+        latest = time.monotonic() + RESEND_DURATION
+        number = event.target
+        while time.monotonic() < latest:
+            number += 1
+            path = f'/draft/{part}-{number}'.replace(HARMFUL, 'part')
+            await self._fleet.send_harmful(path, number, part)
+            await asyncio.sleep(RESTART_DELAY)
+            await self._fleet.workers.restart_ended()
+
     async def _worker_link(self, event: Event) -> None:
         """Delay or block traffic of one worker."""
         links = self._fleet.workers.links
--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -15,6 +15,7 @@
 from typing import Any, Final
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
+from fakes.opaque_worker import PROMPT_PARTS
 
 from experiments.fleet_soak.callers import ROUTER_HOST_NAME, request_headers
 from experiments.fleet_soak.history import (
@@ -245,17 +246,24 @@
         by_key = {row['key']: row['value'] for row in content.get('rows', ())}
         return str(by_key.get(key, ''))
 
-    async def send_harmful(self, path: str, number: int) -> None:
+    async def send_harmful(
+        self, path: str, number: int, part: str = ''
+    ) -> None:
         """Send a request that crashes workers.
 
         Args:
             path: Its path.
             number: Selects the host, modulo their count, and makes the request
                 id unique.
+            part: Id of the part of its prompt that does; empty if the path
+                does.
         """
         address = self.caller_addresses[number % len(self.caller_addresses)]
         request_id = f'{path.strip("/")}-{number}'
         headers = self._record_auxiliary(request_id, Kind.DRAFT, address)
+        if part:
+            headers['Nutmegroad-Model'] = 'small'
+            headers[PROMPT_PARTS] = f'first:10,{part}:10,own-{number}:10'
         await self._is_served(f'http://{address}{path}', headers)
 
     async def send_burst(self, name: str, count: int) -> None:
--- a/experiments/fleet_soak/history.py
+++ b/experiments/fleet_soak/history.py
@@ -127,7 +127,8 @@
         started_at: When the execution started, in monotonic seconds.
         workspace: The workspace that the host named in the request.
         authorization: The key that the host forwarded; must be empty.
-        harmful: The request's path, if its requests crash workers; else empty.
+        harmful: The request's path, or the part of its prompt, that crashes
+            workers; empty if it does not.
         failed: Whether the worker failed it deliberately.
     """
 
@@ -285,6 +286,7 @@
             which hosts learn that a request is harmful.
         timeout: Timeout of each route in seconds.
         crash_limit: Crashes after which a request counts as harmful.
+        part_crash_limit: Crashes after which a part of a prompt does.
         max_later_executions: Maximum number of executions of a harmful request
             once hosts have learned of it.
         apply: Seconds after which a confirmed configuration is in force.
@@ -306,6 +308,7 @@
     propagation: float = 3
     timeout: float = 4
     crash_limit: int = 3
+    part_crash_limit: int = 5
     max_later_executions: int = 3
     apply: float = 2
     retry_ratio: float = 0.9
--- a/experiments/fleet_soak/judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -313,26 +313,29 @@
     history: History,
     bounds: Bounds,
 ) -> Verdict:
-    """A harmful request is rejected once it has crashed three workers.
+    """A harmful request is rejected once it has crashed some workers.
 
-    Hosts have some time to learn of the third crash; then three more
-    executions are tolerated. ``Bounds`` has the numbers.
+    So are all requests with a part that does. Hosts have some time to learn of
+    the last of these crashes; then three more executions are tolerated.
+    ``Bounds`` has the numbers.
     """
-    by_path: dict[str, list[float]] = {}
+    by_cause: dict[str, list[float]] = {}
     for run in sorted(history.executions, key=lambda each: each.started_at):
         if run.harmful:
-            by_path.setdefault(run.harmful, []).append(run.started_at)
+            by_cause.setdefault(run.harmful, []).append(run.started_at)
     checked = 0
     violations = []
-    for path, start_times in by_path.items():
-        if len(start_times) < bounds.crash_limit:
+    for cause, start_times in by_cause.items():
+        is_path = cause.startswith('/')
+        limit = bounds.crash_limit if is_path else bounds.part_crash_limit
+        if len(start_times) < limit:
             continue
-        known_since = start_times[bounds.crash_limit - 1] + bounds.propagation
+        known_since = start_times[limit - 1] + bounds.propagation
         later = sum(moment > known_since for moment in start_times)
         checked += 1
         if later > bounds.max_later_executions:
             violations.append(
-                f'{path}: {later} late of {len(start_times)} executions'
+                f'{cause}: {later} late of {len(start_times)} executions'
             )
     return Verdict('harmful requests', checked, tuple(violations))
 
--- a/experiments/fleet_soak/plan.py
+++ b/experiments/fleet_soak/plan.py
@@ -40,6 +40,7 @@
     STORE_SILENT_TO_HOST = 'store silent to a host'
     STORE_RESTORED = 'store back from a copy'
     HARMFUL_REQUEST = 'harmful request'
+    HARMFUL_PART = 'harmful part'
     KEY_REVOKED = 'key revoked'
     CONFIGURED = 'configured'
     FOREIGN_ENTRY = 'foreign entry'
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -23,6 +23,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from fakes.connections import reset_connection
+from fakes.opaque_worker import PROMPT_PARTS
 
 from experiments.fleet_soak.history import (
     STREAM_EVENTS,
@@ -166,7 +167,7 @@
             moment=time.monotonic(),
             workspace=request.headers.get('Nutmegroad-Tenant', ''),
             authorization=request.headers.get('Authorization', ''),
-            harmful=request.path if HARMFUL in request.path else '',
+            harmful=_harmful_cause(request),
             failed=failing,
         )
         headers['Nutmegroad-Response-Signature'] = (
@@ -175,7 +176,7 @@
         await asyncio.sleep(WORK_DURATION)
         if failing:
             return web.Response(status=500, headers=headers, body=b'failed')
-        if HARMFUL in request.path:
+        if _harmful_cause(request):
             # Like a crash of the process: after the head of the answer is
             # sent, along with all other executions.
             await web.StreamResponse(headers=headers).prepare(request)
@@ -288,6 +289,16 @@
     os._exit(1)
 
 
+def _harmful_cause(request: web.Request) -> str:
+    """Return the path or part of a prompt that crashes the worker, if any."""
+    if HARMFUL in request.path:
+        return request.path
+    # The last part belongs to the request alone.
+    parts = request.headers.get(PROMPT_PARTS, '').split(',')[:-1]
+    names = (part.partition(':')[0] for part in parts)
+    return next((name for name in names if HARMFUL in name), '')
+
+
 def write_event(event: str, **fields: Any) -> None:
     """Write an event to standard output, as a JSON line."""
     line = json.dumps({'event': event, **fields})
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -323,3 +323,19 @@
         self.assertEqual(
             self.count_violations(judge, make_history(GOOD, executions=more)), 1
         )
+
+    def test_harmful_parts_that_are_not_rejected(self) -> None:
+        """Four executions after the time in which hosts learn of the fifth."""
+        start_times = (1.0, 1.1, 1.2, 1.3, 2.0, 4.9, 5.1, 6.0, 7.0)
+        runs = tuple(
+            replace(EXECUTION, started_at=moment, harmful='harmful-1')
+            for moment in start_times
+        )
+        judge = judges.harmful_requests_are_rejected
+        self.assertEqual(
+            self.count_violations(judge, make_history(GOOD, executions=runs)), 0
+        )
+        more = (*runs, replace(EXECUTION, started_at=10, harmful='harmful-1'))
+        self.assertEqual(
+            self.count_violations(judge, make_history(GOOD, executions=more)), 1
+        )
