Block for a second only while a host may not know earlier answers

The hosts that had started knew of no answer, so what all requests of a route have in common had met every crash and was blocked for ten minutes.

The conversion of a digest to a fingerprint has one copy.

--- a/src/nutmegroad/fleet/content_fingerprints.py
+++ b/src/nutmegroad/fleet/content_fingerprints.py
@@ -11,7 +11,8 @@
 #: request, so nobody can get somebody else's requests refused.
 ContentFingerprint = NewType('ContentFingerprint', int)
 
-_BYTES: Final = 8
+#: Size of the digest that a fingerprint is made of.
+DIGEST_BYTES: Final = 8
 #: Drops the top bit, so that the fingerprint fits a signed 64-bit integer.
 _POSITIVE: Final = 0x7FFFFFFFFFFFFFFF
 
@@ -26,16 +27,19 @@
         target: Path and query.
         body: The complete body.
     """
-    digest = blake2b(digest_size=_BYTES)
+    digest = blake2b(digest_size=DIGEST_BYTES)
     for part in (caller.encode(), target):
         # The length prefix keeps the end of one part from being read as the
         # start of the next.
-        digest.update(len(part).to_bytes(_BYTES, 'big'))
+        digest.update(len(part).to_bytes(DIGEST_BYTES, 'big'))
         digest.update(part)
     digest.update(body)
-    return ContentFingerprint(
-        int.from_bytes(digest.digest(), 'big') & _POSITIVE
-    )
+    return ContentFingerprint(truncate_digest(digest.digest()))
+
+
+def truncate_digest(digest: bytes) -> int:
+    """Return the 63-bit fingerprint of a digest of eight bytes."""
+    return int.from_bytes(digest, 'big') & _POSITIVE
 
 
 def format_fingerprint(fingerprint: int) -> str:
--- a/src/nutmegroad/fleet/crash_causes.py
+++ b/src/nutmegroad/fleet/crash_causes.py
@@ -45,6 +45,10 @@
 #: before or is broad. It is short, as many sound requests may have it.
 COMMON_PAUSE: Final = 10.0
 
+#: Seconds after its start in which a host may not know what was answered
+#: before.
+WARM_UP: Final = 10.0
+
 #: Maximum number of attributes that explain the crashes under another one.
 MAX_CAUSES: Final = 3
 
@@ -83,6 +87,8 @@
     attributes: RequestAttributes,
     suspects: Mapping[AttributeFingerprint, CrashRecord],
     now: float,
+    *,
+    is_cold: bool = False,
 ) -> BlockedRequest | None:
     """Return why a request is blocked, or None if it is not.
 
@@ -90,9 +96,16 @@
         attributes: The request's attributes.
         suspects: Records of all attributes that crashes may be due to.
         now: The host's clock time in seconds.
+        is_cold: Whether this host may not know what was answered before. What
+            all requests have in common then looks like a cause, and only a
+            probe execution tells.
     """
     own = {each.fingerprint for each in attributes}
-    others = [record for mark, record in suspects.items() if mark not in own]
+    others = [
+        record
+        for fingerprint, record in suspects.items()
+        if fingerprint not in own
+    ]
     causes = []
     for attribute in attributes:
         record = suspects.get(attribute.fingerprint)
@@ -101,7 +114,9 @@
         likelier = [
             other for other in suspects.values() if _is_likelier(other, record)
         ]
-        cause = _find_cause(attribute, record, likelier, others)
+        cause = _find_cause(
+            attribute, record, likelier, others, is_cold=is_cold
+        )
         if cause is not None:
             causes.append(cause)
     if not causes:
@@ -122,6 +137,8 @@
     record: CrashRecord,
     likelier: list[CrashRecord],
     others: list[CrashRecord],
+    *,
+    is_cold: bool,
 ) -> _Cause | None:
     """Return what is attributed to one attribute of a request, or None.
 
@@ -130,6 +147,7 @@
         record: Its record.
         likelier: Records of attributes that crashes are due to before it.
         others: Records of suspected attributes that the request does not have.
+        is_cold: Whether this host may not know what was answered before.
     """
     possible: set[UpstreamFingerprint] = set()
     for other in others:
@@ -143,7 +161,9 @@
     )
     if not record.is_suspect_by(remaining):
         return None
-    is_ambiguous = all(crash.upstream in possible for crash in remaining)
+    is_ambiguous = (is_cold and record.scope is Scope.SHARED) or all(
+        crash.upstream in possible for crash in remaining
+    )
     length = series_length(remaining)
     latest = max(crash.crashed_at for crash in remaining)
     return _Cause(
--- a/src/nutmegroad/fleet/crash_probes.py
+++ b/src/nutmegroad/fleet/crash_probes.py
@@ -112,10 +112,10 @@
         )
         if any(now - probe.began < PROBE_INTERVAL for probe in recent):
             return False
-        marks = [cause.fingerprint for cause in causes]
-        if not all(self._may_probe(mark, recent, now) for mark in marks):
+        attributes = [cause.fingerprint for cause in causes]
+        if not all(self._may_probe(each, recent, now) for each in attributes):
             return False
-        claimed = tuple(_ProbeEntry(mark, now) for mark in marks)
+        claimed = tuple(_ProbeEntry(each, now) for each in attributes)
         return await self._write(
             _ProbesRow((*recent, *claimed)[-MAX_REMEMBERED_PROBES:])
         )
--- a/src/nutmegroad/fleet/crash_tracker.py
+++ b/src/nutmegroad/fleet/crash_tracker.py
@@ -11,7 +11,11 @@
 from collections.abc import Mapping
 from typing import Final
 
-from nutmegroad.fleet.crash_causes import BlockedRequest, find_block
+from nutmegroad.fleet.crash_causes import (
+    WARM_UP,
+    BlockedRequest,
+    find_block,
+)
 from nutmegroad.fleet.crash_records import (
     NEVER,
     CrashRecord,
@@ -67,6 +71,8 @@
         self._suspects: dict[AttributeFingerprint, CrashRecord] = {}
         # Clock time of the last answer under an attribute, oldest first.
         self._answered: dict[AttributeFingerprint, float] = {}
+        self._started = clock.now()
+        self._cold_until = self._started + WARM_UP
         # Clock time until which there is something to report.
         self._report_until = NEVER
         self._reporter = CrashReporter()
@@ -75,7 +81,10 @@
         """Return why a request is blocked, or None if it is not."""
         if not any(each.fingerprint in self._suspects for each in attributes):
             return None
-        return find_block(attributes, self._suspects, self._clock.now())
+        now = self._clock.now()
+        return find_block(
+            attributes, self._suspects, now, is_cold=now < self._cold_until
+        )
 
     def count_harmful(self) -> int:
         """Return to how many attributes crashes may be due."""
@@ -171,6 +180,9 @@
         self, attribute: AttributeFingerprint, time: float
     ) -> None:
         """Record that an upstream has been answering under one attribute."""
+        if time < self._started:
+            # This host knows what was answered before it started.
+            self._cold_until = NEVER
         earlier = self._answered.pop(attribute, NEVER)
         self._answered[attribute] = max(time, earlier)
         if len(self._answered) > MAX_ANSWERED:
--- a/src/nutmegroad/fleet/request_attributes.py
+++ b/src/nutmegroad/fleet/request_attributes.py
@@ -10,20 +10,18 @@
 from dataclasses import dataclass
 from enum import IntEnum, unique
 from hashlib import blake2b
-from typing import Final, NewType
+from typing import NewType
 
 from nutmegroad.fleet.content_fingerprints import (
+    DIGEST_BYTES,
     ContentFingerprint,
     format_fingerprint,
+    truncate_digest,
 )
 
 #: 63-bit fingerprint of an attribute and its value.
 AttributeFingerprint = NewType('AttributeFingerprint', int)
 
-_BYTES: Final = 8
-#: Drops the top bit, so that the fingerprint fits a signed 64-bit integer.
-_POSITIVE: Final = 0x7FFFFFFFFFFFFFFF
-
 
 @unique
 class Scope(IntEnum):
@@ -93,7 +91,9 @@
         target: Method, path and query, or the task.
         body: The body.
     """
-    digest = blake2b(target.encode('utf-8', 'surrogateescape'), digest_size=8)
+    digest = blake2b(
+        target.encode('utf-8', 'surrogateescape'), digest_size=DIGEST_BYTES
+    )
     # The separator can't be part of a target.
     digest.update(b'\0')
     digest.update(body)
@@ -103,8 +103,7 @@
 def _make(kind: str, text: str, scope: Scope) -> Attribute:
     """Return an attribute."""
     label = f'{kind} {text}'
-    digest = blake2b(
-        label.encode('utf-8', 'surrogateescape'), digest_size=_BYTES
-    ).digest()
-    fingerprint = int.from_bytes(digest, 'big') & _POSITIVE
-    return Attribute(AttributeFingerprint(fingerprint), scope, label)
+    content = label.encode('utf-8', 'surrogateescape')
+    digest = blake2b(content, digest_size=DIGEST_BYTES).digest()
+    fingerprint = AttributeFingerprint(truncate_digest(digest))
+    return Attribute(fingerprint, scope, label)
--- a/src/nutmegroad/routing/harmful.py
+++ b/src/nutmegroad/routing/harmful.py
@@ -173,14 +173,14 @@
     def _claim_probe(self, causes: RequestAttributes) -> bool:
         """Return whether this host probes a request now, and record it."""
         now = self._clock.now()
-        marks = [cause.fingerprint for cause in causes]
-        if not all(self._is_probe_due(mark, now) for mark in marks):
+        attributes = [cause.fingerprint for cause in causes]
+        if not all(self._is_probe_due(each, now) for each in attributes):
             return False
         # One host of the failure domain has the duty, whatever their number.
-        if not self.may_probe(min(marks)):
+        if not self.may_probe(min(attributes)):
             return False
-        for mark in marks:
-            self._probed[mark] = [*self._probed.pop(mark, ()), now]
+        for each in attributes:
+            self._probed[each] = [*self._probed.pop(each, ()), now]
         while len(self._probed) > MAX_PROBED:
             self._probed.pop(next(iter(self._probed)))
         return True
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -9,6 +9,7 @@
     COMMON_PAUSE,
     JOINT_PROBE_DELAY,
     PROBE_DELAY,
+    WARM_UP,
     BlockedRequest,
 )
 from nutmegroad.fleet.crash_records import UpstreamCrash, UpstreamFingerprint
@@ -46,6 +47,10 @@
         self.tracker = CrashTracker(self.clock)
         self.upstreams = 0
 
+    async def asyncSetUp(self) -> None:
+        """Wait until the host may know what was answered before."""
+        await self.clock.advance(WARM_UP)
+
     async def crash(
         self, *requests: RequestAttributes, times: int = 1, gap: float = GAP
     ) -> None:
@@ -175,6 +180,27 @@
             await self.crash(request(number, 'part'))
         self.assertEqual(self.causes(request(9, 'part')), ['part part'])
 
+    async def test_a_host_that_has_just_started_probes_first(self) -> None:
+        """Guards: what all requests have in common is blocked for long."""
+        self.tracker = CrashTracker(self.clock)
+        for number in range(5):
+            await self.crash(request(number, 'first'))
+        found = self.blocked(request(9, 'first'))
+        self.assertAlmostEqual(found.pause, PROBE_DELAY)
+        await self.clock.advance(WARM_UP)
+        self.assertGreater(self.blocked(request(9, 'first')).pause, WARM_UP)
+
+    async def test_a_host_that_reads_earlier_answers_need_not(self) -> None:
+        """It has read from the store's row what was answered before."""
+        self.tracker = CrashTracker(self.clock)
+        (first,) = shared_attributes('part', ('first',))
+        earlier = self.clock.now() - RUN
+        self.tracker.add_progress(first.fingerprint, earlier)
+        for number in range(5):
+            await self.crash(request(number, 'first', 'bad'))
+        found = self.blocked(request(9, 'bad'))
+        self.assertGreater(found.pause, WARM_UP)
+
     async def test_a_host_learns_of_earlier_answers(self) -> None:
         """A part that another host has answered is no cause here either."""
         other = CrashTracker(self.clock)
