--- a/experiments/relay_load.py
+++ b/experiments/relay_load.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from experiments.relay_model import LARGE, SERVICE, SMALL
-from nutmegroad.fleet.content_fingerprints import ContentFingerprint
+from nutmegroad.fleet.request_attributes import ContentFingerprint
 from nutmegroad.foundations.types import RequestId
 from nutmegroad.routes.deployment import (
     ConfigurationVersion,
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -11,11 +11,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.fleet.content_fingerprints import format_fingerprint
 from nutmegroad.fleet.crash_causes import BlockedRequest
 from nutmegroad.fleet.crash_records import UpstreamCrash, fingerprint_upstream
 from nutmegroad.fleet.crash_rows import CrashRows
 from nutmegroad.fleet.crash_tracker import CrashTracker
+from nutmegroad.fleet.request_attributes import format_fingerprint
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import UpstreamIncarnation
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from nutmegroad.canary.gate import AttemptOutcome
-from nutmegroad.fleet.content_fingerprints import format_fingerprint
+from nutmegroad.fleet.request_attributes import format_fingerprint
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from nutmegroad.fleet.content_fingerprints import (
+from nutmegroad.fleet.request_attributes import (
     ContentFingerprint,
     fingerprint_content,
 )
--- a/src/nutmegroad/routes/requests.py
+++ b/src/nutmegroad/routes/requests.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass
 from typing import Final, NewType
 
-from nutmegroad.fleet.content_fingerprints import ContentFingerprint
-from nutmegroad.fleet.request_attributes import RequestAttributes
+from nutmegroad.fleet.request_attributes import (
+    ContentFingerprint,
+    RequestAttributes,
+)
 from nutmegroad.foundations.types import ModelName, RegionId, RequestId
 from nutmegroad.routes.deployment import Route, RoutingTable, Workspace
 from nutmegroad.routes.headers import HeaderNames, RawHeaders
--- a/src/nutmegroad/routing/attributes.py
+++ b/src/nutmegroad/routing/attributes.py
@@ -6,12 +6,12 @@
 import msgspec
 
 from nutmegroad.contracts.requests import ModelRequest
-from nutmegroad.fleet.content_fingerprints import fingerprint_content
 from nutmegroad.fleet.request_attributes import (
     RequestAttributes,
     broad_attributes,
     content_attribute,
     digest_body,
+    fingerprint_content,
     shared_attributes,
 )
 
--- a/src/nutmegroad/routing/load_part.py
+++ b/src/nutmegroad/routing/load_part.py
@@ -1,8 +1,10 @@
 """Kernel parts that exchange load, slots and crash reports between hosts."""
 
 from nutmegroad.contracts.peers import Mesh
-from nutmegroad.fleet.content_fingerprints import format_fingerprint
-from nutmegroad.fleet.request_attributes import AttributeFingerprint
+from nutmegroad.fleet.request_attributes import (
+    AttributeFingerprint,
+    format_fingerprint,
+)
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register
 from nutmegroad.membership.duties import Duties, DutyName
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -3,7 +3,6 @@
 import json
 from typing import Any
 
-from nutmegroad.fleet.content_fingerprints import ContentFingerprint
 from nutmegroad.fleet.evidence import (
     Answers,
     Evidence,
@@ -11,6 +10,7 @@
     KindNumber,
 )
 from nutmegroad.fleet.evidence_tracker import EvidenceTracker
+from nutmegroad.fleet.request_attributes import ContentFingerprint
 from nutmegroad.fleet.store_interface import (
     Committed,
     HistoryLost,
--- a/tests/storm_rig.py
+++ b/tests/storm_rig.py
@@ -20,8 +20,8 @@
     run_on_virtual_loop,
 )
 
-from nutmegroad.fleet.content_fingerprints import fingerprint_content
 from nutmegroad.fleet.crash_rows import CrashRows
+from nutmegroad.fleet.request_attributes import fingerprint_content
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import (
     Committed,
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -3,7 +3,6 @@
 import unittest
 from typing import Final
 
-from nutmegroad.fleet.content_fingerprints import ContentFingerprint
 from nutmegroad.fleet.crash_causes import (
     BLOCK_PAUSE,
     COMMON_PAUSE,
@@ -15,6 +14,7 @@
 from nutmegroad.fleet.crash_records import UpstreamCrash, UpstreamFingerprint
 from nutmegroad.fleet.crash_tracker import CrashTracker
 from nutmegroad.fleet.request_attributes import (
+    ContentFingerprint,
     RequestAttributes,
     broad_attributes,
     content_attribute,
--- a/tests/test_crash_tracker.py
+++ b/tests/test_crash_tracker.py
@@ -5,10 +5,6 @@
 
 import msgspec
 
-from nutmegroad.fleet.content_fingerprints import (
-    ContentFingerprint,
-    fingerprint_content,
-)
 from nutmegroad.fleet.crash_causes import BLOCK_PAUSE, PROBE_DELAY
 from nutmegroad.fleet.crash_probes import PROBE_INTERVAL, PROBE_TIMEOUT
 from nutmegroad.fleet.crash_records import (
@@ -31,8 +27,10 @@
 )
 from nutmegroad.fleet.crash_tracker import MAX_ATTRIBUTES, CrashTracker
 from nutmegroad.fleet.request_attributes import (
+    ContentFingerprint,
     RequestAttributes,
     content_attribute,
+    fingerprint_content,
 )
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import (
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -20,13 +20,15 @@
     run_on_virtual_loop,
 )
 
-from nutmegroad.fleet.content_fingerprints import ContentFingerprint
 from nutmegroad.fleet.crash_causes import PROBE_DELAY
 from nutmegroad.fleet.crash_records import UpstreamCrash, UpstreamFingerprint
 from nutmegroad.fleet.evidence import NO_ANSWERS, KindNumber
 from nutmegroad.fleet.loads import Load
 from nutmegroad.fleet.old_version_sessions import SessionFingerprint
-from nutmegroad.fleet.request_attributes import content_attribute
+from nutmegroad.fleet.request_attributes import (
+    ContentFingerprint,
+    content_attribute,
+)
 from nutmegroad.foundations.types import ServiceName, UpstreamIncarnation
 from tests.gossip_rig import GossipFleet, Member
 
