--- a/experiments/fleet_soak/fleet.py
+++ b/experiments/fleet_soak/fleet.py
@@ -15,7 +15,7 @@
 from typing import Any, Final
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
-from fakes.opaque_worker import PROMPT_PARTS
+from fakes.crash_scripts import PROMPT_PARTS
 
 from experiments.fleet_soak.callers import ROUTER_HOST_NAME, request_headers
 from experiments.fleet_soak.history import (
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -23,7 +23,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from fakes.connections import reset_connection
-from fakes.opaque_worker import PROMPT_PARTS
+from fakes.crash_scripts import PROMPT_PARTS
 
 from experiments.fleet_soak.history import (
     STREAM_EVENTS,
--- a/tests/test_crash_storms.py
+++ b/tests/test_crash_storms.py
@@ -12,13 +12,8 @@
 
 from absl import logging
 
-from tests.storm_rig import (
-    LATER_REQUESTS,
-    Outcome,
-    Storm,
-    play,
-    random_storm,
-)
+from tests.storm_rig import play
+from tests.storms import LATER_REQUESTS, Outcome, Storm, random_storm
 
 #: Fraction of the sound requests that are served once the part is known.
 MIN_SERVED: Final = 0.5
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -11,13 +11,8 @@
 import unittest
 from typing import Final
 
-from fakes.opaque_worker import (
-    PROMPT_PARTS,
-    ScriptFactory,
-    crashing_on_part,
-    plain,
-    stream,
-)
+from fakes.crash_scripts import PROMPT_PARTS, crashing_on_part
+from fakes.opaque_worker import ScriptFactory, plain, stream
 
 from tests.relay_rig import Rig
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -17,7 +17,8 @@
 from dataclasses import dataclass, field
 from typing import Final, cast
 
-from fakes.opaque_worker import EVENTS, crashing, plain, stream
+from fakes.crash_scripts import crashing
+from fakes.opaque_worker import EVENTS, plain, stream
 
 from nutmegroad.fleet.crash_causes import PROBE_DELAY
 from nutmegroad.foundations.types import Address
