Decide in one place whether a probe is due, and name what an answer clears

The relay (fleet/crash_probes) and the daemon (routing/harmful) each had the rule of two probes, ten seconds apart, since the last answer; is_probe_due serves both, with one constant for the interval. CrashTracker.find repeated what its records already give. The lines that say an answer has cleared a request did not say of what; 'cleared' names the attributes now, as a popular part is cleared again and again after a storm and looked like a harmful request.

--- a/src/nutmegroad/fleet/crash_probes.py
+++ b/src/nutmegroad/fleet/crash_probes.py
@@ -5,6 +5,7 @@
 that were claimed, and when.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
@@ -127,18 +128,14 @@
         now: float,
     ) -> bool:
         """Return whether a request with an attribute may be probed now."""
-        record = self._tracker.find(attribute)
-        since = NEVER
+        record = self._tracker.records.get(attribute)
+        answered_at = NEVER
         if record is not None and record.answered_at != NEVER:
-            since = self._store_clock.to_store_time(record.answered_at)
+            answered_at = self._store_clock.to_store_time(record.answered_at)
         times = [
-            probe.began
-            for probe in recent
-            if probe.attribute == attribute and probe.began > since
+            probe.began for probe in recent if probe.attribute == attribute
         ]
-        if any(now - began < PROBE_TIMEOUT for began in times):
-            return False
-        return len(times) < MAX_PROBES
+        return is_probe_due(times, answered_at, now)
 
     async def _write(self, row: _ProbesRow) -> bool:
         """Write the row unless another host has written it first."""
@@ -152,3 +149,20 @@
         self._row = row
         self._version = outcome.version
         return True
+
+
+def is_probe_due(
+    times: Iterable[float], answered_at: float, now: float
+) -> bool:
+    """Return whether requests with an attribute may be probed once more.
+
+    Args:
+        times: Seconds at which they were probed.
+        answered_at: Seconds at which one of them was last answered.
+        now: Seconds now, by the same clock.
+    """
+    oldest = max(answered_at, now - PROBE_RETENTION)
+    unanswered = [time for time in times if time > oldest]
+    if any(now - time < PROBE_TIMEOUT for time in unanswered):
+        return False
+    return len(unanswered) < MAX_PROBES
--- a/src/nutmegroad/fleet/crash_tracker.py
+++ b/src/nutmegroad/fleet/crash_tracker.py
@@ -97,19 +97,20 @@
         for each in attributes:
             self.add_crash(each.fingerprint, each.scope, crash)
 
-    def record_answer(self, attributes: RequestAttributes, time: float) -> bool:
+    def record_answer(
+        self, attributes: RequestAttributes, time: float
+    ) -> RequestAttributes:
         """Record a complete answer to a request.
 
         Returns:
-            Whether it has cleared an attribute of a crash.
+            The attributes that it has cleared of a crash.
         """
         self.record_progress(attributes, time)
-        cleared = [
-            self.add_answer(each.fingerprint, time)
+        return tuple(
+            each
             for each in attributes
-            if each.fingerprint in self._records
-        ]
-        return any(cleared)
+            if self.add_answer(each.fingerprint, time)
+        )
 
     def record_progress(
         self, attributes: RequestAttributes, time: float
@@ -119,10 +120,6 @@
             if each.scope is not Scope.REQUEST:
                 self.add_progress(each.fingerprint, time)
 
-    def find(self, attribute: AttributeFingerprint) -> CrashRecord | None:
-        """Return the record of an attribute, or None."""
-        return self._records.get(attribute)
-
     def report(self) -> CrashReport:
         """Return the report of the last seconds for the other hosts."""
         if not self.has_updates:
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -171,12 +171,15 @@
 
     def answered(self, request: CallerRequest) -> None:
         """Clear the attributes of a request after a complete answer."""
-        now = self._clock.now()
-        if self._tracker.record_answer(request.attributes, now):
+        cleared = self._tracker.record_answer(
+            request.attributes, self._clock.now()
+        )
+        if cleared:
             _LOG.decision(
                 'harmful request cleared by a complete answer',
                 request=request.request_id,
                 content=format_fingerprint(request.content),
+                cleared=[each.label for each in cleared],
             )
 
     def progressed(self, request: CallerRequest) -> None:
--- a/src/nutmegroad/routing/harmful.py
+++ b/src/nutmegroad/routing/harmful.py
@@ -15,7 +15,7 @@
 from nutmegroad.contracts.peers import Mesh, Message
 from nutmegroad.contracts.requests import ModelRequest
 from nutmegroad.contracts.upstreams import EngineClient
-from nutmegroad.fleet.crash_probes import MAX_PROBES, PROBE_RETENTION
+from nutmegroad.fleet.crash_probes import is_probe_due
 from nutmegroad.fleet.crash_records import (
     NEVER,
     UpstreamCrash,
@@ -41,9 +41,6 @@
 #: request continues after this time.
 TERMINATION_CHECK_TIMEOUT: Final = 0.05
 
-#: Minimum seconds between two probe executions with an attribute by one host.
-MIN_PROBE_INTERVAL: Final = 10.0
-
 #: Minimum seconds after which a refused caller should retry; the result of a
 #: probe execution is expected by then.
 PROBE_RETRY_AFTER: Final = 1.5
@@ -126,8 +123,13 @@
     def _record_answer(self, request: ModelRequest) -> None:
         """Record a complete answer, which clears the request's attributes."""
         attributes = model_request_attributes(request)
-        if self.crashes.record_answer(attributes, self._clock.now()):
-            _LOG.decision('cleared by an answer', request=request.request)
+        cleared = self.crashes.record_answer(attributes, self._clock.now())
+        if cleared:
+            _LOG.decision(
+                'cleared by an answer',
+                request=request.request,
+                cleared=[each.label for each in cleared],
+            )
 
     async def _record_interruption(
         self, request: ModelRequest, execution: AttemptExecution
@@ -189,16 +191,9 @@
         self, attribute: AttributeFingerprint, now: float
     ) -> bool:
         """Return whether an attribute may be probed, by earlier probes."""
-        record = self.crashes.find(attribute)
-        since = NEVER if record is None else record.answered_at
-        unanswered = [
-            probed_at
-            for probed_at in self._probed.get(attribute, ())
-            if probed_at > max(since, now - PROBE_RETENTION)
-        ]
-        if len(unanswered) >= MAX_PROBES:
-            return False
-        return not unanswered or now - unanswered[-1] >= MIN_PROBE_INTERVAL
+        record = self.crashes.records.get(attribute)
+        answered_at = NEVER if record is None else record.answered_at
+        return is_probe_due(self._probed.get(attribute, ()), answered_at, now)
 
 
 class CrashExchange:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -94,7 +94,7 @@
 
 def _knows_crash(member: Member) -> bool:
     """Return whether a host knows that an upstream crashed under it."""
-    return member.state.crashes.find(CONTENT.fingerprint) is not None
+    return CONTENT.fingerprint in member.state.crashes.records
 
 
 FACTS: Final = MappingProxyType(
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -11,12 +11,12 @@
 
 from nutmegroad.contracts.upstreams import EngineReport, UpstreamInfo
 from nutmegroad.fleet.crash_causes import PROBE_DELAY
+from nutmegroad.fleet.crash_probes import PROBE_TIMEOUT
 from nutmegroad.fleet.crash_records import HARMFUL_CRASHES
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import DomainId, HostId, Ran, RequestId
 from nutmegroad.routing.harmful import (
     BROADCAST_INTERVAL,
-    MIN_PROBE_INTERVAL,
     CrashExchange,
     HarmfulRequests,
 )
@@ -127,7 +127,7 @@
         await self.clock.jump(PROBE_DELAY)
         await self.send(broken(0), broken(0))
         self.assertEqual(self.sent, HARMFUL_CRASHES + 1)
-        await self.clock.jump(MIN_PROBE_INTERVAL * 2)
+        await self.clock.jump(PROBE_TIMEOUT * 2)
         await self.send(broken(0), broken(0))
         self.assertEqual(self.sent, HARMFUL_CRASHES + 1)
 
