--- a/tests/storm_rig.py
+++ b/tests/storm_rig.py
@@ -21,25 +21,20 @@
 from nutmegroad.fleet.crash_rows import CrashRows
 from nutmegroad.fleet.request_attributes import fingerprint_content
 from nutmegroad.fleet.store_clock import StoreClock
-from nutmegroad.fleet.store_interface import (
-    Committed,
-    RowCondition,
-    RowPut,
-    StoredRow,
-    VersionConflict,
-)
-from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import HostId, WorkspaceId
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.crashes import CrashGuard, CrashMonitor
-from nutmegroad.relay.process_checks import ProcessState
-from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.routes.attributes import request_attributes
 from nutmegroad.routes.deployment import Workspace
 from nutmegroad.routes.requests import CallerRequest, PartId, PromptPart
 from nutmegroad.upstreams.directory import Upstream
 from tests.gossip_rig import GossipFleet, Member
-from tests.relay_samples import AWAY, a_request, an_entry
+from tests.relay_samples import a_request, an_entry
+from tests.storm_stand_ins import (
+    ConfirmingVerifier,
+    RefusingPool,
+    SharedStore,
+)
 from tests.storms import Outcome, Result, Storm
 
 #: Seconds from the start of an answer to the crash, to the first event of a
@@ -49,8 +44,7 @@
 EVENT_GAP: Final = 0.3
 #: Seconds after which a crashed upstream is back.
 RESTART_DELAY: Final = 3.0
-#: Seconds of a store's call, and until all hosts have read a row.
-STORE_DELAY: Final = 0.01
+#: Seconds until all hosts have read a row.
 READING_DELAY: Final = 0.3
 #: Seconds after which a killed host is back.
 HOST_RESTART_DELAY: Final = 1.0
@@ -60,37 +54,6 @@
 ROUTES: Final = 2
 
 
-class SharedStore:
-    """A store with conditional writes, whose rows all hosts read."""
-
-    def __init__(self, fleet: 'StormFleet') -> None:
-        self._fleet = fleet
-        self.rows: dict[str, StoredRow] = {}
-        self._version = 0
-
-    async def commit(
-        self,
-        expected: tuple[RowCondition, ...],
-        puts: tuple[RowPut, ...],
-    ) -> Committed | VersionConflict | Refusal:
-        """Write all rows if all conditions hold, otherwise none."""
-        await self._fleet.clock.sleep(STORE_DELAY)
-        if self._fleet.is_store_away:
-            return AWAY
-        if any(self._version_of(row.key) != row.version for row in expected):
-            return VersionConflict()
-        self._version += 1
-        for put in puts:
-            self.rows[put.key] = StoredRow(put.key, put.content, self._version)
-        self._fleet.rows_changed()
-        return Committed(self._version, 0)
-
-    def _version_of(self, key: str) -> int:
-        """Return the version of a row; 0 if it does not exist."""
-        row = self.rows.get(key)
-        return 0 if row is None else row.version
-
-
 @dataclass(slots=True)
 class Engine:
     """An upstream.
@@ -143,7 +106,7 @@
         self._randomness = random.Random(seed)
         self._gossip = GossipFleet(storm.hosts, storm.domains, clock, seed)
         self._counters = RelayCounters()
-        self._store = SharedStore(self)
+        self._store = SharedStore(clock, storm.store_away, self._rows_changed)
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._engines = [
@@ -155,12 +118,6 @@
             for member in self._gossip.members
         }
 
-    @property
-    def is_store_away(self) -> bool:
-        """Whether the store does not answer now."""
-        begin, end = self._storm.store_away
-        return begin <= self.clock.now() < end
-
     async def run(self) -> None:
         """Send requests until the end of the storm."""
         storm = self._storm
@@ -180,19 +137,11 @@
             host.work.cancel()
             host.member.work.cancel()
 
-    def rows_changed(self) -> None:
+    def _rows_changed(self) -> None:
         """Let all hosts read the rows within a moment."""
         for name in self._hosts:
             self._spawn(self._read_rows_soon(name))
 
-    def find(self, address: str) -> Engine:
-        """Return the engine that listens or has listened on an address."""
-        return next(
-            engine
-            for engine in self._engines
-            if engine.upstream.entry.address.host == address
-        )
-
     def _spawn(self, work: Any) -> None:
         """Run a coroutine until the end of the storm."""
         task = asyncio.ensure_future(work)
@@ -218,8 +167,8 @@
             lambda _duty: rank,
         )
         monitor = CrashMonitor(
-            cast(Any, _Pool(self)),
-            cast(Any, _Verifier()),
+            cast(Any, RefusingPool(self.clock)),
+            cast(Any, ConfirmingVerifier()),
             tracker,
             rows,
             self.clock,
@@ -236,7 +185,7 @@
 
     def _read_rows(self, host: Host) -> None:
         """Let a host read the rows."""
-        if not self.is_store_away:
+        if not self._store.is_away:
             for key, row in self._store.rows.items():
                 host.rows.apply_row(
                     key.partition('/')[2], row, self.clock.now()
@@ -421,34 +370,6 @@
             self._hosts[name] = host
 
 
-class _Pool:
-    """Connects to engines, for the checks whether they have ended.
-
-    Args:
-        fleet: Has the engines.
-    """
-
-    def __init__(self, fleet: StormFleet) -> None:
-        self._fleet = fleet
-
-    async def open(self, address: Any, timeout: float) -> Any:
-        """Refuse the connection; only engines that have crashed are checked."""
-        del timeout
-        await self._fleet.clock.sleep(0.002)
-        raise ConnectionFailedError(
-            f'{address} refused', sent=False, refused=True
-        )
-
-
-class _Verifier:
-    """Confirms that engines have ended."""
-
-    async def verify(self, upstream: Upstream, **checks: bool) -> ProcessState:
-        """Return that the upstream has ended."""
-        del upstream, checks
-        return ProcessState.ENDED
-
-
 def play(storm: Storm, seed: int) -> Outcome:
     """Run a storm, and return what happened."""
     loop = VirtualLoop()
--- a/tests/test_crash_storms.py
+++ b/tests/test_crash_storms.py
@@ -9,9 +9,15 @@
 import unittest
 from dataclasses import replace
 from typing import Final
+from unittest.mock import patch
 
 from absl import logging
 
+from nutmegroad.fleet.request_attributes import (
+    RequestAttributes,
+    content_attribute,
+)
+from nutmegroad.routes.requests import CallerRequest
 from tests.storm_rig import play
 from tests.storms import LATER_REQUESTS, Outcome, Storm, random_storm
 
@@ -31,6 +37,8 @@
     duration=14,
 )
 SEEDS: Final = 12
+#: Seed of a storm that tells the program from one without shared attributes.
+FOUND_BY: Final = 3
 
 
 class CrashStormTest(unittest.TestCase):
@@ -59,6 +67,13 @@
         for seed in range(SEEDS):
             self.check(random_storm(seed, SMALL), seed)
 
+    def test_the_search_finds_what_it_guards_against(self) -> None:
+        """With the whole content as the only attribute, a storm breaks it."""
+        with patch('tests.storm_rig.request_attributes', _content_alone):
+            outcome = play(random_storm(FOUND_BY, SMALL), FOUND_BY)
+        late = outcome.late_arrivals(SMALL.contact)
+        self.assertGreater(late, LATER_REQUESTS)
+
     def test_parts_are_found_by_a_large_fleet(self) -> None:
         """Each host sees few of the crashes."""
         self.check(replace(LARGE, bad_rate=20, sound_rate=20), 1)
@@ -86,5 +101,10 @@
         self.assertEqual(outcome.counts(0)['blocked'], 0)
 
 
+def _content_alone(request: CallerRequest) -> RequestAttributes:
+    """Return the attribute by which crashes were recorded before."""
+    return (content_attribute(request.content),)
+
+
 if __name__ == '__main__':
     unittest.main()
