Confirm no crash by a host that can ask no other host

What callers saw: nothing outside a test so far.

In the runs that fail, all three hosts answer REQUEST_HARMFUL for 12 s from the cut on, two of them not cut off; the soak's callers send the same bodies.

Cause: EndVerifier takes an upstream for crashed if no other host is there to ask, since "a host without other hosts misleads no one". `open_elsewhere` said so whenever it had no candidate, and hosts of other regions are no candidates but are told of crashes. The soak's mutant leaves no candidates either.

The new test, red before: a host that is the only one in its region is cut off with nine requests in progress; the host of the other region then answered 503 to the same request.

--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -125,12 +125,13 @@
         """Return a connection that another host opens, or None.
 
         Raises:
-            LookupError: If there is no other host.
+            LookupError: If there is no other host. Hosts that may not be asked
+                count as well: they are told of crashes.
         """
-        deadline = self._clock.now() + timeout
-        tunnels = tuple(self._tunnels(upstream, deadline, DialPurpose()))
-        if not tunnels:
+        if not self._hosts.any_known:
             raise LookupError('no other host is known')
+        deadline = self._clock.now() + timeout
+        tunnels = self._tunnels(upstream, deadline, DialPurpose())
         race = StaggeredRace[UpstreamConnection](UpstreamConnection.abort)
         return await race.run(tunnels)
 
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -11,7 +11,12 @@
 from fakes.row_store import RowStore
 
 from nutmegroad.foundations.clocks import BootClock
-from nutmegroad.foundations.types import Address, DomainId, HostId
+from nutmegroad.foundations.types import (
+    Address,
+    DomainId,
+    HostId,
+    RegionId,
+)
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.budgets import RepeatLimit
 from nutmegroad.relay.counters import RelayCounters
@@ -110,6 +115,8 @@
         self._count = hosts
         self._domains = domains
         self._key_validity = key_validity
+        #: The region of each failure domain.
+        self.regions: dict[DomainId, RegionId] = {}
         self._stack = AsyncExitStack()
 
     @property
@@ -227,6 +234,7 @@
         return HostSettings(
             host=HostId(f'host-{number + 1}'),
             domain=DomainId(self._domains[number % len(self._domains)]),
+            regions=self.regions,
             callers=Address('127.0.0.1', free_port()),
             peers=Address(f'127.0.1.{number + 1}', free_port()),
             ready=Address('127.0.0.1', free_port()),
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -13,6 +13,7 @@
 from nutmegroad.fleet.crash_reports import CrashReport
 from nutmegroad.fleet.peer_gossip import ROUND_INTERVAL
 from nutmegroad.foundations.clocks import BootClock
+from nutmegroad.foundations.types import DomainId, RegionId
 from nutmegroad.relay.direct_paths import PROBE_INTERVAL
 from nutmegroad.relay.process_checks import PROXY_CLOSE_TIMEOUT
 from tests.cut_rig import STREAMED, Cut, CutRig, holding
@@ -127,6 +128,23 @@
         crashes = rig.hosts[0]._fleet.shared_state.crashes
         self.assertEqual(crashes.report(), CrashReport())
 
+    # Callers of all regions were refused: a host that is the only one in its
+    # region took each upstream that it could not reach for crashed.
+    async def test_host_that_can_ask_no_other_confirms_no_crash(self) -> None:
+        """Hosts of other regions are told of crashes, but never asked."""
+        rig = CutRig(3, 2, ('north', 'abroad'))
+        rig.regions = {
+            DomainId('north'): RegionId('here'),
+            DomainId('abroad'): RegionId('there'),
+        }
+        await self.enterAsyncContext(rig)
+        await rig.start()
+        await self.break_requests_off(rig)
+        status, _, _ = await rig.ask('/pay/1', 'later', host=1)
+        self.assertEqual(status, 200)
+        for host in rig.hosts:
+            self.assertEqual(host.status.harmful, 0)
+
     async def list_starts(self, rig: CutRig, started_ms: int) -> None:
         """Let the list of upstreams show a start of each worker."""
         for number, _ in enumerate(rig.workers):
