Let hosts that open tunnels in vain find out that they are cut off

Cause: a host counted only connections that were not opened. One that is accepted and then reset counted for nobody: the host that opened it for another went on to offer it, and the host that asked went on to ask.

Fix: both count a tunnel that broke before an answer, as a connection of their own. A caller that leaves counts as nothing.

Ruled out: the path taken for whole again by an answer on an old connection (only new ones count), the direct connection as the last resort (seldom).

--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -223,8 +223,7 @@
                 )
             head_received = await answer
         except ConnectionFailedError as problem:
-            if connection.proves_path:
-                self._dialer.paths.record_failure(plan.upstream)
+            self._dialer.record_broken(plan.upstream, connection)
             ran = Ran.UNKNOWN if problem.sent else Ran.NOT_RUN
             return AttemptFailure(
                 AttemptEnd.BROKEN, ran, str(problem), via=connection.via
--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -119,6 +119,16 @@
         service = upstream.entry.service
         return upstream.path_lost or self.paths.is_cut_off(service)
 
+    def record_broken(
+        self, upstream: Upstream, connection: UpstreamConnection
+    ) -> None:
+        """Record that a connection broke before an answer."""
+        if connection.proves_path:
+            self.paths.record_failure(upstream)
+        elif connection.via is not None:
+            # A proxy may accept connections of a host that is cut off, too.
+            self._hosts.record_failure(connection.via, upstream.entry.service)
+
     async def open_elsewhere(
         self, upstream: Upstream, timeout: float
     ) -> UpstreamConnection | None:
--- a/src/nutmegroad/relay/tunnel_server.py
+++ b/src/nutmegroad/relay/tunnel_server.py
@@ -201,16 +201,31 @@
         self, upstream: Upstream, source: Link, target: Link
     ) -> None:
         """Copy what an upstream sends, and its orderly end."""
-        answered = False
-        while chunk := await source.reader.read(_CHUNK_BYTES):
-            if not answered:
-                answered = True
-                self._paths.record_answer(upstream)
+        chunk = await self._read_first(upstream, source)
+        while chunk:
             target.writer.write(encode_frame(FrameKind.CONTENT, chunk))
             await target.writer.drain()
+            chunk = await source.reader.read(_CHUNK_BYTES)
         target.writer.write(encode_frame(FrameKind.END))
         await _finish(target.writer)
 
+    async def _read_first(self, upstream: Upstream, source: Link) -> bytes:
+        """Return the first bytes that an upstream sends; none at its end.
+
+        They show whether the path is open: a proxy may accept a connection in
+        vain, and reset it then.
+        """
+        try:
+            chunk = await source.reader.read(_CHUNK_BYTES)
+        except OSError:
+            self._paths.record_failure(upstream)
+            raise
+        if chunk:
+            self._paths.record_answer(upstream)
+        else:
+            self._paths.record_failure(upstream)
+        return chunk
+
     async def _refuse(
         self,
         request: TunnelRequest,
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -14,7 +14,7 @@
 from nutmegroad.fleet.peer_gossip import ROUND_INTERVAL
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.foundations.types import DomainId, RegionId
-from nutmegroad.relay.direct_paths import PROBE_INTERVAL
+from nutmegroad.relay.direct_paths import MIN_UNREACHED, PROBE_INTERVAL
 from nutmegroad.relay.process_checks import PROXY_CLOSE_TIMEOUT
 from tests.cut_rig import STREAMED, Cut, CutRig, holding
 
@@ -75,6 +75,20 @@
                 await self.warm_up(rig, 0)
                 await self.assert_serves(rig, 0, f'after {cut.value}')
 
+    # Callers of a cut-off host got 502 as long as it lasted: another host that
+    # was cut off, too, and did not know it opened connections in vain.
+    async def test_other_host_that_is_cut_off_too_finds_it_out(self) -> None:
+        """It loses no more requests than a host that connects directly."""
+        rig = await self.open(hosts=3)
+        for host in (0, 1):
+            rig.cut(host, Cut.REFUSED)
+        await self.warm_up(rig, 0)
+        answers = [
+            await rig.ask('/pay/1', f'pay-{number}') for number in range(24)
+        ]
+        lost = sum(status != 200 for status, _, _ in answers)
+        self.assertLessEqual(lost, MIN_UNREACHED)
+
     # A caller of a cut-off host got 502: its request was the one with which the
     # host tries its own path again, and no repeat was left in the budget.
     async def test_request_without_a_repeat_left_probes_no_path(self) -> None:
