Keep calls from crashing one plain service of the daemon after the other

What callers saw: nothing reported.

Cause: ServiceCaller never asked which requests may not be sent, and told nobody which attempts had crashed their upstream.

Fix: HarmfulRequests takes any request with its attributes (AttributedRequest) and any attempt that broke (InterruptedAttempt). A call counts by content, body, target, workspace and size. It is refused before an attempt once an upstream is chosen, so that a probe is not used up in vain, and an answer below 500 clears it. Whether the upstream has crashed shows as for engines: it accepts no connection; a living service answers that it has no load report.

A service that fails and goes on is not affected.

--- a/src/nutmegroad/routing/attributes.py
+++ b/src/nutmegroad/routing/attributes.py
@@ -1,5 +1,6 @@
-"""Attributes that model requests have in common."""
+"""Attributes that requests have in common."""
 
+from dataclasses import dataclass
 from itertools import chain
 from typing import Final
 
@@ -14,34 +15,78 @@
     fingerprint_content,
     shared_attributes,
 )
+from nutmegroad.foundations.types import RequestId, ServiceName, WorkspaceId
 
 #: Maximum number of messages of a request that are attributes.
 MAX_MESSAGES: Final = 16
 
 
-def model_request_attributes(request: ModelRequest) -> RequestAttributes:
-    """Return the attributes of a request that a crash may be due to."""
+@dataclass(frozen=True, slots=True)
+class AttributedRequest:
+    """A request with the attributes that a crash may be due to.
+
+    Attributes:
+        request: Its id.
+        attributes: Its attributes.
+    """
+
+    request: RequestId
+    attributes: RequestAttributes
+
+
+def attribute_model_request(request: ModelRequest) -> AttributedRequest:
+    """Return a model request with its attributes."""
     body = _encode(request.body)
     content = fingerprint_content(
         request.workspace, request.task.encode(), body
     )
     session = () if request.session is None else (request.session.name,)
-    return tuple(
-        chain(
-            (content_attribute(content),),
-            shared_attributes('message', _messages(request)),
-            shared_attributes('body', (digest_body(request.task, body),)),
-            shared_attributes(
-                'session', (f'{request.workspace} {name}' for name in session)
-            ),
-            broad_attributes(
-                task=request.task,
-                workspace=f'{request.task} {request.workspace}',
-                # Within a factor of two.
-                size=f'{request.task} 2^{request.prompt_tokens.bit_length()}',
-            ),
-        )
+    attributes = chain(
+        (content_attribute(content),),
+        shared_attributes('message', _messages(request)),
+        shared_attributes('body', (digest_body(request.task, body),)),
+        shared_attributes(
+            'session', (f'{request.workspace} {name}' for name in session)
+        ),
+        broad_attributes(
+            task=request.task,
+            workspace=f'{request.task} {request.workspace}',
+            # Within a factor of two.
+            size=f'{request.task} 2^{request.prompt_tokens.bit_length()}',
+        ),
+    )
+    return AttributedRequest(request.request, tuple(attributes))
+
+
+def attribute_service_call(
+    request: RequestId,
+    workspace: WorkspaceId,
+    service: ServiceName,
+    target: str,
+    body: bytes,
+) -> AttributedRequest:
+    """Return a call to a plain service with its attributes.
+
+    Args:
+        request: Id of the request.
+        workspace: The caller's workspace.
+        service: The service.
+        target: Method and path.
+        body: The complete body.
+    """
+    called = f'{service} {target}'
+    content = fingerprint_content(workspace, called.encode(), body)
+    attributes = chain(
+        (content_attribute(content),),
+        shared_attributes('body', (digest_body(called, body),)),
+        broad_attributes(
+            target=called,
+            workspace=f'{service} {workspace}',
+            # Within a factor of two.
+            size=f'{service} 2^{len(body).bit_length()}',
+        ),
     )
+    return AttributedRequest(request, tuple(attributes))
 
 
 def _messages(request: ModelRequest) -> tuple[str, ...]:
--- a/src/nutmegroad/routing/harmful.py
+++ b/src/nutmegroad/routing/harmful.py
@@ -1,4 +1,4 @@
-"""Keeps requests under which engines crashed from reaching further engines.
+"""Keeps requests under which upstreams crashed from reaching further ones.
 
 Crashes are remembered by the attributes of requests, since callers send them
 again under other ids and to other hosts, and send others that have the cause in
@@ -10,10 +10,10 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import ClassVar, Final
 
 from nutmegroad.contracts.peers import Mesh, Message
-from nutmegroad.contracts.requests import ModelRequest
 from nutmegroad.contracts.upstreams import EngineClient
 from nutmegroad.fleet.crash_probes import is_probe_due
 from nutmegroad.fleet.crash_records import (
@@ -30,15 +30,22 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
-from nutmegroad.foundations.types import HostId, Ran, UpstreamIncarnation
+from nutmegroad.foundations.types import (
+    AttemptId,
+    HostId,
+    Ran,
+    UpstreamIncarnation,
+    UpstreamInfo,
+    VersionId,
+)
 from nutmegroad.routing.attempts import AttemptExecution
-from nutmegroad.routing.attributes import model_request_attributes
+from nutmegroad.routing.attributes import AttributedRequest
 
 _LOG: Final = part_logger('harmful')
 
-#: Seconds that a request waits for the check whether its engine terminated.
-#: An engine whose computer lost power does not refuse the connection, so the
-#: request continues after this time.
+#: Seconds that a request waits for the check whether its upstream crashed. One
+#: whose machine lost power does not refuse the connection, so the request
+#: continues after this time.
 TERMINATION_CHECK_TIMEOUT: Final = 0.05
 
 #: Minimum seconds after which a refused caller should retry; the result of a
@@ -51,17 +58,17 @@
 #: Seconds between two broadcasts while there is something to send.
 BROADCAST_INTERVAL: Final = 0.25
 
-#: Results of an attempt whose engine may have terminated meanwhile.
+#: Results of an attempt whose upstream may have crashed meanwhile.
 _INTERRUPTED: Final = frozenset(
     (ResultCode.ANSWER_CUT, ResultCode.UPSTREAM_ERROR)
 )
 
 
 class CrashDigest(Message, frozen=True, tag='crash-digest'):
-    """Attributes of requests under which engines have terminated recently.
+    """Attributes of requests under which upstreams have crashed recently.
 
     Attributes:
-        crashes: The terminations, and answers received since.
+        crashes: The crashes, and answers received since.
     """
 
     part: ClassVar[str] = 'harmful'
@@ -70,11 +77,28 @@
     crashes: CrashReport
 
 
+@dataclass(frozen=True, slots=True)
+class InterruptedAttempt:
+    """An attempt that broke while its upstream may have executed it.
+
+    Attributes:
+        attempt: The id of the attempt.
+        upstream: The upstream.
+        version: The version that was to answer; empty at a plain service.
+        seconds: Seconds for which it was executed; 0 if unknown.
+    """
+
+    attempt: AttemptId
+    upstream: UpstreamInfo
+    version: VersionId
+    seconds: float = 0
+
+
 class HarmfulRequests:
-    """Decides which requests may not be sent to engines.
+    """Decides which requests may not be sent to upstreams.
 
     Args:
-        engines: Client for engines.
+        engines: Client that shows whether an upstream accepts connections.
         clock: The host's clock.
     """
 
@@ -88,9 +112,9 @@
         # was probed last is the last one.
         self._probed: dict[AttributeFingerprint, list[float]] = {}
 
-    def refusal_for(self, request: ModelRequest) -> Refusal | None:
-        """Return why a request may not go to an engine now, or None."""
-        harmful = self.crashes.harmful(model_request_attributes(request))
+    def refusal_for(self, request: AttributedRequest) -> Refusal | None:
+        """Return why a request may not go to an upstream now, or None."""
+        harmful = self.crashes.harmful(request.attributes)
         if harmful is None:
             return None
         causes = [cause.label for cause in harmful.causes]
@@ -104,26 +128,36 @@
             return None
         return Refusal(
             ResultCode.REQUEST_HARMFUL,
-            f'{harmful.crash_count} engines have terminated '
+            f'{harmful.crash_count} upstreams have crashed '
             f'while executing requests with {" and ".join(causes)}.',
             Ran.NOT_RUN,
             max(harmful.pause, PROBE_RETRY_AFTER),
         )
 
     async def attempt_ended(
-        self, request: ModelRequest, execution: AttemptExecution
+        self, request: AttributedRequest, execution: AttemptExecution
     ) -> None:
-        """Record how an attempt ended."""
-        refusal = execution.received.refusal
+        """Record how an engine's attempt ended."""
         if execution.received.ending is not None:
-            self._record_answer(request)
-        elif refusal is not None and refusal.code in _INTERRUPTED:
-            await self._record_interruption(request, execution)
+            self.record_answer(request)
+            return
+        end = execution.end
+        await self.record_failure(
+            request,
+            InterruptedAttempt(
+                execution.start.attempt,
+                execution.state.info,
+                execution.start.version,
+                0 if end is None else end.seconds,
+            ),
+            execution.received.refusal,
+        )
 
-    def _record_answer(self, request: ModelRequest) -> None:
+    def record_answer(self, request: AttributedRequest) -> None:
         """Record a complete answer, which clears the request's attributes."""
-        attributes = model_request_attributes(request)
-        cleared = self.crashes.record_answer(attributes, self._clock.now())
+        cleared = self.crashes.record_answer(
+            request.attributes, self._clock.now()
+        )
         if cleared:
             _LOG.decision(
                 'cleared by an answer',
@@ -131,41 +165,53 @@
                 cleared=[each.label for each in cleared],
             )
 
-    async def _record_interruption(
-        self, request: ModelRequest, execution: AttemptExecution
+    async def record_failure(
+        self,
+        request: AttributedRequest,
+        attempt: InterruptedAttempt,
+        refusal: Refusal | None,
     ) -> None:
-        """Record a failed attempt if its engine has terminated."""
+        """Record a failed attempt if its upstream has crashed.
+
+        Args:
+            request: The request.
+            attempt: The attempt.
+            refusal: Why it failed.
+        """
+        if refusal is None or refusal.code not in _INTERRUPTED:
+            return
         now = self._clock.now()
-        end = execution.end
-        seconds = 0 if end is None else end.seconds
-        if not await self._is_terminated(execution):
+        if not await self._has_crashed(attempt.upstream):
             return
-        attributes = model_request_attributes(request)
-        # An engine restarts under the same id, so the attempt id is added to
-        # identify this one termination.
-        name = UpstreamIncarnation(
-            f'{execution.start.upstream}/{execution.start.attempt}',
+        name = attempt.upstream.upstream
+        # An upstream restarts under the same id, so the attempt id is added to
+        # identify this one crash.
+        crash = UpstreamCrash(
+            fingerprint_upstream(
+                UpstreamIncarnation(f'{name}/{attempt.attempt}')
+            ),
+            now - attempt.seconds,
+            now,
         )
-        crash = UpstreamCrash(fingerprint_upstream(name), now - seconds, now)
-        self.crashes.record_crash(attributes, crash)
-        harmful = self.crashes.harmful(attributes)
+        self.crashes.record_crash(request.attributes, crash)
+        harmful = self.crashes.harmful(request.attributes)
         causes = () if harmful is None else harmful.causes
         _LOG.decision(
-            'engine ended under it',
+            'upstream ended under it',
             request=request.request,
-            attributes=[each.label for each in attributes],
+            attributes=[each.label for each in request.attributes],
             causes=[cause.label for cause in causes],
-            upstream=execution.start.upstream,
-            version=execution.start.version,
-            ran=round(seconds, 3),
+            upstream=name,
+            version=attempt.version,
+            ran=round(attempt.seconds, 3),
             ends=0 if harmful is None else harmful.crash_count,
         )
 
-    async def _is_terminated(self, execution: AttemptExecution) -> bool:
-        """Return whether an attempt's engine refuses new connections."""
+    async def _has_crashed(self, upstream: UpstreamInfo) -> bool:
+        """Return whether an upstream refuses new connections."""
         with suppress(TimeoutError):
             async with asyncio.timeout(TERMINATION_CHECK_TIMEOUT):
-                report = await self._engines.report(execution.state.info)
+                report = await self._engines.report(upstream)
                 return (
                     isinstance(report, Refusal)
                     and report.code is ResultCode.UPSTREAM_UNREACHABLE
@@ -197,7 +243,7 @@
 
 
 class CrashExchange:
-    """Broadcasts under which requests engines have terminated.
+    """Broadcasts under which requests upstreams have crashed.
 
     Args:
         mesh: Links to other hosts.
--- a/src/nutmegroad/routing/part.py
+++ b/src/nutmegroad/routing/part.py
@@ -14,7 +14,7 @@
 from nutmegroad.routing.gates import Gatekeeper
 from nutmegroad.routing.harmful import HarmfulRequests
 from nutmegroad.routing.service_traffic import ServiceTraffic
-from nutmegroad.routing.services import ServiceCaller
+from nutmegroad.routing.services import CallPolicies, ServiceCaller
 from nutmegroad.routing.steps import Instruments, Policies
 
 
@@ -51,12 +51,13 @@
             configuration,
             kernel.clock,
         )
+        harmful = HarmfulRequests(kernel.need(EngineClient), kernel.clock)
         policies = Policies(
             lookup('admitter', settings.admitter)(kernel),
             lookup('planner', settings.planner)(kernel),
             lookup('selector', settings.selector)(kernel),
             lookup('retries', settings.retries)(kernel),
-            HarmfulRequests(kernel.need(EngineClient), kernel.clock),
+            harmful,
         )
         kernel.provide(Policies, policies)
         dispatcher = Dispatcher(
@@ -68,17 +69,23 @@
             kernel.randomness,
         )
         kernel.provide(Dispatcher, dispatcher)
-        services = ServiceCaller(
-            kernel.need(ServiceClient),
-            directory,
-            gatekeeper,
-            configuration,
-            ServiceTraffic(
-                lookup('service-retries', settings.retries)(kernel),
-                kernel.need(Metrics),
-                kernel.clock,
-            ),
-            kernel.clock,
-            kernel.randomness,
+        kernel.provide(
+            ServiceCaller, _make_service_caller(kernel, gatekeeper, harmful)
         )
-        kernel.provide(ServiceCaller, services)
+
+
+def _make_service_caller(
+    kernel: Kernel, gatekeeper: Gatekeeper, harmful: HarmfulRequests
+) -> ServiceCaller:
+    """Return the caller of plain services."""
+    retries = lookup('service-retries', kernel.settings.retries)(kernel)
+    traffic = ServiceTraffic(retries, kernel.need(Metrics), kernel.clock)
+    return ServiceCaller(
+        kernel.need(ServiceClient),
+        kernel.need(Directory),
+        gatekeeper,
+        kernel.need(Configuration),
+        CallPolicies(traffic, harmful),
+        kernel.clock,
+        kernel.randomness,
+    )
--- a/src/nutmegroad/routing/services.py
+++ b/src/nutmegroad/routing/services.py
@@ -28,14 +28,22 @@
 )
 from nutmegroad.records.explanations import Explanation
 from nutmegroad.routing._ejection import HealthRegistry
+from nutmegroad.routing.attributes import (
+    AttributedRequest,
+    attribute_service_call,
+)
 from nutmegroad.routing.directory import Directory
 from nutmegroad.routing.gates import GateContext, Gatekeeper
+from nutmegroad.routing.harmful import HarmfulRequests, InterruptedAttempt
 from nutmegroad.routing.service_traffic import ServiceTraffic
 from nutmegroad.routing.steps import HOST_REFUSALS
 
 #: Maximum attempts for one repeatable call.
 MAX_ATTEMPTS: Final = 3
 
+#: Lowest HTTP status of a server error, which says nothing about the request.
+SERVER_ERROR: Final = 500
+
 _NO_VERSION: Final = VersionId('')
 
 
@@ -68,6 +76,19 @@
     fence: Fence
 
 
+@dataclass(frozen=True, slots=True)
+class CallPolicies:
+    """What limits the attempts of calls.
+
+    Attributes:
+        traffic: Counts calls and bounds their retries.
+        harmful: Keeps calls from services that crash under them.
+    """
+
+    traffic: ServiceTraffic
+    harmful: HarmfulRequests
+
+
 def is_repeatable(entry: ServiceEntry, method: str, path: str) -> bool:
     """Return whether a call may be executed twice; by default it may not."""
     for rule in entry.calls:
@@ -84,7 +105,7 @@
         directory: The upstreams known to this host.
         gatekeeper: Makes the final check before each attempt.
         configuration: Defines which calls may be repeated.
-        traffic: Counts calls and bounds their retries.
+        policies: What limits the attempts of calls.
         clock: The host's clock.
         randomness: Breaks ties between upstreams.
     """
@@ -95,7 +116,7 @@
         directory: Directory,
         gatekeeper: Gatekeeper,
         configuration: Configuration,
-        traffic: ServiceTraffic,
+        policies: CallPolicies,
         clock: Clock,
         randomness: random.Random,
     ) -> None:
@@ -103,7 +124,8 @@
         self._directory = directory
         self._gatekeeper = gatekeeper
         self._configuration = configuration
-        self._traffic = traffic
+        self._traffic = policies.traffic
+        self._harmful = policies.harmful
         self._clock = clock
         self._randomness = randomness
         self._healths = HealthRegistry(randomness)
@@ -146,13 +168,13 @@
         ran = Ran.NOT_RUN
         refusal = _no_upstream(request.service)
         for number in range(MAX_ATTEMPTS):
-            state = self._next_upstream(
-                request, tried, refusal.code, explanation
-            )
-            if state is None:
+            state = self._next_upstream(request, tried, refusal, explanation)
+            if isinstance(state, Refusal):
+                refusal = state
                 break
             tried |= {state.info.upstream}
             reply = await self._attempt(request, entry, state, number)
+            await self._record_end(request, state, number, reply)
             explanation.note('service', _describe_reply(state, reply))
             if isinstance(reply, ServiceReply):
                 return reply
@@ -164,21 +186,52 @@
                 break
         return replace(refusal, ran=ran)
 
+    async def _record_end(
+        self,
+        request: ServiceRequest,
+        state: UpstreamState,
+        number: int,
+        reply: ServiceReply | Refusal,
+    ) -> None:
+        """Record whether an attempt crashed its upstream or was answered."""
+        if isinstance(reply, Refusal):
+            attempt = InterruptedAttempt(
+                _attempt_id(request.request, number), state.info, _NO_VERSION
+            )
+            await self._harmful.record_failure(
+                _attribute(request), attempt, reply
+            )
+        elif reply.status < SERVER_ERROR:
+            self._harmful.record_answer(_attribute(request))
+
     def _next_upstream(
         self,
         request: ServiceRequest,
         tried: frozenset[UpstreamId],
-        code: ResultCode,
+        failure: Refusal,
         explanation: Explanation,
-    ) -> UpstreamState | None:
-        """Return the upstream of the next attempt if the budget allows it."""
+    ) -> UpstreamState | Refusal:
+        """Return the upstream of the next attempt, or why there is none.
+
+        Args:
+            request: The call.
+            tried: The upstreams of its earlier attempts.
+            failure: Why the last attempt failed, or that no upstream is
+                available if there was none.
+            explanation: Receives why there is no further attempt.
+        """
         state = self._choose_upstream(request.service, tried)
-        if state is None or not tried:
-            return state
-        if self._traffic.may_retry(request, code):
+        if state is None:
+            return failure
+        if tried and not self._traffic.may_retry(request, failure.code):
+            explanation.note('retries', 'The retry budget is exhausted.')
+            return failure
+        harmful = self._harmful.refusal_for(_attribute(request))
+        if harmful is None:
             return state
-        explanation.note('retries', 'The retry budget is exhausted.')
-        return None
+        explanation.note('harmful', harmful.reason)
+        # The failure of an attempt explains more.
+        return failure if tried else harmful
 
     def _choose_upstream(
         self,
@@ -225,7 +278,7 @@
         )
         remaining = request.deadline - self._clock.now()
         call = ServiceCall(
-            attempt=AttemptId(f'{request.request}.{number}'),
+            attempt=_attempt_id(request.request, number),
             upstream=state.info,
             method=request.method,
             path=request.path,
@@ -259,6 +312,22 @@
         return reply
 
 
+def _attribute(request: ServiceRequest) -> AttributedRequest:
+    """Return a call with the attributes that a crash may be due to."""
+    return attribute_service_call(
+        request.request,
+        request.workspace,
+        request.service,
+        f'{request.method} {request.path}',
+        request.body,
+    )
+
+
+def _attempt_id(request: RequestId, number: int) -> AttemptId:
+    """Return the id of an attempt."""
+    return AttemptId(f'{request}.{number}')
+
+
 def _code_of(reply: ServiceReply | Refusal) -> ResultCode:
     """Return the result code of a reply."""
     return reply.code if isinstance(reply, Refusal) else ResultCode.OK
--- a/tests/test_harmful_requests.py
+++ b/tests/test_harmful_requests.py
@@ -15,6 +15,7 @@
 from nutmegroad.fleet.crash_records import HARMFUL_CRASHES
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import DomainId, HostId, Ran, RequestId
+from nutmegroad.routing.attributes import attribute_model_request
 from nutmegroad.routing.harmful import (
     BROADCAST_INTERVAL,
     CrashExchange,
@@ -94,7 +95,8 @@
         others = ({'body': {}}, {'workspace': 'another'})
         for changes in others:
             content = {'body': BODY, **changes}
-            harmful = self.rig.harmful.refusal_for(self.rig.request(**content))
+            request = attribute_model_request(self.rig.request(**content))
+            harmful = self.rig.harmful.refusal_for(request)
             self.assertIsNone(harmful)
 
     async def test_requests_with_one_message_in_common_add_up(self) -> None:
@@ -110,9 +112,8 @@
         self.assertLessEqual(self.sent, HARMFUL_CRASHES + 1)
         other = {'role': 'system', 'content': 'harmless'}
         body = {'messages': [other, {'role': 'user', 'content': 'question 1'}]}
-        self.assertIsNone(
-            self.rig.harmful.refusal_for(self.rig.request(body=body))
-        )
+        request = attribute_model_request(self.rig.request(body=body))
+        self.assertIsNone(self.rig.harmful.refusal_for(request))
 
     async def test_an_answer_clears_it(self) -> None:
         """A request that merely ran beside a harmful one is probed."""
@@ -162,7 +163,7 @@
             task = asyncio.create_task(exchange.run())
             self.addCleanup(task.cancel)
         rig = RequestPathRig(clock, engines=engines, harmful=hosts[0])
-        request = rig.request(body=BODY)
+        request = attribute_model_request(rig.request(body=BODY))
         for _ in range(HARMFUL_CRASHES):
             engines.scripts = [broken(0) for _ in range(9)]
             await rig.send(body=BODY)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,11 +1,16 @@
-"""Tests that retries of calls to plain services are bounded and counted."""
+"""Tests of calls to plain services: retries, and calls that crash them."""
 
 import random
 import unittest
 
 from nutmegroad.contracts.documents import CallRule, ServiceEntry
 from nutmegroad.contracts.fences import Fence, FenceTerms
-from nutmegroad.contracts.upstreams import ServiceCall, ServiceReply
+from nutmegroad.contracts.upstreams import (
+    EngineReport,
+    ServiceCall,
+    ServiceReply,
+)
+from nutmegroad.fleet.crash_records import HARMFUL_CRASHES
 from nutmegroad.foundations.invariants import StrictInvariants
 from nutmegroad.foundations.metrics import Metrics
 from nutmegroad.foundations.results import Refusal, ResultCode
@@ -23,6 +28,7 @@
 from nutmegroad.records.explanations import Explanation
 from nutmegroad.routing.directory import Directory
 from nutmegroad.routing.gates import Gatekeeper
+from nutmegroad.routing.harmful import HarmfulRequests
 from nutmegroad.routing.policies import NoQuarantine
 from nutmegroad.routing.retries import (
     MAX_SAVED_RETRIES,
@@ -30,13 +36,21 @@
     ProportionalRetries,
 )
 from nutmegroad.routing.service_traffic import ServiceTraffic
-from nutmegroad.routing.services import ServiceCaller, ServiceRequest
+from nutmegroad.routing.services import (
+    CallPolicies,
+    ServiceCaller,
+    ServiceRequest,
+)
 from nutmegroad.testing.virtual import ManualClock
+from tests.request_path_rig import ScriptedEngines
 from tests.sample_configuration import make_configuration
+from tests.test_attempts import UNREACHABLE
 
 _PORTAL = ServiceName('portal')
 _RULE = CallRule(method='GET', path='*', repeatable=True)
 _ENTRY = ServiceEntry(name=_PORTAL, calls=(_RULE,))
+_HARMFUL = b'crashes services'
+_SERVED = ServiceReply(200, b'', 'text/plain')
 _FAILED = Refusal(ResultCode.UPSTREAM_ERROR, 'It failed.', Ran.UNKNOWN)
 
 
@@ -54,11 +68,37 @@
         return self.replies[0] if last else self.replies.pop(0)
 
 
-class ServiceCallerTest(unittest.IsolatedAsyncioTestCase):
+class RestartingEngines(ScriptedEngines):
+    """Shows that each upstream whose attempt has failed is restarting."""
+
+    async def report(self, upstream: UpstreamInfo) -> EngineReport | Refusal:
+        """Refuse the connection."""
+        return UNREACHABLE
+
+
+class CrashingServices(ScriptedServices):
+    """Services that crash under calls with a certain body."""
+
+    async def call(self, call: ServiceCall) -> ServiceReply | Refusal:
+        """Answer, or crash."""
+        self.calls.append(call)
+        return _FAILED if call.body == _HARMFUL else _SERVED
+
+
+class ServiceCallerCase(unittest.IsolatedAsyncioTestCase):
+    """A caller of three upstreams of one service.
+
+    Attributes:
+        client: Answers the calls.
+        engines: Shows which upstreams accept connections.
+    """
+
+    client: ScriptedServices
+    engines: ScriptedEngines
+
     async def asyncSetUp(self) -> None:
-        self.clock = ManualClock()
+        self.clock = ManualClock(start=100)
         self.metrics = Metrics(float)
-        self.client = ScriptedServices()
         configuration = make_configuration(self.clock, 1)
         directory = Directory(self.clock)
         directory.update(tuple(self.upstream(name) for name in 'abc'))
@@ -68,7 +108,10 @@
             directory,
             Gatekeeper(configuration, self.clock, NoQuarantine()),
             configuration,
-            ServiceTraffic(retries, self.metrics, self.clock),
+            CallPolicies(
+                ServiceTraffic(retries, self.metrics, self.clock),
+                HarmfulRequests(self.engines, self.clock),
+            ),
             self.clock,
             random.Random(1),
         )
@@ -86,16 +129,18 @@
         self,
         number: int = 0,
         method: str = 'GET',
+        workspace: str = 'large',
+        body: bytes = b'',
     ) -> ServiceReply | Refusal:
         name = RequestId(f'r{number}')
         terms = FenceTerms(name, repeatable=method == 'GET')
         request = ServiceRequest(
             request=name,
-            workspace=WorkspaceId('large'),
+            workspace=WorkspaceId(workspace),
             service=_PORTAL,
             method=method,
             path='fees',
-            body=b'',
+            body=body,
             content_type='text/plain',
             key='',
             deadline=self.clock.now() + 9,
@@ -104,6 +149,15 @@
         explanation = Explanation(name, self.clock)
         return await self.caller.call(request, _ENTRY, explanation)
 
+
+class ServiceCallerTest(ServiceCallerCase):
+    """Retries, and how they are counted."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = ScriptedServices()
+        self.engines = ScriptedEngines()
+        await super().asyncSetUp()
+
     def counter(self, name: str, **labels: str) -> float:
         """Return the exported value of a counter, summed over labels."""
         start = f'nutmegroad_{name}_total{{'
@@ -144,3 +198,56 @@
         )
         self.assertGreaterEqual(retried, MAX_SAVED_RETRIES)
         self.assertEqual(self.counter('retries'), retried)
+
+
+class CrashingCallTest(ServiceCallerCase):
+    """Services crash under calls with a certain body."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = CrashingServices()
+        self.engines = RestartingEngines()
+        await super().asyncSetUp()
+
+    # A call that crashes services ended one after the other, as its caller
+    # repeated it under other ids.
+    async def test_it_is_refused_after_its_third_service(self) -> None:
+        """Whether it may be repeated or not."""
+        for number in range(12):
+            await self.call(number, ('GET', 'POST')[number % 2], body=_HARMFUL)
+        self.assertLessEqual(len(self.client.calls), 2 * HARMFUL_CRASHES)
+        refusal = await self.call(20, body=_HARMFUL)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.code, ResultCode.REQUEST_HARMFUL)
+        self.assertIs(refusal.ran, Ran.NOT_RUN)
+        self.assertGreater(refusal.retry_after, 0)
+
+    async def test_its_body_counts_whoever_sends_it(self) -> None:
+        """Guards against as many crashes for each workspace."""
+        for number in range(12):
+            await self.call(
+                number, workspace=f'workspace-{number}', body=_HARMFUL
+            )
+        self.assertLessEqual(len(self.client.calls), HARMFUL_CRASHES + 1)
+
+    async def test_other_calls_are_served(self) -> None:
+        """Those of the same workspace and path, with another body."""
+        for number in range(12):
+            await self.call(number, body=_HARMFUL)
+            served = await self.call(100 + number, body=b'sound')
+            self.assertEqual(served, _SERVED)
+
+
+class FailingCallTest(ServiceCallerCase):
+    """Services fail calls with a certain body, and go on."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = CrashingServices()
+        self.engines = ScriptedEngines()
+        await super().asyncSetUp()
+
+    async def test_a_failure_of_a_living_service_is_no_crash(self) -> None:
+        """Guards against refusing what only met a slow service."""
+        for number in range(12):
+            refusal = await self.call(number, 'POST', body=_HARMFUL)
+            assert isinstance(refusal, Refusal)
+            self.assertIs(refusal.code, ResultCode.UPSTREAM_ERROR)
