Count the crash of an upstream of the daemon once, however many it breaks

What callers saw: nothing reported. Found by reading the change before: each attempt that broke counted as a crash of its own, so one crash under several calls that are alike (those without a body are) blocked all of them.

Cause: engines and services restart under their ids, so a crash was identified by the attempt; and a call's time was taken for 0, so that calls beside each other looked like a series.

Fix: attempts that began before a known crash of their upstream belong to it, and a call has its time. Hosts still count crashes by their own attempts, so one crash that two hosts see counts twice: left as it is, in the postmortem.

--- a/src/nutmegroad/routing/harmful.py
+++ b/src/nutmegroad/routing/harmful.py
@@ -34,6 +34,7 @@
     AttemptId,
     HostId,
     Ran,
+    UpstreamId,
     UpstreamIncarnation,
     UpstreamInfo,
     VersionId,
@@ -55,6 +56,9 @@
 #: Maximum number of attributes whose probe executions are remembered.
 MAX_PROBED: Final = 1000
 
+#: Maximum number of upstreams whose last crash is remembered.
+MAX_INCARNATIONS: Final = 1000
+
 #: Seconds between two broadcasts while there is something to send.
 BROADCAST_INTERVAL: Final = 0.25
 
@@ -78,8 +82,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class InterruptedAttempt:
-    """An attempt that broke while its upstream may have executed it.
+class EndedAttempt:
+    """An attempt under which its upstream may have crashed.
 
     Attributes:
         attempt: The id of the attempt.
@@ -91,7 +95,7 @@
     attempt: AttemptId
     upstream: UpstreamInfo
     version: VersionId
-    seconds: float = 0
+    seconds: float
 
 
 class HarmfulRequests:
@@ -111,6 +115,11 @@
         # Clock seconds of the probes with each attribute. The attribute that
         # was probed last is the last one.
         self._probed: dict[AttributeFingerprint, list[float]] = {}
+        # The last incarnation of each upstream that crashed, with the clock
+        # time in seconds; the one that crashed last is the last one.
+        self._incarnations: dict[
+            UpstreamId, tuple[float, UpstreamIncarnation]
+        ] = {}
 
     def refusal_for(self, request: AttributedRequest) -> Refusal | None:
         """Return why a request may not go to an upstream now, or None."""
@@ -144,7 +153,7 @@
         end = execution.end
         await self.record_failure(
             request,
-            InterruptedAttempt(
+            EndedAttempt(
                 execution.start.attempt,
                 execution.state.info,
                 execution.start.version,
@@ -168,7 +177,7 @@
     async def record_failure(
         self,
         request: AttributedRequest,
-        attempt: InterruptedAttempt,
+        attempt: EndedAttempt,
         refusal: Refusal | None,
     ) -> None:
         """Record a failed attempt if its upstream has crashed.
@@ -183,16 +192,9 @@
         now = self._clock.now()
         if not await self._has_crashed(attempt.upstream):
             return
-        name = attempt.upstream.upstream
-        # An upstream restarts under the same id, so the attempt id is added to
-        # identify this one crash.
-        crash = UpstreamCrash(
-            fingerprint_upstream(
-                UpstreamIncarnation(f'{name}/{attempt.attempt}')
-            ),
-            now - attempt.seconds,
-            now,
-        )
+        began = now - attempt.seconds
+        incarnation = self._identify_incarnation(attempt, began, now)
+        crash = UpstreamCrash(fingerprint_upstream(incarnation), began, now)
         self.crashes.record_crash(request.attributes, crash)
         harmful = self.crashes.harmful(request.attributes)
         causes = () if harmful is None else harmful.causes
@@ -201,12 +203,35 @@
             request=request.request,
             attributes=[each.label for each in request.attributes],
             causes=[cause.label for cause in causes],
-            upstream=name,
+            upstream=attempt.upstream.upstream,
             version=attempt.version,
             ran=round(attempt.seconds, 3),
             ends=0 if harmful is None else harmful.crash_count,
         )
 
+    def _identify_incarnation(
+        self, attempt: EndedAttempt, began: float, now: float
+    ) -> UpstreamIncarnation:
+        """Return what identifies the incarnation that has crashed.
+
+        An upstream restarts under the same id, so the id of the first attempt
+        that broke is added. All that began before that belong to one crash.
+
+        Args:
+            attempt: The attempt.
+            began: Clock seconds at which it began.
+            now: Clock seconds of the crash.
+        """
+        name = attempt.upstream.upstream
+        crashed_at, incarnation = self._incarnations.pop(name, (NEVER, None))
+        if incarnation is None or began >= crashed_at:
+            crashed_at = now
+            incarnation = UpstreamIncarnation(f'{name}/{attempt.attempt}')
+        self._incarnations[name] = (crashed_at, incarnation)
+        if len(self._incarnations) > MAX_INCARNATIONS:
+            self._incarnations.pop(next(iter(self._incarnations)))
+        return incarnation
+
     async def _has_crashed(self, upstream: UpstreamInfo) -> bool:
         """Return whether an upstream refuses new connections."""
         with suppress(TimeoutError):
--- a/src/nutmegroad/routing/services.py
+++ b/src/nutmegroad/routing/services.py
@@ -34,7 +34,7 @@
 )
 from nutmegroad.routing.directory import Directory
 from nutmegroad.routing.gates import GateContext, Gatekeeper
-from nutmegroad.routing.harmful import HarmfulRequests, InterruptedAttempt
+from nutmegroad.routing.harmful import EndedAttempt, HarmfulRequests
 from nutmegroad.routing.service_traffic import ServiceTraffic
 from nutmegroad.routing.steps import HOST_REFUSALS
 
@@ -173,8 +173,15 @@
                 refusal = state
                 break
             tried |= {state.info.upstream}
+            began = self._clock.now()
             reply = await self._attempt(request, entry, state, number)
-            await self._record_end(request, state, number, reply)
+            attempt = EndedAttempt(
+                _attempt_id(request.request, number),
+                state.info,
+                _NO_VERSION,
+                self._clock.now() - began,
+            )
+            await self._record_end(request, attempt, reply)
             explanation.note('service', _describe_reply(state, reply))
             if isinstance(reply, ServiceReply):
                 return reply
@@ -189,20 +196,15 @@
     async def _record_end(
         self,
         request: ServiceRequest,
-        state: UpstreamState,
-        number: int,
+        attempt: EndedAttempt,
         reply: ServiceReply | Refusal,
     ) -> None:
         """Record whether an attempt crashed its upstream or was answered."""
+        attributed = _attribute(request)
         if isinstance(reply, Refusal):
-            attempt = InterruptedAttempt(
-                _attempt_id(request.request, number), state.info, _NO_VERSION
-            )
-            await self._harmful.record_failure(
-                _attribute(request), attempt, reply
-            )
+            await self._harmful.record_failure(attributed, attempt, reply)
         elif reply.status < SERVER_ERROR:
-            self._harmful.record_answer(_attribute(request))
+            self._harmful.record_answer(attributed)
 
     def _next_upstream(
         self,
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,5 +1,6 @@
 """Tests of calls to plain services: retries, and calls that crash them."""
 
+import asyncio
 import random
 import unittest
 
@@ -77,11 +78,19 @@
 
 
 class CrashingServices(ScriptedServices):
-    """Services that crash under calls with a certain body."""
+    """Services that crash under calls with a certain body.
+
+    Attributes:
+        crash: Set when they crash; None to crash at once.
+    """
+
+    crash: asyncio.Event | None = None
 
     async def call(self, call: ServiceCall) -> ServiceReply | Refusal:
         """Answer, or crash."""
         self.calls.append(call)
+        if self.crash is not None:
+            await self.crash.wait()
         return _FAILED if call.body == _HARMFUL else _SERVED
 
 
@@ -100,12 +109,12 @@
         self.clock = ManualClock(start=100)
         self.metrics = Metrics(float)
         configuration = make_configuration(self.clock, 1)
-        directory = Directory(self.clock)
-        directory.update(tuple(self.upstream(name) for name in 'abc'))
+        self.directory = Directory(self.clock)
+        self.directory.update(tuple(self.upstream(name) for name in 'abc'))
         retries = ProportionalRetries(self.clock)
         self.caller = ServiceCaller(
             self.client,
-            directory,
+            self.directory,
             Gatekeeper(configuration, self.clock, NoQuarantine()),
             configuration,
             CallPolicies(
@@ -237,6 +246,34 @@
             self.assertEqual(served, _SERVED)
 
 
+class ConcurrentCallTest(ServiceCallerCase):
+    """Calls that are alike run at one service when it crashes."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = CrashingServices()
+        self.engines = RestartingEngines()
+        await super().asyncSetUp()
+
+    # Guards against one crash that counts once for each call that it breaks:
+    # calls without a body are all alike.
+    async def test_one_crash_under_many_calls_counts_once(self) -> None:
+        """The next such call is not refused."""
+        broken = asyncio.Event()
+        self.client.crash = broken
+        self.directory.update((self.upstream('a'),))
+        calls = [
+            asyncio.ensure_future(self.call(number, 'POST', body=_HARMFUL))
+            for number in range(9)
+        ]
+        await self.clock.advance(1)
+        self.assertEqual(len(self.client.calls), len(calls))
+        broken.set()
+        await asyncio.gather(*calls)
+        refusal = await self.call(20, 'POST', body=_HARMFUL)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.code, ResultCode.UPSTREAM_ERROR)
+
+
 class FailingCallTest(ServiceCallerCase):
     """Services fail calls with a certain body, and go on."""
 
