--- a/src/nutmegroad/foundations/_request_codes.py
+++ b/src/nutmegroad/foundations/_request_codes.py
@@ -241,8 +241,11 @@
     ),
     CodeMeaning(
         ResultCode.REQUEST_HARMFUL,
-        'Several upstreams have terminated while they ran the same request.',
-        'Change the request, or ask the operators; a repeat is refused too.',
+        'Several upstreams have crashed while they executed this request, '
+        'or others that have something in common with it, such as a part of '
+        'the prompt; the reason names it.',
+        'Change what the reason names, or ask the operators; a repeat is '
+        'refused too.',
         NotRun.EITHER,
     ),
 )
