Determine the attributes of a daemon's request once

Each attempt encoded and digested the whole prompt twice, before it and after it, and each attempt of a call its body. RequestProgress keeps them from the first attempt on (not from its creation: requests that are not admitted need none), and ServiceCaller passes them along.

An attempt of a call is recorded where it ends, next to its health and traffic, so its id is made in one place.

No behaviour is changed; tests.test_services, test_harmful_requests, test_attempts and test_soak pass as they are.

--- a/src/nutmegroad/routing/request_progress.py
+++ b/src/nutmegroad/routing/request_progress.py
@@ -10,6 +10,10 @@
 from nutmegroad.foundations.types import Ran, TaskName, UpstreamId, VersionId
 from nutmegroad.records.explanations import Explanation
 from nutmegroad.routing.attempts import Received, Sink
+from nutmegroad.routing.attributes import (
+    AttributedRequest,
+    attribute_model_request,
+)
 
 _NO_VERSION: Final = VersionId('')
 
@@ -148,6 +152,18 @@
     usage: RequestUsage
     seed: int
     excluded: frozenset[UpstreamId] = field(default_factory=frozenset)
+    _attributed: AttributedRequest | None = field(default=None, init=False)
+
+    @property
+    def attributed(self) -> AttributedRequest:
+        """The request with the attributes that a crash may be due to.
+
+        Digests of the prompt are made for the first attempt, and so not for
+        requests that are not admitted.
+        """
+        if self._attributed is None:
+            self._attributed = attribute_model_request(self.request)
+        return self._attributed
 
     def note(self, part: str, text: str) -> None:
         """Add a step to the explanation."""
--- a/src/nutmegroad/routing/services.py
+++ b/src/nutmegroad/routing/services.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, replace
 from fnmatch import fnmatchcase
+from http import HTTPStatus
 from typing import Final
 
 from nutmegroad.configuration.in_force import Configuration
@@ -41,9 +42,6 @@
 #: Maximum attempts for one repeatable call.
 MAX_ATTEMPTS: Final = 3
 
-#: Lowest HTTP status of a server error, which says nothing about the request.
-SERVER_ERROR: Final = 500
-
 _NO_VERSION: Final = VersionId('')
 
 
@@ -164,24 +162,21 @@
     ) -> ServiceReply | Refusal:
         """Make attempts until one succeeds or no further one is allowed."""
         repeatable = is_repeatable(entry, request.method, request.path)
+        attributed = _attribute(request)
         tried: frozenset[UpstreamId] = frozenset()
         ran = Ran.NOT_RUN
         refusal = _no_upstream(request.service)
         for number in range(MAX_ATTEMPTS):
-            state = self._next_upstream(request, tried, refusal, explanation)
+            state = self._next_upstream(
+                request, attributed, tried, refusal, explanation
+            )
             if isinstance(state, Refusal):
                 refusal = state
                 break
             tried |= {state.info.upstream}
-            began = self._clock.now()
-            reply = await self._attempt(request, entry, state, number)
-            attempt = EndedAttempt(
-                _attempt_id(request.request, number),
-                state.info,
-                _NO_VERSION,
-                self._clock.now() - began,
+            reply = await self._attempt(
+                request, attributed, entry, state, number
             )
-            await self._record_end(request, attempt, reply)
             explanation.note('service', _describe_reply(state, reply))
             if isinstance(reply, ServiceReply):
                 return reply
@@ -193,22 +188,10 @@
                 break
         return replace(refusal, ran=ran)
 
-    async def _record_end(
-        self,
-        request: ServiceRequest,
-        attempt: EndedAttempt,
-        reply: ServiceReply | Refusal,
-    ) -> None:
-        """Record whether an attempt crashed its upstream or was answered."""
-        attributed = _attribute(request)
-        if isinstance(reply, Refusal):
-            await self._harmful.record_failure(attributed, attempt, reply)
-        elif reply.status < SERVER_ERROR:
-            self._harmful.record_answer(attributed)
-
     def _next_upstream(
         self,
         request: ServiceRequest,
+        attributed: AttributedRequest,
         tried: frozenset[UpstreamId],
         failure: Refusal,
         explanation: Explanation,
@@ -217,6 +200,7 @@
 
         Args:
             request: The call.
+            attributed: The call with its attributes.
             tried: The upstreams of its earlier attempts.
             failure: Why the last attempt failed, or that no upstream is
                 available if there was none.
@@ -228,7 +212,7 @@
         if tried and not self._traffic.may_retry(request, failure.code):
             explanation.note('retries', 'The retry budget is exhausted.')
             return failure
-        harmful = self._harmful.refusal_for(_attribute(request))
+        harmful = self._harmful.refusal_for(attributed)
         if harmful is None:
             return state
         explanation.note('harmful', harmful.reason)
@@ -262,6 +246,7 @@
     async def _attempt(
         self,
         request: ServiceRequest,
+        attributed: AttributedRequest,
         entry: ServiceEntry,
         state: UpstreamState,
         number: int,
@@ -278,9 +263,10 @@
             request.deadline,
             attempt_fence,
         )
-        remaining = request.deadline - self._clock.now()
+        began = self._clock.now()
+        remaining = request.deadline - began
         call = ServiceCall(
-            attempt=_attempt_id(request.request, number),
+            attempt=AttemptId(f'{request.request}.{number}'),
             upstream=state.info,
             method=request.method,
             path=request.path,
@@ -311,8 +297,24 @@
             self._directory.answered(state.info.upstream)
         elif reply.code is ResultCode.UPSTREAM_UNREACHABLE:
             self._directory.refused(state.info.upstream)
+        attempt = EndedAttempt(
+            call.attempt, state.info, _NO_VERSION, self._clock.now() - began
+        )
+        await self._record_end(attributed, attempt, reply)
         return reply
 
+    async def _record_end(
+        self,
+        request: AttributedRequest,
+        attempt: EndedAttempt,
+        reply: ServiceReply | Refusal,
+    ) -> None:
+        """Record whether an attempt crashed its upstream or was answered."""
+        if isinstance(reply, Refusal):
+            await self._harmful.record_failure(request, attempt, reply)
+        elif reply.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._harmful.record_answer(request)
+
 
 def _attribute(request: ServiceRequest) -> AttributedRequest:
     """Return a call with the attributes that a crash may be due to."""
@@ -325,11 +327,6 @@
     )
 
 
-def _attempt_id(request: RequestId, number: int) -> AttemptId:
-    """Return the id of an attempt."""
-    return AttemptId(f'{request}.{number}')
-
-
 def _code_of(reply: ServiceReply | Refusal) -> ResultCode:
     """Return the result code of a reply."""
     return reply.code if isinstance(reply, Refusal) else ResultCode.OK
--- a/src/nutmegroad/routing/steps.py
+++ b/src/nutmegroad/routing/steps.py
@@ -32,7 +32,6 @@
     Received,
     Sink,
 )
-from nutmegroad.routing.attributes import attribute_model_request
 from nutmegroad.routing.gates import GateContext, Gatekeeper
 from nutmegroad.routing.harmful import HarmfulRequests
 from nutmegroad.routing.request_progress import RequestProgress, failure_of
@@ -164,7 +163,7 @@
         while not isinstance(setup, Refusal):
             execution = await self._attempt(progress, version, setup, sink)
             await self._policies.harmful.attempt_ended(
-                attribute_model_request(progress.request), execution
+                progress.attributed, execution
             )
             if execution.received.ending is not None:
                 return execution
@@ -186,9 +185,7 @@
         received: Received,
     ) -> _AttemptSetup | Refusal:
         """Choose an upstream and create the attempt's id."""
-        refusal = self._policies.harmful.refusal_for(
-            attribute_model_request(progress.request)
-        )
+        refusal = self._policies.harmful.refusal_for(progress.attributed)
         if refusal is not None:
             progress.note('harmful', refusal.reason)
             return refusal
