Attribute crashes with half the work

find_block collected the crashes that other suspects may explain for each attribute, also for those that are no suspects once likelier ones explain theirs; it does so for the remaining ones only. What is unexplained is returned as such, in place of what is explained, which the caller subtracted again. A confirmed crash is attributed once and not twice: recording it says whether the request is blocked.

--- a/src/nutmegroad/fleet/crash_causes.py
+++ b/src/nutmegroad/fleet/crash_causes.py
@@ -149,18 +149,13 @@
         others: Records of suspected attributes that the request does not have.
         is_cold: Whether this host may not know what was answered before.
     """
+    remaining = _unexplained_crashes(record, likelier)
+    if not record.is_suspect_by(remaining):
+        return None
     possible: set[UpstreamFingerprint] = set()
     for other in others:
         if record.has_progressed or not other.has_progressed:
             possible.update(other.crashes)
-    explained = _explain(record, likelier)
-    remaining = tuple(
-        crash
-        for crash in record.crashes.values()
-        if crash.upstream not in explained
-    )
-    if not record.is_suspect_by(remaining):
-        return None
     is_ambiguous = (is_cold and record.scope is Scope.SHARED) or all(
         crash.upstream in possible for crash in remaining
     )
@@ -185,23 +180,26 @@
     return len(other.crashes) > len(record.crashes)
 
 
-def _explain(
+def _unexplained_crashes(
     record: CrashRecord, likelier: list[CrashRecord]
-) -> set[UpstreamFingerprint]:
-    """Return the upstreams whose crashes a few likelier attributes explain.
+) -> tuple[UpstreamCrash, ...]:
+    """Return the crashes that a few likelier attributes do not explain.
 
     Many attributes explain any crashes: each request has some that meet all
     of its own. Hence only those that explain most are taken into account.
     """
-    open_crashes = set(record.crashes)
+    unexplained = set(record.crashes)
     for _ in range(MAX_CAUSES):
-        best = max(
-            (open_crashes.intersection(other.crashes) for other in likelier),
+        unexplained -= max(
+            (unexplained.intersection(other.crashes) for other in likelier),
             key=len,
             default=set(),
         )
-        open_crashes -= best
-    return set(record.crashes) - open_crashes
+    return tuple(
+        crash
+        for upstream, crash in record.crashes.items()
+        if upstream in unexplained
+    )
 
 
 def _pause(
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -238,12 +238,15 @@
 
     async def _confirm(self, broken: _BrokenExchange) -> None:
         """Record a confirmed crash; publish it if the request is harmful."""
-        self._record_crash(broken)
-        if self._tracker.harmful(broken.request.attributes) is not None:
+        if self._record_crash(broken) is not None:
             await self._rows.write()
 
-    def _record_crash(self, broken: _BrokenExchange) -> None:
-        """Record that an upstream has terminated under a request."""
+    def _record_crash(self, broken: _BrokenExchange) -> BlockedRequest | None:
+        """Record that an upstream has terminated under a request.
+
+        Returns:
+            Why the request is blocked from now on, or None if it is not.
+        """
         request = broken.request
         self._tracker.record_crash(request.attributes, broken.crash)
         harmful = self._tracker.harmful(request.attributes)
@@ -259,6 +262,7 @@
             ran=round(broken.crash.crashed_at - broken.crash.sent_at, 3),
             ends=0 if harmful is None else harmful.crash_count,
         )
+        return harmful
 
     def _record_unconfirmed(self, broken: _BrokenExchange) -> None:
         """Record a broken exchange that a later restart may confirm."""
