Play both kinds of harmful requests of the soak by one loop

The fault of a harmful part repeated the loop of a harmful request, and the soak's worker parsed the prompt header as the stand-in worker does. Tests of calls that crash services use the crashing engines of the model requests' tests, and the one of concurrent calls stands with the others of the same set-up.

--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -195,23 +195,32 @@
     async def _harmful_request(self, event: Event) -> None:
         """Repeatedly send a request that crashes workers."""
         path = f'/draft/{HARMFUL}-{event.at:.2f}'
-        latest = time.monotonic() + RESEND_DURATION
-        number = event.target
-        while time.monotonic() < latest:
-            number += 1
-            await self._fleet.send_harmful(path, number)
-            await asyncio.sleep(RESTART_DELAY)
-            await self._fleet.workers.restart_ended()
+        await self._resend(event, lambda _: path)
 
     async def _harmful_part(self, event: Event) -> None:
         """Send requests with a part that crashes workers, no two alike."""
-        part = f'{HARMFUL}-{event.at:.2f}'
+        await self._resend(
+            event,
+            lambda number: f'/draft/part-{event.at:.2f}-{number}',
+            f'{HARMFUL}-{event.at:.2f}',
+        )
+
+    async def _resend(
+        self, event: Event, path: Callable[[int], str], part: str = ''
+    ) -> None:
+        """Repeatedly send requests that crash workers, to each host in turn.
+
+        Args:
+            event: The fault.
+            path: Returns the path of a request by its number.
+            part: Id of the part of its prompt that crashes workers; empty if
+                the path does.
+        """
         latest = time.monotonic() + RESEND_DURATION
         number = event.target
         while time.monotonic() < latest:
             number += 1
-            path = f'/draft/{part}-{number}'.replace(HARMFUL, 'part')
-            await self._fleet.send_harmful(path, number, part)
+            await self._fleet.send_harmful(path(number), number, part)
             await asyncio.sleep(RESTART_DELAY)
             await self._fleet.workers.restart_ended()
 
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -23,7 +23,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from fakes.connections import reset_connection
-from fakes.crash_scripts import PROMPT_PARTS
+from fakes.crash_scripts import PROMPT_PARTS, shared_part_ids
 
 from experiments.fleet_soak.history import (
     STREAM_EVENTS,
@@ -293,10 +293,8 @@
     """Return the path or part of a prompt that crashes the worker, if any."""
     if HARMFUL in request.path:
         return request.path
-    # The last part belongs to the request alone.
-    parts = request.headers.get(PROMPT_PARTS, '').split(',')[:-1]
-    names = (part.partition(':')[0] for part in parts)
-    return next((name for name in names if HARMFUL in name), '')
+    parts = shared_part_ids(request.headers.get(PROMPT_PARTS, ''))
+    return next((part for part in parts if HARMFUL in part), '')
 
 
 def write_event(event: str, **fields: Any) -> None:
--- a/fakes/crash_scripts.py
+++ b/fakes/crash_scripts.py
@@ -13,6 +13,16 @@
 PROMPT_PARTS = 'Nutmegroad-Prompt-Prefix'
 
 
+def shared_part_ids(prompt: str) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt that other prompts may have.
+
+    Args:
+        prompt: Value of the header; its last part belongs to the request alone.
+    """
+    parts = prompt.split(',')[:-1]
+    return tuple(part.partition(':')[0] for part in parts)
+
+
 def crashing(
     body: bytes,
     default: ScriptFactory,
@@ -54,8 +64,8 @@
 
     def make(request: ReceivedRequest) -> Script:
         """Return a crash, or the script for another request."""
-        parts = request.headers.get(PROMPT_PARTS.lower(), '').split(',')
-        if part not in (each.partition(':')[0] for each in parts[:-1]):
+        prompt = request.headers.get(PROMPT_PARTS.lower(), '')
+        if part not in shared_part_ids(prompt):
             return default(request)
         return _crash(request, restart)
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -7,7 +7,6 @@
 from nutmegroad.contracts.documents import CallRule, ServiceEntry
 from nutmegroad.contracts.fences import Fence, FenceTerms
 from nutmegroad.contracts.upstreams import (
-    EngineReport,
     ServiceCall,
     ServiceReply,
 )
@@ -45,7 +44,7 @@
 from nutmegroad.testing.virtual import ManualClock
 from tests.request_path_rig import ScriptedEngines
 from tests.sample_configuration import make_configuration
-from tests.test_attempts import UNREACHABLE
+from tests.test_harmful_requests import CrashingEngines
 
 _PORTAL = ServiceName('portal')
 _RULE = CallRule(method='GET', path='*', repeatable=True)
@@ -69,14 +68,6 @@
         return self.replies[0] if last else self.replies.pop(0)
 
 
-class RestartingEngines(ScriptedEngines):
-    """Shows that each upstream whose attempt has failed is restarting."""
-
-    async def report(self, upstream: UpstreamInfo) -> EngineReport | Refusal:
-        """Refuse the connection."""
-        return UNREACHABLE
-
-
 class CrashingServices(ScriptedServices):
     """Services that crash under calls with a certain body.
 
@@ -214,7 +205,7 @@
 
     async def asyncSetUp(self) -> None:
         self.client = CrashingServices()
-        self.engines = RestartingEngines()
+        self.engines = CrashingEngines()
         await super().asyncSetUp()
 
     # A call that crashes services ended one after the other, as its caller
@@ -245,15 +236,6 @@
             served = await self.call(100 + number, body=b'sound')
             self.assertEqual(served, _SERVED)
 
-
-class ConcurrentCallTest(ServiceCallerCase):
-    """Calls that are alike run at one service when it crashes."""
-
-    async def asyncSetUp(self) -> None:
-        self.client = CrashingServices()
-        self.engines = RestartingEngines()
-        await super().asyncSetUp()
-
     # Guards against one crash that counts once for each call that it breaks:
     # calls without a body are all alike.
     async def test_one_crash_under_many_calls_counts_once(self) -> None:
