--- a/src/nutmegroad/fleet/request_attributes.py
+++ b/src/nutmegroad/fleet/request_attributes.py
@@ -117,6 +117,11 @@
     )
 
 
+def size_range(size: int) -> str:
+    """Return the range that a size is in; its ends differ by a factor of two."""
+    return f'2^{size.bit_length()}'
+
+
 def digest_body(target: str, body: bytes) -> str:
     """Return a digest of a body, whoever sends it.
 
--- a/src/nutmegroad/routes/attributes.py
+++ b/src/nutmegroad/routes/attributes.py
@@ -9,6 +9,7 @@
     content_attribute,
     digest_body,
     shared_attributes,
+    size_range,
 )
 from nutmegroad.routes.requests import CallerRequest
 
@@ -45,8 +46,7 @@
                 target=f'{request.route.host} {target}',
                 workspace=f'{request.route.name} {workspace}',
                 model='' if generation is None else generation.model,
-                # Within a factor of two.
-                size=f'{request.route.name} 2^{size.bit_length()}',
+                size=f'{request.route.name} {size_range(size)}',
             ),
         )
     )
--- a/src/nutmegroad/routing/attributes.py
+++ b/src/nutmegroad/routing/attributes.py
@@ -14,6 +14,7 @@
     digest_body,
     fingerprint_content,
     shared_attributes,
+    size_range,
 )
 from nutmegroad.foundations.types import RequestId, ServiceName, WorkspaceId
 
@@ -51,8 +52,7 @@
         broad_attributes(
             task=request.task,
             workspace=f'{request.task} {request.workspace}',
-            # Within a factor of two.
-            size=f'{request.task} 2^{request.prompt_tokens.bit_length()}',
+            size=f'{request.task} {size_range(request.prompt_tokens)}',
         ),
     )
     return AttributedRequest(request.request, tuple(attributes))
@@ -82,8 +82,7 @@
         broad_attributes(
             target=called,
             workspace=f'{service} {workspace}',
-            # Within a factor of two.
-            size=f'{service} 2^{len(body).bit_length()}',
+            size=f'{service} {size_range(len(body))}',
         ),
     )
     return AttributedRequest(request, tuple(attributes))
