--- a/src/nutmegroad/fleet/request_attributes.py
+++ b/src/nutmegroad/fleet/request_attributes.py
@@ -118,7 +118,7 @@
 
 
 def size_range(size: int) -> str:
-    """Return the range that a size is in; its ends differ by a factor of two."""
+    """Return the range of sizes, within a factor of two, that a size is in."""
     return f'2^{size.bit_length()}'
 
 
