Log the limits that upstreams name

The logs could not tell an answer that names a limit from one that does not, so a host that ignores it could not be told from one that had not learnt it. The header is parsed and logged; no decision reads it.

--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -122,6 +122,7 @@
             self._selector.brittle.observe(
                 upstream.entry.service, self._heads.brittle_limit(head)
             )
+            self._log_request_limit(request, upstream, head)
             failure = self._heads.validate(head)
             if failure is not None:
                 self._record_failure(upstream, failure)
@@ -136,6 +137,26 @@
                 stack.pop_all(),
             )
 
+    def _log_request_limit(
+        self, request: CallerRequest, upstream: Upstream, head: ResponseHead
+    ) -> None:
+        """Log the number of requests that an upstream says it takes."""
+        limit: float | None = None
+        problem = ''
+        try:
+            limit = self._heads.request_limit(head)
+        except ValueError as invalid:
+            problem = str(invalid)
+        if limit is None and not problem:
+            return
+        _LOG.decision(
+            'limit named',
+            request=request.request_id,
+            upstream=upstream.entry.upstream,
+            limit=limit,
+            problem=problem,
+        )
+
     def _register(
         self,
         request: CallerRequest,
--- a/src/nutmegroad/relay/heads.py
+++ b/src/nutmegroad/relay/heads.py
@@ -1,5 +1,6 @@
 """Builds request heads for upstreams, and validates their response heads."""
 
+import re
 from typing import Final
 
 from aiohttp.http_parser import RawResponseMessage
@@ -22,6 +23,12 @@
 
 _EVENT_STREAM: Final = 'text/event-stream'
 
+#: Maximum characters of an invalid header in a message.
+MAX_SHOWN: Final = 40
+
+#: A number below a billion.
+_DECIMAL: Final = re.compile(r'[0-9]{1,9}(\.[0-9]{0,9})?')
+
 
 class MessageHeads:
     """Builds request heads, and validates response heads.
@@ -110,6 +117,19 @@
         text = head.headers.get(self._names.brittle, '').strip()
         return int(text) if text.isascii() and text.isdigit() else None
 
+    def request_limit(self, head: ResponseHead) -> float | None:
+        """Return how many requests in a second its upstream takes.
+
+        Returns:
+            None if the response does not say. The smallest number if it has
+            several.
+
+        Raises:
+            ValueError: If a header is no decimal number.
+        """
+        texts = head.headers.getall(self._names.request_limit, ())
+        return min(map(_decimal, texts)) if texts else None
+
     def validate(self, head: ResponseHead) -> AttemptFailure | None:
         """Return why a response head ends the attempt as failed, or None."""
         if head.status == MISDIRECTED:
@@ -147,6 +167,18 @@
     return media_type.strip().lower() in ('', _EVENT_STREAM)
 
 
+def _decimal(text: str) -> float:
+    """Return a decimal number without a sign or an exponent.
+
+    Raises:
+        ValueError: If it is anything else; the message has its beginning.
+    """
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        message = f'{text[:MAX_SHOWN]!r} is not a decimal number'
+        raise ValueError(message)
+    return float(text)
+
+
 def _retry_after_seconds(text: str) -> float:
     """Return the seconds of a Retry-After header; 0 for a date or no text."""
     try:
--- a/src/nutmegroad/routes/headers.py
+++ b/src/nutmegroad/routes/headers.py
@@ -44,6 +44,8 @@
         not_executed: Proof by an upstream that it did not execute a request.
         brittle: Number of requests that an upstream may reject in a second
             without terminating.
+        request_limit: Number of requests in a second that an upstream takes
+            from all hosts together.
         model: Name of the model that is to answer.
         usage: Number of prompt tokens and maximum number of answer tokens.
         prompt_parts: Ids and sizes of the parts of the prompt.
@@ -63,6 +65,7 @@
     signature: str
     not_executed: str
     brittle: str
+    request_limit: str
     model: str
     usage: str
     prompt_parts: str
