Divide the limit that an upstream names among a few hosts

What callers saw: nothing; they were served. Two engines in need that took 1.2 and 1 requests a second from all hosts got 25 and 20 in four seconds.

Cause: no code read the header, so hosts chose the engines by expected time as before.

Fix: a host that has an answer with a limit informs the others at once. The limit is divided among a few hosts, by the fleet table and the upstream's domain, with a token bucket each that is empty at first and is lost with its host. Every attempt takes a token, whatever its purpose; a host without one uses upstreams that have no limit, or asks one sender, chosen by the request's fingerprint, to send it. If that one has no token it reserves the next, so a caller that is refused at once is served when it returns, at any host.

Why it holds: a fleet sends at most t L requests in t seconds and the buckets' L + 3.

--- a/src/nutmegroad/canary/steps.py
+++ b/src/nutmegroad/canary/steps.py
@@ -20,7 +20,7 @@
 )
 from nutmegroad.canary.state import RolloutState
 from nutmegroad.canary.verdicts import Verdict
-from nutmegroad.fleet.duty_delays import duty_delay
+from nutmegroad.fleet.duties import duty_delay
 from nutmegroad.fleet.evidence import Evidence
 from nutmegroad.fleet.store_interface import (
     FLEET_TABLE,
--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -21,7 +21,7 @@
 )
 from nutmegroad.fleet.crash_row_builder import CrashesRow, CrashRowBuilder
 from nutmegroad.fleet.crash_tracker import CrashTracker
-from nutmegroad.fleet.duty_delays import duty_delay
+from nutmegroad.fleet.duties import duty_delay
 from nutmegroad.fleet.request_attributes import RequestAttributes
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import (
--- a/src/nutmegroad/fleet/duties.py
+++ b/src/nutmegroad/fleet/duties.py
@@ -1,8 +1,9 @@
-"""Which hosts have a duty, by hashing.
+"""Which hosts have a duty, by hashing, and when they perform it.
 
 Every host that knows the same hosts comes to the same result.
 """
 
+import math
 from bisect import bisect_left, insort
 
 from xxhash import xxh3_64_intdigest
@@ -15,6 +16,19 @@
     return xxh3_64_intdigest(f'{duty}/{host}'.encode())
 
 
+def duty_delay(rank: int, spread: float) -> float:
+    """Return the seconds a host waits before it performs a duty.
+
+    The delay grows with the logarithm of the rank: when many hosts are down,
+    the next live one still takes over soon.
+
+    Args:
+        rank: The host's rank among all hosts for the duty; 0 for the first.
+        spread: Seconds for which the second host waits; the first doesn't wait.
+    """
+    return spread * math.log2(1 + rank)
+
+
 class HostRing:
     """All hosts on a ring of hash values (consistent hashing).
 
--- a/src/nutmegroad/fleet/messages.py
+++ b/src/nutmegroad/fleet/messages.py
@@ -19,6 +19,11 @@
     SessionReport,
 )
 from nutmegroad.fleet.received_versions import NO_VERSION, ReceivedVersions
+from nutmegroad.fleet.request_limits import (
+    LimitReport,
+    ReportedLimit,
+    RequestLimits,
+)
 
 
 class Digest(Struct, frozen=True, array_like=True):
@@ -30,12 +35,14 @@
         crashes: Recent crashes of upstreams, by request.
         configuration: Version of the configuration that the sender has in
             force.
+        limits: Limits that upstreams have named.
     """
 
     sessions: SessionReport = SessionReport()
     counts: CountsReport = CountsReport()
     crashes: CrashReport = CrashReport()
     configuration: int = NO_VERSION
+    limits: LimitReport = ()
 
 
 class DigestMessage(Struct, frozen=True, array_like=True, tag=1):
@@ -81,7 +88,19 @@
     loads: Loads
 
 
-Message = DigestMessage | ReportMessage | RequestMessage
+class LimitMessage(Struct, frozen=True, array_like=True, tag=4):
+    """A limit that an upstream has just named, or ended.
+
+    Attributes:
+        host: The sender.
+        limit: The limit.
+    """
+
+    host: str
+    limit: ReportedLimit
+
+
+Message = DigestMessage | ReportMessage | RequestMessage | LimitMessage
 
 
 class Digests:
@@ -92,6 +111,7 @@
         evidence: Rollout counts.
         crashes: Requests under which upstreams have crashed.
         versions: Configuration versions that hosts have in force.
+        limits: Limits that upstreams have named.
     """
 
     @property
@@ -103,6 +123,7 @@
                 self._evidence.has_updates,
                 self._crashes.has_updates,
                 self._versions.is_store_behind,
+                self._limits.has_updates,
             ),
         )
 
@@ -113,6 +134,7 @@
             self.has_updates
             or self._sessions.any_live
             or self._evidence.in_progress
+            or self._limits.any_known
         )
 
     def __init__(
@@ -121,7 +143,9 @@
         evidence: EvidenceTracker,
         crashes: CrashTracker,
         versions: ReceivedVersions,
+        limits: RequestLimits,
     ) -> None:
+        self._limits = limits
         self._sessions = sessions
         self._evidence = evidence
         self._crashes = crashes
@@ -156,6 +180,7 @@
                 )
         self._crashes.merge(digest.crashes)
         self._versions.receive(digest.configuration)
+        self._limits.merge(digest.limits, local=local)
 
     def _build(self, sessions: SessionReport, counts: CountsReport) -> Digest:
         """Return a digest, adding the parts that all receivers get."""
@@ -164,4 +189,5 @@
             counts,
             self._crashes.report(),
             self._versions.own,
+            self._limits.report(),
         )
--- a/src/nutmegroad/fleet/peer_gossip.py
+++ b/src/nutmegroad/fleet/peer_gossip.py
@@ -21,10 +21,12 @@
 from nutmegroad.fleet.evidence_tracker import EvidenceTracker
 from nutmegroad.fleet.gossip_queue import cyclic_slice
 from nutmegroad.fleet.host_registration import HostRow
+from nutmegroad.fleet.limit_gossip import LimitGossip
 from nutmegroad.fleet.loads import LOAD_TTL, Load, LoadLedger
 from nutmegroad.fleet.messages import (
     DigestMessage,
     Digests,
+    LimitMessage,
     Message,
     ReportMessage,
     RequestMessage,
@@ -32,6 +34,7 @@
 from nutmegroad.fleet.old_version_sessions import OldVersionSessions
 from nutmegroad.fleet.received_versions import ReceivedVersions
 from nutmegroad.fleet.remote_rounds import RemoteRounds
+from nutmegroad.fleet.request_limits import RequestLimits
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import DomainId, HostId, UpstreamIncarnation
@@ -93,6 +96,7 @@
         domains: When messages from other failure domains were received.
         crashes: Requests under which upstreams have crashed.
         versions: Configuration versions that hosts have in force.
+        limits: Limits that upstreams have named.
     """
 
     ledger: LoadLedger
@@ -102,6 +106,7 @@
     domains: DomainMonitor
     crashes: CrashTracker
     versions: ReceivedVersions
+    limits: RequestLimits
 
 
 def new_shared_state(
@@ -129,6 +134,7 @@
         DomainMonitor(clock),
         CrashTracker(clock),
         ReceivedVersions(clock),
+        RequestLimits(clock),
     )
 
 
@@ -179,13 +185,18 @@
             state.evidence,
             state.crashes,
             state.versions,
+            state.limits,
         )
+        self._limits = state.limits
         self._clock = clock
         self._local: dict[HostId, HostRow] = {}
         self._remote: dict[HostId, HostRow] = {}
         #: All known hosts, including this one, by duty.
         self.ring = HostRing(host)
         self._remote_rounds = RemoteRounds(host)
+        self._limits.subscribe(
+            LimitGossip(host, self._local, self._remote_rounds, self._send).send
+        )
         # This host's rank among those of its failure domain.
         self._rank = 0
         #: Clock seconds of each host's last message.
@@ -224,6 +235,9 @@
         if isinstance(message, RequestMessage):
             self._ledger.update_reported(host, message.loads)
             return
+        if isinstance(message, LimitMessage):
+            self._limits.merge((message.limit,), local=remote is None)
+            return
         self._digests.merge(message.digest, local=remote is None)
         if isinstance(message, ReportMessage):
             self._merge_report(host, message)
--- a/src/nutmegroad/fleet/tunnel_messages.py
+++ b/src/nutmegroad/fleet/tunnel_messages.py
@@ -14,7 +14,9 @@
         timeout: Seconds within which the connection is of use.
         request: Id of the caller's request; empty for a check.
         borrows: Whether the request is to be sent within the receiver's share
-            of a brittle upstream.
+            of a brittle or limited upstream.
+        content: Fingerprint of the request, for a reservation of a token.
+        patience: Seconds for which its caller waits for one.
     """
 
     key: str
@@ -24,6 +26,8 @@
     timeout: float
     request: str = ''
     borrows: bool = False
+    content: int = 0
+    patience: float = 0
 
 
 class TunnelOpened(Struct, frozen=True, array_like=True, tag='o'):
@@ -37,11 +41,14 @@
         reason: Explanation for logs.
         refused: Whether the upstream's machine refused the connection.
         withheld: Whether the receiver has no share of the upstream left.
+        retry_after: Seconds until it has one for the request; 0 if that is not
+            known.
     """
 
     reason: str
     refused: bool = False
     withheld: bool = False
+    retry_after: float = 0
 
 
 TunnelReply = TunnelOpened | TunnelRefused
--- a/src/nutmegroad/foundations/_request_codes.py
+++ b/src/nutmegroad/foundations/_request_codes.py
@@ -191,6 +191,13 @@
         ASK_OPERATORS,
         NotRun.EITHER,
     ),
+    CodeMeaning(
+        ResultCode.UPSTREAM_LIMITED,
+        'Upstreams of the service take no more requests in a second than the '
+        'hosts have sent, and no other one can take the request.',
+        RETRY_IF_NOT_RUN,
+        NotRun.EITHER,
+    ),
     CodeMeaning(
         ResultCode.UPSTREAM_UNREACHABLE,
         'The connection to the upstream failed.',
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -5,8 +5,7 @@
 
 from nutmegroad.canary.gate import make_gate
 from nutmegroad.canary.state import RolloutState
-from nutmegroad.fleet.crash_rows import CrashRows
-from nutmegroad.fleet.peer_gossip import SharedState
+from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.relay.attempts import AttemptRunner
 from nutmegroad.relay.boundary import HostSettings, Platform
@@ -16,11 +15,12 @@
 from nutmegroad.relay.dialer import Dialer
 from nutmegroad.relay.end_checks import EndVerifier
 from nutmegroad.relay.pools import ConnectionPool
-from nutmegroad.upstreams.brittle_limits import HostCount
-from nutmegroad.upstreams.cold_starts import ColdStarts, HostRank
+from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import Directory
 from nutmegroad.upstreams.placement import Placement
+from nutmegroad.upstreams.rate_shares import RateShares
 from nutmegroad.upstreams.selection import Selector
+from nutmegroad.upstreams.senders import SenderRanks
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,25 +30,18 @@
     Attributes:
         directory: All upstreams.
         rollouts: State of all rollouts.
-        received_state: State received from other hosts.
+        fleet: The other hosts.
         pool: Idle connections to upstreams.
         dialer: Opens connections to upstreams.
-        crash_rows: Stored rows of harmful requests.
         placement: Failure domains and regions in which requests may run.
-        host_rank: This host's rank for a duty.
-        host_count: Returns the number of hosts, including this one; None before
-            they are known.
     """
 
     directory: Directory
     rollouts: RolloutState
-    received_state: SharedState
+    fleet: FleetHosts
     pool: ConnectionPool
     dialer: Dialer
-    crash_rows: CrashRows
     placement: Placement
-    host_rank: HostRank
-    host_count: HostCount
 
 
 def assemble(
@@ -67,7 +60,8 @@
         clock: The host's clock.
         randomness: Breaks ties between upstreams.
     """
-    received_state = components.received_state
+    fleet = components.fleet
+    received_state = fleet.shared_state
     selector = Selector(
         clock,
         randomness,
@@ -75,19 +69,27 @@
         received_state.ledger,
         received_state.prefixes,
         received_state.domains,
-        ColdStarts(clock, components.host_rank),
+        ColdStarts(clock, fleet.known_rank),
     )
-    selector.brittle.share_with(components.host_rank, components.host_count)
+    selector.brittle.share_with(fleet.known_rank, fleet.known_count)
+    ranks = SenderRanks(fleet, settings.domain, settings.regions)
+    shares = RateShares(
+        settings.host, clock, received_state.limits, ranks.senders
+    )
+    selector.limited.share_with(settings.host, shares)
     dialer = components.dialer
     attempts = AttemptRunner(
         components.pool, dialer, platform.names, selector, clock
     )
     components.directory.ended.add_listener(attempts.upstream_ended)
+    components.directory.ended.add_listener(
+        lambda upstream, _: shares.forget(upstream)
+    )
     crashes = CrashMonitor(
         components.pool,
         EndVerifier(dialer, components.pool, components.directory, randomness),
         received_state.crashes,
-        components.crash_rows,
+        fleet.crash_rows,
         clock,
         platform.counters,
     )
@@ -105,7 +107,7 @@
         attempts,
         selector,
         components.directory,
-        RepeatBudget(clock, settings.repeat_limit, components.host_count),
+        RepeatBudget(clock, settings.repeat_limit, fleet.known_count),
         gate,
         clock,
         platform.counters,
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
@@ -15,7 +16,7 @@
 from nutmegroad.foundations.types import Ran, UpstreamIncarnation
 from nutmegroad.relay.connections import ResponseHead, UpstreamConnection
 from nutmegroad.relay.dialer import Dialer, DialPurpose
-from nutmegroad.relay.heads import MessageHeads
+from nutmegroad.relay.heads import MISDIRECTED, MessageHeads
 from nutmegroad.relay.outcomes import (
     AttemptEnd,
     AttemptFailure,
@@ -28,6 +29,7 @@
 from nutmegroad.routes.headers import HeaderNames
 from nutmegroad.routes.requests import CallerRequest, Generation
 from nutmegroad.upstreams.directory import IncarnationEnd, Upstream
+from nutmegroad.upstreams.limited_upstreams import PATIENCE_FRACTION
 from nutmegroad.upstreams.prefixes import fingerprint_parts
 from nutmegroad.upstreams.selection import Selector
 
@@ -119,10 +121,7 @@
             mark_read()
             head, connection = outcome
             self._selector.silence.record_message(upstream.entry.domain)
-            self._selector.brittle.observe(
-                upstream.entry.service, self._heads.brittle_limit(head)
-            )
-            self._log_request_limit(request, upstream, head)
+            self._record_statements(request, upstream, head, started)
             failure = self._heads.validate(head)
             if failure is not None:
                 self._record_failure(upstream, failure)
@@ -137,24 +136,37 @@
                 stack.pop_all(),
             )
 
-    def _log_request_limit(
-        self, request: CallerRequest, upstream: Upstream, head: ResponseHead
+    def _record_statements(
+        self,
+        request: CallerRequest,
+        upstream: Upstream,
+        head: ResponseHead,
+        started: float,
     ) -> None:
-        """Log the number of requests that an upstream says it takes."""
-        limit: float | None = None
-        problem = ''
+        """Record what an answer says about the requests its upstream takes.
+
+        An answer from another upstream at the address says nothing about it.
+        """
+        if head.status == MISDIRECTED:
+            return
+        self._selector.brittle.observe(
+            upstream.entry.service, self._heads.brittle_limit(head)
+        )
         try:
             limit = self._heads.request_limit(head)
         except ValueError as invalid:
-            problem = str(invalid)
-        if limit is None and not problem:
+            _LOG.decision(
+                'limit ignored',
+                request=request.request_id,
+                upstream=upstream.entry.upstream,
+                problem=str(invalid),
+            )
+            return
+        if limit is None and not self._heads.is_signed(head):
+            # A proxy in front of the upstream may have answered.
             return
-        _LOG.decision(
-            'limit named',
-            request=request.request_id,
-            upstream=upstream.entry.upstream,
-            limit=limit,
-            problem=problem,
+        self._selector.limited.shares.limits.observe(
+            upstream.entry.incarnation, limit, started
         )
 
     def _register(
@@ -176,6 +188,8 @@
         self._selector.cold_starts.record_sent(upstream)
         if plan.choice.borrowed:
             stack.callback(self._selector.brittle.borrow(upstream))
+        else:
+            self._selector.limited.take(upstream, request.content)
         if request.generation is not None:
             self._record_prefixes(request, plan, request.generation)
         stack.callback(ledger.end, name, load)
@@ -211,12 +225,7 @@
             connection = await self._acquire_connection(request, plan, stack)
         except ConnectionFailedError as problem:
             if problem.withheld:
-                return AttemptFailure(
-                    AttemptEnd.WITHHELD,
-                    Ran.NOT_RUN,
-                    str(problem),
-                    SHARE_RETRY_AFTER,
-                )
+                return self._withheld(request, plan, problem)
             if problem.refused:
                 # No process listens there; the next one to do so is cold.
                 plan.upstream.refused_at = self._clock.now()
@@ -253,6 +262,25 @@
             self._dialer.paths.record_answer(plan.upstream)
         return head_received, connection
 
+    def _withheld(
+        self,
+        request: CallerRequest,
+        plan: AttemptPlan,
+        problem: ConnectionFailedError,
+    ) -> AttemptFailure:
+        """Return the failure of an attempt for which no host has a share."""
+        limited = self._selector.limited
+        lender = limited.lender(plan.upstream, request.content)
+        if lender is not None and not problem.retry_after:
+            limited.record_no_reply(lender)
+        return AttemptFailure(
+            AttemptEnd.WITHHELD,
+            Ran.NOT_RUN,
+            str(problem),
+            problem.retry_after or SHARE_RETRY_AFTER,
+            is_reserved=bool(problem.retry_after),
+        )
+
     async def _await_answer(
         self,
         answer: asyncio.Future[ResponseHead],
@@ -300,20 +328,32 @@
             connection = await self._dialer.open(
                 plan.upstream,
                 min(CONNECT_TIMEOUT, max(0, time_left)),
-                DialPurpose(
-                    request.request_id,
-                    plan.is_last,
-                    borrowed,
-                    self._selector.brittle.lender_count(plan.upstream)
-                    if borrowed
-                    else None,
-                ),
+                self._dial_purpose(request, plan),
             )
         if request.route.repeatable:
             self._pool.register_repeatable(upstream, connection)
         stack.callback(self._pool.release, upstream, connection)
         return connection
 
+    def _dial_purpose(
+        self, request: CallerRequest, plan: AttemptPlan
+    ) -> DialPurpose:
+        """Return what the connection of an attempt is for."""
+        purpose = DialPurpose(request.request_id, plan.is_last)
+        if not plan.choice.borrowed:
+            return purpose
+        patience = request.deadline - self._clock.now()
+        return replace(
+            purpose,
+            borrowed=True,
+            lender_count=self._selector.brittle.lender_count(plan.upstream),
+            lender=self._selector.limited.lender(
+                plan.upstream, request.content
+            ),
+            content=request.content,
+            patience=patience * PATIENCE_FRACTION,
+        )
+
     def _record_failure(
         self, upstream: Upstream, failure: AttemptFailure
     ) -> None:
--- a/src/nutmegroad/relay/detours.py
+++ b/src/nutmegroad/relay/detours.py
@@ -3,13 +3,13 @@
 import random
 
 from nutmegroad.fleet.hosts import FleetHosts
-from nutmegroad.fleet.tunnel_hosts import TunnelHosts
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.relay.boundary import HostSettings
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.dialer import Dialer
 from nutmegroad.relay.direct_paths import DirectPaths
 from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.relay.tunnel_hosts import TunnelHosts
 from nutmegroad.relay.tunnel_server import TunnelServer
 from nutmegroad.upstreams.directory import Directory
 from nutmegroad.upstreams.placement import Evacuations
--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -13,7 +13,6 @@
 from typing import Final
 
 from nutmegroad.fleet.host_registration import HostRow
-from nutmegroad.fleet.tunnel_hosts import TunnelHosts
 from nutmegroad.fleet.tunnel_messages import TunnelRequest
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.races import StaggeredRace, Way
@@ -22,6 +21,7 @@
 from nutmegroad.relay.direct_paths import DirectPaths
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.sockets import ConnectionFailedError
+from nutmegroad.relay.tunnel_hosts import TunnelHosts
 from nutmegroad.relay.tunnels import open_tunnel
 from nutmegroad.upstreams.brittle_limits import brittle_duty
 from nutmegroad.upstreams.directory import Upstream
@@ -44,15 +44,22 @@
         is_last: Whether no other attempt of the request may follow if this one
             is executed.
         borrowed: Whether another host has to send the request within its share
-            of a brittle upstream.
-        lender_count: Number of hosts, by rank, that have a share; None if all
-            have.
+            of a brittle or limited upstream.
+        lender_count: Number of hosts, by rank, that have a share of a brittle
+            upstream; None if all have.
+        lender: The host to ask for a token of a limited upstream; None if none
+            is needed.
+        content: Fingerprint of the request, for a reservation of a token.
+        patience: Seconds for which its caller waits for one.
     """
 
     request: str = ''
     is_last: bool = False
     borrowed: bool = False
     lender_count: int | None = None
+    lender: HostId | None = None
+    content: int = 0
+    patience: float = 0
 
 
 class Dialer:
@@ -161,7 +168,10 @@
         """Yield the ways to connect by other hosts."""
         entry = upstream.entry
         for host, row in self._hosts.candidates(
-            entry.service, brittle_duty(upstream), purpose.lender_count
+            entry.service,
+            brittle_duty(upstream),
+            purpose.lender_count,
+            None if purpose.lender is None else (purpose.lender,),
         ):
             dial = partial(
                 self._open_by, host, row, upstream, deadline, purpose
@@ -198,6 +208,8 @@
             max(0, deadline - started),
             purpose.request,
             purpose.borrowed,
+            purpose.content,
+            purpose.patience,
         )
         address = Address(row.ip, row.port)
         try:
@@ -234,6 +246,10 @@
             '; '.join(str(each) for each in errors),
             sent=False,
             withheld=purpose.borrowed,
+            retry_after=min(
+                (each.retry_after for each in failures if each.retry_after),
+                default=0,
+            ),
             refused=refused
             and not self.paths.is_cut_off(upstream.entry.service),
         )
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -28,7 +28,11 @@
     AttemptPlan,
     UpstreamAnswer,
 )
-from nutmegroad.relay.refusals import harmful_refusal, no_upstream_refusal
+from nutmegroad.relay.refusals import (
+    harmful_refusal,
+    limited_refusal,
+    no_upstream_refusal,
+)
 from nutmegroad.relay.request_estimates import RequestEstimates
 from nutmegroad.relay.timeouts import response_timeout
 from nutmegroad.routes.requests import CallerRequest
@@ -133,15 +137,13 @@
                 return self._refuse(harmful_refusal(harmful, self.service))
             choice = choose()
             if choice is None:
-                return self._refuse(
-                    no_upstream_refusal(self.estimates.exclusions, self.service)
-                )
+                return self._refuse(_no_upstream(self))
             outcome = await self._attempt(choice, model, last_event)
             if isinstance(outcome, UpstreamAnswer):
                 return outcome
             if not self._may_follow(outcome):
-                return _final_refusal(
-                    outcome, self._attempt_count, self._executed
+                return self._refuse(
+                    _final_refusal(self, outcome, self._attempt_count)
                 )
 
     def may_repeat(self, purpose: Purpose = Purpose.FAILURE) -> bool:
@@ -301,6 +303,7 @@
             fetched_from=choice.prefill.source_id,
             running=choice.running,
             failures=round(choice.upstream.health.failure_average, 2),
+            **self.estimates.limit_fields(choice.upstream),
             waited=round(self.waited, 3),
             via=outcome.via,
             outcome=ended,
@@ -327,6 +330,8 @@
         """Return whether another attempt may follow a failed one."""
         if self._attempt_count >= MAX_ATTEMPTS or self.time_left <= 0:
             return False
+        if failure.is_reserved:
+            return False
         if failure.end in (AttemptEnd.UNREACHABLE, AttemptEnd.WITHHELD):
             return True
         if failure.end is AttemptEnd.UNRESPONSIVE:
@@ -378,11 +383,27 @@
     return not choice.upstream.restarted
 
 
-def _final_refusal(failure: AttemptFailure, attempts: int, ran: Ran) -> Refusal:
+def _no_upstream(execution: Execution) -> Refusal:
+    """Return the refusal if no upstream can be chosen."""
+    estimates = execution.estimates
+    limited = estimates.limited_refusal(execution.time_left)
+    if limited is not None:
+        return limited
+    return no_upstream_refusal(estimates.exclusions, execution.service)
+
+
+def _final_refusal(
+    execution: Execution, failure: AttemptFailure, attempts: int
+) -> Refusal:
     """Return the refusal that ends a request after its last attempt."""
+    if failure.is_reserved:
+        return limited_refusal(
+            execution.estimates.exclusions,
+            execution.service,
+            failure.retry_after,
+        )
     return Refusal(
         _RESULT_CODES.get(failure.end, ResultCode.UPSTREAM_ERROR),
         f'After {attempts} attempts: {failure.reason}.',
-        ran,
-        failure.retry_after or DEFAULT_RETRY_AFTER,
+        retry_after=failure.retry_after or DEFAULT_RETRY_AFTER,
     )
--- a/src/nutmegroad/relay/heads.py
+++ b/src/nutmegroad/relay/heads.py
@@ -130,6 +130,10 @@
         texts = head.headers.getall(self._names.request_limit, ())
         return min(map(_decimal, texts)) if texts else None
 
+    def is_signed(self, head: ResponseHead) -> bool:
+        """Return whether a response has the signature of an upstream."""
+        return self._names.signature in head.headers
+
     def validate(self, head: ResponseHead) -> AttemptFailure | None:
         """Return why a response head ends the attempt as failed, or None."""
         if head.status == MISDIRECTED:
@@ -145,7 +149,7 @@
                 f'rejected with {head.status}',
                 _retry_after_seconds(head.headers.get('Retry-After', '')),
             )
-        signed = self._names.signature in head.headers
+        signed = self.is_signed(head)
         unencoded = 'Content-Encoding' not in head.headers
         if head.status < FIRST_ERROR and not (signed and unencoded):
             return AttemptFailure(
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -105,6 +105,7 @@
             session_marks=len(self._fleet.shared_state.sessions),
             cut_off=self._detours.dialer.paths.count_cut_off(),
             tunnels=self._detours.server.open_count,
+            limited=self._fleet.shared_state.limits.count(),
         )
 
     @property
@@ -248,19 +249,16 @@
             HostComponents(
                 self._directory,
                 self._rollouts,
-                self._fleet.shared_state,
+                self._fleet,
                 self._pool,
                 self._detours.dialer,
-                self._fleet.crash_rows,
                 Placement(self.evacuations, settings.regions),
-                self._fleet.known_rank,
-                self._fleet.known_count,
             ),
             clock,
             self._randomness,
         )
         self._context.crashes.close_with(self._stack)
-        self._detours.server.brittle = self._context.selector.brittle
+        self._detours.server.selector = self._context.selector
         register_gauges(self._platform.counters, self)
         self._caller_handler = CallerHandler(
             self._context,
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -19,7 +19,8 @@
     UNREACHABLE = 'unreachable'
     #: The upstream proved that it did not execute the request.
     REJECTED = 'rejected'
-    #: The upstream is brittle, and no host has a share of it left.
+    #: The upstream is brittle or limited, and no host that was asked has a
+    #: share of it left.
     WITHHELD = 'withheld'
     #: The address belongs to another upstream, or its weights differ.
     MISDIRECTED = 'misdirected'
@@ -46,6 +47,7 @@
         retry_after: Seconds after which the upstream accepts a retry; 0 if it
             did not say.
         via: The host by way of which the request was sent; None if none.
+        is_reserved: Whether the request has a reservation at that time.
     """
 
     end: AttemptEnd
@@ -53,6 +55,7 @@
     reason: str
     retry_after: float = 0
     via: HostId | None = None
+    is_reserved: bool = False
 
     def __bool__(self) -> bool:
         """Return False, always."""
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -90,6 +90,7 @@
         evacuated: Seconds since each evacuation order was received.
         cold: Seconds for which each cold upstream may still be cold.
         withheld: Number of brittle upstreams that get no request now.
+        limited: Number of limited upstreams at which this host has no token.
     """
 
     listed: int
@@ -98,6 +99,7 @@
     evacuated: Mapping[DomainId, float] = field(default_factory=dict)
     cold: tuple[float, ...] = ()
     withheld: int = 0
+    limited: int = 0
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields of a log line; none if nothing is excluded."""
@@ -112,6 +114,8 @@
             fields['cold'] = len(self.cold)
         if self.withheld:
             fields['withheld'] = self.withheld
+        if self.limited:
+            fields['limited'] = self.limited
         return fields
 
 
@@ -147,6 +151,24 @@
     )
 
 
+def limited_refusal(
+    exclusions: Exclusions, service: ServiceName, retry_after: float
+) -> Refusal:
+    """Return the refusal if upstreams take no more requests at present.
+
+    Args:
+        exclusions: The upstreams of the service that are not used.
+        service: The service.
+        retry_after: Seconds after which the caller should retry.
+    """
+    return Refusal(
+        ResultCode.UPSTREAM_LIMITED,
+        f'{exclusions.limited} of {exclusions.permitted} upstreams of '
+        f'{service!r} take no more requests now, and the others can take none.',
+        retry_after=retry_after,
+    )
+
+
 def _unusable_refusal(exclusions: Exclusions, service: ServiceName) -> Refusal:
     """Return the refusal if upstreams are permitted, but none can be used."""
     known = exclusions.permitted
--- a/src/nutmegroad/relay/request_estimates.py
+++ b/src/nutmegroad/relay/request_estimates.py
@@ -6,6 +6,7 @@
 from nutmegroad.canary.gate import AttemptOutcome
 from nutmegroad.escalation.headroom import AnswerEstimate
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import (
     ModelName,
     ServiceName,
@@ -13,11 +14,12 @@
 )
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.outcomes import UpstreamAnswer
-from nutmegroad.relay.refusals import Exclusions
+from nutmegroad.relay.refusals import Exclusions, limited_refusal
 from nutmegroad.routes.deployment import ColdStart
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.latency_estimates import LatencyKey
+from nutmegroad.upstreams.limited_upstreams import PATIENCE_FRACTION
 from nutmegroad.upstreams.selection import Choice, SelectionQuery
 
 #: Ratio of an answer's latency to the usual one from which the answer is
@@ -58,6 +60,7 @@
             dict(context.placement.evacuations.ages()),
             tuple(seconds for seconds in cold if seconds > 0),
             context.selector.brittle.count_paused(permitted),
+            context.selector.limited.count_exhausted(permitted),
         )
 
     @property
@@ -75,6 +78,26 @@
         self._request = request
         self._service = service
 
+    def limit_fields(self, upstream: Upstream) -> dict[str, object]:
+        """Return the fields of a log line; none without a limit."""
+        return self._context.selector.limited.log_fields(upstream)
+
+    def limited_refusal(self, seconds_left: float) -> Refusal | None:
+        """Return the refusal if limited upstreams are the only ones of use.
+
+        Args:
+            seconds_left: Seconds that the caller has left.
+        """
+        exclusions = self.exclusions
+        if not exclusions.limited:
+            return None
+        retry_after = self._context.selector.limited.reserve_own(
+            self._context.version_gate.permitted(self._request, self._service),
+            self._request.content,
+            seconds_left * PATIENCE_FRACTION,
+        )
+        return limited_refusal(exclusions, self._service, retry_after)
+
     def is_cut_off(self, upstream: Upstream) -> bool:
         """Return whether an upstream's failure domain is likely cut off."""
         return self._context.selector.is_cut_off(upstream)
@@ -87,18 +110,26 @@
         self,
         model: ModelName | None,
         attempted: Collection[UpstreamIncarnation],
+        *,
+        unlimited_only: bool = False,
     ) -> Choice | None:
         """Return the upstream for an attempt, or None if there is none.
 
         Args:
             model: The model to request; None to keep the caller's.
             attempted: Incarnations that were attempted before.
+            unlimited_only: Whether upstreams that name a limit are left out.
         """
         table = self._request.table
         engine = table.service_of(self._service).engine
         return self._context.selector.choose(
             SelectionQuery(
-                self._request, self._service, model, engine, self._cold_start
+                self._request,
+                self._service,
+                model,
+                engine,
+                self._cold_start,
+                unlimited_only,
             ),
             self._context.version_gate.permitted(self._request, self._service),
             attempted,
@@ -111,12 +142,14 @@
     ) -> AnswerEstimate | None:
         """Return an estimate of a model's answer; None if there is none.
 
+        Limited upstreams are left to requests that have no answer yet.
+
         Args:
             model: The model.
             attempted: Incarnations that were attempted before.
         """
         generation = self._request.generation
-        choice = self.choose(model, attempted)
+        choice = self.choose(model, attempted, unlimited_only=True)
         if choice is None or generation is None:
             return None
         generating = self._context.selector.latencies.generation_seconds(
@@ -167,15 +200,27 @@
             return
         now = self._context.clock.now()
         if observed is AttemptOutcome.ACCEPTABLE:
-            latency_ratio = self._context.selector.latencies.observe(
-                LatencyKey(self._service, answering.model),
-                answering.choice.prefill.tokens,
-                answering.waited,
-                answering.choice.expected_seconds,
-            )
+            latency_ratio = self._learn(answering)
             upstream.health.record_answer(now, latency_ratio)
             if latency_ratio >= SLOW_ANSWER_RATIO:
                 observed = AttemptOutcome.POOR
         else:
             upstream.health.record_failure(now)
         self._context.version_gate.observe(self._request, upstream, observed)
+
+    def _learn(self, answering: UpstreamAnswer) -> float:
+        """Update the estimates from an answer.
+
+        Returns:
+            The ratio of its latency to the usual one. It is 1 for an upstream
+            that names a limit: it is slow because it is in need, whatever its
+            version.
+        """
+        if self._context.selector.limited.is_limited(answering.upstream):
+            return 1
+        return self._context.selector.latencies.observe(
+            LatencyKey(self._service, answering.model),
+            answering.choice.prefill.tokens,
+            answering.waited,
+            answering.choice.expected_seconds,
+        )
--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -31,7 +31,9 @@
         refused: Whether the connection was refused because no process listens
             at the address.
         withheld: Whether it was not attempted, because no host has a share of a
-            brittle upstream left.
+            brittle or limited upstream left.
+        retry_after: Seconds until one of the hosts that were asked has a share;
+            0 if that is not known.
     """
 
     def __init__(
@@ -41,11 +43,13 @@
         sent: bool,
         refused: bool = False,
         withheld: bool = False,
+        retry_after: float = 0,
     ) -> None:
         super().__init__(reason)
         self.sent = sent
         self.refused = refused
         self.withheld = withheld
+        self.retry_after = retry_after
 
 
 def prepare_socket(
--- a/src/nutmegroad/relay/status_pages.py
+++ b/src/nutmegroad/relay/status_pages.py
@@ -33,6 +33,7 @@
         session_marks: Number of sessions known to have run on an old version.
         cut_off: Number of services that it reaches by other hosts only.
         tunnels: Number of connections that are open for other hosts.
+        limited: Number of upstreams that name a limit.
     """
 
     configuration: int
@@ -48,6 +49,7 @@
     session_marks: int
     cut_off: int
     tunnels: int
+    limited: int
 
 
 class StatusSource(Protocol):
@@ -110,6 +112,11 @@
         'Connections to upstreams that are open for other hosts',
         attrgetter('tunnels'),
     ),
+    (
+        'limited_upstreams',
+        'Upstreams that name how many requests a second they take',
+        attrgetter('limited'),
+    ),
 )
 
 
--- a/src/nutmegroad/fleet/tunnel_hosts.py
+++ b/src/nutmegroad/relay/tunnel_hosts.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
 from nutmegroad.fleet.host_registration import HostRow
@@ -65,7 +65,11 @@
         self._failed_at: dict[tuple[HostId, ServiceName], float] = {}
 
     def candidates(
-        self, service: ServiceName, duty: str = '', count: int | None = None
+        self,
+        service: ServiceName,
+        duty: str = '',
+        count: int | None = None,
+        allowed: Collection[HostId] | None = None,
     ) -> tuple[tuple[HostId, HostRow], ...]:
         """Return the hosts to ask for a connection, in order.
 
@@ -73,8 +77,11 @@
             service: The service of the upstream.
             duty: A duty that the hosts must have.
             count: Number of hosts that have it, by rank; None if all have.
+            allowed: Hosts that may be asked; None if all may.
         """
         hosts = {**self._peers.local_hosts, **self._peers.remote_hosts}
+        if allowed is not None:
+            hosts = {host: hosts[host] for host in allowed if host in hosts}
         if count is not None:
             first = self._peers.ring.first(duty, count)
             hosts = {host: hosts[host] for host in first if host in hosts}
--- a/src/nutmegroad/relay/tunnel_server.py
+++ b/src/nutmegroad/relay/tunnel_server.py
@@ -27,9 +27,9 @@
     connect_protocol,
     prepare_socket,
 )
-from nutmegroad.upstreams.brittle_limits import BrittleLimits
 from nutmegroad.upstreams.directory import Directory, Upstream
 from nutmegroad.upstreams.placement import Evacuations
+from nutmegroad.upstreams.selection import Selector
 
 _LOG: Final = part_logger('tunnels')
 
@@ -80,8 +80,9 @@
     ) -> None:
         self._directory = directory
         self._evacuations = evacuations
-        #: Lends this host's share of brittle upstreams; None to lend nothing.
-        self.brittle: BrittleLimits | None = None
+        #: Has this host's shares of brittle and limited upstreams; None to lend
+        #: nothing.
+        self.selector: Selector | None = None
         self._paths = paths
         self._counters = counters
         self._source_ip = source_ip
@@ -103,10 +104,11 @@
             await self._refuse(request, writer, upstream)
             return
         with ExitStack() as stack:
-            if request.borrows and not self._lend(upstream, stack):
-                refusal = TunnelRefused('no share left', withheld=True)
-                await self._refuse(request, writer, refusal)
-                return
+            if request.borrows:
+                refusal = self._lend(request, upstream, stack)
+                if refusal is not None:
+                    await self._refuse(request, writer, refusal)
+                    return
             connected = await self._connect(upstream, request.timeout)
             if isinstance(connected, TunnelRefused):
                 await self._refuse(request, writer, connected)
@@ -117,12 +119,29 @@
             _reply(writer, TunnelOpened())
             await self._carry(Link(reader, writer), upstream, connected)
 
-    def _lend(self, upstream: Upstream, stack: ExitStack) -> bool:
-        """Use this host's share of a brittle upstream until a stack closes."""
-        loan = None if self.brittle is None else self.brittle.lend(upstream)
-        if loan is not None:
-            stack.callback(loan)
-        return loan is not None
+    def _lend(
+        self, request: TunnelRequest, upstream: Upstream, stack: ExitStack
+    ) -> TunnelRefused | None:
+        """Use this host's share of an upstream until a stack closes.
+
+        Returns:
+            Why it has none left; None if it has.
+        """
+        selector = self.selector
+        if selector is None:
+            return TunnelRefused('host lends nothing', withheld=True)
+        key = request.content or None
+        if not selector.limited.may_send(upstream, key):
+            wait = selector.limited.reserve(upstream, key, request.patience)
+            return TunnelRefused(
+                'no token left', withheld=True, retry_after=wait
+            )
+        loan = selector.brittle.lend(upstream)
+        if loan is None:
+            return TunnelRefused('no share left', withheld=True)
+        selector.limited.take(upstream, key)
+        stack.callback(loan)
+        return None
 
     def _end_tunnel(self, connected: Link) -> None:
         """End a tunnel; the upstream sees an open request cancelled."""
--- a/src/nutmegroad/relay/tunnels.py
+++ b/src/nutmegroad/relay/tunnels.py
@@ -145,4 +145,5 @@
         sent=False,
         refused=reply.refused,
         withheld=reply.withheld,
+        retry_after=reply.retry_after,
     )
--- a/src/nutmegroad/upstreams/selection.py
+++ b/src/nutmegroad/upstreams/selection.py
@@ -29,6 +29,7 @@
 from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.latency_estimates import LatencyEstimates, LatencyKey
+from nutmegroad.upstreams.limited_upstreams import LimitedUpstreams
 from nutmegroad.upstreams.prefixes import (
     NO_PREFILL,
     PrefillEstimate,
@@ -88,7 +89,7 @@
         queued_seconds: Seconds of prompt processing queued there.
         candidates: Number of candidates.
         borrowed: Whether another host has to send the request within its share
-            of a brittle upstream.
+            of a brittle or limited upstream.
     """
 
     upstream: Upstream
@@ -119,6 +120,7 @@
         facts: Properties of the service's engines; None for a plain service.
         cold_start: Behaviour of its upstreams after they start; None if they
             need no protection.
+        unlimited_only: Whether upstreams that name a limit are left out.
     """
 
     request: CallerRequest
@@ -126,6 +128,7 @@
     model: ModelName | None
     facts: EngineFacts | None
     cold_start: ColdStart | None = None
+    unlimited_only: bool = False
 
     @property
     def key(self) -> LatencyKey:
@@ -147,6 +150,11 @@
         cold_starts: Limits the requests to cold upstreams.
     """
 
+    @property
+    def limited(self) -> LimitedUpstreams:
+        """Limits the requests to upstreams that say how many they take."""
+        return self._limited
+
     def __init__(
         self,
         clock: Clock,
@@ -160,6 +168,7 @@
         self.silence = silence
         self.cold_starts = cold_starts
         self.brittle = BrittleLimits(clock, ledger)
+        self._limited = LimitedUpstreams(clock)
         self.latencies = LatencyEstimates()
         self.prefixes = prefixes
         self.ledger = ledger
@@ -185,10 +194,7 @@
                 selected again only if there are no others.
         """
         now = self._clock.now()
-        usable = self.brittle.usable(
-            self.cold_starts.usable(upstreams, query.cold_start)
-        )
-        candidates = _candidates(usable, tried, now)
+        candidates = self._candidates(query, upstreams, tried)
         if not candidates:
             return None
         estimator = self._prefill_estimator(query, candidates)
@@ -211,6 +217,24 @@
         domain = upstream.entry.domain
         return domain != self._domain and self.silence.is_suspected(domain)
 
+    def _candidates(
+        self,
+        query: SelectionQuery,
+        upstreams: Collection[Upstream],
+        tried: Collection[UpstreamIncarnation],
+    ) -> list[Upstream]:
+        """Return the candidates of the first group that has any."""
+        now = self._clock.now()
+        usable = self.cold_starts.usable(upstreams, query.cold_start)
+        if query.unlimited_only:
+            usable = self.limited.without_limit(usable)
+        key = query.request.content
+        for group in self.limited.by_preference(usable, key):
+            candidates = _candidates(self.brittle.usable(group), tried, now)
+            if candidates:
+                return candidates
+        return []
+
     def _estimate(
         self,
         query: SelectionQuery,
@@ -236,9 +260,14 @@
             load.running,
             load.prefill_seconds,
             candidates,
-            not self.brittle.has_share(upstream),
+            self._is_borrowed(query.request, upstream),
         )
 
+    def _is_borrowed(self, request: CallerRequest, upstream: Upstream) -> bool:
+        """Return whether another host has to send a request."""
+        may_send = self.limited.may_send(upstream, request.content)
+        return not (may_send and self.brittle.has_share(upstream))
+
     def _cost(
         self, query: SelectionQuery, choice: Choice, best_rate: float
     ) -> float:
--- a/tests/brittle_fleet.py
+++ b/tests/brittle_fleet.py
@@ -9,8 +9,8 @@
 
 from nutmegroad.fleet.duties import HostRing
 from nutmegroad.fleet.loads import Load, LoadLedger
-from nutmegroad.fleet.tunnel_hosts import FAR_HOSTS_ASKED, NEAR_HOSTS_ASKED
 from nutmegroad.foundations.types import HostId
+from nutmegroad.relay.tunnel_hosts import FAR_HOSTS_ASKED, NEAR_HOSTS_ASKED
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.brittle_limits import BrittleLimits, brittle_duty
 from nutmegroad.upstreams.directory import Upstream
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -257,6 +257,14 @@
         while not condition():
             await BootClock().sleep(0.01)
 
+    async def until_all_limited(self, host: int, count: int) -> None:
+        """Ask a host until it knows of the limits of some workers."""
+        number = 0
+        while self.hosts[host].status.limited < count:
+            number += 1
+            request = f'learn-{host}-{number}'
+            await self.ask('/look/1', request, host=host)
+
     async def ask(
         self,
         path: str,
--- a/tests/test_evidence_tracker.py
+++ b/tests/test_evidence_tracker.py
@@ -18,6 +18,7 @@
 from nutmegroad.fleet.old_version_sessions import OldVersionSessions
 from nutmegroad.fleet.peer_gossip import ROUND_INTERVAL, PeerGossip, SharedState
 from nutmegroad.fleet.received_versions import ReceivedVersions
+from nutmegroad.fleet.request_limits import RequestLimits
 from nutmegroad.foundations.types import HostId
 from nutmegroad.testing.virtual import ManualClock
 from tests.relay_samples import ENGINES, KIND, a_book, counts
@@ -255,6 +256,7 @@
         DomainMonitor(clock),
         CrashTracker(clock),
         ReceivedVersions(clock),
+        RequestLimits(clock),
     )
     return PeerGossip(HostId(name), own, told, clock)
 
--- a/tests/test_fleet_soak_paths.py
+++ b/tests/test_fleet_soak_paths.py
@@ -27,7 +27,7 @@
     def test_hosts_that_ask_no_other_host_are_found(self) -> None:
         """Hosts that are cut off refuse their callers."""
         status, text = self.run_patched(
-            'src/nutmegroad/fleet/tunnel_hosts.py',
+            'src/nutmegroad/relay/tunnel_hosts.py',
             {
                 'NEAR_HOSTS_ASKED: Final = 2': 'NEAR_HOSTS_ASKED: Final = 0',
                 'FAR_HOSTS_ASKED: Final = 3': 'FAR_HOSTS_ASKED: Final = 0',
--- a/tests/test_tunnel_hosts.py
+++ b/tests/test_tunnel_hosts.py
@@ -7,13 +7,13 @@
 from nutmegroad.fleet.evidence import HostIncarnation
 from nutmegroad.fleet.host_registration import HostRow
 from nutmegroad.fleet.peer_gossip import PeerGossip, new_shared_state
-from nutmegroad.fleet.tunnel_hosts import (
+from nutmegroad.foundations.types import DomainId, HostId, RegionId
+from nutmegroad.relay.tunnel_hosts import (
     FAILURE_MEMORY,
     FAR_HOSTS_ASKED,
     NEAR_HOSTS_ASKED,
     TunnelHosts,
 )
-from nutmegroad.foundations.types import DomainId, HostId, RegionId
 from nutmegroad.testing.virtual import ManualClock
 from tests.relay_samples import ENGINES
 
