Count a roll-out's requests when they are sent

Cause: a service with few requests gets a larger share in the trial, so that the operator's allowance is used up by half. Its rate was taken from the answers of three seconds: 12.3 a second where hosts sent 30, as streams are answered seconds later, and answers that are discarded for a larger model are not counted. So the share was twice what the allowance pays for.

Fix: hosts count requests beside the answers when they send them, and exchange both.

--- a/src/nutmegroad/canary/gate.py
+++ b/src/nutmegroad/canary/gate.py
@@ -131,6 +131,7 @@
         It is recorded before the answer, because the next request of the
         session may arrive first.
         """
+        self._state.record_sent(service, kind_number(request.route.name))
         session = request.session
         if session is None:
             return
--- a/src/nutmegroad/canary/state.py
+++ b/src/nutmegroad/canary/state.py
@@ -98,6 +98,13 @@
         number = rollout.order.number
         self._evidence.count(service, number, kind, of_new=of_new, poor=poor)
 
+    def record_sent(self, service: ServiceName, kind: KindNumber) -> None:
+        """Count a request if a rollout of its service is in progress."""
+        rollout = self.registry.rollout(service)
+        if rollout is None or rollout.stage is None or rollout.stage.ended:
+            return
+        self._evidence.count_sent(service, rollout.order.number, kind)
+
     def own_evidence(self, rollout: Rollout) -> Evidence:
         """Return what this host has counted of a rollout."""
         return self._evidence.own(rollout.order.service, rollout.order.number)
@@ -120,10 +127,15 @@
             return True
         return self._halt_if_bad(rollout)
 
-    def answer_count(self, rollout: Rollout) -> int:
-        """Return the approximate number of answers at all hosts."""
-        totals = self._assess(rollout).judgement.totals
-        return totals.count * self._group_count(rollout)
+    def request_count(self, rollout: Rollout) -> int:
+        """Return the approximate number of requests that all hosts have sent.
+
+        Answers would be too few: those of streams come seconds later.
+        """
+        order = rollout.order
+        sums = self._evidence.sums(order.service, order.number)
+        sent = sum(answers.sent for answers in sums.values())
+        return sent * self._group_count(rollout)
 
     def _halt_if_bad(self, rollout: Rollout) -> bool:
         """Halt a rollout if its answers show that the version is bad."""
--- a/src/nutmegroad/canary/steps.py
+++ b/src/nutmegroad/canary/steps.py
@@ -163,7 +163,7 @@
         ):
             return None
         left = rollout.order.duration * FULL_UNTIL - passed
-        rate = self._state.answer_count(rollout) / passed
+        rate = self._state.request_count(rollout) / passed
         beyond = extra_share(self._state.exposure_slack, rate, left)
         if not beyond or left <= 0:
             return None
--- a/src/nutmegroad/canary/verdicts.py
+++ b/src/nutmegroad/canary/verdicts.py
@@ -165,8 +165,9 @@
         """Update the tests with the present sums of all hosts."""
         for number, seen in sums.items():
             kind = self._kinds.setdefault(number, _KindTests())
-            if kind.seen != seen:
-                self._update_kind(kind, kind.replace_sums(seen))
+            answers = seen.only_answers()
+            if kind.seen != answers:
+                self._update_kind(kind, kind.replace_sums(answers))
 
     def verdict(self, groups: int = 1) -> Verdict:
         """Return what the answers show.
--- a/src/nutmegroad/fleet/evidence.py
+++ b/src/nutmegroad/fleet/evidence.py
@@ -1,4 +1,4 @@
-"""Counts of a rollout's answers: how many there were and how many were poor.
+"""Counts of a rollout's requests and answers, and how many of them were poor.
 
 A poor answer is one that failed, was cut off or was far too slow. Each
 incarnation of a host counts separately, by kind of request, and its counts only
@@ -29,12 +29,14 @@
         old: Answers of other versions.
         old_poor: Answers of other versions that failed, were cut off or were
             far too slow.
+        sent: Requests that were sent, to any version.
     """
 
     new: int = 0
     new_poor: int = 0
     old: int = 0
     old_poor: int = 0
+    sent: int = 0
 
     @property
     def count(self) -> int:
@@ -53,8 +55,13 @@
             self.new_poor + times * other.new_poor,
             self.old + times * other.old,
             self.old_poor + times * other.old_poor,
+            self.sent + times * other.sent,
         )
 
+    def only_answers(self) -> 'Answers':
+        """Return the counts without the requests that were sent."""
+        return Answers(self.new, self.new_poor, self.old, self.old_poor)
+
 
 NO_ANSWERS = Answers()
 
@@ -78,9 +85,9 @@
         return sum_answers(self.kinds.values())
 
     @property
-    def count(self) -> int:
-        """Return the number of answers of all kinds."""
-        return sum(answers.count for answers in self.kinds.values())
+    def size(self) -> int:
+        """Return a number that grows with each change."""
+        return sum(each.count + each.sent for each in self.kinds.values())
 
     def with_answer(
         self,
@@ -96,11 +103,17 @@
             of_new: Whether the new version answered.
             poor: Whether the answer was poor.
         """
-        known = self.kinds.get(kind, NO_ANSWERS)
         if of_new:
-            grown = known.plus(Answers(new=1, new_poor=int(poor)))
-        else:
-            grown = known.plus(Answers(old=1, old_poor=int(poor)))
+            return self._plus(kind, Answers(new=1, new_poor=int(poor)))
+        return self._plus(kind, Answers(old=1, old_poor=int(poor)))
+
+    def with_request(self, kind: KindNumber) -> 'Evidence':
+        """Return the counts with one more request that was sent."""
+        return self._plus(kind, Answers(sent=1))
+
+    def _plus(self, kind: KindNumber, added: Answers) -> 'Evidence':
+        """Return the counts with more of one kind of request."""
+        grown = self.kinds.get(kind, NO_ANSWERS).plus(added)
         return Evidence(self.order, self.run, {**self.kinds, kind: grown})
 
 
--- a/src/nutmegroad/fleet/evidence_tracker.py
+++ b/src/nutmegroad/fleet/evidence_tracker.py
@@ -68,7 +68,7 @@
         if known is None and len(self.by_incarnation) >= MAX_INCARNATIONS:
             return None
         before = known or Evidence(self.order, evidence.run)
-        if before.count >= evidence.count:
+        if before.size >= evidence.size:
             return None
         add_kinds(self.sums, before.kinds, -1)
         self.by_incarnation[key] = evidence
@@ -76,6 +76,39 @@
         return before
 
 
+class _RecentOrders:
+    """Counts of the last orders of each service."""
+
+    def __init__(self) -> None:
+        # In ascending order of the orders' numbers.
+        self._by_service: dict[ServiceName, list[_Counts]] = {}
+
+    def of_service(self, service: ServiceName) -> list[_Counts]:
+        """Return the counts of a service."""
+        return self._by_service.get(service, [])
+
+    def find(self, service: ServiceName, order: int) -> _Counts | None:
+        """Return the counts of an order, or None if it is not a recent one."""
+        for known in self.of_service(service):
+            if known.order == order:
+                return known
+        return None
+
+    def add(self, service: ServiceName, order: int) -> list[_Counts]:
+        """Start counting for an order, if it is one of the last.
+
+        Returns:
+            The counts that are not kept, perhaps the new ones.
+        """
+        orders = self.of_service(service)
+        added = _Counts(order)
+        if not orders and len(self._by_service) >= MAX_SERVICES:
+            return [added]
+        kept = sorted((*orders, added), key=_order_number)[-MAX_ORDERS:]
+        self._by_service[service] = kept
+        return [each for each in (*orders, added) if each not in kept]
+
+
 class EvidenceTracker:
     """Rollout counts of this host and of all others, by service.
 
@@ -98,8 +131,7 @@
         self._host = host
         self._incarnation = incarnation
         self._own: dict[ServiceName, Evidence] = {}
-        # Only of the last orders, in ascending order of their numbers.
-        self._counts: dict[ServiceName, list[_Counts]] = {}
+        self._orders = _RecentOrders()
         #: Incremented whenever counts were merged.
         self.changes = 0
         self._gossip = CountsGossip(self._look_up, incarnation)
@@ -132,9 +164,19 @@
             poor: Whether the answer was poor.
         """
         known = self.own(service, order)
-        grown = known.with_answer(kind, of_new=of_new, poor=poor)
-        self._own[service] = grown
-        self._merge(service, self._host, grown, Source.OWN)
+        self._grow(service, known.with_answer(kind, of_new=of_new, poor=poor))
+
+    def count_sent(
+        self, service: ServiceName, order: int, kind: KindNumber
+    ) -> None:
+        """Count a request that this host has sent.
+
+        Args:
+            service: The service that is rolled out.
+            order: Number of the order.
+            kind: Kind of the request.
+        """
+        self._grow(service, self.own(service, order).with_request(kind))
 
     def merge(
         self,
@@ -170,12 +212,12 @@
         order: int,
     ) -> Mapping[KindNumber, Answers]:
         """Return the counts of all hosts for an order, by kind of request."""
-        known = self._counts_of(service, order)
+        known = self._orders.find(service, order)
         return {} if known is None else known.sums
 
     def count_hosts(self, service: ServiceName, order: int) -> int:
         """Return how many hosts have contributed counts for an order."""
-        known = self._counts_of(service, order)
+        known = self._orders.find(service, order)
         if known is None:
             return 0
         return len({host for host, _ in known.by_incarnation})
@@ -183,10 +225,15 @@
     def stop(self, service: ServiceName) -> None:
         """Stop sending the counts of a rollout that has ended."""
         self._own.pop(service, None)
-        for counts in self._counts.get(service, ()):
+        for counts in self._orders.of_service(service):
             self._ended_orders[service] = counts.order
             self._gossip.drop(service, counts.order)
 
+    def _grow(self, service: ServiceName, grown: Evidence) -> None:
+        """Replace the counts of this incarnation of the host."""
+        self._own[service] = grown
+        self._merge(service, self._host, grown, Source.OWN)
+
     def _own_keys(self) -> list[CountsKey]:
         """Return the keys of the counts of this incarnation of the host."""
         return [
@@ -196,19 +243,12 @@
 
     def _look_up(self, key: CountsKey) -> Evidence:
         """Return the counts with a key."""
-        known = self._counts_of(key.service, key.order)
+        known = self._orders.find(key.service, key.order)
         is_own = (key.host, key.incarnation) == (self._host, self._incarnation)
         if known is None or is_own:
             return self.own(key.service, key.order)
         return known.by_incarnation[key.host, key.incarnation]
 
-    def _counts_of(self, service: ServiceName, order: int) -> _Counts | None:
-        """Return the counts of an order, or None if it is not a recent one."""
-        for known in self._counts.get(service, ()):
-            if known.order == order:
-                return known
-        return None
-
     def _merge(
         self,
         service: ServiceName,
@@ -217,9 +257,11 @@
         source: Source,
     ) -> None:
         """Merge counts if their order is one of the last ones."""
-        known = self._counts_of(service, evidence.order)
+        known = self._orders.find(service, evidence.order)
         if known is None:
-            known = self._add_order(service, evidence.order)
+            for dropped in self._orders.add(service, evidence.order):
+                self._gossip.drop(service, dropped.order)
+            known = self._orders.find(service, evidence.order)
         before = None if known is None else known.merge(host, evidence)
         if before is None:
             return
@@ -234,20 +276,6 @@
             urgent=evidence.total.new_poor > before.total.new_poor,
         )
 
-    def _add_order(self, service: ServiceName, order: int) -> _Counts | None:
-        """Start counting for an order, if it is one of the last."""
-        orders = self._counts.get(service, [])
-        if not orders and len(self._counts) >= MAX_SERVICES:
-            return None
-        added = _Counts(order)
-        self._counts[service] = sorted((*orders, added), key=_order_number)[
-            -MAX_ORDERS:
-        ]
-        for dropped in (*orders, added):
-            if dropped not in self._counts[service]:
-                self._gossip.drop(service, dropped.order)
-        return self._counts_of(service, order)
-
 
 def _order_number(counts: _Counts) -> int:
     """Return the order number of counts; a sort key."""
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -2,13 +2,21 @@
 
 import itertools
 import unittest
+from unittest.mock import Mock
 
 from nutmegroad.canary.gate import AttemptOutcome, RolloutGate, kind_number
 from nutmegroad.canary.interrupted_attempts import InterruptedAttempts
 from nutmegroad.canary.rollout_registry import RolloutRegistry
-from nutmegroad.canary.rollouts import Rollout, RolloutOrder, RolloutRow, Stage
+from nutmegroad.canary.rollouts import (
+    FULL_UNTIL,
+    Rollout,
+    RolloutOrder,
+    RolloutRow,
+    Stage,
+)
 from nutmegroad.canary.sessions import SessionVersions
 from nutmegroad.canary.state import RolloutState
+from nutmegroad.canary.steps import RolloutSteps
 from nutmegroad.fleet.old_version_sessions import OldVersionSessions
 from nutmegroad.foundations.types import (
     HostId,
@@ -245,6 +253,31 @@
             self.state.merge_evidence(ENGINES, HostId(host), seen)
         self.assertEqual(self.share(), 0)
 
+    # A slow version got 103 and 119 of 475 and 493 requests, where 101 and 104
+    # were allowed: the share for services with few requests was computed from
+    # answers, and most requests had not been answered yet.
+    def test_requests_without_an_answer_count_in_the_rate(self) -> None:
+        """Pattern: thirty requests a second, answered seconds later."""
+        self.state.exposure_slack = 30
+        self.order()
+        self.enter(Stage.CANARY)
+        self.clock._now = 101
+        for number in range(90):
+            self.gate.sent(
+                a_request(f'r{number}'), ENGINES, SoftwareVersion('v1')
+            )
+        for _ in range(9):
+            self.state.observe(ENGINES, SoftwareVersion('v1'), KIND, poor=False)
+        rollout = self.state.registry.rollout(ENGINES)
+        assert rollout is not None
+        steps = RolloutSteps(
+            self.state, Mock(), Mock(), self.clock, lambda _: 0
+        )
+        step = steps._due_step(rollout)
+        assert step is not None
+        left = 20 * FULL_UNTIL - 3
+        self.assertLessEqual(step.beyond * 30 * left, 30 / 2)
+
     def test_progress_never_goes_back(self) -> None:
         """An older row that is read late changes nothing."""
         self.order()
