Give answers without end up, in each place of an answer

Cause: a plain answer was read completely whatever its length; each piece of a stream was joined to all before it and searched from its start; the HTTP parser reads any number of bytes of a chunk's size and extension and of trailers.

Fix: a host keeps 4 MiB of one answer and 32 MiB of all. A longer one is sent on as it arrives if its framing marks its end, or given up. An event may have 1 MiB. A connection that receives 256 KiB without any content is closed, in the relay and in the daemon, whose clients bound reports and replies as well. Heads were bounded before: their tests passed without the change.

A test for each place, in both programs: status line, one header, many headers, no HTTP, chunk size and extension, trailers, body without a length, sound chunks, an event, after a whole answer; a long answer with a length arrives whole.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -65,6 +65,8 @@
         crash: Whether the worker crashes afterwards, with all its requests.
         restart: Restarts the worker immediately after the crash; None for no
             restart.
+        endless: Bytes that it writes again and again afterwards, until the
+            connection is closed.
     """
 
     pieces: tuple[bytes, ...]
@@ -74,6 +76,7 @@
     reset: bool = False
     crash: bool = False
     restart: Callable[[], Awaitable[None]] | None = None
+    endless: bytes = b''
 
 
 #: Returns the script for a request.
@@ -220,6 +223,7 @@
         requests: Requests that were received completely.
         port: TCP port; 0 until the first start.
         aborted: Requests whose connection ended before their script did.
+        endless_bytes: Bytes that were written to answers without an end.
         crashes: Number of crashes, each caused by a request.
     """
 
@@ -228,6 +232,7 @@
     requests: list[ReceivedRequest] = field(default_factory=list)
     port: int = 0
     aborted: int = 0
+    endless_bytes: int = 0
     crashes: int = 0
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -287,6 +292,15 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _write_endlessly(
+        self, text: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Write a text again and again until the connection is closed."""
+        while text:
+            writer.write(text)
+            await writer.drain()
+            self.endless_bytes += len(text)
+
     async def _serve_requests(
         self,
         reader: asyncio.StreamReader,
@@ -307,6 +321,7 @@
             if not await _write_script(script, writer):
                 self.aborted += 1
                 return
+            await self._write_endlessly(script.endless, writer)
             if script.crash:
                 await self._crash_and_restart(script)
             if script.reset:
--- a/src/nutmegroad/adapters/_complete_responses.py
+++ b/src/nutmegroad/adapters/_complete_responses.py
@@ -34,6 +34,11 @@
         await super().start(connection)
         return self
 
+    async def __aenter__(self) -> Self:
+        """Return the response, which is released at the end."""
+        await super().__aenter__()
+        return self
+
     async def read(self) -> bytes:
         """Read the body.
 
@@ -50,6 +55,28 @@
             raise ClientPayloadError(message) from problem
         return body
 
+    async def read_at_most(self, size: int) -> bytes:
+        """Read the body if it is no longer than some bytes.
+
+        Args:
+            size: Maximum number of bytes.
+
+        Raises:
+            ClientPayloadError: If the body is longer, or ended because its
+                connection failed.
+        """
+        chunks = []
+        left = size
+        async for chunk in self.content.iter_any():
+            chunks.append(chunk)
+            left -= len(chunk)
+            if left < 0:
+                self.close()
+                message = f'The body is longer than {size} bytes.'
+                raise ClientPayloadError(message)
+        self._body = b''.join(chunks)
+        return await self.read()
+
     def _ends_with_connection(self) -> bool:
         """Return whether the end of the connection ends the body."""
         if self.status in _WITHOUT_BODY:
--- a/src/nutmegroad/adapters/_event_streams.py
+++ b/src/nutmegroad/adapters/_event_streams.py
@@ -10,7 +10,8 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import AttemptId, Ran
 
-#: Maximum size of one event in bytes; a longer one is not an engine's answer.
+#: Maximum size of one event in bytes, and of what may stand between two; more
+#: is not an engine's answer.
 MAX_EVENT_BYTES: Final = 1_048_576
 
 _FIELD: Final = b'data:'
@@ -73,23 +74,29 @@
     def __init__(self) -> None:
         # The received part of a line that is not complete yet.
         self._incomplete = b''
+        # Bytes received since the last data field.
+        self._without_field = 0
 
     def feed(self, received: bytes) -> list[bytes]:
         """Return the data fields of the lines that are now complete.
 
         Raises:
-            ValueError: If an incomplete line exceeds ``MAX_EVENT_BYTES``.
+            ValueError: If ``MAX_EVENT_BYTES`` contain no data field.
         """
         lines = (self._incomplete + received).split(b'\n')
         self._incomplete = lines.pop()
-        if len(self._incomplete) > MAX_EVENT_BYTES:
-            message = f'The event exceeds {MAX_EVENT_BYTES} bytes.'
-            raise ValueError(message)
-        return [
+        fields = [
             line[len(_FIELD) :].strip()
             for line in lines
             if line.startswith(_FIELD)
         ]
+        self._without_field += len(received)
+        if fields:
+            self._without_field = len(self._incomplete)
+        if self._without_field > MAX_EVENT_BYTES:
+            message = f'{MAX_EVENT_BYTES} bytes contain no event.'
+            raise ValueError(message)
+        return fields
 
 
 @dataclass(slots=True)
--- a/src/nutmegroad/adapters/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -2,16 +2,14 @@
 
 from contextlib import AsyncExitStack
 from types import MappingProxyType
-from typing import Any, Final, Self
+from typing import Any, Final, Self, cast
 
 import msgspec
 from aiohttp import (
     ClientError,
-    ClientResponse,
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
 )
 from yarl import URL
 
@@ -21,6 +19,7 @@
     SendState,
     current_sending,
 )
+from nutmegroad.adapters._guarded_connector import GuardedConnector
 from nutmegroad.foundations.exceptions import GateClosed
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran, UpstreamInfo
@@ -81,7 +80,7 @@
                 response_class=CompleteResponse,
                 # The router limits the requests in flight; a second limit
                 # here would be a queue that nothing reports.
-                connector=TCPConnector(limit=0),
+                connector=GuardedConnector(limit=0),
                 cookie_jar=DummyCookieJar(),
                 auto_decompress=False,
             ),
@@ -99,10 +98,10 @@
         url: URL,
         timeout: float,
         **options: Any,
-    ) -> ClientResponse:
+    ) -> CompleteResponse:
         """Send a request once; return the response, whose body is unread."""
         current_sending.set(send_state)
-        return await self._session.request(
+        response = await self._session.request(
             method,
             url,
             timeout=ClientTimeout(
@@ -112,3 +111,5 @@
             allow_redirects=False,
             **options,
         )
+        # The session creates no other class of responses.
+        return cast(CompleteResponse, response)
--- a/src/nutmegroad/adapters/_http_upstreams.py
+++ b/src/nutmegroad/adapters/_http_upstreams.py
@@ -45,6 +45,11 @@
 #: Timeout of a report, an order or a cancellation in seconds.
 CONTROL_TIMEOUT: Final = 2.0
 
+#: Maximum bytes of a load report, and of the reply of a plain service. An
+#: upstream with a fault may send without end.
+MAX_REPORT_BYTES: Final = 1_048_576
+MAX_REPLY_BYTES: Final = 4_194_304
+
 _LOG: Final = part_logger('upstreams')
 
 
@@ -114,7 +119,7 @@
                 CONTROL_TIMEOUT,
             ) as response:
                 response.raise_for_status()
-                body = await response.read()
+                body = await response.read_at_most(MAX_REPORT_BYTES)
                 size = len(body)
                 record_exchange(self._account, REPORTS_PART, response, 0, size)
             reply = msgspec.json.decode(body, type=ReportReply)
@@ -223,7 +228,7 @@
             ) as response:
                 return ServiceReply(
                     status=response.status,
-                    body=await response.read(),
+                    body=await response.read_at_most(MAX_REPLY_BYTES),
                     content_type=response.content_type,
                 )
         except FAILURES as error:
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -19,6 +19,10 @@
 from multidict import CIMultiDictProxy
 
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.progress import (
+    MAX_WITHOUT_PROGRESS,
+    ProgressGuard,
+)
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import Address, HostId
 from nutmegroad.relay.sockets import ConnectionFailedError, connect_protocol
@@ -114,6 +118,7 @@
         self._body: StreamReader | None = None
         self._may_reuse = via is None
         self._peer_closed = False
+        self._progress = ProgressGuard()
         self._lost = asyncio.Event()
         #: Clock seconds since which it has been idle; set by the pool.
         self.idle_since: float = 0
@@ -157,6 +162,10 @@
             return
         for message, payload in messages:
             self._deliver(message, payload)
+        body = self._body
+        delivered = None if body is None else body.total_bytes
+        if self._progress.is_stuck(len(data), delivered):
+            self.fail(f'{MAX_WITHOUT_PROGRESS} bytes without content')
 
     def eof_received(self) -> None:
         """Record that the upstream has closed its side of the connection."""
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -95,6 +95,7 @@
         self.service = service
         self.estimates = RequestEstimates(context, request, service)
         self.crash_guard = context.crashes.guard(request)
+        self.buffers = context.buffers
         self._context = context
         self.attempted: set[UpstreamIncarnation] = set()
         self._attempt_count = 0
--- a/src/nutmegroad/relay/plain_calls.py
+++ b/src/nutmegroad/relay/plain_calls.py
@@ -1,11 +1,12 @@
 """Answers plain calls; an answer is read completely before it is sent on."""
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeGuard
 
 from nutmegroad.canary.gate import AttemptOutcome
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
+from nutmegroad.relay.answer_buffers import OversizedAnswer
 from nutmegroad.relay.connections import ResponseHead
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR
@@ -44,17 +45,12 @@
         if isinstance(outcome, Refusal):
             await _end(execution, reply, failure, outcome)
             return
-        answer = await _read(outcome)
-        succeeded = answer is not None and not answer.failed
-        execution.estimates.observe(outcome, _observed(answer))
-        if answer is None:
-            await execution.crash_guard.exchange_broken(
-                outcome.upstream, outcome.started
-            )
-        else:
-            if succeeded:
-                execution.crash_guard.answered()
-            failure = answer
+        answer = await _read(execution, outcome)
+        if isinstance(answer, OversizedAnswer):
+            await _forward(execution, reply, outcome, answer)
+            return
+        failure = answer or failure
+        succeeded = await _learn(execution, outcome, answer)
         if not succeeded and execution.may_repeat():
             continue
         await _end(execution, reply, failure, truncated_refusal())
@@ -71,21 +67,94 @@
     )
 
 
-async def read_complete(answering: UpstreamAnswer) -> CompleteAnswer | None:
-    """Return the complete answer, or None if it was truncated."""
+async def read_complete(
+    execution: Execution, answering: UpstreamAnswer
+) -> CompleteAnswer | None:
+    """Return the complete answer; None if it was truncated or is too long."""
+    body = await execution.buffers.read(answering)
+    if isinstance(body, bytes):
+        return CompleteAnswer(answering.head, body)
+    return None
+
+
+async def _read(
+    execution: Execution, answering: UpstreamAnswer
+) -> CompleteAnswer | OversizedAnswer | None:
+    """Read an answer, and end its attempt unless the rest is to be sent on."""
+    body: bytes | OversizedAnswer | None = None
     try:
-        body = await answering.head.body.read()
-    except (ConnectionFailedError, ConnectionError):
-        return None
-    return CompleteAnswer(answering.head, body)
+        body = await execution.buffers.read(answering)
+    finally:
+        if not _is_sent_on(answering, body):
+            await answering.close()
+    if isinstance(body, bytes):
+        return CompleteAnswer(answering.head, body)
+    return body if _is_sent_on(answering, body) else None
+
 
+def _is_sent_on(
+    answering: UpstreamAnswer, body: bytes | OversizedAnswer | None
+) -> TypeGuard[OversizedAnswer]:
+    """Return whether an answer is sent on without being complete."""
+    if not isinstance(body, OversizedAnswer) or not body.has_end:
+        return False
+    return answering.head.status < FIRST_SERVER_ERROR
 
-async def _read(answering: UpstreamAnswer) -> CompleteAnswer | None:
-    """Read an answer completely, and end its attempt."""
+
+async def _forward(
+    execution: Execution,
+    reply: Reply,
+    answering: UpstreamAnswer,
+    answer: OversizedAnswer,
+) -> None:
+    """Send a long answer on as it arrives; it can't be repeated any more."""
+    observed = AttemptOutcome.ACCEPTABLE
     try:
-        return await read_complete(answering)
+        await _copy(reply, answering, answer)
+    except (ConnectionFailedError, ConnectionError) as problem:
+        observed = AttemptOutcome.INTERRUPTED
+        _LOG.decision(
+            'long answer truncated',
+            request=execution.request.request_id,
+            upstream=answering.upstream.entry.upstream,
+            problem=str(problem),
+        )
     finally:
         await answering.close()
+    execution.estimates.observe(answering, observed)
+    if observed is AttemptOutcome.INTERRUPTED:
+        reply.abort()
+        return
+    execution.crash_guard.answered()
+    await reply.finish_stream()
+
+
+async def _copy(
+    reply: Reply, answering: UpstreamAnswer, answer: OversizedAnswer
+) -> None:
+    """Send the head and the body of an answer as they arrive."""
+    head = answering.head
+    await reply.start_stream(head.status, head.reason, end_to_end(head.raw))
+    await reply.write(answer.start)
+    while chunk := await head.body.readany():
+        await reply.write(chunk)
+
+
+async def _learn(
+    execution: Execution,
+    answering: UpstreamAnswer,
+    answer: CompleteAnswer | None,
+) -> bool:
+    """Record an answer, and return whether it is a success."""
+    execution.estimates.observe(answering, _observed(answer))
+    if answer is None:
+        await execution.crash_guard.exchange_broken(
+            answering.upstream, answering.started
+        )
+        return False
+    if not answer.failed:
+        execution.crash_guard.answered()
+    return not answer.failed
 
 
 def _observed(answer: CompleteAnswer | None) -> AttemptOutcome:
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -19,7 +19,11 @@
 from nutmegroad.foundations.types import ModelName
 from nutmegroad.relay.connections import Framing
 from nutmegroad.relay.escalations import choose_larger_model
-from nutmegroad.relay.events import Event, EventStreamSplitter
+from nutmegroad.relay.events import (
+    Event,
+    EventStreamSplitter,
+    EventTooLongError,
+)
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR, is_event_stream
 from nutmegroad.relay.outcomes import UpstreamAnswer
@@ -163,7 +167,9 @@
         self._progress.incomplete = 0
         self._progress.problem = ''
         if answering.head.status >= FIRST_SERVER_ERROR:
-            self._progress.failure = await read_complete(answering)
+            self._progress.failure = await read_complete(
+                self._execution, answering
+            )
             complete = self._progress.failure is not None
             return StreamEnd.FAILED if complete else StreamEnd.TRUNCATED
         larger = self._larger_model(answering)
@@ -174,13 +180,17 @@
             return await self._forward_complete(answering)
         try:
             return await self._forward_events(answering)
-        except (ConnectionFailedError, ConnectionError) as problem:
+        except (
+            ConnectionFailedError,
+            ConnectionError,
+            EventTooLongError,
+        ) as problem:
             self._progress.problem = str(problem)
             return StreamEnd.TRUNCATED
 
     async def _forward_complete(self, answering: UpstreamAnswer) -> StreamEnd:
         """Forward an answer that is no event stream once it is complete."""
-        answer = await read_complete(answering)
+        answer = await read_complete(self._execution, answering)
         if answer is None:
             return StreamEnd.TRUNCATED
         if self._reply.stream_started:
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -265,6 +265,15 @@
             request = f'learn-{host}-{number}'
             await self.ask('/look/1', request, host=host)
 
+    def headers(self, request: str, key: str = KEY) -> dict[str, str]:
+        """Return the headers of a caller's request."""
+        return {
+            'Host': HOST,
+            REQUEST_ID: request,
+            'Authorization': f'Bearer {key}',
+            'Nutmegroad-Deadline-Ms': '4000',
+        }
+
     async def ask(
         self,
         path: str,
@@ -277,13 +286,7 @@
         host: int = 0,
     ) -> tuple[int, dict[str, str], bytes]:
         """Send a caller's request to a host, and return the complete answer."""
-        sent = {
-            'Host': HOST,
-            REQUEST_ID: request,
-            'Authorization': f'Bearer {key}',
-            'Nutmegroad-Deadline-Ms': '4000',
-            **(headers or {}),
-        }
+        sent = {**self.headers(request, key), **(headers or {})}
         address = self._settings[host].callers
         async with self.client.request(
             method,
