Heed the limits of upstreams in the daemon, and take over only from the silent

What callers saw: nothing. The daemon ignored the header as the relay did.

Fix: its clients pass on what the head of each answer says, refusals included. Hosts share the limit by the same code; the token is taken by the gate, in the step that sends the first byte, so requests that waited in a queue count as well. Selection passes over upstreams without a token; if no other is left, a request is refused with UPSTREAM_LIMITED. Unlike the relay a host asks no other one for a token, so Retry-After holds for this host only.

--- a/src/nutmegroad/adapters/_http_answers.py
+++ b/src/nutmegroad/adapters/_http_answers.py
@@ -15,6 +15,7 @@
     FAILURES,
     JSON_HEADERS,
     HttpClient,
+    notify_limit,
     refusal_for_error,
     upstream_url,
 )
@@ -89,6 +90,7 @@
                 await self._send(body) as response,
                 aclosing(self._read(response)) as events,
             ):
+                notify_limit(response, self._attempt.on_limit)
                 async for event in events:
                     yield event
         except FAILURES as error:
--- a/src/nutmegroad/adapters/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import (
     ClientError,
+    ClientResponse,
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
@@ -20,7 +21,10 @@
     current_sending,
 )
 from nutmegroad.adapters._guarded_connector import GuardedConnector
+from nutmegroad.contracts.upstreams import LimitCallback
+from nutmegroad.foundations.decimals import parse_decimal
 from nutmegroad.foundations.exceptions import GateClosed
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran, UpstreamInfo
 
@@ -37,6 +41,11 @@
     msgspec.DecodeError,
 )
 
+#: Header by which an upstream names the requests in a second that it takes.
+LIMIT_HEADER: Final = 'Server-Limit'
+
+_LOG: Final = part_logger('upstreams')
+
 #: Headers of a request whose body is JSON.
 JSON_HEADERS: Final = MappingProxyType({'Content-Type': 'application/json'})
 
@@ -60,6 +69,22 @@
     return Refusal(ResultCode.UPSTREAM_UNREACHABLE, reason, ran)
 
 
+def notify_limit(response: ClientResponse, on_limit: LimitCallback) -> None:
+    """Pass on how many requests an upstream takes; an invalid number is logged.
+
+    Args:
+        response: The response of the upstream.
+        on_limit: Called with the number.
+    """
+    texts = response.headers.getall(LIMIT_HEADER, ())
+    try:
+        limit = min(map(parse_decimal, texts)) if texts else None
+    except ValueError as invalid:
+        _LOG.decision('limit ignored', url=response.url, problem=str(invalid))
+        return
+    on_limit(limit)
+
+
 def upstream_url(upstream: UpstreamInfo, path: str) -> URL:
     """Return the URL of a call; the path must already be quoted."""
     return URL(f'http://{upstream.address}/{path}', encoded=True)
--- a/src/nutmegroad/adapters/_http_upstreams.py
+++ b/src/nutmegroad/adapters/_http_upstreams.py
@@ -18,6 +18,7 @@
     FAILURES,
     JSON_HEADERS,
     HttpClient,
+    notify_limit,
     refusal_for_error,
     upstream_url,
 )
@@ -226,6 +227,7 @@
                 data=call.body or None,
                 headers=headers,
             ) as response:
+                notify_limit(response, call.on_limit)
                 return ServiceReply(
                     status=response.status,
                     body=await response.read_at_most(MAX_REPLY_BYTES),
--- a/src/nutmegroad/contracts/upstreams.py
+++ b/src/nutmegroad/contracts/upstreams.py
@@ -24,6 +24,14 @@
 #: None.
 Gate = Callable[[], Refusal | None]
 
+#: Called with what the head of an answer says: how many requests in a second
+#: the upstream takes from all hosts together, or None.
+LimitCallback = Callable[[float | None], None]
+
+
+def ignore_limit(limit: float | None) -> None:
+    """Ignore what the head of an answer says."""
+
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
@@ -39,6 +47,7 @@
         priority: Priority at the engine; smaller numbers are served first.
         skip: Number of pieces that the caller has received already, for an
             answer that is resumed.
+        on_limit: Called with the limit that the answer's head names.
     """
 
     attempt: AttemptId
@@ -49,6 +58,7 @@
     timeout: float
     priority: int = 0
     skip: int = 0
+    on_limit: LimitCallback = ignore_limit
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +184,7 @@
         timeout: Timeout of the whole call, in seconds.
         key: The caller's idempotency key, which is forwarded; empty for
             none.
+        on_limit: Called with the limit that the reply's head names.
     """
 
     attempt: AttemptId
@@ -185,6 +196,7 @@
     gate: Gate
     timeout: float
     key: str = ''
+    on_limit: LimitCallback = ignore_limit
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/fleet/limit_gossip.py
+++ b/src/nutmegroad/fleet/limit_gossip.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from nutmegroad.fleet.domain_monitor import DomainMonitor
 from nutmegroad.fleet.gossip_queue import Source
 from nutmegroad.fleet.host_registration import HostRow
 from nutmegroad.fleet.messages import LimitMessage
@@ -16,6 +17,10 @@
 #: of their domain. The second one makes up for a lost datagram.
 REMOTE_RECEIVERS: Final = 2
 
+#: Milliseconds after its last message for which a failure domain counts as
+#: heard.
+RECENT_MILLISECONDS: Final = 5000
+
 #: Sends a datagram to some hosts.
 Send = Callable[[bytes, Iterable[HostRow]], None]
 
@@ -31,6 +36,7 @@
         local: The other hosts of this failure domain.
         remote: Chooses hosts of other failure domains.
         send: Sends a datagram.
+        domains: When messages from other failure domains were received.
     """
 
     def __init__(
@@ -39,11 +45,22 @@
         local: Mapping[HostId, HostRow],
         remote: RemoteRounds,
         send: Send,
+        domains: DomainMonitor,
     ) -> None:
         self._host = host
         self._local = local
         self._remote = remote
         self._send = send
+        self._domains = domains
+
+    def hears_others(self) -> bool:
+        """Return whether most failure domains have been heard recently."""
+        known = self._remote.count_domains()
+        heard = sum(
+            age <= RECENT_MILLISECONDS for age in self._domains.ages().values()
+        )
+        # This host's own domain counts as heard.
+        return 2 * (heard + 1) > known + 1
 
     def send(
         self, limit: ReportedLimit, source: Source, urgency: LimitUrgency
--- a/src/nutmegroad/fleet/peer_gossip.py
+++ b/src/nutmegroad/fleet/peer_gossip.py
@@ -194,9 +194,15 @@
         #: All known hosts, including this one, by duty.
         self.ring = HostRing(host)
         self._remote_rounds = RemoteRounds(host)
-        self._limits.subscribe(
-            LimitGossip(host, self._local, self._remote_rounds, self._send).send
+        limits = LimitGossip(
+            host,
+            self._local,
+            self._remote_rounds,
+            self._send,
+            self._domains,
         )
+        self._limits.subscribe(limits.send)
+        self._limits.hears_others = limits.hears_others
         # This host's rank among those of its failure domain.
         self._rank = 0
         #: Clock seconds of each host's last message.
--- a/src/nutmegroad/fleet/remote_rounds.py
+++ b/src/nutmegroad/fleet/remote_rounds.py
@@ -68,6 +68,10 @@
         # Spreads the senders evenly over the interval, whatever its length.
         return (round_number + rank * factor) % interval == 0
 
+    def count_domains(self) -> int:
+        """Return the number of other failure domains."""
+        return len(self._domains)
+
     def receivers(self) -> list[HostRow]:
         """Return the next receiver in each remote domain, in rotation."""
         chosen = []
--- a/src/nutmegroad/fleet/request_limits.py
+++ b/src/nutmegroad/fleet/request_limits.py
@@ -158,6 +158,9 @@
         self._statements: dict[UpstreamIncarnation, _Statement] = {}
         self._listeners: list[ChangeListener] = []
         self._reports = 0
+        #: Returns whether this host hears most others. One that is cut off
+        #: must not take the absence of reports for the absence of senders.
+        self.hears_others: Callable[[], bool] = _hears_always
 
     def subscribe(self, listener: ChangeListener) -> None:
         """Register a callback for each change."""
@@ -296,7 +299,7 @@
 
     def _turn(self, statement: _Statement) -> int:
         """Return the number of the group of hosts that may send now."""
-        if statement.limit is None:
+        if statement.limit is None or not self.hears_others():
             return statement.turn
         rate = max(statement.limit, MIN_RATE)
         turn_seconds = max(MIN_TURN, TOKENS_PER_TURN * MIN_SENDERS / rate)
@@ -340,6 +343,11 @@
     return told.sequence == known.sequence and limit == known.limit
 
 
+def _hears_always() -> bool:
+    """Return that others are heard; used where there are none."""
+    return True
+
+
 def _learnt_at(statement: _Statement | None) -> float:
     """Return when a statement was learnt; never if there is none."""
     return math.inf if statement is None else statement.learnt_at
--- a/src/nutmegroad/relay/heads.py
+++ b/src/nutmegroad/relay/heads.py
@@ -1,10 +1,10 @@
 """Builds request heads for upstreams, and validates their response heads."""
 
-import re
 from typing import Final
 
 from aiohttp.http_parser import RawResponseMessage
 
+from nutmegroad.foundations.decimals import parse_decimal
 from nutmegroad.foundations.types import Ran
 from nutmegroad.relay.connections import (
     AnswerMatcher,
@@ -23,12 +23,6 @@
 
 _EVENT_STREAM: Final = 'text/event-stream'
 
-#: Maximum characters of an invalid header in a message.
-MAX_SHOWN: Final = 40
-
-#: A number below a billion.
-_DECIMAL: Final = re.compile(r'[0-9]{1,9}(\.[0-9]{0,9})?')
-
 
 class MessageHeads:
     """Builds request heads, and validates response heads.
@@ -128,7 +122,7 @@
             ValueError: If a header is no decimal number.
         """
         texts = head.headers.getall(self._names.request_limit, ())
-        return min(map(_decimal, texts)) if texts else None
+        return min(map(parse_decimal, texts)) if texts else None
 
     def is_signed(self, head: ResponseHead) -> bool:
         """Return whether a response has the signature of an upstream."""
@@ -171,18 +165,6 @@
     return media_type.strip().lower() in ('', _EVENT_STREAM)
 
 
-def _decimal(text: str) -> float:
-    """Return a decimal number without a sign or an exponent.
-
-    Raises:
-        ValueError: If it is anything else; the message has its beginning.
-    """
-    if _DECIMAL.fullmatch(text.strip()) is None:
-        message = f'{text[:MAX_SHOWN]!r} is not a decimal number'
-        raise ValueError(message)
-    return float(text)
-
-
 def _retry_after_seconds(text: str) -> float:
     """Return the seconds of a Retry-After header; 0 for a date or no text."""
     try:
--- a/src/nutmegroad/routing/directory.py
+++ b/src/nutmegroad/routing/directory.py
@@ -23,6 +23,7 @@
     UpstreamKind,
     VersionId,
 )
+from nutmegroad.routing.upstream_limits import UpstreamLimits
 
 #: Consecutive refused connections after which an upstream counts as draining.
 REFUSALS_UNTIL_DRAINING: Final = 2
@@ -91,6 +92,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        #: Limits the requests to upstreams that say how many they take.
+        self.limits = UpstreamLimits(clock)
         self._states: dict[UpstreamId, UpstreamState] = {}
         self._by_version: dict[VersionId, tuple[UpstreamState, ...]] = {}
         self._by_service: dict[ServiceName, tuple[UpstreamState, ...]] = {}
--- a/src/nutmegroad/routing/gates.py
+++ b/src/nutmegroad/routing/gates.py
@@ -12,16 +12,23 @@
 from nutmegroad.contracts.decisions import Quarantine
 from nutmegroad.contracts.documents import Isolation, Stage, WorkspaceEntry
 from nutmegroad.contracts.fences import AttemptFence
-from nutmegroad.contracts.upstreams import Gate, UpstreamState
+from nutmegroad.contracts.upstreams import (
+    Gate,
+    LimitCallback,
+    UpstreamState,
+    ignore_limit,
+)
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Epoch,
     ServiceName,
     TaskName,
+    UpstreamInfo,
     VersionId,
     WorkspaceId,
 )
+from nutmegroad.routing.upstream_limits import UpstreamLimits
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +85,8 @@
         self._quarantine = quarantine
         self._conditions: list[HostCondition] = []
         self._pause_waiters: list[PauseWaiter] = []
+        #: Limits the requests to upstreams that say how many they take.
+        self.limits: UpstreamLimits | None = None
 
     def add_condition(self, condition: HostCondition) -> None:
         """Add a condition that must hold before this host sends anything."""
@@ -105,12 +114,20 @@
         def check() -> Refusal | None:
             """Run all checks, the attempt fence last."""
             refusal = self.check(context)
+            if refusal is None and self.limits is not None:
+                refusal = self.limits.take(context.upstream.info)
             if refusal is None and context.attempt_fence is not None:
                 return context.attempt_fence.admit()
             return refusal
 
         return check
 
+    def limit_callback(self, upstream: UpstreamInfo) -> LimitCallback:
+        """Return what records the limit that an answer names."""
+        if self.limits is None:
+            return ignore_limit
+        return self.limits.callback(upstream)
+
     def check(self, context: GateContext) -> Refusal | None:
         """Return why the first byte must not be sent, or None."""
         refusal = self.host_refusal()
--- a/src/nutmegroad/routing/part.py
+++ b/src/nutmegroad/routing/part.py
@@ -43,6 +43,7 @@
         quarantine = lookup('quarantine', settings.quarantine)(kernel)
         kernel.provide(Quarantine, quarantine)
         gatekeeper = Gatekeeper(configuration, kernel.clock, quarantine)
+        gatekeeper.limits = directory.limits
         kernel.provide(Gatekeeper, gatekeeper)
         attempt_runner = AttemptRunner(
             kernel.need(EngineClient),
--- a/src/nutmegroad/routing/plain_selectors.py
+++ b/src/nutmegroad/routing/plain_selectors.py
@@ -35,7 +35,12 @@
             for state in self._directory.engines(version)
             if state.info.upstream not in excluded
         ]
-        return self._pick(states, version) if states else no_engine(version)
+        limits = self._directory.limits
+        usable = [state for state in states if limits.may_send(state.info)]
+        if usable:
+            return self._pick(usable, version)
+        limited = limits.refusal_for(states)
+        return no_engine(version) if limited is None else limited
 
     @abstractmethod
     def _pick(self, states: list[UpstreamState], version: VersionId) -> Choice:
--- a/src/nutmegroad/routing/selection.py
+++ b/src/nutmegroad/routing/selection.py
@@ -112,7 +112,10 @@
                 search = self._search(request, version, excluded, current)
         if search.best is None:
             log_no_engine(search, self._directory.states())
-            return no_engine(version)
+            limited = self._directory.limits.refusal_for(
+                self._directory.engines(version)
+            )
+            return no_engine(version) if limited is None else limited
         return self._chosen(search, search.best)
 
     def started(self, start: AttemptStart) -> None:
@@ -233,6 +236,8 @@
             return 'failed before'
         if not can_serve(state, search.version):
             return 'draining or version not loaded'
+        if not self._directory.limits.may_send(state.info):
+            return 'takes no more requests now'
         health = self._view(state).health
         if not health.admits(search.now, state.report_requested_at):
             return 'ejected'
@@ -290,7 +295,8 @@
         for state in sample(local, SAMPLE_SIZE, self._randomness):
             if state.info.upstream in search.excluded:
                 continue
-            if can_serve(state, search.version):
+            may_send = self._directory.limits.may_send(state.info)
+            if may_send and can_serve(state, search.version):
                 search.consider(self._estimate(search, state))
 
     def _chosen(self, search: Search, best: Candidate) -> Choice:
--- a/src/nutmegroad/routing/services.py
+++ b/src/nutmegroad/routing/services.py
@@ -208,7 +208,10 @@
         """
         state = self._choose_upstream(request.service, tried)
         if state is None:
-            return failure
+            limited = self._directory.limits.refusal_for(
+                self._directory.services(request.service)
+            )
+            return failure if tried or limited is None else limited
         if tried and not self._traffic.may_retry(request, failure.code):
             explanation.note('retries', 'The retry budget is exhausted.')
             return failure
@@ -233,6 +236,7 @@
             state
             for state in self._directory.services(service)
             if state.info.upstream not in tried
+            and self._directory.limits.may_send(state.info)
         ]
         now = self._clock.now()
         states = [
@@ -275,6 +279,7 @@
             gate=self._gatekeeper.gate(context),
             timeout=max(0, min(remaining, entry.timeout)),
             key=request.key,
+            on_limit=self._directory.limits.callback(state.info),
         )
         health = self._healths.health(state)
         health.started(call.attempt)
--- a/src/nutmegroad/routing/steps.py
+++ b/src/nutmegroad/routing/steps.py
@@ -48,6 +48,7 @@
         ResultCode.VERSION_WITHDRAWN,
         ResultCode.VERSION_QUARANTINED,
         ResultCode.ISOLATED,
+        ResultCode.UPSTREAM_LIMITED,
     )
 )
 
@@ -300,6 +301,7 @@
             timeout=max(0, request.deadline - self._clock.now()),
             priority=request.priority,
             skip=setup.received.resume_at,
+            on_limit=self._gatekeeper.limit_callback(state.info),
         )
         start = AttemptStart(
             setup.attempt,
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -257,6 +257,14 @@
         rest = [each for each in self.shares if each._host not in gone]
         self.assertGreater(self.sent(60, rest), 0)
 
+    # A host that heard nobody took the senders for gone, and sent as well.
+    def test_host_that_is_cut_off_takes_nothing_over(self) -> None:
+        gone = self.senders('', NORTH, MIN_SENDERS, 0)
+        rest = [each for each in self.shares if each._host not in gone]
+        for share in rest:
+            share.limits.hears_others = lambda: False
+        self.assertEqual(self.sent(60, rest), 0)
+
     def test_smaller_limit_applies_at_once(self) -> None:
         for share in self.shares:
             share.limits.observe(NAME, 50, 99)
