--- a/src/nutmegroad/fleet/request_limits.py
+++ b/src/nutmegroad/fleet/request_limits.py
@@ -166,9 +166,13 @@
         """Register a callback for each change."""
         self._listeners.append(listener)
 
-    def count(self) -> int:
-        """Return the number of upstreams that are in need."""
-        return sum(each.limit is not None for each in self._statements.values())
+    def in_need(self) -> frozenset[UpstreamIncarnation]:
+        """Return the upstreams that name a limit."""
+        return frozenset(
+            name
+            for name, statement in self._statements.items()
+            if statement.limit is not None
+        )
 
     def find(self, upstream: UpstreamIncarnation) -> RequestLimit | None:
         """Return the limit of an upstream; None if it has none."""
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -105,7 +105,7 @@
             session_marks=len(self._fleet.shared_state.sessions),
             cut_off=self._detours.dialer.paths.count_cut_off(),
             tunnels=self._detours.server.open_count,
-            limited=self._fleet.shared_state.limits.count(),
+            limited=len(self._fleet.shared_state.limits.in_need()),
         )
 
     @property
--- a/src/nutmegroad/upstreams/limited_upstreams.py
+++ b/src/nutmegroad/upstreams/limited_upstreams.py
@@ -84,12 +84,20 @@
             upstreams: The upstreams.
             key: The request.
         """
-        if not self.shares.limits.any_known:
+        limited = self._limited(upstreams)
+        if not limited:
             return (upstreams,)
-        own = [each for each in upstreams if self.may_send(each, key)]
-        if len(own) == len(upstreams):
-            return (own,)
-        source = self._first_source(upstreams, key)
+        exhausted = {
+            each.entry.upstream
+            for each in limited
+            if not self.may_send(each, key)
+        }
+        if not exhausted:
+            return (upstreams,)
+        own = [
+            each for each in upstreams if each.entry.upstream not in exhausted
+        ]
+        source = self._first_source(limited, key)
         if source is None or source.host == self._host:
             return (own,)
         return own, (source.upstream,)
@@ -98,9 +106,12 @@
         self, upstreams: Collection[Upstream]
     ) -> Collection[Upstream]:
         """Return the upstreams that name no limit."""
-        if not self.shares.limits.any_known:
+        limited = {each.entry.upstream for each in self._limited(upstreams)}
+        if not limited:
             return upstreams
-        return [each for each in upstreams if not self.is_limited(each)]
+        return [
+            each for each in upstreams if each.entry.upstream not in limited
+        ]
 
     def may_send(
         self, upstream: Upstream, key: RequestKey | None = None
@@ -177,9 +188,7 @@
 
     def count_exhausted(self, upstreams: Collection[Upstream]) -> int:
         """Return at how many upstreams this host has no token."""
-        if not self.shares.limits.any_known:
-            return 0
-        return sum(not self.may_send(each) for each in upstreams)
+        return sum(not self.may_send(each) for each in self._limited(upstreams))
 
     def log_fields(self, upstream: Upstream) -> dict[str, object]:
         """Return the fields of a log line; none without a limit."""
@@ -194,6 +203,13 @@
             'tokens': None if tokens is None else round(tokens, 2),
         }
 
+    def _limited(self, upstreams: Collection[Upstream]) -> Collection[Upstream]:
+        """Return the upstreams that name a limit."""
+        in_need = self.shares.limits.in_need()
+        if not in_need:
+            return ()
+        return [each for each in upstreams if each.entry.incarnation in in_need]
+
     def _first_source(
         self, upstreams: Collection[Upstream], key: RequestKey | None
     ) -> TokenSource | None:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -195,7 +195,7 @@
         for number in range(MAX_STATEMENTS + 5):
             told = ReportedLimit(f'u{number}', 1, 1)
             self.limits.merge((told,), local=True)
-        self.assertLessEqual(self.limits.count(), MAX_STATEMENTS)
+        self.assertLessEqual(len(self.limits.in_need()), MAX_STATEMENTS)
 
 
 class ShareTest(unittest.TestCase):
@@ -262,7 +262,7 @@
         gone = self.senders('', NORTH, MIN_SENDERS, 0)
         rest = [each for each in self.shares if each._host not in gone]
         for share in rest:
-            share.limits.hears_others = lambda: False
+            share.limits.hears_others = bool
         self.assertEqual(self.sent(60, rest), 0)
 
     def test_smaller_limit_applies_at_once(self) -> None:
