--- a/src/nutmegroad/upstreams/rate_shares.py
+++ b/src/nutmegroad/upstreams/rate_shares.py
@@ -6,8 +6,9 @@
 with the host, so whoever is killed, restarted or becomes a sender adds nothing.
 
 In any span of t seconds an upstream with the limit L gets at most t L requests,
-and as many as its senders' buckets hold: L + 3. A host that learns late that
-another one has taken its place as a sender adds its own part until then.
+as many as its senders' buckets hold, L + 3, and what they may be overdrawn by,
+a third of that. A host that learns late that another one has taken its place as
+a sender adds its own part until then.
 
 A caller that finds no token gets a reservation: the time at which it should
 retry, and a token that is kept for it then.
