--- a/experiments/fleet_soak/faults.py
+++ b/experiments/fleet_soak/faults.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import Final
 
-from experiments.fleet_soak.brittleness import make_brittle
+from experiments.fleet_soak.brittleness import bring_into_need, make_brittle
 from experiments.fleet_soak.cuts import CUT_STATES, cut_hosts_off
 from experiments.fleet_soak.fleet import BOUNDS, RETRY_INTERVAL, Fleet
 from experiments.fleet_soak.history import Evacuation, FaultInterval, History
@@ -121,6 +121,7 @@
             Fault.WORKER_RESET: self._worker_reset,
             Fault.WORKER_STALLED: self._worker_stalled,
             Fault.WORKERS_BRITTLE: partial(make_brittle, self._fleet),
+            Fault.WORKERS_IN_NEED: partial(bring_into_need, self._fleet),
             Fault.CALLERS_RESET: self._callers_reset,
             Fault.STORE_FORGETS: self._store_forgets,
             Fault.STORE_REFUSES_HOST: self._store_refuses_host,
--- a/experiments/fleet_soak/history.py
+++ b/experiments/fleet_soak/history.py
@@ -186,6 +186,23 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class NeedTime:
+    """A span in which a worker named a limit on its requests.
+
+    Attributes:
+        worker: The worker's id.
+        limit: Requests in a second that it took from all hosts.
+        since: When it began, in monotonic seconds.
+        until: When it ends.
+    """
+
+    worker: str
+    limit: float
+    since: float
+    until: float
+
+
 @dataclass(slots=True)
 class History:
     """All requests and executions of a run, and all interventions in it.
@@ -209,6 +226,7 @@
         cuts: Spans in which hosts had no path to any worker.
         brittle_times: Spans in which workers were brittle.
         falls: When brittle workers fell over.
+        need_times: Spans in which workers named a limit on their requests.
     """
 
     requests_by_id: dict[str, RequestRecord] = field(default_factory=dict)
@@ -227,6 +245,7 @@
     cuts: list[HostCut] = field(default_factory=list)
     brittle_times: list[BrittleTime] = field(default_factory=list)
     falls: list[float] = field(default_factory=list)
+    need_times: list[NeedTime] = field(default_factory=list)
 
     @property
     def requests(self) -> tuple[RequestRecord, ...]:
--- a/experiments/fleet_soak/judge.py
+++ b/experiments/fleet_soak/judge.py
@@ -25,6 +25,7 @@
 from experiments.fleet_soak.path_judges import (
     brittle_workers_stay_up,
     cut_off_hosts_serve,
+    limits_hold,
 )
 from experiments.fleet_soak.rollout_judge import (
     bad_versions_get_limited_traffic,
@@ -359,6 +360,7 @@
     bad_versions_get_limited_traffic,
     cut_off_hosts_serve,
     brittle_workers_stay_up,
+    limits_hold,
     service_recovers,
 )
 
--- a/experiments/fleet_soak/plan.py
+++ b/experiments/fleet_soak/plan.py
@@ -26,6 +26,7 @@
     WORKER_RESET = 'worker reset'
     WORKER_STALLED = 'worker stalled'
     WORKERS_BRITTLE = 'workers brittle'
+    WORKERS_IN_NEED = 'workers in need'
     HOSTS_CUT_RESET = 'hosts cut off, reset'
     HOSTS_CUT_SILENT = 'hosts cut off, silent'
     HOSTS_CUT_REFUSED = 'hosts cut off, new connections refused'
@@ -70,6 +71,7 @@
     (
         Fault.WORKER_STALLED,
         Fault.WORKERS_BRITTLE,
+        Fault.WORKERS_IN_NEED,
         Fault.HOSTS_CUT_RESET,
         Fault.HOSTS_CUT_SILENT,
         Fault.HOSTS_CUT_REFUSED,
--- a/experiments/fleet_soak/room.py
+++ b/experiments/fleet_soak/room.py
@@ -1,4 +1,4 @@
-"""The slots of a worker of the soak, which may be brittle."""
+"""The slots of a worker of the soak, which may be brittle or in need."""
 
 import time
 from collections import deque
@@ -14,6 +14,10 @@
 #: Seconds for which a worker is brittle.
 BRITTLE_DURATION: Final = 8.0
 
+#: Requests in a second that a worker in need takes, and how long it is.
+NEED_LIMIT: Final = 1.0
+NEED_DURATION: Final = 9.0
+
 
 class Room:
     """The slots of a worker.
@@ -30,13 +34,21 @@
         self._rejections: deque[float] = deque()
         self._brittle_since = float('-inf')
         self._brittle_until = float('-inf')
+        self._in_need_until = float('-inf')
 
     @property
     def headers(self) -> dict[str, str]:
         """Headers of all answers."""
-        if time.monotonic() >= self._brittle_until:
-            return {}
-        return {'Server-Brittle': str(TOLERATED)}
+        headers = {}
+        if time.monotonic() < self._brittle_until:
+            headers['Server-Brittle'] = str(TOLERATED)
+        if time.monotonic() < self._in_need_until:
+            headers['Server-Limit'] = str(NEED_LIMIT)
+        return headers
+
+    def come_into_need(self) -> None:
+        """Name a limit for a time."""
+        self._in_need_until = time.monotonic() + NEED_DURATION
 
     def become_brittle(self) -> None:
         """Be brittle for a time, or for longer."""
--- a/experiments/fleet_soak/worker.py
+++ b/experiments/fleet_soak/worker.py
@@ -7,7 +7,7 @@
 longer, and exits. SIGUSR1 makes it fail a fraction of its requests until the
 next SIGUSR1. SIGUSR2 makes it answer without a length or chunks, and break off
 a fraction of its answers, until the next SIGUSR2. SIGHUP makes it brittle for
-some seconds.
+some seconds, and SIGALRM lets it name a limit on its requests.
 """
 
 import argparse
@@ -32,7 +32,7 @@
     put_transaction,
     stream_event,
 )
-from experiments.fleet_soak.room import Room
+from experiments.fleet_soak.room import NEED_DURATION, NEED_LIMIT, Room
 
 #: Seconds between two heartbeats.
 HEARTBEAT_INTERVAL: Final = 0.5
@@ -109,6 +109,16 @@
         """Start to answer without a length or chunks, or stop it."""
         self._unframed = not self._unframed
 
+    def come_into_need(self) -> None:
+        """Name a limit on its requests for a time."""
+        self.room.come_into_need()
+        write_event(
+            'in need',
+            moment=time.monotonic(),
+            limit=NEED_LIMIT,
+            duration=NEED_DURATION,
+        )
+
     async def _send_heartbeat(self, session: ClientSession) -> bool:
         """Write the worker's entry; return whether the store accepted it."""
         self._sequence += 1
@@ -320,6 +330,7 @@
     loop.add_signal_handler(signal.SIGUSR1, worker.toggle_failures)
     loop.add_signal_handler(signal.SIGUSR2, worker.toggle_framing)
     loop.add_signal_handler(signal.SIGHUP, worker.room.become_brittle)
+    loop.add_signal_handler(signal.SIGALRM, worker.come_into_need)
     write_event('listening')
     await asyncio.gather(tasks[0])
 
--- a/experiments/fleet_soak/workers.py
+++ b/experiments/fleet_soak/workers.py
@@ -7,7 +7,7 @@
 from contextlib import AsyncExitStack
 from typing import Any, Final
 
-from experiments.fleet_soak.history import History, Ran
+from experiments.fleet_soak.history import History, NeedTime, Ran
 from experiments.fleet_soak.links import Link
 from experiments.fleet_soak.processes import SoakProcess
 
@@ -188,5 +188,10 @@
             )
         elif line['event'] == 'fell':
             self._history.falls.append(line['moment'])
+        elif line['event'] == 'in need':
+            since = line['moment']
+            self._history.need_times.append(
+                NeedTime(worker, line['limit'], since, since + line['duration'])
+            )
         elif line['event'] == 'left':
             self._history.draining_since[worker] = line['moment']
--- a/tests/test_fleet_soak_judge.py
+++ b/tests/test_fleet_soak_judge.py
@@ -10,6 +10,7 @@
     FaultInterval,
     History,
     Kind,
+    NeedTime,
     OrderedRollout,
     Ran,
     RequestRecord,
@@ -339,3 +340,19 @@
         self.assertEqual(
             self.count_violations(judge, make_history(GOOD, executions=more)), 1
         )
+
+    def test_worker_in_need_that_gets_too_much(self) -> None:
+        """Eleven executions in four seconds are allowed, from the third on."""
+        judge = judges.limits_hold
+        for moments, found in (
+            ([13.1 + number / 10 for number in range(11)], 0),
+            ([13.1 + number / 10 for number in range(12)], 1),
+            ([10.1 + number / 10 for number in range(20)], 0),
+        ):
+            runs = tuple(
+                replace(EXECUTION, started_at=moment) for moment in moments
+            )
+            history = make_history(GOOD, executions=runs)
+            history.need_times.append(NeedTime('w', 1, 10, 19))
+            with self.subTest(first=moments[0], count=len(moments)):
+                self.assertEqual(self.count_violations(judge, history), found)
--- a/tests/test_fleet_soak_paths.py
+++ b/tests/test_fleet_soak_paths.py
@@ -62,5 +62,28 @@
         self.assertRegex(text, r'brittle workers: \d+ judged, [1-9]')
 
 
+class NeedSoakTest(SoakCase):
+    """Workers name limits on their requests."""
+
+    def test_limits_hold(self) -> None:
+        """Callers are served by the other workers."""
+        status, text = self.run_soak(
+            *('--seed', '1', '--seconds', '2', '--hosts', '3'),
+            *('--faults', Fault.WORKERS_IN_NEED.value),
+        )
+        self.assertEqual(status, 0, text)
+
+    def test_hosts_that_take_the_limit_for_their_own_are_found(self) -> None:
+        """Each host sends as much as the limit allows all of them."""
+        status, text = self.run_patched(
+            'src/nutmegroad/upstreams/rate_shares.py',
+            {'limit.rate / len(senders)': 'limit.rate * len(senders)'},
+            *('--seed', '1', '--seconds', '2', '--hosts', '3'),
+            *('--faults', Fault.WORKERS_IN_NEED.value),
+        )
+        self.assertEqual(status, 1, text)
+        self.assertRegex(text, r'limits of workers: \d+ judged, [1-9]')
+
+
 if __name__ == '__main__':
     unittest.main()
