--- a/src/nutmegroad/daemon/plugins.py
+++ b/src/nutmegroad/daemon/plugins.py
@@ -26,7 +26,6 @@
     'nutmegroad.routing.admission',
     'nutmegroad.routing.retries',
     'nutmegroad.routing.load_part',
-    'nutmegroad.routing.limit_part',
     'nutmegroad.quality.part',
     'nutmegroad.routing.part',
     'nutmegroad.quality.ratings_part',
--- a/src/nutmegroad/routing/directory.py
+++ b/src/nutmegroad/routing/directory.py
@@ -23,7 +23,7 @@
     UpstreamKind,
     VersionId,
 )
-from nutmegroad.routing.upstream_limits import UpstreamLimits
+from nutmegroad.upstreams.upstream_limits import UpstreamLimits
 
 #: Consecutive refused connections after which an upstream counts as draining.
 REFUSALS_UNTIL_DRAINING: Final = 2
--- a/src/nutmegroad/routing/gates.py
+++ b/src/nutmegroad/routing/gates.py
@@ -28,7 +28,7 @@
     VersionId,
     WorkspaceId,
 )
-from nutmegroad.routing.upstream_limits import UpstreamLimits
+from nutmegroad.upstreams.upstream_limits import UpstreamLimits
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/routing/limit_exchange.py
+++ b/src/nutmegroad/routing/limit_exchange.py
@@ -12,7 +12,7 @@
 )
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import HostId
-from nutmegroad.routing.upstream_limits import KnownHosts
+from nutmegroad.upstreams.upstream_limits import KnownHosts
 
 #: Seconds between reports of limits in force, which replace lost ones and
 #: inform hosts that have just started.
--- a/src/nutmegroad/routing/upstreams_part.py
+++ b/src/nutmegroad/routing/upstreams_part.py
@@ -12,9 +12,11 @@
 from nutmegroad.kernel.registry import register
 from nutmegroad.membership.duties import Duties
 from nutmegroad.routing.directory import Directory
+from nutmegroad.routing.limit_exchange import LimitExchange
 from nutmegroad.routing.remote_loads import RemoteLoads
 from nutmegroad.routing.watch import UpstreamWatcher
 from nutmegroad.routing.watch_sharing import WatchSharer
+from nutmegroad.upstreams.upstream_limits import KnownHosts
 
 #: Seconds between polls of an engine, and between reads of the host list by
 #: all hosts of a domain together.
@@ -75,3 +77,21 @@
             kernel.settings.domain,
         )
         kernel.spawn(remote_loads.run(), 'watch')
+
+
+@register('part', 'limit-exchange')
+class LimitExchangePart:
+    """Shares the limits that upstreams name with other hosts."""
+
+    needs = (Mesh, Directory)
+
+    async def open(self, kernel: Kernel) -> None:
+        """Start the exchange."""
+        settings = kernel.settings
+        limits = kernel.need(Directory).limits
+        hosts = KnownHosts(settings.host, settings.domain, kernel.clock)
+        limits.share_with(settings.host, hosts)
+        exchange = LimitExchange(
+            kernel.need(Mesh), limits.limits, hosts, kernel.clock
+        )
+        kernel.spawn(exchange.run(), 'limit-exchange')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,12 +15,12 @@
 
 #: Mechanisms, and parts of the faults reported when each is disabled. The first
 #: part must be found. The others are how the judge reports the same fault in a
-#: reply that was cut short.
+#: reply that was cut short, or by the replies of a session.
 EXPECTED_FAULTS = (
     ('claim', ('executed twice',)),
     ('ticket', ('executed twice',)),
-    ('token', ('which is not pinned',)),
-    ('pin', ('which is not pinned',)),
+    ('token', ('which is not pinned', 'changed its version')),
+    ('pin', ('which is not pinned', 'changed its version')),
     ('attempt id', ('incorrect answer', 'text that its answer lacks')),
 )
 #: Maximum number of seeds that are tried until a mutant is detected as often as
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -32,12 +32,12 @@
     VersionId,
 )
 from nutmegroad.routing.limit_exchange import LimitDigest, LimitExchange
-from nutmegroad.routing.upstream_limits import (
+from nutmegroad.testing.virtual import ManualClock
+from nutmegroad.upstreams.upstream_limits import (
     STARTUP_DELAY,
     KnownHosts,
     UpstreamLimits,
 )
-from nutmegroad.testing.virtual import ManualClock
 from tests.limit_judge import allowed_requests, most_requests
 from tests.request_path_rig import engine_info
 
