Revert the judgement of a version by the pace of its streams

Likely, not shown: slow streams of the old version raise the usual part of poor answers and hide the errors.

--- a/src/nutmegroad/relay/request_estimates.py
+++ b/src/nutmegroad/relay/request_estimates.py
@@ -26,18 +26,6 @@
 #: evidence against its version.
 SLOW_ANSWER_RATIO: Final = 4.0
 
-#: The same for the time between its events, which varies less: a full engine
-#: takes about twice as long for each.
-SLOW_PACE_RATIO: Final = 2.5
-
-#: Minimum number of events by which the time between them is judged: the first
-#: ones of an answer may arrive together.
-MIN_PACED_EVENTS: Final = 8
-
-#: Number of events after which an answer that has not ended is judged by it. A
-#: slow answer takes seconds to end.
-EARLY_PACED_EVENTS: Final = 12
-
 
 class RequestEstimates:
     """Estimates for one request, corrected by its answers.
@@ -177,61 +165,25 @@
 
     def observe_generation(
         self, answering: UpstreamAnswer, events: int
-    ) -> float:
+    ) -> None:
         """Update a model's estimated generation rate from a complete stream.
 
         Args:
             answering: The upstream and its attempt.
             events: Number of events of the stream.
-
-        Returns:
-            Ratio of the time between its events to the usual one; 1 if there
-            are too few to tell.
         """
         engine = self._request.table.service_of(self._service).engine
         if engine is None:
-            return 1
-        now = self._context.clock.now()
-        ratio = self._context.selector.latencies.observe_generation(
-            LatencyKey(self._service, answering.model),
-            events * engine.event_tokens,
-            now - answering.started - answering.waited,
-        )
-        return ratio if events >= MIN_PACED_EVENTS else 1
-
-    def observe_pace(self, answering: UpstreamAnswer, events: int) -> bool:
-        """Judge an answer that has not ended by the time between its events.
-
-        Args:
-            answering: The upstream and its attempt.
-            events: Number of events so far.
-
-        Returns:
-            Whether it is slow, and was recorded as evidence on its version.
-        """
-        engine = self._request.table.service_of(self._service).engine
-        if engine is None or answering.upstream.restarted:
-            return False
+            return
         now = self._context.clock.now()
-        ratio = self._context.selector.latencies.pace_ratio(
+        self._context.selector.latencies.observe_generation(
             LatencyKey(self._service, answering.model),
             events * engine.event_tokens,
             now - answering.started - answering.waited,
         )
-        if not self._is_slow(answering, 1, ratio):
-            return False
-        self._context.version_gate.observe(
-            self._request, answering.upstream, AttemptOutcome.POOR
-        )
-        return True
 
     def observe(
-        self,
-        answering: UpstreamAnswer,
-        observed: AttemptOutcome,
-        pace_ratio: float = 1,
-        *,
-        is_judged: bool = False,
+        self, answering: UpstreamAnswer, observed: AttemptOutcome
     ) -> None:
         """Update estimates, health and version evidence from an answer.
 
@@ -242,8 +194,6 @@
         Args:
             answering: The upstream and its attempt.
             observed: The outcome.
-            pace_ratio: Ratio of the time between its events to the usual one.
-            is_judged: Whether it was recorded as evidence on its version.
         """
         upstream = answering.upstream
         if upstream.restarted:
@@ -252,27 +202,11 @@
         if observed is AttemptOutcome.ACCEPTABLE:
             latency_ratio = self._learn(answering)
             upstream.health.record_answer(now, latency_ratio)
-            if self._is_slow(answering, latency_ratio, pace_ratio):
+            if latency_ratio >= SLOW_ANSWER_RATIO:
                 observed = AttemptOutcome.POOR
         else:
             upstream.health.record_failure(now)
-        if not is_judged:
-            self._context.version_gate.observe(
-                self._request, upstream, observed
-            )
-
-    def _is_slow(
-        self,
-        answering: UpstreamAnswer,
-        latency_ratio: float,
-        pace_ratio: float,
-    ) -> bool:
-        """Return whether an answer is so slow that its version may be bad."""
-        if self._context.selector.limited.is_limited(answering.upstream):
-            return False
-        return (
-            latency_ratio >= SLOW_ANSWER_RATIO or pace_ratio >= SLOW_PACE_RATIO
-        )
+        self._context.version_gate.observe(self._request, upstream, observed)
 
     def _learn(self, answering: UpstreamAnswer) -> float:
         """Update the estimates from an answer.
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -34,7 +34,6 @@
 )
 from nutmegroad.relay.refusals import caller_refusal, truncated_refusal
 from nutmegroad.relay.replies import Reply
-from nutmegroad.relay.request_estimates import EARLY_PACED_EVENTS
 from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.relay.timeouts import response_timeout, wait_while_reachable
 from nutmegroad.routes.headers import end_to_end
@@ -88,8 +87,6 @@
         incomplete: Bytes of the last upstream's answer after its last complete
             event.
         problem: Why the last upstream's answer was truncated, if it was.
-        events_before: Number of events sent before the last upstream's answer.
-        is_slow: Whether that answer was found to be slow before its end.
     """
 
     model: ModelName | None
@@ -98,8 +95,6 @@
     failure: CompleteAnswer | None = field(default=None, repr=False)
     incomplete: int = 0
     problem: str = ''
-    events_before: int = 0
-    is_slow: bool = False
 
 
 class StreamAnswer:
@@ -158,32 +153,19 @@
             )
         elif end is StreamEnd.COMPLETE:
             self._execution.crash_guard.answered()
-        self._observe(answering, end)
-        return end
-
-    def _observe(self, answering: UpstreamAnswer, end: StreamEnd) -> None:
-        """Record the end of an attempt as evidence on its upstream."""
-        estimates = self._execution.estimates
-        pace_ratio = 1.0
-        if end is StreamEnd.COMPLETE:
-            pace_ratio = estimates.observe_generation(
-                answering, self._progress.events
-            )
         observed = _EVIDENCE.get(end)
         if observed is not None:
-            estimates.observe(
-                answering,
-                observed,
-                pace_ratio,
-                is_judged=self._progress.is_slow,
+            self._execution.estimates.observe(answering, observed)
+        if end is StreamEnd.COMPLETE:
+            self._execution.estimates.observe_generation(
+                answering, self._progress.events
             )
+        return end
 
     async def _forward(self, answering: UpstreamAnswer) -> StreamEnd:
         """Forward an answer as it arrives."""
         self._progress.incomplete = 0
         self._progress.problem = ''
-        self._progress.events_before = self._progress.events
-        self._progress.is_slow = False
         if answering.head.status >= FIRST_SERVER_ERROR:
             self._progress.failure = await read_complete(
                 self._execution, answering
@@ -228,6 +210,7 @@
             answering.choice.expected_seconds,
             self._execution.time_left,
         )
+        events_before = self._progress.events
         while True:
             chunk = await self._next_chunk(answering, timeout)
             if chunk is None:
@@ -239,7 +222,7 @@
                 timeout = stall_timeout or timeout
             if not chunk:
                 break
-        if self._ended_early(answering, splitter):
+        if self._ended_early(answering, splitter, events_before):
             return StreamEnd.TRUNCATED
         await self._ensure_head_sent(answering)
         if splitter.remainder:
@@ -250,19 +233,20 @@
         self,
         answering: UpstreamAnswer,
         splitter: EventStreamSplitter,
+        events_before: int,
     ) -> bool:
         """Return whether a body that ended without an error is incomplete.
 
         Args:
             answering: The answer.
             splitter: Has the rest of the body.
+            events_before: Number of events sent before this answer.
         """
         if splitter.is_inside_event:
             self._progress.problem = 'the stream ended inside an event'
             return True
         by_connection = answering.head.framing is Framing.CONNECTION
-        progress = self._progress
-        if by_connection and progress.events == progress.events_before:
+        if by_connection and self._progress.events == events_before:
             # An upstream that failed after its head would end it like this.
             self._progress.problem = 'the connection ended before an event'
             return True
@@ -302,13 +286,7 @@
         execution = self._execution
         execution.crash_guard.event_received(execution.estimates.clock.now())
         progress = self._progress
-        judged_before = progress.events - progress.events_before
         progress.events += len(events)
-        judged = progress.events - progress.events_before
-        if judged_before < EARLY_PACED_EVENTS <= judged:
-            progress.is_slow = execution.estimates.observe_pace(
-                answering, judged
-            )
         progress.last_event = events[-1].event_id or progress.last_event
 
     async def _ensure_head_sent(self, answering: UpstreamAnswer) -> None:
--- a/src/nutmegroad/upstreams/latency_estimates.py
+++ b/src/nutmegroad/upstreams/latency_estimates.py
@@ -6,7 +6,7 @@
 factor its estimate was wrong.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from nutmegroad.foundations.types import ModelName, ServiceName
@@ -63,29 +63,6 @@
         self.level *= ratio ** max(NEWEST_WEIGHT, 1 / (self.count + 1))
 
 
-@dataclass(slots=True)
-class _Median:
-    """Estimate of a median.
-
-    It does not follow a minority of answers that are much slower, as a mean
-    does.
-
-    Attributes:
-        level: The estimate; 0 before the first value.
-    """
-
-    level: float = 0
-
-    def observe(self, found: float) -> float:
-        """Record a value, and return its ratio to the estimate before."""
-        known = self.level or found
-        if found > known:
-            self.level = min(found, known * (1 + NEWEST_WEIGHT))
-        else:
-            self.level = max(found, known * (1 - NEWEST_WEIGHT))
-        return found / known
-
-
 @dataclass(slots=True)
 class _Latency:
     """Latency estimates for one service and model.
@@ -96,13 +73,11 @@
             token of a long prompt takes longer, because it attends to all
             tokens before it.
         generated: Seconds to generate one token; None before the first answer.
-        median: The median of these seconds.
     """
 
     base: _Mean
     tokens: dict[int, _Mean]
     generated: float | None = None
-    median: _Median = field(default_factory=_Median)
 
     def token(self, size: int) -> _Mean:
         """Return the mean of a size class.
@@ -147,35 +122,20 @@
         key: LatencyKey,
         tokens: int,
         seconds: float,
-    ) -> float:
+    ) -> None:
         """Update the seconds per generated token from a complete stream.
 
         Args:
             key: Service and model of the answer.
             tokens: Number of tokens generated.
             seconds: Seconds from the start of the answer to its end.
-
-        Returns:
-            Ratio of the seconds per token to their median before.
         """
         if tokens <= 0 or seconds <= 0:
-            return 1
+            return
         latency = self._latency(key)
         found = seconds / tokens
         known = found if latency.generated is None else latency.generated
         latency.generated = known + NEWEST_WEIGHT * (found - known)
-        return latency.median.observe(found)
-
-    def pace_ratio(self, key: LatencyKey, tokens: int, seconds: float) -> float:
-        """Return the ratio of the seconds per token to their median.
-
-        Args:
-            key: Service and model of the answer.
-            tokens: Number of tokens generated so far.
-            seconds: Seconds since the start of the answer.
-        """
-        usual = self._latency(key).median.level
-        return seconds / tokens / usual if usual and tokens else 1
 
     def observe(
         self,
