Count bytes without progress for one answer, not for a connection

What callers saw: nothing reported; found by reading again. The daemon turned a sound reply into UPSTREAM_ERROR after 256 KiB of replies on one connection, if all had the same length; the relay closed the connection after such an answer.

Cause: progress was "the body's length has changed", and the guard lived as long as its connection, so answers of equal length that arrive in one piece looked like none. Fix: each exchange begins with a new guard.

Both new tests failed before: 2 connections where 1 may be, and a refusal in 400 calls of 800 bytes. No bound has changed.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -222,6 +222,7 @@
         next_scripts: Script factories for the next requests, in order.
         requests: Requests that were received completely.
         port: TCP port; 0 until the first start.
+        connections: Number of connections that were accepted.
         aborted: Requests whose connection ended before their script did.
         endless_bytes: Bytes that were written to answers without an end.
         crashes: Number of crashes, each caused by a request.
@@ -231,6 +232,7 @@
     next_scripts: deque[ScriptFactory] = field(default_factory=deque)
     requests: list[ReceivedRequest] = field(default_factory=list)
     port: int = 0
+    connections: int = 0
     aborted: int = 0
     endless_bytes: int = 0
     crashes: int = 0
@@ -284,6 +286,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         self._writers.add(writer)
+        self.connections += 1
         try:
             await self._serve_requests(reader, writer)
         except (ConnectionError, asyncio.CancelledError):
--- a/src/nutmegroad/adapters/_guarded_connector.py
+++ b/src/nutmegroad/adapters/_guarded_connector.py
@@ -20,6 +20,11 @@
         super().__init__(loop)
         self._progress = ProgressGuard()
 
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the next answer."""
+        super().set_response_params(**options)
+        self._progress = ProgressGuard()
+
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; fail if they deliver nothing for too long."""
         super().data_received(received)
--- a/src/nutmegroad/foundations/progress.py
+++ b/src/nutmegroad/foundations/progress.py
@@ -11,7 +11,7 @@
 
 
 class ProgressGuard:
-    """Counts the bytes that were received since a body last grew."""
+    """Counts the bytes of one answer that were received since its body grew."""
 
     def __init__(self) -> None:
         self._received = 0
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -230,6 +230,7 @@
         """Prepare the parser and the future for a response."""
         self._matches = matches
         self._body = None
+        self._progress = ProgressGuard()
         answer: asyncio.Future[ResponseHead] = self._loop.create_future()
         self._answer = answer
         self._parser = HttpResponseParser(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 
 from aiohttp import ClientPayloadError
+from aiohttp.web import Application, Request, Response, get
 from fakes.opaque_worker import (
     EVENTS,
     ReceivedRequest,
@@ -21,6 +22,7 @@
     signed,
     stream,
 )
+from fakes.serving import LoopbackServer
 
 from nutmegroad.adapters._event_streams import MAX_EVENT_BYTES, EventSplitter
 from nutmegroad.adapters._http_upstreams import (
@@ -148,6 +150,15 @@
         script = endless_body(b'', chunk(b'a' * FILLER), **events)
         await self.assert_given_up(script, '/draft/1')
 
+    # Answers of equal length on one connection looked like no progress, and it
+    # was closed after 256 KiB of them.
+    async def test_whole_answers_of_equal_length_are_progress(self) -> None:
+        self.all_workers(plain(b'a' * 800))
+        for number in range(800):
+            await self.rig.ask('/look/1', f'r{number}')
+        for worker in self.rig.workers:
+            self.assertLessEqual(worker.connections, 1)
+
     async def test_in_chunks_that_are_sound(self) -> None:
         """The caller gets them as they arrive, and no end."""
         filler = chunk(b'a' * FILLER)
@@ -306,6 +317,20 @@
                     self.upstream.written, MAX_REPLY_BYTES + 16_777_216
                 )
 
+    # The reply that exceeded 256 KiB of replies of equal length was an error.
+    async def test_whole_replies_of_equal_length_are_progress(self) -> None:
+        async def answer(request: Request) -> Response:
+            """Return a reply."""
+            return Response(body=b'a' * 800)
+
+        app = Application()
+        app.add_routes([get('/x', answer)])
+        server = await self.enterAsyncContext(LoopbackServer(app))
+        self.info = engine_info('e', server.address.port)
+        for _ in range(400):
+            reply = await self.services.call(self.call())
+            self.assertNotIsInstance(reply, Refusal)
+
     async def test_answers_of_engines_are_given_up(self) -> None:
         for place, (text, filler) in self.answers().items():
             with self.subTest(place):
