Read the limit header, its refusals and a lone host's shares in one place

The two programs took the smallest of several headers each by itself, built the shares of a host that is alone each by itself, and a request without an upstream counted the excluded ones twice.

--- a/src/nutmegroad/adapters/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -22,7 +22,7 @@
 )
 from nutmegroad.adapters._guarded_connector import GuardedConnector
 from nutmegroad.contracts.upstreams import LimitCallback
-from nutmegroad.foundations.decimals import parse_decimal
+from nutmegroad.foundations.decimals import smallest_decimal
 from nutmegroad.foundations.exceptions import GateClosed
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
@@ -78,7 +78,7 @@
     """
     texts = response.headers.getall(LIMIT_HEADER, ())
     try:
-        limit = min(map(parse_decimal, texts)) if texts else None
+        limit = smallest_decimal(texts)
     except ValueError as invalid:
         _LOG.decision('limit ignored', url=response.url, problem=str(invalid))
         return
--- a/src/nutmegroad/foundations/decimals.py
+++ b/src/nutmegroad/foundations/decimals.py
@@ -1,6 +1,7 @@
 """Decimal numbers in headers."""
 
 import re
+from collections.abc import Collection
 from typing import Final
 
 #: Maximum characters of an invalid number in a message.
@@ -20,3 +21,12 @@
         message = f'{text[:MAX_SHOWN]!r} is not a decimal number'
         raise ValueError(message)
     return float(text)
+
+
+def smallest_decimal(texts: Collection[str]) -> float | None:
+    """Return the smallest of several decimal numbers; None if there are none.
+
+    Raises:
+        ValueError: If one of them is anything else.
+    """
+    return min(map(parse_decimal, texts)) if texts else None
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -28,11 +28,7 @@
     AttemptPlan,
     UpstreamAnswer,
 )
-from nutmegroad.relay.refusals import (
-    harmful_refusal,
-    limited_refusal,
-    no_upstream_refusal,
-)
+from nutmegroad.relay.refusals import harmful_refusal
 from nutmegroad.relay.request_estimates import RequestEstimates
 from nutmegroad.relay.timeouts import response_timeout
 from nutmegroad.routes.requests import CallerRequest
@@ -138,7 +134,7 @@
                 return self._refuse(harmful_refusal(harmful, self.service))
             choice = choose()
             if choice is None:
-                return self._refuse(_no_upstream(self))
+                return self._refuse(self.estimates.refusal(self.time_left))
             outcome = await self._attempt(choice, model, last_event)
             if isinstance(outcome, UpstreamAnswer):
                 return outcome
@@ -384,25 +380,12 @@
     return not choice.upstream.restarted
 
 
-def _no_upstream(execution: Execution) -> Refusal:
-    """Return the refusal if no upstream can be chosen."""
-    estimates = execution.estimates
-    limited = estimates.limited_refusal(execution.time_left)
-    if limited is not None:
-        return limited
-    return no_upstream_refusal(estimates.exclusions, execution.service)
-
-
 def _final_refusal(
     execution: Execution, failure: AttemptFailure, attempts: int
 ) -> Refusal:
     """Return the refusal that ends a request after its last attempt."""
     if failure.is_reserved:
-        return limited_refusal(
-            execution.estimates.exclusions,
-            execution.service,
-            failure.retry_after,
-        )
+        return execution.estimates.reserved_refusal(failure.retry_after)
     return Refusal(
         _RESULT_CODES.get(failure.end, ResultCode.UPSTREAM_ERROR),
         f'After {attempts} attempts: {failure.reason}.',
--- a/src/nutmegroad/relay/heads.py
+++ b/src/nutmegroad/relay/heads.py
@@ -4,7 +4,7 @@
 
 from aiohttp.http_parser import RawResponseMessage
 
-from nutmegroad.foundations.decimals import parse_decimal
+from nutmegroad.foundations.decimals import smallest_decimal
 from nutmegroad.foundations.types import Ran
 from nutmegroad.relay.connections import (
     AnswerMatcher,
@@ -122,7 +122,7 @@
             ValueError: If a header is no decimal number.
         """
         texts = head.headers.getall(self._names.request_limit, ())
-        return min(map(parse_decimal, texts)) if texts else None
+        return smallest_decimal(texts)
 
     def is_signed(self, head: ResponseHead) -> bool:
         """Return whether a response has the signature of an upstream."""
--- a/src/nutmegroad/relay/request_estimates.py
+++ b/src/nutmegroad/relay/request_estimates.py
@@ -14,7 +14,11 @@
 )
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.outcomes import UpstreamAnswer
-from nutmegroad.relay.refusals import Exclusions, limited_refusal
+from nutmegroad.relay.refusals import (
+    Exclusions,
+    limited_refusal,
+    no_upstream_refusal,
+)
 from nutmegroad.routes.deployment import ColdStart
 from nutmegroad.routes.requests import CallerRequest
 from nutmegroad.upstreams.directory import Upstream
@@ -82,15 +86,15 @@
         """Return the fields of a log line; none without a limit."""
         return self._context.selector.limited.log_fields(upstream)
 
-    def limited_refusal(self, seconds_left: float) -> Refusal | None:
-        """Return the refusal if limited upstreams are the only ones of use.
+    def refusal(self, seconds_left: float) -> Refusal:
+        """Return the refusal if no upstream can be chosen.
 
         Args:
             seconds_left: Seconds that the caller has left.
         """
         exclusions = self.exclusions
         if not exclusions.limited:
-            return None
+            return no_upstream_refusal(exclusions, self._service)
         retry_after = self._context.selector.limited.reserve_own(
             self._context.version_gate.permitted(self._request, self._service),
             self._request.content,
@@ -98,6 +102,14 @@
         )
         return limited_refusal(exclusions, self._service, retry_after)
 
+    def reserved_refusal(self, retry_after: float) -> Refusal:
+        """Return the refusal if another host keeps a token for the request.
+
+        Args:
+            retry_after: Seconds until the token is there.
+        """
+        return limited_refusal(self.exclusions, self._service, retry_after)
+
     def is_cut_off(self, upstream: Upstream) -> bool:
         """Return whether an upstream's failure domain is likely cut off."""
         return self._context.selector.is_cut_off(upstream)
--- a/src/nutmegroad/upstreams/limited_upstreams.py
+++ b/src/nutmegroad/upstreams/limited_upstreams.py
@@ -14,9 +14,13 @@
 
 from nutmegroad.fleet.request_limits import RequestLimits
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.types import DomainId, HostId
+from nutmegroad.foundations.types import HostId
 from nutmegroad.upstreams.directory import Upstream
-from nutmegroad.upstreams.rate_shares import RateShares, RequestKey
+from nutmegroad.upstreams.rate_shares import (
+    RateShares,
+    RequestKey,
+    lone_shares,
+)
 
 #: Part of its time for which a caller waits before it retries, at most.
 PATIENCE_FRACTION: Final = 1 / 3
@@ -52,9 +56,7 @@
         self._clock = clock
         self._host = HostId('')
         #: This host's part of the requests that upstreams take.
-        self.shares = RateShares(
-            self._host, clock, RequestLimits(clock), _lone_sender
-        )
+        self.shares = lone_shares(clock, RequestLimits(clock))
         # Clock seconds until which hosts are not asked.
         self._silent_until: dict[HostId, float] = {}
 
@@ -239,10 +241,3 @@
     """Return the rendezvous hash of a source for a request."""
     name = f'{key}/{source.upstream.entry.incarnation}/{source.host}'
     return xxh3_64_intdigest(name.encode())
-
-
-def _lone_sender(
-    duty: str, domain: DomainId, count: int, turn: int
-) -> tuple[HostId, ...]:
-    """Return the only sender of a host that is alone."""
-    return (HostId(''),)
--- a/src/nutmegroad/upstreams/rate_shares.py
+++ b/src/nutmegroad/upstreams/rate_shares.py
@@ -283,3 +283,9 @@
         """Return the senders of an upstream."""
         count = max(MIN_SENDERS, math.ceil(limit.rate))
         return self._senders(f'limit/{upstream}', domain, count, limit.turn)
+
+
+def lone_shares(clock: Clock, limits: RequestLimits) -> RateShares:
+    """Return the shares of a host that is alone."""
+    alone = HostId('')
+    return RateShares(alone, clock, limits, lambda *_: (alone,))
--- a/src/nutmegroad/upstreams/upstream_limits.py
+++ b/src/nutmegroad/upstreams/upstream_limits.py
@@ -21,7 +21,7 @@
     UpstreamIncarnation,
     UpstreamInfo,
 )
-from nutmegroad.upstreams.rate_shares import RateShares
+from nutmegroad.upstreams.rate_shares import RateShares, lone_shares
 from nutmegroad.upstreams.senders import select_senders
 
 #: Seconds after its start until which a host sends nothing to a limited
@@ -106,9 +106,7 @@
         #: What upstreams have said.
         self.limits = RequestLimits(clock)
         self._clock = clock
-        self._shares = RateShares(
-            HostId(''), clock, self.limits, lambda *_: (HostId(''),)
-        )
+        self._shares = lone_shares(clock, self.limits)
 
     def share_with(self, host: HostId, hosts: KnownHosts) -> None:
         """Share the limits with other hosts.
