--- a/tests/test_limit_search.py
+++ b/tests/test_limit_search.py
@@ -9,9 +9,13 @@
 import random
 import unittest
 from dataclasses import dataclass
+from unittest.mock import patch
 
 from experiments.virtual_time import VirtualLoop, run_on_virtual_loop
 
+from nutmegroad.fleet.request_limits import RequestLimits
+from nutmegroad.foundations.types import HostId
+from nutmegroad.upstreams.rate_shares import RateShares
 from tests.limit_fleet import LimitedFleet, LimitedWorker, Need
 from tests.limit_judge import smallest_margin
 
@@ -208,6 +212,18 @@
         needy = counts.pop(search.needy[0].name)
         self.assertGreaterEqual(needy, sum(counts.values()) / len(counts) / 2)
 
+    # Shows that the search finds the fault of the incident.
+    def test_hosts_that_ignore_limits_are_found(self) -> None:
+        with patch.object(RequestLimits, 'find', return_value=None):
+            search = LimitSearch(SMALL, Trouble(all_in_need=True), 1).play()
+        self.assertLess(search.margin, 0)
+
+    # Shows that it finds hosts of which each takes the limit for its own.
+    def test_hosts_that_do_not_share_limits_are_found(self) -> None:
+        with patch.object(RateShares, '_senders_of', _each_host_alone):
+            search = LimitSearch(SMALL, Trouble(all_in_need=True), 1).play()
+        self.assertLess(search.margin, 0)
+
 
 class LargeFleetTest(unittest.TestCase):
     """A hundred and ninety-five hosts."""
@@ -220,5 +236,12 @@
         self.assertGreaterEqual(search.fleet.served_part(4, 16), SERVED)
 
 
+def _each_host_alone(
+    shares: RateShares, *_arguments: object
+) -> tuple[HostId, ...]:
+    """Return a host as the only sender of each upstream."""
+    return (shares._host,)
+
+
 if __name__ == '__main__':
     unittest.main()
