Rank the senders of limited upstreams by one class in both programs

The daemon ranked hosts by sorting their hashes and kept a ranking for each upstream that had ever named a limit; the relay used the ring, with a bound. Both use the ring now. Which hosts of the daemon send changes with it, not how many. A host's failure domain is looked up by FleetHosts.

--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -20,7 +20,7 @@
 from nutmegroad.fleet.update_link import UpdateLink
 from nutmegroad.fleet.update_server import UpdateServer
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.foundations.types import Address, DomainId, HostId
 
 #: Bits of a host's incarnation number: two incarnations of one host during one
 #: rollout never get the same number in practice.
@@ -145,6 +145,11 @@
         others = (*self.peers.local_hosts, *self.peers.remote_hosts)
         return sum(duty_hash(duty, other) < mine for other in others)
 
+    def domain_of(self, host: HostId) -> DomainId:
+        """Return the failure domain of a host."""
+        remote = self.peers.remote_hosts.get(host)
+        return DomainId(self._own.domain if remote is None else remote.domain)
+
     def known_count(self) -> int | None:
         """Return the number of hosts; None before they are known."""
         return self.count() if self._registration.knows_hosts else None
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -72,7 +72,12 @@
         ColdStarts(clock, fleet.known_rank),
     )
     selector.brittle.share_with(fleet.known_rank, fleet.known_count)
-    ranks = SenderRanks(fleet, settings.domain, settings.regions)
+    ranks = SenderRanks(
+        fleet.peers.ring,
+        fleet.domain_of,
+        settings.regions,
+        lambda: fleet.known_count() is not None,
+    )
     shares = RateShares(
         settings.host, clock, received_state.limits, ranks.senders
     )
--- a/src/nutmegroad/upstreams/senders.py
+++ b/src/nutmegroad/upstreams/senders.py
@@ -5,11 +5,11 @@
 among them if there is any, for the time in which the domain's own are away.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
-from nutmegroad.fleet.hosts import FleetHosts
+from nutmegroad.fleet.duties import HostRing
 from nutmegroad.foundations.types import DomainId, HostId, RegionId
 
 #: Maximum number of rankings that are cached.
@@ -32,23 +32,26 @@
 
 
 class SenderRanks:
-    """Ranks the hosts of the fleet table as senders.
+    """Ranks all hosts as senders.
 
     Args:
-        fleet: The hosts.
-        domain: This host's failure domain.
+        ring: All hosts.
+        domain_of: Returns the failure domain of a host.
         regions: The region of each failure domain.
+        is_complete: Returns whether all hosts are known.
     """
 
     def __init__(
         self,
-        fleet: FleetHosts,
-        domain: DomainId,
+        ring: HostRing,
+        domain_of: Callable[[HostId], DomainId],
         regions: Mapping[DomainId, RegionId],
+        is_complete: Callable[[], bool],
     ) -> None:
-        self._fleet = fleet
-        self._domain = domain
+        self._ring = ring
+        self._domain_of = domain_of
         self._regions = regions
+        self._is_complete = is_complete
         self._rankings: dict[tuple[str, DomainId], _Ranking] = {}
 
     def senders(
@@ -62,14 +65,14 @@
             count: Maximum number of senders.
             turn: Number of the group of hosts that has the duty.
         """
-        if self._fleet.known_count() is None:
+        if not self._is_complete():
             return None
         ranking = self._ranking(duty, domain)
         return select_senders(ranking.near, ranking.far, count, turn)
 
     def _ranking(self, duty: str, domain: DomainId) -> _Ranking:
         """Return the ranking for a duty; hosts are only ever added."""
-        ring = self._fleet.peers.ring
+        ring = self._ring
         known = self._rankings.get((duty, domain))
         if known is not None and known.hosts == len(ring):
             return known
@@ -88,11 +91,6 @@
         self._rankings[duty, domain] = ranking
         return ranking
 
-    def _domain_of(self, host: HostId) -> DomainId:
-        """Return the failure domain of a host."""
-        remote = self._fleet.peers.remote_hosts.get(host)
-        return self._domain if remote is None else DomainId(remote.domain)
-
 
 def select_senders(
     near: Sequence[HostId], far: Sequence[HostId], count: int, turn: int
--- a/src/nutmegroad/upstreams/upstream_limits.py
+++ b/src/nutmegroad/upstreams/upstream_limits.py
@@ -11,7 +11,7 @@
 
 from nutmegroad.contracts.peers import Member
 from nutmegroad.contracts.upstreams import LimitCallback, UpstreamState
-from nutmegroad.fleet.duties import duty_hash
+from nutmegroad.fleet.duties import HostRing
 from nutmegroad.fleet.request_limits import RequestLimits
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.results import Refusal, ResultCode
@@ -22,7 +22,7 @@
     UpstreamInfo,
 )
 from nutmegroad.upstreams.rate_shares import RateShares, lone_shares
-from nutmegroad.upstreams.senders import select_senders
+from nutmegroad.upstreams.senders import SenderRanks
 
 #: Seconds after its start until which a host sends nothing to a limited
 #: upstream: it does not know the other hosts yet.
@@ -32,9 +32,6 @@
 #: upstream of use. Another host may have a token.
 OTHER_HOST_RETRY_AFTER: Final = 1.0
 
-#: Hosts of an upstream's failure domain and the others, by rank for a duty.
-_Ranking = tuple[tuple[HostId, ...], tuple[HostId, ...]]
-
 
 class KnownHosts:
     """All hosts that this one has seen, by failure domain.
@@ -53,7 +50,11 @@
         self._reached = 0
         self._clock = clock
         self._complete_at = clock.now() + STARTUP_DELAY
-        self._rankings: dict[tuple[str, DomainId], _Ranking] = {}
+        self._ring = HostRing(host)
+        #: Ranks the hosts as senders.
+        self.ranks = SenderRanks(
+            self._ring, self._domains.__getitem__, {}, self._is_complete
+        )
 
     def hears_others(self) -> bool:
         """Return whether most hosts are reached."""
@@ -63,36 +64,12 @@
         """Add the hosts that are reached at present."""
         self._reached = len(members)
         for member in members:
-            if member.host not in self._domains:
-                self._domains[member.host] = member.domain
-                self._rankings.clear()
+            self._domains[member.host] = member.domain
+            self._ring.add(member.host)
 
-    def senders(
-        self, duty: str, domain: DomainId, count: int, turn: int
-    ) -> tuple[HostId, ...] | None:
-        """Return the senders of an upstream; None before hosts are known.
-
-        Args:
-            duty: The duty that they have.
-            domain: Failure domain of the upstream.
-            count: Maximum number of senders.
-            turn: Number of the group of hosts that has the duty.
-        """
-        if self._clock.now() < self._complete_at:
-            return None
-        ranking = self._rankings.get((duty, domain))
-        if ranking is None:
-            ranking = self._rank(duty, domain)
-            self._rankings[duty, domain] = ranking
-        return select_senders(*ranking, count, turn)
-
-    def _rank(self, duty: str, domain: DomainId) -> _Ranking:
-        """Return the hosts of a domain and the others, by rank for a duty."""
-        ranked = sorted(self._domains, key=partial(duty_hash, duty))
-        return (
-            tuple(host for host in ranked if self._domains[host] == domain),
-            tuple(host for host in ranked if self._domains[host] != domain),
-        )
+    def _is_complete(self) -> bool:
+        """Return whether there was time to see all hosts."""
+        return self._clock.now() >= self._complete_at
 
 
 class UpstreamLimits:
@@ -116,7 +93,9 @@
             hosts: All hosts.
         """
         self.limits.hears_others = hosts.hears_others
-        self._shares = RateShares(host, self._clock, self.limits, hosts.senders)
+        self._shares = RateShares(
+            host, self._clock, self.limits, hosts.ranks.senders
+        )
 
     def may_send(self, upstream: UpstreamInfo) -> bool:
         """Return whether this host may send one more request now."""
--- a/tests/gossip_rig.py
+++ b/tests/gossip_rig.py
@@ -21,7 +21,7 @@
     SharedState,
     new_shared_state,
 )
-from nutmegroad.foundations.types import HostId
+from nutmegroad.foundations.types import DomainId, HostId
 
 #: Seconds after which a session without requests has ended.
 SPAN: Final = 8.5
@@ -96,6 +96,10 @@
         """Return the hosts that are running."""
         return tuple(self._at.values())
 
+    def domain_of(self, host: HostId) -> DomainId:
+        """Return the failure domain of a host."""
+        return DomainId(self._rows[host].domain)
+
     def member(self, number: int) -> Member:
         """Return a host."""
         return self._at[f'10.0.0.{number}']
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -12,8 +12,6 @@
 
 from experiments.virtual_time import VirtualClock, VirtualLoop
 
-from nutmegroad.fleet.hosts import FleetHosts
-from nutmegroad.fleet.peer_gossip import PeerGossip
 from nutmegroad.foundations.types import DomainId, HostId, UpstreamIncarnation
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.limited_upstreams import (
@@ -104,21 +102,6 @@
     told_at: dict[UpstreamIncarnation, float] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class _FleetView:
-    """What a host knows of the fleet table.
-
-    Attributes:
-        peers: The other hosts.
-    """
-
-    peers: PeerGossip
-
-    def known_count(self) -> int:
-        """Return the number of hosts."""
-        return self.peers.count + 1
-
-
 @dataclass(slots=True)
 class Tally:
     """What became of requests.
@@ -220,9 +203,8 @@
     def _add(self, member: Member) -> None:
         """Add a host that has just started."""
         limited = LimitedUpstreams(self.clock)
-        view = _FleetView(member.gossip)
         ranks = SenderRanks(
-            cast(FleetHosts, view), DomainId(member.row.domain), {}
+            member.gossip.ring, self._gossip.domain_of, {}, lambda: True
         )
         shares = RateShares(
             member.name, self.clock, member.state.limits, ranks.senders
