Judge limits in the soak and in the tests by one rule

Both had the window, the ratio and the excess, and counted windows each by itself. The rule stands beside the soak's judges now.

--- a/experiments/fleet_soak/path_judges.py
+++ b/experiments/fleet_soak/path_judges.py
@@ -3,19 +3,15 @@
 from typing import Final
 
 from experiments.fleet_soak.history import Bounds, History, HostCut, Verdict
+from experiments.fleet_soak.limit_rule import (
+    CONTACT,
+    allowed_requests,
+    most_requests,
+)
 
 #: Fraction of the other hosts' share served that a cut host may fall short by.
 _SHORTFALL: Final = 1 / 3
 
-#: Seconds over which requests to a worker in need are counted, and from which
-#: on after the beginning of its need.
-_NEED_WINDOW: Final = 4.0
-_NEED_NOTICE: Final = 3.0
-
-#: Factor by which a window may exceed the limit, and requests beyond that.
-_TOLERATED_RATIO: Final = 1.5
-_TOLERATED_EXCESS: Final = 5
-
 #: Falls that are tolerated in one time, and a part of the number of workers.
 _TOLERATED_FALLS: Final = 2
 _TOLERATED_PART: Final = 0.1
@@ -71,39 +67,25 @@
     checked = 0
     violations = []
     for period in history.need_times:
-        begin = period.since + _NEED_NOTICE
+        begin = period.since + CONTACT
         if not history.is_fault_free(
             period.since, period.until, bounds.propagation
         ):
             continue
-        allowed = (
-            _TOLERATED_RATIO * _NEED_WINDOW * period.limit + _TOLERATED_EXCESS
-        )
         checked += 1
-        most = _most_executions(history, period.worker, begin, period.until)
-        if most > allowed:
+        most = most_requests(
+            sorted(
+                each.started_at
+                for each in history.executions
+                if each.worker == period.worker
+                and begin <= each.started_at <= period.until
+            )
+        )
+        if most > allowed_requests(period.limit):
             violations.append(f'{period.worker}: {most} in a window')
     return Verdict('limits of workers', checked, tuple(violations))
 
 
-def _most_executions(
-    history: History, worker: str, begin: float, end: float
-) -> int:
-    """Return the most executions of a worker in a window of a span."""
-    times = sorted(
-        each.started_at
-        for each in history.executions
-        if each.worker == worker and begin <= each.started_at <= end
-    )
-    return max(
-        (
-            sum(start <= time < start + _NEED_WINDOW for time in times)
-            for start in times
-        ),
-        default=0,
-    )
-
-
 def _cut_meanwhile(history: History, cut: HostCut) -> set[str]:
     """Return the names of the hosts that were cut off during a cut."""
     return {
--- a/tests/limit_judge.py
+++ b/tests/limit_judge.py
@@ -1,17 +1,14 @@
-"""The operators' rule on the requests that a limited upstream may get."""
+"""Judges the requests of a search by the operators' rule on limits."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-#: Seconds of the windows in which requests are counted.
-WINDOW = 4.0
-
-#: Factor by which a window may exceed the limit, and requests beyond that.
-TOLERATED_RATIO = 1.5
-TOLERATED_EXCESS = 5
-
-#: Seconds from the first answer that names a limit until requests count.
-CONTACT = 3.0
+from experiments.fleet_soak.limit_rule import (
+    CONTACT,
+    TOLERATED_EXCESS,
+    TOLERATED_RATIO,
+    WINDOW,
+)
 
 #: Seconds after which a host that was told has to act on it.
 REACTION = 0.5
@@ -44,30 +41,6 @@
         return self.time >= self.disturbed_at + CONTACT
 
 
-def allowed_requests(limit: float) -> float:
-    """Return how many requests may arrive in a window.
-
-    Args:
-        limit: Requests in a second that the upstream takes.
-    """
-    return TOLERATED_RATIO * WINDOW * limit + TOLERATED_EXCESS
-
-
-def most_requests(times: Sequence[float]) -> int:
-    """Return the most requests in a window.
-
-    Args:
-        times: When each request arrived, in seconds and in order.
-    """
-    most = 0
-    first = 0
-    for last, time in enumerate(times):
-        while times[first] <= time - WINDOW:
-            first += 1
-        most = max(most, last + 1 - first)
-    return most
-
-
 def smallest_margin(
     arrivals: Iterable[Arrival],
     limit_at: Callable[[float], float | None],
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from experiments.fleet_soak.limit_rule import allowed_requests, most_requests
 from fakes.opaque_worker import (
     ReceivedRequest,
     Script,
@@ -33,7 +34,6 @@
 from nutmegroad.upstreams.rate_shares import RateShares
 from nutmegroad.upstreams.senders import select_senders
 from tests.cut_rig import CutRig, by_path
-from tests.limit_judge import allowed_requests, most_requests
 from tests.relay_case import RelayCase
 from tests.relay_samples import NORTH
 
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from aiohttp.web import Application, Request, Response, post
+from experiments.fleet_soak.limit_rule import allowed_requests, most_requests
 from fakes.serving import LoopbackServer
 
 from nutmegroad.adapters._http_upstreams import (
@@ -38,7 +39,6 @@
     KnownHosts,
     UpstreamLimits,
 )
-from tests.limit_judge import allowed_requests, most_requests
 from tests.request_path_rig import engine_info
 
 ENGINE = engine_info('e')
