--- a/review/rig.py
+++ b/review/rig.py
@@ -51,16 +51,30 @@
         print(f'{time.monotonic() - self._begun:8.3f} s  {text}', file=self._file, flush=True)
 
 
-def free_ports(ip: str, count: int) -> list[int]:
-    """Return free ports of an address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind((ip, 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+#: Addresses of entry hosts, and ports below those that the kernel gives out.
+ADDRESSES = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
+PORTS = range(15000, 30000)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free on all addresses, for TCP and UDP."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.choice(PORTS)
+        if port not in found and all(map(is_free, ADDRESSES, [port] * len(ADDRESSES))):
+            found.append(port)
+    return found
+
+
+def is_free(ip: str, port: int) -> bool:
+    """Return whether a port of an address can be bound."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((ip, port))
+            except OSError:
+                return False
+    return True
 
 
 @dataclass
@@ -157,17 +171,19 @@
         self.hosts: dict[str, Host] = {}
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self._runner: web.AppRunner | None = None
-        self._ports = free_ports("127.0.0.1", 4)
+        self._ports = free_ports(4)
 
     async def __aenter__(self) -> 'Deployment':
         self._runner = web.AppRunner(self.store.app(), handler_cancellation=True, shutdown_timeout=0.1)
         await self._runner.setup()
-        self.store_port = free_ports('127.0.0.1', 1)[0]
+        self.store_port = free_ports(1)[0]
         await web.TCPSite(self._runner, '127.0.0.1', self.store_port).start()
         return self
 
     async def __aexit__(self, *_: object) -> None:
         for host in self.hosts.values():
+            if host.process is not None and host.process.returncode is not None:
+                self.record(f'{host.name} had ended by itself: {host.log.read_text()[-500:]!r}')
             await host.kill()
         if self._runner is not None:
             await self._runner.cleanup()
