--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,10 +17,10 @@
 
 FOLDER = str(pathlib.Path(__file__).parent)
 HOST = 'ficu95.example'
-WORKERS, SLOTS, QUEUE, WORK_S = 3, 6, 2, 0.045
+WORKERS, SLOTS, QUEUE, WORK_S = 3, 6, 2, (0.02, 0.07)
 SHARE, X = 0.6, 0.03  # Dose of the site: garble, how = "extra late".
-SECONDS = 50
-CLUMPS, CLUMP_S = (1, 2, 20, 20), 0.3
+SECONDS = 75
+HOSTS, CROWD, SINGLE, CROWD_S = 5, 30, 6, 0.4
 WINDOW_S, PAUSE_S = 5, 0.5  # Each disruption lasts for 5 s at most; it comes again.
 
 
@@ -63,16 +63,18 @@
             async with self.places:
                 self.runs.append((0, request))
                 self.log(f'{self.name} runs {request.request_id}')
-                await asyncio.sleep(WORK_S)
+                await asyncio.sleep(random.uniform(*WORK_S))
         finally:
             self.waiting -= 1
         body = request.request_id.encode() * 50
         return f'{self.head(request)}Content-Length: {len(body)}\r\n\r\n'.encode() + body
 
 
-async def ask(deployment: Deployment, host, answers: dict[str, int | None], connections: list) -> None:
+async def ask(deployment: Deployment, host, answers: dict[str, int | None], connections: list,
+              wait: float) -> None:
     """Send one request as a client does, on a kept connection or a new one."""
     name = new_id()
+    await asyncio.sleep(wait)
     reader, writer = connections.pop() if connections else await asyncio.open_connection(host.ip, host.front)
     deployment.record(f'client sends {name}')
     writer.write(request_bytes('POST', '/puxa/2f', HOST, name, 1000, b'x' * 600,
@@ -107,17 +109,19 @@
     )
     for worker in workers:
         deployment.list_worker(worker)
-    hosts = [await deployment.start_host(f'front-{n}', f'127.0.0.{n}', first=True) for n in (1, 2, 3)]
+    hosts = [await deployment.start_host(f'front-{n}', f'127.0.0.{n}', first=True) for n in range(1, HOSTS + 1)]
     if not all([await host.wait_ready() for host in hosts]):
         return NOT_RUN
     answers: dict[str, int | None] = {}
     kept: dict = {host: [] for host in hosts}
     asked: list[asyncio.Task] = []
-    for _ in range(int(SECONDS / CLUMP_S)):
+    for _ in range(int(SECONDS / CROWD_S)):
+        crowded = random.choice(hosts)
         for host in hosts:
-            for _ in range(random.choice(CLUMPS)):
-                asked.append(asyncio.create_task(ask(deployment, host, answers, kept[host])))
-        await asyncio.sleep(CLUMP_S)
+            for _ in range(CROWD if host is crowded else SINGLE):
+                wait = 0 if host is crowded else random.uniform(0, 0.08)
+                asked.append(asyncio.create_task(ask(deployment, host, answers, kept[host], wait)))
+        await asyncio.sleep(CROWD_S)
     await asyncio.gather(*asked)
     await asyncio.sleep(1)
     runs = collections.Counter(request.request_id for worker in workers for _, request in worker.runs)
--- a/review/rig.py
+++ b/review/rig.py
@@ -52,7 +52,7 @@
 
 
 #: Addresses of entry hosts, and ports below those that the kernel gives out.
-ADDRESSES = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
+ADDRESSES = ('127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4', '127.0.0.5')
 PORTS = range(15000, 30000)
 
 
