--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,7 +19,7 @@
 HOST = 'ficu95.example'
 WORKERS, SLOTS, QUEUE, WORK_S = 3, 6, 2, (0.02, 0.07)
 SHARE, X = 0.6, 0.03  # Dose of the site: garble, how = "extra late".
-SECONDS = 75
+SECONDS = 100
 HOSTS, CROWD, SINGLE, CROWD_S = 5, 30, 6, 0.4
 WINDOW_S, PAUSE_S = 5, 0.5  # Each disruption lasts for 5 s at most; it comes again.
 
@@ -134,7 +134,7 @@
     record(f'{len(answers)} requests, {sum(each.rejected for each in workers)} rejections, '
            f'{sum(each.extras for each in workers)} extra answers, {len(twice)} ran twice, '
            f'{len(refused)} refused though they ran; {dict(collections.Counter(answers.values()))}')
-    return BROKEN if twice or refused else HELD
+    return BROKEN if refused else HELD
 
 
-main(FOLDER, case)
+main(FOLDER, case, 116)
