Log the connection and the exchange of each attempt

Seen: in review/1 hosts answer 503 for calls that run, and run calls twice. The log could not tell why: an attempt's line named the upstream, not the connection, and a dropped answer named neither the exchange that it arrived in.

Hypotheses: (1) a late copy of an earlier rejection is taken for the answer to a later attempt of the same request, on the same connection; (2) the same by an answer without an id; (3) an attempt is counted as not sent though it was.

What was added: 'attempt' and the lines of dropped answers name the exchange, as connection and count. No decision has changed.

--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -136,7 +136,7 @@
             failure = self._heads.validate(head)
             if failure is not None:
                 self._record_failure(upstream, failure)
-                return failure
+                return replace(failure, exchange=connection.exchange_id)
             return UpstreamAnswer(
                 plan.choice,
                 plan.model,
@@ -266,13 +266,18 @@
                     Ran.UNKNOWN,
                     reason,
                     via=connection.via,
+                    exchange=connection.exchange_id,
                 )
             head_received = await answer
         except ConnectionFailedError as problem:
             self._dialer.record_broken(plan.upstream, connection)
             ran = Ran.UNKNOWN if problem.sent else Ran.NOT_RUN
             return AttemptFailure(
-                AttemptEnd.BROKEN, ran, str(problem), via=connection.via
+                AttemptEnd.BROKEN,
+                ran,
+                str(problem),
+                via=connection.via,
+                exchange=connection.exchange_id,
             )
         if connection.proves_path:
             self._dialer.paths.record_answer(plan.upstream)
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
+from itertools import count
 from typing import Final, TypeGuard, cast
 
 from aiohttp.base_protocol import BaseProtocol
@@ -37,6 +38,8 @@
 #: Responses with a status below this one are interim responses.
 _FIRST_FINAL: Final = 200
 
+_NUMBERS: Final = count(1)
+
 
 @unique
 class Framing(Enum):
@@ -113,6 +116,8 @@
         self.via = via
         #: Whether it has not been idle in a pool yet.
         self.is_new = True
+        self._number = next(_NUMBERS)
+        self._exchange_count = 0
         self._matches: AnswerMatcher | None = None
         self._answer: asyncio.Future[ResponseHead] | None = None
         self._body: StreamReader | None = None
@@ -126,6 +131,11 @@
         #: upstream did not say.
         self.idle_timeout: float = 0
 
+    @property
+    def exchange_id(self) -> str:
+        """Number of the connection, and of its last exchange."""
+        return f'{self._number}.{self._exchange_count}'
+
     @property
     def reusable(self) -> bool:
         """Whether another exchange may follow on this connection."""
@@ -152,7 +162,11 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; unrequested bytes abort the connection."""
         if self._parser is None or (data and self.finished):
-            _LOG.decision('stray bytes dropped', size=len(data))
+            _LOG.decision(
+                'stray bytes dropped',
+                size=len(data),
+                exchange=self.exchange_id,
+            )
             self.abort()
             return
         try:
@@ -228,6 +242,7 @@
         self, matches: AnswerMatcher
     ) -> asyncio.Future[ResponseHead]:
         """Prepare the parser and the future for a response."""
+        self._exchange_count += 1
         self._matches = matches
         self._body = None
         self._progress = ProgressGuard()
@@ -257,7 +272,11 @@
             or answer.done()
             or not self._matches_request(message)
         ):
-            _LOG.decision('stray answer dropped', status=message.code)
+            _LOG.decision(
+                'stray answer dropped',
+                status=message.code,
+                exchange=self.exchange_id,
+            )
             self._may_reuse = False
             return
         self._body = payload
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -310,6 +310,7 @@
             **self.estimates.limit_fields(choice.upstream),
             waited=round(self.waited, 3),
             via=outcome.via,
+            exchange=outcome.exchange,
             outcome=ended,
             detail=detail,
         )
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -53,6 +53,8 @@
         is_reserved: Whether the request has a reservation at that time.
         shows_nothing: Whether it is no evidence on the upstream, as the
             request had less time than a connection may take.
+        exchange: Number of the connection and of its exchange, for the log;
+            empty if nothing was sent.
     """
 
     end: AttemptEnd
@@ -62,6 +64,7 @@
     via: HostId | None = None
     is_reserved: bool = False
     shows_nothing: bool = False
+    exchange: str = ''
 
     def __bool__(self) -> bool:
         """Return False, always."""
@@ -141,6 +144,11 @@
         """The host by way of which the request was sent; None if none."""
         return self.connection.via
 
+    @property
+    def exchange(self) -> str:
+        """Number of the connection and of its exchange, for the log."""
+        return self.connection.exchange_id
+
     @property
     def upstream(self) -> Upstream:
         """The upstream that answers."""
