Use no connection twice for one request

Cause: after a rejection the connection went back to the pool, and the next attempt of the same request at the same upstream took it from there. Upstreams echo the id of the request, which is the same for all of its attempts, so a late copy of the rejection was taken for the answer to the attempt that was under way: 'not run'. The attempt's own answer then met the attempt after it.

Ruled out: answers without an id (the case has none), attempts counted as not sent.

The same cause elsewhere: a repeat after a complete error, a resumed stream, a larger model after a discarded answer (all by the same pool); and an answer without an id, a copy of which fits any request. By way of another host a connection carries one exchange, and a connection of a check has carried none, so neither has it.

What was changed: a request passes over the connections that its attempts have used, and opens a new one if no other is idle; a connection that has delivered an answer without an id is not used again. So whatever arrives late on a connection bears the id of another request, and is dropped, as before.

Why it holds: copies arrive on the connection of their original. On each connection at most one exchange has the pending request's id, and none before it was answered without an id.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -109,7 +109,10 @@
 
 
 def rejecting(
-    status: str = '503 Service Unavailable', brittle: int | None = None
+    status: str = '503 Service Unavailable',
+    brittle: int | None = None,
+    *,
+    identified: bool = True,
 ) -> ScriptFactory:
     """Return a factory of scripts that declare the request not executed.
 
@@ -117,15 +120,14 @@
         status: Status and reason.
         brittle: Rejections in a second that the worker tolerates; None if it
             does not say.
+        identified: Whether they echo the request's id.
     """
 
     def make(request: ReceivedRequest) -> Script:
         """Return a rejection."""
-        headers = {
-            REQUEST_ID: request.request_id,
-            'Nutmegroad-Not-Executed': '1',
-            'Content-Length': '0',
-        }
+        headers = {'Nutmegroad-Not-Executed': '1', 'Content-Length': '0'}
+        if identified:
+            headers[REQUEST_ID] = request.request_id
         if brittle is not None:
             headers['Server-Brittle'] = str(brittle)
         return Script((head(status, headers),))
@@ -227,6 +229,8 @@
         aborted: Requests whose connection ended before their script did.
         endless_bytes: Bytes that were written to answers without an end.
         crashes: Number of crashes, each caused by a request.
+        repeats_late: Whether it sends each answer once more when the next
+            request arrives on the same connection.
     """
 
     default_script: ScriptFactory = field(default_factory=plain)
@@ -237,6 +241,7 @@
     aborted: int = 0
     endless_bytes: int = 0
     crashes: int = 0
+    repeats_late: bool = False
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -305,23 +310,28 @@
             await writer.drain()
             self.endless_bytes += len(text)
 
+    def _next_script(self) -> ScriptFactory:
+        """Return the factory of the script for the next request."""
+        if self.next_scripts:
+            return self.next_scripts.popleft()
+        return self.default_script
+
     async def _serve_requests(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Answer the requests of one connection, one after the other."""
+        previous = b''
         while True:
             request = await _read_request(reader)
             if request is None:
                 return
+            writer.write(previous)
             self.requests.append(request)
-            make = (
-                self.next_scripts.popleft()
-                if self.next_scripts
-                else self.default_script
-            )
-            script = make(request)
+            script = self._next_script()(request)
+            if self.repeats_late:
+                previous = b''.join(script.pieces)
             if not await _write_script(script, writer):
                 self.aborted += 1
                 return
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -23,6 +23,7 @@
     AttemptFailure,
     AttemptPlan,
     UpstreamAnswer,
+    failure_on,
 )
 from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.sockets import ConnectionFailedError
@@ -261,24 +262,12 @@
             if not await self._await_answer(answer, plan, connection):
                 connection.abort()
                 reason = f'no answer within {plan.response_timeout:.2f} s'
-                return AttemptFailure(
-                    AttemptEnd.UNRESPONSIVE,
-                    Ran.UNKNOWN,
-                    reason,
-                    via=connection.via,
-                    exchange=connection.exchange_id,
-                )
+                return failure_on(connection, AttemptEnd.UNRESPONSIVE, reason)
             head_received = await answer
         except ConnectionFailedError as problem:
             self._dialer.record_broken(plan.upstream, connection)
             ran = Ran.UNKNOWN if problem.sent else Ran.NOT_RUN
-            return AttemptFailure(
-                AttemptEnd.BROKEN,
-                ran,
-                str(problem),
-                via=connection.via,
-                exchange=connection.exchange_id,
-            )
+            return failure_on(connection, AttemptEnd.BROKEN, str(problem), ran)
         if connection.proves_path:
             self._dialer.paths.record_answer(plan.upstream)
         return head_received, connection
@@ -343,9 +332,12 @@
         connection = None
         borrowed = plan.choice.borrowed
         if not (borrowed or self._dialer.avoids_direct(plan.upstream)):
-            connection = self._pool.acquire(upstream, is_last=plan.is_last)
+            connection = self._pool.acquire(
+                upstream, is_last=plan.is_last, excluded=plan.used_connections
+            )
         if connection is None:
             connection = await self._dial(request, plan)
+        plan.used_connections.add(connection)
         if request.route.repeatable:
             self._pool.register_repeatable(upstream, connection)
         stack.callback(self._pool.release, upstream, connection)
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -96,8 +96,19 @@
         return b'\r\n'.join(lines)
 
 
-#: Returns whether a response's headers match the pending request.
-AnswerMatcher = Callable[[RawResponseMessage], bool]
+@unique
+class AnswerIdentity(Enum):
+    """Which request a response answers, by the id that it echoes."""
+
+    #: The pending one.
+    PENDING = 'pending'
+    #: An error response names none; only the pending one is left to it.
+    UNNAMED = 'unnamed'
+    OTHER = 'other'
+
+
+#: Returns which request a response answers.
+AnswerMatcher = Callable[[RawResponseMessage], AnswerIdentity]
 
 
 class UpstreamConnection(BaseProtocol):
@@ -267,11 +278,8 @@
         if message.code < _FIRST_FINAL:
             return
         answer = self._answer
-        if (
-            answer is None
-            or answer.done()
-            or not self._matches_request(message)
-        ):
+        identity = self._identify(message)
+        if answer is None or answer.done() or identity is AnswerIdentity.OTHER:
             _LOG.decision(
                 'stray answer dropped',
                 status=message.code,
@@ -280,7 +288,9 @@
             self._may_reuse = False
             return
         self._body = payload
-        self._may_reuse = self._may_reuse and not message.should_close
+        # A late copy of an answer without an id fits any request.
+        if message.should_close or identity is AnswerIdentity.UNNAMED:
+            self._may_reuse = False
         self.idle_timeout = _idle_timeout(message)
         answer.set_result(
             ResponseHead(
@@ -293,9 +303,11 @@
             ),
         )
 
-    def _matches_request(self, message: RawResponseMessage) -> bool:
-        """Return whether a response matches the pending request."""
-        return self._matches is not None and self._matches(message)
+    def _identify(self, message: RawResponseMessage) -> AnswerIdentity:
+        """Return which request a response answers."""
+        if self._matches is None:
+            return AnswerIdentity.OTHER
+        return self._matches(message)
 
     def _end_of_input(self) -> None:
         """Pass the end of input to the parser."""
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -23,6 +23,7 @@
 )
 from nutmegroad.overload.departures import DEPARTED
 from nutmegroad.relay.budgets import Purpose
+from nutmegroad.relay.connections import UpstreamConnection
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.outcomes import (
     ABANDONED,
@@ -47,14 +48,12 @@
 #: sent a retry time: about the time in which a queue of plain calls is served.
 DEFAULT_RETRY_AFTER: Final = 0.25
 
-
 #: Evidence of failed attempts on the upstream's version. Failures that are not
 #: listed count as interrupted, since they may have another cause.
 _EVIDENCE: Final = MappingProxyType(
     {AttemptEnd.UNVERIFIED: AttemptOutcome.POOR}
 )
 
-
 #: Result code of a request by the end of its last attempt.
 _RESULT_CODES: Final = MappingProxyType(
     {
@@ -67,7 +66,6 @@
     },
 )
 
-
 #: Ends after which another attempt needs no repeat from the budget: nothing was
 #: sent, or the attempt was abandoned only because another one may follow.
 _ALWAYS_FOLLOWED: Final = frozenset(
@@ -100,6 +98,7 @@
         self.buffers = context.buffers
         self._context = context
         self.attempted: set[UpstreamIncarnation] = set()
+        self._used_connections: set[UpstreamConnection] = set()
         self._attempt_count = 0
         self._execution_count = 0
         self._executed = Ran.NOT_RUN
@@ -209,6 +208,7 @@
             self._may_abandon,
             self._is_last_attempt(),
             self._caller_left,
+            self._used_connections,
         )
         # If the task is cancelled during the attempt, it remains unknown
         # whether the request was executed.
--- a/src/nutmegroad/relay/heads.py
+++ b/src/nutmegroad/relay/heads.py
@@ -7,6 +7,7 @@
 from nutmegroad.foundations.decimals import smallest_decimal
 from nutmegroad.foundations.types import Ran
 from nutmegroad.relay.connections import (
+    AnswerIdentity,
     AnswerMatcher,
     RequestHead,
     ResponseHead,
@@ -86,19 +87,17 @@
         return RequestHead(request.method, request.target, forwarded + added)
 
     def answer_matcher(self, request: CallerRequest) -> AnswerMatcher:
-        """Return a function that matches responses with a request.
-
-        A response matches if it echoes the request's id. An error response
-        without an id matches, too.
-        """
+        """Return a function that tells which request a response answers."""
         name = self._names.request_id
 
-        def matches(message: RawResponseMessage) -> bool:
+        def matches(message: RawResponseMessage) -> AnswerIdentity:
             """Compare the request id that the response echoes."""
             echoed = message.headers.get(name)
-            if echoed is None:
-                return message.code >= FIRST_ERROR
-            return echoed == request.request_id
+            if echoed == request.request_id:
+                return AnswerIdentity.PENDING
+            if echoed is None and message.code >= FIRST_ERROR:
+                return AnswerIdentity.UNNAMED
+            return AnswerIdentity.OTHER
 
         return matches
 
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -100,6 +100,9 @@
             attempt may be abandoned. If not, it goes on until the deadline.
         is_last: Whether no other attempt may follow if this one is executed.
         caller_left: Returns whether the caller has closed its connection.
+        used_connections: Connections of the request's attempts so far. None is
+            used again: an upstream echoes the request's id, which does not
+            tell the answers to two attempts apart.
     """
 
     choice: Choice
@@ -109,6 +112,9 @@
     may_abandon: Callable[[], bool]
     is_last: bool
     caller_left: Callable[[], bool]
+    used_connections: set[UpstreamConnection] = field(
+        default_factory=set, repr=False
+    )
 
     @property
     def upstream(self) -> Upstream:
@@ -157,3 +163,19 @@
     async def close(self) -> None:
         """End the attempt; an incomplete answer is aborted."""
         await self.stack.aclose()
+
+
+def failure_on(
+    connection: UpstreamConnection,
+    end: AttemptEnd,
+    reason: str,
+    ran: Ran = Ran.UNKNOWN,
+) -> AttemptFailure:
+    """Return the failure of an attempt that had a connection."""
+    return AttemptFailure(
+        end,
+        ran,
+        reason,
+        via=connection.via,
+        exchange=connection.exchange_id,
+    )
--- a/src/nutmegroad/relay/pools.py
+++ b/src/nutmegroad/relay/pools.py
@@ -1,6 +1,7 @@
 """A pool of idle connections to upstreams."""
 
 from collections import defaultdict
+from collections.abc import Container
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
@@ -47,6 +48,7 @@
         upstream: UpstreamIncarnation,
         *,
         is_last: bool,
+        excluded: Container[UpstreamConnection] = (),
     ) -> UpstreamConnection | None:
         """Return an idle connection that is likely still open, or None.
 
@@ -54,19 +56,22 @@
             upstream: The upstream.
             is_last: Whether no other attempt of the request may follow if this
                 one is executed.
+            excluded: Connections that are left in the pool.
         """
         idle = self._idle.get(upstream, [])
         fraction = LAST_ATTEMPT_FRACTION if is_last else REUSE_FRACTION
-        while idle:
-            connection = idle[-1]
+        for connection in reversed(tuple(idle)):
             if not connection.reusable:
-                idle.pop()
+                idle.remove(connection)
                 connection.abort()
                 continue
+            if connection in excluded:
+                continue
             limit = (connection.idle_timeout or DEFAULT_IDLE_TIMEOUT) * fraction
             if self._clock.now() - connection.idle_since > limit:
                 return None
-            return idle.pop()
+            idle.remove(connection)
+            return connection
         return None
 
     async def open(
