Give each call of the daemon a connection of its own

What callers would see: the reply to another caller's call, or 'not run' for an attempt that ran.

Cause: replies of plain services, and errors, reports and orders of engines, do not name their request. On a kept connection a late copy of one answers the next request, whoever sent it. Only the events of an answer name their attempt.

Weighed: closing only after replies that name nothing (the library returns a connection to its pool before its caller sees the head), an id in calls to plain services (their interface belongs to others).

--- a/src/nutmegroad/adapters/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -105,7 +105,9 @@
                 response_class=CompleteResponse,
                 # The router limits the requests in flight; a second limit
                 # here would be a queue that nothing reports.
-                connector=GuardedConnector(limit=0),
+                # Replies do not name their request: on a connection that is
+                # used again, a late copy of one would answer the next.
+                connector=GuardedConnector(limit=0, force_close=True),
                 cookie_jar=DummyCookieJar(),
                 auto_decompress=False,
             ),
--- a/tests/test_http_upstreams.py
+++ b/tests/test_http_upstreams.py
@@ -28,29 +28,25 @@
     EngineReport,
     OrderAction,
     Piece,
-    ServiceCall,
     ServiceReply,
 )
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Address,
     AttemptId,
-    DomainId,
     FencingNumber,
     Ran,
-    UpstreamId,
-    UpstreamInfo,
-    UpstreamKind,
     VersionId,
 )
 from tests.fast_engines import VERY_SLOW_SPEED, fast_settings
+from tests.upstream_samples import (
+    attempt_at,
+    call_at,
+    open_gate,
+    upstream_at,
+)
 
 CLOSED = Refusal(ResultCode.HOST_PAUSED, 'The host was paused.')
-BODY = b'{"messages":[{"role":"user","content":"hi"}],"nutmegroad_tokens":8}'
-
-
-def open_gate() -> None:
-    """Allow the request."""
 
 
 def closed_gate() -> Refusal:
@@ -58,45 +54,6 @@
     return CLOSED
 
 
-def upstream_at(address: Address) -> UpstreamInfo:
-    """Return an upstream that listens at an address."""
-    return UpstreamInfo(
-        UpstreamId('u'),
-        DomainId('d'),
-        UpstreamKind.ENGINE,
-        address,
-    )
-
-
-def attempt_at(address: Address, **changes: Any) -> Attempt:
-    """Return an attempt that requests an answer of eight tokens."""
-    defaults: dict[str, Any] = {
-        'attempt': AttemptId('at'),
-        'upstream': upstream_at(address),
-        'version': VersionId('a@1'),
-        'body': BODY,
-        'gate': open_gate,
-        'timeout': 10,
-    }
-    return Attempt(**{**defaults, **changes})
-
-
-def call_at(address: Address, **changes: Any) -> ServiceCall:
-    """Return a call to a service."""
-    defaults: dict[str, Any] = {
-        'attempt': AttemptId('at'),
-        'upstream': upstream_at(address),
-        'method': 'POST',
-        'path': 'fees/receipt',
-        'body': b'{}',
-        'content_type': 'application/json',
-        'gate': open_gate,
-        'timeout': 10,
-        'key': 'k1',
-    }
-    return ServiceCall(**{**defaults, **changes})
-
-
 class ByteCounter:
     """A server that counts received bytes and requests, and never answers.
 
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -10,6 +10,7 @@
 
 from fakes.opaque_worker import (
     REQUEST_ID,
+    OpaqueWorker,
     ReceivedRequest,
     Script,
     ScriptFactory,
@@ -21,7 +22,14 @@
     stream,
 )
 
+from nutmegroad.adapters._http_upstreams import (
+    HttpEngineClient,
+    HttpServiceClient,
+)
+from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.types import Address, Ran
 from tests.relay_rig import Rig
+from tests.upstream_samples import attempt_at, call_at
 
 
 def failing(request: ReceivedRequest) -> Script:
@@ -98,3 +106,41 @@
             status, headers, _ = await self.rig.ask('/pay/1', name)
             self.assertEqual((status, headers[REQUEST_ID]), (200, name))
             self.assertEqual(self.rig.seen(name), 2)
+
+
+def busy(request: ReceivedRequest) -> Script:
+    """Reply as an engine that has no slot left."""
+    body = b'{"error": {"code": "busy"}}'
+    return plain(body, '503 Service Unavailable')(request)
+
+
+class DaemonTest(unittest.IsolatedAsyncioTestCase):
+    """The daemon's clients and an upstream that sends answers twice."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the upstream."""
+        self.worker = OpaqueWorker(repeats_late=True)
+        await self.worker.start()
+        self.addAsyncCleanup(self.worker.stop)
+        self.address = Address('127.0.0.1', self.worker.port)
+
+    async def test_copy_of_a_reply_is_no_reply_to_another_call(self) -> None:
+        """A caller got the reply to somebody else's call."""
+        self.worker.next_scripts = deque((plain(b'first'), plain(b'second')))
+        async with HttpServiceClient() as services:
+            replies = [
+                await services.call(call_at(self.address)) for _ in range(2)
+            ]
+        bodies = [each.body for each in replies if each]
+        self.assertEqual(bodies, [b'first', b'second'])
+
+    async def test_copy_of_a_busy_reply_is_no_proof_for_another(self) -> None:
+        """An attempt that ran was taken for one that did not."""
+        self.worker.next_scripts = deque((busy, failing))
+        async with HttpEngineClient() as engines:
+            for expected in (Ran.NOT_RUN, Ran.UNKNOWN):
+                attempt = attempt_at(self.address)
+                async with engines.answer(attempt) as events:
+                    (refusal,) = [event async for event in events]
+                assert isinstance(refusal, Refusal)
+                self.assertIs(refusal.ran, expected)
