Log how long an upstream is kept whose entry is missing

The log had the removal, but not when the entry was first found missing, for how long its upstream was kept, nor how long the store had not answered.

Hypotheses: (1) the time for which a missing entry is kept; (2) the host finds out late that its path is open; (3) the removal is not in what the store returns; (4) requests on connections that were open before.

What was added: 'missing' with the seconds for which the upstream is kept, and the seconds since the first failed call on 'store regained'. No decision has changed.

--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -139,6 +139,8 @@
         self._known_until = float('-inf')
         self._retry_delay = INITIAL_RETRY_DELAY
         self._failing = False
+        # Clock time of the first call that failed since the last answer.
+        self._lost_at = float('-inf')
         self._relayed = False
 
     async def run(self) -> None:
@@ -215,13 +217,19 @@
         self._retry_delay = INITIAL_RETRY_DELAY
         if self._failing:
             self._failing = False
-            _LOG.decision('store regained', table=self._table)
+            _LOG.decision(
+                'store regained',
+                table=self._table,
+                lost_for=round(self._clock.now() - self._lost_at, 3),
+                told=read.relayed,
+            )
         self._sink.confirm(as_of, read)
 
     def _record_failure(self, refusal: Refusal) -> bool:
         """Record that the store has not answered."""
         if not self._failing:
             self._failing = True
+            self._lost_at = self._clock.now()
             _LOG.decision(
                 'store lost',
                 table=self._table,
--- a/src/nutmegroad/upstreams/directory.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -263,6 +263,7 @@
         known = self._known.get(upstream)
         if known is not None and known.missing_until is None:
             known.missing_until = self._clock.now() + grace_period
+            _log_change('missing', known.entry, kept=round(grace_period, 3))
 
     def remove_missing(self) -> None:
         """Remove upstreams whose grace period has expired."""
@@ -332,7 +333,9 @@
         return {service: tuple(members) for service, members in grouped.items()}
 
 
-def _log_change(event: str, entry: UpstreamEntry) -> None:
+def _log_change(
+    event: str, entry: UpstreamEntry, kept: float | None = None
+) -> None:
     """Log a change to the directory."""
     _LOG.decision(
         event,
@@ -342,6 +345,7 @@
         version=entry.version,
         leaving=entry.draining,
         born=entry.started_ms,
+        kept=kept,
     )
 
 
