Remove upstreams that left behind a cut within the bound

UpstreamSink has a module of its own, relay/upstream_table.

Why it holds: the path can't have been open before the last failed call was made, so the sum is within the bound whatever each part takes. At most 1.2 s lie between that call and the first answer, so 1.7 s remain for live upstreams whose entries the store has lost, which write them every 1.2 s.

The tests of the sink pass the record of failed calls, which it needs now; their assertions are as before. The daemon keeps no missing entries: not affected.

--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -18,12 +18,13 @@
 
 _LOG: Final = part_logger('followers')
 
-#: Initial and maximum seconds between retries after a failure. A configuration
-#: has to be in force three seconds after the store is available again: one
-#: second is for a call that hangs, one for this delay at its maximum, jitter
-#: included.
+#: Initial and maximum seconds from a call that failed at once to the next, and
+#: minimum seconds after one that hung. An entry that is missing when the store
+#: answers again may be that of a live upstream for two of the three seconds
+#: within which it has to be removed, if its upstream has left; the third is for
+#: finding out that the store answers.
 INITIAL_RETRY_DELAY: Final = 0.1
-MAX_RETRY_DELAY: Final = 0.6
+MAX_RETRY_DELAY: Final = 0.4
 
 #: Range of factors by which retry delays are randomized.
 RETRY_JITTER: Final = (0.5, 1.5)
@@ -146,16 +147,26 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            began = self._clock.now()
             if not await self.step():
-                pause = self._retry_delay * self._randomness.uniform(
-                    *RETRY_JITTER
-                )
-                self._retry_delay = min(MAX_RETRY_DELAY, self._retry_delay * 2)
+                pause = self._pause_after_failure(self._clock.now() - began)
                 await self._store.pause_after_failure(self._table, pause)
             elif not self._relayed:
                 # The host that relayed the answer has paused already.
                 await self._clock.sleep(self._pause)
 
+    def _pause_after_failure(self, waited: float) -> float:
+        """Return the seconds before the next call.
+
+        A call that hangs has already spread the retries.
+
+        Args:
+            waited: Seconds for which the failed call waited for an answer.
+        """
+        delay = max(INITIAL_RETRY_DELAY, self._retry_delay - waited)
+        self._retry_delay = min(MAX_RETRY_DELAY, self._retry_delay * 2)
+        return delay * self._randomness.uniform(*RETRY_JITTER)
+
     async def step(self) -> bool:
         """Make one call and return whether it was answered."""
         if self._after is None:
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -17,6 +17,7 @@
 from nutmegroad.fleet.shared_store import SharedStore
 from nutmegroad.fleet.store_clock import StoreClock
 from nutmegroad.fleet.store_interface import Store
+from nutmegroad.fleet.store_probes import OutageRecord
 from nutmegroad.fleet.update_link import UpdateLink
 from nutmegroad.fleet.update_server import UpdateServer
 from nutmegroad.foundations.clocks import Clock
@@ -75,10 +76,10 @@
             self.duty_rank,
         )
         self._registration = HostRegistration(host, own, self.store, clock)
+        self._server = UpdateServer(clock)
         self._link = UpdateLink(
-            host, own, lambda: self.peers.local_hosts, clock
+            host, own, lambda: self.peers.local_hosts, clock, self.outages
         )
-        self._server = UpdateServer(clock)
         self._listener = PeerListener(self._registration.own_key, self._server)
         #: Creates followers of the store's tables.
         self.tables = FollowerFactory(
@@ -96,6 +97,11 @@
             randomness,
         )
 
+    @property
+    def outages(self) -> OutageRecord:
+        """When the store last did not answer."""
+        return self._server.outages
+
     def count(self) -> int:
         """Return how many hosts are known, including this one."""
         return self.peers.count + 1
--- a/src/nutmegroad/fleet/shared_store.py
+++ b/src/nutmegroad/fleet/shared_store.py
@@ -107,7 +107,7 @@
         asked = self._clock.now()
         found = await self._store.snapshot(table)
         if isinstance(found, Refusal):
-            self._server.send_unavailable(table)
+            self._record_failure(table, asked)
         else:
             self._probes.record_answer()
             self._store_clock.calibrate(asked, found.store_time)
@@ -153,7 +153,7 @@
         asked = self._clock.now()
         found = await self._store.changes(table, after, wait)
         if isinstance(found, Refusal):
-            self._server.send_unavailable(table)
+            self._record_failure(table, asked)
             return found
         self._probes.record_answer()
         if isinstance(found, RowsRead):
@@ -191,9 +191,15 @@
         if self._link.source is None or self._link.serves(table):
             # Either no host is followed, or the followed one has not reported
             # the store as unavailable, so it won't report its return either.
-            await self._clock.sleep(seconds)
+            await self._probes.wait(seconds, self._clock.sleep(seconds))
         else:
-            await self._link.wait(table, max(seconds, FOLLOWER_RETRY_INTERVAL))
+            pause = max(seconds, FOLLOWER_RETRY_INTERVAL)
+            await self._probes.wait(pause, self._link.wait(table, pause))
+
+    def _record_failure(self, table: str, asked: float) -> None:
+        """Record and report a call that the store did not answer."""
+        self._server.outages.record_failure(asked)
+        self._server.send_unavailable(table)
 
     async def _snapshot_from_peer(self, table: str) -> RowsRead | None:
         """Return a snapshot from another host, or None to ask the store.
--- a/src/nutmegroad/fleet/store_probes.py
+++ b/src/nutmegroad/fleet/store_probes.py
@@ -8,7 +8,12 @@
 import asyncio
 from collections.abc import Coroutine
 from contextlib import suppress
-from typing import Any
+from typing import Any, Final
+
+from nutmegroad.foundations.clocks import Clock
+
+#: Seconds after which a failed call is no longer reported to other hosts.
+REPORT_SECONDS: Final = 60.0
 
 
 class StoreProbes:
@@ -54,3 +59,42 @@
                 each.cancel()
             with suppress(asyncio.CancelledError):
                 await asyncio.gather(*waits)
+
+
+class OutageRecord:
+    """The last time at which the store is known to have been unreachable.
+
+    A host learns it from its own calls and from the host that reads the store
+    for it. The store became reachable again between the last call that failed
+    and the first one that was answered.
+
+    Args:
+        clock: The host's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        #: Clock seconds at which the last failed call was made.
+        self.last_failed = float('-inf')
+
+    def record_failure(self, asked: float) -> None:
+        """Record a call that was not answered.
+
+        Args:
+            asked: Clock seconds at which it was made.
+        """
+        self.last_failed = max(self.last_failed, asked)
+
+    def merge_age(self, age: float) -> None:
+        """Record the age of the last failed call of another host.
+
+        Args:
+            age: Seconds since that call; 0 for none.
+        """
+        if 0 < age < REPORT_SECONDS:
+            self.record_failure(self._clock.now() - age)
+
+    def age(self) -> float:
+        """Return the seconds since the last failed call; 0 for none."""
+        age = self._clock.now() - self.last_failed
+        return age if age < REPORT_SECONDS else 0
--- a/src/nutmegroad/fleet/table_updates.py
+++ b/src/nutmegroad/fleet/table_updates.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
 
 from nutmegroad.fleet.frames import (
     LENGTH_BYTES,
@@ -35,6 +36,8 @@
         version: Version up to which the changes are complete.
         store_time: Seconds on the store's clock at that version.
         rows: The rows that changed.
+        outage_age: Seconds since the last call of the sender that the store
+            did not answer; 0 for none.
     """
 
     table: str
@@ -42,6 +45,7 @@
     version: int
     store_time: float
     rows: tuple[StoredRow, ...] = ()
+    outage_age: float = 0
 
     def changes_after(self, version: int) -> RowsRead | None:
         """Return the changes after a version.
@@ -61,7 +65,11 @@
         the store.
         """
         return TableUpdate(
-            self.table, self.version, self.version, self.store_time
+            self.table,
+            self.version,
+            self.version,
+            self.store_time,
+            outage_age=self.outage_age,
         )
 
     def merged_with(self, later: 'TableUpdate') -> 'TableUpdate':
@@ -88,12 +96,15 @@
         version: The store's version at the time of the snapshot.
         store_time: Seconds on the store's clock at that time.
         rows: The rows.
+        outage_age: Seconds since the last call of the sender that the store
+            did not answer; 0 for none.
     """
 
     table: str
     version: int
     store_time: float
     rows: tuple[StoredRow, ...] = ()
+    outage_age: float = 0
 
     def to_rows_read(self) -> RowsRead:
         """Return the snapshot as rows read from another host."""
@@ -108,7 +119,11 @@
     def marker(self) -> TableUpdate:
         """Return an update without rows at the version of this snapshot."""
         return TableUpdate(
-            self.table, self.version, self.version, self.store_time
+            self.table,
+            self.version,
+            self.version,
+            self.store_time,
+            outage_age=self.outage_age,
         )
 
 
@@ -174,9 +189,18 @@
         return frame
 
 
-def encode_update(message: TableUpdate | TableSnapshot) -> EncodedUpdate:
-    """Return an update or a snapshot as encoded frames."""
-    return EncodedUpdate(encode(message), encode(message.marker()))
+def encode_update(
+    message: TableUpdate | TableSnapshot, outage_age: float
+) -> EncodedUpdate:
+    """Return an update or a snapshot as encoded frames.
+
+    Args:
+        message: The update or the snapshot.
+        outage_age: Seconds since the last call of this host that the store did
+            not answer; 0 for none.
+    """
+    sent = replace(message, outage_age=outage_age)
+    return EncodedUpdate(encode(sent), encode(sent.marker()))
 
 
 async def receive(reader: StreamReader) -> TableMessage:
--- a/src/nutmegroad/fleet/update_link.py
+++ b/src/nutmegroad/fleet/update_link.py
@@ -19,6 +19,7 @@
 from nutmegroad.fleet.frames import LINK_ERRORS, MAX_FRAME_BYTES
 from nutmegroad.fleet.host_registration import HostRow
 from nutmegroad.fleet.store_interface import RowsRead
+from nutmegroad.fleet.store_probes import OutageRecord
 from nutmegroad.fleet.table_updates import (
     KeepAlive,
     KnownVersions,
@@ -137,6 +138,7 @@
         own: This host's row in the fleet table.
         local_hosts: Returns the other hosts of the failure domain.
         clock: The host's clock.
+        outages: When the store last did not answer.
     """
 
     def __init__(
@@ -145,7 +147,9 @@
         own: HostRow,
         local_hosts: Callable[[], Mapping[HostId, HostRow]],
         clock: Clock,
+        outages: OutageRecord,
     ) -> None:
+        self._outages = outages
         self._host = host
         self._own = own
         self._local_hosts = local_hosts
@@ -347,6 +351,7 @@
             return
         table = self._tables.setdefault(frame.table, _PendingUpdates())
         if isinstance(frame, TableSnapshot):
+            self._outages.merge_age(frame.outage_age)
             table.put_snapshot(frame)
         elif isinstance(frame, StoreUnavailable):
             if table.update is not None:
@@ -357,6 +362,7 @@
                 )
             table.put(None)
         else:
+            self._outages.merge_age(frame.outage_age)
             table.put(frame)
 
     def _record_loss(self) -> None:
--- a/src/nutmegroad/fleet/update_server.py
+++ b/src/nutmegroad/fleet/update_server.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from nutmegroad.fleet.store_interface import RowsRead
+from nutmegroad.fleet.store_probes import OutageRecord
 from nutmegroad.fleet.table_cache import TableCache
 from nutmegroad.fleet.table_updates import (
     EncodedUpdate,
@@ -40,6 +41,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        #: When the store last did not answer.
+        self.outages = OutageRecord(clock)
         self._cache = TableCache()
         # The maximum frame size of each follower, by its connection.
         self._followers: dict[asyncio.StreamWriter, int] = {}
@@ -55,13 +58,15 @@
         """Send the changes of a table."""
         self._cache.apply(update)
         if self._followers:
-            self._send_encoded(encode_update(update))
+            self._send_encoded(encode_update(update, self.outages.age()))
 
     def send_snapshot(self, table: str, read: RowsRead) -> None:
         """Send the full snapshot of a table."""
         cached = self._cache.replace(table, read)
         if self._followers:
-            self._send_encoded(encode_update(cached.snapshot()))
+            self._send_encoded(
+                encode_update(cached.snapshot(), self.outages.age())
+            )
 
     def send_unavailable(self, table: str) -> None:
         """Report that a call for a table was not answered by the store."""
@@ -91,7 +96,8 @@
     ) -> None:
         """Send a new follower what it lacks, and all later updates."""
         for message in self._cache.updates_since(known.versions):
-            payload = encode_update(message).for_limit(known.max_frame_bytes)
+            encoded = encode_update(message, self.outages.age())
+            payload = encoded.for_limit(known.max_frame_bytes)
             if payload is not None:
                 writer.write(payload)
         self._followers[writer] = known.max_frame_bytes
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -49,6 +49,8 @@
         evacuation_bound: Seconds within which an evacuation has to be in force.
         drain_notice: Seconds for which a draining upstream continues to
             serve.
+        reconnect_bound: Seconds after its path to the store is open again
+            within which a host has to have caught up.
         grace: Seconds from the signal to stop until the process is killed.
         metrics: Address of the metrics page; None for no page.
         link_mbps: Bandwidth of the network link in Mbit/s; 0 if not known.
@@ -73,6 +75,7 @@
     evacuation_bound: float
     drain_notice: float
     grace: float
+    reconnect_bound: float = 3.0
     metrics: Address | None = None
     link_mbps: float = 0
     first_start: bool = False
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -34,9 +34,9 @@
     StatusPages,
     register_gauges,
 )
-from nutmegroad.relay.tables import OperatorSink, UpstreamSink
+from nutmegroad.relay.tables import OperatorSink
+from nutmegroad.relay.upstream_table import UpstreamSink
 from nutmegroad.routes.cached_configuration import CachedConfiguration
-from nutmegroad.routes.deployment import NO_VERSION
 from nutmegroad.upstreams.directory import Directory
 from nutmegroad.upstreams.placement import Evacuations, Placement
 
@@ -114,8 +114,7 @@
     @property
     def configuration_version(self) -> int:
         """Version of the configuration in force."""
-        table = self._configuration.table
-        return NO_VERSION if table is None else table.version
+        return self._configuration.version
 
     @property
     def keys_valid(self) -> bool:
@@ -276,6 +275,8 @@
             self._directory,
             clock,
             settings.drain_notice,
+            settings.reconnect_bound,
+            self._fleet.outages,
         )
         self._steps = RolloutSteps(
             self._rollouts,
--- a/src/nutmegroad/routes/cached_configuration.py
+++ b/src/nutmegroad/routes/cached_configuration.py
@@ -10,7 +10,11 @@
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
-from nutmegroad.routes.deployment import NO_VERSION, RoutingTable
+from nutmegroad.routes.deployment import (
+    NO_VERSION,
+    ConfigurationVersion,
+    RoutingTable,
+)
 
 _LOG: Final = part_logger('configuration')
 
@@ -53,6 +57,11 @@
         """The configuration in force; None before the first."""
         return self._table
 
+    @property
+    def version(self) -> ConfigurationVersion:
+        """Version of the configuration in force."""
+        return NO_VERSION if self._table is None else self._table.version
+
     @property
     def age(self) -> float:
         """Seconds since the configuration was last confirmed as the newest."""
@@ -89,7 +98,7 @@
 
     def update(self, table: RoutingTable) -> None:
         """Put a configuration in force, unless it is not newer."""
-        known = NO_VERSION if self._table is None else self._table.version
+        known = self.version
         if table.version <= known:
             return
         self._table = table
@@ -121,6 +130,6 @@
         self._settled_at = self._clock.now() + RESTORE_SETTLE_SECONDS
         _LOG.decision(
             'confirmations ignored after a store restore',
-            version=NO_VERSION if self._table is None else self._table.version,
+            version=self.version,
             seconds=RESTORE_SETTLE_SECONDS,
         )
--- a/src/nutmegroad/upstreams/directory.py
+++ b/src/nutmegroad/upstreams/directory.py
@@ -195,6 +195,8 @@
         self._clock = clock
         self._known: dict[UpstreamId, Upstream] = {}
         self._by_address: dict[Address, UpstreamId] = {}
+        # Clock seconds at which the next grace period may expire.
+        self._next_expiry = float('inf')
         # Rebuilt on the first access after a change, because the first read of
         # the list adds all entries at once.
         self._services: dict[ServiceName, tuple[Upstream, ...]] | None = None
@@ -205,6 +207,7 @@
 
     def of_service(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that are not draining."""
+        self.remove_missing()
         services = self._services
         if services is None:
             services = self._group()
@@ -213,6 +216,7 @@
 
     def find(self, upstream: UpstreamId) -> Upstream | None:
         """Return an upstream by id, or None if it is unknown."""
+        self.remove_missing()
         return self._known.get(upstream)
 
     def put(self, entry: UpstreamEntry, *, is_new: bool = True) -> None:
@@ -262,16 +266,25 @@
         """
         known = self._known.get(upstream)
         if known is not None and known.missing_until is None:
-            known.missing_until = self._clock.now() + grace_period
+            until = self._clock.now() + grace_period
+            known.missing_until = until
+            self._next_expiry = min(self._next_expiry, until)
             _log_change('missing', known.entry, kept=round(grace_period, 3))
 
     def remove_missing(self) -> None:
         """Remove upstreams whose grace period has expired."""
         now = self._clock.now()
+        if now < self._next_expiry:
+            return
+        self._next_expiry = float('inf')
         for upstream, known in tuple(self._known.items()):
             until = known.missing_until
-            if until is not None and now >= until:
+            if until is None:
+                continue
+            if now >= until:
                 self.remove(upstream, 'missing since the store was restored')
+            else:
+                self._next_expiry = min(self._next_expiry, until)
 
     def mark_domain_absent(self, domain: DomainId) -> None:
         """Record that all upstreams of a domain may start just now."""
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -20,6 +20,7 @@
     StoredRow,
     VersionConflict,
 )
+from nutmegroad.fleet.store_probes import OutageRecord
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Address,
@@ -30,6 +31,7 @@
     ServiceName,
     UpstreamId,
 )
+from nutmegroad.relay.upstream_table import UpstreamSink
 from nutmegroad.routes.deployment import (
     ConfigurationVersion,
     RequestKind,
@@ -44,11 +46,14 @@
     PromptPart,
     SessionName,
 )
+from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import (
+    Directory,
     SoftwareVersion,
     UpstreamEntry,
 )
 from nutmegroad.upstreams.latency_estimates import LatencyKey
+from nutmegroad_platform.rows import RowCodec
 
 NORTH = DomainId('north')
 ENGINES = ServiceName('engines')
@@ -177,3 +182,25 @@
 
 def ignore_position(place: int) -> None:
     """Ignore a position of the store that another host reports."""
+
+
+def upstream_sink(
+    directory: Directory,
+    clock: ManualClock,
+    outages: OutageRecord | None = None,
+) -> UpstreamSink:
+    """Return a sink of the list of upstreams, with the usual bounds.
+
+    Args:
+        directory: Receives the upstreams.
+        clock: The host's clock.
+        outages: When the store last did not answer; None for never.
+    """
+    return UpstreamSink(
+        RowCodec(),
+        directory,
+        clock,
+        notice=2,
+        reconnect_bound=3,
+        outages=OutageRecord(clock) if outages is None else outages,
+    )
--- a/tests/shared_store_rig.py
+++ b/tests/shared_store_rig.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from unittest.mock import Mock
 
 from fakes.ports import reserve_port
 
@@ -114,7 +115,9 @@
                 if other != host
             }
 
-        self.link = UpdateLink(host, self.row, local_hosts, clock)
+        self.link = UpdateLink(
+            host, self.row, local_hosts, clock, self.server.outages
+        )
         store_clock = StoreClock(clock)
         store_clock.calibrate(clock.now(), 100)
         self.store_clock = store_clock
@@ -185,3 +188,21 @@
         # The rows that the reader had before are received first.
         await follower.store.changes(TABLE, self.platform.version, 60, FOREVER)
         return follower
+
+
+class MemoryLink:
+    """In-memory connection that delivers the frames of a host to its follower.
+
+    Attributes:
+        stream: Where the follower reads.
+    """
+
+    def __init__(self) -> None:
+        self.stream = asyncio.StreamReader()
+        self.transport = Mock()
+        self.transport.is_closing.return_value = False
+        self.transport.get_write_buffer_size.return_value = 0
+
+    def write(self, text: bytes) -> None:
+        """Deliver bytes."""
+        self.stream.feed_data(text)
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -13,13 +13,12 @@
 
 from nutmegroad.fleet.store_interface import RowsRead
 from nutmegroad.foundations.types import DomainId, ServiceName, UpstreamId
-from nutmegroad.relay.tables import UpstreamSink
 from nutmegroad.routes.deployment import ColdStart
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import Directory, Upstream
 from nutmegroad_platform.rows import RowCodec
-from tests.relay_samples import an_entry, entry_row
+from tests.relay_samples import an_entry, entry_row, upstream_sink
 
 COLD_START = ColdStart(seconds=3, rate=14)
 #: Requests per second that the operator allows at a cold upstream.
@@ -180,7 +179,7 @@
         Without this, all upstreams were cold for a host that had just started,
         and it refused its callers for seconds after a loss of power.
         """
-        sink = UpstreamSink(RowCodec(), self.directory, self.clock, 2)
+        sink = upstream_sink(self.directory, self.clock)
         sink.replace(RowsRead((entry_row('a'),), 1, 1))
         sink.update_services([ServiceName('s')])
         sink.apply(RowsRead((entry_row('b', 2),), 2, 2))
--- a/tests/test_large_tables.py
+++ b/tests/test_large_tables.py
@@ -78,7 +78,7 @@
         """A frame that is too large gives way to its marker."""
         content = random.Random(1).randbytes(BASE_FRAME_BYTES)
         update = TableUpdate(TABLE, 1, 2, 0, (StoredRow('k', content, 2),))
-        encoded = encode_update(update)
+        encoded = encode_update(update, outage_age=0)
         self.assertEqual(encoded.for_limit(MAX_FRAME_BYTES), encoded.frame)
         self.assertEqual(encoded.for_limit(BASE_FRAME_BYTES), encoded.marker)
 
--- a/tests/test_relay_tables.py
+++ b/tests/test_relay_tables.py
@@ -10,9 +10,9 @@
     RowsRead,
     StoredRow,
 )
+from nutmegroad.fleet.store_probes import OutageRecord
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran, ServiceName
-from nutmegroad.relay.tables import UpstreamSink
 from nutmegroad.routes.cached_configuration import CachedConfiguration
 from nutmegroad.routes.deployment import (
     ConfigurationVersion,
@@ -20,8 +20,7 @@
 )
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import Directory
-from nutmegroad_platform.rows import RowCodec
-from tests.relay_samples import UnavailableStore, entry_row
+from tests.relay_samples import UnavailableStore, entry_row, upstream_sink
 
 
 class ScriptedStore(UnavailableStore):
@@ -222,12 +221,18 @@
         """Create a sink that has received two workers."""
         self.clock = ManualClock(start=50)
         self.directory = Directory(self.clock)
-        self.sink = UpstreamSink(RowCodec(), self.directory, self.clock, 2)
+        self.outages = OutageRecord(self.clock)
+        self.sink = upstream_sink(self.directory, self.clock, self.outages)
         self.sink.update_services([ServiceName('s')])
         self.sink.replace(
             RowsRead((entry_row('a'), entry_row('b')), 1, 0),
         )
 
+    def lose_store(self) -> None:
+        """Make a call fail."""
+        self.outages.record_failure(self.clock.now())
+        self.sink.on_store_unavailable()
+
     def known(self) -> int:
         """Return how many workers accept requests."""
         return len(self.directory.of_service(ServiceName('s')))
@@ -245,7 +250,7 @@
 
     def test_entries_lost_in_an_outage_may_come_back(self) -> None:
         """Leases expire while the store is down."""
-        self.sink.on_store_unavailable()
+        self.lose_store()
         self.sink.replace(RowsRead((), 3, 0))
         self.assertEqual(self.known(), 2)
         self.clock._now += 1
@@ -260,7 +265,7 @@
         Without the limit, it was kept for 2.5 s, although it continues to serve
         for only 2 s.
         """
-        self.sink.on_store_unavailable()
+        self.lose_store()
         self.sink.confirm(50, RowsRead((), 2, 0))
         self.clock._now += 2
         self.sink.apply(RowsRead((StoredRow('a', b'', 3, removed=True),), 3, 0))
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from collections import Counter
+from collections.abc import Callable
 from unittest.mock import AsyncMock, Mock, patch
 
 from nutmegroad.fleet.followers import FeedTiming, TableFollower
@@ -13,6 +14,7 @@
     RowsRead,
     StoredRow,
 )
+from nutmegroad.fleet.store_probes import OutageRecord
 from nutmegroad.fleet.update_link import MAX_FOLLOWERS, UpdateLink
 from nutmegroad.foundations.types import HostId
 from nutmegroad.testing.virtual import ManualClock
@@ -20,6 +22,16 @@
 from tests.shared_store_rig import FOREVER, TABLE, Host, SharedReadingCase
 
 
+def make_link(
+    host: HostId,
+    row: HostRow,
+    local_hosts: Callable[[], dict[HostId, HostRow]],
+) -> UpdateLink:
+    """Return the link of a host that has not followed another one yet."""
+    clock = ManualClock()
+    return UpdateLink(host, row, local_hosts, clock, OutageRecord(clock))
+
+
 class RelayedClockTest(unittest.TestCase):
     """Conversion of the times in relayed answers to a host's clock."""
 
@@ -275,12 +287,10 @@
             HostId('also'): HostRow('127.0.0.1', 3, 'north', 100),
         }
         own = HostRow('127.0.0.1', 4, 'north', 20)
-        link = UpdateLink(HostId('me'), own, lambda: local_hosts, ManualClock())
+        link = make_link(HostId('me'), own, lambda: local_hosts)
         self.assertIn(link._select_source(), ('fast', 'also'))
         best = HostRow('127.0.0.1', 4, 'north', 1000)
-        link = UpdateLink(
-            HostId('me'), best, lambda: local_hosts, ManualClock()
-        )
+        link = make_link(HostId('me'), best, lambda: local_hosts)
         self.assertIsNone(link._select_source())
 
     async def test_no_host_has_many_followers(self) -> None:
@@ -297,7 +307,7 @@
         sources = {}
         for host, row in rows.items():
             others = {name: each for name, each in rows.items() if name != host}
-            link = UpdateLink(host, row, others.copy, ManualClock())
+            link = make_link(host, row, others.copy)
             sources[host] = link._select_source()
         (root,) = (host for host, source in sources.items() if source is None)
         followers = Counter(sources.values())
--- a/tests/test_silent_reader.py
+++ b/tests/test_silent_reader.py
@@ -40,6 +40,7 @@
     ignore_position,
     no_wait,
 )
+from tests.shared_store_rig import MemoryLink
 
 TABLE: Final = 'op'
 #: Seconds within which a change has to be in force: today's shortest bound.
@@ -136,24 +137,6 @@
         return self._host in self._store.unanswered
 
 
-class MemoryLink:
-    """In-memory connection that delivers the frames of a host to its follower.
-
-    Attributes:
-        stream: Where the follower reads.
-    """
-
-    def __init__(self) -> None:
-        self.stream = asyncio.StreamReader()
-        self.transport = Mock()
-        self.transport.is_closing.return_value = False
-        self.transport.get_write_buffer_size.return_value = 0
-
-    def write(self, text: bytes) -> None:
-        """Deliver bytes."""
-        self.stream.feed_data(text)
-
-
 class Host:
     """A host that follows one table.
 
@@ -176,7 +159,9 @@
         self.received: dict[int, float] = {}
         self.server = UpdateServer(clock)
         row = HostRow('127.0.0.1', 1, 'north')
-        self.link = UpdateLink(HostId(name), row, dict, clock)
+        self.link = UpdateLink(
+            HostId(name), row, dict, clock, self.server.outages
+        )
         store_clock = StoreClock(clock)
         shared = SharedStore(
             platform.seen_by(name),
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -26,10 +26,9 @@
 )
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import UpstreamId
-from nutmegroad.relay.tables import (
+from nutmegroad.relay.upstream_table import (
     REAPPEAR_SECONDS,
     UNCONFIRMED_SECONDS,
-    UpstreamSink,
 )
 from nutmegroad.routes.cached_configuration import (
     KEY_VALIDITY_MARGIN,
@@ -38,9 +37,8 @@
 )
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import Directory
-from nutmegroad_platform.rows import RowCodec
 from tests.relay_rig import HOST, KEY, Rig, route
-from tests.relay_samples import entry_row
+from tests.relay_samples import entry_row, upstream_sink
 
 TABLE: Final = 'op'
 #: Seconds for which unconfirmed keys are valid.
@@ -186,9 +184,7 @@
         """List an upstream that serves, one that drains, one that has left."""
         self.clock = ManualClock(100)
         self.directory = Directory(self.clock)
-        self.sink = UpstreamSink(
-            RowCodec(), self.directory, self.clock, notice=2
-        )
+        self.sink = upstream_sink(self.directory, self.clock)
         self.sink.update_services(('s',))  # type: ignore[arg-type]
         self.sink.replace(self.rows('abc'))
         self.sink.apply(self.rows('b', 2, state='draining'))
--- a/tests/test_table_updates.py
+++ b/tests/test_table_updates.py
@@ -75,7 +75,7 @@
         self.assertIsNotNone(encode(TableUpdate(TABLE, 0, 9, 1, rows[:10])))
         too_large = TableUpdate(TABLE, 0, 9, 1, rows)
         self.assertIsNone(encode(too_large))
-        encoded = encode_update(too_large)
+        encoded = encode_update(too_large, outage_age=0)
         self.assertEqual(encoded.for_limit(MAX_FRAME_BYTES), encoded.marker)
 
 
--- a/tests/test_upstream_restarts.py
+++ b/tests/test_upstream_restarts.py
@@ -16,11 +16,8 @@
 from nutmegroad.fleet.loads import NO_LOAD, Load, LoadLedger
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
 from nutmegroad.foundations.types import HostId, ServiceName, UpstreamId
-from nutmegroad.relay.tables import (
-    MAX_LOGGED_PER_REASON,
-    Unreadable,
-    UpstreamSink,
-)
+from nutmegroad.relay.tables import Unreadable
+from nutmegroad.relay.upstream_table import MAX_LOGGED_PER_REASON
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import (
     Directory,
@@ -29,7 +26,7 @@
 )
 from nutmegroad_platform.rows import RowCodec
 from tests.relay_rig import Rig, route
-from tests.relay_samples import entry_row
+from tests.relay_samples import entry_row, upstream_sink
 
 #: A deadline that no test reaches.
 LONG = {'Nutmegroad-Deadline-Ms': '60000'}
@@ -188,7 +185,7 @@
     def setUp(self) -> None:
         """Create a sink that has received two workers."""
         self.directory = Directory(ManualClock())
-        self.sink = UpstreamSink(RowCodec(), self.directory, ManualClock(), 2)
+        self.sink = upstream_sink(self.directory, ManualClock())
         self.sink.update_services([ServiceName('s')])
         self.apply(entry_row('a'), entry_row('b'))
 
