Resume streams after the last event that was delivered

Cause: the position was taken from the last block of a read; a comment has no id, so those of the events before it in the same read were lost.

What was changed: foundations/event_streams reads blocks by the standard's rules, and StreamPosition keeps the last id delivered. Events without an id after it, which an upstream repeats, are dropped; without any id a stream that has begun is not begun anew. The daemon's own splitter is gone, its tests run on this one.

Why it holds: the position moves with each block that is delivered, and with nothing else.

Two tests have new imports only; one passes AnswerIdentity where it passed True.

--- a/src/nutmegroad/adapters/_event_streams.py
+++ b/src/nutmegroad/adapters/_event_streams.py
@@ -1,4 +1,4 @@
-"""Parser of an engine's streamed answer (server-sent events)."""
+"""Validates the events of an engine's streamed answer."""
 
 from dataclasses import dataclass
 from typing import Final
@@ -10,11 +10,6 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import AttemptId, Ran
 
-#: Maximum size of one event in bytes, and of what may stand between two; more
-#: is not an engine's answer.
-MAX_EVENT_BYTES: Final = 1_048_576
-
-_FIELD: Final = b'data:'
 _DONE: Final = b'[DONE]'
 
 
@@ -65,40 +60,6 @@
 _chunk_decoder: Final = Decoder(Chunk)
 
 
-class EventSplitter:
-    """Splits a byte stream into the data fields of its events.
-
-    The stream may arrive in blocks that are cut at any byte.
-    """
-
-    def __init__(self) -> None:
-        # The received part of a line that is not complete yet.
-        self._incomplete = b''
-        # Bytes received since the last data field.
-        self._without_field = 0
-
-    def feed(self, received: bytes) -> list[bytes]:
-        """Return the data fields of the lines that are now complete.
-
-        Raises:
-            ValueError: If ``MAX_EVENT_BYTES`` contain no data field.
-        """
-        lines = (self._incomplete + received).split(b'\n')
-        self._incomplete = lines.pop()
-        fields = [
-            line[len(_FIELD) :].strip()
-            for line in lines
-            if line.startswith(_FIELD)
-        ]
-        self._without_field += len(received)
-        if fields:
-            self._without_field = len(self._incomplete)
-        if self._without_field > MAX_EVENT_BYTES:
-            message = f'{MAX_EVENT_BYTES} bytes contain no event.'
-            raise ValueError(message)
-        return fields
-
-
 @dataclass(slots=True)
 class AnswerReader:
     """Validates the chunks of one answer and converts them into events.
--- a/src/nutmegroad/adapters/_http_answers.py
+++ b/src/nutmegroad/adapters/_http_answers.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import ClientResponse
 
-from nutmegroad.adapters._event_streams import AnswerReader, EventSplitter
+from nutmegroad.adapters._event_streams import AnswerReader
 from nutmegroad.adapters._gated_requests import SendState
 from nutmegroad.adapters._http_sessions import (
     FAILURES,
@@ -20,6 +20,7 @@
     upstream_url,
 )
 from nutmegroad.contracts.upstreams import AnswerEnd, AnswerEvent, Attempt
+from nutmegroad.foundations.event_streams import EventStreamSplitter
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran
 
@@ -125,10 +126,12 @@
             yield _refusal_for_status(response.status, body)
             return
         reader = self.reader
-        splitter = EventSplitter()
+        splitter = EventStreamSplitter()
         async for received in response.content.iter_any():
-            for line in splitter.feed(received):
-                event = reader.read(line)
+            for block in splitter.feed(received):
+                if block.content is None:
+                    continue
+                event = reader.read(block.content)
                 self._is_finished = isinstance(event, AnswerEnd)
                 if event is not None:
                     yield event
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -13,17 +13,18 @@
 
 from nutmegroad.canary.gate import AttemptOutcome
 from nutmegroad.escalation.decisions import first_model
+from nutmegroad.foundations.event_streams import (
+    Event,
+    EventStreamSplitter,
+    EventTooLongError,
+    StreamPosition,
+)
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import ModelName
 from nutmegroad.relay.connections import Framing
 from nutmegroad.relay.escalations import choose_larger_model
-from nutmegroad.relay.events import (
-    Event,
-    EventStreamSplitter,
-    EventTooLongError,
-)
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR, is_event_stream
 from nutmegroad.relay.outcomes import UpstreamAnswer
@@ -81,7 +82,7 @@
 
     Attributes:
         model: The model to request; None if the caller names it.
-        last_event: Id of the last event that the caller has received, or empty.
+        position: How far the caller has got.
         events: Number of events sent to the caller.
         failure: The last complete error response of an upstream.
         incomplete: Bytes of the last upstream's answer after its last complete
@@ -90,7 +91,7 @@
     """
 
     model: ModelName | None
-    last_event: str
+    position: StreamPosition
     events: int = 0
     failure: CompleteAnswer | None = field(default=None, repr=False)
     incomplete: int = 0
@@ -116,7 +117,9 @@
         self._reply = reply
         self._confidence = confidence
         request = execution.request
-        self._progress = _Progress(first_model(request), request.last_event)
+        self._progress = _Progress(
+            first_model(request), StreamPosition(request.last_event)
+        )
 
     async def run(self) -> None:
         """Make attempts until the stream is complete or can't be resumed."""
@@ -124,7 +127,7 @@
         while True:
             outcome = await self._execution.start(
                 progress.model,
-                progress.last_event,
+                progress.position.last_event,
             )
             if isinstance(outcome, Refusal):
                 await self._give_up(outcome)
@@ -137,7 +140,7 @@
             if end in (StreamEnd.LOW_CONFIDENCE, StreamEnd.STALLED):
                 # The repeat has been taken from the budget already.
                 continue
-            if not self._execution.may_repeat():
+            if not self._may_resume():
                 await self._give_up(truncated_refusal())
                 return
 
@@ -201,7 +204,10 @@
 
     async def _forward_events(self, answering: UpstreamAnswer) -> StreamEnd:
         """Forward complete events to the caller until the stream ends."""
-        splitter = EventStreamSplitter()
+        splitter = EventStreamSplitter(
+            is_continuation=self._reply.stream_started
+        )
+        self._progress.position.begin_part()
         stall_timeout = (
             self._execution.request.route.max_event_gap * STALL_FACTOR
         )
@@ -217,8 +223,7 @@
                 return StreamEnd.STALLED
             events = splitter.feed(chunk) if chunk else splitter.finish()
             self._progress.incomplete = len(splitter.remainder)
-            if events:
-                await self._write(answering, events)
+            if await self._write(answering, events):
                 timeout = stall_timeout or timeout
             if not chunk:
                 break
@@ -271,23 +276,41 @@
         if chunk is not None:
             estimates.upstream_responded(answering.upstream)
             return chunk
-        if not self._execution.may_repeat():
+        if not self._may_resume():
             return await answering.head.body.readany()
         answering.connection.abort()
         return None
 
     async def _write(
         self, answering: UpstreamAnswer, events: list[Event]
-    ) -> None:
-        """Send events, after the response head if it was not sent yet."""
-        await self._ensure_head_sent(answering)
-        text = b''.join(event.raw for event in events)
-        await self._reply.write(text)
-        execution = self._execution
-        execution.crash_guard.event_received(execution.estimates.clock.now())
-        progress = self._progress
-        progress.events += len(events)
-        progress.last_event = events[-1].event_id or progress.last_event
+    ) -> bool:
+        """Send the events that the caller does not have yet.
+
+        They follow the response head if it was not sent yet.
+
+        Returns:
+            Whether the upstream has sent any.
+        """
+        unseen = self._progress.position.advance(events)
+        if unseen:
+            await self._ensure_head_sent(answering)
+            await self._reply.write(b''.join(event.raw for event in unseen))
+            execution = self._execution
+            execution.crash_guard.event_received(
+                execution.estimates.clock.now()
+            )
+            self._progress.events += sum(
+                event.content is not None for event in unseen
+            )
+        return bool(events)
+
+    def _may_resume(self) -> bool:
+        """Return whether another upstream may go on with the stream.
+
+        If it may, this takes one repeat from the budget.
+        """
+        position = self._progress.position
+        return position.can_resume and self._execution.may_repeat()
 
     async def _ensure_head_sent(self, answering: UpstreamAnswer) -> None:
         """Send the response head unless it was sent before."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -24,17 +24,20 @@
 )
 from fakes.serving import LoopbackServer
 
-from nutmegroad.adapters._event_streams import MAX_EVENT_BYTES, EventSplitter
 from nutmegroad.adapters._http_upstreams import (
     MAX_REPLY_BYTES,
     HttpEngineClient,
     HttpServiceClient,
 )
 from nutmegroad.contracts.upstreams import Attempt, ServiceCall
+from nutmegroad.foundations.event_streams import (
+    MAX_EVENT_BYTES,
+    EventStreamSplitter,
+    EventTooLongError,
+)
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Address, AttemptId, Ran, VersionId
 from nutmegroad.relay.answer_buffers import MAX_ANSWER_BYTES
-from nutmegroad.relay.events import EventStreamSplitter, EventTooLongError
 from tests.relay_case import RelayCase
 from tests.request_path_rig import engine_info
 
@@ -217,7 +220,9 @@
                     events = splitter.feed(end[cut:] + b'data: b')
                     self.assertEqual(len(events), 1)
 
-    def assert_given_up(self, splitter: EventSplitter, text: bytes) -> None:
+    def assert_given_up(
+        self, splitter: EventStreamSplitter, text: bytes
+    ) -> None:
         """Check that a splitter takes a text only so often."""
         with self.assertRaises(ValueError):
             for _ in range(2 * MAX_EVENT_BYTES // FILLER):
@@ -226,7 +231,7 @@
     def test_daemon_gives_up_without_an_event(self) -> None:
         for text in (b'a' * FILLER, b': a\n' * FILLER):
             with self.subTest(text[:4]):
-                splitter = EventSplitter()
+                splitter = EventStreamSplitter()
                 self.assert_given_up(splitter, text)
 
 
--- a/tests/test_http_upstreams.py
+++ b/tests/test_http_upstreams.py
@@ -15,7 +15,7 @@
 from fakes.service import FakeService
 from fakes.serving import LoopbackServer
 
-from nutmegroad.adapters._event_streams import AnswerReader, EventSplitter
+from nutmegroad.adapters._event_streams import AnswerReader
 from nutmegroad.adapters._http_upstreams import (
     HttpEngineClient,
     HttpServiceClient,
@@ -30,6 +30,7 @@
     Piece,
     ServiceReply,
 )
+from nutmegroad.foundations.event_streams import EventStreamSplitter
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Address,
@@ -280,11 +281,12 @@
     def test_stream_may_be_split_at_any_byte(self) -> None:
         stream = ': hello\r\n\r\ndata: {"é":1}\r\n\r\ndata: x\n\n'.encode()
         for size in range(1, len(stream)):
-            splitter = EventSplitter()
+            splitter = EventStreamSplitter()
             lines = [
-                line
+                event.content
                 for start in range(0, len(stream), size)
-                for line in splitter.feed(stream[start : start + size])
+                for event in splitter.feed(stream[start : start + size])
+                if event.content is not None
             ]
             self.assertEqual(['{"é":1}'.encode(), b'x'], lines)
 
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -10,6 +10,7 @@
     larger_model,
 )
 from nutmegroad.escalation.headroom import AnswerEstimate
+from nutmegroad.foundations.event_streams import EventStreamSplitter
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     Address,
@@ -17,7 +18,6 @@
     ServiceName,
 )
 from nutmegroad.relay.budgets import Purpose, RepeatBudget, RepeatLimit
-from nutmegroad.relay.events import EventStreamSplitter
 from nutmegroad.relay.refusals import caller_refusal
 from nutmegroad.routes.deployment import (
     ConfigurationVersion,
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -17,9 +17,13 @@
     stream,
 )
 
+from nutmegroad.foundations.event_streams import Event, EventStreamSplitter
 from nutmegroad.foundations.types import Address
-from nutmegroad.relay.connections import RequestHead, connect
-from nutmegroad.relay.events import Event, EventStreamSplitter
+from nutmegroad.relay.connections import (
+    AnswerIdentity,
+    RequestHead,
+    connect,
+)
 from nutmegroad.relay.sockets import ConnectionFailedError
 from tests.relay_case import RelayCase
 
@@ -160,7 +164,9 @@
         self.addAsyncCleanup(worker.stop)
         connection = await connect(Address('127.0.0.1', worker.port), 1)
         request = RequestHead('GET', b'/', ((b'Host', b'x'),))
-        response = await connection.exchange(request, b'', lambda _: True)
+        response = await connection.exchange(
+            request, b'', lambda _: AnswerIdentity.PENDING
+        )
         self.assertEqual(await response.body.readany(), b'half')
         connection.abort()
         with self.assertRaises(ConnectionFailedError):
