Send nothing behind an answer that is ready

Cause: an answer was written under its request's deadline. While writing waited for the caller to read, the deadline cancelled it and wrote a refusal behind the answer, which lay in the connection's buffer already.

What was changed: an answer is set once and sent after the request has ended; it is aborted if the caller takes nothing of it for callers.maxStallMs (30 s if not set), with a line that has the bytes taken.

Why it holds: one place sends, outside the deadline, and what is set is not replaced; the library refuses to add an error once bytes were sent.

--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -52,6 +52,8 @@
         reconnect_bound: Seconds after its path to the store is open again
             within which a host has to have caught up.
         grace: Seconds from the signal to stop until the process is killed.
+        max_stall: Seconds for which a caller may take nothing of an answer
+            that is ready for it.
         metrics: Address of the metrics page; None for no page.
         link_mbps: Bandwidth of the network link in Mbit/s; 0 if not known.
         first_start: Whether all hosts of the fleet start for the first time.
@@ -76,6 +78,7 @@
     drain_notice: float
     grace: float
     reconnect_bound: float = 3.0
+    max_stall: float = 30.0
     metrics: Address | None = None
     link_mbps: float = 0
     first_start: bool = False
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -269,6 +269,7 @@
             names,
             self._randomness,
             lambda: self._stopping,
+            lambda: self._settings.max_stall,
         )
         self._upstream_sink = UpstreamSink(
             self._platform.reader,
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -1,5 +1,6 @@
 """HTTP listeners of a host, and replies to its callers, built on aiohttp."""
 
+import asyncio
 import socket
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from contextlib import AsyncExitStack
@@ -37,6 +38,9 @@
 #: of a request.
 HEADER_BYTES: Final = 32_768
 
+#: Bytes that are buffered for a caller without waiting until it has read them.
+BUFFERED_BYTES: Final = 65_536
+
 #: Seconds that handlers may take to end when the host closes.
 SHUTDOWN_TIMEOUT: Final = 0.1
 
@@ -55,16 +59,21 @@
     Args:
         request: The request to answer.
         closing: Returns whether to close the connection after the answer.
+        max_stall: Seconds for which the caller may take nothing of an answer.
     """
 
     def __init__(
         self,
         request: web.BaseRequest,
         closing: Callable[[], bool],
+        max_stall: float,
     ) -> None:
         self._request = request
         self._closing = closing
+        self._max_stall = max_stall
         self._stream: web.StreamResponse | None = None
+        #: Whether the answer is complete, so that nothing else may be sent.
+        self.is_complete = False
         #: HTTP status that was sent; 0 before the head.
         self.status = 0
         #: The response that was sent last; None before the head.
@@ -80,21 +89,22 @@
         """Whether the caller has closed its connection."""
         return has_departed(self._request.transport)
 
-    async def send_complete(
+    def complete(
         self,
         status: int,
         reason: str,
         headers: RawHeaders,
         body: bytes,
     ) -> None:
-        """Send an upstream's complete answer."""
-        response = web.Response(
-            status=status,
-            reason=reason,
-            headers=_decode(headers),
-            body=body,
+        """Answer with an upstream's complete answer."""
+        self._complete(
+            web.Response(
+                status=status,
+                reason=reason,
+                headers=_decode(headers),
+                body=body,
+            )
         )
-        await self._send(response)
 
     async def start_stream(
         self,
@@ -118,18 +128,22 @@
         if self._stream is not None:
             await self._stream.write(text)
 
-    async def finish_stream(self) -> None:
+    def finish_stream(self) -> None:
         """End a complete stream."""
-        if self._stream is not None:
-            await self._stream.write_eof()
+        self.is_complete = self._stream is not None
 
     def abort(self) -> None:
         """Close the connection without the last chunk of a stream."""
-        if self._request.transport is not None:
-            self._request.transport.close()
+        transport = self._request.transport
+        if transport is not None:
+            transport.close()
+            # What was written before is still sent, to a caller that reads.
+            asyncio.get_running_loop().call_later(
+                self._max_stall, transport.abort
+            )
 
-    async def refuse(self, refusal: CallerRefusal) -> None:
-        """Send a refusal by this host as the final answer.
+    def refuse(self, refusal: CallerRefusal) -> None:
+        """Answer with a refusal by this host.
 
         Nothing is sent to a caller that has left.
         """
@@ -140,14 +154,65 @@
             response.headers[_RETRY_AFTER] = f'{refusal.retry_after:.2f}'
         if refusal.close:
             response.force_close()
-        await self._send(response)
+        self._complete(response)
 
-    async def _send(self, response: web.Response) -> None:
-        """Send a complete response."""
-        self._record(response)
+    async def deliver(self) -> int | None:
+        """Send a complete answer for as long as the caller takes it.
+
+        The deadline of the request does not end this: a part of the answer may
+        have been written, after which no other one can follow.
+
+        Returns:
+            How many bytes the caller had taken when its connection was aborted
+            because it took no more; None if it was not.
+        """
+        response, transport = self.response, self._request.transport
+        if not self.is_complete or response is None or transport is None:
+            return None
+        size = transport.get_write_buffer_size() + (
+            response.content_length or 0
+        )
+        if size <= BUFFERED_BYTES:
+            await self._send(response)
+            return None
+        sending = asyncio.create_task(self._send(response))
+        try:
+            left = await self._wait_while_taken(sending, transport)
+        finally:
+            sending.cancel()
+        return None if left is None else size - left
+
+    async def _wait_while_taken(
+        self, sending: asyncio.Task[None], transport: asyncio.WriteTransport
+    ) -> int | None:
+        """Wait for the end of sending, or abort if the caller takes nothing.
+
+        Returns:
+            The bytes that were left then; None if all were taken.
+        """
+        left: int | None = None
+        while True:
+            await asyncio.wait((sending,), timeout=self._max_stall)
+            if sending.done():
+                # Raises if the connection was lost.
+                sending.result()
+                return None
+            before, left = left, transport.get_write_buffer_size()
+            if before is not None and left >= before:
+                transport.abort()
+                return left
+
+    async def _send(self, response: web.StreamResponse) -> None:
+        """Send a complete response, or the end of a stream."""
         await response.prepare(self._request)
         await response.write_eof()
 
+    def _complete(self, response: web.Response) -> None:
+        """Set the answer, unless there is one."""
+        if self.response is None:
+            self._record(response)
+            self.is_complete = True
+
     def _record(self, response: web.StreamResponse) -> None:
         """Record the response that is about to be sent."""
         self.status = response.status
--- a/src/nutmegroad/relay/plain_calls.py
+++ b/src/nutmegroad/relay/plain_calls.py
@@ -43,7 +43,7 @@
     while True:
         outcome = await execution.start(None)
         if isinstance(outcome, Refusal):
-            await _end(execution, reply, failure, outcome)
+            _end(execution, reply, failure, outcome)
             return
         answer = await _read(execution, outcome)
         if isinstance(answer, OversizedAnswer):
@@ -53,13 +53,13 @@
         succeeded = await _learn(execution, outcome, answer)
         if not succeeded and execution.may_repeat():
             continue
-        await _end(execution, reply, failure, truncated_refusal())
+        _end(execution, reply, failure, truncated_refusal())
         return
 
 
-async def send_answer(reply: Reply, answer: CompleteAnswer) -> None:
-    """Send an upstream's complete answer to the caller."""
-    await reply.send_complete(
+def send_answer(reply: Reply, answer: CompleteAnswer) -> None:
+    """Answer the caller with an upstream's complete answer."""
+    reply.complete(
         answer.head.status,
         answer.head.reason,
         end_to_end(answer.head.raw),
@@ -126,7 +126,7 @@
         reply.abort()
         return
     execution.crash_guard.answered()
-    await reply.finish_stream()
+    reply.finish_stream()
 
 
 async def _copy(
@@ -164,7 +164,7 @@
     return AttemptOutcome.POOR if answer.failed else AttemptOutcome.ACCEPTABLE
 
 
-async def _end(
+def _end(
     execution: Execution,
     reply: Reply,
     answer: CompleteAnswer | None,
@@ -174,7 +174,7 @@
     request = execution.request
     if answer is None:
         execution.log_refusal(refusal)
-        await reply.refuse(caller_refusal(refusal))
+        reply.refuse(caller_refusal(refusal))
         return
     _LOG.decision(
         'answered',
@@ -183,4 +183,4 @@
         status=answer.head.status,
         waited=round(execution.waited, 3),
     )
-    await send_answer(reply, answer)
+    send_answer(reply, answer)
--- a/src/nutmegroad/relay/replies.py
+++ b/src/nutmegroad/relay/replies.py
@@ -17,14 +17,17 @@
     def caller_left(self) -> bool:
         """Whether the caller has closed its connection."""
 
-    async def send_complete(
+    def complete(
         self,
         status: int,
         reason: str,
         headers: RawHeaders,
         body: bytes,
     ) -> None:
-        """Send an upstream's complete answer."""
+        """Answer with an upstream's complete answer.
+
+        It is sent once the request has ended, whatever its deadline.
+        """
 
     async def start_stream(
         self,
@@ -37,11 +40,11 @@
     async def write(self, text: bytes) -> None:
         """Send a part of a stream."""
 
-    async def finish_stream(self) -> None:
+    def finish_stream(self) -> None:
         """End a complete stream."""
 
     def abort(self) -> None:
         """Abort an answer; the caller can't take it for a complete one."""
 
-    async def refuse(self, refusal: CallerRefusal) -> None:
-        """Send a refusal by this host as the final answer."""
+    def refuse(self, refusal: CallerRefusal) -> None:
+        """Answer with a refusal by this host."""
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -43,6 +43,8 @@
         names: The deployment's header names.
         randomness: Splits traffic between services.
         stopping: Returns whether the host is stopping.
+        max_stall: Returns the seconds for which a caller may take nothing of
+            an answer.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         names: HeaderNames,
         randomness: random.Random,
         stopping: Callable[[], bool],
+        max_stall: Callable[[], float],
     ) -> None:
         self._context = context
         self._clock: Clock = context.clock
@@ -59,15 +62,17 @@
         self._names = names
         self._randomness = randomness
         self._stopping = stopping
+        self._max_stall = max_stall
         #: Connections on which a request is being answered.
         self.busy: set[object] = set()
 
     async def answer(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
-        reply = HttpReply(http, self._stopping)
+        reply = HttpReply(http, self._stopping, self._max_stall())
         self.busy.add(http.protocol)
         try:
             await self._serve(http, reply)
+            await self._deliver(http, reply)
         finally:
             self.busy.discard(http.protocol)
             # The head may have been sent before the host began to stop.
@@ -79,7 +84,7 @@
         """Read a request, and answer it within its deadline."""
         request = await self._intake.read(http)
         if isinstance(request, Refusal):
-            await self._refuse(http, reply, request)
+            self._refuse(http, reply, request)
             return
         execution = Execution(
             self._context,
@@ -92,7 +97,7 @@
             async with ReadTimeout(time_left):
                 await self._run(execution, reply)
         except TimeoutError:
-            await self._end_late(execution, reply)
+            self._end_late(execution, reply)
         finally:
             self._context.counters.answered(
                 reply.status,
@@ -108,16 +113,18 @@
         else:
             await answer_plain(execution, reply)
 
-    async def _end_late(self, execution: Execution, reply: HttpReply) -> None:
+    def _end_late(self, execution: Execution, reply: HttpReply) -> None:
         """End a request whose deadline has passed."""
+        if reply.is_complete:
+            return
         refusal = execution.deadline_refusal()
         execution.log_refusal(refusal, begun=reply.stream_started)
         if reply.stream_started:
             reply.abort()
         else:
-            await reply.refuse(caller_refusal(refusal))
+            reply.refuse(caller_refusal(refusal))
 
-    async def _refuse(
+    def _refuse(
         self,
         http: web.BaseRequest,
         reply: HttpReply,
@@ -133,10 +140,22 @@
             reason=refusal.reason,
             configuration_age=round(self._intake.age, 2),
         )
-        await reply.refuse(
+        reply.refuse(
             caller_refusal(refusal, close=refusal.code in _RETRY_ELSEWHERE)
         )
 
+    async def _deliver(self, http: web.BaseRequest, reply: HttpReply) -> None:
+        """Send a complete answer."""
+        taken = await reply.deliver()
+        if taken is not None:
+            _LOG.decision(
+                'caller takes nothing',
+                request=RequestId(http.headers.get(self._names.request_id, '')),
+                status=reply.status,
+                taken=taken,
+                seconds=self._max_stall(),
+            )
+
     def _service_of(self, request: CallerRequest) -> ServiceName:
         """Return a service of a request's route, drawn by weight."""
         services = request.route.services
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -130,18 +130,18 @@
                 progress.position.last_event,
             )
             if isinstance(outcome, Refusal):
-                await self._give_up(outcome)
+                self._give_up(outcome)
                 return
             end = await self._forward_attempt(outcome)
             self._log_end(outcome, end)
             if end is StreamEnd.COMPLETE:
-                await self._reply.finish_stream()
+                self._reply.finish_stream()
                 return
             if end in (StreamEnd.LOW_CONFIDENCE, StreamEnd.STALLED):
                 # The repeat has been taken from the budget already.
                 continue
             if not self._may_resume():
-                await self._give_up(truncated_refusal())
+                self._give_up(truncated_refusal())
                 return
 
     async def _forward_attempt(self, answering: UpstreamAnswer) -> StreamEnd:
@@ -199,7 +199,7 @@
         if self._reply.stream_started:
             # It can't continue the stream of another upstream.
             return StreamEnd.FAILED
-        await send_answer(self._reply, answer)
+        send_answer(self._reply, answer)
         return StreamEnd.COMPLETE
 
     async def _forward_events(self, answering: UpstreamAnswer) -> StreamEnd:
@@ -328,16 +328,16 @@
             return None
         return choose_larger_model(self._execution, answering, self._confidence)
 
-    async def _give_up(self, refusal: Refusal) -> None:
+    def _give_up(self, refusal: Refusal) -> None:
         """End a stream that can't be resumed."""
         self._execution.log_refusal(refusal, events=self._progress.events)
         failure = self._progress.failure
         if self._reply.stream_started:
             self._reply.abort()
         elif failure is None:
-            await self._reply.refuse(caller_refusal(refusal))
+            self._reply.refuse(caller_refusal(refusal))
         else:
-            await send_answer(self._reply, failure)
+            send_answer(self._reply, failure)
 
     def _log_end(self, answering: UpstreamAnswer, end: StreamEnd) -> None:
         """Log how one upstream's part of the stream ended."""
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -79,6 +79,7 @@
         key_validity: Seconds for which keys stay valid without a confirmation.
         hosts: Number of hosts; most tests use only the first.
         domains: Failure domains; the hosts are spread over them in turn.
+        max_stall: Seconds for which a caller may take nothing of an answer.
     """
 
     def __init__(
@@ -87,7 +88,9 @@
         key_validity: float | None = 5,
         hosts: int = 1,
         domains: tuple[str, ...] = ('north',),
+        max_stall: float = 30,
     ) -> None:
+        self._max_stall = max_stall
         self.store = RowStore()
         self.workers = [OpaqueWorker() for _ in range(workers)]
         self._names = [f'w-{number}' for number in range(workers)]
@@ -229,6 +232,7 @@
             evacuation_bound=0.2,
             drain_notice=2,
             grace=8,
+            max_stall=self._max_stall,
             seed=number + 1,
         )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -141,6 +141,7 @@
             ('10.0.0.1:80', 'nowhere', "'nowhere'"),
             ('5000', 'soon', "'soon'"),
             ('70,80', 'a,b', "'a,b'"),
+            ('nodeName', 'callers.maxStallMs=0\nnodeName', 'maxStallMs'),
         )
         for old, new, expected in cases:
             with (
