Hold bodies and answers within a budget of memory

What callers would see: a host that is ended for want of memory, with all that it serves, when some dozens of callers send large bodies slowly; and short requests that fail beside them. Measured, not seen in service.

Cause: bodies were read whatever else was held, answers had a limit of their own, and bodies that grew beside each other left gaps in the heap.

--- a/src/nutmegroad/foundations/_system_codes.py
+++ b/src/nutmegroad/foundations/_system_codes.py
@@ -159,6 +159,12 @@
         'Retry after the given time, on a new connection.',
         NotRun.ALWAYS,
     ),
+    CodeMeaning(
+        ResultCode.HOST_MEMORY_SHORT,
+        'This host has no memory left for a body of this size.',
+        'Retry after the given time, on a new connection.',
+        NotRun.ALWAYS,
+    ),
     CodeMeaning(
         ResultCode.OPERATOR_UNAUTHENTICATED,
         'The token is missing or belongs to no operator.',
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -8,6 +8,7 @@
 from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.overload.memory_budget import memory_budget, resident_bytes
 from nutmegroad.overload.quick_refusals import QuickRefusals
 from nutmegroad.relay.attempts import AttemptRunner
 from nutmegroad.relay.boundary import HostSettings, Platform
@@ -142,4 +143,5 @@
         platform.counters,
         crashes,
         components.placement,
+        memory_budget(settings.memory_mb, clock, resident_bytes),
     )
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -52,6 +52,7 @@
         reconnect_bound: Seconds after its path to the store is open again
             within which a host has to have caught up.
         grace: Seconds from the signal to stop until the process is killed.
+        memory_mb: Memory limit of the process in MB; 0 if not known.
         max_stall: Seconds for which a caller may take nothing of an answer
             that is ready for it.
         metrics: Address of the metrics page; None for no page.
@@ -79,6 +80,7 @@
     grace: float
     reconnect_bound: float = 3.0
     max_stall: float = 30.0
+    memory_mb: float = 0
     metrics: Address | None = None
     link_mbps: float = 0
     first_start: bool = False
--- a/src/nutmegroad/relay/context.py
+++ b/src/nutmegroad/relay/context.py
@@ -1,12 +1,12 @@
 """Objects that the executions of one host share."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 from nutmegroad.canary.gate import AttemptOutcome
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.types import ServiceName
-from nutmegroad.relay.answer_buffers import AnswerBuffers
+from nutmegroad.overload.memory_budget import MemoryBudget
 from nutmegroad.relay.attempts import AttemptRunner
 from nutmegroad.relay.budgets import RepeatBudget
 from nutmegroad.relay.counters import RelayCounters
@@ -66,7 +66,7 @@
         counters: The host's metrics.
         crashes: Records the requests under which upstreams terminate.
         placement: Failure domains and regions in which requests may run.
-        buffers: The answers that are read at present.
+        memory: The bytes that are held for requests.
     """
 
     attempts: AttemptRunner
@@ -78,4 +78,4 @@
     counters: RelayCounters
     crashes: CrashMonitor
     placement: Placement
-    buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
+    memory: MemoryBudget
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -22,6 +22,7 @@
     UpstreamIncarnation,
 )
 from nutmegroad.overload.departures import DEPARTED
+from nutmegroad.overload.memory_budget import Holding
 from nutmegroad.relay.budgets import Purpose
 from nutmegroad.relay.connections import UpstreamConnection
 from nutmegroad.relay.context import RelayContext
@@ -81,6 +82,7 @@
         request: The request.
         service: The service that it is sent to.
         caller_left: Returns whether the caller has closed its connection.
+        holding: Accounts for the bytes that are held for the request.
     """
 
     def __init__(
@@ -89,13 +91,14 @@
         request: CallerRequest,
         service: ServiceName,
         caller_left: Callable[[], bool],
+        holding: Holding,
     ) -> None:
         self.request = request
         self._caller_left = caller_left
         self.service = service
         self.estimates = RequestEstimates(context, request, service)
         self.crash_guard = context.crashes.guard(request)
-        self.buffers = context.buffers
+        self.holding = holding
         self._context = context
         self.attempted: set[UpstreamIncarnation] = set()
         self._used_connections: set[UpstreamConnection] = set()
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -92,6 +92,7 @@
     @property
     def status(self) -> HostStatus:
         """The present state of this host, for its gauges."""
+        memory = self._context.memory
         return HostStatus(
             configuration=self.configuration_version,
             age=self._configuration.age,
@@ -109,6 +110,10 @@
             limited=len(self._fleet.shared_state.limits.in_need()),
             iteration=self._loop_monitor.iteration,
             late=self._loop_monitor.late_seconds,
+            held_bodies=memory.bodies,
+            held_answers=memory.used - memory.bodies,
+            held_limit=memory.total,
+            memory_waiting=memory.waiting,
         )
 
     @property
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -13,6 +13,12 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId
 from nutmegroad.overload.arrivals import seconds_since_arrival
+from nutmegroad.overload.memory_budget import (
+    HeldPart,
+    Holding,
+    Shortage,
+    allocate,
+)
 from nutmegroad.relay.listener import raw_headers
 from nutmegroad.routes.attributes import request_attributes
 from nutmegroad.routes.cached_configuration import CachedConfiguration
@@ -72,8 +78,15 @@
         self._configuration = configuration
         self._clock = clock
 
-    async def read(self, http: web.BaseRequest) -> CallerRequest | Refusal:
-        """Return a request after reading its body, or why it is refused."""
+    async def read(
+        self, http: web.BaseRequest, holding: Holding
+    ) -> CallerRequest | Refusal:
+        """Return a request after reading its body, or why it is refused.
+
+        Args:
+            http: The request.
+            holding: Accounts for the bytes of its body.
+        """
         waited = seconds_since_arrival(http.transport)
         arrived = self._clock.now() - waited
         refusal = self._check_headers(http)
@@ -82,7 +95,9 @@
         matched = self._match(http)
         if isinstance(matched, Refusal):
             return matched
-        body = await _read_body(http, matched.table.limits.body_bytes)
+        holding.owners = _owners(matched)
+        limit = matched.table.limits.body_bytes
+        body = await _read_body(http, limit, holding)
         if isinstance(body, Refusal):
             return body
         refusal = self._check_key_validity(matched)
@@ -226,19 +241,49 @@
     return ''
 
 
-async def _read_body(http: web.BaseRequest, max_bytes: int) -> bytes | Refusal:
-    """Return the complete body, or the refusal of one that is too large."""
+def _owners(matched: _Matched) -> tuple[str, ...]:
+    """Return who shares the memory that is held for a request."""
+    owners = (f'route {matched.route.name}',)
+    if matched.workspace is None:
+        return owners
+    return (*owners, f'workspace {matched.workspace.name}')
+
+
+async def _read_body(
+    http: web.BaseRequest, max_bytes: int, holding: Holding
+) -> bytes | Refusal:
+    """Return the complete body, or the refusal of one that is too large.
+
+    Room for a body is reserved before it is read, or with each part if its
+    length is not announced.
+    """
     announced = http.content_length
     if announced is not None and announced > max_bytes:
         return _too_large(max_bytes)
-    parts = []
-    size = 0
+    if announced:
+        shortage = await holding.reserve(HeldPart.BODY, announced)
+        if shortage is not None:
+            return _memory_short(shortage)
+    body = allocate(announced or 0)
     async for part in http.content.iter_any():
-        size += len(part)
-        if size > max_bytes:
+        if holding.received + len(part) > max_bytes:
             return _too_large(max_bytes)
-        parts.append(part)
-    return b''.join(parts)
+        if announced is None:
+            shortage = await holding.reserve(HeldPart.BODY, len(part))
+            if shortage is not None:
+                return _memory_short(shortage)
+        holding.received += body.write(part)
+    return body.getvalue()
+
+
+def _memory_short(shortage: Shortage) -> Refusal:
+    """Return the refusal of a body for which there is no memory."""
+    return Refusal(
+        ResultCode.HOST_MEMORY_SHORT,
+        f'The body needs {shortage.size} more bytes; '
+        f'{shortage.free} are free here for large bodies.',
+        retry_after=shortage.retry_after,
+    )
 
 
 def _too_large(max_bytes: int) -> Refusal:
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -152,6 +152,8 @@
         response = web.Response(status=refusal.status, text=refusal.text)
         if refusal.retry_after > 0:
             response.headers[_RETRY_AFTER] = f'{refusal.retry_after:.2f}'
+        if refusal.proof:
+            response.headers[refusal.proof] = '1'
         if refusal.close:
             response.force_close()
         self._complete(response)
--- a/src/nutmegroad/relay/plain_calls.py
+++ b/src/nutmegroad/relay/plain_calls.py
@@ -6,7 +6,7 @@
 from nutmegroad.canary.gate import AttemptOutcome
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
-from nutmegroad.relay.answer_buffers import OversizedAnswer
+from nutmegroad.relay.answer_buffers import OversizedAnswer, read_answer
 from nutmegroad.relay.connections import ResponseHead
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.heads import FIRST_SERVER_ERROR
@@ -71,7 +71,7 @@
     execution: Execution, answering: UpstreamAnswer
 ) -> CompleteAnswer | None:
     """Return the complete answer; None if it was truncated or is too long."""
-    body = await execution.buffers.read(answering)
+    body = await read_answer(answering, execution.holding)
     if isinstance(body, bytes):
         return CompleteAnswer(answering.head, body)
     return None
@@ -83,7 +83,7 @@
     """Read an answer, and end its attempt unless the rest is to be sent on."""
     body: bytes | OversizedAnswer | None = None
     try:
-        body = await execution.buffers.read(answering)
+        body = await read_answer(answering, execution.holding)
     finally:
         if not _is_sent_on(answering, body):
             await answering.close()
@@ -93,7 +93,8 @@
 
 
 def _is_sent_on(
-    answering: UpstreamAnswer, body: bytes | OversizedAnswer | None
+    answering: UpstreamAnswer,
+    body: bytes | OversizedAnswer | None,
 ) -> TypeGuard[OversizedAnswer]:
     """Return whether an answer is sent on without being complete."""
     if not isinstance(body, OversizedAnswer) or not body.has_end:
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -49,15 +49,20 @@
         text: The body.
         close: Whether to close the connection, so that the caller's retry may
             reach another host.
+        proof: Name of a header that says that the request was not executed;
+            empty to omit it.
     """
 
     status: int
     retry_after: float
     text: str
     close: bool = False
+    proof: str = ''
 
 
-def caller_refusal(refusal: Refusal, *, close: bool = False) -> CallerRefusal:
+def caller_refusal(
+    refusal: Refusal, *, close: bool = False, proof: str = ''
+) -> CallerRefusal:
     """Return a refusal as sent to the caller.
 
     A status that guarantees that the request was not executed is used only if
@@ -66,6 +71,8 @@
     Args:
         refusal: The refusal.
         close: Whether to close the connection.
+        proof: Name of a header that says that the request was not executed,
+            if it is to be sent.
     """
     status = _STATUSES.get(refusal.code, _UNAVAILABLE)
     if refusal.ran is not Ran.NOT_RUN:
@@ -75,7 +82,7 @@
         )
         status = _GATEWAY_TIMEOUT if late else _BAD_GATEWAY
     text = f'{refusal.code.value} {refusal.code.name}: {refusal.reason}\n'
-    return CallerRefusal(status, refusal.retry_after, text, close)
+    return CallerRefusal(status, refusal.retry_after, text, close, proof)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from contextlib import closing
 from typing import Final
 
 from aiohttp import web
@@ -11,6 +12,7 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import RequestId, ServiceName
+from nutmegroad.overload.memory_budget import Holding
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.execution import Execution
 from nutmegroad.relay.intake import Intake
@@ -30,6 +32,7 @@
     (
         ResultCode.CONFIGURATION_MISSING,
         ResultCode.CONFIGURATION_UNCONFIRMED,
+        ResultCode.HOST_MEMORY_SHORT,
     ),
 )
 
@@ -71,8 +74,9 @@
         reply = HttpReply(http, self._stopping, self._max_stall())
         self.busy.add(http.protocol)
         try:
-            await self._serve(http, reply)
-            await self._deliver(http, reply)
+            with closing(self._context.memory.open()) as holding:
+                await self._serve(http, reply, holding)
+                await self._deliver(http, reply)
         finally:
             self.busy.discard(http.protocol)
             # The head may have been sent before the host began to stop.
@@ -80,9 +84,11 @@
                 reply.response.force_close()
         return reply.response or web.Response(status=_INTERNAL_ERROR)
 
-    async def _serve(self, http: web.BaseRequest, reply: HttpReply) -> None:
+    async def _serve(
+        self, http: web.BaseRequest, reply: HttpReply, holding: Holding
+    ) -> None:
         """Read a request, and answer it within its deadline."""
-        request = await self._intake.read(http)
+        request = await self._intake.read(http, holding)
         if isinstance(request, Refusal):
             self._refuse(http, reply, request)
             return
@@ -91,6 +97,7 @@
             request,
             self._service_of(request),
             lambda: reply.caller_left,
+            holding,
         )
         time_left = max(0, request.deadline - self._clock.now())
         try:
@@ -140,8 +147,13 @@
             reason=refusal.reason,
             configuration_age=round(self._intake.age, 2),
         )
+        proof = ''
+        if refusal.code is ResultCode.HOST_MEMORY_SHORT:
+            proof = self._names.not_executed
         reply.refuse(
-            caller_refusal(refusal, close=refusal.code in _RETRY_ELSEWHERE)
+            caller_refusal(
+                refusal, close=refusal.code in _RETRY_ELSEWHERE, proof=proof
+            )
         )
 
     async def _deliver(self, http: web.BaseRequest, reply: HttpReply) -> None:
--- a/src/nutmegroad/relay/status_pages.py
+++ b/src/nutmegroad/relay/status_pages.py
@@ -36,6 +36,10 @@
         limited: Number of upstreams that name a limit.
         iteration: Seconds that an iteration of the event loop takes.
         late: Seconds for which the host has been late.
+        held_bodies: Bytes held for bodies of requests.
+        held_answers: Bytes held for answers.
+        held_limit: Maximum bytes that may be held.
+        memory_waiting: Number of bodies that wait for room.
     """
 
     configuration: int
@@ -54,6 +58,10 @@
     limited: int
     iteration: float
     late: float
+    held_bodies: int
+    held_answers: int
+    held_limit: int
+    memory_waiting: int
 
 
 class StatusSource(Protocol):
@@ -131,6 +139,26 @@
         'Seconds for which this host has been short of processor time',
         attrgetter('late'),
     ),
+    (
+        'held_body_bytes',
+        'Bytes held for bodies of requests',
+        attrgetter('held_bodies'),
+    ),
+    (
+        'held_answer_bytes',
+        'Bytes held for answers',
+        attrgetter('held_answers'),
+    ),
+    (
+        'held_bytes_limit',
+        'Bytes that may be held for requests',
+        attrgetter('held_limit'),
+    ),
+    (
+        'bodies_waiting_for_memory',
+        'Bodies that wait for room before they are read',
+        attrgetter('memory_waiting'),
+    ),
 )
 
 
