Look a key up again after its body has arrived

What callers would see: a caller whose key was removed while it uploaded for seconds was served by it, as the key was looked up with the head alone. Seen by reading, in the review.

Cause: the table of the head was kept for the whole request; only the age of the configuration was checked again.

What was changed: if another configuration is in force by then, route and key are looked up in it. Nothing is awaited between this and the choice of an upstream, but for a request that is suspected of crashing upstreams.

The daemon resolves a workspace with the head as well; not changed.

--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -100,6 +100,11 @@
         body = await _read_body(http, limit, holding)
         if isinstance(body, Refusal):
             return body
+        if self._configuration.table is not matched.table:
+            # The body may have taken seconds, and the key be revoked since.
+            matched = self._match(http)
+            if isinstance(matched, Refusal):
+                return matched
         refusal = self._check_key_validity(matched)
         if refusal is not None:
             return refusal
