Count blocks with an id as events, and read slowly in tests to the end

Blocks that have an id but no content count as events of a generation again, as they did; only comments and the like do not.

--- a/src/nutmegroad/foundations/event_streams.py
+++ b/src/nutmegroad/foundations/event_streams.py
@@ -39,6 +39,11 @@
     event_id: str | None = None
     content: bytes | None = None
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether it has neither an id nor content."""
+        return self.event_id is None and self.content is None
+
 
 class EventTooLongError(ValueError):
     """An event, or what stands between two, is longer than any upstream's."""
@@ -173,13 +178,14 @@
 
     def _record(self, event: Event) -> None:
         """Record an event that is delivered."""
-        if event.event_id is not None:
+        if event.is_empty:
+            return
+        self._has_moved = True
+        if event.event_id is None:
+            self._unnumbered += 1
+        else:
             self.last_event = event.event_id
             self._unnumbered = 0
-            self._has_moved = True
-        elif event.content is not None:
-            self._unnumbered += 1
-            self._has_moved = True
 
 
 def _parse(raw: bytes, text: bytes) -> Event:
--- a/src/nutmegroad/relay/streams.py
+++ b/src/nutmegroad/relay/streams.py
@@ -299,9 +299,7 @@
             execution.crash_guard.event_received(
                 execution.estimates.clock.now()
             )
-            self._progress.events += sum(
-                event.content is not None for event in unseen
-            )
+            self._progress.events += sum(not event.is_empty for event in unseen)
         return bool(events)
 
     def _may_resume(self) -> bool:
--- a/tests/test_reconnected_hosts.py
+++ b/tests/test_reconnected_hosts.py
@@ -58,8 +58,10 @@
 #: Seconds after its path to the store is open again within which a host has to
 #: have caught up.
 CONTACT: Final = 3.0
-#: Seconds between the writes of a live upstream.
+#: Seconds between the writes of a live upstream, and those within which the
+#: platform says that its entry is back.
 HEARTBEAT: Final = 1.2
+REAPPEARANCE: Final = 2.0
 #: Seconds until a call that hangs fails, besides those that it may wait.
 CALL_TIMEOUT: Final = 1.0
 SEEDS: Final = 150
@@ -279,8 +281,9 @@
     await asyncio.sleep(randomness.uniform(0, 1))
     store.end()
     loop = asyncio.get_running_loop()
+    latest = HEARTBEAT if cut is Cut.SILENT else REAPPEARANCE
     for name in 'abc':
-        loop.call_later(randomness.uniform(0, HEARTBEAT), store.put, name)
+        loop.call_later(randomness.uniform(0, latest), store.put, name)
     until = host.clock.now() + 2 * CONTACT
     while host.clock.now() < until:
         lost = ''.join(name for name in 'abc' if not host.uses(name))
--- a/tests/test_single_answers.py
+++ b/tests/test_single_answers.py
@@ -137,11 +137,16 @@
         )
         self._writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
 
-    async def read(self) -> None:
-        """Read until the connection closes, or brings nothing for a while."""
+    async def read(self, expected: int = 0) -> None:
+        """Read until the connection closes, or brings nothing for a while.
+
+        Args:
+            expected: Bytes that are awaited however long they take.
+        """
         try:
             while not self.closed:
-                text = await asyncio.wait_for(self._reader.read(65536), SETTLE)
+                wait = None if len(self.received) < expected else SETTLE
+                text = await asyncio.wait_for(self._reader.read(65536), wait)
                 self.received += text
                 self.closed = not text
         except TimeoutError:
@@ -265,13 +270,13 @@
         caller = await Caller.connect(address.ip, address.port)
         caller.ask('/look/1', 'first', 'keep-alive')
         await asyncio.sleep(PAUSE)
-        await caller.read()
+        await caller.read(LONG)
         self.assertEqual(statuses(caller.received), [200])
         self.assertGreater(len(caller.received), LONG)
         caller.received = b''
         rig.workers[0].default_script = plain(b'second')
         caller.ask('/look/2', 'second', 'close')
-        await caller.read()
+        await caller.read(1)
         self.assertEqual(statuses(caller.received), [200])
         self.assertTrue(caller.received.endswith(b'second'))
 
