Admit a large body that is alone, whatever its owner's share

What callers would see: at a host with little memory a body larger than half of the account was refused each time, with a time to come back that never held. Found by reading the account again.

Cause: the share of a workspace or route was applied with nothing else held.

tests/test_memory_budget: such a body in two parts, alone and beside another one; 10 passed. The seconds after which those refused later should return pair each holding's age with its own rest now.

--- a/src/nutmegroad/overload/memory_budget.py
+++ b/src/nutmegroad/overload/memory_budget.py
@@ -12,7 +12,6 @@
 from enum import Enum, unique
 from heapq import heappop, heappush
 from io import BytesIO
-from operator import add
 from pathlib import Path
 from typing import Final
 
@@ -160,6 +159,7 @@
         self.total = total
         self._clock = clock
         self._large_total = int(total * (1 - SMALL_FRACTION))
+        self._spare = self._large_total * SPARE_FRACTION
         #: The bytes that are held, and those of them that are for bodies.
         self.used = 0
         self.bodies = 0
@@ -240,7 +240,8 @@
         grown = _growth(holding, size)
         if self.free < grown:
             return False
-        if self.free - grown >= self._large_total * SPARE_FRACTION:
+        is_alone = self._large + grown == holding.size + size
+        if is_alone or self.free - grown >= self._spare:
             return True
         share = self._large_total * SHARE_FRACTION
         return all(
@@ -299,13 +300,16 @@
         while self._promised and self._promised[0] <= now:
             heappop(self._promised)
         waits = sorted(each.expected_seconds(now) for each in self._holders)
-        round_number, place = divmod(len(self._promised), max(1, len(waits)))
-        wait = waits[place] if waits else 0
-        if round_number:
+        # Without any, what is small has filled the account.
+        waits = waits or [0]
+        round_number, place = divmod(len(self._promised), len(waits))
+        wait = waits[place]
+        if round_number and self._holders:
             # Others return first, and hold what they get for as long.
-            ages = (now - each.began for each in self._holders)
-            lasting = max(map(add, waits, ages), default=0)
-            wait += round_number * lasting
+            wait += round_number * max(
+                now - each.began + each.expected_seconds(now)
+                for each in self._holders
+            )
         retry_after = max(MIN_RETRY_AFTER, wait * RETRY_MARGIN)
         heappush(self._promised, now + retry_after)
         return Shortage(size, max(0, self.free), round(retry_after, 2))
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -161,6 +161,23 @@
 
         run(play())
 
+    def test_body_beyond_a_share_is_admitted_alone(self) -> None:
+        """It would be refused for ever at a host with little memory."""
+
+        async def play() -> None:
+            budget = new_budget()
+            size = budget.free
+            holding = budget.open('one')
+            for part in (size // 2, size - size // 2):
+                shortage = await holding.reserve(HeldPart.BODY, part)
+                self.assertIsNone(shortage)
+            holding.close()
+            await budget.open('one').reserve(HeldPart.BODY, BODY)
+            late = budget.open('one')
+            self.assertIsNotNone(await late.reserve(HeldPart.BODY, size))
+
+        run(play())
+
     def test_waiting_body_is_not_passed_by_later_ones(self) -> None:
         """Guards against large bodies that starve behind smaller ones."""
 
