--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -281,8 +281,7 @@
         The log line has the estimates by which the upstream was chosen.
         """
         entry = choice.upstream.entry
-        ended = 'answering'
-        detail = ''
+        ended, detail = 'answering', ''
         if isinstance(outcome, AttemptFailure):
             ended = outcome.end.value
             detail = outcome.reason
