Log which request an answer named

The incident's hypotheses could not be told apart: an attempt said that it was rejected and on which connection, but not whether the rejection named its request. The line 'attempt' has 'answer' (pending, unnamed) now. No logic is changed.

tests.test_late_copies: the new test failed before for want of the field; 7 passed.

--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -137,7 +137,11 @@
             failure = self._heads.validate(head)
             if failure is not None:
                 self._record_failure(upstream, failure)
-                return replace(failure, exchange=connection.exchange_id)
+                return replace(
+                    failure,
+                    exchange=connection.exchange_id,
+                    identity=connection.identity,
+                )
             return UpstreamAnswer(
                 plan.choice,
                 plan.model,
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -141,6 +141,8 @@
         #: Seconds for which the upstream keeps it open while idle; 0 if the
         #: upstream did not say.
         self.idle_timeout: float = 0
+        #: Which request the last answer named; None before its head.
+        self.identity: AnswerIdentity | None = None
 
     @property
     def exchange_id(self) -> str:
@@ -254,6 +256,7 @@
     ) -> asyncio.Future[ResponseHead]:
         """Prepare the parser and the future for a response."""
         self._exchange_count += 1
+        self.identity = None
         self._matches = matches
         self._body = None
         self._progress = ProgressGuard()
@@ -288,6 +291,7 @@
             self._may_reuse = False
             return
         self._body = payload
+        self.identity = identity
         # A late copy of an answer without an id fits any request.
         if message.should_close or identity is AnswerIdentity.UNNAMED:
             self._may_reuse = False
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -313,6 +313,7 @@
             waited=round(self.waited, 3),
             via=outcome.via,
             exchange=outcome.exchange,
+            answer=outcome.identity and outcome.identity.value,
             outcome=ended,
             detail=detail,
         )
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -7,7 +7,11 @@
 from typing import Final
 
 from nutmegroad.foundations.types import HostId, ModelName, Ran
-from nutmegroad.relay.connections import ResponseHead, UpstreamConnection
+from nutmegroad.relay.connections import (
+    AnswerIdentity,
+    ResponseHead,
+    UpstreamConnection,
+)
 from nutmegroad.upstreams.directory import Upstream
 from nutmegroad.upstreams.selection import Choice
 
@@ -55,6 +59,7 @@
             request had less time than a connection may take.
         exchange: Number of the connection and of its exchange, for the log;
             empty if nothing was sent.
+        identity: Which request the answer named; None without an answer.
     """
 
     end: AttemptEnd
@@ -65,6 +70,7 @@
     is_reserved: bool = False
     shows_nothing: bool = False
     exchange: str = ''
+    identity: AnswerIdentity | None = None
 
     def __bool__(self) -> bool:
         """Return False, always."""
@@ -155,6 +161,11 @@
         """Number of the connection and of its exchange, for the log."""
         return self.connection.exchange_id
 
+    @property
+    def identity(self) -> AnswerIdentity | None:
+        """Which request the answer named."""
+        return self.connection.identity
+
     @property
     def upstream(self) -> Upstream:
         """The upstream that answers."""
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -7,6 +7,7 @@
 import unittest
 from collections import deque
 from itertools import repeat
+from unittest import mock
 
 from fakes.opaque_worker import (
     REQUEST_ID,
@@ -28,6 +29,7 @@
 )
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import Address, Ran
+from nutmegroad.relay import execution
 from tests.relay_rig import Rig
 from tests.upstream_samples import attempt_at, call_at
 
@@ -108,6 +110,27 @@
             self.assertEqual(self.rig.seen(name), 2)
 
 
+class AnswerLogTest(unittest.IsolatedAsyncioTestCase):
+    """What the log says of the answers to attempts."""
+
+    async def test_attempts_say_whether_their_answer_named_the_request(
+        self,
+    ) -> None:
+        """Refusals that were not true could not be traced without it."""
+        rig = await self.enterAsyncContext(Rig())
+        await rig.start()
+        scripts = (rejecting(identified=False), rejecting(), plain())
+        rig.workers[0].next_scripts = deque(scripts)
+        with mock.patch.object(execution, '_LOG') as log:
+            await rig.ask('/pay/1', 'p1')
+        lines = [
+            each.kwargs['answer']
+            for each in log.decision.call_args_list
+            if each.args == ('attempt',)
+        ]
+        self.assertEqual(lines, ['unnamed', 'pending', 'pending'])
+
+
 def busy(request: ReceivedRequest) -> Script:
     """Reply as an engine that has no slot left."""
     body = b'{"error": {"code": "busy"}}'
