Carry one exchange on a connection to an upstream

Cause: a connection was used for one request after the other, and what arrived on it was taken for the answer to the pending one. And the beginning of an answer, cut in a header, makes one head with the next: the status of the first, the id of the second; also a success with the body of an error, for any kind of request.

Weighed: answers without an id believed on new connections only, with new ones for calls that run once (heads made of two answers remain for all others); a second request behind a doubtful rejection (full upstreams reject it, too).

Conclusion: what is on a connection belongs to its one request, whatever it says. The pool, its timeouts, the set of used connections and the difference between connections that prove a path and others are gone.

--- a/fakes/opaque_worker.py
+++ b/fakes/opaque_worker.py
@@ -242,6 +242,7 @@
     endless_bytes: int = 0
     crashes: int = 0
     repeats_late: bool = False
+    stray_bytes: bytes = b''
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -322,16 +323,17 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Answer the requests of one connection, one after the other."""
-        previous = b''
+        late = b''
         while True:
             request = await _read_request(reader)
             if request is None:
                 return
-            writer.write(previous)
+            writer.write(late)
             self.requests.append(request)
             script = self._next_script()(request)
+            late = self.stray_bytes
             if self.repeats_late:
-                previous = b''.join(script.pieces)
+                late = b''.join(script.pieces)
             if not await _write_script(script, writer):
                 self.aborted += 1
                 return
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -13,12 +13,12 @@
 from nutmegroad.relay.attempts import AttemptRunner
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.budgets import RepeatBudget
+from nutmegroad.relay.connections import Connector
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.crashes import CrashMonitor
 from nutmegroad.relay.dialer import Dialer
 from nutmegroad.relay.end_checks import EndVerifier
 from nutmegroad.relay.listener import BoundSockets, Listeners
-from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.text_refusals import TextRefusals
 from nutmegroad.upstreams.cold_starts import ColdStarts
 from nutmegroad.upstreams.directory import Directory
@@ -36,15 +36,15 @@
         directory: All upstreams.
         rollouts: State of all rollouts.
         fleet: The other hosts.
-        pool: Idle connections to upstreams.
-        dialer: Opens connections to upstreams.
+        connector: Opens direct connections to upstreams.
+        dialer: Opens connections to upstreams, by other hosts if necessary.
         placement: Failure domains and regions in which requests may run.
     """
 
     directory: Directory
     rollouts: RolloutState
     fleet: FleetHosts
-    pool: ConnectionPool
+    connector: Connector
     dialer: Dialer
     placement: Placement
 
@@ -107,16 +107,16 @@
     )
     selector.limited.share_with(settings.host, shares)
     dialer = components.dialer
-    attempts = AttemptRunner(
-        components.pool, dialer, platform.names, selector, clock
-    )
+    attempts = AttemptRunner(dialer, platform.names, selector, clock)
     components.directory.ended.add_listener(attempts.upstream_ended)
     components.directory.ended.add_listener(
         lambda upstream, _: shares.forget(upstream)
     )
     crashes = CrashMonitor(
-        components.pool,
-        EndVerifier(dialer, components.pool, components.directory, randomness),
+        components.connector,
+        EndVerifier(
+            dialer, components.connector, components.directory, randomness
+        ),
         received_state.crashes,
         fleet.crash_rows,
         clock,
--- a/src/nutmegroad/relay/attempts.py
+++ b/src/nutmegroad/relay/attempts.py
@@ -25,7 +25,7 @@
     UpstreamAnswer,
     failure_on,
 )
-from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.relay.repeatable_exchanges import RepeatableExchanges
 from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.relay.timeouts import wait_while_reachable
 from nutmegroad.routes.headers import HeaderNames
@@ -65,7 +65,6 @@
     """Sends requests to chosen upstreams, one attempt per call.
 
     Args:
-        pool: Idle connections to upstreams.
         dialer: Opens connections to upstreams.
         names: The deployment's header names.
         selector: Holds the load, cached prefixes and reachability of upstreams,
@@ -80,14 +79,13 @@
 
     def __init__(
         self,
-        pool: ConnectionPool,
         dialer: Dialer,
         names: HeaderNames,
         selector: Selector,
         clock: Clock,
     ) -> None:
         self._selector = selector
-        self._pool = pool
+        self._exchanges = RepeatableExchanges()
         self._dialer = dialer
         self._heads = MessageHeads(names)
         self._clock = clock
@@ -97,17 +95,15 @@
     ) -> None:
         """Handle the end of an incarnation.
 
-        Its cached prefixes are forgotten and its idle connections closed. If it
-        has been restarted, its pending exchanges that may be repeated are
-        aborted.
+        Its cached prefixes are forgotten. If it has been restarted, its pending
+        exchanges that may be repeated are aborted.
         """
         self._selector.prefixes.forget(upstream)
-        self._pool.forget(upstream)
         if end is IncarnationEnd.RESTARTED:
             _LOG.decision(
                 'exchanges aborted after upstream restart',
                 upstream=upstream,
-                exchanges=self._pool.abort_repeatable(upstream),
+                exchanges=self._exchanges.abort(upstream),
             )
 
     async def start(
@@ -139,7 +135,7 @@
                 self._record_failure(upstream, failure)
                 return replace(
                     failure,
-                    exchange=connection.exchange_id,
+                    exchange=connection.number,
                     identity=connection.identity,
                 )
             return UpstreamAnswer(
@@ -236,9 +232,9 @@
         plan: AttemptPlan,
         stack: AsyncExitStack,
     ) -> tuple[ResponseHead, UpstreamConnection] | AttemptFailure:
-        """Send the request on an idle or a new connection."""
+        """Send the request on a new connection."""
         try:
-            connection = await self._acquire_connection(request, plan, stack)
+            connection = await self._open_connection(request, plan, stack)
         except ConnectionFailedError as problem:
             if problem.withheld:
                 return self._withheld(request, plan, problem)
@@ -272,7 +268,7 @@
             self._dialer.record_broken(plan.upstream, connection)
             ran = Ran.UNKNOWN if problem.sent else Ran.NOT_RUN
             return failure_on(connection, AttemptEnd.BROKEN, str(problem), ran)
-        if connection.proves_path:
+        if connection.via is None:
             self._dialer.paths.record_answer(plan.upstream)
         return head_received, connection
 
@@ -321,30 +317,22 @@
         if arrived:
             return True
         plan.upstream.health.record_overdue(self._clock.now())
-        if connection.proves_path:
+        if connection.via is None:
             self._dialer.paths.record_failure(plan.upstream)
         return not plan.may_abandon()
 
-    async def _acquire_connection(
+    async def _open_connection(
         self,
         request: CallerRequest,
         plan: AttemptPlan,
         stack: AsyncExitStack,
     ) -> UpstreamConnection:
-        """Return a connection that is released when the attempt ends."""
+        """Open a connection that is closed when the attempt ends."""
         upstream = plan.upstream.entry.incarnation
-        connection = None
-        borrowed = plan.choice.borrowed
-        if not (borrowed or self._dialer.avoids_direct(plan.upstream)):
-            connection = self._pool.acquire(
-                upstream, is_last=plan.is_last, excluded=plan.used_connections
-            )
-        if connection is None:
-            connection = await self._dial(request, plan)
-        plan.used_connections.add(connection)
+        connection = await self._dial(request, plan)
+        stack.callback(connection.abort)
         if request.route.repeatable:
-            self._pool.register_repeatable(upstream, connection)
-        stack.callback(self._pool.release, upstream, connection)
+            stack.callback(self._exchanges.register(upstream, connection))
         return connection
 
     async def _dial(
--- a/src/nutmegroad/relay/crashes.py
+++ b/src/nutmegroad/relay/crashes.py
@@ -20,9 +20,9 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.timeouts import wait_done
 from nutmegroad.foundations.types import UpstreamIncarnation
+from nutmegroad.relay.connections import Connector
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.end_checks import EndVerifier
-from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.process_checks import ProcessChecker, ProcessState
 from nutmegroad.routes.requests import CallerRequest, PartId
 from nutmegroad.upstreams.directory import (
@@ -72,7 +72,7 @@
     """Records which requests were pending when upstreams terminated.
 
     Args:
-        pool: Connections to upstreams.
+        connector: Opens direct connections to upstreams.
         verifier: Verifies that upstreams have terminated.
         tracker: Crashes that this host and others have recorded, by request.
         rows: Publishes harmful requests, and decides which host may make a
@@ -84,7 +84,7 @@
 
     def __init__(
         self,
-        pool: ConnectionPool,
+        connector: Connector,
         verifier: EndVerifier,
         tracker: CrashTracker,
         rows: CrashRows,
@@ -93,7 +93,7 @@
         own_delay: Callable[[], float],
     ) -> None:
         self._own_delay = own_delay
-        self._processes = ProcessChecker(pool)
+        self._processes = ProcessChecker(connector)
         self._verifier = verifier
         self._tracker = tracker
         self._rows = rows
--- a/src/nutmegroad/relay/detours.py
+++ b/src/nutmegroad/relay/detours.py
@@ -5,10 +5,10 @@
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.overload.loop_monitor import LoopMonitor
 from nutmegroad.relay.boundary import HostSettings
+from nutmegroad.relay.connections import Connector
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.dialer import Dialer
 from nutmegroad.relay.direct_paths import DirectPaths
-from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.tunnel_hosts import TunnelHosts
 from nutmegroad.relay.tunnel_server import TunnelServer
 from nutmegroad.upstreams.directory import Directory
@@ -25,7 +25,7 @@
     Args:
         settings: The host's settings.
         fleet: The other hosts.
-        pool: Opens direct connections.
+        connector: Opens direct connections.
         directory: All upstreams.
         evacuations: Evacuated failure domains.
         counters: The host's metrics.
@@ -36,7 +36,7 @@
         self,
         settings: HostSettings,
         fleet: FleetHosts,
-        pool: ConnectionPool,
+        connector: Connector,
         directory: Directory,
         evacuations: Evacuations,
         counters: RelayCounters,
@@ -53,17 +53,19 @@
             clock,
             random.Random(settings.seed),
         )
-        own_ip = settings.peers.ip
         self.dialer = Dialer(
             settings.host,
-            pool,
+            connector,
             paths,
             hosts,
-            own_ip,
             clock,
             lambda: monitor.own_delay,
         )
         self.server = TunnelServer(
-            directory, evacuations, paths, counters, own_ip
+            directory,
+            evacuations,
+            paths,
+            counters,
+            connector.source_ip,
         )
         fleet.serve_tunnels(self.server.serve)
--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -17,9 +17,8 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.races import StaggeredRace, Way
 from nutmegroad.foundations.types import Address, HostId
-from nutmegroad.relay.connections import UpstreamConnection
+from nutmegroad.relay.connections import Connector, UpstreamConnection
 from nutmegroad.relay.direct_paths import DirectPaths
-from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.relay.tunnel_hosts import TunnelHosts
 from nutmegroad.relay.tunnels import open_tunnel
@@ -70,10 +69,9 @@
 
     Args:
         host: This host.
-        pool: Opens direct connections.
+        connector: Opens direct connections.
         paths: Whether this host reaches upstreams itself.
         hosts: The hosts that may be asked for a connection.
-        source_ip: IP address to connect to other hosts from.
         clock: The host's clock.
         own_delay: Returns the seconds by which this host delays an exchange.
     """
@@ -86,19 +84,17 @@
     def __init__(
         self,
         host: HostId,
-        pool: ConnectionPool,
+        connector: Connector,
         paths: DirectPaths,
         hosts: TunnelHosts,
-        source_ip: str,
         clock: Clock,
         own_delay: Callable[[], float],
     ) -> None:
         self.paths = paths
         self.own_delay = own_delay
         self._host = host
-        self._pool = pool
+        self._connector = connector
         self._hosts = hosts
-        self._source_ip = source_ip
         self._clock = clock
 
     async def open(
@@ -138,18 +134,13 @@
             self.paths.record_detour(upstream)
         return connection
 
-    def avoids_direct(self, upstream: Upstream) -> bool:
-        """Return whether open direct connections may be dead."""
-        service = upstream.entry.service
-        return upstream.path_lost or self.paths.is_cut_off(service)
-
     def record_broken(
         self, upstream: Upstream, connection: UpstreamConnection
     ) -> None:
         """Record that a connection broke before an answer."""
-        if connection.proves_path:
+        if connection.via is None:
             self.paths.record_failure(upstream)
-        elif connection.via is not None:
+        else:
             # A proxy may accept connections of a host that is cut off, too.
             self._hosts.record_failure(connection.via, upstream.entry.service)
 
@@ -201,7 +192,7 @@
         """Open a direct connection."""
         timeout = max(0, deadline - self._clock.now())
         try:
-            return await self._pool.open(upstream.entry.address, timeout)
+            return await self._connector.open(upstream.entry.address, timeout)
         except ConnectionFailedError as problem:
             if not (problem.timed_out and purpose.hurried):
                 self.paths.record_failure(upstream)
@@ -232,7 +223,7 @@
         address = Address(row.ip, row.port)
         try:
             connection = await open_tunnel(
-                host, address, request, self._source_ip
+                host, address, request, self._connector.source_ip
             )
         except ConnectionFailedError as problem:
             if not problem.withheld:
--- a/src/nutmegroad/relay/end_checks.py
+++ b/src/nutmegroad/relay/end_checks.py
@@ -8,9 +8,8 @@
 import random
 from typing import Final
 
-from nutmegroad.relay.connections import UpstreamConnection
+from nutmegroad.relay.connections import Connector, UpstreamConnection
 from nutmegroad.relay.dialer import Dialer
-from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.process_checks import PROXY_CLOSE_TIMEOUT, ProcessState
 from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.upstreams.directory import Directory, Upstream
@@ -27,7 +26,7 @@
 
     Args:
         dialer: Opens connections by way of other hosts.
-        pool: Opens direct connections.
+        connector: Opens direct connections.
         directory: All upstreams.
         randomness: Chooses other upstreams.
     """
@@ -35,12 +34,12 @@
     def __init__(
         self,
         dialer: Dialer,
-        pool: ConnectionPool,
+        connector: Connector,
         directory: Directory,
         randomness: random.Random,
     ) -> None:
         self._dialer = dialer
-        self._pool = pool
+        self._connector = connector
         self._directory = directory
         self._randomness = randomness
 
@@ -92,7 +91,7 @@
     async def _reaches(self, upstream: Upstream, settle: float) -> bool:
         """Return whether this host reaches an upstream directly."""
         try:
-            connection = await self._pool.open(
+            connection = await self._connector.open(
                 upstream.entry.address, CHECK_TIMEOUT
             )
         except ConnectionFailedError:
--- a/src/nutmegroad/relay/execution.py
+++ b/src/nutmegroad/relay/execution.py
@@ -24,7 +24,6 @@
 from nutmegroad.overload.departures import DEPARTED
 from nutmegroad.overload.memory_budget import Holding
 from nutmegroad.relay.budgets import Purpose
-from nutmegroad.relay.connections import UpstreamConnection
 from nutmegroad.relay.context import RelayContext
 from nutmegroad.relay.outcomes import (
     ABANDONED,
@@ -101,7 +100,6 @@
         self.holding = holding
         self._context = context
         self.attempted: set[UpstreamIncarnation] = set()
-        self._used_connections: set[UpstreamConnection] = set()
         self._attempt_count = 0
         self._execution_count = 0
         self._executed = Ran.NOT_RUN
@@ -211,7 +209,6 @@
             self._may_abandon,
             self._is_last_attempt(),
             self._caller_left,
-            self._used_connections,
         )
         # If the task is cancelled during the attempt, it remains unknown
         # whether the request was executed.
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -23,11 +23,11 @@
     make_listeners,
 )
 from nutmegroad.relay.boundary import HostSettings, Platform
+from nutmegroad.relay.connections import Connector
 from nutmegroad.relay.detours import Detours
 from nutmegroad.relay.fleet_table import FleetSink
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import BoundSockets
-from nutmegroad.relay.pools import ConnectionPool
 from nutmegroad.relay.serving import CallerHandler
 from nutmegroad.relay.status_pages import (
     HostStatus,
@@ -215,7 +215,7 @@
         self.evacuations = Evacuations(clock)
         self.evacuations.on_end(self._directory.mark_domain_absent)
         self._configuration = CachedConfiguration(clock, settings.key_validity)
-        self._pool = ConnectionPool(clock, settings.peers.ip)
+        connector = Connector(settings.peers.ip)
         self._fleet = FleetHosts(
             settings.host,
             HostRow(
@@ -234,7 +234,7 @@
         self._detours = Detours(
             settings,
             self._fleet,
-            self._pool,
+            connector,
             self._directory,
             self.evacuations,
             self._platform.counters,
@@ -258,7 +258,7 @@
                 self._directory,
                 self._rollouts,
                 self._fleet,
-                self._pool,
+                connector,
                 self._detours.dialer,
                 Placement(self.evacuations, settings.regions),
             ),
@@ -343,10 +343,9 @@
             await self._clock.sleep(STARTUP_POLL_INTERVAL)
 
     async def _sweep(self) -> None:
-        """Remove idle connections and missing upstreams periodically."""
+        """Remove missing upstreams periodically."""
         while True:
             await self._clock.sleep(SWEEP_INTERVAL)
-            self._pool.sweep()
             self._directory.remove_missing()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/src/nutmegroad/relay/outcomes.py
+++ b/src/nutmegroad/relay/outcomes.py
@@ -57,8 +57,8 @@
         is_reserved: Whether the request has a reservation at that time.
         shows_nothing: Whether it is no evidence on the upstream, as the
             request had less time than a connection may take.
-        exchange: Number of the connection and of its exchange, for the log;
-            empty if nothing was sent.
+        exchange: Number of the exchange, for the log; None if nothing was
+            sent.
         identity: Which request the answer named; None without an answer.
     """
 
@@ -69,7 +69,7 @@
     via: HostId | None = None
     is_reserved: bool = False
     shows_nothing: bool = False
-    exchange: str = ''
+    exchange: int | None = None
     identity: AnswerIdentity | None = None
 
     def __bool__(self) -> bool:
@@ -106,9 +106,6 @@
             attempt may be abandoned. If not, it goes on until the deadline.
         is_last: Whether no other attempt may follow if this one is executed.
         caller_left: Returns whether the caller has closed its connection.
-        used_connections: Connections of the request's attempts so far. None is
-            used again: an upstream echoes the request's id, which does not
-            tell the answers to two attempts apart.
     """
 
     choice: Choice
@@ -118,9 +115,6 @@
     may_abandon: Callable[[], bool]
     is_last: bool
     caller_left: Callable[[], bool]
-    used_connections: set[UpstreamConnection] = field(
-        default_factory=set, repr=False
-    )
 
     @property
     def upstream(self) -> Upstream:
@@ -140,7 +134,7 @@
         started: Clock seconds at which the attempt began.
         waited: Seconds until the head arrived, without those by which this
             host delayed it.
-        stack: Ends the attempt; the connection is released or closed.
+        stack: Ends the attempt; the connection is closed.
     """
 
     choice: Choice
@@ -157,9 +151,9 @@
         return self.connection.via
 
     @property
-    def exchange(self) -> str:
-        """Number of the connection and of its exchange, for the log."""
-        return self.connection.exchange_id
+    def exchange(self) -> int:
+        """Number of the exchange, for the log."""
+        return self.connection.number
 
     @property
     def identity(self) -> AnswerIdentity | None:
@@ -188,5 +182,5 @@
         ran,
         reason,
         via=connection.via,
-        exchange=connection.exchange_id,
+        exchange=connection.number,
     )
--- a/src/nutmegroad/relay/process_checks.py
+++ b/src/nutmegroad/relay/process_checks.py
@@ -14,8 +14,7 @@
 
 from nutmegroad.foundations.types import UpstreamIncarnation
 from nutmegroad.relay.attempts import CONNECT_TIMEOUT
-from nutmegroad.relay.connections import UpstreamConnection
-from nutmegroad.relay.pools import ConnectionPool
+from nutmegroad.relay.connections import Connector, UpstreamConnection
 from nutmegroad.relay.sockets import ConnectionFailedError
 from nutmegroad.upstreams.directory import UpstreamEntry
 
@@ -64,12 +63,11 @@
     """Checks upstreams by connection attempts.
 
     Args:
-        pool: Connections to upstreams; receives the connections that were
-            accepted.
+        connector: Opens direct connections to upstreams.
     """
 
-    def __init__(self, pool: ConnectionPool) -> None:
-        self._pool = pool
+    def __init__(self, connector: Connector) -> None:
+        self._connector = connector
         self._running_checks: dict[
             UpstreamIncarnation, asyncio.Task[CheckResult]
         ] = {}
@@ -102,26 +100,22 @@
     async def _attempt_connection(self, entry: UpstreamEntry) -> CheckResult:
         """Make one connection attempt."""
         try:
-            connection = await self._pool.open(entry.address, CONNECT_TIMEOUT)
+            connection = await self._connector.open(
+                entry.address, CONNECT_TIMEOUT
+            )
         except ConnectionFailedError as problem:
             return CheckResult(
                 ProcessState.ENDED if problem.refused else ProcessState.UNKNOWN
             )
-        closing = asyncio.create_task(
-            self._watch(entry.incarnation, connection),
-        )
+        closing = asyncio.create_task(_is_closed_at_once(connection))
         self._watch_tasks.add(closing)
         closing.add_done_callback(self._watch_tasks.discard)
         return CheckResult(ProcessState.ALIVE, closing)
 
-    async def _watch(
-        self,
-        upstream: UpstreamIncarnation,
-        connection: UpstreamConnection,
-    ) -> bool:
-        """Observe a new connection; pool it unless it is closed at once."""
-        try:
-            return await connection.closes_within(PROXY_CLOSE_TIMEOUT)
-        finally:
-            # Closes the connection if it can't be reused.
-            self._pool.release(upstream, connection)
+
+async def _is_closed_at_once(connection: UpstreamConnection) -> bool:
+    """Return whether a new connection is closed at once; close it then."""
+    try:
+        return await connection.closes_within(PROXY_CLOSE_TIMEOUT)
+    finally:
+        connection.abort()
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -110,6 +110,52 @@
             self.assertEqual(self.rig.seen(name), 2)
 
 
+#: A rejection as upstreams send it that do not name its request.
+REJECTION = rejecting(identified=False)(
+    ReceivedRequest('POST', '/pay/1', {}, b'')
+).pieces[0]
+
+#: What an upstream sends behind an answer that names its request.
+STRAY_BYTES = (
+    ('a rejection', REJECTION),
+    ('a rejection that is cut in a header', REJECTION[:-4] + b'\r\nDate: Mon'),
+    ('half of an answer', b'HTTP/1.1 200 OK\r\nContent-Le'),
+    ('an error', b'HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n'),
+    ('no answer', b'\x00\xff'),
+)
+
+
+class StrayBytesTest(unittest.IsolatedAsyncioTestCase):
+    """A worker that sends more than its answers as the next request arrives.
+
+    Guards against false promises: a call was refused as not run, or sent to
+    another worker, while it ran.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Start the store, the workers and the host."""
+        self.rig = await self.enterAsyncContext(Rig(workers=2))
+        await self.rig.start()
+
+    async def test_bytes_behind_an_answer_belong_to_no_request(self) -> None:
+        """Neither a call nor a look-up was served by them, or lost."""
+        for path in ('/pay/1', '/look/1', '/draft/1'):
+            for what, stray in STRAY_BYTES:
+                with self.subTest(path=path, stray=what):
+                    await self.ask_after(path, what, stray)
+
+    async def ask_after(self, path: str, what: str, stray: bytes) -> None:
+        """Send requests on connections on which other bytes arrive."""
+        for worker in self.rig.workers:
+            worker.stray_bytes = stray
+            worker.default_script = stream() if 'draft' in path else plain()
+        for number in range(4):
+            name = f'{path} {what} {number}'.replace(' ', '-')
+            status, headers, _ = await self.rig.ask(path, name)
+            self.assertEqual((status, headers.get(REQUEST_ID)), (200, name))
+            self.assertEqual(self.rig.seen(name), 1)
+
+
 class AnswerLogTest(unittest.IsolatedAsyncioTestCase):
     """What the log says of the answers to attempts."""
 
