Connect directly to upstreams of the own domain in a cut between domains

Cause: two upstreams elsewhere that can't be reached make the host count as cut off from the service, and so from the upstream beside it, too. It then asked the other hosts of its domain first, each of which said that it is cut off itself, and had no time left for a connection of its own ('no connection within 0.00 s').

A host that is cut off from all finds that out at one attempt for each of them.

Ruled out: evidence by domain instead of by service (a host that is cut off from all would lose two attempts for each domain).

test_direct_paths.CutBetweenDomainsTest: one failure before (others asked first), none after; test_cut_off_hosts, test_late_host passed.

--- a/src/nutmegroad/relay/detours.py
+++ b/src/nutmegroad/relay/detours.py
@@ -55,6 +55,7 @@
         )
         self.dialer = Dialer(
             settings.host,
+            settings.domain,
             connector,
             paths,
             hosts,
--- a/src/nutmegroad/relay/dialer.py
+++ b/src/nutmegroad/relay/dialer.py
@@ -16,7 +16,7 @@
 from nutmegroad.fleet.tunnel_messages import TunnelRequest
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.races import StaggeredRace, Way
-from nutmegroad.foundations.types import Address, HostId
+from nutmegroad.foundations.types import Address, DomainId, HostId
 from nutmegroad.relay.connections import Connector, UpstreamConnection
 from nutmegroad.relay.direct_paths import DirectPaths
 from nutmegroad.relay.sockets import ConnectionFailedError
@@ -69,6 +69,7 @@
 
     Args:
         host: This host.
+        domain: Its failure domain.
         connector: Opens direct connections.
         paths: Whether this host reaches upstreams itself.
         hosts: The hosts that may be asked for a connection.
@@ -84,6 +85,7 @@
     def __init__(
         self,
         host: HostId,
+        domain: DomainId,
         connector: Connector,
         paths: DirectPaths,
         hosts: TunnelHosts,
@@ -93,6 +95,7 @@
         self.paths = paths
         self.own_delay = own_delay
         self._host = host
+        self._domain = domain
         self._connector = connector
         self._hosts = hosts
         self._clock = clock
@@ -167,6 +170,10 @@
         service = upstream.entry.service
         if not self.paths.is_cut_off(service):
             return True
+        near = upstream.entry.domain == self._domain
+        if near and not self.paths.has_failed(upstream):
+            # Failures elsewhere may be due to a cut between domains.
+            return True
         # A proxy may accept a connection in vain, which costs an execution.
         return not purpose.is_last and self.paths.claim_probe(service)
 
--- a/src/nutmegroad/relay/direct_paths.py
+++ b/src/nutmegroad/relay/direct_paths.py
@@ -75,6 +75,15 @@
         recent = sum(at >= oldest for at in paths.failed_at.values())
         return recent >= min(MIN_UNREACHED, self._upstream_count(service))
 
+    def has_failed(self, upstream: Upstream) -> bool:
+        """Return whether this host has lately failed to reach an upstream."""
+        paths = self._services.get(upstream.entry.service)
+        if paths is None:
+            return False
+        never = float('-inf')
+        failed_at = paths.failed_at.get(upstream.entry.incarnation, never)
+        return self._clock.now() - failed_at <= FAILURE_TTL
+
     def count_cut_off(self) -> int:
         """Return the number of services that this host is cut off from."""
         return sum(self.is_cut_off(service) for service in self._services)
--- a/tests/test_direct_paths.py
+++ b/tests/test_direct_paths.py
@@ -2,11 +2,12 @@
 
 import unittest
 from dataclasses import replace
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 from nutmegroad.canary.gate import AttemptOutcome, RolloutGate
 from nutmegroad.canary.interrupted_attempts import InterruptedAttempts
-from nutmegroad.foundations.types import ServiceName
+from nutmegroad.foundations.types import DomainId, HostId, ServiceName
+from nutmegroad.relay.dialer import Dialer, DialPurpose
 from nutmegroad.relay.direct_paths import (
     FAILURE_TTL,
     PROBE_INTERVAL,
@@ -14,8 +15,9 @@
 )
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import Upstream
-from tests.relay_samples import ENGINES, a_request, an_entry
+from tests.relay_samples import ENGINES, NORTH, a_request, an_entry
 
+SOUTH = DomainId('south')
 DESK = ServiceName('desk')
 
 
@@ -90,6 +92,64 @@
         self.assertLess(engine.warm_at(5), self.clock.now())
 
 
+class CutBetweenDomainsTest(unittest.IsolatedAsyncioTestCase):
+    """A host whose failure domain is cut off from the others.
+
+    Guards against a domain that fails whole: its hosts asked each other first
+    for the upstreams of their own, each of which said that it is cut off, and
+    refused requests that these upstreams would have served.
+    """
+
+    def setUp(self) -> None:
+        """Create a host that has failed to reach two upstreams elsewhere."""
+        self.clock = ManualClock(start=100)
+        self.paths = DirectPaths(self.clock, lambda service: 3)
+        for number in range(2):
+            entry = an_entry(f'far-{number}', domain=SOUTH)
+            self.paths.record_failure(Upstream(entry))
+        self.near = Upstream(an_entry('near', domain=NORTH))
+        self.hosts = Mock(any_known=True)
+        self.connector = Mock()
+        self.connector.open = AsyncMock()
+
+    async def open(self, upstream: Upstream) -> list[str]:
+        """Open a connection; return who was asked for one, in order."""
+        asked: list[str] = []
+
+        def connect(*_: object) -> Mock:
+            """Open a direct connection."""
+            asked.append('upstream')
+            return Mock(via=None)
+
+        def other_hosts(*_: object) -> tuple[()]:
+            """Return the hosts to ask."""
+            asked.append('others')
+            return ()
+
+        self.connector.open.side_effect = connect
+        self.hosts.candidates.side_effect = other_hosts
+        dialer = Dialer(
+            HostId('host-1'),
+            NORTH,
+            self.connector,
+            self.paths,
+            self.hosts,
+            self.clock,
+            float,
+        )
+        await dialer.open(upstream, 1, DialPurpose(is_last=True))
+        return asked
+
+    async def test_upstreams_of_its_own_domain_are_asked_first(self) -> None:
+        self.assertTrue(self.paths.is_cut_off(ENGINES))
+        self.assertEqual(await self.open(self.near), ['upstream'])
+
+    async def test_hosts_are_asked_first_once_they_fail_too(self) -> None:
+        """The host itself may be cut off, behind a proxy that accepts."""
+        self.paths.record_failure(self.near)
+        self.assertEqual(await self.open(self.near), ['others', 'upstream'])
+
+
 class RolloutEvidenceTest(unittest.TestCase):
     """Interrupted attempts of a host that is cut off."""
 
--- a/tests/test_late_host.py
+++ b/tests/test_late_host.py
@@ -28,7 +28,7 @@
 from nutmegroad.relay.tunnel_hosts import TunnelHosts
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import Upstream
-from tests.relay_samples import ENGINES, an_entry
+from tests.relay_samples import ENGINES, NORTH, an_entry
 from tests.storm_stand_ins import ConfirmingVerifier
 
 #: Iterations of the event loop that a connection takes once it is open.
@@ -121,6 +121,7 @@
         """Return a dialer whose connections take some seconds."""
         return Dialer(
             HostId('host-1'),
+            NORTH,
             cast(Connector, SlowConnector(seconds)),
             self.paths,
             cast(TunnelHosts, self.hosts),
