Open a connection to an upstream in fewer steps

The port is chosen by connect now, so that connections to different peers may share one; with one for each request a host would have had 28,000 for all of them within a minute.

--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -1,6 +1,7 @@
 """Sockets to upstreams and to other hosts, and how the loss of a peer shows."""
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable
 from typing import Final
@@ -22,6 +23,10 @@
 #: and go on.
 EXCHANGE_USER_TIMEOUT_MS: Final = 2500
 
+#: Option of Linux that leaves the choice of a port to ``connect``, so that the
+#: connections to different peers may share one; missing in this Python.
+IP_BIND_ADDRESS_NO_PORT: Final = 24
+
 
 class ConnectionFailedError(Exception):
     """An upstream connection failed, or received an invalid response.
@@ -98,9 +103,10 @@
     sock.setblocking(False)
     prepare_socket(sock, EXCHANGE_USER_TIMEOUT_MS)
     try:
+        sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
         sock.bind((source_ip, 0))
         async with ReadTimeout(timeout):
-            await loop.sock_connect(sock, (address.ip, address.port))
+            await _connect(sock, address, loop)
             transport, _ = await loop.create_connection(protocol, sock=sock)
     except TimeoutError as expired:
         sock.close()
@@ -119,3 +125,32 @@
         sock.close()
         raise
     return transport
+
+
+async def _connect(
+    sock: socket.socket, address: Address, loop: asyncio.AbstractEventLoop
+) -> None:
+    """Connect a socket; the loop's own method takes half as long again.
+
+    Raises:
+        OSError: If the connection fails.
+    """
+    try:
+        sock.connect((address.ip, address.port))
+    except BlockingIOError:
+        await _wait_writable(sock, loop)
+    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, os.strerror(code))
+
+
+async def _wait_writable(
+    sock: socket.socket, loop: asyncio.AbstractEventLoop
+) -> None:
+    """Wait until a socket can be written to, or has failed."""
+    writable = asyncio.Event()
+    loop.add_writer(sock.fileno(), writable.set)
+    try:
+        await writable.wait()
+    finally:
+        loop.remove_writer(sock.fileno())
