Hold callers to the operator's time limits on connections

Cause: headerTimeoutMs and idleTimeoutMs were not read. aiohttp's own time for idle connections begins with the first answer, so silent connections and heads had none; a body had none before its request's deadline was known, which is after the body.

What was changed: a room 'ingress' for callers' connections, under both programs. A connection knows what it waits for (nothing yet, a head, a request, the next one); all are checked twice a second against the limits in force, so that a new configuration holds for open ones. A head that is late gets 408, not run; others are closed, which answers announce in Keep-Alive; a connection with bytes that have arrived, read or not, is not closed as idle. A body has half of its request's time: an upstream needs the rest; a slow but honest caller gets 408, with the time that was allowed, and its connection closes. The daemon's timer for the first head is gone with this; later heads had none there.

Why a check and no timer for each connection: a request would set and cancel two.

tests/test_connection_limits: closing by state, 408, limits that change, requests that take long, a request that crosses the close at each byte of its head (served once one byte has arrived), one behind the close (not run).

--- a/src/nutmegroad/callers/_http_listener.py
+++ b/src/nutmegroad/callers/_http_listener.py
@@ -15,16 +15,20 @@
     AppRunner,
     BaseRequest,
     HTTPException,
-    RequestHandler,
     RequestPayloadError,
     Server,
     StreamResponse,
 )
 
+from nutmegroad.callers._json_refusals import make_json_refusals
 from nutmegroad.callers.replies import refuse
+from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.metrics import Metrics
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Address, Ran, RequestId
+from nutmegroad.ingress.connections import CallerConnection, ConnectionLimits
+from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register
 from nutmegroad.overload.acceptor import Acceptor, UnservedHandler
@@ -32,12 +36,8 @@
 
 #: Seconds that replies in progress may take when a listener closes.
 SHUTDOWN_TIMEOUT: Final = 1.0
-#: Seconds from the start of a connection to the end of its first request's
-#: headers.
-HEADER_TIMEOUT: Final = 10.0
-#: Seconds that a connection may be idle between requests. Longer than the
-#: 60 s for which load balancers usually keep an idle connection.
-KEEPALIVE_TIMEOUT: Final = 75.0
+#: How long callers may take. The configuration does not say.
+LIMITS: Final = ConnectionLimits()
 #: Maximum bytes of a request line or of one header.
 MAX_LINE_BYTES: Final = 8190
 #: Maximum number of headers of a request.
@@ -52,43 +52,26 @@
 _TOO_LARGE: Final = 413
 
 
-class Connection(RequestHandler):
+class Connection(CallerConnection):
     """One HTTP connection from a caller or an operator.
 
     Args:
         server: The aiohttp server, which tracks all connections.
+        clock: The host's clock.
     """
 
-    __slots__ = ('_header_timer',)
+    __slots__ = ()
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, clock: Clock) -> None:
         super().__init__(
             server,
-            loop=asyncio.get_running_loop(),
-            access_log=None,  # type: ignore[arg-type]
-            keepalive_timeout=KEEPALIVE_TIMEOUT,
+            clock,
+            lambda: LIMITS,
+            access_log=None,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             max_headers=MAX_HEADERS,
         )
-        self._header_timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the timeout of the first request's headers."""
-        super().connection_made(transport)
-        loop = asyncio.get_running_loop()
-        self._header_timer = loop.call_later(HEADER_TIMEOUT, self.force_close)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the timeout of the first request's headers."""
-        self.cancel_header_timer()
-        super().connection_lost(exc)
-
-    def cancel_header_timer(self) -> None:
-        """Cancel the timeout, if the first headers are still awaited."""
-        if self._header_timer is not None:
-            self._header_timer.cancel()
-            self._header_timer = None
 
     def handle_error(
         self,
@@ -177,7 +160,7 @@
         listener = listening_socket((address.ip, address.port))
         acceptor = Acceptor(
             listener,
-            lambda: Connection(server),
+            lambda: Connection(server, kernel.clock),
             unserved,
             kernel.clock,
         )
@@ -210,6 +193,12 @@
     server = runner.server
     if server is None:
         raise RuntimeError('the aiohttp runner has no server after its setup')
+    timeouts = ConnectionTimeouts(
+        make_json_refusals(kernel), kernel.need(Metrics), kernel.clock
+    )
+    timeouts.watch(server)
+    watching = asyncio.create_task(timeouts.run())
+    kernel.stack.callback(watching.cancel)
     return server
 
 
@@ -220,7 +209,7 @@
 ) -> Address:
     """Serve all connections to an address until the kernel closes."""
     listener = await asyncio.get_running_loop().create_server(
-        lambda: Connection(server),
+        lambda: Connection(server, kernel.clock),
         address.ip,
         address.port,
     )
--- a/src/nutmegroad/callers/_http_middleware.py
+++ b/src/nutmegroad/callers/_http_middleware.py
@@ -19,7 +19,6 @@
 
 from nutmegroad.callers._http_listener import (
     NO_REQUEST_ID,
-    Connection,
     http_error_refusal,
     internal_error,
 )
@@ -68,8 +67,6 @@
         @middleware
         async def handle(request: Request, handler: Handler) -> StreamResponse:
             """Assign an id to a request, and return its reply."""
-            if isinstance(request.protocol, Connection):
-                request.protocol.cancel_header_timer()
             request_id = self._new_id()
             with (
                 request_context(request_id),
--- a/src/nutmegroad/callers/_http_statuses.py
+++ b/src/nutmegroad/callers/_http_statuses.py
@@ -17,6 +17,7 @@
         ResultCode.BODY_TOO_SLOW: 408,
         ResultCode.KEY_REUSED: 422,
         ResultCode.HEADERS_TOO_LARGE: 431,
+        ResultCode.HEADERS_TOO_SLOW: 408,
         ResultCode.UNAUTHENTICATED: 401,
         ResultCode.VERSION_NOT_ALLOWED: 403,
         ResultCode.TASK_UNKNOWN: 404,
--- a/src/nutmegroad/callers/_json_refusals.py
+++ b/src/nutmegroad/callers/_json_refusals.py
@@ -20,10 +20,14 @@
         kernel: Provides what request ids are made of.
         counters: The host's metrics.
     """
-    refusals = JsonRefusals(
+    return QuickRefusals(make_json_refusals(kernel), counters)
+
+
+def make_json_refusals(kernel: Kernel) -> 'JsonRefusals':
+    """Return what writes refusals with ids of this host's own."""
+    return JsonRefusals(
         lambda: new_request_id(kernel.incarnation, kernel.randomness)
     )
-    return QuickRefusals(refusals, counters)
 
 
 class JsonRefusals:
--- a/src/nutmegroad/callers/_stop_guard.py
+++ b/src/nutmegroad/callers/_stop_guard.py
@@ -17,6 +17,7 @@
 from nutmegroad.foundations.metrics import Metrics
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId
+from nutmegroad.ingress.connections import CallerConnection
 from nutmegroad.kernel.stops import GracefulStop, cancelled_by_stop
 
 #: Key under which an HTTP request stores the stream of its answer.
@@ -104,6 +105,8 @@
             # ``force_close`` alone would not set this one.
             response.headers['Connection'] = 'close'
             response.force_close()
+        elif isinstance(http.protocol, CallerConnection):
+            http.protocol.announce(response)
 
     def _report_open(self) -> None:
         """Update the metric of open requests."""
--- a/src/nutmegroad/foundations/_request_codes.py
+++ b/src/nutmegroad/foundations/_request_codes.py
@@ -68,6 +68,12 @@
         'Nothing; it is not sent to a caller.',
         NotRun.EITHER,
     ),
+    CodeMeaning(
+        ResultCode.HEADERS_TOO_SLOW,
+        'The headers did not arrive within the time limit.',
+        'Send it again, faster, on a new connection.',
+        NotRun.ALWAYS,
+    ),
     CodeMeaning(
         ResultCode.UNAUTHENTICATED,
         'The key is missing or belongs to no workspace.',
--- a/src/nutmegroad/foundations/metrics.py
+++ b/src/nutmegroad/foundations/metrics.py
@@ -175,6 +175,10 @@
         """Count a caller that left before its request was read."""
         self._add('connection_events', 'departed_unread')
 
+    def connection_closed(self, state: str) -> None:
+        """Count a caller's connection that was closed after a timeout."""
+        self._add('connection_events', f'closed_{state}')
+
     def operator_refused(self, code: ResultCode) -> None:
         """Count a refusal to an operator."""
         self._add('operator_refusals', code.name)
--- /dev/null
+++ b/src/nutmegroad/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' connections, from accepting one to the requests on it."""
--- /dev/null
+++ b/src/nutmegroad/ingress/timeouts.py
@@ -0,0 +1,125 @@
+"""Closes connections whose callers take too long to send a request."""
+
+from collections import Counter
+from collections.abc import Iterable
+from contextlib import suppress
+from typing import Final, Protocol
+
+from aiohttp import web
+
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.ingress.connections import (
+    CallerConnection,
+    ConnectionState,
+)
+from nutmegroad.overload.quick_refusals import RefusalFormat
+
+_LOG: Final = part_logger('ingress')
+
+#: Seconds between two checks of all connections; a connection may outlast its
+#: time by as much.
+CHECK_INTERVAL: Final = 0.5
+
+
+class ConnectionCounters(Protocol):
+    """Counts callers' connections that a host closes."""
+
+    def connection_closed(self, state: str) -> None:
+        """Count a connection that was closed in a state."""
+
+    def refused(self, code: ResultCode) -> None:
+        """Count a refusal by its result code."""
+
+
+class ConnectionTimeouts:
+    """Applies the operator's limits to open connections.
+
+    Each check asks for the limits anew, so that a change of the configuration
+    holds for open connections, too.
+
+    Args:
+        refusals: Writes the refusals.
+        counters: The host's metrics.
+        clock: The host's clock.
+    """
+
+    def __init__(
+        self,
+        refusals: RefusalFormat,
+        counters: ConnectionCounters,
+        clock: Clock,
+    ) -> None:
+        self._refusals = refusals
+        self._counters = counters
+        self._clock = clock
+        self._servers: list[web.Server] = []
+
+    def watch(self, server: web.Server) -> None:
+        """Apply the limits to all connections of a server."""
+        self._servers.append(server)
+
+    def connections(self) -> Iterable[CallerConnection]:
+        """Yield the open connections."""
+        for server in self._servers:
+            for connection in server.connections:
+                if isinstance(connection, CallerConnection):
+                    yield connection
+
+    def count(self, state: ConnectionState) -> int:
+        """Return the number of open connections in a state."""
+        return sum(each.state is state for each in self.connections())
+
+    async def run(self) -> None:
+        """Check all connections periodically, until cancelled."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL)
+            self.check()
+
+    def check(self) -> None:
+        """Close the connections whose time has passed."""
+        closed: Counter[ConnectionState] = Counter()
+        for connection in tuple(self.connections()):
+            if self._is_due(connection) and not connection.has_unread:
+                state = connection.state
+                closed[state] += 1
+                self._close(connection, state)
+        if closed:
+            _LOG.decision(
+                'connections closed',
+                silent=closed[ConnectionState.SILENT],
+                head=closed[ConnectionState.HEAD],
+                idle=closed[ConnectionState.IDLE],
+            )
+
+    def _is_due(self, connection: CallerConnection) -> bool:
+        """Return whether a caller has taken too long."""
+        now = self._clock.now()
+        limits = connection.limits()
+        if connection.state is ConnectionState.REQUEST:
+            connection.waiting_since = None
+            return False
+        if connection.head_since is not None:
+            return now - connection.head_since > limits.header_timeout
+        if connection.waiting_since is None:
+            connection.waiting_since = now
+        return now - connection.waiting_since > limits.idle_timeout
+
+    def _close(
+        self, connection: CallerConnection, state: ConnectionState
+    ) -> None:
+        """Close a connection, and refuse the request that has begun."""
+        self._counters.connection_closed(state.value)
+        if state is not ConnectionState.HEAD:
+            connection.end()
+            return
+        refusal = Refusal(
+            ResultCode.HEADERS_TOO_SLOW,
+            'The head of the request was not complete within '
+            f'{connection.limits().header_timeout:g} s.',
+        )
+        self._counters.refused(refusal.code)
+        request = self._refusals.request_id(b'')
+        with suppress(OSError):
+            connection.end(self._refusals.encode(refusal, request))
--- a/src/nutmegroad/overload/departures.py
+++ b/src/nutmegroad/overload/departures.py
@@ -57,6 +57,21 @@
     return bool(events & _CLOSED)
 
 
+def has_unread(descriptor: int) -> bool:
+    """Return whether bytes of a socket, or its end, wait to be read.
+
+    Args:
+        descriptor: Descriptor of the socket.
+    """
+    if descriptor == _NO_SOCKET:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    with suppress(InterruptedError):
+        return bool(poll.poll(0))
+    return False
+
+
 @contextmanager
 def caller_connection(
     transport: asyncio.BaseTransport | None,
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -8,6 +8,8 @@
 from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.ingress.connections import Limits
+from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.memory_budget import memory_budget, resident_bytes
 from nutmegroad.overload.quick_refusals import QuickRefusals
 from nutmegroad.relay.attempts import AttemptRunner
@@ -53,6 +55,7 @@
     stack: AsyncExitStack,
     bound: BoundSockets | None,
     platform: Platform,
+    limits: Limits,
     clock: Clock,
 ) -> Listeners:
     """Return the listeners of a host, which close with a stack.
@@ -61,11 +64,13 @@
         stack: The host's exit stack.
         bound: Sockets that listen already, if any.
         platform: What the deployment's adapter provides.
+        limits: Returns the limits on callers' connections.
         clock: The host's clock.
     """
     refusals = TextRefusals(platform.names)
     unserved = QuickRefusals(refusals, platform.counters)
-    return Listeners(stack, bound, unserved, clock)
+    timeouts = ConnectionTimeouts(refusals, platform.counters, clock)
+    return Listeners(stack, bound, unserved, timeouts, limits, clock)
 
 
 def assemble(
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -50,6 +50,11 @@
         self._departures = self._counter(
             'departures', 'Callers that left before their request was read'
         )
+        self._closed = self._counter(
+            'closed_connections',
+            "Callers' connections closed after a timeout",
+            'state',
+        )
         self._store = self._counter(
             'store_calls',
             'Calls to the platform store',
@@ -118,6 +123,10 @@
         """Count a caller that left before its request was read."""
         self._departures.inc()
 
+    def connection_closed(self, state: str) -> None:
+        """Count a caller's connection that was closed after a timeout."""
+        self._closed.labels(state).inc()
+
     def store_called(self, call: str, outcome: str, seconds: float) -> None:
         """Count a call to the platform's store, and observe its duration."""
         self._store.labels(call, outcome).inc()
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -32,6 +32,7 @@
 from nutmegroad.relay.status_pages import (
     HostStatus,
     StatusPages,
+    register_connection_gauges,
     register_gauges,
 )
 from nutmegroad.relay.tables import OperatorSink
@@ -85,7 +86,13 @@
         self._clock = clock
         self._randomness = random.Random(settings.seed)
         self._stack = AsyncExitStack()
-        self._listeners = make_listeners(self._stack, bound, platform, clock)
+        self._listeners = make_listeners(
+            self._stack,
+            bound,
+            platform,
+            lambda: self._configuration.connection_limits,
+            clock,
+        )
         self._stopping = False
         self._build()
 
@@ -143,6 +150,7 @@
         await self._fleet.open(self._stack)
         for work in self._background_tasks():
             self._spawn(work)
+        self._spawn(self._listeners.timeouts.run())
         pages = StatusPages(
             self._settings.ready_path,
             lambda: self.ready,
@@ -268,6 +276,9 @@
         self._context.crashes.close_with(self._stack)
         self._detours.server.selector = self._context.selector
         register_gauges(self._platform.counters, self)
+        register_connection_gauges(
+            self._platform.counters, self._listeners.timeouts
+        )
         self._caller_handler = CallerHandler(
             self._context,
             Intake(names, self._configuration, clock),
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -11,6 +11,7 @@
 )
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import RequestId
 from nutmegroad.overload.arrivals import seconds_since_arrival
 from nutmegroad.overload.memory_budget import (
@@ -33,6 +34,10 @@
 
 _BEARER: Final = 'bearer '
 
+#: Fraction of a request's time within which its body has to arrive: an upstream
+#: needs the rest.
+BODY_FRACTION: Final = 0.5
+
 #: Seconds after which a caller should retry if this host has just started, or
 #: can't confirm that its keys are still valid. Other hosts may have a newer
 #: confirmation, and this one asks the store every second.
@@ -96,8 +101,7 @@
         if isinstance(matched, Refusal):
             return matched
         holding.owners = _owners(matched)
-        limit = matched.table.limits.body_bytes
-        body = await _read_body(http, limit, holding)
+        body = await self._read_body(http, matched, holding, arrived)
         if isinstance(body, Refusal):
             return body
         if self._configuration.table is not matched.table:
@@ -110,6 +114,32 @@
             return refusal
         return self._compose(http, matched, body, arrived)
 
+    async def _read_body(
+        self,
+        http: web.BaseRequest,
+        matched: _Matched,
+        holding: Holding,
+        arrived: float,
+    ) -> bytes | Refusal:
+        """Return the body if it arrives in time."""
+        text = http.headers.get(self._names.deadline, '')
+        timeout = matched.route.timeout
+        allowed = BODY_FRACTION * min(
+            read_caller_timeout(text, timeout), timeout
+        )
+        try:
+            async with ReadTimeout(
+                max(0, arrived + allowed - self._clock.now())
+            ):
+                return await _read_body(
+                    http, matched.table.limits.body_bytes, holding
+                )
+        except TimeoutError:
+            return Refusal(
+                ResultCode.BODY_TOO_SLOW,
+                f'The body was not complete within {allowed:.1f} s.',
+            )
+
     def _check_headers(self, http: web.BaseRequest) -> Refusal | None:
         """Return the refusal of headers that are too large, or None."""
         table = self._configuration.table
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -13,6 +13,12 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import Address
+from nutmegroad.ingress.connections import (
+    CallerConnection,
+    CallerServer,
+    Limits,
+)
+from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.acceptor import (
     Acceptor,
     UnservedHandler,
@@ -22,10 +28,6 @@
 from nutmegroad.relay.refusals import CallerRefusal
 from nutmegroad.routes.headers import RawHeaders
 
-#: Minimum seconds for which an idle connection is kept open. Callers may reuse
-#: one that was idle for most of the operator's limit, which can change.
-IDLE_TIMEOUT: Final = 120
-
 #: Seconds for requests that have been read to reach their handlers.
 READ_SETTLE_SECONDS: Final = 0.05
 
@@ -219,8 +221,11 @@
         """Record the response that is about to be sent."""
         self.status = response.status
         self.response = response
+        connection = self._request.protocol
         if self._closing():
             response.force_close()
+        elif isinstance(connection, CallerConnection):
+            connection.announce(response)
 
 
 #: Handles one request, and returns the response that was or is to be sent.
@@ -268,13 +273,13 @@
                 connection.transport.resume_reading()
 
 
-def make_server(answer: Answer) -> web.Server:
+def make_server(answer: Answer, clock: Clock, limits: Limits) -> CallerServer:
     """Return a server that cancels a handler if its caller disconnects."""
-    return web.Server(
+    return CallerServer(
         answer,
-        handler_cancellation=True,
+        clock,
+        limits,
         access_log=None,
-        keepalive_timeout=IDLE_TIMEOUT,
         auto_decompress=False,
         max_line_size=HEADER_BYTES,
         max_field_size=HEADER_BYTES,
@@ -302,6 +307,8 @@
         stack: The owner's exit stack.
         bound: Sockets that listen already, if any.
         unserved: Handles connections that are not served.
+        timeouts: Applies the limits to open connections.
+        limits: Returns the limits in force.
         clock: The host's clock.
     """
 
@@ -310,8 +317,12 @@
         stack: AsyncExitStack,
         bound: BoundSockets | None,
         unserved: UnservedHandler,
+        timeouts: ConnectionTimeouts,
+        limits: Limits,
         clock: Clock,
     ) -> None:
+        self.timeouts = timeouts
+        self._limits = limits
         self._stack = stack
         self._unserved = unserved
         self._clock = clock
@@ -331,7 +342,8 @@
         Raises:
             OSError: If the socket can't be opened.
         """
-        server = make_server(answer)
+        server = make_server(answer, self._clock, self._limits)
+        self.timeouts.watch(server)
         bound = self._bound.get(str(address))
         listener = bound or listening_socket((address.ip, address.port))
         acceptor = Acceptor(listener, server, self._unserved, self._clock)
--- a/src/nutmegroad/relay/refusals.py
+++ b/src/nutmegroad/relay/refusals.py
@@ -20,6 +20,7 @@
         ResultCode.BODY_TOO_LARGE: 413,
         ResultCode.HEADERS_TOO_LARGE: 431,
         ResultCode.BODY_TOO_SLOW: 408,
+        ResultCode.HEADERS_TOO_SLOW: 408,
         ResultCode.ROUTE_UNKNOWN: 404,
         ResultCode.UNAUTHENTICATED: 401,
         ResultCode.SHARE_EXCEEDED: 429,
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -27,12 +27,14 @@
 
 _INTERNAL_ERROR: Final = 500
 
-#: Refusals after which a caller should retry at another host.
+#: Refusals after which the connection is closed, so that the caller retries at
+#: another host, or sends no more of its body.
 _RETRY_ELSEWHERE: Final = frozenset(
     (
         ResultCode.CONFIGURATION_MISSING,
         ResultCode.CONFIGURATION_UNCONFIRMED,
         ResultCode.HOST_MEMORY_SHORT,
+        ResultCode.BODY_TOO_SLOW,
     ),
 )
 
--- a/src/nutmegroad/relay/status_pages.py
+++ b/src/nutmegroad/relay/status_pages.py
@@ -8,6 +8,8 @@
 
 from aiohttp import web
 
+from nutmegroad.ingress.connections import ConnectionState
+from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.relay.counters import RelayCounters
 
 _OK: Final = 200
@@ -198,6 +200,18 @@
         counters.gauge(name, meaning, partial(_read, source, read))
 
 
+def register_connection_gauges(
+    counters: RelayCounters, timeouts: ConnectionTimeouts
+) -> None:
+    """Register gauges of callers' connections by what they wait for."""
+    for state in ConnectionState:
+        counters.gauge(
+            f'connections_{state.value}',
+            f"Callers' connections in the state {state.value!r}",
+            partial(timeouts.count, state),
+        )
+
+
 def _read(source: StatusSource, read: _Reader) -> float:
     """Return the present value of a gauge."""
     return read(source.status)
--- a/src/nutmegroad/relay/text_refusals.py
+++ b/src/nutmegroad/relay/text_refusals.py
@@ -1,14 +1,16 @@
 """Refusals of requests that were not parsed, as text like all others."""
 
 import re
+from http import HTTPStatus
 from typing import Final
 
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import RequestId
+from nutmegroad.relay.refusals import caller_refusal
 from nutmegroad.routes.headers import HeaderNames
 
 _RESPONSE: Final = (
-    'HTTP/1.1 503 Service Unavailable\r\n'
+    'HTTP/1.1 {status} {phrase}\r\n'
     'Content-Type: text/plain; charset=utf-8\r\n'
     'Content-Length: {length}\r\n'
     'Retry-After: {retry_after:.2f}\r\n'
@@ -38,10 +40,11 @@
 
     def encode(self, refusal: Refusal, request: RequestId) -> bytes:
         """Return a complete HTTP response that closes the connection."""
-        code = refusal.code
-        text = f'{code.value} {code.name}: {refusal.reason}\n'
+        sent = caller_refusal(refusal)
         return _RESPONSE.format(
-            length=len(text),
-            retry_after=refusal.retry_after,
-            text=text,
+            status=sent.status,
+            phrase=HTTPStatus(sent.status).phrase,
+            length=len(sent.text),
+            retry_after=sent.retry_after,
+            text=sent.text,
         ).encode()
--- a/src/nutmegroad/routes/cached_configuration.py
+++ b/src/nutmegroad/routes/cached_configuration.py
@@ -10,6 +10,7 @@
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.ingress.connections import ConnectionLimits
 from nutmegroad.routes.deployment import (
     NO_VERSION,
     ConfigurationVersion,
@@ -62,6 +63,13 @@
         """Version of the configuration in force."""
         return NO_VERSION if self._table is None else self._table.version
 
+    @property
+    def connection_limits(self) -> ConnectionLimits:
+        """How long callers may take on their connections."""
+        if self._table is None:
+            return ConnectionLimits()
+        return self._table.limits.connections
+
     @property
     def age(self) -> float:
         """Seconds since the configuration was last confirmed as the newest."""
--- a/src/nutmegroad/routes/deployment.py
+++ b/src/nutmegroad/routes/deployment.py
@@ -18,6 +18,7 @@
     ServiceName,
     WorkspaceId,
 )
+from nutmegroad.ingress.connections import ConnectionLimits
 
 RouteName = NewType('RouteName', str)
 #: Version of the operator's configuration. It increases, not always by one.
@@ -147,15 +148,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Maximum sizes of a caller's request.
+    """What callers may send, and how long they may take.
 
     Attributes:
         header_bytes: Maximum size of all headers, in bytes.
         body_bytes: Maximum size of a body, in bytes.
+        connections: How long callers may take on their connections.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
+    connections: ConnectionLimits = field(default_factory=ConnectionLimits)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -11,6 +11,7 @@
 
 from aiohttp.web import BaseRequest, Response, StreamResponse
 
+from nutmegroad.ingress.connections import ConnectionLimits
 from nutmegroad.overload.acceptor import (
     MAX_ITERATION,
     MAX_QUEUED,
@@ -169,7 +170,7 @@
             await asyncio.Event().wait()
             return Response()
 
-        server = make_server(answer)
+        server = make_server(answer, self.clock, ConnectionLimits)
         listener = listening_socket(('127.0.0.1', 0))
         self.address = listener.getsockname()
         refusals = QuickRefusals(TextRefusals(HEADERS), self.counters)
--- a/tests/test_early_sockets.py
+++ b/tests/test_early_sockets.py
@@ -15,6 +15,8 @@
 
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.foundations.types import Address
+from nutmegroad.ingress.connections import ConnectionLimits
+from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.quick_refusals import QuickRefusals
 from nutmegroad.relay.counters import RelayCounters
 from nutmegroad.relay.listener import Listeners
@@ -63,8 +65,16 @@
                 client.get(f'http://127.0.0.1:{callers}/'),
             )
             await asyncio.sleep(0)
-            unserved = QuickRefusals(TextRefusals(HEADERS), RelayCounters())
-            listeners = Listeners(stack, sockets.bound, unserved, BootClock())
+            clock = BootClock()
+            writers = TextRefusals(HEADERS), RelayCounters()
+            listeners = Listeners(
+                stack,
+                sockets.bound,
+                QuickRefusals(*writers),
+                ConnectionTimeouts(*writers, clock),
+                ConnectionLimits,
+                clock,
+            )
             listeners.open(
                 Address('127.0.0.1', callers),
                 answer,
--- a/tests/test_http_middleware.py
+++ b/tests/test_http_middleware.py
@@ -17,6 +17,7 @@
 from nutmegroad.callers.intake import IntakeReader
 from nutmegroad.foundations.metrics import Metrics
 from nutmegroad.foundations.types import Address
+from nutmegroad.ingress.connections import ConnectionLimits
 from tests.host_fixture import KEY, TOKEN, HostFixture, two_version_settings
 
 CHAT = '/v1/chat/completions'
@@ -160,11 +161,16 @@
         request = head.partition(b'Nutmegroad-Request: ')[2].split(b'\r')[0]
         self.assertIn(f'callers {request.decode()}: ', logged.output[0])
 
-    async def test_slow_headers_close_the_connection(self) -> None:
-        with patch.object(_http_listener, 'HEADER_TIMEOUT', 0.05):
+    async def test_slow_headers_are_refused(self) -> None:
+        """The connection ends; the request has not run."""
+        limits = ConnectionLimits(header_timeout=0.05)
+        with patch.object(_http_listener, 'LIMITS', limits):
             address = self.listening['callers']
             opened = await asyncio.open_connection(address.ip, address.port)
             opened[1].write(b'POST /v1/chat')
             async with asyncio.timeout(20):
-                self.assertEqual(await opened[0].read(), b'')
+                refusal = await opened[0].read()
             opened[1].close()
+        self.assertTrue(refusal.startswith(b'HTTP/1.1 408 '), refusal)
+        self.assertIn(b'"HEADERS_TOO_SLOW"', refusal)
+        self.assertIn(b'"not_run":true', refusal)
