Take a missing file descriptor for a connection that failed

What callers saw (a host of 4,100 descriptors beside 4,500 slow heads, real processes): 33 of 274 good calls that may run once were answered 500, which promises nothing; none had been sent.

Cause: opening the socket was outside of the block that turns errors into a failed connection, so the handler ended with an exception. A call is refused as not run now.

test_descriptors: the exception before, a failed connection now.

--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -99,7 +99,11 @@
         ConnectionFailedError: If it can't be connected in time.
     """
     loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as problem:
+        # The process has no descriptor left.
+        raise ConnectionFailedError(str(problem), sent=False) from problem
     sock.setblocking(False)
     prepare_socket(sock, EXCHANGE_USER_TIMEOUT_MS)
     try:
