Keep file descriptors free when callers hold many

What callers saw (a host of 4,100 descriptors, real processes, beside 4,500 that come back two to three seconds after each close): with slow heads 58 of 228 good requests on new connections and 31 of 46 on a kept one were served, with silent connections 8 of 335 and 1 of 15; 28 and 4 were served beside others that come back at once.

Cause: nothing divided the descriptors of the process; connections were accepted until none was left, also for upstreams.

What was changed: ingress/descriptors. 300 descriptors are kept for files, listeners, the store, other hosts and checks; each request in progress counts for one more, as it may need a connection to an upstream. If a new connection has no room, a twentieth of the limit is freed: idle ones first, then silent ones, incomplete heads, incomplete bodies, the oldest first, none with a complete request or with bytes that wait to be read. Heads and bodies get 503, not run, with a time to come back; so does a new connection if all others have a request. Nothing rests on who the callers are, since a balancer may hide it.

Not run: 20,000, a quarter of a core, while draining, with the store away.

--- a/src/nutmegroad/callers/_http_listener.py
+++ b/src/nutmegroad/callers/_http_listener.py
@@ -28,6 +28,10 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Address, Ran, RequestId
 from nutmegroad.ingress.connections import CallerConnection, ConnectionLimits
+from nutmegroad.ingress.descriptors import (
+    DescriptorAccount,
+    descriptor_limit,
+)
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register
@@ -155,6 +159,7 @@
     ) -> Address:
         """Serve an application until the kernel closes."""
         server = await _start_server(kernel, app)
+        timeouts = _watch(kernel, server)
         if unserved is None:
             return await _listen(kernel, server, address)
         listener = listening_socket((address.ip, address.port))
@@ -163,6 +168,9 @@
             lambda: Connection(server, kernel.clock),
             unserved,
             kernel.clock,
+            DescriptorAccount(
+                descriptor_limit(0), timeouts, kernel.clock
+            ).has_room,
         )
         acceptor.start()
         kernel.stack.callback(acceptor.close)
@@ -193,13 +201,18 @@
     server = runner.server
     if server is None:
         raise RuntimeError('the aiohttp runner has no server after its setup')
+    return server
+
+
+def _watch(kernel: Kernel, server: Server) -> ConnectionTimeouts:
+    """Apply the time limits to connections until the kernel closes."""
     timeouts = ConnectionTimeouts(
         make_json_refusals(kernel), kernel.need(Metrics), kernel.clock
     )
     timeouts.watch(server)
     watching = asyncio.create_task(timeouts.run())
     kernel.stack.callback(watching.cancel)
-    return server
+    return timeouts
 
 
 async def _listen(
--- a/src/nutmegroad/callers/interface.py
+++ b/src/nutmegroad/callers/interface.py
@@ -37,6 +37,7 @@
 from nutmegroad.foundations.logs import current_request
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId, ServiceName, WorkspaceId
+from nutmegroad.ingress.connections import BodyInterruptedError, reading_body
 from nutmegroad.overload.arrivals import seconds_since_arrival
 from nutmegroad.records.at_most_once import ForwardRequired
 from nutmegroad.records.forwards import ForwardedReply, ForwardedRequest
@@ -213,7 +214,10 @@
         """Read a body within the limits of size and time."""
         try:
             async with asyncio.timeout(self._body_timeout):
-                return await http.read()
+                with reading_body(http):
+                    return await http.read()
+        except BodyInterruptedError as interrupted:
+            return interrupted.refusal
         except HTTPRequestEntityTooLarge as error:
             return Refusal(
                 ResultCode.BODY_TOO_LARGE,
--- a/src/nutmegroad/foundations/_system_codes.py
+++ b/src/nutmegroad/foundations/_system_codes.py
@@ -165,6 +165,12 @@
         'Retry after the given time, on a new connection.',
         NotRun.ALWAYS,
     ),
+    CodeMeaning(
+        ResultCode.HOST_CONNECTIONS_SHORT,
+        'This host has no connection left; the request was not read.',
+        'Retry after the given time, on a new connection.',
+        NotRun.ALWAYS,
+    ),
     CodeMeaning(
         ResultCode.OPERATOR_UNAUTHENTICATED,
         'The token is missing or belongs to no operator.',
--- a/src/nutmegroad/foundations/metrics.py
+++ b/src/nutmegroad/foundations/metrics.py
@@ -175,9 +175,9 @@
         """Count a caller that left before its request was read."""
         self._add('connection_events', 'departed_unread')
 
-    def connection_closed(self, state: str) -> None:
-        """Count a caller's connection that was closed after a timeout."""
-        self._add('connection_events', f'closed_{state}')
+    def connection_closed(self, state: str, reason: str) -> None:
+        """Count a caller's connection that was closed for a reason."""
+        self._add('connection_events', f'closed_{state}_{reason}')
 
     def operator_refused(self, code: ResultCode) -> None:
         """Count a refusal to an operator."""
--- a/src/nutmegroad/ingress/connections.py
+++ b/src/nutmegroad/ingress/connections.py
@@ -1,14 +1,17 @@
 """A caller's connection, and what it is waiting for."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum, unique
+from math import inf
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.results import Refusal
 from nutmegroad.overload.departures import has_unread
 
 #: Header that announces for how long an idle connection is kept.
@@ -27,7 +30,9 @@
     SILENT = 'silent'
     #: The head of a request has begun to arrive.
     HEAD = 'head'
-    #: A request is being read or answered.
+    #: The body of a request has begun to arrive.
+    BODY = 'body'
+    #: A request is being handled.
     REQUEST = 'request'
     #: Its last request has been answered.
     IDLE = 'idle'
@@ -49,6 +54,24 @@
     idle_timeout: float = 75.0
 
 
+#: States of a connection on which a request has begun to be handled.
+_WITH_REQUEST: Final = (ConnectionState.BODY, ConnectionState.REQUEST)
+
+
+class BodyInterruptedError(TimeoutError):
+    """The reading of a body was interrupted.
+
+    It is a timeout to the base class, which discards the rest of a body.
+
+    Attributes:
+        refusal: The refusal of its request.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
 #: Returns the limits in force.
 Limits = Callable[[], ConnectionLimits]
 
@@ -63,7 +86,15 @@
         options: Options of the base class.
     """
 
-    __slots__ = ('_clock', 'head_since', 'is_kept', 'limits', 'waiting_since')
+    __slots__ = (
+        '_body',
+        '_body_since',
+        '_clock',
+        'head_since',
+        'is_kept',
+        'limits',
+        'waiting_since',
+    )
 
     def __init__(
         self,
@@ -80,6 +111,8 @@
         )
         self.limits = limits
         self._clock = clock
+        self._body: StreamReader | None = None
+        self._body_since: float = 0
         #: Clock seconds at which the head that is incomplete began to arrive;
         #: None without one.
         self.head_since: float | None = None
@@ -93,11 +126,22 @@
     def state(self) -> ConnectionState:
         """What the connection is waiting for."""
         if self._waiter is None or self._waiter.done():
-            return ConnectionState.REQUEST
+            if self._body is None:
+                return ConnectionState.REQUEST
+            return ConnectionState.BODY
         if self.head_since is not None:
             return ConnectionState.HEAD
         return ConnectionState.IDLE if self.is_kept else ConnectionState.SILENT
 
+    @property
+    def since(self) -> float:
+        """Clock seconds since which it has been waiting, as far as known."""
+        if self._body is not None:
+            return self._body_since
+        if self.head_since is not None:
+            return self.head_since
+        return inf if self.waiting_since is None else self.waiting_since
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
@@ -110,7 +154,7 @@
         if self.head_since is None and received:
             self.head_since = self._clock.now()
         super().data_received(received)
-        if self.state is ConnectionState.REQUEST:
+        if self.state in _WITH_REQUEST:
             self.head_since = None
             self.waiting_since = None
             self.is_kept = True
@@ -120,6 +164,21 @@
         seconds = int(self.limits().idle_timeout)
         response.headers[KEEP_ALIVE] = f'timeout={seconds}'
 
+    @contextmanager
+    def reading(self, body: StreamReader) -> Iterator[None]:
+        """Read the body of a request in a block, which may be interrupted."""
+        self._body = body
+        self._body_since = self._clock.now()
+        try:
+            yield
+        finally:
+            self._body = None
+
+    def interrupt_body(self, refusal: Refusal) -> None:
+        """End the reading of a body; its request is refused."""
+        if self._body is not None:
+            self._body.set_exception(BodyInterruptedError(refusal))
+
     def end(self, last_words: bytes = b'') -> None:
         """Close the connection.
 
@@ -154,3 +213,18 @@
         return CallerConnection(
             self, self._clock, self._limits, **self._options
         )
+
+
+@contextmanager
+def reading_body(http: web.BaseRequest) -> Iterator[None]:
+    """Read the body of a request in a block.
+
+    Raises:
+        BodyInterruptedError: If its connection is needed for another caller.
+    """
+    connection = http.protocol
+    if http.content.is_eof() or not isinstance(connection, CallerConnection):
+        yield
+        return
+    with connection.reading(http.content):
+        yield
--- /dev/null
+++ b/src/nutmegroad/ingress/descriptors.py
@@ -0,0 +1,129 @@
+"""Divides the file descriptors of a host between callers and its own use.
+
+Callers may hold connections without a request. When descriptors run short,
+connections leave first that cost their callers nothing, or the least.
+"""
+
+import resource
+import sys
+from collections import Counter
+from types import MappingProxyType
+from typing import Final
+
+from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
+from nutmegroad.ingress.connections import ConnectionState
+from nutmegroad.ingress.timeouts import CloseReason, ConnectionTimeouts
+from nutmegroad.overload.quick_refusals import NO_ROOM
+
+_LOG: Final = part_logger('ingress')
+
+#: Descriptors that are kept free for files, and for this host's listeners and
+#: its connections to the store, to other hosts and for checks.
+RESERVED: Final = 300
+
+#: Fraction of the callers' descriptors that is freed at once: finding those to
+#: close looks at all connections.
+FREED_FRACTION: Final = 0.05
+
+#: Seconds for which a count of the requests is used.
+COUNT_TTL: Final = 0.1
+
+#: The order in which connections are closed, by what they wait for; those with
+#: a request are not. A caller whose connection is idle opens another one; one
+#: that has said nothing loses the time to connect, one with the beginning of a
+#: head or of a body what it has sent.
+_ORDER: Final = MappingProxyType(
+    {
+        ConnectionState.IDLE: 0,
+        ConnectionState.SILENT: 1,
+        ConnectionState.HEAD: 2,
+        ConnectionState.BODY: 3,
+    }
+)
+
+
+class DescriptorAccount:
+    """Makes room for new connections of callers.
+
+    Args:
+        total: Number of file descriptors that the process may have.
+        timeouts: Knows the open connections, and closes some.
+        clock: The host's clock.
+    """
+
+    @property
+    def limit(self) -> int:
+        """Number of descriptors for callers and for the sending of requests."""
+        return max(1, self._total - RESERVED)
+
+    def __init__(
+        self, total: int, timeouts: ConnectionTimeouts, clock: Clock
+    ) -> None:
+        self._total = total
+        self._timeouts = timeouts
+        self._clock = clock
+        self._requests = 0
+        self._counted_at = float('-inf')
+        self._full_until = float('-inf')
+
+    def has_room(self, queued: int) -> bool:
+        """Return whether one more connection may be kept; close some if not.
+
+        Args:
+            queued: Number of connections that wait to be served.
+        """
+        used = self._timeouts.total + queued
+        # Each request may need a connection to an upstream.
+        if 2 * used < self.limit or used + self._count_requests() < self.limit:
+            return True
+        if self._clock.now() < self._full_until:
+            return False
+        return self._free() > 0
+
+    def _count_requests(self) -> int:
+        """Return the number of requests that are read or answered."""
+        now = self._clock.now()
+        if now - self._counted_at >= COUNT_TTL:
+            self._requests = self._timeouts.count(ConnectionState.REQUEST)
+            self._counted_at = now
+        return self._requests
+
+    def _free(self) -> int:
+        """Close connections, and return how many."""
+        waiting = [
+            (_ORDER[each.state], each.since, number, each)
+            for number, each in enumerate(self._timeouts.connections())
+            if each.state in _ORDER and not each.has_unread
+        ]
+        waiting.sort()
+        chosen = waiting[: max(1, int(self.limit * FREED_FRACTION))]
+        closed: Counter[ConnectionState] = Counter()
+        for candidate in chosen:
+            connection = candidate[-1]
+            closed[connection.state] += 1
+            self._timeouts.close(connection, NO_ROOM, CloseReason.ROOM)
+        if not chosen:
+            self._full_until = self._clock.now() + COUNT_TTL
+        _LOG.decision(
+            'connections short',
+            limit=self.limit,
+            open=self._timeouts.total,
+            idle=closed[ConnectionState.IDLE],
+            silent=closed[ConnectionState.SILENT],
+            head=closed[ConnectionState.HEAD],
+            body=closed[ConnectionState.BODY],
+        )
+        return len(chosen)
+
+
+def descriptor_limit(configured: int) -> int:
+    """Return how many file descriptors the process may have.
+
+    Args:
+        configured: The number in the settings; 0 if they don't say.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        return configured or sys.maxsize
+    return min(soft, configured) if configured else soft
--- a/src/nutmegroad/ingress/timeouts.py
+++ b/src/nutmegroad/ingress/timeouts.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from contextlib import suppress
+from enum import Enum, unique
 from typing import Final, Protocol
 
 from aiohttp import web
@@ -26,13 +26,22 @@
 class ConnectionCounters(Protocol):
     """Counts callers' connections that a host closes."""
 
-    def connection_closed(self, state: str) -> None:
-        """Count a connection that was closed in a state."""
+    def connection_closed(self, state: str, reason: str) -> None:
+        """Count a connection that was closed in a state for a reason."""
 
     def refused(self, code: ResultCode) -> None:
         """Count a refusal by its result code."""
 
 
+@unique
+class CloseReason(Enum):
+    """Why a host closes a caller's connection."""
+
+    TIMEOUT = 'timeout'
+    #: Its descriptor is needed for another one.
+    ROOM = 'room'
+
+
 class ConnectionTimeouts:
     """Applies the operator's limits to open connections.
 
@@ -45,6 +54,11 @@
         clock: The host's clock.
     """
 
+    @property
+    def total(self) -> int:
+        """Number of open connections."""
+        return sum(len(server.connections) for server in self._servers)
+
     def __init__(
         self,
         refusals: RefusalFormat,
@@ -84,7 +98,9 @@
             if self._is_due(connection) and not connection.has_unread:
                 state = connection.state
                 closed[state] += 1
-                self._close(connection, state)
+                self.close(
+                    connection, _slow_head(connection), CloseReason.TIMEOUT
+                )
         if closed:
             _LOG.decision(
                 'connections closed',
@@ -97,7 +113,7 @@
         """Return whether a caller has taken too long."""
         now = self._clock.now()
         limits = connection.limits()
-        if connection.state is ConnectionState.REQUEST:
+        if connection.state in (ConnectionState.BODY, ConnectionState.REQUEST):
             connection.waiting_since = None
             return False
         if connection.head_since is not None:
@@ -106,20 +122,36 @@
             connection.waiting_since = now
         return now - connection.waiting_since > limits.idle_timeout
 
-    def _close(
-        self, connection: CallerConnection, state: ConnectionState
+    def close(
+        self,
+        connection: CallerConnection,
+        refusal: Refusal,
+        reason: CloseReason,
     ) -> None:
-        """Close a connection, and refuse the request that has begun."""
-        self._counters.connection_closed(state.value)
-        if state is not ConnectionState.HEAD:
-            connection.end()
-            return
-        refusal = Refusal(
-            ResultCode.HEADERS_TOO_SLOW,
-            'The head of the request was not complete within '
-            f'{connection.limits().header_timeout:g} s.',
-        )
-        self._counters.refused(refusal.code)
-        request = self._refusals.request_id(b'')
-        with suppress(OSError):
+        """Close a connection, and refuse the request that has begun.
+
+        Args:
+            connection: A connection without a complete request.
+            refusal: The refusal, which is sent if a request has begun.
+            reason: Why it is closed.
+        """
+        state = connection.state
+        self._counters.connection_closed(state.value, reason.value)
+        if state is ConnectionState.BODY:
+            # The handler of the request refuses it.
+            connection.interrupt_body(refusal)
+        elif state is ConnectionState.HEAD:
+            self._counters.refused(refusal.code)
+            request = self._refusals.request_id(b'')
             connection.end(self._refusals.encode(refusal, request))
+        else:
+            connection.end()
+
+
+def _slow_head(connection: CallerConnection) -> Refusal:
+    """Return the refusal of a head that was not complete in time."""
+    return Refusal(
+        ResultCode.HEADERS_TOO_SLOW,
+        'The head of the request was not complete within '
+        f'{connection.limits().header_timeout:g} s.',
+    )
--- a/src/nutmegroad/overload/acceptor.py
+++ b/src/nutmegroad/overload/acceptor.py
@@ -52,6 +52,18 @@
             False if it has to be served after all.
         """
 
+    def turn_away(self, connection: socket.socket) -> None:
+        """Refuse a connection for which there is no room, and close it."""
+
+
+#: Returns whether one more connection may be kept, beside so many queued ones.
+HasRoom = Callable[[int], bool]
+
+
+def _always(_queued: int) -> bool:
+    """Keep each connection."""
+    return True
+
 
 class Acceptor:
     """Accepts connections on a socket, and serves those whose peers wait.
@@ -65,6 +77,7 @@
         factory: Returns the protocol of a connection.
         unserved: Handles connections that are not served.
         clock: The host's clock.
+        has_room: Returns whether one more connection may be kept.
     """
 
     @property
@@ -78,7 +91,9 @@
         factory: Callable[[], asyncio.BaseProtocol],
         unserved: UnservedHandler,
         clock: Clock,
+        has_room: HasRoom = _always,
     ) -> None:
+        self._has_room = has_room
         self._listener = listener
         self._factory = factory
         self._unserved = unserved
@@ -126,7 +141,10 @@
                 self._retry_later(problem)
                 break
             connection.setblocking(False)
-            self._queue.append((self._queue_time, connection))
+            if self._has_room(len(self._queue)):
+                self._queue.append((self._queue_time, connection))
+            else:
+                self._unserved.turn_away(connection)
         if self._next is None:
             self._serve_next()
 
--- a/src/nutmegroad/overload/quick_refusals.py
+++ b/src/nutmegroad/overload/quick_refusals.py
@@ -20,6 +20,13 @@
 #: and at this one when most of the present queue has been served or refused.
 RETRY_AFTER: Final = 0.2
 
+#: Refusal of a connection for which a host has no descriptor.
+NO_ROOM: Final = Refusal(
+    ResultCode.HOST_CONNECTIONS_SHORT,
+    'All connections of this host are in use.',
+    retry_after=RETRY_AFTER,
+)
+
 #: Maximum bytes of a request that is refused without parsing.
 _MAX_BYTES: Final = 65_536
 
@@ -89,6 +96,17 @@
         self._log(request_id, waited)
         return True
 
+    def turn_away(self, connection: socket.socket) -> None:
+        """Refuse a connection without waiting for its request."""
+        self._counters.refused(ResultCode.HOST_CONNECTIONS_SHORT)
+        answer = self._refusals.encode(NO_ROOM, self._refusals.request_id(b''))
+        with suppress(OSError):
+            connection.send(answer)
+            connection.shutdown(socket.SHUT_WR)
+            # What stays unread would reset the connection.
+            connection.recv(_MAX_BYTES)
+        connection.close()
+
     def _log(self, request: RequestId, waited: float) -> None:
         """Log and count a refusal."""
         self._counters.refused(ResultCode.HOST_OVERLOADED)
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -53,6 +53,8 @@
             within which a host has to have caught up.
         grace: Seconds from the signal to stop until the process is killed.
         memory_mb: Memory limit of the process in MB; 0 if not known.
+        descriptors: Number of file descriptors that the process may have; 0 if
+            not known.
         max_stall: Seconds for which a caller may take nothing of an answer
             that is ready for it.
         metrics: Address of the metrics page; None for no page.
@@ -81,6 +83,7 @@
     reconnect_bound: float = 3.0
     max_stall: float = 30.0
     memory_mb: float = 0
+    descriptors: int = 0
     metrics: Address | None = None
     link_mbps: float = 0
     first_start: bool = False
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -52,8 +52,9 @@
         )
         self._closed = self._counter(
             'closed_connections',
-            "Callers' connections closed after a timeout",
+            "Callers' connections closed without a complete request",
             'state',
+            'reason',
         )
         self._store = self._counter(
             'store_calls',
@@ -123,9 +124,9 @@
         """Count a caller that left before its request was read."""
         self._departures.inc()
 
-    def connection_closed(self, state: str) -> None:
-        """Count a caller's connection that was closed after a timeout."""
-        self._closed.labels(state).inc()
+    def connection_closed(self, state: str, reason: str) -> None:
+        """Count a caller's connection that was closed for a reason."""
+        self._closed.labels(state, reason).inc()
 
     def store_called(self, call: str, outcome: str, seconds: float) -> None:
         """Count a call to the platform's store, and observe its duration."""
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -91,6 +91,7 @@
             bound,
             platform,
             lambda: self._configuration.connection_limits,
+            settings.descriptors,
             clock,
         )
         self._stopping = False
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -13,6 +13,7 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import RequestId
+from nutmegroad.ingress.connections import BodyInterruptedError, reading_body
 from nutmegroad.overload.arrivals import seconds_since_arrival
 from nutmegroad.overload.memory_budget import (
     HeldPart,
@@ -131,9 +132,12 @@
             async with ReadTimeout(
                 max(0, arrived + allowed - self._clock.now())
             ):
-                return await _read_body(
-                    http, matched.table.limits.body_bytes, holding
-                )
+                with reading_body(http):
+                    return await _read_body(
+                        http, matched.table.limits.body_bytes, holding
+                    )
+        except BodyInterruptedError as interrupted:
+            return interrupted.refusal
         except TimeoutError:
             return Refusal(
                 ResultCode.BODY_TOO_SLOW,
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -18,6 +18,7 @@
     CallerServer,
     Limits,
 )
+from nutmegroad.ingress.descriptors import DescriptorAccount
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.acceptor import (
     Acceptor,
@@ -309,6 +310,7 @@
         unserved: Handles connections that are not served.
         timeouts: Applies the limits to open connections.
         limits: Returns the limits in force.
+        descriptors: Number of file descriptors that the process may have.
         clock: The host's clock.
     """
 
@@ -319,9 +321,11 @@
         unserved: UnservedHandler,
         timeouts: ConnectionTimeouts,
         limits: Limits,
+        descriptors: int,
         clock: Clock,
     ) -> None:
         self.timeouts = timeouts
+        self._account = DescriptorAccount(descriptors, timeouts, clock)
         self._limits = limits
         self._stack = stack
         self._unserved = unserved
@@ -346,7 +350,13 @@
         self.timeouts.watch(server)
         bound = self._bound.get(str(address))
         listener = bound or listening_socket((address.ip, address.port))
-        acceptor = Acceptor(listener, server, self._unserved, self._clock)
+        acceptor = Acceptor(
+            listener,
+            server,
+            self._unserved,
+            self._clock,
+            self._account.has_room,
+        )
         acceptor.start()
         self._stack.push_async_callback(server.shutdown, SHUTDOWN_TIMEOUT)
         self._stack.callback(acceptor.close)
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -35,6 +35,7 @@
         ResultCode.CONFIGURATION_UNCONFIRMED,
         ResultCode.HOST_MEMORY_SHORT,
         ResultCode.BODY_TOO_SLOW,
+        ResultCode.HOST_CONNECTIONS_SHORT,
     ),
 )
 
--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -99,12 +99,7 @@
         ConnectionFailedError: If it can't be connected in time.
     """
     loop = asyncio.get_running_loop()
-    try:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    except OSError as problem:
-        # The process has no descriptor left.
-        raise ConnectionFailedError(str(problem), sent=False) from problem
-    sock.setblocking(False)
+    sock = _new_socket()
     prepare_socket(sock, EXCHANGE_USER_TIMEOUT_MS)
     try:
         sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
@@ -131,6 +126,20 @@
     return transport
 
 
+def _new_socket() -> socket.socket:
+    """Return a socket that does not block.
+
+    Raises:
+        ConnectionFailedError: If the process has no descriptor left.
+    """
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as problem:
+        raise ConnectionFailedError(str(problem), sent=False) from problem
+    sock.setblocking(False)
+    return sock
+
+
 async def _connect(
     sock: socket.socket, address: Address, loop: asyncio.AbstractEventLoop
 ) -> None:
--- a/tests/test_early_sockets.py
+++ b/tests/test_early_sockets.py
@@ -73,6 +73,7 @@
                 QuickRefusals(*writers),
                 ConnectionTimeouts(*writers, clock),
                 ConnectionLimits,
+                1024,
                 clock,
             )
             listeners.open(
