Time only bodies that are incomplete, and keep less of few descriptors

A process with fewer than 300 descriptors kept none for callers but one; now a quarter of the total is kept, at most 300.

test_descriptors.LimitTest: (1024, 768) and (5, 4) failed before; test_connection_limits passed before and after.

--- a/src/nutmegroad/ingress/descriptors.py
+++ b/src/nutmegroad/ingress/descriptors.py
@@ -19,8 +19,10 @@
 _LOG: Final = part_logger('ingress')
 
 #: Descriptors that are kept free for files, and for this host's listeners and
-#: its connections to the store, to other hosts and for checks.
+#: its connections to the store, to other hosts and for checks; less of a small
+#: number of descriptors.
 RESERVED: Final = 300
+RESERVED_FRACTION: Final = 0.25
 
 #: Fraction of the callers' descriptors that is freed at once: finding those to
 #: close looks at all connections.
@@ -55,7 +57,8 @@
     @property
     def limit(self) -> int:
         """Number of descriptors for callers and for the sending of requests."""
-        return max(1, self._total - RESERVED)
+        reserved = min(RESERVED, int(self._total * RESERVED_FRACTION))
+        return max(1, self._total - reserved)
 
     def __init__(
         self, total: int, timeouts: ConnectionTimeouts, clock: Clock
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -123,19 +123,19 @@
         arrived: float,
     ) -> bytes | Refusal:
         """Return the body if it arrives in time."""
+        limit = matched.table.limits.body_bytes
+        if http.content.is_eof():
+            return await _read_body(http, limit, holding)
         text = http.headers.get(self._names.deadline, '')
         timeout = matched.route.timeout
         allowed = BODY_FRACTION * min(
             read_caller_timeout(text, timeout), timeout
         )
+        time_left = max(0, arrived + allowed - self._clock.now())
         try:
-            async with ReadTimeout(
-                max(0, arrived + allowed - self._clock.now())
-            ):
+            async with ReadTimeout(time_left):
                 with reading_body(http):
-                    return await _read_body(
-                        http, matched.table.limits.body_bytes, holding
-                    )
+                    return await _read_body(http, limit, holding)
         except BodyInterruptedError as interrupted:
             return interrupted.refusal
         except TimeoutError:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -16,7 +16,7 @@
     ConnectionState,
     reading_body,
 )
-from nutmegroad.ingress.descriptors import RESERVED, DescriptorAccount
+from nutmegroad.ingress.descriptors import DescriptorAccount
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.acceptor import Acceptor
 from nutmegroad.overload.listening import listening_socket
@@ -28,7 +28,8 @@
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad_platform.names import HEADERS
 
-#: Connections that a server keeps.
+#: Descriptors of a server, and the connections that it keeps.
+TOTAL = 5
 KEPT = 4
 
 #: The head of a request whose body has nine bytes.
@@ -38,6 +39,17 @@
 SLOW = b'GET /slow HTTP/1.1\r\nHost: a\r\n\r\n'
 
 
+class LimitTest(unittest.TestCase):
+    """How many descriptors are left for callers."""
+
+    def test_a_host_keeps_some_and_callers_get_the_rest(self) -> None:
+        """Also of a number that is smaller than what a host keeps."""
+        for total, limit in ((4100, 3800), (1024, 768), (5, 4), (1, 1)):
+            with self.subTest(total=total):
+                account = DescriptorAccount(total, mock.Mock(), mock.Mock())
+                self.assertEqual(account.limit, limit)
+
+
 class NoDescriptorTest(unittest.IsolatedAsyncioTestCase):
     """A host whose descriptors are all in use."""
 
@@ -72,7 +84,7 @@
         writers = TextRefusals(HEADERS), RelayCounters()
         self.timeouts = ConnectionTimeouts(*writers, self.clock)
         self.timeouts.watch(server)
-        account = DescriptorAccount(RESERVED + KEPT, self.timeouts, self.clock)
+        account = DescriptorAccount(TOTAL, self.timeouts, self.clock)
         listener = listening_socket(('127.0.0.1', 0))
         self.address = listener.getsockname()
         acceptor = Acceptor(
