--- a/tests/test_slow_bodies.py
+++ b/tests/test_slow_bodies.py
@@ -65,7 +65,8 @@
             headers=headers,
             raw_headers=(),
             content_length=len(b''.join(PARTS)),
-            content=SimpleNamespace(iter_any=arriving),
+            content=SimpleNamespace(iter_any=arriving, is_eof=bool),
+            protocol=None,
             body_exists=True,
         )
         budget = MemoryBudget(10**8, self.clock)
