Name a background task that ends, and show how old each table is

What callers saw: requests on upstreams that were leaving. The record can't tell a task that has ended from a change that was read and not applied: a host logs such an end once, as "background task failed", without naming what it kept current, and no metric shows that a table is no longer followed.

Each background task of a relay host has a name now, in its line and in the counter `task_failures`; `table_age_seconds` is the age of what the host knows of each table. No decision is changed.

The task of the list had ended on each host with a RecursionError, the hosts said that they were ready, and one that started later never was.

--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -114,6 +114,16 @@
         randomness: Randomizes the retries of many hosts.
     """
 
+    @property
+    def table(self) -> str:
+        """Name of the table."""
+        return self._table
+
+    @property
+    def age(self) -> float:
+        """Seconds since the table was last known to be current."""
+        return self._clock.now() - self._known_until
+
     def __init__(
         self,
         store: TableSource,
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -166,12 +166,12 @@
             return None
         return self.peers.ring.rank(duty)
 
-    def tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        """Return the coroutines that run as long as the host does."""
-        return (
-            self._registration.run(first=self._first),
-            self.peers.run(),
-            self.crash_rows.run(),
-            self._server.run(),
-            self._link.run(),
-        )
+    def tasks(self) -> dict[str, Coroutine[Any, Any, None]]:
+        """Return the coroutines that run as long as the host does, by name."""
+        return {
+            'registration': self._registration.run(first=self._first),
+            'gossip': self.peers.run(),
+            'crash rows': self.crash_rows.run(),
+            'table updates': self._server.run(),
+            'update link': self._link.run(),
+        }
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -1,6 +1,6 @@
 """Metrics of a relay host: counters, histograms and gauges."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from prometheus_client import (
@@ -62,6 +62,11 @@
             'call',
             'outcome',
         )
+        self._failed_tasks = self._counter(
+            'task_failures',
+            'Background tasks that ended while the host ran',
+            'task',
+        )
         self._answer_seconds = self._histogram(
             'whole_seconds',
             'Seconds from a request to the end of its answer',
@@ -133,6 +138,10 @@
         self._store.labels(call, outcome).inc()
         self._store_seconds.labels(call).observe(seconds)
 
+    def task_failed(self, task: str) -> None:
+        """Count a background task that ended while the host ran."""
+        self._failed_tasks.labels(task).inc()
+
     def gauge(
         self,
         name: str,
@@ -149,6 +158,27 @@
         gauge = Gauge(f'{_PREFIX}_{name}', meaning, registry=self._registry)
         gauge.set_function(read)
 
+    def gauges(
+        self,
+        name: str,
+        meaning: str,
+        label: str,
+        readers: Mapping[str, Callable[[], float]],
+    ) -> None:
+        """Register a gauge with one label, read at each scrape.
+
+        Args:
+            name: Name of the gauge, without the prefix.
+            meaning: Help text.
+            label: Name of the label.
+            readers: Return the value, by the label's value.
+        """
+        gauge = Gauge(
+            f'{_PREFIX}_{name}', meaning, (label,), registry=self._registry
+        )
+        for label_value, read in readers.items():
+            gauge.labels(label_value).set_function(read)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -34,6 +34,7 @@
     StatusPages,
     register_connection_gauges,
     register_gauges,
+    register_table_gauges,
 )
 from nutmegroad.relay.tables import OperatorSink
 from nutmegroad.relay.upstream_table import UpstreamSink
@@ -149,9 +150,8 @@
     async def start(self) -> None:
         """Start following the platform's tables, and open the listeners."""
         await self._fleet.open(self._stack)
-        for work in self._background_tasks():
-            self._spawn(work)
-        self._spawn(self._listeners.timeouts.run())
+        for name, work in self._background_tasks().items():
+            self._spawn(name, work)
         pages = StatusPages(
             self._settings.ready_path,
             lambda: self.ready,
@@ -304,15 +304,18 @@
             self._fleet.duty_rank,
         )
 
-    def _background_tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        """Return the tasks that run for as long as the host."""
-        return (
-            *(follower.run() for follower in self._followers()),
-            *self._fleet.tasks(),
-            self._steps.run(),
-            self._loop_monitor.run(),
-            self._sweep(),
-        )
+    def _background_tasks(self) -> dict[str, Coroutine[Any, Any, None]]:
+        """Return the tasks that run for as long as the host, by name."""
+        followers = self._followers()
+        register_table_gauges(self._platform.counters, followers)
+        return {
+            **{f'table {each.table}': each.run() for each in followers},
+            **self._fleet.tasks(),
+            'rollout steps': self._steps.run(),
+            'loop monitor': self._loop_monitor.run(),
+            'sweep': self._sweep(),
+            'connection timeouts': self._listeners.timeouts.run(),
+        }
 
     def _followers(self) -> tuple[TableFollower, ...]:
         """Return the followers of the platform's tables."""
@@ -360,14 +363,16 @@
             await self._clock.sleep(SWEEP_INTERVAL)
             self._directory.remove_missing()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task until the host closes."""
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(_log_failure)
+        task = asyncio.create_task(coroutine, name=name)
+        task.add_done_callback(self._record_end)
         self._stack.callback(task.cancel)
 
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    """Log the exception of a background task; none is expected."""
-    if not task.cancelled() and task.exception() is not None:
-        _LOG.exception('background task failed', cause=task.exception())
+    def _record_end(self, task: asyncio.Task[None]) -> None:
+        """Record the end of a background task; none is expected."""
+        if task.cancelled():
+            return
+        name = task.get_name()
+        self._platform.counters.task_failed(name)
+        _LOG.exception('task %s ended', name, cause=task.exception())
--- a/src/nutmegroad/relay/status_pages.py
+++ b/src/nutmegroad/relay/status_pages.py
@@ -1,6 +1,6 @@
 """Readiness and metrics pages of a host."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from operator import attrgetter
@@ -74,6 +74,18 @@
         """Its present state."""
 
 
+class FollowedTable(Protocol):
+    """A table that a host keeps its state in step with."""
+
+    @property
+    def table(self) -> str:
+        """Its name."""
+
+    @property
+    def age(self) -> float:
+        """Seconds since it was last known to be current."""
+
+
 #: Returns the value of a gauge.
 _Reader = Callable[[HostStatus], float]
 
@@ -212,6 +224,18 @@
         )
 
 
+def register_table_gauges(
+    counters: RelayCounters, tables: Iterable[FollowedTable]
+) -> None:
+    """Register gauges of how old the host's state of each table is."""
+    counters.gauges(
+        'table_age_seconds',
+        'Seconds since the table was last known to be current',
+        'table',
+        {each.table: partial(attrgetter('age'), each) for each in tables},
+    )
+
+
 def _read(source: StatusSource, read: _Reader) -> float:
     """Return the present value of a gauge."""
     return read(source.status)
