Write log lines whose fields have no JSON form

What callers saw: 500, or nothing at all of a change. A line is written within the step that logs it, and the encoder raises for an integer of more than 64 bits, for text that is not valid Unicode and for deep nesting: what failed was then the step, not the line.

Such a line is written with its values as ASCII text of bounded length. The two tests fail before, with OverflowError, UnicodeEncodeError, RecursionError and ValueError; lines that could be written are unchanged.

--- a/src/nutmegroad/foundations/logs.py
+++ b/src/nutmegroad/foundations/logs.py
@@ -26,6 +26,17 @@
 
 _TEXT_FORMAT: Final = '%(asctime)s %(levelname)s %(message)s'
 
+#: Exceptions that the encoder raises for a value that it can't write.
+_ENCODER_ERRORS: Final = (
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+)
+
+#: Maximum characters of a value that can't be written as it is.
+MAX_PRINTED: Final = 200
+
 #: Attribute of a log record that holds its context.
 _CONTEXT: Final = 'nutmegroad_context'
 
@@ -198,7 +209,13 @@
             request=context.request,
             exception=self._exception(record),
         )
-        return msgspec.json.encode(line).decode()
+        try:
+            return msgspec.json.encode(line).decode()
+        except ValueError:
+            # The message holds text that is not valid Unicode.
+            line.message = ascii(line.message)
+            line.exception = ascii(line.exception)
+            return msgspec.json.encode(line).decode()
 
     def _exception(self, record: standard_logging.LogRecord) -> str:
         """Return the traceback of a record, or an empty text."""
@@ -247,7 +264,26 @@
         'request': request,
         **fields,
     }
-    return msgspec.json.encode(line, enc_hook=str).decode()
+    try:
+        return msgspec.json.encode(line, enc_hook=str).decode()
+    except _ENCODER_ERRORS:
+        # A value from outside, such as a number without a native form or text
+        # that is not valid Unicode.
+        return msgspec.json.encode(_printable(line)).decode()
+
+
+def _printable(line: Mapping[str, object]) -> dict[str, str]:
+    """Return the fields of a line as ASCII text of bounded length."""
+    return {name: _ascii(content) for name, content in line.items()}
+
+
+def _ascii(content: object) -> str:
+    """Return a value as ASCII text of bounded length."""
+    try:
+        return ascii(content)[:MAX_PRINTED]
+    except (ValueError, RecursionError):
+        # Integers of thousands of digits are not converted to text.
+        return f'unprintable {type(content).__name__}'
 
 
 @contextmanager
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -11,6 +11,7 @@
 from nutmegroad.foundations.logs import (
     LogFormat,
     configure_logging,
+    format_decision,
     part_logger,
     request_context,
 )
@@ -19,6 +20,10 @@
 SOURCES = Path(__file__).resolve().parent.parent / 'src' / 'nutmegroad'
 
 
+#: Fields of a decision with one field of its own.
+_FIELDS = {'part', 'event', 'request', 'born'}
+
+
 def _log_two_lines(log_format: LogFormat) -> str:
     """Return the text of two log lines, of which one has a request."""
     stream = io.StringIO()
@@ -58,6 +63,23 @@
         self.assertIn('ZeroDivisionError: z', text)
         self.assertIn('dispatch: outside', text)
 
+    # Guards against a line that fails the step that writes it: its fields hold
+    # a number or a text that another program has sent.
+    def test_a_field_that_has_no_json_form_is_written_as_text(self) -> None:
+        nested: list[object] = []
+        for _ in range(5000):
+            nested = [nested]
+        for content in (10**30, 10**5000, '\ud800', nested):
+            with self.subTest(content=type(content)):
+                line = format_decision('tables', 'odd', {'born': content})
+                self.assertEqual(set(json.loads(line)) - {'time'}, _FIELDS)
+
+    def test_a_message_that_is_not_valid_unicode_is_written(self) -> None:
+        stream = io.StringIO()
+        configure_logging(LogFormat.JSON, stream)
+        part_logger('tables').error('row %s', '\ud800')
+        self.assertIn('ud800', json.loads(stream.getvalue())['message'])
+
     def test_only_the_logging_module_imports_absl(self) -> None:
         for path in sorted(SOURCES.rglob('*.py')):
             with self.subTest(module=path.name):
