Go on following tables whatever another program writes to them

What callers saw: requests on upstreams whose leaving the store had acknowledged, as long as the hosts ran, while the hosts said that they were ready; hosts that started later never became ready.

Cause: the readers of rows expected a decoder's own exception and ValueError. Deep nesting in a field that no schema names is a RecursionError; it ended the task that follows the table, on all hosts at once, for good. A decoder also lets numbers through that fail later: slots of 400 digits in each selection, counts of more than 64 bits when evidence is sent on, an address that is none in each connection and each datagram.

What changed: - `foundations/decoding`: one error for whatever a decoder raises, and types of numbers that can be sent on, divided and waited for. - `tables/row_guard`: each row is applied by itself; one that can't be is left out, counted and logged once. An entry of an upstream that is left out takes the upstream out of use, a configuration that is left out ends confirmations, so that revoked keys lapse; of the fleet's own rows what was known stays, since it only grows. - `foundations/supervision`: a task that ends is started again, followers from a full read; a host whose followers of the operator's table or of the upstreams fail says that it is not ready. - Frames, datagrams and handshakes are decoded by the same means; a socket that can't be connected for its address is a failed connection. - The sinks of tables are a room of their own, `tables`.

--- a/src/nutmegroad/canary/rollouts.py
+++ b/src/nutmegroad/canary/rollouts.py
@@ -12,6 +12,7 @@
 
 from msgspec import Struct
 
+from nutmegroad.foundations.decoding import Measure, Number
 from nutmegroad.foundations.types import ServiceName
 from nutmegroad.upstreams.directory import SoftwareVersion
 
@@ -113,15 +114,15 @@
         since: Store clock, in seconds, at which the rollout entered this stage.
     """
 
-    order: int
+    order: Number
     stage: str
-    started: float
-    opened: float = 0
+    started: Measure
+    opened: Measure = 0
     why: str = ''
-    beyond: float = 0
+    beyond: Measure = 0
     to: str = ''
-    duration: float = 0
-    since: float = 0
+    duration: Measure = 0
+    since: Measure = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/fleet/crash_probes.py
+++ b/src/nutmegroad/fleet/crash_probes.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 from msgspec import Struct
@@ -26,6 +26,7 @@
     Store,
     StoredRow,
 )
+from nutmegroad.foundations.decoding import IDENTIFIER, Measure, decode_json
 
 CRASHES_KEY_PREFIX: Final = 'crashes/'
 PROBES_ROW: Final = 'trials'
@@ -53,8 +54,8 @@
 class _ProbeEntry(Struct, frozen=True, array_like=True):
     """Probe execution; time in seconds of the store's clock."""
 
-    attribute: AttributeFingerprint
-    began: float
+    attribute: Annotated[AttributeFingerprint, IDENTIFIER]
+    began: Measure
 
 
 class _ProbesRow(Struct, frozen=True):
@@ -85,9 +86,9 @@
         """Apply the row that was read from the store.
 
         Raises:
-            DecodeError: If the row can't be decoded.
+            UndecodableError: If the row can't be decoded.
         """
-        self._row = msgspec.json.decode(row.content, type=_ProbesRow)
+        self._row = decode_json(row.content, _ProbesRow)
         self._version = row.version
 
     def on_store_restored(self) -> None:
--- a/src/nutmegroad/fleet/crash_reports.py
+++ b/src/nutmegroad/fleet/crash_reports.py
@@ -1,7 +1,7 @@
 """Reports in which hosts tell each other of crashes and answers."""
 
 from collections.abc import Mapping
-from typing import Final
+from typing import Annotated, Final
 
 from msgspec import Struct
 
@@ -13,6 +13,7 @@
 )
 from nutmegroad.fleet.gossip_queue import cyclic_slice
 from nutmegroad.fleet.request_attributes import AttributeFingerprint, Scope
+from nutmegroad.foundations.decoding import IDENTIFIER, Number
 
 #: Maximum number of crashes per datagram. At about twenty bytes each, they fit
 #: into an Ethernet frame.
@@ -56,10 +57,10 @@
         scope: How many requests have the attribute in common.
     """
 
-    attribute: AttributeFingerprint
-    upstream: UpstreamFingerprint
-    sent_age: int
-    crash_age: int
+    attribute: Annotated[AttributeFingerprint, IDENTIFIER]
+    upstream: Annotated[UpstreamFingerprint, IDENTIFIER]
+    sent_age: Number
+    crash_age: Number
     scope: Scope = Scope.REQUEST
 
 
@@ -71,8 +72,8 @@
         age: Milliseconds since the answer.
     """
 
-    attribute: AttributeFingerprint
-    age: int
+    attribute: Annotated[AttributeFingerprint, IDENTIFIER]
+    age: Number
 
 
 class CrashReport(Struct, frozen=True, array_like=True):
--- a/src/nutmegroad/fleet/crash_row_builder.py
+++ b/src/nutmegroad/fleet/crash_row_builder.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 from itertools import islice
-from typing import Final
+from typing import Annotated, Final
 
 from msgspec import Struct
 
@@ -15,6 +15,7 @@
 from nutmegroad.fleet.crash_tracker import CrashTracker
 from nutmegroad.fleet.request_attributes import AttributeFingerprint, Scope
 from nutmegroad.fleet.store_clock import StoreClock
+from nutmegroad.foundations.decoding import IDENTIFIER, Measure
 
 #: Minimum number of crashes under an attribute for it to be written to the
 #: store. Most requests that were running during a crash are answered by another
@@ -35,18 +36,18 @@
 class CrashEntry(Struct, frozen=True, array_like=True):
     """Crash of an upstream; times are seconds of the store's clock."""
 
-    attribute: AttributeFingerprint
-    upstream: UpstreamFingerprint
-    began: float
-    ended: float
+    attribute: Annotated[AttributeFingerprint, IDENTIFIER]
+    upstream: Annotated[UpstreamFingerprint, IDENTIFIER]
+    began: Measure
+    ended: Measure
     scope: Scope = Scope.REQUEST
 
 
 class AnswerEntry(Struct, frozen=True, array_like=True):
     """Complete answer; time in seconds of the store's clock."""
 
-    attribute: AttributeFingerprint
-    moment: float
+    attribute: Annotated[AttributeFingerprint, IDENTIFIER]
+    moment: Measure
 
 
 class CrashesRow(Struct, frozen=True):
--- a/src/nutmegroad/fleet/crash_rows.py
+++ b/src/nutmegroad/fleet/crash_rows.py
@@ -33,6 +33,7 @@
     StoredRow,
 )
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import decode_json
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 
@@ -95,10 +96,10 @@
             store_time: The store's time in seconds when it was read.
 
         Raises:
-            DecodeError: If the row can't be decoded.
+            UndecodableError: If the row can't be decoded.
         """
         if name == _CRASHES_ROW:
-            self._row = msgspec.json.decode(row.content, type=CrashesRow)
+            self._row = decode_json(row.content, CrashesRow)
             self._version = row.version
             self._merge_row(store_time)
         elif name == PROBES_ROW:
--- a/src/nutmegroad/fleet/evidence.py
+++ b/src/nutmegroad/fleet/evidence.py
@@ -8,10 +8,12 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import NewType
+from typing import Annotated, NewType
 
 from msgspec import Struct
 
+from nutmegroad.foundations.decoding import IDENTIFIER, Count
+
 #: Number of a kind of request, the same on every host.
 KindNumber = NewType('KindNumber', int)
 
@@ -32,11 +34,11 @@
         sent: Requests that were sent, to any version.
     """
 
-    new: int = 0
-    new_poor: int = 0
-    old: int = 0
-    old_poor: int = 0
-    sent: int = 0
+    new: Count = 0
+    new_poor: Count = 0
+    old: Count = 0
+    old_poor: Count = 0
+    sent: Count = 0
 
     @property
     def count(self) -> int:
@@ -75,8 +77,8 @@
         kinds: Its answers by kind of request.
     """
 
-    order: int
-    run: HostIncarnation = HostIncarnation(0)
+    order: Count
+    run: Annotated[HostIncarnation, IDENTIFIER] = HostIncarnation(0)
     kinds: dict[KindNumber, Answers] = {}
 
     @property
--- a/src/nutmegroad/fleet/evidence_gossip.py
+++ b/src/nutmegroad/fleet/evidence_gossip.py
@@ -1,7 +1,7 @@
 """Gossip of rollout counts: selects the counts for each datagram."""
 
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Annotated, Final, NamedTuple
 
 from msgspec import Struct
 
@@ -12,6 +12,7 @@
     KindNumber,
 )
 from nutmegroad.fleet.gossip_queue import DatagramCapacity, GossipQueue, Source
+from nutmegroad.foundations.decoding import IDENTIFIER, Number
 from nutmegroad.foundations.types import HostId, ServiceName
 
 #: Maximum counts per datagram within a failure domain, some 60 bytes each: new
@@ -38,8 +39,8 @@
 
     service: ServiceName
     host: HostId
-    order: int
-    incarnation: HostIncarnation
+    order: Number
+    incarnation: Annotated[HostIncarnation, IDENTIFIER]
     kinds: dict[KindNumber, Answers]
 
     @property
--- a/src/nutmegroad/fleet/followers.py
+++ b/src/nutmegroad/fleet/followers.py
@@ -155,7 +155,8 @@
         self._relayed = False
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table until cancelled, from a full snapshot on."""
+        self._after = None
         while True:
             began = self._clock.now()
             if not await self.step():
--- a/src/nutmegroad/fleet/host_registration.py
+++ b/src/nutmegroad/fleet/host_registration.py
@@ -9,6 +9,7 @@
 
 from nutmegroad.fleet.store_interface import FLEET_TABLE, RowPut, Store
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import Amount, Port
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import HostId
 
@@ -40,9 +41,9 @@
     """
 
     ip: str
-    port: int
+    port: Port
     domain: str
-    link: float = 0
+    link: Amount = 0
     key: str = ''
 
 
--- a/src/nutmegroad/fleet/hosts.py
+++ b/src/nutmegroad/fleet/hosts.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
 from contextlib import AsyncExitStack
-from typing import Any, Final
+from functools import partial
+from typing import Final
 
 from nutmegroad.fleet.crash_rows import CrashRows
 from nutmegroad.fleet.duties import duty_hash
@@ -21,6 +21,7 @@
 from nutmegroad.fleet.update_link import UpdateLink
 from nutmegroad.fleet.update_server import UpdateServer
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.supervision import TaskLabel, TaskStart
 from nutmegroad.foundations.types import Address, DomainId, HostId
 
 #: Bits of a host's incarnation number: two incarnations of one host during one
@@ -166,12 +167,14 @@
             return None
         return self.peers.ring.rank(duty)
 
-    def tasks(self) -> dict[str, Coroutine[Any, Any, None]]:
-        """Return the coroutines that run as long as the host does, by name."""
+    def tasks(self) -> dict[TaskLabel, TaskStart]:
+        """Return the tasks that run as long as the host does, by name."""
         return {
-            'registration': self._registration.run(first=self._first),
-            'gossip': self.peers.run(),
-            'crash rows': self.crash_rows.run(),
-            'table updates': self._server.run(),
-            'update link': self._link.run(),
+            TaskLabel('registration'): partial(
+                self._registration.run, first=self._first
+            ),
+            TaskLabel('gossip'): self.peers.run,
+            TaskLabel('crash rows'): self.crash_rows.run,
+            TaskLabel('table updates'): self._server.run,
+            TaskLabel('update link'): self._link.run,
         }
--- a/src/nutmegroad/fleet/loads.py
+++ b/src/nutmegroad/fleet/loads.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import Measure, Number
 from nutmegroad.foundations.types import HostId, UpstreamIncarnation
 
 #: Seconds after which the loads that another host reported expire: by then even
@@ -29,9 +30,9 @@
         tokens: Tokens that its requests occupy in memory.
     """
 
-    running: int = 0
-    prefill_seconds: float = 0
-    tokens: int = 0
+    running: Number = 0
+    prefill_seconds: Measure = 0
+    tokens: Number = 0
 
     def times(self, factor: int) -> 'Load':
         """Return a multiple of the load."""
--- a/src/nutmegroad/fleet/messages.py
+++ b/src/nutmegroad/fleet/messages.py
@@ -24,6 +24,7 @@
     ReportedLimit,
     RequestLimits,
 )
+from nutmegroad.foundations.decoding import Number
 
 
 class Digest(Struct, frozen=True, array_like=True):
@@ -41,7 +42,7 @@
     sessions: SessionReport = SessionReport()
     counts: CountsReport = CountsReport()
     crashes: CrashReport = CrashReport()
-    configuration: int = NO_VERSION
+    configuration: Number = NO_VERSION
     limits: LimitReport = ()
 
 
--- a/src/nutmegroad/fleet/old_version_sessions.py
+++ b/src/nutmegroad/fleet/old_version_sessions.py
@@ -15,6 +15,7 @@
 
 from nutmegroad.fleet.gossip_queue import DatagramCapacity, GossipQueue, Source
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import Number
 from nutmegroad.foundations.types import ServiceName
 
 #: 32-bit fingerprint of a session at a service. Two sessions that share a
@@ -54,8 +55,8 @@
         remote: Sessions that other failure domains have served.
     """
 
-    local: dict[int, int] = {}
-    remote: dict[int, int] = {}
+    local: dict[Number, Number] = {}
+    remote: dict[Number, Number] = {}
 
 
 def fingerprint_session(
--- a/src/nutmegroad/fleet/peer_gossip.py
+++ b/src/nutmegroad/fleet/peer_gossip.py
@@ -36,6 +36,7 @@
 from nutmegroad.fleet.remote_rounds import RemoteRounds
 from nutmegroad.fleet.request_limits import RequestLimits
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import MessageDecoder, UndecodableError
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import DomainId, HostId, UpstreamIncarnation
 
@@ -208,7 +209,7 @@
         #: Clock seconds of each host's last message.
         self.last_received: dict[HostId, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder: msgspec.msgpack.Decoder[Message] = (
+        self._decoder: MessageDecoder[Message] = MessageDecoder(
             msgspec.msgpack.Decoder(Message)
         )
         self._was_empty = True
@@ -230,7 +231,7 @@
         """Merge a datagram from another host; ignore it if it is malformed."""
         try:
             message = self._decoder.decode(datagram)
-        except msgspec.DecodeError:
+        except UndecodableError:
             _LOG.decision('malformed datagram ignored', sender=addr[0])
             return
         host = HostId(message.host)
--- a/src/nutmegroad/fleet/peer_listener.py
+++ b/src/nutmegroad/fleet/peer_listener.py
@@ -16,6 +16,7 @@
 from nutmegroad.fleet.table_updates import KnownVersions
 from nutmegroad.fleet.tunnel_messages import TunnelRequest
 from nutmegroad.fleet.update_server import UpdateServer
+from nutmegroad.foundations.decoding import MessageDecoder, UndecodableError
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import Address
 
@@ -26,7 +27,7 @@
 
 Handshake = KnownVersions | TunnelRequest
 
-_DECODER: Final = msgspec.msgpack.Decoder(Handshake)
+_DECODER: Final = MessageDecoder[Handshake](msgspec.msgpack.Decoder(Handshake))
 
 #: Serves a link on which a connection to an upstream was requested.
 TunnelHandler = Callable[
@@ -114,5 +115,5 @@
     message = (await read_frame(reader)).message()
     try:
         return _DECODER.decode(message)
-    except msgspec.DecodeError as error:
+    except UndecodableError as error:
         raise FrameError(f'invalid handshake: {error}') from error
--- a/src/nutmegroad/fleet/request_limits.py
+++ b/src/nutmegroad/fleet/request_limits.py
@@ -15,6 +15,7 @@
 
 from nutmegroad.fleet.gossip_queue import Source, cyclic_slice
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import Measure, Number
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import UpstreamIncarnation
 
@@ -79,10 +80,10 @@
     """
 
     upstream: str
-    limit: float
-    sequence: int
-    turn: int = 0
-    age: int = 0
+    limit: Measure
+    sequence: Number
+    turn: Number = 0
+    age: Number = 0
 
 
 LimitReport = tuple[ReportedLimit, ...]
--- a/src/nutmegroad/fleet/store_interface.py
+++ b/src/nutmegroad/fleet/store_interface.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
+from nutmegroad.foundations.decoding import Count
 from nutmegroad.foundations.results import Refusal
 
 #: Name of the table that holds the state shared by the hosts.
@@ -22,7 +23,7 @@
 
     key: str
     content: bytes
-    version: int
+    version: Count
     removed: bool = False
 
 
--- a/src/nutmegroad/fleet/table_updates.py
+++ b/src/nutmegroad/fleet/table_updates.py
@@ -22,6 +22,12 @@
     read_frame,
 )
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
+from nutmegroad.foundations.decoding import (
+    Measure,
+    MessageDecoder,
+    Number,
+    UndecodableError,
+)
 
 #: Maximum bytes of a frame for a follower that states no limit.
 BASE_FRAME_BYTES: Final = 65_536
@@ -41,11 +47,11 @@
     """
 
     table: str
-    base: int
-    version: int
-    store_time: float
+    base: Number
+    version: Number
+    store_time: Measure
     rows: tuple[StoredRow, ...] = ()
-    outage_age: float = 0
+    outage_age: Measure = 0
 
     def changes_after(self, version: int) -> RowsRead | None:
         """Return the changes after a version.
@@ -101,10 +107,10 @@
     """
 
     table: str
-    version: int
-    store_time: float
+    version: Number
+    store_time: Measure
     rows: tuple[StoredRow, ...] = ()
-    outage_age: float = 0
+    outage_age: Measure = 0
 
     def to_rows_read(self) -> RowsRead:
         """Return the snapshot as rows read from another host."""
@@ -136,8 +142,8 @@
         key: The key in the receiver's row of the fleet table.
     """
 
-    versions: dict[str, int] = {}
-    max_frame_bytes: int = BASE_FRAME_BYTES
+    versions: dict[str, Number] = {}
+    max_frame_bytes: Number = BASE_FRAME_BYTES
     key: str = ''
 
 
@@ -159,7 +165,9 @@
     TableUpdate | TableSnapshot | StoreUnavailable | KeepAlive | KnownVersions
 )
 
-_DECODER: Final = msgspec.msgpack.Decoder(TableMessage)
+_DECODER: Final = MessageDecoder[TableMessage](
+    msgspec.msgpack.Decoder(TableMessage)
+)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
 
@@ -213,6 +221,6 @@
     message = (await read_frame(reader)).message()
     try:
         return _DECODER.decode(message)
-    except msgspec.DecodeError as error:
+    except UndecodableError as error:
         size = len(message)
         raise FrameError(f'invalid message of {size} bytes: {error}') from error
--- a/src/nutmegroad/fleet/tunnel_messages.py
+++ b/src/nutmegroad/fleet/tunnel_messages.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from nutmegroad.foundations.decoding import Measure, Number
+
 
 class TunnelRequest(Struct, frozen=True, array_like=True, tag='t'):
     """Handshake of a host that asks for a connection to an upstream.
@@ -23,11 +25,11 @@
     host: str
     upstream: str
     address: str
-    timeout: float
+    timeout: Measure
     request: str = ''
     borrows: bool = False
-    content: int = 0
-    patience: float = 0
+    content: Number = 0
+    patience: Measure = 0
 
 
 class TunnelOpened(Struct, frozen=True, array_like=True, tag='o'):
@@ -48,7 +50,7 @@
     reason: str
     refused: bool = False
     withheld: bool = False
-    retry_after: float = 0
+    retry_after: Measure = 0
 
 
 TunnelReply = TunnelOpened | TunnelRefused
--- a/src/nutmegroad/relay/boundary.py
+++ b/src/nutmegroad/relay/boundary.py
@@ -8,8 +8,8 @@
 from nutmegroad.foundations.types import Address, DomainId, HostId, RegionId
 from nutmegroad.relay.budgets import RepeatLimit
 from nutmegroad.relay.counters import RelayCounters
-from nutmegroad.relay.tables import RowReader
 from nutmegroad.routes.headers import HeaderNames
+from nutmegroad.tables.row_reader import RowReader
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -62,6 +62,11 @@
             'call',
             'outcome',
         )
+        self._rejected_rows = self._counter(
+            'rejected_rows',
+            'Rows of the platform store that were left out',
+            'table',
+        )
         self._failed_tasks = self._counter(
             'task_failures',
             'Background tasks that ended while the host ran',
@@ -138,6 +143,10 @@
         self._store.labels(call, outcome).inc()
         self._store_seconds.labels(call).observe(seconds)
 
+    def row_rejected(self, table: str) -> None:
+        """Count a row of a table that was left out."""
+        self._rejected_rows.labels(table).inc()
+
     def task_failed(self, task: str) -> None:
         """Count a background task that ended while the host ran."""
         self._failed_tasks.labels(task).inc()
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -1,21 +1,21 @@
 """A relay host: builds its components, starts them, and stops gracefully."""
 
-import asyncio
 import random
-from collections.abc import Coroutine
 from contextlib import AsyncExitStack
-from typing import Any, Final
+from typing import Final
 
 from nutmegroad.canary.rollout_registry import RolloutRegistry
 from nutmegroad.canary.state import RolloutState, canary_share
 from nutmegroad.canary.steps import RolloutSteps
-from nutmegroad.fleet.feed_timing import bounded_timing, operator_timing
-from nutmegroad.fleet.followers import TableFollower
 from nutmegroad.fleet.host_registration import HostRow, new_link_key
 from nutmegroad.fleet.hosts import FleetHosts
-from nutmegroad.fleet.store_interface import FLEET_TABLE
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.supervision import (
+    Supervisor,
+    TaskLabel,
+    TaskStart,
+)
 from nutmegroad.overload.loop_monitor import LoopMonitor
 from nutmegroad.relay.assembly import (
     HostComponents,
@@ -25,7 +25,11 @@
 from nutmegroad.relay.boundary import HostSettings, Platform
 from nutmegroad.relay.connections import Connector
 from nutmegroad.relay.detours import Detours
-from nutmegroad.relay.fleet_table import FleetSink
+from nutmegroad.relay.followed_tables import (
+    PlatformState,
+    make_followers,
+    table_task,
+)
 from nutmegroad.relay.intake import Intake
 from nutmegroad.relay.listener import BoundSockets
 from nutmegroad.relay.serving import CallerHandler
@@ -36,9 +40,9 @@
     register_gauges,
     register_table_gauges,
 )
-from nutmegroad.relay.tables import OperatorSink
-from nutmegroad.relay.upstream_table import UpstreamSink
 from nutmegroad.routes.cached_configuration import CachedConfiguration
+from nutmegroad.tables.row_guard import RowGuard
+from nutmegroad.tables.upstream_table import UpstreamSink
 from nutmegroad.upstreams.directory import Directory
 from nutmegroad.upstreams.placement import Evacuations, Placement
 
@@ -143,15 +147,25 @@
     @property
     def ready(self) -> bool:
         """Whether this host wants new connections."""
-        if self._stopping:
+        if self._stopping or not self._follows_tables:
             return False
         return self._configuration.fresh and self._upstream_sink.listed
 
+    @property
+    def _follows_tables(self) -> bool:
+        """Whether the tasks run that follow what callers are served by.
+
+        A host where they don't may serve by an outdated state, so that callers
+        are better off at another one.
+        """
+        tables = self._platform.tables
+        required = {table_task(tables.operator), table_task(tables.upstreams)}
+        return required.isdisjoint(self._supervisor.failing)
+
     async def start(self) -> None:
         """Start following the platform's tables, and open the listeners."""
         await self._fleet.open(self._stack)
-        for name, work in self._background_tasks().items():
-            self._spawn(name, work)
+        self._supervisor.start(self._background_tasks(), self._stack)
         pages = StatusPages(
             self._settings.ready_path,
             lambda: self.ready,
@@ -219,6 +233,9 @@
         settings, clock = self._settings, self._clock
         names = self._platform.names
         self._loop_monitor = LoopMonitor(clock)
+        self._supervisor = Supervisor(
+            clock, self._platform.counters.task_failed
+        )
         self._directory = Directory(clock)
         #: Failure domains that the operator has evacuated.
         self.evacuations = Evacuations(clock)
@@ -295,6 +312,10 @@
             settings.drain_notice,
             settings.reconnect_bound,
             self._fleet.outages,
+            RowGuard(
+                self._platform.tables.upstreams,
+                self._platform.counters.row_rejected,
+            ),
         )
         self._steps = RolloutSteps(
             self._rollouts,
@@ -304,53 +325,27 @@
             self._fleet.duty_rank,
         )
 
-    def _background_tasks(self) -> dict[str, Coroutine[Any, Any, None]]:
+    def _background_tasks(self) -> dict[TaskLabel, TaskStart]:
         """Return the tasks that run for as long as the host, by name."""
-        followers = self._followers()
+        followers = make_followers(
+            self._settings,
+            self._platform,
+            self._fleet,
+            self._rollouts,
+            PlatformState(
+                self._configuration, self.evacuations, self._upstream_sink
+            ),
+        )
         register_table_gauges(self._platform.counters, followers)
         return {
-            **{f'table {each.table}': each.run() for each in followers},
+            **{table_task(each.table): each.run for each in followers},
             **self._fleet.tasks(),
-            'rollout steps': self._steps.run(),
-            'loop monitor': self._loop_monitor.run(),
-            'sweep': self._sweep(),
-            'connection timeouts': self._listeners.timeouts.run(),
+            TaskLabel('rollout steps'): self._steps.run,
+            TaskLabel('loop monitor'): self._loop_monitor.run,
+            TaskLabel('sweep'): self._sweep,
+            TaskLabel('connection timeouts'): self._listeners.timeouts.run,
         }
 
-    def _followers(self) -> tuple[TableFollower, ...]:
-        """Return the followers of the platform's tables."""
-        platform, settings = self._platform, self._settings
-        source = self._fleet.tables
-        operator = OperatorSink(
-            platform.reader,
-            self._configuration,
-            self._rollouts.registry,
-            self.evacuations,
-            self._upstream_sink.update_services,
-            self._fleet.shared_state.versions,
-        )
-        fleet = FleetSink(self._rollouts, self._fleet)
-        return (
-            source.follow(
-                platform.tables.operator,
-                operator,
-                operator_timing(
-                    settings.key_validity,
-                    min(settings.apply_bound, settings.evacuation_bound),
-                ),
-            ),
-            source.follow(
-                platform.tables.upstreams,
-                self._upstream_sink,
-                bounded_timing(settings.drain_notice),
-            ),
-            source.follow(
-                FLEET_TABLE,
-                fleet,
-                bounded_timing(settings.halt_bound),
-            ),
-        )
-
     async def _wait_until_ready(self) -> None:
         """Wait until callers can be served, up to a short limit."""
         latest = self._clock.now() + STARTUP_WAIT
@@ -362,17 +357,3 @@
         while True:
             await self._clock.sleep(SWEEP_INTERVAL)
             self._directory.remove_missing()
-
-    def _spawn(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Run a task until the host closes."""
-        task = asyncio.create_task(coroutine, name=name)
-        task.add_done_callback(self._record_end)
-        self._stack.callback(task.cancel)
-
-    def _record_end(self, task: asyncio.Task[None]) -> None:
-        """Record the end of a background task; none is expected."""
-        if task.cancelled():
-            return
-        name = task.get_name()
-        self._platform.counters.task_failed(name)
-        _LOG.exception('task %s ended', name, cause=task.exception())
--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -113,7 +113,8 @@
         raise ConnectionFailedError(
             reason, sent=False, timed_out=True
         ) from expired
-    except OSError as problem:
+    except (OSError, ValueError, OverflowError) as problem:
+        # The last two are raised for an address that no machine can have.
         sock.close()
         raise ConnectionFailedError(
             str(problem),
--- a/src/nutmegroad/relay/tunnels.py
+++ b/src/nutmegroad/relay/tunnels.py
@@ -24,13 +24,16 @@
     TunnelReply,
     TunnelRequest,
 )
+from nutmegroad.foundations.decoding import MessageDecoder, UndecodableError
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import Address, HostId
 from nutmegroad.relay.connections import UpstreamConnection
 from nutmegroad.relay.sockets import ConnectionFailedError, connect_protocol
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(TunnelReply)
+_DECODER: Final = MessageDecoder[TunnelReply](
+    msgspec.msgpack.Decoder(TunnelReply)
+)
 
 
 class TunnelProtocol(asyncio.Protocol):
@@ -61,7 +64,7 @@
         try:
             for frame in self._buffer.feed(received):
                 self._handle(frame)
-        except (FrameError, msgspec.DecodeError) as problem:
+        except (FrameError, UndecodableError) as problem:
             self._connection.fail(f'invalid tunnel: {problem}')
 
     def eof_received(self) -> None:
--- /dev/null
+++ b/src/nutmegroad/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's tables that a host follows, applied row by row."""
--- a/src/nutmegroad/tables/fleet_table.py
+++ b/src/nutmegroad/tables/fleet_table.py
@@ -4,9 +4,7 @@
 registration of each host.
 """
 
-from typing import Final
-
-import msgspec
+from functools import partial
 
 from nutmegroad.canary.rollouts import RolloutRow
 from nutmegroad.canary.state import RolloutState
@@ -16,10 +14,9 @@
 from nutmegroad.fleet.host_registration import HOST_KEY_PREFIX, HostRow
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
-from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.decoding import decode_json, is_host_ip
 from nutmegroad.foundations.types import HostId, ServiceName
-
-_LOG: Final = part_logger('fleet')
+from nutmegroad.tables.row_guard import RowGuard
 
 
 class FleetSink:
@@ -28,9 +25,13 @@
     Args:
         state: State of all rollouts.
         hosts: The other hosts.
+        guard: Isolates the rows of the table.
     """
 
-    def __init__(self, state: RolloutState, hosts: FleetHosts) -> None:
+    def __init__(
+        self, state: RolloutState, hosts: FleetHosts, guard: RowGuard
+    ) -> None:
+        self._guard = guard
         self._state = state
         self._hosts = hosts
 
@@ -49,10 +50,9 @@
 
     def apply(self, read: RowsRead) -> None:
         """Apply a table update."""
-        for row in read.rows:
-            if row.removed:
-                continue
-            self._apply_row(row, read.store_time)
+        self._guard.apply(
+            read.rows, partial(self._apply_row, store_time=read.store_time)
+        )
 
     def confirm(self, moment: float, read: RowsRead) -> None:
         """Do nothing: if rows are late, this host only reacts later."""
@@ -65,37 +65,46 @@
         self._hosts.on_store_restored()
 
     def _apply_row(self, row: StoredRow, store_time: float) -> None:
-        """Apply one row; log and ignore a row that can't be decoded."""
-        kind, _, rest = row.key.partition('/')
-        try:
-            self._decode(f'{kind}/', rest, row, store_time)
-        except msgspec.DecodeError as problem:
-            _LOG.decision('row ignored', key=row.key, reason=str(problem))
-
-    def _decode(
-        self,
-        kind: str,
-        name: str,
-        row: StoredRow,
-        store_time: float,
-    ) -> None:
-        """Decode and apply one row."""
+        """Apply one row.
+
+        What this host knows from an earlier state of a row that can't be read
+        remains: it only grows, or is the address of a host.
+
+        Raises:
+            UndecodableError: If the row can't be decoded.
+        """
+        if row.removed:
+            return
+        prefix, _, name = row.key.partition('/')
+        kind = f'{prefix}/'
         if kind == STEP_KEY:
-            step = msgspec.json.decode(row.content, type=RolloutRow)
-            self._state.registry.apply_progress(
-                ServiceName(name), step, row.version
-            )
+            self._apply_step(ServiceName(name), row)
         elif kind == EVIDENCE_KEY:
-            service, _, host = name.rpartition('/')
-            self._state.merge_evidence(
-                ServiceName(service),
-                HostId(host),
-                msgspec.json.decode(row.content, type=Evidence),
-            )
+            self._apply_evidence(name, row)
         elif kind == CRASHES_KEY_PREFIX:
             self._hosts.crash_rows.apply_row(name, row, store_time)
         elif kind == HOST_KEY_PREFIX:
-            self._hosts.add_host(
-                HostId(name),
-                msgspec.json.decode(row.content, type=HostRow),
+            self._apply_host(HostId(name), row)
+
+    def _apply_step(self, service: ServiceName, row: StoredRow) -> None:
+        """Apply the progress of a rollout."""
+        step = decode_json(row.content, RolloutRow)
+        self._state.registry.apply_progress(service, step, row.version)
+
+    def _apply_evidence(self, name: str, row: StoredRow) -> None:
+        """Apply the evidence of a host on a version."""
+        service, _, host = name.rpartition('/')
+        self._state.merge_evidence(
+            ServiceName(service),
+            HostId(host),
+            decode_json(row.content, Evidence),
+        )
+
+    def _apply_host(self, host: HostId, row: StoredRow) -> None:
+        """Apply the registration of a host."""
+        registration = decode_json(row.content, HostRow)
+        if not is_host_ip(registration.ip):
+            raise ValueError(
+                f'ip is {registration.ip!r}, not the IPv4 address of a machine'
             )
+        self._hosts.add_host(host, registration)
--- a/src/nutmegroad/tables/operator_table.py
+++ b/src/nutmegroad/tables/operator_table.py
@@ -1,61 +1,18 @@
-"""Applies updates of the platform's tables to a host's state."""
+"""Applies updates of the operator's table to a host's state."""
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
-from typing import Final, Protocol
 
 from nutmegroad.canary.rollout_registry import RolloutRegistry
 from nutmegroad.canary.rollouts import RolloutOrder
 from nutmegroad.fleet.received_versions import ReceivedVersions
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
-from nutmegroad.foundations.logs import part_logger
-from nutmegroad.foundations.types import DomainId, ServiceName, UpstreamId
+from nutmegroad.foundations.types import ServiceName
 from nutmegroad.routes.cached_configuration import CachedConfiguration
 from nutmegroad.routes.deployment import NO_VERSION, RoutingTable
-from nutmegroad.upstreams.directory import UpstreamEntry
+from nutmegroad.tables.row_guard import RowGuard
+from nutmegroad.tables.row_reader import RowReader, Unreadable
 from nutmegroad.upstreams.placement import EvacuationOrder, Evacuations
 
-_LOG: Final = part_logger('tables')
-
-
-@dataclass(frozen=True, slots=True)
-class Unreadable:
-    """A row that can't be decoded.
-
-    Attributes:
-        reason: What is wrong with it, for the log.
-    """
-
-    reason: str
-
-
-#: What a row of the operator's table holds; None if that is unknown.
-OperatorContent = (
-    RoutingTable | RolloutOrder | EvacuationOrder | Unreadable | None
-)
-
-
-class RowReader(Protocol):
-    """Decodes the platform's rows into the relay's types."""
-
-    def operator_row(
-        self,
-        row: StoredRow,
-    ) -> OperatorContent:
-        """Return the content of an operator's row, or None if it is unknown."""
-
-    def evacuated_domain(self, row: StoredRow) -> DomainId | None:
-        """Return the domain of an evacuation order, even of a removed one.
-
-        None if the row is no evacuation order.
-        """
-
-    def upstream_row(self, row: StoredRow) -> UpstreamEntry | Unreadable:
-        """Return an upstream's entry."""
-
-    def upstream_key(self, row: StoredRow) -> UpstreamId:
-        """Return the upstream id of a row, even if its entry was removed."""
-
 
 class OperatorSink:
     """Applies updates of the operator's table.
@@ -67,6 +24,7 @@
         evacuations: Receives the operator's evacuation orders.
         update_services: Receives the services of each configuration in force.
         versions: Versions of the configurations that hosts have in force.
+        guard: Isolates the rows of the table.
     """
 
     def __init__(
@@ -77,7 +35,9 @@
         evacuations: Evacuations,
         update_services: Callable[[Collection[ServiceName]], None],
         versions: ReceivedVersions,
+        guard: RowGuard,
     ) -> None:
+        self._guard = guard
         self._versions = versions
         self._reader = reader
         self._configuration = configuration
@@ -86,6 +46,8 @@
         self._update_services = update_services
         # Whether the table has been read since the host started.
         self._has_read = False
+        # Whether the newest configuration in the store could be applied.
+        self._is_applied = True
 
     def replace(self, read: RowsRead) -> None:
         """Apply a full snapshot."""
@@ -96,18 +58,15 @@
 
     def apply(self, read: RowsRead) -> None:
         """Apply a table update."""
-        for row in read.rows:
-            if row.removed:
-                self._apply_removal(row)
-            else:
-                self._apply(row)
+        self._guard.apply(read.rows, self._apply)
 
     def confirm(self, moment: float, read: RowsRead) -> None:
         """Record that no newer configuration existed at a clock time."""
         # If the store's configuration is older than one that a host has in
         # force, the store has lost the writes since then.
         if (
-            self._configuration.table is None
+            not self._is_applied
+            or self._configuration.table is None
             or self._versions.in_store < self._versions.newest
         ):
             return
@@ -130,6 +89,13 @@
 
     def _apply(self, row: StoredRow) -> None:
         """Apply one row."""
+        if row.removed:
+            self._apply_removal(row)
+            return
+        if self._reader.is_configuration(row):
+            # Until it is in force, nothing confirms the one before it: keys
+            # may have been revoked since.
+            self._is_applied = False
         content = self._reader.operator_row(row)
         if isinstance(content, RoutingTable):
             self._versions.in_store = content.version
@@ -137,14 +103,12 @@
             self._versions.own = max(self._versions.own, content.version)
             if self._configuration.table is content:
                 self._update_services(content.services)
+            self._is_applied = True
         elif isinstance(content, RolloutOrder):
             self._orders.apply_order(content, at_start=not self._has_read)
         elif isinstance(content, EvacuationOrder):
             self._evacuations.begin(content)
         elif isinstance(content, Unreadable):
-            _LOG.decision(
-                'operator row rejected',
-                key=row.key,
-                version=row.version,
-                reason=content.reason,
-            )
+            self._guard.reject(row.key, content.reason)
+            return
+        self._guard.clear(row.key)
--- a/src/nutmegroad/tables/upstream_table.py
+++ b/src/nutmegroad/tables/upstream_table.py
@@ -1,14 +1,16 @@
 """Applies updates of the platform's list of upstreams to the directory."""
 
 from collections.abc import Collection, Container
+from functools import partial
 from typing import Final
 
-from nutmegroad.fleet.store_interface import RowsRead
+from nutmegroad.fleet.store_interface import RowsRead, StoredRow
 from nutmegroad.fleet.store_probes import OutageRecord
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.types import ServiceName, UpstreamId
-from nutmegroad.relay.tables import RowReader, Unreadable
+from nutmegroad.tables.row_guard import RowGuard
+from nutmegroad.tables.row_reader import RowReader, Unreadable
 from nutmegroad.upstreams.directory import Directory, UpstreamEntry, has_left
 
 _LOG: Final = part_logger('tables')
@@ -32,42 +34,6 @@
 #: draining; the rest of the period is for requests that are on their way to it.
 DRAIN_FRACTION: Final = 0.6
 
-#: Maximum number of rejected entries that are logged for one reason, each once:
-#: enough to see who writes them.
-MAX_LOGGED_PER_REASON: Final = 5
-
-
-class RejectionLog:
-    """Logs rejected entries, once for each entry and reason.
-
-    A program that is not an upstream of this fleet may write an entry again
-    with each update, or write new ones continually.
-    """
-
-    def __init__(self) -> None:
-        self._logged: dict[UpstreamId, str] = {}
-
-    def log(self, upstream: UpstreamId, reason: str) -> None:
-        """Log a rejected entry, unless it or enough others were logged."""
-        if self._logged.get(upstream) == reason:
-            return
-        same_reason_count = sum(
-            logged == reason for logged in self._logged.values()
-        )
-        if same_reason_count >= MAX_LOGGED_PER_REASON:
-            return
-        self._logged[upstream] = reason
-        _LOG.decision(
-            'upstream entry rejected',
-            key=upstream,
-            reason=reason,
-            more_are_not_logged=same_reason_count + 1 == MAX_LOGGED_PER_REASON,
-        )
-
-    def clear(self, upstream: UpstreamId) -> None:
-        """Clear the reason of an entry that is valid again, or removed."""
-        self._logged.pop(upstream, None)
-
 
 class UpstreamSink:
     """Applies updates of the list of upstreams.
@@ -85,6 +51,7 @@
         reconnect_bound: Seconds after the store is reachable again within
             which upstreams that have left have to be removed.
         outages: When the store last did not answer.
+        guard: Isolates the rows of the list.
     """
 
     def __init__(
@@ -95,7 +62,9 @@
         notice: float,
         reconnect_bound: float,
         outages: OutageRecord,
+        guard: RowGuard,
     ) -> None:
+        self._guard = guard
         self._reconnect_bound = reconnect_bound
         self._outages = outages
         self._reader = reader
@@ -110,7 +79,6 @@
         # Entries of services that the configuration does not name yet, and
         # whether each was new to the list.
         self._pending_entries: dict[UpstreamId, tuple[UpstreamEntry, bool]] = {}
-        self._rejections = RejectionLog()
         # Entries of a restored list that this host knew to be outdated, with
         # their versions in that list.
         self._unconfirmed: dict[UpstreamId, tuple[UpstreamEntry, int]] = {}
@@ -145,7 +113,10 @@
         """Record that the store responds."""
         self._mark_available()
         if self._unconfirmed and self._clock.now() >= self._unconfirmed_until:
-            self._accept_unconfirmed()
+            # The store has kept them, so they are valid.
+            for entry, _ in self._unconfirmed.values():
+                self._put(entry, is_new=self.listed)
+            self._unconfirmed.clear()
 
     def on_store_unavailable(self) -> None:
         """Record that the store is unavailable."""
@@ -163,19 +134,39 @@
 
     def _apply(self, read: RowsRead, *, after_outage: bool) -> None:
         """Apply rows."""
-        for row in read.rows:
-            upstream = self._reader.upstream_key(row)
-            if row.removed:
-                self._unconfirmed.pop(upstream, None)
-                self._pending_entries.pop(upstream, None)
-                self._rejections.clear(upstream)
-                self._remove_or_keep(upstream, after_outage=after_outage)
-                continue
-            entry = self._reader.upstream_row(row)
-            if isinstance(entry, Unreadable):
-                self._reject(upstream, entry.reason)
-            elif not self._is_outdated(entry, row.version):
-                self._put(entry, is_new=self.listed)
+        self._guard.apply(
+            read.rows,
+            partial(self._apply_row, after_outage=after_outage),
+            self._drop,
+        )
+
+    def _apply_row(self, row: StoredRow, *, after_outage: bool) -> None:
+        """Apply one row.
+
+        Raises:
+            ValueError: If the entry can't be read.
+        """
+        upstream = self._reader.upstream_key(row)
+        if row.removed:
+            self._unconfirmed.pop(upstream, None)
+            self._pending_entries.pop(upstream, None)
+            self._guard.clear(upstream)
+            self._remove_or_keep(upstream, after_outage=after_outage)
+            return
+        entry = self._reader.upstream_row(row)
+        if isinstance(entry, Unreadable):
+            raise ValueError(entry.reason)
+        if not self._is_outdated(entry, row.version):
+            self._put(entry, is_new=self.listed)
+
+    def _drop(self, upstream: str) -> None:
+        """Remove the upstream of an entry that is rejected.
+
+        What was known of it is dropped, too: the entry may have said that the
+        upstream is leaving. A live upstream writes its entry again.
+        """
+        self._pending_entries.pop(UpstreamId(upstream), None)
+        self._directory.remove(UpstreamId(upstream), 'entry rejected')
 
     def _put(self, entry: UpstreamEntry, *, is_new: bool) -> None:
         """Apply an entry if the configuration names its service.
@@ -190,10 +181,11 @@
             self._pending_entries[upstream] = entry, is_new
         elif entry.service in self._services:
             self._pending_entries.pop(upstream, None)
-            self._rejections.clear(upstream)
+            self._guard.clear(upstream)
             self._directory.put(entry, is_new=is_new)
         else:
-            self._reject(upstream, 'service is not in the configuration')
+            self._drop(upstream)
+            self._guard.reject(upstream, 'service is not in the configuration')
             self._pending_entries[upstream] = entry, is_new
 
     def _is_outdated(self, entry: UpstreamEntry, version: int) -> bool:
@@ -216,18 +208,6 @@
         _LOG.decision('entry of a restored list ignored', upstream=upstream)
         return True
 
-    def _accept_unconfirmed(self) -> None:
-        """Apply ignored entries that the store has kept: they are valid."""
-        for entry, _ in self._unconfirmed.values():
-            self._put(entry, is_new=self.listed)
-        self._unconfirmed.clear()
-
-    def _reject(self, upstream: UpstreamId, reason: str) -> None:
-        """Remove a rejected entry from the directory, and log it once."""
-        self._pending_entries.pop(upstream, None)
-        self._directory.remove(upstream, reason)
-        self._rejections.log(upstream, reason)
-
     def _mark_available(self) -> bool:
         """Record that the store responds.
 
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -31,7 +31,6 @@
     ServiceName,
     UpstreamId,
 )
-from nutmegroad.relay.upstream_table import UpstreamSink
 from nutmegroad.routes.deployment import (
     ConfigurationVersion,
     RequestKind,
@@ -46,6 +45,8 @@
     PromptPart,
     SessionName,
 )
+from nutmegroad.tables.row_guard import RowGuard
+from nutmegroad.tables.upstream_table import UpstreamSink
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import (
     Directory,
@@ -203,4 +204,5 @@
         notice=2,
         reconnect_bound=3,
         outages=OutageRecord(clock) if outages is None else outages,
+        guard=RowGuard('servers'),
     )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -28,11 +28,11 @@
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import Address, Ran
 from nutmegroad.relay.counters import RelayCounters
-from nutmegroad.relay.tables import Unreadable
 from nutmegroad.routes.deployment import (
     RequestKind,
     RoutingTable,
 )
+from nutmegroad.tables.row_reader import Unreadable
 from nutmegroad.upstreams.directory import UpstreamEntry
 from nutmegroad_platform.early_sockets import EarlySockets
 from nutmegroad_platform.fields import SETTINGS_VARIABLE
--- a/tests/test_reconnected_hosts.py
+++ b/tests/test_reconnected_hosts.py
@@ -37,7 +37,8 @@
 from nutmegroad.fleet.update_server import UpdateServer
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import HostId, ServiceName
-from nutmegroad.relay.upstream_table import UpstreamSink
+from nutmegroad.tables.row_guard import RowGuard
+from nutmegroad.tables.upstream_table import UpstreamSink
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import Directory
 from nutmegroad_platform.rows import RowCodec
@@ -189,6 +190,7 @@
             DRAIN,
             CONTACT,
             self.server.outages,
+            RowGuard(UPSTREAMS),
         )
         self.sink.update_services([SERVICE])
         store_clock = StoreClock(clock)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -26,15 +26,15 @@
 )
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import UpstreamId
-from nutmegroad.relay.upstream_table import (
-    REAPPEAR_SECONDS,
-    UNCONFIRMED_SECONDS,
-)
 from nutmegroad.routes.cached_configuration import (
     KEY_VALIDITY_MARGIN,
     RESTORE_SETTLE_SECONDS,
     CachedConfiguration,
 )
+from nutmegroad.tables.upstream_table import (
+    REAPPEAR_SECONDS,
+    UNCONFIRMED_SECONDS,
+)
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import Directory
 from tests.relay_rig import HOST, KEY, Rig, route
--- a/tests/test_upstream_restarts.py
+++ b/tests/test_upstream_restarts.py
@@ -16,8 +16,8 @@
 from nutmegroad.fleet.loads import NO_LOAD, Load, LoadLedger
 from nutmegroad.fleet.store_interface import RowsRead, StoredRow
 from nutmegroad.foundations.types import HostId, ServiceName, UpstreamId
-from nutmegroad.relay.tables import Unreadable
-from nutmegroad.relay.upstream_table import MAX_LOGGED_PER_REASON
+from nutmegroad.tables.row_guard import MAX_LOGGED_PER_REASON
+from nutmegroad.tables.row_reader import Unreadable
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad.upstreams.directory import (
     Directory,
