Refuse odd rows and list entries in the daemon, and supervise its tasks

The platform's host list is one document; one entry in it that is nested deeply, names a port of 70000 or holds a lone surrogate made the whole list unreadable or ended the task that reads it, so that the directory stayed as it was. Rows of the table that the hosts write themselves were decoded without a guard: an odd head row ended the task that polls the configuration, an odd lease the duty, one odd roll-out the reading of all.

The list is split into its entries, and each is decoded by itself; what is left out is logged once. A row that can't be decoded is a refusal, TABLE_ROW_INVALID; an intent that can't be is an unknown outcome, since an earlier request with its key may have run. A lease whose row can't be read is not taken: the number that its order has to exceed is unknown. Tasks of the kernel, the watch and the membership are started again when they fail; `task_failures` counts them, and `/readyz` fails while the configuration's does.

--- a/src/nutmegroad/adapters/_event_streams.py
+++ b/src/nutmegroad/adapters/_event_streams.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 from msgspec.json import Decoder
 
 from nutmegroad.contracts.upstreams import AnswerEnd, AnswerEvent, Piece
+from nutmegroad.foundations.decoding import MessageDecoder, UndecodableError
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import AttemptId, Ran
 
@@ -57,7 +58,7 @@
     usage: Usage | None = None
 
 
-_chunk_decoder: Final = Decoder(Chunk)
+_CHUNK_DECODER: Final = MessageDecoder[Chunk](Decoder(Chunk))
 
 
 @dataclass(slots=True)
@@ -86,8 +87,8 @@
         if event == _DONE:
             return self.close()
         try:
-            chunk = _chunk_decoder.decode(event)
-        except DecodeError as error:
+            chunk = _CHUNK_DECODER.decode(event)
+        except UndecodableError as error:
             reason = f'The engine sent a malformed event: {error}.'
             return self._stop(ResultCode.UPSTREAM_ERROR, reason)
         return self._read_chunk(chunk)
--- a/src/nutmegroad/adapters/_http_answers.py
+++ b/src/nutmegroad/adapters/_http_answers.py
@@ -20,6 +20,7 @@
     upstream_url,
 )
 from nutmegroad.contracts.upstreams import AnswerEnd, AnswerEvent, Attempt
+from nutmegroad.foundations.decoding import UndecodableError, decode_json
 from nutmegroad.foundations.event_streams import EventStreamSplitter
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran
@@ -82,7 +83,7 @@
         """Send the request and yield the answer; failures become a refusal."""
         try:
             body = _answer_body(self._attempt)
-        except msgspec.DecodeError as error:
+        except UndecodableError as error:
             reason = f'The request body is not a JSON object: {error}.'
             yield Refusal(ResultCode.BODY_MALFORMED, reason)
             return
@@ -158,8 +159,8 @@
 def _refusal_for_status(status: int, body: bytes) -> Refusal:
     """Return the refusal for an engine's error reply."""
     try:
-        code = msgspec.json.decode(body, type=ErrorReply).error.code
-    except msgspec.DecodeError:
+        code = decode_json(body, ErrorReply).error.code
+    except UndecodableError:
         code = ''
     known = _NOT_RUN_ERRORS.get((status, code))
     if known is None:
@@ -173,9 +174,9 @@
     """Return the body for the engine, with the version and streaming set.
 
     Raises:
-        msgspec.DecodeError: If the attempt's body is not a JSON object.
+        UndecodableError: If the attempt's body is not a JSON object.
     """
-    body = msgspec.json.decode(attempt.body, type=dict[str, Any])
+    body = decode_json(attempt.body, dict[str, Any])
     body['model'] = attempt.version
     body['stream'] = True
     return msgspec.json.encode(body)
--- a/src/nutmegroad/adapters/_http_platform.py
+++ b/src/nutmegroad/adapters/_http_platform.py
@@ -16,16 +16,15 @@
     ClientTimeout,
     TCPConnector,
 )
-from msgspec import DecodeError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 from yarl import URL
 
 from nutmegroad.adapters._complete_responses import CompleteResponse
+from nutmegroad.adapters._host_listings import decode_listing
 from nutmegroad.adapters._http_traffic import record_exchange
 from nutmegroad.adapters._platform_bodies import (
     CommitBody,
     ConflictBody,
-    ListingBody,
     LoadRateBody,
     NamesBody,
     RatingsBody,
@@ -41,6 +40,8 @@
     RowWrite,
 )
 from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.decoding import UndecodableError, decode_json
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Address, Ran
 from nutmegroad.kernel.registry import register
@@ -51,6 +52,8 @@
 #: Seconds after which a failed call may be retried.
 RETRY_AFTER: Final = 1.0
 
+_LOG: Final = part_logger('platform')
+
 _PLUGIN_NAME: Final = 'http'
 _GET: Final = 'GET'
 _Body = TypeVar('_Body')
@@ -158,8 +161,8 @@
     ) -> _Body | Refusal:
         """Decode the JSON body of a reply."""
         try:
-            return decode(reply.body, type=kind)
-        except (DecodeError, UnicodeDecodeError) as error:
+            return decode_json(reply.body, kind)
+        except UndecodableError as error:
             return self._failure(call, f'sent a malformed reply: {error}')
 
     def _refuse_status(self, call: _Call, reply: _Reply) -> Refusal:
@@ -303,10 +306,37 @@
     _code = ResultCode.HOST_LIST_UNAVAILABLE
     _part = 'host list'
 
+    def __init__(
+        self,
+        session: ClientSession,
+        address: Address,
+        timeout: float = CALL_TIMEOUT,
+        account: Account | None = None,
+    ) -> None:
+        super().__init__(session, address, timeout, account)
+        # Why entries of the last list were left out.
+        self._rejected: tuple[str, ...] = ()
+
     async def listing(self) -> Listing | Refusal:
-        """Return the current host list of the platform."""
-        body = await self._fetch_body(_Call('/hosts'), ListingBody)
-        return body if isinstance(body, Refusal) else body.to_listing()
+        """Return the current host list, without entries that are invalid."""
+        call = _Call('/hosts')
+        reply = await self._send(call)
+        if isinstance(reply, Refusal):
+            return reply
+        if reply.status != HTTPStatus.OK:
+            return self._refuse_status(call, reply)
+        try:
+            decoded = decode_listing(reply.body)
+        except UndecodableError as error:
+            return self._failure(call, f'sent a malformed reply: {error}')
+        if decoded.rejected and decoded.rejected != self._rejected:
+            _LOG.warning(
+                'host list: %d entries left out, the first: %s',
+                len(decoded.rejected),
+                decoded.rejected[0],
+            )
+        self._rejected = decoded.rejected
+        return decoded.listing
 
 
 @register('ratings', _PLUGIN_NAME)
--- a/src/nutmegroad/adapters/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -4,7 +4,6 @@
 from types import MappingProxyType
 from typing import Any, Final, Self, cast
 
-import msgspec
 from aiohttp import (
     ClientError,
     ClientResponse,
@@ -38,7 +37,6 @@
     TimeoutError,
     GateClosed,
     ValueError,
-    msgspec.DecodeError,
 )
 
 #: Header by which an upstream names the requests in a second that it takes.
--- a/src/nutmegroad/adapters/_http_upstreams.py
+++ b/src/nutmegroad/adapters/_http_upstreams.py
@@ -33,6 +33,7 @@
     ServiceReply,
 )
 from nutmegroad.foundations.accounting import Account
+from nutmegroad.foundations.decoding import decode_json
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
@@ -123,7 +124,7 @@
                 body = await response.read_at_most(MAX_REPORT_BYTES)
                 size = len(body)
                 record_exchange(self._account, REPORTS_PART, response, 0, size)
-            reply = msgspec.json.decode(body, type=ReportReply)
+            reply = decode_json(body, ReportReply)
         except FAILURES as error:
             return refusal_for_error(error, send_state)
         return EngineReport(
--- a/src/nutmegroad/adapters/_platform_bodies.py
+++ b/src/nutmegroad/adapters/_platform_bodies.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from nutmegroad.contracts.platform import Listing, Rating, Row, RowWrite
+from nutmegroad.foundations.decoding import Port, is_host_ip
 from nutmegroad.foundations.types import (
     Address,
     DomainId,
@@ -70,7 +71,7 @@
     host: HostId
     domain: DomainId
     ip: str
-    port: int
+    port: Port
     presence: Presence = Presence.LIVE
 
     @classmethod
@@ -86,8 +87,12 @@
         )
 
     def to_host(self) -> HostInfo:
-        """Return the host that the entry describes."""
-        address = Address(self.ip, self.port)
+        """Return the host that the entry describes.
+
+        Raises:
+            ValueError: If its IP address is none.
+        """
+        address = _address(self.ip, self.port)
         return HostInfo(self.host, self.domain, address, self.presence)
 
 
@@ -98,7 +103,7 @@
     domain: DomainId
     kind: UpstreamKind
     ip: str
-    port: int
+    port: Port
     presence: Presence = Presence.LIVE
     service: ServiceName = ServiceName('')
 
@@ -116,12 +121,16 @@
         )
 
     def to_upstream(self) -> UpstreamInfo:
-        """Return the upstream that the entry describes."""
+        """Return the upstream that the entry describes.
+
+        Raises:
+            ValueError: If its IP address is none.
+        """
         return UpstreamInfo(
             upstream=self.upstream,
             domain=self.domain,
             kind=self.kind,
-            address=Address(self.ip, self.port),
+            address=_address(self.ip, self.port),
             presence=self.presence,
             service=self.service,
         )
@@ -147,3 +156,14 @@
             tuple(entry.to_host() for entry in self.hosts),
             tuple(entry.to_upstream() for entry in self.upstreams),
         )
+
+
+def _address(ip: str, port: int) -> Address:
+    """Return the address of an entry.
+
+    Raises:
+        ValueError: If the IP address is none that a machine can have.
+    """
+    if not is_host_ip(ip):
+        raise ValueError(f'ip is {ip!r}, not the IPv4 address of a machine')
+    return Address(ip, port)
--- a/src/nutmegroad/callers/named_sessions.py
+++ b/src/nutmegroad/callers/named_sessions.py
@@ -25,11 +25,15 @@
     RowWrite,
     Table,
 )
+from nutmegroad.foundations.decoding import UndecodableError, decode_json
 from nutmegroad.foundations.invariants import Invariants
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import HostId, WorkspaceId
 from nutmegroad.membership.duties import Duties, DutyName
 
+_LOG: Final = part_logger('sessions')
+
 _PREFIX: Final = 'session/'
 
 #: Maximum number of sessions that a host caches; the least recently used is
@@ -116,7 +120,10 @@
         row = await self._table.read(key)
         if isinstance(row, Refusal):
             return _unknown(name)
-        return self._store(key, row.text) if row.version > ABSENT else None
+        if row.version == ABSENT:
+            return None
+        stored = self._store(key, row.text)
+        return _unknown(name) if stored is None else stored
 
     async def begin(self, token: SessionToken) -> SessionToken | Refusal:
         """Start a session, or return the one that was started before."""
@@ -134,13 +141,23 @@
         if isinstance(row, Refusal) or row.version == ABSENT:
             return _unknown(token.name)
         stored = self._store(key, row.text)
+        if stored is None:
+            return _unknown(token.name)
         message = SessionMemory(key, row.text)
         for host in self._cache_peers(key):
             self._mesh.send(host, message)
         return stored
 
-    def _store(self, key: str, text: str) -> SessionToken:
-        """Cache the row of a session, and return the session."""
+    def _store(self, key: str, text: str) -> SessionToken | None:
+        """Cache the row of a session, and return the session.
+
+        Returns:
+            None, and nothing is cached, if the row is that of no session.
+        """
+        session = _session(text)
+        if session is None:
+            _LOG.warning('row %r is that of no session', key)
+            return None
         before = self._cache.get(key)
         self._invariants.check(
             'session-row-never-changes',
@@ -151,7 +168,7 @@
         self._cache.move_to_end(key)
         if len(self._cache) > MAX_CACHED:
             self._cache.popitem(last=False)
-        return msgspec.json.decode(text, type=SessionToken)
+        return session
 
     def _cached_text(self, key: str) -> str:
         """Return the row that this host has cached; empty if none."""
@@ -165,7 +182,7 @@
             for host in self._cache_peers(key)
         ]
         for reply in await asyncio.gather(*asks):
-            if isinstance(reply, SessionMemory) and _is_session(reply.text):
+            if isinstance(reply, SessionMemory) and _session(reply.text):
                 return reply.text
         return ''
 
@@ -190,17 +207,15 @@
         memory: SessionMemory,
     ) -> None:
         """Cache a session that another host has started."""
-        if _is_session(memory.text):
-            self._store(memory.key, memory.text)
+        self._store(memory.key, memory.text)
 
 
-def _is_session(text: str) -> bool:
-    """Return whether text from another host is the row of a session."""
+def _session(text: str) -> SessionToken | None:
+    """Return the session of a row; None if the row is that of none."""
     try:
-        msgspec.json.decode(text, type=SessionToken)
-    except msgspec.DecodeError:
-        return False
-    return True
+        return decode_json(text, SessionToken)
+    except UndecodableError:
+        return None
 
 
 def _key(workspace: WorkspaceId, name: str) -> RowKey:
--- a/src/nutmegroad/callers/replies.py
+++ b/src/nutmegroad/callers/replies.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from nutmegroad.callers._http_statuses import status_of
+from nutmegroad.foundations.decoding import decode_json
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran, RequestId, VersionId
 from nutmegroad.records.forwards import ForwardedReply
@@ -222,7 +223,7 @@
 
 def read_answer(body: bytes) -> Answer:
     """Return the answer from the JSON that `answer_body` made."""
-    decoded = msgspec.json.decode(body, type=AnswerBody)
+    decoded = decode_json(body, AnswerBody)
     choice = decoded.choices[0]
     return Answer(
         version=VersionId(decoded.model),
--- a/src/nutmegroad/configuration/heads.py
+++ b/src/nutmegroad/configuration/heads.py
@@ -37,6 +37,7 @@
     RowWrite,
     Table,
 )
+from nutmegroad.contracts.rows import decode_row
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Digest, PresetName, Ran, Revision
 
@@ -118,19 +119,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _HeadRows:
-    """The head and history rows that a move is based on."""
+    """The head and history rows that a move is based on, and their content."""
 
     head_row: Row
     history_row: Row
-
-    @property
-    def head(self) -> Head:
-        """The decoded head."""
-        return _decode(self.head_row)
+    head: Head
+    history: History
 
     def writes(self, new_head: Head) -> tuple[RowWrite, ...]:
         """Return the row writes that move the head."""
-        history = _decode_history(self.history_row).extended(new_head)
+        history = self.history.extended(new_head)
         return (
             _write_of(self.head_row, new_head),
             _write_of(self.history_row, history),
@@ -260,7 +258,12 @@
         history_row = await self._table.read(HISTORY_KEY)
         if isinstance(history_row, Refusal):
             return history_row
-        return _HeadRows(head_row, history_row)
+        head, history = _decode(head_row), _decode_history(history_row)
+        if isinstance(head, Refusal):
+            return head
+        if isinstance(history, Refusal):
+            return history
+        return _HeadRows(head_row, history_row, head, history)
 
     async def _write(
         self,
@@ -322,18 +325,18 @@
     )
 
 
-def _decode(row: Row) -> Head:
+def _decode(row: Row) -> Head | Refusal:
     """Decode a head row; one that was never written is revision 0."""
     if not row.text:
         return Head()
-    return msgspec.json.decode(row.text, type=Head)
+    return decode_row(row, Head)
 
 
-def _decode_history(row: Row) -> History:
+def _decode_history(row: Row) -> History | Refusal:
     """Decode a history row; one that was never written has no moves."""
     if not row.text:
         return History()
-    return msgspec.json.decode(row.text, type=History)
+    return decode_row(row, History)
 
 
 def _write_of(row: Row, content: Struct) -> RowWrite:
--- a/src/nutmegroad/configuration/leases.py
+++ b/src/nutmegroad/configuration/leases.py
@@ -17,6 +17,7 @@
 from msgspec import Struct
 
 from nutmegroad.contracts.platform import Conflict, Row, RowKey, RowWrite, Table
+from nutmegroad.contracts.rows import decode_row
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
@@ -148,6 +149,10 @@
         if isinstance(row, Refusal):
             return row
         content = _decode(row)
+        if isinstance(content, Refusal):
+            # The number of the last lease is not known, so none can follow it.
+            self._held.pop(name, None)
+            return content
         if content.holder == self._holder:
             return await self._write(name, row, content.number)
         self._held.pop(name, None)
@@ -165,7 +170,10 @@
         if lease is None:
             return
         row = await self._table.read(_key(name))
-        if isinstance(row, Refusal) or _decode(row).holder != self._holder:
+        if isinstance(row, Refusal):
+            return
+        content = _decode(row)
+        if isinstance(content, Refusal) or content.holder != self._holder:
             return
         free = LeaseRow(number=lease.number, nonce=self._nonces())
         await self._table.commit(
@@ -219,7 +227,10 @@
         row = await self._table.read(key)
         if isinstance(row, Refusal):
             return refusal
-        return (row,) if _decode(row).nonce == wanted.nonce else refusal
+        content = _decode(row)
+        if isinstance(content, Refusal) or content.nonce != wanted.nonce:
+            return refusal
+        return (row,)
 
     def _store_lease(self, name: str, number: int, started: float) -> Lease:
         """Record a lease that was acquired or renewed."""
@@ -241,11 +252,11 @@
     return RowKey(f'{_PREFIX}{name}')
 
 
-def _decode(row: Row) -> LeaseRow:
+def _decode(row: Row) -> LeaseRow | Refusal:
     """Decode a row; one that was never written is a free lease."""
     if not row.text:
         return LeaseRow()
-    return msgspec.json.decode(row.text, type=LeaseRow)
+    return decode_row(row, LeaseRow)
 
 
 def _encode(content: LeaseRow) -> str:
--- a/src/nutmegroad/configuration/part.py
+++ b/src/nutmegroad/configuration/part.py
@@ -1,5 +1,6 @@
 """The kernel part that keeps this host's configuration up to date."""
 
+from functools import partial
 from typing import Final
 
 from nutmegroad.configuration.announcements import Announcer
@@ -42,9 +43,14 @@
             kernel.settings.domain,
         )
         await poller.poll()
-        kernel.spawn(poller.run(), 'configuration')
+        kernel.spawn(poller.run, 'configuration')
         kernel.spawn(
-            update_metrics(configuration, kernel.need(Metrics), kernel.clock),
+            partial(
+                update_metrics,
+                configuration,
+                kernel.need(Metrics),
+                kernel.clock,
+            ),
             'configuration metrics',
         )
         kernel.provide(Configuration, configuration)
@@ -81,7 +87,7 @@
         kernel.randomness,
         kernel.settings.poll,
     )
-    kernel.spawn(announcer.run(), 'announcements')
+    kernel.spawn(announcer.run, 'announcements')
     return poller
 
 
--- a/src/nutmegroad/daemon/part.py
+++ b/src/nutmegroad/daemon/part.py
@@ -1,5 +1,6 @@
 """Parts for draining notices, pauses, lateness, graceful stop and sessions."""
 
+from functools import partial
 from typing import Final
 
 from nutmegroad.callers.named_sessions import NamedSessions
@@ -55,9 +56,9 @@
         gatekeeper = kernel.need(Gatekeeper)
         gatekeeper.add_condition(detector.dispatch_refusal)
         gatekeeper.on_pause(detector.wait_until_confirmed)
-        kernel.spawn(detector.run(), 'pauses')
+        kernel.spawn(detector.run, 'pauses')
         kernel.spawn(
-            detector.confirm_after_pauses(poller.poll), 'confirmations'
+            partial(detector.confirm_after_pauses, poller.poll), 'confirmations'
         )
         kernel.provide(PauseDetector, detector)
 
@@ -71,7 +72,7 @@
     async def open(self, kernel: Kernel) -> None:
         """Start to measure."""
         monitor = LoopMonitor(kernel.clock)
-        kernel.spawn(monitor.run(), 'loop monitor')
+        kernel.spawn(monitor.run, 'loop monitor')
         kernel.provide(LoopMonitor, monitor)
 
 
--- a/src/nutmegroad/foundations/_system_codes.py
+++ b/src/nutmegroad/foundations/_system_codes.py
@@ -123,6 +123,12 @@
         INTERNAL_ONLY,
         NotRun.NONE,
     ),
+    CodeMeaning(
+        ResultCode.TABLE_ROW_INVALID,
+        'A row of the table can not be decoded; another program wrote it.',
+        INTERNAL_ONLY,
+        NotRun.NONE,
+    ),
     CodeMeaning(
         ResultCode.PEER_UNREACHABLE,
         'Another host did not answer.',
--- a/src/nutmegroad/foundations/metrics.py
+++ b/src/nutmegroad/foundations/metrics.py
@@ -74,6 +74,7 @@
     _CounterSpec('cost', 'Cost of requests', ('workspace', 'task')),
     _CounterSpec('invariant_failures', 'Invariants broken', ('name',)),
     _CounterSpec('record_events', 'What befell records', ('event',)),
+    _CounterSpec('task_failures', 'Background tasks that failed', ('task',)),
     _CounterSpec('dropped_replies', 'Replies that came for nobody', ('kind',)),
     _CounterSpec(
         'connection_events', "What befell callers' connections", ('event',)
@@ -225,6 +226,10 @@
         """Count an event in the handling of records."""
         self._add('record_events', event)
 
+    def task_failed(self, task: str) -> None:
+        """Count a background task that failed and is started again."""
+        self._add('task_failures', task)
+
     def reply_dropped(self, kind: str) -> None:
         """Count a reply that nobody waits for, such as a late one."""
         self._add('dropped_replies', kind)
--- a/src/nutmegroad/foundations/supervision.py
+++ b/src/nutmegroad/foundations/supervision.py
@@ -1,6 +1,6 @@
 """Supervision of tasks that have to run for as long as their host.
 
-What such a task keeps current grows old once it has ended. It is therefore
+What such a task keeps current grows old once it has failed. It is therefore
 started again, and its owner can tell which tasks do not run as they should.
 """
 
@@ -17,8 +17,8 @@
 
 TaskLabel = NewType('TaskLabel', str)
 
-#: Seconds until a task that has ended is started again. The pause doubles with
-#: each further end.
+#: Seconds until a task that has failed is started again. The pause doubles with
+#: each further failure.
 MIN_RESTART_PAUSE: Final = 0.1
 MAX_RESTART_PAUSE: Final = 5.0
 
@@ -56,16 +56,16 @@
 
 
 class Supervisor:
-    """Starts tasks again that end although they should not.
+    """Starts tasks again that fail.
 
     Args:
         clock: The host's clock.
-        on_failure: Called with the name of each task that has ended.
+        on_failure: Called with the name of each task that has failed.
     """
 
     @property
     def failing(self) -> tuple[TaskLabel, ...]:
-        """Names of the tasks that have ended a short time ago."""
+        """Names of the tasks that have failed a short time ago."""
         oldest = self._clock.now() - STABLE_SECONDS
         return tuple(
             name
@@ -91,28 +91,27 @@
             stack.callback(task.cancel)
 
     async def run(self, name: TaskLabel, start: TaskStart) -> None:
-        """Run a task, and start it again whenever it ends, until cancelled.
+        """Run a task to its end, and start it again whenever it fails.
 
         Args:
             name: Name of the task.
             start: Runs it from its beginning.
         """
         while True:
-            problem: Exception | None = None
             try:
-                await start()
-            except Exception as error:
-                problem = error
-            await self._clock.sleep(self._record(name, problem))
+                return await start()
+            except Exception as problem:
+                pause = self._record(name, problem)
+            await self._clock.sleep(pause)
 
-    def _record(self, name: TaskLabel, problem: Exception | None) -> float:
-        """Record the end of a task, and return the pause until its start."""
+    def _record(self, name: TaskLabel, problem: Exception) -> float:
+        """Record a failure of a task, and return the pause until its start."""
         failures = self._failures.setdefault(name, _Failures())
         pause = failures.record(self._clock.now())
         if self._on_failure is not None:
             self._on_failure(name)
         _LOG.exception(
-            'task %s ended (%d in a row), is started again in %.1f s',
+            'task %s failed (%d in a row), is started again in %.1f s',
             name,
             failures.count,
             pause,
--- a/src/nutmegroad/kernel/core.py
+++ b/src/nutmegroad/kernel/core.py
@@ -15,7 +15,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Mapping
 from contextlib import AsyncExitStack, suppress
 from types import MappingProxyType
 from typing import Any, Final, Protocol, Self, TypeVar, cast
@@ -23,13 +23,16 @@
 from nutmegroad.foundations.accounting import Account, MeteredCoroutine
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.exceptions import RegistryError
-from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.supervision import (
+    Supervisor,
+    TaskLabel,
+    TaskStart,
+)
 from nutmegroad.foundations.types import Address, Incarnation
 from nutmegroad.kernel.registry import registered
 from nutmegroad.kernel.settings import Settings
 
-_LOG: Final = part_logger('kernel')
-
 Provided = TypeVar('Provided')
 
 
@@ -78,6 +81,8 @@
         nonce = f'{randomness.getrandbits(64):016x}'
         self.incarnation = Incarnation(f'{settings.host}.{nonce}')
         self.stack = AsyncExitStack()
+        #: Starts background tasks again that fail.
+        self.supervisor = Supervisor(clock, self._count_failure)
         #: The address that each listener is bound to, by its name.
         self.listening: dict[str, Address] = {}
         self._provided: dict[type[Any], Any] = {}
@@ -122,23 +127,23 @@
 
     def spawn(
         self,
-        coroutine: Coroutine[Any, Any, None],
+        start: TaskStart,
         name: str,
     ) -> asyncio.Task[None]:
         """Run a background task until the kernel closes.
 
-        A failure of the task is logged. Its processor time is accounted
+        A task that fails is started again. Its processor time is accounted
         under its name.
 
         Args:
-            coroutine: What the task runs.
+            start: Runs the task from its beginning.
             name: Name of the task.
         """
+        coroutine = self.supervisor.run(TaskLabel(name), start)
         account = self._provided.get(Account)
         if account is not None:
             coroutine = MeteredCoroutine(account, name, coroutine)
         task = asyncio.create_task(coroutine, name=name)
-        task.add_done_callback(_log_failure)
         self.stack.push_async_callback(_cancel, task)
         return task
 
@@ -170,16 +175,11 @@
             for name in ready:
                 await waiting.pop(name).open(self)
 
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    """Log the exception of a task that failed."""
-    if task.cancelled() or task.exception() is None:
-        return
-    _LOG.exception(
-        'task %s failed',
-        task.get_name(),
-        cause=task.exception(),
-    )
+    def _count_failure(self, name: TaskLabel) -> None:
+        """Count a background task that failed."""
+        metrics = self._provided.get(Metrics)
+        if metrics is not None:
+            metrics.task_failed(name)
 
 
 async def _cancel(task: asyncio.Task[None]) -> None:
--- a/src/nutmegroad/kernel/part.py
+++ b/src/nutmegroad/kernel/part.py
@@ -1,6 +1,7 @@
 """The kernel part that provides metrics, accounting and invariants."""
 
 import time
+from functools import partial
 from typing import Final
 
 from nutmegroad.foundations._cost_metrics import CostPublisher
@@ -30,7 +31,7 @@
         kernel.provide(Invariants, CountedInvariants(metrics))
         publisher = CostPublisher(ledger, metrics)
         kernel.provide(CostPublisher, publisher)
-        kernel.spawn(_publish(kernel, publisher), 'metrics')
+        kernel.spawn(partial(_publish, kernel, publisher), 'metrics')
 
 
 async def _publish(kernel: Kernel, publisher: CostPublisher) -> None:
--- a/src/nutmegroad/membership/members.py
+++ b/src/nutmegroad/membership/members.py
@@ -7,15 +7,20 @@
 hosts, is considered unreachable; its records are kept.
 """
 
-from collections.abc import Coroutine
+from functools import partial
 from types import TracebackType
-from typing import Any, Final, Self
+from typing import Final, Self
 
 from nutmegroad.contracts.peers import Member
 from nutmegroad.contracts.platform import HostList
 from nutmegroad.foundations._owned_tasks import OwnedTasks
 from nutmegroad.foundations.accounting import MeteredCoroutine
 from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.supervision import (
+    Supervisor,
+    TaskLabel,
+    TaskStart,
+)
 from nutmegroad.foundations.types import DomainId, HostId, Presence
 from nutmegroad.membership._coordinator import Coordinator
 from nutmegroad.membership._member_context import LinkLayer, MemberContext
@@ -58,6 +63,7 @@
         self._reachability = reachability
         self._coordinator = Coordinator(context, links, table, reachability)
         self._tasks = OwnedTasks()
+        self._supervisor = Supervisor(context.clock)
 
     @property
     def host(self) -> HostId:
@@ -82,9 +88,12 @@
     async def __aenter__(self) -> Self:
         """Start sending heartbeats and discovering hosts."""
         self._coordinator.open()
-        self._start_task(self._send_heartbeats())
+        self._start_task('heartbeats', self._send_heartbeats)
         if self._context.host_list is not None:
-            self._start_task(self._poll_host_list(self._context.host_list))
+            self._start_task(
+                'host list',
+                partial(self._poll_host_list, self._context.host_list),
+            )
         return self
 
     async def __aexit__(
@@ -143,6 +152,7 @@
             jitter = self._context.randomness.uniform(1, 2)
             await self._context.clock.sleep(_MIN_LIST_INTERVAL * jitter)
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, name: str, start: TaskStart) -> None:
         account = self._context.account
+        work = self._supervisor.run(TaskLabel(name), start)
         self._tasks.start(MeteredCoroutine(account, MEMBERS_PART, work))
--- a/src/nutmegroad/operators/operator_access.py
+++ b/src/nutmegroad/operators/operator_access.py
@@ -22,6 +22,7 @@
 from nutmegroad.configuration.in_force import Configuration
 from nutmegroad.contracts.documents import Role
 from nutmegroad.contracts.problems import Problem
+from nutmegroad.foundations.decoding import UndecodableError, decode_json
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.secrets import hash_secret, secrets_equal
 from nutmegroad.foundations.types import OperatorId, RequestId, Revision
@@ -156,8 +157,8 @@
         if isinstance(operator, Refusal):
             return operator
         try:
-            body = msgspec.json.decode(await http.read(), type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+            body = decode_json(await http.read(), kind)
+        except UndecodableError as problem:
             return Refusal(
                 ResultCode.OPERATOR_REQUEST_INVALID,
                 f'The request body is invalid: {problem}.',
--- a/src/nutmegroad/operators/part.py
+++ b/src/nutmegroad/operators/part.py
@@ -1,5 +1,7 @@
 """The kernel part that serves the operators' HTTP interface."""
 
+from typing import Final
+
 from aiohttp.typedefs import Handler
 from aiohttp.web import (
     Application,
@@ -19,6 +21,7 @@
 from nutmegroad.contracts.peers import Mesh
 from nutmegroad.foundations._cost_metrics import CostPublisher
 from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.supervision import TaskLabel
 from nutmegroad.foundations.types import Presence
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register, registered
@@ -34,6 +37,9 @@
 
 _UNAVAILABLE = 503
 
+#: Tasks without which a host serves by an outdated configuration.
+_REQUIRED: Final = frozenset((TaskLabel('configuration'),))
+
 
 def add_host_routes(app: Application, kernel: Kernel) -> None:
     """Add the metrics page, and fail readiness checks during a stop."""
@@ -47,9 +53,12 @@
         request: Request,
         handler: Handler,
     ) -> StreamResponse:
-        """Report the host as not ready as soon as its stop begins."""
+        """Report the host as not ready if it stops, or can't keep up."""
         if request.path == '/readyz' and not stop.is_ready:
             return Response(status=_UNAVAILABLE, text='stopping\n')
+        failing = _REQUIRED.intersection(kernel.supervisor.failing)
+        if request.path == '/readyz' and failing:
+            return Response(status=_UNAVAILABLE, text='a task fails\n')
         return await handler(request)
 
     async def show_metrics(http: Request) -> Response:
--- a/src/nutmegroad/quality/part.py
+++ b/src/nutmegroad/quality/part.py
@@ -50,7 +50,7 @@
                 update_metrics(estimates, configuration, metrics)
                 await kernel.clock.sleep(_METRICS_PERIOD)
 
-        kernel.spawn(update_periodically(), 'quality metrics')
+        kernel.spawn(update_periodically, 'quality metrics')
 
 
 @register('part', 'rating')
@@ -68,8 +68,8 @@
             kernel.clock,
             kernel.randomness,
         )
-        kernel.spawn(sharer.run(), 'quality marks')
-        kernel.spawn(sharer.run_fetches(), 'quality sharing')
+        kernel.spawn(sharer.run, 'quality marks')
+        kernel.spawn(sharer.run_fetches, 'quality sharing')
         self._start_reading(kernel, sharer)
         self._start_storing(kernel)
 
@@ -92,7 +92,7 @@
                 await store.load()
             await reader.run()
 
-        kernel.spawn(read_feed(), 'rating feed')
+        kernel.spawn(read_feed, 'rating feed')
 
     def _start_storing(self, kernel: Kernel) -> None:
         """Start to store the state while this host holds the duty."""
@@ -106,7 +106,7 @@
                 if duties.is_mine(FEED_DUTY):
                     await store.save()
 
-        kernel.spawn(store_periodically(), 'quality store')
+        kernel.spawn(store_periodically, 'quality store')
 
     def _start_sampling(self, kernel: Kernel) -> None:
         """Start to observe attempts and to submit a sample of the answers."""
@@ -119,7 +119,7 @@
         )
         sampler.count_outcome = kernel.need(Metrics).quality.count_sample
         kernel.need(Observers).add(sampler)
-        kernel.spawn(sampler.run(), 'rating samples')
+        kernel.spawn(sampler.run, 'rating samples')
 
 
 @register('planner', 'adaptive')
--- a/src/nutmegroad/quality/quality_sharing.py
+++ b/src/nutmegroad/quality/quality_sharing.py
@@ -18,6 +18,7 @@
 from nutmegroad.contracts.peers import Mesh, Message
 from nutmegroad.contracts.platform import Objects, Ratings
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import UndecodableError, decode_msgpack
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import HostId
@@ -258,8 +259,8 @@
         if isinstance(content, Refusal):
             return False
         try:
-            state = msgspec.msgpack.decode(content, type=QualityState)
-        except msgspec.DecodeError as problem:
+            state = decode_msgpack(content, QualityState)
+        except UndecodableError as problem:
             _LOG.error(
                 'cannot decode the stored estimates %s: %s', names[-1], problem
             )
--- a/src/nutmegroad/quality/ratings_part.py
+++ b/src/nutmegroad/quality/ratings_part.py
@@ -30,4 +30,4 @@
             RATING_PERIOD,
         )
         kernel.provide(RatingFeed, feed)
-        kernel.spawn(feed.run(), 'rating feed')
+        kernel.spawn(feed.run, 'rating feed')
--- a/src/nutmegroad/records/at_most_once.py
+++ b/src/nutmegroad/records/at_most_once.py
@@ -28,14 +28,16 @@
     RequestId,
     WorkspaceId,
 )
+from nutmegroad.records.intent_refusals import (
+    intent_unavailable,
+    key_reused,
+    still_running,
+)
 from nutmegroad.records.intents import (
     Claim,
     FirstAnswer,
     IntentLedger,
     IntentSpec,
-    intent_unavailable,
-    key_reused,
-    still_running,
 )
 from nutmegroad.records.tickets import SpentTicket, Ticket, TicketIssuer
 
--- a/src/nutmegroad/records/billing.py
+++ b/src/nutmegroad/records/billing.py
@@ -20,10 +20,11 @@
 
 from nutmegroad.contracts.decisions import AttemptEnd, AttemptStart
 from nutmegroad.contracts.platform import Objects
+from nutmegroad.foundations.decoding import UndecodableError, decode_json
 from nutmegroad.foundations.invariants import ONE_RECORD, Invariants
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.metrics import Metrics
-from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Incarnation, RequestId
 
 #: Name prefix of the objects that hold billing batches.
@@ -261,6 +262,13 @@
         content = await objects.fetch(name)
         if isinstance(content, Refusal):
             return content
-        for record in msgspec.json.decode(content, type=list[BillingRecord]):
+        try:
+            records = decode_json(content, list[BillingRecord])
+        except UndecodableError as problem:
+            return Refusal(
+                ResultCode.OBJECT_UNAVAILABLE,
+                f'The object {name!r} is no batch of bills: {problem}.',
+            )
+        for record in records:
             bills.setdefault(RequestId(record.request), record)
     return bills
--- a/src/nutmegroad/records/intents.py
+++ b/src/nutmegroad/records/intents.py
@@ -28,8 +28,10 @@
     RowWrite,
     Table,
 )
+from nutmegroad.contracts.rows import decode_row
 from nutmegroad.contracts.upstreams import ServiceReply
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
     IdempotencyKey,
@@ -38,6 +40,14 @@
     RequestId,
     WorkspaceId,
 )
+from nutmegroad.records.intent_refusals import (
+    intent_unavailable,
+    key_reused,
+    outcome_unknown,
+    still_running,
+)
+
+_LOG: Final = part_logger('records')
 
 #: Key prefix of intent rows, and name prefix of objects with large answers.
 _PREFIX: Final = 'intent/'
@@ -208,7 +218,11 @@
         row = await self._put(spec.row, proposed, ABSENT)
         if isinstance(row, Refusal):
             return row
-        found = msgspec.json.decode(row.text, type=Intent)
+        found = decode_row(row, Intent)
+        if isinstance(found, Refusal):
+            # An earlier request with the key may have run.
+            _LOG.warning('intent can not be read: %s', found.reason)
+            return outcome_unknown()
         if found.nonce == proposed.nonce:
             return Claim(proposed, row.key, row.version)
         if found.fingerprint != proposed.fingerprint:
@@ -311,7 +325,9 @@
             rewritten = await self._put(row.key, proposed, row.version)
             if isinstance(rewritten, Refusal):
                 return rewritten
-            present = msgspec.json.decode(rewritten.text, type=Intent)
+            present = decode_row(rewritten, Intent)
+            if isinstance(present, Refusal):
+                return outcome_unknown()
             if present.nonce == proposed.nonce:
                 return Claim(proposed, row.key, rewritten.version)
             open_until = self._open_until(present)
@@ -353,48 +369,8 @@
     """Return whether a row contains the claim's own unsettled intent."""
     if row.version == ABSENT:
         return False
-    intent = msgspec.json.decode(row.text, type=Intent)
+    intent = decode_row(row, Intent)
+    if isinstance(intent, Refusal):
+        return False
     is_own = intent.nonce == claim.intent.nonce
     return is_own and intent.state is IntentState.OPEN
-
-
-def key_reused() -> Refusal:
-    """Return the refusal for a key or ticket used by another request."""
-    return Refusal(
-        ResultCode.KEY_REUSED,
-        'The idempotency key or ticket was used for another request.',
-    )
-
-
-def still_running(seconds: float) -> Refusal:
-    """Return the refusal for a repeat of a request that may be running.
-
-    Args:
-        seconds: Seconds for which the first request may still be running.
-    """
-    return Refusal(
-        ResultCode.STILL_RUNNING,
-        'A request with this idempotency key or ticket is running.',
-        Ran.UNKNOWN,
-        retry_after=min(max(seconds, 0.1), 1),
-    )
-
-
-def outcome_unknown() -> Refusal:
-    """Return the refusal for a repeat whose outcome is never known."""
-    return Refusal(
-        ResultCode.OUTCOME_UNKNOWN,
-        'A request with this idempotency key was started and never settled; '
-        'it may have been executed and will not be executed again.',
-        Ran.UNKNOWN,
-    )
-
-
-def intent_unavailable() -> Refusal:
-    """Return the refusal for a request whose intent was not written."""
-    return Refusal(
-        ResultCode.INTENT_UNAVAILABLE,
-        'The request may not be repeated and its intent could not be '
-        'written, so it was not sent.',
-        retry_after=5,
-    )
--- a/src/nutmegroad/records/part.py
+++ b/src/nutmegroad/records/part.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from nutmegroad.contracts.peers import Mesh
@@ -54,7 +55,9 @@
         copy_store = RecordCopyStore(biller, mesh, kernel.clock, metrics)
         copy_store.listen()
 
-        kernel.spawn(_flush_periodically(kernel, sender, copy_store), 'billing')
+        kernel.spawn(
+            partial(_flush_periodically, kernel, sender, copy_store), 'billing'
+        )
         kernel.provide(Biller, biller)
         kernel.provide(RecordSender, sender)
 
@@ -87,7 +90,7 @@
         once = AtMostOnce(intents, issuer, kernel.clock, invariants, metrics)
         kernel.stack.push_async_callback(once.settle_pending)
 
-        kernel.spawn(_settle_periodically(kernel, once), 'records')
+        kernel.spawn(partial(_settle_periodically, kernel, once), 'records')
         kernel.provide(IntentLedger, intents)
         kernel.provide(TicketIssuer, issuer)
         kernel.provide(AtMostOnce, once)
--- a/src/nutmegroad/records/tickets.py
+++ b/src/nutmegroad/records/tickets.py
@@ -25,7 +25,8 @@
     RequestId,
     WorkspaceId,
 )
-from nutmegroad.records.intents import FirstAnswer, key_reused, still_running
+from nutmegroad.records.intent_refusals import key_reused, still_running
+from nutmegroad.records.intents import FirstAnswer
 
 #: Seconds after its issue during which a ticket can be spent.
 TICKET_LIFETIME: Final = 600.0
--- a/src/nutmegroad/relay/counters.py
+++ b/src/nutmegroad/relay/counters.py
@@ -69,7 +69,7 @@
         )
         self._failed_tasks = self._counter(
             'task_failures',
-            'Background tasks that ended while the host ran',
+            'Background tasks that failed and were started again',
             'task',
         )
         self._answer_seconds = self._histogram(
@@ -148,7 +148,7 @@
         self._rejected_rows.labels(table).inc()
 
     def task_failed(self, task: str) -> None:
-        """Count a background task that ended while the host ran."""
+        """Count a background task that failed."""
         self._failed_tasks.labels(task).inc()
 
     def gauge(
--- a/src/nutmegroad/rollouts/exposure_part.py
+++ b/src/nutmegroad/rollouts/exposure_part.py
@@ -58,4 +58,4 @@
         kernel.provide(EvidenceStore, evidence)
         kernel.provide(ExposureGuard, guard)
         kernel.provide(Quarantines, quarantines)
-        kernel.spawn(gossip.run(), 'exposure')
+        kernel.spawn(gossip.run, 'exposure')
--- a/src/nutmegroad/rollouts/orders_part.py
+++ b/src/nutmegroad/rollouts/orders_part.py
@@ -1,5 +1,6 @@
 """Part that sends orders to the engines of this domain."""
 
+from functools import partial
 from typing import Final
 
 from nutmegroad.configuration.in_force import Configuration
@@ -50,4 +51,4 @@
             """Return whether this host is a candidate for the lease."""
             return duties.is_mine(_DUTY, CANDIDATES)
 
-        kernel.spawn(controller.run(is_mine), 'orders')
+        kernel.spawn(partial(controller.run, is_mine), 'orders')
--- a/src/nutmegroad/rollouts/part.py
+++ b/src/nutmegroad/rollouts/part.py
@@ -1,5 +1,6 @@
 """Part that provides leases and runs the rollouts."""
 
+from functools import partial
 from typing import Final
 
 from nutmegroad.configuration.in_force import Configuration
@@ -76,4 +77,4 @@
             """Return whether this host is a candidate for the lease."""
             return duties.is_mine(_DUTY, CANDIDATES)
 
-        kernel.spawn(controller.run(is_mine), 'rollouts')
+        kernel.spawn(partial(controller.run, is_mine), 'rollouts')
--- a/src/nutmegroad/rollouts/rollout_shares.py
+++ b/src/nutmegroad/rollouts/rollout_shares.py
@@ -2,7 +2,6 @@
 
 from typing import ClassVar, Final
 
-import msgspec
 import xxhash
 
 from nutmegroad.configuration.in_force import Configuration
@@ -11,6 +10,7 @@
 from nutmegroad.contracts.platform import Row, RowKey, RowVersion
 from nutmegroad.contracts.requests import ModelRequest
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.foundations.results import Refusal
 from nutmegroad.foundations.types import HostId, VersionId
 from nutmegroad.rollouts.rollout_store import Rollout, decode_rollout
 
@@ -115,9 +115,8 @@
     async def _receive(self, sender: HostId, message: RolloutMessage) -> None:
         """Store a rollout that another host has sent."""
         row = Row(message.key, message.text, message.version)
-        try:
-            rollout = decode_rollout(row)
-        except msgspec.DecodeError:
+        rollout = decode_rollout(row)
+        if isinstance(rollout, Refusal):
             _LOG.warning(
                 'host %s sent the rollout row %r, which cannot be decoded',
                 sender,
--- a/src/nutmegroad/rollouts/rollout_store.py
+++ b/src/nutmegroad/rollouts/rollout_store.py
@@ -17,6 +17,8 @@
 from msgspec.structs import replace
 
 from nutmegroad.contracts.platform import Conflict, Row, RowKey, RowWrite, Table
+from nutmegroad.contracts.rows import decode_row
+from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Epoch, FencingNumber, VersionId
 from nutmegroad.rollouts.evidence import Moments
@@ -38,6 +40,8 @@
 #: Number of steps that a row keeps.
 MAX_STEPS: Final = 20
 
+_LOG: Final = part_logger('rollouts')
+
 _PREFIX: Final = 'rollouts/'
 
 
@@ -196,7 +200,14 @@
         rows = await self._table.scan(_PREFIX)
         if isinstance(rows, Refusal):
             return rows
-        return tuple(map(decode_rollout, rows))
+        found = []
+        for row in rows:
+            rollout = decode_rollout(row)
+            if isinstance(rollout, Refusal):
+                _LOG.warning('rollout left out: %s', rollout.reason)
+            else:
+                found.append(rollout)
+        return tuple(found)
 
     async def find(self, version: VersionId) -> Rollout | Refusal | None:
         """Return a version's rollout; None if there never was one."""
@@ -237,9 +248,10 @@
         return found if found.state.nonce == wanted.nonce else refusal
 
 
-def decode_rollout(row: Row) -> Rollout:
-    """Decode a rollout's row."""
-    return Rollout(msgspec.json.decode(row.text, type=RolloutState), row)
+def decode_rollout(row: Row) -> Rollout | Refusal:
+    """Decode a rollout's row, or return why it can't be decoded."""
+    state = decode_row(row, RolloutState)
+    return state if isinstance(state, Refusal) else Rollout(state, row)
 
 
 def _key(version: VersionId) -> RowKey:
--- a/src/nutmegroad/routing/load_part.py
+++ b/src/nutmegroad/routing/load_part.py
@@ -52,7 +52,7 @@
             harmful.crashes,
             kernel.clock,
         )
-        kernel.spawn(exchange.run(), 'crash-exchange')
+        kernel.spawn(exchange.run, 'crash-exchange')
 
 
 @register('part', 'share-exchange')
@@ -74,5 +74,5 @@
             kernel.randomness,
         )
         exchange.register_handlers()
-        kernel.spawn(exchange.run(), 'share-exchange')
-        kernel.spawn(exchange.borrow_on_demand(), 'share-exchange')
+        kernel.spawn(exchange.run, 'share-exchange')
+        kernel.spawn(exchange.borrow_on_demand, 'share-exchange')
--- a/src/nutmegroad/routing/upstreams_part.py
+++ b/src/nutmegroad/routing/upstreams_part.py
@@ -76,7 +76,7 @@
             kernel.randomness,
             kernel.settings.domain,
         )
-        kernel.spawn(remote_loads.run(), 'watch')
+        kernel.spawn(remote_loads.run, 'watch')
 
 
 @register('part', 'limit-exchange')
@@ -94,4 +94,4 @@
         exchange = LimitExchange(
             kernel.need(Mesh), limits.limits, hosts, kernel.clock
         )
-        kernel.spawn(exchange.run(), 'limit-exchange')
+        kernel.spawn(exchange.run, 'limit-exchange')
--- a/src/nutmegroad/routing/watch.py
+++ b/src/nutmegroad/routing/watch.py
@@ -7,9 +7,9 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from functools import partial
 from types import TracebackType
-from typing import Any, Final, Protocol, Self
+from typing import Final, Protocol, Self
 
 from nutmegroad.contracts._report_rows import WATCH_PART
 from nutmegroad.contracts.platform import HostList
@@ -22,6 +22,11 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
+from nutmegroad.foundations.supervision import (
+    Supervisor,
+    TaskLabel,
+    TaskStart,
+)
 from nutmegroad.foundations.types import UpstreamId, UpstreamInfo
 from nutmegroad.routing.directory import Directory, is_engine
 
@@ -163,11 +168,12 @@
         self._poll_limit = asyncio.Semaphore(MAX_CONCURRENT_POLLS)
         self._tasks: dict[UpstreamId, asyncio.Task[None]] = {}
         self._own_tasks: list[asyncio.Task[None]] = []
+        self._supervisor = Supervisor(clock)
 
     async def __aenter__(self) -> Self:
         """Start the tasks that monitor upstreams."""
-        self._own_tasks.append(self._start(self._read_list()))
-        self._own_tasks.append(self._start(self._follow_plan()))
+        self._own_tasks.append(self._start('host list', self._read_list))
+        self._own_tasks.append(self._start('watch plan', self._follow_plan))
         return self
 
     async def __aexit__(
@@ -235,7 +241,9 @@
         # Sorted, so that the random delay of an engine does not depend on
         # hash order.
         for added in sorted(wanted - self._tasks.keys()):
-            self._tasks[added] = self._start(self._poll_regularly(added))
+            self._tasks[added] = self._start(
+                f'reports of {added}', partial(self._poll_regularly, added)
+            )
 
     async def _poll_regularly(self, upstream: UpstreamId) -> None:
         """Poll one engine regularly."""
@@ -271,11 +279,9 @@
             self._directory.reported(upstream, report, requested_at)
             self._plan.record_answer(state, report)
 
-    def _start(
-        self,
-        work: Coroutine[Any, Any, None],
-    ) -> asyncio.Task[None]:
+    def _start(self, name: str, start: TaskStart) -> asyncio.Task[None]:
         """Start a task whose processor time is charged to this module."""
+        work = self._supervisor.run(TaskLabel(name), start)
         account = self._plan.account
         if account is None:
             return asyncio.create_task(work)
