--- a/src/nutmegroad/adapters/_host_listings.py
+++ b/src/nutmegroad/adapters/_host_listings.py
@@ -62,11 +62,11 @@
 
     def begins(self, depth: int) -> bool:
         """Return whether something begins within ``depth`` brackets."""
-        return self.before == depth < self.after
+        return self.before == depth and self.after > depth
 
     def ends(self, depth: int) -> bool:
         """Return whether something ends within ``depth`` brackets."""
-        return self.after == depth < self.before
+        return self.after == depth and self.before > depth
 
 
 def decode_listing(content: bytes) -> DecodedListing:
