--- a/src/nutmegroad/adapters/_http_upstreams.py
+++ b/src/nutmegroad/adapters/_http_upstreams.py
@@ -33,7 +33,7 @@
     ServiceReply,
 )
 from nutmegroad.foundations.accounting import Account
-from nutmegroad.foundations.decoding import decode_json
+from nutmegroad.foundations.decoding import Count, decode_json
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
@@ -59,12 +59,12 @@
     """Body of an engine's load report."""
 
     versions: tuple[str, ...]
-    running: int
-    queued: int
-    slots: int
+    running: Count
+    queued: Count
+    slots: Count
     leaving: bool
     checks_fencing: bool
-    fencing: int = 0
+    fencing: Count = 0
 
 
 class HttpEngineClient(HttpClient):
