Limit the numbers in the daemon's rows, and test configurations that can't be read

A row of the daemon's table with a revision, a lease number or an epoch of 400 digits was read, and failed later: a metric, a comparison with what follows, a datagram. An intent with an answer that is no base64 failed its repeat with 500. These are refused like rows that can't be decoded. The relay's configuration is tested nested as a whole, nested in an unknown field, and with a version of 400 digits: callers get 503 with a time to come back, nothing runs, and the next readable one is in force.

--- a/src/nutmegroad/callers/session_tokens.py
+++ b/src/nutmegroad/callers/session_tokens.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from nutmegroad.contracts.requests import SessionBinding
+from nutmegroad.foundations.decoding import Count
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Epoch, TaskName, VersionId, WorkspaceId
 
@@ -36,7 +37,7 @@
     workspace: str
     task: str
     version: str
-    epoch: int
+    epoch: Count
 
     @property
     def claim(self) -> SessionBinding:
--- a/src/nutmegroad/configuration/heads.py
+++ b/src/nutmegroad/configuration/heads.py
@@ -38,6 +38,7 @@
     Table,
 )
 from nutmegroad.contracts.rows import decode_row
+from nutmegroad.foundations.decoding import Count
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Digest, PresetName, Ran, Revision
 
@@ -65,7 +66,7 @@
         withdrawals: All withdrawals so far.
     """
 
-    revision: int = 0
+    revision: Count = 0
     digest: str = ''
     preset: str = ''
     author: str = ''
@@ -84,7 +85,7 @@
         summary: Description of the change, in one phrase.
     """
 
-    revision: int
+    revision: Count
     nonce: str
     author: str
     summary: str
--- a/src/nutmegroad/configuration/leases.py
+++ b/src/nutmegroad/configuration/leases.py
@@ -19,6 +19,7 @@
 from nutmegroad.contracts.platform import Conflict, Row, RowKey, RowWrite, Table
 from nutmegroad.contracts.rows import decode_row
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import Count, Seconds
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import FencingNumber, Incarnation, Ran
@@ -43,8 +44,8 @@
     """
 
     holder: str = ''
-    number: int = 0
-    term: float = 0
+    number: Count = 0
+    term: Seconds = 0
     nonce: str = ''
 
 
--- a/src/nutmegroad/contracts/documents.py
+++ b/src/nutmegroad/contracts/documents.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from nutmegroad.foundations.decoding import Count
 from nutmegroad.foundations.types import (
     Digest,
     Epoch,
@@ -323,7 +324,7 @@
     """
 
     version: str
-    epoch: int
+    epoch: Count
 
     def covers(self, version: VersionId, epoch: Epoch) -> bool:
         """Return whether the epoch of a version is withdrawn by this."""
--- a/src/nutmegroad/records/intents.py
+++ b/src/nutmegroad/records/intents.py
@@ -12,10 +12,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 from msgspec.structs import replace
 
 from nutmegroad.contracts.platform import (
@@ -31,6 +31,7 @@
 from nutmegroad.contracts.rows import decode_row
 from nutmegroad.contracts.upstreams import ServiceReply
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.decoding import Measure
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import (
@@ -49,6 +50,9 @@
 
 _LOG: Final = part_logger('records')
 
+#: Largest HTTP status.
+MAX_STATUS: Final = 999
+
 #: Key prefix of intent rows, and name prefix of objects with large answers.
 _PREFIX: Final = 'intent/'
 _ANSWERS: Final = 'answers/'
@@ -90,9 +94,9 @@
     fingerprint: str
     nonce: str
     owner: str
-    ends: float
+    ends: Measure
     state: IntentState = IntentState.OPEN
-    status: int = 0
+    status: Annotated[int, Meta(ge=0, le=MAX_STATUS)] = 0
     content_type: str = ''
     answer: str = ''
     stored: str = ''
@@ -297,7 +301,7 @@
 
     async def _first_answer(self, intent: Intent) -> FirstAnswer | Refusal:
         """Return the answer that an intent contains."""
-        body: bytes | Refusal = base64.b64decode(intent.answer)
+        body: bytes | Refusal = _decode_answer(intent)
         if intent.stored:
             body = await self._objects.fetch(intent.stored)
         if isinstance(body, Refusal):
@@ -365,6 +369,17 @@
         return intent_unavailable()
 
 
+def _decode_answer(intent: Intent) -> bytes | Refusal:
+    """Return the answer that an intent contains, unless it is invalid."""
+    try:
+        return base64.b64decode(intent.answer)
+    except ValueError as problem:
+        return Refusal(
+            ResultCode.TABLE_ROW_INVALID,
+            f'The answer in the row of an intent is invalid: {problem}.',
+        )
+
+
 def _is_open(row: Row, claim: Claim) -> bool:
     """Return whether a row contains the claim's own unsettled intent."""
     if row.version == ABSENT:
--- a/src/nutmegroad/rollouts/rollout_store.py
+++ b/src/nutmegroad/rollouts/rollout_store.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 from msgspec import Struct
@@ -18,6 +18,7 @@
 
 from nutmegroad.contracts.platform import Conflict, Row, RowKey, RowWrite, Table
 from nutmegroad.contracts.rows import decode_row
+from nutmegroad.foundations.decoding import IDENTIFIER, Amount
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Epoch, FencingNumber, VersionId
@@ -66,7 +67,7 @@
         reason: Reason, in one sentence.
     """
 
-    share: float
+    share: Amount
     phase: Phase
     reason: str
 
@@ -86,10 +87,10 @@
     """
 
     version: VersionId
-    epoch: Epoch
-    share: float = 0
+    epoch: Annotated[Epoch, IDENTIFIER]
+    share: Amount = 0
     phase: Phase = Phase.RUNNING
-    fencing: FencingNumber = FencingNumber(0)
+    fencing: Annotated[FencingNumber, IDENTIFIER] = FencingNumber(0)
     nonce: str = ''
     steps: tuple[Step, ...] = ()
 
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -42,7 +42,13 @@
 from nutmegroad.testing.virtual import ManualClock
 from nutmegroad_platform.store import _decode_rows
 from tests.memory_table import MemoryTable
-from tests.test_odd_rows import HOST_ROW, NESTED, odd_documents, with_field
+from tests.test_odd_rows import (
+    HOST_ROW,
+    LARGE,
+    NESTED,
+    odd_documents,
+    with_field,
+)
 
 HOST_ENTRY: Final = {
     'host': 'h',
@@ -67,6 +73,9 @@
 #: Texts of rows that hold no document.
 ODD_TEXTS: Final = (NESTED, f'{{"x":{NESTED}}}', '?', 'null', '[]')
 
+#: The text of a row in which one field is too large a number.
+LARGE_NUMBER: Final = '{{"{0}":' + LARGE + '}}'
+
 
 def listing_with(odd_host: bytes, odd_upstream: bytes) -> bytes:
     """Return a host list with an odd entry among the others of each part."""
@@ -170,10 +179,20 @@
         self.table.rows[key] = Row(key, text, RowVersion(3))
 
     async def check_refused(
-        self, key: RowKey, read: Callable[[], Awaitable[object]]
+        self,
+        key: RowKey,
+        read: Callable[[], Awaitable[object]],
+        *numbers: str,
     ) -> None:
-        """Check that a reader returns a refusal for each odd text of a row."""
-        for text in ODD_TEXTS:
+        """Check that a reader returns a refusal for each odd text of a row.
+
+        Args:
+            key: Key of the row.
+            read: Reads the row.
+            numbers: Fields of the row that are numbers.
+        """
+        large = [LARGE_NUMBER.format(name) for name in numbers]
+        for text in (*ODD_TEXTS, *large):
             with self.subTest(key=key, text=text[:10]):
                 self.put(key, text)
                 self.assertIsInstance(await read(), Refusal)
@@ -182,7 +201,7 @@
     # ended the task that polls it.
     async def test_the_head_is_refused(self) -> None:
         store = HeadStore(self.table, Mock(), lambda: 'n')
-        await self.check_refused(HEAD_KEY, store.read)
+        await self.check_refused(HEAD_KEY, store.read, 'revision')
         self.table.rows.clear()
         await self.check_refused(HISTORY_KEY, store.history)
         await self.check_refused(HISTORY_KEY, lambda: store.move(Mock()))
@@ -194,7 +213,7 @@
             Incarnation('i'), self.table, ManualClock(), lambda: 'n', 10
         )
         await self.check_refused(
-            RowKey('leases/x'), lambda: leases.acquire('x')
+            RowKey('leases/x'), lambda: leases.acquire('x'), 'number', 'term'
         )
         await leases.release('x')
 
@@ -203,7 +222,8 @@
     async def test_other_rollouts_are_read(self) -> None:
         store = RolloutStore(self.table, lambda: 'n')
         self.put(RowKey('rollouts/good'), '{"version":"good","epoch":1}')
-        for text in ODD_TEXTS:
+        large = f'{{"version":"v","epoch":{LARGE}}}'
+        for text in (*ODD_TEXTS, large):
             with self.subTest(text=text[:10]), self.assertLogs('absl'):
                 self.put(RowKey('rollouts/odd'), text)
                 found = await store.all()
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -12,7 +12,7 @@
 from typing import Any, Final
 
 from nutmegroad.foundations.types import HostId, ServiceName, UpstreamId
-from tests.relay_rig import Rig
+from tests.relay_rig import Rig, configuration
 
 SERVICE: Final = ServiceName('desk')
 
@@ -93,6 +93,14 @@
         )
 
 
+def odd_configurations() -> Iterator[tuple[str, bytes]]:
+    """Yield configurations that can't be read, by what is odd."""
+    newer = configuration(1_000_000)
+    yield 'nested', NESTED.encode()
+    yield 'nested-field', with_field(newer, 'x', NESTED)
+    yield 'large-version', with_field(newer, 'version', LARGE)
+
+
 class OddRowsTest(unittest.IsolatedAsyncioTestCase):
     """Hosts go on following a table whatever another program writes to it."""
 
@@ -273,15 +281,21 @@
     async def test_it_confirms_nothing_until_one_can_be_read(self) -> None:
         async with asyncio.timeout(PATIENCE), Rig(2, key_validity=2) as rig:
             await rig.start()
-            with self.assertLogs('absl'):
-                rig.store.put('op', 'config', NESTED.encode())
-                await rig.until(
-                    lambda: not any(host.keys_valid for host in rig.hosts)
-                )
-                status, headers, _ = await rig.ask('/look/1', 'r1')
-                self.assertEqual(status, 503)
-                self.assertIn('Retry-After', headers)
-                self.assertEqual(rig.seen('r1'), 0)
-                rig.configure(7)
-                await rig.until(lambda: all(host.ready for host in rig.hosts))
-            self.assertEqual((await rig.ask('/look/1', 'r2'))[0], 200)
+            version = 1
+            for title, content in odd_configurations():
+                with self.subTest(configuration=title), self.assertLogs('absl'):
+                    rig.store.put('op', 'config', content)
+                    await rig.until(
+                        lambda: not any(host.keys_valid for host in rig.hosts)
+                    )
+                    status, headers, _ = await rig.ask('/look/1', title)
+                    self.assertEqual(status, 503)
+                    self.assertIn('Retry-After', headers)
+                    self.assertEqual(rig.seen(title), 0)
+                    version += 1
+                    rig.configure(version)
+                    await rig.until(
+                        lambda: all(host.ready for host in rig.hosts)
+                    )
+                    status, _, _ = await rig.ask('/look/1', f'{title}-again')
+                    self.assertEqual(status, 200)
