Split the host list into entries only if it can't be decoded whole

Read again: the daemon split each list into tokens, twice, in its own code, though nearly every list decodes in one call of the library; what a listing body becomes was left unused, and the client repeated the steps of its shared call. The list is decoded whole first, and entry by entry only where that fails. The cost was not measured.

--- a/src/nutmegroad/adapters/_host_listings.py
+++ b/src/nutmegroad/adapters/_host_listings.py
@@ -6,12 +6,16 @@
 
 import re
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Final, TypeVar
 
-from nutmegroad.adapters._platform_bodies import HostEntry, UpstreamEntry
+from nutmegroad.adapters._platform_bodies import (
+    HostEntry,
+    ListingBody,
+    UpstreamEntry,
+)
 from nutmegroad.contracts.platform import Listing
 from nutmegroad.foundations.decoding import UndecodableError, decode_json
 
@@ -75,7 +79,14 @@
     Raises:
         UndecodableError: If it is no list, or not complete.
     """
-    parts = split_entries(content)
+    try:
+        return DecodedListing(decode_json(content, ListingBody).to_listing())
+    except ValueError:
+        return _decode_entries(split_entries(content))
+
+
+def _decode_entries(parts: Mapping[bytes, list[bytes]]) -> DecodedListing:
+    """Decode the entries of each part that are valid."""
     rejected: list[str] = []
     hosts = _decode(
         parts.get(b'"hosts"', ()), HostEntry, HostEntry.to_host, rejected
--- a/src/nutmegroad/adapters/_http_platform.py
+++ b/src/nutmegroad/adapters/_http_platform.py
@@ -135,13 +135,18 @@
         self, call: _Call, kind: type[_Body]
     ) -> _Body | Refusal:
         """Make a call and decode its reply, which must have status 200."""
-        reply = await self._send(call)
+        reply = await self._fetch(call)
         if isinstance(reply, Refusal):
             return reply
-        if reply.status != HTTPStatus.OK:
-            return self._refuse_status(call, reply)
         return self._parse(call, reply, kind)
 
+    async def _fetch(self, call: _Call) -> _Reply | Refusal:
+        """Make a call whose reply must have status 200."""
+        reply = await self._send(call)
+        if isinstance(reply, Refusal) or reply.status == HTTPStatus.OK:
+            return reply
+        return self._refuse_status(call, reply)
+
     async def _send_expecting(
         self, call: _Call, expected: HTTPStatus
     ) -> Refusal | None:
@@ -320,11 +325,9 @@
     async def listing(self) -> Listing | Refusal:
         """Return the current host list, without entries that are invalid."""
         call = _Call('/hosts')
-        reply = await self._send(call)
+        reply = await self._fetch(call)
         if isinstance(reply, Refusal):
             return reply
-        if reply.status != HTTPStatus.OK:
-            return self._refuse_status(call, reply)
         try:
             decoded = decode_listing(reply.body)
         except UndecodableError as error:
--- a/src/nutmegroad/adapters/_platform_bodies.py
+++ b/src/nutmegroad/adapters/_platform_bodies.py
@@ -151,7 +151,11 @@
         )
 
     def to_listing(self) -> Listing:
-        """Return the listing that the body represents."""
+        """Return the listing that the body represents.
+
+        Raises:
+            ValueError: If the IP address of an entry is none.
+        """
         return Listing(
             tuple(entry.to_host() for entry in self.hosts),
             tuple(entry.to_upstream() for entry in self.upstreams),
