Limit what callers may send before the end of a head

What callers saw: a host that some callers sent heads or empty lines to was ended for want of memory, or answered nobody: 503 and 504 at the daemon.

Cause: the parser limits a line (32,768 bytes here, 8,190 in the daemon) and the number of fields (128 and 64), so that a head may have 4 MiB (0.5 MiB), per connection; empty lines before a request have no limit at all. Where the parser fails, it fails at each further read, and each failure was queued with the bytes that it failed at. A caller that always has bytes on their way was closed by no timeout, as a connection with unread bytes might have a request.

Why this holds: bytes that complete no head and add to no body are counted per connection, whatever they are, and refused beyond a limit that is twice what the operator allows for the fields. After a failure of the parser nothing more is read until it has been answered. A request that is being answered is finished first.

--- a/src/nutmegroad/callers/_http_listener.py
+++ b/src/nutmegroad/callers/_http_listener.py
@@ -27,7 +27,11 @@
 from nutmegroad.foundations.metrics import Metrics
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Address, Ran, RequestId
-from nutmegroad.ingress.connections import CallerConnection, ConnectionLimits
+from nutmegroad.ingress.connections import (
+    CallerConnection,
+    ConnectionLimits,
+    ExcessHandler,
+)
 from nutmegroad.ingress.descriptors import (
     DescriptorAccount,
     descriptor_limit,
@@ -62,15 +66,19 @@
     Args:
         server: The aiohttp server, which tracks all connections.
         clock: The host's clock.
+        refuse_excess: Refuses what the caller sends beyond a limit.
     """
 
     __slots__ = ()
 
-    def __init__(self, server: Server, clock: Clock) -> None:
+    def __init__(
+        self, server: Server, clock: Clock, refuse_excess: ExcessHandler
+    ) -> None:
         super().__init__(
             server,
             clock,
             lambda: LIMITS,
+            refuse_excess,
             access_log=None,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
@@ -161,11 +169,11 @@
         server = await _start_server(kernel, app)
         timeouts = _watch(kernel, server)
         if unserved is None:
-            return await _listen(kernel, server, address)
+            return await _listen(kernel, server, address, timeouts)
         listener = listening_socket((address.ip, address.port))
         acceptor = Acceptor(
             listener,
-            lambda: Connection(server, kernel.clock),
+            lambda: Connection(server, kernel.clock, timeouts.refuse_excess),
             unserved,
             kernel.clock,
             DescriptorAccount(
@@ -219,10 +227,11 @@
     kernel: Kernel,
     server: Server,
     address: Address,
+    timeouts: ConnectionTimeouts,
 ) -> Address:
     """Serve all connections to an address until the kernel closes."""
     listener = await asyncio.get_running_loop().create_server(
-        lambda: Connection(server, kernel.clock),
+        lambda: Connection(server, kernel.clock, timeouts.refuse_excess),
         address.ip,
         address.port,
     )
--- a/src/nutmegroad/foundations/progress.py
+++ b/src/nutmegroad/foundations/progress.py
@@ -11,22 +11,28 @@
 
 
 class ProgressGuard:
-    """Counts the bytes of one answer that were received since its body grew."""
+    """Counts the bytes that were received since any were delivered."""
 
     def __init__(self) -> None:
         self._received = 0
         self._delivered: object = None
 
-    def is_stuck(self, received: int, delivered: object) -> bool:
+    def is_stuck(
+        self,
+        received: int,
+        delivered: object,
+        limit: int = MAX_WITHOUT_PROGRESS,
+    ) -> bool:
         """Record received bytes, and return whether there are too many.
 
         Args:
             received: Number of bytes received.
             delivered: Changes with each byte that is delivered.
+            limit: Maximum bytes without a delivery.
         """
         if delivered != self._delivered:
             self._delivered = delivered
             self._received = 0
             return False
         self._received += received
-        return self._received > MAX_WITHOUT_PROGRESS
+        return self._received > limit
--- a/src/nutmegroad/ingress/connections.py
+++ b/src/nutmegroad/ingress/connections.py
@@ -9,14 +9,20 @@
 from typing import Any, Final
 
 from aiohttp import StreamReader, web
+from aiohttp.http_parser import RawRequestMessage
 
 from nutmegroad.foundations.clocks import Clock
-from nutmegroad.foundations.results import Refusal
+from nutmegroad.foundations.progress import ProgressGuard
+from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.overload.departures import has_unread
 
 #: Header that announces for how long an idle connection is kept.
 KEEP_ALIVE: Final = 'Keep-Alive'
 
+#: Ratio of the bytes of a head to those of the names and texts of its fields. A
+#: head has a request line, too, and four bytes beside each field.
+HEAD_FACTOR: Final = 2
+
 #: Seconds after which the base class closes idle connections by itself; the
 #: operator's limit is far below.
 _NEVER: Final = 86_400
@@ -40,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLimits:
-    """How long callers may take.
+    """How long callers may take, and what they may send.
 
     Attributes:
         header_timeout: Seconds from the first byte of a request's head to its
@@ -48,10 +54,14 @@
         idle_timeout: Seconds for which a connection is kept without any byte of
             a request. By default more than the 60 s for which load balancers
             usually keep one.
+        head_bytes: Maximum bytes from the end of a request, or from the
+            beginning of the connection, to the end of the next head. Empty
+            lines count, and so do the parts of a body that carry none of it.
     """
 
     header_timeout: float = 10.0
     idle_timeout: float = 75.0
+    head_bytes: int = 32_768
 
 
 class BodyInterruptedError(TimeoutError):
@@ -71,6 +81,9 @@
 #: Returns the limits in force.
 Limits = Callable[[], ConnectionLimits]
 
+#: Refuses what a caller sends beyond a limit.
+ExcessHandler = Callable[['CallerConnection', Refusal], None]
+
 
 class CallerConnection(web.RequestHandler):
     """An HTTP connection from a caller.
@@ -79,13 +92,17 @@
         server: The server, which tracks all of its connections.
         clock: The host's clock.
         limits: Returns the limits in force.
+        refuse_excess: Refuses what the caller sends beyond a limit.
         options: Options of the base class.
     """
 
     __slots__ = (
+        '_arriving',
         '_body',
         '_body_since',
         '_clock',
+        '_progress',
+        '_refuse_excess',
         'head_since',
         'is_kept',
         'limits',
@@ -97,6 +114,7 @@
         server: web.Server,
         clock: Clock,
         limits: Limits,
+        refuse_excess: ExcessHandler,
         **options: Any,
     ) -> None:
         super().__init__(
@@ -106,6 +124,11 @@
             **options,
         )
         self.limits = limits
+        self._refuse_excess = refuse_excess
+        # Counts what arrives without completing a head or adding to a body.
+        self._progress = ProgressGuard()
+        # The body of the request that arrived last.
+        self._arriving: StreamReader | None = None
         self._clock = clock
         self._body: StreamReader | None = None
         self._body_since: float = 0
@@ -152,6 +175,8 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes, and note when a head begins."""
+        if self._close:
+            return
         if self.head_since is None and received:
             self.head_since = self._clock.now()
         super().data_received(received)
@@ -159,6 +184,8 @@
             self.head_since = None
             self.waiting_since = None
             self.is_kept = True
+        if received:
+            self._limit_input(len(received))
 
     def announce(self, response: web.StreamResponse) -> None:
         """Tell the caller for how long the connection is kept while idle."""
@@ -180,6 +207,14 @@
         if self._body is not None:
             self._body.set_exception(BodyInterruptedError(refusal))
 
+    def finish(self) -> None:
+        """Close the connection after the present request.
+
+        What still arrives is read and dropped: unread bytes would reset the
+        connection, and with it the answer.
+        """
+        self.close()
+
     def end(self, last_words: bytes = b'') -> None:
         """Close the connection.
 
@@ -190,6 +225,25 @@
             self.transport.write(last_words)
         self.force_close()
 
+    def _limit_input(self, size: int) -> None:
+        """Stop a caller that sends on and on without completing a request.
+
+        Args:
+            size: Number of bytes that have just been parsed.
+        """
+        if self._messages:
+            message, body = self._messages[-1]
+            if not isinstance(message, RawRequestMessage):
+                # The parser has failed, and would do so at each further read.
+                self._pause_reading_for_buffer()
+                return
+            self._arriving = body
+        arriving = self._arriving
+        delivered = self._request_count, arriving and arriving.total_bytes
+        limit = self.limits().head_bytes
+        if self._progress.is_stuck(size, delivered, limit):
+            self._refuse_excess(self, _too_large(limit))
+
 
 class CallerServer(web.Server):
     """Serves the connections of a listener.
@@ -208,11 +262,17 @@
         self._clock = clock
         self._limits = limits
         self._options = options
+        #: Refuses what a caller sends beyond a limit.
+        self.refuse_excess: ExcessHandler = _close
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
         return CallerConnection(
-            self, self._clock, self._limits, **self._options
+            self,
+            self._clock,
+            self._limits,
+            self.refuse_excess,
+            **self._options,
         )
 
 
@@ -229,3 +289,16 @@
         return
     with connection.reading(http.content):
         yield
+
+
+def _close(connection: CallerConnection, _refusal: Refusal) -> None:
+    """Close a connection without an answer."""
+    connection.end()
+
+
+def _too_large(limit: int) -> Refusal:
+    """Return the refusal of a head that is too large, or has no end."""
+    return Refusal(
+        ResultCode.HEADERS_TOO_LARGE,
+        f'The head of the request has more than {limit} bytes.',
+    )
--- a/src/nutmegroad/ingress/timeouts.py
+++ b/src/nutmegroad/ingress/timeouts.py
@@ -1,4 +1,4 @@
-"""Closes connections whose callers take too long to send a request."""
+"""Closes connections whose callers take too long, or send too much."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -12,6 +12,7 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.ingress.connections import (
     CallerConnection,
+    CallerServer,
     ConnectionState,
 )
 from nutmegroad.overload.quick_refusals import RefusalFormat
@@ -40,6 +41,8 @@
     TIMEOUT = 'timeout'
     #: Its descriptor is needed for another one.
     ROOM = 'room'
+    #: Its caller sends more than a limit allows.
+    EXCESS = 'excess'
 
 
 class ConnectionTimeouts:
@@ -73,6 +76,8 @@
     def watch(self, server: web.Server) -> None:
         """Apply the limits to all connections of a server."""
         self._servers.append(server)
+        if isinstance(server, CallerServer):
+            server.refuse_excess = self.refuse_excess
 
     def connections(self) -> Iterable[CallerConnection]:
         """Yield the open connections."""
@@ -109,6 +114,24 @@
                 idle=closed[ConnectionState.IDLE],
             )
 
+    def refuse_excess(
+        self, connection: CallerConnection, refusal: Refusal
+    ) -> None:
+        """Refuse what a caller sends beyond a limit, and read no more of it.
+
+        Args:
+            connection: Its connection.
+            refusal: The refusal. It is not sent while a request is answered,
+                after which the connection is closed.
+        """
+        if connection.state is ConnectionState.REQUEST:
+            self._counters.connection_closed(
+                ConnectionState.REQUEST.value, CloseReason.EXCESS.value
+            )
+            connection.finish()
+            return
+        self.close(connection, refusal, CloseReason.EXCESS)
+
     def _is_due(self, connection: CallerConnection) -> bool:
         """Return whether a caller has taken too long."""
         if connection.has_request:
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -31,6 +31,9 @@
 
 LIMITS = ConnectionLimits(header_timeout=5, idle_timeout=30)
 
+#: Iterations of the event loop in which the server parses what was sent.
+READ_ITERATIONS = 20
+
 #: One proper request.
 REQUEST = b'GET /look/1 HTTP/1.1\r\nHost: router.example\r\n\r\n'
 
@@ -177,6 +180,67 @@
         self.assertEqual(self.served, 0)
 
 
+class ExcessTest(ServerCase):
+    """Callers that send on and on without completing a request.
+
+    Guards against a host that keeps what it has read of a head until its
+    memory is used up, or reads empty lines for as long as they come.
+    """
+
+    limits = ConnectionLimits(head_bytes=1000)
+
+    async def send(self, caller: socket.socket, text: bytes) -> None:
+        """Send some bytes, and let the server parse them."""
+        await asyncio.get_running_loop().sock_sendall(caller, text)
+        for _ in range(READ_ITERATIONS):
+            await asyncio.sleep(0)
+
+    async def assert_refused(self, start: bytes, filler: bytes) -> None:
+        """Check that what a caller sends without end is refused, and ends."""
+        with self.caller() as caller:
+            await self.send(caller, start)
+            for _ in range(3):
+                await self.send(caller, filler * (400 // len(filler)))
+            answer = await self.read_answer(caller)
+            self.assertTrue(answer.startswith(b'HTTP/1.1 431 '), answer)
+            self.assertIn(b'1007 HEADERS_TOO_LARGE', answer)
+            self.assertEqual(await self.read_answer(caller), b'')
+        shown = self.metrics().decode()
+        self.assertIn('reason="excess",state="head"', shown)
+
+    async def test_fields_without_end(self) -> None:
+        field = b'X-A: ' + b'b' * 93 + b'\r\n'
+        await self.assert_refused(REQUEST[:-2], field)
+
+    async def test_a_line_without_end(self) -> None:
+        await self.assert_refused(b'GET /', b'x')
+
+    async def test_empty_lines_without_end(self) -> None:
+        await self.assert_refused(b'\r\n', b'\r\n')
+
+    async def test_a_head_within_the_limit_is_served(self) -> None:
+        """In pieces, behind an empty line, and again on the connection."""
+        field = b'X-A: ' + b'b' * 700 + b'\r\n'
+        with self.caller() as caller:
+            for _ in range(3):
+                await self.send(caller, b'\r\n' + REQUEST[:-2])
+                await self.send(caller, field)
+                await self.send(caller, b'\r\n')
+                self.assertIn(b'200 OK', await self.read_answer(caller))
+
+    async def test_lines_behind_a_request_do_not_cut_its_answer(self) -> None:
+        """The connection is closed once the request has been answered."""
+        self.release.clear()
+        with self.caller() as caller:
+            await self.send(caller, REQUEST)
+            for _ in range(4):
+                await self.send(caller, b'\r\n' * 200)
+            self.release.set()
+            self.assertIn(b'200 OK', await self.read_answer(caller))
+            self.assertEqual(await self.read_answer(caller), b'')
+        self.assertEqual(self.served, 1)
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     """The operator's limits at a host of the relay."""
 
