Limit what the kernel queues on callers' connections

What callers saw: 200 callers with a first line or a field without end took a host of 100 MB to 183 and 188 MB although their heads are refused, and 400 that read nothing would hold as much in the kernel as in the process.

Cause: the kernel lets a connection queue megabytes, and one read of it returns up to 256 KiB, which the parser copies into its error.

Why this holds: each accepted connection has a receive buffer of 32 KiB and a send buffer of 64 KiB, so neither a read nor a queue can be larger. The first bytes of a connection that was opened before it is accepted may queue as much as the kernel's default allows.

--- a/src/nutmegroad/callers/_http_listener.py
+++ b/src/nutmegroad/callers/_http_listener.py
@@ -40,7 +40,7 @@
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register
 from nutmegroad.overload.acceptor import Acceptor, UnservedHandler
-from nutmegroad.overload.listening import listening_socket
+from nutmegroad.overload.listening import limit_buffers, listening_socket
 
 #: Seconds that replies in progress may take when a listener closes.
 SHUTDOWN_TIMEOUT: Final = 1.0
@@ -236,6 +236,8 @@
         address.port,
     )
     kernel.stack.callback(listener.close)
+    for sock in listener.sockets:
+        limit_buffers(sock)
     return _address_of(listener.sockets[0])
 
 
--- a/src/nutmegroad/overload/acceptor.py
+++ b/src/nutmegroad/overload/acceptor.py
@@ -15,6 +15,7 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.overload.departures import is_closed_by_peer
+from nutmegroad.overload.listening import limit_buffers
 
 _LOG: Final = part_logger('overload')
 
@@ -141,6 +142,7 @@
                 self._retry_later(problem)
                 break
             connection.setblocking(False)
+            limit_buffers(connection)
             if self._has_room(len(self._queue)):
                 self._queue.append((self._queue_time, connection))
             else:
