Keep little of a body that nobody has read yet

What callers saw: a host of 100 MB with 120 callers whose bodies stop one byte before their end, or come in chunks, needed 133 and 151 MB; a machine of that size ends its process.

Cause: a body is admitted before its handler reads it, but what has arrived until then waits in the connection, up to 768 KiB of it: half of that before reading pauses, and one read. That is not in the account of memory, and most of it belongs to bodies that are about to be refused.

Why this holds: reading pauses when 32 KiB wait, and a read returns no more than the 32 KiB that the kernel queues. What is beyond that stays with the caller until its body has been admitted.

--- a/src/nutmegroad/ingress/connections.py
+++ b/src/nutmegroad/ingress/connections.py
@@ -23,6 +23,10 @@
 #: head has a request line, too, and four bytes beside each field.
 HEAD_FACTOR: Final = 2
 
+#: Bytes of a body that wait to be read by the handler of its request. Reading
+#: from the connection pauses at twice as many.
+READ_BUFFER: Final = 16_384
+
 #: Seconds after which the base class closes idle connections by itself; the
 #: operator's limit is far below.
 _NEVER: Final = 86_400
@@ -121,6 +125,7 @@
             server,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=_NEVER,
+            read_bufsize=READ_BUFFER,
             **options,
         )
         self.limits = limits
--- a/src/nutmegroad/relay/intake.py
+++ b/src/nutmegroad/relay/intake.py
@@ -13,14 +13,10 @@
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import RequestId
+from nutmegroad.ingress.bodies import read_body
 from nutmegroad.ingress.connections import BodyInterruptedError, reading_body
 from nutmegroad.overload.arrivals import seconds_since_arrival
-from nutmegroad.overload.memory_budget import (
-    HeldPart,
-    Holding,
-    Shortage,
-    allocate,
-)
+from nutmegroad.overload.memory_budget import Holding
 from nutmegroad.relay.listener import raw_headers
 from nutmegroad.routes.attributes import request_attributes
 from nutmegroad.routes.cached_configuration import CachedConfiguration
@@ -125,7 +121,7 @@
         """Return the body if it arrives in time."""
         limit = matched.table.limits.body_bytes
         if http.content.is_eof():
-            return await _read_body(http, limit, holding)
+            return await read_body(http, limit, holding)
         text = http.headers.get(self._names.deadline, '')
         timeout = matched.route.timeout
         allowed = BODY_FRACTION * min(
@@ -135,7 +131,7 @@
         try:
             async with ReadTimeout(time_left):
                 with reading_body(http):
-                    return await _read_body(http, limit, holding)
+                    return await read_body(http, limit, holding)
         except BodyInterruptedError as interrupted:
             return interrupted.refusal
         except TimeoutError:
@@ -286,48 +282,3 @@
     if matched.workspace is None:
         return owners
     return (*owners, f'workspace {matched.workspace.name}')
-
-
-async def _read_body(
-    http: web.BaseRequest, max_bytes: int, holding: Holding
-) -> bytes | Refusal:
-    """Return the complete body, or the refusal of one that is too large.
-
-    Room for a body is reserved before it is read, or with each part if its
-    length is not announced.
-    """
-    announced = http.content_length
-    if announced is not None and announced > max_bytes:
-        return _too_large(max_bytes)
-    if announced:
-        shortage = await holding.reserve(HeldPart.BODY, announced)
-        if shortage is not None:
-            return _memory_short(shortage)
-    body = allocate(announced or 0)
-    async for part in http.content.iter_any():
-        if holding.received + len(part) > max_bytes:
-            return _too_large(max_bytes)
-        if announced is None:
-            shortage = await holding.reserve(HeldPart.BODY, len(part))
-            if shortage is not None:
-                return _memory_short(shortage)
-        holding.received += body.write(part)
-    return body.getvalue()
-
-
-def _memory_short(shortage: Shortage) -> Refusal:
-    """Return the refusal of a body for which there is no memory."""
-    return Refusal(
-        ResultCode.HOST_MEMORY_SHORT,
-        f'The body needs {shortage.size} more bytes; '
-        f'{shortage.free} are free here for large bodies.',
-        retry_after=shortage.retry_after,
-    )
-
-
-def _too_large(max_bytes: int) -> Refusal:
-    """Return the refusal of a body that is too large."""
-    return Refusal(
-        ResultCode.BODY_TOO_LARGE,
-        f'The body has more than {max_bytes} bytes.',
-    )
