Account for the bodies that callers send to the daemon

What callers saw: a daemon with 120 callers whose bodies of 4 MB stop one byte before their end needed 720 MB, in chunks 777 MB; on a machine of 140 MB the process ends.

Cause: the daemon limits the size of a body and its time, not how many it holds. The budget of the relay was never given to it.

Why this holds: a body is admitted by its length, or part by part, before it is read, by the code and the budget that the relay uses. The account of a request is opened before all else and closed when its handler has ended, however it ends. The new setting `memory_mb` has a default of 300, as small hosts have; ten callers with the largest bodies at once are within it.

--- /dev/null
+++ b/src/nutmegroad/callers/_memory_guard.py
@@ -0,0 +1,45 @@
+"""Middleware that accounts for the memory of callers' requests."""
+
+from contextlib import closing
+from typing import Final
+
+from aiohttp.typedefs import Handler, Middleware
+from aiohttp.web import (
+    Application,
+    Request,
+    RequestKey,
+    StreamResponse,
+    middleware,
+)
+
+from nutmegroad.overload.memory_budget import Holding, MemoryBudget
+
+#: Key under which an HTTP request stores the account of its bytes.
+HOLDING_KEY: Final = RequestKey('holding', Holding)
+
+
+class MemoryGuard:
+    """Opens the account of each request, and closes it after the answer.
+
+    Args:
+        memory: The host's budget.
+    """
+
+    def __init__(self, memory: MemoryBudget) -> None:
+        self._memory = memory
+
+    def install(self, app: Application) -> None:
+        """Add the middleware to an application, outside all others."""
+        app.middlewares.insert(0, self._make_middleware())
+
+    def _make_middleware(self) -> Middleware:
+        """Return the middleware function."""
+
+        @middleware
+        async def hold(request: Request, handler: Handler) -> StreamResponse:
+            """Answer a request, whose bytes are held until the end."""
+            with closing(self._memory.open()) as holding:
+                request[HOLDING_KEY] = holding
+                return await handler(request)
+
+        return hold
--- a/src/nutmegroad/callers/interface.py
+++ b/src/nutmegroad/callers/interface.py
@@ -7,7 +7,6 @@
 import msgspec
 from aiohttp.web import (
     Application,
-    HTTPRequestEntityTooLarge,
     Request,
     Response,
     StreamResponse,
@@ -20,6 +19,7 @@
     forwarded_headers,
     new_request_id,
 )
+from nutmegroad.callers._memory_guard import HOLDING_KEY
 from nutmegroad.callers._stop_guard import STREAM_KEY
 from nutmegroad.callers.answer_streams import EventStream
 from nutmegroad.callers.intake import authenticate
@@ -37,6 +37,7 @@
 from nutmegroad.foundations.logs import current_request
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import RequestId, ServiceName, WorkspaceId
+from nutmegroad.ingress.bodies import read_body
 from nutmegroad.ingress.connections import BodyInterruptedError, reading_body
 from nutmegroad.overload.arrivals import seconds_since_arrival
 from nutmegroad.records.at_most_once import ForwardRequired
@@ -57,6 +58,7 @@
         context: The components that answer requests.
         prefix: Prefix of the request ids that this host assigns.
         body_timeout: Seconds that a body may take to arrive.
+        max_body: Maximum bytes of a body.
     """
 
     def __init__(
@@ -64,18 +66,16 @@
         context: CallerContext,
         prefix: str,
         body_timeout: float,
+        max_body: int,
     ) -> None:
         self._context = context
         self._prefix = prefix
         self._body_timeout = body_timeout
+        self._max_body = max_body
 
-    def application(self, max_body: int) -> Application:
-        """Return the aiohttp application.
-
-        Args:
-            max_body: Maximum bytes of a body.
-        """
-        app = Application(client_max_size=max_body)
+    def application(self) -> Application:
+        """Return the aiohttp application."""
+        app = Application()
         app.router.add_post(_CHAT, self.chat)
         app.router.add_get('/v1/models', self.models)
         app.router.add_post('/v1/tickets', self.ticket)
@@ -197,6 +197,7 @@
         invalid = check_key(http.headers)
         if invalid is not None:
             return self._refuse(invalid, request_id)
+        http[HOLDING_KEY].owners = (f'workspace {workspace.name}',)
         content = await self._read_body(http)
         if isinstance(content, Refusal):
             return self._refuse(content, request_id)
@@ -215,14 +216,11 @@
         try:
             async with asyncio.timeout(self._body_timeout):
                 with reading_body(http):
-                    return await http.read()
+                    return await read_body(
+                        http, self._max_body, http[HOLDING_KEY]
+                    )
         except BodyInterruptedError as interrupted:
             return interrupted.refusal
-        except HTTPRequestEntityTooLarge as error:
-            return Refusal(
-                ResultCode.BODY_TOO_LARGE,
-                f'The body is too large: {error.reason}.',
-            )
         except TimeoutError:
             return Refusal(
                 ResultCode.BODY_TOO_SLOW,
--- a/src/nutmegroad/callers/part.py
+++ b/src/nutmegroad/callers/part.py
@@ -4,6 +4,7 @@
 from nutmegroad.callers._http_listener import Listener
 from nutmegroad.callers._http_middleware import install_request_middleware
 from nutmegroad.callers._json_refusals import make_quick_refusals
+from nutmegroad.callers._memory_guard import MemoryGuard
 from nutmegroad.callers._pause_guard import PauseGuard
 from nutmegroad.callers._stop_guard import StopGuard
 from nutmegroad.callers.intake import IntakeReader
@@ -20,6 +21,7 @@
 from nutmegroad.kernel.registry import register
 from nutmegroad.kernel.stops import GracefulStop
 from nutmegroad.overload.departures import departed_caller_refusal
+from nutmegroad.overload.memory_budget import memory_budget, resident_bytes
 from nutmegroad.records.at_most_once import AtMostOnce
 from nutmegroad.records.billing import Biller
 from nutmegroad.records.explanations import Explanations
@@ -64,9 +66,10 @@
             self._make_context(kernel, runner, signer),
             kernel.incarnation,
             kernel.settings.body_timeout,
+            kernel.settings.max_body,
         )
         kernel.need(Forwarder).listen(interface.answer_forwarded)
-        app = interface.application(kernel.settings.max_body)
+        app = interface.application()
         stop = kernel.need(GracefulStop)
         metrics = kernel.need(Metrics)
         StopGuard(stop, metrics).install(app)
@@ -74,6 +77,11 @@
         gatekeeper.add_condition(departed_caller_refusal)
         PauseGuard(gatekeeper).install(app)
         install_request_middleware(kernel, app, 'callers', metrics.refused)
+        MemoryGuard(
+            memory_budget(
+                kernel.settings.memory_mb, kernel.clock, resident_bytes
+            )
+        ).install(app)
         kernel.listening['callers'] = await kernel.need(Listener).listen(
             kernel,
             app,
--- a/src/nutmegroad/kernel/_setting_specs.py
+++ b/src/nutmegroad/kernel/_setting_specs.py
@@ -260,6 +260,13 @@
         "maximum size of a caller's request body, in bytes",
         '4000000',
     ),
+    Spec(
+        'memory_mb',
+        bounded_int(64, 1 << 20),
+        'a whole number of megabytes from 64 to 1048576',
+        'memory that the process may use in all, in MB',
+        '300',
+    ),
     _seconds_spec(
         'body_timeout',
         'time within which a caller must send its body',
--- a/src/nutmegroad/kernel/settings.py
+++ b/src/nutmegroad/kernel/settings.py
@@ -68,6 +68,8 @@
             host is not ready.
         drain: Maximum duration of a graceful stop, in seconds.
         max_body: Maximum size of a caller's request body, in bytes.
+        memory_mb: Memory that the process may use in all, in MB. A part of it
+            is for the bodies and answers of requests.
         body_timeout: Seconds within which a caller must send its body.
         log_format: ``text`` or ``json``.
         seed: Random seed; None takes one from the operating system.
@@ -96,6 +98,7 @@
     lame_duck: float = 1.0
     drain: float = 30.0
     max_body: int = 4_000_000
+    memory_mb: int = 300
     body_timeout: float = 20.0
     log_format: str = 'text'
     seed: int | None = None
--- a/tests/test_hostile_bodies.py
+++ b/tests/test_hostile_bodies.py
@@ -5,7 +5,7 @@
 
 import unittest
 
-from tests.hostile_callers import BodyChecks, RelayProgram
+from tests.hostile_callers import BodyChecks, DaemonProgram, RelayProgram
 
 
 class RelayBodiesTest(
@@ -14,5 +14,11 @@
     """Bodies that are sent to the platform's program."""
 
 
+class DaemonBodiesTest(
+    DaemonProgram, BodyChecks, unittest.IsolatedAsyncioTestCase
+):
+    """Bodies that are sent to the daemon."""
+
+
 if __name__ == '__main__':
     unittest.main()
