Account for answers that callers of a relay host don't take

What callers saw: a host of 100 MB with 120 callers that read nothing of an answer of 4 MiB needed 596 MB, of a stream of as much 571 MB; its process ends.

Cause: only whole answers were in the account of memory. What was refused there was sent on as it arrived, and held, per caller: up to 384 KiB of the upstream's connection, one piece of it, and 128 KiB or more for the caller, as a write waits only after 64 KiB. What the kernel queued of both was as much again.

Why this holds: a request is admitted with room for its exchange, 256 KiB, or refused as not run. That is what its exchange may hold by construction: twice 16 KiB and one read from the upstream, one piece, 16 KiB for the caller, and the kernel's two queues. A whole answer is counted beside it. A piece of a stream is written when those before have been taken. A closed connection that its caller does not read to the end is aborted after 10 s; nothing had ended it.

--- a/src/nutmegroad/ingress/bodies.py
+++ b/src/nutmegroad/ingress/bodies.py
@@ -4,6 +4,7 @@
 
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.overload.memory_budget import (
+    EXCHANGE_BYTES,
     HeldPart,
     Holding,
     Shortage,
@@ -17,7 +18,7 @@
     """Return the complete body, or the refusal of one that is too large.
 
     Room for a body is reserved before it is read, or with each part if its
-    length is not announced.
+    length is not announced, and room for its exchange with an upstream after.
 
     Args:
         http: The request.
@@ -40,15 +41,16 @@
             if shortage is not None:
                 return _memory_short(shortage)
         holding.received += body.write(part)
-    return body.getvalue()
+    shortage = await holding.reserve(HeldPart.ANSWER, EXCHANGE_BYTES)
+    return body.getvalue() if shortage is None else _memory_short(shortage)
 
 
 def _memory_short(shortage: Shortage) -> Refusal:
-    """Return the refusal of a body for which there is no memory."""
+    """Return the refusal of a request for which there is no memory."""
     return Refusal(
         ResultCode.HOST_MEMORY_SHORT,
-        f'The body needs {shortage.size} more bytes; '
-        f'{shortage.free} are free here for large bodies.',
+        f'The request needs {shortage.size} more bytes; '
+        f'{shortage.free} are free here for large ones.',
         retry_after=shortage.retry_after,
     )
 
--- a/src/nutmegroad/ingress/connections.py
+++ b/src/nutmegroad/ingress/connections.py
@@ -27,6 +27,14 @@
 #: from the connection pauses at twice as many.
 READ_BUFFER: Final = 16_384
 
+#: Bytes of an answer that wait to be taken by the caller before its handler has
+#: to wait, too.
+WRITE_BUFFER: Final = 16_384
+
+#: Seconds for which a closed connection may have bytes that its caller has not
+#: taken.
+CLOSE_TIMEOUT: Final = 10.0
+
 #: Seconds after which the base class closes idle connections by itself; the
 #: operator's limit is far below.
 _NEVER: Final = 86_400
@@ -178,6 +186,22 @@
             return False
         return has_unread(self.transport.get_extra_info('socket').fileno())
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what is buffered for the caller."""
+        super().connection_made(transport)
+        if isinstance(transport, asyncio.WriteTransport):
+            transport.set_write_buffer_limits(WRITE_BUFFER)
+
+    async def start(self) -> None:
+        """Handle requests until the connection is closed."""
+        transport = self.transport
+        try:
+            await super().start()
+        finally:
+            if transport is not None and transport.get_write_buffer_size():
+                # A caller that takes nothing would keep it open.
+                self._loop.call_later(CLOSE_TIMEOUT, transport.abort)
+
     def data_received(self, received: bytes) -> None:
         """Parse received bytes, and note when a head begins."""
         if self._close:
--- a/src/nutmegroad/overload/memory_budget.py
+++ b/src/nutmegroad/overload/memory_budget.py
@@ -34,9 +34,14 @@
 #: A host serves small requests whatever its limit is.
 MIN_TOTAL: Final = 8_388_608
 
-#: Largest request in bytes for which a part of the total is reserved, and that
-#: part.
-SMALL_BYTES: Final = 65_536
+#: Bytes that the exchange of a request with an upstream may hold beside its body
+#: and a whole answer: what has been received of an answer and is not sent on,
+#: and what the caller has not taken, each with one read.
+EXCHANGE_BYTES: Final = 262_144
+
+#: Largest request in bytes, with its exchange, for which a part of the total is
+#: reserved, and that part.
+SMALL_BYTES: Final = EXCHANGE_BYTES + 65_536
 SMALL_FRACTION: Final = 0.125
 
 #: Fraction of the large part that one workspace or route may hold while others
--- a/src/nutmegroad/relay/connections.py
+++ b/src/nutmegroad/relay/connections.py
@@ -32,8 +32,8 @@
 _LOG: Final = part_logger('connections')
 
 #: Bytes of a response that are buffered for a slow caller before reading
-#: pauses.
-BUFFER_BYTES: Final = 65_536
+#: pauses, at twice as many.
+BUFFER_BYTES: Final = 16_384
 
 #: Responses with a status below this one are interim responses.
 _FIRST_FINAL: Final = 200
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -18,6 +18,7 @@
     CallerServer,
     Limits,
 )
+from nutmegroad.ingress.delivery import deliver
 from nutmegroad.ingress.descriptors import DescriptorAccount
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.acceptor import (
@@ -41,9 +42,6 @@
 #: of a request.
 HEADER_BYTES: Final = 32_768
 
-#: Bytes that are buffered for a caller without waiting until it has read them.
-BUFFERED_BYTES: Final = 65_536
-
 #: Seconds that handlers may take to end when the host closes.
 SHUTDOWN_TIMEOUT: Final = 0.1
 
@@ -127,9 +125,10 @@
         self._stream = stream
 
     async def write(self, text: bytes) -> None:
-        """Send a part of a stream."""
+        """Send a part of a stream, when the caller has taken those before."""
         if self._stream is not None:
             await self._stream.write(text)
+            await self._request.writer.drain()
 
     def finish_stream(self) -> None:
         """End a complete stream."""
@@ -171,46 +170,10 @@
             How many bytes the caller had taken when its connection was aborted
             because it took no more; None if it was not.
         """
-        response, transport = self.response, self._request.transport
-        if not self.is_complete or response is None or transport is None:
-            return None
-        size = transport.get_write_buffer_size() + (
-            response.content_length or 0
-        )
-        if size <= BUFFERED_BYTES:
-            await self._send(response)
+        response = self.response
+        if not self.is_complete or response is None:
             return None
-        sending = asyncio.create_task(self._send(response))
-        try:
-            left = await self._wait_while_taken(sending, transport)
-        finally:
-            sending.cancel()
-        return None if left is None else size - left
-
-    async def _wait_while_taken(
-        self, sending: asyncio.Task[None], transport: asyncio.WriteTransport
-    ) -> int | None:
-        """Wait for the end of sending, or abort if the caller takes nothing.
-
-        Returns:
-            The bytes that were left then; None if all were taken.
-        """
-        left: int | None = None
-        while True:
-            await asyncio.wait((sending,), timeout=self._max_stall)
-            if sending.done():
-                # Raises if the connection was lost.
-                sending.result()
-                return None
-            before, left = left, transport.get_write_buffer_size()
-            if before is not None and left >= before:
-                transport.abort()
-                return left
-
-    async def _send(self, response: web.StreamResponse) -> None:
-        """Send a complete response, or the end of a stream."""
-        await response.prepare(self._request)
-        await response.write_eof()
+        return await deliver(self._request, response, self._max_stall)
 
     def _complete(self, response: web.Response) -> None:
         """Set the answer, unless there is one."""
--- a/src/nutmegroad/relay/sockets.py
+++ b/src/nutmegroad/relay/sockets.py
@@ -8,6 +8,7 @@
 
 from nutmegroad.foundations.timeouts import ReadTimeout
 from nutmegroad.foundations.types import Address
+from nutmegroad.overload.listening import limit_buffers
 
 #: Seconds without data after which the kernel sends a keep-alive probe, and
 #: between its probes. A connection may become unresponsive without a reset. The
@@ -101,6 +102,7 @@
     loop = asyncio.get_running_loop()
     sock = _new_socket()
     prepare_socket(sock, EXCHANGE_USER_TIMEOUT_MS)
+    limit_buffers(sock)
     try:
         sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
         sock.bind((source_ip, 0))
