Account for answers that callers of the daemon don't take

What callers saw: a daemon of 140 MB with 120 callers that read nothing of a service's reply of 4 MiB needed 1501 MB; its process ends.

Cause: a reply is read whole, up to 4 MiB, and held until its caller has taken it, for which there was no time limit; nothing counted how many there were. The client's buffers beside it held up to 768 KiB of each.

Why this holds: a request is admitted with room for its exchange, and what is read of a reply beyond that is counted before it is kept; without room the call fails as one whose outcome is unknown (502), which promises nothing. The account is closed when the caller has taken the answer, or has lost its connection since it took nothing for 30 s. Upstream connections queue as little as callers' do.

--- a/src/nutmegroad/adapters/_complete_responses.py
+++ b/src/nutmegroad/adapters/_complete_responses.py
@@ -11,6 +11,9 @@
 from aiohttp import ClientPayloadError, ClientResponse
 from aiohttp.connector import Connection
 
+from nutmegroad.overload.holdings import current_holding
+from nutmegroad.overload.memory_budget import HeldPart, Holding
+
 #: Headers that mark the end of a body.
 _FRAMING_HEADERS: Final = ('Content-Length', 'Transfer-Encoding')
 
@@ -62,12 +65,16 @@
             size: Maximum number of bytes.
 
         Raises:
-            ClientPayloadError: If the body is longer, or ended because its
-                connection failed.
+            ClientPayloadError: If the body is longer, ended because its
+                connection failed, or finds no room in this host's memory.
         """
         chunks = []
         left = size
+        holding = current_holding()
         async for chunk in self.content.iter_any():
+            if not await _has_room(holding, len(chunk)):
+                self.close()
+                raise ClientPayloadError('This host has no memory left.')
             chunks.append(chunk)
             left -= len(chunk)
             if left < 0:
@@ -84,6 +91,13 @@
         return not any(name in self.headers for name in _FRAMING_HEADERS)
 
 
+async def _has_room(holding: Holding | None, size: int) -> bool:
+    """Return whether bytes of an answer may be held; wait a little for room."""
+    if holding is None:
+        return True
+    return await holding.reserve(HeldPart.ANSWER, size) is None
+
+
 def _ignore_failure(end: asyncio.Future[None]) -> None:
     """Retrieve the exception of a lost connection, which may be idle."""
     if not end.cancelled():
--- a/src/nutmegroad/adapters/_http_sessions.py
+++ b/src/nutmegroad/adapters/_http_sessions.py
@@ -1,10 +1,12 @@
 """Base class and helpers of the HTTP clients for upstreams."""
 
+import socket
 from contextlib import AsyncExitStack
 from types import MappingProxyType
 from typing import Any, Final, Self, cast
 
 from aiohttp import (
+    AddrInfoType,
     ClientError,
     ClientResponse,
     ClientSession,
@@ -26,10 +28,15 @@
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Ran, UpstreamInfo
+from nutmegroad.overload.listening import limit_buffers
 
 #: Timeout of a TCP connect in seconds; upstreams are milliseconds away.
 CONNECT_TIMEOUT: Final = 2.0
 
+#: Bytes of an answer that wait to be read. Reading from the connection pauses
+#: at twice as many.
+READ_BUFFER: Final = 16_384
+
 #: Exceptions that a failed call may raise.
 FAILURES: Final = (
     ClientError,
@@ -88,6 +95,14 @@
     return URL(f'http://{upstream.address}/{path}', encoded=True)
 
 
+def _new_socket(address: AddrInfoType) -> socket.socket:
+    """Return a socket that queues little; see ``limit_buffers``."""
+    family, kind, protocol, *_ = address
+    sock = socket.socket(family, kind, protocol)
+    limit_buffers(sock)
+    return sock
+
+
 class HttpClient:
     """Base class of the clients: a session whose requests check gates."""
 
@@ -105,9 +120,12 @@
                 # here would be a queue that nothing reports.
                 # Replies do not name their request: on a connection that is
                 # used again, a late copy of one would answer the next.
-                connector=GuardedConnector(limit=0, force_close=True),
+                connector=GuardedConnector(
+                    limit=0, force_close=True, socket_factory=_new_socket
+                ),
                 cookie_jar=DummyCookieJar(),
                 auto_decompress=False,
+                read_bufsize=READ_BUFFER,
             ),
         )
         return self
--- a/src/nutmegroad/callers/_memory_guard.py
+++ b/src/nutmegroad/callers/_memory_guard.py
@@ -12,6 +12,10 @@
     middleware,
 )
 
+from nutmegroad.callers.answer_streams import READ_TIMEOUT
+from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.ingress.delivery import deliver
+from nutmegroad.overload.holdings import counted_by
 from nutmegroad.overload.memory_budget import Holding, MemoryBudget
 
 #: Key under which an HTTP request stores the account of its bytes.
@@ -23,10 +27,12 @@
 
     Args:
         memory: The host's budget.
+        metrics: Counts answers that callers don't take.
     """
 
-    def __init__(self, memory: MemoryBudget) -> None:
+    def __init__(self, memory: MemoryBudget, metrics: Metrics) -> None:
         self._memory = memory
+        self._metrics = metrics
 
     def install(self, app: Application) -> None:
         """Add the middleware to an application, outside all others."""
@@ -37,9 +43,15 @@
 
         @middleware
         async def hold(request: Request, handler: Handler) -> StreamResponse:
-            """Answer a request, whose bytes are held until the end."""
-            with closing(self._memory.open()) as holding:
+            """Answer a request, whose bytes are held until it is taken."""
+            with (
+                closing(self._memory.open()) as holding,
+                counted_by(holding),
+            ):
                 request[HOLDING_KEY] = holding
-                return await handler(request)
+                reply = await handler(request)
+                if await deliver(request, reply, READ_TIMEOUT) is not None:
+                    self._metrics.reply_dropped('slow_caller')
+                return reply
 
         return hold
--- a/src/nutmegroad/callers/part.py
+++ b/src/nutmegroad/callers/part.py
@@ -1,12 +1,9 @@
 """The kernel part that serves the callers' HTTP interface."""
 
 from nutmegroad.callers._caller_context import CallerContext
+from nutmegroad.callers._guards import install_guards
 from nutmegroad.callers._http_listener import Listener
-from nutmegroad.callers._http_middleware import install_request_middleware
 from nutmegroad.callers._json_refusals import make_quick_refusals
-from nutmegroad.callers._memory_guard import MemoryGuard
-from nutmegroad.callers._pause_guard import PauseGuard
-from nutmegroad.callers._stop_guard import StopGuard
 from nutmegroad.callers.intake import IntakeReader
 from nutmegroad.callers.interface import CallersInterface
 from nutmegroad.callers.model_routes import ModelContext, ModelRoutes
@@ -20,8 +17,6 @@
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.registry import register
 from nutmegroad.kernel.stops import GracefulStop
-from nutmegroad.overload.departures import departed_caller_refusal
-from nutmegroad.overload.memory_budget import memory_budget, resident_bytes
 from nutmegroad.records.at_most_once import AtMostOnce
 from nutmegroad.records.billing import Biller
 from nutmegroad.records.explanations import Explanations
@@ -70,23 +65,12 @@
         )
         kernel.need(Forwarder).listen(interface.answer_forwarded)
         app = interface.application()
-        stop = kernel.need(GracefulStop)
-        metrics = kernel.need(Metrics)
-        StopGuard(stop, metrics).install(app)
-        gatekeeper = kernel.need(Gatekeeper)
-        gatekeeper.add_condition(departed_caller_refusal)
-        PauseGuard(gatekeeper).install(app)
-        install_request_middleware(kernel, app, 'callers', metrics.refused)
-        MemoryGuard(
-            memory_budget(
-                kernel.settings.memory_mb, kernel.clock, resident_bytes
-            )
-        ).install(app)
+        install_guards(kernel, app)
         kernel.listening['callers'] = await kernel.need(Listener).listen(
             kernel,
             app,
             kernel.settings.callers,
-            make_quick_refusals(kernel, metrics),
+            make_quick_refusals(kernel, kernel.need(Metrics)),
         )
 
     def _make_context(
--- a/src/nutmegroad/overload/memory_budget.py
+++ b/src/nutmegroad/overload/memory_budget.py
@@ -34,14 +34,17 @@
 #: A host serves small requests whatever its limit is.
 MIN_TOTAL: Final = 8_388_608
 
-#: Bytes that the exchange of a request with an upstream may hold beside its body
-#: and a whole answer: what has been received of an answer and is not sent on,
-#: and what the caller has not taken, each with one read.
+#: Bytes that the exchange of a request with an upstream may hold beside its
+#: body and a whole answer: what has been received of an answer and is not sent
+#: on, and what the caller has not taken, each with one read.
 EXCHANGE_BYTES: Final = 262_144
 
-#: Largest request in bytes, with its exchange, for which a part of the total is
-#: reserved, and that part.
-SMALL_BYTES: Final = EXCHANGE_BYTES + 65_536
+#: Largest body in bytes of a request that counts as small.
+SMALL_BODY: Final = 65_536
+
+#: Bytes of a small request with its exchange, and the fraction of the total
+#: that is reserved for such requests.
+SMALL_BYTES: Final = EXCHANGE_BYTES + SMALL_BODY
 SMALL_FRACTION: Final = 0.125
 
 #: Fraction of the large part that one workspace or route may hold while others
@@ -124,6 +127,7 @@
         #: Bytes that are held for its body, and in all.
         self.body = 0
         self.size = 0
+        self._is_closed = False
 
     def expected_seconds(self, now: float) -> float:
         """Return the seconds until its body will likely have arrived."""
@@ -140,6 +144,8 @@
         Returns:
             Why there is none; None if they were reserved.
         """
+        if self._is_closed:
+            return None
         return await self._budget.reserve(self, part, size)
 
     def extend(self, part: HeldPart, size: int) -> bool:
@@ -147,7 +153,11 @@
         return self._budget.try_reserve(self, part, size)
 
     def close(self) -> None:
-        """Give all bytes back."""
+        """Give all bytes back.
+
+        What goes on without its caller, to record an answer, is not counted.
+        """
+        self._is_closed = True
         if self.size:
             self._budget.release(self)
 
--- a/tests/test_hostile_readers.py
+++ b/tests/test_hostile_readers.py
@@ -7,6 +7,7 @@
 
 from tests.hostile_callers import (
     AnswerChecks,
+    DaemonProgram,
     RelayProgram,
     StreamChecks,
 )
@@ -24,5 +25,11 @@
     """Streams of the platform's program."""
 
 
+class DaemonReadersTest(
+    DaemonProgram, AnswerChecks, unittest.IsolatedAsyncioTestCase
+):
+    """Answers of the daemon."""
+
+
 if __name__ == '__main__':
     unittest.main()
