Keep as many connections and incomplete heads as there is memory for

What callers saw: nothing yet. What one connection may hold is limited now, but their number was limited by descriptors alone: 3,800 connections with 64 KiB of a head and 32 KiB of their own would need 370 MB of a machine of 300.

Cause: the account of descriptors counts connections, not what they hold.

Why this holds: the memory above a process's own is divided: half for requests that were admitted, half for connections, of that half for incomplete heads. Whoever is beyond it leaves in the order that exists for descriptors, or is refused as not run. The tests of crowds run alone, after all other modules.

--- a/src/nutmegroad/callers/_http_listener.py
+++ b/src/nutmegroad/callers/_http_listener.py
@@ -30,7 +30,7 @@
 from nutmegroad.ingress.connections import (
     CallerConnection,
     ConnectionLimits,
-    ExcessHandler,
+    InputGuard,
 )
 from nutmegroad.ingress.descriptors import (
     DescriptorAccount,
@@ -41,6 +41,10 @@
 from nutmegroad.kernel.registry import register
 from nutmegroad.overload.acceptor import Acceptor, UnservedHandler
 from nutmegroad.overload.listening import limit_buffers, listening_socket
+from nutmegroad.overload.memory_budget import (
+    connection_memory,
+    resident_bytes,
+)
 
 #: Seconds that replies in progress may take when a listener closes.
 SHUTDOWN_TIMEOUT: Final = 1.0
@@ -66,19 +70,17 @@
     Args:
         server: The aiohttp server, which tracks all connections.
         clock: The host's clock.
-        refuse_excess: Refuses what the caller sends beyond a limit.
+        guard: Limits what the caller sends.
     """
 
     __slots__ = ()
 
-    def __init__(
-        self, server: Server, clock: Clock, refuse_excess: ExcessHandler
-    ) -> None:
+    def __init__(self, server: Server, clock: Clock, guard: InputGuard) -> None:
         super().__init__(
             server,
             clock,
             lambda: LIMITS,
-            refuse_excess,
+            guard,
             access_log=None,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
@@ -173,11 +175,14 @@
         listener = listening_socket((address.ip, address.port))
         acceptor = Acceptor(
             listener,
-            lambda: Connection(server, kernel.clock, timeouts.refuse_excess),
+            lambda: Connection(server, kernel.clock, timeouts),
             unserved,
             kernel.clock,
             DescriptorAccount(
-                descriptor_limit(0), timeouts, kernel.clock
+                descriptor_limit(0),
+                timeouts,
+                kernel.clock,
+                connection_memory(kernel.settings.memory_mb, resident_bytes()),
             ).has_room,
         )
         acceptor.start()
@@ -231,7 +236,7 @@
 ) -> Address:
     """Serve all connections to an address until the kernel closes."""
     listener = await asyncio.get_running_loop().create_server(
-        lambda: Connection(server, kernel.clock, timeouts.refuse_excess),
+        lambda: Connection(server, kernel.clock, timeouts),
         address.ip,
         address.port,
     )
--- a/src/nutmegroad/ingress/connections.py
+++ b/src/nutmegroad/ingress/connections.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 from math import inf
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from aiohttp import StreamReader, web
 from aiohttp.http_parser import RawRequestMessage
@@ -93,8 +93,20 @@
 #: Returns the limits in force.
 Limits = Callable[[], ConnectionLimits]
 
-#: Refuses what a caller sends beyond a limit.
-ExcessHandler = Callable[['CallerConnection', Refusal], None]
+
+class InputGuard(Protocol):
+    """Limits what callers may send before a request is complete."""
+
+    def refuse_excess(
+        self, connection: 'CallerConnection', refusal: Refusal
+    ) -> None:
+        """Refuse what a caller sends beyond a limit."""
+
+    def head_begun(self, connection: 'CallerConnection') -> None:
+        """Count a connection with the beginning of a head, or refuse it."""
+
+    def head_ended(self, connection: 'CallerConnection') -> None:
+        """No longer count a connection."""
 
 
 class CallerConnection(web.RequestHandler):
@@ -104,7 +116,7 @@
         server: The server, which tracks all of its connections.
         clock: The host's clock.
         limits: Returns the limits in force.
-        refuse_excess: Refuses what the caller sends beyond a limit.
+        guard: Limits what the caller sends.
         options: Options of the base class.
     """
 
@@ -113,8 +125,9 @@
         '_body',
         '_body_since',
         '_clock',
+        '_guard',
+        '_has_partial_head',
         '_progress',
-        '_refuse_excess',
         'head_since',
         'is_kept',
         'limits',
@@ -126,7 +139,7 @@
         server: web.Server,
         clock: Clock,
         limits: Limits,
-        refuse_excess: ExcessHandler,
+        guard: InputGuard,
         **options: Any,
     ) -> None:
         super().__init__(
@@ -137,7 +150,8 @@
             **options,
         )
         self.limits = limits
-        self._refuse_excess = refuse_excess
+        self._guard = guard
+        self._has_partial_head = False
         # Counts what arrives without completing a head or adding to a body.
         self._progress = ProgressGuard()
         # The body of the request that arrived last.
@@ -215,6 +229,14 @@
             self.is_kept = True
         if received:
             self._limit_input(len(received))
+        if self._has_partial_head != (self.head_since is not None):
+            self._count_head()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what the connection holds."""
+        super().connection_lost(exc)
+        self.head_since = None
+        self._guard.head_ended(self)
 
     def announce(self, response: web.StreamResponse) -> None:
         """Tell the caller for how long the connection is kept while idle."""
@@ -271,7 +293,31 @@
         delivered = self._request_count, arriving and arriving.total_bytes
         limit = self.limits().head_bytes
         if self._progress.is_stuck(size, delivered, limit):
-            self._refuse_excess(self, _too_large(limit))
+            self._guard.refuse_excess(self, _too_large(limit))
+
+    def _count_head(self) -> None:
+        """Count a head that has begun and is not complete, or stop counting."""
+        self._has_partial_head = self.head_since is not None
+        if self._has_partial_head:
+            self._guard.head_begun(self)
+        else:
+            self._guard.head_ended(self)
+
+
+class _NoGuard:
+    """Ends connections without an answer, for a server that nothing watches."""
+
+    def refuse_excess(
+        self, connection: CallerConnection, _refusal: Refusal
+    ) -> None:
+        """Close a connection."""
+        connection.end()
+
+    def head_begun(self, _connection: CallerConnection) -> None:
+        """Count nothing."""
+
+    def head_ended(self, _connection: CallerConnection) -> None:
+        """Count nothing."""
 
 
 class CallerServer(web.Server):
@@ -291,8 +337,8 @@
         self._clock = clock
         self._limits = limits
         self._options = options
-        #: Refuses what a caller sends beyond a limit.
-        self.refuse_excess: ExcessHandler = _close
+        #: Limits what callers send.
+        self.guard: InputGuard = _NoGuard()
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
@@ -300,7 +346,7 @@
             self,
             self._clock,
             self._limits,
-            self.refuse_excess,
+            self.guard,
             **self._options,
         )
 
@@ -320,11 +366,6 @@
         yield
 
 
-def _close(connection: CallerConnection, _refusal: Refusal) -> None:
-    """Close a connection without an answer."""
-    connection.end()
-
-
 def _too_large(limit: int) -> Refusal:
     """Return the refusal of a head that is too large, or has no end."""
     return Refusal(
--- a/src/nutmegroad/ingress/descriptors.py
+++ b/src/nutmegroad/ingress/descriptors.py
@@ -1,7 +1,8 @@
 """Divides the file descriptors of a host between callers and its own use.
 
-Callers may hold connections without a request. When descriptors run short,
-connections leave first that cost their callers nothing, or the least.
+Callers may hold connections without a request. When descriptors, or the memory
+for connections, run short, connections leave first that cost their callers
+nothing, or the least.
 """
 
 import resource
@@ -25,6 +26,14 @@
 RESERVED: Final = 300
 RESERVED_FRACTION: Final = 0.25
 
+#: Bytes that a connection may hold without a request, and those that it may
+#: hold in addition for a head that is not complete: the head, and one read.
+CONNECTION_BYTES: Final = 32_768
+HEAD_BYTES: Final = 65_536
+
+#: Fraction of the memory for connections that is for such heads.
+HEADS_FRACTION: Final = 0.5
+
 #: Fraction of the callers' descriptors that is freed at once: finding those to
 #: close looks at all connections.
 FREED_FRACTION: Final = 0.05
@@ -53,6 +62,8 @@
         total: Number of file descriptors that the process may have.
         timeouts: Knows the open connections, and closes some.
         clock: The host's clock.
+        memory: Bytes that connections may hold beside those of the requests
+            that were admitted.
     """
 
     @property
@@ -62,9 +73,17 @@
         return max(1, self._total - reserved)
 
     def __init__(
-        self, total: int, timeouts: ConnectionTimeouts, clock: Clock
+        self,
+        total: int,
+        timeouts: ConnectionTimeouts,
+        clock: Clock,
+        memory: int = sys.maxsize,
     ) -> None:
         self._total = total
+        for_heads = int(memory * HEADS_FRACTION)
+        #: Maximum number of connections for which there is memory.
+        self.max_connections = (memory - for_heads) // CONNECTION_BYTES
+        timeouts.max_partial_heads = for_heads // HEAD_BYTES
         self._timeouts = timeouts
         self._clock = clock
         self._requests = 0
@@ -78,13 +97,19 @@
             queued: Number of connections that wait to be served.
         """
         used = self._timeouts.total + queued
-        # Each request may need a connection to an upstream.
-        if 2 * used < self.limit or used + self._count_requests() < self.limit:
+        if used < self.max_connections and self._has_descriptors(used):
             return True
         if self._clock.now() < self._full_until:
             return False
         return self._free() > 0
 
+    def _has_descriptors(self, used: int) -> bool:
+        """Return whether one more descriptor is free beside those in use."""
+        # Each request may need a connection to an upstream.
+        if 2 * used < self.limit:
+            return True
+        return used + self._count_requests() < self.limit
+
     def _count_requests(self) -> int:
         """Return the number of requests that are read or answered."""
         now = self._clock.now()
@@ -110,7 +135,7 @@
             self._full_until = self._clock.now() + COUNT_TTL
         _LOG.decision(
             'connections short',
-            limit=self.limit,
+            limit=min(self.limit, self.max_connections),
             open=self._timeouts.total,
             idle=closed[ConnectionState.IDLE],
             silent=closed[ConnectionState.SILENT],
--- a/src/nutmegroad/ingress/timeouts.py
+++ b/src/nutmegroad/ingress/timeouts.py
@@ -1,5 +1,6 @@
 """Closes connections whose callers take too long, or send too much."""
 
+import sys
 from collections import Counter
 from collections.abc import Iterable
 from enum import Enum, unique
@@ -15,7 +16,7 @@
     CallerServer,
     ConnectionState,
 )
-from nutmegroad.overload.quick_refusals import RefusalFormat
+from nutmegroad.overload.quick_refusals import NO_ROOM, RefusalFormat
 
 _LOG: Final = part_logger('ingress')
 
@@ -72,12 +73,15 @@
         self._counters = counters
         self._clock = clock
         self._servers: list[web.Server] = []
+        self._partial_heads: set[CallerConnection] = set()
+        #: Maximum number of heads that have begun and are not complete.
+        self.max_partial_heads = sys.maxsize
 
     def watch(self, server: web.Server) -> None:
         """Apply the limits to all connections of a server."""
         self._servers.append(server)
         if isinstance(server, CallerServer):
-            server.refuse_excess = self.refuse_excess
+            server.guard = self
 
     def connections(self) -> Iterable[CallerConnection]:
         """Yield the open connections."""
@@ -132,6 +136,16 @@
             return
         self.close(connection, refusal, CloseReason.EXCESS)
 
+    def head_begun(self, connection: CallerConnection) -> None:
+        """Count a connection with the beginning of a head, or refuse it."""
+        self._partial_heads.add(connection)
+        if len(self._partial_heads) > self.max_partial_heads:
+            self.close(connection, NO_ROOM, CloseReason.ROOM)
+
+    def head_ended(self, connection: CallerConnection) -> None:
+        """No longer count a connection."""
+        self._partial_heads.discard(connection)
+
     def _is_due(self, connection: CallerConnection) -> bool:
         """Return whether a caller has taken too long."""
         if connection.has_request:
--- a/src/nutmegroad/overload/memory_budget.py
+++ b/src/nutmegroad/overload/memory_budget.py
@@ -20,12 +20,12 @@
 
 _LOG: Final = part_logger('overload')
 
-#: Fraction of the memory limit that the process may use in all.
+#: Fraction of the memory limit that is divided. The rest is for copies, and for
+#: memory that the allocator has not returned.
 USABLE_FRACTION: Final = 0.8
 
 #: Fraction of the usable memory above the process's own that is held for
-#: others. The rest is for the copies that a transport makes of what it sends,
-#: and for memory that the allocator has not returned.
+#: requests. The rest is for connections.
 HELD_FRACTION: Final = 0.5
 
 #: Memory limit in MB if the settings name none.
@@ -342,14 +342,29 @@
         clock: The host's clock.
         own_bytes: Returns the bytes that the process needs for itself.
     """
-    limit = (limit_mb or DEFAULT_LIMIT_MB) * _BYTES_PER_MB
     own = own_bytes()
-    total = int((limit * USABLE_FRACTION - own) * HELD_FRACTION)
-    total = max(MIN_TOTAL, total)
+    total = max(MIN_TOTAL, int(_usable(limit_mb, own) * HELD_FRACTION))
     _LOG.decision('memory budget', limit_mb=limit_mb, own=own, total=total)
     return MemoryBudget(total, clock)
 
 
+def connection_memory(limit_mb: float, own: int) -> int:
+    """Return the bytes that connections may hold beside the budget.
+
+    Args:
+        limit_mb: Memory limit of the process in MB; 0 if it is not known.
+        own: Bytes that the process needs for itself.
+    """
+    spare = int(_usable(limit_mb, own) * (1 - HELD_FRACTION))
+    return max(MIN_TOTAL, spare)
+
+
+def _usable(limit_mb: float, own: int) -> float:
+    """Return the bytes that a process may use beside its own."""
+    limit = (limit_mb or DEFAULT_LIMIT_MB) * _BYTES_PER_MB
+    return limit * USABLE_FRACTION - own
+
+
 def allocate(size: int) -> BytesIO:
     """Return an empty buffer with room for a number of bytes.
 
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -9,9 +9,16 @@
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.ingress.connections import Limits
-from nutmegroad.ingress.descriptors import descriptor_limit
+from nutmegroad.ingress.descriptors import (
+    DescriptorAccount,
+    descriptor_limit,
+)
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
-from nutmegroad.overload.memory_budget import memory_budget, resident_bytes
+from nutmegroad.overload.memory_budget import (
+    connection_memory,
+    memory_budget,
+    resident_bytes,
+)
 from nutmegroad.overload.quick_refusals import QuickRefusals
 from nutmegroad.relay.attempts import AttemptRunner
 from nutmegroad.relay.boundary import HostSettings, Platform
@@ -57,7 +64,7 @@
     bound: BoundSockets | None,
     platform: Platform,
     limits: Limits,
-    descriptors: int,
+    settings: HostSettings,
     clock: Clock,
 ) -> Listeners:
     """Return the listeners of a host, which close with a stack.
@@ -67,21 +74,19 @@
         bound: Sockets that listen already, if any.
         platform: What the deployment's adapter provides.
         limits: Returns the limits on callers' connections.
-        descriptors: Number of file descriptors in the settings; 0 if not known.
+        settings: The host's settings.
         clock: The host's clock.
     """
     refusals = TextRefusals(platform.names)
     unserved = QuickRefusals(refusals, platform.counters)
     timeouts = ConnectionTimeouts(refusals, platform.counters, clock)
-    return Listeners(
-        stack,
-        bound,
-        unserved,
+    account = DescriptorAccount(
+        descriptor_limit(settings.descriptors),
         timeouts,
-        limits,
-        descriptor_limit(descriptors),
         clock,
+        connection_memory(settings.memory_mb, resident_bytes()),
     )
+    return Listeners(stack, bound, unserved, timeouts, limits, account, clock)
 
 
 def assemble(
--- a/src/nutmegroad/relay/host.py
+++ b/src/nutmegroad/relay/host.py
@@ -96,7 +96,7 @@
             bound,
             platform,
             lambda: self._configuration.connection_limits,
-            settings.descriptors,
+            settings,
             clock,
         )
         self._stopping = False
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -273,7 +273,7 @@
         unserved: Handles connections that are not served.
         timeouts: Applies the limits to open connections.
         limits: Returns the limits in force.
-        descriptors: Number of file descriptors that the process may have.
+        account: Makes room for new connections.
         clock: The host's clock.
     """
 
@@ -284,11 +284,11 @@
         unserved: UnservedHandler,
         timeouts: ConnectionTimeouts,
         limits: Limits,
-        descriptors: int,
+        account: DescriptorAccount,
         clock: Clock,
     ) -> None:
         self.timeouts = timeouts
-        self._account = DescriptorAccount(descriptors, timeouts, clock)
+        self._account = account
         self._limits = limits
         self._stack = stack
         self._unserved = unserved
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -16,7 +16,11 @@
     ConnectionState,
     reading_body,
 )
-from nutmegroad.ingress.descriptors import DescriptorAccount
+from nutmegroad.ingress.descriptors import (
+    CONNECTION_BYTES,
+    HEAD_BYTES,
+    DescriptorAccount,
+)
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.acceptor import Acceptor
 from nutmegroad.overload.listening import listening_socket
@@ -50,6 +54,37 @@
                 self.assertEqual(account.limit, limit)
 
 
+class MemoryTest(unittest.TestCase):
+    """How many connections a host has memory for.
+
+    Guards against callers that hold more connections, or more beginnings of
+    heads, than there is memory for what each of them may hold.
+    """
+
+    def test_what_connections_may_hold_is_within_their_memory(self) -> None:
+        for memory in (1_000_000, 15_000_000, 95_000_000):
+            with self.subTest(memory=memory):
+                timeouts = mock.Mock()
+                account = DescriptorAccount(4100, timeouts, mock.Mock(), memory)
+                held = (
+                    account.max_connections * CONNECTION_BYTES
+                    + timeouts.max_partial_heads * HEAD_BYTES
+                )
+                self.assertLessEqual(held, memory)
+                self.assertGreater(timeouts.max_partial_heads, 0)
+
+    def test_connections_leave_once_their_memory_is_used(self) -> None:
+        """Though there are descriptors."""
+        timeouts = mock.Mock(total=9)
+        timeouts.connections.return_value = ()
+        clock = ManualClock(start=100)
+        account = DescriptorAccount(
+            4100, timeouts, clock, 2 * 10 * CONNECTION_BYTES
+        )
+        self.assertTrue(account.has_room(0))
+        self.assertFalse(account.has_room(1))
+
+
 class NoDescriptorTest(unittest.IsolatedAsyncioTestCase):
     """A host whose descriptors are all in use."""
 
@@ -164,3 +199,18 @@
         self.release.set()
         for number in range(KEPT // 2):
             self.assertIn(b'200 OK', await self.received(str(number)))
+
+    async def test_heads_beyond_their_memory_are_refused(self) -> None:
+        """The newest one; it has not run, and is told when to come back."""
+        self.timeouts.max_partial_heads = 1
+        await self.call('first', POST[:9], ConnectionState.HEAD)
+        with socket.create_connection(self.address) as caller:
+            caller.setblocking(False)
+            caller.send(POST[:9])
+            loop = asyncio.get_running_loop()
+            refusal = await loop.sock_recv(caller, 65_536)
+        self.assertTrue(refusal.startswith(b'HTTP/1.1 503 '))
+        self.assertIn(b'8008 HOST_CONNECTIONS_SHORT', refusal)
+        self.callers['first'].send(POST[9:] + b'complete!')
+        self.assertIn(b'200 OK', await self.received('first'))
+        await self.call('next', POST[:9], ConnectionState.HEAD)
--- a/tests/test_early_sockets.py
+++ b/tests/test_early_sockets.py
@@ -16,6 +16,7 @@
 from nutmegroad.foundations.clocks import BootClock
 from nutmegroad.foundations.types import Address
 from nutmegroad.ingress.connections import ConnectionLimits
+from nutmegroad.ingress.descriptors import DescriptorAccount
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.overload.quick_refusals import QuickRefusals
 from nutmegroad.relay.counters import RelayCounters
@@ -67,13 +68,14 @@
             await asyncio.sleep(0)
             clock = BootClock()
             writers = TextRefusals(HEADERS), RelayCounters()
+            timeouts = ConnectionTimeouts(*writers, clock)
             listeners = Listeners(
                 stack,
                 sockets.bound,
                 QuickRefusals(*writers),
-                ConnectionTimeouts(*writers, clock),
+                timeouts,
                 ConnectionLimits,
-                1024,
+                DescriptorAccount(1024, timeouts, clock),
                 clock,
             )
             listeners.open(
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -36,6 +36,15 @@
     'test_once_processes',
 )
 
+#: Modules that run alone, after all others: their hosts take all the time and
+#: memory that they get, and would disturb what runs beside them.
+EXCLUSIVE_MODULES: Final = (
+    'test_hostile_bodies',
+    'test_hostile_heads',
+    'test_hostile_lines',
+    'test_hostile_readers',
+)
+
 
 class Outcome(msgspec.Struct, frozen=True):
     """The outcome of a test run, by ids of tests.
@@ -127,7 +136,10 @@
         return report
 
     modules = find_modules(directory)
-    return tuple(await asyncio.gather(*(run(module) for module in modules)))
+    shared = [name for name in modules if name not in EXCLUSIVE_MODULES]
+    alone = [name for name in modules if name in EXCLUSIVE_MODULES]
+    reports = await asyncio.gather(*(run(module) for module in shared))
+    return (*reports, *[await run(module) for module in alone])
 
 
 async def run_module(directory: Path, module: str, timeout: float) -> Report:
