Close callers that take nothing when others find no memory

What callers saw: beside 120 callers that read nothing of long answers, an ordinary request was refused for some 25 s before it was served.

Cause: what such callers hold came back only when they had taken nothing for 30 s, or at the deadline of a stream, whoever waited for the memory.

Why this holds: a request that finds no room closes the connections of those whose answers have waited longest for them, 2 s at least, until what they hold is enough for it. Slow ones that take some of a whole answer in each half second are not among them. An answer is written under an account that knows whether it waits for its caller.

Beside it: two functions that returned the resident memory are one (`foundations/process_memory`), and a test of the daemon's log lines reads lines of decisions, too, which have an event in place of a message: the line with the memory budget is the first one that the daemon writes at its start.

--- a/experiments/slopes/hosts.py
+++ b/experiments/slopes/hosts.py
@@ -33,9 +33,9 @@
 from experiments.slopes import fits
 from nutmegroad.contracts.peers import Mesh
 from nutmegroad.daemon.plugins import load_plugins
-from nutmegroad.foundations._cost_metrics import resident_bytes
 from nutmegroad.foundations.accounting import Ledger, PartCost
 from nutmegroad.foundations.clocks import SystemClock
+from nutmegroad.foundations.process_memory import resident_bytes
 from nutmegroad.foundations.types import Address, DomainId, HostId
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.settings import Settings
--- a/src/nutmegroad/callers/_guards.py
+++ b/src/nutmegroad/callers/_guards.py
@@ -7,10 +7,11 @@
 from nutmegroad.callers._pause_guard import PauseGuard
 from nutmegroad.callers._stop_guard import StopGuard
 from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.process_memory import resident_bytes
 from nutmegroad.kernel.core import Kernel
 from nutmegroad.kernel.stops import GracefulStop
 from nutmegroad.overload.departures import departed_caller_refusal
-from nutmegroad.overload.memory_budget import memory_budget, resident_bytes
+from nutmegroad.overload.memory_budget import memory_budget
 from nutmegroad.routing.gates import Gatekeeper
 
 
--- a/src/nutmegroad/callers/_http_listener.py
+++ b/src/nutmegroad/callers/_http_listener.py
@@ -25,6 +25,7 @@
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
 from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.process_memory import resident_bytes
 from nutmegroad.foundations.results import Refusal, ResultCode
 from nutmegroad.foundations.types import Address, Ran, RequestId
 from nutmegroad.ingress.connections import (
@@ -43,7 +44,6 @@
 from nutmegroad.overload.listening import limit_buffers, listening_socket
 from nutmegroad.overload.memory_budget import (
     connection_memory,
-    resident_bytes,
 )
 
 #: Seconds that replies in progress may take when a listener closes.
--- a/src/nutmegroad/callers/_memory_guard.py
+++ b/src/nutmegroad/callers/_memory_guard.py
@@ -50,7 +50,8 @@
             ):
                 request[HOLDING_KEY] = holding
                 reply = await handler(request)
-                if await deliver(request, reply, READ_TIMEOUT) is not None:
+                taken = await deliver(request, reply, READ_TIMEOUT, holding)
+                if taken is not None:
                     self._metrics.reply_dropped('slow_caller')
                 return reply
 
--- a/src/nutmegroad/foundations/_cost_metrics.py
+++ b/src/nutmegroad/foundations/_cost_metrics.py
@@ -1,13 +1,8 @@
 """Publishes the control-plane cost of each part as metrics."""
 
-import resource
-from pathlib import Path
-from typing import Final
-
 from nutmegroad.foundations.accounting import Ledger, PartCost
 from nutmegroad.foundations.metrics import Metrics
-
-_STATM: Final = Path('/proc/self/statm')
+from nutmegroad.foundations.process_memory import resident_bytes
 
 
 class CostPublisher:
@@ -36,12 +31,3 @@
             self._metrics.host_event(event, gained)
             self._published_events[event] = count
         self._metrics.state.set_resident_bytes(resident_bytes())
-
-
-def resident_bytes() -> int:
-    """Return this process's resident memory in bytes; 0 if unknown."""
-    try:
-        pages = int(_STATM.read_text().split()[1])
-    except OSError:
-        return 0
-    return pages * resource.getpagesize()
--- a/src/nutmegroad/ingress/bodies.py
+++ b/src/nutmegroad/ingress/bodies.py
@@ -1,5 +1,7 @@
 """Reads the bodies of callers' requests within the memory of the host."""
 
+from io import BytesIO
+
 from aiohttp import web
 
 from nutmegroad.foundations.results import Refusal, ResultCode
@@ -8,7 +10,6 @@
     HeldPart,
     Holding,
     Shortage,
-    allocate,
 )
 
 
@@ -32,7 +33,7 @@
         shortage = await holding.reserve(HeldPart.BODY, announced)
         if shortage is not None:
             return _memory_short(shortage)
-    body = allocate(announced or 0)
+    body = _allocate(announced or 0)
     async for part in http.content.iter_any():
         if holding.received + len(part) > max_bytes:
             return _too_large(max_bytes)
@@ -61,3 +62,14 @@
         ResultCode.BODY_TOO_LARGE,
         f'The body has more than {max_bytes} bytes.',
     )
+
+
+def _allocate(size: int) -> BytesIO:
+    """Return an empty buffer with room for a number of bytes.
+
+    Many buffers that grow beside each other would leave gaps that the allocator
+    does not return.
+    """
+    buffer = BytesIO(bytes(size))
+    buffer.seek(0)
+    return buffer
--- a/src/nutmegroad/ingress/delivery.py
+++ b/src/nutmegroad/ingress/delivery.py
@@ -5,12 +5,20 @@
 
 from aiohttp import web
 
+from nutmegroad.overload.memory_budget import Holding
+
 #: Bytes that are buffered for a caller without waiting until it has read them.
 BUFFERED_BYTES: Final = 16_384
 
+#: Seconds between two looks at how much of an answer has been taken.
+CHECK_INTERVAL: Final = 0.5
+
 
 async def deliver(
-    request: web.BaseRequest, response: web.StreamResponse, max_stall: float
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+    max_stall: float,
+    holding: Holding,
 ) -> int | None:
     """Send a complete answer for as long as the caller takes it.
 
@@ -18,6 +26,7 @@
         request: The request.
         response: The answer, or the rest of one that has begun.
         max_stall: Seconds for which the caller may take nothing of it.
+        holding: Accounts for the bytes of the answer.
 
     Returns:
         How many bytes the caller had taken when its connection was aborted
@@ -32,7 +41,7 @@
         return None
     sending = asyncio.create_task(_send(request, response))
     try:
-        left = await _wait_while_taken(sending, transport, max_stall)
+        left = await _wait_while_taken(sending, transport, max_stall, holding)
     finally:
         sending.cancel()
     return None if left is None else size - left
@@ -42,23 +51,43 @@
     sending: asyncio.Task[None],
     transport: asyncio.WriteTransport,
     max_stall: float,
+    holding: Holding,
 ) -> int | None:
     """Wait for the end of sending, or abort if the caller takes nothing.
 
     Returns:
         The bytes that were left then; None if all were taken.
     """
-    left: int | None = None
-    while True:
-        await asyncio.wait((sending,), timeout=max_stall)
-        if sending.done():
-            # Raises if the connection was lost.
-            sending.result()
-            return None
-        before, left = left, transport.get_write_buffer_size()
-        if before is not None and left >= before:
-            transport.abort()
-            return left
+    while not sending.done():
+        with holding.awaiting_caller(transport.abort):
+            if not await _is_taken(sending, transport, max_stall):
+                left = transport.get_write_buffer_size()
+                transport.abort()
+                return left
+    # Raises if the connection was lost.
+    sending.result()
+    return None
+
+
+async def _is_taken(
+    sending: asyncio.Task[None],
+    transport: asyncio.WriteTransport,
+    max_stall: float,
+) -> bool:
+    """Wait for the end of sending, or until a caller takes some of an answer.
+
+    Returns:
+        False if it takes nothing for too long.
+    """
+    before = transport.get_write_buffer_size()
+    waited: float = 0
+    while waited < max_stall:
+        step = min(CHECK_INTERVAL, max_stall - waited)
+        await asyncio.wait((sending,), timeout=step)
+        if sending.done() or transport.get_write_buffer_size() != before:
+            return True
+        waited += step
+    return False
 
 
 async def _send(request: web.BaseRequest, response: web.StreamResponse) -> None:
--- a/src/nutmegroad/overload/memory_budget.py
+++ b/src/nutmegroad/overload/memory_budget.py
@@ -8,15 +8,16 @@
 import asyncio
 from collections import Counter, deque
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from enum import Enum, unique
 from heapq import heappop, heappush
-from io import BytesIO
-from pathlib import Path
+from operator import attrgetter
 from typing import Final
 
 from nutmegroad.foundations.clocks import Clock
 from nutmegroad.foundations.logs import part_logger
+from nutmegroad.overload.slow_callers import Close, SlowCallers
 
 _LOG: Final = part_logger('overload')
 
@@ -65,7 +66,6 @@
 UNKNOWN_BODY_SECONDS: Final = 5.0
 
 _BYTES_PER_MB: Final = 1_048_576
-_BYTES_PER_KB: Final = 1024
 
 
 @unique
@@ -138,6 +138,15 @@
             return UNKNOWN_BODY_SECONDS
         return (now - self.began) * left / self.received
 
+    def awaiting_caller(self, close: Close) -> AbstractContextManager[None]:
+        """Wait in a block until the caller takes more of its answer.
+
+        Args:
+            close: Closes the caller's connection, if it takes nothing for long
+                while others need the memory.
+        """
+        return self._budget.slow_callers.waiting(self, close)
+
     async def reserve(self, part: HeldPart, size: int) -> Shortage | None:
         """Reserve bytes, waiting for a short time if there is no room.
 
@@ -183,6 +192,8 @@
         self._waiting: deque[_Waiter] = deque()
         # Holdings that are large; the values are not used.
         self._holders: dict[Holding, None] = {}
+        #: Callers that have not taken what was sent to them.
+        self.slow_callers: SlowCallers[Holding] = SlowCallers(clock)
         # Clock seconds at which refused callers were told to return.
         self._promised: list[float] = []
 
@@ -293,6 +304,7 @@
     async def _wait(self, waiter: _Waiter) -> bool:
         """Wait for room, and return whether it was granted."""
         self._waiting.append(waiter)
+        self.slow_callers.close_some(waiter.size, attrgetter('size'))
         try:
             await asyncio.wait((waiter.granted,), timeout=MAX_WAIT)
         finally:
@@ -365,29 +377,6 @@
     return limit * USABLE_FRACTION - own
 
 
-def allocate(size: int) -> BytesIO:
-    """Return an empty buffer with room for a number of bytes.
-
-    Many buffers that grow beside each other would leave gaps that the allocator
-    does not return.
-    """
-    buffer = BytesIO(bytes(size))
-    buffer.seek(0)
-    return buffer
-
-
-def resident_bytes() -> int:
-    """Return the resident memory of this process in bytes; 0 if unknown."""
-    try:
-        text = Path('/proc/self/status').read_text(encoding='ascii')
-    except OSError:
-        return 0
-    for line in text.splitlines():
-        if line.startswith('VmRSS:'):
-            return int(line.split()[1]) * _BYTES_PER_KB
-    return 0
-
-
 def _is_small(holding: Holding, size: int) -> bool:
     """Return whether a holding is small with so many more bytes."""
     return holding.size + size <= SMALL_BYTES
--- a/src/nutmegroad/relay/assembly.py
+++ b/src/nutmegroad/relay/assembly.py
@@ -8,6 +8,7 @@
 from nutmegroad.canary.state import RolloutState
 from nutmegroad.fleet.hosts import FleetHosts
 from nutmegroad.foundations.clocks import Clock
+from nutmegroad.foundations.process_memory import resident_bytes
 from nutmegroad.ingress.connections import Limits
 from nutmegroad.ingress.descriptors import (
     DescriptorAccount,
@@ -17,7 +18,6 @@
 from nutmegroad.overload.memory_budget import (
     connection_memory,
     memory_budget,
-    resident_bytes,
 )
 from nutmegroad.overload.quick_refusals import QuickRefusals
 from nutmegroad.relay.attempts import AttemptRunner
--- a/src/nutmegroad/relay/listener.py
+++ b/src/nutmegroad/relay/listener.py
@@ -27,6 +27,7 @@
 )
 from nutmegroad.overload.departures import has_departed
 from nutmegroad.overload.listening import listening_socket
+from nutmegroad.overload.memory_budget import Holding
 from nutmegroad.relay.refusals import CallerRefusal
 from nutmegroad.routes.headers import RawHeaders
 
@@ -61,6 +62,7 @@
         request: The request to answer.
         closing: Returns whether to close the connection after the answer.
         max_stall: Seconds for which the caller may take nothing of an answer.
+        holding: Accounts for the bytes of the request and its answer.
     """
 
     def __init__(
@@ -68,10 +70,12 @@
         request: web.BaseRequest,
         closing: Callable[[], bool],
         max_stall: float,
+        holding: Holding,
     ) -> None:
         self._request = request
         self._closing = closing
         self._max_stall = max_stall
+        self._holding = holding
         self._stream: web.StreamResponse | None = None
         #: Whether the answer is complete, so that nothing else may be sent.
         self.is_complete = False
@@ -126,7 +130,10 @@
 
     async def write(self, text: bytes) -> None:
         """Send a part of a stream, when the caller has taken those before."""
-        if self._stream is not None:
+        transport = self._request.transport
+        if self._stream is None or transport is None:
+            return
+        with self._holding.awaiting_caller(transport.abort):
             await self._stream.write(text)
             await self._request.writer.drain()
 
@@ -173,7 +180,9 @@
         response = self.response
         if not self.is_complete or response is None:
             return None
-        return await deliver(self._request, response, self._max_stall)
+        return await deliver(
+            self._request, response, self._max_stall, self._holding
+        )
 
     def _complete(self, response: web.Response) -> None:
         """Set the answer, unless there is one."""
--- a/src/nutmegroad/relay/serving.py
+++ b/src/nutmegroad/relay/serving.py
@@ -74,10 +74,11 @@
 
     async def answer(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
-        reply = HttpReply(http, self._stopping, self._max_stall())
+        holding = self._context.memory.open()
+        reply = HttpReply(http, self._stopping, self._max_stall(), holding)
         self.busy.add(http.protocol)
         try:
-            with closing(self._context.memory.open()) as holding:
+            with closing(holding):
                 await self._serve(http, reply, holding)
                 await self._deliver(http, reply)
         finally:
--- a/tests/test_cost_metrics.py
+++ b/tests/test_cost_metrics.py
@@ -13,9 +13,10 @@
     cached_host_list,
 )
 from nutmegroad.contracts.platform import Listing
-from nutmegroad.foundations._cost_metrics import CostPublisher, resident_bytes
+from nutmegroad.foundations._cost_metrics import CostPublisher
 from nutmegroad.foundations.accounting import Ledger
 from nutmegroad.foundations.metrics import Metrics
+from nutmegroad.foundations.process_memory import resident_bytes
 from nutmegroad.membership._connection import QueuedFrame, SendQueue
 from nutmegroad.records.forwards import ForwardedReply, ForwardedRequest
 from nutmegroad.records.record_copies import (
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -113,7 +113,11 @@
         daemon.terminate()
         _, logged = daemon.communicate(timeout=30)
         lines = [json.loads(line) for line in logged.splitlines()]
-        told = {(line['part'], line['message']) for line in lines}
+        # Lines of decisions have an event in place of a message.
+        told = {
+            (line['part'], line.get('message') or line['event'])
+            for line in lines
+        }
         self.assertIn(('daemon', 'daemon: stopping'), told)
         self.assertIn(('daemon', 'daemon: stopped'), told)
         self.assertEqual(daemon.returncode, 0)
