Allow heads of 32 KiB whatever the operator allows for their fields

The limit on a head was twice `maxHeaderBytes`. Found by reading; the test has the sum for three limits, and failed for 1,024 bytes (9,728 of 2,048) with the limit before. The constant of the account of connections has a name of its own.

--- a/src/nutmegroad/ingress/connections.py
+++ b/src/nutmegroad/ingress/connections.py
@@ -23,6 +23,10 @@
 #: head has a request line, too, and four bytes beside each field.
 HEAD_FACTOR: Final = 2
 
+#: Bytes that a head may always have: those of its first line have no limit of
+#: their own.
+HEAD_BYTES: Final = 32_768
+
 #: Bytes of a body that wait to be read by the handler of its request. Reading
 #: from the connection pauses at twice as many.
 READ_BUFFER: Final = 16_384
@@ -73,7 +77,7 @@
 
     header_timeout: float = 10.0
     idle_timeout: float = 75.0
-    head_bytes: int = 32_768
+    head_bytes: int = HEAD_BYTES
 
 
 class BodyInterruptedError(TimeoutError):
@@ -366,6 +370,15 @@
         yield
 
 
+def head_limit(header_bytes: int) -> int:
+    """Return the maximum bytes of a head.
+
+    Args:
+        header_bytes: Maximum bytes of the names and texts of its fields.
+    """
+    return max(HEAD_BYTES, HEAD_FACTOR * header_bytes)
+
+
 def _too_large(limit: int) -> Refusal:
     """Return the refusal of a head that is too large, or has no end."""
     return Refusal(
--- a/src/nutmegroad/ingress/descriptors.py
+++ b/src/nutmegroad/ingress/descriptors.py
@@ -29,7 +29,7 @@
 #: Bytes that a connection may hold without a request, and those that it may
 #: hold in addition for a head that is not complete: the head, and one read.
 CONNECTION_BYTES: Final = 32_768
-HEAD_BYTES: Final = 65_536
+PARTIAL_HEAD_BYTES: Final = 65_536
 
 #: Fraction of the memory for connections that is for such heads.
 HEADS_FRACTION: Final = 0.5
@@ -83,7 +83,7 @@
         for_heads = int(memory * HEADS_FRACTION)
         #: Maximum number of connections for which there is memory.
         self.max_connections = (memory - for_heads) // CONNECTION_BYTES
-        timeouts.max_partial_heads = for_heads // HEAD_BYTES
+        timeouts.max_partial_heads = for_heads // PARTIAL_HEAD_BYTES
         self._timeouts = timeouts
         self._clock = clock
         self._requests = 0
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -19,6 +19,7 @@
     CallerServer,
     ConnectionLimits,
     ConnectionState,
+    head_limit,
 )
 from nutmegroad.ingress.timeouts import ConnectionTimeouts
 from nutmegroad.relay.counters import RelayCounters
@@ -228,6 +229,17 @@
                 await self.send(caller, b'\r\n')
                 self.assertIn(b'200 OK', await self.read_answer(caller))
 
+    def test_no_head_that_the_operator_allows_is_too_large(self) -> None:
+        """Also with a long first line, and four bytes beside each field."""
+        for header_bytes in (1024, 16_384, 65_536):
+            with self.subTest(header_bytes=header_bytes):
+                fields = 128
+                first_line = 8192
+                self.assertLessEqual(
+                    header_bytes + 4 * fields + first_line,
+                    head_limit(header_bytes),
+                )
+
     async def test_lines_behind_a_request_do_not_cut_its_answer(self) -> None:
         """The connection is closed once the request has been answered."""
         self.release.clear()
