Start the hosts of the crowds by what other rigs have

The rig wrote a host's settings and the platform's list by itself; the measurement of large bodies and the deployments do the same. Crowds, bounds and checks are as they were: test_hostile_bodies passed in both programs.

--- a/experiments/large_bodies.py
+++ b/experiments/large_bodies.py
@@ -266,9 +266,19 @@
 
 
 async def start_host(
-    stack: AsyncExitStack, store_port: int, port: int
+    stack: AsyncExitStack,
+    store_port: int,
+    port: int,
+    limits: str = f'limits.memoryMb={MEMORY_MB}\n',
 ) -> asyncio.subprocess.Process:
-    """Start a host, and wait until it takes requests."""
+    """Start a host, and wait until it takes requests.
+
+    Args:
+        stack: Owns the folder of its settings.
+        store_port: Port of the store.
+        port: Port for callers.
+        limits: Further lines of its settings.
+    """
     folder = stack.enter_context(tempfile.TemporaryDirectory())
     path = Path(folder) / 'settings.conf'
     settings = SETTINGS.format(
@@ -280,7 +290,7 @@
         inside=f'{reserve_port()},{reserve_port()}',
         store=f'127.0.0.1:{store_port}',
     )
-    path.write_text(f'{settings}limits.memoryMb={MEMORY_MB}\n')
+    path.write_text(f'{settings}{limits}')
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-S',
--- a/tests/hostile_callers.py
+++ b/tests/hostile_callers.py
@@ -22,13 +22,8 @@
     pipelined,
     unfinished_head,
 )
-from tests.crowded_hosts import (
-    BODY_BYTES,
-    CrowdedHost,
-    HostLimits,
-    daemon_host,
-    relay_host,
-)
+from tests.crowded_host import CrowdedHost, HostLimits
+from tests.crowded_hosts import BODY_BYTES, daemon_host, relay_host
 
 #: Numbers of callers: of those that send heads, and of all others.
 HEAD_CALLERS: Final = 200
